--- /dev/null
+++ b/coordination/configuration.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/folded_stream.hpp"
+
+namespace dragonflywell::coordination {
+
+inline constexpr std::string_view configuration_stream = "configuration";
+inline constexpr std::string_view configuration_subject = "configuration";
+inline constexpr std::string_view configuration_delta_type = "configuration.delta";
+
+/// Configuration as of one version: entries by path, such as "models/ionosphere", each a JSON text.
+struct configuration {
+    /// Offset of the delta that made it; absent before the first.
+    std::optional<log_offset> version;
+    std::map<std::string, std::string> entries;
+
+    friend bool operator==(const configuration&, const configuration&) = default;
+};
+
+/// Difference between two sets of entries.
+struct configuration_delta {
+    std::map<std::string, std::string> set;
+    std::vector<std::string> removed;
+
+    [[nodiscard]] bool empty() const noexcept { return set.empty() && removed.empty(); }
+    friend bool operator==(const configuration_delta&, const configuration_delta&) = default;
+};
+
+[[nodiscard]] configuration_delta get_difference(const std::map<std::string, std::string>& from,
+                                                 const std::map<std::string, std::string>& to);
+
+/// Another operator published first. Nothing of the refused delta is in force.
+class configuration_conflict_error : public error {
+public:
+    using error::error;
+};
+
+/// Folds the deltas into the configuration in force. Versions only grow. Not thread safe.
+class configuration_fold final : public record_observer {
+public:
+    void on_record(log_offset offset, const record& value) override;
+
+    /// Returns the configuration in force. The value is immutable and may be handed to other threads.
+    [[nodiscard]] const std::shared_ptr<const configuration>& get() const noexcept { return m_current; }
+
+private:
+    std::shared_ptr<const configuration> m_current = std::make_shared<configuration>();
+};
+
+/// Publishes a delta on top of `base_version` and returns the new version.
+/// Throws `configuration_conflict_error` when another delta came first, `log_unavailable_error` when unknown.
+/// Precondition: the caller owns `stream`, which folds the configuration stream.
+log_offset publish_configuration(folded_stream& stream, const configuration_delta& delta,
+                                 std::optional<log_offset> base_version);
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/usage.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/folded_stream.hpp"
+#include "core/identifiers.hpp"
+
+namespace dragonflywell::coordination {
+
+inline constexpr std::string_view usage_stream = "usage";
+inline constexpr std::string_view usage_counters_type = "usage.counters";
+
+/// Number of a billing window: wall time divided by the window's length.
+using window_number = std::uint64_t;
+
+/// What one organisation used, as a sum that only grows.
+struct usage_figures {
+    std::uint64_t requests{};
+    std::uint64_t prompt_tokens{};
+    std::uint64_t completion_tokens{};
+
+    usage_figures& operator+=(const usage_figures& other) noexcept;
+    friend bool operator==(const usage_figures&, const usage_figures&) = default;
+};
+
+/// Returns the larger figure of each kind. Merging is idempotent, so copies and duplicates do no harm.
+[[nodiscard]] usage_figures get_merged(const usage_figures& left, const usage_figures& right) noexcept;
+
+/// Whose use in which window.
+struct usage_key {
+    organisation_name organisation;
+    window_number window{};
+
+    friend auto operator<=>(const usage_key&, const usage_key&) = default;
+};
+
+using usage_table = std::map<usage_key, usage_figures>;
+
+/// Cumulative counters of this incarnation. Thread safe.
+class usage_meter {
+public:
+    void add(const usage_key& key, const usage_figures& amount);
+
+    /// Returns the counters that changed since the last call that succeeded, with their cumulative values.
+    [[nodiscard]] usage_table get_unflushed() const;
+
+    /// Marks the figures as written to the log. Counters that have grown since stay unflushed.
+    void mark_flushed(const usage_table& written);
+
+    [[nodiscard]] usage_table get_all() const;
+
+private:
+    mutable std::mutex m_mutex;
+    usage_table m_counters;
+    usage_table m_flushed;
+};
+
+/// Returns the log record that carries cumulative counters of one incarnation.
+[[nodiscard]] record_draft make_usage_record(const writer_id& owner, const usage_table& counters);
+
+/// Folds the counters of all incarnations. Not thread safe.
+class usage_fold final : public record_observer {
+public:
+    void on_record(log_offset offset, const record& value) override;
+
+    /// Returns the sum over all incarnations.
+    [[nodiscard]] usage_table get_totals() const;
+
+private:
+    std::map<writer_id, usage_table> m_counters;
+};
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/core/hash.cpp
@@ -0,0 +1,34 @@
+#include "core/hash.hpp"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+namespace dragonflywell {
+
+std::string get_sha256_hex(std::string_view data) {
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    unsigned int size = 0;
+    EVP_Digest(data.data(), data.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned int low_nibble = 0x0f;
+    std::string text;
+    text.reserve(digest.size() * 2);
+    for (const unsigned char byte : digest) {
+        text += digits[byte >> 4U];
+        text += digits[byte & low_nibble];
+    }
+    return text;
+}
+
+std::uint64_t get_stable_hash(std::string_view data) noexcept {
+    return XXH64(data.data(), data.size(), 0);
+}
+
+bool is_equal_secret(std::string_view left, std::string_view right) noexcept {
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace dragonflywell
--- /dev/null
+++ b/core/hash.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dragonflywell {
+
+/// Returns the SHA-256 digest of `data` as lower-case hexadecimal digits.
+[[nodiscard]] std::string get_sha256_hex(std::string_view data);
+
+/// Returns a 64-bit hash that is the same on every host and in every version. Not for secrets.
+[[nodiscard]] std::uint64_t get_stable_hash(std::string_view data) noexcept;
+
+/// Compares two secrets in a time that does not depend on where they differ.
+[[nodiscard]] bool is_equal_secret(std::string_view left, std::string_view right) noexcept;
+
+} // namespace dragonflywell
--- /dev/null
+++ b/core/json.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dragonflywell::json {
+
+/// Typed access to JSON that came from elsewhere.
+/// Each function throws `malformed_message_error` that names the key when the value is absent or of another type.
+[[nodiscard]] boost::json::value parse(std::string_view text);
+[[nodiscard]] const boost::json::object& as_object(const boost::json::value& value, std::string_view what);
+[[nodiscard]] std::string get_string(const boost::json::object& object, std::string_view key);
+[[nodiscard]] std::uint64_t get_unsigned(const boost::json::object& object, std::string_view key);
+[[nodiscard]] const boost::json::array& get_array(const boost::json::object& object, std::string_view key);
+[[nodiscard]] const boost::json::object& get_object(const boost::json::object& object, std::string_view key);
+
+/// As above, with a fallback for an absent key.
+[[nodiscard]] std::string get_string_or(const boost::json::object& object, std::string_view key,
+                                        std::string_view fallback);
+[[nodiscard]] std::uint64_t get_unsigned_or(const boost::json::object& object, std::string_view key,
+                                            std::uint64_t fallback);
+[[nodiscard]] bool get_bool_or(const boost::json::object& object, std::string_view key, bool fallback);
+
+} // namespace dragonflywell::json
--- /dev/null
+++ b/ctl/log_reader.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "coordination/configuration.hpp"
+#include "coordination/usage.hpp"
+#include "ctl/command.hpp"
+#include "platform/http_log.hpp"
+
+namespace dragonflywell::ctl {
+
+/// The streams of the platform's log that an operator reads and writes. Not thread safe.
+struct log_reader {
+    explicit log_reader(const command_context& context);
+
+    platform::http_log log;
+    coordination::folded_stream configuration_stream;
+    coordination::folded_stream usage_stream;
+    coordination::configuration_fold configuration;
+    coordination::usage_fold usage;
+};
+
+} // namespace dragonflywell::ctl
--- /dev/null
+++ b/ctl/report_commands.cpp
@@ -0,0 +1,102 @@
+#include "ctl/report_commands.hpp"
+
+#include <boost/beast/http/verb.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <ostream>
+
+#include "core/json.hpp"
+#include "ctl/log_reader.hpp"
+#include "platform/blocking_http_client.hpp"
+
+namespace dragonflywell::ctl {
+
+namespace {
+
+class usage_command final : public command {
+public:
+    [[nodiscard]] std::string get_words() const override { return "usage"; }
+    [[nodiscard]] std::string get_summary() const override { return "print the usage of each organisation by window"; }
+
+    int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
+        log_reader reader(context);
+        reader.usage_stream.poll();
+        const coordination::usage_table totals = reader.usage.get_totals();
+        if (context.is_json) {
+            print_json(context, totals);
+        } else {
+            print_table(context, totals);
+        }
+        return exit_ok;
+    }
+
+private:
+    static void print_json(const command_context& context, const coordination::usage_table& totals) {
+        boost::json::array rows;
+        for (const auto& [key, figures] : totals) {
+            rows.push_back({{"organisation", key.organisation.value()},
+                            {"window", key.window},
+                            {"requests", figures.requests},
+                            {"prompt_tokens", figures.prompt_tokens},
+                            {"completion_tokens", figures.completion_tokens}});
+        }
+        context.out << boost::json::serialize(boost::json::object{{"usage", std::move(rows)}}) << "\n";
+    }
+
+    static void print_table(const command_context& context, const coordination::usage_table& totals) {
+        context.out << fmt::format("{:<24} {:>12} {:>10} {:>14} {:>18}\n", "ORGANISATION", "WINDOW", "REQUESTS",
+                                   "PROMPT TOKENS", "COMPLETION TOKENS");
+        for (const auto& [key, figures] : totals) {
+            context.out << fmt::format("{:<24} {:>12} {:>10} {:>14} {:>18}\n", key.organisation.value(), key.window,
+                                       figures.requests, figures.prompt_tokens, figures.completion_tokens);
+        }
+    }
+};
+
+class status_command final : public command {
+public:
+    [[nodiscard]] std::string get_words() const override { return "status"; }
+    [[nodiscard]] std::string get_summary() const override { return "ask each daemon for its state"; }
+
+    int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
+        boost::json::array states;
+        int exit_code = exit_ok;
+        for (const endpoint& daemon : context.daemons) {
+            boost::json::object state = ask(context, daemon);
+            if (state.contains("error")) {
+                exit_code = exit_failed;
+            }
+            states.push_back(std::move(state));
+        }
+        if (context.is_json) {
+            context.out << boost::json::serialize(boost::json::object{{"daemons", std::move(states)}}) << "\n";
+            return exit_code;
+        }
+        for (const boost::json::value& state : states) {
+            context.out << boost::json::serialize(state) << "\n";
+        }
+        return exit_code;
+    }
+
+private:
+    static boost::json::object ask(const command_context& context, const endpoint& daemon) {
+        platform::blocking_http_client client({.server = daemon, .deadline = context.deadline});
+        try {
+            const platform::http_answer answer = client.exchange(boost::beast::http::verb::get, "/status");
+            return json::as_object(json::parse(answer.body), "status");
+        } catch (const error& fault) {
+            return {{"address", format_endpoint(daemon)}, {"error", fault.what()}};
+        }
+    }
+};
+
+} // namespace
+
+std::vector<std::unique_ptr<command>> make_report_commands() {
+    std::vector<std::unique_ptr<command>> commands;
+    commands.push_back(std::make_unique<status_command>());
+    commands.push_back(std::make_unique<usage_command>());
+    return commands;
+}
+
+} // namespace dragonflywell::ctl
--- /dev/null
+++ b/daemon/daemon.cpp
@@ -0,0 +1,113 @@
+#include "daemon/daemon.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+std::vector<std::unique_ptr<boost::asio::io_context>> make_workers(unsigned count) {
+    std::vector<std::unique_ptr<boost::asio::io_context>> workers;
+    for (unsigned index = 0; index < count; ++index) {
+        workers.push_back(std::make_unique<boost::asio::io_context>(1));
+    }
+    return workers;
+}
+
+std::uint64_t make_incarnation(const clock_source& time) {
+    const auto since_epoch = time.wall_now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+} // namespace
+
+daemon::daemon(daemon_settings settings)
+    : m_settings(std::move(settings)), m_log(get_logger("daemon")), m_manifest(nullptr), m_connections(m_clock, {}),
+      m_counters(m_metrics), m_context{.time = m_clock,
+                                       .own_zone = m_settings.zone,
+                                       .manifest = m_manifest,
+                                       .placement = m_placement,
+                                       .connections = m_connections,
+                                       .loads = m_loads,
+                                       .usage = m_usage,
+                                       .counters = m_counters,
+                                       .limits = m_settings.limits},
+      m_entry_handler(m_context),
+      m_operator_handler(m_metrics, m_context, m_settings.host, [this] { return is_ready(); }),
+      m_workers(make_workers(m_settings.workers)), m_operator_context(1),
+      m_entry_server(get_worker_contexts(), m_entry_handler,
+                     {.listen = m_settings.callers,
+                      .header_limit_bytes = m_settings.header_limit_bytes,
+                      .body_limit_bytes = m_settings.body_limit_bytes}),
+      m_operator_server({&m_operator_context}, m_operator_handler, {.listen = m_settings.operators}),
+      m_platform_log({.server = m_settings.platform_log, .deadline = m_settings.log_deadline}),
+      m_control(m_platform_log, m_clock,
+                {.configuration_poll = m_settings.configuration_poll,
+                 .usage_flush = m_settings.usage_flush,
+                 .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)}},
+                m_manifest, m_usage, m_metrics) {}
+
+daemon::~daemon() {
+    stop();
+}
+
+void daemon::start() {
+    m_entry_server.start();
+    m_operator_server.start();
+    m_control.start();
+    for (boost::asio::io_context* context : get_worker_contexts()) {
+        m_threads.emplace_back([context] {
+            // A worker without connections must not end: the first one may come at any time.
+            const auto work = boost::asio::make_work_guard(*context);
+            context->run();
+        });
+    }
+    m_threads.emplace_back([this] { m_operator_context.run(); });
+    m_log->info("Host {} in availability zone {} serves callers on port {}.", m_settings.host.value(),
+                m_settings.zone.value(), get_caller_port());
+}
+
+void daemon::stop() {
+    if (m_is_stopping.exchange(true)) {
+        return;
+    }
+    m_log->info("Stopping: new requests are refused.");
+    m_entry_handler.set_stopping();
+    wait_for_running_requests();
+    m_entry_server.stop();
+    m_operator_server.stop();
+    m_control.stop();
+    for (boost::asio::io_context* context : get_worker_contexts()) {
+        context->stop();
+    }
+    m_operator_context.stop();
+    for (std::thread& thread : m_threads) {
+        thread.join();
+    }
+    m_log->info("Stopped.");
+}
+
+bool daemon::is_ready() const {
+    return !m_is_stopping && m_manifest.get() != nullptr;
+}
+
+std::vector<boost::asio::io_context*> daemon::get_worker_contexts() const {
+    std::vector<boost::asio::io_context*> contexts;
+    for (const std::unique_ptr<boost::asio::io_context>& worker : m_workers) {
+        contexts.push_back(worker.get());
+    }
+    return contexts;
+}
+
+void daemon::wait_for_running_requests() {
+    constexpr std::chrono::milliseconds check_interval{20};
+    const steady_time last_moment = m_clock.now() + m_settings.stop_grace;
+    while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
+        std::this_thread::sleep_for(check_interval);
+    }
+    if (const std::int64_t left = m_entry_server.get_active_requests(); left > 0) {
+        m_log->error("{} requests still run at the end of the grace time and are cut off.", left);
+    }
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/daemon.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "core/metrics.hpp"
+#include "daemon/control_loop.hpp"
+#include "daemon/daemon_settings.hpp"
+#include "daemon/operator_handler.hpp"
+#include "platform/http_log.hpp"
+#include "servers/entry_handler.hpp"
+#include "servers/http_server.hpp"
+
+namespace dragonflywell::daemon {
+
+/// One entry host: all parts of the daemon, wired together.
+///
+/// Thread safety: `start`, `stop` and the destructor from one thread; the other functions from any.
+class daemon {
+public:
+    explicit daemon(daemon_settings settings);
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+    daemon(daemon&&) = delete;
+    daemon& operator=(daemon&&) = delete;
+    ~daemon();
+
+    /// Listens and starts all threads. Throws `boost::system::system_error` when an address cannot be bound.
+    void start();
+
+    /// Stops gracefully: fails the readiness check, refuses what is new, finishes what runs, writes the usage.
+    void stop();
+
+    [[nodiscard]] std::uint16_t get_caller_port() const { return m_entry_server.get_port(); }
+    [[nodiscard]] std::uint16_t get_operator_port() const { return m_operator_server.get_port(); }
+    [[nodiscard]] bool is_ready() const;
+
+private:
+    [[nodiscard]] std::vector<boost::asio::io_context*> get_worker_contexts() const;
+    void wait_for_running_requests();
+
+    daemon_settings m_settings;
+    std::shared_ptr<spdlog::logger> m_log;
+    host_clock m_clock;
+    metrics_registry m_metrics;
+    snapshot_cell<servers::active_manifest> m_manifest;
+    coordination::usage_meter m_usage;
+    policy::two_choice_placement m_placement;
+    servers::backend_connection_pool m_connections;
+    servers::backend_load_table m_loads;
+    servers::request_counters m_counters;
+    servers::entry_context m_context;
+    servers::entry_handler m_entry_handler;
+    operator_handler m_operator_handler;
+    std::vector<std::unique_ptr<boost::asio::io_context>> m_workers;
+    boost::asio::io_context m_operator_context;
+    servers::http_server m_entry_server;
+    servers::http_server m_operator_server;
+    platform::http_log m_platform_log;
+    control_loop m_control;
+    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_is_stopping{false};
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/daemon_settings.cpp
@@ -0,0 +1,57 @@
+#include "daemon/daemon_settings.hpp"
+
+#include "core/settings_reader.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr integer_range poll_milliseconds{.least = 10, .most = 10000};
+constexpr integer_range deadline_milliseconds{.least = 10, .most = 3600000};
+
+endpoint get_endpoint(settings_reader& reader, const std::string& key) {
+    const std::string text = reader.get_string(key);
+    const std::optional<endpoint> parsed = parse_endpoint(text);
+    if (!parsed && !text.empty()) {
+        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+    }
+    return parsed.value_or(endpoint{});
+}
+
+duration get_milliseconds(settings_reader& reader, const std::string& key, integer_range range, std::int64_t fallback) {
+    return std::chrono::milliseconds(reader.get_integer(key, range, fallback));
+}
+
+} // namespace
+
+daemon_settings parse_daemon_settings(std::string_view text, const std::string& file) {
+    settings_reader reader(text, file);
+    daemon_settings settings;
+    settings.host = host_name(reader.get_string("host.name"));
+    settings.zone = zone_name(reader.get_string("host.zone"));
+    settings.callers = get_endpoint(reader, "listen.callers");
+    settings.operators = get_endpoint(reader, "listen.operators");
+    settings.platform_log = get_endpoint(reader, "platform.log");
+    settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
+    settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
+    settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
+    settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.least = 1, .most = 256}, 2));
+    settings.header_limit_bytes = static_cast<std::uint32_t>(
+        reader.get_integer("request.header_limit_bytes", {.least = 1024, .most = 1048576}, 16384));
+    settings.body_limit_bytes = static_cast<std::uint64_t>(
+        reader.get_integer("request.body_limit_bytes", {.least = 1024, .most = 1073741824}, 8388608));
+    settings.limits.request_deadline = get_milliseconds(reader, "request.deadline_ms", deadline_milliseconds, 300000);
+    settings.limits.progress_deadline =
+        get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
+    settings.limits.most_attempts =
+        static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
+    settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
+    settings.log.format =
+        reader.get_choice("log.format", {"text", "json"}, "text") == "json" ? log_format::json_lines : log_format::text;
+    settings.log.host = settings.host.value();
+    reader.finish();
+    return settings;
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/daemon_settings.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/clock.hpp"
+#include "core/endpoint.hpp"
+#include "core/identifiers.hpp"
+#include "core/log.hpp"
+#include "servers/entry_context.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Everything that a daemon reads from its settings file.
+struct daemon_settings {
+    host_name host;
+    zone_name zone;
+    endpoint callers;
+    endpoint operators;
+    endpoint platform_log;
+    duration log_deadline{};
+    duration configuration_poll{};
+    duration usage_flush{};
+    unsigned workers{};
+    std::uint32_t header_limit_bytes{};
+    std::uint64_t body_limit_bytes{};
+    servers::request_limits limits;
+    /// How long a graceful stop waits for running requests.
+    duration stop_grace{};
+    log_options log;
+};
+
+/// Parses and checks a settings file. `file` is used in messages only.
+/// Throws `invalid_input_error` that lists every problem with file, line, key and permitted range.
+[[nodiscard]] daemon_settings parse_daemon_settings(std::string_view text, const std::string& file);
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/operator_handler.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+
+#include "core/metrics.hpp"
+#include "core/snapshot_cell.hpp"
+#include "servers/entry_context.hpp"
+#include "servers/http_handler.hpp"
+
+namespace dragonflywell::daemon {
+
+/// What a daemon tells its operators: /healthz, /readyz, /metrics and /status. Thread safe.
+class operator_handler final : public servers::http_handler {
+public:
+    /// Preconditions: the references outlive the handler; `is_ready` may be called from any thread.
+    operator_handler(metrics_registry& metrics, servers::entry_context& context, host_name host,
+                     std::function<bool()> is_ready);
+
+    servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
+    void on_malformed(servers::http::status /*status*/) override {}
+
+private:
+    [[nodiscard]] servers::http_response answer(const servers::http_request& request) const;
+    [[nodiscard]] std::string get_status() const;
+
+    metrics_registry* m_metrics;
+    servers::entry_context* m_context;
+    host_name m_host;
+    std::function<bool()> m_is_ready;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/policy/outcome.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace dragonflywell::policy {
+
+/// What became of a request, as its caller may rely on it.
+enum class request_outcome {
+    completed,
+    /// No byte of it was written to any backend server.
+    not_run,
+    /// A backend server had received some of it and did not finish.
+    failed_after_start,
+    /// Whether it ran cannot be told.
+    unknown,
+};
+
+/// Why a request was refused. Each has a counter of its own.
+enum class refusal_reason {
+    malformed_request,
+    header_too_large,
+    body_too_large,
+    missing_key,
+    unknown_key,
+    revoked_key,
+    no_such_route,
+    method_not_allowed,
+    unknown_model,
+    over_cost_limit,
+    deadline_not_feasible,
+    queue_full,
+    no_backend_server,
+    quarantined_request,
+    log_unavailable,
+    zone_cut_off,
+    duplicate_running,
+    duplicate_done,
+    duplicate_unknown,
+    stopping,
+    not_ready,
+    backend_server_failed,
+};
+
+inline constexpr std::size_t refusal_reason_count = 22;
+
+/// Why a request was sent to a backend server again.
+enum class retry_reason { connect_failed, stale_connection, broken_answer, silent_backend_server, backend_server_busy };
+
+inline constexpr std::size_t retry_reason_count = 5;
+
+/// How a refusal looks to the caller.
+struct refusal_form {
+    std::string_view code;
+    unsigned status{};
+};
+
+/// Thread safe.
+[[nodiscard]] refusal_form get_refusal_form(refusal_reason reason) noexcept;
+[[nodiscard]] std::string_view get_retry_name(retry_reason reason) noexcept;
+[[nodiscard]] std::string_view get_outcome_name(request_outcome outcome) noexcept;
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/placement.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "fleet/backend_server.hpp"
+
+namespace dragonflywell::policy {
+
+/// One backend server that could take a request.
+struct placement_candidate {
+    const fleet::backend_server* server{};
+    /// Work known to be on it, in tokens, as last reported and corrected by what this daemon has sent since.
+    std::uint64_t load_tokens{};
+    bool is_own_zone{false};
+};
+
+/// Chooses where a request goes. Thread safe when each thread has its own `random`.
+class placement {
+public:
+    placement() = default;
+    placement(const placement&) = delete;
+    placement& operator=(const placement&) = delete;
+    placement(placement&&) = delete;
+    placement& operator=(placement&&) = delete;
+    virtual ~placement() = default;
+
+    /// Returns the index of the chosen candidate, or nothing when there is none.
+    [[nodiscard]] virtual std::optional<std::size_t> choose(std::span<const placement_candidate> candidates,
+                                                            std::mt19937_64& random) const = 0;
+};
+
+/// Own zone first; among those the less loaded of two random ones, so that daemons with the same view do not herd.
+class two_choice_placement final : public placement {
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(std::span<const placement_candidate> candidates,
+                                                    std::mt19937_64& random) const override;
+};
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/servers/caller_channel.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string_view>
+
+#include "core/error.hpp"
+#include "servers/http_types.hpp"
+
+namespace dragonflywell::servers {
+
+/// The caller closed its connection or does not take its answer any more.
+class caller_gone_error : public error {
+public:
+    using error::error;
+};
+
+/// The way back to one caller. All functions throw `caller_gone_error`. One request at a time; not thread safe.
+class caller_channel {
+public:
+    caller_channel() = default;
+    caller_channel(const caller_channel&) = delete;
+    caller_channel& operator=(const caller_channel&) = delete;
+    caller_channel(caller_channel&&) = delete;
+    caller_channel& operator=(caller_channel&&) = delete;
+    virtual ~caller_channel() = default;
+
+    /// Sends a whole answer.
+    virtual asio::awaitable<void> send(http_response response) = 0;
+
+    /// Starts an answer whose length is not known. Precondition: nothing of an answer was sent.
+    virtual asio::awaitable<void> start_stream(std::string_view content_type) = 0;
+    /// Precondition: the stream was started and not finished; `data` is not empty.
+    virtual asio::awaitable<void> send_chunk(std::string_view data) = 0;
+    virtual asio::awaitable<void> finish_stream() = 0;
+    /// Ends a started stream so that the caller can see that it is not whole.
+    virtual void abort_stream() = 0;
+
+    /// Returns whether a byte of the answer may have reached the caller.
+    [[nodiscard]] virtual bool is_started() const noexcept = 0;
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/entry_context.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include "coordination/usage.hpp"
+#include "core/clock.hpp"
+#include "core/snapshot_cell.hpp"
+#include "fleet/manifest.hpp"
+#include "policy/placement.hpp"
+#include "servers/backend_connection_pool.hpp"
+#include "servers/backend_load_table.hpp"
+#include "servers/request_counters.hpp"
+
+namespace dragonflywell::servers {
+
+/// The manifest in force together with its version, as the request path sees it.
+struct active_manifest {
+    std::uint64_t version{};
+    fleet::manifest content;
+};
+
+struct request_limits {
+    /// Time from the arrival of a request to the end of its answer.
+    duration request_deadline{std::chrono::seconds(300)};
+    /// Longest silence of a backend server within one answer.
+    duration progress_deadline{std::chrono::seconds(5)};
+    /// How many backend servers are tried for one request that may be repeated.
+    unsigned most_attempts{3};
+};
+
+/// What the handlers of one daemon share. All members are thread safe.
+struct entry_context {
+    const clock_source& time;
+    zone_name own_zone;
+    snapshot_cell<active_manifest>& manifest;
+    const policy::placement& placement;
+    backend_connection_pool& connections;
+    backend_load_table& loads;
+    coordination::usage_meter& usage;
+    request_counters& counters;
+    request_limits limits;
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/http_server.cpp
@@ -0,0 +1,174 @@
+#include "servers/http_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "core/log.hpp"
+#include "servers/tcp_caller_channel.hpp"
+
+namespace dragonflywell::servers {
+
+using asio::ip::tcp;
+
+struct http_server::shared_state : std::enable_shared_from_this<shared_state> {
+    shared_state(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options)
+        : m_contexts(std::move(contexts)), m_handler(&handler), m_options(std::move(options)),
+          m_acceptor(*m_contexts.front()), m_log(get_logger("http")) {}
+
+    void listen() {
+        const tcp::endpoint address(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
+        m_acceptor.open(address.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(address);
+        m_acceptor.listen();
+        m_port = m_acceptor.local_endpoint().port();
+    }
+
+    asio::awaitable<void> accept(std::shared_ptr<shared_state> self) {
+        while (!m_is_stopping) {
+            error_code fault;
+            asio::io_context& context = *m_contexts[m_next_context++ % m_contexts.size()];
+            tcp::socket socket = co_await m_acceptor.async_accept(context, store_error(fault));
+            if (fault) {
+                continue;
+            }
+            socket.set_option(tcp::no_delay(true), fault);
+            asio::co_spawn(context, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    /// Serves one connection until either side closes it.
+    asio::awaitable<void> serve(std::shared_ptr<shared_state> /*self*/, tcp::socket socket) {
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        bool is_open = true;
+        while (is_open && !m_is_stopping) {
+            is_open = co_await serve_one(stream, buffer);
+        }
+        error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    /// Reads and answers one request; returns whether the connection can take another.
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(m_options.header_limit_bytes);
+        parser.body_limit(m_options.body_limit_bytes);
+        stream.expires_after(m_options.io_timeout);
+        error_code fault;
+        co_await http::async_read(stream, buffer, parser, store_error(fault));
+        if (fault) {
+            co_await refuse_malformed(stream, fault);
+            co_return false;
+        }
+        http_request request = parser.release();
+        const active_request active(*this);
+        tcp_caller_channel channel(stream, m_options.io_timeout, request.keep_alive() && !m_is_stopping);
+        try {
+            co_await m_handler->handle(std::move(request), channel);
+        } catch (const caller_gone_error& gone) {
+            m_log->debug("{}", gone.what());
+            co_return false;
+        } catch (const std::exception& unexpected) {
+            m_log->error("request failed: {}", unexpected.what());
+            co_return false;
+        }
+        co_return channel.is_reusable();
+    }
+
+    asio::awaitable<void> refuse_malformed(beast::tcp_stream& stream, error_code read_fault) {
+        if (read_fault.category() != make_error_code(http::error::bad_method).category() ||
+            read_fault == http::error::end_of_stream || read_fault == http::error::partial_message) {
+            co_return;
+        }
+        http::status status = http::status::bad_request;
+        if (read_fault == http::error::header_limit) {
+            status = http::status::request_header_fields_too_large;
+        }
+        if (read_fault == http::error::body_limit) {
+            status = http::status::payload_too_large;
+        }
+        m_handler->on_malformed(status);
+        http_response response(status, 11);
+        response.set(http::field::content_type, "application/json");
+        response.set("x-dragonflywell-outcome", "not_run");
+        response.body() =
+            R"({"error":{"code":"malformed_request","outcome":"not_run","message":")" + read_fault.message() + "\"}}";
+        response.keep_alive(false);
+        response.prepare_payload();
+        stream.expires_after(m_options.io_timeout);
+        error_code ignored;
+        co_await http::async_write(stream, response, store_error(ignored));
+        co_await drain_input(stream);
+    }
+
+    /// Reads what the caller still sends: closing with unread input would reset the connection and lose the answer.
+    asio::awaitable<void> drain_input(beast::tcp_stream& stream) {
+        constexpr std::size_t drain_limit_bytes = 1024 * 1024;
+        constexpr std::size_t drain_piece_bytes = 16 * 1024;
+        error_code fault;
+        stream.socket().shutdown(tcp::socket::shutdown_send, fault);
+        stream.expires_after(std::chrono::seconds(1));
+        std::string piece(drain_piece_bytes, '\0');
+        std::size_t drained = 0;
+        while (!fault && drained < drain_limit_bytes) {
+            drained += co_await stream.async_read_some(asio::buffer(piece), store_error(fault));
+        }
+    }
+
+    class active_request {
+    public:
+        explicit active_request(shared_state& owner) : m_owner(&owner) { ++m_owner->m_active_requests; }
+        active_request(const active_request&) = delete;
+        active_request& operator=(const active_request&) = delete;
+        active_request(active_request&&) = delete;
+        active_request& operator=(active_request&&) = delete;
+        ~active_request() { --m_owner->m_active_requests; }
+
+    private:
+        shared_state* m_owner;
+    };
+
+    std::vector<asio::io_context*> m_contexts;
+    std::size_t m_next_context{0};
+    http_handler* m_handler;
+    http_server_options m_options;
+    tcp::acceptor m_acceptor;
+    std::uint16_t m_port{0};
+    std::shared_ptr<spdlog::logger> m_log;
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<std::int64_t> m_active_requests{0};
+};
+
+http_server::http_server(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options)
+    : m_state(std::make_shared<shared_state>(std::move(contexts), handler, std::move(options))) {}
+
+http_server::~http_server() {
+    stop();
+}
+
+void http_server::start() {
+    m_state->listen();
+    asio::co_spawn(m_state->m_acceptor.get_executor(), m_state->accept(m_state), asio::detached);
+}
+
+void http_server::stop() {
+    if (m_state->m_is_stopping.exchange(true)) {
+        return;
+    }
+    asio::post(m_state->m_acceptor.get_executor(), [state = m_state] {
+        error_code ignored;
+        state->m_acceptor.close(ignored);
+    });
+}
+
+std::uint16_t http_server::get_port() const {
+    return m_state->m_port;
+}
+
+std::int64_t http_server::get_active_requests() const noexcept {
+    return m_state->m_active_requests;
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/http_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/endpoint.hpp"
+#include "servers/http_handler.hpp"
+
+namespace dragonflywell::servers {
+
+struct http_server_options {
+    endpoint listen;
+    std::uint32_t header_limit_bytes{16 * 1024};
+    std::uint64_t body_limit_bytes{8ULL * 1024 * 1024};
+    /// How long a caller may take to send a request or to take a piece of the answer.
+    duration io_timeout{std::chrono::seconds(60)};
+};
+
+/// Listens for HTTP/1.1 with keep-alive and hands each request to a handler.
+///
+/// Connections are dealt out to the contexts in turn. Each context is run by one thread, so that a connection and all
+/// that is done for it need no lock.
+/// Thread safety: `start` and `stop` from one thread.
+class http_server {
+public:
+    /// Preconditions: `contexts` is not empty; contexts and handler outlive the server and its connections.
+    http_server(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+    ~http_server();
+
+    /// Binds and starts to accept. Throws `boost::system::system_error` when the address cannot be bound.
+    void start();
+
+    /// Accepts no further connection, and closes each kept-alive connection after the answer that is under way.
+    void stop();
+
+    /// Returns the bound port; of use when the settings asked for port 0.
+    [[nodiscard]] std::uint16_t get_port() const;
+    /// Returns how many requests are being answered.
+    [[nodiscard]] std::int64_t get_active_requests() const noexcept;
+
+private:
+    struct shared_state;
+
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/key_check.cpp
@@ -0,0 +1,92 @@
+#include "servers/key_check.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "policy/access_control.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+std::string_view to_view(beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+bool is_covered(std::string_view path, const fleet::service_route& route) {
+    if (!path.starts_with(route.path_prefix)) {
+        return false;
+    }
+    const bool ends_at_segment = path.size() == route.path_prefix.size() || route.path_prefix.ends_with('/') ||
+                                 path[route.path_prefix.size()] == '/';
+    return ends_at_segment;
+}
+
+bool takes_method(const fleet::service_route& route, std::string_view method) {
+    return std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+} // namespace
+
+organisation_name require_organisation(const fleet::manifest& manifest, const http_request& request) {
+    const auto header = request.find(http::field::authorization);
+    if (header == request.end()) {
+        throw request_refused(policy::refusal_reason::missing_key, policy::request_outcome::not_run,
+                              "send the key as \"Authorization: Bearer KEY\"");
+    }
+    const std::optional<std::string_view> key = policy::get_bearer_key(to_view(header->value()));
+    std::optional<organisation_name> owner;
+    if (key) {
+        owner = policy::find_key_owner(manifest, *key);
+    }
+    if (!owner) {
+        throw request_refused(policy::refusal_reason::unknown_key, policy::request_outcome::not_run,
+                              "the key is not known or was revoked");
+    }
+    return *owner;
+}
+
+const fleet::service_route& require_route(const fleet::manifest& manifest, std::string_view path,
+                                          std::string_view method) {
+    const fleet::service_route* best = nullptr;
+    bool has_path = false;
+    for (const fleet::service_route& route : manifest.routes) {
+        if (!is_covered(path, route)) {
+            continue;
+        }
+        has_path = true;
+        if (takes_method(route, method) && (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
+            best = &route;
+        }
+    }
+    if (best != nullptr) {
+        return *best;
+    }
+    if (has_path) {
+        throw request_refused(policy::refusal_reason::method_not_allowed, policy::request_outcome::not_run,
+                              "the route does not take this method");
+    }
+    throw request_refused(policy::refusal_reason::no_such_route, policy::request_outcome::not_run,
+                          "no route has this path");
+}
+
+http_request get_backend_request(const http_request& request) {
+    http_request copy(request.method(), request.target(), 11);
+    constexpr std::array hop_by_hop{http::field::authorization,    http::field::proxy_authorization,
+                                    http::field::connection,       http::field::keep_alive,
+                                    http::field::proxy_connection, http::field::te,
+                                    http::field::trailer,          http::field::transfer_encoding,
+                                    http::field::upgrade,          http::field::content_length,
+                                    http::field::expect,           http::field::host};
+    for (const auto& header : request) {
+        const bool is_dropped = std::find(hop_by_hop.begin(), hop_by_hop.end(), header.name()) != hop_by_hop.end();
+        if (!is_dropped && header.name_string() != "x-api-key") {
+            copy.insert(header.name_string(), header.value());
+        }
+    }
+    copy.body() = request.body();
+    copy.prepare_payload();
+    return copy;
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/key_check.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "fleet/manifest.hpp"
+#include "servers/http_types.hpp"
+#include "servers/request_refused.hpp"
+
+namespace dragonflywell::servers {
+
+/// Returns the organisation whose key came with the request.
+/// Throws `request_refused` for a missing, unknown or revoked key. Thread safe.
+[[nodiscard]] organisation_name require_organisation(const fleet::manifest& manifest, const http_request& request);
+
+/// Returns the route of a plain service, the longest matching prefix first.
+/// Throws `request_refused` when there is none or it does not take the method. Thread safe.
+[[nodiscard]] const fleet::service_route& require_route(const fleet::manifest& manifest, std::string_view path,
+                                                        std::string_view method);
+
+/// Returns a copy of the caller's request that may go to a backend server: no key, no hop-by-hop header. Thread safe.
+[[nodiscard]] http_request get_backend_request(const http_request& request);
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/request_counters.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <array>
+
+#include "core/metrics.hpp"
+#include "policy/outcome.hpp"
+
+namespace dragonflywell::servers {
+
+/// Counters and latencies of the request path, looked up once. Thread safe.
+class request_counters {
+public:
+    /// Precondition: `registry` outlives the counters.
+    explicit request_counters(metrics_registry& registry);
+
+    void count_refusal(policy::refusal_reason reason) noexcept;
+    void count_retry(policy::retry_reason reason) noexcept;
+    void count_outcome(policy::request_outcome outcome) noexcept;
+
+    [[nodiscard]] latency_histogram& get_first_token_latency() noexcept { return *m_first_token; }
+    [[nodiscard]] latency_histogram& get_request_latency() noexcept { return *m_request; }
+
+private:
+    static constexpr std::size_t outcome_count = 4;
+
+    std::array<counter*, policy::refusal_reason_count> m_refusals{};
+    std::array<counter*, policy::retry_reason_count> m_retries{};
+    std::array<counter*, outcome_count> m_outcomes{};
+    latency_histogram* m_first_token;
+    latency_histogram* m_request;
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/service_call.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <set>
+
+#include "servers/backend_exchange.hpp"
+#include "servers/caller_channel.hpp"
+#include "servers/entry_context.hpp"
+#include "servers/request_refused.hpp"
+
+namespace dragonflywell::servers {
+
+/// One request to a plain service. Used by one coroutine.
+class service_call {
+public:
+    /// Precondition: context, request and route outlive the call; the route may be that of an older manifest.
+    service_call(entry_context& context, const http_request& request, const fleet::service_route& route);
+
+    /// Sends the request to an instance of the service and the whole answer to the caller.
+    /// Throws `request_refused`, `caller_gone_error`.
+    asio::awaitable<void> run(caller_channel& caller);
+
+private:
+    asio::awaitable<http_response> exchange_with_retries();
+    asio::awaitable<http_response> exchange(const fleet::backend_server& server);
+    [[nodiscard]] const fleet::backend_server& choose_server(const fleet::manifest& manifest);
+    void check_key(const fleet::manifest& manifest);
+
+    entry_context* m_context;
+    const http_request* m_request;
+    const fleet::service_route* m_route;
+    std::optional<organisation_name> m_organisation;
+    std::set<backend_server_name> m_tried;
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/tests/standin/engine_standin.cpp
@@ -0,0 +1,169 @@
+#include "standin/engine_standin.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <cstdlib>
+#include <fmt/format.h>
+
+#include "core/hash.hpp"
+#include "core/json.hpp"
+#include "servers/event_stream_parser.hpp"
+#include "standin/fault_plan.hpp"
+
+namespace dragonflywell::standin {
+
+namespace asio = servers::asio;
+
+namespace {
+
+constexpr std::uint64_t text_tags = 1000;
+constexpr std::size_t cached_prompt_limit = 64;
+constexpr std::string_view crash_marker = "crash-the-engine";
+
+class running_request {
+public:
+    explicit running_request(std::atomic<std::uint64_t>& running) : m_running(&running) { ++*m_running; }
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+    running_request(running_request&&) = delete;
+    running_request& operator=(running_request&&) = delete;
+    ~running_request() { --*m_running; }
+
+private:
+    std::atomic<std::uint64_t>* m_running;
+};
+
+std::string get_prompt(const boost::json::object& document) {
+    if (document.contains("prompt")) {
+        return json::get_string(document, "prompt");
+    }
+    std::string prompt;
+    for (const boost::json::value& message : json::get_array(document, "messages")) {
+        prompt += json::get_string_or(message.as_object(), "content", "") + "\n";
+    }
+    return prompt;
+}
+
+std::uint64_t count_prompt_tokens(const std::string& prompt) {
+    return prompt.size() / 4 + 1;
+}
+
+std::string make_chunk(bool is_chat, const std::string& text, bool is_last, std::uint64_t prompt_tokens,
+                       std::uint64_t tokens) {
+    boost::json::object choice{{"index", 0}};
+    if (is_chat) {
+        choice["delta"] = {{"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    if (is_last) {
+        choice["finish_reason"] = "length";
+    }
+    boost::json::object chunk{{"object", is_chat ? "chat.completion.chunk" : "text_completion"},
+                              {"choices", boost::json::array{std::move(choice)}}};
+    chunk["usage"] = {{"prompt_tokens", prompt_tokens}, {"completion_tokens", tokens}};
+    return boost::json::serialize(chunk);
+}
+
+} // namespace
+
+std::string get_generated_text(const std::string& prompt, std::uint64_t position) {
+    return fmt::format("{}-{} ", get_stable_hash(prompt) % text_tags, position);
+}
+
+engine_standin::engine_standin(engine_standin_options options)
+    : m_options(std::move(options)), m_role(m_options.role) {}
+
+asio::awaitable<void> engine_standin::handle(servers::http_request request, servers::caller_channel& caller) {
+    if (request.count(servers::http::field::authorization) != 0) {
+        ++m_keys_seen;
+    }
+    const std::string target(request.target());
+    if (target == "/v1/chat/completions" || target == "/v1/completions") {
+        co_await complete(request, caller);
+    } else if (target == "/orders") {
+        co_await caller.send(take_order(request.body()));
+    } else if (target == "/load") {
+        co_await caller.send(report_load());
+    } else if (target.starts_with("/v1/streams/") && request.method() == servers::http::verb::delete_) {
+        const std::scoped_lock lock(m_mutex);
+        m_cancelled.insert(target.substr(std::string_view("/v1/streams/").size()));
+        co_await caller.send(make_json_response(200, "{}"));
+    } else {
+        co_await caller.send(make_json_response(404, "{}"));
+    }
+}
+
+asio::awaitable<void> engine_standin::complete(const servers::http_request& request, servers::caller_channel& caller) {
+    const boost::json::value root = json::parse(request.body());
+    const boost::json::object& document = root.as_object();
+    const std::string prompt = get_prompt(document);
+    if (prompt.find(crash_marker) != std::string::npos) {
+        std::_Exit(1);
+    }
+    const running_request running(m_running);
+    const bool is_chat = request.target().starts_with("/v1/chat/");
+    const std::uint64_t most = json::get_unsigned_or(document, "max_tokens", 16);
+    const std::uint64_t prompt_tokens = count_prompt_tokens(prompt);
+    const std::uint64_t break_after = m_break_after.exchange(0);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const std::uint64_t uncached_tokens = is_cached(prompt) ? 1 : prompt_tokens;
+    timer.expires_after(get_slowed(m_options.prompt_token_time * uncached_tokens));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await caller.start_stream("text/event-stream");
+    const std::uint64_t first = json::get_unsigned_or(document, "continue_position", 0);
+    for (std::uint64_t position = first; position < most; ++position) {
+        if (break_after != 0 && position - first >= break_after) {
+            throw servers::caller_gone_error("engine breaks off as planned");
+        }
+        timer.expires_after(get_slowed(m_options.generated_token_time));
+        co_await timer.async_wait(asio::use_awaitable);
+        const std::string chunk = make_chunk(is_chat, get_generated_text(prompt, position), position + 1 == most,
+                                             prompt_tokens, position + 1);
+        const std::string event = servers::format_event({.id = std::to_string(position), .data = chunk});
+        co_await caller.send_chunk(event);
+    }
+    const std::string last_event = servers::format_event({.id = {}, .data = "[DONE]"});
+    co_await caller.send_chunk(last_event);
+    co_await caller.finish_stream();
+}
+
+servers::http_response engine_standin::take_order(const std::string& body) {
+    const boost::json::value root = json::parse(body);
+    const boost::json::object& order = root.as_object();
+    const std::uint64_t fence = json::get_unsigned(order, "fence");
+    const std::string key = json::get_string(order, "idempotency_key");
+    const std::scoped_lock lock(m_mutex);
+    if (m_options.checks_fencing && fence < m_newest_fence) {
+        return make_json_response(409, R"({"error":"old fencing number"})");
+    }
+    m_newest_fence = std::max(m_newest_fence, fence);
+    const bool is_new = m_applied_orders.try_emplace(key, body).second;
+    if (is_new && json::get_string(order, "kind") == "role") {
+        m_role = json::get_string(order, "role");
+        m_cached_prompts.clear();
+    }
+    return make_json_response(200, boost::json::serialize(boost::json::object{{"applied", key}, {"role", m_role}}));
+}
+
+servers::http_response engine_standin::report_load() {
+    const std::scoped_lock lock(m_mutex);
+    return make_json_response(200, boost::json::serialize(boost::json::object{
+                                       {"running", m_running.load()}, {"role", m_role}, {"model", m_options.model}}));
+}
+
+bool engine_standin::is_cached(const std::string& prompt) {
+    const std::scoped_lock lock(m_mutex);
+    if (m_cached_prompts.size() >= cached_prompt_limit) {
+        m_cached_prompts.clear();
+    }
+    return !m_cached_prompts.insert(prompt).second;
+}
+
+std::chrono::microseconds engine_standin::get_slowed(std::chrono::microseconds time) const {
+    const std::uint64_t batches = (m_running + m_options.full_speed_requests - 1) / m_options.full_speed_requests;
+    return time * std::max<std::uint64_t>(batches, 1);
+}
+
+} // namespace dragonflywell::standin
--- /dev/null
+++ b/tests/standin/engine_standin.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "servers/http_handler.hpp"
+
+namespace dragonflywell::standin {
+
+struct engine_standin_options {
+    std::string model;
+    std::string role{"mixed"};
+    bool checks_fencing{false};
+    /// Time that a prompt token and a generated token take while one request runs.
+    std::chrono::microseconds prompt_token_time{20};
+    std::chrono::microseconds generated_token_time{2000};
+    /// Requests that run at full speed together; more share the engine's time.
+    std::size_t full_speed_requests{16};
+};
+
+/// A model engine: batches continuously, caches prompts, streams, resumes, cancels and takes orders. Thread safe.
+///
+/// The text of an answer is a function of prompt and position, so that a caller can check that it is whole and its own.
+class engine_standin final : public servers::http_handler {
+public:
+    explicit engine_standin(engine_standin_options options);
+
+    servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
+    void on_malformed(servers::http::status /*status*/) override {}
+
+    /// Returns how many requests carried an authorization header; the system must never send one.
+    [[nodiscard]] std::uint64_t get_keys_seen() const noexcept { return m_keys_seen; }
+    /// Ends the next answer after this many tokens, as an engine that crashes does.
+    void set_break_after(std::uint64_t tokens) noexcept { m_break_after = tokens; }
+
+private:
+    servers::asio::awaitable<void> complete(const servers::http_request& request, servers::caller_channel& caller);
+    [[nodiscard]] servers::http_response take_order(const std::string& body);
+    [[nodiscard]] servers::http_response report_load();
+    [[nodiscard]] bool is_cached(const std::string& prompt);
+    [[nodiscard]] std::chrono::microseconds get_slowed(std::chrono::microseconds time) const;
+
+    engine_standin_options m_options;
+    std::atomic<std::uint64_t> m_running{0};
+    std::atomic<std::uint64_t> m_keys_seen{0};
+    std::atomic<std::uint64_t> m_break_after{0};
+    std::mutex m_mutex;
+    std::string m_role;
+    std::uint64_t m_newest_fence{0};
+    std::map<std::string, std::string> m_applied_orders;
+    std::set<std::string> m_cached_prompts;
+    std::set<std::string> m_cancelled;
+};
+
+/// Returns the text that the engine generates at a position for a prompt.
+[[nodiscard]] std::string get_generated_text(const std::string& prompt, std::uint64_t position);
+
+} // namespace dragonflywell::standin
