Give each control duty a thread of its own

Cause: one control loop did all duties in turn, so a log answer of two seconds for usage would delay a lease renewal or a revoked key.

--- /dev/null
+++ b/daemon/configuration_task.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "coordination/configuration.hpp"
+#include "core/log.hpp"
+#include "daemon/control_task.hpp"
+#include "daemon/daemon_parts.hpp"
+#include "platform/http_log.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Follows the configuration stream and puts each valid version in force.
+class configuration_task final : public control_task {
+public:
+    explicit configuration_task(const daemon_parts& parts);
+
+    void run_round() override;
+    [[nodiscard]] const char* get_name() const noexcept override { return "configuration"; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.configuration_poll; }
+
+private:
+    void put_in_force(const coordination::configuration& current);
+
+    daemon_parts m_parts;
+    platform::http_log m_platform_log;
+    coordination::folded_stream m_stream;
+    coordination::configuration_fold m_fold;
+    counter* m_rejected;
+    gauge* m_version;
+    std::shared_ptr<spdlog::logger> m_log;
+};
+
+} // namespace dragonflywell::daemon
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -40,12 +40,16 @@
                       .header_limit_bytes = m_settings.header_limit_bytes,
                       .body_limit_bytes = m_settings.body_limit_bytes}),
       m_operator_server({&m_operator_context}, m_operator_handler, {.listen = m_settings.operators}),
-      m_platform_log({.server = m_settings.platform_log, .deadline = m_settings.log_deadline}),
-      m_control(m_platform_log, m_clock,
-                {.configuration_poll = m_settings.configuration_poll,
-                 .usage_flush = m_settings.usage_flush,
-                 .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)}},
-                m_manifest, m_usage, m_metrics) {}
+      m_parts{.settings = m_settings,
+              .time = m_clock,
+              .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)},
+              .metrics = m_metrics,
+              .manifest = m_manifest,
+              .usage = m_usage} {
+    for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
+        m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
+    }
+}
 
 daemon::~daemon() {
     stop();
@@ -54,7 +58,9 @@
 void daemon::start() {
     m_entry_server.start();
     m_operator_server.start();
-    m_control.start();
+    for (const std::unique_ptr<control_thread>& thread : m_control_threads) {
+        thread->start();
+    }
     for (boost::asio::io_context* context : get_worker_contexts()) {
         m_threads.emplace_back([context] {
             // A worker without connections must not end: the first one may come at any time.
@@ -76,7 +82,9 @@
     wait_for_running_requests();
     m_entry_server.stop();
     m_operator_server.stop();
-    m_control.stop();
+    for (const std::unique_ptr<control_thread>& thread : m_control_threads) {
+        thread->stop();
+    }
     for (boost::asio::io_context* context : get_worker_contexts()) {
         context->stop();
     }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "core/metrics.hpp"
-#include "daemon/control_loop.hpp"
+#include "daemon/control_tasks.hpp"
+#include "daemon/control_thread.hpp"
 #include "daemon/daemon_settings.hpp"
 #include "daemon/operator_handler.hpp"
-#include "platform/http_log.hpp"
 #include "servers/entry_handler.hpp"
 #include "servers/http_server.hpp"
 
@@ -59,8 +59,8 @@
     boost::asio::io_context m_operator_context;
     servers::http_server m_entry_server;
     servers::http_server m_operator_server;
-    platform::http_log m_platform_log;
-    control_loop m_control;
+    daemon_parts m_parts;
+    std::vector<std::unique_ptr<control_thread>> m_control_threads;
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_is_stopping{false};
 };
--- /dev/null
+++ b/daemon/usage_task.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "coordination/usage.hpp"
+#include "daemon/control_task.hpp"
+#include "daemon/daemon_parts.hpp"
+#include "platform/http_log.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Writes this incarnation's usage counters to the log.
+class usage_task final : public control_task {
+public:
+    explicit usage_task(const daemon_parts& parts);
+
+    void run_round() override;
+    void finish() override { run_round(); }
+    [[nodiscard]] const char* get_name() const noexcept override { return "usage"; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.usage_flush; }
+
+private:
+    daemon_parts m_parts;
+    platform::http_log m_platform_log;
+    coordination::folded_stream m_stream;
+};
+
+} // namespace dragonflywell::daemon
