Carry gossip and configuration between daemons over gRPC

Cause: 410 daemons that each poll the log twice a second would read it 820 times a second, and a fresh host had no configuration while the log was down. Change: proto/peer.proto with a server and a client of few threads and bounded memory; a fan-out log that reads through two readers in each zone and falls back to the log when they are silent, lack records or leave a gap; the configuration of another daemon for a host that has none while the log is down; freshness of the log for the cut-off rule; [peers] settings. Urgent items go before load figures. A poll that failed halfway no longer loses a version.

--- a/coordination/gossip_item_table.cpp
+++ b/coordination/gossip_item_table.cpp
@@ -34,9 +34,9 @@
     }
     hash ^= get_item_hash(item);
     m_items[item.key] = {.item = item, .renewed = now};
-    m_zone_rumours.add(item.key, times);
+    add_rumour(m_zone_rumours, item.key, times);
     if (item.scope == item_scope::fleet) {
-        m_fleet_rumours.add(item.key, times);
+        add_rumour(m_fleet_rumours, item.key, times);
     }
     return true;
 }
@@ -92,8 +92,14 @@
 
 void gossip_item_table::add_news(gossip_message& message, std::size_t& size_bytes, std::size_t limit_bytes,
                                  bool is_within_zone) {
-    gossip_rumours<item_key>& rumours = is_within_zone ? m_zone_rumours : m_fleet_rumours;
-    rumours.take_each([&](const item_key& key) {
+    rumours& news = is_within_zone ? m_zone_rumours : m_fleet_rumours;
+    add_rumours(news.urgent, message, size_bytes, limit_bytes);
+    add_rumours(news.ordinary, message, size_bytes, limit_bytes);
+}
+
+void gossip_item_table::add_rumours(gossip_rumours<item_key>& from, gossip_message& message, std::size_t& size_bytes,
+                                    std::size_t limit_bytes) const {
+    from.take_each([&](const item_key& key) {
         const gossip_item* item = find(key);
         if (item == nullptr) {
             return true;
@@ -108,4 +114,9 @@
     });
 }
 
+void gossip_item_table::add_rumour(rumours& to, const item_key& key, unsigned times) {
+    const bool is_ordinary = key.kind == item_kind::load || key.kind == item_kind::budget_share;
+    (is_ordinary ? to.ordinary : to.urgent).add(key, times);
+}
+
 } // namespace dragonflywell::coordination
--- a/coordination/gossip_item_table.hpp
+++ b/coordination/gossip_item_table.hpp
@@ -56,8 +56,18 @@
     gossip_item_table_options m_options;
     std::map<item_key, entry> m_items;
     std::map<host_name, std::uint64_t> m_hashes;
-    gossip_rumours<item_key> m_zone_rumours;
-    gossip_rumours<item_key> m_fleet_rumours;
+    /// News that others wait for goes before figures that are replaced soon anyway.
+    struct rumours {
+        gossip_rumours<item_key> urgent;
+        gossip_rumours<item_key> ordinary;
+    };
+
+    void add_rumours(gossip_rumours<item_key>& from, gossip_message& message, std::size_t& size_bytes,
+                     std::size_t limit_bytes) const;
+    static void add_rumour(rumours& to, const item_key& key, unsigned times);
+
+    rumours m_zone_rumours;
+    rumours m_fleet_rumours;
     std::uint64_t m_dropped{0};
 };
 
--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -35,6 +35,14 @@
                   m_time->now(), get_rumour_times());
 }
 
+void membership::publish_shared(item_kind kind, std::string subject, std::uint64_t version, std::string value) {
+    m_items.merge({.key = {.owner = {}, .kind = kind, .subject = std::move(subject)},
+                   .scope = item_scope::fleet,
+                   .version = version,
+                   .value = std::move(value)},
+                  m_time->now(), get_rumour_times());
+}
+
 std::vector<addressed_message> membership::tick() {
     std::vector<addressed_message> out;
     if (m_is_leaving) {
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -59,6 +59,9 @@
     /// Publishes the own value of an item, or a newer one. Precondition: the value fits the limit of the options.
     void publish(item_kind kind, std::string subject, item_scope scope, std::string value);
 
+    /// Publishes a value that all daemons share: the newest version wins, whoever published it.
+    void publish_shared(item_kind kind, std::string subject, std::uint64_t version, std::string value);
+
     /// Does what is due; call once in each interval. Returns the messages to send.
     [[nodiscard]] std::vector<addressed_message> tick();
 
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -1,31 +1,47 @@
 #pragma once
 
+#include <memory>
+#include <optional>
+
 #include "coordination/configuration.hpp"
+#include "coordination/fan_out_log.hpp"
 #include "core/log.hpp"
 #include "daemon/control_task.hpp"
 #include "daemon/daemon_parts.hpp"
+#include "daemon/peer_hub.hpp"
 #include "platform/http_log.hpp"
 
 namespace dragonflywell::daemon {
 
-/// Follows the configuration stream and puts each valid version in force.
+/// Follows the configuration stream and puts each valid version in force. Versions only grow.
 class configuration_task final : public control_task {
 public:
-    explicit configuration_task(const daemon_parts& parts);
+    /// `peers` is null when the daemon keeps to itself.
+    configuration_task(const daemon_parts& parts, std::shared_ptr<peer_hub> peers);
 
     void run_round() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "configuration"; }
     [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.configuration_poll; }
 
 private:
-    void put_in_force(const coordination::configuration& current);
+    [[nodiscard]] coordination::append_log& get_log();
+    void follow();
+    void adopt_from_peers();
+    void put_in_force(const std::shared_ptr<const coordination::configuration>& current);
 
     daemon_parts m_parts;
+    std::shared_ptr<peer_hub> m_peers;
     platform::http_log m_platform_log;
+    std::optional<coordination::fan_out_log> m_fan_out;
     coordination::folded_stream m_stream;
     coordination::configuration_fold m_fold;
     counter* m_rejected;
     gauge* m_version;
+    counter* m_direct_reads;
+    std::uint64_t m_counted_reads{0};
+    /// Newest version of the own fold that was tried, and the version in force.
+    std::optional<coordination::log_offset> m_tried;
+    std::optional<coordination::log_offset> m_in_force;
     std::shared_ptr<spdlog::logger> m_log;
 };
 
--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -1,13 +1,19 @@
 #include "daemon/control_tasks.hpp"
 
 #include "daemon/configuration_task.hpp"
+#include "daemon/peer_hub.hpp"
+#include "daemon/peer_task.hpp"
 #include "daemon/usage_task.hpp"
 
 namespace dragonflywell::daemon {
 
 std::vector<std::unique_ptr<control_task>> make_control_tasks(const daemon_parts& parts) {
     std::vector<std::unique_ptr<control_task>> tasks;
-    tasks.push_back(std::make_unique<configuration_task>(parts));
+    const std::shared_ptr<peer_hub> peers = parts.settings.peers ? std::make_shared<peer_hub>(parts) : nullptr;
+    if (peers != nullptr) {
+        tasks.push_back(std::make_unique<peer_task>(parts, peers));
+    }
+    tasks.push_back(std::make_unique<configuration_task>(parts, peers));
     tasks.push_back(std::make_unique<usage_task>(parts));
     return tasks;
 }
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
@@ -11,6 +13,17 @@
 
 namespace dragonflywell::daemon {
 
+/// How a daemon talks to others.
+struct peer_settings {
+    endpoint listen;
+    /// Daemons to ask first. Any that answers tells of the others.
+    std::vector<endpoint> seeds;
+    duration interval{};
+    duration deadline{};
+    /// How old the news of the log's end may be before this daemon reads the log itself.
+    duration fan_out_silence{};
+};
+
 /// Everything that a daemon reads from its settings file.
 struct daemon_settings {
     host_name host;
@@ -28,6 +41,8 @@
     /// How long a graceful stop waits for running requests.
     duration stop_grace{};
     log_options log;
+    /// Absent when the daemon keeps to itself.
+    std::optional<peer_settings> peers;
 };
 
 /// Parses and checks a settings file. `file` is used in messages only.
--- a/tests/coordination/test_membership.cpp
+++ b/tests/coordination/test_membership.cpp
@@ -300,3 +300,21 @@
     }
     CHECK(network.get_unseen().empty());
 }
+
+TEST_CASE("a change of configuration overtakes load figures that fill the messages") {
+    gossip_network network(16);
+    form_zone(network, 40);
+    for (int second = 0; second < 30; ++second) {
+        for (const auto& [host, running] : network.daemons) {
+            running.peer->publish(item_kind::load, "", item_scope::zone, std::string(100, 'l'));
+        }
+        network.run_for(seconds(1));
+    }
+    network.daemons.at("a0").peer->publish_shared(item_kind::configuration_version, "", 1, "1");
+    // Four of the thirteen seconds that a change may take.
+    network.run_for(seconds(4));
+    for (const auto& [host, running] : network.daemons) {
+        CAPTURE(host);
+        CHECK(running.peer->get_items().get_by_kind(item_kind::configuration_version).size() == 1);
+    }
+}
