Record every order in the log before it is sent

Cause: nothing kept two holders of a lease from giving one engine conflicting orders. Change: an order ledger. The intent is appended under the lease and read back, the lease is checked again, the order is sent once, and the outcome is appended. A new holder knows every unresolved send from the fold. A receiver that ignores the fencing number gets no other order until the old one is seen or its sender is gone for good. Interfaces that keep idempotency keys are asked before any resend. Conclusion: test_order_ledger brings about a lost answer, a late order, a late intent, a takeover and an outage.

--- a/coordination/lease.hpp
+++ b/coordination/lease.hpp
@@ -38,6 +38,9 @@
     /// Returns the fencing token while orders may be sent, else nothing.
     [[nodiscard]] std::optional<fencing_token> get_authority() const;
 
+    /// Returns the longest time an order may be on its way.
+    [[nodiscard]] duration get_order_deadline() const noexcept { return m_options.order_deadline; }
+
 private:
     [[nodiscard]] bool is_own() const;
     [[nodiscard]] bool is_lapsed() const;
--- /dev/null
+++ b/coordination/order_fold.cpp
@@ -0,0 +1,96 @@
+#include "coordination/order_fold.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+/// A sender may state what became of its own send at any time, since that is a fact and no decision. Anyone else
+/// needs the lease of the scope; the stream has already checked that the fence is current.
+bool may_resolve(const record& value, const order_send& send) {
+    if (value.writer == send.sender) {
+        return true;
+    }
+    return value.fence && value.fence->scope == send.token.scope;
+}
+
+void erase_void_sends(unresolved_order& existing, const order_send& resolved, send_outcome outcome) {
+    const bool has_effect = outcome == send_outcome::applied || outcome == send_outcome::seen_applied;
+    if (has_effect && existing.value.repeat == repeat_rule::deduplicated) {
+        existing.sends.clear();
+        return;
+    }
+    if (has_effect && existing.value.receiver == receiver_kind::checks_fencing) {
+        std::erase_if(existing.sends,
+                      [&](const order_send& send) { return send.token.number < resolved.token.number; });
+    }
+    std::erase(existing.sends, resolved);
+}
+
+} // namespace
+
+bool are_sends_fenced_off(const unresolved_order& existing, const fencing_token& token) {
+    return existing.value.receiver == receiver_kind::checks_fencing &&
+           std::ranges::all_of(existing.sends, [&](const order_send& send) {
+               return send.token.scope == token.scope && send.token.number < token.number;
+           });
+}
+
+const unresolved_order* order_fold::find(const std::string& subject) const {
+    const auto found = m_unresolved.find(subject);
+    return found == m_unresolved.end() ? nullptr : &found->second;
+}
+
+void order_fold::on_record(log_offset offset, const record& value) {
+    if (value.type == order_intent_type) {
+        apply_intent(offset, value);
+    }
+    if (value.type == order_outcome_type) {
+        apply_outcome(value);
+    }
+}
+
+void order_fold::apply_intent(log_offset offset, const record& value) {
+    if (!value.fence) {
+        return;
+    }
+    order intended = decode_order(value.body);
+    const order_send send{.intent = offset, .sender = value.writer, .token = *value.fence};
+    const auto found = m_unresolved.find(intended.subject);
+    if (found == m_unresolved.end() || are_sends_fenced_off(found->second, send.token)) {
+        const std::string subject = intended.subject;
+        m_unresolved[subject] = {.value = std::move(intended), .sends = {send}, .total_sends = 1};
+        return;
+    }
+    if (found->second.value.idempotency_key != intended.idempotency_key) {
+        return;
+    }
+    found->second.sends.push_back(send);
+    ++found->second.total_sends;
+}
+
+void order_fold::apply_outcome(const record& value) {
+    const order_outcome content = decode_outcome(value.body);
+    const auto found = m_unresolved.find(content.subject);
+    if (found == m_unresolved.end()) {
+        return;
+    }
+    unresolved_order& existing = found->second;
+    const auto send =
+        std::ranges::find_if(existing.sends, [&](const order_send& one) { return one.intent == content.intent; });
+    if (send == existing.sends.end() || !may_resolve(value, *send)) {
+        return;
+    }
+    if (content.outcome == send_outcome::not_sent) {
+        --existing.total_sends;
+    }
+    const order_send resolved = *send;
+    erase_void_sends(existing, resolved, content.outcome);
+    if (existing.sends.empty()) {
+        m_unresolved.erase(found);
+    }
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/order_fold.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "coordination/folded_stream.hpp"
+#include "coordination/order.hpp"
+
+namespace dragonflywell::coordination {
+
+/// Folds intents and outcomes into the orders that may still take effect, by subject.
+///
+/// The state holds unresolved orders only, so it is bounded by the number of subjects. Not thread safe.
+class order_fold final : public record_observer {
+public:
+    void on_record(log_offset offset, const record& value) override;
+
+    /// Returns the unresolved order of a subject, or null. Valid until the next record.
+    [[nodiscard]] const unresolved_order* find(const std::string& subject) const;
+
+    [[nodiscard]] const std::map<std::string, unresolved_order>& get_all() const noexcept { return m_unresolved; }
+
+private:
+    void apply_intent(log_offset offset, const record& value);
+    void apply_outcome(const record& value);
+
+    std::map<std::string, unresolved_order> m_unresolved;
+};
+
+/// Returns whether every send of `existing` is void at its receiver once `token` was seen there.
+[[nodiscard]] bool are_sends_fenced_off(const unresolved_order& existing, const fencing_token& token);
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/order_ledger.cpp
@@ -0,0 +1,250 @@
+#include "coordination/order_ledger.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+std::optional<send_outcome> get_outcome(order_receipt receipt) {
+    switch (receipt) {
+    case order_receipt::applied:
+        return send_outcome::applied;
+    case order_receipt::rejected:
+        return send_outcome::rejected;
+    case order_receipt::refused_old_number:
+        return send_outcome::refused_old_number;
+    case order_receipt::unknown:
+        break;
+    }
+    return std::nullopt;
+}
+
+order_status get_status(order_receipt receipt) {
+    switch (receipt) {
+    case order_receipt::applied:
+        return order_status::applied;
+    case order_receipt::rejected:
+        return order_status::rejected;
+    case order_receipt::refused_old_number:
+        return order_status::refused_old_number;
+    case order_receipt::unknown:
+        break;
+    }
+    return order_status::unknown;
+}
+
+/// A receiver without keys shows one effect for all sends, so only a single send can be concluded from it.
+bool is_resolved_by_sight(const unresolved_order& existing) {
+    return existing.value.repeat == repeat_rule::deduplicated || existing.total_sends == 1;
+}
+
+const order_send* find_send(const unresolved_order* existing, log_offset intent) {
+    if (existing == nullptr) {
+        return nullptr;
+    }
+    const auto found =
+        std::ranges::find_if(existing->sends, [intent](const order_send& send) { return send.intent == intent; });
+    return found == existing->sends.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+order_ledger::order_ledger(folded_stream& stream, lease_holder& lease, order_receiver& receiver,
+                           const host_liveness& hosts)
+    : m_stream(&stream), m_lease(&lease), m_receiver(&receiver), m_hosts(&hosts) {
+    m_stream->add_observer(m_fold);
+}
+
+order_result order_ledger::submit(const order& value) {
+    if (!flush_outcomes()) {
+        return {.status = order_status::log_unavailable, .intent = {}};
+    }
+    const std::optional<fencing_token> token = m_lease->get_authority();
+    if (!token) {
+        return {.status = order_status::no_authority, .intent = {}};
+    }
+    const unresolved_order* found = m_fold.find(value.subject);
+    if (!may_send(value, found, *token)) {
+        return {.status = order_status::blocked, .intent = {}};
+    }
+    if (found == nullptr) {
+        return append_and_send(value, *token);
+    }
+    const unresolved_order existing = *found;
+    const bool is_same = existing.value.idempotency_key == value.idempotency_key;
+    const order_presence presence = query_existing(existing, *token);
+    if (presence == order_presence::applied && is_same) {
+        return {.status = order_status::applied, .intent = existing.sends.front().intent};
+    }
+    if (presence == order_presence::unknown && existing.value.repeat == repeat_rule::deduplicated) {
+        return {.status = order_status::blocked, .intent = {}};
+    }
+    return append_and_send(is_same ? existing.value : value, *token);
+}
+
+std::vector<unresolved_order> order_ledger::get_unresolved() const {
+    std::vector<unresolved_order> all;
+    for (const auto& [subject, existing] : m_fold.get_all()) {
+        all.push_back(existing);
+    }
+    return all;
+}
+
+void order_ledger::reconcile() {
+    if (!flush_outcomes()) {
+        return;
+    }
+    const std::optional<fencing_token> token = m_lease->get_authority();
+    if (!token) {
+        return;
+    }
+    for (const unresolved_order& existing : get_unresolved()) {
+        resolve(existing, *token);
+    }
+    flush_outcomes();
+}
+
+bool order_ledger::may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const {
+    if (existing == nullptr) {
+        return true;
+    }
+    const bool is_same = existing->value.idempotency_key == value.idempotency_key;
+    if (is_same && existing->value.repeat == repeat_rule::never) {
+        return false;
+    }
+    if (are_sends_fenced_off(*existing, token)) {
+        return true;
+    }
+    if (!is_same) {
+        return false;
+    }
+    switch (existing->value.repeat) {
+    case repeat_rule::never:
+        return false;
+    case repeat_rule::idempotent:
+        return true;
+    case repeat_rule::deduplicated:
+        // The platform must not get orders from two processes: those of another one are waited out.
+        return std::ranges::all_of(existing->sends,
+                                   [&](const order_send& send) { return send.sender == m_stream->get_writer(); });
+    }
+    return false;
+}
+
+order_presence order_ledger::query_existing(const unresolved_order& existing, const fencing_token& token) {
+    const order_presence presence = m_receiver->query(existing.value);
+    if (presence == order_presence::applied && is_resolved_by_sight(existing)) {
+        const order_send& seen = existing.sends.front();
+        m_unlogged[seen.intent] = {.content = {.subject = existing.value.subject,
+                                               .intent = seen.intent,
+                                               .outcome = send_outcome::seen_applied},
+                                   .fence = token};
+        flush_outcomes();
+    }
+    return presence;
+}
+
+order_result order_ledger::append_and_send(const order& value, const fencing_token& token) {
+    const std::array<record_draft, 1> drafts{
+        {{.type = std::string(order_intent_type), .body = encode_order(value), .condition = {}, .fence = token}}};
+    submission recorded;
+    try {
+        recorded = m_stream->submit(drafts).front();
+    } catch (const log_unavailable_error&) {
+        return {.status = order_status::log_unavailable, .intent = {}};
+    }
+    if (recorded.verdict != record_verdict::valid) {
+        return {.status = order_status::no_authority, .intent = {}};
+    }
+    if (find_send(m_fold.find(value.subject), recorded.offset) == nullptr) {
+        // A late intent of this process came before and holds the subject.
+        return {.status = order_status::blocked, .intent = {}};
+    }
+    return send_once(value, recorded.offset, token);
+}
+
+order_result order_ledger::send_once(const order& value, log_offset intent, const fencing_token& token) {
+    if (m_lease->get_authority() != token) {
+        flush_outcomes();
+        return {.status = order_status::no_authority, .intent = {}};
+    }
+    m_sent.insert(intent);
+    const order_receipt receipt = m_receiver->send(value, token, m_lease->get_order_deadline());
+    const std::optional<send_outcome> outcome = get_outcome(receipt);
+    if (outcome) {
+        m_unlogged[intent] = {.content = {.subject = value.subject, .intent = intent, .outcome = *outcome},
+                              .fence = {}};
+        flush_outcomes();
+    }
+    return {.status = get_status(receipt), .intent = intent};
+}
+
+void order_ledger::resolve(const unresolved_order& existing, const fencing_token& token) {
+    // Asked before the query: what a sender did before it went is then visible to the query.
+    std::vector<order_send> gone;
+    std::ranges::copy_if(existing.sends, std::back_inserter(gone),
+                         [this](const order_send& send) { return m_hosts->is_gone_for_good(send.sender); });
+    const order_presence presence = query_existing(existing, token);
+    if (presence == order_presence::applied && is_resolved_by_sight(existing)) {
+        return;
+    }
+    if (presence == order_presence::unknown && existing.value.repeat == repeat_rule::deduplicated) {
+        return;
+    }
+    for (const order_send& send : gone) {
+        m_unlogged[send.intent] = {
+            .content = {.subject = existing.value.subject, .intent = send.intent, .outcome = send_outcome::sender_gone},
+            .fence = token};
+    }
+}
+
+void order_ledger::note_unsent_intents() {
+    for (const auto& [subject, existing] : m_fold.get_all()) {
+        for (const order_send& send : existing.sends) {
+            if (send.sender == m_stream->get_writer() && !m_sent.contains(send.intent)) {
+                m_unlogged[send.intent] = {
+                    .content = {.subject = subject, .intent = send.intent, .outcome = send_outcome::not_sent},
+                    .fence = {}};
+            }
+        }
+    }
+}
+
+void order_ledger::forget_resolved_sends() {
+    std::set<log_offset> unresolved;
+    for (const auto& [subject, existing] : m_fold.get_all()) {
+        for (const order_send& send : existing.sends) {
+            unresolved.insert(send.intent);
+        }
+    }
+    std::erase_if(m_sent, [&](log_offset intent) { return !unresolved.contains(intent); });
+    std::erase_if(m_unlogged, [&](const auto& entry) { return !unresolved.contains(entry.first); });
+}
+
+bool order_ledger::flush_outcomes() {
+    try {
+        m_stream->poll();
+        forget_resolved_sends();
+        note_unsent_intents();
+        std::vector<record_draft> drafts;
+        for (const auto& [intent, outcome] : m_unlogged) {
+            drafts.push_back({.type = std::string(order_outcome_type),
+                              .body = encode_outcome(outcome.content),
+                              .condition = {},
+                              .fence = outcome.fence});
+        }
+        if (!drafts.empty()) {
+            m_stream->submit(drafts);
+            m_unlogged.clear();
+        }
+    } catch (const log_unavailable_error&) {
+        return false;
+    }
+    forget_resolved_sends();
+    return true;
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/order_ledger.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "coordination/lease.hpp"
+#include "coordination/order_fold.hpp"
+
+namespace dragonflywell::coordination {
+
+/// What a receiver said to one send.
+enum class order_receipt {
+    applied,
+    /// Certainly without effect, now and later.
+    rejected,
+    /// The receiver has seen a newer fencing number; without effect.
+    refused_old_number,
+    /// No answer, or one that says nothing: the order may take effect at any later time.
+    unknown,
+};
+
+/// What a receiver holds under an idempotency key.
+enum class order_presence { applied, not_seen, unknown };
+
+/// Gives orders to engines or to an interface of the platform.
+///
+/// Thread safety: the ledger calls it from its own thread only.
+class order_receiver {
+public:
+    order_receiver() = default;
+    order_receiver(const order_receiver&) = delete;
+    order_receiver& operator=(const order_receiver&) = delete;
+    order_receiver(order_receiver&&) = delete;
+    order_receiver& operator=(order_receiver&&) = delete;
+    virtual ~order_receiver() = default;
+
+    /// Sends once, without any retry of its own, and returns within `deadline`. Reports faults as `unknown`.
+    virtual order_receipt send(const order& value, const fencing_token& token, duration deadline) = 0;
+
+    /// Asks what the receiver holds under the order's idempotency key. Has no effect.
+    virtual order_presence query(const order& value) = 0;
+};
+
+/// Knows which processes can never again send anything. Not thread safe.
+class host_liveness {
+public:
+    host_liveness() = default;
+    host_liveness(const host_liveness&) = delete;
+    host_liveness& operator=(const host_liveness&) = delete;
+    host_liveness(host_liveness&&) = delete;
+    host_liveness& operator=(host_liveness&&) = delete;
+    virtual ~host_liveness() = default;
+
+    /// Returns true only when that incarnation is gone for good. A silent or unreachable one is not.
+    [[nodiscard]] virtual bool is_gone_for_good(const writer_id& sender) const = 0;
+};
+
+/// What became of a submitted order.
+enum class order_status {
+    applied,
+    rejected,
+    refused_old_number,
+    /// Sent, without a known outcome. The subject is held until `reconcile` finds one.
+    unknown,
+    /// Not sent: this process does not hold the lease, or too little of it is left.
+    no_authority,
+    /// Not sent: another send on the subject may still take effect.
+    blocked,
+    /// Not sent: the intent could not be read back.
+    log_unavailable,
+};
+
+struct order_result {
+    order_status status{};
+    /// The intent that was sent, when one was.
+    std::optional<log_offset> intent;
+};
+
+/// Gives orders under a lease, each of which is in the log before it is sent.
+///
+/// A new holder thereby knows every order of its predecessors that may still take effect. Not thread safe.
+class order_ledger {
+public:
+    /// Preconditions: all arguments outlive the ledger; `stream` folds the records of the lease's scope and has not
+    /// been polled yet.
+    order_ledger(folded_stream& stream, lease_holder& lease, order_receiver& receiver, const host_liveness& hosts);
+
+    /// Records the order, sends it at most once and records the outcome.
+    ///
+    /// An order with the key of the subject's unresolved one completes that one as it was logged. An unreachable log is
+    /// a status and no exception. Precondition: a key is not used again once its order was resolved.
+    order_result submit(const order& value);
+
+    /// Returns the orders that may still take effect, whoever sent them, as of the last poll of the stream.
+    [[nodiscard]] std::vector<unresolved_order> get_unresolved() const;
+
+    /// Records every outcome that can be known: own answers not yet logged, intents never sent, orders seen at their
+    /// receiver, senders gone for good. Call it regularly while the lease is held.
+    void reconcile();
+
+private:
+    /// An outcome that the log has not confirmed yet. Own sends are facts and need no fence.
+    struct unlogged_outcome {
+        order_outcome content;
+        std::optional<fencing_token> fence;
+    };
+
+    [[nodiscard]] bool may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const;
+    [[nodiscard]] order_presence query_existing(const unresolved_order& existing, const fencing_token& token);
+    order_result append_and_send(const order& value, const fencing_token& token);
+    order_result send_once(const order& value, log_offset intent, const fencing_token& token);
+    void resolve(const unresolved_order& existing, const fencing_token& token);
+    void note_unsent_intents();
+    void forget_resolved_sends();
+    bool flush_outcomes();
+
+    folded_stream* m_stream;
+    lease_holder* m_lease;
+    order_receiver* m_receiver;
+    const host_liveness* m_hosts;
+    order_fold m_fold;
+    /// Intents that were handed to the receiver by this process and are still unresolved in the log.
+    std::set<log_offset> m_sent;
+    std::map<log_offset, unlogged_outcome> m_unlogged;
+};
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/tests/coordination/test_order_ledger.cpp
@@ -0,0 +1,165 @@
+#include <doctest/doctest.h>
+
+#include "coordination/order_ledger.hpp"
+#include "support/fake_log.hpp"
+#include "support/fake_receiver.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::coordination;
+
+namespace {
+
+struct control_host {
+    control_host(testing::fake_log& log, const clock_source& time, order_receiver& receiver, const host_liveness& hosts,
+                 const char* host)
+        : stream(log, "control/a", {.host = host, .incarnation = 1}), lease(stream, time, {.scope = "control/a"}),
+          ledger(stream, lease, receiver, hosts) {}
+
+    folded_stream stream;
+    lease_holder lease;
+    order_ledger ledger;
+};
+
+struct two_hosts {
+    testing::fake_log log;
+    virtual_clock time;
+    testing::fake_receiver receiver;
+    testing::fake_liveness hosts;
+    control_host first{log, time, receiver, hosts, "host-1"};
+    control_host second{log, time, receiver, hosts, "host-2"};
+
+    two_hosts() {
+        first.lease.tick();
+        second.lease.tick();
+    }
+
+    /// The first host stops renewing, and the second one wins the lease.
+    void hand_over() {
+        time.advance(std::chrono::seconds(11));
+        second.lease.tick();
+        REQUIRE(second.lease.get_authority().has_value());
+    }
+};
+
+order make_order(const char* key, receiver_kind receiver, repeat_rule repeat = repeat_rule::idempotent) {
+    return {.subject = "engine/e1",
+            .kind = "set_role",
+            .body = {{"role", key}},
+            .idempotency_key = key,
+            .receiver = receiver,
+            .repeat = repeat};
+}
+
+const order to_prefill = make_order("prefill", receiver_kind::ignores_fencing);
+const order to_decode = make_order("decode", receiver_kind::ignores_fencing);
+
+} // namespace
+
+TEST_CASE("an order is logged before it is sent and leaves nothing unresolved once answered") {
+    two_hosts hosts;
+    CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::applied);
+    CHECK(hosts.first.ledger.get_unresolved().empty());
+    CHECK(hosts.receiver.applied == std::vector<std::string>{"prefill"});
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::no_authority);
+}
+
+TEST_CASE("no order is sent while the log is down or the lease is about to end") {
+    two_hosts hosts;
+    hosts.log.is_down = true;
+    CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::log_unavailable);
+    hosts.log.is_down = false;
+    hosts.time.advance(std::chrono::seconds(8));
+    CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::no_authority);
+    CHECK(hosts.receiver.applied.empty());
+}
+
+TEST_CASE("an intent whose append was answered too late is never sent and frees its subject") {
+    two_hosts hosts;
+    hosts.log.hides_next_append = true;
+    CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::log_unavailable);
+    hosts.log.deliver_hidden();
+    CHECK(hosts.first.ledger.submit(to_decode).status == order_status::applied);
+    CHECK(hosts.receiver.applied == std::vector<std::string>{"decode"});
+}
+
+TEST_CASE("a receiver that ignores the number gets no other order until the old one is seen") {
+    two_hosts hosts;
+    hosts.receiver.loses_next_order = true;
+    CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::unknown);
+    hosts.hand_over();
+    REQUIRE(hosts.second.ledger.get_unresolved().size() == 1);
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
+    hosts.receiver.deliver_late();
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::applied);
+    CHECK(hosts.receiver.applied == std::vector<std::string>{"prefill", "decode"});
+}
+
+TEST_CASE("a sender that is gone for good frees the receiver, a silent one does not") {
+    two_hosts hosts;
+    hosts.receiver.loses_next_order = true;
+    hosts.first.ledger.submit(to_prefill);
+    hosts.receiver.late.clear();
+    hosts.hand_over();
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
+    hosts.hosts.gone.insert("host-1");
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::applied);
+}
+
+TEST_CASE("completing an order does not hide that its first send may still arrive") {
+    two_hosts hosts;
+    hosts.receiver.loses_next_order = true;
+    hosts.first.ledger.submit(to_prefill);
+    hosts.hand_over();
+    CHECK(hosts.second.ledger.submit(to_prefill).status == order_status::applied);
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
+}
+
+TEST_CASE("a receiver that checks the number takes a new holder's order at once and refuses the late one") {
+    two_hosts hosts;
+    hosts.receiver.loses_next_order = true;
+    hosts.first.ledger.submit(make_order("prefill", receiver_kind::checks_fencing));
+    hosts.hand_over();
+    const order next = make_order("decode", receiver_kind::checks_fencing);
+    CHECK(hosts.second.ledger.submit(next).status == order_status::applied);
+    hosts.receiver.deliver_late();
+    CHECK(hosts.receiver.applied == std::vector<std::string>{"decode"});
+    CHECK(hosts.second.ledger.get_unresolved().empty());
+}
+
+TEST_CASE("an answer lost after the effect is reconciled by key and the order is not sent twice") {
+    two_hosts hosts;
+    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, repeat_rule::deduplicated);
+    hosts.receiver.drops_next_answer = true;
+    CHECK(hosts.first.ledger.submit(buy).status == order_status::unknown);
+    CHECK(hosts.first.ledger.submit(buy).status == order_status::applied);
+    CHECK(hosts.receiver.applied == std::vector<std::string>{"buy-7"});
+    CHECK(hosts.first.ledger.get_unresolved().empty());
+}
+
+TEST_CASE("a new holder sends nothing to the platform while its predecessor's send may arrive") {
+    two_hosts hosts;
+    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, repeat_rule::deduplicated);
+    hosts.receiver.loses_next_order = true;
+    hosts.first.ledger.submit(buy);
+    hosts.hand_over();
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.submit(buy).status == order_status::blocked);
+    hosts.receiver.deliver_late();
+    CHECK(hosts.second.ledger.submit(buy).status == order_status::blocked);
+    hosts.second.ledger.reconcile();
+    CHECK(hosts.second.ledger.get_unresolved().empty());
+}
+
+TEST_CASE("an order that must not be repeated is not completed by anybody") {
+    two_hosts hosts;
+    const order once = make_order("swap", receiver_kind::checks_fencing, repeat_rule::never);
+    hosts.receiver.loses_next_order = true;
+    hosts.first.ledger.submit(once);
+    hosts.hand_over();
+    CHECK(hosts.second.ledger.submit(once).status == order_status::blocked);
+}
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/append_log.hpp"
@@ -15,6 +16,11 @@
         if (is_down) {
             throw coordination::log_unavailable_error("log is down");
         }
+        if (hides_next_append) {
+            hides_next_append = false;
+            hidden.emplace_back(stream, std::vector<std::string>(records.begin(), records.end()));
+            throw coordination::log_unavailable_error("append is on its way");
+        }
         std::vector<std::string>& target = streams[std::string(stream)];
         const coordination::log_offset first = target.size();
         target.insert(target.end(), records.begin(), records.end());
@@ -38,10 +44,20 @@
         return batch;
     }
 
+    /// Lets the appends that were on their way take effect.
+    void deliver_hidden() {
+        for (const auto& [stream, records] : std::exchange(hidden, {})) {
+            std::vector<std::string>& target = streams[stream];
+            target.insert(target.end(), records.begin(), records.end());
+        }
+    }
+
     std::map<std::string, std::vector<std::string>> streams;
+    std::vector<std::pair<std::string, std::vector<std::string>>> hidden;
     std::uint64_t appends{0};
     bool is_down{false};
     bool drops_next_answer{false};
+    bool hides_next_append{false};
 };
 
 } // namespace dragonflywell::testing
--- /dev/null
+++ b/tests/support/fake_receiver.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/order_ledger.hpp"
+
+namespace dragonflywell::testing {
+
+/// A receiver of orders in memory, with faults that a test asks for. Not thread safe.
+class fake_receiver final : public coordination::order_receiver {
+public:
+    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
+                                     duration) override {
+        if (loses_next_order) {
+            loses_next_order = false;
+            late.emplace_back(value, token);
+            return coordination::order_receipt::unknown;
+        }
+        const coordination::order_receipt receipt = apply(value, token);
+        if (drops_next_answer) {
+            drops_next_answer = false;
+            return coordination::order_receipt::unknown;
+        }
+        return receipt;
+    }
+
+    coordination::order_presence query(const coordination::order& value) override {
+        if (!answers_queries) {
+            return coordination::order_presence::unknown;
+        }
+        return keys.contains(value.idempotency_key) ? coordination::order_presence::applied
+                                                    : coordination::order_presence::not_seen;
+    }
+
+    /// Lets the orders that were on their way arrive.
+    void deliver_late() {
+        for (const auto& [value, token] : std::exchange(late, {})) {
+            apply(value, token);
+        }
+    }
+
+    std::vector<std::string> applied;
+    std::set<std::string> keys;
+    std::vector<std::pair<coordination::order, coordination::fencing_token>> late;
+    bool loses_next_order{false};
+    bool drops_next_answer{false};
+    bool answers_queries{true};
+
+private:
+    coordination::order_receipt apply(const coordination::order& value, const coordination::fencing_token& token) {
+        if (value.receiver == coordination::receiver_kind::checks_fencing && token.number < m_newest_number) {
+            return coordination::order_receipt::refused_old_number;
+        }
+        m_newest_number = std::max(m_newest_number, token.number);
+        const bool is_new = keys.insert(value.idempotency_key).second;
+        if (is_new || value.repeat != coordination::repeat_rule::deduplicated) {
+            applied.push_back(value.idempotency_key);
+        }
+        return coordination::order_receipt::applied;
+    }
+
+    coordination::log_offset m_newest_number{0};
+};
+
+/// Knows as gone for good what a test names.
+class fake_liveness final : public coordination::host_liveness {
+public:
+    [[nodiscard]] bool is_gone_for_good(const coordination::writer_id& sender) const override {
+        return gone.contains(sender.host);
+    }
+
+    std::set<std::string> gone;
+};
+
+} // namespace dragonflywell::testing
