Survive lost claims and the log's retention

Change: a holder recognises its own claims and renewals by writer and sequence and counts them from before they were sent. A released lease is never taken up again. Options that would let authority lapse are refused. A process may start from a peer's copy.

--- a/coordination/configuration.cpp
+++ b/coordination/configuration.cpp
@@ -67,6 +67,31 @@
     m_current = std::move(next);
 }
 
+boost::json::value configuration_fold::save_state() const {
+    boost::json::object entries;
+    for (const auto& [path, text] : m_current->entries) {
+        entries[path] = text;
+    }
+    boost::json::object state{{"entries", std::move(entries)}};
+    if (m_current->version) {
+        state["version"] = *m_current->version;
+    }
+    return state;
+}
+
+void configuration_fold::restore_state(const boost::json::value& state) {
+    const boost::json::object& object = json::as_object(state, "configuration");
+    auto restored = std::make_shared<configuration>();
+    if (object.contains("version")) {
+        restored->version = json::get_unsigned(object, "version");
+    }
+    const boost::json::object& entries = json::get_object(object, "entries");
+    for (const auto& [path, text] : entries) {
+        restored->entries[std::string(path)] = json::get_string(entries, path);
+    }
+    m_current = std::move(restored);
+}
+
 log_offset publish_configuration(folded_stream& stream, const configuration_delta& delta,
                                  std::optional<log_offset> base_version) {
     const std::array<record_draft, 1> drafts{{{
--- a/coordination/configuration.hpp
+++ b/coordination/configuration.hpp
@@ -43,9 +43,12 @@
 };
 
 /// Folds the deltas into the configuration in force. Versions only grow. Not thread safe.
-class configuration_fold final : public record_observer {
+class configuration_fold final : public snapshot_observer {
 public:
     void on_record(log_offset offset, const record& value) override;
+    [[nodiscard]] std::string_view get_state_name() const override { return "configuration"; }
+    [[nodiscard]] boost::json::value save_state() const override;
+    void restore_state(const boost::json::value& state) override;
 
     /// Returns the configuration in force. The value is immutable and may be handed to other threads.
     [[nodiscard]] const std::shared_ptr<const configuration>& get() const noexcept { return m_current; }
--- a/coordination/lease.cpp
+++ b/coordination/lease.cpp
@@ -5,8 +5,36 @@
 
 namespace dragonflywell::coordination {
 
+namespace {
+
+/// Attempts without a known effect that are remembered. An older one that takes effect yet is renewed at once.
+constexpr std::size_t most_pending_attempts = 64;
+
+void require(bool holds, std::vector<input_problem>& problems, const char* place, const char* message) {
+    if (!holds) {
+        problems.push_back({.place = place, .message = message});
+    }
+}
+
+} // namespace
+
+void check_lease_options(const lease_options& options) {
+    std::vector<input_problem> problems;
+    require(!options.scope.empty(), problems, "lease.scope", "must not be empty");
+    require(options.order_deadline > duration::zero(), problems, "lease.order_deadline", "must be positive");
+    require(options.drift_margin > duration::zero(), problems, "lease.drift_margin", "must be positive");
+    require(options.renew_before > options.order_deadline, problems, "lease.renew_before",
+            "must be longer than order_deadline, else authority ends before each renewal");
+    require(options.length > options.renew_before, problems, "lease.length", "must be longer than renew_before");
+    if (!problems.empty()) {
+        throw invalid_input_error(std::move(problems));
+    }
+}
+
 lease_holder::lease_holder(folded_stream& stream, const clock_source& time, lease_options options)
-    : m_stream(&stream), m_time(&time), m_options(std::move(options)) {}
+    : m_stream(&stream), m_time(&time), m_options(std::move(options)) {
+    check_lease_options(m_options);
+}
 
 void lease_holder::tick() {
     m_stream->poll();
@@ -18,24 +46,25 @@
         }
         return;
     }
-    m_held.reset();
     if (is_lapsed()) {
         claim();
     }
 }
 
 void lease_holder::release() {
-    if (!m_held) {
+    m_held.reset();
+    const lease_record* lease = m_stream->get_fold().get_lease(m_options.scope);
+    if (lease == nullptr || lease->is_released || lease->holder != m_stream->get_writer()) {
         return;
     }
+    m_given_up = lease->token.number;
     const std::array<record_draft, 1> drafts{
-        {{.type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = m_held}}};
-    m_held.reset();
+        {{.type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = lease->token}}};
     m_stream->submit(drafts);
 }
 
 std::optional<fencing_token> lease_holder::get_authority() const {
-    if (!m_held || !is_own()) {
+    if (!is_own()) {
         return std::nullopt;
     }
     const steady_time last_moment = m_sent_at + m_options.length - m_options.order_deadline;
@@ -62,36 +91,37 @@
     }
     m_observed = lease->newest;
     m_observed_at = m_time->now();
-}
-
-void lease_holder::renew() {
-    const steady_time sent_at = m_time->now();
-    const std::array<record_draft, 1> drafts{
-        {{.type = std::string(lease_renewal_type), .body = {}, .condition = {}, .fence = m_held}}};
-    const submission result = m_stream->submit(drafts).front();
-    if (result.verdict != record_verdict::valid) {
+    const bool is_mine = lease->holder == m_stream->get_writer() && !lease->is_released;
+    if (!is_mine || m_given_up == lease->token.number) {
         m_held.reset();
         return;
     }
-    m_sent_at = sent_at;
-    observe();
+    const auto sent = m_pending.find(lease->sequence);
+    m_sent_at = sent == m_pending.end() ? steady_time{} : sent->second;
+    m_held = lease->token;
+    m_pending.erase(m_pending.begin(), m_pending.upper_bound(lease->sequence));
+}
+
+void lease_holder::renew() {
+    submit_attempt({.type = std::string(lease_renewal_type), .body = {}, .condition = {}, .fence = m_held});
 }
 
 void lease_holder::claim() {
-    const steady_time sent_at = m_time->now();
     const std::string subject = get_lease_subject(m_options.scope);
-    const std::array<record_draft, 1> drafts{
-        {{.type = std::string(lease_claim_type),
-          .body = {},
-          .condition = record_condition{.subject = subject, .supersedes = m_stream->get_fold().get_newest(subject)},
-          .fence = {}}}};
-    const submission result = m_stream->submit(drafts).front();
-    observe();
-    if (result.verdict != record_verdict::valid) {
-        return;
+    submit_attempt(
+        {.type = std::string(lease_claim_type),
+         .body = {},
+         .condition = record_condition{.subject = subject, .supersedes = m_stream->get_fold().get_newest(subject)},
+         .fence = {}});
+}
+
+void lease_holder::submit_attempt(const record_draft& draft) {
+    if (m_pending.size() == most_pending_attempts) {
+        m_pending.erase(m_pending.begin());
     }
-    m_held = fencing_token{.scope = m_options.scope, .number = result.offset};
-    m_sent_at = sent_at;
+    m_pending[m_stream->get_last_sequence() + 1] = m_time->now();
+    m_stream->submit(std::span(&draft, 1));
+    observe();
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/lease.hpp
+++ b/coordination/lease.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -20,19 +21,24 @@
     duration order_deadline{std::chrono::seconds(2)};
 };
 
+/// Throws `invalid_input_error` that lists every option which would let authority lapse or overlap. Thread safe.
+void check_lease_options(const lease_options& options);
+
 /// One candidate for the lease of a scope.
 ///
 /// Authority comes from the log alone; clocks only decide when to try and when to stop early. Not thread safe.
 class lease_holder {
 public:
-    /// Preconditions: `stream` and `time` outlive the holder; `stream` folds the records of the scope.
+    /// Preconditions: `stream` and `time` outlive the holder; `stream` folds the records of the scope and has no other
+    /// holder for it. Throws `invalid_input_error` as `check_lease_options` does.
     lease_holder(folded_stream& stream, const clock_source& time, lease_options options);
 
     /// Reads the stream, then renews the own lease or claims one that has lapsed.
     /// Throws `log_unavailable_error`; the lease then runs out unless a later tick succeeds.
     void tick();
 
-    /// Gives the lease up, so that another host need not wait. Throws `log_unavailable_error`.
+    /// Gives the lease up for a graceful stop, so that another host need not wait. Authority ends at once, also when
+    /// this throws `log_unavailable_error`; it may then be called again.
     void release();
 
     /// Returns the fencing token while orders may be sent, else nothing.
@@ -47,6 +53,7 @@
     void observe();
     void renew();
     void claim();
+    void submit_attempt(const record_draft& draft);
 
     folded_stream* m_stream;
     const clock_source* m_time;
@@ -54,9 +61,14 @@
     /// When the newest record of the lease was first read here, and which one that was.
     std::optional<log_offset> m_observed;
     steady_time m_observed_at{};
-    /// When the newest own claim or renewal was about to be sent.
+    /// When the newest own claim or renewal that took effect was about to be sent.
     steady_time m_sent_at{};
     std::optional<fencing_token> m_held;
+    /// Fencing number of the own lease that was released; never taken up again, even if the release was lost.
+    std::optional<log_offset> m_given_up;
+    /// When claims and renewals without a known effect were about to be sent, by sequence. Their answer may be lost
+    /// after the effect, which a later poll then shows.
+    std::map<std::uint64_t, steady_time> m_pending;
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/order_fold.cpp
+++ b/coordination/order_fold.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/json.hpp"
+
 namespace dragonflywell::coordination {
 
 namespace {
@@ -29,6 +31,44 @@
     std::erase(existing.sends, resolved);
 }
 
+boost::json::object encode_send(const order_send& send) {
+    return {{"intent", send.intent},
+            {"host", send.sender.host},
+            {"incarnation", send.sender.incarnation},
+            {"scope", send.token.scope},
+            {"number", send.token.number}};
+}
+
+order_send decode_send(const boost::json::value& value) {
+    const boost::json::object& object = json::as_object(value, "send");
+    return {
+        .intent = json::get_unsigned(object, "intent"),
+        .sender = {.host = json::get_string(object, "host"), .incarnation = json::get_unsigned(object, "incarnation")},
+        .token = {.scope = json::get_string(object, "scope"), .number = json::get_unsigned(object, "number")}};
+}
+
+boost::json::object encode_unresolved(const unresolved_order& existing) {
+    boost::json::array sends;
+    for (const order_send& send : existing.sends) {
+        sends.push_back(encode_send(send));
+    }
+    return {{"order", encode_order(existing.value)}, {"sends", std::move(sends)}, {"total", existing.total_sends}};
+}
+
+unresolved_order decode_unresolved(const boost::json::value& value) {
+    const boost::json::object& object = json::as_object(value, "unresolved order");
+    unresolved_order existing{.value = decode_order(json::get_object(object, "order")),
+                              .sends = {},
+                              .total_sends = json::get_unsigned(object, "total")};
+    for (const boost::json::value& send : json::get_array(object, "sends")) {
+        existing.sends.push_back(decode_send(send));
+    }
+    if (existing.sends.empty() || existing.total_sends < existing.sends.size()) {
+        throw malformed_message_error("unresolved order without its sends");
+    }
+    return existing;
+}
+
 } // namespace
 
 bool are_sends_fenced_off(const unresolved_order& existing, const fencing_token& token) {
@@ -52,6 +92,27 @@
     }
 }
 
+boost::json::value order_fold::save_state() const {
+    boost::json::array all;
+    for (const auto& [subject, existing] : m_unresolved) {
+        all.push_back(encode_unresolved(existing));
+    }
+    return all;
+}
+
+void order_fold::restore_state(const boost::json::value& state) {
+    if (!state.is_array()) {
+        throw malformed_message_error("order state must be an array");
+    }
+    std::map<std::string, unresolved_order> restored;
+    for (const boost::json::value& entry : state.get_array()) {
+        unresolved_order existing = decode_unresolved(entry);
+        const std::string subject = existing.value.subject;
+        restored[subject] = std::move(existing);
+    }
+    m_unresolved = std::move(restored);
+}
+
 void order_fold::apply_intent(log_offset offset, const record& value) {
     if (!value.fence) {
         return;
--- a/coordination/order_fold.hpp
+++ b/coordination/order_fold.hpp
@@ -11,9 +11,12 @@
 /// Folds intents and outcomes into the orders that may still take effect, by subject.
 ///
 /// The state holds unresolved orders only, so it is bounded by the number of subjects. Not thread safe.
-class order_fold final : public record_observer {
+class order_fold final : public snapshot_observer {
 public:
     void on_record(log_offset offset, const record& value) override;
+    [[nodiscard]] std::string_view get_state_name() const override { return "orders"; }
+    [[nodiscard]] boost::json::value save_state() const override;
+    void restore_state(const boost::json::value& state) override;
 
     /// Returns the unresolved order of a subject, or null. Valid until the next record.
     [[nodiscard]] const unresolved_order* find(const std::string& subject) const;
--- a/tests/coordination/test_lease.cpp
+++ b/tests/coordination/test_lease.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "coordination/lease.hpp"
+#include "support/drifting_clock.hpp"
 #include "support/fake_log.hpp"
 
 using namespace dragonflywell;
@@ -78,3 +79,130 @@
     CHECK_FALSE(first.holder.get_authority().has_value());
     CHECK(second.holder.get_authority().has_value());
 }
+
+TEST_CASE("a claim whose answer was lost is recognised and counted from before it was sent") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    log.hides_next_append = true;
+    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    log.deliver_hidden();
+    time.advance(std::chrono::seconds(3));
+    first.holder.tick();
+    REQUIRE(first.holder.get_authority().has_value());
+    CHECK(log.streams["control/a"].size() == 1);
+    time.advance(std::chrono::seconds(5));
+    CHECK_FALSE(first.holder.get_authority().has_value());
+}
+
+TEST_CASE("a claim that arrives after its time gives no authority until it is renewed") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    log.hides_next_append = true;
+    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    time.advance(std::chrono::seconds(20));
+    log.deliver_hidden();
+    first.stream.poll();
+    CHECK_FALSE(first.holder.get_authority().has_value());
+    first.holder.tick();
+    CHECK(first.holder.get_authority().has_value());
+    CHECK(log.streams["control/a"].size() == 2);
+}
+
+TEST_CASE("a renewal whose answer was lost counts from when it was sent") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    first.holder.tick();
+    time.advance(std::chrono::seconds(5));
+    log.hides_next_append = true;
+    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    time.advance(std::chrono::seconds(2));
+    log.deliver_hidden();
+    first.holder.tick();
+    time.advance(std::chrono::seconds(5));
+    CHECK(first.holder.get_authority().has_value());
+    time.advance(std::chrono::seconds(1));
+    CHECK_FALSE(first.holder.get_authority().has_value());
+}
+
+TEST_CASE("a late claim that lost to another gives no authority") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    candidate second(log, time, "host-2");
+    log.hides_next_append = true;
+    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    second.holder.tick();
+    log.deliver_hidden();
+    first.holder.tick();
+    CHECK_FALSE(first.holder.get_authority().has_value());
+    CHECK(second.holder.get_authority().has_value());
+}
+
+TEST_CASE("a lost release ends authority for good and the lease lapses by time") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    candidate second(log, time, "host-2");
+    first.holder.tick();
+    second.holder.tick();
+    log.is_down = true;
+    CHECK_THROWS_AS(first.holder.release(), log_unavailable_error);
+    log.is_down = false;
+    first.holder.tick();
+    CHECK_FALSE(first.holder.get_authority().has_value());
+    time.advance(std::chrono::seconds(11));
+    second.holder.tick();
+    CHECK(second.holder.get_authority().has_value());
+}
+
+TEST_CASE("no two hosts have authority together however their clocks drift within the margin") {
+    constexpr double drift = 0.04;
+    for (const double first_rate : {1 - drift, 1.0, 1 + drift}) {
+        for (const double second_rate : {1 - drift, 1.0, 1 + drift}) {
+            testing::fake_log log;
+            virtual_clock truth;
+            const testing::drifting_clock first_time(truth, first_rate);
+            const testing::drifting_clock second_time(truth, second_rate);
+            candidate first(log, first_time, "host-1");
+            candidate second(log, second_time, "host-2");
+            first.holder.tick();
+            bool has_second_won = false;
+            for (int step = 0; step < 200; ++step) {
+                second.holder.tick();
+                has_second_won = has_second_won || second.holder.get_authority().has_value();
+                // The first host is paused: it reads nothing, and only its clock may take its authority away.
+                CHECK_FALSE((first.holder.get_authority() && second.holder.get_authority()));
+                truth.advance(std::chrono::milliseconds(100));
+            }
+            CHECK(has_second_won);
+        }
+    }
+}
+
+TEST_CASE("lease options that let authority lapse are refused, all problems at once") {
+    const lease_options options{.scope = "",
+                                .length = std::chrono::seconds(4),
+                                .renew_before = std::chrono::seconds(4),
+                                .drift_margin = {},
+                                .order_deadline = std::chrono::seconds(4)};
+    try {
+        check_lease_options(options);
+        FAIL("accepted");
+    } catch (const invalid_input_error& fault) {
+        CHECK(fault.problems().size() == 4);
+    }
+}
+
+TEST_CASE("only the holder itself may renew or release its lease") {
+    testing::fake_log log;
+    virtual_clock time;
+    candidate first(log, time, "host-1");
+    candidate second(log, time, "host-2");
+    first.holder.tick();
+    const record_draft release{
+        .type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = first.holder.get_authority()};
+    CHECK(second.stream.submit(std::span(&release, 1)).front().verdict == record_verdict::fenced);
+}
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -37,8 +38,10 @@
             throw coordination::log_unavailable_error("log is down");
         }
         const std::vector<std::string>& source = streams[std::string(stream)];
-        coordination::log_batch batch{.entries = {}, .oldest = 0, .end = source.size()};
-        for (coordination::log_offset offset = from; offset < source.size() && batch.entries.size() < most; ++offset) {
+        const coordination::log_offset oldest = oldest_kept[std::string(stream)];
+        coordination::log_batch batch{.entries = {}, .oldest = oldest, .end = source.size()};
+        for (coordination::log_offset offset = std::max(from, oldest);
+             offset < source.size() && batch.entries.size() < most; ++offset) {
             batch.entries.push_back({.offset = offset, .data = source[offset]});
         }
         return batch;
@@ -53,6 +56,8 @@
     }
 
     std::map<std::string, std::vector<std::string>> streams;
+    /// Offset of the oldest record that each stream still keeps.
+    std::map<std::string, coordination::log_offset> oldest_kept;
     std::vector<std::pair<std::string, std::vector<std::string>>> hidden;
     std::uint64_t appends{0};
     bool is_down{false};
