--- /dev/null
+++ b/policy/demand_estimator.cpp
@@ -0,0 +1,205 @@
+#include "policy/demand_estimator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+constexpr double error_gain = 0.1;
+constexpr double most_assumed_share = 0.5;
+constexpr double least_level = 1.0;
+constexpr double lag_part = 0.75;
+constexpr int lag_weight = 4;
+
+double get_seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+void add_rate(demand_rate& sum, const demand_rate& part) {
+    sum.arrivals += part.arrivals;
+    sum.prompt_tokens += part.prompt_tokens;
+    sum.output_tokens += part.output_tokens;
+}
+
+double get_tokens(const demand_rate& rate) {
+    return rate.prompt_tokens + rate.output_tokens;
+}
+
+} // namespace
+
+demand_estimator::demand_estimator(demand_estimator_options options) : m_options(options) {}
+
+void demand_estimator::add(const demand_report& report, wall_time now) {
+    if (report.length != m_options.bucket) {
+        return;
+    }
+    m_newest_report = std::max(m_newest_report.value_or(report.start), report.start);
+    host_state& host = m_hosts[report.host];
+    if (report.incarnation < host.incarnation) {
+        return;
+    }
+    if (report.incarnation > host.incarnation) {
+        host.incarnation = report.incarnation;
+        host.pending.clear();
+    }
+    host.lag += (now - (report.start + report.length) - host.lag) / lag_weight;
+    rates seen;
+    const double seconds = get_seconds(report.length);
+    for (const demand_row& row : report.rows) {
+        add_rate(seen[row.key], {.arrivals = static_cast<double>(row.arrivals) / seconds,
+                                 .prompt_tokens = static_cast<double>(row.prompt_tokens) / seconds,
+                                 .output_tokens = static_cast<double>(row.output_tokens) / seconds});
+    }
+    if (report.start >= host.last_start) {
+        host.last = seen;
+        host.last_start = report.start;
+    }
+    const bucket_number bucket = get_bucket(report.start);
+    if (m_closed && bucket <= *m_closed) {
+        ++m_late_reports;
+        return;
+    }
+    host.pending[bucket] = std::move(seen);
+}
+
+void demand_estimator::advance(wall_time now) {
+    m_now = std::max(m_now, now);
+    const bucket_number last = get_bucket(m_now - get_settle()) - 1;
+    if (!m_closed) {
+        m_closed = last - 1;
+    }
+    // After a long pause only the span that a host may be silent for is worth closing.
+    const bucket_number reach = m_options.host_gone_after / m_options.bucket + 1;
+    m_closed = std::max(*m_closed, last - reach);
+    while (*m_closed < last) {
+        close(*m_closed + 1);
+        m_closed = *m_closed + 1;
+    }
+}
+
+demand_forecast demand_estimator::forecast(const model_name& model, duration ahead) const {
+    const auto found = m_models.find(model);
+    if (found == m_models.end() || !m_newest_report) {
+        return {};
+    }
+    const model_state& state = found->second;
+    // The level describes the middle of the newest closed bucket.
+    const double behind = get_seconds(get_settle()) / get_seconds(m_options.bucket) + 1.0;
+    const double buckets = behind + get_seconds(ahead) / get_seconds(m_options.bucket);
+    demand_forecast result{.rate = {.arrivals = extend(state.arrivals, buckets),
+                                    .prompt_tokens = extend(state.prompt_tokens, buckets),
+                                    .output_tokens = extend(state.output_tokens, buckets)},
+                           .relative_error = std::max(state.prompt_tokens.error, state.output_tokens.error),
+                           .freshness = demand_freshness::fresh};
+    const duration age = m_now - (*m_newest_report + m_options.bucket);
+    if (age > m_options.stale_after || m_assumed_share > most_assumed_share) {
+        result.freshness = demand_freshness::stale;
+    } else if (m_assumed_share > 0) {
+        result.freshness = demand_freshness::partial;
+    }
+    return result;
+}
+
+std::map<organisation_name, demand_rate> demand_estimator::get_by_organisation(const model_name& model) const {
+    std::map<organisation_name, demand_rate> result;
+    for (const auto& [key, rate] : m_newest) {
+        if (key.model == model) {
+            add_rate(result[key.organisation], rate);
+        }
+    }
+    return result;
+}
+
+demand_estimator::bucket_number demand_estimator::get_bucket(wall_time moment) const {
+    return moment.time_since_epoch() / m_options.bucket;
+}
+
+duration demand_estimator::get_settle() const {
+    std::vector<duration> lags;
+    for (const auto& [name, host] : m_hosts) {
+        lags.push_back(host.lag);
+    }
+    if (lags.empty()) {
+        return m_options.least_settle;
+    }
+    const auto place = static_cast<std::size_t>(lag_part * static_cast<double>(lags.size() - 1));
+    std::nth_element(lags.begin(), lags.begin() + static_cast<std::ptrdiff_t>(place), lags.end());
+    return std::clamp(lags[place] + m_options.least_settle, m_options.least_settle, m_options.longest_settle);
+}
+
+void demand_estimator::close(bucket_number bucket) {
+    m_newest = collect(bucket);
+    std::map<model_name, demand_rate> sums;
+    for (const auto& [model, state] : m_models) {
+        sums[model] = {};
+    }
+    for (const auto& [key, rate] : m_newest) {
+        if (!key.model.empty()) {
+            add_rate(sums[key.model], rate);
+        }
+    }
+    if (m_hosts.empty()) {
+        return;
+    }
+    for (const auto& [model, rate] : sums) {
+        model_state& state = m_models[model];
+        observe(state.arrivals, rate.arrivals);
+        observe(state.prompt_tokens, rate.prompt_tokens);
+        observe(state.output_tokens, rate.output_tokens);
+    }
+}
+
+demand_estimator::rates demand_estimator::collect(bucket_number bucket) {
+    rates sum;
+    double tokens = 0;
+    double assumed = 0;
+    const wall_time start(m_options.bucket * bucket);
+    for (auto item = m_hosts.begin(); item != m_hosts.end();) {
+        host_state& host = item->second;
+        if (host.last_start + m_options.bucket + m_options.host_gone_after < start) {
+            item = m_hosts.erase(item);
+            continue;
+        }
+        const auto found = host.pending.find(bucket);
+        const bool is_reported = found != host.pending.end();
+        const rates& seen = is_reported ? found->second : host.last;
+        for (const auto& [key, rate] : seen) {
+            add_rate(sum[key], rate);
+            tokens += get_tokens(rate);
+            assumed += is_reported ? 0 : get_tokens(rate);
+        }
+        host.pending.erase(host.pending.begin(), host.pending.upper_bound(bucket));
+        ++item;
+    }
+    m_assumed_share = tokens > 0 ? assumed / tokens : 0;
+    return sum;
+}
+
+void demand_estimator::observe(smoothed& figure, double value) const {
+    if (!figure.is_started) {
+        figure = {.level = value, .trend = 0, .error = 0, .is_held_back = false, .is_started = true};
+        return;
+    }
+    const double expected = std::max(0.0, figure.level + figure.trend);
+    const double limit = m_options.growth_limit * std::max(expected, least_level);
+    const bool is_outlier = value > limit && !figure.is_held_back;
+    figure.is_held_back = is_outlier;
+    if (is_outlier) {
+        value = expected;
+    }
+    const double relative = std::abs(value - expected) / std::max({expected, value, least_level});
+    figure.error += error_gain * (relative - figure.error);
+    const double before = figure.level;
+    figure.level = expected + m_options.level_gain * (value - expected);
+    figure.trend += m_options.trend_gain * (figure.level - before - figure.trend);
+}
+
+double demand_estimator::extend(const smoothed& figure, double buckets) const {
+    const double damping = m_options.trend_damping;
+    const double reach = damping < 1 ? (1 - std::pow(damping, buckets)) / (1 - damping) : buckets;
+    return std::max(0.0, figure.level + figure.trend * reach);
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/horizon_role_planner.cpp
@@ -0,0 +1,211 @@
+#include "policy/horizon_role_planner.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <tuple>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+constexpr std::array<fleet::engine_role, 3> all_roles{fleet::engine_role::mixed, fleet::engine_role::prefill,
+                                                      fleet::engine_role::decode};
+
+bool is_away(const planned_engine& engine) {
+    return engine.state == engine_state::draining || engine.state == engine_state::changing;
+}
+
+/// Engines that work now, by role, and the same once every change under way has ended.
+struct fleet_view {
+    role_capacity now;
+    role_capacity after;
+    std::size_t alive{0};
+    std::size_t away{0};
+    double units{0};
+};
+
+fleet_view look_at(std::span<const planned_engine> engines, double mixed_efficiency) {
+    fleet_view view;
+    for (const planned_engine& engine : engines) {
+        if (engine.state == engine_state::lost) {
+            continue;
+        }
+        ++view.alive;
+        view.units += engine.units_per_second;
+        if (is_away(engine)) {
+            ++view.away;
+        } else {
+            add_capacity(view.now, engine.role, engine.units_per_second, mixed_efficiency);
+        }
+        add_capacity(view.after, engine.target.value_or(engine.role), engine.units_per_second, mixed_efficiency);
+    }
+    return view;
+}
+
+/// Chooses which engine of a role goes: from the zone with the fewest away, then the most of that role, then by name.
+const planned_engine* choose_engine(std::span<const planned_engine> engines, fleet::engine_role from,
+                                    std::span<const role_order> ordered) {
+    std::map<zone_name, int> away;
+    std::map<zone_name, int> same_role;
+    for (const planned_engine& engine : engines) {
+        away[engine.zone] += is_away(engine) ? 1 : 0;
+        same_role[engine.zone] += engine.state == engine_state::serving && engine.role == from ? 1 : 0;
+    }
+    for (const role_order& order : ordered) {
+        ++away[order.zone];
+    }
+    const planned_engine* best = nullptr;
+    const auto rank = [&](const planned_engine& engine) {
+        return std::tuple(away[engine.zone], -same_role[engine.zone], engine.name);
+    };
+    for (const planned_engine& engine : engines) {
+        const bool is_taken = std::any_of(ordered.begin(), ordered.end(),
+                                          [&](const role_order& order) { return order.engine == engine.name; });
+        if (engine.state != engine_state::serving || engine.role != from || engine.target || is_taken) {
+            continue;
+        }
+        if (best == nullptr || rank(engine) < rank(*best)) {
+            best = &engine;
+        }
+    }
+    return best;
+}
+
+double get_seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+horizon_role_planner::horizon_role_planner(horizon_role_planner_options options) : m_options(options) {}
+
+role_plan horizon_role_planner::plan(const role_inputs& inputs, role_memory& memory) const {
+    if (!inputs.has_authority) {
+        return {.orders = {}, .reason = role_reason::no_authority};
+    }
+    role_plan result = resume(inputs);
+    if (!result.orders.empty()) {
+        return result;
+    }
+    if (inputs.freshness == demand_freshness::stale) {
+        memory.wanted_since.reset();
+        return {.orders = {}, .reason = role_reason::stale_demand};
+    }
+    fleet_view view = look_at(inputs.engines, m_options.mixed_efficiency);
+    if (view.alive == 0) {
+        return {.orders = {}, .reason = role_reason::no_engines};
+    }
+    const double units = view.units / static_cast<double>(view.alive);
+    const auto cap = std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::floor(m_options.most_away * static_cast<double>(view.alive))));
+    while (true) {
+        const std::optional<change> best = find_best(inputs, view.after, view.now, units);
+        if (!best) {
+            if (result.orders.empty()) {
+                memory.wanted_since.reset();
+                result.reason = role_reason::gain_too_small;
+            }
+            return result;
+        }
+        if (result.orders.empty()) {
+            result.gain_units = best->gain_units;
+            result.loss_units = best->loss_units;
+            if (!is_confirmed(inputs, *best, memory)) {
+                result.reason = role_reason::not_confirmed;
+                return result;
+            }
+        }
+        const planned_engine* engine = choose_engine(inputs.engines, best->from, result.orders);
+        if (engine == nullptr || view.away >= cap) {
+            result.reason = result.orders.empty() ? role_reason::cap_reached : result.reason;
+            return result;
+        }
+        result.reason = role_reason::ordered;
+        result.orders.push_back({.engine = engine->name, .zone = engine->zone, .from = best->from, .to = best->to});
+        memory.last_order = inputs.now;
+        ++view.away;
+        add_capacity(view.now, best->from, -engine->units_per_second, m_options.mixed_efficiency);
+        add_capacity(view.after, best->from, -engine->units_per_second, m_options.mixed_efficiency);
+        add_capacity(view.after, best->to, engine->units_per_second, m_options.mixed_efficiency);
+    }
+}
+
+role_plan horizon_role_planner::resume(const role_inputs& inputs) const {
+    role_plan result{.orders = {}, .reason = role_reason::resumed};
+    for (const planned_engine& engine : inputs.engines) {
+        const bool is_stuck = engine.target && engine.in_state >= m_options.change_timeout;
+        if (is_stuck && engine.state != engine_state::lost) {
+            result.orders.push_back(
+                {.engine = engine.name, .zone = engine.zone, .from = engine.role, .to = *engine.target});
+        }
+    }
+    return result;
+}
+
+std::optional<horizon_role_planner::change> horizon_role_planner::find_best(const role_inputs& inputs,
+                                                                            const role_capacity& after,
+                                                                            const role_capacity& now,
+                                                                            double units) const {
+    const double margin = 1 + m_options.headroom;
+    const role_demand middle{.prefill = (inputs.current.prefill + inputs.expected.prefill) / 2 * margin,
+                             .decode = (inputs.current.decode + inputs.expected.decode) / 2 * margin};
+    const double horizon = get_seconds(m_options.horizon);
+    const double away = get_seconds(m_options.away);
+    const double before = get_expected_units(after, middle, inputs.relative_error);
+    const double current = get_served_units(now, inputs.current);
+    const double least = m_options.least_gain * (middle.prefill + middle.decode) * horizon;
+    std::optional<change> best;
+    for (const fleet::engine_role from : all_roles) {
+        if (choose_engine(inputs.engines, from, {}) == nullptr) {
+            continue;
+        }
+        for (const fleet::engine_role to : all_roles) {
+            if (from == to) {
+                continue;
+            }
+            role_capacity changed = after;
+            add_capacity(changed, from, -units, m_options.mixed_efficiency);
+            add_capacity(changed, to, units, m_options.mixed_efficiency);
+            role_capacity without = now;
+            add_capacity(without, from, -units, m_options.mixed_efficiency);
+            const double rate = get_expected_units(changed, middle, inputs.relative_error) - before;
+            const change candidate{.from = from,
+                                   .to = to,
+                                   .gain_units = rate * (horizon - away),
+                                   .loss_units = (current - get_served_units(without, inputs.current)) * away};
+            const double net = candidate.gain_units - candidate.loss_units;
+            if (net > least && (!best || net > best->gain_units - best->loss_units)) {
+                best = candidate;
+            }
+        }
+    }
+    return best;
+}
+
+bool horizon_role_planner::is_confirmed(const role_inputs& inputs, const change& best, role_memory& memory) const {
+    const bool is_same = memory.wanted_since && memory.wanted_to == best.to;
+    if (!is_same) {
+        memory.wanted_since = inputs.now;
+        memory.wanted_from = best.from;
+        memory.wanted_to = best.to;
+    }
+    return inputs.now - *memory.wanted_since >= m_options.confirm;
+}
+
+double horizon_role_planner::get_expected_units(const role_capacity& capacity, const role_demand& demand,
+                                                double relative_error) const {
+    const double low = std::max(0.0, 1 - relative_error);
+    const double high = 1 + relative_error;
+    const std::array<role_demand, 3> scenarios{{demand,
+                                                {.prefill = demand.prefill * high, .decode = demand.decode * low},
+                                                {.prefill = demand.prefill * low, .decode = demand.decode * high}}};
+    double sum = 0;
+    for (const role_demand& scenario : scenarios) {
+        sum += get_served_units(capacity, scenario);
+    }
+    return sum / static_cast<double>(scenarios.size());
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/weight_load_planner.cpp
@@ -0,0 +1,34 @@
+#include "policy/weight_load_planner.hpp"
+
+namespace dragonflywell::policy {
+
+std::vector<std::size_t> plan_weight_loads(std::span<const weight_load> loads,
+                                           const weight_load_planner_options& options) {
+    const double seconds = std::chrono::duration<double>(options.longest_load).count();
+    const auto budget = static_cast<std::uint64_t>(static_cast<double>(options.store_bytes_per_second) * seconds);
+    std::uint64_t under_way = 0;
+    bool is_any_running = false;
+    for (const weight_load& load : loads) {
+        if (load.is_running) {
+            under_way += load.bytes;
+            is_any_running = true;
+        }
+    }
+    std::vector<std::size_t> started;
+    for (std::size_t index = 0; index < loads.size(); ++index) {
+        const weight_load& load = loads[index];
+        if (load.is_running) {
+            continue;
+        }
+        if (is_any_running && under_way + load.bytes > budget) {
+            // A later, smaller load must not overtake for ever, so the order is kept.
+            break;
+        }
+        under_way += load.bytes;
+        is_any_running = true;
+        started.push_back(index);
+    }
+    return started;
+}
+
+} // namespace dragonflywell::policy
