Ask more of a change that turns the last one round

Cause: under noise round the threshold the horizon planner moved engines to and fro. Change: a change of direction within five minutes needs four times the net gain, doubled with each further turn; headroom 5% in place of 10%.

--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -13,6 +13,8 @@
 constexpr std::array<fleet::engine_role, 3> all_roles{fleet::engine_role::mixed, fleet::engine_role::prefill,
                                                       fleet::engine_role::decode};
 
+constexpr int most_counted_reversals = 4;
+
 bool is_away(const planned_engine& engine) {
     return engine.state == engine_state::draining || engine.state == engine_state::changing;
 }
@@ -73,6 +75,14 @@
     return best;
 }
 
+/// Returns 1 for a change that moves capacity to prefill and -1 for one to decode.
+int get_direction(fleet::engine_role from, fleet::engine_role to) {
+    const auto lean = [](fleet::engine_role role) {
+        return role == fleet::engine_role::mixed ? 0 : (role == fleet::engine_role::prefill ? 1 : -1);
+    };
+    return lean(to) > lean(from) ? 1 : -1;
+}
+
 double get_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
 }
@@ -101,7 +111,7 @@
     const auto cap = std::max<std::size_t>(
         1, static_cast<std::size_t>(std::floor(m_options.most_away * static_cast<double>(view.alive))));
     while (true) {
-        const std::optional<change> best = find_best(inputs, view.after, view.now, units);
+        const std::optional<change> best = find_best(inputs, memory, view.after, view.now, units);
         if (!best) {
             if (result.orders.empty()) {
                 memory.wanted_since.reset();
@@ -124,7 +134,7 @@
         }
         result.reason = role_reason::ordered;
         result.orders.push_back({.engine = engine->name, .zone = engine->zone, .from = best->from, .to = best->to});
-        memory.last_order = inputs.now;
+        note_order(inputs, get_direction(best->from, best->to), memory);
         ++view.away;
         add_capacity(view.now, best->from, -engine->units_per_second, m_options.mixed_efficiency);
         add_capacity(view.after, best->from, -engine->units_per_second, m_options.mixed_efficiency);
@@ -145,6 +155,7 @@
 }
 
 std::optional<horizon_role_planner::change> horizon_role_planner::find_best(const role_inputs& inputs,
+                                                                            const role_memory& memory,
                                                                             const role_capacity& after,
                                                                             const role_capacity& now,
                                                                             double units) const {
@@ -155,7 +166,6 @@
     const double away = get_seconds(m_options.away);
     const double before = get_expected_units(after, middle, inputs.relative_error);
     const double current = get_served_units(now, inputs.current);
-    const double least = m_options.least_gain * (middle.prefill + middle.decode) * horizon;
     std::optional<change> best;
     for (const fleet::engine_role from : all_roles) {
         if (choose_engine(inputs.engines, from, {}) == nullptr) {
@@ -176,7 +186,7 @@
                                    .gain_units = rate * (horizon - away),
                                    .loss_units = (current - get_served_units(without, inputs.current)) * away};
             const double net = candidate.gain_units - candidate.loss_units;
-            if (net > least && (!best || net > best->gain_units - best->loss_units)) {
+            if (net > get_least_gain(inputs, memory, get_direction(from, to)) && (!best || net > best->gain_units - best->loss_units)) {
                 best = candidate;
             }
         }
@@ -184,12 +194,33 @@
     return best;
 }
 
+double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_memory& memory,
+                                            int direction) const {
+    const double asked = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
+    const bool is_reversal = is_recent(inputs, memory) && memory.last_direction == -direction;
+    const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, memory.reversals) : 1.0;
+    return m_options.least_gain * asked * factor;
+}
+
+bool horizon_role_planner::is_recent(const role_inputs& inputs, const role_memory& memory) const {
+    return memory.last_order && inputs.now - *memory.last_order < m_options.reversal_window;
+}
+
+void horizon_role_planner::note_order(const role_inputs& inputs, int direction, role_memory& memory) const {
+    if (!is_recent(inputs, memory)) {
+        memory.reversals = 0;
+    } else if (memory.last_direction == -direction) {
+        memory.reversals = std::min(memory.reversals + 1, most_counted_reversals);
+    }
+    memory.last_order = inputs.now;
+    memory.last_direction = direction;
+}
+
 bool horizon_role_planner::is_confirmed(const role_inputs& inputs, const change& best, role_memory& memory) const {
-    const bool is_same = memory.wanted_since && memory.wanted_to == best.to;
-    if (!is_same) {
+    const int direction = get_direction(best.from, best.to);
+    if (!memory.wanted_since || memory.wanted_direction != direction) {
         memory.wanted_since = inputs.now;
-        memory.wanted_from = best.from;
-        memory.wanted_to = best.to;
+        memory.wanted_direction = direction;
     }
     return inputs.now - *memory.wanted_since >= m_options.confirm;
 }
--- a/policy/horizon_role_planner.hpp
+++ b/policy/horizon_role_planner.hpp
@@ -11,15 +11,19 @@
     /// How long an engine is away for one change, drain included.
     duration away{std::chrono::seconds(12)};
     /// How long the same change must be worth while before it is ordered.
-    duration confirm{std::chrono::seconds(5)};
+    duration confirm{std::chrono::seconds(6)};
     /// A change that has lasted this long has stopped halfway.
     duration change_timeout{std::chrono::seconds(60)};
     /// Part of the engines that may be away at once; one always may.
     double most_away{0.25};
     /// Net gain that a change must bring, as part of the work asked for over the horizon.
-    double least_gain{0.01};
+    double least_gain{0.015};
+    /// Within this time of a change, one that moves capacity back needs `reversal_factor` times the net gain; each
+    /// further reversal doubles that, until none has come for as long.
+    duration reversal_window{std::chrono::minutes(5)};
+    double reversal_factor{4};
     /// How far above the forecast the fleet is kept able to serve.
-    double headroom{0.1};
+    double headroom{0.05};
     double mixed_efficiency{0.7};
 };
 
@@ -41,8 +45,12 @@
     };
 
     [[nodiscard]] role_plan resume(const role_inputs& inputs) const;
-    [[nodiscard]] std::optional<change> find_best(const role_inputs& inputs, const role_capacity& after,
-                                                  const role_capacity& now, double units) const;
+    [[nodiscard]] std::optional<change> find_best(const role_inputs& inputs, const role_memory& memory,
+                                                  const role_capacity& after, const role_capacity& now,
+                                                  double units) const;
+    [[nodiscard]] double get_least_gain(const role_inputs& inputs, const role_memory& memory, int direction) const;
+    [[nodiscard]] bool is_recent(const role_inputs& inputs, const role_memory& memory) const;
+    void note_order(const role_inputs& inputs, int direction, role_memory& memory) const;
     [[nodiscard]] bool is_confirmed(const role_inputs& inputs, const change& best, role_memory& memory) const;
     [[nodiscard]] double get_expected_units(const role_capacity& capacity, const role_demand& demand,
                                             double relative_error) const;
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -44,10 +44,13 @@
 /// What happened before, kept by the caller between two plans.
 struct role_memory {
     std::optional<wall_time> last_order;
-    /// Since when the same change has been worth while.
+    /// Whether the last change moved capacity to prefill (1) or to decode (-1).
+    int last_direction{0};
+    /// How often the direction has turned lately.
+    int reversals{0};
+    /// Since when a change in the same direction has been worth while.
     std::optional<wall_time> wanted_since;
-    fleet::engine_role wanted_from{fleet::engine_role::mixed};
-    fleet::engine_role wanted_to{fleet::engine_role::mixed};
+    int wanted_direction{0};
 };
 
 struct role_inputs {
