Measure the error of forecasts at the reach that plans use

Cause: the error was that of the next five seconds, so noise that a plan meets later did not count as uncertainty. Change: the estimator compares each bucket with the forecast made for it six buckets before.

--- a/policy/demand_estimator.cpp
+++ b/policy/demand_estimator.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double error_gain = 0.1;
+constexpr double error_gain = 0.05;
 constexpr double most_assumed_share = 0.5;
 constexpr double least_level = 1.0;
 constexpr double lag_part = 0.75;
@@ -179,7 +179,8 @@
 
 void demand_estimator::observe(smoothed& figure, double value) const {
     if (!figure.is_started) {
-        figure = {.level = value, .trend = 0, .error = 0, .is_held_back = false, .is_started = true};
+        figure.level = value;
+        figure.is_started = true;
         return;
     }
     const double expected = std::max(0.0, figure.level + figure.trend);
@@ -189,11 +190,21 @@
     if (is_outlier) {
         value = expected;
     }
-    const double relative = std::abs(value - expected) / std::max({expected, value, least_level});
-    figure.error += error_gain * (relative - figure.error);
+    note_error(figure, value);
     const double before = figure.level;
     figure.level = expected + m_options.level_gain * (value - expected);
     figure.trend += m_options.trend_gain * (figure.level - before - figure.trend);
+    figure.expected.push_back(extend(figure, static_cast<double>(m_options.error_reach)));
+}
+
+void demand_estimator::note_error(smoothed& figure, double value) const {
+    if (figure.expected.size() < m_options.error_reach) {
+        return;
+    }
+    const double expected = figure.expected.front();
+    figure.expected.pop_front();
+    const double relative = std::abs(value - expected) / std::max({expected, value, least_level});
+    figure.error += error_gain * (relative - figure.error);
 }
 
 double demand_estimator::extend(const smoothed& figure, double buckets) const {
--- a/policy/demand_estimator.hpp
+++ b/policy/demand_estimator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -29,7 +30,7 @@
 
 struct demand_forecast {
     demand_rate rate;
-    /// Mean relative error of recent one-step forecasts, from 0 up.
+    /// Mean relative error of recent forecasts that reached `error_reach` buckets ahead, from 0 up.
     double relative_error{};
     demand_freshness freshness{demand_freshness::stale};
 };
@@ -50,6 +51,8 @@
     double trend_gain{0.2};
     /// How much of the trend is left after each further bucket of a forecast, 0 to 1.
     double trend_damping{0.8};
+    /// How many buckets ahead the error of forecasts is measured.
+    std::size_t error_reach{6};
     /// A bucket above this multiple of the level counts only once the next bucket confirms it.
     double growth_limit{3.0};
 };
@@ -88,6 +91,8 @@
         double error{};
         bool is_held_back{false};
         bool is_started{false};
+        /// Forecasts for the next buckets, each made `error_reach` buckets before.
+        std::deque<double> expected;
     };
     struct model_state {
         smoothed arrivals;
@@ -107,6 +112,7 @@
     void close(bucket_number bucket);
     [[nodiscard]] rates collect(bucket_number bucket);
     void observe(smoothed& figure, double value) const;
+    void note_error(smoothed& figure, double value) const;
     [[nodiscard]] double extend(const smoothed& figure, double buckets) const;
 
     demand_estimator_options m_options;
--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -154,11 +154,9 @@
     return result;
 }
 
-std::optional<horizon_role_planner::change> horizon_role_planner::find_best(const role_inputs& inputs,
-                                                                            const role_memory& memory,
-                                                                            const role_capacity& after,
-                                                                            const role_capacity& now,
-                                                                            double units) const {
+std::optional<horizon_role_planner::change>
+horizon_role_planner::find_best(const role_inputs& inputs, const role_memory& memory, const role_capacity& after,
+                                const role_capacity& now, double units) const {
     const double margin = 1 + m_options.headroom;
     const role_demand middle{.prefill = (inputs.current.prefill + inputs.expected.prefill) / 2 * margin,
                              .decode = (inputs.current.decode + inputs.expected.decode) / 2 * margin};
@@ -186,7 +184,8 @@
                                    .gain_units = rate * (horizon - away),
                                    .loss_units = (current - get_served_units(without, inputs.current)) * away};
             const double net = candidate.gain_units - candidate.loss_units;
-            if (net > get_least_gain(inputs, memory, get_direction(from, to)) && (!best || net > best->gain_units - best->loss_units)) {
+            if (net > get_least_gain(inputs, memory, get_direction(from, to)) &&
+                (!best || net > best->gain_units - best->loss_units)) {
                 best = candidate;
             }
         }
@@ -194,8 +193,7 @@
     return best;
 }
 
-double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_memory& memory,
-                                            int direction) const {
+double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_memory& memory, int direction) const {
     const double asked = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
     const bool is_reversal = is_recent(inputs, memory) && memory.last_direction == -direction;
     const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, memory.reversals) : 1.0;
