--- a/policy/spend_planner.cpp
+++ b/policy/spend_planner.cpp
@@ -232,7 +232,7 @@
 
 spend_planner::wanted_servers spend_planner::get_wanted(const spend_inputs& inputs, double units,
                                                         std::uint32_t cheap_zones) const {
-    const double planned = std::max(units, least_units) * (1 + m_options.headroom + inputs.relative_error);
+    const double planned = std::max(units, least_units) * (1 + std::max(m_options.headroom, inputs.relative_error));
     const std::uint32_t all = count_servers(planned, m_options.units_per_server);
     const std::uint32_t guaranteed = count_servers(planned * inputs.guaranteed_share, m_options.units_per_server);
     wanted_servers wanted;
--- a/policy/spend_planner.hpp
+++ b/policy/spend_planner.hpp
@@ -53,13 +53,13 @@
     /// How long a market that has not delivered is left alone.
     duration market_retry{std::chrono::minutes(15)};
     /// How long there must be a server too many before it is withdrawn.
-    duration hold{std::chrono::minutes(10)};
+    duration hold{std::chrono::minutes(4)};
     /// How far above the forecast the fleet is kept able to serve.
-    double headroom{0.05};
+    double headroom{0.02};
     /// Greatest share of the servers that may be cheap.
     double most_cheap_share{0.5};
     /// Part of the expected work that must be served after all cheap servers of one zone have vanished.
-    double reclaim_cover{0.95};
+    double reclaim_cover{0.85};
     /// Prices for one server and hour, in the currency of the manifest.
     double regular_price{1.0};
     double cheap_price{0.35};
