--- a/daemon/peer_task.cpp
+++ b/daemon/peer_task.cpp
@@ -18,7 +18,9 @@
       m_links(&parts.metrics.get_gauge("dragonflywell_peer_links")),
       m_reach(&parts.metrics.get_gauge("dragonflywell_log_reach")),
       m_sent(&parts.metrics.get_counter("dragonflywell_peer_messages_total", {{"kind", "sent"}})),
-      m_answered(&parts.metrics.get_counter("dragonflywell_peer_messages_total", {{"kind", "answer"}})) {}
+      m_answered(&parts.metrics.get_counter("dragonflywell_peer_messages_total", {{"kind", "answer"}})) {
+    parts.metrics.get_gauge("dragonflywell_peer_port").set(m_hub->get_port());
+}
 
 void peer_task::run_round() {
     send(m_hub->take_messages());
