--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -11,6 +11,8 @@
 #include <span>
 
 #include "coordination/configuration.hpp"
+#include "coordination/record_fold.hpp"
+#include "coordination/usage.hpp"
 #include "core/hash.hpp"
 #include "fleet/manifest.hpp"
 #include "proto/peer.pb.h"
@@ -269,6 +271,75 @@
            {"parse_cpu_seconds_per_delta", parse_seconds[deltas / 2]}});
 }
 
+/// Folds so many conditional records, as claims and orders are, each of a subject of its own.
+void measure_records(std::size_t records) {
+    std::vector<std::string> encoded;
+    for (std::size_t index = 0; index < records; ++index) {
+        encoded.push_back(encode_record(
+            {.writer = {.host = get_host(index % 410), .incarnation = 1764828000000000},
+             .sequence = index + 1,
+             .condition = record_condition{.subject = fmt::format("claim/{:032}", index), .supersedes = {}},
+             .fence = fencing_token{.scope = "claims/7", .number = 0},
+             .type = "claim.running",
+             .body = {{"organisation", "organisation-00001"}, {"key", fmt::format("{:032}", index)}}}));
+    }
+    const std::size_t heap_before = get_heap_bytes();
+    const double start = get_cpu_seconds();
+    record_fold fold;
+    fold.apply(0, {.writer = {.host = get_host(0), .incarnation = 1},
+                   .sequence = 1,
+                   .condition = record_condition{.subject = get_lease_subject("claims/7"), .supersedes = {}},
+                   .fence = {},
+                   .type = std::string(lease_claim_type),
+                   .body = {{"scope", "claims/7"}}});
+    std::size_t valid = 0;
+    for (std::size_t index = 0; index < records; ++index) {
+        valid += fold.apply(index + 1, decode_record(encoded[index])) == record_verdict::valid ? 1 : 0;
+    }
+    const double cpu = get_cpu_seconds() - start;
+    print({{"part", "records"},
+           {"records", records},
+           {"valid", valid},
+           {"record_bytes", encoded.front().size()},
+           {"fold_cpu_seconds", cpu},
+           {"fold_heap_bytes", get_heap_bytes() - heap_before}});
+}
+
+/// Folds the use of so many rows: an organisation at a daemon in a window. Each record carries the rows of a flush.
+void measure_usage(std::size_t rows) {
+    constexpr std::size_t daemons = 10;
+    constexpr std::size_t rows_in_record = 100;
+    const std::size_t heap_before = get_heap_bytes();
+    usage_fold fold;
+    double cpu = 0;
+    std::size_t bytes = 0;
+    std::uint64_t sequence = 0;
+    for (std::size_t first = 0; first < rows; first += rows_in_record) {
+        const writer_id owner{.host = get_host(sequence % daemons), .incarnation = 1764828000000000};
+        usage_table table;
+        for (std::size_t row = first; row < first + rows_in_record; ++row) {
+            table[{.organisation = organisation_name(fmt::format("organisation-{:06}", row)), .window = 490230}] = {
+                .requests = 20, .prompt_tokens = 40000, .completion_tokens = 6000};
+        }
+        const record_draft draft = make_usage_record(owner, table);
+        const std::string encoded = encode_record({.writer = owner,
+                                                   .sequence = ++sequence,
+                                                   .condition = draft.condition,
+                                                   .fence = draft.fence,
+                                                   .type = draft.type,
+                                                   .body = draft.body});
+        bytes += encoded.size();
+        const double start = get_cpu_seconds();
+        fold.on_record(sequence, decode_record(encoded));
+        cpu += get_cpu_seconds() - start;
+    }
+    print({{"part", "usage"},
+           {"rows", rows},
+           {"bytes", bytes},
+           {"fold_cpu_seconds", cpu},
+           {"fold_heap_bytes", get_heap_bytes() - heap_before}});
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -286,6 +357,14 @@
         const double cpu = measure_codec(encoded_bytes);
         print({{"part", "codec"}, {"encoded_bytes", encoded_bytes}, {"cpu_microseconds", cpu * 1e6}});
     }
+    if (arguments.empty() || arguments.front() == "records") {
+        for (const std::size_t count : {1000, 10000, 30000, 100000}) {
+            measure_records(count);
+        }
+        for (const std::size_t count : {1000, 10000, 30000, 100000}) {
+            measure_usage(count);
+        }
+    }
     if (is_configuration) {
         for (const std::size_t organisations : {100, 1000, 10000, 26000}) {
             measure_configuration(organisations);
