Introduce a starting daemon to its own zone across links

Cause: 300 real daemons in 8 zones had not all found their zones after 40 s: with a few seeds, most answers come from other zones, which told only of themselves. A window of the digest that moved evenly could also show a neighbour the same part of the members for ever. Change: an answer to another zone names the links that the answering daemon has to it; the digest's window starts anywhere.

--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -119,6 +119,7 @@
     void add_members(gossip_message& message);
     void add_digest(gossip_message& message);
     void add_contacts(gossip_message& message, std::size_t count);
+    void add_introductions(gossip_message& message, const zone_name& to_zone) const;
     [[nodiscard]] bool is_present(const host_name& host) const;
     [[nodiscard]] bool is_known_address(const endpoint& address) const;
     [[nodiscard]] std::vector<host_name> get_present() const;
@@ -139,7 +140,6 @@
     std::optional<steady_time> m_last_tick;
     /// Neighbours as of the last change of the members; null after a change.
     std::optional<std::vector<host_name>> m_neighbours;
-    host_name m_next_digest;
     host_name m_next_link;
     std::uint64_t m_round{0};
     bool m_is_leaving{false};
--- a/coordination/membership_merge.cpp
+++ b/coordination/membership_merge.cpp
@@ -167,6 +167,7 @@
         add_members(message);
     } else {
         add_contacts(message, contacts_in_message);
+        add_introductions(message, to_zone);
     }
     std::size_t size_bytes = get_size_bytes(message);
     m_items.add_news(message, size_bytes, m_options.most_message_bytes, is_within_zone);
@@ -201,17 +202,20 @@
 
 void membership::add_digest(gossip_message& message) {
     message.digest.push_back(get_digest(m_self));
-    // A window that moves over the members keeps the digest's size constant.
+    if (m_members.empty()) {
+        return;
+    }
+    // A window of the members keeps the digest's size constant. It starts anywhere, because a window that moved evenly
+    // could show each neighbour the same part for ever.
     const std::size_t wanted = std::min(m_options.digest_entries, m_members.size());
+    auto next = std::next(m_members.begin(), static_cast<std::ptrdiff_t>(m_random() % m_members.size()));
     for (std::size_t count = 0; count < wanted; ++count) {
-        auto next = m_members.upper_bound(m_next_digest);
-        if (next == m_members.end()) {
-            next = m_members.begin();
-        }
-        m_next_digest = next->first;
         if (!is_removed(next->second.value.state)) {
             message.digest.push_back(get_digest(next->second.value));
         }
+        if (++next == m_members.end()) {
+            next = m_members.begin();
+        }
     }
 }
 
@@ -230,6 +234,15 @@
     }
 }
 
+void membership::add_introductions(gossip_message& message, const zone_name& to_zone) const {
+    // A daemon that starts with a few seeds of other zones finds its own zone through their links.
+    for (const auto& [host, link] : m_links) {
+        if (link.value.zone == to_zone && host != message.sender.host) {
+            message.members.push_back(link.value);
+        }
+    }
+}
+
 bool membership::is_present(const host_name& host) const {
     const auto found = m_members.find(host);
     return found != m_members.end() && !is_removed(found->second.value.state);
--- a/tests/coordination/test_membership.cpp
+++ b/tests/coordination/test_membership.cpp
@@ -318,3 +318,20 @@
         CHECK(running.peer->get_items().get_by_kind(item_kind::configuration_version).size() == 1);
     }
 }
+
+TEST_CASE("zones come together from a few seeds whose zones nobody tells") {
+    constexpr std::uint16_t zones = 8;
+    constexpr std::uint16_t daemons = 296;
+    constexpr std::size_t pairs = daemons * (daemons / zones - 1);
+    gossip_network network(17);
+    network.set_list(make_list(2 * zones, ""));
+    for (std::uint16_t index = 0; index < daemons; ++index) {
+        const std::string zone(1, static_cast<char>('a' + index % zones));
+        network.start(zone + std::to_string(index), zone, static_cast<std::uint16_t>(first_port + index));
+    }
+    // Within the time that a change may take, 99 in 100 pairs know each other, and all soon after.
+    network.run_for(seconds(13));
+    CHECK(network.get_unseen().size() * 100 <= pairs);
+    network.run_for(seconds(47));
+    CHECK(network.get_unseen().empty());
+}
