--- /dev/null
+++ b/tests/platform/test_blocking_http_client.cpp
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <semaphore>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+
+#include "platform/blocking_http_client.hpp"
+
+using namespace dragonflywell;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// A server that answers one request for each connection and then closes it without saying so beforehand.
+class closing_server {
+public:
+    explicit closing_server(int connections)
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+          m_thread([this, connections] {
+              for (int count = 0; count < connections; ++count) {
+                  serve_one();
+              }
+          }) {}
+    closing_server(const closing_server&) = delete;
+    closing_server& operator=(const closing_server&) = delete;
+    closing_server(closing_server&&) = delete;
+    closing_server& operator=(closing_server&&) = delete;
+    ~closing_server() {
+        // A connection of its own ends a wait for one that never came, so that a failure cannot hang.
+        boost::system::error_code ignored;
+        tcp::socket last(m_context);
+        last.connect(m_acceptor.local_endpoint(), ignored);
+        last.close(ignored);
+        m_thread.join();
+    }
+
+    /// Returns once the client's end of a connection knows that it is closed.
+    void wait_for_close() { m_closed.acquire(); }
+
+    [[nodiscard]] endpoint get_endpoint() const {
+        return {.address = "127.0.0.1", .port = m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void serve_one() {
+        tcp::socket socket = m_acceptor.accept();
+        std::string request;
+        boost::system::error_code fault;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", fault);
+        if (fault) {
+            return;
+        }
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        boost::asio::write(socket, boost::asio::buffer(answer));
+        socket.shutdown(tcp::socket::shutdown_send);
+        wait_until_close_has_arrived(socket);
+        m_closed.release();
+    }
+
+    /// The state changes when the client's kernel has acknowledged the close, hence knows of it.
+    static void wait_until_close_has_arrived(tcp::socket& socket) {
+        tcp_info info{};
+        do {
+            std::this_thread::yield();
+            socklen_t size = sizeof(info);
+            ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+        } while (info.tcpi_state == TCP_FIN_WAIT1);
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::counting_semaphore<> m_closed{0};
+    std::thread m_thread;
+};
+
+platform::http_answer get(platform::blocking_http_client& client) {
+    return client.exchange(boost::beast::http::verb::get, "/");
+}
+
+} // namespace
+
+TEST_CASE("a connection that the other end closed while idle is replaced before the next request") {
+    closing_server server(2);
+    platform::blocking_http_client client({.server = server.get_endpoint()});
+    CHECK(get(client).body == "ok");
+    server.wait_for_close();
+    CHECK(get(client).body == "ok");
+}
+
+TEST_CASE("a refused connection is told apart from a lost answer") {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const endpoint address{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+    SUBCASE("nobody listens") {
+        acceptor.close();
+        platform::blocking_http_client client({.server = address});
+        try {
+            static_cast<void>(get(client));
+            FAIL("an error was expected");
+        } catch (const platform::http_exchange_error& fault) {
+            CHECK_FALSE(fault.is_sent());
+        }
+    }
+    SUBCASE("the other end is silent") {
+        platform::blocking_http_client client({.server = address, .deadline = std::chrono::milliseconds(50)});
+        try {
+            static_cast<void>(get(client));
+            FAIL("an error was expected");
+        } catch (const platform::http_exchange_error& fault) {
+            CHECK(fault.is_sent());
+        }
+    }
+}
