--- a/coordination/order_ledger.cpp
+++ b/coordination/order_ledger.cpp
@@ -36,18 +36,9 @@
     return order_status::unknown;
 }
 
-/// A receiver without keys shows one effect for all sends, so only a single send can be concluded from it.
-bool is_resolved_by_sight(const unresolved_order& existing) {
-    return existing.value.repeat == repeat_rule::deduplicated || existing.total_sends == 1;
-}
-
-const order_send* find_send(const unresolved_order* existing, log_offset intent) {
-    if (existing == nullptr) {
-        return nullptr;
-    }
-    const auto found =
-        std::ranges::find_if(existing->sends, [intent](const order_send& send) { return send.intent == intent; });
-    return found == existing->sends.end() ? nullptr : &*found;
+bool has_send(const unresolved_order* existing, log_offset intent) {
+    return existing != nullptr &&
+           std::ranges::any_of(existing->sends, [intent](const order_send& send) { return send.intent == intent; });
 }
 
 } // namespace
@@ -134,6 +125,19 @@
     return false;
 }
 
+bool order_ledger::is_accepted(const order& value, const submission& intent) const {
+    return intent.verdict == record_verdict::valid && has_send(m_fold.find(value.subject), intent.offset);
+}
+
+bool order_ledger::has_authority(const fencing_token& token) const {
+    return m_lease->get_authority() == token;
+}
+
+bool order_ledger::is_resolved_by_sight(const unresolved_order& existing) const {
+    // A receiver without keys shows one effect for all sends, so only a single send can be concluded from it.
+    return existing.value.repeat == repeat_rule::deduplicated || existing.total_sends == 1;
+}
+
 order_presence order_ledger::query_existing(const unresolved_order& existing, const fencing_token& token) {
     const order_presence presence = m_receiver->query(existing.value);
     if (presence == order_presence::applied && is_resolved_by_sight(existing)) {
@@ -156,18 +160,16 @@
     } catch (const log_unavailable_error&) {
         return {.status = order_status::log_unavailable, .intent = {}};
     }
-    if (recorded.verdict != record_verdict::valid) {
-        return {.status = order_status::no_authority, .intent = {}};
-    }
-    if (find_send(m_fold.find(value.subject), recorded.offset) == nullptr) {
-        // A late intent of this process came before and holds the subject.
-        return {.status = order_status::blocked, .intent = {}};
+    if (!is_accepted(value, recorded)) {
+        // Another holder came first, or a late intent of this process holds the subject.
+        const bool is_valid = recorded.verdict == record_verdict::valid;
+        return {.status = is_valid ? order_status::blocked : order_status::no_authority, .intent = {}};
     }
     return send_once(value, recorded.offset, token);
 }
 
 order_result order_ledger::send_once(const order& value, log_offset intent, const fencing_token& token) {
-    if (m_lease->get_authority() != token) {
+    if (!has_authority(token)) {
         flush_outcomes();
         return {.status = order_status::no_authority, .intent = {}};
     }
--- a/coordination/order_ledger.hpp
+++ b/coordination/order_ledger.hpp
@@ -53,7 +53,8 @@
     host_liveness& operator=(host_liveness&&) = delete;
     virtual ~host_liveness() = default;
 
-    /// Returns true only when that incarnation is gone for good. A silent or unreachable one is not.
+    /// Returns true only when that incarnation is gone for good and all it sent has arrived or never will. A silent or
+    /// unreachable one is not gone.
     [[nodiscard]] virtual bool is_gone_for_good(const writer_id& sender) const = 0;
 };
 
@@ -83,6 +84,12 @@
 /// A new holder thereby knows every order of its predecessors that may still take effect. Not thread safe.
 class order_ledger {
 public:
+    order_ledger(const order_ledger&) = delete;
+    order_ledger& operator=(const order_ledger&) = delete;
+    order_ledger(order_ledger&&) = delete;
+    order_ledger& operator=(order_ledger&&) = delete;
+    virtual ~order_ledger() = default;
+
     /// Preconditions: all arguments outlive the ledger; `stream` folds the records of the lease's scope and has not
     /// been polled yet.
     order_ledger(folded_stream& stream, lease_holder& lease, order_receiver& receiver, const host_liveness& hosts);
@@ -100,6 +107,23 @@
     /// receiver, senders gone for good. Call it regularly while the lease is held.
     void reconcile();
 
+protected:
+    // Each of these is one safeguard. They are virtual so that the fault matrix can take one out and show that its
+    // checker notices.
+
+    /// Returns whether an order may be sent beside what is unresolved on its subject.
+    [[nodiscard]] virtual bool may_send(const order& value, const unresolved_order* existing,
+                                        const fencing_token& token) const;
+
+    /// Returns whether an intent that was read back holds its subject.
+    [[nodiscard]] virtual bool is_accepted(const order& value, const submission& intent) const;
+
+    /// Returns whether the lease still allows to send under `token`.
+    [[nodiscard]] virtual bool has_authority(const fencing_token& token) const;
+
+    /// Returns whether an effect that is seen at the receiver shows that nothing of the order is on its way any more.
+    [[nodiscard]] virtual bool is_resolved_by_sight(const unresolved_order& existing) const;
+
 private:
     /// An outcome that the log has not confirmed yet. Own sends are facts and need no fence.
     struct unlogged_outcome {
@@ -107,7 +131,6 @@
         std::optional<fencing_token> fence;
     };
 
-    [[nodiscard]] bool may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const;
     [[nodiscard]] order_presence query_existing(const unresolved_order& existing, const fencing_token& token);
     order_result append_and_send(const order& value, const fencing_token& token);
     order_result send_once(const order& value, log_offset intent, const fencing_token& token);
--- /dev/null
+++ b/tests/coordination/matrix_process.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "coordination/configuration.hpp"
+#include "coordination/order_ledger.hpp"
+#include "coordination/snapshot_writer.hpp"
+#include "matrix_world.hpp"
+#include "support/drifting_clock.hpp"
+
+namespace dragonflywell::testing {
+
+/// One process's way to the log, on which the faults of the schedule happen.
+class matrix_log final : public coordination::append_log {
+public:
+    matrix_log(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
+
+    coordination::log_offset append(std::string_view stream, std::span<const std::string> records) override;
+    coordination::log_batch read(std::string_view stream, coordination::log_offset from, std::size_t most) override;
+
+private:
+    void require_log() const;
+    [[nodiscard]] std::string mutate(const std::string& stream, const std::string& data);
+
+    matrix_world* m_world;
+    std::string m_host;
+    /// Type of the record that was appended last, while it is not read back yet.
+    std::string m_appended;
+    /// Newest offsets and fencing numbers, for the mutations that overlook them.
+    std::map<std::string, std::uint64_t> m_newest;
+};
+
+/// One process's way to the receivers of orders.
+class matrix_channel final : public coordination::order_receiver {
+public:
+    matrix_channel(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
+
+    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
+                                     duration deadline) override;
+    coordination::order_presence query(const coordination::order& value) override;
+
+private:
+    matrix_world* m_world;
+    std::string m_host;
+};
+
+/// The ledger with one safeguard taken out, as the world's mutation says.
+class matrix_ledger final : public coordination::order_ledger {
+public:
+    matrix_ledger(matrix_world& world, coordination::folded_stream& stream, coordination::lease_holder& lease,
+                  coordination::order_receiver& receiver)
+        : order_ledger(stream, lease, receiver, world), m_mutation(world.get_mutation()) {}
+
+protected:
+    [[nodiscard]] bool may_send(const coordination::order& value, const coordination::unresolved_order* existing,
+                                const coordination::fencing_token& token) const override;
+    [[nodiscard]] bool is_accepted(const coordination::order& value,
+                                   const coordination::submission& intent) const override;
+    [[nodiscard]] bool has_authority(const coordination::fencing_token& token) const override;
+    [[nodiscard]] bool is_resolved_by_sight(const coordination::unresolved_order& existing) const override;
+
+private:
+    matrix_mutation m_mutation;
+};
+
+/// The process of one host: it competes for the lease, gives orders, publishes and follows the configuration, and
+/// writes snapshots.
+class matrix_process {
+public:
+    matrix_process(matrix_world& world, coordination::writer_id self, double clock_rate);
+
+    /// Does one second's work. Throws `process_crashed` where the schedule says so.
+    void run_round();
+
+    [[nodiscard]] const coordination::writer_id& get_writer() const noexcept { return m_self; }
+    [[nodiscard]] std::string get_name() const;
+    [[nodiscard]] coordination::log_offset get_version() const;
+
+private:
+    /// Runs one duty, which the log may keep from being done.
+    void attempt(void (matrix_process::*duty)());
+    void keep_lease();
+    void give_orders();
+    void give_order(const std::string& receiver, std::int64_t bucket);
+    void follow_configuration();
+    void publish();
+    void write_snapshots();
+    [[nodiscard]] std::int64_t get_second() const;
+
+    matrix_world* m_world;
+    coordination::writer_id m_self;
+    drifting_clock m_time;
+    matrix_log m_log;
+    matrix_channel m_channel;
+    coordination::folded_stream m_control;
+    coordination::folded_stream m_configuration_stream;
+    coordination::configuration_fold m_configuration;
+    coordination::lease_holder m_lease;
+    matrix_ledger m_ledger;
+    coordination::snapshot_writer m_control_snapshots;
+    coordination::snapshot_writer m_configuration_snapshots;
+    std::optional<coordination::log_offset> m_forced;
+};
+
+} // namespace dragonflywell::testing
--- /dev/null
+++ b/tests/coordination/matrix_world.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/order_ledger.hpp"
+#include "matrix_evidence.hpp"
+#include "matrix_fault.hpp"
+#include "support/fake_log.hpp"
+
+namespace dragonflywell::testing {
+
+/// A safeguard that is taken out, to show that the checker notices.
+enum class matrix_mutation {
+    none,
+    intent_not_read_back,
+    sends_beside_old_order,
+    trusts_sight_of_repeated_order,
+    silent_host_is_gone,
+    engine_takes_old_number,
+    condition_ignored,
+    fence_ignored,
+    snapshot_covers_too_much,
+};
+
+class matrix_process;
+
+/// Three hosts of one availability zone, their log, three receivers and true time. Everything is driven by one thread:
+/// while one process is paused inside a call, the others go on.
+class matrix_world final : public coordination::host_liveness {
+public:
+    matrix_world(std::optional<fault_schedule> schedule, matrix_mutation mutation);
+    ~matrix_world() override;
+
+    /// Runs the whole scenario and returns what was seen.
+    matrix_evidence run();
+
+    [[nodiscard]] const fault_injector& get_injector() const noexcept { return m_injector; }
+
+    // What processes use.
+    std::optional<matrix_fault> pass(const std::string& step) { return m_injector.pass(step); }
+    [[nodiscard]] const virtual_clock& get_truth() const noexcept { return m_truth; }
+    [[nodiscard]] matrix_mutation get_mutation() const noexcept { return m_mutation; }
+    [[nodiscard]] bool is_log_reachable(const std::string& host) const;
+    [[nodiscard]] bool is_cut_off(const std::string& host) const;
+    [[nodiscard]] bool is_gone_for_good(const coordination::writer_id& sender) const override;
+    fake_log& get_log() noexcept { return m_log; }
+    matrix_evidence& get_evidence() noexcept { return m_evidence; }
+    void take_log_down();
+    void cut_off(const std::string& host);
+    /// Lets the other hosts run while the calling one stands still.
+    void pause();
+    void do_later(std::function<void()> action);
+    coordination::log_offset append(const std::string& stream, std::span<const std::string> records);
+    coordination::order_receipt arrive(const std::string& receiver, const coordination::order& value,
+                                       std::uint64_t number);
+    [[nodiscard]] bool has_applied(const std::string& receiver, const std::string& key) const;
+
+private:
+    struct host {
+        std::string name;
+        double clock_rate{1};
+        std::uint64_t incarnation{0};
+        std::unique_ptr<matrix_process> process;
+        steady_time starts_at;
+        bool is_busy{false};
+    };
+
+    void run_until(steady_time end);
+    void run_second();
+    void run_host(host& one);
+    void start(host& one);
+    void bury(host& one, const process_crashed& crash);
+    void forget_old_records();
+
+    fault_injector m_injector;
+    matrix_mutation m_mutation;
+    virtual_clock m_truth;
+    fake_log m_log;
+    matrix_evidence m_evidence;
+    std::vector<host> m_hosts;
+    std::vector<std::pair<steady_time, std::function<void()>>> m_later;
+    steady_time m_start;
+    steady_time m_log_is_back;
+    bool m_is_replaced{false};
+    std::map<std::string, steady_time> m_cut_until;
+    std::map<coordination::writer_id, steady_time> m_gone_at;
+    std::map<std::string, std::uint64_t> m_newest_numbers;
+    std::map<std::string, std::set<std::string>> m_applied_keys;
+};
+
+} // namespace dragonflywell::testing
