--- a/tests/coordination/matrix_world.cpp
+++ b/tests/coordination/matrix_world.cpp
@@ -11,8 +11,12 @@
 using namespace std::chrono_literals;
 
 constexpr duration run_length = 150s;
+/// Faults come early enough for the system to recover before the end.
+constexpr duration faults_end_after = 80s;
 constexpr duration pause_length = 20s;
 constexpr duration outage_length = 25s;
+/// Both together stay below the retention. What no process has read when the log forgets it is lost for everybody.
+constexpr int most_outages = 2;
 constexpr duration late_by = 15s;
 constexpr duration restart_after = 3s;
 /// Longer than anything can be on its way.
@@ -110,6 +114,10 @@
     run_until(m_truth.now() + pause_length);
 }
 
+std::optional<matrix_fault> matrix_world::pass(const std::string& step) {
+    return m_truth.now() < m_start + faults_end_after ? m_injector.pass(step) : std::nullopt;
+}
+
 bool matrix_world::is_log_reachable(const std::string& host) const {
     return m_truth.now() >= m_log_is_back && !is_cut_off(host);
 }
@@ -128,6 +136,10 @@
 }
 
 void matrix_world::take_log_down() {
+    if (m_outages == most_outages) {
+        return;
+    }
+    ++m_outages;
     m_log_is_back = m_truth.now() + outage_length;
 }
 
