--- a/tests/coordination/matrix_checker.cpp
+++ b/tests/coordination/matrix_checker.cpp
@@ -173,10 +173,17 @@
     return false;
 }
 
-/// A copy that the platform drops by its key is no order of its own: its first arrival stands in the list before it.
-bool hears_older_holder(std::vector<order_arrival> arrivals) {
-    std::erase_if(arrivals, [](const order_arrival& arrival) { return !arrival.is_applied; });
-    return !std::ranges::is_sorted(arrivals, {}, &order_arrival::fencing_number);
+/// A second copy from the same holder stands in the list before and is no order of its own: the platform drops it by
+/// its key. A copy from another holder is one.
+bool hears_older_holder(const std::vector<order_arrival>& arrivals) {
+    std::set<std::pair<std::string, std::uint64_t>> heard;
+    std::uint64_t newest = 0;
+    return std::ranges::any_of(arrivals, [&](const order_arrival& arrival) {
+        const bool is_new = heard.emplace(arrival.key, arrival.fencing_number).second;
+        const bool is_older = arrival.fencing_number < newest;
+        newest = std::max(newest, arrival.fencing_number);
+        return is_new && is_older;
+    });
 }
 
 bool applies_twice(const std::vector<order_arrival>& arrivals) {
