--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -25,9 +25,8 @@
 
 void configuration_task::put_in_force(const coordination::configuration& current) {
     try {
-        auto next = std::make_shared<servers::active_manifest>();
-        next->version = *current.version;
-        next->content = fleet::parse_manifest(current.entries);
+        auto next =
+            std::make_shared<servers::active_manifest>(*current.version, fleet::parse_manifest(current.entries));
         m_parts.manifest.set(std::move(next));
         m_version->set(static_cast<std::int64_t>(*current.version));
         m_log->info("Configuration {} is in force.", *current.version);
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// How long connections without a request may take to close at the end.
+constexpr std::chrono::seconds connection_close_time{2};
+
 std::vector<std::unique_ptr<boost::asio::io_context>> make_workers(unsigned count) {
     std::vector<std::unique_ptr<boost::asio::io_context>> workers;
     for (unsigned index = 0; index < count; ++index) {
@@ -77,10 +80,17 @@
     if (m_is_stopping.exchange(true)) {
         return;
     }
+    m_log->info("Stopping: the readiness check fails and callers are told to use other connections.");
+    m_entry_server.set_closing();
+    wait_while([this] { return !m_is_notice_over; }, m_settings.stop_notice);
     m_log->info("Stopping: new requests are refused.");
     m_entry_handler.set_stopping();
-    wait_for_running_requests();
+    wait_while([this] { return m_entry_server.get_active_requests() > 0; }, m_settings.stop_grace);
+    if (const std::int64_t left = m_entry_server.get_active_requests(); left > 0) {
+        m_log->error("{} requests still run at the end of the grace time and are cut off.", left);
+    }
     m_entry_server.stop();
+    wait_while([this] { return m_entry_server.get_open_connections() > 0; }, connection_close_time);
     m_operator_server.stop();
     for (const std::unique_ptr<control_thread>& thread : m_control_threads) {
         thread->stop();
@@ -92,6 +102,8 @@
     for (std::thread& thread : m_threads) {
         thread.join();
     }
+    // A connection must not outlive the context that it was made on.
+    m_connections.clear();
     m_log->info("Stopped.");
 }
 
@@ -107,15 +119,12 @@
     return contexts;
 }
 
-void daemon::wait_for_running_requests() {
+void daemon::wait_while(const std::function<bool()>& is_busy, duration longest) {
     constexpr std::chrono::milliseconds check_interval{20};
-    const steady_time last_moment = m_clock.now() + m_settings.stop_grace;
-    while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
+    const steady_time last_moment = m_clock.now() + longest;
+    while (is_busy() && m_clock.now() < last_moment) {
         std::this_thread::sleep_for(check_interval);
     }
-    if (const std::int64_t left = m_entry_server.get_active_requests(); left > 0) {
-        m_log->error("{} requests still run at the end of the grace time and are cut off.", left);
-    }
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -18,7 +19,7 @@
 
 /// One entry host: all parts of the daemon, wired together.
 ///
-/// Thread safety: `start`, `stop` and the destructor from one thread; the other functions from any.
+/// Thread safety: `start`, `stop` and the destructor not at the same time; the other functions from any thread.
 class daemon {
 public:
     explicit daemon(daemon_settings settings);
@@ -31,16 +32,21 @@
     /// Listens and starts all threads. Throws `boost::system::system_error` when an address cannot be bound.
     void start();
 
-    /// Stops gracefully: fails the readiness check, refuses what is new, finishes what runs, writes the usage.
+    /// Stops gracefully: fails the readiness check, goes on serving for the time of notice, then refuses what is new,
+    /// finishes what runs, and writes the usage.
     void stop();
+    /// Cuts the time of notice of a stop short. Thread safe.
+    void end_notice() noexcept { m_is_notice_over = true; }
 
     [[nodiscard]] std::uint16_t get_caller_port() const { return m_entry_server.get_port(); }
     [[nodiscard]] std::uint16_t get_operator_port() const { return m_operator_server.get_port(); }
     [[nodiscard]] bool is_ready() const;
+    /// Returns what this process has counted for billing.
+    [[nodiscard]] coordination::usage_table get_usage() const { return m_usage.get_all(); }
 
 private:
     [[nodiscard]] std::vector<boost::asio::io_context*> get_worker_contexts() const;
-    void wait_for_running_requests();
+    void wait_while(const std::function<bool()>& is_busy, duration longest);
 
     daemon_settings m_settings;
     std::shared_ptr<spdlog::logger> m_log;
@@ -63,6 +69,7 @@
     std::vector<std::unique_ptr<control_thread>> m_control_threads;
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_is_notice_over{false};
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -45,6 +45,7 @@
         get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
     settings.limits.most_attempts =
         static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.least = 0, .most = 600000}, 5000);
     settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
     settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
     settings.log.format =
--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -26,13 +26,16 @@
         {.code = "stopping", .status = 503},
         {.code = "not_ready", .status = 503},
         {.code = "backend_server_failed", .status = 502},
+        {.code = "deadline_exceeded", .status = 504},
+        {.code = "internal_fault", .status = 500},
     }};
     return forms.at(static_cast<std::size_t>(reason));
 }
 
 std::string_view get_retry_name(retry_reason reason) noexcept {
     constexpr std::array<std::string_view, retry_reason_count> names{
-        "connect_failed", "stale_connection", "broken_answer", "silent_backend_server", "backend_server_busy"};
+        "connect_failed",      "stale_connection", "broken_answer", "silent_backend_server",
+        "backend_server_busy", "malformed_answer", "crossed_answer"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -41,14 +41,28 @@
     stopping,
     not_ready,
     backend_server_failed,
+    /// The time for the whole request ran out after it had started.
+    deadline_exceeded,
+    /// A fault of the daemon itself.
+    internal_fault,
 };
 
-inline constexpr std::size_t refusal_reason_count = 22;
+inline constexpr std::size_t refusal_reason_count = 24;
 
 /// Why a request was sent to a backend server again.
-enum class retry_reason { connect_failed, stale_connection, broken_answer, silent_backend_server, backend_server_busy };
+enum class retry_reason {
+    connect_failed,
+    stale_connection,
+    broken_answer,
+    silent_backend_server,
+    backend_server_busy,
+    /// The answer is not what was agreed: not JSON, a field missing, a position left out.
+    malformed_answer,
+    /// The answer belongs to another request.
+    crossed_answer,
+};
 
-inline constexpr std::size_t retry_reason_count = 5;
+inline constexpr std::size_t retry_reason_count = 7;
 
 /// How a refusal looks to the caller.
 struct refusal_form {
--- /dev/null
+++ b/servers/answer_assembler.cpp
@@ -0,0 +1,131 @@
+#include "servers/answer_assembler.hpp"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <optional>
+
+#include "core/json.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+constexpr std::string_view end_of_stream = "[DONE]";
+
+std::string get_added_text(const boost::json::object& choice, completion_shape shape) {
+    if (shape == completion_shape::text) {
+        return json::get_string_or(choice, "text", "");
+    }
+    const boost::json::value* delta = choice.if_contains("delta");
+    if (delta == nullptr) {
+        return "";
+    }
+    const boost::json::object& object = json::as_object(*delta, "delta");
+    const boost::json::value* content = object.if_contains("content");
+    return content == nullptr || content->is_null() ? "" : json::get_string(object, "content");
+}
+
+std::string get_finish_reason(const boost::json::object& choice) {
+    const boost::json::value* reason = choice.if_contains("finish_reason");
+    return reason != nullptr && reason->is_string() ? std::string(reason->get_string()) : "";
+}
+
+/// Returns the position that the event's id names, or nothing when it has no id.
+std::optional<std::uint64_t> get_position(const std::string& id) {
+    if (id.empty()) {
+        return std::nullopt;
+    }
+    std::uint64_t position = 0;
+    const char* end = id.data() + id.size();
+    const auto [parsed, fault] = std::from_chars(id.data(), end, position);
+    if (fault != std::errc{} || parsed != end) {
+        throw malformed_message_error(fmt::format("event id \"{}\" is no position", id));
+    }
+    return position;
+}
+
+} // namespace
+
+event_use answer_assembler::add(const server_sent_event& event) {
+    if (m_is_complete) {
+        return event_use::drop;
+    }
+    if (event.data == end_of_stream) {
+        return end();
+    }
+    const boost::json::value document = json::parse(event.data);
+    const boost::json::object& chunk = json::as_object(document, "engine event");
+    check_stream(chunk);
+    return add_chunk(event, chunk);
+}
+
+event_use answer_assembler::add_chunk(const server_sent_event& event, const boost::json::object& chunk) {
+    const boost::json::value* usage = chunk.if_contains("usage");
+    std::uint64_t prompt_tokens = m_prompt_tokens;
+    if (prompt_tokens == 0 && usage != nullptr && usage->is_object()) {
+        prompt_tokens = json::get_unsigned(usage->get_object(), "prompt_tokens");
+    }
+    const boost::json::array& choices = json::get_array(chunk, "choices");
+    if (choices.empty()) {
+        m_prompt_tokens = prompt_tokens;
+        return event_use::forward;
+    }
+    const boost::json::object& choice = json::as_object(choices.front(), "choice");
+    const std::string added = get_added_text(choice, m_shape);
+    const std::optional<std::uint64_t> position = get_position(event.id);
+    const bool is_token = position.has_value() || !added.empty();
+    if (position.value_or(m_tokens) > m_tokens) {
+        throw malformed_message_error(fmt::format("position {} came before {}", *position, m_tokens));
+    }
+    const bool is_known = position.value_or(m_tokens) < m_tokens;
+    const bool is_beyond = is_token && m_tokens >= m_most_tokens;
+    if (is_known || is_beyond) {
+        return event_use::drop;
+    }
+    m_prompt_tokens = prompt_tokens;
+    m_text += added;
+    m_tokens += is_token ? 1 : 0;
+    if (std::string reason = get_finish_reason(choice); !reason.empty()) {
+        m_finish_reason = std::move(reason);
+    }
+    return event_use::forward;
+}
+
+event_use answer_assembler::end() {
+    if (m_finish_reason.empty() && m_tokens < m_most_tokens) {
+        throw malformed_message_error("the stream ended without a finish reason");
+    }
+    if (m_finish_reason.empty()) {
+        m_finish_reason = "length";
+    }
+    m_is_complete = true;
+    return event_use::end;
+}
+
+void answer_assembler::check_stream(const boost::json::object& chunk) const {
+    const std::string id = json::get_string_or(chunk, "id", m_stream_id);
+    // Engines put a prefix of their own, such as "cmpl-", before the id that they were given.
+    if (!id.ends_with(m_stream_id)) {
+        throw crossed_answer_error(fmt::format("event of stream \"{}\" came on \"{}\"", id, m_stream_id));
+    }
+}
+
+std::string answer_assembler::make_document(const model_name& model) const {
+    const bool is_chat = m_shape == completion_shape::chat;
+    boost::json::object choice{{"index", 0}, {"finish_reason", m_finish_reason}};
+    if (is_chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", m_text}};
+    } else {
+        choice["text"] = m_text;
+    }
+    boost::json::object document{{"id", m_stream_id},
+                                 {"object", is_chat ? "chat.completion" : "text_completion"},
+                                 {"model", model.value()},
+                                 {"choices", boost::json::array{std::move(choice)}}};
+    document["usage"] = {{"prompt_tokens", m_prompt_tokens},
+                         {"completion_tokens", m_tokens},
+                         {"total_tokens", m_prompt_tokens + m_tokens}};
+    return boost::json::serialize(document);
+}
+
+} // namespace dragonflywell::servers
--- a/servers/backend_choice.cpp
+++ b/servers/backend_choice.cpp
@@ -1,31 +1,21 @@
 #include "servers/backend_choice.hpp"
 
 #include "servers/request_refused.hpp"
+#include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
 
-namespace {
-
-std::mt19937_64& get_thread_random() {
-    thread_local std::mt19937_64 random(std::random_device{}());
-    return random;
-}
-
-} // namespace
-
-const fleet::backend_server& choose_backend_server(const entry_context& context, const fleet::manifest& manifest,
-                                                   const std::set<backend_server_name>& tried,
-                                                   const std::function<bool(const fleet::backend_server&)>& fits) {
+const fleet::backend_server& choose_backend_server(const entry_context& context,
+                                                   std::span<const fleet::backend_server* const> servers,
+                                                   const std::set<backend_server_name>& tried) {
     std::vector<policy::placement_candidate> untried;
     std::vector<policy::placement_candidate> all;
-    for (const auto& [name, server] : manifest.backend_servers) {
-        if (!fits(server)) {
-            continue;
-        }
-        const policy::placement_candidate candidate{
-            .server = &server, .load_tokens = context.loads.get(name), .is_own_zone = server.zone == context.own_zone};
+    for (const fleet::backend_server* server : servers) {
+        const policy::placement_candidate candidate{.server = server,
+                                                    .load_tokens = context.loads.get(server->name),
+                                                    .is_own_zone = server->zone == context.own_zone};
         all.push_back(candidate);
-        if (!tried.contains(name)) {
+        if (!tried.contains(server->name)) {
             untried.push_back(candidate);
         }
     }
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -47,4 +47,9 @@
     }
 }
 
+void backend_connection_pool::clear() {
+    const std::scoped_lock lock(m_mutex);
+    m_idle.clear();
+}
+
 } // namespace dragonflywell::servers
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -48,6 +48,12 @@
     /// Gives back a connection whose last exchange was complete.
     void put_idle(const endpoint& server, std::unique_ptr<backend_connection> connection);
 
+    /// Closes all idle connections. To be called while the contexts that they were made on still exist.
+    void clear();
+
+    /// Returns the clock by which deadlines of exchanges are kept.
+    [[nodiscard]] const clock_source& get_time() const noexcept { return *m_time; }
+
 private:
     struct idle_connection {
         std::unique_ptr<backend_connection> connection;
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/error.hpp"
+#include "policy/outcome.hpp"
 #include "servers/backend_connection_pool.hpp"
 
 namespace dragonflywell::servers {
@@ -21,18 +22,16 @@
 /// An exchange that did not yield a whole answer.
 class exchange_failed_error : public error {
 public:
-    exchange_failed_error(const std::string& message, exchange_phase phase, bool is_timeout, bool was_reused)
-        : error(message), m_phase(phase), m_is_timeout(is_timeout), m_was_reused(was_reused) {}
+    exchange_failed_error(const std::string& message, exchange_phase phase, policy::retry_reason reason)
+        : error(message), m_phase(phase), m_reason(reason) {}
 
     [[nodiscard]] exchange_phase get_phase() const noexcept { return m_phase; }
-    /// Returns whether the backend server was silent, rather than gone.
-    [[nodiscard]] bool is_timeout() const noexcept { return m_is_timeout; }
-    [[nodiscard]] bool was_reused() const noexcept { return m_was_reused; }
+    /// Returns under which reason a retry after this failure is counted.
+    [[nodiscard]] policy::retry_reason get_reason() const noexcept { return m_reason; }
 
 private:
     exchange_phase m_phase;
-    bool m_is_timeout;
-    bool m_was_reused;
+    policy::retry_reason m_reason;
 };
 
 struct exchange_options {
@@ -41,6 +40,8 @@
     bool may_reuse{true};
     /// Longest silence before the exchange is given up.
     duration progress_deadline{};
+    /// When the exchange is given up even though it makes progress.
+    steady_time last_moment{steady_time::max()};
 };
 
 /// One request to one backend server, and its answer piece by piece. Used by one coroutine; not thread safe.
@@ -55,10 +56,22 @@
     /// Returns the head of the answer. Precondition: `start` returned.
     [[nodiscard]] const http::response_header<>& get_head() const { return m_parser->get().base(); }
 
-    /// Returns the next bytes of the body; empty when the whole answer was read. Throws `exchange_failed_error`.
+    /// Returns the next bytes of the body; empty when the whole answer was read. Throws `exchange_failed_error`; also
+    /// for an answer that says nowhere how long it is, since one cut short would look whole.
     asio::awaitable<std::string_view> read_some();
 
+    /// Returns the rest of the body. Throws `exchange_failed_error`, also when it is longer than `limit_bytes`.
+    asio::awaitable<std::string> read_rest(std::size_t limit_bytes);
+
+    /// Takes the end of an answer that is known to be whole, so that its connection can carry another exchange. Closes
+    /// the connection when more than that end comes, or nothing soon. Does not throw.
+    asio::awaitable<void> settle();
+
+    /// Closes the connection, so that an operation under way fails and the backend server sees that nobody reads on.
+    void cancel();
+
 private:
+    void limit_silence();
     [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* what) const;
 
     backend_connection_pool* m_pool;
@@ -67,6 +80,7 @@
     std::unique_ptr<backend_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_piece;
+    bool m_is_cancelled{false};
 };
 
 } // namespace dragonflywell::servers
--- a/servers/caller_channel.hpp
+++ b/servers/caller_channel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include "core/error.hpp"
@@ -36,6 +37,11 @@
 
     /// Returns whether a byte of the answer may have reached the caller.
     [[nodiscard]] virtual bool is_started() const noexcept = 0;
+
+    /// Returns whether the caller is known to have left. A caller that ends its sending side counts as one that left.
+    [[nodiscard]] virtual bool is_gone() const noexcept { return false; }
+    /// Has `notify` called once when the caller leaves; an empty function ends that.
+    virtual void set_on_gone(std::function<void()> /*notify*/) {}
 };
 
 } // namespace dragonflywell::servers
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -10,6 +10,7 @@
 #include "fleet/manifest.hpp"
 #include "policy/placement.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
 #include "servers/request_counters.hpp"
 
@@ -17,8 +18,18 @@
 
 /// The manifest in force together with its version, as the request path sees it.
 struct active_manifest {
+    active_manifest(std::uint64_t offset, fleet::manifest manifest)
+        : version(offset), content(std::move(manifest)), servers(content) {}
+    active_manifest(const active_manifest&) = delete;
+    active_manifest& operator=(const active_manifest&) = delete;
+    active_manifest(active_manifest&&) = delete;
+    active_manifest& operator=(active_manifest&&) = delete;
+    ~active_manifest() = default;
+
     std::uint64_t version{};
     fleet::manifest content;
+    /// Points into `content`.
+    backend_index servers;
 };
 
 struct request_limits {
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-entry_handler::entry_handler(entry_context& context) : m_context(&context) {}
+entry_handler::entry_handler(entry_context& context) : m_context(&context), m_log(get_logger("entry")) {}
 
 asio::awaitable<void> entry_handler::handle(http_request request, caller_channel& caller) {
     const steady_time arrived = m_context->time.now();
@@ -30,6 +30,13 @@
         co_await dispatch(request, caller);
     } catch (const request_refused& refused) {
         refusal = refused;
+    } catch (const caller_gone_error&) {
+        m_context->counters.count_caller_gone();
+        throw;
+    } catch (const std::exception& fault) {
+        // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
+        m_log->error("A request failed: {}", fault.what());
+        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal fault");
     }
     if (refusal) {
         co_await send_refusal(*refusal, caller);
--- a/servers/entry_handler.hpp
+++ b/servers/entry_handler.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 
+#include "core/log.hpp"
 #include "servers/entry_context.hpp"
 #include "servers/http_handler.hpp"
 #include "servers/request_refused.hpp"
@@ -25,6 +26,7 @@
     asio::awaitable<void> send_refusal(const request_refused& refusal, caller_channel& caller);
 
     entry_context* m_context;
+    std::shared_ptr<spdlog::logger> m_log;
     std::atomic<bool> m_is_stopping{false};
 };
 
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -3,18 +3,53 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <set>
 
 #include "core/log.hpp"
+#include "servers/caller_watch.hpp"
 #include "servers/tcp_caller_channel.hpp"
 
 namespace dragonflywell::servers {
 
 using asio::ip::tcp;
 
+namespace {
+
+/// Counts one thing for as long as it lives.
+class counted {
+public:
+    explicit counted(std::atomic<std::int64_t>& count) : m_count(&count) { ++*m_count; }
+    counted(const counted&) = delete;
+    counted& operator=(const counted&) = delete;
+    counted(counted&&) = delete;
+    counted& operator=(counted&&) = delete;
+    ~counted() { --*m_count; }
+
+private:
+    std::atomic<std::int64_t>* m_count;
+};
+
+/// What belongs to one context, and is touched by its thread only.
+struct worker_state {
+    asio::io_context* context{};
+    /// Connections that wait for their next request.
+    std::set<beast::tcp_stream*> idle;
+};
+
+std::vector<worker_state> make_workers(const std::vector<asio::io_context*>& contexts) {
+    std::vector<worker_state> workers;
+    for (asio::io_context* context : contexts) {
+        workers.push_back({.context = context, .idle = {}});
+    }
+    return workers;
+}
+
+} // namespace
+
 struct http_server::shared_state : std::enable_shared_from_this<shared_state> {
-    shared_state(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options)
-        : m_contexts(std::move(contexts)), m_handler(&handler), m_options(std::move(options)),
-          m_acceptor(*m_contexts.front()), m_log(get_logger("http")) {}
+    shared_state(const std::vector<asio::io_context*>& contexts, http_handler& handler, http_server_options options)
+        : m_workers(make_workers(contexts)), m_handler(&handler), m_options(std::move(options)),
+          m_acceptor(*contexts.front()), m_log(get_logger("http")) {}
 
     void listen() {
         const tcp::endpoint address(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
@@ -28,28 +63,57 @@
     asio::awaitable<void> accept(std::shared_ptr<shared_state> self) {
         while (!m_is_stopping) {
             error_code fault;
-            asio::io_context& context = *m_contexts[m_next_context++ % m_contexts.size()];
-            tcp::socket socket = co_await m_acceptor.async_accept(context, store_error(fault));
+            worker_state& worker = m_workers[m_next_worker++ % m_workers.size()];
+            tcp::socket socket = co_await m_acceptor.async_accept(*worker.context, store_error(fault));
             if (fault) {
                 continue;
             }
             socket.set_option(tcp::no_delay(true), fault);
-            asio::co_spawn(context, serve(self, std::move(socket)), asio::detached);
+            asio::co_spawn(*worker.context, serve(self, worker, std::move(socket)), asio::detached);
         }
     }
 
     /// Serves one connection until either side closes it.
-    asio::awaitable<void> serve(std::shared_ptr<shared_state> /*self*/, tcp::socket socket) {
+    asio::awaitable<void> serve(std::shared_ptr<shared_state> /*self*/, worker_state& worker, tcp::socket socket) {
+        const counted open_connection(m_open_connections);
         beast::tcp_stream stream(std::move(socket));
         beast::flat_buffer buffer;
-        bool is_open = true;
-        while (is_open && !m_is_stopping) {
-            is_open = co_await serve_one(stream, buffer);
+        while (co_await wait_for_request(worker, stream, buffer)) {
+            // A request counts as running from its first byte, so that a graceful stop waits for the rest of it.
+            const counted active_request(m_active_requests);
+            if (!co_await serve_one(stream, buffer)) {
+                break;
+            }
         }
         error_code ignored;
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
+    /// Waits for the first byte of a request; returns whether there is one.
+    asio::awaitable<bool> wait_for_request(worker_state& worker, beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer) {
+        if (buffer.size() > 0) {
+            co_return true;
+        }
+        error_code unavailable;
+        if (m_is_stopping && stream.socket().available(unavailable) == 0) {
+            co_return false;
+        }
+        // An idle connection holds a small buffer only.
+        constexpr std::size_t first_piece_bytes = 512;
+        buffer.shrink_to_fit();
+        stream.expires_after(m_options.io_timeout);
+        error_code fault;
+        worker.idle.insert(&stream);
+        const std::size_t received =
+            co_await stream.async_read_some(buffer.prepare(first_piece_bytes), store_error(fault));
+        worker.idle.erase(&stream);
+        buffer.commit(received);
+        // A request that arrived just as the idle connections were given up is still answered.
+        error_code ignored;
+        co_return received > 0 || (fault == asio::error::operation_aborted && stream.socket().available(ignored) > 0);
+    }
+
     /// Reads and answers one request; returns whether the connection can take another.
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
         http::request_parser<http::string_body> parser;
@@ -63,8 +127,8 @@
             co_return false;
         }
         http_request request = parser.release();
-        const active_request active(*this);
-        tcp_caller_channel channel(stream, m_options.io_timeout, request.keep_alive() && !m_is_stopping);
+        caller_watch watch(stream.socket());
+        tcp_caller_channel channel(stream, watch, m_options.io_timeout, request.keep_alive(), m_is_closing);
         try {
             co_await m_handler->handle(std::move(request), channel);
         } catch (const caller_gone_error& gone) {
@@ -117,32 +181,22 @@
         }
     }
 
-    class active_request {
-    public:
-        explicit active_request(shared_state& owner) : m_owner(&owner) { ++m_owner->m_active_requests; }
-        active_request(const active_request&) = delete;
-        active_request& operator=(const active_request&) = delete;
-        active_request(active_request&&) = delete;
-        active_request& operator=(active_request&&) = delete;
-        ~active_request() { --m_owner->m_active_requests; }
-
-    private:
-        shared_state* m_owner;
-    };
-
-    std::vector<asio::io_context*> m_contexts;
-    std::size_t m_next_context{0};
+    std::vector<worker_state> m_workers;
+    std::size_t m_next_worker{0};
     http_handler* m_handler;
     http_server_options m_options;
     tcp::acceptor m_acceptor;
     std::uint16_t m_port{0};
     std::shared_ptr<spdlog::logger> m_log;
     std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_is_closing{false};
     std::atomic<std::int64_t> m_active_requests{0};
+    std::atomic<std::int64_t> m_open_connections{0};
 };
 
-http_server::http_server(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options)
-    : m_state(std::make_shared<shared_state>(std::move(contexts), handler, std::move(options))) {}
+http_server::http_server(const std::vector<asio::io_context*>& contexts, http_handler& handler,
+                         http_server_options options)
+    : m_state(std::make_shared<shared_state>(contexts, handler, std::move(options))) {}
 
 http_server::~http_server() {
     stop();
@@ -153,10 +207,22 @@
     asio::co_spawn(m_state->m_acceptor.get_executor(), m_state->accept(m_state), asio::detached);
 }
 
+void http_server::set_closing() {
+    m_state->m_is_closing = true;
+}
+
 void http_server::stop() {
+    set_closing();
     if (m_state->m_is_stopping.exchange(true)) {
         return;
     }
+    for (worker_state& worker : m_state->m_workers) {
+        asio::post(*worker.context, [state = m_state, &worker] {
+            for (beast::tcp_stream* idle : worker.idle) {
+                idle->cancel();
+            }
+        });
+    }
     asio::post(m_state->m_acceptor.get_executor(), [state = m_state] {
         error_code ignored;
         state->m_acceptor.close(ignored);
@@ -171,4 +237,8 @@
     return m_state->m_active_requests;
 }
 
+std::int64_t http_server::get_open_connections() const noexcept {
+    return m_state->m_open_connections;
+}
+
 } // namespace dragonflywell::servers
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -27,7 +27,7 @@
 class http_server {
 public:
     /// Preconditions: `contexts` is not empty; contexts and handler outlive the server and its connections.
-    http_server(std::vector<asio::io_context*> contexts, http_handler& handler, http_server_options options);
+    http_server(const std::vector<asio::io_context*>& contexts, http_handler& handler, http_server_options options);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
@@ -37,13 +37,18 @@
     /// Binds and starts to accept. Throws `boost::system::system_error` when the address cannot be bound.
     void start();
 
-    /// Accepts no further connection, and closes each kept-alive connection after the answer that is under way.
+    /// Tells callers from now on with each answer that their connection takes no further request. Still accepts.
+    void set_closing();
+
+    /// Accepts no further connection, closes idle ones and each other one after the answer that is under way.
     void stop();
 
     /// Returns the bound port; of use when the settings asked for port 0.
     [[nodiscard]] std::uint16_t get_port() const;
-    /// Returns how many requests are being answered.
+    /// Returns how many requests are being received or answered.
     [[nodiscard]] std::int64_t get_active_requests() const noexcept;
+    /// Returns how many connections are open.
+    [[nodiscard]] std::int64_t get_open_connections() const noexcept;
 
 private:
     struct shared_state;
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -5,39 +5,60 @@
 #include "core/json.hpp"
 #include "servers/backend_choice.hpp"
 #include "servers/key_check.hpp"
+#include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
 
 namespace {
 
 constexpr std::string_view end_of_stream = "[DONE]";
+constexpr std::size_t rejection_limit_bytes = 64 * 1024;
+constexpr duration cancel_deadline = std::chrono::seconds(1);
 
-policy::retry_reason get_retry_reason(const exchange_failed_error& failure) {
-    if (failure.get_phase() == exchange_phase::before_send) {
-        return policy::retry_reason::connect_failed;
-    }
-    return failure.is_timeout() ? policy::retry_reason::silent_backend_server : policy::retry_reason::broken_answer;
+/// Returns whether the status says that the request itself is wrong, so that every engine would say the same.
+bool is_rejection(http::status status) {
+    return status == http::status::bad_request || status == http::status::payload_too_large ||
+           status == http::status::unprocessable_entity;
 }
 
-/// Returns the text that one event of either shape adds.
-std::string get_added_text(const boost::json::object& choice, completion_shape shape) {
-    if (shape == completion_shape::text) {
-        return json::get_string_or(choice, "text", "");
-    }
-    const boost::json::value* delta = choice.if_contains("delta");
-    return delta == nullptr ? "" : json::get_string_or(json::as_object(*delta, "delta"), "content", "");
+policy::retry_reason get_retry_reason(http::status status) {
+    const bool is_busy = status == http::status::service_unavailable || status == http::status::too_many_requests;
+    return is_busy ? policy::retry_reason::backend_server_busy : policy::retry_reason::broken_answer;
+}
+
+/// Returns whether the connection may have failed while the engine goes on with the stream.
+bool may_be_connection_only(policy::retry_reason reason) {
+    return reason == policy::retry_reason::broken_answer || reason == policy::retry_reason::stale_connection ||
+           reason == policy::retry_reason::silent_backend_server;
 }
 
-std::string get_finish_reason(const boost::json::object& choice) {
-    const boost::json::value* reason = choice.if_contains("finish_reason");
-    return reason != nullptr && reason->is_string() ? std::string(reason->get_string()) : "";
+std::string make_stream_id() {
+    std::mt19937_64& random = get_thread_random();
+    return fmt::format("{:016x}{:016x}", random(), random());
 }
 
+/// Calls a function when the caller leaves, for as long as it lives.
+class gone_subscription {
+public:
+    gone_subscription(caller_channel& caller, std::function<void()> notify) : m_caller(&caller) {
+        m_caller->set_on_gone(std::move(notify));
+    }
+    gone_subscription(const gone_subscription&) = delete;
+    gone_subscription& operator=(const gone_subscription&) = delete;
+    gone_subscription(gone_subscription&&) = delete;
+    gone_subscription& operator=(gone_subscription&&) = delete;
+    ~gone_subscription() { m_caller->set_on_gone({}); }
+
+private:
+    caller_channel* m_caller;
+};
+
 } // namespace
 
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
-      m_model_request(parse_model_request(request)), m_arrived(context.time.now()) {}
+      m_model_request(parse_model_request(request)), m_arrived(context.time.now()),
+      m_answer(m_model_request.shape, m_model_request.most_tokens) {}
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
@@ -55,92 +76,144 @@
 }
 
 asio::awaitable<void> model_call::run_attempts(caller_channel& caller) {
-    for (unsigned attempt = 1; !m_is_complete; ++attempt) {
+    while (!m_answer.is_complete() && !m_rejection) {
+        require_time_left();
         const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
-        // The key is checked again at each dispatch: it may have been revoked while the request waited.
-        static_cast<void>(require_organisation(manifest->content, *m_request));
-        const fleet::backend_server& server = choose_engine(manifest->content);
-        std::optional<exchange_failed_error> failure;
+        const fleet::backend_server* server = nullptr;
         try {
-            co_await run_on(server, caller);
+            // The key is checked again at each dispatch: it may have been revoked while the request waited.
+            static_cast<void>(require_organisation(manifest->content, *m_request));
+            server = &choose_engine(*manifest);
+        } catch (const request_refused& refused) {
+            // An earlier attempt may have run, whatever stops this one.
+            throw request_refused(refused.get_reason(), m_history.get_outcome(), refused.what());
+        }
+        const std::optional<exchange_failed_error> failure = co_await try_on(*server, caller);
+        if (!failure) {
             continue;
-        } catch (const exchange_failed_error& fault) {
-            failure = fault;
         }
-        m_reached_engine = m_reached_engine || failure->get_phase() == exchange_phase::after_send;
-        if (attempt >= m_context->limits.most_attempts) {
-            const auto outcome =
-                m_reached_engine ? policy::request_outcome::failed_after_start : policy::request_outcome::not_run;
-            throw request_refused(policy::refusal_reason::backend_server_failed, outcome, failure->what());
+        m_history.add_failure(server->name, failure->get_phase() == exchange_phase::after_send);
+        if (!m_history.may_repeat(m_context->limits.most_attempts)) {
+            throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
+                                  failure->what());
         }
-        m_context->counters.count_retry(get_retry_reason(*failure));
-        m_tried.insert(server.name);
+        m_context->counters.count_retry(failure->get_reason());
     }
 }
 
-asio::awaitable<void> model_call::run_on(const fleet::backend_server& server, caller_channel& caller) {
+asio::awaitable<std::optional<exchange_failed_error>> model_call::try_on(const fleet::backend_server& server,
+                                                                         caller_channel& caller) {
     const backend_load_table::reservation work(m_context->loads, server.name,
                                                m_model_request.estimated_prompt_tokens + m_model_request.most_tokens);
-    backend_exchange exchange(m_context->connections, server.address,
-                              {.may_reuse = true, .progress_deadline = m_context->limits.progress_deadline});
-    co_await exchange.start(make_engine_request(server));
-    if (exchange.get_head().result() != http::status::ok) {
+    m_has_head = false;
+    const http_request request = make_engine_request(server);
+    std::optional<exchange_failed_error> failure = co_await exchange_with(server, request, true, caller);
+    const bool has_time = m_context->time.now() - m_arrived < m_context->limits.request_deadline;
+    if (!failure || !m_has_head || !has_time || !may_be_connection_only(failure->get_reason())) {
+        co_return failure;
+    }
+    // The engine may be well and only the connection lost: its stream goes on over a new one.
+    m_context->counters.count_retry(failure->get_reason());
+    const http_request resumption = make_stream_request(server, http::verb::get);
+    std::optional<exchange_failed_error> second_failure = co_await exchange_with(server, resumption, false, caller);
+    if (second_failure) {
+        // The failure of the resumption says less about the request than the first one does.
+        co_return failure;
+    }
+    m_context->counters.count_resumed_stream();
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<exchange_failed_error>> model_call::exchange_with(const fleet::backend_server& server,
+                                                                                const http_request& request,
+                                                                                bool may_reuse,
+                                                                                caller_channel& caller) {
+    backend_exchange exchange(m_context->connections, server.address, get_exchange_options(may_reuse));
+    std::optional<exchange_failed_error> failure;
+    try {
+        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        co_await exchange.start(request);
+        co_await read_answer(exchange, caller);
+    } catch (const exchange_failed_error& fault) {
+        failure = fault;
+    } catch (const malformed_message_error& fault) {
+        failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::malformed_answer);
+    } catch (const crossed_answer_error& fault) {
+        failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::crossed_answer);
+    } catch (const caller_gone_error&) {
+        exchange.cancel();
+    }
+    if (caller.is_gone() && !m_answer.is_complete()) {
+        co_await cancel_stream(server);
+        throw caller_gone_error("caller left before its answer was whole");
+    }
+    co_return failure;
+}
+
+asio::awaitable<void> model_call::read_answer(backend_exchange& exchange, caller_channel& caller) {
+    const auto status = http::status(exchange.get_head().result_int());
+    if (is_rejection(status) && m_answer.get_tokens() == 0) {
+        http_response rejection(status, 11);
+        rejection.set(http::field::content_type, exchange.get_head()[http::field::content_type]);
+        rejection.set("x-dragonflywell-outcome", "completed");
+        rejection.body() = co_await exchange.read_rest(rejection_limit_bytes);
+        m_rejection = std::move(rejection);
+        co_return;
+    }
+    if (status != http::status::ok) {
         throw exchange_failed_error(fmt::format("engine answered with status {}", exchange.get_head().result_int()),
-                                    exchange_phase::after_send, false, false);
+                                    exchange_phase::after_send, get_retry_reason(status));
     }
+    m_has_head = true;
     event_stream_parser events;
     std::string_view piece = co_await exchange.read_some();
-    while (!piece.empty()) {
+    while (!piece.empty() && !m_answer.is_complete()) {
         events.add_bytes(piece);
         std::optional<server_sent_event> event = events.take_event();
-        while (event && !m_is_complete) {
+        while (event && !m_answer.is_complete()) {
             co_await deliver(*event, caller);
             event = events.take_event();
         }
-        piece = co_await exchange.read_some();
+        if (!m_answer.is_complete()) {
+            piece = co_await exchange.read_some();
+        }
     }
-    if (!m_is_complete) {
-        throw exchange_failed_error("engine ended its stream early", exchange_phase::after_send, false, false);
+    if (!m_answer.is_complete()) {
+        throw exchange_failed_error("engine ended its stream early", exchange_phase::after_send,
+                                    policy::retry_reason::broken_answer);
     }
+    co_await exchange.settle();
 }
 
 asio::awaitable<void> model_call::deliver(const server_sent_event& event, caller_channel& caller) {
-    if (event.data == end_of_stream) {
-        m_is_complete = true;
-        co_return;
-    }
-    const boost::json::value document = json::parse(event.data);
-    const boost::json::object& chunk = json::as_object(document, "engine event");
-    if (const boost::json::value* usage = chunk.if_contains("usage"); usage != nullptr && usage->is_object()) {
-        m_prompt_tokens = json::get_unsigned(usage->get_object(), "prompt_tokens");
-    }
-    const boost::json::array& choices = json::get_array(chunk, "choices");
-    if (choices.empty()) {
+    const std::uint64_t tokens_before = m_answer.get_tokens();
+    if (m_answer.add(event) != event_use::forward) {
         co_return;
     }
-    const boost::json::object& choice = json::as_object(choices.front(), "choice");
-    const std::string added = get_added_text(choice, m_model_request.shape);
-    if (m_delivered_tokens == 0 && !added.empty()) {
+    if (tokens_before == 0 && m_answer.get_tokens() > 0) {
         m_context->counters.get_first_token_latency().record(
             std::chrono::duration<double>(m_context->time.now() - m_arrived).count());
     }
-    m_text += added;
-    m_delivered_tokens += added.empty() ? 0 : 1;
-    if (const std::string reason = get_finish_reason(choice); !reason.empty()) {
-        m_finish_reason = reason;
+    if (!m_model_request.is_streaming) {
+        co_return;
     }
-    if (m_model_request.is_streaming) {
-        if (!caller.is_started()) {
-            co_await caller.start_stream("text/event-stream");
-        }
-        const std::string text = format_event(event);
-        co_await caller.send_chunk(text);
+    if (!caller.is_started()) {
+        co_await caller.start_stream("text/event-stream");
     }
+    const std::string text = format_event(event);
+    co_await caller.send_chunk(text);
+    m_delivered_tokens = m_answer.get_tokens();
 }
 
 asio::awaitable<void> model_call::finish(caller_channel& caller) {
+    if (m_rejection) {
+        co_await caller.send(std::move(*m_rejection));
+        co_return;
+    }
     if (!m_model_request.is_streaming) {
         co_await caller.send(make_whole_answer());
+        m_delivered_tokens = m_answer.get_tokens();
+        m_is_delivered_whole = true;
         co_return;
     }
     if (!caller.is_started()) {
@@ -149,65 +222,89 @@
     const std::string last_event = format_event({.id = {}, .data = std::string(end_of_stream)});
     co_await caller.send_chunk(last_event);
     co_await caller.finish_stream();
+    m_is_delivered_whole = true;
+}
+
+asio::awaitable<void> model_call::cancel_stream(const fleet::backend_server& server) {
+    exchange_options options = get_exchange_options(true);
+    options.progress_deadline = cancel_deadline;
+    backend_exchange exchange(m_context->connections, server.address, options);
+    const http_request request = make_stream_request(server, http::verb::delete_);
+    try {
+        co_await exchange.start(request);
+        co_await exchange.settle();
+    } catch (const exchange_failed_error&) {
+        // The connection of the stream was closed as well; an engine that can't be reached has nothing to cancel.
+    }
+    m_context->counters.count_cancelled_stream();
 }
 
-const fleet::backend_server& model_call::choose_engine(const fleet::manifest& manifest) {
-    if (!manifest.models.contains(m_model_request.model)) {
+const fleet::backend_server& model_call::choose_engine(const active_manifest& manifest) {
+    if (!manifest.content.models.contains(m_model_request.model)) {
         throw request_refused(policy::refusal_reason::unknown_model, policy::request_outcome::not_run,
                               fmt::format("model \"{}\" does not exist", m_model_request.model.value()));
     }
-    const auto runs_model = [this](const fleet::backend_server& server) {
-        const fleet::engine* engine = server.get_engine();
-        return engine != nullptr && engine->model == m_model_request.model;
-    };
-    return choose_backend_server(*m_context, manifest, m_tried, runs_model);
+    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model),
+                                 m_history.get_tried());
 }
 
-http_request model_call::make_engine_request(const fleet::backend_server& server) const {
+http_request model_call::make_engine_request(const fleet::backend_server& server) {
     const bool is_chat = m_model_request.shape == completion_shape::chat;
     http_request request(http::verb::post, is_chat ? "/v1/chat/completions" : "/v1/completions", 11);
+    m_stream_id = make_stream_id();
+    m_answer.start_attempt(m_stream_id);
     request.set(http::field::host, format_endpoint(server.address));
     request.set(http::field::content_type, "application/json");
+    request.set("x-request-id", m_stream_id);
     boost::json::object document = m_model_request.document;
-    if (m_delivered_tokens > 0) {
-        document["continue_from"] = m_text;
-        document["continue_position"] = m_delivered_tokens;
+    if (m_answer.get_tokens() > 0) {
+        document["continue_from"] = m_answer.get_text();
+        document["continue_position"] = m_answer.get_tokens();
     }
     request.body() = boost::json::serialize(document);
     request.prepare_payload();
     return request;
 }
 
-http_response model_call::make_whole_answer() const {
-    const bool is_chat = m_model_request.shape == completion_shape::chat;
-    boost::json::object choice{{"index", 0}, {"finish_reason", m_finish_reason}};
-    if (is_chat) {
-        choice["message"] = {{"role", "assistant"}, {"content", m_text}};
-    } else {
-        choice["text"] = m_text;
+http_request model_call::make_stream_request(const fleet::backend_server& server, http::verb method) const {
+    std::string target = "/v1/streams/" + m_stream_id;
+    if (method == http::verb::get) {
+        target += fmt::format("?from={}", m_answer.get_tokens());
     }
+    http_request request(method, target, 11);
+    request.set(http::field::host, format_endpoint(server.address));
+    return request;
+}
+
+http_response model_call::make_whole_answer() const {
     http_response response(http::status::ok, 11);
     response.set(http::field::content_type, "application/json");
     response.set("x-dragonflywell-outcome", "completed");
-    response.body() =
-        boost::json::serialize(boost::json::object{{"object", is_chat ? "chat.completion" : "text_completion"},
-                                                   {"model", m_model_request.model.value()},
-                                                   {"choices", boost::json::array{std::move(choice)}},
-                                                   {"usage",
-                                                    {{"prompt_tokens", m_prompt_tokens},
-                                                     {"completion_tokens", m_delivered_tokens},
-                                                     {"total_tokens", m_prompt_tokens + m_delivered_tokens}}}});
+    response.body() = m_answer.make_document(m_model_request.model);
     return response;
 }
 
+exchange_options model_call::get_exchange_options(bool may_reuse) const {
+    return {.may_reuse = may_reuse,
+            .progress_deadline = m_context->limits.progress_deadline,
+            .last_moment = m_arrived + m_context->limits.request_deadline};
+}
+
+void model_call::require_time_left() const {
+    if (m_context->time.now() - m_arrived >= m_context->limits.request_deadline) {
+        throw request_refused(policy::refusal_reason::deadline_exceeded, m_history.get_outcome(),
+                              "the time for this request ran out");
+    }
+}
+
 void model_call::bill() {
-    if (m_is_billed || m_delivered_tokens == 0) {
+    if (m_delivered_tokens == 0 && !m_is_delivered_whole) {
         return;
     }
-    m_is_billed = true;
     const auto window = get_window(m_context->time.wall_now(), m_context->manifest.get()->content);
-    m_context->usage.add({.organisation = m_organisation, .window = window},
-                         {.requests = 1, .prompt_tokens = m_prompt_tokens, .completion_tokens = m_delivered_tokens});
+    m_context->usage.add(
+        {.organisation = m_organisation, .window = window},
+        {.requests = 1, .prompt_tokens = m_answer.get_prompt_tokens(), .completion_tokens = m_delivered_tokens});
 }
 
 } // namespace dragonflywell::servers
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <set>
-
+#include "policy/attempt_history.hpp"
+#include "servers/answer_assembler.hpp"
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
-#include "servers/event_stream_parser.hpp"
 #include "servers/model_request.hpp"
 #include "servers/request_refused.hpp"
 
@@ -18,17 +17,29 @@
     /// Precondition: context and request outlive the call. Throws `request_refused` for a malformed request.
     model_call(entry_context& context, const http_request& request, organisation_name organisation);
 
-    /// Delivers the whole answer. Throws `request_refused`, `caller_gone_error`.
+    /// Delivers the whole answer. When the caller leaves, the engine's work is cancelled and what was delivered billed.
+    /// Throws `request_refused`, `caller_gone_error`.
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
     asio::awaitable<void> run_attempts(caller_channel& caller);
-    asio::awaitable<void> run_on(const fleet::backend_server& server, caller_channel& caller);
+    /// Runs on one engine; on failure resumes the same stream there once, over a new connection.
+    asio::awaitable<std::optional<exchange_failed_error>> try_on(const fleet::backend_server& server,
+                                                                 caller_channel& caller);
+    /// Makes one exchange and delivers what it yields. Returns why the answer is not whole yet, if it is not.
+    asio::awaitable<std::optional<exchange_failed_error>> exchange_with(const fleet::backend_server& server,
+                                                                        const http_request& request, bool may_reuse,
+                                                                        caller_channel& caller);
+    asio::awaitable<void> read_answer(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> deliver(const server_sent_event& event, caller_channel& caller);
     asio::awaitable<void> finish(caller_channel& caller);
-    [[nodiscard]] const fleet::backend_server& choose_engine(const fleet::manifest& manifest);
-    [[nodiscard]] http_request make_engine_request(const fleet::backend_server& server) const;
+    asio::awaitable<void> cancel_stream(const fleet::backend_server& server);
+    [[nodiscard]] const fleet::backend_server& choose_engine(const active_manifest& manifest);
+    [[nodiscard]] http_request make_engine_request(const fleet::backend_server& server);
+    [[nodiscard]] http_request make_stream_request(const fleet::backend_server& server, http::verb method) const;
     [[nodiscard]] http_response make_whole_answer() const;
+    [[nodiscard]] exchange_options get_exchange_options(bool may_reuse) const;
+    void require_time_left() const;
     void bill();
 
     entry_context* m_context;
@@ -36,16 +47,15 @@
     organisation_name m_organisation;
     model_request m_model_request;
     steady_time m_arrived;
-    std::set<backend_server_name> m_tried;
-
-    /// Text that the caller has, or will get, and how many tokens it is.
-    std::string m_text;
+    policy::attempt_history m_history{true};
+    answer_assembler m_answer;
+    std::string m_stream_id;
+    /// What an engine answered to a request that it finds wrong; it goes to the caller as it is.
+    std::optional<http_response> m_rejection;
+    /// Tokens that were written to the caller.
     std::uint64_t m_delivered_tokens{0};
-    std::uint64_t m_prompt_tokens{0};
-    std::string m_finish_reason;
-    bool m_is_complete{false};
-    bool m_reached_engine{false};
-    bool m_is_billed{false};
+    bool m_is_delivered_whole{false};
+    bool m_has_head{false};
 };
 
 } // namespace dragonflywell::servers
--- a/servers/request_counters.hpp
+++ b/servers/request_counters.hpp
@@ -16,6 +16,11 @@
     void count_refusal(policy::refusal_reason reason) noexcept;
     void count_retry(policy::retry_reason reason) noexcept;
     void count_outcome(policy::request_outcome outcome) noexcept;
+    /// Counts an answer that went on over a new connection to the same engine.
+    void count_resumed_stream() noexcept { m_resumed_streams->add(); }
+    void count_caller_gone() noexcept { m_callers_gone->add(); }
+    /// Counts an engine's work that was given up because its caller left.
+    void count_cancelled_stream() noexcept { m_cancelled_streams->add(); }
 
     [[nodiscard]] latency_histogram& get_first_token_latency() noexcept { return *m_first_token; }
     [[nodiscard]] latency_histogram& get_request_latency() noexcept { return *m_request; }
@@ -26,6 +31,9 @@
     std::array<counter*, policy::refusal_reason_count> m_refusals{};
     std::array<counter*, policy::retry_reason_count> m_retries{};
     std::array<counter*, outcome_count> m_outcomes{};
+    counter* m_resumed_streams;
+    counter* m_cancelled_streams;
+    counter* m_callers_gone;
     latency_histogram* m_first_token;
     latency_histogram* m_request;
 };
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -9,16 +9,6 @@
 
 constexpr std::size_t answer_limit_bytes = 64ULL * 1024 * 1024;
 
-policy::retry_reason get_retry_reason(const exchange_failed_error& failure) {
-    if (failure.get_phase() == exchange_phase::before_send) {
-        return policy::retry_reason::connect_failed;
-    }
-    if (failure.is_timeout()) {
-        return policy::retry_reason::silent_backend_server;
-    }
-    return failure.was_reused() ? policy::retry_reason::stale_connection : policy::retry_reason::broken_answer;
-}
-
 /// Copies what the service said, without the headers that concern one connection only.
 http_response get_caller_response(const http::response_header<>& head) {
     http_response response(http::status(head.result_int()), 11);
@@ -36,7 +26,8 @@
 } // namespace
 
 service_call::service_call(entry_context& context, const http_request& request, const fleet::service_route& route)
-    : m_context(&context), m_request(&request), m_route(&route) {}
+    : m_context(&context), m_request(&request), m_route(&route), m_arrived(context.time.now()),
+      m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
     http_response response = co_await exchange_with_retries();
@@ -50,59 +41,52 @@
 }
 
 asio::awaitable<http_response> service_call::exchange_with_retries() {
-    for (unsigned attempt = 1;; ++attempt) {
+    while (true) {
         // The manifest is read anew for each attempt, so that a key revoked in between stops the next one.
         const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
-        check_key(manifest->content);
-        const fleet::backend_server& server = choose_server(manifest->content);
+        const fleet::backend_server& server = prepare_attempt(*manifest);
         std::optional<exchange_failed_error> failure;
         try {
             co_return co_await exchange(server);
         } catch (const exchange_failed_error& fault) {
             failure = fault;
         }
-        const bool is_unsent = failure->get_phase() == exchange_phase::before_send;
-        if (!is_unsent && !m_route->is_idempotent) {
-            throw request_refused(policy::refusal_reason::backend_server_failed, policy::request_outcome::unknown,
-                                  "the service broke off and the request may not be repeated");
-        }
-        if (attempt >= m_context->limits.most_attempts) {
-            throw request_refused(policy::refusal_reason::backend_server_failed,
-                                  is_unsent && attempt == 1 ? policy::request_outcome::not_run
-                                                            : policy::request_outcome::unknown,
+        m_history.add_failure(server.name, failure->get_phase() == exchange_phase::after_send);
+        if (!m_history.may_repeat(m_context->limits.most_attempts)) {
+            throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
-        m_context->counters.count_retry(get_retry_reason(*failure));
-        m_tried.insert(server.name);
+        m_context->counters.count_retry(failure->get_reason());
     }
 }
 
 asio::awaitable<http_response> service_call::exchange(const fleet::backend_server& server) {
     const backend_load_table::reservation work(m_context->loads, server.name, 1);
-    backend_exchange exchange(
-        m_context->connections, server.address,
-        {.may_reuse = m_route->is_idempotent, .progress_deadline = m_context->limits.progress_deadline});
+    backend_exchange exchange(m_context->connections, server.address,
+                              {.may_reuse = m_route->is_idempotent,
+                               .progress_deadline = m_context->limits.progress_deadline,
+                               .last_moment = m_arrived + m_context->limits.request_deadline});
     http_request request = get_backend_request(*m_request);
     request.set(http::field::host, format_endpoint(server.address));
     co_await exchange.start(request);
     http_response response = get_caller_response(exchange.get_head());
-    std::string_view piece = co_await exchange.read_some();
-    while (!piece.empty()) {
-        if (response.body().size() + piece.size() > answer_limit_bytes) {
-            throw exchange_failed_error("answer is too large", exchange_phase::after_send, false, false);
-        }
-        response.body() += piece;
-        piece = co_await exchange.read_some();
-    }
+    response.body() = co_await exchange.read_rest(answer_limit_bytes);
     co_return response;
 }
 
-const fleet::backend_server& service_call::choose_server(const fleet::manifest& manifest) {
-    const auto offers_service = [this](const fleet::backend_server& server) {
-        const service_name* service = server.get_service();
-        return service != nullptr && *service == m_route->service;
-    };
-    return choose_backend_server(*m_context, manifest, m_tried, offers_service);
+const fleet::backend_server& service_call::prepare_attempt(const active_manifest& manifest) {
+    if (m_context->time.now() - m_arrived >= m_context->limits.request_deadline) {
+        throw request_refused(policy::refusal_reason::deadline_exceeded, m_history.get_outcome(),
+                              "the time for this request ran out");
+    }
+    try {
+        check_key(manifest.content);
+        return choose_backend_server(*m_context, manifest.servers.get_instances(m_route->service),
+                                     m_history.get_tried());
+    } catch (const request_refused& refused) {
+        // An earlier attempt may have run, whatever stops this one.
+        throw request_refused(refused.get_reason(), m_history.get_outcome(), refused.what());
+    }
 }
 
 void service_call::check_key(const fleet::manifest& manifest) {
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <set>
-
+#include "policy/attempt_history.hpp"
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
@@ -22,14 +21,16 @@
 private:
     asio::awaitable<http_response> exchange_with_retries();
     asio::awaitable<http_response> exchange(const fleet::backend_server& server);
-    [[nodiscard]] const fleet::backend_server& choose_server(const fleet::manifest& manifest);
+    /// Checks key and time and returns where the next attempt goes. Throws `request_refused`.
+    [[nodiscard]] const fleet::backend_server& prepare_attempt(const active_manifest& manifest);
     void check_key(const fleet::manifest& manifest);
 
     entry_context* m_context;
     const http_request* m_request;
     const fleet::service_route* m_route;
     std::optional<organisation_name> m_organisation;
-    std::set<backend_server_name> m_tried;
+    steady_time m_arrived;
+    policy::attempt_history m_history;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -4,21 +4,25 @@
 
 namespace dragonflywell::servers {
 
-namespace {
+tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout,
+                                       bool keep_alive, const std::atomic<bool>& is_closing)
+    : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout),
+      m_keep_alive(keep_alive) {}
 
-void throw_if_gone(const error_code& fault) {
+void tcp_caller_channel::start_answer() {
+    m_is_started = true;
+    m_keep_alive = m_keep_alive && !*m_is_closing;
+}
+
+void tcp_caller_channel::throw_if_gone(const error_code& fault) {
     if (fault) {
+        m_watch->set_gone();
         throw caller_gone_error("caller does not take its answer: " + fault.message());
     }
 }
 
-} // namespace
-
-tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, duration io_timeout, bool keep_alive)
-    : m_stream(&stream), m_io_timeout(io_timeout), m_keep_alive(keep_alive) {}
-
 asio::awaitable<void> tcp_caller_channel::send(http_response response) {
-    m_is_started = true;
+    start_answer();
     response.keep_alive(m_keep_alive);
     response.prepare_payload();
     m_stream->expires_after(m_io_timeout);
@@ -29,7 +33,7 @@
 }
 
 asio::awaitable<void> tcp_caller_channel::start_stream(std::string_view content_type) {
-    m_is_started = true;
+    start_answer();
     http::response<http::empty_body> head(http::status::ok, 11);
     head.set(http::field::content_type, content_type);
     head.set(http::field::cache_control, "no-cache");
--- a/servers/tcp_caller_channel.hpp
+++ b/servers/tcp_caller_channel.hpp
@@ -1,15 +1,20 @@
 #pragma once
 
+#include <atomic>
+
 #include "core/clock.hpp"
 #include "servers/caller_channel.hpp"
+#include "servers/caller_watch.hpp"
 
 namespace dragonflywell::servers {
 
 /// The way back to a caller over plain TCP.
 class tcp_caller_channel final : public caller_channel {
 public:
-    /// Precondition: `stream` outlives the channel.
-    tcp_caller_channel(beast::tcp_stream& stream, duration io_timeout, bool keep_alive);
+    /// Precondition: `stream`, `watch` and `is_closing` outlive the channel. While `is_closing` is set when an answer
+    /// starts, the caller is told that the connection takes no further request.
+    tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout, bool keep_alive,
+                       const std::atomic<bool>& is_closing);
 
     asio::awaitable<void> send(http_response response) override;
     asio::awaitable<void> start_stream(std::string_view content_type) override;
@@ -17,12 +22,19 @@
     asio::awaitable<void> finish_stream() override;
     void abort_stream() override;
     [[nodiscard]] bool is_started() const noexcept override { return m_is_started; }
+    [[nodiscard]] bool is_gone() const noexcept override { return m_watch->is_gone(); }
+    void set_on_gone(std::function<void()> notify) override { m_watch->set_on_gone(std::move(notify)); }
 
     /// Returns whether the connection can take another request.
     [[nodiscard]] bool is_reusable() const noexcept { return m_is_whole && m_keep_alive; }
 
 private:
+    void start_answer();
+    void throw_if_gone(const error_code& fault);
+
     beast::tcp_stream* m_stream;
+    caller_watch* m_watch;
+    const std::atomic<bool>* m_is_closing;
     duration m_io_timeout;
     bool m_keep_alive;
     bool m_is_started{false};
--- /dev/null
+++ b/tests/servers/test_backend_exchange.cpp
@@ -0,0 +1,78 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "servers/backend_exchange.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+
+namespace {
+
+/// Answers one connection with given bytes and closes it.
+class scripted_server {
+public:
+    explicit scripted_server(std::string bytes)
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}), m_thread([this, bytes = std::move(bytes)] {
+              asio::ip::tcp::socket socket = m_acceptor.accept();
+              beast::flat_buffer buffer;
+              http_request request;
+              http::read(socket, buffer, request);
+              asio::write(socket, asio::buffer(bytes));
+          }) {}
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+    scripted_server(scripted_server&&) = delete;
+    scripted_server& operator=(scripted_server&&) = delete;
+    ~scripted_server() { m_thread.join(); }
+
+    [[nodiscard]] endpoint get_endpoint() const {
+        return {.address = "127.0.0.1", .port = m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+/// Returns the body of a server's answer, or the reason for which it is not taken.
+std::string ask(const std::string& bytes) {
+    const scripted_server server(bytes);
+    const host_clock clock;
+    backend_connection_pool pool(clock, {});
+    asio::io_context context;
+    std::string result;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const exchange_options options{.may_reuse = false, .progress_deadline = std::chrono::seconds(60)};
+            backend_exchange exchange(pool, server.get_endpoint(), options);
+            const http_request request(http::verb::get, "/", 11);
+            try {
+                co_await exchange.start(request);
+                result = co_await exchange.read_rest(100);
+            } catch (const exchange_failed_error& failure) {
+                result = policy::get_retry_name(failure.get_reason());
+            }
+        },
+        asio::detached);
+    context.run();
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("an answer counts as whole only when it is as long as it says") {
+    CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour") == "four");
+    CHECK(ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n") == "four");
+    CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfo") == "broken_answer");
+    CHECK(ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n") == "broken_answer");
+    CHECK(ask("HTTP/1.1 200 OK\r\n\r\nfou") == "malformed_answer");
+    CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x')) == "malformed_answer");
+    CHECK(ask("not HTTP\r\n\r\n") == "broken_answer");
+}
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::uint64_t text_tags = 1000;
 constexpr std::size_t cached_prompt_limit = 64;
+constexpr std::string_view streams_path = "/v1/streams/";
+constexpr std::string_view resume_query = "?from=";
+constexpr std::chrono::hours silent_time{1};
 constexpr std::string_view crash_marker = "crash-the-engine";
 
 class running_request {
@@ -49,8 +52,8 @@
     return prompt.size() / 4 + 1;
 }
 
-std::string make_chunk(bool is_chat, const std::string& text, bool is_last, std::uint64_t prompt_tokens,
-                       std::uint64_t tokens) {
+std::string make_chunk(const std::string& id, bool is_chat, const std::string& text, bool is_last,
+                       std::uint64_t prompt_tokens, std::uint64_t tokens) {
     boost::json::object choice{{"index", 0}};
     if (is_chat) {
         choice["delta"] = {{"content", text}};
@@ -60,7 +63,8 @@
     if (is_last) {
         choice["finish_reason"] = "length";
     }
-    boost::json::object chunk{{"object", is_chat ? "chat.completion.chunk" : "text_completion"},
+    boost::json::object chunk{{"id", "cmpl-" + id},
+                              {"object", is_chat ? "chat.completion.chunk" : "text_completion"},
                               {"choices", boost::json::array{std::move(choice)}}};
     chunk["usage"] = {{"prompt_tokens", prompt_tokens}, {"completion_tokens", tokens}};
     return boost::json::serialize(chunk);
@@ -86,9 +90,10 @@
         co_await caller.send(take_order(request.body()));
     } else if (target == "/load") {
         co_await caller.send(report_load());
-    } else if (target.starts_with("/v1/streams/") && request.method() == servers::http::verb::delete_) {
-        const std::scoped_lock lock(m_mutex);
-        m_cancelled.insert(target.substr(std::string_view("/v1/streams/").size()));
+    } else if (target.starts_with(streams_path) && request.method() == servers::http::verb::get) {
+        co_await resume(target, caller);
+    } else if (target.starts_with(streams_path) && request.method() == servers::http::verb::delete_) {
+        cancel(target.substr(streams_path.size()));
         co_await caller.send(make_json_response(200, "{}"));
     } else {
         co_await caller.send(make_json_response(404, "{}"));
@@ -102,33 +107,112 @@
     if (prompt.find(crash_marker) != std::string::npos) {
         std::_Exit(1);
     }
+    const engine_fault fault = take_fault();
+    if (fault.kind == engine_fault_kind::reject || fault.kind == engine_fault_kind::busy) {
+        const unsigned status = fault.kind == engine_fault_kind::reject ? 422 : 503;
+        co_await caller.send(make_json_response(status, R"({"error":"refused as planned"})"));
+        co_return;
+    }
+    ++m_starts;
     const running_request running(m_running);
-    const bool is_chat = request.target().starts_with("/v1/chat/");
-    const std::uint64_t most = json::get_unsigned_or(document, "max_tokens", 16);
-    const std::uint64_t prompt_tokens = count_prompt_tokens(prompt);
-    const std::uint64_t break_after = m_break_after.exchange(0);
+    const std::string id(request["x-request-id"]);
+    const known_stream stream{.prompt = prompt,
+                              .is_chat = request.target().starts_with("/v1/chat/"),
+                              .most_tokens = json::get_unsigned_or(document, "max_tokens", 16)};
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    const std::uint64_t uncached_tokens = is_cached(prompt) ? 1 : prompt_tokens;
+    const std::uint64_t uncached_tokens = is_cached(prompt) ? 1 : count_prompt_tokens(prompt);
     timer.expires_after(get_slowed(m_options.prompt_token_time * uncached_tokens));
     co_await timer.async_wait(asio::use_awaitable);
-    co_await caller.start_stream("text/event-stream");
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_streams[id] = stream;
+    }
     const std::uint64_t first = json::get_unsigned_or(document, "continue_position", 0);
-    for (std::uint64_t position = first; position < most; ++position) {
-        if (break_after != 0 && position - first >= break_after) {
+    co_await generate(id, stream, first, fault, caller);
+}
+
+asio::awaitable<void> engine_standin::resume(const std::string& target, servers::caller_channel& caller) {
+    const std::size_t query = target.find(resume_query);
+    const std::string id = target.substr(streams_path.size(), query - streams_path.size());
+    std::optional<known_stream> stream;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (const auto found = m_streams.find(id); found != m_streams.end() && !m_cancelled.contains(id)) {
+            stream = found->second;
+        }
+    }
+    if (!stream || query == std::string::npos) {
+        co_await caller.send(make_json_response(404, "{}"));
+        co_return;
+    }
+    ++m_resumptions;
+    const running_request running(m_running);
+    const std::uint64_t first = std::stoull(target.substr(query + resume_query.size()));
+    co_await generate(id, *stream, first, take_fault(), caller);
+}
+
+asio::awaitable<void> engine_standin::generate(const std::string& id, known_stream stream, std::uint64_t first,
+                                               engine_fault fault, servers::caller_channel& caller) {
+    co_await caller.start_stream("text/event-stream");
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const std::uint64_t prompt_tokens = count_prompt_tokens(stream.prompt);
+    const std::uint64_t end = stream.most_tokens + (fault.kind == engine_fault_kind::overrun ? 3 : 0);
+    for (std::uint64_t position = first; position < end; ++position) {
+        const bool is_faulty = position - first == fault.after_tokens;
+        if (is_faulty && fault.kind == engine_fault_kind::break_off) {
+            cancel(id);
             throw servers::caller_gone_error("engine breaks off as planned");
         }
+        if (is_faulty && fault.kind == engine_fault_kind::silent) {
+            timer.expires_after(silent_time);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (is_faulty && fault.kind == engine_fault_kind::gap) {
+            continue;
+        }
         timer.expires_after(get_slowed(m_options.generated_token_time));
         co_await timer.async_wait(asio::use_awaitable);
-        const std::string chunk = make_chunk(is_chat, get_generated_text(prompt, position), position + 1 == most,
-                                             prompt_tokens, position + 1);
-        const std::string event = servers::format_event({.id = std::to_string(position), .data = chunk});
+        const std::string event_id = is_faulty && fault.kind == engine_fault_kind::crossed ? "another" : id;
+        std::string data = make_chunk(event_id, stream.is_chat, get_generated_text(stream.prompt, position),
+                                      position + 1 == stream.most_tokens, prompt_tokens, position + 1);
+        if (is_faulty && fault.kind == engine_fault_kind::garbage) {
+            data = "{\"choices\":[";
+        }
+        const std::string event = servers::format_event({.id = std::to_string(position), .data = data});
         co_await caller.send_chunk(event);
+        if (is_faulty && fault.kind == engine_fault_kind::repeated) {
+            co_await caller.send_chunk(event);
+        }
     }
     const std::string last_event = servers::format_event({.id = {}, .data = "[DONE]"});
     co_await caller.send_chunk(last_event);
     co_await caller.finish_stream();
 }
 
+void engine_standin::set_fault(const engine_fault& fault) {
+    const std::scoped_lock lock(m_mutex);
+    m_fault = fault;
+}
+
+engine_fault engine_standin::take_fault() {
+    const std::scoped_lock lock(m_mutex);
+    if (m_fault.count == 0) {
+        return {};
+    }
+    --m_fault.count;
+    return m_fault;
+}
+
+void engine_standin::cancel(const std::string& id) {
+    const std::scoped_lock lock(m_mutex);
+    m_cancelled.insert(id);
+}
+
+std::size_t engine_standin::get_cancelled() {
+    const std::scoped_lock lock(m_mutex);
+    return m_cancelled.size();
+}
+
 servers::http_response engine_standin::take_order(const std::string& body) {
     const boost::json::value root = json::parse(body);
     const boost::json::object& order = root.as_object();
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "servers/http_handler.hpp"
+#include "standin/engine_fault.hpp"
 
 namespace dragonflywell::standin {
 
@@ -34,10 +35,34 @@
     /// Returns how many requests carried an authorization header; the system must never send one.
     [[nodiscard]] std::uint64_t get_keys_seen() const noexcept { return m_keys_seen; }
     /// Ends the next answer after this many tokens, as an engine that crashes does.
-    void set_break_after(std::uint64_t tokens) noexcept { m_break_after = tokens; }
+    void set_break_after(std::uint64_t tokens) {
+        set_fault({.kind = engine_fault_kind::break_off, .after_tokens = tokens});
+    }
+    /// Has the next answers go wrong.
+    void set_fault(const engine_fault& fault);
+    /// Returns how many requests are running.
+    [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
+    /// Returns how many requests were started, resumptions not counted.
+    [[nodiscard]] std::uint64_t get_starts() const noexcept { return m_starts; }
+    /// Returns how many streams were resumed.
+    [[nodiscard]] std::uint64_t get_resumptions() const noexcept { return m_resumptions; }
+    /// Returns how many streams were cancelled by request.
+    [[nodiscard]] std::size_t get_cancelled();
 
 private:
+    /// What a stream goes on from when it is resumed.
+    struct known_stream {
+        std::string prompt;
+        bool is_chat{};
+        std::uint64_t most_tokens{};
+    };
+
     servers::asio::awaitable<void> complete(const servers::http_request& request, servers::caller_channel& caller);
+    servers::asio::awaitable<void> resume(const std::string& target, servers::caller_channel& caller);
+    servers::asio::awaitable<void> generate(const std::string& id, known_stream stream, std::uint64_t first,
+                                            engine_fault fault, servers::caller_channel& caller);
+    [[nodiscard]] engine_fault take_fault();
+    void cancel(const std::string& id);
     [[nodiscard]] servers::http_response take_order(const std::string& body);
     [[nodiscard]] servers::http_response report_load();
     [[nodiscard]] bool is_cached(const std::string& prompt);
@@ -46,13 +71,16 @@
     engine_standin_options m_options;
     std::atomic<std::uint64_t> m_running{0};
     std::atomic<std::uint64_t> m_keys_seen{0};
-    std::atomic<std::uint64_t> m_break_after{0};
+    std::atomic<std::uint64_t> m_starts{0};
+    std::atomic<std::uint64_t> m_resumptions{0};
     std::mutex m_mutex;
     std::string m_role;
     std::uint64_t m_newest_fence{0};
     std::map<std::string, std::string> m_applied_orders;
     std::set<std::string> m_cached_prompts;
     std::set<std::string> m_cancelled;
+    std::map<std::string, known_stream> m_streams;
+    engine_fault m_fault{.count = 0};
 };
 
 /// Returns the text that the engine generates at a position for a prompt.
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <fmt/format.h>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -21,7 +22,10 @@
 /// A platform, an engine, a plain service and one daemon, all on free ports.
 class small_deployment {
 public:
-    small_deployment() : m_log({.server = m_platform.get_endpoint()}), m_daemon(make_settings()) {
+    /// `more_settings`: further sections of the daemon's settings file.
+    explicit small_deployment(std::string more_settings = "[stop]\nnotice_ms = 0\n")
+        : m_more_settings(std::move(more_settings)), m_log({.server = m_platform.get_endpoint()}),
+          m_daemon(make_settings()) {
         publish(make_entries());
         m_daemon.start();
         while (!m_daemon.is_ready()) {
@@ -32,33 +36,73 @@
     http::response<http::string_body> call(http::verb method, const std::string& target, const std::string& body,
                                            const std::string& key) {
         boost::asio::io_context context;
+        boost::beast::tcp_stream stream = connect(context);
+        return exchange(stream, method, target, body, key);
+    }
+
+    /// Sends a request and closes the connection once `is_time` holds, without waiting for an answer.
+    void call_and_leave(const std::string& target, const std::string& body, const std::string& key,
+                        const std::function<bool()>& is_time) {
+        boost::asio::io_context context;
+        boost::beast::tcp_stream stream = connect(context);
+        http::write(stream, make_request(http::verb::post, target, body, key));
+        while (!is_time()) {
+            std::this_thread::yield();
+        }
+    }
+
+    [[nodiscard]] boost::beast::tcp_stream connect(boost::asio::io_context& context) const {
         boost::beast::tcp_stream stream(context);
         stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemon.get_caller_port()});
-        http::request<http::string_body> request(method, target, 11);
-        request.set(http::field::host, "localhost");
-        if (!key.empty()) {
-            request.set(http::field::authorization, "Bearer " + key);
-        }
-        request.body() = body;
-        request.prepare_payload();
-        http::write(stream, request);
+        return stream;
+    }
+
+    static http::response<http::string_body> exchange(boost::beast::tcp_stream& stream, http::verb method,
+                                                      const std::string& target, const std::string& body,
+                                                      const std::string& key) {
+        http::write(stream, make_request(method, target, body, key));
         boost::beast::flat_buffer buffer;
         http::response<http::string_body> response;
         http::read(stream, buffer, response);
         return response;
     }
 
+    /// Returns what the operators' listener shows as metrics.
+    [[nodiscard]] std::string get_metrics() const {
+        boost::asio::io_context context;
+        boost::beast::tcp_stream stream(context);
+        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemon.get_operator_port()});
+        return exchange(stream, http::verb::get, "/metrics", "", "").body();
+    }
+
+    [[nodiscard]] coordination::usage_table get_usage() const { return m_daemon.get_usage(); }
+    [[nodiscard]] bool is_ready() const { return m_daemon.is_ready(); }
+    void stop() { m_daemon.stop(); }
+    void end_notice() { m_daemon.end_notice(); }
+
     running_standin<standin::engine_standin> engine{
         standin::engine_standin_options{.model = "m", .generated_token_time = std::chrono::microseconds(100)}};
     running_standin<standin::service_standin> service;
 
 private:
+    static http::request<http::string_body> make_request(http::verb method, const std::string& target,
+                                                         const std::string& body, const std::string& key) {
+        http::request<http::string_body> request(method, target, 11);
+        request.set(http::field::host, "localhost");
+        if (!key.empty()) {
+            request.set(http::field::authorization, "Bearer " + key);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        return request;
+    }
+
     daemon::daemon_settings make_settings() {
         return daemon::parse_daemon_settings(
             fmt::format("[host]\nname = \"h1\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
                         "operators = \"127.0.0.1:0\"\n[platform]\nlog = \"{}\"\n[configuration]\npoll_ms = 10\n"
-                        "[log]\nlevel = \"error\"\n",
-                        format_endpoint(m_platform.get_endpoint())),
+                        "[log]\nlevel = \"error\"\n{}",
+                        format_endpoint(m_platform.get_endpoint()), m_more_settings),
             "test.toml");
     }
 
@@ -68,9 +112,11 @@
                 "keys":{{"k1":{{"organisation":"rovers","salt":"s","sha256":"{}"}}}},"models":{{"m":{{"version":"1"}}}},
                 "routes":{{"r1":{{"service":"app","path_prefix":"/maps","methods":["GET"],"idempotent":true}},
                            "r2":{{"service":"app","path_prefix":"/subscriptions","methods":["POST"]}},
-                           "r3":{{"service":"app","path_prefix":"/public","methods":["GET"],"open":true}}}},
+                           "r3":{{"service":"app","path_prefix":"/public","methods":["GET"],"open":true}},
+                           "r4":{{"service":"gone","path_prefix":"/unreachable","methods":["GET"],"idempotent":true}}}},
                 "backend_servers":{{"e1":{{"zone":"a","address":"{}","model":"m"}},
-                                    "s1":{{"zone":"a","address":"{}","service":"app"}}}}}})",
+                                    "s1":{{"zone":"a","address":"{}","service":"app"}},
+                                    "s2":{{"zone":"a","address":"127.0.0.1:1","service":"gone"}}}}}})",
             get_sha256_hex("ssecret"), format_endpoint(engine.get_endpoint()),
             format_endpoint(service.get_endpoint())));
     }
@@ -81,6 +127,7 @@
         coordination::publish_configuration(stream, {.set = entries, .removed = {}}, {});
     }
 
+    std::string m_more_settings;
     running_standin<standin::platform_standin> m_platform;
     platform::http_log m_log;
     daemon::daemon m_daemon;
