Run keyed requests at most once over all entry hosts

Cause: a request that must not be repeated and was sent twice, through two hosts, ran twice. Change: a claim on the log before the run, in batches, the first in log order wins; ends are recorded; a second arrival is told the state or given the recorded answer.

--- /dev/null
+++ b/coordination/claim_book.cpp
@@ -0,0 +1,115 @@
+#include "coordination/claim_book.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+std::uint64_t get_seconds(const clock_source& time) {
+    const auto since_epoch = time.wall_now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count());
+}
+
+} // namespace
+
+claim_book::claim_book(folded_stream& stream, const clock_source& time, claim_options options)
+    : m_stream(&stream), m_time(&time), m_options(options), m_fold(options.window) {
+    m_stream->add_observer(m_fold);
+}
+
+void claim_book::poll() {
+    m_stream->poll();
+}
+
+std::vector<claim_answer> claim_book::process(std::span<const claim_request> requests,
+                                              std::span<const claim_settlement> settlements) {
+    m_unwritten.insert(m_unwritten.end(), settlements.begin(), settlements.end());
+    const std::vector<claim_request> unclaimed = get_unclaimed(requests);
+    const steady_time sent_at = m_time->now();
+    std::optional<log_offset> written;
+    if (!unclaimed.empty() || !m_unwritten.empty()) {
+        written = write(unclaimed);
+    }
+    std::set<claim_id> won;
+    std::vector<claim_answer> answers;
+    for (const claim_request& request : requests) {
+        const claim_entry* entry = m_fold.find(request.id);
+        const bool is_own = entry != nullptr && written && entry->offset == *written &&
+                            m_fold.get_owner(*entry) == m_stream->get_writer();
+        // Of two arrivals in one batch the first runs.
+        if (is_own && won.insert(request.id).second) {
+            answers.push_back({.verdict = claim_verdict::won, .start_before = sent_at + m_options.run_limit});
+            continue;
+        }
+        answers.push_back(get_state(request));
+    }
+    return answers;
+}
+
+std::vector<claim_request> claim_book::get_unclaimed(std::span<const claim_request> requests) const {
+    std::vector<claim_request> unclaimed;
+    std::set<claim_id> seen;
+    for (const claim_request& request : requests) {
+        const claim_entry* entry = m_fold.find(request.id);
+        const bool has_room = entry != nullptr || m_fold.get_size() + unclaimed.size() < m_options.most_entries;
+        // A claim that another host has not settled is tried again: its release may not have been read here yet.
+        const bool is_decided = (entry != nullptr && entry->end == claim_end::done) || is_own_running(request.id);
+        if (!is_decided && has_room && seen.insert(request.id).second) {
+            unclaimed.push_back(request);
+        }
+    }
+    return unclaimed;
+}
+
+std::optional<log_offset> claim_book::write(const std::vector<claim_request>& claims) {
+    const std::array drafts{
+        make_claim_batch_record({.written_at = get_seconds(*m_time), .settlements = m_unwritten, .claims = claims})};
+    try {
+        const submission result = m_stream->submit(drafts).front();
+        m_unwritten.clear();
+        return result.verdict == record_verdict::valid ? std::optional(result.offset) : std::nullopt;
+    } catch (const log_unavailable_error&) {
+        // The append may still take effect. Each claim is released by the next batch: it stands either before that
+        // batch, which then frees it, or after it, where every reader drops it as an old sequence number.
+        for (const claim_request& claim : claims) {
+            m_unwritten.push_back({.id = claim.id, .end = claim_end::released});
+        }
+        return std::nullopt;
+    }
+}
+
+bool claim_book::is_own_running(const claim_id& id) const {
+    const claim_entry* entry = m_fold.find(id);
+    return entry != nullptr && m_fold.get_owner(*entry) == m_stream->get_writer() && !is_release_unwritten(id);
+}
+
+bool claim_book::is_release_unwritten(const claim_id& id) const {
+    return std::any_of(m_unwritten.begin(), m_unwritten.end(), [&id](const claim_settlement& settlement) {
+        return settlement.id == id && settlement.end == claim_end::released;
+    });
+}
+
+claim_answer claim_book::get_state(const claim_request& request) const {
+    const claim_entry* entry = m_fold.find(request.id);
+    if (entry == nullptr || (m_fold.get_owner(*entry) == m_stream->get_writer() && is_release_unwritten(request.id))) {
+        const bool is_full = m_fold.get_size() >= m_options.most_entries;
+        return {.verdict = is_full ? claim_verdict::full : claim_verdict::log_unavailable};
+    }
+    if (entry->digest != request.digest) {
+        return {.verdict = claim_verdict::different_request};
+    }
+    if (entry->end == claim_end::done) {
+        return {.verdict = claim_verdict::done, .answer = *entry->answer};
+    }
+    const auto run_limit = static_cast<std::uint64_t>(m_options.run_limit.count());
+    const bool is_overdue = get_seconds(*m_time) >= entry->claimed_at + run_limit;
+    if (entry->end == claim_end::unknown || is_overdue || m_fold.is_owner_replaced(*entry)) {
+        return {.verdict = claim_verdict::unknown};
+    }
+    return {.verdict = claim_verdict::running};
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/claim_fold.cpp
@@ -0,0 +1,150 @@
+#include "coordination/claim_fold.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+#include "core/json.hpp"
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> end_names{"done", "released", "unknown"};
+
+claim_end parse_end(const std::string& name) {
+    const auto found = std::find(end_names.begin(), end_names.end(), name);
+    if (found == end_names.end()) {
+        throw malformed_message_error("unknown end of a claim: " + name);
+    }
+    return static_cast<claim_end>(found - end_names.begin());
+}
+
+boost::json::object encode_settlement(const claim_settlement& settlement) {
+    boost::json::object row{{"id", format_claim_id(settlement.id)},
+                            {"end", end_names.at(static_cast<std::size_t>(settlement.end))}};
+    if (settlement.end == claim_end::done) {
+        row["status"] = settlement.answer.status;
+        if (settlement.answer.body) {
+            row["content_type"] = settlement.answer.content_type;
+            row["body"] = *settlement.answer.body;
+        }
+    }
+    return row;
+}
+
+claim_settlement parse_settlement(const boost::json::object& row) {
+    claim_settlement settlement{.id = parse_claim_id(json::get_string(row, "id")),
+                                .end = parse_end(json::get_string(row, "end"))};
+    settlement.answer.status = static_cast<unsigned>(json::get_unsigned_or(row, "status", 0));
+    settlement.answer.content_type = json::get_string_or(row, "content_type", "");
+    if (row.contains("body")) {
+        settlement.answer.body = json::get_string(row, "body");
+    }
+    return settlement;
+}
+
+} // namespace
+
+record_draft make_claim_batch_record(const claim_batch& batch) {
+    boost::json::array settlements;
+    for (const claim_settlement& settlement : batch.settlements) {
+        settlements.push_back(encode_settlement(settlement));
+    }
+    boost::json::array claims;
+    for (const claim_request& claim : batch.claims) {
+        claims.push_back({{"id", format_claim_id(claim.id)}, {"digest", claim.digest}});
+    }
+    return {.type = std::string(claim_batch_type),
+            .body = {{"at", batch.written_at}, {"settled", std::move(settlements)}, {"claims", std::move(claims)}},
+            .condition = {},
+            .fence = {}};
+}
+
+claim_batch parse_claim_batch(const boost::json::object& body) {
+    claim_batch batch{.written_at = json::get_unsigned(body, "at"), .settlements = {}, .claims = {}};
+    for (const boost::json::value& row : json::get_array(body, "settled")) {
+        batch.settlements.push_back(parse_settlement(json::as_object(row, "settlement")));
+    }
+    for (const boost::json::value& item : json::get_array(body, "claims")) {
+        const boost::json::object& row = json::as_object(item, "claim");
+        batch.claims.push_back(
+            {.id = parse_claim_id(json::get_string(row, "id")), .digest = json::get_unsigned(row, "digest")});
+    }
+    return batch;
+}
+
+claim_fold::claim_fold(std::chrono::seconds window) : m_window(window) {}
+
+void claim_fold::on_record(log_offset offset, const record& value) {
+    if (value.type != claim_batch_type) {
+        return;
+    }
+    const claim_batch batch = parse_claim_batch(value.body);
+    const std::uint32_t writer = intern(value.writer);
+    advance(batch.written_at);
+    for (const claim_settlement& settlement : batch.settlements) {
+        settle(settlement, writer);
+    }
+    for (const claim_request& claim : batch.claims) {
+        const auto [position, is_new] = m_entries.try_emplace(claim.id);
+        if (!is_new) {
+            continue;
+        }
+        position->second.digest = claim.digest;
+        position->second.offset = offset;
+        position->second.claimed_at = m_newest_time;
+        position->second.owner = writer;
+        m_aging.push_back({.claimed_at = m_newest_time, .id = claim.id, .offset = offset});
+    }
+}
+
+const claim_entry* claim_fold::find(const claim_id& id) const {
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+bool claim_fold::is_owner_replaced(const claim_entry& entry) const {
+    const writer_id& owner = get_owner(entry);
+    return m_newest_incarnations.at(owner.host) > owner.incarnation;
+}
+
+std::uint32_t claim_fold::intern(const writer_id& writer) {
+    std::uint64_t& newest = m_newest_incarnations[writer.host];
+    newest = std::max(newest, writer.incarnation);
+    const auto [position, is_new] = m_writer_indices.try_emplace(writer, static_cast<std::uint32_t>(m_writers.size()));
+    if (is_new) {
+        m_writers.push_back(writer);
+    }
+    return position->second;
+}
+
+void claim_fold::advance(std::uint64_t written_at) {
+    m_newest_time = std::max(m_newest_time, written_at);
+    const auto window = static_cast<std::uint64_t>(m_window.count());
+    while (!m_aging.empty() && m_newest_time - m_aging.front().claimed_at >= window) {
+        // The identifier may have been released and claimed again since: only the entry of this claim is forgotten.
+        const auto found = m_entries.find(m_aging.front().id);
+        if (found != m_entries.end() && found->second.offset == m_aging.front().offset) {
+            m_entries.erase(found);
+        }
+        m_aging.pop_front();
+    }
+}
+
+void claim_fold::settle(const claim_settlement& settlement, std::uint32_t writer) {
+    const auto found = m_entries.find(settlement.id);
+    if (found == m_entries.end() || found->second.owner != writer || found->second.end == claim_end::done) {
+        return;
+    }
+    if (settlement.end == claim_end::released) {
+        m_entries.erase(found);
+        return;
+    }
+    found->second.end = settlement.end;
+    if (settlement.end == claim_end::done) {
+        found->second.answer = std::make_unique<const recorded_answer>(settlement.answer);
+    }
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/daemon/claim_task.cpp
@@ -0,0 +1,53 @@
+#include "daemon/claim_task.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+/// How long a round waits for work. Bounds the time that a graceful stop takes.
+constexpr std::chrono::milliseconds idle_wait{100};
+constexpr std::chrono::seconds idle_poll_interval{1};
+
+} // namespace
+
+claim_task::claim_task(const daemon_parts& parts)
+    : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
+      m_stream(m_platform_log, std::string(coordination::claim_stream), parts.self),
+      m_book(m_stream, parts.time, parts.settings.claims),
+      m_batches(&parts.metrics.get_counter("dragonflywell_claim_batches_total")),
+      m_remembered(&parts.metrics.get_gauge("dragonflywell_claims_remembered")) {}
+
+void claim_task::run_round() {
+    const coordination::claim_round round = m_parts.claims.take(idle_wait);
+    if (!round.claims.empty() || !round.settlements.empty() || m_book.has_unwritten()) {
+        process(round);
+        m_pause = m_parts.settings.claim_interval;
+        return;
+    }
+    m_pause = {};
+    if (m_parts.time.now() - m_polled_at >= idle_poll_interval) {
+        m_polled_at = m_parts.time.now();
+        m_book.poll();
+    }
+}
+
+void claim_task::finish() {
+    m_parts.claims.close();
+    process(m_parts.claims.take({}));
+}
+
+void claim_task::process(const coordination::claim_round& round) {
+    std::vector<coordination::claim_request> requests;
+    for (const coordination::waiting_claim& claim : round.claims) {
+        requests.push_back(claim.request);
+    }
+    m_batches->add();
+    m_polled_at = m_parts.time.now();
+    const std::vector<coordination::claim_answer> answers = m_book.process(requests, round.settlements);
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        round.claims[index].on_answer(answers[index]);
+    }
+    m_remembered->set(static_cast<std::int64_t>(m_book.get_size()));
+}
+
+} // namespace dragonflywell::daemon
--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_tasks.hpp"
 
+#include "daemon/claim_task.hpp"
 #include "daemon/configuration_task.hpp"
 #include "daemon/usage_task.hpp"
 
@@ -8,6 +9,7 @@
 std::vector<std::unique_ptr<control_task>> make_control_tasks(const daemon_parts& parts) {
     std::vector<std::unique_ptr<control_task>> tasks;
     tasks.push_back(std::make_unique<configuration_task>(parts));
+    tasks.push_back(std::make_unique<claim_task>(parts));
     tasks.push_back(std::make_unique<usage_task>(parts));
     return tasks;
 }
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -30,6 +30,7 @@
                                        .connections = m_connections,
                                        .loads = m_loads,
                                        .usage = m_usage,
+                                       .claims = m_claims,
                                        .counters = m_counters,
                                        .limits = m_settings.limits},
       m_entry_handler(m_context),
@@ -45,7 +46,8 @@
               .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)},
               .metrics = m_metrics,
               .manifest = m_manifest,
-              .usage = m_usage} {
+              .usage = m_usage,
+              .claims = m_claims} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -48,6 +48,7 @@
     metrics_registry m_metrics;
     snapshot_cell<servers::active_manifest> m_manifest;
     coordination::usage_meter m_usage;
+    coordination::claim_queue m_claims;
     policy::two_choice_placement m_placement;
     servers::backend_connection_pool m_connections;
     servers::backend_load_table m_loads;
--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -16,6 +16,7 @@
     metrics_registry& metrics;
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
+    coordination::claim_queue& claims;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -35,6 +35,11 @@
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
+    settings.claim_interval = get_milliseconds(reader, "claims.interval_ms", poll_milliseconds, 50);
+    settings.claims.window =
+        std::chrono::seconds(reader.get_integer("claims.window_s", {.least = 1200, .most = 604800}, 3600));
+    settings.claims.most_entries =
+        static_cast<std::size_t>(reader.get_integer("claims.most_entries", {.least = 100, .most = 1000000}, 50000));
     settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.least = 1, .most = 256}, 2));
     settings.header_limit_bytes = static_cast<std::uint32_t>(
         reader.get_integer("request.header_limit_bytes", {.least = 1024, .most = 1048576}, 16384));
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "coordination/claim_book.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
@@ -21,6 +22,9 @@
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
+    /// Least time between two appends of claims.
+    duration claim_interval{};
+    coordination::claim_options claims;
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -23,6 +23,7 @@
         {.code = "duplicate_running", .status = 409},
         {.code = "duplicate_done", .status = 409},
         {.code = "duplicate_unknown", .status = 409},
+        {.code = "idempotency_key_reused", .status = 422},
         {.code = "stopping", .status = 503},
         {.code = "not_ready", .status = 503},
         {.code = "backend_server_failed", .status = 502},
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -38,12 +38,13 @@
     duplicate_running,
     duplicate_done,
     duplicate_unknown,
+    idempotency_key_reused,
     stopping,
     not_ready,
     backend_server_failed,
 };
 
-inline constexpr std::size_t refusal_reason_count = 22;
+inline constexpr std::size_t refusal_reason_count = 23;
 
 /// Why a request was sent to a backend server again.
 enum class retry_reason { connect_failed, stale_connection, broken_answer, silent_backend_server, backend_server_busy };
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <string>
 
+#include "coordination/claim_queue.hpp"
 #include "coordination/usage.hpp"
 #include "core/clock.hpp"
 #include "core/snapshot_cell.hpp"
@@ -39,6 +40,7 @@
     backend_connection_pool& connections;
     backend_load_table& loads;
     coordination::usage_meter& usage;
+    coordination::claim_queue& claims;
     request_counters& counters;
     request_limits limits;
 };
--- /dev/null
+++ b/servers/request_claim.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <optional>
+
+#include "coordination/claim_queue.hpp"
+#include "servers/entry_context.hpp"
+#include "servers/http_types.hpp"
+#include "servers/request_refused.hpp"
+
+namespace dragonflywell::servers {
+
+/// Returns whether the caller asks for a request to run at most once over all its arrivals.
+[[nodiscard]] bool has_idempotency_key(const http_request& request);
+
+/// The claim of one request that carries an idempotency key. Used by one coroutine.
+///
+/// A claim that was won and not settled counts as unknown when the object goes, so that nobody runs it again.
+class request_claim {
+public:
+    /// Preconditions: context and request outlive the claim; the request has an idempotency key.
+    /// `organisation` is empty for an open route.
+    request_claim(entry_context& context, const http_request& request, const organisation_name& organisation);
+    request_claim(const request_claim&) = delete;
+    request_claim& operator=(const request_claim&) = delete;
+    request_claim(request_claim&&) = delete;
+    request_claim& operator=(request_claim&&) = delete;
+    ~request_claim();
+
+    /// Returns nothing when the request is to be run now, or the recorded answer of its earlier run.
+    /// Throws `request_refused` for any other state, and for a key of the wrong form. Blocks no thread.
+    asio::awaitable<std::optional<http_response>> acquire();
+
+    /// Throws `request_refused` when the run may not start any more, because the claim is too old.
+    void check_start() const;
+
+    /// Records the answer.
+    void settle_done(const http_response& response);
+    /// Frees the key, since no byte of the request was written to a backend server.
+    void settle_not_run();
+
+private:
+    asio::awaitable<coordination::claim_answer> wait_for_answer();
+    [[nodiscard]] http_response replay(const coordination::recorded_answer& answer) const;
+
+    entry_context* m_context;
+    bool m_is_open_route;
+    coordination::claim_request m_claim;
+    steady_time m_start_before{};
+    bool m_is_unsettled{false};
+};
+
+} // namespace dragonflywell::servers
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -39,9 +39,15 @@
     : m_context(&context), m_request(&request), m_route(&route) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
-    http_response response = co_await exchange_with_retries();
+    const bool is_claimed = !m_route->is_idempotent && has_idempotency_key(*m_request);
+    http_response response;
+    if (is_claimed) {
+        response = co_await run_claimed();
+    } else {
+        response = co_await exchange_with_retries();
+    }
     response.set("x-dragonflywell-outcome", "completed");
-    if (m_organisation) {
+    if (m_organisation && m_has_run) {
         const auto window = get_window(m_context->time.wall_now(), m_context->manifest.get()->content);
         m_context->usage.add({.organisation = *m_organisation, .window = window}, {.requests = 1});
     }
@@ -49,12 +55,34 @@
     co_await caller.send(std::move(response));
 }
 
+asio::awaitable<http_response> service_call::run_claimed() {
+    check_key(m_context->manifest.get()->content);
+    m_claim.emplace(*m_context, *m_request, m_organisation.value_or(organisation_name()));
+    std::optional<http_response> recorded = co_await m_claim->acquire();
+    if (recorded) {
+        co_return std::move(*recorded);
+    }
+    try {
+        http_response response = co_await exchange_with_retries();
+        m_claim->settle_done(response);
+        co_return response;
+    } catch (const request_refused& refusal) {
+        if (refusal.get_outcome() == policy::request_outcome::not_run) {
+            m_claim->settle_not_run();
+        }
+        throw;
+    }
+}
+
 asio::awaitable<http_response> service_call::exchange_with_retries() {
     for (unsigned attempt = 1;; ++attempt) {
         // The manifest is read anew for each attempt, so that a key revoked in between stops the next one.
         const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
         check_key(manifest->content);
         const fleet::backend_server& server = choose_server(manifest->content);
+        if (m_claim) {
+            m_claim->check_start();
+        }
         std::optional<exchange_failed_error> failure;
         try {
             co_return co_await exchange(server);
@@ -94,6 +122,7 @@
         response.body() += piece;
         piece = co_await exchange.read_some();
     }
+    m_has_run = true;
     co_return response;
 }
 
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -5,6 +5,7 @@
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
+#include "servers/request_claim.hpp"
 #include "servers/request_refused.hpp"
 
 namespace dragonflywell::servers {
@@ -20,6 +21,7 @@
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
+    asio::awaitable<http_response> run_claimed();
     asio::awaitable<http_response> exchange_with_retries();
     asio::awaitable<http_response> exchange(const fleet::backend_server& server);
     [[nodiscard]] const fleet::backend_server& choose_server(const fleet::manifest& manifest);
@@ -30,6 +32,9 @@
     const fleet::service_route* m_route;
     std::optional<organisation_name> m_organisation;
     std::set<backend_server_name> m_tried;
+    bool m_has_run{false};
+    /// Set for a request that must not be repeated and carries an idempotency key.
+    std::optional<request_claim> m_claim;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -15,6 +15,11 @@
         if (is_down) {
             throw coordination::log_unavailable_error("log is down");
         }
+        if (holds_next_append) {
+            holds_next_append = false;
+            m_held[std::string(stream)] = {records.begin(), records.end()};
+            throw coordination::log_unavailable_error("append is on its way");
+        }
         std::vector<std::string>& target = streams[std::string(stream)];
         const coordination::log_offset first = target.size();
         target.insert(target.end(), records.begin(), records.end());
@@ -38,10 +43,23 @@
         return batch;
     }
 
+    /// Lets the append that was held take effect.
+    void deliver_held() {
+        for (const auto& [stream, records] : m_held) {
+            streams[stream].insert(streams[stream].end(), records.begin(), records.end());
+        }
+        m_held.clear();
+    }
+
     std::map<std::string, std::vector<std::string>> streams;
     std::uint64_t appends{0};
     bool is_down{false};
     bool drops_next_answer{false};
+    /// Fails the next append and keeps it, so that it can take effect late.
+    bool holds_next_append{false};
+
+private:
+    std::map<std::string, std::vector<std::string>> m_held;
 };
 
 } // namespace dragonflywell::testing
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -18,27 +18,54 @@
 
 namespace http = boost::beast::http;
 
-/// A platform, an engine, a plain service and one daemon, all on free ports.
+/// A platform, an engine, a plain service and one daemon or more, all on free ports.
 class small_deployment {
 public:
-    small_deployment() : m_log({.server = m_platform.get_endpoint()}), m_daemon(make_settings()) {
+    explicit small_deployment(std::size_t hosts = 1) : m_log({.server = platform.get_endpoint()}) {
         publish(make_entries());
-        m_daemon.start();
-        while (!m_daemon.is_ready()) {
+        for (std::size_t host = 0; host < hosts; ++host) {
+            add_host();
+        }
+    }
+
+    /// Starts another daemon and returns its index.
+    std::size_t add_host() {
+        m_daemons.push_back(std::make_unique<daemon::daemon>(make_settings(m_daemons.size() + 1)));
+        m_daemons.back()->start();
+        while (!m_daemons.back()->is_ready()) {
             std::this_thread::yield();
         }
+        return m_daemons.size() - 1;
+    }
+
+    daemon::daemon& get_host(std::size_t host) { return *m_daemons.at(host); }
+
+    /// Publishes changed entries on top of those in force; an empty text removes an entry.
+    void change(const std::string& path, const std::string& text) {
+        fleet::manifest_entries entries;
+        std::vector<std::string> removed;
+        if (text.empty()) {
+            removed.push_back(path);
+        } else {
+            entries[path] = text;
+        }
+        publish(entries, removed);
     }
 
     http::response<http::string_body> call(http::verb method, const std::string& target, const std::string& body,
-                                           const std::string& key) {
+                                           const std::string& key, const std::string& idempotency_key = "",
+                                           std::size_t host = 0) {
         boost::asio::io_context context;
         boost::beast::tcp_stream stream(context);
-        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemon.get_caller_port()});
+        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemons.at(host)->get_caller_port()});
         http::request<http::string_body> request(method, target, 11);
         request.set(http::field::host, "localhost");
         if (!key.empty()) {
             request.set(http::field::authorization, "Bearer " + key);
         }
+        if (!idempotency_key.empty()) {
+            request.set("idempotency-key", idempotency_key);
+        }
         request.body() = body;
         request.prepare_payload();
         http::write(stream, request);
@@ -51,14 +78,15 @@
     running_standin<standin::engine_standin> engine{
         standin::engine_standin_options{.model = "m", .generated_token_time = std::chrono::microseconds(100)}};
     running_standin<standin::service_standin> service;
+    running_standin<standin::platform_standin> platform;
 
 private:
-    daemon::daemon_settings make_settings() {
+    daemon::daemon_settings make_settings(std::size_t number) {
         return daemon::parse_daemon_settings(
-            fmt::format("[host]\nname = \"h1\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
+            fmt::format("[host]\nname = \"h{}\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
                         "operators = \"127.0.0.1:0\"\n[platform]\nlog = \"{}\"\n[configuration]\npoll_ms = 10\n"
                         "[log]\nlevel = \"error\"\n",
-                        format_endpoint(m_platform.get_endpoint())),
+                        number, format_endpoint(platform.get_endpoint())),
             "test.toml");
     }
 
@@ -75,15 +103,18 @@
             format_endpoint(service.get_endpoint())));
     }
 
-    void publish(const fleet::manifest_entries& entries) {
+    void publish(const fleet::manifest_entries& entries, const std::vector<std::string>& removed = {}) {
         coordination::folded_stream stream(m_log, std::string(coordination::configuration_stream),
-                                           {.host = "operator", .incarnation = 1});
-        coordination::publish_configuration(stream, {.set = entries, .removed = {}}, {});
+                                           {.host = "operator", .incarnation = ++m_operators});
+        coordination::configuration_fold fold;
+        stream.add_observer(fold);
+        stream.poll();
+        coordination::publish_configuration(stream, {.set = entries, .removed = removed}, fold.get()->version);
     }
 
-    running_standin<standin::platform_standin> m_platform;
-    platform::http_log m_log;
-    daemon::daemon m_daemon;
+    dragonflywell::platform::http_log m_log;
+    std::uint64_t m_operators{0};
+    std::vector<std::unique_ptr<daemon::daemon>> m_daemons;
 };
 
 } // namespace dragonflywell::testing
