--- a/coordination/claim_book.cpp
+++ b/coordination/claim_book.cpp
@@ -18,6 +18,8 @@
 claim_book::claim_book(folded_stream& stream, const clock_source& time, claim_options options)
     : m_stream(&stream), m_time(&time), m_options(options), m_fold(options.window) {
     m_stream->add_observer(m_fold);
+    // What the log has forgotten is older than the window.
+    m_stream->allow_gaps();
 }
 
 void claim_book::poll() {
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -94,6 +94,8 @@
     for (std::thread& thread : m_threads) {
         thread.join();
     }
+    // A connection must not outlive the context that it was made on.
+    m_connections.clear();
     m_log->info("Stopped.");
 }
 
--- a/tests/coordination/test_claim_book.cpp
+++ b/tests/coordination/test_claim_book.cpp
@@ -108,10 +108,10 @@
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
-    log.holds_next_append = true;
+    log.hides_next_append = true;
     CHECK(first.claim("k").verdict == claim_verdict::log_unavailable);
     SUBCASE("before its writer has spoken") {
-        log.deliver_held();
+        log.deliver_hidden();
         CHECK(second.claim("k").verdict == claim_verdict::running);
         CHECK(first.claim("another").verdict == claim_verdict::won);
         CHECK(second.claim("k").verdict == claim_verdict::won);
@@ -119,7 +119,7 @@
     }
     SUBCASE("after its writer has spoken") {
         CHECK(first.claim("another").verdict == claim_verdict::won);
-        log.deliver_held();
+        log.deliver_hidden();
         CHECK(second.claim("k").verdict == claim_verdict::won);
     }
 }
@@ -153,6 +153,17 @@
     CHECK(host.book.get_size() == 3);
 }
 
+TEST_CASE("a fresh host reads on where the log has forgotten older claims") {
+    testing::fake_log log;
+    virtual_clock time;
+    claiming_host first(log, time, "host-1");
+    CHECK(first.claim("a").verdict == claim_verdict::won);
+    CHECK(first.claim("b").verdict == claim_verdict::won);
+    log.oldest_kept[std::string(claim_stream)] = 1;
+    claiming_host fresh(log, time, "host-2");
+    CHECK(fresh.claim("b").verdict == claim_verdict::running);
+}
+
 TEST_CASE("the same key of two organisations is two claims, however names and keys are cut") {
     CHECK(make_claim_id(rovers, "k") != make_claim_id(organisation_name("surveyors"), "k"));
     CHECK(make_claim_id(organisation_name("a"), "bc") != make_claim_id(organisation_name("ab"), "c"));
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/append_log.hpp"
@@ -15,9 +17,9 @@
         if (is_down) {
             throw coordination::log_unavailable_error("log is down");
         }
-        if (holds_next_append) {
-            holds_next_append = false;
-            m_held[std::string(stream)] = {records.begin(), records.end()};
+        if (hides_next_append) {
+            hides_next_append = false;
+            hidden.emplace_back(stream, std::vector<std::string>(records.begin(), records.end()));
             throw coordination::log_unavailable_error("append is on its way");
         }
         std::vector<std::string>& target = streams[std::string(stream)];
@@ -36,30 +38,31 @@
             throw coordination::log_unavailable_error("log is down");
         }
         const std::vector<std::string>& source = streams[std::string(stream)];
-        coordination::log_batch batch{.entries = {}, .oldest = 0, .end = source.size()};
-        for (coordination::log_offset offset = from; offset < source.size() && batch.entries.size() < most; ++offset) {
+        const coordination::log_offset oldest = oldest_kept[std::string(stream)];
+        coordination::log_batch batch{.entries = {}, .oldest = oldest, .end = source.size()};
+        for (coordination::log_offset offset = std::max(from, oldest);
+             offset < source.size() && batch.entries.size() < most; ++offset) {
             batch.entries.push_back({.offset = offset, .data = source[offset]});
         }
         return batch;
     }
 
-    /// Lets the append that was held take effect.
-    void deliver_held() {
-        for (const auto& [stream, records] : m_held) {
-            streams[stream].insert(streams[stream].end(), records.begin(), records.end());
+    /// Lets the appends that were on their way take effect.
+    void deliver_hidden() {
+        for (const auto& [stream, records] : std::exchange(hidden, {})) {
+            std::vector<std::string>& target = streams[stream];
+            target.insert(target.end(), records.begin(), records.end());
         }
-        m_held.clear();
     }
 
     std::map<std::string, std::vector<std::string>> streams;
+    /// Offset of the oldest record that each stream still keeps.
+    std::map<std::string, coordination::log_offset> oldest_kept;
+    std::vector<std::pair<std::string, std::vector<std::string>>> hidden;
     std::uint64_t appends{0};
     bool is_down{false};
     bool drops_next_answer{false};
-    /// Fails the next append and keeps it, so that it can take effect late.
-    bool holds_next_append{false};
-
-private:
-    std::map<std::string, std::vector<std::string>> m_held;
+    bool hides_next_append{false};
 };
 
 } // namespace dragonflywell::testing
