Seal and report billing windows exactly once

Cause: counters were summed for operators but no window was ever closed or reported. Change: hosts close their windows; the reporter under the lease seals a window in the log, which fixes its figures for every reader, and reports it through the order ledger. Late use is a marked line of the next report.

--- a/coordination/usage.cpp
+++ b/coordination/usage.cpp
@@ -21,6 +21,11 @@
 
 void usage_meter::add(const usage_key& key, const usage_figures& amount) {
     const std::scoped_lock lock(m_mutex);
+    if (m_closed_through && key.window <= *m_closed_through) {
+        m_counters[{.organisation = key.organisation, .window = *m_closed_through + 1, .late_from = key.window}] +=
+            amount;
+        return;
+    }
     m_counters[key] += amount;
 }
 
@@ -49,38 +54,68 @@
     return m_counters;
 }
 
-record_draft make_usage_record(const writer_id& owner, const usage_table& counters) {
+void usage_meter::close(window_number through) {
+    const std::scoped_lock lock(m_mutex);
+    m_closed_through = std::max(m_closed_through.value_or(0), through);
+}
+
+void usage_meter::forget(window_number through) {
+    const std::scoped_lock lock(m_mutex);
+    const auto is_closed = [through](const auto& entry) { return entry.first.window <= through; };
+    std::erase_if(m_counters, is_closed);
+    std::erase_if(m_flushed, is_closed);
+}
+
+record_draft make_usage_record(const writer_id& owner, const usage_table& counters,
+                               std::optional<window_number> closed_through) {
     boost::json::array rows;
     for (const auto& [key, figures] : counters) {
-        rows.push_back({{"organisation", key.organisation.value()},
-                        {"window", key.window},
-                        {"requests", figures.requests},
-                        {"prompt_tokens", figures.prompt_tokens},
-                        {"completion_tokens", figures.completion_tokens}});
+        boost::json::object row{{"organisation", key.organisation.value()},
+                                {"window", key.window},
+                                {"requests", figures.requests},
+                                {"prompt_tokens", figures.prompt_tokens},
+                                {"completion_tokens", figures.completion_tokens}};
+        if (key.late_from) {
+            row["late_from"] = *key.late_from;
+        }
+        rows.push_back(std::move(row));
     }
-    return {.type = std::string(usage_counters_type),
-            .body = {{"host", owner.host}, {"incarnation", owner.incarnation}, {"rows", std::move(rows)}},
-            .condition = {},
-            .fence = {}};
+    boost::json::object body{{"host", owner.host}, {"incarnation", owner.incarnation}, {"rows", std::move(rows)}};
+    if (closed_through) {
+        body["closed_through"] = *closed_through;
+    }
+    return {.type = std::string(usage_counters_type), .body = std::move(body), .condition = {}, .fence = {}};
+}
+
+usage_report_part parse_usage_record(const boost::json::object& body) {
+    usage_report_part part{
+        .owner = {.host = json::get_string(body, "host"), .incarnation = json::get_unsigned(body, "incarnation")},
+        .counters = {},
+        .closed_through = {}};
+    for (const boost::json::value& item : json::get_array(body, "rows")) {
+        const boost::json::object& row = json::as_object(item, "usage row");
+        usage_key key{.organisation = organisation_name(json::get_string(row, "organisation")),
+                      .window = json::get_unsigned(row, "window")};
+        if (row.contains("late_from")) {
+            key.late_from = json::get_unsigned(row, "late_from");
+        }
+        part.counters[key] = {.requests = json::get_unsigned(row, "requests"),
+                              .prompt_tokens = json::get_unsigned(row, "prompt_tokens"),
+                              .completion_tokens = json::get_unsigned(row, "completion_tokens")};
+    }
+    if (body.contains("closed_through")) {
+        part.closed_through = json::get_unsigned(body, "closed_through");
+    }
+    return part;
 }
 
 void usage_fold::on_record(log_offset /*offset*/, const record& value) {
     if (value.type != usage_counters_type) {
         return;
     }
-    const writer_id owner{.host = json::get_string(value.body, "host"),
-                          .incarnation = json::get_unsigned(value.body, "incarnation")};
-    usage_table decoded;
-    for (const boost::json::value& item : json::get_array(value.body, "rows")) {
-        const boost::json::object& row = json::as_object(item, "usage row");
-        decoded[{.organisation = organisation_name(json::get_string(row, "organisation")),
-                 .window = json::get_unsigned(row, "window")}] = {
-            .requests = json::get_unsigned(row, "requests"),
-            .prompt_tokens = json::get_unsigned(row, "prompt_tokens"),
-            .completion_tokens = json::get_unsigned(row, "completion_tokens")};
-    }
-    for (const auto& [key, figures] : decoded) {
-        usage_figures& merged = m_counters[owner][key];
+    const usage_report_part part = parse_usage_record(value.body);
+    for (const auto& [key, figures] : part.counters) {
+        usage_figures& merged = m_counters[part.owner][key];
         merged = get_merged(merged, figures);
     }
 }
--- a/coordination/usage.hpp
+++ b/coordination/usage.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,8 @@
 struct usage_key {
     organisation_name organisation;
     window_number window{};
+    /// The earlier window that the use belongs to, when that one was closed already.
+    std::optional<window_number> late_from{};
 
     friend auto operator<=>(const usage_key&, const usage_key&) = default;
 };
@@ -55,14 +58,34 @@
 
     [[nodiscard]] usage_table get_all() const;
 
+    /// Adds nothing to this window and those before it from now on: later use of them goes, marked as late, into the
+    /// window after it.
+    void close(window_number through);
+
+    /// Forgets the counters of closed windows. Precondition: the log holds all of them and the close.
+    void forget(window_number through);
+
 private:
     mutable std::mutex m_mutex;
+    std::optional<window_number> m_closed_through;
     usage_table m_counters;
     usage_table m_flushed;
 };
 
+/// Cumulative counters of one incarnation, as one record carries them.
+struct usage_report_part {
+    writer_id owner;
+    usage_table counters;
+    /// Set when the owner has closed this window and those before it, with these counters as the last.
+    std::optional<window_number> closed_through;
+};
+
 /// Returns the log record that carries cumulative counters of one incarnation.
-[[nodiscard]] record_draft make_usage_record(const writer_id& owner, const usage_table& counters);
+[[nodiscard]] record_draft make_usage_record(const writer_id& owner, const usage_table& counters,
+                                             std::optional<window_number> closed_through = {});
+
+/// Throws `malformed_message_error`.
+[[nodiscard]] usage_report_part parse_usage_record(const boost::json::object& body);
 
 /// Folds the counters of all incarnations. Not thread safe.
 class usage_fold final : public record_observer {
--- /dev/null
+++ b/coordination/usage_report.cpp
@@ -0,0 +1,68 @@
+#include "coordination/usage_report.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace dragonflywell::coordination {
+
+usage_reporter::usage_reporter(folded_stream& stream, const clock_source& time, order_receiver& reporting,
+                               const host_liveness& hosts, const usage_reporter_options& options)
+    : m_stream(&stream), m_time(&time), m_hosts(&hosts), m_options(options),
+      m_lease(stream, time, {.scope = std::string(reporting_scope)}), m_ledger(stream, m_lease, reporting, hosts) {
+    m_stream->add_observer(m_fold);
+    // What the log has forgotten was reported: retention is longer than a window and its reporting.
+    m_stream->allow_gaps();
+}
+
+void usage_reporter::tick() {
+    m_lease.tick();
+    m_ledger.reconcile();
+    const std::optional<fencing_token> token = m_lease.get_authority();
+    if (!token) {
+        return;
+    }
+    if (const window_report* unreported = m_fold.get_unreported()) {
+        report(*unreported);
+        return;
+    }
+    seal(*token);
+}
+
+void usage_reporter::report(const window_report& report) {
+    m_ledger.submit({.subject = std::string(usage_report_subject),
+                     .kind = "usage.report",
+                     .body = encode_window_report(report),
+                     .idempotency_key = get_report_key(report.window),
+                     .receiver = receiver_kind::ignores_fencing,
+                     .repeat = repeat_rule::deduplicated});
+}
+
+void usage_reporter::seal(const fencing_token& token) {
+    const std::optional<window_number> window = m_fold.get_next_window();
+    if (!window || !is_complete(*window)) {
+        return;
+    }
+    std::vector<writer_id> gone;
+    for (const writer_id& owner : m_fold.get_open_owners(*window)) {
+        if (m_hosts->is_gone_for_good(owner)) {
+            gone.push_back(owner);
+        }
+    }
+    const std::array drafts{
+        make_seal_record(*window, gone, token, m_stream->get_fold().get_newest(std::string(usage_seal_subject)))};
+    m_stream->submit(drafts);
+}
+
+bool usage_reporter::is_complete(window_number window) const {
+    const auto now = std::chrono::duration_cast<std::chrono::seconds>(m_time->wall_now().time_since_epoch());
+    const std::chrono::seconds end = m_options.window_length * static_cast<std::chrono::seconds::rep>(window + 1);
+    if (now < end) {
+        return false;
+    }
+    const std::vector<writer_id> open = m_fold.get_open_owners(window);
+    const bool are_all_gone =
+        std::ranges::all_of(open, [this](const writer_id& owner) { return m_hosts->is_gone_for_good(owner); });
+    return are_all_gone || now >= end + m_options.most_wait;
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/tests/support/billing_checker.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/order_ledger.hpp"
+#include "coordination/usage.hpp"
+#include "core/json.hpp"
+
+namespace dragonflywell::testing {
+
+/// The platform's usage reporting in memory, and the judge of what it received. Knows nothing of the code's own state.
+class billing_checker final : public coordination::order_receiver {
+public:
+    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
+                                     duration) override {
+        if (loses_next_report) {
+            loses_next_report = false;
+            return coordination::order_receipt::unknown;
+        }
+        receive(value.idempotency_key, value.body, token.number);
+        if (drops_next_answer) {
+            drops_next_answer = false;
+            return coordination::order_receipt::unknown;
+        }
+        return coordination::order_receipt::applied;
+    }
+
+    coordination::order_presence query(const coordination::order& value) override {
+        return m_first.contains(value.idempotency_key) ? coordination::order_presence::applied
+                                                       : coordination::order_presence::not_seen;
+    }
+
+    void receive(const std::string& key, const boost::json::object& body, coordination::log_offset number) {
+        const auto [position, is_new] = m_first.try_emplace(key, body);
+        if (!is_new && position->second != body) {
+            m_faults.push_back("second report with other figures: " + key);
+        }
+        if (is_new && number < m_newest_number) {
+            m_faults.push_back("first report of a window by a superseded reporter: " + key);
+        }
+        m_newest_number = std::max(m_newest_number, number);
+    }
+
+    /// Returns what is wrong with the reports, given the tokens that each organisation really used.
+    [[nodiscard]] std::vector<std::string> get_faults(const std::map<std::string, std::uint64_t>& used) const {
+        std::vector<std::string> faults = m_faults;
+        std::map<std::string, std::uint64_t> billed;
+        for (const auto& [key, body] : m_first) {
+            for (const boost::json::value& line : json::get_array(body, "lines")) {
+                billed[json::get_string(line.as_object(), "organisation")] +=
+                    json::get_unsigned(line.as_object(), "completion_tokens");
+            }
+        }
+        if (billed != used) {
+            faults.push_back("billed tokens are not the used ones");
+        }
+        return faults;
+    }
+
+    [[nodiscard]] const std::map<std::string, boost::json::object>& get_reports() const { return m_first; }
+
+    bool loses_next_report{false};
+    bool drops_next_answer{false};
+
+private:
+    std::map<std::string, boost::json::object> m_first;
+    std::vector<std::string> m_faults;
+    coordination::log_offset m_newest_number{0};
+};
+
+} // namespace dragonflywell::testing
