--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/claim_task.hpp"
 #include "daemon/configuration_task.hpp"
+#include "daemon/report_task.hpp"
 #include "daemon/usage_task.hpp"
 
 namespace dragonflywell::daemon {
@@ -11,6 +12,9 @@
     tasks.push_back(std::make_unique<configuration_task>(parts));
     tasks.push_back(std::make_unique<claim_task>(parts));
     tasks.push_back(std::make_unique<usage_task>(parts));
+    if (parts.settings.platform_usage) {
+        tasks.push_back(std::make_unique<report_task>(parts));
+    }
     return tasks;
 }
 
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -9,13 +9,18 @@
 constexpr integer_range poll_milliseconds{.least = 10, .most = 10000};
 constexpr integer_range deadline_milliseconds{.least = 10, .most = 3600000};
 
-endpoint get_endpoint(settings_reader& reader, const std::string& key) {
-    const std::string text = reader.get_string(key);
+std::optional<endpoint> get_optional_endpoint(settings_reader& reader, const std::string& key,
+                                              std::optional<std::string> fallback) {
+    const std::string text = reader.get_string(key, std::move(fallback));
     const std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed && !text.empty()) {
         reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
     }
-    return parsed.value_or(endpoint{});
+    return parsed;
+}
+
+endpoint get_endpoint(settings_reader& reader, const std::string& key) {
+    return get_optional_endpoint(reader, key, std::nullopt).value_or(endpoint{});
 }
 
 duration get_milliseconds(settings_reader& reader, const std::string& key, integer_range range, std::int64_t fallback) {
@@ -32,6 +37,7 @@
     settings.callers = get_endpoint(reader, "listen.callers");
     settings.operators = get_endpoint(reader, "listen.operators");
     settings.platform_log = get_endpoint(reader, "platform.log");
+    settings.platform_usage = get_optional_endpoint(reader, "platform.usage", "");
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
@@ -50,6 +56,7 @@
         get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
     settings.limits.most_attempts =
         static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.least = 0, .most = 600000}, 5000);
     settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
     settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
     settings.log.format =
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,8 @@
     endpoint callers;
     endpoint operators;
     endpoint platform_log;
+    /// The platform's usage reporting; a host without it does not stand for the lease over reporting.
+    std::optional<endpoint> platform_usage;
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
@@ -29,6 +32,8 @@
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
     servers::request_limits limits;
+    /// How long a graceful stop still takes new requests after the readiness check fails, for balancers to notice.
+    duration stop_notice{};
     /// How long a graceful stop waits for running requests.
     duration stop_grace{};
     log_options log;
--- /dev/null
+++ b/daemon/report_task.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+
+#include "coordination/replaced_hosts.hpp"
+#include "coordination/usage_report.hpp"
+#include "daemon/control_task.hpp"
+#include "daemon/daemon_parts.hpp"
+#include "platform/http_log.hpp"
+#include "platform/http_usage_reporting.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Stands for the lease over reporting, and reports the windows while this host holds it.
+class report_task final : public control_task {
+public:
+    /// Precondition: the settings name the platform's usage reporting.
+    explicit report_task(const daemon_parts& parts);
+
+    void run_round() override;
+    void finish() override;
+    [[nodiscard]] const char* get_name() const noexcept override { return "reporting"; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.usage_flush; }
+
+private:
+    daemon_parts m_parts;
+    platform::http_log m_platform_log;
+    platform::http_usage_reporting m_reporting;
+    coordination::folded_stream m_stream;
+    coordination::replaced_hosts m_hosts;
+    /// Made when the first configuration tells the length of a window.
+    std::unique_ptr<coordination::usage_reporter> m_reporter;
+    gauge* m_kept_counters;
+    gauge* m_unreported_window;
+};
+
+} // namespace dragonflywell::daemon
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -51,6 +51,9 @@
     /// Closes all idle connections. To be called while the contexts that they were made on still exist.
     void clear();
 
+    /// Returns the clock by which deadlines of exchanges are kept.
+    [[nodiscard]] const clock_source& get_time() const noexcept { return *m_time; }
+
 private:
     struct idle_connection {
         std::unique_ptr<backend_connection> connection;
--- a/tests/daemon/test_claims.cpp
+++ b/tests/daemon/test_claims.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 TEST_CASE("a subscription sent to two hosts at once runs once") {
-    small_deployment deployment(2);
+    small_deployment deployment(std::size_t{2});
     auto first = std::async(std::launch::async, [&] { return subscribe(deployment, "s-1", 0); });
     const auto second = subscribe(deployment, "s-1", 1);
     const auto other = first.get();
@@ -39,7 +39,7 @@
 }
 
 TEST_CASE("a later arrival at another host gets the recorded answer and is not billed again") {
-    small_deployment deployment(2);
+    small_deployment deployment(std::size_t{2});
     const auto first = subscribe(deployment, "s-1", 0);
     CHECK(first.result_int() == 200);
     auto second = subscribe(deployment, "s-1", 1);
@@ -54,7 +54,7 @@
 }
 
 TEST_CASE("a subscription whose answer was lost is unknown at every host and does not run again") {
-    small_deployment deployment(2);
+    small_deployment deployment(std::size_t{2});
     deployment.service.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
     CHECK(subscribe(deployment, "s-1", 0)["x-dragonflywell-outcome"] == "unknown");
     auto second = subscribe(deployment, "s-1", 1);
@@ -67,7 +67,7 @@
 }
 
 TEST_CASE("a refusal before anything was sent frees the key for another host") {
-    small_deployment deployment(2);
+    small_deployment deployment(std::size_t{2});
     deployment.change("backend_servers/s1", "");
     while (deployment.call(http::verb::get, "/maps/52N", "", good_key).result_int() == 200) {
     }
@@ -100,7 +100,7 @@
 }
 
 TEST_CASE("appends whose answers are lost neither lose nor repeat a keyed call") {
-    small_deployment deployment(2);
+    small_deployment deployment(std::size_t{2});
     deployment.platform.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 6});
     while (subscribe(deployment, "s-1", 0).result_int() != 200) {
     }
