--- a/coordination/folded_stream.cpp
+++ b/coordination/folded_stream.cpp
@@ -96,6 +96,10 @@
 }
 
 void folded_stream::cross_gap(log_offset oldest) {
+    if (m_allows_gaps) {
+        m_next = oldest;
+        return;
+    }
     const std::string gap = "stream " + m_name + " has no record " + std::to_string(m_next) + " any more";
     if (!has_snapshots()) {
         throw log_gap_error(gap + " and its reader takes no snapshots");
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -30,9 +30,15 @@
       m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
-    http_response response = co_await exchange_with_retries();
+    const bool is_claimed = !m_route->is_idempotent && has_idempotency_key(*m_request);
+    http_response response;
+    if (is_claimed) {
+        response = co_await run_claimed();
+    } else {
+        response = co_await exchange_with_retries();
+    }
     response.set("x-dragonflywell-outcome", "completed");
-    if (m_organisation) {
+    if (m_organisation && m_has_run) {
         const auto window = get_window(m_context->time.wall_now(), m_context->manifest.get()->content);
         m_context->usage.add({.organisation = *m_organisation, .window = window}, {.requests = 1});
     }
@@ -40,6 +46,25 @@
     co_await caller.send(std::move(response));
 }
 
+asio::awaitable<http_response> service_call::run_claimed() {
+    check_key(m_context->manifest.get()->content);
+    m_claim.emplace(*m_context, *m_request, m_organisation.value_or(organisation_name()));
+    std::optional<http_response> recorded = co_await m_claim->acquire();
+    if (recorded) {
+        co_return std::move(*recorded);
+    }
+    try {
+        http_response response = co_await exchange_with_retries();
+        m_claim->settle_done(response);
+        co_return response;
+    } catch (const request_refused& refusal) {
+        if (refusal.get_outcome() == policy::request_outcome::not_run) {
+            m_claim->settle_not_run();
+        }
+        throw;
+    }
+}
+
 asio::awaitable<http_response> service_call::exchange_with_retries() {
     while (true) {
         // The manifest is read anew for each attempt, so that a key revoked in between stops the next one.
@@ -71,6 +96,7 @@
     co_await exchange.start(request);
     http_response response = get_caller_response(exchange.get_head());
     response.body() = co_await exchange.read_rest(answer_limit_bytes);
+    m_has_run = true;
     co_return response;
 }
 
@@ -81,6 +107,9 @@
     }
     try {
         check_key(manifest.content);
+        if (m_claim) {
+            m_claim->check_start();
+        }
         return choose_backend_server(*m_context, manifest.servers.get_instances(m_route->service),
                                      m_history.get_tried());
     } catch (const request_refused& refused) {
