--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -1,8 +1,10 @@
 #include "daemon/control_tasks.hpp"
 
+#include "daemon/claim_task.hpp"
 #include "daemon/configuration_task.hpp"
 #include "daemon/peer_hub.hpp"
 #include "daemon/peer_task.hpp"
+#include "daemon/report_task.hpp"
 #include "daemon/usage_task.hpp"
 
 namespace dragonflywell::daemon {
@@ -14,7 +16,11 @@
         tasks.push_back(std::make_unique<peer_task>(parts, peers));
     }
     tasks.push_back(std::make_unique<configuration_task>(parts, peers));
+    tasks.push_back(std::make_unique<claim_task>(parts));
     tasks.push_back(std::make_unique<usage_task>(parts));
+    if (parts.settings.platform_usage) {
+        tasks.push_back(std::make_unique<report_task>(parts));
+    }
     return tasks;
 }
 
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/claim_book.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
@@ -31,9 +32,14 @@
     endpoint callers;
     endpoint operators;
     endpoint platform_log;
+    /// The platform's usage reporting; a host without it does not stand for the lease over reporting.
+    std::optional<endpoint> platform_usage;
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
+    /// Least time between two appends of claims.
+    duration claim_interval{};
+    coordination::claim_options claims;
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
--- a/daemon/usage_task.cpp
+++ b/daemon/usage_task.cpp
@@ -1,21 +1,24 @@
 #include "daemon/usage_task.hpp"
 
-#include <array>
-
 namespace dragonflywell::daemon {
 
 usage_task::usage_task(const daemon_parts& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
-      m_stream(m_platform_log, std::string(coordination::usage_stream), parts.self) {}
+      m_stream(m_platform_log, std::string(coordination::usage_stream), parts.self),
+      m_flusher(m_stream, parts.time, parts.usage) {}
 
 void usage_task::run_round() {
-    const coordination::usage_table unflushed = m_parts.usage.get_unflushed();
-    if (unflushed.empty()) {
-        return;
+    const std::shared_ptr<const servers::active_manifest> manifest = m_parts.manifest.get();
+    if (manifest != nullptr) {
+        m_flusher.flush(manifest->content.window_length);
+    }
+}
+
+void usage_task::finish() {
+    const std::shared_ptr<const servers::active_manifest> manifest = m_parts.manifest.get();
+    if (manifest != nullptr) {
+        m_flusher.finish(manifest->content.window_length);
     }
-    const std::array drafts{coordination::make_usage_record(m_parts.self, unflushed)};
-    m_stream.submit(drafts);
-    m_parts.usage.mark_flushed(unflushed);
 }
 
 } // namespace dragonflywell::daemon
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -4,6 +4,7 @@
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
+#include "servers/request_claim.hpp"
 #include "servers/request_refused.hpp"
 
 namespace dragonflywell::servers {
@@ -19,6 +20,7 @@
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
+    asio::awaitable<http_response> run_claimed();
     asio::awaitable<http_response> exchange_with_retries();
     asio::awaitable<http_response> exchange(const fleet::backend_server& server);
     /// Checks key and time and returns where the next attempt goes. Throws `request_refused`.
@@ -31,6 +33,9 @@
     std::optional<organisation_name> m_organisation;
     steady_time m_arrived;
     policy::attempt_history m_history;
+    bool m_has_run{false};
+    /// Set for a request that must not be repeated and carries an idempotency key.
+    std::optional<request_claim> m_claim;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/standin/platform_standin.cpp
+++ b/tests/standin/platform_standin.cpp
@@ -88,7 +88,10 @@
 servers::http_response platform_standin::answer_collection(const servers::http_request& request,
                                                            const std::string& path) {
     if (request.method() == servers::http::verb::put) {
-        m_documents.try_emplace(path, request.body());
+        const auto [position, is_new] = m_documents.try_emplace(path, request.body());
+        if (!is_new && position->second != request.body()) {
+            ++m_conflicts;
+        }
         return make_json_response(200, m_documents[path]);
     }
     if (request.method() == servers::http::verb::delete_) {
