--- a/daemon/role_change_driver.cpp
+++ b/daemon/role_change_driver.cpp
@@ -63,16 +63,16 @@
 }
 
 void role_change_driver::advance_one(const role_change& change, const observed_engine& engine, bool checks_fencing) {
-    const bool is_in_role = engine.load->role == change.to;
-    const bool is_order_open = find_unresolved(change).has_value();
-    if (is_in_role && !is_order_open) {
+    // A send of a lost holder may be left over; it says the same, and the ledger holds the subject until it is
+    // resolved.
+    if (engine.load->role == change.to) {
         ++m_completed;
         end(change, "completed");
         return;
     }
     if (change.is_confirmed || m_confirmed_at.contains(change.announced)) {
         wait_for_role(change);
-    } else if (!is_in_role && is_drained(change, engine)) {
+    } else if (is_drained(change, engine)) {
         send_order(change, checks_fencing);
     }
 }
--- a/daemon/role_change_fold.cpp
+++ b/daemon/role_change_fold.cpp
@@ -25,8 +25,8 @@
 }
 
 coordination::record_draft make_confirmation(const role_change& change, const coordination::fencing_token& token) {
-    return make_draft(role_change_confirmed_type,
-                      {{"engine", change.engine.value()}, {"announced", change.announced}}, token);
+    return make_draft(role_change_confirmed_type, {{"engine", change.engine.value()}, {"announced", change.announced}},
+                      token);
 }
 
 coordination::record_draft make_end(const role_change& change, const coordination::fencing_token& token,
@@ -67,4 +67,30 @@
     }
 }
 
+boost::json::value role_change_fold::save_state() const {
+    boost::json::array changes;
+    for (const auto& [name, change] : m_changes) {
+        changes.push_back({{"engine", name.value()},
+                           {"from", fleet::get_role_name(change.from)},
+                           {"to", fleet::get_role_name(change.to)},
+                           {"announced", change.announced},
+                           {"confirmed", change.is_confirmed}});
+    }
+    return boost::json::object{{"changes", std::move(changes)}};
+}
+
+void role_change_fold::restore_state(const boost::json::value& state) {
+    std::map<backend_server_name, role_change> changes;
+    for (const boost::json::value& item : json::get_array(json::as_object(state, "role changes"), "changes")) {
+        const boost::json::object& entry = json::as_object(item, "role change");
+        const backend_server_name name(json::get_string(entry, "engine"));
+        changes[name] = {.engine = name,
+                         .from = parse_engine_role(json::get_string(entry, "from")),
+                         .to = parse_engine_role(json::get_string(entry, "to")),
+                         .announced = json::get_unsigned(entry, "announced"),
+                         .is_confirmed = json::get_bool_or(entry, "confirmed", false)};
+    }
+    m_changes = std::move(changes);
+}
+
 } // namespace dragonflywell::daemon
--- a/daemon/role_change_fold.hpp
+++ b/daemon/role_change_fold.hpp
@@ -38,10 +38,14 @@
 [[nodiscard]] fleet::engine_role parse_engine_role(std::string_view name);
 
 /// Folds a zone's control stream into the role changes that are under way. Not thread safe.
-class role_change_fold final : public coordination::record_observer {
+class role_change_fold final : public coordination::snapshot_observer {
 public:
     void on_record(coordination::log_offset offset, const coordination::record& value) override;
 
+    [[nodiscard]] std::string_view get_state_name() const override { return "role_changes"; }
+    [[nodiscard]] boost::json::value save_state() const override;
+    void restore_state(const boost::json::value& state) override;
+
     [[nodiscard]] const std::map<backend_server_name, role_change>& get_all() const noexcept { return m_changes; }
 
 private:
