Let the holder of a zone's lease plan and order roles, and placement follow them

Cause: the decisions of policy/ reached no engine, and placement knew roles and drains from the manifest only. Change: zone_control_task takes control/<zone>, reads engine loads, estimates demand, plans and carries role changes through the order ledger; all daemons fold the announcements, so engines that leave get nothing new. demand_meter counts what callers ask for. The manifest gains work units of models, limits of zones, prices and whether an organisation accepts cheap servers; /status shows engines, demand, decisions and their reasons. Left: spending is planned and shown, not yet ordered.

--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/configuration_task.hpp"
 #include "daemon/usage_task.hpp"
+#include "daemon/zone_control_task.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -9,6 +10,7 @@
     std::vector<std::unique_ptr<control_task>> tasks;
     tasks.push_back(std::make_unique<configuration_task>(parts));
     tasks.push_back(std::make_unique<usage_task>(parts));
+    tasks.push_back(std::make_unique<zone_control_task>(parts));
     return tasks;
 }
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -31,9 +31,11 @@
                                        .loads = m_loads,
                                        .usage = m_usage,
                                        .counters = m_counters,
+                                       .demand = m_fleet.demand,
+                                       .engines = m_fleet.engines,
                                        .limits = m_settings.limits},
       m_entry_handler(m_context),
-      m_operator_handler(m_metrics, m_context, m_settings.host, [this] { return is_ready(); }),
+      m_operator_handler(m_metrics, m_context, m_fleet.status, m_settings.host, [this] { return is_ready(); }),
       m_workers(make_workers(m_settings.workers)), m_operator_context(1),
       m_entry_server(get_worker_contexts(), m_entry_handler,
                      {.listen = m_settings.callers,
@@ -45,7 +47,8 @@
               .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)},
               .metrics = m_metrics,
               .manifest = m_manifest,
-              .usage = m_usage} {
+              .usage = m_usage,
+              .fleet = m_fleet} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -52,6 +52,7 @@
     servers::backend_connection_pool m_connections;
     servers::backend_load_table m_loads;
     servers::request_counters m_counters;
+    fleet_parts m_fleet;
     servers::entry_context m_context;
     servers::entry_handler m_entry_handler;
     operator_handler m_operator_handler;
--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -4,6 +4,7 @@
 #include "core/metrics.hpp"
 #include "core/snapshot_cell.hpp"
 #include "daemon/daemon_settings.hpp"
+#include "daemon/fleet_parts.hpp"
 #include "servers/entry_context.hpp"
 
 namespace dragonflywell::daemon {
@@ -16,6 +17,7 @@
     metrics_registry& metrics;
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
+    fleet_parts& fleet;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -21,6 +21,7 @@
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
+    duration control_interval{};
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
--- a/daemon/operator_handler.cpp
+++ b/daemon/operator_handler.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-operator_handler::operator_handler(metrics_registry& metrics, servers::entry_context& context, host_name host,
+operator_handler::operator_handler(metrics_registry& metrics, servers::entry_context& context,
+                                   const snapshot_cell<fleet_status>& fleet, host_name host,
                                    std::function<bool()> is_ready)
-    : m_metrics(&metrics), m_context(&context), m_host(std::move(host)), m_is_ready(std::move(is_ready)) {}
+    : m_metrics(&metrics), m_context(&context), m_fleet(&fleet), m_host(std::move(host)),
+      m_is_ready(std::move(is_ready)) {}
 
 servers::asio::awaitable<void> operator_handler::handle(servers::http_request request,
                                                         servers::caller_channel& caller) {
@@ -51,6 +53,9 @@
         status["backend_servers"] = manifest->content.backend_servers.size();
         status["organisations"] = manifest->content.organisations.size();
     }
+    if (const std::shared_ptr<const fleet_status> fleet = m_fleet->get()) {
+        status["fleet"] = encode_fleet_status(*fleet);
+    }
     return boost::json::serialize(status);
 }
 
--- a/fleet/manifest.cpp
+++ b/fleet/manifest.cpp
@@ -20,6 +20,10 @@
 constexpr std::uint64_t most_weight = 1000000;
 constexpr std::uint64_t most_cut_off_seconds = 86400;
 constexpr std::uint64_t most_capacity_tokens = 100000000;
+constexpr std::uint64_t most_zone_servers = 1000000;
+constexpr std::uint64_t most_milliunits = 1000000;
+constexpr std::uint64_t most_price_milli = 1000000000000;
+constexpr std::uint64_t most_lead_seconds = 86400;
 constexpr std::size_t sha256_digits = 64;
 
 /// Turns entries into a manifest and collects every problem on the way.
@@ -63,15 +67,13 @@
         if (section == "settings") {
             read_settings(name, reader);
         } else if (section == "zones") {
-            const zone_name zone(name);
-            m_manifest.zones[zone] = {.name = zone, .region = reader.get_string("region")};
+            read_zone(zone_name(name), reader);
         } else if (section == "organisations") {
             read_organisation(organisation_name(name), reader);
         } else if (section == "keys") {
             read_key(name, reader);
         } else if (section == "models") {
-            const model_name model(name);
-            m_manifest.models[model] = {.name = model, .version = reader.get_string("version")};
+            read_model(model_name(name), reader);
         } else if (section == "routes") {
             read_route(reader);
         } else {
@@ -79,7 +81,36 @@
         }
     }
 
+    void read_zone(const zone_name& name, manifest_entry_reader& reader) {
+        m_manifest.zones[name] = {
+            .name = name,
+            .region = reader.get_string("region"),
+            .most_servers = static_cast<std::uint32_t>(reader.get_unsigned("most_servers", 0, most_zone_servers, 1000)),
+            .has_cheap_servers = reader.get_bool("cheap_servers", true)};
+    }
+
+    void read_model(const model_name& name, manifest_entry_reader& reader) {
+        m_manifest.models[name] = {
+            .name = name,
+            .version = reader.get_string("version"),
+            .prompt_token_milliunits = reader.get_unsigned("prompt_token_milliunits", 1, most_milliunits, 250),
+            .output_token_milliunits = reader.get_unsigned("output_token_milliunits", 1, most_milliunits, 1000)};
+    }
+
+    void read_spending(manifest_entry_reader& reader) {
+        m_manifest.prices = {
+            .regular_price_milli = reader.get_unsigned("regular_price_milli", 1, most_price_milli, 1000),
+            .cheap_price_milli = reader.get_unsigned("cheap_price_milli", 1, most_price_milli, 350),
+            .most_price_per_hour_milli = reader.get_unsigned("most_price_per_hour_milli", 0, most_price_milli, 0),
+            .most_cheap_percent = reader.get_unsigned("most_cheap_percent", 0, 100, 50),
+            .lead_time = std::chrono::seconds(reader.get_unsigned("lead_seconds", 1, most_lead_seconds, 300))};
+    }
+
     void read_settings(const std::string& name, manifest_entry_reader& reader) {
+        if (name == "spending") {
+            read_spending(reader);
+            return;
+        }
         if (name != "billing") {
             reader.add_problem("is not a known entry");
             return;
@@ -95,7 +126,8 @@
             .tokens_per_window = reader.get_unsigned("tokens_per_window", 0, UINT64_MAX, 0),
             .when_cut_off = behaviour == "serve" ? cut_off_behaviour::serve : cut_off_behaviour::refuse,
             .cut_off_bound =
-                std::chrono::seconds(reader.get_unsigned("cut_off_bound_seconds", 0, most_cut_off_seconds, 0))};
+                std::chrono::seconds(reader.get_unsigned("cut_off_bound_seconds", 0, most_cut_off_seconds, 0)),
+            .accepts_cheap_servers = reader.get_bool("accepts_cheap_servers", true)};
     }
 
     void read_key(const std::string& id, manifest_entry_reader& reader) {
--- a/fleet/manifest.hpp
+++ b/fleet/manifest.hpp
@@ -16,6 +16,9 @@
 struct model {
     model_name name;
     std::string version;
+    /// Work of one prompt token and of one generated token, in thousandths of the unit of an engine's capacity.
+    std::uint64_t prompt_token_milliunits{250};
+    std::uint64_t output_token_milliunits{1000};
 
     friend bool operator==(const model&, const model&) = default;
 };
@@ -24,13 +27,32 @@
 struct availability_zone {
     zone_name name;
     std::string region;
+    /// Most backend servers that may run here for one model.
+    std::uint32_t most_servers{1000};
+    bool has_cheap_servers{true};
 
     friend bool operator==(const availability_zone&, const availability_zone&) = default;
 };
 
+/// What may be spent, and what it buys.
+struct spending {
+    /// Prices of one backend server for one hour, in thousandths of the operators' currency.
+    std::uint64_t regular_price_milli{1000};
+    std::uint64_t cheap_price_milli{350};
+    /// Greatest spending for one model in one hour; 0 means no limit.
+    std::uint64_t most_price_per_hour_milli{0};
+    /// Greatest part of a model's backend servers that may be cheap.
+    std::uint64_t most_cheap_percent{50};
+    /// From an order to a server that serves.
+    std::chrono::seconds lead_time{300};
+
+    friend bool operator==(const spending&, const spending&) = default;
+};
+
 /// Everything that operators describe. Immutable once parsed, hence safe to share between threads.
 struct manifest {
     std::chrono::seconds window_length{std::chrono::hours(1)};
+    spending prices;
     std::map<zone_name, availability_zone> zones;
     std::map<organisation_name, organisation> organisations;
     std::map<std::string, api_key> keys;
--- a/fleet/organisation.hpp
+++ b/fleet/organisation.hpp
@@ -21,6 +21,8 @@
     cut_off_behaviour when_cut_off{cut_off_behaviour::serve};
     /// How long `refuse` still serves after the zone was cut off.
     std::chrono::seconds cut_off_bound{0};
+    /// Whether work of it that may be run again may be given to cheap servers.
+    bool accepts_cheap_servers{true};
 
     friend bool operator==(const organisation&, const organisation&) = default;
 };
--- /dev/null
+++ b/policy/role_preference.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fleet/backend_server.hpp"
+#include "policy/role_planner.hpp"
+
+namespace dragonflywell::policy {
+
+/// Returns whether an engine of this role is meant for work of this shape. Any engine can do any work; this only says
+/// where it disturbs others least. Thread safe.
+[[nodiscard]] constexpr bool suits_role(fleet::engine_role role, const role_demand& work) noexcept {
+    switch (role) {
+    case fleet::engine_role::mixed:
+        return true;
+    case fleet::engine_role::prefill:
+        return work.prefill > work.decode;
+    case fleet::engine_role::decode:
+        return work.decode >= work.prefill;
+    }
+    return true;
+}
+
+} // namespace dragonflywell::policy
--- a/servers/backend_choice.cpp
+++ b/servers/backend_choice.cpp
@@ -11,15 +11,22 @@
     return random;
 }
 
+/// Returns whether a role change has been announced for the engine.
+bool is_leaving(const engine_states& states, const backend_server_name& server) {
+    const auto found = states.find(server);
+    return found != states.end() && !found->second.takes_new_work;
+}
+
 } // namespace
 
 const fleet::backend_server& choose_backend_server(const entry_context& context, const fleet::manifest& manifest,
                                                    const std::set<backend_server_name>& tried,
                                                    const std::function<bool(const fleet::backend_server&)>& fits) {
+    const std::shared_ptr<const engine_states> states = context.engines.get();
     std::vector<policy::placement_candidate> untried;
     std::vector<policy::placement_candidate> all;
     for (const auto& [name, server] : manifest.backend_servers) {
-        if (!fits(server)) {
+        if (!fits(server) || is_leaving(*states, name)) {
             continue;
         }
         const policy::placement_candidate candidate{
--- /dev/null
+++ b/servers/demand_meter.cpp
@@ -0,0 +1,45 @@
+#include "servers/demand_meter.hpp"
+
+#include <cmath>
+#include <utility>
+
+namespace dragonflywell::servers {
+
+namespace {
+
+constexpr double answer_weight = 0.05;
+
+} // namespace
+
+void demand_meter::add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t most_tokens) {
+    const std::scoped_lock lock(m_mutex);
+    entry& target = m_entries[key];
+    target.row.key = key;
+    ++target.row.arrivals;
+    target.row.prompt_tokens += prompt_tokens;
+    target.row.output_tokens +=
+        static_cast<std::uint64_t>(std::lround(target.output_part * static_cast<double>(most_tokens)));
+}
+
+void demand_meter::add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t most_tokens) {
+    if (most_tokens == 0) {
+        return;
+    }
+    const std::scoped_lock lock(m_mutex);
+    entry& target = m_entries[key];
+    const double part = static_cast<double>(tokens) / static_cast<double>(most_tokens);
+    target.output_part += answer_weight * (part - target.output_part);
+}
+
+std::vector<policy::demand_row> demand_meter::take() {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<policy::demand_row> rows;
+    for (auto& [key, value] : m_entries) {
+        if (value.row.arrivals > 0) {
+            rows.push_back(std::exchange(value.row, {}));
+        }
+    }
+    return rows;
+}
+
+} // namespace dragonflywell::servers
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -11,6 +11,8 @@
 #include "policy/placement.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_load_table.hpp"
+#include "servers/demand_meter.hpp"
+#include "servers/engine_state_table.hpp"
 #include "servers/request_counters.hpp"
 
 namespace dragonflywell::servers {
@@ -40,6 +42,8 @@
     backend_load_table& loads;
     coordination::usage_meter& usage;
     request_counters& counters;
+    demand_meter& demand;
+    const engine_state_table& engines;
     request_limits limits;
 };
 
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -37,7 +37,10 @@
 
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
-      m_model_request(parse_model_request(request)), m_arrived(context.time.now()) {}
+      m_model_request(parse_model_request(request)), m_arrived(context.time.now()) {
+    m_context->demand.add_arrival(get_demand_key(), m_model_request.estimated_prompt_tokens,
+                                  m_model_request.most_tokens);
+}
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
@@ -52,6 +55,11 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
+    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.most_tokens);
+}
+
+policy::demand_key model_call::get_demand_key() const {
+    return {.organisation = m_organisation, .model = m_model_request.model, .service = {}};
 }
 
 asio::awaitable<void> model_call::run_attempts(caller_channel& caller) {
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -26,6 +26,7 @@
     asio::awaitable<void> run_on(const fleet::backend_server& server, caller_channel& caller);
     asio::awaitable<void> deliver(const server_sent_event& event, caller_channel& caller);
     asio::awaitable<void> finish(caller_channel& caller);
+    [[nodiscard]] policy::demand_key get_demand_key() const;
     [[nodiscard]] const fleet::backend_server& choose_engine(const fleet::manifest& manifest);
     [[nodiscard]] http_request make_engine_request(const fleet::backend_server& server) const;
     [[nodiscard]] http_response make_whole_answer() const;
--- a/tests/fleet/test_manifest.cpp
+++ b/tests/fleet/test_manifest.cpp
@@ -53,3 +53,20 @@
     CHECK(server.get_engine()->role == engine_role::decode);
     CHECK(get_manifest_entries(get_manifest_document(entries)) == entries);
 }
+
+TEST_CASE("spending limits, work units and cheap servers are read, and wrong ones are reported") {
+    const fleet::manifest manifest = fleet::parse_manifest(
+        {{"settings/spending", R"({"cheap_price_milli":300,"most_cheap_percent":40,"lead_seconds":60})"},
+         {"zones/a", R"({"region":"r","most_servers":7,"cheap_servers":false})"},
+         {"models/m", R"({"version":"1","prompt_token_milliunits":100})"},
+         {"organisations/o", R"({"accepts_cheap_servers":false})"}});
+    CHECK(manifest.prices.cheap_price_milli == 300);
+    CHECK(manifest.prices.most_cheap_percent == 40);
+    CHECK(manifest.prices.lead_time == std::chrono::seconds(60));
+    CHECK(manifest.zones.at(zone_name("a")).most_servers == 7);
+    CHECK_FALSE(manifest.zones.at(zone_name("a")).has_cheap_servers);
+    CHECK(manifest.models.at(model_name("m")).prompt_token_milliunits == 100);
+    CHECK_FALSE(manifest.organisations.at(organisation_name("o")).accepts_cheap_servers);
+    CHECK_THROWS_AS(fleet::parse_manifest({{"settings/spending", R"({"most_cheap_percent":101})"}}),
+                    invalid_input_error);
+}
