Report trends of service and spending to the board, and show decisions in status

Cause: a slow decline is what the operators fear most, and nothing showed one. 'status' prints roles, demand, the last decision and its reason, and spending.

--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -22,6 +22,8 @@
     std::vector<endpoint> daemons;
     duration deadline{std::chrono::seconds(5)};
     bool is_json{false};
+    /// Where `report` writes its page; empty when it was not given.
+    std::string html_file;
     std::ostream& out;
     std::ostream& errors;
 };
--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -33,6 +33,7 @@
     add("daemon", options::value<std::vector<std::string>>()->composing(),
         "operator address of a daemon; may be given several times");
     add("json", "print JSON");
+    add("html", options::value<std::string>()->default_value(""), "file that report writes its page to");
     add("version", "print the version and exit");
     add("help,h", "print this help and exit");
     return description;
@@ -94,6 +95,7 @@
     command_context context{.platform_log = require_endpoint(values["log"].as<std::string>()),
                             .daemons = {},
                             .is_json = values.contains("json"),
+                            .html_file = values["html"].as<std::string>(),
                             .out = out,
                             .errors = errors};
     if (values.contains("daemon")) {
--- a/ctl/report_commands.cpp
+++ b/ctl/report_commands.cpp
@@ -3,10 +3,14 @@
 #include <boost/beast/http/verb.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
+#include <fstream>
 #include <ostream>
 
+#include "core/error.hpp"
 #include "core/json.hpp"
 #include "ctl/log_reader.hpp"
+#include "ctl/report_page.hpp"
+#include "ctl/status_text.hpp"
 #include "platform/blocking_http_client.hpp"
 
 namespace dragonflywell::ctl {
@@ -53,6 +57,53 @@
     }
 };
 
+/// Writes the board's report from what all hosts have stated in the log.
+class report_command final : public command {
+public:
+    [[nodiscard]] std::string get_words() const override { return "report"; }
+    [[nodiscard]] std::string get_summary() const override {
+        return "--html FILE  write trends of service and spending as a page with plots";
+    }
+
+    int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
+        if (context.html_file.empty()) {
+            throw invalid_input_error(std::vector<input_problem>{{.place = "--html", .message = "names no file"}});
+        }
+        platform::http_log log({.server = context.platform_log, .deadline = context.deadline});
+        coordination::folded_stream stream(log, std::string(fleet::history_stream), {.host = "report"});
+        fleet::service_history history;
+        stream.add_observer(history);
+        stream.poll();
+        const bool has_hours = history.get_hours().size() >= least_hours;
+        const fleet::service_history::series& spans = has_hours ? history.get_hours() : history.get_fine();
+        if (spans.empty()) {
+            context.errors << "no host has stated any figures yet\n";
+            return exit_failed;
+        }
+        std::ofstream file(context.html_file);
+        file << make_report_page(spans, has_hours ? fleet::service_history::hour_seconds
+                                                  : fleet::service_history::fine_seconds);
+        file.close();
+        if (!file) {
+            throw invalid_input_error(
+                std::vector<input_problem>{{.place = context.html_file, .message = "cannot be written"}});
+        }
+        return print_declines(context, get_report_figures(spans));
+    }
+
+private:
+    /// Hours from which on the report shows hours and no finer spans.
+    static constexpr std::size_t least_hours = 48;
+
+    static int print_declines(const command_context& context, const std::vector<report_figure>& figures) {
+        for (const report_figure& figure : figures) {
+            context.out << fmt::format("{:<40} {:>8.2f}  {}\n", figure.title, figure.values.back(),
+                                       figure.is_decline ? "DECLINING" : "steady");
+        }
+        return exit_ok;
+    }
+};
+
 class status_command final : public command {
 public:
     [[nodiscard]] std::string get_words() const override { return "status"; }
@@ -73,7 +124,7 @@
             return exit_code;
         }
         for (const boost::json::value& state : states) {
-            context.out << boost::json::serialize(state) << "\n";
+            context.out << format_status(json::as_object(state, "status"));
         }
         return exit_code;
     }
@@ -96,6 +147,7 @@
     std::vector<std::unique_ptr<command>> commands;
     commands.push_back(std::make_unique<status_command>());
     commands.push_back(std::make_unique<usage_command>());
+    commands.push_back(std::make_unique<report_command>());
     return commands;
 }
 
--- /dev/null
+++ b/ctl/report_page.cpp
@@ -0,0 +1,259 @@
+#include "ctl/report_page.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include "policy/trend.hpp"
+
+namespace dragonflywell::ctl {
+
+namespace {
+
+constexpr double percent = 100;
+constexpr double tokens_per_million = 1e6;
+constexpr double milli = 1000;
+/// An organisation with fewer requests in a span says nothing about it.
+constexpr std::uint64_t least_asked = 20;
+
+constexpr double plot_width = 860;
+constexpr double plot_height = 180;
+constexpr double plot_left = 64;
+constexpr double plot_bottom = 26;
+constexpr double plot_top = 12;
+constexpr int grid_lines = 4;
+
+constexpr const char* page_style =
+    "body{font:15px/1.5 system-ui,sans-serif;max-width:920px;margin:2em auto;padding:0 "
+    "1em;color:#1c2733;background:#fff}"
+    "h1{font-size:1.5em;margin-bottom:0}h2{font-size:1.1em;margin:1.6em 0 .2em}p{margin:.3em 0}"
+    ".good{border-left:5px solid #2e7d4f;padding:.4em .8em;background:#eef7f1}"
+    ".bad{border-left:5px solid #b3261e;padding:.4em .8em;background:#fdeeed}"
+    "table{border-collapse:collapse;margin:.5em 0}td,th{padding:.2em .9em;text-align:right;border-bottom:1px solid "
+    "#dde3ea}"
+    "td:first-child,th:first-child{text-align:left}.note{color:#5b6b7b;font-size:.9em}"
+    "svg{display:block;max-width:100%;height:auto}text{font:11px system-ui,sans-serif;fill:#5b6b7b}";
+
+std::string escape(const std::string& text) {
+    std::string result;
+    for (const char letter : text) {
+        switch (letter) {
+        case '&':
+            result += "&amp;";
+            break;
+        case '<':
+            result += "&lt;";
+            break;
+        case '>':
+            result += "&gt;";
+            break;
+        case '"':
+            result += "&quot;";
+            break;
+        default:
+            result += letter;
+        }
+    }
+    return result;
+}
+
+std::string format_moment(std::uint64_t second) {
+    const auto moment = std::chrono::system_clock::time_point(std::chrono::seconds(second));
+    return fmt::format("{:%Y-%m-%d %H:%M}", fmt::gmtime(std::chrono::system_clock::to_time_t(moment)));
+}
+
+std::string format_value(double value) {
+    return value >= percent ? fmt::format("{:.0f}", value) : fmt::format("{:.2f}", value);
+}
+
+/// Draws one series with a labelled scale. A flat series gets a scale of its own, so that it is not drawn as noise.
+class line_plot {
+public:
+    line_plot(const report_figure& figure, std::uint64_t first, std::uint64_t last)
+        : m_figure(&figure), m_first(first), m_last(last) {
+        const auto [least, most] = std::minmax_element(figure.values.begin(), figure.values.end());
+        const double margin = std::max({(*most - *least) * 0.1, std::abs(*most) * 0.005, 0.01});
+        m_low = std::max(0.0, *least - margin);
+        m_high = *most + margin;
+    }
+
+    [[nodiscard]] std::string draw() const {
+        std::string text = fmt::format("<svg viewBox=\"0 0 {} {}\" role=\"img\" aria-label=\"{}\">", plot_width,
+                                       plot_height, escape(m_figure->title));
+        for (int line = 0; line <= grid_lines; ++line) {
+            const double value = m_low + (m_high - m_low) * line / grid_lines;
+            text += fmt::format("<line x1=\"{0}\" y1=\"{2:.1f}\" x2=\"{1}\" y2=\"{2:.1f}\" stroke=\"#e3e8ee\"/>",
+                                plot_left, plot_width, get_y(value));
+            text += fmt::format("<text x=\"{}\" y=\"{:.1f}\" text-anchor=\"end\">{}</text>", plot_left - 6,
+                                get_y(value) + 4, format_value(value));
+        }
+        text += draw_line();
+        text += fmt::format("<text x=\"{}\" y=\"{}\">{}</text>", plot_left, plot_height - 6, format_moment(m_first));
+        text += fmt::format("<text x=\"{}\" y=\"{}\" text-anchor=\"end\">{} UTC</text>", plot_width, plot_height - 6,
+                            format_moment(m_last));
+        return text + "</svg>";
+    }
+
+private:
+    [[nodiscard]] std::string draw_line() const {
+        const char* colour = m_figure->is_decline ? "#b3261e" : "#1f5fa8";
+        std::string points;
+        for (std::size_t index = 0; index < m_figure->values.size(); ++index) {
+            points += fmt::format("{:.1f},{:.1f} ", get_x(index), get_y(m_figure->values[index]));
+        }
+        std::string text =
+            fmt::format("<polyline points=\"{}\" fill=\"none\" stroke=\"{}\" stroke-width=\"1.8\"/>", points, colour);
+        if (m_figure->values.size() == 1) {
+            text += fmt::format("<circle cx=\"{:.1f}\" cy=\"{:.1f}\" r=\"3\" fill=\"{}\"/>", get_x(0),
+                                get_y(m_figure->values[0]), colour);
+        }
+        return text;
+    }
+
+    [[nodiscard]] double get_x(std::size_t index) const {
+        const double steps = std::max<double>(1, static_cast<double>(m_figure->values.size()) - 1);
+        return plot_left + (plot_width - plot_left) * static_cast<double>(index) / steps;
+    }
+
+    [[nodiscard]] double get_y(double value) const {
+        const double height = plot_height - plot_top - plot_bottom;
+        return plot_top + height * (1 - (value - m_low) / (m_high - m_low));
+    }
+
+    const report_figure* m_figure;
+    std::uint64_t m_first;
+    std::uint64_t m_last;
+    double m_low{};
+    double m_high{};
+};
+
+report_figure make_figure(std::string title, std::string unit, std::string meaning, std::vector<double> values,
+                          const policy::trend_options& options) {
+    const policy::trend found = policy::find_trend(values, options);
+    return {.title = std::move(title),
+            .unit = std::move(unit),
+            .meaning = std::move(meaning),
+            .values = std::move(values),
+            .is_decline = found.is_decline,
+            .change = found.change};
+}
+
+std::string make_verdict(const std::vector<report_figure>& figures) {
+    std::string declines;
+    for (const report_figure& figure : figures) {
+        if (figure.is_decline) {
+            declines += fmt::format("<p><strong>{}</strong> has moved by {:+.1f}% over this time. {}</p>",
+                                    escape(figure.title), figure.change * percent, escape(figure.meaning));
+        }
+    }
+    if (!declines.empty()) {
+        return "<div class=\"bad\"><p><strong>Slow decline found.</strong></p>" + declines + "</div>";
+    }
+    if (figures.front().values.size() < 8) {
+        return "<div class=\"good\"><p>Too short a time to tell a trend: eight spans are needed.</p></div>";
+    }
+    return "<div class=\"good\"><p>No slow decline found in any figure.</p></div>";
+}
+
+std::string make_refusal_table(const fleet::service_figures& total) {
+    std::vector<std::pair<std::string, std::uint64_t>> reasons;
+    for (const auto& [reason, count] : total.refusals) {
+        if (count > 0) {
+            reasons.emplace_back(reason, count);
+        }
+    }
+    if (reasons.empty()) {
+        return "<p>Nothing was refused.</p>";
+    }
+    std::sort(reasons.begin(), reasons.end(),
+              [](const auto& one, const auto& other) { return one.second > other.second; });
+    std::string text = "<table><tr><th>Reason</th><th>Requests</th></tr>";
+    for (const auto& [reason, count] : reasons) {
+        text += fmt::format("<tr><td>{}</td><td>{}</td></tr>", escape(reason), count);
+    }
+    return text + "</table>";
+}
+
+std::string make_organisation_table(const fleet::service_figures& total) {
+    std::string text = "<table><tr><th>Organisation</th><th>Asked</th><th>Completed</th><th>Part</th></tr>";
+    std::vector<std::pair<std::string, fleet::organisation_service>> rows;
+    for (const auto& [name, service] : total.organisations) {
+        rows.emplace_back(name.empty() ? "all others" : name.value(), service);
+    }
+    const auto part = [](const fleet::organisation_service& item) {
+        return item.asked == 0 ? 1.0 : static_cast<double>(item.completed) / static_cast<double>(item.asked);
+    };
+    std::sort(rows.begin(), rows.end(),
+              [&](const auto& one, const auto& other) { return part(one.second) < part(other.second); });
+    for (const auto& [name, service] : rows) {
+        text += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.2f}%</td></tr>", escape(name), service.asked,
+                            service.completed, part(service) * percent);
+    }
+    return text + "</table>";
+}
+
+} // namespace
+
+std::vector<report_figure> get_report_figures(const fleet::service_history::series& spans) {
+    std::vector<double> goodput;
+    std::vector<double> worst;
+    std::vector<double> spend;
+    std::vector<double> refusals;
+    for (const auto& [start, figures] : spans) {
+        goodput.push_back(fleet::get_goodput(figures) * percent);
+        worst.push_back(fleet::get_worst_goodput(figures, least_asked) * percent);
+        if (figures.delivered_tokens > 0) {
+            spend.push_back(static_cast<double>(figures.spend_milli) / milli /
+                            (static_cast<double>(figures.delivered_tokens) / tokens_per_million));
+        }
+        std::uint64_t refused = 0;
+        for (const auto& [reason, count] : figures.refusals) {
+            refused += count;
+        }
+        refusals.push_back(static_cast<double>(refused));
+    }
+    constexpr policy::trend_options falls{.bad = policy::bad_direction::down, .least_change = 0.005};
+    constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .least_change = 0.05};
+    std::vector<report_figure> figures;
+    figures.push_back(make_figure("Goodput", "% of requests completed",
+                                  "Fewer callers get their whole answer; compare the refusals by reason below.",
+                                  std::move(goodput), falls));
+    figures.push_back(make_figure("Worst-served organisation", "% of its requests completed",
+                                  "One organisation pays for the others; look at its weight and limits.",
+                                  std::move(worst), falls));
+    if (!spend.empty()) {
+        figures.push_back(make_figure("Spending per million delivered tokens", "in the manifest's currency",
+                                      "The fleet costs more for the same service; look at the spending plan.",
+                                      std::move(spend), rises));
+    }
+    figures.push_back(make_figure("Refused requests", "in each span", "More is refused; see the reasons below.",
+                                  std::move(refusals), rises));
+    return figures;
+}
+
+std::string make_report_page(const fleet::service_history::series& spans, std::uint64_t span_seconds) {
+    const std::uint64_t first = spans.begin()->first;
+    const std::uint64_t last = spans.rbegin()->first + span_seconds;
+    fleet::service_figures total;
+    for (const auto& [start, figures] : spans) {
+        fleet::add_figures(total, figures);
+    }
+    const std::vector<report_figure> figures = get_report_figures(spans);
+    std::string page = fmt::format("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">"
+                                   "<title>Service report</title><style>{}</style></head><body>",
+                                   page_style);
+    page += fmt::format("<h1>Service report</h1><p class=\"note\">{} to {} UTC, {} spans of {} minutes</p>",
+                        format_moment(first), format_moment(last), spans.size(), span_seconds / 60);
+    page += make_verdict(figures);
+    for (const report_figure& figure : figures) {
+        page += fmt::format("<h2>{}{}</h2><p class=\"note\">{}</p>", escape(figure.title),
+                            figure.is_decline ? " — declining" : "", escape(figure.unit));
+        page += line_plot(figure, first, last).draw();
+    }
+    page += "<h2>Refusals by reason</h2>" + make_refusal_table(total);
+    page += "<h2>Organisations, worst served first</h2>" + make_organisation_table(total);
+    return page + "</body></html>\n";
+}
+
+} // namespace dragonflywell::ctl
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -35,6 +35,7 @@
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
     settings.control_interval = get_milliseconds(reader, "control.interval_ms", poll_milliseconds, 1000);
+    settings.history_interval = get_milliseconds(reader, "history.interval_ms", deadline_milliseconds, 60000);
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
     settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.least = 1, .most = 256}, 2));
     settings.header_limit_bytes = static_cast<std::uint32_t>(
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -22,6 +22,7 @@
     duration configuration_poll{};
     duration usage_flush{};
     duration control_interval{};
+    duration history_interval{};
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
--- /dev/null
+++ b/daemon/history_task.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "coordination/snapshot_writer.hpp"
+#include "daemon/control_task.hpp"
+#include "daemon/daemon_parts.hpp"
+#include "fleet/service_history.hpp"
+#include "platform/http_log.hpp"
+
+namespace dragonflywell::daemon {
+
+/// States what this host's callers asked for and got, for the operators' reports.
+///
+/// The figures are for trends only and never for bills: when the log fails between an append and its read-back, a span
+/// may count twice.
+class history_task final : public control_task {
+public:
+    explicit history_task(const daemon_parts& parts);
+
+    void run_round() override;
+    void finish() override { run_round(); }
+    [[nodiscard]] const char* get_name() const noexcept override { return "history"; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.history_interval; }
+
+private:
+    void collect();
+    void add_refusals();
+    void add_spending(duration elapsed);
+
+    daemon_parts m_parts;
+    platform::http_log m_platform_log;
+    coordination::folded_stream m_stream;
+    fleet::service_history m_history;
+    coordination::snapshot_writer m_snapshots;
+    /// What has not been stated yet.
+    fleet::service_figures m_pending;
+    std::map<std::string, std::uint64_t> m_refusals_before;
+    std::optional<steady_time> m_collected_at;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/fleet/service_history.cpp
@@ -0,0 +1,174 @@
+#include "fleet/service_history.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <vector>
+
+#include "core/json.hpp"
+
+namespace dragonflywell::fleet {
+
+namespace {
+
+constexpr std::uint64_t fine_kept_seconds = 86400;
+constexpr std::uint64_t hours_kept_seconds = 90ULL * 86400;
+/// Organisations that one span names; the others are added up under an empty name.
+constexpr std::size_t most_named_organisations = 64;
+
+boost::json::object encode_figures(const service_figures& figures) {
+    boost::json::object organisations;
+    for (const auto& [name, service] : figures.organisations) {
+        organisations[name.value()] = boost::json::array{service.asked, service.completed};
+    }
+    boost::json::object refusals;
+    for (const auto& [reason, count] : figures.refusals) {
+        refusals[reason] = count;
+    }
+    return {{"organisations", std::move(organisations)},
+            {"refusals", std::move(refusals)},
+            {"delivered_tokens", figures.delivered_tokens},
+            {"spend_milli", figures.spend_milli}};
+}
+
+std::uint64_t get_item(const boost::json::value& value, std::size_t index) {
+    if (!value.is_array() || value.get_array().size() <= index) {
+        throw malformed_message_error("organisation must have two numbers");
+    }
+    return json::get_unsigned({{"item", value.get_array()[index]}}, "item");
+}
+
+service_figures decode_figures(const boost::json::object& object) {
+    service_figures figures{.organisations = {},
+                            .refusals = {},
+                            .delivered_tokens = json::get_unsigned(object, "delivered_tokens"),
+                            .spend_milli = json::get_unsigned(object, "spend_milli")};
+    for (const auto& [name, value] : json::get_object(object, "organisations")) {
+        figures.organisations[organisation_name(std::string(name))] = {.asked = get_item(value, 0),
+                                                                       .completed = get_item(value, 1)};
+    }
+    for (const auto& [reason, value] : json::get_object(object, "refusals")) {
+        figures.refusals[std::string(reason)] = json::get_unsigned({{"count", value}}, "count");
+    }
+    return figures;
+}
+
+void forget_old(service_history::series& spans, std::uint64_t kept_seconds) {
+    const std::uint64_t newest = spans.rbegin()->first;
+    while (spans.begin()->first + kept_seconds < newest) {
+        spans.erase(spans.begin());
+    }
+}
+
+/// Keeps those with the worst service by name, since they are what a report is about.
+void limit_organisations(service_figures& figures) {
+    if (figures.organisations.size() <= most_named_organisations) {
+        return;
+    }
+    std::vector<std::pair<std::uint64_t, organisation_name>> by_loss;
+    for (const auto& [name, service] : figures.organisations) {
+        if (!name.empty()) {
+            by_loss.emplace_back(service.asked - std::min(service.asked, service.completed), name);
+        }
+    }
+    std::sort(by_loss.rbegin(), by_loss.rend());
+    for (std::size_t index = most_named_organisations - 1; index < by_loss.size(); ++index) {
+        const auto found = figures.organisations.find(by_loss[index].second);
+        const organisation_service moved = found->second;
+        figures.organisations.erase(found);
+        figures.organisations[organisation_name()].asked += moved.asked;
+        figures.organisations[organisation_name()].completed += moved.completed;
+    }
+}
+
+/// Adds to one span and keeps it and the series within their bounds.
+void add_to_series(service_history::series& spans, std::uint64_t start, const service_figures& figures,
+                   std::uint64_t kept_seconds) {
+    add_figures(spans[start], figures);
+    limit_organisations(spans[start]);
+    forget_old(spans, kept_seconds);
+}
+
+boost::json::object encode_series(const service_history::series& spans) {
+    boost::json::object result;
+    for (const auto& [start, figures] : spans) {
+        result[std::to_string(start)] = encode_figures(figures);
+    }
+    return result;
+}
+
+service_history::series decode_series(const boost::json::object& object) {
+    service_history::series spans;
+    for (const auto& [start, value] : object) {
+        const std::string text(start);
+        if (text.empty() ||
+            !std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; })) {
+            throw malformed_message_error("start of a span must be a number");
+        }
+        spans[std::stoull(text)] = decode_figures(json::as_object(value, "figures"));
+    }
+    return spans;
+}
+
+} // namespace
+
+void add_figures(service_figures& sum, const service_figures& part) {
+    for (const auto& [name, service] : part.organisations) {
+        sum.organisations[name].asked += service.asked;
+        sum.organisations[name].completed += service.completed;
+    }
+    for (const auto& [reason, count] : part.refusals) {
+        sum.refusals[reason] += count;
+    }
+    sum.delivered_tokens += part.delivered_tokens;
+    sum.spend_milli += part.spend_milli;
+}
+
+double get_goodput(const service_figures& figures) {
+    organisation_service sum;
+    for (const auto& [name, service] : figures.organisations) {
+        sum.asked += service.asked;
+        sum.completed += service.completed;
+    }
+    // A request may be asked for in one span and completed in the next.
+    return sum.asked == 0 ? 1 : std::min(1.0, static_cast<double>(sum.completed) / static_cast<double>(sum.asked));
+}
+
+double get_worst_goodput(const service_figures& figures, std::uint64_t least_asked) {
+    double worst = 1;
+    for (const auto& [name, service] : figures.organisations) {
+        if (service.asked >= std::max<std::uint64_t>(least_asked, 1)) {
+            worst = std::min(worst, static_cast<double>(service.completed) / static_cast<double>(service.asked));
+        }
+    }
+    return worst;
+}
+
+coordination::record_draft make_history_draft(std::uint64_t second, const service_figures& figures) {
+    boost::json::object body = encode_figures(figures);
+    body["second"] = second;
+    return {.type = std::string(history_record_type), .body = std::move(body), .condition = {}, .fence = {}};
+}
+
+void service_history::on_record(coordination::log_offset /*offset*/, const coordination::record& value) {
+    if (value.type != history_record_type) {
+        return;
+    }
+    const std::uint64_t second = json::get_unsigned(value.body, "second");
+    const service_figures figures = decode_figures(value.body);
+    add_to_series(m_fine, second - second % fine_seconds, figures, fine_kept_seconds);
+    add_to_series(m_hours, second - second % hour_seconds, figures, hours_kept_seconds);
+}
+
+boost::json::value service_history::save_state() const {
+    return boost::json::object{{"fine", encode_series(m_fine)}, {"hours", encode_series(m_hours)}};
+}
+
+void service_history::restore_state(const boost::json::value& state) {
+    const boost::json::object& object = json::as_object(state, "service history");
+    series fine = decode_series(json::get_object(object, "fine"));
+    series hours = decode_series(json::get_object(object, "hours"));
+    m_fine = std::move(fine);
+    m_hours = std::move(hours);
+}
+
+} // namespace dragonflywell::fleet
--- a/servers/demand_meter.hpp
+++ b/servers/demand_meter.hpp
@@ -17,6 +17,14 @@
     /// Notes how much of the permitted output a whole answer had.
     void add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t most_tokens);
 
+    /// Requests asked for and completed, and tokens delivered, by organisation, since the last call.
+    struct service_row {
+        std::uint64_t asked{};
+        std::uint64_t completed{};
+        std::uint64_t delivered_tokens{};
+    };
+    [[nodiscard]] std::map<organisation_name, service_row> take_service();
+
     /// Returns what came in since the last call, and starts anew.
     [[nodiscard]] std::vector<policy::demand_row> take();
 
@@ -29,6 +37,7 @@
 
     std::mutex m_mutex;
     std::map<policy::demand_key, entry> m_entries;
+    std::map<organisation_name, service_row> m_service;
 };
 
 } // namespace dragonflywell::servers
--- /dev/null
+++ b/tests/ctl/test_report_page.cpp
@@ -0,0 +1,50 @@
+#include <doctest/doctest.h>
+
+#include "ctl/report_page.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::ctl;
+
+namespace {
+
+fleet::service_history::series make_series(std::uint64_t lost_more_each_hour) {
+    fleet::service_history::series spans;
+    for (std::uint64_t hour = 0; hour < 60; ++hour) {
+        fleet::service_figures& figures = spans[hour * 3600];
+        const std::uint64_t lost = hour * lost_more_each_hour;
+        figures.organisations[organisation_name("rovers & <co>")] = {.asked = 5000, .completed = 5000 - lost};
+        figures.organisations[organisation_name("yard")] = {.asked = 5000, .completed = 4990};
+        figures.refusals["queue_full"] = lost;
+        figures.delivered_tokens = 1000000;
+        figures.spend_milli = 2000;
+    }
+    return spans;
+}
+
+} // namespace
+
+TEST_CASE("a slow decline is called out, a steady service is not") {
+    const std::string falling = make_report_page(make_series(3), 3600);
+    CHECK(falling.find("Slow decline found.") != std::string::npos);
+    CHECK(falling.find("Goodput — declining") != std::string::npos);
+    CHECK(falling.find("queue_full") != std::string::npos);
+    const std::string steady = make_report_page(make_series(0), 3600);
+    CHECK(steady.find("No slow decline found") != std::string::npos);
+    CHECK(steady.find("declining") == std::string::npos);
+}
+
+TEST_CASE("the page stands alone and names are escaped") {
+    const std::string page = make_report_page(make_series(1), 3600);
+    CHECK(page.find("http") == std::string::npos);
+    CHECK(page.find("<script") == std::string::npos);
+    CHECK(page.find("<svg") != std::string::npos);
+    CHECK(page.find("<co>") == std::string::npos);
+    CHECK(page.find("rovers &amp; &lt;co&gt;") != std::string::npos);
+    CHECK(page.find("nan") == std::string::npos);
+}
+
+TEST_CASE("figures of one span make a page without a verdict on trends") {
+    fleet::service_history::series one;
+    one[0] = {};
+    CHECK(make_report_page(one, 300).find("Too short a time") != std::string::npos);
+}
--- /dev/null
+++ b/tests/fleet/test_service_history.cpp
@@ -0,0 +1,74 @@
+#include <doctest/doctest.h>
+
+#include <boost/json.hpp>
+
+#include "fleet/service_history.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::fleet;
+
+namespace {
+
+coordination::record make_record(std::uint64_t second, const service_figures& figures) {
+    const coordination::record_draft draft = make_history_draft(second, figures);
+    coordination::record value;
+    value.type = draft.type;
+    value.body = draft.body;
+    return value;
+}
+
+service_figures make_figures(const char* name, std::uint64_t asked, std::uint64_t completed) {
+    service_figures figures;
+    figures.organisations[organisation_name(name)] = {.asked = asked, .completed = completed};
+    figures.refusals["queue_full"] = asked - completed;
+    figures.delivered_tokens = completed;
+    figures.spend_milli = 5;
+    return figures;
+}
+
+} // namespace
+
+TEST_CASE("the statements of all hosts are added up by span, and the state survives as a snapshot") {
+    service_history history;
+    history.on_record(0, make_record(3600, make_figures("a", 100, 90)));
+    history.on_record(1, make_record(3700, make_figures("b", 50, 10)));
+    history.on_record(2, make_record(4000, make_figures("a", 10, 10)));
+    CHECK(history.get_fine().size() == 2);
+    REQUIRE(history.get_hours().size() == 1);
+    const service_figures& hour = history.get_hours().at(3600);
+    CHECK(hour.organisations.at(organisation_name("a")).completed == 100);
+    CHECK(hour.refusals.at("queue_full") == 50);
+    CHECK(get_goodput(hour) == doctest::Approx(110.0 / 160));
+    CHECK(get_worst_goodput(hour, 20) == doctest::Approx(0.2));
+    CHECK(get_worst_goodput(hour, 60) == doctest::Approx(100.0 / 110));
+    service_history copy;
+    copy.restore_state(boost::json::parse(boost::json::serialize(history.save_state())));
+    CHECK(copy.get_hours() == history.get_hours());
+    CHECK(copy.get_fine() == history.get_fine());
+}
+
+TEST_CASE("spans and organisations are bounded, and those with the worst service keep their names") {
+    service_history history;
+    for (int index = 0; index < 200; ++index) {
+        history.on_record(static_cast<std::uint64_t>(index),
+                          make_record(3600, make_figures(std::to_string(index).c_str(), 100, index == 150 ? 0 : 99)));
+    }
+    const auto& organisations = history.get_hours().at(3600).organisations;
+    CHECK(organisations.size() <= 64);
+    CHECK(organisations.contains(organisation_name("150")));
+    std::uint64_t asked = 0;
+    for (const auto& [name, service] : organisations) {
+        asked += service.asked;
+    }
+    CHECK(asked == 20000);
+    history.on_record(200, make_record(3600 + 91 * 86400, make_figures("a", 1, 1)));
+    CHECK(history.get_hours().size() == 1);
+}
+
+TEST_CASE("a malformed statement changes nothing") {
+    service_history history;
+    coordination::record value = make_record(3600, make_figures("a", 1, 1));
+    value.body["organisations"] = {{"a", 7}};
+    CHECK_THROWS_AS(history.on_record(0, value), malformed_message_error);
+    CHECK(history.get_hours().empty());
+}
