--- a/daemon/history_task.cpp
+++ b/daemon/history_task.cpp
@@ -79,7 +79,10 @@
     }
     const auto price = static_cast<double>(get_zone_price(manifest->content, m_parts.settings.zone));
     const double hours = std::chrono::duration<double>(elapsed).count() / seconds_per_hour;
-    m_pending.spend_milli += static_cast<std::uint64_t>(std::llround(price * hours));
+    m_unstated_spend += price * hours;
+    const double whole = std::floor(m_unstated_spend);
+    m_pending.spend_milli += static_cast<std::uint64_t>(whole);
+    m_unstated_spend -= whole;
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/history_task.hpp
+++ b/daemon/history_task.hpp
@@ -33,6 +33,8 @@
     coordination::snapshot_writer m_snapshots;
     /// What has not been stated yet.
     fleet::service_figures m_pending;
+    /// Part of a thousandth that is carried over, so that short rounds do not round it away.
+    double m_unstated_spend{0};
     std::map<std::string, std::uint64_t> m_refusals_before;
     std::optional<steady_time> m_collected_at;
 };
