--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -36,10 +36,7 @@
                 fmt::format(R"({{"zone":"a","address":"{}","model":"m","checks_fencing":{}}})",
                             format_endpoint(engines.back()->get_endpoint()), checks_fencing);
         }
-        auto manifest = std::make_shared<servers::active_manifest>();
-        manifest->version = 1;
-        manifest->content = fleet::parse_manifest(entries);
-        m_manifest.set(std::move(manifest));
+        m_manifest.set(std::make_shared<servers::active_manifest>(1, fleet::parse_manifest(entries)));
     }
 
     /// Runs rounds of one second each, in which callers ask for this much.
