--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -4,6 +4,7 @@
 #include "core/metrics.hpp"
 #include "core/snapshot_cell.hpp"
 #include "daemon/daemon_settings.hpp"
+#include "daemon/fleet_parts.hpp"
 #include "servers/entry_context.hpp"
 
 namespace dragonflywell::daemon {
@@ -17,6 +18,7 @@
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
     coordination::claim_queue& claims;
+    fleet_parts& fleet;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -40,6 +40,8 @@
     /// Least time between two appends of claims.
     duration claim_interval{};
     coordination::claim_options claims;
+    duration control_interval{};
+    duration history_interval{};
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
