--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -2,10 +2,12 @@
 
 #include "daemon/claim_task.hpp"
 #include "daemon/configuration_task.hpp"
+#include "daemon/history_task.hpp"
 #include "daemon/peer_hub.hpp"
 #include "daemon/peer_task.hpp"
 #include "daemon/report_task.hpp"
 #include "daemon/usage_task.hpp"
+#include "daemon/zone_control_task.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -21,6 +23,8 @@
     if (parts.settings.platform_usage) {
         tasks.push_back(std::make_unique<report_task>(parts));
     }
+    tasks.push_back(std::make_unique<zone_control_task>(parts));
+    tasks.push_back(std::make_unique<history_task>(parts));
     return tasks;
 }
 
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -61,6 +61,8 @@
     settings.platform_usage = get_optional_endpoint(reader, "platform.usage", "");
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
+    settings.control_interval = get_milliseconds(reader, "control.interval_ms", poll_milliseconds, 1000);
+    settings.history_interval = get_milliseconds(reader, "history.interval_ms", deadline_milliseconds, 60000);
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
     settings.claim_interval = get_milliseconds(reader, "claims.interval_ms", poll_milliseconds, 50);
     settings.claims.window =
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -58,7 +58,13 @@
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
       m_model_request(parse_model_request(request)), m_arrived(context.time.now()),
-      m_answer(m_model_request.shape, m_model_request.most_tokens) {}
+      m_answer(m_model_request.shape, m_model_request.most_tokens) {
+    // Names that callers make up must not grow the meter.
+    if (m_context->manifest.get()->content.models.contains(m_model_request.model)) {
+        m_context->demand.add_arrival(get_demand_key(), m_model_request.estimated_prompt_tokens,
+                                      m_model_request.most_tokens);
+    }
+}
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
@@ -73,6 +79,11 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
+    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.most_tokens);
+}
+
+policy::demand_key model_call::get_demand_key() const {
+    return {.organisation = m_organisation, .model = m_model_request.model, .service = {}};
 }
 
 asio::awaitable<void> model_call::run_attempts(caller_channel& caller) {
@@ -244,8 +255,12 @@
         throw request_refused(policy::refusal_reason::unknown_model, policy::request_outcome::not_run,
                               fmt::format("model \"{}\" does not exist", m_model_request.model.value()));
     }
-    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model),
-                                 m_history.get_tried());
+    const fleet::model& model = manifest.content.models.at(m_model_request.model);
+    const policy::role_demand work{
+        .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
+        .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)};
+    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), m_history.get_tried(),
+                                 work);
 }
 
 http_request model_call::make_engine_request(const fleet::backend_server& server) {
