Keep work that may not run again off cheap servers, and the last engine of a model in place

Cause: placement gave any work to cheap servers, and a model with one engine could lose it to a role change. Change: placement asks for the work class and the cap on the share; the planner never moves the last engine that serves. Tests: both, and that an engine with an announced change gets nothing new.

--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -128,7 +128,8 @@
             }
         }
         const planned_engine* engine = choose_engine(inputs.engines, best->from, result.orders);
-        if (engine == nullptr || view.away >= cap) {
+        // The last engine that serves stays, whatever the gain: without it everything would be refused.
+        if (engine == nullptr || view.away >= cap || view.away + 1 >= view.alive) {
             result.reason = result.orders.empty() ? role_reason::cap_reached : result.reason;
             return result;
         }
--- a/servers/backend_choice.cpp
+++ b/servers/backend_choice.cpp
@@ -1,5 +1,7 @@
 #include "servers/backend_choice.hpp"
 
+#include <algorithm>
+
 #include "policy/role_preference.hpp"
 #include "servers/request_refused.hpp"
 #include "servers/thread_random.hpp"
@@ -13,7 +15,7 @@
 
 /// Returns the load that placement compares, or nothing when the engine takes no new work.
 std::optional<std::uint64_t> get_compared_load(const entry_context& context, const engine_states& states,
-                                               const backend_server_name& server, const work_shape& work) {
+                                               const backend_server_name& server, const placed_work& work) {
     const std::uint64_t load = context.loads.get(server);
     const auto state = states.find(server);
     if (state == states.end()) {
@@ -22,15 +24,34 @@
     if (!state->second.takes_new_work) {
         return std::nullopt;
     }
-    const bool is_suited = !work || policy::suits_role(state->second.role, *work);
+    const bool is_suited = !work.shape || policy::suits_role(state->second.role, *work.shape);
     return is_suited ? load : load + wrong_role_tokens;
 }
 
+/// Leaves cheap servers out unless they may get the work or nothing else is left.
+void apply_cheap_rule(const entry_context& context, std::vector<policy::placement_candidate>& candidates,
+                      const placed_work& work) {
+    policy::cheap_share share{.most = work.most_cheap_share};
+    for (const policy::placement_candidate& candidate : candidates) {
+        const std::uint64_t load = context.loads.get(candidate.server->name);
+        share.all_tokens += load;
+        share.cheap_tokens += candidate.server->is_cheap ? load : 0;
+    }
+    if (policy::may_use_cheap_server(work.loss, share, work.tokens)) {
+        return;
+    }
+    const auto is_cheap = [](const policy::placement_candidate& candidate) { return candidate.server->is_cheap; };
+    if (!std::all_of(candidates.begin(), candidates.end(), is_cheap)) {
+        std::erase_if(candidates, is_cheap);
+    }
+}
+
 } // namespace
 
 const fleet::backend_server& choose_backend_server(const entry_context& context,
                                                    std::span<const fleet::backend_server* const> servers,
-                                                   const std::set<backend_server_name>& tried, const work_shape& work) {
+                                                   const std::set<backend_server_name>& tried,
+                                                   const placed_work& work) {
     const std::shared_ptr<const engine_states> states = context.engines.get();
     std::vector<policy::placement_candidate> untried;
     std::vector<policy::placement_candidate> all;
@@ -46,7 +67,8 @@
             untried.push_back(candidate);
         }
     }
-    const std::vector<policy::placement_candidate>& candidates = untried.empty() ? all : untried;
+    std::vector<policy::placement_candidate>& candidates = untried.empty() ? all : untried;
+    apply_cheap_rule(context, candidates, work);
     const std::optional<std::size_t> chosen = context.placement.choose(candidates, get_thread_random());
     if (!chosen) {
         throw request_refused(policy::refusal_reason::no_backend_server, policy::request_outcome::not_run,
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view end_of_stream = "[DONE]";
 constexpr std::size_t rejection_limit_bytes = 64 * 1024;
+constexpr double percent = 100;
 constexpr duration cancel_deadline = std::chrono::seconds(1);
 
 /// Returns whether the status says that the request itself is wrong, so that every engine would say the same.
@@ -256,9 +257,18 @@
                               fmt::format("model \"{}\" does not exist", m_model_request.model.value()));
     }
     const fleet::model& model = manifest.content.models.at(m_model_request.model);
-    const policy::role_demand work{
-        .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
-        .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)};
+    const auto owner = manifest.content.organisations.find(m_organisation);
+    const bool accepts_cheap = owner != manifest.content.organisations.end() && owner->second.accepts_cheap_servers;
+    const placed_work work{
+        .shape =
+            policy::role_demand{
+                .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
+                .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)},
+        .loss = policy::get_work_class({.is_idempotent = true,
+                                        .accepts_cheap_servers = accepts_cheap,
+                                        .was_interrupted = !m_history.get_tried().empty()}),
+        .tokens = m_model_request.estimated_prompt_tokens + m_model_request.most_tokens,
+        .most_cheap_share = static_cast<double>(manifest.content.prices.most_cheap_percent) / percent};
     return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), m_history.get_tried(),
                                  work);
 }
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr double percent = 100;
 constexpr std::size_t answer_limit_bytes = 64ULL * 1024 * 1024;
 
 /// Copies what the service said, without the headers that concern one connection only.
@@ -82,7 +83,7 @@
     try {
         check_key(manifest.content);
         return choose_backend_server(*m_context, manifest.servers.get_instances(m_route->service),
-                                     m_history.get_tried());
+                                     m_history.get_tried(), get_placed_work(manifest.content));
     } catch (const request_refused& refused) {
         // An earlier attempt may have run, whatever stops this one.
         throw request_refused(refused.get_reason(), m_history.get_outcome(), refused.what());
@@ -95,4 +96,18 @@
     }
 }
 
+placed_work service_call::get_placed_work(const fleet::manifest& manifest) const {
+    bool accepts_cheap = true;
+    if (m_organisation) {
+        const auto owner = manifest.organisations.find(*m_organisation);
+        accepts_cheap = owner != manifest.organisations.end() && owner->second.accepts_cheap_servers;
+    }
+    return {.shape = {},
+            .loss = policy::get_work_class({.is_idempotent = m_route->is_idempotent,
+                                            .accepts_cheap_servers = accepts_cheap,
+                                            .was_interrupted = !m_history.get_tried().empty()}),
+            .tokens = 1,
+            .most_cheap_share = static_cast<double>(manifest.prices.most_cheap_percent) / percent};
+}
+
 } // namespace dragonflywell::servers
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/attempt_history.hpp"
+#include "servers/backend_choice.hpp"
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
@@ -24,6 +25,7 @@
     /// Checks key and time and returns where the next attempt goes. Throws `request_refused`.
     [[nodiscard]] const fleet::backend_server& prepare_attempt(const active_manifest& manifest);
     void check_key(const fleet::manifest& manifest);
+    [[nodiscard]] placed_work get_placed_work(const fleet::manifest& manifest) const;
 
     entry_context* m_context;
     const http_request* m_request;
--- a/tests/policy/test_horizon_role_planner.cpp
+++ b/tests/policy/test_horizon_role_planner.cpp
@@ -92,6 +92,15 @@
     CHECK(plan.orders.empty());
 }
 
+TEST_CASE("the last engine that serves never leaves") {
+    const horizon_role_planner planner({});
+    const std::vector<planned_engine> engines = make_engines(1, 0);
+    role_memory memory;
+    const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 0, .decode = 2000}), memory);
+    CHECK(plan.reason == role_reason::cap_reached);
+    CHECK(plan.orders.empty());
+}
+
 TEST_CASE("a change that stopped halfway is ordered again, also on stale demand") {
     const horizon_role_planner planner({});
     std::vector<planned_engine> engines = make_engines(8, 4);
--- /dev/null
+++ b/tests/servers/test_backend_choice.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <array>
+
+#include "servers/backend_choice.hpp"
+#include "servers/request_refused.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+
+namespace {
+
+fleet::backend_server make_engine(const char* name, bool is_cheap = false) {
+    return {.name = backend_server_name(name),
+            .zone = zone_name("a"),
+            .address = {},
+            .is_cheap = is_cheap,
+            .offer = fleet::engine{.model = model_name("m")}};
+}
+
+/// A daemon's placement with two engines, one of them cheap.
+struct placement_case {
+    /// Returns how often each was chosen in a hundred requests.
+    std::map<std::string, int> choose(const placed_work& work) {
+        std::map<std::string, int> counts;
+        for (int request = 0; request < 100; ++request) {
+            ++counts[choose_backend_server(context, servers, {}, work).name.value()];
+        }
+        return counts;
+    }
+
+    host_clock time;
+    metrics_registry metrics;
+    snapshot_cell<active_manifest> manifest{nullptr};
+    policy::two_choice_placement placement;
+    backend_connection_pool connections{time, {}};
+    backend_load_table loads;
+    coordination::usage_meter usage;
+    request_counters counters{metrics};
+    demand_meter demand;
+    engine_state_table engines;
+    entry_context context{.time = time,
+                          .own_zone = zone_name("a"),
+                          .manifest = manifest,
+                          .placement = placement,
+                          .connections = connections,
+                          .loads = loads,
+                          .usage = usage,
+                          .counters = counters,
+                          .demand = demand,
+                          .engines = engines,
+                          .limits = {}};
+    fleet::backend_server regular = make_engine("regular");
+    fleet::backend_server cheap = make_engine("cheap", true);
+    std::vector<const fleet::backend_server*> servers{&regular, &cheap};
+};
+
+constexpr placed_work repeatable{
+    .shape = {}, .loss = policy::work_class::repeatable, .tokens = 10, .most_cheap_share = 0.5};
+constexpr placed_work guaranteed{
+    .shape = {}, .loss = policy::work_class::guaranteed, .tokens = 10, .most_cheap_share = 0.5};
+
+} // namespace
+
+TEST_CASE("an engine with an announced role change gets nothing new") {
+    placement_case fleet;
+    fleet.engines.set({{fleet.regular.name, {.role = fleet::engine_role::mixed, .takes_new_work = false}}});
+    CHECK(fleet.choose(repeatable)["regular"] == 0);
+    fleet.engines.set({{fleet.regular.name, {.takes_new_work = false}}, {fleet.cheap.name, {.takes_new_work = false}}});
+    CHECK_THROWS_AS(static_cast<void>(fleet.choose(repeatable)), request_refused);
+}
+
+TEST_CASE("work that may not run again stays off cheap servers while a regular one is there") {
+    placement_case fleet;
+    CHECK(fleet.choose(guaranteed)["cheap"] == 0);
+    CHECK(fleet.choose(repeatable)["cheap"] > 0);
+    const backend_load_table::reservation on_regular(fleet.loads, fleet.regular.name, 1000);
+    const backend_load_table::reservation on_cheap(fleet.loads, fleet.cheap.name, 1000);
+    CHECK(fleet.choose(repeatable)["cheap"] == 0);
+    fleet.servers = {&fleet.cheap};
+    CHECK(fleet.choose(guaranteed)["cheap"] == 100);
+}
+
+TEST_CASE("an engine in a role for such work is preferred until it has much more to do") {
+    placement_case fleet;
+    fleet.cheap.is_cheap = false;
+    fleet.engines.set({{fleet.regular.name, {.role = fleet::engine_role::prefill}},
+                       {fleet.cheap.name, {.role = fleet::engine_role::decode}}});
+    placed_work work = repeatable;
+    work.shape = policy::role_demand{.prefill = 10, .decode = 1};
+    auto counts = fleet.choose(work);
+    CHECK(counts["regular"] > counts["cheap"]);
+    const backend_load_table::reservation busy(fleet.loads, fleet.regular.name, 5000);
+    counts = fleet.choose(work);
+    CHECK(counts["regular"] < counts["cheap"]);
+}
