--- a/coordination/folded_stream.hpp
+++ b/coordination/folded_stream.hpp
@@ -72,6 +72,10 @@
     void add_observer(record_observer& observer);
     void add_observer(snapshot_observer& observer);
 
+    /// Goes on at the oldest kept record where the log has forgotten the next one.
+    /// Precondition: no observer's state depends on a record as old as the log's retention.
+    void allow_gaps() noexcept { m_allows_gaps = true; }
+
     /// Reads to the end of the log and folds. Where the log has forgotten the next record, goes on from its newest
     /// snapshot. Throws `log_unavailable_error`, and `log_gap_error` without a snapshot that fits.
     void poll();
@@ -117,6 +121,7 @@
     std::vector<record_observer*> m_observers;
     std::vector<snapshot_observer*> m_parts;
     log_offset m_next{0};
+    bool m_allows_gaps{false};
     std::uint64_t m_last_sequence{0};
     std::uint64_t m_malformed{0};
     /// Results of the own records that a submission is waiting for, by sequence.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -33,6 +33,7 @@
                                        .connections = m_connections,
                                        .loads = m_loads,
                                        .usage = m_usage,
+                                       .claims = m_claims,
                                        .counters = m_counters,
                                        .demand = m_fleet.demand,
                                        .engines = m_fleet.engines,
@@ -51,7 +52,8 @@
               .metrics = m_metrics,
               .manifest = m_manifest,
               .usage = m_usage,
-              .fleet = m_fleet} {
+              .fleet = m_fleet,
+              .claims = m_claims} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -18,6 +18,7 @@
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
     fleet_parts& fleet;
+    coordination::claim_queue& claims;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "coordination/claim_book.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
@@ -11,6 +14,17 @@
 
 namespace dragonflywell::daemon {
 
+/// How a daemon talks to others.
+struct peer_settings {
+    endpoint listen;
+    /// Daemons to ask first. Any that answers tells of the others.
+    std::vector<endpoint> seeds;
+    duration interval{};
+    duration deadline{};
+    /// How old the news of the log's end may be before this daemon reads the log itself.
+    duration fan_out_silence{};
+};
+
 /// Everything that a daemon reads from its settings file.
 struct daemon_settings {
     host_name host;
@@ -18,11 +32,16 @@
     endpoint callers;
     endpoint operators;
     endpoint platform_log;
+    /// The platform's usage reporting; a host without it does not stand for the lease over reporting.
+    std::optional<endpoint> platform_usage;
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
     duration control_interval{};
     duration history_interval{};
+    /// Least time between two appends of claims.
+    duration claim_interval{};
+    coordination::claim_options claims;
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
@@ -32,6 +51,8 @@
     /// How long a graceful stop waits for running requests.
     duration stop_grace{};
     log_options log;
+    /// Absent when the daemon keeps to itself.
+    std::optional<peer_settings> peers;
 };
 
 /// Parses and checks a settings file. `file` is used in messages only.
--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -67,6 +67,7 @@
     metrics_registry m_metrics;
     snapshot_cell<servers::active_manifest> m_manifest{nullptr};
     coordination::usage_meter m_usage;
+    coordination::claim_queue m_claims;
 
 public:
     zone_control_task task{{.settings = m_settings,
@@ -75,7 +76,8 @@
                             .metrics = m_metrics,
                             .manifest = m_manifest,
                             .usage = m_usage,
-                            .fleet = fleet}};
+                            .fleet = fleet,
+                            .claims = m_claims}};
 };
 
 constexpr std::uint64_t much_prompt = 14000;
--- a/tests/servers/test_backend_choice.cpp
+++ b/tests/servers/test_backend_choice.cpp
@@ -36,6 +36,7 @@
     backend_connection_pool connections{time, {}};
     backend_load_table loads;
     coordination::usage_meter usage;
+    coordination::claim_queue claims;
     request_counters counters{metrics};
     demand_meter demand;
     engine_state_table engines;
@@ -46,6 +47,7 @@
                           .connections = connections,
                           .loads = loads,
                           .usage = usage,
+                          .claims = claims,
                           .counters = counters,
                           .demand = demand,
                           .engines = engines,
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -19,25 +19,43 @@
 
 namespace http = boost::beast::http;
 
-/// A platform, an engine, a plain service and one daemon, all on free ports.
+/// A platform, an engine, a plain service and one daemon or more, all on free ports.
 class small_deployment {
 public:
     /// `more_settings`: further sections of the daemon's settings file.
-    explicit small_deployment(std::string more_settings = "[stop]\nnotice_ms = 0\n")
-        : m_more_settings(std::move(more_settings)), m_log({.server = m_platform.get_endpoint()}),
-          m_daemon(make_settings()) {
+    explicit small_deployment(std::string more_settings = "[stop]\nnotice_ms = 0\n", std::size_t hosts = 1)
+        : m_more_settings(std::move(more_settings)), m_log({.server = platform.get_endpoint()}) {
         publish(make_entries());
-        m_daemon.start();
-        while (!m_daemon.is_ready()) {
+        for (std::size_t host = 0; host < hosts; ++host) {
+            add_host();
+        }
+    }
+    explicit small_deployment(std::size_t hosts) : small_deployment("[stop]\nnotice_ms = 0\n", hosts) {}
+
+    /// Starts another daemon.
+    void add_host() {
+        m_daemons.push_back(std::make_unique<daemon::daemon>(make_settings(m_daemons.size() + 1)));
+        m_daemons.back()->start();
+        while (!m_daemons.back()->is_ready()) {
             std::this_thread::yield();
         }
     }
 
+    /// Publishes one changed entry on top of those in force; an empty text removes it.
+    void change(const std::string& path, const std::string& text) {
+        if (text.empty()) {
+            publish({}, {path});
+        } else {
+            publish({{path, text}}, {});
+        }
+    }
+
     http::response<http::string_body> call(http::verb method, const std::string& target, const std::string& body,
-                                           const std::string& key) {
+                                           const std::string& key, const std::string& idempotency_key = "",
+                                           std::size_t host = 0) {
         boost::asio::io_context context;
-        boost::beast::tcp_stream stream = connect(context);
-        return exchange(stream, method, target, body, key);
+        boost::beast::tcp_stream stream = connect(context, host);
+        return exchange(stream, method, target, body, key, idempotency_key);
     }
 
     /// Sends a request and closes the connection once `is_time` holds, without waiting for an answer.
@@ -51,16 +69,16 @@
         }
     }
 
-    [[nodiscard]] boost::beast::tcp_stream connect(boost::asio::io_context& context) const {
+    [[nodiscard]] boost::beast::tcp_stream connect(boost::asio::io_context& context, std::size_t host = 0) const {
         boost::beast::tcp_stream stream(context);
-        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemon.get_caller_port()});
+        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemons.at(host)->get_caller_port()});
         return stream;
     }
 
     static http::response<http::string_body> exchange(boost::beast::tcp_stream& stream, http::verb method,
                                                       const std::string& target, const std::string& body,
-                                                      const std::string& key) {
-        http::write(stream, make_request(method, target, body, key));
+                                                      const std::string& key, const std::string& idempotency_key = "") {
+        http::write(stream, make_request(method, target, body, key, idempotency_key));
         boost::beast::flat_buffer buffer;
         http::response<http::string_body> response;
         http::read(stream, buffer, response);
@@ -71,38 +89,43 @@
     [[nodiscard]] std::string get_metrics() const {
         boost::asio::io_context context;
         boost::beast::tcp_stream stream(context);
-        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemon.get_operator_port()});
+        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemons.front()->get_operator_port()});
         return exchange(stream, http::verb::get, "/metrics", "", "").body();
     }
 
-    [[nodiscard]] coordination::usage_table get_usage() const { return m_daemon.get_usage(); }
-    [[nodiscard]] bool is_ready() const { return m_daemon.is_ready(); }
-    void stop() { m_daemon.stop(); }
-    void end_notice() { m_daemon.end_notice(); }
+    [[nodiscard]] coordination::usage_table get_usage() const { return m_daemons.front()->get_usage(); }
+    [[nodiscard]] bool is_ready() const { return m_daemons.front()->is_ready(); }
+    void stop() { m_daemons.front()->stop(); }
+    void end_notice() { m_daemons.front()->end_notice(); }
 
     running_standin<standin::engine_standin> engine{
         standin::engine_standin_options{.model = "m", .generated_token_time = std::chrono::microseconds(100)}};
     running_standin<standin::service_standin> service;
+    running_standin<standin::platform_standin> platform;
 
 private:
     static http::request<http::string_body> make_request(http::verb method, const std::string& target,
-                                                         const std::string& body, const std::string& key) {
+                                                         const std::string& body, const std::string& key,
+                                                         const std::string& idempotency_key = "") {
         http::request<http::string_body> request(method, target, 11);
         request.set(http::field::host, "localhost");
         if (!key.empty()) {
             request.set(http::field::authorization, "Bearer " + key);
         }
+        if (!idempotency_key.empty()) {
+            request.set("idempotency-key", idempotency_key);
+        }
         request.body() = body;
         request.prepare_payload();
         return request;
     }
 
-    daemon::daemon_settings make_settings() {
+    daemon::daemon_settings make_settings(std::size_t number) {
         return daemon::parse_daemon_settings(
-            fmt::format("[host]\nname = \"h1\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
+            fmt::format("[host]\nname = \"h{}\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
                         "operators = \"127.0.0.1:0\"\n[platform]\nlog = \"{}\"\n[configuration]\npoll_ms = 10\n"
                         "[log]\nlevel = \"error\"\n{}",
-                        format_endpoint(m_platform.get_endpoint()), m_more_settings),
+                        number, format_endpoint(platform.get_endpoint()), m_more_settings),
             "test.toml");
     }
 
@@ -121,16 +144,19 @@
             format_endpoint(service.get_endpoint())));
     }
 
-    void publish(const fleet::manifest_entries& entries) {
+    void publish(const fleet::manifest_entries& entries, const std::vector<std::string>& removed = {}) {
         coordination::folded_stream stream(m_log, std::string(coordination::configuration_stream),
-                                           {.host = "operator", .incarnation = 1});
-        coordination::publish_configuration(stream, {.set = entries, .removed = {}}, {});
+                                           {.host = "operator", .incarnation = ++m_operators});
+        coordination::configuration_fold fold;
+        stream.add_observer(fold);
+        stream.poll();
+        coordination::publish_configuration(stream, {.set = entries, .removed = removed}, fold.get()->version);
     }
 
     std::string m_more_settings;
-    running_standin<standin::platform_standin> m_platform;
-    platform::http_log m_log;
-    daemon::daemon m_daemon;
+    dragonflywell::platform::http_log m_log;
+    std::uint64_t m_operators{0};
+    std::vector<std::unique_ptr<daemon::daemon>> m_daemons;
 };
 
 } // namespace dragonflywell::testing
