Share demand between entry hosts through a stream of the log

Cause: a zone's holder saw the callers of its own host only, so its estimate was a fraction of the demand. Change: each host appends its report of five seconds to the stream demand; all read it from its end. Tests: reports arrive from a reader's start on, malformed ones are passed over, a log that is down is a typed error.

--- a/daemon/zone_control_task.cpp
+++ b/daemon/zone_control_task.cpp
@@ -57,7 +57,8 @@
 
 zone_control_task::zone_control_task(const daemon_parts& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
-      m_engines({}), m_stream(m_platform_log, get_control_stream(parts.settings.zone), parts.self),
+      m_exchange(m_platform_log), m_engines({}),
+      m_stream(m_platform_log, get_control_stream(parts.settings.zone), parts.self),
       m_lease(m_stream, parts.time, {.scope = "control/" + parts.settings.zone.value()}),
       m_receiver(m_engines,
                  [this](const backend_server_name& name) -> std::optional<endpoint> {
@@ -126,23 +127,42 @@
         m_reported_bucket = bucket;
         static_cast<void>(m_parts.fleet.demand.take());
     }
+    std::optional<policy::demand_report> own;
     if (bucket > *m_reported_bucket) {
         // After a pause the whole catch falls into the newest bucket; the estimator holds it back as an outlier.
         m_reported_bucket = bucket;
-        const policy::demand_report report{.host = m_parts.settings.host,
-                                           .incarnation = m_parts.self.incarnation,
-                                           .start = wall_time(m_demand_options.bucket * (bucket - 1)),
-                                           .length = m_demand_options.bucket,
-                                           .rows = m_parts.fleet.demand.take()};
+        policy::demand_report report{.host = m_parts.settings.host,
+                                     .incarnation = m_parts.self.incarnation,
+                                     .start = wall_time(m_demand_options.bucket * (bucket - 1)),
+                                     .length = m_demand_options.bucket,
+                                     .rows = m_parts.fleet.demand.take()};
         m_parts.fleet.own_report.set(std::make_shared<const policy::demand_report>(report));
         m_parts.fleet.reports.add(report);
+        own = std::move(report);
     }
+    exchange_demand(own ? &*own : nullptr);
     for (const policy::demand_report& report : m_parts.fleet.reports.take()) {
         m_estimator.add(report, now);
     }
     m_estimator.advance(now);
 }
 
+void zone_control_task::exchange_demand(const policy::demand_report* own) {
+    try {
+        if (own != nullptr) {
+            m_exchange.publish(*own);
+        }
+        for (policy::demand_report& report : m_exchange.fetch()) {
+            if (report.host != m_parts.settings.host) {
+                m_parts.fleet.reports.add(std::move(report));
+            }
+        }
+    } catch (const coordination::log_unavailable_error& fault) {
+        // Without the log nothing is ordered either; the estimate goes stale.
+        m_log->debug("Demand was not shared: {}.", fault.what());
+    }
+}
+
 bool zone_control_task::control(const fleet::manifest& manifest) {
     bool is_log_reachable = true;
     try {
--- a/daemon/zone_control_task.hpp
+++ b/daemon/zone_control_task.hpp
@@ -8,6 +8,7 @@
 #include "core/log.hpp"
 #include "daemon/control_task.hpp"
 #include "daemon/daemon_parts.hpp"
+#include "daemon/demand_exchange.hpp"
 #include "daemon/engine_observer.hpp"
 #include "daemon/engine_order_receiver.hpp"
 #include "daemon/role_change_driver.hpp"
@@ -53,6 +54,7 @@
 
     void follow_foreign_zones(const fleet::manifest& manifest);
     void collect_demand();
+    void exchange_demand(const policy::demand_report* own);
     /// Does what the lease permits and plans for each model; returns whether the log could be reached.
     bool control(const fleet::manifest& manifest);
     void plan(const fleet::manifest& manifest, const model_name& model, model_fleet_status& status, bool has_authority);
@@ -65,6 +67,7 @@
 
     daemon_parts m_parts;
     platform::http_log m_platform_log;
+    demand_exchange m_exchange;
     platform::http_engine_control m_engines;
     coordination::folded_stream m_stream;
     role_change_fold m_changes;
