--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -20,11 +20,11 @@
     tasks.push_back(std::make_unique<configuration_task>(parts, peers));
     tasks.push_back(std::make_unique<claim_task>(parts));
     tasks.push_back(std::make_unique<usage_task>(parts));
-    tasks.push_back(std::make_unique<zone_control_task>(parts));
-    tasks.push_back(std::make_unique<history_task>(parts));
     if (parts.settings.platform_usage) {
         tasks.push_back(std::make_unique<report_task>(parts));
     }
+    tasks.push_back(std::make_unique<zone_control_task>(parts));
+    tasks.push_back(std::make_unique<history_task>(parts));
     return tasks;
 }
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -52,8 +52,8 @@
               .metrics = m_metrics,
               .manifest = m_manifest,
               .usage = m_usage,
-              .fleet = m_fleet,
-              .claims = m_claims} {
+              .claims = m_claims,
+              .fleet = m_fleet} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -17,8 +17,8 @@
     metrics_registry& metrics;
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
-    fleet_parts& fleet;
     coordination::claim_queue& claims;
+    fleet_parts& fleet;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -37,11 +37,11 @@
     duration log_deadline{};
     duration configuration_poll{};
     duration usage_flush{};
-    duration control_interval{};
-    duration history_interval{};
     /// Least time between two appends of claims.
     duration claim_interval{};
     coordination::claim_options claims;
+    duration control_interval{};
+    duration history_interval{};
     unsigned workers{};
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -76,8 +76,8 @@
                             .metrics = m_metrics,
                             .manifest = m_manifest,
                             .usage = m_usage,
-                            .fleet = fleet,
-                            .claims = m_claims}};
+                            .claims = m_claims,
+                            .fleet = fleet}};
 };
 
 constexpr std::uint64_t much_prompt = 14000;
