--- a/coordination/order.cpp
+++ b/coordination/order.cpp
@@ -53,6 +53,9 @@
 } // namespace
 
 boost::json::object encode_order(const order& value) {
+    if (!is_exact(value.body)) {
+        throw malformed_message_error("order " + value.idempotency_key + " holds a fraction");
+    }
     return {{"subject", value.subject},
             {"kind", value.kind},
             {"body", value.body},
@@ -62,12 +65,16 @@
 }
 
 order decode_order(const boost::json::object& body) {
-    return {.subject = json::get_string(body, "subject"),
-            .kind = json::get_string(body, "kind"),
-            .body = json::get_object(body, "body"),
-            .idempotency_key = json::get_string(body, "key"),
-            .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
-            .repeat = get_value(repeat_names, json::get_string(body, "repeat"))};
+    order value{.subject = json::get_string(body, "subject"),
+                .kind = json::get_string(body, "kind"),
+                .body = json::get_object(body, "body"),
+                .idempotency_key = json::get_string(body, "key"),
+                .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
+                .repeat = get_value(repeat_names, json::get_string(body, "repeat"))};
+    if (!is_exact(value.body)) {
+        throw malformed_message_error("order holds a fraction");
+    }
+    return value;
 }
 
 boost::json::object encode_outcome(const order_outcome& value) {
--- a/coordination/order.hpp
+++ b/coordination/order.hpp
@@ -26,6 +26,7 @@
     /// What may have only one order on its way: one engine, or one ordering or reporting subject.
     std::string subject;
     std::string kind;
+    /// Holds no fractions, so that every send is the same to the letter: see `is_exact`.
     boost::json::object body;
     /// Two orders with the same key are the same order.
     std::string idempotency_key;
@@ -77,7 +78,8 @@
     send_outcome outcome{};
 };
 
-/// Codecs of record bodies. Decoders throw `malformed_message_error`. Thread safe.
+/// Codecs of record bodies. Decoders throw `malformed_message_error`, and so does `encode_order` for a body with
+/// fractions. Thread safe.
 [[nodiscard]] boost::json::object encode_order(const order& value);
 [[nodiscard]] order decode_order(const boost::json::object& body);
 [[nodiscard]] boost::json::object encode_outcome(const order_outcome& value);
--- a/coordination/order_ledger.hpp
+++ b/coordination/order_ledger.hpp
@@ -97,7 +97,8 @@
     /// Records the order, sends it at most once and records the outcome.
     ///
     /// An order with the key of the subject's unresolved one completes that one as it was logged. An unreachable log is
-    /// a status and no exception. Precondition: a key is not used again once its order was resolved.
+    /// a status and no exception. Precondition: a key is not used again once its order was resolved. Throws
+    /// `malformed_message_error` for a body with fractions.
     order_result submit(const order& value);
 
     /// Returns the orders that may still take effect, whoever sent them, as of the last poll of the stream.
--- a/coordination/record.cpp
+++ b/coordination/record.cpp
@@ -1,9 +1,21 @@
 #include "coordination/record.hpp"
 
+#include <algorithm>
+
 #include "core/json.hpp"
 
 namespace dragonflywell::coordination {
 
+bool is_exact(const boost::json::value& value) {
+    if (value.is_array()) {
+        return std::ranges::all_of(value.get_array(), is_exact);
+    }
+    if (value.is_object()) {
+        return std::ranges::all_of(value.get_object(), [](const auto& entry) { return is_exact(entry.value()); });
+    }
+    return !value.is_double();
+}
+
 std::string encode_record(const record& value) {
     boost::json::object object;
     object["host"] = value.writer.host;
--- a/coordination/record.hpp
+++ b/coordination/record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,10 @@
     boost::json::object body;
 };
 
+/// Returns whether a value survives encoding without change. The JSON library reads fractions with an error in the last
+/// digit, so whatever must stay the same however often it is written again holds whole numbers only. Thread safe.
+[[nodiscard]] bool is_exact(const boost::json::value& value);
+
 /// Thread safe.
 [[nodiscard]] std::string encode_record(const record& value);
 
--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -8,7 +8,9 @@
 configuration_task::configuration_task(const daemon_parts& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_stream(m_platform_log, std::string(coordination::configuration_stream), parts.self),
+      m_snapshots(m_platform_log, m_stream, parts.time, parts.settings.log_retention),
       m_rejected(&parts.metrics.get_counter("dragonflywell_rejected_configurations_total")),
+      m_written(&parts.metrics.get_counter("dragonflywell_snapshots_total", {{"stream", m_stream.get_name()}})),
       m_version(&parts.metrics.get_gauge("dragonflywell_configuration_version")), m_log(get_logger(get_name())) {
     m_stream.add_observer(m_fold);
     m_version->set(-1);
@@ -21,6 +23,14 @@
     if (current->version && current->version != before) {
         put_in_force(*current);
     }
+    if (m_snapshots.tick()) {
+        m_written->add();
+        m_log->info("Snapshot up to {} is written.", m_stream.get_next_offset());
+    }
+}
+
+void configuration_task::finish() {
+    m_snapshots.release();
 }
 
 void configuration_task::put_in_force(const coordination::configuration& current) {
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/configuration.hpp"
+#include "coordination/snapshot_keeper.hpp"
 #include "core/log.hpp"
 #include "daemon/control_task.hpp"
 #include "daemon/daemon_parts.hpp"
@@ -14,6 +15,7 @@
     explicit configuration_task(const daemon_parts& parts);
 
     void run_round() override;
+    void finish() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "configuration"; }
     [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.configuration_poll; }
 
@@ -24,7 +26,9 @@
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     coordination::configuration_fold m_fold;
+    coordination::snapshot_keeper m_snapshots;
     counter* m_rejected;
+    counter* m_written;
     gauge* m_version;
     std::shared_ptr<spdlog::logger> m_log;
 };
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -19,6 +19,8 @@
     endpoint operators;
     endpoint platform_log;
     duration log_deadline{};
+    /// How long the platform's log keeps a record.
+    duration log_retention{};
     duration configuration_poll{};
     duration usage_flush{};
     unsigned workers{};
--- a/tests/coordination/test_order_ledger.cpp
+++ b/tests/coordination/test_order_ledger.cpp
@@ -163,3 +163,11 @@
     hosts.hand_over();
     CHECK(hosts.second.ledger.submit(once).status == order_status::blocked);
 }
+
+TEST_CASE("an order that could change when it is written again is refused") {
+    two_hosts hosts;
+    order half = to_prefill;
+    half.body["share"] = 0.5;
+    CHECK_THROWS_AS(hosts.first.ledger.submit(half), malformed_message_error);
+    CHECK(hosts.receiver.applied.empty());
+}
--- a/tests/coordination/test_snapshot.cpp
+++ b/tests/coordination/test_snapshot.cpp
@@ -3,7 +3,7 @@
 #include "coordination/configuration.hpp"
 #include "coordination/lease.hpp"
 #include "coordination/order_fold.hpp"
-#include "coordination/snapshot_writer.hpp"
+#include "coordination/snapshot_keeper.hpp"
 #include "support/fake_log.hpp"
 
 using namespace dragonflywell;
@@ -176,3 +176,24 @@
     CHECK(fold.get_writer_count() == most_tracked_writers);
     CHECK(record_fold::restore(fold.save()) == fold);
 }
+
+TEST_CASE("one of several processes writes the snapshots, and another takes over well inside retention") {
+    constexpr duration retention = std::chrono::hours(64);
+    testing::fake_log log;
+    virtual_clock time;
+    reader first(log, "host-1");
+    reader second(log, "host-2");
+    snapshot_keeper first_keeper(log, first.stream, time, retention);
+    snapshot_keeper second_keeper(log, second.stream, time, retention);
+    CHECK(first_keeper.tick());
+    CHECK_FALSE(second_keeper.tick());
+    duration waited{};
+    while (!second_keeper.tick()) {
+        time.advance(std::chrono::minutes(10));
+        waited += std::chrono::minutes(10);
+        REQUIRE(waited < retention / 2);
+    }
+    second_keeper.release();
+    time.advance(retention / 4);
+    CHECK(first_keeper.tick());
+}
