--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -7,22 +7,47 @@
 namespace {
 
 constexpr integer_range poll_milliseconds{.least = 10, .most = 10000};
-constexpr integer_range retention_minutes{.least = 10, .most = 525600};
 constexpr integer_range deadline_milliseconds{.least = 10, .most = 3600000};
 
-endpoint get_endpoint(settings_reader& reader, const std::string& key) {
-    const std::string text = reader.get_string(key);
+std::optional<endpoint> get_optional_endpoint(settings_reader& reader, const std::string& key,
+                                              std::optional<std::string> fallback) {
+    const std::string text = reader.get_string(key, std::move(fallback));
     const std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed && !text.empty()) {
         reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
     }
-    return parsed.value_or(endpoint{});
+    return parsed;
+}
+
+endpoint get_endpoint(settings_reader& reader, const std::string& key) {
+    return get_optional_endpoint(reader, key, std::nullopt).value_or(endpoint{});
 }
 
 duration get_milliseconds(settings_reader& reader, const std::string& key, integer_range range, std::int64_t fallback) {
     return std::chrono::milliseconds(reader.get_integer(key, range, fallback));
 }
 
+std::optional<peer_settings> get_peers(settings_reader& reader) {
+    peer_settings peers;
+    const std::string listen = reader.get_string("peers.listen", "");
+    peers.interval = get_milliseconds(reader, "peers.interval_ms", poll_milliseconds, 1000);
+    peers.deadline = get_milliseconds(reader, "peers.deadline_ms", poll_milliseconds, 400);
+    peers.fan_out_silence = get_milliseconds(reader, "peers.fan_out_silence_ms", deadline_milliseconds, 6000);
+    for (const std::string& seed : reader.get_strings("peers.seeds")) {
+        const std::optional<endpoint> parsed = parse_endpoint(seed);
+        if (!parsed) {
+            reader.add_problem("peers.seeds", "must be IP numbers and ports such as 127.0.0.1:8080");
+            continue;
+        }
+        peers.seeds.push_back(*parsed);
+    }
+    if (listen.empty()) {
+        return std::nullopt;
+    }
+    peers.listen = get_endpoint(reader, "peers.listen");
+    return peers;
+}
+
 } // namespace
 
 daemon_settings parse_daemon_settings(std::string_view text, const std::string& file) {
@@ -33,11 +58,17 @@
     settings.callers = get_endpoint(reader, "listen.callers");
     settings.operators = get_endpoint(reader, "listen.operators");
     settings.platform_log = get_endpoint(reader, "platform.log");
+    settings.platform_usage = get_optional_endpoint(reader, "platform.usage", "");
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
-    settings.log_retention =
-        std::chrono::minutes(reader.get_integer("platform.log_retention_minutes", retention_minutes, 1440));
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
+    settings.control_interval = get_milliseconds(reader, "control.interval_ms", poll_milliseconds, 1000);
+    settings.history_interval = get_milliseconds(reader, "history.interval_ms", deadline_milliseconds, 60000);
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
+    settings.claim_interval = get_milliseconds(reader, "claims.interval_ms", poll_milliseconds, 50);
+    settings.claims.window =
+        std::chrono::seconds(reader.get_integer("claims.window_s", {.least = 1200, .most = 604800}, 3600));
+    settings.claims.most_entries =
+        static_cast<std::size_t>(reader.get_integer("claims.most_entries", {.least = 100, .most = 1000000}, 50000));
     settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.least = 1, .most = 256}, 2));
     settings.header_limit_bytes = static_cast<std::uint32_t>(
         reader.get_integer("request.header_limit_bytes", {.least = 1024, .most = 1048576}, 16384));
@@ -48,11 +79,13 @@
         get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
     settings.limits.most_attempts =
         static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.least = 0, .most = 600000}, 5000);
     settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
     settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
     settings.log.format =
         reader.get_choice("log.format", {"text", "json"}, "text") == "json" ? log_format::json_lines : log_format::text;
     settings.log.host = settings.host.value();
+    settings.peers = get_peers(reader);
     reader.finish();
     return settings;
 }
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -4,12 +4,14 @@
 #include <random>
 #include <string>
 
+#include "coordination/claim_queue.hpp"
 #include "coordination/usage.hpp"
 #include "core/clock.hpp"
 #include "core/snapshot_cell.hpp"
 #include "fleet/manifest.hpp"
 #include "policy/placement.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
 #include "servers/request_counters.hpp"
 
@@ -17,8 +19,18 @@
 
 /// The manifest in force together with its version, as the request path sees it.
 struct active_manifest {
+    active_manifest(std::uint64_t offset, fleet::manifest manifest)
+        : version(offset), content(std::move(manifest)), servers(content) {}
+    active_manifest(const active_manifest&) = delete;
+    active_manifest& operator=(const active_manifest&) = delete;
+    active_manifest(active_manifest&&) = delete;
+    active_manifest& operator=(active_manifest&&) = delete;
+    ~active_manifest() = default;
+
     std::uint64_t version{};
     fleet::manifest content;
+    /// Points into `content`.
+    backend_index servers;
 };
 
 struct request_limits {
@@ -39,6 +51,7 @@
     backend_connection_pool& connections;
     backend_load_table& loads;
     coordination::usage_meter& usage;
+    coordination::claim_queue& claims;
     request_counters& counters;
     request_limits limits;
 };
