--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -13,6 +13,8 @@
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
+#include "servers/demand_meter.hpp"
+#include "servers/engine_state_table.hpp"
 #include "servers/request_counters.hpp"
 
 namespace dragonflywell::servers {
@@ -53,6 +55,8 @@
     coordination::usage_meter& usage;
     coordination::claim_queue& claims;
     request_counters& counters;
+    demand_meter& demand;
+    const engine_state_table& engines;
     request_limits limits;
 };
 
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view end_of_stream = "[DONE]";
 constexpr std::size_t rejection_limit_bytes = 64 * 1024;
+constexpr double percent = 100;
 constexpr duration cancel_deadline = std::chrono::seconds(1);
 
 /// Returns whether the status says that the request itself is wrong, so that every engine would say the same.
@@ -58,7 +59,13 @@
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
       m_model_request(parse_model_request(request)), m_arrived(context.time.now()),
-      m_answer(m_model_request.shape, m_model_request.most_tokens) {}
+      m_answer(m_model_request.shape, m_model_request.most_tokens) {
+    // Names that callers make up must not grow the meter.
+    if (m_context->manifest.get()->content.models.contains(m_model_request.model)) {
+        m_context->demand.add_arrival(get_demand_key(), m_model_request.estimated_prompt_tokens,
+                                      m_model_request.most_tokens);
+    }
+}
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
@@ -73,6 +80,11 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
+    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.most_tokens);
+}
+
+policy::demand_key model_call::get_demand_key() const {
+    return {.organisation = m_organisation, .model = m_model_request.model, .service = {}};
 }
 
 asio::awaitable<void> model_call::run_attempts(caller_channel& caller) {
@@ -244,8 +256,21 @@
         throw request_refused(policy::refusal_reason::unknown_model, policy::request_outcome::not_run,
                               fmt::format("model \"{}\" does not exist", m_model_request.model.value()));
     }
-    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model),
-                                 m_history.get_tried());
+    const fleet::model& model = manifest.content.models.at(m_model_request.model);
+    const auto owner = manifest.content.organisations.find(m_organisation);
+    const bool accepts_cheap = owner != manifest.content.organisations.end() && owner->second.accepts_cheap_servers;
+    const placed_work work{
+        .shape =
+            policy::role_demand{
+                .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
+                .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)},
+        .loss = policy::get_work_class({.is_idempotent = true,
+                                        .accepts_cheap_servers = accepts_cheap,
+                                        .was_interrupted = !m_history.get_tried().empty()}),
+        .tokens = m_model_request.estimated_prompt_tokens + m_model_request.most_tokens,
+        .most_cheap_share = static_cast<double>(manifest.content.prices.most_cheap_percent) / percent};
+    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), m_history.get_tried(),
+                                 work);
 }
 
 http_request model_call::make_engine_request(const fleet::backend_server& server) {
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -34,6 +34,7 @@
     asio::awaitable<void> deliver(const server_sent_event& event, caller_channel& caller);
     asio::awaitable<void> finish(caller_channel& caller);
     asio::awaitable<void> cancel_stream(const fleet::backend_server& server);
+    [[nodiscard]] policy::demand_key get_demand_key() const;
     [[nodiscard]] const fleet::backend_server& choose_engine(const active_manifest& manifest);
     [[nodiscard]] http_request make_engine_request(const fleet::backend_server& server);
     [[nodiscard]] http_request make_stream_request(const fleet::backend_server& server, http::verb method) const;
