--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -12,7 +12,7 @@
 std::optional<endpoint> get_optional_endpoint(settings_reader& reader, const std::string& key,
                                               std::optional<std::string> fallback) {
     const std::string text = reader.get_string(key, std::move(fallback));
-    const std::optional<endpoint> parsed = parse_endpoint(text);
+    std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed && !text.empty()) {
         reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
     }
--- a/tests/standin/platform_standin.hpp
+++ b/tests/standin/platform_standin.hpp
@@ -18,11 +18,10 @@
 
     /// Returns how often a second document came under a used key with another content.
     [[nodiscard]] std::uint64_t get_conflicts() const noexcept { return m_conflicts; }
-    /// Returns the document under a path, or an empty text.
-    [[nodiscard]] std::string get_document(const std::string& path) {
+    /// Returns all documents by path.
+    [[nodiscard]] std::map<std::string, std::string> get_documents() {
         const std::scoped_lock lock(m_mutex);
-        const auto found = m_documents.find(path);
-        return found == m_documents.end() ? "" : found->second;
+        return m_documents;
     }
 
 private:
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -102,6 +102,8 @@
         standin::engine_standin_options{.model = "m", .generated_token_time = std::chrono::microseconds(100)}};
     running_standin<standin::service_standin> service;
     running_standin<standin::platform_standin> platform;
+    /// The platform's usage reporting.
+    running_standin<standin::platform_standin> reporting;
 
 private:
     static http::request<http::string_body> make_request(http::verb method, const std::string& target,
@@ -122,10 +124,12 @@
 
     daemon::daemon_settings make_settings(std::size_t number) {
         return daemon::parse_daemon_settings(
-            fmt::format("[host]\nname = \"h{}\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
-                        "operators = \"127.0.0.1:0\"\n[platform]\nlog = \"{}\"\n[configuration]\npoll_ms = 10\n"
-                        "[log]\nlevel = \"error\"\n{}",
-                        number, format_endpoint(platform.get_endpoint()), m_more_settings),
+            fmt::format(
+                "[host]\nname = \"h{}\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
+                "operators = \"127.0.0.1:0\"\n[platform]\nlog = \"{}\"\nusage = \"{}\"\n[configuration]\npoll_ms = 10\n"
+                "[log]\nlevel = \"error\"\n{}",
+                number, format_endpoint(platform.get_endpoint()), format_endpoint(reporting.get_endpoint()),
+                m_more_settings),
             "test.toml");
     }
 
