Let the claim thread keep no part of a waiting request

Cause: the claim thread held a reference to the coroutine's handler after it had posted the answer, so either thread could be the one to destroy it. Change: the reference moves into the post.

--- a/servers/request_claim.cpp
+++ b/servers/request_claim.cpp
@@ -113,9 +113,10 @@
         const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         // The claim thread only posts: the coroutine goes on in the thread of its connection.
         m_context->claims.claim(
-            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_answer answer) {
-                asio::post(work.get_executor(),
-                           [shared, answer = std::move(answer)]() mutable { std::move (*shared)(std::move(answer)); });
+            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_answer answer) mutable {
+                asio::post(work.get_executor(), [shared = std::move(shared), answer = std::move(answer)]() mutable {
+                    std::move (*shared)(std::move(answer));
+                });
             });
     };
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(coordination::claim_answer)>(
