Admit fairly, bound retries and quarantine requests that crash engines

Cause: one organisation's flood held up all others, retries were bounded per request only, and a request that crashes engines was sent on to the next one.

Change: admission_gate with start-time fair queueing over organisations and early refusal by the rate seen; retry_budget; quarantine with suspects on engines set apart. Settings admission.hosts, .longest_wait_ms, .most_waiting.

--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -58,6 +58,9 @@
     servers::backend_connection_pool m_connections;
     servers::backend_load_table m_loads;
     servers::request_counters m_counters;
+    servers::admission_gate m_admission;
+    policy::retry_budget m_retries;
+    policy::quarantine m_suspects{{}};
     servers::entry_context m_context;
     servers::entry_handler m_entry_handler;
     operator_handler m_operator_handler;
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -45,6 +45,12 @@
         get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
     settings.limits.most_attempts =
         static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.admission.hosts =
+        static_cast<std::uint64_t>(reader.get_integer("admission.hosts", {.least = 1, .most = 100000}, 1));
+    settings.admission.longest_wait =
+        get_milliseconds(reader, "admission.longest_wait_ms", deadline_milliseconds, 1900);
+    settings.admission.most_waiting =
+        static_cast<std::size_t>(reader.get_integer("admission.most_waiting", {.least = 1, .most = 1000000}, 1000));
     settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.least = 0, .most = 600000}, 5000);
     settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
     settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -25,6 +25,7 @@
     std::uint32_t header_limit_bytes{};
     std::uint64_t body_limit_bytes{};
     servers::request_limits limits;
+    servers::admission_options admission;
     /// How long a graceful stop still takes new requests after the readiness check fails, for balancers to notice.
     duration stop_notice{};
     /// How long a graceful stop waits for running requests.
--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -27,6 +27,7 @@
         {.code = "not_ready", .status = 503},
         {.code = "backend_server_failed", .status = 502},
         {.code = "deadline_exceeded", .status = 504},
+        {.code = "retry_budget_spent", .status = 503},
         {.code = "internal_fault", .status = 500},
     }};
     return forms.at(static_cast<std::size_t>(reason));
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -43,11 +43,13 @@
     backend_server_failed,
     /// The time for the whole request ran out after it had started.
     deadline_exceeded,
+    /// The daemon has made as many retries as it may for now.
+    retry_budget_spent,
     /// A fault of the daemon itself.
     internal_fault,
 };
 
-inline constexpr std::size_t refusal_reason_count = 24;
+inline constexpr std::size_t refusal_reason_count = 25;
 
 /// Why a request was sent to a backend server again.
 enum class retry_reason {
--- /dev/null
+++ b/policy/quarantine.cpp
@@ -0,0 +1,82 @@
+#include "policy/quarantine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflywell::policy {
+
+void quarantine::add_death(const engine_death& death) {
+    const std::scoped_lock lock(m_mutex);
+    m_deaths[death.fingerprint].try_emplace(death.death_id, death.moment);
+    if (m_deaths.size() > m_options.most_requests) {
+        forget_oldest();
+    }
+}
+
+void quarantine::add_completion(request_fingerprint fingerprint) {
+    const std::scoped_lock lock(m_mutex);
+    m_deaths.erase(fingerprint);
+}
+
+bool quarantine::is_suspect(request_fingerprint fingerprint, wall_time now) const {
+    return count_deaths(fingerprint, now) > 0;
+}
+
+bool quarantine::is_refused(request_fingerprint fingerprint, wall_time now) const {
+    return count_deaths(fingerprint, now) >= m_options.deaths_to_refuse;
+}
+
+std::vector<engine_death> quarantine::get_deaths(wall_time now) const {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<engine_death> deaths;
+    for (const auto& [fingerprint, moments] : m_deaths) {
+        for (const auto& [death_id, moment] : moments) {
+            if (now - moment < m_options.memory) {
+                deaths.push_back({.fingerprint = fingerprint, .death_id = death_id, .moment = moment});
+            }
+        }
+    }
+    return deaths;
+}
+
+std::set<backend_server_name> quarantine::get_reserved() const {
+    const std::scoped_lock lock(m_mutex);
+    return {m_reserved.begin(), m_reserved.end()};
+}
+
+std::size_t quarantine::count_deaths(request_fingerprint fingerprint, wall_time now) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_deaths.find(fingerprint);
+    if (found == m_deaths.end()) {
+        return 0;
+    }
+    const auto is_held = [&](const auto& death) { return now - death.second < m_options.memory; };
+    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), is_held));
+}
+
+void quarantine::forget_oldest() {
+    const auto get_newest = [](const death_map& deaths) {
+        wall_time newest = wall_time::min();
+        for (const auto& [death_id, moment] : deaths) {
+            newest = std::max(newest, moment);
+        }
+        return newest;
+    };
+    const auto is_older = [&](const auto& left, const auto& right) {
+        return get_newest(left.second) < get_newest(right.second);
+    };
+    m_deaths.erase(std::min_element(m_deaths.begin(), m_deaths.end(), is_older));
+}
+
+quarantine::reservation::reservation(quarantine& owner, backend_server_name server)
+    : m_owner(&owner), m_server(std::move(server)) {
+    const std::scoped_lock lock(m_owner->m_mutex);
+    m_owner->m_reserved.insert(m_server);
+}
+
+quarantine::reservation::~reservation() {
+    const std::scoped_lock lock(m_owner->m_mutex);
+    m_owner->m_reserved.erase(m_owner->m_reserved.find(m_server));
+}
+
+} // namespace dragonflywell::policy
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -9,6 +9,9 @@
 #include "core/snapshot_cell.hpp"
 #include "fleet/manifest.hpp"
 #include "policy/placement.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_budget.hpp"
+#include "servers/admission_gate.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
@@ -51,6 +54,9 @@
     backend_load_table& loads;
     coordination::usage_meter& usage;
     request_counters& counters;
+    admission_gate& admission;
+    policy::retry_budget& retries;
+    policy::quarantine& suspects;
     request_limits limits;
 };
 
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -93,7 +93,7 @@
     response.set("x-dragonflywell-outcome", outcome);
     if (form.status == static_cast<unsigned>(http::status::service_unavailable) ||
         form.status == static_cast<unsigned>(http::status::too_many_requests)) {
-        response.set(http::field::retry_after, "1");
+        response.set(http::field::retry_after, std::to_string(refusal.get_retry_after().count()));
     }
     response.body() = boost::json::serialize(
         boost::json::object{{"error", {{"code", form.code}, {"outcome", outcome}, {"message", refusal.what()}}}});
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -38,6 +38,7 @@
 
 std::vector<worker_state> make_workers(const std::vector<asio::io_context*>& contexts) {
     std::vector<worker_state> workers;
+    workers.reserve(contexts.size());
     for (asio::io_context* context : contexts) {
         workers.push_back({.context = context, .idle = {}});
     }
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -1,9 +1,11 @@
 #include "servers/model_call.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 #include "core/json.hpp"
 #include "servers/backend_choice.hpp"
+#include "servers/gone_subscription.hpp"
 #include "servers/key_check.hpp"
 #include "servers/thread_random.hpp"
 
@@ -37,22 +39,6 @@
     return fmt::format("{:016x}{:016x}", random(), random());
 }
 
-/// Calls a function when the caller leaves, for as long as it lives.
-class gone_subscription {
-public:
-    gone_subscription(caller_channel& caller, std::function<void()> notify) : m_caller(&caller) {
-        m_caller->set_on_gone(std::move(notify));
-    }
-    gone_subscription(const gone_subscription&) = delete;
-    gone_subscription& operator=(const gone_subscription&) = delete;
-    gone_subscription(gone_subscription&&) = delete;
-    gone_subscription& operator=(gone_subscription&&) = delete;
-    ~gone_subscription() { m_caller->set_on_gone({}); }
-
-private:
-    caller_channel* m_caller;
-};
-
 } // namespace
 
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
@@ -63,6 +49,7 @@
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
     try {
+        const std::unique_ptr<admission_gate::permit> permit = co_await admit(caller);
         co_await run_attempts(caller);
         co_await finish(caller);
     } catch (...) {
@@ -75,9 +62,42 @@
     m_context->counters.count_outcome(policy::request_outcome::completed);
 }
 
+asio::awaitable<std::unique_ptr<admission_gate::permit>> model_call::admit(caller_channel& caller) {
+    m_context->retries.add_request();
+    require_not_quarantined();
+    const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
+    admission_request request{.model = m_model_request.model,
+                              .organisation = m_organisation,
+                              .cost = {.prefill_tokens = m_model_request.estimated_prompt_tokens,
+                                       .decode_tokens = m_model_request.most_tokens}};
+    if (const auto found = manifest->content.organisations.find(m_organisation);
+        found != manifest->content.organisations.end()) {
+        request.weight = std::max<std::uint32_t>(1, found->second.weight);
+    }
+    for (const fleet::backend_server* server : manifest->servers.get_engines(m_model_request.model)) {
+        request.capacity_tokens += server->get_engine()->capacity_tokens;
+    }
+    co_return co_await m_context->admission.admit(std::move(request), caller);
+}
+
+void model_call::require_not_quarantined() const {
+    if (m_context->suspects.is_refused(m_model_request.fingerprint, m_context->time.wall_now())) {
+        throw request_refused(policy::refusal_reason::quarantined_request, m_history.get_outcome(),
+                              "engines died twice while they ran this request");
+    }
+}
+
+void model_call::note_engine_death() {
+    m_context->suspects.add_death({.fingerprint = m_model_request.fingerprint,
+                                   .death_id = get_thread_random()(),
+                                   .moment = m_context->time.wall_now()});
+    m_context->counters.count_suspect();
+}
+
 asio::awaitable<void> model_call::run_attempts(caller_channel& caller) {
     while (!m_answer.is_complete() && !m_rejection) {
         require_time_left();
+        require_not_quarantined();
         const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
         const fleet::backend_server* server = nullptr;
         try {
@@ -97,26 +117,39 @@
             throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
+        if (!m_context->retries.take_retry(m_context->time.now())) {
+            throw request_refused(policy::refusal_reason::retry_budget_spent, m_history.get_outcome(), failure->what());
+        }
         m_context->counters.count_retry(failure->get_reason());
     }
+    m_context->suspects.add_completion(m_model_request.fingerprint);
 }
 
 asio::awaitable<std::optional<exchange_failed_error>> model_call::try_on(const fleet::backend_server& server,
                                                                          caller_channel& caller) {
     const backend_load_table::reservation work(m_context->loads, server.name,
                                                m_model_request.estimated_prompt_tokens + m_model_request.most_tokens);
-    m_has_head = false;
+    std::optional<policy::quarantine::reservation> isolation;
+    if (m_context->suspects.is_suspect(m_model_request.fingerprint, m_context->time.wall_now())) {
+        isolation.emplace(m_context->suspects, server.name);
+    }
+    m_has_stream = false;
     const http_request request = make_engine_request(server);
     std::optional<exchange_failed_error> failure = co_await exchange_with(server, request, true, caller);
     const bool has_time = m_context->time.now() - m_arrived < m_context->limits.request_deadline;
-    if (!failure || !m_has_head || !has_time || !may_be_connection_only(failure->get_reason())) {
+    if (!failure || !m_has_stream || !has_time || !may_be_connection_only(failure->get_reason())) {
         co_return failure;
     }
     // The engine may be well and only the connection lost: its stream goes on over a new one.
     m_context->counters.count_retry(failure->get_reason());
+    m_has_head = false;
     const http_request resumption = make_stream_request(server, http::verb::get);
     std::optional<exchange_failed_error> second_failure = co_await exchange_with(server, resumption, false, caller);
     if (second_failure) {
+        if (!m_has_head && second_failure->get_reason() != policy::retry_reason::silent_backend_server) {
+            // The stream broke off and the engine takes no other request either.
+            note_engine_death();
+        }
         // The failure of the resumption says less about the request than the first one does.
         co_return failure;
     }
@@ -151,6 +184,7 @@
 }
 
 asio::awaitable<void> model_call::read_answer(backend_exchange& exchange, caller_channel& caller) {
+    m_has_head = true;
     const auto status = http::status(exchange.get_head().result_int());
     if (is_rejection(status) && m_answer.get_tokens() == 0) {
         http_response rejection(status, 11);
@@ -164,7 +198,7 @@
         throw exchange_failed_error(fmt::format("engine answered with status {}", exchange.get_head().result_int()),
                                     exchange_phase::after_send, get_retry_reason(status));
     }
-    m_has_head = true;
+    m_has_stream = true;
     event_stream_parser events;
     std::string_view piece = co_await exchange.read_some();
     while (!piece.empty() && !m_answer.is_complete()) {
@@ -244,8 +278,10 @@
         throw request_refused(policy::refusal_reason::unknown_model, policy::request_outcome::not_run,
                               fmt::format("model \"{}\" does not exist", m_model_request.model.value()));
     }
-    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model),
-                                 m_history.get_tried());
+    // Engines on which a suspect runs get nothing else, so that a crash of theirs harms no other request.
+    std::set<backend_server_name> avoided = m_context->suspects.get_reserved();
+    avoided.insert(m_history.get_tried().begin(), m_history.get_tried().end());
+    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), avoided);
 }
 
 http_request model_call::make_engine_request(const fleet::backend_server& server) {
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -22,6 +22,9 @@
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
+    asio::awaitable<std::unique_ptr<admission_gate::permit>> admit(caller_channel& caller);
+    void require_not_quarantined() const;
+    void note_engine_death();
     asio::awaitable<void> run_attempts(caller_channel& caller);
     /// Runs on one engine; on failure resumes the same stream there once, over a new connection.
     asio::awaitable<std::optional<exchange_failed_error>> try_on(const fleet::backend_server& server,
@@ -55,7 +58,9 @@
     /// Tokens that were written to the caller.
     std::uint64_t m_delivered_tokens{0};
     bool m_is_delivered_whole{false};
+    /// Whether the current exchange got a head, and whether the engine began to stream.
     bool m_has_head{false};
+    bool m_has_stream{false};
 };
 
 } // namespace dragonflywell::servers
--- a/servers/model_request.cpp
+++ b/servers/model_request.cpp
@@ -1,6 +1,7 @@
 #include "servers/model_request.hpp"
 
 #include "core/error.hpp"
+#include "core/hash.hpp"
 #include "core/json.hpp"
 #include "servers/request_refused.hpp"
 
@@ -35,6 +36,7 @@
         throw malformed_message_error("key \"max_tokens\" must be from 1 to 1000000");
     }
     result.estimated_prompt_tokens = request.body().size() / bytes_per_prompt_token + 1;
+    result.fingerprint = get_stable_hash(request.body());
     result.document["max_tokens"] = result.most_tokens;
     result.document["stream"] = true;
     return result;
--- a/servers/model_request.hpp
+++ b/servers/model_request.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/identifiers.hpp"
+#include "policy/quarantine.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
@@ -19,6 +20,8 @@
     bool is_streaming{false};
     std::uint64_t most_tokens{};
     std::uint64_t estimated_prompt_tokens{};
+    /// The same for each sending of the same body.
+    policy::request_fingerprint fingerprint{};
     /// The caller's document as it goes to an engine, always asking for a stream.
     boost::json::object document;
 };
--- a/servers/request_counters.hpp
+++ b/servers/request_counters.hpp
@@ -18,6 +18,8 @@
     void count_outcome(policy::request_outcome outcome) noexcept;
     /// Counts an answer that went on over a new connection to the same engine.
     void count_resumed_stream() noexcept { m_resumed_streams->add(); }
+    /// Counts a request that ran on an engine when it died.
+    void count_suspect() noexcept { m_suspects->add(); }
     void count_caller_gone() noexcept { m_callers_gone->add(); }
     /// Counts an engine's work that was given up because its caller left.
     void count_cancelled_stream() noexcept { m_cancelled_streams->add(); }
@@ -34,6 +36,7 @@
     counter* m_resumed_streams;
     counter* m_cancelled_streams;
     counter* m_callers_gone;
+    counter* m_suspects;
     latency_histogram* m_first_token;
     latency_histogram* m_request;
 };
--- a/servers/request_refused.hpp
+++ b/servers/request_refused.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include "core/error.hpp"
@@ -10,15 +11,19 @@
 /// Ends a request with a typed refusal. Thrown before any byte of the answer was sent.
 class request_refused : public error {
 public:
-    request_refused(policy::refusal_reason reason, policy::request_outcome outcome, const std::string& message)
-        : error(message), m_reason(reason), m_outcome(outcome) {}
+    /// `retry_after`: when the caller may try again, where the status is one that says so.
+    request_refused(policy::refusal_reason reason, policy::request_outcome outcome, const std::string& message,
+                    std::chrono::seconds retry_after = std::chrono::seconds(1))
+        : error(message), m_reason(reason), m_outcome(outcome), m_retry_after(retry_after) {}
 
     [[nodiscard]] policy::refusal_reason get_reason() const noexcept { return m_reason; }
     [[nodiscard]] policy::request_outcome get_outcome() const noexcept { return m_outcome; }
+    [[nodiscard]] std::chrono::seconds get_retry_after() const noexcept { return m_retry_after; }
 
 private:
     policy::refusal_reason m_reason;
     policy::request_outcome m_outcome;
+    std::chrono::seconds m_retry_after;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -30,6 +30,7 @@
       m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
+    m_context->retries.add_request();
     http_response response = co_await exchange_with_retries();
     response.set("x-dragonflywell-outcome", "completed");
     if (m_organisation) {
@@ -56,6 +57,9 @@
             throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
+        if (!m_context->retries.take_retry(m_context->time.now())) {
+            throw request_refused(policy::refusal_reason::retry_budget_spent, m_history.get_outcome(), failure->what());
+        }
         m_context->counters.count_retry(failure->get_reason());
     }
 }
--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -147,3 +147,14 @@
     deployment.end_notice();
     stopping.join();
 }
+
+TEST_CASE("a request on an engine that dies becomes a suspect; one on a connection that breaks does not") {
+    small_deployment deployment;
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::break_off, .after_tokens = 2});
+    CHECK(has_whole_answer(ask(deployment)));
+    wait_for_metric(deployment, "dragonflywell_suspect_requests_total 0");
+    deployment.engine.handler.set_on_death([&] { deployment.engine.stop_listening(); });
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::die, .after_tokens = 2});
+    CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
+    wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
+}
--- /dev/null
+++ b/tests/policy/test_quarantine.cpp
@@ -0,0 +1,47 @@
+#include <doctest/doctest.h>
+
+#include "policy/quarantine.hpp"
+
+using namespace dragonflywell;
+using policy::quarantine;
+
+TEST_CASE("a second death is refused, one told twice is not, and completion clears") {
+    const virtual_clock clock;
+    const wall_time now = clock.wall_now();
+    quarantine suspects({});
+    suspects.add_death({.fingerprint = 1, .death_id = 10, .moment = now});
+    suspects.add_death({.fingerprint = 2, .death_id = 11, .moment = now});
+    suspects.add_death({.fingerprint = 1, .death_id = 10, .moment = now});
+    CHECK(suspects.is_suspect(1, now));
+    CHECK_FALSE(suspects.is_refused(1, now));
+    suspects.add_completion(2);
+    CHECK_FALSE(suspects.is_suspect(2, now));
+    quarantine other_host({});
+    for (const policy::engine_death& death : suspects.get_deaths(now)) {
+        other_host.add_death(death);
+    }
+    other_host.add_death({.fingerprint = 1, .death_id = 20, .moment = now});
+    CHECK(other_host.is_refused(1, now));
+    CHECK_FALSE(other_host.is_refused(1, now + std::chrono::hours(1)));
+}
+
+TEST_CASE("what is remembered is bounded and the oldest goes first") {
+    const virtual_clock clock;
+    quarantine suspects({.most_requests = 2});
+    for (policy::request_fingerprint index = 0; index < 3; ++index) {
+        suspects.add_death(
+            {.fingerprint = index, .death_id = index, .moment = clock.wall_now() + std::chrono::seconds(index)});
+    }
+    CHECK_FALSE(suspects.is_suspect(0, clock.wall_now()));
+    CHECK(suspects.is_suspect(2, clock.wall_now()));
+}
+
+TEST_CASE("an engine is set apart for as long as a suspect runs on it") {
+    quarantine suspects({});
+    const backend_server_name server("e1");
+    {
+        const quarantine::reservation first(suspects, server);
+        CHECK(suspects.get_reserved().contains(server));
+    }
+    CHECK(suspects.get_reserved().empty());
+}
--- a/tests/standin/engine_fault.hpp
+++ b/tests/standin/engine_fault.hpp
@@ -9,6 +9,8 @@
     none,
     /// The connection ends and the stream is lost.
     break_off,
+    /// The engine dies: the connection ends and no other one is taken.
+    die,
     /// The connection stays silent; the stream can be resumed over another.
     silent,
     /// An event is no JSON.
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -163,6 +163,10 @@
             cancel(id);
             throw servers::caller_gone_error("engine breaks off as planned");
         }
+        if (is_faulty && fault.kind == engine_fault_kind::die) {
+            m_on_death();
+            throw servers::caller_gone_error("engine dies as planned");
+        }
         if (is_faulty && fault.kind == engine_fault_kind::silent) {
             timer.expires_after(silent_time);
             co_await timer.async_wait(asio::use_awaitable);
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -40,6 +41,8 @@
     }
     /// Has the next answers go wrong.
     void set_fault(const engine_fault& fault);
+    /// Sets what closes the engine's listener when it is to die. To be called before it is used.
+    void set_on_death(std::function<void()> on_death) { m_on_death = std::move(on_death); }
     /// Returns how many requests are running.
     [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
     /// Returns how many requests were started, resumptions not counted.
@@ -81,6 +84,7 @@
     std::set<std::string> m_cancelled;
     std::map<std::string, known_stream> m_streams;
     engine_fault m_fault{.count = 0};
+    std::function<void()> m_on_death;
 };
 
 /// Returns the text that the engine generates at a position for a prompt.
--- a/tests/support/running_standin.hpp
+++ b/tests/support/running_standin.hpp
@@ -31,6 +31,9 @@
 
     [[nodiscard]] endpoint get_endpoint() const { return {.address = "127.0.0.1", .port = m_server.get_port()}; }
 
+    /// Takes no further connection.
+    void stop_listening() { m_server.stop(); }
+
     Handler handler;
     standin::faulty_handler faults;
 
