--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -38,6 +38,7 @@
     duplicate_running,
     duplicate_done,
     duplicate_unknown,
+    idempotency_key_reused,
     stopping,
     not_ready,
     backend_server_failed,
@@ -49,7 +50,7 @@
     internal_fault,
 };
 
-inline constexpr std::size_t refusal_reason_count = 25;
+inline constexpr std::size_t refusal_reason_count = static_cast<std::size_t>(refusal_reason::internal_fault) + 1;
 
 /// Why a request was sent to a backend server again.
 enum class retry_reason {
--- a/tests/standin/platform_standin.hpp
+++ b/tests/standin/platform_standin.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -15,6 +16,15 @@
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
 
+    /// Returns how often a second document came under a used key with another content.
+    [[nodiscard]] std::uint64_t get_conflicts() const noexcept { return m_conflicts; }
+    /// Returns the document under a path, or an empty text.
+    [[nodiscard]] std::string get_document(const std::string& path) {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_documents.find(path);
+        return found == m_documents.end() ? "" : found->second;
+    }
+
 private:
     struct stream {
         std::uint64_t oldest{0};
@@ -32,6 +42,7 @@
     std::mutex m_mutex;
     std::map<std::string, stream> m_streams;
     std::map<std::string, std::string> m_documents;
+    std::atomic<std::uint64_t> m_conflicts{0};
 };
 
 } // namespace dragonflywell::standin
