--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -39,9 +39,11 @@
                                               .admission = m_admission,
                                               .retries = m_retries,
                                               .suspects = m_suspects,
+                                              .demand = m_fleet.demand,
+                                              .engines = m_fleet.engines,
                                               .limits = m_settings.limits},
       m_entry_handler(m_context),
-      m_operator_handler(m_metrics, m_context, m_settings.host, [this] { return is_ready(); }),
+      m_operator_handler(m_metrics, m_context, m_fleet.status, m_settings.host, [this] { return is_ready(); }),
       m_workers(make_workers(m_settings.workers)), m_operator_context(1),
       m_entry_server(get_worker_contexts(), m_entry_handler,
                      {.listen = m_settings.callers,
@@ -54,7 +56,8 @@
               .metrics = m_metrics,
               .manifest = m_manifest,
               .usage = m_usage,
-              .claims = m_claims} {
+              .claims = m_claims,
+              .fleet = m_fleet} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -16,6 +16,8 @@
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
+#include "servers/demand_meter.hpp"
+#include "servers/engine_state_table.hpp"
 #include "servers/request_counters.hpp"
 
 namespace dragonflywell::servers {
@@ -59,6 +61,8 @@
     admission_gate& admission;
     policy::retry_budget& retries;
     policy::quarantine& suspects;
+    demand_meter& demand;
+    const engine_state_table& engines;
     request_limits limits;
 };
 
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view end_of_stream = "[DONE]";
 constexpr std::size_t rejection_limit_bytes = 64 * 1024;
+constexpr double percent = 100;
 constexpr duration cancel_deadline = std::chrono::seconds(1);
 
 /// Returns whether the status says that the request itself is wrong, so that every engine would say the same.
@@ -44,7 +45,13 @@
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
       m_model_request(parse_model_request(request)), m_arrived(context.time.now()),
-      m_answer(m_model_request.shape, m_model_request.most_tokens) {}
+      m_answer(m_model_request.shape, m_model_request.most_tokens) {
+    // Names that callers make up must not grow the meter.
+    if (m_context->manifest.get()->content.models.contains(m_model_request.model)) {
+        m_context->demand.add_arrival(get_demand_key(), m_model_request.estimated_prompt_tokens,
+                                      m_model_request.most_tokens);
+    }
+}
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
@@ -60,6 +67,11 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
+    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.most_tokens);
+}
+
+policy::demand_key model_call::get_demand_key() const {
+    return {.organisation = m_organisation, .model = m_model_request.model, .service = {}};
 }
 
 asio::awaitable<std::unique_ptr<admission_gate::permit>> model_call::admit(caller_channel& caller) {
@@ -281,7 +293,20 @@
     // Engines on which a suspect runs get nothing else, so that a crash of theirs harms no other request.
     std::set<backend_server_name> avoided = m_context->suspects.get_reserved();
     avoided.insert(m_history.get_tried().begin(), m_history.get_tried().end());
-    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), avoided);
+    const fleet::model& model = manifest.content.models.at(m_model_request.model);
+    const auto owner = manifest.content.organisations.find(m_organisation);
+    const bool accepts_cheap = owner != manifest.content.organisations.end() && owner->second.accepts_cheap_servers;
+    const placed_work work{
+        .shape =
+            policy::role_demand{
+                .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
+                .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)},
+        .loss = policy::get_work_class({.is_idempotent = true,
+                                        .accepts_cheap_servers = accepts_cheap,
+                                        .was_interrupted = !m_history.get_tried().empty()}),
+        .tokens = m_model_request.estimated_prompt_tokens + m_model_request.most_tokens,
+        .most_cheap_share = static_cast<double>(manifest.content.prices.most_cheap_percent) / percent};
+    return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), avoided, work);
 }
 
 http_request model_call::make_engine_request(const fleet::backend_server& server) {
