--- a/tests/servers/test_backend_choice.cpp
+++ b/tests/servers/test_backend_choice.cpp
@@ -40,6 +40,9 @@
     request_counters counters{metrics};
     demand_meter demand;
     engine_state_table engines;
+    admission_gate admission{time, {}};
+    policy::retry_budget retries{{}, time.now()};
+    policy::quarantine suspects{{}};
     entry_context context{.time = time,
                           .own_zone = zone_name("a"),
                           .manifest = manifest,
@@ -49,6 +52,9 @@
                           .usage = usage,
                           .claims = claims,
                           .counters = counters,
+                          .admission = admission,
+                          .retries = retries,
+                          .suspects = suspects,
                           .demand = demand,
                           .engines = engines,
                           .limits = {}};
