--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -10,6 +10,9 @@
 #include "core/snapshot_cell.hpp"
 #include "fleet/manifest.hpp"
 #include "policy/placement.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_budget.hpp"
+#include "servers/admission_gate.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
@@ -55,6 +58,9 @@
     coordination::usage_meter& usage;
     coordination::claim_queue& claims;
     request_counters& counters;
+    admission_gate& admission;
+    policy::retry_budget& retries;
+    policy::quarantine& suspects;
     demand_meter& demand;
     const engine_state_table& engines;
     request_limits limits;
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -31,6 +31,7 @@
       m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
+    m_context->retries.add_request();
     const bool is_claimed = !m_route->is_idempotent && has_idempotency_key(*m_request);
     http_response response;
     if (is_claimed) {
@@ -82,6 +83,9 @@
             throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
+        if (!m_context->retries.take_retry(m_context->time.now())) {
+            throw request_refused(policy::refusal_reason::retry_budget_spent, m_history.get_outcome(), failure->what());
+        }
         m_context->counters.count_retry(failure->get_reason());
     }
 }
