--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -9,7 +9,9 @@
     : m_parts(parts), m_peers(std::move(peers)),
       m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_stream(get_log(), std::string(coordination::configuration_stream), parts.self),
+      m_snapshots(m_platform_log, m_stream, parts.time, parts.settings.log_retention),
       m_rejected(&parts.metrics.get_counter("dragonflywell_rejected_configurations_total")),
+      m_written(&parts.metrics.get_counter("dragonflywell_snapshots_total", {{"stream", m_stream.get_name()}})),
       m_version(&parts.metrics.get_gauge("dragonflywell_configuration_version")),
       m_direct_reads(&parts.metrics.get_counter("dragonflywell_configuration_log_reads_total")),
       m_log(get_logger(get_name())) {
@@ -27,6 +29,7 @@
 void configuration_task::run_round() {
     try {
         follow();
+        keep_snapshots();
     } catch (const coordination::log_unavailable_error&) {
         adopt_from_peers();
         throw;
@@ -46,6 +49,21 @@
     }
 }
 
+void configuration_task::finish() {
+    m_snapshots.release();
+}
+
+void configuration_task::keep_snapshots() {
+    // A daemon that reads through others could not read its own records back in time.
+    if (m_peers != nullptr && !m_peers->is_reader(m_stream.get_name())) {
+        return;
+    }
+    if (m_snapshots.tick()) {
+        m_written->add();
+        m_log->info("Snapshot up to {} is written.", m_stream.get_next_offset());
+    }
+}
+
 void configuration_task::adopt_from_peers() {
     // Only a host that has nothing takes what another has folded; the others wait for the log.
     if (m_peers == nullptr || m_in_force) {
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr integer_range poll_milliseconds{.least = 10, .most = 10000};
+constexpr integer_range retention_minutes{.least = 10, .most = 525600};
 constexpr integer_range deadline_milliseconds{.least = 10, .most = 3600000};
 
 std::optional<endpoint> get_optional_endpoint(settings_reader& reader, const std::string& key,
@@ -60,6 +61,8 @@
     settings.platform_log = get_endpoint(reader, "platform.log");
     settings.platform_usage = get_optional_endpoint(reader, "platform.usage", "");
     settings.log_deadline = get_milliseconds(reader, "platform.log_deadline_ms", deadline_milliseconds, 2000);
+    settings.log_retention =
+        std::chrono::minutes(reader.get_integer("platform.log_retention_minutes", retention_minutes, 1440));
     settings.configuration_poll = get_milliseconds(reader, "configuration.poll_ms", poll_milliseconds, 500);
     settings.control_interval = get_milliseconds(reader, "control.interval_ms", poll_milliseconds, 1000);
     settings.history_interval = get_milliseconds(reader, "history.interval_ms", deadline_milliseconds, 60000);
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -35,6 +35,8 @@
     /// The platform's usage reporting; a host without it does not stand for the lease over reporting.
     std::optional<endpoint> platform_usage;
     duration log_deadline{};
+    /// How long the platform's log keeps a record.
+    duration log_retention{};
     duration configuration_poll{};
     duration usage_flush{};
     /// Least time between two appends of claims.
