Refuse organisations that ask for it while their zone is cut off from the log

Cause: when_cut_off and its bound were read from the manifest and had no effect, and nothing showed that a revoked key stops working on a connection that stays open.

Change: the configuration task judges the reach of the log (with peers by gossip, alone by its own reading); the request path refuses with zone_cut_off, outcome not_run, after the organisation's bound.

--- a/coordination/log_freshness.hpp
+++ b/coordination/log_freshness.hpp
@@ -33,6 +33,9 @@
     cut_off,
 };
 
+/// How old the newest reading may be before the log counts as out of reach.
+inline constexpr duration log_reach_bound = std::chrono::seconds(15);
+
 struct log_reach_evidence {
     /// The newest reading known of the own zone, and of any zone.
     std::optional<wall_time> own_zone_read_at;
--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -29,8 +29,11 @@
 void configuration_task::run_round() {
     try {
         follow();
+        m_followed_at = m_parts.time.wall_now();
+        judge_cut_off();
         keep_snapshots();
     } catch (const coordination::log_unavailable_error&) {
+        judge_cut_off();
         adopt_from_peers();
         throw;
     }
@@ -64,6 +67,18 @@
     }
 }
 
+void configuration_task::judge_cut_off() {
+    const wall_time now = m_parts.time.wall_now();
+    // A daemon without peers cannot tell an outage for all from a cut of its own, so it assumes the cut.
+    const coordination::log_reach reach =
+        m_peers != nullptr
+            ? m_peers->get_log_reach()
+            : coordination::judge_log_reach(
+                  {.own_zone_read_at = m_followed_at, .any_zone_read_at = m_followed_at, .is_linked = false}, now,
+                  coordination::log_reach_bound);
+    m_parts.cut_off.set_cut_off(reach == coordination::log_reach::cut_off, m_parts.time.now());
+}
+
 void configuration_task::adopt_from_peers() {
     // Only a host that has nothing takes what another has folded; the others wait for the log.
     if (m_peers == nullptr || m_in_force) {
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -33,6 +33,7 @@
     void follow();
     void adopt_from_peers();
     void keep_snapshots();
+    void judge_cut_off();
     void put_in_force(const std::shared_ptr<const coordination::configuration>& current);
 
     daemon_parts m_parts;
@@ -50,6 +51,8 @@
     /// Newest version of the own fold that was tried, and the version in force.
     std::optional<coordination::log_offset> m_tried;
     std::optional<coordination::log_offset> m_in_force;
+    /// When this daemon itself followed the stream last.
+    std::optional<wall_time> m_followed_at;
     std::shared_ptr<spdlog::logger> m_log;
 };
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -39,6 +39,7 @@
                                               .admission = m_admission,
                                               .retries = m_retries,
                                               .suspects = m_suspects,
+                                              .cut_off = m_cut_off,
                                               .demand = m_fleet.demand,
                                               .engines = m_fleet.engines,
                                               .limits = m_settings.limits},
@@ -57,6 +58,7 @@
               .manifest = m_manifest,
               .usage = m_usage,
               .claims = m_claims,
+              .cut_off = m_cut_off,
               .fleet = m_fleet} {
     for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -62,6 +62,7 @@
     servers::admission_gate m_admission;
     policy::retry_budget m_retries;
     policy::quarantine m_suspects{{}};
+    policy::cut_off_state m_cut_off;
     fleet_parts m_fleet;
     servers::entry_context m_context;
     servers::entry_handler m_entry_handler;
--- a/daemon/daemon_parts.hpp
+++ b/daemon/daemon_parts.hpp
@@ -18,6 +18,7 @@
     snapshot_cell<servers::active_manifest>& manifest;
     coordination::usage_meter& usage;
     coordination::claim_queue& claims;
+    policy::cut_off_state& cut_off;
     fleet_parts& fleet;
 };
 
--- a/daemon/peer_hub.cpp
+++ b/daemon/peer_hub.cpp
@@ -17,7 +17,6 @@
 constexpr std::size_t most_asked_peers = 3;
 constexpr duration freshness_interval = std::chrono::seconds(1);
 constexpr duration shared_freshness_interval = std::chrono::seconds(3);
-constexpr duration log_reach_bound = std::chrono::seconds(15);
 
 membership_options make_options(const daemon_parts& parts, std::uint16_t port) {
     const daemon_settings& settings = parts.settings;
@@ -143,7 +142,7 @@
     if (anywhere) {
         evidence.any_zone_read_at = anywhere->read_at;
     }
-    return judge_log_reach(evidence, m_time->wall_now(), log_reach_bound);
+    return judge_log_reach(evidence, m_time->wall_now(), coordination::log_reach_bound);
 }
 
 std::vector<member> peer_hub::get_zone_members() const {
--- /dev/null
+++ b/policy/cut_off_state.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <atomic>
+#include <optional>
+
+#include "core/clock.hpp"
+#include "fleet/organisation.hpp"
+
+namespace dragonflywell::policy {
+
+/// Since when this host's availability zone has been cut off from a log that others can reach.
+///
+/// A key that was revoked meanwhile is not known to be revoked here. Thread safe.
+class cut_off_state {
+public:
+    /// Notes what was found out last. The time counts from the first of several such findings in a row.
+    void set_cut_off(bool is_cut_off, steady_time now) noexcept;
+
+    /// Returns how long the zone has been cut off, or nothing while it is not.
+    [[nodiscard]] std::optional<duration> get_time(steady_time now) const noexcept;
+
+private:
+    static constexpr duration::rep not_cut_off = -1;
+
+    std::atomic<duration::rep> m_since{not_cut_off};
+};
+
+/// Tells whether a request of the organisation may run although its key may have been revoked. Thread safe.
+[[nodiscard]] bool may_serve_cut_off(const fleet::organisation& organisation, std::optional<duration> cut_off_for);
+
+} // namespace dragonflywell::policy
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -9,6 +9,7 @@
 #include "core/clock.hpp"
 #include "core/snapshot_cell.hpp"
 #include "fleet/manifest.hpp"
+#include "policy/cut_off_state.hpp"
 #include "policy/placement.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
@@ -61,6 +62,7 @@
     admission_gate& admission;
     policy::retry_budget& retries;
     policy::quarantine& suspects;
+    const policy::cut_off_state& cut_off;
     demand_meter& demand;
     const engine_state_table& engines;
     request_limits limits;
--- a/servers/key_check.cpp
+++ b/servers/key_check.cpp
@@ -46,6 +46,15 @@
     return *owner;
 }
 
+void check_cut_off(const entry_context& context, const fleet::manifest& manifest,
+                   const organisation_name& organisation) {
+    const std::optional<duration> cut_off_for = context.cut_off.get_time(context.time.now());
+    if (!policy::may_serve_cut_off(manifest.organisations.at(organisation), cut_off_for)) {
+        throw request_refused(policy::refusal_reason::zone_cut_off, policy::request_outcome::not_run,
+                              "this availability zone is cut off, so that a revoked key could not be noticed");
+    }
+}
+
 const fleet::service_route& require_route(const fleet::manifest& manifest, std::string_view path,
                                           std::string_view method) {
     const fleet::service_route* best = nullptr;
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -114,7 +114,7 @@
         const fleet::backend_server* server = nullptr;
         try {
             // The key is checked again at each dispatch: it may have been revoked while the request waited.
-            static_cast<void>(require_organisation(manifest->content, *m_request));
+            check_cut_off(*m_context, manifest->content, require_organisation(manifest->content, *m_request));
             server = &choose_engine(*manifest);
         } catch (const request_refused& refused) {
             // An earlier attempt may have run, whatever stops this one.
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -126,6 +126,7 @@
 void service_call::check_key(const fleet::manifest& manifest) {
     if (!m_route->is_open) {
         m_organisation = require_organisation(manifest, *m_request);
+        check_cut_off(*m_context, manifest, *m_organisation);
     }
 }
 
--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -68,6 +68,7 @@
     snapshot_cell<servers::active_manifest> m_manifest{nullptr};
     coordination::usage_meter m_usage;
     coordination::claim_queue m_claims;
+    policy::cut_off_state m_cut_off;
 
 public:
     zone_control_task task{{.settings = m_settings,
@@ -77,6 +78,7 @@
                             .manifest = m_manifest,
                             .usage = m_usage,
                             .claims = m_claims,
+                            .cut_off = m_cut_off,
                             .fleet = fleet}};
 };
 
--- a/tests/servers/test_backend_choice.cpp
+++ b/tests/servers/test_backend_choice.cpp
@@ -4,6 +4,7 @@
 
 #include "servers/backend_choice.hpp"
 #include "servers/request_refused.hpp"
+#include "support/entry_parts.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::servers;
@@ -19,7 +20,7 @@
 }
 
 /// A daemon's placement with two engines, one of them cheap.
-struct placement_case {
+struct placement_case : testing::entry_parts {
     /// Returns how often each was chosen in a hundred requests.
     std::map<std::string, int> choose(const placed_work& work) {
         std::map<std::string, int> counts;
@@ -29,35 +30,6 @@
         return counts;
     }
 
-    host_clock time;
-    metrics_registry metrics;
-    snapshot_cell<active_manifest> manifest{nullptr};
-    policy::two_choice_placement placement;
-    backend_connection_pool connections{time, {}};
-    backend_load_table loads;
-    coordination::usage_meter usage;
-    coordination::claim_queue claims;
-    request_counters counters{metrics};
-    demand_meter demand;
-    engine_state_table engines;
-    admission_gate admission{time, {}};
-    policy::retry_budget retries{{}, time.now()};
-    policy::quarantine suspects{{}};
-    entry_context context{.time = time,
-                          .own_zone = zone_name("a"),
-                          .manifest = manifest,
-                          .placement = placement,
-                          .connections = connections,
-                          .loads = loads,
-                          .usage = usage,
-                          .claims = claims,
-                          .counters = counters,
-                          .admission = admission,
-                          .retries = retries,
-                          .suspects = suspects,
-                          .demand = demand,
-                          .engines = engines,
-                          .limits = {}};
     fleet::backend_server regular = make_engine("regular");
     fleet::backend_server cheap = make_engine("cheap", true);
     std::vector<const fleet::backend_server*> servers{&regular, &cheap};
--- /dev/null
+++ b/tests/servers/test_key_check.cpp
@@ -0,0 +1,27 @@
+#include <doctest/doctest.h>
+
+#include "servers/key_check.hpp"
+#include "support/entry_parts.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+
+TEST_CASE("a cut zone refuses as not run those organisations that asked for it, and serves the others") {
+    testing::entry_parts parts;
+    fleet::manifest manifest;
+    const organisation_name careful("accounts-desk");
+    const organisation_name usual("rovers");
+    manifest.organisations[careful] = {.name = careful, .when_cut_off = fleet::cut_off_behaviour::refuse};
+    manifest.organisations[usual] = {.name = usual};
+    check_cut_off(parts.context, manifest, careful);
+    parts.cut_off.set_cut_off(true, parts.time.now());
+    parts.time.advance(std::chrono::seconds(1));
+    check_cut_off(parts.context, manifest, usual);
+    try {
+        check_cut_off(parts.context, manifest, careful);
+        FAIL("a refusal was expected");
+    } catch (const request_refused& refused) {
+        CHECK(refused.get_reason() == policy::refusal_reason::zone_cut_off);
+        CHECK(refused.get_outcome() == policy::request_outcome::not_run);
+    }
+}
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -75,6 +75,10 @@
         return stream;
     }
 
+    [[nodiscard]] endpoint get_caller_endpoint() const {
+        return {.address = "127.0.0.1", .port = m_daemons.front()->get_caller_port()};
+    }
+
     static http::response<http::string_body> exchange(boost::beast::tcp_stream& stream, http::verb method,
                                                       const std::string& target, const std::string& body,
                                                       const std::string& key, const std::string& idempotency_key = "") {
