--- a/ctl/manifest_commands.cpp
+++ b/ctl/manifest_commands.cpp
@@ -2,15 +2,14 @@
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
-#include <fstream>
 #include <openssl/rand.h>
 #include <ostream>
-#include <sstream>
 #include <unistd.h>
 
 #include "coordination/configuration.hpp"
 #include "core/error.hpp"
 #include "core/hash.hpp"
+#include "core/read_file.hpp"
 #include "ctl/log_reader.hpp"
 #include "fleet/manifest.hpp"
 
@@ -18,16 +17,6 @@
 
 namespace {
 
-std::string read_file(const std::string& path) {
-    const std::ifstream file(path);
-    if (!file) {
-        throw invalid_input_error({{.place = path, .message = "cannot be read"}});
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 const std::string& require_one(const std::vector<std::string>& arguments, const char* what) {
     if (arguments.size() != 1) {
         throw invalid_input_error({{.place = "arguments", .message = fmt::format("one {} is needed", what)}});
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,12 +1,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "core/error.hpp"
 #include "core/log.hpp"
+#include "core/read_file.hpp"
 #include "core/version.hpp"
 #include "daemon/daemon.hpp"
 
@@ -19,16 +18,6 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-std::string read_file(const std::string& path) {
-    const std::ifstream file(path);
-    if (!file) {
-        throw invalid_input_error({{.place = path, .message = "cannot be read"}});
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 void run_until_signal(daemon::daemon_settings settings) {
     set_log_options(settings.log);
     boost::asio::io_context context(1);
