Enforce an organisation's cost limit in even parts

Cause: tokens_per_window was read from the manifest and had no effect. Change: each host gives out its even part of the limit and then refuses with over_cost_limit, not_run, and the time to the next window as Retry-After. Weighed against parts that follow demand: those need budgets in the gossip, which are not built; even parts never exceed the limit during a cut.

--- a/coordination/usage.cpp
+++ b/coordination/usage.cpp
@@ -49,6 +49,12 @@
     }
 }
 
+usage_figures usage_meter::get(const usage_key& key) const {
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_counters.find(key);
+    return found == m_counters.end() ? usage_figures{} : found->second;
+}
+
 usage_table usage_meter::get_all() const {
     const std::scoped_lock lock(m_mutex);
     return m_counters;
--- a/coordination/usage.hpp
+++ b/coordination/usage.hpp
@@ -58,6 +58,9 @@
 
     [[nodiscard]] usage_table get_all() const;
 
+    /// Returns what this incarnation has counted for one organisation and window.
+    [[nodiscard]] usage_figures get(const usage_key& key) const;
+
     /// Adds nothing to this window and those before it from now on: later use of them goes, marked as late, into the
     /// window after it.
     void close(window_number through);
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -84,6 +84,7 @@
         static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
     settings.admission.hosts =
         static_cast<std::uint64_t>(reader.get_integer("admission.hosts", {.least = 1, .most = 100000}, 1));
+    settings.limits.entry_hosts = settings.admission.hosts;
     settings.admission.longest_wait =
         get_milliseconds(reader, "admission.longest_wait_ms", deadline_milliseconds, 1900);
     settings.admission.most_waiting =
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -46,6 +46,8 @@
     duration progress_deadline{std::chrono::seconds(5)};
     /// How many backend servers are tried for one request that may be repeated.
     unsigned most_attempts{3};
+    /// Entry hosts that share the organisations' cost limits.
+    std::uint64_t entry_hosts{1};
 };
 
 /// What the handlers of one daemon share. All members are thread safe.
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -70,6 +70,7 @@
     const std::string_view path = get_path(request);
     if (is_model_path(path)) {
         const organisation_name organisation = require_organisation(manifest->content, request);
+        check_cost_limit(*m_context, manifest->content, organisation);
         model_call call(*m_context, request, organisation);
         co_await call.run(caller);
         co_return;
--- a/servers/key_check.cpp
+++ b/servers/key_check.cpp
@@ -4,6 +4,8 @@
 #include <array>
 
 #include "policy/access_control.hpp"
+#include "policy/cost_limit.hpp"
+#include "servers/backend_choice.hpp"
 
 namespace dragonflywell::servers {
 
@@ -55,6 +57,21 @@
     }
 }
 
+void check_cost_limit(const entry_context& context, const fleet::manifest& manifest,
+                      const organisation_name& organisation) {
+    const wall_time now = context.time.wall_now();
+    const coordination::window_number window = get_window(now, manifest);
+    const coordination::usage_figures used = context.usage.get({.organisation = organisation, .window = window});
+    const std::uint64_t tokens = used.prompt_tokens + used.completion_tokens;
+    if (!policy::is_over_cost_limit(manifest.organisations.at(organisation), tokens, context.limits.entry_hosts)) {
+        return;
+    }
+    const duration into_window = now.time_since_epoch() % manifest.window_length;
+    throw request_refused(policy::refusal_reason::over_cost_limit, policy::request_outcome::not_run,
+                          "the organisation has used its tokens of this billing window",
+                          std::chrono::ceil<std::chrono::seconds>(manifest.window_length - into_window));
+}
+
 const fleet::service_route& require_route(const fleet::manifest& manifest, std::string_view path,
                                           std::string_view method) {
     const fleet::service_route* best = nullptr;
--- a/servers/key_check.hpp
+++ b/servers/key_check.hpp
@@ -16,6 +16,11 @@
 void check_cut_off(const entry_context& context, const fleet::manifest& manifest,
                    const organisation_name& organisation);
 
+/// Refuses an organisation that has used up its tokens of the billing window, until the next one.
+/// Throws `request_refused`. Precondition: the manifest has the organisation. Thread safe.
+void check_cost_limit(const entry_context& context, const fleet::manifest& manifest,
+                      const organisation_name& organisation);
+
 /// Returns the route of a plain service, the longest matching prefix first.
 /// Throws `request_refused` when there is none or it does not take the method. Thread safe.
 [[nodiscard]] const fleet::service_route& require_route(const fleet::manifest& manifest, std::string_view path,
--- a/tests/servers/test_key_check.cpp
+++ b/tests/servers/test_key_check.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "servers/backend_choice.hpp"
 #include "servers/key_check.hpp"
 #include "support/entry_parts.hpp"
 
@@ -25,3 +26,23 @@
         CHECK(refused.get_outcome() == policy::request_outcome::not_run);
     }
 }
+
+TEST_CASE("an organisation that has used its part of a window is refused as not run until the next window") {
+    testing::entry_parts parts;
+    parts.context.limits.entry_hosts = 2;
+    fleet::manifest manifest;
+    const organisation_name name("accounts-desk");
+    manifest.organisations[name] = {.name = name, .tokens_per_window = 100};
+    const coordination::window_number window = get_window(parts.time.wall_now(), manifest);
+    check_cost_limit(parts.context, manifest, name);
+    parts.usage.add({.organisation = name, .window = window}, {.prompt_tokens = 20, .completion_tokens = 30});
+    try {
+        check_cost_limit(parts.context, manifest, name);
+        FAIL("a refusal was expected");
+    } catch (const request_refused& refused) {
+        CHECK(refused.get_reason() == policy::refusal_reason::over_cost_limit);
+        CHECK(refused.get_outcome() == policy::request_outcome::not_run);
+        parts.time.advance(refused.get_retry_after());
+    }
+    check_cost_limit(parts.context, manifest, name);
+}
