--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace dragonflywell {
 
@@ -26,6 +27,8 @@
 
     [[nodiscard]] virtual steady_time now() const = 0;
     [[nodiscard]] virtual wall_time wall_now() const = 0;
+    /// Returns a clock that also counts the time for which the host was suspended. Not comparable with `now()`.
+    [[nodiscard]] virtual steady_time now_with_suspension() const = 0;
 };
 
 /// The clocks of the host the process runs on.
@@ -33,19 +36,34 @@
 public:
     [[nodiscard]] steady_time now() const override { return std::chrono::steady_clock::now(); }
     [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+    [[nodiscard]] steady_time now_with_suspension() const override {
+        timespec moment{};
+        clock_gettime(CLOCK_BOOTTIME, &moment);
+        return steady_time(std::chrono::seconds(moment.tv_sec) + std::chrono::nanoseconds(moment.tv_nsec));
+    }
 };
 
 /// A clock that moves only when it is told to. Not thread safe.
 class virtual_clock final : public clock_source {
 public:
     [[nodiscard]] steady_time now() const override { return m_now; }
-    [[nodiscard]] wall_time wall_now() const override { return wall_time(m_now.time_since_epoch()); }
+    [[nodiscard]] wall_time wall_now() const override { return wall_time(m_now.time_since_epoch() + m_wall_step); }
+    [[nodiscard]] steady_time now_with_suspension() const override { return m_now + m_suspended; }
 
     /// Precondition: `step` is not negative.
     void advance(duration step) { m_now += step; }
+    /// Lets the host sleep: the monotonic clock stands still, the others go on. Precondition: not negative.
+    void suspend(duration step) {
+        m_suspended += step;
+        m_wall_step += step;
+    }
+    /// Sets the wall clock forward or back.
+    void step_wall(duration step) { m_wall_step += step; }
 
 private:
     steady_time m_now{std::chrono::hours(1)};
+    duration m_suspended{};
+    duration m_wall_step{};
 };
 
 } // namespace dragonflywell
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -89,6 +89,32 @@
     return value == nullptr ? fallback : to_unsigned(*value, key);
 }
 
+double to_number(const boost::json::value& value, std::string_view what) {
+    if (!value.is_number()) {
+        throw_wrong_type(what, "a number");
+    }
+    return value.to_number<double>();
+}
+
+double get_number_or(const boost::json::object& object, std::string_view key, double fallback) {
+    const boost::json::value* value = object.if_contains(key);
+    return value == nullptr || value->is_null() ? fallback : to_number(*value, key);
+}
+
+duration get_duration_or(const boost::json::object& object, std::string_view key, duration unit, duration fallback) {
+    constexpr double most_units = 1e12;
+    const boost::json::value* value = object.if_contains(key);
+    if (value == nullptr || value->is_null()) {
+        return fallback;
+    }
+    const double units = to_number(*value, key);
+    if (!(units >= 0 && units <= most_units)) {
+        throw_wrong_type(key, "a time that is not negative");
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(
+        units * static_cast<double>(unit.count())));
+}
+
 bool get_bool_or(const boost::json::object& object, std::string_view key, bool fallback) {
     const boost::json::value* value = object.if_contains(key);
     if (value == nullptr) {
--- a/core/json.hpp
+++ b/core/json.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/clock.hpp"
+
 namespace dragonflywell::json {
 
 /// Typed access to JSON that came from elsewhere.
@@ -21,6 +23,12 @@
                                         std::string_view fallback);
 [[nodiscard]] std::uint64_t get_unsigned_or(const boost::json::object& object, std::string_view key,
                                             std::uint64_t fallback);
+/// A number may be whole or have a fraction.
+[[nodiscard]] double to_number(const boost::json::value& value, std::string_view what);
+[[nodiscard]] double get_number_or(const boost::json::object& object, std::string_view key, double fallback);
+/// A duration given as a number of `unit`, which may have a fraction. Throws also for a negative one.
+[[nodiscard]] duration get_duration_or(const boost::json::object& object, std::string_view key, duration unit,
+                                       duration fallback);
 [[nodiscard]] bool get_bool_or(const boost::json::object& object, std::string_view key, bool fallback);
 
 } // namespace dragonflywell::json
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <spdlog/details/null_mutex.h>
 #include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -10,12 +12,21 @@
 
 namespace {
 
-/// Writes the message as a JSON string, so that a quote in it cannot break the line.
+/// Start of the text that `log_event` writes.
+constexpr std::string_view event_start = "{\"event\":";
+
+/// Writes the message as a JSON field, so that a quote in it cannot break the line; a `log_event` is written as its own
+/// fields.
 class json_payload_flag final : public spdlog::custom_flag_formatter {
 public:
     void format(const spdlog::details::log_msg& message, const std::tm& /*time*/, spdlog::memory_buf_t& out) override {
+        const std::string_view payload(message.payload.data(), message.payload.size());
+        if (payload.starts_with(event_start)) {
+            out.append(payload.data() + 1, payload.data() + payload.size() - 1);
+            return;
+        }
         const std::string text =
-            boost::json::serialize(boost::json::string_view(message.payload.data(), message.payload.size()));
+            "\"message\":" + boost::json::serialize(boost::json::string_view(payload.data(), payload.size()));
         out.append(text.data(), text.data() + text.size());
     }
 
@@ -24,16 +35,45 @@
     }
 };
 
+/// Puts formatted lines into a ring.
+class ring_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+public:
+    explicit ring_sink(std::shared_ptr<log_ring> ring) : m_ring(std::move(ring)) {}
+
+protected:
+    void sink_it_(const spdlog::details::log_msg& message) override {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        const std::string_view payload(message.payload.data(), message.payload.size());
+        const bool is_weighty = message.level >= spdlog::level::warn || payload.starts_with(request_end_start);
+        m_ring->push(std::string(line.data(), line.size()), is_weighty);
+    }
+    void flush_() override {}
+
+private:
+    /// Start of the text of an event that ends a request.
+    static constexpr std::string_view request_end_start = "{\"event\":\"request_";
+
+    std::shared_ptr<log_ring> m_ring;
+};
+
+std::shared_ptr<spdlog::sinks::sink> make_sink(const log_options& options) {
+    if (options.ring != nullptr) {
+        return std::make_shared<ring_sink>(options.ring);
+    }
+    return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+}
+
 } // namespace
 
 void set_log_options(const log_options& options) {
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    auto sink = make_sink(options);
     auto formatter = std::make_unique<spdlog::pattern_formatter>(spdlog::pattern_time_type::utc);
     if (options.format == log_format::json_lines) {
         formatter->add_flag<json_payload_flag>('*');
         const std::string host = boost::json::serialize(boost::json::string_view(options.host));
         formatter->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","part":"%n","host":)" + host +
-                               R"(,"message":%*})");
+                               R"(,%*})");
     } else {
         formatter->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l [%n] %v");
     }
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/log_ring.hpp"
+
 namespace dragonflywell {
 
 enum class log_format { text, json_lines };
@@ -14,6 +16,8 @@
     log_format format{log_format::text};
     /// Name of the host, written into each JSON line.
     std::string host{};
+    /// Where lines wait to be written by someone else; without it they go to standard error at once.
+    std::shared_ptr<log_ring> ring{};
 };
 
 /// Sets level and format for every logger made afterwards. Call once, before other threads start.
--- /dev/null
+++ b/core/log_ring.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace dragonflywell {
+
+/// Log lines that wait to be written, bounded in bytes. When it is full the oldest line of the least weight goes first,
+/// and the loss is counted. Thread safe; never blocks on output.
+class log_ring {
+public:
+    /// Precondition: `limit_bytes` is positive.
+    explicit log_ring(std::size_t limit_bytes) : m_limit_bytes(limit_bytes) {}
+
+    /// `is_weighty`: warnings, errors and decisions that end a request, which are kept longest.
+    void push(std::string line, bool is_weighty);
+
+    /// Takes lines up to about `most_bytes`, at least one when there is one.
+    [[nodiscard]] std::string take(std::size_t most_bytes);
+
+    [[nodiscard]] bool is_empty() const;
+    /// Returns how many lines were dropped since the process started.
+    [[nodiscard]] std::uint64_t get_dropped() const;
+
+private:
+    struct entry {
+        std::uint64_t number{};
+        std::string line;
+    };
+
+    void drop_one();
+    [[nodiscard]] std::string take_one();
+
+    std::size_t m_limit_bytes;
+    mutable std::mutex m_mutex;
+    std::deque<entry> m_weighty;
+    std::deque<entry> m_light;
+    std::size_t m_bytes{0};
+    std::uint64_t m_next_number{0};
+    std::uint64_t m_dropped{0};
+};
+
+} // namespace dragonflywell
--- a/core/settings_reader.cpp
+++ b/core/settings_reader.cpp
@@ -46,6 +46,23 @@
     return value;
 }
 
+double settings_reader::get_number(const std::string& key, number_range range, std::optional<double> fallback) {
+    const toml::node* node = find(key);
+    if (node == nullptr) {
+        require(key, fallback.has_value());
+        return fallback.value_or(range.least);
+    }
+    const std::optional<double> value = node->value<double>();
+    if (!value || node->is_boolean()) {
+        add_problem(key, fmt::format("must be a number from {} to {}", range.least, range.most));
+        return range.least;
+    }
+    if (!(*value >= range.least && *value <= range.most)) {
+        add_problem(key, fmt::format("is {}, permitted are {} to {}", *value, range.least, range.most));
+    }
+    return *value;
+}
+
 bool settings_reader::get_boolean(const std::string& key, std::optional<bool> fallback) {
     const toml::node* node = find(key);
     if (node == nullptr) {
--- a/core/settings_reader.hpp
+++ b/core/settings_reader.hpp
@@ -19,6 +19,12 @@
     std::int64_t most{};
 };
 
+/// Inclusive range of a number that may have a fraction.
+struct number_range {
+    double least{};
+    double most{};
+};
+
 /// Reads a TOML file and checks every key: wrong type, out of range, missing and unknown keys.
 ///
 /// Problems are collected, so that one run names them all. Not thread safe.
@@ -31,6 +37,9 @@
     [[nodiscard]] std::string get_string(const std::string& key, std::optional<std::string> fallback = std::nullopt);
     [[nodiscard]] std::int64_t get_integer(const std::string& key, integer_range range,
                                            std::optional<std::int64_t> fallback = std::nullopt);
+    /// A whole number is taken too.
+    [[nodiscard]] double get_number(const std::string& key, number_range range,
+                                    std::optional<double> fallback = std::nullopt);
     [[nodiscard]] bool get_boolean(const std::string& key, std::optional<bool> fallback = std::nullopt);
     [[nodiscard]] std::string get_choice(const std::string& key, const std::vector<std::string>& choices,
                                          std::optional<std::string> fallback = std::nullopt);
--- /dev/null
+++ b/daemon/host_daemon.cpp
@@ -0,0 +1,135 @@
+#include "daemon/host_daemon.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+
+#include "core/log_event.hpp"
+#include "core/version.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+using boost::asio::co_spawn;
+using boost::asio::detached;
+
+constexpr duration house_interval = std::chrono::seconds(1);
+/// The list of servers is read several times within the bound for draining servers.
+constexpr double list_reads_per_drain = 2.5;
+/// How long a host that stops still takes requests: two readiness checks a second apart, and some margin.
+constexpr duration stop_notice = std::chrono::milliseconds(3500);
+/// How long before the end of the grace time the process ends by itself.
+constexpr duration stop_margin = std::chrono::milliseconds(600);
+constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+
+servers::serving_options get_serving_options(const host_settings& settings) {
+    return {.own_zone = settings.zone,
+            .usage_window = settings.bounds.usage_window,
+            .repeats_per_request = settings.bounds.repeats_per_request,
+            .repeats_besides = settings.bounds.repeats_besides,
+            .repeat_window = settings.bounds.repeats_window};
+}
+
+} // namespace
+
+host_daemon::host_daemon(host_settings settings, std::shared_ptr<log_ring> ring)
+    : m_settings(std::move(settings)), m_log(get_logger("host")),
+      m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
+      m_store(m_connections, m_metrics, {.address = m_settings.store}),
+      m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
+              get_serving_options(m_settings)),
+      m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
+      m_servers(m_store, m_state,
+                std::chrono::duration_cast<duration>(m_settings.bounds.drain / list_reads_per_drain)),
+      m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
+      m_metrics_handler(m_metrics),
+      m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
+      m_ready_server({&m_loop}, m_ready_handler, {.listen = m_settings.ready, .limits = {}}),
+      m_metrics_server({&m_loop}, m_metrics_handler, {.listen = m_settings.metrics, .limits = {}}),
+      m_signals(m_loop, SIGTERM, SIGINT, SIGHUP) {}
+
+host_daemon::~host_daemon() {
+    // A connection must not outlive the event loop that it was made on.
+    m_connections.clear();
+}
+
+void host_daemon::run() {
+    log_event("start")
+        .add("version", version)
+        .add("zone", m_settings.zone.value())
+        .add("callers", format_endpoint(m_settings.callers))
+        .add("store", format_endpoint(m_settings.store))
+        .write(*m_log, spdlog::level::info);
+    m_log_writer.start();
+    m_entry_server.start();
+    m_ready_server.start();
+    m_metrics_server.start();
+    listen_to_signals();
+    co_spawn(m_loop, m_configuration.run(), detached);
+    co_spawn(m_loop, m_servers.run(), detached);
+    co_spawn(m_loop, keep_house(), detached);
+    m_loop.run();
+    log_event("stop").write(*m_log, spdlog::level::info);
+}
+
+bool host_daemon::is_ready() const {
+    return !m_state.is_stopping && m_state.get_view() != nullptr && m_servers.is_loaded();
+}
+
+void host_daemon::listen_to_signals() {
+    m_signals.async_wait([this](const boost::system::error_code& fault, int signal) {
+        if (fault) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            // The platform fills in the same settings for the life of a process; what can change is the configuration,
+            // which comes from the store.
+            log_event("reload").write(*m_log, spdlog::level::info);
+        } else {
+            stop();
+        }
+        listen_to_signals();
+    });
+}
+
+void host_daemon::stop() {
+    if (m_state.is_stopping) {
+        return;
+    }
+    m_state.is_stopping = true;
+    log_event("stopping").add("requests", m_entry_server.get_active_requests()).write(*m_log, spdlog::level::info);
+    m_entry_server.set_closing();
+    co_spawn(m_loop, stop_gracefully(), detached);
+}
+
+servers::asio::awaitable<void> host_daemon::stop_gracefully() {
+    const steady_time last_moment = m_clock.now() + m_settings.bounds.stop - stop_margin;
+    co_await servers::pause(std::min(stop_notice, m_settings.bounds.stop / 2));
+    m_entry_server.stop();
+    while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
+        co_await servers::pause(stop_check_interval);
+    }
+    log_event("stopped").add("requests_cut_off", m_entry_server.get_active_requests()).write(*m_log,
+                                                                                          spdlog::level::info);
+    m_loop.stop();
+}
+
+servers::asio::awaitable<void> host_daemon::keep_house() {
+    for (;;) {
+        co_await servers::pause(house_interval);
+        m_connections.close_expired();
+    }
+}
+
+void host_daemon::apply_limits() {
+    const fleet::caller_limits& limits = m_state.get_view()->get_limits();
+    m_entry_server.set_limits({.header_limit_bytes = limits.header_bytes,
+                               .body_limit_bytes = limits.body_bytes,
+                               .io_timeout = limits.header_timeout,
+                               .idle_timeout = limits.idle_timeout});
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/host_daemon.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+
+#include "core/metrics.hpp"
+#include "daemon/configuration_follower.hpp"
+#include "daemon/host_settings.hpp"
+#include "daemon/server_list_follower.hpp"
+#include "platform/engine_dialect.hpp"
+#include "platform/ingress_dialect.hpp"
+#include "platform/store_client.hpp"
+#include "servers/backend_connection_pool.hpp"
+#include "servers/http_server.hpp"
+#include "servers/log_writer.hpp"
+#include "servers/metrics_handler.hpp"
+#include "servers/ready_handler.hpp"
+#include "servers/serving_handler.hpp"
+
+namespace dragonflywell::daemon {
+
+/// One host of the platform: everything that it runs, on one event loop.
+class host_daemon {
+public:
+    explicit host_daemon(host_settings settings, std::shared_ptr<log_ring> ring);
+    host_daemon(const host_daemon&) = delete;
+    host_daemon& operator=(const host_daemon&) = delete;
+    host_daemon(host_daemon&&) = delete;
+    host_daemon& operator=(host_daemon&&) = delete;
+    ~host_daemon();
+
+    /// Serves until the process is told to stop and what runs has ended.
+    /// Throws `boost::system::system_error` when an address cannot be listened on.
+    void run();
+
+    /// Begins a graceful stop. Called on the event loop.
+    void stop();
+
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] std::uint16_t get_caller_port() const { return m_entry_server.get_port(); }
+
+private:
+    void listen_to_signals();
+    servers::asio::awaitable<void> stop_gracefully();
+    servers::asio::awaitable<void> keep_house();
+    void apply_limits();
+
+    host_settings m_settings;
+    host_clock m_clock;
+    std::shared_ptr<spdlog::logger> m_log;
+    metrics_registry m_metrics;
+    boost::asio::io_context m_loop{1};
+    servers::log_writer m_log_writer;
+    platform::engine_dialect m_engine_dialect;
+    platform::ingress_dialect m_ingress_dialect;
+    servers::backend_connection_pool m_connections;
+    platform::store_client m_store;
+    servers::serving_state m_state;
+    configuration_follower m_configuration;
+    server_list_follower m_servers;
+    servers::serving_handler m_entry_handler;
+    servers::ready_handler m_ready_handler;
+    servers::metrics_handler m_metrics_handler;
+    servers::http_server m_entry_server;
+    servers::http_server m_ready_server;
+    servers::http_server m_metrics_server;
+    boost::asio::signal_set m_signals;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/host_settings.cpp
@@ -0,0 +1,85 @@
+#include "daemon/host_settings.hpp"
+
+#include "core/settings_reader.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr integer_range any_count{.least = 0, .most = 1'000'000'000};
+constexpr integer_range milliseconds_range{.least = 1, .most = 3'600'000};
+constexpr number_range seconds_range{.least = 0.001, .most = 86'400};
+constexpr number_range share_range{.least = 0, .most = 100};
+constexpr number_range count_range{.least = 0, .most = 1e9};
+
+endpoint get_endpoint(settings_reader& reader, const std::string& key) {
+    const std::optional<endpoint> parsed = parse_endpoint(reader.get_string(key));
+    if (!parsed) {
+        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+    }
+    return parsed.value_or(endpoint{});
+}
+
+endpoint get_optional_endpoint(settings_reader& reader, const std::string& key) {
+    const std::string text = reader.get_string(key, "");
+    const std::optional<endpoint> parsed = parse_endpoint(text);
+    if (!parsed && !text.empty()) {
+        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+    }
+    return parsed.value_or(endpoint{});
+}
+
+duration get_milliseconds(settings_reader& reader, const std::string& key) {
+    return std::chrono::milliseconds(reader.get_integer(key, milliseconds_range));
+}
+
+duration get_seconds(settings_reader& reader, const std::string& key) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.get_number(key, seconds_range)));
+}
+
+host_bounds get_bounds(settings_reader& reader) {
+    return {.server_heartbeat = get_milliseconds(reader, "bounds.server_heartbeat_ms"),
+            .contact = get_milliseconds(reader, "bounds.contact_ms"),
+            .drain = get_milliseconds(reader, "bounds.drain_ms"),
+            .stop = get_seconds(reader, "bounds.stop_s"),
+            .configuration = get_milliseconds(reader, "bounds.configuration_ms"),
+            .lease = get_milliseconds(reader, "bounds.lease_ms"),
+            .repeats_per_request = reader.get_number("bounds.repeats_per_request", share_range),
+            .repeats_besides = reader.get_number("bounds.repeats_besides", count_range),
+            .repeats_window = get_seconds(reader, "bounds.repeats_window_s"),
+            .usage_window = get_seconds(reader, "bounds.usage_window_s"),
+            .usage_due = get_seconds(reader, "bounds.usage_due_s")};
+}
+
+} // namespace
+
+host_settings parse_host_settings(std::string_view text, const std::string& file) {
+    settings_reader reader(text, file);
+    host_settings settings;
+    settings.name = host_name(reader.get_string("host.name"));
+    settings.zone = zone_name(reader.get_string("host.zone"));
+    settings.address = reader.get_string("host.address");
+    settings.is_first_start = reader.get_boolean("host.is_first_start", false);
+    settings.callers = get_endpoint(reader, "listen.callers");
+    settings.ready = get_endpoint(reader, "listen.ready");
+    settings.metrics = get_endpoint(reader, "listen.metrics");
+    settings.hosts = get_endpoint(reader, "listen.hosts");
+    settings.store = get_endpoint(reader, "store.address");
+    settings.orders = get_optional_endpoint(reader, "orders.address");
+    settings.order_calls_per_second = reader.get_number("orders.calls_per_second", count_range, 0.0);
+    for (const std::string& duty : reader.get_strings("orders.duties")) {
+        settings.duties.insert(duty);
+    }
+    settings.bounds = get_bounds(reader);
+    settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
+    settings.log.format = log_format::json_lines;
+    settings.log.host = settings.name.value();
+    reader.finish();
+    return settings;
+}
+
+bool is_host_settings(std::string_view text) {
+    return text.find("\n[store]\n") != std::string_view::npos;
+}
+
+} // namespace dragonflywell::daemon
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 #include "core/error.hpp"
@@ -8,6 +9,7 @@
 #include "core/read_file.hpp"
 #include "core/version.hpp"
 #include "daemon/daemon.hpp"
+#include "daemon/host_daemon.hpp"
 
 namespace {
 
@@ -29,10 +31,38 @@
     daemon.stop();
 }
 
+/// Lines that wait to be written at most, in bytes; some seconds of a host under ten times its usual load.
+constexpr std::size_t log_ring_bytes = 512 * 1024;
+
+void run_host(daemon::host_settings settings) {
+    const auto ring = std::make_shared<log_ring>(log_ring_bytes);
+    settings.log.ring = ring;
+    set_log_options(settings.log);
+    daemon::host_daemon host(std::move(settings), ring);
+    host.run();
+}
+
+/// Returns the path of the settings file. Throws `options::error` when none is named.
+std::string get_settings_path(const options::variables_map& values) {
+    if (values.contains("config")) {
+        return values["config"].as<std::string>();
+    }
+    if (!values.contains("config-from")) {
+        throw options::error("--config is missing; see --help");
+    }
+    const auto name = values["config-from"].as<std::string>();
+    const char* path = std::getenv(name.c_str());
+    if (path == nullptr) {
+        throw options::error("environment variable " + name + " is not set");
+    }
+    return path;
+}
+
 int run(int argc, char** argv) {
     options::options_description description("Usage: dragonflywelld --config FILE [--check]\n\nOptions");
     auto add = description.add_options();
     add("config,c", options::value<std::string>(), "settings file (TOML)");
+    add("config-from", options::value<std::string>(), "environment variable that holds the path of the settings file");
     add("check", "check the settings file and exit");
     add("version", "print the version and exit");
     add("help,h", "print this help and exit");
@@ -46,17 +76,23 @@
         std::cout << "dragonflywelld " << version << "\n";
         return exit_ok;
     }
-    if (!values.contains("config")) {
-        std::cerr << "--config is missing; see --help\n";
-        return exit_usage;
-    }
-    const auto path = values["config"].as<std::string>();
-    daemon::daemon_settings settings = daemon::parse_daemon_settings(read_file(path), path);
-    if (values.contains("check")) {
-        std::cout << path << ": ok\n";
-        return exit_ok;
+    const std::string path = get_settings_path(values);
+    const std::string text = read_file(path);
+    const bool is_check_only = values.contains("check");
+    if (daemon::is_host_settings(text)) {
+        daemon::host_settings settings = daemon::parse_host_settings(text, path);
+        if (!is_check_only) {
+            run_host(std::move(settings));
+            return exit_ok;
+        }
+    } else {
+        daemon::daemon_settings settings = daemon::parse_daemon_settings(text, path);
+        if (!is_check_only) {
+            run_until_signal(std::move(settings));
+            return exit_ok;
+        }
     }
-    run_until_signal(std::move(settings));
+    std::cout << path << ": ok\n";
     return exit_ok;
 }
 
--- /dev/null
+++ b/daemon/store_dependency.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+#include <spdlog/logger.h>
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/log_event.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Tells once when something that this host depends on is lost, and once when it is regained. Not thread safe.
+class store_dependency {
+public:
+    /// Precondition: `log` outlives it.
+    store_dependency(spdlog::logger& log, std::string what) : m_log(&log), m_what(std::move(what)) {}
+
+    /// Notes a success. Returns whether it was lost before.
+    bool set_reached(steady_time now) {
+        if (!m_lost_at) {
+            return false;
+        }
+        log_event("dependency_regained").add("what", m_what).add("lost_for_ms", now - *m_lost_at).write(
+            *m_log, spdlog::level::warn);
+        m_lost_at.reset();
+        return true;
+    }
+
+    /// Notes a failure. Returns whether it was reached before.
+    bool set_lost(steady_time now, std::string_view reason) {
+        if (m_lost_at) {
+            return false;
+        }
+        m_lost_at = now;
+        log_event("dependency_lost").add("what", m_what).add("reason", reason).write(*m_log, spdlog::level::warn);
+        return true;
+    }
+
+    [[nodiscard]] bool is_lost() const noexcept { return m_lost_at.has_value(); }
+
+private:
+    spdlog::logger* m_log;
+    std::string m_what;
+    std::optional<steady_time> m_lost_at;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/fleet/server_directory.cpp
@@ -0,0 +1,116 @@
+#include "fleet/server_directory.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::fleet {
+
+namespace {
+
+/// Compares what matters for requests; a countdown that has merely gone on is no change.
+bool is_same_server(const server_record& left, const server_record& right) {
+    return left.service == right.service && left.address == right.address && left.zone == right.zone &&
+           left.slots == right.slots && left.is_draining == right.is_draining && left.stage == right.stage &&
+           left.is_cheap == right.is_cheap && left.started_at_ms == right.started_at_ms;
+}
+
+bool is_restart(const server_record& before, const server_record& after) {
+    return before.started_at_ms != after.started_at_ms || before.address != after.address;
+}
+
+} // namespace
+
+directory_change server_directory::apply(const server_record& record, steady_time now) {
+    const auto [position, is_new] = m_servers.try_emplace(record.id);
+    listed_server& server = position->second;
+    const server_record before = server.record;
+    const bool was_missing = server.gone_unless_back_by.has_value();
+    server.record = record;
+    server.gone_unless_back_by.reset();
+    if (!is_new && !was_missing && is_same_server(before, record)) {
+        return directory_change::none;
+    }
+    server.changed_at = now;
+    ++m_generation;
+    if (is_new || is_restart(before, record)) {
+        server.is_displaced = false;
+        displace_others(record);
+        return is_new ? directory_change::added : directory_change::restarted;
+    }
+    const bool starts_draining = record.is_draining && !before.is_draining;
+    return starts_draining ? directory_change::draining : directory_change::changed;
+}
+
+directory_change server_directory::remove(const backend_server_name& id, steady_time now) {
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return directory_change::none;
+    }
+    const bool may_have_lapsed = m_returned_at && now - *m_returned_at < m_options.return_grace;
+    if (may_have_lapsed && !found->second.record.is_draining) {
+        found->second.gone_unless_back_by = *m_returned_at + m_options.return_grace;
+        return directory_change::missing;
+    }
+    m_servers.erase(found);
+    ++m_generation;
+    return directory_change::removed;
+}
+
+std::vector<backend_server_name> server_directory::retain(const std::set<backend_server_name>& ids, steady_time now) {
+    std::vector<backend_server_name> missing;
+    for (const auto& [id, server] : m_servers) {
+        if (!ids.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    std::erase_if(missing,
+                  [&](const backend_server_name& id) { return remove(id, now) != directory_change::removed; });
+    return missing;
+}
+
+void server_directory::set_reachable(bool is_reachable, steady_time now) {
+    if (is_reachable && !m_is_reachable) {
+        m_returned_at = now;
+    }
+    m_is_reachable = is_reachable;
+}
+
+std::vector<backend_server_name> server_directory::expire(steady_time now) {
+    std::vector<backend_server_name> expired;
+    if (!m_is_reachable) {
+        return expired;
+    }
+    for (const auto& [id, server] : m_servers) {
+        if (server.gone_unless_back_by && now >= *server.gone_unless_back_by) {
+            expired.push_back(id);
+        }
+    }
+    for (const backend_server_name& id : expired) {
+        m_servers.erase(id);
+        ++m_generation;
+    }
+    return expired;
+}
+
+void server_directory::set_displaced(const backend_server_name& id) {
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end() && !found->second.is_displaced) {
+        found->second.is_displaced = true;
+        ++m_generation;
+    }
+}
+
+const listed_server* server_directory::find(const backend_server_name& id) const {
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+void server_directory::displace_others(const server_record& record) {
+    for (auto& [id, server] : m_servers) {
+        const bool is_older = server.record.started_at_ms <= record.started_at_ms;
+        if (id != record.id && server.record.address == record.address && is_older) {
+            server.is_displaced = true;
+        }
+    }
+}
+
+} // namespace dragonflywell::fleet
--- /dev/null
+++ b/policy/engine_board.cpp
@@ -0,0 +1,162 @@
+#include "policy/engine_board.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// Part of a prompt's cost that still counts when it takes longer than expected.
+constexpr double overdue_share = 0.2;
+
+/// Part of an engine's memory that is left for prompts which are not running.
+constexpr double cache_share = 0.85;
+
+} // namespace
+
+void engine_board::set_engines(const std::map<backend_server_name, engine_facts>& engines) {
+    std::erase_if(m_engines, [&](const auto& item) { return !engines.contains(item.first); });
+    for (const auto& [name, facts] : engines) {
+        engine_state& engine = m_engines[name];
+        if (engine.facts.started_at_ms != facts.started_at_ms) {
+            engine.cache.clear();
+        }
+        engine.facts = facts;
+        engine.cache.set_capacity(
+            static_cast<std::uint64_t>(cache_share * static_cast<double>(facts.memory_tokens)));
+    }
+}
+
+void engine_board::start_prompt(const backend_server_name& engine, const prompt_job& job,
+                                std::span<const cached_part> parts) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    found->second.own.prompts.push_back(job);
+    found->second.cache.touch(parts);
+}
+
+void engine_board::end_prompt(const backend_server_name& engine, std::uint64_t number, steady_time now) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    std::erase_if(found->second.own.prompts, [&](const prompt_job& job) { return job.number == number; });
+    found->second.last_finished_at = now;
+}
+
+void engine_board::start_run(const backend_server_name& engine, std::uint64_t tokens,
+                             std::span<const cached_part> parts) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    ++found->second.own.running;
+    found->second.own.running_tokens += tokens;
+    found->second.cache.touch(parts);
+}
+
+void engine_board::end_run(const backend_server_name& engine, std::uint64_t tokens) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    engine_share& own = found->second.own;
+    own.running -= std::min<std::uint32_t>(own.running, 1);
+    own.running_tokens -= std::min(own.running_tokens, tokens);
+}
+
+void engine_board::set_other(const std::string& host, const std::map<backend_server_name, engine_share>& shares,
+                             steady_time now) {
+    for (auto& [name, engine] : m_engines) {
+        const auto share = shares.find(name);
+        const auto before = engine.others.find(host);
+        const std::size_t prompts_before = before == engine.others.end() ? 0 : before->second.prompts.size();
+        if (share == shares.end()) {
+            engine.others.erase(host);
+        } else {
+            engine.others[host] = share->second;
+        }
+        const std::size_t prompts_now = share == shares.end() ? 0 : share->second.prompts.size();
+        if (prompts_now < prompts_before) {
+            engine.last_finished_at = now;
+        }
+    }
+}
+
+void engine_board::drop_other(const std::string& host) {
+    for (auto& [name, engine] : m_engines) {
+        engine.others.erase(host);
+    }
+}
+
+void engine_board::touch(const backend_server_name& engine, std::span<const cached_part> parts) {
+    const auto found = m_engines.find(engine);
+    if (found != m_engines.end()) {
+        found->second.cache.touch(parts);
+    }
+}
+
+duration engine_board::get_backlog(const backend_server_name& engine, steady_time now) const {
+    const engine_state* state = find(engine);
+    if (state == nullptr) {
+        return duration::zero();
+    }
+    std::vector<prompt_job> jobs = state->own.prompts;
+    for (const auto& [host, share] : state->others) {
+        jobs.insert(jobs.end(), share.prompts.begin(), share.prompts.end());
+    }
+    std::sort(jobs.begin(), jobs.end(),
+              [](const prompt_job& left, const prompt_job& right) { return left.sent_at < right.sent_at; });
+    // Engines read prompts one after the other. Only the first one has been worked on.
+    duration backlog{};
+    for (std::size_t index = 0; index < jobs.size(); ++index) {
+        duration left = jobs[index].cost;
+        if (index == 0) {
+            const steady_time started_at = std::max(jobs[index].sent_at, state->last_finished_at);
+            const duration done = std::max(duration::zero(), now - started_at);
+            const auto overdue = std::chrono::duration_cast<duration>(left * overdue_share);
+            left = std::max(left - done, overdue);
+        }
+        backlog += left;
+    }
+    return backlog;
+}
+
+std::uint32_t engine_board::get_running(const backend_server_name& engine) const {
+    const engine_state* state = find(engine);
+    if (state == nullptr) {
+        return 0;
+    }
+    std::uint32_t running = state->own.running;
+    for (const auto& [host, share] : state->others) {
+        running += share.running;
+    }
+    return running;
+}
+
+std::uint64_t engine_board::get_running_tokens(const backend_server_name& engine) const {
+    const engine_state* state = find(engine);
+    if (state == nullptr) {
+        return 0;
+    }
+    std::uint64_t tokens = state->own.running_tokens;
+    for (const auto& [host, share] : state->others) {
+        tokens += share.running_tokens;
+    }
+    return tokens;
+}
+
+std::uint64_t engine_board::get_cached_tokens(const backend_server_name& engine,
+                                              std::span<const cached_part> parts) const {
+    const engine_state* state = find(engine);
+    return state == nullptr ? 0 : state->cache.get_cached_tokens(parts);
+}
+
+const engine_board::engine_state* engine_board::find(const backend_server_name& engine) const {
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/engine_placement.cpp
@@ -0,0 +1,112 @@
+#include "policy/engine_placement.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// How much fuller an engine of the same zone may be, as a share of its slots, before one of another zone is better.
+constexpr double near_zone_advantage = 0.08;
+/// An engine that may be reclaimed is chosen for long runs only when others are this much fuller.
+constexpr double cheap_disadvantage = 0.25;
+/// Transfers between zones take this many times as long.
+constexpr int other_zone_move_factor = 2;
+
+/// The engine that reads a prompt first, and when.
+struct reader_choice {
+    backend_server_name engine;
+    prefill_work reading;
+    duration reading_time{};
+    duration done_after{};
+};
+
+prefill_work get_reading(std::uint64_t prompt_tokens, std::uint64_t cached_tokens) {
+    // The last token is always read, or there would be nothing to generate from.
+    const std::uint64_t cached = std::min(cached_tokens, prompt_tokens - std::min<std::uint64_t>(prompt_tokens, 1));
+    return {.tokens = prompt_tokens - cached, .cached_tokens = cached};
+}
+
+std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
+                                           const placed_generation& request, const engine_filter& is_usable,
+                                           steady_time now) {
+    std::optional<reader_choice> best;
+    for (const auto& [name, engine] : board.get_engines()) {
+        if (engine.facts.stage != fleet::engine_stage::prefill || !is_usable(name)) {
+            continue;
+        }
+        const prefill_work reading =
+            get_reading(request.prompt_tokens, engine.cache.get_cached_tokens(request.parts));
+        const duration reading_time = costs.read_time->predict(reading);
+        const duration done_after = board.get_backlog(name, now) + reading_time;
+        if (!best || done_after < best->done_after) {
+            best = {.engine = name, .reading = reading, .reading_time = reading_time, .done_after = done_after};
+        }
+    }
+    return best;
+}
+
+double get_fullness(const engine_board& board, const backend_server_name& name, const engine_facts& facts,
+                    std::uint64_t needed_tokens) {
+    const double slots = static_cast<double>(board.get_running(name) + 1) / std::max<std::uint32_t>(1, facts.slots);
+    if (facts.memory_tokens == 0) {
+        return slots;
+    }
+    const double memory = static_cast<double>(board.get_running_tokens(name) + needed_tokens) /
+                          static_cast<double>(facts.memory_tokens);
+    return std::max(slots, memory);
+}
+
+} // namespace
+
+std::optional<backend_server_name> choose_generator(const engine_board& board, const placed_generation& request,
+                                                    const zone_name& near, const engine_filter& is_usable) {
+    std::optional<backend_server_name> best;
+    double best_score = std::numeric_limits<double>::max();
+    for (const auto& [name, engine] : board.get_engines()) {
+        if (engine.facts.stage != fleet::engine_stage::decode || !is_usable(name)) {
+            continue;
+        }
+        double score = get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
+        score -= engine.facts.zone == near ? near_zone_advantage : 0;
+        score += engine.facts.is_cheap ? cheap_disadvantage : 0;
+        if (score < best_score) {
+            best_score = score;
+            best = name;
+        }
+    }
+    return best;
+}
+
+std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
+                                            const placed_generation& request, const zone_name& own_zone,
+                                            const engine_filter& is_usable, steady_time now) {
+    const std::optional<reader_choice> reader = choose_reader(board, costs, request, is_usable, now);
+    const zone_name near = reader ? board.find(reader->engine)->facts.zone : own_zone;
+    const std::optional<backend_server_name> generator = choose_generator(board, request, near, is_usable);
+    if (!generator) {
+        return std::nullopt;
+    }
+    const engine_board::engine_state& generating = *board.find(*generator);
+    if (!reader) {
+        const prefill_work reading =
+            get_reading(request.prompt_tokens, generating.cache.get_cached_tokens(request.parts));
+        const auto reading_time =
+            std::chrono::duration_cast<duration>(costs.read_time->predict(reading) * costs.self_read_factor);
+        return engine_choice{.reader = {},
+                             .generator = *generator,
+                             .reading = reading,
+                             .reading_time = reading_time,
+                             .first_event_after = reading_time + costs.first_event};
+    }
+    duration move = costs.move_per_token * static_cast<std::int64_t>(request.prompt_tokens);
+    move *= generating.facts.zone == near ? 1 : other_zone_move_factor;
+    return engine_choice{.reader = reader->engine,
+                         .generator = *generator,
+                         .reading = reader->reading,
+                         .reading_time = reader->reading_time,
+                         .first_event_after = reader->done_after + move + costs.first_event};
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/engine_placement.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <span>
+
+#include "policy/engine_board.hpp"
+#include "policy/prefill_time.hpp"
+
+namespace dragonflywell::policy {
+
+/// A generation that is to be placed.
+struct placed_generation {
+    std::uint64_t prompt_tokens{};
+    std::uint64_t output_tokens{};
+    std::span<const cached_part> parts;
+};
+
+/// How the engines of a service behave, as described and observed.
+struct engine_costs {
+    const prefill_time* read_time{};
+    /// Time from the hand-over of a prompt to the first event.
+    duration first_event{};
+    /// Time to move the memory of one token between engines of one zone.
+    duration move_per_token{};
+    /// How much longer an engine that generates takes to read a prompt by itself.
+    double self_read_factor{2.5};
+};
+
+/// Where a generation goes.
+struct engine_choice {
+    /// The engine that reads the prompt; nothing where the one that generates does it.
+    std::optional<backend_server_name> reader;
+    backend_server_name generator;
+    /// What the reader has to do, and how long it should take once begun.
+    prefill_work reading;
+    duration reading_time{};
+    /// When the first event should come, from now.
+    duration first_event_after{};
+};
+
+/// Answers which engines may be used, by their health.
+using engine_filter = std::function<bool(const backend_server_name&)>;
+
+/// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
+///
+/// The reader is the one that is done first, counting what waits there and what it has cached; the generator is the one
+/// that is least full. Thread safe.
+[[nodiscard]] std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
+                                                          const placed_generation& request, const zone_name& own_zone,
+                                                          const engine_filter& is_usable, steady_time now);
+
+/// Returns the engine that should generate, or nothing. `near`: the zone that the prompt's memory comes from.
+[[nodiscard]] std::optional<backend_server_name> choose_generator(const engine_board& board,
+                                                                  const placed_generation& request,
+                                                                  const zone_name& near,
+                                                                  const engine_filter& is_usable);
+
+} // namespace dragonflywell::policy
--- a/policy/retry_budget.cpp
+++ b/policy/retry_budget.cpp
@@ -7,6 +7,12 @@
 retry_budget::retry_budget(retry_budget_options options, steady_time now)
     : m_options(options), m_saved(options.most_saved), m_refilled(now) {}
 
+void retry_budget::set_options(const retry_budget_options& options) {
+    const std::scoped_lock lock(m_mutex);
+    m_options = options;
+    m_saved = std::min(m_saved, m_options.most_saved);
+}
+
 void retry_budget::add_request() {
     const std::scoped_lock lock(m_mutex);
     m_saved = std::min(m_options.most_saved, m_saved + m_options.per_request);
--- a/policy/retry_budget.hpp
+++ b/policy/retry_budget.hpp
@@ -21,6 +21,9 @@
 public:
     retry_budget(retry_budget_options options, steady_time now);
 
+    /// Puts other limits in force; what was saved beyond them is lost.
+    void set_options(const retry_budget_options& options);
+
     /// Notes a new request.
     void add_request();
 
--- /dev/null
+++ b/policy/server_health.cpp
@@ -0,0 +1,55 @@
+#include "policy/server_health.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// Weight of one answer in the share of failures: some ten answers count.
+constexpr double failure_weight = 0.1;
+constexpr std::uint32_t most_doublings = 16;
+
+} // namespace
+
+void server_health::add_success(const backend_server_name& server) {
+    const auto found = m_states.find(server);
+    if (found == m_states.end()) {
+        return;
+    }
+    found->second.failures_in_row = 0;
+    found->second.paused_until = {};
+    found->second.failure_share *= 1 - failure_weight;
+}
+
+void server_health::add_failure(const backend_server_name& server, server_failure failure, steady_time now) {
+    state& known = m_states[server];
+    known.failure_share += (1 - known.failure_share) * failure_weight;
+    if (failure == server_failure::answered_failure) {
+        return;
+    }
+    ++known.failures_in_row;
+    const std::uint32_t needed = failure == server_failure::unreachable ? 1 : m_options.failures_to_pause;
+    if (known.failures_in_row < needed) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(known.failures_in_row - needed, most_doublings);
+    const duration pause = std::min(m_options.first_pause * (1U << doublings), m_options.longest_pause);
+    known.paused_until = now + pause;
+}
+
+bool server_health::is_usable(const backend_server_name& server, steady_time now) const {
+    const auto found = m_states.find(server);
+    return found == m_states.end() || now >= found->second.paused_until;
+}
+
+double server_health::get_failure_share(const backend_server_name& server) const {
+    const auto found = m_states.find(server);
+    return found == m_states.end() ? 0 : found->second.failure_share;
+}
+
+void server_health::forget(const backend_server_name& server) {
+    m_states.erase(server);
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/service_placement.cpp
@@ -0,0 +1,36 @@
+#include "policy/service_placement.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// What counts as much as one slot's worth of queue.
+constexpr double other_zone_cost = 0.15;
+constexpr double cold_cost = 0.3;
+constexpr double failure_cost = 2.0;
+
+double get_cost(const service_candidate& candidate) {
+    const double load = static_cast<double>(candidate.in_flight) / std::max<std::uint32_t>(1, candidate.slots);
+    return load + (candidate.is_own_zone ? 0 : other_zone_cost) + (candidate.is_cold ? cold_cost : 0) +
+           candidate.failure_share * failure_cost;
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_instance(std::span<const service_candidate> candidates) {
+    std::optional<std::size_t> best;
+    double best_cost = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const double cost = get_cost(candidates[index]);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = index;
+        }
+    }
+    return best;
+}
+
+} // namespace dragonflywell::policy
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -1,30 +1,59 @@
 #include "servers/backend_connection_pool.hpp"
 
 #include <boost/asio/ip/address.hpp>
+#include <algorithm>
+#include <array>
 #include <boost/asio/this_coro.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace dragonflywell::servers {
 
+namespace {
+
+/// How much sooner than announced a connection counts as closed by the other end: both clocks start at other moments.
+constexpr duration keep_open_margin = std::chrono::milliseconds(500);
+
+/// Returns whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
+bool is_quiet(backend_connection& connection) {
+    std::array<char, 1> byte{};
+    error_code fault;
+    asio::ip::tcp::socket& socket = connection.stream.socket();
+    socket.non_blocking(true, fault);
+    socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, fault);
+    return fault == asio::error::would_block;
+}
+
+void set_unacknowledged_timeout(asio::ip::tcp::socket& socket, duration timeout) {
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+    error_code ignored;
+    socket.set_option(user_timeout(static_cast<int>(milliseconds)), ignored);
+}
+
+} // namespace
+
 backend_connection_pool::backend_connection_pool(const clock_source& time, backend_connection_pool_options options)
     : m_time(&time), m_options(options) {}
 
-std::unique_ptr<backend_connection> backend_connection_pool::take_idle(const endpoint& server,
+std::shared_ptr<backend_connection> backend_connection_pool::take_idle(const endpoint& server,
                                                                        const asio::any_io_executor& executor) {
     const std::scoped_lock lock(m_mutex);
     std::vector<idle_connection>& idle = m_idle[{.context = &executor.context(), .server = server}];
     while (!idle.empty()) {
         idle_connection newest = std::move(idle.back());
         idle.pop_back();
-        if (m_time->now() - newest.since <= m_options.most_idle_time) {
+        if (m_time->now() < newest.usable_until && is_quiet(*newest.connection)) {
             return std::move(newest.connection);
         }
     }
     return nullptr;
 }
 
-asio::awaitable<std::unique_ptr<backend_connection>> backend_connection_pool::connect(const endpoint& server,
+asio::awaitable<std::shared_ptr<backend_connection>> backend_connection_pool::connect(const endpoint& server,
                                                                                       error_code& fault) {
-    auto connection = std::make_unique<backend_connection>(co_await asio::this_coro::executor);
+    auto connection = std::make_shared<backend_connection>(co_await asio::this_coro::executor);
     connection->stream.expires_after(m_options.connect_timeout);
     const asio::ip::tcp::endpoint peer(asio::ip::make_address(server.address), server.port);
     co_await connection->stream.async_connect(peer, store_error(fault));
@@ -33,18 +62,33 @@
     }
     error_code ignored;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_unacknowledged_timeout(connection->stream.socket(), m_options.unacknowledged_timeout);
+    ++m_opened;
     co_return connection;
 }
 
-void backend_connection_pool::put_idle(const endpoint& server, std::unique_ptr<backend_connection> connection) {
+void backend_connection_pool::put_idle(const endpoint& server, std::shared_ptr<backend_connection> connection) {
     connection->is_reused = true;
     connection->stream.expires_never();
     const asio::execution_context* context = &connection->stream.get_executor().context();
     const std::scoped_lock lock(m_mutex);
     std::vector<idle_connection>& idle = m_idle[{.context = context, .server = server}];
-    if (idle.size() < m_options.most_idle_per_server) {
-        idle.push_back({.connection = std::move(connection), .since = m_time->now()});
+    duration usable_for = m_options.most_idle_time;
+    if (connection->kept_open_for) {
+        usable_for = std::min(usable_for, *connection->kept_open_for - keep_open_margin);
+    }
+    if (idle.size() < m_options.most_idle_per_server && usable_for > duration::zero()) {
+        idle.push_back({.connection = std::move(connection), .usable_until = m_time->now() + usable_for});
+    }
+}
+
+void backend_connection_pool::close_expired() {
+    const std::scoped_lock lock(m_mutex);
+    const steady_time now = m_time->now();
+    for (auto& [key, idle] : m_idle) {
+        std::erase_if(idle, [&](const idle_connection& item) { return now >= item.usable_until; });
     }
+    std::erase_if(m_idle, [](const auto& item) { return item.second.empty(); });
 }
 
 void backend_connection_pool::clear() {
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/execution_context.hpp>
 #include <compare>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -20,13 +23,20 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// What is being sent; stays until the send is over, whatever became of the exchange.
+    std::string outgoing;
+    bool is_sending{false};
     /// Whether it has carried an exchange before; the other end may have closed it since.
     bool is_reused{false};
+    /// How long the other end keeps it open without a request, where it said so.
+    std::optional<duration> kept_open_for;
 };
 
 struct backend_connection_pool_options {
     std::size_t most_idle_per_server{64};
     duration connect_timeout{std::chrono::seconds(1)};
+    /// How long sent bytes may stay unacknowledged before the connection counts as lost.
+    duration unacknowledged_timeout{std::chrono::seconds(3)};
     /// An idle connection older than this is not used: something between the ends may have forgotten it.
     duration most_idle_time{std::chrono::seconds(20)};
 };
@@ -39,14 +49,20 @@
     backend_connection_pool(const clock_source& time, backend_connection_pool_options options);
 
     /// Returns an idle connection of the executor's context, or null.
-    [[nodiscard]] std::unique_ptr<backend_connection> take_idle(const endpoint& server,
+    [[nodiscard]] std::shared_ptr<backend_connection> take_idle(const endpoint& server,
                                                                 const asio::any_io_executor& executor);
 
     /// Opens a new connection. Returns null and sets `fault` when that fails.
-    asio::awaitable<std::unique_ptr<backend_connection>> connect(const endpoint& server, error_code& fault);
+    asio::awaitable<std::shared_ptr<backend_connection>> connect(const endpoint& server, error_code& fault);
 
     /// Gives back a connection whose last exchange was complete.
-    void put_idle(const endpoint& server, std::unique_ptr<backend_connection> connection);
+    void put_idle(const endpoint& server, std::shared_ptr<backend_connection> connection);
+
+    /// Returns how many connections were opened.
+    [[nodiscard]] std::uint64_t get_opened() const noexcept { return m_opened; }
+
+    /// Closes idle connections that are not used any more.
+    void close_expired();
 
     /// Closes all idle connections. To be called while the contexts that they were made on still exist.
     void clear();
@@ -56,8 +72,8 @@
 
 private:
     struct idle_connection {
-        std::unique_ptr<backend_connection> connection;
-        steady_time since;
+        std::shared_ptr<backend_connection> connection;
+        steady_time usable_until;
     };
 
     struct idle_key {
@@ -69,6 +85,7 @@
 
     const clock_source* m_time;
     backend_connection_pool_options m_options;
+    std::atomic<std::uint64_t> m_opened{0};
     std::mutex m_mutex;
     std::map<idle_key, std::vector<idle_connection>> m_idle;
 };
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -2,20 +2,73 @@
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
 
 namespace dragonflywell::servers {
 
 namespace {
 
 constexpr std::size_t piece_bytes = 16 * 1024;
+constexpr std::uint32_t header_limit_bytes = 64 * 1024;
 constexpr duration settle_deadline = std::chrono::milliseconds(20);
 
+/// Returns the request's bytes, with the length of its body.
+std::string to_wire(const http_request& request) {
+    std::string text;
+    text.reserve(request.body().size() + 1024);
+    text.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
+    for (const auto& field : request) {
+        if (field.name() != http::field::content_length) {
+            text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
+        }
+    }
+    const bool has_body = !request.body().empty() || request.method() == http::verb::post ||
+                          request.method() == http::verb::put || request.method() == http::verb::patch;
+    if (has_body) {
+        text.append("Content-Length: ").append(std::to_string(request.body().size())).append("\r\n");
+    }
+    return text.append("\r\n").append(request.body());
+}
+
+/// Returns how long the server says it keeps the connection open without a request.
+std::optional<duration> get_keep_alive_time(const http::response_header<>& head) {
+    constexpr std::string_view name = "timeout=";
+    const auto field = head.find(http::field::keep_alive);
+    if (field == head.end()) {
+        return std::nullopt;
+    }
+    const std::string_view value(field->value().data(), field->value().size());
+    const std::size_t position = value.find(name);
+    if (position == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::uint32_t seconds = 0;
+    const char* first = value.data() + position + name.size();
+    const auto [end, fault] = std::from_chars(first, value.data() + value.size(), seconds);
+    return fault == std::errc() ? std::optional<duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 } // namespace
 
 backend_exchange::backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options)
-    : m_pool(&pool), m_server(std::move(server)), m_options(options), m_piece(piece_bytes, '\0') {}
+    : m_pool(&pool), m_server(std::move(server)), m_options(std::move(options)), m_piece(piece_bytes, '\0') {}
 
 asio::awaitable<void> backend_exchange::start(const http_request& request) {
+    co_await connect();
+    send(request);
+    co_await read_head(request.method() == http::verb::head);
+    while (m_options.is_own_answer && !m_options.is_own_answer(m_parser->get())) {
+        co_await skip_foreign_answer();
+        co_await read_head(request.method() == http::verb::head);
+    }
+    if (!m_options.accepts_unframed && !m_parser->is_done() && m_parser->need_eof()) {
+        throw exchange_failed_error("answer does not say how long it is", exchange_phase::after_send,
+                                    policy::retry_reason::malformed_answer);
+    }
+}
+
+asio::awaitable<void> backend_exchange::connect() {
     error_code fault;
     if (m_options.may_reuse) {
         m_connection = m_pool->take_idle(m_server, co_await asio::this_coro::executor);
@@ -29,47 +82,83 @@
     if (m_is_cancelled) {
         fail(asio::error::operation_aborted, exchange_phase::before_send, "given up");
     }
-    beast::tcp_stream& stream = m_connection->stream;
-    limit_silence();
-    co_await http::async_write(stream, request, store_error(fault));
-    if (fault) {
-        fail(fault, exchange_phase::after_send, "request was not sent whole");
-    }
+}
+
+void backend_exchange::send(const http_request& request) {
+    m_connection->outgoing = to_wire(request);
+    m_connection->is_sending = true;
+    m_is_sent = true;
+    // Not waited for: the answer may come before the server has read a long body. A failure shows when reading.
+    asio::async_write(m_connection->stream.socket(), asio::buffer(m_connection->outgoing),
+                      [connection = m_connection](const error_code& fault, std::size_t /*sent*/) {
+                          connection->is_sending = fault.failed();
+                      });
+}
+
+asio::awaitable<void> backend_exchange::read_head(bool is_head_request) {
     m_parser.emplace();
     m_parser->body_limit(boost::none);
-    m_parser->skip(request.method() == http::verb::head);
-    limit_silence();
-    co_await http::async_read_header(stream, m_connection->buffer, *m_parser, store_error(fault));
-    if (fault) {
-        fail(fault, exchange_phase::after_send, "no answer");
+    m_parser->header_limit(header_limit_bytes);
+    m_parser->skip(is_head_request);
+    error_code fault;
+    do {
+        if (m_parser->is_header_done()) {
+            // An interim answer such as 100 says nothing yet.
+            m_parser.emplace();
+            m_parser->body_limit(boost::none);
+            m_parser->header_limit(header_limit_bytes);
+            m_parser->skip(is_head_request);
+        }
+        limit_silence();
+        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
+        if (fault) {
+            fail(fault, exchange_phase::after_send, "no answer");
+        }
+    } while (http::to_status_class(m_parser->get().result()) == http::status_class::informational);
+}
+
+asio::awaitable<void> backend_exchange::skip_foreign_answer() {
+    if (m_parser->need_eof() && !m_parser->is_done()) {
+        throw exchange_failed_error("answer to another request without length", exchange_phase::after_send,
+                                    policy::retry_reason::crossed_answer);
     }
-    if (!m_parser->is_done() && m_parser->need_eof()) {
-        throw exchange_failed_error("answer does not say how long it is", exchange_phase::after_send,
-                                    policy::retry_reason::malformed_answer);
+    while (!m_parser->is_done()) {
+        co_await read_piece();
     }
 }
 
+asio::awaitable<std::size_t> backend_exchange::read_piece() {
+    auto& body = m_parser->get().body();
+    body.data = m_piece.data();
+    body.size = m_piece.size();
+    limit_silence();
+    error_code fault;
+    co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
+    if (fault && fault != http::error::need_buffer) {
+        fail(fault, exchange_phase::after_send, "answer broke off");
+    }
+    co_return m_piece.size() - body.size;
+}
+
 asio::awaitable<std::string_view> backend_exchange::read_some() {
     while (!m_parser->is_done()) {
-        auto& body = m_parser->get().body();
-        body.data = m_piece.data();
-        body.size = m_piece.size();
-        limit_silence();
-        error_code fault;
-        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
-        if (fault && fault != http::error::need_buffer) {
-            fail(fault, exchange_phase::after_send, "answer broke off");
-        }
-        const std::size_t received = m_piece.size() - body.size;
+        const std::size_t received = co_await read_piece();
         if (received > 0) {
             co_return std::string_view(m_piece.data(), received);
         }
     }
-    if (m_connection != nullptr && m_parser->get().keep_alive()) {
+    give_back();
+    co_return std::string_view();
+}
+
+void backend_exchange::give_back() {
+    const bool is_clean = m_connection != nullptr && m_parser->get().keep_alive() && !m_connection->is_sending &&
+                          m_connection->buffer.size() == 0;
+    if (is_clean) {
+        m_connection->kept_open_for = get_keep_alive_time(m_parser->get());
         m_pool->put_idle(m_server, std::move(m_connection));
     }
     m_connection.reset();
-    co_return std::string_view();
 }
 
 asio::awaitable<std::string> backend_exchange::read_rest(std::size_t limit_bytes) {
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -42,6 +42,10 @@
     duration progress_deadline{};
     /// When the exchange is given up even though it makes progress.
     steady_time last_moment{steady_time::max()};
+    /// Whether an answer that ends with its connection, rather than at a length, is taken as whole.
+    bool accepts_unframed{false};
+    /// Tells whether an answer belongs to this request. One that doesn't is read over; an empty function takes any.
+    std::function<bool(const http::response_header<>&)> is_own_answer{};
 };
 
 /// One request to one backend server, and its answer piece by piece. Used by one coroutine; not thread safe.
@@ -50,14 +54,18 @@
     /// Precondition: `pool` outlives the exchange.
     backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options);
 
-    /// Sends the request and reads the head of the answer. Throws `exchange_failed_error`.
+    /// Sends the request and reads the head of the answer, which may come before all of the request is sent.
+    /// Throws `exchange_failed_error`.
     asio::awaitable<void> start(const http_request& request);
 
+    /// Returns whether a byte of the request may have reached the server.
+    [[nodiscard]] bool is_sent() const noexcept { return m_is_sent; }
+
     /// Returns the head of the answer. Precondition: `start` returned.
     [[nodiscard]] const http::response_header<>& get_head() const { return m_parser->get().base(); }
 
     /// Returns the next bytes of the body; empty when the whole answer was read. Throws `exchange_failed_error`; also
-    /// for an answer that says nowhere how long it is, since one cut short would look whole.
+    /// for an answer that says nowhere how long it is, unless the options accept that.
     asio::awaitable<std::string_view> read_some();
 
     /// Returns the rest of the body. Throws `exchange_failed_error`, also when it is longer than `limit_bytes`.
@@ -71,15 +79,22 @@
     void cancel();
 
 private:
+    asio::awaitable<void> connect();
+    void send(const http_request& request);
+    asio::awaitable<void> read_head(bool is_head_request);
+    asio::awaitable<void> skip_foreign_answer();
+    asio::awaitable<std::size_t> read_piece();
+    void give_back();
     void limit_silence();
     [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* what) const;
 
     backend_connection_pool* m_pool;
     endpoint m_server;
     exchange_options m_options;
-    std::unique_ptr<backend_connection> m_connection;
+    std::shared_ptr<backend_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_piece;
+    bool m_is_sent{false};
     bool m_is_cancelled{false};
 };
 
--- a/servers/caller_channel.hpp
+++ b/servers/caller_channel.hpp
@@ -14,6 +14,17 @@
     using error::error;
 };
 
+/// Status and headers of an answer that is sent piece by piece.
+using stream_head = http::response<http::empty_body>;
+
+/// Returns the head of a successful stream.
+[[nodiscard]] inline stream_head make_stream_head(std::string_view content_type) {
+    stream_head head(http::status::ok, 11);
+    head.set(http::field::content_type, content_type);
+    head.set(http::field::cache_control, "no-cache");
+    return head;
+}
+
 /// The way back to one caller. All functions throw `caller_gone_error`. One request at a time; not thread safe.
 class caller_channel {
 public:
@@ -28,7 +39,7 @@
     virtual asio::awaitable<void> send(http_response response) = 0;
 
     /// Starts an answer whose length is not known. Precondition: nothing of an answer was sent.
-    virtual asio::awaitable<void> start_stream(std::string_view content_type) = 0;
+    virtual asio::awaitable<void> start_stream(stream_head head) = 0;
     /// Precondition: the stream was started and not finished; `data` is not empty.
     virtual asio::awaitable<void> send_chunk(std::string_view data) = 0;
     virtual asio::awaitable<void> finish_stream() = 0;
--- /dev/null
+++ b/servers/event_splitter.cpp
@@ -0,0 +1,58 @@
+#include "servers/event_splitter.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::servers {
+
+namespace {
+
+constexpr std::string_view id_name = "id:";
+
+/// Returns where the last whole event ends, or nothing (npos) when none is whole. Lines may end with CR LF.
+std::size_t find_last_end(std::string_view text) {
+    const std::size_t plain = text.rfind("\n\n");
+    const std::size_t with_returns = text.rfind("\r\n\r\n");
+    std::size_t end = std::string_view::npos;
+    if (plain != std::string_view::npos) {
+        end = plain + std::string_view("\n\n").size();
+    }
+    if (with_returns != std::string_view::npos) {
+        const std::size_t candidate = with_returns + std::string_view("\r\n\r\n").size();
+        end = end == std::string_view::npos ? candidate : std::max(end, candidate);
+    }
+    return end;
+}
+
+} // namespace
+
+std::string event_splitter::take_events() {
+    const std::size_t end = find_last_end(m_pending);
+    if (end == std::string_view::npos) {
+        return {};
+    }
+    std::string events = m_pending.substr(0, end);
+    m_pending.erase(0, end);
+    note_ids(events);
+    return events;
+}
+
+void event_splitter::note_ids(std::string_view events) {
+    while (!events.empty()) {
+        const std::size_t line_end = events.find('\n');
+        std::string_view line = events.substr(0, line_end);
+        events.remove_prefix(line_end == std::string_view::npos ? events.size() : line_end + 1);
+        if (!line.starts_with(id_name)) {
+            continue;
+        }
+        line.remove_prefix(id_name.size());
+        while (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        while (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        m_last_id = line;
+    }
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/generation_request.cpp
@@ -0,0 +1,377 @@
+#include "servers/generation_request.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "servers/answer_relay.hpp"
+#include "servers/gone_subscription.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+constexpr std::size_t memory_answer_limit_bytes = 64UL * 1024;
+constexpr std::size_t plain_answer_limit_bytes = 1024UL * 1024;
+constexpr duration no_engine_retry = std::chrono::milliseconds(500);
+constexpr duration release_timeout = std::chrono::milliseconds(500);
+/// A prompt that takes this many times as long as expected, and some time besides, is read elsewhere.
+constexpr int read_patience_factor = 3;
+constexpr duration read_patience = std::chrono::milliseconds(700);
+
+/// Keeps a prompt on the board while an engine reads it.
+class prompt_on_board {
+public:
+    prompt_on_board(serving_state& state, service_name service, backend_server_name engine, std::uint64_t number)
+        : m_state(&state), m_service(std::move(service)), m_engine(std::move(engine)), m_number(number) {}
+    prompt_on_board(const prompt_on_board&) = delete;
+    prompt_on_board& operator=(const prompt_on_board&) = delete;
+    prompt_on_board(prompt_on_board&&) = delete;
+    prompt_on_board& operator=(prompt_on_board&&) = delete;
+    ~prompt_on_board() {
+        if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
+            engines->board.end_prompt(m_engine, m_number, m_state->time.now());
+        }
+    }
+
+private:
+    serving_state* m_state;
+    service_name m_service;
+    backend_server_name m_engine;
+    std::uint64_t m_number;
+};
+
+/// Keeps a running generation on the board.
+class run_on_board {
+public:
+    run_on_board(serving_state& state, service_name service, backend_server_name engine, std::uint64_t tokens)
+        : m_state(&state), m_service(std::move(service)), m_engine(std::move(engine)), m_tokens(tokens) {}
+    run_on_board(const run_on_board&) = delete;
+    run_on_board& operator=(const run_on_board&) = delete;
+    run_on_board(run_on_board&&) = delete;
+    run_on_board& operator=(run_on_board&&) = delete;
+    ~run_on_board() {
+        if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
+            engines->board.end_run(m_engine, m_tokens);
+        }
+    }
+
+private:
+    serving_state* m_state;
+    service_name m_service;
+    backend_server_name m_engine;
+    std::uint64_t m_tokens;
+};
+
+asio::awaitable<void> send_release(serving_state& state, memory_source memory) {
+    const exchange_options options{.progress_deadline = release_timeout,
+                                   .last_moment = state.time.now() + release_timeout};
+    backend_exchange exchange(state.connections, memory.engine, options);
+    try {
+        const http_request message = state.dialect.make_release(memory);
+        co_await exchange.start(message);
+        co_await exchange.read_rest(memory_answer_limit_bytes);
+    } catch (const exchange_failed_error&) {
+        // The engine frees the memory by itself after a while.
+    }
+}
+
+} // namespace
+
+generation_request::generation_request(serving_state& state, accepted request, request_record& record)
+    : serving_request(state, std::move(request), record) {
+    const generation& wanted = *get_call().wanted;
+    for (const prompt_part& part : wanted.parts) {
+        m_parts.push_back({.id = part.id, .tokens = part.tokens});
+    }
+    m_needed_tokens = wanted.prompt_tokens + wanted.expected_output_tokens.value_or(wanted.most_output_tokens);
+    static std::uint64_t next_number = 0;
+    m_number = ++next_number;
+}
+
+asio::awaitable<void> generation_request::run(caller_channel& caller) {
+    generate_result result = generate_result::try_again;
+    while (result == generate_result::try_again) {
+        require_time_left();
+        const policy::engine_choice choice = choose_engines();
+        std::optional<memory_source> memory;
+        if (choice.reader) {
+            memory = co_await read_prompt(choice, caller);
+            if (!memory) {
+                continue;
+            }
+        }
+        const backend_server_name engine = choose_generator(choice);
+        result = co_await generate(engine, std::move(memory), caller);
+    }
+}
+
+policy::placed_generation generation_request::get_placed() const {
+    const generation& wanted = *get_call().wanted;
+    return {.prompt_tokens = wanted.prompt_tokens,
+            .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
+            .parts = m_parts};
+}
+
+policy::engine_filter generation_request::make_filter() const {
+    return [this](const backend_server_name& engine) {
+        return !m_avoided.contains(engine) && get_state().is_usable(engine);
+    };
+}
+
+policy::engine_choice generation_request::choose_engines() {
+    const service_engines& engines = *get_state().find_engines(get_request().service);
+    const std::optional<policy::engine_choice> choice =
+        policy::choose_engines(engines.board, engines.get_costs(), get_placed(), get_state().options.own_zone,
+                               make_filter(), get_state().time.now());
+    if (!choice) {
+        throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(), "no engine can be used",
+                              no_engine_retry);
+    }
+    if (!get_record().expected_first) {
+        get_record().expected_first = choice->first_event_after;
+    }
+    return *choice;
+}
+
+backend_server_name generation_request::choose_generator(const policy::engine_choice& choice) {
+    if (!choice.reader) {
+        return choice.generator;
+    }
+    // Time has passed while the prompt was read.
+    const service_engines& engines = *get_state().find_engines(get_request().service);
+    const policy::engine_board::engine_state* reader = engines.board.find(*choice.reader);
+    const zone_name near = reader != nullptr ? reader->facts.zone : get_state().options.own_zone;
+    const std::optional<backend_server_name> engine =
+        policy::choose_generator(engines.board, get_placed(), near, make_filter());
+    if (!engine) {
+        throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(), "no engine can generate",
+                              no_engine_retry);
+    }
+    return *engine;
+}
+
+asio::awaitable<std::optional<memory_source>> generation_request::read_prompt(const policy::engine_choice& choice,
+                                                                              caller_channel& caller) {
+    const backend_server_name& engine = *choice.reader;
+    dispatch sending = make_dispatch(engine);
+    sending.reads_prompt_only = true;
+    sending.last_event_id.clear();
+    if (m_was_read_once) {
+        require_repeat_of_read();
+    }
+    service_engines& engines = *get_state().find_engines(get_request().service);
+    const steady_time sent_at = get_state().time.now();
+    const duration waits = engines.board.get_backlog(engine, sent_at);
+    engines.board.start_prompt(engine, {.number = m_number, .sent_at = sent_at, .cost = choice.reading_time}, m_parts);
+    const prompt_on_board on_board(get_state(), get_request().service, engine, m_number);
+    exchange_options options = make_exchange_options();
+    options.progress_deadline = std::min(
+        options.progress_deadline, (waits + choice.reading_time) * read_patience_factor + read_patience);
+    backend_exchange exchange(get_state().connections, sending.address, options);
+    std::optional<exchange_failed_error> failure;
+    std::optional<memory_source> memory;
+    std::string_view what = "read";
+    try {
+        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        const http_request message = get_state().dialect.make_request(get_call(), sending);
+        co_await exchange.start(message);
+        const answer_kind kind = get_state().dialect.classify(exchange.get_head());
+        const std::string body = co_await exchange.read_rest(memory_answer_limit_bytes);
+        if (exchange.get_head().result() == http::status::ok) {
+            memory = {.engine = sending.address, .handle = get_state().dialect.read_prompt_memory(body).handle};
+            m_was_read_once = true;
+        } else if (kind == answer_kind::wrong_server) {
+            what = "other_server";
+            get_state().directory.set_displaced(engine);
+            get_state().refresh_servers();
+        } else {
+            what = "read_refused";
+            m_avoided.insert(engine);
+        }
+    } catch (const exchange_failed_error& fault) {
+        failure = fault;
+        what = "read_failed";
+    } catch (const malformed_message_error& fault) {
+        failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::malformed_answer);
+        what = "read_invalid";
+    }
+    get_record().add_server(engine, what);
+    if (caller.is_gone()) {
+        if (memory) {
+            release(*memory);
+        }
+        throw caller_gone_error("caller left while its prompt was read");
+    }
+    if (memory) {
+        get_state().health.add_success(engine);
+        if (waits == duration::zero()) {
+            engines.read_time.observe(choice.reading, get_state().time.now() - sent_at);
+        }
+        co_return memory;
+    }
+    if (failure) {
+        note_failure(engine, *failure);
+        m_avoided.insert(engine);
+    }
+    if (exchange.is_sent()) {
+        m_was_read_once = true;
+    }
+    co_return std::nullopt;
+}
+
+void generation_request::require_repeat_of_read() {
+    require_repeat(policy::retry_reason::backend_server_busy);
+}
+
+asio::awaitable<generation_request::generate_result>
+generation_request::generate(const backend_server_name& engine, std::optional<memory_source> memory,
+                             caller_channel& caller) {
+    dispatch sending = make_dispatch(engine);
+    sending.memory = memory;
+    if (!m_events.get_last_id().empty()) {
+        sending.last_event_id = m_events.get_last_id();
+    }
+    if (m_was_sent) {
+        try {
+            require_repeat(policy::retry_reason::broken_answer);
+        } catch (const request_refused&) {
+            if (memory) {
+                release(*memory);
+            }
+            throw;
+        }
+    }
+    service_engines& engines = *get_state().find_engines(get_request().service);
+    engines.board.start_run(engine, m_needed_tokens, m_parts);
+    const run_on_board on_board(get_state(), get_request().service, engine, m_needed_tokens);
+    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options());
+    std::optional<exchange_failed_error> failure;
+    answer_kind kind = answer_kind::invalid;
+    bool has_head = false;
+    m_generation_sent_at = get_state().time.now();
+    try {
+        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        const http_request message = get_state().dialect.make_request(get_call(), sending);
+        co_await exchange.start(message);
+        kind = get_state().dialect.classify(exchange.get_head());
+        has_head = true;
+        if (kind == answer_kind::answered) {
+            set_may_have_run();
+            co_await relay(exchange, caller);
+        } else {
+            co_await exchange.read_rest(memory_answer_limit_bytes);
+        }
+    } catch (const exchange_failed_error& fault) {
+        failure = fault;
+    } catch (const caller_gone_error&) {
+        exchange.cancel();
+    }
+    m_was_sent = m_was_sent || exchange.is_sent();
+    if (caller.is_gone()) {
+        get_record().add_server(engine, "caller_gone");
+        if (memory && !exchange.is_sent()) {
+            release(*memory);
+        }
+        throw caller_gone_error("caller left before its answer was whole");
+    }
+    if (!failure && kind == answer_kind::answered) {
+        get_record().add_server(engine, "answered");
+        get_state().health.add_success(engine);
+        co_return generate_result::done;
+    }
+    if (has_head && kind == answer_kind::wrong_server) {
+        get_record().add_server(engine, "other_server");
+        get_state().directory.set_displaced(engine);
+        get_state().refresh_servers();
+    } else if (has_head && kind == answer_kind::not_run) {
+        get_record().add_server(engine, "refused");
+        m_avoided.insert(engine);
+    } else {
+        get_record().add_server(engine, "failed");
+        if (!failure) {
+            failure.emplace("answer is not the server's", exchange_phase::after_send,
+                            policy::retry_reason::malformed_answer);
+        }
+        on_broken(engine, *failure, exchange.is_sent());
+    }
+    if (memory) {
+        release(*memory);
+    }
+    co_return generate_result::try_again;
+}
+
+void generation_request::on_broken(const backend_server_name& engine, const exchange_failed_error& failure,
+                                   bool was_sent) {
+    if (was_sent) {
+        set_may_have_run();
+        ++m_runs;
+    }
+    m_events.drop_partial_event();
+    require_time_left();
+    note_failure(engine, failure);
+    m_avoided.insert(engine);
+    const fleet::route& route = *get_request().route;
+    if (was_sent && (!fleet::may_run_again(route.repeats) || m_runs >= route.attempts)) {
+        throw request_refused(policy::refusal_reason::backend_server_failed, get_outcome(), failure.what());
+    }
+    get_state().counters.count_retry(failure.get_reason());
+}
+
+asio::awaitable<void> generation_request::relay(backend_exchange& exchange, caller_channel& caller) {
+    if (exchange.get_head().result() != http::status::ok) {
+        co_await relay_plain(exchange, caller);
+    } else {
+        co_await relay_stream(exchange, caller);
+    }
+}
+
+asio::awaitable<void> generation_request::relay_plain(backend_exchange& exchange, caller_channel& caller) {
+    http_response answer(exchange.get_head().result(), 11);
+    copy_answer_headers(exchange.get_head(), answer);
+    answer.body() = co_await exchange.read_rest(plain_answer_limit_bytes);
+    note_run();
+    if (caller.is_started()) {
+        throw request_refused(policy::refusal_reason::backend_server_failed, get_outcome(),
+                              "the stream could not be gone on with");
+    }
+    get_record().status = answer.result_int();
+    co_await caller.send(std::move(answer));
+}
+
+asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, caller_channel& caller) {
+    stream_head head(exchange.get_head().result(), 11);
+    copy_answer_headers(exchange.get_head(), head);
+    for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
+         piece = co_await exchange.read_some()) {
+        m_events.add_bytes(piece);
+        const std::string events = m_events.take_events();
+        if (events.empty()) {
+            continue;
+        }
+        if (!caller.is_started()) {
+            note_run();
+            const duration taken = get_state().time.now() - m_generation_sent_at;
+            get_state().find_engines(get_request().service)->observe_first_event(taken);
+            get_record().first_after = get_state().time.now() - get_record().arrived_at;
+            get_record().status = head.result_int();
+            co_await caller.start_stream(std::move(head));
+        }
+        co_await caller.send_chunk(events);
+    }
+    if (m_events.has_partial_event()) {
+        throw exchange_failed_error("the stream ends within an event", exchange_phase::after_send,
+                                    policy::retry_reason::broken_answer);
+    }
+    if (!caller.is_started()) {
+        get_record().status = head.result_int();
+        co_await caller.start_stream(std::move(head));
+    }
+    co_await caller.finish_stream();
+}
+
+void generation_request::release(const memory_source& memory) const {
+    asio::co_spawn(get_state().executor, send_release(get_state(), memory), asio::detached);
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/generation_request.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "policy/engine_placement.hpp"
+#include "servers/event_splitter.hpp"
+#include "servers/serving_request.hpp"
+
+namespace dragonflywell::servers {
+
+/// A request to a model: one engine reads the prompt, another generates from it, and the stream is passed on event by
+/// event. Used by one coroutine.
+class generation_request final : public serving_request {
+public:
+    generation_request(serving_state& state, accepted request, request_record& record);
+
+    asio::awaitable<void> run(caller_channel& caller) override;
+
+private:
+    /// How a try to generate ended.
+    enum class generate_result : std::uint8_t { done, try_again };
+
+    [[nodiscard]] policy::engine_choice choose_engines();
+    [[nodiscard]] backend_server_name choose_generator(const policy::engine_choice& choice);
+    [[nodiscard]] policy::engine_filter make_filter() const;
+    [[nodiscard]] policy::placed_generation get_placed() const;
+
+    /// Has the prompt read; returns nothing when another engine is to be tried.
+    asio::awaitable<std::optional<memory_source>> read_prompt(const policy::engine_choice& choice,
+                                                              caller_channel& caller);
+    asio::awaitable<generate_result> generate(const backend_server_name& engine,
+                                              std::optional<memory_source> memory, caller_channel& caller);
+    asio::awaitable<void> relay(backend_exchange& exchange, caller_channel& caller);
+    asio::awaitable<void> relay_plain(backend_exchange& exchange, caller_channel& caller);
+    asio::awaitable<void> relay_stream(backend_exchange& exchange, caller_channel& caller);
+    void on_broken(const backend_server_name& engine, const exchange_failed_error& failure, bool was_sent);
+    void require_repeat_of_read();
+    /// Frees the memory of a prompt that nobody will generate from, without waiting for the answer.
+    void release(const memory_source& memory) const;
+
+    std::vector<policy::cached_part> m_parts;
+    std::uint64_t m_needed_tokens{0};
+    std::set<backend_server_name> m_avoided;
+    event_splitter m_events;
+    std::uint64_t m_number{0};
+    /// Engines on which the generation may have run.
+    std::uint32_t m_runs{0};
+    bool m_was_read_once{false};
+    bool m_was_sent{false};
+    steady_time m_generation_sent_at{};
+};
+
+} // namespace dragonflywell::servers
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <set>
 
 #include "core/log.hpp"
@@ -15,6 +17,8 @@
 
 namespace {
 
+constexpr duration accept_pause = std::chrono::milliseconds(50);
+
 /// Counts one thing for as long as it lives.
 class counted {
 public:
@@ -67,6 +71,8 @@
             worker_state& worker = m_workers[m_next_worker++ % m_workers.size()];
             tcp::socket socket = co_await m_acceptor.async_accept(*worker.context, store_error(fault));
             if (fault) {
+                // Out of descriptors, most often: some time must pass before it is worth trying again.
+                co_await pause(accept_pause);
                 continue;
             }
             socket.set_option(tcp::no_delay(true), fault);
@@ -74,6 +80,12 @@
         }
     }
 
+    static asio::awaitable<void> pause(duration length) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, length);
+        error_code ignored;
+        co_await timer.async_wait(store_error(ignored));
+    }
+
     /// Serves one connection until either side closes it.
     asio::awaitable<void> serve(std::shared_ptr<shared_state> /*self*/, worker_state& worker, tcp::socket socket) {
         const counted open_connection(m_open_connections);
@@ -103,7 +115,7 @@
         // An idle connection holds a small buffer only.
         constexpr std::size_t first_piece_bytes = 512;
         buffer.shrink_to_fit();
-        stream.expires_after(m_options.io_timeout);
+        stream.expires_after(m_options.limits.idle_timeout);
         error_code fault;
         worker.idle.insert(&stream);
         const std::size_t received =
@@ -118,9 +130,9 @@
     /// Reads and answers one request; returns whether the connection can take another.
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
         http::request_parser<http::string_body> parser;
-        parser.header_limit(m_options.header_limit_bytes);
-        parser.body_limit(m_options.body_limit_bytes);
-        stream.expires_after(m_options.io_timeout);
+        parser.header_limit(m_options.limits.header_limit_bytes);
+        parser.body_limit(m_options.limits.body_limit_bytes);
+        stream.expires_after(m_options.limits.io_timeout);
         error_code fault;
         co_await http::async_read(stream, buffer, parser, store_error(fault));
         if (fault) {
@@ -129,7 +141,8 @@
         }
         http_request request = parser.release();
         caller_watch watch(stream.socket());
-        tcp_caller_channel channel(stream, watch, m_options.io_timeout, request.keep_alive(), m_is_closing);
+        tcp_caller_channel channel(stream, watch, m_options.limits.io_timeout, request.keep_alive(), m_is_closing,
+                                   request.method() == http::verb::head);
         try {
             co_await m_handler->handle(std::move(request), channel);
         } catch (const caller_gone_error& gone) {
@@ -143,11 +156,13 @@
     }
 
     asio::awaitable<void> refuse_malformed(beast::tcp_stream& stream, error_code read_fault) {
-        if (read_fault.category() != make_error_code(http::error::bad_method).category() ||
-            read_fault == http::error::end_of_stream || read_fault == http::error::partial_message) {
+        const bool is_too_slow = read_fault == beast::error::timeout;
+        const bool is_http = read_fault.category() == make_error_code(http::error::bad_method).category();
+        if ((!is_http && !is_too_slow) || read_fault == http::error::end_of_stream ||
+            read_fault == http::error::partial_message) {
             co_return;
         }
-        http::status status = http::status::bad_request;
+        http::status status = is_too_slow ? http::status::request_timeout : http::status::bad_request;
         if (read_fault == http::error::header_limit) {
             status = http::status::request_header_fields_too_large;
         }
@@ -162,7 +177,7 @@
             R"({"error":{"code":"malformed_request","outcome":"not_run","message":")" + read_fault.message() + "\"}}";
         response.keep_alive(false);
         response.prepare_payload();
-        stream.expires_after(m_options.io_timeout);
+        stream.expires_after(m_options.limits.io_timeout);
         error_code ignored;
         co_await http::async_write(stream, response, store_error(ignored));
         co_await drain_input(stream);
@@ -208,6 +223,10 @@
     asio::co_spawn(m_state->m_acceptor.get_executor(), m_state->accept(m_state), asio::detached);
 }
 
+void http_server::set_limits(const caller_limits& limits) {
+    m_state->m_options.limits = limits;
+}
+
 void http_server::set_closing() {
     m_state->m_is_closing = true;
 }
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -11,12 +11,19 @@
 
 namespace dragonflywell::servers {
 
-struct http_server_options {
-    endpoint listen;
+/// What a caller may send, and how long it may take.
+struct caller_limits {
     std::uint32_t header_limit_bytes{16 * 1024};
     std::uint64_t body_limit_bytes{8ULL * 1024 * 1024};
     /// How long a caller may take to send a request or to take a piece of the answer.
     duration io_timeout{std::chrono::seconds(60)};
+    /// How long a connection may wait for its next request.
+    duration idle_timeout{std::chrono::seconds(60)};
+};
+
+struct http_server_options {
+    endpoint listen;
+    caller_limits limits;
 };
 
 /// Listens for HTTP/1.1 with keep-alive and hands each request to a handler.
@@ -37,6 +44,10 @@
     /// Binds and starts to accept. Throws `boost::system::system_error` when the address cannot be bound.
     void start();
 
+    /// Puts other limits in force, for what is read from now on. Called on the event loop of the only context, or before
+    /// `start`.
+    void set_limits(const caller_limits& limits);
+
     /// Tells callers from now on with each answer that their connection takes no further request. Still accepts.
     void set_closing();
 
--- /dev/null
+++ b/servers/instance_request.cpp
@@ -0,0 +1,161 @@
+#include "servers/instance_request.hpp"
+
+#include <algorithm>
+
+#include "policy/service_placement.hpp"
+#include "servers/answer_relay.hpp"
+#include "servers/gone_subscription.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+constexpr std::size_t answer_limit_bytes = 16UL * 1024 * 1024;
+constexpr unsigned first_failed_status = 500;
+/// When a caller may come again that found no instance.
+constexpr duration no_instance_retry = std::chrono::milliseconds(300);
+
+} // namespace
+
+asio::awaitable<void> instance_request::run(caller_channel& caller) {
+    std::optional<http_response> answer;
+    try {
+        while (!answer) {
+            require_time_left();
+            const backend_server_name server = choose();
+            answer = co_await try_on(server, caller);
+            m_tried.insert(server);
+        }
+    } catch (const request_refused&) {
+        if (!m_failed_answer) {
+            throw;
+        }
+        // An instance's own failure tells the caller more than that no other one could be tried.
+        answer = std::move(m_failed_answer);
+    }
+    get_record().status = answer->result_int();
+    co_await caller.send(std::move(*answer));
+}
+
+backend_server_name instance_request::choose() const {
+    std::vector<policy::service_candidate> candidates;
+    std::vector<policy::service_candidate> tried;
+    for (const auto& [id, listed] : get_state().directory.get_servers()) {
+        if (listed.record.service != get_request().service || !get_state().is_usable(id)) {
+            continue;
+        }
+        const policy::service_candidate candidate{.server = id,
+                                                  .slots = listed.record.slots,
+                                                  .in_flight = get_state().get_in_flight(id),
+                                                  .is_own_zone = listed.record.zone == get_state().options.own_zone,
+                                                  .is_cold = listed.record.cold_left > duration::zero(),
+                                                  .failure_share = get_state().health.get_failure_share(id)};
+        (m_tried.contains(id) ? tried : candidates).push_back(candidate);
+    }
+    // A second run counts as a run on another server only there; the one tried before is better than none.
+    const std::vector<policy::service_candidate>& offered = candidates.empty() ? tried : candidates;
+    const std::optional<std::size_t> chosen = policy::choose_instance(offered);
+    if (!chosen) {
+        throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(), "no instance can be used",
+                              no_instance_retry);
+    }
+    return offered[*chosen].server;
+}
+
+asio::awaitable<std::optional<http_response>> instance_request::try_on(const backend_server_name& server,
+                                                                       caller_channel& caller) {
+    const serving_state::in_flight_token token(get_state(), server);
+    const dispatch sending = make_dispatch(server);
+    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options());
+    std::optional<exchange_failed_error> failure;
+    std::optional<http_response> answer;
+    answer_kind kind = answer_kind::invalid;
+    try {
+        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        const http_request message = get_state().dialect.make_request(get_call(), sending);
+        co_await exchange.start(message);
+        kind = get_state().dialect.classify(exchange.get_head());
+        answer.emplace(exchange.get_head().result(), 11);
+        copy_answer_headers(exchange.get_head(), *answer);
+        const auto length = exchange.get_head().find(http::field::content_length);
+        if (get_call().method == http::verb::head && length != exchange.get_head().end()) {
+            answer->set(http::field::content_length, length->value());
+        }
+        answer->body() = co_await exchange.read_rest(answer_limit_bytes);
+    } catch (const exchange_failed_error& fault) {
+        failure = fault;
+    }
+    if (caller.is_gone()) {
+        throw caller_gone_error("caller left before its answer came");
+    }
+    if (failure) {
+        get_record().add_server(server, "failed");
+        co_return on_failure(server, *failure, exchange.is_sent());
+    }
+    switch (kind) {
+    case answer_kind::answered:
+        break;
+    case answer_kind::wrong_server:
+        get_record().add_server(server, "other_server");
+        get_state().directory.set_displaced(server);
+        get_state().refresh_servers();
+        require_repeat(policy::retry_reason::connect_failed);
+        co_return std::nullopt;
+    case answer_kind::not_run:
+        get_record().add_server(server, "refused");
+        require_repeat(policy::retry_reason::backend_server_busy);
+        co_return std::nullopt;
+    case answer_kind::invalid:
+        get_record().add_server(server, "invalid");
+        co_return on_failure(server,
+                             exchange_failed_error("answer is not the server's", exchange_phase::after_send,
+                                                   policy::retry_reason::malformed_answer),
+                             true);
+    }
+    note_run();
+    ++m_runs;
+    get_record().add_server(server, std::to_string(answer->result_int()));
+    const bool is_failure = answer->result_int() >= first_failed_status;
+    if (!is_failure) {
+        get_state().health.add_success(server);
+        co_return answer;
+    }
+    get_state().health.add_failure(server, policy::server_failure::answered_failure, get_state().time.now());
+    if (!may_try_again()) {
+        co_return answer;
+    }
+    get_state().counters.count_retry(policy::retry_reason::broken_answer);
+    m_failed_answer = std::move(answer);
+    co_return std::nullopt;
+}
+
+std::optional<http_response> instance_request::on_failure(const backend_server_name& server,
+                                                          const exchange_failed_error& failure, bool was_sent) {
+    if (get_time_left() <= duration::zero()) {
+        if (was_sent) {
+            set_may_have_run();
+        }
+        require_time_left();
+    }
+    note_failure(server, failure);
+    if (!was_sent) {
+        // Nothing arrived there, so that trying another instance is no repeat.
+        get_state().counters.count_retry(failure.get_reason());
+        return std::nullopt;
+    }
+    set_may_have_run();
+    ++m_runs;
+    if (may_try_again()) {
+        get_state().counters.count_retry(failure.get_reason());
+        return std::nullopt;
+    }
+    throw request_refused(policy::refusal_reason::backend_server_failed, get_outcome(), failure.what());
+}
+
+bool instance_request::may_try_again() const {
+    const fleet::route& route = *get_request().route;
+    return fleet::may_run_again(route.repeats) && m_runs < route.attempts &&
+           get_state().get_retry_budget(get_request().service).take_retry(get_state().time.now());
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/log_writer.cpp
@@ -0,0 +1,66 @@
+#include "servers/log_writer.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace dragonflywell::servers {
+
+namespace {
+
+/// Lines of this span are written together, since each write costs a system call.
+constexpr duration write_interval = std::chrono::milliseconds(500);
+constexpr std::size_t batch_bytes = 32 * 1024;
+
+/// Makes writes to a pipe return at once when it is full. A file takes them anyway.
+void stop_blocking(int descriptor) {
+    struct stat status {};
+    if (fstat(descriptor, &status) != 0 || S_ISREG(status.st_mode)) {
+        return;
+    }
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        fcntl(descriptor, F_SETFL, static_cast<unsigned>(flags) | static_cast<unsigned>(O_NONBLOCK));
+    }
+}
+
+} // namespace
+
+log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_ring> ring)
+    : m_timer(executor), m_ring(std::move(ring)) {
+    stop_blocking(STDOUT_FILENO);
+}
+
+log_writer::~log_writer() {
+    write_pending();
+}
+
+void log_writer::start() {
+    write_pending();
+    wait();
+}
+
+void log_writer::wait() {
+    m_timer.expires_after(write_interval);
+    m_timer.async_wait([this](const error_code& fault) {
+        if (!fault) {
+            start();
+        }
+    });
+}
+
+void log_writer::write_pending() {
+    while (!m_unwritten.empty() || !m_ring->is_empty()) {
+        if (m_unwritten.empty()) {
+            m_unwritten = m_ring->take(batch_bytes);
+        }
+        const ssize_t written = ::write(STDOUT_FILENO, m_unwritten.data(), m_unwritten.size());
+        if (written <= 0) {
+            // Nobody reads for now; the ring goes on filling and drops what matters least.
+            return;
+        }
+        m_unwritten.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace dragonflywell::servers
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -244,7 +244,7 @@
         co_return;
     }
     if (!caller.is_started()) {
-        co_await caller.start_stream("text/event-stream");
+        co_await caller.start_stream(make_stream_head("text/event-stream"));
     }
     const std::string text = format_event(event);
     co_await caller.send_chunk(text);
@@ -263,7 +263,7 @@
         co_return;
     }
     if (!caller.is_started()) {
-        co_await caller.start_stream("text/event-stream");
+        co_await caller.start_stream(make_stream_head("text/event-stream"));
     }
     const std::string last_event = format_event({.id = {}, .data = std::string(end_of_stream)});
     co_await caller.send_chunk(last_event);
--- /dev/null
+++ b/servers/request_record.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/identifiers.hpp"
+#include "core/log_event.hpp"
+#include "policy/outcome.hpp"
+
+namespace dragonflywell::servers {
+
+/// What is told of a request when it ends: what decided it, and what became of it.
+struct request_record {
+    std::string id;
+    std::string route;
+    std::string organisation;
+    std::uint64_t configuration_version{};
+    steady_time arrived_at{};
+    /// Backend servers that were sent something, in order, with what came of it.
+    std::string servers;
+    std::uint32_t sends{0};
+    /// Expected time to the first part of the answer, where it was worked out.
+    std::optional<duration> expected_first;
+    std::optional<duration> first_after;
+    unsigned status{0};
+
+    /// Notes a server that was sent something.
+    void add_server(const backend_server_name& server, std::string_view what) {
+        servers += servers.empty() ? "" : " ";
+        servers += server.value();
+        servers += ":";
+        servers += what;
+        ++sends;
+    }
+};
+
+/// Returns the line that tells how a request ended. `name` begins with "request_", so that the line is kept longest.
+[[nodiscard]] inline log_event make_request_event(std::string_view name, const request_record& record,
+                                                  steady_time now) {
+    log_event event(name);
+    event.add("id", record.id).add("route", record.route).add("organisation", record.organisation);
+    event.add("configuration", record.configuration_version).add("status", record.status);
+    event.add("servers", record.servers).add("took_ms", now - record.arrived_at);
+    if (record.expected_first) {
+        event.add("expected_first_ms", *record.expected_first);
+    }
+    if (record.first_after) {
+        event.add("first_ms", *record.first_after);
+    }
+    return event;
+}
+
+} // namespace dragonflywell::servers
--- a/servers/request_refused.hpp
+++ b/servers/request_refused.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 
+#include "core/clock.hpp"
 #include "core/error.hpp"
 #include "policy/outcome.hpp"
 
@@ -13,17 +14,17 @@
 public:
     /// `retry_after`: when the caller may try again, where the status is one that says so.
     request_refused(policy::refusal_reason reason, policy::request_outcome outcome, const std::string& message,
-                    std::chrono::seconds retry_after = std::chrono::seconds(1))
+                    duration retry_after = std::chrono::seconds(1))
         : error(message), m_reason(reason), m_outcome(outcome), m_retry_after(retry_after) {}
 
     [[nodiscard]] policy::refusal_reason get_reason() const noexcept { return m_reason; }
     [[nodiscard]] policy::request_outcome get_outcome() const noexcept { return m_outcome; }
-    [[nodiscard]] std::chrono::seconds get_retry_after() const noexcept { return m_retry_after; }
+    [[nodiscard]] duration get_retry_after() const noexcept { return m_retry_after; }
 
 private:
     policy::refusal_reason m_reason;
     policy::request_outcome m_outcome;
-    std::chrono::seconds m_retry_after;
+    duration m_retry_after;
 };
 
 } // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/service_engines.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "fleet/service_description.hpp"
+#include "policy/engine_board.hpp"
+#include "policy/engine_placement.hpp"
+#include "policy/prefill_time.hpp"
+
+namespace dragonflywell::servers {
+
+/// The engines of one service as requests see them: what they do, and how long it takes them. Not thread safe.
+class service_engines {
+public:
+    policy::engine_board board;
+    policy::prefill_time read_time;
+
+    void set_description(const fleet::engine_description& description) { m_description = description; }
+    [[nodiscard]] const fleet::engine_description& get_description() const noexcept { return m_description; }
+
+    /// Takes how long the first event took after its prompt's memory was handed over.
+    void observe_first_event(duration taken) {
+        constexpr std::int64_t weight = 16;
+        m_first_event += (taken - m_first_event) / weight;
+    }
+
+    [[nodiscard]] policy::engine_costs get_costs() const {
+        return {.read_time = &read_time, .first_event = m_first_event, .move_per_token = get_move_per_token()};
+    }
+
+private:
+    [[nodiscard]] duration get_move_per_token() const {
+        constexpr double bits_per_byte = 8;
+        constexpr double bits_per_megabit = 1e6;
+        if (m_description.link_megabits_per_second <= 0) {
+            return duration::zero();
+        }
+        const double seconds = static_cast<double>(m_description.bytes_per_token) * bits_per_byte /
+                               (m_description.link_megabits_per_second * bits_per_megabit);
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    }
+
+    fleet::engine_description m_description;
+    /// Before anything was observed: a few steps of an engine.
+    duration m_first_event{std::chrono::milliseconds(50)};
+};
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/serving_handler.cpp
@@ -0,0 +1,79 @@
+#include "servers/serving_handler.hpp"
+
+#include "servers/serving_request.hpp"
+
+namespace dragonflywell::servers {
+
+asio::awaitable<void> serving_handler::handle(http_request request, caller_channel& caller) {
+    request_record record;
+    record.arrived_at = m_state->time.now();
+    std::optional<request_refused> refusal;
+    try {
+        const call wanted = m_dialect->decode(std::move(request));
+        record.id = wanted.id;
+        co_await serve(wanted, record, caller);
+    } catch (const request_refused& refused) {
+        refusal = refused;
+    } catch (const caller_gone_error&) {
+        m_state->counters.count_caller_gone();
+        make_request_event("request_abandoned", record, m_state->time.now()).write(*m_state->log, spdlog::level::info);
+        throw;
+    } catch (const std::exception& fault) {
+        // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
+        log_event("internal_fault").add("id", record.id).add("what", fault.what()).write(*m_state->log,
+                                                                                       spdlog::level::err);
+        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal fault");
+    }
+    if (refusal) {
+        co_await refuse(*refusal, record, caller);
+    }
+}
+
+void serving_handler::on_malformed(http::status status) {
+    policy::refusal_reason reason = policy::refusal_reason::malformed_request;
+    if (status == http::status::request_header_fields_too_large) {
+        reason = policy::refusal_reason::header_too_large;
+    }
+    if (status == http::status::payload_too_large) {
+        reason = policy::refusal_reason::body_too_large;
+    }
+    m_state->counters.count_refusal(reason);
+    m_state->counters.count_outcome(policy::request_outcome::not_run);
+    log_event("request_malformed")
+        .add("status", static_cast<unsigned>(status))
+        .write(*m_state->log, spdlog::level::warn);
+}
+
+asio::awaitable<void> serving_handler::serve(const call& wanted, request_record& record, caller_channel& caller) {
+    const std::unique_ptr<serving_request> request = make_serving_request(*m_state, wanted, record);
+    co_await request->run(caller);
+    const steady_time now = m_state->time.now();
+    m_state->counters.count_outcome(policy::request_outcome::completed);
+    m_state->counters.get_request_latency().record(std::chrono::duration<double>(now - record.arrived_at).count());
+    if (record.first_after) {
+        m_state->counters.get_first_token_latency().record(std::chrono::duration<double>(*record.first_after).count());
+    }
+    make_request_event("request_answered", record, now).write(*m_state->log, spdlog::level::info);
+}
+
+asio::awaitable<void> serving_handler::refuse(const request_refused& refusal, request_record& record,
+                                              caller_channel& caller) {
+    m_state->counters.count_refusal(refusal.get_reason());
+    m_state->counters.count_outcome(refusal.get_outcome());
+    http_response answer = m_dialect->make_refusal(refusal);
+    if (!caller.is_started()) {
+        record.status = answer.result_int();
+    }
+    make_request_event("request_failed", record, m_state->time.now())
+        .add("reason", policy::get_refusal_form(refusal.get_reason()).code)
+        .add("outcome", policy::get_outcome_name(refusal.get_outcome()))
+        .add("what", refusal.what())
+        .write(*m_state->log, spdlog::level::info);
+    if (caller.is_started()) {
+        caller.abort_stream();
+        co_return;
+    }
+    co_await caller.send(std::move(answer));
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/serving_request.cpp
@@ -0,0 +1,152 @@
+#include "servers/serving_request.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+#include "servers/generation_request.hpp"
+#include "servers/instance_request.hpp"
+#include "servers/thread_random.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+/// When a caller may come again that found this host without a configuration.
+constexpr duration not_ready_retry = std::chrono::milliseconds(500);
+
+const fleet::route& require_route(const fleet::serving_view& view, const call& wanted) {
+    const fleet::route* route = view.find_route(wanted.host, wanted.get_path());
+    if (route == nullptr) {
+        throw request_refused(policy::refusal_reason::no_such_route, policy::request_outcome::not_run,
+                              "no route leads there");
+    }
+    return *route;
+}
+
+/// Returns the organisation that the request runs for; empty on a public route.
+organisation_name require_organisation(const fleet::serving_view& view, const fleet::route& route, const call& wanted) {
+    if (route.is_public || !view.has_organisations()) {
+        return {};
+    }
+    if (wanted.key.empty()) {
+        throw request_refused(policy::refusal_reason::missing_key, policy::request_outcome::not_run,
+                              "the request has no key");
+    }
+    const fleet::served_organisation* organisation = view.find_organisation(wanted.key);
+    if (organisation == nullptr) {
+        throw request_refused(policy::refusal_reason::unknown_key, policy::request_outcome::not_run,
+                              "the key is not known");
+    }
+    return organisation->name;
+}
+
+/// Returns one of the route's services, each with its share of the requests.
+const service_name& choose_service(const fleet::route& route) {
+    const std::uint64_t total =
+        std::accumulate(route.shares.begin(), route.shares.end(), std::uint64_t{0},
+                        [](std::uint64_t sum, const fleet::route_share& share) { return sum + share.weight; });
+    if (total == 0) {
+        return route.shares.front().service;
+    }
+    std::uint64_t drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(get_thread_random());
+    for (const fleet::route_share& share : route.shares) {
+        if (drawn < share.weight) {
+            return share.service;
+        }
+        drawn -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+} // namespace
+
+std::unique_ptr<serving_request> make_serving_request(serving_state& state, const call& wanted,
+                                                      request_record& record) {
+    const std::shared_ptr<const fleet::serving_view>& view = state.get_view();
+    if (view == nullptr) {
+        throw request_refused(policy::refusal_reason::not_ready, policy::request_outcome::not_run,
+                              "no configuration has been read yet", not_ready_retry);
+    }
+    record.configuration_version = view->get_version();
+    const fleet::route& route = require_route(*view, wanted);
+    record.route = route.name;
+    const organisation_name organisation = require_organisation(*view, route, wanted);
+    record.organisation = organisation.value();
+    duration patience = route.timeout;
+    if (wanted.caller_patience) {
+        patience = std::min(patience, *wanted.caller_patience);
+    }
+    serving_request::accepted request{.wanted = &wanted,
+                                      .view = view,
+                                      .route = &route,
+                                      .service = choose_service(route),
+                                      .organisation = organisation,
+                                      .deadline = record.arrived_at + patience};
+    state.get_retry_budget(request.service).add_request();
+    const bool is_generation = wanted.wanted && state.find_engines(request.service) != nullptr;
+    if (is_generation) {
+        return std::make_unique<generation_request>(state, std::move(request), record);
+    }
+    return std::make_unique<instance_request>(state, std::move(request), record);
+}
+
+void serving_request::require_time_left() const {
+    if (get_time_left() <= duration::zero()) {
+        throw request_refused(policy::refusal_reason::deadline_exceeded, get_outcome(),
+                              "the time for this request ran out");
+    }
+}
+
+void serving_request::require_repeat(policy::retry_reason reason) {
+    if (!m_state->get_retry_budget(m_request.service).take_retry(m_state->time.now())) {
+        throw request_refused(policy::refusal_reason::retry_budget_spent, get_outcome(),
+                              "no further repeat may be sent now");
+    }
+    m_state->counters.count_retry(reason);
+}
+
+dispatch serving_request::make_dispatch(const backend_server_name& server) const {
+    const fleet::listed_server* listed = m_state->directory.find(server);
+    if (listed == nullptr) {
+        throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
+                              "the backend server left the list");
+    }
+    return {.server = server,
+            .address = listed->record.address,
+            .time_left = get_time_left(),
+            .organisation = m_request.organisation,
+            .reads_prompt_only = false,
+            .memory = {},
+            .urgency = {},
+            .last_event_id = get_call().last_event_id};
+}
+
+exchange_options serving_request::make_exchange_options() const {
+    const call* wanted = m_request.wanted;
+    const server_dialect* dialect = &m_state->dialect;
+    return {.may_reuse = true,
+            .progress_deadline = std::max(duration::zero(), get_time_left()),
+            .last_moment = m_request.deadline,
+            .accepts_unframed = true,
+            .is_own_answer = [wanted, dialect](const http::response_header<>& head) {
+                return dialect->is_answer_to(*wanted, head);
+            }};
+}
+
+void serving_request::note_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
+    const bool is_unreachable = failure.get_phase() == exchange_phase::before_send;
+    m_state->health.add_failure(
+        server, is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
+        m_state->time.now());
+}
+
+void serving_request::note_run() {
+    m_may_have_run = true;
+    if (m_is_counted || m_request.organisation.empty()) {
+        return;
+    }
+    m_is_counted = true;
+    m_state->usage.add(m_request.organisation, m_state->time.wall_now());
+}
+
+} // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/serving_state.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <spdlog/logger.h>
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/metrics.hpp"
+#include "fleet/server_directory.hpp"
+#include "fleet/serving_view.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_budget.hpp"
+#include "policy/server_health.hpp"
+#include "policy/usage_counter.hpp"
+#include "servers/backend_connection_pool.hpp"
+#include "servers/request_counters.hpp"
+#include "servers/server_dialect.hpp"
+#include "servers/service_engines.hpp"
+
+namespace dragonflywell::servers {
+
+struct serving_options {
+    zone_name own_zone;
+    duration usage_window{std::chrono::seconds(5)};
+    /// Repeats that the whole system may make for each request to a service, and besides, in one window.
+    double repeats_per_request{0.2};
+    double repeats_besides{0};
+    duration repeat_window{std::chrono::seconds(10)};
+};
+
+/// What other hosts have said of their work on plain services.
+using instance_counts = std::map<backend_server_name, std::uint32_t>;
+
+/// What the requests of one event loop share. Not thread safe.
+class serving_state {
+public:
+    /// Preconditions: clock, pool, dialect and registry outlive the state.
+    serving_state(asio::any_io_executor executor, const clock_source& time, backend_connection_pool& connections,
+                  const server_dialect& dialect, metrics_registry& metrics, serving_options options);
+
+    /// Puts a configuration in force. Precondition: it is newer than the one before.
+    void set_view(std::shared_ptr<const fleet::serving_view> view);
+    /// Returns the configuration in force, or null.
+    [[nodiscard]] const std::shared_ptr<const fleet::serving_view>& get_view() const noexcept { return m_view; }
+
+    /// Takes over changes of the directory. Called after each of them.
+    void refresh_servers();
+
+    /// Returns the engines of a service, or null when it has none.
+    [[nodiscard]] service_engines* find_engines(const service_name& service);
+    [[nodiscard]] std::map<service_name, service_engines>& get_engines() noexcept { return m_engines; }
+
+    /// Returns whether work may be sent to a server now.
+    [[nodiscard]] bool is_usable(const backend_server_name& server) const;
+
+    /// Returns the budget for repeats of a service.
+    [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
+    /// Sets how many hosts share the budgets.
+    void set_hosts(std::size_t hosts);
+    [[nodiscard]] std::size_t get_hosts() const noexcept { return m_hosts; }
+
+    /// Returns how many requests of all hosts are on an instance, as far as known.
+    [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
+    [[nodiscard]] const instance_counts& get_own_in_flight() const noexcept { return m_own_in_flight; }
+    void set_other_in_flight(const std::string& host, instance_counts counts);
+    /// Forgets a host that fell silent.
+    void drop_other(const std::string& host);
+
+    /// Counts one request on a server for as long as it lives.
+    class in_flight_token {
+    public:
+        in_flight_token(serving_state& state, backend_server_name server);
+        in_flight_token(const in_flight_token&) = delete;
+        in_flight_token& operator=(const in_flight_token&) = delete;
+        in_flight_token(in_flight_token&&) = delete;
+        in_flight_token& operator=(in_flight_token&&) = delete;
+        ~in_flight_token();
+
+    private:
+        serving_state* m_state;
+        backend_server_name m_server;
+    };
+
+    /// The event loop that all of this belongs to.
+    const asio::any_io_executor executor;
+    const clock_source& time;
+    backend_connection_pool& connections;
+    const server_dialect& dialect;
+    const serving_options options;
+    fleet::server_directory directory;
+    policy::server_health health;
+    policy::usage_counter usage;
+    policy::quarantine suspects{{.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)}};
+    request_counters counters;
+    std::shared_ptr<spdlog::logger> log;
+    bool is_stopping{false};
+
+private:
+    [[nodiscard]] policy::retry_budget_options get_budget_options() const;
+
+    std::shared_ptr<const fleet::serving_view> m_view;
+    std::map<service_name, service_engines> m_engines;
+    std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
+    std::size_t m_hosts{1};
+    instance_counts m_own_in_flight;
+    std::map<std::string, instance_counts> m_other_in_flight;
+};
+
+} // namespace dragonflywell::servers
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -5,9 +5,9 @@
 namespace dragonflywell::servers {
 
 tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout,
-                                       bool keep_alive, const std::atomic<bool>& is_closing)
+                                       bool keep_alive, const std::atomic<bool>& is_closing, bool is_head_request)
     : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout),
-      m_keep_alive(keep_alive) {}
+      m_keep_alive(keep_alive), m_is_head_request(is_head_request) {}
 
 void tcp_caller_channel::start_answer() {
     m_is_started = true;
@@ -24,7 +24,9 @@
 asio::awaitable<void> tcp_caller_channel::send(http_response response) {
     start_answer();
     response.keep_alive(m_keep_alive);
-    response.prepare_payload();
+    if (!m_is_head_request) {
+        response.prepare_payload();
+    }
     m_stream->expires_after(m_io_timeout);
     error_code fault;
     co_await http::async_write(*m_stream, response, store_error(fault));
@@ -32,11 +34,8 @@
     m_is_whole = true;
 }
 
-asio::awaitable<void> tcp_caller_channel::start_stream(std::string_view content_type) {
+asio::awaitable<void> tcp_caller_channel::start_stream(stream_head head) {
     start_answer();
-    http::response<http::empty_body> head(http::status::ok, 11);
-    head.set(http::field::content_type, content_type);
-    head.set(http::field::cache_control, "no-cache");
     head.keep_alive(m_keep_alive);
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
--- a/servers/tcp_caller_channel.hpp
+++ b/servers/tcp_caller_channel.hpp
@@ -14,10 +14,10 @@
     /// Precondition: `stream`, `watch` and `is_closing` outlive the channel. While `is_closing` is set when an answer
     /// starts, the caller is told that the connection takes no further request.
     tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout, bool keep_alive,
-                       const std::atomic<bool>& is_closing);
+                       const std::atomic<bool>& is_closing, bool is_head_request = false);
 
     asio::awaitable<void> send(http_response response) override;
-    asio::awaitable<void> start_stream(std::string_view content_type) override;
+    asio::awaitable<void> start_stream(stream_head head) override;
     asio::awaitable<void> send_chunk(std::string_view data) override;
     asio::awaitable<void> finish_stream() override;
     void abort_stream() override;
@@ -37,6 +37,8 @@
     const std::atomic<bool>* m_is_closing;
     duration m_io_timeout;
     bool m_keep_alive;
+    /// The answer to a HEAD request has a length but no body.
+    bool m_is_head_request;
     bool m_is_started{false};
     bool m_is_whole{false};
 };
--- a/tests/servers/test_admission_gate.cpp
+++ b/tests/servers/test_admission_gate.cpp
@@ -17,7 +17,7 @@
 class silent_caller final : public caller_channel {
 public:
     asio::awaitable<void> send(http_response /*response*/) override { co_return; }
-    asio::awaitable<void> start_stream(std::string_view /*content_type*/) override { co_return; }
+    asio::awaitable<void> start_stream(stream_head /*head*/) override { co_return; }
     asio::awaitable<void> send_chunk(std::string_view /*data*/) override { co_return; }
     asio::awaitable<void> finish_stream() override { co_return; }
     void abort_stream() override {}
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -153,7 +153,7 @@
 
 asio::awaitable<void> engine_standin::generate(const std::string& id, known_stream stream, std::uint64_t first,
                                                engine_fault fault, servers::caller_channel& caller) {
-    co_await caller.start_stream("text/event-stream");
+    co_await caller.start_stream(servers::make_stream_head("text/event-stream"));
     asio::steady_timer timer(co_await asio::this_coro::executor);
     const std::uint64_t prompt_tokens = count_prompt_tokens(stream.prompt);
     const std::uint64_t end = stream.most_tokens + (fault.kind == engine_fault_kind::overrun ? 3 : 0);
--- a/tests/standin/fault_plan.cpp
+++ b/tests/standin/fault_plan.cpp
@@ -17,7 +17,7 @@
 class discarding_channel final : public servers::caller_channel {
 public:
     asio::awaitable<void> send(servers::http_response /*response*/) override { co_return; }
-    asio::awaitable<void> start_stream(std::string_view /*content_type*/) override { co_return; }
+    asio::awaitable<void> start_stream(servers::stream_head /*head*/) override { co_return; }
     asio::awaitable<void> send_chunk(std::string_view /*data*/) override { co_return; }
     asio::awaitable<void> finish_stream() override { co_return; }
     void abort_stream() override {}
--- a/tests/support/drifting_clock.hpp
+++ b/tests/support/drifting_clock.hpp
@@ -14,6 +14,7 @@
         const duration passed = m_truth->now() - m_start;
         return m_start + duration(static_cast<duration::rep>(static_cast<double>(passed.count()) * m_rate));
     }
+    [[nodiscard]] steady_time now_with_suspension() const override { return now(); }
     [[nodiscard]] wall_time wall_now() const override { return m_truth->wall_now(); }
 
 private:
