Report usage under a lease, tell other hosts the load, order cheap servers

Cause: usage was not reported; each host saw only its own prompts; engines that read prompts were overrun.

--- /dev/null
+++ b/coordination/store_lease.cpp
@@ -0,0 +1,167 @@
+#include "coordination/store_lease.hpp"
+
+#include "core/json.hpp"
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+/// The holder renews, and challengers look, this many times within the length of a lease.
+constexpr int renewals_per_length = 3;
+constexpr int reads_per_length = 2;
+
+} // namespace
+
+std::string encode_store_lease_record(const store_lease_record& record) {
+    boost::json::object object{{"holder", record.holder}, {"incarnation", record.incarnation}};
+    if (record.renewed_fence) {
+        object["fence"] = *record.renewed_fence;
+    }
+    if (record.is_release) {
+        object["release"] = true;
+    }
+    return boost::json::serialize(object);
+}
+
+store_lease_record decode_store_lease_record(std::string_view text) {
+    const boost::json::value document = json::parse(text);
+    const boost::json::object& object = json::as_object(document, "record of a lease");
+    store_lease_record record{.holder = json::get_string(object, "holder"),
+                              .incarnation = json::get_unsigned(object, "incarnation"),
+                              .renewed_fence = {},
+                              .is_release = json::get_bool_or(object, "release", false)};
+    if (object.contains("fence")) {
+        record.renewed_fence = json::get_unsigned(object, "fence");
+    }
+    return record;
+}
+
+store_lease::store_lease(const clock_source& time, store_lease_options options)
+    : m_time(&time), m_options(std::move(options)) {}
+
+store_lease::action store_lease::get_next_action() const {
+    if (m_needs_read || !m_has_read) {
+        return action::read;
+    }
+    if (is_held()) {
+        const steady_time renewed_at = m_held->expires_at - m_options.length;
+        const bool is_due = m_time->now_with_suspension() - renewed_at >= m_options.length / renewals_per_length;
+        return is_due || m_is_resigning ? action::append : action::nothing;
+    }
+    if (m_is_resigning) {
+        return action::nothing;
+    }
+    const bool is_vacant = !m_latest || m_latest->record.is_release || has_lapsed();
+    const bool is_fresh = m_last_read_at && m_time->now() - *m_last_read_at < m_options.length / reads_per_length;
+    if (is_vacant && is_fresh) {
+        return action::append;
+    }
+    return is_fresh ? action::nothing : action::read;
+}
+
+void store_lease::on_read(std::span<const placed_lease_record> records, std::uint64_t end) {
+    for (const placed_lease_record& placed : records) {
+        take(placed);
+    }
+    m_end = end;
+    m_has_read = true;
+    m_needs_read = false;
+    m_last_read_at = m_time->now();
+    // An append without a known result that has not shown by now may still come, and is then taken for a stranger's.
+    m_pending.reset();
+}
+
+store_lease_record store_lease::start_append() {
+    store_lease_record record{.holder = m_options.holder, .incarnation = m_options.incarnation, .renewed_fence = {}};
+    if (is_held()) {
+        record.renewed_fence = m_held->fence;
+        record.is_release = m_is_resigning;
+    } else {
+        m_held.reset();
+    }
+    m_pending = {.record = record, .sent_at = m_time->now_with_suspension()};
+    if (record.is_release) {
+        // No call may follow, whatever becomes of the record.
+        m_held.reset();
+    }
+    return record;
+}
+
+void store_lease::on_appended() {
+    if (m_pending) {
+        take({.offset = m_end, .record = m_pending->record});
+    }
+    m_pending.reset();
+    ++m_end;
+    m_last_read_at = m_time->now();
+}
+
+void store_lease::on_conflict() {
+    m_pending.reset();
+    m_needs_read = true;
+}
+
+void store_lease::on_unknown() {
+    m_needs_read = true;
+}
+
+void store_lease::on_superseded() {
+    m_held.reset();
+    m_needs_read = true;
+}
+
+std::optional<std::uint64_t> store_lease::get_fence() const {
+    if (!m_held || m_is_resigning) {
+        return std::nullopt;
+    }
+    const steady_time now = m_time->now_with_suspension();
+    if (now < m_held->acts_from || now + m_options.least_left >= m_held->expires_at) {
+        return std::nullopt;
+    }
+    return m_held->fence;
+}
+
+bool store_lease::is_held() const {
+    return m_held && m_time->now_with_suspension() < m_held->expires_at;
+}
+
+bool store_lease::is_own(const store_lease_record& record) const {
+    return record.holder == m_options.holder && record.incarnation == m_options.incarnation;
+}
+
+bool store_lease::has_lapsed() const {
+    // The clock without suspension: time that this host slept through says nothing about the holder.
+    return m_time->now() - m_latest_seen_at >= m_options.length + m_options.margin;
+}
+
+void store_lease::take(const placed_lease_record& placed) {
+    const bool is_pending = m_pending && m_pending->record == placed.record;
+    const bool is_late_renewal = m_held && is_own(placed.record) && placed.record.renewed_fence == m_held->fence &&
+                                 !placed.record.is_release;
+    if (is_pending) {
+        hold(placed.offset, placed.record);
+    } else if (!is_late_renewal) {
+        m_held.reset();
+    }
+    m_latest = placed;
+    m_latest_seen_at = m_time->now();
+}
+
+void store_lease::hold(std::uint64_t offset, const store_lease_record& record) {
+    if (record.is_release) {
+        m_held.reset();
+        return;
+    }
+    const steady_time expires_at = m_pending->sent_at + m_options.length;
+    if (record.renewed_fence) {
+        if (m_held && m_held->fence == *record.renewed_fence) {
+            m_held->expires_at = expires_at;
+        }
+        return;
+    }
+    // A first claim ever has no holder before it to keep a distance from.
+    const duration quiet = m_latest ? m_options.quiet : duration::zero();
+    m_held = {.fence = offset + 1, .expires_at = expires_at, .acts_from = m_pending->sent_at + quiet};
+}
+
+} // namespace dragonflywell::coordination
--- /dev/null
+++ b/coordination/usage_book.cpp
@@ -0,0 +1,101 @@
+#include "coordination/usage_book.hpp"
+
+#include <charconv>
+
+#include "core/error.hpp"
+#include "core/json.hpp"
+
+namespace dragonflywell::coordination {
+
+namespace {
+
+usage_window_number parse_window(std::string_view text) {
+    usage_window_number window = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), window);
+    if (fault != std::errc() || end != text.data() + text.size()) {
+        throw malformed_message_error("a window's number is not whole");
+    }
+    return window;
+}
+
+boost::json::object encode_counts(const usage_counts& counts) {
+    boost::json::object object;
+    for (const auto& [organisation, count] : counts) {
+        object[organisation.value()] = count;
+    }
+    return object;
+}
+
+usage_counts decode_counts(const boost::json::value& value) {
+    usage_counts counts;
+    const boost::json::object& object = json::as_object(value, "counts of a window");
+    for (const auto& item : object) {
+        counts[organisation_name(std::string_view(item.key()))] = json::get_unsigned(object, item.key());
+    }
+    return counts;
+}
+
+} // namespace
+
+std::string encode_usage_record(const usage_record& record) {
+    boost::json::object windows;
+    for (const auto& [window, counts] : record.windows) {
+        windows[std::to_string(window)] = encode_counts(counts);
+    }
+    return boost::json::serialize(boost::json::object{{"closed", record.closed}, {"windows", windows}});
+}
+
+usage_record decode_usage_record(std::string_view text) {
+    const boost::json::value document = json::parse(text);
+    const boost::json::object& object = json::as_object(document, "usage of a host");
+    usage_record record{.windows = {},
+                        .closed = static_cast<usage_window_number>(json::get_unsigned(object, "closed"))};
+    for (const auto& item : json::get_object(object, "windows")) {
+        record.windows.emplace(parse_window(item.key()), decode_counts(item.value()));
+    }
+    return record;
+}
+
+std::string encode_report_book(const report_book& book) {
+    boost::json::array pending;
+    for (const window_figures& figures : book.pending) {
+        pending.push_back(
+            boost::json::object{{"window", figures.window}, {"counts", encode_counts(figures.counts)}});
+    }
+    boost::json::object object{{"pending", pending}};
+    if (book.last) {
+        object["last"] = *book.last;
+    }
+    return boost::json::serialize(object);
+}
+
+report_book decode_report_book(std::string_view text) {
+    const boost::json::value document = json::parse(text);
+    const boost::json::object& object = json::as_object(document, "book of reports");
+    report_book book;
+    if (object.contains("last")) {
+        book.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
+    }
+    for (const boost::json::value& item : json::get_array(object, "pending")) {
+        const boost::json::object& figures = json::as_object(item, "figures of a window");
+        book.pending.push_back({.window = static_cast<usage_window_number>(json::get_unsigned(figures, "window")),
+                                .counts = decode_counts(json::get_object(figures, "counts"))});
+    }
+    return book;
+}
+
+window_figures sum_window(const std::vector<usage_record>& records, usage_window_number window) {
+    window_figures figures{.window = window, .counts = {}};
+    for (const usage_record& record : records) {
+        const auto found = record.windows.find(window);
+        if (found == record.windows.end()) {
+            continue;
+        }
+        for (const auto& [organisation, count] : found->second) {
+            figures.counts[organisation] += count;
+        }
+    }
+    return figures;
+}
+
+} // namespace dragonflywell::coordination
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -33,10 +33,22 @@
             .repeat_window = settings.bounds.repeats_window};
 }
 
+std::uint64_t get_incarnation(const clock_source& time) {
+    const auto since_epoch = time.wall_now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+coordination::store_lease_options get_lease_options(const host_settings& settings, std::uint64_t incarnation) {
+    return {.holder = settings.name.value(),
+            .incarnation = incarnation,
+            .length = settings.bounds.lease,
+            .quiet = settings.bounds.lease};
+}
+
 } // namespace
 
 host_daemon::host_daemon(host_settings settings, std::shared_ptr<log_ring> ring)
-    : m_settings(std::move(settings)), m_log(get_logger("host")),
+    : m_settings(std::move(settings)), m_incarnation(get_incarnation(m_clock)), m_log(get_logger("host")),
       m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
@@ -44,6 +56,13 @@
       m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
       m_servers(m_store, m_state,
                 std::chrono::duration_cast<duration>(m_settings.bounds.drain / list_reads_per_drain)),
+      m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
+      m_lease(m_store, m_clock, get_lease_options(m_settings, m_incarnation)),
+      m_usage_recorder(m_store, m_state, m_settings.name.value(), m_incarnation),
+      m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_due),
+      m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()),
+      m_hosts(m_loop, m_store, m_state,
+              {.host = m_settings.name.value(), .incarnation = m_incarnation, .listen = m_settings.hosts}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
       m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
@@ -71,6 +90,13 @@
     co_spawn(m_loop, m_configuration.run(), detached);
     co_spawn(m_loop, m_servers.run(), detached);
     co_spawn(m_loop, keep_house(), detached);
+    co_spawn(m_loop, m_usage_recorder.run(), detached);
+    m_hosts.start();
+    if (m_settings.orders.port != 0) {
+        co_spawn(m_loop, m_lease.run(), detached);
+        co_spawn(m_loop, m_usage_reporter.run(), detached);
+        co_spawn(m_loop, m_fleet.run(), detached);
+    }
     m_loop.run();
     log_event("stop").write(*m_log, spdlog::level::info);
 }
@@ -107,11 +133,13 @@
 
 servers::asio::awaitable<void> host_daemon::stop_gracefully() {
     const steady_time last_moment = m_clock.now() + m_settings.bounds.stop - stop_margin;
+    co_await m_lease.resign();
     co_await servers::pause(std::min(stop_notice, m_settings.bounds.stop / 2));
     m_entry_server.stop();
     while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
         co_await servers::pause(stop_check_interval);
     }
+    co_await m_usage_recorder.record_last();
     log_event("stopped").add("requests_cut_off", m_entry_server.get_active_requests()).write(*m_log,
                                                                                           spdlog::level::info);
     m_loop.stop();
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -6,8 +6,14 @@
 
 #include "core/metrics.hpp"
 #include "daemon/configuration_follower.hpp"
+#include "daemon/fleet_controller.hpp"
+#include "daemon/host_exchange.hpp"
 #include "daemon/host_settings.hpp"
+#include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
+#include "daemon/usage_recorder.hpp"
+#include "daemon/usage_reporter.hpp"
+#include "platform/cloud_client.hpp"
 #include "platform/engine_dialect.hpp"
 #include "platform/ingress_dialect.hpp"
 #include "platform/store_client.hpp"
@@ -48,6 +54,8 @@
 
     host_settings m_settings;
     host_clock m_clock;
+    /// Differs for each life of the process on this host.
+    std::uint64_t m_incarnation;
     std::shared_ptr<spdlog::logger> m_log;
     metrics_registry m_metrics;
     boost::asio::io_context m_loop{1};
@@ -59,6 +67,12 @@
     servers::serving_state m_state;
     configuration_follower m_configuration;
     server_list_follower m_servers;
+    platform::cloud_client m_cloud;
+    lease_keeper m_lease;
+    usage_recorder m_usage_recorder;
+    usage_reporter m_usage_reporter;
+    fleet_controller m_fleet;
+    host_exchange m_hosts;
     servers::serving_handler m_entry_handler;
     servers::ready_handler m_ready_handler;
     servers::metrics_handler m_metrics_handler;
--- /dev/null
+++ b/daemon/lease_keeper.cpp
@@ -0,0 +1,118 @@
+#include "daemon/lease_keeper.hpp"
+
+#include "core/error.hpp"
+#include "core/log_event.hpp"
+#include "daemon/store_topics.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+/// How often the lease is looked after; a small part of its length.
+constexpr duration tick = std::chrono::milliseconds(250);
+
+std::vector<coordination::placed_lease_record> decode(const platform::store_page& page) {
+    std::vector<coordination::placed_lease_record> records;
+    for (const platform::keyed_record& record : page.records) {
+        if (!record.value) {
+            continue;
+        }
+        try {
+            records.push_back(
+                {.offset = record.offset, .record = coordination::decode_store_lease_record(*record.value)});
+        } catch (const malformed_message_error&) {
+            // What nobody can read names no holder; it still moves the end of the topic.
+            records.push_back({.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fence = {}}});
+        }
+    }
+    return records;
+}
+
+} // namespace
+
+lease_keeper::lease_keeper(platform::store_client& store, const clock_source& time,
+                           coordination::store_lease_options options)
+    : m_store(&store), m_time(&time), m_lease(time, std::move(options)), m_log(get_logger("lease")),
+      m_dependency(*m_log, "lease_topic") {}
+
+servers::asio::awaitable<void> lease_keeper::run() {
+    for (;;) {
+        if (!m_is_busy) {
+            co_await step(m_lease.get_next_action());
+        }
+        report_change();
+        co_await servers::pause(tick);
+    }
+}
+
+servers::asio::awaitable<void> lease_keeper::resign() {
+    m_lease.resign();
+    if (m_was_held && !m_is_busy) {
+        co_await step(m_lease.get_next_action());
+    }
+    report_change();
+}
+
+void lease_keeper::on_superseded() {
+    m_lease.on_superseded();
+    report_change();
+}
+
+servers::asio::awaitable<void> lease_keeper::step(coordination::store_lease::action action) {
+    m_is_busy = true;
+    try {
+        if (action == coordination::store_lease::action::read) {
+            co_await read();
+        } else if (action == coordination::store_lease::action::append) {
+            co_await append();
+        }
+        m_dependency.set_reached(m_time->now());
+    } catch (const platform::store_unavailable_error& fault) {
+        m_dependency.set_lost(m_time->now(), fault.what());
+    }
+    m_is_busy = false;
+}
+
+servers::asio::awaitable<void> lease_keeper::read() {
+    bool is_dropped = false;
+    platform::store_page page;
+    try {
+        page = co_await m_store->read(topics::lease, m_lease.get_end(), duration::zero());
+    } catch (const platform::store_history_dropped_error&) {
+        is_dropped = true;
+    }
+    if (is_dropped) {
+        page = co_await m_store->read_newest(topics::lease);
+    }
+    m_lease.on_read(decode(page), page.end);
+}
+
+servers::asio::awaitable<void> lease_keeper::append() {
+    const std::uint64_t end = m_lease.get_end();
+    const std::string text = coordination::encode_store_lease_record(m_lease.start_append());
+    try {
+        const platform::append_answer answer = co_await m_store->append(topics::lease, topics::only_key, text, end);
+        if (answer.offset) {
+            m_lease.on_appended();
+        } else {
+            m_lease.on_conflict();
+        }
+    } catch (const platform::store_unavailable_error&) {
+        m_lease.on_unknown();
+        throw;
+    }
+}
+
+void lease_keeper::report_change() {
+    const bool is_held = m_lease.is_held();
+    if (is_held == m_was_held) {
+        return;
+    }
+    m_was_held = is_held;
+    log_event(is_held ? "lease_taken" : "lease_lost")
+        .add("end", m_lease.get_end())
+        .write(*m_log, spdlog::level::info);
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/lease_keeper.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "coordination/store_lease.hpp"
+#include "core/log.hpp"
+#include "daemon/store_dependency.hpp"
+#include "platform/store_client.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Stands for the lease under which duties are done, and keeps it. Used on one event loop.
+class lease_keeper {
+public:
+    /// Preconditions: store and clock outlive the keeper.
+    lease_keeper(platform::store_client& store, const clock_source& time, coordination::store_lease_options options);
+
+    /// Keeps the lease for as long as the event loop runs.
+    servers::asio::awaitable<void> run();
+
+    /// Gives the lease up, so that another host need not wait for it to lapse.
+    servers::asio::awaitable<void> resign();
+
+    /// Returns the fence under which this host may act now, or nothing.
+    [[nodiscard]] std::optional<std::uint64_t> get_fence() const { return m_lease.get_fence(); }
+
+    /// Notes that a receiver has seen a newer holder.
+    void on_superseded();
+
+private:
+    servers::asio::awaitable<void> step(coordination::store_lease::action action);
+    servers::asio::awaitable<void> read();
+    servers::asio::awaitable<void> append();
+    void report_change();
+
+    platform::store_client* m_store;
+    const clock_source* m_time;
+    coordination::store_lease m_lease;
+    std::shared_ptr<spdlog::logger> m_log;
+    store_dependency m_dependency;
+    bool m_was_held{false};
+    bool m_is_busy{false};
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/usage_recorder.cpp
@@ -0,0 +1,75 @@
+#include "daemon/usage_recorder.hpp"
+
+#include <fmt/format.h>
+
+#include "coordination/usage_book.hpp"
+#include "daemon/store_topics.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+/// Windows that a record holds; older ones are reported or lost by then.
+constexpr std::int64_t kept_windows = 6;
+/// How long after the end of a window it is recorded: what began before its end has been counted by then.
+constexpr duration settle_time = std::chrono::milliseconds(200);
+constexpr duration retry_pause = std::chrono::milliseconds(400);
+/// A jump of the wall clock must not make the wait for a window's end a long one.
+constexpr duration longest_wait = std::chrono::seconds(1);
+
+} // namespace
+
+usage_recorder::usage_recorder(platform::store_client& store, servers::serving_state& state, const std::string& host,
+                               std::uint64_t incarnation)
+    : m_store(&store), m_state(&state), m_key(fmt::format("{}/{}", host, incarnation)), m_log(get_logger("usage")),
+      m_dependency(*m_log, "usage_topic") {}
+
+servers::asio::awaitable<void> usage_recorder::run() {
+    std::int64_t recorded = get_current_window() - 1;
+    for (;;) {
+        const wall_time due = m_state->usage.get_end(recorded + 1) + settle_time;
+        const duration wait = due - m_state->get_true_time();
+        if (wait > duration::zero()) {
+            co_await servers::pause(std::min(wait, longest_wait));
+            continue;
+        }
+        const std::int64_t closed = get_current_window() - 1;
+        bool is_recorded = false;
+        try {
+            co_await record(closed);
+            is_recorded = true;
+            m_dependency.set_reached(m_state->time.now());
+        } catch (const platform::store_unavailable_error& fault) {
+            m_dependency.set_lost(m_state->time.now(), fault.what());
+        }
+        if (is_recorded) {
+            recorded = closed;
+            m_state->usage.forget_before(closed - kept_windows);
+        } else {
+            co_await servers::pause(retry_pause);
+        }
+    }
+}
+
+servers::asio::awaitable<void> usage_recorder::record_last() {
+    try {
+        co_await record(get_current_window());
+    } catch (const platform::store_unavailable_error& fault) {
+        log_event("usage_lost").add("reason", fault.what()).write(*m_log, spdlog::level::err);
+    }
+}
+
+servers::asio::awaitable<void> usage_recorder::record(std::int64_t closed) {
+    coordination::usage_record record{.windows = {}, .closed = closed};
+    for (const auto& [window, counts] : m_state->usage.get_windows()) {
+        record.windows.emplace(window, counts);
+    }
+    co_await m_store->append(topics::usage, m_key, coordination::encode_usage_record(record));
+}
+
+std::int64_t usage_recorder::get_current_window() const {
+    return m_state->usage.get_window(m_state->get_true_time());
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/usage_reporter.cpp
@@ -0,0 +1,154 @@
+#include "daemon/usage_reporter.hpp"
+
+#include <algorithm>
+
+#include "core/error.hpp"
+#include "core/log_event.hpp"
+#include "daemon/store_topics.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr duration tick = std::chrono::milliseconds(250);
+/// Part of the time until a report is due after which its figures are fixed: hosts have recorded by then, and enough
+/// is left to send it more than once.
+constexpr double fix_share = 0.3;
+/// A window this old can't be reported in time any more, and hosts have forgotten it.
+constexpr coordination::usage_window_number most_late_windows = 4;
+/// Reports that did not arrive are kept for this many windows.
+constexpr std::size_t most_pending = 8;
+
+} // namespace
+
+usage_reporter::usage_reporter(platform::store_client& store, platform::cloud_client& cloud, lease_keeper& lease,
+                               servers::serving_state& state, std::string host, duration due)
+    : m_store(&store), m_cloud(&cloud), m_lease(&lease), m_state(&state), m_host(std::move(host)),
+      m_fix_after(std::chrono::duration_cast<duration>(due * fix_share)), m_log(get_logger("usage")) {}
+
+servers::asio::awaitable<void> usage_reporter::run() {
+    for (;;) {
+        co_await servers::pause(tick);
+        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        if (fence != m_fence) {
+            m_fence = fence;
+            m_book.reset();
+        }
+        if (!fence) {
+            continue;
+        }
+        try {
+            co_await report_due();
+        } catch (const platform::store_unavailable_error& fault) {
+            // Whether the book was written is not known: it is read again.
+            m_book.reset();
+            log_event("report_delayed").add("reason", fault.what()).write(*m_log, spdlog::level::warn);
+        }
+    }
+}
+
+servers::asio::awaitable<void> usage_reporter::report_due() {
+    if (!m_book) {
+        co_await read_book();
+    }
+    if (has_due()) {
+        const bool is_fixed = co_await fix_due();
+        if (!is_fixed) {
+            m_book.reset();
+            co_return;
+        }
+    }
+    co_await send_pending();
+}
+
+servers::asio::awaitable<void> usage_reporter::read_book() {
+    const platform::store_page page = co_await m_store->read_newest(topics::reports);
+    coordination::report_book book;
+    for (const platform::keyed_record& record : page.records) {
+        if (record.key != topics::only_key || !record.value) {
+            continue;
+        }
+        try {
+            book = coordination::decode_report_book(*record.value);
+        } catch (const malformed_message_error& fault) {
+            log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
+        }
+    }
+    m_book = std::move(book);
+    m_book_end = page.end;
+}
+
+bool usage_reporter::has_due() const {
+    return !m_book->last || *m_book->last < get_newest_due();
+}
+
+coordination::usage_window_number usage_reporter::get_newest_due() const {
+    return m_state->usage.get_window(m_state->get_true_time() - m_fix_after) - 1;
+}
+
+servers::asio::awaitable<bool> usage_reporter::fix_due() {
+    const coordination::usage_window_number newest = get_newest_due();
+    const platform::store_page page = co_await m_store->read_newest(topics::usage);
+    std::vector<coordination::usage_record> records;
+    for (const platform::keyed_record& record : page.records) {
+        if (!record.value || record.value->empty()) {
+            continue;
+        }
+        try {
+            records.push_back(coordination::decode_usage_record(*record.value));
+        } catch (const malformed_message_error& fault) {
+            log_event("usage_record_rejected")
+                .add("key", record.key)
+                .add("reason", fault.what())
+                .write(*m_log, spdlog::level::err);
+        }
+    }
+    coordination::report_book next = *m_book;
+    const auto first = std::max(next.last ? *next.last + 1 : newest, newest - most_late_windows);
+    for (coordination::usage_window_number window = first; window <= newest; ++window) {
+        next.pending.push_back(coordination::sum_window(records, window));
+    }
+    next.last = newest;
+    if (next.pending.size() > most_pending) {
+        next.pending.erase(next.pending.begin(),
+                           next.pending.end() - static_cast<std::ptrdiff_t>(most_pending));
+    }
+    const platform::append_answer answer = co_await m_store->append(
+        topics::reports, topics::only_key, coordination::encode_report_book(next), m_book_end);
+    if (!answer.offset) {
+        co_return false;
+    }
+    m_book = std::move(next);
+    m_book_end = answer.end;
+    co_return true;
+}
+
+servers::asio::awaitable<void> usage_reporter::send_pending() {
+    while (!m_book->pending.empty()) {
+        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        if (!fence || fence != m_fence) {
+            co_return;
+        }
+        const coordination::window_figures figures = m_book->pending.front();
+        const platform::duty_authority authority{.holder = m_host, .fence = *fence};
+        const platform::duty_answer answer = co_await m_cloud->report_usage(authority, figures);
+        log_event("usage_reported")
+            .add("window", figures.window)
+            .add("fence", *fence)
+            .add("organisations", figures.counts.size())
+            .add("accepted", answer == platform::duty_answer::accepted)
+            .write(*m_log, spdlog::level::info);
+        if (answer == platform::duty_answer::superseded) {
+            m_lease->on_superseded();
+            co_return;
+        }
+        if (answer != platform::duty_answer::accepted) {
+            co_return;
+        }
+        // The store learns of it with the next window; until then a later holder repeats the same figures.
+        m_book->pending.erase(m_book->pending.begin());
+    }
+}
+
+} // namespace dragonflywell::daemon
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -32,6 +32,7 @@
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
             engines->board.end_prompt(m_engine, m_number, m_state->time.now());
         }
+        m_state->note_load_change();
     }
 
 private:
@@ -54,6 +55,7 @@
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
             engines->board.end_run(m_engine, m_tokens);
         }
+        m_state->note_load_change();
     }
 
 private:
@@ -164,6 +166,8 @@
     const steady_time sent_at = get_state().time.now();
     const duration waits = engines.board.get_backlog(engine, sent_at);
     engines.board.start_prompt(engine, {.number = m_number, .sent_at = sent_at, .cost = choice.reading_time}, m_parts);
+    get_state().touches.push_back({.engine = engine, .parts = m_parts});
+    get_state().note_load_change();
     const prompt_on_board on_board(get_state(), get_request().service, engine, m_number);
     exchange_options options = make_exchange_options();
     options.progress_deadline = std::min(
@@ -244,6 +248,7 @@
     }
     service_engines& engines = *get_state().find_engines(get_request().service);
     engines.board.start_run(engine, m_needed_tokens, m_parts);
+    get_state().note_load_change();
     const run_on_board on_board(get_state(), get_request().service, engine, m_needed_tokens);
     backend_exchange exchange(get_state().connections, sending.address, make_exchange_options());
     std::optional<exchange_failed_error> failure;
--- /dev/null
+++ b/servers/host_digest.cpp
@@ -0,0 +1,137 @@
+#include "servers/host_digest.hpp"
+
+#include "core/error.hpp"
+#include "core/json.hpp"
+
+namespace dragonflywell::servers {
+
+namespace {
+
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+
+std::int64_t to_microseconds(duration span) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+std::uint64_t get_number(const array& list, std::size_t index) {
+    if (index >= list.size() || !list[index].is_number()) {
+        throw malformed_message_error("a number of the digest is missing");
+    }
+    boost::json::error_code fault;
+    const auto number = list[index].to_number<std::uint64_t>(fault);
+    if (fault) {
+        throw malformed_message_error("a number of the digest is out of range");
+    }
+    return number;
+}
+
+const array& get_list(const array& list, std::size_t index) {
+    if (index >= list.size() || !list[index].is_array()) {
+        throw malformed_message_error("a list of the digest is missing");
+    }
+    return list[index].get_array();
+}
+
+const array& to_list(const value& item) {
+    if (!item.is_array()) {
+        throw malformed_message_error("a list of the digest is no list");
+    }
+    return item.get_array();
+}
+
+array encode_prompts(const std::vector<digest_prompt>& prompts) {
+    array list;
+    for (const digest_prompt& prompt : prompts) {
+        list.push_back(array{prompt.number, to_microseconds(prompt.age), to_microseconds(prompt.cost)});
+    }
+    return list;
+}
+
+digest_engine decode_engine(const array& list) {
+    digest_engine engine{.running = static_cast<std::uint32_t>(get_number(list, 0)),
+                         .running_tokens = get_number(list, 1),
+                         .prompts = {}};
+    for (const value& item : get_list(list, 2)) {
+        const array& prompt = to_list(item);
+        engine.prompts.push_back({.number = get_number(prompt, 0),
+                                  .age = std::chrono::microseconds(get_number(prompt, 1)),
+                                  .cost = std::chrono::microseconds(get_number(prompt, 2))});
+    }
+    return engine;
+}
+
+array encode_touch(const digest_touch& touch) {
+    array parts;
+    for (const policy::cached_part& part : touch.parts) {
+        parts.push_back(part.id);
+        parts.push_back(part.tokens);
+    }
+    return {touch.engine.value(), std::move(parts)};
+}
+
+digest_touch decode_touch(const array& list) {
+    if (list.empty() || !list[0].is_string()) {
+        throw malformed_message_error("a touch of the digest names no engine");
+    }
+    digest_touch touch{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
+    const array& parts = get_list(list, 1);
+    for (std::size_t index = 0; index + 1 < parts.size(); index += 2) {
+        touch.parts.push_back(
+            {.id = get_number(parts, index), .tokens = static_cast<std::uint32_t>(get_number(parts, index + 1))});
+    }
+    return touch;
+}
+
+} // namespace
+
+std::string encode_host_digest(const host_digest& digest) {
+    object engines;
+    for (const auto& [name, engine] : digest.engines) {
+        engines[name.value()] = array{engine.running, engine.running_tokens, encode_prompts(engine.prompts)};
+    }
+    object instances;
+    for (const auto& [name, count] : digest.instances) {
+        instances[name.value()] = count;
+    }
+    array touches;
+    for (const digest_touch& touch : digest.touches) {
+        touches.push_back(encode_touch(touch));
+    }
+    return boost::json::serialize(object{{"h", digest.host},
+                                         {"i", digest.incarnation},
+                                         {"n", digest.sequence},
+                                         {"w", to_microseconds(digest.true_time.time_since_epoch())},
+                                         {"s", digest.is_stopping},
+                                         {"e", std::move(engines)},
+                                         {"p", std::move(instances)},
+                                         {"t", std::move(touches)}});
+}
+
+host_digest decode_host_digest(std::string_view text) {
+    const value document = json::parse(text);
+    const object& source = json::as_object(document, "digest of a host");
+    host_digest digest{.host = json::get_string(source, "h"),
+                       .incarnation = json::get_unsigned(source, "i"),
+                       .sequence = json::get_unsigned(source, "n"),
+                       .true_time = wall_time(std::chrono::microseconds(json::get_unsigned(source, "w"))),
+                       .is_stopping = json::get_bool_or(source, "s", false),
+                       .engines = {},
+                       .instances = {},
+                       .touches = {}};
+    for (const auto& item : json::get_object(source, "e")) {
+        digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
+    }
+    const object& instances = json::get_object(source, "p");
+    for (const auto& item : instances) {
+        digest.instances.emplace(backend_server_name(std::string_view(item.key())),
+                                 static_cast<std::uint32_t>(json::get_unsigned(instances, item.key())));
+    }
+    for (const value& item : json::get_array(source, "t")) {
+        digest.touches.push_back(decode_touch(to_list(item)));
+    }
+    return digest;
+}
+
+} // namespace dragonflywell::servers
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -146,7 +146,7 @@
         return;
     }
     m_is_counted = true;
-    m_state->usage.add(m_request.organisation, m_state->time.wall_now());
+    m_state->usage.add(m_request.organisation, m_state->get_true_time());
 }
 
 } // namespace dragonflywell::servers
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -17,7 +17,12 @@
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
                              const server_dialect& wire, metrics_registry& metrics, serving_options chosen)
     : executor(std::move(loop)), time(clock), connections(pool), dialect(wire), options(std::move(chosen)), usage(options.usage_window),
-      counters(metrics), log(get_logger("request")) {}
+      counters(metrics), log(get_logger("request")),
+      m_true_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
+
+wall_time serving_state::get_true_time() const {
+    return wall_time(time.now_with_suspension().time_since_epoch() + m_true_offset);
+}
 
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
     m_view = std::move(view);
@@ -114,6 +119,7 @@
 serving_state::in_flight_token::in_flight_token(serving_state& state, backend_server_name server)
     : m_state(&state), m_server(std::move(server)) {
     ++m_state->m_own_in_flight[m_server];
+    m_state->note_load_change();
 }
 
 serving_state::in_flight_token::~in_flight_token() {
@@ -121,6 +127,7 @@
     if (found != m_state->m_own_in_flight.end() && --found->second == 0) {
         m_state->m_own_in_flight.erase(found);
     }
+    m_state->note_load_change();
 }
 
 } // namespace dragonflywell::servers
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -15,6 +16,7 @@
 #include "policy/server_health.hpp"
 #include "policy/usage_counter.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/host_digest.hpp"
 #include "servers/request_counters.hpp"
 #include "servers/server_dialect.hpp"
 #include "servers/service_engines.hpp"
@@ -61,6 +63,11 @@
     void set_hosts(std::size_t hosts);
     [[nodiscard]] std::size_t get_hosts() const noexcept { return m_hosts; }
 
+    /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
+    [[nodiscard]] wall_time get_true_time() const;
+    /// Corrects that time by what other hosts say.
+    void correct_true_time(duration by) noexcept { m_true_offset += by; }
+
     /// Returns how many requests of all hosts are on an instance, as far as known.
     [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
     [[nodiscard]] const instance_counts& get_own_in_flight() const noexcept { return m_own_in_flight; }
@@ -96,10 +103,23 @@
     request_counters counters;
     std::shared_ptr<spdlog::logger> log;
     bool is_stopping{false};
+    /// Called when this host's work on backend servers has changed; may be empty.
+    std::function<void()> on_load_change;
+    /// Prompts sent to engines that other hosts have not been told of yet.
+    std::vector<digest_touch> touches;
+
+    /// Notes a change of this host's work on backend servers.
+    void note_load_change() const {
+        if (on_load_change) {
+            on_load_change();
+        }
+    }
 
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
 
+    /// What the time of day is ahead of the clock that counts suspension. Taken once: a wall clock may be set later.
+    duration m_true_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
     std::map<service_name, service_engines> m_engines;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
