Order engines to the stages that the load asks for

Cause: nine of 24 engines read prompts, which is what nearly all requests waited for; generation filled a fraction of the others. Every engine that is not needed to generate now reads prompts, regular ones over all zones generate.

--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -11,6 +11,7 @@
 #include "daemon/host_settings.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
+#include "daemon/stage_controller.hpp"
 #include "daemon/usage_recorder.hpp"
 #include "daemon/usage_reporter.hpp"
 #include "platform/cloud_client.hpp"
@@ -72,6 +73,8 @@
     usage_recorder m_usage_recorder;
     usage_reporter m_usage_reporter;
     fleet_controller m_fleet;
+    platform::engine_orders m_engine_orders;
+    stage_controller m_stages;
     host_exchange m_hosts;
     servers::serving_handler m_entry_handler;
     servers::ready_handler m_ready_handler;
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -181,6 +181,12 @@
         }
     }
     m_state->set_other_in_flight(digest.host, digest.instances);
+    servers::serving_state::stage_transitions transitions;
+    for (const auto& [name, transition] : digest.transitions) {
+        transitions.emplace(name, servers::serving_state::stage_transition{.stage = transition.stage,
+                                                                           .until = now + transition.left});
+    }
+    m_state->set_other_changing(digest.host, std::move(transitions));
 }
 
 servers::asio::awaitable<void> host_exchange::keep_alive() {
@@ -239,7 +245,14 @@
                                 .is_stopping = m_state->is_stopping,
                                 .engines = {},
                                 .instances = m_state->get_own_in_flight(),
-                                .touches = std::exchange(m_state->touches, {})};
+                                .touches = std::exchange(m_state->touches, {}),
+                                .transitions = {}};
+    for (const auto& [name, transition] : m_state->get_own_changing()) {
+        if (m_state->is_changing(name)) {
+            digest.transitions.emplace(
+                name, servers::digest_transition{.stage = transition.stage, .left = transition.until - now});
+        }
+    }
     for (const auto& [service, engines] : m_state->get_engines()) {
         for (const auto& [name, engine] : engines.board.get_engines()) {
             if (engine.own.running == 0 && engine.own.prompts.empty()) {
--- /dev/null
+++ b/daemon/stage_controller.cpp
@@ -0,0 +1,144 @@
+#include "daemon/stage_controller.hpp"
+
+#include <algorithm>
+
+#include "core/log_event.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr duration tick = std::chrono::milliseconds(500);
+/// What is left of the height of the load after a tick: half of it after some 20 seconds.
+constexpr double height_memory = 0.98;
+/// How long an engine is left alone after an order to it did not succeed.
+constexpr duration rest_after_failure = std::chrono::seconds(4);
+/// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
+constexpr duration settle_time = std::chrono::seconds(5);
+
+std::string_view get_answer_name(platform::order_answer answer) {
+    switch (answer) {
+    case platform::order_answer::accepted:
+        return "accepted";
+    case platform::order_answer::holds_already:
+        return "holds_already";
+    case platform::order_answer::busy:
+        return "busy";
+    case platform::order_answer::superseded:
+        return "superseded";
+    case platform::order_answer::rejected:
+        return "rejected";
+    case platform::order_answer::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+stage_controller::stage_controller(platform::engine_orders& orders, lease_keeper& lease,
+                                   servers::serving_state& state, std::string host)
+    : m_orders(&orders), m_lease(&lease), m_state(&state), m_host(std::move(host)), m_log(get_logger("stages")) {}
+
+servers::asio::awaitable<void> stage_controller::run() {
+    for (;;) {
+        co_await servers::pause(tick);
+        observe_demand();
+        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        if (!fence || m_state->get_view() == nullptr) {
+            continue;
+        }
+        const std::shared_ptr<const fleet::serving_view> view = m_state->get_view();
+        for (const fleet::service_description& service : view->get_configuration().services) {
+            if (service.engine) {
+                co_await control(*fence, service.name);
+            }
+        }
+    }
+}
+
+void stage_controller::observe_demand() {
+    for (const auto& [service, engines] : m_state->get_engines()) {
+        double running = 0;
+        for (const auto& [name, engine] : engines.board.get_engines()) {
+            running += engines.board.get_running(name);
+        }
+        double& height = m_running[service];
+        height = std::max(running, height * height_memory);
+    }
+}
+
+std::vector<policy::staged_engine> stage_controller::get_engines(const service_name& service) const {
+    std::vector<policy::staged_engine> engines;
+    for (const auto& [id, server] : m_state->directory.get_servers()) {
+        const fleet::server_record& record = server.record;
+        if (record.service != service || !record.stage || !fleet::server_directory::is_usable(server)) {
+            continue;
+        }
+        const auto rest = m_resting.find(id);
+        const bool is_resting = rest != m_resting.end() && m_state->time.now() < rest->second;
+        engines.push_back({.name = id,
+                           .zone = record.zone,
+                           .stage = *record.stage,
+                           .is_cheap = record.is_cheap,
+                           .slots = record.slots,
+                           .is_changing = is_resting || m_state->is_changing(id)});
+    }
+    return engines;
+}
+
+servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
+    const std::vector<policy::staged_engine> engines = get_engines(service);
+    const std::vector<policy::stage_change> changes =
+        policy::plan_stages(engines, {.running = m_running[service]}, {});
+    const service_name asked = service;
+    for (const policy::stage_change& change : changes) {
+        const servers::service_engines* state = m_state->find_engines(asked);
+        if (state == nullptr || m_lease->get_fence() != fence) {
+            co_return;
+        }
+        const duration change_time = state->get_description().stage_change_time;
+        co_await order(fence, change, change_time);
+    }
+}
+
+servers::asio::awaitable<void> stage_controller::order(std::uint64_t fence, policy::stage_change change,
+                                                       duration change_time) {
+    const fleet::listed_server* listed = m_state->directory.find(change.engine);
+    if (listed == nullptr) {
+        co_return;
+    }
+    const platform::engine_address engine{.name = change.engine, .address = listed->record.address};
+    const std::optional<platform::engine_report> report = co_await m_orders->ask(engine);
+    platform::order_answer answer = platform::order_answer::busy;
+    if (report && !report->is_busy && m_lease->get_fence() == fence) {
+        const platform::duty_authority authority{.holder = m_host, .fence = fence};
+        // Other hosts learn of it before the engine begins to refuse requests.
+        m_state->set_changing(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
+        answer = co_await m_orders->order_stage(authority, engine, change.stage, report->accepted_orders);
+    }
+    log_event("stage_ordered")
+        .add("engine", change.engine.value())
+        .add("stage", fleet::get_stage_name(change.stage))
+        .add("fence", fence)
+        .add("reported", report.has_value())
+        .add("answer", get_answer_name(answer))
+        .write(*m_log, spdlog::level::info);
+    switch (answer) {
+    case platform::order_answer::accepted:
+    case platform::order_answer::unknown:
+        break;
+    case platform::order_answer::superseded:
+        m_lease->on_superseded();
+        [[fallthrough]];
+    case platform::order_answer::holds_already:
+    case platform::order_answer::busy:
+    case platform::order_answer::rejected:
+        m_state->end_changing(change.engine);
+        m_resting[change.engine] = m_state->time.now() + rest_after_failure;
+        break;
+    }
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/stage_controller.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/log.hpp"
+#include "daemon/lease_keeper.hpp"
+#include "platform/engine_orders.hpp"
+#include "policy/stage_plan.hpp"
+#include "servers/serving_state.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Orders engines to the stages that the load asks for while this host holds the lease. Used on one event loop.
+class stage_controller {
+public:
+    /// Preconditions: all references outlive the controller.
+    stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
+                     std::string host);
+
+    /// Controls for as long as the event loop runs.
+    servers::asio::awaitable<void> run();
+
+private:
+    void observe_demand();
+    servers::asio::awaitable<void> control(std::uint64_t fence, service_name service);
+    servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time);
+    [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
+
+    platform::engine_orders* m_orders;
+    lease_keeper* m_lease;
+    servers::serving_state* m_state;
+    std::string m_host;
+    std::shared_ptr<spdlog::logger> m_log;
+    /// Height of the running requests of each service, which sinks slowly.
+    std::map<service_name, double> m_running;
+    /// Engines that are left alone until then, because an order to them failed.
+    std::map<backend_server_name, steady_time> m_resting;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/policy/stage_plan.cpp
@@ -0,0 +1,91 @@
+#include "policy/stage_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+using fleet::engine_stage;
+
+std::size_t count_generators(std::span<const staged_engine> engines, const stage_demand& demand,
+                             const stage_plan_options& options) {
+    double slots = 0;
+    for (const staged_engine& engine : engines) {
+        slots += engine.slots;
+    }
+    const double mean_slots = slots / static_cast<double>(engines.size());
+    const double needed = std::ceil(demand.running / std::max(1.0, mean_slots * options.generator_fill));
+    const auto wanted = std::max(static_cast<std::size_t>(needed) + options.spare_generators,
+                                 static_cast<std::size_t>(options.least_generators));
+    // Someone has to read prompts, too.
+    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(1, engines.size() / 2));
+}
+
+/// Returns the engines in the order in which they should generate: regular before cheap ones, in turn over the zones,
+/// and those that generate now before others.
+std::vector<const staged_engine*> rank_generators(std::span<const staged_engine> engines) {
+    std::map<zone_name, std::vector<const staged_engine*>> by_zone;
+    for (const staged_engine& engine : engines) {
+        by_zone[engine.zone].push_back(&engine);
+    }
+    struct ranked {
+        const staged_engine* engine;
+        std::size_t turn;
+    };
+    std::vector<ranked> order;
+    for (auto& [zone, members] : by_zone) {
+        std::stable_sort(members.begin(), members.end(), [](const staged_engine* left, const staged_engine* right) {
+            const auto rank = [](const staged_engine* engine) {
+                return std::pair(engine->is_cheap, engine->stage != engine_stage::decode);
+            };
+            return rank(left) < rank(right);
+        });
+        for (std::size_t turn = 0; turn < members.size(); ++turn) {
+            order.push_back({.engine = members[turn], .turn = turn});
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [](const ranked& left, const ranked& right) {
+        return std::pair(left.engine->is_cheap, left.turn) < std::pair(right.engine->is_cheap, right.turn);
+    });
+    std::vector<const staged_engine*> ranked_engines;
+    ranked_engines.reserve(order.size());
+    for (const ranked& item : order) {
+        ranked_engines.push_back(item.engine);
+    }
+    return ranked_engines;
+}
+
+} // namespace
+
+std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
+                                      const stage_plan_options& options) {
+    std::vector<stage_change> changes;
+    if (engines.size() < 2) {
+        return changes;
+    }
+    const std::vector<const staged_engine*> ranked = rank_generators(engines);
+    const std::size_t generators = count_generators(engines, demand, options);
+    const auto changing =
+        static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) {
+            return engine.is_changing;
+        }));
+    const auto most_changing = std::max<std::size_t>(
+        1, static_cast<std::size_t>(options.most_changing * static_cast<double>(engines.size())));
+    for (std::size_t index = 0; index < ranked.size(); ++index) {
+        const staged_engine& engine = *ranked[index];
+        const engine_stage wanted = index < generators ? engine_stage::decode : engine_stage::prefill;
+        if (engine.stage == wanted || engine.is_changing) {
+            continue;
+        }
+        if (changing + changes.size() >= most_changing) {
+            break;
+        }
+        changes.push_back({.engine = engine.name, .stage = wanted});
+    }
+    return changes;
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/stage_plan.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/identifiers.hpp"
+#include "fleet/server_record.hpp"
+
+namespace dragonflywell::policy {
+
+/// An engine as the plan of stages sees it.
+struct staged_engine {
+    backend_server_name name;
+    zone_name zone;
+    fleet::engine_stage stage{fleet::engine_stage::decode};
+    bool is_cheap{false};
+    std::uint32_t slots{1};
+    /// An order to it is on its way, or it is changing its stage.
+    bool is_changing{false};
+};
+
+/// What generations ask of the engines of a service.
+struct stage_demand {
+    /// Requests that generate at once, at the height of the last while.
+    double running{0};
+};
+
+struct stage_plan_options {
+    /// Part of its slots up to which an engine that generates is filled, so that pauses within streams stay short.
+    double generator_fill{0.3};
+    /// Engines that generate beyond what the demand needs, so that losing one costs no service.
+    std::uint32_t spare_generators{1};
+    std::uint32_t least_generators{3};
+    /// Part of a service's engines that may be changing their stage at once.
+    double most_changing{0.25};
+};
+
+/// A change of an engine's stage.
+struct stage_change {
+    backend_server_name engine;
+    fleet::engine_stage stage{fleet::engine_stage::decode};
+
+    friend bool operator==(const stage_change&, const stage_change&) = default;
+};
+
+/// Returns the changes to order now. An answer is late when its prompt waits, so every engine that is not needed to
+/// generate reads prompts. Regular engines generate, over all zones, because a run that is cut off may not be repeated;
+/// cheap ones read. Answers the load of long prompts with short answers. Thread safe.
+[[nodiscard]] std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
+                                                    const stage_plan_options& options);
+
+} // namespace dragonflywell::policy
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -99,6 +99,11 @@
     for (const digest_touch& touch : digest.touches) {
         touches.push_back(encode_touch(touch));
     }
+    object transitions;
+    for (const auto& [name, transition] : digest.transitions) {
+        transitions[name.value()] =
+            array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.left)};
+    }
     return boost::json::serialize(object{{"h", digest.host},
                                          {"i", digest.incarnation},
                                          {"n", digest.sequence},
@@ -106,7 +111,8 @@
                                          {"s", digest.is_stopping},
                                          {"e", std::move(engines)},
                                          {"p", std::move(instances)},
-                                         {"t", std::move(touches)}});
+                                         {"t", std::move(touches)},
+                                         {"c", std::move(transitions)}});
 }
 
 host_digest decode_host_digest(std::string_view text) {
@@ -119,7 +125,8 @@
                        .is_stopping = json::get_bool_or(source, "s", false),
                        .engines = {},
                        .instances = {},
-                       .touches = {}};
+                       .touches = {},
+                       .transitions = {}};
     for (const auto& item : json::get_object(source, "e")) {
         digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
     }
@@ -131,6 +138,14 @@
     for (const value& item : json::get_array(source, "t")) {
         digest.touches.push_back(decode_touch(to_list(item)));
     }
+    for (const auto& item : json::get_object(source, "c")) {
+        const array& transition = to_list(item.value());
+        digest.transitions.emplace(
+            backend_server_name(std::string_view(item.key())),
+            digest_transition{.stage = get_number(transition, 0) == 1 ? fleet::engine_stage::prefill
+                                                                      : fleet::engine_stage::decode,
+                              .left = std::chrono::microseconds(get_number(transition, 1))});
+    }
     return digest;
 }
 
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -8,6 +8,7 @@
 
 #include "core/clock.hpp"
 #include "core/identifiers.hpp"
+#include "fleet/server_record.hpp"
 #include "policy/prefix_cache.hpp"
 
 namespace dragonflywell::servers {
@@ -39,6 +40,15 @@
     friend bool operator==(const digest_touch&, const digest_touch&) = default;
 };
 
+/// An engine that the sender has ordered to another stage.
+struct digest_transition {
+    fleet::engine_stage stage{fleet::engine_stage::decode};
+    /// How much longer the engine is left alone unless the list says that it has changed.
+    duration left{};
+
+    friend bool operator==(const digest_transition&, const digest_transition&) = default;
+};
+
 /// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are news.
 struct host_digest {
     std::string host;
@@ -52,6 +62,7 @@
     /// Requests on instances of plain services.
     std::map<backend_server_name, std::uint32_t> instances;
     std::vector<digest_touch> touches;
+    std::map<backend_server_name, digest_transition> transitions;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -63,7 +63,34 @@
 
 bool serving_state::is_usable(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
-    return listed != nullptr && fleet::server_directory::is_usable(*listed) && health.is_usable(server, time.now());
+    return listed != nullptr && fleet::server_directory::is_usable(*listed) && health.is_usable(server, time.now()) &&
+           !is_changing(server);
+}
+
+void serving_state::set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until) {
+    m_changing[engine] = {.stage = stage, .until = until};
+    note_load_change();
+}
+
+void serving_state::set_other_changing(const std::string& host, stage_transitions transitions) {
+    m_other_changing[host] = std::move(transitions);
+}
+
+bool serving_state::is_changing(const backend_server_name& engine) const {
+    if (is_under_way(m_changing, engine)) {
+        return true;
+    }
+    return std::any_of(m_other_changing.begin(), m_other_changing.end(),
+                       [&](const auto& item) { return is_under_way(item.second, engine); });
+}
+
+bool serving_state::is_under_way(const stage_transitions& transitions, const backend_server_name& engine) const {
+    const auto found = transitions.find(engine);
+    if (found == transitions.end() || time.now() >= found->second.until) {
+        return false;
+    }
+    const fleet::listed_server* listed = directory.find(engine);
+    return listed != nullptr && listed->record.stage != found->second.stage;
 }
 
 policy::retry_budget& serving_state::get_retry_budget(const service_name& service) {
@@ -111,6 +138,7 @@
 
 void serving_state::drop_other(const std::string& host) {
     m_other_in_flight.erase(host);
+    m_other_changing.erase(host);
     for (auto& [service, engines] : m_engines) {
         engines.board.drop_other(host);
     }
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -57,6 +57,22 @@
     /// Returns whether work may be sent to a server now.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
+    /// Notes that an engine is changing to a stage; it is not used until the list says that it has, or until then.
+    void set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until);
+    void end_changing(const backend_server_name& engine) { m_changing.erase(engine); }
+    [[nodiscard]] bool is_changing(const backend_server_name& engine) const;
+
+    /// A change of stage that is under way.
+    struct stage_transition {
+        fleet::engine_stage stage{fleet::engine_stage::decode};
+        steady_time until{};
+    };
+    using stage_transitions = std::map<backend_server_name, stage_transition>;
+    /// Returns the changes that this host has ordered.
+    [[nodiscard]] const stage_transitions& get_own_changing() const noexcept { return m_changing; }
+    /// Replaces the changes that another host has ordered.
+    void set_other_changing(const std::string& host, stage_transitions transitions);
+
     /// Returns the budget for repeats of a service.
     [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
     /// Sets how many hosts share the budgets.
@@ -117,11 +133,14 @@
 
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
+    [[nodiscard]] bool is_under_way(const stage_transitions& transitions, const backend_server_name& engine) const;
 
     /// What the time of day is ahead of the clock that counts suspension. Taken once: a wall clock may be set later.
     duration m_true_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
     std::map<service_name, service_engines> m_engines;
+    stage_transitions m_changing;
+    std::map<std::string, stage_transitions> m_other_changing;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
     std::size_t m_hosts{1};
     instance_counts m_own_in_flight;
