--- /dev/null
+++ b/tests/core/test_log_ring.cpp
@@ -0,0 +1,42 @@
+#include <doctest/doctest.h>
+
+#include "core/log_event.hpp"
+#include "core/log_ring.hpp"
+
+using namespace dragonflywell;
+
+TEST_CASE("lines come out in the order in which they went in") {
+    log_ring ring(1000);
+    ring.push("a\n", false);
+    ring.push("b\n", true);
+    ring.push("c\n", false);
+    CHECK(ring.take(1000) == "a\nb\nc\n");
+    CHECK(ring.is_empty());
+}
+
+TEST_CASE("a full ring drops the oldest light lines first and counts what it drops") {
+    log_ring ring(6);
+    ring.push("l1", false);
+    ring.push("w1", true);
+    ring.push("l2", false);
+    ring.push("w2", true);
+    CHECK(ring.get_dropped() == 1);
+    ring.push("w3", true);
+    ring.push("w4", true);
+    CHECK(ring.get_dropped() == 3);
+    CHECK(ring.take(100) == "w2w3w4");
+}
+
+TEST_CASE("a ring that nobody reads stays within its bound") {
+    log_ring ring(1024);
+    for (int line = 0; line < 10'000; ++line) {
+        ring.push(std::string(100, 'x'), line % 2 == 0);
+    }
+    CHECK(ring.take(100'000).size() <= 1024);
+}
+
+TEST_CASE("an event is one JSON object whose text cannot break the line") {
+    log_event event("request_failed");
+    event.add("id", "a\"b\n").add("status", 503).add("ready", true).add("took_ms", std::chrono::microseconds(1500));
+    CHECK(event.get_text() == R"({"event":"request_failed","id":"a\"b\n","status":503,"ready":true,"took_ms":1.5})");
+}
--- /dev/null
+++ b/tests/policy/test_engine_placement.cpp
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include <array>
+
+#include "policy/engine_placement.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+engine_facts make_facts(fleet::engine_stage stage, const std::string& zone, bool is_cheap = false) {
+    return {.zone = zone_name(zone),
+            .stage = stage,
+            .slots = 10,
+            .memory_tokens = 100'000,
+            .is_cheap = is_cheap,
+            .started_at_ms = 1};
+}
+
+constexpr auto prefill = fleet::engine_stage::prefill;
+constexpr auto decode = fleet::engine_stage::decode;
+
+bool accept_any(const backend_server_name& /*engine*/) {
+    return true;
+}
+
+struct fixture {
+    virtual_clock time;
+    prefill_time read_time;
+    engine_board board;
+    std::array<cached_part, 1> parts{cached_part{.id = 5, .tokens = 3'000}};
+
+    std::optional<engine_choice> choose(const engine_filter& filter = accept_any) {
+        const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
+        return choose_engines(board, costs, {.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts},
+                              zone_name("a"), filter, time.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "a prompt goes to the engine that has its beginning, unless too much waits there") {
+    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                       {backend_server_name("p2"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    board.touch(backend_server_name("p2"), parts);
+    const auto cached = choose();
+    REQUIRE(cached);
+    CHECK(cached->reader->value() == "p2");
+    CHECK(cached->reading.tokens == 1'000);
+    CHECK(cached->reading.cached_tokens == 3'000);
+    board.start_prompt(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    const auto free = choose();
+    CHECK(free->reader->value() == "p1");
+    CHECK(free->reading.tokens == 4'000);
+}
+
+TEST_CASE_FIXTURE(fixture, "the emptiest engine generates, a near one when they are about as full") {
+    board.set_engines({{backend_server_name("p"), make_facts(prefill, "b")},
+                       {backend_server_name("d1"), make_facts(decode, "a")},
+                       {backend_server_name("d2"), make_facts(decode, "b")}});
+    CHECK(choose()->generator.value() == "d2");
+    board.start_run(backend_server_name("d2"), 100, {});
+    board.start_run(backend_server_name("d2"), 100, {});
+    CHECK(choose()->generator.value() == "d1");
+}
+
+TEST_CASE_FIXTURE(fixture, "memory counts as much as slots") {
+    board.set_engines({{backend_server_name("p"), make_facts(prefill, "c")},
+                       {backend_server_name("d1"), make_facts(decode, "a")},
+                       {backend_server_name("d2"), make_facts(decode, "a")}});
+    board.start_run(backend_server_name("d1"), 90'000, {});
+    board.start_run(backend_server_name("d2"), 1'000, {});
+    board.start_run(backend_server_name("d2"), 1'000, {});
+    CHECK(choose()->generator.value() == "d2");
+}
+
+TEST_CASE_FIXTURE(fixture, "a regular engine generates before one that may be reclaimed") {
+    board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
+                       {backend_server_name("cheap"), make_facts(decode, "a", true)},
+                       {backend_server_name("regular"), make_facts(decode, "a")}});
+    board.start_run(backend_server_name("regular"), 100, {});
+    CHECK(choose()->generator.value() == "regular");
+}
+
+TEST_CASE_FIXTURE(fixture, "without an engine for prompts the one that generates reads them itself") {
+    board.set_engines({{backend_server_name("d"), make_facts(decode, "a")}});
+    const auto choice = choose();
+    REQUIRE(choice);
+    CHECK_FALSE(choice->reader);
+    CHECK(choice->generator.value() == "d");
+}
+
+TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
+    board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    CHECK_FALSE(choose([](const backend_server_name& name) { return name.value() != "d"; }));
+}
--- /dev/null
+++ b/tests/policy/test_server_health.cpp
@@ -0,0 +1,52 @@
+#include <doctest/doctest.h>
+
+#include "policy/server_health.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const backend_server_name server("s");
+
+} // namespace
+
+TEST_CASE("a server that cannot be reached rests longer each time, and is tried again") {
+    virtual_clock time;
+    server_health health({.first_pause = 300ms, .longest_pause = 1s});
+    health.add_failure(server, server_failure::unreachable, time.now());
+    CHECK_FALSE(health.is_usable(server, time.now()));
+    time.advance(300ms);
+    CHECK(health.is_usable(server, time.now()));
+    health.add_failure(server, server_failure::unreachable, time.now());
+    time.advance(599ms);
+    CHECK_FALSE(health.is_usable(server, time.now()));
+    time.advance(1ms);
+    health.add_failure(server, server_failure::unreachable, time.now());
+    health.add_failure(server, server_failure::unreachable, time.now());
+    time.advance(1s);
+    CHECK(health.is_usable(server, time.now()));
+    health.add_success(server);
+    health.add_failure(server, server_failure::unreachable, time.now());
+    time.advance(300ms);
+    CHECK(health.is_usable(server, time.now()));
+}
+
+TEST_CASE("single broken connections and answers that tell of a failure do not stop a server's work") {
+    virtual_clock time;
+    server_health health({.failures_to_pause = 3});
+    health.add_failure(server, server_failure::broken, time.now());
+    health.add_failure(server, server_failure::broken, time.now());
+    CHECK(health.is_usable(server, time.now()));
+    for (int answer = 0; answer < 20; ++answer) {
+        health.add_failure(server, server_failure::answered_failure, time.now());
+    }
+    CHECK(health.is_usable(server, time.now()));
+    CHECK(health.get_failure_share(server) > 0.8);
+    health.add_failure(server, server_failure::broken, time.now());
+    CHECK_FALSE(health.is_usable(server, time.now()));
+    health.forget(server);
+    CHECK(health.is_usable(server, time.now()));
+    CHECK(health.get_failure_share(server) == 0);
+}
