--- /dev/null
+++ b/tests/coordination/test_store_lease.cpp
@@ -0,0 +1,197 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <random>
+
+#include "coordination/lease_world.hpp"
+#include "core/error.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::testing;
+using coordination::store_lease;
+using coordination::store_lease_record;
+using call_fate = lease_world::call_fate;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::array fates{call_fate::answered, call_fate::lost, call_fate::done_without_answer,
+                           call_fate::done_later};
+
+/// Lets candidate 0 hold the lease, and all others know it.
+lease_world make_held_world(lease_mutation mutation) {
+    lease_world world(mutation);
+    world.step(0, call_fate::answered);
+    world.step(0, call_fate::answered);
+    for (std::size_t candidate = 1; candidate < lease_world::candidates; ++candidate) {
+        world.step(candidate, call_fate::answered);
+    }
+    return world;
+}
+
+/// Tries every sequence of events up to a depth, for two candidates; returns the first fault.
+std::optional<std::string> explore(lease_world& world, int depth) {
+    if (std::optional<std::string> fault = world.find_fault()) {
+        return fault;
+    }
+    if (depth == 0) {
+        return std::nullopt;
+    }
+    const auto try_event = [&](const auto& event) {
+        lease_world next = world;
+        event(next);
+        return explore(next, depth - 1);
+    };
+    for (std::size_t candidate = 0; candidate < 2; ++candidate) {
+        for (const call_fate fate : fates) {
+            if (auto fault = try_event([&](lease_world& next) { next.step(candidate, fate); })) {
+                return fault;
+            }
+        }
+        if (auto fault = try_event(
+                [&](lease_world& next) { next.advance_with_sleeper(lease_world::length * 5 / 4, candidate); })) {
+            return fault;
+        }
+    }
+    if (auto fault = try_event([](lease_world& next) { next.advance(lease_world::length * 5 / 4); })) {
+        return fault;
+    }
+    return try_event([](lease_world& next) { next.deliver_late(); });
+}
+
+/// Lets a candidate's host sleep while the others go on.
+void sleep(lease_world& world, std::size_t sleeper, duration span) {
+    for (duration slept{}; slept < span; slept += 250ms) {
+        world.advance_with_sleeper(250ms, sleeper);
+        for (std::size_t candidate = 0; candidate < lease_world::candidates; ++candidate) {
+            if (candidate != sleeper) {
+                world.step(candidate, call_fate::answered);
+            }
+        }
+    }
+}
+
+/// Lets chance choose the events; returns the first fault.
+std::optional<std::string> wander(lease_mutation mutation, unsigned seed, int events) {
+    std::mt19937 random(seed);
+    const auto draw = [&](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); };
+    lease_world world(mutation);
+    for (int event = 0; event < events; ++event) {
+        const std::size_t candidate = draw(lease_world::candidates);
+        switch (draw(20)) {
+        case 0:
+            world.restart(candidate);
+            break;
+        case 1:
+            world.deliver_late();
+            break;
+        case 2:
+            sleep(world, candidate, 100ms * static_cast<int>(draw(100)));
+            break;
+        case 3:
+            world.resign(candidate);
+            world.step(candidate, fates.at(draw(fates.size())));
+            world.restart(candidate);
+            break;
+        case 4:
+        case 5:
+            world.advance(duration(draw(static_cast<std::size_t>((2s / 1ns)))));
+            break;
+        case 6:
+        case 7:
+            world.step(candidate, fates.at(draw(fates.size())));
+            break;
+        default:
+            world.advance(200ms);
+            world.step(candidate, call_fate::answered);
+            break;
+        }
+        if (std::optional<std::string> fault = world.find_fault()) {
+            return fault;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> wander_all(lease_mutation mutation, unsigned seeds) {
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        if (std::optional<std::string> fault = wander(mutation, seed, 150)) {
+            return "seed " + std::to_string(seed) + ": " + *fault;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("one candidate takes a free lease, keeps it, and another takes it once it has lapsed") {
+    lease_world world = make_held_world(lease_mutation::none);
+    CHECK(world.has_authority(0));
+    CHECK_FALSE(world.has_authority(1));
+    for (int round = 0; round < 20; ++round) {
+        world.advance(500ms);
+        world.step(0, call_fate::answered);
+        world.step(1, call_fate::answered);
+        CHECK(world.has_authority(0));
+        CHECK_FALSE(world.has_authority(1));
+    }
+    // Candidate 0 falls silent; within two lengths and the quiet time another one acts.
+    for (int round = 0; round < 20; ++round) {
+        world.advance(500ms);
+        world.step(1, call_fate::answered);
+        CHECK_FALSE(world.find_fault());
+    }
+    CHECK_FALSE(world.has_authority(0));
+    CHECK(world.has_authority(1));
+}
+
+TEST_CASE("a lease that was given up is taken without waiting for it to lapse") {
+    lease_world world = make_held_world(lease_mutation::none);
+    world.resign(0);
+    CHECK_FALSE(world.has_authority(0));
+    world.step(0, call_fate::answered);
+    duration waited{};
+    while (!world.has_authority(1) && waited < 10s) {
+        world.advance(250ms);
+        waited += 250ms;
+        world.step(1, call_fate::answered);
+    }
+    // It reads within half a length, and then waits for the quiet time only.
+    CHECK(waited <= lease_world::length / 2 + lease_world::quiet + 500ms);
+}
+
+TEST_CASE("a claim whose answer was lost is found when the topic is read") {
+    lease_world world(lease_mutation::none);
+    world.step(0, call_fate::answered);
+    world.step(0, call_fate::done_without_answer);
+    CHECK_FALSE(world.has_authority(0));
+    world.step(0, call_fate::answered);
+    CHECK(world.has_authority(0));
+}
+
+TEST_CASE("no order of calls, lost and late answers and sleep gives two candidates authority") {
+    lease_world world = make_held_world(lease_mutation::none);
+    const std::optional<std::string> fault = explore(world, 6);
+    CHECK_MESSAGE(!fault, fault.value_or(""));
+}
+
+TEST_CASE("long random histories keep the lease with one candidate at a time") {
+    const std::optional<std::string> fault = wander_all(lease_mutation::none, 3000);
+    CHECK_MESSAGE(!fault, fault.value_or(""));
+}
+
+TEST_CASE("the checks notice when a safeguard is taken out") {
+    CHECK(wander_all(lease_mutation::unconditional_append, 3000).has_value());
+    CHECK(wander_all(lease_mutation::impatient_challenger, 3000).has_value());
+    CHECK(wander_all(lease_mutation::clock_without_suspension, 3000).has_value());
+    CHECK(wander_all(lease_mutation::no_quiet_time, 3000).has_value());
+}
+
+TEST_CASE("records of the lease survive encoding, and others are rejected") {
+    const store_lease_record renewal{
+        .holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
+    CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
+    const store_lease_record claim{.holder = "h", .incarnation = 7, .renewed_fence = {}};
+    CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(claim)) == claim);
+    CHECK_THROWS_AS(static_cast<void>(coordination::decode_store_lease_record("{}")), malformed_message_error);
+}
