--- /dev/null
+++ b/tests/servers/test_exchange_faults.cpp
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include "servers/backend_exchange.hpp"
+#include "standin/raw_server.hpp"
+#include "support/event_loop.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+using dragonflywell::standin::raw_connection;
+using dragonflywell::standin::raw_server;
+using dragonflywell::testing::run_until_done;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A client's side of exchanges whose answers carry the id of their request.
+struct fixture {
+    asio::io_context loop{1};
+    host_clock time;
+    backend_connection_pool pool{time, {}};
+    ~fixture() { pool.clear(); }
+
+    /// Returns the answer's body, or the reason for which there is none.
+    std::string ask(const raw_server& server, const std::string& id, std::string body = "") {
+        std::string result;
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            const exchange_options options{.progress_deadline = 60s,
+                                           .accepts_unframed = true,
+                                           .is_own_answer = [&id](const http::response_header<>& head) {
+                                               return head["Id"] == id;
+                                           }};
+            backend_exchange exchange(pool, server.get_endpoint(), options);
+            http_request request(http::verb::post, "/", 11);
+            request.set("Id", id);
+            request.body() = std::move(body);
+            try {
+                co_await exchange.start(request);
+                result = co_await exchange.read_rest(1000);
+            } catch (const exchange_failed_error& failure) {
+                result = policy::get_retry_name(failure.get_reason());
+            }
+        });
+        return result;
+    }
+};
+
+std::string make_answer(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string get_id(const http_request& request) {
+    return std::string(request["Id"]);
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "a late answer to an earlier request is read over") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = make_answer("other", "not yours") + make_answer(get_id(request), "yours");
+        co_await connection.write(std::move(bytes));
+    });
+    CHECK(ask(server, "a") == "yours");
+}
+
+TEST_CASE_FIXTURE(fixture, "a connection that brought more than its answer carries no other request") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = make_answer(get_id(request), "yours") + make_answer(get_id(request), "again");
+        co_await connection.write(std::move(bytes));
+    });
+    CHECK(ask(server, "a") == "yours");
+    CHECK(ask(server, "b") == "yours");
+    CHECK(server.get_connections() == 2);
+}
+
+TEST_CASE_FIXTURE(fixture, "bytes that come while a connection is idle keep it from being used again") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        co_await connection.write(make_answer(get_id(request), "yours"));
+        if (get_id(request) == "a") {
+            co_await connection.write("HTTP/1.1 200 OK\r\n");
+        }
+    });
+    CHECK(ask(server, "a") == "yours");
+    loop.restart();
+    loop.poll();
+    CHECK(ask(server, "b") == "yours");
+    CHECK(server.get_connections() == 2);
+}
+
+TEST_CASE_FIXTURE(fixture, "a connection is used again after a whole answer, unless the server will close it") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = make_answer(get_id(request), "yours");
+        if (get_id(request) == "b") {
+            bytes.insert(bytes.find("\r\n") + 2, "Keep-Alive: timeout=0\r\n");
+        }
+        co_await connection.write(std::move(bytes));
+    });
+    CHECK(ask(server, "a") == "yours");
+    CHECK(ask(server, "b") == "yours");
+    CHECK(server.get_connections() == 1);
+    CHECK(ask(server, "c") == "yours");
+    CHECK(server.get_connections() == 2);
+}
+
+TEST_CASE_FIXTURE(fixture, "an answer without length ends with its connection, but not with a reset") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = "HTTP/1.1 200 OK\r\nId: " + get_id(request) + "\r\n\r\nall of it";
+        co_await connection.write(std::move(bytes));
+        connection.close();
+    });
+    CHECK(ask(server, "a") == "all of it");
+    server.set_behaviour([](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = "HTTP/1.1 200 OK\r\nId: " + get_id(request) + "\r\n\r\nhalf of";
+        co_await connection.write(std::move(bytes));
+        connection.reset();
+    });
+    CHECK(ask(server, "a") == "broken_answer");
+}
+
+TEST_CASE_FIXTURE(fixture, "an interim answer says nothing yet") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = "HTTP/1.1 100 Continue\r\n\r\n" + make_answer(get_id(request), "yours");
+        co_await connection.write(std::move(bytes));
+    });
+    CHECK(ask(server, "a") == "yours");
+}
+
+TEST_CASE_FIXTURE(fixture, "an answer that comes before the request was read is taken, and its connection given up") {
+    // The stand-in answers a large request when it has seen its head only.
+    asio::ip::tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    std::string result;
+    asio::co_spawn(
+        loop,
+        [&]() -> asio::awaitable<void> {
+            for (;;) {
+                asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+                std::string piece(100, '\0');
+                co_await socket.async_read_some(asio::buffer(piece), asio::use_awaitable);
+                // The rest of the request is never read, so that the client's write does not end.
+                connections.push_back(std::make_unique<raw_connection>(std::move(socket)));
+                co_await connections.back()->write(make_answer("a", "early"));
+            }
+        },
+        asio::detached);
+    const endpoint address{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+    for (int round = 0; round < 2; ++round) {
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            const exchange_options options{.progress_deadline = 60s};
+            backend_exchange exchange(pool, address, options);
+            http_request request(http::verb::post, "/", 11);
+            request.body() = std::string(32 * 1024 * 1024, 'x');
+            co_await exchange.start(request);
+            result = co_await exchange.read_rest(1000);
+        });
+        CHECK(result == "early");
+    }
+    CHECK(connections.size() == 2);
+}
--- /dev/null
+++ b/tests/standin/raw_server.cpp
@@ -0,0 +1,91 @@
+#include "standin/raw_server.hpp"
+
+#include <boost/asio/write.hpp>
+
+namespace dragonflywell::standin {
+
+using asio::ip::tcp;
+using servers::error_code;
+using servers::store_error;
+
+asio::awaitable<void> raw_connection::write(std::string bytes) {
+    error_code ignored;
+    co_await asio::async_write(m_socket, asio::buffer(bytes), store_error(ignored));
+}
+
+asio::awaitable<void> raw_connection::wait_for_end() {
+    std::string piece(1024, '\0');
+    error_code fault;
+    while (!fault) {
+        co_await m_socket.async_read_some(asio::buffer(piece), store_error(fault));
+    }
+}
+
+void raw_connection::reset() {
+    error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+void raw_connection::close() {
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+raw_server::raw_server(asio::io_context& loop, behaviour answer)
+    : m_acceptor(std::make_shared<tcp::acceptor>(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))),
+      m_state(std::make_shared<shared_state>()),
+      m_endpoint{.address = "127.0.0.1", .port = m_acceptor->local_endpoint().port()} {
+    m_state->answer = std::move(answer);
+    asio::co_spawn(loop, accept(m_acceptor, m_state), asio::detached);
+}
+
+raw_server::~raw_server() {
+    stop_listening();
+    for (const std::weak_ptr<raw_connection>& open : m_state->open) {
+        if (const std::shared_ptr<raw_connection> connection = open.lock()) {
+            connection->close();
+        }
+    }
+}
+
+void raw_server::stop_listening() {
+    error_code ignored;
+    m_acceptor->close(ignored);
+}
+
+endpoint raw_server::get_endpoint() const {
+    return m_endpoint;
+}
+
+asio::awaitable<void> raw_server::accept(std::shared_ptr<tcp::acceptor> acceptor, std::shared_ptr<shared_state> state) {
+    while (acceptor->is_open()) {
+        error_code fault;
+        tcp::socket socket = co_await acceptor->async_accept(store_error(fault));
+        if (fault) {
+            co_return;
+        }
+        ++state->connections;
+        auto connection = std::make_shared<raw_connection>(std::move(socket));
+        state->open.push_back(connection);
+        asio::co_spawn(acceptor->get_executor(), serve(std::move(connection), state), asio::detached);
+    }
+}
+
+asio::awaitable<void> raw_server::serve(std::shared_ptr<raw_connection> connection,
+                                        std::shared_ptr<shared_state> state) {
+    servers::beast::flat_buffer buffer;
+    while (connection->get_socket().is_open()) {
+        servers::http_request request;
+        error_code fault;
+        co_await http::async_read(connection->get_socket(), buffer, request, store_error(fault));
+        if (fault) {
+            co_return;
+        }
+        state->requests.push_back(request);
+        const behaviour answer = state->answer;
+        co_await answer(request, *connection);
+    }
+}
+
+} // namespace dragonflywell::standin
