--- /dev/null
+++ b/tests/platform/test_decoders.cpp
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+
+#include "core/error.hpp"
+#include "platform/configuration_decoder.hpp"
+#include "platform/server_record_decoder.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* configuration_text = R"({"version":7,"routes":[
+ {"name":"r1","host":"Host.Example","pathPrefix":"/a/","kind":"stream","timeoutMs":4000,"targetLatencyMs":500,
+  "priority":1,"service":"llm","attempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":200},
+ {"name":"r2","host":"host.example","pathPrefix":"/b/","kind":"unsafe","timeoutMs":800,"targetLatencyMs":150,
+  "priority":2,"split":[{"service":"app","weight":90},{"service":"app2","weight":10}],"attempts":1,"public":true},
+ {"name":"r3","host":"host.example","pathPrefix":"/c/","kind":"safe","service":"app","new field":{"x":1}}],
+ "services":[{"name":"llm","healthPath":"/health","maxConns":360,"protocol":"h1","tls":false,
+  "engine":{"slots":64,"kvCapacity":547862,"kvTokenBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,
+   "stride":6,"most":12,"kvHoldS":5.0,"switchS":3.0,"pinMs":4000.0,"holdMs":2000.0,"models":[{"name":"m"}]},
+  "scaling":{"min":1,"max":6,"bootDelayS":4.0,"spotPrice":0.22,"zonePrices":{"z1":1.0,"z2":0.8}}},
+  {"name":"app","healthPath":"/health","maxConns":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"name":"t2","apiKeys":[]}]})";
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into what it means") {
+    const fleet::serving_configuration decoded = decode_configuration(configuration_text);
+    CHECK(decoded.version == 7);
+    REQUIRE(decoded.routes.size() == 3);
+    CHECK(decoded.routes[0].host == "host.example");
+    CHECK(decoded.routes[0].repeats == fleet::repeat_rule::resumable_stream);
+    CHECK(decoded.routes[0].timeout == 4s);
+    CHECK(decoded.routes[0].target_gap == 200ms);
+    CHECK(decoded.routes[0].has_prompt_parts);
+    CHECK(decoded.routes[1].repeats == fleet::repeat_rule::at_most_once);
+    CHECK(decoded.routes[1].is_public);
+    REQUIRE(decoded.routes[1].shares.size() == 2);
+    CHECK(decoded.routes[1].shares[0].weight == 90);
+    CHECK(decoded.routes[2].repeats == fleet::repeat_rule::idempotent);
+    CHECK(decoded.routes[2].attempts == 1);
+    REQUIRE(decoded.services.size() == 2);
+    REQUIRE(decoded.services[0].engine);
+    CHECK(decoded.services[0].engine->tokens_per_event == 6);
+    CHECK(decoded.services[0].engine->stage_change_time == 3s);
+    REQUIRE(decoded.services[0].scaling);
+    CHECK(decoded.services[0].scaling->most == 6);
+    CHECK(decoded.services[0].scaling->cheap_price == doctest::Approx(0.22));
+    CHECK(decoded.services[0].scaling->zone_prices.at(zone_name("z2")) == doctest::Approx(0.8));
+    CHECK_FALSE(decoded.services[1].engine);
+    CHECK(decoded.limits.header_timeout == 3s);
+    REQUIRE(decoded.organisations.size() == 2);
+    CHECK(decoded.organisations[0].priority == 1);
+    CHECK(decoded.organisations[0].keys.size() == 2);
+    CHECK_FALSE(decoded.organisations[1].priority);
+}
+
+TEST_CASE("a kind of route that is not known counts as one that must not be repeated") {
+    const fleet::serving_configuration decoded = decode_configuration(
+        R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
+    CHECK(decoded.routes[0].repeats == fleet::repeat_rule::at_most_once);
+}
+
+TEST_CASE("what is no configuration is rejected with the field that is wrong") {
+    for (const char* text : {"", "[]", "{}", R"({"version":"7"})", R"({"version":1,"routes":[{}]})",
+                             R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"safe","split":[]}]})",
+                             R"({"version":1,"routes":3})", R"({"version":1,"tenants":[{"name":"t"}]})"}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(static_cast<void>(decode_configuration(text)), malformed_message_error);
+    }
+}
+
+TEST_CASE("an entry of a server is decoded into what it means") {
+    const fleet::server_record record = decode_server_record(
+        "i-1", R"({"service":"llm","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,"state":"draining",
+                   "coldRemainingMs":250,"stage":"prefill","models":[],"seq":4,"born":1774100506431,"spot":true,
+                   "leaves_ms":2500})");
+    CHECK(record.id.value() == "i-1");
+    CHECK(record.address == endpoint{.address = "10.0.0.9", .port = 8080});
+    CHECK(record.is_draining);
+    CHECK(record.is_cheap);
+    CHECK(record.stage == fleet::engine_stage::prefill);
+    CHECK(record.cold_left == 250ms);
+    CHECK(record.leaves_in == 2500ms);
+    CHECK(record.started_at_ms == 1774100506431);
+}
+
+TEST_CASE("an entry of another writer names no server to use") {
+    const std::string good = R"("service":"s","addr":"10.0.0.9:8080","zone":"z","slots":4)";
+    CHECK_FALSE(decode_server_record("i", "{" + good + R"(,"state":"ready"})").is_draining);
+    for (const std::string& text :
+         {std::string(), std::string("\xff\xfe"), std::string("[1]"), "{" + good + "}",
+          "{" + good + R"(,"state":"resting"})", "{" + good + R"(,"state":3})",
+          "{" + good + R"(,"state":"ready","spot":"yes"})", "{" + good + R"(,"state":"ready","leaves_ms":-1})",
+          std::string(R"({"service":"s","addr":"nowhere","zone":"z","slots":4,"state":"ready"})"),
+          std::string(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":"4","state":"ready"})")}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(static_cast<void>(decode_server_record("i", text)), malformed_message_error);
+    }
+    CHECK_THROWS_AS(static_cast<void>(decode_server_record("", "{" + good + R"(,"state":"ready"})")),
+                    malformed_message_error);
+}
--- /dev/null
+++ b/tests/platform/test_generations.cpp
@@ -0,0 +1,239 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "support/serving_fixture.hpp"
+
+using namespace dragonflywell;
+using dragonflywell::standin::raw_connection;
+using dragonflywell::standin::raw_server;
+using dragonflywell::testing::run_until;
+using dragonflywell::testing::run_until_done;
+using dragonflywell::testing::serving_fixture;
+namespace http = servers::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto prefill = fleet::engine_stage::prefill;
+constexpr auto decode = fleet::engine_stage::decode;
+
+std::string get(const servers::http_request& request, const std::string& name) {
+    return std::string(request[name]);
+}
+
+std::string make_events(int first, int last) {
+    std::string events;
+    for (int number = first; number <= last; ++number) {
+        events += serving_fixture::make_event(number);
+    }
+    return events;
+}
+
+/// Sends the events of a span and then resets the connection, in the middle of the next event if asked to.
+raw_server::behaviour break_after(int last, bool within_event = false) {
+    return [last, within_event](const servers::http_request& request,
+                                raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = serving_fixture::make_stream_head(request, "first seal");
+        bytes += serving_fixture::make_chunk(make_events(1, last));
+        if (within_event) {
+            bytes += serving_fixture::make_chunk("id: 99\nda");
+        }
+        co_await connection.write(std::move(bytes));
+        connection.close();
+    };
+}
+
+std::size_t count_runs(const raw_server& server) {
+    return static_cast<std::size_t>(
+        std::count_if(server.get_requests().begin(), server.get_requests().end(),
+                      [](const servers::http_request& request) { return request.method() == http::verb::post; }));
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(serving_fixture, "one engine reads the prompt and another generates, event by event") {
+    configure();
+    const raw_server& reader = add_server("p", prefill, read_prompts("h7"));
+    const raw_server& generator = add_server("d", decode, stream_events(1, 3));
+    const answer got = generate("/gen/x");
+    CHECK(got.status == 200);
+    CHECK_FALSE(got.is_cut);
+    CHECK(got.body == make_events(1, 3));
+    CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
+    CHECK(get(reader.get_requests().at(0), "Dragonflywell-Stage") == "prefill");
+    CHECK(get(reader.get_requests().at(0), "Dragonflywell-Prompt-Prefix") == "a1:60,b2:40");
+    const servers::http_request& run = generator.get_requests().at(0);
+    CHECK(get(run, "Dragonflywell-Kv-Source") == format_endpoint(reader.get_endpoint()) + "/h7");
+    CHECK(run.find("Dragonflywell-Stage") == run.end());
+    CHECK(run.body() == "prompt");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a caller cannot name the memory that its request goes on from") {
+    configure();
+    add_server("p", prefill, read_prompts("ours"));
+    const raw_server& generator = add_server("d", decode, stream_events(1, 1));
+    auto headers = get_headers();
+    headers.emplace_back("Dragonflywell-Kv-Source", "10.0.0.1:80/theirs");
+    headers.emplace_back("Dragonflywell-Stage", "prefill");
+    CHECK(generate("/gen/x", headers).status == 200);
+    CHECK(get(generator.get_requests().at(0), "Dragonflywell-Kv-Source").ends_with("/ours"));
+    CHECK(generator.get_requests().at(0).find("Dragonflywell-Stage") == generator.get_requests().at(0).end());
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a prompt is read elsewhere when an engine refuses it or breaks off") {
+    configure();
+    SUBCASE("refused") { add_server("p1", prefill, refuse()); }
+    SUBCASE("broken off") { add_server("p1", prefill, reset()); }
+    SUBCASE("not to be reached") { add_server("p1", prefill, reset()).stop_listening(); }
+    SUBCASE("answered with nonsense") { add_server("p1", prefill, answer_with(200, "nonsense")); }
+    const raw_server& second = add_server("p2", prefill, read_prompts());
+    const raw_server& generator = add_server("d", decode, stream_events(1, 2));
+    // The second engine looks busier, so that the first is asked first.
+    const std::vector<policy::prompt_job> prompts{
+        {.number = 1, .sent_at = time.now(), .cost = std::chrono::seconds(9)}};
+    state.find_engines(service_name("llm"))
+        ->board.set_other("other", {{backend_server_name("p2"), {.prompts = prompts}}}, time.now());
+    const answer got = generate("/gen/x");
+    CHECK(got.status == 200);
+    CHECK(got.body == make_events(1, 2));
+    CHECK(second.get_requests().size() == 1);
+    CHECK(count_runs(generator) == 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a generation that an engine refuses is begun anew on another, once") {
+    configure();
+    const raw_server& reader = add_server("p", prefill, read_prompts());
+    add_server("d1", decode, refuse());
+    const raw_server& second = add_server("d2", decode, stream_events(1, 2));
+    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("d2"), 5000, {});
+    const answer got = generate("/gen/x");
+    CHECK(got.status == 200);
+    CHECK(got.body == make_events(1, 2));
+    CHECK(count_runs(second) == 1);
+    // The memory that was not taken is given back.
+    run_until(loop, [&] {
+        return std::any_of(reader.get_requests().begin(), reader.get_requests().end(),
+                           [](const auto& request) { return request.method() == http::verb::delete_; });
+    });
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a stream that may not be repeated ends where it broke, and runs once") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    const raw_server& first = add_server("d1", decode, break_after(2));
+    const raw_server& second = add_server("d2", decode, break_after(2));
+    const answer got = generate("/gen/x");
+    CHECK(got.status == 200);
+    CHECK(got.is_cut);
+    CHECK(got.body == make_events(1, 2));
+    CHECK(count_runs(first) + count_runs(second) == 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a stream that may be resumed goes on at another engine, without a gap or a repetition") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    SUBCASE("broken after an event") { add_server("d1", decode, break_after(2)); }
+    SUBCASE("broken within an event") { add_server("d1", decode, break_after(2, true)); }
+    const raw_server& second = add_server("d2", decode, stream_events(3, 5));
+    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("d2"), 5000, {});
+    const answer got = generate("/resume/x");
+    CHECK(got.status == 200);
+    CHECK_FALSE(got.is_cut);
+    CHECK(got.body == make_events(1, 5));
+    CHECK(got.headers.at("Dragonflywell-Server-Seal") == "first seal");
+    CHECK(get(second.get_requests().at(0), "Last-Event-Id") == "2");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a caller's own place in a stream is passed on") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    const raw_server& generator = add_server("d", decode, stream_events(4, 5));
+    auto headers = get_headers();
+    headers.emplace_back("Last-Event-Id", "3");
+    CHECK(generate("/resume/x", headers).body == make_events(4, 5));
+    CHECK(get(generator.get_requests().at(0), "Last-Event-Id") == "3");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a stream that breaks on every engine is cut after its attempts") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    for (const char* name : {"d1", "d2", "d3"}) {
+        add_server(name, decode, break_after(2));
+    }
+    const answer got = generate("/resume/x");
+    CHECK(got.is_cut);
+    std::size_t runs = 0;
+    for (const char* name : {"d1", "d2", "d3"}) {
+        runs += count_runs(*added.at(name));
+    }
+    CHECK(runs == 2);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a refusal says that nothing ran only when that is so") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    SUBCASE("no engine generates") { CHECK(generate("/gen/x").status == 503); }
+    SUBCASE("all engines refuse") {
+        add_server("d", decode, refuse());
+        CHECK(generate("/gen/x").status == 503);
+    }
+    SUBCASE("the engine may have run it") {
+        add_server("d", decode, reset());
+        CHECK(generate("/gen/x").status == 502);
+    }
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "an engine's own failure is passed on as it is") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    add_server("d", decode, answer_with(500, "out of memory"));
+    const answer got = generate("/gen/x");
+    CHECK(got.status == 500);
+    CHECK(got.body == "out of memory");
+    CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "without an engine for prompts the one that generates gets the whole request") {
+    configure();
+    const raw_server& generator = add_server("d", decode, stream_events(1, 2));
+    CHECK(generate("/gen/x").body == make_events(1, 2));
+    CHECK(generator.get_requests().at(0).find("Dragonflywell-Kv-Source") == generator.get_requests().at(0).end());
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a caller that leaves ends the work on its stream") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    bool has_ended = false;
+    add_server("d", decode, [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = make_stream_head(request) + make_chunk(make_event(1));
+        co_await connection.write(std::move(bytes));
+        co_await connection.wait_for_end();
+        has_ended = true;
+        connection.close();
+    });
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await connect();
+        const std::string bytes =
+            "POST /gen/x HTTP/1.1\r\nHost: host.example\r\nDragonflywell-Attempt-Id: a1\r\nApi-Key: secret\r\n"
+            "Dragonflywell-Model: m\r\nDragonflywell-Token-Count: 100,10\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        std::string piece(4096, '\0');
+        co_await socket.async_read_some(asio::buffer(piece), asio::use_awaitable);
+    });
+    run_until(loop, [&] { return has_ended; });
+    CHECK(has_ended);
+    CHECK(state.find_engines(service_name("llm"))->board.get_running(backend_server_name("d")) <= 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "work on engines is off the board when it is over, however it ends") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    SUBCASE("well") { add_server("d", decode, stream_events(1, 2)); }
+    SUBCASE("broken") { add_server("d", decode, break_after(1)); }
+    SUBCASE("refused") { add_server("d", decode, refuse()); }
+    generate("/gen/x");
+    const policy::engine_board& board = state.find_engines(service_name("llm"))->board;
+    CHECK(board.get_running(backend_server_name("d")) == 0);
+    CHECK(board.get_backlog(backend_server_name("p"), time.now()) == duration::zero());
+}
--- /dev/null
+++ b/tests/platform/test_plain_requests.cpp
@@ -0,0 +1,276 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "support/serving_fixture.hpp"
+
+using namespace dragonflywell;
+using dragonflywell::standin::raw_connection;
+using dragonflywell::standin::raw_server;
+using dragonflywell::testing::run_until;
+using dragonflywell::testing::run_until_done;
+using dragonflywell::testing::serving_fixture;
+namespace http = servers::http;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string get(const servers::http_request& request, const std::string& name) {
+    return std::string(request[name]);
+}
+
+bool has(const servers::http_request& request, const std::string& name) {
+    return request.find(name) != request.end();
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(serving_fixture, "before a configuration is known a request is refused as not run") {
+    const answer got = ask(http::verb::get, "/safe/x");
+    CHECK(got.status == 503);
+    CHECK(got.headers.contains("Retry-After"));
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "route and key decide whether a request is forwarded") {
+    configure();
+    const raw_server& server = add_server("s1", {}, answer_with(200, "hello"));
+    CHECK(ask(http::verb::get, "/unknown/x").status == 404);
+    auto headers = get_headers();
+    headers.back().second = "wrong";
+    CHECK(ask(http::verb::get, "/safe/x", "", headers).status == 401);
+    headers.pop_back();
+    CHECK(ask(http::verb::get, "/safe/x", "", headers).status == 401);
+    CHECK(server.get_requests().empty());
+    CHECK(ask(http::verb::get, "/open/x", "", headers).status == 200);
+    const answer got = ask(http::verb::get, "/safe/x?q=1");
+    CHECK(got.status == 200);
+    CHECK(got.body == "hello");
+    CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
+    CHECK(server.get_requests().back().target() == "/safe/x?q=1");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a server gets what the caller sent, but for key, connection and what is ours to set") {
+    configure();
+    const raw_server& server = add_server("s1", {}, answer_with(200, ""));
+    auto headers = get_headers();
+    headers.emplace_back("Dragonflywell-Tenant", "someone else");
+    headers.emplace_back("Dragonflywell-Kv-Hold", "x");
+    headers.emplace_back("Dragonflywell-Request-Urgency", "0");
+    headers.emplace_back("X-Private", "1");
+    headers.emplace_back("X-Kept", "2");
+    headers.emplace_back("Connection", "X-Private, Dragonflywell-Attempt-Id");
+    CHECK(ask(http::verb::post, "/unsafe/x", "the body", headers).status == 200);
+    const servers::http_request& request = server.get_requests().at(0);
+    CHECK(request.method() == http::verb::post);
+    CHECK(request.body() == "the body");
+    CHECK(get(request, "Host") == "host.example");
+    CHECK(get(request, "Dragonflywell-Attempt-Id") == "a1");
+    CHECK(get(request, "Dragonflywell-Tenant") == "org");
+    CHECK(get(request, "Dragonflywell-Expect-Instance") == "s1");
+    CHECK(get(request, "X-Kept") == "2");
+    CHECK_FALSE(has(request, "Api-Key"));
+    CHECK_FALSE(has(request, "X-Private"));
+    CHECK_FALSE(has(request, "Dragonflywell-Kv-Hold"));
+    CHECK_FALSE(has(request, "Dragonflywell-Request-Urgency"));
+    const int left = std::stoi(get(request, "Dragonflywell-Deadline-Ms"));
+    CHECK(left > 0);
+    CHECK(left <= 60000);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a body in chunks arrives whole") {
+    configure();
+    const raw_server& server = add_server("s1", {}, answer_with(200, "ok"));
+    answer got;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await connect();
+        const std::string bytes = "POST /unsafe/x HTTP/1.1\r\nHost: host.example\r\nDragonflywell-Attempt-Id: a1\r\n"
+                                  "Api-Key: secret\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        got = co_await read_answer(socket);
+    });
+    CHECK(got.status == 200);
+    CHECK(server.get_requests().at(0).body() == "abcdefg");
+    CHECK(get(server.get_requests().at(0), "Content-Length") == "7");
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a request with two lengths is refused and nothing of it is forwarded") {
+    configure();
+    const raw_server& server = add_server("s1", {}, answer_with(200, "ok"));
+    answer got;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await connect();
+        const std::string bytes = "POST /unsafe/x HTTP/1.1\r\nHost: host.example\r\nApi-Key: secret\r\n"
+                                  "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                                  "GET /safe/smuggled HTTP/1.1\r\nHost: host.example\r\nApi-Key: secret\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        got = co_await read_answer(socket);
+    });
+    CHECK(got.status == 400);
+    CHECK(server.get_requests().empty());
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a request that must not be repeated runs once when its answer is lost") {
+    configure();
+    const raw_server& first = add_server("s1", {}, reset());
+    const raw_server& second = add_server("s2", {}, reset());
+    const answer got = ask(http::verb::post, "/unsafe/x", "{}");
+    CHECK(got.status == 502);
+    CHECK(first.get_requests().size() + second.get_requests().size() == 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a request that must not be repeated goes on to another server if the first ran nothing") {
+    configure();
+    SUBCASE("it refused") { add_server("s1", {}, refuse()); }
+    SUBCASE("it is another server") {
+        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+            std::string bytes = "HTTP/1.1 421 X\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                                "\r\nContent-Length: 0\r\n\r\n";
+            co_await connection.write(std::move(bytes));
+        });
+    }
+    SUBCASE("it takes no connection") { add_server("s1", {}, reset()).stop_listening(); }
+    // The second server looks fuller, so that the first is tried first.
+    const raw_server& second = add_server("s2", {}, answer_with(200, "done"));
+    state.set_other_in_flight("other", {{backend_server_name("s2"), 3}});
+    const answer got = ask(http::verb::post, "/unsafe/x", "{}");
+    CHECK(got.status == 200);
+    CHECK(got.body == "done");
+    CHECK(second.get_requests().size() == 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "an idempotent request is tried on another server, within its attempts") {
+    configure();
+    add_server("s1", {}, answer_with(500, "bad"));
+    const raw_server& second = add_server("s2", {}, answer_with(200, "good"));
+    state.set_other_in_flight("other", {{backend_server_name("s2"), 3}});
+    CHECK(ask(http::verb::get, "/safe/x").body == "good");
+    CHECK(second.get_requests().size() == 1);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "when all attempts fail the caller gets a server's own answer, as it was") {
+    configure();
+    add_server("s1", {}, answer_with(500, "bad"));
+    add_server("s2", {}, answer_with(500, "bad"));
+    add_server("s3", {}, answer_with(500, "bad"));
+    const answer got = ask(http::verb::get, "/safe/x");
+    CHECK(got.status == 500);
+    CHECK(got.body == "bad");
+    CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
+    std::size_t runs = 0;
+    for (const auto& [name, server] : added) {
+        runs += server->get_requests().size();
+    }
+    CHECK(runs == 2);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "no answer of a server reaches a caller that did not ask for it") {
+    configure();
+    SUBCASE("it is cut short") {
+        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+            std::string bytes = make_answer(request, 200, "whole body");
+            bytes.resize(bytes.size() - 3);
+            co_await connection.write(std::move(bytes));
+            connection.close();
+        });
+    }
+    SUBCASE("it is no HTTP") {
+        add_server("s1", {}, [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+            co_await connection.write("garbage garbage\r\n\r\n");
+            connection.close();
+        });
+    }
+    SUBCASE("it has no seal") {
+        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+            std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                                "\r\nContent-Length: 2\r\n\r\nno";
+            co_await connection.write(std::move(bytes));
+        });
+    }
+    SUBCASE("it answers another request and ends") {
+        add_server("s1", {}, [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+            servers::http_request other;
+            other.set("Dragonflywell-Attempt-Id", "z9");
+            co_await connection.write(make_answer(other, 200, "theirs"));
+            connection.close();
+        });
+    }
+    const answer got = ask(http::verb::post, "/unsafe/x", "{}");
+    CHECK(got.status == 502);
+    CHECK_FALSE(got.headers.contains("Dragonflywell-Server-Seal"));
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "without a server that may be used a request is refused at once") {
+    configure();
+    const answer got = ask(http::verb::get, "/safe/x");
+    CHECK(got.status == 503);
+    CHECK(std::stod(got.headers.at("Retry-After")) > 0);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a request whose time runs out is answered, and the server's connection closed") {
+    configure();
+    bool has_ended = false;
+    add_server("s1", {}, [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+        co_await connection.wait_for_end();
+        has_ended = true;
+        connection.close();
+    });
+    auto headers = get_headers();
+    headers[2].second = "50";
+    CHECK(ask(http::verb::post, "/unsafe/x", "{}", headers).status == 504);
+    run_until(loop, [&] { return has_ended; });
+    CHECK(has_ended);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "when the caller leaves the server's connection is closed") {
+    configure();
+    bool has_begun = false;
+    bool has_ended = false;
+    add_server("s1", {}, [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+        has_begun = true;
+        co_await connection.wait_for_end();
+        has_ended = true;
+        connection.close();
+    });
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await connect();
+        const std::string bytes = "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nDragonflywell-Attempt-Id: a1\r\n"
+                                  "Api-Key: secret\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        while (!has_begun) {
+            co_await asio::post(loop, asio::use_awaitable);
+        }
+    });
+    run_until(loop, [&] { return has_ended; });
+    CHECK(has_ended);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "the answer to HEAD has a length and no body, and its connection goes on") {
+    configure();
+    add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                            "\r\nDragonflywell-Server-Seal: seal\r\nContent-Length: 17\r\n\r\n";
+        co_await connection.write(std::move(bytes));
+    });
+    const answer got = ask(http::verb::head, "/safe/x");
+    CHECK(got.status == 200);
+    CHECK(got.headers.at("Content-Length") == "17");
+    CHECK_FALSE(got.is_cut);
+    CHECK(ask(http::verb::head, "/safe/x").status == 200);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "what began to run is counted once for its organisation, what was refused is not") {
+    configure();
+    add_server("s1", {}, answer_with(200, "ok"));
+    ask(http::verb::get, "/safe/x");
+    ask(http::verb::get, "/open/x");
+    ask(http::verb::get, "/unknown/x");
+    std::uint64_t counted = 0;
+    for (const auto& [window, counts] : state.usage.get_windows()) {
+        for (const auto& [organisation, count] : counts) {
+            CHECK(organisation.value() == "org");
+            counted += count;
+        }
+    }
+    CHECK(counted == 1);
+}
--- /dev/null
+++ b/tests/platform/test_store_client.cpp
@@ -0,0 +1,146 @@
+#include <doctest/doctest.h>
+
+#include "core/error.hpp"
+#include "platform/store_client.hpp"
+#include "servers/http_server.hpp"
+#include "standin/raw_server.hpp"
+#include "standin/store_standin.hpp"
+#include "support/event_loop.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::platform;
+using dragonflywell::testing::run_until_done;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+struct fixture {
+    asio::io_context loop{1};
+    host_clock time;
+    servers::backend_connection_pool pool{time, {}};
+    metrics_registry metrics;
+    standin::store_standin store;
+    servers::http_server server{{&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}};
+
+    fixture() { server.start(); }
+    ~fixture() {
+        server.stop();
+        pool.clear();
+    }
+
+    store_client make_client(std::optional<endpoint> address = std::nullopt) {
+        return {pool, metrics, {.address = address.value_or(endpoint{.address = "127.0.0.1", .port = server.get_port()})}};
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "records come back as they were written, and a dropped key without a value") {
+    store_client client = make_client();
+    const std::string binary("\0\xff value", 8);
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const append_answer first = co_await client.append("keyed.t", "a", binary);
+        CHECK(first.offset == 0);
+        CHECK(first.end == 1);
+        co_await client.append("keyed.t", "b", "2");
+        store.put("keyed.t", "a", "");
+        const store_page page = co_await client.read("keyed.t", 1, duration::zero());
+        REQUIRE(page.records.size() == 2);
+        CHECK(page.records[0].key == "b");
+        CHECK(page.records[0].value == "2");
+        CHECK(page.records[1].offset == 2);
+        CHECK_FALSE(page.records[1].value);
+        CHECK(page.end == 3);
+    });
+}
+
+TEST_CASE_FIXTURE(fixture, "the newest record of each key is listed over several pages") {
+    for (int key = 0; key < 8; ++key) {
+        store.put("keyed.t", std::to_string(key), "old");
+        store.put("keyed.t", std::to_string(key), "new" + std::to_string(key));
+    }
+    store_client client = make_client();
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const store_page page = co_await client.read_newest("keyed.t");
+        REQUIRE(page.records.size() == 8);
+        CHECK(page.records[7].value == "new7");
+        CHECK(page.end == 16);
+    });
+}
+
+TEST_CASE_FIXTURE(fixture, "an append under a condition tells apart success and conflict") {
+    store_client client = make_client();
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const append_answer won = co_await client.append("keyed.t", "k", "1", 0);
+        CHECK(won.offset == 0);
+        const append_answer lost = co_await client.append("keyed.t", "k", "2", 0);
+        CHECK_FALSE(lost.offset);
+        CHECK(lost.end == 1);
+    });
+    CHECK(store.get("keyed.t", "k") == "1");
+}
+
+TEST_CASE_FIXTURE(fixture, "a read of records that are not kept any more says so") {
+    store.put("keyed.t", "k", "1");
+    store.drop_history("keyed.t");
+    store_client client = make_client();
+    bool is_dropped = false;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        try {
+            co_await client.read("keyed.t", 0, duration::zero());
+        } catch (const store_history_dropped_error& dropped) {
+            is_dropped = dropped.get_first_offset() == 1;
+        }
+    });
+    CHECK(is_dropped);
+}
+
+TEST_CASE_FIXTURE(fixture, "a call without a usable answer fails, and says whether the store did nothing") {
+    std::string answer;
+    standin::raw_server broken(loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
+        if (answer.empty()) {
+            connection.reset();
+        } else {
+            co_await connection.write(answer);
+        }
+    });
+    store_client client = make_client(broken.get_endpoint());
+    const auto append = [&]() {
+        std::optional<bool> is_refused;
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            try {
+                co_await client.append("keyed.t", "k", "v");
+            } catch (const store_unavailable_error& fault) {
+                is_refused = fault.is_refused();
+            }
+        });
+        return is_refused;
+    };
+    CHECK(append() == false);
+    answer = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(append() == true);
+    answer = "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(append() == true);
+    answer = "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(append() == false);
+    answer = "HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n{no";
+    CHECK(append() == false);
+    broken.stop_listening();
+    pool.clear();
+    CHECK(append() == true);
+}
+
+TEST_CASE("an answer that ends within a record is no page") {
+    const std::string head = std::string(7, '\0') + '\2' + std::string(8, '\0');
+    const std::string record = encode_keyed_record("k", "v");
+    CHECK(decode_read_answer(head + record, 0).records.size() == 1);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_answer(head + record.substr(0, 5), 0)), malformed_message_error);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_answer("short", 0)), malformed_message_error);
+    // A record of another writer without a key is passed over, and counted.
+    const std::string keyless("\0\0\0\1\0", 5);
+    const store_page page = decode_read_answer(head + keyless + record, 4);
+    REQUIRE(page.records.size() == 1);
+    CHECK(page.records[0].offset == 5);
+    CHECK(page.end == 6);
+}
--- /dev/null
+++ b/tests/servers/test_host_digest.cpp
@@ -0,0 +1,53 @@
+#include <doctest/doctest.h>
+
+#include "core/error.hpp"
+#include "servers/event_splitter.hpp"
+#include "servers/host_digest.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+using namespace std::chrono_literals;
+
+TEST_CASE("a digest survives its way through a datagram") {
+    const host_digest digest{
+        .host = "h",
+        .incarnation = 1774100506431000,
+        .sequence = 9,
+        .true_time = wall_time(1774100506431ms),
+        .is_stopping = true,
+        .engines = {{backend_server_name("e"),
+                     {.running = 2, .running_tokens = 30, .prompts = {{.number = 4, .age = 5ms, .cost = 6ms}}}}},
+        .instances = {{backend_server_name("s"), 3}},
+        .touches = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
+        .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = 7s}}}};
+    CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
+}
+
+TEST_CASE("what is no digest is rejected") {
+    for (const char* text : {"", "{}", "[]", R"({"h":"h","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{}})",
+                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{}})",
+                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{}})"}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(static_cast<void>(decode_host_digest(text)), malformed_message_error);
+    }
+}
+
+TEST_CASE("a stream is cut after whole events, byte for byte, wherever its pieces end") {
+    const std::string stream = "id: 1\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        CAPTURE(piece);
+        event_splitter splitter;
+        std::string passed;
+        for (std::size_t start = 0; start < stream.size(); start += piece) {
+            splitter.add_bytes(std::string_view(stream).substr(start, piece));
+            passed += splitter.take_events();
+        }
+        CHECK(passed == stream.substr(0, stream.find("id: 3")));
+        CHECK(splitter.get_last_id() == "2");
+        CHECK(splitter.has_partial_event());
+        splitter.drop_partial_event();
+        splitter.add_bytes("id: 3\ndata: d\n\n");
+        CHECK(splitter.take_events() == "id: 3\ndata: d\n\n");
+        CHECK(splitter.get_last_id() == "3");
+    }
+}
--- /dev/null
+++ b/tests/standin/store_standin.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "servers/http_handler.hpp"
+
+namespace dragonflywell::standin {
+
+/// The platform's store as the system uses it: keyed topics with one partition each, in memory.
+///
+/// Thread safe, so that tests may write as the operator does while daemons run in other threads.
+class store_standin final : public servers::http_handler {
+public:
+    servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
+    void on_malformed(servers::http::status /*status*/) override {}
+
+    /// Appends a record as another writer does; an empty value drops the key.
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Forgets all records but the newest of each key.
+    void drop_history(const std::string& topic);
+
+    /// Returns the newest value of a key, or nothing.
+    [[nodiscard]] std::optional<std::string> get(const std::string& topic, const std::string& key);
+    /// Returns all values that were ever written under the keys of a topic, in order.
+    [[nodiscard]] std::vector<std::string> get_history(const std::string& topic);
+    [[nodiscard]] std::uint64_t get_calls() const noexcept;
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    struct topic {
+        std::vector<record> records;
+        /// Records before this one are not kept, but for the newest of each key.
+        std::uint64_t first{0};
+    };
+
+    [[nodiscard]] servers::http_response answer(const servers::http_request& request);
+    [[nodiscard]] servers::http_response append(topic& log, const std::string& body, std::optional<std::uint64_t> at);
+    [[nodiscard]] static servers::http_response read(const topic& log, std::uint64_t from);
+    [[nodiscard]] static servers::http_response list(const topic& log, const std::string& after);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, topic> m_topics;
+    std::uint64_t m_calls{0};
+};
+
+} // namespace dragonflywell::standin
