--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -136,8 +136,8 @@
 
 void store_lease::take(const placed_lease_record& placed) {
     const bool is_pending = m_pending && m_pending->record == placed.record;
-    const bool is_late_renewal = m_held && is_own(placed.record) && placed.record.renewed_fence == m_held->fence &&
-                                 !placed.record.is_release;
+    const bool is_late_renewal =
+        m_held && is_own(placed.record) && placed.record.renewed_fence == m_held->fence && !placed.record.is_release;
     if (is_pending) {
         hold(placed.offset, placed.record);
     } else if (!is_late_renewal) {
--- a/coordination/usage_book.cpp
+++ b/coordination/usage_book.cpp
@@ -59,8 +59,7 @@
 std::string encode_report_book(const report_book& book) {
     boost::json::array pending;
     for (const window_figures& figures : book.pending) {
-        pending.push_back(
-            boost::json::object{{"window", figures.window}, {"counts", encode_counts(figures.counts)}});
+        pending.push_back(boost::json::object{{"window", figures.window}, {"counts", encode_counts(figures.counts)}});
     }
     boost::json::object object{{"pending", pending}};
     if (book.last) {
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -111,8 +111,8 @@
     if (!(units >= 0 && units <= most_units)) {
         throw_wrong_type(key, "a time that is not negative");
     }
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(
-        units * static_cast<double>(unit.count())));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::nano>(units * static_cast<double>(unit.count())));
 }
 
 bool get_bool_or(const boost::json::object& object, std::string_view key, bool fallback) {
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -20,7 +20,9 @@
     log_event& add(std::string_view field, const char* value) { return add(field, std::string_view(value)); }
     log_event& add(std::string_view field, double value);
     log_event& add(std::string_view field, bool value);
-    log_event& add(std::string_view field, std::integral auto value) { return add_number(field, std::to_string(value)); }
+    log_event& add(std::string_view field, std::integral auto value) {
+        return add_number(field, std::to_string(value));
+    }
     /// Writes a duration in milliseconds; the name of the field should end with `_ms`.
     log_event& add(std::string_view field, duration value);
 
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -54,15 +54,14 @@
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
               get_serving_options(m_settings)),
       m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
-      m_servers(m_store, m_state,
-                std::chrono::duration_cast<duration>(m_settings.bounds.drain / list_reads_per_drain)),
+      m_servers(m_store, m_state, std::chrono::duration_cast<duration>(m_settings.bounds.drain / list_reads_per_drain)),
       m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
       m_lease(m_store, m_clock, get_lease_options(m_settings, m_incarnation)),
       m_usage_recorder(m_store, m_state, m_settings.name.value(), m_incarnation),
       m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_due),
-      m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()),
-      m_engine_orders(m_connections, m_metrics, {}),
-      m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value()), m_hosts(m_loop, m_store, m_state,
+      m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()), m_engine_orders(m_connections, m_metrics, {}),
+      m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value()),
+      m_hosts(m_loop, m_store, m_state,
               {.host = m_settings.name.value(), .incarnation = m_incarnation, .listen = m_settings.hosts}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
@@ -142,8 +141,9 @@
         co_await servers::pause(stop_check_interval);
     }
     co_await m_usage_recorder.record_last();
-    log_event("stopped").add("requests_cut_off", m_entry_server.get_active_requests()).write(*m_log,
-                                                                                          spdlog::level::info);
+    log_event("stopped")
+        .add("requests_cut_off", m_entry_server.get_active_requests())
+        .write(*m_log, spdlog::level::info);
     m_loop.stop();
 }
 
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -94,8 +94,7 @@
 }
 
 servers::asio::awaitable<void> host_exchange::announce() {
-    co_await m_store->append(topics::hosts, m_options.host,
-                             encode_host_entry(m_options.listen, m_options.incarnation));
+    co_await m_store->append(topics::hosts, m_options.host, encode_host_entry(m_options.listen, m_options.incarnation));
 }
 
 void host_exchange::take_hosts(const platform::store_page& page) {
@@ -167,8 +166,7 @@
     const steady_time now = m_state->time.now();
     std::map<backend_server_name, policy::engine_share> shares;
     for (const auto& [name, engine] : digest.engines) {
-        policy::engine_share share{
-            .prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
+        policy::engine_share share{.prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
         for (const servers::digest_prompt& prompt : engine.prompts) {
             share.prompts.push_back({.number = prompt.number, .sent_at = now - prompt.age, .cost = prompt.cost});
         }
@@ -183,8 +181,8 @@
     m_state->set_other_in_flight(digest.host, digest.instances);
     servers::serving_state::stage_transitions transitions;
     for (const auto& [name, transition] : digest.transitions) {
-        transitions.emplace(name, servers::serving_state::stage_transition{.stage = transition.stage,
-                                                                           .until = now + transition.left});
+        transitions.emplace(
+            name, servers::serving_state::stage_transition{.stage = transition.stage, .until = now + transition.left});
     }
     m_state->set_other_changing(digest.host, std::move(transitions));
 }
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -23,7 +23,8 @@
                 {.offset = record.offset, .record = coordination::decode_store_lease_record(*record.value)});
         } catch (const malformed_message_error&) {
             // What nobody can read names no holder; it still moves the end of the topic.
-            records.push_back({.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fence = {}}});
+            records.push_back(
+                {.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fence = {}}});
         }
     }
     return records;
@@ -110,9 +111,7 @@
         return;
     }
     m_was_held = is_held;
-    log_event(is_held ? "lease_taken" : "lease_lost")
-        .add("end", m_lease.get_end())
-        .write(*m_log, spdlog::level::info);
+    log_event(is_held ? "lease_taken" : "lease_lost").add("end", m_lease.get_end()).write(*m_log, spdlog::level::info);
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-stage_controller::stage_controller(platform::engine_orders& orders, lease_keeper& lease,
-                                   servers::serving_state& state, std::string host)
+stage_controller::stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
+                                   std::string host)
     : m_orders(&orders), m_lease(&lease), m_state(&state), m_host(std::move(host)), m_log(get_logger("stages")) {}
 
 servers::asio::awaitable<void> stage_controller::run() {
@@ -90,8 +90,7 @@
 
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
-    const std::vector<policy::stage_change> changes =
-        policy::plan_stages(engines, {.running = m_running[service]}, {});
+    const std::vector<policy::stage_change> changes = policy::plan_stages(engines, {.running = m_running[service]}, {});
     const service_name asked = service;
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(asked);
--- a/daemon/store_dependency.hpp
+++ b/daemon/store_dependency.hpp
@@ -20,8 +20,10 @@
         if (!m_lost_at) {
             return false;
         }
-        log_event("dependency_regained").add("what", m_what).add("lost_for_ms", now - *m_lost_at).write(
-            *m_log, spdlog::level::warn);
+        log_event("dependency_regained")
+            .add("what", m_what)
+            .add("lost_for_ms", now - *m_lost_at)
+            .write(*m_log, spdlog::level::warn);
         m_lost_at.reset();
         return true;
     }
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -111,11 +111,10 @@
     }
     next.last = newest;
     if (next.pending.size() > most_pending) {
-        next.pending.erase(next.pending.begin(),
-                           next.pending.end() - static_cast<std::ptrdiff_t>(most_pending));
+        next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(most_pending));
     }
-    const platform::append_answer answer = co_await m_store->append(
-        topics::reports, topics::only_key, coordination::encode_report_book(next), m_book_end);
+    const platform::append_answer answer =
+        co_await m_store->append(topics::reports, topics::only_key, coordination::encode_report_book(next), m_book_end);
     if (!answer.offset) {
         co_return false;
     }
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -62,8 +62,7 @@
             missing.push_back(id);
         }
     }
-    std::erase_if(missing,
-                  [&](const backend_server_name& id) { return remove(id, now) != directory_change::removed; });
+    std::erase_if(missing, [&](const backend_server_name& id) { return remove(id, now) != directory_change::removed; });
     return missing;
 }
 
--- a/policy/engine_board.cpp
+++ b/policy/engine_board.cpp
@@ -22,8 +22,7 @@
             engine.cache.clear();
         }
         engine.facts = facts;
-        engine.cache.set_capacity(
-            static_cast<std::uint64_t>(cache_share * static_cast<double>(facts.memory_tokens)));
+        engine.cache.set_capacity(static_cast<std::uint64_t>(cache_share * static_cast<double>(facts.memory_tokens)));
     }
 }
 
--- a/policy/engine_board.hpp
+++ b/policy/engine_board.hpp
@@ -69,8 +69,7 @@
     void end_run(const backend_server_name& engine, std::uint64_t tokens);
 
     /// Replaces what another host has said of its work.
-    void set_other(const std::string& host, const std::map<backend_server_name, engine_share>& shares,
-                   steady_time now);
+    void set_other(const std::string& host, const std::map<backend_server_name, engine_share>& shares, steady_time now);
     /// Forgets a host that fell silent.
     void drop_other(const std::string& host);
     /// Notes that another host has sent a prompt of these parts.
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -36,8 +36,7 @@
         if (engine.facts.stage != fleet::engine_stage::prefill || !is_usable(name)) {
             continue;
         }
-        const prefill_work reading =
-            get_reading(request.prompt_tokens, engine.cache.get_cached_tokens(request.parts));
+        const prefill_work reading = get_reading(request.prompt_tokens, engine.cache.get_cached_tokens(request.parts));
         const duration reading_time = costs.read_time->predict(reading);
         const duration done_after = board.get_backlog(name, now) + reading_time;
         if (!best || done_after < best->done_after) {
@@ -53,8 +52,8 @@
     if (facts.memory_tokens == 0) {
         return slots;
     }
-    const double memory = static_cast<double>(board.get_running_tokens(name) + needed_tokens) /
-                          static_cast<double>(facts.memory_tokens);
+    const double memory =
+        static_cast<double>(board.get_running_tokens(name) + needed_tokens) / static_cast<double>(facts.memory_tokens);
     return std::max(slots, memory);
 }
 
--- a/policy/least_squares.hpp
+++ b/policy/least_squares.hpp
@@ -14,7 +14,8 @@
 
     /// `initial`: the weights before anything was observed. `doubt`: how far each may be off.
     /// `memory`: share of an observation's influence that is left after the next one; below 1.
-    least_squares(const features& initial, const features& doubt, double memory) : m_weights(initial), m_memory(memory) {
+    least_squares(const features& initial, const features& doubt, double memory)
+        : m_weights(initial), m_memory(memory) {
         for (std::size_t index = 0; index < Size; ++index) {
             m_covariance[index][index] = doubt[index] * doubt[index];
         }
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -68,12 +68,10 @@
     }
     const std::vector<const staged_engine*> ranked = rank_generators(engines);
     const std::size_t generators = count_generators(engines, demand, options);
-    const auto changing =
-        static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) {
-            return engine.is_changing;
-        }));
-    const auto most_changing = std::max<std::size_t>(
-        1, static_cast<std::size_t>(options.most_changing * static_cast<double>(engines.size())));
+    const auto changing = static_cast<std::size_t>(
+        std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
+    const auto most_changing =
+        std::max<std::size_t>(1, static_cast<std::size_t>(options.most_changing * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
         const staged_engine& engine = *ranked[index];
         const engine_stage wanted = index < generators ? engine_stage::decode : engine_stage::prefill;
--- a/policy/usage_counter.hpp
+++ b/policy/usage_counter.hpp
@@ -17,9 +17,7 @@
     /// Precondition: `window_length` is positive.
     explicit usage_counter(duration window_length) : m_window_length(window_length) {}
 
-    void add(const organisation_name& organisation, wall_time moment) {
-        ++m_windows[get_window(moment)][organisation];
-    }
+    void add(const organisation_name& organisation, wall_time moment) { ++m_windows[get_window(moment)][organisation]; }
 
     /// Returns the number of the window that holds the moment.
     [[nodiscard]] std::int64_t get_window(wall_time moment) const noexcept {
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -1,8 +1,8 @@
 #include "servers/backend_connection_pool.hpp"
 
-#include <boost/asio/ip/address.hpp>
 #include <algorithm>
 #include <array>
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -94,7 +94,8 @@
     response.set("x-dragonflywell-outcome", outcome);
     if (form.status == static_cast<unsigned>(http::status::service_unavailable) ||
         form.status == static_cast<unsigned>(http::status::too_many_requests)) {
-        response.set(http::field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(refusal.get_retry_after()).count()));
+        response.set(http::field::retry_after,
+                     std::to_string(std::chrono::ceil<std::chrono::seconds>(refusal.get_retry_after()).count()));
     }
     response.body() = boost::json::serialize(
         boost::json::object{{"error", {{"code", form.code}, {"outcome", outcome}, {"message", refusal.what()}}}});
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -170,8 +170,8 @@
     get_state().note_load_change();
     const prompt_on_board on_board(get_state(), get_request().service, engine, m_number);
     exchange_options options = make_exchange_options();
-    options.progress_deadline = std::min(
-        options.progress_deadline, (waits + choice.reading_time) * read_patience_factor + read_patience);
+    options.progress_deadline =
+        std::min(options.progress_deadline, (waits + choice.reading_time) * read_patience_factor + read_patience);
     backend_exchange exchange(get_state().connections, sending.address, options);
     std::optional<exchange_failed_error> failure;
     std::optional<memory_source> memory;
@@ -228,9 +228,9 @@
     require_repeat(policy::retry_reason::backend_server_busy);
 }
 
-asio::awaitable<generation_request::generate_result>
-generation_request::generate(const backend_server_name& engine, std::optional<memory_source> memory,
-                             caller_channel& caller) {
+asio::awaitable<generation_request::generate_result> generation_request::generate(const backend_server_name& engine,
+                                                                                  std::optional<memory_source> memory,
+                                                                                  caller_channel& caller) {
     dispatch sending = make_dispatch(engine);
     sending.memory = memory;
     if (!m_events.get_last_id().empty()) {
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -30,8 +30,8 @@
     /// Has the prompt read; returns nothing when another engine is to be tried.
     asio::awaitable<std::optional<memory_source>> read_prompt(const policy::engine_choice& choice,
                                                               caller_channel& caller);
-    asio::awaitable<generate_result> generate(const backend_server_name& engine,
-                                              std::optional<memory_source> memory, caller_channel& caller);
+    asio::awaitable<generate_result> generate(const backend_server_name& engine, std::optional<memory_source> memory,
+                                              caller_channel& caller);
     asio::awaitable<void> relay(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> relay_plain(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> relay_stream(backend_exchange& exchange, caller_channel& caller);
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -140,11 +140,11 @@
     }
     for (const auto& item : json::get_object(source, "c")) {
         const array& transition = to_list(item.value());
-        digest.transitions.emplace(
-            backend_server_name(std::string_view(item.key())),
-            digest_transition{.stage = get_number(transition, 0) == 1 ? fleet::engine_stage::prefill
-                                                                      : fleet::engine_stage::decode,
-                              .left = std::chrono::microseconds(get_number(transition, 1))});
+        digest.transitions.emplace(backend_server_name(std::string_view(item.key())),
+                                   digest_transition{.stage = get_number(transition, 0) == 1
+                                                                  ? fleet::engine_stage::prefill
+                                                                  : fleet::engine_stage::decode,
+                                                     .left = std::chrono::microseconds(get_number(transition, 1))});
     }
     return digest;
 }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -49,7 +49,8 @@
     friend bool operator==(const digest_transition&, const digest_transition&) = default;
 };
 
-/// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are news.
+/// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are
+/// news.
 struct host_digest {
     std::string host;
     std::uint64_t incarnation{};
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -44,8 +44,8 @@
     /// Binds and starts to accept. Throws `boost::system::system_error` when the address cannot be bound.
     void start();
 
-    /// Puts other limits in force, for what is read from now on. Called on the event loop of the only context, or before
-    /// `start`.
+    /// Puts other limits in force, for what is read from now on. Called on the event loop of the only context, or
+    /// before `start`.
     void set_limits(const caller_limits& limits);
 
     /// Tells callers from now on with each answer that their connection takes no further request. Still accepts.
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -20,8 +20,10 @@
         throw;
     } catch (const std::exception& fault) {
         // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
-        log_event("internal_fault").add("id", record.id).add("what", fault.what()).write(*m_state->log,
-                                                                                       spdlog::level::err);
+        log_event("internal_fault")
+            .add("id", record.id)
+            .add("what", fault.what())
+            .write(*m_state->log, spdlog::level::err);
         refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal fault");
     }
     if (refusal) {
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -135,9 +135,9 @@
 
 void serving_request::note_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
     const bool is_unreachable = failure.get_phase() == exchange_phase::before_send;
-    m_state->health.add_failure(
-        server, is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
-        m_state->time.now());
+    m_state->health.add_failure(server,
+                                is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
+                                m_state->time.now());
 }
 
 void serving_request::note_run() {
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -16,8 +16,8 @@
 
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
                              const server_dialect& wire, metrics_registry& metrics, serving_options chosen)
-    : executor(std::move(loop)), time(clock), connections(pool), dialect(wire), options(std::move(chosen)), usage(options.usage_window),
-      counters(metrics), log(get_logger("request")),
+    : executor(std::move(loop)), time(clock), connections(pool), dialect(wire), options(std::move(chosen)),
+      usage(options.usage_window), counters(metrics), log(get_logger("request")),
       m_true_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
 wall_time serving_state::get_true_time() const {
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -6,8 +6,8 @@
 
 tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout,
                                        bool keep_alive, const std::atomic<bool>& is_closing, bool is_head_request)
-    : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout),
-      m_keep_alive(keep_alive), m_is_head_request(is_head_request) {}
+    : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout), m_keep_alive(keep_alive),
+      m_is_head_request(is_head_request) {}
 
 void tcp_caller_channel::start_answer() {
     m_is_started = true;
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -15,8 +15,7 @@
 
 namespace {
 
-constexpr std::array fates{call_fate::answered, call_fate::lost, call_fate::done_without_answer,
-                           call_fate::done_later};
+constexpr std::array fates{call_fate::answered, call_fate::lost, call_fate::done_without_answer, call_fate::done_later};
 
 /// Lets candidate 0 hold the lease, and all others know it.
 lease_world make_held_world(lease_mutation mutation) {
@@ -74,7 +73,9 @@
 /// Lets chance choose the events; returns the first fault.
 std::optional<std::string> wander(lease_mutation mutation, unsigned seed, int events) {
     std::mt19937 random(seed);
-    const auto draw = [&](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); };
+    const auto draw = [&](std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    };
     lease_world world(mutation);
     for (int event = 0; event < events; ++event) {
         const std::size_t candidate = draw(lease_world::candidates);
@@ -188,8 +189,7 @@
 }
 
 TEST_CASE("records of the lease survive encoding, and others are rejected") {
-    const store_lease_record renewal{
-        .holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
+    const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
     const store_lease_record claim{.holder = "h", .incarnation = 7, .renewed_fence = {}};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(claim)) == claim);
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -58,8 +58,8 @@
 }
 
 TEST_CASE("a kind of route that is not known counts as one that must not be repeated") {
-    const fleet::serving_configuration decoded = decode_configuration(
-        R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
+    const fleet::serving_configuration decoded =
+        decode_configuration(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
     CHECK(decoded.routes[0].repeats == fleet::repeat_rule::at_most_once);
 }
 
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -83,10 +83,18 @@
 
 TEST_CASE_FIXTURE(serving_fixture, "a prompt is read elsewhere when an engine refuses it or breaks off") {
     configure();
-    SUBCASE("refused") { add_server("p1", prefill, refuse()); }
-    SUBCASE("broken off") { add_server("p1", prefill, reset()); }
-    SUBCASE("not to be reached") { add_server("p1", prefill, reset()).stop_listening(); }
-    SUBCASE("answered with nonsense") { add_server("p1", prefill, answer_with(200, "nonsense")); }
+    SUBCASE("refused") {
+        add_server("p1", prefill, refuse());
+    }
+    SUBCASE("broken off") {
+        add_server("p1", prefill, reset());
+    }
+    SUBCASE("not to be reached") {
+        add_server("p1", prefill, reset()).stop_listening();
+    }
+    SUBCASE("answered with nonsense") {
+        add_server("p1", prefill, answer_with(200, "nonsense"));
+    }
     const raw_server& second = add_server("p2", prefill, read_prompts());
     const raw_server& generator = add_server("d", decode, stream_events(1, 2));
     // The second engine looks busier, so that the first is asked first.
@@ -130,11 +138,16 @@
     CHECK(count_runs(first) + count_runs(second) == 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a stream that may be resumed goes on at another engine, without a gap or a repetition") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a stream that may be resumed goes on at another engine, without a gap or a repetition") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("broken after an event") { add_server("d1", decode, break_after(2)); }
-    SUBCASE("broken within an event") { add_server("d1", decode, break_after(2, true)); }
+    SUBCASE("broken after an event") {
+        add_server("d1", decode, break_after(2));
+    }
+    SUBCASE("broken within an event") {
+        add_server("d1", decode, break_after(2, true));
+    }
     const raw_server& second = add_server("d2", decode, stream_events(3, 5));
     state.find_engines(service_name("llm"))->board.start_run(backend_server_name("d2"), 5000, {});
     const answer got = generate("/resume/x");
@@ -173,7 +186,9 @@
 TEST_CASE_FIXTURE(serving_fixture, "a refusal says that nothing ran only when that is so") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("no engine generates") { CHECK(generate("/gen/x").status == 503); }
+    SUBCASE("no engine generates") {
+        CHECK(generate("/gen/x").status == 503);
+    }
     SUBCASE("all engines refuse") {
         add_server("d", decode, refuse());
         CHECK(generate("/gen/x").status == 503);
@@ -205,13 +220,14 @@
     configure();
     add_server("p", prefill, read_prompts());
     bool has_ended = false;
-    add_server("d", decode, [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
-        std::string bytes = make_stream_head(request) + make_chunk(make_event(1));
-        co_await connection.write(std::move(bytes));
-        co_await connection.wait_for_end();
-        has_ended = true;
-        connection.close();
-    });
+    add_server("d", decode,
+               [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                   std::string bytes = make_stream_head(request) + make_chunk(make_event(1));
+                   co_await connection.write(std::move(bytes));
+                   co_await connection.wait_for_end();
+                   has_ended = true;
+                   connection.close();
+               });
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         asio::ip::tcp::socket socket = co_await connect();
         const std::string bytes =
@@ -229,9 +245,15 @@
 TEST_CASE_FIXTURE(serving_fixture, "work on engines is off the board when it is over, however it ends") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("well") { add_server("d", decode, stream_events(1, 2)); }
-    SUBCASE("broken") { add_server("d", decode, break_after(1)); }
-    SUBCASE("refused") { add_server("d", decode, refuse()); }
+    SUBCASE("well") {
+        add_server("d", decode, stream_events(1, 2));
+    }
+    SUBCASE("broken") {
+        add_server("d", decode, break_after(1));
+    }
+    SUBCASE("refused") {
+        add_server("d", decode, refuse());
+    }
     generate("/gen/x");
     const policy::engine_board& board = state.find_engines(service_name("llm"))->board;
     CHECK(board.get_running(backend_server_name("d")) == 0);
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -49,7 +49,8 @@
     CHECK(server.get_requests().back().target() == "/safe/x?q=1");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a server gets what the caller sent, but for key, connection and what is ours to set") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a server gets what the caller sent, but for key, connection and what is ours to set") {
     configure();
     const raw_server& server = add_server("s1", {}, answer_with(200, ""));
     auto headers = get_headers();
@@ -119,17 +120,23 @@
     CHECK(first.get_requests().size() + second.get_requests().size() == 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a request that must not be repeated goes on to another server if the first ran nothing") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a request that must not be repeated goes on to another server if the first ran nothing") {
     configure();
-    SUBCASE("it refused") { add_server("s1", {}, refuse()); }
+    SUBCASE("it refused") {
+        add_server("s1", {}, refuse());
+    }
     SUBCASE("it is another server") {
-        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
-            std::string bytes = "HTTP/1.1 421 X\r\nDragonflywell-Attempt-Id: " + get_id(request) +
-                                "\r\nContent-Length: 0\r\n\r\n";
-            co_await connection.write(std::move(bytes));
-        });
+        add_server("s1", {},
+                   [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                       std::string bytes = "HTTP/1.1 421 X\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                                           "\r\nContent-Length: 0\r\n\r\n";
+                       co_await connection.write(std::move(bytes));
+                   });
+    }
+    SUBCASE("it takes no connection") {
+        add_server("s1", {}, reset()).stop_listening();
     }
-    SUBCASE("it takes no connection") { add_server("s1", {}, reset()).stop_listening(); }
     // The second server looks fuller, so that the first is tried first.
     const raw_server& second = add_server("s2", {}, answer_with(200, "done"));
     state.set_other_in_flight("other", {{backend_server_name("s2"), 3}});
@@ -167,33 +174,37 @@
 TEST_CASE_FIXTURE(serving_fixture, "no answer of a server reaches a caller that did not ask for it") {
     configure();
     SUBCASE("it is cut short") {
-        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
-            std::string bytes = make_answer(request, 200, "whole body");
-            bytes.resize(bytes.size() - 3);
-            co_await connection.write(std::move(bytes));
-            connection.close();
-        });
+        add_server("s1", {},
+                   [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                       std::string bytes = make_answer(request, 200, "whole body");
+                       bytes.resize(bytes.size() - 3);
+                       co_await connection.write(std::move(bytes));
+                       connection.close();
+                   });
     }
     SUBCASE("it is no HTTP") {
-        add_server("s1", {}, [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
-            co_await connection.write("garbage garbage\r\n\r\n");
-            connection.close();
-        });
+        add_server("s1", {},
+                   [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                       co_await connection.write("garbage garbage\r\n\r\n");
+                       connection.close();
+                   });
     }
     SUBCASE("it has no seal") {
-        add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
-            std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
-                                "\r\nContent-Length: 2\r\n\r\nno";
-            co_await connection.write(std::move(bytes));
-        });
+        add_server("s1", {},
+                   [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                       std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                                           "\r\nContent-Length: 2\r\n\r\nno";
+                       co_await connection.write(std::move(bytes));
+                   });
     }
     SUBCASE("it answers another request and ends") {
-        add_server("s1", {}, [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
-            servers::http_request other;
-            other.set("Dragonflywell-Attempt-Id", "z9");
-            co_await connection.write(make_answer(other, 200, "theirs"));
-            connection.close();
-        });
+        add_server("s1", {},
+                   [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                       servers::http_request other;
+                       other.set("Dragonflywell-Attempt-Id", "z9");
+                       co_await connection.write(make_answer(other, 200, "theirs"));
+                       connection.close();
+                   });
     }
     const answer got = ask(http::verb::post, "/unsafe/x", "{}");
     CHECK(got.status == 502);
@@ -210,11 +221,12 @@
 TEST_CASE_FIXTURE(serving_fixture, "a request whose time runs out is answered, and the server's connection closed") {
     configure();
     bool has_ended = false;
-    add_server("s1", {}, [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
-        co_await connection.wait_for_end();
-        has_ended = true;
-        connection.close();
-    });
+    add_server("s1", {},
+               [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                   co_await connection.wait_for_end();
+                   has_ended = true;
+                   connection.close();
+               });
     auto headers = get_headers();
     headers[2].second = "50";
     CHECK(ask(http::verb::post, "/unsafe/x", "{}", headers).status == 504);
@@ -226,12 +238,13 @@
     configure();
     bool has_begun = false;
     bool has_ended = false;
-    add_server("s1", {}, [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
-        has_begun = true;
-        co_await connection.wait_for_end();
-        has_ended = true;
-        connection.close();
-    });
+    add_server("s1", {},
+               [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                   has_begun = true;
+                   co_await connection.wait_for_end();
+                   has_ended = true;
+                   connection.close();
+               });
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         asio::ip::tcp::socket socket = co_await connect();
         const std::string bytes = "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nDragonflywell-Attempt-Id: a1\r\n"
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -30,7 +30,8 @@
     }
 
     store_client make_client(std::optional<endpoint> address = std::nullopt) {
-        return {pool, metrics, {.address = address.value_or(endpoint{.address = "127.0.0.1", .port = server.get_port()})}};
+        return {
+            pool, metrics, {.address = address.value_or(endpoint{.address = "127.0.0.1", .port = server.get_port()})}};
     }
 };
 
@@ -98,13 +99,14 @@
 
 TEST_CASE_FIXTURE(fixture, "a call without a usable answer fails, and says whether the store did nothing") {
     std::string answer;
-    standin::raw_server broken(loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
-        if (answer.empty()) {
-            connection.reset();
-        } else {
-            co_await connection.write(answer);
-        }
-    });
+    standin::raw_server broken(
+        loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
+            if (answer.empty()) {
+                connection.reset();
+            } else {
+                co_await connection.write(answer);
+            }
+        });
     store_client client = make_client(broken.get_endpoint());
     const auto append = [&]() {
         std::optional<bool> is_refused;
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -94,7 +94,7 @@
 }
 
 TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
-    board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
+    board.set_engines(
+        {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
     CHECK_FALSE(choose([](const backend_server_name& name) { return name.value() != "d"; }));
 }
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -37,9 +37,8 @@
             return count;
         }
         for (const stage_change& change : changes) {
-            const auto engine = std::find_if(engines.begin(), engines.end(), [&](const staged_engine& item) {
-                return item.name == change.engine;
-            });
+            const auto engine = std::find_if(engines.begin(), engines.end(),
+                                             [&](const staged_engine& item) { return item.name == change.engine; });
             engine->stage = change.stage;
             ++count;
         }
@@ -96,8 +95,8 @@
 
 TEST_CASE("each zone is filled with cheap servers up to its limit") {
     const fleet::scaling_description scaling{.least = 1, .most = 6, .lead_time = {}, .cheap_price = 0.2};
-    const auto wishes = plan_servers(scaling, {{zone_name("a"), {.regular = 3, .cheap = 1}},
-                                               {zone_name("b"), {.regular = 7, .cheap = 0}}});
+    const auto wishes = plan_servers(
+        scaling, {{zone_name("a"), {.regular = 3, .cheap = 1}}, {zone_name("b"), {.regular = 7, .cheap = 0}}});
     CHECK(wishes.at(zone_name("a")) == zone_wish{.regular = 3, .cheap = 3});
     CHECK(wishes.at(zone_name("b")) == zone_wish{.regular = 6, .cheap = 0});
 }
--- a/tests/servers/test_exchange_faults.cpp
+++ b/tests/servers/test_exchange_faults.cpp
@@ -24,11 +24,10 @@
     std::string ask(const raw_server& server, const std::string& id, std::string body = "") {
         std::string result;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
-            const exchange_options options{.progress_deadline = 60s,
-                                           .accepts_unframed = true,
-                                           .is_own_answer = [&id](const http::response_header<>& head) {
-                                               return head["Id"] == id;
-                                           }};
+            const exchange_options options{
+                .progress_deadline = 60s,
+                .accepts_unframed = true,
+                .is_own_answer = [&id](const http::response_header<>& head) { return head["Id"] == id; }};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             http_request request(http::verb::post, "/", 11);
             request.set("Id", id);
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -34,8 +34,8 @@
 
 raw_server::raw_server(asio::io_context& loop, behaviour answer)
     : m_acceptor(std::make_shared<tcp::acceptor>(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))),
-      m_state(std::make_shared<shared_state>()),
-      m_endpoint{.address = "127.0.0.1", .port = m_acceptor->local_endpoint().port()} {
+      m_state(std::make_shared<shared_state>()), m_endpoint{.address = "127.0.0.1",
+                                                            .port = m_acceptor->local_endpoint().port()} {
     m_state->answer = std::move(answer);
     asio::co_spawn(loop, accept(m_acceptor, m_state), asio::detached);
 }
--- a/tests/standin/raw_server.hpp
+++ b/tests/standin/raw_server.hpp
@@ -71,8 +71,7 @@
 
     static asio::awaitable<void> accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor,
                                         std::shared_ptr<shared_state> state);
-    static asio::awaitable<void> serve(std::shared_ptr<raw_connection> connection,
-                                       std::shared_ptr<shared_state> state);
+    static asio::awaitable<void> serve(std::shared_ptr<raw_connection> connection, std::shared_ptr<shared_state> state);
 
     std::shared_ptr<asio::ip::tcp::acceptor> m_acceptor;
     std::shared_ptr<shared_state> m_state;
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -52,9 +52,9 @@
 
 std::string encode_base64(const std::string& bytes) {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                       reinterpret_cast<const unsigned char*>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
+    const int length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
@@ -108,8 +108,8 @@
     const std::string content = body.substr(length_bytes);
     const auto key_length = static_cast<std::size_t>(static_cast<unsigned char>(content.at(0)));
     log.records.push_back({.key = content.substr(1, key_length), .value = content.substr(1 + key_length)});
-    return make_json_response(
-        200, boost::json::serialize(boost::json::object{{"offset", end}, {"endOffset", end + 1}}));
+    return make_json_response(200,
+                              boost::json::serialize(boost::json::object{{"offset", end}, {"endOffset", end + 1}}));
 }
 
 servers::http_response store_standin::read(const topic& log, std::uint64_t from) {
@@ -141,8 +141,8 @@
             has_more = true;
             break;
         }
-        items.push_back(boost::json::object{
-            {"key", found.key}, {"value", encode_base64(found.value)}, {"offset", item->second}});
+        items.push_back(
+            boost::json::object{{"key", found.key}, {"value", encode_base64(found.value)}, {"offset", item->second}});
     }
     const boost::json::object page{{"items", items}, {"more", has_more}, {"endOffset", log.records.size()}};
     return make_json_response(200, boost::json::serialize(page));
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -36,9 +36,9 @@
                        make_route("/resume/", "llm", fleet::repeat_rule::resumable_stream, 2)};
         view.routes[2].is_public = true;
         view.version = 1;
-        view.services = {{.name = service_name("app")},
-                         {.name = service_name("llm"),
-                          .engine = fleet::engine_description{.slots = 8, .memory_tokens = 100'000}}};
+        view.services = {
+            {.name = service_name("app")},
+            {.name = service_name("llm"), .engine = fleet::engine_description{.slots = 8, .memory_tokens = 100'000}}};
         view.organisations = {{.name = organisation_name("org"), .priority = {}, .keys = {"secret"}}};
     }
     serving_fixture(const serving_fixture&) = delete;
@@ -145,7 +145,11 @@
     platform::engine_dialect engine_dialect;
     platform::ingress_dialect ingress_dialect;
     metrics_registry metrics;
-    servers::serving_state state{loop.get_executor(), time, pool, engine_dialect, metrics,
+    servers::serving_state state{loop.get_executor(),
+                                 time,
+                                 pool,
+                                 engine_dialect,
+                                 metrics,
                                  {.own_zone = zone_name("z"),
                                   .usage_window = std::chrono::seconds(5),
                                   .repeats_per_request = 0.2,
@@ -211,28 +215,26 @@
     }
 
     static standin::raw_server::behaviour refuse() {
-        return [](const servers::http_request& request,
-                  standin::raw_connection& connection) -> asio::awaitable<void> {
+        return [](const servers::http_request& request, standin::raw_connection& connection) -> asio::awaitable<void> {
             co_await connection.write(make_not_run(request));
         };
     }
 
     static standin::raw_server::behaviour reset() {
-        return [](const servers::http_request& /*request*/,
-                  standin::raw_connection& connection) -> asio::awaitable<void> {
-            connection.reset();
-            co_return;
-        };
+        return
+            [](const servers::http_request& /*request*/, standin::raw_connection& connection) -> asio::awaitable<void> {
+                connection.reset();
+                co_return;
+            };
     }
 
     /// Answers to a prompt that is only read, and notes the release of its memory.
     static standin::raw_server::behaviour read_prompts(const std::string& handle = "h1") {
         return [handle](const servers::http_request& request,
                         standin::raw_connection& connection) -> asio::awaitable<void> {
-            const std::string body =
-                request.method() == http::verb::delete_
-                    ? ""
-                    : fmt::format(R"({{"kvHandle":"{}","tokens":100,"version":1}})", handle);
+            const std::string body = request.method() == http::verb::delete_
+                                         ? ""
+                                         : fmt::format(R"({{"kvHandle":"{}","tokens":100,"version":1}})", handle);
             std::string bytes =
                 fmt::format("HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: {}\r\nContent-Length: {}\r\n\r\n{}",
                             get_id(request), body.size(), body);
