--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -1,5 +1,7 @@
 #include "daemon/fleet_controller.hpp"
 
+#include <algorithm>
+
 #include "core/log_event.hpp"
 #include "servers/pause.hpp"
 
@@ -8,6 +10,11 @@
 namespace {
 
 constexpr duration tick = std::chrono::milliseconds(500);
+/// What is left of the height of the running requests after a tick: half of it after some 20 seconds.
+constexpr double height_memory = 0.98;
+/// How long servers that are not needed any more are kept: a swing of the load mostly comes back sooner, and a server
+/// that is ordered anew has nothing in its memory.
+constexpr duration hold_time = std::chrono::seconds(30);
 /// How long an order that was not accepted, or was followed by too few servers, rests before it is sent again.
 constexpr duration repeat_after = std::chrono::seconds(3);
 
@@ -36,6 +43,7 @@
 servers::asio::awaitable<void> fleet_controller::run() {
     for (;;) {
         co_await servers::pause(tick);
+        observe_demand();
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (fence != m_fence) {
             m_fence = fence;
@@ -47,30 +55,65 @@
     }
 }
 
+void fleet_controller::observe_demand() {
+    const steady_time now = m_state->time.now();
+    for (const auto& [service, engines] : m_state->get_engines()) {
+        const auto height = m_reading.try_emplace(service, policy::demand_height::options{}).first;
+        height->second.observe(std::chrono::duration<double>(m_state->get_read_demand(service)).count(), now);
+        double running = 0;
+        for (const auto& [name, engine] : engines.board.get_engines()) {
+            running += engines.board.get_running(name);
+        }
+        double& running_height = m_running[service];
+        running_height = std::max(running, running_height * height_memory);
+    }
+}
+
+policy::fleet_demand fleet_controller::get_demand(const service_name& service) const {
+    policy::fleet_demand demand;
+    if (const auto reading = m_reading.find(service); reading != m_reading.end()) {
+        const std::optional<double> height = reading->second.get();
+        // Nothing was asked for yet: what will be is not known.
+        demand.readers = height && *height > 0 ? height : std::nullopt;
+    }
+    const fleet::service_description* description = m_state->get_view()->find_service(service);
+    const double slots = description->engine ? description->engine->slots : 1;
+    const auto running = m_running.find(service);
+    const double height = running == m_running.end() ? 0 : running->second;
+    demand.generators = policy::count_generators(slots, {.running = height}, {});
+    return demand;
+}
+
 servers::asio::awaitable<void> fleet_controller::control(std::uint64_t fence) {
     const std::shared_ptr<const fleet::serving_view> view = m_state->get_view();
     for (const fleet::service_description& service : view->get_configuration().services) {
         if (!service.scaling) {
             continue;
         }
-        const std::map<zone_name, policy::zone_wish> wishes =
-            policy::plan_servers(*service.scaling, get_present(service.name));
+        const std::map<zone_name, policy::zone_servers> present = get_present(service.name);
+        const std::map<zone_name, policy::zone_servers> wishes =
+            policy::plan_servers(*service.scaling, present, get_demand(service.name), {});
         for (const auto& [zone, wish] : wishes) {
+            const subject regular{.service = service.name, .zone = zone, .is_cheap = false};
             const subject cheap{.service = service.name, .zone = zone, .is_cheap = true};
-            if (wish.cheap > 0) {
-                co_await order(fence, cheap, wish.cheap);
-            }
+            const steady_time now = m_state->time.now();
+            const std::uint32_t wanted_regular =
+                m_wishes.try_emplace(regular, hold_time).first->second.observe(wish.regular, now);
+            const std::uint32_t wanted_cheap =
+                m_wishes.try_emplace(cheap, hold_time).first->second.observe(wish.cheap, now);
+            co_await order(fence, regular, wanted_regular);
+            co_await order(fence, cheap, std::min(wanted_cheap, service.scaling->most - wanted_regular));
         }
     }
 }
 
-std::map<zone_name, policy::zone_wish> fleet_controller::get_present(const service_name& service) {
-    std::map<zone_name, policy::zone_wish> present;
+std::map<zone_name, policy::zone_servers> fleet_controller::get_present(const service_name& service) const {
+    std::map<zone_name, policy::zone_servers> present;
     for (const auto& [id, server] : m_state->directory.get_servers()) {
         if (server.record.service != service) {
             continue;
         }
-        policy::zone_wish& zone = present[server.record.zone];
+        policy::zone_servers& zone = present[server.record.zone];
         if (!server.record.is_draining) {
             ++(server.record.is_cheap ? zone.cheap : zone.regular);
         }
--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -7,7 +7,10 @@
 #include "core/log.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "platform/cloud_client.hpp"
+#include "policy/demand_height.hpp"
 #include "policy/fleet_plan.hpp"
+#include "policy/recent_maximum.hpp"
+#include "policy/stage_plan.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
@@ -38,10 +41,12 @@
         steady_time sent_at{};
     };
 
+    void observe_demand();
+    [[nodiscard]] policy::fleet_demand get_demand(const service_name& service) const;
     servers::asio::awaitable<void> control(std::uint64_t fence);
     servers::asio::awaitable<void> order(std::uint64_t fence, subject what, std::uint32_t wanted);
-    /// Returns the regular servers that each zone of a service had when it was first seen, and the cheap ones of now.
-    [[nodiscard]] std::map<zone_name, policy::zone_wish> get_present(const service_name& service);
+    /// Returns the servers that each zone of a service has.
+    [[nodiscard]] std::map<zone_name, policy::zone_servers> get_present(const service_name& service) const;
 
     platform::cloud_client* m_cloud;
     lease_keeper* m_lease;
@@ -49,6 +54,10 @@
     std::string m_host;
     std::shared_ptr<spdlog::logger> m_log;
     std::map<subject, placed_order> m_orders;
+    std::map<service_name, policy::demand_height> m_reading;
+    std::map<service_name, double> m_running;
+    /// The greatest wishes of late: servers are given back only after they were not needed for a while.
+    std::map<subject, policy::recent_maximum> m_wishes;
     std::optional<std::uint64_t> m_fence;
 };
 
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -184,6 +184,7 @@
         transitions.emplace(
             name, servers::serving_state::stage_transition{.stage = transition.stage, .until = now + transition.left});
     }
+    m_state->set_other_read_demand(digest.host, digest.incarnation, digest.read_demand);
     m_state->set_other_changing(digest.host, std::move(transitions));
 }
 
@@ -244,7 +245,8 @@
                                 .engines = {},
                                 .instances = m_state->get_own_in_flight(),
                                 .touches = std::exchange(m_state->touches, {}),
-                                .transitions = {}};
+                                .transitions = {},
+                                .read_demand = {}};
     for (const auto& [name, transition] : m_state->get_own_changing()) {
         if (m_state->is_changing(name)) {
             digest.transitions.emplace(
@@ -252,6 +254,7 @@
         }
     }
     for (const auto& [service, engines] : m_state->get_engines()) {
+        digest.read_demand.emplace(service, engines.get_read_demand());
         for (const auto& [name, engine] : engines.board.get_engines()) {
             if (engine.own.running == 0 && engine.own.prompts.empty()) {
                 continue;
--- a/policy/fleet_plan.cpp
+++ b/policy/fleet_plan.cpp
@@ -1,16 +1,47 @@
 #include "policy/fleet_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflywell::policy {
 
-std::map<zone_name, zone_wish> plan_servers(const fleet::scaling_description& scaling,
-                                            const std::map<zone_name, zone_wish>& present) {
-    std::map<zone_name, zone_wish> wishes;
+namespace {
+
+std::uint32_t divide_up(double amount, double parts) {
+    return static_cast<std::uint32_t>(std::ceil(std::max(0.0, amount) / std::max(1.0, parts)));
+}
+
+/// Returns how many engines of each zone should read prompts, so that enough are left without one of the zones.
+std::optional<std::uint32_t> get_readers_per_zone(const fleet_demand& demand, std::size_t zones,
+                                                  const fleet_plan_options& options) {
+    if (!demand.readers) {
+        return std::nullopt;
+    }
+    const double needed = *demand.readers / options.reader_utilisation;
+    const auto surviving_zones = static_cast<double>(std::max<std::size_t>(1, zones - 1));
+    return std::max(options.least_readers, divide_up(needed, surviving_zones));
+}
+
+} // namespace
+
+std::map<zone_name, zone_servers> plan_servers(const fleet::scaling_description& scaling,
+                                               const std::map<zone_name, zone_servers>& present,
+                                               const fleet_demand& demand, const fleet_plan_options& options) {
+    std::map<zone_name, zone_servers> wishes;
+    const std::size_t zones = present.size();
+    const std::uint32_t generators = divide_up(demand.generators, static_cast<double>(zones));
+    const std::optional<std::uint32_t> readers = get_readers_per_zone(demand, zones, options);
     for (const auto& [zone, servers] : present) {
-        zone_wish wish{.regular = std::clamp(servers.regular, scaling.least, scaling.most), .cheap = 0};
-        if (scaling.cheap_price) {
-            wish.cheap = scaling.most - std::min(scaling.most, wish.regular);
+        zone_servers wish;
+        if (!scaling.cheap_price) {
+            const std::uint32_t wanted = readers ? generators + *readers : servers.regular;
+            wish.regular = std::clamp(wanted, scaling.least, scaling.most);
+        } else {
+            wish.regular = std::clamp(std::max(generators, options.least_regular), scaling.least, scaling.most);
+            wish.cheap = scaling.most - wish.regular;
+            if (readers) {
+                wish.cheap = std::min(wish.cheap, *readers);
+            }
         }
         wishes.emplace(zone, wish);
     }
--- a/policy/fleet_plan.hpp
+++ b/policy/fleet_plan.hpp
@@ -2,36 +2,49 @@
 
 #include <cstdint>
 #include <map>
-#include <vector>
+#include <optional>
 
 #include "core/clock.hpp"
 #include "core/identifiers.hpp"
-#include "fleet/server_record.hpp"
 #include "fleet/service_description.hpp"
 
 namespace dragonflywell::policy {
 
-/// An engine as the plan for its service sees it.
-struct planned_server {
-    backend_server_name name;
-    zone_name zone;
-    fleet::engine_stage stage{fleet::engine_stage::decode};
-    bool is_cheap{false};
-};
-
-/// How many backend servers of a zone are wanted.
-struct zone_wish {
+/// How many backend servers of a zone there are, or should be.
+struct zone_servers {
     std::uint32_t regular{0};
     std::uint32_t cheap{0};
 
-    friend bool operator==(const zone_wish&, const zone_wish&) = default;
+    friend bool operator==(const zone_servers&, const zone_servers&) = default;
+};
+
+/// What the requests to a service ask of its engines.
+struct fleet_demand {
+    /// Engines that reading prompts would keep busy all the time, at the height of the last while. Nothing while it was
+    /// not observed for long enough.
+    std::optional<double> readers;
+    /// Engines that are needed to generate, spare ones included.
+    std::uint32_t generators{0};
+};
+
+struct fleet_plan_options {
+    /// Part of their time for which engines that read prompts are to be busy: a prompt that waits makes its answer late.
+    double reader_utilisation{0.3};
+    /// Engines that read prompts at least, for each zone.
+    std::uint32_t least_readers{1};
+    /// Regular servers at least, for each zone, so that one is left when another is lost.
+    std::uint32_t least_regular{2};
 };
 
-/// Returns how many servers each zone of a service should have, given those that it was found with.
+/// Returns how many servers each zone of a service should have.
 ///
-/// A cheap server costs a fraction of a regular one, and reading prompts is work that can be begun anew elsewhere: so
-/// each zone is filled up with cheap ones to its limit, on top of the regular ones that it has. Thread safe.
-[[nodiscard]] std::map<zone_name, zone_wish> plan_servers(const fleet::scaling_description& scaling,
-                                                          const std::map<zone_name, zone_wish>& present);
+/// Regular servers generate: a run that is cut off may not be repeated. Cheap ones read prompts, which can be begun anew
+/// elsewhere when a zone's cheap servers are reclaimed; as many as leave enough when one zone has lost them. While the
+/// demand is not known, zones are filled up with cheap ones. Answers the load of prompts that swings faster than
+/// servers can be ordered. Thread safe.
+[[nodiscard]] std::map<zone_name, zone_servers> plan_servers(const fleet::scaling_description& scaling,
+                                                             const std::map<zone_name, zone_servers>& present,
+                                                             const fleet_demand& demand,
+                                                             const fleet_plan_options& options);
 
 } // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/recent_maximum.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include "core/clock.hpp"
+
+namespace dragonflywell::policy {
+
+/// The greatest of the values of a span of time. Not thread safe.
+class recent_maximum {
+public:
+    explicit recent_maximum(duration span) noexcept : m_span(span) {}
+
+    /// Takes a value and returns the greatest of the span that ends now.
+    std::uint32_t observe(std::uint32_t value, steady_time now) {
+        while (!m_values.empty() && m_values.back().value <= value) {
+            m_values.pop_back();
+        }
+        m_values.push_back({.value = value, .moment = now});
+        while (now - m_values.front().moment > m_span) {
+            m_values.pop_front();
+        }
+        return m_values.front().value;
+    }
+
+private:
+    struct entry {
+        std::uint32_t value{};
+        steady_time moment{};
+    };
+
+    duration m_span;
+    /// Falling values: one that is followed by a greater one never counts again.
+    std::deque<entry> m_values;
+};
+
+} // namespace dragonflywell::policy
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -10,18 +10,12 @@
 
 using fleet::engine_stage;
 
-std::size_t count_generators(std::span<const staged_engine> engines, const stage_demand& demand,
-                             const stage_plan_options& options) {
+double get_mean_slots(std::span<const staged_engine> engines) {
     double slots = 0;
     for (const staged_engine& engine : engines) {
         slots += engine.slots;
     }
-    const double mean_slots = slots / static_cast<double>(engines.size());
-    const double needed = std::ceil(demand.running / std::max(1.0, mean_slots * options.generator_fill));
-    const auto wanted = std::max(static_cast<std::size_t>(needed) + options.spare_generators,
-                                 static_cast<std::size_t>(options.least_generators));
-    // Someone has to read prompts, too.
-    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(1, engines.size() / 2));
+    return slots / static_cast<double>(engines.size());
 }
 
 /// Returns the engines in the order in which they should generate: regular before cheap ones, in turn over the zones,
@@ -60,6 +54,12 @@
 
 } // namespace
 
+std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand,
+                               const stage_plan_options& options) {
+    const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.generator_fill));
+    return std::max(static_cast<std::uint32_t>(needed) + options.spare_generators, options.least_generators);
+}
+
 std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
                                       const stage_plan_options& options) {
     std::vector<stage_change> changes;
@@ -67,7 +67,9 @@
         return changes;
     }
     const std::vector<const staged_engine*> ranked = rank_generators(engines);
-    const std::size_t generators = count_generators(engines, demand, options);
+    // Someone has to read prompts, too.
+    const std::size_t generators =
+        std::min<std::size_t>(count_generators(get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
     const auto most_changing =
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -45,6 +45,10 @@
     friend bool operator==(const stage_change&, const stage_change&) = default;
 };
 
+/// Returns how many engines should generate, spare ones included. Thread safe.
+[[nodiscard]] std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand,
+                                             const stage_plan_options& options);
+
 /// Returns the changes to order now. An answer is late when its prompt waits, so every engine that is not needed to
 /// generate reads prompts. Regular engines generate, over all zones, because a run that is cut off may not be repeated;
 /// cheap ones read. Answers the load of long prompts with short answers. Thread safe.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -122,7 +122,7 @@
 }
 
 policy::engine_choice generation_request::choose_engines() {
-    const service_engines& engines = *get_state().find_engines(get_request().service);
+    service_engines& engines = *get_state().find_engines(get_request().service);
     const std::optional<policy::engine_choice> choice =
         policy::choose_engines(engines.board, engines.get_costs(), get_placed(), get_state().options.own_zone,
                                make_filter(), get_state().time.now());
@@ -132,6 +132,7 @@
     }
     if (!get_record().expected_first) {
         get_record().expected_first = choice->first_event_after;
+        engines.add_read_demand(choice->reading_time);
     }
     return *choice;
 }
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -104,6 +104,10 @@
         transitions[name.value()] =
             array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.left)};
     }
+    object read_demand;
+    for (const auto& [service, cost] : digest.read_demand) {
+        read_demand[service.value()] = to_microseconds(cost);
+    }
     return boost::json::serialize(object{{"h", digest.host},
                                          {"i", digest.incarnation},
                                          {"n", digest.sequence},
@@ -112,7 +116,8 @@
                                          {"e", std::move(engines)},
                                          {"p", std::move(instances)},
                                          {"t", std::move(touches)},
-                                         {"c", std::move(transitions)}});
+                                         {"c", std::move(transitions)},
+                                         {"r", std::move(read_demand)}});
 }
 
 host_digest decode_host_digest(std::string_view text) {
@@ -126,7 +131,8 @@
                        .engines = {},
                        .instances = {},
                        .touches = {},
-                       .transitions = {}};
+                       .transitions = {},
+                       .read_demand = {}};
     for (const auto& item : json::get_object(source, "e")) {
         digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
     }
@@ -146,6 +152,11 @@
                                                                   : fleet::engine_stage::decode,
                                                      .left = std::chrono::microseconds(get_number(transition, 1))});
     }
+    const object& read_demand = json::get_object(source, "r");
+    for (const auto& item : read_demand) {
+        digest.read_demand.emplace(service_name(std::string_view(item.key())),
+                                   std::chrono::microseconds(json::get_unsigned(read_demand, item.key())));
+    }
     return digest;
 }
 
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -64,6 +64,8 @@
     std::map<backend_server_name, std::uint32_t> instances;
     std::vector<digest_touch> touches;
     std::map<backend_server_name, digest_transition> transitions;
+    /// What reading the prompts of all requests since the sender's start costs engines, by service.
+    std::map<service_name, duration> read_demand;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -25,6 +25,11 @@
         m_first_event += (taken - m_first_event) / weight;
     }
 
+    /// Notes what reading the prompt of a request that arrived will cost, whether it is served or not.
+    void add_read_demand(duration cost) noexcept { m_read_demand += cost; }
+    /// Returns the sum of these costs since the process started.
+    [[nodiscard]] duration get_read_demand() const noexcept { return m_read_demand; }
+
     [[nodiscard]] policy::engine_costs get_costs() const {
         return {.read_time = &read_time, .first_event = m_first_event, .move_per_token = get_move_per_token()};
     }
@@ -42,6 +47,7 @@
     }
 
     fleet::engine_description m_description;
+    duration m_read_demand{};
     /// Before anything was observed: a few steps of an engine.
     duration m_first_event{std::chrono::milliseconds(50)};
 };
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -136,6 +136,29 @@
     m_other_in_flight[host] = std::move(counts);
 }
 
+void serving_state::set_other_read_demand(const std::string& host, std::uint64_t incarnation,
+                                          const std::map<service_name, duration>& demand) {
+    other_demand& before = m_other_demand[host];
+    if (before.incarnation == incarnation) {
+        for (const auto& [service, total] : demand) {
+            const duration told = before.told[service];
+            m_others_read_demand[service] += std::max(duration::zero(), total - told);
+        }
+    }
+    before = {.incarnation = incarnation, .told = demand};
+}
+
+duration serving_state::get_read_demand(const service_name& service) const {
+    duration demand{};
+    if (const auto own = m_engines.find(service); own != m_engines.end()) {
+        demand += own->second.get_read_demand();
+    }
+    if (const auto others = m_others_read_demand.find(service); others != m_others_read_demand.end()) {
+        demand += others->second;
+    }
+    return demand;
+}
+
 void serving_state::drop_other(const std::string& host) {
     m_other_in_flight.erase(host);
     m_other_changing.erase(host);
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -79,6 +79,12 @@
     void set_hosts(std::size_t hosts);
     [[nodiscard]] std::size_t get_hosts() const noexcept { return m_hosts; }
 
+    /// Takes what another life of a host has said of the cost of its prompts since its start.
+    void set_other_read_demand(const std::string& host, std::uint64_t incarnation,
+                               const std::map<service_name, duration>& demand);
+    /// Returns the cost of all prompts that this host and the others have got since this host watches them.
+    [[nodiscard]] duration get_read_demand(const service_name& service) const;
+
     /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
     [[nodiscard]] wall_time get_true_time() const;
     /// Corrects that time by what other hosts say.
@@ -145,6 +151,14 @@
     std::size_t m_hosts{1};
     instance_counts m_own_in_flight;
     std::map<std::string, instance_counts> m_other_in_flight;
+
+    /// What a host had said last, to add what has come since.
+    struct other_demand {
+        std::uint64_t incarnation{};
+        std::map<service_name, duration> told;
+    };
+    std::map<std::string, other_demand> m_other_demand;
+    std::map<service_name, duration> m_others_read_demand;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <set>
 
+#include "policy/demand_height.hpp"
 #include "policy/fleet_plan.hpp"
+#include "policy/recent_maximum.hpp"
 #include "policy/stage_plan.hpp"
 
 using namespace dragonflywell;
@@ -93,15 +95,80 @@
     CHECK(plan_stages(make_engines(1, 1, 0), {.running = 0}, {}).empty());
 }
 
-TEST_CASE("each zone is filled with cheap servers up to its limit") {
-    const fleet::scaling_description scaling{.least = 1, .most = 6, .lead_time = {}, .cheap_price = 0.2};
-    const auto wishes = plan_servers(
-        scaling, {{zone_name("a"), {.regular = 3, .cheap = 1}}, {zone_name("b"), {.regular = 7, .cheap = 0}}});
-    CHECK(wishes.at(zone_name("a")) == zone_wish{.regular = 3, .cheap = 3});
-    CHECK(wishes.at(zone_name("b")) == zone_wish{.regular = 6, .cheap = 0});
+namespace {
+
+std::map<zone_name, zone_servers> make_zones(std::size_t count, const zone_servers& servers) {
+    std::map<zone_name, zone_servers> zones;
+    for (std::size_t zone = 0; zone < count; ++zone) {
+        zones.emplace(zone_name(std::to_string(zone)), servers);
+    }
+    return zones;
+}
+
+const fleet::scaling_description scaling_with_cheap{
+    .least = 1, .most = 6, .lead_time = {}, .cheap_price = 0.2, .zone_prices = {}};
+
+} // namespace
+
+TEST_CASE("before anything is known of the load each zone is filled up with cheap servers") {
+    const auto wishes =
+        plan_servers(scaling_with_cheap, make_zones(4, {.regular = 3, .cheap = 0}), {.readers = {}, .generators = 4}, {});
+    for (const auto& [zone, wish] : wishes) {
+        CHECK(wish == zone_servers{.regular = 2, .cheap = 4});
+    }
+}
+
+TEST_CASE("cheap servers are as many as read all prompts in time without those of one zone") {
+    const auto wishes = plan_servers(scaling_with_cheap, make_zones(4, {.regular = 2, .cheap = 4}),
+                                     {.readers = 3.5, .generators = 9}, {.reader_utilisation = 0.5});
+    for (const auto& [zone, wish] : wishes) {
+        // 7 engines are needed, 3 zones may be left; 9 generators take three regular servers of each zone.
+        CHECK(wish == zone_servers{.regular = 3, .cheap = 3});
+    }
+}
+
+TEST_CASE("no zone gets more than its limit or less than its least") {
+    const auto crowded = plan_servers(scaling_with_cheap, make_zones(2, {.regular = 1, .cheap = 5}),
+                                      {.readers = 100.0, .generators = 100}, {});
+    CHECK(crowded.begin()->second == zone_servers{.regular = 6, .cheap = 0});
+    const auto idle = plan_servers(scaling_with_cheap, make_zones(2, {.regular = 3, .cheap = 0}),
+                                   {.readers = 0.01, .generators = 0}, {});
+    CHECK(idle.begin()->second == zone_servers{.regular = 2, .cheap = 1});
+}
+
+TEST_CASE("without cheap servers regular ones read prompts, too") {
+    const fleet::scaling_description scaling{
+        .least = 1, .most = 6, .lead_time = {}, .cheap_price = {}, .zone_prices = {}};
+    const auto zones = make_zones(4, {.regular = 3, .cheap = 0});
+    CHECK(plan_servers(scaling, zones, {.readers = {}, .generators = 4}, {}).begin()->second ==
+          zone_servers{.regular = 3, .cheap = 0});
+    CHECK(plan_servers(scaling, zones, {.readers = 3.5, .generators = 4}, {.reader_utilisation = 0.5}).begin()->second ==
+          zone_servers{.regular = 4, .cheap = 0});
+}
+
+TEST_CASE("the greatest value of a span counts until the span is over") {
+    virtual_clock time;
+    recent_maximum maximum(std::chrono::seconds(10));
+    CHECK(maximum.observe(5, time.now()) == 5);
+    time.advance(std::chrono::seconds(6));
+    CHECK(maximum.observe(3, time.now()) == 5);
+    time.advance(std::chrono::seconds(5));
+    CHECK(maximum.observe(2, time.now()) == 3);
+    CHECK(maximum.observe(7, time.now()) == 7);
 }
 
-TEST_CASE("no cheap servers are wanted where there are none") {
-    const fleet::scaling_description scaling{.least = 1, .most = 6, .lead_time = {}, .cheap_price = {}};
-    CHECK(plan_servers(scaling, {{zone_name("a"), {.regular = 2, .cheap = 0}}}).at(zone_name("a")).cheap == 0);
+TEST_CASE("the height of a demand rises at once and sinks slowly") {
+    virtual_clock time;
+    demand_height height({.span = std::chrono::seconds(2), .half_life = std::chrono::seconds(20)});
+    height.observe(0, time.now());
+    CHECK_FALSE(height.get());
+    time.advance(std::chrono::seconds(2));
+    height.observe(10, time.now());
+    CHECK(height.get() == doctest::Approx(5));
+    time.advance(std::chrono::seconds(20));
+    height.observe(10, time.now());
+    CHECK(height.get() == doctest::Approx(2.5));
+    time.advance(std::chrono::seconds(2));
+    height.observe(30, time.now());
+    CHECK(height.get() == doctest::Approx(10));
 }
