--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -15,8 +15,10 @@
 /// How long servers that are not needed any more are kept: a swing of the load mostly comes back sooner, and a server
 /// that is ordered anew has nothing in its memory.
 constexpr duration hold_time = std::chrono::seconds(30);
-/// How long an order that was not accepted, or was followed by too few servers, rests before it is sent again.
+/// How long an order that was not accepted rests before it is sent again.
 constexpr duration repeat_after = std::chrono::seconds(3);
+/// How long servers that were ordered may take until the list shows them: to start, and to write their entry.
+constexpr duration arrival_time = std::chrono::seconds(7);
 
 std::string_view get_answer_name(platform::duty_answer answer) {
     switch (answer) {
@@ -101,8 +103,10 @@
                 m_wishes.try_emplace(regular, hold_time).first->second.observe(wish.regular, now);
             const std::uint32_t wanted_cheap =
                 m_wishes.try_emplace(cheap, hold_time).first->second.observe(wish.cheap, now);
-            co_await order(fence, regular, wanted_regular);
-            co_await order(fence, cheap, std::min(wanted_cheap, service.scaling->most - wanted_regular));
+            const std::uint32_t cheap_limit = service.scaling->most - wanted_regular;
+            const policy::zone_servers& there = present.at(zone);
+            co_await order(fence, regular, wanted_regular, there.regular);
+            co_await order(fence, cheap, std::min(wanted_cheap, cheap_limit), there.cheap);
         }
     }
 }
@@ -121,13 +125,16 @@
     return present;
 }
 
-servers::asio::awaitable<void> fleet_controller::order(std::uint64_t fence, subject what, std::uint32_t wanted) {
+servers::asio::awaitable<void> fleet_controller::order(std::uint64_t fence, subject what, std::uint32_t wanted,
+                                                       std::uint32_t present) {
     const steady_time now = m_state->time.now();
     const auto before = m_orders.find(what);
     if (before != m_orders.end()) {
         const bool is_same = before->second.wanted == wanted;
-        const bool is_resting = now - before->second.sent_at < repeat_after;
-        if (is_same && (before->second.is_accepted || is_resting)) {
+        const duration age = now - before->second.sent_at;
+        // Servers that were reclaimed or crashed do not come back by themselves.
+        const bool is_carried_out = before->second.is_accepted && (present >= wanted || age < arrival_time);
+        if (is_same && (is_carried_out || age < repeat_after)) {
             co_return;
         }
     }
--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -44,7 +44,9 @@
     void observe_demand();
     [[nodiscard]] policy::fleet_demand get_demand(const service_name& service) const;
     servers::asio::awaitable<void> control(std::uint64_t fence);
-    servers::asio::awaitable<void> order(std::uint64_t fence, subject what, std::uint32_t wanted);
+    /// Orders, unless the newest order says the same and has been, or may still be, carried out.
+    servers::asio::awaitable<void> order(std::uint64_t fence, subject what, std::uint32_t wanted,
+                                         std::uint32_t present);
     /// Returns the servers that each zone of a service has.
     [[nodiscard]] std::map<zone_name, policy::zone_servers> get_present(const service_name& service) const;
 
