Let requests that can be in time go before those that cannot

Cause: under a load beyond the fleet, engines that serve in order of arrival make every request late.

--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -168,7 +168,10 @@
     for (const auto& [name, engine] : digest.engines) {
         policy::engine_share share{.prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
         for (const servers::digest_prompt& prompt : engine.prompts) {
-            share.prompts.push_back({.number = prompt.number, .sent_at = now - prompt.age, .cost = prompt.cost});
+            share.prompts.push_back({.number = prompt.number,
+                                     .sent_at = now - prompt.age,
+                                     .cost = prompt.cost,
+                                     .urgency = prompt.urgency});
         }
         shares.emplace(name, std::move(share));
     }
@@ -263,7 +266,8 @@
             told.running = engine.own.running;
             told.running_tokens = engine.own.running_tokens;
             for (const policy::prompt_job& job : engine.own.prompts) {
-                told.prompts.push_back({.number = job.number, .age = now - job.sent_at, .cost = job.cost});
+                told.prompts.push_back(
+                    {.number = job.number, .age = now - job.sent_at, .cost = job.cost, .urgency = job.urgency});
             }
         }
     }
--- a/policy/engine_board.cpp
+++ b/policy/engine_board.cpp
@@ -12,6 +12,26 @@
 /// Part of an engine's memory that is left for prompts which are not running.
 constexpr double cache_share = 0.85;
 
+/// Returns the prompt that the engine is reading, or null. It reads one after the other and takes up the most urgent of
+/// those that wait when it has finished one; what it has begun it reads to the end.
+const prompt_job* find_current(std::span<const prompt_job> jobs, steady_time last_finished_at) {
+    const prompt_job* current = nullptr;
+    for (const prompt_job& job : jobs) {
+        if (current == nullptr) {
+            current = &job;
+            continue;
+        }
+        const bool has_waited = job.sent_at <= last_finished_at;
+        const bool has_current_waited = current->sent_at <= last_finished_at;
+        if (has_waited && has_current_waited) {
+            current = std::pair(job.urgency, job.sent_at) < std::pair(current->urgency, current->sent_at) ? &job : current;
+        } else if (job.sent_at < current->sent_at) {
+            current = &job;
+        }
+    }
+    return current;
+}
+
 } // namespace
 
 void engine_board::set_engines(const std::map<backend_server_name, engine_facts>& engines) {
@@ -97,7 +117,7 @@
     }
 }
 
-duration engine_board::get_backlog(const backend_server_name& engine, steady_time now) const {
+duration engine_board::get_backlog(const backend_server_name& engine, steady_time now, std::uint32_t urgency) const {
     const engine_state* state = find(engine);
     if (state == nullptr) {
         return duration::zero();
@@ -106,19 +126,17 @@
     for (const auto& [host, share] : state->others) {
         jobs.insert(jobs.end(), share.prompts.begin(), share.prompts.end());
     }
-    std::sort(jobs.begin(), jobs.end(),
-              [](const prompt_job& left, const prompt_job& right) { return left.sent_at < right.sent_at; });
-    // Engines read prompts one after the other. Only the first one has been worked on.
+    const prompt_job* current = find_current(jobs, state->last_finished_at);
     duration backlog{};
-    for (std::size_t index = 0; index < jobs.size(); ++index) {
-        duration left = jobs[index].cost;
-        if (index == 0) {
-            const steady_time started_at = std::max(jobs[index].sent_at, state->last_finished_at);
+    for (const prompt_job& job : jobs) {
+        if (&job == current) {
+            const steady_time started_at = std::max(job.sent_at, state->last_finished_at);
             const duration done = std::max(duration::zero(), now - started_at);
-            const auto overdue = std::chrono::duration_cast<duration>(left * overdue_share);
-            left = std::max(left - done, overdue);
+            const auto overdue = std::chrono::duration_cast<duration>(job.cost * overdue_share);
+            backlog += std::max(job.cost - done, overdue);
+        } else if (job.urgency <= urgency) {
+            backlog += job.cost;
         }
-        backlog += left;
     }
     return backlog;
 }
--- a/policy/engine_board.hpp
+++ b/policy/engine_board.hpp
@@ -27,6 +27,9 @@
     friend bool operator==(const engine_facts&, const engine_facts&) = default;
 };
 
+/// The urgency of what may wait for everything else.
+inline constexpr std::uint32_t least_urgency = 9;
+
 /// A prompt that an engine reads or will read.
 struct prompt_job {
     /// Unique for one host.
@@ -35,6 +38,8 @@
     steady_time sent_at{};
     /// How long the engine is expected to work on it.
     duration cost{};
+    /// 0 is first, 9 last. An engine takes up a prompt only when no more urgent one waits.
+    std::uint32_t urgency{least_urgency};
 };
 
 /// What one host has on one engine.
@@ -75,8 +80,9 @@
     /// Notes that another host has sent a prompt of these parts.
     void touch(const backend_server_name& engine, std::span<const cached_part> parts);
 
-    /// Returns how long a prompt sent now would wait for those before it.
-    [[nodiscard]] duration get_backlog(const backend_server_name& engine, steady_time now) const;
+    /// Returns how long a prompt of that urgency sent now would wait for those before it.
+    [[nodiscard]] duration get_backlog(const backend_server_name& engine, steady_time now,
+                                       std::uint32_t urgency = least_urgency) const;
     [[nodiscard]] std::uint32_t get_running(const backend_server_name& engine) const;
     [[nodiscard]] std::uint64_t get_running_tokens(const backend_server_name& engine) const;
     /// Returns the tokens at the beginning of the prompt that the engine should hold.
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -11,6 +11,10 @@
 constexpr double near_zone_advantage = 0.08;
 /// An engine that may be reclaimed is chosen for long runs only when others are this much fuller.
 constexpr double cheap_disadvantage = 0.25;
+/// Urgencies of the requests that can be in time, and of those that can't, for the most urgent rank.
+constexpr std::uint32_t in_time_urgency = 1;
+constexpr std::uint32_t late_urgency = 6;
+constexpr std::uint32_t most_ranks = 3;
 /// Transfers between zones take this many times as long.
 constexpr int other_zone_move_factor = 2;
 
@@ -29,8 +33,8 @@
 }
 
 std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
-                                           const placed_generation& request, const engine_filter& is_usable,
-                                           steady_time now) {
+                                           const placed_generation& request, std::uint32_t urgency,
+                                           const engine_filter& is_usable, steady_time now) {
     std::optional<reader_choice> best;
     for (const auto& [name, engine] : board.get_engines()) {
         if (engine.facts.stage != fleet::engine_stage::prefill || !is_usable(name)) {
@@ -38,7 +42,7 @@
         }
         const prefill_work reading = get_reading(request.prompt_tokens, engine.cache.get_cached_tokens(request.parts));
         const duration reading_time = costs.read_time->predict(reading);
-        const duration done_after = board.get_backlog(name, now) + reading_time;
+        const duration done_after = board.get_backlog(name, now, urgency) + reading_time;
         if (!best || done_after < best->done_after) {
             best = {.engine = name, .reading = reading, .reading_time = reading_time, .done_after = done_after};
         }
@@ -78,34 +82,54 @@
     return best;
 }
 
-std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
-                                            const placed_generation& request, const zone_name& own_zone,
-                                            const engine_filter& is_usable, steady_time now) {
-    const std::optional<reader_choice> reader = choose_reader(board, costs, request, is_usable, now);
+namespace {
+
+std::uint32_t get_urgency(const placed_generation& request, bool is_in_time) {
+    return (is_in_time ? in_time_urgency : late_urgency) + std::min(request.priority, most_ranks);
+}
+
+/// Chooses engines for a request that is sent with that urgency.
+std::optional<engine_choice> choose_at(const engine_board& board, const engine_costs& costs,
+                                       const placed_generation& request, std::uint32_t urgency,
+                                       const zone_name& own_zone, const engine_filter& is_usable, steady_time now) {
+    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, is_usable, now);
     const zone_name near = reader ? board.find(reader->engine)->facts.zone : own_zone;
     const std::optional<backend_server_name> generator = choose_generator(board, request, near, is_usable);
     if (!generator) {
         return std::nullopt;
     }
+    engine_choice choice{.reader = {}, .generator = *generator, .urgency = urgency};
     const engine_board::engine_state& generating = *board.find(*generator);
     if (!reader) {
-        const prefill_work reading =
-            get_reading(request.prompt_tokens, generating.cache.get_cached_tokens(request.parts));
-        const auto reading_time =
-            std::chrono::duration_cast<duration>(costs.read_time->predict(reading) * costs.self_read_factor);
-        return engine_choice{.reader = {},
-                             .generator = *generator,
-                             .reading = reading,
-                             .reading_time = reading_time,
-                             .first_event_after = reading_time + costs.first_event};
+        choice.reading = get_reading(request.prompt_tokens, generating.cache.get_cached_tokens(request.parts));
+        choice.reading_time =
+            std::chrono::duration_cast<duration>(costs.read_time->predict(choice.reading) * costs.self_read_factor);
+        choice.first_event_after = choice.reading_time + costs.first_event;
+        return choice;
     }
     duration move = costs.move_per_token * static_cast<std::int64_t>(request.prompt_tokens);
     move *= generating.facts.zone == near ? 1 : other_zone_move_factor;
-    return engine_choice{.reader = reader->engine,
-                         .generator = *generator,
-                         .reading = reader->reading,
-                         .reading_time = reader->reading_time,
-                         .first_event_after = reader->done_after + move + costs.first_event};
+    choice.reader = reader->engine;
+    choice.reading = reader->reading;
+    choice.reading_time = reader->reading_time;
+    choice.first_event_after = reader->done_after + move + costs.first_event;
+    return choice;
+}
+
+} // namespace
+
+std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
+                                            const placed_generation& request, const zone_name& own_zone,
+                                            const engine_filter& is_usable, steady_time now) {
+    if (request.target) {
+        std::optional<engine_choice> choice =
+            choose_at(board, costs, request, get_urgency(request, true), own_zone, is_usable, now);
+        if (choice && choice->first_event_after <= *request.target) {
+            choice->is_in_time = true;
+            return choice;
+        }
+    }
+    return choose_at(board, costs, request, get_urgency(request, false), own_zone, is_usable, now);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -16,6 +16,10 @@
     std::uint64_t prompt_tokens{};
     std::uint64_t output_tokens{};
     std::span<const cached_part> parts;
+    /// Rank among the requests; 0 is the most urgent.
+    std::uint32_t priority{0};
+    /// Time that is left until the first event is late; nothing where it can't be in time, or need not.
+    std::optional<duration> target;
 };
 
 /// How the engines of a service behave, as described and observed.
@@ -39,6 +43,10 @@
     duration reading_time{};
     /// When the first event should come, from now.
     duration first_event_after{};
+    /// Whether that is before the target.
+    bool is_in_time{false};
+    /// Urgency under which the engines should take it, 0 to 9.
+    std::uint32_t urgency{least_urgency};
 };
 
 /// Answers which engines may be used, by their health.
@@ -47,7 +55,8 @@
 /// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
 ///
 /// The reader is the one that is done first, counting what waits there and what it has cached; the generator is the one
-/// that is least full. Thread safe.
+/// that is least full. A request that can be in time goes before all that can't: under a load beyond the fleet, serving
+/// in order of arrival would make all of them late. Among those, the more urgent rank goes first. Thread safe.
 [[nodiscard]] std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
                                                           const placed_generation& request, const zone_name& own_zone,
                                                           const engine_filter& is_usable, steady_time now);
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -104,15 +104,25 @@
             }
         }
         const backend_server_name engine = choose_generator(choice);
+        m_urgency = choice.urgency;
         result = co_await generate(engine, std::move(memory), caller);
     }
 }
 
 policy::placed_generation generation_request::get_placed() const {
     const generation& wanted = *get_call().wanted;
-    return {.prompt_tokens = wanted.prompt_tokens,
-            .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
-            .parts = m_parts};
+    const fleet::route& route = *get_request().route;
+    policy::placed_generation placed{
+        .prompt_tokens = wanted.prompt_tokens,
+        .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
+        .parts = m_parts,
+        .priority = get_request().priority,
+        .target = {}};
+    const duration waited = get_state().time.now() - get_record().arrived_at;
+    if (route.target_latency > waited) {
+        placed.target = route.target_latency - waited;
+    }
+    return placed;
 }
 
 policy::engine_filter generation_request::make_filter() const {
@@ -165,8 +175,11 @@
     }
     service_engines& engines = *get_state().find_engines(get_request().service);
     const steady_time sent_at = get_state().time.now();
+    sending.urgency = choice.urgency;
     const duration waits = engines.board.get_backlog(engine, sent_at);
-    engines.board.start_prompt(engine, {.number = m_number, .sent_at = sent_at, .cost = choice.reading_time}, m_parts);
+    const policy::prompt_job job{
+        .number = m_number, .sent_at = sent_at, .cost = choice.reading_time, .urgency = choice.urgency};
+    engines.board.start_prompt(engine, job, m_parts);
     get_state().touches.push_back({.engine = engine, .parts = m_parts});
     get_state().note_load_change();
     const prompt_on_board on_board(get_state(), get_request().service, engine, m_number);
@@ -234,6 +247,7 @@
                                                                                   caller_channel& caller) {
     dispatch sending = make_dispatch(engine);
     sending.memory = memory;
+    sending.urgency = m_urgency;
     if (!m_events.get_last_id().empty()) {
         sending.last_event_id = m_events.get_last_id();
     }
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -44,7 +44,7 @@
 array encode_prompts(const std::vector<digest_prompt>& prompts) {
     array list;
     for (const digest_prompt& prompt : prompts) {
-        list.push_back(array{prompt.number, to_microseconds(prompt.age), to_microseconds(prompt.cost)});
+        list.push_back(array{prompt.number, to_microseconds(prompt.age), to_microseconds(prompt.cost), prompt.urgency});
     }
     return list;
 }
@@ -57,7 +57,8 @@
         const array& prompt = to_list(item);
         engine.prompts.push_back({.number = get_number(prompt, 0),
                                   .age = std::chrono::microseconds(get_number(prompt, 1)),
-                                  .cost = std::chrono::microseconds(get_number(prompt, 2))});
+                                  .cost = std::chrono::microseconds(get_number(prompt, 2)),
+                                  .urgency = static_cast<std::uint32_t>(get_number(prompt, 3))});
     }
     return engine;
 }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -19,6 +19,7 @@
     /// How long ago it was sent.
     duration age{};
     duration cost{};
+    std::uint32_t urgency{};
 
     friend bool operator==(const digest_prompt&, const digest_prompt&) = default;
 };
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -23,10 +23,10 @@
     return *route;
 }
 
-/// Returns the organisation that the request runs for; empty on a public route.
-organisation_name require_organisation(const fleet::serving_view& view, const fleet::route& route, const call& wanted) {
+/// Returns the organisation that the request runs for, or null on a public route.
+const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route, const call& wanted) {
     if (route.is_public || !view.has_organisations()) {
-        return {};
+        return nullptr;
     }
     if (wanted.key.empty()) {
         throw request_refused(policy::refusal_reason::missing_key, policy::request_outcome::not_run,
@@ -37,7 +37,7 @@
         throw request_refused(policy::refusal_reason::unknown_key, policy::request_outcome::not_run,
                               "the key is not known");
     }
-    return organisation->name;
+    return organisation;
 }
 
 /// Returns one of the route's services, each with its share of the requests.
@@ -70,8 +70,9 @@
     record.configuration_version = view->get_version();
     const fleet::route& route = require_route(*view, wanted);
     record.route = route.name;
-    const organisation_name organisation = require_organisation(*view, route, wanted);
-    record.organisation = organisation.value();
+    const fleet::served_organisation* organisation = require_organisation(*view, route, wanted);
+    const organisation_name name = organisation == nullptr ? organisation_name() : organisation->name;
+    record.organisation = name.value();
     duration patience = route.timeout;
     if (wanted.caller_patience) {
         patience = std::min(patience, *wanted.caller_patience);
@@ -80,7 +81,9 @@
                                       .view = view,
                                       .route = &route,
                                       .service = choose_service(route),
-                                      .organisation = organisation,
+                                      .organisation = name,
+                                      .priority = organisation == nullptr ? route.priority
+                                                                          : organisation->priority.value_or(route.priority),
                                       .deadline = record.arrived_at + patience};
     state.get_retry_budget(request.service).add_request();
     const bool is_generation = wanted.wanted && state.find_engines(request.service) != nullptr;
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -32,6 +32,8 @@
         const fleet::route* route{};
         service_name service;
         organisation_name organisation;
+        /// That of the organisation, or else of the route; 0 is the most urgent.
+        std::uint32_t priority{0};
         steady_time deadline{};
     };
 
--- a/tests/policy/test_engine_board.cpp
+++ b/tests/policy/test_engine_board.cpp
@@ -53,6 +53,24 @@
     CHECK(board.get_backlog(engine_a, time.now()) == 70ms);
 }
 
+TEST_CASE("an urgent prompt waits for what is being read and for what is as urgent, not for the others") {
+    virtual_clock time;
+    engine_board board;
+    board.set_engines({{engine_a, make_facts()}});
+    board.start_prompt(engine_a, {.number = 1, .sent_at = time.now(), .cost = 100ms, .urgency = 8}, {});
+    time.advance(10ms);
+    board.start_prompt(engine_a, {.number = 2, .sent_at = time.now(), .cost = 70ms, .urgency = 8}, {});
+    board.start_prompt(engine_a, {.number = 3, .sent_at = time.now(), .cost = 30ms, .urgency = 1}, {});
+    CHECK(board.get_backlog(engine_a, time.now(), 1) == 120ms);
+    CHECK(board.get_backlog(engine_a, time.now(), 9) == 190ms);
+    time.advance(90ms);
+    board.end_prompt(engine_a, 1, time.now());
+    // The urgent one is taken up next, although the other came first.
+    time.advance(10ms);
+    CHECK(board.get_backlog(engine_a, time.now(), 1) == 20ms);
+    CHECK(board.get_backlog(engine_a, time.now(), 9) == 90ms);
+}
+
 TEST_CASE("running requests of all hosts are counted") {
     virtual_clock time;
     engine_board board;
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -93,6 +93,33 @@
     CHECK(choice->generator.value() == "d");
 }
 
+TEST_CASE_FIXTURE(fixture, "under a load beyond the fleet those that can be in time go first, and by rank") {
+    board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
+    placed_generation request{.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts, .priority = 1, .target = 5s};
+    const auto in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    REQUIRE(in_time);
+    CHECK(in_time->is_in_time);
+    // Work that is late already does not stand in the way of the next request, but for what has been begun.
+    for (std::uint64_t number = 0; number < 20; ++number) {
+        board.start_prompt(backend_server_name("p"),
+                           {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency + 4}, {});
+    }
+    const auto still_in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    CHECK(still_in_time->is_in_time);
+    for (std::uint64_t number = 20; number < 40; ++number) {
+        board.start_prompt(backend_server_name("p"),
+                           {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency}, {});
+    }
+    const auto late = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    CHECK_FALSE(late->is_in_time);
+    CHECK(late->urgency > in_time->urgency);
+    // A more urgent rank passes by all of it.
+    request.priority = 0;
+    CHECK(choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->is_in_time);
+}
+
 TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
     board.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
