--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -18,33 +18,93 @@
 /// Transfers between zones take this many times as long.
 constexpr int other_zone_move_factor = 2;
 
+/// A beginning shorter than this is read again as quickly as it is fetched.
+constexpr std::uint64_t least_fetched_tokens = 1024;
+/// Time in which a fetch begins, beside that for the tokens.
+constexpr duration fetch_start = std::chrono::milliseconds(5);
+
 /// The engine that reads a prompt first, and when.
 struct reader_choice {
     backend_server_name engine;
+    std::optional<backend_server_name> fetch_from;
     prefill_work reading;
     duration reading_time{};
     duration done_after{};
 };
 
+/// An engine that has the beginning of a prompt.
+struct cached_beginning {
+    backend_server_name engine;
+    zone_name zone;
+    std::uint64_t tokens{0};
+};
+
+/// Returns the engines with the longest beginning, one for each zone.
+std::vector<cached_beginning> find_beginnings(const engine_board& board, const placed_generation& request,
+                                              const engine_filter& is_usable) {
+    std::vector<cached_beginning> beginnings;
+    for (const auto& [name, engine] : board.get_engines()) {
+        const std::uint64_t tokens = engine.cache.get_cached_tokens(request.parts);
+        if (tokens < least_fetched_tokens || !is_usable(name)) {
+            continue;
+        }
+        const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(), [&](const cached_beginning& item) {
+            return item.zone == engine.facts.zone;
+        });
+        if (same_zone == beginnings.end()) {
+            beginnings.push_back({.engine = name, .zone = engine.facts.zone, .tokens = tokens});
+        } else if (tokens > same_zone->tokens) {
+            *same_zone = {.engine = name, .zone = engine.facts.zone, .tokens = tokens};
+        }
+    }
+    return beginnings;
+}
+
+duration get_move_time(const engine_costs& costs, std::uint64_t tokens, bool is_same_zone) {
+    return costs.move_per_token * static_cast<std::int64_t>(tokens) * (is_same_zone ? 1 : other_zone_move_factor);
+}
+
 prefill_work get_reading(std::uint64_t prompt_tokens, std::uint64_t cached_tokens) {
     // The last token is always read, or there would be nothing to generate from.
     const std::uint64_t cached = std::min(cached_tokens, prompt_tokens - std::min<std::uint64_t>(prompt_tokens, 1));
     return {.tokens = prompt_tokens - cached, .cached_tokens = cached};
 }
 
+/// Returns how the engine would read the prompt, from its own cache or with the help of another's.
+reader_choice plan_reading(const backend_server_name& name, const engine_board::engine_state& engine,
+                           const engine_costs& costs, const placed_generation& request,
+                           std::span<const cached_beginning> beginnings) {
+    const std::uint64_t own = engine.cache.get_cached_tokens(request.parts);
+    reader_choice best{.engine = name, .reading = get_reading(request.prompt_tokens, own)};
+    best.reading_time = costs.read_time->predict(best.reading);
+    for (const cached_beginning& beginning : beginnings) {
+        if (beginning.engine == name || beginning.tokens < own + least_fetched_tokens) {
+            continue;
+        }
+        const prefill_work reading = get_reading(request.prompt_tokens, beginning.tokens);
+        const duration fetch =
+            fetch_start + get_move_time(costs, beginning.tokens - own, beginning.zone == engine.facts.zone);
+        const duration total = costs.read_time->predict(reading) + fetch;
+        if (total < best.reading_time) {
+            best = {.engine = name, .fetch_from = beginning.engine, .reading = reading, .reading_time = total};
+        }
+    }
+    return best;
+}
+
 std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
                                            const placed_generation& request, std::uint32_t urgency,
                                            const engine_filter& is_usable, steady_time now) {
+    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, is_usable);
     std::optional<reader_choice> best;
     for (const auto& [name, engine] : board.get_engines()) {
         if (engine.facts.stage != fleet::engine_stage::prefill || !is_usable(name)) {
             continue;
         }
-        const prefill_work reading = get_reading(request.prompt_tokens, engine.cache.get_cached_tokens(request.parts));
-        const duration reading_time = costs.read_time->predict(reading);
-        const duration done_after = board.get_backlog(name, now, urgency) + reading_time;
-        if (!best || done_after < best->done_after) {
-            best = {.engine = name, .reading = reading, .reading_time = reading_time, .done_after = done_after};
+        reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
+        choice.done_after = board.get_backlog(name, now, urgency) + choice.reading_time;
+        if (!best || choice.done_after < best->done_after) {
+            best = std::move(choice);
         }
     }
     return best;
@@ -107,9 +167,9 @@
         choice.first_event_after = choice.reading_time + costs.first_event;
         return choice;
     }
-    duration move = costs.move_per_token * static_cast<std::int64_t>(request.prompt_tokens);
-    move *= generating.facts.zone == near ? 1 : other_zone_move_factor;
+    const duration move = get_move_time(costs, request.prompt_tokens, generating.facts.zone == near);
     choice.reader = reader->engine;
+    choice.fetch_from = reader->fetch_from;
     choice.reading = reader->reading;
     choice.reading_time = reader->reading_time;
     choice.first_event_after = reader->done_after + move + costs.first_event;
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -38,7 +38,9 @@
     /// The engine that reads the prompt; nothing where the one that generates does it.
     std::optional<backend_server_name> reader;
     backend_server_name generator;
-    /// What the reader has to do, and how long it should take once begun.
+    /// The engine from which the reader first fetches what it lacks of the beginning; nothing where it has the most.
+    std::optional<backend_server_name> fetch_from;
+    /// What the reader has to do, and how long it should take once begun, with the fetch.
     prefill_work reading;
     duration reading_time{};
     /// When the first event should come, from now.
@@ -54,7 +56,8 @@
 
 /// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
 ///
-/// The reader is the one that is done first, counting what waits there and what it has cached; the generator is the one
+/// The reader is the one that is done first, counting what waits there, what it has cached and what it can fetch from
+/// another engine's cache, which takes a fraction of the time of reading it again; the generator is the one
 /// that is least full. A request that can be in time goes before all that can't: under a load beyond the fleet, serving
 /// in order of arrival would make all of them late. Among those, the more urgent rank goes first. Thread safe.
 [[nodiscard]] std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -176,6 +176,10 @@
     service_engines& engines = *get_state().find_engines(get_request().service);
     const steady_time sent_at = get_state().time.now();
     sending.urgency = choice.urgency;
+    if (choice.fetch_from) {
+        const fleet::listed_server* source = get_state().directory.find(*choice.fetch_from);
+        sending.fetch_from = source != nullptr ? std::optional(source->record.address) : std::nullopt;
+    }
     const duration waits = engines.board.get_backlog(engine, sent_at);
     const policy::prompt_job job{
         .number = m_number, .sent_at = sent_at, .cost = choice.reading_time, .urgency = choice.urgency};
--- a/servers/server_dialect.hpp
+++ b/servers/server_dialect.hpp
@@ -29,6 +29,8 @@
     /// The prompt is only read, for another engine to generate from.
     bool reads_prompt_only{false};
     std::optional<memory_source> memory;
+    /// An engine from whose cache the beginning of the prompt is fetched before it is read.
+    std::optional<endpoint> fetch_from;
     /// 0 is first, 9 last. Nothing leaves it to the server.
     std::optional<std::uint32_t> urgency;
     /// The last event that the caller has; empty where it has none.
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -120,6 +120,7 @@
             .organisation = m_request.organisation,
             .reads_prompt_only = false,
             .memory = {},
+            .fetch_from = {},
             .urgency = {},
             .last_event_id = get_call().last_event_id};
 }
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 
 #include "support/serving_fixture.hpp"
 
@@ -69,6 +70,25 @@
     CHECK(run.body() == "prompt");
 }
 
+TEST_CASE_FIXTURE(serving_fixture, "an engine is told where it can fetch what another one has read") {
+    configure();
+    const raw_server& busy = add_server("p1", prefill, read_prompts());
+    const raw_server& idle = add_server("p2", prefill, read_prompts());
+    add_server("d", decode, stream_events(1, 1));
+    policy::engine_board& board = state.find_engines(service_name("llm"))->board;
+    board.touch(backend_server_name("p1"), std::array{policy::cached_part{.id = 0xa1, .tokens = 6000}});
+    board.start_prompt(backend_server_name("p1"),
+                       {.number = 999, .sent_at = time.now(), .cost = std::chrono::seconds(9)}, {});
+    auto headers = get_headers();
+    headers.emplace_back("Dragonflywell-Model", "m");
+    headers.emplace_back("Dragonflywell-Token-Count", "7000,10");
+    headers.emplace_back("Dragonflywell-Prompt-Prefix", "a1:6000,b2:1000");
+    headers.emplace_back("Kv-Fetch", "10.0.0.1:80");
+    CHECK(ask(http::verb::post, "/gen/x", "prompt", headers).status == 200);
+    CHECK(busy.get_requests().empty());
+    CHECK(get(idle.get_requests().at(0), "Kv-Fetch") == format_endpoint(busy.get_endpoint()));
+}
+
 TEST_CASE_FIXTURE(serving_fixture, "a caller cannot name the memory that its request goes on from") {
     configure();
     add_server("p", prefill, read_prompts("ours"));
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -93,6 +93,31 @@
     CHECK(choice->generator.value() == "d");
 }
 
+TEST_CASE_FIXTURE(fixture, "what another engine has read is fetched from its cache when that is quicker") {
+    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                       {backend_server_name("p2"), make_facts(prefill, "a")},
+                       {backend_server_name("p3"), make_facts(prefill, "b")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    board.touch(backend_server_name("p2"), parts);
+    board.touch(backend_server_name("p3"), parts);
+    board.start_prompt(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    board.start_prompt(backend_server_name("p3"), {.number = 2, .sent_at = time.now(), .cost = 1s}, {});
+    const auto choice = choose();
+    REQUIRE(choice);
+    CHECK(choice->reader->value() == "p1");
+    REQUIRE(choice->fetch_from);
+    CHECK(choice->fetch_from->value() == "p2");
+    CHECK(choice->reading.tokens == 1'000);
+    // A source that may not be used is none; a short beginning is not worth a transfer.
+    const auto without = choose([](const backend_server_name& name) { return name.value() != "p2"; });
+    CHECK(without->fetch_from->value() == "p3");
+    parts[0].tokens = 500;
+    board.touch(backend_server_name("p3"), parts);
+    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    CHECK_FALSE(choose()->fetch_from);
+}
+
 TEST_CASE_FIXTURE(fixture, "under a load beyond the fleet those that can be in time go first, and by rank") {
     board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
                        {backend_server_name("d"), make_facts(decode, "a")}});
