--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr duration tick = std::chrono::milliseconds(500);
+constexpr duration tick = std::chrono::milliseconds(250);
 /// What is left of the height of the load after a tick: half of it after some 20 seconds.
-constexpr double height_memory = 0.98;
+constexpr double height_memory = 0.99;
 /// How long an engine is left alone after an order to it did not succeed.
 constexpr duration rest_after_failure = std::chrono::seconds(4);
 /// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -33,7 +33,7 @@
     /// Engines that generate beyond what the demand needs, so that losing one costs no service.
     std::uint32_t spare_generators{1};
     std::uint32_t least_generators{3};
-    /// Part of a service's engines that may be changing their stage at once.
+    /// Part of a service's engines that may be changing their stage at once while requests run.
     double most_changing{0.25};
 };
 
