--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -72,8 +72,9 @@
         std::min<std::size_t>(count_generators(get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
+    const double share = demand.running > 0 ? options.most_changing : 1.0;
     const auto most_changing =
-        std::max<std::size_t>(1, static_cast<std::size_t>(options.most_changing * static_cast<double>(engines.size())));
+        std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
         const staged_engine& engine = *ranked[index];
         const engine_stage wanted = index < generators ? engine_stage::decode : engine_stage::prefill;
