--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -60,7 +60,7 @@
       m_usage_recorder(m_store, m_state, m_settings.name.value(), m_incarnation),
       m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_due),
       m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()), m_engine_orders(m_connections, m_metrics, {}),
-      m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value()),
+      m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value(), m_settings.is_first_start),
       m_hosts(m_loop, m_store, m_state,
               {.host = m_settings.name.value(), .incarnation = m_incarnation, .listen = m_settings.hosts}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -168,10 +168,8 @@
     for (const auto& [name, engine] : digest.engines) {
         policy::engine_share share{.prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
         for (const servers::digest_prompt& prompt : engine.prompts) {
-            share.prompts.push_back({.number = prompt.number,
-                                     .sent_at = now - prompt.age,
-                                     .cost = prompt.cost,
-                                     .urgency = prompt.urgency});
+            share.prompts.push_back(
+                {.number = prompt.number, .sent_at = now - prompt.age, .cost = prompt.cost, .urgency = prompt.urgency});
         }
         shares.emplace(name, std::move(share));
     }
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -12,6 +12,8 @@
 constexpr duration tick = std::chrono::milliseconds(250);
 /// What is left of the height of the load after a tick: half of it after some 20 seconds.
 constexpr double height_memory = 0.99;
+/// How long a host that has started into a running system watches the load before it plans by it.
+constexpr duration observation_time = std::chrono::seconds(6);
 /// How long an engine is left alone after an order to it did not succeed.
 constexpr duration rest_after_failure = std::chrono::seconds(4);
 /// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
@@ -38,15 +40,16 @@
 } // namespace
 
 stage_controller::stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
-                                   std::string host)
-    : m_orders(&orders), m_lease(&lease), m_state(&state), m_host(std::move(host)), m_log(get_logger("stages")) {}
+                                   std::string host, bool is_first_start)
+    : m_orders(&orders), m_lease(&lease), m_state(&state), m_host(std::move(host)),
+      m_is_before_first_request(is_first_start), m_started_at(state.time.now()), m_log(get_logger("stages")) {}
 
 servers::asio::awaitable<void> stage_controller::run() {
     for (;;) {
         co_await servers::pause(tick);
         observe_demand();
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
-        if (!fence || m_state->get_view() == nullptr) {
+        if (!fence || m_state->get_view() == nullptr || !is_load_known()) {
             continue;
         }
         const std::shared_ptr<const fleet::serving_view> view = m_state->get_view();
@@ -66,9 +69,14 @@
         }
         double& height = m_running[service];
         height = std::max(running, height * height_memory);
+        m_is_before_first_request = m_is_before_first_request && height == 0;
     }
 }
 
+bool stage_controller::is_load_known() const {
+    return m_is_before_first_request || m_state->time.now() - m_started_at >= observation_time;
+}
+
 std::vector<policy::staged_engine> stage_controller::get_engines(const service_name& service) const {
     std::vector<policy::staged_engine> engines;
     for (const auto& [id, server] : m_state->directory.get_servers()) {
@@ -90,7 +98,8 @@
 
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
-    const std::vector<policy::stage_change> changes = policy::plan_stages(engines, {.running = m_running[service]}, {});
+    const std::vector<policy::stage_change> changes = policy::plan_stages(
+        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
     const service_name asked = service;
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(asked);
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -16,8 +16,9 @@
 class stage_controller {
 public:
     /// Preconditions: all references outlive the controller.
+    /// `is_first_start`: the whole system starts for the first time, so that there was no request before.
     stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
-                     std::string host);
+                     std::string host, bool is_first_start);
 
     /// Controls for as long as the event loop runs.
     servers::asio::awaitable<void> run();
@@ -26,12 +27,16 @@
     void observe_demand();
     servers::asio::awaitable<void> control(std::uint64_t fence, service_name service);
     servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time);
+    /// Returns whether the load is known well enough to plan by it.
+    [[nodiscard]] bool is_load_known() const;
     [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
 
     platform::engine_orders* m_orders;
     lease_keeper* m_lease;
     servers::serving_state* m_state;
     std::string m_host;
+    bool m_is_before_first_request;
+    steady_time m_started_at;
     std::shared_ptr<spdlog::logger> m_log;
     /// Height of the running requests of each service, which sinks slowly.
     std::map<service_name, double> m_running;
--- a/policy/engine_board.cpp
+++ b/policy/engine_board.cpp
@@ -24,7 +24,8 @@
         const bool has_waited = job.sent_at <= last_finished_at;
         const bool has_current_waited = current->sent_at <= last_finished_at;
         if (has_waited && has_current_waited) {
-            current = std::pair(job.urgency, job.sent_at) < std::pair(current->urgency, current->sent_at) ? &job : current;
+            current =
+                std::pair(job.urgency, job.sent_at) < std::pair(current->urgency, current->sent_at) ? &job : current;
         } else if (job.sent_at < current->sent_at) {
             current = &job;
         }
--- a/policy/fleet_plan.hpp
+++ b/policy/fleet_plan.hpp
@@ -28,7 +28,8 @@
 };
 
 struct fleet_plan_options {
-    /// Part of their time for which engines that read prompts are to be busy: a prompt that waits makes its answer late.
+    /// Part of their time for which engines that read prompts are to be busy: a prompt that waits makes its answer
+    /// late.
     double reader_utilisation{0.3};
     /// Engines that read prompts at least, for each zone.
     std::uint32_t least_readers{1};
@@ -38,9 +39,9 @@
 
 /// Returns how many servers each zone of a service should have.
 ///
-/// Regular servers generate: a run that is cut off may not be repeated. Cheap ones read prompts, which can be begun anew
-/// elsewhere when a zone's cheap servers are reclaimed; as many as leave enough when one zone has lost them. While the
-/// demand is not known, zones are filled up with cheap ones. Answers the load of prompts that swings faster than
+/// Regular servers generate: a run that is cut off may not be repeated. Cheap ones read prompts, which can be begun
+/// anew elsewhere when a zone's cheap servers are reclaimed; as many as leave enough when one zone has lost them. While
+/// the demand is not known, zones are filled up with cheap ones. Answers the load of prompts that swings faster than
 /// servers can be ordered. Thread safe.
 [[nodiscard]] std::map<zone_name, zone_servers> plan_servers(const fleet::scaling_description& scaling,
                                                              const std::map<zone_name, zone_servers>& present,
--- a/policy/server_health.cpp
+++ b/policy/server_health.cpp
@@ -12,6 +12,19 @@
 
 } // namespace
 
+std::uint32_t server_health::get_needed(server_failure failure) const noexcept {
+    switch (failure) {
+    case server_failure::unreachable:
+        return 1;
+    case server_failure::refused:
+        return m_options.refusals_to_pause;
+    case server_failure::broken:
+    case server_failure::answered_failure:
+        break;
+    }
+    return m_options.failures_to_pause;
+}
+
 void server_health::add_success(const backend_server_name& server) {
     const auto found = m_states.find(server);
     if (found == m_states.end()) {
@@ -24,12 +37,14 @@
 
 void server_health::add_failure(const backend_server_name& server, server_failure failure, steady_time now) {
     state& known = m_states[server];
-    known.failure_share += (1 - known.failure_share) * failure_weight;
+    if (failure != server_failure::refused) {
+        known.failure_share += (1 - known.failure_share) * failure_weight;
+    }
     if (failure == server_failure::answered_failure) {
         return;
     }
     ++known.failures_in_row;
-    const std::uint32_t needed = failure == server_failure::unreachable ? 1 : m_options.failures_to_pause;
+    const std::uint32_t needed = get_needed(failure);
     if (known.failures_in_row < needed) {
         return;
     }
--- a/policy/server_health.hpp
+++ b/policy/server_health.hpp
@@ -14,6 +14,8 @@
     duration longest_pause{std::chrono::seconds(3)};
     /// Failures in a row, of those that other requests could cause too, after which a server is left alone.
     std::uint32_t failures_to_pause{3};
+    /// Refusals in a row after which a server is left alone; a single one may be due to the request.
+    std::uint32_t refusals_to_pause{2};
 };
 
 /// What a failed exchange says about a server.
@@ -24,6 +26,8 @@
     broken,
     /// It answered that it failed.
     answered_failure,
+    /// It answered that it runs nothing now: it is full, or is changing what it does.
+    refused,
 };
 
 /// Judges backend servers by what this host sees of them, which goes before what they or the list say.
@@ -51,6 +55,8 @@
         double failure_share{0};
     };
 
+    [[nodiscard]] std::uint32_t get_needed(server_failure failure) const noexcept;
+
     server_health_options m_options;
     std::map<backend_server_name, state> m_states;
 };
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -54,8 +54,7 @@
 
 } // namespace
 
-std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand,
-                               const stage_plan_options& options) {
+std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand, const stage_plan_options& options) {
     const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.generator_fill));
     return std::max(static_cast<std::uint32_t>(needed) + options.spare_generators, options.least_generators);
 }
@@ -72,7 +71,7 @@
         std::min<std::size_t>(count_generators(get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
-    const double share = demand.running > 0 ? options.most_changing : 1.0;
+    const double share = demand.is_before_first_request ? 1.0 : options.most_changing;
     const auto most_changing =
         std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -25,6 +25,8 @@
 struct stage_demand {
     /// Requests that generate at once, at the height of the last while.
     double running{0};
+    /// Whether the service has never had a request, so that no change disturbs any.
+    bool is_before_first_request{false};
 };
 
 struct stage_plan_options {
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -112,12 +112,11 @@
 policy::placed_generation generation_request::get_placed() const {
     const generation& wanted = *get_call().wanted;
     const fleet::route& route = *get_request().route;
-    policy::placed_generation placed{
-        .prompt_tokens = wanted.prompt_tokens,
-        .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
-        .parts = m_parts,
-        .priority = get_request().priority,
-        .target = {}};
+    policy::placed_generation placed{.prompt_tokens = wanted.prompt_tokens,
+                                     .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
+                                     .parts = m_parts,
+                                     .priority = get_request().priority,
+                                     .target = {}};
     const duration waited = get_state().time.now() - get_record().arrived_at;
     if (route.target_latency > waited) {
         placed.target = route.target_latency - waited;
@@ -210,6 +209,7 @@
         } else {
             what = "read_refused";
             m_avoided.insert(engine);
+            note_refusal(engine);
         }
     } catch (const exchange_failed_error& fault) {
         failure = fault;
@@ -311,6 +311,7 @@
     } else if (has_head && kind == answer_kind::not_run) {
         get_record().add_server(engine, "refused");
         m_avoided.insert(engine);
+        note_refusal(engine);
     } else {
         get_record().add_server(engine, "failed");
         if (!failure) {
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -103,6 +103,7 @@
         co_return std::nullopt;
     case answer_kind::not_run:
         get_record().add_server(server, "refused");
+        note_refusal(server);
         require_repeat(policy::retry_reason::backend_server_busy);
         co_return std::nullopt;
     case answer_kind::invalid:
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -24,7 +24,8 @@
 }
 
 /// Returns the organisation that the request runs for, or null on a public route.
-const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route, const call& wanted) {
+const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route,
+                                                       const call& wanted) {
     if (route.is_public || !view.has_organisations()) {
         return nullptr;
     }
@@ -77,14 +78,14 @@
     if (wanted.caller_patience) {
         patience = std::min(patience, *wanted.caller_patience);
     }
-    serving_request::accepted request{.wanted = &wanted,
-                                      .view = view,
-                                      .route = &route,
-                                      .service = choose_service(route),
-                                      .organisation = name,
-                                      .priority = organisation == nullptr ? route.priority
-                                                                          : organisation->priority.value_or(route.priority),
-                                      .deadline = record.arrived_at + patience};
+    serving_request::accepted request{
+        .wanted = &wanted,
+        .view = view,
+        .route = &route,
+        .service = choose_service(route),
+        .organisation = name,
+        .priority = organisation == nullptr ? route.priority : organisation->priority.value_or(route.priority),
+        .deadline = record.arrived_at + patience};
     state.get_retry_budget(request.service).add_request();
     const bool is_generation = wanted.wanted && state.find_engines(request.service) != nullptr;
     if (is_generation) {
@@ -144,6 +145,10 @@
                                 m_state->time.now());
 }
 
+void serving_request::note_refusal(const backend_server_name& server) const {
+    m_state->health.add_failure(server, policy::server_failure::refused, m_state->time.now());
+}
+
 void serving_request::note_run() {
     m_may_have_run = true;
     if (m_is_counted || m_request.organisation.empty()) {
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -58,6 +58,8 @@
 
     /// Notes what a failed exchange says about its server.
     void note_failure(const backend_server_name& server, const exchange_failed_error& failure) const;
+    /// Notes that a server would not run anything.
+    void note_refusal(const backend_server_name& server) const;
     /// Notes that a server began to run the request.
     void note_run();
 
--- a/tests/policy/test_server_health.cpp
+++ b/tests/policy/test_server_health.cpp
@@ -33,6 +33,21 @@
     CHECK(health.is_usable(server, time.now()));
 }
 
+TEST_CASE("a server that refuses twice in a row is left alone for a while, whoever asks") {
+    virtual_clock time;
+    server_health health({.first_pause = 300ms});
+    health.add_failure(server, server_failure::refused, time.now());
+    CHECK(health.is_usable(server, time.now()));
+    health.add_success(server);
+    health.add_failure(server, server_failure::refused, time.now());
+    CHECK(health.is_usable(server, time.now()));
+    health.add_failure(server, server_failure::refused, time.now());
+    CHECK_FALSE(health.is_usable(server, time.now()));
+    CHECK(health.get_failure_share(server) == 0);
+    time.advance(300ms);
+    CHECK(health.is_usable(server, time.now()));
+}
+
 TEST_CASE("single broken connections and answers that tell of a failure do not stop a server's work") {
     virtual_clock time;
     server_health health({.failures_to_pause = 3});
