Use doubtful engines where no other is left, keep more engines to generate, report what hosts have told

Cause: when a zone's generating engines left while the store was away, the few that were left refused some requests, rested, and everything was refused; the reporter knew of hosts that could not reach the store, or were killed, only what they had recorded.

--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -1,5 +1,7 @@
 #include "coordination/store_lease.hpp"
 
+#include <algorithm>
+
 #include "core/json.hpp"
 
 namespace dragonflywell::coordination {
@@ -147,6 +149,16 @@
     m_latest_seen_at = m_time->now();
 }
 
+duration store_lease::get_quiet_left() const {
+    if (!m_latest) {
+        // A first claim ever has no holder before it to keep a distance from.
+        return duration::zero();
+    }
+    const duration lease_left = m_latest->record.is_release ? duration::zero() : m_options.length;
+    const steady_time last_act_before = m_latest_seen_at + lease_left;
+    return std::max(duration::zero(), last_act_before + m_options.quiet - m_time->now());
+}
+
 void store_lease::hold(std::uint64_t offset, const store_lease_record& record) {
     if (record.is_release) {
         m_held.reset();
@@ -159,9 +171,9 @@
         }
         return;
     }
-    // A first claim ever has no holder before it to keep a distance from.
-    const duration quiet = m_latest ? m_options.quiet : duration::zero();
-    m_held = {.fence = offset + 1, .expires_at = expires_at, .acts_from = m_pending->sent_at + quiet};
+    m_held = {.fence = offset + 1,
+              .expires_at = expires_at,
+              .acts_from = m_time->now_with_suspension() + get_quiet_left()};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -37,7 +37,7 @@
     std::uint64_t incarnation{};
     /// How long a claim or renewal lasts, counted by the holder from before it was sent.
     duration length{};
-    /// How long a new holder waits before it acts, so that holders don't take turns within this time.
+    /// How long after the holder before can have acted last a new one acts, so that they don't take turns within it.
     duration quiet{};
     /// What a challenger waits beyond the length, for clocks that run apart and for the way of an answer.
     duration margin{std::chrono::milliseconds(500)};
@@ -90,6 +90,8 @@
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
     [[nodiscard]] bool has_lapsed() const;
+    /// Returns how much longer a new holder keeps still, counted from when the one before can have acted last.
+    [[nodiscard]] duration get_quiet_left() const;
     void take(const placed_lease_record& placed);
     void hold(std::uint64_t offset, const store_lease_record& record);
 
--- a/coordination/usage_book.cpp
+++ b/coordination/usage_book.cpp
@@ -1,5 +1,6 @@
 #include "coordination/usage_book.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "core/error.hpp"
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::string_view copy_suffix = "/copy";
+
 usage_window_number parse_window(std::string_view text) {
     usage_window_number window = 0;
     const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), window);
@@ -83,6 +86,30 @@
     return book;
 }
 
+std::string make_usage_key(std::string_view host, std::uint64_t incarnation) {
+    return std::string(host) + "/" + std::to_string(incarnation);
+}
+
+std::string make_usage_copy_key(std::string_view host, std::uint64_t incarnation) {
+    return make_usage_key(host, incarnation) + std::string(copy_suffix);
+}
+
+std::string_view get_usage_owner(std::string_view key) {
+    return key.ends_with(copy_suffix) ? key.substr(0, key.size() - copy_suffix.size()) : key;
+}
+
+usage_record merge_usage_records(const usage_record& left, const usage_record& right) {
+    usage_record merged = left;
+    merged.closed = std::max(left.closed, right.closed);
+    for (const auto& [window, counts] : right.windows) {
+        usage_counts& kept = merged.windows[window];
+        for (const auto& [organisation, count] : counts) {
+            kept[organisation] = std::max(kept[organisation], count);
+        }
+    }
+    return merged;
+}
+
 window_figures sum_window(const std::vector<usage_record>& records, usage_window_number window) {
     window_figures figures{.window = window, .counts = {}};
     for (const usage_record& record : records) {
--- a/coordination/usage_book.hpp
+++ b/coordination/usage_book.hpp
@@ -51,7 +51,16 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] report_book decode_report_book(std::string_view text);
 
-/// Adds up the figures of one window.
+/// Returns the key under which a life of a host's process records its usage, and that of a copy by another host.
+[[nodiscard]] std::string make_usage_key(std::string_view host, std::uint64_t incarnation);
+[[nodiscard]] std::string make_usage_copy_key(std::string_view host, std::uint64_t incarnation);
+/// Returns the part of such a key that names the life of the host.
+[[nodiscard]] std::string_view get_usage_owner(std::string_view key);
+
+/// Puts two records of the same life of a host together: counts only grow, so that the greater one is the later one.
+[[nodiscard]] usage_record merge_usage_records(const usage_record& left, const usage_record& right);
+
+/// Adds up the figures of one window over lives of hosts.
 [[nodiscard]] window_figures sum_window(const std::vector<usage_record>& records, usage_window_number window);
 
 } // namespace dragonflywell::coordination
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include "coordination/usage_book.hpp"
 #include "core/error.hpp"
 #include "core/json.hpp"
 #include "core/log_event.hpp"
@@ -25,6 +26,9 @@
 constexpr duration silence = std::chrono::milliseconds(2500);
 constexpr duration list_wait = std::chrono::seconds(10);
 constexpr duration list_retry = std::chrono::milliseconds(500);
+/// Windows whose counts are told: the current one, and those that may not be reported yet.
+constexpr std::int64_t told_windows = 3;
+constexpr int most_record_attempts = 10;
 constexpr std::size_t most_datagram_bytes = 60'000;
 /// Hosts' clocks that are this close are as close as clocks are.
 constexpr duration tolerated_time_difference = std::chrono::milliseconds(150);
@@ -159,6 +163,10 @@
     }
     other.heard_at = m_state->time.now();
     other.ahead = digest.true_time - m_state->get_true_time();
+    if (!digest.usage.empty()) {
+        other.usage = digest.usage;
+        m_state->set_other_usage(digest.host, digest.incarnation, digest.usage);
+    }
     apply_load(digest);
 }
 
@@ -194,6 +202,7 @@
         co_await servers::pause(keep_alive_interval);
         drop_silent();
         correct_time();
+        m_tells_usage = true;
         schedule();
     }
 }
@@ -206,12 +215,46 @@
             other.heard_at.reset();
             m_state->drop_other(name);
             log_event("host_silent").add("host", name).write(*m_log, spdlog::level::info);
+            if (is_first_alive() && !other.usage.empty()) {
+                boost::asio::co_spawn(m_state->executor,
+                                      record_usage_of(name, other.incarnation, std::exchange(other.usage, {})),
+                                      boost::asio::detached);
+            }
         }
         heard += other.heard_at ? 1 : 0;
     }
     m_state->set_hosts(heard + 1);
 }
 
+bool host_exchange::is_first_alive() const {
+    return std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
+        return item.second.heard_at && item.first < m_options.host;
+    });
+}
+
+servers::asio::awaitable<void> host_exchange::record_usage_of(std::string host, std::uint64_t incarnation,
+                                                              std::map<std::int64_t, policy::window_counts> usage) {
+    const std::string key = coordination::make_usage_copy_key(host, incarnation);
+    coordination::usage_record record{.windows = {}, .closed = 0};
+    for (auto& [window, counts] : usage) {
+        record.windows.emplace(window, std::move(counts));
+    }
+    const std::string text = coordination::encode_usage_record(record);
+    bool is_recorded = false;
+    for (int attempt = 0; attempt < most_record_attempts && !is_recorded; ++attempt) {
+        try {
+            co_await m_store->append(topics::usage, key, text);
+            is_recorded = true;
+        } catch (const platform::store_unavailable_error& fault) {
+            m_dependency.set_lost(m_state->time.now(), fault.what());
+        }
+        if (!is_recorded) {
+            co_await servers::pause(list_retry);
+        }
+    }
+    log_event("usage_copied").add("host", host).add("recorded", is_recorded).write(*m_log, spdlog::level::info);
+}
+
 void host_exchange::correct_time() {
     std::vector<duration> differences{duration::zero()};
     for (const auto& [name, other] : m_others) {
@@ -247,7 +290,13 @@
                                 .instances = m_state->get_own_in_flight(),
                                 .touches = std::exchange(m_state->touches, {}),
                                 .transitions = {},
-                                .read_demand = {}};
+                                .read_demand = {},
+                                .usage = {}};
+    if (std::exchange(m_tells_usage, false)) {
+        const std::int64_t current = m_state->usage.get_window(m_state->get_true_time());
+        const auto& windows = m_state->usage.get_windows();
+        digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
+    }
     for (const auto& [name, transition] : m_state->get_own_changing()) {
         if (m_state->is_changing(name)) {
             digest.transitions.emplace(
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -45,6 +45,8 @@
         std::optional<steady_time> heard_at;
         /// What its time of day is ahead of ours.
         duration ahead{};
+        /// What it has counted, as told last.
+        std::map<std::int64_t, policy::window_counts> usage;
     };
 
     servers::asio::awaitable<void> follow_hosts();
@@ -57,6 +59,11 @@
     void send();
     [[nodiscard]] servers::host_digest make_digest();
     void drop_silent();
+    /// Returns whether this host looks after what silent ones leave behind.
+    [[nodiscard]] bool is_first_alive() const;
+    /// Records what a host had counted that fell silent: it may have been killed before it could do so.
+    servers::asio::awaitable<void> record_usage_of(std::string host, std::uint64_t incarnation,
+                                                   std::map<std::int64_t, policy::window_counts> usage);
     void correct_time();
 
     platform::store_client* m_store;
@@ -68,6 +75,7 @@
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
     std::uint64_t m_sequence{0};
+    bool m_tells_usage{false};
     std::optional<std::uint64_t> m_next;
     std::map<std::string, other_host> m_others;
 };
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -1,7 +1,5 @@
 #include "daemon/usage_recorder.hpp"
 
-#include <fmt/format.h>
-
 #include "coordination/usage_book.hpp"
 #include "daemon/store_topics.hpp"
 #include "servers/pause.hpp"
@@ -22,7 +20,7 @@
 
 usage_recorder::usage_recorder(platform::store_client& store, servers::serving_state& state, const std::string& host,
                                std::uint64_t incarnation)
-    : m_store(&store), m_state(&state), m_key(fmt::format("{}/{}", host, incarnation)), m_log(get_logger("usage")),
+    : m_store(&store), m_state(&state), m_key(coordination::make_usage_key(host, incarnation)), m_log(get_logger("usage")),
       m_dependency(*m_log, "usage_topic") {}
 
 servers::asio::awaitable<void> usage_recorder::run() {
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -87,16 +87,21 @@
     return m_state->usage.get_window(m_state->get_true_time() - m_fix_after) - 1;
 }
 
-servers::asio::awaitable<bool> usage_reporter::fix_due() {
-    const coordination::usage_window_number newest = get_newest_due();
-    const platform::store_page page = co_await m_store->read_newest(topics::usage);
-    std::vector<coordination::usage_record> records;
+std::vector<coordination::usage_record> usage_reporter::gather_records(const platform::store_page& page) const {
+    std::map<std::string, coordination::usage_record, std::less<>> by_owner;
+    const auto add = [&](std::string owner, const coordination::usage_record& record) {
+        const auto [found, is_new] = by_owner.try_emplace(std::move(owner), record);
+        if (!is_new) {
+            found->second = coordination::merge_usage_records(found->second, record);
+        }
+    };
     for (const platform::keyed_record& record : page.records) {
         if (!record.value || record.value->empty()) {
             continue;
         }
         try {
-            records.push_back(coordination::decode_usage_record(*record.value));
+            add(std::string(coordination::get_usage_owner(record.key)),
+                coordination::decode_usage_record(*record.value));
         } catch (const malformed_message_error& fault) {
             log_event("usage_record_rejected")
                 .add("key", record.key)
@@ -104,6 +109,22 @@
                 .write(*m_log, spdlog::level::err);
         }
     }
+    // Hosts that were killed, or do not reach the store, have told the others.
+    for (const auto& [owner, windows] : m_state->get_other_usage()) {
+        add(coordination::make_usage_key(owner.first, owner.second), {.windows = windows, .closed = 0});
+    }
+    std::vector<coordination::usage_record> records;
+    records.reserve(by_owner.size());
+    for (auto& [owner, record] : by_owner) {
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+servers::asio::awaitable<bool> usage_reporter::fix_due() {
+    const coordination::usage_window_number newest = get_newest_due();
+    const platform::store_page page = co_await m_store->read_newest(topics::usage);
+    const std::vector<coordination::usage_record> records = gather_records(page);
     coordination::report_book next = *m_book;
     const auto first = std::max(next.last ? *next.last + 1 : newest, newest - most_late_windows);
     for (coordination::usage_window_number window = first; window <= newest; ++window) {
--- a/daemon/usage_reporter.hpp
+++ b/daemon/usage_reporter.hpp
@@ -32,6 +32,8 @@
     /// Fixes the figures of windows that are due. Returns whether the book in the store is the one known here.
     servers::asio::awaitable<bool> fix_due();
     servers::asio::awaitable<void> send_pending();
+    /// Returns what each life of a host has counted, its own record, copies and what it told put together.
+    [[nodiscard]] std::vector<coordination::usage_record> gather_records(const platform::store_page& page) const;
     [[nodiscard]] bool has_due() const;
     [[nodiscard]] coordination::usage_window_number get_newest_due() const;
 
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -41,11 +41,11 @@
 
 /// Returns the engines with the longest beginning, one for each zone.
 std::vector<cached_beginning> find_beginnings(const engine_board& board, const placed_generation& request,
-                                              const engine_filter& is_usable) {
+                                              const engine_filter& get_fitness) {
     std::vector<cached_beginning> beginnings;
     for (const auto& [name, engine] : board.get_engines()) {
         const std::uint64_t tokens = engine.cache.get_cached_tokens(request.parts);
-        if (tokens < least_fetched_tokens || !is_usable(name)) {
+        if (tokens < least_fetched_tokens || get_fitness(name) != engine_fitness::fit) {
             continue;
         }
         const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(), [&](const cached_beginning& item) {
@@ -92,13 +92,14 @@
     return best;
 }
 
-std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
-                                           const placed_generation& request, std::uint32_t urgency,
-                                           const engine_filter& is_usable, steady_time now) {
-    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, is_usable);
+std::optional<reader_choice> choose_reader_among(const engine_board& board, const engine_costs& costs,
+                                                 const placed_generation& request, std::uint32_t urgency,
+                                                 const engine_filter& get_fitness, engine_fitness least,
+                                                 steady_time now) {
+    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, get_fitness);
     std::optional<reader_choice> best;
     for (const auto& [name, engine] : board.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::prefill || !is_usable(name)) {
+        if (engine.facts.stage != fleet::engine_stage::prefill || get_fitness(name) < least) {
             continue;
         }
         reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
@@ -110,6 +111,17 @@
     return best;
 }
 
+std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
+                                           const placed_generation& request, std::uint32_t urgency,
+                                           const engine_filter& get_fitness, steady_time now) {
+    std::optional<reader_choice> reader =
+        choose_reader_among(board, costs, request, urgency, get_fitness, engine_fitness::fit, now);
+    if (!reader) {
+        reader = choose_reader_among(board, costs, request, urgency, get_fitness, engine_fitness::doubtful, now);
+    }
+    return reader;
+}
+
 double get_fullness(const engine_board& board, const backend_server_name& name, const engine_facts& facts,
                     std::uint64_t needed_tokens) {
     const double slots = static_cast<double>(board.get_running(name) + 1) / std::max<std::uint32_t>(1, facts.slots);
@@ -123,12 +135,15 @@
 
 } // namespace
 
-std::optional<backend_server_name> choose_generator(const engine_board& board, const placed_generation& request,
-                                                    const zone_name& near, const engine_filter& is_usable) {
+namespace {
+
+std::optional<backend_server_name> choose_generator_among(const engine_board& board, const placed_generation& request,
+                                                          const zone_name& near, const engine_filter& get_fitness,
+                                                          engine_fitness least) {
     std::optional<backend_server_name> best;
     double best_score = std::numeric_limits<double>::max();
     for (const auto& [name, engine] : board.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::decode || !is_usable(name)) {
+        if (engine.facts.stage != fleet::engine_stage::decode || get_fitness(name) < least) {
             continue;
         }
         double score = get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
@@ -142,6 +157,18 @@
     return best;
 }
 
+} // namespace
+
+std::optional<backend_server_name> choose_generator(const engine_board& board, const placed_generation& request,
+                                                    const zone_name& near, const engine_filter& get_fitness) {
+    std::optional<backend_server_name> generator =
+        choose_generator_among(board, request, near, get_fitness, engine_fitness::fit);
+    if (!generator) {
+        generator = choose_generator_among(board, request, near, get_fitness, engine_fitness::doubtful);
+    }
+    return generator;
+}
+
 namespace {
 
 std::uint32_t get_urgency(const placed_generation& request, bool is_in_time) {
@@ -151,10 +178,10 @@
 /// Chooses engines for a request that is sent with that urgency.
 std::optional<engine_choice> choose_at(const engine_board& board, const engine_costs& costs,
                                        const placed_generation& request, std::uint32_t urgency,
-                                       const zone_name& own_zone, const engine_filter& is_usable, steady_time now) {
-    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, is_usable, now);
+                                       const zone_name& own_zone, const engine_filter& get_fitness, steady_time now) {
+    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, get_fitness, now);
     const zone_name near = reader ? board.find(reader->engine)->facts.zone : own_zone;
-    const std::optional<backend_server_name> generator = choose_generator(board, request, near, is_usable);
+    const std::optional<backend_server_name> generator = choose_generator(board, request, near, get_fitness);
     if (!generator) {
         return std::nullopt;
     }
@@ -180,16 +207,16 @@
 
 std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
                                             const placed_generation& request, const zone_name& own_zone,
-                                            const engine_filter& is_usable, steady_time now) {
+                                            const engine_filter& get_fitness, steady_time now) {
     if (request.target) {
         std::optional<engine_choice> choice =
-            choose_at(board, costs, request, get_urgency(request, true), own_zone, is_usable, now);
+            choose_at(board, costs, request, get_urgency(request, true), own_zone, get_fitness, now);
         if (choice && choice->first_event_after <= *request.target) {
             choice->is_in_time = true;
             return choice;
         }
     }
-    return choose_at(board, costs, request, get_urgency(request, false), own_zone, is_usable, now);
+    return choose_at(board, costs, request, get_urgency(request, false), own_zone, get_fitness, now);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -51,8 +51,17 @@
     std::uint32_t urgency{least_urgency};
 };
 
-/// Answers which engines may be used, by their health.
-using engine_filter = std::function<bool(const backend_server_name&)>;
+/// How ready an engine is for work.
+enum class engine_fitness : std::uint8_t {
+    /// It must not be given any.
+    unusable,
+    /// It refused or failed lately; it is used only where no other engine can do the same work.
+    doubtful,
+    fit,
+};
+
+/// Answers how fit an engine is.
+using engine_filter = std::function<engine_fitness(const backend_server_name&)>;
 
 /// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
 ///
@@ -62,12 +71,12 @@
 /// in order of arrival would make all of them late. Among those, the more urgent rank goes first. Thread safe.
 [[nodiscard]] std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
                                                           const placed_generation& request, const zone_name& own_zone,
-                                                          const engine_filter& is_usable, steady_time now);
+                                                          const engine_filter& get_fitness, steady_time now);
 
 /// Returns the engine that should generate, or nothing. `near`: the zone that the prompt's memory comes from.
 [[nodiscard]] std::optional<backend_server_name> choose_generator(const engine_board& board,
                                                                   const placed_generation& request,
                                                                   const zone_name& near,
-                                                                  const engine_filter& is_usable);
+                                                                  const engine_filter& get_fitness);
 
 } // namespace dragonflywell::policy
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -56,7 +56,8 @@
 
 std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand, const stage_plan_options& options) {
     const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.generator_fill));
-    return std::max(static_cast<std::uint32_t>(needed) + options.spare_generators, options.least_generators);
+    const double with_spare = std::ceil(needed * (1 + options.spare_share));
+    return std::max(static_cast<std::uint32_t>(with_spare) + options.spare_generators, options.least_generators);
 }
 
 std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -32,7 +32,10 @@
 struct stage_plan_options {
     /// Part of its slots up to which an engine that generates is filled, so that pauses within streams stay short.
     double generator_fill{0.3};
-    /// Engines that generate beyond what the demand needs, so that losing one costs no service.
+    /// Engines that generate beyond what the demand needs, as a share of those, so that losing the engines of one zone
+    /// out of four costs no service.
+    double spare_share{0.34};
+    /// The same, as a number.
     std::uint32_t spare_generators{1};
     std::uint32_t least_generators{3};
     /// Part of a service's engines that may be changing their stage at once while requests run.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -126,7 +126,10 @@
 
 policy::engine_filter generation_request::make_filter() const {
     return [this](const backend_server_name& engine) {
-        return !m_avoided.contains(engine) && get_state().is_usable(engine);
+        if (m_avoided.contains(engine) || !get_state().is_listed(engine)) {
+            return policy::engine_fitness::unusable;
+        }
+        return get_state().is_usable(engine) ? policy::engine_fitness::fit : policy::engine_fitness::doubtful;
     };
 }
 
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -72,6 +72,34 @@
     return {touch.engine.value(), std::move(parts)};
 }
 
+array encode_usage(const std::map<std::int64_t, policy::window_counts>& usage) {
+    array windows;
+    for (const auto& [window, counts] : usage) {
+        object encoded;
+        for (const auto& [organisation, count] : counts) {
+            encoded[organisation.value()] = count;
+        }
+        windows.push_back(array{window, std::move(encoded)});
+    }
+    return windows;
+}
+
+std::map<std::int64_t, policy::window_counts> decode_usage(const array& windows) {
+    std::map<std::int64_t, policy::window_counts> usage;
+    for (const value& item : windows) {
+        const array& window = to_list(item);
+        policy::window_counts& counts = usage[static_cast<std::int64_t>(get_number(window, 0))];
+        if (window.size() < 2) {
+            throw malformed_message_error("a window of the digest has no counts");
+        }
+        const object& encoded = json::as_object(window[1], "counts of a window");
+        for (const auto& count : encoded) {
+            counts[organisation_name(std::string_view(count.key()))] = json::get_unsigned(encoded, count.key());
+        }
+    }
+    return usage;
+}
+
 digest_touch decode_touch(const array& list) {
     if (list.empty() || !list[0].is_string()) {
         throw malformed_message_error("a touch of the digest names no engine");
@@ -118,7 +146,8 @@
                                          {"p", std::move(instances)},
                                          {"t", std::move(touches)},
                                          {"c", std::move(transitions)},
-                                         {"r", std::move(read_demand)}});
+                                         {"r", std::move(read_demand)},
+                                         {"u", encode_usage(digest.usage)}});
 }
 
 host_digest decode_host_digest(std::string_view text) {
@@ -133,7 +162,8 @@
                        .instances = {},
                        .touches = {},
                        .transitions = {},
-                       .read_demand = {}};
+                       .read_demand = {},
+                       .usage = decode_usage(json::get_array(source, "u"))};
     for (const auto& item : json::get_object(source, "e")) {
         digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
     }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -10,6 +10,7 @@
 #include "core/identifiers.hpp"
 #include "fleet/server_record.hpp"
 #include "policy/prefix_cache.hpp"
+#include "policy/usage_counter.hpp"
 
 namespace dragonflywell::servers {
 
@@ -67,6 +68,8 @@
     std::map<backend_server_name, digest_transition> transitions;
     /// What reading the prompts of all requests since the sender's start costs engines, by service.
     std::map<service_name, duration> read_demand;
+    /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
+    std::map<std::int64_t, policy::window_counts> usage;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -12,6 +12,9 @@
 /// that starts anew knows nothing of what it spent before.
 constexpr double budget_share = 0.6;
 
+/// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
+constexpr std::int64_t kept_usage_windows = 6;
+
 } // namespace
 
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
@@ -61,10 +64,13 @@
     return found == m_engines.end() ? nullptr : &found->second;
 }
 
-bool serving_state::is_usable(const backend_server_name& server) const {
+bool serving_state::is_listed(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
-    return listed != nullptr && fleet::server_directory::is_usable(*listed) && health.is_usable(server, time.now()) &&
-           !is_changing(server);
+    return listed != nullptr && fleet::server_directory::is_usable(*listed) && !is_changing(server);
+}
+
+bool serving_state::is_usable(const backend_server_name& server) const {
+    return is_listed(server) && health.is_usable(server, time.now());
 }
 
 void serving_state::set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until) {
@@ -148,6 +154,18 @@
     before = {.incarnation = incarnation, .told = demand};
 }
 
+void serving_state::set_other_usage(const std::string& host, std::uint64_t incarnation,
+                                    const std::map<std::int64_t, policy::window_counts>& windows) {
+    for (const auto& [window, counts] : windows) {
+        m_other_usage[{host, incarnation}][window] = counts;
+    }
+    const std::int64_t oldest = usage.get_window(get_true_time()) - kept_usage_windows;
+    for (auto& [owner, told] : m_other_usage) {
+        told.erase(told.begin(), told.lower_bound(oldest));
+    }
+    std::erase_if(m_other_usage, [](const auto& item) { return item.second.empty(); });
+}
+
 duration serving_state::get_read_demand(const service_name& service) const {
     duration demand{};
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -54,7 +54,9 @@
     [[nodiscard]] service_engines* find_engines(const service_name& service);
     [[nodiscard]] std::map<service_name, service_engines>& get_engines() noexcept { return m_engines; }
 
-    /// Returns whether work may be sent to a server now.
+    /// Returns whether the list permits that work is sent to a server.
+    [[nodiscard]] bool is_listed(const backend_server_name& server) const;
+    /// Returns whether work may be sent to a server now: it is listed and has not failed lately.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
     /// Notes that an engine is changing to a stage; it is not used until the list says that it has, or until then.
@@ -85,6 +87,13 @@
     /// Returns the cost of all prompts that this host and the others have got since this host watches them.
     [[nodiscard]] duration get_read_demand(const service_name& service) const;
 
+    /// What the lives of other hosts' processes have counted, as they told last, by host and incarnation.
+    using told_usage = std::map<std::pair<std::string, std::uint64_t>, std::map<std::int64_t, policy::window_counts>>;
+    /// Takes what another host has counted. Windows that are long over are forgotten.
+    void set_other_usage(const std::string& host, std::uint64_t incarnation,
+                         const std::map<std::int64_t, policy::window_counts>& windows);
+    [[nodiscard]] const told_usage& get_other_usage() const noexcept { return m_other_usage; }
+
     /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
     [[nodiscard]] wall_time get_true_time() const;
     /// Corrects that time by what other hosts say.
@@ -159,6 +168,7 @@
     };
     std::map<std::string, other_demand> m_other_demand;
     std::map<service_name, duration> m_others_read_demand;
+    told_usage m_other_usage;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/coordination/test_usage_book.cpp
+++ b/tests/coordination/test_usage_book.cpp
@@ -15,6 +15,22 @@
     CHECK(sum_window(records, 9).counts.empty());
 }
 
+TEST_CASE("a copy of a host's record and its own are one, with the greater counts") {
+    const organisation_name a("a");
+    const organisation_name b("b");
+    const usage_record own{.windows = {{7, {{a, 2}}}}, .closed = 7};
+    const usage_record copy{.windows = {{7, {{a, 1}, {b, 4}}}, {8, {{a, 3}}}}, .closed = 6};
+    const usage_record merged{.windows = {{7, {{a, 2}, {b, 4}}}, {8, {{a, 3}}}}, .closed = 7};
+    CHECK(merge_usage_records(own, copy) == merged);
+    CHECK(merge_usage_records(copy, own) == merged);
+}
+
+TEST_CASE("a copy's key names the same life of the same host") {
+    CHECK(get_usage_owner(make_usage_key("h", 7)) == make_usage_key("h", 7));
+    CHECK(get_usage_owner(make_usage_copy_key("h", 7)) == make_usage_key("h", 7));
+    CHECK(make_usage_copy_key("h", 7) != make_usage_key("h", 7));
+}
+
 TEST_CASE("records and books survive encoding") {
     const usage_record record{.windows = {{7, {{organisation_name("a"), 2}}}, {8, {}}}, .closed = 7};
     CHECK(decode_usage_record(encode_usage_record(record)) == record);
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -22,8 +22,15 @@
 constexpr auto prefill = fleet::engine_stage::prefill;
 constexpr auto decode = fleet::engine_stage::decode;
 
-bool accept_any(const backend_server_name& /*engine*/) {
-    return true;
+engine_fitness accept_any(const backend_server_name& /*engine*/) {
+    return engine_fitness::fit;
+}
+
+/// Returns a filter that takes one engine for less fit than the others.
+engine_filter except(const std::string& name, engine_fitness fitness) {
+    return [name, fitness](const backend_server_name& engine) {
+        return engine.value() == name ? fitness : engine_fitness::fit;
+    };
 }
 
 struct fixture {
@@ -110,7 +117,7 @@
     CHECK(choice->fetch_from->value() == "p2");
     CHECK(choice->reading.tokens == 1'000);
     // A source that may not be used is none; a short beginning is not worth a transfer.
-    const auto without = choose([](const backend_server_name& name) { return name.value() != "p2"; });
+    const auto without = choose(except("p2", engine_fitness::unusable));
     CHECK(without->fetch_from->value() == "p3");
     parts[0].tokens = 500;
     board.touch(backend_server_name("p3"), parts);
@@ -147,8 +154,22 @@
     CHECK(choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->is_in_time);
 }
 
+TEST_CASE_FIXTURE(fixture, "an engine that refused lately is used where no other one can do the work") {
+    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                       {backend_server_name("p2"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    board.touch(backend_server_name("p1"), parts);
+    CHECK(choose(except("p1", engine_fitness::doubtful))->reader->value() == "p2");
+    const auto generated = choose(except("d", engine_fitness::doubtful));
+    REQUIRE(generated);
+    CHECK(generated->generator.value() == "d");
+    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    CHECK(choose(except("p1", engine_fitness::doubtful))->reader->value() == "p1");
+}
+
 TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
     board.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK_FALSE(choose([](const backend_server_name& name) { return name.value() != "d"; }));
+    CHECK_FALSE(choose(except("d", engine_fitness::unusable)));
 }
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -62,7 +62,8 @@
     std::vector<staged_engine> engines = make_engines(4, 3, 3);
     settle(engines, {.running = 60});
     const std::vector<staged_engine> generators = get_generators(engines);
-    CHECK(generators.size() == 5);
+    // 60 requests need four engines, two more stand by.
+    CHECK(generators.size() == 7);
     std::set<zone_name> zones;
     for (const staged_engine& engine : generators) {
         CHECK_FALSE(engine.is_cheap);
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -21,14 +21,15 @@
         .instances = {{backend_server_name("s"), 3}},
         .touches = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
         .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = 7s}}},
-        .read_demand = {{service_name("llm"), 3s}}};
+        .read_demand = {{service_name("llm"), 3s}},
+        .usage = {{357732848, {{organisation_name("o"), 12}}}}};
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
 TEST_CASE("what is no digest is rejected") {
-    for (const char* text : {"", "{}", "[]", R"({"h":"h","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{}})",
-                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{}})",
-                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{}})"}) {
+    for (const char* text : {"", "{}", "[]", R"({"h":"h","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[]})",
+                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[]})",
+                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[]})"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_host_digest(text)), malformed_message_error);
     }
