--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -50,7 +50,8 @@
         const bool is_due = m_time->now_with_suspension() - renewed_at >= m_options.length / renewals_per_length;
         return is_due || m_is_resigning ? action::append : action::nothing;
     }
-    if (m_is_resigning) {
+    const bool is_holder_heard = m_holder_heard_at && m_time->now() - *m_holder_heard_at < m_options.holder_silence;
+    if (m_is_resigning || is_holder_heard) {
         return action::nothing;
     }
     const bool is_vacant = !m_latest || m_latest->record.is_release || has_lapsed();
@@ -107,6 +108,11 @@
     m_needs_read = true;
 }
 
+void store_lease::note_holder_alive() {
+    m_holder_heard_at = m_time->now();
+    m_latest_seen_at = m_time->now();
+}
+
 void store_lease::on_superseded() {
     m_held.reset();
     m_needs_read = true;
@@ -171,9 +177,8 @@
         }
         return;
     }
-    m_held = {.fence = offset + 1,
-              .expires_at = expires_at,
-              .acts_from = m_time->now_with_suspension() + get_quiet_left()};
+    m_held = {
+        .fence = offset + 1, .expires_at = expires_at, .acts_from = m_time->now_with_suspension() + get_quiet_left()};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -41,6 +41,8 @@
     duration quiet{};
     /// What a challenger waits beyond the length, for clocks that run apart and for the way of an answer.
     duration margin{std::chrono::milliseconds(500)};
+    /// How long the holder may not be heard before the topic is read again.
+    duration holder_silence{std::chrono::milliseconds(800)};
     /// Time that must be left for authority to be given, so that a call is over before the lease is.
     duration least_left{std::chrono::milliseconds(300)};
 };
@@ -77,6 +79,10 @@
     /// Nobody knows whether it was appended.
     void on_unknown();
 
+    /// Notes that the holder says that it holds the lease. While it does so, there is nothing to read or to claim; that
+    /// it is heard only makes this candidate wait longer.
+    void note_holder_alive();
+
     /// Gives the lease up at the next append, and makes no further claim.
     void resign() noexcept { m_is_resigning = true; }
     /// Gives the lease up at once, because a receiver has seen a newer holder.
@@ -101,6 +107,7 @@
     bool m_has_read{false};
     bool m_needs_read{true};
     std::optional<steady_time> m_last_read_at;
+    std::optional<steady_time> m_holder_heard_at;
     std::optional<placed_lease_record> m_latest;
     /// When the latest record was first seen here.
     steady_time m_latest_seen_at{};
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -11,24 +11,34 @@
 
 constexpr duration retry_pause = std::chrono::milliseconds(150);
 
-/// A read waits this part of the bound, so that a connection that went silent is noticed well within it.
+/// Parts of the bound for which a read waits at the store, and after which a host that hears nothing reads by itself.
 constexpr double wait_share = 0.5;
+constexpr double longest_age_share = 0.7;
+
+duration get_part(duration whole, double share) {
+    return std::chrono::duration_cast<duration>(whole * share);
+}
 
 } // namespace
 
 configuration_follower::configuration_follower(platform::store_client& store, servers::serving_state& state,
                                                duration bound, std::function<void()> on_change)
-    : m_store(&store), m_state(&state), m_bound(bound), m_on_change(std::move(on_change)),
-      m_log(get_logger("configuration")), m_dependency(*m_log, "configuration") {}
+    : m_store(&store), m_state(&state), m_read_wait(get_part(bound, wait_share)),
+      m_longest_age(get_part(bound, longest_age_share)), m_on_change(std::move(on_change)),
+      m_log(get_logger("configuration")), m_dependency(*m_log, "configuration"), m_hint_timer(state.executor) {}
 
 servers::asio::awaitable<void> configuration_follower::run() {
     for (;;) {
+        if (!m_is_reader && !m_topic.is_due(m_longest_age, m_state->time.now())) {
+            co_await wait_for_hint();
+            continue;
+        }
         bool has_failed = false;
         try {
             co_await follow_once();
             m_dependency.set_reached(m_state->time.now());
         } catch (const platform::store_history_dropped_error&) {
-            m_next.reset();
+            m_topic.note_dropped();
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
             has_failed = true;
@@ -39,13 +49,40 @@
     }
 }
 
+servers::asio::awaitable<void> configuration_follower::wait_for_hint() {
+    m_hint_timer.expires_after(m_longest_age - m_topic.get_age(m_state->time.now()));
+    servers::error_code ignored;
+    co_await m_hint_timer.async_wait(servers::store_error(ignored));
+}
+
+void configuration_follower::set_reader(bool is_reader) {
+    if (m_is_reader != is_reader) {
+        m_is_reader = is_reader;
+        m_hint_timer.cancel();
+    }
+}
+
+void configuration_follower::take_hint(const servers::digest_reading& reading) {
+    if (m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now())) {
+        m_hint_timer.cancel();
+    }
+}
+
+servers::digest_reading configuration_follower::get_reading() const {
+    return {.end = m_topic.get_next(), .age = m_topic.get_age(m_state->time.now())};
+}
+
 servers::asio::awaitable<void> configuration_follower::follow_once() {
-    if (!m_next) {
-        take(co_await m_store->read_newest(platform::wire::operator_topic));
-        co_return;
+    const std::optional<std::uint64_t> next = m_topic.get_next();
+    platform::store_page page;
+    if (next) {
+        // Only the host that reads for others waits at the store.
+        const duration wait = m_is_reader ? m_read_wait : duration::zero();
+        page = co_await m_store->read(platform::wire::operator_topic, *next, wait);
+    } else {
+        page = co_await m_store->read_newest(platform::wire::operator_topic);
     }
-    const auto wait = std::chrono::duration_cast<duration>(m_bound * wait_share);
-    take(co_await m_store->read(platform::wire::operator_topic, *m_next, wait));
+    take(page);
 }
 
 void configuration_follower::take(const platform::store_page& page) {
@@ -54,7 +91,11 @@
             put_in_force(record);
         }
     }
-    m_next = page.end;
+    const bool has_news = !page.records.empty();
+    m_topic.note_read(page.end, m_state->time.now());
+    if (has_news && m_is_reader) {
+        m_state->note_load_change();
+    }
 }
 
 void configuration_follower::put_in_force(const platform::keyed_record& record) {
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -1,17 +1,21 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 
 #include "core/log.hpp"
 #include "daemon/store_dependency.hpp"
 #include "platform/store_client.hpp"
+#include "policy/followed_topic.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
 
 /// Keeps the newest configuration of the store in force. Versions only grow within one life of the process.
-/// Used on one event loop.
+///
+/// One host of a group waits at the store for changes; the others read when it tells of one, or when they have not
+/// heard of it for too long. Used on one event loop.
 class configuration_follower {
 public:
     /// Preconditions: store and state outlive the follower. `on_change` is called after each new configuration.
@@ -21,19 +25,31 @@
     /// Follows for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
+    /// Sets whether this host reads for its group.
+    void set_reader(bool is_reader);
+    /// Takes how far a host that reads for the group has come.
+    void take_hint(const servers::digest_reading& reading);
+    /// Returns how far this host has come, for others.
+    [[nodiscard]] servers::digest_reading get_reading() const;
+
 private:
     servers::asio::awaitable<void> follow_once();
+    servers::asio::awaitable<void> wait_for_hint();
     void take(const platform::store_page& page);
     void put_in_force(const platform::keyed_record& record);
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
-    duration m_bound;
+    /// How long a read waits for a change, so that a connection that went silent is noticed within the bound.
+    duration m_read_wait;
+    /// How old the last news may be before this host reads by itself.
+    duration m_longest_age;
     std::function<void()> m_on_change;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    /// Where to read on; nothing while the newest record has to be listed first.
-    std::optional<std::uint64_t> m_next;
+    policy::followed_topic m_topic;
+    boost::asio::steady_timer m_hint_timer;
+    bool m_is_reader{false};
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -62,10 +62,7 @@
     for (const auto& [service, engines] : m_state->get_engines()) {
         const auto height = m_reading.try_emplace(service, policy::demand_height::options{}).first;
         height->second.observe(std::chrono::duration<double>(m_state->get_read_demand(service)).count(), now);
-        double running = 0;
-        for (const auto& [name, engine] : engines.board.get_engines()) {
-            running += engines.board.get_running(name);
-        }
+        const double running = m_state->get_running(service);
         double& running_height = m_running[service];
         running_height = std::max(running, running_height * height_memory);
     }
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -26,7 +26,8 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 
 servers::serving_options get_serving_options(const host_settings& settings) {
-    return {.own_zone = settings.zone,
+    return {.own_host = settings.name.value(),
+            .own_zone = settings.zone,
             .usage_window = settings.bounds.usage_window,
             .repeats_per_request = settings.bounds.repeats_per_request,
             .repeats_besides = settings.bounds.repeats_besides,
@@ -61,8 +62,11 @@
       m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_due),
       m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()), m_engine_orders(m_connections, m_metrics, {}),
       m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value(), m_settings.is_first_start),
-      m_hosts(m_loop, m_store, m_state,
-              {.host = m_settings.name.value(), .incarnation = m_incarnation, .listen = m_settings.hosts}),
+      m_hosts(m_loop, m_store, m_state, m_configuration, m_servers, m_lease,
+              {.host = m_settings.name.value(),
+               .zone = m_settings.zone,
+               .incarnation = m_incarnation,
+               .listen = m_settings.hosts}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
       m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -3,11 +3,15 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "core/log.hpp"
+#include "daemon/configuration_follower.hpp"
+#include "daemon/lease_keeper.hpp"
+#include "daemon/server_list_follower.hpp"
 #include "daemon/store_dependency.hpp"
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
@@ -17,17 +21,20 @@
 
 struct host_exchange_options {
     std::string host;
+    zone_name zone;
     std::uint64_t incarnation{};
     /// Where this host takes the datagrams of others.
     endpoint listen;
 };
 
-/// Tells the other hosts what this one has sent to backend servers, and takes what they tell. Hosts find each other in
-/// the store; nothing here has to arrive. Used on one event loop.
+/// Tells the other hosts of the group what this one has sent to backend servers, and takes what they tell; the first
+/// host of a group reads the store for it and speaks for it to other groups. Hosts find each other in the store;
+/// nothing here has to arrive. Used on one event loop.
 class host_exchange {
 public:
     /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the exchange.
     host_exchange(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
+                  configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
                   host_exchange_options options);
 
     /// Starts to send, to receive and to look for other hosts.
@@ -40,9 +47,14 @@
     /// Another host, as listed and as heard of.
     struct other_host {
         boost::asio::ip::udp::endpoint address;
+        zone_name zone;
+        bool is_near{true};
+        bool is_stopping{false};
         std::uint64_t incarnation{0};
         std::uint64_t sequence{0};
         std::optional<steady_time> heard_at;
+        /// Since when a host of the group is silent.
+        std::optional<steady_time> silent_since;
         /// What its time of day is ahead of ours.
         duration ahead{};
         /// What it has counted, as told last.
@@ -54,28 +66,47 @@
     servers::asio::awaitable<void> receive();
     servers::asio::awaitable<void> keep_alive();
     void take_hosts(const platform::store_page& page);
+    void update_groups();
+    void take_datagram(std::string_view text);
+    void take_news(const boost::json::object& news);
     void take(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
+    void take_readings(const servers::host_digest& digest);
     void send();
-    [[nodiscard]] servers::host_digest make_digest();
+    /// Sends to the hosts of the group, or to all others.
+    void send_to(const std::string& text, bool is_near);
+    void pass_news_on(std::uint64_t from, const platform::store_page& page);
+    [[nodiscard]] servers::host_digest make_head();
+    [[nodiscard]] servers::host_digest make_near_digest();
+    [[nodiscard]] servers::host_digest make_far_digest();
+    void add_usage(servers::host_digest& digest) const;
+    void add_transitions(servers::host_digest& digest) const;
+    void add_engines(servers::host_digest& digest) const;
+    void add_summaries(servers::host_digest& digest) const;
     void drop_silent();
-    /// Returns whether this host looks after what silent ones leave behind.
+    void drop_entries_of_gone();
+    /// Returns whether this host is the first of its group: it reads and speaks for it.
     [[nodiscard]] bool is_first_alive() const;
     /// Records what a host had counted that fell silent: it may have been killed before it could do so.
     servers::asio::awaitable<void> record_usage_of(std::string host, std::uint64_t incarnation,
                                                    std::map<std::int64_t, policy::window_counts> usage);
+    servers::asio::awaitable<void> drop_entry(std::string host);
     void correct_time();
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
+    configuration_follower* m_configuration;
+    server_list_follower* m_servers;
+    lease_keeper* m_lease;
     host_exchange_options m_options;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
+    /// The next digests carry what is told less often, and go to other groups, too.
+    bool m_is_keep_alive_due{false};
     std::uint64_t m_sequence{0};
-    bool m_tells_usage{false};
     std::optional<std::uint64_t> m_next;
     std::map<std::string, other_host> m_others;
 };
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr duration retry_pause = std::chrono::milliseconds(150);
+/// How much later than read news may be here before this host reads by itself.
+constexpr duration news_delay = std::chrono::milliseconds(250);
 
 std::string_view get_change_name(fleet::directory_change change) {
     switch (change) {
@@ -38,15 +40,20 @@
 server_list_follower::server_list_follower(platform::store_client& store, servers::serving_state& state,
                                            duration interval)
     : m_store(&store), m_state(&state), m_interval(interval), m_log(get_logger("servers")),
-      m_dependency(*m_log, "server_list") {}
+      m_dependency(*m_log, "server_list"), m_hint_timer(state.executor) {}
 
 servers::asio::awaitable<void> server_list_follower::run() {
     for (;;) {
+        const duration longest_age = m_interval + news_delay;
+        if (!m_is_reader && !m_topic.is_due(longest_age, m_state->time.now())) {
+            co_await wait_for_hint();
+            continue;
+        }
         duration next_after = m_interval;
         try {
             co_await follow_once();
         } catch (const platform::store_history_dropped_error&) {
-            m_next.reset();
+            m_topic.note_dropped();
             next_after = duration::zero();
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
@@ -54,36 +61,89 @@
             next_after = retry_pause;
         }
         if (next_after > duration::zero()) {
-            co_await servers::pause(next_after);
+            m_hint_timer.expires_after(next_after);
+            servers::error_code ignored;
+            co_await m_hint_timer.async_wait(servers::store_error(ignored));
         }
     }
 }
 
+servers::asio::awaitable<void> server_list_follower::wait_for_hint() {
+    m_hint_timer.expires_after(m_interval + news_delay - m_topic.get_age(m_state->time.now()));
+    servers::error_code ignored;
+    co_await m_hint_timer.async_wait(servers::store_error(ignored));
+}
+
+void server_list_follower::set_reader(bool is_reader) {
+    m_is_reader = is_reader;
+}
+
+void server_list_follower::take_hint(const servers::digest_reading& reading) {
+    // News come in a datagram of their own, which a hint may overtake. Should it be lost, this host reads by itself
+    // when it has not been up to date for too long.
+    const bool is_ahead = reading.end.value_or(0) > m_topic.get_next().value_or(0);
+    if (!is_ahead) {
+        m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now());
+    }
+}
+
+void server_list_follower::take_news(std::uint64_t from, const platform::store_page& page) {
+    if (!m_topic.is_next(from)) {
+        if (page.end > m_topic.get_next().value_or(0)) {
+            // Something is missing in between.
+            m_topic.take_hint(page.end, duration::zero(), m_state->time.now());
+            m_hint_timer.cancel();
+        }
+        return;
+    }
+    // Who passes news on has reached the store.
+    m_state->directory.set_reachable(true, m_state->time.now());
+    const std::uint64_t generation = m_state->directory.get_generation();
+    take_records(page);
+    finish(generation, page.end);
+}
+
+servers::digest_reading server_list_follower::get_reading() const {
+    return {.end = m_topic.get_next(), .age = m_topic.get_age(m_state->time.now())};
+}
+
 servers::asio::awaitable<void> server_list_follower::follow_once() {
-    const bool is_listing = !m_next;
+    const std::optional<std::uint64_t> next = m_topic.get_next();
     platform::store_page page;
-    if (is_listing) {
-        page = co_await m_store->read_newest(platform::wire::servers_topic);
+    if (next) {
+        page = co_await m_store->read(platform::wire::servers_topic, *next, duration::zero());
     } else {
-        page = co_await m_store->read(platform::wire::servers_topic, *m_next, duration::zero());
+        page = co_await m_store->read_newest(platform::wire::servers_topic);
     }
     const steady_time now = m_state->time.now();
     m_dependency.set_reached(now);
     m_state->directory.set_reachable(true, now);
     const std::uint64_t generation = m_state->directory.get_generation();
-    if (is_listing) {
+    if (next && m_topic.is_next(*next)) {
+        take_records(page);
+    } else if (!next) {
         take_all(page);
-    } else {
-        for (const platform::keyed_record& record : page.records) {
-            take(record);
-        }
     }
+    finish(generation, page.end);
+    if (m_is_reader && next && m_on_news && !page.records.empty()) {
+        m_on_news(*next, page);
+    }
+}
+
+void server_list_follower::take_records(const platform::store_page& page) {
+    for (const platform::keyed_record& record : page.records) {
+        take(record);
+    }
+}
+
+void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end) {
+    const steady_time now = m_state->time.now();
     for (const backend_server_name& server : m_state->directory.expire(now)) {
         report(server, fleet::directory_change::removed);
     }
-    m_next = page.end;
+    m_topic.note_read(end, now);
     m_is_loaded = true;
-    if (m_state->directory.get_generation() != generation) {
+    if (m_state->directory.get_generation() != generation_before) {
         m_state->refresh_servers();
     }
 }
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -1,16 +1,21 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
-#include <optional>
 
 #include "core/log.hpp"
 #include "daemon/store_dependency.hpp"
 #include "platform/store_client.hpp"
+#include "policy/followed_topic.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
 
-/// Keeps the directory of backend servers up to what the store lists. Used on one event loop.
+/// Keeps the directory of backend servers up to what the store lists.
+///
+/// One host of a group reads the list and passes its news on; the others read when news are missing, or when they have
+/// not heard of it for too long. Used on one event loop.
 class server_list_follower {
 public:
     /// Preconditions: store and state outlive the follower; `interval` is well below the bound for draining servers.
@@ -22,8 +27,25 @@
     /// Returns whether the list was read at least once.
     [[nodiscard]] bool is_loaded() const noexcept { return m_is_loaded; }
 
+    /// Has `pass_on` called with each page that this host reads for its group, and where it starts.
+    void set_on_news(std::function<void(std::uint64_t from, const platform::store_page& page)> pass_on) {
+        m_on_news = std::move(pass_on);
+    }
+    /// Sets whether this host reads for its group.
+    void set_reader(bool is_reader);
+    /// Takes how far a host that reads for the group has come.
+    void take_hint(const servers::digest_reading& reading);
+    /// Takes a page that a host of the group has read.
+    void take_news(std::uint64_t from, const platform::store_page& page);
+    /// Returns how far this host has come, for others.
+    [[nodiscard]] servers::digest_reading get_reading() const;
+
 private:
     servers::asio::awaitable<void> follow_once();
+    servers::asio::awaitable<void> wait_for_hint();
+    /// Takes the next records of the list.
+    void take_records(const platform::store_page& page);
+    void finish(std::uint64_t generation_before, std::uint64_t end);
     void take_all(const platform::store_page& page);
     void take(const platform::keyed_record& record);
     void report(const backend_server_name& server, fleet::directory_change change) const;
@@ -33,7 +55,10 @@
     duration m_interval;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    std::optional<std::uint64_t> m_next;
+    policy::followed_topic m_topic;
+    boost::asio::steady_timer m_hint_timer;
+    std::function<void(std::uint64_t, const platform::store_page&)> m_on_news;
+    bool m_is_reader{false};
     bool m_is_loaded{false};
 };
 
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -63,10 +63,7 @@
 
 void stage_controller::observe_demand() {
     for (const auto& [service, engines] : m_state->get_engines()) {
-        double running = 0;
-        for (const auto& [name, engine] : engines.board.get_engines()) {
-            running += engines.board.get_running(name);
-        }
+        const double running = m_state->get_running(service);
         double& height = m_running[service];
         height = std::max(running, height * height_memory);
         m_is_before_first_request = m_is_before_first_request && height == 0;
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -20,8 +20,8 @@
 
 usage_recorder::usage_recorder(platform::store_client& store, servers::serving_state& state, const std::string& host,
                                std::uint64_t incarnation)
-    : m_store(&store), m_state(&state), m_key(coordination::make_usage_key(host, incarnation)), m_log(get_logger("usage")),
-      m_dependency(*m_log, "usage_topic") {}
+    : m_store(&store), m_state(&state), m_key(coordination::make_usage_key(host, incarnation)),
+      m_log(get_logger("usage")), m_dependency(*m_log, "usage_topic") {}
 
 servers::asio::awaitable<void> usage_recorder::run() {
     std::int64_t recorded = get_current_window() - 1;
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -110,7 +110,7 @@
         }
     }
     // Hosts that were killed, or do not reach the store, have told the others.
-    for (const auto& [owner, windows] : m_state->get_other_usage()) {
+    for (const auto& [owner, windows] : m_state->peers.get_usage()) {
         add(coordination::make_usage_key(owner.first, owner.second), {.windows = windows, .closed = 0});
     }
     std::vector<coordination::usage_record> records;
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -41,11 +41,11 @@
 
 /// Returns the engines with the longest beginning, one for each zone.
 std::vector<cached_beginning> find_beginnings(const engine_board& board, const placed_generation& request,
-                                              const engine_filter& get_fitness) {
+                                              const engine_judge& judge) {
     std::vector<cached_beginning> beginnings;
     for (const auto& [name, engine] : board.get_engines()) {
         const std::uint64_t tokens = engine.cache.get_cached_tokens(request.parts);
-        if (tokens < least_fetched_tokens || get_fitness(name) != engine_fitness::fit) {
+        if (tokens < least_fetched_tokens || judge(name).fitness != engine_fitness::fit) {
             continue;
         }
         const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(), [&](const cached_beginning& item) {
@@ -94,16 +94,19 @@
 
 std::optional<reader_choice> choose_reader_among(const engine_board& board, const engine_costs& costs,
                                                  const placed_generation& request, std::uint32_t urgency,
-                                                 const engine_filter& get_fitness, engine_fitness least,
-                                                 steady_time now) {
-    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, get_fitness);
+                                                 const engine_judge& judge, engine_fitness least, steady_time now) {
+    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, judge);
     std::optional<reader_choice> best;
     for (const auto& [name, engine] : board.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::prefill || get_fitness(name) < least) {
+        if (engine.facts.stage != fleet::engine_stage::prefill) {
+            continue;
+        }
+        const engine_suitability suitability = judge(name);
+        if (suitability.fitness < least) {
             continue;
         }
         reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
-        choice.done_after = board.get_backlog(name, now, urgency) + choice.reading_time;
+        choice.done_after = board.get_backlog(name, now, urgency) + suitability.unseen_backlog + choice.reading_time;
         if (!best || choice.done_after < best->done_after) {
             best = std::move(choice);
         }
@@ -113,11 +116,11 @@
 
 std::optional<reader_choice> choose_reader(const engine_board& board, const engine_costs& costs,
                                            const placed_generation& request, std::uint32_t urgency,
-                                           const engine_filter& get_fitness, steady_time now) {
+                                           const engine_judge& judge, steady_time now) {
     std::optional<reader_choice> reader =
-        choose_reader_among(board, costs, request, urgency, get_fitness, engine_fitness::fit, now);
+        choose_reader_among(board, costs, request, urgency, judge, engine_fitness::fit, now);
     if (!reader) {
-        reader = choose_reader_among(board, costs, request, urgency, get_fitness, engine_fitness::doubtful, now);
+        reader = choose_reader_among(board, costs, request, urgency, judge, engine_fitness::doubtful, now);
     }
     return reader;
 }
@@ -138,15 +141,20 @@
 namespace {
 
 std::optional<backend_server_name> choose_generator_among(const engine_board& board, const placed_generation& request,
-                                                          const zone_name& near, const engine_filter& get_fitness,
+                                                          const zone_name& near, const engine_judge& judge,
                                                           engine_fitness least) {
     std::optional<backend_server_name> best;
     double best_score = std::numeric_limits<double>::max();
     for (const auto& [name, engine] : board.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::decode || get_fitness(name) < least) {
+        if (engine.facts.stage != fleet::engine_stage::decode) {
+            continue;
+        }
+        const engine_suitability suitability = judge(name);
+        if (suitability.fitness < least) {
             continue;
         }
-        double score = get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
+        double score = suitability.unseen_fullness +
+                       get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
         score -= engine.facts.zone == near ? near_zone_advantage : 0;
         score += engine.facts.is_cheap ? cheap_disadvantage : 0;
         if (score < best_score) {
@@ -160,11 +168,11 @@
 } // namespace
 
 std::optional<backend_server_name> choose_generator(const engine_board& board, const placed_generation& request,
-                                                    const zone_name& near, const engine_filter& get_fitness) {
+                                                    const zone_name& near, const engine_judge& judge) {
     std::optional<backend_server_name> generator =
-        choose_generator_among(board, request, near, get_fitness, engine_fitness::fit);
+        choose_generator_among(board, request, near, judge, engine_fitness::fit);
     if (!generator) {
-        generator = choose_generator_among(board, request, near, get_fitness, engine_fitness::doubtful);
+        generator = choose_generator_among(board, request, near, judge, engine_fitness::doubtful);
     }
     return generator;
 }
@@ -178,10 +186,10 @@
 /// Chooses engines for a request that is sent with that urgency.
 std::optional<engine_choice> choose_at(const engine_board& board, const engine_costs& costs,
                                        const placed_generation& request, std::uint32_t urgency,
-                                       const zone_name& own_zone, const engine_filter& get_fitness, steady_time now) {
-    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, get_fitness, now);
+                                       const zone_name& own_zone, const engine_judge& judge, steady_time now) {
+    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, judge, now);
     const zone_name near = reader ? board.find(reader->engine)->facts.zone : own_zone;
-    const std::optional<backend_server_name> generator = choose_generator(board, request, near, get_fitness);
+    const std::optional<backend_server_name> generator = choose_generator(board, request, near, judge);
     if (!generator) {
         return std::nullopt;
     }
@@ -207,16 +215,16 @@
 
 std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
                                             const placed_generation& request, const zone_name& own_zone,
-                                            const engine_filter& get_fitness, steady_time now) {
+                                            const engine_judge& judge, steady_time now) {
     if (request.target) {
         std::optional<engine_choice> choice =
-            choose_at(board, costs, request, get_urgency(request, true), own_zone, get_fitness, now);
+            choose_at(board, costs, request, get_urgency(request, true), own_zone, judge, now);
         if (choice && choice->first_event_after <= *request.target) {
             choice->is_in_time = true;
             return choice;
         }
     }
-    return choose_at(board, costs, request, get_urgency(request, false), own_zone, get_fitness, now);
+    return choose_at(board, costs, request, get_urgency(request, false), own_zone, judge, now);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -60,8 +60,17 @@
     fit,
 };
 
-/// Answers how fit an engine is.
-using engine_filter = std::function<engine_fitness(const backend_server_name&)>;
+/// What is known of an engine beside its board.
+struct engine_suitability {
+    engine_fitness fitness{engine_fitness::fit};
+    /// Work of hosts that this one does not hear: how long a prompt waits there, and what part of the room is in use.
+    /// Both are zero for an engine of this host's group.
+    duration unseen_backlog{};
+    double unseen_fullness{0};
+};
+
+/// Answers what is known of an engine.
+using engine_judge = std::function<engine_suitability(const backend_server_name&)>;
 
 /// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
 ///
@@ -71,12 +80,11 @@
 /// in order of arrival would make all of them late. Among those, the more urgent rank goes first. Thread safe.
 [[nodiscard]] std::optional<engine_choice> choose_engines(const engine_board& board, const engine_costs& costs,
                                                           const placed_generation& request, const zone_name& own_zone,
-                                                          const engine_filter& get_fitness, steady_time now);
+                                                          const engine_judge& judge, steady_time now);
 
 /// Returns the engine that should generate, or nothing. `near`: the zone that the prompt's memory comes from.
 [[nodiscard]] std::optional<backend_server_name> choose_generator(const engine_board& board,
                                                                   const placed_generation& request,
-                                                                  const zone_name& near,
-                                                                  const engine_filter& get_fitness);
+                                                                  const zone_name& near, const engine_judge& judge);
 
 } // namespace dragonflywell::policy
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "core/hash.hpp"
 #include "servers/answer_relay.hpp"
 #include "servers/gone_subscription.hpp"
 
@@ -11,6 +12,16 @@
 
 namespace {
 
+/// What an engine of another group of hosts has to be better by, since little is known of it; prompts are spread over
+/// such engines by as much again.
+constexpr duration foreign_cost = std::chrono::milliseconds(60);
+constexpr duration foreign_spread = std::chrono::milliseconds(40);
+constexpr double foreign_fullness = 0.3;
+constexpr std::int64_t spread_steps = 1024;
+/// An odd number with bits all over, so that ids which follow each other are spread.
+constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
+/// How long a prompt is taken to wait at an engine of a group that nothing was heard of.
+constexpr duration unknown_backlog = std::chrono::milliseconds(300);
 constexpr std::size_t memory_answer_limit_bytes = 64UL * 1024;
 constexpr std::size_t plain_answer_limit_bytes = 1024UL * 1024;
 constexpr duration no_engine_retry = std::chrono::milliseconds(500);
@@ -87,6 +98,7 @@
         m_parts.push_back({.id = part.id, .tokens = part.tokens});
     }
     m_needed_tokens = wanted.prompt_tokens + wanted.expected_output_tokens.value_or(wanted.most_output_tokens);
+    m_far_groups = get_state().peers.get_far_groups(get_request().service);
     static std::uint64_t next_number = 0;
     m_number = ++next_number;
 }
@@ -124,20 +136,45 @@
     return placed;
 }
 
-policy::engine_filter generation_request::make_filter() const {
-    return [this](const backend_server_name& engine) {
-        if (m_avoided.contains(engine) || !get_state().is_listed(engine)) {
-            return policy::engine_fitness::unusable;
+policy::engine_judge generation_request::make_judge() const {
+    return [this](const backend_server_name& engine) { return judge(engine); };
+}
+
+policy::engine_suitability generation_request::judge(const backend_server_name& engine) const {
+    if (m_avoided.contains(engine) || !get_state().is_listed(engine)) {
+        return {.fitness = policy::engine_fitness::unusable};
+    }
+    policy::engine_suitability suitability{.fitness = get_state().is_usable(engine) ? policy::engine_fitness::fit
+                                                                                    : policy::engine_fitness::doubtful};
+    if (get_state().is_home(engine)) {
+        return suitability;
+    }
+    // The same prompts go to the same engines, and different ones spread over all.
+    const std::uint64_t beginning = m_parts.empty() ? m_number : m_parts.front().id;
+    const std::uint64_t drawn = get_stable_hash(engine.value()) ^ (beginning * spreading_factor);
+    const duration spread = foreign_spread * static_cast<std::int64_t>(drawn % spread_steps) / spread_steps;
+    const group_summary& summary = get_far_summary(engine);
+    suitability.unseen_backlog = summary.backlog + foreign_cost + spread;
+    suitability.unseen_fullness = summary.fullness + foreign_fullness;
+    return suitability;
+}
+
+const group_summary& generation_request::get_far_summary(const backend_server_name& engine) const {
+    static const group_summary unknown{.backlog = unknown_backlog, .fullness = 1, .running = 0};
+    const fleet::listed_server* listed = get_state().directory.find(engine);
+    for (const auto& [name, group] : m_far_groups) {
+        if (listed != nullptr && group.zone == listed->record.zone) {
+            return group.summary;
         }
-        return get_state().is_usable(engine) ? policy::engine_fitness::fit : policy::engine_fitness::doubtful;
-    };
+    }
+    return unknown;
 }
 
 policy::engine_choice generation_request::choose_engines() {
     service_engines& engines = *get_state().find_engines(get_request().service);
     const std::optional<policy::engine_choice> choice =
         policy::choose_engines(engines.board, engines.get_costs(), get_placed(), get_state().options.own_zone,
-                               make_filter(), get_state().time.now());
+                               make_judge(), get_state().time.now());
     if (!choice) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(), "no engine can be used",
                               no_engine_retry);
@@ -158,7 +195,7 @@
     const policy::engine_board::engine_state* reader = engines.board.find(*choice.reader);
     const zone_name near = reader != nullptr ? reader->facts.zone : get_state().options.own_zone;
     const std::optional<backend_server_name> engine =
-        policy::choose_generator(engines.board, get_placed(), near, make_filter());
+        policy::choose_generator(engines.board, get_placed(), near, make_judge());
     if (!engine) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(), "no engine can generate",
                               no_engine_retry);
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -24,7 +24,9 @@
 
     [[nodiscard]] policy::engine_choice choose_engines();
     [[nodiscard]] backend_server_name choose_generator(const policy::engine_choice& choice);
-    [[nodiscard]] policy::engine_filter make_filter() const;
+    [[nodiscard]] policy::engine_judge make_judge() const;
+    [[nodiscard]] policy::engine_suitability judge(const backend_server_name& engine) const;
+    [[nodiscard]] const group_summary& get_far_summary(const backend_server_name& engine) const;
     [[nodiscard]] policy::placed_generation get_placed() const;
 
     /// Has the prompt read; returns nothing when another engine is to be tried.
@@ -42,6 +44,8 @@
 
     std::vector<policy::cached_part> m_parts;
     std::uint64_t m_needed_tokens{0};
+    /// Other groups of hosts, as known when the request came.
+    std::map<std::string, peer_knowledge::far_group> m_far_groups;
     std::set<backend_server_name> m_avoided;
     event_splitter m_events;
     std::uint64_t m_number{0};
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -1,5 +1,7 @@
 #include "servers/host_digest.hpp"
 
+#include <algorithm>
+
 #include "core/error.hpp"
 #include "core/json.hpp"
 
@@ -11,10 +13,16 @@
 using boost::json::object;
 using boost::json::value;
 
+constexpr double thousandths = 1000;
+
 std::int64_t to_microseconds(duration span) {
     return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
 }
 
+std::uint64_t to_thousandths(double share) {
+    return static_cast<std::uint64_t>(std::max(0.0, share) * thousandths);
+}
+
 std::uint64_t get_number(const array& list, std::size_t index) {
     if (index >= list.size() || !list[index].is_number()) {
         throw malformed_message_error("a number of the digest is missing");
@@ -100,6 +108,42 @@
     return usage;
 }
 
+object encode_summaries(const std::map<service_name, group_summary>& summaries) {
+    object encoded;
+    for (const auto& [service, summary] : summaries) {
+        encoded[service.value()] =
+            array{to_microseconds(summary.backlog), to_thousandths(summary.fullness), summary.running};
+    }
+    return encoded;
+}
+
+std::map<service_name, group_summary> decode_summaries(const object& encoded) {
+    std::map<service_name, group_summary> summaries;
+    for (const auto& item : encoded) {
+        const array& fields = to_list(item.value());
+        summaries.emplace(service_name(std::string_view(item.key())),
+                          group_summary{.backlog = std::chrono::microseconds(get_number(fields, 0)),
+                                        .fullness = static_cast<double>(get_number(fields, 1)) / thousandths,
+                                        .running = static_cast<std::uint32_t>(get_number(fields, 2))});
+    }
+    return summaries;
+}
+
+/// An empty list stands for a host that does not read for others.
+array encode_reading(const std::optional<digest_reading>& reading) {
+    if (!reading || !reading->end) {
+        return {};
+    }
+    return {*reading->end, to_microseconds(reading->age)};
+}
+
+std::optional<digest_reading> decode_reading(const array& encoded) {
+    if (encoded.empty()) {
+        return std::nullopt;
+    }
+    return digest_reading{.end = get_number(encoded, 0), .age = std::chrono::microseconds(get_number(encoded, 1))};
+}
+
 digest_touch decode_touch(const array& list) {
     if (list.empty() || !list[0].is_string()) {
         throw malformed_message_error("a touch of the digest names no engine");
@@ -138,6 +182,8 @@
         read_demand[service.value()] = to_microseconds(cost);
     }
     return boost::json::serialize(object{{"h", digest.host},
+                                         {"z", digest.zone.value()},
+                                         {"g", digest.group},
                                          {"i", digest.incarnation},
                                          {"n", digest.sequence},
                                          {"w", to_microseconds(digest.true_time.time_since_epoch())},
@@ -147,13 +193,22 @@
                                          {"t", std::move(touches)},
                                          {"c", std::move(transitions)},
                                          {"r", std::move(read_demand)},
-                                         {"u", encode_usage(digest.usage)}});
+                                         {"u", encode_usage(digest.usage)},
+                                         {"m", encode_summaries(digest.summaries)},
+                                         {"l", digest.holds_lease},
+                                         {"rc", encode_reading(digest.configuration)},
+                                         {"rs", encode_reading(digest.servers)}});
 }
 
 host_digest decode_host_digest(std::string_view text) {
     const value document = json::parse(text);
-    const object& source = json::as_object(document, "digest of a host");
+    return decode_host_digest(json::as_object(document, "digest of a host"));
+}
+
+host_digest decode_host_digest(const object& source) {
     host_digest digest{.host = json::get_string(source, "h"),
+                       .zone = zone_name(json::get_string(source, "z")),
+                       .group = json::get_string(source, "g"),
                        .incarnation = json::get_unsigned(source, "i"),
                        .sequence = json::get_unsigned(source, "n"),
                        .true_time = wall_time(std::chrono::microseconds(json::get_unsigned(source, "w"))),
@@ -163,7 +218,11 @@
                        .touches = {},
                        .transitions = {},
                        .read_demand = {},
-                       .usage = decode_usage(json::get_array(source, "u"))};
+                       .usage = decode_usage(json::get_array(source, "u")),
+                       .summaries = decode_summaries(json::get_object(source, "m")),
+                       .holds_lease = json::get_bool_or(source, "l", false),
+                       .configuration = decode_reading(json::get_array(source, "rc")),
+                       .servers = decode_reading(json::get_array(source, "rs"))};
     for (const auto& item : json::get_object(source, "e")) {
         digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
     }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,10 +53,35 @@
     friend bool operator==(const digest_transition&, const digest_transition&) = default;
 };
 
+/// What the speaker of a group of hosts tells the other groups of its engines, for one service.
+struct group_summary {
+    /// How long a prompt waits at an engine that reads prompts, on average.
+    duration backlog{};
+    /// Part of their room that engines which generate have in use, 0 to 1 and above.
+    double fullness{0};
+    /// Requests that generate.
+    std::uint32_t running{0};
+
+    friend bool operator==(const group_summary&, const group_summary&) = default;
+};
+
+/// How far the sender has read what the store lists, so that others need not read it themselves.
+struct digest_reading {
+    /// Offset behind the last record taken; nothing before the first listing.
+    std::optional<std::uint64_t> end;
+    /// How long ago the store was read.
+    duration age{};
+
+    friend bool operator==(const digest_reading&, const digest_reading&) = default;
+};
+
 /// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are
 /// news.
 struct host_digest {
     std::string host;
+    zone_name zone;
+    /// Names the sender's group of hosts.
+    std::string group;
     std::uint64_t incarnation{};
     /// Grows with each digest of an incarnation; a datagram may overtake another.
     std::uint64_t sequence{};
@@ -70,6 +97,13 @@
     std::map<service_name, duration> read_demand;
     /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
     std::map<std::int64_t, policy::window_counts> usage;
+    /// Where the sender speaks for its group: what other groups should know of it.
+    std::map<service_name, group_summary> summaries;
+    /// The sender holds the lease under which duties are done.
+    bool holds_lease{false};
+    /// Where the sender reads for its group.
+    std::optional<digest_reading> configuration;
+    std::optional<digest_reading> servers;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
@@ -77,6 +111,7 @@
 /// Encodes a digest for one datagram. Thread safe.
 [[nodiscard]] std::string encode_host_digest(const host_digest& digest);
 /// Throws `malformed_message_error`. Thread safe.
+[[nodiscard]] host_digest decode_host_digest(const boost::json::object& source);
 [[nodiscard]] host_digest decode_host_digest(std::string_view text);
 
 } // namespace dragonflywell::servers
--- /dev/null
+++ b/servers/peer_knowledge.cpp
@@ -0,0 +1,121 @@
+#include "servers/peer_knowledge.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::servers {
+
+namespace {
+
+/// How long what a speaker has told of its group counts.
+constexpr duration far_memory = std::chrono::milliseconds(2500);
+
+} // namespace
+
+void peer_knowledge::take_near(const host_digest& digest) {
+    m_in_flight[digest.host] = digest.instances;
+    const steady_time now = m_time->now();
+    stage_transitions& transitions = m_transitions[digest.host];
+    transitions.clear();
+    for (const auto& [engine, transition] : digest.transitions) {
+        transitions.emplace(engine, stage_transition{.stage = transition.stage, .until = now + transition.left});
+    }
+    add_demand(digest, m_near_demand);
+    for (const auto& [window, counts] : digest.usage) {
+        m_usage[{digest.host, digest.incarnation}][window] = counts;
+    }
+}
+
+void peer_knowledge::take_far(const host_digest& digest) {
+    const steady_time now = m_time->now();
+    stage_transitions& transitions = m_transitions[digest.host];
+    transitions.clear();
+    for (const auto& [engine, transition] : digest.transitions) {
+        transitions.emplace(engine, stage_transition{.stage = transition.stage, .until = now + transition.left});
+    }
+    if (digest.summaries.empty()) {
+        return;
+    }
+    add_demand(digest, m_far_demand);
+    for (const auto& [service, summary] : digest.summaries) {
+        // One speaker a group: its zone and number name the group, whoever speaks for it.
+        m_far_groups[service][digest.group] = {.zone = digest.zone, .summary = summary, .heard_at = now};
+    }
+}
+
+void peer_knowledge::drop(const std::string& host) {
+    m_in_flight.erase(host);
+    m_transitions.erase(host);
+}
+
+std::uint32_t peer_knowledge::get_in_flight(const backend_server_name& server) const {
+    std::uint32_t count = 0;
+    for (const auto& [host, counts] : m_in_flight) {
+        if (const auto found = counts.find(server); found != counts.end()) {
+            count += found->second;
+        }
+    }
+    return count;
+}
+
+std::optional<fleet::engine_stage> peer_knowledge::get_transition(const backend_server_name& engine) const {
+    const steady_time now = m_time->now();
+    for (const auto& [host, transitions] : m_transitions) {
+        const auto found = transitions.find(engine);
+        if (found != transitions.end() && now < found->second.until) {
+            return found->second.stage;
+        }
+    }
+    return std::nullopt;
+}
+
+duration peer_knowledge::get_near_read_demand(const service_name& service) const {
+    const auto found = m_near_demand.find(service);
+    return found == m_near_demand.end() ? duration::zero() : found->second;
+}
+
+duration peer_knowledge::get_far_read_demand(const service_name& service) const {
+    const auto found = m_far_demand.find(service);
+    return found == m_far_demand.end() ? duration::zero() : found->second;
+}
+
+double peer_knowledge::get_far_running(const service_name& service) const {
+    double running = 0;
+    for (const auto& [name, group] : get_far_groups(service)) {
+        running += group.summary.running;
+    }
+    return running;
+}
+
+std::map<std::string, peer_knowledge::far_group> peer_knowledge::get_far_groups(const service_name& service) const {
+    std::map<std::string, far_group> groups_heard;
+    const auto found = m_far_groups.find(service);
+    if (found == m_far_groups.end()) {
+        return groups_heard;
+    }
+    const steady_time now = m_time->now();
+    for (const auto& [name, group] : found->second) {
+        if (now - group.heard_at < far_memory) {
+            groups_heard.emplace(name, group);
+        }
+    }
+    return groups_heard;
+}
+
+void peer_knowledge::forget_usage_before(std::int64_t window) {
+    for (auto& [owner, windows] : m_usage) {
+        windows.erase(windows.begin(), windows.lower_bound(window));
+    }
+    std::erase_if(m_usage, [](const auto& item) { return item.second.empty(); });
+}
+
+void peer_knowledge::add_demand(const host_digest& digest, service_costs& total) {
+    told_demand& told = m_told_demand[digest.host];
+    if (told.incarnation == digest.incarnation) {
+        for (const auto& [service, sum] : digest.read_demand) {
+            total[service] += std::max(duration::zero(), sum - told.sums[service]);
+        }
+    }
+    told = {.incarnation = digest.incarnation, .sums = digest.read_demand};
+}
+
+} // namespace dragonflywell::servers
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -12,15 +12,13 @@
 /// that starts anew knows nothing of what it spent before.
 constexpr double budget_share = 0.6;
 
-/// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
-constexpr std::int64_t kept_usage_windows = 6;
-
 } // namespace
 
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
                              const server_dialect& wire, metrics_registry& metrics, serving_options chosen)
     : executor(std::move(loop)), time(clock), connections(pool), dialect(wire), options(std::move(chosen)),
-      usage(options.usage_window), counters(metrics), log(get_logger("request")),
+      peers(clock, policy::host_groups(options.own_host, options.own_zone, {})), usage(options.usage_window),
+      counters(metrics), log(get_logger("request")),
       m_true_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
 wall_time serving_state::get_true_time() const {
@@ -78,25 +76,18 @@
     note_load_change();
 }
 
-void serving_state::set_other_changing(const std::string& host, stage_transitions transitions) {
-    m_other_changing[host] = std::move(transitions);
-}
-
 bool serving_state::is_changing(const backend_server_name& engine) const {
-    if (is_under_way(m_changing, engine)) {
-        return true;
+    std::optional<fleet::engine_stage> stage = peers.get_transition(engine);
+    if (const auto own = m_changing.find(engine); own != m_changing.end() && time.now() < own->second.until) {
+        stage = own->second.stage;
     }
-    return std::any_of(m_other_changing.begin(), m_other_changing.end(),
-                       [&](const auto& item) { return is_under_way(item.second, engine); });
+    const fleet::listed_server* listed = directory.find(engine);
+    return stage && listed != nullptr && listed->record.stage != stage;
 }
 
-bool serving_state::is_under_way(const stage_transitions& transitions, const backend_server_name& engine) const {
-    const auto found = transitions.find(engine);
-    if (found == transitions.end() || time.now() >= found->second.until) {
-        return false;
-    }
-    const fleet::listed_server* listed = directory.find(engine);
-    return listed != nullptr && listed->record.stage != found->second.stage;
+bool serving_state::is_home(const backend_server_name& server) const {
+    const fleet::listed_server* listed = directory.find(server);
+    return listed != nullptr && peers.groups.is_home(server, listed->record.zone);
 }
 
 policy::retry_budget& serving_state::get_retry_budget(const service_name& service) {
@@ -126,60 +117,62 @@
 }
 
 std::uint32_t serving_state::get_in_flight(const backend_server_name& server) const {
-    std::uint32_t count = 0;
-    if (const auto own = m_own_in_flight.find(server); own != m_own_in_flight.end()) {
-        count += own->second;
-    }
-    for (const auto& [host, counts] : m_other_in_flight) {
-        if (const auto other = counts.find(server); other != counts.end()) {
-            count += other->second;
-        }
-    }
-    return count;
+    const auto own = m_own_in_flight.find(server);
+    return peers.get_in_flight(server) + (own == m_own_in_flight.end() ? 0 : own->second);
 }
 
-void serving_state::set_other_in_flight(const std::string& host, instance_counts counts) {
-    m_other_in_flight[host] = std::move(counts);
+duration serving_state::get_read_demand(const service_name& service) const {
+    return get_near_read_demand(service) + peers.get_far_read_demand(service);
 }
 
-void serving_state::set_other_read_demand(const std::string& host, std::uint64_t incarnation,
-                                          const std::map<service_name, duration>& demand) {
-    other_demand& before = m_other_demand[host];
-    if (before.incarnation == incarnation) {
-        for (const auto& [service, total] : demand) {
-            const duration told = before.told[service];
-            m_others_read_demand[service] += std::max(duration::zero(), total - told);
-        }
+duration serving_state::get_near_read_demand(const service_name& service) const {
+    duration demand{};
+    if (const auto own = m_engines.find(service); own != m_engines.end()) {
+        demand += own->second.get_read_demand();
     }
-    before = {.incarnation = incarnation, .told = demand};
+    return demand + peers.get_near_read_demand(service);
 }
 
-void serving_state::set_other_usage(const std::string& host, std::uint64_t incarnation,
-                                    const std::map<std::int64_t, policy::window_counts>& windows) {
-    for (const auto& [window, counts] : windows) {
-        m_other_usage[{host, incarnation}][window] = counts;
-    }
-    const std::int64_t oldest = usage.get_window(get_true_time()) - kept_usage_windows;
-    for (auto& [owner, told] : m_other_usage) {
-        told.erase(told.begin(), told.lower_bound(oldest));
+group_summary serving_state::get_summary(const service_name& service) const {
+    group_summary summary;
+    const auto found = m_engines.find(service);
+    if (found == m_engines.end()) {
+        return summary;
+    }
+    const policy::engine_board& board = found->second.board;
+    duration backlog{};
+    std::int64_t readers = 0;
+    double slots = 0;
+    for (const auto& [name, engine] : board.get_engines()) {
+        if (!is_home(name) || !is_usable(name)) {
+            continue;
+        }
+        if (engine.facts.stage == fleet::engine_stage::prefill) {
+            backlog += board.get_backlog(name, time.now());
+            ++readers;
+        } else {
+            slots += engine.facts.slots;
+            summary.running += board.get_running(name);
+        }
     }
-    std::erase_if(m_other_usage, [](const auto& item) { return item.second.empty(); });
+    // A group without engines is one that nobody should turn to.
+    summary.backlog = readers > 0 ? backlog / readers : std::chrono::hours(1);
+    summary.fullness = slots > 0 ? summary.running / slots : 1;
+    return summary;
 }
 
-duration serving_state::get_read_demand(const service_name& service) const {
-    duration demand{};
+double serving_state::get_running(const service_name& service) const {
+    double running = peers.get_far_running(service);
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
-        demand += own->second.get_read_demand();
-    }
-    if (const auto others = m_others_read_demand.find(service); others != m_others_read_demand.end()) {
-        demand += others->second;
+        for (const auto& [name, engine] : own->second.board.get_engines()) {
+            running += own->second.board.get_running(name);
+        }
     }
-    return demand;
+    return running;
 }
 
 void serving_state::drop_other(const std::string& host) {
-    m_other_in_flight.erase(host);
-    m_other_changing.erase(host);
+    peers.drop(host);
     for (auto& [service, engines] : m_engines) {
         engines.board.drop_other(host);
     }
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -16,7 +16,7 @@
 #include "policy/server_health.hpp"
 #include "policy/usage_counter.hpp"
 #include "servers/backend_connection_pool.hpp"
-#include "servers/host_digest.hpp"
+#include "servers/peer_knowledge.hpp"
 #include "servers/request_counters.hpp"
 #include "servers/server_dialect.hpp"
 #include "servers/service_engines.hpp"
@@ -24,6 +24,7 @@
 namespace dragonflywell::servers {
 
 struct serving_options {
+    std::string own_host;
     zone_name own_zone;
     duration usage_window{std::chrono::seconds(5)};
     /// Repeats that the whole system may make for each request to a service, and besides, in one window.
@@ -32,9 +33,6 @@
     duration repeat_window{std::chrono::seconds(10)};
 };
 
-/// What other hosts have said of their work on plain services.
-using instance_counts = std::map<backend_server_name, std::uint32_t>;
-
 /// What the requests of one event loop share. Not thread safe.
 class serving_state {
 public:
@@ -54,6 +52,8 @@
     [[nodiscard]] service_engines* find_engines(const service_name& service);
     [[nodiscard]] std::map<service_name, service_engines>& get_engines() noexcept { return m_engines; }
 
+    /// Returns whether a server belongs to the group of hosts that this one is in.
+    [[nodiscard]] bool is_home(const backend_server_name& server) const;
     /// Returns whether the list permits that work is sent to a server.
     [[nodiscard]] bool is_listed(const backend_server_name& server) const;
     /// Returns whether work may be sent to a server now: it is listed and has not failed lately.
@@ -64,16 +64,8 @@
     void end_changing(const backend_server_name& engine) { m_changing.erase(engine); }
     [[nodiscard]] bool is_changing(const backend_server_name& engine) const;
 
-    /// A change of stage that is under way.
-    struct stage_transition {
-        fleet::engine_stage stage{fleet::engine_stage::decode};
-        steady_time until{};
-    };
-    using stage_transitions = std::map<backend_server_name, stage_transition>;
     /// Returns the changes that this host has ordered.
     [[nodiscard]] const stage_transitions& get_own_changing() const noexcept { return m_changing; }
-    /// Replaces the changes that another host has ordered.
-    void set_other_changing(const std::string& host, stage_transitions transitions);
 
     /// Returns the budget for repeats of a service.
     [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
@@ -81,18 +73,16 @@
     void set_hosts(std::size_t hosts);
     [[nodiscard]] std::size_t get_hosts() const noexcept { return m_hosts; }
 
-    /// Takes what another life of a host has said of the cost of its prompts since its start.
-    void set_other_read_demand(const std::string& host, std::uint64_t incarnation,
-                               const std::map<service_name, duration>& demand);
     /// Returns the cost of all prompts that this host and the others have got since this host watches them.
     [[nodiscard]] duration get_read_demand(const service_name& service) const;
 
-    /// What the lives of other hosts' processes have counted, as they told last, by host and incarnation.
-    using told_usage = std::map<std::pair<std::string, std::uint64_t>, std::map<std::int64_t, policy::window_counts>>;
-    /// Takes what another host has counted. Windows that are long over are forgotten.
-    void set_other_usage(const std::string& host, std::uint64_t incarnation,
-                         const std::map<std::int64_t, policy::window_counts>& windows);
-    [[nodiscard]] const told_usage& get_other_usage() const noexcept { return m_other_usage; }
+    /// Returns the same for the hosts of this host's group only.
+    [[nodiscard]] duration get_near_read_demand(const service_name& service) const;
+    /// Returns what other groups should know of the engines of this one.
+    [[nodiscard]] group_summary get_summary(const service_name& service) const;
+
+    /// Returns how many requests generate on a service's engines, for all hosts, as far as known.
+    [[nodiscard]] double get_running(const service_name& service) const;
 
     /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
     [[nodiscard]] wall_time get_true_time() const;
@@ -102,7 +92,6 @@
     /// Returns how many requests of all hosts are on an instance, as far as known.
     [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
     [[nodiscard]] const instance_counts& get_own_in_flight() const noexcept { return m_own_in_flight; }
-    void set_other_in_flight(const std::string& host, instance_counts counts);
     /// Forgets a host that fell silent.
     void drop_other(const std::string& host);
 
@@ -128,6 +117,7 @@
     const server_dialect& dialect;
     const serving_options options;
     fleet::server_directory directory;
+    peer_knowledge peers;
     policy::server_health health;
     policy::usage_counter usage;
     policy::quarantine suspects{{.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)}};
@@ -148,27 +138,15 @@
 
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
-    [[nodiscard]] bool is_under_way(const stage_transitions& transitions, const backend_server_name& engine) const;
 
     /// What the time of day is ahead of the clock that counts suspension. Taken once: a wall clock may be set later.
     duration m_true_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
     std::map<service_name, service_engines> m_engines;
     stage_transitions m_changing;
-    std::map<std::string, stage_transitions> m_other_changing;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
     std::size_t m_hosts{1};
     instance_counts m_own_in_flight;
-    std::map<std::string, instance_counts> m_other_in_flight;
-
-    /// What a host had said last, to add what has come since.
-    struct other_demand {
-        std::uint64_t incarnation{};
-        std::map<service_name, duration> told;
-    };
-    std::map<std::string, other_demand> m_other_demand;
-    std::map<service_name, duration> m_others_read_demand;
-    told_usage m_other_usage;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -139,7 +139,7 @@
     }
     // The second server looks fuller, so that the first is tried first.
     const raw_server& second = add_server("s2", {}, answer_with(200, "done"));
-    state.set_other_in_flight("other", {{backend_server_name("s2"), 3}});
+    set_other_in_flight("s2", 3);
     const answer got = ask(http::verb::post, "/unsafe/x", "{}");
     CHECK(got.status == 200);
     CHECK(got.body == "done");
@@ -150,7 +150,7 @@
     configure();
     add_server("s1", {}, answer_with(500, "bad"));
     const raw_server& second = add_server("s2", {}, answer_with(200, "good"));
-    state.set_other_in_flight("other", {{backend_server_name("s2"), 3}});
+    set_other_in_flight("s2", 3);
     CHECK(ask(http::verb::get, "/safe/x").body == "good");
     CHECK(second.get_requests().size() == 1);
 }
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -22,14 +22,14 @@
 constexpr auto prefill = fleet::engine_stage::prefill;
 constexpr auto decode = fleet::engine_stage::decode;
 
-engine_fitness accept_any(const backend_server_name& /*engine*/) {
-    return engine_fitness::fit;
+engine_suitability accept_any(const backend_server_name& /*engine*/) {
+    return {};
 }
 
-/// Returns a filter that takes one engine for less fit than the others.
-engine_filter except(const std::string& name, engine_fitness fitness) {
+/// Returns a judge that takes one engine for less fit than the others.
+engine_judge except(const std::string& name, engine_fitness fitness) {
     return [name, fitness](const backend_server_name& engine) {
-        return engine.value() == name ? fitness : engine_fitness::fit;
+        return engine_suitability{.fitness = engine.value() == name ? fitness : engine_fitness::fit};
     };
 }
 
@@ -39,7 +39,7 @@
     engine_board board;
     std::array<cached_part, 1> parts{cached_part{.id = 5, .tokens = 3'000}};
 
-    std::optional<engine_choice> choose(const engine_filter& filter = accept_any) {
+    std::optional<engine_choice> choose(const engine_judge& filter = accept_any) {
         const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
         return choose_engines(board, costs, {.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts},
                               zone_name("a"), filter, time.now());
@@ -163,11 +163,26 @@
     const auto generated = choose(except("d", engine_fitness::doubtful));
     REQUIRE(generated);
     CHECK(generated->generator.value() == "d");
-    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
+    board.set_engines(
+        {{backend_server_name("p1"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
     CHECK(choose(except("p1", engine_fitness::doubtful))->reader->value() == "p1");
 }
 
+TEST_CASE_FIXTURE(fixture, "engines of another group help out when one's own are much busier") {
+    board.set_engines({{backend_server_name("far"), make_facts(prefill, "b")},
+                       {backend_server_name("near"), make_facts(prefill, "a")},
+                       {backend_server_name("d"), make_facts(decode, "a")}});
+    const engine_judge judge = [](const backend_server_name& engine) {
+        return engine_suitability{.unseen_backlog = engine.value() == "far" ? 100ms : 0ms};
+    };
+    CHECK(choose(judge)->reader->value() == "near");
+    board.start_prompt(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
+    CHECK(choose(judge)->reader->value() == "near");
+    board.start_prompt(backend_server_name("near"), {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1},
+                       {});
+    CHECK(choose(judge)->reader->value() == "far");
+}
+
 TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
     board.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
--- /dev/null
+++ b/tests/policy/test_host_groups.cpp
@@ -0,0 +1,89 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "policy/followed_topic.hpp"
+#include "policy/host_groups.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::map<std::string, zone_name> make_hosts(std::size_t zones, std::size_t in_zone) {
+    std::map<std::string, zone_name> hosts;
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+        for (std::size_t host = 0; host < in_zone; ++host) {
+            const std::string name = std::to_string(zone);
+            hosts.emplace("host-" + name + "-" + std::to_string(host), zone_name(name));
+        }
+    }
+    return hosts;
+}
+
+} // namespace
+
+TEST_CASE("a small fleet is one group over all zones") {
+    host_groups groups("host-0-0", zone_name("0"), {.most_hosts = 24});
+    groups.set_hosts(make_hosts(4, 6));
+    CHECK(groups.is_whole_fleet());
+    CHECK(groups.is_near("host-3-1", zone_name("3")));
+    CHECK(groups.is_home(backend_server_name("any"), zone_name("2")));
+}
+
+TEST_CASE("hosts of a zone are a group in a larger fleet") {
+    host_groups groups("host-0-0", zone_name("0"), {.most_hosts = 24});
+    groups.set_hosts(make_hosts(5, 16));
+    CHECK_FALSE(groups.is_whole_fleet());
+    CHECK(groups.is_near("host-0-15", zone_name("0")));
+    CHECK_FALSE(groups.is_near("host-1-0", zone_name("1")));
+    CHECK(groups.is_home(backend_server_name("any"), zone_name("0")));
+    CHECK_FALSE(groups.is_home(backend_server_name("any"), zone_name("1")));
+}
+
+TEST_CASE("a large zone is divided so that each host and each server belongs to one group, as all hosts see it") {
+    const auto hosts = make_hosts(4, 100);
+    std::map<std::string, std::set<std::string>> members;
+    for (std::size_t own = 0; own < 100; ++own) {
+        const std::string name = "host-0-" + std::to_string(own);
+        host_groups groups(name, zone_name("0"), {.most_hosts = 24});
+        groups.set_hosts(hosts);
+        members[groups.get_name()].insert(name);
+        for (const auto& [other, zone] : hosts) {
+            if (groups.is_near(other, zone)) {
+                host_groups others(other, zone, {.most_hosts = 24});
+                others.set_hosts(hosts);
+                CHECK(others.get_name() == groups.get_name());
+                CHECK(others.is_home(backend_server_name("x"), zone) == groups.is_home(backend_server_name("x"), zone));
+            }
+        }
+    }
+    CHECK(members.size() == 5);
+    for (const auto& [group, names] : members) {
+        CHECK(names.size() >= 8);
+        CHECK(names.size() <= 36);
+    }
+}
+
+TEST_CASE("a topic is read when something is missing or nothing was heard, not while another host is up to date") {
+    virtual_clock time;
+    followed_topic topic;
+    CHECK(topic.is_due(1s, time.now()));
+    topic.note_read(5, time.now());
+    CHECK_FALSE(topic.is_due(1s, time.now()));
+    time.advance(900ms);
+    CHECK_FALSE(topic.take_hint(5, 100ms, time.now()));
+    time.advance(800ms);
+    CHECK_FALSE(topic.is_due(1s, time.now()));
+    time.advance(100ms);
+    CHECK(topic.is_due(1s, time.now()));
+    topic.note_read(5, time.now());
+    CHECK(topic.take_hint(6, 0ms, time.now()));
+    CHECK(topic.is_due(1s, time.now()));
+    CHECK(topic.is_next(5));
+    topic.note_read(6, time.now());
+    CHECK_FALSE(topic.is_due(1s, time.now()));
+    topic.note_dropped();
+    CHECK(topic.is_due(1s, time.now()));
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -11,6 +11,8 @@
 TEST_CASE("a digest survives its way through a datagram") {
     const host_digest digest{
         .host = "h",
+        .zone = zone_name("z"),
+        .group = "z/0",
         .incarnation = 1774100506431000,
         .sequence = 9,
         .true_time = wall_time(1774100506431ms),
@@ -22,14 +24,21 @@
         .touches = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
         .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = 7s}}},
         .read_demand = {{service_name("llm"), 3s}},
-        .usage = {{357732848, {{organisation_name("o"), 12}}}}};
+        .usage = {{357732848, {{organisation_name("o"), 12}}}},
+        .summaries = {{service_name("llm"), {.backlog = 40ms, .fullness = 0.25, .running = 9}}},
+        .holds_lease = true,
+        .configuration = digest_reading{.end = 4, .age = 20ms},
+        .servers = {}};
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
 TEST_CASE("what is no digest is rejected") {
-    for (const char* text : {"", "{}", "[]", R"({"h":"h","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[]})",
-                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[]})",
-                             R"({"h":"h","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[]})"}) {
+    for (
+        const char* text :
+        {"", "{}", "[]",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_host_digest(text)), malformed_message_error);
     }
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -69,6 +69,14 @@
         return *(added[name] = std::move(server));
     }
 
+    /// Lets another host say that it has requests on an instance.
+    void set_other_in_flight(const std::string& server, std::uint32_t count) {
+        servers::host_digest digest;
+        digest.host = "other";
+        digest.instances = {{backend_server_name(server), count}};
+        state.peers.take_near(digest);
+    }
+
     /// What a caller got.
     struct answer {
         unsigned status{0};
