Mend what the linter found: a header read after it was moved, an older compiler's ranges and bindings

A stream's head was read in a loop after it had been moved from; the code was sound, since the head is sent once, but it is now made where it is sent. The other three are constructs that the linter's front end does not take.

--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -97,9 +97,8 @@
     const std::vector<policy::staged_engine> engines = get_engines(service);
     const std::vector<policy::stage_change> changes = policy::plan_stages(
         engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
-    const service_name asked = service;
     for (const policy::stage_change& change : changes) {
-        const servers::service_engines* state = m_state->find_engines(asked);
+        const servers::service_engines* state = m_state->find_engines(service);
         if (state == nullptr || m_lease->get_fence() != fence) {
             co_return;
         }
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -48,13 +48,14 @@
         if (tokens < least_fetched_tokens || judge(name).fitness != engine_fitness::fit) {
             continue;
         }
-        const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(), [&](const cached_beginning& item) {
-            return item.zone == engine.facts.zone;
-        });
+        const zone_name& zone = engine.facts.zone;
+        const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(),
+                                            [&zone](const cached_beginning& item) { return item.zone == zone; });
+        const cached_beginning beginning{.engine = name, .zone = zone, .tokens = tokens};
         if (same_zone == beginnings.end()) {
-            beginnings.push_back({.engine = name, .zone = engine.facts.zone, .tokens = tokens});
+            beginnings.push_back(beginning);
         } else if (tokens > same_zone->tokens) {
-            *same_zone = {.engine = name, .zone = engine.facts.zone, .tokens = tokens};
+            *same_zone = beginning;
         }
     }
     return beginnings;
--- a/policy/prefix_cache.cpp
+++ b/policy/prefix_cache.cpp
@@ -1,6 +1,6 @@
 #include "policy/prefix_cache.hpp"
 
-#include <ranges>
+#include <iterator>
 
 namespace dragonflywell::policy {
 
@@ -11,7 +11,8 @@
 
 void prefix_cache::touch(std::span<const cached_part> parts) {
     // The first part is touched last: without it the later ones are of no use, so that it should stay longest.
-    for (const cached_part& part : parts | std::views::reverse) {
+    for (auto position = parts.rbegin(); position != parts.rend(); ++position) {
+        const cached_part& part = *position;
         const auto found = m_parts.find(part.id);
         if (found != m_parts.end()) {
             m_order.splice(m_order.begin(), m_order, found->second);
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -405,8 +405,6 @@
 }
 
 asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, caller_channel& caller) {
-    stream_head head(exchange.get_head().result(), 11);
-    copy_answer_headers(exchange.get_head(), head);
     for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
@@ -419,8 +417,7 @@
             const duration taken = get_state().time.now() - m_generation_sent_at;
             get_state().find_engines(get_request().service)->observe_first_event(taken);
             get_record().first_after = get_state().time.now() - get_record().arrived_at;
-            get_record().status = head.result_int();
-            co_await caller.start_stream(std::move(head));
+            co_await start_stream(exchange, caller);
         }
         co_await caller.send_chunk(events);
     }
@@ -429,12 +426,18 @@
                                     policy::retry_reason::broken_answer);
     }
     if (!caller.is_started()) {
-        get_record().status = head.result_int();
-        co_await caller.start_stream(std::move(head));
+        co_await start_stream(exchange, caller);
     }
     co_await caller.finish_stream();
 }
 
+asio::awaitable<void> generation_request::start_stream(const backend_exchange& exchange, caller_channel& caller) {
+    stream_head head(exchange.get_head().result(), 11);
+    copy_answer_headers(exchange.get_head(), head);
+    get_record().status = head.result_int();
+    co_await caller.start_stream(std::move(head));
+}
+
 void generation_request::release(const memory_source& memory) const {
     asio::co_spawn(get_state().executor, send_release(get_state(), memory), asio::detached);
 }
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -37,6 +37,7 @@
     asio::awaitable<void> relay(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> relay_plain(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> relay_stream(backend_exchange& exchange, caller_channel& caller);
+    asio::awaitable<void> start_stream(const backend_exchange& exchange, caller_channel& caller);
     void on_broken(const backend_server_name& engine, const exchange_failed_error& failure, bool was_sent);
     void require_repeat_of_read();
     /// Frees the memory of a prompt that nobody will generate from, without waiting for the answer.
