Refuse requests that crash backend servers on the platform's path, too

Cause: found by reading: the request path of the platform had a list of suspects that nothing wrote to or asked. A broken connection alone is no death, so the exchanges that broke are remembered, and held against their requests once the server is learnt to be gone, unreachable or restarted. Hosts tell each other deaths of the last 3 s; an answer clears. Such a request is refused as not run (503), since a 4xx of ours would say that it is not proper. Ruled out: holding each broken connection against the request (lossy links and resets would refuse innocent ones). Test: three deaths on three servers, then refused; red before (the request was sent to the fourth). The test of broken digests now also shows that the same digest without the fault is taken. Not measured: no kind of trouble of these sites crashes servers by a request.

--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -31,6 +31,9 @@
 constexpr duration list_retry = std::chrono::milliseconds(500);
 /// Windows whose counts are told: the current one, and those that may not be reported yet.
 constexpr std::int64_t told_windows = 3;
+/// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
+constexpr duration told_death_age = std::chrono::seconds(3);
+constexpr std::size_t most_told_deaths = 64;
 constexpr int most_record_attempts = 10;
 /// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
 constexpr std::int64_t kept_usage_windows = 6;
@@ -246,6 +249,9 @@
     if (digest.holds_lease) {
         m_lease->note_holder_alive();
     }
+    for (const policy::engine_death& death : digest.deaths) {
+        m_state->suspects.add_death(death);
+    }
     if (!other.is_near) {
         m_state->peers.take_far(digest);
         return;
@@ -409,6 +415,9 @@
     digest.true_time = m_state->get_true_time();
     digest.is_stopping = m_state->is_stopping;
     digest.holds_lease = m_lease->is_held();
+    if (m_is_keep_alive_due) {
+        digest.deaths = m_state->suspects.get_newest_deaths(digest.true_time, told_death_age, most_told_deaths);
+    }
     add_transitions(digest);
     return digest;
 }
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -166,6 +166,7 @@
     const steady_time now = m_state->time.now();
     if (!record.value) {
         report(server, m_state->directory.remove(server, now));
+        m_state->note_server_down(server);
         return;
     }
     try {
@@ -173,6 +174,7 @@
         const fleet::directory_change change = m_state->directory.apply(decoded, now);
         if (change == fleet::directory_change::restarted) {
             m_state->health.forget(server);
+            m_state->note_server_down(server);
         }
         report(server, change);
     } catch (const malformed_message_error& fault) {
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -18,6 +18,11 @@
     m_deaths.erase(fingerprint);
 }
 
+bool quarantine::is_empty() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_deaths.empty();
+}
+
 bool quarantine::is_suspect(request_fingerprint fingerprint, wall_time now) const {
     return count_deaths(fingerprint, now) > 0;
 }
@@ -39,6 +44,17 @@
     return deaths;
 }
 
+std::vector<engine_death> quarantine::get_newest_deaths(wall_time now, duration age, std::size_t most) const {
+    std::vector<engine_death> deaths = get_deaths(now);
+    std::erase_if(deaths, [&](const engine_death& death) { return now - death.moment > age; });
+    std::sort(deaths.begin(), deaths.end(),
+              [](const engine_death& left, const engine_death& right) { return left.moment > right.moment; });
+    if (deaths.size() > most) {
+        deaths.resize(most);
+    }
+    return deaths;
+}
+
 std::set<backend_server_name> quarantine::get_reserved() const {
     const std::scoped_lock lock(m_mutex);
     return {m_reserved.begin(), m_reserved.end()};
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -47,11 +47,15 @@
     /// Clears a request that ran to its end.
     void add_completion(request_fingerprint fingerprint);
 
+    /// Returns whether no death is held against any request.
+    [[nodiscard]] bool is_empty() const;
     [[nodiscard]] bool is_suspect(request_fingerprint fingerprint, wall_time now) const;
     [[nodiscard]] bool is_refused(request_fingerprint fingerprint, wall_time now) const;
 
     /// Returns all deaths held against requests now, for other hosts.
     [[nodiscard]] std::vector<engine_death> get_deaths(wall_time now) const;
+    /// Returns those of the last `age`, the newest `most` of them.
+    [[nodiscard]] std::vector<engine_death> get_newest_deaths(wall_time now, duration age, std::size_t most) const;
 
     /// Returns the engines that are set apart for a suspect.
     [[nodiscard]] std::set<backend_server_name> get_reserved() const;
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -108,6 +108,25 @@
     return usage;
 }
 
+array encode_deaths(const std::vector<policy::engine_death>& deaths) {
+    array encoded;
+    for (const policy::engine_death& death : deaths) {
+        encoded.push_back(array{death.fingerprint, death.death_id, to_microseconds(death.moment.time_since_epoch())});
+    }
+    return encoded;
+}
+
+std::vector<policy::engine_death> decode_deaths(const array& encoded) {
+    std::vector<policy::engine_death> deaths;
+    for (const value& item : encoded) {
+        const array& death = to_list(item);
+        deaths.push_back({.fingerprint = get_number(death, 0),
+                          .death_id = get_number(death, 1),
+                          .moment = wall_time(std::chrono::microseconds(get_number(death, 2)))});
+    }
+    return deaths;
+}
+
 object encode_summaries(const std::map<service_name, group_summary>& summaries) {
     object encoded;
     for (const auto& [service, summary] : summaries) {
@@ -195,6 +214,7 @@
                                          {"r", std::move(read_demand)},
                                          {"u", encode_usage(digest.usage)},
                                          {"m", encode_summaries(digest.summaries)},
+                                         {"d", encode_deaths(digest.deaths)},
                                          {"l", digest.holds_lease},
                                          {"rc", encode_reading(digest.configuration)},
                                          {"rs", encode_reading(digest.servers)}});
@@ -220,6 +240,7 @@
                        .read_demand = {},
                        .usage = decode_usage(json::get_array(source, "u")),
                        .summaries = decode_summaries(json::get_object(source, "m")),
+                       .deaths = decode_deaths(json::get_array(source, "d")),
                        .holds_lease = json::get_bool_or(source, "l", false),
                        .configuration = decode_reading(json::get_array(source, "rc")),
                        .servers = decode_reading(json::get_array(source, "rs"))};
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -12,6 +12,7 @@
 #include "core/identifiers.hpp"
 #include "fleet/server_record.hpp"
 #include "policy/prefix_cache.hpp"
+#include "policy/quarantine.hpp"
 #include "policy/usage_counter.hpp"
 
 namespace dragonflywell::servers {
@@ -99,6 +100,8 @@
     std::map<std::int64_t, policy::window_counts> usage;
     /// Where the sender speaks for its group: what other groups should know of it.
     std::map<service_name, group_summary> summaries;
+    /// Deaths of servers that the sender knows of and holds against requests; empty in most digests, too.
+    std::vector<policy::engine_death> deaths;
     /// The sender holds the lease under which duties are done.
     bool holds_lease{false};
     /// Where the sender reads for its group.
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -49,6 +49,9 @@
 asio::awaitable<void> serving_handler::serve(const call& wanted, request_record& record, caller_channel& caller) {
     const std::unique_ptr<serving_request> request = make_serving_request(*m_state, wanted, record);
     co_await request->run(caller);
+    if (!m_state->suspects.is_empty()) {
+        m_state->suspects.add_completion(get_fingerprint(wanted, organisation_name(record.organisation)));
+    }
     const steady_time now = m_state->time.now();
     m_state->counters.count_outcome(policy::request_outcome::completed);
     m_state->counters.get_request_latency().record(std::chrono::duration<double>(now - record.arrived_at).count());
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -1,8 +1,10 @@
 #include "servers/serving_request.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <numeric>
 
+#include "core/hash.hpp"
 #include "servers/generation_request.hpp"
 #include "servers/instance_request.hpp"
 #include "servers/thread_random.hpp"
@@ -13,6 +15,8 @@
 
 /// When a caller may come again that found this host without a configuration.
 constexpr duration not_ready_retry = std::chrono::milliseconds(500);
+/// When the caller of a request that crashes servers may come again: it will hardly fare better soon.
+constexpr duration quarantine_retry = std::chrono::minutes(1);
 
 const fleet::route& require_route(const fleet::serving_view& view, const call& wanted) {
     const fleet::route* route = view.find_route(wanted.host, wanted.get_path());
@@ -41,6 +45,18 @@
     return organisation;
 }
 
+/// Throws `request_refused` where the request has crashed several servers. It has not run this time, so that the
+/// refusal can say so, and its caller may try again when the deaths are forgotten.
+void require_not_quarantined(const serving_state& state, const call& wanted, const organisation_name& organisation) {
+    if (state.suspects.is_empty()) {
+        return;
+    }
+    if (state.suspects.is_refused(get_fingerprint(wanted, organisation), state.get_true_time())) {
+        throw request_refused(policy::refusal_reason::quarantined_request, policy::request_outcome::not_run,
+                              "servers died while they ran this request", quarantine_retry);
+    }
+}
+
 /// Returns one of the route's services, each with its share of the requests.
 const service_name& choose_service(const fleet::route& route) {
     const std::uint64_t total =
@@ -61,6 +77,13 @@
 
 } // namespace
 
+policy::request_fingerprint get_fingerprint(const call& wanted, const organisation_name& organisation) {
+    const std::string_view body = wanted.body;
+    const std::string head = fmt::format("{} {} {} {} ", static_cast<unsigned>(wanted.method), wanted.host,
+                                         wanted.target, organisation.value());
+    return get_stable_hash(head + std::to_string(get_stable_hash(body)));
+}
+
 std::unique_ptr<serving_request> make_serving_request(serving_state& state, const call& wanted,
                                                       request_record& record) {
     const std::shared_ptr<const fleet::serving_view>& view = state.get_view();
@@ -74,6 +97,7 @@
     const fleet::served_organisation* organisation = require_organisation(*view, route, wanted);
     const organisation_name name = organisation == nullptr ? organisation_name() : organisation->name;
     record.organisation = name.value();
+    require_not_quarantined(state, wanted, name);
     duration patience = route.timeout;
     if (wanted.caller_patience) {
         patience = std::min(patience, *wanted.caller_patience);
@@ -143,6 +167,12 @@
     m_state->health.add_failure(server,
                                 is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
                                 m_state->time.now());
+    if (is_unreachable) {
+        m_state->note_server_down(server);
+    } else {
+        const policy::request_fingerprint fingerprint = get_fingerprint(get_call(), m_request.organisation);
+        m_state->crashes.note_broken(fingerprint, server, m_state->time.now());
+    }
 }
 
 void serving_request::note_refusal(const backend_server_name& server) const {
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -80,6 +80,9 @@
     friend std::unique_ptr<serving_request> make_serving_request(serving_state&, const call&, request_record&);
 };
 
+/// Returns the digest by which a request is known when its caller sends it again. Thread safe.
+[[nodiscard]] policy::request_fingerprint get_fingerprint(const call& wanted, const organisation_name& organisation);
+
 /// Checks route and key of a call and returns the request that answers it. Throws `request_refused`.
 /// Preconditions: state, call and record outlive the request.
 [[nodiscard]] std::unique_ptr<serving_request> make_serving_request(serving_state& state, const call& wanted,
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "core/log.hpp"
+#include "core/log_event.hpp"
+#include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
 
@@ -192,4 +194,15 @@
     m_state->note_load_change();
 }
 
+void serving_state::note_server_down(const backend_server_name& server) {
+    for (const policy::request_fingerprint request : crashes.take_dead(server, time.now())) {
+        suspects.add_death({.fingerprint = request, .death_id = get_thread_random()(), .moment = get_true_time()});
+        counters.count_suspect();
+        log_event("request_suspected")
+            .add("fingerprint", request)
+            .add("server", server.value())
+            .write(*log, spdlog::level::warn);
+    }
+}
+
 } // namespace dragonflywell::servers
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -11,6 +11,7 @@
 #include "core/metrics.hpp"
 #include "fleet/server_directory.hpp"
 #include "fleet/serving_view.hpp"
+#include "policy/crash_watch.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
@@ -120,6 +121,7 @@
     peer_knowledge peers;
     policy::server_health health;
     policy::usage_counter usage;
+    policy::crash_watch crashes;
     policy::quarantine suspects{{.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)}};
     request_counters counters;
     std::shared_ptr<spdlog::logger> log;
@@ -129,6 +131,9 @@
     /// Prompts sent to engines that other hosts have not been told of yet.
     std::vector<digest_touch> touches;
 
+    /// Notes that a server is gone, cannot be reached or has started anew, and holds it against what ran there.
+    void note_server_down(const backend_server_name& server);
+
     /// Notes a change of this host's work on backend servers.
     void note_load_change() const {
         if (on_load_change) {
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -287,3 +287,37 @@
     }
     CHECK(counted == 1);
 }
+
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a request that has crashed three servers is refused as not run, others are served") {
+    configure();
+    for (const std::string name : {"s1", "s2", "s3"}) {
+        add_server(name, {}, reset());
+        CHECK(ask(http::verb::post, "/unsafe/x", "poison").status == 502);
+        // The server is found dead only afterwards.
+        state.note_server_down(backend_server_name(name));
+        state.directory.remove(backend_server_name(name), time.now());
+        state.refresh_servers();
+    }
+    const raw_server& sound = add_server("s4", {}, answer_with(200, "ok"));
+    const answer refused = ask(http::verb::post, "/unsafe/x", "poison");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.contains("Retry-After"));
+    CHECK(sound.get_requests().empty());
+    CHECK(ask(http::verb::post, "/unsafe/x", "other").status == 200);
+    CHECK(ask(http::verb::post, "/unsafe/y", "poison").status == 200);
+}
+
+TEST_CASE_FIXTURE(serving_fixture, "a request that was answered is no suspect any more") {
+    configure();
+    raw_server& server = add_server("s1", {}, reset());
+    for (int death = 0; death < 2; ++death) {
+        CHECK(ask(http::verb::post, "/unsafe/x", "innocent").status == 502);
+        state.note_server_down(backend_server_name("s1"));
+        state.health.forget(backend_server_name("s1"));
+    }
+    CHECK_FALSE(state.suspects.is_empty());
+    server.set_behaviour(answer_with(200, "ok"));
+    CHECK(ask(http::verb::post, "/unsafe/x", "innocent").status == 200);
+    CHECK(state.suspects.is_empty());
+}
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -45,3 +45,19 @@
     }
     CHECK(suspects.get_reserved().empty());
 }
+
+TEST_CASE("hosts tell each other the newest deaths only") {
+    policy::quarantine suspects({.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)});
+    const wall_time now = wall_time(std::chrono::hours(1));
+    CHECK(suspects.is_empty());
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        suspects.add_death({.fingerprint = number,
+                            .death_id = number,
+                            .moment = now - std::chrono::seconds(static_cast<int>(number))});
+    }
+    const std::vector<policy::engine_death> told = suspects.get_newest_deaths(now, std::chrono::seconds(3), 2);
+    REQUIRE(told.size() == 2);
+    CHECK(told[0].fingerprint == 1);
+    CHECK(told[1].fingerprint == 2);
+    CHECK_FALSE(suspects.is_empty());
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -26,19 +26,23 @@
         .read_demand = {{service_name("llm"), 3s}},
         .usage = {{357732848, {{organisation_name("o"), 12}}}},
         .summaries = {{service_name("llm"), {.backlog = 40ms, .fullness = 0.25, .running = 9}}},
+        .deaths = {{.fingerprint = 7, .death_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
         .configuration = digest_reading{.end = 4, .age = 20ms},
         .servers = {}};
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
-TEST_CASE("what is no digest is rejected") {
+TEST_CASE("an empty digest is one; what is none is rejected") {
+    const char* empty =
+        R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})";
+    CHECK(decode_host_digest(empty).host == "h");
     for (
         const char* text :
         {"", "{}", "[]",
-         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})",
-         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})",
-         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[],"m":{},"rc":[],"rs":[]})"}) {
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_host_digest(text)), malformed_message_error);
     }
