--- a/core/log.cpp
+++ b/core/log.cpp
@@ -79,9 +79,17 @@
     }
     sink->set_formatter(std::move(formatter));
     auto logger = std::make_shared<spdlog::logger>("main", std::move(sink));
-    logger->set_level(spdlog::level::from_str(options.level));
+    // The sink, which all loggers share, decides on levels, so that they can be changed later.
+    logger->set_level(spdlog::level::trace);
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
+    set_log_level(options.level);
+}
+
+void set_log_level(const std::string& level) {
+    for (const spdlog::sink_ptr& sink : spdlog::default_logger()->sinks()) {
+        sink->set_level(spdlog::level::from_str(level));
+    }
 }
 
 std::shared_ptr<spdlog::logger> get_logger(std::string_view part) {
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -23,6 +23,10 @@
 /// Sets level and format for every logger made afterwards. Call once, before other threads start.
 void set_log_options(const log_options& options);
 
+/// Sets the least level that is written, for all loggers. Safe from any thread.
+/// Precondition: `level` is trace, debug, info, warn or error.
+void set_log_level(const std::string& level);
+
 /// Returns the logger of one part. Each of its lines starts with the part's name. Safe from any thread.
 [[nodiscard]] std::shared_ptr<spdlog::logger> get_logger(std::string_view part);
 
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <csignal>
 
+#include "core/error.hpp"
 #include "core/log_event.hpp"
 #include "core/version.hpp"
 #include "servers/pause.hpp"
@@ -17,6 +18,8 @@
 using boost::asio::detached;
 
 constexpr duration house_interval = std::chrono::seconds(1);
+/// How often the settings file is looked at without a signal.
+constexpr duration settings_interval = std::chrono::seconds(5);
 /// The list of servers is read several times within the bound for draining servers.
 constexpr double list_reads_per_drain = 2.5;
 /// How long a host that stops still takes requests: two readiness checks a second apart, and some margin.
@@ -48,9 +51,9 @@
 
 } // namespace
 
-host_daemon::host_daemon(host_settings settings, std::shared_ptr<log_ring> ring)
-    : m_settings(std::move(settings)), m_incarnation(get_incarnation(m_clock)), m_log(get_logger("host")),
-      m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
+host_daemon::host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_ring> ring)
+    : m_settings(std::move(settings)), m_file(std::move(file)), m_incarnation(get_incarnation(m_clock)),
+      m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
               get_serving_options(m_settings)),
@@ -116,9 +119,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            // The platform fills in the same settings for the life of a process; what can change is the configuration,
-            // which comes from the store.
-            log_event("reload").write(*m_log, spdlog::level::info);
+            reload();
         } else {
             stop();
         }
@@ -152,9 +153,35 @@
 }
 
 servers::asio::awaitable<void> host_daemon::keep_house() {
+    steady_time next_look = m_clock.now() + settings_interval;
     for (;;) {
         co_await servers::pause(house_interval);
         m_connections.close_expired();
+        if (m_clock.now() < next_look) {
+            continue;
+        }
+        next_look = m_clock.now() + settings_interval;
+        if (m_file.has_changed()) {
+            reload();
+        }
+    }
+}
+
+void host_daemon::reload() {
+    try {
+        host_settings next = m_file.read();
+        std::string later;
+        for (const std::string& section : list_sections_for_restart(m_settings, next)) {
+            later += later.empty() ? section : " " + section;
+        }
+        m_settings.log.level = next.log.level;
+        set_log_level(next.log.level);
+        log_event("reload")
+            .add("log_level", next.log.level)
+            .add("after_restart", later)
+            .write(*m_log, spdlog::level::info);
+    } catch (const invalid_input_error& fault) {
+        log_event("settings_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
     }
 }
 
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -11,6 +11,7 @@
 #include "daemon/host_settings.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
+#include "daemon/settings_file.hpp"
 #include "daemon/stage_controller.hpp"
 #include "daemon/usage_recorder.hpp"
 #include "daemon/usage_reporter.hpp"
@@ -30,7 +31,8 @@
 /// One host of the platform: everything that it runs, on one event loop.
 class host_daemon {
 public:
-    explicit host_daemon(host_settings settings, std::shared_ptr<log_ring> ring);
+    /// `file` is looked at again when a signal says so, and now and then.
+    host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_ring> ring);
     host_daemon(const host_daemon&) = delete;
     host_daemon& operator=(const host_daemon&) = delete;
     host_daemon(host_daemon&&) = delete;
@@ -51,9 +53,12 @@
     void listen_to_signals();
     servers::asio::awaitable<void> stop_gracefully();
     servers::asio::awaitable<void> keep_house();
+    /// Reads the settings file again and puts in force what can be without a restart.
+    void reload();
     void apply_limits();
 
     host_settings m_settings;
+    settings_file m_file;
     host_clock m_clock;
     /// Differs for each life of the process on this host.
     std::uint64_t m_incarnation;
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -31,6 +31,8 @@
     duration usage_window{};
     /// From the end of a window to its report.
     duration usage_due{};
+
+    friend bool operator==(const host_bounds&, const host_bounds&) = default;
 };
 
 /// Everything that a host of the platform reads from its settings file.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -34,11 +34,12 @@
 /// Lines that wait to be written at most, in bytes; some seconds of a host under ten times its usual load.
 constexpr std::size_t log_ring_bytes = 512 * 1024;
 
-void run_host(daemon::host_settings settings) {
+void run_host(daemon::settings_file file) {
+    daemon::host_settings settings = file.read();
     const auto ring = std::make_shared<log_ring>(log_ring_bytes);
     settings.log.ring = ring;
     set_log_options(settings.log);
-    daemon::host_daemon host(std::move(settings), ring);
+    daemon::host_daemon host(std::move(settings), std::move(file), ring);
     host.run();
 }
 
@@ -80,11 +81,12 @@
     const std::string text = read_file(path);
     const bool is_check_only = values.contains("check");
     if (daemon::is_host_settings(text)) {
-        daemon::host_settings settings = daemon::parse_host_settings(text, path);
+        daemon::settings_file file(path);
         if (!is_check_only) {
-            run_host(std::move(settings));
+            run_host(std::move(file));
             return exit_ok;
         }
+        static_cast<void>(file.read());
     } else {
         daemon::daemon_settings settings = daemon::parse_daemon_settings(text, path);
         if (!is_check_only) {
--- /dev/null
+++ b/tests/soak/evidence.cpp
@@ -0,0 +1,124 @@
+#include "soak/evidence.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace dragonflywell::soak {
+
+namespace {
+
+/// Part by which a report may miss the truth, as the platform's pages bound it.
+constexpr double usage_tolerance = 0.05;
+/// Requests at the edges of a window, which either side may see on the other side of it.
+constexpr double usage_slack = 2;
+
+} // namespace
+
+std::string make_expected_event(const std::string& id, int number) {
+    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+}
+
+std::string make_expected_body(request_kind kind, const std::string& id) {
+    if (kind == request_kind::idempotent || kind == request_kind::at_most_once) {
+        return "answer to " + id;
+    }
+    std::string body;
+    for (int number = 1; number <= events_per_stream; ++number) {
+        body += make_expected_event(id, number);
+    }
+    return body;
+}
+
+void evidence::add_request(const std::string& id, request_kind kind, const std::string& organisation) {
+    m_requests[id] = {.kind = kind, .organisation = organisation, .runs = 0, .is_promised_not_run = false};
+}
+
+void evidence::add_run(const std::string& id, const std::string& organisation, std::int64_t window) {
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        add_violation(fmt::format("a server runs {}, which no caller has sent", id));
+        return;
+    }
+    request_fate& fate = found->second;
+    ++fate.runs;
+    if (fate.organisation != organisation) {
+        add_violation(fmt::format("{} of {} runs for {}", id, fate.organisation, organisation));
+    }
+    if (fate.runs > 1 && !may_run_again(fate.kind)) {
+        add_violation(fmt::format("{} runs {} times", id, fate.runs));
+    }
+    if (fate.is_promised_not_run && !may_run_again(fate.kind)) {
+        add_violation(fmt::format("{} runs after its caller was told that it has not", id));
+    }
+    if (fate.runs == 1) {
+        ++m_truth[window][organisation];
+    }
+}
+
+void evidence::add_promise_not_run(const std::string& id) {
+    request_fate& fate = m_requests[id];
+    fate.is_promised_not_run = true;
+    if (fate.runs > 0 && !may_run_again(fate.kind)) {
+        add_violation(fmt::format("{} is said not to have run, but has", id));
+    }
+}
+
+void evidence::add_served(const std::string& /*id*/) {
+    ++m_served;
+}
+
+void evidence::add_report(std::int64_t window, const std::map<std::string, std::uint64_t>& counts) {
+    const auto [found, is_new] = m_reports.emplace(window, counts);
+    if (!is_new && found->second != counts) {
+        add_violation(fmt::format("window {} is reported twice with different figures", window));
+    }
+}
+
+void evidence::add_fence(const std::string& subject, std::uint64_t fence, const std::string& holder) {
+    const auto [found, is_new] = m_fences.emplace(std::pair(subject, fence), holder);
+    if (!is_new && found->second != holder) {
+        add_violation(fmt::format("{} and {} both use fence {} for {}", found->second, holder, fence, subject));
+    }
+}
+
+void evidence::add_violation(const std::string& what) {
+    constexpr std::size_t most = 40;
+    if (m_violations.size() < most) {
+        m_violations.push_back(fmt::format("at {:.2f} s: {}", get_seconds(), what));
+    }
+}
+
+void evidence::check_end() {
+    if (m_reports.empty()) {
+        add_violation("no usage was reported");
+    }
+}
+
+void evidence::check_usage(std::int64_t first_window, std::int64_t last_window) {
+    for (std::int64_t window = first_window; window <= last_window; ++window) {
+        const auto report = m_reports.find(window);
+        if (report == m_reports.end()) {
+            add_violation(fmt::format("window {} of the calm end was not reported in time", window));
+            continue;
+        }
+        for (const auto& [organisation, truth] : m_truth[window]) {
+            const auto told = report->second.find(organisation);
+            const double figure = told == report->second.end() ? 0 : static_cast<double>(told->second);
+            const double tolerated = std::max(usage_slack, static_cast<double>(truth) * usage_tolerance);
+            if (std::abs(figure - static_cast<double>(truth)) > tolerated) {
+                add_violation(
+                    fmt::format("window {} reports {} for {}; the truth is {}", window, figure, organisation, truth));
+            }
+        }
+    }
+}
+
+double evidence::take_served_share() {
+    const std::size_t requests = m_requests.size() - m_marked_requests;
+    const std::size_t served = m_served - m_marked_served;
+    m_marked_requests = m_requests.size();
+    m_marked_served = m_served;
+    return requests == 0 ? 0 : static_cast<double>(served) / static_cast<double>(requests);
+}
+
+} // namespace dragonflywell::soak
--- /dev/null
+++ b/tests/soak/soak_platform.cpp
@@ -0,0 +1,156 @@
+#include "soak/soak_platform.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "servers/pause.hpp"
+#include "standin/fault_plan.hpp"
+
+namespace dragonflywell::soak {
+
+namespace {
+
+constexpr duration slow_by = std::chrono::milliseconds(300);
+constexpr duration silence = std::chrono::seconds(20);
+/// While answers are lost, each third write is done and not answered.
+constexpr std::uint64_t lost_writes = 3;
+constexpr unsigned status_busy = 503;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_ok = 200;
+
+boost::json::object make_route(const std::string& prefix, const std::string& service, const std::string& kind,
+                               bool is_resumable, int attempts) {
+    return {{"name", prefix},
+            {"host", "soak.example"},
+            {"pathPrefix", "/" + prefix + "/"},
+            {"service", service},
+            {"kind", kind},
+            {"resumable", is_resumable},
+            {"attempts", attempts},
+            {"timeoutMs", 4000},
+            {"targetLatencyMs", 500},
+            {"targetGapMs", 300},
+            {"sticky", kind == "stream"}};
+}
+
+std::string get_header(const servers::http_request& request, const std::string& name) {
+    return std::string(request[name]);
+}
+
+} // namespace
+
+servers::asio::awaitable<void> troubled_store::handle(servers::http_request request, servers::caller_channel& caller) {
+    ++m_calls;
+    const bool is_write = request.method() == servers::http::verb::post;
+    switch (state) {
+    case store_state::busy: {
+        servers::http_response refusal = standin::make_json_response(status_busy, "{}");
+        co_await caller.send(std::move(refusal));
+        co_return;
+    }
+    case store_state::silent:
+        co_await servers::pause(silence);
+        throw servers::caller_gone_error("the store is silent");
+    case store_state::slow:
+        co_await servers::pause(slow_by);
+        break;
+    case store_state::loses_answers:
+        if (is_write && m_calls % lost_writes == 0) {
+            class lost_channel final : public servers::caller_channel {
+            public:
+                servers::asio::awaitable<void> send(servers::http_response /*response*/) override { co_return; }
+                servers::asio::awaitable<void> start_stream(servers::stream_head /*head*/) override { co_return; }
+                servers::asio::awaitable<void> send_chunk(std::string_view /*data*/) override { co_return; }
+                servers::asio::awaitable<void> finish_stream() override { co_return; }
+                void abort_stream() override {}
+                [[nodiscard]] bool is_started() const noexcept override { return false; }
+            } nobody;
+            co_await inner.handle(std::move(request), nobody);
+            co_await servers::pause(silence);
+            throw servers::caller_gone_error("the answer was lost");
+        }
+        break;
+    case store_state::well:
+        break;
+    }
+    co_await inner.handle(std::move(request), caller);
+}
+
+servers::asio::awaitable<void> report_taker::handle(servers::http_request request, servers::caller_channel& caller) {
+    if (is_away) {
+        servers::http_response refusal = standin::make_json_response(status_busy, "{}");
+        co_await caller.send(std::move(refusal));
+        co_return;
+    }
+    const std::string holder = get_header(request, "Dragonflywell-Duty-Holder");
+    const std::uint64_t fence = std::stoull(get_header(request, "Dragonflywell-Fence-Token"));
+    if (fence < m_newest_fence) {
+        servers::http_response conflict = standin::make_json_response(status_conflict, R"({"why":"fence"})");
+        co_await caller.send(std::move(conflict));
+        co_return;
+    }
+    m_newest_fence = fence;
+    m_seen->add_fence("usage", fence, holder);
+    const boost::json::value document = boost::json::parse(request.body());
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& count : document.at("counts").as_object()) {
+        counts[std::string(count.key())] = count.value().to_number<std::uint64_t>();
+    }
+    m_seen->add_report(document.at("windowSeq").to_number<std::int64_t>(), counts);
+    servers::http_response taken = standin::make_json_response(status_ok, "{}");
+    co_await caller.send(std::move(taken));
+}
+
+soak_platform::soak_platform(boost::asio::io_context& loop, evidence& seen)
+    : reports(seen), m_store_server({&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}),
+      m_reports_server({&loop}, reports, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}) {}
+
+void soak_platform::start() {
+    m_store_server.start();
+    m_reports_server.start();
+}
+
+void soak_platform::publish(const std::map<std::string, std::set<std::string>>& keys) {
+    boost::json::array organisations;
+    for (const auto& [organisation, in_force] : keys) {
+        boost::json::array list;
+        for (const std::string& key : in_force) {
+            list.emplace_back(key);
+        }
+        organisations.push_back(boost::json::object{{"name", organisation}, {"apiKeys", std::move(list)}});
+    }
+    // Versions grow in uneven steps.
+    m_version += 1 + m_version % 3;
+    const boost::json::object engine{{"slots", 16},  {"kvCapacity", 100000}, {"kvTokenBytes", 100}, {"linkMbps", 1000},
+                                     {"kvHoldS", 5}, {"switchS", 1},         {"stride", 1}};
+    const boost::json::object document{
+        {"version", m_version},
+        {"routes",
+         boost::json::array{make_route("safe", "app", "safe", false, 2), make_route("once", "app", "unsafe", false, 1),
+                            make_route("gen", "llm", "stream", false, 1),
+                            make_route("resume", "llm", "stream", true, 2)}},
+        {"services",
+         boost::json::array{
+             boost::json::object{{"name", "app"}, {"healthPath", "/health"}, {"maxConns", 200}},
+             boost::json::object{{"name", "llm"}, {"healthPath", "/health"}, {"maxConns", 400}, {"engine", engine}}}},
+        {"tenants", organisations},
+        {"limits", boost::json::object{{"maxHeaderBytes", 16384},
+                                       {"maxBodyBytes", 1048576},
+                                       {"headerTimeoutMs", 5000},
+                                       {"idleTimeoutMs", 20000}}}};
+    store.inner.put("keyed.op", "config", boost::json::serialize(document));
+}
+
+void soak_platform::put_server(const std::string& id, const std::string& entry) {
+    store.inner.put("keyed.servers", id, entry);
+}
+
+endpoint soak_platform::get_store_endpoint() const {
+    return {.address = "127.0.0.1", .port = m_store_server.get_port()};
+}
+
+endpoint soak_platform::get_reports_endpoint() const {
+    return {.address = "127.0.0.1", .port = m_reports_server.get_port()};
+}
+
+} // namespace dragonflywell::soak
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,377 @@
+#include "soak/soak_run.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include "core/log.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration usage_window = seconds(2);
+/// After this without anything unplanned all bounds hold again.
+constexpr duration contact = seconds(3);
+/// How long a calm end lasts: until the system serves again, and some windows of usage are due.
+constexpr duration recovery = seconds(12);
+constexpr duration calm_end = seconds(10);
+constexpr duration start_patience = seconds(15);
+constexpr duration ready_interval = milliseconds(250);
+/// A server that leaves serves this long, and then some.
+constexpr duration drain_time = milliseconds(2600);
+/// Part of the requests of the calm end that have to be served.
+constexpr double least_served = 0.97;
+constexpr std::size_t most_organisations = 4;
+
+} // namespace
+
+/// One kind of trouble.
+struct soak_run::fault {
+    std::string name;
+    bool is_planned{false};
+    std::function<asio::awaitable<void>()> play;
+};
+
+soak_run::soak_run(soak_options options)
+    : m_options(std::move(options)), m_random(m_options.seed), m_seen(m_time), m_platform(m_loop, m_seen) {
+    m_world = {.seen = &m_seen,
+               .random = &m_random,
+               .hosts = &m_hosts,
+               .revoked_at = &m_revoked_at,
+               .is_planned_only = [this] { return m_disturbances == 0 && m_seen.is_calm(contact); },
+               .is_over = false};
+}
+
+soak_result soak_run::run() {
+    std::exception_ptr failure;
+    asio::co_spawn(m_loop, play(), [&](std::exception_ptr thrown) {
+        failure = std::move(thrown);
+        m_loop.stop();
+    });
+    m_loop.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+    return {.violations = m_seen.get_violations(),
+            .faults = m_fault_counts,
+            .requests = m_seen.get_requests(),
+            .served = m_seen.get_served(),
+            .reports = m_seen.get_reports()};
+}
+
+asio::awaitable<void> soak_run::play() {
+    m_platform.start();
+    for (std::size_t number = 0; number < m_options.engines + m_options.instances; ++number) {
+        const bool is_engine = number < m_options.engines;
+        soak_server_options options{.id = fmt::format("s{}", number),
+                                    .service = is_engine ? "llm" : "app",
+                                    .zone = number % 2 == 0 ? "z1" : "z2",
+                                    .stage = is_engine ? (number % 2 == 0 ? "prefill" : "decode") : "",
+                                    .usage_window = usage_window};
+        m_servers.push_back(
+            std::make_unique<soak_server>(m_loop, m_platform, m_seen, m_prompts, m_random, std::move(options)));
+        m_servers.back()->start();
+    }
+    for (std::size_t number = 0; number < most_organisations; ++number) {
+        m_keys[fmt::format("org{}", number)] = {fmt::format("key{}", number)};
+    }
+    publish();
+    for (std::size_t number = 0; number < m_options.hosts; ++number) {
+        soak_host_options options{.name = fmt::format("h{}", number),
+                                  .zone = number % 2 == 0 ? "z1" : "z2",
+                                  .program = m_options.program,
+                                  .folder = m_options.folder,
+                                  .store = m_platform.get_store_endpoint(),
+                                  .reports = m_platform.get_reports_endpoint(),
+                                  .usage_window = usage_window};
+        m_hosts.push_back(std::make_unique<soak_host>(m_loop, m_seen, std::move(options)));
+        m_hosts.back()->start();
+    }
+    asio::co_spawn(m_loop, watch_hosts(), asio::detached);
+    co_await wait_until_ready();
+    for (std::size_t number = 0; number < m_options.callers; ++number) {
+        const std::size_t organisation = number % most_organisations;
+        soak_caller_options options{.name = fmt::format("c{}", number),
+                                    .organisation = fmt::format("org{}", organisation),
+                                    .key = fmt::format("key{}", organisation)};
+        m_callers.push_back(std::make_unique<soak_caller>(m_world, std::move(options)));
+        asio::co_spawn(m_loop, m_callers.back()->run(), asio::detached);
+    }
+    co_await play_faults();
+    co_await check_recovery();
+    m_world.is_over = true;
+    m_seen.check_end();
+}
+
+asio::awaitable<void> soak_run::wait_until_ready() {
+    const steady_time last = m_time.now() + start_patience;
+    const auto is_ready = [](const std::unique_ptr<soak_host>& host) { return host->is_ready; };
+    while (!std::all_of(m_hosts.begin(), m_hosts.end(), is_ready)) {
+        if (m_time.now() > last) {
+            m_seen.add_violation("not all hosts were ready after their start");
+            co_return;
+        }
+        co_await servers::pause(ready_interval);
+    }
+}
+
+asio::awaitable<void> soak_run::watch_hosts() {
+    while (!m_world.is_over) {
+        for (const std::unique_ptr<soak_host>& host : m_hosts) {
+            host->check_alive();
+            asio::co_spawn(m_loop, check_ready(*host), asio::detached);
+        }
+        co_await servers::pause(ready_interval);
+    }
+}
+
+asio::awaitable<void> soak_run::check_ready(soak_host& host) {
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop);
+    asio::steady_timer timer(m_loop, ready_interval * 2);
+    timer.async_wait([socket](const servers::error_code& late) {
+        if (!late) {
+            servers::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    servers::error_code fault;
+    const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), host.get_ready().port);
+    co_await socket->async_connect(address, servers::store_error(fault));
+    servers::http::response<servers::http::string_body> response;
+    if (!fault) {
+        servers::http_request question(servers::http::verb::get, "/-/ready", 11);
+        question.set("Host", "ready");
+        co_await servers::http::async_write(*socket, question, servers::store_error(fault));
+    }
+    if (!fault) {
+        servers::beast::flat_buffer buffer;
+        co_await servers::http::async_read(*socket, buffer, response, servers::store_error(fault));
+    }
+    host.is_ready = !fault && response.result() == servers::http::status::ok;
+}
+
+duration soak_run::draw_length(duration least, duration most) {
+    return duration(std::uniform_int_distribution<duration::rep>(least.count(), most.count())(m_random));
+}
+
+soak_host& soak_run::draw_host() {
+    return *m_hosts[std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random)];
+}
+
+soak_server& soak_run::draw_server() {
+    return *m_servers[std::uniform_int_distribution<std::size_t>(0, m_servers.size() - 1)(m_random)];
+}
+
+void soak_run::publish() {
+    m_platform.publish(m_keys);
+}
+
+void soak_run::revoke_key() {
+    // One organisation loses its only key; the others go on.
+    const std::string organisation = fmt::format("org{}", most_organisations - 1);
+    for (const std::string& key : m_keys[organisation]) {
+        m_revoked_at.emplace(key, m_time.now());
+    }
+    m_keys[organisation].clear();
+    publish();
+}
+
+asio::awaitable<void> soak_run::remove_server(soak_server& server, duration stays) {
+    co_await servers::pause(stays);
+    server.leave();
+    server.crash();
+    co_await servers::pause(seconds(1));
+    server.start();
+}
+
+std::vector<soak_run::fault> soak_run::make_faults() {
+    const auto hold = [this](duration least, duration most) { return servers::pause(draw_length(least, most)); };
+    const auto store = [this, hold](store_state state) -> asio::awaitable<void> {
+        m_platform.store.state = state;
+        co_await hold(seconds(1), seconds(5));
+        m_platform.store.state = store_state::well;
+    };
+    const auto link = [hold](fault_proxy& proxy, link_state state) -> asio::awaitable<void> {
+        proxy.set_state(state);
+        co_await hold(seconds(1), seconds(4));
+        proxy.set_state(link_state::passes);
+    };
+    const auto draw_link_state = [this] {
+        return static_cast<link_state>(std::uniform_int_distribution<int>(1, 4)(m_random));
+    };
+    return {
+        {"host killed", false,
+         [this, hold]() -> asio::awaitable<void> {
+             soak_host& host = draw_host();
+             host.kill();
+             co_await hold(milliseconds(300), seconds(3));
+             host.start();
+         }},
+        {"all hosts killed", false,
+         [this, hold]() -> asio::awaitable<void> {
+             for (const auto& host : m_hosts) {
+                 host->kill();
+             }
+             co_await hold(milliseconds(300), seconds(1));
+             for (const auto& host : m_hosts) {
+                 host->start();
+             }
+         }},
+        {"host frozen", false,
+         [this, hold]() -> asio::awaitable<void> {
+             soak_host& host = draw_host();
+             host.freeze();
+             co_await hold(milliseconds(500), seconds(5));
+             host.thaw();
+         }},
+        {"host stopped", true,
+         [this]() -> asio::awaitable<void> {
+             constexpr duration grace = seconds(8);
+             soak_host& host = draw_host();
+             host.terminate();
+             const steady_time last = m_time.now() + grace;
+             while (host.is_running() && m_time.now() < last) {
+                 co_await servers::pause(ready_interval);
+             }
+             if (host.is_running() && m_seen.is_calm(grace)) {
+                 m_seen.add_violation(fmt::format("{} still runs at the end of its grace time", host.get_name()));
+             }
+             host.kill();
+             co_await servers::pause(ready_interval);
+             host.start();
+         }},
+        {"settings reloaded", true,
+         [this]() -> asio::awaitable<void> {
+             draw_host().reload();
+             co_return;
+         }},
+        {"configuration", true,
+         [this, hold]() -> asio::awaitable<void> {
+             for (int change = 0; change < 3; ++change) {
+                 publish();
+                 co_await hold(milliseconds(50), milliseconds(600));
+             }
+         }},
+        {"key revoked", true,
+         [this]() -> asio::awaitable<void> {
+             revoke_key();
+             co_return;
+         }},
+        {"server drained", true,
+         [this]() -> asio::awaitable<void> {
+             soak_server& server = draw_server();
+             if (server.is_running() && !server.is_draining()) {
+                 server.drain();
+                 co_await remove_server(server, drain_time + seconds(1));
+             }
+         }},
+        {"server crashed", false,
+         [this, hold]() -> asio::awaitable<void> {
+             soak_server& server = draw_server();
+             server.crash();
+             co_await hold(milliseconds(300), seconds(4));
+             if (!server.is_running()) {
+                 server.start();
+             }
+         }},
+        {"server misbehaves", false,
+         [this, hold]() -> asio::awaitable<void> {
+             constexpr double share = 0.4;
+             soak_server& server = draw_server();
+             server.bad_share = share;
+             co_await hold(seconds(2), seconds(5));
+             server.bad_share = 0;
+         }},
+        {"server's link fails", false,
+         [this, link, draw_link_state] { return link(draw_server().link, draw_link_state()); }},
+        {"server's connections reset", false,
+         [this]() -> asio::awaitable<void> {
+             draw_server().link.reset_connections();
+             co_return;
+         }},
+        {"server's connections silent for good", false,
+         [this]() -> asio::awaitable<void> {
+             draw_server().link.forget_connections();
+             co_return;
+         }},
+        {"store's link fails", false,
+         [this, link, draw_link_state] { return link(draw_host().store_link, draw_link_state()); }},
+        {"store's connections silent for good", false,
+         [this]() -> asio::awaitable<void> {
+             draw_host().store_link.forget_connections();
+             co_return;
+         }},
+        {"reports' link fails", false,
+         [this, link, draw_link_state] { return link(draw_host().reports_link, draw_link_state()); }},
+        {"store busy", false, [store] { return store(store_state::busy); }},
+        {"store silent", false, [store] { return store(store_state::silent); }},
+        {"store slow", false, [store] { return store(store_state::slow); }},
+        {"store loses answers", false, [store] { return store(store_state::loses_answers); }},
+        {"store forgets", false,
+         [this]() -> asio::awaitable<void> {
+             for (const char* topic : {"keyed.op", "keyed.servers", "keyed.dw-lease", "keyed.dw-hosts"}) {
+                 m_platform.store.inner.drop_history(topic);
+             }
+             co_return;
+         }},
+        {"reports refused", false,
+         [this, hold]() -> asio::awaitable<void> {
+             m_platform.reports.is_away = true;
+             co_await hold(seconds(1), seconds(4));
+             m_platform.reports.is_away = false;
+         }},
+    };
+}
+
+asio::awaitable<void> soak_run::play_one(const fault& chosen) {
+    // Owned here: the list that it was drawn from may be gone before it ends.
+    const fault own = chosen;
+    if (!own.is_planned) {
+        ++m_disturbances;
+        m_seen.note_disturbance();
+    }
+    co_await own.play();
+    if (!own.is_planned) {
+        --m_disturbances;
+        m_seen.note_disturbance();
+    }
+}
+
+asio::awaitable<void> soak_run::play_faults() {
+    co_await servers::pause(seconds(2));
+    const std::vector<fault> faults = make_faults();
+    const steady_time last = m_time.now() + m_options.faults;
+    while (m_time.now() < last) {
+        const fault& chosen = faults[std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(m_random)];
+        ++m_fault_counts[chosen.name];
+        asio::co_spawn(m_loop, play_one(chosen), asio::detached);
+        co_await servers::pause(draw_length(milliseconds(200), seconds(3)));
+    }
+}
+
+asio::awaitable<void> soak_run::check_recovery() {
+    while (m_disturbances > 0) {
+        m_seen.note_disturbance();
+        co_await servers::pause(ready_interval);
+    }
+    co_await servers::pause(recovery);
+    static_cast<void>(m_seen.take_served_share());
+    const auto get_window = [] { return std::chrono::system_clock::now().time_since_epoch() / usage_window; };
+    const std::int64_t first = get_window() + 1;
+    co_await servers::pause(calm_end);
+    const double share = m_seen.take_served_share();
+    // The organisation whose key was revoked is owed nothing.
+    const double revoked = m_revoked_at.empty() ? 0 : 1.0 / static_cast<double>(most_organisations);
+    if (share < least_served * (1 - revoked) - 0.02) {
+        m_seen.add_violation(fmt::format("only {:.0f} in 100 requests of the calm end were served", share * 100));
+    }
+    // Reports are due two windows after the end of theirs.
+    m_seen.check_usage(first, get_window() - 4);
+}
+
+} // namespace dragonflywell::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "soak/evidence.hpp"
+#include "soak/soak_caller.hpp"
+#include "soak/soak_host.hpp"
+#include "soak/soak_platform.hpp"
+#include "soak/soak_server.hpp"
+
+namespace dragonflywell::soak {
+
+struct soak_options {
+    std::uint64_t seed{1};
+    /// How long faults come.
+    duration faults{std::chrono::seconds(16)};
+    std::size_t hosts{4};
+    std::size_t engines{6};
+    std::size_t instances{3};
+    std::size_t callers{12};
+    std::string program;
+    std::string folder;
+};
+
+/// What a run has shown.
+struct soak_result {
+    std::vector<std::string> violations;
+    std::map<std::string, int> faults;
+    std::size_t requests{0};
+    std::size_t served{0};
+    std::size_t reports{0};
+};
+
+/// One run of real daemons under faults that the seed decides. Everything but the daemons lives on one event loop.
+class soak_run {
+public:
+    explicit soak_run(soak_options options);
+
+    /// Runs to the end. Throws `std::system_error` when a daemon cannot be started.
+    [[nodiscard]] soak_result run();
+
+private:
+    struct fault;
+
+    asio::awaitable<void> play();
+    asio::awaitable<void> wait_until_ready();
+    asio::awaitable<void> play_faults();
+    asio::awaitable<void> check_recovery();
+    asio::awaitable<void> watch_hosts();
+    asio::awaitable<void> check_ready(soak_host& host);
+    asio::awaitable<void> play_one(const fault& chosen);
+    asio::awaitable<void> remove_server(soak_server& server, duration stays);
+
+    [[nodiscard]] std::vector<fault> make_faults();
+    void publish();
+    void revoke_key();
+    [[nodiscard]] duration draw_length(duration least, duration most);
+    soak_host& draw_host();
+    soak_server& draw_server();
+
+    soak_options m_options;
+    host_clock m_time;
+    asio::io_context m_loop{1};
+    std::mt19937_64 m_random;
+    evidence m_seen;
+    soak_platform m_platform;
+    read_prompts m_prompts;
+    std::vector<std::unique_ptr<soak_host>> m_hosts;
+    std::vector<std::unique_ptr<soak_server>> m_servers;
+    std::vector<std::unique_ptr<soak_caller>> m_callers;
+    std::map<std::string, std::set<std::string>> m_keys;
+    std::map<std::string, steady_time> m_revoked_at;
+    std::map<std::string, int> m_fault_counts;
+    soak_world m_world;
+    /// Unplanned faults that are under way.
+    int m_disturbances{0};
+};
+
+} // namespace dragonflywell::soak
--- /dev/null
+++ b/tests/soak/soak_server.cpp
@@ -0,0 +1,238 @@
+#include "soak/soak_server.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "servers/pause.hpp"
+
+namespace dragonflywell::soak {
+
+using servers::http_request;
+using standin::raw_connection;
+
+namespace {
+
+/// Bound for a leaving server to get its last request, and what an unready machine may add to it.
+constexpr duration drain_bound = std::chrono::seconds(2);
+constexpr duration drain_margin = std::chrono::milliseconds(500);
+/// The bound holds where nothing unplanned has happened for this long.
+constexpr duration contact = std::chrono::seconds(3);
+
+std::string get(const http_request& request, const std::string& name) {
+    return std::string(request[name]);
+}
+
+std::string make_answer(const http_request& request, unsigned status, const std::string& headers,
+                        const std::string& body) {
+    return fmt::format("HTTP/1.1 {} X\r\nDragonflywell-Attempt-Id: {}\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                       get(request, "Dragonflywell-Attempt-Id"), headers, body.size(), body);
+}
+
+std::string make_seal(const std::string& id) {
+    return fmt::format("Dragonflywell-Server-Seal: seal-of-{}\r\n", id);
+}
+
+request_kind get_kind(const http_request& request) {
+    const std::string_view target(request.target().data(), request.target().size());
+    if (target.starts_with("/safe/")) {
+        return request_kind::idempotent;
+    }
+    if (target.starts_with("/once/")) {
+        return request_kind::at_most_once;
+    }
+    return target.starts_with("/gen/") ? request_kind::stream : request_kind::resumable_stream;
+}
+
+std::string make_chunk(const std::string& bytes) {
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+} // namespace
+
+soak_server::soak_server(asio::io_context& loop, soak_platform& platform, evidence& seen, read_prompts& prompts,
+                         std::mt19937_64& random, soak_server_options options)
+    : link(loop, {}), m_loop(&loop), m_platform(&platform), m_seen(&seen), m_prompts(&prompts), m_random(&random),
+      m_options(std::move(options)) {}
+
+void soak_server::start() {
+    m_server =
+        std::make_unique<standin::raw_server>(*m_loop, [this](const http_request& request, raw_connection& connection) {
+            return answer(request, connection);
+        });
+    link.set_target(m_server->get_endpoint());
+    m_started_at_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    m_orders = 0;
+    m_newest_fence = 0;
+    m_draining_since.reset();
+    write_entry();
+}
+
+void soak_server::crash() {
+    m_server.reset();
+}
+
+void soak_server::drain() {
+    m_draining_since = std::chrono::steady_clock::now();
+    write_entry();
+}
+
+void soak_server::leave() {
+    m_platform->put_server(m_options.id, "");
+}
+
+void soak_server::write_entry() const {
+    boost::json::object entry{{"service", m_options.service},
+                              {"addr", format_endpoint(link.get_endpoint())},
+                              {"zone", m_options.zone},
+                              {"version", "1"},
+                              {"slots", 16},
+                              {"state", is_draining() ? "draining" : "ready"},
+                              {"coldRemainingMs", 0},
+                              {"seq", 1},
+                              {"born", m_started_at_ms}};
+    if (!m_options.stage.empty()) {
+        entry["stage"] = m_options.stage;
+    }
+    m_platform->put_server(m_options.id, boost::json::serialize(entry));
+}
+
+bool soak_server::draws(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(*m_random) < share;
+}
+
+std::int64_t soak_server::get_window() const {
+    return std::chrono::system_clock::now().time_since_epoch() / m_options.usage_window;
+}
+
+void soak_server::check_drained() const {
+    if (!m_draining_since || !m_seen->is_calm(contact)) {
+        return;
+    }
+    const duration since = std::chrono::steady_clock::now() - *m_draining_since;
+    if (since > drain_bound + drain_margin) {
+        m_seen->add_violation(fmt::format("{} gets a request {:.2f} s after it said that it leaves", m_options.id,
+                                          std::chrono::duration<double>(since).count()));
+    }
+}
+
+asio::awaitable<void> soak_server::answer(const http_request& request, raw_connection& connection) {
+    const std::string target(request.target());
+    const std::string expected = get(request, "Dragonflywell-Expect-Instance");
+    if (!expected.empty() && expected != m_options.id) {
+        std::string bytes = make_answer(request, 421, "Dragonflywell-Not-Executed: 1\r\n", "");
+        co_await connection.write(std::move(bytes));
+        co_return;
+    }
+    if (target == "/-/order") {
+        co_await take_order(request, connection);
+        co_return;
+    }
+    if (request.method() == servers::http::verb::delete_ || target.starts_with("/-/") || target == "/health") {
+        const std::string report =
+            fmt::format(R"({{"stage":"{}","busy":false,"seq":{},"queued":0,"running":0}})", m_options.stage, m_orders);
+        std::string bytes = make_answer(request, 200, "", report);
+        co_await connection.write(std::move(bytes));
+        co_return;
+    }
+    check_drained();
+    co_await run(request, connection);
+}
+
+asio::awaitable<void> soak_server::run(const http_request& request, raw_connection& connection) {
+    const std::string id = get(request, "Dragonflywell-Attempt-Id");
+    if (!get(request, "Api-Key").empty()) {
+        m_seen->add_violation(fmt::format("{} sees the key of {}", m_options.id, id));
+    }
+    if (draws(bad_share / 2)) {
+        std::string bytes = make_answer(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
+        co_await connection.write(std::move(bytes));
+        co_return;
+    }
+    if (get(request, "Dragonflywell-Stage") == "prefill") {
+        const std::string handle = fmt::format("{}-{}", m_options.id, ++m_handles);
+        (*m_prompts)[handle] = id;
+        const std::string body = fmt::format(R"({{"kvHandle":"{}","tokens":100,"version":1}})", handle);
+        std::string bytes = make_answer(request, 200, "", body);
+        co_await connection.write(std::move(bytes));
+        co_return;
+    }
+    const std::string source = get(request, "Dragonflywell-Kv-Source");
+    if (!source.empty()) {
+        const auto prompt = m_prompts->find(source.substr(source.find('/') + 1));
+        if (prompt == m_prompts->end()) {
+            std::string bytes = make_answer(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
+            co_await connection.write(std::move(bytes));
+            co_return;
+        }
+        if (prompt->second != id) {
+            m_seen->add_violation(fmt::format("{} goes on from the prompt of {}", id, prompt->second));
+        }
+        m_prompts->erase(prompt);
+    }
+    m_seen->add_run(id, get(request, "Dragonflywell-Tenant"), get_window());
+    if (draws(bad_share / 2)) {
+        connection.reset();
+        co_return;
+    }
+    const request_kind kind = get_kind(request);
+    if (kind == request_kind::stream || kind == request_kind::resumable_stream) {
+        const std::string last = get(request, "Last-Event-Id");
+        co_await send_stream(id, last.empty() ? 1 : std::stoi(last) + 1, connection);
+        co_return;
+    }
+    constexpr int shortest_ms = 2;
+    constexpr int longest_ms = 40;
+    const int length_ms = std::uniform_int_distribution<int>(shortest_ms, longest_ms)(*m_random);
+    co_await servers::pause(std::chrono::milliseconds(length_ms));
+    std::string bytes = make_answer(request, 200, make_seal(id), make_expected_body(kind, id));
+    if (draws(bad_share / 2)) {
+        // A further answer, which belongs to no request.
+        bytes += make_answer(request, 200, make_seal("nobody"), "nobody's");
+    }
+    co_await connection.write(std::move(bytes));
+}
+
+asio::awaitable<void> soak_server::send_stream(const std::string& id, int first, raw_connection& connection) {
+    constexpr duration pace = std::chrono::milliseconds(25);
+    std::string head = fmt::format("HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: {}\r\n{}"
+                                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   id, make_seal(id));
+    co_await connection.write(std::move(head));
+    for (int number = first; number <= events_per_stream; ++number) {
+        if (draws(bad_share / events_per_stream)) {
+            std::string part = make_chunk("id: 99\nda");
+            co_await connection.write(std::move(part));
+            connection.reset();
+            co_return;
+        }
+        std::string event = make_chunk(make_expected_event(id, number));
+        co_await connection.write(std::move(event));
+        co_await servers::pause(pace);
+    }
+    std::string end = "0\r\n\r\n";
+    co_await connection.write(std::move(end));
+}
+
+asio::awaitable<void> soak_server::take_order(const http_request& request, raw_connection& connection) {
+    const boost::json::value order = boost::json::parse(request.body());
+    const auto fence = order.at("fence").to_number<std::uint64_t>();
+    unsigned status = 202;
+    if (fence < m_newest_fence) {
+        status = 412;
+    } else if (order.at("precondition").to_number<std::uint64_t>() != m_orders) {
+        status = 409;
+    } else {
+        m_seen->add_fence(fmt::format("{} since {}", m_options.id, m_started_at_ms), fence,
+                          std::string(order.at("holder").as_string()));
+        m_newest_fence = fence;
+        ++m_orders;
+        m_options.stage = std::string(order.at("stage").as_string());
+        write_entry();
+    }
+    std::string bytes = make_answer(request, status, "", "{}");
+    co_await connection.write(std::move(bytes));
+}
+
+} // namespace dragonflywell::soak
