Tell other groups of hosts which shared prompts engines have; ask the store less when it fails

Cause: on the grown sites a third of all prompt tokens were shared parts that some engine of another zone had: each group knew of its own engines' memories only.

--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-constexpr duration retry_pause = std::chrono::milliseconds(150);
+/// How long a store is left alone that answered with an old state.
+constexpr duration stuck_pause = std::chrono::milliseconds(400);
 
-/// Parts of the bound for which a read waits at the store, and after which a host that hears nothing reads by itself.
-constexpr double wait_share = 0.5;
+/// Parts of the bound for which a read waits at the store, and after which a host that hears nothing reads by itself:
+/// a wait and two digests later, so that a lost digest does not make each host read.
+constexpr double wait_share = 0.3;
 constexpr double longest_age_share = 0.7;
 
 duration get_part(duration whole, double share) {
@@ -47,7 +49,7 @@
         // A store that answers with an old state brings nothing on, however often it is asked.
         const bool is_stuck = m_topic.is_behind() && m_topic.get_next() == before;
         if (has_failed || is_stuck) {
-            co_await servers::pause(retry_pause);
+            co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : stuck_pause);
         }
     }
 }
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -20,8 +20,6 @@
 constexpr duration house_interval = std::chrono::seconds(1);
 /// How often the settings file is looked at without a signal.
 constexpr duration settings_interval = std::chrono::seconds(5);
-/// The list of servers is read several times within the bound for draining servers.
-constexpr double list_reads_per_drain = 2.5;
 /// How long a host that stops still takes requests: two readiness checks a second apart, and some margin.
 constexpr duration stop_notice = std::chrono::milliseconds(3500);
 /// How long before the end of the grace time the process ends by itself.
@@ -58,7 +56,7 @@
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
               get_serving_options(m_settings)),
       m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
-      m_servers(m_store, m_state, std::chrono::duration_cast<duration>(m_settings.bounds.drain / list_reads_per_drain)),
+      m_servers(m_store, m_state, m_settings.bounds.drain),
       m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
       m_lease(m_store, m_clock, get_lease_options(m_settings, m_incarnation)),
       m_usage_recorder(m_store, m_state, m_settings.name.value(), m_incarnation),
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -137,7 +137,7 @@
             has_failed = true;
         }
         if (has_failed) {
-            co_await servers::pause(list_retry);
+            co_await servers::pause(std::max(list_retry, m_dependency.get_retry_pause()));
         }
     }
 }
@@ -255,6 +255,7 @@
     }
     if (!other.is_near) {
         m_state->peers.take_far(digest);
+        take_touches(digest);
         return;
     }
     if (!digest.usage.empty()) {
@@ -287,12 +288,32 @@
     }
     for (auto& [service, engines] : m_state->get_engines()) {
         engines.board.set_other(digest.host, shares, now);
+    }
+    take_touches(digest);
+    share_prompts(digest.touches);
+}
+
+void host_exchange::take_touches(const servers::host_digest& digest) {
+    for (auto& [service, engines] : m_state->get_engines()) {
         for (const servers::digest_touch& touch : digest.touches) {
             engines.board.touch(touch.engine, touch.parts);
         }
     }
 }
 
+void host_exchange::share_prompts(const std::vector<servers::digest_touch>& touches) {
+    if (!has_far_hosts() || !is_first_alive()) {
+        return;
+    }
+    for (const servers::digest_touch& touch : touches) {
+        m_shared_prompts.add(touch, m_state->time.now());
+    }
+}
+
+bool host_exchange::has_far_hosts() const {
+    return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_near; });
+}
+
 servers::asio::awaitable<void> host_exchange::keep_alive() {
     for (;;) {
         co_await servers::pause(keep_alive_interval);
@@ -427,6 +448,7 @@
     servers::host_digest digest = make_head();
     digest.instances = m_state->get_own_in_flight();
     digest.touches = std::exchange(m_state->touches, {});
+    share_prompts(digest.touches);
     add_engines(digest);
     if (m_is_keep_alive_due) {
         add_usage(digest);
@@ -442,6 +464,7 @@
     servers::host_digest digest = make_head();
     if (is_first_alive()) {
         add_summaries(digest);
+        digest.touches = m_shared_prompts.take(m_state->time.now());
     }
     return digest;
 }
@@ -489,10 +512,8 @@
 
 void host_exchange::send() {
     send_to(servers::encode_host_digest(make_near_digest()), true);
-    const bool has_far =
-        std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_near; });
     const bool speaks = is_first_alive() || m_lease->is_held();
-    if (has_far && speaks && m_is_keep_alive_due) {
+    if (m_is_keep_alive_due && speaks && has_far_hosts()) {
         send_to(servers::encode_host_digest(make_far_digest()), false);
     }
     m_is_keep_alive_due = false;
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -16,6 +16,7 @@
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
 #include "servers/serving_state.hpp"
+#include "servers/shared_prompts.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -71,7 +72,11 @@
     void take_news(const boost::json::object& news);
     void take(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
+    void take_touches(const servers::host_digest& digest);
     void take_readings(const servers::host_digest& digest);
+    /// Gathers for other groups what the engines of this one are given, where this host speaks for it.
+    void share_prompts(const std::vector<servers::digest_touch>& touches);
+    [[nodiscard]] bool has_far_hosts() const;
     void send();
     /// Sends to the hosts of the group, or to all others.
     void send_to(const std::string& text, bool is_near);
@@ -106,6 +111,8 @@
     bool m_is_scheduled{false};
     /// The next digests carry what is told less often, and go to other groups, too.
     bool m_is_keep_alive_due{false};
+    /// What other groups are to be told of the prompts that this one's engines have.
+    servers::shared_prompts m_shared_prompts;
     std::uint64_t m_sequence{0};
     std::optional<std::uint64_t> m_next;
     std::map<std::string, other_host> m_others;
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -11,9 +11,18 @@
 
 namespace {
 
-constexpr duration retry_pause = std::chrono::milliseconds(150);
-/// How much later than read news may be here before this host reads by itself.
-constexpr duration news_delay = std::chrono::milliseconds(250);
+/// How long a store is left alone that answered with an old state.
+constexpr duration stuck_pause = std::chrono::milliseconds(400);
+
+/// Parts of the bound for draining servers: between two reads of the host that reads for its group, and after which
+/// another one that was told nothing reads by itself. Between the two lie two digests, so that a lost one costs no
+/// read.
+constexpr double interval_share = 0.28;
+constexpr double longest_age_share = 0.6;
+
+duration get_part(duration whole, double share) {
+    return std::chrono::duration_cast<duration>(whole * share);
+}
 
 std::string_view get_change_name(fleet::directory_change change) {
     switch (change) {
@@ -38,14 +47,14 @@
 } // namespace
 
 server_list_follower::server_list_follower(platform::store_client& store, servers::serving_state& state,
-                                           duration interval)
-    : m_store(&store), m_state(&state), m_interval(interval), m_log(get_logger("servers")),
+                                           duration drain_bound)
+    : m_store(&store), m_state(&state), m_interval(get_part(drain_bound, interval_share)),
+      m_longest_age(get_part(drain_bound, longest_age_share)), m_log(get_logger("servers")),
       m_dependency(*m_log, "server_list"), m_hint_timer(state.executor) {}
 
 servers::asio::awaitable<void> server_list_follower::run() {
     for (;;) {
-        const duration longest_age = m_interval + news_delay;
-        if (!m_is_reader && !m_topic.is_due(longest_age, m_state->time.now())) {
+        if (!m_is_reader && !m_topic.is_due(m_longest_age, m_state->time.now())) {
             co_await wait_for_hint();
             continue;
         }
@@ -55,7 +64,7 @@
             co_await follow_once();
             if (m_topic.is_behind()) {
                 // A store that answers with an old state brings nothing on, however often it is asked.
-                next_after = m_topic.get_next() == before ? retry_pause : duration::zero();
+                next_after = m_topic.get_next() == before ? stuck_pause : duration::zero();
             }
         } catch (const platform::store_history_dropped_error&) {
             m_topic.note_dropped();
@@ -63,7 +72,7 @@
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
             m_state->directory.set_reachable(false, m_state->time.now());
-            next_after = retry_pause;
+            next_after = m_dependency.get_retry_pause();
         }
         if (next_after > duration::zero()) {
             m_hint_timer.expires_after(next_after);
@@ -74,7 +83,7 @@
 }
 
 servers::asio::awaitable<void> server_list_follower::wait_for_hint() {
-    m_hint_timer.expires_after(m_interval + news_delay - m_topic.get_age(m_state->time.now()));
+    m_hint_timer.expires_after(m_longest_age - m_topic.get_age(m_state->time.now()));
     servers::error_code ignored;
     co_await m_hint_timer.async_wait(servers::store_error(ignored));
 }
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -18,8 +18,9 @@
 /// not heard of it for too long. Used on one event loop.
 class server_list_follower {
 public:
-    /// Preconditions: store and state outlive the follower; `interval` is well below the bound for draining servers.
-    server_list_follower(platform::store_client& store, servers::serving_state& state, duration interval);
+    /// `drain_bound`: from a server's notice that it leaves to the last request sent there.
+    /// Preconditions: store and state outlive the follower.
+    server_list_follower(platform::store_client& store, servers::serving_state& state, duration drain_bound);
 
     /// Follows for as long as the event loop runs.
     servers::asio::awaitable<void> run();
@@ -52,7 +53,10 @@
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
+    /// Time between two reads of a host that reads for its group.
     duration m_interval;
+    /// How old the last news may be before this host reads by itself.
+    duration m_longest_age;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
     policy::followed_topic m_topic;
