--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -54,9 +54,10 @@
     if (m_is_resigning || is_holder_heard) {
         return action::nothing;
     }
-    const bool is_vacant = !m_latest || m_latest->record.is_release || has_lapsed();
+    const std::optional<steady_time> vacant_since = get_vacant_since();
+    const bool may_claim = vacant_since && m_time->now() - *vacant_since >= m_options.claim_delay;
     const bool is_fresh = m_last_read_at && m_time->now() - *m_last_read_at < m_options.length / reads_per_length;
-    if (is_vacant && is_fresh) {
+    if (may_claim && is_fresh) {
         return action::append;
     }
     return is_fresh ? action::nothing : action::read;
@@ -68,6 +69,9 @@
     }
     m_end = end;
     m_has_read = true;
+    if (!m_first_read_at) {
+        m_first_read_at = m_time->now();
+    }
     m_needs_read = false;
     m_last_read_at = m_time->now();
     // An append without a known result that has not shown by now may still come, and is then taken for a stranger's.
@@ -137,9 +141,16 @@
     return record.holder == m_options.holder && record.incarnation == m_options.incarnation;
 }
 
-bool store_lease::has_lapsed() const {
+std::optional<steady_time> store_lease::get_vacant_since() const {
+    if (!m_latest) {
+        return m_first_read_at;
+    }
+    if (m_latest->record.is_release) {
+        return m_latest_seen_at;
+    }
     // The clock without suspension: time that this host slept through says nothing about the holder.
-    return m_time->now() - m_latest_seen_at >= m_options.length + m_options.margin;
+    const steady_time lapses_at = m_latest_seen_at + m_options.length + m_options.margin;
+    return m_time->now() >= lapses_at ? std::optional(lapses_at) : std::nullopt;
 }
 
 void store_lease::take(const placed_lease_record& placed) {
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -43,6 +43,9 @@
     duration margin{std::chrono::milliseconds(500)};
     /// How long the holder may not be heard before the topic is read again.
     duration holder_silence{std::chrono::milliseconds(800)};
+    /// How long a free lease is left to others. Differs from candidate to candidate, so that not all claim it at once,
+    /// where each call costs and all but one are in vain.
+    duration claim_delay{};
     /// Time that must be left for authority to be given, so that a call is over before the lease is.
     duration least_left{std::chrono::milliseconds(300)};
 };
@@ -95,7 +98,8 @@
 
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
-    [[nodiscard]] bool has_lapsed() const;
+    /// Returns since when the lease is free, as far as known; nothing while someone holds it.
+    [[nodiscard]] std::optional<steady_time> get_vacant_since() const;
     /// Returns how much longer a new holder keeps still, counted from when the one before can have acted last.
     [[nodiscard]] duration get_quiet_left() const;
     void take(const placed_lease_record& placed);
@@ -106,6 +110,7 @@
     std::uint64_t m_end{0};
     bool m_has_read{false};
     bool m_needs_read{true};
+    std::optional<steady_time> m_first_read_at;
     std::optional<steady_time> m_last_read_at;
     std::optional<steady_time> m_holder_heard_at;
     std::optional<placed_lease_record> m_latest;
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -14,7 +14,7 @@
 
 /// Parts of the bound for which a read waits at the store, and after which a host that hears nothing reads by itself:
 /// a wait and two digests later, so that a lost digest does not make each host read.
-constexpr double wait_share = 0.3;
+constexpr double wait_share = 0.4;
 constexpr double longest_age_share = 0.7;
 
 duration get_part(duration whole, double share) {
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -27,8 +27,11 @@
 constexpr duration keep_alive_interval = std::chrono::milliseconds(500);
 /// A host that was not heard for this long counts as gone: its work is not known any more.
 constexpr duration silence = std::chrono::milliseconds(2500);
-constexpr duration list_wait = std::chrono::seconds(10);
-constexpr duration list_retry = std::chrono::milliseconds(500);
+constexpr duration list_wait = std::chrono::seconds(20);
+/// How long news of hosts gather before they are read: when a fleet starts, each host would read once for each other.
+constexpr duration list_pause = std::chrono::seconds(1);
+/// Time between two tries to record what a silent host had counted.
+constexpr duration record_retry = std::chrono::milliseconds(500);
 /// Windows whose counts are told: the current one, and those that may not be reported yet.
 constexpr std::int64_t told_windows = 3;
 /// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
@@ -136,9 +139,7 @@
             m_dependency.set_lost(m_state->time.now(), fault.what());
             has_failed = true;
         }
-        if (has_failed) {
-            co_await servers::pause(std::max(list_retry, m_dependency.get_retry_pause()));
-        }
+        co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : list_pause);
     }
 }
 
@@ -397,7 +398,7 @@
             m_dependency.set_lost(m_state->time.now(), fault.what());
         }
         if (!is_recorded) {
-            co_await servers::pause(list_retry);
+            co_await servers::pause(record_retry);
         }
     }
     log_event("usage_copied").add("host", host).add("recorded", is_recorded).write(*m_log, spdlog::level::info);
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -188,6 +188,22 @@
     CHECK(wander_all(lease_mutation::no_quiet_time, 3000).has_value());
 }
 
+TEST_CASE("a candidate leaves a free lease to others for its delay, and then claims it") {
+    virtual_clock time;
+    store_lease lease(time, {.holder = "h", .incarnation = 1, .length = 3s, .quiet = 3s, .claim_delay = 700ms});
+    CHECK(lease.get_next_action() == store_lease::action::read);
+    lease.on_read({}, 0);
+    CHECK(lease.get_next_action() == store_lease::action::nothing);
+    time.advance(600ms);
+    lease.on_read({}, 0);
+    CHECK(lease.get_next_action() == store_lease::action::nothing);
+    time.advance(100ms);
+    CHECK(lease.get_next_action() == store_lease::action::append);
+    // Another one was first, and is heard: nothing is left to claim.
+    lease.note_holder_alive();
+    CHECK(lease.get_next_action() == store_lease::action::nothing);
+}
+
 TEST_CASE("records of the lease survive encoding, and others are rejected") {
     const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
