Do not spoil digests by an order of a stage that is over

When another host had ordered an engine anew, the older order of this one counted as under way though its time was over, and was told with a negative rest; the whole digest was rejected, with the load, the news and the life sign of the holder. Now only orders under way are told, and spans that are over are written as zero. Tests: tests/servers/test_host_digest.cpp and tests/platform/test_generations.cpp; both red before (worked out from the code, not run against it).

--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -441,7 +441,7 @@
     if (m_is_keep_alive_due) {
         digest.deaths = m_state->suspects.get_newest_deaths(digest.true_time, told_death_age, most_told_deaths);
     }
-    add_transitions(digest);
+    digest.transitions = m_state->get_own_transitions();
     return digest;
 }
 
@@ -476,15 +476,6 @@
     digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
 }
 
-void host_exchange::add_transitions(servers::host_digest& digest) const {
-    for (const auto& [name, transition] : m_state->get_own_changing()) {
-        if (m_state->is_changing(name)) {
-            const duration left = transition.until - m_state->time.now();
-            digest.transitions.emplace(name, servers::digest_transition{.stage = transition.stage, .left = left});
-        }
-    }
-}
-
 void host_exchange::add_engines(servers::host_digest& digest) const {
     const steady_time now = m_state->time.now();
     for (const auto& [service, engines] : m_state->get_engines()) {
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -85,7 +85,6 @@
     [[nodiscard]] servers::host_digest make_near_digest();
     [[nodiscard]] servers::host_digest make_far_digest();
     void add_usage(servers::host_digest& digest) const;
-    void add_transitions(servers::host_digest& digest) const;
     void add_engines(servers::host_digest& digest) const;
     void add_summaries(servers::host_digest& digest) const;
     void drop_silent();
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -15,8 +15,10 @@
 
 constexpr double thousandths = 1000;
 
+/// Spans of a digest are ages, costs and what is left of something; one that is over is zero. A digest with a negative
+/// number would be rejected whole.
 std::int64_t to_microseconds(duration span) {
-    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+    return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(span).count());
 }
 
 std::uint64_t to_thousandths(double share) {
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -87,6 +87,18 @@
     return stage && listed != nullptr && listed->record.stage != stage;
 }
 
+std::map<backend_server_name, digest_transition> serving_state::get_own_transitions() const {
+    const steady_time now = time.now();
+    std::map<backend_server_name, digest_transition> transitions;
+    for (const auto& [engine, transition] : m_changing) {
+        // Another host may have ordered the same engine anew, so that it is changing though this order is over.
+        if (now < transition.until && is_changing(engine)) {
+            transitions.emplace(engine, digest_transition{.stage = transition.stage, .left = transition.until - now});
+        }
+    }
+    return transitions;
+}
+
 bool serving_state::is_home(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
     return listed != nullptr && peers.groups.is_home(server, listed->record.zone);
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -65,8 +65,8 @@
     void end_changing(const backend_server_name& engine) { m_changing.erase(engine); }
     [[nodiscard]] bool is_changing(const backend_server_name& engine) const;
 
-    /// Returns the changes that this host has ordered.
-    [[nodiscard]] const stage_transitions& get_own_changing() const noexcept { return m_changing; }
+    /// Returns the changes that this host has ordered and that are still under way, for other hosts.
+    [[nodiscard]] std::map<backend_server_name, digest_transition> get_own_transitions() const;
 
     /// Returns the budget for repeats of a service.
     [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -279,3 +279,19 @@
     CHECK(board.get_running(backend_server_name("d")) == 0);
     CHECK(board.get_backlog(backend_server_name("p"), time.now()) == duration::zero());
 }
+
+TEST_CASE_FIXTURE(serving_fixture,
+                  "an order of a stage that is over is not told, though another host changes the engine") {
+    configure();
+    const backend_server_name engine("d");
+    add_server("d", decode, stream_events(1, 1));
+    state.set_changing(engine, prefill, time.now() + std::chrono::minutes(1));
+    CHECK(state.get_own_transitions().size() == 1);
+    state.set_changing(engine, prefill, time.now() - std::chrono::seconds(1));
+    servers::host_digest digest;
+    digest.host = "other";
+    digest.transitions = {{engine, {.stage = prefill, .left = std::chrono::minutes(1)}}};
+    state.peers.take_near(digest);
+    CHECK(state.is_changing(engine));
+    CHECK(state.get_own_transitions().empty());
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -33,6 +33,17 @@
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
+TEST_CASE("a span that is over already is told as zero, and does not spoil the digest") {
+    host_digest digest;
+    digest.host = "h";
+    digest.true_time = wall_time(9s);
+    digest.transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = -7s}}};
+    digest.servers = digest_reading{.end = 4, .age = -20ms};
+    const host_digest told = decode_host_digest(encode_host_digest(digest));
+    CHECK(told.transitions.at(backend_server_name("e")).left == 0s);
+    CHECK(told.servers->age == 0s);
+}
+
 TEST_CASE("an empty digest is one; what is none is rejected") {
     const char* empty =
         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})";
