--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -5,11 +5,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
-#include "coordination/usage_book.hpp"
 #include "core/error.hpp"
 #include "core/json.hpp"
 #include "core/log_event.hpp"
-#include "daemon/store_topics.hpp"
+#include "daemon/store_news.hpp"
+#include "policy/time_correction.hpp"
 #include "servers/pause.hpp"
 
 namespace dragonflywell::daemon {
@@ -27,76 +27,38 @@
 constexpr duration keep_alive_interval = std::chrono::milliseconds(500);
 /// A host that was not heard for this long counts as gone: its work is not known any more.
 constexpr duration silence = std::chrono::milliseconds(2500);
-constexpr duration list_wait = std::chrono::seconds(20);
-/// How long news of hosts gather before they are read: when a fleet starts, each host would read once for each other.
-constexpr duration list_pause = std::chrono::seconds(1);
-/// Time between two tries to record what a silent host had counted.
-constexpr duration record_retry = std::chrono::milliseconds(500);
 /// Windows whose counts are told: the current one, and those that may not be reported yet.
 constexpr std::int64_t told_windows = 3;
 /// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
 constexpr duration told_death_age = std::chrono::seconds(3);
 constexpr std::size_t most_told_deaths = 64;
-constexpr int most_record_attempts = 10;
 /// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
 constexpr std::int64_t kept_usage_windows = 6;
 /// How long a host of the group is silent until its entry is dropped; a host that comes back announces itself.
 constexpr duration gone_after = std::chrono::seconds(60);
 constexpr std::size_t most_datagram_bytes = 60'000;
-/// Hosts' clocks that are this close are as close as clocks are.
-constexpr duration tolerated_time_difference = std::chrono::milliseconds(150);
-
-std::string encode_host_entry(const host_exchange_options& options) {
-    return boost::json::serialize(boost::json::object{{"address", format_endpoint(options.listen)},
-                                                      {"zone", options.zone.value()},
-                                                      {"incarnation", options.incarnation}});
-}
-
-/// Encodes records that this host has read, for others of its group.
-std::string encode_news(std::uint64_t from, const platform::store_page& page) {
-    boost::json::array records;
-    for (const platform::keyed_record& record : page.records) {
-        const boost::json::value value = record.value ? boost::json::value(*record.value) : boost::json::value();
-        records.push_back(boost::json::array{record.offset, record.key, value});
-    }
-    return boost::json::serialize(boost::json::object{{"from", from}, {"end", page.end}, {"news", records}});
-}
-
-/// Throws `malformed_message_error`.
-platform::store_page decode_news(const boost::json::object& news) {
-    constexpr std::size_t fields = 3;
-    platform::store_page page{.records = {}, .end = json::get_unsigned(news, "end"), .topic_end = 0};
-    page.topic_end = page.end;
-    for (const boost::json::value& item : json::get_array(news, "news")) {
-        const boost::json::array* record = item.if_array();
-        if (record == nullptr || record->size() != fields || !(*record)[1].is_string()) {
-            throw malformed_message_error("a record of the news has another form");
-        }
-        platform::keyed_record decoded{.offset = (*record)[0].to_number<std::uint64_t>(),
-                                       .key = std::string((*record)[1].get_string()),
-                                       .value = {}};
-        if ((*record)[2].is_string()) {
-            decoded.value = std::string((*record)[2].get_string());
-        }
-        page.records.push_back(std::move(decoded));
-    }
-    return page;
-}
 
 } // namespace
 
 host_exchange::host_exchange(boost::asio::io_context& loop, platform::store_client& store,
                              servers::serving_state& state, configuration_follower& configuration,
                              server_list_follower& servers, lease_keeper& lease, host_exchange_options options)
-    : m_store(&store), m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
-      m_options(std::move(options)), m_log(get_logger("hosts")), m_dependency(*m_log, "host_list"),
+    : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
+      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
+      m_hosts(store, state,
+              {.name = m_options.host,
+               .zone = m_options.zone,
+               .address = m_options.listen,
+               .incarnation = m_options.incarnation}),
       m_socket(loop, udp::endpoint(boost::asio::ip::make_address(m_options.listen.address), m_options.listen.port)),
       m_send_timer(loop) {
     m_socket.non_blocking(true);
 }
 
 void host_exchange::start() {
-    boost::asio::co_spawn(m_state->executor, follow_hosts(), boost::asio::detached);
+    m_hosts.start({.on_listed = [this](const listed_host& host) { add_host(host); },
+                   .on_removed = [this](const std::string& host) { m_others.erase(host); },
+                   .on_page = [this] { update_groups(); }});
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
     boost::asio::co_spawn(m_state->executor, keep_alive(), boost::asio::detached);
     m_state->on_load_change = [this] { schedule(); };
@@ -118,64 +80,10 @@
     });
 }
 
-servers::asio::awaitable<void> host_exchange::follow_hosts() {
-    bool is_announced = false;
-    for (;;) {
-        bool has_failed = false;
-        try {
-            if (!is_announced) {
-                co_await announce();
-                is_announced = true;
-            }
-            if (m_next) {
-                take_hosts(co_await m_store->read(topics::hosts, *m_next, list_wait));
-            } else {
-                take_hosts(co_await m_store->read_newest(topics::hosts));
-            }
-            m_dependency.set_reached(m_state->time.now());
-        } catch (const platform::store_history_dropped_error&) {
-            m_next.reset();
-        } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
-            has_failed = true;
-        }
-        co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : list_pause);
-    }
-}
-
-servers::asio::awaitable<void> host_exchange::announce() {
-    const std::string entry = encode_host_entry(m_options);
-    co_await m_store->append(topics::hosts, m_options.host, entry);
-}
-
-void host_exchange::take_hosts(const platform::store_page& page) {
-    for (const platform::keyed_record& record : page.records) {
-        if (record.key == m_options.host) {
-            continue;
-        }
-        if (!record.value || record.value->empty()) {
-            m_others.erase(record.key);
-            continue;
-        }
-        try {
-            const boost::json::value document = json::parse(*record.value);
-            const boost::json::object& entry = json::as_object(document, "entry of a host");
-            const std::optional<endpoint> address = parse_endpoint(json::get_string(entry, "address"));
-            if (!address) {
-                throw malformed_message_error("address is no IP number and port");
-            }
-            other_host& other = m_others[record.key];
-            other.address = udp::endpoint(boost::asio::ip::make_address(address->address), address->port);
-            other.zone = zone_name(json::get_string(entry, "zone"));
-        } catch (const malformed_message_error& fault) {
-            log_event("host_entry_rejected")
-                .add("host", record.key)
-                .add("reason", fault.what())
-                .write(*m_log, spdlog::level::warn);
-        }
-    }
-    m_next = page.end;
-    update_groups();
+void host_exchange::add_host(const listed_host& host) {
+    other_host& other = m_others[host.name];
+    other.address = udp::endpoint(boost::asio::ip::make_address(host.address.address), host.address.port);
+    other.zone = host.zone;
 }
 
 void host_exchange::update_groups() {
@@ -212,8 +120,9 @@
     try {
         const boost::json::value document = json::parse(text);
         const boost::json::object& message = json::as_object(document, "datagram");
-        if (message.contains("news")) {
-            take_news(message);
+        if (is_store_news(message)) {
+            const store_news news = decode_store_news(message);
+            m_servers->take_news(news.from, news.page);
         } else {
             take(servers::decode_host_digest(message));
         }
@@ -222,11 +131,6 @@
     }
 }
 
-void host_exchange::take_news(const boost::json::object& news) {
-    const platform::store_page page = decode_news(news);
-    m_servers->take_news(json::get_unsigned(news, "from"), page);
-}
-
 void host_exchange::take(const servers::host_digest& digest) {
     const auto found = m_others.find(digest.host);
     if (found == m_others.end()) {
@@ -345,7 +249,7 @@
         log_event("host_silent").add("host", name).write(*m_log, spdlog::level::info);
         if (is_first_alive() && !other.usage.empty()) {
             boost::asio::co_spawn(m_state->executor,
-                                  record_usage_of(name, other.incarnation, std::exchange(other.usage, {})),
+                                  m_usage_copier.record(name, other.incarnation, std::exchange(other.usage, {})),
                                   boost::asio::detached);
         }
     }
@@ -359,21 +263,11 @@
     for (auto& [name, other] : m_others) {
         if (other.is_near && other.silent_since && now - *other.silent_since > gone_after) {
             other.silent_since.reset();
-            boost::asio::co_spawn(m_state->executor, drop_entry(name), boost::asio::detached);
+            m_hosts.remove(name);
         }
     }
 }
 
-servers::asio::awaitable<void> host_exchange::drop_entry(std::string host) {
-    try {
-        co_await m_store->append(topics::hosts, host, "");
-        log_event("host_entry_dropped").add("host", host).write(*m_log, spdlog::level::info);
-    } catch (const platform::store_unavailable_error& fault) {
-        // The entry of a host that is gone only costs some datagrams to nobody.
-        m_dependency.set_lost(m_state->time.now(), fault.what());
-    }
-}
-
 bool host_exchange::is_first_alive() const {
     return !m_state->is_stopping && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
         const other_host& other = item.second;
@@ -381,50 +275,21 @@
     });
 }
 
-servers::asio::awaitable<void> host_exchange::record_usage_of(std::string host, std::uint64_t incarnation,
-                                                              std::map<std::int64_t, policy::window_counts> usage) {
-    const std::string key = coordination::make_usage_copy_key(host, incarnation);
-    coordination::usage_record record{.windows = {}, .closed = 0};
-    for (auto& [window, counts] : usage) {
-        record.windows.emplace(window, std::move(counts));
-    }
-    const std::string text = coordination::encode_usage_record(record);
-    bool is_recorded = false;
-    for (int attempt = 0; attempt < most_record_attempts && !is_recorded; ++attempt) {
-        try {
-            co_await m_store->append(topics::usage, key, text);
-            is_recorded = true;
-        } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
-        }
-        if (!is_recorded) {
-            co_await servers::pause(record_retry);
-        }
-    }
-    log_event("usage_copied").add("host", host).add("recorded", is_recorded).write(*m_log, spdlog::level::info);
-}
-
 void host_exchange::correct_time() {
-    std::vector<duration> differences{duration::zero()};
+    std::vector<duration> differences;
     for (const auto& [name, other] : m_others) {
         if (other.heard_at) {
             differences.push_back(other.ahead);
         }
     }
-    // With two hosts nobody knows which one is right.
-    constexpr std::size_t least_hosts = 3;
-    if (differences.size() < least_hosts) {
-        return;
-    }
-    const auto middle = differences.begin() + static_cast<std::ptrdiff_t>(differences.size() / 2);
-    std::nth_element(differences.begin(), middle, differences.end());
-    if (std::chrono::abs(*middle) <= tolerated_time_difference) {
+    const std::optional<duration> correction = policy::get_time_correction(std::move(differences));
+    if (!correction) {
         return;
     }
-    log_event("time_corrected").add("by_ms", *middle).write(*m_log, spdlog::level::warn);
-    m_state->correct_true_time(*middle);
+    log_event("time_corrected").add("by_ms", *correction).write(*m_log, spdlog::level::warn);
+    m_state->correct_true_time(*correction);
     for (auto& [name, other] : m_others) {
-        other.ahead -= *middle;
+        other.ahead -= *correction;
     }
 }
 
@@ -527,7 +392,7 @@
 }
 
 void host_exchange::pass_news_on(std::uint64_t from, const platform::store_page& page) {
-    const std::string text = encode_news(from, page);
+    const std::string text = encode_store_news({.from = from, .page = page});
     if (text.size() <= most_datagram_bytes) {
         send_to(text, true);
     }
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -3,16 +3,16 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json/object.hpp>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
+#include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
-#include "daemon/store_dependency.hpp"
+#include "daemon/usage_copier.hpp"
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
 #include "servers/serving_state.hpp"
@@ -62,14 +62,11 @@
         std::map<std::int64_t, policy::window_counts> usage;
     };
 
-    servers::asio::awaitable<void> follow_hosts();
-    servers::asio::awaitable<void> announce();
     servers::asio::awaitable<void> receive();
     servers::asio::awaitable<void> keep_alive();
-    void take_hosts(const platform::store_page& page);
+    void add_host(const listed_host& host);
     void update_groups();
     void take_datagram(std::string_view text);
-    void take_news(const boost::json::object& news);
     void take(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
     void take_touches(const servers::host_digest& digest);
@@ -91,20 +88,16 @@
     void drop_entries_of_gone();
     /// Returns whether this host is the first of its group: it reads and speaks for it.
     [[nodiscard]] bool is_first_alive() const;
-    /// Records what a host had counted that fell silent: it may have been killed before it could do so.
-    servers::asio::awaitable<void> record_usage_of(std::string host, std::uint64_t incarnation,
-                                                   std::map<std::int64_t, policy::window_counts> usage);
-    servers::asio::awaitable<void> drop_entry(std::string host);
     void correct_time();
 
-    platform::store_client* m_store;
     servers::serving_state* m_state;
     configuration_follower* m_configuration;
     server_list_follower* m_servers;
     lease_keeper* m_lease;
     host_exchange_options m_options;
     std::shared_ptr<spdlog::logger> m_log;
-    store_dependency m_dependency;
+    usage_copier m_usage_copier;
+    host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
@@ -113,7 +106,6 @@
     /// What other groups are to be told of the prompts that this one's engines have.
     servers::shared_prompts m_shared_prompts;
     std::uint64_t m_sequence{0};
-    std::optional<std::uint64_t> m_next;
     std::map<std::string, other_host> m_others;
 };
 
--- /dev/null
+++ b/daemon/host_list.cpp
@@ -0,0 +1,111 @@
+#include "daemon/host_list.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include "core/error.hpp"
+#include "core/json.hpp"
+#include "core/log_event.hpp"
+#include "daemon/store_topics.hpp"
+#include "servers/pause.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr duration list_wait = std::chrono::seconds(20);
+/// How long news of hosts gather before they are read: when a fleet starts, each host would read once for each other.
+constexpr duration list_pause = std::chrono::seconds(1);
+
+} // namespace
+
+std::string encode_host_entry(const listed_host& host) {
+    return boost::json::serialize(boost::json::object{
+        {"address", format_endpoint(host.address)}, {"zone", host.zone.value()}, {"incarnation", host.incarnation}});
+}
+
+listed_host decode_host_entry(const std::string& name, std::string_view text) {
+    const boost::json::value document = json::parse(text);
+    const boost::json::object& entry = json::as_object(document, "entry of a host");
+    const std::optional<endpoint> address = parse_endpoint(json::get_string(entry, "address"));
+    if (!address) {
+        throw malformed_message_error("address is no IP number and port");
+    }
+    return {.name = name,
+            .zone = zone_name(json::get_string(entry, "zone")),
+            .address = *address,
+            .incarnation = json::get_unsigned_or(entry, "incarnation", 0)};
+}
+
+host_list::host_list(platform::store_client& store, servers::serving_state& state, listed_host own)
+    : m_store(&store), m_state(&state), m_own(std::move(own)), m_log(get_logger("hosts")),
+      m_dependency(*m_log, "host_list") {}
+
+void host_list::start(listeners listeners) {
+    m_listeners = std::move(listeners);
+    boost::asio::co_spawn(m_state->executor, follow(), boost::asio::detached);
+}
+
+servers::asio::awaitable<void> host_list::follow() {
+    bool is_entered = false;
+    for (;;) {
+        bool has_failed = false;
+        try {
+            if (!is_entered) {
+                const std::string entry = encode_host_entry(m_own);
+                co_await m_store->append(topics::hosts, m_own.name, entry);
+                is_entered = true;
+            }
+            if (m_next) {
+                take(co_await m_store->read(topics::hosts, *m_next, list_wait));
+            } else {
+                take(co_await m_store->read_newest(topics::hosts));
+            }
+            m_dependency.set_reached(m_state->time.now());
+        } catch (const platform::store_history_dropped_error&) {
+            m_next.reset();
+        } catch (const platform::store_unavailable_error& fault) {
+            m_dependency.set_lost(m_state->time.now(), fault.what());
+            has_failed = true;
+        }
+        co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : list_pause);
+    }
+}
+
+void host_list::take(const platform::store_page& page) {
+    for (const platform::keyed_record& record : page.records) {
+        if (record.key == m_own.name) {
+            continue;
+        }
+        if (!record.value || record.value->empty()) {
+            m_listeners.on_removed(record.key);
+            continue;
+        }
+        try {
+            m_listeners.on_listed(decode_host_entry(record.key, *record.value));
+        } catch (const malformed_message_error& fault) {
+            log_event("host_entry_rejected")
+                .add("host", record.key)
+                .add("reason", fault.what())
+                .write(*m_log, spdlog::level::warn);
+        }
+    }
+    m_next = page.end;
+    m_listeners.on_page();
+}
+
+void host_list::remove(const std::string& host) {
+    boost::asio::co_spawn(m_state->executor, send_removal(host), boost::asio::detached);
+}
+
+servers::asio::awaitable<void> host_list::send_removal(std::string host) {
+    try {
+        co_await m_store->append(topics::hosts, host, "");
+        log_event("host_entry_dropped").add("host", host).write(*m_log, spdlog::level::info);
+    } catch (const platform::store_unavailable_error& fault) {
+        m_dependency.set_lost(m_state->time.now(), fault.what());
+    }
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/host_list.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/endpoint.hpp"
+#include "core/identifiers.hpp"
+#include "core/log.hpp"
+#include "daemon/store_dependency.hpp"
+#include "platform/store_client.hpp"
+#include "servers/serving_state.hpp"
+
+namespace dragonflywell::daemon {
+
+/// A host as its entry in the store tells.
+struct listed_host {
+    std::string name;
+    zone_name zone;
+    /// Where it takes the datagrams of others.
+    endpoint address;
+    std::uint64_t incarnation{};
+
+    friend bool operator==(const listed_host&, const listed_host&) = default;
+};
+
+[[nodiscard]] std::string encode_host_entry(const listed_host& host);
+/// Throws `malformed_message_error`.
+[[nodiscard]] listed_host decode_host_entry(const std::string& name, std::string_view text);
+
+/// The list of hosts in the store: enters this one and follows the others. Used on one event loop.
+class host_list {
+public:
+    /// What is done with changes of the list.
+    struct listeners {
+        std::function<void(const listed_host&)> on_listed;
+        std::function<void(const std::string&)> on_removed;
+        /// Called after all changes of a page.
+        std::function<void()> on_page;
+    };
+
+    /// Preconditions: store and state outlive the list.
+    host_list(platform::store_client& store, servers::serving_state& state, listed_host own);
+
+    /// Starts to follow the list, for as long as the event loop runs.
+    void start(listeners listeners);
+
+    /// Removes the entry of a host that is gone; failing that, it only costs some datagrams to nobody.
+    void remove(const std::string& host);
+
+private:
+    servers::asio::awaitable<void> follow();
+    servers::asio::awaitable<void> send_removal(std::string host);
+    void take(const platform::store_page& page);
+
+    platform::store_client* m_store;
+    servers::serving_state* m_state;
+    listed_host m_own;
+    listeners m_listeners;
+    std::shared_ptr<spdlog::logger> m_log;
+    store_dependency m_dependency;
+    std::optional<std::uint64_t> m_next;
+};
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/store_news.cpp
@@ -0,0 +1,58 @@
+#include "daemon/store_news.hpp"
+
+#include <boost/json.hpp>
+
+#include "core/error.hpp"
+#include "core/json.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr std::string_view records_field = "news";
+
+platform::keyed_record decode_record(const boost::json::value& item) {
+    constexpr std::size_t fields = 3;
+    const boost::json::array* record = item.if_array();
+    if (record == nullptr || record->size() != fields || !(*record)[0].is_number() || !(*record)[1].is_string()) {
+        throw malformed_message_error("a record of the news has another form");
+    }
+    boost::json::error_code fault;
+    const auto offset = (*record)[0].to_number<std::uint64_t>(fault);
+    if (fault) {
+        throw malformed_message_error("an offset of the news is out of range");
+    }
+    platform::keyed_record decoded{.offset = offset, .key = std::string((*record)[1].get_string()), .value = {}};
+    if ((*record)[2].is_string()) {
+        decoded.value = std::string((*record)[2].get_string());
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string encode_store_news(const store_news& news) {
+    boost::json::array records;
+    for (const platform::keyed_record& record : news.page.records) {
+        const boost::json::value value = record.value ? boost::json::value(*record.value) : boost::json::value();
+        records.push_back(boost::json::array{record.offset, record.key, value});
+    }
+    return boost::json::serialize(
+        boost::json::object{{"from", news.from}, {"end", news.page.end}, {records_field, records}});
+}
+
+bool is_store_news(const boost::json::object& message) {
+    return message.contains(records_field);
+}
+
+store_news decode_store_news(const boost::json::object& message) {
+    store_news news{.from = json::get_unsigned(message, "from"), .page = {}};
+    news.page.end = json::get_unsigned(message, "end");
+    news.page.topic_end = news.page.end;
+    for (const boost::json::value& item : json::get_array(message, records_field)) {
+        news.page.records.push_back(decode_record(item));
+    }
+    return news;
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/store_news.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <string>
+
+#include "platform/store_client.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Records that one host has read from the store, and passes on to the others of its group.
+struct store_news {
+    /// Offset at which the read began; a host that has not come so far has missed something.
+    std::uint64_t from{};
+    platform::store_page page;
+};
+
+/// Encodes news for one datagram. Thread safe.
+[[nodiscard]] std::string encode_store_news(const store_news& news);
+/// Returns whether a datagram carries news. Thread safe.
+[[nodiscard]] bool is_store_news(const boost::json::object& message);
+/// Throws `malformed_message_error`. Thread safe.
+[[nodiscard]] store_news decode_store_news(const boost::json::object& message);
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/tests/daemon/test_host_list.cpp
@@ -0,0 +1,43 @@
+#include "daemon/host_list.hpp"
+
+#include <doctest/doctest.h>
+
+#include "core/error.hpp"
+#include "core/json.hpp"
+#include "daemon/store_news.hpp"
+
+using namespace dragonflywell;
+using daemon::listed_host;
+
+TEST_CASE("the entry of a host survives encoding, and what is none is rejected") {
+    const listed_host host{
+        .name = "h1", .zone = zone_name("z1"), .address = {.address = "10.0.0.1", .port = 7000}, .incarnation = 12};
+    CHECK(daemon::decode_host_entry("h1", daemon::encode_host_entry(host)) == host);
+    for (const char* text : {"", "[]", "{}", R"({"address":"nowhere","zone":"z"})", R"({"address":"10.0.0.1:1"})"}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(static_cast<void>(daemon::decode_host_entry("h1", text)), malformed_message_error);
+    }
+}
+
+TEST_CASE("records that are passed on survive encoding, and what is none is rejected") {
+    platform::store_page page;
+    page.end = 9;
+    page.topic_end = 9;
+    page.records = {{.offset = 7, .key = "a", .value = "1"}, {.offset = 8, .key = "b", .value = {}}};
+    const boost::json::value document = json::parse(daemon::encode_store_news({.from = 7, .page = page}));
+    REQUIRE(daemon::is_store_news(document.get_object()));
+    const daemon::store_news news = daemon::decode_store_news(document.get_object());
+    CHECK(news.from == 7);
+    CHECK(news.page.end == 9);
+    REQUIRE(news.page.records.size() == 2);
+    CHECK(news.page.records[0].value == "1");
+    CHECK(news.page.records[1].offset == 8);
+    CHECK_FALSE(news.page.records[1].value);
+    for (const char* text :
+         {R"({"from":1,"end":2})", R"({"from":1,"end":2,"news":[1]})", R"({"from":1,"end":2,"news":[["x","k","v"]]})",
+          R"({"from":1,"end":2,"news":[[-1,"k","v"]]})"}) {
+        CAPTURE(text);
+        const boost::json::value broken = json::parse(text);
+        CHECK_THROWS_AS(static_cast<void>(daemon::decode_store_news(broken.get_object())), malformed_message_error);
+    }
+}
