Tell engines that are about as good apart by chance

Load answered: a burst on many hosts. Hosts hear of each other's decisions some 50 ms later; engines without work looked the same to all of them, so that all chose the first one by name. Now up to 20 ms (a request more or less for those that generate) is added by chance, the same for a request and engine. Test: thirty hosts with a prompt each before ten idle engines; all thirty on one before, at most eight now.

--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/hash.hpp"
+
 namespace dragonflywell::policy {
 
 namespace {
@@ -20,9 +22,24 @@
 
 /// A beginning shorter than this is read again as quickly as it is fetched.
 constexpr std::uint64_t least_fetched_tokens = 1024;
+/// Engines whose times differ by less than this are about as good: decisions of other hosts are heard as much later.
+constexpr duration equal_time = std::chrono::milliseconds(20);
+/// The same for how full engines are that generate: about one request more or less.
+constexpr double equal_fullness = 0.015;
+/// An odd number with bits all over, so that numbers which follow each other are spread.
+constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
+
 /// Time in which a fetch begins, beside that for the tokens.
 constexpr duration fetch_start = std::chrono::milliseconds(5);
 
+/// Returns a number from 0 to 1 by chance, which is the same for the same request and engine.
+double draw_share(std::uint64_t seed, const backend_server_name& engine) {
+    constexpr unsigned shift = 52;
+    constexpr double steps = 4096;
+    const std::uint64_t drawn = (get_stable_hash(engine.value()) ^ (seed * spreading_factor)) * spreading_factor;
+    return static_cast<double>(drawn >> shift) / steps;
+}
+
 /// The engine that reads a prompt first, and when.
 struct reader_choice {
     backend_server_name engine;
@@ -98,6 +115,7 @@
                                                  const engine_judge& judge, engine_fitness least, steady_time now) {
     const std::vector<cached_beginning> beginnings = find_beginnings(board, request, judge);
     std::optional<reader_choice> best;
+    duration best_rank{};
     for (const auto& [name, engine] : board.get_engines()) {
         if (engine.facts.stage != fleet::engine_stage::prefill) {
             continue;
@@ -108,7 +126,9 @@
         }
         reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
         choice.done_after = board.get_backlog(name, now, urgency) + suitability.unseen_backlog + choice.reading_time;
-        if (!best || choice.done_after < best->done_after) {
+        const duration by_chance = std::chrono::duration_cast<duration>(equal_time * draw_share(request.seed, name));
+        if (!best || choice.done_after + by_chance < best_rank) {
+            best_rank = choice.done_after + by_chance;
             best = std::move(choice);
         }
     }
@@ -154,7 +174,7 @@
         if (suitability.fitness < least) {
             continue;
         }
-        double score = suitability.unseen_fullness +
+        double score = suitability.unseen_fullness + equal_fullness * draw_share(request.seed, name) +
                        get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
         score -= engine.facts.zone == near ? near_zone_advantage : 0;
         score += engine.facts.is_cheap ? cheap_disadvantage : 0;
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -16,6 +16,9 @@
     std::uint64_t prompt_tokens{};
     std::uint64_t output_tokens{};
     std::span<const cached_part> parts;
+    /// Differs for each request of each host. Hosts that decide at the same moment do not know of each other's
+    /// decision; engines that are about as good are told apart by chance, so that they do not all choose the same one.
+    std::uint64_t seed{0};
     /// Rank among the requests; 0 is the most urgent.
     std::uint32_t priority{0};
     /// Time that is left until the first event is late; nothing where it can't be in time, or need not.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -56,6 +56,7 @@
     m_far_groups = get_state().peers.get_far_groups(get_request().service);
     static std::uint64_t next_number = 0;
     m_number = ++next_number;
+    m_seed = get_stable_hash(get_state().options.own_host) + m_number;
 }
 
 asio::awaitable<void> generation_request::run(caller_channel& caller) {
@@ -82,6 +83,7 @@
     policy::placed_generation placed{.prompt_tokens = wanted.prompt_tokens,
                                      .output_tokens = wanted.expected_output_tokens.value_or(wanted.most_output_tokens),
                                      .parts = m_parts,
+                                     .seed = m_seed,
                                      .priority = get_request().priority,
                                      .target = {}};
     const duration waited = get_state().time.now() - get_record().arrived_at;
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -50,6 +50,8 @@
     std::set<backend_server_name> m_avoided;
     event_splitter m_events;
     std::uint64_t m_number{0};
+    /// By which this request is told apart from those of all hosts.
+    std::uint64_t m_seed{0};
     std::uint32_t m_urgency{policy::least_urgency};
     /// Engines on which the generation may have run.
     std::uint32_t m_runs{0};
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
+#include <string>
 
 #include "policy/engine_placement.hpp"
 
@@ -188,3 +191,27 @@
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
     CHECK_FALSE(choose(except("d", engine_fitness::unusable)));
 }
+
+TEST_CASE_FIXTURE(fixture, "hosts that decide at the same moment spread over engines that are as good") {
+    // A burst on many hosts: each has one request and has not heard of the others' yet.
+    constexpr std::size_t engines = 10;
+    constexpr std::uint64_t hosts = 30;
+    std::map<backend_server_name, engine_facts> facts{{backend_server_name("d"), make_facts(decode, "a")}};
+    for (std::size_t number = 0; number < engines; ++number) {
+        facts.emplace(backend_server_name("p" + std::to_string(number)), make_facts(prefill, "a"));
+    }
+    board.set_engines(facts);
+    const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
+    std::map<backend_server_name, int> chosen;
+    for (std::uint64_t host = 1; host <= hosts; ++host) {
+        const std::array<cached_part, 1> own{cached_part{.id = host, .tokens = 3'000}};
+        const placed_generation request{
+            .prompt_tokens = 4'000, .output_tokens = 100, .parts = own, .seed = host << 20U};
+        ++chosen[*choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->reader];
+    }
+    const auto longest = std::max_element(
+        chosen.begin(), chosen.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    // Three each would be even; all thirty wait for one engine where the choice is the same everywhere.
+    CHECK(chosen.size() >= engines * 8 / 10);
+    CHECK(longest->second <= 8);
+}
