Keep a quarter of the engines generating before the first request

Now a quarter generates (three of twelve as before, 35 of 140), and that assumption fades as the load's height does.

--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -66,7 +66,7 @@
         const double running = m_state->get_running(service);
         double& height = m_running[service];
         height = std::max(running, height * height_memory);
-        m_is_before_first_request = m_is_before_first_request && height == 0;
+        m_is_before_first_request = m_is_before_first_request && running == 0;
     }
 }
 
@@ -95,6 +95,9 @@
 
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
+    if (m_is_before_first_request && !engines.empty()) {
+        m_running[service] = policy::assume_running(engines.size(), policy::get_mean_slots(engines), {});
+    }
     const std::vector<policy::stage_change> changes = policy::plan_stages(
         engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
     for (const policy::stage_change& change : changes) {
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -10,14 +10,6 @@
 
 using fleet::engine_stage;
 
-double get_mean_slots(std::span<const staged_engine> engines) {
-    double slots = 0;
-    for (const staged_engine& engine : engines) {
-        slots += engine.slots;
-    }
-    return slots / static_cast<double>(engines.size());
-}
-
 /// Returns the engines in the order in which they should generate: regular before cheap ones, in turn over the zones,
 /// and those that generate now before others.
 std::vector<const staged_engine*> rank_generators(std::span<const staged_engine> engines) {
@@ -54,6 +46,20 @@
 
 } // namespace
 
+double get_mean_slots(std::span<const staged_engine> engines) {
+    double slots = 0;
+    for (const staged_engine& engine : engines) {
+        slots += engine.slots;
+    }
+    return slots / static_cast<double>(engines.size());
+}
+
+double assume_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options) {
+    const double generators = options.share_before_demand * static_cast<double>(engines) - options.spare_generators;
+    const double needed = std::floor(std::max(0.0, generators) / (1 + options.spare_share));
+    return needed * slots_per_engine * options.generator_fill;
+}
+
 std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand, const stage_plan_options& options) {
     const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.generator_fill));
     const double with_spare = std::ceil(needed * (1 + options.spare_share));
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -38,6 +38,9 @@
     /// The same, as a number.
     std::uint32_t spare_generators{1};
     std::uint32_t least_generators{3};
+    /// Part of the engines that generate while no request has shown yet what is asked for. An engine that changes its
+    /// stage is away for seconds, just when the first requests find all memories empty.
+    double share_before_demand{0.25};
     /// Part of a service's engines that may be changing their stage at once while requests run.
     double most_changing{0.25};
 };
@@ -54,6 +57,12 @@
 [[nodiscard]] std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand,
                                              const stage_plan_options& options);
 
+/// Returns the running requests to plan for before the first one came. Thread safe.
+[[nodiscard]] double assume_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options);
+
+/// Returns the mean slots of engines. Precondition: there is one. Thread safe.
+[[nodiscard]] double get_mean_slots(std::span<const staged_engine> engines);
+
 /// Returns the changes to order now. An answer is late when its prompt waits, so every engine that is not needed to
 /// generate reads prompts. Regular engines generate, over all zones, because a run that is cut off may not be repeated;
 /// cheap ones read. Answers the load of long prompts with short answers. Thread safe.
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -177,3 +177,15 @@
     height.observe(30, time.now());
     CHECK(height.get() == doctest::Approx(10));
 }
+
+TEST_CASE("before the first request a quarter of the engines generates, in a small and in a large fleet") {
+    const stage_plan_options options;
+    for (const std::size_t engines : {12UL, 60UL, 140UL}) {
+        CAPTURE(engines);
+        const double running = assume_running(engines, 64, options);
+        const std::uint32_t generators = count_generators(64, {.running = running}, options);
+        CHECK(generators >= engines / 5);
+        CHECK(generators <= engines / 4);
+    }
+    CHECK(assume_running(1, 64, options) == 0);
+}
