--- a/core/hash.hpp
+++ b/core/hash.hpp
@@ -12,6 +12,9 @@
 /// Returns a 64-bit hash that is the same on every host and in every version. Not for secrets.
 [[nodiscard]] std::uint64_t get_stable_hash(std::string_view data) noexcept;
 
+/// Returns a number from 0 to below 1 that is the same on every host for the same name and seed. Thread safe.
+[[nodiscard]] double draw_share(std::string_view name, std::uint64_t seed) noexcept;
+
 /// Compares two secrets in a time that does not depend on where they differ.
 [[nodiscard]] bool is_equal_secret(std::string_view left, std::string_view right) noexcept;
 
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -22,7 +22,6 @@
 /// Hosts wait up to this before they claim a free lease; the one that takes it is heard by the others within half of
 /// it.
 constexpr duration claim_spread = std::chrono::seconds(1);
-constexpr std::int64_t spread_steps = 1024;
 /// How often the settings file is looked at without a signal.
 constexpr duration settings_interval = std::chrono::seconds(5);
 /// How long a host that stops still takes requests: two readiness checks a second apart, and some margin.
@@ -46,12 +45,12 @@
 }
 
 coordination::store_lease_options get_lease_options(const host_settings& settings, std::uint64_t incarnation) {
-    const std::uint64_t drawn = get_stable_hash(settings.name.value() + std::to_string(incarnation)) % spread_steps;
+    const double drawn = draw_share(settings.name.value(), incarnation);
     return {.holder = settings.name.value(),
             .incarnation = incarnation,
             .length = settings.bounds.lease,
             .quiet = settings.bounds.lease,
-            .claim_delay = claim_spread * static_cast<std::int64_t>(drawn) / spread_steps};
+            .claim_delay = std::chrono::duration_cast<duration>(claim_spread * drawn)};
 }
 
 } // namespace
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -369,8 +369,7 @@
 
 void host_exchange::send() {
     send_to(servers::encode_host_digest(make_near_digest()), true);
-    const bool speaks = is_first_alive() || m_lease->is_held();
-    if (m_is_keep_alive_due && speaks && has_far_hosts()) {
+    if (m_is_keep_alive_due && has_far_hosts() && (is_first_alive() || m_lease->is_held())) {
         send_to(servers::encode_host_digest(make_far_digest()), false);
     }
     m_is_keep_alive_due = false;
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -26,20 +26,10 @@
 constexpr duration equal_time = std::chrono::milliseconds(20);
 /// The same for how full engines are that generate: about one request more or less.
 constexpr double equal_fullness = 0.015;
-/// An odd number with bits all over, so that numbers which follow each other are spread.
-constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
 
 /// Time in which a fetch begins, beside that for the tokens.
 constexpr duration fetch_start = std::chrono::milliseconds(5);
 
-/// Returns a number from 0 to 1 by chance, which is the same for the same request and engine.
-double draw_share(std::uint64_t seed, const backend_server_name& engine) {
-    constexpr unsigned shift = 52;
-    constexpr double steps = 4096;
-    const std::uint64_t drawn = (get_stable_hash(engine.value()) ^ (seed * spreading_factor)) * spreading_factor;
-    return static_cast<double>(drawn >> shift) / steps;
-}
-
 /// The engine that reads a prompt first, and when.
 struct reader_choice {
     backend_server_name engine;
@@ -126,7 +116,8 @@
         }
         reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
         choice.done_after = board.get_backlog(name, now, urgency) + suitability.unseen_backlog + choice.reading_time;
-        const duration by_chance = std::chrono::duration_cast<duration>(equal_time * draw_share(request.seed, name));
+        const duration by_chance =
+            std::chrono::duration_cast<duration>(equal_time * draw_share(name.value(), request.seed));
         if (!best || choice.done_after + by_chance < best_rank) {
             best_rank = choice.done_after + by_chance;
             best = std::move(choice);
@@ -174,7 +165,7 @@
         if (suitability.fitness < least) {
             continue;
         }
-        double score = suitability.unseen_fullness + equal_fullness * draw_share(request.seed, name) +
+        double score = suitability.unseen_fullness + equal_fullness * draw_share(name.value(), request.seed) +
                        get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
         score -= engine.facts.zone == near ? near_zone_advantage : 0;
         score += engine.facts.is_cheap ? cheap_disadvantage : 0;
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -18,9 +18,6 @@
 constexpr duration foreign_cost = std::chrono::milliseconds(60);
 constexpr duration foreign_spread = std::chrono::milliseconds(40);
 constexpr double foreign_fullness = 0.3;
-constexpr std::int64_t spread_steps = 1024;
-/// An odd number with bits all over, so that ids which follow each other are spread.
-constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
 /// How long a prompt is taken to wait at an engine of a group that nothing was heard of.
 constexpr duration unknown_backlog = std::chrono::milliseconds(300);
 constexpr std::size_t memory_answer_limit_bytes = 64UL * 1024;
@@ -108,8 +105,8 @@
     }
     // The same prompts go to the same engines, and different ones spread over all.
     const std::uint64_t beginning = m_parts.empty() ? m_number : m_parts.front().id;
-    const std::uint64_t drawn = get_stable_hash(engine.value()) ^ (beginning * spreading_factor);
-    const duration spread = foreign_spread * static_cast<std::int64_t>(drawn % spread_steps) / spread_steps;
+    const duration spread =
+        std::chrono::duration_cast<duration>(foreign_spread * draw_share(engine.value(), beginning));
     const group_summary& summary = get_far_summary(engine);
     suitability.unseen_backlog = summary.backlog + foreign_cost + spread;
     suitability.unseen_fullness = summary.fullness + foreign_fullness;
