--- a/servers/event_splitter.cpp
+++ b/servers/event_splitter.cpp
@@ -26,8 +26,11 @@
 } // namespace
 
 std::string event_splitter::take_events() {
-    const std::size_t end = find_last_end(m_pending);
-    if (end == std::string_view::npos) {
+    // Further empty lines after an event, or before the first one, are part of no event; they are passed on at once.
+    const std::size_t whole = find_last_end(m_pending);
+    const std::size_t next = m_pending.find_first_not_of("\r\n", whole == std::string::npos ? 0 : whole);
+    const std::size_t end = std::min(next, m_pending.size());
+    if (end == 0) {
         return {};
     }
     std::string events = m_pending.substr(0, end);
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -78,3 +78,16 @@
         CHECK(splitter.get_last_id() == "3");
     }
 }
+
+TEST_CASE("empty lines beyond the end of an event are passed on and leave nothing over") {
+    event_splitter splitter;
+    std::string passed;
+    const std::string stream = "\nid: 1\ndata: a\n\n\n\r\nid: 2\ndata: b\n\n\n";
+    for (const char byte : stream) {
+        splitter.add_bytes(std::string_view(&byte, 1));
+        passed += splitter.take_events();
+    }
+    CHECK(passed == stream);
+    CHECK_FALSE(splitter.has_partial_event());
+    CHECK(splitter.get_last_id() == "2");
+}
