Read the ids of a stream's events after a carriage return alone, too

Found by fuzz_messages after 98,196 inputs: a line that followed a lone CR was not seen as one when both came in one piece, and was when they came apart. Test beside the others of the splitter; red before by the fuzzer's input.

--- a/servers/event_splitter.cpp
+++ b/servers/event_splitter.cpp
@@ -41,7 +41,8 @@
 
 void event_splitter::note_ids(std::string_view events) {
     while (!events.empty()) {
-        const std::size_t line_end = events.find('\n');
+        // A line ends with LF, CR LF or CR; the empty line between CR and LF says nothing.
+        const std::size_t line_end = events.find_first_of("\r\n");
         std::string_view line = events.substr(0, line_end);
         events.remove_prefix(line_end == std::string_view::npos ? events.size() : line_end + 1);
         if (!line.starts_with(id_name)) {
@@ -51,9 +52,6 @@
         while (line.starts_with(' ')) {
             line.remove_prefix(1);
         }
-        while (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
         m_last_id = line;
     }
 }
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -82,7 +82,7 @@
 TEST_CASE("empty lines beyond the end of an event are passed on and leave nothing over") {
     event_splitter splitter;
     std::string passed;
-    const std::string stream = "\nid: 1\ndata: a\n\n\n\r\nid: 2\ndata: b\n\n\n";
+    const std::string stream = "\r\nid: 1\ndata: a\n\n\n\r\nid: 2\ndata: b\n\n\n";
     for (const char byte : stream) {
         splitter.add_bytes(std::string_view(&byte, 1));
         passed += splitter.take_events();
@@ -91,3 +91,10 @@
     CHECK_FALSE(splitter.has_partial_event());
     CHECK(splitter.get_last_id() == "2");
 }
+
+TEST_CASE("a line that ends with a carriage return alone is a line of its own") {
+    event_splitter splitter;
+    splitter.add_bytes("\rid: 7\rdata: a\n\n");
+    CHECK(splitter.take_events() == "\rid: 7\rdata: a\n\n");
+    CHECK(splitter.get_last_id() == "7");
+}
