--- a/tests/daemon/test_configuration_follower.cpp
+++ b/tests/daemon/test_configuration_follower.cpp
@@ -5,9 +5,8 @@
 #include <fmt/format.h>
 
 #include "platform/engine_dialect.hpp"
-#include "servers/http_server.hpp"
-#include "standin/store_standin.hpp"
 #include "support/event_loop.hpp"
+#include "support/store_fixture.hpp"
 
 using namespace dragonflywell;
 using dragonflywell::testing::run_until;
@@ -15,25 +14,11 @@
 
 namespace {
 
-struct fixture {
-    asio::io_context loop{1};
-    host_clock time;
-    servers::backend_connection_pool pool{time, {}};
-    metrics_registry metrics;
+/// A host's state beside the store.
+struct fixture : testing::store_fixture {
     platform::engine_dialect dialect;
-    standin::store_standin store;
-    servers::http_server server{{&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}};
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {}};
-
-    fixture() { server.start(); }
-    fixture(const fixture&) = delete;
-    fixture& operator=(const fixture&) = delete;
-    fixture(fixture&&) = delete;
-    fixture& operator=(fixture&&) = delete;
-    ~fixture() {
-        server.stop();
-        pool.clear();
-    }
+    platform::store_client client = make_client();
 
     void publish(int version) {
         store.put("keyed.op", "config", fmt::format(R"({{"version":{},"routes":[],"services":[]}})", version));
@@ -50,7 +35,6 @@
     constexpr int versions = 60;
     constexpr std::size_t page_records = 3;
     store.set_page_records(page_records);
-    platform::store_client client(pool, metrics, {.address = {.address = "127.0.0.1", .port = server.get_port()}});
     std::uint64_t put_in_force = 0;
     daemon::configuration_follower follower(client, state, std::chrono::seconds(2), [&] { ++put_in_force; });
     publish(1);
@@ -69,7 +53,6 @@
 }
 
 TEST_CASE_FIXTURE(fixture, "a configuration that cannot be used leaves the one before it in force") {
-    platform::store_client client(pool, metrics, {.address = {.address = "127.0.0.1", .port = server.get_port()}});
     daemon::configuration_follower follower(client, state, std::chrono::seconds(2), [] {});
     publish(1);
     asio::co_spawn(loop, follower.run(), asio::detached);
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -2,42 +2,18 @@
 
 #include "core/error.hpp"
 #include "platform/store_client.hpp"
-#include "servers/http_server.hpp"
 #include "standin/raw_server.hpp"
-#include "standin/store_standin.hpp"
 #include "support/event_loop.hpp"
+#include "support/store_fixture.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::platform;
 using dragonflywell::testing::run_until_done;
+using dragonflywell::testing::store_fixture;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-namespace {
-
-struct fixture {
-    asio::io_context loop{1};
-    host_clock time;
-    servers::backend_connection_pool pool{time, {}};
-    metrics_registry metrics;
-    standin::store_standin store;
-    servers::http_server server{{&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}};
-
-    fixture() { server.start(); }
-    ~fixture() {
-        server.stop();
-        pool.clear();
-    }
-
-    store_client make_client(std::optional<endpoint> address = std::nullopt) {
-        return {
-            pool, metrics, {.address = address.value_or(endpoint{.address = "127.0.0.1", .port = server.get_port()})}};
-    }
-};
-
-} // namespace
-
-TEST_CASE_FIXTURE(fixture, "records come back as they were written, and a dropped key without a value") {
+TEST_CASE_FIXTURE(store_fixture, "records come back as they were written, and a dropped key without a value") {
     store_client client = make_client();
     const std::string binary("\0\xff value", 8);
     run_until_done(loop, [&]() -> asio::awaitable<void> {
@@ -56,7 +32,7 @@
     });
 }
 
-TEST_CASE_FIXTURE(fixture, "the newest record of each key is listed over several pages") {
+TEST_CASE_FIXTURE(store_fixture, "the newest record of each key is listed over several pages") {
     for (int key = 0; key < 8; ++key) {
         store.put("keyed.t", std::to_string(key), "old");
         store.put("keyed.t", std::to_string(key), "new" + std::to_string(key));
@@ -70,7 +46,7 @@
     });
 }
 
-TEST_CASE_FIXTURE(fixture, "an append under a condition tells apart success and conflict") {
+TEST_CASE_FIXTURE(store_fixture, "an append under a condition tells apart success and conflict") {
     store_client client = make_client();
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         const append_answer won = co_await client.append("keyed.t", "k", "1", 0);
@@ -82,7 +58,7 @@
     CHECK(store.get("keyed.t", "k") == "1");
 }
 
-TEST_CASE_FIXTURE(fixture, "a read of records that are not kept any more says so") {
+TEST_CASE_FIXTURE(store_fixture, "a read of records that are not kept any more says so") {
     store.put("keyed.t", "k", "1");
     store.drop_history("keyed.t");
     store_client client = make_client();
@@ -97,7 +73,7 @@
     CHECK(is_dropped);
 }
 
-TEST_CASE_FIXTURE(fixture, "a call without a usable answer fails, and says whether the store did nothing") {
+TEST_CASE_FIXTURE(store_fixture, "a call without a usable answer fails, and says whether the store did nothing") {
     std::string answer;
     standin::raw_server broken(
         loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
