--- a/tests/soak/soak_host.hpp
+++ b/tests/soak/soak_host.hpp
@@ -42,7 +42,6 @@
     /// Looks whether it has ended without being told to.
     void check_alive();
     [[nodiscard]] bool is_running() { return m_process && m_process->is_running(); }
-    [[nodiscard]] bool is_expected_to_run() const noexcept { return m_is_expected; }
     [[nodiscard]] const endpoint& get_callers() const noexcept { return m_callers; }
     [[nodiscard]] const endpoint& get_ready() const noexcept { return m_ready; }
     [[nodiscard]] const std::string& get_name() const noexcept { return m_options.name; }
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -50,8 +50,6 @@
     double bad_share{0};
 
 private:
-    struct life;
-
     void write_entry() const;
     asio::awaitable<void> answer(const servers::http_request& request, standin::raw_connection& connection);
     asio::awaitable<void> run(const servers::http_request& request, standin::raw_connection& connection);
