Tell from log files what became of a request: dragonflywellctl explain

Cause: docs/OPERATIONS.md walks from an id to its cause by hand, with grep over each host's log. The command finds the line that ended the request, what its host believed of the servers it was sent to, how other requests of all hosts fared there, the version in force, and what the host had lost. Lines that are no events are left out, and a collector's prefix is ignored.

--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -8,6 +8,7 @@
 #include "coordination/configuration.hpp"
 #include "core/error.hpp"
 #include "core/version.hpp"
+#include "ctl/explain_command.hpp"
 #include "ctl/manifest_commands.hpp"
 #include "ctl/report_commands.hpp"
 
@@ -20,8 +21,10 @@
 /// The one place where commands are registered.
 std::vector<std::unique_ptr<command>> make_commands() {
     std::vector<std::unique_ptr<command>> commands = make_manifest_commands();
-    for (std::unique_ptr<command>& item : make_report_commands()) {
-        commands.push_back(std::move(item));
+    for (auto make : {make_report_commands, make_explain_commands}) {
+        for (std::unique_ptr<command>& item : make()) {
+            commands.push_back(std::move(item));
+        }
     }
     return commands;
 }
--- /dev/null
+++ b/ctl/explain_command.cpp
@@ -0,0 +1,51 @@
+#include "ctl/explain_command.hpp"
+
+#include <ostream>
+
+#include "core/error.hpp"
+#include "core/read_file.hpp"
+#include "ctl/request_story.hpp"
+
+namespace dragonflywell::ctl {
+
+namespace {
+
+/// Tells what became of a request, from the logs of the hosts alone.
+class explain_command final : public command {
+public:
+    [[nodiscard]] std::string get_words() const override { return "explain"; }
+    [[nodiscard]] std::string get_summary() const override {
+        return "ID FILE...  tell from log files what became of a request";
+    }
+
+    int run(const command_context& context, const std::vector<std::string>& arguments) override {
+        if (arguments.size() < 2) {
+            throw invalid_input_error(
+                std::vector<input_problem>{{.place = "explain", .message = "needs a request's id and log files"}});
+        }
+        std::vector<log_line> lines;
+        for (std::size_t index = 1; index < arguments.size(); ++index) {
+            std::vector<log_line> more = parse_log(read_file(arguments[index]));
+            std::move(more.begin(), more.end(), std::back_inserter(lines));
+        }
+        const std::vector<request_story> stories = find_stories(lines, arguments.front());
+        if (stories.empty()) {
+            context.errors << "no line of these logs ends a request with the id " << arguments.front() << "\n";
+            return exit_failed;
+        }
+        for (const request_story& story : stories) {
+            context.out << format_story(story);
+        }
+        return exit_ok;
+    }
+};
+
+} // namespace
+
+std::vector<std::unique_ptr<command>> make_explain_commands() {
+    std::vector<std::unique_ptr<command>> commands;
+    commands.push_back(std::make_unique<explain_command>());
+    return commands;
+}
+
+} // namespace dragonflywell::ctl
--- /dev/null
+++ b/ctl/request_story.cpp
@@ -0,0 +1,217 @@
+#include "ctl/request_story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace dragonflywell::ctl {
+
+namespace {
+
+/// How far around a request's end other events are looked at: longer than bounds on stale knowledge of a server.
+constexpr duration vicinity = std::chrono::seconds(10);
+
+constexpr std::string_view request_prefix = "request_";
+/// Results of exchanges that went wrong; what else stands there is an answer, some with its status.
+constexpr std::array<std::string_view, 8> failed_results{"failed",       "refused",     "invalid",      "other_server",
+                                                         "read_refused", "read_failed", "read_invalid", "caller_gone"};
+/// Begins the statuses with which a server says that it failed.
+constexpr char server_fault_digit = '5';
+constexpr std::array<std::string_view, 7> host_event_names{
+    "start", "stopping", "stopped", "reload", "time_corrected", "settings_rejected", "configuration_rejected"};
+
+struct visit {
+    std::string server;
+    std::string result;
+};
+
+/// Reads the field `servers`: names with results, such as "s0:read s3:failed".
+std::vector<visit> parse_visits(const log_line& line) {
+    std::vector<visit> visits;
+    std::istringstream words(line.get_text("servers"));
+    for (std::string word; words >> word;) {
+        const std::size_t colon = word.rfind(':');
+        if (colon != std::string::npos) {
+            visits.push_back({.server = word.substr(0, colon), .result = word.substr(colon + 1)});
+        }
+    }
+    return visits;
+}
+
+bool is_request_end(const log_line& line) {
+    return line.event.starts_with(request_prefix) && line.fields.contains("took_ms");
+}
+
+bool is_near(const log_line& line, const log_line& end) {
+    return line.moment >= end.moment - vicinity && line.moment <= end.moment + vicinity;
+}
+
+bool is_failure(const std::string& result) {
+    return result.starts_with(server_fault_digit) ||
+           std::find(failed_results.begin(), failed_results.end(), result) != failed_results.end();
+}
+
+bool names_server(const log_line& line, const std::string& server) {
+    return line.get_text("server") == server || line.get_text("engine") == server;
+}
+
+visited_server describe(std::span<const log_line> lines, const log_line& end, const visit& visited) {
+    visited_server server{.name = visited.server, .result = visited.result, .changes = {}};
+    for (const log_line& line : lines) {
+        if (!is_near(line, end)) {
+            continue;
+        }
+        if (line.host == end.host && names_server(line, server.name)) {
+            server.changes.push_back(line);
+        }
+        if (!is_request_end(line) || line.get_text("id") == end.get_text("id")) {
+            continue;
+        }
+        for (const visit& other : parse_visits(line)) {
+            if (other.server == server.name) {
+                ++server.others;
+                server.others_failed += is_failure(other.result) ? 1 : 0;
+            }
+        }
+    }
+    return server;
+}
+
+std::vector<log_line> find_lost(std::span<const log_line> lines, const log_line& end) {
+    std::map<std::string, log_line> lost;
+    for (const log_line& line : lines) {
+        if (line.host != end.host || line.moment > end.moment) {
+            continue;
+        }
+        if (line.event == "dependency_lost") {
+            lost[line.get_text("what")] = line;
+        }
+        if (line.event == "dependency_regained") {
+            lost.erase(line.get_text("what"));
+        }
+        if (line.event == "start") {
+            lost.clear();
+        }
+    }
+    std::vector<log_line> still_lost;
+    for (auto& [what, line] : lost) {
+        still_lost.push_back(std::move(line));
+    }
+    return still_lost;
+}
+
+request_story make_story(std::span<const log_line> lines, const log_line& end) {
+    request_story story{
+        .end = end, .servers = {}, .configuration = {}, .lost = find_lost(lines, end), .host_events = {}};
+    for (const visit& visited : parse_visits(end)) {
+        story.servers.push_back(describe(lines, end, visited));
+    }
+    for (const log_line& line : lines) {
+        if (line.host != end.host) {
+            continue;
+        }
+        const bool is_same_version = line.get_text("version") == end.get_text("configuration");
+        if (line.event == "configuration_in_force" && is_same_version && line.moment <= end.moment) {
+            story.configuration = line;
+        }
+        const bool is_of_host =
+            std::find(host_event_names.begin(), host_event_names.end(), line.event) != host_event_names.end();
+        if (is_of_host && is_near(line, end)) {
+            story.host_events.push_back(line);
+        }
+    }
+    return story;
+}
+
+std::string_view explain_outcome(std::string_view outcome) {
+    if (outcome == "not_run") {
+        return "no backend server has run it, and none will";
+    }
+    if (outcome == "failed_after_start") {
+        return "a backend server had begun to run it";
+    }
+    return "whether it ran is not known";
+}
+
+/// Returns the fields of an event that say more than its name, time and host.
+std::string format_details(const log_line& line) {
+    std::string text;
+    for (const auto& field : line.fields) {
+        const std::string_view name(field.key().data(), field.key().size());
+        if (name == "time" || name == "level" || name == "part" || name == "host" || name == "event") {
+            continue;
+        }
+        text += fmt::format(" {}={}", name, line.get_text(name));
+    }
+    return text;
+}
+
+std::string format_events(std::span<const log_line> events, std::string_view indent) {
+    std::string text;
+    for (const log_line& event : events) {
+        text += fmt::format("{}{} {}{}\n", indent, event.time, event.event, format_details(event));
+    }
+    return text;
+}
+
+std::string format_server(const visited_server& server) {
+    std::string text = fmt::format("  {}: {}", server.name, server.result);
+    if (server.others > 0) {
+        text += fmt::format("; of {} other requests sent there within {} s, {} failed", server.others,
+                            std::chrono::duration_cast<std::chrono::seconds>(vicinity).count(), server.others_failed);
+    }
+    return text + "\n" + format_events(server.changes, "    ");
+}
+
+std::string format_end(const log_line& end) {
+    std::string text = fmt::format("{} {} on host {} at {}, after {} ms, status {}\n", end.get_text("id"),
+                                   end.event.substr(request_prefix.size()), end.host, end.time, end.get_text("took_ms"),
+                                   end.get_text("status"));
+    text += fmt::format("route {}, organisation {}\n", end.get_text("route"), end.get_text("organisation"));
+    if (end.fields.contains("reason")) {
+        text += fmt::format("reason {}: {}; {}\n", end.get_text("reason"), end.get_text("what"),
+                            explain_outcome(end.get_text("outcome")));
+    }
+    if (end.fields.contains("expected_first_ms")) {
+        const std::string first = end.get_text("first_ms");
+        text += fmt::format("first event expected after {} ms, came after {}\n", end.get_text("expected_first_ms"),
+                            first.empty() ? "never" : first + " ms");
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<request_story> find_stories(std::span<const log_line> lines, std::string_view id) {
+    std::vector<log_line> sorted(lines.begin(), lines.end());
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const log_line& left, const log_line& right) { return left.moment < right.moment; });
+    std::vector<request_story> stories;
+    for (const log_line& line : sorted) {
+        if (is_request_end(line) && line.get_text("id") == id) {
+            stories.push_back(make_story(sorted, line));
+        }
+    }
+    return stories;
+}
+
+std::string format_story(const request_story& story) {
+    std::string text = format_end(story.end);
+    text += fmt::format("configuration {}", story.end.get_text("configuration"));
+    text += story.configuration ? fmt::format(", in force on this host since {}\n", story.configuration->time)
+                                : ", in force since before these logs begin\n";
+    text += story.servers.empty() ? "sent to no backend server\n" : "sent to\n";
+    for (const visited_server& server : story.servers) {
+        text += format_server(server);
+    }
+    if (!story.lost.empty()) {
+        text += "the host had lost\n" + format_events(story.lost, "  ");
+    }
+    if (!story.host_events.empty()) {
+        text += "the host itself\n" + format_events(story.host_events, "  ");
+    }
+    return text;
+}
+
+} // namespace dragonflywell::ctl
--- /dev/null
+++ b/tests/ctl/test_request_story.cpp
@@ -0,0 +1,82 @@
+#include <doctest/doctest.h>
+
+#include "ctl/request_story.hpp"
+
+using namespace dragonflywell::ctl;
+
+namespace {
+
+/// Two hosts; h1 sent c1-7 to s7, which had just come back, and could not read the store.
+constexpr const char* logs =
+    R"({"time":"2026-12-04T11:03:30.000Z","host":"h1","event":"configuration_in_force","version":4}
+{"time":"2026-12-04T11:03:40.500Z","host":"h1","event":"dependency_lost","what":"configuration","reason":"no answer"}
+{"time":"2026-12-04T11:03:42.491Z","host":"h1","event":"server_changed","server":"s7","change":"added"}
+{"time":"2026-12-04T11:03:43.000Z","host":"h2","event":"request_failed","id":"c2-1","servers":"s7:failed","took_ms":9.0}
+{"time":"2026-12-04T11:03:44.000Z","host":"h2","event":"request_answered","id":"c2-2","servers":"s7:200","took_ms":9.0}
+collector-prefix {"time":"2026-12-04T11:03:45.573Z","host":"h1","event":"request_failed","id":"c1-7","route":"once",)"
+    R"("organisation":"org1","configuration":4,"status":504,"servers":"s7:failed","took_ms":3004.1,)"
+    R"("reason":"deadline_exceeded","outcome":"unknown","what":"the time ran out"}
+{"time":"2026-12-04T11:05:00.000Z","host":"h1","event":"server_changed","server":"s7","change":"removed"}
+not an event
+{"time":"2026-12-04T11:05:00.000Z","host":"h1"}
+{"time":"soon","host":"h1","event":"start"}
+)";
+
+request_story get_story(const std::string& id) {
+    const std::vector<log_line> lines = parse_log(logs);
+    const std::vector<request_story> stories = find_stories(lines, id);
+    REQUIRE(stories.size() == 1);
+    return stories.front();
+}
+
+} // namespace
+
+TEST_CASE("lines that are no events are left out of a log") {
+    CHECK(parse_log(logs).size() == 7);
+    CHECK_FALSE(parse_log_line("{\"event\":\"start\"").has_value());
+    CHECK(parse_log("").empty());
+}
+
+TEST_CASE("moments are read with their fraction") {
+    const auto early = parse_log_line(R"({"time":"2026-12-04T11:03:45.573Z","event":"a"})");
+    const auto late = parse_log_line(R"({"time":"2026-12-04T11:03:46Z","event":"a"})");
+    REQUIRE(early.has_value());
+    REQUIRE(late.has_value());
+    CHECK(late->moment - early->moment == std::chrono::milliseconds(427));
+}
+
+TEST_CASE("a story tells which servers a request was sent to and how others fared there") {
+    const request_story story = get_story("c1-7");
+    REQUIRE(story.servers.size() == 1);
+    const visited_server& server = story.servers.front();
+    CHECK(server.name == "s7");
+    CHECK(server.result == "failed");
+    CHECK(server.others == 2);
+    CHECK(server.others_failed == 1);
+    // The removal more than a minute later has nothing to do with it.
+    REQUIRE(server.changes.size() == 1);
+    CHECK(server.changes.front().get_text("change") == "added");
+}
+
+TEST_CASE("a story tells what its host knew and had lost") {
+    const request_story story = get_story("c1-7");
+    REQUIRE(story.configuration.has_value());
+    CHECK(story.configuration->time == "2026-12-04T11:03:30.000Z");
+    REQUIRE(story.lost.size() == 1);
+    CHECK(story.lost.front().get_text("what") == "configuration");
+    CHECK(get_story("c2-1").lost.empty());
+}
+
+TEST_CASE("a story reads as text from its end to its causes") {
+    const std::string text = format_story(get_story("c1-7"));
+    CHECK(text.starts_with("c1-7 failed on host h1 at 2026-12-04T11:03:45.573Z, after 3004.1 ms, status 504\n"));
+    CHECK(text.find("reason deadline_exceeded: the time ran out; whether it ran is not known\n") != std::string::npos);
+    CHECK(text.find("configuration 4, in force on this host since 2026-12-04T11:03:30.000Z\n") != std::string::npos);
+    CHECK(text.find("  s7: failed; of 2 other requests sent there within 10 s, 1 failed\n") != std::string::npos);
+    CHECK(text.find("the host had lost\n") != std::string::npos);
+}
+
+TEST_CASE("an id that ended nowhere has no story") {
+    const std::vector<log_line> lines = parse_log(logs);
+    CHECK(find_stories(lines, "c9-9").empty());
+}
