Let an engine go on changing its stage when the host that ordered it is gone; tell other groups at once

Change: what a host has ordered outlives it until its time is over; other groups are told as soon as it changes; the order itself waits until the news can have arrived. Before the first request there is nobody to tell.

--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -369,12 +369,23 @@
 
 void host_exchange::send() {
     send_to(servers::encode_host_digest(make_near_digest()), true);
-    if (m_is_keep_alive_due && has_far_hosts() && (is_first_alive() || m_lease->is_held())) {
+    if (has_far_hosts() && is_far_digest_due()) {
         send_to(servers::encode_host_digest(make_far_digest()), false);
     }
     m_is_keep_alive_due = false;
 }
 
+bool host_exchange::is_far_digest_due() {
+    std::map<backend_server_name, fleet::engine_stage> transitions;
+    for (const auto& [engine, transition] : m_state->get_own_transitions()) {
+        transitions.emplace(engine, transition.stage);
+    }
+    // An engine refuses requests as soon as it changes its stage, so that this does not wait for the next turn.
+    const bool is_news = transitions != m_told_transitions;
+    m_told_transitions = std::move(transitions);
+    return is_news || (m_is_keep_alive_due && (is_first_alive() || m_lease->is_held()));
+}
+
 void host_exchange::send_to(const std::string& text, bool is_near) {
     if (text.size() > most_datagram_bytes) {
         log_event("datagram_too_large").add("bytes", text.size()).write(*m_log, spdlog::level::warn);
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -75,6 +75,8 @@
     void share_prompts(const std::vector<servers::digest_touch>& touches);
     [[nodiscard]] bool has_far_hosts() const;
     void send();
+    /// Returns whether other groups are to be told something now.
+    [[nodiscard]] bool is_far_digest_due();
     /// Sends to the hosts of the group, or to all others.
     void send_to(const std::string& text, bool is_near);
     void pass_news_on(std::uint64_t from, const platform::store_page& page);
@@ -103,6 +105,8 @@
     bool m_is_scheduled{false};
     /// The next digests carry what is told less often, and go to other groups, too.
     bool m_is_keep_alive_due{false};
+    /// Changes of engines that other groups were told of.
+    std::map<backend_server_name, fleet::engine_stage> m_told_transitions;
     /// What other groups are to be told of the prompts that this one's engines have.
     servers::shared_prompts m_shared_prompts;
     std::uint64_t m_sequence{0};
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -16,6 +16,8 @@
 constexpr duration observation_time = std::chrono::seconds(6);
 /// How long an engine is left alone after an order to it did not succeed.
 constexpr duration rest_after_failure = std::chrono::seconds(4);
+/// Time for the other hosts to hear of an order before the engine gets it: two spans in which news gather, and the way.
+constexpr duration notice_time = std::chrono::milliseconds(120);
 /// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
 constexpr duration settle_time = std::chrono::seconds(5);
 
@@ -123,7 +125,12 @@
         const platform::duty_authority authority{.holder = m_host, .fence = fence};
         // Other hosts learn of it before the engine begins to refuse requests.
         m_state->set_changing(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
-        answer = co_await m_orders->order_stage(authority, engine, change.stage, report->accepted_orders);
+        if (!m_is_before_first_request) {
+            co_await servers::pause(notice_time);
+        }
+        if (m_lease->get_fence() == fence) {
+            answer = co_await m_orders->order_stage(authority, engine, change.stage, report->accepted_orders);
+        }
     }
     log_event("stage_ordered")
         .add("engine", change.engine.value())
--- a/servers/peer_knowledge.cpp
+++ b/servers/peer_knowledge.cpp
@@ -13,12 +13,7 @@
 
 void peer_knowledge::take_near(const host_digest& digest) {
     m_in_flight[digest.host] = digest.instances;
-    const steady_time now = m_time->now();
-    stage_transitions& transitions = m_transitions[digest.host];
-    transitions.clear();
-    for (const auto& [engine, transition] : digest.transitions) {
-        transitions.emplace(engine, stage_transition{.stage = transition.stage, .until = now + transition.left});
-    }
+    take_transitions(digest);
     add_demand(digest, m_near_demand);
     for (const auto& [window, counts] : digest.usage) {
         m_usage[{digest.host, digest.incarnation}][window] = counts;
@@ -26,16 +21,12 @@
 }
 
 void peer_knowledge::take_far(const host_digest& digest) {
-    const steady_time now = m_time->now();
-    stage_transitions& transitions = m_transitions[digest.host];
-    transitions.clear();
-    for (const auto& [engine, transition] : digest.transitions) {
-        transitions.emplace(engine, stage_transition{.stage = transition.stage, .until = now + transition.left});
-    }
+    take_transitions(digest);
     if (digest.summaries.empty()) {
         return;
     }
     add_demand(digest, m_far_demand);
+    const steady_time now = m_time->now();
     for (const auto& [service, summary] : digest.summaries) {
         // One speaker a group: its zone and number name the group, whoever speaks for it.
         m_far_groups[service][digest.group] = {.zone = digest.zone, .summary = summary, .heard_at = now};
@@ -44,7 +35,6 @@
 
 void peer_knowledge::drop(const std::string& host) {
     m_in_flight.erase(host);
-    m_transitions.erase(host);
 }
 
 std::uint32_t peer_knowledge::get_in_flight(const backend_server_name& server) const {
@@ -59,9 +49,9 @@
 
 std::optional<fleet::engine_stage> peer_knowledge::get_transition(const backend_server_name& engine) const {
     const steady_time now = m_time->now();
-    for (const auto& [host, transitions] : m_transitions) {
-        const auto found = transitions.find(engine);
-        if (found != transitions.end() && now < found->second.until) {
+    for (const auto& [host, told] : m_transitions) {
+        const auto found = told.engines.find(engine);
+        if (found != told.engines.end() && now < found->second.until) {
             return found->second.stage;
         }
     }
@@ -108,6 +98,21 @@
     std::erase_if(m_usage, [](const auto& item) { return item.second.empty(); });
 }
 
+void peer_knowledge::take_transitions(const host_digest& digest) {
+    const steady_time now = m_time->now();
+    told_transitions& told = m_transitions[digest.host];
+    if (told.incarnation == digest.incarnation) {
+        told.engines.clear();
+    }
+    // A host that has started anew knows nothing of the orders of its earlier life; they are carried out all the same.
+    std::erase_if(told.engines, [now](const auto& item) { return now >= item.second.until; });
+    told.incarnation = digest.incarnation;
+    for (const auto& [engine, transition] : digest.transitions) {
+        told.engines.insert_or_assign(engine,
+                                      stage_transition{.stage = transition.stage, .until = now + transition.left});
+    }
+}
+
 void peer_knowledge::add_demand(const host_digest& digest, service_costs& total) {
     told_demand& told = m_told_demand[digest.host];
     if (told.incarnation == digest.incarnation) {
--- a/servers/peer_knowledge.hpp
+++ b/servers/peer_knowledge.hpp
@@ -37,7 +37,7 @@
     void take_near(const host_digest& digest);
     /// Takes what the speaker of another group has told of it.
     void take_far(const host_digest& digest);
-    /// Forgets the present work of a host that fell silent.
+    /// Forgets the present work of a host that fell silent. What it has ordered goes on without it.
     void drop(const std::string& host);
 
     /// Returns the requests of other hosts on an instance.
@@ -75,13 +75,20 @@
         std::map<service_name, duration> sums;
     };
 
+    /// What a life of a host has ordered.
+    struct told_transitions {
+        std::uint64_t incarnation{};
+        stage_transitions engines;
+    };
+
     using service_costs = std::map<service_name, duration>;
 
+    void take_transitions(const host_digest& digest);
     void add_demand(const host_digest& digest, service_costs& total);
 
     const clock_source* m_time;
     std::map<std::string, instance_counts> m_in_flight;
-    std::map<std::string, stage_transitions> m_transitions;
+    std::map<std::string, told_transitions> m_transitions;
     std::map<std::string, told_demand> m_told_demand;
     service_costs m_near_demand;
     service_costs m_far_demand;
