Let hosts of a group tell each other which servers they leave alone

Change: digests carry what a host leaves alone. Two witnesses, the own last failure counting as one, make an engine doubtful, that is, used only where no other is left; one host alone may be the one whose own link is at fault. Instances of plain services are not judged so: there are few of them, and they are refused outright. Tests: digest, count of witnesses, placement with two, one and no other engine.

--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -313,6 +313,7 @@
 servers::host_digest host_exchange::make_near_digest() {
     servers::host_digest digest = make_head();
     digest.instances = m_state->get_own_in_flight();
+    digest.paused = m_state->health.get_paused(m_state->time.now());
     digest.touches = std::exchange(m_state->touches, {});
     share_prompts(digest.touches);
     add_engines(digest);
--- a/policy/server_health.cpp
+++ b/policy/server_health.cpp
@@ -58,6 +58,21 @@
     return found == m_states.end() || now >= found->second.paused_until;
 }
 
+bool server_health::has_failed_last(const backend_server_name& server) const {
+    const auto found = m_states.find(server);
+    return found != m_states.end() && found->second.failures_in_row > 0;
+}
+
+std::map<backend_server_name, duration> server_health::get_paused(steady_time now) const {
+    std::map<backend_server_name, duration> paused;
+    for (const auto& [server, known] : m_states) {
+        if (now < known.paused_until) {
+            paused.emplace(server, known.paused_until - now);
+        }
+    }
+    return paused;
+}
+
 double server_health::get_failure_share(const backend_server_name& server) const {
     const auto found = m_states.find(server);
     return found == m_states.end() ? 0 : found->second.failure_share;
--- a/policy/server_health.hpp
+++ b/policy/server_health.hpp
@@ -42,6 +42,11 @@
     /// Returns whether the server may be given work. A server whose pause is over is tried again.
     [[nodiscard]] bool is_usable(const backend_server_name& server, steady_time now) const;
 
+    /// Returns whether the last exchange with the server failed, so that one more word against it counts.
+    [[nodiscard]] bool has_failed_last(const backend_server_name& server) const;
+    /// Returns the servers that are left alone now, each with the time that is left, for other hosts.
+    [[nodiscard]] std::map<backend_server_name, duration> get_paused(steady_time now) const;
+
     /// Returns the share of recent answers that failed, 0 to 1.
     [[nodiscard]] double get_failure_share(const backend_server_name& server) const;
 
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -98,8 +98,9 @@
     if (m_avoided.contains(engine) || !get_state().is_listed(engine)) {
         return {.fitness = policy::engine_fitness::unusable};
     }
-    policy::engine_suitability suitability{.fitness = get_state().is_usable(engine) ? policy::engine_fitness::fit
-                                                                                    : policy::engine_fitness::doubtful};
+    const bool is_fit = get_state().is_usable(engine) && !get_state().is_doubted(engine);
+    policy::engine_suitability suitability{.fitness =
+                                               is_fit ? policy::engine_fitness::fit : policy::engine_fitness::doubtful};
     if (get_state().is_home(engine)) {
         return suitability;
     }
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -198,6 +198,10 @@
         transitions[name.value()] =
             array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.left)};
     }
+    object paused;
+    for (const auto& [name, left] : digest.paused) {
+        paused[name.value()] = to_microseconds(left);
+    }
     object read_demand;
     for (const auto& [service, cost] : digest.read_demand) {
         read_demand[service.value()] = to_microseconds(cost);
@@ -213,6 +217,7 @@
                                          {"p", std::move(instances)},
                                          {"t", std::move(touches)},
                                          {"c", std::move(transitions)},
+                                         {"x", std::move(paused)},
                                          {"r", std::move(read_demand)},
                                          {"u", encode_usage(digest.usage)},
                                          {"m", encode_summaries(digest.summaries)},
@@ -239,6 +244,7 @@
                        .instances = {},
                        .touches = {},
                        .transitions = {},
+                       .paused = {},
                        .read_demand = {},
                        .usage = decode_usage(json::get_array(source, "u")),
                        .summaries = decode_summaries(json::get_object(source, "m")),
@@ -265,6 +271,14 @@
                                                                   : fleet::engine_stage::decode,
                                                      .left = std::chrono::microseconds(get_number(transition, 1))});
     }
+    // Hosts of an earlier version, with which this one may run for the time of an update, do not tell it.
+    if (source.contains("x")) {
+        const object& paused = json::get_object(source, "x");
+        for (const auto& item : paused) {
+            digest.paused.emplace(backend_server_name(std::string_view(item.key())),
+                                  std::chrono::microseconds(json::get_unsigned(paused, item.key())));
+        }
+    }
     const object& read_demand = json::get_object(source, "r");
     for (const auto& item : read_demand) {
         digest.read_demand.emplace(service_name(std::string_view(item.key())),
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -94,6 +94,8 @@
     std::map<backend_server_name, std::uint32_t> instances;
     std::vector<digest_touch> touches;
     std::map<backend_server_name, digest_transition> transitions;
+    /// Servers that the sender leaves alone since they failed or refused, each with the time that is left.
+    std::map<backend_server_name, duration> paused;
     /// What reading the prompts of all requests since the sender's start costs engines, by service.
     std::map<service_name, duration> read_demand;
     /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
--- a/servers/peer_knowledge.cpp
+++ b/servers/peer_knowledge.cpp
@@ -13,6 +13,11 @@
 
 void peer_knowledge::take_near(const host_digest& digest) {
     m_in_flight[digest.host] = digest.instances;
+    std::map<backend_server_name, steady_time>& pauses = m_pauses[digest.host];
+    pauses.clear();
+    for (const auto& [server, left] : digest.paused) {
+        pauses.emplace(server, m_time->now() + left);
+    }
     take_transitions(digest);
     add_demand(digest, m_near_demand);
     for (const auto& [window, counts] : digest.usage) {
@@ -35,6 +40,7 @@
 
 void peer_knowledge::drop(const std::string& host) {
     m_in_flight.erase(host);
+    m_pauses.erase(host);
 }
 
 std::uint32_t peer_knowledge::get_in_flight(const backend_server_name& server) const {
@@ -58,6 +64,14 @@
     return std::nullopt;
 }
 
+std::uint32_t peer_knowledge::count_pausing(const backend_server_name& server) const {
+    const steady_time now = m_time->now();
+    return static_cast<std::uint32_t>(std::count_if(m_pauses.begin(), m_pauses.end(), [&](const auto& item) {
+        const auto pause = item.second.find(server);
+        return pause != item.second.end() && now < pause->second;
+    }));
+}
+
 duration peer_knowledge::get_near_read_demand(const service_name& service) const {
     const auto found = m_near_demand.find(service);
     return found == m_near_demand.end() ? duration::zero() : found->second;
--- a/servers/peer_knowledge.hpp
+++ b/servers/peer_knowledge.hpp
@@ -44,6 +44,8 @@
     [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
     /// Returns whether another host is changing the engine's stage, and to which.
     [[nodiscard]] std::optional<fleet::engine_stage> get_transition(const backend_server_name& engine) const;
+    /// Returns how many other hosts of the group leave a server alone now, since it failed or refused there.
+    [[nodiscard]] std::uint32_t count_pausing(const backend_server_name& server) const;
     /// Returns the cost of the prompts that other hosts of the group, or hosts of other groups, have got since this
     /// host listens to them.
     [[nodiscard]] duration get_near_read_demand(const service_name& service) const;
@@ -89,6 +91,8 @@
     const clock_source* m_time;
     std::map<std::string, instance_counts> m_in_flight;
     std::map<std::string, told_transitions> m_transitions;
+    /// By host: until when it leaves a server alone.
+    std::map<std::string, std::map<backend_server_name, steady_time>> m_pauses;
     std::map<std::string, told_demand> m_told_demand;
     service_costs m_near_demand;
     service_costs m_far_demand;
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -13,6 +13,9 @@
 /// Part of the fleet's budget for repeats that is spent: the windows of the hosts do not begin together, and a host
 /// that starts anew knows nothing of what it spent before.
 constexpr double budget_share = 0.6;
+/// Hosts that must have seen a server fail before all of their group leave it alone; a single failure of the own host
+/// counts as much as another host's pause.
+constexpr std::uint32_t witnesses_needed = 2;
 
 } // namespace
 
@@ -73,6 +76,10 @@
     return is_listed(server) && health.is_usable(server, time.now());
 }
 
+bool serving_state::is_doubted(const backend_server_name& server) const {
+    return peers.count_pausing(server) + (health.has_failed_last(server) ? 1 : 0) >= witnesses_needed;
+}
+
 void serving_state::set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until) {
     m_changing[engine] = {.stage = stage, .until = until};
     note_load_change();
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -60,6 +60,10 @@
     /// Returns whether work may be sent to a server now: it is listed and has not failed lately.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
+    /// Returns whether enough hosts of the group have seen a server fail or refuse lately that it is used only where no
+    /// other is left. One host alone may be the one whose own link is at fault.
+    [[nodiscard]] bool is_doubted(const backend_server_name& server) const;
+
     /// Notes that an engine is changing to a stage; it is not used until the list says that it has, or until then.
     void set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until);
     void end_changing(const backend_server_name& engine) { m_changing.erase(engine); }
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -295,3 +295,34 @@
     CHECK(state.is_changing(engine));
     CHECK(state.get_own_transitions().empty());
 }
+
+TEST_CASE_FIXTURE(serving_fixture, "an engine that other hosts leave alone is used only where no other is left") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    const raw_server& bad = add_server("bad", decode, refuse());
+    const auto tell = [this](const std::string& host) {
+        servers::host_digest digest;
+        digest.host = host;
+        digest.paused = {{backend_server_name("bad"), std::chrono::minutes(1)}};
+        state.peers.take_near(digest);
+    };
+    SUBCASE("two hosts have seen it fail") {
+        add_server("good", decode, stream_events(1, 2));
+        tell("h1");
+        tell("h2");
+        for (int request = 0; request < 10; ++request) {
+            CHECK(generate("/gen/x").status == 200);
+        }
+        CHECK(bad.get_requests().empty());
+    }
+    SUBCASE("it is the only one") {
+        tell("h1");
+        tell("h2");
+        CHECK(generate("/gen/x").status == 503);
+        CHECK_FALSE(bad.get_requests().empty());
+    }
+    SUBCASE("one host alone is not enough") {
+        tell("h1");
+        CHECK_FALSE(state.is_doubted(backend_server_name("bad")));
+    }
+}
--- a/tests/policy/test_server_health.cpp
+++ b/tests/policy/test_server_health.cpp
@@ -65,3 +65,18 @@
     CHECK(health.is_usable(server, time.now()));
     CHECK(health.get_failure_share(server) == 0);
 }
+
+TEST_CASE("the servers that are left alone are told with the time that is left") {
+    virtual_clock time;
+    server_health health({.first_pause = 300ms});
+    CHECK_FALSE(health.has_failed_last(server));
+    health.add_failure(server, server_failure::refused, time.now());
+    CHECK(health.has_failed_last(server));
+    CHECK(health.get_paused(time.now()).empty());
+    health.add_failure(server, server_failure::refused, time.now());
+    time.advance(100ms);
+    CHECK(health.get_paused(time.now()) == std::map<backend_server_name, duration>{{server, 200ms}});
+    health.add_success(server);
+    CHECK_FALSE(health.has_failed_last(server));
+    CHECK(health.get_paused(time.now()).empty());
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -23,6 +23,7 @@
         .instances = {{backend_server_name("s"), 3}},
         .touches = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
         .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = 7s}}},
+        .paused = {{backend_server_name("f"), 300ms}},
         .read_demand = {{service_name("llm"), 3s}},
         .usage = {{357732848, {{organisation_name("o"), 12}}}},
         .summaries = {{service_name("llm"), {.backlog = 40ms, .fullness = 0.25, .running = 9}}},
--- a/tests/servers/test_peer_knowledge.cpp
+++ b/tests/servers/test_peer_knowledge.cpp
@@ -49,3 +49,18 @@
     time.advance(std::chrono::seconds(8));
     CHECK_FALSE(peers.get_transition(engine).has_value());
 }
+
+TEST_CASE_FIXTURE(knowledge_fixture, "hosts of the group that leave a server alone are counted while they do") {
+    for (const char* host : {"h1", "h2"}) {
+        servers::host_digest digest = make_digest(1, false);
+        digest.host = host;
+        digest.paused = {{engine, std::chrono::milliseconds(300)}};
+        peers.take_near(digest);
+    }
+    CHECK(peers.count_pausing(engine) == 2);
+    CHECK(peers.count_pausing(backend_server_name("i-2")) == 0);
+    peers.take_near(make_digest(1, false));
+    CHECK(peers.count_pausing(engine) == 1);
+    time.advance(std::chrono::milliseconds(300));
+    CHECK(peers.count_pausing(engine) == 0);
+}
