Keep the budget for repeats over a sliding window, so that what a window allows may be spent at once

Change: a window of parts counts requests and repeats; any window holds at most 0.7 of what requests pay for and 0.4 of what is permitted besides (divided among the hosts; nothing until they are known), the latter growing over a process's first window. With all hosts started anew within a window both lives together stay within the rule. Tests: the earlier two cases with the new options and the same bounds, three new ones, one over random traffic with seeds 1 to 20 (no window of any span holds more than it pays for).

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -30,13 +30,14 @@
 constexpr duration stop_margin = std::chrono::milliseconds(600);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 
-servers::serving_options get_serving_options(const host_settings& settings) {
+servers::serving_options get_serving_options(const host_settings& settings, steady_time now) {
     return {.own_host = settings.name.value(),
             .own_zone = settings.zone,
             .usage_window = settings.bounds.usage_window,
             .repeats_per_request = settings.bounds.repeats_per_request,
             .repeats_besides = settings.bounds.repeats_besides,
-            .repeat_window = settings.bounds.repeats_window};
+            .repeat_window = settings.bounds.repeats_window,
+            .started_at = now};
 }
 
 std::uint64_t get_incarnation(const clock_source& time) {
@@ -60,7 +61,7 @@
       m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
-              get_serving_options(m_settings)),
+              get_serving_options(m_settings, m_clock.now())),
       m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
       m_servers(m_store, m_state, m_settings.bounds.drain),
       m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
--- a/policy/retry_budget.cpp
+++ b/policy/retry_budget.cpp
@@ -4,30 +4,56 @@
 
 namespace dragonflywell::policy {
 
-retry_budget::retry_budget(retry_budget_options options, steady_time now)
-    : m_options(options), m_saved(options.most_saved), m_refilled(now) {}
+retry_budget::retry_budget(retry_budget_options options, steady_time started_at)
+    : m_options(options), m_started_at(started_at) {}
 
 void retry_budget::set_options(const retry_budget_options& options) {
     const std::scoped_lock lock(m_mutex);
     m_options = options;
-    m_saved = std::min(m_saved, m_options.most_saved);
 }
 
-void retry_budget::add_request() {
+void retry_budget::add_request(steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    m_saved = std::min(m_options.most_saved, m_saved + m_options.per_request);
+    ++get_part(now).requests;
 }
 
 bool retry_budget::take_retry(steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    const double seconds = std::max(0.0, std::chrono::duration<double>(now - m_refilled).count());
-    m_refilled = std::max(m_refilled, now);
-    m_saved = std::min(m_options.most_saved, m_saved + seconds * m_options.per_second);
-    if (m_saved < 1.0) {
+    part& current = get_part(now);
+    std::uint32_t spent = 0;
+    for (const part& counted : m_parts) {
+        spent += current.number - counted.number <= static_cast<std::int64_t>(parts) ? counted.retries : 0;
+    }
+    if (spent + 1 > get_allowed(now)) {
         return false;
     }
-    m_saved -= 1.0;
+    ++current.retries;
     return true;
 }
 
+retry_budget::part& retry_budget::get_part(steady_time now) {
+    const std::int64_t number = get_number(now);
+    part& current = m_parts.at(static_cast<std::size_t>(number) % m_parts.size());
+    if (current.number != number) {
+        current = {.number = number};
+    }
+    return current;
+}
+
+std::int64_t retry_budget::get_number(steady_time now) const {
+    const duration age = std::max(duration::zero(), now - m_started_at);
+    return age / (m_options.window / static_cast<std::int64_t>(parts));
+}
+
+double retry_budget::get_allowed(steady_time now) const {
+    const std::int64_t number = get_number(now);
+    std::uint32_t requests = 0;
+    for (const part& counted : m_parts) {
+        // The oldest part is left out: only some of it lies in the window.
+        requests += number - counted.number < static_cast<std::int64_t>(parts) ? counted.requests : 0;
+    }
+    const double age = std::chrono::duration<double>(now - m_started_at) / m_options.window;
+    return requests * m_options.per_request + m_options.besides * std::clamp(age, 0.0, 1.0);
+}
+
 } // namespace dragonflywell::policy
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -75,7 +75,7 @@
 }
 
 asio::awaitable<std::unique_ptr<admission_gate::permit>> model_call::admit(caller_channel& caller) {
-    m_context->retries.add_request();
+    m_context->retries.add_request(m_context->time.now());
     require_not_quarantined();
     const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
     admission_request request{.model = m_model_request.model,
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -31,7 +31,7 @@
       m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
-    m_context->retries.add_request();
+    m_context->retries.add_request(m_context->time.now());
     const bool is_claimed = !m_route->is_idempotent && has_idempotency_key(*m_request);
     http_response response;
     if (is_claimed) {
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -110,7 +110,7 @@
         .organisation = name,
         .priority = organisation == nullptr ? route.priority : organisation->priority.value_or(route.priority),
         .deadline = record.arrived_at + patience};
-    state.get_retry_budget(request.service).add_request();
+    state.get_retry_budget(request.service).add_request(state.time.now());
     const bool is_generation = wanted.wanted && state.find_engines(request.service) != nullptr;
     if (is_generation) {
         return std::make_unique<generation_request>(state, std::move(request), record);
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-/// Part of the fleet's budget for repeats that is spent: the windows of the hosts do not begin together, and a host
-/// that starts anew knows nothing of what it spent before.
-constexpr double budget_share = 0.6;
+/// Parts of the fleet's budget for repeats that are spent: of what requests pay for, and of what is permitted besides.
+/// A host that starts anew knows nothing of what it spent before; with all hosts started anew within a window, the
+/// requests of half a window more and twice what is besides still lie within the whole.
+constexpr double paid_share = 0.7;
+constexpr double besides_share = 0.4;
 /// Hosts that must have seen a server fail before all of their group leave it alone; a single failure of the own host
 /// counts as much as another host's pause.
 constexpr std::uint32_t witnesses_needed = 2;
@@ -114,7 +116,7 @@
 policy::retry_budget& serving_state::get_retry_budget(const service_name& service) {
     std::unique_ptr<policy::retry_budget>& budget = m_budgets[service];
     if (budget == nullptr) {
-        budget = std::make_unique<policy::retry_budget>(get_budget_options(), time.now());
+        budget = std::make_unique<policy::retry_budget>(get_budget_options(), options.started_at);
     }
     return *budget;
 }
@@ -130,11 +132,10 @@
 }
 
 policy::retry_budget_options serving_state::get_budget_options() const {
-    const double share = budget_share * options.repeats_besides / static_cast<double>(m_hosts);
-    const double window_seconds = std::chrono::duration<double>(options.repeat_window).count();
-    return {.per_request = budget_share * options.repeats_per_request,
-            .per_second = share / 2 / window_seconds,
-            .most_saved = std::max(1.0, share / 2)};
+    // What is permitted besides is divided among all hosts; until they are known nobody takes a part.
+    const double besides = m_hosts == 0 ? 0 : besides_share * options.repeats_besides / static_cast<double>(m_hosts);
+    return {
+        .per_request = paid_share * options.repeats_per_request, .besides = besides, .window = options.repeat_window};
 }
 
 std::uint32_t serving_state::get_in_flight(const backend_server_name& server) const {
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -32,6 +32,9 @@
     double repeats_per_request{0.2};
     double repeats_besides{0};
     duration repeat_window{std::chrono::seconds(10)};
+    /// When the process started. What it may repeat besides grows over the first window, since what the process before
+    /// it has spent is not known; with an early moment all of it is there at once.
+    steady_time started_at{};
 };
 
 /// What the requests of one event loop share. Not thread safe.
@@ -76,7 +79,6 @@
     [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
     /// Sets how many hosts share the budgets.
     void set_hosts(std::size_t hosts);
-    [[nodiscard]] std::size_t get_hosts() const noexcept { return m_hosts; }
 
     /// Returns the cost of all prompts that this host and the others have got since this host watches them.
     [[nodiscard]] duration get_read_demand(const service_name& service) const;
@@ -154,7 +156,8 @@
     std::map<service_name, service_engines> m_engines;
     stage_transitions m_changing;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
-    std::size_t m_hosts{1};
+    /// Hosts that share the budgets; zero until they are known.
+    std::size_t m_hosts{0};
     instance_counts m_own_in_flight;
 };
 
--- a/tests/policy/test_retry_budget.cpp
+++ b/tests/policy/test_retry_budget.cpp
@@ -1,26 +1,98 @@
 #include <doctest/doctest.h>
 
+#include <deque>
+#include <random>
+
 #include "policy/retry_budget.hpp"
 
 using namespace dragonflywell;
+using policy::retry_budget;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
-TEST_CASE("retries stay a share of requests once what was saved is spent") {
+TEST_CASE("retries stay a share of requests and what is permitted besides") {
     virtual_clock clock;
-    policy::retry_budget budget({.per_request = 0.2, .per_second = 0.0, .most_saved = 10.0}, clock.now());
+    retry_budget budget({.per_request = 0.2, .besides = 10.0, .window = seconds(10)}, clock.now());
+    clock.advance(seconds(10));
     int taken = 0;
     for (int request = 0; request < 1000; ++request) {
-        budget.add_request();
+        budget.add_request(clock.now());
         taken += budget.take_retry(clock.now()) ? 1 : 0;
     }
     CHECK(taken <= 10 + 1000 / 5);
     CHECK(taken >= 1000 / 5);
 }
 
-TEST_CASE("a quiet host may retry again after a while") {
+TEST_CASE("what a window allows may be spent at once") {
     virtual_clock clock;
-    policy::retry_budget budget({.per_request = 0.0, .per_second = 1.0, .most_saved = 1.0}, clock.now());
+    retry_budget budget({.per_request = 0.2, .besides = 0, .window = seconds(10)}, clock.now());
+    for (int request = 0; request < 50; ++request) {
+        budget.add_request(clock.now());
+        clock.advance(milliseconds(100));
+    }
+    int taken = 0;
+    while (budget.take_retry(clock.now())) {
+        ++taken;
+    }
+    CHECK(taken == 10);
+}
+
+TEST_CASE("a quiet host may retry again after a window") {
+    virtual_clock clock;
+    retry_budget budget({.per_request = 0.0, .besides = 1.0, .window = seconds(1)}, clock.now());
+    CHECK_FALSE(budget.take_retry(clock.now()));
+    clock.advance(seconds(1));
     CHECK(budget.take_retry(clock.now()));
     CHECK_FALSE(budget.take_retry(clock.now()));
-    clock.advance(std::chrono::seconds(1));
+    clock.advance(milliseconds(999));
+    CHECK_FALSE(budget.take_retry(clock.now()));
+    clock.advance(milliseconds(100));
     CHECK(budget.take_retry(clock.now()));
 }
+
+TEST_CASE("a process that starts anew has little besides at first") {
+    virtual_clock clock;
+    retry_budget budget({.per_request = 0.0, .besides = 10.0, .window = seconds(10)}, clock.now());
+    clock.advance(seconds(3));
+    int taken = 0;
+    while (budget.take_retry(clock.now())) {
+        ++taken;
+    }
+    CHECK(taken == 3);
+}
+
+TEST_CASE("no window of any span holds more retries than it pays for") {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        virtual_clock clock;
+        constexpr double per_request = 0.15;
+        constexpr double besides = 4;
+        const duration window = seconds(10);
+        retry_budget budget({.per_request = per_request, .besides = besides, .window = window}, clock.now());
+        std::deque<steady_time> requests;
+        std::deque<steady_time> retries;
+        for (int step = 0; step < 5000; ++step) {
+            // Bursts and lulls.
+            const int most_ms = step / 500 % 2 == 0 ? 10 : 400;
+            clock.advance(milliseconds(std::uniform_int_distribution<int>(0, most_ms)(random)));
+            if (std::bernoulli_distribution(0.6)(random)) {
+                budget.add_request(clock.now());
+                requests.push_back(clock.now());
+            }
+            if (std::bernoulli_distribution(0.4)(random) && budget.take_retry(clock.now())) {
+                retries.push_back(clock.now());
+            }
+            while (!requests.empty() && requests.front() <= clock.now() - window) {
+                requests.pop_front();
+            }
+            while (!retries.empty() && retries.front() <= clock.now() - window) {
+                retries.pop_front();
+            }
+            if (!retries.empty() && retries.back() == clock.now()) {
+                REQUIRE(static_cast<double>(retries.size()) <=
+                        static_cast<double>(requests.size()) * per_request + besides);
+            }
+        }
+    }
+}
--- a/tests/support/entry_parts.hpp
+++ b/tests/support/entry_parts.hpp
@@ -18,7 +18,7 @@
     servers::demand_meter demand;
     servers::engine_state_table engines;
     servers::admission_gate admission{time, {}};
-    policy::retry_budget retries{{}, time.now()};
+    policy::retry_budget retries{{}, time.now() - policy::retry_budget_options{}.window};
     policy::quarantine suspects{{}};
     policy::cut_off_state cut_off;
     servers::entry_context context{.time = time,
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -28,6 +28,7 @@
 class serving_fixture {
 public:
     serving_fixture() {
+        state.set_hosts(1);
         entry.start();
         view.routes = {make_route("/safe/", "app", fleet::repeat_rule::idempotent, 2),
                        make_route("/unsafe/", "app", fleet::repeat_rule::at_most_once, 1),
