Let the holder of a lapsed lease take it again as soon as the store is back

The holder read its own last renewal at 26.5 s, took it for one just written, waited for its end, and then kept a distance from itself. Change: an own record lasts from when it was sent; the holder that finds nobody else's record after it claims at once and need not keep still. Others wait as before.

--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -55,7 +55,9 @@
         return action::nothing;
     }
     const std::optional<steady_time> vacant_since = get_vacant_since();
-    const bool may_claim = vacant_since && m_time->now() - *vacant_since >= m_options.claim_delay;
+    // Nobody has held it since this candidate did, so that the others need no time to be first.
+    const duration delay = is_latest_own() ? duration::zero() : m_options.claim_delay;
+    const bool may_claim = vacant_since && m_time->now() - *vacant_since >= delay;
     const bool is_fresh = m_last_read_at && m_time->now() - *m_last_read_at < m_options.length / reads_per_length;
     if (may_claim && is_fresh) {
         return action::append;
@@ -87,6 +89,7 @@
         m_held.reset();
     }
     m_pending = {.record = record, .sent_at = m_time->now_with_suspension()};
+    m_last_sent_at = m_time->now();
     if (record.is_release) {
         // No call may follow, whatever becomes of the record.
         m_held.reset();
@@ -141,6 +144,10 @@
     return record.holder == m_options.holder && record.incarnation == m_options.incarnation;
 }
 
+bool store_lease::is_latest_own() const {
+    return m_latest && is_own(m_latest->record);
+}
+
 std::optional<steady_time> store_lease::get_vacant_since() const {
     if (!m_latest) {
         return m_first_read_at;
@@ -163,12 +170,13 @@
         m_held.reset();
     }
     m_latest = placed;
-    m_latest_seen_at = m_time->now();
+    // An own record that is only read now was sent earlier, and lasts from then on.
+    m_latest_seen_at = is_latest_own() ? m_last_sent_at.value_or(m_time->now()) : m_time->now();
 }
 
 duration store_lease::get_quiet_left() const {
-    if (!m_latest) {
-        // A first claim ever has no holder before it to keep a distance from.
+    if (!m_latest || is_latest_own()) {
+        // There is no other holder before it to keep a distance from.
         return duration::zero();
     }
     const duration lease_left = m_latest->record.is_release ? duration::zero() : m_options.length;
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -98,6 +98,9 @@
 
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
+    /// Returns whether the newest record known is of this life of the candidate, so that nobody else has held the lease
+    /// since.
+    [[nodiscard]] bool is_latest_own() const;
     /// Returns since when the lease is free, as far as known; nothing while someone holds it.
     [[nodiscard]] std::optional<steady_time> get_vacant_since() const;
     /// Returns how much longer a new holder keeps still, counted from when the one before can have acted last.
@@ -114,8 +117,10 @@
     std::optional<steady_time> m_last_read_at;
     std::optional<steady_time> m_holder_heard_at;
     std::optional<placed_lease_record> m_latest;
-    /// When the latest record was first seen here.
+    /// When the latest record was first seen here, or sent from here.
     steady_time m_latest_seen_at{};
+    /// When this candidate sent its newest record.
+    std::optional<steady_time> m_last_sent_at;
 
     struct pending_append {
         store_lease_record record;
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -204,6 +204,53 @@
     CHECK(lease.get_next_action() == store_lease::action::nothing);
 }
 
+TEST_CASE("the holder takes its lapsed lease again as soon as the store is back, and acts at once") {
+    virtual_clock clock;
+    store_lease lease(clock, {.holder = "a",
+                              .incarnation = 1,
+                              .length = 3s,
+                              .quiet = 3s,
+                              .margin = 500ms,
+                              .holder_silence = 800ms,
+                              .claim_delay = 900ms,
+                              .least_left = 300ms});
+    lease.on_read({}, 0);
+    clock.advance(900ms);
+    REQUIRE(lease.get_next_action() == store_lease::action::append);
+    const store_lease_record claim = lease.start_append();
+    lease.on_appended();
+    REQUIRE(lease.get_fence() == 1);
+    // The store goes away within a renewal, which was done all the same, and nobody else claims meanwhile.
+    clock.advance(1s);
+    REQUIRE(lease.get_next_action() == store_lease::action::append);
+    const store_lease_record renewal = lease.start_append();
+    lease.on_unknown();
+    clock.advance(8s);
+    CHECK_FALSE(lease.get_fence().has_value());
+    REQUIRE(lease.get_next_action() == store_lease::action::read);
+    const std::array records{coordination::placed_lease_record{.offset = 1, .record = renewal}};
+    lease.on_read(records, 2);
+    REQUIRE(lease.get_next_action() == store_lease::action::append);
+    CHECK_FALSE(lease.start_append().renewed_fence.has_value());
+    lease.on_appended();
+    CHECK(lease.get_fence() == 3);
+    CHECK(claim.holder == "a");
+}
+
+TEST_CASE("a holder that finds another's record in the topic waits like everybody else") {
+    virtual_clock clock;
+    store_lease lease(clock, {.holder = "a", .incarnation = 1, .length = 3s, .quiet = 3s});
+    lease.on_read({}, 0);
+    static_cast<void>(lease.start_append());
+    lease.on_appended();
+    clock.advance(9s);
+    lease.on_conflict();
+    const std::array records{
+        coordination::placed_lease_record{.offset = 1, .record = {.holder = "b", .incarnation = 1}}};
+    lease.on_read(records, 2);
+    CHECK(lease.get_next_action() == store_lease::action::nothing);
+}
+
 TEST_CASE("records of the lease survive encoding, and others are rejected") {
     const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
