Let all that reads and writes the store share a circuit breaker

Change: a failed call holds all others of the host back for 0.1 s, doubled to 0.8 s at most, with one call in each pause; an answer lets all go on. A failure says nothing where a call sent later was answered, so that lost answers do not stop the rest. A call held back counts as not done. The test of refused and unknown calls now makes a client for each call, with the same checks.

--- /dev/null
+++ b/policy/circuit_breaker.cpp
@@ -0,0 +1,37 @@
+#include "policy/circuit_breaker.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::policy {
+
+bool circuit_breaker::may_call(steady_time now) {
+    if (!m_next_at) {
+        return true;
+    }
+    if (now < *m_next_at) {
+        return false;
+    }
+    m_next_at = now + m_pause;
+    return true;
+}
+
+void circuit_breaker::on_success(steady_time now) {
+    m_next_at.reset();
+    m_pause = {};
+    m_succeeded_at = now;
+}
+
+void circuit_breaker::on_failure(steady_time sent_at, steady_time now) {
+    if (m_succeeded_at && *m_succeeded_at >= sent_at) {
+        return;
+    }
+    // Calls that were under way together fail together; that is one failure.
+    const bool is_counted = m_next_at && now < *m_next_at && sent_at < *m_next_at - m_pause;
+    if (is_counted) {
+        return;
+    }
+    m_pause = std::clamp(m_pause * 2, m_options.first_pause, m_options.longest_pause);
+    m_next_at = now + m_pause;
+}
+
+} // namespace dragonflywell::policy
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -83,8 +83,9 @@
                 co_await connection.write(answer);
             }
         });
-    store_client client = make_client(broken.get_endpoint());
     const auto append = [&]() {
+        // A client leaves a store alone that failed lately; each call here is its first.
+        store_client client = make_client(broken.get_endpoint());
         std::optional<bool> is_refused;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
             try {
@@ -122,3 +123,44 @@
     CHECK(page.records[0].offset == 5);
     CHECK(page.end == 6);
 }
+
+TEST_CASE("a store that fails is not called again by others for a while, and is once it answers") {
+    virtual_clock time;
+    asio::io_context loop(1);
+    servers::backend_connection_pool pool(time, {});
+    metrics_registry metrics;
+    bool is_well = false;
+    standin::raw_server server(
+        loop,
+        [&](const servers::http_request& /*request*/, standin::raw_connection& connection) -> asio::awaitable<void> {
+            std::string bytes = is_well ? "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + std::string(16, '\0')
+                                        : "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+            co_await connection.write(std::move(bytes));
+        });
+    store_client client(pool, metrics, {.address = server.get_endpoint()});
+    const auto read = [&]() -> asio::awaitable<bool> {
+        bool is_read = true;
+        try {
+            co_await client.read("keyed.t", 0, duration::zero());
+        } catch (const store_unavailable_error& fault) {
+            CHECK(fault.is_refused());
+            is_read = false;
+        }
+        co_return is_read;
+    };
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        for (int call = 0; call < 10; ++call) {
+            const bool is_read = co_await read();
+            CHECK_FALSE(is_read);
+        }
+        CHECK(server.get_requests().size() == 1);
+        time.advance(1s);
+        is_well = true;
+        for (int call = 0; call < 10; ++call) {
+            const bool is_read = co_await read();
+            CHECK(is_read);
+        }
+        CHECK(server.get_requests().size() == 11);
+    });
+    pool.clear();
+}
