Record the usage of a group of hosts in one call

Change: the host that speaks for a group has the others' counts from their digests; it writes them as copies in one call, 0.9 s after a window's end, and tells which are recorded. A host that is not told within 2.2 s, has told too early, or has more windows missing than it tells, records for itself, as before. Figures are fixed 3 s after a window's end, as before. Copies and own records are put together as before: counts only grow. The stand-in of the store takes several records in a call now, as the platform's does.

--- /dev/null
+++ b/daemon/group_usage.cpp
@@ -0,0 +1,83 @@
+#include "daemon/group_usage.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "coordination/usage_book.hpp"
+#include "core/log_event.hpp"
+#include "daemon/store_topics.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+/// How long after its end a window is counted to its end.
+constexpr duration settle_time = std::chrono::milliseconds(200);
+/// How long after its end a window is recorded for the group: the hosts have told of it since, once or twice.
+constexpr duration gather_time = std::chrono::milliseconds(900);
+
+} // namespace
+
+group_usage::group_usage(platform::store_client& store, servers::serving_state& state)
+    : m_store(&store), m_state(&state), m_log(get_logger("usage")) {}
+
+void group_usage::take(const servers::host_digest& digest) {
+    if (digest.usage.empty()) {
+        return;
+    }
+    m_told[digest.host] = {.incarnation = digest.incarnation, .told_at = digest.true_time, .windows = digest.usage};
+}
+
+std::optional<group_usage::told_usage> group_usage::take_back(const std::string& host) {
+    const auto found = m_told.find(host);
+    if (found == m_told.end()) {
+        return std::nullopt;
+    }
+    told_usage told = std::move(found->second);
+    m_told.erase(found);
+    return told;
+}
+
+void group_usage::record_if_due() {
+    const std::int64_t window = m_state->usage.get_window(m_state->get_true_time() - gather_time) - 1;
+    if (window <= m_tried || m_told.empty()) {
+        return;
+    }
+    m_tried = window;
+    boost::asio::co_spawn(m_state->executor, record(window), boost::asio::detached);
+}
+
+servers::asio::awaitable<void> group_usage::record(std::int64_t window) {
+    const wall_time counted_at = m_state->usage.get_end(window) + settle_time;
+    servers::digest_recorded_usage recorded{.window = window, .lives = {}};
+    std::vector<platform::keyed_value> records;
+    for (const auto& [host, told] : m_told) {
+        // Counts that were told before the window was counted to its end may still grow.
+        if (told.told_at < counted_at) {
+            continue;
+        }
+        coordination::usage_record record{.windows = {}, .closed = window};
+        for (const auto& [number, counts] : told.windows) {
+            record.windows.emplace(number, counts);
+        }
+        records.push_back({.key = coordination::make_usage_copy_key(host, told.incarnation),
+                           .value = coordination::encode_usage_record(record)});
+        recorded.lives.push_back({.host = host, .incarnation = told.incarnation});
+    }
+    if (records.empty()) {
+        co_return;
+    }
+    try {
+        co_await m_store->append_all(topics::usage, records);
+        m_recorded = std::move(recorded);
+    } catch (const platform::store_unavailable_error& fault) {
+        // Each of the hosts records for itself then.
+        log_event("group_usage_failed")
+            .add("window", window)
+            .add("hosts", records.size())
+            .add("reason", fault.what())
+            .write(*m_log, spdlog::level::warn);
+    }
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/daemon/group_usage.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/log.hpp"
+#include "platform/store_client.hpp"
+#include "policy/usage_counter.hpp"
+#include "servers/host_digest.hpp"
+#include "servers/serving_state.hpp"
+
+namespace dragonflywell::daemon {
+
+/// Records the usage of the other hosts of a group in one call, where this host speaks for it, and tells which are
+/// recorded. A host that is not told records for itself, so that nothing here has to succeed. Used on one event loop.
+class group_usage {
+public:
+    /// Preconditions: store and state outlive it.
+    group_usage(platform::store_client& store, servers::serving_state& state);
+
+    /// Takes what a host of the group has told of its counts, and when by its own time of day.
+    void take(const servers::host_digest& digest);
+    /// Takes back a host that fell silent; returns what it told last, with its incarnation.
+    struct told_usage {
+        std::uint64_t incarnation{};
+        wall_time told_at;
+        std::map<std::int64_t, policy::window_counts> windows;
+    };
+    [[nodiscard]] std::optional<told_usage> take_back(const std::string& host);
+
+    /// Records the newest window that is over, if it is time and not done yet. Called several times a second by the
+    /// host that speaks for the group.
+    void record_if_due();
+
+    /// Returns what is recorded, for the next digests.
+    [[nodiscard]] std::optional<servers::digest_recorded_usage> get_recorded() const { return m_recorded; }
+
+private:
+    servers::asio::awaitable<void> record(std::int64_t window);
+
+    platform::store_client* m_store;
+    servers::serving_state* m_state;
+    std::shared_ptr<spdlog::logger> m_log;
+    /// By host.
+    std::map<std::string, told_usage> m_told;
+    /// The newest window that it was tried to record.
+    std::int64_t m_tried{0};
+    std::optional<servers::digest_recorded_usage> m_recorded;
+};
+
+} // namespace dragonflywell::daemon
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -44,7 +44,7 @@
                              servers::serving_state& state, configuration_follower& configuration,
                              server_list_follower& servers, lease_keeper& lease, host_exchange_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
-      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
+      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store), m_group_usage(store, state),
       m_hosts(store, state,
               {.name = m_options.host,
                .zone = m_options.zone,
@@ -163,14 +163,22 @@
         take_touches(digest);
         return;
     }
-    if (!digest.usage.empty()) {
-        other.usage = digest.usage;
+    m_group_usage.take(digest);
+    if (digest.recorded_usage) {
+        take_recorded(*digest.recorded_usage);
     }
     m_state->peers.take_near(digest);
     apply_load(digest);
     take_readings(digest);
 }
 
+void host_exchange::take_recorded(const servers::digest_recorded_usage& recorded) {
+    const servers::host_life own{.host = m_options.host, .incarnation = m_options.incarnation};
+    if (std::find(recorded.lives.begin(), recorded.lives.end(), own) != recorded.lives.end()) {
+        m_state->delegation.note_recorded(recorded.window);
+    }
+}
+
 void host_exchange::take_readings(const servers::host_digest& digest) {
     if (digest.configuration) {
         m_configuration->take_hint(*digest.configuration);
@@ -228,6 +236,10 @@
         const bool is_first = is_first_alive();
         m_configuration->set_reader(is_first);
         m_servers->set_reader(is_first);
+        m_state->delegation.set_delegated(!is_first);
+        if (is_first) {
+            m_group_usage.record_if_due();
+        }
         m_state->peers.forget_usage_before(m_state->usage.get_window(m_state->get_true_time()) - kept_usage_windows);
         m_is_keep_alive_due = true;
         schedule();
@@ -247,9 +259,10 @@
             continue;
         }
         log_event("host_silent").add("host", name).write(*m_log, spdlog::level::info);
-        if (is_first_alive() && !other.usage.empty()) {
+        std::optional<group_usage::told_usage> told = m_group_usage.take_back(name);
+        if (is_first_alive() && told) {
             boost::asio::co_spawn(m_state->executor,
-                                  m_usage_copier.record(name, other.incarnation, std::exchange(other.usage, {})),
+                                  m_usage_copier.record(name, told->incarnation, std::move(told->windows)),
                                   boost::asio::detached);
         }
     }
@@ -319,6 +332,7 @@
     add_engines(digest);
     if (m_is_keep_alive_due) {
         add_usage(digest);
+        digest.recorded_usage = m_group_usage.get_recorded();
     }
     if (is_first_alive()) {
         digest.configuration = m_configuration->get_reading();
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -9,6 +9,7 @@
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
+#include "daemon/group_usage.hpp"
 #include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
@@ -58,8 +59,6 @@
         std::optional<steady_time> silent_since;
         /// What its time of day is ahead of ours.
         duration ahead{};
-        /// What it has counted, as told last.
-        std::map<std::int64_t, policy::window_counts> usage;
     };
 
     servers::asio::awaitable<void> receive();
@@ -70,6 +69,8 @@
     void take(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
     void take_touches(const servers::host_digest& digest);
+    /// Notes where the speaker of the group has recorded this host's usage.
+    void take_recorded(const servers::digest_recorded_usage& recorded);
     void take_readings(const servers::host_digest& digest);
     /// Gathers for other groups what the engines of this one are given, where this host speaks for it.
     void share_prompts(const std::vector<servers::digest_touch>& touches);
@@ -99,6 +100,7 @@
     host_exchange_options m_options;
     std::shared_ptr<spdlog::logger> m_log;
     usage_copier m_usage_copier;
+    group_usage m_group_usage;
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t kept_windows = 6;
 /// How long after the end of a window it is recorded: what began before its end has been counted by then.
 constexpr duration settle_time = std::chrono::milliseconds(200);
+/// How often it is looked whether the speaker of the group has recorded a window.
+constexpr duration speaker_check_interval = std::chrono::milliseconds(400);
 constexpr duration retry_pause = std::chrono::milliseconds(400);
 /// A jump of the wall clock must not make the wait for a window's end a long one.
 constexpr duration longest_wait = std::chrono::seconds(1);
@@ -33,11 +35,20 @@
             continue;
         }
         const std::int64_t closed = get_current_window() - 1;
-        bool is_recorded = false;
+        const duration over_for = m_state->get_true_time() - m_state->usage.get_end(closed);
+        using choice = policy::usage_delegation::choice;
+        const choice chosen = m_state->delegation.choose(closed, recorded, over_for);
+        if (chosen == choice::wait) {
+            co_await servers::pause(speaker_check_interval);
+            continue;
+        }
+        bool is_recorded = chosen == choice::is_recorded;
         try {
-            co_await record(closed);
+            if (!is_recorded) {
+                co_await record(closed);
+                m_dependency.set_reached(m_state->time.now());
+            }
             is_recorded = true;
-            m_dependency.set_reached(m_state->time.now());
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
         }
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -110,6 +110,26 @@
     return usage;
 }
 
+array encode_recorded_usage(const digest_recorded_usage& recorded) {
+    array lives;
+    for (const host_life& life : recorded.lives) {
+        lives.push_back(array{life.host, life.incarnation});
+    }
+    return {recorded.window, std::move(lives)};
+}
+
+digest_recorded_usage decode_recorded_usage(const array& encoded) {
+    digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)), .lives = {}};
+    for (const value& item : get_list(encoded, 1)) {
+        const array& life = to_list(item);
+        if (life.empty() || !life[0].is_string()) {
+            throw malformed_message_error("a recorded life of the digest names no host");
+        }
+        recorded.lives.push_back({.host = std::string(life[0].get_string()), .incarnation = get_number(life, 1)});
+    }
+    return recorded;
+}
+
 array encode_deaths(const std::vector<policy::engine_death>& deaths) {
     array encoded;
     for (const policy::engine_death& death : deaths) {
@@ -206,25 +226,29 @@
     for (const auto& [service, cost] : digest.read_demand) {
         read_demand[service.value()] = to_microseconds(cost);
     }
-    return boost::json::serialize(object{{"h", digest.host},
-                                         {"z", digest.zone.value()},
-                                         {"g", digest.group},
-                                         {"i", digest.incarnation},
-                                         {"n", digest.sequence},
-                                         {"w", to_microseconds(digest.true_time.time_since_epoch())},
-                                         {"s", digest.is_stopping},
-                                         {"e", std::move(engines)},
-                                         {"p", std::move(instances)},
-                                         {"t", std::move(touches)},
-                                         {"c", std::move(transitions)},
-                                         {"x", std::move(paused)},
-                                         {"r", std::move(read_demand)},
-                                         {"u", encode_usage(digest.usage)},
-                                         {"m", encode_summaries(digest.summaries)},
-                                         {"d", encode_deaths(digest.deaths)},
-                                         {"l", digest.holds_lease},
-                                         {"rc", encode_reading(digest.configuration)},
-                                         {"rs", encode_reading(digest.servers)}});
+    object encoded{{"h", digest.host},
+                   {"z", digest.zone.value()},
+                   {"g", digest.group},
+                   {"i", digest.incarnation},
+                   {"n", digest.sequence},
+                   {"w", to_microseconds(digest.true_time.time_since_epoch())},
+                   {"s", digest.is_stopping},
+                   {"e", std::move(engines)},
+                   {"p", std::move(instances)},
+                   {"t", std::move(touches)},
+                   {"c", std::move(transitions)},
+                   {"x", std::move(paused)},
+                   {"r", std::move(read_demand)},
+                   {"u", encode_usage(digest.usage)},
+                   {"m", encode_summaries(digest.summaries)},
+                   {"d", encode_deaths(digest.deaths)},
+                   {"l", digest.holds_lease},
+                   {"rc", encode_reading(digest.configuration)},
+                   {"rs", encode_reading(digest.servers)}};
+    if (digest.recorded_usage) {
+        encoded["ur"] = encode_recorded_usage(*digest.recorded_usage);
+    }
+    return boost::json::serialize(encoded);
 }
 
 host_digest decode_host_digest(std::string_view text) {
@@ -247,6 +271,7 @@
                        .paused = {},
                        .read_demand = {},
                        .usage = decode_usage(json::get_array(source, "u")),
+                       .recorded_usage = {},
                        .summaries = decode_summaries(json::get_object(source, "m")),
                        .deaths = decode_deaths(json::get_array(source, "d")),
                        .holds_lease = json::get_bool_or(source, "l", false),
@@ -271,6 +296,9 @@
                                                                   : fleet::engine_stage::decode,
                                                      .left = std::chrono::microseconds(get_number(transition, 1))});
     }
+    if (source.contains("ur")) {
+        digest.recorded_usage = decode_recorded_usage(json::get_array(source, "ur"));
+    }
     // Hosts of an earlier version, with which this one may run for the time of an update, do not tell it.
     if (source.contains("x")) {
         const object& paused = json::get_object(source, "x");
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -76,6 +76,22 @@
     friend bool operator==(const digest_reading&, const digest_reading&) = default;
 };
 
+/// A life of a host's process.
+struct host_life {
+    std::string host;
+    std::uint64_t incarnation{};
+
+    friend auto operator<=>(const host_life&, const host_life&) = default;
+};
+
+/// What the sender has recorded for others of its group, so that they need not do it themselves.
+struct digest_recorded_usage {
+    std::int64_t window{};
+    std::vector<host_life> lives;
+
+    friend bool operator==(const digest_recorded_usage&, const digest_recorded_usage&) = default;
+};
+
 /// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are
 /// news.
 struct host_digest {
@@ -100,6 +116,8 @@
     std::map<service_name, duration> read_demand;
     /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
     std::map<std::int64_t, policy::window_counts> usage;
+    /// Where the sender speaks for its group: whose counts of the newest window that is over it has recorded.
+    std::optional<digest_recorded_usage> recorded_usage;
     /// Where the sender speaks for its group: what other groups should know of it.
     std::map<service_name, group_summary> summaries;
     /// Deaths of servers that the sender knows of and holds against requests; empty in most digests, too.
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -16,6 +16,7 @@
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
 #include "policy/usage_counter.hpp"
+#include "policy/usage_delegation.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/peer_knowledge.hpp"
 #include "servers/request_counters.hpp"
@@ -127,6 +128,7 @@
     peer_knowledge peers;
     policy::server_health health;
     policy::usage_counter usage;
+    policy::usage_delegation delegation;
     policy::crash_watch crashes;
     policy::quarantine suspects{{.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)}};
     request_counters counters;
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -26,6 +26,8 @@
         .paused = {{backend_server_name("f"), 300ms}},
         .read_demand = {{service_name("llm"), 3s}},
         .usage = {{357732848, {{organisation_name("o"), 12}}}},
+        .recorded_usage =
+            servers::digest_recorded_usage{.window = 357732847, .lives = {{.host = "h2", .incarnation = 5}}},
         .summaries = {{service_name("llm"), {.backlog = 40ms, .fullness = 0.25, .running = 9}}},
         .deaths = {{.fingerprint = 7, .death_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -105,12 +105,20 @@
     if (at && *at != end) {
         return make_json_response(412, boost::json::serialize(boost::json::object{{"endOffset", end}}));
     }
-    // Each call of the system appends one record.
-    const std::string content = body.substr(length_bytes);
-    const auto key_length = static_cast<std::size_t>(static_cast<unsigned char>(content.at(0)));
-    log.records.push_back({.key = content.substr(1, key_length), .value = content.substr(1 + key_length)});
-    return make_json_response(200,
-                              boost::json::serialize(boost::json::object{{"offset", end}, {"endOffset", end + 1}}));
+    std::string_view rest = body;
+    while (rest.size() >= length_bytes) {
+        std::size_t length = 0;
+        for (const char byte : rest.substr(0, length_bytes)) {
+            length = (length << 8U) | static_cast<unsigned char>(byte);
+        }
+        const std::string_view content = rest.substr(length_bytes, length);
+        const auto key_length = static_cast<std::size_t>(static_cast<unsigned char>(content.at(0)));
+        log.records.push_back(
+            {.key = std::string(content.substr(1, key_length)), .value = std::string(content.substr(1 + key_length))});
+        rest.remove_prefix(length_bytes + content.size());
+    }
+    return make_json_response(
+        200, boost::json::serialize(boost::json::object{{"offset", end}, {"endOffset", log.records.size()}}));
 }
 
 servers::http_response store_standin::read(const topic& log, std::uint64_t from) const {
