Put digests together in a class of their own

daemon/host_exchange.cpp had grown to 426 lines and did two things: sending and receiving, and choosing what is told.

--- /dev/null
+++ b/daemon/digest_writer.cpp
@@ -0,0 +1,114 @@
+#include "daemon/digest_writer.hpp"
+
+#include <utility>
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+/// Windows whose counts are told: the current one, and those that may not be reported yet.
+constexpr std::int64_t told_windows = 3;
+/// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
+constexpr duration told_death_age = std::chrono::seconds(3);
+constexpr std::size_t most_told_deaths = 64;
+
+} // namespace
+
+digest_writer::digest_writer(servers::serving_state& state, const configuration_follower& configuration,
+                             const server_list_follower& servers, const lease_keeper& lease, const group_usage& usage,
+                             servers::host_life own, zone_name zone)
+    : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease), m_group_usage(&usage),
+      m_own(std::move(own)), m_zone(std::move(zone)) {}
+
+servers::host_digest digest_writer::make_head(const digest_occasion& occasion) {
+    servers::host_digest digest;
+    digest.host = m_own.host;
+    digest.zone = m_zone;
+    digest.group = m_state->peers.groups.get_name();
+    digest.incarnation = m_own.incarnation;
+    digest.sequence = ++m_sequence;
+    digest.true_time = m_state->get_true_time();
+    digest.is_stopping = m_state->is_stopping;
+    digest.holds_lease = m_lease->is_held();
+    if (occasion.is_keep_alive) {
+        digest.deaths = m_state->suspects.get_newest_deaths(digest.true_time, told_death_age, most_told_deaths);
+    }
+    digest.transitions = m_state->get_own_transitions();
+    return digest;
+}
+
+servers::host_digest digest_writer::make_near(const digest_occasion& occasion) {
+    servers::host_digest digest = make_head(occasion);
+    digest.instances = m_state->get_own_in_flight();
+    digest.paused = m_state->health.get_paused(m_state->time.now());
+    digest.touches = std::exchange(m_state->touches, {});
+    add_engines(digest);
+    if (occasion.is_keep_alive) {
+        add_usage(digest);
+        digest.recorded_usage = m_group_usage->get_recorded();
+    }
+    if (occasion.is_first) {
+        digest.configuration = m_configuration->get_reading();
+        digest.servers = m_servers->get_reading();
+    }
+    return digest;
+}
+
+servers::host_digest digest_writer::make_far(const digest_occasion& occasion) {
+    servers::host_digest digest = make_head(occasion);
+    if (occasion.is_first) {
+        add_summaries(digest);
+        digest.touches = m_shared_prompts.take(m_state->time.now());
+    }
+    return digest;
+}
+
+void digest_writer::add_usage(servers::host_digest& digest) const {
+    const std::int64_t current = m_state->usage.get_window(m_state->get_true_time());
+    const auto& windows = m_state->usage.get_windows();
+    digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
+}
+
+void digest_writer::add_engines(servers::host_digest& digest) const {
+    const steady_time now = m_state->time.now();
+    for (const auto& [service, engines] : m_state->get_engines()) {
+        digest.read_demand.emplace(service, engines.get_read_demand());
+        for (const auto& [name, engine] : engines.board.get_engines()) {
+            if (engine.own.running == 0 && engine.own.prompts.empty()) {
+                continue;
+            }
+            servers::digest_engine& told = digest.engines[name];
+            told.running = engine.own.running;
+            told.running_tokens = engine.own.running_tokens;
+            for (const policy::prompt_job& job : engine.own.prompts) {
+                told.prompts.push_back(
+                    {.number = job.number, .age = now - job.sent_at, .cost = job.cost, .urgency = job.urgency});
+            }
+        }
+    }
+}
+
+void digest_writer::add_summaries(servers::host_digest& digest) const {
+    for (const auto& [service, engines] : m_state->get_engines()) {
+        digest.read_demand.emplace(service, m_state->get_near_read_demand(service));
+        digest.summaries.emplace(service, m_state->get_summary(service));
+    }
+}
+
+void digest_writer::share_prompts(const std::vector<servers::digest_touch>& touches) {
+    for (const servers::digest_touch& touch : touches) {
+        m_shared_prompts.add(touch, m_state->time.now());
+    }
+}
+
+bool digest_writer::has_new_transitions() {
+    std::map<backend_server_name, fleet::engine_stage> transitions;
+    for (const auto& [engine, transition] : m_state->get_own_transitions()) {
+        transitions.emplace(engine, transition.stage);
+    }
+    const bool is_news = transitions != m_told_transitions;
+    m_told_transitions = std::move(transitions);
+    return is_news;
+}
+
+} // namespace dragonflywell::daemon
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -27,11 +27,6 @@
 constexpr duration keep_alive_interval = std::chrono::milliseconds(500);
 /// A host that was not heard for this long counts as gone: its work is not known any more.
 constexpr duration silence = std::chrono::milliseconds(2500);
-/// Windows whose counts are told: the current one, and those that may not be reported yet.
-constexpr std::int64_t told_windows = 3;
-/// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
-constexpr duration told_death_age = std::chrono::seconds(3);
-constexpr std::size_t most_told_deaths = 64;
 /// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
 constexpr std::int64_t kept_usage_windows = 6;
 /// How long a host of the group is silent until its entry is dropped; a host that comes back announces itself.
@@ -45,6 +40,8 @@
                              server_list_follower& servers, lease_keeper& lease, host_exchange_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
       m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store), m_group_usage(store, state),
+      m_writer(state, configuration, servers, lease, m_group_usage,
+               {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
       m_hosts(store, state,
               {.name = m_options.host,
                .zone = m_options.zone,
@@ -203,7 +200,9 @@
         engines.board.set_other(digest.host, shares, now);
     }
     take_touches(digest);
-    share_prompts(digest.touches);
+    if (has_far_hosts() && is_first_alive()) {
+        m_writer.share_prompts(digest.touches);
+    }
 }
 
 void host_exchange::take_touches(const servers::host_digest& digest) {
@@ -214,15 +213,6 @@
     }
 }
 
-void host_exchange::share_prompts(const std::vector<servers::digest_touch>& touches) {
-    if (!has_far_hosts() || !is_first_alive()) {
-        return;
-    }
-    for (const servers::digest_touch& touch : touches) {
-        m_shared_prompts.add(touch, m_state->time.now());
-    }
-}
-
 bool host_exchange::has_far_hosts() const {
     return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_near; });
 }
@@ -306,101 +296,22 @@
     }
 }
 
-servers::host_digest host_exchange::make_head() {
-    servers::host_digest digest;
-    digest.host = m_options.host;
-    digest.zone = m_options.zone;
-    digest.group = m_state->peers.groups.get_name();
-    digest.incarnation = m_options.incarnation;
-    digest.sequence = ++m_sequence;
-    digest.true_time = m_state->get_true_time();
-    digest.is_stopping = m_state->is_stopping;
-    digest.holds_lease = m_lease->is_held();
-    if (m_is_keep_alive_due) {
-        digest.deaths = m_state->suspects.get_newest_deaths(digest.true_time, told_death_age, most_told_deaths);
-    }
-    digest.transitions = m_state->get_own_transitions();
-    return digest;
-}
-
-servers::host_digest host_exchange::make_near_digest() {
-    servers::host_digest digest = make_head();
-    digest.instances = m_state->get_own_in_flight();
-    digest.paused = m_state->health.get_paused(m_state->time.now());
-    digest.touches = std::exchange(m_state->touches, {});
-    share_prompts(digest.touches);
-    add_engines(digest);
-    if (m_is_keep_alive_due) {
-        add_usage(digest);
-        digest.recorded_usage = m_group_usage.get_recorded();
-    }
-    if (is_first_alive()) {
-        digest.configuration = m_configuration->get_reading();
-        digest.servers = m_servers->get_reading();
-    }
-    return digest;
-}
-
-servers::host_digest host_exchange::make_far_digest() {
-    servers::host_digest digest = make_head();
-    if (is_first_alive()) {
-        add_summaries(digest);
-        digest.touches = m_shared_prompts.take(m_state->time.now());
-    }
-    return digest;
-}
-
-void host_exchange::add_usage(servers::host_digest& digest) const {
-    const std::int64_t current = m_state->usage.get_window(m_state->get_true_time());
-    const auto& windows = m_state->usage.get_windows();
-    digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
-}
-
-void host_exchange::add_engines(servers::host_digest& digest) const {
-    const steady_time now = m_state->time.now();
-    for (const auto& [service, engines] : m_state->get_engines()) {
-        digest.read_demand.emplace(service, engines.get_read_demand());
-        for (const auto& [name, engine] : engines.board.get_engines()) {
-            if (engine.own.running == 0 && engine.own.prompts.empty()) {
-                continue;
-            }
-            servers::digest_engine& told = digest.engines[name];
-            told.running = engine.own.running;
-            told.running_tokens = engine.own.running_tokens;
-            for (const policy::prompt_job& job : engine.own.prompts) {
-                told.prompts.push_back(
-                    {.number = job.number, .age = now - job.sent_at, .cost = job.cost, .urgency = job.urgency});
-            }
-        }
-    }
-}
-
-void host_exchange::add_summaries(servers::host_digest& digest) const {
-    for (const auto& [service, engines] : m_state->get_engines()) {
-        digest.read_demand.emplace(service, m_state->get_near_read_demand(service));
-        digest.summaries.emplace(service, m_state->get_summary(service));
-    }
-}
-
 void host_exchange::send() {
-    send_to(servers::encode_host_digest(make_near_digest()), true);
-    if (has_far_hosts() && is_far_digest_due()) {
-        send_to(servers::encode_host_digest(make_far_digest()), false);
+    const digest_occasion occasion{.is_first = is_first_alive(), .is_keep_alive = m_is_keep_alive_due};
+    const servers::host_digest near = m_writer.make_near(occasion);
+    if (occasion.is_first && has_far_hosts()) {
+        m_writer.share_prompts(near.touches);
+    }
+    send_to(servers::encode_host_digest(near), true);
+    // An engine refuses requests as soon as it changes its stage, so that this news does not wait for its turn.
+    const bool has_news = m_writer.has_new_transitions();
+    const bool is_turn = occasion.is_keep_alive && (occasion.is_first || m_lease->is_held());
+    if (has_far_hosts() && (has_news || is_turn)) {
+        send_to(servers::encode_host_digest(m_writer.make_far(occasion)), false);
     }
     m_is_keep_alive_due = false;
 }
 
-bool host_exchange::is_far_digest_due() {
-    std::map<backend_server_name, fleet::engine_stage> transitions;
-    for (const auto& [engine, transition] : m_state->get_own_transitions()) {
-        transitions.emplace(engine, transition.stage);
-    }
-    // An engine refuses requests as soon as it changes its stage, so that this does not wait for the next turn.
-    const bool is_news = transitions != m_told_transitions;
-    m_told_transitions = std::move(transitions);
-    return is_news || (m_is_keep_alive_due && (is_first_alive() || m_lease->is_held()));
-}
-
 void host_exchange::send_to(const std::string& text, bool is_near) {
     if (text.size() > most_datagram_bytes) {
         log_event("datagram_too_large").add("bytes", text.size()).write(*m_log, spdlog::level::warn);
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -9,6 +9,7 @@
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
+#include "daemon/digest_writer.hpp"
 #include "daemon/group_usage.hpp"
 #include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
@@ -17,7 +18,6 @@
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
 #include "servers/serving_state.hpp"
-#include "servers/shared_prompts.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -72,21 +72,11 @@
     /// Notes where the speaker of the group has recorded this host's usage.
     void take_recorded(const servers::digest_recorded_usage& recorded);
     void take_readings(const servers::host_digest& digest);
-    /// Gathers for other groups what the engines of this one are given, where this host speaks for it.
-    void share_prompts(const std::vector<servers::digest_touch>& touches);
     [[nodiscard]] bool has_far_hosts() const;
     void send();
-    /// Returns whether other groups are to be told something now.
-    [[nodiscard]] bool is_far_digest_due();
     /// Sends to the hosts of the group, or to all others.
     void send_to(const std::string& text, bool is_near);
     void pass_news_on(std::uint64_t from, const platform::store_page& page);
-    [[nodiscard]] servers::host_digest make_head();
-    [[nodiscard]] servers::host_digest make_near_digest();
-    [[nodiscard]] servers::host_digest make_far_digest();
-    void add_usage(servers::host_digest& digest) const;
-    void add_engines(servers::host_digest& digest) const;
-    void add_summaries(servers::host_digest& digest) const;
     void drop_silent();
     void drop_entries_of_gone();
     /// Returns whether this host is the first of its group: it reads and speaks for it.
@@ -101,17 +91,13 @@
     std::shared_ptr<spdlog::logger> m_log;
     usage_copier m_usage_copier;
     group_usage m_group_usage;
+    digest_writer m_writer;
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
     /// The next digests carry what is told less often, and go to other groups, too.
     bool m_is_keep_alive_due{false};
-    /// Changes of engines that other groups were told of.
-    std::map<backend_server_name, fleet::engine_stage> m_told_transitions;
-    /// What other groups are to be told of the prompts that this one's engines have.
-    servers::shared_prompts m_shared_prompts;
-    std::uint64_t m_sequence{0};
     std::map<std::string, other_host> m_others;
 };
 
