Send nothing more to an engine that leaves requests without any answer; time the recording of usage by when reports are due

Change: a request that waits three times as long as expected, and 0.4 s, makes its engine doubtful for new ones; hosts of the group are told.

--- a/daemon/digest_writer.cpp
+++ b/daemon/digest_writer.cpp
@@ -40,7 +40,7 @@
 servers::host_digest digest_writer::make_near(const digest_occasion& occasion) {
     servers::host_digest digest = make_head(occasion);
     digest.instances = m_state->get_own_in_flight();
-    digest.paused = m_state->health.get_paused(m_state->time.now());
+    digest.paused = m_state->get_paused();
     digest.touches = std::exchange(m_state->touches, {});
     add_engines(digest);
     if (occasion.is_keep_alive) {
--- a/daemon/group_usage.cpp
+++ b/daemon/group_usage.cpp
@@ -13,13 +13,11 @@
 
 /// How long after its end a window is counted to its end.
 constexpr duration settle_time = std::chrono::milliseconds(200);
-/// How long after its end a window is recorded for the group: the hosts have told of it since, once or twice.
-constexpr duration gather_time = std::chrono::milliseconds(900);
 
 } // namespace
 
-group_usage::group_usage(platform::store_client& store, servers::serving_state& state)
-    : m_store(&store), m_state(&state), m_log(get_logger("usage")) {}
+group_usage::group_usage(platform::store_client& store, servers::serving_state& state, duration gather)
+    : m_store(&store), m_state(&state), m_gather(gather), m_log(get_logger("usage")) {}
 
 void group_usage::take(const servers::host_digest& digest) {
     if (digest.usage.empty()) {
@@ -39,7 +37,7 @@
 }
 
 void group_usage::record_if_due() {
-    const std::int64_t window = m_state->usage.get_window(m_state->get_true_time() - gather_time) - 1;
+    const std::int64_t window = m_state->usage.get_window(m_state->get_true_time() - m_gather) - 1;
     if (window <= m_tried || m_told.empty()) {
         return;
     }
--- a/daemon/group_usage.hpp
+++ b/daemon/group_usage.hpp
@@ -16,8 +16,9 @@
 /// recorded. A host that is not told records for itself, so that nothing here has to succeed. Used on one event loop.
 class group_usage {
 public:
+    /// `gather`: how long after its end a window is recorded; the hosts have told of it since.
     /// Preconditions: store and state outlive it.
-    group_usage(platform::store_client& store, servers::serving_state& state);
+    group_usage(platform::store_client& store, servers::serving_state& state, duration gather);
 
     /// Takes what a host of the group has told of its counts, and when by its own time of day.
     void take(const servers::host_digest& digest);
@@ -41,6 +42,7 @@
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
+    duration m_gather;
     std::shared_ptr<spdlog::logger> m_log;
     /// By host.
     std::map<std::string, told_usage> m_told;
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -9,6 +9,7 @@
 #include "core/hash.hpp"
 #include "core/log_event.hpp"
 #include "core/version.hpp"
+#include "daemon/usage_timing.hpp"
 #include "servers/pause.hpp"
 
 namespace dragonflywell::daemon {
@@ -34,6 +35,7 @@
     return {.own_host = settings.name.value(),
             .own_zone = settings.zone,
             .usage_window = settings.bounds.usage_window,
+            .usage_patience = make_usage_timing(settings.bounds.usage_due).patience,
             .repeats_per_request = settings.bounds.repeats_per_request,
             .repeats_besides = settings.bounds.repeats_besides,
             .repeat_window = settings.bounds.repeats_window,
@@ -74,7 +76,8 @@
               {.host = m_settings.name.value(),
                .zone = m_settings.zone,
                .incarnation = m_incarnation,
-               .listen = m_settings.hosts}),
+               .listen = m_settings.hosts,
+               .usage_gather = make_usage_timing(m_settings.bounds.usage_due).gather}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
       m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -39,7 +39,8 @@
                              servers::serving_state& state, configuration_follower& configuration,
                              server_list_follower& servers, lease_keeper& lease, host_exchange_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
-      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store), m_group_usage(store, state),
+      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
+      m_group_usage(store, state, m_options.usage_gather),
       m_writer(state, configuration, servers, lease, m_group_usage,
                {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
       m_hosts(store, state,
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_exchange.hpp
@@ -27,6 +27,8 @@
     std::uint64_t incarnation{};
     /// Where this host takes the datagrams of others.
     endpoint listen;
+    /// How long after a window's end its usage is recorded for the group.
+    duration usage_gather{};
 };
 
 /// Tells the other hosts of the group what this one has sent to backend servers, and takes what they tell; the first
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -5,6 +5,7 @@
 #include "core/error.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
+#include "daemon/usage_timing.hpp"
 #include "servers/pause.hpp"
 
 namespace dragonflywell::daemon {
@@ -12,9 +13,6 @@
 namespace {
 
 constexpr duration tick = std::chrono::milliseconds(250);
-/// Part of the time until a report is due after which its figures are fixed: hosts have recorded by then, and enough
-/// is left to send it more than once.
-constexpr double fix_share = 0.3;
 /// A window this old can't be reported in time any more, and hosts have forgotten it.
 constexpr coordination::usage_window_number most_late_windows = 4;
 /// Reports that did not arrive are kept for this many windows.
@@ -25,7 +23,7 @@
 usage_reporter::usage_reporter(platform::store_client& store, platform::cloud_client& cloud, lease_keeper& lease,
                                servers::serving_state& state, std::string host, duration due)
     : m_store(&store), m_cloud(&cloud), m_lease(&lease), m_state(&state), m_host(std::move(host)),
-      m_fix_after(std::chrono::duration_cast<duration>(due * fix_share)), m_log(get_logger("usage")) {}
+      m_fix_after(make_usage_timing(due).fix), m_log(get_logger("usage")) {}
 
 servers::asio::awaitable<void> usage_reporter::run() {
     for (;;) {
--- /dev/null
+++ b/daemon/usage_timing.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+namespace dragonflywell::daemon {
+
+/// When what happens to a window's usage, counted from its end. Everything is a part of the time after which a report
+/// is due, so that a shorter one keeps the order.
+struct usage_timing {
+    /// The host that speaks for a group records what the others have told.
+    duration gather{};
+    /// A host that was not told that its counts are recorded records them itself.
+    duration patience{};
+    /// The figures are fixed, and reported; what is left is for a store or an interface that is away.
+    duration fix{};
+};
+
+[[nodiscard]] inline usage_timing make_usage_timing(duration due) {
+    constexpr int gather_parts = 9;
+    constexpr int patience_parts = 20;
+    constexpr int fix_parts = 30;
+    constexpr int all_parts = 100;
+    return {.gather = due * gather_parts / all_parts,
+            .patience = due * patience_parts / all_parts,
+            .fix = due * fix_parts / all_parts};
+}
+
+} // namespace dragonflywell::daemon
--- /dev/null
+++ b/policy/silence_watch.cpp
@@ -0,0 +1,52 @@
+#include "policy/silence_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+bool is_any_overdue(const std::list<steady_time>& waiting, steady_time now) {
+    return std::any_of(waiting.begin(), waiting.end(), [now](steady_time overdue_at) { return now >= overdue_at; });
+}
+
+} // namespace
+
+silence_watch::waiting::waiting(silence_watch& watch, backend_server_name server, steady_time overdue_at)
+    : m_watch(&watch), m_server(std::move(server)) {
+    std::list<steady_time>& places = m_watch->m_waiting[m_server];
+    m_place = places.insert(places.end(), overdue_at);
+}
+
+void silence_watch::waiting::end() {
+    if (std::exchange(m_has_ended, true)) {
+        return;
+    }
+    const auto found = m_watch->m_waiting.find(m_server);
+    found->second.erase(m_place);
+    if (found->second.empty()) {
+        m_watch->m_waiting.erase(found);
+    }
+}
+
+silence_watch::waiting silence_watch::watch(const backend_server_name& server, steady_time now, duration expected) {
+    return {*this, server, now + expected * m_options.patience_factor + m_options.patience};
+}
+
+bool silence_watch::is_silent(const backend_server_name& server, steady_time now) const {
+    const auto found = m_waiting.find(server);
+    return found != m_waiting.end() && is_any_overdue(found->second, now);
+}
+
+std::vector<backend_server_name> silence_watch::get_silent(steady_time now) const {
+    std::vector<backend_server_name> silent;
+    for (const auto& [server, waiting] : m_waiting) {
+        if (is_any_overdue(waiting, now)) {
+            silent.push_back(server);
+        }
+    }
+    return silent;
+}
+
+} // namespace dragonflywell::policy
--- a/policy/usage_delegation.hpp
+++ b/policy/usage_delegation.hpp
@@ -12,6 +12,9 @@
 /// for a group costs less than one for each host. Pure state; not thread safe.
 class usage_delegation {
 public:
+    /// `patience`: how long after a window's end a host waits for the speaker, at most.
+    explicit usage_delegation(duration patience) : m_patience(patience) {}
+
     /// Whether another host speaks for the group and hears this one.
     void set_delegated(bool is_delegated) noexcept { m_is_delegated = is_delegated; }
 
@@ -30,16 +33,14 @@
         if (m_recorded && *m_recorded >= window) {
             return choice::is_recorded;
         }
-        return m_is_delegated && over_for < patience ? choice::wait : choice::record;
+        return m_is_delegated && over_for < m_patience ? choice::wait : choice::record;
     }
 
     /// Windows that are over of which a host's digest tells.
     static constexpr std::int64_t most_told_windows = 2;
-    /// How long after a window's end a host waits for the speaker: the copy and three digests, and well before figures
-    /// are fixed.
-    static constexpr duration patience = std::chrono::milliseconds(2200);
 
 private:
+    duration m_patience;
     bool m_is_delegated{false};
     std::optional<std::int64_t> m_recorded;
 };
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -90,6 +90,12 @@
     return placed;
 }
 
+duration generation_request::get_first_event_time(bool is_read) const {
+    const service_engines& engines = *get_state().find_engines(get_request().service);
+    const duration first_event = engines.get_costs().first_event;
+    return is_read ? first_event : get_record().expected_first.value_or(first_event);
+}
+
 policy::engine_judge generation_request::make_judge() const {
     return [this](const backend_server_name& engine) { return judge(engine); };
 }
@@ -185,6 +191,8 @@
     options.progress_deadline =
         std::min(options.progress_deadline, (waits + choice.reading_time) * read_patience_factor + read_patience);
     backend_exchange exchange(get_state().connections, sending.address, options);
+    const policy::silence_watch::waiting unanswered =
+        get_state().silence.watch(engine, sent_at, waits + choice.reading_time);
     std::optional<exchange_failed_error> failure;
     std::optional<memory_source> memory;
     std::string_view what = "read";
@@ -269,6 +277,8 @@
     answer_kind kind = answer_kind::invalid;
     bool has_head = false;
     m_generation_sent_at = get_state().time.now();
+    policy::silence_watch::waiting unanswered =
+        get_state().silence.watch(engine, m_generation_sent_at, get_first_event_time(memory.has_value()));
     try {
         const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
         const http_request message = get_state().dialect.make_request(get_call(), sending);
@@ -277,7 +287,7 @@
         has_head = true;
         if (kind == answer_kind::answered) {
             set_may_have_run();
-            co_await relay(exchange, caller);
+            co_await relay(exchange, caller, unanswered);
         } else {
             co_await exchange.read_rest(memory_answer_limit_bytes);
         }
@@ -338,11 +348,12 @@
     get_state().counters.count_retry(failure.get_reason());
 }
 
-asio::awaitable<void> generation_request::relay(backend_exchange& exchange, caller_channel& caller) {
+asio::awaitable<void> generation_request::relay(backend_exchange& exchange, caller_channel& caller,
+                                                policy::silence_watch::waiting& unanswered) {
     if (exchange.get_head().result() != http::status::ok) {
         co_await relay_plain(exchange, caller);
     } else {
-        co_await relay_stream(exchange, caller);
+        co_await relay_stream(exchange, caller, unanswered);
     }
 }
 
@@ -359,7 +370,8 @@
     co_await caller.send(std::move(answer));
 }
 
-asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, caller_channel& caller) {
+asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, caller_channel& caller,
+                                                       policy::silence_watch::waiting& unanswered) {
     for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
@@ -367,6 +379,7 @@
         if (events.empty()) {
             continue;
         }
+        unanswered.end();
         if (!caller.is_started()) {
             note_run();
             const duration taken = get_state().time.now() - m_generation_sent_at;
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -28,15 +28,20 @@
     [[nodiscard]] policy::engine_suitability judge(const backend_server_name& engine) const;
     [[nodiscard]] const group_summary& get_far_summary(const backend_server_name& engine) const;
     [[nodiscard]] policy::placed_generation get_placed() const;
+    /// Returns how long the first event should take once the generation was sent. `is_read`: its prompt is.
+    [[nodiscard]] duration get_first_event_time(bool is_read) const;
 
     /// Has the prompt read; returns nothing when another engine is to be tried.
     asio::awaitable<std::optional<memory_source>> read_prompt(const policy::engine_choice& choice,
                                                               caller_channel& caller);
     asio::awaitable<generate_result> generate(const backend_server_name& engine, std::optional<memory_source> memory,
                                               caller_channel& caller);
-    asio::awaitable<void> relay(backend_exchange& exchange, caller_channel& caller);
+    /// `unanswered` ends with the first event.
+    asio::awaitable<void> relay(backend_exchange& exchange, caller_channel& caller,
+                                policy::silence_watch::waiting& unanswered);
     asio::awaitable<void> relay_plain(backend_exchange& exchange, caller_channel& caller);
-    asio::awaitable<void> relay_stream(backend_exchange& exchange, caller_channel& caller);
+    asio::awaitable<void> relay_stream(backend_exchange& exchange, caller_channel& caller,
+                                       policy::silence_watch::waiting& unanswered);
     asio::awaitable<void> start_stream(const backend_exchange& exchange, caller_channel& caller);
     void on_broken(const backend_server_name& engine, const exchange_failed_error& failure, bool was_sent);
     void require_repeat_of_read();
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -18,6 +18,8 @@
 /// Hosts that must have seen a server fail before all of their group leave it alone; a single failure of the own host
 /// counts as much as another host's pause.
 constexpr std::uint32_t witnesses_needed = 2;
+/// How long other hosts count a server as left alone that is silent here: until a digest or two later.
+constexpr duration told_silence = std::chrono::seconds(1);
 
 } // namespace
 
@@ -79,9 +81,21 @@
 }
 
 bool serving_state::is_doubted(const backend_server_name& server) const {
+    if (silence.is_silent(server, time.now())) {
+        return true;
+    }
     return peers.count_pausing(server) + (health.has_failed_last(server) ? 1 : 0) >= witnesses_needed;
 }
 
+std::map<backend_server_name, duration> serving_state::get_paused() const {
+    std::map<backend_server_name, duration> paused = health.get_paused(time.now());
+    for (const backend_server_name& server : silence.get_silent(time.now())) {
+        duration& left = paused[server];
+        left = std::max(left, told_silence);
+    }
+    return paused;
+}
+
 void serving_state::set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until) {
     m_changing[engine] = {.stage = stage, .until = until};
     note_load_change();
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -15,6 +15,7 @@
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
+#include "policy/silence_watch.hpp"
 #include "policy/usage_counter.hpp"
 #include "policy/usage_delegation.hpp"
 #include "servers/backend_connection_pool.hpp"
@@ -29,6 +30,8 @@
     std::string own_host;
     zone_name own_zone;
     duration usage_window{std::chrono::seconds(5)};
+    /// How long after a window's end this host waits until it records its usage itself where another may do it.
+    duration usage_patience{};
     /// Repeats that the whole system may make for each request to a service, and besides, in one window.
     double repeats_per_request{0.2};
     double repeats_besides{0};
@@ -64,10 +67,14 @@
     /// Returns whether work may be sent to a server now: it is listed and has not failed lately.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
-    /// Returns whether enough hosts of the group have seen a server fail or refuse lately that it is used only where no
-    /// other is left. One host alone may be the one whose own link is at fault.
+    /// Returns whether a server is used only where no other is left: a request waits there without an answer for too
+    /// long, or enough hosts of the group have seen it fail or refuse lately. One host alone may be the one whose own
+    /// link is at fault.
     [[nodiscard]] bool is_doubted(const backend_server_name& server) const;
 
+    /// Returns the servers that this host leaves alone, each with the time that is left, for other hosts.
+    [[nodiscard]] std::map<backend_server_name, duration> get_paused() const;
+
     /// Notes that an engine is changing to a stage; it is not used until the list says that it has, or until then.
     void set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until);
     void end_changing(const backend_server_name& engine) { m_changing.erase(engine); }
@@ -128,7 +135,8 @@
     peer_knowledge peers;
     policy::server_health health;
     policy::usage_counter usage;
-    policy::usage_delegation delegation;
+    policy::usage_delegation delegation{options.usage_patience};
+    policy::silence_watch silence;
     policy::crash_watch crashes;
     policy::quarantine suspects{{.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)}};
     request_counters counters;
--- a/tests/daemon/test_group_usage.cpp
+++ b/tests/daemon/test_group_usage.cpp
@@ -22,7 +22,7 @@
     platform::engine_dialect dialect;
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {.usage_window = window_length}};
     platform::store_client client = make_client();
-    daemon::group_usage group{client, state};
+    daemon::group_usage group{client, state, 900ms};
 
     fixture() {
         const wall_time now = state.get_true_time();
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -326,3 +326,17 @@
         CHECK_FALSE(state.is_doubted(backend_server_name("bad")));
     }
 }
+
+TEST_CASE_FIXTURE(serving_fixture, "an engine that leaves a request without any answer is given no further ones") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    const raw_server& dark = add_server("dark", decode, refuse());
+    add_server("good", decode, stream_events(1, 2));
+    // The others' engine is the fuller one, so that requests would go to the dark one.
+    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("good"), 5000, {});
+    const policy::silence_watch::waiting waiting =
+        state.silence.watch(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
+    CHECK(state.get_paused().contains(backend_server_name("dark")));
+    CHECK(generate("/gen/x").status == 200);
+    CHECK(count_runs(dark) == 0);
+}
--- a/tests/policy/test_usage_delegation.cpp
+++ b/tests/policy/test_usage_delegation.cpp
@@ -8,22 +8,23 @@
 using namespace std::chrono_literals;
 
 TEST_CASE("a host without a speaker records at once") {
-    const usage_delegation delegation;
+    const usage_delegation delegation(2s);
     CHECK(delegation.choose(10, 9, 0s) == choice::record);
 }
 
 TEST_CASE("a host leaves a window to the speaker and records it itself when nothing is heard") {
-    usage_delegation delegation;
+    usage_delegation delegation(2s);
     delegation.set_delegated(true);
     CHECK(delegation.choose(10, 9, 200ms) == choice::wait);
-    CHECK(delegation.choose(10, 9, usage_delegation::patience) == choice::record);
+    CHECK(delegation.choose(10, 9, 1999ms) == choice::wait);
+    CHECK(delegation.choose(10, 9, 2s) == choice::record);
     delegation.note_recorded(10);
     CHECK(delegation.choose(10, 9, 200ms) == choice::is_recorded);
     CHECK(delegation.choose(11, 10, 200ms) == choice::wait);
 }
 
 TEST_CASE("a host records itself when more windows are missing than it has told of") {
-    usage_delegation delegation;
+    usage_delegation delegation(2s);
     delegation.set_delegated(true);
     delegation.note_recorded(10);
     CHECK(delegation.choose(10, 8, 200ms) == choice::is_recorded);
@@ -31,7 +32,7 @@
 }
 
 TEST_CASE("an earlier note does not undo a later one") {
-    usage_delegation delegation;
+    usage_delegation delegation(2s);
     delegation.note_recorded(10);
     delegation.note_recorded(9);
     CHECK(delegation.choose(10, 9, 0s) == choice::is_recorded);
