Tell by the reading host that the store is back; drop lapsed entries without waiting for news

Change: a hint whose reading is fresh says that the store is back; lapsed entries are dropped with each hint.

--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -99,6 +99,11 @@
     if (!is_ahead) {
         m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now());
     }
+    if (reading.age < m_longest_age) {
+        // The host that reads for this one has reached the store, so that it is back here, too.
+        m_state->directory.set_reachable(true, m_state->time.now());
+        drop_expired();
+    }
 }
 
 void server_list_follower::take_news(std::uint64_t from, const platform::store_page& page) {
@@ -151,15 +156,22 @@
 }
 
 void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end) {
-    const steady_time now = m_state->time.now();
-    for (const backend_server_name& server : m_state->directory.expire(now)) {
-        report(server, fleet::directory_change::removed);
-    }
-    m_topic.note_read(end, topic_end, now);
+    m_topic.note_read(end, topic_end, m_state->time.now());
     m_is_loaded = true;
     if (m_state->directory.get_generation() != generation_before) {
         m_state->refresh_servers();
     }
+    drop_expired();
+}
+
+void server_list_follower::drop_expired() {
+    const std::vector<backend_server_name> expired = m_state->directory.expire(m_state->time.now());
+    for (const backend_server_name& server : expired) {
+        report(server, fleet::directory_change::removed);
+    }
+    if (!expired.empty()) {
+        m_state->refresh_servers();
+    }
 }
 
 void server_list_follower::take_all(const platform::store_page& page) {
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -46,6 +46,8 @@
     servers::asio::awaitable<void> wait_for_hint();
     /// Takes the next records of the list.
     void take_records(const platform::store_page& page);
+    /// Drops servers whose entries lapsed while the store was away and that had time to come back.
+    void drop_expired();
     void finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end);
     void take_all(const platform::store_page& page);
     void take(const platform::keyed_record& record);
--- /dev/null
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -0,0 +1,81 @@
+#include "daemon/server_list_follower.hpp"
+
+#include <doctest/doctest.h>
+
+#include "platform/engine_dialect.hpp"
+#include "support/event_loop.hpp"
+#include "support/store_fixture.hpp"
+
+using namespace dragonflywell;
+using dragonflywell::testing::run_until;
+using namespace std::chrono_literals;
+
+namespace {
+
+const backend_server_name server_id("i-1");
+
+/// A host that another one reads for, with one server in the list.
+struct fixture : testing::store_fixture {
+    virtual_clock clock;
+    platform::engine_dialect dialect;
+    servers::serving_state state{loop.get_executor(), clock, pool, dialect, metrics, {}};
+    platform::store_client client = make_client();
+    daemon::server_list_follower follower{client, state, 2s};
+
+    fixture() {
+        store.put("keyed.servers", server_id.value(),
+                  R"({"service":"app","addr":"10.0.0.1:80","zone":"z","version":"1","slots":4,"state":"ready",)"
+                  R"("coldRemainingMs":0,"seq":1,"born":1})");
+        boost::asio::co_spawn(loop, follower.run(), boost::asio::detached);
+        run_until(loop, [this] { return follower.is_loaded(); });
+    }
+
+    [[nodiscard]] bool is_listed() const { return state.directory.find(server_id) != nullptr; }
+
+    /// Lets the host that reads say how far it is, and how long ago it read.
+    void hint(duration age) { follower.take_hint({.end = follower.get_reading().end, .age = age}); }
+
+    /// Lets the host that reads pass on that the server's entry was removed.
+    void pass_removal_on() {
+        const std::uint64_t end = *follower.get_reading().end;
+        follower.take_news(end, {.records = {{.offset = end, .key = server_id.value(), .value = {}}},
+                                 .end = end + 1,
+                                 .topic_end = end + 1});
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "the store is back for a host when the one that reads for it says so") {
+    state.directory.set_reachable(false, clock.now());
+    clock.advance(5s);
+    hint(100ms);
+    clock.advance(3s);
+    // It was removed long after the store's return, so that it left.
+    pass_removal_on();
+    CHECK_FALSE(is_listed());
+}
+
+TEST_CASE_FIXTURE(fixture, "an entry that lapsed while the store was away is dropped in time without further news") {
+    state.directory.set_reachable(false, clock.now());
+    clock.advance(5s);
+    hint(100ms);
+    clock.advance(1s);
+    pass_removal_on();
+    CHECK(is_listed());
+    clock.advance(900ms);
+    hint(100ms);
+    CHECK(is_listed());
+    clock.advance(100ms);
+    hint(100ms);
+    CHECK_FALSE(is_listed());
+}
+
+TEST_CASE_FIXTURE(fixture, "a host whose reader has not reached the store lately waits for its return") {
+    state.directory.set_reachable(false, clock.now());
+    clock.advance(5s);
+    hint(4s);
+    clock.advance(3s);
+    pass_removal_on();
+    CHECK(is_listed());
+}
