--- a/ctl/log_line.cpp
+++ b/ctl/log_line.cpp
@@ -63,11 +63,8 @@
     if (event.empty() || !moment) {
         return std::nullopt;
     }
-    return log_line{.moment = *moment,
-                    .time = time,
-                    .host = get_string(fields, "host"),
-                    .event = event,
-                    .fields = std::move(fields)};
+    const std::string host = get_string(fields, "host");
+    return log_line{.moment = *moment, .time = time, .host = host, .event = event, .fields = std::move(fields)};
 }
 
 std::vector<log_line> parse_log(std::string_view text) {
--- a/ctl/request_story.cpp
+++ b/ctl/request_story.cpp
@@ -95,6 +95,7 @@
         }
     }
     std::vector<log_line> still_lost;
+    still_lost.reserve(lost.size());
     for (auto& [what, line] : lost) {
         still_lost.push_back(std::move(line));
     }
