--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -1,13 +1,12 @@
 #include "servers/generation_request.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "core/hash.hpp"
 #include "servers/answer_relay.hpp"
 #include "servers/board_entries.hpp"
 #include "servers/gone_subscription.hpp"
+#include "servers/memory_release.hpp"
 
 namespace dragonflywell::servers {
 
@@ -23,24 +22,10 @@
 constexpr std::size_t memory_answer_limit_bytes = 64UL * 1024;
 constexpr std::size_t plain_answer_limit_bytes = 1024UL * 1024;
 constexpr duration no_engine_retry = std::chrono::milliseconds(500);
-constexpr duration release_timeout = std::chrono::milliseconds(500);
 /// A prompt that takes this many times as long as expected, and some time besides, is read elsewhere.
 constexpr int read_patience_factor = 3;
 constexpr duration read_patience = std::chrono::milliseconds(700);
 
-asio::awaitable<void> send_release(serving_state& state, memory_source memory) {
-    const exchange_options options{.progress_deadline = release_timeout,
-                                   .last_moment = state.time.now() + release_timeout};
-    backend_exchange exchange(state.connections, memory.engine, options);
-    try {
-        const http_request message = state.dialect.make_release(memory);
-        co_await exchange.start(message);
-        co_await exchange.read_rest(memory_answer_limit_bytes);
-    } catch (const exchange_failed_error&) {
-        // The engine frees the memory by itself after a while.
-    }
-}
-
 } // namespace
 
 generation_request::generation_request(serving_state& state, accepted request, request_record& record)
@@ -224,7 +209,7 @@
     get_record().add_server(engine, what);
     if (caller.is_gone()) {
         if (memory) {
-            release(*memory);
+            release_memory(get_state(), *memory);
         }
         throw caller_gone_error("caller left while its prompt was read");
     }
@@ -263,7 +248,7 @@
             require_repeat(policy::retry_reason::broken_answer);
         } catch (const request_refused&) {
             if (memory) {
-                release(*memory);
+                release_memory(get_state(), *memory);
             }
             throw;
         }
@@ -300,7 +285,7 @@
     if (caller.is_gone()) {
         get_record().add_server(engine, "caller_gone");
         if (memory && !exchange.is_sent()) {
-            release(*memory);
+            release_memory(get_state(), *memory);
         }
         throw caller_gone_error("caller left before its answer was whole");
     }
@@ -326,7 +311,7 @@
         on_broken(engine, *failure, exchange.is_sent());
     }
     if (memory) {
-        release(*memory);
+        release_memory(get_state(), *memory);
     }
     co_return generate_result::try_again;
 }
@@ -406,8 +391,4 @@
     co_await caller.start_stream(std::move(head));
 }
 
-void generation_request::release(const memory_source& memory) const {
-    asio::co_spawn(get_state().executor, send_release(get_state(), memory), asio::detached);
-}
-
 } // namespace dragonflywell::servers
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -45,8 +45,6 @@
     asio::awaitable<void> start_stream(const backend_exchange& exchange, caller_channel& caller);
     void on_broken(const backend_server_name& engine, const exchange_failed_error& failure, bool was_sent);
     void require_repeat_of_read();
-    /// Frees the memory of a prompt that nobody will generate from, without waiting for the answer.
-    void release(const memory_source& memory) const;
 
     std::vector<policy::cached_part> m_parts;
     std::uint64_t m_needed_tokens{0};
--- /dev/null
+++ b/servers/memory_release.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "servers/serving_state.hpp"
+
+namespace dragonflywell::servers {
+
+/// Frees the memory of a prompt that nobody will generate from, without waiting for the answer. An engine that is not
+/// reached frees it by itself after a while. Precondition: the state outlives the call, which goes on in its event
+/// loop.
+void release_memory(serving_state& state, const memory_source& memory);
+
+} // namespace dragonflywell::servers
--- a/tests/demo/platform_demo.cpp
+++ b/tests/demo/platform_demo.cpp
@@ -1,10 +1,10 @@
 #include "demo/platform_demo.hpp"
 
-#include <boost/asio/co_spawn.hpp>
 #include <fmt/format.h>
 #include <ostream>
 
 #include "servers/pause.hpp"
+#include "support/event_loop.hpp"
 
 namespace dragonflywell::demo {
 
@@ -38,15 +38,7 @@
     : m_options(std::move(options)), m_out(&out), m_seen(m_time), m_platform(m_loop, m_seen) {}
 
 bool platform_demo::run() {
-    std::exception_ptr failure;
-    asio::co_spawn(m_loop, play(), [&](std::exception_ptr thrown) {
-        failure = std::move(thrown);
-        m_loop.stop();
-    });
-    m_loop.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
+    testing::run_until_done(m_loop, [this] { return play(); });
     for (const std::string& violation : m_seen.get_violations()) {
         expect(false, violation);
     }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,6 +6,7 @@
 
 #include "core/log.hpp"
 #include "servers/pause.hpp"
+#include "support/event_loop.hpp"
 
 namespace dragonflywell::soak {
 
@@ -48,15 +49,7 @@
 }
 
 soak_result soak_run::run() {
-    std::exception_ptr failure;
-    asio::co_spawn(m_loop, play(), [&](std::exception_ptr thrown) {
-        failure = std::move(thrown);
-        m_loop.stop();
-    });
-    m_loop.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
+    testing::run_until_done(m_loop, [this] { return play(); });
     return {.violations = m_seen.get_violations(),
             .faults = m_fault_counts,
             .requests = m_seen.get_requests(),
