Keep windows in the copies of usage that hosts do not tell of any more

Cause, found reading the change: a copy held the three windows of the host's last digest and replaced the copy before it, while a window whose report is late (no holder for ten seconds) is summed from the copies. Change: six windows are kept for each life of a host, as many as in a host's own record. A new test holds seven windows told one by one.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -17,6 +17,11 @@
     return workers;
 }
 
+/// The budget for retries is this host's alone, so that all of it is there from the start.
+steady_time get_budget_start(const clock_source& time) {
+    return time.now() - policy::retry_budget_options{}.window;
+}
+
 std::uint64_t make_incarnation(const clock_source& time) {
     const auto since_epoch = time.wall_now().time_since_epoch();
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
@@ -27,22 +32,22 @@
 daemon::daemon(daemon_settings settings)
     : m_settings(std::move(settings)), m_log(get_logger("daemon")), m_manifest(nullptr), m_connections(m_clock, {}),
       m_counters(m_metrics), m_admission(m_clock, m_settings.admission),
-      m_retries({}, m_clock.now() - policy::retry_budget_options{}.window), m_context{.time = m_clock,
-                                                                                      .own_zone = m_settings.zone,
-                                                                                      .manifest = m_manifest,
-                                                                                      .placement = m_placement,
-                                                                                      .connections = m_connections,
-                                                                                      .loads = m_loads,
-                                                                                      .usage = m_usage,
-                                                                                      .claims = m_claims,
-                                                                                      .counters = m_counters,
-                                                                                      .admission = m_admission,
-                                                                                      .retries = m_retries,
-                                                                                      .suspects = m_suspects,
-                                                                                      .cut_off = m_cut_off,
-                                                                                      .demand = m_fleet.demand,
-                                                                                      .engines = m_fleet.engines,
-                                                                                      .limits = m_settings.limits},
+      m_retries({}, get_budget_start(m_clock)), m_context{.time = m_clock,
+                                                          .own_zone = m_settings.zone,
+                                                          .manifest = m_manifest,
+                                                          .placement = m_placement,
+                                                          .connections = m_connections,
+                                                          .loads = m_loads,
+                                                          .usage = m_usage,
+                                                          .claims = m_claims,
+                                                          .counters = m_counters,
+                                                          .admission = m_admission,
+                                                          .retries = m_retries,
+                                                          .suspects = m_suspects,
+                                                          .cut_off = m_cut_off,
+                                                          .demand = m_fleet.demand,
+                                                          .engines = m_fleet.engines,
+                                                          .limits = m_settings.limits},
       m_entry_handler(m_context),
       m_operator_handler(m_metrics, m_context, m_fleet.status, m_settings.host, [this] { return is_ready(); }),
       m_workers(make_workers(m_settings.workers)), m_operator_context(1),
--- a/daemon/group_usage.cpp
+++ b/daemon/group_usage.cpp
@@ -13,6 +13,8 @@
 
 /// How long after its end a window is counted to its end.
 constexpr duration settle_time = std::chrono::milliseconds(200);
+/// Windows that a copy holds, as many as a host's own record; older ones are reported or lost by then.
+constexpr std::int64_t kept_windows = 6;
 
 } // namespace
 
@@ -23,7 +25,17 @@
     if (digest.usage.empty()) {
         return;
     }
-    m_told[digest.host] = {.incarnation = digest.incarnation, .told_at = digest.true_time, .windows = digest.usage};
+    told_usage& told = m_told[digest.host];
+    if (told.incarnation != digest.incarnation) {
+        told = {.incarnation = digest.incarnation, .told_at = {}, .windows = {}};
+    }
+    told.told_at = digest.true_time;
+    for (const auto& [window, counts] : digest.usage) {
+        told.windows[window] = counts;
+    }
+    // A later copy replaces the earlier one, and a window may be reported late, when its figures are still needed.
+    const std::int64_t oldest = told.windows.rbegin()->first - kept_windows + 1;
+    told.windows.erase(told.windows.begin(), told.windows.lower_bound(oldest));
 }
 
 std::optional<group_usage::told_usage> group_usage::take_back(const std::string& host) {
--- a/daemon/group_usage.hpp
+++ b/daemon/group_usage.hpp
@@ -16,18 +16,21 @@
 /// recorded. A host that is not told records for itself, so that nothing here has to succeed. Used on one event loop.
 class group_usage {
 public:
-    /// `gather`: how long after its end a window is recorded; the hosts have told of it since.
-    /// Preconditions: store and state outlive it.
-    group_usage(platform::store_client& store, servers::serving_state& state, duration gather);
-
-    /// Takes what a host of the group has told of its counts, and when by its own time of day.
-    void take(const servers::host_digest& digest);
-    /// Takes back a host that fell silent; returns what it told last, with its incarnation.
+    /// What a life of a host has told.
     struct told_usage {
         std::uint64_t incarnation{};
+        /// By its own time of day.
         wall_time told_at;
         std::map<std::int64_t, policy::window_counts> windows;
     };
+
+    /// `gather`: how long after its end a window is recorded; the hosts have told of it since.
+    /// Preconditions: store and state outlive it.
+    group_usage(platform::store_client& store, servers::serving_state& state, duration gather);
+
+    /// Takes what a host of the group has told of its counts.
+    void take(const servers::host_digest& digest);
+    /// Forgets a host that fell silent; returns what it had told.
     [[nodiscard]] std::optional<told_usage> take_back(const std::string& host);
 
     /// Records the newest window that is over, if it is time and not done yet. Called several times a second by the
--- a/tests/daemon/test_group_usage.cpp
+++ b/tests/daemon/test_group_usage.cpp
@@ -83,6 +83,21 @@
     CHECK_FALSE(group.get_recorded().has_value());
 }
 
+TEST_CASE_FIXTURE(fixture, "a copy holds windows that a host does not tell of any more") {
+    for (std::int64_t window = get_closed() - 6; window <= get_closed(); ++window) {
+        servers::host_digest digest;
+        digest.host = "h1";
+        digest.incarnation = 7;
+        digest.true_time = state.usage.get_end(window) + 300ms;
+        digest.usage = {{window, {{rovers, 1}}}};
+        group.take(digest);
+    }
+    const auto told = group.take_back("h1");
+    REQUIRE(told.has_value());
+    CHECK(told->windows.size() == 6);
+    CHECK(told->windows.contains(get_closed() - 5));
+}
+
 TEST_CASE_FIXTURE(fixture, "what a silent host told last is handed back once") {
     tell("h1", 3, 300ms);
     const auto told = group.take_back("h1");
