--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -71,6 +71,7 @@
     if (m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now())) {
         m_hint_timer.cancel();
     }
+    m_state->note_configuration_known(m_topic.get_fresh_at());
 }
 
 servers::digest_reading configuration_follower::get_reading() const {
@@ -102,6 +103,7 @@
     }
     const bool has_news = !page.records.empty();
     m_topic.note_read(page.end, page.topic_end, at);
+    m_state->note_configuration_known(m_topic.get_fresh_at());
     if (has_news && m_is_reader) {
         m_state->note_load_change();
     }
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -165,6 +165,7 @@
     for (;;) {
         co_await servers::pause(house_interval);
         m_connections.close_expired();
+        report_ages();
         if (m_clock.now() < next_look) {
             continue;
         }
@@ -175,6 +176,15 @@
     }
 }
 
+void host_daemon::report_ages() {
+    const auto get_milliseconds = [](duration age) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    };
+    m_metrics.get_gauge("dragonflywell_configuration_age_milliseconds")
+        .set(get_milliseconds(m_state.get_configuration_age()));
+    m_metrics.get_gauge("dragonflywell_server_list_age_milliseconds").set(get_milliseconds(m_state.get_servers_age()));
+}
+
 void host_daemon::reload() {
     try {
         host_settings next = m_file.read();
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -56,6 +56,8 @@
     /// Reads the settings file again and puts in force what can be without a restart.
     void reload();
     void apply_limits();
+    /// Sets the metrics that tell how old what this host has read from the store is.
+    void report_ages();
 
     host_settings m_settings;
     settings_file m_file;
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -98,6 +98,7 @@
     const bool is_ahead = reading.end.value_or(0) > m_topic.get_next().value_or(0);
     if (!is_ahead) {
         m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now());
+        m_state->note_servers_known(m_topic.get_fresh_at());
     }
     if (reading.age < m_longest_age) {
         // The host that reads for this one has reached the store, so that it is back here, too.
@@ -157,6 +158,7 @@
 
 void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end) {
     m_topic.note_read(end, topic_end, m_state->time.now());
+    m_state->note_servers_known(m_topic.get_fresh_at());
     m_is_loaded = true;
     if (m_state->directory.get_generation() != generation_before) {
         m_state->refresh_servers();
--- a/policy/followed_topic.hpp
+++ b/policy/followed_topic.hpp
@@ -55,6 +55,9 @@
     /// Returns whether records are known to be missing here.
     [[nodiscard]] bool is_behind() const noexcept { return !m_next || get_missing() > 0; }
 
+    /// Returns the last moment at which the topic was known to be followed to its end.
+    [[nodiscard]] steady_time get_fresh_at() const noexcept { return m_fresh_at; }
+
     /// Returns how long ago the topic was known to be followed to its end.
     [[nodiscard]] duration get_age(steady_time now) const { return now - m_fresh_at; }
 
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -16,6 +16,10 @@
     std::string route;
     std::string organisation;
     std::uint64_t configuration_version{};
+    /// How old the knowledge of the configuration was when the request was accepted.
+    duration configuration_age{};
+    /// How old the list of backend servers was when one of them was last chosen.
+    std::optional<duration> servers_age;
     steady_time arrived_at{};
     /// Backend servers that were sent something, in order, with what came of it.
     std::string servers;
@@ -41,7 +45,11 @@
     log_event event(name);
     event.add("id", record.id).add("route", record.route).add("organisation", record.organisation);
     event.add("configuration", record.configuration_version).add("status", record.status);
+    event.add("configuration_age_ms", record.configuration_age);
     event.add("servers", record.servers).add("took_ms", now - record.arrived_at);
+    if (record.servers_age) {
+        event.add("servers_age_ms", *record.servers_age);
+    }
     if (record.expected_first) {
         event.add("expected_first_ms", *record.expected_first);
     }
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -92,6 +92,7 @@
                               "no configuration has been read yet", not_ready_retry);
     }
     record.configuration_version = view->get_version();
+    record.configuration_age = state.get_configuration_age();
     const fleet::route& route = require_route(*view, wanted);
     record.route = route.name;
     const fleet::served_organisation* organisation = require_organisation(*view, route, wanted);
@@ -139,6 +140,7 @@
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
                               "the backend server left the list");
     }
+    m_record->servers_age = m_state->get_servers_age();
     return {.server = server,
             .address = listed->record.address,
             .time_left = get_time_left(),
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -99,6 +99,13 @@
     /// Returns how many requests generate on a service's engines, for all hosts, as far as known.
     [[nodiscard]] double get_running(const service_name& service) const;
 
+    /// Notes up to which moment the configuration, or the list of backend servers, is known to be complete here.
+    void note_configuration_known(steady_time at) noexcept { m_configuration_known_at = at; }
+    void note_servers_known(steady_time at) noexcept { m_servers_known_at = at; }
+    /// Returns how old what this host knows of them is.
+    [[nodiscard]] duration get_configuration_age() const { return time.now() - m_configuration_known_at; }
+    [[nodiscard]] duration get_servers_age() const { return time.now() - m_servers_known_at; }
+
     /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
     [[nodiscard]] wall_time get_true_time() const;
     /// Corrects that time by what other hosts say.
@@ -163,6 +170,8 @@
     /// What the time of day is ahead of the clock that counts suspension. Taken once: a wall clock may be set later.
     duration m_true_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
+    steady_time m_configuration_known_at{};
+    steady_time m_servers_known_at{};
     std::map<service_name, service_engines> m_engines;
     stage_transitions m_changing;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
