One pause between the return of the store and its use, shared by all that wait for it

Cause: waits that add up. Change: who fails waits for its turn. Users try one after the other, at most 1.0 s from the start of one call to the next; an answer lets all go on at once. The limit of a call counts connecting. A call that goes unanswered closes idle connections to the store and ends reads that wait for news (the list of hosts waited up to 20 s on a dead connection). The test of a user's own pause is replaced by one of the breaker's, with the same doubling, bound and reset, since that pause is gone. The lease no longer reports the store as regained when it made no call.

--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -48,8 +48,10 @@
         }
         // A store that answers with an old state brings nothing on, however often it is asked.
         const bool is_stuck = m_topic.is_behind() && m_topic.get_next() == before;
-        if (has_failed || is_stuck) {
-            co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : stuck_pause);
+        if (has_failed) {
+            co_await m_store->wait_for_turn();
+        } else if (is_stuck) {
+            co_await servers::pause(stuck_pause);
         }
     }
 }
@@ -86,8 +88,9 @@
         take(co_await m_store->read_newest(platform::wire::operator_topic), sent_at);
         co_return;
     }
-    // Only the host that reads for others waits at the store.
-    const duration wait = m_is_reader && !m_topic.is_behind() ? m_read_wait : duration::zero();
+    // Only the host that reads for others waits at the store, and only while the store is known to answer at once.
+    const bool may_wait = m_is_reader && !m_topic.is_behind() && !m_dependency.is_lost();
+    const duration wait = may_wait ? m_read_wait : duration::zero();
     const platform::store_page page = co_await m_store->read(platform::wire::operator_topic, *next, wait);
     // An empty answer was made when the wait was over.
     take(page, page.records.empty() ? m_state->time.now() : sent_at);
--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -69,7 +69,11 @@
             m_dependency.set_lost(m_state->time.now(), fault.what());
             has_failed = true;
         }
-        co_await servers::pause(has_failed ? m_dependency.get_retry_pause() : list_pause);
+        if (has_failed) {
+            co_await m_store->wait_for_turn();
+        } else {
+            co_await servers::pause(list_pause);
+        }
     }
 }
 
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -68,7 +68,9 @@
         } else if (action == coordination::store_lease::action::append) {
             co_await append();
         }
-        m_dependency.set_reached(m_time->now());
+        if (action != coordination::store_lease::action::nothing) {
+            m_dependency.set_reached(m_time->now());
+        }
     } catch (const platform::store_unavailable_error& fault) {
         m_dependency.set_lost(m_time->now(), fault.what());
     }
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -59,6 +59,7 @@
             continue;
         }
         duration next_after = m_interval;
+        bool has_failed = false;
         const std::optional<std::uint64_t> before = m_topic.get_next();
         try {
             co_await follow_once();
@@ -72,7 +73,11 @@
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
             m_state->directory.set_reachable(false, m_state->time.now());
-            next_after = m_dependency.get_retry_pause();
+            has_failed = true;
+        }
+        if (has_failed) {
+            co_await m_store->wait_for_turn();
+            continue;
         }
         if (next_after > duration::zero()) {
             m_hint_timer.expires_after(next_after);
--- a/daemon/usage_copier.cpp
+++ b/daemon/usage_copier.cpp
@@ -3,14 +3,12 @@
 #include "coordination/usage_book.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
-#include "servers/pause.hpp"
 
 namespace dragonflywell::daemon {
 
 namespace {
 
 constexpr int most_record_attempts = 10;
-constexpr duration retry_pause = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -34,7 +32,7 @@
                 .write(*m_log, spdlog::level::warn);
         }
         if (!is_recorded) {
-            co_await servers::pause(retry_pause);
+            co_await m_store->wait_for_turn();
         }
     }
     log_event("usage_copied").add("host", host).add("recorded", is_recorded).write(*m_log, spdlog::level::info);
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -14,7 +14,6 @@
 constexpr duration settle_time = std::chrono::milliseconds(200);
 /// How often it is looked whether the speaker of the group has recorded a window.
 constexpr duration speaker_check_interval = std::chrono::milliseconds(400);
-constexpr duration retry_pause = std::chrono::milliseconds(400);
 /// A jump of the wall clock must not make the wait for a window's end a long one.
 constexpr duration longest_wait = std::chrono::seconds(1);
 
@@ -56,7 +55,7 @@
             recorded = closed;
             m_state->usage.forget_before(closed - kept_windows);
         } else {
-            co_await servers::pause(retry_pause);
+            co_await m_store->wait_for_turn();
         }
     }
 }
--- a/policy/circuit_breaker.cpp
+++ b/policy/circuit_breaker.cpp
@@ -12,11 +12,13 @@
         return false;
     }
     m_next_at = now + m_pause;
+    m_pause = std::min(m_pause * 2, m_options.longest_pause);
     return true;
 }
 
 void circuit_breaker::on_success(steady_time now) {
     m_next_at.reset();
+    m_failed_at.reset();
     m_pause = {};
     m_succeeded_at = now;
 }
@@ -26,12 +28,12 @@
         return;
     }
     // Calls that were under way together fail together; that is one failure.
-    const bool is_counted = m_next_at && now < *m_next_at && sent_at < *m_next_at - m_pause;
-    if (is_counted) {
+    if (m_failed_at && sent_at < *m_failed_at) {
         return;
     }
-    m_pause = std::clamp(m_pause * 2, m_options.first_pause, m_options.longest_pause);
-    m_next_at = now + m_pause;
+    m_failed_at = now;
+    m_pause = std::max(m_pause, m_options.first_pause);
+    m_next_at = std::max(sent_at + m_pause, now + m_options.first_pause);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/circuit_breaker.hpp
+++ b/policy/circuit_breaker.hpp
@@ -7,10 +7,12 @@
 namespace dragonflywell::policy {
 
 struct circuit_breaker_options {
-    /// How long calls rest after a failure; doubled with each further one.
+    /// Shortest rest after a failure. The time from the start of one call to the next begins with it and is doubled
+    /// with each call that is tried.
     duration first_pause{std::chrono::milliseconds(100)};
-    /// With the pause of whoever calls, well inside the time after which bounds hold again once a dependency is back.
-    duration longest_pause{std::chrono::milliseconds(800)};
+    /// Longest time from the start of one call to the start of the next, where the call itself does not take longer.
+    /// A part of the time from the return of a dependency to its use; see `get_longest_return`.
+    duration longest_pause{std::chrono::milliseconds(1000)};
 };
 
 /// Lets all users of one dependency share what each learns of it: while it fails, one call in a while is tried for all
@@ -29,12 +31,27 @@
     /// Notes that a call which was sent at that moment failed. It says nothing where a later one was answered.
     void on_failure(steady_time sent_at, steady_time now);
 
+    /// Returns when the next call may be made; nothing while all may.
+    [[nodiscard]] std::optional<steady_time> get_next_at() const noexcept { return m_next_at; }
+
+    /// Returns the longest time from the return of a dependency to the end of the first call that it answers, where
+    /// somebody always waits to call and no call takes longer than `call_limit`: the call before it may have been sent
+    /// just before the return and be lost.
+    [[nodiscard]] static constexpr duration get_longest_return(circuit_breaker_options options, duration call_limit) {
+        const duration between_calls = options.longest_pause > call_limit + options.first_pause
+                                           ? options.longest_pause
+                                           : call_limit + options.first_pause;
+        return between_calls + call_limit;
+    }
+
 private:
     circuit_breaker_options m_options;
     duration m_pause{};
     /// When the next call may be made; nothing while all may.
     std::optional<steady_time> m_next_at;
     std::optional<steady_time> m_succeeded_at;
+    /// When the last failure was noted that made a pause.
+    std::optional<steady_time> m_failed_at;
 };
 
 } // namespace dragonflywell::policy
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -51,10 +51,10 @@
     return nullptr;
 }
 
-asio::awaitable<std::shared_ptr<backend_connection>> backend_connection_pool::connect(const endpoint& server,
-                                                                                      error_code& fault) {
+asio::awaitable<std::shared_ptr<backend_connection>>
+backend_connection_pool::connect(const endpoint& server, duration limit, error_code& fault) {
     auto connection = std::make_shared<backend_connection>(co_await asio::this_coro::executor);
-    connection->stream.expires_after(m_options.connect_timeout);
+    connection->stream.expires_after(std::clamp(limit, duration::zero(), m_options.connect_timeout));
     const asio::ip::tcp::endpoint peer(asio::ip::make_address(server.address), server.port);
     co_await connection->stream.async_connect(peer, store_error(fault));
     if (fault) {
@@ -82,6 +82,11 @@
     }
 }
 
+void backend_connection_pool::drop_idle(const endpoint& server) {
+    const std::scoped_lock lock(m_mutex);
+    std::erase_if(m_idle, [&](const auto& item) { return item.first.server == server; });
+}
+
 void backend_connection_pool::close_expired() {
     const std::scoped_lock lock(m_mutex);
     const steady_time now = m_time->now();
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -52,8 +52,10 @@
     [[nodiscard]] std::shared_ptr<backend_connection> take_idle(const endpoint& server,
                                                                 const asio::any_io_executor& executor);
 
-    /// Opens a new connection. Returns null and sets `fault` when that fails.
-    asio::awaitable<std::shared_ptr<backend_connection>> connect(const endpoint& server, error_code& fault);
+    /// Opens a new connection, within `limit` and the timeout of the options. Returns null and sets `fault` when that
+    /// fails.
+    asio::awaitable<std::shared_ptr<backend_connection>> connect(const endpoint& server, duration limit,
+                                                                 error_code& fault);
 
     /// Gives back a connection whose last exchange was complete.
     void put_idle(const endpoint& server, std::shared_ptr<backend_connection> connection);
@@ -61,6 +63,9 @@
     /// Returns how many connections were opened.
     [[nodiscard]] std::uint64_t get_opened() const noexcept { return m_opened; }
 
+    /// Closes the idle connections to a server whose path failed.
+    void drop_idle(const endpoint& server);
+
     /// Closes idle connections that are not used any more.
     void close_expired();
 
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -74,7 +74,7 @@
         m_connection = m_pool->take_idle(m_server, co_await asio::this_coro::executor);
     }
     if (m_connection == nullptr) {
-        m_connection = co_await m_pool->connect(m_server, fault);
+        m_connection = co_await m_pool->connect(m_server, get_time_left(), fault);
     }
     if (fault) {
         fail(fault, exchange_phase::before_send, "no connection");
@@ -194,8 +194,11 @@
 }
 
 void backend_exchange::limit_silence() {
-    const duration left = m_options.last_moment - m_pool->get_time().now();
-    m_connection->stream.expires_after(std::clamp(left, duration::zero(), m_options.progress_deadline));
+    m_connection->stream.expires_after(std::clamp(get_time_left(), duration::zero(), m_options.progress_deadline));
+}
+
+duration backend_exchange::get_time_left() const {
+    return m_options.last_moment - m_pool->get_time().now();
 }
 
 void backend_exchange::fail(const error_code& fault, exchange_phase phase, const char* what) const {
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -86,6 +86,7 @@
     asio::awaitable<std::size_t> read_piece();
     void give_back();
     void limit_silence();
+    [[nodiscard]] duration get_time_left() const;
     [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* what) const;
 
     backend_connection_pool* m_pool;
--- /dev/null
+++ b/tests/platform/test_store_gate.cpp
@@ -0,0 +1,62 @@
+#include "platform/store_gate.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+#include "standin/raw_server.hpp"
+#include "support/event_loop.hpp"
+#include "support/store_fixture.hpp"
+
+using namespace dragonflywell;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+TEST_CASE("all that wait for the store go on when a call of another is answered, whatever their turn") {
+    virtual_clock clock;
+    asio::io_context loop(1);
+    metrics_registry metrics;
+    platform::store_gate gate(clock, metrics, {});
+    gate.on_failed("call", clock.now(), "a test");
+    int ready = 0;
+    for (int user = 0; user < 3; ++user) {
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                co_await gate.wait_for_turn();
+                ++ready;
+            },
+            asio::detached);
+    }
+    loop.poll();
+    CHECK(ready == 0);
+    gate.on_answered("call");
+    loop.restart();
+    loop.poll();
+    CHECK(ready == 3);
+}
+
+TEST_CASE_FIXTURE(testing::store_fixture, "a read that waits for news is given up when another call goes unanswered") {
+    standin::raw_server silent(
+        loop, [](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
+            co_await connection.wait_for_end();
+        });
+    platform::store_client client(pool, metrics, {.address = silent.get_endpoint(), .timeout = 20ms});
+    bool is_given_up = false;
+    asio::co_spawn(
+        loop,
+        [&]() -> asio::awaitable<void> {
+            try {
+                co_await client.read("keyed.t", 0, 24h);
+            } catch (const platform::store_unavailable_error&) {
+                is_given_up = true;
+            }
+        },
+        asio::detached);
+    testing::run_until(loop, [&] { return silent.get_requests().size() == 1; });
+    testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+        CHECK_THROWS_AS(co_await client.read("keyed.t", 0, duration::zero()), platform::store_unavailable_error);
+    });
+    testing::run_until(loop, [&] { return is_given_up; });
+    CHECK(is_given_up);
+}
--- a/tests/policy/test_circuit_breaker.cpp
+++ b/tests/policy/test_circuit_breaker.cpp
@@ -74,3 +74,33 @@
     clock.advance(100ms);
     CHECK(breaker.may_call(clock.now()));
 }
+
+TEST_CASE("each further call that fails doubles the pause up to a bound, and a success ends that") {
+    virtual_clock clock;
+    circuit_breaker breaker({.first_pause = 150ms, .longest_pause = 1200ms});
+    for (int round = 0; round < 2; ++round) {
+        breaker.on_failure(clock.now(), clock.now());
+        for (const duration expected : {150ms, 300ms, 600ms, 1200ms, 1200ms, 1200ms}) {
+            CHECK(breaker.get_next_at() == clock.now() + expected);
+            clock.advance(expected);
+            CHECK(breaker.may_call(clock.now()));
+            breaker.on_failure(clock.now(), clock.now());
+        }
+        breaker.on_success(clock.now());
+        CHECK_FALSE(breaker.get_next_at());
+        clock.advance(1ms);
+    }
+}
+
+TEST_CASE("the pause counts from the start of a call that failed late") {
+    virtual_clock clock;
+    circuit_breaker breaker({.first_pause = 100ms, .longest_pause = 1s});
+    static_cast<void>(count_calls(breaker, clock, 5s));
+    while (!breaker.may_call(clock.now())) {
+        clock.advance(10ms);
+    }
+    const steady_time sent_at = clock.now();
+    clock.advance(700ms);
+    breaker.on_failure(sent_at, clock.now());
+    CHECK(breaker.get_next_at() == sent_at + 1s);
+}
--- /dev/null
+++ b/tests/support/store_users_model.hpp
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "policy/circuit_breaker.hpp"
+#include "policy/turn_queue.hpp"
+
+namespace dragonflywell::testing {
+
+/// What becomes of calls while the path to the store is disturbed.
+enum class path_trouble : std::uint8_t {
+    /// No call is answered until its limit.
+    silent,
+    /// Each call is refused at once.
+    refused,
+    /// Refused or silent, drawn for each call.
+    mixed,
+    /// Silent; after the return answers take long.
+    slow,
+    /// Silent; after the return some calls are lost.
+    lossy,
+};
+
+struct store_users_options {
+    path_trouble trouble{path_trouble::silent};
+    duration call_limit{std::chrono::milliseconds(700)};
+    policy::circuit_breaker_options breaker{};
+    /// Whether each user needs a second call before it can use what it reads, such as a listing.
+    bool needs_two_calls{false};
+};
+
+struct store_users_result {
+    /// From the return of the path until each user had what it needs.
+    duration longest_return{};
+    /// Calls that were made while the path was disturbed, and for how long that was.
+    std::uint64_t calls_in_trouble{};
+    duration trouble{};
+};
+
+/// Users of one store that share its breaker and its turns, in virtual time. The path is lost once, for a drawn time.
+class store_users_model {
+public:
+    store_users_model(std::uint64_t seed, store_users_options options) : m_random(seed), m_options(options) {
+        for (std::size_t number = 0; number < users; ++number) {
+            m_users.push_back({.period = draw(250, 1500), .next_at = m_clock.now() + draw(0, 1500)});
+        }
+        m_lost_at = m_clock.now() + draw(2000, 4000);
+        m_back_at = m_lost_at + draw(500, 15000);
+    }
+
+    [[nodiscard]] store_users_result run() {
+        const steady_time end = m_back_at + std::chrono::seconds(20);
+        while (m_clock.now() < end && !has_returned()) {
+            for (user& one : m_users) {
+                step(one);
+            }
+            m_clock.advance(std::chrono::milliseconds(1));
+        }
+        return {.longest_return = m_clock.now() - m_back_at,
+                .calls_in_trouble = m_calls_in_trouble,
+                .trouble = m_back_at - m_lost_at};
+    }
+
+private:
+    static constexpr std::size_t users = 5;
+    static constexpr duration answer_time = std::chrono::milliseconds(6);
+    static constexpr duration slow_answer_time = std::chrono::milliseconds(250);
+    static constexpr double lossy_share = 0.1;
+
+    struct user {
+        duration period{};
+        steady_time next_at{};
+        std::optional<policy::turn_queue::ticket> turn;
+        std::optional<steady_time> sent_at;
+        steady_time ends_at{};
+        bool will_be_answered{false};
+        int answers_since_return{0};
+    };
+
+    [[nodiscard]] duration draw(int least_ms, int most_ms) {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
+    }
+
+    [[nodiscard]] bool has_returned() const {
+        const int needed = m_options.needs_two_calls ? 2 : 1;
+        return m_clock.now() >= m_back_at && std::all_of(m_users.begin(), m_users.end(), [&](const user& one) {
+                   return one.answers_since_return >= needed;
+               });
+    }
+
+    void step(user& one) {
+        const steady_time now = m_clock.now();
+        if (one.sent_at) {
+            if (now >= one.ends_at) {
+                end_call(one);
+            }
+            return;
+        }
+        if (one.turn) {
+            const std::optional<steady_time> turn = m_turns.get_turn(*one.turn, m_breaker);
+            if (!turn || now < *turn) {
+                return;
+            }
+            m_turns.leave(*one.turn);
+            one.turn.reset();
+        } else if (now < one.next_at) {
+            return;
+        }
+        if (m_breaker.may_call(now)) {
+            send(one);
+        } else {
+            one.turn = m_turns.join();
+        }
+    }
+
+    void send(user& one) {
+        const steady_time now = m_clock.now();
+        const bool is_lost = now >= m_lost_at && now < m_back_at;
+        m_calls_in_trouble += is_lost ? 1 : 0;
+        one.sent_at = now;
+        one.will_be_answered = !is_lost;
+        one.ends_at = now + (is_lost ? get_failure_time() : answer_time);
+        if (!is_lost && now >= m_back_at && m_options.trouble == path_trouble::slow) {
+            one.ends_at = now + slow_answer_time;
+        }
+        const bool may_be_lost = now >= m_back_at && m_options.trouble == path_trouble::lossy;
+        if (may_be_lost && std::bernoulli_distribution(lossy_share)(m_random)) {
+            one.will_be_answered = false;
+            one.ends_at = now + m_options.call_limit;
+        }
+    }
+
+    [[nodiscard]] duration get_failure_time() {
+        const bool is_refused =
+            m_options.trouble == path_trouble::refused ||
+            (m_options.trouble == path_trouble::mixed && std::bernoulli_distribution(0.5)(m_random));
+        return is_refused ? answer_time : m_options.call_limit;
+    }
+
+    void end_call(user& one) {
+        const steady_time now = m_clock.now();
+        if (!one.will_be_answered) {
+            m_breaker.on_failure(*one.sent_at, now);
+            one.turn = m_turns.join();
+            one.sent_at.reset();
+            return;
+        }
+        m_breaker.on_success(now);
+        if (*one.sent_at >= m_back_at) {
+            ++one.answers_since_return;
+        }
+        one.sent_at.reset();
+        const bool goes_on = m_options.needs_two_calls && one.answers_since_return == 1;
+        one.next_at = goes_on ? now : now + one.period;
+    }
+
+    virtual_clock m_clock;
+    std::mt19937_64 m_random;
+    store_users_options m_options;
+    policy::circuit_breaker m_breaker{m_options.breaker};
+    policy::turn_queue m_turns;
+    std::vector<user> m_users;
+    steady_time m_lost_at{};
+    steady_time m_back_at{};
+    std::uint64_t m_calls_in_trouble{0};
+};
+
+} // namespace dragonflywell::testing
