Date what a host believes of the list of servers by the reads, not by when it notices them

Cause: a removed server stayed in use for two seconds more from when this host noticed the store's return, because its entry might have lapsed; a host that was cut off alone, or saw one call fail, granted the same. Any delay in noticing came on top, and dropping waited for the next read. Change: each read, own or told, is noted with the moment at which it was made; failed calls with when they were sent, whoever made them. A gap too short for an entry to lapse (two heartbeats) grants nothing; the allowance begins at the earliest moment at which the list may have been back (the last call that failed), so that the bound holds by construction; a server is unusable when it ends, whether or not news come. On the code before, with its interface, the two new tests fail: a server that left is still used 2.5 s after the path's return when that was noticed 1.5 or 2.4 s late, and one call that failed delays a removal. The tests of the directory and the follower say the same as before with the new interface, more strictly: unusable to the millisecond without any further news.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -31,6 +31,20 @@
 constexpr duration stop_margin = std::chrono::milliseconds(600);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 
+/// Live servers may need this long to enter themselves again, counted from the return of the store.
+constexpr duration longest_return_of_entries = std::chrono::milliseconds(2000);
+/// Heartbeats that an entry misses at least before it lapses, one being under way when the store goes.
+constexpr int fewest_missed_heartbeats = 2;
+/// What learning of a server that left may take of the time after which all bounds hold again.
+constexpr duration contact_margin = std::chrono::milliseconds(500);
+
+fleet::list_contact_options get_contact_options(const host_bounds& bounds) {
+    // The store may have come back as late as one call after the earliest moment.
+    const duration wanted = longest_return_of_entries + policy::circuit_breaker_options{}.longest_pause;
+    return {.return_grace = std::min(wanted, bounds.contact - contact_margin),
+            .shortest_outage = bounds.server_heartbeat * fewest_missed_heartbeats};
+}
+
 servers::serving_options get_serving_options(const host_settings& settings, steady_time now) {
     return {.own_host = settings.name.value(),
             .own_zone = settings.zone,
@@ -39,6 +53,7 @@
             .repeats_per_request = settings.bounds.repeats_per_request,
             .repeats_besides = settings.bounds.repeats_besides,
             .repeat_window = settings.bounds.repeats_window,
+            .list_contact = get_contact_options(settings.bounds),
             .started_at = now};
 }
 
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -72,7 +72,7 @@
             next_after = duration::zero();
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.set_lost(m_state->time.now(), fault.what());
-            m_state->directory.set_reachable(false, m_state->time.now());
+            note_failure();
             has_failed = true;
         }
         if (has_failed) {
@@ -105,11 +105,9 @@
         m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now());
         m_state->note_servers_known(m_topic.get_fresh_at());
     }
-    if (reading.age < m_longest_age) {
-        // The host that reads for this one has reached the store, so that it is back here, too.
-        m_state->directory.set_reachable(true, m_state->time.now());
-        drop_expired();
-    }
+    // The host that reads for this one reached the store at that moment, so that the list is back here, too.
+    note_reached(m_state->time.now() - reading.age);
+    drop_expired();
 }
 
 void server_list_follower::take_news(std::uint64_t from, const platform::store_page& page) {
@@ -121,8 +119,8 @@
         }
         return;
     }
-    // Who passes news on has reached the store.
-    m_state->directory.set_reachable(true, m_state->time.now());
+    // Who passes news on has just reached the store.
+    note_reached(m_state->time.now());
     const std::uint64_t generation = m_state->directory.get_generation();
     take_records(page);
     finish(generation, page.end, page.topic_end);
@@ -134,15 +132,15 @@
 
 servers::asio::awaitable<void> server_list_follower::follow_once() {
     const std::optional<std::uint64_t> next = m_topic.get_next();
+    const steady_time sent_at = m_state->time.now();
     platform::store_page page;
     if (next) {
         page = co_await m_store->read(platform::wire::servers_topic, *next, duration::zero());
     } else {
         page = co_await m_store->read_newest(platform::wire::servers_topic);
     }
-    const steady_time now = m_state->time.now();
-    m_dependency.set_reached(now);
-    m_state->directory.set_reachable(true, now);
+    m_dependency.set_reached(m_state->time.now());
+    note_reached(sent_at);
     const std::uint64_t generation = m_state->directory.get_generation();
     if (next && m_topic.is_next(*next)) {
         take_records(page);
@@ -155,6 +153,18 @@
     }
 }
 
+void server_list_follower::note_failure() {
+    if (const std::optional<steady_time> failed_at = m_store->get_last_failure()) {
+        m_state->directory.get_contact().note_failed(*failed_at);
+    }
+}
+
+void server_list_follower::note_reached(steady_time at) {
+    // Calls of other users of the store have failed as well, perhaps later than those for the list.
+    note_failure();
+    m_state->directory.get_contact().note_reached(at);
+}
+
 void server_list_follower::take_records(const platform::store_page& page) {
     for (const platform::keyed_record& record : page.records) {
         take(record);
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -44,6 +44,9 @@
 private:
     servers::asio::awaitable<void> follow_once();
     servers::asio::awaitable<void> wait_for_hint();
+    /// Takes over what the store's other calls show, and that a read at that moment was answered.
+    void note_failure();
+    void note_reached(steady_time at);
     /// Takes the next records of the list.
     void take_records(const platform::store_page& page);
     /// Drops servers whose entries lapsed while the store was away and that had time to come back.
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -80,7 +80,7 @@
     std::vector<policy::staged_engine> engines;
     for (const auto& [id, server] : m_state->directory.get_servers()) {
         const fleet::server_record& record = server.record;
-        if (record.service != service || !record.stage || !fleet::server_directory::is_usable(server)) {
+        if (record.service != service || !record.stage || !m_state->directory.is_usable(server, m_state->time.now())) {
             continue;
         }
         const auto rest = m_resting.find(id);
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -23,9 +23,9 @@
     const auto [position, is_new] = m_servers.try_emplace(record.id);
     listed_server& server = position->second;
     const server_record before = server.record;
-    const bool was_missing = server.gone_unless_back_by.has_value();
+    const bool was_missing = server.is_missing;
     server.record = record;
-    server.gone_unless_back_by.reset();
+    server.is_missing = false;
     if (!is_new && !was_missing && is_same_server(before, record)) {
         return directory_change::none;
     }
@@ -45,9 +45,8 @@
     if (found == m_servers.end()) {
         return directory_change::none;
     }
-    const bool may_have_lapsed = m_returned_at && now - *m_returned_at < m_options.return_grace;
-    if (may_have_lapsed && !found->second.record.is_draining) {
-        found->second.gone_unless_back_by = *m_returned_at + m_options.return_grace;
+    if (m_contact.may_have_lapsed(now) && !found->second.record.is_draining) {
+        found->second.is_missing = true;
         return directory_change::missing;
     }
     m_servers.erase(found);
@@ -66,20 +65,13 @@
     return missing;
 }
 
-void server_directory::set_reachable(bool is_reachable, steady_time now) {
-    if (is_reachable && !m_is_reachable) {
-        m_returned_at = now;
-    }
-    m_is_reachable = is_reachable;
-}
-
 std::vector<backend_server_name> server_directory::expire(steady_time now) {
     std::vector<backend_server_name> expired;
-    if (!m_is_reachable) {
+    if (!m_contact.is_grace_over(now)) {
         return expired;
     }
     for (const auto& [id, server] : m_servers) {
-        if (server.gone_unless_back_by && now >= *server.gone_unless_back_by) {
+        if (server.is_missing) {
             expired.push_back(id);
         }
     }
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -7,22 +7,18 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "fleet/list_contact.hpp"
 #include "fleet/server_record.hpp"
 
 namespace dragonflywell::fleet {
 
-struct server_directory_options {
-    /// How long after the list is reachable again a live server may take to write its entry anew.
-    duration return_grace{std::chrono::milliseconds(2000)};
-};
-
 /// A backend server of the list, as this host believes it to be.
 struct listed_server {
     server_record record;
     /// When the entry changed last, by this host's clock.
     steady_time changed_at{};
-    /// The entry is missing since the list was out of reach; until then the server may still be alive.
-    std::optional<steady_time> gone_unless_back_by;
+    /// The entry may have lapsed while the list was out of reach, so that the server may be alive.
+    bool is_missing{false};
     /// Another server answered at its address, so that nothing may be sent there under this entry.
     bool is_displaced{false};
 };
@@ -35,7 +31,7 @@
 /// While the list is out of reach, what is known holds: a server that was seen draining or gone stays so.
 class server_directory {
 public:
-    explicit server_directory(server_directory_options options = {}) : m_options(options) {}
+    explicit server_directory(list_contact_options options = {}) : m_contact(options) {}
 
     /// Takes a server's newest entry. Returns how it changed.
     directory_change apply(const server_record& record, steady_time now);
@@ -46,18 +42,20 @@
     /// Takes the complete list: entries that are not in `ids` count as removed. Returns the servers that were.
     std::vector<backend_server_name> retain(const std::set<backend_server_name>& ids, steady_time now);
 
-    /// Notes that the list cannot be read, or that it can be again. Idempotent.
-    void set_reachable(bool is_reachable, steady_time now);
+    /// Returns when the list was reached, to be told of each read and of each call that failed.
+    [[nodiscard]] list_contact& get_contact() noexcept { return m_contact; }
 
-    /// Drops entries that were missing and did not come back in time. Returns the servers dropped.
+    /// Drops entries that were missing and did not come back in time; they are not usable from then on, whether
+    /// this is called or not. Returns the servers dropped.
     std::vector<backend_server_name> expire(steady_time now);
 
     /// Notes that another server answered at this one's address. The entry is not used until it changes.
     void set_displaced(const backend_server_name& id);
 
     /// Returns whether new work may be sent to it.
-    [[nodiscard]] static bool is_usable(const listed_server& server) noexcept {
-        return !server.record.is_draining && !server.is_displaced;
+    [[nodiscard]] bool is_usable(const listed_server& server, steady_time now) const {
+        const bool is_gone = server.is_missing && m_contact.is_grace_over(now);
+        return !server.record.is_draining && !server.is_displaced && !is_gone;
     }
 
     /// Returns the server, or null.
@@ -71,11 +69,8 @@
 private:
     void displace_others(const server_record& record);
 
-    server_directory_options m_options;
+    list_contact m_contact;
     std::map<backend_server_name, listed_server> m_servers;
-    bool m_is_reachable{true};
-    /// When the list could be read again after an outage.
-    std::optional<steady_time> m_returned_at;
     std::uint64_t m_generation{0};
 };
 
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -47,7 +47,7 @@
     for (const auto& [id, server] : directory.get_servers()) {
         const fleet::server_record& record = server.record;
         const fleet::service_description* service = m_view->find_service(record.service);
-        if (service == nullptr || !service->engine || !record.stage || !fleet::server_directory::is_usable(server)) {
+        if (service == nullptr || !service->engine || !record.stage || !directory.is_usable(server, time.now())) {
             continue;
         }
         facts[record.service].emplace(id, policy::engine_facts{.zone = record.zone,
@@ -73,7 +73,7 @@
 
 bool serving_state::is_listed(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
-    return listed != nullptr && fleet::server_directory::is_usable(*listed) && !is_changing(server);
+    return listed != nullptr && directory.is_usable(*listed, time.now()) && !is_changing(server);
 }
 
 bool serving_state::is_usable(const backend_server_name& server) const {
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -36,6 +36,8 @@
     double repeats_per_request{0.2};
     double repeats_besides{0};
     duration repeat_window{std::chrono::seconds(10)};
+    /// How long entries of the list of backend servers may be missing after an outage.
+    fleet::list_contact_options list_contact{};
     /// When the process started. What it may repeat besides grows over the first window, since what the process before
     /// it has spent is not known; with an early moment all of it is there at once.
     steady_time started_at{};
@@ -138,7 +140,7 @@
     backend_connection_pool& connections;
     const server_dialect& dialect;
     const serving_options options;
-    fleet::server_directory directory;
+    fleet::server_directory directory{options.list_contact};
     peer_knowledge peers;
     policy::server_health health;
     policy::usage_counter usage;
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -32,6 +32,9 @@
 
     [[nodiscard]] bool is_listed() const { return state.directory.find(server_id) != nullptr; }
 
+    /// Lets a call of this host to the store fail.
+    void fail() { state.directory.get_contact().note_failed(clock.now()); }
+
     /// Lets the host that reads say how far it is, and how long ago it read.
     void hint(duration age) { follower.take_hint({.end = follower.get_reading().end, .age = age}); }
 
@@ -47,7 +50,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(fixture, "the store is back for a host when the one that reads for it says so") {
-    state.directory.set_reachable(false, clock.now());
+    fail();
     clock.advance(5s);
     hint(100ms);
     clock.advance(3s);
@@ -57,25 +60,39 @@
 }
 
 TEST_CASE_FIXTURE(fixture, "an entry that lapsed while the store was away is dropped in time without further news") {
-    state.directory.set_reachable(false, clock.now());
     clock.advance(5s);
+    fail();
+    clock.advance(200ms);
     hint(100ms);
     clock.advance(1s);
     pass_removal_on();
     CHECK(is_listed());
-    clock.advance(900ms);
+    clock.advance(1299ms);
     hint(100ms);
     CHECK(is_listed());
-    clock.advance(100ms);
+    CHECK(state.is_usable(server_id));
+    clock.advance(1ms);
+    CHECK_FALSE(state.is_usable(server_id));
     hint(100ms);
     CHECK_FALSE(is_listed());
 }
 
 TEST_CASE_FIXTURE(fixture, "a host whose reader has not reached the store lately waits for its return") {
-    state.directory.set_reachable(false, clock.now());
     clock.advance(5s);
     hint(4s);
     clock.advance(3s);
+    fail();
+    clock.advance(100ms);
     pass_removal_on();
     CHECK(is_listed());
 }
+
+TEST_CASE_FIXTURE(fixture, "a server that left is dropped at once by a host that alone does not reach the store") {
+    for (int second = 0; second < 5; ++second) {
+        fail();
+        clock.advance(1s);
+        hint(100ms);
+    }
+    pass_removal_on();
+    CHECK_FALSE(is_listed());
+}
--- a/tests/fleet/test_server_directory.cpp
+++ b/tests/fleet/test_server_directory.cpp
@@ -17,9 +17,24 @@
             .started_at_ms = started_at_ms};
 }
 
-bool is_usable(const server_directory& directory, const std::string& id) {
+bool is_usable(const server_directory& directory, const std::string& id, steady_time now = {}) {
     const listed_server* server = directory.find(backend_server_name(id));
-    return server != nullptr && server_directory::is_usable(*server);
+    return server != nullptr && directory.is_usable(*server, now);
+}
+
+/// Returns a directory with servers a and b, read at that moment.
+server_directory make_directory(steady_time now) {
+    server_directory directory({.return_grace = 2500ms, .shortest_outage = 2400ms});
+    directory.apply(make_record("a"), now);
+    directory.apply(make_record("b", 81), now);
+    directory.get_contact().note_reached(now);
+    return directory;
+}
+
+/// Lets the list be out of reach until `failed_at`, and be read again at `read_at`.
+void lose_list(server_directory& directory, steady_time failed_at, steady_time read_at) {
+    directory.get_contact().note_failed(failed_at);
+    directory.get_contact().note_reached(read_at);
 }
 
 } // namespace
@@ -47,46 +62,76 @@
 }
 
 TEST_CASE("an entry that lapsed while the list was away counts until its server had time to come back") {
-    virtual_clock time;
-    server_directory directory({.return_grace = 2s});
-    directory.apply(make_record("a"), time.now());
-    directory.apply(make_record("b", 81), time.now());
-    directory.set_reachable(false, time.now());
-    time.advance(10s);
-    directory.set_reachable(true, time.now());
-    CHECK(directory.remove(backend_server_name("a"), time.now()) == directory_change::missing);
-    CHECK(directory.remove(backend_server_name("b"), time.now()) == directory_change::missing);
-    CHECK(is_usable(directory, "a"));
-    time.advance(1s);
-    CHECK(directory.apply(make_record("a"), time.now()) == directory_change::changed);
-    time.advance(1s);
-    const std::vector<backend_server_name> expired = directory.expire(time.now());
+    const steady_time start{};
+    server_directory directory = make_directory(start);
+    lose_list(directory, start + 10s, start + 10500ms);
+    CHECK(directory.remove(backend_server_name("a"), start + 10500ms) == directory_change::missing);
+    CHECK(directory.remove(backend_server_name("b"), start + 10500ms) == directory_change::missing);
+    CHECK(is_usable(directory, "a", start + 12s));
+    CHECK(directory.apply(make_record("a"), start + 12s) == directory_change::changed);
+    CHECK(is_usable(directory, "b", start + 12499ms));
+    CHECK(directory.expire(start + 12499ms).empty());
+    // Nothing more has to be read for it.
+    CHECK_FALSE(is_usable(directory, "b", start + 12500ms));
+    const std::vector<backend_server_name> expired = directory.expire(start + 12500ms);
     REQUIRE(expired.size() == 1);
     CHECK(expired.front().value() == "b");
-    CHECK(is_usable(directory, "a"));
+    CHECK(is_usable(directory, "a", start + 20s));
+}
+
+TEST_CASE("a server that left while a host was cut off is dropped in time, however late the host notices its path") {
+    const steady_time start{};
+    const steady_time back_at = start + 13s;
+    for (const duration noticed_after : {10ms, 500ms, 1500ms, 2400ms}) {
+        server_directory directory = make_directory(start);
+        lose_list(directory, back_at - 1ms, back_at + noticed_after);
+        directory.remove(backend_server_name("a"), back_at + noticed_after);
+        CHECK_FALSE(is_usable(directory, "a", back_at + 2500ms));
+    }
+}
+
+TEST_CASE("a call that failed in between grants no removed server a delay") {
+    const steady_time start{};
+    server_directory directory = make_directory(start);
+    lose_list(directory, start + 1s, start + 1200ms);
+    CHECK(directory.remove(backend_server_name("a"), start + 1300ms) == directory_change::removed);
 }
 
 TEST_CASE("a server that was seen draining is gone at once when its entry lapses") {
-    virtual_clock time;
-    server_directory directory;
+    const steady_time start{};
+    server_directory directory = make_directory(start);
     server_record leaving = make_record("a");
     leaving.is_draining = true;
-    directory.apply(leaving, time.now());
-    directory.set_reachable(false, time.now());
-    directory.set_reachable(true, time.now());
-    CHECK(directory.remove(backend_server_name("a"), time.now()) == directory_change::removed);
+    directory.apply(leaving, start);
+    lose_list(directory, start + 10s, start + 10s);
+    CHECK(directory.remove(backend_server_name("a"), start + 10s) == directory_change::removed);
 }
 
 TEST_CASE("nothing expires while the list is out of reach") {
-    virtual_clock time;
-    server_directory directory({.return_grace = 2s});
-    directory.apply(make_record("a"), time.now());
-    directory.set_reachable(false, time.now());
-    directory.set_reachable(true, time.now());
-    directory.remove(backend_server_name("a"), time.now());
-    directory.set_reachable(false, time.now());
-    time.advance(10s);
-    CHECK(directory.expire(time.now()).empty());
+    const steady_time start{};
+    server_directory directory = make_directory(start);
+    lose_list(directory, start + 10s, start + 10s + 1ms);
+    directory.remove(backend_server_name("a"), start + 10s + 1ms);
+    directory.get_contact().note_failed(start + 11s);
+    CHECK(directory.expire(start + 20s).empty());
+    CHECK(is_usable(directory, "a", start + 20s));
+    // Its server gets the same time once more when the list is back.
+    directory.get_contact().note_failed(start + 21s);
+    directory.get_contact().note_reached(start + 21500ms);
+    CHECK(is_usable(directory, "a", start + 23s));
+    CHECK_FALSE(is_usable(directory, "a", start + 23500ms));
+}
+
+TEST_CASE("news of an earlier read do not make the return of the list look later") {
+    const steady_time start{};
+    server_directory directory = make_directory(start);
+    directory.get_contact().note_failed(start + 9s);
+    // Another host read at 8 s, and this one is told much later.
+    directory.get_contact().note_reached(start + 8s);
+    directory.get_contact().note_reached(start + 11s);
+    CHECK(directory.remove(backend_server_name("a"), start + 11s) == directory_change::missing);
+    CHECK(is_usable(directory, "a", start + 11499ms));
+    CHECK_FALSE(is_usable(directory, "a", start + 11500ms));
 }
 
 TEST_CASE("a server that starts again under its id is another one") {
