End answers whose framing, interim or foreign parts go on without end

A server in trouble may send bytes without end until its caller closes. Heads, unframed bodies and bytes that are no answer were bounded already. The size of a chunk, trailers, interim answers, answers to other requests and the body of such an answer were not: a caller's request held memory and processor until its deadline, and enough of them end the process at its memory limit. What is read ahead of the parser is now bounded (128 KiB), and so is what comes before the own answer (4 MiB); the connection is closed beyond.

--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -17,12 +17,16 @@
 
 namespace dragonflywell::servers {
 
+/// Most bytes that are read ahead of what was parsed: a head, the size of a chunk or trailers that do not end by then
+/// belong to no answer.
+inline constexpr std::size_t most_read_ahead_bytes = 128UL * 1024;
+
 /// A connection to one backend server, with the bytes read ahead of what was parsed.
 struct backend_connection {
     explicit backend_connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{most_read_ahead_bytes};
     /// What is being sent; stays until the send is over, whatever became of the exchange.
     std::string outgoing;
     bool is_sending{false};
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t piece_bytes = 16 * 1024;
 constexpr std::uint32_t header_limit_bytes = 64 * 1024;
+/// Interim answers and answers to other requests that are read over before the own one.
+constexpr std::size_t most_unused_bytes = 4UL * 1024 * 1024;
 constexpr duration settle_deadline = std::chrono::milliseconds(20);
 
 /// Returns the request's bytes, with the length of its body.
@@ -49,6 +51,10 @@
     return fault == std::errc() ? std::optional<duration>(std::chrono::seconds(seconds)) : std::nullopt;
 }
 
+bool is_interim(const http::response_header<>& head) {
+    return http::to_status_class(head.result()) == http::status_class::informational;
+}
+
 } // namespace
 
 backend_exchange::backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options)
@@ -57,10 +63,12 @@
 asio::awaitable<void> backend_exchange::start(const http_request& request) {
     co_await connect();
     send(request);
-    co_await read_head(request.method() == http::verb::head);
+    const bool is_head_request = request.method() == http::verb::head;
+    std::size_t head_bytes = co_await read_head(is_head_request);
     while (m_options.is_own_answer && !m_options.is_own_answer(m_parser->get())) {
+        add_unused_bytes(head_bytes);
         co_await skip_foreign_answer();
-        co_await read_head(request.method() == http::verb::head);
+        head_bytes = co_await read_head(is_head_request);
     }
     if (!m_options.accepts_unframed && !m_parser->is_done() && m_parser->need_eof()) {
         throw exchange_failed_error("answer does not say how long it is", exchange_phase::after_send,
@@ -95,12 +103,13 @@
                       });
 }
 
-asio::awaitable<void> backend_exchange::read_head(bool is_head_request) {
+asio::awaitable<std::size_t> backend_exchange::read_head(bool is_head_request) {
     m_parser.emplace();
     m_parser->body_limit(boost::none);
     m_parser->header_limit(header_limit_bytes);
     m_parser->skip(is_head_request);
     error_code fault;
+    std::size_t head_bytes = 0;
     do {
         if (m_parser->is_header_done()) {
             // An interim answer such as 100 says nothing yet.
@@ -110,11 +119,16 @@
             m_parser->skip(is_head_request);
         }
         limit_silence();
-        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
+        head_bytes =
+            co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
         if (fault) {
             fail(fault, exchange_phase::after_send, "no answer");
         }
-    } while (http::to_status_class(m_parser->get().result()) == http::status_class::informational);
+        if (is_interim(m_parser->get())) {
+            add_unused_bytes(head_bytes);
+        }
+    } while (is_interim(m_parser->get()));
+    co_return head_bytes;
 }
 
 asio::awaitable<void> backend_exchange::skip_foreign_answer() {
@@ -123,7 +137,15 @@
                                     policy::retry_reason::crossed_answer);
     }
     while (!m_parser->is_done()) {
-        co_await read_piece();
+        add_unused_bytes(co_await read_piece());
+    }
+}
+
+void backend_exchange::add_unused_bytes(std::size_t count) {
+    m_unused_bytes += count;
+    if (m_unused_bytes > most_unused_bytes) {
+        throw exchange_failed_error("too much came before the answer", exchange_phase::after_send,
+                                    policy::retry_reason::malformed_answer);
     }
 }
 
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -81,9 +81,12 @@
 private:
     asio::awaitable<void> connect();
     void send(const http_request& request);
-    asio::awaitable<void> read_head(bool is_head_request);
+    /// Returns the size of the head that counts.
+    asio::awaitable<std::size_t> read_head(bool is_head_request);
     asio::awaitable<void> skip_foreign_answer();
     asio::awaitable<std::size_t> read_piece();
+    /// Counts bytes that are no part of this request's answer. Throws `exchange_failed_error` when they are too many.
+    void add_unused_bytes(std::size_t count);
     void give_back();
     void limit_silence();
     [[nodiscard]] duration get_time_left() const;
@@ -95,6 +98,7 @@
     std::shared_ptr<backend_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_piece;
+    std::size_t m_unused_bytes{0};
     bool m_is_sent{false};
     bool m_is_cancelled{false};
 };
--- /dev/null
+++ b/tests/servers/test_endless_answers.cpp
@@ -0,0 +1,116 @@
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "servers/backend_exchange.hpp"
+#include "standin/raw_server.hpp"
+#include "support/event_loop.hpp"
+
+using namespace dragonflywell;
+using namespace dragonflywell::servers;
+using dragonflywell::standin::raw_connection;
+using dragonflywell::standin::raw_server;
+using dragonflywell::testing::run_until;
+using dragonflywell::testing::run_until_done;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What a server sends that goes on until its caller closes; far more than a caller may take.
+constexpr std::size_t endless_bytes = 64UL * 1024 * 1024;
+/// What the sockets on the way may hold besides what a caller took.
+constexpr std::size_t most_taken_bytes = 16UL * 1024 * 1024;
+
+/// A client before a server that begins an answer with some bytes and then repeats others without end.
+struct fixture {
+    asio::io_context loop{1};
+    host_clock time;
+    backend_connection_pool pool{time, {}};
+    std::size_t sent{0};
+    bool is_closed{false};
+    std::string beginning;
+    std::string repeated;
+    raw_server server{loop, [this](const http_request&, raw_connection& connection) -> asio::awaitable<void> {
+                          co_await connection.write(beginning);
+                          std::string block;
+                          while (block.size() < 64UL * 1024) {
+                              block += repeated;
+                          }
+                          error_code fault;
+                          while (!fault && sent < endless_bytes) {
+                              sent += co_await asio::async_write(connection.get_socket(), asio::buffer(block),
+                                                                 store_error(fault));
+                          }
+                          is_closed = fault.failed();
+                          connection.close();
+                      }};
+
+    ~fixture() { pool.clear(); }
+
+    /// Returns why there is no answer.
+    std::string ask(std::string begins_with, std::string goes_on_with) {
+        beginning = std::move(begins_with);
+        repeated = std::move(goes_on_with);
+        std::string result = "answered";
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            const exchange_options options{
+                .progress_deadline = 60s,
+                .accepts_unframed = true,
+                .is_own_answer = [](const http::response_header<>& head) { return head["Id"] == "own"; }};
+            backend_exchange exchange(pool, server.get_endpoint(), options);
+            const http_request request(http::verb::get, "/", 11);
+            try {
+                co_await exchange.start(request);
+                co_await exchange.read_rest(1024);
+            } catch (const exchange_failed_error& failure) {
+                result = policy::get_retry_name(failure.get_reason());
+            }
+        });
+        pool.clear();
+        run_until(loop, [&] { return is_closed || sent >= endless_bytes; });
+        return result;
+    }
+};
+
+const std::string own_head = "HTTP/1.1 200 OK\r\nId: own\r\n";
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "bytes that are no answer are not read without end") {
+    CHECK(ask("", "no answer ") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "a head without end is not read without end") {
+    CHECK(ask(own_head, "X-More: and more\r\n") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "a body without end is not read without end") {
+    CHECK(ask(own_head + "\r\n", "more") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "the size of a chunk without end is not read without end") {
+    CHECK(ask(own_head + "Transfer-Encoding: chunked\r\n\r\n1;", "extension") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "trailers without end are not read without end") {
+    CHECK(ask(own_head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-More: and more\r\n") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "interim answers without end are not read without end") {
+    CHECK(ask("", "HTTP/1.1 100 Continue\r\n\r\n") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "answers to other requests without end are not read without end") {
+    CHECK(ask("", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nabc") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
+
+TEST_CASE_FIXTURE(fixture, "the body of another request's answer is not read without end") {
+    CHECK(ask("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 999999999\r\n\r\n", "abc") != "answered");
+    CHECK(sent < most_taken_bytes);
+}
