Give up events without end, and bound what all answers hold together until they are whole

An event may have 1 MiB; answers that are gathered share 32 MiB, and those beyond end as malformed. Test: a stream whose event does not end got 504 at its deadline before, and gets 502 at once now. The budget is new, its test could not run before.

--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -13,6 +13,7 @@
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
+#include "servers/byte_budget.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
@@ -43,6 +44,8 @@
     duration unacknowledged_timeout{std::chrono::seconds(3)};
     /// An idle connection older than this is not used: something between the ends may have forgotten it.
     duration most_idle_time{std::chrono::seconds(20)};
+    /// Most bytes of answers that are held at a time until they are whole, for all exchanges.
+    std::size_t most_gathered_bytes{32UL * 1024 * 1024};
 };
 
 /// Idle connections to backend servers. Thread safe.
@@ -76,6 +79,9 @@
     /// Closes all idle connections. To be called while the contexts that they were made on still exist.
     void clear();
 
+    /// Returns what bounds the answers that are held until they are whole.
+    [[nodiscard]] const byte_budget& get_gathered() const noexcept { return m_gathered; }
+
     /// Returns the clock by which deadlines of exchanges are kept.
     [[nodiscard]] const clock_source& get_time() const noexcept { return *m_time; }
 
@@ -94,6 +100,7 @@
 
     const clock_source* m_time;
     backend_connection_pool_options m_options;
+    byte_budget m_gathered{m_options.most_gathered_bytes};
     std::atomic<std::uint64_t> m_opened{0};
     std::mutex m_mutex;
     std::map<idle_key, std::vector<idle_connection>> m_idle;
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -185,9 +185,10 @@
 
 asio::awaitable<std::string> backend_exchange::read_rest(std::size_t limit_bytes) {
     std::string rest;
+    byte_budget::share held(m_pool->get_gathered());
     std::string_view piece = co_await read_some();
     while (!piece.empty()) {
-        if (rest.size() + piece.size() > limit_bytes) {
+        if (rest.size() + piece.size() > limit_bytes || !held.take(piece.size())) {
             throw exchange_failed_error("answer is too large", exchange_phase::after_send,
                                         policy::retry_reason::malformed_answer);
         }
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -19,10 +19,15 @@
     /// Drops the part of an event that is left over when a stream broke.
     void drop_partial_event() { m_pending.clear(); }
 
+    /// Returns whether the part that is left over is longer than any event.
+    [[nodiscard]] bool is_endless() const noexcept { return m_pending.size() > most_event_bytes; }
+
     /// Returns whether part of an event is left over.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_pending.empty(); }
 
 private:
+    static constexpr std::size_t most_event_bytes = 1024UL * 1024;
+
     void note_ids(std::string_view events);
 
     std::string m_pending;
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -361,6 +361,10 @@
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
         const std::string events = m_events.take_events();
+        if (m_events.is_endless()) {
+            throw exchange_failed_error("an event does not end", exchange_phase::after_send,
+                                        policy::retry_reason::malformed_answer);
+        }
         if (events.empty()) {
             continue;
         }
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -340,3 +340,17 @@
     CHECK(generate("/gen/x").status == 200);
     CHECK(count_runs(dark) == 0);
 }
+
+TEST_CASE_FIXTURE(serving_fixture, "a stream whose event does not end is given up") {
+    configure();
+    add_server("p", prefill, read_prompts());
+    add_server("d", decode,
+               [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                   constexpr std::size_t event_bytes = 2UL * 1024 * 1024;
+                   std::string bytes = serving_fixture::make_stream_head(request, "seal");
+                   bytes += serving_fixture::make_chunk("id: 1\ndata: " + std::string(event_bytes, 'a'));
+                   co_await connection.write(std::move(bytes));
+                   co_await connection.wait_for_end();
+               });
+    CHECK(generate("/gen/x").status == 502);
+}
--- a/tests/servers/test_endless_answers.cpp
+++ b/tests/servers/test_endless_answers.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "servers/backend_exchange.hpp"
+#include "servers/event_splitter.hpp"
 #include "standin/raw_server.hpp"
 #include "support/event_loop.hpp"
 
@@ -114,3 +115,46 @@
     CHECK(ask("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 999999999\r\n\r\n", "abc") != "answered");
     CHECK(sent < most_taken_bytes);
 }
+
+TEST_CASE_FIXTURE(fixture, "many answers without end hold no more bytes together than one budget") {
+    constexpr std::size_t limit_bytes = 1000UL * 1000;
+    constexpr std::size_t exchanges = 8;
+    backend_connection_pool small_pool(time, {.most_gathered_bytes = limit_bytes});
+    // Each server sends less than its own answer may have, and then nothing more.
+    raw_server slow(loop, [](const http_request&, raw_connection& connection) -> asio::awaitable<void> {
+        co_await connection.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(limit_bytes / 4, 'a'));
+        co_await connection.wait_for_end();
+    });
+    std::size_t failed = 0;
+    for (std::size_t number = 0; number < exchanges; ++number) {
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                const exchange_options options{.progress_deadline = 60s, .accepts_unframed = true};
+                backend_exchange exchange(small_pool, slow.get_endpoint(), options);
+                const http_request request(http::verb::get, "/", 11);
+                try {
+                    co_await exchange.start(request);
+                    co_await exchange.read_rest(limit_bytes);
+                } catch (const exchange_failed_error& failure) {
+                    failed += failure.get_reason() == policy::retry_reason::malformed_answer ? 1 : 0;
+                }
+            },
+            asio::detached);
+    }
+    run_until(loop, [&] { return failed == exchanges / 2; });
+    CHECK(failed == exchanges / 2);
+    small_pool.clear();
+}
+
+TEST_CASE("an event without end is told apart from one that is not whole yet") {
+    event_splitter splitter;
+    const std::string piece(64UL * 1024, 'a');
+    for (int count = 0; count < 16; ++count) {
+        splitter.add_bytes(piece);
+    }
+    CHECK(splitter.take_events().empty());
+    CHECK_FALSE(splitter.is_endless());
+    splitter.add_bytes("a");
+    CHECK(splitter.is_endless());
+}
