Ask once more whether a server takes work when its connection is there

Now the list is asked again before the first byte is written; the request goes to another server, which is no repeat and holds nothing against the first. Test: a server that begins to leave while it is connected to got the request before.

--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -36,8 +36,8 @@
 
 std::string_view get_retry_name(retry_reason reason) noexcept {
     constexpr std::array<std::string_view, retry_reason_count> names{
-        "connect_failed",      "stale_connection", "broken_answer", "silent_backend_server",
-        "backend_server_busy", "malformed_answer", "crossed_answer"};
+        "connect_failed",      "stale_connection", "broken_answer",  "silent_backend_server",
+        "backend_server_busy", "malformed_answer", "crossed_answer", "server_left"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -63,9 +63,11 @@
     malformed_answer,
     /// The answer belongs to another request.
     crossed_answer,
+    /// The server began to leave before the request was sent to it.
+    server_left,
 };
 
-inline constexpr std::size_t retry_reason_count = 7;
+inline constexpr std::size_t retry_reason_count = 8;
 
 /// How a refusal looks to the caller.
 struct refusal_form {
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -62,6 +62,10 @@
 
 asio::awaitable<void> backend_exchange::start(const http_request& request) {
     co_await connect();
+    if (m_options.may_send && !m_options.may_send()) {
+        throw exchange_failed_error("the server left meanwhile", exchange_phase::before_send,
+                                    policy::retry_reason::server_left);
+    }
     send(request);
     const bool is_head_request = request.method() == http::verb::head;
     std::size_t head_bytes = co_await read_head(is_head_request);
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -46,6 +46,8 @@
     bool accepts_unframed{false};
     /// Tells whether an answer belongs to this request. One that doesn't is read over; an empty function takes any.
     std::function<bool(const http::response_header<>&)> is_own_answer{};
+    /// Tells whether the request may still be sent, asked when the connection is there; an empty function permits it.
+    std::function<bool()> may_send{};
 };
 
 /// One request to one backend server, and its answer piece by piece. Used by one coroutine; not thread safe.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -172,7 +172,7 @@
     get_state().touches.push_back({.engine = engine, .parts = m_parts});
     get_state().note_load_change();
     const prompt_on_board on_board(get_state(), get_request().service, engine, m_number);
-    exchange_options options = make_exchange_options();
+    exchange_options options = make_exchange_options(engine);
     options.progress_deadline =
         std::min(options.progress_deadline, (waits + choice.reading_time) * read_patience_factor + read_patience);
     backend_exchange exchange(get_state().connections, sending.address, options);
@@ -257,7 +257,7 @@
     engines.board.start_run(engine, m_needed_tokens, m_parts);
     get_state().note_load_change();
     const run_on_board on_board(get_state(), get_request().service, engine, m_needed_tokens);
-    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options());
+    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options(engine));
     std::optional<exchange_failed_error> failure;
     answer_kind kind = answer_kind::invalid;
     bool has_head = false;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -66,7 +66,7 @@
                                                                        caller_channel& caller) {
     const serving_state::in_flight_token token(get_state(), server);
     const dispatch sending = make_dispatch(server);
-    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options());
+    backend_exchange exchange(get_state().connections, sending.address, make_exchange_options(server));
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> answer;
     answer_kind kind = answer_kind::invalid;
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -152,19 +152,23 @@
             .last_event_id = get_call().last_event_id};
 }
 
-exchange_options serving_request::make_exchange_options() const {
+exchange_options serving_request::make_exchange_options(const backend_server_name& server) const {
     const call* wanted = m_request.wanted;
+    const serving_state* state = m_state;
     const server_dialect* dialect = &m_state->dialect;
     return {.may_reuse = true,
             .progress_deadline = std::max(duration::zero(), get_time_left()),
             .last_moment = m_request.deadline,
             .accepts_unframed = true,
-            .is_own_answer = [wanted, dialect](const http::response_header<>& head) {
-                return dialect->is_answer_to(*wanted, head);
-            }};
+            .is_own_answer =
+                [wanted, dialect](const http::response_header<>& head) { return dialect->is_answer_to(*wanted, head); },
+            .may_send = [state, server] { return state->is_listed(server); }};
 }
 
 void serving_request::note_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
+    if (failure.get_reason() == policy::retry_reason::server_left) {
+        return;
+    }
     const bool is_unreachable = failure.get_phase() == exchange_phase::before_send;
     m_state->health.add_failure(server,
                                 is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -54,7 +54,8 @@
 
     /// Returns the dispatch to a server of the list. Throws `request_refused` when it is not listed any more.
     [[nodiscard]] dispatch make_dispatch(const backend_server_name& server) const;
-    [[nodiscard]] exchange_options make_exchange_options() const;
+    /// Returns the options of an exchange with that server, to which nothing is sent once it leaves.
+    [[nodiscard]] exchange_options make_exchange_options(const backend_server_name& server) const;
 
     /// Notes what a failed exchange says about its server.
     void note_failure(const backend_server_name& server, const exchange_failed_error& failure) const;
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -321,3 +321,34 @@
     CHECK(ask(http::verb::post, "/unsafe/x", "innocent").status == 200);
     CHECK(state.suspects.is_empty());
 }
+
+TEST_CASE_FIXTURE(serving_fixture, "a server that begins to leave while it is connected to gets nothing") {
+    configure();
+    const raw_server& leaving = add_server("s1", {}, answer_with(200, "late"));
+    answer got;
+    bool is_done = false;
+    asio::co_spawn(
+        loop,
+        [&]() -> asio::awaitable<void> {
+            asio::ip::tcp::socket socket = co_await connect();
+            servers::http_request request(http::verb::get, "/safe/x", 11);
+            for (const auto& [name, value] : get_headers()) {
+                request.insert(name, value);
+            }
+            servers::error_code fault;
+            co_await http::async_write(socket, request, servers::store_error(fault));
+            got = co_await read_answer(socket);
+            is_done = true;
+        },
+        asio::detached);
+    run_until(loop, [&] { return state.get_in_flight(backend_server_name("s1")) > 0; });
+    const raw_server& staying = add_server("s2", {}, answer_with(200, "in time"));
+    fleet::server_record record = state.directory.find(backend_server_name("s1"))->record;
+    record.is_draining = true;
+    state.directory.apply(record, time.now());
+    run_until(loop, [&] { return is_done; });
+    CHECK(got.body == "in time");
+    CHECK(leaving.get_requests().empty());
+    CHECK(staying.get_requests().size() == 1);
+    CHECK(state.health.is_usable(backend_server_name("s1"), time.now()));
+}
