--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -85,7 +85,11 @@
     const steady_time sent_at = m_state->time.now();
     // Configurations may be large: those that were replaced meanwhile need not be fetched.
     if (!next || m_topic.get_missing() > 1) {
-        take(co_await m_store->read_newest(platform::wire::operator_topic), sent_at);
+        const platform::store_page listing = co_await m_store->read_newest(platform::wire::operator_topic);
+        if (m_topic.is_older(listing.end)) {
+            throw platform::store_unavailable_error("the listing is older than what was read", false);
+        }
+        take(listing, sent_at);
         co_return;
     }
     // Only the host that reads for others waits at the store, and only while the store is known to answer at once.
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -138,6 +138,9 @@
         page = co_await m_store->read(platform::wire::servers_topic, *next, duration::zero());
     } else {
         page = co_await m_store->read_newest(platform::wire::servers_topic);
+        if (m_topic.is_older(page.end)) {
+            throw platform::store_unavailable_error("the listing is older than what was read", false);
+        }
     }
     m_dependency.set_reached(m_state->time.now());
     note_reached(sent_at);
--- a/policy/followed_topic.hpp
+++ b/policy/followed_topic.hpp
@@ -19,6 +19,7 @@
     /// What was read of a longer topic is no news of its end.
     void note_read(std::uint64_t end, std::uint64_t topic_end, steady_time at) {
         m_next = std::max(m_next.value_or(0), end);
+        m_read_end = std::max(m_read_end, end);
         m_known_end = std::max(m_known_end, topic_end);
         if (get_missing() == 0) {
             m_fresh_at = std::max(m_fresh_at, at);
@@ -28,6 +29,9 @@
     /// Notes that the records to go on from are not kept: the topic has to be listed.
     void note_dropped() noexcept { m_next.reset(); }
 
+    /// Returns whether a listing shows the topic as it was before what has been read. It must not replace that.
+    [[nodiscard]] bool is_older(std::uint64_t listed_end) const noexcept { return listed_end < m_read_end; }
+
     /// Returns how many records are known to be missing here. Where only the newest record of a key matters, a topic
     /// that is more than one behind is listed rather than read record by record.
     [[nodiscard]] std::uint64_t get_missing() const noexcept {
@@ -64,6 +68,8 @@
 private:
     std::optional<std::uint64_t> m_next;
     steady_time m_fresh_at{};
+    /// Largest offset up to which the topic was read; stays when the records to go on from are not kept.
+    std::uint64_t m_read_end{0};
     /// Largest end of the topic that was heard of.
     std::uint64_t m_known_end{0};
 };
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/server_list_follower.hpp"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "platform/engine_dialect.hpp"
 #include "support/event_loop.hpp"
@@ -14,6 +15,12 @@
 
 const backend_server_name server_id("i-1");
 
+std::string make_entry(const std::string& state, int sequence) {
+    return fmt::format(R"({{"service":"app","addr":"10.0.0.1:80","zone":"z","version":"1","slots":4,"state":"{}",)"
+                       R"("coldRemainingMs":0,"seq":{},"born":1}})",
+                       state, sequence);
+}
+
 /// A host that another one reads for, with one server in the list.
 struct fixture : testing::store_fixture {
     virtual_clock clock;
@@ -23,9 +30,7 @@
     daemon::server_list_follower follower{client, state, 2s};
 
     fixture() {
-        store.put("keyed.servers", server_id.value(),
-                  R"({"service":"app","addr":"10.0.0.1:80","zone":"z","version":"1","slots":4,"state":"ready",)"
-                  R"("coldRemainingMs":0,"seq":1,"born":1})");
+        store.put("keyed.servers", server_id.value(), make_entry("ready", 1));
         boost::asio::co_spawn(loop, follower.run(), boost::asio::detached);
         run_until(loop, [this] { return follower.is_loaded(); });
     }
@@ -96,3 +101,24 @@
     pass_removal_on();
     CHECK_FALSE(is_listed());
 }
+
+TEST_CASE_FIXTURE(fixture, "a listing older than what was read brings no leaving server back") {
+    const std::string topic = "keyed.servers";
+    store.freeze_listing(topic);
+    store.put(topic, server_id.value(), make_entry("draining", 2));
+    follower.take_news(1, {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
+                           .end = 2,
+                           .topic_end = 2});
+    REQUIRE_FALSE(state.is_usable(server_id));
+    store.put(topic, server_id.value(), make_entry("draining", 3));
+    store.drop_history(topic);
+    // News that this host has missed make it read; its place is gone, and the listing is from before the notice.
+    const std::uint64_t calls = store.get_calls();
+    follower.take_news(3, {.records = {}, .end = 3, .topic_end = 3});
+    // The call after the listing shows that it was taken, or passed over.
+    run_until(loop, [&] { return store.get_calls() >= calls + 3; });
+    CHECK_FALSE(state.is_usable(server_id));
+    store.thaw_listing(topic);
+    run_until(loop, [&] { return follower.get_reading().end == 3; });
+    CHECK_FALSE(state.is_usable(server_id));
+}
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -95,7 +95,8 @@
         return read(log, get_number(request, "from").value_or(0));
     }
     if (is_call(request, "/-/log-newest")) {
-        return list(log, get_parameter(request, "after"));
+        const auto frozen = m_frozen.find(get_parameter(request, "topic"));
+        return list(frozen == m_frozen.end() ? log : frozen->second, get_parameter(request, "after"));
     }
     return make_json_response(404, "{}");
 }
@@ -168,6 +169,16 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+void store_standin::freeze_listing(const std::string& topic) {
+    const std::scoped_lock lock(m_mutex);
+    m_frozen[topic] = m_topics[topic];
+}
+
+void store_standin::thaw_listing(const std::string& topic) {
+    const std::scoped_lock lock(m_mutex);
+    m_frozen.erase(topic);
+}
+
 std::optional<std::string> store_standin::get(const std::string& topic, const std::string& key) {
     const std::scoped_lock lock(m_mutex);
     std::optional<std::string> newest;
--- a/tests/standin/store_standin.hpp
+++ b/tests/standin/store_standin.hpp
@@ -25,6 +25,10 @@
     /// Forgets all records but the newest of each key.
     void drop_history(const std::string& topic);
 
+    /// Lists a topic from now on as it is at this moment, whatever is written, as a copy that lags does.
+    void freeze_listing(const std::string& topic);
+    void thaw_listing(const std::string& topic);
+
     /// Limits how many records a read returns.
     void set_page_records(std::size_t most) { m_page_records = most; }
 
@@ -52,6 +56,8 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, topic> m_topics;
+    /// Topics as they were when their listing was frozen.
+    std::map<std::string, topic> m_frozen;
     std::uint64_t m_calls{0};
     std::size_t m_page_records{1000};
 };
