Count a plain request in the window in which it was sent

It is counted with the time of day at which it was sent now; a stream as before with its first event. Test: a request answered in the next window was counted there before.

--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -346,7 +346,7 @@
     http_response answer(exchange.get_head().result(), 11);
     copy_answer_headers(exchange.get_head(), answer);
     answer.body() = co_await exchange.read_rest(plain_answer_limit_bytes);
-    note_run();
+    note_run(get_state().get_true_time());
     if (caller.is_started()) {
         throw request_refused(policy::refusal_reason::backend_server_failed, get_outcome(),
                               "the stream could not be gone on with");
@@ -370,7 +370,7 @@
         }
         unanswered.end();
         if (!caller.is_started()) {
-            note_run();
+            note_run(get_state().get_true_time());
             const duration taken = get_state().time.now() - m_generation_sent_at;
             get_state().find_engines(get_request().service)->observe_first_event(taken);
             get_record().first_after = get_state().time.now() - get_record().arrived_at;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -70,6 +70,8 @@
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> answer;
     answer_kind kind = answer_kind::invalid;
+    // An instance begins when the request arrives, long before its answer tells so.
+    const wall_time sent_at = get_state().get_true_time();
     try {
         const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
         const http_request message = get_state().dialect.make_request(get_call(), sending);
@@ -113,7 +115,7 @@
                                                    policy::retry_reason::malformed_answer),
                              true);
     }
-    note_run();
+    note_run(sent_at);
     ++m_runs;
     get_record().add_server(server, std::to_string(answer->result_int()));
     const bool is_failure = answer->result_int() >= first_failed_status;
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -185,13 +185,13 @@
     m_state->health.add_failure(server, policy::server_failure::refused, m_state->time.now());
 }
 
-void serving_request::note_run() {
+void serving_request::note_run(wall_time began_at) {
     m_may_have_run = true;
     if (m_is_counted || m_request.organisation.empty()) {
         return;
     }
     m_is_counted = true;
-    m_state->usage.add(m_request.organisation, m_state->get_true_time());
+    m_state->usage.add(m_request.organisation, began_at);
 }
 
 } // namespace dragonflywell::servers
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -61,8 +61,8 @@
     void note_failure(const backend_server_name& server, const exchange_failed_error& failure) const;
     /// Notes that a server would not run anything.
     void note_refusal(const backend_server_name& server) const;
-    /// Notes that a server began to run the request.
-    void note_run();
+    /// Notes that a server began to run the request, at that time of day.
+    void note_run(wall_time began_at);
 
     /// Returns how far the request came, for a refusal.
     [[nodiscard]] policy::request_outcome get_outcome() const noexcept {
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -352,3 +352,19 @@
     CHECK(staying.get_requests().size() == 1);
     CHECK(state.health.is_usable(backend_server_name("s1"), time.now()));
 }
+
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a plain request that is answered in the next window is counted in the one it began in") {
+    configure();
+    std::int64_t began_in = 0;
+    add_server("s1", {},
+               [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                   began_in = state.usage.get_window(state.get_true_time());
+                   state.correct_true_time(state.options.usage_window);
+                   const raw_server::behaviour answer = answer_with(200, "ok");
+                   co_await answer(request, connection);
+               });
+    CHECK(ask(http::verb::get, "/safe/x").status == 200);
+    REQUIRE(state.usage.get_windows().size() == 1);
+    CHECK(state.usage.get_windows().begin()->first == began_in);
+}
