--- a/daemon/group_usage.cpp
+++ b/daemon/group_usage.cpp
@@ -6,18 +6,10 @@
 #include "coordination/usage_book.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
+#include "daemon/usage_timing.hpp"
 
 namespace dragonflywell::daemon {
 
-namespace {
-
-/// How long after its end a window is counted to its end.
-constexpr duration settle_time = std::chrono::milliseconds(200);
-/// Windows that a copy holds, as many as a host's own record; older ones are reported or lost by then.
-constexpr std::int64_t kept_windows = 6;
-
-} // namespace
-
 group_usage::group_usage(platform::store_client& store, servers::serving_state& state, duration gather)
     : m_store(&store), m_state(&state), m_gather(gather), m_log(get_logger("usage")) {}
 
@@ -34,7 +26,7 @@
         told.windows[window] = counts;
     }
     // A later copy replaces the earlier one, and a window may be reported late, when its figures are still needed.
-    const std::int64_t oldest = told.windows.rbegin()->first - kept_windows + 1;
+    const std::int64_t oldest = told.windows.rbegin()->first - kept_usage_windows + 1;
     told.windows.erase(told.windows.begin(), told.windows.lower_bound(oldest));
 }
 
@@ -58,7 +50,7 @@
 }
 
 servers::asio::awaitable<void> group_usage::record(std::int64_t window) {
-    const wall_time counted_at = m_state->usage.get_end(window) + settle_time;
+    const wall_time counted_at = m_state->usage.get_end(window) + usage_settle_time;
     servers::digest_recorded_usage recorded{.window = window, .lives = {}};
     std::vector<platform::keyed_value> records;
     for (const auto& [host, told] : m_told) {
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_exchange.cpp
@@ -9,6 +9,7 @@
 #include "core/json.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_news.hpp"
+#include "daemon/usage_timing.hpp"
 #include "policy/time_correction.hpp"
 #include "servers/pause.hpp"
 
@@ -27,8 +28,6 @@
 constexpr duration keep_alive_interval = std::chrono::milliseconds(500);
 /// A host that was not heard for this long counts as gone: its work is not known any more.
 constexpr duration silence = std::chrono::milliseconds(2500);
-/// Windows for which the counts of other hosts are kept: older ones are reported, or too late to be.
-constexpr std::int64_t kept_usage_windows = 6;
 /// How long a host of the group is silent until its entry is dropped; a host that comes back announces itself.
 constexpr duration gone_after = std::chrono::seconds(60);
 constexpr std::size_t most_datagram_bytes = 60'000;
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -2,16 +2,13 @@
 
 #include "coordination/usage_book.hpp"
 #include "daemon/store_topics.hpp"
+#include "daemon/usage_timing.hpp"
 #include "servers/pause.hpp"
 
 namespace dragonflywell::daemon {
 
 namespace {
 
-/// Windows that a record holds; older ones are reported or lost by then.
-constexpr std::int64_t kept_windows = 6;
-/// How long after the end of a window it is recorded: what began before its end has been counted by then.
-constexpr duration settle_time = std::chrono::milliseconds(200);
 /// How often it is looked whether the speaker of the group has recorded a window.
 constexpr duration speaker_check_interval = std::chrono::milliseconds(400);
 /// A jump of the wall clock must not make the wait for a window's end a long one.
@@ -27,7 +24,7 @@
 servers::asio::awaitable<void> usage_recorder::run() {
     std::int64_t recorded = get_current_window() - 1;
     for (;;) {
-        const wall_time due = m_state->usage.get_end(recorded + 1) + settle_time;
+        const wall_time due = m_state->usage.get_end(recorded + 1) + usage_settle_time;
         const duration wait = due - m_state->get_true_time();
         if (wait > duration::zero()) {
             co_await servers::pause(std::min(wait, longest_wait));
@@ -53,7 +50,7 @@
         }
         if (is_recorded) {
             recorded = closed;
-            m_state->usage.forget_before(closed - kept_windows);
+            m_state->usage.forget_before(closed - kept_usage_windows);
         } else {
             co_await m_store->wait_for_turn();
         }
--- a/daemon/usage_timing.hpp
+++ b/daemon/usage_timing.hpp
@@ -1,9 +1,16 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/clock.hpp"
 
 namespace dragonflywell::daemon {
 
+/// How long after its end a window is counted to its end: what began before it has been counted by then.
+inline constexpr duration usage_settle_time = std::chrono::milliseconds(200);
+/// Windows whose counts are kept, of this host and of others; older ones are reported, or too late to be.
+inline constexpr std::int64_t kept_usage_windows = 6;
+
 /// When what happens to a window's usage, counted from its end. Everything is a part of the time after which a report
 /// is due, so that a shorter one keeps the order.
 struct usage_timing {
