--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -87,6 +87,9 @@
 servers::http_response store_standin::answer(const servers::http_request& request) {
     const std::scoped_lock lock(m_mutex);
     ++m_calls;
+    if (m_is_refusing) {
+        return make_json_response(503, "{}");
+    }
     topic& log = m_topics[get_parameter(request, "topic")];
     if (is_call(request, "/-/log-append")) {
         return append(log, request.body(), get_number(request, "at"));
@@ -169,6 +172,11 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+void store_standin::set_refusing(bool is_refusing) {
+    const std::scoped_lock lock(m_mutex);
+    m_is_refusing = is_refusing;
+}
+
 void store_standin::freeze_listing(const std::string& topic) {
     const std::scoped_lock lock(m_mutex);
     m_frozen[topic] = m_topics[topic];
--- a/tests/standin/store_standin.hpp
+++ b/tests/standin/store_standin.hpp
@@ -29,6 +29,9 @@
     void freeze_listing(const std::string& topic);
     void thaw_listing(const std::string& topic);
 
+    /// Refuses every call, or answers again.
+    void set_refusing(bool is_refusing);
+
     /// Limits how many records a read returns.
     void set_page_records(std::size_t most) { m_page_records = most; }
 
@@ -59,6 +62,7 @@
     /// Topics as they were when their listing was frozen.
     std::map<std::string, topic> m_frozen;
     std::uint64_t m_calls{0};
+    bool m_is_refusing{false};
     std::size_t m_page_records{1000};
 };
 
