Keep a dropped server dropped when the list is lost again

A server whose allowance was over became usable again if the store failed before the next read had taken its entry out, because being away suspended the end of the allowance at any moment. Only a loss before that end suspends it now; what was over stays over. Test: the server was used again before (usable: true).

--- a/fleet/list_contact.hpp
+++ b/fleet/list_contact.hpp
@@ -32,25 +32,40 @@
             m_returned_at = std::min(not_before, at);
         }
         m_reached_at = at;
+        if (m_failing_since && *m_failing_since <= at) {
+            m_failing_since.reset();
+        }
     }
 
     /// Notes a call that was sent at that moment and failed.
-    void note_failed(steady_time sent_at) { m_failed_at = std::max(sent_at, m_failed_at.value_or(sent_at)); }
+    void note_failed(steady_time sent_at) {
+        m_failed_at = std::max(sent_at, m_failed_at.value_or(sent_at));
+        const bool is_news = !m_reached_at || sent_at > *m_reached_at;
+        if (is_news && !m_failing_since) {
+            m_failing_since = sent_at;
+        }
+    }
 
     /// Returns whether an entry that is missing now may have lapsed while the list was out of reach.
     [[nodiscard]] bool may_have_lapsed(steady_time now) const {
         return m_returned_at && now < *m_returned_at + m_options.return_grace;
     }
 
-    /// Returns whether live servers have had the time to enter themselves again. Not while the list is away once more.
-    [[nodiscard]] bool is_grace_over(steady_time now) const { return !is_away() && !may_have_lapsed(now); }
+    /// Returns whether live servers have had the time to enter themselves again. They have not when the list was lost
+    /// once more before that; what was over stays over.
+    [[nodiscard]] bool is_grace_over(steady_time now) const {
+        if (may_have_lapsed(now)) {
+            return false;
+        }
+        return !m_failing_since || !m_returned_at || *m_failing_since >= *m_returned_at + m_options.return_grace;
+    }
 
 private:
-    [[nodiscard]] bool is_away() const { return m_failed_at && m_reached_at && *m_failed_at > *m_reached_at; }
-
     list_contact_options m_options;
     std::optional<steady_time> m_reached_at;
     std::optional<steady_time> m_failed_at;
+    /// When the first call failed since the list was last read.
+    std::optional<steady_time> m_failing_since;
     /// Earliest moment at which the list may have been back after it was last out of reach for long.
     std::optional<steady_time> m_returned_at;
 };
--- a/tests/fleet/test_server_directory.cpp
+++ b/tests/fleet/test_server_directory.cpp
@@ -122,6 +122,17 @@
     CHECK_FALSE(is_usable(directory, "a", start + 23500ms));
 }
 
+TEST_CASE("a server that was dropped is not used again when the list is lost afterwards") {
+    const steady_time start{};
+    server_directory directory = make_directory(start);
+    lose_list(directory, start + 10s, start + 10s + 1ms);
+    directory.remove(backend_server_name("a"), start + 10s + 1ms);
+    CHECK_FALSE(is_usable(directory, "a", start + 12500ms));
+    directory.get_contact().note_failed(start + 12600ms);
+    directory.get_contact().note_failed(start + 14s);
+    CHECK_FALSE(is_usable(directory, "a", start + 15s));
+}
+
 TEST_CASE("news of an earlier read do not make the return of the list look later") {
     const steady_time start{};
     server_directory directory = make_directory(start);
