--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -44,8 +44,9 @@
 private:
     servers::asio::awaitable<void> follow_once();
     servers::asio::awaitable<void> wait_for_hint();
-    /// Takes over what the store's other calls show, and that a read at that moment was answered.
+    /// Tells the directory when the last call to the store failed, whatever it asked for.
     void note_failure();
+    /// Tells the directory that a read of the list, by this host or by another, was answered at that moment.
     void note_reached(steady_time at);
     /// Takes the next records of the list.
     void take_records(const platform::store_page& page);
