--- a/coordination/claim.cpp
+++ b/coordination/claim.cpp
@@ -68,9 +68,9 @@
     return parse_word(std::string_view(digest).substr(0, word_digits));
 }
 
-recorded_answer make_recorded_answer(unsigned status, std::string_view content_type, std::string_view body,
-                                     std::size_t limit_bytes) {
-    recorded_answer answer{.status = status, .content_type = {}, .body = {}};
+recorded_response make_recorded_response(unsigned status, std::string_view content_type, std::string_view body,
+                                         std::size_t limit_bytes) {
+    recorded_response answer{.status = status, .content_type = {}, .body = {}};
     if (body.size() <= limit_bytes && content_type.size() <= longest_content_type && is_text(body) &&
         is_text(content_type)) {
         answer.content_type = content_type;
--- a/coordination/claim.hpp
+++ b/coordination/claim.hpp
@@ -45,21 +45,21 @@
 };
 
 /// The answer of a request that ran, as the log keeps it.
-struct recorded_answer {
+struct recorded_response {
     unsigned status{};
     std::string content_type{};
     /// Absent when it was longer than the limit.
     std::optional<std::string> body{};
 
-    friend bool operator==(const recorded_answer&, const recorded_answer&) = default;
+    friend bool operator==(const recorded_response&, const recorded_response&) = default;
 };
 
 /// Returns an answer with its body when that is text of at most `limit_bytes`, else with its status only. Thread safe.
-[[nodiscard]] recorded_answer make_recorded_answer(unsigned status, std::string_view content_type,
-                                                   std::string_view body, std::size_t limit_bytes);
+[[nodiscard]] recorded_response make_recorded_response(unsigned status, std::string_view content_type,
+                                                       std::string_view body, std::size_t limit_bytes);
 
 /// How a claim ended.
-enum class claim_end {
+enum class claim_outcome {
     /// The request ran and its answer is known.
     done,
     /// No byte of it was written to a backend server: the key may be claimed again.
@@ -71,14 +71,14 @@
 /// What the owner of a claim says about it in the end.
 struct claim_settlement {
     claim_id id;
-    claim_end end{claim_end::unknown};
-    recorded_answer answer{};
+    claim_outcome outcome{claim_outcome::unknown};
+    recorded_response response{};
 };
 
 /// What one arrival of a request is told.
-enum class claim_verdict {
+enum class claim_status {
     /// The claim is this arrival's: run it once.
-    won,
+    acquired,
     running,
     done,
     unknown,
@@ -90,12 +90,12 @@
     full,
 };
 
-struct claim_answer {
-    claim_verdict verdict{claim_verdict::log_unavailable};
+struct claim_result {
+    claim_status status{claim_status::log_unavailable};
     /// Set for `done`.
-    recorded_answer answer{};
+    recorded_response response{};
     /// Set for `won`: after this moment the run may not start any more, since others may soon forget the claim.
-    steady_time start_before{};
+    steady_time start_deadline{};
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/claim_fold.cpp
+++ b/coordination/claim_fold.cpp
@@ -12,22 +12,22 @@
 
 constexpr std::array<std::string_view, 3> end_names{"done", "released", "unknown"};
 
-claim_end parse_end(const std::string& name) {
+claim_outcome parse_end(const std::string& name) {
     const auto found = std::find(end_names.begin(), end_names.end(), name);
     if (found == end_names.end()) {
         throw malformed_message_error("unknown end of a claim: " + name);
     }
-    return static_cast<claim_end>(found - end_names.begin());
+    return static_cast<claim_outcome>(found - end_names.begin());
 }
 
 boost::json::object encode_settlement(const claim_settlement& settlement) {
     boost::json::object row{{"id", format_claim_id(settlement.id)},
-                            {"end", end_names.at(static_cast<std::size_t>(settlement.end))}};
-    if (settlement.end == claim_end::done) {
-        row["status"] = settlement.answer.status;
-        if (settlement.answer.body) {
-            row["content_type"] = settlement.answer.content_type;
-            row["body"] = *settlement.answer.body;
+                            {"end", end_names.at(static_cast<std::size_t>(settlement.outcome))}};
+    if (settlement.outcome == claim_outcome::done) {
+        row["status"] = settlement.response.status;
+        if (settlement.response.body) {
+            row["content_type"] = settlement.response.content_type;
+            row["body"] = *settlement.response.body;
         }
     }
     return row;
@@ -35,11 +35,11 @@
 
 claim_settlement parse_settlement(const boost::json::object& row) {
     claim_settlement settlement{.id = parse_claim_id(json::get_string(row, "id")),
-                                .end = parse_end(json::get_string(row, "end"))};
-    settlement.answer.status = static_cast<unsigned>(json::get_unsigned_or(row, "status", 0));
-    settlement.answer.content_type = json::get_string_or(row, "content_type", "");
+                                .outcome = parse_end(json::get_string(row, "end"))};
+    settlement.response.status = static_cast<unsigned>(json::get_unsigned_or(row, "status", 0));
+    settlement.response.content_type = json::get_string_or(row, "content_type", "");
     if (row.contains("body")) {
-        settlement.answer.body = json::get_string(row, "body");
+        settlement.response.body = json::get_string(row, "body");
     }
     return settlement;
 }
@@ -134,16 +134,16 @@
 
 void claim_fold::settle(const claim_settlement& settlement, std::uint32_t writer) {
     const auto found = m_entries.find(settlement.id);
-    if (found == m_entries.end() || found->second.owner != writer || found->second.end == claim_end::done) {
+    if (found == m_entries.end() || found->second.owner != writer || found->second.outcome == claim_outcome::done) {
         return;
     }
-    if (settlement.end == claim_end::released) {
+    if (settlement.outcome == claim_outcome::released) {
         m_entries.erase(found);
         return;
     }
-    found->second.end = settlement.end;
-    if (settlement.end == claim_end::done) {
-        found->second.answer = std::make_unique<const recorded_answer>(settlement.answer);
+    found->second.outcome = settlement.outcome;
+    if (settlement.outcome == claim_outcome::done) {
+        found->second.response = std::make_unique<const recorded_response>(settlement.response);
     }
 }
 
--- a/coordination/claim_fold.hpp
+++ b/coordination/claim_fold.hpp
@@ -34,8 +34,8 @@
     std::uint64_t claimed_at{};
     std::uint32_t owner{};
     /// Absent while the owner has not settled it. Never `released`: such an entry is removed.
-    std::optional<claim_end> end;
-    std::unique_ptr<const recorded_answer> answer;
+    std::optional<claim_outcome> outcome;
+    std::unique_ptr<const recorded_response> response;
 };
 
 /// Pure function of the claim stream: the first valid claim of an identifier in log order wins.
--- a/coordination/claim_queue.cpp
+++ b/coordination/claim_queue.cpp
@@ -4,7 +4,7 @@
 
 namespace dragonflywell::coordination {
 
-void claim_queue::claim(const claim_request& request, std::function<void(claim_answer)> on_answer) {
+void claim_queue::claim(const claim_request& request, std::function<void(claim_result)> on_answer) {
     {
         const std::scoped_lock lock(m_mutex);
         if (!m_is_closed) {
@@ -13,7 +13,7 @@
             return;
         }
     }
-    on_answer({.verdict = claim_verdict::log_unavailable});
+    on_answer({.status = claim_status::log_unavailable});
 }
 
 void claim_queue::settle(claim_settlement settlement) {
@@ -22,21 +22,21 @@
     m_filled.notify_one();
 }
 
-claim_round claim_queue::take(duration most) {
+pending_claim_work claim_queue::take_all(duration most) {
     std::unique_lock lock(m_mutex);
     m_filled.wait_for(lock, most, [this] { return !m_round.claims.empty() || !m_round.settlements.empty(); });
     return std::exchange(m_round, {});
 }
 
 void claim_queue::close() {
-    std::vector<waiting_claim> left;
+    std::vector<pending_claim> left;
     {
         const std::scoped_lock lock(m_mutex);
         m_is_closed = true;
         left = std::exchange(m_round.claims, {});
     }
-    for (const waiting_claim& claim : left) {
-        claim.on_answer({.verdict = claim_verdict::log_unavailable});
+    for (const pending_claim& claim : left) {
+        claim.on_answer({.status = claim_status::log_unavailable});
     }
 }
 
--- a/coordination/claim_queue.hpp
+++ b/coordination/claim_queue.hpp
@@ -11,15 +11,15 @@
 namespace dragonflywell::coordination {
 
 /// A claim together with who waits for its answer.
-struct waiting_claim {
+struct pending_claim {
     claim_request request;
     /// Called once, by the claim thread; must only hand the answer on.
-    std::function<void(claim_answer)> on_answer;
+    std::function<void(claim_result)> on_answer;
 };
 
 /// What gathered in the queue while the last batch was written.
-struct claim_round {
-    std::vector<waiting_claim> claims;
+struct pending_claim_work {
+    std::vector<pending_claim> claims;
     std::vector<claim_settlement> settlements;
 };
 
@@ -29,13 +29,13 @@
 class claim_queue {
 public:
     /// Asks for a claim. A closed queue answers `log_unavailable` at once.
-    void claim(const claim_request& request, std::function<void(claim_answer)> on_answer);
+    void claim(const claim_request& request, std::function<void(claim_result)> on_answer);
 
     /// Reports how an own claim ended.
     void settle(claim_settlement settlement);
 
     /// Waits up to `most` for work and takes all of it.
-    [[nodiscard]] claim_round take(duration most);
+    [[nodiscard]] pending_claim_work take_all(duration most);
 
     /// Refuses what comes later and answers what waits. Settlements are still taken.
     void close();
@@ -43,7 +43,7 @@
 private:
     std::mutex m_mutex;
     std::condition_variable m_filled;
-    claim_round m_round;
+    pending_claim_work m_round;
     bool m_is_closed{false};
 };
 
--- a/coordination/claim_book.cpp
+++ b/coordination/claim_registry.cpp
@@ -1,4 +1,4 @@
-#include "coordination/claim_book.hpp"
+#include "coordination/claim_registry.hpp"
 
 #include <algorithm>
 #include <array>
@@ -15,19 +15,19 @@
 
 } // namespace
 
-claim_book::claim_book(folded_stream& stream, const clock_source& time, claim_options options)
+claim_registry::claim_registry(folded_stream& stream, const clock_source& time, claim_options options)
     : m_stream(&stream), m_time(&time), m_options(options), m_fold(options.window) {
     m_stream->add_observer(m_fold);
     // What the log has forgotten is older than the window.
     m_stream->allow_gaps();
 }
 
-void claim_book::poll() {
+void claim_registry::poll() {
     m_stream->poll();
 }
 
-std::vector<claim_answer> claim_book::process(std::span<const claim_request> requests,
-                                              std::span<const claim_settlement> settlements) {
+std::vector<claim_result> claim_registry::process(std::span<const claim_request> requests,
+                                                  std::span<const claim_settlement> settlements) {
     m_unwritten.insert(m_unwritten.end(), settlements.begin(), settlements.end());
     const std::vector<claim_request> unclaimed = get_unclaimed(requests);
     const steady_time sent_at = m_time->now();
@@ -36,14 +36,14 @@
         written = write(unclaimed);
     }
     std::set<claim_id> won;
-    std::vector<claim_answer> answers;
+    std::vector<claim_result> answers;
     for (const claim_request& request : requests) {
         const claim_entry* entry = m_fold.find(request.id);
         const bool is_own = entry != nullptr && written && entry->offset == *written &&
                             m_fold.get_owner(*entry) == m_stream->get_writer();
         // Of two arrivals in one batch the first runs.
         if (is_own && won.insert(request.id).second) {
-            answers.push_back({.verdict = claim_verdict::won, .start_before = sent_at + m_options.run_limit});
+            answers.push_back({.status = claim_status::acquired, .start_deadline = sent_at + m_options.max_run_time});
             continue;
         }
         answers.push_back(get_state(request));
@@ -51,14 +51,15 @@
     return answers;
 }
 
-std::vector<claim_request> claim_book::get_unclaimed(std::span<const claim_request> requests) const {
+std::vector<claim_request> claim_registry::get_unclaimed(std::span<const claim_request> requests) const {
     std::vector<claim_request> unclaimed;
     std::set<claim_id> seen;
     for (const claim_request& request : requests) {
         const claim_entry* entry = m_fold.find(request.id);
-        const bool has_room = entry != nullptr || m_fold.get_size() + unclaimed.size() < m_options.most_entries;
+        const bool has_room = entry != nullptr || m_fold.get_size() + unclaimed.size() < m_options.max_entries;
         // A claim that another host has not settled is tried again: its release may not have been read here yet.
-        const bool is_decided = (entry != nullptr && entry->end == claim_end::done) || is_own_running(request.id);
+        const bool is_decided =
+            (entry != nullptr && entry->outcome == claim_outcome::done) || is_own_running(request.id);
         if (!is_decided && has_room && seen.insert(request.id).second) {
             unclaimed.push_back(request);
         }
@@ -66,52 +67,52 @@
     return unclaimed;
 }
 
-std::optional<log_offset> claim_book::write(const std::vector<claim_request>& claims) {
+std::optional<log_offset> claim_registry::write(const std::vector<claim_request>& claims) {
     const std::array drafts{
         make_claim_batch_record({.written_at = get_seconds(*m_time), .settlements = m_unwritten, .claims = claims})};
     try {
-        const submission result = m_stream->submit(drafts).front();
+        const submit_result result = m_stream->submit(drafts).front();
         m_unwritten.clear();
-        return result.verdict == record_verdict::valid ? std::optional(result.offset) : std::nullopt;
+        return result.status == record_status::valid ? std::optional(result.offset) : std::nullopt;
     } catch (const log_unavailable_error&) {
         // The append may still take effect. Each claim is released by the next batch: it stands either before that
         // batch, which then frees it, or after it, where every reader drops it as an old sequence number.
         for (const claim_request& claim : claims) {
-            m_unwritten.push_back({.id = claim.id, .end = claim_end::released});
+            m_unwritten.push_back({.id = claim.id, .outcome = claim_outcome::released});
         }
         return std::nullopt;
     }
 }
 
-bool claim_book::is_own_running(const claim_id& id) const {
+bool claim_registry::is_own_running(const claim_id& id) const {
     const claim_entry* entry = m_fold.find(id);
     return entry != nullptr && m_fold.get_owner(*entry) == m_stream->get_writer() && !is_release_unwritten(id);
 }
 
-bool claim_book::is_release_unwritten(const claim_id& id) const {
+bool claim_registry::is_release_unwritten(const claim_id& id) const {
     return std::any_of(m_unwritten.begin(), m_unwritten.end(), [&id](const claim_settlement& settlement) {
-        return settlement.id == id && settlement.end == claim_end::released;
+        return settlement.id == id && settlement.outcome == claim_outcome::released;
     });
 }
 
-claim_answer claim_book::get_state(const claim_request& request) const {
+claim_result claim_registry::get_state(const claim_request& request) const {
     const claim_entry* entry = m_fold.find(request.id);
     if (entry == nullptr || (m_fold.get_owner(*entry) == m_stream->get_writer() && is_release_unwritten(request.id))) {
-        const bool is_full = m_fold.get_size() >= m_options.most_entries;
-        return {.verdict = is_full ? claim_verdict::full : claim_verdict::log_unavailable};
+        const bool is_full = m_fold.get_size() >= m_options.max_entries;
+        return {.status = is_full ? claim_status::full : claim_status::log_unavailable};
     }
     if (entry->digest != request.digest) {
-        return {.verdict = claim_verdict::different_request};
+        return {.status = claim_status::different_request};
     }
-    if (entry->end == claim_end::done) {
-        return {.verdict = claim_verdict::done, .answer = *entry->answer};
+    if (entry->outcome == claim_outcome::done) {
+        return {.status = claim_status::done, .response = *entry->response};
     }
-    const auto run_limit = static_cast<std::uint64_t>(m_options.run_limit.count());
-    const bool is_overdue = get_seconds(*m_time) >= entry->claimed_at + run_limit;
-    if (entry->end == claim_end::unknown || is_overdue || m_fold.is_owner_replaced(*entry)) {
-        return {.verdict = claim_verdict::unknown};
+    const auto max_run_time = static_cast<std::uint64_t>(m_options.max_run_time.count());
+    const bool is_overdue = get_seconds(*m_time) >= entry->claimed_at + max_run_time;
+    if (entry->outcome == claim_outcome::unknown || is_overdue || m_fold.is_owner_replaced(*entry)) {
+        return {.status = claim_status::unknown};
     }
-    return {.verdict = claim_verdict::running};
+    return {.status = claim_status::running};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/claim_book.hpp
+++ b/coordination/claim_registry.hpp
@@ -12,29 +12,29 @@
     /// How long a key is remembered after its claim. Shorter than the log's retention, equal on all hosts.
     std::chrono::seconds window{std::chrono::hours(1)};
     /// Longest time from a claim to its end. Later it counts as unknown rather than running. At most half the window.
-    std::chrono::seconds run_limit{std::chrono::minutes(10)};
+    std::chrono::seconds max_run_time{std::chrono::minutes(10)};
     /// How many claims may be remembered before new ones are refused.
-    std::size_t most_entries{50000};
+    std::size_t max_entries{50000};
 };
 
 /// Claims requests on behalf of one process and answers for claims of all processes.
 ///
 /// No process is in charge: a claim counts when it was read back as the first of its identifier. Not thread safe.
-class claim_book {
+class claim_registry {
 public:
     /// Preconditions: `stream` and `time` outlive the book; `stream` folds the claim stream and was not polled yet.
-    claim_book(folded_stream& stream, const clock_source& time, claim_options options);
+    claim_registry(folded_stream& stream, const clock_source& time, claim_options options);
 
     /// Reads what others wrote. Throws `log_unavailable_error`.
     void poll();
 
     /// Writes the settlements and the claims in one append and returns the answer to each claim.
     /// Settlements that could not be confirmed are kept and written by a later call. Does not throw for an outage.
-    std::vector<claim_answer> process(std::span<const claim_request> requests,
+    std::vector<claim_result> process(std::span<const claim_request> requests,
                                       std::span<const claim_settlement> settlements);
 
     /// Returns whether settlements wait for the log.
-    [[nodiscard]] bool has_unwritten() const noexcept { return !m_unwritten.empty(); }
+    [[nodiscard]] bool has_unwritten_settlements() const noexcept { return !m_unwritten.empty(); }
     [[nodiscard]] std::size_t get_size() const noexcept { return m_fold.get_size(); }
 
 private:
@@ -43,7 +43,7 @@
     /// Returns whether this process won the claim, has not settled it and may be running it.
     [[nodiscard]] bool is_own_running(const claim_id& id) const;
     [[nodiscard]] bool is_release_unwritten(const claim_id& id) const;
-    [[nodiscard]] claim_answer get_state(const claim_request& request) const;
+    [[nodiscard]] claim_result get_state(const claim_request& request) const;
 
     folded_stream* m_stream;
     const clock_source* m_time;
--- a/coordination/configuration.cpp
+++ b/coordination/configuration.cpp
@@ -100,8 +100,8 @@
         .condition = record_condition{.subject = std::string(configuration_subject), .supersedes = base_version},
         .fence = {},
     }}};
-    const submission result = stream.submit(drafts).front();
-    if (result.verdict != record_verdict::valid) {
+    const submit_result result = stream.submit(drafts).front();
+    if (result.status != record_status::valid) {
         throw configuration_conflict_error("another operator published a newer configuration first");
     }
     return result.offset;
--- a/coordination/folded_stream.cpp
+++ b/coordination/folded_stream.cpp
@@ -51,11 +51,11 @@
     }
     const boost::json::object state{
         {"format", snapshot_format}, {"fold", m_fold.save()}, {"observers", std::move(states)}};
-    return {.stream = m_name, .covers = m_next, .state = boost::json::serialize(state)};
+    return {.stream = m_name, .end_offset = m_next, .state = boost::json::serialize(state)};
 }
 
 bool folded_stream::restore(const fold_snapshot& snapshot) {
-    if (snapshot.stream != m_name || snapshot.covers <= m_next) {
+    if (snapshot.stream != m_name || snapshot.end_offset <= m_next) {
         return false;
     }
     const boost::json::value document = json::parse(snapshot.state);
@@ -66,7 +66,7 @@
     record_fold fold = record_fold::restore(json::get_object(state, "fold"));
     restore_observers(json::get_object(state, "observers"));
     m_fold = std::move(fold);
-    m_next = snapshot.covers;
+    m_next = snapshot.end_offset;
     return true;
 }
 
@@ -115,7 +115,7 @@
     }
 }
 
-std::vector<submission> folded_stream::submit(std::span<const record_draft> drafts) {
+std::vector<submit_result> folded_stream::submit(std::span<const record_draft> drafts) {
     std::vector<std::string> encoded;
     const std::uint64_t first_sequence = m_last_sequence + 1;
     for (const record_draft& draft : drafts) {
@@ -133,7 +133,7 @@
         // The answer may be lost after the effect: what the stream holds decides.
     }
     poll();
-    std::vector<submission> results;
+    std::vector<submit_result> results;
     for (std::uint64_t sequence = first_sequence; sequence <= m_last_sequence; ++sequence) {
         const auto found = m_own_results.find(sequence);
         if (found == m_own_results.end()) {
@@ -152,11 +152,11 @@
         ++m_malformed;
         return;
     }
-    const record_verdict verdict = m_fold.apply(entry.offset, value);
-    if (value.writer == m_self && verdict != record_verdict::duplicate) {
-        m_own_results[value.sequence] = {.offset = entry.offset, .verdict = verdict};
+    const record_status verdict = m_fold.apply(entry.offset, value);
+    if (value.writer == m_self && verdict != record_status::duplicate) {
+        m_own_results[value.sequence] = {.offset = entry.offset, .status = verdict};
     }
-    if (verdict != record_verdict::valid) {
+    if (verdict != record_status::valid) {
         return;
     }
     for (record_observer* observer : m_observers) {
--- a/coordination/folded_stream.hpp
+++ b/coordination/folded_stream.hpp
@@ -54,9 +54,9 @@
 };
 
 /// Where a submitted record stands after it was read back.
-struct submission {
+struct submit_result {
     log_offset offset{};
-    record_verdict verdict{};
+    record_status status{};
 };
 
 /// One stream of the log, folded by this process, and the only way in which it writes to that stream.
@@ -97,7 +97,7 @@
     /// Appends the drafts and reads them back; returns a result for each.
     /// Throws `log_unavailable_error` when some could not be read back: their effect is then unknown, and a later
     /// poll may still see them.
-    std::vector<submission> submit(std::span<const record_draft> drafts);
+    std::vector<submit_result> submit(std::span<const record_draft> drafts);
 
     [[nodiscard]] const record_fold& get_fold() const noexcept { return m_fold; }
     [[nodiscard]] const std::string& get_name() const noexcept { return m_name; }
@@ -125,7 +125,7 @@
     std::uint64_t m_last_sequence{0};
     std::uint64_t m_malformed{0};
     /// Results of the own records that a submission is waiting for, by sequence.
-    std::map<std::uint64_t, submission> m_own_results;
+    std::map<std::uint64_t, submit_result> m_own_results;
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/replaced_hosts.hpp
+++ b/coordination/incarnation_tracker.hpp
@@ -5,21 +5,21 @@
 #include <string>
 
 #include "coordination/folded_stream.hpp"
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 
 namespace dragonflywell::coordination {
 
 /// Knows an incarnation as gone for good once a later one of the same host has written to the stream.
 ///
 /// Precondition: a host name belongs to one machine, which runs one process under it at a time. Not thread safe.
-class replaced_hosts final : public record_observer, public host_liveness {
+class incarnation_tracker final : public record_observer, public host_liveness {
 public:
     void on_record(log_offset /*offset*/, const record& value) override {
         std::uint64_t& newest = m_newest[value.writer.host];
         newest = std::max(newest, value.writer.incarnation);
     }
 
-    [[nodiscard]] bool is_gone_for_good(const writer_id& sender) const override {
+    [[nodiscard]] bool has_terminated(const writer_id& sender) const override {
         const auto found = m_newest.find(sender.host);
         return found != m_newest.end() && found->second > sender.incarnation;
     }
--- a/coordination/lease.cpp
+++ b/coordination/lease.cpp
@@ -12,7 +12,7 @@
 
 void require(bool holds, std::vector<input_problem>& problems, const char* place, const char* message) {
     if (!holds) {
-        problems.push_back({.place = place, .message = message});
+        problems.push_back({.location = place, .message = message});
     }
 }
 
@@ -31,12 +31,12 @@
     }
 }
 
-lease_holder::lease_holder(folded_stream& stream, const clock_source& time, lease_options options)
+lease_candidate::lease_candidate(folded_stream& stream, const clock_source& time, lease_options options)
     : m_stream(&stream), m_time(&time), m_options(std::move(options)) {
     check_lease_options(m_options);
 }
 
-void lease_holder::tick() {
+void lease_candidate::tick() {
     m_stream->poll();
     observe();
     if (is_own()) {
@@ -51,7 +51,7 @@
     }
 }
 
-void lease_holder::release() {
+void lease_candidate::release() {
     m_held.reset();
     const lease_record* lease = m_stream->get_fold().get_lease(m_options.scope);
     if (lease == nullptr || lease->is_released || lease->holder != m_stream->get_writer()) {
@@ -63,7 +63,7 @@
     m_stream->submit(drafts);
 }
 
-std::optional<fencing_token> lease_holder::get_authority() const {
+std::optional<fencing_token> lease_candidate::get_authority() const {
     if (!is_own()) {
         return std::nullopt;
     }
@@ -71,12 +71,12 @@
     return m_time->now() < last_moment ? m_held : std::nullopt;
 }
 
-bool lease_holder::is_own() const {
+bool lease_candidate::is_own() const {
     const lease_record* lease = m_stream->get_fold().get_lease(m_options.scope);
     return m_held && lease != nullptr && !lease->is_released && lease->token == *m_held;
 }
 
-bool lease_holder::is_lapsed() const {
+bool lease_candidate::is_lapsed() const {
     const lease_record* lease = m_stream->get_fold().get_lease(m_options.scope);
     if (lease == nullptr || lease->is_released) {
         return true;
@@ -84,7 +84,7 @@
     return m_time->now() >= m_observed_at + m_options.length + m_options.drift_margin;
 }
 
-void lease_holder::observe() {
+void lease_candidate::observe() {
     const lease_record* lease = m_stream->get_fold().get_lease(m_options.scope);
     if (lease == nullptr || m_observed == lease->newest) {
         return;
@@ -102,20 +102,20 @@
     m_pending.erase(m_pending.begin(), m_pending.upper_bound(lease->sequence));
 }
 
-void lease_holder::renew() {
+void lease_candidate::renew() {
     submit_attempt({.type = std::string(lease_renewal_type), .body = {}, .condition = {}, .fence = m_held});
 }
 
-void lease_holder::claim() {
+void lease_candidate::claim() {
     const std::string subject = get_lease_subject(m_options.scope);
     submit_attempt(
-        {.type = std::string(lease_claim_type),
+        {.type = std::string(lease_acquisition_type),
          .body = {},
          .condition = record_condition{.subject = subject, .supersedes = m_stream->get_fold().get_newest(subject)},
          .fence = {}});
 }
 
-void lease_holder::submit_attempt(const record_draft& draft) {
+void lease_candidate::submit_attempt(const record_draft& draft) {
     if (m_pending.size() == most_pending_attempts) {
         m_pending.erase(m_pending.begin());
     }
--- a/coordination/lease.hpp
+++ b/coordination/lease.hpp
@@ -27,11 +27,11 @@
 /// One candidate for the lease of a scope.
 ///
 /// Authority comes from the log alone; clocks only decide when to try and when to stop early. Not thread safe.
-class lease_holder {
+class lease_candidate {
 public:
     /// Preconditions: `stream` and `time` outlive the holder; `stream` folds the records of the scope and has no other
     /// holder for it. Throws `invalid_input_error` as `check_lease_options` does.
-    lease_holder(folded_stream& stream, const clock_source& time, lease_options options);
+    lease_candidate(folded_stream& stream, const clock_source& time, lease_options options);
 
     /// Reads the stream, then renews the own lease or claims one that has lapsed.
     /// Throws `log_unavailable_error`; the lease then runs out unless a later tick succeeds.
--- a/coordination/snapshot_keeper.cpp
+++ b/coordination/leased_snapshot_writer.cpp
@@ -1,4 +1,4 @@
-#include "coordination/snapshot_keeper.hpp"
+#include "coordination/leased_snapshot_writer.hpp"
 
 namespace dragonflywell::coordination {
 
@@ -21,12 +21,13 @@
 
 } // namespace
 
-snapshot_keeper::snapshot_keeper(append_log& log, folded_stream& stream, const clock_source& time, duration retention)
+leased_snapshot_writer::leased_snapshot_writer(append_log& log, folded_stream& stream, const clock_source& time,
+                                               duration retention)
     : m_time(&time), m_interval(retention / ticks_per_retention),
       m_lease(stream, time, get_lease_options(stream, retention)),
       m_writer(log, stream, time, {.retention = retention, .snapshots_per_retention = snapshots_per_retention}) {}
 
-bool snapshot_keeper::tick() {
+bool leased_snapshot_writer::tick() {
     const steady_time now = m_time->now();
     if (m_ticked_at && now - *m_ticked_at < m_interval) {
         return false;
--- a/coordination/snapshot_keeper.hpp
+++ b/coordination/leased_snapshot_writer.hpp
@@ -11,10 +11,10 @@
 ///
 /// The lease only saves work: a second writer writes the same. It is long, so that it costs the stream few records.
 /// Not thread safe.
-class snapshot_keeper {
+class leased_snapshot_writer {
 public:
     /// Preconditions: all arguments outlive the keeper; `stream.has_snapshots()`; `retention` is positive.
-    snapshot_keeper(append_log& log, folded_stream& stream, const clock_source& time, duration retention);
+    leased_snapshot_writer(append_log& log, folded_stream& stream, const clock_source& time, duration retention);
 
     /// Does what is due: claims or renews the lease, writes a snapshot. Returns whether it wrote one. Cheap when
     /// nothing is due. Throws `log_unavailable_error` and `log_gap_error`.
@@ -26,7 +26,7 @@
 private:
     const clock_source* m_time;
     duration m_interval;
-    lease_holder m_lease;
+    lease_candidate m_lease;
     snapshot_writer m_writer;
     std::optional<steady_time> m_ticked_at;
 };
--- a/coordination/order.cpp
+++ b/coordination/order.cpp
@@ -18,16 +18,16 @@
     {receiver_kind::ignores_fencing, "ignores_fencing"},
 }};
 
-constexpr std::array<name_entry<repeat_rule>, 3> repeat_names{{
-    {repeat_rule::never, "never"},
-    {repeat_rule::idempotent, "idempotent"},
-    {repeat_rule::deduplicated, "deduplicated"},
+constexpr std::array<name_entry<duplicate_handling>, 3> repeat_names{{
+    {duplicate_handling::never, "never"},
+    {duplicate_handling::idempotent, "idempotent"},
+    {duplicate_handling::deduplicated, "deduplicated"},
 }};
 
 constexpr std::array<name_entry<send_outcome>, 6> outcome_names{{
     {send_outcome::applied, "applied"},
     {send_outcome::rejected, "rejected"},
-    {send_outcome::refused_old_number, "refused_old_number"},
+    {send_outcome::stale_fencing_number, "refused_old_number"},
     {send_outcome::not_sent, "not_sent"},
     {send_outcome::seen_applied, "seen_applied"},
     {send_outcome::sender_gone, "sender_gone"},
@@ -53,7 +53,7 @@
 } // namespace
 
 boost::json::object encode_order(const order& value) {
-    if (!is_exact(value.body)) {
+    if (!has_no_fractions(value.body)) {
         throw malformed_message_error("order " + value.idempotency_key + " holds a fraction");
     }
     return {{"subject", value.subject},
@@ -61,7 +61,7 @@
             {"body", value.body},
             {"key", value.idempotency_key},
             {"receiver", get_name(receiver_names, value.receiver)},
-            {"repeat", get_name(repeat_names, value.repeat)}};
+            {"repeat", get_name(repeat_names, value.duplicates)}};
 }
 
 order decode_order(const boost::json::object& body) {
@@ -70,8 +70,8 @@
                 .body = json::get_object(body, "body"),
                 .idempotency_key = json::get_string(body, "key"),
                 .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
-                .repeat = get_value(repeat_names, json::get_string(body, "repeat"))};
-    if (!is_exact(value.body)) {
+                .duplicates = get_value(repeat_names, json::get_string(body, "repeat"))};
+    if (!has_no_fractions(value.body)) {
         throw malformed_message_error("order holds a fraction");
     }
     return value;
--- a/coordination/order.hpp
+++ b/coordination/order.hpp
@@ -12,7 +12,7 @@
 enum class receiver_kind { checks_fencing, ignores_fencing };
 
 /// What a second arrival of the same order does.
-enum class repeat_rule {
+enum class duplicate_handling {
     /// It does harm: the order is sent once and never again.
     never,
     /// Applying it twice equals applying it once, but the receiver keeps no keys.
@@ -26,12 +26,12 @@
     /// What may have only one order on its way: one engine, or one ordering or reporting subject.
     std::string subject;
     std::string kind;
-    /// Holds no fractions, so that every send is the same to the letter: see `is_exact`.
+    /// Holds no fractions, so that every send is the same to the letter: see `has_no_fractions`.
     boost::json::object body;
     /// Two orders with the same key are the same order.
     std::string idempotency_key;
     receiver_kind receiver{receiver_kind::ignores_fencing};
-    repeat_rule repeat{repeat_rule::never};
+    duplicate_handling duplicates{duplicate_handling::never};
 };
 
 /// One send of an order that may still take effect.
@@ -59,7 +59,7 @@
     /// The receiver answered that it has no effect.
     rejected,
     /// The receiver had seen a newer fencing number; no effect.
-    refused_old_number,
+    stale_fencing_number,
     /// The sender decided not to send; no effect.
     not_sent,
     /// The receiver holds the order under its key, though no answer to the send was seen.
--- a/coordination/order_ledger.cpp
+++ b/coordination/order_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,29 +8,29 @@
 
 namespace {
 
-std::optional<send_outcome> get_outcome(order_receipt receipt) {
+std::optional<send_outcome> get_outcome(order_reply receipt) {
     switch (receipt) {
-    case order_receipt::applied:
+    case order_reply::applied:
         return send_outcome::applied;
-    case order_receipt::rejected:
+    case order_reply::rejected:
         return send_outcome::rejected;
-    case order_receipt::refused_old_number:
-        return send_outcome::refused_old_number;
-    case order_receipt::unknown:
+    case order_reply::stale_fencing_number:
+        return send_outcome::stale_fencing_number;
+    case order_reply::unknown:
         break;
     }
     return std::nullopt;
 }
 
-order_status get_status(order_receipt receipt) {
+order_status get_status(order_reply receipt) {
     switch (receipt) {
-    case order_receipt::applied:
+    case order_reply::applied:
         return order_status::applied;
-    case order_receipt::rejected:
+    case order_reply::rejected:
         return order_status::rejected;
-    case order_receipt::refused_old_number:
-        return order_status::refused_old_number;
-    case order_receipt::unknown:
+    case order_reply::stale_fencing_number:
+        return order_status::stale_fencing_number;
+    case order_reply::unknown:
         break;
     }
     return order_status::unknown;
@@ -43,13 +43,13 @@
 
 } // namespace
 
-order_ledger::order_ledger(folded_stream& stream, lease_holder& lease, order_receiver& receiver,
-                           const host_liveness& hosts)
+order_dispatcher::order_dispatcher(folded_stream& stream, lease_candidate& lease, order_receiver& receiver,
+                                   const host_liveness& hosts)
     : m_stream(&stream), m_lease(&lease), m_receiver(&receiver), m_hosts(&hosts) {
     m_stream->add_observer(m_fold);
 }
 
-order_result order_ledger::submit(const order& value) {
+order_result order_dispatcher::submit(const order& value) {
     if (!flush_outcomes()) {
         return {.status = order_status::log_unavailable, .intent = {}};
     }
@@ -66,17 +66,17 @@
     }
     const unresolved_order existing = *found;
     const bool is_same = existing.value.idempotency_key == value.idempotency_key;
-    const order_presence presence = query_existing(existing, *token);
-    if (presence == order_presence::applied && is_same) {
+    const order_query_result presence = query_existing(existing, *token);
+    if (presence == order_query_result::applied && is_same) {
         return {.status = order_status::applied, .intent = existing.sends.front().intent};
     }
-    if (presence == order_presence::unknown && existing.value.repeat == repeat_rule::deduplicated) {
+    if (presence == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
         return {.status = order_status::blocked, .intent = {}};
     }
     return append_and_send(is_same ? existing.value : value, *token);
 }
 
-std::vector<unresolved_order> order_ledger::get_unresolved() const {
+std::vector<unresolved_order> order_dispatcher::get_unresolved() const {
     std::vector<unresolved_order> all;
     for (const auto& [subject, existing] : m_fold.get_all()) {
         all.push_back(existing);
@@ -84,7 +84,7 @@
     return all;
 }
 
-void order_ledger::reconcile() {
+void order_dispatcher::reconcile() {
     if (!flush_outcomes()) {
         return;
     }
@@ -98,12 +98,13 @@
     flush_outcomes();
 }
 
-bool order_ledger::may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const {
+bool order_dispatcher::may_send(const order& value, const unresolved_order* existing,
+                                const fencing_token& token) const {
     if (existing == nullptr) {
         return true;
     }
     const bool is_same = existing->value.idempotency_key == value.idempotency_key;
-    if (is_same && existing->value.repeat == repeat_rule::never) {
+    if (is_same && existing->value.duplicates == duplicate_handling::never) {
         return false;
     }
     if (are_sends_fenced_off(*existing, token)) {
@@ -112,12 +113,12 @@
     if (!is_same) {
         return false;
     }
-    switch (existing->value.repeat) {
-    case repeat_rule::never:
+    switch (existing->value.duplicates) {
+    case duplicate_handling::never:
         return false;
-    case repeat_rule::idempotent:
+    case duplicate_handling::idempotent:
         return true;
-    case repeat_rule::deduplicated:
+    case duplicate_handling::deduplicated:
         // The platform must not get orders from two processes: those of another one are waited out.
         return std::ranges::all_of(existing->sends,
                                    [&](const order_send& send) { return send.sender == m_stream->get_writer(); });
@@ -125,22 +126,22 @@
     return false;
 }
 
-bool order_ledger::is_accepted(const order& value, const submission& intent) const {
-    return intent.verdict == record_verdict::valid && has_send(m_fold.find(value.subject), intent.offset);
+bool order_dispatcher::is_accepted(const order& value, const submit_result& intent) const {
+    return intent.status == record_status::valid && has_send(m_fold.find(value.subject), intent.offset);
 }
 
-bool order_ledger::has_authority(const fencing_token& token) const {
+bool order_dispatcher::has_authority(const fencing_token& token) const {
     return m_lease->get_authority() == token;
 }
 
-bool order_ledger::is_resolved_by_sight(const unresolved_order& existing) const {
+bool order_dispatcher::is_resolved_by_sight(const unresolved_order& existing) const {
     // A receiver without keys shows one effect for all sends, so only a single send can be concluded from it.
-    return existing.value.repeat == repeat_rule::deduplicated || existing.total_sends == 1;
+    return existing.value.duplicates == duplicate_handling::deduplicated || existing.total_sends == 1;
 }
 
-order_presence order_ledger::query_existing(const unresolved_order& existing, const fencing_token& token) {
-    const order_presence presence = m_receiver->query(existing.value);
-    if (presence == order_presence::applied && is_resolved_by_sight(existing)) {
+order_query_result order_dispatcher::query_existing(const unresolved_order& existing, const fencing_token& token) {
+    const order_query_result presence = m_receiver->query(existing.value);
+    if (presence == order_query_result::applied && is_resolved_by_sight(existing)) {
         const order_send& seen = existing.sends.front();
         m_unlogged[seen.intent] = {.content = {.subject = existing.value.subject,
                                                .intent = seen.intent,
@@ -151,10 +152,10 @@
     return presence;
 }
 
-order_result order_ledger::append_and_send(const order& value, const fencing_token& token) {
+order_result order_dispatcher::append_and_send(const order& value, const fencing_token& token) {
     const std::array<record_draft, 1> drafts{
         {{.type = std::string(order_intent_type), .body = encode_order(value), .condition = {}, .fence = token}}};
-    submission recorded;
+    submit_result recorded;
     try {
         recorded = m_stream->submit(drafts).front();
     } catch (const log_unavailable_error&) {
@@ -162,19 +163,19 @@
     }
     if (!is_accepted(value, recorded)) {
         // Another holder came first, or a late intent of this process holds the subject.
-        const bool is_valid = recorded.verdict == record_verdict::valid;
+        const bool is_valid = recorded.status == record_status::valid;
         return {.status = is_valid ? order_status::blocked : order_status::no_authority, .intent = {}};
     }
     return send_once(value, recorded.offset, token);
 }
 
-order_result order_ledger::send_once(const order& value, log_offset intent, const fencing_token& token) {
+order_result order_dispatcher::send_once(const order& value, log_offset intent, const fencing_token& token) {
     if (!has_authority(token)) {
         flush_outcomes();
         return {.status = order_status::no_authority, .intent = {}};
     }
     m_sent.insert(intent);
-    const order_receipt receipt = m_receiver->send(value, token, m_lease->get_order_deadline());
+    const order_reply receipt = m_receiver->send(value, token, m_lease->get_order_deadline());
     const std::optional<send_outcome> outcome = get_outcome(receipt);
     if (outcome) {
         m_unlogged[intent] = {.content = {.subject = value.subject, .intent = intent, .outcome = *outcome},
@@ -184,16 +185,16 @@
     return {.status = get_status(receipt), .intent = intent};
 }
 
-void order_ledger::resolve(const unresolved_order& existing, const fencing_token& token) {
+void order_dispatcher::resolve(const unresolved_order& existing, const fencing_token& token) {
     // Asked before the query: what a sender did before it went is then visible to the query.
     std::vector<order_send> gone;
     std::ranges::copy_if(existing.sends, std::back_inserter(gone),
-                         [this](const order_send& send) { return m_hosts->is_gone_for_good(send.sender); });
-    const order_presence presence = query_existing(existing, token);
-    if (presence == order_presence::applied && is_resolved_by_sight(existing)) {
+                         [this](const order_send& send) { return m_hosts->has_terminated(send.sender); });
+    const order_query_result presence = query_existing(existing, token);
+    if (presence == order_query_result::applied && is_resolved_by_sight(existing)) {
         return;
     }
-    if (presence == order_presence::unknown && existing.value.repeat == repeat_rule::deduplicated) {
+    if (presence == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
         return;
     }
     for (const order_send& send : gone) {
@@ -203,7 +204,7 @@
     }
 }
 
-void order_ledger::note_unsent_intents() {
+void order_dispatcher::note_unsent_intents() {
     for (const auto& [subject, existing] : m_fold.get_all()) {
         for (const order_send& send : existing.sends) {
             if (send.sender == m_stream->get_writer() && !m_sent.contains(send.intent)) {
@@ -215,7 +216,7 @@
     }
 }
 
-void order_ledger::forget_resolved_sends() {
+void order_dispatcher::forget_resolved_sends() {
     std::set<log_offset> unresolved;
     for (const auto& [subject, existing] : m_fold.get_all()) {
         for (const order_send& send : existing.sends) {
@@ -226,7 +227,7 @@
     std::erase_if(m_unlogged, [&](const auto& entry) { return !unresolved.contains(entry.first); });
 }
 
-bool order_ledger::flush_outcomes() {
+bool order_dispatcher::flush_outcomes() {
     try {
         m_stream->poll();
         forget_resolved_sends();
--- a/coordination/order_ledger.hpp
+++ b/coordination/order_dispatcher.hpp
@@ -11,18 +11,18 @@
 namespace dragonflywell::coordination {
 
 /// What a receiver said to one send.
-enum class order_receipt {
+enum class order_reply {
     applied,
     /// Certainly without effect, now and later.
     rejected,
     /// The receiver has seen a newer fencing number; without effect.
-    refused_old_number,
+    stale_fencing_number,
     /// No answer, or one that says nothing: the order may take effect at any later time.
     unknown,
 };
 
 /// What a receiver holds under an idempotency key.
-enum class order_presence { applied, not_seen, unknown };
+enum class order_query_result { applied, not_seen, unknown };
 
 /// Gives orders to engines or to an interface of the platform.
 ///
@@ -37,10 +37,10 @@
     virtual ~order_receiver() = default;
 
     /// Sends once, without any retry of its own, and returns within `deadline`. Reports faults as `unknown`.
-    virtual order_receipt send(const order& value, const fencing_token& token, duration deadline) = 0;
+    virtual order_reply send(const order& value, const fencing_token& token, duration deadline) = 0;
 
     /// Asks what the receiver holds under the order's idempotency key. Has no effect.
-    virtual order_presence query(const order& value) = 0;
+    virtual order_query_result query(const order& value) = 0;
 };
 
 /// Knows which processes can never again send anything. Not thread safe.
@@ -55,14 +55,14 @@
 
     /// Returns true only when that incarnation is gone for good and all it sent has arrived or never will. A silent or
     /// unreachable one is not gone.
-    [[nodiscard]] virtual bool is_gone_for_good(const writer_id& sender) const = 0;
+    [[nodiscard]] virtual bool has_terminated(const writer_id& sender) const = 0;
 };
 
 /// What became of a submitted order.
 enum class order_status {
     applied,
     rejected,
-    refused_old_number,
+    stale_fencing_number,
     /// Sent, without a known outcome. The subject is held until `reconcile` finds one.
     unknown,
     /// Not sent: this process does not hold the lease, or too little of it is left.
@@ -82,17 +82,18 @@
 /// Gives orders under a lease, each of which is in the log before it is sent.
 ///
 /// A new holder thereby knows every order of its predecessors that may still take effect. Not thread safe.
-class order_ledger {
+class order_dispatcher {
 public:
-    order_ledger(const order_ledger&) = delete;
-    order_ledger& operator=(const order_ledger&) = delete;
-    order_ledger(order_ledger&&) = delete;
-    order_ledger& operator=(order_ledger&&) = delete;
-    virtual ~order_ledger() = default;
+    order_dispatcher(const order_dispatcher&) = delete;
+    order_dispatcher& operator=(const order_dispatcher&) = delete;
+    order_dispatcher(order_dispatcher&&) = delete;
+    order_dispatcher& operator=(order_dispatcher&&) = delete;
+    virtual ~order_dispatcher() = default;
 
     /// Preconditions: all arguments outlive the ledger; `stream` folds the records of the lease's scope and has not
     /// been polled yet.
-    order_ledger(folded_stream& stream, lease_holder& lease, order_receiver& receiver, const host_liveness& hosts);
+    order_dispatcher(folded_stream& stream, lease_candidate& lease, order_receiver& receiver,
+                     const host_liveness& hosts);
 
     /// Records the order, sends it at most once and records the outcome.
     ///
@@ -117,7 +118,7 @@
                                         const fencing_token& token) const;
 
     /// Returns whether an intent that was read back holds its subject.
-    [[nodiscard]] virtual bool is_accepted(const order& value, const submission& intent) const;
+    [[nodiscard]] virtual bool is_accepted(const order& value, const submit_result& intent) const;
 
     /// Returns whether the lease still allows to send under `token`.
     [[nodiscard]] virtual bool has_authority(const fencing_token& token) const;
@@ -132,7 +133,7 @@
         std::optional<fencing_token> fence;
     };
 
-    [[nodiscard]] order_presence query_existing(const unresolved_order& existing, const fencing_token& token);
+    [[nodiscard]] order_query_result query_existing(const unresolved_order& existing, const fencing_token& token);
     order_result append_and_send(const order& value, const fencing_token& token);
     order_result send_once(const order& value, log_offset intent, const fencing_token& token);
     void resolve(const unresolved_order& existing, const fencing_token& token);
@@ -141,7 +142,7 @@
     bool flush_outcomes();
 
     folded_stream* m_stream;
-    lease_holder* m_lease;
+    lease_candidate* m_lease;
     order_receiver* m_receiver;
     const host_liveness* m_hosts;
     order_fold m_fold;
--- a/coordination/order_fold.cpp
+++ b/coordination/order_fold.cpp
@@ -20,7 +20,7 @@
 
 void erase_void_sends(unresolved_order& existing, const order_send& resolved, send_outcome outcome) {
     const bool has_effect = outcome == send_outcome::applied || outcome == send_outcome::seen_applied;
-    if (has_effect && existing.value.repeat == repeat_rule::deduplicated) {
+    if (has_effect && existing.value.duplicates == duplicate_handling::deduplicated) {
         existing.sends.clear();
         return;
     }
--- a/coordination/record.cpp
+++ b/coordination/record.cpp
@@ -6,12 +6,13 @@
 
 namespace dragonflywell::coordination {
 
-bool is_exact(const boost::json::value& value) {
+bool has_no_fractions(const boost::json::value& value) {
     if (value.is_array()) {
-        return std::ranges::all_of(value.get_array(), is_exact);
+        return std::ranges::all_of(value.get_array(), has_no_fractions);
     }
     if (value.is_object()) {
-        return std::ranges::all_of(value.get_object(), [](const auto& entry) { return is_exact(entry.value()); });
+        return std::ranges::all_of(value.get_object(),
+                                   [](const auto& entry) { return has_no_fractions(entry.value()); });
     }
     return !value.is_double();
 }
--- a/coordination/record.hpp
+++ b/coordination/record.hpp
@@ -49,7 +49,7 @@
 
 /// Returns whether a value survives encoding without change. The JSON library reads fractions with an error in the last
 /// digit, so whatever must stay the same however often it is written again holds whole numbers only. Thread safe.
-[[nodiscard]] bool is_exact(const boost::json::value& value);
+[[nodiscard]] bool has_no_fractions(const boost::json::value& value);
 
 /// Thread safe.
 [[nodiscard]] std::string encode_record(const record& value);
--- a/coordination/record_fold.cpp
+++ b/coordination/record_fold.cpp
@@ -18,26 +18,26 @@
     return std::string(lease_subject_prefix) + std::string(scope);
 }
 
-record_verdict record_fold::apply(log_offset offset, const record& value) {
+record_status record_fold::apply(log_offset offset, const record& value) {
     if (is_duplicate(offset, value)) {
-        return record_verdict::duplicate;
+        return record_status::duplicate;
     }
     if (is_fenced(value)) {
-        return record_verdict::fenced;
+        return record_status::fenced;
     }
     if (is_superseded(value)) {
-        return record_verdict::superseded;
+        return record_status::superseded;
     }
     if (value.condition) {
         m_newest[value.condition->subject] = offset;
     }
-    if (value.type == lease_claim_type) {
+    if (value.type == lease_acquisition_type) {
         apply_claim(offset, value);
     }
     if (is_lease_change(value)) {
         apply_lease_change(offset, value);
     }
-    return record_verdict::valid;
+    return record_status::valid;
 }
 
 std::optional<log_offset> record_fold::get_newest(const std::string& subject) const {
@@ -66,7 +66,7 @@
     }
     position->second = {.sequence = value.sequence, .offset = offset};
     m_writers_by_offset.emplace(offset, value.writer);
-    if (m_writers.size() > most_tracked_writers) {
+    if (m_writers.size() > max_tracked_writers) {
         const auto oldest = m_writers_by_offset.begin();
         m_writers.erase(oldest->second);
         m_writers_by_offset.erase(oldest);
--- a/coordination/record_fold.hpp
+++ b/coordination/record_fold.hpp
@@ -9,7 +9,7 @@
 namespace dragonflywell::coordination {
 
 /// What every reader concludes about one record.
-enum class record_verdict {
+enum class record_status {
     valid,
     /// The same writer and sequence, or an older one of that writer, stood before it.
     duplicate,
@@ -33,14 +33,14 @@
 };
 
 /// Record types that the fold itself interprets.
-inline constexpr std::string_view lease_claim_type = "lease.claim";
+inline constexpr std::string_view lease_acquisition_type = "lease.claim";
 inline constexpr std::string_view lease_renewal_type = "lease.renewal";
 inline constexpr std::string_view lease_release_type = "lease.release";
 
 /// How many writers the fold remembers the newest sequence of. Beyond that the one silent for longest is forgotten, by
 /// offset and hence alike for all readers. A copy that arrives after so many others wrote is judged by its condition or
 /// fence alone, so a record without either must be harmless when it is applied twice.
-inline constexpr std::size_t most_tracked_writers = 4096;
+inline constexpr std::size_t max_tracked_writers = 4096;
 
 /// Returns the subject that claims of `scope` compete for.
 [[nodiscard]] std::string get_lease_subject(std::string_view scope);
@@ -52,7 +52,7 @@
 public:
     /// Precondition: offsets are given in ascending order.
     /// Does not throw for any content.
-    record_verdict apply(log_offset offset, const record& value);
+    record_status apply(log_offset offset, const record& value);
 
     /// Returns the offset of the newest valid record of a subject.
     [[nodiscard]] std::optional<log_offset> get_newest(const std::string& subject) const;
--- a/coordination/snapshot.cpp
+++ b/coordination/snapshot.cpp
@@ -71,7 +71,7 @@
         const chunk_group group{.covers = json::get_unsigned(value.body, "covers"),
                                 .writer = value.writer,
                                 .digest = json::get_string(value.body, "digest")};
-        if (group.covers < m_oldest || (m_newest && group.covers <= m_newest->covers)) {
+        if (group.covers < m_oldest || (m_newest && group.covers <= m_newest->end_offset)) {
             return;
         }
         partial_snapshot& partial = m_partial[group];
@@ -87,7 +87,7 @@
 private:
     void complete(const chunk_group& group, std::string text) {
         if (get_sha256_hex(text) == group.digest) {
-            m_newest = {.stream = m_stream, .covers = group.covers, .state = std::move(text)};
+            m_newest = {.stream = m_stream, .end_offset = group.covers, .state = std::move(text)};
         }
         const log_offset covered = group.covers;
         std::erase_if(m_partial, [covered](const auto& entry) { return entry.first.covers <= covered; });
@@ -116,7 +116,7 @@
                                          .fence = {},
                                          .type = std::string(snapshot_chunk_type),
                                          .body = {{"format", snapshot_format},
-                                                  {"covers", snapshot.covers},
+                                                  {"covers", snapshot.end_offset},
                                                   {"index", index},
                                                   {"count", parts.size()},
                                                   {"digest", digest},
--- a/coordination/snapshot.hpp
+++ b/coordination/snapshot.hpp
@@ -17,7 +17,7 @@
 struct fold_snapshot {
     std::string stream;
     /// Offset of the first record that the state does not contain.
-    log_offset covers{};
+    log_offset end_offset{};
     /// JSON text.
     std::string state;
 
--- a/coordination/snapshot_writer.cpp
+++ b/coordination/snapshot_writer.cpp
@@ -13,7 +13,7 @@
     : m_log(&log), m_stream(&stream), m_time(&time), m_interval(options.retention) {
     if (options.snapshots_per_retention < fewest_snapshots_per_retention || options.retention <= duration::zero()) {
         throw invalid_input_error(std::vector<input_problem>{
-            {.place = "snapshots", .message = "at least two must fit into a positive retention"}});
+            {.location = "snapshots", .message = "at least two must fit into a positive retention"}});
     }
     m_interval = options.retention / options.snapshots_per_retention;
 }
--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -16,8 +16,8 @@
 
 std::string encode_store_lease_record(const store_lease_record& record) {
     boost::json::object object{{"holder", record.holder}, {"incarnation", record.incarnation}};
-    if (record.renewed_fence) {
-        object["fence"] = *record.renewed_fence;
+    if (record.renewed_fencing_number) {
+        object["fence"] = *record.renewed_fencing_number;
     }
     if (record.is_release) {
         object["release"] = true;
@@ -30,10 +30,10 @@
     const boost::json::object& object = json::as_object(document, "record of a lease");
     store_lease_record record{.holder = json::get_string(object, "holder"),
                               .incarnation = json::get_unsigned(object, "incarnation"),
-                              .renewed_fence = {},
+                              .renewed_fencing_number = {},
                               .is_release = json::get_bool_or(object, "release", false)};
     if (object.contains("fence")) {
-        record.renewed_fence = json::get_unsigned(object, "fence");
+        record.renewed_fencing_number = json::get_unsigned(object, "fence");
     }
     return record;
 }
@@ -50,13 +50,13 @@
         const bool is_due = m_time->now_with_suspension() - renewed_at >= m_options.length / renewals_per_length;
         return is_due || m_is_resigning ? action::append : action::nothing;
     }
-    const bool is_holder_heard = m_holder_heard_at && m_time->now() - *m_holder_heard_at < m_options.holder_silence;
+    const bool is_holder_heard = m_holder_heard_at && m_time->now() - *m_holder_heard_at < m_options.holder_timeout;
     if (m_is_resigning || is_holder_heard) {
         return action::nothing;
     }
     const std::optional<steady_time> vacant_since = get_vacant_since();
     // Nobody has held it since this candidate did, so that the others need no time to be first.
-    const duration delay = is_latest_own() ? duration::zero() : m_options.claim_delay;
+    const duration delay = is_latest_own() ? duration::zero() : m_options.acquisition_delay;
     const bool may_claim = vacant_since && m_time->now() - *vacant_since >= delay;
     const bool is_fresh = m_last_read_at && m_time->now() - *m_last_read_at < m_options.length / reads_per_length;
     if (may_claim && is_fresh) {
@@ -65,8 +65,8 @@
     return is_fresh ? action::nothing : action::read;
 }
 
-void store_lease::on_read(std::span<const placed_lease_record> records, std::uint64_t end) {
-    for (const placed_lease_record& placed : records) {
+void store_lease::on_read(std::span<const lease_topic_entry> records, std::uint64_t end) {
+    for (const lease_topic_entry& placed : records) {
         take(placed);
     }
     m_end = end;
@@ -81,9 +81,10 @@
 }
 
 store_lease_record store_lease::start_append() {
-    store_lease_record record{.holder = m_options.holder, .incarnation = m_options.incarnation, .renewed_fence = {}};
+    store_lease_record record{
+        .holder = m_options.holder, .incarnation = m_options.incarnation, .renewed_fencing_number = {}};
     if (is_held()) {
-        record.renewed_fence = m_held->fence;
+        record.renewed_fencing_number = m_held->fence;
         record.is_release = m_is_resigning;
     } else {
         m_held.reset();
@@ -111,11 +112,11 @@
     m_needs_read = true;
 }
 
-void store_lease::on_unknown() {
+void store_lease::on_result_unknown() {
     m_needs_read = true;
 }
 
-void store_lease::note_holder_alive() {
+void store_lease::record_holder_heartbeat() {
     m_holder_heard_at = m_time->now();
     m_latest_seen_at = m_time->now();
 }
@@ -125,12 +126,12 @@
     m_needs_read = true;
 }
 
-std::optional<std::uint64_t> store_lease::get_fence() const {
+std::optional<std::uint64_t> store_lease::get_fencing_number() const {
     if (!m_held || m_is_resigning) {
         return std::nullopt;
     }
     const steady_time now = m_time->now_with_suspension();
-    if (now < m_held->acts_from || now + m_options.least_left >= m_held->expires_at) {
+    if (now < m_held->acts_from || now + m_options.min_time_left >= m_held->expires_at) {
         return std::nullopt;
     }
     return m_held->fence;
@@ -160,10 +161,10 @@
     return m_time->now() >= lapses_at ? std::optional(lapses_at) : std::nullopt;
 }
 
-void store_lease::take(const placed_lease_record& placed) {
+void store_lease::take(const lease_topic_entry& placed) {
     const bool is_pending = m_pending && m_pending->record == placed.record;
-    const bool is_late_renewal =
-        m_held && is_own(placed.record) && placed.record.renewed_fence == m_held->fence && !placed.record.is_release;
+    const bool is_late_renewal = m_held && is_own(placed.record) &&
+                                 placed.record.renewed_fencing_number == m_held->fence && !placed.record.is_release;
     if (is_pending) {
         hold(placed.offset, placed.record);
     } else if (!is_late_renewal) {
@@ -181,7 +182,7 @@
     }
     const duration lease_left = m_latest->record.is_release ? duration::zero() : m_options.length;
     const steady_time last_act_before = m_latest_seen_at + lease_left;
-    return std::max(duration::zero(), last_act_before + m_options.quiet - m_time->now());
+    return std::max(duration::zero(), last_act_before + m_options.takeover_delay - m_time->now());
 }
 
 void store_lease::hold(std::uint64_t offset, const store_lease_record& record) {
@@ -190,8 +191,8 @@
         return;
     }
     const steady_time expires_at = m_pending->sent_at + m_options.length;
-    if (record.renewed_fence) {
-        if (m_held && m_held->fence == *record.renewed_fence) {
+    if (record.renewed_fencing_number) {
+        if (m_held && m_held->fence == *record.renewed_fencing_number) {
             m_held->expires_at = expires_at;
         }
         return;
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -16,7 +16,7 @@
     /// Life of the holder's process.
     std::uint64_t incarnation{};
     /// Number of the claim that this record renews; nothing for a claim.
-    std::optional<std::uint64_t> renewed_fence;
+    std::optional<std::uint64_t> renewed_fencing_number;
     bool is_release{false};
 
     friend bool operator==(const store_lease_record&, const store_lease_record&) = default;
@@ -27,7 +27,7 @@
 [[nodiscard]] store_lease_record decode_store_lease_record(std::string_view text);
 
 /// A record and where it stands in the topic.
-struct placed_lease_record {
+struct lease_topic_entry {
     std::uint64_t offset{};
     store_lease_record record;
 };
@@ -38,16 +38,16 @@
     /// How long a claim or renewal lasts, counted by the holder from before it was sent.
     duration length{};
     /// How long after the holder before can have acted last a new one acts, so that they don't take turns within it.
-    duration quiet{};
+    duration takeover_delay{};
     /// What a challenger waits beyond the length, for clocks that run apart and for the way of an answer.
     duration margin{std::chrono::milliseconds(500)};
     /// How long the holder may not be heard before the topic is read again.
-    duration holder_silence{std::chrono::milliseconds(800)};
+    duration holder_timeout{std::chrono::milliseconds(800)};
     /// How long a free lease is left to others. Differs from candidate to candidate, so that not all claim it at once,
     /// where each call costs and all but one are in vain.
-    duration claim_delay{};
+    duration acquisition_delay{};
     /// Time that must be left for authority to be given, so that a call is over before the lease is.
-    duration least_left{std::chrono::milliseconds(300)};
+    duration min_time_left{std::chrono::milliseconds(300)};
 };
 
 /// One candidate for a lease that is kept as a topic of the store with conditional appends.
@@ -71,7 +71,7 @@
     [[nodiscard]] std::uint64_t get_end() const noexcept { return m_end; }
 
     /// Takes what was read from `get_end()` on, and where the topic ended.
-    void on_read(std::span<const placed_lease_record> records, std::uint64_t end);
+    void on_read(std::span<const lease_topic_entry> records, std::uint64_t end);
 
     /// Returns the record to append at `get_end()`, and notes that it is about to be sent.
     [[nodiscard]] store_lease_record start_append();
@@ -80,11 +80,11 @@
     /// The topic ended elsewhere; nothing was appended.
     void on_conflict();
     /// Nobody knows whether it was appended.
-    void on_unknown();
+    void on_result_unknown();
 
     /// Notes that the holder says that it holds the lease. While it does so, there is nothing to read or to claim; that
     /// it is heard only makes this candidate wait longer.
-    void note_holder_alive();
+    void record_holder_heartbeat();
 
     /// Gives the lease up at the next append, and makes no further claim.
     void resign() noexcept { m_is_resigning = true; }
@@ -92,7 +92,7 @@
     void on_superseded();
 
     /// Returns the fence under which the holder may act now, or nothing.
-    [[nodiscard]] std::optional<std::uint64_t> get_fence() const;
+    [[nodiscard]] std::optional<std::uint64_t> get_fencing_number() const;
     /// Returns whether this candidate holds the lease, also while it may not act yet.
     [[nodiscard]] bool is_held() const;
 
@@ -105,7 +105,7 @@
     [[nodiscard]] std::optional<steady_time> get_vacant_since() const;
     /// Returns how much longer a new holder keeps still, counted from when the one before can have acted last.
     [[nodiscard]] duration get_quiet_left() const;
-    void take(const placed_lease_record& placed);
+    void take(const lease_topic_entry& placed);
     void hold(std::uint64_t offset, const store_lease_record& record);
 
     const clock_source* m_time;
@@ -116,7 +116,7 @@
     std::optional<steady_time> m_first_read_at;
     std::optional<steady_time> m_last_read_at;
     std::optional<steady_time> m_holder_heard_at;
-    std::optional<placed_lease_record> m_latest;
+    std::optional<lease_topic_entry> m_latest;
     /// When the latest record was first seen here, or sent from here.
     steady_time m_latest_seen_at{};
     /// When this candidate sent its newest record.
--- a/coordination/usage.cpp
+++ b/coordination/usage.cpp
@@ -6,20 +6,20 @@
 
 namespace dragonflywell::coordination {
 
-usage_figures& usage_figures::operator+=(const usage_figures& other) noexcept {
+usage_totals& usage_totals::operator+=(const usage_totals& other) noexcept {
     requests += other.requests;
     prompt_tokens += other.prompt_tokens;
     completion_tokens += other.completion_tokens;
     return *this;
 }
 
-usage_figures get_merged(const usage_figures& left, const usage_figures& right) noexcept {
+usage_totals merge_usage_totals(const usage_totals& left, const usage_totals& right) noexcept {
     return {.requests = std::max(left.requests, right.requests),
             .prompt_tokens = std::max(left.prompt_tokens, right.prompt_tokens),
             .completion_tokens = std::max(left.completion_tokens, right.completion_tokens)};
 }
 
-void usage_meter::add(const usage_key& key, const usage_figures& amount) {
+void usage_meter::add(const usage_key& key, const usage_totals& amount) {
     const std::scoped_lock lock(m_mutex);
     if (m_closed_through && key.window <= *m_closed_through) {
         m_counters[{.organisation = key.organisation, .window = *m_closed_through + 1, .late_from = key.window}] +=
@@ -44,15 +44,15 @@
 void usage_meter::mark_flushed(const usage_table& written) {
     const std::scoped_lock lock(m_mutex);
     for (const auto& [key, figures] : written) {
-        usage_figures& flushed = m_flushed[key];
-        flushed = get_merged(flushed, figures);
+        usage_totals& flushed = m_flushed[key];
+        flushed = merge_usage_totals(flushed, figures);
     }
 }
 
-usage_figures usage_meter::get(const usage_key& key) const {
+usage_totals usage_meter::get(const usage_key& key) const {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_counters.find(key);
-    return found == m_counters.end() ? usage_figures{} : found->second;
+    return found == m_counters.end() ? usage_totals{} : found->second;
 }
 
 usage_table usage_meter::get_all() const {
@@ -121,8 +121,8 @@
     }
     const usage_report_part part = parse_usage_record(value.body);
     for (const auto& [key, figures] : part.counters) {
-        usage_figures& merged = m_counters[part.owner][key];
-        merged = get_merged(merged, figures);
+        usage_totals& merged = m_counters[part.owner][key];
+        merged = merge_usage_totals(merged, figures);
     }
 }
 
--- a/coordination/usage.hpp
+++ b/coordination/usage.hpp
@@ -21,17 +21,17 @@
 using window_number = std::uint64_t;
 
 /// What one organisation used, as a sum that only grows.
-struct usage_figures {
+struct usage_totals {
     std::uint64_t requests{};
     std::uint64_t prompt_tokens{};
     std::uint64_t completion_tokens{};
 
-    usage_figures& operator+=(const usage_figures& other) noexcept;
-    friend bool operator==(const usage_figures&, const usage_figures&) = default;
+    usage_totals& operator+=(const usage_totals& other) noexcept;
+    friend bool operator==(const usage_totals&, const usage_totals&) = default;
 };
 
 /// Returns the larger figure of each kind. Merging is idempotent, so copies and duplicates do no harm.
-[[nodiscard]] usage_figures get_merged(const usage_figures& left, const usage_figures& right) noexcept;
+[[nodiscard]] usage_totals merge_usage_totals(const usage_totals& left, const usage_totals& right) noexcept;
 
 /// Whose use in which window.
 struct usage_key {
@@ -43,12 +43,12 @@
     friend auto operator<=>(const usage_key&, const usage_key&) = default;
 };
 
-using usage_table = std::map<usage_key, usage_figures>;
+using usage_table = std::map<usage_key, usage_totals>;
 
 /// Cumulative counters of this incarnation. Thread safe.
 class usage_meter {
 public:
-    void add(const usage_key& key, const usage_figures& amount);
+    void add(const usage_key& key, const usage_totals& amount);
 
     /// Returns the counters that changed since the last call that succeeded, with their cumulative values.
     [[nodiscard]] usage_table get_unflushed() const;
@@ -59,7 +59,7 @@
     [[nodiscard]] usage_table get_all() const;
 
     /// Returns what this incarnation has counted for one organisation and window.
-    [[nodiscard]] usage_figures get(const usage_key& key) const;
+    [[nodiscard]] usage_totals get(const usage_key& key) const;
 
     /// Adds nothing to this window and those before it from now on: later use of them goes, marked as late, into the
     /// window after it.
--- a/coordination/usage_report.cpp
+++ b/coordination/usage_report.cpp
@@ -34,7 +34,7 @@
                      .body = encode_window_report(report),
                      .idempotency_key = get_report_key(report.window),
                      .receiver = receiver_kind::ignores_fencing,
-                     .repeat = repeat_rule::deduplicated});
+                     .duplicates = duplicate_handling::deduplicated});
 }
 
 void usage_reporter::seal(const fencing_token& token) {
@@ -44,7 +44,7 @@
     }
     std::vector<writer_id> gone;
     for (const writer_id& owner : m_fold.get_open_owners(*window)) {
-        if (m_hosts->is_gone_for_good(owner)) {
+        if (m_hosts->has_terminated(owner)) {
             gone.push_back(owner);
         }
     }
@@ -61,8 +61,8 @@
     }
     const std::vector<writer_id> open = m_fold.get_open_owners(window);
     const bool are_all_gone =
-        std::ranges::all_of(open, [this](const writer_id& owner) { return m_hosts->is_gone_for_good(owner); });
-    return are_all_gone || now >= end + m_options.most_wait;
+        std::ranges::all_of(open, [this](const writer_id& owner) { return m_hosts->has_terminated(owner); });
+    return are_all_gone || now >= end + m_options.max_wait;
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_report.hpp
+++ b/coordination/usage_report.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "coordination/usage_window.hpp"
 
 namespace dragonflywell::coordination {
@@ -10,7 +10,7 @@
 struct usage_reporter_options {
     std::chrono::seconds window_length{std::chrono::hours(1)};
     /// How long after its end a window waits for hosts that have not closed it. Their use then comes as late lines.
-    std::chrono::seconds most_wait{std::chrono::minutes(10)};
+    std::chrono::seconds max_wait{std::chrono::minutes(10)};
 };
 
 /// Seals windows and reports them while it holds the lease.
@@ -42,8 +42,8 @@
     const host_liveness* m_hosts;
     usage_reporter_options m_options;
     usage_window_fold m_fold;
-    lease_holder m_lease;
-    order_ledger m_ledger;
+    lease_candidate m_lease;
+    order_dispatcher m_ledger;
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_book.cpp
+++ b/coordination/usage_state.cpp
@@ -1,4 +1,4 @@
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -59,9 +59,9 @@
     return record;
 }
 
-std::string encode_report_book(const report_book& book) {
+std::string encode_report_state(const report_state& book) {
     boost::json::array pending;
-    for (const window_figures& figures : book.pending) {
+    for (const window_usage& figures : book.pending) {
         pending.push_back(boost::json::object{{"window", figures.window}, {"counts", encode_counts(figures.counts)}});
     }
     boost::json::object object{{"pending", pending}};
@@ -71,10 +71,10 @@
     return boost::json::serialize(object);
 }
 
-report_book decode_report_book(std::string_view text) {
+report_state decode_report_state(std::string_view text) {
     const boost::json::value document = json::parse(text);
     const boost::json::object& object = json::as_object(document, "book of reports");
-    report_book book;
+    report_state book;
     if (object.contains("last")) {
         book.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
     }
@@ -110,8 +110,8 @@
     return merged;
 }
 
-window_figures sum_window(const std::vector<usage_record>& records, usage_window_number window) {
-    window_figures figures{.window = window, .counts = {}};
+window_usage sum_window(const std::vector<usage_record>& records, usage_window_number window) {
+    window_usage figures{.window = window, .counts = {}};
     for (const usage_record& record : records) {
         const auto found = record.windows.find(window);
         if (found == record.windows.end()) {
--- a/coordination/usage_book.hpp
+++ b/coordination/usage_state.hpp
@@ -29,27 +29,27 @@
 [[nodiscard]] usage_record decode_usage_record(std::string_view text);
 
 /// A window's figures as they are reported, by whoever reports them.
-struct window_figures {
+struct window_usage {
     usage_window_number window{};
     usage_counts counts;
 
-    friend bool operator==(const window_figures&, const window_figures&) = default;
+    friend bool operator==(const window_usage&, const window_usage&) = default;
 };
 
 /// What the holders of the duty have fixed: figures are written here before they are reported, so that every resend and
 /// every later holder reports the same.
-struct report_book {
+struct report_state {
     /// The newest window whose figures are fixed.
     std::optional<usage_window_number> last;
     /// Figures that are fixed and whose report is not known to have arrived, oldest first.
-    std::vector<window_figures> pending;
+    std::vector<window_usage> pending;
 
-    friend bool operator==(const report_book&, const report_book&) = default;
+    friend bool operator==(const report_state&, const report_state&) = default;
 };
 
-[[nodiscard]] std::string encode_report_book(const report_book& book);
+[[nodiscard]] std::string encode_report_state(const report_state& book);
 /// Throws `malformed_message_error`.
-[[nodiscard]] report_book decode_report_book(std::string_view text);
+[[nodiscard]] report_state decode_report_state(std::string_view text);
 
 /// Returns the key under which a life of a host's process records its usage, and that of a copy by another host.
 [[nodiscard]] std::string make_usage_key(std::string_view host, std::uint64_t incarnation);
@@ -61,6 +61,6 @@
 [[nodiscard]] usage_record merge_usage_records(const usage_record& left, const usage_record& right);
 
 /// Adds up the figures of one window over lives of hosts.
-[[nodiscard]] window_figures sum_window(const std::vector<usage_record>& records, usage_window_number window);
+[[nodiscard]] window_usage sum_window(const std::vector<usage_record>& records, usage_window_number window);
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_window.cpp
+++ b/coordination/usage_window.cpp
@@ -11,15 +11,15 @@
 
 constexpr std::string_view report_key_prefix = "usage-";
 
-usage_figures get_difference(const usage_figures& counted, const usage_figures& taken) {
+usage_totals get_difference(const usage_totals& counted, const usage_totals& taken) {
     return {.requests = counted.requests - taken.requests,
             .prompt_tokens = counted.prompt_tokens - taken.prompt_tokens,
             .completion_tokens = counted.completion_tokens - taken.completion_tokens};
 }
 
-usage_figures find_or_zero(const usage_table& table, const usage_key& key) {
+usage_totals find_or_zero(const usage_table& table, const usage_key& key) {
     const auto found = table.find(key);
-    return found == table.end() ? usage_figures{} : found->second;
+    return found == table.end() ? usage_totals{} : found->second;
 }
 
 std::vector<writer_id> parse_gone(const boost::json::object& body) {
@@ -126,8 +126,8 @@
         if (owner.closed_through && key.window <= *owner.closed_through) {
             continue;
         }
-        usage_figures& counted = owner.counted[key];
-        counted = get_merged(counted, figures);
+        usage_totals& counted = owner.counted[key];
+        counted = merge_usage_totals(counted, figures);
     }
     if (part.closed_through) {
         owner.closed_through = std::max(owner.closed_through.value_or(0), *part.closed_through);
@@ -138,10 +138,10 @@
 void usage_window_fold::apply_seal(const record& value) {
     const window_number window = json::get_unsigned(value.body, "window");
     const std::vector<writer_id> gone = parse_gone(value.body);
-    std::map<std::pair<organisation_name, std::optional<window_number>>, usage_figures> sums;
+    std::map<std::pair<organisation_name, std::optional<window_number>>, usage_totals> sums;
     for (auto& [name, owner] : m_owners) {
         for (const auto& [key, counted] : owner.counted) {
-            const usage_figures taken = find_or_zero(owner.taken, key);
+            const usage_totals taken = find_or_zero(owner.taken, key);
             if (key.window > window || counted == taken) {
                 continue;
             }
--- a/coordination/usage_window.hpp
+++ b/coordination/usage_window.hpp
@@ -23,7 +23,7 @@
     organisation_name organisation;
     /// The earlier window that the use belongs to, when it came too late for the report of that one.
     std::optional<window_number> late_from;
-    usage_figures figures;
+    usage_totals figures;
 
     friend bool operator==(const usage_line&, const usage_line&) = default;
 };
--- a/core/error.hpp
+++ b/core/error.hpp
@@ -16,7 +16,7 @@
 /// One fault in a file that a person or a build pipeline wrote.
 struct input_problem {
     /// File and line, or the path of the entry inside the document.
-    std::string place;
+    std::string location;
     std::string message;
 
     friend bool operator==(const input_problem&, const input_problem&) = default;
@@ -35,7 +35,7 @@
     static std::string join(const std::vector<input_problem>& problems) {
         std::string text;
         for (const input_problem& problem : problems) {
-            text += problem.place + ": " + problem.message + "\n";
+            text += problem.location + ": " + problem.message + "\n";
         }
         return text;
     }
--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -27,7 +27,7 @@
     return XXH64(data.data(), data.size(), 0);
 }
 
-double draw_share(std::string_view name, std::uint64_t seed) noexcept {
+double hash_to_unit_interval(std::string_view name, std::uint64_t seed) noexcept {
     /// An odd number with bits all over, so that seeds which follow each other are spread.
     constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
     constexpr unsigned shift = 52;
@@ -36,7 +36,7 @@
     return static_cast<double>(drawn >> shift) / steps;
 }
 
-bool is_equal_secret(std::string_view left, std::string_view right) noexcept {
+bool is_equal_in_constant_time(std::string_view left, std::string_view right) noexcept {
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
--- a/core/hash.hpp
+++ b/core/hash.hpp
@@ -13,9 +13,9 @@
 [[nodiscard]] std::uint64_t get_stable_hash(std::string_view data) noexcept;
 
 /// Returns a number from 0 to below 1 that is the same on every host for the same name and seed. Thread safe.
-[[nodiscard]] double draw_share(std::string_view name, std::uint64_t seed) noexcept;
+[[nodiscard]] double hash_to_unit_interval(std::string_view name, std::uint64_t seed) noexcept;
 
 /// Compares two secrets in a time that does not depend on where they differ.
-[[nodiscard]] bool is_equal_secret(std::string_view left, std::string_view right) noexcept;
+[[nodiscard]] bool is_equal_in_constant_time(std::string_view left, std::string_view right) noexcept;
 
 } // namespace dragonflywell
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -36,17 +36,17 @@
 };
 
 /// Puts formatted lines into a ring.
-class ring_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+class log_buffer_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
-    explicit ring_sink(std::shared_ptr<log_ring> ring) : m_ring(std::move(ring)) {}
+    explicit log_buffer_sink(std::shared_ptr<log_buffer> ring) : m_ring(std::move(ring)) {}
 
 protected:
     void sink_it_(const spdlog::details::log_msg& message) override {
         spdlog::memory_buf_t line;
         formatter_->format(message, line);
         const std::string_view payload(message.payload.data(), message.payload.size());
-        const bool is_weighty = message.level >= spdlog::level::warn || payload.starts_with(request_end_start);
-        m_ring->push(std::string(line.data(), line.size()), is_weighty);
+        const bool is_high_priority = message.level >= spdlog::level::warn || payload.starts_with(request_end_start);
+        m_ring->push(std::string(line.data(), line.size()), is_high_priority);
     }
     void flush_() override {}
 
@@ -54,12 +54,12 @@
     /// Start of the text of an event that ends a request.
     static constexpr std::string_view request_end_start = "{\"event\":\"request_";
 
-    std::shared_ptr<log_ring> m_ring;
+    std::shared_ptr<log_buffer> m_ring;
 };
 
 std::shared_ptr<spdlog::sinks::sink> make_sink(const log_options& options) {
-    if (options.ring != nullptr) {
-        return std::make_shared<ring_sink>(options.ring);
+    if (options.buffer != nullptr) {
+        return std::make_shared<log_buffer_sink>(options.buffer);
     }
     return std::make_shared<spdlog::sinks::stderr_sink_mt>();
 }
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/log_ring.hpp"
+#include "core/log_buffer.hpp"
 
 namespace dragonflywell {
 
@@ -17,7 +17,7 @@
     /// Name of the host, written into each JSON line.
     std::string host{};
     /// Where lines wait to be written by someone else; without it they go to standard error at once.
-    std::shared_ptr<log_ring> ring{};
+    std::shared_ptr<log_buffer> buffer{};
 };
 
 /// Sets level and format for every logger made afterwards. Call once, before other threads start.
--- a/core/log_ring.hpp
+++ b/core/log_buffer.hpp
@@ -11,13 +11,13 @@
 
 /// Log lines that wait to be written, bounded in bytes. When it is full the oldest line of the least weight goes first,
 /// and the loss is counted. Thread safe; never blocks on output.
-class log_ring {
+class log_buffer {
 public:
     /// Precondition: `limit_bytes` is positive.
-    explicit log_ring(std::size_t limit_bytes) : m_limit_bytes(limit_bytes) {}
+    explicit log_buffer(std::size_t limit_bytes) : m_limit_bytes(limit_bytes) {}
 
-    /// `is_weighty`: warnings, errors and decisions that end a request, which are kept longest.
-    void push(std::string line, bool is_weighty);
+    /// `is_high_priority`: warnings, errors and decisions that end a request, which are kept longest.
+    void push(std::string line, bool is_high_priority);
 
     /// Takes lines up to about `most_bytes`, at least one when there is one.
     [[nodiscard]] std::string take(std::size_t most_bytes);
@@ -37,8 +37,8 @@
 
     std::size_t m_limit_bytes;
     mutable std::mutex m_mutex;
-    std::deque<entry> m_weighty;
-    std::deque<entry> m_light;
+    std::deque<entry> m_high_priority;
+    std::deque<entry> m_low_priority;
     std::size_t m_bytes{0};
     std::uint64_t m_next_number{0};
     std::uint64_t m_dropped{0};
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -110,7 +110,7 @@
     return get_or_make(m_gauges, name, labels);
 }
 
-latency_histogram& metrics_registry::get_latency(std::string_view name, const std::vector<metric_label>& labels) {
+latency_histogram& metrics_registry::get_histogram(std::string_view name, const std::vector<metric_label>& labels) {
     const std::scoped_lock lock(m_mutex);
     return get_or_make(m_latencies, name, labels);
 }
--- a/core/metrics.hpp
+++ b/core/metrics.hpp
@@ -69,7 +69,7 @@
 public:
     counter& get_counter(std::string_view name, const std::vector<metric_label>& labels = {});
     gauge& get_gauge(std::string_view name, const std::vector<metric_label>& labels = {});
-    latency_histogram& get_latency(std::string_view name, const std::vector<metric_label>& labels = {});
+    latency_histogram& get_histogram(std::string_view name, const std::vector<metric_label>& labels = {});
 
     [[nodiscard]] std::string get_text() const;
 
--- a/core/snapshot_cell.hpp
+++ b/core/rcu_cell.hpp
@@ -13,9 +13,9 @@
 /// A writer replaces the value as a whole; a reader keeps the version that it has seen alive for as long as it needs.
 /// Thread safety: `set` and `get` may be called from any thread.
 template <typename T>
-class snapshot_cell {
+class rcu_cell {
 public:
-    explicit snapshot_cell(std::shared_ptr<const T> value) : m_value(std::move(value)) {}
+    explicit rcu_cell(std::shared_ptr<const T> value) : m_value(std::move(value)) {}
 
     /// Replaces the value. Readers see it on their next refresh.
     void set(std::shared_ptr<const T> value) {
@@ -34,7 +34,7 @@
     /// Thread safety: one thread at a time. The cell must outlive its readers.
     class reader {
     public:
-        explicit reader(const snapshot_cell& cell) : m_cell(&cell) {}
+        explicit reader(const rcu_cell& cell) : m_cell(&cell) {}
 
         /// Returns the newest value. It stays valid for as long as the caller holds the pointer.
         const std::shared_ptr<const T>& get() {
@@ -47,7 +47,7 @@
         }
 
     private:
-        const snapshot_cell* m_cell;
+        const rcu_cell* m_cell;
         std::uint64_t m_seen{0};
         std::shared_ptr<const T> m_cached;
     };
--- a/core/read_file.cpp
+++ b/core/read_file.cpp
@@ -11,7 +11,7 @@
 std::string read_file(const std::string& path) {
     const std::ifstream file(path);
     if (!file) {
-        throw invalid_input_error(std::vector<input_problem>{{.place = path, .message = "cannot be read"}});
+        throw invalid_input_error(std::vector<input_problem>{{.location = path, .message = "cannot be read"}});
     }
     std::ostringstream text;
     text << file.rdbuf();
--- a/core/settings_reader.cpp
+++ b/core/settings_reader.cpp
@@ -10,7 +10,7 @@
     try {
         m_table = toml::parse(text, m_file);
     } catch (const toml::parse_error& fault) {
-        throw invalid_input_error({{.place = fmt::format("{}:{}", m_file, fault.source().begin.line),
+        throw invalid_input_error({{.location = fmt::format("{}:{}", m_file, fault.source().begin.line),
                                     .message = std::string(fault.description())}});
     }
 }
@@ -33,15 +33,15 @@
     const toml::node* node = find(key);
     if (node == nullptr) {
         require(key, fallback.has_value());
-        return fallback.value_or(range.least);
+        return fallback.value_or(range.min);
     }
     if (!node->is_integer()) {
-        add_problem(key, fmt::format("must be an integer from {} to {}", range.least, range.most));
-        return range.least;
+        add_problem(key, fmt::format("must be an integer from {} to {}", range.min, range.max));
+        return range.min;
     }
     const std::int64_t value = node->as_integer()->get();
-    if (value < range.least || value > range.most) {
-        add_problem(key, fmt::format("is {}, permitted are {} to {}", value, range.least, range.most));
+    if (value < range.min || value > range.max) {
+        add_problem(key, fmt::format("is {}, permitted are {} to {}", value, range.min, range.max));
     }
     return value;
 }
@@ -50,15 +50,15 @@
     const toml::node* node = find(key);
     if (node == nullptr) {
         require(key, fallback.has_value());
-        return fallback.value_or(range.least);
+        return fallback.value_or(range.min);
     }
     const std::optional<double> value = node->value<double>();
     if (!value || node->is_boolean()) {
-        add_problem(key, fmt::format("must be a number from {} to {}", range.least, range.most));
-        return range.least;
+        add_problem(key, fmt::format("must be a number from {} to {}", range.min, range.max));
+        return range.min;
     }
-    if (!(*value >= range.least && *value <= range.most)) {
-        add_problem(key, fmt::format("is {}, permitted are {} to {}", *value, range.least, range.most));
+    if (!(*value >= range.min && *value <= range.max)) {
+        add_problem(key, fmt::format("is {}, permitted are {} to {}", *value, range.min, range.max));
     }
     return *value;
 }
@@ -106,7 +106,7 @@
 
 void settings_reader::add_problem(const std::string& key, std::string message) {
     const toml::node* node = m_table.at_path(key).node();
-    m_problems.push_back({.place = get_place(node), .message = key + " " + std::move(message)});
+    m_problems.push_back({.location = get_place(node), .message = key + " " + std::move(message)});
 }
 
 void settings_reader::finish() {
@@ -133,7 +133,7 @@
         if (const toml::table* inner = node.as_table(); inner != nullptr && !m_known.contains(key)) {
             find_unknown_keys(*inner, key + ".");
         } else if (!m_known.contains(key)) {
-            m_problems.push_back({.place = get_place(&node), .message = key + " is not a known key"});
+            m_problems.push_back({.location = get_place(&node), .message = key + " is not a known key"});
         }
     }
 }
--- a/core/settings_reader.hpp
+++ b/core/settings_reader.hpp
@@ -15,14 +15,14 @@
 
 /// Inclusive range of a number in a settings file.
 struct integer_range {
-    std::int64_t least{};
-    std::int64_t most{};
+    std::int64_t min{};
+    std::int64_t max{};
 };
 
 /// Inclusive range of a number that may have a fraction.
 struct number_range {
-    double least{};
-    double most{};
+    double min{};
+    double max{};
 };
 
 /// Reads a TOML file and checks every key: wrong type, out of range, missing and unknown keys.
--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -39,7 +39,7 @@
     virtual ~command() = default;
 
     /// Returns the words that select it, such as "manifest publish".
-    [[nodiscard]] virtual std::string get_words() const = 0;
+    [[nodiscard]] virtual std::string get_name() const = 0;
     [[nodiscard]] virtual std::string get_summary() const = 0;
     /// Returns the exit code. Throws `invalid_input_error`, `error`.
     virtual int run(const command_context& context, const std::vector<std::string>& arguments) = 0;
--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -45,7 +45,7 @@
 void print_help(std::ostream& out) {
     out << "Usage: dragonflywellctl COMMAND [ARGUMENTS] [OPTIONS]\n\nCommands\n";
     for (const std::unique_ptr<command>& item : make_commands()) {
-        out << fmt::format("  {:<18} {}\n", item->get_words(), item->get_summary());
+        out << fmt::format("  {:<18} {}\n", item->get_name(), item->get_summary());
     }
     out << "\n" << make_options();
     out << "\nExit codes: 0 success, 1 something did not answer or does not hold, 2 wrong usage or input,\n"
@@ -55,14 +55,14 @@
 endpoint require_endpoint(const std::string& text) {
     const std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed) {
-        throw invalid_input_error({{.place = text, .message = "is not an IP number and port"}});
+        throw invalid_input_error({{.location = text, .message = "is not an IP number and port"}});
     }
     return *parsed;
 }
 
 int run_selected(const std::vector<std::string>& positional, const command_context& context) {
     for (const std::unique_ptr<command>& item : make_commands()) {
-        const std::string words = item->get_words();
+        const std::string words = item->get_name();
         const std::size_t count = words.find(' ') == std::string::npos ? 1 : 2;
         if (positional.size() < count) {
             continue;
--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -4,7 +4,7 @@
 
 #include "core/error.hpp"
 #include "core/read_file.hpp"
-#include "ctl/request_story.hpp"
+#include "ctl/request_trace.hpp"
 
 namespace dragonflywell::ctl {
 
@@ -13,7 +13,7 @@
 /// Tells what became of a request, from the logs of the hosts alone.
 class explain_command final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "explain"; }
+    [[nodiscard]] std::string get_name() const override { return "explain"; }
     [[nodiscard]] std::string get_summary() const override {
         return "ID FILE...  tell from log files what became of a request";
     }
@@ -21,20 +21,20 @@
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         if (arguments.size() < 2) {
             throw invalid_input_error(
-                std::vector<input_problem>{{.place = "explain", .message = "needs a request's id and log files"}});
+                std::vector<input_problem>{{.location = "explain", .message = "needs a request's id and log files"}});
         }
         std::vector<log_line> lines;
         for (std::size_t index = 1; index < arguments.size(); ++index) {
             std::vector<log_line> more = parse_log(read_file(arguments[index]));
             std::move(more.begin(), more.end(), std::back_inserter(lines));
         }
-        const std::vector<request_story> stories = find_stories(lines, arguments.front());
+        const std::vector<request_trace> stories = find_request_traces(lines, arguments.front());
         if (stories.empty()) {
             context.errors << "no line of these logs ends a request with the id " << arguments.front() << "\n";
             return exit_failed;
         }
-        for (const request_story& story : stories) {
-            context.out << format_story(story);
+        for (const request_trace& story : stories) {
+            context.out << format_request_trace(story);
         }
         return exit_ok;
     }
--- a/ctl/manifest_commands.cpp
+++ b/ctl/manifest_commands.cpp
@@ -10,7 +10,7 @@
 #include "core/error.hpp"
 #include "core/hash.hpp"
 #include "core/read_file.hpp"
-#include "ctl/log_reader.hpp"
+#include "ctl/operator_streams.hpp"
 #include "fleet/manifest.hpp"
 
 namespace dragonflywell::ctl {
@@ -19,14 +19,14 @@
 
 const std::string& require_one(const std::vector<std::string>& arguments, const char* what) {
     if (arguments.size() != 1) {
-        throw invalid_input_error({{.place = "arguments", .message = fmt::format("one {} is needed", what)}});
+        throw invalid_input_error({{.location = "arguments", .message = fmt::format("one {} is needed", what)}});
     }
     return arguments.front();
 }
 
 class manifest_check final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "manifest check"; }
+    [[nodiscard]] std::string get_name() const override { return "manifest check"; }
     [[nodiscard]] std::string get_summary() const override { return "FILE  check a manifest and list all problems"; }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
@@ -45,13 +45,13 @@
 
 class manifest_publish final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "manifest publish"; }
+    [[nodiscard]] std::string get_name() const override { return "manifest publish"; }
     [[nodiscard]] std::string get_summary() const override { return "FILE  put a manifest in force everywhere"; }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         const fleet::manifest_entries wanted = fleet::get_manifest_entries(read_file(require_one(arguments, "file")));
         static_cast<void>(fleet::parse_manifest(wanted));
-        log_reader reader(context);
+        operator_streams reader(context);
         reader.configuration_stream.poll();
         const std::shared_ptr<const coordination::configuration> current = reader.configuration.get();
         const coordination::configuration_delta delta = coordination::get_difference(current->entries, wanted);
@@ -81,11 +81,11 @@
 
 class manifest_show final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "manifest show"; }
+    [[nodiscard]] std::string get_name() const override { return "manifest show"; }
     [[nodiscard]] std::string get_summary() const override { return "print the manifest in force"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
-        log_reader reader(context);
+        operator_streams reader(context);
         reader.configuration_stream.poll();
         context.out << fleet::get_manifest_document(reader.configuration.get()->entries) << "\n";
         return exit_ok;
@@ -94,7 +94,7 @@
 
 class key_create final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "key create"; }
+    [[nodiscard]] std::string get_name() const override { return "key create"; }
     [[nodiscard]] std::string get_summary() const override {
         return "ORGANISATION  make a key: the caller's secret, and the entry for the manifest";
     }
--- a/ctl/log_reader.cpp
+++ b/ctl/operator_streams.cpp
@@ -1,4 +1,4 @@
-#include "ctl/log_reader.hpp"
+#include "ctl/operator_streams.hpp"
 
 #include <unistd.h>
 
@@ -14,7 +14,7 @@
 
 } // namespace
 
-log_reader::log_reader(const command_context& context)
+operator_streams::operator_streams(const command_context& context)
     : log({.server = context.platform_log, .deadline = context.deadline}),
       configuration_stream(log, std::string(coordination::configuration_stream), make_operator_id()),
       usage_stream(log, std::string(coordination::usage_stream), make_operator_id()) {
--- a/ctl/log_reader.hpp
+++ b/ctl/operator_streams.hpp
@@ -8,8 +8,8 @@
 namespace dragonflywell::ctl {
 
 /// The streams of the platform's log that an operator reads and writes. Not thread safe.
-struct log_reader {
-    explicit log_reader(const command_context& context);
+struct operator_streams {
+    explicit operator_streams(const command_context& context);
 
     platform::http_log log;
     coordination::folded_stream configuration_stream;
--- a/ctl/report_commands.cpp
+++ b/ctl/report_commands.cpp
@@ -8,7 +8,7 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
-#include "ctl/log_reader.hpp"
+#include "ctl/operator_streams.hpp"
 #include "ctl/report_page.hpp"
 #include "ctl/status_text.hpp"
 #include "platform/blocking_http_client.hpp"
@@ -19,11 +19,11 @@
 
 class usage_command final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "usage"; }
+    [[nodiscard]] std::string get_name() const override { return "usage"; }
     [[nodiscard]] std::string get_summary() const override { return "print the usage of each organisation by window"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
-        log_reader reader(context);
+        operator_streams reader(context);
         reader.usage_stream.poll();
         const coordination::usage_table totals = reader.usage.get_totals();
         if (context.is_json) {
@@ -60,14 +60,14 @@
 /// Writes the board's report from what all hosts have stated in the log.
 class report_command final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "report"; }
+    [[nodiscard]] std::string get_name() const override { return "report"; }
     [[nodiscard]] std::string get_summary() const override {
         return "--html FILE  write trends of service and spending as a page with plots";
     }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
         if (context.html_file.empty()) {
-            throw invalid_input_error(std::vector<input_problem>{{.place = "--html", .message = "names no file"}});
+            throw invalid_input_error(std::vector<input_problem>{{.location = "--html", .message = "names no file"}});
         }
         platform::http_log log({.server = context.platform_log, .deadline = context.deadline});
         coordination::folded_stream stream(log, std::string(fleet::history_stream), {.host = "report"});
@@ -86,17 +86,17 @@
         file.close();
         if (!file) {
             throw invalid_input_error(
-                std::vector<input_problem>{{.place = context.html_file, .message = "cannot be written"}});
+                std::vector<input_problem>{{.location = context.html_file, .message = "cannot be written"}});
         }
-        return print_declines(context, get_report_figures(spans));
+        return print_declines(context, get_report_metrics(spans));
     }
 
 private:
     /// Hours from which on the report shows hours and no finer spans.
     static constexpr std::size_t least_hours = 48;
 
-    static int print_declines(const command_context& context, const std::vector<report_figure>& figures) {
-        for (const report_figure& figure : figures) {
+    static int print_declines(const command_context& context, const std::vector<report_metric>& figures) {
+        for (const report_metric& figure : figures) {
             context.out << fmt::format("{:<40} {:>8.2f}  {}\n", figure.title, figure.values.back(),
                                        figure.is_decline ? "DECLINING" : "steady");
         }
@@ -106,7 +106,7 @@
 
 class status_command final : public command {
 public:
-    [[nodiscard]] std::string get_words() const override { return "status"; }
+    [[nodiscard]] std::string get_name() const override { return "status"; }
     [[nodiscard]] std::string get_summary() const override { return "ask each daemon for its state"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
--- a/ctl/report_page.cpp
+++ b/ctl/report_page.cpp
@@ -70,7 +70,7 @@
 /// Draws one series with a labelled scale. A flat series gets a scale of its own, so that it is not drawn as noise.
 class line_plot {
 public:
-    line_plot(const report_figure& figure, std::uint64_t first, std::uint64_t last)
+    line_plot(const report_metric& figure, std::uint64_t first, std::uint64_t last)
         : m_figure(&figure), m_first(first), m_last(last) {
         const auto [least, most] = std::minmax_element(figure.values.begin(), figure.values.end());
         const double margin = std::max({(*most - *least) * 0.1, std::abs(*most) * 0.005, 0.01});
@@ -121,14 +121,14 @@
         return plot_top + height * (1 - (value - m_low) / (m_high - m_low));
     }
 
-    const report_figure* m_figure;
+    const report_metric* m_figure;
     std::uint64_t m_first;
     std::uint64_t m_last;
     double m_low{};
     double m_high{};
 };
 
-report_figure make_figure(std::string title, std::string unit, std::string meaning, std::vector<double> values,
+report_metric make_figure(std::string title, std::string unit, std::string meaning, std::vector<double> values,
                           const policy::trend_options& options) {
     const policy::trend found = policy::find_trend(values, options);
     return {.title = std::move(title),
@@ -139,9 +139,9 @@
             .change = found.change};
 }
 
-std::string make_verdict(const std::vector<report_figure>& figures) {
+std::string make_verdict(const std::vector<report_metric>& figures) {
     std::string declines;
-    for (const report_figure& figure : figures) {
+    for (const report_metric& figure : figures) {
         if (figure.is_decline) {
             declines += fmt::format("<p><strong>{}</strong> has moved by {:+.1f}% over this time. {}</p>",
                                     escape(figure.title), figure.change * percent, escape(figure.meaning));
@@ -156,7 +156,7 @@
     return "<div class=\"good\"><p>No slow decline found in any figure.</p></div>";
 }
 
-std::string make_refusal_table(const fleet::service_figures& total) {
+std::string make_refusal_table(const fleet::service_counts& total) {
     std::vector<std::pair<std::string, std::uint64_t>> reasons;
     for (const auto& [reason, count] : total.refusals) {
         if (count > 0) {
@@ -175,27 +175,27 @@
     return text + "</table>";
 }
 
-std::string make_organisation_table(const fleet::service_figures& total) {
+std::string make_organisation_table(const fleet::service_counts& total) {
     std::string text = "<table><tr><th>Organisation</th><th>Asked</th><th>Completed</th><th>Part</th></tr>";
-    std::vector<std::pair<std::string, fleet::organisation_service>> rows;
+    std::vector<std::pair<std::string, fleet::request_counts>> rows;
     for (const auto& [name, service] : total.organisations) {
         rows.emplace_back(name.empty() ? "all others" : name.value(), service);
     }
-    const auto part = [](const fleet::organisation_service& item) {
-        return item.asked == 0 ? 1.0 : static_cast<double>(item.completed) / static_cast<double>(item.asked);
+    const auto part = [](const fleet::request_counts& item) {
+        return item.requested == 0 ? 1.0 : static_cast<double>(item.completed) / static_cast<double>(item.requested);
     };
     std::sort(rows.begin(), rows.end(),
               [&](const auto& one, const auto& other) { return part(one.second) < part(other.second); });
     for (const auto& [name, service] : rows) {
-        text += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.2f}%</td></tr>", escape(name), service.asked,
-                            service.completed, part(service) * percent);
+        text += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.2f}%</td></tr>", escape(name),
+                            service.requested, service.completed, part(service) * percent);
     }
     return text + "</table>";
 }
 
 } // namespace
 
-std::vector<report_figure> get_report_figures(const fleet::service_history::series& spans) {
+std::vector<report_metric> get_report_metrics(const fleet::service_history::series& spans) {
     std::vector<double> goodput;
     std::vector<double> worst;
     std::vector<double> spend;
@@ -215,7 +215,7 @@
     }
     constexpr policy::trend_options falls{.bad = policy::bad_direction::down, .least_change = 0.005};
     constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .least_change = 0.05};
-    std::vector<report_figure> figures;
+    std::vector<report_metric> figures;
     figures.push_back(make_figure("Goodput", "% of requests completed",
                                   "Fewer callers get their whole answer; compare the refusals by reason below.",
                                   std::move(goodput), falls));
@@ -235,18 +235,18 @@
 std::string make_report_page(const fleet::service_history::series& spans, std::uint64_t span_seconds) {
     const std::uint64_t first = spans.begin()->first;
     const std::uint64_t last = spans.rbegin()->first + span_seconds;
-    fleet::service_figures total;
+    fleet::service_counts total;
     for (const auto& [start, figures] : spans) {
-        fleet::add_figures(total, figures);
+        fleet::add_counts(total, figures);
     }
-    const std::vector<report_figure> figures = get_report_figures(spans);
+    const std::vector<report_metric> figures = get_report_metrics(spans);
     std::string page = fmt::format("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">"
                                    "<title>Service report</title><style>{}</style></head><body>",
                                    page_style);
     page += fmt::format("<h1>Service report</h1><p class=\"note\">{} to {} UTC, {} spans of {} minutes</p>",
                         format_moment(first), format_moment(last), spans.size(), span_seconds / 60);
     page += make_verdict(figures);
-    for (const report_figure& figure : figures) {
+    for (const report_metric& figure : figures) {
         page += fmt::format("<h2>{}{}</h2><p class=\"note\">{}</p>", escape(figure.title),
                             figure.is_decline ? " — declining" : "", escape(figure.unit));
         page += line_plot(figure, first, last).draw();
--- a/ctl/report_page.hpp
+++ b/ctl/report_page.hpp
@@ -7,7 +7,7 @@
 namespace dragonflywell::ctl {
 
 /// One figure of the board's report over time.
-struct report_figure {
+struct report_metric {
     std::string title;
     std::string unit;
     /// What its decline means, in one sentence.
@@ -20,7 +20,7 @@
 
 /// Returns goodput, worst-served organisation, spending per million delivered tokens and refusals, with trends.
 /// Precondition: `spans` is not empty. Thread safe.
-[[nodiscard]] std::vector<report_figure> get_report_figures(const fleet::service_history::series& spans);
+[[nodiscard]] std::vector<report_metric> get_report_metrics(const fleet::service_history::series& spans);
 
 /// Returns one HTML page with plots drawn as inline SVG; it refers to no other file. Thread safe.
 [[nodiscard]] std::string make_report_page(const fleet::service_history::series& spans, std::uint64_t span_seconds);
--- a/ctl/request_story.cpp
+++ b/ctl/request_trace.cpp
@@ -1,4 +1,4 @@
-#include "ctl/request_story.hpp"
+#include "ctl/request_trace.hpp"
 
 #include <algorithm>
 #include <array>
@@ -56,8 +56,8 @@
     return line.get_text("server") == server || line.get_text("engine") == server;
 }
 
-visited_server describe(std::span<const log_line> lines, const log_line& end, const visit& visited) {
-    visited_server server{.name = visited.server, .result = visited.result, .changes = {}};
+contacted_server describe(std::span<const log_line> lines, const log_line& end, const visit& visited) {
+    contacted_server server{.name = visited.server, .result = visited.result, .changes = {}};
     for (const log_line& line : lines) {
         if (!is_near(line, end)) {
             continue;
@@ -102,8 +102,8 @@
     return still_lost;
 }
 
-request_story make_story(std::span<const log_line> lines, const log_line& end) {
-    request_story story{
+request_trace make_story(std::span<const log_line> lines, const log_line& end) {
+    request_trace story{
         .end = end, .servers = {}, .configuration = {}, .lost = find_lost(lines, end), .host_events = {}};
     for (const visit& visited : parse_visits(end)) {
         story.servers.push_back(describe(lines, end, visited));
@@ -156,7 +156,7 @@
     return text;
 }
 
-std::string format_server(const visited_server& server) {
+std::string format_server(const contacted_server& server) {
     std::string text = fmt::format("  {}: {}", server.name, server.result);
     if (server.others > 0) {
         text += fmt::format("; of {} other requests sent there within {} s, {} failed", server.others,
@@ -184,11 +184,11 @@
 
 } // namespace
 
-std::vector<request_story> find_stories(std::span<const log_line> lines, std::string_view id) {
+std::vector<request_trace> find_request_traces(std::span<const log_line> lines, std::string_view id) {
     std::vector<log_line> sorted(lines.begin(), lines.end());
     std::stable_sort(sorted.begin(), sorted.end(),
                      [](const log_line& left, const log_line& right) { return left.moment < right.moment; });
-    std::vector<request_story> stories;
+    std::vector<request_trace> stories;
     for (const log_line& line : sorted) {
         if (is_request_end(line) && line.get_text("id") == id) {
             stories.push_back(make_story(sorted, line));
@@ -197,13 +197,13 @@
     return stories;
 }
 
-std::string format_story(const request_story& story) {
+std::string format_request_trace(const request_trace& story) {
     std::string text = format_end(story.end);
     text += fmt::format("configuration {}", story.end.get_text("configuration"));
     text += story.configuration ? fmt::format(", in force on this host since {}\n", story.configuration->time)
                                 : ", in force since before these logs begin\n";
     text += story.servers.empty() ? "sent to no backend server\n" : "sent to\n";
-    for (const visited_server& server : story.servers) {
+    for (const contacted_server& server : story.servers) {
         text += format_server(server);
     }
     if (!story.lost.empty()) {
--- a/ctl/request_story.hpp
+++ b/ctl/request_trace.hpp
@@ -11,7 +11,7 @@
 namespace dragonflywell::ctl {
 
 /// A backend server that a request was sent to, and what the logs say of it.
-struct visited_server {
+struct contacted_server {
     std::string name;
     /// What came of the exchange, as the host noted it.
     std::string result;
@@ -23,10 +23,10 @@
 };
 
 /// What the logs tell of one attempt of a request.
-struct request_story {
+struct request_trace {
     /// The line with which it ended.
     log_line end;
-    std::vector<visited_server> servers;
+    std::vector<contacted_server> servers;
     /// The line by which its configuration came into force on its host, where it is in the logs.
     std::optional<log_line> configuration;
     /// Dependencies that its host had lost and not regained when it ended.
@@ -37,9 +37,9 @@
 
 /// Returns the stories of all requests with that id, in order of time; mostly one, since each attempt has an id of its
 /// own. `lines`: events of any number of hosts, in any order. Thread safe.
-[[nodiscard]] std::vector<request_story> find_stories(std::span<const log_line> lines, std::string_view id);
+[[nodiscard]] std::vector<request_trace> find_request_traces(std::span<const log_line> lines, std::string_view id);
 
 /// Returns a story as lines that a person reads. Thread safe.
-[[nodiscard]] std::string format_story(const request_story& story);
+[[nodiscard]] std::string format_request_trace(const request_trace& story);
 
 } // namespace dragonflywell::ctl
--- a/daemon/claim_task.hpp
+++ b/daemon/claim_task.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/claim_book.hpp"
 #include "coordination/claim_queue.hpp"
+#include "coordination/claim_registry.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "platform/http_log.hpp"
 
 namespace dragonflywell::daemon {
@@ -11,7 +11,7 @@
 /// Writes the claims of all requests that wait in one append, and answers them.
 class claim_task final : public control_task {
 public:
-    explicit claim_task(const daemon_parts& parts);
+    explicit claim_task(const control_task_context& parts);
 
     void run_round() override;
     void finish() override;
@@ -19,12 +19,12 @@
     [[nodiscard]] duration get_interval() const noexcept override { return m_pause; }
 
 private:
-    void process(const coordination::claim_round& round);
+    void process(const coordination::pending_claim_work& round);
 
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
-    coordination::claim_book m_book;
+    coordination::claim_registry m_book;
     steady_time m_polled_at{};
     /// Time until the next round: nothing after an idle one, so that a lone claim is written at once.
     duration m_pause{};
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -3,7 +3,7 @@
 #include "core/error.hpp"
 #include "platform/configuration_decoder.hpp"
 #include "platform/wire_names.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -31,33 +31,33 @@
 
 servers::asio::awaitable<void> configuration_follower::run() {
     for (;;) {
-        if (!m_is_reader && !m_topic.is_due(m_longest_age, m_state->time.now())) {
+        if (!m_is_reader && !m_topic.is_read_due(m_longest_age, m_state->time.now())) {
             co_await wait_for_hint();
             continue;
         }
         bool has_failed = false;
-        const std::optional<std::uint64_t> before = m_topic.get_next();
+        const std::optional<std::uint64_t> before = m_topic.get_next_offset();
         try {
             co_await follow_once();
-            m_dependency.set_reached(m_state->time.now());
+            m_dependency.record_success(m_state->time.now());
         } catch (const platform::store_history_dropped_error&) {
-            m_topic.note_dropped();
+            m_topic.record_truncation();
         } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
+            m_dependency.record_failure(m_state->time.now(), fault.what());
             has_failed = true;
         }
         // A store that answers with an old state brings nothing on, however often it is asked.
-        const bool is_stuck = m_topic.is_behind() && m_topic.get_next() == before;
+        const bool is_stuck = m_topic.is_lagging() && m_topic.get_next_offset() == before;
         if (has_failed) {
-            co_await m_store->wait_for_turn();
+            co_await m_store->wait_until_call_allowed();
         } else if (is_stuck) {
-            co_await servers::pause(stuck_pause);
+            co_await servers::sleep_for(stuck_pause);
         }
     }
 }
 
 servers::asio::awaitable<void> configuration_follower::wait_for_hint() {
-    m_hint_timer.expires_after(m_longest_age - m_topic.get_age(m_state->time.now()));
+    m_hint_timer.expires_after(m_longest_age - m_topic.get_staleness(m_state->time.now()));
     servers::error_code ignored;
     co_await m_hint_timer.async_wait(servers::store_error(ignored));
 }
@@ -69,31 +69,31 @@
     }
 }
 
-void configuration_follower::take_hint(const servers::digest_reading& reading) {
-    if (m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now())) {
+void configuration_follower::update_leader_position(const servers::digest_read_position& reading) {
+    if (m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now())) {
         m_hint_timer.cancel();
     }
-    m_state->note_configuration_known(m_topic.get_fresh_at());
+    m_state->set_configuration_current_at(m_topic.get_caught_up_at());
 }
 
-servers::digest_reading configuration_follower::get_reading() const {
-    return {.end = m_topic.get_next(), .age = m_topic.get_age(m_state->time.now())};
+servers::digest_read_position configuration_follower::get_read_position() const {
+    return {.end = m_topic.get_next_offset(), .age = m_topic.get_staleness(m_state->time.now())};
 }
 
 servers::asio::awaitable<void> configuration_follower::follow_once() {
-    const std::optional<std::uint64_t> next = m_topic.get_next();
+    const std::optional<std::uint64_t> next = m_topic.get_next_offset();
     const steady_time sent_at = m_state->time.now();
     // Configurations may be large: those that were replaced meanwhile need not be fetched.
-    if (!next || m_topic.get_missing() > 1) {
+    if (!next || m_topic.get_lag() > 1) {
         const platform::store_page listing = co_await m_store->read_newest(platform::wire::operator_topic);
-        if (m_topic.is_older(listing.end)) {
+        if (m_topic.is_stale_listing(listing.next_offset)) {
             throw platform::store_unavailable_error("the listing is older than what was read", false);
         }
         take(listing, sent_at);
         co_return;
     }
     // Only the host that reads for others waits at the store, and only while the store is known to answer at once.
-    const bool may_wait = m_is_reader && !m_topic.is_behind() && !m_dependency.is_lost();
+    const bool may_wait = m_is_reader && !m_topic.is_lagging() && !m_dependency.is_unavailable();
     const duration wait = may_wait ? m_read_wait : duration::zero();
     const platform::store_page page = co_await m_store->read(platform::wire::operator_topic, *next, wait);
     // An empty answer was made when the wait was over.
@@ -109,10 +109,10 @@
         }
     }
     const bool has_news = !page.records.empty();
-    m_topic.note_read(page.end, page.topic_end, at);
-    m_state->note_configuration_known(m_topic.get_fresh_at());
+    m_topic.record_read(page.next_offset, page.topic_end_offset, at);
+    m_state->set_configuration_current_at(m_topic.get_caught_up_at());
     if (has_news && m_is_reader) {
-        m_state->note_load_change();
+        m_state->notify_load_change();
     }
 }
 
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -7,7 +7,7 @@
 #include "core/log.hpp"
 #include "daemon/store_dependency.hpp"
 #include "platform/store_client.hpp"
-#include "policy/followed_topic.hpp"
+#include "policy/topic_progress.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
@@ -28,9 +28,9 @@
     /// Sets whether this host reads for its group.
     void set_reader(bool is_reader);
     /// Takes how far a host that reads for the group has come.
-    void take_hint(const servers::digest_reading& reading);
+    void update_leader_position(const servers::digest_read_position& reading);
     /// Returns how far this host has come, for others.
-    [[nodiscard]] servers::digest_reading get_reading() const;
+    [[nodiscard]] servers::digest_read_position get_read_position() const;
 
 private:
     servers::asio::awaitable<void> follow_once();
@@ -49,7 +49,7 @@
     std::function<void()> m_on_change;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    policy::followed_topic m_topic;
+    policy::topic_progress m_topic;
     boost::asio::steady_timer m_hint_timer;
     bool m_is_reader{false};
 };
--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-configuration_task::configuration_task(const daemon_parts& parts)
+configuration_task::configuration_task(const control_task_context& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_stream(m_platform_log, std::string(coordination::configuration_stream), parts.self),
       m_snapshots(m_platform_log, m_stream, parts.time, parts.settings.log_retention),
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -4,10 +4,10 @@
 #include <optional>
 
 #include "coordination/configuration.hpp"
-#include "coordination/snapshot_keeper.hpp"
+#include "coordination/leased_snapshot_writer.hpp"
 #include "core/log.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "platform/http_log.hpp"
 
 namespace dragonflywell::daemon {
@@ -18,7 +18,7 @@
 /// records still finds the configuration.
 class configuration_task final : public control_task {
 public:
-    explicit configuration_task(const daemon_parts& parts);
+    explicit configuration_task(const control_task_context& parts);
 
     void run_round() override;
     void finish() override;
@@ -31,11 +31,11 @@
     void judge_cut_off();
     void put_in_force(const std::shared_ptr<const coordination::configuration>& current);
 
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     coordination::configuration_fold m_fold;
-    coordination::snapshot_keeper m_snapshots;
+    coordination::leased_snapshot_writer m_snapshots;
     counter* m_rejected;
     counter* m_written;
     gauge* m_version;
--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::daemon {
 
-std::vector<std::unique_ptr<control_task>> make_control_tasks(const daemon_parts& parts) {
+std::vector<std::unique_ptr<control_task>> make_control_tasks(const control_task_context& parts) {
     std::vector<std::unique_ptr<control_task>> tasks;
     tasks.push_back(std::make_unique<configuration_task>(parts));
     tasks.push_back(std::make_unique<claim_task>(parts));
--- a/daemon/control_tasks.hpp
+++ b/daemon/control_tasks.hpp
@@ -4,11 +4,11 @@
 #include <vector>
 
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 
 namespace dragonflywell::daemon {
 
 /// Makes the control tasks of a daemon: the one place where they are registered.
-[[nodiscard]] std::vector<std::unique_ptr<control_task>> make_control_tasks(const daemon_parts& parts);
+[[nodiscard]] std::vector<std::unique_ptr<control_task>> make_control_tasks(const control_task_context& parts);
 
 } // namespace dragonflywell::daemon
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -97,7 +97,7 @@
         return;
     }
     m_log->info("Stopping: the readiness check fails and callers are told to use other connections.");
-    m_entry_server.set_closing();
+    m_entry_server.disable_keep_alive();
     wait_while([this] { return !m_is_notice_over; }, m_settings.stop_notice);
     m_log->info("Stopping: new requests are refused.");
     m_entry_handler.set_stopping();
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr integer_range poll_milliseconds{.least = 10, .most = 10000};
-constexpr integer_range retention_minutes{.least = 10, .most = 525600};
-constexpr integer_range deadline_milliseconds{.least = 10, .most = 3600000};
+constexpr integer_range poll_milliseconds{.min = 10, .max = 10000};
+constexpr integer_range retention_minutes{.min = 10, .max = 525600};
+constexpr integer_range deadline_milliseconds{.min = 10, .max = 3600000};
 
 std::optional<endpoint> get_optional_endpoint(settings_reader& reader, const std::string& key,
                                               std::optional<std::string> fallback) {
@@ -48,27 +48,26 @@
     settings.usage_flush = get_milliseconds(reader, "usage.flush_ms", poll_milliseconds, 1000);
     settings.claim_interval = get_milliseconds(reader, "claims.interval_ms", poll_milliseconds, 50);
     settings.claims.window =
-        std::chrono::seconds(reader.get_integer("claims.window_s", {.least = 1200, .most = 604800}, 3600));
-    settings.claims.most_entries =
-        static_cast<std::size_t>(reader.get_integer("claims.most_entries", {.least = 100, .most = 1000000}, 50000));
-    settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.least = 1, .most = 256}, 2));
+        std::chrono::seconds(reader.get_integer("claims.window_s", {.min = 1200, .max = 604800}, 3600));
+    settings.claims.max_entries =
+        static_cast<std::size_t>(reader.get_integer("claims.most_entries", {.min = 100, .max = 1000000}, 50000));
+    settings.workers = static_cast<unsigned>(reader.get_integer("threads.workers", {.min = 1, .max = 256}, 2));
     settings.header_limit_bytes = static_cast<std::uint32_t>(
-        reader.get_integer("request.header_limit_bytes", {.least = 1024, .most = 1048576}, 16384));
+        reader.get_integer("request.header_limit_bytes", {.min = 1024, .max = 1048576}, 16384));
     settings.body_limit_bytes = static_cast<std::uint64_t>(
-        reader.get_integer("request.body_limit_bytes", {.least = 1024, .most = 1073741824}, 8388608));
-    settings.limits.request_deadline = get_milliseconds(reader, "request.deadline_ms", deadline_milliseconds, 300000);
-    settings.limits.progress_deadline =
+        reader.get_integer("request.body_limit_bytes", {.min = 1024, .max = 1073741824}, 8388608));
+    settings.limits.request_timeout = get_milliseconds(reader, "request.deadline_ms", deadline_milliseconds, 300000);
+    settings.limits.progress_timeout =
         get_milliseconds(reader, "request.progress_deadline_ms", deadline_milliseconds, 5000);
-    settings.limits.most_attempts =
-        static_cast<unsigned>(reader.get_integer("request.most_attempts", {.least = 1, .most = 10}, 3));
+    settings.limits.max_attempts =
+        static_cast<unsigned>(reader.get_integer("request.most_attempts", {.min = 1, .max = 10}, 3));
     settings.admission.hosts =
-        static_cast<std::uint64_t>(reader.get_integer("admission.hosts", {.least = 1, .most = 100000}, 1));
+        static_cast<std::uint64_t>(reader.get_integer("admission.hosts", {.min = 1, .max = 100000}, 1));
     settings.limits.entry_hosts = settings.admission.hosts;
-    settings.admission.longest_wait =
-        get_milliseconds(reader, "admission.longest_wait_ms", deadline_milliseconds, 1900);
-    settings.admission.most_waiting =
-        static_cast<std::size_t>(reader.get_integer("admission.most_waiting", {.least = 1, .most = 1000000}, 1000));
-    settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.least = 0, .most = 600000}, 5000);
+    settings.admission.max_wait = get_milliseconds(reader, "admission.longest_wait_ms", deadline_milliseconds, 1900);
+    settings.admission.max_waiting =
+        static_cast<std::size_t>(reader.get_integer("admission.most_waiting", {.min = 1, .max = 1000000}, 1000));
+    settings.stop_notice = get_milliseconds(reader, "stop.notice_ms", {.min = 0, .max = 600000}, 5000);
     settings.stop_grace = get_milliseconds(reader, "stop.grace_ms", deadline_milliseconds, 300000);
     settings.log.level = reader.get_choice("log.level", {"trace", "debug", "info", "warn", "error"}, "info");
     settings.log.format =
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/claim_book.hpp"
+#include "coordination/claim_registry.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
--- a/daemon/demand_board.hpp
+++ b/daemon/demand_report_queue.hpp
@@ -12,7 +12,7 @@
 /// Where demand reports of all entry hosts wait for the zone's control: the own ones and those that the log brings.
 ///
 /// Thread safe. Bounded: when the control thread does not fetch them, the oldest reports are dropped.
-class demand_board {
+class demand_report_queue {
 public:
     void add(policy::demand_report report) {
         const std::scoped_lock lock(m_mutex);
--- a/daemon/digest_writer.cpp
+++ b/daemon/digest_builder.cpp
@@ -1,4 +1,4 @@
-#include "daemon/digest_writer.hpp"
+#include "daemon/digest_builder.hpp"
 
 #include <utility>
 
@@ -14,65 +14,65 @@
 
 } // namespace
 
-digest_writer::digest_writer(servers::serving_state& state, const configuration_follower& configuration,
-                             const server_list_follower& servers, const lease_keeper& lease, const group_usage& usage,
-                             servers::host_life own, zone_name zone)
+digest_builder::digest_builder(servers::serving_state& state, const configuration_follower& configuration,
+                               const server_list_follower& servers, const lease_keeper& lease,
+                               const group_usage_recorder& usage, servers::host_incarnation own, zone_name zone)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease), m_group_usage(&usage),
       m_own(std::move(own)), m_zone(std::move(zone)) {}
 
-servers::host_digest digest_writer::make_head(const digest_occasion& occasion) {
+servers::host_digest digest_builder::make_head(const digest_scope& occasion) {
     servers::host_digest digest;
     digest.host = m_own.host;
     digest.zone = m_zone;
     digest.group = m_state->peers.groups.get_name();
     digest.incarnation = m_own.incarnation;
     digest.sequence = ++m_sequence;
-    digest.true_time = m_state->get_true_time();
+    digest.corrected_time = m_state->get_corrected_time();
     digest.is_stopping = m_state->is_stopping;
     digest.holds_lease = m_lease->is_held();
-    if (occasion.is_keep_alive) {
-        digest.deaths = m_state->suspects.get_newest_deaths(digest.true_time, told_death_age, most_told_deaths);
+    if (occasion.is_heartbeat) {
+        digest.deaths = m_state->suspects.get_newest_crashes(digest.corrected_time, told_death_age, most_told_deaths);
     }
     digest.transitions = m_state->get_own_transitions();
     return digest;
 }
 
-servers::host_digest digest_writer::make_near(const digest_occasion& occasion) {
+servers::host_digest digest_builder::make_group_digest(const digest_scope& occasion) {
     servers::host_digest digest = make_head(occasion);
     digest.instances = m_state->get_own_in_flight();
-    digest.paused = m_state->get_paused();
-    digest.touches = std::exchange(m_state->touches, {});
+    digest.ejections = m_state->get_ejected();
+    digest.prefix_accesses = std::exchange(m_state->prefix_accesses, {});
     add_engines(digest);
-    if (occasion.is_keep_alive) {
+    if (occasion.is_heartbeat) {
         add_usage(digest);
         digest.recorded_usage = m_group_usage->get_recorded();
     }
-    if (occasion.is_first) {
-        digest.configuration = m_configuration->get_reading();
-        digest.servers = m_servers->get_reading();
+    if (occasion.is_group_leader) {
+        digest.configuration = m_configuration->get_read_position();
+        digest.servers = m_servers->get_read_position();
     }
     return digest;
 }
 
-servers::host_digest digest_writer::make_far(const digest_occasion& occasion) {
+servers::host_digest digest_builder::make_intergroup_digest(const digest_scope& occasion) {
     servers::host_digest digest = make_head(occasion);
-    if (occasion.is_first) {
+    if (occasion.is_group_leader) {
         add_summaries(digest);
-        digest.touches = m_shared_prompts.take(m_state->time.now());
+        digest.prefix_accesses = m_shared_prompts.take(m_state->time.now());
     }
     return digest;
 }
 
-void digest_writer::add_usage(servers::host_digest& digest) const {
-    const std::int64_t current = m_state->usage.get_window(m_state->get_true_time());
+void digest_builder::add_usage(servers::host_digest& digest) const {
+    const std::int64_t current = m_state->usage.get_window(m_state->get_corrected_time());
     const auto& windows = m_state->usage.get_windows();
     digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
 }
 
-void digest_writer::add_engines(servers::host_digest& digest) const {
+void digest_builder::add_engines(servers::host_digest& digest) const {
     const steady_time now = m_state->time.now();
     for (const auto& [service, engines] : m_state->get_engines()) {
-        digest.read_demand.emplace(service, engines.get_read_demand());
+        digest.prefill_demand.emplace(service, engines.get_prefill_demand());
         for (const auto& [name, engine] : engines.board.get_engines()) {
             if (engine.own.running == 0 && engine.own.prompts.empty()) {
                 continue;
@@ -80,7 +80,7 @@
             servers::digest_engine& told = digest.engines[name];
             told.running = engine.own.running;
             told.running_tokens = engine.own.running_tokens;
-            for (const policy::prompt_job& job : engine.own.prompts) {
+            for (const policy::prefill_job& job : engine.own.prompts) {
                 told.prompts.push_back(
                     {.number = job.number, .age = now - job.sent_at, .cost = job.cost, .urgency = job.urgency});
             }
@@ -88,20 +88,20 @@
     }
 }
 
-void digest_writer::add_summaries(servers::host_digest& digest) const {
+void digest_builder::add_summaries(servers::host_digest& digest) const {
     for (const auto& [service, engines] : m_state->get_engines()) {
-        digest.read_demand.emplace(service, m_state->get_near_read_demand(service));
-        digest.summaries.emplace(service, m_state->get_summary(service));
+        digest.prefill_demand.emplace(service, m_state->get_group_prefill_demand(service));
+        digest.summaries.emplace(service, m_state->get_group_summary(service));
     }
 }
 
-void digest_writer::share_prompts(const std::vector<servers::digest_touch>& touches) {
-    for (const servers::digest_touch& touch : touches) {
+void digest_builder::share_prompts(const std::vector<servers::digest_prefix_access>& prefix_accesses) {
+    for (const servers::digest_prefix_access& touch : prefix_accesses) {
         m_shared_prompts.add(touch, m_state->time.now());
     }
 }
 
-bool digest_writer::has_new_transitions() {
+bool digest_builder::has_new_transitions() {
     std::map<backend_server_name, fleet::engine_stage> transitions;
     for (const auto& [engine, transition] : m_state->get_own_transitions()) {
         transitions.emplace(engine, transition.stage);
--- a/daemon/engine_order_receiver.hpp
+++ b/daemon/engine_order_receiver.hpp
@@ -3,7 +3,7 @@
 #include <functional>
 #include <optional>
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "core/endpoint.hpp"
 #include "platform/engine_control.hpp"
 
@@ -23,12 +23,12 @@
     /// Precondition: `engines` outlives the receiver.
     engine_order_receiver(platform::engine_control& engines, address_lookup find_address);
 
-    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
-                                     duration deadline) override;
+    coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
+                                   duration deadline) override;
 
     /// Engines do not tell what they hold under a key; an engine in the ordered role, which it was not in when the
     /// order was made, has taken it.
-    coordination::order_presence query(const coordination::order& value) override;
+    coordination::order_query_result query(const coordination::order& value) override;
 
 private:
     platform::engine_control* m_engines;
--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "core/log_event.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -20,17 +20,17 @@
 /// How long servers that were ordered may take until the list shows them: to start, and to write their entry.
 constexpr duration arrival_time = std::chrono::seconds(7);
 
-std::string_view get_answer_name(platform::duty_answer answer) {
+std::string_view get_answer_name(platform::duty_call_result answer) {
     switch (answer) {
-    case platform::duty_answer::accepted:
+    case platform::duty_call_result::accepted:
         return "accepted";
-    case platform::duty_answer::superseded:
+    case platform::duty_call_result::superseded:
         return "superseded";
-    case platform::duty_answer::refused:
+    case platform::duty_call_result::refused:
         return "refused";
-    case platform::duty_answer::not_available:
+    case platform::duty_call_result::no_capacity:
         return "not_available";
-    case platform::duty_answer::unknown:
+    case platform::duty_call_result::unknown:
         break;
     }
     return "unknown";
@@ -44,7 +44,7 @@
 
 servers::asio::awaitable<void> fleet_controller::run() {
     for (;;) {
-        co_await servers::pause(tick);
+        co_await servers::sleep_for(tick);
         observe_demand();
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (fence != m_fence) {
@@ -60,8 +60,8 @@
 void fleet_controller::observe_demand() {
     const steady_time now = m_state->time.now();
     for (const auto& [service, engines] : m_state->get_engines()) {
-        const auto height = m_reading.try_emplace(service, policy::demand_height::options{}).first;
-        height->second.observe(std::chrono::duration<double>(m_state->get_read_demand(service)).count(), now);
+        const auto height = m_reading.try_emplace(service, policy::decaying_peak_rate::options{}).first;
+        height->second.observe(std::chrono::duration<double>(m_state->get_prefill_demand(service)).count(), now);
         const double running = m_state->get_running(service);
         double& running_height = m_running[service];
         running_height = std::max(running, running_height * height_memory);
@@ -73,13 +73,13 @@
     if (const auto reading = m_reading.find(service); reading != m_reading.end()) {
         const std::optional<double> height = reading->second.get();
         // Nothing was asked for yet: what will be is not known.
-        demand.readers = height && *height > 0 ? height : std::nullopt;
+        demand.prefill_engines = height && *height > 0 ? height : std::nullopt;
     }
     const fleet::service_description* description = m_state->get_view()->find_service(service);
     const double slots = description->engine ? description->engine->slots : 1;
     const auto running = m_running.find(service);
     const double height = running == m_running.end() ? 0 : running->second;
-    demand.generators = policy::count_generators(slots, {.running = height}, {});
+    demand.decode_engines = policy::count_decode_engines(slots, {.running = height}, {});
     return demand;
 }
 
@@ -89,8 +89,8 @@
         if (!service.scaling) {
             continue;
         }
-        const std::map<zone_name, policy::zone_servers> present = get_present(service.name);
-        const std::map<zone_name, policy::zone_servers> wishes =
+        const std::map<zone_name, policy::zone_server_counts> present = get_present(service.name);
+        const std::map<zone_name, policy::zone_server_counts> wishes =
             policy::plan_servers(*service.scaling, present, get_demand(service.name), {});
         for (const auto& [zone, wish] : wishes) {
             const subject regular{.service = service.name, .zone = zone, .is_cheap = false};
@@ -100,21 +100,21 @@
                 m_wishes.try_emplace(regular, hold_time).first->second.observe(wish.regular, now);
             const std::uint32_t wanted_cheap =
                 m_wishes.try_emplace(cheap, hold_time).first->second.observe(wish.cheap, now);
-            const std::uint32_t cheap_limit = service.scaling->most - wanted_regular;
-            const policy::zone_servers& there = present.at(zone);
+            const std::uint32_t cheap_limit = service.scaling->max_servers - wanted_regular;
+            const policy::zone_server_counts& there = present.at(zone);
             co_await order(fence, regular, wanted_regular, there.regular);
             co_await order(fence, cheap, std::min(wanted_cheap, cheap_limit), there.cheap);
         }
     }
 }
 
-std::map<zone_name, policy::zone_servers> fleet_controller::get_present(const service_name& service) const {
-    std::map<zone_name, policy::zone_servers> present;
+std::map<zone_name, policy::zone_server_counts> fleet_controller::get_present(const service_name& service) const {
+    std::map<zone_name, policy::zone_server_counts> present;
     for (const auto& [id, server] : m_state->directory.get_servers()) {
         if (server.record.service != service) {
             continue;
         }
-        policy::zone_servers& zone = present[server.record.zone];
+        policy::zone_server_counts& zone = present[server.record.zone];
         if (!server.record.is_draining) {
             ++(server.record.is_cheap ? zone.cheap : zone.regular);
         }
@@ -138,11 +138,11 @@
     if (m_lease->get_fence() != fence) {
         co_return;
     }
-    const platform::duty_authority authority{.holder = m_host, .fence = fence};
-    const platform::server_order message{
-        .service = what.service, .zone = what.zone, .wanted = wanted, .is_cheap = what.is_cheap};
-    const platform::duty_answer answer = co_await m_cloud->order_servers(authority, message);
-    m_orders[what] = {.wanted = wanted, .is_accepted = answer == platform::duty_answer::accepted, .sent_at = now};
+    const platform::duty_credentials authority{.holder = m_host, .fence = fence};
+    const platform::scaling_request message{
+        .service = what.service, .zone = what.zone, .desired_count = wanted, .is_cheap = what.is_cheap};
+    const platform::duty_call_result answer = co_await m_cloud->request_scaling(authority, message);
+    m_orders[what] = {.wanted = wanted, .is_accepted = answer == platform::duty_call_result::accepted, .sent_at = now};
     log_event("servers_ordered")
         .add("service", what.service.value())
         .add("zone", what.zone.value())
@@ -151,7 +151,7 @@
         .add("fence", fence)
         .add("answer", get_answer_name(answer))
         .write(*m_log, spdlog::level::info);
-    if (answer == platform::duty_answer::superseded) {
+    if (answer == platform::duty_call_result::superseded) {
         m_lease->on_superseded();
     }
 }
--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -7,7 +7,7 @@
 #include "core/log.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "platform/cloud_client.hpp"
-#include "policy/demand_height.hpp"
+#include "policy/decaying_peak_rate.hpp"
 #include "policy/fleet_plan.hpp"
 #include "policy/recent_maximum.hpp"
 #include "policy/stage_plan.hpp"
@@ -48,7 +48,7 @@
     servers::asio::awaitable<void> order(std::uint64_t fence, subject what, std::uint32_t wanted,
                                          std::uint32_t present);
     /// Returns the servers that each zone of a service has.
-    [[nodiscard]] std::map<zone_name, policy::zone_servers> get_present(const service_name& service) const;
+    [[nodiscard]] std::map<zone_name, policy::zone_server_counts> get_present(const service_name& service) const;
 
     platform::cloud_client* m_cloud;
     lease_keeper* m_lease;
@@ -56,7 +56,7 @@
     std::string m_host;
     std::shared_ptr<spdlog::logger> m_log;
     std::map<subject, placed_order> m_orders;
-    std::map<service_name, policy::demand_height> m_reading;
+    std::map<service_name, policy::decaying_peak_rate> m_reading;
     std::map<service_name, double> m_running;
     /// The greatest wishes of late: servers are given back only after they were not needed for a while.
     std::map<subject, policy::recent_maximum> m_wishes;
--- a/daemon/group_usage.cpp
+++ b/daemon/group_usage_recorder.cpp
@@ -1,47 +1,48 @@
-#include "daemon/group_usage.hpp"
+#include "daemon/group_usage_recorder.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
 #include "daemon/usage_timing.hpp"
 
 namespace dragonflywell::daemon {
 
-group_usage::group_usage(platform::store_client& store, servers::serving_state& state, duration gather)
+group_usage_recorder::group_usage_recorder(platform::store_client& store, servers::serving_state& state,
+                                           duration gather)
     : m_store(&store), m_state(&state), m_gather(gather), m_log(get_logger("usage")) {}
 
-void group_usage::take(const servers::host_digest& digest) {
+void group_usage_recorder::update(const servers::host_digest& digest) {
     if (digest.usage.empty()) {
         return;
     }
-    told_usage& told = m_told[digest.host];
+    received_usage& told = m_told[digest.host];
     if (told.incarnation != digest.incarnation) {
-        told = {.incarnation = digest.incarnation, .told_at = {}, .windows = {}};
+        told = {.incarnation = digest.incarnation, .sent_at = {}, .windows = {}};
     }
-    told.told_at = digest.true_time;
+    told.sent_at = digest.corrected_time;
     for (const auto& [window, counts] : digest.usage) {
         told.windows[window] = counts;
     }
     // A later copy replaces the earlier one, and a window may be reported late, when its figures are still needed.
-    const std::int64_t oldest = told.windows.rbegin()->first - kept_usage_windows + 1;
+    const std::int64_t oldest = told.windows.rbegin()->first - retained_usage_windows + 1;
     told.windows.erase(told.windows.begin(), told.windows.lower_bound(oldest));
 }
 
-std::optional<group_usage::told_usage> group_usage::take_back(const std::string& host) {
+std::optional<group_usage_recorder::received_usage> group_usage_recorder::remove_host(const std::string& host) {
     const auto found = m_told.find(host);
     if (found == m_told.end()) {
         return std::nullopt;
     }
-    told_usage told = std::move(found->second);
+    received_usage told = std::move(found->second);
     m_told.erase(found);
     return told;
 }
 
-void group_usage::record_if_due() {
-    const std::int64_t window = m_state->usage.get_window(m_state->get_true_time() - m_gather) - 1;
+void group_usage_recorder::record_if_due() {
+    const std::int64_t window = m_state->usage.get_window(m_state->get_corrected_time() - m_gather) - 1;
     if (window <= m_tried || m_told.empty()) {
         return;
     }
@@ -49,13 +50,13 @@
     boost::asio::co_spawn(m_state->executor, record(window), boost::asio::detached);
 }
 
-servers::asio::awaitable<void> group_usage::record(std::int64_t window) {
+servers::asio::awaitable<void> group_usage_recorder::record(std::int64_t window) {
     const wall_time counted_at = m_state->usage.get_end(window) + usage_settle_time;
-    servers::digest_recorded_usage recorded{.window = window, .lives = {}};
+    servers::digest_recorded_usage recorded{.window = window, .incarnations = {}};
     std::vector<platform::keyed_value> records;
     for (const auto& [host, told] : m_told) {
         // Counts that were told before the window was counted to its end may still grow.
-        if (told.told_at < counted_at) {
+        if (told.sent_at < counted_at) {
             continue;
         }
         coordination::usage_record record{.windows = {}, .closed = window};
@@ -64,7 +65,7 @@
         }
         records.push_back({.key = coordination::make_usage_copy_key(host, told.incarnation),
                            .value = coordination::encode_usage_record(record)});
-        recorded.lives.push_back({.host = host, .incarnation = told.incarnation});
+        recorded.incarnations.push_back({.host = host, .incarnation = told.incarnation});
     }
     if (records.empty()) {
         co_return;
--- a/daemon/history_task.cpp
+++ b/daemon/history_task.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-history_task::history_task(const daemon_parts& parts)
+history_task::history_task(const control_task_context& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_stream(m_platform_log, std::string(fleet::history_stream), parts.self),
       m_snapshots(m_platform_log, (m_stream.add_observer(m_history), m_stream), parts.time, {}) {}
@@ -49,8 +49,8 @@
     const steady_time now = m_parts.time.now();
     const duration elapsed = now - m_collected_at.value_or(now);
     m_collected_at = now;
-    for (const auto& [name, row] : m_parts.fleet.demand.take_service()) {
-        m_pending.organisations[name].asked += row.asked;
+    for (const auto& [name, row] : m_parts.fleet.demand.take_organisation_counts()) {
+        m_pending.organisations[name].requested += row.asked;
         m_pending.organisations[name].completed += row.completed;
         m_pending.delivered_tokens += row.delivered_tokens;
     }
@@ -60,7 +60,7 @@
 
 void history_task::add_refusals() {
     for (std::size_t index = 0; index < policy::refusal_reason_count; ++index) {
-        const std::string reason(policy::get_refusal_form(static_cast<policy::refusal_reason>(index)).code);
+        const std::string reason(policy::get_refusal_response(static_cast<policy::refusal_reason>(index)).code);
         const std::uint64_t count =
             m_parts.metrics.get_counter("dragonflywell_refusals_total", {{"reason", reason}}).get();
         std::uint64_t& before = m_refusals_before[reason];
--- a/daemon/history_task.hpp
+++ b/daemon/history_task.hpp
@@ -2,7 +2,7 @@
 
 #include "coordination/snapshot_writer.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "fleet/service_history.hpp"
 #include "platform/http_log.hpp"
 
@@ -14,7 +14,7 @@
 /// may count twice.
 class history_task final : public control_task {
 public:
-    explicit history_task(const daemon_parts& parts);
+    explicit history_task(const control_task_context& parts);
 
     void run_round() override;
     void finish() override { run_round(); }
@@ -26,13 +26,13 @@
     void add_refusals();
     void add_spending(duration elapsed);
 
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     fleet::service_history m_history;
     coordination::snapshot_writer m_snapshots;
     /// What has not been stated yet.
-    fleet::service_figures m_pending;
+    fleet::service_counts m_pending;
     /// Part of a thousandth that is carried over, so that short rounds do not round it away.
     double m_unstated_spend{0};
     std::map<std::string, std::uint64_t> m_refusals_before;
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -10,7 +10,7 @@
 #include "core/log_event.hpp"
 #include "core/version.hpp"
 #include "daemon/usage_timing.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -38,22 +38,22 @@
 /// What learning of a server that left may take of the time after which all bounds hold again.
 constexpr duration contact_margin = std::chrono::milliseconds(500);
 
-fleet::list_contact_options get_contact_options(const host_bounds& bounds) {
+fleet::list_reachability_options get_contact_options(const host_bounds& bounds) {
     // The store may have come back as late as one call after the earliest moment.
-    const duration wanted = longest_return_of_entries + policy::circuit_breaker_options{}.longest_pause;
-    return {.return_grace = std::min(wanted, bounds.contact - contact_margin),
-            .shortest_outage = bounds.server_heartbeat * fewest_missed_heartbeats};
+    const duration wanted = longest_return_of_entries + policy::circuit_breaker_options{}.max_backoff;
+    return {.recovery_grace = std::min(wanted, bounds.recovery - contact_margin),
+            .min_outage = bounds.server_heartbeat * fewest_missed_heartbeats};
 }
 
 servers::serving_options get_serving_options(const host_settings& settings, steady_time now) {
     return {.own_host = settings.name.value(),
             .own_zone = settings.zone,
             .usage_window = settings.bounds.usage_window,
-            .usage_patience = make_usage_timing(settings.bounds.usage_due).patience,
-            .repeats_per_request = settings.bounds.repeats_per_request,
-            .repeats_besides = settings.bounds.repeats_besides,
-            .repeat_window = settings.bounds.repeats_window,
-            .list_contact = get_contact_options(settings.bounds),
+            .fallback_record_delay = make_usage_timing(settings.bounds.usage_report).fallback_record_delay,
+            .retries_per_request = settings.bounds.retries_per_request,
+            .base_retries = settings.bounds.base_retries,
+            .retry_window = settings.bounds.retry_window,
+            .list_reachability = get_contact_options(settings.bounds),
             .started_at = now};
 }
 
@@ -63,17 +63,17 @@
 }
 
 coordination::store_lease_options get_lease_options(const host_settings& settings, std::uint64_t incarnation) {
-    const double drawn = draw_share(settings.name.value(), incarnation);
+    const double drawn = hash_to_unit_interval(settings.name.value(), incarnation);
     return {.holder = settings.name.value(),
             .incarnation = incarnation,
             .length = settings.bounds.lease,
-            .quiet = settings.bounds.lease,
-            .claim_delay = std::chrono::duration_cast<duration>(claim_spread * drawn)};
+            .takeover_delay = settings.bounds.lease,
+            .acquisition_delay = std::chrono::duration_cast<duration>(claim_spread * drawn)};
 }
 
 } // namespace
 
-host_daemon::host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_ring> ring)
+host_daemon::host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_buffer> ring)
     : m_settings(std::move(settings)), m_file(std::move(file)), m_incarnation(get_incarnation(m_clock)),
       m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
@@ -84,7 +84,7 @@
       m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
       m_lease(m_store, m_clock, get_lease_options(m_settings, m_incarnation)),
       m_usage_recorder(m_store, m_state, m_settings.name.value(), m_incarnation),
-      m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_due),
+      m_usage_reporter(m_store, m_cloud, m_lease, m_state, m_settings.name.value(), m_settings.bounds.usage_report),
       m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()), m_engine_orders(m_connections, m_metrics, {}),
       m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value(), m_settings.is_first_start),
       m_hosts(m_loop, m_store, m_state, m_configuration, m_servers, m_lease,
@@ -92,7 +92,7 @@
                .zone = m_settings.zone,
                .incarnation = m_incarnation,
                .listen = m_settings.hosts,
-               .usage_gather = make_usage_timing(m_settings.bounds.usage_due).gather}),
+               .group_record_delay = make_usage_timing(m_settings.bounds.usage_report).group_record_delay}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
       m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
@@ -156,17 +156,17 @@
     }
     m_state.is_stopping = true;
     log_event("stopping").add("requests", m_entry_server.get_active_requests()).write(*m_log, spdlog::level::info);
-    m_entry_server.set_closing();
+    m_entry_server.disable_keep_alive();
     co_spawn(m_loop, stop_gracefully(), detached);
 }
 
 servers::asio::awaitable<void> host_daemon::stop_gracefully() {
     const steady_time last_moment = m_clock.now() + m_settings.bounds.stop - stop_margin;
     co_await m_lease.resign();
-    co_await servers::pause(std::min(stop_notice, m_settings.bounds.stop / 2));
+    co_await servers::sleep_for(std::min(stop_notice, m_settings.bounds.stop / 2));
     m_entry_server.stop();
     while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
-        co_await servers::pause(stop_check_interval);
+        co_await servers::sleep_for(stop_check_interval);
     }
     co_await m_usage_recorder.record_last();
     log_event("stopped")
@@ -178,7 +178,7 @@
 servers::asio::awaitable<void> host_daemon::keep_house() {
     steady_time next_look = m_clock.now() + settings_interval;
     for (;;) {
-        co_await servers::pause(house_interval);
+        co_await servers::sleep_for(house_interval);
         m_connections.close_expired();
         report_ages();
         if (m_clock.now() < next_look) {
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -7,7 +7,7 @@
 #include "core/metrics.hpp"
 #include "daemon/configuration_follower.hpp"
 #include "daemon/fleet_controller.hpp"
-#include "daemon/host_exchange.hpp"
+#include "daemon/host_gossip.hpp"
 #include "daemon/host_settings.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
@@ -16,8 +16,8 @@
 #include "daemon/usage_recorder.hpp"
 #include "daemon/usage_reporter.hpp"
 #include "platform/cloud_client.hpp"
-#include "platform/engine_dialect.hpp"
-#include "platform/ingress_dialect.hpp"
+#include "platform/engine_codec.hpp"
+#include "platform/ingress_codec.hpp"
 #include "platform/store_client.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/http_server.hpp"
@@ -32,7 +32,7 @@
 class host_daemon {
 public:
     /// `file` is looked at again when a signal says so, and now and then.
-    host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_ring> ring);
+    host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_buffer> ring);
     host_daemon(const host_daemon&) = delete;
     host_daemon& operator=(const host_daemon&) = delete;
     host_daemon(host_daemon&&) = delete;
@@ -68,8 +68,8 @@
     metrics_registry m_metrics;
     boost::asio::io_context m_loop{1};
     servers::log_writer m_log_writer;
-    platform::engine_dialect m_engine_dialect;
-    platform::ingress_dialect m_ingress_dialect;
+    platform::engine_codec m_engine_dialect;
+    platform::ingress_codec m_ingress_dialect;
     servers::backend_connection_pool m_connections;
     platform::store_client m_store;
     servers::serving_state m_state;
@@ -80,9 +80,9 @@
     usage_recorder m_usage_recorder;
     usage_reporter m_usage_reporter;
     fleet_controller m_fleet;
-    platform::engine_orders m_engine_orders;
+    platform::engine_order_client m_engine_orders;
     stage_controller m_stages;
-    host_exchange m_hosts;
+    host_gossip m_hosts;
     servers::serving_handler m_entry_handler;
     servers::ready_handler m_ready_handler;
     servers::metrics_handler m_metrics_handler;
--- a/daemon/host_exchange.cpp
+++ b/daemon/host_gossip.cpp
@@ -1,4 +1,4 @@
-#include "daemon/host_exchange.hpp"
+#include "daemon/host_gossip.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -8,10 +8,10 @@
 #include "core/error.hpp"
 #include "core/json.hpp"
 #include "core/log_event.hpp"
-#include "daemon/store_news.hpp"
+#include "daemon/relayed_records.hpp"
 #include "daemon/usage_timing.hpp"
 #include "policy/time_correction.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -34,12 +34,12 @@
 
 } // namespace
 
-host_exchange::host_exchange(boost::asio::io_context& loop, platform::store_client& store,
-                             servers::serving_state& state, configuration_follower& configuration,
-                             server_list_follower& servers, lease_keeper& lease, host_exchange_options options)
+host_gossip::host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
+                         configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
+                         host_gossip_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
       m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
-      m_group_usage(store, state, m_options.usage_gather),
+      m_group_usage(store, state, m_options.group_record_delay),
       m_writer(state, configuration, servers, lease, m_group_usage,
                {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
       m_hosts(store, state,
@@ -52,17 +52,17 @@
     m_socket.non_blocking(true);
 }
 
-void host_exchange::start() {
+void host_gossip::start() {
     m_hosts.start({.on_listed = [this](const listed_host& host) { add_host(host); },
                    .on_removed = [this](const std::string& host) { m_others.erase(host); },
                    .on_page = [this] { update_groups(); }});
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
     boost::asio::co_spawn(m_state->executor, keep_alive(), boost::asio::detached);
     m_state->on_load_change = [this] { schedule(); };
-    m_servers->set_on_news([this](std::uint64_t from, const platform::store_page& page) { pass_news_on(from, page); });
+    m_servers->set_relay([this](std::uint64_t from, const platform::store_page& page) { pass_news_on(from, page); });
 }
 
-void host_exchange::schedule() {
+void host_gossip::schedule() {
     if (m_is_scheduled) {
         return;
     }
@@ -77,28 +77,28 @@
     });
 }
 
-void host_exchange::add_host(const listed_host& host) {
+void host_gossip::add_host(const listed_host& host) {
     other_host& other = m_others[host.name];
     other.address = udp::endpoint(boost::asio::ip::make_address(host.address.address), host.address.port);
     other.zone = host.zone;
 }
 
-void host_exchange::update_groups() {
+void host_gossip::update_groups() {
     std::map<std::string, zone_name> zones;
     for (const auto& [name, other] : m_others) {
         zones.emplace(name, other.zone);
     }
     m_state->peers.groups.set_hosts(zones);
     for (auto& [name, other] : m_others) {
-        other.is_near = m_state->peers.groups.is_near(name, other.zone);
+        other.is_near = m_state->peers.groups.is_own_group_host(name, other.zone);
         if (!other.is_near) {
-            m_state->drop_other(name);
+            m_state->remove_host(name);
         }
     }
-    m_state->set_hosts(m_others.size() + 1);
+    m_state->set_host_count(m_others.size() + 1);
 }
 
-servers::asio::awaitable<void> host_exchange::receive() {
+servers::asio::awaitable<void> host_gossip::receive() {
     std::string buffer(most_datagram_bytes, '\0');
     for (;;) {
         udp::endpoint sender;
@@ -106,20 +106,20 @@
         const std::size_t received =
             co_await m_socket.async_receive_from(boost::asio::buffer(buffer), sender, servers::store_error(fault));
         if (fault) {
-            co_await servers::pause(send_interval);
+            co_await servers::sleep_for(send_interval);
             continue;
         }
         take_datagram(std::string_view(buffer).substr(0, received));
     }
 }
 
-void host_exchange::take_datagram(std::string_view text) {
+void host_gossip::take_datagram(std::string_view text) {
     try {
         const boost::json::value document = json::parse(text);
         const boost::json::object& message = json::as_object(document, "datagram");
-        if (is_store_news(message)) {
-            const store_news news = decode_store_news(message);
-            m_servers->take_news(news.from, news.page);
+        if (is_relayed_records(message)) {
+            const relayed_records news = decode_relayed_records(message);
+            m_servers->apply_relayed(news.from, news.page);
         } else {
             take(servers::decode_host_digest(message));
         }
@@ -128,7 +128,7 @@
     }
 }
 
-void host_exchange::take(const servers::host_digest& digest) {
+void host_gossip::take(const servers::host_digest& digest) {
     const auto found = m_others.find(digest.host);
     if (found == m_others.end()) {
         // A host that isn't listed here yet will be; what it says can wait until then.
@@ -147,49 +147,50 @@
     }
     other.heard_at = m_state->time.now();
     other.silent_since.reset();
-    other.ahead = digest.true_time - m_state->get_true_time();
+    other.ahead = digest.corrected_time - m_state->get_corrected_time();
     other.is_stopping = digest.is_stopping;
     if (digest.holds_lease) {
-        m_lease->note_holder_alive();
+        m_lease->record_holder_heartbeat();
     }
-    for (const policy::engine_death& death : digest.deaths) {
-        m_state->suspects.add_death(death);
+    for (const policy::engine_crash& death : digest.deaths) {
+        m_state->suspects.record_crash(death);
     }
     if (!other.is_near) {
-        m_state->peers.take_far(digest);
+        m_state->peers.merge_intergroup_digest(digest);
         take_touches(digest);
         return;
     }
-    m_group_usage.take(digest);
+    m_group_usage.update(digest);
     if (digest.recorded_usage) {
         take_recorded(*digest.recorded_usage);
     }
-    m_state->peers.take_near(digest);
+    m_state->peers.merge_group_digest(digest);
     apply_load(digest);
     take_readings(digest);
 }
 
-void host_exchange::take_recorded(const servers::digest_recorded_usage& recorded) {
-    const servers::host_life own{.host = m_options.host, .incarnation = m_options.incarnation};
-    if (std::find(recorded.lives.begin(), recorded.lives.end(), own) != recorded.lives.end()) {
+void host_gossip::take_recorded(const servers::digest_recorded_usage& recorded) {
+    const servers::host_incarnation own{.host = m_options.host, .incarnation = m_options.incarnation};
+    if (std::find(recorded.incarnations.begin(), recorded.incarnations.end(), own) != recorded.incarnations.end()) {
         m_state->delegation.note_recorded(recorded.window);
     }
 }
 
-void host_exchange::take_readings(const servers::host_digest& digest) {
+void host_gossip::take_readings(const servers::host_digest& digest) {
     if (digest.configuration) {
-        m_configuration->take_hint(*digest.configuration);
+        m_configuration->update_leader_position(*digest.configuration);
     }
     if (digest.servers) {
-        m_servers->take_hint(*digest.servers);
+        m_servers->update_leader_position(*digest.servers);
     }
 }
 
-void host_exchange::apply_load(const servers::host_digest& digest) {
+void host_gossip::apply_load(const servers::host_digest& digest) {
     const steady_time now = m_state->time.now();
-    std::map<backend_server_name, policy::engine_share> shares;
+    std::map<backend_server_name, policy::host_engine_load> shares;
     for (const auto& [name, engine] : digest.engines) {
-        policy::engine_share share{.prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
+        policy::host_engine_load share{
+            .prompts = {}, .running = engine.running, .running_tokens = engine.running_tokens};
         for (const servers::digest_prompt& prompt : engine.prompts) {
             share.prompts.push_back(
                 {.number = prompt.number, .sent_at = now - prompt.age, .cost = prompt.cost, .urgency = prompt.urgency});
@@ -197,29 +198,29 @@
         shares.emplace(name, std::move(share));
     }
     for (auto& [service, engines] : m_state->get_engines()) {
-        engines.board.set_other(digest.host, shares, now);
+        engines.board.set_host_load(digest.host, shares, now);
     }
     take_touches(digest);
     if (has_far_hosts() && is_first_alive()) {
-        m_writer.share_prompts(digest.touches);
+        m_writer.share_prompts(digest.prefix_accesses);
     }
 }
 
-void host_exchange::take_touches(const servers::host_digest& digest) {
+void host_gossip::take_touches(const servers::host_digest& digest) {
     for (auto& [service, engines] : m_state->get_engines()) {
-        for (const servers::digest_touch& touch : digest.touches) {
-            engines.board.touch(touch.engine, touch.parts);
+        for (const servers::digest_prefix_access& touch : digest.prefix_accesses) {
+            engines.board.record_prefix_access(touch.engine, touch.parts);
         }
     }
 }
 
-bool host_exchange::has_far_hosts() const {
+bool host_gossip::has_far_hosts() const {
     return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_near; });
 }
 
-servers::asio::awaitable<void> host_exchange::keep_alive() {
+servers::asio::awaitable<void> host_gossip::keep_alive() {
     for (;;) {
-        co_await servers::pause(keep_alive_interval);
+        co_await servers::sleep_for(keep_alive_interval);
         drop_silent();
         drop_entries_of_gone();
         correct_time();
@@ -230,13 +231,14 @@
         if (is_first) {
             m_group_usage.record_if_due();
         }
-        m_state->peers.forget_usage_before(m_state->usage.get_window(m_state->get_true_time()) - kept_usage_windows);
+        m_state->peers.discard_usage_before(m_state->usage.get_window(m_state->get_corrected_time()) -
+                                            retained_usage_windows);
         m_is_keep_alive_due = true;
         schedule();
     }
 }
 
-void host_exchange::drop_silent() {
+void host_gossip::drop_silent() {
     const steady_time now = m_state->time.now();
     for (auto& [name, other] : m_others) {
         if (!other.heard_at || now - *other.heard_at <= silence) {
@@ -244,12 +246,12 @@
         }
         other.heard_at.reset();
         other.silent_since = now;
-        m_state->drop_other(name);
+        m_state->remove_host(name);
         if (!other.is_near) {
             continue;
         }
         log_event("host_silent").add("host", name).write(*m_log, spdlog::level::info);
-        std::optional<group_usage::told_usage> told = m_group_usage.take_back(name);
+        std::optional<group_usage_recorder::received_usage> told = m_group_usage.remove_host(name);
         if (is_first_alive() && told) {
             boost::asio::co_spawn(m_state->executor,
                                   m_usage_copier.record(name, told->incarnation, std::move(told->windows)),
@@ -258,7 +260,7 @@
     }
 }
 
-void host_exchange::drop_entries_of_gone() {
+void host_gossip::drop_entries_of_gone() {
     const steady_time now = m_state->time.now();
     if (!is_first_alive()) {
         return;
@@ -271,14 +273,14 @@
     }
 }
 
-bool host_exchange::is_first_alive() const {
+bool host_gossip::is_first_alive() const {
     return !m_state->is_stopping && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
         const other_host& other = item.second;
         return other.is_near && other.heard_at && !other.is_stopping && item.first < m_options.host;
     });
 }
 
-void host_exchange::correct_time() {
+void host_gossip::correct_time() {
     std::vector<duration> differences;
     for (const auto& [name, other] : m_others) {
         if (other.heard_at) {
@@ -290,29 +292,29 @@
         return;
     }
     log_event("time_corrected").add("by_ms", *correction).write(*m_log, spdlog::level::warn);
-    m_state->correct_true_time(*correction);
+    m_state->adjust_corrected_time(*correction);
     for (auto& [name, other] : m_others) {
         other.ahead -= *correction;
     }
 }
 
-void host_exchange::send() {
-    const digest_occasion occasion{.is_first = is_first_alive(), .is_keep_alive = m_is_keep_alive_due};
-    const servers::host_digest near = m_writer.make_near(occasion);
-    if (occasion.is_first && has_far_hosts()) {
-        m_writer.share_prompts(near.touches);
+void host_gossip::send() {
+    const digest_scope occasion{.is_group_leader = is_first_alive(), .is_heartbeat = m_is_keep_alive_due};
+    const servers::host_digest near = m_writer.make_group_digest(occasion);
+    if (occasion.is_group_leader && has_far_hosts()) {
+        m_writer.share_prompts(near.prefix_accesses);
     }
     send_to(servers::encode_host_digest(near), true);
     // An engine refuses requests as soon as it changes its stage, so that this news does not wait for its turn.
     const bool has_news = m_writer.has_new_transitions();
-    const bool is_turn = occasion.is_keep_alive && (occasion.is_first || m_lease->is_held());
+    const bool is_turn = occasion.is_heartbeat && (occasion.is_group_leader || m_lease->is_held());
     if (has_far_hosts() && (has_news || is_turn)) {
-        send_to(servers::encode_host_digest(m_writer.make_far(occasion)), false);
+        send_to(servers::encode_host_digest(m_writer.make_intergroup_digest(occasion)), false);
     }
     m_is_keep_alive_due = false;
 }
 
-void host_exchange::send_to(const std::string& text, bool is_near) {
+void host_gossip::send_to(const std::string& text, bool is_near) {
     if (text.size() > most_datagram_bytes) {
         log_event("datagram_too_large").add("bytes", text.size()).write(*m_log, spdlog::level::warn);
         return;
@@ -327,8 +329,8 @@
     }
 }
 
-void host_exchange::pass_news_on(std::uint64_t from, const platform::store_page& page) {
-    const std::string text = encode_store_news({.from = from, .page = page});
+void host_gossip::pass_news_on(std::uint64_t from, const platform::store_page& page) {
+    const std::string text = encode_relayed_records({.from = from, .page = page});
     if (text.size() <= most_datagram_bytes) {
         send_to(text, true);
     }
--- a/daemon/host_exchange.hpp
+++ b/daemon/host_gossip.hpp
@@ -9,8 +9,8 @@
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
-#include "daemon/digest_writer.hpp"
-#include "daemon/group_usage.hpp"
+#include "daemon/digest_builder.hpp"
+#include "daemon/group_usage_recorder.hpp"
 #include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
@@ -21,25 +21,25 @@
 
 namespace dragonflywell::daemon {
 
-struct host_exchange_options {
+struct host_gossip_options {
     std::string host;
     zone_name zone;
     std::uint64_t incarnation{};
     /// Where this host takes the datagrams of others.
     endpoint listen;
     /// How long after a window's end its usage is recorded for the group.
-    duration usage_gather{};
+    duration group_record_delay{};
 };
 
 /// Tells the other hosts of the group what this one has sent to backend servers, and takes what they tell; the first
 /// host of a group reads the store for it and speaks for it to other groups. Hosts find each other in the store;
 /// nothing here has to arrive. Used on one event loop.
-class host_exchange {
+class host_gossip {
 public:
     /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the exchange.
-    host_exchange(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
-                  configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
-                  host_exchange_options options);
+    host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
+                configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
+                host_gossip_options options);
 
     /// Starts to send, to receive and to look for other hosts.
     void start();
@@ -89,11 +89,11 @@
     configuration_follower* m_configuration;
     server_list_follower* m_servers;
     lease_keeper* m_lease;
-    host_exchange_options m_options;
+    host_gossip_options m_options;
     std::shared_ptr<spdlog::logger> m_log;
     usage_copier m_usage_copier;
-    group_usage m_group_usage;
-    digest_writer m_writer;
+    group_usage_recorder m_group_usage;
+    digest_builder m_writer;
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -8,7 +8,7 @@
 #include "core/json.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -62,17 +62,17 @@
             } else {
                 take(co_await m_store->read_newest(topics::hosts));
             }
-            m_dependency.set_reached(m_state->time.now());
+            m_dependency.record_success(m_state->time.now());
         } catch (const platform::store_history_dropped_error&) {
             m_next.reset();
         } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
+            m_dependency.record_failure(m_state->time.now(), fault.what());
             has_failed = true;
         }
         if (has_failed) {
-            co_await m_store->wait_for_turn();
+            co_await m_store->wait_until_call_allowed();
         } else {
-            co_await servers::pause(list_pause);
+            co_await servers::sleep_for(list_pause);
         }
     }
 }
@@ -95,7 +95,7 @@
                 .write(*m_log, spdlog::level::warn);
         }
     }
-    m_next = page.end;
+    m_next = page.next_offset;
     m_listeners.on_page();
 }
 
@@ -108,7 +108,7 @@
         co_await m_store->append(topics::hosts, host, "");
         log_event("host_entry_dropped").add("host", host).write(*m_log, spdlog::level::info);
     } catch (const platform::store_unavailable_error& fault) {
-        m_dependency.set_lost(m_state->time.now(), fault.what());
+        m_dependency.record_failure(m_state->time.now(), fault.what());
     }
 }
 
--- a/daemon/host_settings.cpp
+++ b/daemon/host_settings.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr integer_range any_count{.least = 0, .most = 1'000'000'000};
-constexpr integer_range milliseconds_range{.least = 1, .most = 3'600'000};
-constexpr number_range seconds_range{.least = 0.001, .most = 86'400};
-constexpr number_range share_range{.least = 0, .most = 100};
-constexpr number_range count_range{.least = 0, .most = 1e9};
+constexpr integer_range any_count{.min = 0, .max = 1'000'000'000};
+constexpr integer_range milliseconds_range{.min = 1, .max = 3'600'000};
+constexpr number_range seconds_range{.min = 0.001, .max = 86'400};
+constexpr number_range share_range{.min = 0, .max = 100};
+constexpr number_range count_range{.min = 0, .max = 1e9};
 
 endpoint get_endpoint(settings_reader& reader, const std::string& key) {
     const std::optional<endpoint> parsed = parse_endpoint(reader.get_string(key));
@@ -39,16 +39,16 @@
 
 host_bounds get_bounds(settings_reader& reader) {
     return {.server_heartbeat = get_milliseconds(reader, "bounds.server_heartbeat_ms"),
-            .contact = get_milliseconds(reader, "bounds.contact_ms"),
+            .recovery = get_milliseconds(reader, "bounds.contact_ms"),
             .drain = get_milliseconds(reader, "bounds.drain_ms"),
             .stop = get_seconds(reader, "bounds.stop_s"),
             .configuration = get_milliseconds(reader, "bounds.configuration_ms"),
             .lease = get_milliseconds(reader, "bounds.lease_ms"),
-            .repeats_per_request = reader.get_number("bounds.repeats_per_request", share_range),
-            .repeats_besides = reader.get_number("bounds.repeats_besides", count_range),
-            .repeats_window = get_seconds(reader, "bounds.repeats_window_s"),
+            .retries_per_request = reader.get_number("bounds.repeats_per_request", share_range),
+            .base_retries = reader.get_number("bounds.repeats_besides", count_range),
+            .retry_window = get_seconds(reader, "bounds.repeats_window_s"),
             .usage_window = get_seconds(reader, "bounds.usage_window_s"),
-            .usage_due = get_seconds(reader, "bounds.usage_due_s")};
+            .usage_report = get_seconds(reader, "bounds.usage_due_s")};
 }
 
 } // namespace
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -16,7 +16,7 @@
     /// How often a backend server renews its entry in the list.
     duration server_heartbeat{};
     /// After disturbances of this host end, how long until all bounds hold again.
-    duration contact{};
+    duration recovery{};
     /// From a backend server's notice that it leaves to the last request sent there.
     duration drain{};
     /// From the signal to stop to the end of the process.
@@ -25,12 +25,12 @@
     duration configuration{};
     /// Within which holders of a duty must not take turns.
     duration lease{};
-    double repeats_per_request{};
-    double repeats_besides{};
-    duration repeats_window{};
+    double retries_per_request{};
+    double base_retries{};
+    duration retry_window{};
     duration usage_window{};
     /// From the end of a window to its report.
-    duration usage_due{};
+    duration usage_report{};
 
     friend bool operator==(const host_bounds&, const host_bounds&) = default;
 };
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -3,7 +3,7 @@
 #include "core/error.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -12,8 +12,8 @@
 /// How often the lease is looked after; a small part of its length.
 constexpr duration tick = std::chrono::milliseconds(250);
 
-std::vector<coordination::placed_lease_record> decode(const platform::store_page& page) {
-    std::vector<coordination::placed_lease_record> records;
+std::vector<coordination::lease_topic_entry> decode(const platform::store_page& page) {
+    std::vector<coordination::lease_topic_entry> records;
     for (const platform::keyed_record& record : page.records) {
         if (!record.value) {
             continue;
@@ -24,7 +24,7 @@
         } catch (const malformed_message_error&) {
             // What nobody can read names no holder; it still moves the end of the topic.
             records.push_back(
-                {.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fence = {}}});
+                {.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fencing_number = {}}});
         }
     }
     return records;
@@ -43,7 +43,7 @@
             co_await step(m_lease.get_next_action());
         }
         report_change();
-        co_await servers::pause(tick);
+        co_await servers::sleep_for(tick);
     }
 }
 
@@ -69,10 +69,10 @@
             co_await append();
         }
         if (action != coordination::store_lease::action::nothing) {
-            m_dependency.set_reached(m_time->now());
+            m_dependency.record_success(m_time->now());
         }
     } catch (const platform::store_unavailable_error& fault) {
-        m_dependency.set_lost(m_time->now(), fault.what());
+        m_dependency.record_failure(m_time->now(), fault.what());
     }
     m_is_busy = false;
 }
@@ -88,21 +88,22 @@
     if (is_dropped) {
         page = co_await m_store->read_newest(topics::lease);
     }
-    m_lease.on_read(decode(page), page.end);
+    m_lease.on_read(decode(page), page.next_offset);
 }
 
 servers::asio::awaitable<void> lease_keeper::append() {
     const std::uint64_t end = m_lease.get_end();
     const std::string text = coordination::encode_store_lease_record(m_lease.start_append());
     try {
-        const platform::append_answer answer = co_await m_store->append(topics::lease, topics::only_key, text, end);
+        const platform::append_result answer =
+            co_await m_store->append(topics::lease, topics::singleton_key, text, end);
         if (answer.offset) {
             m_lease.on_appended();
         } else {
             m_lease.on_conflict();
         }
     } catch (const platform::store_unavailable_error&) {
-        m_lease.on_unknown();
+        m_lease.on_result_unknown();
         throw;
     }
 }
--- a/daemon/lease_keeper.hpp
+++ b/daemon/lease_keeper.hpp
@@ -23,13 +23,13 @@
     servers::asio::awaitable<void> resign();
 
     /// Returns the fence under which this host may act now, or nothing.
-    [[nodiscard]] std::optional<std::uint64_t> get_fence() const { return m_lease.get_fence(); }
+    [[nodiscard]] std::optional<std::uint64_t> get_fence() const { return m_lease.get_fencing_number(); }
 
     /// Returns whether this host holds the lease, also while it may not act yet.
     [[nodiscard]] bool is_held() const { return m_lease.is_held(); }
 
     /// Notes that another host says that it holds the lease.
-    void note_holder_alive() { m_lease.note_holder_alive(); }
+    void record_holder_heartbeat() { m_lease.record_holder_heartbeat(); }
 
     /// Notes that a receiver has seen a newer holder.
     void on_superseded();
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -36,8 +36,8 @@
 
 void run_host(daemon::settings_file file) {
     daemon::host_settings settings = file.read();
-    const auto ring = std::make_shared<log_ring>(log_ring_bytes);
-    settings.log.ring = ring;
+    const auto ring = std::make_shared<log_buffer>(log_ring_bytes);
+    settings.log.buffer = ring;
     set_log_options(settings.log);
     daemon::host_daemon host(std::move(settings), std::move(file), ring);
     host.run();
--- a/daemon/operator_handler.cpp
+++ b/daemon/operator_handler.cpp
@@ -16,8 +16,7 @@
 } // namespace
 
 operator_handler::operator_handler(metrics_registry& metrics, servers::entry_context& context,
-                                   const snapshot_cell<fleet_status>& fleet, host_name host,
-                                   std::function<bool()> is_ready)
+                                   const rcu_cell<fleet_status>& fleet, host_name host, std::function<bool()> is_ready)
     : m_metrics(&metrics), m_context(&context), m_fleet(&fleet), m_host(std::move(host)),
       m_is_ready(std::move(is_ready)) {}
 
--- a/daemon/operator_handler.hpp
+++ b/daemon/operator_handler.hpp
@@ -3,7 +3,7 @@
 #include <functional>
 
 #include "core/metrics.hpp"
-#include "core/snapshot_cell.hpp"
+#include "core/rcu_cell.hpp"
 #include "daemon/fleet_status.hpp"
 #include "servers/entry_context.hpp"
 #include "servers/http_handler.hpp"
@@ -14,8 +14,8 @@
 class operator_handler final : public servers::http_handler {
 public:
     /// Preconditions: the references outlive the handler; `is_ready` may be called from any thread.
-    operator_handler(metrics_registry& metrics, servers::entry_context& context,
-                     const snapshot_cell<fleet_status>& fleet, host_name host, std::function<bool()> is_ready);
+    operator_handler(metrics_registry& metrics, servers::entry_context& context, const rcu_cell<fleet_status>& fleet,
+                     host_name host, std::function<bool()> is_ready);
 
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
@@ -26,7 +26,7 @@
 
     metrics_registry* m_metrics;
     servers::entry_context* m_context;
-    const snapshot_cell<fleet_status>* m_fleet;
+    const rcu_cell<fleet_status>* m_fleet;
     host_name m_host;
     std::function<bool()> m_is_ready;
 };
--- a/daemon/store_news.cpp
+++ b/daemon/relayed_records.cpp
@@ -1,4 +1,4 @@
-#include "daemon/store_news.hpp"
+#include "daemon/relayed_records.hpp"
 
 #include <boost/json.hpp>
 
@@ -31,24 +31,24 @@
 
 } // namespace
 
-std::string encode_store_news(const store_news& news) {
+std::string encode_relayed_records(const relayed_records& news) {
     boost::json::array records;
     for (const platform::keyed_record& record : news.page.records) {
         const boost::json::value value = record.value ? boost::json::value(*record.value) : boost::json::value();
         records.push_back(boost::json::array{record.offset, record.key, value});
     }
     return boost::json::serialize(
-        boost::json::object{{"from", news.from}, {"end", news.page.end}, {records_field, records}});
+        boost::json::object{{"from", news.from}, {"end", news.page.next_offset}, {records_field, records}});
 }
 
-bool is_store_news(const boost::json::object& message) {
+bool is_relayed_records(const boost::json::object& message) {
     return message.contains(records_field);
 }
 
-store_news decode_store_news(const boost::json::object& message) {
-    store_news news{.from = json::get_unsigned(message, "from"), .page = {}};
-    news.page.end = json::get_unsigned(message, "end");
-    news.page.topic_end = news.page.end;
+relayed_records decode_relayed_records(const boost::json::object& message) {
+    relayed_records news{.from = json::get_unsigned(message, "from"), .page = {}};
+    news.page.next_offset = json::get_unsigned(message, "end");
+    news.page.topic_end_offset = news.page.next_offset;
     for (const boost::json::value& item : json::get_array(message, records_field)) {
         news.page.records.push_back(decode_record(item));
     }
--- a/daemon/report_task.cpp
+++ b/daemon/report_task.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-report_task::report_task(const daemon_parts& parts)
+report_task::report_task(const control_task_context& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_reporting({.server = *parts.settings.platform_usage, .deadline = parts.settings.log_deadline}),
       m_stream(m_platform_log, std::string(coordination::usage_stream), make_reporter_id(parts.self)),
--- a/daemon/report_task.hpp
+++ b/daemon/report_task.hpp
@@ -2,10 +2,10 @@
 
 #include <memory>
 
-#include "coordination/replaced_hosts.hpp"
+#include "coordination/incarnation_tracker.hpp"
 #include "coordination/usage_report.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "platform/http_log.hpp"
 #include "platform/http_usage_reporting.hpp"
 
@@ -15,7 +15,7 @@
 class report_task final : public control_task {
 public:
     /// Precondition: the settings name the platform's usage reporting.
-    explicit report_task(const daemon_parts& parts);
+    explicit report_task(const control_task_context& parts);
 
     void run_round() override;
     void finish() override;
@@ -23,11 +23,11 @@
     [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.usage_flush; }
 
 private:
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     platform::http_usage_reporting m_reporting;
     coordination::folded_stream m_stream;
-    coordination::replaced_hosts m_hosts;
+    coordination::incarnation_tracker m_hosts;
     /// Made when the first configuration tells the length of a window.
     std::unique_ptr<coordination::usage_reporter> m_reporter;
     gauge* m_kept_counters;
