--- a/daemon/role_change_driver.cpp
+++ b/daemon/role_change_driver.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-role_change_driver::role_change_driver(coordination::folded_stream& stream, coordination::lease_holder& lease,
-                                       coordination::order_ledger& ledger, const role_change_fold& changes,
+role_change_driver::role_change_driver(coordination::folded_stream& stream, coordination::lease_candidate& lease,
+                                       coordination::order_dispatcher& ledger, const role_change_fold& changes,
                                        const clock_source& time, role_change_driver_options options)
     : m_stream(&stream), m_lease(&lease), m_ledger(&ledger), m_changes(&changes), m_time(&time), m_options(options) {}
 
@@ -86,7 +86,7 @@
         append(make_confirmation(change, *token));
     }
     const steady_time since = m_confirmed_at.try_emplace(change.announced, m_time->now()).first->second;
-    if (m_time->now() - since >= m_options.longest_change) {
+    if (m_time->now() - since >= m_options.change_timeout) {
         // The engine has confirmed and not changed: it was lost in between and came back in its old role.
         ++m_given_up;
         end(change, "not_taken");
@@ -96,11 +96,11 @@
 bool role_change_driver::is_drained(const role_change& change, const observed_engine& engine) {
     const steady_time seen = m_first_seen.try_emplace(change.announced, m_time->now()).first->second;
     const duration since = m_time->now() - seen;
-    const bool is_report_new = engine.reported_at >= seen + m_options.announce;
+    const bool is_report_new = engine.reported_at >= seen + m_options.announcement_delay;
     if (is_report_new && engine.load->running_requests == 0) {
         return true;
     }
-    if (since >= m_options.longest_drain && !find_unresolved(change)) {
+    if (since >= m_options.drain_timeout && !find_unresolved(change)) {
         ++m_given_up;
         end(change, "drain_too_long");
     }
@@ -119,7 +119,7 @@
                               .idempotency_key = get_key_prefix(change) + std::to_string(token->number),
                               .receiver = checks_fencing ? coordination::receiver_kind::checks_fencing
                                                          : coordination::receiver_kind::ignores_fencing,
-                              .repeat = coordination::repeat_rule::idempotent};
+                              .duplicates = coordination::duplicate_handling::idempotent};
     if (open && open->value.idempotency_key.starts_with(get_key_prefix(change))) {
         order = open->value;
     }
@@ -135,7 +135,7 @@
         ++m_given_up;
         end(change, result.status == coordination::order_status::rejected ? "rejected" : "blocked");
         break;
-    case coordination::order_status::refused_old_number:
+    case coordination::order_status::stale_fencing_number:
     case coordination::order_status::unknown:
     case coordination::order_status::no_authority:
     case coordination::order_status::log_unavailable:
@@ -154,7 +154,7 @@
 
 bool role_change_driver::append(const coordination::record_draft& draft) {
     const std::array<coordination::record_draft, 1> drafts{draft};
-    return m_stream->submit(drafts).front().verdict == coordination::record_verdict::valid;
+    return m_stream->submit(drafts).front().status == coordination::record_status::valid;
 }
 
 void role_change_driver::end(const role_change& change, std::string_view reason) {
--- a/daemon/role_change_driver.hpp
+++ b/daemon/role_change_driver.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "coordination/lease.hpp"
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "daemon/engine_observer.hpp"
 #include "daemon/role_change_fold.hpp"
 #include "policy/role_planner.hpp"
@@ -15,11 +15,11 @@
 
 struct role_change_driver_options {
     /// From the announcement until every daemon has read it and gives the engine nothing new.
-    duration announce{std::chrono::seconds(4)};
+    duration announcement_delay{std::chrono::seconds(4)};
     /// How long requests may go on before the change is given up.
-    duration longest_drain{std::chrono::minutes(5)};
+    duration drain_timeout{std::chrono::minutes(5)};
     /// How long an engine may take from its confirmation until it reports the new role.
-    duration longest_change{std::chrono::minutes(1)};
+    duration change_timeout{std::chrono::minutes(1)};
 };
 
 /// Carries role changes of one zone through: announce, drain, order, wait for the engine, end.
@@ -29,9 +29,9 @@
 class role_change_driver {
 public:
     /// Preconditions: the references outlive the driver; `changes` observes `stream`.
-    role_change_driver(coordination::folded_stream& stream, coordination::lease_holder& lease,
-                       coordination::order_ledger& ledger, const role_change_fold& changes, const clock_source& time,
-                       role_change_driver_options options);
+    role_change_driver(coordination::folded_stream& stream, coordination::lease_candidate& lease,
+                       coordination::order_dispatcher& ledger, const role_change_fold& changes,
+                       const clock_source& time, role_change_driver_options options);
 
     /// Announces changes; those of engines that are in a change already are dropped.
     /// Throws `log_unavailable_error`. Returns how many were announced.
@@ -54,8 +54,8 @@
     void end(const role_change& change, std::string_view reason);
 
     coordination::folded_stream* m_stream;
-    coordination::lease_holder* m_lease;
-    coordination::order_ledger* m_ledger;
+    coordination::lease_candidate* m_lease;
+    coordination::order_dispatcher* m_ledger;
     const role_change_fold* m_changes;
     const clock_source* m_time;
     role_change_driver_options m_options;
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -5,7 +5,7 @@
 #include "core/error.hpp"
 #include "platform/server_record_decoder.hpp"
 #include "platform/wire_names.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -54,29 +54,29 @@
 
 servers::asio::awaitable<void> server_list_follower::run() {
     for (;;) {
-        if (!m_is_reader && !m_topic.is_due(m_longest_age, m_state->time.now())) {
+        if (!m_is_reader && !m_topic.is_read_due(m_longest_age, m_state->time.now())) {
             co_await wait_for_hint();
             continue;
         }
         duration next_after = m_interval;
         bool has_failed = false;
-        const std::optional<std::uint64_t> before = m_topic.get_next();
+        const std::optional<std::uint64_t> before = m_topic.get_next_offset();
         try {
             co_await follow_once();
-            if (m_topic.is_behind()) {
+            if (m_topic.is_lagging()) {
                 // A store that answers with an old state brings nothing on, however often it is asked.
-                next_after = m_topic.get_next() == before ? stuck_pause : duration::zero();
+                next_after = m_topic.get_next_offset() == before ? stuck_pause : duration::zero();
             }
         } catch (const platform::store_history_dropped_error&) {
-            m_topic.note_dropped();
+            m_topic.record_truncation();
             next_after = duration::zero();
         } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
-            note_failure();
+            m_dependency.record_failure(m_state->time.now(), fault.what());
+            record_failure();
             has_failed = true;
         }
         if (has_failed) {
-            co_await m_store->wait_for_turn();
+            co_await m_store->wait_until_call_allowed();
             continue;
         }
         if (next_after > duration::zero()) {
@@ -88,7 +88,7 @@
 }
 
 servers::asio::awaitable<void> server_list_follower::wait_for_hint() {
-    m_hint_timer.expires_after(m_longest_age - m_topic.get_age(m_state->time.now()));
+    m_hint_timer.expires_after(m_longest_age - m_topic.get_staleness(m_state->time.now()));
     servers::error_code ignored;
     co_await m_hint_timer.async_wait(servers::store_error(ignored));
 }
@@ -97,75 +97,75 @@
     m_is_reader = is_reader;
 }
 
-void server_list_follower::take_hint(const servers::digest_reading& reading) {
+void server_list_follower::update_leader_position(const servers::digest_read_position& reading) {
     // News come in a datagram of their own, which a hint may overtake. Should it be lost, this host reads by itself
     // when it has not been up to date for too long.
-    const bool is_ahead = reading.end.value_or(0) > m_topic.get_next().value_or(0);
+    const bool is_ahead = reading.end.value_or(0) > m_topic.get_next_offset().value_or(0);
     if (!is_ahead) {
-        m_topic.take_hint(reading.end.value_or(0), reading.age, m_state->time.now());
-        m_state->note_servers_known(m_topic.get_fresh_at());
+        m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now());
+        m_state->set_servers_current_at(m_topic.get_caught_up_at());
     }
     // The host that reads for this one reached the store at that moment, so that the list is back here, too.
-    note_reached(m_state->time.now() - reading.age);
+    record_success(m_state->time.now() - reading.age);
     drop_expired();
 }
 
-void server_list_follower::take_news(std::uint64_t from, const platform::store_page& page) {
+void server_list_follower::apply_relayed(std::uint64_t from, const platform::store_page& page) {
     if (!m_topic.is_next(from)) {
-        if (page.end > m_topic.get_next().value_or(0)) {
+        if (page.next_offset > m_topic.get_next_offset().value_or(0)) {
             // Something is missing in between.
-            m_topic.take_hint(page.end, duration::zero(), m_state->time.now());
+            m_topic.update_leader_position(page.next_offset, duration::zero(), m_state->time.now());
             m_hint_timer.cancel();
         }
         return;
     }
     // Who passes news on has just reached the store.
-    note_reached(m_state->time.now());
+    record_success(m_state->time.now());
     const std::uint64_t generation = m_state->directory.get_generation();
     take_records(page);
-    finish(generation, page.end, page.topic_end);
+    finish(generation, page.next_offset, page.topic_end_offset);
 }
 
-servers::digest_reading server_list_follower::get_reading() const {
-    return {.end = m_topic.get_next(), .age = m_topic.get_age(m_state->time.now())};
+servers::digest_read_position server_list_follower::get_read_position() const {
+    return {.end = m_topic.get_next_offset(), .age = m_topic.get_staleness(m_state->time.now())};
 }
 
 servers::asio::awaitable<void> server_list_follower::follow_once() {
-    const std::optional<std::uint64_t> next = m_topic.get_next();
+    const std::optional<std::uint64_t> next = m_topic.get_next_offset();
     const steady_time sent_at = m_state->time.now();
     platform::store_page page;
     if (next) {
         page = co_await m_store->read(platform::wire::servers_topic, *next, duration::zero());
     } else {
         page = co_await m_store->read_newest(platform::wire::servers_topic);
-        if (m_topic.is_older(page.end)) {
+        if (m_topic.is_stale_listing(page.next_offset)) {
             throw platform::store_unavailable_error("the listing is older than what was read", false);
         }
     }
-    m_dependency.set_reached(m_state->time.now());
-    note_reached(sent_at);
+    m_dependency.record_success(m_state->time.now());
+    record_success(sent_at);
     const std::uint64_t generation = m_state->directory.get_generation();
     if (next && m_topic.is_next(*next)) {
         take_records(page);
     } else if (!next) {
         take_all(page);
     }
-    finish(generation, page.end, page.topic_end);
+    finish(generation, page.next_offset, page.topic_end_offset);
     if (m_is_reader && next && m_on_news && !page.records.empty()) {
         m_on_news(*next, page);
     }
 }
 
-void server_list_follower::note_failure() {
-    if (const std::optional<steady_time> failed_at = m_store->get_last_failure()) {
-        m_state->directory.get_contact().note_failed(*failed_at);
+void server_list_follower::record_failure() {
+    if (const std::optional<steady_time> failed_at = m_store->get_last_failure_time()) {
+        m_state->directory.get_contact().record_failure(*failed_at);
     }
 }
 
-void server_list_follower::note_reached(steady_time at) {
+void server_list_follower::record_success(steady_time at) {
     // Calls of other users of the store have failed as well, perhaps later than those for the list.
-    note_failure();
-    m_state->directory.get_contact().note_reached(at);
+    record_failure();
+    m_state->directory.get_contact().record_success(at);
 }
 
 void server_list_follower::take_records(const platform::store_page& page) {
@@ -174,9 +174,9 @@
     }
 }
 
-void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end) {
-    m_topic.note_read(end, topic_end, m_state->time.now());
-    m_state->note_servers_known(m_topic.get_fresh_at());
+void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end_offset) {
+    m_topic.record_read(end, topic_end_offset, m_state->time.now());
+    m_state->set_servers_current_at(m_topic.get_caught_up_at());
     m_is_loaded = true;
     if (m_state->directory.get_generation() != generation_before) {
         m_state->refresh_servers();
@@ -212,7 +212,7 @@
     const steady_time now = m_state->time.now();
     if (!record.value) {
         report(server, m_state->directory.remove(server, now));
-        m_state->note_server_down(server);
+        m_state->record_server_down(server);
         return;
     }
     try {
@@ -220,7 +220,7 @@
         const fleet::directory_change change = m_state->directory.apply(decoded, now);
         if (change == fleet::directory_change::restarted) {
             m_state->health.forget(server);
-            m_state->note_server_down(server);
+            m_state->record_server_down(server);
         }
         report(server, change);
     } catch (const malformed_message_error& fault) {
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -7,7 +7,7 @@
 #include "core/log.hpp"
 #include "daemon/store_dependency.hpp"
 #include "platform/store_client.hpp"
-#include "policy/followed_topic.hpp"
+#include "policy/topic_progress.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
@@ -29,30 +29,30 @@
     [[nodiscard]] bool is_loaded() const noexcept { return m_is_loaded; }
 
     /// Has `pass_on` called with each page that this host reads for its group, and where it starts.
-    void set_on_news(std::function<void(std::uint64_t from, const platform::store_page& page)> pass_on) {
+    void set_relay(std::function<void(std::uint64_t from, const platform::store_page& page)> pass_on) {
         m_on_news = std::move(pass_on);
     }
     /// Sets whether this host reads for its group.
     void set_reader(bool is_reader);
     /// Takes how far a host that reads for the group has come.
-    void take_hint(const servers::digest_reading& reading);
+    void update_leader_position(const servers::digest_read_position& reading);
     /// Takes a page that a host of the group has read.
-    void take_news(std::uint64_t from, const platform::store_page& page);
+    void apply_relayed(std::uint64_t from, const platform::store_page& page);
     /// Returns how far this host has come, for others.
-    [[nodiscard]] servers::digest_reading get_reading() const;
+    [[nodiscard]] servers::digest_read_position get_read_position() const;
 
 private:
     servers::asio::awaitable<void> follow_once();
     servers::asio::awaitable<void> wait_for_hint();
     /// Tells the directory when the last call to the store failed, whatever it asked for.
-    void note_failure();
+    void record_failure();
     /// Tells the directory that a read of the list, by this host or by another, was answered at that moment.
-    void note_reached(steady_time at);
+    void record_success(steady_time at);
     /// Takes the next records of the list.
     void take_records(const platform::store_page& page);
     /// Drops servers whose entries lapsed while the store was away and that had time to come back.
     void drop_expired();
-    void finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end);
+    void finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end_offset);
     void take_all(const platform::store_page& page);
     void take(const platform::keyed_record& record);
     void report(const backend_server_name& server, fleet::directory_change change) const;
@@ -65,7 +65,7 @@
     duration m_longest_age;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    policy::followed_topic m_topic;
+    policy::topic_progress m_topic;
     boost::asio::steady_timer m_hint_timer;
     std::function<void(std::uint64_t, const platform::store_page&)> m_on_news;
     bool m_is_reader{false};
--- a/daemon/fleet_parts.hpp
+++ b/daemon/shared_fleet_state.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/snapshot_cell.hpp"
-#include "daemon/demand_board.hpp"
+#include "core/rcu_cell.hpp"
+#include "daemon/demand_report_queue.hpp"
 #include "daemon/fleet_status.hpp"
 #include "servers/demand_meter.hpp"
 #include "servers/engine_state_table.hpp"
@@ -9,14 +9,14 @@
 namespace dragonflywell::daemon {
 
 /// What the request path, the peers and the zone's control share about the fleet. All members are thread safe.
-struct fleet_parts {
+struct shared_fleet_state {
     servers::demand_meter demand;
     servers::engine_state_table engines;
     /// Reports of all entry hosts; the peers add those of others.
-    demand_board reports;
+    demand_report_queue reports;
     /// The newest reports of this host, for the peers to pass on.
-    snapshot_cell<policy::demand_report> own_report{nullptr};
-    snapshot_cell<fleet_status> status{nullptr};
+    rcu_cell<policy::demand_report> own_report{nullptr};
+    rcu_cell<fleet_status> status{nullptr};
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "core/log_event.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -21,19 +21,19 @@
 /// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
 constexpr duration settle_time = std::chrono::seconds(5);
 
-std::string_view get_answer_name(platform::order_answer answer) {
+std::string_view get_answer_name(platform::engine_order_result answer) {
     switch (answer) {
-    case platform::order_answer::accepted:
+    case platform::engine_order_result::accepted:
         return "accepted";
-    case platform::order_answer::holds_already:
+    case platform::engine_order_result::already_applied:
         return "holds_already";
-    case platform::order_answer::busy:
+    case platform::engine_order_result::busy:
         return "busy";
-    case platform::order_answer::superseded:
+    case platform::engine_order_result::superseded:
         return "superseded";
-    case platform::order_answer::rejected:
+    case platform::engine_order_result::rejected:
         return "rejected";
-    case platform::order_answer::unknown:
+    case platform::engine_order_result::unknown:
         break;
     }
     return "unknown";
@@ -41,14 +41,14 @@
 
 } // namespace
 
-stage_controller::stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
-                                   std::string host, bool is_first_start)
+stage_controller::stage_controller(platform::engine_order_client& orders, lease_keeper& lease,
+                                   servers::serving_state& state, std::string host, bool is_first_start)
     : m_orders(&orders), m_lease(&lease), m_state(&state), m_host(std::move(host)),
       m_is_before_first_request(is_first_start), m_started_at(state.time.now()), m_log(get_logger("stages")) {}
 
 servers::asio::awaitable<void> stage_controller::run() {
     for (;;) {
-        co_await servers::pause(tick);
+        co_await servers::sleep_for(tick);
         observe_demand();
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (!fence || m_state->get_view() == nullptr || !is_load_known()) {
@@ -90,7 +90,7 @@
                            .stage = *record.stage,
                            .is_cheap = record.is_cheap,
                            .slots = record.slots,
-                           .is_changing = is_resting || m_state->is_changing(id)});
+                           .is_changing = is_resting || m_state->is_changing_stage(id)});
     }
     return engines;
 }
@@ -98,7 +98,7 @@
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
     if (m_is_before_first_request && !engines.empty()) {
-        m_running[service] = policy::assume_running(engines.size(), policy::get_mean_slots(engines), {});
+        m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), {});
     }
     const std::vector<policy::stage_change> changes = policy::plan_stages(
         engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
@@ -119,17 +119,17 @@
         co_return;
     }
     const platform::engine_address engine{.name = change.engine, .address = listed->record.address};
-    const std::optional<platform::engine_report> report = co_await m_orders->ask(engine);
-    platform::order_answer answer = platform::order_answer::busy;
+    const std::optional<platform::engine_report> report = co_await m_orders->request_report(engine);
+    platform::engine_order_result answer = platform::engine_order_result::busy;
     if (report && !report->is_busy && m_lease->get_fence() == fence) {
-        const platform::duty_authority authority{.holder = m_host, .fence = fence};
+        const platform::duty_credentials authority{.holder = m_host, .fence = fence};
         // Other hosts learn of it before the engine begins to refuse requests.
-        m_state->set_changing(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
+        m_state->begin_stage_change(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
         if (!m_is_before_first_request) {
-            co_await servers::pause(notice_time);
+            co_await servers::sleep_for(notice_time);
         }
         if (m_lease->get_fence() == fence) {
-            answer = co_await m_orders->order_stage(authority, engine, change.stage, report->accepted_orders);
+            answer = co_await m_orders->order_stage_change(authority, engine, change.stage, report->accepted_orders);
         }
     }
     log_event("stage_ordered")
@@ -140,16 +140,16 @@
         .add("answer", get_answer_name(answer))
         .write(*m_log, spdlog::level::info);
     switch (answer) {
-    case platform::order_answer::accepted:
-    case platform::order_answer::unknown:
+    case platform::engine_order_result::accepted:
+    case platform::engine_order_result::unknown:
         break;
-    case platform::order_answer::superseded:
+    case platform::engine_order_result::superseded:
         m_lease->on_superseded();
         [[fallthrough]];
-    case platform::order_answer::holds_already:
-    case platform::order_answer::busy:
-    case platform::order_answer::rejected:
-        m_state->end_changing(change.engine);
+    case platform::engine_order_result::already_applied:
+    case platform::engine_order_result::busy:
+    case platform::engine_order_result::rejected:
+        m_state->end_stage_change(change.engine);
         m_resting[change.engine] = m_state->time.now() + rest_after_failure;
         break;
     }
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -6,7 +6,7 @@
 
 #include "core/log.hpp"
 #include "daemon/lease_keeper.hpp"
-#include "platform/engine_orders.hpp"
+#include "platform/engine_order_client.hpp"
 #include "policy/stage_plan.hpp"
 #include "servers/serving_state.hpp"
 
@@ -17,7 +17,7 @@
 public:
     /// Preconditions: all references outlive the controller.
     /// `is_first_start`: the whole system starts for the first time, so that there was no request before.
-    stage_controller(platform::engine_orders& orders, lease_keeper& lease, servers::serving_state& state,
+    stage_controller(platform::engine_order_client& orders, lease_keeper& lease, servers::serving_state& state,
                      std::string host, bool is_first_start);
 
     /// Controls for as long as the event loop runs.
@@ -31,7 +31,7 @@
     [[nodiscard]] bool is_load_known() const;
     [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
 
-    platform::engine_orders* m_orders;
+    platform::engine_order_client* m_orders;
     lease_keeper* m_lease;
     servers::serving_state* m_state;
     std::string m_host;
--- a/daemon/store_dependency.hpp
+++ b/daemon/store_dependency.hpp
@@ -16,7 +16,7 @@
     store_dependency(spdlog::logger& log, std::string what) : m_log(&log), m_what(std::move(what)) {}
 
     /// Notes a success. Returns whether it was lost before.
-    bool set_reached(steady_time now) {
+    bool record_success(steady_time now) {
         if (!m_lost_at) {
             return false;
         }
@@ -29,7 +29,7 @@
     }
 
     /// Notes a failure. Returns whether it was reached before.
-    bool set_lost(steady_time now, std::string_view reason) {
+    bool record_failure(steady_time now, std::string_view reason) {
         if (m_lost_at) {
             return false;
         }
@@ -38,7 +38,7 @@
         return true;
     }
 
-    [[nodiscard]] bool is_lost() const noexcept { return m_lost_at.has_value(); }
+    [[nodiscard]] bool is_unavailable() const noexcept { return m_lost_at.has_value(); }
 
 private:
     spdlog::logger* m_log;
--- a/daemon/store_topics.hpp
+++ b/daemon/store_topics.hpp
@@ -15,6 +15,6 @@
 inline constexpr std::string_view hosts = "keyed.dw-hosts";
 
 /// The only key of a topic that holds one thing.
-inline constexpr std::string_view only_key = "newest";
+inline constexpr std::string_view singleton_key = "newest";
 
 } // namespace dragonflywell::daemon::topics
--- a/daemon/usage_copier.cpp
+++ b/daemon/usage_copier.cpp
@@ -1,6 +1,6 @@
 #include "daemon/usage_copier.hpp"
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
 
@@ -32,7 +32,7 @@
                 .write(*m_log, spdlog::level::warn);
         }
         if (!is_recorded) {
-            co_await m_store->wait_for_turn();
+            co_await m_store->wait_until_call_allowed();
         }
     }
     log_event("usage_copied").add("host", host).add("recorded", is_recorded).write(*m_log, spdlog::level::info);
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -1,9 +1,9 @@
 #include "daemon/usage_recorder.hpp"
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "daemon/store_topics.hpp"
 #include "daemon/usage_timing.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -12,7 +12,7 @@
 /// How often it is looked whether the speaker of the group has recorded a window.
 constexpr duration speaker_check_interval = std::chrono::milliseconds(400);
 /// A jump of the wall clock must not make the wait for a window's end a long one.
-constexpr duration longest_wait = std::chrono::seconds(1);
+constexpr duration max_wait = std::chrono::seconds(1);
 
 } // namespace
 
@@ -25,34 +25,34 @@
     std::int64_t recorded = get_current_window() - 1;
     for (;;) {
         const wall_time due = m_state->usage.get_end(recorded + 1) + usage_settle_time;
-        const duration wait = due - m_state->get_true_time();
+        const duration wait = due - m_state->get_corrected_time();
         if (wait > duration::zero()) {
-            co_await servers::pause(std::min(wait, longest_wait));
+            co_await servers::sleep_for(std::min(wait, max_wait));
             continue;
         }
         const std::int64_t closed = get_current_window() - 1;
-        const duration over_for = m_state->get_true_time() - m_state->usage.get_end(closed);
+        const duration over_for = m_state->get_corrected_time() - m_state->usage.get_end(closed);
         using choice = policy::usage_delegation::choice;
         const choice chosen = m_state->delegation.choose(closed, recorded, over_for);
         if (chosen == choice::wait) {
-            co_await servers::pause(speaker_check_interval);
+            co_await servers::sleep_for(speaker_check_interval);
             continue;
         }
         bool is_recorded = chosen == choice::is_recorded;
         try {
             if (!is_recorded) {
                 co_await record(closed);
-                m_dependency.set_reached(m_state->time.now());
+                m_dependency.record_success(m_state->time.now());
             }
             is_recorded = true;
         } catch (const platform::store_unavailable_error& fault) {
-            m_dependency.set_lost(m_state->time.now(), fault.what());
+            m_dependency.record_failure(m_state->time.now(), fault.what());
         }
         if (is_recorded) {
             recorded = closed;
-            m_state->usage.forget_before(closed - kept_usage_windows);
+            m_state->usage.forget_before(closed - retained_usage_windows);
         } else {
-            co_await m_store->wait_for_turn();
+            co_await m_store->wait_until_call_allowed();
         }
     }
 }
@@ -74,7 +74,7 @@
 }
 
 std::int64_t usage_recorder::get_current_window() const {
-    return m_state->usage.get_window(m_state->get_true_time());
+    return m_state->usage.get_window(m_state->get_corrected_time());
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -6,7 +6,7 @@
 #include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
 #include "daemon/usage_timing.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -23,11 +23,11 @@
 usage_reporter::usage_reporter(platform::store_client& store, platform::cloud_client& cloud, lease_keeper& lease,
                                servers::serving_state& state, std::string host, duration due)
     : m_store(&store), m_cloud(&cloud), m_lease(&lease), m_state(&state), m_host(std::move(host)),
-      m_fix_after(make_usage_timing(due).fix), m_log(get_logger("usage")) {}
+      m_fix_after(make_usage_timing(due).finalize_delay), m_log(get_logger("usage")) {}
 
 servers::asio::awaitable<void> usage_reporter::run() {
     for (;;) {
-        co_await servers::pause(tick);
+        co_await servers::sleep_for(tick);
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (fence != m_fence) {
             m_fence = fence;
@@ -62,19 +62,19 @@
 
 servers::asio::awaitable<void> usage_reporter::read_book() {
     const platform::store_page page = co_await m_store->read_newest(topics::reports);
-    coordination::report_book book;
+    coordination::report_state book;
     for (const platform::keyed_record& record : page.records) {
-        if (record.key != topics::only_key || !record.value) {
+        if (record.key != topics::singleton_key || !record.value) {
             continue;
         }
         try {
-            book = coordination::decode_report_book(*record.value);
+            book = coordination::decode_report_state(*record.value);
         } catch (const malformed_message_error& fault) {
             log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
         }
     }
     m_book = std::move(book);
-    m_book_end = page.end;
+    m_book_end = page.next_offset;
 }
 
 bool usage_reporter::has_due() const {
@@ -82,7 +82,7 @@
 }
 
 coordination::usage_window_number usage_reporter::get_newest_due() const {
-    return m_state->usage.get_window(m_state->get_true_time() - m_fix_after) - 1;
+    return m_state->usage.get_window(m_state->get_corrected_time() - m_fix_after) - 1;
 }
 
 std::vector<coordination::usage_record> usage_reporter::gather_records(const platform::store_page& page) const {
@@ -123,7 +123,7 @@
     const coordination::usage_window_number newest = get_newest_due();
     const platform::store_page page = co_await m_store->read_newest(topics::usage);
     const std::vector<coordination::usage_record> records = gather_records(page);
-    coordination::report_book next = *m_book;
+    coordination::report_state next = *m_book;
     const auto first = std::max(next.last ? *next.last + 1 : newest, newest - most_late_windows);
     for (coordination::usage_window_number window = first; window <= newest; ++window) {
         next.pending.push_back(coordination::sum_window(records, window));
@@ -132,13 +132,13 @@
     if (next.pending.size() > most_pending) {
         next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(most_pending));
     }
-    const platform::append_answer answer =
-        co_await m_store->append(topics::reports, topics::only_key, coordination::encode_report_book(next), m_book_end);
+    const platform::append_result answer = co_await m_store->append(
+        topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_book_end);
     if (!answer.offset) {
         co_return false;
     }
     m_book = std::move(next);
-    m_book_end = answer.end;
+    m_book_end = answer.end_offset;
     co_return true;
 }
 
@@ -148,20 +148,20 @@
         if (!fence || fence != m_fence) {
             co_return;
         }
-        const coordination::window_figures figures = m_book->pending.front();
-        const platform::duty_authority authority{.holder = m_host, .fence = *fence};
-        const platform::duty_answer answer = co_await m_cloud->report_usage(authority, figures);
+        const coordination::window_usage figures = m_book->pending.front();
+        const platform::duty_credentials authority{.holder = m_host, .fence = *fence};
+        const platform::duty_call_result answer = co_await m_cloud->report_usage(authority, figures);
         log_event("usage_reported")
             .add("window", figures.window)
             .add("fence", *fence)
             .add("organisations", figures.counts.size())
-            .add("accepted", answer == platform::duty_answer::accepted)
+            .add("accepted", answer == platform::duty_call_result::accepted)
             .write(*m_log, spdlog::level::info);
-        if (answer == platform::duty_answer::superseded) {
+        if (answer == platform::duty_call_result::superseded) {
             m_lease->on_superseded();
             co_return;
         }
-        if (answer != platform::duty_answer::accepted) {
+        if (answer != platform::duty_call_result::accepted) {
             co_return;
         }
         // The store learns of it with the next window; until then a later holder repeats the same figures.
--- a/daemon/usage_reporter.hpp
+++ b/daemon/usage_reporter.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "core/log.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "platform/cloud_client.hpp"
@@ -46,7 +46,7 @@
     duration m_fix_after;
     std::shared_ptr<spdlog::logger> m_log;
     /// The book as the store holds it; nothing until it was read under the present fence.
-    std::optional<coordination::report_book> m_book;
+    std::optional<coordination::report_state> m_book;
     std::uint64_t m_book_end{0};
     std::optional<std::uint64_t> m_fence;
 };
--- a/daemon/usage_task.cpp
+++ b/daemon/usage_task.cpp
@@ -2,7 +2,7 @@
 
 namespace dragonflywell::daemon {
 
-usage_task::usage_task(const daemon_parts& parts)
+usage_task::usage_task(const control_task_context& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_stream(m_platform_log, std::string(coordination::usage_stream), parts.self),
       m_flusher(m_stream, parts.time, parts.usage) {}
--- a/daemon/usage_task.hpp
+++ b/daemon/usage_task.hpp
@@ -2,7 +2,7 @@
 
 #include "coordination/usage_flusher.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "platform/http_log.hpp"
 
 namespace dragonflywell::daemon {
@@ -10,7 +10,7 @@
 /// Writes this incarnation's usage counters to the log and closes its windows.
 class usage_task final : public control_task {
 public:
-    explicit usage_task(const daemon_parts& parts);
+    explicit usage_task(const control_task_context& parts);
 
     void run_round() override;
     void finish() override;
@@ -18,7 +18,7 @@
     [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.usage_flush; }
 
 private:
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     coordination::usage_flusher m_flusher;
--- a/daemon/zone_control_task.cpp
+++ b/daemon/zone_control_task.cpp
@@ -23,10 +23,10 @@
     const fleet::spending& prices = manifest.prices;
     return {.units_per_server = units_per_server,
             .lead_time = prices.lead_time,
-            .most_cheap_share = static_cast<double>(prices.most_cheap_percent) / percent,
+            .max_cheap_share = static_cast<double>(prices.max_cheap_percent) / percent,
             .regular_price = static_cast<double>(prices.regular_price_milli) / milliunits_per_unit,
             .cheap_price = static_cast<double>(prices.cheap_price_milli) / milliunits_per_unit,
-            .most_price_per_hour = static_cast<double>(prices.most_price_per_hour_milli) / milliunits_per_unit};
+            .max_price_per_hour = static_cast<double>(prices.max_price_per_hour_milli) / milliunits_per_unit};
 }
 
 /// Returns the part of the work that comes from organisations that refuse cheap servers.
@@ -55,7 +55,7 @@
     stream.add_observer(changes);
 }
 
-zone_control_task::zone_control_task(const daemon_parts& parts)
+zone_control_task::zone_control_task(const control_task_context& parts)
     : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
       m_exchange(m_platform_log), m_engines({}),
       m_stream(m_platform_log, get_control_stream(parts.settings.zone), parts.self),
@@ -242,7 +242,7 @@
     std::vector<policy::zone_market> markets;
     for (const auto& [name, zone] : manifest.zones) {
         markets.push_back(
-            {.zone = name, .most_servers = zone.most_servers, .has_cheap_servers = zone.has_cheap_servers});
+            {.zone = name, .most_servers = zone.max_servers, .has_cheap_servers = zone.has_cheap_servers});
     }
     const policy::demand_forecast ahead = m_estimator.forecast(model, manifest.prices.lead_time);
     const policy::spend_planner planner(make_spend_options(manifest, units));
--- a/daemon/zone_control_task.hpp
+++ b/daemon/zone_control_task.hpp
@@ -3,11 +3,11 @@
 #include <memory>
 
 #include "coordination/lease.hpp"
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "coordination/snapshot_writer.hpp"
 #include "core/log.hpp"
 #include "daemon/control_task.hpp"
-#include "daemon/daemon_parts.hpp"
+#include "daemon/control_task_context.hpp"
 #include "daemon/demand_exchange.hpp"
 #include "daemon/engine_observer.hpp"
 #include "daemon/engine_order_receiver.hpp"
@@ -26,7 +26,7 @@
 /// Declares no process gone for good. A send without a known outcome then holds its engine until the effect is seen.
 class cautious_liveness final : public coordination::host_liveness {
 public:
-    [[nodiscard]] bool is_gone_for_good(const coordination::writer_id& /*sender*/) const override { return false; }
+    [[nodiscard]] bool has_terminated(const coordination::writer_id& /*sender*/) const override { return false; }
 };
 
 /// Controls the engines of this daemon's availability zone while it holds the zone's lease, and tells the request path
@@ -35,7 +35,7 @@
 /// Without authority or with the log down nothing is ordered; roles and drains stay as last known, and routing goes on.
 class zone_control_task final : public control_task {
 public:
-    explicit zone_control_task(const daemon_parts& parts);
+    explicit zone_control_task(const control_task_context& parts);
 
     void run_round() override;
     /// Gives the lease up.
@@ -65,16 +65,16 @@
                                                                   const model_name& model) const;
     void publish_engine_states();
 
-    daemon_parts m_parts;
+    control_task_context m_parts;
     platform::http_log m_platform_log;
     demand_exchange m_exchange;
     platform::http_engine_control m_engines;
     coordination::folded_stream m_stream;
     role_change_fold m_changes;
-    coordination::lease_holder m_lease;
+    coordination::lease_candidate m_lease;
     engine_order_receiver m_receiver;
     cautious_liveness m_liveness;
-    coordination::order_ledger m_ledger;
+    coordination::order_dispatcher m_ledger;
     engine_observer m_observer;
     role_change_driver m_driver;
     std::unique_ptr<coordination::snapshot_writer> m_snapshots;
@@ -82,8 +82,8 @@
     policy::demand_estimator_options m_demand_options;
     policy::demand_estimator m_estimator;
     policy::horizon_role_planner m_role_planner;
-    std::map<model_name, policy::role_memory> m_role_memory;
-    std::map<model_name, policy::spend_memory> m_spend_memory;
+    std::map<model_name, policy::role_planner_state> m_role_memory;
+    std::map<model_name, policy::spend_planner_state> m_spend_memory;
     std::map<model_name, model_fleet_status> m_last;
     std::optional<std::int64_t> m_reported_bucket;
     bool m_was_log_reachable{true};
--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -38,7 +38,7 @@
     memory_log log;
     const dragonflywell::host_clock time;
     coordination::folded_stream stream(log, "control/a", {.host = "example", .incarnation = 1});
-    coordination::lease_holder holder(stream, time, {.scope = "control/a"});
+    coordination::lease_candidate holder(stream, time, {.scope = "control/a"});
     holder.tick();
     const auto token = holder.get_authority();
     if (!token) {
--- a/fleet/manifest.cpp
+++ b/fleet/manifest.cpp
@@ -85,7 +85,7 @@
         m_manifest.zones[name] = {
             .name = name,
             .region = reader.get_string("region"),
-            .most_servers = static_cast<std::uint32_t>(reader.get_unsigned("most_servers", 0, most_zone_servers, 1000)),
+            .max_servers = static_cast<std::uint32_t>(reader.get_unsigned("most_servers", 0, most_zone_servers, 1000)),
             .has_cheap_servers = reader.get_bool("cheap_servers", true)};
     }
 
@@ -101,8 +101,8 @@
         m_manifest.prices = {
             .regular_price_milli = reader.get_unsigned("regular_price_milli", 1, most_price_milli, 1000),
             .cheap_price_milli = reader.get_unsigned("cheap_price_milli", 1, most_price_milli, 350),
-            .most_price_per_hour_milli = reader.get_unsigned("most_price_per_hour_milli", 0, most_price_milli, 0),
-            .most_cheap_percent = reader.get_unsigned("most_cheap_percent", 0, 100, 50),
+            .max_price_per_hour_milli = reader.get_unsigned("most_price_per_hour_milli", 0, most_price_milli, 0),
+            .max_cheap_percent = reader.get_unsigned("most_cheap_percent", 0, 100, 50),
             .lead_time = std::chrono::seconds(reader.get_unsigned("lead_seconds", 1, most_lead_seconds, 300))};
     }
 
@@ -125,7 +125,7 @@
             .weight = static_cast<std::uint32_t>(reader.get_unsigned("weight", 1, most_weight, 1)),
             .tokens_per_window = reader.get_unsigned("tokens_per_window", 0, UINT64_MAX, 0),
             .when_cut_off = behaviour == "serve" ? cut_off_behaviour::serve : cut_off_behaviour::refuse,
-            .cut_off_bound =
+            .cut_off_grace =
                 std::chrono::seconds(reader.get_unsigned("cut_off_bound_seconds", 0, most_cut_off_seconds, 0)),
             .accepts_cheap_servers = reader.get_bool("accepts_cheap_servers", true)};
     }
@@ -149,7 +149,7 @@
                             .path_prefix = reader.get_string("path_prefix"),
                             .methods = reader.get_strings("methods"),
                             .is_idempotent = reader.get_bool("idempotent", false),
-                            .is_open = reader.get_bool("open", false)};
+                            .is_public = reader.get_bool("open", false)};
         if (!route.path_prefix.starts_with('/')) {
             reader.add_problem("path_prefix must start with /");
         }
@@ -228,7 +228,7 @@
     }
 
     void add(std::string place, std::string message) {
-        m_problems.push_back({.place = std::move(place), .message = std::move(message)});
+        m_problems.push_back({.location = std::move(place), .message = std::move(message)});
     }
 
     const manifest_entries* m_entries;
@@ -246,7 +246,7 @@
         root = json::parse(document);
         for (const auto& [section, items] : json::as_object(root, "manifest")) {
             if (!items.is_object()) {
-                problems.push_back({.place = std::string(section), .message = "must be an object"});
+                problems.push_back({.location = std::string(section), .message = "must be an object"});
                 continue;
             }
             for (const auto& [name, value] : items.get_object()) {
@@ -254,7 +254,7 @@
             }
         }
     } catch (const malformed_message_error& fault) {
-        problems.push_back({.place = "manifest", .message = fault.what()});
+        problems.push_back({.location = "manifest", .message = fault.what()});
     }
     if (!problems.empty()) {
         throw invalid_input_error(problems);
--- a/fleet/manifest.hpp
+++ b/fleet/manifest.hpp
@@ -28,7 +28,7 @@
     zone_name name;
     std::string region;
     /// Most backend servers that may run here for one model.
-    std::uint32_t most_servers{1000};
+    std::uint32_t max_servers{1000};
     bool has_cheap_servers{true};
 
     friend bool operator==(const availability_zone&, const availability_zone&) = default;
@@ -40,9 +40,9 @@
     std::uint64_t regular_price_milli{1000};
     std::uint64_t cheap_price_milli{350};
     /// Greatest spending for one model in one hour; 0 means no limit.
-    std::uint64_t most_price_per_hour_milli{0};
+    std::uint64_t max_price_per_hour_milli{0};
     /// Greatest part of a model's backend servers that may be cheap.
-    std::uint64_t most_cheap_percent{50};
+    std::uint64_t max_cheap_percent{50};
     /// From an order to a server that serves.
     std::chrono::seconds lead_time{300};
 
--- a/fleet/manifest_entry_reader.cpp
+++ b/fleet/manifest_entry_reader.cpp
@@ -96,7 +96,7 @@
 }
 
 void manifest_entry_reader::add_problem(std::string message) {
-    m_problems->push_back({.place = m_path, .message = std::move(message)});
+    m_problems->push_back({.location = m_path, .message = std::move(message)});
 }
 
 void manifest_entry_reader::finish() {
--- a/fleet/organisation.hpp
+++ b/fleet/organisation.hpp
@@ -20,7 +20,7 @@
     std::uint64_t tokens_per_window{0};
     cut_off_behaviour when_cut_off{cut_off_behaviour::serve};
     /// How long `refuse` still serves after the zone was cut off.
-    std::chrono::seconds cut_off_bound{0};
+    std::chrono::seconds cut_off_grace{0};
     /// Whether work of it that may be run again may be given to cheap servers.
     bool accepts_cheap_servers{true};
 
--- a/fleet/route.hpp
+++ b/fleet/route.hpp
@@ -10,7 +10,7 @@
 namespace dragonflywell::fleet {
 
 /// What may be done with a request whose outcome is unknown.
-enum class repeat_rule : std::uint8_t {
+enum class retry_policy : std::uint8_t {
     /// It may run any number of times.
     idempotent,
     /// It may run once at most.
@@ -21,12 +21,12 @@
     resumable_stream,
 };
 
-[[nodiscard]] constexpr bool is_stream(repeat_rule rule) noexcept {
-    return rule == repeat_rule::stream || rule == repeat_rule::resumable_stream;
+[[nodiscard]] constexpr bool is_stream(retry_policy rule) noexcept {
+    return rule == retry_policy::stream || rule == retry_policy::resumable_stream;
 }
 
-[[nodiscard]] constexpr bool may_run_again(repeat_rule rule) noexcept {
-    return rule == repeat_rule::idempotent || rule == repeat_rule::resumable_stream;
+[[nodiscard]] constexpr bool may_run_again(retry_policy rule) noexcept {
+    return rule == retry_policy::idempotent || rule == retry_policy::resumable_stream;
 }
 
 /// A service that takes part of a route's requests.
@@ -44,7 +44,7 @@
     std::string host;
     /// Begins and ends with a slash.
     std::string path_prefix;
-    repeat_rule repeats{repeat_rule::at_most_once};
+    retry_policy retry{retry_policy::at_most_once};
     /// Not empty.
     std::vector<route_share> shares;
     /// Longest time that operators want a request kept waiting.
@@ -54,7 +54,7 @@
     /// Longest pause within a stream that still counts as on time; zero where the route has none.
     duration target_gap{};
     /// Most backend servers that may run one request.
-    std::uint32_t attempts{1};
+    std::uint32_t max_attempts{1};
     /// Rank among the routes; 0 is the most urgent.
     std::uint32_t priority{0};
     /// Whether requests need no key.
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -32,7 +32,7 @@
     server.changed_at = now;
     ++m_generation;
     if (is_new || is_restart(before, record)) {
-        server.is_displaced = false;
+        server.is_address_taken = false;
         displace_others(record);
         return is_new ? directory_change::added : directory_change::restarted;
     }
@@ -45,7 +45,7 @@
     if (found == m_servers.end()) {
         return directory_change::none;
     }
-    if (m_contact.may_have_lapsed(now) && !found->second.record.is_draining) {
+    if (m_contact.may_have_expired(now) && !found->second.record.is_draining) {
         found->second.is_missing = true;
         return directory_change::missing;
     }
@@ -82,10 +82,10 @@
     return expired;
 }
 
-void server_directory::set_displaced(const backend_server_name& id) {
+void server_directory::mark_address_taken(const backend_server_name& id) {
     const auto found = m_servers.find(id);
-    if (found != m_servers.end() && !found->second.is_displaced) {
-        found->second.is_displaced = true;
+    if (found != m_servers.end() && !found->second.is_address_taken) {
+        found->second.is_address_taken = true;
         ++m_generation;
     }
 }
@@ -99,7 +99,7 @@
     for (auto& [id, server] : m_servers) {
         const bool is_older = server.record.started_at_ms <= record.started_at_ms;
         if (id != record.id && server.record.address == record.address && is_older) {
-            server.is_displaced = true;
+            server.is_address_taken = true;
         }
     }
 }
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/clock.hpp"
-#include "fleet/list_contact.hpp"
+#include "fleet/list_reachability.hpp"
 #include "fleet/server_record.hpp"
 
 namespace dragonflywell::fleet {
@@ -20,7 +20,7 @@
     /// The entry may have lapsed while the list was out of reach, so that the server may be alive.
     bool is_missing{false};
     /// Another server answered at its address, so that nothing may be sent there under this entry.
-    bool is_displaced{false};
+    bool is_address_taken{false};
 };
 
 /// How an entry of the list changed.
@@ -31,7 +31,7 @@
 /// While the list is out of reach, what is known holds: a server that was seen draining or gone stays so.
 class server_directory {
 public:
-    explicit server_directory(list_contact_options options = {}) : m_contact(options) {}
+    explicit server_directory(list_reachability_options options = {}) : m_contact(options) {}
 
     /// Takes a server's newest entry. Returns how it changed.
     directory_change apply(const server_record& record, steady_time now);
@@ -43,19 +43,19 @@
     std::vector<backend_server_name> retain(const std::set<backend_server_name>& ids, steady_time now);
 
     /// Returns when the list was reached, to be told of each read and of each call that failed.
-    [[nodiscard]] list_contact& get_contact() noexcept { return m_contact; }
+    [[nodiscard]] list_reachability& get_contact() noexcept { return m_contact; }
 
     /// Drops entries that were missing and did not come back in time; they are not usable from then on, whether
     /// this is called or not. Returns the servers dropped.
     std::vector<backend_server_name> expire(steady_time now);
 
     /// Notes that another server answered at this one's address. The entry is not used until it changes.
-    void set_displaced(const backend_server_name& id);
+    void mark_address_taken(const backend_server_name& id);
 
     /// Returns whether new work may be sent to it.
     [[nodiscard]] bool is_usable(const listed_server& server, steady_time now) const {
         const bool is_gone = server.is_missing && m_contact.is_grace_over(now);
-        return !server.record.is_draining && !server.is_displaced && !is_gone;
+        return !server.record.is_draining && !server.is_address_taken && !is_gone;
     }
 
     /// Returns the server, or null.
@@ -69,7 +69,7 @@
 private:
     void displace_others(const server_record& record);
 
-    list_contact m_contact;
+    list_reachability m_contact;
     std::map<backend_server_name, listed_server> m_servers;
     std::uint64_t m_generation{0};
 };
--- a/fleet/server_record.hpp
+++ b/fleet/server_record.hpp
@@ -33,13 +33,13 @@
     /// Announced its end: it takes no new work.
     bool is_draining{false};
     /// How much longer it is slow after its start.
-    duration cold_left{};
+    duration warmup_left{};
     /// Nothing for a plain service.
     std::optional<engine_stage> stage;
     /// May be reclaimed with all others of its zone.
     bool is_cheap{false};
     /// Time until it is reclaimed, where it says so.
-    std::optional<duration> leaves_in;
+    std::optional<duration> time_to_reclaim;
     /// When it started, in milliseconds since 1970; tells apart two lives under one id. Zero where it doesn't say.
     std::int64_t started_at_ms{0};
 
--- a/fleet/service.hpp
+++ b/fleet/service.hpp
@@ -16,7 +16,7 @@
     /// Whether a request may be sent again when its outcome is unknown.
     bool is_idempotent{false};
     /// Whether a request needs no key.
-    bool is_open{false};
+    bool is_public{false};
 
     friend bool operator==(const service_route&, const service_route&) = default;
 };
--- a/fleet/service_history.cpp
+++ b/fleet/service_history.cpp
@@ -15,10 +15,10 @@
 /// Organisations that one span names; the others are added up under an empty name.
 constexpr std::size_t most_named_organisations = 64;
 
-boost::json::object encode_figures(const service_figures& figures) {
+boost::json::object encode_figures(const service_counts& figures) {
     boost::json::object organisations;
     for (const auto& [name, service] : figures.organisations) {
-        organisations[name.value()] = boost::json::array{service.asked, service.completed};
+        organisations[name.value()] = boost::json::array{service.requested, service.completed};
     }
     boost::json::object refusals;
     for (const auto& [reason, count] : figures.refusals) {
@@ -37,13 +37,13 @@
     return json::get_unsigned({{"item", value.get_array()[index]}}, "item");
 }
 
-service_figures decode_figures(const boost::json::object& object) {
-    service_figures figures{.organisations = {},
-                            .refusals = {},
-                            .delivered_tokens = json::get_unsigned(object, "delivered_tokens"),
-                            .spend_milli = json::get_unsigned(object, "spend_milli")};
+service_counts decode_figures(const boost::json::object& object) {
+    service_counts figures{.organisations = {},
+                           .refusals = {},
+                           .delivered_tokens = json::get_unsigned(object, "delivered_tokens"),
+                           .spend_milli = json::get_unsigned(object, "spend_milli")};
     for (const auto& [name, value] : json::get_object(object, "organisations")) {
-        figures.organisations[organisation_name(std::string(name))] = {.asked = get_item(value, 0),
+        figures.organisations[organisation_name(std::string(name))] = {.requested = get_item(value, 0),
                                                                        .completed = get_item(value, 1)};
     }
     for (const auto& [reason, value] : json::get_object(object, "refusals")) {
@@ -60,30 +60,30 @@
 }
 
 /// Keeps those with the worst service by name, since they are what a report is about.
-void limit_organisations(service_figures& figures) {
+void limit_organisations(service_counts& figures) {
     if (figures.organisations.size() <= most_named_organisations) {
         return;
     }
     std::vector<std::pair<std::uint64_t, organisation_name>> by_loss;
     for (const auto& [name, service] : figures.organisations) {
         if (!name.empty()) {
-            by_loss.emplace_back(service.asked - std::min(service.asked, service.completed), name);
+            by_loss.emplace_back(service.requested - std::min(service.requested, service.completed), name);
         }
     }
     std::sort(by_loss.rbegin(), by_loss.rend());
     for (std::size_t index = most_named_organisations - 1; index < by_loss.size(); ++index) {
         const auto found = figures.organisations.find(by_loss[index].second);
-        const organisation_service moved = found->second;
+        const request_counts moved = found->second;
         figures.organisations.erase(found);
-        figures.organisations[organisation_name()].asked += moved.asked;
+        figures.organisations[organisation_name()].requested += moved.requested;
         figures.organisations[organisation_name()].completed += moved.completed;
     }
 }
 
 /// Adds to one span and keeps it and the series within their bounds.
-void add_to_series(service_history::series& spans, std::uint64_t start, const service_figures& figures,
+void add_to_series(service_history::series& spans, std::uint64_t start, const service_counts& figures,
                    std::uint64_t kept_seconds) {
-    add_figures(spans[start], figures);
+    add_counts(spans[start], figures);
     limit_organisations(spans[start]);
     forget_old(spans, kept_seconds);
 }
@@ -111,9 +111,9 @@
 
 } // namespace
 
-void add_figures(service_figures& sum, const service_figures& part) {
+void add_counts(service_counts& sum, const service_counts& part) {
     for (const auto& [name, service] : part.organisations) {
-        sum.organisations[name].asked += service.asked;
+        sum.organisations[name].requested += service.requested;
         sum.organisations[name].completed += service.completed;
     }
     for (const auto& [reason, count] : part.refusals) {
@@ -123,27 +123,28 @@
     sum.spend_milli += part.spend_milli;
 }
 
-double get_goodput(const service_figures& figures) {
-    organisation_service sum;
+double get_goodput(const service_counts& figures) {
+    request_counts sum;
     for (const auto& [name, service] : figures.organisations) {
-        sum.asked += service.asked;
+        sum.requested += service.requested;
         sum.completed += service.completed;
     }
     // A request may be asked for in one span and completed in the next.
-    return sum.asked == 0 ? 1 : std::min(1.0, static_cast<double>(sum.completed) / static_cast<double>(sum.asked));
+    return sum.requested == 0 ? 1
+                              : std::min(1.0, static_cast<double>(sum.completed) / static_cast<double>(sum.requested));
 }
 
-double get_worst_goodput(const service_figures& figures, std::uint64_t least_asked) {
+double get_worst_goodput(const service_counts& figures, std::uint64_t min_requests) {
     double worst = 1;
     for (const auto& [name, service] : figures.organisations) {
-        if (service.asked >= std::max<std::uint64_t>(least_asked, 1)) {
-            worst = std::min(worst, static_cast<double>(service.completed) / static_cast<double>(service.asked));
+        if (service.requested >= std::max<std::uint64_t>(min_requests, 1)) {
+            worst = std::min(worst, static_cast<double>(service.completed) / static_cast<double>(service.requested));
         }
     }
     return worst;
 }
 
-coordination::record_draft make_history_draft(std::uint64_t second, const service_figures& figures) {
+coordination::record_draft make_history_draft(std::uint64_t second, const service_counts& figures) {
     boost::json::object body = encode_figures(figures);
     body["second"] = second;
     return {.type = std::string(history_record_type), .body = std::move(body), .condition = {}, .fence = {}};
@@ -154,7 +155,7 @@
         return;
     }
     const std::uint64_t second = json::get_unsigned(value.body, "second");
-    const service_figures figures = decode_figures(value.body);
+    const service_counts figures = decode_figures(value.body);
     add_to_series(m_fine, second - second % fine_seconds, figures, fine_kept_seconds);
     add_to_series(m_hours, second - second % hour_seconds, figures, hours_kept_seconds);
 }
--- a/policy/access_control.cpp
+++ b/policy/access_control.cpp
@@ -23,7 +23,7 @@
     }
     const fleet::api_key& known = found->second;
     const std::string digest = get_sha256_hex(known.salt + std::string(key.substr(dot + 1)));
-    if (!is_equal_secret(digest, known.sha256)) {
+    if (!is_equal_in_constant_time(digest, known.sha256)) {
         return std::nullopt;
     }
     return known.owner;
--- a/policy/attempt_history.cpp
+++ b/policy/attempt_history.cpp
@@ -8,11 +8,11 @@
     m_tried.insert(server);
 }
 
-bool attempt_history::may_repeat(unsigned most_attempts) const noexcept {
+bool attempt_history::may_retry(unsigned max_attempts) const noexcept {
     if (m_was_written && !m_is_repeatable) {
         return false;
     }
-    return m_failures < most_attempts;
+    return m_failures < max_attempts;
 }
 
 request_outcome attempt_history::get_outcome() const noexcept {
--- a/policy/attempt_history.hpp
+++ b/policy/attempt_history.hpp
@@ -19,13 +19,13 @@
     void add_failure(const backend_server_name& server, bool was_written);
 
     /// Returns whether a further attempt may be made.
-    [[nodiscard]] bool may_repeat(unsigned most_attempts) const noexcept;
+    [[nodiscard]] bool may_retry(unsigned max_attempts) const noexcept;
 
     /// Returns what a caller is told when no further attempt is made.
     [[nodiscard]] request_outcome get_outcome() const noexcept;
 
     /// Returns the backend servers that failed; a further attempt goes elsewhere if it can.
-    [[nodiscard]] const std::set<backend_server_name>& get_tried() const noexcept { return m_tried; }
+    [[nodiscard]] const std::set<backend_server_name>& get_failed_servers() const noexcept { return m_tried; }
     [[nodiscard]] unsigned get_failures() const noexcept { return m_failures; }
 
 private:
--- a/policy/circuit_breaker.cpp
+++ b/policy/circuit_breaker.cpp
@@ -12,7 +12,7 @@
         return false;
     }
     m_next_at = now + m_pause;
-    m_pause = std::min(m_pause * 2, m_options.longest_pause);
+    m_pause = std::min(m_pause * 2, m_options.max_backoff);
     return true;
 }
 
@@ -32,8 +32,8 @@
         return;
     }
     m_failed_at = now;
-    m_pause = std::max(m_pause, m_options.first_pause);
-    m_next_at = std::max(sent_at + m_pause, now + m_options.first_pause);
+    m_pause = std::max(m_pause, m_options.initial_backoff);
+    m_next_at = std::max(sent_at + m_pause, now + m_options.initial_backoff);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/circuit_breaker.hpp
+++ b/policy/circuit_breaker.hpp
@@ -9,10 +9,10 @@
 struct circuit_breaker_options {
     /// Shortest rest after a failure. The time from the start of one call to the next begins with it and is doubled
     /// with each call that is tried.
-    duration first_pause{std::chrono::milliseconds(100)};
+    duration initial_backoff{std::chrono::milliseconds(100)};
     /// Longest time from the start of one call to the start of the next, where the call itself does not take longer.
-    /// A part of the time from the return of a dependency to its use; see `get_longest_return`.
-    duration longest_pause{std::chrono::milliseconds(1000)};
+    /// A part of the time from the return of a dependency to its use; see `get_max_recovery_time`.
+    duration max_backoff{std::chrono::milliseconds(1000)};
 };
 
 /// Lets all users of one dependency share what each learns of it: while it fails, one call in a while is tried for all
@@ -32,15 +32,16 @@
     void on_failure(steady_time sent_at, steady_time now);
 
     /// Returns when the next call may be made; nothing while all may.
-    [[nodiscard]] std::optional<steady_time> get_next_at() const noexcept { return m_next_at; }
+    [[nodiscard]] std::optional<steady_time> get_next_call_at() const noexcept { return m_next_at; }
 
     /// Returns the longest time from the return of a dependency to the end of the first call that it answers, where
     /// somebody always waits to call and no call takes longer than `call_limit`: the call before it may have been sent
     /// just before the return and be lost.
-    [[nodiscard]] static constexpr duration get_longest_return(circuit_breaker_options options, duration call_limit) {
-        const duration between_calls = options.longest_pause > call_limit + options.first_pause
-                                           ? options.longest_pause
-                                           : call_limit + options.first_pause;
+    [[nodiscard]] static constexpr duration get_max_recovery_time(circuit_breaker_options options,
+                                                                  duration call_limit) {
+        const duration between_calls = options.max_backoff > call_limit + options.initial_backoff
+                                           ? options.max_backoff
+                                           : call_limit + options.initial_backoff;
         return between_calls + call_limit;
     }
 
--- a/policy/cut_off_state.hpp
+++ b/policy/cut_off_state.hpp
@@ -17,7 +17,7 @@
     void set_cut_off(bool is_cut_off, steady_time now) noexcept;
 
     /// Returns how long the zone has been cut off, or nothing while it is not.
-    [[nodiscard]] std::optional<duration> get_time(steady_time now) const noexcept;
+    [[nodiscard]] std::optional<duration> get_cut_off_duration(steady_time now) const noexcept;
 
 private:
     static constexpr duration::rep not_cut_off = -1;
--- a/policy/demand_height.hpp
+++ b/policy/decaying_peak_rate.hpp
@@ -10,7 +10,7 @@
 
 /// Follows a sum that only grows, and tells the height that its rate has had of late: it rises at once and sinks
 /// slowly, so that capacity for a swing is kept until the next one. Not thread safe.
-class demand_height {
+class decaying_peak_rate {
 public:
     struct options {
         /// Span over which the rate is taken.
@@ -19,7 +19,7 @@
         duration half_life{std::chrono::seconds(20)};
     };
 
-    explicit demand_height(options chosen) noexcept : m_options(chosen) {}
+    explicit decaying_peak_rate(options chosen) noexcept : m_options(chosen) {}
 
     /// Takes the sum as it stands now, in the unit of the rate times seconds.
     void observe(double sum, steady_time now) {
--- a/policy/demand_estimator.cpp
+++ b/policy/demand_estimator.cpp
@@ -71,7 +71,7 @@
         m_closed = last - 1;
     }
     // After a long pause only the span that a host may be silent for is worth closing.
-    const bucket_number reach = m_options.host_gone_after / m_options.bucket + 1;
+    const bucket_number reach = m_options.host_expiry / m_options.bucket + 1;
     m_closed = std::max(*m_closed, last - reach);
     while (*m_closed < last) {
         close(*m_closed + 1);
@@ -122,11 +122,12 @@
         lags.push_back(host.lag);
     }
     if (lags.empty()) {
-        return m_options.least_settle;
+        return m_options.min_lateness_allowance;
     }
     const auto place = static_cast<std::size_t>(lag_part * static_cast<double>(lags.size() - 1));
     std::nth_element(lags.begin(), lags.begin() + static_cast<std::ptrdiff_t>(place), lags.end());
-    return std::clamp(lags[place] + m_options.least_settle, m_options.least_settle, m_options.longest_settle);
+    return std::clamp(lags[place] + m_options.min_lateness_allowance, m_options.min_lateness_allowance,
+                      m_options.max_lateness_allowance);
 }
 
 void demand_estimator::close(bucket_number bucket) {
@@ -158,7 +159,7 @@
     const wall_time start(m_options.bucket * bucket);
     for (auto item = m_hosts.begin(); item != m_hosts.end();) {
         host_state& host = item->second;
-        if (host.last_start + m_options.bucket + m_options.host_gone_after < start) {
+        if (host.last_start + m_options.bucket + m_options.host_expiry < start) {
             item = m_hosts.erase(item);
             continue;
         }
@@ -184,7 +185,7 @@
         return;
     }
     const double expected = std::max(0.0, figure.level + figure.trend);
-    const double limit = m_options.growth_limit * std::max(expected, least_level);
+    const double limit = m_options.outlier_factor * std::max(expected, least_level);
     const bool is_outlier = value > limit && !figure.is_held_back;
     figure.is_held_back = is_outlier;
     if (is_outlier) {
@@ -194,11 +195,11 @@
     const double before = figure.level;
     figure.level = expected + m_options.level_gain * (value - expected);
     figure.trend += m_options.trend_gain * (figure.level - before - figure.trend);
-    figure.expected.push_back(extend(figure, static_cast<double>(m_options.error_reach)));
+    figure.expected.push_back(extend(figure, static_cast<double>(m_options.error_horizon_buckets)));
 }
 
 void demand_estimator::note_error(smoothed& figure, double value) const {
-    if (figure.expected.size() < m_options.error_reach) {
+    if (figure.expected.size() < m_options.error_horizon_buckets) {
         return;
     }
     const double expected = figure.expected.front();
--- a/policy/demand_estimator.hpp
+++ b/policy/demand_estimator.hpp
@@ -30,7 +30,7 @@
 
 struct demand_forecast {
     demand_rate rate;
-    /// Mean relative error of recent forecasts that reached `error_reach` buckets ahead, from 0 up.
+    /// Mean relative error of recent forecasts that reached `error_horizon_buckets` buckets ahead, from 0 up.
     double relative_error{};
     demand_freshness freshness{demand_freshness::stale};
 };
@@ -40,21 +40,21 @@
     duration bucket{std::chrono::seconds(5)};
     /// How long after the end of a bucket its reports are waited for: from the least up to the longest, as the lag of
     /// recent reports asks for.
-    duration least_settle{std::chrono::seconds(1)};
-    duration longest_settle{std::chrono::seconds(20)};
+    duration min_lateness_allowance{std::chrono::seconds(1)};
+    duration max_lateness_allowance{std::chrono::seconds(20)};
     /// Age of the newest report at which the estimate is stale.
     duration stale_after{std::chrono::seconds(30)};
     /// How long the last rate of a silent host is still counted; its callers have moved to other hosts by then.
-    duration host_gone_after{std::chrono::seconds(20)};
+    duration host_expiry{std::chrono::seconds(20)};
     /// Weights of a new observation in level and trend, 0 to 1.
     double level_gain{0.6};
     double trend_gain{0.2};
     /// How much of the trend is left after each further bucket of a forecast, 0 to 1.
     double trend_damping{0.8};
     /// How many buckets ahead the error of forecasts is measured.
-    std::size_t error_reach{6};
+    std::size_t error_horizon_buckets{6};
     /// A bucket above this multiple of the level counts only once the next bucket confirms it.
-    double growth_limit{3.0};
+    double outlier_factor{3.0};
 };
 
 /// Adds up the reports of all entry hosts and forecasts the demand for each model.
@@ -91,7 +91,7 @@
         double error{};
         bool is_held_back{false};
         bool is_started{false};
-        /// Forecasts for the next buckets, each made `error_reach` buckets before.
+        /// Forecasts for the next buckets, each made `error_horizon_buckets` buckets before.
         std::deque<double> expected;
     };
     struct model_state {
--- a/policy/engine_board.cpp
+++ b/policy/engine_load_tracker.cpp
@@ -1,4 +1,4 @@
-#include "policy/engine_board.hpp"
+#include "policy/engine_load_tracker.hpp"
 
 #include <algorithm>
 
@@ -14,9 +14,9 @@
 
 /// Returns the prompt that the engine is reading, or null. It reads one after the other and takes up the most urgent of
 /// those that wait when it has finished one; what it has begun it reads to the end.
-const prompt_job* find_current(std::span<const prompt_job> jobs, steady_time last_finished_at) {
-    const prompt_job* current = nullptr;
-    for (const prompt_job& job : jobs) {
+const prefill_job* find_current(std::span<const prefill_job> jobs, steady_time last_finished_at) {
+    const prefill_job* current = nullptr;
+    for (const prefill_job& job : jobs) {
         if (current == nullptr) {
             current = &job;
             continue;
@@ -35,10 +35,10 @@
 
 } // namespace
 
-void engine_board::set_engines(const std::map<backend_server_name, engine_facts>& engines) {
+void engine_load_tracker::set_engines(const std::map<backend_server_name, engine_attributes>& engines) {
     std::erase_if(m_engines, [&](const auto& item) { return !engines.contains(item.first); });
     for (const auto& [name, facts] : engines) {
-        engine_state& engine = m_engines[name];
+        engine_entry& engine = m_engines[name];
         if (engine.facts.started_at_ms != facts.started_at_ms) {
             engine.cache.clear();
         }
@@ -47,8 +47,8 @@
     }
 }
 
-void engine_board::start_prompt(const backend_server_name& engine, const prompt_job& job,
-                                std::span<const cached_part> parts) {
+void engine_load_tracker::start_prefill(const backend_server_name& engine, const prefill_job& job,
+                                        std::span<const prefix_block> parts) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
@@ -57,17 +57,17 @@
     found->second.cache.touch(parts);
 }
 
-void engine_board::end_prompt(const backend_server_name& engine, std::uint64_t number, steady_time now) {
+void engine_load_tracker::end_prefill(const backend_server_name& engine, std::uint64_t number, steady_time now) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
     }
-    std::erase_if(found->second.own.prompts, [&](const prompt_job& job) { return job.number == number; });
+    std::erase_if(found->second.own.prompts, [&](const prefill_job& job) { return job.number == number; });
     found->second.last_finished_at = now;
 }
 
-void engine_board::start_run(const backend_server_name& engine, std::uint64_t tokens,
-                             std::span<const cached_part> parts) {
+void engine_load_tracker::start_decode(const backend_server_name& engine, std::uint64_t tokens,
+                                       std::span<const prefix_block> parts) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
@@ -77,26 +77,27 @@
     found->second.cache.touch(parts);
 }
 
-void engine_board::end_run(const backend_server_name& engine, std::uint64_t tokens) {
+void engine_load_tracker::end_decode(const backend_server_name& engine, std::uint64_t tokens) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
     }
-    engine_share& own = found->second.own;
+    host_engine_load& own = found->second.own;
     own.running -= std::min<std::uint32_t>(own.running, 1);
     own.running_tokens -= std::min(own.running_tokens, tokens);
 }
 
-void engine_board::set_other(const std::string& host, const std::map<backend_server_name, engine_share>& shares,
-                             steady_time now) {
+void engine_load_tracker::set_host_load(const std::string& host,
+                                        const std::map<backend_server_name, host_engine_load>& shares,
+                                        steady_time now) {
     for (auto& [name, engine] : m_engines) {
         const auto share = shares.find(name);
-        const auto before = engine.others.find(host);
-        const std::size_t prompts_before = before == engine.others.end() ? 0 : before->second.prompts.size();
+        const auto before = engine.other_hosts.find(host);
+        const std::size_t prompts_before = before == engine.other_hosts.end() ? 0 : before->second.prompts.size();
         if (share == shares.end()) {
-            engine.others.erase(host);
+            engine.other_hosts.erase(host);
         } else {
-            engine.others[host] = share->second;
+            engine.other_hosts[host] = share->second;
         }
         const std::size_t prompts_now = share == shares.end() ? 0 : share->second.prompts.size();
         if (prompts_now < prompts_before) {
@@ -105,31 +106,32 @@
     }
 }
 
-void engine_board::drop_other(const std::string& host) {
+void engine_load_tracker::remove_host(const std::string& host) {
     for (auto& [name, engine] : m_engines) {
-        engine.others.erase(host);
+        engine.other_hosts.erase(host);
     }
 }
 
-void engine_board::touch(const backend_server_name& engine, std::span<const cached_part> parts) {
+void engine_load_tracker::record_prefix_access(const backend_server_name& engine, std::span<const prefix_block> parts) {
     const auto found = m_engines.find(engine);
     if (found != m_engines.end()) {
         found->second.cache.touch(parts);
     }
 }
 
-duration engine_board::get_backlog(const backend_server_name& engine, steady_time now, std::uint32_t urgency) const {
-    const engine_state* state = find(engine);
+duration engine_load_tracker::get_backlog(const backend_server_name& engine, steady_time now,
+                                          std::uint32_t urgency) const {
+    const engine_entry* state = find(engine);
     if (state == nullptr) {
         return duration::zero();
     }
-    std::vector<prompt_job> jobs = state->own.prompts;
-    for (const auto& [host, share] : state->others) {
+    std::vector<prefill_job> jobs = state->own.prompts;
+    for (const auto& [host, share] : state->other_hosts) {
         jobs.insert(jobs.end(), share.prompts.begin(), share.prompts.end());
     }
-    const prompt_job* current = find_current(jobs, state->last_finished_at);
+    const prefill_job* current = find_current(jobs, state->last_finished_at);
     duration backlog{};
-    for (const prompt_job& job : jobs) {
+    for (const prefill_job& job : jobs) {
         if (&job == current) {
             const steady_time started_at = std::max(job.sent_at, state->last_finished_at);
             const duration done = std::max(duration::zero(), now - started_at);
@@ -142,37 +144,37 @@
     return backlog;
 }
 
-std::uint32_t engine_board::get_running(const backend_server_name& engine) const {
-    const engine_state* state = find(engine);
+std::uint32_t engine_load_tracker::get_running(const backend_server_name& engine) const {
+    const engine_entry* state = find(engine);
     if (state == nullptr) {
         return 0;
     }
     std::uint32_t running = state->own.running;
-    for (const auto& [host, share] : state->others) {
+    for (const auto& [host, share] : state->other_hosts) {
         running += share.running;
     }
     return running;
 }
 
-std::uint64_t engine_board::get_running_tokens(const backend_server_name& engine) const {
-    const engine_state* state = find(engine);
+std::uint64_t engine_load_tracker::get_running_tokens(const backend_server_name& engine) const {
+    const engine_entry* state = find(engine);
     if (state == nullptr) {
         return 0;
     }
     std::uint64_t tokens = state->own.running_tokens;
-    for (const auto& [host, share] : state->others) {
+    for (const auto& [host, share] : state->other_hosts) {
         tokens += share.running_tokens;
     }
     return tokens;
 }
 
-std::uint64_t engine_board::get_cached_tokens(const backend_server_name& engine,
-                                              std::span<const cached_part> parts) const {
-    const engine_state* state = find(engine);
+std::uint64_t engine_load_tracker::get_cached_tokens(const backend_server_name& engine,
+                                                     std::span<const prefix_block> parts) const {
+    const engine_entry* state = find(engine);
     return state == nullptr ? 0 : state->cache.get_cached_tokens(parts);
 }
 
-const engine_board::engine_state* engine_board::find(const backend_server_name& engine) const {
+const engine_load_tracker::engine_entry* engine_load_tracker::find(const backend_server_name& engine) const {
     const auto found = m_engines.find(engine);
     return found == m_engines.end() ? nullptr : &found->second;
 }
--- a/policy/fleet_plan.cpp
+++ b/policy/fleet_plan.cpp
@@ -14,31 +14,32 @@
 /// Returns how many engines of each zone should read prompts, so that enough are left without one of the zones.
 std::optional<std::uint32_t> get_readers_per_zone(const fleet_demand& demand, std::size_t zones,
                                                   const fleet_plan_options& options) {
-    if (!demand.readers) {
+    if (!demand.prefill_engines) {
         return std::nullopt;
     }
-    const double needed = *demand.readers / options.reader_utilisation;
+    const double needed = *demand.prefill_engines / options.prefill_utilisation;
     const auto surviving_zones = static_cast<double>(std::max<std::size_t>(1, zones - 1));
-    return std::max(options.least_readers, divide_up(needed, surviving_zones));
+    return std::max(options.min_prefill_engines, divide_up(needed, surviving_zones));
 }
 
 } // namespace
 
-std::map<zone_name, zone_servers> plan_servers(const fleet::scaling_description& scaling,
-                                               const std::map<zone_name, zone_servers>& present,
-                                               const fleet_demand& demand, const fleet_plan_options& options) {
-    std::map<zone_name, zone_servers> wishes;
+std::map<zone_name, zone_server_counts> plan_servers(const fleet::scaling_description& scaling,
+                                                     const std::map<zone_name, zone_server_counts>& present,
+                                                     const fleet_demand& demand, const fleet_plan_options& options) {
+    std::map<zone_name, zone_server_counts> wishes;
     const std::size_t zones = present.size();
-    const std::uint32_t generators = divide_up(demand.generators, static_cast<double>(zones));
+    const std::uint32_t generators = divide_up(demand.decode_engines, static_cast<double>(zones));
     const std::optional<std::uint32_t> readers = get_readers_per_zone(demand, zones, options);
     for (const auto& [zone, servers] : present) {
-        zone_servers wish;
+        zone_server_counts wish;
         if (!scaling.cheap_price) {
             const std::uint32_t wanted = readers ? generators + *readers : servers.regular;
-            wish.regular = std::clamp(wanted, scaling.least, scaling.most);
+            wish.regular = std::clamp(wanted, scaling.min_servers, scaling.max_servers);
         } else {
-            wish.regular = std::clamp(std::max(generators, options.least_regular), scaling.least, scaling.most);
-            wish.cheap = scaling.most - wish.regular;
+            wish.regular =
+                std::clamp(std::max(generators, options.min_regular), scaling.min_servers, scaling.max_servers);
+            wish.cheap = scaling.max_servers - wish.regular;
             if (readers) {
                 wish.cheap = std::min(wish.cheap, *readers);
             }
--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -91,7 +91,7 @@
 
 horizon_role_planner::horizon_role_planner(horizon_role_planner_options options) : m_options(options) {}
 
-role_plan horizon_role_planner::plan(const role_inputs& inputs, role_memory& memory) const {
+role_plan horizon_role_planner::plan(const role_inputs& inputs, role_planner_state& memory) const {
     if (!inputs.has_authority) {
         return {.orders = {}, .reason = role_reason::no_authority};
     }
@@ -109,7 +109,7 @@
     }
     const double units = view.units / static_cast<double>(view.alive);
     const auto cap = std::max<std::size_t>(
-        1, static_cast<std::size_t>(std::floor(m_options.most_away * static_cast<double>(view.alive))));
+        1, static_cast<std::size_t>(std::floor(m_options.max_unavailable_share * static_cast<double>(view.alive))));
     while (true) {
         const std::optional<change> best = find_best(inputs, memory, view.after, view.now, units);
         if (!best) {
@@ -156,13 +156,13 @@
 }
 
 std::optional<horizon_role_planner::change>
-horizon_role_planner::find_best(const role_inputs& inputs, const role_memory& memory, const role_capacity& after,
+horizon_role_planner::find_best(const role_inputs& inputs, const role_planner_state& memory, const role_capacity& after,
                                 const role_capacity& now, double units) const {
     const double margin = 1 + m_options.headroom;
     const role_demand middle{.prefill = (inputs.current.prefill + inputs.expected.prefill) / 2 * margin,
                              .decode = (inputs.current.decode + inputs.expected.decode) / 2 * margin};
     const double horizon = get_seconds(m_options.horizon);
-    const double away = get_seconds(m_options.away);
+    const double away = get_seconds(m_options.change_downtime);
     const double before = get_expected_units(after, middle, inputs.relative_error);
     const double current = get_served_units(now, inputs.current);
     std::optional<change> best;
@@ -194,18 +194,19 @@
     return best;
 }
 
-double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_memory& memory, int direction) const {
+double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_planner_state& memory,
+                                            int direction) const {
     const double asked = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
     const bool is_reversal = is_recent(inputs, memory) && memory.last_direction == -direction;
     const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, memory.reversals) : 1.0;
-    return m_options.least_gain * asked * factor;
+    return m_options.min_net_gain * asked * factor;
 }
 
-bool horizon_role_planner::is_recent(const role_inputs& inputs, const role_memory& memory) const {
+bool horizon_role_planner::is_recent(const role_inputs& inputs, const role_planner_state& memory) const {
     return memory.last_order && inputs.now - *memory.last_order < m_options.reversal_window;
 }
 
-void horizon_role_planner::note_order(const role_inputs& inputs, int direction, role_memory& memory) const {
+void horizon_role_planner::note_order(const role_inputs& inputs, int direction, role_planner_state& memory) const {
     if (!is_recent(inputs, memory)) {
         memory.reversals = 0;
     } else if (memory.last_direction == -direction) {
@@ -215,13 +216,14 @@
     memory.last_direction = direction;
 }
 
-bool horizon_role_planner::is_confirmed(const role_inputs& inputs, const change& best, role_memory& memory) const {
+bool horizon_role_planner::is_confirmed(const role_inputs& inputs, const change& best,
+                                        role_planner_state& memory) const {
     const int direction = get_direction(best.from, best.to);
     if (!memory.wanted_since || memory.wanted_direction != direction) {
         memory.wanted_since = inputs.now;
         memory.wanted_direction = direction;
     }
-    return inputs.now - *memory.wanted_since >= m_options.confirm;
+    return inputs.now - *memory.wanted_since >= m_options.confirmation_time;
 }
 
 double horizon_role_planner::get_expected_units(const role_capacity& capacity, const role_demand& demand,
--- a/policy/host_groups.hpp
+++ b/policy/host_groups.hpp
@@ -11,7 +11,7 @@
 
 struct host_groups_options {
     /// Hosts of a group at most, about; each tells all others of its group what it does several times a second.
-    std::uint32_t most_hosts{24};
+    std::uint32_t max_group_hosts{24};
 };
 
 /// Divides a large fleet into groups of hosts of one zone, each with its part of the zone's backend servers. Hosts of a
@@ -30,9 +30,9 @@
     /// Returns the name of this host's group.
     [[nodiscard]] std::string get_name() const;
     /// Returns whether a host is of this host's group.
-    [[nodiscard]] bool is_near(const std::string& host, const zone_name& zone) const;
+    [[nodiscard]] bool is_own_group_host(const std::string& host, const zone_name& zone) const;
     /// Returns whether a backend server belongs to this host's group.
-    [[nodiscard]] bool is_home(const backend_server_name& server, const zone_name& zone) const;
+    [[nodiscard]] bool is_own_group_server(const backend_server_name& server, const zone_name& zone) const;
 
 private:
     [[nodiscard]] std::uint32_t get_group(std::string_view name) const;
--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -2,8 +2,8 @@
 
 namespace dragonflywell::policy {
 
-refusal_form get_refusal_form(refusal_reason reason) noexcept {
-    constexpr std::array<refusal_form, refusal_reason_count> forms{{
+refusal_response get_refusal_response(refusal_reason reason) noexcept {
+    constexpr std::array<refusal_response, refusal_reason_count> forms{{
         {.code = "malformed_request", .status = 400},
         {.code = "header_too_large", .status = 431},
         {.code = "body_too_large", .status = 413},
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -70,13 +70,13 @@
 inline constexpr std::size_t retry_reason_count = 8;
 
 /// How a refusal looks to the caller.
-struct refusal_form {
+struct refusal_response {
     std::string_view code;
     unsigned status{};
 };
 
 /// Thread safe.
-[[nodiscard]] refusal_form get_refusal_form(refusal_reason reason) noexcept;
+[[nodiscard]] refusal_response get_refusal_response(refusal_reason reason) noexcept;
 [[nodiscard]] std::string_view get_retry_name(retry_reason reason) noexcept;
 [[nodiscard]] std::string_view get_outcome_name(request_outcome outcome) noexcept;
 
--- a/policy/prefill_time.cpp
+++ b/policy/prefill_time_model.cpp
@@ -1,4 +1,4 @@
-#include "policy/prefill_time.hpp"
+#include "policy/prefill_time_model.hpp"
 
 #include <algorithm>
 
@@ -29,14 +29,14 @@
 
 } // namespace
 
-prefill_time::prefill_time() : m_model(initial_milliseconds, initial_doubt, observation_memory) {}
+prefill_time_model::prefill_time_model() : m_model(initial_milliseconds, initial_doubt, observation_memory) {}
 
-duration prefill_time::predict(const prefill_work& work) const {
+duration prefill_time_model::predict(const prefill_work& work) const {
     const double milliseconds = std::max(shortest_prediction_milliseconds, m_model.predict(get_features(work)));
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-void prefill_time::observe(const prefill_work& work, duration taken) {
+void prefill_time_model::observe(const prefill_work& work, duration taken) {
     const double milliseconds = to_milliseconds(taken);
     const double predicted = to_milliseconds(predict(work));
     if (milliseconds > predicted * most_surprise + least_noise_milliseconds) {
@@ -45,7 +45,7 @@
     m_model.observe(get_features(work), milliseconds, least_noise_milliseconds + relative_noise * predicted);
 }
 
-prefill_time::model::features prefill_time::get_features(const prefill_work& work) {
+prefill_time_model::model::features prefill_time_model::get_features(const prefill_work& work) {
     const auto tokens = static_cast<double>(work.tokens);
     const auto cached = static_cast<double>(work.cached_tokens);
     return {1.0, tokens / tokens_per_thousand, tokens * (cached + tokens / 2) / pairs_per_million};
--- a/policy/prefill_time.hpp
+++ b/policy/prefill_time_model.hpp
@@ -17,9 +17,9 @@
 
 /// Learns how long engines of one kind take to read prompts: a part that grows with the tokens, and one that grows
 /// with the pairs of tokens that attend to each other. Not thread safe.
-class prefill_time {
+class prefill_time_model {
 public:
-    prefill_time();
+    prefill_time_model();
 
     [[nodiscard]] duration predict(const prefill_work& work) const;
 
--- a/policy/prefix_cache.cpp
+++ b/policy/prefix_cache.cpp
@@ -9,10 +9,10 @@
     evict();
 }
 
-void prefix_cache::touch(std::span<const cached_part> parts) {
+void prefix_cache::touch(std::span<const prefix_block> parts) {
     // The first part is touched last: without it the later ones are of no use, so that it should stay longest.
     for (auto position = parts.rbegin(); position != parts.rend(); ++position) {
-        const cached_part& part = *position;
+        const prefix_block& part = *position;
         const auto found = m_parts.find(part.id);
         if (found != m_parts.end()) {
             m_order.splice(m_order.begin(), m_order, found->second);
@@ -25,9 +25,9 @@
     evict();
 }
 
-std::uint64_t prefix_cache::get_cached_tokens(std::span<const cached_part> parts) const {
+std::uint64_t prefix_cache::get_cached_tokens(std::span<const prefix_block> parts) const {
     std::uint64_t tokens = 0;
-    for (const cached_part& part : parts) {
+    for (const prefix_block& part : parts) {
         if (!m_parts.contains(part.id)) {
             break;
         }
--- a/policy/prefix_cache.hpp
+++ b/policy/prefix_cache.hpp
@@ -8,11 +8,11 @@
 namespace dragonflywell::policy {
 
 /// One part of a prompt, as far as caches are concerned.
-struct cached_part {
+struct prefix_block {
     std::uint64_t id{};
     std::uint32_t tokens{};
 
-    friend bool operator==(const cached_part&, const cached_part&) = default;
+    friend bool operator==(const prefix_block&, const prefix_block&) = default;
 };
 
 /// What this host believes an engine's memory still holds of earlier prompts: the parts used last, up to a capacity.
@@ -25,10 +25,10 @@
     void set_capacity(std::uint64_t capacity_tokens);
 
     /// Notes that the engine reads a prompt of these parts.
-    void touch(std::span<const cached_part> parts);
+    void touch(std::span<const prefix_block> parts);
 
     /// Returns how many tokens at the beginning of the prompt need not be read again.
-    [[nodiscard]] std::uint64_t get_cached_tokens(std::span<const cached_part> parts) const;
+    [[nodiscard]] std::uint64_t get_cached_tokens(std::span<const prefix_block> parts) const;
 
     void clear();
 
@@ -40,8 +40,8 @@
     std::uint64_t m_capacity_tokens;
     std::uint64_t m_held_tokens{0};
     /// The part used last is in front.
-    std::list<cached_part> m_order;
-    std::unordered_map<std::uint64_t, std::list<cached_part>::iterator> m_parts;
+    std::list<prefix_block> m_order;
+    std::unordered_map<std::uint64_t, std::list<prefix_block>::iterator> m_parts;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -5,15 +5,15 @@
 
 namespace dragonflywell::policy {
 
-void quarantine::add_death(const engine_death& death) {
+void quarantine::record_crash(const engine_crash& death) {
     const std::scoped_lock lock(m_mutex);
-    m_deaths[death.fingerprint].try_emplace(death.death_id, death.moment);
-    if (m_deaths.size() > m_options.most_requests) {
+    m_deaths[death.fingerprint].try_emplace(death.crash_id, death.moment);
+    if (m_deaths.size() > m_options.max_requests) {
         forget_oldest();
     }
 }
 
-void quarantine::add_completion(request_fingerprint fingerprint) {
+void quarantine::record_completion(request_fingerprint fingerprint) {
     const std::scoped_lock lock(m_mutex);
     m_deaths.erase(fingerprint);
 }
@@ -28,27 +28,27 @@
 }
 
 bool quarantine::is_refused(request_fingerprint fingerprint, wall_time now) const {
-    return count_deaths(fingerprint, now) >= m_options.deaths_to_refuse;
+    return count_deaths(fingerprint, now) >= m_options.crashes_to_refuse;
 }
 
-std::vector<engine_death> quarantine::get_deaths(wall_time now) const {
+std::vector<engine_crash> quarantine::get_crashes(wall_time now) const {
     const std::scoped_lock lock(m_mutex);
-    std::vector<engine_death> deaths;
+    std::vector<engine_crash> deaths;
     for (const auto& [fingerprint, moments] : m_deaths) {
-        for (const auto& [death_id, moment] : moments) {
-            if (now - moment < m_options.memory) {
-                deaths.push_back({.fingerprint = fingerprint, .death_id = death_id, .moment = moment});
+        for (const auto& [crash_id, moment] : moments) {
+            if (now - moment < m_options.retention) {
+                deaths.push_back({.fingerprint = fingerprint, .crash_id = crash_id, .moment = moment});
             }
         }
     }
     return deaths;
 }
 
-std::vector<engine_death> quarantine::get_newest_deaths(wall_time now, duration age, std::size_t most) const {
-    std::vector<engine_death> deaths = get_deaths(now);
-    std::erase_if(deaths, [&](const engine_death& death) { return now - death.moment > age; });
+std::vector<engine_crash> quarantine::get_newest_crashes(wall_time now, duration age, std::size_t most) const {
+    std::vector<engine_crash> deaths = get_crashes(now);
+    std::erase_if(deaths, [&](const engine_crash& death) { return now - death.moment > age; });
     std::sort(deaths.begin(), deaths.end(),
-              [](const engine_death& left, const engine_death& right) { return left.moment > right.moment; });
+              [](const engine_crash& left, const engine_crash& right) { return left.moment > right.moment; });
     if (deaths.size() > most) {
         deaths.resize(most);
     }
@@ -66,14 +66,14 @@
     if (found == m_deaths.end()) {
         return 0;
     }
-    const auto is_held = [&](const auto& death) { return now - death.second < m_options.memory; };
+    const auto is_held = [&](const auto& death) { return now - death.second < m_options.retention; };
     return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), is_held));
 }
 
 void quarantine::forget_oldest() {
     const auto get_newest = [](const death_map& deaths) {
         wall_time newest = wall_time::min();
-        for (const auto& [death_id, moment] : deaths) {
+        for (const auto& [crash_id, moment] : deaths) {
             newest = std::max(newest, moment);
         }
         return newest;
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -16,22 +16,22 @@
 using request_fingerprint = std::uint64_t;
 
 /// One death of an engine with a request on it, as hosts tell each other. A death that is told twice counts once.
-struct engine_death {
+struct engine_crash {
     request_fingerprint fingerprint{};
     /// Differs for each death and host.
-    std::uint64_t death_id{};
+    std::uint64_t crash_id{};
     wall_time moment;
 
-    friend bool operator==(const engine_death&, const engine_death&) = default;
+    friend bool operator==(const engine_crash&, const engine_crash&) = default;
 };
 
 struct quarantine_options {
     /// Deaths after which a request is refused.
-    std::size_t deaths_to_refuse{2};
+    std::size_t crashes_to_refuse{2};
     /// How long a death is held against a request.
-    duration memory{std::chrono::hours(1)};
+    duration retention{std::chrono::hours(1)};
     /// Requests remembered at most; the oldest are forgotten first.
-    std::size_t most_requests{4096};
+    std::size_t max_requests{4096};
 };
 
 /// Finds requests that crash the engines that run them.
@@ -43,9 +43,9 @@
     explicit quarantine(quarantine_options options) noexcept : m_options(options) {}
 
     /// Notes a death, seen here or told by another host.
-    void add_death(const engine_death& death);
+    void record_crash(const engine_crash& death);
     /// Clears a request that ran to its end.
-    void add_completion(request_fingerprint fingerprint);
+    void record_completion(request_fingerprint fingerprint);
 
     /// Returns whether no death is held against any request.
     [[nodiscard]] bool is_empty() const;
@@ -53,9 +53,9 @@
     [[nodiscard]] bool is_refused(request_fingerprint fingerprint, wall_time now) const;
 
     /// Returns all deaths held against requests now, for other hosts.
-    [[nodiscard]] std::vector<engine_death> get_deaths(wall_time now) const;
+    [[nodiscard]] std::vector<engine_crash> get_crashes(wall_time now) const;
     /// Returns those of the last `age`, the newest `most` of them.
-    [[nodiscard]] std::vector<engine_death> get_newest_deaths(wall_time now, duration age, std::size_t most) const;
+    [[nodiscard]] std::vector<engine_crash> get_newest_crashes(wall_time now, duration age, std::size_t most) const;
 
     /// Returns the engines that are set apart for a suspect.
     [[nodiscard]] std::set<backend_server_name> get_reserved() const;
--- a/policy/retry_budget.cpp
+++ b/policy/retry_budget.cpp
@@ -17,7 +17,7 @@
     ++get_part(now).requests;
 }
 
-bool retry_budget::take_retry(steady_time now) {
+bool retry_budget::try_acquire_retry(steady_time now) {
     const std::scoped_lock lock(m_mutex);
     part& current = get_part(now);
     std::uint32_t spent = 0;
@@ -53,7 +53,7 @@
         requests += number - counted.number < static_cast<std::int64_t>(parts) ? counted.requests : 0;
     }
     const double age = std::chrono::duration<double>(now - m_started_at) / m_options.window;
-    return requests * m_options.per_request + m_options.besides * std::clamp(age, 0.0, 1.0);
+    return requests * m_options.retries_per_request + m_options.base_retries * std::clamp(age, 0.0, 1.0);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/retry_budget.hpp
+++ b/policy/retry_budget.hpp
@@ -10,9 +10,9 @@
 
 struct retry_budget_options {
     /// Retries that each request of the window pays for.
-    double per_request{0.2};
+    double retries_per_request{0.2};
     /// Retries in a window that are permitted besides, so that a quiet host can retry too.
-    double besides{200.0};
+    double base_retries{200.0};
     /// Any span of this length keeps the budget.
     duration window{std::chrono::seconds(10)};
 };
@@ -34,7 +34,7 @@
     void add_request(steady_time now);
 
     /// Returns whether a retry may be made now, and spends it.
-    [[nodiscard]] bool take_retry(steady_time now);
+    [[nodiscard]] bool try_acquire_retry(steady_time now);
 
 private:
     /// Parts of a window by which it slides.
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -42,7 +42,7 @@
 };
 
 /// What happened before, kept by the caller between two plans.
-struct role_memory {
+struct role_planner_state {
     std::optional<wall_time> last_order;
     /// Whether the last change moved capacity to prefill (1) or to decode (-1).
     int last_direction{0};
@@ -112,7 +112,7 @@
 
     /// Returns the plan for all availability zones; a lease holder carries out the orders of its own zone only.
     /// Thread safe when each thread has its own `memory`.
-    [[nodiscard]] virtual role_plan plan(const role_inputs& inputs, role_memory& memory) const = 0;
+    [[nodiscard]] virtual role_plan plan(const role_inputs& inputs, role_planner_state& memory) const = 0;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/role_preference.hpp
+++ b/policy/role_preference.hpp
@@ -7,7 +7,7 @@
 
 /// Returns whether an engine of this role is meant for work of this shape. Any engine can do any work; this only says
 /// where it disturbs others least. Thread safe.
-[[nodiscard]] constexpr bool suits_role(fleet::engine_role role, const role_demand& work) noexcept {
+[[nodiscard]] constexpr bool is_preferred_role(fleet::engine_role role, const role_demand& work) noexcept {
     switch (role) {
     case fleet::engine_role::mixed:
         return true;
--- a/policy/server_health.cpp
+++ b/policy/server_health.cpp
@@ -17,12 +17,12 @@
     case server_failure::unreachable:
         return 1;
     case server_failure::refused:
-        return m_options.refusals_to_pause;
+        return m_options.refusals_to_eject;
     case server_failure::broken:
     case server_failure::answered_failure:
         break;
     }
-    return m_options.failures_to_pause;
+    return m_options.failures_to_eject;
 }
 
 void server_health::add_success(const backend_server_name& server) {
@@ -49,7 +49,7 @@
         return;
     }
     const std::uint32_t doublings = std::min(known.failures_in_row - needed, most_doublings);
-    const duration pause = std::min(m_options.first_pause * (1U << doublings), m_options.longest_pause);
+    const duration pause = std::min(m_options.initial_ejection_time * (1U << doublings), m_options.max_ejection_time);
     known.paused_until = now + pause;
 }
 
@@ -63,7 +63,7 @@
     return found != m_states.end() && found->second.failures_in_row > 0;
 }
 
-std::map<backend_server_name, duration> server_health::get_paused(steady_time now) const {
+std::map<backend_server_name, duration> server_health::get_ejected(steady_time now) const {
     std::map<backend_server_name, duration> paused;
     for (const auto& [server, known] : m_states) {
         if (now < known.paused_until) {
--- a/policy/server_health.hpp
+++ b/policy/server_health.hpp
@@ -10,12 +10,12 @@
 
 struct server_health_options {
     /// How long a server is left alone after it could not be reached; doubled with each further failure.
-    duration first_pause{std::chrono::milliseconds(300)};
-    duration longest_pause{std::chrono::seconds(3)};
+    duration initial_ejection_time{std::chrono::milliseconds(300)};
+    duration max_ejection_time{std::chrono::seconds(3)};
     /// Failures in a row, of those that other requests could cause too, after which a server is left alone.
-    std::uint32_t failures_to_pause{3};
+    std::uint32_t failures_to_eject{3};
     /// Refusals in a row after which a server is left alone; a single one may be due to the request.
-    std::uint32_t refusals_to_pause{2};
+    std::uint32_t refusals_to_eject{2};
 };
 
 /// What a failed exchange says about a server.
@@ -45,7 +45,7 @@
     /// Returns whether the last exchange with the server failed, so that one more word against it counts.
     [[nodiscard]] bool has_failed_last(const backend_server_name& server) const;
     /// Returns the servers that are left alone now, each with the time that is left, for other hosts.
-    [[nodiscard]] std::map<backend_server_name, duration> get_paused(steady_time now) const;
+    [[nodiscard]] std::map<backend_server_name, duration> get_ejected(steady_time now) const;
 
     /// Returns the share of recent answers that failed, 0 to 1.
     [[nodiscard]] double get_failure_share(const backend_server_name& server) const;
--- a/policy/spend_planner.cpp
+++ b/policy/spend_planner.cpp
@@ -55,7 +55,7 @@
 /// The servers of one planning round, and the orders that change them.
 class spend_planner::round {
 public:
-    round(const spend_inputs& inputs, const spend_planner_options& options, spend_memory& memory)
+    round(const spend_inputs& inputs, const spend_planner_options& options, spend_planner_state& memory)
         : m_inputs(&inputs), m_options(&options), m_memory(&memory) {
         const duration overdue = std::chrono::duration_cast<duration>(options.lead_time * options.overdue_factor);
         for (const owned_server& server : inputs.servers) {
@@ -145,7 +145,7 @@
 
 private:
     void close_market(const owned_server& server, duration overdue) {
-        const wall_time until = m_inputs->now - (server.in_state - overdue) + m_options->market_retry;
+        const wall_time until = m_inputs->now - (server.in_state - overdue) + m_options->market_retry_delay;
         wall_time& closed = m_memory->closed_until[{server.zone, server.kind}];
         closed = std::max(closed, until);
     }
@@ -170,7 +170,7 @@
 
     const spend_inputs* m_inputs;
     const spend_planner_options* m_options;
-    spend_memory* m_memory;
+    spend_planner_state* m_memory;
     std::map<server_kind, std::uint32_t> m_count;
     std::map<zone_name, std::uint32_t> m_zone_total;
     std::map<std::pair<zone_name, server_kind>, std::uint32_t> m_zone_count;
@@ -178,7 +178,7 @@
 
 spend_planner::spend_planner(spend_planner_options options) : m_options(options) {}
 
-spend_plan spend_planner::plan(const spend_inputs& inputs, spend_memory& memory) const {
+spend_plan spend_planner::plan(const spend_inputs& inputs, spend_planner_state& memory) const {
     if (!inputs.has_authority) {
         return {.orders = {}, .reason = spend_reason::no_authority};
     }
@@ -211,7 +211,7 @@
             continue;
         }
         const wall_time since = memory.surplus_since.try_emplace(kind, inputs.now).first->second;
-        if (inputs.now - since >= m_options.hold) {
+        if (inputs.now - since >= m_options.scale_in_delay) {
             servers.shrink(kind, result);
         }
     }
@@ -238,7 +238,7 @@
     wanted_servers wanted;
     wanted.is_market_closed = cheap_zones < inputs.markets.size();
     if (cheap_zones > 0) {
-        const auto most_cheap = static_cast<std::uint32_t>(std::floor(m_options.most_cheap_share * all));
+        const auto most_cheap = static_cast<std::uint32_t>(std::floor(m_options.max_cheap_share * all));
         wanted.cheap = std::min(most_cheap, all - std::min(all, guaranteed));
     }
     wanted.regular = all - wanted.cheap;
@@ -257,7 +257,7 @@
         m_options.cheap_price * cheap_zones < m_options.regular_price * (cheap_zones - 1);
     while (left() < needed) {
         const double share = static_cast<double>(wanted.cheap + 1) / (wanted.regular + wanted.cheap + 1);
-        if (is_cheap_cover_cheaper && share <= m_options.most_cheap_share) {
+        if (is_cheap_cover_cheaper && share <= m_options.max_cheap_share) {
             ++wanted.cheap;
         } else {
             ++wanted.regular;
@@ -272,8 +272,7 @@
         most += market.most_servers;
     }
     const auto is_over = [&] {
-        const bool is_over_price =
-            m_options.most_price_per_hour > 0 && get_price(wanted) > m_options.most_price_per_hour;
+        const bool is_over_price = m_options.max_price_per_hour > 0 && get_price(wanted) > m_options.max_price_per_hour;
         return wanted.regular + wanted.cheap > most || is_over_price;
     };
     while (is_over() && wanted.regular + wanted.cheap > 0) {
--- a/policy/spend_planner.hpp
+++ b/policy/spend_planner.hpp
@@ -51,24 +51,24 @@
     /// Multiple of the lead time after which an ordered server is not counted on any more.
     double overdue_factor{2.0};
     /// How long a market that has not delivered is left alone.
-    duration market_retry{std::chrono::minutes(15)};
+    duration market_retry_delay{std::chrono::minutes(15)};
     /// How long there must be a server too many before it is withdrawn.
-    duration hold{std::chrono::minutes(4)};
+    duration scale_in_delay{std::chrono::minutes(4)};
     /// How far above the forecast the fleet is kept able to serve.
     double headroom{0.02};
     /// Greatest share of the servers that may be cheap.
-    double most_cheap_share{0.5};
+    double max_cheap_share{0.5};
     /// Part of the expected work that must be served after all cheap servers of one zone have vanished.
     double reclaim_cover{0.85};
     /// Prices for one server and hour, in the currency of the manifest.
     double regular_price{1.0};
     double cheap_price{0.35};
     /// Greatest spending for one hour; 0 means no limit.
-    double most_price_per_hour{0};
+    double max_price_per_hour{0};
 };
 
 /// Kept by the caller between two plans.
-struct spend_memory {
+struct spend_planner_state {
     std::map<server_kind, wall_time> surplus_since;
     /// Until when nothing is ordered of a kind in a zone that has not delivered.
     std::map<std::pair<zone_name, server_kind>, wall_time> closed_until;
@@ -141,7 +141,7 @@
 
     /// Returns the plan for all availability zones; a lease holder carries out the orders of its own zone only.
     /// Thread safe when each thread has its own `memory`.
-    [[nodiscard]] spend_plan plan(const spend_inputs& inputs, spend_memory& memory) const;
+    [[nodiscard]] spend_plan plan(const spend_inputs& inputs, spend_planner_state& memory) const;
 
 private:
     struct wanted_servers {
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -54,16 +54,18 @@
     return slots / static_cast<double>(engines.size());
 }
 
-double assume_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options) {
-    const double generators = options.share_before_demand * static_cast<double>(engines) - options.spare_generators;
+double assume_initial_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options) {
+    const double generators =
+        options.initial_decode_share * static_cast<double>(engines) - options.spare_decode_engines;
     const double needed = std::floor(std::max(0.0, generators) / (1 + options.spare_share));
-    return needed * slots_per_engine * options.generator_fill;
+    return needed * slots_per_engine * options.decode_fill;
 }
 
-std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand, const stage_plan_options& options) {
-    const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.generator_fill));
+std::uint32_t count_decode_engines(double slots_per_engine, const stage_demand& demand,
+                                   const stage_plan_options& options) {
+    const double needed = std::ceil(demand.running / std::max(1.0, slots_per_engine * options.decode_fill));
     const double with_spare = std::ceil(needed * (1 + options.spare_share));
-    return std::max(static_cast<std::uint32_t>(with_spare) + options.spare_generators, options.least_generators);
+    return std::max(static_cast<std::uint32_t>(with_spare) + options.spare_decode_engines, options.min_decode_engines);
 }
 
 std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
@@ -75,10 +77,10 @@
     const std::vector<const staged_engine*> ranked = rank_generators(engines);
     // Someone has to read prompts, too.
     const std::size_t generators =
-        std::min<std::size_t>(count_generators(get_mean_slots(engines), demand, options), engines.size() / 2);
+        std::min<std::size_t>(count_decode_engines(get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
-    const double share = demand.is_before_first_request ? 1.0 : options.most_changing;
+    const double share = demand.is_before_first_request ? 1.0 : options.max_changing_share;
     const auto most_changing =
         std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -31,18 +31,18 @@
 
 struct stage_plan_options {
     /// Part of its slots up to which an engine that generates is filled, so that pauses within streams stay short.
-    double generator_fill{0.3};
+    double decode_fill{0.3};
     /// Engines that generate beyond what the demand needs, as a share of those, so that losing the engines of one zone
     /// out of four costs no service.
     double spare_share{0.34};
     /// The same, as a number.
-    std::uint32_t spare_generators{1};
-    std::uint32_t least_generators{3};
+    std::uint32_t spare_decode_engines{1};
+    std::uint32_t min_decode_engines{3};
     /// Part of the engines that generate while no request has shown yet what is asked for. An engine that changes its
     /// stage is away for seconds, just when the first requests find all memories empty.
-    double share_before_demand{0.25};
+    double initial_decode_share{0.25};
     /// Part of a service's engines that may be changing their stage at once while requests run.
-    double most_changing{0.25};
+    double max_changing_share{0.25};
 };
 
 /// A change of an engine's stage.
@@ -54,11 +54,12 @@
 };
 
 /// Returns how many engines should generate, spare ones included. Thread safe.
-[[nodiscard]] std::uint32_t count_generators(double slots_per_engine, const stage_demand& demand,
-                                             const stage_plan_options& options);
+[[nodiscard]] std::uint32_t count_decode_engines(double slots_per_engine, const stage_demand& demand,
+                                                 const stage_plan_options& options);
 
 /// Returns the running requests to plan for before the first one came. Thread safe.
-[[nodiscard]] double assume_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options);
+[[nodiscard]] double assume_initial_running(std::size_t engines, double slots_per_engine,
+                                            const stage_plan_options& options);
 
 /// Returns the mean slots of engines. Precondition: there is one. Thread safe.
 [[nodiscard]] double get_mean_slots(std::span<const staged_engine> engines);
--- a/policy/silence_watch.cpp
+++ b/policy/stall_detector.cpp
@@ -1,4 +1,4 @@
-#include "policy/silence_watch.hpp"
+#include "policy/stall_detector.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -13,13 +13,14 @@
 
 } // namespace
 
-silence_watch::waiting::waiting(silence_watch& watch, backend_server_name server, steady_time overdue_at)
+stall_detector::pending_request::pending_request(stall_detector& watch, backend_server_name server,
+                                                 steady_time overdue_at)
     : m_watch(&watch), m_server(std::move(server)) {
     std::list<steady_time>& places = m_watch->m_waiting[m_server];
     m_place = places.insert(places.end(), overdue_at);
 }
 
-void silence_watch::waiting::end() {
+void stall_detector::pending_request::end() {
     if (std::exchange(m_has_ended, true)) {
         return;
     }
@@ -30,16 +31,17 @@
     }
 }
 
-silence_watch::waiting silence_watch::watch(const backend_server_name& server, steady_time now, duration expected) {
-    return {*this, server, now + expected * m_options.patience_factor + m_options.patience};
+stall_detector::pending_request stall_detector::track(const backend_server_name& server, steady_time now,
+                                                      duration expected) {
+    return {*this, server, now + expected * m_options.timeout_factor + m_options.timeout_margin};
 }
 
-bool silence_watch::is_silent(const backend_server_name& server, steady_time now) const {
+bool stall_detector::is_stalled(const backend_server_name& server, steady_time now) const {
     const auto found = m_waiting.find(server);
     return found != m_waiting.end() && is_any_overdue(found->second, now);
 }
 
-std::vector<backend_server_name> silence_watch::get_silent(steady_time now) const {
+std::vector<backend_server_name> stall_detector::get_stalled(steady_time now) const {
     std::vector<backend_server_name> silent;
     for (const auto& [server, waiting] : m_waiting) {
         if (is_any_overdue(waiting, now)) {
--- a/policy/usage_delegation.hpp
+++ b/policy/usage_delegation.hpp
@@ -27,7 +27,7 @@
     /// `over_for`: how long ago the window ended.
     [[nodiscard]] choice choose(std::int64_t window, std::int64_t recorded, duration over_for) const {
         // Hosts tell each other only of the newest windows; after a long outage more is missing.
-        if (window - recorded > most_told_windows) {
+        if (window - recorded > max_gossiped_windows) {
             return choice::record;
         }
         if (m_recorded && *m_recorded >= window) {
@@ -37,7 +37,7 @@
     }
 
     /// Windows that are over of which a host's digest tells.
-    static constexpr std::int64_t most_told_windows = 2;
+    static constexpr std::int64_t max_gossiped_windows = 2;
 
 private:
     duration m_patience;
--- a/policy/turn_queue.hpp
+++ b/policy/wait_queue.hpp
@@ -13,7 +13,7 @@
 /// The users of a dependency that wait for it, in the order in which they came. The first one may call when the breaker
 /// allows a call; all may as soon as a call was answered. Who fails waits again behind the others, so that none is kept
 /// from trying. Pure state; not thread safe.
-class turn_queue {
+class wait_queue {
 public:
     using ticket = std::uint64_t;
 
@@ -30,12 +30,12 @@
 
     /// Returns until when a user has to wait at least; nothing when only a change of the queue or of the breaker can
     /// end its wait. A moment that has passed means that it may call.
-    [[nodiscard]] std::optional<steady_time> get_turn(ticket user, const circuit_breaker& breaker) const {
-        if (!breaker.get_next_at()) {
+    [[nodiscard]] std::optional<steady_time> get_wait_end(ticket user, const circuit_breaker& breaker) const {
+        if (!breaker.get_next_call_at()) {
             return steady_time::min();
         }
         const bool is_first = !m_waiting.empty() && m_waiting.front() == user;
-        return is_first ? breaker.get_next_at() : std::nullopt;
+        return is_first ? breaker.get_next_call_at() : std::nullopt;
     }
 
 private:
--- a/policy/weight_load_planner.cpp
+++ b/policy/weight_load_planner.cpp
@@ -4,7 +4,7 @@
 
 std::vector<std::size_t> plan_weight_loads(std::span<const weight_load> loads,
                                            const weight_load_planner_options& options) {
-    const double seconds = std::chrono::duration<double>(options.longest_load).count();
+    const double seconds = std::chrono::duration<double>(options.max_load_time).count();
     const auto budget = static_cast<std::uint64_t>(static_cast<double>(options.store_bytes_per_second) * seconds);
     std::uint64_t under_way = 0;
     bool is_any_running = false;
--- a/policy/weight_load_planner.hpp
+++ b/policy/weight_load_planner.hpp
@@ -28,7 +28,7 @@
     /// What the weight store gives in a second, to all engines of the availability zone together.
     std::uint64_t store_bytes_per_second{};
     /// Longest time that a load may take; loads are not started that would make all of them slower than this.
-    duration longest_load{std::chrono::minutes(2)};
+    duration max_load_time{std::chrono::minutes(2)};
 };
 
 /// Returns the indices of the loads to start now, in the order given, so that all running ones together stay within
--- a/servers/admission_gate.cpp
+++ b/servers/admission_controller.cpp
@@ -1,10 +1,10 @@
-#include "servers/admission_gate.hpp"
+#include "servers/admission_controller.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include "servers/gone_subscription.hpp"
+#include "servers/disconnect_subscription.hpp"
 #include "servers/request_refused.hpp"
 
 namespace dragonflywell::servers {
@@ -18,8 +18,8 @@
 
 } // namespace
 
-asio::awaitable<std::unique_ptr<admission_gate::permit>> admission_gate::admit(admission_request request,
-                                                                               caller_channel& caller) {
+asio::awaitable<std::unique_ptr<admission_controller::permit>> admission_controller::admit(admission_request request,
+                                                                                           caller_channel& caller) {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     policy::ticket_number ticket = 0;
     const std::uint64_t tokens = std::min(request.cost.get_tokens(), get_limit(request.capacity_tokens));
@@ -27,9 +27,9 @@
     if (waiting == nullptr) {
         co_return std::make_unique<permit>(*this, request.model, tokens, get_work(request.cost));
     }
-    waiting->timer.expires_after(m_options.longest_wait);
+    waiting->timer.expires_after(m_options.max_wait);
     {
-        const gone_subscription subscription(caller, [&waiting] { waiting->timer.cancel(); });
+        const disconnect_subscription subscription(caller, [&waiting] { waiting->timer.cancel(); });
         error_code ignored;
         co_await waiting->timer.async_wait(store_error(ignored));
     }
@@ -37,13 +37,13 @@
     if (is_admitted) {
         co_return std::make_unique<permit>(*this, request.model, tokens, get_work(request.cost));
     }
-    if (caller.is_gone()) {
-        throw caller_gone_error("caller left while its request waited");
+    if (caller.is_disconnected()) {
+        throw caller_disconnected_error("caller left while its request waited");
     }
-    throw make_refusal(policy::refusal_reason::deadline_not_feasible, "the engines are busy", m_options.longest_wait);
+    throw make_refusal(policy::refusal_reason::deadline_not_feasible, "the engines are busy", m_options.max_wait);
 }
 
-std::size_t admission_gate::get_waiting() const {
+std::size_t admission_controller::get_waiting() const {
     const std::scoped_lock lock(m_mutex);
     std::size_t waiting = 0;
     for (const auto& [model, gate] : m_gates) {
@@ -52,17 +52,18 @@
     return waiting;
 }
 
-std::uint64_t admission_gate::get_limit(std::uint64_t capacity_tokens) const {
+std::uint64_t admission_controller::get_limit(std::uint64_t capacity_tokens) const {
     return std::max<std::uint64_t>(1, capacity_tokens / m_options.hosts);
 }
 
-double admission_gate::get_work(const policy::request_cost& cost) const {
-    return m_options.prefill_share * static_cast<double>(cost.prefill_tokens) + static_cast<double>(cost.decode_tokens);
+double admission_controller::get_work(const policy::request_cost& cost) const {
+    return m_options.prefill_cost_ratio * static_cast<double>(cost.prefill_tokens) +
+           static_cast<double>(cost.decode_tokens);
 }
 
-std::shared_ptr<admission_gate::waiter> admission_gate::enter(const admission_request& request,
-                                                              const asio::any_io_executor& executor,
-                                                              policy::ticket_number& ticket) {
+std::shared_ptr<admission_controller::waiter> admission_controller::enter(const admission_request& request,
+                                                                          const asio::any_io_executor& executor,
+                                                                          policy::ticket_number& ticket) {
     const std::scoped_lock lock(m_mutex);
     model_gate& gate = get_gate(request.model);
     gate.limit_tokens = get_limit(request.capacity_tokens);
@@ -72,11 +73,11 @@
         return nullptr;
     }
     const duration wait = gate.rate.get_time_for(gate.queue.get_work_ahead(request.organisation));
-    if (wait > m_options.longest_wait) {
+    if (wait > m_options.max_wait) {
         throw make_refusal(policy::refusal_reason::deadline_not_feasible, "the answer could not begin in time",
-                           wait - m_options.longest_wait);
+                           wait - m_options.max_wait);
     }
-    if (gate.queue.size() >= m_options.most_waiting) {
+    if (gate.queue.size() >= m_options.max_waiting) {
         throw make_refusal(policy::refusal_reason::queue_full, "too many requests wait", wait);
     }
     ticket = m_next_ticket++;
@@ -85,7 +86,7 @@
     return gate.waiters[ticket] = std::make_shared<waiter>(executor, tokens);
 }
 
-bool admission_gate::leave(const model_name& model, policy::ticket_number ticket, waiter& waiting) {
+bool admission_controller::leave(const model_name& model, policy::ticket_number ticket, waiter& waiting) {
     const std::scoped_lock lock(m_mutex);
     if (waiting.is_admitted) {
         return true;
@@ -98,7 +99,7 @@
     return false;
 }
 
-void admission_gate::release(const model_name& model, std::uint64_t tokens, double work) {
+void admission_controller::release(const model_name& model, std::uint64_t tokens, double work) {
     const std::scoped_lock lock(m_mutex);
     model_gate& gate = get_gate(model);
     gate.admitted_tokens -= tokens;
@@ -106,7 +107,7 @@
     admit_next(gate);
 }
 
-void admission_gate::admit_next(model_gate& gate) {
+void admission_controller::admit_next(model_gate& gate) {
     std::optional<policy::ticket_number> ticket = gate.queue.peek();
     while (ticket) {
         const std::shared_ptr<waiter> next = gate.waiters.at(*ticket);
@@ -124,7 +125,7 @@
     gate.rate.set_busy(m_time->now(), gate.queue.size() > 0);
 }
 
-admission_gate::model_gate& admission_gate::get_gate(const model_name& model) {
+admission_controller::model_gate& admission_controller::get_gate(const model_name& model) {
     return m_gates.try_emplace(model, m_options).first->second;
 }
 
--- a/servers/admission_gate.hpp
+++ b/servers/admission_controller.hpp
@@ -15,11 +15,11 @@
     /// Entry hosts that share the engines; each admits its part of their capacity.
     std::uint64_t hosts{1};
     /// Longest time that a request may wait here; one that would wait longer is refused at once.
-    duration longest_wait{std::chrono::milliseconds(1900)};
+    duration max_wait{std::chrono::milliseconds(1900)};
     /// Requests that may wait for one model.
-    std::size_t most_waiting{1000};
+    std::size_t max_waiting{1000};
     /// Time that a prefill token takes an engine, relative to a decode token.
-    double prefill_share{0.05};
+    double prefill_cost_ratio{0.05};
 };
 
 /// What an organisation asks the gate for.
@@ -34,15 +34,16 @@
 
 /// Lets requests through to the engines of a model up to this host's part of their capacity; the others wait, and
 /// organisations take turns by weighted fair queueing. Thread safe; no lock is held while a request waits.
-class admission_gate {
+class admission_controller {
 public:
     /// Precondition: `time` outlives the gate.
-    admission_gate(const clock_source& time, admission_options options) noexcept : m_time(&time), m_options(options) {}
+    admission_controller(const clock_source& time, admission_options options) noexcept
+        : m_time(&time), m_options(options) {}
 
     /// Holds an admitted request's part of the capacity for as long as it lives.
     class permit {
     public:
-        permit(admission_gate& gate, model_name model, std::uint64_t tokens, double work)
+        permit(admission_controller& gate, model_name model, std::uint64_t tokens, double work)
             : m_gate(&gate), m_model(std::move(model)), m_tokens(tokens), m_work(work) {}
         permit(const permit&) = delete;
         permit& operator=(const permit&) = delete;
@@ -51,14 +52,14 @@
         ~permit() { m_gate->release(m_model, m_tokens, m_work); }
 
     private:
-        admission_gate* m_gate;
+        admission_controller* m_gate;
         model_name m_model;
         std::uint64_t m_tokens;
         double m_work;
     };
 
     /// Waits for the request's turn. Throws `request_refused`, outcome `not_run`, when it can't come in time;
-    /// `caller_gone_error` when the caller leaves meanwhile. The gate must outlive the permit.
+    /// `caller_disconnected_error` when the caller leaves meanwhile. The gate must outlive the permit.
     asio::awaitable<std::unique_ptr<permit>> admit(admission_request request, caller_channel& caller);
 
     /// Returns how many requests wait.
@@ -75,7 +76,7 @@
 
     struct model_gate {
         explicit model_gate(const admission_options& options)
-            : queue(options.prefill_share), rate(std::chrono::seconds(30)) {}
+            : queue(options.prefill_cost_ratio), rate(std::chrono::seconds(30)) {}
 
         policy::fair_queue queue;
         policy::service_rate rate;
--- a/servers/backend_choice.cpp
+++ b/servers/backend_choice.cpp
@@ -15,7 +15,7 @@
 
 /// Returns the load that placement compares, or nothing when the engine takes no new work.
 std::optional<std::uint64_t> get_compared_load(const entry_context& context, const engine_states& states,
-                                               const backend_server_name& server, const placed_work& work) {
+                                               const backend_server_name& server, const work_requirements& work) {
     const std::uint64_t load = context.loads.get(server);
     const auto state = states.find(server);
     if (state == states.end()) {
@@ -24,20 +24,20 @@
     if (!state->second.takes_new_work) {
         return std::nullopt;
     }
-    const bool is_suited = !work.shape || policy::suits_role(state->second.role, *work.shape);
+    const bool is_suited = !work.demand || policy::is_preferred_role(state->second.role, *work.demand);
     return is_suited ? load : load + wrong_role_tokens;
 }
 
 /// Leaves cheap servers out unless they may get the work or nothing else is left.
 void apply_cheap_rule(const entry_context& context, std::vector<policy::placement_candidate>& candidates,
-                      const placed_work& work) {
-    policy::cheap_share share{.most = work.most_cheap_share};
+                      const work_requirements& work) {
+    policy::cheap_share share{.most = work.max_cheap_share};
     for (const policy::placement_candidate& candidate : candidates) {
         const std::uint64_t load = context.loads.get(candidate.server->name);
         share.all_tokens += load;
         share.cheap_tokens += candidate.server->is_cheap ? load : 0;
     }
-    if (policy::may_use_cheap_server(work.loss, share, work.tokens)) {
+    if (policy::may_use_cheap_server(work.interruptibility, share, work.tokens)) {
         return;
     }
     const auto is_cheap = [](const policy::placement_candidate& candidate) { return candidate.server->is_cheap; };
@@ -51,7 +51,7 @@
 const fleet::backend_server& choose_backend_server(const entry_context& context,
                                                    std::span<const fleet::backend_server* const> servers,
                                                    const std::set<backend_server_name>& tried,
-                                                   const placed_work& work) {
+                                                   const work_requirements& work) {
     const std::shared_ptr<const engine_states> states = context.engines.get();
     std::vector<policy::placement_candidate> untried;
     std::vector<policy::placement_candidate> all;
--- a/servers/backend_choice.hpp
+++ b/servers/backend_choice.hpp
@@ -12,13 +12,13 @@
 namespace dragonflywell::servers {
 
 /// What placement has to know of a request.
-struct placed_work {
+struct work_requirements {
     /// Prefill and decode work, where it is known.
-    std::optional<policy::role_demand> shape;
-    policy::work_class loss{policy::work_class::guaranteed};
+    std::optional<policy::role_demand> demand;
+    policy::work_class interruptibility{policy::work_class::guaranteed};
     std::uint64_t tokens{};
     /// Greatest share of this daemon's work in progress that may be on cheap servers, 0 to 1.
-    double most_cheap_share{0};
+    double max_cheap_share{0};
 };
 
 /// Returns where a request goes: among the servers given, not among `tried` while others are left.
@@ -29,7 +29,7 @@
 [[nodiscard]] const fleet::backend_server& choose_backend_server(const entry_context& context,
                                                                  std::span<const fleet::backend_server* const> servers,
                                                                  const std::set<backend_server_name>& tried,
-                                                                 const placed_work& work);
+                                                                 const work_requirements& work);
 
 /// Returns the billing window of a moment. Thread safe.
 [[nodiscard]] coordination::window_number get_window(wall_time moment, const fleet::manifest& manifest);
--- a/servers/server_dialect.hpp
+++ b/servers/backend_codec.hpp
@@ -7,13 +7,13 @@
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
-#include "servers/call.hpp"
+#include "servers/caller_request.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
 
 /// Where an engine finds the memory of a prompt that another one has read.
-struct memory_source {
+struct kv_cache_source {
     endpoint engine;
     std::string handle;
 };
@@ -27,8 +27,8 @@
     /// Empty for a public route.
     organisation_name organisation;
     /// The prompt is only read, for another engine to generate from.
-    bool reads_prompt_only{false};
-    std::optional<memory_source> memory;
+    bool is_prefill_only{false};
+    std::optional<kv_cache_source> kv_cache;
     /// An engine from whose cache the beginning of the prompt is fetched before it is read.
     std::optional<endpoint> fetch_from;
     /// 0 is first, 9 last. Nothing leaves it to the server.
@@ -38,7 +38,7 @@
 };
 
 /// What the head of an answer says.
-enum class answer_kind : std::uint8_t {
+enum class response_kind : std::uint8_t {
     /// The server ran the request, to a good end or not; its answer is for the caller.
     answered,
     /// The server ran nothing and never will: it is full, or the time was up.
@@ -50,35 +50,36 @@
 };
 
 /// The memory of a prompt, as the engine that read it announces it.
-struct prompt_memory {
+struct kv_cache_info {
     std::string handle;
     std::uint64_t tokens{};
 };
 
 /// How calls are written to backend servers, and how their answers are read. Thread safe.
-class server_dialect {
+class backend_codec {
 public:
-    server_dialect() = default;
-    server_dialect(const server_dialect&) = delete;
-    server_dialect& operator=(const server_dialect&) = delete;
-    server_dialect(server_dialect&&) = delete;
-    server_dialect& operator=(server_dialect&&) = delete;
-    virtual ~server_dialect() = default;
+    backend_codec() = default;
+    backend_codec(const backend_codec&) = delete;
+    backend_codec& operator=(const backend_codec&) = delete;
+    backend_codec(backend_codec&&) = delete;
+    backend_codec& operator=(backend_codec&&) = delete;
+    virtual ~backend_codec() = default;
 
     /// Returns the request as it goes to the server.
-    [[nodiscard]] virtual http_request make_request(const call& request, const dispatch& sending) const = 0;
+    [[nodiscard]] virtual http_request make_request(const caller_request& request, const dispatch& sending) const = 0;
 
     /// Returns whether an answer belongs to this request rather than to an earlier one of the same connection.
-    [[nodiscard]] virtual bool is_answer_to(const call& request, const http::response_header<>& head) const = 0;
+    [[nodiscard]] virtual bool is_response_to(const caller_request& request,
+                                              const http::response_header<>& head) const = 0;
 
-    /// Classifies an answer. Precondition: `is_answer_to`.
-    [[nodiscard]] virtual answer_kind classify(const http::response_header<>& head) const = 0;
+    /// Classifies an answer. Precondition: `is_response_to`.
+    [[nodiscard]] virtual response_kind classify(const http::response_header<>& head) const = 0;
 
     /// Reads the answer to a dispatch that only reads the prompt. Throws `malformed_message_error`.
-    [[nodiscard]] virtual prompt_memory read_prompt_memory(std::string_view body) const = 0;
+    [[nodiscard]] virtual kv_cache_info decode_prefill_response(std::string_view body) const = 0;
 
     /// Returns the request that frees the memory of a prompt.
-    [[nodiscard]] virtual http_request make_release(const memory_source& memory) const = 0;
+    [[nodiscard]] virtual http_request make_release_request(const kv_cache_source& memory) const = 0;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -73,11 +73,11 @@
     const asio::execution_context* context = &connection->stream.get_executor().context();
     const std::scoped_lock lock(m_mutex);
     std::vector<idle_connection>& idle = m_idle[{.context = context, .server = server}];
-    duration usable_for = m_options.most_idle_time;
-    if (connection->kept_open_for) {
-        usable_for = std::min(usable_for, *connection->kept_open_for - keep_open_margin);
+    duration usable_for = m_options.max_idle_time;
+    if (connection->keep_alive_timeout) {
+        usable_for = std::min(usable_for, *connection->keep_alive_timeout - keep_open_margin);
     }
-    if (idle.size() < m_options.most_idle_per_server && usable_for > duration::zero()) {
+    if (idle.size() < m_options.max_idle_per_server && usable_for > duration::zero()) {
         idle.push_back({.connection = std::move(connection), .usable_until = m_time->now() + usable_for});
     }
 }
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -20,32 +20,32 @@
 
 /// Most bytes that are read ahead of what was parsed: a head, the size of a chunk or trailers that do not end by then
 /// belong to no answer.
-inline constexpr std::size_t most_read_ahead_bytes = 128UL * 1024;
+inline constexpr std::size_t max_read_ahead_bytes = 128UL * 1024;
 
 /// A connection to one backend server, with the bytes read ahead of what was parsed.
 struct backend_connection {
     explicit backend_connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer{most_read_ahead_bytes};
+    beast::flat_buffer buffer{max_read_ahead_bytes};
     /// What is being sent; stays until the send is over, whatever became of the exchange.
     std::string outgoing;
     bool is_sending{false};
     /// Whether it has carried an exchange before; the other end may have closed it since.
     bool is_reused{false};
     /// How long the other end keeps it open without a request, where it said so.
-    std::optional<duration> kept_open_for;
+    std::optional<duration> keep_alive_timeout;
 };
 
 struct backend_connection_pool_options {
-    std::size_t most_idle_per_server{64};
+    std::size_t max_idle_per_server{64};
     duration connect_timeout{std::chrono::seconds(1)};
     /// How long sent bytes may stay unacknowledged before the connection counts as lost.
     duration unacknowledged_timeout{std::chrono::seconds(3)};
     /// An idle connection older than this is not used: something between the ends may have forgotten it.
-    duration most_idle_time{std::chrono::seconds(20)};
+    duration max_idle_time{std::chrono::seconds(20)};
     /// Most bytes of answers that are held at a time until they are whole, for all exchanges.
-    std::size_t most_gathered_bytes{32UL * 1024 * 1024};
+    std::size_t max_buffered_bytes{32UL * 1024 * 1024};
 };
 
 /// Idle connections to backend servers. Thread safe.
@@ -80,7 +80,7 @@
     void clear();
 
     /// Returns what bounds the answers that are held until they are whole.
-    [[nodiscard]] const byte_budget& get_gathered() const noexcept { return m_gathered; }
+    [[nodiscard]] const byte_budget& get_buffer_budget() const noexcept { return m_gathered; }
 
     /// Returns the clock by which deadlines of exchanges are kept.
     [[nodiscard]] const clock_source& get_time() const noexcept { return *m_time; }
@@ -100,7 +100,7 @@
 
     const clock_source* m_time;
     backend_connection_pool_options m_options;
-    byte_budget m_gathered{m_options.most_gathered_bytes};
+    byte_budget m_gathered{m_options.max_buffered_bytes};
     std::atomic<std::uint64_t> m_opened{0};
     std::mutex m_mutex;
     std::map<idle_key, std::vector<idle_connection>> m_idle;
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -69,12 +69,12 @@
     send(request);
     const bool is_head_request = request.method() == http::verb::head;
     std::size_t head_bytes = co_await read_head(is_head_request);
-    while (m_options.is_own_answer && !m_options.is_own_answer(m_parser->get())) {
+    while (m_options.is_matching_response && !m_options.is_matching_response(m_parser->get())) {
         add_unused_bytes(head_bytes);
         co_await skip_foreign_answer();
         head_bytes = co_await read_head(is_head_request);
     }
-    if (!m_options.accepts_unframed && !m_parser->is_done() && m_parser->need_eof()) {
+    if (!m_options.accepts_unframed_response && !m_parser->is_done() && m_parser->need_eof()) {
         throw exchange_failed_error("answer does not say how long it is", exchange_phase::after_send,
                                     policy::retry_reason::malformed_answer);
     }
@@ -82,7 +82,7 @@
 
 asio::awaitable<void> backend_exchange::connect() {
     error_code fault;
-    if (m_options.may_reuse) {
+    if (m_options.may_reuse_connection) {
         m_connection = m_pool->take_idle(m_server, co_await asio::this_coro::executor);
     }
     if (m_connection == nullptr) {
@@ -181,7 +181,7 @@
     const bool is_clean = m_connection != nullptr && m_parser->get().keep_alive() && !m_connection->is_sending &&
                           m_connection->buffer.size() == 0;
     if (is_clean) {
-        m_connection->kept_open_for = get_keep_alive_time(m_parser->get());
+        m_connection->keep_alive_timeout = get_keep_alive_time(m_parser->get());
         m_pool->put_idle(m_server, std::move(m_connection));
     }
     m_connection.reset();
@@ -189,7 +189,7 @@
 
 asio::awaitable<std::string> backend_exchange::read_rest(std::size_t limit_bytes) {
     std::string rest;
-    byte_budget::share held(m_pool->get_gathered());
+    byte_budget::share held(m_pool->get_buffer_budget());
     std::string_view piece = co_await read_some();
     while (!piece.empty()) {
         if (rest.size() + piece.size() > limit_bytes || !held.take(piece.size())) {
@@ -202,8 +202,8 @@
     co_return rest;
 }
 
-asio::awaitable<void> backend_exchange::settle() {
-    m_options.progress_deadline = std::min(m_options.progress_deadline, settle_deadline);
+asio::awaitable<void> backend_exchange::drain() {
+    m_options.progress_timeout = std::min(m_options.progress_timeout, settle_deadline);
     try {
         co_await read_some();
     } catch (const exchange_failed_error&) {
@@ -221,11 +221,11 @@
 }
 
 void backend_exchange::limit_silence() {
-    m_connection->stream.expires_after(std::clamp(get_time_left(), duration::zero(), m_options.progress_deadline));
+    m_connection->stream.expires_after(std::clamp(get_time_left(), duration::zero(), m_options.progress_timeout));
 }
 
 duration backend_exchange::get_time_left() const {
-    return m_options.last_moment - m_pool->get_time().now();
+    return m_options.deadline - m_pool->get_time().now();
 }
 
 void backend_exchange::fail(const error_code& fault, exchange_phase phase, const char* what) const {
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -37,15 +37,15 @@
 struct exchange_options {
     /// Whether a pooled connection may carry it. A request that must run at most once takes a new one, because a
     /// pooled connection may be closed by the other end just as the request is written.
-    bool may_reuse{true};
+    bool may_reuse_connection{true};
     /// Longest silence before the exchange is given up.
-    duration progress_deadline{};
+    duration progress_timeout{};
     /// When the exchange is given up even though it makes progress.
-    steady_time last_moment{steady_time::max()};
+    steady_time deadline{steady_time::max()};
     /// Whether an answer that ends with its connection, rather than at a length, is taken as whole.
-    bool accepts_unframed{false};
+    bool accepts_unframed_response{false};
     /// Tells whether an answer belongs to this request. One that doesn't is read over; an empty function takes any.
-    std::function<bool(const http::response_header<>&)> is_own_answer{};
+    std::function<bool(const http::response_header<>&)> is_matching_response{};
     /// Tells whether the request may still be sent, asked when the connection is there; an empty function permits it.
     std::function<bool()> may_send{};
 };
@@ -75,7 +75,7 @@
 
     /// Takes the end of an answer that is known to be whole, so that its connection can carry another exchange. Closes
     /// the connection when more than that end comes, or nothing soon. Does not throw.
-    asio::awaitable<void> settle();
+    asio::awaitable<void> drain();
 
     /// Closes the connection, so that an operation under way fails and the backend server sees that nobody reads on.
     void cancel();
--- a/servers/caller_channel.hpp
+++ b/servers/caller_channel.hpp
@@ -9,7 +9,7 @@
 namespace dragonflywell::servers {
 
 /// The caller closed its connection or does not take its answer any more.
-class caller_gone_error : public error {
+class caller_disconnected_error : public error {
 public:
     using error::error;
 };
@@ -25,7 +25,7 @@
     return head;
 }
 
-/// The way back to one caller. All functions throw `caller_gone_error`. One request at a time; not thread safe.
+/// The way back to one caller. All functions throw `caller_disconnected_error`. One request at a time; not thread safe.
 class caller_channel {
 public:
     caller_channel() = default;
@@ -50,9 +50,9 @@
     [[nodiscard]] virtual bool is_started() const noexcept = 0;
 
     /// Returns whether the caller is known to have left. A caller that ends its sending side counts as one that left.
-    [[nodiscard]] virtual bool is_gone() const noexcept { return false; }
+    [[nodiscard]] virtual bool is_disconnected() const noexcept { return false; }
     /// Has `notify` called once when the caller leaves; an empty function ends that.
-    virtual void set_on_gone(std::function<void()> /*notify*/) {}
+    virtual void set_on_disconnect(std::function<void()> /*notify*/) {}
 };
 
 } // namespace dragonflywell::servers
--- a/servers/caller_watch.cpp
+++ b/servers/caller_disconnect_monitor.cpp
@@ -1,4 +1,4 @@
-#include "servers/caller_watch.hpp"
+#include "servers/caller_disconnect_monitor.hpp"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -21,7 +21,8 @@
 
 } // namespace
 
-caller_watch::caller_watch(tcp::socket& socket) : m_socket(&socket), m_state(std::make_shared<watch_state>()) {
+caller_disconnect_monitor::caller_disconnect_monitor(tcp::socket& socket)
+    : m_socket(&socket), m_state(std::make_shared<watch_state>()) {
     m_socket->async_wait(tcp::socket::wait_read, [socket = m_socket, state = m_state](const error_code& fault) {
         if (!state->is_active || fault) {
             return;
@@ -32,23 +33,23 @@
     });
 }
 
-caller_watch::~caller_watch() {
+caller_disconnect_monitor::~caller_disconnect_monitor() {
     m_state->is_active = false;
     m_state->notify = {};
     error_code ignored;
     m_socket->cancel(ignored);
 }
 
-void caller_watch::set_gone() {
-    m_state->is_gone = true;
+void caller_disconnect_monitor::set_disconnected() {
+    m_state->is_disconnected = true;
 }
 
-void caller_watch::set_on_gone(std::function<void()> notify) {
+void caller_disconnect_monitor::set_on_disconnect(std::function<void()> notify) {
     m_state->notify = std::move(notify);
 }
 
-void caller_watch::tell(watch_state& state) {
-    state.is_gone = true;
+void caller_disconnect_monitor::tell(watch_state& state) {
+    state.is_disconnected = true;
     if (const std::function<void()> notify = std::exchange(state.notify, {})) {
         notify();
     }
--- a/servers/caller_watch.hpp
+++ b/servers/caller_disconnect_monitor.hpp
@@ -7,26 +7,26 @@
 namespace dragonflywell::servers {
 
 /// Notices that a caller closes its connection while its request is being worked on. Used on the connection's context.
-class caller_watch {
+class caller_disconnect_monitor {
 public:
     /// Precondition: `socket` outlives the watch, and nothing reads from it meanwhile.
-    explicit caller_watch(boost::asio::ip::tcp::socket& socket);
-    caller_watch(const caller_watch&) = delete;
-    caller_watch& operator=(const caller_watch&) = delete;
-    caller_watch(caller_watch&&) = delete;
-    caller_watch& operator=(caller_watch&&) = delete;
-    ~caller_watch();
-
-    [[nodiscard]] bool is_gone() const noexcept { return m_state->is_gone; }
+    explicit caller_disconnect_monitor(boost::asio::ip::tcp::socket& socket);
+    caller_disconnect_monitor(const caller_disconnect_monitor&) = delete;
+    caller_disconnect_monitor& operator=(const caller_disconnect_monitor&) = delete;
+    caller_disconnect_monitor(caller_disconnect_monitor&&) = delete;
+    caller_disconnect_monitor& operator=(caller_disconnect_monitor&&) = delete;
+    ~caller_disconnect_monitor();
+
+    [[nodiscard]] bool is_disconnected() const noexcept { return m_state->is_disconnected; }
     /// Notes that a write to the caller failed.
-    void set_gone();
+    void set_disconnected();
     /// Has `notify` called once when the caller leaves; an empty function ends that.
-    void set_on_gone(std::function<void()> notify);
+    void set_on_disconnect(std::function<void()> notify);
 
 private:
     struct watch_state {
         bool is_active{true};
-        bool is_gone{false};
+        bool is_disconnected{false};
         std::function<void()> notify;
     };
 
--- a/servers/call.hpp
+++ b/servers/caller_request.hpp
@@ -21,11 +21,11 @@
 };
 
 /// What a request asks a model for.
-struct generation {
+struct generation_parameters {
     model_name model;
     std::uint32_t prompt_tokens{};
     /// Most tokens of the answer.
-    std::uint32_t most_output_tokens{};
+    std::uint32_t max_output_tokens{};
     /// The caller's estimate of the answer's tokens; nothing where it gives none.
     std::optional<std::uint32_t> expected_output_tokens;
     /// In order of the prompt.
@@ -33,7 +33,7 @@
 };
 
 /// A caller's request, decoded from the dialect that the caller speaks.
-struct call {
+struct caller_request {
     /// Names the request in logs and at the backend server.
     std::string id;
     http::verb method{http::verb::get};
@@ -44,8 +44,8 @@
     /// Empty where the request carries none.
     std::string key;
     /// How long the caller waits, where it says so.
-    std::optional<duration> caller_patience;
-    std::optional<generation> wanted;
+    std::optional<duration> caller_timeout;
+    std::optional<generation_parameters> generation;
     /// The last event of a broken stream that the caller has; empty where it asks for a whole one.
     std::string last_event_id;
     /// Headers that go on to a backend server, in order.
--- a/servers/demand_meter.cpp
+++ b/servers/demand_meter.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void demand_meter::add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t most_tokens) {
+void demand_meter::add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t max_tokens) {
     const std::scoped_lock lock(m_mutex);
     entry& target = m_entries[key];
     target.row.key = key;
@@ -19,23 +19,23 @@
     ++m_service[key.organisation].asked;
     target.row.prompt_tokens += prompt_tokens;
     target.row.output_tokens +=
-        static_cast<std::uint64_t>(std::lround(target.output_part * static_cast<double>(most_tokens)));
+        static_cast<std::uint64_t>(std::lround(target.output_part * static_cast<double>(max_tokens)));
 }
 
-void demand_meter::add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t most_tokens) {
+void demand_meter::add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens) {
     const std::scoped_lock lock(m_mutex);
-    service_row& service = m_service[key.organisation];
+    organisation_counts& service = m_service[key.organisation];
     ++service.completed;
     service.delivered_tokens += tokens;
-    if (most_tokens == 0) {
+    if (max_tokens == 0) {
         return;
     }
     entry& target = m_entries[key];
-    const double part = static_cast<double>(tokens) / static_cast<double>(most_tokens);
+    const double part = static_cast<double>(tokens) / static_cast<double>(max_tokens);
     target.output_part += answer_weight * (part - target.output_part);
 }
 
-std::map<organisation_name, demand_meter::service_row> demand_meter::take_service() {
+std::map<organisation_name, demand_meter::organisation_counts> demand_meter::take_organisation_counts() {
     const std::scoped_lock lock(m_mutex);
     return std::exchange(m_service, {});
 }
--- a/servers/demand_meter.hpp
+++ b/servers/demand_meter.hpp
@@ -11,19 +11,19 @@
 /// Counts what callers of this daemon ask for, refused requests included. Thread safe.
 class demand_meter {
 public:
-    /// Counts one arrival that permits up to `most_tokens` of output. The output is estimated from earlier answers.
-    void add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t most_tokens);
+    /// Counts one arrival that permits up to `max_tokens` of output. The output is estimated from earlier answers.
+    void add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t max_tokens);
 
     /// Notes how much of the permitted output a whole answer had.
-    void add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t most_tokens);
+    void add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens);
 
     /// Requests asked for and completed, and tokens delivered, by organisation, since the last call.
-    struct service_row {
+    struct organisation_counts {
         std::uint64_t asked{};
         std::uint64_t completed{};
         std::uint64_t delivered_tokens{};
     };
-    [[nodiscard]] std::map<organisation_name, service_row> take_service();
+    [[nodiscard]] std::map<organisation_name, organisation_counts> take_organisation_counts();
 
     /// Returns what came in since the last call, and starts anew.
     [[nodiscard]] std::vector<policy::demand_row> take();
@@ -37,7 +37,7 @@
 
     std::mutex m_mutex;
     std::map<policy::demand_key, entry> m_entries;
-    std::map<organisation_name, service_row> m_service;
+    std::map<organisation_name, organisation_counts> m_service;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/board_entries.hpp
+++ b/servers/engine_load_guards.hpp
@@ -9,19 +9,19 @@
 namespace dragonflywell::servers {
 
 /// Keeps a prompt on the board while an engine reads it.
-class prompt_on_board {
+class prefill_guard {
 public:
-    prompt_on_board(serving_state& state, service_name service, backend_server_name engine, std::uint64_t number)
+    prefill_guard(serving_state& state, service_name service, backend_server_name engine, std::uint64_t number)
         : m_state(&state), m_service(std::move(service)), m_engine(std::move(engine)), m_number(number) {}
-    prompt_on_board(const prompt_on_board&) = delete;
-    prompt_on_board& operator=(const prompt_on_board&) = delete;
-    prompt_on_board(prompt_on_board&&) = delete;
-    prompt_on_board& operator=(prompt_on_board&&) = delete;
-    ~prompt_on_board() {
+    prefill_guard(const prefill_guard&) = delete;
+    prefill_guard& operator=(const prefill_guard&) = delete;
+    prefill_guard(prefill_guard&&) = delete;
+    prefill_guard& operator=(prefill_guard&&) = delete;
+    ~prefill_guard() {
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
-            engines->board.end_prompt(m_engine, m_number, m_state->time.now());
+            engines->board.end_prefill(m_engine, m_number, m_state->time.now());
         }
-        m_state->note_load_change();
+        m_state->notify_load_change();
     }
 
 private:
@@ -32,19 +32,19 @@
 };
 
 /// Keeps a running generation on the board.
-class run_on_board {
+class generation_guard {
 public:
-    run_on_board(serving_state& state, service_name service, backend_server_name engine, std::uint64_t tokens)
+    generation_guard(serving_state& state, service_name service, backend_server_name engine, std::uint64_t tokens)
         : m_state(&state), m_service(std::move(service)), m_engine(std::move(engine)), m_tokens(tokens) {}
-    run_on_board(const run_on_board&) = delete;
-    run_on_board& operator=(const run_on_board&) = delete;
-    run_on_board(run_on_board&&) = delete;
-    run_on_board& operator=(run_on_board&&) = delete;
-    ~run_on_board() {
+    generation_guard(const generation_guard&) = delete;
+    generation_guard& operator=(const generation_guard&) = delete;
+    generation_guard(generation_guard&&) = delete;
+    generation_guard& operator=(generation_guard&&) = delete;
+    ~generation_guard() {
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
-            engines->board.end_run(m_engine, m_tokens);
+            engines->board.end_decode(m_engine, m_tokens);
         }
-        m_state->note_load_change();
+        m_state->notify_load_change();
     }
 
 private:
--- a/servers/engine_state_table.hpp
+++ b/servers/engine_state_table.hpp
@@ -3,7 +3,7 @@
 #include <map>
 #include <memory>
 
-#include "core/snapshot_cell.hpp"
+#include "core/rcu_cell.hpp"
 #include "fleet/backend_server.hpp"
 
 namespace dragonflywell::servers {
@@ -28,7 +28,7 @@
     [[nodiscard]] std::shared_ptr<const engine_states> get() const { return m_states.get(); }
 
 private:
-    snapshot_cell<engine_states> m_states{std::make_shared<const engine_states>()};
+    rcu_cell<engine_states> m_states{std::make_shared<const engine_states>()};
 };
 
 } // namespace dragonflywell::servers
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -7,13 +7,13 @@
 #include "coordination/claim_queue.hpp"
 #include "coordination/usage.hpp"
 #include "core/clock.hpp"
-#include "core/snapshot_cell.hpp"
+#include "core/rcu_cell.hpp"
 #include "fleet/manifest.hpp"
 #include "policy/cut_off_state.hpp"
 #include "policy/placement.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
-#include "servers/admission_gate.hpp"
+#include "servers/admission_controller.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/backend_index.hpp"
 #include "servers/backend_load_table.hpp"
@@ -41,11 +41,11 @@
 
 struct request_limits {
     /// Time from the arrival of a request to the end of its answer.
-    duration request_deadline{std::chrono::seconds(300)};
+    duration request_timeout{std::chrono::seconds(300)};
     /// Longest silence of a backend server within one answer.
-    duration progress_deadline{std::chrono::seconds(5)};
+    duration progress_timeout{std::chrono::seconds(5)};
     /// How many backend servers are tried for one request that may be repeated.
-    unsigned most_attempts{3};
+    unsigned max_attempts{3};
     /// Entry hosts that share the organisations' cost limits.
     std::uint64_t entry_hosts{1};
 };
@@ -54,14 +54,14 @@
 struct entry_context {
     const clock_source& time;
     zone_name own_zone;
-    snapshot_cell<active_manifest>& manifest;
+    rcu_cell<active_manifest>& manifest;
     const policy::placement& placement;
     backend_connection_pool& connections;
     backend_load_table& loads;
     coordination::usage_meter& usage;
     coordination::claim_queue& claims;
     request_counters& counters;
-    admission_gate& admission;
+    admission_controller& admission;
     policy::retry_budget& retries;
     policy::quarantine& suspects;
     const policy::cut_off_state& cut_off;
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -2,8 +2,8 @@
 
 #include <boost/json.hpp>
 
-#include "servers/key_check.hpp"
 #include "servers/model_call.hpp"
+#include "servers/request_checks.hpp"
 #include "servers/service_call.hpp"
 
 namespace dragonflywell::servers {
@@ -30,8 +30,8 @@
         co_await dispatch(request, caller);
     } catch (const request_refused& refused) {
         refusal = refused;
-    } catch (const caller_gone_error&) {
-        m_context->counters.count_caller_gone();
+    } catch (const caller_disconnected_error&) {
+        m_context->counters.count_caller_disconnect();
         throw;
     } catch (const std::exception& fault) {
         // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
@@ -81,7 +81,7 @@
 }
 
 asio::awaitable<void> entry_handler::send_refusal(const request_refused& refusal, caller_channel& caller) {
-    const policy::refusal_form form = policy::get_refusal_form(refusal.get_reason());
+    const policy::refusal_response form = policy::get_refusal_response(refusal.get_reason());
     m_context->counters.count_refusal(refusal.get_reason());
     m_context->counters.count_outcome(refusal.get_outcome());
     if (caller.is_started()) {
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -20,7 +20,7 @@
     void drop_partial_event() { m_pending.clear(); }
 
     /// Returns whether the part that is left over is longer than any event.
-    [[nodiscard]] bool is_endless() const noexcept { return m_pending.size() > most_event_bytes; }
+    [[nodiscard]] bool is_event_too_long() const noexcept { return m_pending.size() > most_event_bytes; }
 
     /// Returns whether part of an event is left over.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_pending.empty(); }
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -73,9 +73,9 @@
     return engine;
 }
 
-array encode_touch(const digest_touch& touch) {
+array encode_touch(const digest_prefix_access& touch) {
     array parts;
-    for (const policy::cached_part& part : touch.parts) {
+    for (const policy::prefix_block& part : touch.parts) {
         parts.push_back(part.id);
         parts.push_back(part.tokens);
     }
@@ -112,38 +112,39 @@
 
 array encode_recorded_usage(const digest_recorded_usage& recorded) {
     array lives;
-    for (const host_life& life : recorded.lives) {
+    for (const host_incarnation& life : recorded.incarnations) {
         lives.push_back(array{life.host, life.incarnation});
     }
     return {recorded.window, std::move(lives)};
 }
 
 digest_recorded_usage decode_recorded_usage(const array& encoded) {
-    digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)), .lives = {}};
+    digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)), .incarnations = {}};
     for (const value& item : get_list(encoded, 1)) {
         const array& life = to_list(item);
         if (life.empty() || !life[0].is_string()) {
             throw malformed_message_error("a recorded life of the digest names no host");
         }
-        recorded.lives.push_back({.host = std::string(life[0].get_string()), .incarnation = get_number(life, 1)});
+        recorded.incarnations.push_back(
+            {.host = std::string(life[0].get_string()), .incarnation = get_number(life, 1)});
     }
     return recorded;
 }
 
-array encode_deaths(const std::vector<policy::engine_death>& deaths) {
+array encode_deaths(const std::vector<policy::engine_crash>& deaths) {
     array encoded;
-    for (const policy::engine_death& death : deaths) {
-        encoded.push_back(array{death.fingerprint, death.death_id, to_microseconds(death.moment.time_since_epoch())});
+    for (const policy::engine_crash& death : deaths) {
+        encoded.push_back(array{death.fingerprint, death.crash_id, to_microseconds(death.moment.time_since_epoch())});
     }
     return encoded;
 }
 
-std::vector<policy::engine_death> decode_deaths(const array& encoded) {
-    std::vector<policy::engine_death> deaths;
+std::vector<policy::engine_crash> decode_deaths(const array& encoded) {
+    std::vector<policy::engine_crash> deaths;
     for (const value& item : encoded) {
         const array& death = to_list(item);
         deaths.push_back({.fingerprint = get_number(death, 0),
-                          .death_id = get_number(death, 1),
+                          .crash_id = get_number(death, 1),
                           .moment = wall_time(std::chrono::microseconds(get_number(death, 2)))});
     }
     return deaths;
@@ -153,7 +154,7 @@
     object encoded;
     for (const auto& [service, summary] : summaries) {
         encoded[service.value()] =
-            array{to_microseconds(summary.backlog), to_thousandths(summary.fullness), summary.running};
+            array{to_microseconds(summary.backlog), to_thousandths(summary.utilisation), summary.running};
     }
     return encoded;
 }
@@ -164,32 +165,33 @@
         const array& fields = to_list(item.value());
         summaries.emplace(service_name(std::string_view(item.key())),
                           group_summary{.backlog = std::chrono::microseconds(get_number(fields, 0)),
-                                        .fullness = static_cast<double>(get_number(fields, 1)) / thousandths,
+                                        .utilisation = static_cast<double>(get_number(fields, 1)) / thousandths,
                                         .running = static_cast<std::uint32_t>(get_number(fields, 2))});
     }
     return summaries;
 }
 
 /// An empty list stands for a host that does not read for others.
-array encode_reading(const std::optional<digest_reading>& reading) {
+array encode_reading(const std::optional<digest_read_position>& reading) {
     if (!reading || !reading->end) {
         return {};
     }
     return {*reading->end, to_microseconds(reading->age)};
 }
 
-std::optional<digest_reading> decode_reading(const array& encoded) {
+std::optional<digest_read_position> decode_reading(const array& encoded) {
     if (encoded.empty()) {
         return std::nullopt;
     }
-    return digest_reading{.end = get_number(encoded, 0), .age = std::chrono::microseconds(get_number(encoded, 1))};
+    return digest_read_position{.end = get_number(encoded, 0),
+                                .age = std::chrono::microseconds(get_number(encoded, 1))};
 }
 
-digest_touch decode_touch(const array& list) {
+digest_prefix_access decode_touch(const array& list) {
     if (list.empty() || !list[0].is_string()) {
         throw malformed_message_error("a touch of the digest names no engine");
     }
-    digest_touch touch{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
+    digest_prefix_access touch{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
     const array& parts = get_list(list, 1);
     for (std::size_t index = 0; index + 1 < parts.size(); index += 2) {
         touch.parts.push_back(
@@ -209,36 +211,36 @@
     for (const auto& [name, count] : digest.instances) {
         instances[name.value()] = count;
     }
-    array touches;
-    for (const digest_touch& touch : digest.touches) {
-        touches.push_back(encode_touch(touch));
+    array prefix_accesses;
+    for (const digest_prefix_access& touch : digest.prefix_accesses) {
+        prefix_accesses.push_back(encode_touch(touch));
     }
     object transitions;
     for (const auto& [name, transition] : digest.transitions) {
         transitions[name.value()] =
-            array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.left)};
+            array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.remaining)};
     }
     object paused;
-    for (const auto& [name, left] : digest.paused) {
+    for (const auto& [name, left] : digest.ejections) {
         paused[name.value()] = to_microseconds(left);
     }
-    object read_demand;
-    for (const auto& [service, cost] : digest.read_demand) {
-        read_demand[service.value()] = to_microseconds(cost);
+    object prefill_demand;
+    for (const auto& [service, cost] : digest.prefill_demand) {
+        prefill_demand[service.value()] = to_microseconds(cost);
     }
     object encoded{{"h", digest.host},
                    {"z", digest.zone.value()},
                    {"g", digest.group},
                    {"i", digest.incarnation},
                    {"n", digest.sequence},
-                   {"w", to_microseconds(digest.true_time.time_since_epoch())},
+                   {"w", to_microseconds(digest.corrected_time.time_since_epoch())},
                    {"s", digest.is_stopping},
                    {"e", std::move(engines)},
                    {"p", std::move(instances)},
-                   {"t", std::move(touches)},
+                   {"t", std::move(prefix_accesses)},
                    {"c", std::move(transitions)},
                    {"x", std::move(paused)},
-                   {"r", std::move(read_demand)},
+                   {"r", std::move(prefill_demand)},
                    {"u", encode_usage(digest.usage)},
                    {"m", encode_summaries(digest.summaries)},
                    {"d", encode_deaths(digest.deaths)},
@@ -262,14 +264,14 @@
                        .group = json::get_string(source, "g"),
                        .incarnation = json::get_unsigned(source, "i"),
                        .sequence = json::get_unsigned(source, "n"),
-                       .true_time = wall_time(std::chrono::microseconds(json::get_unsigned(source, "w"))),
+                       .corrected_time = wall_time(std::chrono::microseconds(json::get_unsigned(source, "w"))),
                        .is_stopping = json::get_bool_or(source, "s", false),
                        .engines = {},
                        .instances = {},
-                       .touches = {},
+                       .prefix_accesses = {},
                        .transitions = {},
-                       .paused = {},
-                       .read_demand = {},
+                       .ejections = {},
+                       .prefill_demand = {},
                        .usage = decode_usage(json::get_array(source, "u")),
                        .recorded_usage = {},
                        .summaries = decode_summaries(json::get_object(source, "m")),
@@ -286,15 +288,15 @@
                                  static_cast<std::uint32_t>(json::get_unsigned(instances, item.key())));
     }
     for (const value& item : json::get_array(source, "t")) {
-        digest.touches.push_back(decode_touch(to_list(item)));
+        digest.prefix_accesses.push_back(decode_touch(to_list(item)));
     }
     for (const auto& item : json::get_object(source, "c")) {
         const array& transition = to_list(item.value());
-        digest.transitions.emplace(backend_server_name(std::string_view(item.key())),
-                                   digest_transition{.stage = get_number(transition, 0) == 1
-                                                                  ? fleet::engine_stage::prefill
-                                                                  : fleet::engine_stage::decode,
-                                                     .left = std::chrono::microseconds(get_number(transition, 1))});
+        digest.transitions.emplace(
+            backend_server_name(std::string_view(item.key())),
+            digest_transition{.stage = get_number(transition, 0) == 1 ? fleet::engine_stage::prefill
+                                                                      : fleet::engine_stage::decode,
+                              .remaining = std::chrono::microseconds(get_number(transition, 1))});
     }
     if (source.contains("ur")) {
         digest.recorded_usage = decode_recorded_usage(json::get_array(source, "ur"));
@@ -303,14 +305,14 @@
     if (source.contains("x")) {
         const object& paused = json::get_object(source, "x");
         for (const auto& item : paused) {
-            digest.paused.emplace(backend_server_name(std::string_view(item.key())),
-                                  std::chrono::microseconds(json::get_unsigned(paused, item.key())));
+            digest.ejections.emplace(backend_server_name(std::string_view(item.key())),
+                                     std::chrono::microseconds(json::get_unsigned(paused, item.key())));
         }
     }
-    const object& read_demand = json::get_object(source, "r");
-    for (const auto& item : read_demand) {
-        digest.read_demand.emplace(service_name(std::string_view(item.key())),
-                                   std::chrono::microseconds(json::get_unsigned(read_demand, item.key())));
+    const object& prefill_demand = json::get_object(source, "r");
+    for (const auto& item : prefill_demand) {
+        digest.prefill_demand.emplace(service_name(std::string_view(item.key())),
+                                      std::chrono::microseconds(json::get_unsigned(prefill_demand, item.key())));
     }
     return digest;
 }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -38,18 +38,18 @@
 };
 
 /// A prompt that was sent to an engine since the last digest: what it will have in its cache.
-struct digest_touch {
+struct digest_prefix_access {
     backend_server_name engine;
-    std::vector<policy::cached_part> parts;
+    std::vector<policy::prefix_block> parts;
 
-    friend bool operator==(const digest_touch&, const digest_touch&) = default;
+    friend bool operator==(const digest_prefix_access&, const digest_prefix_access&) = default;
 };
 
 /// An engine that the sender has ordered to another stage.
 struct digest_transition {
     fleet::engine_stage stage{fleet::engine_stage::decode};
     /// How much longer the engine is left alone unless the list says that it has changed.
-    duration left{};
+    duration remaining{};
 
     friend bool operator==(const digest_transition&, const digest_transition&) = default;
 };
@@ -59,7 +59,7 @@
     /// How long a prompt waits at an engine that reads prompts, on average.
     duration backlog{};
     /// Part of their room that engines which generate have in use, 0 to 1 and above.
-    double fullness{0};
+    double utilisation{0};
     /// Requests that generate.
     std::uint32_t running{0};
 
@@ -67,27 +67,27 @@
 };
 
 /// How far the sender has read what the store lists, so that others need not read it themselves.
-struct digest_reading {
+struct digest_read_position {
     /// Offset behind the last record taken; nothing before the first listing.
     std::optional<std::uint64_t> end;
     /// How long ago the store was read.
     duration age{};
 
-    friend bool operator==(const digest_reading&, const digest_reading&) = default;
+    friend bool operator==(const digest_read_position&, const digest_read_position&) = default;
 };
 
 /// A life of a host's process.
-struct host_life {
+struct host_incarnation {
     std::string host;
     std::uint64_t incarnation{};
 
-    friend auto operator<=>(const host_life&, const host_life&) = default;
+    friend auto operator<=>(const host_incarnation&, const host_incarnation&) = default;
 };
 
 /// What the sender has recorded for others of its group, so that they need not do it themselves.
 struct digest_recorded_usage {
     std::int64_t window{};
-    std::vector<host_life> lives;
+    std::vector<host_incarnation> incarnations;
 
     friend bool operator==(const digest_recorded_usage&, const digest_recorded_usage&) = default;
 };
@@ -103,17 +103,17 @@
     /// Grows with each digest of an incarnation; a datagram may overtake another.
     std::uint64_t sequence{};
     /// The time of day as the sender believes it to be.
-    wall_time true_time;
+    wall_time corrected_time;
     bool is_stopping{false};
     std::map<backend_server_name, digest_engine> engines;
     /// Requests on instances of plain services.
     std::map<backend_server_name, std::uint32_t> instances;
-    std::vector<digest_touch> touches;
+    std::vector<digest_prefix_access> prefix_accesses;
     std::map<backend_server_name, digest_transition> transitions;
     /// Servers that the sender leaves alone since they failed or refused, each with the time that is left.
-    std::map<backend_server_name, duration> paused;
+    std::map<backend_server_name, duration> ejections;
     /// What reading the prompts of all requests since the sender's start costs engines, by service.
-    std::map<service_name, duration> read_demand;
+    std::map<service_name, duration> prefill_demand;
     /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
     std::map<std::int64_t, policy::window_counts> usage;
     /// Where the sender speaks for its group: whose counts of the newest window that is over it has recorded.
@@ -121,12 +121,12 @@
     /// Where the sender speaks for its group: what other groups should know of it.
     std::map<service_name, group_summary> summaries;
     /// Deaths of servers that the sender knows of and holds against requests; empty in most digests, too.
-    std::vector<policy::engine_death> deaths;
+    std::vector<policy::engine_crash> deaths;
     /// The sender holds the lease under which duties are done.
     bool holds_lease{false};
     /// Where the sender reads for its group.
-    std::optional<digest_reading> configuration;
-    std::optional<digest_reading> servers;
+    std::optional<digest_read_position> configuration;
+    std::optional<digest_read_position> servers;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -8,7 +8,7 @@
 #include <set>
 
 #include "core/log.hpp"
-#include "servers/caller_watch.hpp"
+#include "servers/caller_disconnect_monitor.hpp"
 #include "servers/tcp_caller_channel.hpp"
 
 namespace dragonflywell::servers {
@@ -140,12 +140,12 @@
             co_return false;
         }
         http_request request = parser.release();
-        caller_watch watch(stream.socket());
+        caller_disconnect_monitor watch(stream.socket());
         tcp_caller_channel channel(stream, watch, m_options.limits.io_timeout, request.keep_alive(), m_is_closing,
                                    request.method() == http::verb::head);
         try {
             co_await m_handler->handle(std::move(request), channel);
-        } catch (const caller_gone_error& gone) {
+        } catch (const caller_disconnected_error& gone) {
             m_log->debug("{}", gone.what());
             co_return false;
         } catch (const std::exception& unexpected) {
@@ -227,12 +227,12 @@
     m_state->m_options.limits = limits;
 }
 
-void http_server::set_closing() {
+void http_server::disable_keep_alive() {
     m_state->m_is_closing = true;
 }
 
 void http_server::stop() {
-    set_closing();
+    disable_keep_alive();
     if (m_state->m_is_stopping.exchange(true)) {
         return;
     }
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -49,7 +49,7 @@
     void set_limits(const caller_limits& limits);
 
     /// Tells callers from now on with each answer that their connection takes no further request. Still accepts.
-    void set_closing();
+    void disable_keep_alive();
 
     /// Accepts no further connection, closes idle ones and each other one after the answer that is under way.
     void stop();
--- a/servers/request_claim.cpp
+++ b/servers/idempotency_claim.cpp
@@ -1,4 +1,4 @@
-#include "servers/request_claim.hpp"
+#include "servers/idempotency_claim.hpp"
 
 #include <boost/asio/associated_executor.hpp>
 #include <boost/asio/async_result.hpp>
@@ -27,23 +27,23 @@
                                                        request.body())};
 }
 
-request_refused make_refusal(coordination::claim_verdict verdict) {
+request_refused make_refusal(coordination::claim_status verdict) {
     using policy::refusal_reason;
     using policy::request_outcome;
     switch (verdict) {
-    case coordination::claim_verdict::running:
+    case coordination::claim_status::running:
         return {refusal_reason::duplicate_running, request_outcome::unknown, "the request with this key is running"};
-    case coordination::claim_verdict::different_request:
+    case coordination::claim_status::different_request:
         return {refusal_reason::idempotency_key_reused, request_outcome::not_run,
                 "this key was used for another request"};
-    case coordination::claim_verdict::full:
+    case coordination::claim_status::full:
         return {refusal_reason::queue_full, request_outcome::not_run, "too many idempotency keys are remembered"};
-    case coordination::claim_verdict::log_unavailable:
+    case coordination::claim_status::log_unavailable:
         return {refusal_reason::log_unavailable, request_outcome::not_run,
                 "the log cannot confirm that the request has not run before"};
-    case coordination::claim_verdict::won:
-    case coordination::claim_verdict::done:
-    case coordination::claim_verdict::unknown:
+    case coordination::claim_status::acquired:
+    case coordination::claim_status::done:
+    case coordination::claim_status::unknown:
         break;
     }
     return {refusal_reason::duplicate_unknown, request_outcome::unknown,
@@ -56,7 +56,8 @@
     return request.count(key_header) != 0;
 }
 
-request_claim::request_claim(entry_context& context, const http_request& request, const organisation_name& organisation)
+idempotency_claim::idempotency_claim(entry_context& context, const http_request& request,
+                                     const organisation_name& organisation)
     : m_context(&context), m_is_open_route(organisation.empty()), m_claim(make_claim(request, organisation)) {
     if (request.count(key_header) != 1 || get_key(request).empty() || get_key(request).size() > longest_key) {
         throw request_refused(policy::refusal_reason::malformed_request, policy::request_outcome::not_run,
@@ -64,66 +65,66 @@
     }
 }
 
-request_claim::~request_claim() {
+idempotency_claim::~idempotency_claim() {
     if (m_is_unsettled) {
-        m_context->claims.settle({.id = m_claim.id, .end = coordination::claim_end::unknown});
+        m_context->claims.settle({.id = m_claim.id, .outcome = coordination::claim_outcome::unknown});
     }
 }
 
-asio::awaitable<std::optional<http_response>> request_claim::acquire() {
-    const coordination::claim_answer answer = co_await wait_for_answer();
-    if (answer.verdict == coordination::claim_verdict::won) {
+asio::awaitable<std::optional<http_response>> idempotency_claim::acquire() {
+    const coordination::claim_result answer = co_await wait_for_answer();
+    if (answer.status == coordination::claim_status::acquired) {
         m_is_unsettled = true;
-        m_start_before = answer.start_before;
+        m_start_before = answer.start_deadline;
         co_return std::nullopt;
     }
-    if (answer.verdict == coordination::claim_verdict::done) {
-        co_return replay(answer.answer);
+    if (answer.status == coordination::claim_status::done) {
+        co_return replay(answer.response);
     }
-    throw make_refusal(answer.verdict);
+    throw make_refusal(answer.status);
 }
 
-void request_claim::check_start() const {
+void idempotency_claim::check_start() const {
     if (m_context->time.now() >= m_start_before) {
         throw request_refused(policy::refusal_reason::deadline_not_feasible, policy::request_outcome::not_run,
                               "the request waited too long after its key was claimed");
     }
 }
 
-void request_claim::settle_done(const http_response& response) {
+void idempotency_claim::record_response(const http_response& response) {
     const auto type = response.find(http::field::content_type);
     const std::string content_type = type == response.end() ? "" : std::string(type->value());
     // Callers of an open route share their keys, so one must not read the answer of another.
     const std::size_t limit_bytes = m_is_open_route ? 0 : recorded_body_limit_bytes;
     m_is_unsettled = false;
     m_context->claims.settle({.id = m_claim.id,
-                              .end = coordination::claim_end::done,
-                              .answer = coordination::make_recorded_answer(response.result_int(), content_type,
-                                                                           response.body(), limit_bytes)});
+                              .outcome = coordination::claim_outcome::done,
+                              .response = coordination::make_recorded_response(response.result_int(), content_type,
+                                                                               response.body(), limit_bytes)});
 }
 
-void request_claim::settle_not_run() {
+void idempotency_claim::release_key() {
     m_is_unsettled = false;
-    m_context->claims.settle({.id = m_claim.id, .end = coordination::claim_end::released});
+    m_context->claims.settle({.id = m_claim.id, .outcome = coordination::claim_outcome::released});
 }
 
-asio::awaitable<coordination::claim_answer> request_claim::wait_for_answer() {
+asio::awaitable<coordination::claim_result> idempotency_claim::wait_for_answer() {
     const auto start = [this](auto handler) {
         const auto executor = asio::get_associated_executor(handler);
         const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         // The claim thread only posts: the coroutine goes on in the thread of its connection.
         m_context->claims.claim(
-            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_answer answer) mutable {
+            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_result answer) mutable {
                 asio::post(work.get_executor(), [shared = std::move(shared), answer = std::move(answer)]() mutable {
                     std::move (*shared)(std::move(answer));
                 });
             });
     };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(coordination::claim_answer)>(
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(coordination::claim_result)>(
         start, asio::use_awaitable);
 }
 
-http_response request_claim::replay(const coordination::recorded_answer& answer) const {
+http_response idempotency_claim::replay(const coordination::recorded_response& answer) const {
     if (!answer.body || m_is_open_route) {
         throw request_refused(policy::refusal_reason::duplicate_done, policy::request_outcome::completed,
                               fmt::format("the request with this key ran and was answered {}", answer.status));
--- a/servers/request_claim.hpp
+++ b/servers/idempotency_claim.hpp
@@ -15,16 +15,16 @@
 /// The claim of one request that carries an idempotency key. Used by one coroutine.
 ///
 /// A claim that was won and not settled counts as unknown when the object goes, so that nobody runs it again.
-class request_claim {
+class idempotency_claim {
 public:
     /// Preconditions: context and request outlive the claim; the request has an idempotency key.
     /// `organisation` is empty for an open route.
-    request_claim(entry_context& context, const http_request& request, const organisation_name& organisation);
-    request_claim(const request_claim&) = delete;
-    request_claim& operator=(const request_claim&) = delete;
-    request_claim(request_claim&&) = delete;
-    request_claim& operator=(request_claim&&) = delete;
-    ~request_claim();
+    idempotency_claim(entry_context& context, const http_request& request, const organisation_name& organisation);
+    idempotency_claim(const idempotency_claim&) = delete;
+    idempotency_claim& operator=(const idempotency_claim&) = delete;
+    idempotency_claim(idempotency_claim&&) = delete;
+    idempotency_claim& operator=(idempotency_claim&&) = delete;
+    ~idempotency_claim();
 
     /// Returns nothing when the request is to be run now, or the recorded answer of its earlier run.
     /// Throws `request_refused` for any other state, and for a key of the wrong form. Blocks no thread.
@@ -34,13 +34,13 @@
     void check_start() const;
 
     /// Records the answer.
-    void settle_done(const http_response& response);
+    void record_response(const http_response& response);
     /// Frees the key, since no byte of the request was written to a backend server.
-    void settle_not_run();
+    void release_key();
 
 private:
-    asio::awaitable<coordination::claim_answer> wait_for_answer();
-    [[nodiscard]] http_response replay(const coordination::recorded_answer& answer) const;
+    asio::awaitable<coordination::claim_result> wait_for_answer();
+    [[nodiscard]] http_response replay(const coordination::recorded_response& answer) const;
 
     entry_context* m_context;
     bool m_is_open_route;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "policy/service_placement.hpp"
-#include "servers/answer_relay.hpp"
-#include "servers/gone_subscription.hpp"
+#include "servers/disconnect_subscription.hpp"
+#include "servers/response_headers.hpp"
 
 namespace dragonflywell::servers {
 
@@ -48,7 +48,7 @@
                                                   .slots = listed.record.slots,
                                                   .in_flight = get_state().get_in_flight(id),
                                                   .is_own_zone = listed.record.zone == get_state().options.own_zone,
-                                                  .is_cold = listed.record.cold_left > duration::zero(),
+                                                  .is_cold = listed.record.warmup_left > duration::zero(),
                                                   .failure_share = get_state().health.get_failure_share(id)};
         (m_tried.contains(id) ? tried : candidates).push_back(candidate);
     }
@@ -64,21 +64,21 @@
 
 asio::awaitable<std::optional<http_response>> instance_request::try_on(const backend_server_name& server,
                                                                        caller_channel& caller) {
-    const serving_state::in_flight_token token(get_state(), server);
+    const serving_state::in_flight_guard token(get_state(), server);
     const dispatch sending = make_dispatch(server);
     backend_exchange exchange(get_state().connections, sending.address, make_exchange_options(server));
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> answer;
-    answer_kind kind = answer_kind::invalid;
+    response_kind kind = response_kind::invalid;
     // An instance begins when the request arrives, long before its answer tells so.
-    const wall_time sent_at = get_state().get_true_time();
+    const wall_time sent_at = get_state().get_corrected_time();
     try {
-        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
-        const http_request message = get_state().dialect.make_request(get_call(), sending);
+        const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        const http_request message = get_state().codec.make_request(get_call(), sending);
         co_await exchange.start(message);
-        kind = get_state().dialect.classify(exchange.get_head());
+        kind = get_state().codec.classify(exchange.get_head());
         answer.emplace(exchange.get_head().result(), 11);
-        copy_answer_headers(exchange.get_head(), *answer);
+        copy_response_headers(exchange.get_head(), *answer);
         const auto length = exchange.get_head().find(http::field::content_length);
         if (get_call().method == http::verb::head && length != exchange.get_head().end()) {
             answer->set(http::field::content_length, length->value());
@@ -87,35 +87,35 @@
     } catch (const exchange_failed_error& fault) {
         failure = fault;
     }
-    if (caller.is_gone()) {
-        throw caller_gone_error("caller left before its answer came");
+    if (caller.is_disconnected()) {
+        throw caller_disconnected_error("caller left before its answer came");
     }
     if (failure) {
         get_record().add_server(server, "failed");
         co_return on_failure(server, *failure, exchange.is_sent());
     }
     switch (kind) {
-    case answer_kind::answered:
+    case response_kind::answered:
         break;
-    case answer_kind::wrong_server:
+    case response_kind::wrong_server:
         get_record().add_server(server, "other_server");
-        get_state().directory.set_displaced(server);
+        get_state().directory.mark_address_taken(server);
         get_state().refresh_servers();
-        require_repeat(policy::retry_reason::connect_failed);
+        require_retry_budget(policy::retry_reason::connect_failed);
         co_return std::nullopt;
-    case answer_kind::not_run:
+    case response_kind::not_run:
         get_record().add_server(server, "refused");
-        note_refusal(server);
-        require_repeat(policy::retry_reason::backend_server_busy);
+        record_refusal(server);
+        require_retry_budget(policy::retry_reason::backend_server_busy);
         co_return std::nullopt;
-    case answer_kind::invalid:
+    case response_kind::invalid:
         get_record().add_server(server, "invalid");
         co_return on_failure(server,
                              exchange_failed_error("answer is not the server's", exchange_phase::after_send,
                                                    policy::retry_reason::malformed_answer),
                              true);
     }
-    note_run(sent_at);
+    record_execution(sent_at);
     ++m_runs;
     get_record().add_server(server, std::to_string(answer->result_int()));
     const bool is_failure = answer->result_int() >= first_failed_status;
@@ -140,7 +140,7 @@
         }
         require_time_left();
     }
-    note_failure(server, failure);
+    record_failure(server, failure);
     if (!was_sent) {
         // Nothing arrived there, so that trying another instance is no repeat.
         get_state().counters.count_retry(failure.get_reason());
@@ -157,8 +157,8 @@
 
 bool instance_request::may_try_again() const {
     const fleet::route& route = *get_request().route;
-    return fleet::may_run_again(route.repeats) && m_runs < route.attempts &&
-           get_state().get_retry_budget(get_request().service).take_retry(get_state().time.now());
+    return fleet::may_run_again(route.retry) && m_runs < route.max_attempts &&
+           get_state().get_retry_budget(get_request().service).try_acquire_retry(get_state().time.now());
 }
 
 } // namespace dragonflywell::servers
