--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -10,7 +10,7 @@
 /// A request to an instance of a plain service; its answer is passed on whole. Used by one coroutine.
 class instance_request final : public serving_request {
 public:
-    instance_request(serving_state& state, accepted request, request_record& record)
+    instance_request(serving_state& state, accepted_request request, request_record& record)
         : serving_request(state, std::move(request), record) {}
 
     asio::awaitable<void> run(caller_channel& caller) override;
--- a/servers/memory_release.cpp
+++ b/servers/kv_cache_release.cpp
@@ -1,4 +1,4 @@
-#include "servers/memory_release.hpp"
+#include "servers/kv_cache_release.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,12 +13,11 @@
 /// An answer beyond this is none.
 constexpr std::size_t answer_limit_bytes = 64UL * 1024;
 
-asio::awaitable<void> send_release(serving_state& state, memory_source memory) {
-    const exchange_options options{.progress_deadline = release_timeout,
-                                   .last_moment = state.time.now() + release_timeout};
+asio::awaitable<void> send_release(serving_state& state, kv_cache_source memory) {
+    const exchange_options options{.progress_timeout = release_timeout, .deadline = state.time.now() + release_timeout};
     backend_exchange exchange(state.connections, memory.engine, options);
     try {
-        const http_request message = state.dialect.make_release(memory);
+        const http_request message = state.codec.make_release_request(memory);
         co_await exchange.start(message);
         co_await exchange.read_rest(answer_limit_bytes);
     } catch (const exchange_failed_error&) {
@@ -28,7 +27,7 @@
 
 } // namespace
 
-void release_memory(serving_state& state, const memory_source& memory) {
+void release_kv_cache(serving_state& state, const kv_cache_source& memory) {
     asio::co_spawn(state.executor, send_release(state, memory), asio::detached);
 }
 
--- a/servers/log_writer.cpp
+++ b/servers/log_writer.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_ring> ring)
+log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring)
     : m_timer(executor), m_ring(std::move(ring)) {
     stop_blocking(STDOUT_FILENO);
 }
--- a/servers/log_writer.hpp
+++ b/servers/log_writer.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "core/clock.hpp"
-#include "core/log_ring.hpp"
+#include "core/log_buffer.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
@@ -14,7 +14,7 @@
 /// Not thread safe: lives on one event loop.
 class log_writer {
 public:
-    log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_ring> ring);
+    log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring);
     log_writer(const log_writer&) = delete;
     log_writer& operator=(const log_writer&) = delete;
     log_writer(log_writer&&) = delete;
@@ -30,7 +30,7 @@
     void write_pending();
 
     asio::steady_timer m_timer;
-    std::shared_ptr<log_ring> m_ring;
+    std::shared_ptr<log_buffer> m_ring;
     std::string m_unwritten;
 };
 
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -5,8 +5,8 @@
 
 #include "core/json.hpp"
 #include "servers/backend_choice.hpp"
-#include "servers/gone_subscription.hpp"
-#include "servers/key_check.hpp"
+#include "servers/disconnect_subscription.hpp"
+#include "servers/request_checks.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -45,18 +45,18 @@
 model_call::model_call(entry_context& context, const http_request& request, organisation_name organisation)
     : m_context(&context), m_request(&request), m_organisation(std::move(organisation)),
       m_model_request(parse_model_request(request)), m_arrived(context.time.now()),
-      m_answer(m_model_request.shape, m_model_request.most_tokens) {
+      m_answer(m_model_request.shape, m_model_request.max_tokens) {
     // Names that callers make up must not grow the meter.
     if (m_context->manifest.get()->content.models.contains(m_model_request.model)) {
         m_context->demand.add_arrival(get_demand_key(), m_model_request.estimated_prompt_tokens,
-                                      m_model_request.most_tokens);
+                                      m_model_request.max_tokens);
     }
 }
 
 asio::awaitable<void> model_call::run(caller_channel& caller) {
     std::exception_ptr failure;
     try {
-        const std::unique_ptr<admission_gate::permit> permit = co_await admit(caller);
+        const std::unique_ptr<admission_controller::permit> permit = co_await admit(caller);
         co_await run_attempts(caller);
         co_await finish(caller);
     } catch (...) {
@@ -67,21 +67,21 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
-    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.most_tokens);
+    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.max_tokens);
 }
 
 policy::demand_key model_call::get_demand_key() const {
     return {.organisation = m_organisation, .model = m_model_request.model, .service = {}};
 }
 
-asio::awaitable<std::unique_ptr<admission_gate::permit>> model_call::admit(caller_channel& caller) {
+asio::awaitable<std::unique_ptr<admission_controller::permit>> model_call::admit(caller_channel& caller) {
     m_context->retries.add_request(m_context->time.now());
     require_not_quarantined();
     const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
     admission_request request{.model = m_model_request.model,
                               .organisation = m_organisation,
                               .cost = {.prefill_tokens = m_model_request.estimated_prompt_tokens,
-                                       .decode_tokens = m_model_request.most_tokens}};
+                                       .decode_tokens = m_model_request.max_tokens}};
     if (const auto found = manifest->content.organisations.find(m_organisation);
         found != manifest->content.organisations.end()) {
         request.weight = std::max<std::uint32_t>(1, found->second.weight);
@@ -99,10 +99,10 @@
     }
 }
 
-void model_call::note_engine_death() {
-    m_context->suspects.add_death({.fingerprint = m_model_request.fingerprint,
-                                   .death_id = get_thread_random()(),
-                                   .moment = m_context->time.wall_now()});
+void model_call::record_engine_crash() {
+    m_context->suspects.record_crash({.fingerprint = m_model_request.fingerprint,
+                                      .crash_id = get_thread_random()(),
+                                      .moment = m_context->time.wall_now()});
     m_context->counters.count_suspect();
 }
 
@@ -125,22 +125,22 @@
             continue;
         }
         m_history.add_failure(server->name, failure->get_phase() == exchange_phase::after_send);
-        if (!m_history.may_repeat(m_context->limits.most_attempts)) {
+        if (!m_history.may_retry(m_context->limits.max_attempts)) {
             throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
-        if (!m_context->retries.take_retry(m_context->time.now())) {
+        if (!m_context->retries.try_acquire_retry(m_context->time.now())) {
             throw request_refused(policy::refusal_reason::retry_budget_spent, m_history.get_outcome(), failure->what());
         }
         m_context->counters.count_retry(failure->get_reason());
     }
-    m_context->suspects.add_completion(m_model_request.fingerprint);
+    m_context->suspects.record_completion(m_model_request.fingerprint);
 }
 
 asio::awaitable<std::optional<exchange_failed_error>> model_call::try_on(const fleet::backend_server& server,
                                                                          caller_channel& caller) {
     const backend_load_table::reservation work(m_context->loads, server.name,
-                                               m_model_request.estimated_prompt_tokens + m_model_request.most_tokens);
+                                               m_model_request.estimated_prompt_tokens + m_model_request.max_tokens);
     std::optional<policy::quarantine::reservation> isolation;
     if (m_context->suspects.is_suspect(m_model_request.fingerprint, m_context->time.wall_now())) {
         isolation.emplace(m_context->suspects, server.name);
@@ -148,7 +148,7 @@
     m_has_stream = false;
     const http_request request = make_engine_request(server);
     std::optional<exchange_failed_error> failure = co_await exchange_with(server, request, true, caller);
-    const bool has_time = m_context->time.now() - m_arrived < m_context->limits.request_deadline;
+    const bool has_time = m_context->time.now() - m_arrived < m_context->limits.request_timeout;
     if (!failure || !m_has_stream || !has_time || !may_be_connection_only(failure->get_reason())) {
         co_return failure;
     }
@@ -160,7 +160,7 @@
     if (second_failure) {
         if (!m_has_head && second_failure->get_reason() != policy::retry_reason::silent_backend_server) {
             // The stream broke off and the engine takes no other request either.
-            note_engine_death();
+            record_engine_crash();
         }
         // The failure of the resumption says less about the request than the first one does.
         co_return failure;
@@ -171,26 +171,26 @@
 
 asio::awaitable<std::optional<exchange_failed_error>> model_call::exchange_with(const fleet::backend_server& server,
                                                                                 const http_request& request,
-                                                                                bool may_reuse,
+                                                                                bool may_reuse_connection,
                                                                                 caller_channel& caller) {
-    backend_exchange exchange(m_context->connections, server.address, get_exchange_options(may_reuse));
+    backend_exchange exchange(m_context->connections, server.address, get_exchange_options(may_reuse_connection));
     std::optional<exchange_failed_error> failure;
     try {
-        const gone_subscription subscription(caller, [&exchange] { exchange.cancel(); });
+        const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
         co_await exchange.start(request);
         co_await read_answer(exchange, caller);
     } catch (const exchange_failed_error& fault) {
         failure = fault;
     } catch (const malformed_message_error& fault) {
         failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::malformed_answer);
-    } catch (const crossed_answer_error& fault) {
+    } catch (const mismatched_response_error& fault) {
         failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::crossed_answer);
-    } catch (const caller_gone_error&) {
+    } catch (const caller_disconnected_error&) {
         exchange.cancel();
     }
-    if (caller.is_gone() && !m_answer.is_complete()) {
+    if (caller.is_disconnected() && !m_answer.is_complete()) {
         co_await cancel_stream(server);
-        throw caller_gone_error("caller left before its answer was whole");
+        throw caller_disconnected_error("caller left before its answer was whole");
     }
     co_return failure;
 }
@@ -228,12 +228,12 @@
         throw exchange_failed_error("engine ended its stream early", exchange_phase::after_send,
                                     policy::retry_reason::broken_answer);
     }
-    co_await exchange.settle();
+    co_await exchange.drain();
 }
 
 asio::awaitable<void> model_call::deliver(const server_sent_event& event, caller_channel& caller) {
     const std::uint64_t tokens_before = m_answer.get_tokens();
-    if (m_answer.add(event) != event_use::forward) {
+    if (m_answer.add(event) != event_action::forward) {
         co_return;
     }
     if (tokens_before == 0 && m_answer.get_tokens() > 0) {
@@ -273,12 +273,12 @@
 
 asio::awaitable<void> model_call::cancel_stream(const fleet::backend_server& server) {
     exchange_options options = get_exchange_options(true);
-    options.progress_deadline = cancel_deadline;
+    options.progress_timeout = cancel_deadline;
     backend_exchange exchange(m_context->connections, server.address, options);
     const http_request request = make_stream_request(server, http::verb::delete_);
     try {
         co_await exchange.start(request);
-        co_await exchange.settle();
+        co_await exchange.drain();
     } catch (const exchange_failed_error&) {
         // The connection of the stream was closed as well; an engine that can't be reached has nothing to cancel.
     }
@@ -292,20 +292,20 @@
     }
     // Engines on which a suspect runs get nothing else, so that a crash of theirs harms no other request.
     std::set<backend_server_name> avoided = m_context->suspects.get_reserved();
-    avoided.insert(m_history.get_tried().begin(), m_history.get_tried().end());
+    avoided.insert(m_history.get_failed_servers().begin(), m_history.get_failed_servers().end());
     const fleet::model& model = manifest.content.models.at(m_model_request.model);
     const auto owner = manifest.content.organisations.find(m_organisation);
     const bool accepts_cheap = owner != manifest.content.organisations.end() && owner->second.accepts_cheap_servers;
-    const placed_work work{
-        .shape =
+    const work_requirements work{
+        .demand =
             policy::role_demand{
                 .prefill = static_cast<double>(m_model_request.estimated_prompt_tokens * model.prompt_token_milliunits),
-                .decode = static_cast<double>(m_model_request.most_tokens * model.output_token_milliunits)},
-        .loss = policy::get_work_class({.is_idempotent = true,
-                                        .accepts_cheap_servers = accepts_cheap,
-                                        .was_interrupted = !m_history.get_tried().empty()}),
-        .tokens = m_model_request.estimated_prompt_tokens + m_model_request.most_tokens,
-        .most_cheap_share = static_cast<double>(manifest.content.prices.most_cheap_percent) / percent};
+                .decode = static_cast<double>(m_model_request.max_tokens * model.output_token_milliunits)},
+        .interruptibility = policy::get_work_class({.is_idempotent = true,
+                                                    .accepts_cheap_servers = accepts_cheap,
+                                                    .was_interrupted = !m_history.get_failed_servers().empty()}),
+        .tokens = m_model_request.estimated_prompt_tokens + m_model_request.max_tokens,
+        .max_cheap_share = static_cast<double>(manifest.content.prices.max_cheap_percent) / percent};
     return choose_backend_server(*m_context, manifest.servers.get_engines(m_model_request.model), avoided, work);
 }
 
@@ -345,14 +345,14 @@
     return response;
 }
 
-exchange_options model_call::get_exchange_options(bool may_reuse) const {
-    return {.may_reuse = may_reuse,
-            .progress_deadline = m_context->limits.progress_deadline,
-            .last_moment = m_arrived + m_context->limits.request_deadline};
+exchange_options model_call::get_exchange_options(bool may_reuse_connection) const {
+    return {.may_reuse_connection = may_reuse_connection,
+            .progress_timeout = m_context->limits.progress_timeout,
+            .deadline = m_arrived + m_context->limits.request_timeout};
 }
 
 void model_call::require_time_left() const {
-    if (m_context->time.now() - m_arrived >= m_context->limits.request_deadline) {
+    if (m_context->time.now() - m_arrived >= m_context->limits.request_timeout) {
         throw request_refused(policy::refusal_reason::deadline_exceeded, m_history.get_outcome(),
                               "the time for this request ran out");
     }
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "policy/attempt_history.hpp"
-#include "servers/answer_assembler.hpp"
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
 #include "servers/model_request.hpp"
 #include "servers/request_refused.hpp"
+#include "servers/response_assembler.hpp"
 
 namespace dragonflywell::servers {
 
@@ -18,20 +18,21 @@
     model_call(entry_context& context, const http_request& request, organisation_name organisation);
 
     /// Delivers the whole answer. When the caller leaves, the engine's work is cancelled and what was delivered billed.
-    /// Throws `request_refused`, `caller_gone_error`.
+    /// Throws `request_refused`, `caller_disconnected_error`.
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
-    asio::awaitable<std::unique_ptr<admission_gate::permit>> admit(caller_channel& caller);
+    asio::awaitable<std::unique_ptr<admission_controller::permit>> admit(caller_channel& caller);
     void require_not_quarantined() const;
-    void note_engine_death();
+    void record_engine_crash();
     asio::awaitable<void> run_attempts(caller_channel& caller);
     /// Runs on one engine; on failure resumes the same stream there once, over a new connection.
     asio::awaitable<std::optional<exchange_failed_error>> try_on(const fleet::backend_server& server,
                                                                  caller_channel& caller);
     /// Makes one exchange and delivers what it yields. Returns why the answer is not whole yet, if it is not.
     asio::awaitable<std::optional<exchange_failed_error>> exchange_with(const fleet::backend_server& server,
-                                                                        const http_request& request, bool may_reuse,
+                                                                        const http_request& request,
+                                                                        bool may_reuse_connection,
                                                                         caller_channel& caller);
     asio::awaitable<void> read_answer(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> deliver(const server_sent_event& event, caller_channel& caller);
@@ -42,7 +43,7 @@
     [[nodiscard]] http_request make_engine_request(const fleet::backend_server& server);
     [[nodiscard]] http_request make_stream_request(const fleet::backend_server& server, http::verb method) const;
     [[nodiscard]] http_response make_whole_answer() const;
-    [[nodiscard]] exchange_options get_exchange_options(bool may_reuse) const;
+    [[nodiscard]] exchange_options get_exchange_options(bool may_reuse_connection) const;
     void require_time_left() const;
     void bill();
 
@@ -52,7 +53,7 @@
     model_request m_model_request;
     steady_time m_arrived;
     policy::attempt_history m_history{true};
-    answer_assembler m_answer;
+    response_assembler m_answer;
     std::string m_stream_id;
     /// What an engine answered to a request that it finds wrong; it goes to the caller as it is.
     std::optional<http_response> m_rejection;
--- a/servers/model_request.cpp
+++ b/servers/model_request.cpp
@@ -31,13 +31,13 @@
     result.model = model_name(json::get_string(result.document, "model"));
     require_prompt(result.document, result.shape);
     result.is_streaming = json::get_bool_or(result.document, "stream", false);
-    result.most_tokens = json::get_unsigned_or(result.document, "max_tokens", default_most_tokens);
-    if (result.most_tokens == 0 || result.most_tokens > permitted_most_tokens) {
+    result.max_tokens = json::get_unsigned_or(result.document, "max_tokens", default_most_tokens);
+    if (result.max_tokens == 0 || result.max_tokens > permitted_most_tokens) {
         throw malformed_message_error("key \"max_tokens\" must be from 1 to 1000000");
     }
     result.estimated_prompt_tokens = request.body().size() / bytes_per_prompt_token + 1;
     result.fingerprint = get_stable_hash(request.body());
-    result.document["max_tokens"] = result.most_tokens;
+    result.document["max_tokens"] = result.max_tokens;
     result.document["stream"] = true;
     return result;
 }
--- a/servers/model_request.hpp
+++ b/servers/model_request.hpp
@@ -18,7 +18,7 @@
     completion_shape shape{};
     model_name model;
     bool is_streaming{false};
-    std::uint64_t most_tokens{};
+    std::uint64_t max_tokens{};
     std::uint64_t estimated_prompt_tokens{};
     /// The same for each sending of the same body.
     policy::request_fingerprint fingerprint{};
--- a/servers/peer_knowledge.hpp
+++ b/servers/peer_state.hpp
@@ -28,45 +28,46 @@
 
 /// What the other hosts have told: of their work, of what they have counted and ordered, and of groups that this host
 /// is not in. What they have on engines is on the engines' boards. Not thread safe.
-class peer_knowledge {
+class peer_state {
 public:
     /// Precondition: `time` outlives the knowledge.
-    peer_knowledge(const clock_source& time, policy::host_groups groups) : groups(std::move(groups)), m_time(&time) {}
+    peer_state(const clock_source& time, policy::host_groups groups) : groups(std::move(groups)), m_time(&time) {}
 
     /// Takes what a host of this host's group has told.
-    void take_near(const host_digest& digest);
+    void merge_group_digest(const host_digest& digest);
     /// Takes what the speaker of another group has told of it.
-    void take_far(const host_digest& digest);
+    void merge_intergroup_digest(const host_digest& digest);
     /// Forgets the present work of a host that fell silent. What it has ordered goes on without it.
-    void drop(const std::string& host);
+    void remove_host(const std::string& host);
 
     /// Returns the requests of other hosts on an instance.
     [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
     /// Returns whether another host is changing the engine's stage, and to which.
     [[nodiscard]] std::optional<fleet::engine_stage> get_transition(const backend_server_name& engine) const;
     /// Returns how many other hosts of the group leave a server alone now, since it failed or refused there.
-    [[nodiscard]] std::uint32_t count_pausing(const backend_server_name& server) const;
+    [[nodiscard]] std::uint32_t count_ejecting_hosts(const backend_server_name& server) const;
     /// Returns the cost of the prompts that other hosts of the group, or hosts of other groups, have got since this
     /// host listens to them.
-    [[nodiscard]] duration get_near_read_demand(const service_name& service) const;
-    [[nodiscard]] duration get_far_read_demand(const service_name& service) const;
+    [[nodiscard]] duration get_group_prefill_demand(const service_name& service) const;
+    [[nodiscard]] duration get_remote_prefill_demand(const service_name& service) const;
     /// Returns the requests that run on engines of other groups.
-    [[nodiscard]] double get_far_running(const service_name& service) const;
+    [[nodiscard]] double get_remote_running(const service_name& service) const;
 
     /// What is known of another group's engines for one service.
-    struct far_group {
+    struct remote_group {
         zone_name zone;
         group_summary summary;
-        steady_time heard_at{};
+        steady_time received_at{};
     };
     /// Returns the groups whose speakers were heard of late, by the name of the speaker's group.
-    [[nodiscard]] std::map<std::string, far_group> get_far_groups(const service_name& service) const;
+    [[nodiscard]] std::map<std::string, remote_group> get_remote_groups(const service_name& service) const;
 
     /// What the lives of other hosts' processes have counted, as they told last, by host and incarnation.
-    using told_usage = std::map<std::pair<std::string, std::uint64_t>, std::map<std::int64_t, policy::window_counts>>;
-    [[nodiscard]] const told_usage& get_usage() const noexcept { return m_usage; }
+    using received_usage =
+        std::map<std::pair<std::string, std::uint64_t>, std::map<std::int64_t, policy::window_counts>>;
+    [[nodiscard]] const received_usage& get_usage() const noexcept { return m_usage; }
     /// Forgets the counts of windows before this one.
-    void forget_usage_before(std::int64_t window);
+    void discard_usage_before(std::int64_t window);
 
     policy::host_groups groups;
 
@@ -96,8 +97,8 @@
     std::map<std::string, told_demand> m_told_demand;
     service_costs m_near_demand;
     service_costs m_far_demand;
-    told_usage m_usage;
-    std::map<service_name, std::map<std::string, far_group>> m_far_groups;
+    received_usage m_usage;
+    std::map<service_name, std::map<std::string, remote_group>> m_far_groups;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/key_check.cpp
+++ b/servers/request_checks.cpp
@@ -1,4 +1,4 @@
-#include "servers/key_check.hpp"
+#include "servers/request_checks.hpp"
 
 #include <algorithm>
 #include <array>
@@ -50,7 +50,7 @@
 
 void check_cut_off(const entry_context& context, const fleet::manifest& manifest,
                    const organisation_name& organisation) {
-    const std::optional<duration> cut_off_for = context.cut_off.get_time(context.time.now());
+    const std::optional<duration> cut_off_for = context.cut_off.get_cut_off_duration(context.time.now());
     if (!policy::may_serve_cut_off(manifest.organisations.at(organisation), cut_off_for)) {
         throw request_refused(policy::refusal_reason::zone_cut_off, policy::request_outcome::not_run,
                               "this availability zone is cut off, so that a revoked key could not be noticed");
@@ -61,7 +61,7 @@
                       const organisation_name& organisation) {
     const wall_time now = context.time.wall_now();
     const coordination::window_number window = get_window(now, manifest);
-    const coordination::usage_figures used = context.usage.get({.organisation = organisation, .window = window});
+    const coordination::usage_totals used = context.usage.get({.organisation = organisation, .window = window});
     const std::uint64_t tokens = used.prompt_tokens + used.completion_tokens;
     if (!policy::is_over_cost_limit(manifest.organisations.at(organisation), tokens, context.limits.entry_hosts)) {
         return;
@@ -96,7 +96,7 @@
                           "no route has this path");
 }
 
-http_request get_backend_request(const http_request& request) {
+http_request make_backend_request(const http_request& request) {
     http_request copy(request.method(), request.target(), 11);
     constexpr std::array hop_by_hop{http::field::authorization,    http::field::proxy_authorization,
                                     http::field::connection,       http::field::keep_alive,
--- a/servers/key_check.hpp
+++ b/servers/request_checks.hpp
@@ -27,6 +27,6 @@
                                                         std::string_view method);
 
 /// Returns a copy of the caller's request that may go to a backend server: no key, no hop-by-hop header. Thread safe.
-[[nodiscard]] http_request get_backend_request(const http_request& request);
+[[nodiscard]] http_request make_backend_request(const http_request& request);
 
 } // namespace dragonflywell::servers
--- a/servers/request_counters.cpp
+++ b/servers/request_counters.cpp
@@ -7,10 +7,10 @@
       m_cancelled_streams(&registry.get_counter("dragonflywell_cancelled_streams_total")),
       m_callers_gone(&registry.get_counter("dragonflywell_callers_gone_total")),
       m_suspects(&registry.get_counter("dragonflywell_suspect_requests_total")),
-      m_first_token(&registry.get_latency("dragonflywell_first_token_seconds")),
-      m_request(&registry.get_latency("dragonflywell_request_seconds")) {
+      m_first_token(&registry.get_histogram("dragonflywell_first_token_seconds")),
+      m_request(&registry.get_histogram("dragonflywell_request_seconds")) {
     for (std::size_t index = 0; index < m_refusals.size(); ++index) {
-        const auto form = policy::get_refusal_form(static_cast<policy::refusal_reason>(index));
+        const auto form = policy::get_refusal_response(static_cast<policy::refusal_reason>(index));
         m_refusals.at(index) =
             &registry.get_counter("dragonflywell_refusals_total", {{"reason", std::string(form.code)}});
     }
--- a/servers/request_counters.hpp
+++ b/servers/request_counters.hpp
@@ -20,7 +20,7 @@
     void count_resumed_stream() noexcept { m_resumed_streams->add(); }
     /// Counts a request that ran on an engine when it died.
     void count_suspect() noexcept { m_suspects->add(); }
-    void count_caller_gone() noexcept { m_callers_gone->add(); }
+    void count_caller_disconnect() noexcept { m_callers_gone->add(); }
     /// Counts an engine's work that was given up because its caller left.
     void count_cancelled_stream() noexcept { m_cancelled_streams->add(); }
 
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -25,8 +25,8 @@
     std::string servers;
     std::uint32_t sends{0};
     /// Expected time to the first part of the answer, where it was worked out.
-    std::optional<duration> expected_first;
-    std::optional<duration> first_after;
+    std::optional<duration> expected_time_to_first_event;
+    std::optional<duration> time_to_first_event;
     unsigned status{0};
 
     /// Notes a server that was sent something.
@@ -50,11 +50,11 @@
     if (record.servers_age) {
         event.add("servers_age_ms", *record.servers_age);
     }
-    if (record.expected_first) {
-        event.add("expected_first_ms", *record.expected_first);
+    if (record.expected_time_to_first_event) {
+        event.add("expected_first_ms", *record.expected_time_to_first_event);
     }
-    if (record.first_after) {
-        event.add("first_ms", *record.first_after);
+    if (record.time_to_first_event) {
+        event.add("first_ms", *record.time_to_first_event);
     }
     return event;
 }
--- a/servers/answer_assembler.cpp
+++ b/servers/response_assembler.cpp
@@ -1,4 +1,4 @@
-#include "servers/answer_assembler.hpp"
+#include "servers/response_assembler.hpp"
 
 #include <charconv>
 #include <fmt/format.h>
@@ -46,9 +46,9 @@
 
 } // namespace
 
-event_use answer_assembler::add(const server_sent_event& event) {
+event_action response_assembler::add(const server_sent_event& event) {
     if (m_is_complete) {
-        return event_use::drop;
+        return event_action::drop;
     }
     if (event.data == end_of_stream) {
         return end();
@@ -59,7 +59,7 @@
     return add_chunk(event, chunk);
 }
 
-event_use answer_assembler::add_chunk(const server_sent_event& event, const boost::json::object& chunk) {
+event_action response_assembler::add_chunk(const server_sent_event& event, const boost::json::object& chunk) {
     const boost::json::value* usage = chunk.if_contains("usage");
     std::uint64_t prompt_tokens = m_prompt_tokens;
     if (prompt_tokens == 0 && usage != nullptr && usage->is_object()) {
@@ -68,7 +68,7 @@
     const boost::json::array& choices = json::get_array(chunk, "choices");
     if (choices.empty()) {
         m_prompt_tokens = prompt_tokens;
-        return event_use::forward;
+        return event_action::forward;
     }
     const boost::json::object& choice = json::as_object(choices.front(), "choice");
     const std::string added = get_added_text(choice, m_shape);
@@ -80,7 +80,7 @@
     const bool is_known = position.value_or(m_tokens) < m_tokens;
     const bool is_beyond = is_token && m_tokens >= m_most_tokens;
     if (is_known || is_beyond) {
-        return event_use::drop;
+        return event_action::drop;
     }
     m_prompt_tokens = prompt_tokens;
     m_text += added;
@@ -88,10 +88,10 @@
     if (std::string reason = get_finish_reason(choice); !reason.empty()) {
         m_finish_reason = std::move(reason);
     }
-    return event_use::forward;
+    return event_action::forward;
 }
 
-event_use answer_assembler::end() {
+event_action response_assembler::end() {
     if (m_finish_reason.empty() && m_tokens < m_most_tokens) {
         throw malformed_message_error("the stream ended without a finish reason");
     }
@@ -99,18 +99,18 @@
         m_finish_reason = "length";
     }
     m_is_complete = true;
-    return event_use::end;
+    return event_action::end;
 }
 
-void answer_assembler::check_stream(const boost::json::object& chunk) const {
+void response_assembler::check_stream(const boost::json::object& chunk) const {
     const std::string id = json::get_string_or(chunk, "id", m_stream_id);
     // Engines put a prefix of their own, such as "cmpl-", before the id that they were given.
     if (!id.ends_with(m_stream_id)) {
-        throw crossed_answer_error(fmt::format("event of stream \"{}\" came on \"{}\"", id, m_stream_id));
+        throw mismatched_response_error(fmt::format("event of stream \"{}\" came on \"{}\"", id, m_stream_id));
     }
 }
 
-std::string answer_assembler::make_document(const model_name& model) const {
+std::string response_assembler::make_document(const model_name& model) const {
     const bool is_chat = m_shape == completion_shape::chat;
     boost::json::object choice{{"index", 0}, {"finish_reason", m_finish_reason}};
     if (is_chat) {
--- a/servers/answer_assembler.hpp
+++ b/servers/response_assembler.hpp
@@ -10,13 +10,13 @@
 namespace dragonflywell::servers {
 
 /// An event that carries the stream id of another request.
-class crossed_answer_error : public error {
+class mismatched_response_error : public error {
 public:
     using error::error;
 };
 
 /// What is to be done with an event of an engine.
-enum class event_use {
+enum class event_action {
     /// It goes to the caller.
     forward,
     /// The caller has it already, or it lies beyond what was asked for.
@@ -26,18 +26,18 @@
 };
 
 /// Puts the answer to one request together from the events of one or several attempts, by position. Not thread safe.
-class answer_assembler {
+class response_assembler {
 public:
-    answer_assembler(completion_shape shape, std::uint64_t most_tokens) noexcept
-        : m_shape(shape), m_most_tokens(most_tokens) {}
+    response_assembler(completion_shape shape, std::uint64_t max_tokens) noexcept
+        : m_shape(shape), m_most_tokens(max_tokens) {}
 
     /// Starts an attempt; events that carry a stream id must carry this one.
     void start_attempt(std::string stream_id) { m_stream_id = std::move(stream_id); }
 
     /// Checks an event and takes up what it adds.
-    /// Throws `malformed_message_error` for what is no event or leaves a position out, `crossed_answer_error` for an
-    /// event of another request; the answer so far stays as it was.
-    [[nodiscard]] event_use add(const server_sent_event& event);
+    /// Throws `malformed_message_error` for what is no event or leaves a position out, `mismatched_response_error` for
+    /// an event of another request; the answer so far stays as it was.
+    [[nodiscard]] event_action add(const server_sent_event& event);
 
     [[nodiscard]] const std::string& get_text() const noexcept { return m_text; }
     [[nodiscard]] std::uint64_t get_tokens() const noexcept { return m_tokens; }
@@ -48,8 +48,8 @@
     [[nodiscard]] std::string make_document(const model_name& model) const;
 
 private:
-    [[nodiscard]] event_use add_chunk(const server_sent_event& event, const boost::json::object& chunk);
-    [[nodiscard]] event_use end();
+    [[nodiscard]] event_action add_chunk(const server_sent_event& event, const boost::json::object& chunk);
+    [[nodiscard]] event_action end();
     void check_stream(const boost::json::object& chunk) const;
 
     completion_shape m_shape;
--- a/servers/answer_relay.hpp
+++ b/servers/response_headers.hpp
@@ -7,7 +7,7 @@
 /// Copies the headers of a backend server's answer that concern the caller; those of one connection stay behind.
 /// Thread safe.
 template <typename Body>
-void copy_answer_headers(const http::response_header<>& from, http::response<Body>& to) {
+void copy_response_headers(const http::response_header<>& from, http::response<Body>& to) {
     for (const auto& field : from) {
         switch (field.name()) {
         case http::field::connection:
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -1,7 +1,7 @@
 #include "servers/service_call.hpp"
 
 #include "servers/backend_choice.hpp"
-#include "servers/key_check.hpp"
+#include "servers/request_checks.hpp"
 
 namespace dragonflywell::servers {
 
@@ -57,11 +57,11 @@
     }
     try {
         http_response response = co_await exchange_with_retries();
-        m_claim->settle_done(response);
+        m_claim->record_response(response);
         co_return response;
     } catch (const request_refused& refusal) {
         if (refusal.get_outcome() == policy::request_outcome::not_run) {
-            m_claim->settle_not_run();
+            m_claim->release_key();
         }
         throw;
     }
@@ -79,11 +79,11 @@
             failure = fault;
         }
         m_history.add_failure(server.name, failure->get_phase() == exchange_phase::after_send);
-        if (!m_history.may_repeat(m_context->limits.most_attempts)) {
+        if (!m_history.may_retry(m_context->limits.max_attempts)) {
             throw request_refused(policy::refusal_reason::backend_server_failed, m_history.get_outcome(),
                                   failure->what());
         }
-        if (!m_context->retries.take_retry(m_context->time.now())) {
+        if (!m_context->retries.try_acquire_retry(m_context->time.now())) {
             throw request_refused(policy::refusal_reason::retry_budget_spent, m_history.get_outcome(), failure->what());
         }
         m_context->counters.count_retry(failure->get_reason());
@@ -93,10 +93,10 @@
 asio::awaitable<http_response> service_call::exchange(const fleet::backend_server& server) {
     const backend_load_table::reservation work(m_context->loads, server.name, 1);
     backend_exchange exchange(m_context->connections, server.address,
-                              {.may_reuse = m_route->is_idempotent,
-                               .progress_deadline = m_context->limits.progress_deadline,
-                               .last_moment = m_arrived + m_context->limits.request_deadline});
-    http_request request = get_backend_request(*m_request);
+                              {.may_reuse_connection = m_route->is_idempotent,
+                               .progress_timeout = m_context->limits.progress_timeout,
+                               .deadline = m_arrived + m_context->limits.request_timeout});
+    http_request request = make_backend_request(*m_request);
     request.set(http::field::host, format_endpoint(server.address));
     co_await exchange.start(request);
     http_response response = get_caller_response(exchange.get_head());
@@ -106,7 +106,7 @@
 }
 
 const fleet::backend_server& service_call::prepare_attempt(const active_manifest& manifest) {
-    if (m_context->time.now() - m_arrived >= m_context->limits.request_deadline) {
+    if (m_context->time.now() - m_arrived >= m_context->limits.request_timeout) {
         throw request_refused(policy::refusal_reason::deadline_exceeded, m_history.get_outcome(),
                               "the time for this request ran out");
     }
@@ -116,7 +116,7 @@
             m_claim->check_start();
         }
         return choose_backend_server(*m_context, manifest.servers.get_instances(m_route->service),
-                                     m_history.get_tried(), get_placed_work(manifest.content));
+                                     m_history.get_failed_servers(), get_work_requirements(manifest.content));
     } catch (const request_refused& refused) {
         // An earlier attempt may have run, whatever stops this one.
         throw request_refused(refused.get_reason(), m_history.get_outcome(), refused.what());
@@ -124,24 +124,24 @@
 }
 
 void service_call::check_key(const fleet::manifest& manifest) {
-    if (!m_route->is_open) {
+    if (!m_route->is_public) {
         m_organisation = require_organisation(manifest, *m_request);
         check_cut_off(*m_context, manifest, *m_organisation);
     }
 }
 
-placed_work service_call::get_placed_work(const fleet::manifest& manifest) const {
+work_requirements service_call::get_work_requirements(const fleet::manifest& manifest) const {
     bool accepts_cheap = true;
     if (m_organisation) {
         const auto owner = manifest.organisations.find(*m_organisation);
         accepts_cheap = owner != manifest.organisations.end() && owner->second.accepts_cheap_servers;
     }
-    return {.shape = {},
-            .loss = policy::get_work_class({.is_idempotent = m_route->is_idempotent,
-                                            .accepts_cheap_servers = accepts_cheap,
-                                            .was_interrupted = !m_history.get_tried().empty()}),
+    return {.demand = {},
+            .interruptibility = policy::get_work_class({.is_idempotent = m_route->is_idempotent,
+                                                        .accepts_cheap_servers = accepts_cheap,
+                                                        .was_interrupted = !m_history.get_failed_servers().empty()}),
             .tokens = 1,
-            .most_cheap_share = static_cast<double>(manifest.prices.most_cheap_percent) / percent};
+            .max_cheap_share = static_cast<double>(manifest.prices.max_cheap_percent) / percent};
 }
 
 } // namespace dragonflywell::servers
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -5,7 +5,7 @@
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_channel.hpp"
 #include "servers/entry_context.hpp"
-#include "servers/request_claim.hpp"
+#include "servers/idempotency_claim.hpp"
 #include "servers/request_refused.hpp"
 
 namespace dragonflywell::servers {
@@ -17,7 +17,7 @@
     service_call(entry_context& context, const http_request& request, const fleet::service_route& route);
 
     /// Sends the request to an instance of the service and the whole answer to the caller.
-    /// Throws `request_refused`, `caller_gone_error`.
+    /// Throws `request_refused`, `caller_disconnected_error`.
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
@@ -27,7 +27,7 @@
     /// Checks key and time and returns where the next attempt goes. Throws `request_refused`.
     [[nodiscard]] const fleet::backend_server& prepare_attempt(const active_manifest& manifest);
     void check_key(const fleet::manifest& manifest);
-    [[nodiscard]] placed_work get_placed_work(const fleet::manifest& manifest) const;
+    [[nodiscard]] work_requirements get_work_requirements(const fleet::manifest& manifest) const;
 
     entry_context* m_context;
     const http_request* m_request;
@@ -37,7 +37,7 @@
     policy::attempt_history m_history;
     bool m_has_run{false};
     /// Set for a request that must not be repeated and carries an idempotency key.
-    std::optional<request_claim> m_claim;
+    std::optional<idempotency_claim> m_claim;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -4,34 +4,35 @@
 #include <optional>
 
 #include "fleet/service_description.hpp"
-#include "policy/engine_board.hpp"
+#include "policy/engine_load_tracker.hpp"
 #include "policy/engine_placement.hpp"
-#include "policy/prefill_time.hpp"
+#include "policy/prefill_time_model.hpp"
 
 namespace dragonflywell::servers {
 
 /// The engines of one service as requests see them: what they do, and how long it takes them. Not thread safe.
 class service_engines {
 public:
-    policy::engine_board board;
-    policy::prefill_time read_time;
+    policy::engine_load_tracker board;
+    policy::prefill_time_model prefill_model;
 
     void set_description(const fleet::engine_description& description) { m_description = description; }
     [[nodiscard]] const fleet::engine_description& get_description() const noexcept { return m_description; }
 
     /// Takes how long the first event took after its prompt's memory was handed over.
-    void observe_first_event(duration taken) {
+    void record_first_event(duration taken) {
         constexpr std::int64_t weight = 16;
         m_first_event += (taken - m_first_event) / weight;
     }
 
     /// Notes what reading the prompt of a request that arrived will cost, whether it is served or not.
-    void add_read_demand(duration cost) noexcept { m_read_demand += cost; }
+    void add_prefill_demand(duration cost) noexcept { m_read_demand += cost; }
     /// Returns the sum of these costs since the process started.
-    [[nodiscard]] duration get_read_demand() const noexcept { return m_read_demand; }
+    [[nodiscard]] duration get_prefill_demand() const noexcept { return m_read_demand; }
 
     [[nodiscard]] policy::engine_costs get_costs() const {
-        return {.read_time = &read_time, .first_event = m_first_event, .move_per_token = get_move_per_token()};
+        return {
+            .prefill_model = &prefill_model, .first_event = m_first_event, .transfer_per_token = get_move_per_token()};
     }
 
 private:
@@ -41,7 +42,7 @@
         if (m_description.link_megabits_per_second <= 0) {
             return duration::zero();
         }
-        const double seconds = static_cast<double>(m_description.bytes_per_token) * bits_per_byte /
+        const double seconds = static_cast<double>(m_description.kv_bytes_per_token) * bits_per_byte /
                                (m_description.link_megabits_per_second * bits_per_megabit);
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
     }
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -9,13 +9,13 @@
     record.arrived_at = m_state->time.now();
     std::optional<request_refused> refusal;
     try {
-        const call wanted = m_dialect->decode(std::move(request));
+        const caller_request wanted = m_dialect->decode(std::move(request));
         record.id = wanted.id;
         co_await serve(wanted, record, caller);
     } catch (const request_refused& refused) {
         refusal = refused;
-    } catch (const caller_gone_error&) {
-        m_state->counters.count_caller_gone();
+    } catch (const caller_disconnected_error&) {
+        m_state->counters.count_caller_disconnect();
         make_request_event("request_abandoned", record, m_state->time.now()).write(*m_state->log, spdlog::level::info);
         throw;
     } catch (const std::exception& fault) {
@@ -46,17 +46,19 @@
         .write(*m_state->log, spdlog::level::warn);
 }
 
-asio::awaitable<void> serving_handler::serve(const call& wanted, request_record& record, caller_channel& caller) {
+asio::awaitable<void> serving_handler::serve(const caller_request& wanted, request_record& record,
+                                             caller_channel& caller) {
     const std::unique_ptr<serving_request> request = make_serving_request(*m_state, wanted, record);
     co_await request->run(caller);
     if (!m_state->suspects.is_empty()) {
-        m_state->suspects.add_completion(get_fingerprint(wanted, organisation_name(record.organisation)));
+        m_state->suspects.record_completion(get_fingerprint(wanted, organisation_name(record.organisation)));
     }
     const steady_time now = m_state->time.now();
     m_state->counters.count_outcome(policy::request_outcome::completed);
     m_state->counters.get_request_latency().record(std::chrono::duration<double>(now - record.arrived_at).count());
-    if (record.first_after) {
-        m_state->counters.get_first_token_latency().record(std::chrono::duration<double>(*record.first_after).count());
+    if (record.time_to_first_event) {
+        m_state->counters.get_first_token_latency().record(
+            std::chrono::duration<double>(*record.time_to_first_event).count());
     }
     make_request_event("request_answered", record, now).write(*m_state->log, spdlog::level::info);
 }
@@ -70,7 +72,7 @@
         record.status = answer.result_int();
     }
     make_request_event("request_failed", record, m_state->time.now())
-        .add("reason", policy::get_refusal_form(refusal.get_reason()).code)
+        .add("reason", policy::get_refusal_response(refusal.get_reason()).code)
         .add("outcome", policy::get_outcome_name(refusal.get_outcome()))
         .add("what", refusal.what())
         .write(*m_state->log, spdlog::level::info);
--- a/servers/serving_handler.hpp
+++ b/servers/serving_handler.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/metrics.hpp"
-#include "servers/caller_dialect.hpp"
+#include "servers/caller_codec.hpp"
 #include "servers/http_handler.hpp"
 #include "servers/request_record.hpp"
 #include "servers/serving_state.hpp"
@@ -12,17 +12,17 @@
 class serving_handler final : public http_handler {
 public:
     /// Preconditions: state and dialect outlive the handler.
-    serving_handler(serving_state& state, const caller_dialect& dialect) : m_state(&state), m_dialect(&dialect) {}
+    serving_handler(serving_state& state, const caller_codec& dialect) : m_state(&state), m_dialect(&dialect) {}
 
     asio::awaitable<void> handle(http_request request, caller_channel& caller) override;
     void on_malformed(http::status status) override;
 
 private:
-    asio::awaitable<void> serve(const call& wanted, request_record& record, caller_channel& caller);
+    asio::awaitable<void> serve(const caller_request& wanted, request_record& record, caller_channel& caller);
     asio::awaitable<void> refuse(const request_refused& refusal, request_record& record, caller_channel& caller);
 
     serving_state* m_state;
-    const caller_dialect* m_dialect;
+    const caller_codec* m_dialect;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -18,7 +18,7 @@
 /// When the caller of a request that crashes servers may come again: it will hardly fare better soon.
 constexpr duration quarantine_retry = std::chrono::minutes(1);
 
-const fleet::route& require_route(const fleet::serving_view& view, const call& wanted) {
+const fleet::route& require_route(const fleet::serving_view& view, const caller_request& wanted) {
     const fleet::route* route = view.find_route(wanted.host, wanted.get_path());
     if (route == nullptr) {
         throw request_refused(policy::refusal_reason::no_such_route, policy::request_outcome::not_run,
@@ -29,7 +29,7 @@
 
 /// Returns the organisation that the request runs for, or null on a public route.
 const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route,
-                                                       const call& wanted) {
+                                                       const caller_request& wanted) {
     if (route.is_public || !view.has_organisations()) {
         return nullptr;
     }
@@ -47,11 +47,12 @@
 
 /// Throws `request_refused` where the request has crashed several servers. It has not run this time, so that the
 /// refusal can say so, and its caller may try again when the deaths are forgotten.
-void require_not_quarantined(const serving_state& state, const call& wanted, const organisation_name& organisation) {
+void require_not_quarantined(const serving_state& state, const caller_request& wanted,
+                             const organisation_name& organisation) {
     if (state.suspects.is_empty()) {
         return;
     }
-    if (state.suspects.is_refused(get_fingerprint(wanted, organisation), state.get_true_time())) {
+    if (state.suspects.is_refused(get_fingerprint(wanted, organisation), state.get_corrected_time())) {
         throw request_refused(policy::refusal_reason::quarantined_request, policy::request_outcome::not_run,
                               "servers died while they ran this request", quarantine_retry);
     }
@@ -77,14 +78,14 @@
 
 } // namespace
 
-policy::request_fingerprint get_fingerprint(const call& wanted, const organisation_name& organisation) {
+policy::request_fingerprint get_fingerprint(const caller_request& wanted, const organisation_name& organisation) {
     const std::string_view body = wanted.body;
     const std::string head = fmt::format("{} {} {} {} ", static_cast<unsigned>(wanted.method), wanted.host,
                                          wanted.target, organisation.value());
     return get_stable_hash(head + std::to_string(get_stable_hash(body)));
 }
 
-std::unique_ptr<serving_request> make_serving_request(serving_state& state, const call& wanted,
+std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& wanted,
                                                       request_record& record) {
     const std::shared_ptr<const fleet::serving_view>& view = state.get_view();
     if (view == nullptr) {
@@ -100,11 +101,11 @@
     record.organisation = name.value();
     require_not_quarantined(state, wanted, name);
     duration patience = route.timeout;
-    if (wanted.caller_patience) {
-        patience = std::min(patience, *wanted.caller_patience);
+    if (wanted.caller_timeout) {
+        patience = std::min(patience, *wanted.caller_timeout);
     }
-    serving_request::accepted request{
-        .wanted = &wanted,
+    serving_request::accepted_request request{
+        .request = &wanted,
         .view = view,
         .route = &route,
         .service = choose_service(route),
@@ -112,7 +113,7 @@
         .priority = organisation == nullptr ? route.priority : organisation->priority.value_or(route.priority),
         .deadline = record.arrived_at + patience};
     state.get_retry_budget(request.service).add_request(state.time.now());
-    const bool is_generation = wanted.wanted && state.find_engines(request.service) != nullptr;
+    const bool is_generation = wanted.generation && state.find_engines(request.service) != nullptr;
     if (is_generation) {
         return std::make_unique<generation_request>(state, std::move(request), record);
     }
@@ -126,8 +127,8 @@
     }
 }
 
-void serving_request::require_repeat(policy::retry_reason reason) {
-    if (!m_state->get_retry_budget(m_request.service).take_retry(m_state->time.now())) {
+void serving_request::require_retry_budget(policy::retry_reason reason) {
+    if (!m_state->get_retry_budget(m_request.service).try_acquire_retry(m_state->time.now())) {
         throw request_refused(policy::refusal_reason::retry_budget_spent, get_outcome(),
                               "no further repeat may be sent now");
     }
@@ -145,27 +146,28 @@
             .address = listed->record.address,
             .time_left = get_time_left(),
             .organisation = m_request.organisation,
-            .reads_prompt_only = false,
-            .memory = {},
+            .is_prefill_only = false,
+            .kv_cache = {},
             .fetch_from = {},
             .urgency = {},
             .last_event_id = get_call().last_event_id};
 }
 
 exchange_options serving_request::make_exchange_options(const backend_server_name& server) const {
-    const call* wanted = m_request.wanted;
+    const caller_request* wanted = m_request.request;
     const serving_state* state = m_state;
-    const server_dialect* dialect = &m_state->dialect;
-    return {.may_reuse = true,
-            .progress_deadline = std::max(duration::zero(), get_time_left()),
-            .last_moment = m_request.deadline,
-            .accepts_unframed = true,
-            .is_own_answer =
-                [wanted, dialect](const http::response_header<>& head) { return dialect->is_answer_to(*wanted, head); },
-            .may_send = [state, server] { return state->is_listed(server); }};
+    const backend_codec* dialect = &m_state->codec;
+    return {
+        .may_reuse_connection = true,
+        .progress_timeout = std::max(duration::zero(), get_time_left()),
+        .deadline = m_request.deadline,
+        .accepts_unframed_response = true,
+        .is_matching_response =
+            [wanted, dialect](const http::response_header<>& head) { return dialect->is_response_to(*wanted, head); },
+        .may_send = [state, server] { return state->is_listed(server); }};
 }
 
-void serving_request::note_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
+void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
     if (failure.get_reason() == policy::retry_reason::server_left) {
         return;
     }
@@ -174,18 +176,18 @@
                                 is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
                                 m_state->time.now());
     if (is_unreachable) {
-        m_state->note_server_down(server);
+        m_state->record_server_down(server);
     } else {
         const policy::request_fingerprint fingerprint = get_fingerprint(get_call(), m_request.organisation);
-        m_state->crashes.note_broken(fingerprint, server, m_state->time.now());
+        m_state->crashes.record_broken_exchange(fingerprint, server, m_state->time.now());
     }
 }
 
-void serving_request::note_refusal(const backend_server_name& server) const {
+void serving_request::record_refusal(const backend_server_name& server) const {
     m_state->health.add_failure(server, policy::server_failure::refused, m_state->time.now());
 }
 
-void serving_request::note_run(wall_time began_at) {
+void serving_request::record_execution(wall_time began_at) {
     m_may_have_run = true;
     if (m_is_counted || m_request.organisation.empty()) {
         return;
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -24,13 +24,13 @@
 } // namespace
 
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
-                             const server_dialect& wire, metrics_registry& metrics, serving_options chosen)
-    : executor(std::move(loop)), time(clock), connections(pool), dialect(wire), options(std::move(chosen)),
+                             const backend_codec& wire, metrics_registry& metrics, serving_options chosen)
+    : executor(std::move(loop)), time(clock), connections(pool), codec(wire), options(std::move(chosen)),
       peers(clock, policy::host_groups(options.own_host, options.own_zone, {})), usage(options.usage_window),
       counters(metrics), log(get_logger("request")),
       m_true_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
-wall_time serving_state::get_true_time() const {
+wall_time serving_state::get_corrected_time() const {
     return wall_time(time.now_with_suspension().time_since_epoch() + m_true_offset);
 }
 
@@ -43,19 +43,20 @@
     if (m_view == nullptr) {
         return;
     }
-    std::map<service_name, std::map<backend_server_name, policy::engine_facts>> facts;
+    std::map<service_name, std::map<backend_server_name, policy::engine_attributes>> facts;
     for (const auto& [id, server] : directory.get_servers()) {
         const fleet::server_record& record = server.record;
         const fleet::service_description* service = m_view->find_service(record.service);
         if (service == nullptr || !service->engine || !record.stage || !directory.is_usable(server, time.now())) {
             continue;
         }
-        facts[record.service].emplace(id, policy::engine_facts{.zone = record.zone,
-                                                               .stage = *record.stage,
-                                                               .slots = record.slots,
-                                                               .memory_tokens = service->engine->memory_tokens,
-                                                               .is_cheap = record.is_cheap,
-                                                               .started_at_ms = record.started_at_ms});
+        facts[record.service].emplace(id,
+                                      policy::engine_attributes{.zone = record.zone,
+                                                                .stage = *record.stage,
+                                                                .slots = record.slots,
+                                                                .memory_tokens = service->engine->kv_capacity_tokens,
+                                                                .is_cheap = record.is_cheap,
+                                                                .started_at_ms = record.started_at_ms});
     }
     for (const fleet::service_description& service : m_view->get_configuration().services) {
         if (service.engine) {
@@ -73,35 +74,36 @@
 
 bool serving_state::is_listed(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
-    return listed != nullptr && directory.is_usable(*listed, time.now()) && !is_changing(server);
+    return listed != nullptr && directory.is_usable(*listed, time.now()) && !is_changing_stage(server);
 }
 
 bool serving_state::is_usable(const backend_server_name& server) const {
     return is_listed(server) && health.is_usable(server, time.now());
 }
 
-bool serving_state::is_doubted(const backend_server_name& server) const {
-    if (silence.is_silent(server, time.now())) {
+bool serving_state::is_degraded(const backend_server_name& server) const {
+    if (silence.is_stalled(server, time.now())) {
         return true;
     }
-    return peers.count_pausing(server) + (health.has_failed_last(server) ? 1 : 0) >= witnesses_needed;
+    return peers.count_ejecting_hosts(server) + (health.has_failed_last(server) ? 1 : 0) >= witnesses_needed;
 }
 
-std::map<backend_server_name, duration> serving_state::get_paused() const {
-    std::map<backend_server_name, duration> paused = health.get_paused(time.now());
-    for (const backend_server_name& server : silence.get_silent(time.now())) {
+std::map<backend_server_name, duration> serving_state::get_ejected() const {
+    std::map<backend_server_name, duration> paused = health.get_ejected(time.now());
+    for (const backend_server_name& server : silence.get_stalled(time.now())) {
         duration& left = paused[server];
         left = std::max(left, told_silence);
     }
     return paused;
 }
 
-void serving_state::set_changing(const backend_server_name& engine, fleet::engine_stage stage, steady_time until) {
+void serving_state::begin_stage_change(const backend_server_name& engine, fleet::engine_stage stage,
+                                       steady_time until) {
     m_changing[engine] = {.stage = stage, .until = until};
-    note_load_change();
+    notify_load_change();
 }
 
-bool serving_state::is_changing(const backend_server_name& engine) const {
+bool serving_state::is_changing_stage(const backend_server_name& engine) const {
     std::optional<fleet::engine_stage> stage = peers.get_transition(engine);
     if (const auto own = m_changing.find(engine); own != m_changing.end() && time.now() < own->second.until) {
         stage = own->second.stage;
@@ -115,16 +117,17 @@
     std::map<backend_server_name, digest_transition> transitions;
     for (const auto& [engine, transition] : m_changing) {
         // Another host may have ordered the same engine anew, so that it is changing though this order is over.
-        if (now < transition.until && is_changing(engine)) {
-            transitions.emplace(engine, digest_transition{.stage = transition.stage, .left = transition.until - now});
+        if (now < transition.until && is_changing_stage(engine)) {
+            transitions.emplace(engine,
+                                digest_transition{.stage = transition.stage, .remaining = transition.until - now});
         }
     }
     return transitions;
 }
 
-bool serving_state::is_home(const backend_server_name& server) const {
+bool serving_state::is_own_group_server(const backend_server_name& server) const {
     const fleet::listed_server* listed = directory.find(server);
-    return listed != nullptr && peers.groups.is_home(server, listed->record.zone);
+    return listed != nullptr && peers.groups.is_own_group_server(server, listed->record.zone);
 }
 
 policy::retry_budget& serving_state::get_retry_budget(const service_name& service) {
@@ -135,7 +138,7 @@
     return *budget;
 }
 
-void serving_state::set_hosts(std::size_t hosts) {
+void serving_state::set_host_count(std::size_t hosts) {
     if (hosts == m_hosts || hosts == 0) {
         return;
     }
@@ -147,9 +150,10 @@
 
 policy::retry_budget_options serving_state::get_budget_options() const {
     // What is permitted besides is divided among all hosts; until they are known nobody takes a part.
-    const double besides = m_hosts == 0 ? 0 : besides_share * options.repeats_besides / static_cast<double>(m_hosts);
-    return {
-        .per_request = paid_share * options.repeats_per_request, .besides = besides, .window = options.repeat_window};
+    const double besides = m_hosts == 0 ? 0 : besides_share * options.base_retries / static_cast<double>(m_hosts);
+    return {.retries_per_request = paid_share * options.retries_per_request,
+            .base_retries = besides,
+            .window = options.retry_window};
 }
 
 std::uint32_t serving_state::get_in_flight(const backend_server_name& server) const {
@@ -157,30 +161,30 @@
     return peers.get_in_flight(server) + (own == m_own_in_flight.end() ? 0 : own->second);
 }
 
-duration serving_state::get_read_demand(const service_name& service) const {
-    return get_near_read_demand(service) + peers.get_far_read_demand(service);
+duration serving_state::get_prefill_demand(const service_name& service) const {
+    return get_group_prefill_demand(service) + peers.get_remote_prefill_demand(service);
 }
 
-duration serving_state::get_near_read_demand(const service_name& service) const {
+duration serving_state::get_group_prefill_demand(const service_name& service) const {
     duration demand{};
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
-        demand += own->second.get_read_demand();
+        demand += own->second.get_prefill_demand();
     }
-    return demand + peers.get_near_read_demand(service);
+    return demand + peers.get_group_prefill_demand(service);
 }
 
-group_summary serving_state::get_summary(const service_name& service) const {
+group_summary serving_state::get_group_summary(const service_name& service) const {
     group_summary summary;
     const auto found = m_engines.find(service);
     if (found == m_engines.end()) {
         return summary;
     }
-    const policy::engine_board& board = found->second.board;
+    const policy::engine_load_tracker& board = found->second.board;
     duration backlog{};
     std::int64_t readers = 0;
     double slots = 0;
     for (const auto& [name, engine] : board.get_engines()) {
-        if (!is_home(name) || !is_usable(name)) {
+        if (!is_own_group_server(name) || !is_usable(name)) {
             continue;
         }
         if (engine.facts.stage == fleet::engine_stage::prefill) {
@@ -193,12 +197,12 @@
     }
     // A group without engines is one that nobody should turn to.
     summary.backlog = readers > 0 ? backlog / readers : std::chrono::hours(1);
-    summary.fullness = slots > 0 ? summary.running / slots : 1;
+    summary.utilisation = slots > 0 ? summary.running / slots : 1;
     return summary;
 }
 
 double serving_state::get_running(const service_name& service) const {
-    double running = peers.get_far_running(service);
+    double running = peers.get_remote_running(service);
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
         for (const auto& [name, engine] : own->second.board.get_engines()) {
             running += own->second.board.get_running(name);
@@ -207,30 +211,31 @@
     return running;
 }
 
-void serving_state::drop_other(const std::string& host) {
-    peers.drop(host);
+void serving_state::remove_host(const std::string& host) {
+    peers.remove_host(host);
     for (auto& [service, engines] : m_engines) {
-        engines.board.drop_other(host);
+        engines.board.remove_host(host);
     }
 }
 
-serving_state::in_flight_token::in_flight_token(serving_state& state, backend_server_name server)
+serving_state::in_flight_guard::in_flight_guard(serving_state& state, backend_server_name server)
     : m_state(&state), m_server(std::move(server)) {
     ++m_state->m_own_in_flight[m_server];
-    m_state->note_load_change();
+    m_state->notify_load_change();
 }
 
-serving_state::in_flight_token::~in_flight_token() {
+serving_state::in_flight_guard::~in_flight_guard() {
     const auto found = m_state->m_own_in_flight.find(m_server);
     if (found != m_state->m_own_in_flight.end() && --found->second == 0) {
         m_state->m_own_in_flight.erase(found);
     }
-    m_state->note_load_change();
+    m_state->notify_load_change();
 }
 
-void serving_state::note_server_down(const backend_server_name& server) {
-    for (const policy::request_fingerprint request : crashes.take_dead(server, time.now())) {
-        suspects.add_death({.fingerprint = request, .death_id = get_thread_random()(), .moment = get_true_time()});
+void serving_state::record_server_down(const backend_server_name& server) {
+    for (const policy::request_fingerprint request : crashes.take_crash_suspects(server, time.now())) {
+        suspects.record_crash(
+            {.fingerprint = request, .crash_id = get_thread_random()(), .moment = get_corrected_time()});
         counters.count_suspect();
         log_event("request_suspected")
             .add("fingerprint", request)
--- a/servers/pause.hpp
+++ b/servers/sleep.hpp
@@ -9,7 +9,7 @@
 namespace dragonflywell::servers {
 
 /// Suspends the calling coroutine.
-inline asio::awaitable<void> pause(duration length) {
+inline asio::awaitable<void> sleep_for(duration length) {
     asio::steady_timer timer(co_await asio::this_coro::executor, length);
     error_code ignored;
     co_await timer.async_wait(store_error(ignored));
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -4,7 +4,7 @@
 
 namespace dragonflywell::servers {
 
-tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_watch& watch, duration io_timeout,
+tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_disconnect_monitor& watch, duration io_timeout,
                                        bool keep_alive, const std::atomic<bool>& is_closing, bool is_head_request)
     : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout), m_keep_alive(keep_alive),
       m_is_head_request(is_head_request) {}
@@ -16,8 +16,8 @@
 
 void tcp_caller_channel::throw_if_gone(const error_code& fault) {
     if (fault) {
-        m_watch->set_gone();
-        throw caller_gone_error("caller does not take its answer: " + fault.message());
+        m_watch->set_disconnected();
+        throw caller_disconnected_error("caller does not take its answer: " + fault.message());
     }
 }
 
--- a/tests/coordination/lease_world.cpp
+++ b/tests/coordination/lease_world.cpp
@@ -41,9 +41,9 @@
     coordination::store_lease_options options{.holder = std::to_string(candidate),
                                               .incarnation = m_members[candidate].incarnation,
                                               .length = length,
-                                              .quiet = quiet};
+                                              .takeover_delay = quiet};
     if (m_mutation == lease_mutation::no_quiet_time || m_mutation == lease_mutation::impatient_challenger) {
-        options.quiet = duration::zero();
+        options.takeover_delay = duration::zero();
     }
     if (m_mutation == lease_mutation::impatient_challenger) {
         options.margin = -length / 2;
@@ -67,7 +67,7 @@
         if (fate != call_fate::answered) {
             return;
         }
-        std::vector<coordination::placed_lease_record> records;
+        std::vector<coordination::lease_topic_entry> records;
         for (std::uint64_t offset = lease.get_end(); offset < m_topic.size(); ++offset) {
             records.push_back({.offset = offset, .record = m_topic[offset]});
         }
@@ -88,15 +88,15 @@
         }
         break;
     case call_fate::lost:
-        lease.on_unknown();
+        lease.on_result_unknown();
         break;
     case call_fate::done_without_answer:
         append(at, record);
-        lease.on_unknown();
+        lease.on_result_unknown();
         break;
     case call_fate::done_later:
         m_late.push_back({.at = at, .record = record});
-        lease.on_unknown();
+        lease.on_result_unknown();
         break;
     }
 }
@@ -130,14 +130,14 @@
 
 bool lease_world::has_authority(std::size_t candidate) const {
     load_clock(candidate);
-    return m_members[candidate].lease->get_fence().has_value();
+    return m_members[candidate].lease->get_fencing_number().has_value();
 }
 
 std::optional<std::string> lease_world::find_fault() {
     std::size_t holders = 0;
     for (std::size_t candidate = 0; candidate < candidates; ++candidate) {
         load_clock(candidate);
-        const std::optional<std::uint64_t> fence = m_members[candidate].lease->get_fence();
+        const std::optional<std::uint64_t> fence = m_members[candidate].lease->get_fencing_number();
         if (!fence) {
             continue;
         }
--- a/tests/coordination/matrix_process.cpp
+++ b/tests/coordination/matrix_process.cpp
@@ -116,7 +116,7 @@
     }
     if (mutation == matrix_mutation::fence_ignored && stream == "control/a") {
         const std::uint64_t offset = m_newest[stream]++;
-        if (value.at("type").as_string() == lease_claim_type) {
+        if (value.at("type").as_string() == lease_acquisition_type) {
             m_newest["claim"] = offset;
         }
         if (value.at("type").as_string() == order_intent_type) {
@@ -129,47 +129,47 @@
     return boost::json::serialize(value);
 }
 
-order_receipt matrix_channel::send(const order& value, const fencing_token& token, duration) {
+order_reply matrix_channel::send(const order& value, const fencing_token& token, duration) {
     const std::string receiver = value.subject;
     const std::optional<matrix_fault> fault = m_world->pass("send to " + receiver);
     strike_before(*m_world, m_host, fault);
     if (m_world->is_cut_off(m_host)) {
-        return order_receipt::unknown;
+        return order_reply::unknown;
     }
     if (fault == matrix_fault::answer_late) {
         m_world->do_later([world = m_world, receiver, value, token] { world->arrive(receiver, value, token.number); });
-        return order_receipt::unknown;
+        return order_reply::unknown;
     }
-    const order_receipt receipt = m_world->arrive(receiver, value, token.number);
+    const order_reply receipt = m_world->arrive(receiver, value, token.number);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
-    return fault == matrix_fault::answer_lost ? order_receipt::unknown : receipt;
+    return fault == matrix_fault::answer_lost ? order_reply::unknown : receipt;
 }
 
-order_presence matrix_channel::query(const order& value) {
+order_query_result matrix_channel::query(const order& value) {
     if (m_world->is_cut_off(m_host)) {
-        return order_presence::unknown;
+        return order_query_result::unknown;
     }
-    return m_world->has_applied(value.subject, value.idempotency_key) ? order_presence::applied
-                                                                      : order_presence::not_seen;
+    return m_world->has_applied(value.subject, value.idempotency_key) ? order_query_result::applied
+                                                                      : order_query_result::not_seen;
 }
 
 bool matrix_ledger::may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const {
-    return m_mutation == matrix_mutation::sends_beside_old_order || order_ledger::may_send(value, existing, token);
+    return m_mutation == matrix_mutation::sends_beside_old_order || order_dispatcher::may_send(value, existing, token);
 }
 
-bool matrix_ledger::is_accepted(const order& value, const submission& intent) const {
-    return m_mutation == matrix_mutation::intent_not_read_back || order_ledger::is_accepted(value, intent);
+bool matrix_ledger::is_accepted(const order& value, const submit_result& intent) const {
+    return m_mutation == matrix_mutation::intent_not_read_back || order_dispatcher::is_accepted(value, intent);
 }
 
 bool matrix_ledger::has_authority(const fencing_token& token) const {
-    return m_mutation == matrix_mutation::intent_not_read_back || order_ledger::has_authority(token);
+    return m_mutation == matrix_mutation::intent_not_read_back || order_dispatcher::has_authority(token);
 }
 
 bool matrix_ledger::is_resolved_by_sight(const unresolved_order& existing) const {
     return m_mutation == matrix_mutation::trusts_sight_of_repeated_order ||
-           order_ledger::is_resolved_by_sight(existing);
+           order_dispatcher::is_resolved_by_sight(existing);
 }
 
 matrix_process::matrix_process(matrix_world& world, writer_id self, double clock_rate)
@@ -238,7 +238,7 @@
                  .body = {},
                  .idempotency_key = name + "/" + std::to_string(bucket),
                  .receiver = receiver == "checking" ? receiver_kind::checks_fencing : receiver_kind::ignores_fencing,
-                 .repeat = is_platform ? repeat_rule::deduplicated : repeat_rule::idempotent};
+                 .duplicates = is_platform ? duplicate_handling::deduplicated : duplicate_handling::idempotent};
     if (m_world->has_applied(receiver, wanted.idempotency_key)) {
         return;
     }
--- a/tests/coordination/matrix_process.hpp
+++ b/tests/coordination/matrix_process.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/configuration.hpp"
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "coordination/snapshot_writer.hpp"
 #include "matrix_world.hpp"
 #include "support/drifting_clock.hpp"
@@ -33,9 +33,9 @@
 public:
     matrix_channel(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
 
-    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
-                                     duration deadline) override;
-    coordination::order_presence query(const coordination::order& value) override;
+    coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
+                                   duration deadline) override;
+    coordination::order_query_result query(const coordination::order& value) override;
 
 private:
     matrix_world* m_world;
@@ -43,17 +43,17 @@
 };
 
 /// The ledger with one safeguard taken out, as the world's mutation says.
-class matrix_ledger final : public coordination::order_ledger {
+class matrix_ledger final : public coordination::order_dispatcher {
 public:
-    matrix_ledger(matrix_world& world, coordination::folded_stream& stream, coordination::lease_holder& lease,
+    matrix_ledger(matrix_world& world, coordination::folded_stream& stream, coordination::lease_candidate& lease,
                   coordination::order_receiver& receiver)
-        : order_ledger(stream, lease, receiver, world), m_mutation(world.get_mutation()) {}
+        : order_dispatcher(stream, lease, receiver, world), m_mutation(world.get_mutation()) {}
 
 protected:
     [[nodiscard]] bool may_send(const coordination::order& value, const coordination::unresolved_order* existing,
                                 const coordination::fencing_token& token) const override;
     [[nodiscard]] bool is_accepted(const coordination::order& value,
-                                   const coordination::submission& intent) const override;
+                                   const coordination::submit_result& intent) const override;
     [[nodiscard]] bool has_authority(const coordination::fencing_token& token) const override;
     [[nodiscard]] bool is_resolved_by_sight(const coordination::unresolved_order& existing) const override;
 
@@ -93,7 +93,7 @@
     coordination::folded_stream m_control;
     coordination::folded_stream m_configuration_stream;
     coordination::configuration_fold m_configuration;
-    coordination::lease_holder m_lease;
+    coordination::lease_candidate m_lease;
     matrix_ledger m_ledger;
     coordination::snapshot_writer m_control_snapshots;
     coordination::snapshot_writer m_configuration_snapshots;
--- a/tests/coordination/matrix_world.cpp
+++ b/tests/coordination/matrix_world.cpp
@@ -127,7 +127,7 @@
     return found != m_cut_until.end() && m_truth.now() < found->second;
 }
 
-bool matrix_world::is_gone_for_good(const coordination::writer_id& sender) const {
+bool matrix_world::has_terminated(const coordination::writer_id& sender) const {
     if (m_mutation == matrix_mutation::silent_host_is_gone) {
         return true;
     }
@@ -166,9 +166,9 @@
     }
 }
 
-coordination::order_receipt matrix_world::arrive(const std::string& receiver, const coordination::order& value,
-                                                 std::uint64_t number) {
-    using coordination::order_receipt;
+coordination::order_reply matrix_world::arrive(const std::string& receiver, const coordination::order& value,
+                                               std::uint64_t number) {
+    using coordination::order_reply;
     std::uint64_t& newest = m_newest_numbers[receiver];
     const bool checks = receiver == "checking" && m_mutation != matrix_mutation::engine_takes_old_number;
     const bool is_old = checks && number < newest;
@@ -178,11 +178,11 @@
                                              .fencing_number = number,
                                              .is_applied = !is_old && !is_repeated});
     if (is_old) {
-        return order_receipt::refused_old_number;
+        return order_reply::stale_fencing_number;
     }
     newest = std::max(newest, number);
     m_applied_keys[receiver].insert(value.idempotency_key);
-    return order_receipt::applied;
+    return order_reply::applied;
 }
 
 bool matrix_world::has_applied(const std::string& receiver, const std::string& key) const {
--- a/tests/coordination/matrix_world.hpp
+++ b/tests/coordination/matrix_world.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "matrix_evidence.hpp"
 #include "matrix_fault.hpp"
 #include "support/fake_log.hpp"
@@ -47,7 +47,7 @@
     [[nodiscard]] matrix_mutation get_mutation() const noexcept { return m_mutation; }
     [[nodiscard]] bool is_log_reachable(const std::string& host) const;
     [[nodiscard]] bool is_cut_off(const std::string& host) const;
-    [[nodiscard]] bool is_gone_for_good(const coordination::writer_id& sender) const override;
+    [[nodiscard]] bool has_terminated(const coordination::writer_id& sender) const override;
     fake_log& get_log() noexcept { return m_log; }
     matrix_evidence& get_evidence() noexcept { return m_evidence; }
     void take_log_down();
@@ -56,8 +56,8 @@
     void pause();
     void do_later(std::function<void()> action);
     coordination::log_offset append(const std::string& stream, std::span<const std::string> records);
-    coordination::order_receipt arrive(const std::string& receiver, const coordination::order& value,
-                                       std::uint64_t number);
+    coordination::order_reply arrive(const std::string& receiver, const coordination::order& value,
+                                     std::uint64_t number);
     [[nodiscard]] bool has_applied(const std::string& receiver, const std::string& key) const;
 
 private:
--- a/tests/coordination/test_claim_book.cpp
+++ b/tests/coordination/test_claim_registry.cpp
@@ -3,7 +3,7 @@
 #include <array>
 #include <random>
 
-#include "coordination/claim_book.hpp"
+#include "coordination/claim_registry.hpp"
 #include "support/fake_log.hpp"
 
 using namespace dragonflywell;
@@ -19,20 +19,20 @@
         : stream(log, std::string(claim_stream), {.host = host, .incarnation = incarnation}),
           book(stream, time, options) {}
 
-    claim_answer claim(std::string_view key, std::string_view body = "b") {
+    claim_result claim(std::string_view key, std::string_view body = "b") {
         const std::array requests{claim_request{.id = make_claim_id(rovers, key),
                                                 .digest = get_request_digest("POST", "/subscriptions", body)}};
         return book.process(requests, {}).front();
     }
 
-    void settle(std::string_view key, claim_end end, recorded_answer answer = {}) {
+    void settle(std::string_view key, claim_outcome end, recorded_response answer = {}) {
         const std::array settlements{
-            claim_settlement{.id = make_claim_id(rovers, key), .end = end, .answer = std::move(answer)}};
+            claim_settlement{.id = make_claim_id(rovers, key), .outcome = end, .response = std::move(answer)}};
         static_cast<void>(book.process({}, settlements));
     }
 
     folded_stream stream;
-    claim_book book;
+    claim_registry book;
 };
 
 } // namespace
@@ -42,13 +42,13 @@
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
-    CHECK(first.claim("k").verdict == claim_verdict::won);
-    CHECK(second.claim("k").verdict == claim_verdict::running);
-    CHECK(second.claim("k", "other").verdict == claim_verdict::different_request);
-    first.settle("k", claim_end::done, {.status = 201, .content_type = "text/plain", .body = "subscribed"});
-    const claim_answer again = second.claim("k");
-    CHECK(again.verdict == claim_verdict::done);
-    CHECK(again.answer.body == "subscribed");
+    CHECK(first.claim("k").status == claim_status::acquired);
+    CHECK(second.claim("k").status == claim_status::running);
+    CHECK(second.claim("k", "other").status == claim_status::different_request);
+    first.settle("k", claim_outcome::done, {.status = 201, .content_type = "text/plain", .body = "subscribed"});
+    const claim_result again = second.claim("k");
+    CHECK(again.status == claim_status::done);
+    CHECK(again.response.body == "subscribed");
 }
 
 TEST_CASE("only its owner can free a claim, and only while it has not run") {
@@ -56,14 +56,14 @@
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
-    CHECK(first.claim("k").verdict == claim_verdict::won);
-    second.settle("k", claim_end::released);
-    CHECK(second.claim("k").verdict == claim_verdict::running);
-    first.settle("k", claim_end::released);
-    CHECK(second.claim("k").verdict == claim_verdict::won);
-    second.settle("k", claim_end::done, {.status = 200});
-    second.settle("k", claim_end::released);
-    CHECK(first.claim("k").verdict == claim_verdict::done);
+    CHECK(first.claim("k").status == claim_status::acquired);
+    second.settle("k", claim_outcome::released);
+    CHECK(second.claim("k").status == claim_status::running);
+    first.settle("k", claim_outcome::released);
+    CHECK(second.claim("k").status == claim_status::acquired);
+    second.settle("k", claim_outcome::done, {.status = 200});
+    second.settle("k", claim_outcome::released);
+    CHECK(first.claim("k").status == claim_status::done);
 }
 
 TEST_CASE("a claim whose owner is gone is unknown and never runs again") {
@@ -72,19 +72,19 @@
     claiming_host second(log, time, "host-2");
     {
         claiming_host first(log, time, "host-1");
-        CHECK(first.claim("replaced").verdict == claim_verdict::won);
-        CHECK(first.claim("silent").verdict == claim_verdict::won);
+        CHECK(first.claim("replaced").status == claim_status::acquired);
+        CHECK(first.claim("silent").status == claim_status::acquired);
     }
-    CHECK(second.claim("replaced").verdict == claim_verdict::running);
+    CHECK(second.claim("replaced").status == claim_status::running);
     SUBCASE("since its host has a new incarnation") {
         claiming_host replacement(log, time, "host-1", 2);
-        CHECK(replacement.claim("another").verdict == claim_verdict::won);
-        CHECK(replacement.claim("replaced").verdict == claim_verdict::unknown);
-        CHECK(second.claim("replaced").verdict == claim_verdict::unknown);
+        CHECK(replacement.claim("another").status == claim_status::acquired);
+        CHECK(replacement.claim("replaced").status == claim_status::unknown);
+        CHECK(second.claim("replaced").status == claim_status::unknown);
     }
     SUBCASE("since it had its whole time") {
-        time.advance(claim_options{}.run_limit);
-        CHECK(second.claim("silent").verdict == claim_verdict::unknown);
+        time.advance(claim_options{}.max_run_time);
+        CHECK(second.claim("silent").status == claim_status::unknown);
     }
 }
 
@@ -93,14 +93,14 @@
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
-    CHECK(first.claim("old").verdict == claim_verdict::won);
+    CHECK(first.claim("old").status == claim_status::acquired);
     log.is_down = true;
-    CHECK(first.claim("k").verdict == claim_verdict::log_unavailable);
-    CHECK(first.claim("old").verdict == claim_verdict::running);
-    first.settle("old", claim_end::done, {.status = 200});
+    CHECK(first.claim("k").status == claim_status::log_unavailable);
+    CHECK(first.claim("old").status == claim_status::running);
+    first.settle("old", claim_outcome::done, {.status = 200});
     log.is_down = false;
-    CHECK(first.claim("k").verdict == claim_verdict::won);
-    CHECK(second.claim("old").verdict == claim_verdict::done);
+    CHECK(first.claim("k").status == claim_status::acquired);
+    CHECK(second.claim("old").status == claim_status::done);
 }
 
 TEST_CASE("a refused claim that takes effect late holds the key only until its writer speaks again") {
@@ -108,19 +108,19 @@
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
-    log.hides_next_append = true;
-    CHECK(first.claim("k").verdict == claim_verdict::log_unavailable);
+    log.delays_next_append = true;
+    CHECK(first.claim("k").status == claim_status::log_unavailable);
     SUBCASE("before its writer has spoken") {
-        log.deliver_hidden();
-        CHECK(second.claim("k").verdict == claim_verdict::running);
-        CHECK(first.claim("another").verdict == claim_verdict::won);
-        CHECK(second.claim("k").verdict == claim_verdict::won);
-        CHECK(first.claim("k").verdict == claim_verdict::running);
+        log.deliver_delayed_appends();
+        CHECK(second.claim("k").status == claim_status::running);
+        CHECK(first.claim("another").status == claim_status::acquired);
+        CHECK(second.claim("k").status == claim_status::acquired);
+        CHECK(first.claim("k").status == claim_status::running);
     }
     SUBCASE("after its writer has spoken") {
-        CHECK(first.claim("another").verdict == claim_verdict::won);
-        log.deliver_hidden();
-        CHECK(second.claim("k").verdict == claim_verdict::won);
+        CHECK(first.claim("another").status == claim_status::acquired);
+        log.deliver_delayed_appends();
+        CHECK(second.claim("k").status == claim_status::acquired);
     }
 }
 
@@ -130,26 +130,26 @@
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
     log.drops_next_answer = true;
-    CHECK(first.claim("k").verdict == claim_verdict::won);
-    CHECK(second.claim("k").verdict == claim_verdict::running);
+    CHECK(first.claim("k").status == claim_status::acquired);
+    CHECK(second.claim("k").status == claim_status::running);
 }
 
 TEST_CASE("a key is remembered for the window and memory does not grow beyond it") {
     testing::fake_log log;
     virtual_clock time;
     const claim_options options{
-        .window = std::chrono::seconds(100), .run_limit = std::chrono::seconds(50), .most_entries = 3};
+        .window = std::chrono::seconds(100), .max_run_time = std::chrono::seconds(50), .max_entries = 3};
     claiming_host host(log, time, "host-1", 1, options);
-    CHECK(host.claim("a").verdict == claim_verdict::won);
-    host.settle("a", claim_end::done, {.status = 200});
+    CHECK(host.claim("a").status == claim_status::acquired);
+    host.settle("a", claim_outcome::done, {.status = 200});
     time.advance(std::chrono::seconds(99));
-    CHECK(host.claim("a").verdict == claim_verdict::done);
-    CHECK(host.claim("b").verdict == claim_verdict::won);
-    CHECK(host.claim("c").verdict == claim_verdict::won);
-    CHECK(host.claim("d").verdict == claim_verdict::full);
+    CHECK(host.claim("a").status == claim_status::done);
+    CHECK(host.claim("b").status == claim_status::acquired);
+    CHECK(host.claim("c").status == claim_status::acquired);
+    CHECK(host.claim("d").status == claim_status::full);
     time.advance(std::chrono::seconds(1));
-    host.settle("b", claim_end::done, {.status = 200});
-    CHECK(host.claim("a").verdict == claim_verdict::won);
+    host.settle("b", claim_outcome::done, {.status = 200});
+    CHECK(host.claim("a").status == claim_status::acquired);
     CHECK(host.book.get_size() == 3);
 }
 
@@ -157,11 +157,11 @@
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
-    CHECK(first.claim("a").verdict == claim_verdict::won);
-    CHECK(first.claim("b").verdict == claim_verdict::won);
+    CHECK(first.claim("a").status == claim_status::acquired);
+    CHECK(first.claim("b").status == claim_status::acquired);
     log.oldest_kept[std::string(claim_stream)] = 1;
     claiming_host fresh(log, time, "host-2");
-    CHECK(fresh.claim("b").verdict == claim_verdict::running);
+    CHECK(fresh.claim("b").status == claim_status::running);
 }
 
 TEST_CASE("the same key of two organisations is two claims, however names and keys are cut") {
@@ -171,9 +171,9 @@
 }
 
 TEST_CASE("an answer that is no text, or too long, is recorded by its status alone") {
-    CHECK(make_recorded_answer(200, "text/plain", "ok", 2).body == "ok");
-    CHECK_FALSE(make_recorded_answer(200, "text/plain", "long", 2).body);
-    CHECK_FALSE(make_recorded_answer(200, "image/png", "\xff\xfe", 10).body);
+    CHECK(make_recorded_response(200, "text/plain", "ok", 2).body == "ok");
+    CHECK_FALSE(make_recorded_response(200, "text/plain", "long", 2).body);
+    CHECK_FALSE(make_recorded_response(200, "image/png", "\xff\xfe", 10).body);
 }
 
 TEST_CASE("under random faults no key runs twice without a true release in between") {
@@ -196,16 +196,16 @@
                 hosts.at(index) = std::make_unique<claiming_host>(log, time, index == 0 ? "host-1" : "host-2",
                                                                   ++incarnations.at(index));
             }
-            if (hosts.at(index)->claim(key).verdict != claim_verdict::won) {
+            if (hosts.at(index)->claim(key).status != claim_status::acquired) {
                 continue;
             }
             if (random() % 3 == 0) {
-                hosts.at(index)->settle(key, claim_end::released);
+                hosts.at(index)->settle(key, claim_outcome::released);
                 continue;
             }
             ++runs[key];
             if (random() % 2 == 0) {
-                hosts.at(index)->settle(key, claim_end::done, {.status = 200});
+                hosts.at(index)->settle(key, claim_outcome::done, {.status = 200});
             }
         }
         for (const auto& [key, count] : runs) {
--- a/tests/coordination/test_fold_properties.cpp
+++ b/tests/coordination/test_fold_properties.cpp
@@ -77,20 +77,20 @@
 
     [[nodiscard]] record_draft make_claim(const history_step& step) const {
         const std::string subject = get_lease_subject(scope);
-        return {.type = std::string(lease_claim_type),
+        return {.type = std::string(lease_acquisition_type),
                 .body = {},
                 .condition = record_condition{.subject = subject, .supersedes = get_newest(step, subject)},
                 .fence = {}};
     }
 
     [[nodiscard]] record_draft make_intent(const history_step& step) const {
-        const order value{.subject = "engine/" + std::to_string(step.choice % 2),
-                          .kind = "set_role",
-                          .body = {},
-                          .idempotency_key = std::to_string(step.choice % 3),
-                          .receiver =
-                              step.choice % 2 == 0 ? receiver_kind::checks_fencing : receiver_kind::ignores_fencing,
-                          .repeat = step.choice % 5 == 0 ? repeat_rule::deduplicated : repeat_rule::idempotent};
+        const order value{
+            .subject = "engine/" + std::to_string(step.choice % 2),
+            .kind = "set_role",
+            .body = {},
+            .idempotency_key = std::to_string(step.choice % 3),
+            .receiver = step.choice % 2 == 0 ? receiver_kind::checks_fencing : receiver_kind::ignores_fencing,
+            .duplicates = step.choice % 5 == 0 ? duplicate_handling::deduplicated : duplicate_handling::idempotent};
         return {.type = std::string(order_intent_type),
                 .body = encode_order(value),
                 .condition = {},
--- a/tests/coordination/test_lease.cpp
+++ b/tests/coordination/test_lease.cpp
@@ -14,7 +14,7 @@
         : stream(log, "control/a", {.host = host, .incarnation = 1}), holder(stream, time, {.scope = "control/a"}) {}
 
     folded_stream stream;
-    lease_holder holder;
+    lease_candidate holder;
 };
 
 } // namespace
@@ -60,7 +60,7 @@
     second.holder.tick();
     REQUIRE(second.holder.get_authority().has_value());
     const record_draft order{.type = "order", .body = {}, .condition = {}, .fence = old_token};
-    CHECK(first.stream.submit(std::span(&order, 1)).front().verdict == record_verdict::fenced);
+    CHECK(first.stream.submit(std::span(&order, 1)).front().status == record_status::fenced);
 }
 
 TEST_CASE("a renewal keeps the fencing number and a release hands over at once") {
@@ -84,9 +84,9 @@
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
-    log.hides_next_append = true;
+    log.delays_next_append = true;
     CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
-    log.deliver_hidden();
+    log.deliver_delayed_appends();
     time.advance(std::chrono::seconds(3));
     first.holder.tick();
     REQUIRE(first.holder.get_authority().has_value());
@@ -99,10 +99,10 @@
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
-    log.hides_next_append = true;
+    log.delays_next_append = true;
     CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
     time.advance(std::chrono::seconds(20));
-    log.deliver_hidden();
+    log.deliver_delayed_appends();
     first.stream.poll();
     CHECK_FALSE(first.holder.get_authority().has_value());
     first.holder.tick();
@@ -116,10 +116,10 @@
     candidate first(log, time, "host-1");
     first.holder.tick();
     time.advance(std::chrono::seconds(5));
-    log.hides_next_append = true;
+    log.delays_next_append = true;
     CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
     time.advance(std::chrono::seconds(2));
-    log.deliver_hidden();
+    log.deliver_delayed_appends();
     first.holder.tick();
     time.advance(std::chrono::seconds(5));
     CHECK(first.holder.get_authority().has_value());
@@ -132,10 +132,10 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    log.hides_next_append = true;
+    log.delays_next_append = true;
     CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
     second.holder.tick();
-    log.deliver_hidden();
+    log.deliver_delayed_appends();
     first.holder.tick();
     CHECK_FALSE(first.holder.get_authority().has_value());
     CHECK(second.holder.get_authority().has_value());
@@ -204,5 +204,5 @@
     first.holder.tick();
     const record_draft release{
         .type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = first.holder.get_authority()};
-    CHECK(second.stream.submit(std::span(&release, 1)).front().verdict == record_verdict::fenced);
+    CHECK(second.stream.submit(std::span(&release, 1)).front().status == record_status::fenced);
 }
--- a/tests/coordination/test_order_ledger.cpp
+++ b/tests/coordination/test_order_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "support/fake_log.hpp"
 #include "support/fake_receiver.hpp"
 
@@ -16,8 +16,8 @@
           ledger(stream, lease, receiver, hosts) {}
 
     folded_stream stream;
-    lease_holder lease;
-    order_ledger ledger;
+    lease_candidate lease;
+    order_dispatcher ledger;
 };
 
 struct two_hosts {
@@ -41,13 +41,13 @@
     }
 };
 
-order make_order(const char* key, receiver_kind receiver, repeat_rule repeat = repeat_rule::idempotent) {
+order make_order(const char* key, receiver_kind receiver, duplicate_handling repeat = duplicate_handling::idempotent) {
     return {.subject = "engine/e1",
             .kind = "set_role",
             .body = {{"role", key}},
             .idempotency_key = key,
             .receiver = receiver,
-            .repeat = repeat};
+            .duplicates = repeat};
 }
 
 const order to_prefill = make_order("prefill", receiver_kind::ignores_fencing);
@@ -75,9 +75,9 @@
 
 TEST_CASE("an intent whose append was answered too late is never sent and frees its subject") {
     two_hosts hosts;
-    hosts.log.hides_next_append = true;
+    hosts.log.delays_next_append = true;
     CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::log_unavailable);
-    hosts.log.deliver_hidden();
+    hosts.log.deliver_delayed_appends();
     CHECK(hosts.first.ledger.submit(to_decode).status == order_status::applied);
     CHECK(hosts.receiver.applied == std::vector<std::string>{"decode"});
 }
@@ -133,7 +133,7 @@
 
 TEST_CASE("an answer lost after the effect is reconciled by key and the order is not sent twice") {
     two_hosts hosts;
-    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, repeat_rule::deduplicated);
+    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, duplicate_handling::deduplicated);
     hosts.receiver.drops_next_answer = true;
     CHECK(hosts.first.ledger.submit(buy).status == order_status::unknown);
     CHECK(hosts.first.ledger.submit(buy).status == order_status::applied);
@@ -143,7 +143,7 @@
 
 TEST_CASE("a new holder sends nothing to the platform while its predecessor's send may arrive") {
     two_hosts hosts;
-    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, repeat_rule::deduplicated);
+    const order buy = make_order("buy-7", receiver_kind::ignores_fencing, duplicate_handling::deduplicated);
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(buy);
     hosts.hand_over();
@@ -157,7 +157,7 @@
 
 TEST_CASE("an order that must not be repeated is not completed by anybody") {
     two_hosts hosts;
-    const order once = make_order("swap", receiver_kind::checks_fencing, repeat_rule::never);
+    const order once = make_order("swap", receiver_kind::checks_fencing, duplicate_handling::never);
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(once);
     hosts.hand_over();
--- a/tests/coordination/test_snapshot.cpp
+++ b/tests/coordination/test_snapshot.cpp
@@ -2,8 +2,8 @@
 
 #include "coordination/configuration.hpp"
 #include "coordination/lease.hpp"
+#include "coordination/leased_snapshot_writer.hpp"
 #include "coordination/order_fold.hpp"
-#include "coordination/snapshot_keeper.hpp"
 #include "support/fake_log.hpp"
 
 using namespace dragonflywell;
@@ -29,14 +29,14 @@
     testing::fake_log log;
     virtual_clock time;
     reader writer{log, "host-1"};
-    lease_holder lease{writer.stream, time, {.scope = "control/a"}};
+    lease_candidate lease{writer.stream, time, {.scope = "control/a"}};
 
     filled_stream() {
         lease.tick();
         const std::string value = "\"" + std::string(snapshot_chunk_bytes, 'x') + "ż\"";
         publish_configuration(writer.stream, {.set = {{"a", value}, {"b", value}}, .removed = {}}, {});
         const order intended{
-            .subject = "e1", .kind = "set_role", .body = {}, .idempotency_key = "k", .receiver = {}, .repeat = {}};
+            .subject = "e1", .kind = "set_role", .body = {}, .idempotency_key = "k", .receiver = {}, .duplicates = {}};
         const record_draft intent{.type = std::string(order_intent_type),
                                   .body = encode_order(intended),
                                   .condition = {},
@@ -66,7 +66,7 @@
     CHECK(fresh.orders.get_all().size() == 1);
     const record_draft by_old_number{
         .type = "x", .body = {}, .condition = {}, .fence = fencing_token{.scope = "control/a", .number = 77}};
-    CHECK(fresh.stream.submit(std::span(&by_old_number, 1)).front().verdict == record_verdict::fenced);
+    CHECK(fresh.stream.submit(std::span(&by_old_number, 1)).front().status == record_status::fenced);
 }
 
 TEST_CASE("a gap that no snapshot covers is an error and changes nothing") {
@@ -107,7 +107,7 @@
     const std::vector<std::string> chunks =
         encode_snapshot(filled.writer.stream.take_snapshot(), {.host = "host-1", .incarnation = 1});
     filled.log.append(get_snapshot_stream(stream_name), std::span(chunks).first(1));
-    CHECK(read_newest_snapshot(filled.log, stream_name, 0)->covers == covered);
+    CHECK(read_newest_snapshot(filled.log, stream_name, 0)->end_offset == covered);
     reader fresh(filled.log, "host-2");
     fresh.stream.poll();
     CHECK(fresh.configuration.get()->entries.contains("c"));
@@ -164,7 +164,7 @@
 TEST_CASE("the fold forgets writers that were silent for long and bounds its state") {
     record_fold fold;
     log_offset offset = 0;
-    for (std::uint64_t incarnation = 0; incarnation < 2 * most_tracked_writers; ++incarnation) {
+    for (std::uint64_t incarnation = 0; incarnation < 2 * max_tracked_writers; ++incarnation) {
         const record value{.writer = {.host = "h", .incarnation = incarnation},
                            .sequence = 1,
                            .condition = {},
@@ -173,7 +173,7 @@
                            .body = {}};
         fold.apply(offset++, value);
     }
-    CHECK(fold.get_writer_count() == most_tracked_writers);
+    CHECK(fold.get_writer_count() == max_tracked_writers);
     CHECK(record_fold::restore(fold.save()) == fold);
 }
 
@@ -183,8 +183,8 @@
     virtual_clock time;
     reader first(log, "host-1");
     reader second(log, "host-2");
-    snapshot_keeper first_keeper(log, first.stream, time, retention);
-    snapshot_keeper second_keeper(log, second.stream, time, retention);
+    leased_snapshot_writer first_keeper(log, first.stream, time, retention);
+    leased_snapshot_writer second_keeper(log, second.stream, time, retention);
     CHECK(first_keeper.tick());
     CHECK_FALSE(second_keeper.tick());
     duration waited{};
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -190,7 +190,8 @@
 
 TEST_CASE("a candidate leaves a free lease to others for its delay, and then claims it") {
     virtual_clock time;
-    store_lease lease(time, {.holder = "h", .incarnation = 1, .length = 3s, .quiet = 3s, .claim_delay = 700ms});
+    store_lease lease(
+        time, {.holder = "h", .incarnation = 1, .length = 3s, .takeover_delay = 3s, .acquisition_delay = 700ms});
     CHECK(lease.get_next_action() == store_lease::action::read);
     lease.on_read({}, 0);
     CHECK(lease.get_next_action() == store_lease::action::nothing);
@@ -200,7 +201,7 @@
     time.advance(100ms);
     CHECK(lease.get_next_action() == store_lease::action::append);
     // Another one was first, and is heard: nothing is left to claim.
-    lease.note_holder_alive();
+    lease.record_holder_heartbeat();
     CHECK(lease.get_next_action() == store_lease::action::nothing);
 }
 
@@ -209,52 +210,51 @@
     store_lease lease(clock, {.holder = "a",
                               .incarnation = 1,
                               .length = 3s,
-                              .quiet = 3s,
+                              .takeover_delay = 3s,
                               .margin = 500ms,
-                              .holder_silence = 800ms,
-                              .claim_delay = 900ms,
-                              .least_left = 300ms});
+                              .holder_timeout = 800ms,
+                              .acquisition_delay = 900ms,
+                              .min_time_left = 300ms});
     lease.on_read({}, 0);
     clock.advance(900ms);
     REQUIRE(lease.get_next_action() == store_lease::action::append);
     const store_lease_record claim = lease.start_append();
     lease.on_appended();
-    REQUIRE(lease.get_fence() == 1);
+    REQUIRE(lease.get_fencing_number() == 1);
     // The store goes away within a renewal, which was done all the same, and nobody else claims meanwhile.
     clock.advance(1s);
     REQUIRE(lease.get_next_action() == store_lease::action::append);
     const store_lease_record renewal = lease.start_append();
-    lease.on_unknown();
+    lease.on_result_unknown();
     clock.advance(8s);
-    CHECK_FALSE(lease.get_fence().has_value());
+    CHECK_FALSE(lease.get_fencing_number().has_value());
     REQUIRE(lease.get_next_action() == store_lease::action::read);
-    const std::array records{coordination::placed_lease_record{.offset = 1, .record = renewal}};
+    const std::array records{coordination::lease_topic_entry{.offset = 1, .record = renewal}};
     lease.on_read(records, 2);
     REQUIRE(lease.get_next_action() == store_lease::action::append);
-    CHECK_FALSE(lease.start_append().renewed_fence.has_value());
+    CHECK_FALSE(lease.start_append().renewed_fencing_number.has_value());
     lease.on_appended();
-    CHECK(lease.get_fence() == 3);
+    CHECK(lease.get_fencing_number() == 3);
     CHECK(claim.holder == "a");
 }
 
 TEST_CASE("a holder that finds another's record in the topic waits like everybody else") {
     virtual_clock clock;
-    store_lease lease(clock, {.holder = "a", .incarnation = 1, .length = 3s, .quiet = 3s});
+    store_lease lease(clock, {.holder = "a", .incarnation = 1, .length = 3s, .takeover_delay = 3s});
     lease.on_read({}, 0);
     static_cast<void>(lease.start_append());
     lease.on_appended();
     clock.advance(9s);
     lease.on_conflict();
-    const std::array records{
-        coordination::placed_lease_record{.offset = 1, .record = {.holder = "b", .incarnation = 1}}};
+    const std::array records{coordination::lease_topic_entry{.offset = 1, .record = {.holder = "b", .incarnation = 1}}};
     lease.on_read(records, 2);
     CHECK(lease.get_next_action() == store_lease::action::nothing);
 }
 
 TEST_CASE("records of the lease survive encoding, and others are rejected") {
-    const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fence = 3, .is_release = true};
+    const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fencing_number = 3, .is_release = true};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
-    const store_lease_record claim{.holder = "h", .incarnation = 7, .renewed_fence = {}};
+    const store_lease_record claim{.holder = "h", .incarnation = 7, .renewed_fencing_number = {}};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(claim)) == claim);
     CHECK_THROWS_AS(static_cast<void>(coordination::decode_store_lease_record("{}")), malformed_message_error);
 }
--- a/tests/coordination/test_usage_report.cpp
+++ b/tests/coordination/test_usage_report.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::chrono::seconds window_length{60};
 constexpr usage_reporter_options reporter_options{.window_length = window_length,
-                                                  .most_wait = std::chrono::seconds(120)};
+                                                  .max_wait = std::chrono::seconds(120)};
 
 struct counting_host {
     counting_host(testing::fake_log& log, const clock_source& time, const char* host)
@@ -115,7 +115,7 @@
         {"none", [](billing_session&) {}},
         {"reporter replaced", [](billing_session& session) { session.replace_reporter(); }},
         {"log answer lost", [](billing_session& session) { session.log.drops_next_answer = true; }},
-        {"append takes effect late", [](billing_session& session) { session.log.hides_next_append = true; }},
+        {"append takes effect late", [](billing_session& session) { session.log.delays_next_append = true; }},
         {"report lost", [](billing_session& session) { session.checker.loses_next_report = true; }},
         {"report answer lost", [](billing_session& session) { session.checker.drops_next_answer = true; }},
         {"report answer lost and reporter replaced",
@@ -135,7 +135,7 @@
                     item.strike(session);
                 }
                 if (step == struck + 3) {
-                    session.log.deliver_hidden();
+                    session.log.deliver_delayed_appends();
                 }
             });
             CHECK(session.checker.get_faults(session.used) == std::vector<std::string>{});
--- a/tests/coordination/test_usage_book.cpp
+++ b/tests/coordination/test_usage_state.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "core/error.hpp"
 
 using namespace dragonflywell;
@@ -11,7 +11,7 @@
     const organisation_name b("b");
     const std::vector<usage_record> records{{.windows = {{7, {{a, 2}}}, {8, {{a, 50}}}}, .closed = 8},
                                             {.windows = {{7, {{a, 1}, {b, 4}}}}, .closed = 7}};
-    CHECK(sum_window(records, 7) == window_figures{.window = 7, .counts = {{a, 3}, {b, 4}}});
+    CHECK(sum_window(records, 7) == window_usage{.window = 7, .counts = {{a, 3}, {b, 4}}});
     CHECK(sum_window(records, 9).counts.empty());
 }
 
@@ -34,14 +34,14 @@
 TEST_CASE("records and books survive encoding") {
     const usage_record record{.windows = {{7, {{organisation_name("a"), 2}}}, {8, {}}}, .closed = 7};
     CHECK(decode_usage_record(encode_usage_record(record)) == record);
-    const report_book book{.last = 8, .pending = {{.window = 7, .counts = {{organisation_name("a"), 2}}}}};
-    CHECK(decode_report_book(encode_report_book(book)) == book);
-    CHECK(decode_report_book(encode_report_book({})) == report_book{});
+    const report_state book{.last = 8, .pending = {{.window = 7, .counts = {{organisation_name("a"), 2}}}}};
+    CHECK(decode_report_state(encode_report_state(book)) == book);
+    CHECK(decode_report_state(encode_report_state({})) == report_state{});
 }
 
 TEST_CASE("what is no record is rejected") {
     CHECK_THROWS_AS(static_cast<void>(decode_usage_record("[]")), malformed_message_error);
     CHECK_THROWS_AS(static_cast<void>(decode_usage_record(R"({"closed":1,"windows":{"x":{}}})")),
                     malformed_message_error);
-    CHECK_THROWS_AS(static_cast<void>(decode_report_book(R"({"pending":[3]})")), malformed_message_error);
+    CHECK_THROWS_AS(static_cast<void>(decode_report_state(R"({"pending":[3]})")), malformed_message_error);
 }
--- a/tests/core/test_log_ring.cpp
+++ b/tests/core/test_log_buffer.cpp
@@ -1,12 +1,12 @@
 #include <doctest/doctest.h>
 
+#include "core/log_buffer.hpp"
 #include "core/log_event.hpp"
-#include "core/log_ring.hpp"
 
 using namespace dragonflywell;
 
 TEST_CASE("lines come out in the order in which they went in") {
-    log_ring ring(1000);
+    log_buffer ring(1000);
     ring.push("a\n", false);
     ring.push("b\n", true);
     ring.push("c\n", false);
@@ -15,7 +15,7 @@
 }
 
 TEST_CASE("a full ring drops the oldest light lines first and counts what it drops") {
-    log_ring ring(6);
+    log_buffer ring(6);
     ring.push("l1", false);
     ring.push("w1", true);
     ring.push("l2", false);
@@ -28,7 +28,7 @@
 }
 
 TEST_CASE("a ring that nobody reads stays within its bound") {
-    log_ring ring(1024);
+    log_buffer ring(1024);
     for (int line = 0; line < 10'000; ++line) {
         ring.push(std::string(100, 'x'), line % 2 == 0);
     }
--- a/tests/ctl/test_request_story.cpp
+++ b/tests/ctl/test_request_trace.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "ctl/request_story.hpp"
+#include "ctl/request_trace.hpp"
 
 using namespace dragonflywell::ctl;
 
@@ -22,9 +22,9 @@
 {"time":"soon","host":"h1","event":"start"}
 )";
 
-request_story get_story(const std::string& id) {
+request_trace get_story(const std::string& id) {
     const std::vector<log_line> lines = parse_log(logs);
-    const std::vector<request_story> stories = find_stories(lines, id);
+    const std::vector<request_trace> stories = find_request_traces(lines, id);
     REQUIRE(stories.size() == 1);
     return stories.front();
 }
@@ -46,9 +46,9 @@
 }
 
 TEST_CASE("a story tells which servers a request was sent to and how others fared there") {
-    const request_story story = get_story("c1-7");
+    const request_trace story = get_story("c1-7");
     REQUIRE(story.servers.size() == 1);
-    const visited_server& server = story.servers.front();
+    const contacted_server& server = story.servers.front();
     CHECK(server.name == "s7");
     CHECK(server.result == "failed");
     CHECK(server.others == 2);
@@ -59,7 +59,7 @@
 }
 
 TEST_CASE("a story tells what its host knew and had lost") {
-    const request_story story = get_story("c1-7");
+    const request_trace story = get_story("c1-7");
     REQUIRE(story.configuration.has_value());
     CHECK(story.configuration->time == "2026-12-04T11:03:30.000Z");
     REQUIRE(story.lost.size() == 1);
@@ -68,7 +68,7 @@
 }
 
 TEST_CASE("a story reads as text from its end to its causes") {
-    const std::string text = format_story(get_story("c1-7"));
+    const std::string text = format_request_trace(get_story("c1-7"));
     CHECK(text.starts_with("c1-7 failed on host h1 at 2026-12-04T11:03:45.573Z, after 3004.1 ms, status 504\n"));
     CHECK(text.find("reason deadline_exceeded: the time ran out; whether it ran is not known\n") != std::string::npos);
     CHECK(text.find("configuration 4, in force on this host since 2026-12-04T11:03:30.000Z\n") != std::string::npos);
@@ -78,5 +78,5 @@
 
 TEST_CASE("an id that ended nowhere has no story") {
     const std::vector<log_line> lines = parse_log(logs);
-    CHECK(find_stories(lines, "c9-9").empty());
+    CHECK(find_request_traces(lines, "c9-9").empty());
 }
--- a/tests/daemon/test_configuration_follower.cpp
+++ b/tests/daemon/test_configuration_follower.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>
 
-#include "platform/engine_dialect.hpp"
+#include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/store_fixture.hpp"
 
@@ -16,7 +16,7 @@
 
 /// A host's state beside the store.
 struct fixture : testing::store_fixture {
-    platform::engine_dialect dialect;
+    platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {}};
     platform::store_client client = make_client();
 
@@ -59,10 +59,10 @@
     run_until(loop, [&] { return has_version(1); });
     publish(2);
     store.put("keyed.op", "config", "no configuration");
-    follower.take_hint({.end = 3, .age = duration::zero()});
+    follower.update_leader_position({.end = 3, .age = duration::zero()});
     // More than one is missing, so that the listing is read, which has the broken one only; then the next one counts.
     publish(4);
-    follower.take_hint({.end = 4, .age = duration::zero()});
+    follower.update_leader_position({.end = 4, .age = duration::zero()});
     run_until(loop, [&] { return has_version(4); });
     CHECK(has_version(4));
 }
--- a/tests/daemon/test_configuration_restart.cpp
+++ b/tests/daemon/test_configuration_restart.cpp
@@ -3,7 +3,7 @@
 #include <thread>
 
 #include "coordination/configuration.hpp"
-#include "coordination/snapshot_keeper.hpp"
+#include "coordination/leased_snapshot_writer.hpp"
 #include "daemon/daemon.hpp"
 #include "platform/blocking_http_client.hpp"
 #include "platform/http_log.hpp"
@@ -20,7 +20,7 @@
     coordination::configuration_fold configuration;
     stream.add_observer(configuration);
     const host_clock time;
-    coordination::snapshot_keeper snapshots(log, stream, time, std::chrono::hours(24));
+    coordination::leased_snapshot_writer snapshots(log, stream, time, std::chrono::hours(24));
     coordination::publish_configuration(stream, {.set = {{"zones/a", R"({"region":"r"})"}}, .removed = {}}, {});
     REQUIRE(snapshots.tick());
     platform::blocking_http_client client({.server = platform.get_endpoint()});
--- a/tests/daemon/test_daemon.cpp
+++ b/tests/daemon/test_daemon.cpp
@@ -24,7 +24,7 @@
         expected += standin::get_generated_text("storm", position);
     }
     CHECK(response.body().find("\"text\":\"" + expected + "\"") != std::string::npos);
-    CHECK(deployment.engine.handler.get_keys_seen() == 0);
+    CHECK(deployment.engine.handler.get_authorization_headers_seen() == 0);
 }
 
 TEST_CASE("an answer that breaks off is completed without a gap or a repetition") {
@@ -54,7 +54,7 @@
     const auto response = deployment.call(http::verb::get, "/maps/52N", "", good_key);
     CHECK(response.result_int() == 200);
     CHECK(deployment.service.handler.get_runs() == 2);
-    CHECK(deployment.service.handler.get_keys_seen() == 0);
+    CHECK(deployment.service.handler.get_authorization_headers_seen() == 0);
 }
 
 TEST_CASE("bad input is refused with a typed error and runs nowhere") {
--- a/tests/daemon/test_group_usage.cpp
+++ b/tests/daemon/test_group_usage_recorder.cpp
@@ -1,10 +1,10 @@
-#include "daemon/group_usage.hpp"
+#include "daemon/group_usage_recorder.hpp"
 
 #include <doctest/doctest.h>
 
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "daemon/store_topics.hpp"
-#include "platform/engine_dialect.hpp"
+#include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/store_fixture.hpp"
 
@@ -19,27 +19,27 @@
 
 /// A host that speaks for its group, at a moment shortly after a window's end.
 struct fixture : testing::store_fixture {
-    platform::engine_dialect dialect;
+    platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {.usage_window = window_length}};
     platform::store_client client = make_client();
-    daemon::group_usage group{client, state, 900ms};
+    daemon::group_usage_recorder group{client, state, 900ms};
 
     fixture() {
-        const wall_time now = state.get_true_time();
+        const wall_time now = state.get_corrected_time();
         const wall_time end = state.usage.get_end(state.usage.get_window(now));
-        state.correct_true_time(end - now + 1s);
+        state.adjust_corrected_time(end - now + 1s);
     }
 
-    [[nodiscard]] std::int64_t get_closed() const { return state.usage.get_window(state.get_true_time()) - 1; }
+    [[nodiscard]] std::int64_t get_closed() const { return state.usage.get_window(state.get_corrected_time()) - 1; }
 
     /// Lets a host tell its counts, so long after the end of the closed window.
     void tell(const std::string& host, std::uint64_t count, duration after_end) {
         servers::host_digest digest;
         digest.host = host;
         digest.incarnation = 7;
-        digest.true_time = state.usage.get_end(get_closed()) + after_end;
+        digest.corrected_time = state.usage.get_end(get_closed()) + after_end;
         digest.usage = {{get_closed(), {{rovers, count}}}};
-        group.take(digest);
+        group.update(digest);
     }
 
     [[nodiscard]] std::uint64_t get_recorded_count(const std::string& host) {
@@ -62,8 +62,8 @@
     CHECK(get_recorded_count("h1") == 3);
     CHECK(get_recorded_count("h2") == 4);
     CHECK(group.get_recorded()->window == get_closed());
-    CHECK(group.get_recorded()->lives ==
-          std::vector<servers::host_life>{{.host = "h1", .incarnation = 7}, {.host = "h2", .incarnation = 7}});
+    CHECK(group.get_recorded()->incarnations ==
+          std::vector<servers::host_incarnation>{{.host = "h1", .incarnation = 7}, {.host = "h2", .incarnation = 7}});
 }
 
 TEST_CASE_FIXTURE(fixture, "counts that were told before the window was over are left to their host") {
@@ -71,7 +71,8 @@
     tell("h2", 4, 500ms);
     group.record_if_due();
     run_until(loop, [&] { return group.get_recorded().has_value(); });
-    CHECK(group.get_recorded()->lives == std::vector<servers::host_life>{{.host = "h2", .incarnation = 7}});
+    CHECK(group.get_recorded()->incarnations ==
+          std::vector<servers::host_incarnation>{{.host = "h2", .incarnation = 7}});
 }
 
 TEST_CASE_FIXTURE(fixture, "nothing is told to be recorded where the store took nothing") {
@@ -88,11 +89,11 @@
         servers::host_digest digest;
         digest.host = "h1";
         digest.incarnation = 7;
-        digest.true_time = state.usage.get_end(window) + 300ms;
+        digest.corrected_time = state.usage.get_end(window) + 300ms;
         digest.usage = {{window, {{rovers, 1}}}};
-        group.take(digest);
+        group.update(digest);
     }
-    const auto told = group.take_back("h1");
+    const auto told = group.remove_host("h1");
     REQUIRE(told.has_value());
     CHECK(told->windows.size() == 6);
     CHECK(told->windows.contains(get_closed() - 5));
@@ -100,9 +101,9 @@
 
 TEST_CASE_FIXTURE(fixture, "what a silent host told last is handed back once") {
     tell("h1", 3, 300ms);
-    const auto told = group.take_back("h1");
+    const auto told = group.remove_host("h1");
     REQUIRE(told.has_value());
     CHECK(told->incarnation == 7);
     CHECK(told->windows.at(get_closed()).at(rovers) == 3);
-    CHECK_FALSE(group.take_back("h1").has_value());
+    CHECK_FALSE(group.remove_host("h1").has_value());
 }
--- a/tests/daemon/test_host_list.cpp
+++ b/tests/daemon/test_host_list.cpp
@@ -4,7 +4,7 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
-#include "daemon/store_news.hpp"
+#include "daemon/relayed_records.hpp"
 
 using namespace dragonflywell;
 using daemon::listed_host;
@@ -21,14 +21,14 @@
 
 TEST_CASE("records that are passed on survive encoding, and what is none is rejected") {
     platform::store_page page;
-    page.end = 9;
-    page.topic_end = 9;
+    page.next_offset = 9;
+    page.topic_end_offset = 9;
     page.records = {{.offset = 7, .key = "a", .value = "1"}, {.offset = 8, .key = "b", .value = {}}};
-    const boost::json::value document = json::parse(daemon::encode_store_news({.from = 7, .page = page}));
-    REQUIRE(daemon::is_store_news(document.get_object()));
-    const daemon::store_news news = daemon::decode_store_news(document.get_object());
+    const boost::json::value document = json::parse(daemon::encode_relayed_records({.from = 7, .page = page}));
+    REQUIRE(daemon::is_relayed_records(document.get_object()));
+    const daemon::relayed_records news = daemon::decode_relayed_records(document.get_object());
     CHECK(news.from == 7);
-    CHECK(news.page.end == 9);
+    CHECK(news.page.next_offset == 9);
     REQUIRE(news.page.records.size() == 2);
     CHECK(news.page.records[0].value == "1");
     CHECK(news.page.records[1].offset == 8);
@@ -38,6 +38,7 @@
           R"({"from":1,"end":2,"news":[[-1,"k","v"]]})"}) {
         CAPTURE(text);
         const boost::json::value broken = json::parse(text);
-        CHECK_THROWS_AS(static_cast<void>(daemon::decode_store_news(broken.get_object())), malformed_message_error);
+        CHECK_THROWS_AS(static_cast<void>(daemon::decode_relayed_records(broken.get_object())),
+                        malformed_message_error);
     }
 }
--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -47,12 +47,12 @@
         std::string counted;
     };
     const std::array<faulty_case, 6> cases{{
-        {engine_fault_kind::break_off, "dragonflywell_retries_total{reason=\"broken_answer\"} 2"},
-        {engine_fault_kind::garbage, "dragonflywell_retries_total{reason=\"malformed_answer\"} 1"},
-        {engine_fault_kind::crossed, "dragonflywell_retries_total{reason=\"crossed_answer\"} 1"},
-        {engine_fault_kind::gap, "dragonflywell_retries_total{reason=\"malformed_answer\"} 1"},
-        {engine_fault_kind::repeated, "dragonflywell_requests_total{outcome=\"completed\"} 1"},
-        {engine_fault_kind::overrun, "dragonflywell_requests_total{outcome=\"completed\"} 1"},
+        {engine_fault_kind::disconnect, "dragonflywell_retries_total{reason=\"broken_answer\"} 2"},
+        {engine_fault_kind::malformed_event, "dragonflywell_retries_total{reason=\"malformed_answer\"} 1"},
+        {engine_fault_kind::wrong_stream, "dragonflywell_retries_total{reason=\"crossed_answer\"} 1"},
+        {engine_fault_kind::missing_token, "dragonflywell_retries_total{reason=\"malformed_answer\"} 1"},
+        {engine_fault_kind::duplicate_token, "dragonflywell_requests_total{outcome=\"completed\"} 1"},
+        {engine_fault_kind::extra_tokens, "dragonflywell_requests_total{outcome=\"completed\"} 1"},
     }};
     for (const faulty_case& item : cases) {
         CAPTURE(item.counted);
@@ -65,7 +65,7 @@
 
 TEST_CASE("a stream whose connection goes silent is resumed where it stood over a new connection") {
     small_deployment deployment(short_silence);
-    deployment.engine.handler.set_fault({.kind = engine_fault_kind::silent, .after_tokens = 2});
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::hang, .after_tokens = 2});
     CHECK(has_whole_answer(ask(deployment)));
     CHECK(deployment.engine.handler.get_starts() == 1);
     CHECK(deployment.engine.handler.get_resumptions() == 1);
@@ -90,7 +90,7 @@
 
 TEST_CASE("only what a caller received is billed") {
     small_deployment deployment;
-    deployment.engine.handler.set_fault({.kind = engine_fault_kind::garbage, .after_tokens = 1, .count = 3});
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::malformed_event, .after_tokens = 1, .count = 3});
     CHECK(ask(deployment).result_int() == 502);
     CHECK(deployment.get_usage().empty());
     CHECK(has_whole_answer(ask(deployment)));
@@ -150,11 +150,11 @@
 
 TEST_CASE("a request on an engine that dies becomes a suspect; one on a connection that breaks does not") {
     small_deployment deployment;
-    deployment.engine.handler.set_fault({.kind = engine_fault_kind::break_off, .after_tokens = 2});
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::disconnect, .after_tokens = 2});
     CHECK(has_whole_answer(ask(deployment)));
     wait_for_metric(deployment, "dragonflywell_suspect_requests_total 0");
-    deployment.engine.handler.set_on_death([&] { deployment.engine.stop_listening(); });
-    deployment.engine.handler.set_fault({.kind = engine_fault_kind::die, .after_tokens = 2});
+    deployment.engine.handler.set_on_crash([&] { deployment.engine.stop_listening(); });
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::crash, .after_tokens = 2});
     CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
     wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
 }
--- a/tests/daemon/test_role_change_driver.cpp
+++ b/tests/daemon/test_role_change_driver.cpp
@@ -58,9 +58,9 @@
 
     const fleet::manifest* manifest;
     coordination::folded_stream stream;
-    coordination::lease_holder lease;
+    coordination::lease_candidate lease;
     daemon::engine_order_receiver receiver;
-    coordination::order_ledger ledger;
+    coordination::order_dispatcher ledger;
     daemon::role_change_fold changes;
     daemon::engine_observer observer;
     daemon::role_change_driver driver;
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include "platform/engine_dialect.hpp"
+#include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/store_fixture.hpp"
 
@@ -24,7 +24,7 @@
 /// A host that another one reads for, with one server in the list.
 struct fixture : testing::store_fixture {
     virtual_clock clock;
-    platform::engine_dialect dialect;
+    platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), clock, pool, dialect, metrics, {}};
     platform::store_client client = make_client();
     daemon::server_list_follower follower{client, state, 2s};
@@ -38,17 +38,17 @@
     [[nodiscard]] bool is_listed() const { return state.directory.find(server_id) != nullptr; }
 
     /// Lets a call of this host to the store fail.
-    void fail() { state.directory.get_contact().note_failed(clock.now()); }
+    void fail() { state.directory.get_contact().record_failure(clock.now()); }
 
     /// Lets the host that reads say how far it is, and how long ago it read.
-    void hint(duration age) { follower.take_hint({.end = follower.get_reading().end, .age = age}); }
+    void hint(duration age) { follower.update_leader_position({.end = follower.get_read_position().end, .age = age}); }
 
     /// Lets the host that reads pass on that the server's entry was removed.
     void pass_removal_on() {
-        const std::uint64_t end = *follower.get_reading().end;
-        follower.take_news(end, {.records = {{.offset = end, .key = server_id.value(), .value = {}}},
-                                 .end = end + 1,
-                                 .topic_end = end + 1});
+        const std::uint64_t end = *follower.get_read_position().end;
+        follower.apply_relayed(end, {.records = {{.offset = end, .key = server_id.value(), .value = {}}},
+                                     .next_offset = end + 1,
+                                     .topic_end_offset = end + 1});
     }
 };
 
@@ -106,19 +106,19 @@
     const std::string topic = "keyed.servers";
     store.freeze_listing(topic);
     store.put(topic, server_id.value(), make_entry("draining", 2));
-    follower.take_news(1, {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
-                           .end = 2,
-                           .topic_end = 2});
+    follower.apply_relayed(1, {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
+                               .next_offset = 2,
+                               .topic_end_offset = 2});
     REQUIRE_FALSE(state.is_usable(server_id));
     store.put(topic, server_id.value(), make_entry("draining", 3));
     store.drop_history(topic);
     // News that this host has missed make it read; its place is gone, and the listing is from before the notice.
     const std::uint64_t calls = store.get_calls();
-    follower.take_news(3, {.records = {}, .end = 3, .topic_end = 3});
+    follower.apply_relayed(3, {.records = {}, .next_offset = 3, .topic_end_offset = 3});
     // The call after the listing shows that it was taken, or passed over.
     run_until(loop, [&] { return store.get_calls() >= calls + 3; });
     CHECK_FALSE(state.is_usable(server_id));
     store.thaw_listing(topic);
-    run_until(loop, [&] { return follower.get_reading().end == 3; });
+    run_until(loop, [&] { return follower.get_read_position().end == 3; });
     CHECK_FALSE(state.is_usable(server_id));
 }
--- a/tests/daemon/test_store_return.cpp
+++ b/tests/daemon/test_store_return.cpp
@@ -5,7 +5,7 @@
 
 #include "daemon/configuration_follower.hpp"
 #include "daemon/server_list_follower.hpp"
-#include "platform/engine_dialect.hpp"
+#include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/store_fixture.hpp"
 
@@ -18,7 +18,7 @@
 
 /// Short ones, since the timers behind them run in real time.
 constexpr duration bound = 20ms;
-constexpr policy::circuit_breaker_options breaker{.first_pause = 2ms, .longest_pause = 10ms};
+constexpr policy::circuit_breaker_options breaker{.initial_backoff = 2ms, .max_backoff = 10ms};
 
 /// One host that follows configuration and servers by itself, with all its clocks in the test's hand.
 struct fixture {
@@ -28,7 +28,7 @@
     metrics_registry metrics;
     standin::store_standin store;
     servers::http_server server{{&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}};
-    platform::engine_dialect dialect;
+    platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), clock, pool, dialect, metrics, {}};
     std::optional<platform::store_client> client;
     std::optional<daemon::configuration_follower> configuration;
--- a/tests/daemon/test_usage_timing.cpp
+++ b/tests/daemon/test_usage_timing.cpp
@@ -8,8 +8,8 @@
 TEST_CASE("usage is recorded by somebody before its figures are fixed, however short the time is") {
     for (const duration due : {duration(1s), duration(4s), duration(10s), duration(60s)}) {
         const daemon::usage_timing timing = daemon::make_usage_timing(due);
-        CHECK(timing.gather < timing.patience);
-        CHECK(timing.patience < timing.fix);
-        CHECK(timing.fix < due / 2);
+        CHECK(timing.group_record_delay < timing.fallback_record_delay);
+        CHECK(timing.fallback_record_delay < timing.finalize_delay);
+        CHECK(timing.finalize_delay < due / 2);
     }
 }
--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -59,13 +59,13 @@
 
     running_standin<standin::platform_standin> platform;
     std::vector<std::unique_ptr<running_standin<standin::engine_standin>>> engines;
-    fleet_parts fleet;
+    shared_fleet_state fleet;
 
 private:
     daemon_settings m_settings;
     virtual_clock m_time;
     metrics_registry m_metrics;
-    snapshot_cell<servers::active_manifest> m_manifest{nullptr};
+    rcu_cell<servers::active_manifest> m_manifest{nullptr};
     coordination::usage_meter m_usage;
     coordination::claim_queue m_claims;
     policy::cut_off_state m_cut_off;
--- a/tests/demo/platform_demo.cpp
+++ b/tests/demo/platform_demo.cpp
@@ -3,7 +3,7 @@
 #include <fmt/format.h>
 #include <ostream>
 
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 #include "support/event_loop.hpp"
 
 namespace dragonflywell::demo {
@@ -105,7 +105,7 @@
     tell("A key is revoked: it stops working at every host within its bound");
     m_keys["surveyors"] = {"surveyors-second-key"};
     m_platform.publish(m_keys);
-    co_await servers::pause(bound);
+    co_await servers::sleep_for(bound);
     const question read{.route = "safe", .kind = request_kind::idempotent, .key = "surveyors-key"};
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
         const answer got = co_await ask(*host, read);
@@ -117,7 +117,7 @@
 asio::awaitable<void> platform_demo::show_drained_server() {
     tell("A backend server says that it leaves: it gets no request after its bound, and none is lost");
     m_servers[first_instance]->drain();
-    co_await servers::pause(bound);
+    co_await servers::sleep_for(bound);
     const question read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
     const int served = co_await ask_many(*m_hosts[0], read, many);
     m_servers[first_instance]->leave();
@@ -149,7 +149,7 @@
     const std::size_t before = m_seen.get_reports();
     const steady_time last = m_time.now() + start_patience;
     while (m_seen.get_reports() < before + windows && m_time.now() < last) {
-        co_await servers::pause(poll_interval);
+        co_await servers::sleep_for(poll_interval);
     }
     *m_out << fmt::format("   {} windows reported, {} requests served\n", m_seen.get_reports(), m_seen.get_served());
     expect(m_seen.get_reports() >= before + windows, "windows are reported");
@@ -163,7 +163,7 @@
     const steady_time last = m_time.now() + start_patience;
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
         while (host->is_running() && m_time.now() < last) {
-            co_await servers::pause(poll_interval);
+            co_await servers::sleep_for(poll_interval);
         }
         expect(!host->is_running(), host->get_name() + " ends by itself");
     }
@@ -240,7 +240,7 @@
     const steady_time last = m_time.now() + start_patience;
     bool ready = co_await is_ready(host);
     while (!ready && m_time.now() < last) {
-        co_await servers::pause(poll_interval);
+        co_await servers::sleep_for(poll_interval);
         ready = co_await is_ready(host);
     }
     expect(ready, host.get_name() + " is ready");
--- a/tests/demo/platform_demo.hpp
+++ b/tests/demo/platform_demo.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/evidence.hpp"
+#include "soak/invariant_checker.hpp"
 #include "soak/soak_host.hpp"
 #include "soak/soak_platform.hpp"
 #include "soak/soak_server.hpp"
@@ -65,9 +65,9 @@
     soak::asio::io_context m_loop{1};
     host_clock m_time;
     std::mt19937_64 m_random{1};
-    soak::evidence m_seen;
+    soak::invariant_checker m_seen;
     soak::soak_platform m_platform;
-    soak::read_prompts m_prompts;
+    soak::prompt_handles m_prompts;
     std::vector<std::unique_ptr<soak::soak_server>> m_servers;
     std::vector<std::unique_ptr<soak::soak_host>> m_hosts;
     std::map<std::string, std::set<std::string>> m_keys;
--- a/tests/fleet/test_manifest.cpp
+++ b/tests/fleet/test_manifest.cpp
@@ -14,7 +14,7 @@
         static_cast<void>(parse_manifest(get_manifest_entries(document)));
     } catch (const invalid_input_error& fault) {
         for (const input_problem& problem : fault.problems()) {
-            places.push_back(problem.place + ": " + problem.message);
+            places.push_back(problem.location + ": " + problem.message);
         }
     }
     return places;
@@ -61,9 +61,9 @@
          {"models/m", R"({"version":"1","prompt_token_milliunits":100})"},
          {"organisations/o", R"({"accepts_cheap_servers":false})"}});
     CHECK(manifest.prices.cheap_price_milli == 300);
-    CHECK(manifest.prices.most_cheap_percent == 40);
+    CHECK(manifest.prices.max_cheap_percent == 40);
     CHECK(manifest.prices.lead_time == std::chrono::seconds(60));
-    CHECK(manifest.zones.at(zone_name("a")).most_servers == 7);
+    CHECK(manifest.zones.at(zone_name("a")).max_servers == 7);
     CHECK_FALSE(manifest.zones.at(zone_name("a")).has_cheap_servers);
     CHECK(manifest.models.at(model_name("m")).prompt_token_milliunits == 100);
     CHECK_FALSE(manifest.organisations.at(organisation_name("o")).accepts_cheap_servers);
--- a/tests/fleet/test_server_directory.cpp
+++ b/tests/fleet/test_server_directory.cpp
@@ -24,17 +24,17 @@
 
 /// Returns a directory with servers a and b, read at that moment.
 server_directory make_directory(steady_time now) {
-    server_directory directory({.return_grace = 2500ms, .shortest_outage = 2400ms});
+    server_directory directory({.recovery_grace = 2500ms, .min_outage = 2400ms});
     directory.apply(make_record("a"), now);
     directory.apply(make_record("b", 81), now);
-    directory.get_contact().note_reached(now);
+    directory.get_contact().record_success(now);
     return directory;
 }
 
 /// Lets the list be out of reach until `failed_at`, and be read again at `read_at`.
 void lose_list(server_directory& directory, steady_time failed_at, steady_time read_at) {
-    directory.get_contact().note_failed(failed_at);
-    directory.get_contact().note_reached(read_at);
+    directory.get_contact().record_failure(failed_at);
+    directory.get_contact().record_success(read_at);
 }
 
 } // namespace
@@ -112,12 +112,12 @@
     server_directory directory = make_directory(start);
     lose_list(directory, start + 10s, start + 10s + 1ms);
     directory.remove(backend_server_name("a"), start + 10s + 1ms);
-    directory.get_contact().note_failed(start + 11s);
+    directory.get_contact().record_failure(start + 11s);
     CHECK(directory.expire(start + 20s).empty());
     CHECK(is_usable(directory, "a", start + 20s));
     // Its server gets the same time once more when the list is back.
-    directory.get_contact().note_failed(start + 21s);
-    directory.get_contact().note_reached(start + 21500ms);
+    directory.get_contact().record_failure(start + 21s);
+    directory.get_contact().record_success(start + 21500ms);
     CHECK(is_usable(directory, "a", start + 23s));
     CHECK_FALSE(is_usable(directory, "a", start + 23500ms));
 }
@@ -128,18 +128,18 @@
     lose_list(directory, start + 10s, start + 10s + 1ms);
     directory.remove(backend_server_name("a"), start + 10s + 1ms);
     CHECK_FALSE(is_usable(directory, "a", start + 12500ms));
-    directory.get_contact().note_failed(start + 12600ms);
-    directory.get_contact().note_failed(start + 14s);
+    directory.get_contact().record_failure(start + 12600ms);
+    directory.get_contact().record_failure(start + 14s);
     CHECK_FALSE(is_usable(directory, "a", start + 15s));
 }
 
 TEST_CASE("news of an earlier read do not make the return of the list look later") {
     const steady_time start{};
     server_directory directory = make_directory(start);
-    directory.get_contact().note_failed(start + 9s);
+    directory.get_contact().record_failure(start + 9s);
     // Another host read at 8 s, and this one is told much later.
-    directory.get_contact().note_reached(start + 8s);
-    directory.get_contact().note_reached(start + 11s);
+    directory.get_contact().record_success(start + 8s);
+    directory.get_contact().record_success(start + 11s);
     CHECK(directory.remove(backend_server_name("a"), start + 11s) == directory_change::missing);
     CHECK(is_usable(directory, "a", start + 11499ms));
     CHECK_FALSE(is_usable(directory, "a", start + 11500ms));
@@ -149,7 +149,7 @@
     virtual_clock time;
     server_directory directory;
     directory.apply(make_record("a", 80, 1), time.now());
-    directory.set_displaced(backend_server_name("a"));
+    directory.mark_address_taken(backend_server_name("a"));
     CHECK_FALSE(is_usable(directory, "a"));
     CHECK(directory.apply(make_record("a", 80, 2), time.now()) == directory_change::restarted);
     CHECK(is_usable(directory, "a"));
--- a/tests/fleet/test_service_history.cpp
+++ b/tests/fleet/test_service_history.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-coordination::record make_record(std::uint64_t second, const service_figures& figures) {
+coordination::record make_record(std::uint64_t second, const service_counts& figures) {
     const coordination::record_draft draft = make_history_draft(second, figures);
     coordination::record value;
     value.type = draft.type;
@@ -17,9 +17,9 @@
     return value;
 }
 
-service_figures make_figures(const char* name, std::uint64_t asked, std::uint64_t completed) {
-    service_figures figures;
-    figures.organisations[organisation_name(name)] = {.asked = asked, .completed = completed};
+service_counts make_figures(const char* name, std::uint64_t asked, std::uint64_t completed) {
+    service_counts figures;
+    figures.organisations[organisation_name(name)] = {.requested = asked, .completed = completed};
     figures.refusals["queue_full"] = asked - completed;
     figures.delivered_tokens = completed;
     figures.spend_milli = 5;
@@ -35,7 +35,7 @@
     history.on_record(2, make_record(4000, make_figures("a", 10, 10)));
     CHECK(history.get_fine().size() == 2);
     REQUIRE(history.get_hours().size() == 1);
-    const service_figures& hour = history.get_hours().at(3600);
+    const service_counts& hour = history.get_hours().at(3600);
     CHECK(hour.organisations.at(organisation_name("a")).completed == 100);
     CHECK(hour.refusals.at("queue_full") == 50);
     CHECK(get_goodput(hour) == doctest::Approx(110.0 / 160));
@@ -58,7 +58,7 @@
     CHECK(organisations.contains(organisation_name("150")));
     std::uint64_t asked = 0;
     for (const auto& [name, service] : organisations) {
-        asked += service.asked;
+        asked += service.requested;
     }
     CHECK(asked == 20000);
     history.on_record(200, make_record(3600 + 91 * 86400, make_figures("a", 1, 1)));
--- a/tests/fleet_model/baseline_planners.cpp
+++ b/tests/fleet_model/baseline_planners.cpp
@@ -9,14 +9,14 @@
 
 using fleet::engine_role;
 
-constexpr double most_away = 0.25;
+constexpr double max_unavailable_share = 0.25;
 
 std::size_t get_room(std::span<const policy::planned_engine> engines) {
     const auto away = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) {
         return engine.target.has_value() && engine.state != policy::engine_state::lost;
     }));
     const auto cap =
-        std::max<std::size_t>(1, static_cast<std::size_t>(most_away * static_cast<double>(engines.size())));
+        std::max<std::size_t>(1, static_cast<std::size_t>(max_unavailable_share * static_cast<double>(engines.size())));
     return cap - std::min(cap, away);
 }
 
@@ -49,11 +49,13 @@
 
 } // namespace
 
-policy::role_plan static_planner::plan(const policy::role_inputs& /*inputs*/, policy::role_memory& /*memory*/) const {
+policy::role_plan static_planner::plan(const policy::role_inputs& /*inputs*/,
+                                       policy::role_planner_state& /*memory*/) const {
     return make_plan({});
 }
 
-policy::role_plan threshold_planner::plan(const policy::role_inputs& inputs, policy::role_memory& /*memory*/) const {
+policy::role_plan threshold_planner::plan(const policy::role_inputs& inputs,
+                                          policy::role_planner_state& /*memory*/) const {
     constexpr double nearly_full = 0.9;
     constexpr double not_full = 0.75;
     if (!inputs.has_authority || inputs.engines.empty() || get_room(inputs.engines) == 0) {
@@ -73,7 +75,8 @@
     return make_plan(get_orders_towards(inputs.engines, split, 1));
 }
 
-policy::role_plan greedy_planner::plan(const policy::role_inputs& inputs, policy::role_memory& /*memory*/) const {
+policy::role_plan greedy_planner::plan(const policy::role_inputs& inputs,
+                                       policy::role_planner_state& /*memory*/) const {
     if (!inputs.has_authority || inputs.engines.empty()) {
         return make_plan({});
     }
--- a/tests/fleet_model/baseline_planners.hpp
+++ b/tests/fleet_model/baseline_planners.hpp
@@ -8,13 +8,15 @@
 /// Never changes a role.
 class static_planner final : public policy::role_planner {
 public:
-    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs, policy::role_memory& memory) const override;
+    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs,
+                                         policy::role_planner_state& memory) const override;
 };
 
 /// Moves one engine when one phase is nearly full and the other is not.
 class threshold_planner final : public policy::role_planner {
 public:
-    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs, policy::role_memory& memory) const override;
+    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs,
+                                         policy::role_planner_state& memory) const override;
 };
 
 /// Goes for the split that serves the demand of this moment best, without regard to what a change costs.
@@ -22,7 +24,8 @@
 public:
     explicit greedy_planner(double mixed_efficiency) : m_mixed_efficiency(mixed_efficiency) {}
 
-    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs, policy::role_memory& memory) const override;
+    [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs,
+                                         policy::role_planner_state& memory) const override;
 
 private:
     double m_mixed_efficiency;
--- a/tests/fleet_model/role_run.cpp
+++ b/tests/fleet_model/role_run.cpp
@@ -110,7 +110,7 @@
     request_queues queues(fleet);
     reporting_hosts hosts(fleet, trace, seed);
     policy::demand_estimator estimator({});
-    policy::role_memory memory;
+    policy::role_planner_state memory;
     for (std::uint32_t second = 0; second < trace.demand.size(); ++second) {
         apply_losses(trace, second, engines);
         hosts.deliver(second, estimator);
--- a/tests/fleet_model/spend_run.cpp
+++ b/tests/fleet_model/spend_run.cpp
@@ -191,12 +191,12 @@
 
 policy::demand_estimator_options make_estimator_options() {
     return {.bucket = std::chrono::seconds(spend_step_seconds),
-            .least_settle = std::chrono::seconds(0),
+            .min_lateness_allowance = std::chrono::seconds(0),
             .stale_after = std::chrono::minutes(3),
             .level_gain = 0.3,
             .trend_gain = 0.1,
             .trend_damping = 0.95,
-            .error_reach = lead_seconds / spend_step_seconds};
+            .error_horizon_buckets = lead_seconds / spend_step_seconds};
 }
 
 std::uint32_t count_servers(double units, double per_server) {
@@ -215,7 +215,7 @@
     modelled_servers servers(fleet, first - first / 2, first / 2);
     ledger figures(fleet, make_spend_options(fleet));
     policy::demand_estimator estimator(make_estimator_options());
-    policy::spend_memory memory;
+    policy::spend_planner_state memory;
     std::vector<policy::zone_market> markets;
     for (std::uint32_t zone = 0; zone < fleet.zones; ++zone) {
         markets.push_back({.zone = zone_name(fmt::format("z{}", zone)), .most_servers = most_servers_per_zone});
@@ -274,7 +274,7 @@
         const double asked = get_mean_units(trace, second);
         const std::uint32_t all = count_servers(asked, fleet.units_per_engine);
         const std::uint32_t guaranteed = count_servers(asked * fleet.guaranteed_share, fleet.units_per_engine);
-        const auto cap = static_cast<std::uint32_t>(std::floor(options.most_cheap_share * all));
+        const auto cap = static_cast<std::uint32_t>(std::floor(options.max_cheap_share * all));
         // A market that is gone delivers nothing; what was held before stays.
         const std::uint32_t most_cheap = is_market_gone(trace, second) ? held_cheap : all;
         const std::uint32_t cheap = std::min({cap, all - guaranteed, most_cheap});
--- a/tests/fuzz/fuzz_messages.cpp
+++ b/tests/fuzz/fuzz_messages.cpp
@@ -3,7 +3,7 @@
 #include <string_view>
 
 #include "coordination/store_lease.hpp"
-#include "coordination/usage_book.hpp"
+#include "coordination/usage_state.hpp"
 #include "core/error.hpp"
 #include "platform/configuration_decoder.hpp"
 #include "platform/server_record_decoder.hpp"
@@ -44,7 +44,7 @@
 }
 
 void check_report_book(std::string_view text) {
-    static_cast<void>(coordination::decode_report_book(text));
+    static_cast<void>(coordination::decode_report_state(text));
 }
 
 /// A stream is cut into the same whole events wherever its pieces end.
--- a/tests/fuzz/fuzz_record.cpp
+++ b/tests/fuzz/fuzz_record.cpp
@@ -28,7 +28,7 @@
         try {
             const record value = decode_record(line);
             const std::string text = encode_record(value);
-            require(!is_exact(value.body) || encode_record(decode_record(text)) == text);
+            require(!has_no_fractions(value.body) || encode_record(decode_record(text)) == text);
             fold.apply(offset++, value);
         } catch (const malformed_message_error&) {
             continue;
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -31,22 +31,22 @@
     CHECK(decoded.version == 7);
     REQUIRE(decoded.routes.size() == 3);
     CHECK(decoded.routes[0].host == "host.example");
-    CHECK(decoded.routes[0].repeats == fleet::repeat_rule::resumable_stream);
+    CHECK(decoded.routes[0].retry == fleet::retry_policy::resumable_stream);
     CHECK(decoded.routes[0].timeout == 4s);
     CHECK(decoded.routes[0].target_gap == 200ms);
     CHECK(decoded.routes[0].has_prompt_parts);
-    CHECK(decoded.routes[1].repeats == fleet::repeat_rule::at_most_once);
+    CHECK(decoded.routes[1].retry == fleet::retry_policy::at_most_once);
     CHECK(decoded.routes[1].is_public);
     REQUIRE(decoded.routes[1].shares.size() == 2);
     CHECK(decoded.routes[1].shares[0].weight == 90);
-    CHECK(decoded.routes[2].repeats == fleet::repeat_rule::idempotent);
-    CHECK(decoded.routes[2].attempts == 1);
+    CHECK(decoded.routes[2].retry == fleet::retry_policy::idempotent);
+    CHECK(decoded.routes[2].max_attempts == 1);
     REQUIRE(decoded.services.size() == 2);
     REQUIRE(decoded.services[0].engine);
     CHECK(decoded.services[0].engine->tokens_per_event == 6);
     CHECK(decoded.services[0].engine->stage_change_time == 3s);
     REQUIRE(decoded.services[0].scaling);
-    CHECK(decoded.services[0].scaling->most == 6);
+    CHECK(decoded.services[0].scaling->max_servers == 6);
     CHECK(decoded.services[0].scaling->cheap_price == doctest::Approx(0.22));
     CHECK(decoded.services[0].scaling->zone_prices.at(zone_name("z2")) == doctest::Approx(0.8));
     CHECK_FALSE(decoded.services[1].engine);
@@ -60,7 +60,7 @@
 TEST_CASE("a kind of route that is not known counts as one that must not be repeated") {
     const fleet::serving_configuration decoded =
         decode_configuration(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
-    CHECK(decoded.routes[0].repeats == fleet::repeat_rule::at_most_once);
+    CHECK(decoded.routes[0].retry == fleet::retry_policy::at_most_once);
 }
 
 TEST_CASE("what is no configuration is rejected with the field that is wrong") {
@@ -82,8 +82,8 @@
     CHECK(record.is_draining);
     CHECK(record.is_cheap);
     CHECK(record.stage == fleet::engine_stage::prefill);
-    CHECK(record.cold_left == 250ms);
-    CHECK(record.leaves_in == 2500ms);
+    CHECK(record.warmup_left == 250ms);
+    CHECK(record.time_to_reclaim == 2500ms);
     CHECK(record.started_at_ms == 1774100506431);
 }
 
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -75,10 +75,10 @@
     const raw_server& busy = add_server("p1", prefill, read_prompts());
     const raw_server& idle = add_server("p2", prefill, read_prompts());
     add_server("d", decode, stream_events(1, 1));
-    policy::engine_board& board = state.find_engines(service_name("llm"))->board;
-    board.touch(backend_server_name("p1"), std::array{policy::cached_part{.id = 0xa1, .tokens = 6000}});
-    board.start_prompt(backend_server_name("p1"),
-                       {.number = 999, .sent_at = time.now(), .cost = std::chrono::seconds(9)}, {});
+    policy::engine_load_tracker& board = state.find_engines(service_name("llm"))->board;
+    board.record_prefix_access(backend_server_name("p1"), std::array{policy::prefix_block{.id = 0xa1, .tokens = 6000}});
+    board.start_prefill(backend_server_name("p1"),
+                        {.number = 999, .sent_at = time.now(), .cost = std::chrono::seconds(9)}, {});
     auto headers = get_headers();
     headers.emplace_back("Dragonflywell-Model", "m");
     headers.emplace_back("Dragonflywell-Token-Count", "7000,10");
@@ -118,10 +118,10 @@
     const raw_server& second = add_server("p2", prefill, read_prompts());
     const raw_server& generator = add_server("d", decode, stream_events(1, 2));
     // The second engine looks busier, so that the first is asked first.
-    const std::vector<policy::prompt_job> prompts{
+    const std::vector<policy::prefill_job> prompts{
         {.number = 1, .sent_at = time.now(), .cost = std::chrono::seconds(9)}};
     state.find_engines(service_name("llm"))
-        ->board.set_other("other", {{backend_server_name("p2"), {.prompts = prompts}}}, time.now());
+        ->board.set_host_load("other", {{backend_server_name("p2"), {.prompts = prompts}}}, time.now());
     const answer got = generate("/gen/x");
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
@@ -134,7 +134,7 @@
     const raw_server& reader = add_server("p", prefill, read_prompts());
     add_server("d1", decode, refuse());
     const raw_server& second = add_server("d2", decode, stream_events(1, 2));
-    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("d2"), 5000, {});
+    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("d2"), 5000, {});
     const answer got = generate("/gen/x");
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
@@ -169,7 +169,7 @@
         add_server("d1", decode, break_after(2, true));
     }
     const raw_server& second = add_server("d2", decode, stream_events(3, 5));
-    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("d2"), 5000, {});
+    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("d2"), 5000, {});
     const answer got = generate("/resume/x");
     CHECK(got.status == 200);
     CHECK_FALSE(got.is_cut);
@@ -275,7 +275,7 @@
         add_server("d", decode, refuse());
     }
     generate("/gen/x");
-    const policy::engine_board& board = state.find_engines(service_name("llm"))->board;
+    const policy::engine_load_tracker& board = state.find_engines(service_name("llm"))->board;
     CHECK(board.get_running(backend_server_name("d")) == 0);
     CHECK(board.get_backlog(backend_server_name("p"), time.now()) == duration::zero());
 }
@@ -285,14 +285,14 @@
     configure();
     const backend_server_name engine("d");
     add_server("d", decode, stream_events(1, 1));
-    state.set_changing(engine, prefill, time.now() + std::chrono::minutes(1));
+    state.begin_stage_change(engine, prefill, time.now() + std::chrono::minutes(1));
     CHECK(state.get_own_transitions().size() == 1);
-    state.set_changing(engine, prefill, time.now() - std::chrono::seconds(1));
+    state.begin_stage_change(engine, prefill, time.now() - std::chrono::seconds(1));
     servers::host_digest digest;
     digest.host = "other";
-    digest.transitions = {{engine, {.stage = prefill, .left = std::chrono::minutes(1)}}};
-    state.peers.take_near(digest);
-    CHECK(state.is_changing(engine));
+    digest.transitions = {{engine, {.stage = prefill, .remaining = std::chrono::minutes(1)}}};
+    state.peers.merge_group_digest(digest);
+    CHECK(state.is_changing_stage(engine));
     CHECK(state.get_own_transitions().empty());
 }
 
@@ -303,8 +303,8 @@
     const auto tell = [this](const std::string& host) {
         servers::host_digest digest;
         digest.host = host;
-        digest.paused = {{backend_server_name("bad"), std::chrono::minutes(1)}};
-        state.peers.take_near(digest);
+        digest.ejections = {{backend_server_name("bad"), std::chrono::minutes(1)}};
+        state.peers.merge_group_digest(digest);
     };
     SUBCASE("two hosts have seen it fail") {
         add_server("good", decode, stream_events(1, 2));
@@ -323,7 +323,7 @@
     }
     SUBCASE("one host alone is not enough") {
         tell("h1");
-        CHECK_FALSE(state.is_doubted(backend_server_name("bad")));
+        CHECK_FALSE(state.is_degraded(backend_server_name("bad")));
     }
 }
 
@@ -333,10 +333,10 @@
     const raw_server& dark = add_server("dark", decode, refuse());
     add_server("good", decode, stream_events(1, 2));
     // The others' engine is the fuller one, so that requests would go to the dark one.
-    state.find_engines(service_name("llm"))->board.start_run(backend_server_name("good"), 5000, {});
-    const policy::silence_watch::waiting waiting =
-        state.silence.watch(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
-    CHECK(state.get_paused().contains(backend_server_name("dark")));
+    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("good"), 5000, {});
+    const policy::stall_detector::pending_request waiting =
+        state.silence.track(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
+    CHECK(state.get_ejected().contains(backend_server_name("dark")));
     CHECK(generate("/gen/x").status == 200);
     CHECK(count_runs(dark) == 0);
 }
--- a/tests/platform/test_http_ordering.cpp
+++ b/tests/platform/test_http_server_provisioner.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/http_engine_control.hpp"
-#include "platform/http_ordering.hpp"
+#include "platform/http_server_provisioner.hpp"
 #include "standin/engine_standin.hpp"
 #include "standin/platform_standin.hpp"
 #include "support/running_standin.hpp"
@@ -12,20 +12,20 @@
 
 TEST_CASE("an order whose answer was lost is found under its key, and a repetition changes nothing") {
     running_standin<standin::platform_standin> platform;
-    http_ordering ordering({.server = platform.get_endpoint()});
-    const server_request wanted{
+    http_server_provisioner ordering({.server = platform.get_endpoint()});
+    const provisioning_request wanted{
         .idempotency_key = "k1", .zone = zone_name("a"), .model = model_name("m"), .is_cheap = true};
     CHECK_FALSE(ordering.find("k1").has_value());
     CHECK(ordering.get_all().empty());
     platform.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
-    CHECK_THROWS_AS(ordering.request(wanted), ordering_unavailable_error);
+    CHECK_THROWS_AS(ordering.request(wanted), provisioning_unavailable_error);
     CHECK(ordering.find("k1") == wanted);
-    server_request other = wanted;
+    provisioning_request other = wanted;
     other.zone = zone_name("b");
     ordering.request(other);
-    CHECK(ordering.get_all() == std::vector<server_request>{wanted});
-    ordering.withdraw("k1");
-    ordering.withdraw("k1");
+    CHECK(ordering.get_all() == std::vector<provisioning_request>{wanted});
+    ordering.release("k1");
+    ordering.release("k1");
     CHECK_FALSE(ordering.find("k1").has_value());
 }
 
@@ -40,10 +40,10 @@
             .role = fleet::engine_role::decode, .fencing_number = 9, .idempotency_key = "new"};
         const role_change_order older{
             .role = fleet::engine_role::prefill, .fencing_number = 3, .idempotency_key = "old"};
-        CHECK(control.send(engine.get_endpoint(), newer, deadline) == engine_reply::applied);
+        CHECK(control.send(engine.get_endpoint(), newer, deadline) == role_change_result::applied);
         CHECK(control.get_load(engine.get_endpoint()).role == fleet::engine_role::decode);
-        const engine_reply reply = control.send(engine.get_endpoint(), older, deadline);
-        CHECK(reply == (checks ? engine_reply::refused_old_number : engine_reply::applied));
+        const role_change_result reply = control.send(engine.get_endpoint(), older, deadline);
+        CHECK(reply == (checks ? role_change_result::stale_fencing_number : role_change_result::applied));
         CHECK(control.get_load(engine.get_endpoint()).model == model_name("m"));
     }
 }
--- a/tests/platform/test_http_usage_reporting.cpp
+++ b/tests/platform/test_http_usage_reporting.cpp
@@ -14,7 +14,7 @@
             .kind = "usage.report",
             .body = {{"window", 1}, {"lines", {{{"completion_tokens", tokens}}}}},
             .idempotency_key = "usage-1",
-            .repeat = repeat_rule::deduplicated};
+            .duplicates = duplicate_handling::deduplicated};
 }
 
 const fencing_token token{.scope = "reporting", .number = 4};
@@ -25,13 +25,13 @@
 TEST_CASE("a report whose answer was lost is found by a query, and other figures under its key are not taken for it") {
     testing::running_standin<standin::platform_standin> platform;
     platform::http_usage_reporting reporting({.server = platform.get_endpoint()});
-    CHECK(reporting.query(make_report(3)) == order_presence::not_seen);
+    CHECK(reporting.query(make_report(3)) == order_query_result::not_seen);
     platform.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
-    CHECK(reporting.send(make_report(3), token, deadline) == order_receipt::unknown);
-    CHECK(reporting.query(make_report(3)) == order_presence::applied);
-    CHECK(reporting.send(make_report(3), token, deadline) == order_receipt::applied);
+    CHECK(reporting.send(make_report(3), token, deadline) == order_reply::unknown);
+    CHECK(reporting.query(make_report(3)) == order_query_result::applied);
+    CHECK(reporting.send(make_report(3), token, deadline) == order_reply::applied);
     CHECK(platform.handler.get_conflicts() == 0);
-    CHECK(reporting.send(make_report(4), token, deadline) == order_receipt::unknown);
-    CHECK(reporting.query(make_report(4)) == order_presence::unknown);
+    CHECK(reporting.send(make_report(4), token, deadline) == order_reply::unknown);
+    CHECK(reporting.query(make_report(4)) == order_query_result::unknown);
     CHECK(platform.handler.get_conflicts() == 1);
 }
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -295,7 +295,7 @@
         add_server(name, {}, reset());
         CHECK(ask(http::verb::post, "/unsafe/x", "poison").status == 502);
         // The server is found dead only afterwards.
-        state.note_server_down(backend_server_name(name));
+        state.record_server_down(backend_server_name(name));
         state.directory.remove(backend_server_name(name), time.now());
         state.refresh_servers();
     }
@@ -313,7 +313,7 @@
     raw_server& server = add_server("s1", {}, reset());
     for (int death = 0; death < 2; ++death) {
         CHECK(ask(http::verb::post, "/unsafe/x", "innocent").status == 502);
-        state.note_server_down(backend_server_name("s1"));
+        state.record_server_down(backend_server_name("s1"));
         state.health.forget(backend_server_name("s1"));
     }
     CHECK_FALSE(state.suspects.is_empty());
@@ -359,8 +359,8 @@
     std::int64_t began_in = 0;
     add_server("s1", {},
                [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
-                   began_in = state.usage.get_window(state.get_true_time());
-                   state.correct_true_time(state.options.usage_window);
+                   began_in = state.usage.get_window(state.get_corrected_time());
+                   state.adjust_corrected_time(state.options.usage_window);
                    const raw_server::behaviour answer = answer_with(200, "ok");
                    co_await answer(request, connection);
                });
--- a/tests/platform/test_store_gate.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -1,4 +1,4 @@
-#include "platform/store_gate.hpp"
+#include "platform/store_circuit_breaker.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,21 +16,21 @@
     virtual_clock clock;
     asio::io_context loop(1);
     metrics_registry metrics;
-    platform::store_gate gate(clock, metrics, {});
-    gate.on_failed("call", clock.now(), "a test");
+    platform::store_circuit_breaker gate(clock, metrics, {});
+    gate.on_failure("call", clock.now(), "a test");
     int ready = 0;
     for (int user = 0; user < 3; ++user) {
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                co_await gate.wait_for_turn();
+                co_await gate.wait_until_call_allowed();
                 ++ready;
             },
             asio::detached);
     }
     loop.poll();
     CHECK(ready == 0);
-    gate.on_answered("call");
+    gate.on_success("call");
     loop.restart();
     loop.poll();
     CHECK(ready == 3);
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -17,9 +17,9 @@
     store_client client = make_client();
     const std::string binary("\0\xff value", 8);
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const append_answer first = co_await client.append("keyed.t", "a", binary);
+        const append_result first = co_await client.append("keyed.t", "a", binary);
         CHECK(first.offset == 0);
-        CHECK(first.end == 1);
+        CHECK(first.end_offset == 1);
         co_await client.append("keyed.t", "b", "2");
         store.put("keyed.t", "a", "");
         const store_page page = co_await client.read("keyed.t", 1, duration::zero());
@@ -28,7 +28,7 @@
         CHECK(page.records[0].value == "2");
         CHECK(page.records[1].offset == 2);
         CHECK_FALSE(page.records[1].value);
-        CHECK(page.end == 3);
+        CHECK(page.next_offset == 3);
     });
 }
 
@@ -42,18 +42,18 @@
         const store_page page = co_await client.read_newest("keyed.t");
         REQUIRE(page.records.size() == 8);
         CHECK(page.records[7].value == "new7");
-        CHECK(page.end == 16);
+        CHECK(page.next_offset == 16);
     });
 }
 
 TEST_CASE_FIXTURE(store_fixture, "an append under a condition tells apart success and conflict") {
     store_client client = make_client();
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const append_answer won = co_await client.append("keyed.t", "k", "1", 0);
+        const append_result won = co_await client.append("keyed.t", "k", "1", 0);
         CHECK(won.offset == 0);
-        const append_answer lost = co_await client.append("keyed.t", "k", "2", 0);
+        const append_result lost = co_await client.append("keyed.t", "k", "2", 0);
         CHECK_FALSE(lost.offset);
-        CHECK(lost.end == 1);
+        CHECK(lost.end_offset == 1);
     });
     CHECK(store.get("keyed.t", "k") == "1");
 }
@@ -121,7 +121,7 @@
     const store_page page = decode_read_answer(head + keyless + record, 4);
     REQUIRE(page.records.size() == 1);
     CHECK(page.records[0].offset == 5);
-    CHECK(page.end == 6);
+    CHECK(page.next_offset == 6);
 }
 
 TEST_CASE("a store that fails is not called again by others for a while, and is once it answers") {
--- a/tests/policy/test_attempt_history.cpp
+++ b/tests/policy/test_attempt_history.cpp
@@ -13,12 +13,12 @@
         history.add_failure(backend_server_name("a"), false);
         history.add_failure(backend_server_name("b"), false);
         CHECK(history.get_outcome() == request_outcome::not_run);
-        CHECK(history.may_repeat(3));
+        CHECK(history.may_retry(3));
         history.add_failure(backend_server_name("c"), true);
         history.add_failure(backend_server_name("d"), false);
         CHECK(history.get_outcome() ==
               (is_repeatable ? request_outcome::failed_after_start : request_outcome::unknown));
-        CHECK(history.may_repeat(10) == is_repeatable);
-        CHECK_FALSE(history.may_repeat(4));
+        CHECK(history.may_retry(10) == is_repeatable);
+        CHECK_FALSE(history.may_retry(4));
     }
 }
--- a/tests/policy/test_circuit_breaker.cpp
+++ b/tests/policy/test_circuit_breaker.cpp
@@ -25,7 +25,7 @@
 
 TEST_CASE("while a dependency fails few calls are made, and at least one within the longest pause") {
     virtual_clock clock;
-    circuit_breaker breaker({.first_pause = 100ms, .longest_pause = 1s});
+    circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     static_cast<void>(count_calls(breaker, clock, 5s));
     CHECK(count_calls(breaker, clock, 10s) == 10);
 }
@@ -53,7 +53,7 @@
 
 TEST_CASE("calls that were under way together and fail together make one short pause") {
     virtual_clock clock;
-    circuit_breaker breaker({.first_pause = 100ms, .longest_pause = 1s});
+    circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     const steady_time sent_at = clock.now();
     clock.advance(50ms);
     for (int call = 0; call < 5; ++call) {
@@ -66,7 +66,7 @@
 
 TEST_CASE("a call that does not end keeps others back for one pause only") {
     virtual_clock clock;
-    circuit_breaker breaker({.first_pause = 100ms, .longest_pause = 1s});
+    circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     breaker.on_failure(clock.now(), clock.now());
     clock.advance(100ms);
     CHECK(breaker.may_call(clock.now()));
@@ -77,24 +77,24 @@
 
 TEST_CASE("each further call that fails doubles the pause up to a bound, and a success ends that") {
     virtual_clock clock;
-    circuit_breaker breaker({.first_pause = 150ms, .longest_pause = 1200ms});
+    circuit_breaker breaker({.initial_backoff = 150ms, .max_backoff = 1200ms});
     for (int round = 0; round < 2; ++round) {
         breaker.on_failure(clock.now(), clock.now());
         for (const duration expected : {150ms, 300ms, 600ms, 1200ms, 1200ms, 1200ms}) {
-            CHECK(breaker.get_next_at() == clock.now() + expected);
+            CHECK(breaker.get_next_call_at() == clock.now() + expected);
             clock.advance(expected);
             CHECK(breaker.may_call(clock.now()));
             breaker.on_failure(clock.now(), clock.now());
         }
         breaker.on_success(clock.now());
-        CHECK_FALSE(breaker.get_next_at());
+        CHECK_FALSE(breaker.get_next_call_at());
         clock.advance(1ms);
     }
 }
 
 TEST_CASE("the pause counts from the start of a call that failed late") {
     virtual_clock clock;
-    circuit_breaker breaker({.first_pause = 100ms, .longest_pause = 1s});
+    circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     static_cast<void>(count_calls(breaker, clock, 5s));
     while (!breaker.may_call(clock.now())) {
         clock.advance(10ms);
@@ -102,5 +102,5 @@
     const steady_time sent_at = clock.now();
     clock.advance(700ms);
     breaker.on_failure(sent_at, clock.now());
-    CHECK(breaker.get_next_at() == sent_at + 1s);
+    CHECK(breaker.get_next_call_at() == sent_at + 1s);
 }
--- a/tests/policy/test_cut_off_state.cpp
+++ b/tests/policy/test_cut_off_state.cpp
@@ -8,18 +8,18 @@
 TEST_CASE("the time of a cut counts from its first finding and ends with it") {
     virtual_clock time;
     cut_off_state state;
-    CHECK_FALSE(state.get_time(time.now()).has_value());
+    CHECK_FALSE(state.get_cut_off_duration(time.now()).has_value());
     state.set_cut_off(true, time.now());
     time.advance(std::chrono::seconds(3));
     state.set_cut_off(true, time.now());
     time.advance(std::chrono::seconds(2));
-    CHECK(state.get_time(time.now()) == std::chrono::seconds(5));
+    CHECK(state.get_cut_off_duration(time.now()) == std::chrono::seconds(5));
     state.set_cut_off(false, time.now());
-    CHECK_FALSE(state.get_time(time.now()).has_value());
+    CHECK_FALSE(state.get_cut_off_duration(time.now()).has_value());
 }
 
 TEST_CASE("only an organisation that asked for it is refused, and only after its bound") {
-    fleet::organisation organisation{.name = organisation_name("rovers"), .cut_off_bound = std::chrono::seconds(30)};
+    fleet::organisation organisation{.name = organisation_name("rovers"), .cut_off_grace = std::chrono::seconds(30)};
     CHECK(may_serve_cut_off(organisation, std::chrono::hours(9)));
     organisation.when_cut_off = fleet::cut_off_behaviour::refuse;
     CHECK(may_serve_cut_off(organisation, std::nullopt));
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-engine_facts make_facts(fleet::engine_stage stage, const std::string& zone, bool is_cheap = false) {
+engine_attributes make_facts(fleet::engine_stage stage, const std::string& zone, bool is_cheap = false) {
     return {.zone = zone_name(zone),
             .stage = stage,
             .slots = 10,
@@ -25,25 +25,25 @@
 constexpr auto prefill = fleet::engine_stage::prefill;
 constexpr auto decode = fleet::engine_stage::decode;
 
-engine_suitability accept_any(const backend_server_name& /*engine*/) {
+engine_status accept_any(const backend_server_name& /*engine*/) {
     return {};
 }
 
 /// Returns a judge that takes one engine for less fit than the others.
-engine_judge except(const std::string& name, engine_fitness fitness) {
-    return [name, fitness](const backend_server_name& engine) {
-        return engine_suitability{.fitness = engine.value() == name ? fitness : engine_fitness::fit};
+engine_status_lookup except(const std::string& name, engine_usability usability) {
+    return [name, usability](const backend_server_name& engine) {
+        return engine_status{.usability = engine.value() == name ? usability : engine_usability::healthy};
     };
 }
 
 struct fixture {
     virtual_clock time;
-    prefill_time read_time;
-    engine_board board;
-    std::array<cached_part, 1> parts{cached_part{.id = 5, .tokens = 3'000}};
+    prefill_time_model prefill_model;
+    engine_load_tracker board;
+    std::array<prefix_block, 1> parts{prefix_block{.id = 5, .tokens = 3'000}};
 
-    std::optional<engine_choice> choose(const engine_judge& filter = accept_any) {
-        const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
+    std::optional<engine_choice> choose(const engine_status_lookup& filter = accept_any) {
+        const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
         return choose_engines(board, costs, {.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts},
                               zone_name("a"), filter, time.now());
     }
@@ -55,53 +55,53 @@
     board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
                        {backend_server_name("p2"), make_facts(prefill, "a")},
                        {backend_server_name("d"), make_facts(decode, "a")}});
-    board.touch(backend_server_name("p2"), parts);
+    board.record_prefix_access(backend_server_name("p2"), parts);
     const auto cached = choose();
     REQUIRE(cached);
-    CHECK(cached->reader->value() == "p2");
-    CHECK(cached->reading.tokens == 1'000);
-    CHECK(cached->reading.cached_tokens == 3'000);
-    board.start_prompt(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    CHECK(cached->prefill_engine->value() == "p2");
+    CHECK(cached->prefill.tokens == 1'000);
+    CHECK(cached->prefill.cached_tokens == 3'000);
+    board.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
     const auto free = choose();
-    CHECK(free->reader->value() == "p1");
-    CHECK(free->fetch_from->value() == "p2");
-    CHECK(free->reading.tokens == 1'000);
+    CHECK(free->prefill_engine->value() == "p1");
+    CHECK(free->prefix_source->value() == "p2");
+    CHECK(free->prefill.tokens == 1'000);
 }
 
 TEST_CASE_FIXTURE(fixture, "the emptiest engine generates, a near one when they are about as full") {
     board.set_engines({{backend_server_name("p"), make_facts(prefill, "b")},
                        {backend_server_name("d1"), make_facts(decode, "a")},
                        {backend_server_name("d2"), make_facts(decode, "b")}});
-    CHECK(choose()->generator.value() == "d2");
-    board.start_run(backend_server_name("d2"), 100, {});
-    board.start_run(backend_server_name("d2"), 100, {});
-    CHECK(choose()->generator.value() == "d1");
+    CHECK(choose()->decode_engine.value() == "d2");
+    board.start_decode(backend_server_name("d2"), 100, {});
+    board.start_decode(backend_server_name("d2"), 100, {});
+    CHECK(choose()->decode_engine.value() == "d1");
 }
 
 TEST_CASE_FIXTURE(fixture, "memory counts as much as slots") {
     board.set_engines({{backend_server_name("p"), make_facts(prefill, "c")},
                        {backend_server_name("d1"), make_facts(decode, "a")},
                        {backend_server_name("d2"), make_facts(decode, "a")}});
-    board.start_run(backend_server_name("d1"), 90'000, {});
-    board.start_run(backend_server_name("d2"), 1'000, {});
-    board.start_run(backend_server_name("d2"), 1'000, {});
-    CHECK(choose()->generator.value() == "d2");
+    board.start_decode(backend_server_name("d1"), 90'000, {});
+    board.start_decode(backend_server_name("d2"), 1'000, {});
+    board.start_decode(backend_server_name("d2"), 1'000, {});
+    CHECK(choose()->decode_engine.value() == "d2");
 }
 
 TEST_CASE_FIXTURE(fixture, "a regular engine generates before one that may be reclaimed") {
     board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
                        {backend_server_name("cheap"), make_facts(decode, "a", true)},
                        {backend_server_name("regular"), make_facts(decode, "a")}});
-    board.start_run(backend_server_name("regular"), 100, {});
-    CHECK(choose()->generator.value() == "regular");
+    board.start_decode(backend_server_name("regular"), 100, {});
+    CHECK(choose()->decode_engine.value() == "regular");
 }
 
 TEST_CASE_FIXTURE(fixture, "without an engine for prompts the one that generates reads them itself") {
     board.set_engines({{backend_server_name("d"), make_facts(decode, "a")}});
     const auto choice = choose();
     REQUIRE(choice);
-    CHECK_FALSE(choice->reader);
-    CHECK(choice->generator.value() == "d");
+    CHECK_FALSE(choice->prefill_engine);
+    CHECK(choice->decode_engine.value() == "d");
 }
 
 TEST_CASE_FIXTURE(fixture, "what another engine has read is fetched from its cache when that is quicker") {
@@ -109,45 +109,45 @@
                        {backend_server_name("p2"), make_facts(prefill, "a")},
                        {backend_server_name("p3"), make_facts(prefill, "b")},
                        {backend_server_name("d"), make_facts(decode, "a")}});
-    board.touch(backend_server_name("p2"), parts);
-    board.touch(backend_server_name("p3"), parts);
-    board.start_prompt(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
-    board.start_prompt(backend_server_name("p3"), {.number = 2, .sent_at = time.now(), .cost = 1s}, {});
+    board.record_prefix_access(backend_server_name("p2"), parts);
+    board.record_prefix_access(backend_server_name("p3"), parts);
+    board.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    board.start_prefill(backend_server_name("p3"), {.number = 2, .sent_at = time.now(), .cost = 1s}, {});
     const auto choice = choose();
     REQUIRE(choice);
-    CHECK(choice->reader->value() == "p1");
-    REQUIRE(choice->fetch_from);
-    CHECK(choice->fetch_from->value() == "p2");
-    CHECK(choice->reading.tokens == 1'000);
+    CHECK(choice->prefill_engine->value() == "p1");
+    REQUIRE(choice->prefix_source);
+    CHECK(choice->prefix_source->value() == "p2");
+    CHECK(choice->prefill.tokens == 1'000);
     // A source that may not be used is none; a short beginning is not worth a transfer.
-    const auto without = choose(except("p2", engine_fitness::unusable));
-    CHECK(without->fetch_from->value() == "p3");
+    const auto without = choose(except("p2", engine_usability::unusable));
+    CHECK(without->prefix_source->value() == "p3");
     parts[0].tokens = 500;
-    board.touch(backend_server_name("p3"), parts);
+    board.record_prefix_access(backend_server_name("p3"), parts);
     board.set_engines(
         {{backend_server_name("p1"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK_FALSE(choose()->fetch_from);
+    CHECK_FALSE(choose()->prefix_source);
 }
 
 TEST_CASE_FIXTURE(fixture, "under a load beyond the fleet those that can be in time go first, and by rank") {
     board.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
-    placed_generation request{
+    const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
+    generation_requirements request{
         .prompt_tokens = 4'000, .output_tokens = 100, .parts = parts, .priority = 1, .target = 5s};
     const auto in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
     REQUIRE(in_time);
     CHECK(in_time->is_in_time);
     // Work that is late already does not stand in the way of the next request, but for what has been begun.
     for (std::uint64_t number = 0; number < 20; ++number) {
-        board.start_prompt(backend_server_name("p"),
-                           {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency + 4}, {});
+        board.start_prefill(backend_server_name("p"),
+                            {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency + 4}, {});
     }
     const auto still_in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
     CHECK(still_in_time->is_in_time);
     for (std::uint64_t number = 20; number < 40; ++number) {
-        board.start_prompt(backend_server_name("p"),
-                           {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency}, {});
+        board.start_prefill(backend_server_name("p"),
+                            {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency}, {});
     }
     const auto late = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
     CHECK_FALSE(late->is_in_time);
@@ -161,53 +161,53 @@
     board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
                        {backend_server_name("p2"), make_facts(prefill, "a")},
                        {backend_server_name("d"), make_facts(decode, "a")}});
-    board.touch(backend_server_name("p1"), parts);
-    CHECK(choose(except("p1", engine_fitness::doubtful))->reader->value() == "p2");
-    const auto generated = choose(except("d", engine_fitness::doubtful));
+    board.record_prefix_access(backend_server_name("p1"), parts);
+    CHECK(choose(except("p1", engine_usability::degraded))->prefill_engine->value() == "p2");
+    const auto generated = choose(except("d", engine_usability::degraded));
     REQUIRE(generated);
-    CHECK(generated->generator.value() == "d");
+    CHECK(generated->decode_engine.value() == "d");
     board.set_engines(
         {{backend_server_name("p1"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK(choose(except("p1", engine_fitness::doubtful))->reader->value() == "p1");
+    CHECK(choose(except("p1", engine_usability::degraded))->prefill_engine->value() == "p1");
 }
 
 TEST_CASE_FIXTURE(fixture, "engines of another group help out when one's own are much busier") {
     board.set_engines({{backend_server_name("far"), make_facts(prefill, "b")},
                        {backend_server_name("near"), make_facts(prefill, "a")},
                        {backend_server_name("d"), make_facts(decode, "a")}});
-    const engine_judge judge = [](const backend_server_name& engine) {
-        return engine_suitability{.unseen_backlog = engine.value() == "far" ? 100ms : 0ms};
+    const engine_status_lookup judge = [](const backend_server_name& engine) {
+        return engine_status{.unobserved_backlog = engine.value() == "far" ? 100ms : 0ms};
     };
-    CHECK(choose(judge)->reader->value() == "near");
-    board.start_prompt(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
-    CHECK(choose(judge)->reader->value() == "near");
-    board.start_prompt(backend_server_name("near"), {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1},
-                       {});
-    CHECK(choose(judge)->reader->value() == "far");
+    CHECK(choose(judge)->prefill_engine->value() == "near");
+    board.start_prefill(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
+    CHECK(choose(judge)->prefill_engine->value() == "near");
+    board.start_prefill(backend_server_name("near"), {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1},
+                        {});
+    CHECK(choose(judge)->prefill_engine->value() == "far");
 }
 
 TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
     board.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK_FALSE(choose(except("d", engine_fitness::unusable)));
+    CHECK_FALSE(choose(except("d", engine_usability::unusable)));
 }
 
 TEST_CASE_FIXTURE(fixture, "hosts that decide at the same moment spread over engines that are as good") {
     // A burst on many hosts: each has one request and has not heard of the others' yet.
     constexpr std::size_t engines = 10;
     constexpr std::uint64_t hosts = 30;
-    std::map<backend_server_name, engine_facts> facts{{backend_server_name("d"), make_facts(decode, "a")}};
+    std::map<backend_server_name, engine_attributes> facts{{backend_server_name("d"), make_facts(decode, "a")}};
     for (std::size_t number = 0; number < engines; ++number) {
         facts.emplace(backend_server_name("p" + std::to_string(number)), make_facts(prefill, "a"));
     }
     board.set_engines(facts);
-    const engine_costs costs{.read_time = &read_time, .first_event = 20ms, .move_per_token = 1us};
+    const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
     std::map<backend_server_name, int> chosen;
     for (std::uint64_t host = 1; host <= hosts; ++host) {
-        const std::array<cached_part, 1> own{cached_part{.id = host, .tokens = 3'000}};
-        const placed_generation request{
+        const std::array<prefix_block, 1> own{prefix_block{.id = host, .tokens = 3'000}};
+        const generation_requirements request{
             .prompt_tokens = 4'000, .output_tokens = 100, .parts = own, .seed = host << 20U};
-        ++chosen[*choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->reader];
+        ++chosen[*choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->prefill_engine];
     }
     const auto longest = std::max_element(
         chosen.begin(), chosen.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
--- a/tests/policy/test_horizon_role_planner.cpp
+++ b/tests/policy/test_horizon_role_planner.cpp
@@ -39,7 +39,7 @@
 }
 
 /// Plans until a change has been confirmed.
-role_plan plan_confirmed(const horizon_role_planner& planner, role_inputs inputs, role_memory& memory) {
+role_plan plan_confirmed(const horizon_role_planner& planner, role_inputs inputs, role_planner_state& memory) {
     static_cast<void>(planner.plan(inputs, memory));
     inputs.now += std::chrono::seconds(30);
     return planner.plan(inputs, memory);
@@ -52,7 +52,7 @@
 TEST_CASE("a lasting shift moves engines, at most a quarter at once and from different zones") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(8, 4);
-    role_memory memory;
+    role_planner_state memory;
     const role_inputs inputs = make_inputs(engines, mostly_decode);
     CHECK(planner.plan(inputs, memory).reason == role_reason::not_confirmed);
     memory = {};
@@ -67,7 +67,7 @@
 TEST_CASE("no plan without authority, on stale demand, or for a gain too small") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(8, 4);
-    role_memory memory;
+    role_planner_state memory;
     role_inputs inputs = make_inputs(engines, mostly_decode);
     inputs.has_authority = false;
     CHECK(plan_confirmed(planner, inputs, memory).reason == role_reason::no_authority);
@@ -86,7 +86,7 @@
         engines[static_cast<std::size_t>(index)].state = engine_state::changing;
         engines[static_cast<std::size_t>(index)].target = engine_role::decode;
     }
-    role_memory memory;
+    role_planner_state memory;
     const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 2000, .decode = 22000}), memory);
     CHECK(plan.reason == role_reason::cap_reached);
     CHECK(plan.orders.empty());
@@ -95,7 +95,7 @@
 TEST_CASE("the last engine that serves never leaves") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(1, 0);
-    role_memory memory;
+    role_planner_state memory;
     const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 0, .decode = 2000}), memory);
     CHECK(plan.reason == role_reason::cap_reached);
     CHECK(plan.orders.empty());
@@ -107,7 +107,7 @@
     engines[0].state = engine_state::changing;
     engines[0].target = engine_role::decode;
     engines[0].in_state = std::chrono::minutes(5);
-    role_memory memory;
+    role_planner_state memory;
     role_inputs inputs = make_inputs(engines, mostly_decode);
     inputs.freshness = demand_freshness::stale;
     const role_plan plan = planner.plan(inputs, memory);
