--- a/tests/policy/test_host_groups.cpp
+++ b/tests/policy/test_host_groups.cpp
@@ -23,21 +23,21 @@
 } // namespace
 
 TEST_CASE("a small fleet is one group over all zones") {
-    host_groups groups("host-0-0", zone_name("0"), {.most_hosts = 24});
+    host_groups groups("host-0-0", zone_name("0"), {.max_group_hosts = 24});
     groups.set_hosts(make_hosts(4, 6));
     CHECK(groups.is_whole_fleet());
-    CHECK(groups.is_near("host-3-1", zone_name("3")));
-    CHECK(groups.is_home(backend_server_name("any"), zone_name("2")));
+    CHECK(groups.is_own_group_host("host-3-1", zone_name("3")));
+    CHECK(groups.is_own_group_server(backend_server_name("any"), zone_name("2")));
 }
 
 TEST_CASE("hosts of a zone are a group in a larger fleet") {
-    host_groups groups("host-0-0", zone_name("0"), {.most_hosts = 24});
+    host_groups groups("host-0-0", zone_name("0"), {.max_group_hosts = 24});
     groups.set_hosts(make_hosts(5, 16));
     CHECK_FALSE(groups.is_whole_fleet());
-    CHECK(groups.is_near("host-0-15", zone_name("0")));
-    CHECK_FALSE(groups.is_near("host-1-0", zone_name("1")));
-    CHECK(groups.is_home(backend_server_name("any"), zone_name("0")));
-    CHECK_FALSE(groups.is_home(backend_server_name("any"), zone_name("1")));
+    CHECK(groups.is_own_group_host("host-0-15", zone_name("0")));
+    CHECK_FALSE(groups.is_own_group_host("host-1-0", zone_name("1")));
+    CHECK(groups.is_own_group_server(backend_server_name("any"), zone_name("0")));
+    CHECK_FALSE(groups.is_own_group_server(backend_server_name("any"), zone_name("1")));
 }
 
 TEST_CASE("a large zone is divided so that each host and each server belongs to one group, as all hosts see it") {
@@ -45,15 +45,16 @@
     std::map<std::string, std::set<std::string>> members;
     for (std::size_t own = 0; own < 100; ++own) {
         const std::string name = "host-0-" + std::to_string(own);
-        host_groups groups(name, zone_name("0"), {.most_hosts = 24});
+        host_groups groups(name, zone_name("0"), {.max_group_hosts = 24});
         groups.set_hosts(hosts);
         members[groups.get_name()].insert(name);
         for (const auto& [other, zone] : hosts) {
-            if (groups.is_near(other, zone)) {
-                host_groups others(other, zone, {.most_hosts = 24});
+            if (groups.is_own_group_host(other, zone)) {
+                host_groups others(other, zone, {.max_group_hosts = 24});
                 others.set_hosts(hosts);
                 CHECK(others.get_name() == groups.get_name());
-                CHECK(others.is_home(backend_server_name("x"), zone) == groups.is_home(backend_server_name("x"), zone));
+                CHECK(others.is_own_group_server(backend_server_name("x"), zone) ==
+                      groups.is_own_group_server(backend_server_name("x"), zone));
             }
         }
     }
--- a/tests/policy/test_prefill_time.cpp
+++ b/tests/policy/test_prefill_time_model.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <random>
 
-#include "policy/prefill_time.hpp"
+#include "policy/prefill_time_model.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::policy;
@@ -12,15 +12,15 @@
 namespace {
 
 /// Time of an engine that reads 55 tokens in a millisecond, with 0.25 ms for a million pairs and 8 ms for each prompt.
-duration get_true_time(const prefill_work& work) {
+duration get_corrected_time(const prefill_work& work) {
     const auto tokens = static_cast<double>(work.tokens);
     const double pairs = tokens * (static_cast<double>(work.cached_tokens) + tokens / 2);
     const double milliseconds = 8 + tokens / 55 + 0.25 * pairs / 1e6;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-double get_relative_error(const prefill_time& model, const prefill_work& work) {
-    const auto truth = static_cast<double>(get_true_time(work).count());
+double get_relative_error(const prefill_time_model& model, const prefill_work& work) {
+    const auto truth = static_cast<double>(get_corrected_time(work).count());
     return std::abs(static_cast<double>(model.predict(work).count()) - truth) / truth;
 }
 
@@ -31,10 +31,10 @@
     std::uniform_real_distribution<double> noise(0.95, 1.05);
     std::uniform_int_distribution<std::uint64_t> tokens(100, 20'000);
     std::uniform_int_distribution<std::uint64_t> cached(0, 15'000);
-    prefill_time model;
+    prefill_time_model model;
     for (int observation = 0; observation < 300; ++observation) {
         const prefill_work work{.tokens = tokens(random), .cached_tokens = cached(random)};
-        model.observe(work, std::chrono::duration_cast<duration>(get_true_time(work) * noise(random)));
+        model.observe(work, std::chrono::duration_cast<duration>(get_corrected_time(work) * noise(random)));
     }
     CHECK(get_relative_error(model, {.tokens = 1'000, .cached_tokens = 0}) < 0.15);
     CHECK(get_relative_error(model, {.tokens = 4'000, .cached_tokens = 13'000}) < 0.1);
@@ -42,10 +42,10 @@
 }
 
 TEST_CASE("a prompt that waited for unknown work does not spoil what was learned") {
-    prefill_time model;
+    prefill_time_model model;
     const prefill_work work{.tokens = 4'000, .cached_tokens = 0};
     for (int observation = 0; observation < 100; ++observation) {
-        model.observe(work, get_true_time(work));
+        model.observe(work, get_corrected_time(work));
     }
     const duration before = model.predict(work);
     for (int observation = 0; observation < 100; ++observation) {
@@ -55,6 +55,6 @@
 }
 
 TEST_CASE("a prediction is never nothing") {
-    const prefill_time model;
+    const prefill_time_model model;
     CHECK(model.predict({.tokens = 0, .cached_tokens = 0}) > duration::zero());
 }
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -9,28 +9,28 @@
     const virtual_clock clock;
     const wall_time now = clock.wall_now();
     quarantine suspects({});
-    suspects.add_death({.fingerprint = 1, .death_id = 10, .moment = now});
-    suspects.add_death({.fingerprint = 2, .death_id = 11, .moment = now});
-    suspects.add_death({.fingerprint = 1, .death_id = 10, .moment = now});
+    suspects.record_crash({.fingerprint = 1, .crash_id = 10, .moment = now});
+    suspects.record_crash({.fingerprint = 2, .crash_id = 11, .moment = now});
+    suspects.record_crash({.fingerprint = 1, .crash_id = 10, .moment = now});
     CHECK(suspects.is_suspect(1, now));
     CHECK_FALSE(suspects.is_refused(1, now));
-    suspects.add_completion(2);
+    suspects.record_completion(2);
     CHECK_FALSE(suspects.is_suspect(2, now));
     quarantine other_host({});
-    for (const policy::engine_death& death : suspects.get_deaths(now)) {
-        other_host.add_death(death);
+    for (const policy::engine_crash& death : suspects.get_crashes(now)) {
+        other_host.record_crash(death);
     }
-    other_host.add_death({.fingerprint = 1, .death_id = 20, .moment = now});
+    other_host.record_crash({.fingerprint = 1, .crash_id = 20, .moment = now});
     CHECK(other_host.is_refused(1, now));
     CHECK_FALSE(other_host.is_refused(1, now + std::chrono::hours(1)));
 }
 
 TEST_CASE("what is remembered is bounded and the oldest goes first") {
     const virtual_clock clock;
-    quarantine suspects({.most_requests = 2});
+    quarantine suspects({.max_requests = 2});
     for (policy::request_fingerprint index = 0; index < 3; ++index) {
-        suspects.add_death(
-            {.fingerprint = index, .death_id = index, .moment = clock.wall_now() + std::chrono::seconds(index)});
+        suspects.record_crash(
+            {.fingerprint = index, .crash_id = index, .moment = clock.wall_now() + std::chrono::seconds(index)});
     }
     CHECK_FALSE(suspects.is_suspect(0, clock.wall_now()));
     CHECK(suspects.is_suspect(2, clock.wall_now()));
@@ -47,15 +47,15 @@
 }
 
 TEST_CASE("hosts tell each other the newest deaths only") {
-    policy::quarantine suspects({.deaths_to_refuse = 3, .memory = std::chrono::minutes(10)});
+    policy::quarantine suspects({.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)});
     const wall_time now = wall_time(std::chrono::hours(1));
     CHECK(suspects.is_empty());
     for (std::uint64_t number = 1; number <= 4; ++number) {
-        suspects.add_death({.fingerprint = number,
-                            .death_id = number,
-                            .moment = now - std::chrono::seconds(static_cast<int>(number))});
+        suspects.record_crash({.fingerprint = number,
+                               .crash_id = number,
+                               .moment = now - std::chrono::seconds(static_cast<int>(number))});
     }
-    const std::vector<policy::engine_death> told = suspects.get_newest_deaths(now, std::chrono::seconds(3), 2);
+    const std::vector<policy::engine_crash> told = suspects.get_newest_crashes(now, std::chrono::seconds(3), 2);
     REQUIRE(told.size() == 2);
     CHECK(told[0].fingerprint == 1);
     CHECK(told[1].fingerprint == 2);
--- a/tests/policy/test_retry_budget.cpp
+++ b/tests/policy/test_retry_budget.cpp
@@ -12,12 +12,12 @@
 
 TEST_CASE("retries stay a share of requests and what is permitted besides") {
     virtual_clock clock;
-    retry_budget budget({.per_request = 0.2, .besides = 10.0, .window = seconds(10)}, clock.now());
+    retry_budget budget({.retries_per_request = 0.2, .base_retries = 10.0, .window = seconds(10)}, clock.now());
     clock.advance(seconds(10));
     int taken = 0;
     for (int request = 0; request < 1000; ++request) {
         budget.add_request(clock.now());
-        taken += budget.take_retry(clock.now()) ? 1 : 0;
+        taken += budget.try_acquire_retry(clock.now()) ? 1 : 0;
     }
     CHECK(taken <= 10 + 1000 / 5);
     CHECK(taken >= 1000 / 5);
@@ -25,13 +25,13 @@
 
 TEST_CASE("what a window allows may be spent at once") {
     virtual_clock clock;
-    retry_budget budget({.per_request = 0.2, .besides = 0, .window = seconds(10)}, clock.now());
+    retry_budget budget({.retries_per_request = 0.2, .base_retries = 0, .window = seconds(10)}, clock.now());
     for (int request = 0; request < 50; ++request) {
         budget.add_request(clock.now());
         clock.advance(milliseconds(100));
     }
     int taken = 0;
-    while (budget.take_retry(clock.now())) {
+    while (budget.try_acquire_retry(clock.now())) {
         ++taken;
     }
     CHECK(taken == 10);
@@ -39,23 +39,23 @@
 
 TEST_CASE("a quiet host may retry again after a window") {
     virtual_clock clock;
-    retry_budget budget({.per_request = 0.0, .besides = 1.0, .window = seconds(1)}, clock.now());
-    CHECK_FALSE(budget.take_retry(clock.now()));
+    retry_budget budget({.retries_per_request = 0.0, .base_retries = 1.0, .window = seconds(1)}, clock.now());
+    CHECK_FALSE(budget.try_acquire_retry(clock.now()));
     clock.advance(seconds(1));
-    CHECK(budget.take_retry(clock.now()));
-    CHECK_FALSE(budget.take_retry(clock.now()));
+    CHECK(budget.try_acquire_retry(clock.now()));
+    CHECK_FALSE(budget.try_acquire_retry(clock.now()));
     clock.advance(milliseconds(999));
-    CHECK_FALSE(budget.take_retry(clock.now()));
+    CHECK_FALSE(budget.try_acquire_retry(clock.now()));
     clock.advance(milliseconds(100));
-    CHECK(budget.take_retry(clock.now()));
+    CHECK(budget.try_acquire_retry(clock.now()));
 }
 
 TEST_CASE("a process that starts anew has little besides at first") {
     virtual_clock clock;
-    retry_budget budget({.per_request = 0.0, .besides = 10.0, .window = seconds(10)}, clock.now());
+    retry_budget budget({.retries_per_request = 0.0, .base_retries = 10.0, .window = seconds(10)}, clock.now());
     clock.advance(seconds(3));
     int taken = 0;
-    while (budget.take_retry(clock.now())) {
+    while (budget.try_acquire_retry(clock.now())) {
         ++taken;
     }
     CHECK(taken == 3);
@@ -69,7 +69,8 @@
         constexpr double per_request = 0.15;
         constexpr double besides = 4;
         const duration window = seconds(10);
-        retry_budget budget({.per_request = per_request, .besides = besides, .window = window}, clock.now());
+        retry_budget budget({.retries_per_request = per_request, .base_retries = besides, .window = window},
+                            clock.now());
         std::deque<steady_time> requests;
         std::deque<steady_time> retries;
         for (int step = 0; step < 5000; ++step) {
@@ -80,7 +81,7 @@
                 budget.add_request(clock.now());
                 requests.push_back(clock.now());
             }
-            if (std::bernoulli_distribution(0.4)(random) && budget.take_retry(clock.now())) {
+            if (std::bernoulli_distribution(0.4)(random) && budget.try_acquire_retry(clock.now())) {
                 retries.push_back(clock.now());
             }
             while (!requests.empty() && requests.front() <= clock.now() - window) {
--- a/tests/policy/test_return_to_use.cpp
+++ b/tests/policy/test_return_to_use.cpp
@@ -3,7 +3,7 @@
 #include "support/store_users_model.hpp"
 
 using namespace dragonflywell;
-using testing::path_trouble;
+using testing::network_fault;
 using testing::store_users_model;
 using testing::store_users_options;
 using namespace std::chrono_literals;
@@ -18,7 +18,7 @@
 constexpr std::uint64_t seeds = 100;
 
 struct worst_case {
-    duration longest_return{};
+    duration recovery_time{};
     double calls_per_second{};
 };
 
@@ -28,8 +28,8 @@
     duration trouble{};
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const testing::store_users_result result = store_users_model(seed, options).run();
-        worst.longest_return = std::max(worst.longest_return, result.longest_return);
-        calls += result.calls_in_trouble;
+        worst.recovery_time = std::max(worst.recovery_time, result.recovery_time);
+        calls += result.calls_during_fault;
         trouble += result.trouble;
     }
     worst.calls_per_second = static_cast<double>(calls) / std::chrono::duration<double>(trouble).count();
@@ -39,29 +39,29 @@
 } // namespace
 
 TEST_CASE("all users of the store read again in time once its path is back") {
-    for (const path_trouble trouble :
-         {path_trouble::silent, path_trouble::refused, path_trouble::mixed, path_trouble::slow}) {
+    for (const network_fault trouble :
+         {network_fault::silent, network_fault::refused, network_fault::mixed, network_fault::slow}) {
         for (const bool needs_two_calls : {false, true}) {
             const worst_case worst = play({.trouble = trouble, .needs_two_calls = needs_two_calls});
             CAPTURE(static_cast<int>(trouble));
             CAPTURE(needs_two_calls);
-            MESSAGE("longest return " << std::chrono::duration<double>(worst.longest_return).count() << " s, "
+            MESSAGE("longest return " << std::chrono::duration<double>(worst.recovery_time).count() << " s, "
                                       << worst.calls_per_second << " calls a second");
-            CHECK(worst.longest_return <= contact_bound - margin);
+            CHECK(worst.recovery_time <= contact_bound - margin);
             CHECK(worst.calls_per_second <= most_calls_per_second);
         }
     }
 }
 
 TEST_CASE("no user waits for ever on a path that goes on losing calls") {
-    const worst_case worst = play({.trouble = path_trouble::lossy});
-    MESSAGE("longest return " << std::chrono::duration<double>(worst.longest_return).count() << " s");
-    CHECK(worst.longest_return < 20s);
+    const worst_case worst = play({.trouble = network_fault::lossy});
+    MESSAGE("longest return " << std::chrono::duration<double>(worst.recovery_time).count() << " s");
+    CHECK(worst.recovery_time < 20s);
 }
 
 TEST_CASE("the parts of the time from return to use add up to less than the bound") {
     constexpr duration call_limit = 700ms;
-    const duration first_answer = policy::circuit_breaker::get_longest_return({}, call_limit);
+    const duration first_answer = policy::circuit_breaker::get_max_recovery_time({}, call_limit);
     // Two more calls at their limit: a listing after dropped history, which takes a second page.
     CHECK(first_answer + call_limit <= contact_bound - margin);
 }
--- a/tests/policy/test_server_health.cpp
+++ b/tests/policy/test_server_health.cpp
@@ -14,7 +14,7 @@
 
 TEST_CASE("a server that cannot be reached rests longer each time, and is tried again") {
     virtual_clock time;
-    server_health health({.first_pause = 300ms, .longest_pause = 1s});
+    server_health health({.initial_ejection_time = 300ms, .max_ejection_time = 1s});
     health.add_failure(server, server_failure::unreachable, time.now());
     CHECK_FALSE(health.is_usable(server, time.now()));
     time.advance(300ms);
@@ -35,7 +35,7 @@
 
 TEST_CASE("a server that refuses twice in a row is left alone for a while, whoever asks") {
     virtual_clock time;
-    server_health health({.first_pause = 300ms});
+    server_health health({.initial_ejection_time = 300ms});
     health.add_failure(server, server_failure::refused, time.now());
     CHECK(health.is_usable(server, time.now()));
     health.add_success(server);
@@ -50,7 +50,7 @@
 
 TEST_CASE("single broken connections and answers that tell of a failure do not stop a server's work") {
     virtual_clock time;
-    server_health health({.failures_to_pause = 3});
+    server_health health({.failures_to_eject = 3});
     health.add_failure(server, server_failure::broken, time.now());
     health.add_failure(server, server_failure::broken, time.now());
     CHECK(health.is_usable(server, time.now()));
@@ -68,15 +68,15 @@
 
 TEST_CASE("the servers that are left alone are told with the time that is left") {
     virtual_clock time;
-    server_health health({.first_pause = 300ms});
+    server_health health({.initial_ejection_time = 300ms});
     CHECK_FALSE(health.has_failed_last(server));
     health.add_failure(server, server_failure::refused, time.now());
     CHECK(health.has_failed_last(server));
-    CHECK(health.get_paused(time.now()).empty());
+    CHECK(health.get_ejected(time.now()).empty());
     health.add_failure(server, server_failure::refused, time.now());
     time.advance(100ms);
-    CHECK(health.get_paused(time.now()) == std::map<backend_server_name, duration>{{server, 200ms}});
+    CHECK(health.get_ejected(time.now()) == std::map<backend_server_name, duration>{{server, 200ms}});
     health.add_success(server);
     CHECK_FALSE(health.has_failed_last(server));
-    CHECK(health.get_paused(time.now()).empty());
+    CHECK(health.get_ejected(time.now()).empty());
 }
--- a/tests/policy/test_spend_planner.cpp
+++ b/tests/policy/test_spend_planner.cpp
@@ -57,7 +57,7 @@
     }
 
     spend_planner planner{{}};
-    spend_memory memory;
+    spend_planner_state memory;
     std::vector<owned_server> servers;
     std::vector<zone_market> markets;
     wall_time now{std::chrono::seconds(100000)};
@@ -117,7 +117,7 @@
     CHECK(plan.orders.size() == 4);
     CHECK(plan.reason == spend_reason::limit_reached);
     spend_case priced;
-    priced.planner = spend_planner({.most_price_per_hour = 3});
+    priced.planner = spend_planner({.max_price_per_hour = 3});
     CHECK(priced.plan(units).price_per_hour <= 3);
 }
 
@@ -173,7 +173,7 @@
         load.is_running = is_running;
         return load;
     };
-    const weight_load_planner_options options{.store_bytes_per_second = 10, .longest_load = std::chrono::seconds(100)};
+    const weight_load_planner_options options{.store_bytes_per_second = 10, .max_load_time = std::chrono::seconds(100)};
     const std::vector<weight_load> loads{make_load(600, true), make_load(300, false), make_load(200, false),
                                          make_load(50, false)};
     CHECK(plan_weight_loads(loads, options) == std::vector<std::size_t>{1});
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "policy/demand_height.hpp"
+#include "policy/decaying_peak_rate.hpp"
 #include "policy/fleet_plan.hpp"
 #include "policy/recent_maximum.hpp"
 #include "policy/stage_plan.hpp"
@@ -101,8 +101,8 @@
 
 namespace {
 
-std::map<zone_name, zone_servers> make_zones(std::size_t count, const zone_servers& servers) {
-    std::map<zone_name, zone_servers> zones;
+std::map<zone_name, zone_server_counts> make_zones(std::size_t count, const zone_server_counts& servers) {
+    std::map<zone_name, zone_server_counts> zones;
     for (std::size_t zone = 0; zone < count; ++zone) {
         zones.emplace(zone_name(std::to_string(zone)), servers);
     }
@@ -110,45 +110,45 @@
 }
 
 const fleet::scaling_description scaling_with_cheap{
-    .least = 1, .most = 6, .lead_time = {}, .cheap_price = 0.2, .zone_prices = {}};
+    .min_servers = 1, .max_servers = 6, .lead_time = {}, .cheap_price = 0.2, .zone_prices = {}};
 
 } // namespace
 
 TEST_CASE("before anything is known of the load each zone is filled up with cheap servers") {
     const auto wishes = plan_servers(scaling_with_cheap, make_zones(4, {.regular = 3, .cheap = 0}),
-                                     {.readers = {}, .generators = 4}, {});
+                                     {.prefill_engines = {}, .decode_engines = 4}, {});
     for (const auto& [zone, wish] : wishes) {
-        CHECK(wish == zone_servers{.regular = 2, .cheap = 4});
+        CHECK(wish == zone_server_counts{.regular = 2, .cheap = 4});
     }
 }
 
 TEST_CASE("cheap servers are as many as read all prompts in time without those of one zone") {
     const auto wishes = plan_servers(scaling_with_cheap, make_zones(4, {.regular = 2, .cheap = 4}),
-                                     {.readers = 3.5, .generators = 9}, {.reader_utilisation = 0.5});
+                                     {.prefill_engines = 3.5, .decode_engines = 9}, {.prefill_utilisation = 0.5});
     for (const auto& [zone, wish] : wishes) {
         // 7 engines are needed, 3 zones may be left; 9 generators take three regular servers of each zone.
-        CHECK(wish == zone_servers{.regular = 3, .cheap = 3});
+        CHECK(wish == zone_server_counts{.regular = 3, .cheap = 3});
     }
 }
 
 TEST_CASE("no zone gets more than its limit or less than its least") {
     const auto crowded = plan_servers(scaling_with_cheap, make_zones(2, {.regular = 1, .cheap = 5}),
-                                      {.readers = 100.0, .generators = 100}, {});
-    CHECK(crowded.begin()->second == zone_servers{.regular = 6, .cheap = 0});
+                                      {.prefill_engines = 100.0, .decode_engines = 100}, {});
+    CHECK(crowded.begin()->second == zone_server_counts{.regular = 6, .cheap = 0});
     const auto idle = plan_servers(scaling_with_cheap, make_zones(2, {.regular = 3, .cheap = 0}),
-                                   {.readers = 0.01, .generators = 0}, {});
-    CHECK(idle.begin()->second == zone_servers{.regular = 2, .cheap = 1});
+                                   {.prefill_engines = 0.01, .decode_engines = 0}, {});
+    CHECK(idle.begin()->second == zone_server_counts{.regular = 2, .cheap = 1});
 }
 
 TEST_CASE("without cheap servers regular ones read prompts, too") {
     const fleet::scaling_description scaling{
-        .least = 1, .most = 6, .lead_time = {}, .cheap_price = {}, .zone_prices = {}};
+        .min_servers = 1, .max_servers = 6, .lead_time = {}, .cheap_price = {}, .zone_prices = {}};
     const auto zones = make_zones(4, {.regular = 3, .cheap = 0});
-    CHECK(plan_servers(scaling, zones, {.readers = {}, .generators = 4}, {}).begin()->second ==
-          zone_servers{.regular = 3, .cheap = 0});
-    CHECK(
-        plan_servers(scaling, zones, {.readers = 3.5, .generators = 4}, {.reader_utilisation = 0.5}).begin()->second ==
-        zone_servers{.regular = 4, .cheap = 0});
+    CHECK(plan_servers(scaling, zones, {.prefill_engines = {}, .decode_engines = 4}, {}).begin()->second ==
+          zone_server_counts{.regular = 3, .cheap = 0});
+    CHECK(plan_servers(scaling, zones, {.prefill_engines = 3.5, .decode_engines = 4}, {.prefill_utilisation = 0.5})
+              .begin()
+              ->second == zone_server_counts{.regular = 4, .cheap = 0});
 }
 
 TEST_CASE("the greatest value of a span counts until the span is over") {
@@ -164,7 +164,7 @@
 
 TEST_CASE("the height of a demand rises at once and sinks slowly") {
     virtual_clock time;
-    demand_height height({.span = std::chrono::seconds(2), .half_life = std::chrono::seconds(20)});
+    decaying_peak_rate height({.span = std::chrono::seconds(2), .half_life = std::chrono::seconds(20)});
     height.observe(0, time.now());
     CHECK_FALSE(height.get());
     time.advance(std::chrono::seconds(2));
@@ -182,10 +182,10 @@
     const stage_plan_options options;
     for (const std::size_t engines : {12UL, 60UL, 140UL}) {
         CAPTURE(engines);
-        const double running = assume_running(engines, 64, options);
-        const std::uint32_t generators = count_generators(64, {.running = running}, options);
+        const double running = assume_initial_running(engines, 64, options);
+        const std::uint32_t generators = count_decode_engines(64, {.running = running}, options);
         CHECK(generators >= engines / 5);
         CHECK(generators <= engines / 4);
     }
-    CHECK(assume_running(1, 64, options) == 0);
+    CHECK(assume_initial_running(1, 64, options) == 0);
 }
--- a/tests/servers/test_admission_gate.cpp
+++ b/tests/servers/test_admission_controller.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <list>
 
-#include "servers/admission_gate.hpp"
+#include "servers/admission_controller.hpp"
 #include "servers/request_refused.hpp"
 
 using namespace dragonflywell;
@@ -22,8 +22,8 @@
     asio::awaitable<void> finish_stream() override { co_return; }
     void abort_stream() override {}
     [[nodiscard]] bool is_started() const noexcept override { return false; }
-    [[nodiscard]] bool is_gone() const noexcept override { return m_is_gone; }
-    void set_on_gone(std::function<void()> notify) override { m_notify = std::move(notify); }
+    [[nodiscard]] bool is_disconnected() const noexcept override { return m_is_gone; }
+    void set_on_disconnect(std::function<void()> notify) override { m_notify = std::move(notify); }
 
     void leave() {
         m_is_gone = true;
@@ -67,22 +67,22 @@
             m_permits.push_back(co_await m_gate.admit(request, caller));
             log += organisation + " ";
         } catch (const request_refused& refused) {
-            log += std::string(policy::get_refusal_form(refused.get_reason()).code) + " ";
-        } catch (const caller_gone_error&) {
+            log += std::string(policy::get_refusal_response(refused.get_reason()).code) + " ";
+        } catch (const caller_disconnected_error&) {
             log += "gone ";
         }
     }
 
     virtual_clock m_clock;
-    admission_gate m_gate;
+    admission_controller m_gate;
     asio::io_context m_context;
-    std::vector<std::unique_ptr<admission_gate::permit>> m_permits;
+    std::vector<std::unique_ptr<admission_controller::permit>> m_permits;
 };
 
 } // namespace
 
 TEST_CASE("requests beyond the capacity wait, organisations take turns and callers that leave are passed over") {
-    gate_trial trial({.longest_wait = std::chrono::hours(1)});
+    gate_trial trial({.max_wait = std::chrono::hours(1)});
     for (int request = 0; request < 5; ++request) {
         trial.ask("a");
     }
@@ -98,12 +98,12 @@
 }
 
 TEST_CASE("a full queue and a wait that is too long are refused") {
-    gate_trial trial({.longest_wait = std::chrono::hours(1), .most_waiting = 1});
+    gate_trial trial({.max_wait = std::chrono::hours(1), .max_waiting = 1});
     for (int request = 0; request < 4; ++request) {
         trial.ask("a");
     }
     CHECK(trial.log == "a a queue_full ");
-    gate_trial hasty({.longest_wait = duration::zero()});
+    gate_trial hasty({.max_wait = duration::zero()});
     for (int request = 0; request < 3; ++request) {
         hasty.ask("a");
     }
--- a/tests/servers/test_backend_choice.cpp
+++ b/tests/servers/test_backend_choice.cpp
@@ -22,7 +22,7 @@
 /// A daemon's placement with two engines, one of them cheap.
 struct placement_case : testing::entry_parts {
     /// Returns how often each was chosen in a hundred requests.
-    std::map<std::string, int> choose(const placed_work& work) {
+    std::map<std::string, int> choose(const work_requirements& work) {
         std::map<std::string, int> counts;
         for (int request = 0; request < 100; ++request) {
             ++counts[choose_backend_server(context, servers, {}, work).name.value()];
@@ -35,10 +35,10 @@
     std::vector<const fleet::backend_server*> servers{&regular, &cheap};
 };
 
-constexpr placed_work repeatable{
-    .shape = {}, .loss = policy::work_class::repeatable, .tokens = 10, .most_cheap_share = 0.5};
-constexpr placed_work guaranteed{
-    .shape = {}, .loss = policy::work_class::guaranteed, .tokens = 10, .most_cheap_share = 0.5};
+constexpr work_requirements repeatable{
+    .demand = {}, .interruptibility = policy::work_class::repeatable, .tokens = 10, .max_cheap_share = 0.5};
+constexpr work_requirements guaranteed{
+    .demand = {}, .interruptibility = policy::work_class::guaranteed, .tokens = 10, .max_cheap_share = 0.5};
 
 } // namespace
 
@@ -66,8 +66,8 @@
     fleet.cheap.is_cheap = false;
     fleet.engines.set({{fleet.regular.name, {.role = fleet::engine_role::prefill}},
                        {fleet.cheap.name, {.role = fleet::engine_role::decode}}});
-    placed_work work = repeatable;
-    work.shape = policy::role_demand{.prefill = 10, .decode = 1};
+    work_requirements work = repeatable;
+    work.demand = policy::role_demand{.prefill = 10, .decode = 1};
     auto counts = fleet.choose(work);
     CHECK(counts["regular"] > counts["cheap"]);
     const backend_load_table::reservation busy(fleet.loads, fleet.regular.name, 5000);
--- a/tests/servers/test_backend_exchange.cpp
+++ b/tests/servers/test_backend_exchange.cpp
@@ -51,7 +51,7 @@
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            const exchange_options options{.may_reuse = false, .progress_deadline = std::chrono::seconds(60)};
+            const exchange_options options{.may_reuse_connection = false, .progress_timeout = std::chrono::seconds(60)};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             const http_request request(http::verb::get, "/", 11);
             try {
--- a/tests/servers/test_exchange_faults.cpp
+++ b/tests/servers/test_exchange_faults.cpp
@@ -25,9 +25,9 @@
         std::string result;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
             const exchange_options options{
-                .progress_deadline = 60s,
-                .accepts_unframed = true,
-                .is_own_answer = [&id](const http::response_header<>& head) { return head["Id"] == id; }};
+                .progress_timeout = 60s,
+                .accepts_unframed_response = true,
+                .is_matching_response = [&id](const http::response_header<>& head) { return head["Id"] == id; }};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             http_request request(http::verb::post, "/", 11);
             request.set("Id", id);
@@ -144,7 +144,7 @@
     const endpoint address{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
     for (int round = 0; round < 2; ++round) {
         run_until_done(loop, [&]() -> asio::awaitable<void> {
-            const exchange_options options{.progress_deadline = 60s};
+            const exchange_options options{.progress_timeout = 60s};
             backend_exchange exchange(pool, address, options);
             http_request request(http::verb::post, "/", 11);
             request.body() = std::string(32 * 1024 * 1024, 'x');
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -15,23 +15,23 @@
         .group = "z/0",
         .incarnation = 1774100506431000,
         .sequence = 9,
-        .true_time = wall_time(1774100506431ms),
+        .corrected_time = wall_time(1774100506431ms),
         .is_stopping = true,
         .engines =
             {{backend_server_name("e"),
               {.running = 2, .running_tokens = 30, .prompts = {{.number = 4, .age = 5ms, .cost = 6ms, .urgency = 3}}}}},
         .instances = {{backend_server_name("s"), 3}},
-        .touches = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
-        .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = 7s}}},
-        .paused = {{backend_server_name("f"), 300ms}},
-        .read_demand = {{service_name("llm"), 3s}},
+        .prefix_accesses = {{.engine = backend_server_name("e"), .parts = {{.id = 0xffffffffffffffff, .tokens = 8}}}},
+        .transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .remaining = 7s}}},
+        .ejections = {{backend_server_name("f"), 300ms}},
+        .prefill_demand = {{service_name("llm"), 3s}},
         .usage = {{357732848, {{organisation_name("o"), 12}}}},
         .recorded_usage =
-            servers::digest_recorded_usage{.window = 357732847, .lives = {{.host = "h2", .incarnation = 5}}},
-        .summaries = {{service_name("llm"), {.backlog = 40ms, .fullness = 0.25, .running = 9}}},
-        .deaths = {{.fingerprint = 7, .death_id = 8, .moment = wall_time(9s)}},
+            servers::digest_recorded_usage{.window = 357732847, .incarnations = {{.host = "h2", .incarnation = 5}}},
+        .summaries = {{service_name("llm"), {.backlog = 40ms, .utilisation = 0.25, .running = 9}}},
+        .deaths = {{.fingerprint = 7, .crash_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
-        .configuration = digest_reading{.end = 4, .age = 20ms},
+        .configuration = digest_read_position{.end = 4, .age = 20ms},
         .servers = {}};
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
@@ -39,11 +39,11 @@
 TEST_CASE("a span that is over already is told as zero, and does not spoil the digest") {
     host_digest digest;
     digest.host = "h";
-    digest.true_time = wall_time(9s);
-    digest.transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .left = -7s}}};
-    digest.servers = digest_reading{.end = 4, .age = -20ms};
+    digest.corrected_time = wall_time(9s);
+    digest.transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .remaining = -7s}}};
+    digest.servers = digest_read_position{.end = 4, .age = -20ms};
     const host_digest told = decode_host_digest(encode_host_digest(digest));
-    CHECK(told.transitions.at(backend_server_name("e")).left == 0s);
+    CHECK(told.transitions.at(backend_server_name("e")).remaining == 0s);
     CHECK(told.servers->age == 0s);
 }
 
--- a/tests/servers/test_key_check.cpp
+++ b/tests/servers/test_request_checks.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "servers/backend_choice.hpp"
-#include "servers/key_check.hpp"
+#include "servers/request_checks.hpp"
 #include "support/entry_parts.hpp"
 
 using namespace dragonflywell;
--- a/tests/servers/test_answer_assembler.cpp
+++ b/tests/servers/test_response_assembler.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "servers/answer_assembler.hpp"
+#include "servers/response_assembler.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::servers;
@@ -16,8 +16,8 @@
 
 const server_sent_event end_event{.id = {}, .data = "[DONE]"};
 
-answer_assembler make_started(std::uint64_t most_tokens) {
-    answer_assembler answer(completion_shape::text, most_tokens);
+response_assembler make_started(std::uint64_t max_tokens) {
+    response_assembler answer(completion_shape::text, max_tokens);
     answer.start_attempt("s");
     return answer;
 }
@@ -25,21 +25,21 @@
 } // namespace
 
 TEST_CASE("tokens are taken once, in order, and no more than asked for") {
-    answer_assembler answer = make_started(2);
-    CHECK(answer.add(make_token(0)) == event_use::forward);
-    CHECK(answer.add(make_token(0)) == event_use::drop);
-    CHECK(answer.add(make_token(1)) == event_use::forward);
-    CHECK(answer.add(make_token(2)) == event_use::drop);
-    CHECK(answer.add(end_event) == event_use::end);
+    response_assembler answer = make_started(2);
+    CHECK(answer.add(make_token(0)) == event_action::forward);
+    CHECK(answer.add(make_token(0)) == event_action::drop);
+    CHECK(answer.add(make_token(1)) == event_action::forward);
+    CHECK(answer.add(make_token(2)) == event_action::drop);
+    CHECK(answer.add(end_event) == event_action::end);
     CHECK(answer.get_text() == "t0t1");
     CHECK(answer.get_tokens() == 2);
 }
 
 TEST_CASE("an event that cannot be right leaves the answer as it was") {
-    answer_assembler answer = make_started(4);
-    CHECK(answer.add(make_token(0)) == event_use::forward);
+    response_assembler answer = make_started(4);
+    CHECK(answer.add(make_token(0)) == event_action::forward);
     CHECK_THROWS_AS(static_cast<void>(answer.add(make_token(2))), malformed_message_error);
-    CHECK_THROWS_AS(static_cast<void>(answer.add(make_token(1, "other"))), crossed_answer_error);
+    CHECK_THROWS_AS(static_cast<void>(answer.add(make_token(1, "other"))), mismatched_response_error);
     CHECK_THROWS_AS(static_cast<void>(answer.add({.id = "x", .data = make_token(1).data})), malformed_message_error);
     for (const char* data : {"", "{", "[]", "{}", R"({"choices":[1]})", R"({"choices":[{"text":1}]})",
                              R"({"error":{"message":"out of memory"}})"}) {
@@ -48,5 +48,5 @@
     }
     CHECK_THROWS_AS(static_cast<void>(answer.add(end_event)), malformed_message_error);
     CHECK(answer.get_text() == "t0");
-    CHECK(answer.add(make_token(1)) == event_use::forward);
+    CHECK(answer.add(make_token(1)) == event_action::forward);
 }
--- a/tests/servers/test_shared_prompts.cpp
+++ b/tests/servers/test_shared_prefixes.cpp
@@ -1,4 +1,4 @@
-#include "servers/shared_prompts.hpp"
+#include "servers/shared_prefixes.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,23 +10,23 @@
 
 const backend_server_name engine("e1");
 
-digest_touch make_touch(std::uint64_t shared, std::uint64_t own, std::uint32_t tokens = 5000) {
+digest_prefix_access make_touch(std::uint64_t shared, std::uint64_t own, std::uint32_t tokens = 5000) {
     return {.engine = engine, .parts = {{.id = shared, .tokens = tokens}, {.id = own, .tokens = 3000}}};
 }
 
 } // namespace
 
 TEST_CASE("other groups are told of what requests share, once in a while, and not of what is a request's own") {
-    shared_prompts prompts;
+    shared_prefixes prompts;
     const steady_time start{};
     prompts.add(make_touch(1, 10), start);
     prompts.add(make_touch(1, 11), start);
     prompts.add(make_touch(2, 12), start);
     prompts.add(make_touch(3, 13, 100), start);
     prompts.add({.engine = engine, .parts = {{.id = 4, .tokens = 9000}}}, start);
-    const std::vector<digest_touch> told = prompts.take(start);
+    const std::vector<digest_prefix_access> told = prompts.take(start);
     REQUIRE(told.size() == 2);
-    CHECK(told[0].parts == std::vector<policy::cached_part>{{.id = 1, .tokens = 5000}});
+    CHECK(told[0].parts == std::vector<policy::prefix_block>{{.id = 1, .tokens = 5000}});
     CHECK(told[1].parts.front().id == 2);
     prompts.add(make_touch(1, 14), start + 3s);
     CHECK(prompts.take(start + 3s).empty());
@@ -35,11 +35,11 @@
 }
 
 TEST_CASE("what is told at once is bounded to the newest") {
-    shared_prompts prompts({.most_touches = 3});
+    shared_prefixes prompts({.max_prefix_accesses = 3});
     for (std::uint64_t part = 1; part <= 9; ++part) {
         prompts.add(make_touch(part, 100 + part), steady_time{});
     }
-    const std::vector<digest_touch> told = prompts.take(steady_time{});
+    const std::vector<digest_prefix_access> told = prompts.take(steady_time{});
     REQUIRE(told.size() == 3);
     CHECK(told.back().parts.front().id == 9);
 }
--- a/tests/servers/test_endless_answers.cpp
+++ b/tests/servers/test_unbounded_responses.cpp
@@ -54,9 +54,9 @@
         std::string result = "answered";
         run_until_done(loop, [&]() -> asio::awaitable<void> {
             const exchange_options options{
-                .progress_deadline = 60s,
-                .accepts_unframed = true,
-                .is_own_answer = [](const http::response_header<>& head) { return head["Id"] == "own"; }};
+                .progress_timeout = 60s,
+                .accepts_unframed_response = true,
+                .is_matching_response = [](const http::response_header<>& head) { return head["Id"] == "own"; }};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             const http_request request(http::verb::get, "/", 11);
             try {
@@ -119,7 +119,7 @@
 TEST_CASE_FIXTURE(fixture, "many answers without end hold no more bytes together than one budget") {
     constexpr std::size_t limit_bytes = 1000UL * 1000;
     constexpr std::size_t exchanges = 8;
-    backend_connection_pool small_pool(time, {.most_gathered_bytes = limit_bytes});
+    backend_connection_pool small_pool(time, {.max_buffered_bytes = limit_bytes});
     // Each server sends less than its own answer may have, and then nothing more.
     raw_server slow(loop, [](const http_request&, raw_connection& connection) -> asio::awaitable<void> {
         co_await connection.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(limit_bytes / 4, 'a'));
@@ -130,7 +130,7 @@
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                const exchange_options options{.progress_deadline = 60s, .accepts_unframed = true};
+                const exchange_options options{.progress_timeout = 60s, .accepts_unframed_response = true};
                 backend_exchange exchange(small_pool, slow.get_endpoint(), options);
                 const http_request request(http::verb::get, "/", 11);
                 try {
@@ -154,7 +154,7 @@
         splitter.add_bytes(piece);
     }
     CHECK(splitter.take_events().empty());
-    CHECK_FALSE(splitter.is_endless());
+    CHECK_FALSE(splitter.is_event_too_long());
     splitter.add_bytes("a");
-    CHECK(splitter.is_endless());
+    CHECK(splitter.is_event_too_long());
 }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::soak {
 
@@ -83,7 +83,7 @@
 
 asio::awaitable<void> fault_proxy::connect(tcp::socket caller, std::shared_ptr<shared_state> state) {
     while (holds_back(state->link, false)) {
-        co_await servers::pause(look_interval);
+        co_await servers::sleep_for(look_interval);
     }
     tcp::socket server(caller.get_executor());
     error_code fault;
@@ -110,13 +110,13 @@
     while (!fault) {
         const std::size_t size = co_await from.async_read_some(asio::buffer(piece), store_error(fault));
         while (both->is_forgotten || holds_back(state->link, is_answer)) {
-            co_await servers::pause(look_interval);
+            co_await servers::sleep_for(look_interval);
             if (!from.is_open() || !to.is_open()) {
                 co_return;
             }
         }
         if (state->link == link_state::delays) {
-            co_await servers::pause(late_by);
+            co_await servers::sleep_for(late_by);
         }
         if (size > 0) {
             error_code write_fault;
--- a/tests/soak/evidence.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -1,4 +1,4 @@
-#include "soak/evidence.hpp"
+#include "soak/invariant_checker.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -29,13 +29,14 @@
     return body;
 }
 
-void evidence::add_request(const std::string& id, request_kind kind, const std::string& organisation, bool is_owed) {
+void invariant_checker::add_request(const std::string& id, request_kind kind, const std::string& organisation,
+                                    bool is_owed) {
     m_requests[id] = {
         .kind = kind, .organisation = organisation, .runs = 0, .is_promised_not_run = false, .is_owed = is_owed};
     m_owed += is_owed ? 1 : 0;
 }
 
-void evidence::add_run(const std::string& id, const std::string& organisation, std::int64_t window) {
+void invariant_checker::add_run(const std::string& id, const std::string& organisation, std::int64_t window) {
     const auto found = m_requests.find(id);
     if (found == m_requests.end()) {
         add_violation(fmt::format("a server runs {}, which no caller has sent", id));
@@ -57,7 +58,7 @@
     }
 }
 
-void evidence::add_promise_not_run(const std::string& id) {
+void invariant_checker::add_promise_not_run(const std::string& id) {
     request_fate& fate = m_requests[id];
     fate.is_promised_not_run = true;
     if (fate.runs > 0 && !may_run_again(fate.kind)) {
@@ -65,39 +66,39 @@
     }
 }
 
-void evidence::add_served(const std::string& id) {
+void invariant_checker::add_served(const std::string& id) {
     ++m_served;
     m_owed_served += m_requests[id].is_owed ? 1 : 0;
 }
 
-void evidence::add_report(std::int64_t window, const std::map<std::string, std::uint64_t>& counts) {
+void invariant_checker::add_report(std::int64_t window, const std::map<std::string, std::uint64_t>& counts) {
     const auto [found, is_new] = m_reports.emplace(window, counts);
     if (!is_new && found->second != counts) {
         add_violation(fmt::format("window {} is reported twice with different figures", window));
     }
 }
 
-void evidence::add_fence(const std::string& subject, std::uint64_t fence, const std::string& holder) {
+void invariant_checker::add_fence(const std::string& subject, std::uint64_t fence, const std::string& holder) {
     const auto [found, is_new] = m_fences.emplace(std::pair(subject, fence), holder);
     if (!is_new && found->second != holder) {
         add_violation(fmt::format("{} and {} both use fence {} for {}", found->second, holder, fence, subject));
     }
 }
 
-void evidence::add_violation(const std::string& what) {
+void invariant_checker::add_violation(const std::string& what) {
     constexpr std::size_t most = 40;
     if (m_violations.size() < most) {
         m_violations.push_back(fmt::format("at {:.2f} s: {}", get_seconds(), what));
     }
 }
 
-void evidence::check_end() {
+void invariant_checker::check_end() {
     if (m_reports.empty()) {
         add_violation("no usage was reported");
     }
 }
 
-void evidence::check_usage(std::int64_t first_window, std::int64_t last_window) {
+void invariant_checker::check_usage(std::int64_t first_window, std::int64_t last_window) {
     for (std::int64_t window = first_window; window <= last_window; ++window) {
         const auto report = m_reports.find(window);
         if (report == m_reports.end()) {
@@ -116,7 +117,7 @@
     }
 }
 
-double evidence::take_served_share() {
+double invariant_checker::take_served_share() {
     const std::size_t owed = m_owed - m_marked_owed;
     const std::size_t served = m_owed_served - m_marked_served;
     m_marked_owed = m_owed;
--- a/tests/soak/evidence.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -27,9 +27,9 @@
 
 /// Everything that callers, backend servers and the platform have seen, and the promises that were broken. Used on one
 /// event loop.
-class evidence {
+class invariant_checker {
 public:
-    explicit evidence(const clock_source& time) : m_time(&time), m_started_at(time.now()) {}
+    explicit invariant_checker(const clock_source& time) : m_time(&time), m_started_at(time.now()) {}
 
     /// Notes a request that a caller sends; it is owed an answer unless its key was revoked.
     void add_request(const std::string& id, request_kind kind, const std::string& organisation, bool is_owed);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::soak {
 
@@ -81,7 +81,7 @@
     constexpr double kinds = 4;
     while (!m_world->is_over) {
         const double spread = std::uniform_real_distribution<double>(0.2, 1.8)(*m_world->random);
-        co_await servers::pause(std::chrono::duration_cast<duration>(m_options.pace * spread));
+        co_await servers::sleep_for(std::chrono::duration_cast<duration>(m_options.pace * spread));
         if (!co_await connect()) {
             continue;
         }
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "soak/evidence.hpp"
+#include "soak/invariant_checker.hpp"
 #include "soak/soak_host.hpp"
 
 namespace dragonflywell::soak {
 
 /// What all callers go by.
-struct soak_world {
-    evidence* seen{};
+struct soak_caller_context {
+    invariant_checker* seen{};
     std::mt19937_64* random{};
     std::vector<std::unique_ptr<soak_host>>* hosts{};
     /// When a key was taken out of the configuration.
@@ -36,7 +36,8 @@
 /// event loop.
 class soak_caller {
 public:
-    soak_caller(soak_world& world, soak_caller_options options) : m_world(&world), m_options(std::move(options)) {}
+    soak_caller(soak_caller_context& world, soak_caller_options options)
+        : m_world(&world), m_options(std::move(options)) {}
 
     /// Sends requests until the world is over.
     asio::awaitable<void> run();
@@ -60,7 +61,7 @@
     void check_cut(const std::string& id, const answer& got);
     [[nodiscard]] soak_host* choose_host() const;
 
-    soak_world* m_world;
+    soak_caller_context* m_world;
     soak_caller_options m_options;
     std::shared_ptr<asio::ip::tcp::socket> m_socket;
     soak_host* m_host{nullptr};
--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-soak_host::soak_host(asio::io_context& loop, evidence& seen, soak_host_options options)
+soak_host::soak_host(asio::io_context& loop, invariant_checker& seen, soak_host_options options)
     : store_link(loop, options.store), reports_link(loop, options.reports), m_seen(&seen),
       m_options(std::move(options)), m_callers(find_free_address<asio::ip::tcp>(loop)),
       m_ready(find_free_address<asio::ip::tcp>(loop)), m_metrics(find_free_address<asio::ip::tcp>(loop)),
--- a/tests/soak/soak_host.hpp
+++ b/tests/soak/soak_host.hpp
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "soak/child_process.hpp"
-#include "soak/evidence.hpp"
 #include "soak/fault_proxy.hpp"
+#include "soak/invariant_checker.hpp"
 
 namespace dragonflywell::soak {
 
@@ -25,7 +25,7 @@
 /// One real daemon, its settings, and its own links to the platform. Used on one event loop.
 class soak_host {
 public:
-    soak_host(asio::io_context& loop, evidence& seen, soak_host_options options);
+    soak_host(asio::io_context& loop, invariant_checker& seen, soak_host_options options);
 
     /// Starts the daemon, or starts it anew once it has ended.
     void start();
@@ -56,7 +56,7 @@
     void write_settings(const std::string& level) const;
     [[nodiscard]] std::string get_path(const std::string& what) const;
 
-    evidence* m_seen;
+    invariant_checker* m_seen;
     soak_host_options m_options;
     endpoint m_callers;
     endpoint m_ready;
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -3,7 +3,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 #include "standin/fault_plan.hpp"
 
 namespace dragonflywell::soak {
@@ -39,7 +39,7 @@
 
 } // namespace
 
-servers::asio::awaitable<void> troubled_store::handle(servers::http_request request, servers::caller_channel& caller) {
+servers::asio::awaitable<void> faulty_store::handle(servers::http_request request, servers::caller_channel& caller) {
     ++m_calls;
     const bool is_write = request.method() == servers::http::verb::post;
     switch (state) {
@@ -49,10 +49,10 @@
         co_return;
     }
     case store_state::silent:
-        co_await servers::pause(silence);
-        throw servers::caller_gone_error("the store is silent");
+        co_await servers::sleep_for(silence);
+        throw servers::caller_disconnected_error("the store is silent");
     case store_state::slow:
-        co_await servers::pause(slow_by);
+        co_await servers::sleep_for(slow_by);
         break;
     case store_state::loses_answers:
         if (is_write && m_calls % lost_writes == 0) {
@@ -66,8 +66,8 @@
                 [[nodiscard]] bool is_started() const noexcept override { return false; }
             } nobody;
             co_await inner.handle(std::move(request), nobody);
-            co_await servers::pause(silence);
-            throw servers::caller_gone_error("the answer was lost");
+            co_await servers::sleep_for(silence);
+            throw servers::caller_disconnected_error("the answer was lost");
         }
         break;
     case store_state::well:
@@ -76,7 +76,8 @@
     co_await inner.handle(std::move(request), caller);
 }
 
-servers::asio::awaitable<void> report_taker::handle(servers::http_request request, servers::caller_channel& caller) {
+servers::asio::awaitable<void> usage_report_receiver::handle(servers::http_request request,
+                                                             servers::caller_channel& caller) {
     if (is_away) {
         servers::http_response refusal = standin::make_json_response(status_busy, "{}");
         co_await caller.send(std::move(refusal));
@@ -101,7 +102,7 @@
     co_await caller.send(std::move(taken));
 }
 
-soak_platform::soak_platform(boost::asio::io_context& loop, evidence& seen)
+soak_platform::soak_platform(boost::asio::io_context& loop, invariant_checker& seen)
     : reports(seen), m_store_server({&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}),
       m_reports_server({&loop}, reports, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}) {}
 
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "servers/http_server.hpp"
-#include "soak/evidence.hpp"
+#include "soak/invariant_checker.hpp"
 #include "standin/store_standin.hpp"
 
 namespace dragonflywell::soak {
@@ -24,7 +24,7 @@
 };
 
 /// Puts the store's troubles before the stand-in.
-class troubled_store final : public servers::http_handler {
+class faulty_store final : public servers::http_handler {
 public:
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
@@ -37,9 +37,9 @@
 };
 
 /// Takes usage reports, and checks who gives them.
-class report_taker final : public servers::http_handler {
+class usage_report_receiver final : public servers::http_handler {
 public:
-    explicit report_taker(evidence& seen) : m_seen(&seen) {}
+    explicit usage_report_receiver(invariant_checker& seen) : m_seen(&seen) {}
 
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
@@ -47,7 +47,7 @@
     bool is_away{false};
 
 private:
-    evidence* m_seen;
+    invariant_checker* m_seen;
     std::uint64_t m_newest_fence{0};
 };
 
@@ -55,7 +55,7 @@
 /// Used on one event loop.
 class soak_platform {
 public:
-    soak_platform(boost::asio::io_context& loop, evidence& seen);
+    soak_platform(boost::asio::io_context& loop, invariant_checker& seen);
 
     void start();
 
@@ -67,8 +67,8 @@
     [[nodiscard]] endpoint get_store_endpoint() const;
     [[nodiscard]] endpoint get_reports_endpoint() const;
 
-    troubled_store store;
-    report_taker reports;
+    faulty_store store;
+    usage_report_receiver reports;
 
 private:
     servers::http_server m_store_server;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 
 #include "core/log.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 #include "support/event_loop.hpp"
 
 namespace dragonflywell::soak {
@@ -109,7 +109,7 @@
             m_seen.add_violation("not all hosts were ready after their start");
             co_return;
         }
-        co_await servers::pause(ready_interval);
+        co_await servers::sleep_for(ready_interval);
     }
 }
 
@@ -119,7 +119,7 @@
             host->check_alive();
             asio::co_spawn(m_loop, check_ready(*host), asio::detached);
         }
-        co_await servers::pause(ready_interval);
+        co_await servers::sleep_for(ready_interval);
     }
 }
 
@@ -175,15 +175,15 @@
 }
 
 asio::awaitable<void> soak_run::remove_server(soak_server& server, duration stays) {
-    co_await servers::pause(stays);
+    co_await servers::sleep_for(stays);
     server.leave();
     server.crash();
-    co_await servers::pause(seconds(1));
+    co_await servers::sleep_for(seconds(1));
     server.start();
 }
 
 std::vector<soak_run::fault> soak_run::make_faults() {
-    const auto hold = [this](duration least, duration most) { return servers::pause(draw_length(least, most)); };
+    const auto hold = [this](duration least, duration most) { return servers::sleep_for(draw_length(least, most)); };
     const auto store = [this, hold](store_state state) -> asio::awaitable<void> {
         m_platform.store.state = state;
         co_await hold(seconds(1), seconds(5));
@@ -229,13 +229,13 @@
              host.terminate();
              const steady_time last = m_time.now() + grace;
              while (host.is_running() && m_time.now() < last) {
-                 co_await servers::pause(ready_interval);
+                 co_await servers::sleep_for(ready_interval);
              }
              if (host.is_running() && m_seen.is_calm(grace)) {
                  m_seen.add_violation(fmt::format("{} still runs at the end of its grace time", host.get_name()));
              }
              host.kill();
-             co_await servers::pause(ready_interval);
+             co_await servers::sleep_for(ready_interval);
              host.start();
          }},
         {"settings reloaded", true,
@@ -336,27 +336,27 @@
 }
 
 asio::awaitable<void> soak_run::play_faults() {
-    co_await servers::pause(seconds(2));
+    co_await servers::sleep_for(seconds(2));
     const std::vector<fault> faults = make_faults();
     const steady_time last = m_time.now() + m_options.faults;
     while (m_time.now() < last) {
         const fault& chosen = faults[std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(m_random)];
         ++m_fault_counts[chosen.name];
         asio::co_spawn(m_loop, play_one(chosen), asio::detached);
-        co_await servers::pause(draw_length(milliseconds(200), seconds(3)));
+        co_await servers::sleep_for(draw_length(milliseconds(200), seconds(3)));
     }
 }
 
 asio::awaitable<void> soak_run::check_recovery() {
     while (m_disturbances > 0) {
         m_seen.note_disturbance();
-        co_await servers::pause(ready_interval);
+        co_await servers::sleep_for(ready_interval);
     }
-    co_await servers::pause(recovery);
+    co_await servers::sleep_for(recovery);
     static_cast<void>(m_seen.take_served_share());
     const auto get_window = [] { return std::chrono::system_clock::now().time_since_epoch() / usage_window; };
     const std::int64_t first = get_window() + 1;
-    co_await servers::pause(calm_end);
+    co_await servers::sleep_for(calm_end);
     const double share = m_seen.take_served_share();
     if (share < least_served) {
         m_seen.add_violation(fmt::format("only {:.0f} in 100 requests owed in the calm end were served", share * 100));
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/evidence.hpp"
+#include "soak/invariant_checker.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_host.hpp"
 #include "soak/soak_platform.hpp"
@@ -66,16 +66,16 @@
     host_clock m_time;
     asio::io_context m_loop{1};
     std::mt19937_64 m_random;
-    evidence m_seen;
+    invariant_checker m_seen;
     soak_platform m_platform;
-    read_prompts m_prompts;
+    prompt_handles m_prompts;
     std::vector<std::unique_ptr<soak_host>> m_hosts;
     std::vector<std::unique_ptr<soak_server>> m_servers;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::map<std::string, std::set<std::string>> m_keys;
     std::map<std::string, steady_time> m_revoked_at;
     std::map<std::string, int> m_fault_counts;
-    soak_world m_world;
+    soak_caller_context m_world;
     /// Unplanned faults that are under way.
     int m_disturbances{0};
 };
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -3,7 +3,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 
 namespace dragonflywell::soak {
 
@@ -49,8 +49,8 @@
 
 } // namespace
 
-soak_server::soak_server(asio::io_context& loop, soak_platform& platform, evidence& seen, read_prompts& prompts,
-                         std::mt19937_64& random, soak_server_options options)
+soak_server::soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& seen,
+                         prompt_handles& prompts, std::mt19937_64& random, soak_server_options options)
     : link(loop, {}), m_loop(&loop), m_platform(&platform), m_seen(&seen), m_prompts(&prompts), m_random(&random),
       m_options(std::move(options)) {}
 
@@ -185,7 +185,7 @@
     constexpr int shortest_ms = 2;
     constexpr int longest_ms = 40;
     const int length_ms = std::uniform_int_distribution<int>(shortest_ms, longest_ms)(*m_random);
-    co_await servers::pause(std::chrono::milliseconds(length_ms));
+    co_await servers::sleep_for(std::chrono::milliseconds(length_ms));
     std::string bytes = make_answer(request, 200, make_seal(id), make_expected_body(kind, id));
     if (draws(bad_share / 2)) {
         // A further answer, which belongs to no request.
@@ -209,7 +209,7 @@
         }
         std::string event = make_chunk(make_expected_event(id, number));
         co_await connection.write(std::move(event));
-        co_await servers::pause(pace);
+        co_await servers::sleep_for(pace);
     }
     std::string end = "0\r\n\r\n";
     co_await connection.write(std::move(end));
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -5,15 +5,15 @@
 #include <random>
 #include <string>
 
-#include "soak/evidence.hpp"
 #include "soak/fault_proxy.hpp"
+#include "soak/invariant_checker.hpp"
 #include "soak/soak_platform.hpp"
 #include "standin/raw_server.hpp"
 
 namespace dragonflywell::soak {
 
 /// Prompts that engines have read, shared by all of them since one may fetch another's.
-using read_prompts = std::map<std::string, std::string>;
+using prompt_handles = std::map<std::string, std::string>;
 
 struct soak_server_options {
     std::string id;
@@ -30,7 +30,7 @@
 class soak_server {
 public:
     /// Preconditions: loop, platform, evidence and prompts outlive the server.
-    soak_server(asio::io_context& loop, soak_platform& platform, evidence& seen, read_prompts& prompts,
+    soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& seen, prompt_handles& prompts,
                 std::mt19937_64& random, soak_server_options options);
 
     /// Starts the server, or starts it anew after a crash; it enters the list.
@@ -61,8 +61,8 @@
 
     asio::io_context* m_loop;
     soak_platform* m_platform;
-    evidence* m_seen;
-    read_prompts* m_prompts;
+    invariant_checker* m_seen;
+    prompt_handles* m_prompts;
     std::mt19937_64* m_random;
     soak_server_options m_options;
     std::unique_ptr<standin::raw_server> m_server;
--- a/tests/standin/engine_fault.hpp
+++ b/tests/standin/engine_fault.hpp
@@ -8,21 +8,21 @@
 enum class engine_fault_kind {
     none,
     /// The connection ends and the stream is lost.
-    break_off,
+    disconnect,
     /// The engine dies: the connection ends and no other one is taken.
-    die,
+    crash,
     /// The connection stays silent; the stream can be resumed over another.
-    silent,
+    hang,
     /// An event is no JSON.
-    garbage,
+    malformed_event,
     /// An event belongs to another stream.
-    crossed,
+    wrong_stream,
     /// A token comes twice.
-    repeated,
+    duplicate_token,
     /// A token is left out.
-    gap,
+    missing_token,
     /// More tokens come than were asked for.
-    overrun,
+    extra_tokens,
     /// The request is answered with status 422.
     reject,
     /// The request is answered with status 503.
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -118,7 +118,7 @@
     const std::string id(request["x-request-id"]);
     const known_stream stream{.prompt = prompt,
                               .is_chat = request.target().starts_with("/v1/chat/"),
-                              .most_tokens = json::get_unsigned_or(document, "max_tokens", 16)};
+                              .max_tokens = json::get_unsigned_or(document, "max_tokens", 16)};
     asio::steady_timer timer(co_await asio::this_coro::executor);
     const std::uint64_t uncached_tokens = is_cached(prompt) ? 1 : count_prompt_tokens(prompt);
     timer.expires_after(get_slowed(m_options.prompt_token_time * uncached_tokens));
@@ -156,35 +156,35 @@
     co_await caller.start_stream(servers::make_stream_head("text/event-stream"));
     asio::steady_timer timer(co_await asio::this_coro::executor);
     const std::uint64_t prompt_tokens = count_prompt_tokens(stream.prompt);
-    const std::uint64_t end = stream.most_tokens + (fault.kind == engine_fault_kind::overrun ? 3 : 0);
+    const std::uint64_t end = stream.max_tokens + (fault.kind == engine_fault_kind::extra_tokens ? 3 : 0);
     for (std::uint64_t position = first; position < end; ++position) {
         const bool is_faulty = position - first == fault.after_tokens;
-        if (is_faulty && fault.kind == engine_fault_kind::break_off) {
+        if (is_faulty && fault.kind == engine_fault_kind::disconnect) {
             cancel(id);
-            throw servers::caller_gone_error("engine breaks off as planned");
+            throw servers::caller_disconnected_error("engine breaks off as planned");
         }
-        if (is_faulty && fault.kind == engine_fault_kind::die) {
+        if (is_faulty && fault.kind == engine_fault_kind::crash) {
             m_on_death();
-            throw servers::caller_gone_error("engine dies as planned");
+            throw servers::caller_disconnected_error("engine dies as planned");
         }
-        if (is_faulty && fault.kind == engine_fault_kind::silent) {
+        if (is_faulty && fault.kind == engine_fault_kind::hang) {
             timer.expires_after(silent_time);
             co_await timer.async_wait(asio::use_awaitable);
         }
-        if (is_faulty && fault.kind == engine_fault_kind::gap) {
+        if (is_faulty && fault.kind == engine_fault_kind::missing_token) {
             continue;
         }
         timer.expires_after(get_slowed(m_options.generated_token_time));
         co_await timer.async_wait(asio::use_awaitable);
-        const std::string event_id = is_faulty && fault.kind == engine_fault_kind::crossed ? "another" : id;
+        const std::string event_id = is_faulty && fault.kind == engine_fault_kind::wrong_stream ? "another" : id;
         std::string data = make_chunk(event_id, stream.is_chat, get_generated_text(stream.prompt, position),
-                                      position + 1 == stream.most_tokens, prompt_tokens, position + 1);
-        if (is_faulty && fault.kind == engine_fault_kind::garbage) {
+                                      position + 1 == stream.max_tokens, prompt_tokens, position + 1);
+        if (is_faulty && fault.kind == engine_fault_kind::malformed_event) {
             data = "{\"choices\":[";
         }
         const std::string event = servers::format_event({.id = std::to_string(position), .data = data});
         co_await caller.send_chunk(event);
-        if (is_faulty && fault.kind == engine_fault_kind::repeated) {
+        if (is_faulty && fault.kind == engine_fault_kind::duplicate_token) {
             co_await caller.send_chunk(event);
         }
     }
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -34,15 +34,15 @@
     void on_malformed(servers::http::status /*status*/) override {}
 
     /// Returns how many requests carried an authorization header; the system must never send one.
-    [[nodiscard]] std::uint64_t get_keys_seen() const noexcept { return m_keys_seen; }
+    [[nodiscard]] std::uint64_t get_authorization_headers_seen() const noexcept { return m_keys_seen; }
     /// Ends the next answer after this many tokens, as an engine that crashes does.
     void set_break_after(std::uint64_t tokens) {
-        set_fault({.kind = engine_fault_kind::break_off, .after_tokens = tokens});
+        set_fault({.kind = engine_fault_kind::disconnect, .after_tokens = tokens});
     }
     /// Has the next answers go wrong.
     void set_fault(const engine_fault& fault);
     /// Sets what closes the engine's listener when it is to die. To be called before it is used.
-    void set_on_death(std::function<void()> on_death) { m_on_death = std::move(on_death); }
+    void set_on_crash(std::function<void()> on_death) { m_on_death = std::move(on_death); }
     /// Returns how many requests are running.
     [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
     /// Returns how many requests were started, resumptions not counted.
@@ -57,7 +57,7 @@
     struct known_stream {
         std::string prompt;
         bool is_chat{};
-        std::uint64_t most_tokens{};
+        std::uint64_t max_tokens{};
     };
 
     servers::asio::awaitable<void> complete(const servers::http_request& request, servers::caller_channel& caller);
--- a/tests/standin/fault_plan.cpp
+++ b/tests/standin/fault_plan.cpp
@@ -37,7 +37,7 @@
         return fault_kind::drop_answer;
     }
     if (name == "silent") {
-        return fault_kind::silent;
+        return fault_kind::hang;
     }
     return name == "refuse" ? fault_kind::refuse : fault_kind::none;
 }
@@ -71,9 +71,9 @@
     case fault_kind::drop_answer: {
         discarding_channel nobody;
         co_await m_inner->handle(std::move(request), nobody);
-        throw servers::caller_gone_error("answer dropped as planned");
+        throw servers::caller_disconnected_error("answer dropped as planned");
     }
-    case fault_kind::silent:
+    case fault_kind::hang:
         co_await wait(silent_time);
         break;
     case fault_kind::refuse:
--- a/tests/standin/fault_plan.hpp
+++ b/tests/standin/fault_plan.hpp
@@ -10,7 +10,7 @@
 namespace dragonflywell::standin {
 
 /// How a stand-in fails for its next requests.
-enum class fault_kind { none, slow, drop_answer, silent, refuse };
+enum class fault_kind { none, slow, drop_answer, hang, refuse };
 
 struct fault_plan {
     fault_kind kind{fault_kind::none};
--- a/tests/standin/service_standin.hpp
+++ b/tests/standin/service_standin.hpp
@@ -14,7 +14,7 @@
     void on_malformed(servers::http::status /*status*/) override {}
 
     [[nodiscard]] std::uint64_t get_runs() const noexcept { return m_runs; }
-    [[nodiscard]] std::uint64_t get_keys_seen() const noexcept { return m_keys_seen; }
+    [[nodiscard]] std::uint64_t get_authorization_headers_seen() const noexcept { return m_keys_seen; }
 
 private:
     std::atomic<std::uint64_t> m_runs{0};
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -5,7 +5,7 @@
 #include <openssl/evp.h>
 
 #include "platform/store_client.hpp"
-#include "servers/pause.hpp"
+#include "servers/sleep.hpp"
 #include "standin/fault_plan.hpp"
 
 namespace dragonflywell::standin {
@@ -77,8 +77,8 @@
         const std::scoped_lock lock(m_mutex);
         return m_topics[name].records.size() > from;
     };
-    while (wait_ms > 0 && !has_news() && std::chrono::steady_clock::now() < give_up_at && !caller.is_gone()) {
-        co_await servers::pause(look_interval);
+    while (wait_ms > 0 && !has_news() && std::chrono::steady_clock::now() < give_up_at && !caller.is_disconnected()) {
+        co_await servers::sleep_for(look_interval);
     }
     servers::http_response response = answer(request);
     co_await caller.send(std::move(response));
--- a/tests/support/billing_checker.hpp
+++ b/tests/support/billing_checker.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 #include "coordination/usage.hpp"
 #include "core/json.hpp"
 
@@ -13,23 +13,23 @@
 /// The platform's usage reporting in memory, and the judge of what it received. Knows nothing of the code's own state.
 class billing_checker final : public coordination::order_receiver {
 public:
-    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
-                                     duration) override {
+    coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
+                                   duration) override {
         if (loses_next_report) {
             loses_next_report = false;
-            return coordination::order_receipt::unknown;
+            return coordination::order_reply::unknown;
         }
         receive(value.idempotency_key, value.body, token.number);
         if (drops_next_answer) {
             drops_next_answer = false;
-            return coordination::order_receipt::unknown;
+            return coordination::order_reply::unknown;
         }
-        return coordination::order_receipt::applied;
+        return coordination::order_reply::applied;
     }
 
-    coordination::order_presence query(const coordination::order& value) override {
-        return m_first.contains(value.idempotency_key) ? coordination::order_presence::applied
-                                                       : coordination::order_presence::not_seen;
+    coordination::order_query_result query(const coordination::order& value) override {
+        return m_first.contains(value.idempotency_key) ? coordination::order_query_result::applied
+                                                       : coordination::order_query_result::not_seen;
     }
 
     void receive(const std::string& key, const boost::json::object& body, coordination::log_offset number) {
--- a/tests/support/entry_parts.hpp
+++ b/tests/support/entry_parts.hpp
@@ -8,7 +8,7 @@
 struct entry_parts {
     virtual_clock time;
     metrics_registry metrics;
-    snapshot_cell<servers::active_manifest> manifest{nullptr};
+    rcu_cell<servers::active_manifest> manifest{nullptr};
     policy::two_choice_placement placement;
     servers::backend_connection_pool connections{time, {}};
     servers::backend_load_table loads;
@@ -17,7 +17,7 @@
     servers::request_counters counters{metrics};
     servers::demand_meter demand;
     servers::engine_state_table engines;
-    servers::admission_gate admission{time, {}};
+    servers::admission_controller admission{time, {}};
     policy::retry_budget retries{{}, time.now() - policy::retry_budget_options{}.window};
     policy::quarantine suspects{{}};
     policy::cut_off_state cut_off;
--- a/tests/support/fake_engines.hpp
+++ b/tests/support/fake_engines.hpp
@@ -31,8 +31,8 @@
         return {.model = model_name("m"), .role = target.role, .running_requests = target.running};
     }
 
-    platform::engine_reply send(const endpoint& address, const platform::role_change_order& order,
-                                duration /*deadline*/) override {
+    platform::role_change_result send(const endpoint& address, const platform::role_change_order& order,
+                                      duration /*deadline*/) override {
         if (engines[address.port].is_down) {
             throw platform::engine_unreachable_error("engine is down", false);
         }
@@ -41,7 +41,7 @@
             late.emplace_back(address.port, order);
             throw platform::engine_unreachable_error("no answer", true);
         }
-        const platform::engine_reply reply = apply(address.port, order);
+        const platform::role_change_result reply = apply(address.port, order);
         if (drops_next_answer) {
             drops_next_answer = false;
             throw platform::engine_unreachable_error("no answer", true);
@@ -62,19 +62,19 @@
     bool rejects_orders{false};
 
 private:
-    platform::engine_reply apply(std::uint16_t port, const platform::role_change_order& order) {
+    platform::role_change_result apply(std::uint16_t port, const platform::role_change_order& order) {
         engine& target = engines[port];
         if (rejects_orders) {
-            return platform::engine_reply::rejected;
+            return platform::role_change_result::rejected;
         }
         if (target.checks_fencing && order.fencing_number < target.newest_number) {
-            return platform::engine_reply::refused_old_number;
+            return platform::role_change_result::stale_fencing_number;
         }
         target.newest_number = std::max(target.newest_number, order.fencing_number);
         target.cut_off += target.running > 0 ? 1 : 0;
         target.role = order.role;
         target.applied.push_back(order);
-        return platform::engine_reply::applied;
+        return platform::role_change_result::applied;
     }
 };
 
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -17,8 +17,8 @@
         if (is_down) {
             throw coordination::log_unavailable_error("log is down");
         }
-        if (hides_next_append) {
-            hides_next_append = false;
+        if (delays_next_append) {
+            delays_next_append = false;
             hidden.emplace_back(stream, std::vector<std::string>(records.begin(), records.end()));
             throw coordination::log_unavailable_error("append is on its way");
         }
@@ -48,7 +48,7 @@
     }
 
     /// Lets the appends that were on their way take effect.
-    void deliver_hidden() {
+    void deliver_delayed_appends() {
         for (const auto& [stream, records] : std::exchange(hidden, {})) {
             std::vector<std::string>& target = streams[stream];
             target.insert(target.end(), records.begin(), records.end());
@@ -62,7 +62,7 @@
     std::uint64_t appends{0};
     bool is_down{false};
     bool drops_next_answer{false};
-    bool hides_next_append{false};
+    bool delays_next_append{false};
 };
 
 } // namespace dragonflywell::testing
--- a/tests/support/fake_receiver.hpp
+++ b/tests/support/fake_receiver.hpp
@@ -5,34 +5,34 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/order_ledger.hpp"
+#include "coordination/order_dispatcher.hpp"
 
 namespace dragonflywell::testing {
 
 /// A receiver of orders in memory, with faults that a test asks for. Not thread safe.
 class fake_receiver final : public coordination::order_receiver {
 public:
-    coordination::order_receipt send(const coordination::order& value, const coordination::fencing_token& token,
-                                     duration) override {
+    coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
+                                   duration) override {
         if (loses_next_order) {
             loses_next_order = false;
             late.emplace_back(value, token);
-            return coordination::order_receipt::unknown;
+            return coordination::order_reply::unknown;
         }
-        const coordination::order_receipt receipt = apply(value, token);
+        const coordination::order_reply receipt = apply(value, token);
         if (drops_next_answer) {
             drops_next_answer = false;
-            return coordination::order_receipt::unknown;
+            return coordination::order_reply::unknown;
         }
         return receipt;
     }
 
-    coordination::order_presence query(const coordination::order& value) override {
+    coordination::order_query_result query(const coordination::order& value) override {
         if (!answers_queries) {
-            return coordination::order_presence::unknown;
+            return coordination::order_query_result::unknown;
         }
-        return keys.contains(value.idempotency_key) ? coordination::order_presence::applied
-                                                    : coordination::order_presence::not_seen;
+        return keys.contains(value.idempotency_key) ? coordination::order_query_result::applied
+                                                    : coordination::order_query_result::not_seen;
     }
 
     /// Lets the orders that were on their way arrive.
@@ -50,16 +50,16 @@
     bool answers_queries{true};
 
 private:
-    coordination::order_receipt apply(const coordination::order& value, const coordination::fencing_token& token) {
+    coordination::order_reply apply(const coordination::order& value, const coordination::fencing_token& token) {
         if (value.receiver == coordination::receiver_kind::checks_fencing && token.number < m_newest_number) {
-            return coordination::order_receipt::refused_old_number;
+            return coordination::order_reply::stale_fencing_number;
         }
         m_newest_number = std::max(m_newest_number, token.number);
         const bool is_new = keys.insert(value.idempotency_key).second;
-        if (is_new || value.repeat != coordination::repeat_rule::deduplicated) {
+        if (is_new || value.duplicates != coordination::duplicate_handling::deduplicated) {
             applied.push_back(value.idempotency_key);
         }
-        return coordination::order_receipt::applied;
+        return coordination::order_reply::applied;
     }
 
     coordination::log_offset m_newest_number{0};
@@ -68,7 +68,7 @@
 /// Knows as gone for good what a test names.
 class fake_liveness final : public coordination::host_liveness {
 public:
-    [[nodiscard]] bool is_gone_for_good(const coordination::writer_id& sender) const override {
+    [[nodiscard]] bool has_terminated(const coordination::writer_id& sender) const override {
         return gone.contains(sender.host);
     }
 
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "core/metrics.hpp"
-#include "platform/engine_dialect.hpp"
-#include "platform/ingress_dialect.hpp"
+#include "platform/engine_codec.hpp"
+#include "platform/ingress_codec.hpp"
 #include "servers/http_server.hpp"
 #include "servers/serving_handler.hpp"
 #include "standin/raw_server.hpp"
@@ -28,18 +28,18 @@
 class serving_fixture {
 public:
     serving_fixture() {
-        state.set_hosts(1);
+        state.set_host_count(1);
         entry.start();
-        view.routes = {make_route("/safe/", "app", fleet::repeat_rule::idempotent, 2),
-                       make_route("/unsafe/", "app", fleet::repeat_rule::at_most_once, 1),
-                       make_route("/open/", "app", fleet::repeat_rule::idempotent, 2),
-                       make_route("/gen/", "llm", fleet::repeat_rule::stream, 1),
-                       make_route("/resume/", "llm", fleet::repeat_rule::resumable_stream, 2)};
+        view.routes = {make_route("/safe/", "app", fleet::retry_policy::idempotent, 2),
+                       make_route("/unsafe/", "app", fleet::retry_policy::at_most_once, 1),
+                       make_route("/open/", "app", fleet::retry_policy::idempotent, 2),
+                       make_route("/gen/", "llm", fleet::retry_policy::stream, 1),
+                       make_route("/resume/", "llm", fleet::retry_policy::resumable_stream, 2)};
         view.routes[2].is_public = true;
         view.version = 1;
-        view.services = {
-            {.name = service_name("app")},
-            {.name = service_name("llm"), .engine = fleet::engine_description{.slots = 8, .memory_tokens = 100'000}}};
+        view.services = {{.name = service_name("app")},
+                         {.name = service_name("llm"),
+                          .engine = fleet::engine_description{.slots = 8, .kv_capacity_tokens = 100'000}}};
         view.organisations = {{.name = organisation_name("org"), .priority = {}, .keys = {"secret"}}};
     }
     serving_fixture(const serving_fixture&) = delete;
@@ -75,7 +75,7 @@
         servers::host_digest digest;
         digest.host = "other";
         digest.instances = {{backend_server_name(server), count}};
-        state.peers.take_near(digest);
+        state.peers.merge_group_digest(digest);
     }
 
     /// What a caller got.
@@ -151,20 +151,20 @@
     host_clock time;
     asio::io_context loop{1};
     servers::backend_connection_pool pool{time, {}};
-    platform::engine_dialect engine_dialect;
-    platform::ingress_dialect ingress_dialect;
+    platform::engine_codec engine_codec;
+    platform::ingress_codec ingress_codec;
     metrics_registry metrics;
     servers::serving_state state{loop.get_executor(),
                                  time,
                                  pool,
-                                 engine_dialect,
+                                 engine_codec,
                                  metrics,
                                  {.own_zone = zone_name("z"),
                                   .usage_window = std::chrono::seconds(5),
-                                  .repeats_per_request = 0.2,
-                                  .repeats_besides = 50,
-                                  .repeat_window = std::chrono::seconds(10)}};
-    servers::serving_handler handler{state, ingress_dialect};
+                                  .retries_per_request = 0.2,
+                                  .base_retries = 50,
+                                  .retry_window = std::chrono::seconds(10)}};
+    servers::serving_handler handler{state, ingress_codec};
     servers::http_server entry{{&loop}, handler, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}};
     fleet::serving_configuration view;
     /// The backend servers, by their name.
@@ -252,16 +252,16 @@
     }
 
 private:
-    static fleet::route make_route(const std::string& prefix, const std::string& service, fleet::repeat_rule repeats,
+    static fleet::route make_route(const std::string& prefix, const std::string& service, fleet::retry_policy repeats,
                                    std::uint32_t attempts) {
         return {.name = prefix,
                 .host = "host.example",
                 .path_prefix = prefix,
-                .repeats = repeats,
+                .retry = repeats,
                 .shares = {{.service = service_name(service)}},
                 .timeout = std::chrono::seconds(60),
                 .target_latency = std::chrono::milliseconds(500),
-                .attempts = attempts};
+                .max_attempts = attempts};
     }
 };
 
--- a/tests/support/store_users_model.hpp
+++ b/tests/support/store_users_model.hpp
@@ -9,12 +9,12 @@
 
 #include "core/clock.hpp"
 #include "policy/circuit_breaker.hpp"
-#include "policy/turn_queue.hpp"
+#include "policy/wait_queue.hpp"
 
 namespace dragonflywell::testing {
 
 /// What becomes of calls while the path to the store is disturbed.
-enum class path_trouble : std::uint8_t {
+enum class network_fault : std::uint8_t {
     /// No call is answered until its limit.
     silent,
     /// Each call is refused at once.
@@ -28,7 +28,7 @@
 };
 
 struct store_users_options {
-    path_trouble trouble{path_trouble::silent};
+    network_fault trouble{network_fault::silent};
     duration call_limit{std::chrono::milliseconds(700)};
     policy::circuit_breaker_options breaker{};
     /// Whether each user needs a second call before it can use what it reads, such as a listing.
@@ -37,9 +37,9 @@
 
 struct store_users_result {
     /// From the return of the path until each user had what it needs.
-    duration longest_return{};
+    duration recovery_time{};
     /// Calls that were made while the path was disturbed, and for how long that was.
-    std::uint64_t calls_in_trouble{};
+    std::uint64_t calls_during_fault{};
     duration trouble{};
 };
 
@@ -62,8 +62,8 @@
             }
             m_clock.advance(std::chrono::milliseconds(1));
         }
-        return {.longest_return = m_clock.now() - m_back_at,
-                .calls_in_trouble = m_calls_in_trouble,
+        return {.recovery_time = m_clock.now() - m_back_at,
+                .calls_during_fault = m_calls_in_trouble,
                 .trouble = m_back_at - m_lost_at};
     }
 
@@ -76,7 +76,7 @@
     struct user {
         duration period{};
         steady_time next_at{};
-        std::optional<policy::turn_queue::ticket> turn;
+        std::optional<policy::wait_queue::ticket> turn;
         std::optional<steady_time> sent_at;
         steady_time ends_at{};
         bool will_be_answered{false};
@@ -103,7 +103,7 @@
             return;
         }
         if (one.turn) {
-            const std::optional<steady_time> turn = m_turns.get_turn(*one.turn, m_breaker);
+            const std::optional<steady_time> turn = m_turns.get_wait_end(*one.turn, m_breaker);
             if (!turn || now < *turn) {
                 return;
             }
@@ -126,10 +126,10 @@
         one.sent_at = now;
         one.will_be_answered = !is_lost;
         one.ends_at = now + (is_lost ? get_failure_time() : answer_time);
-        if (!is_lost && now >= m_back_at && m_options.trouble == path_trouble::slow) {
+        if (!is_lost && now >= m_back_at && m_options.trouble == network_fault::slow) {
             one.ends_at = now + slow_answer_time;
         }
-        const bool may_be_lost = now >= m_back_at && m_options.trouble == path_trouble::lossy;
+        const bool may_be_lost = now >= m_back_at && m_options.trouble == network_fault::lossy;
         if (may_be_lost && std::bernoulli_distribution(lossy_share)(m_random)) {
             one.will_be_answered = false;
             one.ends_at = now + m_options.call_limit;
@@ -138,8 +138,8 @@
 
     [[nodiscard]] duration get_failure_time() {
         const bool is_refused =
-            m_options.trouble == path_trouble::refused ||
-            (m_options.trouble == path_trouble::mixed && std::bernoulli_distribution(0.5)(m_random));
+            m_options.trouble == network_fault::refused ||
+            (m_options.trouble == network_fault::mixed && std::bernoulli_distribution(0.5)(m_random));
         return is_refused ? answer_time : m_options.call_limit;
     }
 
@@ -164,7 +164,7 @@
     std::mt19937_64 m_random;
     store_users_options m_options;
     policy::circuit_breaker m_breaker{m_options.breaker};
-    policy::turn_queue m_turns;
+    policy::wait_queue m_turns;
     std::vector<user> m_users;
     steady_time m_lost_at{};
     steady_time m_back_at{};
