--- a/bench/bench_entry_path.cpp
+++ b/bench/bench_entry_path.cpp
@@ -11,8 +11,8 @@
 #include "core/log.hpp"
 #include "support/small_deployment.hpp"
 
-// Requests per second and latency of a plain service through one daemon, against the direct call. The callers, the
-// daemon and the service share the machine and the process.
+// Measures throughput and latency of a plain service through one daemon, compared with direct calls. The callers, the
+// daemon and the service share one process.
 
 namespace {
 
@@ -35,7 +35,7 @@
         const auto start = std::chrono::steady_clock::now();
         const auto response = small_deployment::exchange(stream, http::verb::get, "/maps/52N", "", "k1.secret");
         if (response.result_int() != 200) {
-            throw std::runtime_error("request was refused");
+            throw std::runtime_error("request to /maps/52N was not answered with status 200");
         }
         const std::chrono::duration<double, std::micro> taken = std::chrono::steady_clock::now() - start;
         latencies.push_back(taken.count());
--- a/bench/bench_fleet_roles.cpp
+++ b/bench/bench_fleet_roles.cpp
@@ -1,6 +1,7 @@
-/// Compares role planners over traces and seeds, in virtual time.
+/// Compares role planners over several traces and seeds, in virtual time.
 ///
-/// bench_fleet_roles [SEEDS]: prints for each deployment, trace and planner the median and the spread over the seeds.
+/// Usage: bench_fleet_roles [SEEDS]. Prints the median and the spread over the seeds for each deployment, trace and
+/// planner.
 
 #include <algorithm>
 #include <cstdlib>
--- a/bench/bench_fleet_spend.cpp
+++ b/bench/bench_fleet_spend.cpp
@@ -1,7 +1,7 @@
-/// Compares spending for the service delivered over traces and seeds, in virtual time.
+/// Compares the spending for the served work over several traces and seeds, in virtual time.
 ///
-/// bench_fleet_spend [SEEDS]: prints for each deployment and trace the medians and the spread of the spending over the
-/// seeds.
+/// Usage: bench_fleet_spend [SEEDS]. Prints the medians and the spread of the spending over the seeds for each
+/// deployment and trace.
 
 #include <algorithm>
 #include <cstdlib>
--- a/bench/bench_request_policy.cpp
+++ b/bench/bench_request_policy.cpp
@@ -1,4 +1,5 @@
-// Goodput of the request path's policies beside their baselines, on a small model of engines in virtual time.
+// Compares the goodput of queueing and placement policies with that of simple baselines, on a small model of engines in
+// virtual time.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -61,7 +62,7 @@
     std::deque<std::size_t> waiting;
 };
 
-/// One run of daemons, engines and callers. Daemons hold back what exceeds their part of the capacity.
+/// Simulates daemons, engines and callers. A daemon queues the requests that exceed its share of the capacity.
 class trial {
 public:
     trial(const trial_options& options, unsigned seed) : m_options(options), m_random(seed), m_daemons(daemon_count) {}
@@ -75,7 +76,7 @@
             const event next = m_events.top();
             m_events.pop();
             m_now = next.time;
-            next.act();
+            next.action();
         }
         return get_result();
     }
@@ -84,7 +85,7 @@
     struct event {
         double time{};
         std::uint64_t order{};
-        std::function<void()> act;
+        std::function<void()> action;
         friend bool operator<(const event& left, const event& right) {
             return std::pair(left.time, left.order) > std::pair(right.time, right.order);
         }
@@ -99,42 +100,43 @@
         std::size_t turn{0};
     };
 
-    void at(double time, std::function<void()> act) { m_events.push({time, m_order++, std::move(act)}); }
+    void at(double time, std::function<void()> action) { m_events.push({time, m_order++, std::move(action)}); }
 
     double draw_gap(double rate) { return std::exponential_distribution<double>(rate)(m_random); }
 
-    /// The first organisation asks for five times its usual share in every other swing; prompts then grow by half.
+    /// Schedules the next request of an organisation. In every other load swing, the first organisation sends five
+    /// times its usual rate, and the prompts of all organisations are longer by half.
     void schedule_arrival(std::size_t organisation, double after) {
-        const bool is_storm = static_cast<int>(after / swing_seconds) % 2 == 1;
-        const double rate = organisation == 0 ? (is_storm ? 20.0 : 4.0) : 1.5;
-        at(after + draw_gap(rate), [this, organisation, is_storm] {
-            const double prompt = std::exponential_distribution<double>(1.0 / (is_storm ? 450.0 : 300.0))(m_random);
+        const bool is_burst = static_cast<int>(after / swing_seconds) % 2 == 1;
+        const double rate = organisation == 0 ? (is_burst ? 20.0 : 4.0) : 1.5;
+        at(after + draw_gap(rate), [this, organisation, is_burst] {
+            const double prompt = std::exponential_distribution<double>(1.0 / (is_burst ? 450.0 : 300.0))(m_random);
             const double output = std::exponential_distribution<double>(1.0 / 60.0)(m_random);
             m_requests.push_back(
                 {.organisation = organisation,
                  .arrived = m_now,
                  .cost = {.prefill_tokens = static_cast<std::uint64_t>(prompt) + 1,
                           .decode_tokens = std::min<std::uint64_t>(500, static_cast<std::uint64_t>(output) + 1)}});
-            enter(m_requests.size() - 1);
+            enqueue(m_requests.size() - 1);
             schedule_arrival(organisation, m_now);
         });
     }
 
-    void enter(std::size_t index) {
-        const std::size_t home = index % daemon_count;
-        daemon_model& daemon = m_daemons[home];
+    void enqueue(std::size_t index) {
+        const std::size_t daemon_index = index % daemon_count;
+        daemon_model& daemon = m_daemons[daemon_index];
         const request& item = m_requests[index];
         if (m_options.queue == queueing::fair) {
             daemon.fair.push(index, organisation_name(std::to_string(item.organisation)), 1, item.cost);
         } else {
             daemon.first_come.push_back(index);
         }
-        admit(home);
+        admit(daemon_index);
     }
 
-    void admit(std::size_t home) {
+    void admit(std::size_t daemon_index) {
         constexpr std::uint64_t part = capacity_tokens * engine_count / daemon_count;
-        daemon_model& daemon = m_daemons[home];
+        daemon_model& daemon = m_daemons[daemon_index];
         while (true) {
             std::optional<std::size_t> next;
             if (m_options.queue == queueing::fair) {
@@ -150,17 +152,17 @@
             } else {
                 daemon.first_come.pop_front();
             }
-            // Waiting past the deadline is of use to nobody.
+            // A request that has waited past its deadline is dropped.
             if (m_now - m_requests[*next].arrived > first_token_deadline) {
                 continue;
             }
             daemon.admitted += m_requests[*next].cost.get_tokens();
-            place(home, *next);
+            place(daemon_index, *next);
         }
     }
 
-    void place(std::size_t home, std::size_t index) {
-        daemon_model& daemon = m_daemons[home];
+    void place(std::size_t daemon_index, std::size_t index) {
+        daemon_model& daemon = m_daemons[daemon_index];
         std::vector<policy::placement_candidate> candidates;
         std::vector<std::size_t> engines;
         for (std::size_t engine = 0; engine < engine_count; ++engine) {
@@ -231,13 +233,13 @@
                     load += static_cast<std::int64_t>(m_requests[index].cost.get_tokens());
                 }
                 std::array<std::int64_t, daemon_count> own{};
-                for (std::size_t home = 0; home < daemon_count; ++home) {
-                    own[home] = m_daemons[home].own[engine];
+                for (std::size_t daemon_index = 0; daemon_index < daemon_count; ++daemon_index) {
+                    own[daemon_index] = m_daemons[daemon_index].own[engine];
                 }
                 at(time + m_options.report_lag, [this, engine, load, own] {
                     m_reported[engine] = load;
-                    for (std::size_t home = 0; home < daemon_count; ++home) {
-                        m_daemons[home].reported_own[engine] = own[home];
+                    for (std::size_t daemon_index = 0; daemon_index < daemon_count; ++daemon_index) {
+                        m_daemons[daemon_index].reported_own[engine] = own[daemon_index];
                     }
                 });
             }
--- a/policy/access_control.hpp
+++ b/policy/access_control.hpp
@@ -7,10 +7,11 @@
 
 namespace dragonflywell::policy {
 
-/// Splits "Bearer ID.SECRET" and returns "ID.SECRET", or nothing for another form.
+/// Returns the "ID.SECRET" part of an Authorization header "Bearer ID.SECRET", or nothing if the scheme is another one.
+/// Thread safe.
 [[nodiscard]] std::optional<std::string_view> get_bearer_key(std::string_view authorization) noexcept;
 
-/// Returns the organisation whose key this is, or nothing for an unknown, revoked or wrong key. Thread safe.
+/// Returns the organisation that owns the API key, or nothing if the key is unknown, revoked or wrong. Thread safe.
 [[nodiscard]] std::optional<organisation_name> find_key_owner(const fleet::manifest& manifest, std::string_view key);
 
 } // namespace dragonflywell::policy
--- a/policy/circuit_breaker.hpp
+++ b/policy/circuit_breaker.hpp
@@ -7,51 +7,53 @@
 namespace dragonflywell::policy {
 
 struct circuit_breaker_options {
-    /// Shortest rest after a failure. The time from the start of one call to the next begins with it and is doubled
-    /// with each call that is tried.
+    /// Shortest wait after a failure. The interval between the starts of two probe calls begins with it and doubles
+    /// with each probe.
     duration initial_backoff{std::chrono::milliseconds(100)};
-    /// Longest time from the start of one call to the start of the next, where the call itself does not take longer.
-    /// A part of the time from the return of a dependency to its use; see `get_max_recovery_time`.
+    /// Longest interval between the starts of two probe calls, unless a call itself takes longer. It is part of the
+    /// time that is needed to resume work after the dependency has recovered.
     duration max_backoff{std::chrono::milliseconds(1000)};
 };
 
-/// Lets all users of one dependency share what each learns of it: while it fails, one call in a while is tried for all
-/// of them, since each call is paid for and a dependency in trouble has no use for more. Not thread safe.
+/// Circuit breaker that all users of one dependency share. While the dependency fails, only one probe call at a time is
+/// made for all of them, with exponential backoff: each call costs money, and more calls would only add load to a
+/// failing dependency. Not thread safe.
 class circuit_breaker {
 public:
     explicit circuit_breaker(circuit_breaker_options options = {}) : m_options(options) {}
 
-    /// Returns whether a call may be made now. While the dependency fails, a call that may be made is the only one for
-    /// the time of the pause; there is no need to tell how it ends.
+    /// Returns whether a call may be made now. While the dependency fails, a return value of true claims the probe for
+    /// the length of the backoff, so the caller must make the call. The probe expires even if its result is never
+    /// reported.
     [[nodiscard]] bool may_call(steady_time now);
 
-    /// Notes that a call was answered: all calls may be made again.
+    /// Records that a call was answered. All calls are permitted again.
     void on_success(steady_time now);
 
-    /// Notes that a call which was sent at that moment failed. It says nothing where a later one was answered.
+    /// Records that a call sent at `sent_at` failed. It is ignored if another call has been answered since `sent_at`.
     void on_failure(steady_time sent_at, steady_time now);
 
-    /// Returns when the next call may be made; nothing while all may.
-    [[nodiscard]] std::optional<steady_time> get_next_call_at() const noexcept { return m_next_at; }
+    /// Returns when the next probe call may be made, or nothing while all calls are permitted.
+    [[nodiscard]] std::optional<steady_time> get_next_call_at() const noexcept { return m_next_call_at; }
 
-    /// Returns the longest time from the return of a dependency to the end of the first call that it answers, where
-    /// somebody always waits to call and no call takes longer than `call_limit`: the call before it may have been sent
-    /// just before the return and be lost.
+    /// Returns an upper bound on the time from the recovery of the dependency to the end of the first call that it
+    /// answers. The bound assumes that a caller is always waiting and that no call takes longer than `call_limit`; it
+    /// includes one probe that was sent just before the recovery and is lost.
     [[nodiscard]] static constexpr duration get_max_recovery_time(circuit_breaker_options options,
                                                                   duration call_limit) {
-        const duration between_calls = options.max_backoff > call_limit + options.initial_backoff
-                                           ? options.max_backoff
-                                           : call_limit + options.initial_backoff;
-        return between_calls + call_limit;
+        const duration max_interval = options.max_backoff > call_limit + options.initial_backoff
+                                          ? options.max_backoff
+                                          : call_limit + options.initial_backoff;
+        return max_interval + call_limit;
     }
 
 private:
     circuit_breaker_options m_options;
-    duration m_pause{};
-    /// When the next call may be made; nothing while all may.
-    std::optional<steady_time> m_next_at;
+    duration m_backoff{};
+    /// When the next probe may be made; empty while all calls are permitted.
+    std::optional<steady_time> m_next_call_at;
     std::optional<steady_time> m_succeeded_at;
-    /// When the last failure was noted that made a pause.
+    /// When the last failure that started a backoff was recorded.
     std::optional<steady_time> m_failed_at;
 };
 
--- a/policy/crash_attribution.hpp
+++ b/policy/crash_attribution.hpp
@@ -10,24 +10,24 @@
 namespace dragonflywell::policy {
 
 struct crash_attribution_options {
-    /// How long after a broken exchange a server's death still counts as its reason: longer than the list takes to
-    /// show that a server is gone.
+    /// How long after a broken exchange a crash of the server still counts as its cause. This is longer than the server
+    /// list takes to show that a server is gone.
     duration retention{std::chrono::seconds(10)};
-    /// Broken exchanges that are remembered for one server at most; more say nothing about any of them.
+    /// Maximum number of broken exchanges kept for one server. More of them do not help to identify the cause.
     std::size_t max_per_server{64};
 };
 
-/// Tells which requests were on a server when it died. A broken connection alone is no death: only what is learnt of
-/// the server afterwards shows whether it was one. Not thread safe.
+/// Determines which requests were running on a server when it crashed. A broken connection alone does not prove a
+/// crash; the later state of the server does. Not thread safe.
 class crash_attribution {
 public:
     explicit crash_attribution(crash_attribution_options options = {}) noexcept : m_options(options) {}
 
-    /// Notes that the exchange of a request broke after the request was sent.
+    /// Records that the connection of a request broke after the request was sent.
     void record_broken_exchange(request_fingerprint request, const backend_server_name& server, steady_time now);
 
-    /// Notes that a server is gone, cannot be reached or has started anew. Returns the requests that were on it; each
-    /// is returned once.
+    /// Call when a server is gone, unreachable or restarted. Returns the requests that were running on it and removes
+    /// them, so that each is returned once.
     [[nodiscard]] std::vector<request_fingerprint> take_crash_suspects(const backend_server_name& server,
                                                                        steady_time now);
 
--- a/policy/cut_off_state.hpp
+++ b/policy/cut_off_state.hpp
@@ -8,12 +8,13 @@
 
 namespace dragonflywell::policy {
 
-/// Since when this host's availability zone has been cut off from a log that others can reach.
+/// Tracks since when this host's availability zone has been cut off from a log that other zones can reach.
 ///
-/// A key that was revoked meanwhile is not known to be revoked here. Thread safe.
+/// While it is cut off, the host does not learn that an API key was revoked. Thread safe.
 class cut_off_state {
 public:
-    /// Notes what was found out last. The time counts from the first of several such findings in a row.
+    /// Records the result of the latest check. The duration counts from the first of consecutive checks that found the
+    /// zone cut off.
     void set_cut_off(bool is_cut_off, steady_time now) noexcept;
 
     /// Returns how long the zone has been cut off, or nothing while it is not.
@@ -25,7 +26,7 @@
     std::atomic<duration::rep> m_since{not_cut_off};
 };
 
-/// Tells whether a request of the organisation may run although its key may have been revoked. Thread safe.
+/// Returns whether a request of the organisation may run although its API key may have been revoked. Thread safe.
 [[nodiscard]] bool may_serve_cut_off(const fleet::organisation& organisation, std::optional<duration> cut_off_for);
 
 } // namespace dragonflywell::policy
--- a/policy/decaying_peak_rate.hpp
+++ b/policy/decaying_peak_rate.hpp
@@ -8,20 +8,20 @@
 
 namespace dragonflywell::policy {
 
-/// Follows a sum that only grows, and tells the height that its rate has had of late: it rises at once and sinks
-/// slowly, so that capacity for a swing is kept until the next one. Not thread safe.
+/// Derives a rate from a monotonic counter and holds its recent peak. The peak follows a rising rate at once and decays
+/// exponentially, so that capacity for a load swing is kept until the next swing. Not thread safe.
 class decaying_peak_rate {
 public:
     struct options {
-        /// Span over which the rate is taken.
+        /// Interval over which the rate is computed.
         duration span{std::chrono::seconds(2)};
-        /// Time in which the height sinks to half.
+        /// Time in which the peak decays to half.
         duration half_life{std::chrono::seconds(20)};
     };
 
     explicit decaying_peak_rate(options chosen) noexcept : m_options(chosen) {}
 
-    /// Takes the sum as it stands now, in the unit of the rate times seconds.
+    /// Takes the current value of the counter, in the unit of the rate times seconds.
     void observe(double sum, steady_time now) {
         if (!m_since) {
             m_since = now;
@@ -33,20 +33,21 @@
             return;
         }
         const double rate = (sum - m_sum) / std::chrono::duration<double>(passed).count();
-        const double halves = static_cast<double>(passed.count()) / static_cast<double>(m_options.half_life.count());
-        m_height = std::max(rate, m_height.value_or(0) * std::pow(2.0, -halves));
+        const double half_lives =
+            static_cast<double>(passed.count()) / static_cast<double>(m_options.half_life.count());
+        m_peak = std::max(rate, m_peak.value_or(0) * std::pow(2.0, -half_lives));
         m_since = now;
         m_sum = sum;
     }
 
-    /// Returns the height, or nothing before a span has passed.
-    [[nodiscard]] std::optional<double> get() const noexcept { return m_height; }
+    /// Returns the decayed peak of the rate, or nothing before the first interval has passed.
+    [[nodiscard]] std::optional<double> get() const noexcept { return m_peak; }
 
 private:
     options m_options;
     std::optional<steady_time> m_since;
     double m_sum{0};
-    std::optional<double> m_height;
+    std::optional<double> m_peak;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/demand_report.hpp
+++ b/policy/demand_report.hpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::policy {
 
-/// Whose work it is and what it asks for: a model or a plain service; the other name is empty.
+/// Organisation of the requests and their target: a model or a plain service. The other name is empty.
 struct demand_key {
     organisation_name organisation;
     model_name model;
@@ -18,7 +18,7 @@
     friend auto operator<=>(const demand_key&, const demand_key&) = default;
 };
 
-/// What one entry host saw of one key within one span, refused requests included.
+/// Demand for one key that arrived at one entry host within one report, refused requests included.
 struct demand_row {
     demand_key key;
     std::uint64_t arrivals{};
@@ -28,8 +28,8 @@
     friend bool operator==(const demand_row&, const demand_row&) = default;
 };
 
-/// What one entry host saw between `start` and `start + length`. Hosts align `start` to multiples of `length` on the
-/// wall clock, so that their reports can be added up.
+/// Demand that arrived at one entry host between `start` and `start + length`. Hosts align `start` to multiples of
+/// `length` on the wall clock, so that their reports can be summed.
 struct demand_report {
     host_name host;
     std::uint64_t incarnation{};
--- a/policy/engine_load_tracker.cpp
+++ b/policy/engine_load_tracker.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-/// Part of a prompt's cost that still counts when it takes longer than expected.
+/// Share of a prompt's expected duration that counts as its remaining time once the prefill is overdue.
 constexpr double overdue_share = 0.2;
 
-/// Part of an engine's memory that is left for prompts which are not running.
+/// Share of an engine's KV cache that is assumed to hold prefixes of prompts which are not running.
 constexpr double cache_share = 0.85;
 
-/// Returns the prompt that the engine is reading, or null. It reads one after the other and takes up the most urgent of
-/// those that wait when it has finished one; what it has begun it reads to the end.
-const prefill_job* find_current(std::span<const prefill_job> jobs, steady_time last_finished_at) {
+/// Returns the prompt whose prefill is running, or null if there is none. An engine runs one prefill at a time without
+/// preemption, and starts the most urgent waiting prompt when one ends.
+const prefill_job* find_running_prefill(std::span<const prefill_job> jobs, steady_time last_finished_at) {
     const prefill_job* current = nullptr;
     for (const prefill_job& job : jobs) {
         if (current == nullptr) {
@@ -48,13 +48,13 @@
 }
 
 void engine_load_tracker::start_prefill(const backend_server_name& engine, const prefill_job& job,
-                                        std::span<const prefix_block> parts) {
+                                        std::span<const prefix_block> blocks) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
     }
     found->second.own.prompts.push_back(job);
-    found->second.cache.touch(parts);
+    found->second.cache.touch(blocks);
 }
 
 void engine_load_tracker::end_prefill(const backend_server_name& engine, std::uint64_t number, steady_time now) {
@@ -67,14 +67,14 @@
 }
 
 void engine_load_tracker::start_decode(const backend_server_name& engine, std::uint64_t tokens,
-                                       std::span<const prefix_block> parts) {
+                                       std::span<const prefix_block> blocks) {
     const auto found = m_engines.find(engine);
     if (found == m_engines.end()) {
         return;
     }
     ++found->second.own.running;
     found->second.own.running_tokens += tokens;
-    found->second.cache.touch(parts);
+    found->second.cache.touch(blocks);
 }
 
 void engine_load_tracker::end_decode(const backend_server_name& engine, std::uint64_t tokens) {
@@ -112,10 +112,11 @@
     }
 }
 
-void engine_load_tracker::record_prefix_access(const backend_server_name& engine, std::span<const prefix_block> parts) {
+void engine_load_tracker::record_prefix_access(const backend_server_name& engine,
+                                               std::span<const prefix_block> blocks) {
     const auto found = m_engines.find(engine);
     if (found != m_engines.end()) {
-        found->second.cache.touch(parts);
+        found->second.cache.touch(blocks);
     }
 }
 
@@ -129,7 +130,7 @@
     for (const auto& [host, share] : state->other_hosts) {
         jobs.insert(jobs.end(), share.prompts.begin(), share.prompts.end());
     }
-    const prefill_job* current = find_current(jobs, state->last_finished_at);
+    const prefill_job* current = find_running_prefill(jobs, state->last_finished_at);
     duration backlog{};
     for (const prefill_job& job : jobs) {
         if (&job == current) {
@@ -169,9 +170,9 @@
 }
 
 std::uint64_t engine_load_tracker::get_cached_tokens(const backend_server_name& engine,
-                                                     std::span<const prefix_block> parts) const {
+                                                     std::span<const prefix_block> blocks) const {
     const engine_entry* state = find(engine);
-    return state == nullptr ? 0 : state->cache.get_cached_tokens(parts);
+    return state == nullptr ? 0 : state->cache.get_cached_tokens(blocks);
 }
 
 const engine_load_tracker::engine_entry* engine_load_tracker::find(const backend_server_name& engine) const {
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -9,144 +9,149 @@
 
 namespace {
 
-/// How much fuller an engine of the same zone may be, as a share of its slots, before one of another zone is better.
-constexpr double near_zone_advantage = 0.08;
-/// An engine that may be reclaimed is chosen for long runs only when others are this much fuller.
-constexpr double cheap_disadvantage = 0.25;
-/// Urgencies of the requests that can be in time, and of those that can't, for the most urgent rank.
+/// Utilisation by which an engine of the same zone may exceed one of another zone and still be preferred.
+constexpr double same_zone_advantage = 0.08;
+/// Utilisation by which the other engines must exceed a cheap engine, which may be reclaimed, before it is chosen to
+/// decode: a reclaim cuts a running generation off.
+constexpr double cheap_engine_penalty = 0.25;
+/// Urgency of a request of the most urgent priority class that can meet its target, and of one that cannot.
 constexpr std::uint32_t in_time_urgency = 1;
 constexpr std::uint32_t late_urgency = 6;
-constexpr std::uint32_t most_ranks = 3;
-/// Transfers between zones take this many times as long.
-constexpr int other_zone_move_factor = 2;
-
-/// A beginning shorter than this is read again as quickly as it is fetched.
-constexpr std::uint64_t least_fetched_tokens = 1024;
-/// Engines whose times differ by less than this are about as good: decisions of other hosts are heard as much later.
-constexpr duration equal_time = std::chrono::milliseconds(20);
-/// The same for how full engines are that generate: about one request more or less.
-constexpr double equal_fullness = 0.015;
-
-/// Time in which a fetch begins, beside that for the tokens.
-constexpr duration fetch_start = std::chrono::milliseconds(5);
-
-/// The engine that reads a prompt first, and when.
-struct reader_choice {
+constexpr std::uint32_t max_priority = 3;
+/// Factor by which a transfer between availability zones takes longer than one within a zone.
+constexpr int other_zone_transfer_factor = 2;
+
+/// Computing a prefix shorter than this takes no longer than fetching it.
+constexpr std::uint64_t min_fetch_tokens = 1024;
+/// Prefill engines whose completion times differ by less than this count as equal: the decisions of other hosts become
+/// known with a delay of the same size.
+constexpr duration equal_completion_margin = std::chrono::milliseconds(20);
+/// Difference in utilisation below which decode engines count as equal: about one request.
+constexpr double equal_utilisation_margin = 0.015;
+
+/// Fixed time that a fetch takes in addition to the transfer of the tokens.
+constexpr duration fetch_overhead = std::chrono::milliseconds(5);
+
+/// A prefill engine with the expected course of the prefill on it.
+struct prefill_plan {
     backend_server_name engine;
-    std::optional<backend_server_name> fetch_from;
-    prefill_work reading;
-    duration reading_time{};
+    std::optional<backend_server_name> prefix_source;
+    prefill_work work;
+    duration expected{};
     duration done_after{};
 };
 
-/// An engine that has the beginning of a prompt.
-struct cached_beginning {
+/// An engine that holds a prefix of the prompt in its cache.
+struct cached_prefix {
     backend_server_name engine;
     zone_name zone;
     std::uint64_t tokens{0};
 };
 
-/// Returns the engines with the longest beginning, one for each zone.
-std::vector<cached_beginning> find_beginnings(const engine_load_tracker& board, const generation_requirements& request,
-                                              const engine_status_lookup& judge) {
-    std::vector<cached_beginning> beginnings;
-    for (const auto& [name, engine] : board.get_engines()) {
+/// Returns for each availability zone the healthy engine with the longest cached prefix of the prompt.
+std::vector<cached_prefix> find_cached_prefixes(const engine_load_tracker& tracker,
+                                                const generation_requirements& request,
+                                                const engine_status_lookup& get_status) {
+    std::vector<cached_prefix> prefixes;
+    for (const auto& [name, engine] : tracker.get_engines()) {
         const std::uint64_t tokens = engine.cache.get_cached_tokens(request.parts);
-        if (tokens < least_fetched_tokens || judge(name).usability != engine_usability::healthy) {
+        if (tokens < min_fetch_tokens || get_status(name).usability != engine_usability::healthy) {
             continue;
         }
         const zone_name& zone = engine.facts.zone;
-        const auto same_zone = std::find_if(beginnings.begin(), beginnings.end(),
-                                            [&zone](const cached_beginning& item) { return item.zone == zone; });
-        const cached_beginning beginning{.engine = name, .zone = zone, .tokens = tokens};
-        if (same_zone == beginnings.end()) {
-            beginnings.push_back(beginning);
+        const auto same_zone = std::find_if(prefixes.begin(), prefixes.end(),
+                                            [&zone](const cached_prefix& item) { return item.zone == zone; });
+        const cached_prefix prefix{.engine = name, .zone = zone, .tokens = tokens};
+        if (same_zone == prefixes.end()) {
+            prefixes.push_back(prefix);
         } else if (tokens > same_zone->tokens) {
-            *same_zone = beginning;
+            *same_zone = prefix;
         }
     }
-    return beginnings;
+    return prefixes;
 }
 
-duration get_move_time(const engine_costs& costs, std::uint64_t tokens, bool is_same_zone) {
-    return costs.transfer_per_token * static_cast<std::int64_t>(tokens) * (is_same_zone ? 1 : other_zone_move_factor);
+duration get_transfer_time(const engine_costs& costs, std::uint64_t tokens, bool is_same_zone) {
+    return costs.transfer_per_token * static_cast<std::int64_t>(tokens) *
+           (is_same_zone ? 1 : other_zone_transfer_factor);
 }
 
-prefill_work get_reading(std::uint64_t prompt_tokens, std::uint64_t cached_tokens) {
-    // The last token is always read, or there would be nothing to generate from.
+prefill_work get_prefill_work(std::uint64_t prompt_tokens, std::uint64_t cached_tokens) {
+    // The last token is always computed, even if it is cached: decoding starts from its logits.
     const std::uint64_t cached = std::min(cached_tokens, prompt_tokens - std::min<std::uint64_t>(prompt_tokens, 1));
     return {.tokens = prompt_tokens - cached, .cached_tokens = cached};
 }
 
-/// Returns how the engine would read the prompt, from its own cache or with the help of another's.
-reader_choice plan_reading(const backend_server_name& name, const engine_load_tracker::engine_entry& engine,
-                           const engine_costs& costs, const generation_requirements& request,
-                           std::span<const cached_beginning> beginnings) {
+/// Returns the fastest prefill on this engine: from its own cached prefix, or with a prefix fetched from another
+/// engine.
+prefill_plan plan_prefill(const backend_server_name& name, const engine_load_tracker::engine_entry& engine,
+                          const engine_costs& costs, const generation_requirements& request,
+                          std::span<const cached_prefix> prefixes) {
     const std::uint64_t own = engine.cache.get_cached_tokens(request.parts);
-    reader_choice best{.engine = name, .reading = get_reading(request.prompt_tokens, own)};
-    best.reading_time = costs.prefill_model->predict(best.reading);
-    for (const cached_beginning& beginning : beginnings) {
-        if (beginning.engine == name || beginning.tokens < own + least_fetched_tokens) {
+    prefill_plan best{.engine = name, .work = get_prefill_work(request.prompt_tokens, own)};
+    best.expected = costs.prefill_model->predict(best.work);
+    for (const cached_prefix& prefix : prefixes) {
+        if (prefix.engine == name || prefix.tokens < own + min_fetch_tokens) {
             continue;
         }
-        const prefill_work reading = get_reading(request.prompt_tokens, beginning.tokens);
+        const prefill_work work = get_prefill_work(request.prompt_tokens, prefix.tokens);
         const duration fetch =
-            fetch_start + get_move_time(costs, beginning.tokens - own, beginning.zone == engine.facts.zone);
-        const duration total = costs.prefill_model->predict(reading) + fetch;
-        if (total < best.reading_time) {
-            best = {.engine = name, .fetch_from = beginning.engine, .reading = reading, .reading_time = total};
+            fetch_overhead + get_transfer_time(costs, prefix.tokens - own, prefix.zone == engine.facts.zone);
+        const duration total = costs.prefill_model->predict(work) + fetch;
+        if (total < best.expected) {
+            best = {.engine = name, .prefix_source = prefix.engine, .work = work, .expected = total};
         }
     }
     return best;
 }
 
-std::optional<reader_choice> choose_reader_among(const engine_load_tracker& board, const engine_costs& costs,
-                                                 const generation_requirements& request, std::uint32_t urgency,
-                                                 const engine_status_lookup& judge, engine_usability least,
-                                                 steady_time now) {
-    const std::vector<cached_beginning> beginnings = find_beginnings(board, request, judge);
-    std::optional<reader_choice> best;
-    duration best_rank{};
-    for (const auto& [name, engine] : board.get_engines()) {
+std::optional<prefill_plan> choose_prefill_engine_among(const engine_load_tracker& tracker, const engine_costs& costs,
+                                                        const generation_requirements& request, std::uint32_t urgency,
+                                                        const engine_status_lookup& get_status,
+                                                        engine_usability min_usability, steady_time now) {
+    const std::vector<cached_prefix> prefixes = find_cached_prefixes(tracker, request, get_status);
+    std::optional<prefill_plan> best;
+    duration best_score{};
+    for (const auto& [name, engine] : tracker.get_engines()) {
         if (engine.facts.stage != fleet::engine_stage::prefill) {
             continue;
         }
-        const engine_status suitability = judge(name);
-        if (suitability.usability < least) {
+        const engine_status status = get_status(name);
+        if (status.usability < min_usability) {
             continue;
         }
-        reader_choice choice = plan_reading(name, engine, costs, request, beginnings);
-        choice.done_after =
-            board.get_backlog(name, now, urgency) + suitability.unobserved_backlog + choice.reading_time;
-        const duration by_chance =
-            std::chrono::duration_cast<duration>(equal_time * hash_to_unit_interval(name.value(), request.seed));
-        if (!best || choice.done_after + by_chance < best_rank) {
-            best_rank = choice.done_after + by_chance;
+        prefill_plan choice = plan_prefill(name, engine, costs, request, prefixes);
+        choice.done_after = tracker.get_backlog(name, now, urgency) + status.unobserved_backlog + choice.expected;
+        const duration tie_break = std::chrono::duration_cast<duration>(
+            equal_completion_margin * hash_to_unit_interval(name.value(), request.seed));
+        if (!best || choice.done_after + tie_break < best_score) {
+            best_score = choice.done_after + tie_break;
             best = std::move(choice);
         }
     }
     return best;
 }
 
-std::optional<reader_choice> choose_reader(const engine_load_tracker& board, const engine_costs& costs,
-                                           const generation_requirements& request, std::uint32_t urgency,
-                                           const engine_status_lookup& judge, steady_time now) {
-    std::optional<reader_choice> reader =
-        choose_reader_among(board, costs, request, urgency, judge, engine_usability::healthy, now);
-    if (!reader) {
-        reader = choose_reader_among(board, costs, request, urgency, judge, engine_usability::degraded, now);
+std::optional<prefill_plan> choose_prefill_engine(const engine_load_tracker& tracker, const engine_costs& costs,
+                                                  const generation_requirements& request, std::uint32_t urgency,
+                                                  const engine_status_lookup& get_status, steady_time now) {
+    std::optional<prefill_plan> prefill =
+        choose_prefill_engine_among(tracker, costs, request, urgency, get_status, engine_usability::healthy, now);
+    if (!prefill) {
+        prefill =
+            choose_prefill_engine_among(tracker, costs, request, urgency, get_status, engine_usability::degraded, now);
     }
-    return reader;
+    return prefill;
 }
 
-double get_fullness(const engine_load_tracker& board, const backend_server_name& name, const engine_attributes& facts,
-                    std::uint64_t needed_tokens) {
-    const double slots = static_cast<double>(board.get_running(name) + 1) / std::max<std::uint32_t>(1, facts.slots);
+double get_utilisation(const engine_load_tracker& tracker, const backend_server_name& name,
+                       const engine_attributes& facts, std::uint64_t needed_tokens) {
+    const double slots = static_cast<double>(tracker.get_running(name) + 1) / std::max<std::uint32_t>(1, facts.slots);
     if (facts.memory_tokens == 0) {
         return slots;
     }
-    const double memory =
-        static_cast<double>(board.get_running_tokens(name) + needed_tokens) / static_cast<double>(facts.memory_tokens);
+    const double memory = static_cast<double>(tracker.get_running_tokens(name) + needed_tokens) /
+                          static_cast<double>(facts.memory_tokens);
     return std::max(slots, memory);
 }
 
@@ -154,24 +159,26 @@
 
 namespace {
 
-std::optional<backend_server_name> choose_generator_among(const engine_load_tracker& board,
-                                                          const generation_requirements& request, const zone_name& near,
-                                                          const engine_status_lookup& judge, engine_usability least) {
+std::optional<backend_server_name> choose_decode_engine_among(const engine_load_tracker& tracker,
+                                                              const generation_requirements& request,
+                                                              const zone_name& source_zone,
+                                                              const engine_status_lookup& get_status,
+                                                              engine_usability min_usability) {
     std::optional<backend_server_name> best;
     double best_score = std::numeric_limits<double>::max();
-    for (const auto& [name, engine] : board.get_engines()) {
+    for (const auto& [name, engine] : tracker.get_engines()) {
         if (engine.facts.stage != fleet::engine_stage::decode) {
             continue;
         }
-        const engine_status suitability = judge(name);
-        if (suitability.usability < least) {
+        const engine_status status = get_status(name);
+        if (status.usability < min_usability) {
             continue;
         }
-        double score = suitability.unobserved_utilisation +
-                       equal_fullness * hash_to_unit_interval(name.value(), request.seed) +
-                       get_fullness(board, name, engine.facts, request.prompt_tokens + request.output_tokens);
-        score -= engine.facts.zone == near ? near_zone_advantage : 0;
-        score += engine.facts.is_cheap ? cheap_disadvantage : 0;
+        double score = status.unobserved_utilisation +
+                       equal_utilisation_margin * hash_to_unit_interval(name.value(), request.seed) +
+                       get_utilisation(tracker, name, engine.facts, request.prompt_tokens + request.output_tokens);
+        score -= engine.facts.zone == source_zone ? same_zone_advantage : 0;
+        score += engine.facts.is_cheap ? cheap_engine_penalty : 0;
         if (score < best_score) {
             best_score = score;
             best = name;
@@ -182,65 +189,70 @@
 
 } // namespace
 
-std::optional<backend_server_name> choose_decode_engine(const engine_load_tracker& board,
-                                                        const generation_requirements& request, const zone_name& near,
-                                                        const engine_status_lookup& judge) {
-    std::optional<backend_server_name> generator =
-        choose_generator_among(board, request, near, judge, engine_usability::healthy);
-    if (!generator) {
-        generator = choose_generator_among(board, request, near, judge, engine_usability::degraded);
+std::optional<backend_server_name> choose_decode_engine(const engine_load_tracker& tracker,
+                                                        const generation_requirements& request,
+                                                        const zone_name& source_zone,
+                                                        const engine_status_lookup& get_status) {
+    std::optional<backend_server_name> decode_engine =
+        choose_decode_engine_among(tracker, request, source_zone, get_status, engine_usability::healthy);
+    if (!decode_engine) {
+        decode_engine =
+            choose_decode_engine_among(tracker, request, source_zone, get_status, engine_usability::degraded);
     }
-    return generator;
+    return decode_engine;
 }
 
 namespace {
 
 std::uint32_t get_urgency(const generation_requirements& request, bool is_in_time) {
-    return (is_in_time ? in_time_urgency : late_urgency) + std::min(request.priority, most_ranks);
+    return (is_in_time ? in_time_urgency : late_urgency) + std::min(request.priority, max_priority);
 }
 
-/// Chooses engines for a request that is sent with that urgency.
-std::optional<engine_choice> choose_at(const engine_load_tracker& board, const engine_costs& costs,
-                                       const generation_requirements& request, std::uint32_t urgency,
-                                       const zone_name& own_zone, const engine_status_lookup& judge, steady_time now) {
-    const std::optional<reader_choice> reader = choose_reader(board, costs, request, urgency, judge, now);
-    const zone_name near = reader ? board.find(reader->engine)->facts.zone : own_zone;
-    const std::optional<backend_server_name> generator = choose_decode_engine(board, request, near, judge);
-    if (!generator) {
+/// Chooses engines for a request that is sent with the given urgency.
+std::optional<engine_choice> choose_for_urgency(const engine_load_tracker& tracker, const engine_costs& costs,
+                                                const generation_requirements& request, std::uint32_t urgency,
+                                                const zone_name& own_zone, const engine_status_lookup& get_status,
+                                                steady_time now) {
+    const std::optional<prefill_plan> prefill =
+        choose_prefill_engine(tracker, costs, request, urgency, get_status, now);
+    const zone_name source_zone = prefill ? tracker.find(prefill->engine)->facts.zone : own_zone;
+    const std::optional<backend_server_name> decode_engine =
+        choose_decode_engine(tracker, request, source_zone, get_status);
+    if (!decode_engine) {
         return std::nullopt;
     }
-    engine_choice choice{.prefill_engine = {}, .decode_engine = *generator, .urgency = urgency};
-    const engine_load_tracker::engine_entry& generating = *board.find(*generator);
-    if (!reader) {
-        choice.prefill = get_reading(request.prompt_tokens, generating.cache.get_cached_tokens(request.parts));
+    engine_choice choice{.prefill_engine = {}, .decode_engine = *decode_engine, .urgency = urgency};
+    const engine_load_tracker::engine_entry& decode_state = *tracker.find(*decode_engine);
+    if (!prefill) {
+        choice.prefill = get_prefill_work(request.prompt_tokens, decode_state.cache.get_cached_tokens(request.parts));
         choice.prefill_duration = std::chrono::duration_cast<duration>(costs.prefill_model->predict(choice.prefill) *
                                                                        costs.decode_engine_prefill_factor);
         choice.time_to_first_event = choice.prefill_duration + costs.first_event;
         return choice;
     }
-    const duration move = get_move_time(costs, request.prompt_tokens, generating.facts.zone == near);
-    choice.prefill_engine = reader->engine;
-    choice.prefix_source = reader->fetch_from;
-    choice.prefill = reader->reading;
-    choice.prefill_duration = reader->reading_time;
-    choice.time_to_first_event = reader->done_after + move + costs.first_event;
+    const duration transfer = get_transfer_time(costs, request.prompt_tokens, decode_state.facts.zone == source_zone);
+    choice.prefill_engine = prefill->engine;
+    choice.prefix_source = prefill->prefix_source;
+    choice.prefill = prefill->work;
+    choice.prefill_duration = prefill->expected;
+    choice.time_to_first_event = prefill->done_after + transfer + costs.first_event;
     return choice;
 }
 
 } // namespace
 
-std::optional<engine_choice> choose_engines(const engine_load_tracker& board, const engine_costs& costs,
+std::optional<engine_choice> choose_engines(const engine_load_tracker& tracker, const engine_costs& costs,
                                             const generation_requirements& request, const zone_name& own_zone,
-                                            const engine_status_lookup& judge, steady_time now) {
+                                            const engine_status_lookup& get_status, steady_time now) {
     if (request.target) {
         std::optional<engine_choice> choice =
-            choose_at(board, costs, request, get_urgency(request, true), own_zone, judge, now);
+            choose_for_urgency(tracker, costs, request, get_urgency(request, true), own_zone, get_status, now);
         if (choice && choice->time_to_first_event <= *request.target) {
             choice->is_in_time = true;
             return choice;
         }
     }
-    return choose_at(board, costs, request, get_urgency(request, false), own_zone, judge, now);
+    return choose_for_urgency(tracker, costs, request, get_urgency(request, false), own_zone, get_status, now);
 }
 
 } // namespace dragonflywell::policy
--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -11,85 +11,89 @@
 
 namespace dragonflywell::policy {
 
-/// A generation that is to be placed.
+/// Requirements of a generation, as input of the placement.
 struct generation_requirements {
     std::uint64_t prompt_tokens{};
     std::uint64_t output_tokens{};
     std::span<const prefix_block> parts;
-    /// Differs for each request of each host. Hosts that decide at the same moment do not know of each other's
-    /// decision; engines that are about as good are told apart by chance, so that they do not all choose the same one.
+    /// Unique for each request of each host. It breaks ties between engines of nearly equal cost at random: hosts that
+    /// decide at the same moment do not see each other's decision and would otherwise all choose the same engine.
     std::uint64_t seed{0};
-    /// Rank among the requests; 0 is the most urgent.
+    /// Priority class of the request; 0 is the most urgent.
     std::uint32_t priority{0};
-    /// Time that is left until the first event is late; nothing where it can't be in time, or need not.
+    /// Time left until the deadline of the first event; empty if there is no deadline or it cannot be met any more.
     std::optional<duration> target;
 };
 
-/// How the engines of a service behave, as described and observed.
+/// Cost model of the engines of one service, from the service description and from observations.
 struct engine_costs {
     const prefill_time_model* prefill_model{};
-    /// Time from the hand-over of a prompt to the first event.
+    /// Time from the arrival of the prompt's KV cache at the decode engine to the first event.
     duration first_event{};
-    /// Time to move the memory of one token between engines of one zone.
+    /// Time to transfer the KV cache of one token between two engines of the same availability zone.
     duration transfer_per_token{};
-    /// How much longer an engine that generates takes to read a prompt by itself.
+    /// Factor by which the prefill takes longer on a decode engine than on a prefill engine.
     double decode_engine_prefill_factor{2.5};
 };
 
-/// Where a generation goes.
+/// The engines chosen for one generation.
 struct engine_choice {
-    /// The engine that reads the prompt; nothing where the one that generates does it.
+    /// The engine that runs the prefill; empty if the decode engine does.
     std::optional<backend_server_name> prefill_engine;
     backend_server_name decode_engine;
-    /// The engine from which the reader first fetches what it lacks of the beginning; nothing where it has the most.
+    /// The engine from whose prefix cache the prefill engine first fetches the part of the prefix that it lacks; empty
+    /// if it fetches nothing.
     std::optional<backend_server_name> prefix_source;
-    /// What the reader has to do, and how long it should take once begun, with the fetch.
+    /// The prefill work, and its expected duration from its start, including the fetch of the prefix.
     prefill_work prefill;
     duration prefill_duration{};
-    /// When the first event should come, from now.
+    /// Expected time from now to the first event.
     duration time_to_first_event{};
-    /// Whether that is before the target.
+    /// Whether the first event is expected to meet the request's target.
     bool is_in_time{false};
-    /// Urgency under which the engines should take it, 0 to 9.
+    /// Urgency with which the request is sent to the engines, 0 (first) to 9 (last).
     std::uint32_t urgency{lowest_urgency};
 };
 
-/// How ready an engine is for work.
+/// Whether an engine may be given work.
 enum class engine_usability : std::uint8_t {
-    /// It must not be given any.
+    /// It must not be given any work.
     unusable,
-    /// It refused or failed lately; it is used only where no other engine can do the same work.
+    /// It refused or failed a request recently; it is used only if no healthy engine can do the same work.
     degraded,
     healthy,
 };
 
-/// What is known of an engine beside its board.
+/// State of an engine that the load table does not hold.
 struct engine_status {
     engine_usability usability{engine_usability::healthy};
-    /// Work of hosts that this one does not hear: how long a prompt waits there, and what part of the room is in use.
-    /// Both are zero for an engine of this host's group.
+    /// Load from hosts that do not report to this host because they are in another group: the expected wait of a
+    /// prompt, and the share of the capacity in use. Both are zero for an engine of this host's own group.
     duration unobserved_backlog{};
     double unobserved_utilisation{0};
 };
 
-/// Answers what is known of an engine.
+/// Returns the status of an engine.
 using engine_status_lookup = std::function<engine_status(const backend_server_name&)>;
 
-/// Returns the engines with which the first event should come soonest, or nothing when no engine may be used.
+/// Returns the engines with the earliest expected first event, or nothing if no usable engine exists.
 ///
-/// The reader is the one that is done first, counting what waits there, what it has cached and what it can fetch from
-/// another engine's cache, which takes a fraction of the time of reading it again; the generator is the one
-/// that is least full. A request that can be in time goes before all that can't: under a load beyond the fleet, serving
-/// in order of arrival would make all of them late. Among those, the more urgent rank goes first. Thread safe.
-[[nodiscard]] std::optional<engine_choice> choose_engines(const engine_load_tracker& board, const engine_costs& costs,
+/// The prefill engine is the one expected to finish the prefill first, given its backlog, the prefix in its cache and
+/// the prefix that it can fetch from another engine's cache, which takes a fraction of the time of computing it again.
+/// The decode engine is the one with the lowest utilisation. A request that can meet its target gets a higher urgency
+/// than all that cannot: under overload, serving in order of arrival would make all of them late. Within each of the
+/// two groups, the priority class decides. Thread safe if `tracker` is not changed meanwhile and `get_status` is thread
+/// safe.
+[[nodiscard]] std::optional<engine_choice> choose_engines(const engine_load_tracker& tracker, const engine_costs& costs,
                                                           const generation_requirements& request,
-                                                          const zone_name& own_zone, const engine_status_lookup& judge,
-                                                          steady_time now);
+                                                          const zone_name& own_zone,
+                                                          const engine_status_lookup& get_status, steady_time now);
 
-/// Returns the engine that should generate, or nothing. `near`: the zone that the prompt's memory comes from.
-[[nodiscard]] std::optional<backend_server_name> choose_decode_engine(const engine_load_tracker& board,
+/// Returns the decode engine, or nothing if no usable one exists. `source_zone`: the availability zone that the KV
+/// cache of the prompt is transferred from; engines of that zone are preferred.
+[[nodiscard]] std::optional<backend_server_name> choose_decode_engine(const engine_load_tracker& tracker,
                                                                       const generation_requirements& request,
-                                                                      const zone_name& near,
-                                                                      const engine_status_lookup& judge);
+                                                                      const zone_name& source_zone,
+                                                                      const engine_status_lookup& get_status);
 
 } // namespace dragonflywell::policy
--- a/policy/fair_queue.cpp
+++ b/policy/fair_queue.cpp
@@ -29,7 +29,7 @@
     }
     m_virtual_time = std::max(m_virtual_time, found->second.start);
     erase(ticket);
-    // An organisation whose work lies in the past starts afresh, hence nothing need be kept of it.
+    // An organisation whose finish tag has passed starts at the virtual time again, so its tag need not be kept.
     std::erase_if(m_finish, [this](const auto& item) { return item.second <= m_virtual_time; });
 }
 
--- a/policy/fair_queue.hpp
+++ b/policy/fair_queue.hpp
@@ -10,39 +10,41 @@
 
 namespace dragonflywell::policy {
 
-/// Names one waiting request.
+/// Identifies one waiting request.
 using ticket_number = std::uint64_t;
 
-/// What a request costs an engine.
+/// Work that a request causes on an engine.
 struct request_cost {
     std::uint64_t prefill_tokens{};
     std::uint64_t decode_tokens{};
 
-    /// Returns the tokens that it keeps in work.
+    /// Returns the tokens that the request occupies while it runs.
     [[nodiscard]] std::uint64_t get_tokens() const noexcept { return prefill_tokens + decode_tokens; }
 };
 
-/// Gives organisations that wait their weighted shares of an engine's time, whatever each of them asks for.
+/// Shares engine time between organisations by weight, however many requests each of them sends.
 ///
-/// Start-time fair queueing: each request gets a start tag, the virtual time at which its organisation's earlier work
-/// would have been served at its share; the smallest goes first. Not thread safe.
+/// Implements start-time fair queueing: each request gets a start tag, the virtual time at which its organisation's
+/// earlier requests would have been served at the organisation's share. The request with the smallest tag is served
+/// first. Not thread safe.
 class fair_queue {
 public:
-    /// `prefill_share`: the time that a prefill token takes an engine, relative to a decode token.
+    /// `prefill_share`: time that an engine needs for a prefill token, relative to a decode token.
     explicit fair_queue(double prefill_share) noexcept : m_prefill_share(prefill_share) {}
 
-    /// Preconditions: `weight` is not 0; `ticket` does not wait yet.
+    /// Adds a request. Preconditions: `weight` is not 0; `ticket` is not in the queue.
     void push(ticket_number ticket, const organisation_name& organisation, std::uint32_t weight, request_cost cost);
 
-    /// Returns the request to be served next, or nothing; it stays in the queue.
+    /// Returns the request to serve next without removing it, or nothing if the queue is empty.
     [[nodiscard]] std::optional<ticket_number> peek() const;
 
-    /// Takes a request that is served out of the queue. Does nothing for one that does not wait.
+    /// Removes a request that is served, and advances the virtual time. Does nothing if it is not in the queue.
     void serve(ticket_number ticket);
-    /// Takes a request that gave up out of the queue; its organisation gets its turn back.
+    /// Removes a request that is cancelled, and refunds its work to its organisation. Does nothing if it is not in the
+    /// queue.
     void withdraw(ticket_number ticket);
 
-    /// Returns the work, in decode tokens, that would be served before a new request of this organisation.
+    /// Returns the work that would be served before a new request of this organisation, in decode tokens.
     [[nodiscard]] double get_work_ahead(const organisation_name& organisation) const;
 
     [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -13,31 +13,32 @@
 constexpr std::array<fleet::engine_role, 3> all_roles{fleet::engine_role::mixed, fleet::engine_role::prefill,
                                                       fleet::engine_role::decode};
 
-constexpr int most_counted_reversals = 4;
+constexpr int max_reversals = 4;
 
-bool is_away(const planned_engine& engine) {
+bool is_unavailable(const planned_engine& engine) {
     return engine.state == engine_state::draining || engine.state == engine_state::changing;
 }
 
-/// Engines that work now, by role, and the same once every change under way has ended.
+/// Capacity by role: now, and after all changes in progress have completed. `units` is the sum of all engines that are
+/// not lost.
 struct fleet_view {
     role_capacity now;
     role_capacity after;
-    std::size_t alive{0};
-    std::size_t away{0};
+    std::size_t engines{0};
+    std::size_t unavailable{0};
     double units{0};
 };
 
-fleet_view look_at(std::span<const planned_engine> engines, double mixed_efficiency) {
+fleet_view get_fleet_view(std::span<const planned_engine> engines, double mixed_efficiency) {
     fleet_view view;
     for (const planned_engine& engine : engines) {
         if (engine.state == engine_state::lost) {
             continue;
         }
-        ++view.alive;
+        ++view.engines;
         view.units += engine.units_per_second;
-        if (is_away(engine)) {
-            ++view.away;
+        if (is_unavailable(engine)) {
+            ++view.unavailable;
         } else {
             add_capacity(view.now, engine.role, engine.units_per_second, mixed_efficiency);
         }
@@ -46,26 +47,27 @@
     return view;
 }
 
-/// Chooses which engine of a role goes: from the zone with the fewest away, then the most of that role, then by name.
+/// Chooses the engine of a role to change: from the zone with the fewest unavailable engines, then from the one with
+/// the most engines of that role, then by name. Returns null if there is none.
 const planned_engine* choose_engine(std::span<const planned_engine> engines, fleet::engine_role from,
                                     std::span<const role_order> ordered) {
-    std::map<zone_name, int> away;
+    std::map<zone_name, int> unavailable;
     std::map<zone_name, int> same_role;
     for (const planned_engine& engine : engines) {
-        away[engine.zone] += is_away(engine) ? 1 : 0;
+        unavailable[engine.zone] += is_unavailable(engine) ? 1 : 0;
         same_role[engine.zone] += engine.state == engine_state::serving && engine.role == from ? 1 : 0;
     }
     for (const role_order& order : ordered) {
-        ++away[order.zone];
+        ++unavailable[order.zone];
     }
     const planned_engine* best = nullptr;
     const auto rank = [&](const planned_engine& engine) {
-        return std::tuple(away[engine.zone], -same_role[engine.zone], engine.name);
+        return std::tuple(unavailable[engine.zone], -same_role[engine.zone], engine.name);
     };
     for (const planned_engine& engine : engines) {
-        const bool is_taken = std::any_of(ordered.begin(), ordered.end(),
-                                          [&](const role_order& order) { return order.engine == engine.name; });
-        if (engine.state != engine_state::serving || engine.role != from || engine.target || is_taken) {
+        const bool is_ordered = std::any_of(ordered.begin(), ordered.end(),
+                                            [&](const role_order& order) { return order.engine == engine.name; });
+        if (engine.state != engine_state::serving || engine.role != from || engine.target || is_ordered) {
             continue;
         }
         if (best == nullptr || rank(engine) < rank(*best)) {
@@ -75,12 +77,12 @@
     return best;
 }
 
-/// Returns 1 for a change that moves capacity to prefill and -1 for one to decode.
+/// Returns 1 for a change that moves capacity to prefill, and -1 for a change that moves capacity to decode.
 int get_direction(fleet::engine_role from, fleet::engine_role to) {
-    const auto lean = [](fleet::engine_role role) {
+    const auto get_bias = [](fleet::engine_role role) {
         return role == fleet::engine_role::mixed ? 0 : (role == fleet::engine_role::prefill ? 1 : -1);
     };
-    return lean(to) > lean(from) ? 1 : -1;
+    return get_bias(to) > get_bias(from) ? 1 : -1;
 }
 
 double get_seconds(duration time) {
@@ -91,30 +93,30 @@
 
 horizon_role_planner::horizon_role_planner(horizon_role_planner_options options) : m_options(options) {}
 
-role_plan horizon_role_planner::plan(const role_inputs& inputs, role_planner_state& memory) const {
+role_plan horizon_role_planner::plan(const role_inputs& inputs, role_planner_state& state) const {
     if (!inputs.has_authority) {
         return {.orders = {}, .reason = role_reason::no_authority};
     }
-    role_plan result = resume(inputs);
+    role_plan result = reorder_stuck_changes(inputs);
     if (!result.orders.empty()) {
         return result;
     }
     if (inputs.freshness == demand_freshness::stale) {
-        memory.wanted_since.reset();
+        state.wanted_since.reset();
         return {.orders = {}, .reason = role_reason::stale_demand};
     }
-    fleet_view view = look_at(inputs.engines, m_options.mixed_efficiency);
-    if (view.alive == 0) {
+    fleet_view view = get_fleet_view(inputs.engines, m_options.mixed_efficiency);
+    if (view.engines == 0) {
         return {.orders = {}, .reason = role_reason::no_engines};
     }
-    const double units = view.units / static_cast<double>(view.alive);
-    const auto cap = std::max<std::size_t>(
-        1, static_cast<std::size_t>(std::floor(m_options.max_unavailable_share * static_cast<double>(view.alive))));
+    const double units = view.units / static_cast<double>(view.engines);
+    const auto max_unavailable = std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::floor(m_options.max_unavailable_share * static_cast<double>(view.engines))));
     while (true) {
-        const std::optional<change> best = find_best(inputs, memory, view.after, view.now, units);
+        const std::optional<change> best = find_best_change(inputs, state, view.after, view.now, units);
         if (!best) {
             if (result.orders.empty()) {
-                memory.wanted_since.reset();
+                state.wanted_since.reset();
                 result.reason = role_reason::gain_too_small;
             }
             return result;
@@ -122,28 +124,28 @@
         if (result.orders.empty()) {
             result.gain_units = best->gain_units;
             result.loss_units = best->loss_units;
-            if (!is_confirmed(inputs, *best, memory)) {
+            if (!is_confirmed(inputs, *best, state)) {
                 result.reason = role_reason::not_confirmed;
                 return result;
             }
         }
         const planned_engine* engine = choose_engine(inputs.engines, best->from, result.orders);
-        // The last engine that serves stays, whatever the gain: without it everything would be refused.
-        if (engine == nullptr || view.away >= cap || view.away + 1 >= view.alive) {
+        // The last serving engine never changes, whatever the gain: without it, all requests would be refused.
+        if (engine == nullptr || view.unavailable >= max_unavailable || view.unavailable + 1 >= view.engines) {
             result.reason = result.orders.empty() ? role_reason::cap_reached : result.reason;
             return result;
         }
         result.reason = role_reason::ordered;
         result.orders.push_back({.engine = engine->name, .zone = engine->zone, .from = best->from, .to = best->to});
-        note_order(inputs, get_direction(best->from, best->to), memory);
-        ++view.away;
+        record_order(inputs, get_direction(best->from, best->to), state);
+        ++view.unavailable;
         add_capacity(view.now, best->from, -engine->units_per_second, m_options.mixed_efficiency);
         add_capacity(view.after, best->from, -engine->units_per_second, m_options.mixed_efficiency);
         add_capacity(view.after, best->to, engine->units_per_second, m_options.mixed_efficiency);
     }
 }
 
-role_plan horizon_role_planner::resume(const role_inputs& inputs) const {
+role_plan horizon_role_planner::reorder_stuck_changes(const role_inputs& inputs) const {
     role_plan result{.orders = {}, .reason = role_reason::resumed};
     for (const planned_engine& engine : inputs.engines) {
         const bool is_stuck = engine.target && engine.in_state >= m_options.change_timeout;
@@ -156,14 +158,14 @@
 }
 
 std::optional<horizon_role_planner::change>
-horizon_role_planner::find_best(const role_inputs& inputs, const role_planner_state& memory, const role_capacity& after,
-                                const role_capacity& now, double units) const {
+horizon_role_planner::find_best_change(const role_inputs& inputs, const role_planner_state& state,
+                                       const role_capacity& after, const role_capacity& now, double units) const {
     const double margin = 1 + m_options.headroom;
-    const role_demand middle{.prefill = (inputs.current.prefill + inputs.expected.prefill) / 2 * margin,
-                             .decode = (inputs.current.decode + inputs.expected.decode) / 2 * margin};
+    const role_demand mean_demand{.prefill = (inputs.current.prefill + inputs.expected.prefill) / 2 * margin,
+                                  .decode = (inputs.current.decode + inputs.expected.decode) / 2 * margin};
     const double horizon = get_seconds(m_options.horizon);
-    const double away = get_seconds(m_options.change_downtime);
-    const double before = get_expected_units(after, middle, inputs.relative_error);
+    const double downtime = get_seconds(m_options.change_downtime);
+    const double before = get_expected_units(after, mean_demand, inputs.relative_error);
     const double current = get_served_units(now, inputs.current);
     std::optional<change> best;
     for (const fleet::engine_role from : all_roles) {
@@ -177,15 +179,15 @@
             role_capacity changed = after;
             add_capacity(changed, from, -units, m_options.mixed_efficiency);
             add_capacity(changed, to, units, m_options.mixed_efficiency);
-            role_capacity without = now;
-            add_capacity(without, from, -units, m_options.mixed_efficiency);
-            const double rate = get_expected_units(changed, middle, inputs.relative_error) - before;
+            role_capacity remaining = now;
+            add_capacity(remaining, from, -units, m_options.mixed_efficiency);
+            const double rate = get_expected_units(changed, mean_demand, inputs.relative_error) - before;
             const change candidate{.from = from,
                                    .to = to,
-                                   .gain_units = rate * (horizon - away),
-                                   .loss_units = (current - get_served_units(without, inputs.current)) * away};
+                                   .gain_units = rate * (horizon - downtime),
+                                   .loss_units = (current - get_served_units(remaining, inputs.current)) * downtime};
             const double net = candidate.gain_units - candidate.loss_units;
-            if (net > get_least_gain(inputs, memory, get_direction(from, to)) &&
+            if (net > get_least_gain(inputs, state, get_direction(from, to)) &&
                 (!best || net > best->gain_units - best->loss_units)) {
                 best = candidate;
             }
@@ -194,36 +196,36 @@
     return best;
 }
 
-double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_planner_state& memory,
+double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_planner_state& state,
                                             int direction) const {
-    const double asked = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
-    const bool is_reversal = is_recent(inputs, memory) && memory.last_direction == -direction;
-    const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, memory.reversals) : 1.0;
-    return m_options.min_net_gain * asked * factor;
+    const double requested = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
+    const bool is_reversal = is_change_recent(inputs, state) && state.last_direction == -direction;
+    const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, state.reversals) : 1.0;
+    return m_options.min_net_gain * requested * factor;
 }
 
-bool horizon_role_planner::is_recent(const role_inputs& inputs, const role_planner_state& memory) const {
-    return memory.last_order && inputs.now - *memory.last_order < m_options.reversal_window;
+bool horizon_role_planner::is_change_recent(const role_inputs& inputs, const role_planner_state& state) const {
+    return state.last_order && inputs.now - *state.last_order < m_options.reversal_window;
 }
 
-void horizon_role_planner::note_order(const role_inputs& inputs, int direction, role_planner_state& memory) const {
-    if (!is_recent(inputs, memory)) {
-        memory.reversals = 0;
-    } else if (memory.last_direction == -direction) {
-        memory.reversals = std::min(memory.reversals + 1, most_counted_reversals);
+void horizon_role_planner::record_order(const role_inputs& inputs, int direction, role_planner_state& state) const {
+    if (!is_change_recent(inputs, state)) {
+        state.reversals = 0;
+    } else if (state.last_direction == -direction) {
+        state.reversals = std::min(state.reversals + 1, max_reversals);
     }
-    memory.last_order = inputs.now;
-    memory.last_direction = direction;
+    state.last_order = inputs.now;
+    state.last_direction = direction;
 }
 
 bool horizon_role_planner::is_confirmed(const role_inputs& inputs, const change& best,
-                                        role_planner_state& memory) const {
+                                        role_planner_state& state) const {
     const int direction = get_direction(best.from, best.to);
-    if (!memory.wanted_since || memory.wanted_direction != direction) {
-        memory.wanted_since = inputs.now;
-        memory.wanted_direction = direction;
+    if (!state.wanted_since || state.wanted_direction != direction) {
+        state.wanted_since = inputs.now;
+        state.wanted_direction = direction;
     }
-    return inputs.now - *memory.wanted_since >= m_options.confirmation_time;
+    return inputs.now - *state.wanted_since >= m_options.confirmation_time;
 }
 
 double horizon_role_planner::get_expected_units(const role_capacity& capacity, const role_demand& demand,
--- a/policy/host_groups.hpp
+++ b/policy/host_groups.hpp
@@ -10,26 +10,28 @@
 namespace dragonflywell::policy {
 
 struct host_groups_options {
-    /// Hosts of a group at most, about; each tells all others of its group what it does several times a second.
+    /// Approximate maximum number of hosts in a group. Each host sends its state to all hosts of its group several
+    /// times a second.
     std::uint32_t max_group_hosts{24};
 };
 
-/// Divides a large fleet into groups of hosts of one zone, each with its part of the zone's backend servers. Hosts of a
-/// group tell each other everything, so that their knowledge costs the same however large the fleet is. A small fleet
-/// is one group over all zones. Pure function of the listed hosts; not thread safe.
+/// Divides a large fleet into groups of hosts of one availability zone. Each group owns a share of the zone's backend
+/// servers. Hosts exchange their full state only within their group, so that the cost of the exchange does not grow
+/// with the fleet. A small fleet is a single group over all zones. The division depends only on the listed hosts, so
+/// that all hosts compute the same one. Not thread safe.
 class host_groups {
 public:
     host_groups(std::string own_host, zone_name own_zone, host_groups_options options)
         : m_own_host(std::move(own_host)), m_own_zone(std::move(own_zone)), m_options(options) {}
 
-    /// Takes the hosts of the fleet, this one included or not.
+    /// Sets the hosts of the fleet. This host may be included or not.
     void set_hosts(const std::map<std::string, zone_name>& hosts);
 
-    /// Returns whether there is one group for the whole fleet.
+    /// Returns whether the whole fleet is a single group.
     [[nodiscard]] bool is_whole_fleet() const noexcept { return m_is_whole_fleet; }
     /// Returns the name of this host's group.
     [[nodiscard]] std::string get_name() const;
-    /// Returns whether a host is of this host's group.
+    /// Returns whether a host belongs to this host's group.
     [[nodiscard]] bool is_own_group_host(const std::string& host, const zone_name& zone) const;
     /// Returns whether a backend server belongs to this host's group.
     [[nodiscard]] bool is_own_group_server(const backend_server_name& server, const zone_name& zone) const;
@@ -41,7 +43,7 @@
     zone_name m_own_zone;
     host_groups_options m_options;
     bool m_is_whole_fleet{true};
-    /// Groups of the own zone.
+    /// Number of groups in this host's zone.
     std::uint32_t m_groups{1};
 };
 
--- a/policy/least_squares.hpp
+++ b/policy/least_squares.hpp
@@ -5,19 +5,20 @@
 
 namespace dragonflywell::policy {
 
-/// Recursive least squares: learns how a figure follows from a few features, the newest observations counting most.
+/// Recursive least squares with exponential forgetting: learns the weights of a linear model from observations.
 /// Not thread safe.
 template <std::size_t Size>
 class least_squares {
 public:
     using features = std::array<double, Size>;
 
-    /// `initial`: the weights before anything was observed. `doubt`: how far each may be off.
-    /// `memory`: share of an observation's influence that is left after the next one; below 1.
-    least_squares(const features& initial, const features& doubt, double memory)
-        : m_weights(initial), m_memory(memory) {
+    /// `initial`: the weights before the first observation. `deviation`: their standard deviations.
+    /// `forgetting_factor`: the forgetting factor, by which each observation reduces the influence of the earlier ones;
+    /// below 1.
+    least_squares(const features& initial, const features& deviation, double forgetting_factor)
+        : m_weights(initial), m_forgetting_factor(forgetting_factor) {
         for (std::size_t index = 0; index < Size; ++index) {
-            m_covariance[index][index] = doubt[index] * doubt[index];
+            m_covariance[index][index] = deviation[index] * deviation[index];
         }
     }
 
@@ -29,7 +30,7 @@
         return sum;
     }
 
-    /// `noise`: how far off an observation may be by itself, in units of the figure.
+    /// Adds an observation. `noise`: standard deviation of the observed value, in its unit.
     void observe(const features& input, double figure, double noise) {
         features gain{};
         double scale = noise * noise;
@@ -39,14 +40,15 @@
             }
             scale += input[row] * gain[row];
         }
-        const double surprise = figure - predict(input);
+        const double residual = figure - predict(input);
         for (std::size_t row = 0; row < Size; ++row) {
-            m_weights[row] += gain[row] / scale * surprise;
+            m_weights[row] += gain[row] / scale * residual;
         }
         std::array<features, Size> next = m_covariance;
         for (std::size_t row = 0; row < Size; ++row) {
             for (std::size_t column = 0; column < Size; ++column) {
-                next[row][column] = (m_covariance[row][column] - gain[row] * gain[column] / scale) / m_memory;
+                next[row][column] =
+                    (m_covariance[row][column] - gain[row] * gain[column] / scale) / m_forgetting_factor;
             }
         }
         m_covariance = next;
@@ -56,7 +58,7 @@
 
 private:
     features m_weights;
-    double m_memory;
+    double m_forgetting_factor;
     std::array<features, Size> m_covariance{};
 };
 
--- a/policy/outcome.hpp
+++ b/policy/outcome.hpp
@@ -6,18 +6,18 @@
 
 namespace dragonflywell::policy {
 
-/// What became of a request, as its caller may rely on it.
+/// Outcome of a request that is reported to its caller, who may rely on it.
 enum class request_outcome {
     completed,
-    /// No byte of it was written to any backend server.
+    /// No byte of the request was written to any backend server.
     not_run,
-    /// A backend server had received some of it and did not finish.
+    /// A part of the request was written to a backend server, which did not complete it.
     failed_after_start,
-    /// Whether it ran cannot be told.
+    /// It is unknown whether the request ran.
     unknown,
 };
 
-/// Why a request was refused. Each has a counter of its own.
+/// Reason why a request was refused. Each reason has its own counter.
 enum class refusal_reason {
     malformed_request,
     header_too_large,
@@ -42,34 +42,34 @@
     stopping,
     not_ready,
     backend_server_failed,
-    /// The time for the whole request ran out after it had started.
+    /// The deadline of the whole request passed after the request had started.
     deadline_exceeded,
-    /// The daemon has made as many retries as it may for now.
+    /// The retry budget of the daemon is exhausted.
     retry_budget_spent,
-    /// A fault of the daemon itself.
+    /// An internal error of the daemon.
     internal_fault,
 };
 
 inline constexpr std::size_t refusal_reason_count = static_cast<std::size_t>(refusal_reason::internal_fault) + 1;
 
-/// Why a request was sent to a backend server again.
+/// Reason why a request was retried on a backend server.
 enum class retry_reason {
     connect_failed,
     stale_connection,
     broken_answer,
     silent_backend_server,
     backend_server_busy,
-    /// The answer is not what was agreed: not JSON, a field missing, a position left out.
+    /// The answer violates the protocol: it is not JSON, lacks a field, or skips a position of the stream.
     malformed_answer,
     /// The answer belongs to another request.
     crossed_answer,
-    /// The server began to leave before the request was sent to it.
+    /// The server started to shut down before the request was sent to it.
     server_left,
 };
 
 inline constexpr std::size_t retry_reason_count = 8;
 
-/// How a refusal looks to the caller.
+/// Error code and HTTP status of a refusal.
 struct refusal_response {
     std::string_view code;
     unsigned status{};
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -13,12 +13,12 @@
 /// One backend server that could take a request.
 struct placement_candidate {
     const fleet::backend_server* server{};
-    /// Work known to be on it, in tokens, as last reported and corrected by what this daemon has sent since.
+    /// Load of the server in tokens: the last reported value, corrected by what this daemon has sent since.
     std::uint64_t load_tokens{};
     bool is_own_zone{false};
 };
 
-/// Chooses where a request goes. Thread safe when each thread has its own `random`.
+/// Chooses the backend server for a request. Thread safe if each thread has its own `random`.
 class placement {
 public:
     placement() = default;
@@ -28,12 +28,13 @@
     placement& operator=(placement&&) = delete;
     virtual ~placement() = default;
 
-    /// Returns the index of the chosen candidate, or nothing when there is none.
+    /// Returns the index of the chosen candidate, or nothing if there are no candidates.
     [[nodiscard]] virtual std::optional<std::size_t> choose(std::span<const placement_candidate> candidates,
                                                             std::mt19937_64& random) const = 0;
 };
 
-/// Own zone first; among those the less loaded of two random ones, so that daemons with the same view do not herd.
+/// Power of two choices: chooses the less loaded of two random candidates, so that daemons with the same view do not
+/// all choose the same server. Candidates of other zones are used only if there is none in the own zone.
 class two_choice_placement final : public placement {
 public:
     [[nodiscard]] std::optional<std::size_t> choose(std::span<const placement_candidate> candidates,
--- a/policy/prefill_time_model.hpp
+++ b/policy/prefill_time_model.hpp
@@ -7,23 +7,23 @@
 
 namespace dragonflywell::policy {
 
-/// What an engine has to do to read a prompt.
+/// Work of an engine for the prefill of one prompt.
 struct prefill_work {
-    /// Tokens that it reads.
+    /// Tokens to compute.
     std::uint64_t tokens{};
-    /// Tokens before them, which it holds already.
+    /// Tokens of the prefix that the engine already has in its cache.
     std::uint64_t cached_tokens{};
 };
 
-/// Learns how long engines of one kind take to read prompts: a part that grows with the tokens, and one that grows
-/// with the pairs of tokens that attend to each other. Not thread safe.
+/// Learns the prefill duration of engines of one kind from observations. The duration has a constant part, a part
+/// proportional to the tokens, and a part proportional to the pairs of tokens in the attention. Not thread safe.
 class prefill_time_model {
 public:
     prefill_time_model();
 
     [[nodiscard]] duration predict(const prefill_work& work) const;
 
-    /// Takes a prompt that an otherwise idle engine has read.
+    /// Adds an observed prefill. Precondition: the engine was idle otherwise.
     void observe(const prefill_work& work, duration taken);
 
 private:
--- a/policy/prefix_cache.hpp
+++ b/policy/prefix_cache.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::policy {
 
-/// One part of a prompt, as far as caches are concerned.
+/// One block of a prompt, the unit of prefix caching.
 struct prefix_block {
     std::uint64_t id{};
     std::uint32_t tokens{};
@@ -15,20 +15,20 @@
     friend bool operator==(const prefix_block&, const prefix_block&) = default;
 };
 
-/// What this host believes an engine's memory still holds of earlier prompts: the parts used last, up to a capacity.
+/// Estimate of the content of an engine's prefix cache: an LRU cache of prompt blocks with a capacity in tokens.
 /// Not thread safe.
 class prefix_cache {
 public:
-    /// `capacity_tokens`: how much the engine keeps of prompts that are not running.
+    /// `capacity_tokens`: capacity that the engine has for prompts which are not running.
     explicit prefix_cache(std::uint64_t capacity_tokens = 0) noexcept : m_capacity_tokens(capacity_tokens) {}
 
     void set_capacity(std::uint64_t capacity_tokens);
 
-    /// Notes that the engine reads a prompt of these parts.
-    void touch(std::span<const prefix_block> parts);
+    /// Records that the engine runs the prefill of a prompt with these blocks.
+    void touch(std::span<const prefix_block> blocks);
 
-    /// Returns how many tokens at the beginning of the prompt need not be read again.
-    [[nodiscard]] std::uint64_t get_cached_tokens(std::span<const prefix_block> parts) const;
+    /// Returns the number of tokens at the beginning of the prompt that are in the cache.
+    [[nodiscard]] std::uint64_t get_cached_tokens(std::span<const prefix_block> blocks) const;
 
     void clear();
 
@@ -39,9 +39,9 @@
 
     std::uint64_t m_capacity_tokens;
     std::uint64_t m_held_tokens{0};
-    /// The part used last is in front.
+    /// Blocks by time of use; the most recently used one is in front.
     std::list<prefix_block> m_order;
-    std::unordered_map<std::uint64_t, std::list<prefix_block>::iterator> m_parts;
+    std::unordered_map<std::uint64_t, std::list<prefix_block>::iterator> m_blocks;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -5,54 +5,54 @@
 
 namespace dragonflywell::policy {
 
-void quarantine::record_crash(const engine_crash& death) {
+void quarantine::record_crash(const engine_crash& crash) {
     const std::scoped_lock lock(m_mutex);
-    m_deaths[death.fingerprint].try_emplace(death.crash_id, death.moment);
-    if (m_deaths.size() > m_options.max_requests) {
-        forget_oldest();
+    m_crashes[crash.fingerprint].try_emplace(crash.crash_id, crash.moment);
+    if (m_crashes.size() > m_options.max_requests) {
+        evict_oldest();
     }
 }
 
 void quarantine::record_completion(request_fingerprint fingerprint) {
     const std::scoped_lock lock(m_mutex);
-    m_deaths.erase(fingerprint);
+    m_crashes.erase(fingerprint);
 }
 
 bool quarantine::is_empty() const {
     const std::scoped_lock lock(m_mutex);
-    return m_deaths.empty();
+    return m_crashes.empty();
 }
 
 bool quarantine::is_suspect(request_fingerprint fingerprint, wall_time now) const {
-    return count_deaths(fingerprint, now) > 0;
+    return count_crashes(fingerprint, now) > 0;
 }
 
 bool quarantine::is_refused(request_fingerprint fingerprint, wall_time now) const {
-    return count_deaths(fingerprint, now) >= m_options.crashes_to_refuse;
+    return count_crashes(fingerprint, now) >= m_options.crashes_to_refuse;
 }
 
 std::vector<engine_crash> quarantine::get_crashes(wall_time now) const {
     const std::scoped_lock lock(m_mutex);
-    std::vector<engine_crash> deaths;
-    for (const auto& [fingerprint, moments] : m_deaths) {
+    std::vector<engine_crash> crashes;
+    for (const auto& [fingerprint, moments] : m_crashes) {
         for (const auto& [crash_id, moment] : moments) {
             if (now - moment < m_options.retention) {
-                deaths.push_back({.fingerprint = fingerprint, .crash_id = crash_id, .moment = moment});
+                crashes.push_back({.fingerprint = fingerprint, .crash_id = crash_id, .moment = moment});
             }
         }
     }
-    return deaths;
+    return crashes;
 }
 
 std::vector<engine_crash> quarantine::get_newest_crashes(wall_time now, duration age, std::size_t most) const {
-    std::vector<engine_crash> deaths = get_crashes(now);
-    std::erase_if(deaths, [&](const engine_crash& death) { return now - death.moment > age; });
-    std::sort(deaths.begin(), deaths.end(),
+    std::vector<engine_crash> crashes = get_crashes(now);
+    std::erase_if(crashes, [&](const engine_crash& crash) { return now - crash.moment > age; });
+    std::sort(crashes.begin(), crashes.end(),
               [](const engine_crash& left, const engine_crash& right) { return left.moment > right.moment; });
-    if (deaths.size() > most) {
-        deaths.resize(most);
+    if (crashes.size() > most) {
+        crashes.resize(most);
     }
-    return deaths;
+    return crashes;
 }
 
 std::set<backend_server_name> quarantine::get_reserved() const {
@@ -60,20 +60,20 @@
     return {m_reserved.begin(), m_reserved.end()};
 }
 
-std::size_t quarantine::count_deaths(request_fingerprint fingerprint, wall_time now) const {
+std::size_t quarantine::count_crashes(request_fingerprint fingerprint, wall_time now) const {
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_deaths.find(fingerprint);
-    if (found == m_deaths.end()) {
+    const auto found = m_crashes.find(fingerprint);
+    if (found == m_crashes.end()) {
         return 0;
     }
-    const auto is_held = [&](const auto& death) { return now - death.second < m_options.retention; };
+    const auto is_held = [&](const auto& crash) { return now - crash.second < m_options.retention; };
     return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), is_held));
 }
 
-void quarantine::forget_oldest() {
-    const auto get_newest = [](const death_map& deaths) {
+void quarantine::evict_oldest() {
+    const auto get_newest = [](const crash_map& crashes) {
         wall_time newest = wall_time::min();
-        for (const auto& [crash_id, moment] : deaths) {
+        for (const auto& [crash_id, moment] : crashes) {
             newest = std::max(newest, moment);
         }
         return newest;
@@ -81,7 +81,7 @@
     const auto is_older = [&](const auto& left, const auto& right) {
         return get_newest(left.second) < get_newest(right.second);
     };
-    m_deaths.erase(std::min_element(m_deaths.begin(), m_deaths.end(), is_older));
+    m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), is_older));
 }
 
 quarantine::reservation::reservation(quarantine& owner, backend_server_name server)
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -12,13 +12,13 @@
 
 namespace dragonflywell::policy {
 
-/// Digest of what a request asks an engine to do; the same for a request that its caller sends again.
+/// Hash of the content of a request. A request that its caller sends again has the same fingerprint.
 using request_fingerprint = std::uint64_t;
 
-/// One death of an engine with a request on it, as hosts tell each other. A death that is told twice counts once.
+/// Crash of an engine while a request was running on it. Hosts exchange these records; a duplicate counts once.
 struct engine_crash {
     request_fingerprint fingerprint{};
-    /// Differs for each death and host.
+    /// Unique for each crash and for each host that observes it.
     std::uint64_t crash_id{};
     wall_time moment;
 
@@ -26,41 +26,41 @@
 };
 
 struct quarantine_options {
-    /// Deaths after which a request is refused.
+    /// Number of crashes from which a request is refused.
     std::size_t crashes_to_refuse{2};
-    /// How long a death is held against a request.
+    /// How long a crash counts against a request.
     duration retention{std::chrono::hours(1)};
-    /// Requests remembered at most; the oldest are forgotten first.
+    /// Maximum number of requests kept; the oldest are evicted first.
     std::size_t max_requests{4096};
 };
 
-/// Finds requests that crash the engines that run them.
+/// Detects requests that crash the engines that run them.
 ///
-/// All requests that run on an engine when it dies become suspects. A suspect runs again on an engine that nothing else
-/// is sent to meanwhile, so that its second death is its own doing; completion clears it. Thread safe.
+/// All requests that run on an engine when it crashes become suspects. A suspect is retried on an engine that is
+/// reserved for it, so that a second crash must be its own fault. A suspect that completes is cleared. Thread safe.
 class quarantine {
 public:
     explicit quarantine(quarantine_options options) noexcept : m_options(options) {}
 
-    /// Notes a death, seen here or told by another host.
-    void record_crash(const engine_crash& death);
-    /// Clears a request that ran to its end.
+    /// Records a crash that this host observed or another host reported.
+    void record_crash(const engine_crash& crash);
+    /// Clears a request that has completed.
     void record_completion(request_fingerprint fingerprint);
 
-    /// Returns whether no death is held against any request.
+    /// Returns whether no crashes are recorded.
     [[nodiscard]] bool is_empty() const;
     [[nodiscard]] bool is_suspect(request_fingerprint fingerprint, wall_time now) const;
     [[nodiscard]] bool is_refused(request_fingerprint fingerprint, wall_time now) const;
 
-    /// Returns all deaths held against requests now, for other hosts.
+    /// Returns all crashes that still count at `now`.
     [[nodiscard]] std::vector<engine_crash> get_crashes(wall_time now) const;
-    /// Returns those of the last `age`, the newest `most` of them.
+    /// Returns the newest crashes that are not older than `age`, at most `most` of them, newest first.
     [[nodiscard]] std::vector<engine_crash> get_newest_crashes(wall_time now, duration age, std::size_t most) const;
 
-    /// Returns the engines that are set apart for a suspect.
+    /// Returns the engines that are reserved for suspects.
     [[nodiscard]] std::set<backend_server_name> get_reserved() const;
 
-    /// Sets an engine apart for a suspect for as long as it lives.
+    /// Reserves an engine for a suspect during the lifetime of the object. Precondition: `owner` outlives it.
     class reservation {
     public:
         reservation(quarantine& owner, backend_server_name server);
@@ -76,14 +76,14 @@
     };
 
 private:
-    using death_map = std::map<std::uint64_t, wall_time>;
+    using crash_map = std::map<std::uint64_t, wall_time>;
 
-    [[nodiscard]] std::size_t count_deaths(request_fingerprint fingerprint, wall_time now) const;
-    void forget_oldest();
+    [[nodiscard]] std::size_t count_crashes(request_fingerprint fingerprint, wall_time now) const;
+    void evict_oldest();
 
     quarantine_options m_options;
     mutable std::mutex m_mutex;
-    std::map<request_fingerprint, death_map> m_deaths;
+    std::map<request_fingerprint, crash_map> m_crashes;
     std::multiset<backend_server_name> m_reserved;
 };
 
--- a/policy/recent_maximum.hpp
+++ b/policy/recent_maximum.hpp
@@ -7,12 +7,12 @@
 
 namespace dragonflywell::policy {
 
-/// The greatest of the values of a span of time. Not thread safe.
+/// Maximum over a sliding time window. Not thread safe.
 class recent_maximum {
 public:
     explicit recent_maximum(duration span) noexcept : m_span(span) {}
 
-    /// Takes a value and returns the greatest of the span that ends now.
+    /// Adds a value and returns the maximum of the window that ends now.
     std::uint32_t observe(std::uint32_t value, steady_time now) {
         while (!m_values.empty() && m_values.back().value <= value) {
             m_values.pop_back();
@@ -31,7 +31,8 @@
     };
 
     duration m_span;
-    /// Falling values: one that is followed by a greater one never counts again.
+    /// Values in decreasing order. A value that is followed by a greater one can never be the maximum again, so it is
+    /// removed.
     std::deque<entry> m_values;
 };
 
--- a/policy/retry_budget.cpp
+++ b/policy/retry_budget.cpp
@@ -14,15 +14,15 @@
 
 void retry_budget::add_request(steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    ++get_part(now).requests;
+    ++get_bucket(now).requests;
 }
 
 bool retry_budget::try_acquire_retry(steady_time now) {
     const std::scoped_lock lock(m_mutex);
-    part& current = get_part(now);
+    bucket& current = get_bucket(now);
     std::uint32_t spent = 0;
-    for (const part& counted : m_parts) {
-        spent += current.number - counted.number <= static_cast<std::int64_t>(parts) ? counted.retries : 0;
+    for (const bucket& counted : m_buckets) {
+        spent += current.number - counted.number <= static_cast<std::int64_t>(bucket_count) ? counted.retries : 0;
     }
     if (spent + 1 > get_allowed(now)) {
         return false;
@@ -31,26 +31,26 @@
     return true;
 }
 
-retry_budget::part& retry_budget::get_part(steady_time now) {
-    const std::int64_t number = get_number(now);
-    part& current = m_parts.at(static_cast<std::size_t>(number) % m_parts.size());
+retry_budget::bucket& retry_budget::get_bucket(steady_time now) {
+    const std::int64_t number = get_bucket_number(now);
+    bucket& current = m_buckets.at(static_cast<std::size_t>(number) % m_buckets.size());
     if (current.number != number) {
         current = {.number = number};
     }
     return current;
 }
 
-std::int64_t retry_budget::get_number(steady_time now) const {
+std::int64_t retry_budget::get_bucket_number(steady_time now) const {
     const duration age = std::max(duration::zero(), now - m_started_at);
-    return age / (m_options.window / static_cast<std::int64_t>(parts));
+    return age / (m_options.window / static_cast<std::int64_t>(bucket_count));
 }
 
 double retry_budget::get_allowed(steady_time now) const {
-    const std::int64_t number = get_number(now);
+    const std::int64_t number = get_bucket_number(now);
     std::uint32_t requests = 0;
-    for (const part& counted : m_parts) {
-        // The oldest part is left out: only some of it lies in the window.
-        requests += number - counted.number < static_cast<std::int64_t>(parts) ? counted.requests : 0;
+    for (const bucket& counted : m_buckets) {
+        // The oldest bucket is left out because only a part of it lies within the window.
+        requests += number - counted.number < static_cast<std::int64_t>(bucket_count) ? counted.requests : 0;
     }
     const double age = std::chrono::duration<double>(now - m_started_at) / m_options.window;
     return requests * m_options.retries_per_request + m_options.base_retries * std::clamp(age, 0.0, 1.0);
--- a/policy/role_capacity.cpp
+++ b/policy/role_capacity.cpp
@@ -19,18 +19,18 @@
 }
 
 double get_served_units(const role_capacity& capacity, const role_demand& demand) noexcept {
-    const double asked = demand.prefill + demand.decode;
-    if (asked <= 0) {
+    const double requested = demand.prefill + demand.decode;
+    if (requested <= 0) {
         return 0;
     }
-    double part = std::min(1.0, (capacity.prefill + capacity.decode + capacity.mixed) / asked);
+    double served_share = std::min(1.0, (capacity.prefill + capacity.decode + capacity.mixed) / requested);
     if (demand.prefill > 0) {
-        part = std::min(part, (capacity.prefill + capacity.mixed) / demand.prefill);
+        served_share = std::min(served_share, (capacity.prefill + capacity.mixed) / demand.prefill);
     }
     if (demand.decode > 0) {
-        part = std::min(part, (capacity.decode + capacity.mixed) / demand.decode);
+        served_share = std::min(served_share, (capacity.decode + capacity.mixed) / demand.decode);
     }
-    return part * asked;
+    return served_share * requested;
 }
 
 } // namespace dragonflywell::policy
--- a/policy/role_planner.hpp
+++ b/policy/role_planner.hpp
@@ -12,26 +12,26 @@
 
 enum class engine_state {
     serving,
-    /// Gets nothing new and finishes what it has, before a change.
+    /// It receives no new work and finishes its running requests before a change.
     draining,
-    /// Away: loads what its new role needs.
+    /// It is unavailable while it loads what its new role needs.
     changing,
-    /// Does not answer.
+    /// It does not respond.
     lost,
 };
 
-/// An engine as the planner sees it.
+/// State of one engine, as input of the planner.
 struct planned_engine {
     backend_server_name name;
     zone_name zone;
-    /// As the engine itself last reported.
+    /// The role that the engine itself last reported.
     fleet::engine_role role{fleet::engine_role::mixed};
     engine_state state{engine_state::serving};
-    /// The role it was ordered to take, while that is under way.
+    /// The role that it was ordered to take, while the change is in progress.
     std::optional<fleet::engine_role> target;
-    /// How long it has been in its state.
+    /// Time since it entered its state.
     duration in_state{};
-    /// Work that it does in a second while serving, in units.
+    /// Throughput while serving, in units of work per second.
     double units_per_second{};
 };
 
@@ -41,14 +41,14 @@
     double decode{};
 };
 
-/// What happened before, kept by the caller between two plans.
+/// State that the caller keeps between two plans.
 struct role_planner_state {
     std::optional<wall_time> last_order;
     /// Whether the last change moved capacity to prefill (1) or to decode (-1).
     int last_direction{0};
-    /// How often the direction has turned lately.
+    /// Number of recent reversals of the direction.
     int reversals{0};
-    /// Since when a change in the same direction has been worth while.
+    /// Since when a change in `wanted_direction` has been worthwhile.
     std::optional<wall_time> wanted_since;
     int wanted_direction{0};
 };
@@ -58,9 +58,9 @@
     /// All engines of the model, in all availability zones.
     std::span<const planned_engine> engines;
     role_demand current;
-    /// Expected at the end of the horizon.
+    /// Demand expected at the end of the horizon.
     role_demand expected;
-    /// Relative error to be expected of the forecast.
+    /// Expected relative error of the forecast.
     double relative_error{};
     demand_freshness freshness{demand_freshness::stale};
     bool has_authority{false};
@@ -75,18 +75,18 @@
     friend bool operator==(const role_order&, const role_order&) = default;
 };
 
-/// Why a plan is as it is.
+/// Reason for the content of a plan.
 enum class role_reason {
     ordered,
-    /// A change that stopped halfway is ordered again.
+    /// A stuck change was ordered again.
     resumed,
     no_authority,
     stale_demand,
     no_engines,
     gain_too_small,
-    /// The gain has not lasted long enough yet.
+    /// The change has not been worthwhile for long enough yet.
     not_confirmed,
-    /// As many engines are away as may be.
+    /// As many engines as permitted are unavailable already, or no engine can be spared for the change.
     cap_reached,
 };
 
@@ -95,12 +95,12 @@
 struct role_plan {
     std::vector<role_order> orders;
     role_reason reason{role_reason::gain_too_small};
-    /// Units of work won over the horizon by the first change, and lost while the engine is away.
+    /// Units of work that the first change gains over the horizon, and that it loses while the engine is unavailable.
     double gain_units{};
     double loss_units{};
 };
 
-/// Decides which engines of one model change their role. Implementations are pure apart from `memory`.
+/// Decides which engines of one model change their role. Implementations keep no state of their own between two plans.
 class role_planner {
 public:
     role_planner() = default;
@@ -110,9 +110,9 @@
     role_planner& operator=(role_planner&&) = delete;
     virtual ~role_planner() = default;
 
-    /// Returns the plan for all availability zones; a lease holder carries out the orders of its own zone only.
-    /// Thread safe when each thread has its own `memory`.
-    [[nodiscard]] virtual role_plan plan(const role_inputs& inputs, role_planner_state& memory) const = 0;
+    /// Returns the plan for all availability zones. A lease holder executes only the orders for its own zone.
+    /// Thread safe if each thread passes its own state.
+    [[nodiscard]] virtual role_plan plan(const role_inputs& inputs, role_planner_state& state) const = 0;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/role_preference.hpp
+++ b/policy/role_preference.hpp
@@ -5,8 +5,8 @@
 
 namespace dragonflywell::policy {
 
-/// Returns whether an engine of this role is meant for work of this shape. Any engine can do any work; this only says
-/// where it disturbs others least. Thread safe.
+/// Returns whether engines of this role are preferred for work with this ratio of prefill to decode. Any engine can do
+/// any work; on a preferred engine it interferes least with other work. Thread safe.
 [[nodiscard]] constexpr bool is_preferred_role(fleet::engine_role role, const role_demand& work) noexcept {
     switch (role) {
     case fleet::engine_role::mixed:
--- a/policy/server_health.hpp
+++ b/policy/server_health.hpp
@@ -9,29 +9,29 @@
 namespace dragonflywell::policy {
 
 struct server_health_options {
-    /// How long a server is left alone after it could not be reached; doubled with each further failure.
+    /// How long a server is ejected from load balancing at first; the time doubles with each further failure.
     duration initial_ejection_time{std::chrono::milliseconds(300)};
     duration max_ejection_time{std::chrono::seconds(3)};
-    /// Failures in a row, of those that other requests could cause too, after which a server is left alone.
+    /// Number of consecutive broken exchanges after which a server is ejected. A single one may be due to the request.
     std::uint32_t failures_to_eject{3};
-    /// Refusals in a row after which a server is left alone; a single one may be due to the request.
+    /// Number of consecutive refusals after which a server is ejected. A single refusal may be due to the request.
     std::uint32_t refusals_to_eject{2};
 };
 
-/// What a failed exchange says about a server.
+/// Kind of a failed exchange with a server.
 enum class server_failure : std::uint8_t {
-    /// It takes no connection.
+    /// It accepts no connection.
     unreachable,
-    /// A connection broke, stayed silent or brought what is no answer.
+    /// The connection broke, timed out, or carried an invalid answer.
     broken,
-    /// It answered that it failed.
+    /// It answered with an error.
     answered_failure,
-    /// It answered that it runs nothing now: it is full, or is changing what it does.
+    /// It answered that it accepts no work now, because it is full or changes its role.
     refused,
 };
 
-/// Judges backend servers by what this host sees of them, which goes before what they or the list say.
-/// Not thread safe.
+/// Passive health checks with outlier ejection: tracks the failures of backend servers that this host observes. They
+/// take precedence over the state in the server list and over what the servers report. Not thread safe.
 class server_health {
 public:
     explicit server_health(server_health_options options = {}) : m_options(options) {}
@@ -39,28 +39,29 @@
     void add_success(const backend_server_name& server);
     void add_failure(const backend_server_name& server, server_failure failure, steady_time now);
 
-    /// Returns whether the server may be given work. A server whose pause is over is tried again.
+    /// Returns whether the server may be given work, that is, whether it is not ejected at `now`.
     [[nodiscard]] bool is_usable(const backend_server_name& server, steady_time now) const;
 
-    /// Returns whether the last exchange with the server failed, so that one more word against it counts.
+    /// Returns whether an exchange with the server has failed since its last success; answers with an error do not
+    /// count. A report of another host against the server then counts as a confirmation.
     [[nodiscard]] bool has_failed_last(const backend_server_name& server) const;
-    /// Returns the servers that are left alone now, each with the time that is left, for other hosts.
+    /// Returns the ejected servers with their remaining ejection times, for other hosts.
     [[nodiscard]] std::map<backend_server_name, duration> get_ejected(steady_time now) const;
 
-    /// Returns the share of recent answers that failed, 0 to 1.
+    /// Returns the moving average of the share of exchanges that failed, 0 to 1. Refusals do not count.
     [[nodiscard]] double get_failure_share(const backend_server_name& server) const;
 
-    /// Forgets a server that is gone or has started anew.
+    /// Removes the state of a server that is gone or was restarted.
     void forget(const backend_server_name& server);
 
 private:
     struct state {
         std::uint32_t failures_in_row{0};
-        steady_time paused_until{};
+        steady_time ejected_until{};
         double failure_share{0};
     };
 
-    [[nodiscard]] std::uint32_t get_needed(server_failure failure) const noexcept;
+    [[nodiscard]] std::uint32_t get_failures_to_eject(server_failure failure) const noexcept;
 
     server_health_options m_options;
     std::map<backend_server_name, state> m_states;
--- a/policy/service_placement.cpp
+++ b/policy/service_placement.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-/// What counts as much as one slot's worth of queue.
-constexpr double other_zone_cost = 0.15;
-constexpr double cold_cost = 0.3;
-constexpr double failure_cost = 2.0;
+/// Penalties, in units of the load of a full instance.
+constexpr double other_zone_penalty = 0.15;
+constexpr double cold_penalty = 0.3;
+constexpr double failure_penalty = 2.0;
 
 double get_cost(const service_candidate& candidate) {
     const double load = static_cast<double>(candidate.in_flight) / std::max<std::uint32_t>(1, candidate.slots);
-    return load + (candidate.is_own_zone ? 0 : other_zone_cost) + (candidate.is_cold ? cold_cost : 0) +
-           candidate.failure_share * failure_cost;
+    return load + (candidate.is_own_zone ? 0 : other_zone_penalty) + (candidate.is_cold ? cold_penalty : 0) +
+           candidate.failure_share * failure_penalty;
 }
 
 } // namespace
--- a/policy/service_rate.cpp
+++ b/policy/service_rate.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Busy time below which no rate is told.
-constexpr double least_seconds = 0.5;
+/// Busy time below which no estimate is made.
+constexpr double min_busy_seconds = 0.5;
 
 } // namespace
 
@@ -24,7 +24,7 @@
 }
 
 duration service_rate::get_time_for(double work) const {
-    if (m_seconds < least_seconds || m_work <= 0.0) {
+    if (m_seconds < min_busy_seconds || m_work <= 0.0) {
         return duration::zero();
     }
     const std::chrono::duration<double> seconds(work * m_seconds / m_work);
@@ -34,9 +34,9 @@
 void service_rate::advance(steady_time now) {
     if (m_is_busy && now > m_advanced) {
         const double seconds = std::chrono::duration<double>(now - m_advanced).count();
-        const double kept = std::exp(-seconds / std::chrono::duration<double>(m_memory).count());
-        m_seconds = m_seconds * kept + seconds;
-        m_work *= kept;
+        const double decay = std::exp(-seconds / std::chrono::duration<double>(m_time_constant).count());
+        m_seconds = m_seconds * decay + seconds;
+        m_work *= decay;
     }
     m_advanced = now;
 }
--- a/policy/service_rate.hpp
+++ b/policy/service_rate.hpp
@@ -4,25 +4,25 @@
 
 namespace dragonflywell::policy {
 
-/// How much work is finished per second while work waits. Idle times say nothing about it and are left out. Not thread
-/// safe.
+/// Moving average of the throughput while requests wait. Idle times are left out, because the throughput is not limited
+/// by the servers then. Not thread safe.
 class service_rate {
 public:
-    /// `memory`: busy time after which what was seen counts for little.
-    explicit service_rate(duration memory) noexcept : m_memory(memory) {}
+    /// `time_constant`: time constant of the moving average, in busy time.
+    explicit service_rate(duration time_constant) noexcept : m_time_constant(time_constant) {}
 
-    /// Notes that work has begun or ceased to wait.
+    /// Sets whether requests wait from now on.
     void set_busy(steady_time now, bool is_busy);
-    /// Notes that work was finished. Heeded while busy only.
+    /// Adds completed work. It is ignored while no requests wait.
     void add_finished(steady_time now, double work);
 
-    /// Returns how long the work takes, or zero while too little is known to tell.
+    /// Returns the expected time to complete the work, or zero if there are too few observations.
     [[nodiscard]] duration get_time_for(double work) const;
 
 private:
     void advance(steady_time now);
 
-    duration m_memory;
+    duration m_time_constant;
     bool m_is_busy{false};
     steady_time m_advanced;
     double m_seconds{0.0};
--- a/policy/spend_planner.cpp
+++ b/policy/spend_planner.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double least_units = 1e-9;
+constexpr double min_units = 1e-9;
 constexpr double rounding_slack = 1e-6;
 
 std::uint32_t count_servers(double units, double per_server) {
@@ -52,11 +52,11 @@
     return "order";
 }
 
-/// The servers of one planning round, and the orders that change them.
+/// Server counts of one planning round, updated with each order that is added to the plan.
 class spend_planner::round {
 public:
-    round(const spend_inputs& inputs, const spend_planner_options& options, spend_planner_state& memory)
-        : m_inputs(&inputs), m_options(&options), m_memory(&memory) {
+    round(const spend_inputs& inputs, const spend_planner_options& options, spend_planner_state& state)
+        : m_inputs(&inputs), m_options(&options), m_state(&state) {
         const duration overdue = std::chrono::duration_cast<duration>(options.lead_time * options.overdue_factor);
         for (const owned_server& server : inputs.servers) {
             if (server.state == server_state::ordered && server.in_state >= overdue) {
@@ -80,8 +80,8 @@
         if (kind == server_kind::cheap && !market.has_cheap_servers) {
             return false;
         }
-        const auto found = m_memory->closed_until.find({market.zone, kind});
-        return found == m_memory->closed_until.end() || m_inputs->now >= found->second;
+        const auto found = m_state->closed_until.find({market.zone, kind});
+        return found == m_state->closed_until.end() || m_inputs->now >= found->second;
     }
 
     [[nodiscard]] std::uint32_t count_cheap_zones() const {
@@ -90,10 +90,10 @@
         return static_cast<std::uint32_t>(open);
     }
 
-    /// Adds one server: a draining one first, else an order in the zone with the fewest. Returns false when none can be
-    /// had.
-    bool grow(server_kind kind, spend_plan& plan) {
-        if (keep_draining(kind, plan)) {
+    /// Adds one server: keeps a draining one if there is any, else orders one in the zone with the fewest of its kind.
+    /// Returns false if no server is available.
+    bool add_server(server_kind kind, spend_plan& plan) {
+        if (keep_draining_server(kind, plan)) {
             return true;
         }
         const zone_market* best = nullptr;
@@ -115,11 +115,11 @@
         return true;
     }
 
-    /// Drains one server that serves, in the zone with the most of its kind.
-    void shrink(server_kind kind, spend_plan& plan) {
+    /// Drains one serving server in the zone with the most of its kind.
+    void drain_server(server_kind kind, spend_plan& plan) {
         const owned_server* best = nullptr;
         for (const owned_server& server : m_inputs->servers) {
-            if (server.kind != kind || server.state != server_state::serving || is_named(server, plan)) {
+            if (server.kind != kind || server.state != server_state::serving || has_order(server, plan)) {
                 continue;
             }
             if (best == nullptr || m_zone_count[{server.zone, kind}] > m_zone_count[{best->zone, kind}]) {
@@ -136,7 +136,7 @@
 
     void release_idle(spend_plan& plan) const {
         for (const owned_server& server : m_inputs->servers) {
-            if (server.state == server_state::draining && server.is_idle && !is_named(server, plan)) {
+            if (server.state == server_state::draining && server.is_idle && !has_order(server, plan)) {
                 plan.orders.push_back(
                     {.action = spend_action::release, .zone = server.zone, .kind = server.kind, .server = server.name});
             }
@@ -146,13 +146,13 @@
 private:
     void close_market(const owned_server& server, duration overdue) {
         const wall_time until = m_inputs->now - (server.in_state - overdue) + m_options->market_retry_delay;
-        wall_time& closed = m_memory->closed_until[{server.zone, server.kind}];
+        wall_time& closed = m_state->closed_until[{server.zone, server.kind}];
         closed = std::max(closed, until);
     }
 
-    bool keep_draining(server_kind kind, spend_plan& plan) {
+    bool keep_draining_server(server_kind kind, spend_plan& plan) {
         for (const owned_server& server : m_inputs->servers) {
-            if (server.kind == kind && server.state == server_state::draining && !is_named(server, plan)) {
+            if (server.kind == kind && server.state == server_state::draining && !has_order(server, plan)) {
                 plan.orders.push_back(
                     {.action = spend_action::keep, .zone = server.zone, .kind = kind, .server = server.name});
                 ++m_zone_count[{server.zone, kind}];
@@ -163,14 +163,14 @@
         return false;
     }
 
-    static bool is_named(const owned_server& server, const spend_plan& plan) {
+    static bool has_order(const owned_server& server, const spend_plan& plan) {
         return std::any_of(plan.orders.begin(), plan.orders.end(),
                            [&](const spend_order& order) { return order.server == server.name; });
     }
 
     const spend_inputs* m_inputs;
     const spend_planner_options* m_options;
-    spend_planner_state* m_memory;
+    spend_planner_state* m_state;
     std::map<server_kind, std::uint32_t> m_count;
     std::map<zone_name, std::uint32_t> m_zone_total;
     std::map<std::pair<zone_name, server_kind>, std::uint32_t> m_zone_count;
@@ -178,28 +178,28 @@
 
 spend_planner::spend_planner(spend_planner_options options) : m_options(options) {}
 
-spend_plan spend_planner::plan(const spend_inputs& inputs, spend_planner_state& memory) const {
+spend_plan spend_planner::plan(const spend_inputs& inputs, spend_planner_state& state) const {
     if (!inputs.has_authority) {
         return {.orders = {}, .reason = spend_reason::no_authority};
     }
     if (inputs.freshness == demand_freshness::stale) {
         return {.orders = {}, .reason = spend_reason::stale_demand};
     }
-    round servers(inputs, m_options, memory);
+    round servers(inputs, m_options, state);
     const wanted_servers wanted =
         get_wanted(inputs, std::max(inputs.current_units, inputs.expected_units), servers.count_cheap_zones());
     spend_plan result{.orders = {}, .wanted_regular = wanted.regular, .wanted_cheap = wanted.cheap};
-    bool is_refused = wanted.is_limited;
+    bool is_limit_reached = wanted.is_limited;
     std::uint32_t missing_cheap = 0;
     while (servers.count(server_kind::cheap) < wanted.cheap) {
-        if (!servers.grow(server_kind::cheap, result)) {
+        if (!servers.add_server(server_kind::cheap, result)) {
             missing_cheap = wanted.cheap - servers.count(server_kind::cheap);
             break;
         }
     }
     while (servers.count(server_kind::regular) < wanted.regular + missing_cheap) {
-        if (!servers.grow(server_kind::regular, result)) {
-            is_refused = true;
+        if (!servers.add_server(server_kind::regular, result)) {
+            is_limit_reached = true;
             break;
         }
     }
@@ -207,20 +207,20 @@
     for (const auto& [kind, most] : {std::pair(server_kind::regular, wanted.regular + missing_cheap),
                                      std::pair(server_kind::cheap, wanted.cheap)}) {
         if (servers.count(kind) <= most) {
-            memory.surplus_since.erase(kind);
+            state.surplus_since.erase(kind);
             continue;
         }
-        const wall_time since = memory.surplus_since.try_emplace(kind, inputs.now).first->second;
+        const wall_time since = state.surplus_since.try_emplace(kind, inputs.now).first->second;
         if (inputs.now - since >= m_options.scale_in_delay) {
-            servers.shrink(kind, result);
+            servers.drain_server(kind, result);
         }
     }
-    if (is_refused) {
+    if (is_limit_reached) {
         result.reason = spend_reason::limit_reached;
     } else if (is_growing && (wanted.is_market_closed || missing_cheap > 0)) {
         result.reason = spend_reason::market_unavailable;
     } else if (is_growing) {
-        result.reason = wanted.is_for_cover ? spend_reason::reclaim_cover : spend_reason::demand_grows;
+        result.reason = wanted.is_for_reclaim_cover ? spend_reason::reclaim_cover : spend_reason::demand_grows;
     } else if (!result.orders.empty()) {
         result.reason = spend_reason::demand_shrinks;
     }
@@ -232,7 +232,7 @@
 
 spend_planner::wanted_servers spend_planner::get_wanted(const spend_inputs& inputs, double units,
                                                         std::uint32_t cheap_zones) const {
-    const double planned = std::max(units, least_units) * (1 + std::max(m_options.headroom, inputs.relative_error));
+    const double planned = std::max(units, min_units) * (1 + std::max(m_options.headroom, inputs.relative_error));
     const std::uint32_t all = count_servers(planned, m_options.units_per_server);
     const std::uint32_t guaranteed = count_servers(planned * inputs.guaranteed_share, m_options.units_per_server);
     wanted_servers wanted;
@@ -262,7 +262,7 @@
         } else {
             ++wanted.regular;
         }
-        wanted.is_for_cover = true;
+        wanted.is_for_reclaim_cover = true;
     }
 }
 
@@ -276,7 +276,8 @@
         return wanted.regular + wanted.cheap > most || is_over_price;
     };
     while (is_over() && wanted.regular + wanted.cheap > 0) {
-        // What can be lost goes first; the guaranteed work keeps its servers for as long as the limit allows.
+        // Cheap servers, which can be reclaimed anyway, are removed first. The guaranteed work keeps its servers for as
+        // long as the limit permits.
         --(wanted.cheap > 0 ? wanted.cheap : wanted.regular);
         wanted.is_limited = true;
     }
--- a/policy/spend_planner.hpp
+++ b/policy/spend_planner.hpp
@@ -17,26 +17,26 @@
 enum class server_kind { regular, cheap };
 
 enum class server_state {
-    /// Ordered and not seen yet.
+    /// Ordered, and not registered yet.
     ordered,
     serving,
-    /// Gets nothing new and finishes what it has.
+    /// It receives no new work and finishes its running requests.
     draining,
 };
 
-/// A backend server that runs, or was ordered, for one model.
+/// A backend server that is running or on order for one model.
 struct owned_server {
-    /// The idempotency key of the order until the server is seen.
+    /// The idempotency key of the order until the server is registered.
     backend_server_name name;
     zone_name zone;
     server_kind kind{server_kind::regular};
     server_state state{server_state::serving};
     duration in_state{};
-    /// Whether it has no work left.
+    /// Whether it has no running requests.
     bool is_idle{false};
 };
 
-/// What the manifest permits in one availability zone.
+/// Limits of the manifest for one availability zone.
 struct zone_market {
     zone_name zone;
     std::uint32_t most_servers{};
@@ -44,33 +44,33 @@
 };
 
 struct spend_planner_options {
-    /// Work of one server in a second, in units.
+    /// Throughput of one server, in units of work per second.
     double units_per_server{2000};
-    /// From an order to a server that serves.
+    /// Time from an order until the server serves.
     duration lead_time{std::chrono::minutes(5)};
-    /// Multiple of the lead time after which an ordered server is not counted on any more.
+    /// Multiple of the lead time after which an ordered server is overdue and not counted any more.
     double overdue_factor{2.0};
-    /// How long a market that has not delivered is left alone.
+    /// How long nothing is ordered of a kind of server in a zone where an order became overdue.
     duration market_retry_delay{std::chrono::minutes(15)};
-    /// How long there must be a server too many before it is withdrawn.
+    /// How long there must be a surplus of servers before one is drained.
     duration scale_in_delay{std::chrono::minutes(4)};
-    /// How far above the forecast the fleet is kept able to serve.
+    /// Margin above the forecast that the capacity is planned for, as a share of the forecast.
     double headroom{0.02};
-    /// Greatest share of the servers that may be cheap.
+    /// Maximum share of cheap servers.
     double max_cheap_share{0.5};
-    /// Part of the expected work that must be served after all cheap servers of one zone have vanished.
+    /// Share of the expected work that must still be served after all cheap servers of one zone were reclaimed.
     double reclaim_cover{0.85};
-    /// Prices for one server and hour, in the currency of the manifest.
+    /// Prices per server and hour, in the currency of the manifest.
     double regular_price{1.0};
     double cheap_price{0.35};
-    /// Greatest spending for one hour; 0 means no limit.
+    /// Maximum spending per hour; 0 means no limit.
     double max_price_per_hour{0};
 };
 
-/// Kept by the caller between two plans.
+/// State that the caller keeps between two plans.
 struct spend_planner_state {
     std::map<server_kind, wall_time> surplus_since;
-    /// Until when nothing is ordered of a kind in a zone that has not delivered.
+    /// Time until which nothing is ordered of a kind of server in a zone, because an order there became overdue.
     std::map<std::pair<zone_name, server_kind>, wall_time> closed_until;
 };
 
@@ -78,11 +78,11 @@
     wall_time now{};
     std::span<const owned_server> servers;
     std::span<const zone_market> markets;
-    /// Work asked for per second, in units: now, and when an order of now would serve.
+    /// Demand in units of work per second: now, and at the time when a server ordered now would serve.
     double current_units{};
     double expected_units{};
     double relative_error{};
-    /// Part of the work that must not be on cheap servers, 0 to 1.
+    /// Share of the work that must not run on cheap servers, 0 to 1.
     double guaranteed_share{};
     demand_freshness freshness{demand_freshness::stale};
     bool has_authority{false};
@@ -91,11 +91,11 @@
 enum class spend_action {
     /// Order one server.
     order,
-    /// Stop giving the server new work.
+    /// Stop sending new work to the server.
     drain,
-    /// Give a draining server work again.
+    /// Stop draining the server and send it work again.
     keep,
-    /// Give the server back; it has no work left.
+    /// Return the server, which has no running requests, to the provider.
     release,
 };
 
@@ -116,9 +116,9 @@
     demand_grows,
     reclaim_cover,
     demand_shrinks,
-    /// More is wanted than the manifest allows.
+    /// More servers are needed than the manifest permits.
     limit_reached,
-    /// Regular servers stand in for cheap ones that cannot be had.
+    /// Regular servers are ordered instead of cheap ones that are not available.
     market_unavailable,
 };
 
@@ -130,24 +130,25 @@
     spend_reason reason{spend_reason::in_balance};
     std::uint32_t wanted_regular{};
     std::uint32_t wanted_cheap{};
-    /// Price of all servers that are not draining, for one hour.
+    /// Price per hour of all servers that are not draining.
     double price_per_hour{};
 };
 
-/// Decides how many backend servers run, of which kind and where. Pure apart from `memory`.
+/// Decides how many backend servers of each kind run in each availability zone. It keeps no state of its own between
+/// two plans.
 class spend_planner {
 public:
     explicit spend_planner(spend_planner_options options);
 
-    /// Returns the plan for all availability zones; a lease holder carries out the orders of its own zone only.
-    /// Thread safe when each thread has its own `memory`.
-    [[nodiscard]] spend_plan plan(const spend_inputs& inputs, spend_planner_state& memory) const;
+    /// Returns the plan for all availability zones. A lease holder executes only the orders for its own zone.
+    /// Thread safe if each thread passes its own state.
+    [[nodiscard]] spend_plan plan(const spend_inputs& inputs, spend_planner_state& state) const;
 
 private:
     struct wanted_servers {
         std::uint32_t regular{};
         std::uint32_t cheap{};
-        bool is_for_cover{false};
+        bool is_for_reclaim_cover{false};
         bool is_limited{false};
         bool is_market_closed{false};
     };
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -10,9 +10,9 @@
 
 using fleet::engine_stage;
 
-/// Returns the engines in the order in which they should generate: regular before cheap ones, in turn over the zones,
-/// and those that generate now before others.
-std::vector<const staged_engine*> rank_generators(std::span<const staged_engine> engines) {
+/// Returns the engines in the order in which they are chosen for decoding: regular engines before cheap ones, round
+/// robin over the zones, and within a zone current decode engines before others.
+std::vector<const staged_engine*> rank_decode_engines(std::span<const staged_engine> engines) {
     std::map<zone_name, std::vector<const staged_engine*>> by_zone;
     for (const staged_engine& engine : engines) {
         by_zone[engine.zone].push_back(&engine);
@@ -55,9 +55,9 @@
 }
 
 double assume_initial_running(std::size_t engines, double slots_per_engine, const stage_plan_options& options) {
-    const double generators =
+    const double decode_engines =
         options.initial_decode_share * static_cast<double>(engines) - options.spare_decode_engines;
-    const double needed = std::floor(std::max(0.0, generators) / (1 + options.spare_share));
+    const double needed = std::floor(std::max(0.0, decode_engines) / (1 + options.spare_share));
     return needed * slots_per_engine * options.decode_fill;
 }
 
@@ -74,9 +74,9 @@
     if (engines.size() < 2) {
         return changes;
     }
-    const std::vector<const staged_engine*> ranked = rank_generators(engines);
-    // Someone has to read prompts, too.
-    const std::size_t generators =
+    const std::vector<const staged_engine*> ranked = rank_decode_engines(engines);
+    // At least half of the engines are left for prefills.
+    const std::size_t decode_engines =
         std::min<std::size_t>(count_decode_engines(get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
@@ -85,7 +85,7 @@
         std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
         const staged_engine& engine = *ranked[index];
-        const engine_stage wanted = index < generators ? engine_stage::decode : engine_stage::prefill;
+        const engine_stage wanted = index < decode_engines ? engine_stage::decode : engine_stage::prefill;
         if (engine.stage == wanted || engine.is_changing) {
             continue;
         }
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -10,38 +10,38 @@
 
 namespace dragonflywell::policy {
 
-/// An engine as the plan of stages sees it.
+/// State of one engine, as input of the stage plan.
 struct staged_engine {
     backend_server_name name;
     zone_name zone;
     fleet::engine_stage stage{fleet::engine_stage::decode};
     bool is_cheap{false};
     std::uint32_t slots{1};
-    /// An order to it is on its way, or it is changing its stage.
+    /// Whether it was ordered to change its stage, or is changing it.
     bool is_changing{false};
 };
 
-/// What generations ask of the engines of a service.
+/// Decode load of a service.
 struct stage_demand {
-    /// Requests that generate at once, at the height of the last while.
+    /// Recent peak of the number of concurrently decoding requests.
     double running{0};
-    /// Whether the service has never had a request, so that no change disturbs any.
+    /// Whether the service has not had a request yet, so that a change interrupts none.
     bool is_before_first_request{false};
 };
 
 struct stage_plan_options {
-    /// Part of its slots up to which an engine that generates is filled, so that pauses within streams stay short.
+    /// Share of the slots of a decode engine that is planned to be used, so that the time between tokens stays short.
     double decode_fill{0.3};
-    /// Engines that generate beyond what the demand needs, as a share of those, so that losing the engines of one zone
-    /// out of four costs no service.
+    /// Spare decode engines as a share of those that the demand needs, so that the loss of one zone out of four causes
+    /// no refusals.
     double spare_share{0.34};
-    /// The same, as a number.
+    /// Number of spare decode engines in addition to the share.
     std::uint32_t spare_decode_engines{1};
     std::uint32_t min_decode_engines{3};
-    /// Part of the engines that generate while no request has shown yet what is asked for. An engine that changes its
-    /// stage is away for seconds, just when the first requests find all memories empty.
+    /// Share of decode engines before the first request. A realistic share avoids changes when the first requests
+    /// arrive: an engine that changes its stage is unavailable for seconds, while all prefix caches are still empty.
     double initial_decode_share{0.25};
-    /// Part of a service's engines that may be changing their stage at once while requests run.
+    /// Maximum share of a service's engines that change their stage at once while requests run.
     double max_changing_share{0.25};
 };
 
@@ -53,20 +53,21 @@
     friend bool operator==(const stage_change&, const stage_change&) = default;
 };
 
-/// Returns how many engines should generate, spare ones included. Thread safe.
+/// Returns the number of decode engines that the demand needs, including spare ones. Thread safe.
 [[nodiscard]] std::uint32_t count_decode_engines(double slots_per_engine, const stage_demand& demand,
                                                  const stage_plan_options& options);
 
-/// Returns the running requests to plan for before the first one came. Thread safe.
+/// Returns the number of decoding requests to plan for before the first request arrives. Thread safe.
 [[nodiscard]] double assume_initial_running(std::size_t engines, double slots_per_engine,
                                             const stage_plan_options& options);
 
-/// Returns the mean slots of engines. Precondition: there is one. Thread safe.
+/// Returns the mean number of slots of the engines. Precondition: `engines` is not empty. Thread safe.
 [[nodiscard]] double get_mean_slots(std::span<const staged_engine> engines);
 
-/// Returns the changes to order now. An answer is late when its prompt waits, so every engine that is not needed to
-/// generate reads prompts. Regular engines generate, over all zones, because a run that is cut off may not be repeated;
-/// cheap ones read. Answers the load of long prompts with short answers. Thread safe.
+/// Returns the stage changes to order now. All engines that are not needed for decoding run prefills, because an answer
+/// is late when its prompt has to wait; this suits loads of long prompts with short answers. Regular engines of all
+/// zones are preferred for decoding, because a generation that is cut off may not be repeated; cheap engines are
+/// preferred for prefills. Thread safe.
 [[nodiscard]] std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
                                                     const stage_plan_options& options);
 
--- a/policy/stall_detector.cpp
+++ b/policy/stall_detector.cpp
@@ -15,19 +15,19 @@
 
 stall_detector::pending_request::pending_request(stall_detector& watch, backend_server_name server,
                                                  steady_time overdue_at)
-    : m_watch(&watch), m_server(std::move(server)) {
-    std::list<steady_time>& places = m_watch->m_waiting[m_server];
-    m_place = places.insert(places.end(), overdue_at);
+    : m_detector(&watch), m_server(std::move(server)) {
+    std::list<steady_time>& overdue_times = m_detector->m_waiting[m_server];
+    m_entry = overdue_times.insert(overdue_times.end(), overdue_at);
 }
 
 void stall_detector::pending_request::end() {
     if (std::exchange(m_has_ended, true)) {
         return;
     }
-    const auto found = m_watch->m_waiting.find(m_server);
-    found->second.erase(m_place);
+    const auto found = m_detector->m_waiting.find(m_server);
+    found->second.erase(m_entry);
     if (found->second.empty()) {
-        m_watch->m_waiting.erase(found);
+        m_detector->m_waiting.erase(found);
     }
 }
 
--- a/policy/time_correction.cpp
+++ b/policy/time_correction.cpp
@@ -6,22 +6,22 @@
 
 namespace {
 
-/// Hosts' clocks that are this close are as close as clocks are.
-constexpr duration tolerated_difference = std::chrono::milliseconds(150);
-/// With two hosts nobody knows which one is right.
-constexpr std::size_t least_hosts = 3;
+/// Clocks of different hosts normally differ by up to this much.
+constexpr duration max_normal_difference = std::chrono::milliseconds(150);
+/// With two hosts it is impossible to tell which clock is right.
+constexpr std::size_t min_hosts = 3;
 
 } // namespace
 
 std::optional<duration> get_time_correction(std::vector<duration> differences) {
-    // The host itself is one of those whose clocks are compared.
+    // The host's own clock takes part in the median.
     differences.push_back(duration::zero());
-    if (differences.size() < least_hosts) {
+    if (differences.size() < min_hosts) {
         return std::nullopt;
     }
     const auto middle = differences.begin() + static_cast<std::ptrdiff_t>(differences.size() / 2);
     std::nth_element(differences.begin(), middle, differences.end());
-    return std::chrono::abs(*middle) > tolerated_difference ? std::optional(*middle) : std::nullopt;
+    return std::chrono::abs(*middle) > max_normal_difference ? std::optional(*middle) : std::nullopt;
 }
 
 } // namespace dragonflywell::policy
--- a/policy/time_correction.hpp
+++ b/policy/time_correction.hpp
@@ -7,9 +7,9 @@
 
 namespace dragonflywell::policy {
 
-/// Returns what a host should add to its idea of the time of day, or nothing where that is right or cannot be told.
-/// `differences`: what the other hosts are ahead of it. The middle one of all hosts counts, so that a minority whose
-/// clocks were set wrong moves nobody. Thread safe.
+/// Returns the correction that a host should add to its wall clock, or nothing if the clock is accurate or there are
+/// too few hosts to compare. `differences`: how far the clocks of the other hosts are ahead of its own. The result is
+/// the median over all hosts, so that a minority of wrong clocks has no influence. Thread safe.
 [[nodiscard]] std::optional<duration> get_time_correction(std::vector<duration> differences);
 
 } // namespace dragonflywell::policy
--- a/policy/topic_progress.hpp
+++ b/policy/topic_progress.hpp
@@ -8,69 +8,71 @@
 
 namespace dragonflywell::policy {
 
-/// How far a host has followed a topic of the store, by reading it or by what a host that reads for others tells.
-/// Decides when to read. Pure state; not thread safe.
+/// Progress of a host that consumes a topic of the store, either by reading it or through the group leader, which
+/// reports how far it has read. Decides when the host has to read the topic itself. Performs no I/O. Not thread safe.
 class topic_progress {
 public:
-    /// Returns where to read on, or nothing while the topic has to be listed first.
-    [[nodiscard]] std::optional<std::uint64_t> get_next_offset() const noexcept { return m_next; }
+    /// Returns the offset of the next record to read, or nothing if the topic must be listed first.
+    [[nodiscard]] std::optional<std::uint64_t> get_next_offset() const noexcept { return m_next_offset; }
 
-    /// Notes that the store was read, or listed, up to an offset, while the topic ended at `topic_end_offset` at that
-    /// moment. What was read of a longer topic is no news of its end.
+    /// Records that the store was read or listed up to `end`, and that the topic ended at `topic_end_offset` at the
+    /// time `at`. The topic counts as up to date at `at` only if no record up to its end is missing.
     void record_read(std::uint64_t end, std::uint64_t topic_end_offset, steady_time at) {
-        m_next = std::max(m_next.value_or(0), end);
+        m_next_offset = std::max(m_next_offset.value_or(0), end);
         m_read_end = std::max(m_read_end, end);
         m_known_end = std::max(m_known_end, topic_end_offset);
         if (get_lag() == 0) {
-            m_fresh_at = std::max(m_fresh_at, at);
+            m_caught_up_at = std::max(m_caught_up_at, at);
         }
     }
 
-    /// Notes that the records to go on from are not kept: the topic has to be listed.
-    void record_truncation() noexcept { m_next.reset(); }
+    /// Records that the store does not retain the next records any more, so that the topic must be listed.
+    void record_truncation() noexcept { m_next_offset.reset(); }
 
-    /// Returns whether a listing shows the topic as it was before what has been read. It must not replace that.
+    /// Returns whether a listing is older than the state that was read already. Such a listing must not replace it.
     [[nodiscard]] bool is_stale_listing(std::uint64_t listed_end) const noexcept { return listed_end < m_read_end; }
 
-    /// Returns how many records are known to be missing here. Where only the newest record of a key matters, a topic
-    /// that is more than one behind is listed rather than read record by record.
+    /// Returns the lag in records, as far as it is known. A topic of which only the newest record for each key matters
+    /// is listed if the lag exceeds one record, instead of being read record by record.
     [[nodiscard]] std::uint64_t get_lag() const noexcept {
-        const std::uint64_t next = m_next.value_or(0);
+        const std::uint64_t next = m_next_offset.value_or(0);
         return m_known_end > next ? m_known_end - next : 0;
     }
 
-    /// Takes that another host has read up to an offset, some time ago. Returns whether this one is behind.
+    /// Records that the group leader had read the topic up to `end` at the time `age` before now. Returns whether this
+    /// host lags behind.
     bool update_leader_position(std::uint64_t end, duration age, steady_time now) {
         m_known_end = std::max(m_known_end, end);
-        if (m_next && *m_next >= end) {
-            m_fresh_at = std::max(m_fresh_at, now - age);
+        if (m_next_offset && *m_next_offset >= end) {
+            m_caught_up_at = std::max(m_caught_up_at, now - age);
         }
         return is_lagging();
     }
 
-    /// Returns whether records that another host passes on, from `from` to before `end`, are the next ones here.
-    [[nodiscard]] bool is_next(std::uint64_t from) const noexcept { return m_next && *m_next == from; }
+    /// Returns whether records that the group leader relays, which start at `from`, continue what this host has read.
+    [[nodiscard]] bool is_next(std::uint64_t from) const noexcept { return m_next_offset && *m_next_offset == from; }
 
-    /// Returns whether the store has to be read: something is missing, or nothing was heard for too long.
+    /// Returns whether the store must be read: records are missing, or the last confirmation that this host is up to
+    /// date is `longest_age` old.
     [[nodiscard]] bool is_read_due(duration longest_age, steady_time now) const {
-        return is_lagging() || now - m_fresh_at >= longest_age;
+        return is_lagging() || now - m_caught_up_at >= longest_age;
     }
 
-    /// Returns whether records are known to be missing here.
-    [[nodiscard]] bool is_lagging() const noexcept { return !m_next || get_lag() > 0; }
+    /// Returns whether records are known to be missing, or the topic must be listed.
+    [[nodiscard]] bool is_lagging() const noexcept { return !m_next_offset || get_lag() > 0; }
 
-    /// Returns the last moment at which the topic was known to be followed to its end.
-    [[nodiscard]] steady_time get_caught_up_at() const noexcept { return m_fresh_at; }
+    /// Returns when this host was last known to be up to date with the end of the topic.
+    [[nodiscard]] steady_time get_caught_up_at() const noexcept { return m_caught_up_at; }
 
-    /// Returns how long ago the topic was known to be followed to its end.
-    [[nodiscard]] duration get_staleness(steady_time now) const { return now - m_fresh_at; }
+    /// Returns how long ago this host was last known to be up to date with the end of the topic.
+    [[nodiscard]] duration get_staleness(steady_time now) const { return now - m_caught_up_at; }
 
 private:
-    std::optional<std::uint64_t> m_next;
-    steady_time m_fresh_at{};
-    /// Largest offset up to which the topic was read; stays when the records to go on from are not kept.
+    std::optional<std::uint64_t> m_next_offset;
+    steady_time m_caught_up_at{};
+    /// Largest offset up to which the topic was read. It is kept when the next records are not retained.
     std::uint64_t m_read_end{0};
-    /// Largest end of the topic that was heard of.
+    /// Largest known end of the topic, from reads and from the group leader.
     std::uint64_t m_known_end{0};
 };
 
--- a/policy/trend.cpp
+++ b/policy/trend.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::size_t least_points = 8;
-constexpr double least_median = 1e-12;
+constexpr std::size_t min_points = 8;
+constexpr double min_median = 1e-12;
 
 double get_median(std::vector<double> values) {
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
@@ -21,7 +21,7 @@
 
 trend find_trend(std::span<const double> series, const trend_options& options) {
     trend result;
-    if (series.size() < least_points) {
+    if (series.size() < min_points) {
         return result;
     }
     std::vector<double> slopes;
@@ -37,10 +37,11 @@
     const double variance = count * (count - 1) * (2 * count + 5) / 18;
     const double median = get_median({series.begin(), series.end()});
     result.slope = get_median(std::move(slopes));
-    result.change = result.slope * (count - 1) / std::max(std::abs(median), least_median);
+    result.change = result.slope * (count - 1) / std::max(std::abs(median), min_median);
     result.score = order / std::sqrt(variance);
-    const double worse = options.bad == bad_direction::down ? -1 : 1;
-    result.is_decline = worse * result.change >= options.least_change && worse * result.score >= options.least_score;
+    const double bad_sign = options.bad == bad_direction::down ? -1 : 1;
+    result.is_decline =
+        bad_sign * result.change >= options.least_change && bad_sign * result.score >= options.least_score;
     return result;
 }
 
--- a/policy/trend.hpp
+++ b/policy/trend.hpp
@@ -4,31 +4,31 @@
 
 namespace dragonflywell::policy {
 
-/// Which way of a figure is the bad one.
+/// Direction in which a change of the value is a decline.
 enum class bad_direction { down, up };
 
 struct trend_options {
     bad_direction bad{bad_direction::down};
-    /// Change over the whole series, as part of its median, below which nothing is called out.
+    /// Minimum change over the whole series to report, as a share of its median.
     double least_change{0.01};
-    /// How far from chance a trend must be, in standard deviations.
+    /// Minimum score of the Mann-Kendall test to report, in standard deviations.
     double least_score{2.6};
 };
 
-/// What a series does in the long run.
+/// Long-term trend of a series.
 struct trend {
     /// Median of the slopes between all pairs of points (Theil and Sen), per point.
     double slope{};
-    /// What the slope makes over the whole series, as part of the median.
+    /// Change over the whole series that the slope implies, as a share of the median.
     double change{};
-    /// Score of the Mann-Kendall test: how many standard deviations the order of the points is from chance.
+    /// Score of the Mann-Kendall test: deviation from a random order of the points, in standard deviations.
     double score{};
-    /// A change for the worse that is larger than chance and matters.
+    /// Whether there is a change in the bad direction that is both significant and large enough to report.
     bool is_decline{false};
 };
 
-/// Finds a slow drift in a noisy series. Single bad points do not matter; many small steps in one direction do.
-/// Series of fewer than eight points have no trend. Pure and thread safe.
+/// Detects a slow drift in a noisy series. Single outliers have no influence; many small steps in one direction do.
+/// Series of fewer than eight points have no trend. Thread safe.
 [[nodiscard]] trend find_trend(std::span<const double> series, const trend_options& options);
 
 } // namespace dragonflywell::policy
--- a/policy/usage_counter.hpp
+++ b/policy/usage_counter.hpp
@@ -8,10 +8,10 @@
 
 namespace dragonflywell::policy {
 
-/// Requests of one window that began to run, by organisation.
+/// Number of requests that started in one window, by organisation.
 using window_counts = std::map<organisation_name, std::uint64_t>;
 
-/// Counts the requests that this incarnation saw begin to run, by billing window. Not thread safe.
+/// Counts the requests that started during this incarnation of the daemon, by billing window. Not thread safe.
 class usage_counter {
 public:
     /// Precondition: `window_length` is positive.
@@ -19,7 +19,7 @@
 
     void add(const organisation_name& organisation, wall_time moment) { ++m_windows[get_window(moment)][organisation]; }
 
-    /// Returns the number of the window that holds the moment.
+    /// Returns the number of the window that contains the moment.
     [[nodiscard]] std::int64_t get_window(wall_time moment) const noexcept {
         return moment.time_since_epoch() / m_window_length;
     }
@@ -29,7 +29,7 @@
 
     [[nodiscard]] const std::map<std::int64_t, window_counts>& get_windows() const noexcept { return m_windows; }
 
-    /// Forgets windows before this one.
+    /// Removes all windows before this one.
     void forget_before(std::int64_t window) { m_windows.erase(m_windows.begin(), m_windows.lower_bound(window)); }
 
 private:
--- a/policy/wait_queue.hpp
+++ b/policy/wait_queue.hpp
@@ -10,37 +10,37 @@
 
 namespace dragonflywell::policy {
 
-/// The users of a dependency that wait for it, in the order in which they came. The first one may call when the breaker
-/// allows a call; all may as soon as a call was answered. Who fails waits again behind the others, so that none is kept
-/// from trying. Pure state; not thread safe.
+/// FIFO queue of callers that wait for a failing dependency. The first caller makes the next probe call that the
+/// circuit breaker permits; all callers may call as soon as a call was answered. A caller whose call fails joins the
+/// queue again at its end, so that none starves. Performs no I/O. Not thread safe.
 class wait_queue {
 public:
     using ticket = std::uint64_t;
 
-    /// Adds a user at the end.
+    /// Adds a caller at the end.
     [[nodiscard]] ticket join() {
-        m_waiting.push_back(m_next);
-        return m_next++;
+        m_waiting.push_back(m_next_ticket);
+        return m_next_ticket++;
     }
 
-    /// Takes a user out. It may have been out before.
-    void leave(ticket user) { std::erase(m_waiting, user); }
+    /// Removes a caller. Does nothing if it is not in the queue.
+    void leave(ticket caller) { std::erase(m_waiting, caller); }
 
     [[nodiscard]] bool is_empty() const noexcept { return m_waiting.empty(); }
 
-    /// Returns until when a user has to wait at least; nothing when only a change of the queue or of the breaker can
-    /// end its wait. A moment that has passed means that it may call.
-    [[nodiscard]] std::optional<steady_time> get_wait_end(ticket user, const circuit_breaker& breaker) const {
+    /// Returns the earliest time at which a caller may call; a time in the past means now. Returns nothing if only a
+    /// change of the queue or of the circuit breaker can end its wait.
+    [[nodiscard]] std::optional<steady_time> get_wait_end(ticket caller, const circuit_breaker& breaker) const {
         if (!breaker.get_next_call_at()) {
             return steady_time::min();
         }
-        const bool is_first = !m_waiting.empty() && m_waiting.front() == user;
+        const bool is_first = !m_waiting.empty() && m_waiting.front() == caller;
         return is_first ? breaker.get_next_call_at() : std::nullopt;
     }
 
 private:
     std::deque<ticket> m_waiting;
-    ticket m_next{0};
+    ticket m_next_ticket{0};
 };
 
 } // namespace dragonflywell::policy
--- a/policy/work_class.cpp
+++ b/policy/work_class.cpp
@@ -18,7 +18,7 @@
     }
     const double cheap = static_cast<double>(share.cheap_tokens + tokens);
     const double all = static_cast<double>(share.all_tokens + tokens);
-    // The first request of an idle fleet would be the whole of it; the cap is about loads that matter.
+    // The first request of an idle fleet would make up the whole load, so the limit does not apply to it.
     return share.all_tokens == 0 || cheap <= share.most * all;
 }
 
--- a/tests/fleet_model/baseline_planners.cpp
+++ b/tests/fleet_model/baseline_planners.cpp
@@ -11,7 +11,7 @@
 
 constexpr double max_unavailable_share = 0.25;
 
-std::size_t get_room(std::span<const policy::planned_engine> engines) {
+std::size_t get_free_changes(std::span<const policy::planned_engine> engines) {
     const auto away = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) {
         return engine.target.has_value() && engine.state != policy::engine_state::lost;
     }));
@@ -58,7 +58,7 @@
                                           policy::role_planner_state& /*memory*/) const {
     constexpr double nearly_full = 0.9;
     constexpr double not_full = 0.75;
-    if (!inputs.has_authority || inputs.engines.empty() || get_room(inputs.engines) == 0) {
+    if (!inputs.has_authority || inputs.engines.empty() || get_free_changes(inputs.engines) == 0) {
         return make_plan({});
     }
     role_split split = count_roles(inputs.engines);
@@ -91,7 +91,7 @@
             best_served = served;
         }
     }
-    return make_plan(get_orders_towards(inputs.engines, best, get_room(inputs.engines)));
+    return make_plan(get_orders_towards(inputs.engines, best, get_free_changes(inputs.engines)));
 }
 
 policy::role_capacity get_capacity(const role_split& split, double units, double mixed_efficiency) {
--- a/tests/fleet_model/baseline_planners.hpp
+++ b/tests/fleet_model/baseline_planners.hpp
@@ -12,14 +12,14 @@
                                          policy::role_planner_state& memory) const override;
 };
 
-/// Moves one engine when one phase is nearly full and the other is not.
+/// Changes the role of one engine if the utilisation of one phase is high and that of the other is not.
 class threshold_planner final : public policy::role_planner {
 public:
     [[nodiscard]] policy::role_plan plan(const policy::role_inputs& inputs,
                                          policy::role_planner_state& memory) const override;
 };
 
-/// Goes for the split that serves the demand of this moment best, without regard to what a change costs.
+/// Moves towards the split that serves the current demand best, regardless of the cost of changes.
 class greedy_planner final : public policy::role_planner {
 public:
     explicit greedy_planner(double mixed_efficiency) : m_mixed_efficiency(mixed_efficiency) {}
@@ -42,10 +42,10 @@
 
 [[nodiscard]] policy::role_capacity get_capacity(const role_split& split, double units, double mixed_efficiency);
 
-/// Returns every way to split the engines.
+/// Returns all possible splits of the engines into roles.
 [[nodiscard]] std::vector<role_split> get_splits(int engines);
 
-/// Returns the orders that lead from the roles of the engines to a split, at most `most`.
+/// Returns at most `most` orders that change the current roles of the engines towards a split.
 [[nodiscard]] std::vector<policy::role_order> get_orders_towards(std::span<const policy::planned_engine> engines,
                                                                  const role_split& wanted, std::size_t most);
 
--- a/tests/fleet_model/demand_trace.cpp
+++ b/tests/fleet_model/demand_trace.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr double per_second_noise = 0.08;
-constexpr double least_share = 0.03;
+constexpr double min_share = 0.03;
 
-/// Level of the load and prefill share of one second.
+/// Relative load and prefill share in one second.
 struct shape {
     double load{};
     double prefill_share{};
@@ -22,7 +22,7 @@
     return std::clamp((second - from) / std::max(length, 1.0), 0.0, 1.0);
 }
 
-/// Draws the moments of one trace and gives its shape second by second.
+/// Draws the random parameters of one trace and computes its shape for each second.
 class shape_generator {
 public:
     shape_generator(const deployment& fleet, const trace_options& options, std::mt19937_64& random)
@@ -96,7 +96,7 @@
         break;
     case trace_kind::missing_reports:
         trace.report_loss = 0.2;
-        trace.host_silent = {swing, options.seconds};
+        trace.unresponsive_host = {swing, options.seconds};
         break;
     case trace_kind::market_gone:
         trace.market_gone = {swing, swing + options.seconds / 4};
@@ -118,8 +118,8 @@
             .calm_prefill_share = 0.60,
             .swing_prefill_share = 0.22,
             .swing_seconds = 120,
-            .prefill_patience_seconds = 4,
-            .decode_patience_seconds = 8,
+            .max_prefill_wait_seconds = 4,
+            .max_decode_wait_seconds = 8,
             .guaranteed_share = 0.35};
 }
 
@@ -130,8 +130,8 @@
             .calm_prefill_share = 0.30,
             .swing_prefill_share = 0.78,
             .swing_seconds = 300,
-            .prefill_patience_seconds = 8,
-            .decode_patience_seconds = 16,
+            .max_prefill_wait_seconds = 8,
+            .max_decode_wait_seconds = 16,
             .guaranteed_share = 0.45};
 }
 
@@ -183,7 +183,7 @@
         std::vector<policy::role_demand> row;
         for (std::size_t index = 0; index < fleet.organisation_share.size(); ++index) {
             const double share =
-                std::clamp(now.prefill_share + fleet.organisation_skew[index], least_share, 1 - least_share);
+                std::clamp(now.prefill_share + fleet.organisation_skew[index], min_share, 1 - min_share);
             const double units = nominal * now.load * fleet.organisation_share[index] * std::max(0.0, noise(random));
             row.push_back({.prefill = units * share, .decode = units * (1 - share)});
         }
--- a/tests/fleet_model/demand_trace.hpp
+++ b/tests/fleet_model/demand_trace.hpp
@@ -10,29 +10,29 @@
 
 namespace dragonflywell::fleet_model {
 
-/// Work of a prompt token and of a generated token, in units; an engine does 2,000 units in a second.
+/// Work of a prompt token and of a generated token, in units. An engine completes 2,000 units per second.
 inline constexpr double units_per_prompt_token = 0.25;
 inline constexpr double units_per_output_token = 1.0;
 
-/// One user's fleet for one model.
+/// A modelled fleet of engines for one model, with its load profile.
 struct deployment {
     std::string name;
     std::uint32_t engines{12};
     std::uint32_t zones{4};
     double units_per_engine{2000};
     std::uint32_t hosts{8};
-    /// Part of the demand that each organisation asks for, and how far its prefill share lies from the mean.
+    /// Share of the demand for each organisation, and the deviation of its prefill share from the mean.
     std::vector<double> organisation_share;
     std::vector<double> organisation_skew;
-    /// Prefill share of the work in ordinary times and at the height of a swing.
+    /// Prefill share of the work in normal operation and at the peak of a load swing.
     double calm_prefill_share{};
     double swing_prefill_share{};
-    /// How long a swing takes to build up.
+    /// Time in which a load swing builds up.
     double swing_seconds{};
-    /// How long a request may wait for each phase.
-    double prefill_patience_seconds{};
-    double decode_patience_seconds{};
-    /// Part of the work that must not be on cheap servers.
+    /// Maximum time that a request may wait for each phase.
+    double max_prefill_wait_seconds{};
+    double max_decode_wait_seconds{};
+    /// Share of the work that must not run on cheap servers, 0 to 1.
     double guaranteed_share{};
 };
 
@@ -55,7 +55,7 @@
 
 [[nodiscard]] std::string_view get_trace_name(trace_kind kind) noexcept;
 
-/// A span of seconds, the end not included.
+/// Half-open interval of seconds.
 struct span_of_seconds {
     std::uint32_t from{};
     std::uint32_t to{};
@@ -63,13 +63,13 @@
     [[nodiscard]] bool contains(std::uint32_t second) const noexcept { return second >= from && second < to; }
 };
 
-/// What is asked for in each second, and what fails when.
+/// Demand for each second, and the times of the injected faults.
 struct demand_trace {
-    /// By second, then by organisation.
+    /// Demand by second, then by organisation.
     std::vector<std::vector<policy::role_demand>> demand;
     std::optional<span_of_seconds> engine_lost;
     std::optional<span_of_seconds> log_down;
-    std::optional<span_of_seconds> host_silent;
+    std::optional<span_of_seconds> unresponsive_host;
     std::optional<span_of_seconds> market_gone;
     std::optional<std::uint32_t> zone_reclaimed_at;
     std::uint32_t report_lag_seconds{1};
@@ -82,11 +82,11 @@
     trace_kind kind{};
     std::uint64_t seed{};
     std::uint32_t seconds{3600};
-    /// Multiplies what is asked for, against the fleet's nominal capacity.
+    /// Demand relative to the fleet's nominal capacity.
     double load{1.0};
 };
 
-/// The same options give the same trace.
+/// Generates a trace. The same options give the same trace.
 [[nodiscard]] demand_trace make_trace(const deployment& fleet, const trace_options& options);
 
 } // namespace dragonflywell::fleet_model
--- a/tests/fleet_model/modelled_engines.cpp
+++ b/tests/fleet_model/modelled_engines.cpp
@@ -50,7 +50,7 @@
     }
 }
 
-void modelled_engines::lose_one() {
+void modelled_engines::fail_engine() {
     std::map<fleet::engine_role, int> counts;
     for (const policy::planned_engine& engine : m_engines) {
         ++counts[engine.role];
@@ -64,7 +64,7 @@
     enter(*chosen, engine_state::lost);
 }
 
-void modelled_engines::bring_back() {
+void modelled_engines::restore_engine() {
     for (policy::planned_engine& engine : m_engines) {
         if (engine.state == engine_state::lost) {
             enter(engine, engine_state::serving);
--- a/tests/fleet_model/modelled_engines.hpp
+++ b/tests/fleet_model/modelled_engines.hpp
@@ -7,18 +7,18 @@
 
 namespace dragonflywell::fleet_model {
 
-/// The engines of one model, with their drains, changes and losses, second by second.
+/// Simulates the engines of one model with their drains, role changes and failures, in steps of one second.
 class modelled_engines {
 public:
     modelled_engines(const deployment& fleet, const role_split& start);
 
-    /// Takes the orders; those for engines that are lost or away have no effect.
+    /// Executes the orders. Orders for engines that are lost or unavailable have no effect.
     void take(std::span<const policy::role_order> orders);
 
-    /// Loses the engine that is furthest into a change, else the first of the most frequent role.
-    void lose_one();
-    /// Brings the lost engine back in the role it had.
-    void bring_back();
+    /// Marks one engine as lost: one that has a change in progress if there is any, with the most frequent role.
+    void fail_engine();
+    /// Restores the lost engine in the role that it had.
+    void restore_engine();
 
     /// Advances by one second and returns the capacity in it.
     policy::role_capacity step();
--- a/tests/fleet_model/oracle.cpp
+++ b/tests/fleet_model/oracle.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr std::uint32_t step_seconds = drain_seconds + change_seconds;
-constexpr int most_changes = 3;
+constexpr int max_changes = 3;
 constexpr double draining_part = 0.5 * drain_seconds / step_seconds;
 
-/// Finds the sequence of splits with the most work served.
+/// Finds the sequence of splits that serves the most work.
 class oracle_search {
 public:
     oracle_search(const deployment& fleet, const demand_trace& trace)
@@ -52,7 +52,7 @@
             for (std::size_t from = 0; from < m_splits.size(); ++from) {
                 const int changes = count_changes(m_splits[from], m_splits[to]);
                 // The first split is free, as for the other planners.
-                if (step > 0 && (changes > most_changes || (is_frozen && changes > 0))) {
+                if (step > 0 && (changes > max_changes || (is_frozen && changes > 0))) {
                     continue;
                 }
                 const double gained = step == 0 ? get_served(m_splits[to], m_splits[to], mean, first)
@@ -74,14 +74,14 @@
 
     [[nodiscard]] double get_served(const role_split& from, const role_split& to, const policy::role_demand& demand,
                                     std::uint32_t first) const {
-        const role_split stays{.prefill = std::min(from.prefill, to.prefill),
-                               .decode = std::min(from.decode, to.decode),
-                               .mixed = std::min(from.mixed, to.mixed)};
-        policy::role_capacity capacity = get_capacity(stays, m_fleet->units_per_engine, mixed_efficiency);
+        const role_split unchanged{.prefill = std::min(from.prefill, to.prefill),
+                                   .decode = std::min(from.decode, to.decode),
+                                   .mixed = std::min(from.mixed, to.mixed)};
+        policy::role_capacity capacity = get_capacity(unchanged, m_fleet->units_per_engine, mixed_efficiency);
         const double units = m_fleet->units_per_engine * draining_part;
-        capacity.prefill += (from.prefill - stays.prefill) * units;
-        capacity.decode += (from.decode - stays.decode) * units;
-        capacity.mixed += (from.mixed - stays.mixed) * units * mixed_efficiency;
+        capacity.prefill += (from.prefill - unchanged.prefill) * units;
+        capacity.decode += (from.decode - unchanged.decode) * units;
+        capacity.mixed += (from.mixed - unchanged.mixed) * units * mixed_efficiency;
         if (m_trace->engine_lost && m_trace->engine_lost->contains(first)) {
             double& largest = capacity.prefill > capacity.decode ? capacity.prefill : capacity.decode;
             largest -= std::min(largest, m_fleet->units_per_engine);
@@ -102,14 +102,14 @@
     request_queues queues(fleet);
     for (std::uint32_t second = 0; second < trace.demand.size(); ++second) {
         if (trace.engine_lost && trace.engine_lost->from == second) {
-            engines.lose_one();
+            engines.fail_engine();
         }
         if (trace.engine_lost && trace.engine_lost->to == second) {
-            engines.bring_back();
+            engines.restore_engine();
         }
         const bool is_frozen = trace.log_down && trace.log_down->contains(second);
         if (second % step_seconds == 0 && second / step_seconds < sequence.size() && !is_frozen) {
-            engines.take(get_orders_towards(engines.get(), sequence[second / step_seconds], most_changes));
+            engines.take(get_orders_towards(engines.get(), sequence[second / step_seconds], max_changes));
         }
         queues.step(trace.demand[second], engines.step());
     }
--- a/tests/fleet_model/request_queues.hpp
+++ b/tests/fleet_model/request_queues.hpp
@@ -8,10 +8,10 @@
 
 namespace dragonflywell::fleet_model {
 
-/// Prefill and decode queues of each organisation as fluids, advanced second by second.
+/// Fluid model of the prefill and decode queues of each organisation, in steps of one second.
 ///
-/// Capacity is shared by contract; what one organisation leaves goes to the others. Work beyond what can be done within
-/// the patience of its phase is refused on arrival, and lost when capacity has left since.
+/// Capacity is divided by the organisations' shares; unused capacity of one organisation goes to the others. Work that
+/// cannot be done within the maximum wait of its phase is refused on arrival, and lost if the capacity shrinks later.
 class request_queues {
 public:
     explicit request_queues(const deployment& fleet);
@@ -24,12 +24,12 @@
     [[nodiscard]] double get_worst_goodput() const;
 
 private:
-    /// Work waiting in one phase, and the whole requests that it belongs to, both in units.
+    /// Work that waits in one phase, and the total work of the requests that it belongs to, both in units.
     struct waiting {
-        double own{};
-        double whole{};
-        /// Decode work that a prefill queue leads to.
-        double next{};
+        double phase_units{};
+        double request_units{};
+        /// Decode work that follows the prefill work of the queue.
+        double decode_units{};
     };
     struct organisation_queues {
         waiting prefill;
@@ -39,7 +39,7 @@
     };
 
     void admit(std::span<const policy::role_demand> arrivals, const policy::role_capacity& capacity);
-    [[nodiscard]] std::vector<double> share_out(double capacity, const std::vector<double>& wanted) const;
+    [[nodiscard]] std::vector<double> divide_capacity(double capacity, const std::vector<double>& wanted) const;
 
     deployment m_fleet;
     std::vector<organisation_queues> m_organisations;
--- a/tests/fleet_model/role_run.cpp
+++ b/tests/fleet_model/role_run.cpp
@@ -21,18 +21,18 @@
     return wall_time(std::chrono::seconds(1000000) + std::chrono::seconds(second));
 }
 
-/// The entry hosts: each sees its part of the arrivals and reports it, late or never when the trace says so.
+/// Simulates the entry hosts: each reports its share of the arrivals, late or not at all if the trace says so.
 class reporting_hosts {
 public:
     reporting_hosts(const deployment& fleet, const demand_trace& trace, std::uint64_t seed)
         : m_fleet(&fleet), m_trace(&trace), m_random(seed) {}
 
-    /// Hands the reports that arrive in this second to the estimator.
+    /// Delivers the reports that arrive in this second to the estimator.
     void deliver(std::uint32_t second, policy::demand_estimator& estimator) {
         if (second % report_seconds == 0 && second >= report_seconds) {
             send(second);
         }
-        std::erase_if(m_under_way, [&](const auto& item) {
+        std::erase_if(m_in_transit, [&](const auto& item) {
             if (item.first > second) {
                 return false;
             }
@@ -44,18 +44,18 @@
 private:
     void send(std::uint32_t second) {
         std::uniform_real_distribution<double> unit(0, 1);
-        const bool is_one_silent = m_trace->host_silent && m_trace->host_silent->contains(second);
-        const std::uint32_t alive = m_fleet->hosts - (is_one_silent ? 1 : 0);
-        for (std::uint32_t host = 0; host < alive; ++host) {
+        const bool is_one_unresponsive = m_trace->unresponsive_host && m_trace->unresponsive_host->contains(second);
+        const std::uint32_t responsive = m_fleet->hosts - (is_one_unresponsive ? 1 : 0);
+        for (std::uint32_t host = 0; host < responsive; ++host) {
             if (unit(m_random) < m_trace->report_loss) {
                 continue;
             }
-            m_under_way.emplace_back(second + m_trace->report_lag_seconds, make_report(second, host, alive));
+            m_in_transit.emplace_back(second + m_trace->report_lag_seconds, make_report(second, host, responsive));
         }
     }
 
     [[nodiscard]] policy::demand_report make_report(std::uint32_t second, std::uint32_t host,
-                                                    std::uint32_t alive) const {
+                                                    std::uint32_t responsive) const {
         policy::demand_report report{.host = host_name(fmt::format("h{}", host)),
                                      .incarnation = 1,
                                      .start = get_time(second - report_seconds),
@@ -64,8 +64,8 @@
         for (std::size_t index = 0; index < m_fleet->organisation_share.size(); ++index) {
             policy::role_demand sum;
             for (std::uint32_t at = second - report_seconds; at < second; ++at) {
-                sum.prefill += m_trace->demand[at][index].prefill / alive;
-                sum.decode += m_trace->demand[at][index].decode / alive;
+                sum.prefill += m_trace->demand[at][index].prefill / responsive;
+                sum.decode += m_trace->demand[at][index].decode / responsive;
             }
             report.rows.push_back(
                 {.key = {.organisation = organisation_name(fmt::format("o{}", index)),
@@ -81,7 +81,7 @@
     const deployment* m_fleet;
     const demand_trace* m_trace;
     std::mt19937_64 m_random;
-    std::vector<std::pair<std::uint32_t, policy::demand_report>> m_under_way;
+    std::vector<std::pair<std::uint32_t, policy::demand_report>> m_in_transit;
 };
 
 policy::role_demand get_units(const policy::demand_rate& rate) {
@@ -89,12 +89,12 @@
             .decode = rate.output_tokens * units_per_output_token};
 }
 
-void apply_losses(const demand_trace& trace, std::uint32_t second, modelled_engines& engines) {
+void apply_engine_loss(const demand_trace& trace, std::uint32_t second, modelled_engines& engines) {
     if (trace.engine_lost && trace.engine_lost->from == second) {
-        engines.lose_one();
+        engines.fail_engine();
     }
     if (trace.engine_lost && trace.engine_lost->to == second) {
-        engines.bring_back();
+        engines.restore_engine();
     }
 }
 
@@ -110,9 +110,9 @@
     request_queues queues(fleet);
     reporting_hosts hosts(fleet, trace, seed);
     policy::demand_estimator estimator({});
-    policy::role_planner_state memory;
+    policy::role_planner_state state;
     for (std::uint32_t second = 0; second < trace.demand.size(); ++second) {
-        apply_losses(trace, second, engines);
+        apply_engine_loss(trace, second, engines);
         hosts.deliver(second, estimator);
         if (second % plan_seconds == 0) {
             estimator.advance(get_time(second));
@@ -125,7 +125,7 @@
                                              .relative_error = now.relative_error,
                                              .freshness = now.freshness,
                                              .has_authority = !is_log_down(trace, second)};
-            const policy::role_plan plan = planner.plan(inputs, memory);
+            const policy::role_plan plan = planner.plan(inputs, state);
             if (observe) {
                 observe(second, inputs, plan);
             }
--- a/tests/fleet_model/spend_run.cpp
+++ b/tests/fleet_model/spend_run.cpp
@@ -14,10 +14,10 @@
 using policy::server_kind;
 using policy::server_state;
 
-constexpr std::uint32_t most_servers_per_zone = 8;
+constexpr std::uint32_t max_servers_per_zone = 8;
 constexpr double seconds_per_hour = 3600;
 constexpr double units_per_million = 1e6;
-/// Part of a minute that work on a reclaimed server had taken, and that is run again elsewhere.
+/// Seconds of work on each reclaimed server that are lost and repeated elsewhere.
 constexpr double interrupted_seconds = 10;
 const model_name modelled("model");
 const zone_name reclaimed_zone("z0");
@@ -26,13 +26,14 @@
     return wall_time(std::chrono::seconds(1000000) + std::chrono::seconds(second));
 }
 
-/// Adds up what was served and paid.
+/// Sums the served work and the spending.
 class ledger {
 public:
     ledger(const deployment& fleet, const policy::spend_planner_options& options)
         : m_fleet(&fleet), m_options(options) {}
 
-    /// One step with this many servers at work and this many paid for.
+    /// Adds one step. `regular` and `cheap`: serving servers; `paid_regular` and `paid_cheap`: servers that are paid
+    /// for.
     void step(double asked, double regular, double cheap, double paid_regular, double paid_cheap) {
         const double guaranteed = asked * m_fleet->guaranteed_share;
         const double regular_units = regular * m_fleet->units_per_engine;
@@ -93,7 +94,7 @@
            *trace.zone_reclaimed_at < second + spend_step_seconds;
 }
 
-/// Backend servers that were ordered, with what the platform does to them.
+/// Simulates the ordered backend servers and the platform that starts and reclaims them.
 class modelled_servers {
 public:
     modelled_servers(const deployment& fleet, std::uint32_t regular, std::uint32_t cheap) : m_zones(fleet.zones) {
@@ -128,7 +129,7 @@
         }
     }
 
-    /// Takes all cheap servers of a zone away; returns how many served.
+    /// Removes all cheap servers of a zone that are not on order, and returns how many there were.
     std::uint32_t reclaim(const zone_name& zone) {
         const auto lost = std::erase_if(m_servers, [&](const owned_server& server) {
             return server.zone == zone && server.kind == server_kind::cheap && server.state != server_state::ordered;
@@ -145,7 +146,7 @@
                 server.state = server_state::serving;
                 server.in_state = duration::zero();
             }
-            // A drain lasts longer than a step; the server does no new work and is paid for.
+            // A drain lasts two steps. Meanwhile, the server gets no new work and is still paid for.
             server.is_idle = server.state == server_state::draining &&
                              server.in_state >= std::chrono::seconds(2 * spend_step_seconds);
         }
@@ -215,10 +216,10 @@
     modelled_servers servers(fleet, first - first / 2, first / 2);
     ledger figures(fleet, make_spend_options(fleet));
     policy::demand_estimator estimator(make_estimator_options());
-    policy::spend_planner_state memory;
+    policy::spend_planner_state state;
     std::vector<policy::zone_market> markets;
     for (std::uint32_t zone = 0; zone < fleet.zones; ++zone) {
-        markets.push_back({.zone = zone_name(fmt::format("z{}", zone)), .most_servers = most_servers_per_zone});
+        markets.push_back({.zone = zone_name(fmt::format("z{}", zone)), .most_servers = max_servers_per_zone});
     }
     for (std::uint32_t second = 0; second + spend_step_seconds <= trace.demand.size(); second += spend_step_seconds) {
         if (is_reclaim(trace, second)) {
@@ -240,7 +241,7 @@
                                           .guaranteed_share = fleet.guaranteed_share,
                                           .freshness = now.freshness,
                                           .has_authority = true};
-        const policy::spend_plan plan = planner.plan(inputs, memory);
+        const policy::spend_plan plan = planner.plan(inputs, state);
         if (observe) {
             observe(second, inputs, plan);
         }
@@ -275,7 +276,7 @@
         const std::uint32_t all = count_servers(asked, fleet.units_per_engine);
         const std::uint32_t guaranteed = count_servers(asked * fleet.guaranteed_share, fleet.units_per_engine);
         const auto cap = static_cast<std::uint32_t>(std::floor(options.max_cheap_share * all));
-        // A market that is gone delivers nothing; what was held before stays.
+        // An unavailable market delivers no new servers, but those that run already are kept.
         const std::uint32_t most_cheap = is_market_gone(trace, second) ? held_cheap : all;
         const std::uint32_t cheap = std::min({cap, all - guaranteed, most_cheap});
         held_cheap = cheap;
--- a/tests/policy/test_access_control.cpp
+++ b/tests/policy/test_access_control.cpp
@@ -5,7 +5,7 @@
 
 using namespace dragonflywell;
 
-TEST_CASE("a key is good for its organisation only while the manifest has it") {
+TEST_CASE("a key is accepted for its organisation only while the manifest contains it") {
     fleet::manifest manifest;
     manifest.keys["k1"] = {
         .id = "k1", .owner = organisation_name("rovers"), .salt = "salt", .sha256 = get_sha256_hex("saltsecret")};
--- a/tests/policy/test_attempt_history.cpp
+++ b/tests/policy/test_attempt_history.cpp
@@ -6,7 +6,7 @@
 using policy::attempt_history;
 using policy::request_outcome;
 
-TEST_CASE("not run is said only while no attempt has written a byte") {
+TEST_CASE("the outcome not_run is reported only while no attempt has written a byte") {
     for (const bool is_repeatable : {false, true}) {
         attempt_history history(is_repeatable);
         CHECK(history.get_outcome() == request_outcome::not_run);
--- a/tests/policy/test_circuit_breaker.cpp
+++ b/tests/policy/test_circuit_breaker.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Lets calls that fail at once be tried for a while; returns how many were made.
+/// Tries calls that fail immediately for the given span, and returns how many the breaker permitted.
 int count_calls(circuit_breaker& breaker, virtual_clock& clock, duration span) {
     int calls = 0;
     for (duration passed{}; passed < span; passed += 10ms) {
@@ -23,14 +23,14 @@
 
 } // namespace
 
-TEST_CASE("while a dependency fails few calls are made, and at least one within the longest pause") {
+TEST_CASE("while a dependency fails, one probe call is made for each maximum backoff") {
     virtual_clock clock;
     circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     static_cast<void>(count_calls(breaker, clock, 5s));
     CHECK(count_calls(breaker, clock, 10s) == 10);
 }
 
-TEST_CASE("all calls may be made again after one was answered") {
+TEST_CASE("all calls are permitted again after one was answered") {
     virtual_clock clock;
     circuit_breaker breaker;
     static_cast<void>(count_calls(breaker, clock, 5s));
@@ -40,7 +40,7 @@
     CHECK(breaker.may_call(clock.now()));
 }
 
-TEST_CASE("a failure says nothing where a call that was sent later was answered") {
+TEST_CASE("a failure of a call that was sent before a later success is ignored") {
     virtual_clock clock;
     circuit_breaker breaker;
     const steady_time sent_at = clock.now();
@@ -51,7 +51,7 @@
     CHECK(breaker.may_call(clock.now()));
 }
 
-TEST_CASE("calls that were under way together and fail together make one short pause") {
+TEST_CASE("concurrent calls that fail together start a single short backoff") {
     virtual_clock clock;
     circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     const steady_time sent_at = clock.now();
@@ -64,7 +64,7 @@
     CHECK(breaker.may_call(clock.now()));
 }
 
-TEST_CASE("a call that does not end keeps others back for one pause only") {
+TEST_CASE("a probe that never ends blocks other calls for one backoff only") {
     virtual_clock clock;
     circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     breaker.on_failure(clock.now(), clock.now());
@@ -75,7 +75,7 @@
     CHECK(breaker.may_call(clock.now()));
 }
 
-TEST_CASE("each further call that fails doubles the pause up to a bound, and a success ends that") {
+TEST_CASE("each further failure doubles the backoff up to its maximum, and a success resets it") {
     virtual_clock clock;
     circuit_breaker breaker({.initial_backoff = 150ms, .max_backoff = 1200ms});
     for (int round = 0; round < 2; ++round) {
@@ -92,7 +92,7 @@
     }
 }
 
-TEST_CASE("the pause counts from the start of a call that failed late") {
+TEST_CASE("the backoff counts from the start of a call that failed late") {
     virtual_clock clock;
     circuit_breaker breaker({.initial_backoff = 100ms, .max_backoff = 1s});
     static_cast<void>(count_calls(breaker, clock, 5s));
--- a/tests/policy/test_cut_off_state.cpp
+++ b/tests/policy/test_cut_off_state.cpp
@@ -5,7 +5,7 @@
 using namespace dragonflywell;
 using namespace dragonflywell::policy;
 
-TEST_CASE("the time of a cut counts from its first finding and ends with it") {
+TEST_CASE("the duration counts from the first check that found the zone cut off, and ends when it is reachable") {
     virtual_clock time;
     cut_off_state state;
     CHECK_FALSE(state.get_cut_off_duration(time.now()).has_value());
@@ -18,7 +18,7 @@
     CHECK_FALSE(state.get_cut_off_duration(time.now()).has_value());
 }
 
-TEST_CASE("only an organisation that asked for it is refused, and only after its bound") {
+TEST_CASE("a cut-off zone refuses only organisations that request it, and only after their bound") {
     fleet::organisation organisation{.name = organisation_name("rovers"), .cut_off_grace = std::chrono::seconds(30)};
     CHECK(may_serve_cut_off(organisation, std::chrono::hours(9)));
     organisation.when_cut_off = fleet::cut_off_behaviour::refuse;
--- a/tests/policy/test_demand_estimator.cpp
+++ b/tests/policy/test_demand_estimator.cpp
@@ -26,7 +26,7 @@
                       .output_tokens = tokens}}};
 }
 
-/// Two hosts that report the same for a while; returns the second that has been reached.
+/// Feeds identical reports of two hosts; returns `to`, the second that was reached.
 int feed(demand_estimator& estimator, int from, int to) {
     for (int start = from; start < to; start += 5) {
         estimator.add(make_report("h1", start, usual_tokens), at(start + 5));
@@ -42,7 +42,7 @@
 
 } // namespace
 
-TEST_CASE("the demand of all hosts is added up, and a repeated report counts once") {
+TEST_CASE("the demand of all hosts is summed, and a repeated report counts once") {
     demand_estimator estimator({});
     feed(estimator, 0, 60);
     CHECK(get_prompt_rate(estimator) == doctest::Approx(2000));
@@ -55,7 +55,7 @@
     CHECK(estimator.get_by_organisation(model).at(organisation_name("rovers")).prompt_tokens == doctest::Approx(2000));
 }
 
-TEST_CASE("a late host is assumed to go on, and is dropped once its callers must have moved") {
+TEST_CASE("the last rate of a late host is used until it expires") {
     demand_estimator estimator({});
     int now = feed(estimator, 0, 60);
     estimator.add(make_report("h1", now, usual_tokens), at(now + 5));
@@ -70,7 +70,7 @@
     CHECK(get_prompt_rate(estimator) == doctest::Approx(2000).epsilon(0.05));
 }
 
-TEST_CASE("without reports the estimate goes stale") {
+TEST_CASE("without reports, the estimate becomes stale") {
     demand_estimator estimator({});
     CHECK(estimator.forecast(model, duration::zero()).freshness == demand_freshness::stale);
     const int now = feed(estimator, 0, 60);
@@ -91,7 +91,7 @@
     CHECK(estimator.forecast(model, duration::zero()).freshness == demand_freshness::stale);
 }
 
-TEST_CASE("reports that all lag are waited for") {
+TEST_CASE("the estimator waits longer if all reports lag") {
     demand_estimator estimator({});
     constexpr int lag = 14;
     for (int second = 0; second < 120; ++second) {
@@ -104,7 +104,7 @@
     CHECK(estimator.forecast(model, duration::zero()).freshness == demand_freshness::fresh);
 }
 
-TEST_CASE("a single wild report is held back, and believed when the next confirms it") {
+TEST_CASE("a single outlier is ignored, and accepted if the next report confirms it") {
     demand_estimator estimator({});
     const int now = feed(estimator, 0, 60);
     estimator.add(make_report("h1", now, 100 * usual_tokens), at(now + 5));
@@ -117,8 +117,7 @@
     CHECK(get_prompt_rate(estimator) > 20000);
 }
 
-TEST_CASE(
-    "a steady growth is carried into the forecast, damped: by a bucket's growth at least, never beyond the line") {
+TEST_CASE("a steady growth is extrapolated with damping: by at least one bucket's growth, at most linearly") {
     constexpr double growth_per_second = 20;
     demand_estimator estimator({});
     for (int start = 0; start < 120; start += 5) {
@@ -131,7 +130,7 @@
     CHECK(ahead <= now + growth_per_second * 45);
 }
 
-TEST_CASE("reports of an earlier life of a host are ignored") {
+TEST_CASE("reports of an earlier incarnation of a host are ignored") {
     demand_estimator estimator({});
     estimator.add(make_report("h1", 0, usual_tokens, 2), at(5));
     estimator.add(make_report("h1", 0, 50 * usual_tokens, 1), at(5));
