--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -29,8 +29,8 @@
     return {};
 }
 
-/// Returns a judge that takes one engine for less fit than the others.
-engine_status_lookup except(const std::string& name, engine_usability usability) {
+/// Returns a lookup that reports one engine with the given usability and all others as healthy.
+engine_status_lookup report_as(const std::string& name, engine_usability usability) {
     return [name, usability](const backend_server_name& engine) {
         return engine_status{.usability = engine.value() == name ? usability : engine_usability::healthy};
     };
@@ -39,179 +39,182 @@
 struct fixture {
     virtual_clock time;
     prefill_time_model prefill_model;
-    engine_load_tracker board;
+    engine_load_tracker tracker;
     std::array<prefix_block, 1> parts{prefix_block{.id = 5, .tokens = 3'000}};
 
     std::optional<engine_choice> choose(const engine_status_lookup& filter = accept_any) {
         const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
-        return choose_engines(board, costs, {.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts},
+        return choose_engines(tracker, costs, {.prompt_tokens = 4'000, .output_tokens = 100, .parts = parts},
                               zone_name("a"), filter, time.now());
     }
 };
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "a prompt goes to the engine that has its beginning, unless too much waits there") {
-    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
-                       {backend_server_name("p2"), make_facts(prefill, "a")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
-    board.record_prefix_access(backend_server_name("p2"), parts);
+TEST_CASE_FIXTURE(fixture,
+                  "a prompt goes to the engine that has its prefix cached, unless the backlog there is too long") {
+    tracker.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                         {backend_server_name("p2"), make_facts(prefill, "a")},
+                         {backend_server_name("d"), make_facts(decode, "a")}});
+    tracker.record_prefix_access(backend_server_name("p2"), parts);
     const auto cached = choose();
     REQUIRE(cached);
     CHECK(cached->prefill_engine->value() == "p2");
     CHECK(cached->prefill.tokens == 1'000);
     CHECK(cached->prefill.cached_tokens == 3'000);
-    board.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    tracker.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
     const auto free = choose();
     CHECK(free->prefill_engine->value() == "p1");
     CHECK(free->prefix_source->value() == "p2");
     CHECK(free->prefill.tokens == 1'000);
 }
 
-TEST_CASE_FIXTURE(fixture, "the emptiest engine generates, a near one when they are about as full") {
-    board.set_engines({{backend_server_name("p"), make_facts(prefill, "b")},
-                       {backend_server_name("d1"), make_facts(decode, "a")},
-                       {backend_server_name("d2"), make_facts(decode, "b")}});
+TEST_CASE_FIXTURE(fixture,
+                  "the least utilised decode engine is chosen, and one of the same zone if they are about equal") {
+    tracker.set_engines({{backend_server_name("p"), make_facts(prefill, "b")},
+                         {backend_server_name("d1"), make_facts(decode, "a")},
+                         {backend_server_name("d2"), make_facts(decode, "b")}});
     CHECK(choose()->decode_engine.value() == "d2");
-    board.start_decode(backend_server_name("d2"), 100, {});
-    board.start_decode(backend_server_name("d2"), 100, {});
+    tracker.start_decode(backend_server_name("d2"), 100, {});
+    tracker.start_decode(backend_server_name("d2"), 100, {});
     CHECK(choose()->decode_engine.value() == "d1");
 }
 
-TEST_CASE_FIXTURE(fixture, "memory counts as much as slots") {
-    board.set_engines({{backend_server_name("p"), make_facts(prefill, "c")},
-                       {backend_server_name("d1"), make_facts(decode, "a")},
-                       {backend_server_name("d2"), make_facts(decode, "a")}});
-    board.start_decode(backend_server_name("d1"), 90'000, {});
-    board.start_decode(backend_server_name("d2"), 1'000, {});
-    board.start_decode(backend_server_name("d2"), 1'000, {});
+TEST_CASE_FIXTURE(fixture, "the utilisation of a decode engine is the larger of slots and KV cache") {
+    tracker.set_engines({{backend_server_name("p"), make_facts(prefill, "c")},
+                         {backend_server_name("d1"), make_facts(decode, "a")},
+                         {backend_server_name("d2"), make_facts(decode, "a")}});
+    tracker.start_decode(backend_server_name("d1"), 90'000, {});
+    tracker.start_decode(backend_server_name("d2"), 1'000, {});
+    tracker.start_decode(backend_server_name("d2"), 1'000, {});
     CHECK(choose()->decode_engine.value() == "d2");
 }
 
-TEST_CASE_FIXTURE(fixture, "a regular engine generates before one that may be reclaimed") {
-    board.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
-                       {backend_server_name("cheap"), make_facts(decode, "a", true)},
-                       {backend_server_name("regular"), make_facts(decode, "a")}});
-    board.start_decode(backend_server_name("regular"), 100, {});
+TEST_CASE_FIXTURE(fixture, "a regular engine is preferred for decoding over one that may be reclaimed") {
+    tracker.set_engines({{backend_server_name("p"), make_facts(prefill, "a")},
+                         {backend_server_name("cheap"), make_facts(decode, "a", true)},
+                         {backend_server_name("regular"), make_facts(decode, "a")}});
+    tracker.start_decode(backend_server_name("regular"), 100, {});
     CHECK(choose()->decode_engine.value() == "regular");
 }
 
-TEST_CASE_FIXTURE(fixture, "without an engine for prompts the one that generates reads them itself") {
-    board.set_engines({{backend_server_name("d"), make_facts(decode, "a")}});
+TEST_CASE_FIXTURE(fixture, "without a prefill engine, the decode engine runs the prefill itself") {
+    tracker.set_engines({{backend_server_name("d"), make_facts(decode, "a")}});
     const auto choice = choose();
     REQUIRE(choice);
     CHECK_FALSE(choice->prefill_engine);
     CHECK(choice->decode_engine.value() == "d");
 }
 
-TEST_CASE_FIXTURE(fixture, "what another engine has read is fetched from its cache when that is quicker") {
-    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
-                       {backend_server_name("p2"), make_facts(prefill, "a")},
-                       {backend_server_name("p3"), make_facts(prefill, "b")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
-    board.record_prefix_access(backend_server_name("p2"), parts);
-    board.record_prefix_access(backend_server_name("p3"), parts);
-    board.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
-    board.start_prefill(backend_server_name("p3"), {.number = 2, .sent_at = time.now(), .cost = 1s}, {});
+TEST_CASE_FIXTURE(fixture, "a cached prefix is fetched from another engine if that is quicker than computing it") {
+    tracker.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                         {backend_server_name("p2"), make_facts(prefill, "a")},
+                         {backend_server_name("p3"), make_facts(prefill, "b")},
+                         {backend_server_name("d"), make_facts(decode, "a")}});
+    tracker.record_prefix_access(backend_server_name("p2"), parts);
+    tracker.record_prefix_access(backend_server_name("p3"), parts);
+    tracker.start_prefill(backend_server_name("p2"), {.number = 1, .sent_at = time.now(), .cost = 1s}, {});
+    tracker.start_prefill(backend_server_name("p3"), {.number = 2, .sent_at = time.now(), .cost = 1s}, {});
     const auto choice = choose();
     REQUIRE(choice);
     CHECK(choice->prefill_engine->value() == "p1");
     REQUIRE(choice->prefix_source);
     CHECK(choice->prefix_source->value() == "p2");
     CHECK(choice->prefill.tokens == 1'000);
-    // A source that may not be used is none; a short beginning is not worth a transfer.
-    const auto without = choose(except("p2", engine_usability::unusable));
+    // An unusable engine is no source, and a short prefix is not worth a transfer.
+    const auto without = choose(report_as("p2", engine_usability::unusable));
     CHECK(without->prefix_source->value() == "p3");
     parts[0].tokens = 500;
-    board.record_prefix_access(backend_server_name("p3"), parts);
-    board.set_engines(
+    tracker.record_prefix_access(backend_server_name("p3"), parts);
+    tracker.set_engines(
         {{backend_server_name("p1"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
     CHECK_FALSE(choose()->prefix_source);
 }
 
-TEST_CASE_FIXTURE(fixture, "under a load beyond the fleet those that can be in time go first, and by rank") {
-    board.set_engines(
+TEST_CASE_FIXTURE(fixture, "under overload, requests that can meet their target go first, ordered by priority") {
+    tracker.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
     const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
     generation_requirements request{
         .prompt_tokens = 4'000, .output_tokens = 100, .parts = parts, .priority = 1, .target = 5s};
-    const auto in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    const auto in_time = choose_engines(tracker, costs, request, zone_name("a"), accept_any, time.now());
     REQUIRE(in_time);
     CHECK(in_time->is_in_time);
-    // Work that is late already does not stand in the way of the next request, but for what has been begun.
+    // Late requests do not delay a request that can meet its target, except for the prefill that is running.
     for (std::uint64_t number = 0; number < 20; ++number) {
-        board.start_prefill(backend_server_name("p"),
-                            {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency + 4}, {});
+        tracker.start_prefill(backend_server_name("p"),
+                              {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency + 4},
+                              {});
     }
-    const auto still_in_time = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    const auto still_in_time = choose_engines(tracker, costs, request, zone_name("a"), accept_any, time.now());
     CHECK(still_in_time->is_in_time);
     for (std::uint64_t number = 20; number < 40; ++number) {
-        board.start_prefill(backend_server_name("p"),
-                            {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency}, {});
+        tracker.start_prefill(backend_server_name("p"),
+                              {.number = number, .sent_at = time.now(), .cost = 1s, .urgency = in_time->urgency}, {});
     }
-    const auto late = choose_engines(board, costs, request, zone_name("a"), accept_any, time.now());
+    const auto late = choose_engines(tracker, costs, request, zone_name("a"), accept_any, time.now());
     CHECK_FALSE(late->is_in_time);
     CHECK(late->urgency > in_time->urgency);
-    // A more urgent rank passes by all of it.
+    // A request of a more urgent priority class goes before all of them.
     request.priority = 0;
-    CHECK(choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->is_in_time);
+    CHECK(choose_engines(tracker, costs, request, zone_name("a"), accept_any, time.now())->is_in_time);
 }
 
-TEST_CASE_FIXTURE(fixture, "an engine that refused lately is used where no other one can do the work") {
-    board.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
-                       {backend_server_name("p2"), make_facts(prefill, "a")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
-    board.record_prefix_access(backend_server_name("p1"), parts);
-    CHECK(choose(except("p1", engine_usability::degraded))->prefill_engine->value() == "p2");
-    const auto generated = choose(except("d", engine_usability::degraded));
+TEST_CASE_FIXTURE(fixture, "an engine that refused recently is used if no other engine can do the work") {
+    tracker.set_engines({{backend_server_name("p1"), make_facts(prefill, "a")},
+                         {backend_server_name("p2"), make_facts(prefill, "a")},
+                         {backend_server_name("d"), make_facts(decode, "a")}});
+    tracker.record_prefix_access(backend_server_name("p1"), parts);
+    CHECK(choose(report_as("p1", engine_usability::degraded))->prefill_engine->value() == "p2");
+    const auto generated = choose(report_as("d", engine_usability::degraded));
     REQUIRE(generated);
     CHECK(generated->decode_engine.value() == "d");
-    board.set_engines(
+    tracker.set_engines(
         {{backend_server_name("p1"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK(choose(except("p1", engine_usability::degraded))->prefill_engine->value() == "p1");
+    CHECK(choose(report_as("p1", engine_usability::degraded))->prefill_engine->value() == "p1");
 }
 
-TEST_CASE_FIXTURE(fixture, "engines of another group help out when one's own are much busier") {
-    board.set_engines({{backend_server_name("far"), make_facts(prefill, "b")},
-                       {backend_server_name("near"), make_facts(prefill, "a")},
-                       {backend_server_name("d"), make_facts(decode, "a")}});
+TEST_CASE_FIXTURE(fixture, "engines of another group are used if the own group's are much busier") {
+    tracker.set_engines({{backend_server_name("far"), make_facts(prefill, "b")},
+                         {backend_server_name("near"), make_facts(prefill, "a")},
+                         {backend_server_name("d"), make_facts(decode, "a")}});
     const engine_status_lookup judge = [](const backend_server_name& engine) {
         return engine_status{.unobserved_backlog = engine.value() == "far" ? 100ms : 0ms};
     };
     CHECK(choose(judge)->prefill_engine->value() == "near");
-    board.start_prefill(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
+    tracker.start_prefill(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
     CHECK(choose(judge)->prefill_engine->value() == "near");
-    board.start_prefill(backend_server_name("near"), {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1},
-                        {});
+    tracker.start_prefill(backend_server_name("near"),
+                          {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1}, {});
     CHECK(choose(judge)->prefill_engine->value() == "far");
 }
 
-TEST_CASE_FIXTURE(fixture, "engines that may not be used are left out") {
-    board.set_engines(
+TEST_CASE_FIXTURE(fixture, "unusable engines are never chosen") {
+    tracker.set_engines(
         {{backend_server_name("p"), make_facts(prefill, "a")}, {backend_server_name("d"), make_facts(decode, "a")}});
-    CHECK_FALSE(choose(except("d", engine_usability::unusable)));
+    CHECK_FALSE(choose(report_as("d", engine_usability::unusable)));
 }
 
-TEST_CASE_FIXTURE(fixture, "hosts that decide at the same moment spread over engines that are as good") {
-    // A burst on many hosts: each has one request and has not heard of the others' yet.
+TEST_CASE_FIXTURE(fixture, "hosts that decide at the same moment spread over equally good engines") {
+    // A burst on many hosts: each host has one request and does not know of the others' requests yet.
     constexpr std::size_t engines = 10;
     constexpr std::uint64_t hosts = 30;
     std::map<backend_server_name, engine_attributes> facts{{backend_server_name("d"), make_facts(decode, "a")}};
     for (std::size_t number = 0; number < engines; ++number) {
         facts.emplace(backend_server_name("p" + std::to_string(number)), make_facts(prefill, "a"));
     }
-    board.set_engines(facts);
+    tracker.set_engines(facts);
     const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
     std::map<backend_server_name, int> chosen;
     for (std::uint64_t host = 1; host <= hosts; ++host) {
         const std::array<prefix_block, 1> own{prefix_block{.id = host, .tokens = 3'000}};
         const generation_requirements request{
             .prompt_tokens = 4'000, .output_tokens = 100, .parts = own, .seed = host << 20U};
-        ++chosen[*choose_engines(board, costs, request, zone_name("a"), accept_any, time.now())->prefill_engine];
+        ++chosen[*choose_engines(tracker, costs, request, zone_name("a"), accept_any, time.now())->prefill_engine];
     }
     const auto longest = std::max_element(
         chosen.begin(), chosen.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
-    // Three each would be even; all thirty wait for one engine where the choice is the same everywhere.
+    // An even spread is three requests for each engine. Without random tie breaking, all thirty go to one engine.
     CHECK(chosen.size() >= engines * 8 / 10);
     CHECK(longest->second <= 8);
 }
--- a/tests/policy/test_fleet_golden.cpp
+++ b/tests/policy/test_fleet_golden.cpp
@@ -9,7 +9,8 @@
 #include "fleet_model/spend_run.hpp"
 #include "policy/horizon_role_planner.hpp"
 
-// Whole sessions of decisions, as text that a person can read. After an intended change:
+// Compares the decisions of whole simulated runs with golden files in readable text. To update them after an intended
+// change:
 //   DRAGONFLYWELL_UPDATE_GOLDEN=1 build/bin/test_policy --test-case='golden*'
 
 using namespace dragonflywell;
@@ -33,7 +34,7 @@
     return "?";
 }
 
-/// One letter for each engine: its role, in lower case while it is away, `-` when it is lost.
+/// Returns one letter for each engine: its role, in lower case while it is unavailable, or `-` if it is lost.
 std::string draw_engines(std::span<const policy::planned_engine> engines) {
     std::string text;
     for (const policy::planned_engine& engine : engines) {
@@ -51,16 +52,16 @@
     return reason == policy::role_reason::stale_demand || reason == policy::role_reason::no_authority;
 }
 
-std::string tell_roles(const deployment& fleet, trace_kind kind) {
+std::string format_role_plans(const deployment& fleet, trace_kind kind) {
     const demand_trace trace = make_trace(fleet, {.kind = kind, .seed = golden_seed, .seconds = role_seconds});
     const policy::horizon_role_planner planner({});
     std::string text = fmt::format("{} {}: second, engines, prefill and decode in units per second, reason, orders\n",
                                    fleet.name, get_trace_name(kind));
     policy::role_reason last = policy::role_reason::gain_too_small;
     const auto observe = [&](std::uint32_t second, const policy::role_inputs& inputs, const policy::role_plan& plan) {
-        const bool is_news = plan.reason != last && (is_blocked(plan.reason) || is_blocked(last));
+        const bool is_reported_reason = plan.reason != last && (is_blocked(plan.reason) || is_blocked(last));
         last = plan.reason;
-        if (plan.orders.empty() && !is_news) {
+        if (plan.orders.empty() && !is_reported_reason) {
             return;
         }
         text += fmt::format("{:>5} {} {:>6.0f} {:>6.0f} {}", second, draw_engines(inputs.engines),
@@ -77,7 +78,7 @@
                               result.worst_goodput, result.changes);
 }
 
-std::string tell_spending(const deployment& fleet, trace_kind kind) {
+std::string format_spend_plans(const deployment& fleet, trace_kind kind) {
     const demand_trace trace = make_trace(fleet, {.kind = kind, .seed = golden_seed, .seconds = spend_seconds});
     const policy::spend_planner planner(make_spend_options(fleet));
     std::string text = fmt::format("{} {}: second, units per second, wanted regular and cheap, reason, orders\n",
@@ -120,7 +121,7 @@
                                   trace_kind::lagging_reports, trace_kind::missing_reports, trace_kind::log_outage}) {
         std::string text;
         for (const deployment& fleet : {make_jonosfera(), make_carbonera()}) {
-            text += tell_roles(fleet, kind);
+            text += format_role_plans(fleet, kind);
         }
         check_golden("roles_" + std::string(get_trace_name(kind)), text);
     }
@@ -131,7 +132,7 @@
          {trace_kind::daily_cycle, trace_kind::flash, trace_kind::market_gone, trace_kind::zone_reclaimed}) {
         std::string text;
         for (const deployment& fleet : {make_jonosfera(), make_carbonera()}) {
-            text += tell_spending(fleet, kind);
+            text += format_spend_plans(fleet, kind);
         }
         check_golden("spend_" + std::string(get_trace_name(kind)), text);
     }
--- a/tests/policy/test_horizon_role_planner.cpp
+++ b/tests/policy/test_horizon_role_planner.cpp
@@ -38,25 +38,26 @@
             .has_authority = true};
 }
 
-/// Plans until a change has been confirmed.
-role_plan plan_confirmed(const horizon_role_planner& planner, role_inputs inputs, role_planner_state& memory) {
-    static_cast<void>(planner.plan(inputs, memory));
+/// Plans twice, so that a change is confirmed by the second plan.
+role_plan plan_confirmed(const horizon_role_planner& planner, role_inputs inputs, role_planner_state& state) {
+    static_cast<void>(planner.plan(inputs, state));
     inputs.now += std::chrono::seconds(30);
-    return planner.plan(inputs, memory);
+    return planner.plan(inputs, state);
 }
 
 constexpr role_demand mostly_decode{.prefill = 4000, .decode = 18000};
 
 } // namespace
 
-TEST_CASE("a lasting shift moves engines, at most a quarter at once and from different zones") {
+TEST_CASE(
+    "a lasting shift of the demand changes roles of at most a quarter of the engines at once, from different zones") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(8, 4);
-    role_planner_state memory;
+    role_planner_state state;
     const role_inputs inputs = make_inputs(engines, mostly_decode);
-    CHECK(planner.plan(inputs, memory).reason == role_reason::not_confirmed);
-    memory = {};
-    const role_plan plan = plan_confirmed(planner, inputs, memory);
+    CHECK(planner.plan(inputs, state).reason == role_reason::not_confirmed);
+    state = {};
+    const role_plan plan = plan_confirmed(planner, inputs, state);
     CHECK(plan.reason == role_reason::ordered);
     REQUIRE(plan.orders.size() == 3);
     CHECK(plan.orders[0].zone != plan.orders[1].zone);
@@ -64,62 +65,62 @@
     CHECK(plan.orders[0].from == engine_role::prefill);
 }
 
-TEST_CASE("no plan without authority, on stale demand, or for a gain too small") {
+TEST_CASE("no change is ordered without authority, with stale demand, or for too small a gain") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(8, 4);
-    role_planner_state memory;
+    role_planner_state state;
     role_inputs inputs = make_inputs(engines, mostly_decode);
     inputs.has_authority = false;
-    CHECK(plan_confirmed(planner, inputs, memory).reason == role_reason::no_authority);
+    CHECK(plan_confirmed(planner, inputs, state).reason == role_reason::no_authority);
     inputs = make_inputs(engines, mostly_decode);
     inputs.freshness = demand_freshness::stale;
-    CHECK(plan_confirmed(planner, inputs, memory).reason == role_reason::stale_demand);
+    CHECK(plan_confirmed(planner, inputs, state).reason == role_reason::stale_demand);
     inputs = make_inputs(engines, {.prefill = 8000, .decode = 4000});
-    CHECK(plan_confirmed(planner, inputs, memory).reason == role_reason::gain_too_small);
-    CHECK(plan_confirmed(planner, inputs, memory).orders.empty());
+    CHECK(plan_confirmed(planner, inputs, state).reason == role_reason::gain_too_small);
+    CHECK(plan_confirmed(planner, inputs, state).orders.empty());
 }
 
-TEST_CASE("engines that are away count against the cap") {
+TEST_CASE("unavailable engines count against the limit of concurrent changes") {
     const horizon_role_planner planner({});
     std::vector<planned_engine> engines = make_engines(8, 4);
     for (int index = 0; index < 3; ++index) {
         engines[static_cast<std::size_t>(index)].state = engine_state::changing;
         engines[static_cast<std::size_t>(index)].target = engine_role::decode;
     }
-    role_planner_state memory;
-    const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 2000, .decode = 22000}), memory);
+    role_planner_state state;
+    const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 2000, .decode = 22000}), state);
     CHECK(plan.reason == role_reason::cap_reached);
     CHECK(plan.orders.empty());
 }
 
-TEST_CASE("the last engine that serves never leaves") {
+TEST_CASE("the last serving engine never changes its role") {
     const horizon_role_planner planner({});
     const std::vector<planned_engine> engines = make_engines(1, 0);
-    role_planner_state memory;
-    const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 0, .decode = 2000}), memory);
+    role_planner_state state;
+    const role_plan plan = plan_confirmed(planner, make_inputs(engines, {.prefill = 0, .decode = 2000}), state);
     CHECK(plan.reason == role_reason::cap_reached);
     CHECK(plan.orders.empty());
 }
 
-TEST_CASE("a change that stopped halfway is ordered again, also on stale demand") {
+TEST_CASE("a stuck change is ordered again, even with stale demand") {
     const horizon_role_planner planner({});
     std::vector<planned_engine> engines = make_engines(8, 4);
     engines[0].state = engine_state::changing;
     engines[0].target = engine_role::decode;
     engines[0].in_state = std::chrono::minutes(5);
-    role_planner_state memory;
+    role_planner_state state;
     role_inputs inputs = make_inputs(engines, mostly_decode);
     inputs.freshness = demand_freshness::stale;
-    const role_plan plan = planner.plan(inputs, memory);
+    const role_plan plan = planner.plan(inputs, state);
     CHECK(plan.reason == role_reason::resumed);
     REQUIRE(plan.orders.size() == 1);
     CHECK(plan.orders[0].engine == engines[0].name);
     CHECK(plan.orders[0].to == engine_role::decode);
     engines[0].state = engine_state::lost;
-    CHECK(planner.plan(inputs, memory).orders.empty());
+    CHECK(planner.plan(inputs, state).orders.empty());
 }
 
-TEST_CASE("the target against an oracle that knows the future holds in storms and burns") {
+TEST_CASE("goodput and changes stay within the target relative to an oracle that knows the future") {
     using namespace dragonflywell::fleet_model;
     const horizon_role_planner planner({});
     for (const deployment& fleet : {make_jonosfera(), make_carbonera()}) {
--- a/tests/policy/test_host_groups.cpp
+++ b/tests/policy/test_host_groups.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-TEST_CASE("a small fleet is one group over all zones") {
+TEST_CASE("a small fleet is a single group over all zones") {
     host_groups groups("host-0-0", zone_name("0"), {.max_group_hosts = 24});
     groups.set_hosts(make_hosts(4, 6));
     CHECK(groups.is_whole_fleet());
@@ -30,7 +30,7 @@
     CHECK(groups.is_own_group_server(backend_server_name("any"), zone_name("2")));
 }
 
-TEST_CASE("hosts of a zone are a group in a larger fleet") {
+TEST_CASE("in a larger fleet, the hosts of each zone form a group") {
     host_groups groups("host-0-0", zone_name("0"), {.max_group_hosts = 24});
     groups.set_hosts(make_hosts(5, 16));
     CHECK_FALSE(groups.is_whole_fleet());
@@ -40,7 +40,7 @@
     CHECK_FALSE(groups.is_own_group_server(backend_server_name("any"), zone_name("1")));
 }
 
-TEST_CASE("a large zone is divided so that each host and each server belongs to one group, as all hosts see it") {
+TEST_CASE("a large zone is divided into groups of balanced size, and all hosts compute the same division") {
     const auto hosts = make_hosts(4, 100);
     std::map<std::string, std::set<std::string>> members;
     for (std::size_t own = 0; own < 100; ++own) {
--- a/tests/policy/test_prefill_time_model.cpp
+++ b/tests/policy/test_prefill_time_model.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Time of an engine that reads 55 tokens in a millisecond, with 0.25 ms for a million pairs and 8 ms for each prompt.
+/// Prefill duration of a modelled engine: 8 ms, plus 1 ms for 55 tokens, plus 0.25 ms for a million token pairs.
 duration get_corrected_time(const prefill_work& work) {
     const auto tokens = static_cast<double>(work.tokens);
     const double pairs = tokens * (static_cast<double>(work.cached_tokens) + tokens / 2);
@@ -26,7 +26,7 @@
 
 } // namespace
 
-TEST_CASE("the time to read a prompt is learned from what engines take, for all sizes") {
+TEST_CASE("the prefill duration is learned from observations, for all sizes of prompts") {
     std::mt19937 random(7);
     std::uniform_real_distribution<double> noise(0.95, 1.05);
     std::uniform_int_distribution<std::uint64_t> tokens(100, 20'000);
@@ -41,7 +41,7 @@
     CHECK(get_relative_error(model, {.tokens = 17'000, .cached_tokens = 0}) < 0.1);
 }
 
-TEST_CASE("a prompt that waited for unknown work does not spoil what was learned") {
+TEST_CASE("a prompt that waited for unknown work does not distort the model") {
     prefill_time_model model;
     const prefill_work work{.tokens = 4'000, .cached_tokens = 0};
     for (int observation = 0; observation < 100; ++observation) {
@@ -54,7 +54,7 @@
     CHECK(model.predict(work) == before);
 }
 
-TEST_CASE("a prediction is never nothing") {
+TEST_CASE("a prediction is never zero") {
     const prefill_time_model model;
     CHECK(model.predict({.tokens = 0, .cached_tokens = 0}) > duration::zero());
 }
--- a/tests/policy/test_prefix_cache.cpp
+++ b/tests/policy/test_prefix_cache.cpp
@@ -6,7 +6,7 @@
 
 using namespace dragonflywell::policy;
 
-TEST_CASE("a part counts as cached only when all parts before it are") {
+TEST_CASE("a block counts as cached only if all blocks before it are cached") {
     prefix_cache cache(100);
     const std::array first{prefix_block{.id = 1, .tokens = 10}, prefix_block{.id = 2, .tokens = 20}};
     cache.touch(first);
@@ -17,7 +17,7 @@
     CHECK(cache.get_cached_tokens(longer) == 10);
 }
 
-TEST_CASE("the parts used least recently make room, the first part of a prompt last") {
+TEST_CASE("the least recently used blocks are evicted first, and the first block of a prompt last") {
     prefix_cache cache(50);
     const std::array old{prefix_block{.id = 1, .tokens = 10}, prefix_block{.id = 2, .tokens = 20}};
     cache.touch(old);
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -5,7 +5,7 @@
 using namespace dragonflywell;
 using policy::quarantine;
 
-TEST_CASE("a second death is refused, one told twice is not, and completion clears") {
+TEST_CASE("a request is refused after two crashes, a duplicate report counts once, and completion clears it") {
     const virtual_clock clock;
     const wall_time now = clock.wall_now();
     quarantine suspects({});
@@ -25,7 +25,7 @@
     CHECK_FALSE(other_host.is_refused(1, now + std::chrono::hours(1)));
 }
 
-TEST_CASE("what is remembered is bounded and the oldest goes first") {
+TEST_CASE("the number of suspects is bounded, and the oldest is evicted first") {
     const virtual_clock clock;
     quarantine suspects({.max_requests = 2});
     for (policy::request_fingerprint index = 0; index < 3; ++index) {
@@ -36,7 +36,7 @@
     CHECK(suspects.is_suspect(2, clock.wall_now()));
 }
 
-TEST_CASE("an engine is set apart for as long as a suspect runs on it") {
+TEST_CASE("an engine is reserved for as long as a suspect runs on it") {
     quarantine suspects({});
     const backend_server_name server("e1");
     {
@@ -46,7 +46,7 @@
     CHECK(suspects.get_reserved().empty());
 }
 
-TEST_CASE("hosts tell each other the newest deaths only") {
+TEST_CASE("only the newest crashes are exchanged between hosts") {
     policy::quarantine suspects({.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)});
     const wall_time now = wall_time(std::chrono::hours(1));
     CHECK(suspects.is_empty());
--- a/tests/policy/test_retry_budget.cpp
+++ b/tests/policy/test_retry_budget.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_CASE("retries stay a share of requests and what is permitted besides") {
+TEST_CASE("retries are limited to a share of the requests plus the base allowance") {
     virtual_clock clock;
     retry_budget budget({.retries_per_request = 0.2, .base_retries = 10.0, .window = seconds(10)}, clock.now());
     clock.advance(seconds(10));
@@ -23,7 +23,7 @@
     CHECK(taken >= 1000 / 5);
 }
 
-TEST_CASE("what a window allows may be spent at once") {
+TEST_CASE("the whole budget of a window may be spent at once") {
     virtual_clock clock;
     retry_budget budget({.retries_per_request = 0.2, .base_retries = 0, .window = seconds(10)}, clock.now());
     for (int request = 0; request < 50; ++request) {
@@ -37,7 +37,7 @@
     CHECK(taken == 10);
 }
 
-TEST_CASE("a quiet host may retry again after a window") {
+TEST_CASE("a host without requests may retry again after a window") {
     virtual_clock clock;
     retry_budget budget({.retries_per_request = 0.0, .base_retries = 1.0, .window = seconds(1)}, clock.now());
     CHECK_FALSE(budget.try_acquire_retry(clock.now()));
@@ -50,7 +50,7 @@
     CHECK(budget.try_acquire_retry(clock.now()));
 }
 
-TEST_CASE("a process that starts anew has little besides at first") {
+TEST_CASE("the base allowance grows gradually after a restart") {
     virtual_clock clock;
     retry_budget budget({.retries_per_request = 0.0, .base_retries = 10.0, .window = seconds(10)}, clock.now());
     clock.advance(seconds(3));
@@ -61,7 +61,7 @@
     CHECK(taken == 3);
 }
 
-TEST_CASE("no window of any span holds more retries than it pays for") {
+TEST_CASE("no interval of the window's length contains more retries than its requests allow") {
     for (unsigned seed = 1; seed <= 20; ++seed) {
         CAPTURE(seed);
         std::mt19937 random(seed);
@@ -74,7 +74,7 @@
         std::deque<steady_time> requests;
         std::deque<steady_time> retries;
         for (int step = 0; step < 5000; ++step) {
-            // Bursts and lulls.
+            // Alternates between bursts and idle phases.
             const int most_ms = step / 500 % 2 == 0 ? 10 : 400;
             clock.advance(milliseconds(std::uniform_int_distribution<int>(0, most_ms)(random)));
             if (std::bernoulli_distribution(0.6)(random)) {
--- a/tests/policy/test_return_to_use.cpp
+++ b/tests/policy/test_return_to_use.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// Shortest time after which the pages' bounds hold again once the path to the store is back.
+/// Time after the recovery of the connection to the store within which the documented staleness bounds hold again.
 constexpr duration contact_bound = 3s;
-/// What reading, decoding and a late timer may take of it.
+/// Share of it that is left for reading, decoding and late timers.
 constexpr duration margin = 500ms;
 constexpr double most_calls_per_second = 2;
 constexpr std::uint64_t seeds = 100;
@@ -38,7 +38,7 @@
 
 } // namespace
 
-TEST_CASE("all users of the store read again in time once its path is back") {
+TEST_CASE("all users of the store read again in time after its connection recovers") {
     for (const network_fault trouble :
          {network_fault::silent, network_fault::refused, network_fault::mixed, network_fault::slow}) {
         for (const bool needs_two_calls : {false, true}) {
@@ -53,15 +53,15 @@
     }
 }
 
-TEST_CASE("no user waits for ever on a path that goes on losing calls") {
+TEST_CASE("no user starves while the connection keeps losing calls") {
     const worst_case worst = play({.trouble = network_fault::lossy});
     MESSAGE("longest return " << std::chrono::duration<double>(worst.recovery_time).count() << " s");
     CHECK(worst.recovery_time < 20s);
 }
 
-TEST_CASE("the parts of the time from return to use add up to less than the bound") {
+TEST_CASE("the steps from the recovery of the store to its first use take less than the bound in total") {
     constexpr duration call_limit = 700ms;
     const duration first_answer = policy::circuit_breaker::get_max_recovery_time({}, call_limit);
-    // Two more calls at their limit: a listing after dropped history, which takes a second page.
+    // One more call at its limit: a listing that is needed after history was dropped takes a second page.
     CHECK(first_answer + call_limit <= contact_bound - margin);
 }
--- a/tests/policy/test_server_health.cpp
+++ b/tests/policy/test_server_health.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-TEST_CASE("a server that cannot be reached rests longer each time, and is tried again") {
+TEST_CASE("an unreachable server is ejected for longer each time, and tried again afterwards") {
     virtual_clock time;
     server_health health({.initial_ejection_time = 300ms, .max_ejection_time = 1s});
     health.add_failure(server, server_failure::unreachable, time.now());
@@ -33,7 +33,7 @@
     CHECK(health.is_usable(server, time.now()));
 }
 
-TEST_CASE("a server that refuses twice in a row is left alone for a while, whoever asks") {
+TEST_CASE("a server that refuses twice in a row is ejected") {
     virtual_clock time;
     server_health health({.initial_ejection_time = 300ms});
     health.add_failure(server, server_failure::refused, time.now());
@@ -48,7 +48,7 @@
     CHECK(health.is_usable(server, time.now()));
 }
 
-TEST_CASE("single broken connections and answers that tell of a failure do not stop a server's work") {
+TEST_CASE("single broken connections and answers with an error do not eject a server") {
     virtual_clock time;
     server_health health({.failures_to_eject = 3});
     health.add_failure(server, server_failure::broken, time.now());
@@ -66,7 +66,7 @@
     CHECK(health.get_failure_share(server) == 0);
 }
 
-TEST_CASE("the servers that are left alone are told with the time that is left") {
+TEST_CASE("ejected servers are returned with their remaining ejection times") {
     virtual_clock time;
     server_health health({.initial_ejection_time = 300ms});
     CHECK_FALSE(health.has_failed_last(server));
--- a/tests/policy/test_service_placement.cpp
+++ b/tests/policy/test_service_placement.cpp
@@ -15,14 +15,14 @@
 
 } // namespace
 
-TEST_CASE("an instance of the own zone is taken while it is about as free") {
+TEST_CASE("an instance of the own zone is chosen unless its load is much higher") {
     const std::array near_free{make_candidate("far", 0, false), make_candidate("near", 0, true)};
     CHECK(choose_instance(near_free) == 1);
     const std::array near_busy{make_candidate("far", 0, false), make_candidate("near", 2, true)};
     CHECK(choose_instance(near_busy) == 0);
 }
 
-TEST_CASE("cold instances and those that fail come after others") {
+TEST_CASE("cold and failing instances are chosen last") {
     std::array candidates{make_candidate("a", 0, true), make_candidate("b", 1, true)};
     candidates[0].is_cold = true;
     CHECK(choose_instance(candidates) == 1);
--- a/tests/policy/test_service_rate.cpp
+++ b/tests/policy/test_service_rate.cpp
@@ -4,7 +4,7 @@
 
 using namespace dragonflywell;
 
-TEST_CASE("idle times do not make the rate look low") {
+TEST_CASE("idle times do not lower the rate") {
     virtual_clock clock;
     policy::service_rate rate(std::chrono::seconds(30));
     CHECK(rate.get_time_for(1000.0) == duration::zero());
--- a/tests/policy/test_spend_planner.cpp
+++ b/tests/policy/test_spend_planner.cpp
@@ -40,10 +40,10 @@
                              .guaranteed_share = 0.4,
                              .freshness = freshness,
                              .has_authority = has_authority},
-                            memory);
+                            state);
     }
 
-    /// Carries the plan out at once.
+    /// Executes the plan immediately.
     void apply(const spend_plan& result) {
         for (const spend_order& order : result.orders) {
             add(order.zone.value().c_str(), order.kind, 1);
@@ -57,7 +57,7 @@
     }
 
     spend_planner planner{{}};
-    spend_planner_state memory;
+    spend_planner_state state;
     std::vector<owned_server> servers;
     std::vector<zone_market> markets;
     wall_time now{std::chrono::seconds(100000)};
@@ -69,8 +69,8 @@
 
 } // namespace
 
-TEST_CASE(
-    "a reclaim of any zone's cheap servers leaves the covered work served, and cheap ones stay within their cap") {
+TEST_CASE("after a reclaim of any zone's cheap servers the covered work is still served, and the share of cheap "
+          "servers is limited") {
     spend_case fleet;
     fleet.apply(fleet.plan(units));
     CHECK(fleet.count(server_kind::cheap) > 0);
@@ -83,7 +83,7 @@
     CHECK(fleet.plan(units).orders.empty());
 }
 
-TEST_CASE("regular servers stand in when no cheap one can be had") {
+TEST_CASE("regular servers are ordered if no cheap ones are available") {
     spend_case fleet;
     for (zone_market& market : fleet.markets) {
         market.has_cheap_servers = false;
@@ -94,7 +94,7 @@
     CHECK(plan.wanted_regular * 2000.0 >= units);
 }
 
-TEST_CASE("an order that is overdue closes its market for a while and is placed elsewhere") {
+TEST_CASE("an overdue order stops further orders of its kind in that zone, and a replacement is ordered elsewhere") {
     spend_case fleet;
     fleet.apply(fleet.plan(units));
     const auto cheap = std::find_if(fleet.servers.begin(), fleet.servers.end(),
@@ -108,7 +108,7 @@
     }
 }
 
-TEST_CASE("what the manifest allows is never exceeded") {
+TEST_CASE("the limits of the manifest are never exceeded") {
     spend_case fleet;
     for (zone_market& market : fleet.markets) {
         market.most_servers = 1;
@@ -121,7 +121,7 @@
     CHECK(priced.plan(units).price_per_hour <= 3);
 }
 
-TEST_CASE("a server too many is drained after a while, kept when it is needed again, else released once idle") {
+TEST_CASE("a surplus server is drained after a delay, kept if it is needed again, else released once idle") {
     spend_case fleet;
     fleet.apply(fleet.plan(units));
     CHECK(fleet.plan(units / 2).orders.empty());
@@ -144,7 +144,7 @@
     }));
 }
 
-TEST_CASE("nothing is ordered without authority or on stale demand") {
+TEST_CASE("nothing is ordered without authority or with stale demand") {
     spend_case fleet;
     fleet.has_authority = false;
     CHECK(fleet.plan(units).reason == spend_reason::no_authority);
@@ -154,7 +154,7 @@
     CHECK(fleet.plan(units).orders.empty());
 }
 
-TEST_CASE("only work that may run again goes to cheap servers, within the share") {
+TEST_CASE("only work that may be retried is placed on cheap servers, within their maximum share") {
     CHECK(get_work_class({.is_idempotent = true}) == work_class::repeatable);
     CHECK(get_work_class({.is_idempotent = false}) == work_class::guaranteed);
     CHECK(get_work_class({.is_idempotent = true, .accepts_cheap_servers = false}) == work_class::guaranteed);
@@ -166,7 +166,7 @@
     CHECK_FALSE(may_use_cheap_server(work_class::guaranteed, half_used, 10));
 }
 
-TEST_CASE("weight loads start in order, within the store's rate") {
+TEST_CASE("weight loads start in order, within the throughput of the store") {
     const auto make_load = [](std::uint64_t bytes, bool is_running) {
         weight_load load;
         load.bytes = bytes;
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -30,8 +30,8 @@
     return engines;
 }
 
-/// Carries changes out until the plan asks for no more, and returns how many there were.
-std::size_t settle(std::vector<staged_engine>& engines, const stage_demand& demand) {
+/// Executes changes until the plan contains none, and returns how many there were.
+std::size_t apply_until_stable(std::vector<staged_engine>& engines, const stage_demand& demand) {
     std::size_t count = 0;
     for (int round = 0; round < 100; ++round) {
         const std::vector<stage_change> changes = plan_stages(engines, demand, {});
@@ -45,11 +45,11 @@
             ++count;
         }
     }
-    FAIL("the plan does not settle");
+    FAIL("the plan does not converge");
     return count;
 }
 
-std::vector<staged_engine> get_generators(const std::vector<staged_engine>& engines) {
+std::vector<staged_engine> get_decode_engines(const std::vector<staged_engine>& engines) {
     std::vector<staged_engine> generators;
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(generators),
                  [](const staged_engine& engine) { return engine.stage == decode; });
@@ -58,11 +58,11 @@
 
 } // namespace
 
-TEST_CASE("regular engines of all zones generate, as many as the load needs and a spare; all others read prompts") {
+TEST_CASE("as many regular engines of all zones decode as the load and a reserve need; all others run prefills") {
     std::vector<staged_engine> engines = make_engines(4, 3, 3);
-    settle(engines, {.running = 60});
-    const std::vector<staged_engine> generators = get_generators(engines);
-    // 60 requests need four engines, two more stand by.
+    apply_until_stable(engines, {.running = 60});
+    const std::vector<staged_engine> generators = get_decode_engines(engines);
+    // 60 requests need four engines, which makes seven with the spare ones.
     CHECK(generators.size() == 7);
     std::set<zone_name> zones;
     for (const staged_engine& engine : generators) {
@@ -72,14 +72,14 @@
     CHECK(zones.size() == 4);
 }
 
-TEST_CASE("a plan that is carried out asks for nothing more, and a small change of the load for few changes") {
+TEST_CASE("an executed plan is stable, and a small change of the load causes few stage changes") {
     std::vector<staged_engine> engines = make_engines(4, 3, 3);
-    settle(engines, {.running = 60});
+    apply_until_stable(engines, {.running = 60});
     CHECK(plan_stages(engines, {.running = 60}, {}).empty());
-    CHECK(settle(engines, {.running = 80}) <= 1);
+    CHECK(apply_until_stable(engines, {.running = 80}) <= 1);
 }
 
-TEST_CASE("only a part of the engines changes at once while requests run, and all before the first one") {
+TEST_CASE("only a part of the engines changes at once while requests run, and all may before the first request") {
     const std::vector<staged_engine> engines = make_engines(4, 3, 3);
     CHECK(plan_stages(engines, {.running = 1}, {}).size() == 6);
     std::vector<staged_engine> changing = engines;
@@ -87,15 +87,15 @@
         changing[index].is_changing = true;
     }
     CHECK(plan_stages(changing, {.running = 1}, {}).empty());
-    // A host that has just started may not know of the load yet.
+    // A host that has just started may not know the load yet, so the limit applies without running requests, too.
     CHECK(plan_stages(engines, {.running = 0}, {}).size() == 6);
     CHECK(plan_stages(engines, {.running = 0, .is_before_first_request = true}, {}).size() == 21);
 }
 
-TEST_CASE("prompts are read and answers generated also by a fleet of two, and one engine is left as it is") {
+TEST_CASE("a fleet of two engines runs both stages, and a single engine is never changed") {
     std::vector<staged_engine> two = make_engines(1, 2, 0);
-    settle(two, {.running = 1000});
-    CHECK(get_generators(two).size() == 1);
+    apply_until_stable(two, {.running = 1000});
+    CHECK(get_decode_engines(two).size() == 1);
     CHECK(plan_stages(make_engines(1, 1, 0), {.running = 0}, {}).empty());
 }
 
@@ -114,7 +114,7 @@
 
 } // namespace
 
-TEST_CASE("before anything is known of the load each zone is filled up with cheap servers") {
+TEST_CASE("while the load is unknown, each zone is filled up with cheap servers") {
     const auto wishes = plan_servers(scaling_with_cheap, make_zones(4, {.regular = 3, .cheap = 0}),
                                      {.prefill_engines = {}, .decode_engines = 4}, {});
     for (const auto& [zone, wish] : wishes) {
@@ -122,16 +122,17 @@
     }
 }
 
-TEST_CASE("cheap servers are as many as read all prompts in time without those of one zone") {
+TEST_CASE("there are enough cheap servers to run all prefills in time after one zone has lost its own") {
     const auto wishes = plan_servers(scaling_with_cheap, make_zones(4, {.regular = 2, .cheap = 4}),
                                      {.prefill_engines = 3.5, .decode_engines = 9}, {.prefill_utilisation = 0.5});
     for (const auto& [zone, wish] : wishes) {
-        // 7 engines are needed, 3 zones may be left; 9 generators take three regular servers of each zone.
+        // Seven prefill engines are needed on three remaining zones; nine decode engines need three regular servers in
+        // each zone.
         CHECK(wish == zone_server_counts{.regular = 3, .cheap = 3});
     }
 }
 
-TEST_CASE("no zone gets more than its limit or less than its least") {
+TEST_CASE("no zone gets more servers than its maximum or fewer than its minimum") {
     const auto crowded = plan_servers(scaling_with_cheap, make_zones(2, {.regular = 1, .cheap = 5}),
                                       {.prefill_engines = 100.0, .decode_engines = 100}, {});
     CHECK(crowded.begin()->second == zone_server_counts{.regular = 6, .cheap = 0});
@@ -140,7 +141,7 @@
     CHECK(idle.begin()->second == zone_server_counts{.regular = 2, .cheap = 1});
 }
 
-TEST_CASE("without cheap servers regular ones read prompts, too") {
+TEST_CASE("without cheap servers, regular ones run prefills, too") {
     const fleet::scaling_description scaling{
         .min_servers = 1, .max_servers = 6, .lead_time = {}, .cheap_price = {}, .zone_prices = {}};
     const auto zones = make_zones(4, {.regular = 3, .cheap = 0});
@@ -151,7 +152,7 @@
               ->second == zone_server_counts{.regular = 4, .cheap = 0});
 }
 
-TEST_CASE("the greatest value of a span counts until the span is over") {
+TEST_CASE("the maximum of a window is kept until it leaves the window") {
     virtual_clock time;
     recent_maximum maximum(std::chrono::seconds(10));
     CHECK(maximum.observe(5, time.now()) == 5);
@@ -162,7 +163,7 @@
     CHECK(maximum.observe(7, time.now()) == 7);
 }
 
-TEST_CASE("the height of a demand rises at once and sinks slowly") {
+TEST_CASE("the peak of the demand follows a rise at once and decays slowly") {
     virtual_clock time;
     decaying_peak_rate height({.span = std::chrono::seconds(2), .half_life = std::chrono::seconds(20)});
     height.observe(0, time.now());
@@ -178,7 +179,7 @@
     CHECK(height.get() == doctest::Approx(10));
 }
 
-TEST_CASE("before the first request a quarter of the engines generates, in a small and in a large fleet") {
+TEST_CASE("before the first request about a quarter of the engines decodes, in small and in large fleets") {
     const stage_plan_options options;
     for (const std::size_t engines : {12UL, 60UL, 140UL}) {
         CAPTURE(engines);
--- a/tests/policy/test_stall_detector.cpp
+++ b/tests/policy/test_stall_detector.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-TEST_CASE("a server is silent while a request waits there for much longer than expected") {
+TEST_CASE("a server counts as stalled while a request to it is overdue") {
     virtual_clock clock;
     stall_detector watch({.timeout_factor = 3, .timeout_margin = 400ms});
     {
@@ -30,7 +30,7 @@
     CHECK(watch.get_stalled(clock.now()).empty());
 }
 
-TEST_CASE("a request whose answer has begun says nothing against its server") {
+TEST_CASE("a request whose answer has begun does not make its server count as stalled") {
     virtual_clock clock;
     stall_detector watch;
     stall_detector::pending_request answered = watch.track(server, clock.now(), 0ms);
--- a/tests/policy/test_topic_progress.cpp
+++ b/tests/policy/test_topic_progress.cpp
@@ -6,7 +6,7 @@
 using dragonflywell::policy::topic_progress;
 using namespace std::chrono_literals;
 
-TEST_CASE("a topic is read when something is missing or nothing was heard, not while another host is up to date") {
+TEST_CASE("a topic is read if records are missing or the state is too old, not while the group leader confirms it") {
     virtual_clock time;
     topic_progress topic;
     CHECK(topic.is_read_due(1s, time.now()));
@@ -28,7 +28,7 @@
     CHECK(topic.is_read_due(1s, time.now()));
 }
 
-TEST_CASE("a page that does not reach the topic's end is no news of its end") {
+TEST_CASE("reading a page that ends before the end of the topic does not make the state count as up to date") {
     virtual_clock time;
     topic_progress topic;
     topic.record_read(3, 3, time.now());
@@ -38,7 +38,7 @@
     CHECK(topic.get_lag() == 34);
     CHECK(topic.is_lagging());
     CHECK(topic.is_read_due(1s, time.now()));
-    // What this host tells others of its age must not look fresh either.
+    // The staleness that this host reports to others must not look fresh either.
     CHECK(topic.get_staleness(time.now()) == 900ms);
     topic.record_read(40, 40, time.now());
     CHECK_FALSE(topic.is_lagging());
--- a/tests/policy/test_trend.cpp
+++ b/tests/policy/test_trend.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-TEST_CASE("a slow decline below the noise of single points is found, for many seeds") {
+TEST_CASE("a slow decline that is smaller than the noise is detected, for many seeds") {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         CHECK(find_trend(make_series(seed, -0.02, 100), {}).is_decline);
         CHECK_FALSE(find_trend(make_series(seed, 0, 100), {}).is_decline);
@@ -30,7 +30,7 @@
     }
 }
 
-TEST_CASE("one bad hour is no trend, and a few points are none either") {
+TEST_CASE("a single outlier or a short series is no trend") {
     std::vector<double> series = make_series(1, 0, 50);
     series.back() = 10;
     CHECK_FALSE(find_trend(series, {}).is_decline);
--- a/tests/policy/test_usage_delegation.cpp
+++ b/tests/policy/test_usage_delegation.cpp
@@ -7,12 +7,12 @@
 using choice = usage_delegation::choice;
 using namespace std::chrono_literals;
 
-TEST_CASE("a host without a speaker records at once") {
+TEST_CASE("a host without a group leader records at once") {
     const usage_delegation delegation(2s);
     CHECK(delegation.choose(10, 9, 0s) == choice::record);
 }
 
-TEST_CASE("a host leaves a window to the speaker and records it itself when nothing is heard") {
+TEST_CASE("a host leaves a window to its group leader, and records it itself after a timeout") {
     usage_delegation delegation(2s);
     delegation.set_delegated(true);
     CHECK(delegation.choose(10, 9, 200ms) == choice::wait);
@@ -23,7 +23,7 @@
     CHECK(delegation.choose(11, 10, 200ms) == choice::wait);
 }
 
-TEST_CASE("a host records itself when more windows are missing than it has told of") {
+TEST_CASE("a host records itself if more windows are missing than its digest carries") {
     usage_delegation delegation(2s);
     delegation.set_delegated(true);
     delegation.note_recorded(10);
@@ -31,7 +31,7 @@
     CHECK(delegation.choose(10, 7, 200ms) == choice::record);
 }
 
-TEST_CASE("an earlier note does not undo a later one") {
+TEST_CASE("a confirmation of an earlier window does not undo that of a later one") {
     usage_delegation delegation(2s);
     delegation.note_recorded(10);
     delegation.note_recorded(9);
--- a/tests/policy/test_wait_queue.cpp
+++ b/tests/policy/test_wait_queue.cpp
@@ -8,7 +8,7 @@
 using policy::wait_queue;
 using namespace std::chrono_literals;
 
-TEST_CASE("users of a dependency that fails try in turn, and none is passed over") {
+TEST_CASE("callers of a failing dependency probe it in FIFO order, and none starves") {
     virtual_clock clock;
     circuit_breaker breaker;
     wait_queue turns;
@@ -33,7 +33,7 @@
     CHECK(tried == first);
 }
 
-TEST_CASE("an answered call lets all that wait go on at once") {
+TEST_CASE("an answered call releases all waiting callers at once") {
     virtual_clock clock;
     circuit_breaker breaker;
     wait_queue turns;
