--- a/tests/policy/test_return_to_use.cpp
+++ b/tests/policy/test_return_to_use.cpp
@@ -45,8 +45,8 @@
             const worst_case worst = play({.trouble = trouble, .needs_two_calls = needs_two_calls});
             CAPTURE(static_cast<int>(trouble));
             CAPTURE(needs_two_calls);
-            MESSAGE("longest return " << std::chrono::duration<double>(worst.recovery_time).count() << " s, "
-                                      << worst.calls_per_second << " calls a second");
+            MESSAGE("longest recovery time " << std::chrono::duration<double>(worst.recovery_time).count() << " s, "
+                                             << worst.calls_per_second << " calls a second");
             CHECK(worst.recovery_time <= contact_bound - margin);
             CHECK(worst.calls_per_second <= most_calls_per_second);
         }
@@ -55,7 +55,7 @@
 
 TEST_CASE("no user starves while the connection keeps losing calls") {
     const worst_case worst = play({.trouble = network_fault::lossy});
-    MESSAGE("longest return " << std::chrono::duration<double>(worst.recovery_time).count() << " s");
+    MESSAGE("longest recovery time " << std::chrono::duration<double>(worst.recovery_time).count() << " s");
     CHECK(worst.recovery_time < 20s);
 }
 
