--- a/coordination/claim.hpp
+++ b/coordination/claim.hpp
@@ -16,9 +16,9 @@
 inline constexpr std::string_view claim_stream = "claims/0";
 inline constexpr std::string_view claim_batch_type = "claims.batch";
 
-/// Identifies a request that must run at most once: a digest of organisation and idempotency key.
+/// Identifies a request that must run at most once: a hash of the organisation and the idempotency key.
 ///
-/// Two organisations that use the same key get different identifiers.
+/// The same key of two organisations gives two different identifiers.
 struct claim_id {
     std::uint64_t high{};
     std::uint64_t low{};
@@ -35,66 +35,71 @@
 /// Throws `malformed_message_error`. Thread safe.
 [[nodiscard]] claim_id parse_claim_id(std::string_view text);
 
-/// Returns a digest that tells requests apart which carry the same idempotency key. Thread safe.
+/// Returns a hash of the request that reveals when one idempotency key is used for different requests. Thread safe.
 [[nodiscard]] std::uint64_t get_request_digest(std::string_view method, std::string_view target, std::string_view body);
 
-/// A request that asks to be the one that runs.
+/// A request that wants to acquire the claim of its idempotency key, so that it may run.
 struct claim_request {
     claim_id id;
     std::uint64_t digest{};
 };
 
-/// The answer of a request that ran, as the log keeps it.
+/// The HTTP response of a request that ran, as the log keeps it.
 struct recorded_response {
     unsigned status{};
     std::string content_type{};
-    /// Absent when it was longer than the limit.
+    /// Absent if it was longer than the limit or not UTF-8 text.
     std::optional<std::string> body{};
 
     friend bool operator==(const recorded_response&, const recorded_response&) = default;
 };
 
-/// Returns an answer with its body when that is text of at most `limit_bytes`, else with its status only. Thread safe.
+/// Returns a response with its body if the body is UTF-8 text of at most `limit_bytes`, otherwise with the status only.
+/// Thread safe.
 [[nodiscard]] recorded_response make_recorded_response(unsigned status, std::string_view content_type,
                                                        std::string_view body, std::size_t limit_bytes);
 
-/// How a claim ended.
+/// The outcome of a claim.
 enum class claim_outcome {
-    /// The request ran and its answer is known.
+    /// The request ran and its response is known.
     done,
-    /// No byte of it was written to a backend server: the key may be claimed again.
+    /// No byte of the request was written to a backend server, so the key may be claimed again.
     released,
-    /// Whether it ran cannot be told.
+    /// It is unknown whether the request ran.
     unknown,
 };
 
-/// What the owner of a claim says about it in the end.
+/// The outcome of a claim as its owner records it.
 struct claim_settlement {
     claim_id id;
     claim_outcome outcome{claim_outcome::unknown};
     recorded_response response{};
 };
 
-/// What one arrival of a request is told.
+/// The status that one attempt to acquire a claim returns.
 enum class claim_status {
-    /// The claim is this arrival's: run it once.
+    /// The caller owns the claim and runs the request once.
     acquired,
+    /// The request runs, or may still run, at the owner of the claim.
     running,
+    /// The request ran and its response is known.
     done,
+    /// It is unknown whether the request ran.
     unknown,
-    /// The key was used for another request.
+    /// The key was already used for a request with other content.
     different_request,
-    /// The log could not confirm the claim. Nothing runs.
+    /// The log could not confirm the claim. The request must not run.
     log_unavailable,
-    /// As many claims are remembered as fit. Nothing runs.
+    /// The maximum number of claims is stored. The request must not run.
     full,
 };
 
+/// The result of one attempt to acquire a claim.
 struct claim_result {
     claim_status status{claim_status::log_unavailable};
     /// Set for `done`.
     recorded_response response{};
-    /// Set for `won`: after this moment the run may not start any more, since others may soon forget the claim.
+    /// Set for `won`: the run must start before this time, because later the other hosts may expire the claim.
     steady_time start_deadline{};
 };
 
--- a/coordination/claim_fold.cpp
+++ b/coordination/claim_fold.cpp
@@ -10,19 +10,19 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> end_names{"done", "released", "unknown"};
+constexpr std::array<std::string_view, 3> outcome_names{"done", "released", "unknown"};
 
-claim_outcome parse_end(const std::string& name) {
-    const auto found = std::find(end_names.begin(), end_names.end(), name);
-    if (found == end_names.end()) {
-        throw malformed_message_error("unknown end of a claim: " + name);
+claim_outcome parse_outcome(const std::string& name) {
+    const auto found = std::find(outcome_names.begin(), outcome_names.end(), name);
+    if (found == outcome_names.end()) {
+        throw malformed_message_error("unknown outcome in a claim record: " + name);
     }
-    return static_cast<claim_outcome>(found - end_names.begin());
+    return static_cast<claim_outcome>(found - outcome_names.begin());
 }
 
 boost::json::object encode_settlement(const claim_settlement& settlement) {
     boost::json::object row{{"id", format_claim_id(settlement.id)},
-                            {"end", end_names.at(static_cast<std::size_t>(settlement.outcome))}};
+                            {"end", outcome_names.at(static_cast<std::size_t>(settlement.outcome))}};
     if (settlement.outcome == claim_outcome::done) {
         row["status"] = settlement.response.status;
         if (settlement.response.body) {
@@ -35,7 +35,7 @@
 
 claim_settlement parse_settlement(const boost::json::object& row) {
     claim_settlement settlement{.id = parse_claim_id(json::get_string(row, "id")),
-                                .outcome = parse_end(json::get_string(row, "end"))};
+                                .outcome = parse_outcome(json::get_string(row, "end"))};
     settlement.response.status = static_cast<unsigned>(json::get_unsigned_or(row, "status", 0));
     settlement.response.content_type = json::get_string_or(row, "content_type", "");
     if (row.contains("body")) {
@@ -81,10 +81,10 @@
         return;
     }
     const claim_batch batch = parse_claim_batch(value.body);
-    const std::uint32_t writer = intern(value.writer);
-    advance(batch.written_at);
+    const std::uint32_t writer = get_writer_index(value.writer);
+    expire_claims(batch.written_at);
     for (const claim_settlement& settlement : batch.settlements) {
-        settle(settlement, writer);
+        apply_settlement(settlement, writer);
     }
     for (const claim_request& claim : batch.claims) {
         const auto [position, is_new] = m_entries.try_emplace(claim.id);
@@ -93,9 +93,9 @@
         }
         position->second.digest = claim.digest;
         position->second.offset = offset;
-        position->second.claimed_at = m_newest_time;
+        position->second.claimed_at = m_latest_time;
         position->second.owner = writer;
-        m_aging.push_back({.claimed_at = m_newest_time, .id = claim.id, .offset = offset});
+        m_expiry_queue.push_back({.claimed_at = m_latest_time, .id = claim.id, .offset = offset});
     }
 }
 
@@ -109,7 +109,7 @@
     return m_newest_incarnations.at(owner.host) > owner.incarnation;
 }
 
-std::uint32_t claim_fold::intern(const writer_id& writer) {
+std::uint32_t claim_fold::get_writer_index(const writer_id& writer) {
     std::uint64_t& newest = m_newest_incarnations[writer.host];
     newest = std::max(newest, writer.incarnation);
     const auto [position, is_new] = m_writer_indices.try_emplace(writer, static_cast<std::uint32_t>(m_writers.size()));
@@ -119,20 +119,21 @@
     return position->second;
 }
 
-void claim_fold::advance(std::uint64_t written_at) {
-    m_newest_time = std::max(m_newest_time, written_at);
+void claim_fold::expire_claims(std::uint64_t written_at) {
+    m_latest_time = std::max(m_latest_time, written_at);
     const auto window = static_cast<std::uint64_t>(m_window.count());
-    while (!m_aging.empty() && m_newest_time - m_aging.front().claimed_at >= window) {
-        // The identifier may have been released and claimed again since: only the entry of this claim is forgotten.
-        const auto found = m_entries.find(m_aging.front().id);
-        if (found != m_entries.end() && found->second.offset == m_aging.front().offset) {
+    while (!m_expiry_queue.empty() && m_latest_time - m_expiry_queue.front().claimed_at >= window) {
+        // The identifier may have been released and claimed again since, so only an entry of this very claim is
+        // removed.
+        const auto found = m_entries.find(m_expiry_queue.front().id);
+        if (found != m_entries.end() && found->second.offset == m_expiry_queue.front().offset) {
             m_entries.erase(found);
         }
-        m_aging.pop_front();
+        m_expiry_queue.pop_front();
     }
 }
 
-void claim_fold::settle(const claim_settlement& settlement, std::uint32_t writer) {
+void claim_fold::apply_settlement(const claim_settlement& settlement, std::uint32_t writer) {
     const auto found = m_entries.find(settlement.id);
     if (found == m_entries.end() || found->second.owner != writer || found->second.outcome == claim_outcome::done) {
         return;
--- a/coordination/claim_queue.cpp
+++ b/coordination/claim_queue.cpp
@@ -8,8 +8,8 @@
     {
         const std::scoped_lock lock(m_mutex);
         if (!m_is_closed) {
-            m_round.claims.push_back({.request = request, .on_answer = std::move(on_answer)});
-            m_filled.notify_one();
+            m_work.claims.push_back({.request = request, .on_answer = std::move(on_answer)});
+            m_work_available.notify_one();
             return;
         }
     }
@@ -18,24 +18,24 @@
 
 void claim_queue::settle(claim_settlement settlement) {
     const std::scoped_lock lock(m_mutex);
-    m_round.settlements.push_back(std::move(settlement));
-    m_filled.notify_one();
+    m_work.settlements.push_back(std::move(settlement));
+    m_work_available.notify_one();
 }
 
-pending_claim_work claim_queue::take_all(duration most) {
+pending_claim_work claim_queue::take_all(duration timeout) {
     std::unique_lock lock(m_mutex);
-    m_filled.wait_for(lock, most, [this] { return !m_round.claims.empty() || !m_round.settlements.empty(); });
-    return std::exchange(m_round, {});
+    m_work_available.wait_for(lock, timeout, [this] { return !m_work.claims.empty() || !m_work.settlements.empty(); });
+    return std::exchange(m_work, {});
 }
 
 void claim_queue::close() {
-    std::vector<pending_claim> left;
+    std::vector<pending_claim> refused;
     {
         const std::scoped_lock lock(m_mutex);
         m_is_closed = true;
-        left = std::exchange(m_round.claims, {});
+        refused = std::exchange(m_work.claims, {});
     }
-    for (const pending_claim& claim : left) {
+    for (const pending_claim& claim : refused) {
         claim.on_answer({.status = claim_status::log_unavailable});
     }
 }
--- a/coordination/claim_queue.hpp
+++ b/coordination/claim_queue.hpp
@@ -10,40 +10,40 @@
 
 namespace dragonflywell::coordination {
 
-/// A claim together with who waits for its answer.
+/// A claim together with the callback that waits for its result.
 struct pending_claim {
     claim_request request;
-    /// Called once, by the claim thread; must only hand the answer on.
+    /// The claim thread calls this once. It must not block, only pass the result on.
     std::function<void(claim_result)> on_answer;
 };
 
-/// What gathered in the queue while the last batch was written.
+/// Claims and settlements that were queued while the previous batch was being written.
 struct pending_claim_work {
     std::vector<pending_claim> claims;
     std::vector<claim_settlement> settlements;
 };
 
-/// Hands claims from the threads that serve requests to the one that writes to the log.
+/// Passes claims from the threads that serve requests to the thread that writes to the log.
 ///
-/// Thread safe. A request never waits for a lock that is held during I/O.
+/// Thread safe. No lock is held during I/O, so a request never waits for I/O here.
 class claim_queue {
 public:
-    /// Asks for a claim. A closed queue answers `log_unavailable` at once.
+    /// Queues a claim. A closed queue answers `log_unavailable` at once.
     void claim(const claim_request& request, std::function<void(claim_result)> on_answer);
 
-    /// Reports how an own claim ended.
+    /// Queues the outcome of a claim that this process owns.
     void settle(claim_settlement settlement);
 
-    /// Waits up to `most` for work and takes all of it.
-    [[nodiscard]] pending_claim_work take_all(duration most);
+    /// Waits up to `timeout` for work and removes all of it from the queue.
+    [[nodiscard]] pending_claim_work take_all(duration timeout);
 
-    /// Refuses what comes later and answers what waits. Settlements are still taken.
+    /// Refuses all later claims and answers the queued ones with `log_unavailable`. Settlements are still accepted.
     void close();
 
 private:
     std::mutex m_mutex;
-    std::condition_variable m_filled;
-    pending_claim_work m_round;
+    std::condition_variable m_work_available;
+    pending_claim_work m_work;
     bool m_is_closed{false};
 };
 
--- a/coordination/claim_registry.cpp
+++ b/coordination/claim_registry.cpp
@@ -18,7 +18,7 @@
 claim_registry::claim_registry(folded_stream& stream, const clock_source& time, claim_options options)
     : m_stream(&stream), m_time(&time), m_options(options), m_fold(options.window) {
     m_stream->add_observer(m_fold);
-    // What the log has forgotten is older than the window.
+    // Records that retention has deleted are older than the window, so a gap loses no claim that still counts.
     m_stream->allow_gaps();
 }
 
@@ -41,7 +41,7 @@
         const claim_entry* entry = m_fold.find(request.id);
         const bool is_own = entry != nullptr && written && entry->offset == *written &&
                             m_fold.get_owner(*entry) == m_stream->get_writer();
-        // Of two arrivals in one batch the first runs.
+        // If one batch has several requests with the same identifier, the first one gets the claim.
         if (is_own && won.insert(request.id).second) {
             answers.push_back({.status = claim_status::acquired, .start_deadline = sent_at + m_options.max_run_time});
             continue;
@@ -57,7 +57,8 @@
     for (const claim_request& request : requests) {
         const claim_entry* entry = m_fold.find(request.id);
         const bool has_room = entry != nullptr || m_fold.get_size() + unclaimed.size() < m_options.max_entries;
-        // A claim that another host has not settled is tried again: its release may not have been read here yet.
+        // If another host owns the claim and has not settled it, the identifier is claimed again: the release by that
+        // host may not have been read here yet.
         const bool is_decided =
             (entry != nullptr && entry->outcome == claim_outcome::done) || is_own_running(request.id);
         if (!is_decided && has_room && seen.insert(request.id).second) {
@@ -75,8 +76,9 @@
         m_unwritten.clear();
         return result.status == record_status::valid ? std::optional(result.offset) : std::nullopt;
     } catch (const log_unavailable_error&) {
-        // The append may still take effect. Each claim is released by the next batch: it stands either before that
-        // batch, which then frees it, or after it, where every reader drops it as an old sequence number.
+        // The append may still take effect. The next batch therefore releases each claim: a claim that stands before
+        // that batch is freed by it, and every reader drops one that arrives after it because of its old sequence
+        // number.
         for (const claim_request& claim : claims) {
             m_unwritten.push_back({.id = claim.id, .outcome = claim_outcome::released});
         }
--- a/coordination/claim_registry.hpp
+++ b/coordination/claim_registry.hpp
@@ -9,38 +9,41 @@
 namespace dragonflywell::coordination {
 
 struct claim_options {
-    /// How long a key is remembered after its claim. Shorter than the log's retention, equal on all hosts.
+    /// How long a key is remembered after it was claimed. It must be shorter than the log's retention and the same on
+    /// all hosts.
     std::chrono::seconds window{std::chrono::hours(1)};
-    /// Longest time from a claim to its end. Later it counts as unknown rather than running. At most half the window.
+    /// Maximum time from a claim to its outcome. After it the claim counts as unknown instead of running. At most half
+    /// the window.
     std::chrono::seconds max_run_time{std::chrono::minutes(10)};
-    /// How many claims may be remembered before new ones are refused.
+    /// New claims are refused while this many are stored.
     std::size_t max_entries{50000};
 };
 
-/// Claims requests on behalf of one process and answers for claims of all processes.
+/// Acquires claims for the requests of one process and reports the state of the claims of all processes.
 ///
-/// No process is in charge: a claim counts when it was read back as the first of its identifier. Not thread safe.
+/// There is no leader: the first valid claim of an identifier in the log wins, once it was read back. Not thread safe.
 class claim_registry {
 public:
-    /// Preconditions: `stream` and `time` outlive the book; `stream` folds the claim stream and was not polled yet.
+    /// Preconditions: `stream` and `time` outlive this object; `stream` folds the claim stream and was not polled yet.
     claim_registry(folded_stream& stream, const clock_source& time, claim_options options);
 
-    /// Reads what others wrote. Throws `log_unavailable_error`.
+    /// Reads the records that other processes wrote. Throws `log_unavailable_error`.
     void poll();
 
-    /// Writes the settlements and the claims in one append and returns the answer to each claim.
-    /// Settlements that could not be confirmed are kept and written by a later call. Does not throw for an outage.
+    /// Writes the settlements and the claims in one append and returns the result of each claim.
+    /// Settlements that could not be confirmed are kept and written by a later call. Does not throw if the log is
+    /// unavailable.
     std::vector<claim_result> process(std::span<const claim_request> requests,
                                       std::span<const claim_settlement> settlements);
 
-    /// Returns whether settlements wait for the log.
+    /// Returns whether there are settlements that the log has not confirmed yet.
     [[nodiscard]] bool has_unwritten_settlements() const noexcept { return !m_unwritten.empty(); }
     [[nodiscard]] std::size_t get_size() const noexcept { return m_fold.get_size(); }
 
 private:
     [[nodiscard]] std::vector<claim_request> get_unclaimed(std::span<const claim_request> requests) const;
     [[nodiscard]] std::optional<log_offset> write(const std::vector<claim_request>& claims);
-    /// Returns whether this process won the claim, has not settled it and may be running it.
+    /// Returns whether this process owns the claim, has not settled it and may be running its request.
     [[nodiscard]] bool is_own_running(const claim_id& id) const;
     [[nodiscard]] bool is_release_unwritten(const claim_id& id) const;
     [[nodiscard]] claim_result get_state(const claim_request& request) const;
--- a/coordination/configuration.cpp
+++ b/coordination/configuration.cpp
@@ -24,7 +24,7 @@
     }
     for (const boost::json::value& path : json::get_array(body, "removed")) {
         if (!path.is_string()) {
-            throw malformed_message_error("removed paths must be strings");
+            throw malformed_message_error("paths in \"removed\" must be strings");
         }
         delta.removed.emplace_back(path.get_string());
     }
@@ -102,7 +102,8 @@
     }}};
     const submit_result result = stream.submit(drafts).front();
     if (result.status != record_status::valid) {
-        throw configuration_conflict_error("another operator published a newer configuration first");
+        throw configuration_conflict_error(
+            "another operator published a newer configuration first; nothing was published");
     }
     return result.offset;
 }
--- a/coordination/folded_stream.cpp
+++ b/coordination/folded_stream.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 folded_stream::folded_stream(append_log& log, std::string name, writer_id self)
-    : m_log(&log), m_name(std::move(name)), m_self(std::move(self)) {}
+    : m_log(&log), m_name(std::move(name)), m_writer(std::move(self)) {}
 
 void folded_stream::add_observer(record_observer& observer) {
     m_observers.push_back(&observer);
@@ -21,24 +21,24 @@
 
 void folded_stream::add_observer(snapshot_observer& observer) {
     m_observers.push_back(&observer);
-    m_parts.push_back(&observer);
+    m_snapshot_observers.push_back(&observer);
 }
 
 void folded_stream::poll() {
     while (true) {
-        const log_batch batch = m_log->read(m_name, m_next, records_per_read);
-        if (batch.oldest > m_next) {
-            cross_gap(batch.oldest);
+        const log_batch batch = m_log->read(m_name, m_next_offset, records_per_read);
+        if (batch.oldest > m_next_offset) {
+            recover_from_gap(batch.oldest);
             continue;
         }
         for (const log_entry& entry : batch.entries) {
-            if (entry.offset != m_next) {
-                throw log_gap_error("stream " + m_name + " was answered without record " + std::to_string(m_next));
+            if (entry.offset != m_next_offset) {
+                throw log_gap_error("a read of stream " + m_name + " skipped record " + std::to_string(m_next_offset));
             }
             apply(entry);
-            m_next = entry.offset + 1;
+            m_next_offset = entry.offset + 1;
         }
-        if (m_next >= batch.end || batch.entries.empty()) {
+        if (m_next_offset >= batch.end || batch.entries.empty()) {
             return;
         }
     }
@@ -46,27 +46,27 @@
 
 fold_snapshot folded_stream::take_snapshot() const {
     boost::json::object states;
-    for (const snapshot_observer* part : m_parts) {
-        states[part->get_state_name()] = part->save_state();
+    for (const snapshot_observer* observer : m_snapshot_observers) {
+        states[observer->get_state_name()] = observer->save_state();
     }
     const boost::json::object state{
         {"format", snapshot_format}, {"fold", m_fold.save()}, {"observers", std::move(states)}};
-    return {.stream = m_name, .end_offset = m_next, .state = boost::json::serialize(state)};
+    return {.stream = m_name, .end_offset = m_next_offset, .state = boost::json::serialize(state)};
 }
 
 bool folded_stream::restore(const fold_snapshot& snapshot) {
-    if (snapshot.stream != m_name || snapshot.end_offset <= m_next) {
+    if (snapshot.stream != m_name || snapshot.end_offset <= m_next_offset) {
         return false;
     }
     const boost::json::value document = json::parse(snapshot.state);
     const boost::json::object& state = json::as_object(document, "snapshot");
     if (json::get_unsigned(state, "format") != snapshot_format) {
-        throw malformed_message_error("snapshot of " + m_name + " has another format");
+        throw malformed_message_error("snapshot of " + m_name + " has an unsupported format");
     }
     record_fold fold = record_fold::restore(json::get_object(state, "fold"));
     restore_observers(json::get_object(state, "observers"));
     m_fold = std::move(fold);
-    m_next = snapshot.end_offset;
+    m_next_offset = snapshot.end_offset;
     return true;
 }
 
@@ -78,31 +78,33 @@
 void folded_stream::restore_observers(const boost::json::object& states) {
     std::vector<std::pair<snapshot_observer*, boost::json::value>> replaced;
     try {
-        for (snapshot_observer* part : m_parts) {
-            const boost::json::value* state = states.if_contains(part->get_state_name());
+        for (snapshot_observer* observer : m_snapshot_observers) {
+            const boost::json::value* state = states.if_contains(observer->get_state_name());
             if (state == nullptr) {
-                throw malformed_message_error("snapshot has no state of " + std::string(part->get_state_name()));
+                throw malformed_message_error("snapshot does not contain the state of " +
+                                              std::string(observer->get_state_name()));
             }
-            boost::json::value before = part->save_state();
-            part->restore_state(*state);
-            replaced.emplace_back(part, std::move(before));
+            boost::json::value before = observer->save_state();
+            observer->restore_state(*state);
+            replaced.emplace_back(observer, std::move(before));
         }
     } catch (const malformed_message_error&) {
-        for (const auto& [part, before] : replaced) {
-            part->restore_state(before);
+        for (const auto& [observer, before] : replaced) {
+            observer->restore_state(before);
         }
         throw;
     }
 }
 
-void folded_stream::cross_gap(log_offset oldest) {
+void folded_stream::recover_from_gap(log_offset oldest) {
     if (m_allows_gaps) {
-        m_next = oldest;
+        m_next_offset = oldest;
         return;
     }
-    const std::string gap = "stream " + m_name + " has no record " + std::to_string(m_next) + " any more";
+    const std::string gap =
+        "stream " + m_name + ": record " + std::to_string(m_next_offset) + " was deleted by retention";
     if (!has_snapshots()) {
-        throw log_gap_error(gap + " and its reader takes no snapshots");
+        throw log_gap_error(gap + " and its reader does not support snapshots");
     }
     const std::optional<fold_snapshot> snapshot = read_newest_snapshot(*m_log, m_name, oldest);
     if (!snapshot) {
@@ -111,7 +113,7 @@
     try {
         restore(*snapshot);
     } catch (const malformed_message_error& fault) {
-        throw log_gap_error(gap + " and its snapshot cannot be used: " + fault.what());
+        throw log_gap_error(gap + " and its newest snapshot is invalid: " + fault.what());
     }
 }
 
@@ -119,7 +121,7 @@
     std::vector<std::string> encoded;
     const std::uint64_t first_sequence = m_last_sequence + 1;
     for (const record_draft& draft : drafts) {
-        encoded.push_back(encode_record({.writer = m_self,
+        encoded.push_back(encode_record({.writer = m_writer,
                                          .sequence = ++m_last_sequence,
                                          .condition = draft.condition,
                                          .fence = draft.fence,
@@ -130,14 +132,14 @@
     try {
         m_log->append(m_name, encoded);
     } catch (const log_unavailable_error&) { // NOLINT(bugprone-empty-catch)
-        // The answer may be lost after the effect: what the stream holds decides.
+        // The response may be lost after the append took effect. What the stream contains decides.
     }
     poll();
     std::vector<submit_result> results;
     for (std::uint64_t sequence = first_sequence; sequence <= m_last_sequence; ++sequence) {
         const auto found = m_own_results.find(sequence);
         if (found == m_own_results.end()) {
-            throw log_unavailable_error("record was appended but not read back from stream " + m_name);
+            throw log_unavailable_error("submitted record could not be read back from stream " + m_name);
         }
         results.push_back(found->second);
     }
@@ -149,11 +151,11 @@
     try {
         value = decode_record(entry.data);
     } catch (const malformed_message_error&) {
-        ++m_malformed;
+        ++m_malformed_count;
         return;
     }
     const record_status verdict = m_fold.apply(entry.offset, value);
-    if (value.writer == m_self && verdict != record_status::duplicate) {
+    if (value.writer == m_writer && verdict != record_status::duplicate) {
         m_own_results[value.sequence] = {.offset = entry.offset, .status = verdict};
     }
     if (verdict != record_status::valid) {
@@ -163,7 +165,7 @@
         try {
             observer->on_record(entry.offset, value);
         } catch (const malformed_message_error&) {
-            ++m_malformed;
+            ++m_malformed_count;
         }
     }
 }
--- a/coordination/folded_stream.hpp
+++ b/coordination/folded_stream.hpp
@@ -21,31 +21,32 @@
     record_observer& operator=(record_observer&&) = delete;
     virtual ~record_observer() = default;
 
-    /// Called by the thread that polls. Throws `malformed_message_error` for a body of the wrong form,
-    /// which every reader then ignores alike; the observer's state must be unchanged in that case.
+    /// The thread that polls calls this. Throws `malformed_message_error` for a body of the wrong form, which every
+    /// reader then ignores in the same way; the observer's state must be unchanged in that case.
     virtual void on_record(log_offset offset, const record& value) = 0;
 };
 
-/// An observer whose state survives the log's retention as part of snapshots.
+/// An observer whose state is part of snapshots and so outlives the log's retention.
 class snapshot_observer : public record_observer {
 public:
     /// Returns a name that is unique among the observers of the stream and never changes.
     [[nodiscard]] virtual std::string_view get_state_name() const = 0;
 
-    /// Returns the whole state. Equal states must give equal values, whatever the path to them was.
+    /// Returns the whole state. Equal states must give equal values, independent of the records that led to them.
     [[nodiscard]] virtual boost::json::value save_state() const = 0;
 
     /// Replaces the state. Throws `malformed_message_error`; the state must be unchanged in that case.
     virtual void restore_state(const boost::json::value& state) = 0;
 };
 
-/// The log has forgotten records that were not read yet, and no snapshot bridges the gap. The state cannot be known.
+/// Thrown if retention has deleted records that were not read yet and no snapshot covers them. The state of the stream
+/// is then unknown.
 class log_gap_error : public error {
 public:
     using error::error;
 };
 
-/// What a writer has to say; writer and sequence are filled in when it is submitted.
+/// A record before submission. The stream fills in the writer and the sequence number.
 struct record_draft {
     std::string type;
     boost::json::object body;
@@ -53,78 +54,80 @@
     std::optional<fencing_token> fence;
 };
 
-/// Where a submitted record stands after it was read back.
+/// The result of a submitted record after it was read back.
 struct submit_result {
     log_offset offset{};
     record_status status{};
 };
 
-/// One stream of the log, folded by this process, and the only way in which it writes to that stream.
+/// Reads and folds one stream of the log. This process writes to the stream only through this object.
 ///
-/// Nothing that was submitted counts before it was read back as valid. Not thread safe: one control thread owns it.
+/// A submitted record counts only after it was read back as valid. Not thread safe: one control thread owns this
+/// object.
 class folded_stream {
 public:
-    /// Preconditions: `log` outlives the stream; `self` is not used by another living process.
+    /// Preconditions: `log` outlives the stream; no other running process uses `self`.
     folded_stream(append_log& log, std::string name, writer_id self);
 
-    /// Preconditions: the observer outlives the stream and is added before the first poll. With an observer that has no
-    /// snapshots, the stream has none either and cannot be read once the log forgets its beginning.
+    /// Preconditions: the observer outlives the stream and is added before the first poll. If any observer does not
+    /// support snapshots, the stream has none and cannot be read once retention has deleted its beginning.
     void add_observer(record_observer& observer);
     void add_observer(snapshot_observer& observer);
 
-    /// Goes on at the oldest kept record where the log has forgotten the next one.
+    /// Makes `poll` continue at the oldest record that the log keeps if retention has deleted the next one.
     /// Precondition: no observer's state depends on a record as old as the log's retention.
     void allow_gaps() noexcept { m_allows_gaps = true; }
 
-    /// Reads to the end of the log and folds. Where the log has forgotten the next record, goes on from its newest
-    /// snapshot. Throws `log_unavailable_error`, and `log_gap_error` without a snapshot that fits.
+    /// Reads and folds all records up to the end of the stream. If retention has deleted the next record, restores the
+    /// newest snapshot in the log first. Throws `log_unavailable_error`, and `log_gap_error` if no snapshot covers the
+    /// gap.
     void poll();
 
-    /// Returns whether every observer takes part in snapshots.
-    [[nodiscard]] bool has_snapshots() const noexcept { return m_observers.size() == m_parts.size(); }
+    /// Returns whether every observer supports snapshots.
+    [[nodiscard]] bool has_snapshots() const noexcept { return m_observers.size() == m_snapshot_observers.size(); }
 
-    /// Returns the state as of the next offset. Precondition: `has_snapshots()`.
+    /// Returns the state before the record at the next offset. Precondition: `has_snapshots()`.
     [[nodiscard]] fold_snapshot take_snapshot() const;
 
-    /// Goes on from a snapshot if it is newer than what was read; returns whether it was.
-    /// Precondition: `has_snapshots()`. Throws `malformed_message_error`; nothing has changed in that case.
+    /// Restores a snapshot if it is newer than the current state; returns whether it was.
+    /// Precondition: `has_snapshots()`. Throws `malformed_message_error`; the state is unchanged in that case.
     bool restore(const fold_snapshot& snapshot);
 
-    /// Restores the copy that `source` has, for a start while the log is down; returns whether there was a newer one.
-    /// Precondition and errors as for `restore`.
+    /// Restores the snapshot that `source` has, so that a process can start while the log is unavailable; returns
+    /// whether that snapshot was newer. Precondition and errors are those of `restore`.
     bool start_from(snapshot_source& source);
 
     /// Appends the drafts and reads them back; returns a result for each.
-    /// Throws `log_unavailable_error` when some could not be read back: their effect is then unknown, and a later
-    /// poll may still see them.
+    /// Throws `log_unavailable_error` if some could not be read back: it is then unknown whether they take effect, and
+    /// a later poll may still find them.
     std::vector<submit_result> submit(std::span<const record_draft> drafts);
 
     [[nodiscard]] const record_fold& get_fold() const noexcept { return m_fold; }
     [[nodiscard]] const std::string& get_name() const noexcept { return m_name; }
-    [[nodiscard]] const writer_id& get_writer() const noexcept { return m_self; }
+    [[nodiscard]] const writer_id& get_writer() const noexcept { return m_writer; }
     /// Returns the offset that the next read starts from.
-    [[nodiscard]] log_offset get_next_offset() const noexcept { return m_next; }
-    /// Returns the sequence of the newest record that was submitted here.
+    [[nodiscard]] log_offset get_next_offset() const noexcept { return m_next_offset; }
+    /// Returns the sequence number of the newest record that was submitted here.
     [[nodiscard]] std::uint64_t get_last_sequence() const noexcept { return m_last_sequence; }
     /// Returns how many records could not be decoded.
-    [[nodiscard]] std::uint64_t get_malformed_count() const noexcept { return m_malformed; }
+    [[nodiscard]] std::uint64_t get_malformed_count() const noexcept { return m_malformed_count; }
 
 private:
     void apply(const log_entry& entry);
-    void cross_gap(log_offset oldest);
+    void recover_from_gap(log_offset oldest);
     void restore_observers(const boost::json::object& states);
 
     append_log* m_log;
     std::string m_name;
-    writer_id m_self;
+    writer_id m_writer;
     record_fold m_fold;
     std::vector<record_observer*> m_observers;
-    std::vector<snapshot_observer*> m_parts;
-    log_offset m_next{0};
+    std::vector<snapshot_observer*> m_snapshot_observers;
+    log_offset m_next_offset{0};
     bool m_allows_gaps{false};
     std::uint64_t m_last_sequence{0};
-    std::uint64_t m_malformed{0};
-    /// Results of the own records that a submission is waiting for, by sequence.
+    std::uint64_t m_malformed_count{0};
+    /// Results of the records that the current call of `submit` waits for, by sequence number.
     std::map<std::uint64_t, submit_result> m_own_results;
 };
 
--- a/coordination/incarnation_tracker.hpp
+++ b/coordination/incarnation_tracker.hpp
@@ -9,9 +9,9 @@
 
 namespace dragonflywell::coordination {
 
-/// Knows an incarnation as gone for good once a later one of the same host has written to the stream.
+/// Treats an incarnation as terminated once a later incarnation of the same host has written to the stream.
 ///
-/// Precondition: a host name belongs to one machine, which runs one process under it at a time. Not thread safe.
+/// Precondition: a host name belongs to one machine, which runs one process under this name at a time. Not thread safe.
 class incarnation_tracker final : public record_observer, public host_liveness {
 public:
     void on_record(log_offset /*offset*/, const record& value) override {
--- a/coordination/leased_snapshot_writer.cpp
+++ b/coordination/leased_snapshot_writer.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Parts of the retention. A snapshot is at most a quarter old when its writer dies, and the next writer takes over
-/// within less than another quarter.
+/// All intervals are fractions of the retention. When the writer stops, its newest snapshot is at most a quarter of the
+/// retention old, and the next writer takes over within less than another quarter.
 constexpr int snapshots_per_retention = 4;
 constexpr int leases_per_retention = 8;
 constexpr int renewals_per_retention = 16;
--- a/coordination/leased_snapshot_writer.hpp
+++ b/coordination/leased_snapshot_writer.hpp
@@ -7,20 +7,20 @@
 
 namespace dragonflywell::coordination {
 
-/// Keeps one of many processes writing the snapshots of a stream that has no other lease.
+/// Lets one of several processes write the snapshots of a stream that has no other lease.
 ///
-/// The lease only saves work: a second writer writes the same. It is long, so that it costs the stream few records.
-/// Not thread safe.
+/// The lease only avoids redundant work: a second writer would write the same snapshots. It is long, so that it adds
+/// few records to the stream. Not thread safe.
 class leased_snapshot_writer {
 public:
-    /// Preconditions: all arguments outlive the keeper; `stream.has_snapshots()`; `retention` is positive.
+    /// Preconditions: all arguments outlive this object; `stream.has_snapshots()`; `retention` is positive.
     leased_snapshot_writer(append_log& log, folded_stream& stream, const clock_source& time, duration retention);
 
-    /// Does what is due: claims or renews the lease, writes a snapshot. Returns whether it wrote one. Cheap when
+    /// Acquires or renews the lease and writes a snapshot, if due. Returns whether it wrote a snapshot. Costs little if
     /// nothing is due. Throws `log_unavailable_error` and `log_gap_error`.
     bool tick();
 
-    /// Gives the lease up for a graceful stop. Throws `log_unavailable_error`.
+    /// Releases the lease for a graceful stop. Throws `log_unavailable_error`.
     void release() { m_lease.release(); }
 
 private:
--- a/coordination/order.cpp
+++ b/coordination/order.cpp
@@ -29,8 +29,8 @@
     {send_outcome::rejected, "rejected"},
     {send_outcome::stale_fencing_number, "refused_old_number"},
     {send_outcome::not_sent, "not_sent"},
-    {send_outcome::seen_applied, "seen_applied"},
-    {send_outcome::sender_gone, "sender_gone"},
+    {send_outcome::found_applied, "seen_applied"},
+    {send_outcome::sender_terminated, "sender_gone"},
 }};
 
 template <typename Enum, std::size_t Count>
@@ -45,7 +45,7 @@
     const auto* const found =
         std::ranges::find_if(names, [name](const name_entry<Enum>& entry) { return entry.second == name; });
     if (found == names.end()) {
-        throw malformed_message_error("unknown name in an order record: " + std::string(name));
+        throw malformed_message_error("unknown value in an order record: " + std::string(name));
     }
     return found->first;
 }
@@ -54,7 +54,8 @@
 
 boost::json::object encode_order(const order& value) {
     if (!has_no_fractions(value.body)) {
-        throw malformed_message_error("order " + value.idempotency_key + " holds a fraction");
+        throw malformed_message_error("order " + value.idempotency_key +
+                                      " contains a fraction; only whole numbers are exact");
     }
     return {{"subject", value.subject},
             {"kind", value.kind},
@@ -72,7 +73,7 @@
                 .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
                 .duplicates = get_value(repeat_names, json::get_string(body, "repeat"))};
     if (!has_no_fractions(value.body)) {
-        throw malformed_message_error("order holds a fraction");
+        throw malformed_message_error("order contains a fraction; only whole numbers are exact");
     }
     return value;
 }
--- a/coordination/order.hpp
+++ b/coordination/order.hpp
@@ -8,25 +8,25 @@
 
 namespace dragonflywell::coordination {
 
-/// Whether a receiver refuses an order whose fencing number is older than one it has seen.
+/// Whether a receiver refuses an order whose fencing number is lower than one that it has already seen.
 enum class receiver_kind { checks_fencing, ignores_fencing };
 
-/// What a second arrival of the same order does.
+/// What happens if the same order reaches its receiver a second time.
 enum class duplicate_handling {
-    /// It does harm: the order is sent once and never again.
+    /// It does harm, so the order is sent once and never again.
     never,
-    /// Applying it twice equals applying it once, but the receiver keeps no keys.
+    /// It has no further effect, but the receiver keeps no idempotency keys.
     idempotent,
-    /// The receiver keeps idempotency keys, drops repeats and answers queries, as the platform's interfaces do.
+    /// The receiver keeps idempotency keys, drops duplicates and answers queries, as the platform's interfaces do.
     deduplicated,
 };
 
-/// One order to an engine or to an interface of the platform.
+/// A command to an engine or to an interface of the platform.
 struct order {
-    /// What may have only one order on its way: one engine, or one ordering or reporting subject.
+    /// Only one order per subject may be in flight. A subject is one engine, or one ordering or reporting task.
     std::string subject;
     std::string kind;
-    /// Holds no fractions, so that every send is the same to the letter: see `has_no_fractions`.
+    /// Contains no fractions, so that every send is identical byte for byte: see `is_exact`.
     boost::json::object body;
     /// Two orders with the same key are the same order.
     std::string idempotency_key;
@@ -34,9 +34,9 @@
     duplicate_handling duplicates{duplicate_handling::never};
 };
 
-/// One send of an order that may still take effect.
+/// One attempt to send an order, which may still take effect.
 struct order_send {
-    /// Offset of the intent; identifies the send.
+    /// Offset of the intent record; it identifies the send.
     log_offset intent{};
     writer_id sender;
     fencing_token token;
@@ -44,42 +44,44 @@
     friend bool operator==(const order_send&, const order_send&) = default;
 };
 
-/// An order of which at least one send has no known outcome.
+/// An order that has at least one send without a known outcome.
 struct unresolved_order {
     order value;
     std::vector<order_send> sends;
-    /// How many sends were ever recorded, resolved ones included. A query tells nothing about a single one of several.
+    /// How many sends were recorded in total, including resolved ones but without those that were never sent. If there
+    /// are several, a query of the receiver cannot tell which of them took effect.
     std::size_t total_sends{};
 };
 
-/// What the log says about one send.
+/// The outcome of one send, as the log records it.
 enum class send_outcome {
-    /// The receiver answered that it has taken effect.
+    /// The receiver replied that the order has taken effect.
     applied,
-    /// The receiver answered that it has no effect.
+    /// The receiver replied that the order has no effect.
     rejected,
-    /// The receiver had seen a newer fencing number; no effect.
+    /// The receiver had seen a newer fencing number, so the order has no effect.
     stale_fencing_number,
-    /// The sender decided not to send; no effect.
+    /// The sender did not send the order, so it has no effect.
     not_sent,
-    /// The receiver holds the order under its key, though no answer to the send was seen.
-    seen_applied,
-    /// The sender is gone for good, so nothing of it can arrive any more.
-    sender_gone,
+    /// A query found the order at the receiver under its key, although no reply to the send arrived.
+    found_applied,
+    /// The sender has terminated and nothing that it sent can arrive any more.
+    sender_terminated,
 };
 
+/// Types of the records that announce a send and that record its outcome.
 inline constexpr std::string_view order_intent_type = "order.intent";
 inline constexpr std::string_view order_outcome_type = "order.outcome";
 
-/// An outcome record's content.
+/// The content of an outcome record.
 struct order_outcome {
     std::string subject;
     log_offset intent{};
     send_outcome outcome{};
 };
 
-/// Codecs of record bodies. Decoders throw `malformed_message_error`, and so does `encode_order` for a body with
-/// fractions. Thread safe.
+/// Encode and decode record bodies. The decoders throw `malformed_message_error`, and so does `encode_order` for a body
+/// with fractions. Thread safe.
 [[nodiscard]] boost::json::object encode_order(const order& value);
 [[nodiscard]] order decode_order(const boost::json::object& body);
 [[nodiscard]] boost::json::object encode_outcome(const order_outcome& value);
--- a/coordination/order_dispatcher.cpp
+++ b/coordination/order_dispatcher.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::optional<send_outcome> get_outcome(order_reply receipt) {
+std::optional<send_outcome> get_send_outcome(order_reply receipt) {
     switch (receipt) {
     case order_reply::applied:
         return send_outcome::applied;
@@ -119,7 +119,7 @@
     case duplicate_handling::idempotent:
         return true;
     case duplicate_handling::deduplicated:
-        // The platform must not get orders from two processes: those of another one are waited out.
+        // The platform must not get orders from two processes, so sends of another process have to be resolved first.
         return std::ranges::all_of(existing->sends,
                                    [&](const order_send& send) { return send.sender == m_stream->get_writer(); });
     }
@@ -134,19 +134,20 @@
     return m_lease->get_authority() == token;
 }
 
-bool order_dispatcher::is_resolved_by_sight(const unresolved_order& existing) const {
-    // A receiver without keys shows one effect for all sends, so only a single send can be concluded from it.
+bool order_dispatcher::is_resolved_by_query(const unresolved_order& existing) const {
+    // A receiver without keys shows the same state whichever send was applied, so only an order with a single send is
+    // resolved by a query.
     return existing.value.duplicates == duplicate_handling::deduplicated || existing.total_sends == 1;
 }
 
 order_query_result order_dispatcher::query_existing(const unresolved_order& existing, const fencing_token& token) {
     const order_query_result presence = m_receiver->query(existing.value);
-    if (presence == order_query_result::applied && is_resolved_by_sight(existing)) {
+    if (presence == order_query_result::applied && is_resolved_by_query(existing)) {
         const order_send& seen = existing.sends.front();
-        m_unlogged[seen.intent] = {.content = {.subject = existing.value.subject,
-                                               .intent = seen.intent,
-                                               .outcome = send_outcome::seen_applied},
-                                   .fence = token};
+        m_unconfirmed_outcomes[seen.intent] = {.content = {.subject = existing.value.subject,
+                                                           .intent = seen.intent,
+                                                           .outcome = send_outcome::found_applied},
+                                               .fence = token};
         flush_outcomes();
     }
     return presence;
@@ -162,7 +163,7 @@
         return {.status = order_status::log_unavailable, .intent = {}};
     }
     if (!is_accepted(value, recorded)) {
-        // Another holder came first, or a late intent of this process holds the subject.
+        // Another process has acquired the lease, or a late intent of this process occupies the subject.
         const bool is_valid = recorded.status == record_status::valid;
         return {.status = is_valid ? order_status::blocked : order_status::no_authority, .intent = {}};
     }
@@ -176,39 +177,40 @@
     }
     m_sent.insert(intent);
     const order_reply receipt = m_receiver->send(value, token, m_lease->get_order_deadline());
-    const std::optional<send_outcome> outcome = get_outcome(receipt);
+    const std::optional<send_outcome> outcome = get_send_outcome(receipt);
     if (outcome) {
-        m_unlogged[intent] = {.content = {.subject = value.subject, .intent = intent, .outcome = *outcome},
-                              .fence = {}};
+        m_unconfirmed_outcomes[intent] = {.content = {.subject = value.subject, .intent = intent, .outcome = *outcome},
+                                          .fence = {}};
         flush_outcomes();
     }
     return {.status = get_status(receipt), .intent = intent};
 }
 
 void order_dispatcher::resolve(const unresolved_order& existing, const fencing_token& token) {
-    // Asked before the query: what a sender did before it went is then visible to the query.
-    std::vector<order_send> gone;
-    std::ranges::copy_if(existing.sends, std::back_inserter(gone),
+    // This is checked before the query, so that the query shows everything that a sender did before it terminated.
+    std::vector<order_send> terminated;
+    std::ranges::copy_if(existing.sends, std::back_inserter(terminated),
                          [this](const order_send& send) { return m_hosts->has_terminated(send.sender); });
     const order_query_result presence = query_existing(existing, token);
-    if (presence == order_query_result::applied && is_resolved_by_sight(existing)) {
+    if (presence == order_query_result::applied && is_resolved_by_query(existing)) {
         return;
     }
     if (presence == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
         return;
     }
-    for (const order_send& send : gone) {
-        m_unlogged[send.intent] = {
-            .content = {.subject = existing.value.subject, .intent = send.intent, .outcome = send_outcome::sender_gone},
-            .fence = token};
+    for (const order_send& send : terminated) {
+        m_unconfirmed_outcomes[send.intent] = {.content = {.subject = existing.value.subject,
+                                                           .intent = send.intent,
+                                                           .outcome = send_outcome::sender_terminated},
+                                               .fence = token};
     }
 }
 
-void order_dispatcher::note_unsent_intents() {
+void order_dispatcher::record_unsent_intents() {
     for (const auto& [subject, existing] : m_fold.get_all()) {
         for (const order_send& send : existing.sends) {
             if (send.sender == m_stream->get_writer() && !m_sent.contains(send.intent)) {
-                m_unlogged[send.intent] = {
+                m_unconfirmed_outcomes[send.intent] = {
                     .content = {.subject = subject, .intent = send.intent, .outcome = send_outcome::not_sent},
                     .fence = {}};
             }
@@ -224,16 +226,16 @@
         }
     }
     std::erase_if(m_sent, [&](log_offset intent) { return !unresolved.contains(intent); });
-    std::erase_if(m_unlogged, [&](const auto& entry) { return !unresolved.contains(entry.first); });
+    std::erase_if(m_unconfirmed_outcomes, [&](const auto& entry) { return !unresolved.contains(entry.first); });
 }
 
 bool order_dispatcher::flush_outcomes() {
     try {
         m_stream->poll();
         forget_resolved_sends();
-        note_unsent_intents();
+        record_unsent_intents();
         std::vector<record_draft> drafts;
-        for (const auto& [intent, outcome] : m_unlogged) {
+        for (const auto& [intent, outcome] : m_unconfirmed_outcomes) {
             drafts.push_back({.type = std::string(order_outcome_type),
                               .body = encode_outcome(outcome.content),
                               .condition = {},
@@ -241,7 +243,7 @@
         }
         if (!drafts.empty()) {
             m_stream->submit(drafts);
-            m_unlogged.clear();
+            m_unconfirmed_outcomes.clear();
         }
     } catch (const log_unavailable_error&) {
         return false;
--- a/coordination/order_dispatcher.hpp
+++ b/coordination/order_dispatcher.hpp
@@ -10,21 +10,21 @@
 
 namespace dragonflywell::coordination {
 
-/// What a receiver said to one send.
+/// The receiver's reply to one send.
 enum class order_reply {
     applied,
-    /// Certainly without effect, now and later.
+    /// The order has no effect and will have none.
     rejected,
-    /// The receiver has seen a newer fencing number; without effect.
+    /// The receiver has seen a newer fencing number, so the order has no effect.
     stale_fencing_number,
-    /// No answer, or one that says nothing: the order may take effect at any later time.
+    /// No reply, or an inconclusive one. The order may take effect at any later time.
     unknown,
 };
 
-/// What a receiver holds under an idempotency key.
+/// The result of a query for an idempotency key at a receiver.
 enum class order_query_result { applied, not_seen, unknown };
 
-/// Gives orders to engines or to an interface of the platform.
+/// Sends orders to engines or to an interface of the platform.
 ///
 /// Thread safety: the ledger calls it from its own thread only.
 class order_receiver {
@@ -36,14 +36,14 @@
     order_receiver& operator=(order_receiver&&) = delete;
     virtual ~order_receiver() = default;
 
-    /// Sends once, without any retry of its own, and returns within `deadline`. Reports faults as `unknown`.
+    /// Sends the order once, without retrying, and returns within `deadline`. Reports faults as `unknown`.
     virtual order_reply send(const order& value, const fencing_token& token, duration deadline) = 0;
 
-    /// Asks what the receiver holds under the order's idempotency key. Has no effect.
+    /// Asks the receiver whether it has applied the order with this idempotency key. Has no side effect.
     virtual order_query_result query(const order& value) = 0;
 };
 
-/// Knows which processes can never again send anything. Not thread safe.
+/// Knows which process incarnations have terminated. Not thread safe.
 class host_liveness {
 public:
     host_liveness() = default;
@@ -53,35 +53,37 @@
     host_liveness& operator=(host_liveness&&) = delete;
     virtual ~host_liveness() = default;
 
-    /// Returns true only when that incarnation is gone for good and all it sent has arrived or never will. A silent or
-    /// unreachable one is not gone.
+    /// Returns true only if that incarnation has terminated and everything that it sent has arrived or never will. An
+    /// incarnation that is unresponsive or unreachable has not necessarily terminated.
     [[nodiscard]] virtual bool has_terminated(const writer_id& sender) const = 0;
 };
 
-/// What became of a submitted order.
+/// The status of a submitted order.
 enum class order_status {
     applied,
     rejected,
     stale_fencing_number,
-    /// Sent, without a known outcome. The subject is held until `reconcile` finds one.
+    /// The order was sent and its outcome is unknown. The subject stays blocked until `reconcile` finds the outcome.
     unknown,
-    /// Not sent: this process does not hold the lease, or too little of it is left.
+    /// The order was not sent: this process does not hold the lease, or too little time of it is left.
     no_authority,
-    /// Not sent: another send on the subject may still take effect.
+    /// The order was not sent: another send on the subject may still take effect.
     blocked,
-    /// Not sent: the intent could not be read back.
+    /// The order was not sent: its intent could not be read back from the log.
     log_unavailable,
 };
 
+/// The result of submitting an order.
 struct order_result {
     order_status status{};
-    /// The intent that was sent, when one was.
+    /// Offset of the intent that was sent, if one was.
     std::optional<log_offset> intent;
 };
 
-/// Gives orders under a lease, each of which is in the log before it is sent.
+/// Sends orders under a lease, and writes the intent of each to the log before sending it.
 ///
-/// A new holder thereby knows every order of its predecessors that may still take effect. Not thread safe.
+/// A new holder of the lease therefore knows every order of its predecessors that may still take effect. Not thread
+/// safe.
 class order_dispatcher {
 public:
     order_dispatcher(const order_dispatcher&) = delete;
@@ -90,45 +92,47 @@
     order_dispatcher& operator=(order_dispatcher&&) = delete;
     virtual ~order_dispatcher() = default;
 
-    /// Preconditions: all arguments outlive the ledger; `stream` folds the records of the lease's scope and has not
-    /// been polled yet.
+    /// Preconditions: all arguments outlive this object; `stream` folds the records of the lease's scope and was not
+    /// polled yet.
     order_dispatcher(folded_stream& stream, lease_candidate& lease, order_receiver& receiver,
                      const host_liveness& hosts);
 
-    /// Records the order, sends it at most once and records the outcome.
+    /// Records the intent, sends the order at most once and records the outcome.
     ///
-    /// An order with the key of the subject's unresolved one completes that one as it was logged. An unreachable log is
-    /// a status and no exception. Precondition: a key is not used again once its order was resolved. Throws
-    /// `malformed_message_error` for a body with fractions.
+    /// If the subject has an unresolved order with the same key, this call completes that one as it was logged. An
+    /// unavailable log is reported as a status, not as an exception. Precondition: a key is not used again once its
+    /// order is resolved. Throws `malformed_message_error` for a body with fractions.
     order_result submit(const order& value);
 
-    /// Returns the orders that may still take effect, whoever sent them, as of the last poll of the stream.
+    /// Returns the orders that may still take effect, from all senders, as of the last poll of the stream.
     [[nodiscard]] std::vector<unresolved_order> get_unresolved() const;
 
-    /// Records every outcome that can be known: own answers not yet logged, intents never sent, orders seen at their
-    /// receiver, senders gone for good. Call it regularly while the lease is held.
+    /// Records every outcome that can be determined: replies that are not logged yet, intents that were never sent,
+    /// orders that a query finds at their receiver, and senders that have terminated. Call it regularly while the lease
+    /// is held.
     void reconcile();
 
 protected:
-    // Each of these is one safeguard. They are virtual so that the fault matrix can take one out and show that its
-    // checker notices.
+    // Each of these functions is one safeguard. They are virtual so that the fault matrix test can disable one of them
+    // and show that its checker detects this.
 
-    /// Returns whether an order may be sent beside what is unresolved on its subject.
+    /// Returns whether an order may be sent while `existing` is unresolved on its subject.
     [[nodiscard]] virtual bool may_send(const order& value, const unresolved_order* existing,
                                         const fencing_token& token) const;
 
-    /// Returns whether an intent that was read back holds its subject.
+    /// Returns whether an intent that was read back is valid and is the one that may be sent on its subject.
     [[nodiscard]] virtual bool is_accepted(const order& value, const submit_result& intent) const;
 
-    /// Returns whether the lease still allows to send under `token`.
+    /// Returns whether this process still has authority under `token`.
     [[nodiscard]] virtual bool has_authority(const fencing_token& token) const;
 
-    /// Returns whether an effect that is seen at the receiver shows that nothing of the order is on its way any more.
-    [[nodiscard]] virtual bool is_resolved_by_sight(const unresolved_order& existing) const;
+    /// Returns whether a query that finds the order at its receiver proves that no send of it is still in flight.
+    [[nodiscard]] virtual bool is_resolved_by_query(const unresolved_order& existing) const;
 
 private:
-    /// An outcome that the log has not confirmed yet. Own sends are facts and need no fence.
-    struct unlogged_outcome {
+    /// An outcome that the log has not confirmed yet. The outcome of a send of this process is a fact and needs no
+    /// fencing token.
+    struct unconfirmed_outcome {
         order_outcome content;
         std::optional<fencing_token> fence;
     };
@@ -137,7 +141,7 @@
     order_result append_and_send(const order& value, const fencing_token& token);
     order_result send_once(const order& value, log_offset intent, const fencing_token& token);
     void resolve(const unresolved_order& existing, const fencing_token& token);
-    void note_unsent_intents();
+    void record_unsent_intents();
     void forget_resolved_sends();
     bool flush_outcomes();
 
@@ -146,9 +150,9 @@
     order_receiver* m_receiver;
     const host_liveness* m_hosts;
     order_fold m_fold;
-    /// Intents that were handed to the receiver by this process and are still unresolved in the log.
+    /// Intents that this process has sent to the receiver and that are still unresolved in the log.
     std::set<log_offset> m_sent;
-    std::map<log_offset, unlogged_outcome> m_unlogged;
+    std::map<log_offset, unconfirmed_outcome> m_unconfirmed_outcomes;
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/order_fold.cpp
+++ b/coordination/order_fold.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A sender may state what became of its own send at any time, since that is a fact and no decision. Anyone else
-/// needs the lease of the scope; the stream has already checked that the fence is current.
+/// Returns whether the writer of `value` may record the outcome of `send`. The sender itself may do so at any time,
+/// because it states a fact and makes no decision. Any other process needs the lease of the scope; the stream has
+/// already checked that the fencing token is current.
 bool may_resolve(const record& value, const order_send& send) {
     if (value.writer == send.sender) {
         return true;
@@ -18,8 +19,8 @@
     return value.fence && value.fence->scope == send.token.scope;
 }
 
-void erase_void_sends(unresolved_order& existing, const order_send& resolved, send_outcome outcome) {
-    const bool has_effect = outcome == send_outcome::applied || outcome == send_outcome::seen_applied;
+void erase_resolved_sends(unresolved_order& existing, const order_send& resolved, send_outcome outcome) {
+    const bool has_effect = outcome == send_outcome::applied || outcome == send_outcome::found_applied;
     if (has_effect && existing.value.duplicates == duplicate_handling::deduplicated) {
         existing.sends.clear();
         return;
@@ -64,7 +65,7 @@
         existing.sends.push_back(decode_send(send));
     }
     if (existing.sends.empty() || existing.total_sends < existing.sends.size()) {
-        throw malformed_message_error("unresolved order without its sends");
+        throw malformed_message_error("unresolved order does not list all its sends");
     }
     return existing;
 }
@@ -102,7 +103,7 @@
 
 void order_fold::restore_state(const boost::json::value& state) {
     if (!state.is_array()) {
-        throw malformed_message_error("order state must be an array");
+        throw malformed_message_error("snapshot of orders must be an array");
     }
     std::map<std::string, unresolved_order> restored;
     for (const boost::json::value& entry : state.get_array()) {
@@ -148,7 +149,7 @@
         --existing.total_sends;
     }
     const order_send resolved = *send;
-    erase_void_sends(existing, resolved, content.outcome);
+    erase_resolved_sends(existing, resolved, content.outcome);
     if (existing.sends.empty()) {
         m_unresolved.erase(found);
     }
--- a/coordination/order_fold.hpp
+++ b/coordination/order_fold.hpp
@@ -10,7 +10,7 @@
 
 /// Folds intents and outcomes into the orders that may still take effect, by subject.
 ///
-/// The state holds unresolved orders only, so it is bounded by the number of subjects. Not thread safe.
+/// The state holds unresolved orders only, so its size is bounded by the number of subjects. Not thread safe.
 class order_fold final : public snapshot_observer {
 public:
     void on_record(log_offset offset, const record& value) override;
@@ -18,7 +18,7 @@
     [[nodiscard]] boost::json::value save_state() const override;
     void restore_state(const boost::json::value& state) override;
 
-    /// Returns the unresolved order of a subject, or null. Valid until the next record.
+    /// Returns the unresolved order of a subject, or null. The pointer is valid until the next record.
     [[nodiscard]] const unresolved_order* find(const std::string& subject) const;
 
     [[nodiscard]] const std::map<std::string, unresolved_order>& get_all() const noexcept { return m_unresolved; }
@@ -30,7 +30,7 @@
     std::map<std::string, unresolved_order> m_unresolved;
 };
 
-/// Returns whether every send of `existing` is void at its receiver once `token` was seen there.
+/// Returns whether the order's receiver refuses every send of `existing` once it has seen `token`.
 [[nodiscard]] bool are_sends_fenced_off(const unresolved_order& existing, const fencing_token& token);
 
 } // namespace dragonflywell::coordination
--- a/coordination/record.hpp
+++ b/coordination/record.hpp
@@ -12,7 +12,7 @@
 
 namespace dragonflywell::coordination {
 
-/// One life of a process: a replaced or restarted host gets a new incarnation.
+/// Identifies one run of a process: a restarted or replaced host gets a new incarnation.
 struct writer_id {
     std::string host;
     std::uint64_t incarnation{};
@@ -20,7 +20,7 @@
     friend auto operator<=>(const writer_id&, const writer_id&) = default;
 };
 
-/// Proof of authority: the offset of the claim that won the lease of `scope`.
+/// Proof of authority: the offset of the record that acquired the lease of `scope`.
 struct fencing_token {
     std::string scope;
     log_offset number{};
@@ -28,16 +28,17 @@
     friend auto operator<=>(const fencing_token&, const fencing_token&) = default;
 };
 
-/// Compare-and-swap on a subject: the record is valid only while `supersedes` is the newest valid offset of it.
+/// Compare-and-swap on a subject: the record is valid only if `supersedes` is the offset of the newest valid record of
+/// the subject.
 struct record_condition {
     std::string subject;
-    /// Absent when the subject must not have a valid record yet.
+    /// Absent if the subject must not have a valid record yet.
     std::optional<log_offset> supersedes;
 
     friend bool operator==(const record_condition&, const record_condition&) = default;
 };
 
-/// One message in the log. The pair of writer and sequence identifies it, however often it was appended.
+/// One message in the log. The pair of writer and sequence number identifies it, even if it was appended several times.
 struct record {
     writer_id writer;
     std::uint64_t sequence{};
@@ -47,8 +48,9 @@
     boost::json::object body;
 };
 
-/// Returns whether a value survives encoding without change. The JSON library reads fractions with an error in the last
-/// digit, so whatever must stay the same however often it is written again holds whole numbers only. Thread safe.
+/// Returns whether encoding and decoding keeps the value unchanged. The JSON library reads fractions with an error in
+/// the last digit, so values that must stay identical when they are written again may contain whole numbers only.
+/// Thread safe.
 [[nodiscard]] bool has_no_fractions(const boost::json::value& value);
 
 /// Thread safe.
--- a/coordination/record_fold.cpp
+++ b/coordination/record_fold.cpp
@@ -32,7 +32,7 @@
         m_newest[value.condition->subject] = offset;
     }
     if (value.type == lease_acquisition_type) {
-        apply_claim(offset, value);
+        apply_lease_acquisition(offset, value);
     }
     if (is_lease_change(value)) {
         apply_lease_change(offset, value);
@@ -55,11 +55,11 @@
     if (found != m_writers.end() && value.sequence <= found->second.sequence) {
         return true;
     }
-    remember_writer(offset, value);
+    update_writer(offset, value);
     return false;
 }
 
-void record_fold::remember_writer(log_offset offset, const record& value) {
+void record_fold::update_writer(log_offset offset, const record& value) {
     const auto [position, is_new] = m_writers.try_emplace(value.writer);
     if (!is_new) {
         m_writers_by_offset.erase(position->second.offset);
@@ -88,7 +88,7 @@
     return value.condition && get_newest(value.condition->subject) != value.condition->supersedes;
 }
 
-void record_fold::apply_claim(log_offset offset, const record& value) {
+void record_fold::apply_lease_acquisition(log_offset offset, const record& value) {
     if (!value.condition || !value.condition->subject.starts_with(lease_subject_prefix)) {
         return;
     }
--- a/coordination/record_fold.hpp
+++ b/coordination/record_fold.hpp
@@ -8,64 +8,66 @@
 
 namespace dragonflywell::coordination {
 
-/// What every reader concludes about one record.
+/// Whether a record is valid. Every reader of the stream gets the same result.
 enum class record_status {
     valid,
-    /// The same writer and sequence, or an older one of that writer, stood before it.
+    /// An earlier record has the same writer and the same or a higher sequence number.
     duplicate,
-    /// Another record won the subject first.
+    /// Its condition does not hold: another record of the subject came first.
     superseded,
-    /// The lease that it was written under had been superseded, released or never won.
+    /// Its fencing token is not current: the lease was never acquired, was released, or has a newer holder.
     fenced,
 };
 
-/// Where a lease stands according to the log alone.
+/// The state of a lease according to the log alone.
 struct lease_record {
     writer_id holder;
     fencing_token token;
-    /// Offset of the newest claim, renewal or release. A challenger must name it.
+    /// Offset of the newest acquisition, renewal or release. The next acquisition must supersede exactly this record.
     log_offset newest{};
-    /// Sequence that the holder gave that record, by which it recognises its own after a lost answer.
+    /// Sequence number of that record. The holder uses it to recognise its own record if the response was lost.
     std::uint64_t sequence{};
     bool is_released{false};
 
     friend bool operator==(const lease_record&, const lease_record&) = default;
 };
 
-/// Record types that the fold itself interprets.
+/// Types of the records that the fold itself interprets.
 inline constexpr std::string_view lease_acquisition_type = "lease.claim";
 inline constexpr std::string_view lease_renewal_type = "lease.renewal";
 inline constexpr std::string_view lease_release_type = "lease.release";
 
-/// How many writers the fold remembers the newest sequence of. Beyond that the one silent for longest is forgotten, by
-/// offset and hence alike for all readers. A copy that arrives after so many others wrote is judged by its condition or
-/// fence alone, so a record without either must be harmless when it is applied twice.
+/// The number of writers whose newest sequence number the fold remembers. If there are more, it drops the one whose
+/// newest record has the lowest offset, so that all readers drop the same one. A copy of a record of a dropped writer
+/// is then checked only by its condition or fencing token. A record with neither must therefore be harmless if it is
+/// applied twice.
 inline constexpr std::size_t max_tracked_writers = 4096;
 
-/// Returns the subject that claims of `scope` compete for.
+/// Returns the subject on which the acquisitions of the lease of `scope` compete.
 [[nodiscard]] std::string get_lease_subject(std::string_view scope);
 
-/// Pure function of a stream's records, in offset order: decides which are valid and who holds which lease.
+/// Folds the records of a stream in offset order: decides which of them are valid and who holds which lease.
 ///
-/// All readers that fold the same records reach the same verdicts. Not thread safe.
+/// It is a pure function, so all readers of the same records get the same result. Not thread safe.
 class record_fold {
 public:
-    /// Precondition: offsets are given in ascending order.
+    /// Applies the record at `offset` and returns whether it is valid. Precondition: the offsets of successive calls
+    /// ascend.
     /// Does not throw for any content.
     record_status apply(log_offset offset, const record& value);
 
     /// Returns the offset of the newest valid record of a subject.
     [[nodiscard]] std::optional<log_offset> get_newest(const std::string& subject) const;
 
-    /// Returns the lease of a scope, or null before its first claim. Valid until the next `apply`.
+    /// Returns the lease of a scope, or null before it was first acquired. The pointer is valid until the next `apply`.
     [[nodiscard]] const lease_record* get_lease(const std::string& scope) const;
 
     [[nodiscard]] std::size_t get_writer_count() const noexcept { return m_writers.size(); }
 
-    /// Returns everything that later verdicts depend on. Equal states give equal objects.
+    /// Returns the whole state. Equal states give equal objects.
     [[nodiscard]] boost::json::object save() const;
 
-    /// Returns the fold that `save` described. Throws `malformed_message_error`.
+    /// Returns a fold with the state that `save` returned. Throws `malformed_message_error`.
     [[nodiscard]] static record_fold restore(const boost::json::object& state);
 
     friend bool operator==(const record_fold&, const record_fold&) = default;
@@ -82,8 +84,8 @@
     [[nodiscard]] bool is_duplicate(log_offset offset, const record& value);
     [[nodiscard]] bool is_fenced(const record& value) const;
     [[nodiscard]] bool is_superseded(const record& value) const;
-    void remember_writer(log_offset offset, const record& value);
-    void apply_claim(log_offset offset, const record& value);
+    void update_writer(log_offset offset, const record& value);
+    void apply_lease_acquisition(log_offset offset, const record& value);
     void apply_lease_change(log_offset offset, const record& value);
 
     std::map<writer_id, writer_position> m_writers;
--- a/coordination/snapshot.cpp
+++ b/coordination/snapshot.cpp
@@ -17,7 +17,7 @@
 constexpr unsigned utf8_continuation_mask = 0xC0;
 constexpr unsigned utf8_continuation = 0x80;
 
-/// Which chunks belong together. Two writers may cover the same offset at the same time.
+/// Identifies the chunks of one snapshot. Two writers may write a snapshot of the same offset at the same time.
 struct chunk_group {
     log_offset covers{};
     writer_id writer;
@@ -40,7 +40,7 @@
     }
 };
 
-bool is_inside_character(std::string_view text, std::size_t position) {
+bool is_inside_utf8_sequence(std::string_view text, std::size_t position) {
     return position < text.size() &&
            (static_cast<unsigned char>(text[position]) & utf8_continuation_mask) == utf8_continuation;
 }
@@ -49,7 +49,7 @@
     std::vector<std::string_view> parts;
     do {
         std::size_t size = std::min(text.size(), snapshot_chunk_bytes);
-        while (size > 1 && is_inside_character(text, size)) {
+        while (size > 1 && is_inside_utf8_sequence(text, size)) {
             --size;
         }
         parts.push_back(text.substr(0, size));
@@ -58,7 +58,7 @@
     return parts;
 }
 
-/// Collects chunks and keeps the newest snapshot that is whole.
+/// Collects chunks and keeps the newest complete snapshot.
 class snapshot_assembler {
 public:
     snapshot_assembler(std::string_view stream, log_offset oldest) : m_stream(stream), m_oldest(oldest) {}
@@ -89,8 +89,8 @@
         if (get_sha256_hex(text) == group.digest) {
             m_newest = {.stream = m_stream, .end_offset = group.covers, .state = std::move(text)};
         }
-        const log_offset covered = group.covers;
-        std::erase_if(m_partial, [covered](const auto& entry) { return entry.first.covers <= covered; });
+        const log_offset end_offset = group.covers;
+        std::erase_if(m_partial, [end_offset](const auto& entry) { return entry.first.covers <= end_offset; });
     }
 
     std::string m_stream;
@@ -126,7 +126,7 @@
 }
 
 void write_snapshot(append_log& log, const fold_snapshot& snapshot, const writer_id& writer) {
-    // One record a call keeps each request small; a reader puts the parts together in any order.
+    // One record per call keeps each request small; a reader accepts the chunks in any order.
     for (const std::string& chunk : encode_snapshot(snapshot, writer)) {
         log.append(get_snapshot_stream(snapshot.stream), std::span(&chunk, 1));
     }
@@ -143,7 +143,7 @@
             try {
                 assembler.add(entry.data);
             } catch (const malformed_message_error&) { // NOLINT(bugprone-empty-catch)
-                // A damaged chunk leaves its snapshot incomplete; an older or newer one is used.
+                // A malformed chunk leaves its snapshot incomplete; an older or newer snapshot is used instead.
             }
         }
         if (next >= batch.end || batch.entries.empty()) {
--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// The holder renews, and challengers look, this many times within the length of a lease.
+/// How often the holder renews, and how often challengers read the topic, within the length of a lease.
 constexpr int renewals_per_length = 3;
 constexpr int reads_per_length = 2;
 
@@ -27,7 +27,7 @@
 
 store_lease_record decode_store_lease_record(std::string_view text) {
     const boost::json::value document = json::parse(text);
-    const boost::json::object& object = json::as_object(document, "record of a lease");
+    const boost::json::object& object = json::as_object(document, "lease record");
     store_lease_record record{.holder = json::get_string(object, "holder"),
                               .incarnation = json::get_unsigned(object, "incarnation"),
                               .renewed_fencing_number = {},
@@ -50,16 +50,16 @@
         const bool is_due = m_time->now_with_suspension() - renewed_at >= m_options.length / renewals_per_length;
         return is_due || m_is_resigning ? action::append : action::nothing;
     }
-    const bool is_holder_heard = m_holder_heard_at && m_time->now() - *m_holder_heard_at < m_options.holder_timeout;
-    if (m_is_resigning || is_holder_heard) {
+    const bool has_recent_heartbeat = m_heartbeat_at && m_time->now() - *m_heartbeat_at < m_options.holder_timeout;
+    if (m_is_resigning || has_recent_heartbeat) {
         return action::nothing;
     }
     const std::optional<steady_time> vacant_since = get_vacant_since();
-    // Nobody has held it since this candidate did, so that the others need no time to be first.
+    // No other candidate has held the lease since this one did, so there is nobody to leave it to.
     const duration delay = is_latest_own() ? duration::zero() : m_options.acquisition_delay;
-    const bool may_claim = vacant_since && m_time->now() - *vacant_since >= delay;
+    const bool may_acquire = vacant_since && m_time->now() - *vacant_since >= delay;
     const bool is_fresh = m_last_read_at && m_time->now() - *m_last_read_at < m_options.length / reads_per_length;
-    if (may_claim && is_fresh) {
+    if (may_acquire && is_fresh) {
         return action::append;
     }
     return is_fresh ? action::nothing : action::read;
@@ -67,7 +67,7 @@
 
 void store_lease::on_read(std::span<const lease_topic_entry> records, std::uint64_t end) {
     for (const lease_topic_entry& placed : records) {
-        take(placed);
+        apply_record(placed);
     }
     m_end = end;
     m_has_read = true;
@@ -76,7 +76,8 @@
     }
     m_needs_read = false;
     m_last_read_at = m_time->now();
-    // An append without a known result that has not shown by now may still come, and is then taken for a stranger's.
+    // An append with an unknown result that is not in the topic yet may still arrive. It is then treated like a record
+    // of another candidate.
     m_pending.reset();
 }
 
@@ -92,7 +93,7 @@
     m_pending = {.record = record, .sent_at = m_time->now_with_suspension()};
     m_last_sent_at = m_time->now();
     if (record.is_release) {
-        // No call may follow, whatever becomes of the record.
+        // No call may be made under the lease from now on, even if the release record is lost.
         m_held.reset();
     }
     return record;
@@ -100,7 +101,7 @@
 
 void store_lease::on_appended() {
     if (m_pending) {
-        take({.offset = m_end, .record = m_pending->record});
+        apply_record({.offset = m_end, .record = m_pending->record});
     }
     m_pending.reset();
     ++m_end;
@@ -117,8 +118,8 @@
 }
 
 void store_lease::record_holder_heartbeat() {
-    m_holder_heard_at = m_time->now();
-    m_latest_seen_at = m_time->now();
+    m_heartbeat_at = m_time->now();
+    m_latest_at = m_time->now();
 }
 
 void store_lease::on_superseded() {
@@ -131,7 +132,7 @@
         return std::nullopt;
     }
     const steady_time now = m_time->now_with_suspension();
-    if (now < m_held->acts_from || now + m_options.min_time_left >= m_held->expires_at) {
+    if (now < m_held->may_act_from || now + m_options.min_time_left >= m_held->expires_at) {
         return std::nullopt;
     }
     return m_held->fence;
@@ -154,38 +155,38 @@
         return m_first_read_at;
     }
     if (m_latest->record.is_release) {
-        return m_latest_seen_at;
+        return m_latest_at;
     }
-    // The clock without suspension: time that this host slept through says nothing about the holder.
-    const steady_time lapses_at = m_latest_seen_at + m_options.length + m_options.margin;
-    return m_time->now() >= lapses_at ? std::optional(lapses_at) : std::nullopt;
+    // This uses the clock without suspension: the holder may have renewed the lease while this host was suspended.
+    const steady_time expires_at_latest = m_latest_at + m_options.length + m_options.margin;
+    return m_time->now() >= expires_at_latest ? std::optional(expires_at_latest) : std::nullopt;
 }
 
-void store_lease::take(const lease_topic_entry& placed) {
+void store_lease::apply_record(const lease_topic_entry& placed) {
     const bool is_pending = m_pending && m_pending->record == placed.record;
     const bool is_late_renewal = m_held && is_own(placed.record) &&
                                  placed.record.renewed_fencing_number == m_held->fence && !placed.record.is_release;
     if (is_pending) {
-        hold(placed.offset, placed.record);
+        apply_own_record(placed.offset, placed.record);
     } else if (!is_late_renewal) {
         m_held.reset();
     }
     m_latest = placed;
-    // An own record that is only read now was sent earlier, and lasts from then on.
-    m_latest_seen_at = is_latest_own() ? m_last_sent_at.value_or(m_time->now()) : m_time->now();
+    // A record of this candidate that is read only now was sent earlier, and its lease lasts from then on.
+    m_latest_at = is_latest_own() ? m_last_sent_at.value_or(m_time->now()) : m_time->now();
 }
 
-duration store_lease::get_quiet_left() const {
+duration store_lease::get_takeover_delay_left() const {
     if (!m_latest || is_latest_own()) {
-        // There is no other holder before it to keep a distance from.
+        // There is no previous holder to keep a distance from.
         return duration::zero();
     }
     const duration lease_left = m_latest->record.is_release ? duration::zero() : m_options.length;
-    const steady_time last_act_before = m_latest_seen_at + lease_left;
-    return std::max(duration::zero(), last_act_before + m_options.takeover_delay - m_time->now());
+    const steady_time last_act_of_previous = m_latest_at + lease_left;
+    return std::max(duration::zero(), last_act_of_previous + m_options.takeover_delay - m_time->now());
 }
 
-void store_lease::hold(std::uint64_t offset, const store_lease_record& record) {
+void store_lease::apply_own_record(std::uint64_t offset, const store_lease_record& record) {
     if (record.is_release) {
         m_held.reset();
         return;
@@ -197,8 +198,9 @@
         }
         return;
     }
-    m_held = {
-        .fence = offset + 1, .expires_at = expires_at, .acts_from = m_time->now_with_suspension() + get_quiet_left()};
+    m_held = {.fence = offset + 1,
+              .expires_at = expires_at,
+              .may_act_from = m_time->now_with_suspension() + get_takeover_delay_left()};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -10,12 +10,12 @@
 
 namespace dragonflywell::coordination {
 
-/// What a record of the lease's topic says.
+/// One record in the topic of a lease.
 struct store_lease_record {
     std::string holder;
-    /// Life of the holder's process.
+    /// Incarnation number of the holder's process; it grows with each start.
     std::uint64_t incarnation{};
-    /// Number of the claim that this record renews; nothing for a claim.
+    /// Fencing number of the acquisition that this record renews or releases; absent in an acquisition.
     std::optional<std::uint64_t> renewed_fencing_number;
     bool is_release{false};
 
@@ -26,7 +26,7 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] store_lease_record decode_store_lease_record(std::string_view text);
 
-/// A record and where it stands in the topic.
+/// A record together with its offset in the topic.
 struct lease_topic_entry {
     std::uint64_t offset{};
     store_lease_record record;
@@ -35,78 +35,84 @@
 struct store_lease_options {
     std::string holder;
     std::uint64_t incarnation{};
-    /// How long a claim or renewal lasts, counted by the holder from before it was sent.
+    /// How long an acquisition or a renewal lasts. The holder counts from the moment before it sent the record.
     duration length{};
-    /// How long after the holder before can have acted last a new one acts, so that they don't take turns within it.
+    /// A new holder does not act until this long after the last moment at which the previous holder may have acted, so
+    /// that two holders never alternate within this time.
     duration takeover_delay{};
-    /// What a challenger waits beyond the length, for clocks that run apart and for the way of an answer.
+    /// A challenger waits this much longer than `length`, which covers clock drift and the time that a response
+    /// travels.
     duration margin{std::chrono::milliseconds(500)};
-    /// How long the holder may not be heard before the topic is read again.
+    /// If no heartbeat of the holder arrives for this long, the candidate reads the topic again.
     duration holder_timeout{std::chrono::milliseconds(800)};
-    /// How long a free lease is left to others. Differs from candidate to candidate, so that not all claim it at once,
-    /// where each call costs and all but one are in vain.
+    /// How long a candidate leaves a free lease to the other candidates. Each candidate has a different delay, so that
+    /// they do not all try to acquire the lease at once: every call has a cost and all but one would fail.
     duration acquisition_delay{};
-    /// Time that must be left for authority to be given, so that a call is over before the lease is.
+    /// Authority is given only while at least this much of the lease is left, so that a call ends before the lease
+    /// expires.
     duration min_time_left{std::chrono::milliseconds(300)};
 };
 
-/// One candidate for a lease that is kept as a topic of the store with conditional appends.
+/// A candidate for a lease that is stored as a topic of the store, using conditional appends.
 ///
-/// The topic's order decides who holds it: each record is appended only where the topic still ends as the candidate has
-/// read it. Clocks decide only when to try and when to stop early. The number of a claim, its offset plus one, fences
-/// those before it. Pure state without I/O; not thread safe.
+/// The order of records in the topic decides who holds the lease: a record is appended only if the topic still ends
+/// where the candidate last read it. Clocks only decide when a candidate tries to acquire the lease and when a holder
+/// stops using it early. The fencing number of an acquisition is its offset plus one; it fences off all earlier ones.
+/// Pure state without I/O; not thread safe.
 class store_lease {
 public:
     /// Precondition: `time` outlives the lease.
     store_lease(const clock_source& time, store_lease_options options);
 
-    /// What is to be done next.
+    /// The next action that the caller has to take.
     enum class action : std::uint8_t { nothing, read, append };
 
-    /// Returns what to do now. After `read`, call `on_read` or nothing at all; after `append`, send `get_draft()` and
-    /// call one of the three functions for its result.
+    /// Returns the action to take now. After `read`, the caller calls `on_read`, or nothing if the read failed. After
+    /// `append`, it sends the record that `start_append` returns and then calls exactly one of `on_appended`,
+    /// `on_conflict` and `on_result_unknown`.
     [[nodiscard]] action get_next_action() const;
 
-    /// Returns where to read on.
+    /// Returns the offset from which to read.
     [[nodiscard]] std::uint64_t get_end() const noexcept { return m_end; }
 
-    /// Takes what was read from `get_end()` on, and where the topic ended.
+    /// Applies the records that were read from `get_end()` on; `end` is the end of the topic at that time.
     void on_read(std::span<const lease_topic_entry> records, std::uint64_t end);
 
-    /// Returns the record to append at `get_end()`, and notes that it is about to be sent.
+    /// Returns the record to append at `get_end()` and remembers that it is about to be sent.
     [[nodiscard]] store_lease_record start_append();
-    /// The record stands at `get_end()`.
+    /// The record was appended at `get_end()`.
     void on_appended();
-    /// The topic ended elsewhere; nothing was appended.
+    /// The topic did not end at `get_end()`; nothing was appended.
     void on_conflict();
-    /// Nobody knows whether it was appended.
+    /// It is unknown whether the record was appended.
     void on_result_unknown();
 
-    /// Notes that the holder says that it holds the lease. While it does so, there is nothing to read or to claim; that
-    /// it is heard only makes this candidate wait longer.
+    /// Records a heartbeat in which the holder states that it holds the lease. While heartbeats arrive, this candidate
+    /// neither reads nor tries to acquire; a heartbeat can only make it wait longer.
     void record_holder_heartbeat();
 
-    /// Gives the lease up at the next append, and makes no further claim.
+    /// Releases the lease with the next append, and never tries to acquire it again.
     void resign() noexcept { m_is_resigning = true; }
-    /// Gives the lease up at once, because a receiver has seen a newer holder.
+    /// Stops using the lease at once, because a receiver has seen a newer fencing number.
     void on_superseded();
 
-    /// Returns the fence under which the holder may act now, or nothing.
+    /// Returns the fencing number under which this candidate may act now, or nothing if it may not act.
     [[nodiscard]] std::optional<std::uint64_t> get_fencing_number() const;
-    /// Returns whether this candidate holds the lease, also while it may not act yet.
+    /// Returns whether this candidate holds the lease, even if it may not act yet.
     [[nodiscard]] bool is_held() const;
 
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
-    /// Returns whether the newest record known is of this life of the candidate, so that nobody else has held the lease
+    /// Returns whether the newest known record was written by this incarnation, so that nobody else has held the lease
     /// since.
     [[nodiscard]] bool is_latest_own() const;
-    /// Returns since when the lease is free, as far as known; nothing while someone holds it.
+    /// Returns since when the lease is free as far as this candidate knows; nothing while it is held.
     [[nodiscard]] std::optional<steady_time> get_vacant_since() const;
-    /// Returns how much longer a new holder keeps still, counted from when the one before can have acted last.
-    [[nodiscard]] duration get_quiet_left() const;
-    void take(const lease_topic_entry& placed);
-    void hold(std::uint64_t offset, const store_lease_record& record);
+    /// Returns how long a new holder still has to wait before it acts, counted from the last moment at which the
+    /// previous holder may have acted.
+    [[nodiscard]] duration get_takeover_delay_left() const;
+    void apply_record(const lease_topic_entry& placed);
+    void apply_own_record(std::uint64_t offset, const store_lease_record& record);
 
     const clock_source* m_time;
     store_lease_options m_options;
@@ -115,16 +121,16 @@
     bool m_needs_read{true};
     std::optional<steady_time> m_first_read_at;
     std::optional<steady_time> m_last_read_at;
-    std::optional<steady_time> m_holder_heard_at;
+    std::optional<steady_time> m_heartbeat_at;
     std::optional<lease_topic_entry> m_latest;
-    /// When the latest record was first seen here, or sent from here.
-    steady_time m_latest_seen_at{};
+    /// When the newest record was first read here, or sent from here.
+    steady_time m_latest_at{};
     /// When this candidate sent its newest record.
     std::optional<steady_time> m_last_sent_at;
 
     struct pending_append {
         store_lease_record record;
-        /// By the clock that counts suspension, like all times of the own lease.
+        /// Measured by the clock that includes suspension, like all times of a lease that this candidate holds.
         steady_time sent_at{};
     };
     std::optional<pending_append> m_pending;
@@ -132,7 +138,7 @@
     struct held_lease {
         std::uint64_t fence{};
         steady_time expires_at{};
-        steady_time acts_from{};
+        steady_time may_act_from{};
     };
     std::optional<held_lease> m_held;
     bool m_is_resigning{false};
--- a/coordination/usage.cpp
+++ b/coordination/usage.cpp
@@ -93,8 +93,8 @@
     return {.type = std::string(usage_counters_type), .body = std::move(body), .condition = {}, .fence = {}};
 }
 
-usage_report_part parse_usage_record(const boost::json::object& body) {
-    usage_report_part part{
+usage_counters_record parse_usage_record(const boost::json::object& body) {
+    usage_counters_record parsed{
         .owner = {.host = json::get_string(body, "host"), .incarnation = json::get_unsigned(body, "incarnation")},
         .counters = {},
         .closed_through = {}};
@@ -105,23 +105,23 @@
         if (row.contains("late_from")) {
             key.late_from = json::get_unsigned(row, "late_from");
         }
-        part.counters[key] = {.requests = json::get_unsigned(row, "requests"),
-                              .prompt_tokens = json::get_unsigned(row, "prompt_tokens"),
-                              .completion_tokens = json::get_unsigned(row, "completion_tokens")};
+        parsed.counters[key] = {.requests = json::get_unsigned(row, "requests"),
+                                .prompt_tokens = json::get_unsigned(row, "prompt_tokens"),
+                                .completion_tokens = json::get_unsigned(row, "completion_tokens")};
     }
     if (body.contains("closed_through")) {
-        part.closed_through = json::get_unsigned(body, "closed_through");
+        parsed.closed_through = json::get_unsigned(body, "closed_through");
     }
-    return part;
+    return parsed;
 }
 
 void usage_fold::on_record(log_offset /*offset*/, const record& value) {
     if (value.type != usage_counters_type) {
         return;
     }
-    const usage_report_part part = parse_usage_record(value.body);
-    for (const auto& [key, figures] : part.counters) {
-        usage_totals& merged = m_counters[part.owner][key];
+    const usage_counters_record parsed = parse_usage_record(value.body);
+    for (const auto& [key, figures] : parsed.counters) {
+        usage_totals& merged = m_counters[parsed.owner][key];
         merged = merge_usage_totals(merged, figures);
     }
 }
--- a/coordination/usage.hpp
+++ b/coordination/usage.hpp
@@ -17,10 +17,10 @@
 inline constexpr std::string_view usage_stream = "usage";
 inline constexpr std::string_view usage_counters_type = "usage.counters";
 
-/// Number of a billing window: wall time divided by the window's length.
+/// Number of a billing window: the wall time since the epoch divided by the length of a window.
 using window_number = std::uint64_t;
 
-/// What one organisation used, as a sum that only grows.
+/// The usage of one organisation as cumulative counters, which only grow.
 struct usage_totals {
     std::uint64_t requests{};
     std::uint64_t prompt_tokens{};
@@ -30,14 +30,14 @@
     friend bool operator==(const usage_totals&, const usage_totals&) = default;
 };
 
-/// Returns the larger figure of each kind. Merging is idempotent, so copies and duplicates do no harm.
+/// Returns the maximum of each counter. Merging is idempotent, so copies and duplicates do no harm.
 [[nodiscard]] usage_totals merge_usage_totals(const usage_totals& left, const usage_totals& right) noexcept;
 
-/// Whose use in which window.
+/// Identifies a counter by organisation and window.
 struct usage_key {
     organisation_name organisation;
     window_number window{};
-    /// The earlier window that the use belongs to, when that one was closed already.
+    /// The earlier window to which the usage belongs, if that window was already closed.
     std::optional<window_number> late_from{};
 
     friend auto operator<=>(const usage_key&, const usage_key&) = default;
@@ -45,27 +45,29 @@
 
 using usage_table = std::map<usage_key, usage_totals>;
 
-/// Cumulative counters of this incarnation. Thread safe.
+/// The cumulative usage counters of this incarnation of the process. Thread safe.
 class usage_meter {
 public:
+    /// Adds `amount` to the counter, or to the oldest open window if the window of `key` is closed.
     void add(const usage_key& key, const usage_totals& amount);
 
-    /// Returns the counters that changed since the last call that succeeded, with their cumulative values.
+    /// Returns the counters that differ from those last marked as flushed, with their cumulative values.
     [[nodiscard]] usage_table get_unflushed() const;
 
-    /// Marks the figures as written to the log. Counters that have grown since stay unflushed.
+    /// Marks the given values as written to the log. Counters that have grown since then stay unflushed.
     void mark_flushed(const usage_table& written);
 
     [[nodiscard]] usage_table get_all() const;
 
-    /// Returns what this incarnation has counted for one organisation and window.
+    /// Returns the counters of this incarnation for one organisation and window.
     [[nodiscard]] usage_totals get(const usage_key& key) const;
 
-    /// Adds nothing to this window and those before it from now on: later use of them goes, marked as late, into the
-    /// window after it.
+    /// Closes this window and all earlier ones: later usage of them is counted in the window after `through` and marked
+    /// as late.
     void close(window_number through);
 
-    /// Forgets the counters of closed windows. Precondition: the log holds all of them and the close.
+    /// Drops the counters of the windows up to `through`. Precondition: they are closed, and the log has their last
+    /// counters and the record that closes them.
     void forget(window_number through);
 
 private:
@@ -75,11 +77,11 @@
     usage_table m_flushed;
 };
 
-/// Cumulative counters of one incarnation, as one record carries them.
-struct usage_report_part {
+/// The cumulative counters of one incarnation that one record carries.
+struct usage_counters_record {
     writer_id owner;
     usage_table counters;
-    /// Set when the owner has closed this window and those before it, with these counters as the last.
+    /// Set if the owner has closed this window and all earlier ones; their counters in this record are then final.
     std::optional<window_number> closed_through;
 };
 
@@ -88,9 +90,9 @@
                                              std::optional<window_number> closed_through = {});
 
 /// Throws `malformed_message_error`.
-[[nodiscard]] usage_report_part parse_usage_record(const boost::json::object& body);
+[[nodiscard]] usage_counters_record parse_usage_record(const boost::json::object& body);
 
-/// Folds the counters of all incarnations. Not thread safe.
+/// Folds the usage counters of all incarnations. Not thread safe.
 class usage_fold final : public record_observer {
 public:
     void on_record(log_offset offset, const record& value) override;
--- a/coordination/usage_flusher.cpp
+++ b/coordination/usage_flusher.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// How long after its end a window takes the use of requests that ended in it.
+/// A window stays open this long after its end, for the usage of requests that ended in it.
 constexpr std::chrono::seconds close_delay{2};
 
 window_number get_window_at(wall_time moment, std::chrono::seconds window_length) {
@@ -18,7 +18,7 @@
 
 usage_flusher::usage_flusher(folded_stream& stream, const clock_source& time, usage_meter& meter)
     : m_stream(&stream), m_time(&time), m_meter(&meter) {
-    // Only what is written here counts, so a gap in what others wrote does no harm.
+    // Only records that this process writes matter here, so a gap in the records of others does no harm.
     m_stream->allow_gaps();
 }
 
@@ -33,12 +33,12 @@
 
 void usage_flusher::finish(std::chrono::seconds window_length) {
     if (m_has_written || !m_meter->get_unflushed().empty()) {
-        write(get_window_at(m_time->wall_now(), window_length), closed_for_good);
+        write(get_window_at(m_time->wall_now(), window_length), all_windows_closed);
     }
 }
 
 void usage_flusher::write(window_number close_through, std::optional<window_number> announced) {
-    // Closed before the counters are read: the record that closes a window carries its last figures.
+    // The window is closed before the counters are read, so that the record that closes it carries its final counters.
     m_meter->close(close_through);
     const usage_table unflushed = m_meter->get_unflushed();
     const std::array drafts{make_usage_record(m_stream->get_writer(), unflushed, announced)};
--- a/coordination/usage_flusher.hpp
+++ b/coordination/usage_flusher.hpp
@@ -5,16 +5,17 @@
 
 namespace dragonflywell::coordination {
 
-/// Writes this incarnation's counters to the log and closes its windows. Not thread safe.
+/// Writes the usage counters of this incarnation to the log and closes its windows. Not thread safe.
 ///
-/// While the log is down, counters stay in memory and windows are closed later; nothing is lost or counted twice.
+/// While the log is unavailable, the counters stay in memory and windows are closed later; no usage is lost or counted
+/// twice.
 class usage_flusher {
 public:
     /// Preconditions: the arguments outlive the flusher; `stream` writes to the usage stream as this incarnation.
     usage_flusher(folded_stream& stream, const clock_source& time, usage_meter& meter);
 
-    /// Writes what has changed, and closes the windows that have ended. Throws `log_unavailable_error`.
-    /// Precondition: `window_length` is the same at each call and for the meter's users.
+    /// Writes the changed counters and closes the windows that have ended. Throws `log_unavailable_error`.
+    /// Precondition: `window_length` is the same in each call and for all users of the meter.
     void flush(std::chrono::seconds window_length);
 
     /// Writes the last counters and closes all windows for good. Throws `log_unavailable_error`.
--- a/coordination/usage_report.cpp
+++ b/coordination/usage_report.cpp
@@ -10,7 +10,8 @@
     : m_stream(&stream), m_time(&time), m_hosts(&hosts), m_options(options),
       m_lease(stream, time, {.scope = std::string(reporting_scope)}), m_ledger(stream, m_lease, reporting, hosts) {
     m_stream->add_observer(m_fold);
-    // What the log has forgotten was reported: retention is longer than a window and its reporting.
+    // Records that retention has deleted belong to reported windows: retention is longer than a window and its
+    // reporting.
     m_stream->allow_gaps();
 }
 
@@ -42,14 +43,14 @@
     if (!window || !is_complete(*window)) {
         return;
     }
-    std::vector<writer_id> gone;
+    std::vector<writer_id> terminated;
     for (const writer_id& owner : m_fold.get_open_owners(*window)) {
         if (m_hosts->has_terminated(owner)) {
-            gone.push_back(owner);
+            terminated.push_back(owner);
         }
     }
     const std::array drafts{
-        make_seal_record(*window, gone, token, m_stream->get_fold().get_newest(std::string(usage_seal_subject)))};
+        make_seal_record(*window, terminated, token, m_stream->get_fold().get_newest(std::string(usage_seal_subject)))};
     m_stream->submit(drafts);
 }
 
@@ -60,9 +61,9 @@
         return false;
     }
     const std::vector<writer_id> open = m_fold.get_open_owners(window);
-    const bool are_all_gone =
+    const bool have_all_terminated =
         std::ranges::all_of(open, [this](const writer_id& owner) { return m_hosts->has_terminated(owner); });
-    return are_all_gone || now >= end + m_options.max_wait;
+    return have_all_terminated || now >= end + m_options.max_wait;
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_report.hpp
+++ b/coordination/usage_report.hpp
@@ -5,29 +5,32 @@
 
 namespace dragonflywell::coordination {
 
+/// Scope of the lease under which usage is reported.
 inline constexpr std::string_view reporting_scope = "reporting";
 
 struct usage_reporter_options {
     std::chrono::seconds window_length{std::chrono::hours(1)};
-    /// How long after its end a window waits for hosts that have not closed it. Their use then comes as late lines.
+    /// Maximum time after the end of a window to wait for hosts that have not closed it. Their usage is then reported
+    /// later in late lines.
     std::chrono::seconds max_wait{std::chrono::minutes(10)};
 };
 
-/// Seals windows and reports them while it holds the lease.
+/// Seals windows and reports them to the platform while this process holds the lease. Sealing a window fixes the usage
+/// that its report contains.
 ///
-/// The figures are a function of the log up to the seal; the intent that carries them is read back before it is sent,
-/// and every repetition sends what was logged. Not thread safe.
+/// The contents of a report are a function of the log up to the seal. The intent that carries them is read back before
+/// it is sent, and every repetition sends what was logged. Not thread safe.
 class usage_reporter {
 public:
     /// Preconditions: the arguments outlive the reporter; `stream` folds the usage stream and was not polled yet.
     usage_reporter(folded_stream& stream, const clock_source& time, order_receiver& reporting,
                    const host_liveness& hosts, const usage_reporter_options& options);
 
-    /// Takes the next step: renews the lease, resolves what is unresolved, reports or seals one window.
-    /// Throws `log_unavailable_error`; the next call goes on where the log stands.
+    /// Takes the next step: renews the lease, resolves unresolved orders, and reports or seals one window.
+    /// Throws `log_unavailable_error`; the next call continues from the state in the log.
     void tick();
 
-    /// Hands the lease over on a graceful stop. Throws `log_unavailable_error`.
+    /// Releases the lease for a graceful stop. Throws `log_unavailable_error`.
     void release() { m_lease.release(); }
 
     [[nodiscard]] const usage_window_fold& get_fold() const noexcept { return m_fold; }
--- a/coordination/usage_state.cpp
+++ b/coordination/usage_state.cpp
@@ -16,7 +16,7 @@
     usage_window_number window = 0;
     const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), window);
     if (fault != std::errc() || end != text.data() + text.size()) {
-        throw malformed_message_error("a window's number is not whole");
+        throw malformed_message_error("window number must be a whole number");
     }
     return window;
 }
@@ -31,7 +31,7 @@
 
 usage_counts decode_counts(const boost::json::value& value) {
     usage_counts counts;
-    const boost::json::object& object = json::as_object(value, "counts of a window");
+    const boost::json::object& object = json::as_object(value, "usage counts of a window");
     for (const auto& item : object) {
         counts[organisation_name(std::string_view(item.key()))] = json::get_unsigned(object, item.key());
     }
@@ -50,7 +50,7 @@
 
 usage_record decode_usage_record(std::string_view text) {
     const boost::json::value document = json::parse(text);
-    const boost::json::object& object = json::as_object(document, "usage of a host");
+    const boost::json::object& object = json::as_object(document, "usage record of a host");
     usage_record record{.windows = {},
                         .closed = static_cast<usage_window_number>(json::get_unsigned(object, "closed"))};
     for (const auto& item : json::get_object(object, "windows")) {
@@ -73,13 +73,13 @@
 
 report_state decode_report_state(std::string_view text) {
     const boost::json::value document = json::parse(text);
-    const boost::json::object& object = json::as_object(document, "book of reports");
+    const boost::json::object& object = json::as_object(document, "usage report state");
     report_state book;
     if (object.contains("last")) {
         book.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
     }
     for (const boost::json::value& item : json::get_array(object, "pending")) {
-        const boost::json::object& figures = json::as_object(item, "figures of a window");
+        const boost::json::object& figures = json::as_object(item, "pending usage report");
         book.pending.push_back({.window = static_cast<usage_window_number>(json::get_unsigned(figures, "window")),
                                 .counts = decode_counts(json::get_object(figures, "counts"))});
     }
--- a/coordination/usage_state.hpp
+++ b/coordination/usage_state.hpp
@@ -15,10 +15,10 @@
 using usage_window_number = std::int64_t;
 using usage_counts = std::map<organisation_name, std::uint64_t>;
 
-/// What one life of a host's process has counted in its newest windows. A later record replaces the earlier one.
+/// The usage counters of one incarnation of a host for its newest windows. A later record replaces an earlier one.
 struct usage_record {
     std::map<usage_window_number, usage_counts> windows;
-    /// The newest window that is over and counted to its end; windows up to it do not change any more.
+    /// The newest window that is complete. The counters of it and of all earlier windows do not change any more.
     usage_window_number closed{};
 
     friend bool operator==(const usage_record&, const usage_record&) = default;
@@ -28,7 +28,7 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] usage_record decode_usage_record(std::string_view text);
 
-/// A window's figures as they are reported, by whoever reports them.
+/// The usage of one window as it is reported, whichever host reports it.
 struct window_usage {
     usage_window_number window{};
     usage_counts counts;
@@ -36,12 +36,12 @@
     friend bool operator==(const window_usage&, const window_usage&) = default;
 };
 
-/// What the holders of the duty have fixed: figures are written here before they are reported, so that every resend and
-/// every later holder reports the same.
+/// The state of reporting to the platform. The host that reports writes the usage of a window here before it sends the
+/// report, so that every repetition and every later reporter sends the same numbers.
 struct report_state {
-    /// The newest window whose figures are fixed.
+    /// The newest window whose usage was written here.
     std::optional<usage_window_number> last;
-    /// Figures that are fixed and whose report is not known to have arrived, oldest first.
+    /// Usage of windows whose report is not confirmed yet, oldest first.
     std::vector<window_usage> pending;
 
     friend bool operator==(const report_state&, const report_state&) = default;
@@ -51,16 +51,17 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] report_state decode_report_state(std::string_view text);
 
-/// Returns the key under which a life of a host's process records its usage, and that of a copy by another host.
+/// Return the key under which an incarnation of a host stores its usage, and the key under which another host stores a
+/// copy of it.
 [[nodiscard]] std::string make_usage_key(std::string_view host, std::uint64_t incarnation);
 [[nodiscard]] std::string make_usage_copy_key(std::string_view host, std::uint64_t incarnation);
-/// Returns the part of such a key that names the life of the host.
+/// Returns the part of such a key that identifies the incarnation of the host.
 [[nodiscard]] std::string_view get_usage_owner(std::string_view key);
 
-/// Puts two records of the same life of a host together: counts only grow, so that the greater one is the later one.
+/// Merges two records of the same incarnation. Counters only grow, so the greater value is the later one.
 [[nodiscard]] usage_record merge_usage_records(const usage_record& left, const usage_record& right);
 
-/// Adds up the figures of one window over lives of hosts.
+/// Adds up the usage of one window over all records.
 [[nodiscard]] window_usage sum_window(const std::vector<usage_record>& records, usage_window_number window);
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_window.cpp
+++ b/coordination/usage_window.cpp
@@ -22,13 +22,14 @@
     return found == table.end() ? usage_totals{} : found->second;
 }
 
-std::vector<writer_id> parse_gone(const boost::json::object& body) {
-    std::vector<writer_id> gone;
+std::vector<writer_id> parse_terminated(const boost::json::object& body) {
+    std::vector<writer_id> terminated;
     for (const boost::json::value& item : json::get_array(body, "gone")) {
-        const boost::json::object& row = json::as_object(item, "gone incarnation");
-        gone.push_back({.host = json::get_string(row, "host"), .incarnation = json::get_unsigned(row, "incarnation")});
+        const boost::json::object& row = json::as_object(item, "terminated incarnation");
+        terminated.push_back(
+            {.host = json::get_string(row, "host"), .incarnation = json::get_unsigned(row, "incarnation")});
     }
-    return gone;
+    return terminated;
 }
 
 } // namespace
@@ -52,14 +53,14 @@
     return std::string(report_key_prefix) + std::to_string(window);
 }
 
-record_draft make_seal_record(window_number window, const std::vector<writer_id>& gone, const fencing_token& token,
-                              std::optional<log_offset> previous_seal) {
-    boost::json::array gone_rows;
-    for (const writer_id& owner : gone) {
-        gone_rows.push_back({{"host", owner.host}, {"incarnation", owner.incarnation}});
+record_draft make_seal_record(window_number window, const std::vector<writer_id>& terminated,
+                              const fencing_token& token, std::optional<log_offset> previous_seal) {
+    boost::json::array terminated_rows;
+    for (const writer_id& owner : terminated) {
+        terminated_rows.push_back({{"host", owner.host}, {"incarnation", owner.incarnation}});
     }
     return {.type = std::string(usage_seal_type),
-            .body = {{"window", window}, {"gone", std::move(gone_rows)}},
+            .body = {{"window", window}, {"gone", std::move(terminated_rows)}},
             .condition = record_condition{.subject = std::string(usage_seal_subject), .supersedes = previous_seal},
             .fence = token};
 }
@@ -119,25 +120,25 @@
 }
 
 void usage_window_fold::apply_counters(const record& value) {
-    const usage_report_part part = parse_usage_record(value.body);
-    owner_counters& owner = m_owners[part.owner];
-    for (const auto& [key, figures] : part.counters) {
-        // The counters of a closed window were taken and forgotten: a late copy of them is no new use.
+    const usage_counters_record parsed = parse_usage_record(value.body);
+    owner_counters& owner = m_owners[parsed.owner];
+    for (const auto& [key, figures] : parsed.counters) {
+        // The counters of a closed window may already be sealed and dropped; a late copy of them is not new usage.
         if (owner.closed_through && key.window <= *owner.closed_through) {
             continue;
         }
         usage_totals& counted = owner.counted[key];
         counted = merge_usage_totals(counted, figures);
     }
-    if (part.closed_through) {
-        owner.closed_through = std::max(owner.closed_through.value_or(0), *part.closed_through);
+    if (parsed.closed_through) {
+        owner.closed_through = std::max(owner.closed_through.value_or(0), *parsed.closed_through);
     }
-    forget_settled(owner);
+    drop_settled_counters(owner);
 }
 
 void usage_window_fold::apply_seal(const record& value) {
     const window_number window = json::get_unsigned(value.body, "window");
-    const std::vector<writer_id> gone = parse_gone(value.body);
+    const std::vector<writer_id> terminated = parse_terminated(value.body);
     std::map<std::pair<organisation_name, std::optional<window_number>>, usage_totals> sums;
     for (auto& [name, owner] : m_owners) {
         for (const auto& [key, counted] : owner.counted) {
@@ -159,11 +160,11 @@
         report.lines.push_back({.organisation = line.first, .late_from = line.second, .figures = figures});
     }
     m_unreported[window] = std::move(report);
-    for (const writer_id& name : gone) {
-        m_owners[name].closed_through = closed_for_good;
+    for (const writer_id& name : terminated) {
+        m_owners[name].closed_through = all_windows_closed;
     }
     for (auto& [name, owner] : m_owners) {
-        forget_settled(owner);
+        drop_settled_counters(owner);
     }
 }
 
@@ -173,13 +174,13 @@
     if (found == m_intents.end()) {
         return;
     }
-    if (outcome.outcome == send_outcome::applied || outcome.outcome == send_outcome::seen_applied) {
+    if (outcome.outcome == send_outcome::applied || outcome.outcome == send_outcome::found_applied) {
         m_unreported.erase(found->second);
     }
     m_intents.erase(found);
 }
 
-void usage_window_fold::forget_settled(owner_counters& owner) const {
+void usage_window_fold::drop_settled_counters(owner_counters& owner) const {
     if (!owner.closed_through || !m_last_sealed) {
         return;
     }
--- a/fleet/backend_server.hpp
+++ b/fleet/backend_server.hpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::fleet {
 
-/// Part of a model's work that an engine takes.
+/// The part of a model's work that an engine performs.
 enum class engine_role { mixed, prefill, decode };
 
 [[nodiscard]] constexpr const char* get_role_name(engine_role role) noexcept {
@@ -24,13 +24,13 @@
     return "mixed";
 }
 
-/// What a backend server that runs a model offers.
+/// The properties of a backend server that runs a model.
 struct engine {
     model_name model;
     engine_role role{engine_role::mixed};
-    /// Tokens that it can keep in work at once.
+    /// Maximum number of tokens that it processes at once.
     std::uint64_t capacity_tokens{2000};
-    /// Whether it refuses orders with an old fencing number.
+    /// Whether it refuses orders with a stale fencing number.
     bool checks_fencing{false};
 
     friend bool operator==(const engine&, const engine&) = default;
@@ -41,7 +41,7 @@
     backend_server_name name;
     zone_name zone;
     endpoint address;
-    /// May be reclaimed with its whole zone at any moment.
+    /// Whether it is a cheap (spot) server. All cheap servers of its zone may be reclaimed at any time.
     bool is_cheap{false};
     std::variant<engine, service_name> offer;
 
--- a/fleet/list_reachability.hpp
+++ b/fleet/list_reachability.hpp
@@ -8,21 +8,21 @@
 namespace dragonflywell::fleet {
 
 struct list_reachability_options {
-    /// From the earliest moment at which the list may have been back to the one at which an entry that is still missing
-    /// counts as gone.
+    /// If an entry is still missing this long after the earliest time at which the list may have been reachable again,
+    /// its server counts as removed.
     duration recovery_grace{std::chrono::milliseconds(2500)};
-    /// Shortest time without the list in which the entry of a live server can lapse.
+    /// Only an outage of the list that is at least this long can make the entry of a running server expire.
     duration min_outage{std::chrono::milliseconds(2400)};
 };
 
-/// What is known of when the list of backend servers could be read, by this host or by one that told it. All moments
-/// are those of the reads, not those at which this host learns of them, so that late news make nothing look younger
-/// than it is. Pure state; not thread safe.
+/// Tracks when the list of backend servers could be read, by this host or by another host that reported it. All times
+/// are those of the reads, not of the reports, so that a delayed report does not make a read look more recent than it
+/// is. Pure state; not thread safe.
 class list_reachability {
 public:
     explicit list_reachability(list_reachability_options options) : m_options(options) {}
 
-    /// Notes a read that was answered. Older ones than the newest known say nothing new.
+    /// Records a successful read. A read that is older than the newest known one changes nothing.
     void record_success(steady_time at) {
         if (m_reached_at && at <= *m_reached_at) {
             return;
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Notes a call that was sent at that moment and failed.
+    /// Records a failed call that was sent at this time.
     void record_failure(steady_time sent_at) {
         m_failed_at = std::max(sent_at, m_failed_at.value_or(sent_at));
         const bool is_news = !m_reached_at || sent_at > *m_reached_at;
@@ -46,13 +46,13 @@
         }
     }
 
-    /// Returns whether an entry that is missing now may have lapsed while the list was out of reach.
+    /// Returns whether an entry that is missing now may have expired because the list was unreachable.
     [[nodiscard]] bool may_have_expired(steady_time now) const {
         return m_returned_at && now < *m_returned_at + m_options.recovery_grace;
     }
 
-    /// Returns whether live servers have had the time to enter themselves again. They have not when the list was lost
-    /// once more before that; what was over stays over.
+    /// Returns whether all running servers have had time to register again. They have not if the list became
+    /// unreachable once more before the grace period was over; a grace period that was over stays over.
     [[nodiscard]] bool is_grace_over(steady_time now) const {
         if (may_have_expired(now)) {
             return false;
@@ -64,9 +64,9 @@
     list_reachability_options m_options;
     std::optional<steady_time> m_reached_at;
     std::optional<steady_time> m_failed_at;
-    /// When the first call failed since the list was last read.
+    /// Time of the first failed call since the list was last read.
     std::optional<steady_time> m_failing_since;
-    /// Earliest moment at which the list may have been back after it was last out of reach for long.
+    /// Earliest time at which the list may have been reachable again after its last long outage.
     std::optional<steady_time> m_returned_at;
 };
 
--- a/fleet/manifest.cpp
+++ b/fleet/manifest.cpp
@@ -16,17 +16,17 @@
 
 constexpr std::array<std::string_view, 7> sections{"settings", "zones",  "organisations",  "keys",
                                                    "models",   "routes", "backend_servers"};
-constexpr std::uint64_t most_window_seconds = 86400;
-constexpr std::uint64_t most_weight = 1000000;
-constexpr std::uint64_t most_cut_off_seconds = 86400;
-constexpr std::uint64_t most_capacity_tokens = 100000000;
-constexpr std::uint64_t most_zone_servers = 1000000;
-constexpr std::uint64_t most_milliunits = 1000000;
-constexpr std::uint64_t most_price_milli = 1000000000000;
-constexpr std::uint64_t most_lead_seconds = 86400;
+constexpr std::uint64_t max_window_seconds = 86400;
+constexpr std::uint64_t max_weight = 1000000;
+constexpr std::uint64_t max_cut_off_seconds = 86400;
+constexpr std::uint64_t max_capacity_tokens = 100000000;
+constexpr std::uint64_t max_zone_servers = 1000000;
+constexpr std::uint64_t max_milliunits = 1000000;
+constexpr std::uint64_t max_price_milli = 1000000000000;
+constexpr std::uint64_t max_lead_seconds = 86400;
 constexpr std::size_t sha256_digits = 64;
 
-/// Turns entries into a manifest and collects every problem on the way.
+/// Builds a manifest from entries and collects every problem on the way.
 class manifest_builder {
 public:
     explicit manifest_builder(const manifest_entries& entries) : m_entries(&entries) {}
@@ -85,7 +85,7 @@
         m_manifest.zones[name] = {
             .name = name,
             .region = reader.get_string("region"),
-            .max_servers = static_cast<std::uint32_t>(reader.get_unsigned("most_servers", 0, most_zone_servers, 1000)),
+            .max_servers = static_cast<std::uint32_t>(reader.get_unsigned("most_servers", 0, max_zone_servers, 1000)),
             .has_cheap_servers = reader.get_bool("cheap_servers", true)};
     }
 
@@ -93,17 +93,17 @@
         m_manifest.models[name] = {
             .name = name,
             .version = reader.get_string("version"),
-            .prompt_token_milliunits = reader.get_unsigned("prompt_token_milliunits", 1, most_milliunits, 250),
-            .output_token_milliunits = reader.get_unsigned("output_token_milliunits", 1, most_milliunits, 1000)};
+            .prompt_token_milliunits = reader.get_unsigned("prompt_token_milliunits", 1, max_milliunits, 250),
+            .output_token_milliunits = reader.get_unsigned("output_token_milliunits", 1, max_milliunits, 1000)};
     }
 
     void read_spending(manifest_entry_reader& reader) {
         m_manifest.prices = {
-            .regular_price_milli = reader.get_unsigned("regular_price_milli", 1, most_price_milli, 1000),
-            .cheap_price_milli = reader.get_unsigned("cheap_price_milli", 1, most_price_milli, 350),
-            .max_price_per_hour_milli = reader.get_unsigned("most_price_per_hour_milli", 0, most_price_milli, 0),
+            .regular_price_milli = reader.get_unsigned("regular_price_milli", 1, max_price_milli, 1000),
+            .cheap_price_milli = reader.get_unsigned("cheap_price_milli", 1, max_price_milli, 350),
+            .max_price_per_hour_milli = reader.get_unsigned("most_price_per_hour_milli", 0, max_price_milli, 0),
             .max_cheap_percent = reader.get_unsigned("most_cheap_percent", 0, 100, 50),
-            .lead_time = std::chrono::seconds(reader.get_unsigned("lead_seconds", 1, most_lead_seconds, 300))};
+            .lead_time = std::chrono::seconds(reader.get_unsigned("lead_seconds", 1, max_lead_seconds, 300))};
     }
 
     void read_settings(const std::string& name, manifest_entry_reader& reader) {
@@ -112,21 +112,21 @@
             return;
         }
         if (name != "billing") {
-            reader.add_problem("is not a known entry");
+            reader.add_problem("is not a known settings entry");
             return;
         }
-        m_manifest.window_length = std::chrono::seconds(reader.get_unsigned("window_seconds", 1, most_window_seconds));
+        m_manifest.window_length = std::chrono::seconds(reader.get_unsigned("window_seconds", 1, max_window_seconds));
     }
 
     void read_organisation(const organisation_name& name, manifest_entry_reader& reader) {
         const std::string behaviour = reader.get_choice("when_cut_off", {"serve", "refuse"}, "serve");
         m_manifest.organisations[name] = {
             .name = name,
-            .weight = static_cast<std::uint32_t>(reader.get_unsigned("weight", 1, most_weight, 1)),
+            .weight = static_cast<std::uint32_t>(reader.get_unsigned("weight", 1, max_weight, 1)),
             .tokens_per_window = reader.get_unsigned("tokens_per_window", 0, UINT64_MAX, 0),
             .when_cut_off = behaviour == "serve" ? cut_off_behaviour::serve : cut_off_behaviour::refuse,
             .cut_off_grace =
-                std::chrono::seconds(reader.get_unsigned("cut_off_bound_seconds", 0, most_cut_off_seconds, 0)),
+                std::chrono::seconds(reader.get_unsigned("cut_off_bound_seconds", 0, max_cut_off_seconds, 0)),
             .accepts_cheap_servers = reader.get_bool("accepts_cheap_servers", true)};
     }
 
@@ -154,7 +154,7 @@
             reader.add_problem("path_prefix must start with /");
         }
         if (route.path_prefix.starts_with("/v1/")) {
-            reader.add_problem("path_prefix must not start with /v1/, where the models are");
+            reader.add_problem("path_prefix must not start with /v1/, which is reserved for models");
         }
         if (route.methods.empty()) {
             reader.add_problem("methods must name at least one method");
@@ -187,7 +187,7 @@
         const std::string role = reader.get_choice("role", {"mixed", "prefill", "decode"}, "mixed");
         engine value{.model = model_name(reader.get_string("model")),
                      .role = engine_role::mixed,
-                     .capacity_tokens = reader.get_unsigned("capacity_tokens", 1, most_capacity_tokens, 2000),
+                     .capacity_tokens = reader.get_unsigned("capacity_tokens", 1, max_capacity_tokens, 2000),
                      .checks_fencing = reader.get_bool("checks_fencing", false)};
         if (role == "prefill") {
             value.role = engine_role::prefill;
--- a/fleet/manifest.hpp
+++ b/fleet/manifest.hpp
@@ -16,7 +16,7 @@
 struct model {
     model_name name;
     std::string version;
-    /// Work of one prompt token and of one generated token, in thousandths of the unit of an engine's capacity.
+    /// Cost of one prompt token and of one generated token, in thousandths of the unit of an engine's capacity.
     std::uint64_t prompt_token_milliunits{250};
     std::uint64_t output_token_milliunits{1000};
 
@@ -27,29 +27,29 @@
 struct availability_zone {
     zone_name name;
     std::string region;
-    /// Most backend servers that may run here for one model.
+    /// Maximum number of backend servers in the zone for one model.
     std::uint32_t max_servers{1000};
     bool has_cheap_servers{true};
 
     friend bool operator==(const availability_zone&, const availability_zone&) = default;
 };
 
-/// What may be spent, and what it buys.
+/// Limits on spending, and the prices and lead time of backend servers.
 struct spending {
     /// Prices of one backend server for one hour, in thousandths of the operators' currency.
     std::uint64_t regular_price_milli{1000};
     std::uint64_t cheap_price_milli{350};
-    /// Greatest spending for one model in one hour; 0 means no limit.
+    /// Maximum spending for one model in one hour; 0 means no limit.
     std::uint64_t max_price_per_hour_milli{0};
-    /// Greatest part of a model's backend servers that may be cheap.
+    /// Maximum percentage of a model's backend servers that may be cheap.
     std::uint64_t max_cheap_percent{50};
-    /// From an order to a server that serves.
+    /// Time from ordering a server until it serves.
     std::chrono::seconds lead_time{300};
 
     friend bool operator==(const spending&, const spending&) = default;
 };
 
-/// Everything that operators describe. Immutable once parsed, hence safe to share between threads.
+/// The complete configuration by the operators. Immutable once parsed and therefore safe to share between threads.
 struct manifest {
     std::chrono::seconds window_length{std::chrono::hours(1)};
     spending prices;
@@ -63,17 +63,17 @@
     friend bool operator==(const manifest&, const manifest&) = default;
 };
 
-/// Entries by path, as coordination::configuration keeps them.
+/// Entries by path, in the form that coordination::configuration stores them.
 using manifest_entries = std::map<std::string, std::string>;
 
-/// Splits a manifest document into entries. Throws `invalid_input_error` when it is not a JSON object of sections.
+/// Splits a manifest document into entries. Throws `invalid_input_error` if it is not a JSON object of sections.
 [[nodiscard]] manifest_entries get_manifest_entries(std::string_view document);
 
 /// Builds the manifest and checks every entry and reference.
-/// Throws `invalid_input_error` that lists all problems at once, each with the path of its entry.
+/// Throws `invalid_input_error`, which lists all problems, each with the path of its entry.
 [[nodiscard]] manifest parse_manifest(const manifest_entries& entries);
 
-/// Puts entries together into one document again.
+/// Combines entries into one manifest document.
 [[nodiscard]] std::string get_manifest_document(const manifest_entries& entries);
 
 } // namespace dragonflywell::fleet
--- a/fleet/manifest_entry_reader.cpp
+++ b/fleet/manifest_entry_reader.cpp
@@ -30,7 +30,7 @@
         return "";
     }
     if (!value->is_string() || value->get_string().empty()) {
-        add_problem(fmt::format("{} must be a string, not empty", key));
+        add_problem(fmt::format("{} must be a non-empty string", key));
         return "";
     }
     return std::string(value->get_string());
@@ -48,20 +48,20 @@
     return value;
 }
 
-std::uint64_t manifest_entry_reader::get_unsigned(std::string_view key, std::uint64_t least, std::uint64_t most,
+std::uint64_t manifest_entry_reader::get_unsigned(std::string_view key, std::uint64_t min, std::uint64_t max,
                                                   std::optional<std::uint64_t> fallback) {
     const boost::json::value* value = find(key);
     if (value == nullptr) {
         if (!fallback) {
             add_problem(fmt::format("{} is missing", key));
         }
-        return fallback.value_or(least);
+        return fallback.value_or(min);
     }
     boost::json::error_code fault;
     const auto number = value->to_number<std::uint64_t>(fault);
-    if (fault || number < least || number > most) {
-        add_problem(fmt::format("{} must be a whole number from {} to {}", key, least, most));
-        return least;
+    if (fault || number < min || number > max) {
+        add_problem(fmt::format("{} must be a whole number from {} to {}", key, min, max));
+        return min;
     }
     return number;
 }
@@ -101,14 +101,14 @@
 
 void manifest_entry_reader::finish() {
     for (const auto& [key, value] : *m_object) {
-        if (!m_known.contains(std::string_view(key))) {
+        if (!m_read_keys.contains(std::string_view(key))) {
             add_problem(fmt::format("{} is not a known key", std::string_view(key)));
         }
     }
 }
 
 const boost::json::value* manifest_entry_reader::find(std::string_view key) {
-    m_known.emplace(key);
+    m_read_keys.emplace(key);
     return m_object->if_contains(key);
 }
 
--- a/fleet/route.hpp
+++ b/fleet/route.hpp
@@ -9,15 +9,15 @@
 
 namespace dragonflywell::fleet {
 
-/// What may be done with a request whose outcome is unknown.
+/// Whether and how a request may be retried if its outcome is unknown.
 enum class retry_policy : std::uint8_t {
-    /// It may run any number of times.
+    /// The request may run any number of times.
     idempotent,
-    /// It may run once at most.
+    /// The request may run at most once.
     at_most_once,
-    /// Its answer is a stream that may run once at most.
+    /// The response is a stream, and the request may run at most once.
     stream,
-    /// Its answer is a stream that another backend server may go on with.
+    /// The response is a stream that another backend server may continue.
     resumable_stream,
 };
 
@@ -29,37 +29,38 @@
     return rule == retry_policy::idempotent || rule == retry_policy::resumable_stream;
 }
 
-/// A service that takes part of a route's requests.
+/// A service that serves a share of the requests of a route.
 struct route_share {
     service_name service;
-    /// Relative to the other shares of the route.
+    /// Weight relative to the other shares of the route.
     std::uint32_t weight{1};
 
     friend bool operator==(const route_share&, const route_share&) = default;
 };
 
-/// Which requests go to which service, and under what terms. Immutable once in force.
+/// Maps requests to services and sets the limits that apply to them. Immutable once it is part of the active
+/// configuration.
 struct route {
     std::string name;
     std::string host;
-    /// Begins and ends with a slash.
+    /// Path prefix; it begins and ends with a slash.
     std::string path_prefix;
     retry_policy retry{retry_policy::at_most_once};
-    /// Not empty.
+    /// At least one share.
     std::vector<route_share> shares;
-    /// Longest time that operators want a request kept waiting.
+    /// Maximum time that a request may wait for its response.
     duration timeout{};
-    /// Time within which the first part of an answer is worth most.
+    /// Target for the time to the first part of the response; a response that begins within it has its full value.
     duration target_latency{};
-    /// Longest pause within a stream that still counts as on time; zero where the route has none.
+    /// Maximum pause between two events of a stream that counts as on time; zero if the route has no such target.
     duration target_gap{};
-    /// Most backend servers that may run one request.
+    /// Maximum number of backend servers on which one request may be tried.
     std::uint32_t max_attempts{1};
-    /// Rank among the routes; 0 is the most urgent.
+    /// Priority among the routes; 0 is the most urgent.
     std::uint32_t priority{0};
-    /// Whether requests need no key.
+    /// Whether requests need no API key.
     bool is_public{false};
-    /// Whether requests name the parts of their prompt.
+    /// Whether requests list the parts of their prompt.
     bool has_prompt_parts{false};
 
     friend bool operator==(const route&, const route&) = default;
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Compares what matters for requests; a countdown that has merely gone on is no change.
+/// Compares the fields that affect requests. A remaining time that has merely decreased is no change.
 bool is_same_server(const server_record& left, const server_record& right) {
     return left.service == right.service && left.address == right.address && left.zone == right.zone &&
            left.slots == right.slots && left.is_draining == right.is_draining && left.stage == right.stage &&
@@ -33,7 +33,7 @@
     ++m_generation;
     if (is_new || is_restart(before, record)) {
         server.is_address_taken = false;
-        displace_others(record);
+        mark_previous_at_address(record);
         return is_new ? directory_change::added : directory_change::restarted;
     }
     const bool starts_draining = record.is_draining && !before.is_draining;
@@ -45,7 +45,7 @@
     if (found == m_servers.end()) {
         return directory_change::none;
     }
-    if (m_contact.may_have_expired(now) && !found->second.record.is_draining) {
+    if (m_reachability.may_have_expired(now) && !found->second.record.is_draining) {
         found->second.is_missing = true;
         return directory_change::missing;
     }
@@ -67,7 +67,7 @@
 
 std::vector<backend_server_name> server_directory::expire(steady_time now) {
     std::vector<backend_server_name> expired;
-    if (!m_contact.is_grace_over(now)) {
+    if (!m_reachability.is_grace_over(now)) {
         return expired;
     }
     for (const auto& [id, server] : m_servers) {
@@ -95,7 +95,7 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-void server_directory::displace_others(const server_record& record) {
+void server_directory::mark_previous_at_address(const server_record& record) {
     for (auto& [id, server] : m_servers) {
         const bool is_older = server.record.started_at_ms <= record.started_at_ms;
         if (id != record.id && server.record.address == record.address && is_older) {
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -12,49 +12,52 @@
 
 namespace dragonflywell::fleet {
 
-/// A backend server of the list, as this host believes it to be.
+/// A backend server of the list, as this host knows it.
 struct listed_server {
     server_record record;
-    /// When the entry changed last, by this host's clock.
+    /// Time of the last change of the entry, by this host's clock.
     steady_time changed_at{};
-    /// The entry may have lapsed while the list was out of reach, so that the server may be alive.
+    /// Whether the entry is missing but may have expired only because the list was unreachable, so that the server may
+    /// still run.
     bool is_missing{false};
-    /// Another server answered at its address, so that nothing may be sent there under this entry.
+    /// Whether another server answered at its address. Nothing may then be sent there for this entry.
     bool is_address_taken{false};
 };
 
-/// How an entry of the list changed.
+/// The kind of change of an entry.
 enum class directory_change : std::uint8_t { none, added, restarted, changed, draining, missing, removed };
 
-/// The list of backend servers as followed from the store. Pure state; not thread safe.
+/// The list of backend servers, kept up to date from the store. Pure state; not thread safe.
 ///
-/// While the list is out of reach, what is known holds: a server that was seen draining or gone stays so.
+/// While the list is unreachable, the last known state applies: a server that was draining or removed stays so.
 class server_directory {
 public:
-    explicit server_directory(list_reachability_options options = {}) : m_contact(options) {}
+    explicit server_directory(list_reachability_options options = {}) : m_reachability(options) {}
 
-    /// Takes a server's newest entry. Returns how it changed.
+    /// Applies a server's newest entry. Returns how it changed.
     directory_change apply(const server_record& record, steady_time now);
 
-    /// Takes that the entry of a server was removed. Returns how it changed.
+    /// Applies the removal of a server's entry. Returns how it changed.
     directory_change remove(const backend_server_name& id, steady_time now);
 
-    /// Takes the complete list: entries that are not in `ids` count as removed. Returns the servers that were.
+    /// Applies the complete list: entries that are not in `ids` count as removed. Returns the servers that were
+    /// removed.
     std::vector<backend_server_name> retain(const std::set<backend_server_name>& ids, steady_time now);
 
-    /// Returns when the list was reached, to be told of each read and of each call that failed.
-    [[nodiscard]] list_reachability& get_contact() noexcept { return m_contact; }
+    /// Returns the tracker of the list's reachability. The caller records each successful read and each failed call in
+    /// it.
+    [[nodiscard]] list_reachability& get_contact() noexcept { return m_reachability; }
 
-    /// Drops entries that were missing and did not come back in time; they are not usable from then on, whether
-    /// this is called or not. Returns the servers dropped.
+    /// Drops missing entries whose grace period is over. They are unusable from that time on, even before this is
+    /// called. Returns the dropped servers.
     std::vector<backend_server_name> expire(steady_time now);
 
-    /// Notes that another server answered at this one's address. The entry is not used until it changes.
+    /// Records that another server answered at the address of this one. The entry is not used until it changes.
     void mark_address_taken(const backend_server_name& id);
 
-    /// Returns whether new work may be sent to it.
+    /// Returns whether new work may be sent to the server.
     [[nodiscard]] bool is_usable(const listed_server& server, steady_time now) const {
-        const bool is_gone = server.is_missing && m_contact.is_grace_over(now);
+        const bool is_gone = server.is_missing && m_reachability.is_grace_over(now);
         return !server.record.is_draining && !server.is_address_taken && !is_gone;
     }
 
@@ -63,13 +66,13 @@
     /// Returns all servers, in order of their id.
     [[nodiscard]] const std::map<backend_server_name, listed_server>& get_servers() const noexcept { return m_servers; }
 
-    /// Grows with each change that matters for where requests may go.
+    /// Returns a counter that grows with each change that affects where requests may go.
     [[nodiscard]] std::uint64_t get_generation() const noexcept { return m_generation; }
 
 private:
-    void displace_others(const server_record& record);
+    void mark_previous_at_address(const server_record& record);
 
-    list_reachability m_contact;
+    list_reachability m_reachability;
     std::map<backend_server_name, listed_server> m_servers;
     std::uint64_t m_generation{0};
 };
--- a/fleet/server_record.hpp
+++ b/fleet/server_record.hpp
@@ -10,11 +10,11 @@
 
 namespace dragonflywell::fleet {
 
-/// Part of the work on a generation that an engine takes.
+/// The stage of a generation that an engine performs.
 enum class engine_stage : std::uint8_t {
-    /// Reads prompts for other engines.
+    /// Computes the prefill of prompts for other engines.
     prefill,
-    /// Generates, and reads the prompts of its own requests slowly.
+    /// Generates tokens. It also computes the prefill of its own requests, but slowly.
     decode,
 };
 
@@ -22,25 +22,26 @@
     return stage == engine_stage::prefill ? "prefill" : "decode";
 }
 
-/// What a backend server says of itself in the list of servers.
+/// The entry of a backend server in the list of servers, as the server itself writes it.
 struct server_record {
     backend_server_name id;
     service_name service;
     endpoint address;
     zone_name zone;
-    /// Requests that it runs at once.
+    /// Number of requests that it runs at once.
     std::uint32_t slots{1};
-    /// Announced its end: it takes no new work.
+    /// Whether it has announced its shutdown; it then accepts no new work.
     bool is_draining{false};
-    /// How much longer it is slow after its start.
+    /// Remaining warm-up time during which it is slower than usual.
     duration warmup_left{};
-    /// Nothing for a plain service.
+    /// Stage of an engine; absent for a plain service.
     std::optional<engine_stage> stage;
-    /// May be reclaimed with all others of its zone.
+    /// Whether it is a cheap (spot) server, which may be reclaimed together with all others of its zone.
     bool is_cheap{false};
-    /// Time until it is reclaimed, where it says so.
+    /// Time until it is reclaimed, if the entry states it.
     std::optional<duration> time_to_reclaim;
-    /// When it started, in milliseconds since 1970; tells apart two lives under one id. Zero where it doesn't say.
+    /// Start time in milliseconds since 1970. It distinguishes two runs of a server under the same id. Zero if the
+    /// entry does not state it.
     std::int64_t started_at_ms{0};
 
     friend bool operator==(const server_record&, const server_record&) = default;
--- a/fleet/service_history.cpp
+++ b/fleet/service_history.cpp
@@ -12,8 +12,8 @@
 
 constexpr std::uint64_t fine_kept_seconds = 86400;
 constexpr std::uint64_t hours_kept_seconds = 90ULL * 86400;
-/// Organisations that one span names; the others are added up under an empty name.
-constexpr std::size_t most_named_organisations = 64;
+/// Number of organisations that one span lists by name; the others are summed under an empty name.
+constexpr std::size_t max_named_organisations = 64;
 
 boost::json::object encode_figures(const service_counts& figures) {
     boost::json::object organisations;
@@ -32,7 +32,7 @@
 
 std::uint64_t get_item(const boost::json::value& value, std::size_t index) {
     if (!value.is_array() || value.get_array().size() <= index) {
-        throw malformed_message_error("organisation must have two numbers");
+        throw malformed_message_error("service of an organisation must have two numbers");
     }
     return json::get_unsigned({{"item", value.get_array()[index]}}, "item");
 }
@@ -52,27 +52,27 @@
     return figures;
 }
 
-void forget_old(service_history::series& spans, std::uint64_t kept_seconds) {
+void drop_old_spans(service_history::series& spans, std::uint64_t kept_seconds) {
     const std::uint64_t newest = spans.rbegin()->first;
     while (spans.begin()->first + kept_seconds < newest) {
         spans.erase(spans.begin());
     }
 }
 
-/// Keeps those with the worst service by name, since they are what a report is about.
+/// Keeps the organisations with the most lost requests by name, since a report is about those.
 void limit_organisations(service_counts& figures) {
-    if (figures.organisations.size() <= most_named_organisations) {
+    if (figures.organisations.size() <= max_named_organisations) {
         return;
     }
-    std::vector<std::pair<std::uint64_t, organisation_name>> by_loss;
+    std::vector<std::pair<std::uint64_t, organisation_name>> by_lost_requests;
     for (const auto& [name, service] : figures.organisations) {
         if (!name.empty()) {
-            by_loss.emplace_back(service.requested - std::min(service.requested, service.completed), name);
+            by_lost_requests.emplace_back(service.requested - std::min(service.requested, service.completed), name);
         }
     }
-    std::sort(by_loss.rbegin(), by_loss.rend());
-    for (std::size_t index = most_named_organisations - 1; index < by_loss.size(); ++index) {
-        const auto found = figures.organisations.find(by_loss[index].second);
+    std::sort(by_lost_requests.rbegin(), by_lost_requests.rend());
+    for (std::size_t index = max_named_organisations - 1; index < by_lost_requests.size(); ++index) {
+        const auto found = figures.organisations.find(by_lost_requests[index].second);
         const request_counts moved = found->second;
         figures.organisations.erase(found);
         figures.organisations[organisation_name()].requested += moved.requested;
@@ -80,12 +80,12 @@
     }
 }
 
-/// Adds to one span and keeps it and the series within their bounds.
+/// Adds to one span and limits the organisations of the span and the length of the series.
 void add_to_series(service_history::series& spans, std::uint64_t start, const service_counts& figures,
                    std::uint64_t kept_seconds) {
     add_counts(spans[start], figures);
     limit_organisations(spans[start]);
-    forget_old(spans, kept_seconds);
+    drop_old_spans(spans, kept_seconds);
 }
 
 boost::json::object encode_series(const service_history::series& spans) {
@@ -102,7 +102,7 @@
         const std::string text(start);
         if (text.empty() ||
             !std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; })) {
-            throw malformed_message_error("start of a span must be a number");
+            throw malformed_message_error("start of a time span must be a number");
         }
         spans[std::stoull(text)] = decode_figures(json::as_object(value, "figures"));
     }
@@ -129,7 +129,7 @@
         sum.requested += service.requested;
         sum.completed += service.completed;
     }
-    // A request may be asked for in one span and completed in the next.
+    // A request may arrive in one span and complete in the next, so the quotient can exceed 1.
     return sum.requested == 0 ? 1
                               : std::min(1.0, static_cast<double>(sum.completed) / static_cast<double>(sum.requested));
 }
--- a/fleet/serving_view.hpp
+++ b/fleet/serving_view.hpp
@@ -15,17 +15,17 @@
 
 namespace dragonflywell::fleet {
 
-/// An organisation as requests meet it.
+/// The settings of an organisation that apply to its requests.
 struct served_organisation {
     organisation_name name;
-    /// Goes before the priority of a route; 0 is the most urgent. Nothing where the organisation has none.
+    /// Takes precedence over the priority of a route; 0 is the most urgent. Absent if the organisation has none.
     std::optional<std::uint32_t> priority;
     std::vector<std::string> keys;
 
     friend bool operator==(const served_organisation&, const served_organisation&) = default;
 };
 
-/// What callers may send, and how long they may take or stay idle.
+/// Limits on what callers may send and on how long they may take or stay idle.
 struct caller_limits {
     std::uint32_t header_bytes{16 * 1024};
     std::uint64_t body_bytes{4ULL * 1024 * 1024};
@@ -35,7 +35,7 @@
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
-/// Everything that a configuration says, before it is indexed.
+/// The complete content of a configuration, before it is indexed.
 struct serving_configuration {
     std::uint64_t version{0};
     std::vector<route> routes;
@@ -46,7 +46,8 @@
     friend bool operator==(const serving_configuration&, const serving_configuration&) = default;
 };
 
-/// One configuration, indexed for requests. Immutable after construction, hence safe to share between threads.
+/// One configuration, indexed for lookups by requests. Immutable after construction and therefore safe to share between
+/// threads.
 class serving_view {
 public:
     explicit serving_view(serving_configuration configuration);
@@ -56,13 +57,14 @@
     serving_view& operator=(serving_view&&) = delete;
     ~serving_view() = default;
 
-    /// Returns the route of that host with the longest prefix that begins the path, or null. `path` is without query.
+    /// Returns the route of that host with the longest prefix that matches the beginning of the path, or null. `path`
+    /// must not contain the query.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
-    /// Returns the organisation that holds the key, or null.
+    /// Returns the organisation to which the key belongs, or null.
     [[nodiscard]] const served_organisation* find_organisation(std::string_view key) const;
     /// Returns the service, or null.
     [[nodiscard]] const service_description* find_service(const service_name& name) const;
-    /// Returns whether requests need a key where their route is not public.
+    /// Returns whether requests need a key if their route is not public.
     [[nodiscard]] bool has_organisations() const noexcept { return !m_configuration.organisations.empty(); }
 
     [[nodiscard]] std::uint64_t get_version() const noexcept { return m_configuration.version; }
@@ -78,7 +80,7 @@
     using text_map = std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
 
     serving_configuration m_configuration;
-    /// Indices into the configuration; the routes of a host with the longest prefix first.
+    /// Indices into the configuration. The routes of each host are sorted by descending prefix length.
     text_map<std::vector<std::size_t>> m_routes_by_host;
     text_map<std::size_t> m_organisations_by_key;
     std::map<service_name, std::size_t> m_services;
--- a/tests/coordination/lease_world.cpp
+++ b/tests/coordination/lease_world.cpp
@@ -15,7 +15,7 @@
 
 constexpr steady_time beginning{std::chrono::hours(1)};
 
-/// One clock for each candidate, shared by all copies of the world: it is set before each use.
+/// One clock for each candidate. All copies of the simulation share the clocks, so they are set before each use.
 std::array<settable_clock, lease_world::candidates>& get_clocks() {
     static std::array<settable_clock, lease_world::candidates> clocks;
     return clocks;
@@ -31,7 +31,7 @@
 
 void lease_world::load_clock(std::size_t candidate) const {
     const member& self = m_members[candidate];
-    const steady_time now = beginning + m_elapsed - self.slept;
+    const steady_time now = beginning + m_elapsed - self.suspended_for;
     const bool sees_suspension = m_mutation != lease_mutation::clock_without_suspension;
     get_clocks()[candidate].set(now, sees_suspension ? beginning + m_elapsed : now);
 }
@@ -42,10 +42,10 @@
                                               .incarnation = m_members[candidate].incarnation,
                                               .length = length,
                                               .takeover_delay = quiet};
-    if (m_mutation == lease_mutation::no_quiet_time || m_mutation == lease_mutation::impatient_challenger) {
+    if (m_mutation == lease_mutation::no_takeover_delay || m_mutation == lease_mutation::early_challenger) {
         options.takeover_delay = duration::zero();
     }
-    if (m_mutation == lease_mutation::impatient_challenger) {
+    if (m_mutation == lease_mutation::early_challenger) {
         options.margin = -length / 2;
     }
     m_members[candidate].lease.emplace(get_clocks()[candidate], options);
@@ -59,12 +59,12 @@
     return true;
 }
 
-void lease_world::step(std::size_t candidate, call_fate fate) {
+void lease_world::step(std::size_t candidate, call_outcome outcome) {
     load_clock(candidate);
     store_lease& lease = *m_members[candidate].lease;
     const store_lease::action action = lease.get_next_action();
     if (action == store_lease::action::read) {
-        if (fate != call_fate::answered) {
+        if (outcome != call_outcome::answered) {
             return;
         }
         std::vector<coordination::lease_topic_entry> records;
@@ -79,44 +79,44 @@
     }
     const std::uint64_t at = lease.get_end();
     const store_lease_record record = lease.start_append();
-    switch (fate) {
-    case call_fate::answered:
+    switch (outcome) {
+    case call_outcome::answered:
         if (append(at, record)) {
             lease.on_appended();
         } else {
             lease.on_conflict();
         }
         break;
-    case call_fate::lost:
+    case call_outcome::lost:
         lease.on_result_unknown();
         break;
-    case call_fate::done_without_answer:
+    case call_outcome::applied_without_response:
         append(at, record);
         lease.on_result_unknown();
         break;
-    case call_fate::done_later:
-        m_late.push_back({.at = at, .record = record});
+    case call_outcome::applied_later:
+        m_late_appends.push_back({.at = at, .record = record});
         lease.on_result_unknown();
         break;
     }
 }
 
 void lease_world::deliver_late() {
-    if (m_late.empty()) {
+    if (m_late_appends.empty()) {
         return;
     }
-    const late_append late = m_late.front();
-    m_late.erase(m_late.begin());
-    append(late.at, late.record);
+    const late_append appended = m_late_appends.front();
+    m_late_appends.erase(m_late_appends.begin());
+    append(appended.at, appended.record);
 }
 
 void lease_world::advance(duration span) {
     m_elapsed += span;
 }
 
-void lease_world::advance_with_sleeper(duration span, std::size_t sleeper) {
+void lease_world::advance_while_suspended(duration span, std::size_t suspended) {
     m_elapsed += span;
-    m_members[sleeper].slept += span;
+    m_members[suspended].suspended_for += span;
 }
 
 void lease_world::restart(std::size_t candidate) {
@@ -133,7 +133,7 @@
     return m_members[candidate].lease->get_fencing_number().has_value();
 }
 
-std::optional<std::string> lease_world::find_fault() {
+std::optional<std::string> lease_world::find_violation() {
     std::size_t holders = 0;
     for (std::size_t candidate = 0; candidate < candidates; ++candidate) {
         load_clock(candidate);
@@ -145,30 +145,31 @@
         const bool is_same_holder =
             candidate == m_highest_candidate && m_members[candidate].incarnation == m_highest_incarnation;
         if (*fence < m_highest_fence || (*fence == m_highest_fence && !is_same_holder)) {
-            return fmt::format("candidate {} acts under fence {} after {}", candidate, *fence, m_highest_fence);
+            return fmt::format("candidate {} acts under fencing number {} after {}", candidate, *fence,
+                               m_highest_fence);
         }
         m_highest_fence = *fence;
         m_highest_candidate = candidate;
         m_highest_incarnation = m_members[candidate].incarnation;
-        m_acts.push_back({.candidate = candidate, .moment = beginning + m_elapsed});
+        m_actions.push_back({.candidate = candidate, .moment = beginning + m_elapsed});
     }
     if (holders > 1) {
         return "two candidates have authority at once";
     }
-    // Holders must not take turns within the quiet time.
-    for (std::size_t first = 0; first < m_acts.size(); ++first) {
-        bool has_other = false;
-        for (std::size_t later = first + 1; later < m_acts.size(); ++later) {
-            has_other = has_other || m_acts[later].candidate != m_acts[first].candidate;
-            const bool is_back = has_other && m_acts[later].candidate == m_acts[first].candidate;
-            if (is_back && m_acts[later].moment - m_acts[first].moment < quiet) {
-                return "two candidates took turns";
+    // Two holders must not alternate within the takeover delay.
+    for (std::size_t first = 0; first < m_actions.size(); ++first) {
+        bool has_other_acted = false;
+        for (std::size_t later = first + 1; later < m_actions.size(); ++later) {
+            has_other_acted = has_other_acted || m_actions[later].candidate != m_actions[first].candidate;
+            const bool has_alternated = has_other_acted && m_actions[later].candidate == m_actions[first].candidate;
+            if (has_alternated && m_actions[later].moment - m_actions[first].moment < quiet) {
+                return "two candidates alternated within the takeover delay";
             }
         }
     }
-    constexpr std::size_t kept_acts = 24;
-    if (m_acts.size() > kept_acts) {
-        m_acts.erase(m_acts.begin(), m_acts.end() - kept_acts);
+    constexpr std::size_t max_actions = 24;
+    if (m_actions.size() > max_actions) {
+        m_actions.erase(m_actions.begin(), m_actions.end() - max_actions);
     }
     return std::nullopt;
 }
--- a/tests/coordination/lease_world.hpp
+++ b/tests/coordination/lease_world.hpp
@@ -10,17 +10,18 @@
 
 namespace dragonflywell::testing {
 
-/// A safeguard that is taken out, to show that the checker misses it.
+/// Disables one safeguard, to show that the check detects this.
 enum class lease_mutation {
     none,
-    /// The store appends whatever the topic's end is.
+    /// The store appends even if the topic ends elsewhere.
     unconditional_append,
-    /// A challenger counts a lease as lapsed early, and acts at once; the quiet time alone would make up for it.
-    impatient_challenger,
-    /// The holder's clock stands still while its host sleeps.
+    /// A challenger treats a lease as expired too early and acts at once. The takeover delay is off as well, because it
+    /// alone would compensate for this.
+    early_challenger,
+    /// The holder's clock stands still while its host is suspended.
     clock_without_suspension,
-    /// A new holder acts at once.
-    no_quiet_time,
+    /// A new holder acts without the takeover delay.
+    no_takeover_delay,
 };
 
 /// A clock whose time is set from outside.
@@ -39,31 +40,32 @@
     steady_time m_with_suspension{};
 };
 
-/// Candidates for one lease, the topic that they append to, and what is on its way. Copied to explore from each state.
+/// Simulates the candidates for one lease, the topic that they append to, and the appends in flight. It is copied to
+/// explore several continuations of one state.
 class lease_world {
 public:
     static constexpr std::size_t candidates = 3;
 
-    /// What the store and the network do with one call.
-    enum class call_fate : std::uint8_t { answered, lost, done_without_answer, done_later };
+    /// The outcome of one call to the store.
+    enum class call_outcome : std::uint8_t { answered, lost, applied_without_response, applied_later };
 
     explicit lease_world(lease_mutation mutation);
 
-    /// Lets a candidate do what it wants to do next.
-    void step(std::size_t candidate, call_fate fate);
-    /// Lets the oldest append that is on its way reach the store.
+    /// Runs the next action of a candidate; the call that it makes has the given outcome.
+    void step(std::size_t candidate, call_outcome outcome);
+    /// Delivers the oldest append in flight to the store.
     void deliver_late();
-    /// Lets time pass for all.
+    /// Advances the time of all candidates.
     void advance(duration span);
-    /// Lets time pass while the host of a candidate sleeps.
-    void advance_with_sleeper(duration span, std::size_t sleeper);
-    /// Kills a candidate's process and starts it anew.
+    /// Advances time while the host of one candidate is suspended.
+    void advance_while_suspended(duration span, std::size_t suspended);
+    /// Kills a candidate's process and starts a new incarnation.
     void restart(std::size_t candidate);
-    /// Lets a candidate give the lease up, as before a planned stop.
+    /// Makes a candidate give the lease up, as before a planned stop.
     void resign(std::size_t candidate);
 
-    /// Lets every candidate that has authority act, and returns what is wrong, or nothing.
-    [[nodiscard]] std::optional<std::string> find_fault();
+    /// Lets every candidate that has authority act. Returns the violated rule, or nothing.
+    [[nodiscard]] std::optional<std::string> find_violation();
 
     [[nodiscard]] bool has_authority(std::size_t candidate) const;
 
@@ -78,13 +80,13 @@
         std::uint64_t at{};
         coordination::store_lease_record record;
     };
-    struct act {
+    struct authorised_action {
         std::size_t candidate{};
         steady_time moment{};
     };
     struct member {
         std::uint64_t incarnation{1};
-        duration slept{};
+        duration suspended_for{};
         std::optional<coordination::store_lease> lease;
     };
 
@@ -95,9 +97,9 @@
     lease_mutation m_mutation;
     duration m_elapsed{};
     std::vector<coordination::store_lease_record> m_topic;
-    std::vector<late_append> m_late;
+    std::vector<late_append> m_late_appends;
     std::array<member, candidates> m_members;
-    std::vector<act> m_acts;
+    std::vector<authorised_action> m_actions;
     std::uint64_t m_highest_fence{0};
     std::size_t m_highest_candidate{0};
     std::uint64_t m_highest_incarnation{0};
--- a/tests/coordination/matrix_checker.cpp
+++ b/tests/coordination/matrix_checker.cpp
@@ -13,10 +13,10 @@
 
 constexpr duration progress_window = std::chrono::seconds(20);
 
-/// The rules of the log, written a second time and in another way: it decides validity from bytes alone.
-class byte_reader {
+/// A second, independent implementation of the rules by which records are valid. It reads the encoded records only.
+class record_validator {
 public:
-    /// Returns whether the record at `offset` counts.
+    /// Returns whether the record at `offset` is valid.
     bool read(log_offset offset, const boost::json::object& value) {
         const std::string writer =
             boost::json::serialize(value.at("host")) + boost::json::serialize(value.at("incarnation"));
@@ -25,7 +25,7 @@
             return false;
         }
         m_sequences[writer] = sequence;
-        return has_fence(value) && wins_subject(offset, value) && follow_lease(offset, value, writer);
+        return has_current_fence(value) && meets_condition(offset, value) && update_lease(offset, value, writer);
     }
 
 private:
@@ -35,7 +35,7 @@
         bool is_held{false};
     };
 
-    bool has_fence(const boost::json::object& value) {
+    bool has_current_fence(const boost::json::object& value) {
         if (!value.contains("scope")) {
             return true;
         }
@@ -43,23 +43,23 @@
         return state.is_held && state.number == value.at("fence").to_number<std::uint64_t>();
     }
 
-    bool wins_subject(log_offset offset, const boost::json::object& value) {
+    bool meets_condition(log_offset offset, const boost::json::object& value) {
         if (!value.contains("subject")) {
             return true;
         }
         const std::string subject = value.at("subject").as_string().c_str();
         const auto newest = m_newest.find(subject);
         const bool expects_none = !value.contains("supersedes");
-        const bool wins = newest == m_newest.end()
-                              ? expects_none
-                              : !expects_none && value.at("supersedes").to_number<std::uint64_t>() == newest->second;
-        if (wins) {
+        const bool holds = newest == m_newest.end()
+                               ? expects_none
+                               : !expects_none && value.at("supersedes").to_number<std::uint64_t>() == newest->second;
+        if (holds) {
             m_newest[subject] = offset;
         }
-        return wins;
+        return holds;
     }
 
-    bool follow_lease(log_offset offset, const boost::json::object& value, const std::string& writer) {
+    bool update_lease(log_offset offset, const boost::json::object& value, const std::string& writer) {
         const std::string type = value.at("type").as_string().c_str();
         if (type == "lease.claim") {
             const std::string scope = std::string(value.at("subject").as_string().c_str()).substr(6);
@@ -81,17 +81,17 @@
     std::map<std::string, scope_state> m_scopes;
 };
 
-/// The intents that count, and when each came.
-struct seen_intent {
+/// A valid intent and the time at which it was appended.
+struct valid_intent {
     std::string receiver;
     std::string key;
     std::uint64_t number{};
     steady_time when;
 };
 
-std::vector<seen_intent> get_intents(const matrix_evidence& evidence) {
-    std::vector<seen_intent> intents;
-    byte_reader reader;
+std::vector<valid_intent> get_intents(const matrix_evidence& evidence) {
+    std::vector<valid_intent> intents;
+    record_validator reader;
     const auto stream = evidence.streams.find("control/a");
     for (log_offset offset = 0; offset < stream->second.size(); ++offset) {
         const logged_record& logged = stream->second[offset];
@@ -106,11 +106,11 @@
     return intents;
 }
 
-/// The configuration after each delta that counts.
+/// Returns the configuration after each valid delta.
 std::map<log_offset, configuration_entries> get_configurations(const matrix_evidence& evidence) {
     std::map<log_offset, configuration_entries> versions;
     configuration_entries entries;
-    byte_reader reader;
+    record_validator reader;
     const auto stream = evidence.streams.find("configuration");
     for (log_offset offset = 0; offset < stream->second.size(); ++offset) {
         const boost::json::object value = boost::json::parse(stream->second[offset].data).as_object();
@@ -126,9 +126,9 @@
 }
 
 bool have_intents(const matrix_evidence& evidence) {
-    const std::vector<seen_intent> intents = get_intents(evidence);
+    const std::vector<valid_intent> intents = get_intents(evidence);
     const auto is_covered = [&](const std::string& receiver, const order_arrival& arrival) {
-        return std::ranges::any_of(intents, [&](const seen_intent& intent) {
+        return std::ranges::any_of(intents, [&](const valid_intent& intent) {
             return intent.receiver == receiver && intent.key == arrival.key &&
                    intent.number == arrival.fencing_number && intent.when <= arrival.when;
         });
@@ -139,25 +139,26 @@
     });
 }
 
-/// An order that takes effect again after another one did makes the receiver go back.
+/// Returns whether a receiver went back to an order after another one had taken effect.
 bool goes_back(const std::vector<order_arrival>& arrivals) {
-    std::set<std::string> left;
+    std::set<std::string> superseded;
     std::string current;
     for (const order_arrival& arrival : arrivals) {
         if (!arrival.is_applied || arrival.key == current) {
             continue;
         }
-        if (left.contains(arrival.key)) {
+        if (superseded.contains(arrival.key)) {
             return true;
         }
-        left.insert(current);
+        superseded.insert(current);
         current = arrival.key;
     }
     return false;
 }
 
-/// A late copy of the order that is in effect changes nothing; any other order of an older holder does.
-bool obeys_superseded(const std::vector<order_arrival>& arrivals) {
+/// Returns whether an order of an older holder took effect after one of a newer holder. A late copy of the order in
+/// effect changes nothing and does not count.
+bool follows_superseded_holder(const std::vector<order_arrival>& arrivals) {
     std::uint64_t newest = 0;
     std::string current;
     for (const order_arrival& arrival : arrivals) {
@@ -173,13 +174,13 @@
     return false;
 }
 
-/// A second copy from the same holder stands in the list before and is no order of its own: the platform drops it by
-/// its key. A copy from another holder is one.
-bool hears_older_holder(const std::vector<order_arrival>& arrivals) {
-    std::set<std::pair<std::string, std::uint64_t>> heard;
+/// Returns whether a new order of an older holder arrived after one of a newer holder. A second copy from the same
+/// holder does not count, because the platform drops it by its key; a copy from another holder counts.
+bool receives_from_older_holder(const std::vector<order_arrival>& arrivals) {
+    std::set<std::pair<std::string, std::uint64_t>> received;
     std::uint64_t newest = 0;
     return std::ranges::any_of(arrivals, [&](const order_arrival& arrival) {
-        const bool is_new = heard.emplace(arrival.key, arrival.fencing_number).second;
+        const bool is_new = received.emplace(arrival.key, arrival.fencing_number).second;
         const bool is_older = arrival.fencing_number < newest;
         newest = std::max(newest, arrival.fencing_number);
         return is_new && is_older;
@@ -192,38 +193,38 @@
         arrivals, [&](const order_arrival& arrival) { return arrival.is_applied && !keys.insert(arrival.key).second; });
 }
 
-bool is_configuration_true(const matrix_evidence& evidence,
-                           const std::map<log_offset, configuration_entries>& versions) {
+bool matches_log_configuration(const matrix_evidence& evidence,
+                               const std::map<log_offset, configuration_entries>& versions) {
     std::map<std::string, log_offset> newest;
-    for (const forced_configuration& forced : evidence.forced) {
-        const auto found = versions.find(forced.version);
-        const auto before = newest.find(forced.process);
-        const bool reverts = before != newest.end() && forced.version < before->second;
-        if (reverts || found == versions.end() || found->second != forced.entries) {
+    for (const applied_configuration& applied : evidence.applied) {
+        const auto found = versions.find(applied.version);
+        const auto before = newest.find(applied.process);
+        const bool reverts = before != newest.end() && applied.version < before->second;
+        if (reverts || found == versions.end() || found->second != applied.entries) {
             return false;
         }
-        newest[forced.process] = forced.version;
+        newest[applied.process] = applied.version;
     }
     return true;
 }
 
-bool are_operators_told_true(const matrix_evidence& evidence,
-                             const std::map<log_offset, configuration_entries>& versions) {
-    return std::ranges::all_of(evidence.publications, [&](const told_publication& told) {
-        if (told.version) {
-            const auto found = versions.find(*told.version);
-            return found != versions.end() && found->second.contains(told.path) &&
-                   found->second.at(told.path) == told.text;
+bool are_publication_results_correct(const matrix_evidence& evidence,
+                                     const std::map<log_offset, configuration_entries>& versions) {
+    return std::ranges::all_of(evidence.publications, [&](const publication_result& publication) {
+        if (publication.version) {
+            const auto found = versions.find(*publication.version);
+            return found != versions.end() && found->second.contains(publication.path) &&
+                   found->second.at(publication.path) == publication.text;
         }
         return std::ranges::none_of(versions, [&](const auto& entry) {
-            const auto found = entry.second.find(told.path);
-            return found != entry.second.end() && found->second == told.text;
+            const auto found = entry.second.find(publication.path);
+            return found != entry.second.end() && found->second == publication.text;
         });
     });
 }
 
-bool is_configuration_everywhere(const matrix_evidence& evidence,
-                                 const std::map<log_offset, configuration_entries>& versions) {
+bool have_all_newest_configuration(const matrix_evidence& evidence,
+                                   const std::map<log_offset, configuration_entries>& versions) {
     return !versions.empty() && std::ranges::all_of(evidence.final_versions, [&](const auto& entry) {
         return entry.second == versions.rbegin()->first;
     });
@@ -238,11 +239,11 @@
 
 } // namespace
 
-matrix_verdict check_evidence(const matrix_evidence& evidence) {
-    matrix_verdict verdict;
-    const auto expect = [&verdict](bool holds, const char* invariant) {
+check_result check_evidence(const matrix_evidence& evidence) {
+    check_result result;
+    const auto expect = [&result](bool holds, const char* invariant) {
         if (!holds) {
-            verdict.broken.emplace_back(invariant);
+            result.broken.emplace_back(invariant);
         }
     };
     const auto get_arrivals = [&evidence](const char* receiver) {
@@ -252,19 +253,20 @@
     const std::map<log_offset, configuration_entries> versions = get_configurations(evidence);
     expect(have_intents(evidence), "intent");
     expect(!goes_back(get_arrivals("checking")) && !goes_back(get_arrivals("ignoring")), "conflict");
-    expect(!obeys_superseded(get_arrivals("checking")) && !obeys_superseded(get_arrivals("ignoring")), "superseded");
-    expect(!hears_older_holder(get_arrivals("platform")), "two in charge");
+    expect(!follows_superseded_holder(get_arrivals("checking")) && !follows_superseded_holder(get_arrivals("ignoring")),
+           "superseded");
+    expect(!receives_from_older_holder(get_arrivals("platform")), "two in charge");
     expect(!applies_twice(get_arrivals("platform")), "doubled");
-    expect(is_configuration_true(evidence, versions), "configuration");
-    expect(are_operators_told_true(evidence, versions), "operator");
-    expect(is_configuration_everywhere(evidence, versions), "everywhere");
+    expect(matches_log_configuration(evidence, versions), "configuration");
+    expect(are_publication_results_correct(evidence, versions), "operator");
+    expect(have_all_newest_configuration(evidence, versions), "everywhere");
     expect(makes_progress(evidence, "checking"), "progress");
     for (const char* receiver : {"ignoring", "platform"}) {
         if (!makes_progress(evidence, receiver)) {
-            verdict.held.emplace_back(receiver);
+            result.blocked.emplace_back(receiver);
         }
     }
-    return verdict;
+    return result;
 }
 
 } // namespace dragonflywell::testing
--- a/tests/coordination/matrix_checker.hpp
+++ b/tests/coordination/matrix_checker.hpp
@@ -7,15 +7,16 @@
 
 namespace dragonflywell::testing {
 
-/// What the checker concluded from one run.
-struct matrix_verdict {
-    /// Invariants that were broken, each by name.
+/// The result of checking one run.
+struct check_result {
+    /// Names of the violated invariants.
     std::vector<std::string> broken;
-    /// Receivers that got no order near the end of the run, since an old one may still arrive there.
-    std::vector<std::string> held;
+    /// Receivers that got no order near the end of the run, because an old order may still arrive there.
+    std::vector<std::string> blocked;
 };
 
-/// Checks the evidence of a run against the invariants. It knows the form of the records and nothing of the code.
-[[nodiscard]] matrix_verdict check_evidence(const matrix_evidence& evidence);
+/// Checks the evidence of a run against the invariants. It uses the encoding of the records and none of the code under
+/// test.
+[[nodiscard]] check_result check_evidence(const matrix_evidence& evidence);
 
 } // namespace dragonflywell::testing
--- a/tests/coordination/matrix_evidence.hpp
+++ b/tests/coordination/matrix_evidence.hpp
@@ -10,7 +10,7 @@
 
 namespace dragonflywell::testing {
 
-/// One order as its receiver saw it.
+/// One order that arrived at a receiver.
 struct order_arrival {
     steady_time when;
     std::string key;
@@ -18,35 +18,35 @@
     bool is_applied{false};
 };
 
-/// One record as the log got it.
+/// One record that was appended to the log.
 struct logged_record {
     steady_time when;
     std::string data;
 };
 
-/// A configuration that one process put in force.
-struct forced_configuration {
+/// A configuration that one process applied.
+struct applied_configuration {
     /// Host and incarnation.
     std::string process;
     coordination::log_offset version{};
     std::map<std::string, std::string> entries;
 };
 
-/// What the operator of one delta was told.
-struct told_publication {
+/// The result of one publication as reported to its operator.
+struct publication_result {
     std::string path;
     std::string text;
-    /// Absent when it was told that another came first.
+    /// Absent if a conflict was reported.
     std::optional<coordination::log_offset> version;
 };
 
-/// Everything that was seen outside the code under test.
+/// Everything that was observed outside the code under test.
 struct matrix_evidence {
     std::map<std::string, std::vector<logged_record>> streams;
     std::map<std::string, std::vector<order_arrival>> arrivals;
-    std::vector<forced_configuration> forced;
-    std::vector<told_publication> publications;
-    /// The newest version of each process that still ran at the end.
+    std::vector<applied_configuration> applied;
+    std::vector<publication_result> publications;
+    /// The configuration version of each process that still ran at the end.
     std::map<std::string, coordination::log_offset> final_versions;
     steady_time end;
 };
--- a/tests/coordination/matrix_fault.hpp
+++ b/tests/coordination/matrix_fault.hpp
@@ -10,7 +10,7 @@
 
 namespace dragonflywell::testing {
 
-/// What may go wrong at one step of a protocol.
+/// A fault at one step of a protocol.
 enum class matrix_fault {
     crash_before,
     crash_after,
@@ -32,35 +32,35 @@
                                                                     "answer lost",  "answer late",  "duplicate",
                                                                     "log down",     "zone cut off", "host replaced"};
 
-/// Thrown where a process dies. It is no `error`, so that the code under test cannot catch it.
+/// Thrown where a process dies. It does not derive from `error`, so that the code under test cannot catch it.
 struct process_crashed {
     bool is_replaced{false};
 };
 
-/// Which faults one run injects.
+/// The faults that one run injects.
 struct fault_schedule {
     std::string step;
     matrix_fault first{};
-    /// Injected at the same step's next occurrence.
+    /// Injected at the next occurrence of the same step.
     std::optional<matrix_fault> again;
-    /// Injected at whatever step follows the first fault.
+    /// Injected at the step that follows the first fault, whichever it is.
     std::optional<matrix_fault> next;
-    /// Instead of the above: faults at random steps.
+    /// If set, replaces the above by faults at random steps.
     std::optional<std::uint64_t> seed;
 };
 
-/// Decides which fault hits a step. The occurrences of the step are counted over all hosts.
+/// Decides which fault is injected at a step. The occurrences of the step are counted over all hosts.
 class fault_injector {
 public:
     explicit fault_injector(std::optional<fault_schedule> schedule)
         : m_schedule(std::move(schedule)), m_random(m_schedule ? m_schedule->seed.value_or(0) : 0) {}
 
-    std::optional<matrix_fault> pass(const std::string& step) {
+    std::optional<matrix_fault> get_fault(const std::string& step) {
         if (!m_schedule) {
             return std::nullopt;
         }
         if (m_schedule->seed) {
-            return pick_at_random();
+            return choose_random_fault();
         }
         if (m_is_next_due) {
             m_is_next_due = false;
@@ -70,7 +70,7 @@
             return std::nullopt;
         }
         ++m_occurrences;
-        // The first occurrence finds hosts that have just started; the second finds the system at work.
+        // At the first occurrence the hosts have just started; at the second the system is running.
         if (m_occurrences == 2) {
             m_is_next_due = m_schedule->next.has_value();
             return m_schedule->first;
@@ -81,10 +81,10 @@
     [[nodiscard]] std::uint64_t get_occurrences() const noexcept { return m_occurrences; }
 
 private:
-    std::optional<matrix_fault> pick_at_random() {
+    std::optional<matrix_fault> choose_random_fault() {
         constexpr std::uint64_t steps_per_fault = 150;
-        constexpr std::uint64_t most_random_faults = 6;
-        if (m_occurrences == most_random_faults || m_random() % steps_per_fault != 0) {
+        constexpr std::uint64_t max_random_faults = 6;
+        if (m_occurrences == max_random_faults || m_random() % steps_per_fault != 0) {
             return std::nullopt;
         }
         ++m_occurrences;
