--- a/tests/coordination/matrix_process.cpp
+++ b/tests/coordination/matrix_process.cpp
@@ -20,8 +20,8 @@
     return boost::json::parse(data).at("type").as_string().c_str();
 }
 
-/// Does to a process what happens to it before its call takes effect.
-void strike_before(matrix_world& world, const std::string& host, std::optional<matrix_fault> fault) {
+/// Injects the faults that happen before a call takes effect.
+void inject_before_call(matrix_world& world, const std::string& host, std::optional<matrix_fault> fault) {
     if (fault == matrix_fault::crash_before || fault == matrix_fault::host_replaced) {
         throw process_crashed{.is_replaced = fault == matrix_fault::host_replaced};
     }
@@ -42,7 +42,7 @@
 
 } // namespace
 
-void matrix_log::require_log() const {
+void matrix_log::check_log_reachable() const {
     if (!m_world->is_log_reachable(m_host)) {
         fail("log cannot be reached");
     }
@@ -50,13 +50,13 @@
 
 log_offset matrix_log::append(std::string_view stream, std::span<const std::string> records) {
     m_appended = get_type(records.front());
-    const std::optional<matrix_fault> fault = m_world->pass("append " + m_appended);
+    const std::optional<matrix_fault> fault = m_world->get_fault("append " + m_appended);
     const std::string name(stream);
-    strike_before(*m_world, m_host, fault);
-    require_log();
+    inject_before_call(*m_world, m_host, fault);
+    check_log_reachable();
     if (fault == matrix_fault::answer_late) {
         const std::vector<std::string> copies(records.begin(), records.end());
-        m_world->do_later([world = m_world, name, copies] { world->append(name, copies); });
+        m_world->run_later([world = m_world, name, copies] { world->append(name, copies); });
         fail("append is on its way");
     }
     const log_offset first = m_world->append(name, records);
@@ -72,17 +72,17 @@
     return first;
 }
 
-log_batch matrix_log::read(std::string_view stream, log_offset from, std::size_t most) {
+log_batch matrix_log::read(std::string_view stream, log_offset from, std::size_t max_records) {
     const bool is_snapshot = stream.ends_with(".snapshots");
     std::string step = is_snapshot ? "read snapshot" : "poll";
     if (!m_appended.empty() && !is_snapshot) {
         step = "read back " + m_appended;
     }
     m_appended.clear();
-    const std::optional<matrix_fault> fault = m_world->pass(step);
-    strike_before(*m_world, m_host, fault);
-    require_log();
-    log_batch batch = m_world->get_log().read(stream, from, most);
+    const std::optional<matrix_fault> fault = m_world->get_fault(step);
+    inject_before_call(*m_world, m_host, fault);
+    check_log_reachable();
+    log_batch batch = m_world->get_log().read(stream, from, max_records);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
@@ -123,7 +123,7 @@
             value["fence"] = m_newest["claim"];
         }
     }
-    if (mutation == matrix_mutation::snapshot_covers_too_much && stream.ends_with(".snapshots")) {
+    if (mutation == matrix_mutation::snapshot_end_offset_too_high && stream.ends_with(".snapshots")) {
         value.at("body").as_object()["covers"] = value.at("body").at("covers").to_number<std::uint64_t>() + 1;
     }
     return boost::json::serialize(value);
@@ -131,16 +131,17 @@
 
 order_reply matrix_channel::send(const order& value, const fencing_token& token, duration) {
     const std::string receiver = value.subject;
-    const std::optional<matrix_fault> fault = m_world->pass("send to " + receiver);
-    strike_before(*m_world, m_host, fault);
+    const std::optional<matrix_fault> fault = m_world->get_fault("send to " + receiver);
+    inject_before_call(*m_world, m_host, fault);
     if (m_world->is_cut_off(m_host)) {
         return order_reply::unknown;
     }
     if (fault == matrix_fault::answer_late) {
-        m_world->do_later([world = m_world, receiver, value, token] { world->arrive(receiver, value, token.number); });
+        m_world->run_later(
+            [world = m_world, receiver, value, token] { world->receive_order(receiver, value, token.number); });
         return order_reply::unknown;
     }
-    const order_reply receipt = m_world->arrive(receiver, value, token.number);
+    const order_reply receipt = m_world->receive_order(receiver, value, token.number);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
@@ -156,7 +157,8 @@
 }
 
 bool matrix_ledger::may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const {
-    return m_mutation == matrix_mutation::sends_beside_old_order || order_dispatcher::may_send(value, existing, token);
+    return m_mutation == matrix_mutation::sends_beside_unresolved_order ||
+           order_dispatcher::may_send(value, existing, token);
 }
 
 bool matrix_ledger::is_accepted(const order& value, const submit_result& intent) const {
@@ -167,13 +169,13 @@
     return m_mutation == matrix_mutation::intent_not_read_back || order_dispatcher::has_authority(token);
 }
 
-bool matrix_ledger::is_resolved_by_sight(const unresolved_order& existing) const {
-    return m_mutation == matrix_mutation::trusts_sight_of_repeated_order ||
-           order_dispatcher::is_resolved_by_sight(existing);
+bool matrix_ledger::is_resolved_by_query(const unresolved_order& existing) const {
+    return m_mutation == matrix_mutation::query_resolves_repeated_order ||
+           order_dispatcher::is_resolved_by_query(existing);
 }
 
 matrix_process::matrix_process(matrix_world& world, writer_id self, double clock_rate)
-    : m_world(&world), m_self(std::move(self)), m_time(world.get_truth(), clock_rate), m_log(world, m_self.host),
+    : m_world(&world), m_self(std::move(self)), m_time(world.get_true_time(), clock_rate), m_log(world, m_self.host),
       m_channel(world, m_self.host), m_control(m_log, "control/a", m_self),
       m_configuration_stream(m_log, std::string(configuration_stream), m_self),
       m_lease(m_control, m_time, {.scope = "control/a"}), m_ledger(world, m_control, m_lease, m_channel),
@@ -187,32 +189,33 @@
 }
 
 log_offset matrix_process::get_version() const {
-    return m_forced.value_or(0);
+    return m_applied_version.value_or(0);
 }
 
 std::int64_t matrix_process::get_second() const {
-    return std::chrono::duration_cast<std::chrono::seconds>(m_world->get_truth().now().time_since_epoch() - 1h).count();
+    return std::chrono::duration_cast<std::chrono::seconds>(m_world->get_true_time().now().time_since_epoch() - 1h)
+        .count();
 }
 
 void matrix_process::run_round() {
-    attempt(&matrix_process::keep_lease);
-    attempt(&matrix_process::give_orders);
+    attempt(&matrix_process::maintain_lease);
+    attempt(&matrix_process::send_orders);
     attempt(&matrix_process::follow_configuration);
     attempt(&matrix_process::publish);
     attempt(&matrix_process::write_snapshots);
 }
 
-void matrix_process::attempt(void (matrix_process::*duty)()) {
+void matrix_process::attempt(void (matrix_process::*task)()) {
     try {
-        (this->*duty)();
+        (this->*task)();
     } catch (const log_unavailable_error&) { // NOLINT(bugprone-empty-catch)
-        // Tried again in the next round.
+        // The next round tries again.
     } catch (const log_gap_error&) { // NOLINT(bugprone-empty-catch)
-        // Tried again as well: another process may write a snapshot.
+        // The next round tries again as well: another process may write a snapshot.
     }
 }
 
-void matrix_process::keep_lease() {
+void matrix_process::maintain_lease() {
     if (get_second() % planned_stop_s == 0 && m_lease.get_authority()) {
         m_lease.release();
         return;
@@ -220,17 +223,17 @@
     m_lease.tick();
 }
 
-void matrix_process::give_orders() {
+void matrix_process::send_orders() {
     m_ledger.reconcile();
     if (!m_lease.get_authority()) {
         return;
     }
-    give_order("checking", get_second() / order_interval_s);
-    give_order("ignoring", get_second() / order_interval_s);
-    give_order("platform", get_second() / capacity_interval_s);
+    send_order("checking", get_second() / order_interval_s);
+    send_order("ignoring", get_second() / order_interval_s);
+    send_order("platform", get_second() / capacity_interval_s);
 }
 
-void matrix_process::give_order(const std::string& receiver, std::int64_t bucket) {
+void matrix_process::send_order(const std::string& receiver, std::int64_t bucket) {
     const bool is_platform = receiver == "platform";
     const std::string name = is_platform ? "capacity" : get_name();
     order wanted{.subject = receiver,
@@ -243,7 +246,7 @@
         return;
     }
     for (const unresolved_order& unresolved : m_ledger.get_unresolved()) {
-        // Tries something else in one round and to complete what is unresolved in the next.
+        // Submits a new order in one round and the unresolved one in the next.
         if (unresolved.value.subject == receiver && get_second() % 2 == 0) {
             wanted = unresolved.value;
         }
@@ -254,11 +257,11 @@
 void matrix_process::follow_configuration() {
     m_configuration_stream.poll();
     const std::shared_ptr<const configuration> current = m_configuration.get();
-    if (!current->version || current->version == m_forced) {
+    if (!current->version || current->version == m_applied_version) {
         return;
     }
-    m_forced = current->version;
-    m_world->get_evidence().forced.push_back(
+    m_applied_version = current->version;
+    m_world->get_evidence().applied.push_back(
         {.process = get_name(), .version = *current->version, .entries = current->entries});
 }
 
@@ -266,16 +269,17 @@
     if (get_second() % publish_interval_s != 0 || get_second() > last_publication_s || m_self.host == "host-3") {
         return;
     }
-    told_publication told{
+    publication_result publication{
         .path = m_self.host, .text = "\"" + get_name() + "/" + std::to_string(get_second()) + "\"", .version = {}};
-    // Both operators start from what they read before, so that they race.
+    // Both operators start from the version that they read before, so that they race.
     try {
-        told.version = publish_configuration(m_configuration_stream, {.set = {{told.path, told.text}}, .removed = {}},
-                                             m_configuration.get()->version);
+        publication.version = publish_configuration(m_configuration_stream,
+                                                    {.set = {{publication.path, publication.text}}, .removed = {}},
+                                                    m_configuration.get()->version);
     } catch (const configuration_conflict_error&) { // NOLINT(bugprone-empty-catch)
-        // Told as such.
+        // The result has no version, which reports the conflict.
     }
-    m_world->get_evidence().publications.push_back(told);
+    m_world->get_evidence().publications.push_back(publication);
 }
 
 void matrix_process::write_snapshots() {
--- a/tests/coordination/matrix_process.hpp
+++ b/tests/coordination/matrix_process.hpp
@@ -8,27 +8,28 @@
 
 namespace dragonflywell::testing {
 
-/// One process's way to the log, on which the faults of the schedule happen.
+/// The connection of one process to the log, at which the scheduled faults are injected.
 class matrix_log final : public coordination::append_log {
 public:
     matrix_log(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
 
     coordination::log_offset append(std::string_view stream, std::span<const std::string> records) override;
-    coordination::log_batch read(std::string_view stream, coordination::log_offset from, std::size_t most) override;
+    coordination::log_batch read(std::string_view stream, coordination::log_offset from,
+                                 std::size_t max_records) override;
 
 private:
-    void require_log() const;
+    void check_log_reachable() const;
     [[nodiscard]] std::string mutate(const std::string& stream, const std::string& data);
 
     matrix_world* m_world;
     std::string m_host;
-    /// Type of the record that was appended last, while it is not read back yet.
+    /// Type of the last appended record until it is read back.
     std::string m_appended;
-    /// Newest offsets and fencing numbers, for the mutations that overlook them.
+    /// Newest offsets and fencing numbers, for the mutations that ignore them.
     std::map<std::string, std::uint64_t> m_newest;
 };
 
-/// One process's way to the receivers of orders.
+/// The connection of one process to the receivers of orders.
 class matrix_channel final : public coordination::order_receiver {
 public:
     matrix_channel(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
@@ -42,7 +43,7 @@
     std::string m_host;
 };
 
-/// The ledger with one safeguard taken out, as the world's mutation says.
+/// An order ledger in which one safeguard is disabled, according to the mutation of the simulation.
 class matrix_ledger final : public coordination::order_dispatcher {
 public:
     matrix_ledger(matrix_world& world, coordination::folded_stream& stream, coordination::lease_candidate& lease,
@@ -55,19 +56,19 @@
     [[nodiscard]] bool is_accepted(const coordination::order& value,
                                    const coordination::submit_result& intent) const override;
     [[nodiscard]] bool has_authority(const coordination::fencing_token& token) const override;
-    [[nodiscard]] bool is_resolved_by_sight(const coordination::unresolved_order& existing) const override;
+    [[nodiscard]] bool is_resolved_by_query(const coordination::unresolved_order& existing) const override;
 
 private:
     matrix_mutation m_mutation;
 };
 
-/// The process of one host: it competes for the lease, gives orders, publishes and follows the configuration, and
+/// The process of one host: it competes for the lease, sends orders, publishes and follows the configuration, and
 /// writes snapshots.
 class matrix_process {
 public:
     matrix_process(matrix_world& world, coordination::writer_id self, double clock_rate);
 
-    /// Does one second's work. Throws `process_crashed` where the schedule says so.
+    /// Runs the tasks of one second. Throws `process_crashed` if the schedule says so.
     void run_round();
 
     [[nodiscard]] const coordination::writer_id& get_writer() const noexcept { return m_self; }
@@ -75,11 +76,11 @@
     [[nodiscard]] coordination::log_offset get_version() const;
 
 private:
-    /// Runs one duty, which the log may keep from being done.
-    void attempt(void (matrix_process::*duty)());
-    void keep_lease();
-    void give_orders();
-    void give_order(const std::string& receiver, std::int64_t bucket);
+    /// Runs one task, which may fail because the log is unavailable.
+    void attempt(void (matrix_process::*task)());
+    void maintain_lease();
+    void send_orders();
+    void send_order(const std::string& receiver, std::int64_t bucket);
     void follow_configuration();
     void publish();
     void write_snapshots();
@@ -97,7 +98,7 @@
     matrix_ledger m_ledger;
     coordination::snapshot_writer m_control_snapshots;
     coordination::snapshot_writer m_configuration_snapshots;
-    std::optional<coordination::log_offset> m_forced;
+    std::optional<coordination::log_offset> m_applied_version;
 };
 
 } // namespace dragonflywell::testing
--- a/tests/coordination/matrix_world.hpp
+++ b/tests/coordination/matrix_world.hpp
@@ -14,36 +14,36 @@
 
 namespace dragonflywell::testing {
 
-/// A safeguard that is taken out, to show that the checker notices.
+/// Disables one safeguard, to show that the checker detects this.
 enum class matrix_mutation {
     none,
     intent_not_read_back,
-    sends_beside_old_order,
-    trusts_sight_of_repeated_order,
-    silent_host_is_gone,
-    engine_takes_old_number,
+    sends_beside_unresolved_order,
+    query_resolves_repeated_order,
+    unresponsive_host_counts_as_terminated,
+    engine_accepts_stale_number,
     condition_ignored,
     fence_ignored,
-    snapshot_covers_too_much,
+    snapshot_end_offset_too_high,
 };
 
 class matrix_process;
 
-/// Three hosts of one availability zone, their log, three receivers and true time. Everything is driven by one thread:
-/// while one process is paused inside a call, the others go on.
+/// Simulates three hosts of one availability zone, their log, three receivers and true time. One thread drives
+/// everything: while one process is paused inside a call, the others continue.
 class matrix_world final : public coordination::host_liveness {
 public:
     matrix_world(std::optional<fault_schedule> schedule, matrix_mutation mutation);
     ~matrix_world() override;
 
-    /// Runs the whole scenario and returns what was seen.
+    /// Runs the whole scenario and returns the evidence.
     matrix_evidence run();
 
     [[nodiscard]] const fault_injector& get_injector() const noexcept { return m_injector; }
 
-    // What processes use.
-    std::optional<matrix_fault> pass(const std::string& step);
-    [[nodiscard]] const virtual_clock& get_truth() const noexcept { return m_truth; }
+    // The following functions are used by the processes.
+    std::optional<matrix_fault> get_fault(const std::string& step);
+    [[nodiscard]] const virtual_clock& get_true_time() const noexcept { return m_true_time; }
     [[nodiscard]] matrix_mutation get_mutation() const noexcept { return m_mutation; }
     [[nodiscard]] bool is_log_reachable(const std::string& host) const;
     [[nodiscard]] bool is_cut_off(const std::string& host) const;
@@ -52,12 +52,12 @@
     matrix_evidence& get_evidence() noexcept { return m_evidence; }
     void take_log_down();
     void cut_off(const std::string& host);
-    /// Lets the other hosts run while the calling one stands still.
+    /// Runs the other hosts while the calling one stands still.
     void pause();
-    void do_later(std::function<void()> action);
+    void run_later(std::function<void()> action);
     coordination::log_offset append(const std::string& stream, std::span<const std::string> records);
-    coordination::order_reply arrive(const std::string& receiver, const coordination::order& value,
-                                     std::uint64_t number);
+    coordination::order_reply receive_order(const std::string& receiver, const coordination::order& value,
+                                            std::uint64_t number);
     [[nodiscard]] bool has_applied(const std::string& receiver, const std::string& key) const;
 
 private:
@@ -74,22 +74,22 @@
     void run_second();
     void run_host(host& one);
     void start(host& one);
-    void bury(host& one, const process_crashed& crash);
+    void handle_crash(host& one, const process_crashed& crash);
     void forget_old_records();
 
     fault_injector m_injector;
     matrix_mutation m_mutation;
-    virtual_clock m_truth;
+    virtual_clock m_true_time;
     fake_log m_log;
     matrix_evidence m_evidence;
     std::vector<host> m_hosts;
-    std::vector<std::pair<steady_time, std::function<void()>>> m_later;
+    std::vector<std::pair<steady_time, std::function<void()>>> m_scheduled_actions;
     steady_time m_start;
-    steady_time m_log_is_back;
+    steady_time m_log_available_from;
     bool m_is_replaced{false};
     int m_outages{0};
-    std::map<std::string, steady_time> m_cut_until;
-    std::map<coordination::writer_id, steady_time> m_gone_at;
+    std::map<std::string, steady_time> m_cut_off_until;
+    std::map<coordination::writer_id, steady_time> m_terminated_at;
     std::map<std::string, std::uint64_t> m_newest_numbers;
     std::map<std::string, std::set<std::string>> m_applied_keys;
 };
--- a/tests/coordination/test_claim_registry.cpp
+++ b/tests/coordination/test_claim_registry.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-TEST_CASE("of two arrivals at two hosts one wins, and the other sees each state of it") {
+TEST_CASE("if two hosts receive the same request, one acquires the claim and the other sees each state of it") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
@@ -51,7 +51,7 @@
     CHECK(again.response.body == "subscribed");
 }
 
-TEST_CASE("only its owner can free a claim, and only while it has not run") {
+TEST_CASE("only the owner can release a claim, and only before its request has run") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
@@ -66,7 +66,7 @@
     CHECK(first.claim("k").status == claim_status::done);
 }
 
-TEST_CASE("a claim whose owner is gone is unknown and never runs again") {
+TEST_CASE("a claim whose owner has terminated becomes unknown and its request never runs again") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host second(log, time, "host-2");
@@ -76,19 +76,19 @@
         CHECK(first.claim("silent").status == claim_status::acquired);
     }
     CHECK(second.claim("replaced").status == claim_status::running);
-    SUBCASE("since its host has a new incarnation") {
+    SUBCASE("its host has a new incarnation") {
         claiming_host replacement(log, time, "host-1", 2);
         CHECK(replacement.claim("another").status == claim_status::acquired);
         CHECK(replacement.claim("replaced").status == claim_status::unknown);
         CHECK(second.claim("replaced").status == claim_status::unknown);
     }
-    SUBCASE("since it had its whole time") {
+    SUBCASE("the maximum run time is over") {
         time.advance(claim_options{}.max_run_time);
         CHECK(second.claim("silent").status == claim_status::unknown);
     }
 }
 
-TEST_CASE("an outage refuses new claims and keeps how the old ones ended") {
+TEST_CASE("an outage of the log refuses new claims and loses no outcome of earlier ones") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
@@ -103,28 +103,28 @@
     CHECK(second.claim("old").status == claim_status::done);
 }
 
-TEST_CASE("a refused claim that takes effect late holds the key only until its writer speaks again") {
+TEST_CASE("a refused claim that takes effect late blocks its key only until its writer writes again") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
     claiming_host second(log, time, "host-2");
     log.delays_next_append = true;
     CHECK(first.claim("k").status == claim_status::log_unavailable);
-    SUBCASE("before its writer has spoken") {
+    SUBCASE("it takes effect before its writer writes again") {
         log.deliver_delayed_appends();
         CHECK(second.claim("k").status == claim_status::running);
         CHECK(first.claim("another").status == claim_status::acquired);
         CHECK(second.claim("k").status == claim_status::acquired);
         CHECK(first.claim("k").status == claim_status::running);
     }
-    SUBCASE("after its writer has spoken") {
+    SUBCASE("it takes effect after its writer writes again") {
         CHECK(first.claim("another").status == claim_status::acquired);
         log.deliver_delayed_appends();
         CHECK(second.claim("k").status == claim_status::acquired);
     }
 }
 
-TEST_CASE("an answer lost after the effect does not lose the claim") {
+TEST_CASE("a claim is not lost if the response of the log is lost after the append took effect") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
@@ -134,7 +134,7 @@
     CHECK(second.claim("k").status == claim_status::running);
 }
 
-TEST_CASE("a key is remembered for the window and memory does not grow beyond it") {
+TEST_CASE("a key is remembered for the window, and the number of stored claims is bounded") {
     testing::fake_log log;
     virtual_clock time;
     const claim_options options{
@@ -153,7 +153,7 @@
     CHECK(host.book.get_size() == 3);
 }
 
-TEST_CASE("a fresh host reads on where the log has forgotten older claims") {
+TEST_CASE("a new host starts at the oldest record that retention has left") {
     testing::fake_log log;
     virtual_clock time;
     claiming_host first(log, time, "host-1");
@@ -164,19 +164,20 @@
     CHECK(fresh.claim("b").status == claim_status::running);
 }
 
-TEST_CASE("the same key of two organisations is two claims, however names and keys are cut") {
+TEST_CASE(
+    "the same key of two organisations gives different claims, even if names and keys concatenate to the same text") {
     CHECK(make_claim_id(rovers, "k") != make_claim_id(organisation_name("surveyors"), "k"));
     CHECK(make_claim_id(organisation_name("a"), "bc") != make_claim_id(organisation_name("ab"), "c"));
     CHECK(parse_claim_id(format_claim_id(make_claim_id(rovers, "k"))) == make_claim_id(rovers, "k"));
 }
 
-TEST_CASE("an answer that is no text, or too long, is recorded by its status alone") {
+TEST_CASE("a response that is not text or is too long is recorded with its status only") {
     CHECK(make_recorded_response(200, "text/plain", "ok", 2).body == "ok");
     CHECK_FALSE(make_recorded_response(200, "text/plain", "long", 2).body);
     CHECK_FALSE(make_recorded_response(200, "image/png", "\xff\xfe", 10).body);
 }
 
-TEST_CASE("under random faults no key runs twice without a true release in between") {
+TEST_CASE("under random faults no request runs twice unless its claim was released in between") {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         CAPTURE(seed);
         std::mt19937_64 random(seed);
@@ -185,7 +186,7 @@
         std::array hosts{std::make_unique<claiming_host>(log, time, "host-1"),
                          std::make_unique<claiming_host>(log, time, "host-2")};
         std::array<std::uint64_t, 2> incarnations{1, 1};
-        // What the service saw: how often each key ran.
+        // How often the request of each key ran at the service.
         std::map<std::string, int> runs;
         for (int step = 0; step < 60; ++step) {
             const std::size_t index = random() % hosts.size();
--- a/tests/coordination/test_configuration.cpp
+++ b/tests/coordination/test_configuration.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-TEST_CASE("one of two racing operators gets a conflict and nothing of its delta is in force") {
+TEST_CASE("one of two concurrent operators gets a conflict and its delta has no effect") {
     testing::fake_log log;
     operator_session first(log, "operator-1");
     operator_session second(log, "operator-2");
@@ -32,7 +32,7 @@
     CHECK(second.fold.get()->entries == std::map<std::string, std::string>{{"a/x", "1"}});
 }
 
-TEST_CASE("a publish whose answer was lost after the effect is recognised as published") {
+TEST_CASE("a publication is recognised as successful if the response was lost after it took effect") {
     testing::fake_log log;
     operator_session session(log, "operator-1");
     log.drops_next_answer = true;
@@ -40,7 +40,7 @@
     CHECK(session.fold.get()->version == published);
 }
 
-TEST_CASE("a difference applied to its base yields the target") {
+TEST_CASE("a delta contains the changed, added and removed entries") {
     const std::map<std::string, std::string> from{{"a", "1"}, {"b", "2"}};
     const std::map<std::string, std::string> to{{"b", "3"}, {"c", "4"}};
     const configuration_delta delta = get_difference(from, to);
--- a/tests/coordination/test_fault_matrix.cpp
+++ b/tests/coordination/test_fault_matrix.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// Every call by which a protocol reaches out of the process.
+/// Every call of a protocol that leaves the process.
 const std::vector<std::string> steps{"append lease.claim",
                                      "read back lease.claim",
                                      "append lease.renewal",
@@ -42,33 +42,33 @@
 constexpr std::array<mutation_case, 8> mutations{{
     {matrix_mutation::intent_not_read_back,
      "an intent is sent without being read back as valid and without a second look at the lease"},
-    {matrix_mutation::sends_beside_old_order, "a new order is sent while an old one may still arrive"},
-    {matrix_mutation::trusts_sight_of_repeated_order, "one sight of an order clears all sends of it"},
-    {matrix_mutation::silent_host_is_gone, "a silent host counts as gone for good"},
-    {matrix_mutation::engine_takes_old_number, "the checking engine takes old fencing numbers"},
+    {matrix_mutation::sends_beside_unresolved_order, "a new order is sent while an old one may still arrive"},
+    {matrix_mutation::query_resolves_repeated_order, "one sight of an order clears all sends of it"},
+    {matrix_mutation::unresponsive_host_counts_as_terminated, "a silent host counts as gone for good"},
+    {matrix_mutation::engine_accepts_stale_number, "the checking engine takes old fencing numbers"},
     {matrix_mutation::condition_ignored, "the condition of a configuration delta is overlooked"},
     {matrix_mutation::fence_ignored, "the fencing number of an intent is overlooked"},
-    {matrix_mutation::snapshot_covers_too_much, "a snapshot claims one record more than it contains"},
+    {matrix_mutation::snapshot_end_offset_too_high, "a snapshot claims one record more than it contains"},
 }};
 
 constexpr std::string_view column_pair = "with any second fault";
 constexpr std::string_view column_twice = "the same twice";
 constexpr const char* page_path = "docs/FAULT_MATRIX.md";
 
-/// Result of one cell, over all runs that belong to it.
+/// The result of one cell of the matrix, over all its runs.
 struct matrix_cell {
     std::size_t runs{0};
     std::size_t reached{0};
-    std::size_t held{0};
+    std::size_t blocked{0};
     std::set<std::string> broken;
 
     void add(const fault_schedule& schedule, matrix_mutation mutation) {
         matrix_world world(schedule, mutation);
-        const matrix_verdict verdict = check_evidence(world.run());
+        const check_result result = check_evidence(world.run());
         ++runs;
         reached += world.get_injector().get_occurrences() >= 2 ? 1 : 0;
-        held += verdict.held.empty() ? 0 : 1;
-        broken.insert(verdict.broken.begin(), verdict.broken.end());
+        blocked += result.blocked.empty() ? 0 : 1;
+        broken.insert(result.broken.begin(), result.broken.end());
     }
 
     [[nodiscard]] std::string get_text() const {
@@ -82,12 +82,12 @@
             }
             return text;
         }
-        return held == 0 ? "ok" : "ok, held " + std::to_string(held) + "/" + std::to_string(runs);
+        return blocked == 0 ? "ok" : "ok, held " + std::to_string(blocked) + "/" + std::to_string(runs);
     }
 };
 
 bool is_applicable(const std::string& step, matrix_fault fault) {
-    // A read has no copy in the log, and an order is written once to one connection.
+    // A read cannot be duplicated in the log, and an order is written once to one connection.
     return fault != matrix_fault::duplicate || step.starts_with("append");
 }
 
@@ -120,7 +120,7 @@
     return row;
 }
 
-/// Runs are independent of each other, so that their order does not matter.
+/// Runs the steps in parallel. The runs are independent of each other, so their order does not matter.
 template <typename Run>
 std::map<std::string, matrix_row> run_rows(Run run) {
     std::map<std::string, std::future<matrix_row>> running;
@@ -140,11 +140,12 @@
     return rows;
 }
 
-/// What one mutation does.
+/// The effect of one mutation.
 struct mutation_result {
-    /// Invariants that are broken without any fault.
+    /// Invariants that are violated without any fault.
     std::vector<std::string> broken_already;
-    /// Red cells, each with the invariants that it broke. Empty when some are broken already.
+    /// Failed cells with the invariants that they violate. Empty if some invariants are already violated without any
+    /// fault.
     std::map<std::string, std::string> red;
 };
 
@@ -264,22 +265,22 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         matrix_world world(fault_schedule{.step = "", .first = {}, .again = {}, .next = {}, .seed = seed},
                            matrix_mutation::none);
-        const matrix_verdict verdict = check_evidence(world.run());
+        const check_result result = check_evidence(world.run());
         INFO("seed ", seed);
-        for (const std::string& invariant : verdict.broken) {
+        for (const std::string& invariant : result.broken) {
             FAIL_CHECK(invariant);
         }
     }
 }
 
-TEST_CASE("fault matrix: the checker notices each safeguard that is taken out") {
+TEST_CASE("fault matrix: the checker detects each disabled safeguard") {
     for (const auto& [name, result] : get_mutation_results()) {
         INFO(name);
         CHECK_FALSE((result.broken_already.empty() && result.red.empty()));
     }
 }
 
-TEST_CASE("fault matrix: the page shows this run") {
+TEST_CASE("fault matrix: the documentation page matches this run") {
     const std::string page = get_page();
     if (std::getenv("WRITE_FAULT_MATRIX") != nullptr) { // NOLINT(concurrency-mt-unsafe)
         std::ofstream(page_path) << page;
--- a/tests/coordination/test_fold_properties.cpp
+++ b/tests/coordination/test_fold_properties.cpp
@@ -15,26 +15,26 @@
 
 const std::string stream_name = "control/a";
 const std::string scope = "control/a";
-const std::string noise = "not a record";
+const std::string malformed_record = "not a record";
 
-/// The same cases in every run, unless RC_PARAMS asks for others.
-const int is_seeded = ::setenv("RC_PARAMS", "seed=1 max_success=300", 0);
+/// Every run uses the same cases, unless RC_PARAMS asks for others.
+const int sets_default_parameters = ::setenv("RC_PARAMS", "seed=1 max_success=300", 0);
 
-/// One step of a random history: who writes what, and how well it knows the state.
+/// One step of a random history: the writer, the kind of record, and the choices within it, such as stale offsets.
 struct history_step {
     std::uint8_t writer{};
     std::uint8_t kind{};
     std::uint8_t choice{};
 };
 
-/// Turns random steps into records, most of which are valid, among noise, late copies and stale writers.
+/// Turns random steps into records. Most of them are valid; others are malformed or come from stale writers.
 class history_builder {
 public:
     void add(const history_step& step) {
         constexpr std::uint8_t kinds = 8;
         switch (step.kind % kinds) {
         case 0:
-            append(step, make_claim(step));
+            append(step, make_acquisition(step));
             return;
         case 1:
             append(step,
@@ -55,7 +55,7 @@
             append(step, make_delta(step));
             return;
         default:
-            records.push_back(noise);
+            records.push_back(malformed_record);
         }
     }
 
@@ -75,7 +75,7 @@
         return {.scope = scope, .number = is_stale(step) ? number / 2 : number};
     }
 
-    [[nodiscard]] record_draft make_claim(const history_step& step) const {
+    [[nodiscard]] record_draft make_acquisition(const history_step& step) const {
         const std::string subject = get_lease_subject(scope);
         return {.type = std::string(lease_acquisition_type),
                 .body = {},
@@ -150,7 +150,7 @@
     return all.get_state();
 }
 
-std::vector<std::string> get_any_history() {
+std::vector<std::string> generate_history() {
     history_builder builder;
     const auto step = rc::gen::build<history_step>(
         rc::gen::set(&history_step::writer), rc::gen::set(&history_step::kind), rc::gen::set(&history_step::choice));
@@ -163,26 +163,27 @@
 
 } // namespace
 
-TEST_CASE("a snapshot at any place and the tail after it give the state of the whole stream") {
+TEST_CASE("a snapshot at any offset and the records after it give the state of the whole stream") {
     CHECK(rc::check([] {
-        const std::vector<std::string> records = get_any_history();
-        const auto cut = *rc::gen::inRange<std::size_t>(0, records.size() + 1);
+        const std::vector<std::string> records = generate_history();
+        const auto snapshot_offset = *rc::gen::inRange<std::size_t>(0, records.size() + 1);
         testing::fake_log log;
-        log.streams[stream_name].assign(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(cut));
+        log.streams[stream_name].assign(records.begin(),
+                                        records.begin() + static_cast<std::ptrdiff_t>(snapshot_offset));
         reader old_reader(log);
         old_reader.stream.poll();
         write_snapshot(log, old_reader.stream.take_snapshot(), {.host = "writer", .incarnation = 1});
         log.streams[stream_name] = records;
-        log.oldest_kept[stream_name] = *rc::gen::inRange<std::size_t>(0, cut + 1);
+        log.oldest_kept[stream_name] = *rc::gen::inRange<std::size_t>(0, snapshot_offset + 1);
         reader fresh(log);
         fresh.stream.poll();
         RC_ASSERT(fresh.get_state() == get_state(records));
     }));
 }
 
-TEST_CASE("readers that stop at any places reach the same state") {
+TEST_CASE("readers that poll at any offsets reach the same state") {
     CHECK(rc::check([] {
-        const std::vector<std::string> records = get_any_history();
+        const std::vector<std::string> records = generate_history();
         testing::fake_log log;
         reader stepwise(log);
         for (const std::string& data : records) {
@@ -196,12 +197,12 @@
     }));
 }
 
-TEST_CASE("copies of earlier records, wherever they arrive, change nothing") {
+TEST_CASE("copies of earlier records at any offset do not change the state") {
     CHECK(rc::check([] {
-        const std::vector<std::string> records = get_any_history();
+        const std::vector<std::string> records = generate_history();
         std::vector<std::string> with_copies = records;
         for (std::size_t place = 1; place < records.size(); ++place) {
-            if (records[place] == noise) {
+            if (records[place] == malformed_record) {
                 with_copies[place] = records[*rc::gen::inRange<std::size_t>(0, place)];
             }
         }
@@ -209,10 +210,10 @@
     }));
 }
 
-TEST_CASE("a state that is saved and restored is the same state") {
+TEST_CASE("saving and restoring keeps the state") {
     CHECK(rc::check([] {
         testing::fake_log log;
-        log.streams[stream_name] = get_any_history();
+        log.streams[stream_name] = generate_history();
         RC_PRE(!log.streams[stream_name].empty());
         reader first(log);
         first.stream.poll();
--- a/tests/coordination/test_lease.cpp
+++ b/tests/coordination/test_lease.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-TEST_CASE("the first candidate wins the lease and the second does not") {
+TEST_CASE("only the first of two candidates acquires the lease") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -30,7 +30,7 @@
     CHECK_FALSE(second.holder.get_authority().has_value());
 }
 
-TEST_CASE("a paused holder loses its authority before a challenger can win") {
+TEST_CASE("a paused holder loses its authority before another candidate can acquire the lease") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -48,7 +48,7 @@
     CHECK(second.holder.get_authority()->number > old_token.number);
 }
 
-TEST_CASE("an order of a superseded holder is void") {
+TEST_CASE("a record with the fencing token of a superseded holder is invalid") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -63,7 +63,7 @@
     CHECK(first.stream.submit(std::span(&order, 1)).front().status == record_status::fenced);
 }
 
-TEST_CASE("a renewal keeps the fencing number and a release hands over at once") {
+TEST_CASE("a renewal keeps the fencing number, and a released lease can be acquired at once") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -80,7 +80,7 @@
     CHECK(second.holder.get_authority().has_value());
 }
 
-TEST_CASE("a claim whose answer was lost is recognised and counted from before it was sent") {
+TEST_CASE("an acquisition whose response was lost is recognised, and its lease lasts from before it was sent") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -95,7 +95,7 @@
     CHECK_FALSE(first.holder.get_authority().has_value());
 }
 
-TEST_CASE("a claim that arrives after its time gives no authority until it is renewed") {
+TEST_CASE("an acquisition that takes effect after its lease has expired gives no authority until it is renewed") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -110,7 +110,7 @@
     CHECK(log.streams["control/a"].size() == 2);
 }
 
-TEST_CASE("a renewal whose answer was lost counts from when it was sent") {
+TEST_CASE("a renewal whose response was lost extends the lease from the time at which it was sent") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -127,7 +127,7 @@
     CHECK_FALSE(first.holder.get_authority().has_value());
 }
 
-TEST_CASE("a late claim that lost to another gives no authority") {
+TEST_CASE("a late acquisition gives no authority if another candidate acquired the lease first") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -141,7 +141,7 @@
     CHECK(second.holder.get_authority().has_value());
 }
 
-TEST_CASE("a lost release ends authority for good and the lease lapses by time") {
+TEST_CASE("after a release was lost, the former holder has no authority and the lease expires by time") {
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
@@ -158,7 +158,7 @@
     CHECK(second.holder.get_authority().has_value());
 }
 
-TEST_CASE("no two hosts have authority together however their clocks drift within the margin") {
+TEST_CASE("two hosts never have authority at once while their clocks drift within the margin") {
     constexpr double drift = 0.04;
     for (const double first_rate : {1 - drift, 1.0, 1 + drift}) {
         for (const double second_rate : {1 - drift, 1.0, 1 + drift}) {
@@ -169,20 +169,20 @@
             candidate first(log, first_time, "host-1");
             candidate second(log, second_time, "host-2");
             first.holder.tick();
-            bool has_second_won = false;
+            bool has_second_acquired = false;
             for (int step = 0; step < 200; ++step) {
                 second.holder.tick();
-                has_second_won = has_second_won || second.holder.get_authority().has_value();
-                // The first host is paused: it reads nothing, and only its clock may take its authority away.
+                has_second_acquired = has_second_acquired || second.holder.get_authority().has_value();
+                // The first host is paused and reads nothing, so only its own clock can end its authority.
                 CHECK_FALSE((first.holder.get_authority() && second.holder.get_authority()));
                 truth.advance(std::chrono::milliseconds(100));
             }
-            CHECK(has_second_won);
+            CHECK(has_second_acquired);
         }
     }
 }
 
-TEST_CASE("lease options that let authority lapse are refused, all problems at once") {
+TEST_CASE("lease options under which authority ends before each renewal are refused with all problems listed") {
     const lease_options options{.scope = "",
                                 .length = std::chrono::seconds(4),
                                 .renew_before = std::chrono::seconds(4),
--- a/tests/coordination/test_order_dispatcher.cpp
+++ b/tests/coordination/test_order_dispatcher.cpp
@@ -33,8 +33,8 @@
         second.lease.tick();
     }
 
-    /// The first host stops renewing, and the second one wins the lease.
-    void hand_over() {
+    /// The first host stops renewing, and the second one acquires the lease.
+    void pass_lease_to_second() {
         time.advance(std::chrono::seconds(11));
         second.lease.tick();
         REQUIRE(second.lease.get_authority().has_value());
@@ -55,7 +55,7 @@
 
 } // namespace
 
-TEST_CASE("an order is logged before it is sent and leaves nothing unresolved once answered") {
+TEST_CASE("an order is sent under the lease only, and nothing stays unresolved once the receiver has replied") {
     two_hosts hosts;
     CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::applied);
     CHECK(hosts.first.ledger.get_unresolved().empty());
@@ -73,7 +73,7 @@
     CHECK(hosts.receiver.applied.empty());
 }
 
-TEST_CASE("an intent whose append was answered too late is never sent and frees its subject") {
+TEST_CASE("an intent whose append took effect too late is never sent and does not block its subject") {
     two_hosts hosts;
     hosts.log.delays_next_append = true;
     CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::log_unavailable);
@@ -82,11 +82,11 @@
     CHECK(hosts.receiver.applied == std::vector<std::string>{"decode"});
 }
 
-TEST_CASE("a receiver that ignores the number gets no other order until the old one is seen") {
+TEST_CASE("a receiver that ignores fencing numbers gets no other order until the old one is found there") {
     two_hosts hosts;
     hosts.receiver.loses_next_order = true;
     CHECK(hosts.first.ledger.submit(to_prefill).status == order_status::unknown);
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     REQUIRE(hosts.second.ledger.get_unresolved().size() == 1);
     hosts.second.ledger.reconcile();
     CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
@@ -96,12 +96,12 @@
     CHECK(hosts.receiver.applied == std::vector<std::string>{"prefill", "decode"});
 }
 
-TEST_CASE("a sender that is gone for good frees the receiver, a silent one does not") {
+TEST_CASE("a subject stays blocked by an unresponsive sender and is free once the sender has terminated") {
     two_hosts hosts;
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(to_prefill);
     hosts.receiver.late.clear();
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     hosts.second.ledger.reconcile();
     CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
     hosts.hosts.gone.insert("host-1");
@@ -109,21 +109,21 @@
     CHECK(hosts.second.ledger.submit(to_decode).status == order_status::applied);
 }
 
-TEST_CASE("completing an order does not hide that its first send may still arrive") {
+TEST_CASE("completing an order of a predecessor does not unblock its subject while the first send may still arrive") {
     two_hosts hosts;
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(to_prefill);
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     CHECK(hosts.second.ledger.submit(to_prefill).status == order_status::applied);
     hosts.second.ledger.reconcile();
     CHECK(hosts.second.ledger.submit(to_decode).status == order_status::blocked);
 }
 
-TEST_CASE("a receiver that checks the number takes a new holder's order at once and refuses the late one") {
+TEST_CASE("a receiver that checks fencing numbers accepts a new holder's order at once and refuses the late one") {
     two_hosts hosts;
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(make_order("prefill", receiver_kind::checks_fencing));
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     const order next = make_order("decode", receiver_kind::checks_fencing);
     CHECK(hosts.second.ledger.submit(next).status == order_status::applied);
     hosts.receiver.deliver_late();
@@ -131,7 +131,7 @@
     CHECK(hosts.second.ledger.get_unresolved().empty());
 }
 
-TEST_CASE("an answer lost after the effect is reconciled by key and the order is not sent twice") {
+TEST_CASE("an order whose reply was lost is found by its key and is not sent twice") {
     two_hosts hosts;
     const order buy = make_order("buy-7", receiver_kind::ignores_fencing, duplicate_handling::deduplicated);
     hosts.receiver.drops_next_answer = true;
@@ -141,12 +141,12 @@
     CHECK(hosts.first.ledger.get_unresolved().empty());
 }
 
-TEST_CASE("a new holder sends nothing to the platform while its predecessor's send may arrive") {
+TEST_CASE("a new holder sends nothing to the platform while a send of its predecessor may still arrive") {
     two_hosts hosts;
     const order buy = make_order("buy-7", receiver_kind::ignores_fencing, duplicate_handling::deduplicated);
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(buy);
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     hosts.second.ledger.reconcile();
     CHECK(hosts.second.ledger.submit(buy).status == order_status::blocked);
     hosts.receiver.deliver_late();
@@ -155,16 +155,16 @@
     CHECK(hosts.second.ledger.get_unresolved().empty());
 }
 
-TEST_CASE("an order that must not be repeated is not completed by anybody") {
+TEST_CASE("an order that must not be repeated is never sent again") {
     two_hosts hosts;
     const order once = make_order("swap", receiver_kind::checks_fencing, duplicate_handling::never);
     hosts.receiver.loses_next_order = true;
     hosts.first.ledger.submit(once);
-    hosts.hand_over();
+    hosts.pass_lease_to_second();
     CHECK(hosts.second.ledger.submit(once).status == order_status::blocked);
 }
 
-TEST_CASE("an order that could change when it is written again is refused") {
+TEST_CASE("an order that could change when it is encoded again is refused") {
     two_hosts hosts;
     order half = to_prefill;
     half.body["share"] = 0.5;
--- a/tests/coordination/test_record.cpp
+++ b/tests/coordination/test_record.cpp
@@ -5,7 +5,7 @@
 using namespace dragonflywell;
 using namespace dragonflywell::coordination;
 
-TEST_CASE("a record survives encoding") {
+TEST_CASE("a record is unchanged after encoding and decoding") {
     const record original{.writer = {.host = "h", .incarnation = 9},
                           .sequence = 4,
                           .condition = record_condition{.subject = "s", .supersedes = 12},
@@ -21,7 +21,7 @@
     CHECK(decoded.body == original.body);
 }
 
-TEST_CASE("what is not a record is refused") {
+TEST_CASE("text that is not a record is refused") {
     CHECK_THROWS_AS(static_cast<void>(decode_record("{")), malformed_message_error);
     CHECK_THROWS_AS(static_cast<void>(decode_record("{\"host\":3}")), malformed_message_error);
 }
--- a/tests/coordination/test_snapshot.cpp
+++ b/tests/coordination/test_snapshot.cpp
@@ -44,17 +44,17 @@
         writer.stream.submit(std::span(&intent, 1));
     }
 
-    void forget_all() { log.oldest_kept[stream_name] = log.streams[stream_name].size(); }
+    void expire_all_records() { log.oldest_kept[stream_name] = log.streams[stream_name].size(); }
 };
 
 } // namespace
 
-TEST_CASE("a fresh reader continues from the newest snapshot and reaches the verdicts of an old one") {
+TEST_CASE("a new reader continues from the newest snapshot and reaches the same state as a reader of all records") {
     filled_stream filled;
     snapshot_writer snapshots(filled.log, filled.writer.stream, filled.time, {});
     CHECK(snapshots.tick());
     CHECK(filled.log.streams[get_snapshot_stream(stream_name)].size() == 3);
-    filled.forget_all();
+    filled.expire_all_records();
     filled.log.streams[stream_name].push_back(filled.log.streams[stream_name].front());
     publish_configuration(filled.writer.stream, {.set = {{"c", "1"}}, .removed = {}},
                           filled.writer.configuration.get()->version);
@@ -69,7 +69,7 @@
     CHECK(fresh.stream.submit(std::span(&by_old_number, 1)).front().status == record_status::fenced);
 }
 
-TEST_CASE("a gap that no snapshot covers is an error and changes nothing") {
+TEST_CASE("a gap that no snapshot covers is an error and leaves the state unchanged") {
     filled_stream filled;
     reader fresh(filled.log, "host-2");
     SUBCASE("no snapshot") {}
@@ -90,18 +90,18 @@
         std::string& chunk = filled.log.streams[get_snapshot_stream(stream_name)].front();
         chunk.replace(chunk.find("xxx"), 3, "yyy");
     }
-    filled.forget_all();
+    filled.expire_all_records();
     CHECK_THROWS_AS(fresh.stream.poll(), log_gap_error);
     CHECK(fresh.stream.get_next_offset() == 0);
     CHECK_FALSE(fresh.configuration.get()->version.has_value());
 }
 
-TEST_CASE("an older whole snapshot is used while a newer one is being written") {
+TEST_CASE("an older complete snapshot is used while a newer one is incomplete") {
     filled_stream filled;
     snapshot_writer snapshots(filled.log, filled.writer.stream, filled.time, {});
     snapshots.tick();
     const log_offset covered = filled.writer.stream.get_next_offset();
-    filled.forget_all();
+    filled.expire_all_records();
     publish_configuration(filled.writer.stream, {.set = {{"c", "1"}}, .removed = {}},
                           filled.writer.configuration.get()->version);
     const std::vector<std::string> chunks =
@@ -113,7 +113,7 @@
     CHECK(fresh.configuration.get()->entries.contains("c"));
 }
 
-TEST_CASE("snapshots are written well inside retention, and one that failed is written again") {
+TEST_CASE("snapshots are written several times within the retention, and a failed one is written again") {
     filled_stream filled;
     snapshot_writer snapshots(filled.log, filled.writer.stream, filled.time,
                               {.retention = std::chrono::hours(8), .snapshots_per_retention = 4});
@@ -129,7 +129,7 @@
                     invalid_input_error);
 }
 
-TEST_CASE("a process starts from a peer's copy while the log is down and never goes back") {
+TEST_CASE("a process starts from a peer's copy while the log is unavailable and never goes back to an older state") {
     struct peer final : snapshot_source {
         explicit peer(fold_snapshot value) : copy(std::move(value)) {}
         std::optional<fold_snapshot> get_snapshot(std::string_view stream) override {
@@ -150,7 +150,7 @@
     CHECK_THROWS_AS(fresh.stream.poll(), log_unavailable_error);
 }
 
-TEST_CASE("a copy that is not whole changes nothing") {
+TEST_CASE("a malformed copy leaves the state unchanged") {
     filled_stream filled;
     fold_snapshot copy = filled.writer.stream.take_snapshot();
     const std::size_t place = copy.state.find("\"orders\":[");
@@ -161,7 +161,7 @@
     CHECK(fresh.stream.get_next_offset() == 0);
 }
 
-TEST_CASE("the fold forgets writers that were silent for long and bounds its state") {
+TEST_CASE("the fold drops the writers that have not written for longest, so that its state is bounded") {
     record_fold fold;
     log_offset offset = 0;
     for (std::uint64_t incarnation = 0; incarnation < 2 * max_tracked_writers; ++incarnation) {
@@ -177,23 +177,23 @@
     CHECK(record_fold::restore(fold.save()) == fold);
 }
 
-TEST_CASE("one of several processes writes the snapshots, and another takes over well inside retention") {
+TEST_CASE("one of several processes writes the snapshots, and another takes over within half the retention") {
     constexpr duration retention = std::chrono::hours(64);
     testing::fake_log log;
     virtual_clock time;
     reader first(log, "host-1");
     reader second(log, "host-2");
-    leased_snapshot_writer first_keeper(log, first.stream, time, retention);
-    leased_snapshot_writer second_keeper(log, second.stream, time, retention);
-    CHECK(first_keeper.tick());
-    CHECK_FALSE(second_keeper.tick());
+    leased_snapshot_writer first_writer(log, first.stream, time, retention);
+    leased_snapshot_writer second_writer(log, second.stream, time, retention);
+    CHECK(first_writer.tick());
+    CHECK_FALSE(second_writer.tick());
     duration waited{};
-    while (!second_keeper.tick()) {
+    while (!second_writer.tick()) {
         time.advance(std::chrono::minutes(10));
         waited += std::chrono::minutes(10);
         REQUIRE(waited < retention / 2);
     }
-    second_keeper.release();
+    second_writer.release();
     time.advance(retention / 4);
-    CHECK(first_keeper.tick());
+    CHECK(first_writer.tick());
 }
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -10,28 +10,29 @@
 using namespace dragonflywell::testing;
 using coordination::store_lease;
 using coordination::store_lease_record;
-using call_fate = lease_world::call_fate;
+using call_outcome = lease_world::call_outcome;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr std::array fates{call_fate::answered, call_fate::lost, call_fate::done_without_answer, call_fate::done_later};
+constexpr std::array outcomes{call_outcome::answered, call_outcome::lost, call_outcome::applied_without_response,
+                              call_outcome::applied_later};
 
-/// Lets candidate 0 hold the lease, and all others know it.
+/// Returns a simulation in which candidate 0 holds the lease and all others have read that.
 lease_world make_held_world(lease_mutation mutation) {
     lease_world world(mutation);
-    world.step(0, call_fate::answered);
-    world.step(0, call_fate::answered);
+    world.step(0, call_outcome::answered);
+    world.step(0, call_outcome::answered);
     for (std::size_t candidate = 1; candidate < lease_world::candidates; ++candidate) {
-        world.step(candidate, call_fate::answered);
+        world.step(candidate, call_outcome::answered);
     }
     return world;
 }
 
-/// Tries every sequence of events up to a depth, for two candidates; returns the first fault.
+/// Tries every sequence of events up to a depth, for two candidates; returns the first violation.
 std::optional<std::string> explore(lease_world& world, int depth) {
-    if (std::optional<std::string> fault = world.find_fault()) {
-        return fault;
+    if (std::optional<std::string> violation = world.find_violation()) {
+        return violation;
     }
     if (depth == 0) {
         return std::nullopt;
@@ -42,36 +43,36 @@
         return explore(next, depth - 1);
     };
     for (std::size_t candidate = 0; candidate < 2; ++candidate) {
-        for (const call_fate fate : fates) {
-            if (auto fault = try_event([&](lease_world& next) { next.step(candidate, fate); })) {
-                return fault;
+        for (const call_outcome outcome : outcomes) {
+            if (auto violation = try_event([&](lease_world& next) { next.step(candidate, outcome); })) {
+                return violation;
             }
         }
-        if (auto fault = try_event(
-                [&](lease_world& next) { next.advance_with_sleeper(lease_world::length * 5 / 4, candidate); })) {
-            return fault;
+        if (auto violation = try_event(
+                [&](lease_world& next) { next.advance_while_suspended(lease_world::length * 5 / 4, candidate); })) {
+            return violation;
         }
     }
-    if (auto fault = try_event([](lease_world& next) { next.advance(lease_world::length * 5 / 4); })) {
-        return fault;
+    if (auto violation = try_event([](lease_world& next) { next.advance(lease_world::length * 5 / 4); })) {
+        return violation;
     }
     return try_event([](lease_world& next) { next.deliver_late(); });
 }
 
-/// Lets a candidate's host sleep while the others go on.
-void sleep(lease_world& world, std::size_t sleeper, duration span) {
-    for (duration slept{}; slept < span; slept += 250ms) {
-        world.advance_with_sleeper(250ms, sleeper);
+/// Suspends the host of one candidate while the others continue.
+void suspend(lease_world& world, std::size_t suspended, duration span) {
+    for (duration elapsed{}; elapsed < span; elapsed += 250ms) {
+        world.advance_while_suspended(250ms, suspended);
         for (std::size_t candidate = 0; candidate < lease_world::candidates; ++candidate) {
-            if (candidate != sleeper) {
-                world.step(candidate, call_fate::answered);
+            if (candidate != suspended) {
+                world.step(candidate, call_outcome::answered);
             }
         }
     }
 }
 
-/// Lets chance choose the events; returns the first fault.
-std::optional<std::string> wander(lease_mutation mutation, unsigned seed, int events) {
+/// Runs random events; returns the first violation.
+std::optional<std::string> run_random_events(lease_mutation mutation, unsigned seed, int events) {
     std::mt19937 random(seed);
     const auto draw = [&](std::size_t count) {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
@@ -87,11 +88,11 @@
             world.deliver_late();
             break;
         case 2:
-            sleep(world, candidate, 100ms * static_cast<int>(draw(100)));
+            suspend(world, candidate, 100ms * static_cast<int>(draw(100)));
             break;
         case 3:
             world.resign(candidate);
-            world.step(candidate, fates.at(draw(fates.size())));
+            world.step(candidate, outcomes.at(draw(outcomes.size())));
             world.restart(candidate);
             break;
         case 4:
@@ -100,24 +101,24 @@
             break;
         case 6:
         case 7:
-            world.step(candidate, fates.at(draw(fates.size())));
+            world.step(candidate, outcomes.at(draw(outcomes.size())));
             break;
         default:
             world.advance(200ms);
-            world.step(candidate, call_fate::answered);
+            world.step(candidate, call_outcome::answered);
             break;
         }
-        if (std::optional<std::string> fault = world.find_fault()) {
-            return fault;
+        if (std::optional<std::string> violation = world.find_violation()) {
+            return violation;
         }
     }
     return std::nullopt;
 }
 
-std::optional<std::string> wander_all(lease_mutation mutation, unsigned seeds) {
+std::optional<std::string> run_random_seeds(lease_mutation mutation, unsigned seeds) {
     for (unsigned seed = 1; seed <= seeds; ++seed) {
-        if (std::optional<std::string> fault = wander(mutation, seed, 150)) {
-            return "seed " + std::to_string(seed) + ": " + *fault;
+        if (std::optional<std::string> violation = run_random_events(mutation, seed, 150)) {
+            return "seed " + std::to_string(seed) + ": " + *violation;
         }
     }
     return std::nullopt;
@@ -125,70 +126,70 @@
 
 } // namespace
 
-TEST_CASE("one candidate takes a free lease, keeps it, and another takes it once it has lapsed") {
+TEST_CASE("one candidate acquires a free lease and keeps it, and another acquires it once it has expired") {
     lease_world world = make_held_world(lease_mutation::none);
     CHECK(world.has_authority(0));
     CHECK_FALSE(world.has_authority(1));
     for (int round = 0; round < 20; ++round) {
         world.advance(500ms);
-        world.step(0, call_fate::answered);
-        world.step(1, call_fate::answered);
+        world.step(0, call_outcome::answered);
+        world.step(1, call_outcome::answered);
         CHECK(world.has_authority(0));
         CHECK_FALSE(world.has_authority(1));
     }
-    // Candidate 0 falls silent; within two lengths and the quiet time another one acts.
+    // Candidate 0 stops. Another one acts within two lease lengths and the takeover delay.
     for (int round = 0; round < 20; ++round) {
         world.advance(500ms);
-        world.step(1, call_fate::answered);
-        CHECK_FALSE(world.find_fault());
+        world.step(1, call_outcome::answered);
+        CHECK_FALSE(world.find_violation());
     }
     CHECK_FALSE(world.has_authority(0));
     CHECK(world.has_authority(1));
 }
 
-TEST_CASE("a lease that was given up is taken without waiting for it to lapse") {
+TEST_CASE("a released lease is acquired without waiting for it to expire") {
     lease_world world = make_held_world(lease_mutation::none);
     world.resign(0);
     CHECK_FALSE(world.has_authority(0));
-    world.step(0, call_fate::answered);
+    world.step(0, call_outcome::answered);
     duration waited{};
     while (!world.has_authority(1) && waited < 10s) {
         world.advance(250ms);
         waited += 250ms;
-        world.step(1, call_fate::answered);
+        world.step(1, call_outcome::answered);
     }
-    // It reads within half a length, and then waits for the quiet time only.
+    // The challenger reads within half a lease length and then waits for the takeover delay only.
     CHECK(waited <= lease_world::length / 2 + lease_world::quiet + 500ms);
 }
 
-TEST_CASE("a claim whose answer was lost is found when the topic is read") {
+TEST_CASE("an acquisition whose response was lost is found when the topic is read") {
     lease_world world(lease_mutation::none);
-    world.step(0, call_fate::answered);
-    world.step(0, call_fate::done_without_answer);
+    world.step(0, call_outcome::answered);
+    world.step(0, call_outcome::applied_without_response);
     CHECK_FALSE(world.has_authority(0));
-    world.step(0, call_fate::answered);
+    world.step(0, call_outcome::answered);
     CHECK(world.has_authority(0));
 }
 
-TEST_CASE("no order of calls, lost and late answers and sleep gives two candidates authority") {
+TEST_CASE("no sequence of calls, lost and late responses and suspension gives two candidates authority at once") {
     lease_world world = make_held_world(lease_mutation::none);
-    const std::optional<std::string> fault = explore(world, 6);
-    CHECK_MESSAGE(!fault, fault.value_or(""));
+    const std::optional<std::string> violation = explore(world, 6);
+    CHECK_MESSAGE(!violation, violation.value_or(""));
 }
 
-TEST_CASE("long random histories keep the lease with one candidate at a time") {
-    const std::optional<std::string> fault = wander_all(lease_mutation::none, 3000);
-    CHECK_MESSAGE(!fault, fault.value_or(""));
+TEST_CASE("long random sequences of events give authority to one candidate at a time") {
+    const std::optional<std::string> violation = run_random_seeds(lease_mutation::none, 3000);
+    CHECK_MESSAGE(!violation, violation.value_or(""));
 }
 
-TEST_CASE("the checks notice when a safeguard is taken out") {
-    CHECK(wander_all(lease_mutation::unconditional_append, 3000).has_value());
-    CHECK(wander_all(lease_mutation::impatient_challenger, 3000).has_value());
-    CHECK(wander_all(lease_mutation::clock_without_suspension, 3000).has_value());
-    CHECK(wander_all(lease_mutation::no_quiet_time, 3000).has_value());
+TEST_CASE("the checks detect each disabled safeguard") {
+    CHECK(run_random_seeds(lease_mutation::unconditional_append, 3000).has_value());
+    CHECK(run_random_seeds(lease_mutation::early_challenger, 3000).has_value());
+    CHECK(run_random_seeds(lease_mutation::clock_without_suspension, 3000).has_value());
+    CHECK(run_random_seeds(lease_mutation::no_takeover_delay, 3000).has_value());
 }
 
-TEST_CASE("a candidate leaves a free lease to others for its delay, and then claims it") {
+TEST_CASE("a candidate leaves a free lease to others for its delay and then acquires it") {
     virtual_clock time;
     store_lease lease(
         time, {.holder = "h", .incarnation = 1, .length = 3s, .takeover_delay = 3s, .acquisition_delay = 700ms});
@@ -200,12 +201,12 @@
     CHECK(lease.get_next_action() == store_lease::action::nothing);
     time.advance(100ms);
     CHECK(lease.get_next_action() == store_lease::action::append);
-    // Another one was first, and is heard: nothing is left to claim.
+    // Another candidate was first and its heartbeat arrives, so there is nothing to acquire.
     lease.record_holder_heartbeat();
     CHECK(lease.get_next_action() == store_lease::action::nothing);
 }
 
-TEST_CASE("the holder takes its lapsed lease again as soon as the store is back, and acts at once") {
+TEST_CASE("the holder acquires its expired lease again as soon as the store is reachable, and acts at once") {
     virtual_clock clock;
     store_lease lease(clock, {.holder = "a",
                               .incarnation = 1,
@@ -221,7 +222,8 @@
     const store_lease_record claim = lease.start_append();
     lease.on_appended();
     REQUIRE(lease.get_fencing_number() == 1);
-    // The store goes away within a renewal, which was done all the same, and nobody else claims meanwhile.
+    // The store becomes unreachable during a renewal, which takes effect nevertheless. No other candidate acquires the
+    // lease meanwhile.
     clock.advance(1s);
     REQUIRE(lease.get_next_action() == store_lease::action::append);
     const store_lease_record renewal = lease.start_append();
@@ -238,7 +240,7 @@
     CHECK(claim.holder == "a");
 }
 
-TEST_CASE("a holder that finds another's record in the topic waits like everybody else") {
+TEST_CASE("a former holder that finds another candidate's record in the topic waits like any other candidate") {
     virtual_clock clock;
     store_lease lease(clock, {.holder = "a", .incarnation = 1, .length = 3s, .takeover_delay = 3s});
     lease.on_read({}, 0);
@@ -251,7 +253,7 @@
     CHECK(lease.get_next_action() == store_lease::action::nothing);
 }
 
-TEST_CASE("records of the lease survive encoding, and others are rejected") {
+TEST_CASE("lease records are unchanged after encoding and decoding, and malformed ones are rejected") {
     const store_lease_record renewal{.holder = "h", .incarnation = 7, .renewed_fencing_number = 3, .is_release = true};
     CHECK(coordination::decode_store_lease_record(coordination::encode_store_lease_record(renewal)) == renewal);
     const store_lease_record claim{.holder = "h", .incarnation = 7, .renewed_fencing_number = {}};
--- a/tests/coordination/test_usage.cpp
+++ b/tests/coordination/test_usage.cpp
@@ -8,7 +8,7 @@
 using namespace dragonflywell;
 using namespace dragonflywell::coordination;
 
-TEST_CASE("a usage record that was appended twice counts once") {
+TEST_CASE("a usage record that was appended twice is counted once") {
     testing::fake_log log;
     const writer_id self{.host = "host-1", .incarnation = 1};
     folded_stream stream(log, std::string(usage_stream), self);
--- a/tests/coordination/test_usage_state.cpp
+++ b/tests/coordination/test_usage_state.cpp
@@ -6,7 +6,7 @@
 using namespace dragonflywell;
 using namespace dragonflywell::coordination;
 
-TEST_CASE("figures of a window are added up over hosts and lives") {
+TEST_CASE("the usage of a window is summed over hosts and incarnations") {
     const organisation_name a("a");
     const organisation_name b("b");
     const std::vector<usage_record> records{{.windows = {{7, {{a, 2}}}, {8, {{a, 50}}}}, .closed = 8},
@@ -15,7 +15,7 @@
     CHECK(sum_window(records, 9).counts.empty());
 }
 
-TEST_CASE("a copy of a host's record and its own are one, with the greater counts") {
+TEST_CASE("a host's record and a copy of it merge to the greater counts") {
     const organisation_name a("a");
     const organisation_name b("b");
     const usage_record own{.windows = {{7, {{a, 2}}}}, .closed = 7};
@@ -25,13 +25,13 @@
     CHECK(merge_usage_records(copy, own) == merged);
 }
 
-TEST_CASE("a copy's key names the same life of the same host") {
+TEST_CASE("the key of a copy identifies the same incarnation of the same host") {
     CHECK(get_usage_owner(make_usage_key("h", 7)) == make_usage_key("h", 7));
     CHECK(get_usage_owner(make_usage_copy_key("h", 7)) == make_usage_key("h", 7));
     CHECK(make_usage_copy_key("h", 7) != make_usage_key("h", 7));
 }
 
-TEST_CASE("records and books survive encoding") {
+TEST_CASE("usage records and report states are unchanged after encoding and decoding") {
     const usage_record record{.windows = {{7, {{organisation_name("a"), 2}}}, {8, {}}}, .closed = 7};
     CHECK(decode_usage_record(encode_usage_record(record)) == record);
     const report_state book{.last = 8, .pending = {{.window = 7, .counts = {{organisation_name("a"), 2}}}}};
@@ -39,7 +39,7 @@
     CHECK(decode_report_state(encode_report_state({})) == report_state{});
 }
 
-TEST_CASE("what is no record is rejected") {
+TEST_CASE("malformed usage records and report states are rejected") {
     CHECK_THROWS_AS(static_cast<void>(decode_usage_record("[]")), malformed_message_error);
     CHECK_THROWS_AS(static_cast<void>(decode_usage_record(R"({"closed":1,"windows":{"x":{}}})")),
                     malformed_message_error);
--- a/tests/fleet/test_manifest.cpp
+++ b/tests/fleet/test_manifest.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-TEST_CASE("dangling references and wrong values are listed all at once") {
+TEST_CASE("all invalid references and values are listed at once") {
     const auto places = get_places(R"({
         "zones": {"a": {"region": "r"}},
         "keys": {"k1": {"organisation": "nobody", "salt": "s", "sha256": "00"}},
@@ -41,7 +41,7 @@
     CHECK(places == expected);
 }
 
-TEST_CASE("a good manifest is parsed and put together again") {
+TEST_CASE("a valid manifest is parsed, and its entries combine to the same document again") {
     const manifest_entries entries = get_manifest_entries(R"({
         "zones": {"a": {"region": "r"}},
         "models": {"m": {"version": "1"}},
@@ -54,7 +54,7 @@
     CHECK(get_manifest_entries(get_manifest_document(entries)) == entries);
 }
 
-TEST_CASE("spending limits, work units and cheap servers are read, and wrong ones are reported") {
+TEST_CASE("spending limits, token costs and cheap servers are read, and values out of range are refused") {
     const fleet::manifest manifest = fleet::parse_manifest(
         {{"settings/spending", R"({"cheap_price_milli":300,"most_cheap_percent":40,"lead_seconds":60})"},
          {"zones/a", R"({"region":"r","most_servers":7,"cheap_servers":false})"},
--- a/tests/fleet/test_server_directory.cpp
+++ b/tests/fleet/test_server_directory.cpp
@@ -22,7 +22,7 @@
     return server != nullptr && directory.is_usable(*server, now);
 }
 
-/// Returns a directory with servers a and b, read at that moment.
+/// Returns a directory with the servers a and b that was read at `now`.
 server_directory make_directory(steady_time now) {
     server_directory directory({.recovery_grace = 2500ms, .min_outage = 2400ms});
     directory.apply(make_record("a"), now);
@@ -31,15 +31,15 @@
     return directory;
 }
 
-/// Lets the list be out of reach until `failed_at`, and be read again at `read_at`.
-void lose_list(server_directory& directory, steady_time failed_at, steady_time read_at) {
+/// Makes the list unreachable until `failed_at`, and readable again at `read_at`.
+void simulate_outage(server_directory& directory, steady_time failed_at, steady_time read_at) {
     directory.get_contact().record_failure(failed_at);
     directory.get_contact().record_success(read_at);
 }
 
 } // namespace
 
-TEST_CASE("a heartbeat that says nothing new is no change") {
+TEST_CASE("an entry without changes does not change the directory") {
     virtual_clock time;
     server_directory directory;
     CHECK(directory.apply(make_record("a"), time.now()) == directory_change::added);
@@ -48,7 +48,7 @@
     CHECK(directory.get_generation() == generation);
 }
 
-TEST_CASE("a server that drains or left takes nothing new") {
+TEST_CASE("a server that is draining or was removed gets no new work") {
     virtual_clock time;
     server_directory directory;
     directory.apply(make_record("a"), time.now());
@@ -61,17 +61,18 @@
     CHECK_FALSE(is_usable(directory, "b"));
 }
 
-TEST_CASE("an entry that lapsed while the list was away counts until its server had time to come back") {
+TEST_CASE(
+    "a server whose entry expired during an outage of the list stays usable until it had time to register again") {
     const steady_time start{};
     server_directory directory = make_directory(start);
-    lose_list(directory, start + 10s, start + 10500ms);
+    simulate_outage(directory, start + 10s, start + 10500ms);
     CHECK(directory.remove(backend_server_name("a"), start + 10500ms) == directory_change::missing);
     CHECK(directory.remove(backend_server_name("b"), start + 10500ms) == directory_change::missing);
     CHECK(is_usable(directory, "a", start + 12s));
     CHECK(directory.apply(make_record("a"), start + 12s) == directory_change::changed);
     CHECK(is_usable(directory, "b", start + 12499ms));
     CHECK(directory.expire(start + 12499ms).empty());
-    // Nothing more has to be read for it.
+    // The server becomes unusable without another read.
     CHECK_FALSE(is_usable(directory, "b", start + 12500ms));
     const std::vector<backend_server_name> expired = directory.expire(start + 12500ms);
     REQUIRE(expired.size() == 1);
@@ -79,53 +80,53 @@
     CHECK(is_usable(directory, "a", start + 20s));
 }
 
-TEST_CASE("a server that left while a host was cut off is dropped in time, however late the host notices its path") {
+TEST_CASE("a server that left while a host was cut off is dropped in time, even if the host reads the list late") {
     const steady_time start{};
     const steady_time back_at = start + 13s;
     for (const duration noticed_after : {10ms, 500ms, 1500ms, 2400ms}) {
         server_directory directory = make_directory(start);
-        lose_list(directory, back_at - 1ms, back_at + noticed_after);
+        simulate_outage(directory, back_at - 1ms, back_at + noticed_after);
         directory.remove(backend_server_name("a"), back_at + noticed_after);
         CHECK_FALSE(is_usable(directory, "a", back_at + 2500ms));
     }
 }
 
-TEST_CASE("a call that failed in between grants no removed server a delay") {
+TEST_CASE("a short outage of the list does not delay the removal of a server") {
     const steady_time start{};
     server_directory directory = make_directory(start);
-    lose_list(directory, start + 1s, start + 1200ms);
+    simulate_outage(directory, start + 1s, start + 1200ms);
     CHECK(directory.remove(backend_server_name("a"), start + 1300ms) == directory_change::removed);
 }
 
-TEST_CASE("a server that was seen draining is gone at once when its entry lapses") {
+TEST_CASE("a draining server is removed at once when its entry disappears") {
     const steady_time start{};
     server_directory directory = make_directory(start);
     server_record leaving = make_record("a");
     leaving.is_draining = true;
     directory.apply(leaving, start);
-    lose_list(directory, start + 10s, start + 10s);
+    simulate_outage(directory, start + 10s, start + 10s);
     CHECK(directory.remove(backend_server_name("a"), start + 10s) == directory_change::removed);
 }
 
-TEST_CASE("nothing expires while the list is out of reach") {
+TEST_CASE("nothing expires while the list is unreachable") {
     const steady_time start{};
     server_directory directory = make_directory(start);
-    lose_list(directory, start + 10s, start + 10s + 1ms);
+    simulate_outage(directory, start + 10s, start + 10s + 1ms);
     directory.remove(backend_server_name("a"), start + 10s + 1ms);
     directory.get_contact().record_failure(start + 11s);
     CHECK(directory.expire(start + 20s).empty());
     CHECK(is_usable(directory, "a", start + 20s));
-    // Its server gets the same time once more when the list is back.
+    // The server gets a full grace period again when the list is reachable again.
     directory.get_contact().record_failure(start + 21s);
     directory.get_contact().record_success(start + 21500ms);
     CHECK(is_usable(directory, "a", start + 23s));
     CHECK_FALSE(is_usable(directory, "a", start + 23500ms));
 }
 
-TEST_CASE("a server that was dropped is not used again when the list is lost afterwards") {
+TEST_CASE("a server whose grace period is over is not used again when the list becomes unreachable") {
     const steady_time start{};
     server_directory directory = make_directory(start);
-    lose_list(directory, start + 10s, start + 10s + 1ms);
+    simulate_outage(directory, start + 10s, start + 10s + 1ms);
     directory.remove(backend_server_name("a"), start + 10s + 1ms);
     CHECK_FALSE(is_usable(directory, "a", start + 12500ms));
     directory.get_contact().record_failure(start + 12600ms);
@@ -133,11 +134,11 @@
     CHECK_FALSE(is_usable(directory, "a", start + 15s));
 }
 
-TEST_CASE("news of an earlier read do not make the return of the list look later") {
+TEST_CASE("a late report of an earlier read does not postpone the time from which the list counts as reachable") {
     const steady_time start{};
     server_directory directory = make_directory(start);
     directory.get_contact().record_failure(start + 9s);
-    // Another host read at 8 s, and this one is told much later.
+    // Another host read the list at 8 s, and its report arrives much later.
     directory.get_contact().record_success(start + 8s);
     directory.get_contact().record_success(start + 11s);
     CHECK(directory.remove(backend_server_name("a"), start + 11s) == directory_change::missing);
@@ -145,7 +146,7 @@
     CHECK_FALSE(is_usable(directory, "a", start + 11500ms));
 }
 
-TEST_CASE("a server that starts again under its id is another one") {
+TEST_CASE("a server that restarts under the same id is usable again") {
     virtual_clock time;
     server_directory directory;
     directory.apply(make_record("a", 80, 1), time.now());
@@ -155,24 +156,24 @@
     CHECK(is_usable(directory, "a"));
 }
 
-TEST_CASE("a new server at an address displaces the one that was there") {
+TEST_CASE("a new server at an address makes the previous one there unusable") {
     virtual_clock time;
     server_directory directory;
     directory.apply(make_record("old", 80, 1), time.now());
     directory.apply(make_record("new", 80, 2), time.now());
     CHECK_FALSE(is_usable(directory, "old"));
     CHECK(is_usable(directory, "new"));
-    // A stale entry that turns up late displaces nobody.
+    // A stale entry that arrives late does not make a newer server unusable.
     directory.apply(make_record("stale", 80, 0), time.now());
     CHECK(is_usable(directory, "new"));
 }
 
-TEST_CASE("a listing removes what it does not hold") {
+TEST_CASE("a complete list removes the servers that it does not contain") {
     virtual_clock time;
     server_directory directory;
     directory.apply(make_record("a"), time.now());
     directory.apply(make_record("b", 81), time.now());
-    const std::vector<backend_server_name> gone = directory.retain({backend_server_name("b")}, time.now());
-    REQUIRE(gone.size() == 1);
-    CHECK(gone.front().value() == "a");
+    const std::vector<backend_server_name> removed = directory.retain({backend_server_name("b")}, time.now());
+    REQUIRE(removed.size() == 1);
+    CHECK(removed.front().value() == "a");
 }
--- a/tests/fleet/test_service_history.cpp
+++ b/tests/fleet/test_service_history.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-TEST_CASE("the statements of all hosts are added up by span, and the state survives as a snapshot") {
+TEST_CASE("the reports of all hosts are summed by span, and a snapshot keeps the state") {
     service_history history;
     history.on_record(0, make_record(3600, make_figures("a", 100, 90)));
     history.on_record(1, make_record(3700, make_figures("b", 50, 10)));
@@ -47,7 +47,8 @@
     CHECK(copy.get_fine() == history.get_fine());
 }
 
-TEST_CASE("spans and organisations are bounded, and those with the worst service keep their names") {
+TEST_CASE(
+    "the number of spans and organisations is bounded, and the organisations with the worst service keep their names") {
     service_history history;
     for (int index = 0; index < 200; ++index) {
         history.on_record(static_cast<std::uint64_t>(index),
@@ -65,7 +66,7 @@
     CHECK(history.get_hours().size() == 1);
 }
 
-TEST_CASE("a malformed statement changes nothing") {
+TEST_CASE("a malformed report does not change the state") {
     service_history history;
     coordination::record value = make_record(3600, make_figures("a", 1, 1));
     value.body["organisations"] = {{"a", 7}};
--- a/tests/fleet/test_serving_view.cpp
+++ b/tests/fleet/test_serving_view.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-TEST_CASE("the longest prefix of a host that begins the path selects the route") {
+TEST_CASE("the route with the longest matching prefix of the host is selected") {
     const serving_view view({.version = 1,
                              .routes = {make_route("short", "h", "/a/"), make_route("long", "h", "/a/b/"),
                                         make_route("other", "g", "/a/b/c/")},
@@ -23,13 +23,13 @@
     CHECK(view.find_route("h", "/a/x")->name == "short");
     CHECK(view.find_route("h", "/a/b/c/d")->name == "long");
     CHECK(view.find_route("g", "/a/b/c/d")->name == "other");
-    // A prefix ends with a slash, so that it doesn't match within a name.
+    // A prefix ends with a slash, so it does not match part of a path segment.
     CHECK(view.find_route("h", "/a") == nullptr);
     CHECK(view.find_route("h", "/ab/") == nullptr);
     CHECK(view.find_route("unknown", "/a/x") == nullptr);
 }
 
-TEST_CASE("a key leads to the organisation that holds it") {
+TEST_CASE("a key identifies the organisation to which it belongs") {
     const serving_view view({.version = 1,
                              .routes = {},
                              .services = {{.name = service_name("s")}},
