--- a/coordination/claim.hpp
+++ b/coordination/claim.hpp
@@ -99,7 +99,7 @@
     claim_status status{claim_status::log_unavailable};
     /// Set for `done`.
     recorded_response response{};
-    /// Set for `won`: the run must start before this time, because later the other hosts may expire the claim.
+    /// Set for `acquired`: the run must start before this time, because later the other hosts may expire the claim.
     steady_time start_deadline{};
 };
 
--- a/coordination/claim_registry.cpp
+++ b/coordination/claim_registry.cpp
@@ -35,14 +35,14 @@
     if (!unclaimed.empty() || !m_unwritten.empty()) {
         written = write(unclaimed);
     }
-    std::set<claim_id> won;
+    std::set<claim_id> acquired;
     std::vector<claim_result> answers;
     for (const claim_request& request : requests) {
         const claim_entry* entry = m_fold.find(request.id);
         const bool is_own = entry != nullptr && written && entry->offset == *written &&
                             m_fold.get_owner(*entry) == m_stream->get_writer();
         // If one batch has several requests with the same identifier, the first one gets the claim.
-        if (is_own && won.insert(request.id).second) {
+        if (is_own && acquired.insert(request.id).second) {
             answers.push_back({.status = claim_status::acquired, .start_deadline = sent_at + m_options.max_run_time});
             continue;
         }
--- a/coordination/folded_stream.cpp
+++ b/coordination/folded_stream.cpp
@@ -154,11 +154,11 @@
         ++m_malformed_count;
         return;
     }
-    const record_status verdict = m_fold.apply(entry.offset, value);
-    if (value.writer == m_writer && verdict != record_status::duplicate) {
-        m_own_results[value.sequence] = {.offset = entry.offset, .status = verdict};
+    const record_status status = m_fold.apply(entry.offset, value);
+    if (value.writer == m_writer && status != record_status::duplicate) {
+        m_own_results[value.sequence] = {.offset = entry.offset, .status = status};
     }
-    if (verdict != record_status::valid) {
+    if (status != record_status::valid) {
         return;
     }
     for (record_observer* observer : m_observers) {
--- a/coordination/order.cpp
+++ b/coordination/order.cpp
@@ -18,7 +18,7 @@
     {receiver_kind::ignores_fencing, "ignores_fencing"},
 }};
 
-constexpr std::array<name_entry<duplicate_handling>, 3> repeat_names{{
+constexpr std::array<name_entry<duplicate_handling>, 3> duplicate_handling_names{{
     {duplicate_handling::never, "never"},
     {duplicate_handling::idempotent, "idempotent"},
     {duplicate_handling::deduplicated, "deduplicated"},
@@ -62,7 +62,7 @@
             {"body", value.body},
             {"key", value.idempotency_key},
             {"receiver", get_name(receiver_names, value.receiver)},
-            {"repeat", get_name(repeat_names, value.duplicates)}};
+            {"repeat", get_name(duplicate_handling_names, value.duplicates)}};
 }
 
 order decode_order(const boost::json::object& body) {
@@ -71,7 +71,7 @@
                 .body = json::get_object(body, "body"),
                 .idempotency_key = json::get_string(body, "key"),
                 .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
-                .duplicates = get_value(repeat_names, json::get_string(body, "repeat"))};
+                .duplicates = get_value(duplicate_handling_names, json::get_string(body, "repeat"))};
     if (!has_no_fractions(value.body)) {
         throw malformed_message_error("order contains a fraction; only whole numbers are exact");
     }
--- a/coordination/order_dispatcher.cpp
+++ b/coordination/order_dispatcher.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-std::optional<send_outcome> get_send_outcome(order_reply receipt) {
-    switch (receipt) {
+std::optional<send_outcome> get_send_outcome(order_reply reply) {
+    switch (reply) {
     case order_reply::applied:
         return send_outcome::applied;
     case order_reply::rejected:
@@ -22,8 +22,8 @@
     return std::nullopt;
 }
 
-order_status get_status(order_reply receipt) {
-    switch (receipt) {
+order_status get_status(order_reply reply) {
+    switch (reply) {
     case order_reply::applied:
         return order_status::applied;
     case order_reply::rejected:
@@ -66,11 +66,11 @@
     }
     const unresolved_order existing = *found;
     const bool is_same = existing.value.idempotency_key == value.idempotency_key;
-    const order_query_result presence = query_existing(existing, *token);
-    if (presence == order_query_result::applied && is_same) {
+    const order_query_result query_result = query_existing(existing, *token);
+    if (query_result == order_query_result::applied && is_same) {
         return {.status = order_status::applied, .intent = existing.sends.front().intent};
     }
-    if (presence == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
+    if (query_result == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
         return {.status = order_status::blocked, .intent = {}};
     }
     return append_and_send(is_same ? existing.value : value, *token);
@@ -141,8 +141,8 @@
 }
 
 order_query_result order_dispatcher::query_existing(const unresolved_order& existing, const fencing_token& token) {
-    const order_query_result presence = m_receiver->query(existing.value);
-    if (presence == order_query_result::applied && is_resolved_by_query(existing)) {
+    const order_query_result query_result = m_receiver->query(existing.value);
+    if (query_result == order_query_result::applied && is_resolved_by_query(existing)) {
         const order_send& seen = existing.sends.front();
         m_unconfirmed_outcomes[seen.intent] = {.content = {.subject = existing.value.subject,
                                                            .intent = seen.intent,
@@ -150,7 +150,7 @@
                                                .fence = token};
         flush_outcomes();
     }
-    return presence;
+    return query_result;
 }
 
 order_result order_dispatcher::append_and_send(const order& value, const fencing_token& token) {
@@ -176,14 +176,14 @@
         return {.status = order_status::no_authority, .intent = {}};
     }
     m_sent.insert(intent);
-    const order_reply receipt = m_receiver->send(value, token, m_lease->get_order_deadline());
-    const std::optional<send_outcome> outcome = get_send_outcome(receipt);
+    const order_reply reply = m_receiver->send(value, token, m_lease->get_order_deadline());
+    const std::optional<send_outcome> outcome = get_send_outcome(reply);
     if (outcome) {
         m_unconfirmed_outcomes[intent] = {.content = {.subject = value.subject, .intent = intent, .outcome = *outcome},
                                           .fence = {}};
         flush_outcomes();
     }
-    return {.status = get_status(receipt), .intent = intent};
+    return {.status = get_status(reply), .intent = intent};
 }
 
 void order_dispatcher::resolve(const unresolved_order& existing, const fencing_token& token) {
@@ -191,11 +191,11 @@
     std::vector<order_send> terminated;
     std::ranges::copy_if(existing.sends, std::back_inserter(terminated),
                          [this](const order_send& send) { return m_hosts->has_terminated(send.sender); });
-    const order_query_result presence = query_existing(existing, token);
-    if (presence == order_query_result::applied && is_resolved_by_query(existing)) {
+    const order_query_result query_result = query_existing(existing, token);
+    if (query_result == order_query_result::applied && is_resolved_by_query(existing)) {
         return;
     }
-    if (presence == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
+    if (query_result == order_query_result::unknown && existing.value.duplicates == duplicate_handling::deduplicated) {
         return;
     }
     for (const order_send& send : terminated) {
--- a/coordination/order_dispatcher.hpp
+++ b/coordination/order_dispatcher.hpp
@@ -26,7 +26,7 @@
 
 /// Sends orders to engines or to an interface of the platform.
 ///
-/// Thread safety: the ledger calls it from its own thread only.
+/// Thread safety: the order dispatcher calls it from its own thread only.
 class order_receiver {
 public:
     order_receiver() = default;
--- a/coordination/snapshot.cpp
+++ b/coordination/snapshot.cpp
@@ -19,7 +19,7 @@
 
 /// Identifies the chunks of one snapshot. Two writers may write a snapshot of the same offset at the same time.
 struct chunk_group {
-    log_offset covers{};
+    log_offset end_offset{};
     writer_id writer;
     std::string digest;
 
@@ -68,10 +68,10 @@
         if (value.type != snapshot_chunk_type || json::get_unsigned(value.body, "format") != snapshot_format) {
             return;
         }
-        const chunk_group group{.covers = json::get_unsigned(value.body, "covers"),
+        const chunk_group group{.end_offset = json::get_unsigned(value.body, "covers"),
                                 .writer = value.writer,
                                 .digest = json::get_string(value.body, "digest")};
-        if (group.covers < m_oldest || (m_newest && group.covers <= m_newest->end_offset)) {
+        if (group.end_offset < m_oldest || (m_newest && group.end_offset <= m_newest->end_offset)) {
             return;
         }
         partial_snapshot& partial = m_partial[group];
@@ -87,10 +87,10 @@
 private:
     void complete(const chunk_group& group, std::string text) {
         if (get_sha256_hex(text) == group.digest) {
-            m_newest = {.stream = m_stream, .end_offset = group.covers, .state = std::move(text)};
+            m_newest = {.stream = m_stream, .end_offset = group.end_offset, .state = std::move(text)};
         }
-        const log_offset end_offset = group.covers;
-        std::erase_if(m_partial, [end_offset](const auto& entry) { return entry.first.covers <= end_offset; });
+        const log_offset end_offset = group.end_offset;
+        std::erase_if(m_partial, [end_offset](const auto& entry) { return entry.first.end_offset <= end_offset; });
     }
 
     std::string m_stream;
--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -85,7 +85,7 @@
     store_lease_record record{
         .holder = m_options.holder, .incarnation = m_options.incarnation, .renewed_fencing_number = {}};
     if (is_held()) {
-        record.renewed_fencing_number = m_held->fence;
+        record.renewed_fencing_number = m_held->fencing_number;
         record.is_release = m_is_resigning;
     } else {
         m_held.reset();
@@ -135,7 +135,7 @@
     if (now < m_held->may_act_from || now + m_options.min_time_left >= m_held->expires_at) {
         return std::nullopt;
     }
-    return m_held->fence;
+    return m_held->fencing_number;
 }
 
 bool store_lease::is_held() const {
@@ -165,7 +165,8 @@
 void store_lease::apply_record(const lease_topic_entry& placed) {
     const bool is_pending = m_pending && m_pending->record == placed.record;
     const bool is_late_renewal = m_held && is_own(placed.record) &&
-                                 placed.record.renewed_fencing_number == m_held->fence && !placed.record.is_release;
+                                 placed.record.renewed_fencing_number == m_held->fencing_number &&
+                                 !placed.record.is_release;
     if (is_pending) {
         apply_own_record(placed.offset, placed.record);
     } else if (!is_late_renewal) {
@@ -193,12 +194,12 @@
     }
     const steady_time expires_at = m_pending->sent_at + m_options.length;
     if (record.renewed_fencing_number) {
-        if (m_held && m_held->fence == *record.renewed_fencing_number) {
+        if (m_held && m_held->fencing_number == *record.renewed_fencing_number) {
             m_held->expires_at = expires_at;
         }
         return;
     }
-    m_held = {.fence = offset + 1,
+    m_held = {.fencing_number = offset + 1,
               .expires_at = expires_at,
               .may_act_from = m_time->now_with_suspension() + get_takeover_delay_left()};
 }
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -136,7 +136,7 @@
     std::optional<pending_append> m_pending;
 
     struct held_lease {
-        std::uint64_t fence{};
+        std::uint64_t fencing_number{};
         steady_time expires_at{};
         steady_time may_act_from{};
     };
--- a/coordination/usage.cpp
+++ b/coordination/usage.cpp
@@ -32,10 +32,10 @@
 usage_table usage_meter::get_unflushed() const {
     const std::scoped_lock lock(m_mutex);
     usage_table changed;
-    for (const auto& [key, figures] : m_counters) {
+    for (const auto& [key, counts] : m_counters) {
         const auto flushed = m_flushed.find(key);
-        if (flushed == m_flushed.end() || flushed->second != figures) {
-            changed.emplace(key, figures);
+        if (flushed == m_flushed.end() || flushed->second != counts) {
+            changed.emplace(key, counts);
         }
     }
     return changed;
@@ -43,9 +43,9 @@
 
 void usage_meter::mark_flushed(const usage_table& written) {
     const std::scoped_lock lock(m_mutex);
-    for (const auto& [key, figures] : written) {
+    for (const auto& [key, counts] : written) {
         usage_totals& flushed = m_flushed[key];
-        flushed = merge_usage_totals(flushed, figures);
+        flushed = merge_usage_totals(flushed, counts);
     }
 }
 
@@ -75,12 +75,12 @@
 record_draft make_usage_record(const writer_id& owner, const usage_table& counters,
                                std::optional<window_number> closed_through) {
     boost::json::array rows;
-    for (const auto& [key, figures] : counters) {
+    for (const auto& [key, counts] : counters) {
         boost::json::object row{{"organisation", key.organisation.value()},
                                 {"window", key.window},
-                                {"requests", figures.requests},
-                                {"prompt_tokens", figures.prompt_tokens},
-                                {"completion_tokens", figures.completion_tokens}};
+                                {"requests", counts.requests},
+                                {"prompt_tokens", counts.prompt_tokens},
+                                {"completion_tokens", counts.completion_tokens}};
         if (key.late_from) {
             row["late_from"] = *key.late_from;
         }
@@ -120,17 +120,17 @@
         return;
     }
     const usage_counters_record parsed = parse_usage_record(value.body);
-    for (const auto& [key, figures] : parsed.counters) {
+    for (const auto& [key, counts] : parsed.counters) {
         usage_totals& merged = m_counters[parsed.owner][key];
-        merged = merge_usage_totals(merged, figures);
+        merged = merge_usage_totals(merged, counts);
     }
 }
 
 usage_table usage_fold::get_totals() const {
     usage_table totals;
     for (const auto& [owner, counters] : m_counters) {
-        for (const auto& [key, figures] : counters) {
-            totals[key] += figures;
+        for (const auto& [key, counts] : counters) {
+            totals[key] += counts;
         }
     }
     return totals;
--- a/coordination/usage_report.cpp
+++ b/coordination/usage_report.cpp
@@ -8,7 +8,7 @@
 usage_reporter::usage_reporter(folded_stream& stream, const clock_source& time, order_receiver& reporting,
                                const host_liveness& hosts, const usage_reporter_options& options)
     : m_stream(&stream), m_time(&time), m_hosts(&hosts), m_options(options),
-      m_lease(stream, time, {.scope = std::string(reporting_scope)}), m_ledger(stream, m_lease, reporting, hosts) {
+      m_lease(stream, time, {.scope = std::string(reporting_scope)}), m_dispatcher(stream, m_lease, reporting, hosts) {
     m_stream->add_observer(m_fold);
     // Records that retention has deleted belong to reported windows: retention is longer than a window and its
     // reporting.
@@ -17,7 +17,7 @@
 
 void usage_reporter::tick() {
     m_lease.tick();
-    m_ledger.reconcile();
+    m_dispatcher.reconcile();
     const std::optional<fencing_token> token = m_lease.get_authority();
     if (!token) {
         return;
@@ -30,12 +30,12 @@
 }
 
 void usage_reporter::report(const window_report& report) {
-    m_ledger.submit({.subject = std::string(usage_report_subject),
-                     .kind = "usage.report",
-                     .body = encode_window_report(report),
-                     .idempotency_key = get_report_key(report.window),
-                     .receiver = receiver_kind::ignores_fencing,
-                     .duplicates = duplicate_handling::deduplicated});
+    m_dispatcher.submit({.subject = std::string(usage_report_subject),
+                         .kind = "usage.report",
+                         .body = encode_window_report(report),
+                         .idempotency_key = get_report_key(report.window),
+                         .receiver = receiver_kind::ignores_fencing,
+                         .duplicates = duplicate_handling::deduplicated});
 }
 
 void usage_reporter::seal(const fencing_token& token) {
--- a/coordination/usage_report.hpp
+++ b/coordination/usage_report.hpp
@@ -46,7 +46,7 @@
     usage_reporter_options m_options;
     usage_window_fold m_fold;
     lease_candidate m_lease;
-    order_dispatcher m_ledger;
+    order_dispatcher m_dispatcher;
 };
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_state.cpp
+++ b/coordination/usage_state.cpp
@@ -59,14 +59,14 @@
     return record;
 }
 
-std::string encode_report_state(const report_state& book) {
+std::string encode_report_state(const report_state& state) {
     boost::json::array pending;
-    for (const window_usage& figures : book.pending) {
-        pending.push_back(boost::json::object{{"window", figures.window}, {"counts", encode_counts(figures.counts)}});
+    for (const window_usage& usage : state.pending) {
+        pending.push_back(boost::json::object{{"window", usage.window}, {"counts", encode_counts(usage.counts)}});
     }
     boost::json::object object{{"pending", pending}};
-    if (book.last) {
-        object["last"] = *book.last;
+    if (state.last) {
+        object["last"] = *state.last;
     }
     return boost::json::serialize(object);
 }
@@ -74,16 +74,16 @@
 report_state decode_report_state(std::string_view text) {
     const boost::json::value document = json::parse(text);
     const boost::json::object& object = json::as_object(document, "usage report state");
-    report_state book;
+    report_state state;
     if (object.contains("last")) {
-        book.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
+        state.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
     }
     for (const boost::json::value& item : json::get_array(object, "pending")) {
-        const boost::json::object& figures = json::as_object(item, "pending usage report");
-        book.pending.push_back({.window = static_cast<usage_window_number>(json::get_unsigned(figures, "window")),
-                                .counts = decode_counts(json::get_object(figures, "counts"))});
+        const boost::json::object& usage = json::as_object(item, "pending usage report");
+        state.pending.push_back({.window = static_cast<usage_window_number>(json::get_unsigned(usage, "window")),
+                                 .counts = decode_counts(json::get_object(usage, "counts"))});
     }
-    return book;
+    return state;
 }
 
 std::string make_usage_key(std::string_view host, std::uint64_t incarnation) {
@@ -111,17 +111,17 @@
 }
 
 window_usage sum_window(const std::vector<usage_record>& records, usage_window_number window) {
-    window_usage figures{.window = window, .counts = {}};
+    window_usage usage{.window = window, .counts = {}};
     for (const usage_record& record : records) {
         const auto found = record.windows.find(window);
         if (found == record.windows.end()) {
             continue;
         }
         for (const auto& [organisation, count] : found->second) {
-            figures.counts[organisation] += count;
+            usage.counts[organisation] += count;
         }
     }
-    return figures;
+    return usage;
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/usage_state.hpp
+++ b/coordination/usage_state.hpp
@@ -47,7 +47,7 @@
     friend bool operator==(const report_state&, const report_state&) = default;
 };
 
-[[nodiscard]] std::string encode_report_state(const report_state& book);
+[[nodiscard]] std::string encode_report_state(const report_state& state);
 /// Throws `malformed_message_error`.
 [[nodiscard]] report_state decode_report_state(std::string_view text);
 
--- a/coordination/usage_window.cpp
+++ b/coordination/usage_window.cpp
@@ -38,9 +38,9 @@
     boost::json::array lines;
     for (const usage_line& line : report.lines) {
         boost::json::object row{{"organisation", line.organisation.value()},
-                                {"requests", line.figures.requests},
-                                {"prompt_tokens", line.figures.prompt_tokens},
-                                {"completion_tokens", line.figures.completion_tokens}};
+                                {"requests", line.totals.requests},
+                                {"prompt_tokens", line.totals.prompt_tokens},
+                                {"completion_tokens", line.totals.completion_tokens}};
         if (line.late_from) {
             row["late_from"] = *line.late_from;
         }
@@ -90,8 +90,8 @@
 std::optional<window_number> usage_window_fold::get_next_window() const {
     std::optional<window_number> next;
     for (const auto& [name, owner] : m_owners) {
-        for (const auto& [key, figures] : owner.counted) {
-            if (figures == find_or_zero(owner.taken, key)) {
+        for (const auto& [key, totals] : owner.counted) {
+            if (totals == find_or_zero(owner.taken, key)) {
                 continue;
             }
             const window_number target = m_last_sealed ? std::max(key.window, *m_last_sealed + 1) : key.window;
@@ -122,13 +122,13 @@
 void usage_window_fold::apply_counters(const record& value) {
     const usage_counters_record parsed = parse_usage_record(value.body);
     owner_counters& owner = m_owners[parsed.owner];
-    for (const auto& [key, figures] : parsed.counters) {
+    for (const auto& [key, totals] : parsed.counters) {
         // The counters of a closed window may already be sealed and dropped; a late copy of them is not new usage.
         if (owner.closed_through && key.window <= *owner.closed_through) {
             continue;
         }
         usage_totals& counted = owner.counted[key];
-        counted = merge_usage_totals(counted, figures);
+        counted = merge_usage_totals(counted, totals);
     }
     if (parsed.closed_through) {
         owner.closed_through = std::max(owner.closed_through.value_or(0), *parsed.closed_through);
@@ -156,8 +156,8 @@
     }
     m_last_sealed = window;
     window_report report{.window = window, .lines = {}};
-    for (const auto& [line, figures] : sums) {
-        report.lines.push_back({.organisation = line.first, .late_from = line.second, .figures = figures});
+    for (const auto& [line, totals] : sums) {
+        report.lines.push_back({.organisation = line.first, .late_from = line.second, .totals = totals});
     }
     m_unreported[window] = std::move(report);
     for (const writer_id& name : terminated) {
--- a/coordination/usage_window.hpp
+++ b/coordination/usage_window.hpp
@@ -23,7 +23,7 @@
     organisation_name organisation;
     /// The earlier window to which the usage belongs, if it came too late for the report of that window.
     std::optional<window_number> late_from;
-    usage_totals figures;
+    usage_totals totals;
 
     friend bool operator==(const usage_line&, const usage_line&) = default;
 };
--- a/fleet/service_history.cpp
+++ b/fleet/service_history.cpp
@@ -15,19 +15,19 @@
 /// Number of organisations that one span lists by name; the others are summed under an empty name.
 constexpr std::size_t max_named_organisations = 64;
 
-boost::json::object encode_figures(const service_counts& figures) {
+boost::json::object encode_counts(const service_counts& counts) {
     boost::json::object organisations;
-    for (const auto& [name, service] : figures.organisations) {
+    for (const auto& [name, service] : counts.organisations) {
         organisations[name.value()] = boost::json::array{service.requested, service.completed};
     }
     boost::json::object refusals;
-    for (const auto& [reason, count] : figures.refusals) {
+    for (const auto& [reason, count] : counts.refusals) {
         refusals[reason] = count;
     }
     return {{"organisations", std::move(organisations)},
             {"refusals", std::move(refusals)},
-            {"delivered_tokens", figures.delivered_tokens},
-            {"spend_milli", figures.spend_milli}};
+            {"delivered_tokens", counts.delivered_tokens},
+            {"spend_milli", counts.spend_milli}};
 }
 
 std::uint64_t get_item(const boost::json::value& value, std::size_t index) {
@@ -37,19 +37,19 @@
     return json::get_unsigned({{"item", value.get_array()[index]}}, "item");
 }
 
-service_counts decode_figures(const boost::json::object& object) {
-    service_counts figures{.organisations = {},
-                           .refusals = {},
-                           .delivered_tokens = json::get_unsigned(object, "delivered_tokens"),
-                           .spend_milli = json::get_unsigned(object, "spend_milli")};
+service_counts decode_counts(const boost::json::object& object) {
+    service_counts counts{.organisations = {},
+                          .refusals = {},
+                          .delivered_tokens = json::get_unsigned(object, "delivered_tokens"),
+                          .spend_milli = json::get_unsigned(object, "spend_milli")};
     for (const auto& [name, value] : json::get_object(object, "organisations")) {
-        figures.organisations[organisation_name(std::string(name))] = {.requested = get_item(value, 0),
-                                                                       .completed = get_item(value, 1)};
+        counts.organisations[organisation_name(std::string(name))] = {.requested = get_item(value, 0),
+                                                                      .completed = get_item(value, 1)};
     }
     for (const auto& [reason, value] : json::get_object(object, "refusals")) {
-        figures.refusals[std::string(reason)] = json::get_unsigned({{"count", value}}, "count");
+        counts.refusals[std::string(reason)] = json::get_unsigned({{"count", value}}, "count");
     }
-    return figures;
+    return counts;
 }
 
 void drop_old_spans(service_history::series& spans, std::uint64_t kept_seconds) {
@@ -60,38 +60,38 @@
 }
 
 /// Keeps the organisations with the most lost requests by name, since a report is about those.
-void limit_organisations(service_counts& figures) {
-    if (figures.organisations.size() <= max_named_organisations) {
+void limit_organisations(service_counts& counts) {
+    if (counts.organisations.size() <= max_named_organisations) {
         return;
     }
     std::vector<std::pair<std::uint64_t, organisation_name>> by_lost_requests;
-    for (const auto& [name, service] : figures.organisations) {
+    for (const auto& [name, service] : counts.organisations) {
         if (!name.empty()) {
             by_lost_requests.emplace_back(service.requested - std::min(service.requested, service.completed), name);
         }
     }
     std::sort(by_lost_requests.rbegin(), by_lost_requests.rend());
     for (std::size_t index = max_named_organisations - 1; index < by_lost_requests.size(); ++index) {
-        const auto found = figures.organisations.find(by_lost_requests[index].second);
+        const auto found = counts.organisations.find(by_lost_requests[index].second);
         const request_counts moved = found->second;
-        figures.organisations.erase(found);
-        figures.organisations[organisation_name()].requested += moved.requested;
-        figures.organisations[organisation_name()].completed += moved.completed;
+        counts.organisations.erase(found);
+        counts.organisations[organisation_name()].requested += moved.requested;
+        counts.organisations[organisation_name()].completed += moved.completed;
     }
 }
 
 /// Adds to one span and limits the organisations of the span and the length of the series.
-void add_to_series(service_history::series& spans, std::uint64_t start, const service_counts& figures,
+void add_to_series(service_history::series& spans, std::uint64_t start, const service_counts& counts,
                    std::uint64_t kept_seconds) {
-    add_counts(spans[start], figures);
+    add_counts(spans[start], counts);
     limit_organisations(spans[start]);
     drop_old_spans(spans, kept_seconds);
 }
 
 boost::json::object encode_series(const service_history::series& spans) {
     boost::json::object result;
-    for (const auto& [start, figures] : spans) {
-        result[std::to_string(start)] = encode_figures(figures);
+    for (const auto& [start, counts] : spans) {
+        result[std::to_string(start)] = encode_counts(counts);
     }
     return result;
 }
@@ -104,7 +104,7 @@
             !std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; })) {
             throw malformed_message_error("start of a time span must be a number");
         }
-        spans[std::stoull(text)] = decode_figures(json::as_object(value, "figures"));
+        spans[std::stoull(text)] = decode_counts(json::as_object(value, "figures"));
     }
     return spans;
 }
@@ -123,9 +123,9 @@
     sum.spend_milli += part.spend_milli;
 }
 
-double get_goodput(const service_counts& figures) {
+double get_goodput(const service_counts& counts) {
     request_counts sum;
-    for (const auto& [name, service] : figures.organisations) {
+    for (const auto& [name, service] : counts.organisations) {
         sum.requested += service.requested;
         sum.completed += service.completed;
     }
@@ -134,9 +134,9 @@
                               : std::min(1.0, static_cast<double>(sum.completed) / static_cast<double>(sum.requested));
 }
 
-double get_worst_goodput(const service_counts& figures, std::uint64_t min_requests) {
+double get_worst_goodput(const service_counts& counts, std::uint64_t min_requests) {
     double worst = 1;
-    for (const auto& [name, service] : figures.organisations) {
+    for (const auto& [name, service] : counts.organisations) {
         if (service.requested >= std::max<std::uint64_t>(min_requests, 1)) {
             worst = std::min(worst, static_cast<double>(service.completed) / static_cast<double>(service.requested));
         }
@@ -144,8 +144,8 @@
     return worst;
 }
 
-coordination::record_draft make_history_draft(std::uint64_t second, const service_counts& figures) {
-    boost::json::object body = encode_figures(figures);
+coordination::record_draft make_history_draft(std::uint64_t second, const service_counts& counts) {
+    boost::json::object body = encode_counts(counts);
     body["second"] = second;
     return {.type = std::string(history_record_type), .body = std::move(body), .condition = {}, .fence = {}};
 }
@@ -155,9 +155,9 @@
         return;
     }
     const std::uint64_t second = json::get_unsigned(value.body, "second");
-    const service_counts figures = decode_figures(value.body);
-    add_to_series(m_fine, second - second % fine_seconds, figures, fine_kept_seconds);
-    add_to_series(m_hours, second - second % hour_seconds, figures, hours_kept_seconds);
+    const service_counts counts = decode_counts(value.body);
+    add_to_series(m_fine, second - second % fine_seconds, counts, fine_kept_seconds);
+    add_to_series(m_hours, second - second % hour_seconds, counts, hours_kept_seconds);
 }
 
 boost::json::value service_history::save_state() const {
--- a/fleet/service_history.hpp
+++ b/fleet/service_history.hpp
@@ -33,17 +33,17 @@
 void add_counts(service_counts& sum, const service_counts& part);
 
 /// Returns the fraction of requests that were completed, or 1 if there were none.
-[[nodiscard]] double get_goodput(const service_counts& figures);
+[[nodiscard]] double get_goodput(const service_counts& counts);
 
 /// Returns the lowest goodput of any organisation that has at least `min_requests` requests.
-[[nodiscard]] double get_worst_goodput(const service_counts& figures, std::uint64_t min_requests);
+[[nodiscard]] double get_worst_goodput(const service_counts& counts, std::uint64_t min_requests);
 
 /// Stream and type of the records in which each host reports its service.
 inline constexpr std::string_view history_stream = "history";
 inline constexpr std::string_view history_record_type = "history.figures";
 
 /// Returns the record in which one host reports its service since its previous report. Thread safe.
-[[nodiscard]] coordination::record_draft make_history_draft(std::uint64_t second, const service_counts& figures);
+[[nodiscard]] coordination::record_draft make_history_draft(std::uint64_t second, const service_counts& counts);
 
 /// Sums the reports of all hosts: in spans of five minutes for a day, and of an hour for 90 days.
 ///
--- a/tests/coordination/lease_world.cpp
+++ b/tests/coordination/lease_world.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 const duration lease_world::length = 3s;
-const duration lease_world::quiet = 3s;
+const duration lease_world::takeover_delay = 3s;
 
 namespace {
 
@@ -41,7 +41,7 @@
     coordination::store_lease_options options{.holder = std::to_string(candidate),
                                               .incarnation = m_members[candidate].incarnation,
                                               .length = length,
-                                              .takeover_delay = quiet};
+                                              .takeover_delay = takeover_delay};
     if (m_mutation == lease_mutation::no_takeover_delay || m_mutation == lease_mutation::early_challenger) {
         options.takeover_delay = duration::zero();
     }
@@ -137,18 +137,19 @@
     std::size_t holders = 0;
     for (std::size_t candidate = 0; candidate < candidates; ++candidate) {
         load_clock(candidate);
-        const std::optional<std::uint64_t> fence = m_members[candidate].lease->get_fencing_number();
-        if (!fence) {
+        const std::optional<std::uint64_t> fencing_number = m_members[candidate].lease->get_fencing_number();
+        if (!fencing_number) {
             continue;
         }
         ++holders;
         const bool is_same_holder =
             candidate == m_highest_candidate && m_members[candidate].incarnation == m_highest_incarnation;
-        if (*fence < m_highest_fence || (*fence == m_highest_fence && !is_same_holder)) {
-            return fmt::format("candidate {} acts under fencing number {} after {}", candidate, *fence,
-                               m_highest_fence);
+        if (*fencing_number < m_highest_fencing_number ||
+            (*fencing_number == m_highest_fencing_number && !is_same_holder)) {
+            return fmt::format("candidate {} acts under fencing number {} after {}", candidate, *fencing_number,
+                               m_highest_fencing_number);
         }
-        m_highest_fence = *fence;
+        m_highest_fencing_number = *fencing_number;
         m_highest_candidate = candidate;
         m_highest_incarnation = m_members[candidate].incarnation;
         m_actions.push_back({.candidate = candidate, .moment = beginning + m_elapsed});
@@ -162,7 +163,7 @@
         for (std::size_t later = first + 1; later < m_actions.size(); ++later) {
             has_other_acted = has_other_acted || m_actions[later].candidate != m_actions[first].candidate;
             const bool has_alternated = has_other_acted && m_actions[later].candidate == m_actions[first].candidate;
-            if (has_alternated && m_actions[later].moment - m_actions[first].moment < quiet) {
+            if (has_alternated && m_actions[later].moment - m_actions[first].moment < takeover_delay) {
                 return "two candidates alternated within the takeover delay";
             }
         }
--- a/tests/coordination/lease_world.hpp
+++ b/tests/coordination/lease_world.hpp
@@ -70,7 +70,7 @@
     [[nodiscard]] bool has_authority(std::size_t candidate) const;
 
     static const duration length;
-    static const duration quiet;
+    static const duration takeover_delay;
 
 private:
     struct topic_record {
@@ -100,7 +100,7 @@
     std::vector<late_append> m_late_appends;
     std::array<member, candidates> m_members;
     std::vector<authorised_action> m_actions;
-    std::uint64_t m_highest_fence{0};
+    std::uint64_t m_highest_fencing_number{0};
     std::size_t m_highest_candidate{0};
     std::uint64_t m_highest_incarnation{0};
 };
--- a/tests/coordination/matrix_process.cpp
+++ b/tests/coordination/matrix_process.cpp
@@ -141,11 +141,11 @@
             [world = m_world, receiver, value, token] { world->receive_order(receiver, value, token.number); });
         return order_reply::unknown;
     }
-    const order_reply receipt = m_world->receive_order(receiver, value, token.number);
+    const order_reply reply = m_world->receive_order(receiver, value, token.number);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
-    return fault == matrix_fault::answer_lost ? order_reply::unknown : receipt;
+    return fault == matrix_fault::answer_lost ? order_reply::unknown : reply;
 }
 
 order_query_result matrix_channel::query(const order& value) {
@@ -156,20 +156,21 @@
                                                                       : order_query_result::not_seen;
 }
 
-bool matrix_ledger::may_send(const order& value, const unresolved_order* existing, const fencing_token& token) const {
+bool matrix_dispatcher::may_send(const order& value, const unresolved_order* existing,
+                                 const fencing_token& token) const {
     return m_mutation == matrix_mutation::sends_beside_unresolved_order ||
            order_dispatcher::may_send(value, existing, token);
 }
 
-bool matrix_ledger::is_accepted(const order& value, const submit_result& intent) const {
+bool matrix_dispatcher::is_accepted(const order& value, const submit_result& intent) const {
     return m_mutation == matrix_mutation::intent_not_read_back || order_dispatcher::is_accepted(value, intent);
 }
 
-bool matrix_ledger::has_authority(const fencing_token& token) const {
+bool matrix_dispatcher::has_authority(const fencing_token& token) const {
     return m_mutation == matrix_mutation::intent_not_read_back || order_dispatcher::has_authority(token);
 }
 
-bool matrix_ledger::is_resolved_by_query(const unresolved_order& existing) const {
+bool matrix_dispatcher::is_resolved_by_query(const unresolved_order& existing) const {
     return m_mutation == matrix_mutation::query_resolves_repeated_order ||
            order_dispatcher::is_resolved_by_query(existing);
 }
@@ -178,7 +179,7 @@
     : m_world(&world), m_self(std::move(self)), m_time(world.get_true_time(), clock_rate), m_log(world, m_self.host),
       m_channel(world, m_self.host), m_control(m_log, "control/a", m_self),
       m_configuration_stream(m_log, std::string(configuration_stream), m_self),
-      m_lease(m_control, m_time, {.scope = "control/a"}), m_ledger(world, m_control, m_lease, m_channel),
+      m_lease(m_control, m_time, {.scope = "control/a"}), m_dispatcher(world, m_control, m_lease, m_channel),
       m_control_snapshots(m_log, m_control, m_time, snapshot_options),
       m_configuration_snapshots(m_log, m_configuration_stream, m_time, snapshot_options) {
     m_configuration_stream.add_observer(m_configuration);
@@ -224,7 +225,7 @@
 }
 
 void matrix_process::send_orders() {
-    m_ledger.reconcile();
+    m_dispatcher.reconcile();
     if (!m_lease.get_authority()) {
         return;
     }
@@ -245,13 +246,13 @@
     if (m_world->has_applied(receiver, wanted.idempotency_key)) {
         return;
     }
-    for (const unresolved_order& unresolved : m_ledger.get_unresolved()) {
+    for (const unresolved_order& unresolved : m_dispatcher.get_unresolved()) {
         // Submits a new order in one round and the unresolved one in the next.
         if (unresolved.value.subject == receiver && get_second() % 2 == 0) {
             wanted = unresolved.value;
         }
     }
-    m_ledger.submit(wanted);
+    m_dispatcher.submit(wanted);
 }
 
 void matrix_process::follow_configuration() {
--- a/tests/coordination/matrix_process.hpp
+++ b/tests/coordination/matrix_process.hpp
@@ -43,11 +43,11 @@
     std::string m_host;
 };
 
-/// An order ledger in which one safeguard is disabled, according to the mutation of the simulation.
-class matrix_ledger final : public coordination::order_dispatcher {
+/// An order dispatcher in which one safeguard is disabled, according to the mutation of the simulation.
+class matrix_dispatcher final : public coordination::order_dispatcher {
 public:
-    matrix_ledger(matrix_world& world, coordination::folded_stream& stream, coordination::lease_candidate& lease,
-                  coordination::order_receiver& receiver)
+    matrix_dispatcher(matrix_world& world, coordination::folded_stream& stream, coordination::lease_candidate& lease,
+                      coordination::order_receiver& receiver)
         : order_dispatcher(stream, lease, receiver, world), m_mutation(world.get_mutation()) {}
 
 protected:
@@ -95,7 +95,7 @@
     coordination::folded_stream m_configuration_stream;
     coordination::configuration_fold m_configuration;
     coordination::lease_candidate m_lease;
-    matrix_ledger m_ledger;
+    matrix_dispatcher m_dispatcher;
     coordination::snapshot_writer m_control_snapshots;
     coordination::snapshot_writer m_configuration_snapshots;
     std::optional<coordination::log_offset> m_applied_version;
--- a/tests/coordination/test_claim_registry.cpp
+++ b/tests/coordination/test_claim_registry.cpp
@@ -17,22 +17,22 @@
     claiming_host(testing::fake_log& log, const clock_source& time, const char* host, std::uint64_t incarnation = 1,
                   claim_options options = {})
         : stream(log, std::string(claim_stream), {.host = host, .incarnation = incarnation}),
-          book(stream, time, options) {}
+          registry(stream, time, options) {}
 
     claim_result claim(std::string_view key, std::string_view body = "b") {
         const std::array requests{claim_request{.id = make_claim_id(rovers, key),
                                                 .digest = get_request_digest("POST", "/subscriptions", body)}};
-        return book.process(requests, {}).front();
+        return registry.process(requests, {}).front();
     }
 
     void settle(std::string_view key, claim_outcome end, recorded_response answer = {}) {
         const std::array settlements{
             claim_settlement{.id = make_claim_id(rovers, key), .outcome = end, .response = std::move(answer)}};
-        static_cast<void>(book.process({}, settlements));
+        static_cast<void>(registry.process({}, settlements));
     }
 
     folded_stream stream;
-    claim_registry book;
+    claim_registry registry;
 };
 
 } // namespace
@@ -150,7 +150,7 @@
     time.advance(std::chrono::seconds(1));
     host.settle("b", claim_outcome::done, {.status = 200});
     CHECK(host.claim("a").status == claim_status::acquired);
-    CHECK(host.book.get_size() == 3);
+    CHECK(host.registry.get_size() == 3);
 }
 
 TEST_CASE("a new host starts at the oldest record that retention has left") {
--- a/tests/coordination/test_fold_properties.cpp
+++ b/tests/coordination/test_fold_properties.cpp
@@ -37,12 +37,16 @@
             append(step, make_acquisition(step));
             return;
         case 1:
-            append(step,
-                   {.type = std::string(lease_renewal_type), .body = {}, .condition = {}, .fence = get_fence(step)});
+            append(step, {.type = std::string(lease_renewal_type),
+                          .body = {},
+                          .condition = {},
+                          .fence = get_fencing_token(step)});
             return;
         case 2:
-            append(step,
-                   {.type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = get_fence(step)});
+            append(step, {.type = std::string(lease_release_type),
+                          .body = {},
+                          .condition = {},
+                          .fence = get_fencing_token(step)});
             return;
         case 3:
         case 4:
@@ -69,7 +73,7 @@
         return newest && is_stale(step) ? std::optional(*newest / 2) : newest;
     }
 
-    [[nodiscard]] fencing_token get_fence(const history_step& step) const {
+    [[nodiscard]] fencing_token get_fencing_token(const history_step& step) const {
         const lease_record* lease = m_fold.get_lease(scope);
         const log_offset number = lease == nullptr ? 0 : lease->token.number;
         return {.scope = scope, .number = is_stale(step) ? number / 2 : number};
@@ -94,7 +98,7 @@
         return {.type = std::string(order_intent_type),
                 .body = encode_order(value),
                 .condition = {},
-                .fence = get_fence(step)};
+                .fence = get_fencing_token(step)};
     }
 
     [[nodiscard]] record_draft make_outcome(const history_step& step) const {
--- a/tests/coordination/test_lease.cpp
+++ b/tests/coordination/test_lease.cpp
@@ -11,10 +11,10 @@
 
 struct candidate {
     candidate(testing::fake_log& log, const clock_source& time, const char* host)
-        : stream(log, "control/a", {.host = host, .incarnation = 1}), holder(stream, time, {.scope = "control/a"}) {}
+        : stream(log, "control/a", {.host = host, .incarnation = 1}), lease(stream, time, {.scope = "control/a"}) {}
 
     folded_stream stream;
-    lease_candidate holder;
+    lease_candidate lease;
 };
 
 } // namespace
@@ -24,10 +24,10 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
-    second.holder.tick();
-    CHECK(first.holder.get_authority().has_value());
-    CHECK_FALSE(second.holder.get_authority().has_value());
+    first.lease.tick();
+    second.lease.tick();
+    CHECK(first.lease.get_authority().has_value());
+    CHECK_FALSE(second.lease.get_authority().has_value());
 }
 
 TEST_CASE("a paused holder loses its authority before another candidate can acquire the lease") {
@@ -35,17 +35,17 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
-    second.holder.tick();
-    const fencing_token old_token = first.holder.get_authority().value();
+    first.lease.tick();
+    second.lease.tick();
+    const fencing_token old_token = first.lease.get_authority().value();
     time.advance(std::chrono::seconds(10));
-    second.holder.tick();
-    CHECK_FALSE(first.holder.get_authority().has_value());
-    CHECK_FALSE(second.holder.get_authority().has_value());
+    second.lease.tick();
+    CHECK_FALSE(first.lease.get_authority().has_value());
+    CHECK_FALSE(second.lease.get_authority().has_value());
     time.advance(std::chrono::seconds(1));
-    second.holder.tick();
-    REQUIRE(second.holder.get_authority().has_value());
-    CHECK(second.holder.get_authority()->number > old_token.number);
+    second.lease.tick();
+    REQUIRE(second.lease.get_authority().has_value());
+    CHECK(second.lease.get_authority()->number > old_token.number);
 }
 
 TEST_CASE("a record with the fencing token of a superseded holder is invalid") {
@@ -53,12 +53,12 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
-    const fencing_token old_token = first.holder.get_authority().value();
-    second.holder.tick();
+    first.lease.tick();
+    const fencing_token old_token = first.lease.get_authority().value();
+    second.lease.tick();
     time.advance(std::chrono::seconds(11));
-    second.holder.tick();
-    REQUIRE(second.holder.get_authority().has_value());
+    second.lease.tick();
+    REQUIRE(second.lease.get_authority().has_value());
     const record_draft order{.type = "order", .body = {}, .condition = {}, .fence = old_token};
     CHECK(first.stream.submit(std::span(&order, 1)).front().status == record_status::fenced);
 }
@@ -68,16 +68,16 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
-    const fencing_token token = first.holder.get_authority().value();
+    first.lease.tick();
+    const fencing_token token = first.lease.get_authority().value();
     time.advance(std::chrono::seconds(5));
-    first.holder.tick();
+    first.lease.tick();
     time.advance(std::chrono::seconds(5));
-    CHECK(first.holder.get_authority() == token);
-    first.holder.release();
-    second.holder.tick();
-    CHECK_FALSE(first.holder.get_authority().has_value());
-    CHECK(second.holder.get_authority().has_value());
+    CHECK(first.lease.get_authority() == token);
+    first.lease.release();
+    second.lease.tick();
+    CHECK_FALSE(first.lease.get_authority().has_value());
+    CHECK(second.lease.get_authority().has_value());
 }
 
 TEST_CASE("an acquisition whose response was lost is recognised, and its lease lasts from before it was sent") {
@@ -85,14 +85,14 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     log.delays_next_append = true;
-    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    CHECK_THROWS_AS(first.lease.tick(), log_unavailable_error);
     log.deliver_delayed_appends();
     time.advance(std::chrono::seconds(3));
-    first.holder.tick();
-    REQUIRE(first.holder.get_authority().has_value());
+    first.lease.tick();
+    REQUIRE(first.lease.get_authority().has_value());
     CHECK(log.streams["control/a"].size() == 1);
     time.advance(std::chrono::seconds(5));
-    CHECK_FALSE(first.holder.get_authority().has_value());
+    CHECK_FALSE(first.lease.get_authority().has_value());
 }
 
 TEST_CASE("an acquisition that takes effect after its lease has expired gives no authority until it is renewed") {
@@ -100,13 +100,13 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     log.delays_next_append = true;
-    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    CHECK_THROWS_AS(first.lease.tick(), log_unavailable_error);
     time.advance(std::chrono::seconds(20));
     log.deliver_delayed_appends();
     first.stream.poll();
-    CHECK_FALSE(first.holder.get_authority().has_value());
-    first.holder.tick();
-    CHECK(first.holder.get_authority().has_value());
+    CHECK_FALSE(first.lease.get_authority().has_value());
+    first.lease.tick();
+    CHECK(first.lease.get_authority().has_value());
     CHECK(log.streams["control/a"].size() == 2);
 }
 
@@ -114,17 +114,17 @@
     testing::fake_log log;
     virtual_clock time;
     candidate first(log, time, "host-1");
-    first.holder.tick();
+    first.lease.tick();
     time.advance(std::chrono::seconds(5));
     log.delays_next_append = true;
-    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
+    CHECK_THROWS_AS(first.lease.tick(), log_unavailable_error);
     time.advance(std::chrono::seconds(2));
     log.deliver_delayed_appends();
-    first.holder.tick();
+    first.lease.tick();
     time.advance(std::chrono::seconds(5));
-    CHECK(first.holder.get_authority().has_value());
+    CHECK(first.lease.get_authority().has_value());
     time.advance(std::chrono::seconds(1));
-    CHECK_FALSE(first.holder.get_authority().has_value());
+    CHECK_FALSE(first.lease.get_authority().has_value());
 }
 
 TEST_CASE("a late acquisition gives no authority if another candidate acquired the lease first") {
@@ -133,12 +133,12 @@
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
     log.delays_next_append = true;
-    CHECK_THROWS_AS(first.holder.tick(), log_unavailable_error);
-    second.holder.tick();
+    CHECK_THROWS_AS(first.lease.tick(), log_unavailable_error);
+    second.lease.tick();
     log.deliver_delayed_appends();
-    first.holder.tick();
-    CHECK_FALSE(first.holder.get_authority().has_value());
-    CHECK(second.holder.get_authority().has_value());
+    first.lease.tick();
+    CHECK_FALSE(first.lease.get_authority().has_value());
+    CHECK(second.lease.get_authority().has_value());
 }
 
 TEST_CASE("after a release was lost, the former holder has no authority and the lease expires by time") {
@@ -146,16 +146,16 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
-    second.holder.tick();
+    first.lease.tick();
+    second.lease.tick();
     log.is_down = true;
-    CHECK_THROWS_AS(first.holder.release(), log_unavailable_error);
+    CHECK_THROWS_AS(first.lease.release(), log_unavailable_error);
     log.is_down = false;
-    first.holder.tick();
-    CHECK_FALSE(first.holder.get_authority().has_value());
+    first.lease.tick();
+    CHECK_FALSE(first.lease.get_authority().has_value());
     time.advance(std::chrono::seconds(11));
-    second.holder.tick();
-    CHECK(second.holder.get_authority().has_value());
+    second.lease.tick();
+    CHECK(second.lease.get_authority().has_value());
 }
 
 TEST_CASE("two hosts never have authority at once while their clocks drift within the margin") {
@@ -168,13 +168,13 @@
             const testing::drifting_clock second_time(truth, second_rate);
             candidate first(log, first_time, "host-1");
             candidate second(log, second_time, "host-2");
-            first.holder.tick();
+            first.lease.tick();
             bool has_second_acquired = false;
             for (int step = 0; step < 200; ++step) {
-                second.holder.tick();
-                has_second_acquired = has_second_acquired || second.holder.get_authority().has_value();
+                second.lease.tick();
+                has_second_acquired = has_second_acquired || second.lease.get_authority().has_value();
                 // The first host is paused and reads nothing, so only its own clock can end its authority.
-                CHECK_FALSE((first.holder.get_authority() && second.holder.get_authority()));
+                CHECK_FALSE((first.lease.get_authority() && second.lease.get_authority()));
                 truth.advance(std::chrono::milliseconds(100));
             }
             CHECK(has_second_acquired);
@@ -201,8 +201,8 @@
     virtual_clock time;
     candidate first(log, time, "host-1");
     candidate second(log, time, "host-2");
-    first.holder.tick();
+    first.lease.tick();
     const record_draft release{
-        .type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = first.holder.get_authority()};
+        .type = std::string(lease_release_type), .body = {}, .condition = {}, .fence = first.lease.get_authority()};
     CHECK(second.stream.submit(std::span(&release, 1)).front().status == record_status::fenced);
 }
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -159,7 +159,7 @@
         world.step(1, call_outcome::answered);
     }
     // The challenger reads within half a lease length and then waits for the takeover delay only.
-    CHECK(waited <= lease_world::length / 2 + lease_world::quiet + 500ms);
+    CHECK(waited <= lease_world::length / 2 + lease_world::takeover_delay + 500ms);
 }
 
 TEST_CASE("an acquisition whose response was lost is found when the topic is read") {
--- a/tests/coordination/test_usage_report.cpp
+++ b/tests/coordination/test_usage_report.cpp
@@ -211,7 +211,7 @@
         return encode_window_report({.window = 1,
                                      .lines = {{.organisation = organisation_name("rovers"),
                                                 .late_from = {},
-                                                .figures = {.completion_tokens = tokens}}}});
+                                                .totals = {.completion_tokens = tokens}}}});
     };
     testing::billing_checker missing;
     CHECK_FALSE(missing.get_faults(expected_usage).empty());
