--- a/tests/coordination/matrix_process.cpp
+++ b/tests/coordination/matrix_process.cpp
@@ -57,7 +57,7 @@
     if (fault == matrix_fault::answer_late) {
         const std::vector<std::string> copies(records.begin(), records.end());
         m_world->run_later([world = m_world, name, copies] { world->append(name, copies); });
-        fail("append is on its way");
+        fail("append is in flight");
     }
     const log_offset first = m_world->append(name, records);
     if (fault == matrix_fault::duplicate) {
