--- a/coordination/order.cpp
+++ b/coordination/order.cpp
@@ -18,7 +18,7 @@
     {receiver_kind::ignores_fencing, "ignores_fencing"},
 }};
 
-constexpr std::array<name_entry<duplicate_handling>, 3> repeat_names{{
+constexpr std::array<name_entry<duplicate_handling>, 3> duplicate_handling_names{{
     {duplicate_handling::never, "never"},
     {duplicate_handling::idempotent, "idempotent"},
     {duplicate_handling::deduplicated, "deduplicated"},
@@ -29,8 +29,8 @@
     {send_outcome::rejected, "rejected"},
     {send_outcome::stale_fencing_number, "refused_old_number"},
     {send_outcome::not_sent, "not_sent"},
-    {send_outcome::seen_applied, "seen_applied"},
-    {send_outcome::sender_gone, "sender_gone"},
+    {send_outcome::found_applied, "seen_applied"},
+    {send_outcome::sender_terminated, "sender_gone"},
 }};
 
 template <typename Enum, std::size_t Count>
@@ -45,7 +45,7 @@
     const auto* const found =
         std::ranges::find_if(names, [name](const name_entry<Enum>& entry) { return entry.second == name; });
     if (found == names.end()) {
-        throw malformed_message_error("unknown name in an order record: " + std::string(name));
+        throw malformed_message_error("unknown value in an order record: " + std::string(name));
     }
     return found->first;
 }
@@ -54,14 +54,15 @@
 
 boost::json::object encode_order(const order& value) {
     if (!has_no_fractions(value.body)) {
-        throw malformed_message_error("order " + value.idempotency_key + " holds a fraction");
+        throw malformed_message_error("order " + value.idempotency_key +
+                                      " contains a fraction; only whole numbers are exact");
     }
     return {{"subject", value.subject},
             {"kind", value.kind},
             {"body", value.body},
             {"key", value.idempotency_key},
             {"receiver", get_name(receiver_names, value.receiver)},
-            {"repeat", get_name(repeat_names, value.duplicates)}};
+            {"repeat", get_name(duplicate_handling_names, value.duplicates)}};
 }
 
 order decode_order(const boost::json::object& body) {
@@ -70,9 +71,9 @@
                 .body = json::get_object(body, "body"),
                 .idempotency_key = json::get_string(body, "key"),
                 .receiver = get_value(receiver_names, json::get_string(body, "receiver")),
-                .duplicates = get_value(repeat_names, json::get_string(body, "repeat"))};
+                .duplicates = get_value(duplicate_handling_names, json::get_string(body, "repeat"))};
     if (!has_no_fractions(value.body)) {
-        throw malformed_message_error("order holds a fraction");
+        throw malformed_message_error("order contains a fraction; only whole numbers are exact");
     }
     return value;
 }
