--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -10,19 +10,19 @@
 namespace dragonflywell::ctl {
 
 inline constexpr int exit_ok = 0;
-/// The platform or a daemon did not answer, or what was asked for does not hold.
+/// The platform or a daemon did not respond, or the command found nothing to report.
 inline constexpr int exit_failed = 1;
 inline constexpr int exit_usage = 2;
-/// Another operator published first.
+/// Another operator published a newer manifest first.
 inline constexpr int exit_conflict = 3;
 
-/// What every command gets.
+/// Options and streams that every command receives.
 struct command_context {
     endpoint platform_log;
     std::vector<endpoint> daemons;
     duration deadline{std::chrono::seconds(5)};
     bool is_json{false};
-    /// Where `report` writes its page; empty when it was not given.
+    /// File to which `report` writes its page; empty when the option is missing.
     std::string html_file;
     std::ostream& out;
     std::ostream& errors;
@@ -38,10 +38,10 @@
     command& operator=(command&&) = delete;
     virtual ~command() = default;
 
-    /// Returns the words that select it, such as "manifest publish".
+    /// Returns the one or two words that select the command, such as "manifest publish".
     [[nodiscard]] virtual std::string get_name() const = 0;
     [[nodiscard]] virtual std::string get_summary() const = 0;
-    /// Returns the exit code. Throws `invalid_input_error`, `error`.
+    /// Runs the command and returns the exit code. Throws `invalid_input_error` and `error`.
     virtual int run(const command_context& context, const std::vector<std::string>& arguments) = 0;
 };
 
--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -18,7 +18,7 @@
 
 namespace options = boost::program_options;
 
-/// The one place where commands are registered.
+/// Creates all commands. Commands are registered only here.
 std::vector<std::unique_ptr<command>> make_commands() {
     std::vector<std::unique_ptr<command>> commands = make_manifest_commands();
     for (auto make : {make_report_commands, make_explain_commands}) {
@@ -32,11 +32,12 @@
 options::options_description make_options() {
     options::options_description description("Options");
     auto add = description.add_options();
-    add("log", options::value<std::string>()->default_value("127.0.0.1:7000"), "address of the platform's log");
+    add("log", options::value<std::string>()->default_value("127.0.0.1:7000"),
+        "address of the platform's append-only log");
     add("daemon", options::value<std::vector<std::string>>()->composing(),
-        "operator address of a daemon; may be given several times");
+        "operator address of a daemon; can be given several times");
     add("json", "print JSON");
-    add("html", options::value<std::string>()->default_value(""), "file that report writes its page to");
+    add("html", options::value<std::string>()->default_value(""), "file to which report writes its page");
     add("version", "print the version and exit");
     add("help,h", "print this help and exit");
     return description;
@@ -48,14 +49,14 @@
         out << fmt::format("  {:<18} {}\n", item->get_name(), item->get_summary());
     }
     out << "\n" << make_options();
-    out << "\nExit codes: 0 success, 1 something did not answer or does not hold, 2 wrong usage or input,\n"
-           "3 another operator published first.\n";
+    out << "\nExit codes: 0 success, 1 no response or nothing found, 2 wrong usage or invalid input,\n"
+           "3 another operator published a newer manifest first.\n";
 }
 
 endpoint require_endpoint(const std::string& text) {
     const std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed) {
-        throw invalid_input_error({{.location = text, .message = "is not an IP number and port"}});
+        throw invalid_input_error({{.location = text, .message = "is not an IP address with a port"}});
     }
     return *parsed;
 }
@@ -72,7 +73,7 @@
             return item->run(context, {positional.begin() + static_cast<std::ptrdiff_t>(count), positional.end()});
         }
     }
-    context.errors << "no such command; see --help\n";
+    context.errors << "unknown command; see --help for the list of commands\n";
     return exit_usage;
 }
 
--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -10,18 +10,18 @@
 
 namespace {
 
-/// Tells what became of a request, from the logs of the hosts alone.
+/// Explains the outcome of a request from the log files of the hosts.
 class explain_command final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "explain"; }
     [[nodiscard]] std::string get_summary() const override {
-        return "ID FILE...  tell from log files what became of a request";
+        return "ID FILE...  explain the outcome of a request from log files";
     }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         if (arguments.size() < 2) {
-            throw invalid_input_error(
-                std::vector<input_problem>{{.location = "explain", .message = "needs a request's id and log files"}});
+            throw invalid_input_error(std::vector<input_problem>{
+                {.location = "explain", .message = "needs the id of a request and at least one log file"}});
         }
         std::vector<log_line> lines;
         for (std::size_t index = 1; index < arguments.size(); ++index) {
@@ -30,7 +30,8 @@
         }
         const std::vector<request_trace> stories = find_request_traces(lines, arguments.front());
         if (stories.empty()) {
-            context.errors << "no line of these logs ends a request with the id " << arguments.front() << "\n";
+            context.errors << "these logs do not contain the end of a request with the id " << arguments.front()
+                           << "\n";
             return exit_failed;
         }
         for (const request_trace& story : stories) {
--- a/ctl/log_line.cpp
+++ b/ctl/log_line.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Reads a moment such as 2026-12-04T11:03:45.573Z.
-std::optional<wall_time> parse_moment(const std::string& text) {
+/// Parses a UTC time such as 2026-12-04T11:03:45.573Z.
+std::optional<wall_time> parse_time(const std::string& text) {
     std::istringstream source(text);
     std::tm parts{};
     source >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
@@ -59,7 +59,7 @@
     boost::json::object& fields = document.as_object();
     const std::string time = get_string(fields, "time");
     const std::string event = get_string(fields, "event");
-    const std::optional<wall_time> moment = parse_moment(time);
+    const std::optional<wall_time> moment = parse_time(time);
     if (event.empty() || !moment) {
         return std::nullopt;
     }
--- a/ctl/manifest_commands.cpp
+++ b/ctl/manifest_commands.cpp
@@ -19,7 +19,8 @@
 
 const std::string& require_one(const std::vector<std::string>& arguments, const char* what) {
     if (arguments.size() != 1) {
-        throw invalid_input_error({{.location = "arguments", .message = fmt::format("one {} is needed", what)}});
+        throw invalid_input_error(
+            {{.location = "arguments", .message = fmt::format("exactly one {} is needed", what)}});
     }
     return arguments.front();
 }
@@ -27,7 +28,7 @@
 class manifest_check final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "manifest check"; }
-    [[nodiscard]] std::string get_summary() const override { return "FILE  check a manifest and list all problems"; }
+    [[nodiscard]] std::string get_summary() const override { return "FILE  check a manifest and print all problems"; }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         const std::string& path = require_one(arguments, "file");
@@ -46,7 +47,7 @@
 class manifest_publish final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "manifest publish"; }
-    [[nodiscard]] std::string get_summary() const override { return "FILE  put a manifest in force everywhere"; }
+    [[nodiscard]] std::string get_summary() const override { return "FILE  publish a manifest to all hosts"; }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         const fleet::manifest_entries wanted = fleet::get_manifest_entries(read_file(require_one(arguments, "file")));
@@ -82,7 +83,7 @@
 class manifest_show final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "manifest show"; }
-    [[nodiscard]] std::string get_summary() const override { return "print the manifest in force"; }
+    [[nodiscard]] std::string get_summary() const override { return "print the current manifest"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
         operator_streams reader(context);
@@ -96,7 +97,7 @@
 public:
     [[nodiscard]] std::string get_name() const override { return "key create"; }
     [[nodiscard]] std::string get_summary() const override {
-        return "ORGANISATION  make a key: the caller's secret, and the entry for the manifest";
+        return "ORGANISATION  create an API key: the secret for the caller and the entry for the manifest";
     }
 
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
@@ -116,7 +117,7 @@
     static std::string make_random_hex(std::size_t bytes) {
         std::string random(bytes, '\0');
         if (RAND_bytes(reinterpret_cast<unsigned char*>(random.data()), static_cast<int>(bytes)) != 1) {
-            throw error("no random bytes can be had");
+            throw error("the system returned no random bytes, so that no key was created");
         }
         return get_sha256_hex(random).substr(0, bytes * 2);
     }
--- a/ctl/manifest_commands.hpp
+++ b/ctl/manifest_commands.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::ctl {
 
-/// Returns the commands that check, publish and show manifests and make keys.
+/// Returns the commands that check, publish and show manifests and that create API keys.
 [[nodiscard]] std::vector<std::unique_ptr<command>> make_manifest_commands();
 
 } // namespace dragonflywell::ctl
--- a/ctl/operator_streams.hpp
+++ b/ctl/operator_streams.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::ctl {
 
-/// The streams of the platform's log that an operator reads and writes. Not thread safe.
+/// The configuration and usage streams of the platform's log, with their folded states. Not thread safe.
 struct operator_streams {
     explicit operator_streams(const command_context& context);
 
--- a/ctl/report_commands.cpp
+++ b/ctl/report_commands.cpp
@@ -20,7 +20,7 @@
 class usage_command final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "usage"; }
-    [[nodiscard]] std::string get_summary() const override { return "print the usage of each organisation by window"; }
+    [[nodiscard]] std::string get_summary() const override { return "print the usage of each organisation per window"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
         operator_streams reader(context);
@@ -57,27 +57,28 @@
     }
 };
 
-/// Writes the board's report from what all hosts have stated in the log.
+/// Writes the service report from the figures that all hosts have written to the log.
 class report_command final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "report"; }
     [[nodiscard]] std::string get_summary() const override {
-        return "--html FILE  write trends of service and spending as a page with plots";
+        return "--html FILE  write the trends of service quality and spending as a page with plots";
     }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
         if (context.html_file.empty()) {
-            throw invalid_input_error(std::vector<input_problem>{{.location = "--html", .message = "names no file"}});
+            throw invalid_input_error(
+                std::vector<input_problem>{{.location = "--html", .message = "does not name a file"}});
         }
         platform::http_log log({.server = context.platform_log, .deadline = context.deadline});
         coordination::folded_stream stream(log, std::string(fleet::history_stream), {.host = "report"});
         fleet::service_history history;
         stream.add_observer(history);
         stream.poll();
-        const bool has_hours = history.get_hours().size() >= least_hours;
+        const bool has_hours = history.get_hours().size() >= hourly_report_hours;
         const fleet::service_history::series& spans = has_hours ? history.get_hours() : history.get_fine();
         if (spans.empty()) {
-            context.errors << "no host has stated any figures yet\n";
+            context.errors << "the log does not contain service figures of any host yet\n";
             return exit_failed;
         }
         std::ofstream file(context.html_file);
@@ -88,14 +89,14 @@
             throw invalid_input_error(
                 std::vector<input_problem>{{.location = context.html_file, .message = "cannot be written"}});
         }
-        return print_declines(context, get_report_metrics(spans));
+        return print_trends(context, get_report_metrics(spans));
     }
 
 private:
-    /// Hours from which on the report shows hours and no finer spans.
-    static constexpr std::size_t least_hours = 48;
+    /// From this many recorded hours on, the report shows one point per hour instead of finer spans.
+    static constexpr std::size_t hourly_report_hours = 48;
 
-    static int print_declines(const command_context& context, const std::vector<report_metric>& figures) {
+    static int print_trends(const command_context& context, const std::vector<report_metric>& figures) {
         for (const report_metric& figure : figures) {
             context.out << fmt::format("{:<40} {:>8.2f}  {}\n", figure.title, figure.values.back(),
                                        figure.is_decline ? "DECLINING" : "steady");
@@ -107,13 +108,13 @@
 class status_command final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "status"; }
-    [[nodiscard]] std::string get_summary() const override { return "ask each daemon for its state"; }
+    [[nodiscard]] std::string get_summary() const override { return "print the state of each daemon"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
         boost::json::array states;
         int exit_code = exit_ok;
         for (const endpoint& daemon : context.daemons) {
-            boost::json::object state = ask(context, daemon);
+            boost::json::object state = request_status(context, daemon);
             if (state.contains("error")) {
                 exit_code = exit_failed;
             }
@@ -130,11 +131,11 @@
     }
 
 private:
-    static boost::json::object ask(const command_context& context, const endpoint& daemon) {
+    static boost::json::object request_status(const command_context& context, const endpoint& daemon) {
         platform::blocking_http_client client({.server = daemon, .deadline = context.deadline});
         try {
-            const platform::http_answer answer = client.exchange(boost::beast::http::verb::get, "/status");
-            return json::as_object(json::parse(answer.body), "status");
+            const platform::http_client_response response = client.exchange(boost::beast::http::verb::get, "/status");
+            return json::as_object(json::parse(response.body), "status");
         } catch (const error& fault) {
             return {{"address", format_endpoint(daemon)}, {"error", fault.what()}};
         }
--- a/ctl/report_page.cpp
+++ b/ctl/report_page.cpp
@@ -13,9 +13,9 @@
 
 constexpr double percent = 100;
 constexpr double tokens_per_million = 1e6;
-constexpr double milli = 1000;
-/// An organisation with fewer requests in a span says nothing about it.
-constexpr std::uint64_t least_asked = 20;
+constexpr double milli_per_unit = 1000;
+/// An organisation with fewer requests in a span is ignored, because its goodput would be too noisy.
+constexpr std::uint64_t least_requests = 20;
 
 constexpr double plot_width = 860;
 constexpr double plot_height = 180;
@@ -67,7 +67,8 @@
     return value >= percent ? fmt::format("{:.0f}", value) : fmt::format("{:.2f}", value);
 }
 
-/// Draws one series with a labelled scale. A flat series gets a scale of its own, so that it is not drawn as noise.
+/// Draws one series with a labelled scale. The scale has a minimum height, so that small variations of an almost
+/// constant series do not look like large changes.
 class line_plot {
 public:
     line_plot(const report_metric& figure, std::uint64_t first, std::uint64_t last)
@@ -139,11 +140,11 @@
             .change = found.change};
 }
 
-std::string make_verdict(const std::vector<report_metric>& figures) {
+std::string make_summary(const std::vector<report_metric>& figures) {
     std::string declines;
     for (const report_metric& figure : figures) {
         if (figure.is_decline) {
-            declines += fmt::format("<p><strong>{}</strong> has moved by {:+.1f}% over this time. {}</p>",
+            declines += fmt::format("<p><strong>{}</strong> has changed by {:+.1f}% over this period. {}</p>",
                                     escape(figure.title), figure.change * percent, escape(figure.meaning));
         }
     }
@@ -151,9 +152,9 @@
         return "<div class=\"bad\"><p><strong>Slow decline found.</strong></p>" + declines + "</div>";
     }
     if (figures.front().values.size() < 8) {
-        return "<div class=\"good\"><p>Too short a time to tell a trend: eight spans are needed.</p></div>";
+        return "<div class=\"good\"><p>Too short a time to detect a trend: at least eight spans are needed.</p></div>";
     }
-    return "<div class=\"good\"><p>No slow decline found in any figure.</p></div>";
+    return "<div class=\"good\"><p>No slow decline found in any metric.</p></div>";
 }
 
 std::string make_refusal_table(const fleet::service_counts& total) {
@@ -164,7 +165,7 @@
         }
     }
     if (reasons.empty()) {
-        return "<p>Nothing was refused.</p>";
+        return "<p>No request was refused.</p>";
     }
     std::sort(reasons.begin(), reasons.end(),
               [](const auto& one, const auto& other) { return one.second > other.second; });
@@ -176,10 +177,11 @@
 }
 
 std::string make_organisation_table(const fleet::service_counts& total) {
-    std::string text = "<table><tr><th>Organisation</th><th>Asked</th><th>Completed</th><th>Part</th></tr>";
+    std::string text =
+        "<table><tr><th>Organisation</th><th>Requests</th><th>Completed</th><th>Share completed</th></tr>";
     std::vector<std::pair<std::string, fleet::request_counts>> rows;
     for (const auto& [name, service] : total.organisations) {
-        rows.emplace_back(name.empty() ? "all others" : name.value(), service);
+        rows.emplace_back(name.empty() ? "all other organisations" : name.value(), service);
     }
     const auto part = [](const fleet::request_counts& item) {
         return item.requested == 0 ? 1.0 : static_cast<double>(item.completed) / static_cast<double>(item.requested);
@@ -202,9 +204,9 @@
     std::vector<double> refusals;
     for (const auto& [start, figures] : spans) {
         goodput.push_back(fleet::get_goodput(figures) * percent);
-        worst.push_back(fleet::get_worst_goodput(figures, least_asked) * percent);
+        worst.push_back(fleet::get_worst_goodput(figures, least_requests) * percent);
         if (figures.delivered_tokens > 0) {
-            spend.push_back(static_cast<double>(figures.spend_milli) / milli /
+            spend.push_back(static_cast<double>(figures.spend_milli) / milli_per_unit /
                             (static_cast<double>(figures.delivered_tokens) / tokens_per_million));
         }
         std::uint64_t refused = 0;
@@ -217,18 +219,18 @@
     constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .least_change = 0.05};
     std::vector<report_metric> figures;
     figures.push_back(make_figure("Goodput", "% of requests completed",
-                                  "Fewer callers get their whole answer; compare the refusals by reason below.",
+                                  "Fewer requests are completed; compare the refusals by reason below.",
                                   std::move(goodput), falls));
     figures.push_back(make_figure("Worst-served organisation", "% of its requests completed",
-                                  "One organisation pays for the others; look at its weight and limits.",
+                                  "One organisation is served worse than the others; check its weight and limits.",
                                   std::move(worst), falls));
     if (!spend.empty()) {
         figures.push_back(make_figure("Spending per million delivered tokens", "in the manifest's currency",
-                                      "The fleet costs more for the same service; look at the spending plan.",
+                                      "The fleet costs more for the same number of tokens; check the spending plan.",
                                       std::move(spend), rises));
     }
-    figures.push_back(make_figure("Refused requests", "in each span", "More is refused; see the reasons below.",
-                                  std::move(refusals), rises));
+    figures.push_back(make_figure("Refused requests", "in each span",
+                                  "More requests are refused; see the reasons below.", std::move(refusals), rises));
     return figures;
 }
 
@@ -245,7 +247,7 @@
                                    page_style);
     page += fmt::format("<h1>Service report</h1><p class=\"note\">{} to {} UTC, {} spans of {} minutes</p>",
                         format_moment(first), format_moment(last), spans.size(), span_seconds / 60);
-    page += make_verdict(figures);
+    page += make_summary(figures);
     for (const report_metric& figure : figures) {
         page += fmt::format("<h2>{}{}</h2><p class=\"note\">{}</p>", escape(figure.title),
                             figure.is_decline ? " — declining" : "", escape(figure.unit));
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -9,66 +9,68 @@
 
 namespace {
 
-/// How far around a request's end other events are looked at: longer than bounds on stale knowledge of a server.
-constexpr duration vicinity = std::chrono::seconds(10);
+/// Events up to this long before and after the end of a request are considered. It exceeds the time for which a host's
+/// view of a server may be stale.
+constexpr duration event_window = std::chrono::seconds(10);
 
 constexpr std::string_view request_prefix = "request_";
-/// Results of exchanges that went wrong; what else stands there is an answer, some with its status.
+/// Results of failed exchanges. All other results stand for a response; some of them are its status code.
 constexpr std::array<std::string_view, 8> failed_results{"failed",       "refused",     "invalid",      "other_server",
                                                          "read_refused", "read_failed", "read_invalid", "caller_gone"};
-/// Begins the statuses with which a server says that it failed.
-constexpr char server_fault_digit = '5';
+/// First digit of the status codes for server errors.
+constexpr char server_error_digit = '5';
 constexpr std::array<std::string_view, 7> host_event_names{
     "start", "stopping", "stopped", "reload", "time_corrected", "settings_rejected", "configuration_rejected"};
 
-struct visit {
+struct server_exchange {
     std::string server;
     std::string result;
 };
 
-/// Reads the field `servers`: names with results, such as "s0:read s3:failed".
-std::vector<visit> parse_visits(const log_line& line) {
-    std::vector<visit> visits;
+/// Parses the field `servers`, which lists names with results, such as "s0:read s3:failed".
+std::vector<server_exchange> parse_exchanges(const log_line& line) {
+    std::vector<server_exchange> exchanges;
     std::istringstream words(line.get_text("servers"));
     for (std::string word; words >> word;) {
         const std::size_t colon = word.rfind(':');
         if (colon != std::string::npos) {
-            visits.push_back({.server = word.substr(0, colon), .result = word.substr(colon + 1)});
+            exchanges.push_back({.server = word.substr(0, colon), .result = word.substr(colon + 1)});
         }
     }
-    return visits;
+    return exchanges;
 }
 
 bool is_request_end(const log_line& line) {
     return line.event.starts_with(request_prefix) && line.fields.contains("took_ms");
 }
 
-bool is_near(const log_line& line, const log_line& end) {
-    return line.moment >= end.moment - vicinity && line.moment <= end.moment + vicinity;
+bool is_within_window(const log_line& line, const log_line& end) {
+    return line.moment >= end.moment - event_window && line.moment <= end.moment + event_window;
 }
 
 bool is_failure(const std::string& result) {
-    return result.starts_with(server_fault_digit) ||
+    return result.starts_with(server_error_digit) ||
            std::find(failed_results.begin(), failed_results.end(), result) != failed_results.end();
 }
 
-bool names_server(const log_line& line, const std::string& server) {
+bool is_about_server(const log_line& line, const std::string& server) {
     return line.get_text("server") == server || line.get_text("engine") == server;
 }
 
-contacted_server describe(std::span<const log_line> lines, const log_line& end, const visit& visited) {
-    contacted_server server{.name = visited.server, .result = visited.result, .changes = {}};
+contacted_server collect_server_events(std::span<const log_line> lines, const log_line& end,
+                                       const server_exchange& exchange) {
+    contacted_server server{.name = exchange.server, .result = exchange.result, .changes = {}};
     for (const log_line& line : lines) {
-        if (!is_near(line, end)) {
+        if (!is_within_window(line, end)) {
             continue;
         }
-        if (line.host == end.host && names_server(line, server.name)) {
+        if (line.host == end.host && is_about_server(line, server.name)) {
             server.changes.push_back(line);
         }
         if (!is_request_end(line) || line.get_text("id") == end.get_text("id")) {
             continue;
         }
-        for (const visit& other : parse_visits(line)) {
+        for (const server_exchange& other : parse_exchanges(line)) {
             if (other.server == server.name) {
                 ++server.others;
                 server.others_failed += is_failure(other.result) ? 1 : 0;
@@ -78,7 +80,7 @@
     return server;
 }
 
-std::vector<log_line> find_lost(std::span<const log_line> lines, const log_line& end) {
+std::vector<log_line> find_lost_dependencies(std::span<const log_line> lines, const log_line& end) {
     std::map<std::string, log_line> lost;
     for (const log_line& line : lines) {
         if (line.host != end.host || line.moment > end.moment) {
@@ -102,11 +104,11 @@
     return still_lost;
 }
 
-request_trace make_story(std::span<const log_line> lines, const log_line& end) {
+request_trace make_trace(std::span<const log_line> lines, const log_line& end) {
     request_trace story{
-        .end = end, .servers = {}, .configuration = {}, .lost = find_lost(lines, end), .host_events = {}};
-    for (const visit& visited : parse_visits(end)) {
-        story.servers.push_back(describe(lines, end, visited));
+        .end = end, .servers = {}, .configuration = {}, .lost = find_lost_dependencies(lines, end), .host_events = {}};
+    for (const server_exchange& exchange : parse_exchanges(end)) {
+        story.servers.push_back(collect_server_events(lines, end, exchange));
     }
     for (const log_line& line : lines) {
         if (line.host != end.host) {
@@ -118,7 +120,7 @@
         }
         const bool is_of_host =
             std::find(host_event_names.begin(), host_event_names.end(), line.event) != host_event_names.end();
-        if (is_of_host && is_near(line, end)) {
+        if (is_of_host && is_within_window(line, end)) {
             story.host_events.push_back(line);
         }
     }
@@ -130,12 +132,12 @@
         return "no backend server has run it, and none will";
     }
     if (outcome == "failed_after_start") {
-        return "a backend server had begun to run it";
+        return "a backend server had started to run it";
     }
     return "whether it ran is not known";
 }
 
-/// Returns the fields of an event that say more than its name, time and host.
+/// Returns the fields of an event other than its name, time, host, level and part.
 std::string format_details(const log_line& line) {
     std::string text;
     for (const auto& field : line.fields) {
@@ -159,8 +161,9 @@
 std::string format_server(const contacted_server& server) {
     std::string text = fmt::format("  {}: {}", server.name, server.result);
     if (server.others > 0) {
-        text += fmt::format("; of {} other requests sent there within {} s, {} failed", server.others,
-                            std::chrono::duration_cast<std::chrono::seconds>(vicinity).count(), server.others_failed);
+        text +=
+            fmt::format("; of {} other requests sent there within {} s, {} failed", server.others,
+                        std::chrono::duration_cast<std::chrono::seconds>(event_window).count(), server.others_failed);
     }
     return text + "\n" + format_events(server.changes, "    ");
 }
@@ -176,7 +179,7 @@
     }
     if (end.fields.contains("expected_first_ms")) {
         const std::string first = end.get_text("first_ms");
-        text += fmt::format("first event expected after {} ms, came after {}\n", end.get_text("expected_first_ms"),
+        text += fmt::format("first event expected after {} ms, received: {}\n", end.get_text("expected_first_ms"),
                             first.empty() ? "never" : first + " ms");
     }
     return text;
@@ -191,7 +194,7 @@
     std::vector<request_trace> stories;
     for (const log_line& line : sorted) {
         if (is_request_end(line) && line.get_text("id") == id) {
-            stories.push_back(make_story(sorted, line));
+            stories.push_back(make_trace(sorted, line));
         }
     }
     return stories;
@@ -201,8 +204,8 @@
     std::string text = format_end(story.end);
     text += fmt::format("configuration {}", story.end.get_text("configuration"));
     text += story.configuration ? fmt::format(", in force on this host since {}\n", story.configuration->time)
-                                : ", in force since before these logs begin\n";
-    text += story.servers.empty() ? "sent to no backend server\n" : "sent to\n";
+                                : ", in force since before the start of these logs\n";
+    text += story.servers.empty() ? "not sent to any backend server\n" : "sent to\n";
     for (const contacted_server& server : story.servers) {
         text += format_server(server);
     }
@@ -210,7 +213,7 @@
         text += "the host had lost\n" + format_events(story.lost, "  ");
     }
     if (!story.host_events.empty()) {
-        text += "the host itself\n" + format_events(story.host_events, "  ");
+        text += "events of the host\n" + format_events(story.host_events, "  ");
     }
     return text;
 }
--- a/ctl/request_trace.hpp
+++ b/ctl/request_trace.hpp
@@ -10,36 +10,36 @@
 
 namespace dragonflywell::ctl {
 
-/// A backend server that a request was sent to, and what the logs say of it.
+/// A backend server to which a request was sent, with related events from the logs.
 struct contacted_server {
     std::string name;
-    /// What came of the exchange, as the host noted it.
+    /// Result of the exchange, as the host logged it.
     std::string result;
-    /// What the request's host came to believe of the server around that time, in order.
+    /// Events about the server that the request's host logged around that time, in order of time.
     std::vector<log_line> changes;
-    /// Other requests of all hosts around that time which were sent to it, and those of them that failed there.
+    /// Number of other requests that all hosts sent to the server around that time, and how many of them failed there.
     std::size_t others{0};
     std::size_t others_failed{0};
 };
 
-/// What the logs tell of one attempt of a request.
+/// Everything that the logs contain about one attempt of a request.
 struct request_trace {
-    /// The line with which it ended.
+    /// The event that ends the request.
     log_line end;
     std::vector<contacted_server> servers;
-    /// The line by which its configuration came into force on its host, where it is in the logs.
+    /// The event by which the request's configuration took effect on its host; empty when it precedes the logs.
     std::optional<log_line> configuration;
-    /// Dependencies that its host had lost and not regained when it ended.
+    /// Dependencies that were unreachable from the host when the request ended.
     std::vector<log_line> lost;
-    /// Starts, stops, reloads and the like of its host around that time.
+    /// Starts, stops, reloads and similar events of the host around that time.
     std::vector<log_line> host_events;
 };
 
-/// Returns the stories of all requests with that id, in order of time; mostly one, since each attempt has an id of its
-/// own. `lines`: events of any number of hosts, in any order. Thread safe.
+/// Returns a trace for each request with that id, in order of time. There is usually one, because each attempt has its
+/// own id. `lines` contains the events of any number of hosts in any order. Thread safe.
 [[nodiscard]] std::vector<request_trace> find_request_traces(std::span<const log_line> lines, std::string_view id);
 
-/// Returns a story as lines that a person reads. Thread safe.
+/// Formats a trace as human-readable text. Thread safe.
 [[nodiscard]] std::string format_request_trace(const request_trace& story);
 
 } // namespace dragonflywell::ctl
--- a/ctl/status_text.cpp
+++ b/ctl/status_text.cpp
@@ -28,7 +28,7 @@
         const std::string target = json::get_string_or(engine, "target", "");
         text += fmt::format("    {:<20} {:<10} {:<8} {}{}\n", json::get_string(engine, "name"),
                             json::get_string(engine, "zone"), json::get_string(engine, "role"),
-                            json::get_string(engine, "state"), target.empty() ? "" : ", to become " + target);
+                            json::get_string(engine, "state"), target.empty() ? "" : ", changing to " + target);
     }
     return text;
 }
@@ -82,7 +82,7 @@
     if (status.contains("error")) {
         return fmt::format("{}: {}\n", json::get_string_or(status, "address", ""), json::get_string(status, "error"));
     }
-    std::string text = fmt::format("{} in {}: {}, configuration {}\n", json::get_string_or(status, "host", ""),
+    std::string text = fmt::format("{} in {}: {}, configuration version {}\n", json::get_string_or(status, "host", ""),
                                    json::get_string_or(status, "zone", ""),
                                    json::get_bool_or(status, "ready", false) ? "ready" : "not ready",
                                    json::get_unsigned_or(status, "configuration_version", 0));
@@ -91,7 +91,7 @@
     }
     const boost::json::object& fleet = json::get_object(status, "fleet");
     text += fmt::format(
-        "  {}, log {}, {} changes completed, {} given up, {} orders without a known outcome\n",
+        "  {}, log {}, {} changes completed, {} abandoned, {} orders with an unknown outcome\n",
         json::get_bool_or(fleet, "authority", false) ? "controls its zone" : "does not control its zone",
         json::get_bool_or(fleet, "log_reachable", false) ? "reachable" : "NOT REACHABLE",
         json::get_unsigned_or(fleet, "completed_changes", 0), json::get_unsigned_or(fleet, "given_up_changes", 0),
--- a/ctl/status_text.hpp
+++ b/ctl/status_text.hpp
@@ -5,7 +5,8 @@
 
 namespace dragonflywell::ctl {
 
-/// Returns a daemon's status as lines that a person reads. Keys that are missing are left out. Thread safe.
+/// Formats the status of a daemon as human-readable text. Missing optional keys are shown with default values. Throws
+/// `malformed_message_error` when a mandatory key is missing. Thread safe.
 [[nodiscard]] std::string format_status(const boost::json::object& status);
 
 } // namespace dragonflywell::ctl
--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -8,7 +8,7 @@
 
 namespace coordination = dragonflywell::coordination;
 
-/// A log in memory. An embedding program puts its platform's log here.
+/// An in-memory log. A real program implements this interface with its platform's log.
 class memory_log final : public coordination::append_log {
 public:
     coordination::log_offset append(std::string_view stream, std::span<const std::string> records) override {
@@ -33,7 +33,7 @@
 
 } // namespace
 
-/// Takes the lease of one scope, prints it and gives it up.
+/// Acquires the lease of one scope, prints it and releases it.
 int main() {
     memory_log log;
     const dragonflywell::host_clock time;
@@ -42,7 +42,7 @@
     holder.tick();
     const auto token = holder.get_authority();
     if (!token) {
-        std::cerr << "The lease was not won.\n";
+        std::cerr << "The lease was not acquired.\n";
         return 1;
     }
     std::cout << "Lease of " << token->scope << " with fencing number " << token->number << "\n";
--- a/misc/cmake/Install.cmake
+++ b/misc/cmake/Install.cmake
@@ -1,4 +1,4 @@
-# Installs the packages that others embed, so that find_package(dragonflywell) finds them.
+# Installs the libraries for use in other projects with find_package(dragonflywell), and the programs.
 include(GNUInstallDirs)
 include(CMakePackageConfigHelpers)
 
--- a/misc/cmake/Workspace.cmake
+++ b/misc/cmake/Workspace.cmake
@@ -1,4 +1,4 @@
-# Settings and functions that every package of the workspace shares.
+# Build settings and functions that all packages share.
 
 set(CMAKE_CXX_STANDARD 20)
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
@@ -26,7 +26,7 @@
   add_link_options(-fsanitize=${DRAGONFLYWELL_SANITIZE})
 endif()
 
-# Adds the package NAME from every source file of the current folder.
+# add_package(NAME DEPENDS targets...): adds a static library from all source files of the current folder.
 function(add_package name)
   cmake_parse_arguments(PACKAGE "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
@@ -41,7 +41,7 @@
   set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
 endfunction()
 
-# Adds the program NAME from SOURCES.
+# add_program(NAME SOURCES files... DEPENDS targets...): adds an executable.
 function(add_program name)
   cmake_parse_arguments(PROGRAM "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${PROGRAM_SOURCES})
--- a/tests/ctl/test_command_line.cpp
+++ b/tests/ctl/test_command_line.cpp
@@ -7,7 +7,7 @@
 
 using namespace dragonflywell::ctl;
 
-TEST_CASE("wrong usage has its own exit code and says what is wrong") {
+TEST_CASE("wrong usage and invalid input return their own exit code") {
     std::ostringstream out;
     std::ostringstream errors;
     CHECK(run_command_line({}, out, errors) == exit_usage);
--- a/tests/ctl/test_report_page.cpp
+++ b/tests/ctl/test_report_page.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-TEST_CASE("a slow decline is called out, a steady service is not") {
+TEST_CASE("the report shows a slow decline and does not report one for a steady service") {
     const std::string falling = make_report_page(make_series(3), 3600);
     CHECK(falling.find("Slow decline found.") != std::string::npos);
     CHECK(falling.find("Goodput — declining") != std::string::npos);
@@ -33,7 +33,7 @@
     CHECK(steady.find("declining") == std::string::npos);
 }
 
-TEST_CASE("the page stands alone and names are escaped") {
+TEST_CASE("the page refers to no other file, and names are escaped") {
     const std::string page = make_report_page(make_series(1), 3600);
     CHECK(page.find("http") == std::string::npos);
     CHECK(page.find("<script") == std::string::npos);
@@ -43,7 +43,7 @@
     CHECK(page.find("nan") == std::string::npos);
 }
 
-TEST_CASE("figures of one span make a page without a verdict on trends") {
+TEST_CASE("a single span makes a page that states that it is too short to detect a trend") {
     fleet::service_history::series one;
     one[0] = {};
     CHECK(make_report_page(one, 300).find("Too short a time") != std::string::npos);
--- a/tests/ctl/test_request_trace.cpp
+++ b/tests/ctl/test_request_trace.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Two hosts; h1 sent c1-7 to s7, which had just come back, and could not read the store.
+/// Logs of two hosts. Host h1 sent request c1-7 to server s7, which had just been added, and h1 could not read the
+/// store.
 constexpr const char* logs =
     R"({"time":"2026-12-04T11:03:30.000Z","host":"h1","event":"configuration_in_force","version":4}
 {"time":"2026-12-04T11:03:40.500Z","host":"h1","event":"dependency_lost","what":"configuration","reason":"no answer"}
@@ -31,13 +32,13 @@
 
 } // namespace
 
-TEST_CASE("lines that are no events are left out of a log") {
+TEST_CASE("lines without an event are skipped") {
     CHECK(parse_log(logs).size() == 7);
     CHECK_FALSE(parse_log_line("{\"event\":\"start\"").has_value());
     CHECK(parse_log("").empty());
 }
 
-TEST_CASE("moments are read with their fraction") {
+TEST_CASE("times are parsed with their fraction of a second") {
     const auto early = parse_log_line(R"({"time":"2026-12-04T11:03:45.573Z","event":"a"})");
     const auto late = parse_log_line(R"({"time":"2026-12-04T11:03:46Z","event":"a"})");
     REQUIRE(early.has_value());
@@ -45,7 +46,7 @@
     CHECK(late->moment - early->moment == std::chrono::milliseconds(427));
 }
 
-TEST_CASE("a story tells which servers a request was sent to and how others fared there") {
+TEST_CASE("a trace lists the servers of a request and how many other requests failed there") {
     const request_trace story = get_story("c1-7");
     REQUIRE(story.servers.size() == 1);
     const contacted_server& server = story.servers.front();
@@ -53,12 +54,12 @@
     CHECK(server.result == "failed");
     CHECK(server.others == 2);
     CHECK(server.others_failed == 1);
-    // The removal more than a minute later has nothing to do with it.
+    // The removal of the server more than a minute later is outside of the time window.
     REQUIRE(server.changes.size() == 1);
     CHECK(server.changes.front().get_text("change") == "added");
 }
 
-TEST_CASE("a story tells what its host knew and had lost") {
+TEST_CASE("a trace lists the configuration of the host and its lost dependencies") {
     const request_trace story = get_story("c1-7");
     REQUIRE(story.configuration.has_value());
     CHECK(story.configuration->time == "2026-12-04T11:03:30.000Z");
@@ -67,7 +68,7 @@
     CHECK(get_story("c2-1").lost.empty());
 }
 
-TEST_CASE("a story reads as text from its end to its causes") {
+TEST_CASE("the text of a trace begins with the end of the request and then lists the causes") {
     const std::string text = format_request_trace(get_story("c1-7"));
     CHECK(text.starts_with("c1-7 failed on host h1 at 2026-12-04T11:03:45.573Z, after 3004.1 ms, status 504\n"));
     CHECK(text.find("reason deadline_exceeded: the time ran out; whether it ran is not known\n") != std::string::npos);
@@ -76,7 +77,7 @@
     CHECK(text.find("the host had lost\n") != std::string::npos);
 }
 
-TEST_CASE("an id that ended nowhere has no story") {
+TEST_CASE("an id without an end of a request has no trace") {
     const std::vector<log_line> lines = parse_log(logs);
     CHECK(find_request_traces(lines, "c9-9").empty());
 }
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -16,13 +16,14 @@
 int run(int argc, char** argv) {
     options::options_description description("Usage: dragonflywell-demo --daemon PROGRAM --folder FOLDER\n\nOptions");
     auto add = description.add_options();
-    add("daemon", options::value<std::string>()->required(), "program of the daemon");
-    add("folder", options::value<std::string>()->required(), "where settings and logs go");
+    add("daemon", options::value<std::string>()->required(), "path of the daemon program");
+    add("folder", options::value<std::string>()->required(), "folder for settings and logs");
     add("help,h", "print this help and exit");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
     if (values.contains("help")) {
-        std::cout << description << "\nExit codes: 0 all went as told, 1 something did not, 2 wrong usage.\n";
+        std::cout << description
+                  << "\nExit codes: 0 all expectations were met, 1 at least one failed, 2 wrong usage.\n";
         return exit_ok;
     }
     options::notify(values);
--- a/tests/demo/platform_demo.cpp
+++ b/tests/demo/platform_demo.cpp
@@ -18,12 +18,12 @@
 namespace {
 
 constexpr duration usage_window = seconds(2);
-/// Within this a changed configuration is in force, and a leaving server gets no further request.
-constexpr duration bound = milliseconds(2500);
-constexpr duration start_patience = seconds(15);
+/// After this time a changed configuration has taken effect everywhere, and a draining server gets no further requests.
+constexpr duration settle_time = milliseconds(2500);
+constexpr duration start_timeout = seconds(15);
 constexpr duration poll_interval = milliseconds(100);
-constexpr duration answer_patience = seconds(5);
-constexpr int many = 20;
+constexpr duration response_timeout = seconds(5);
+constexpr int request_count = 20;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unauthorized = 401;
 constexpr std::size_t first_instance = 2;
@@ -35,17 +35,17 @@
 } // namespace
 
 platform_demo::platform_demo(platform_demo_options options, std::ostream& out)
-    : m_options(std::move(options)), m_out(&out), m_seen(m_time), m_platform(m_loop, m_seen) {}
+    : m_options(std::move(options)), m_out(&out), m_checker(m_time), m_platform(m_loop, m_checker) {}
 
 bool platform_demo::run() {
-    testing::run_until_done(m_loop, [this] { return play(); });
-    for (const std::string& violation : m_seen.get_violations()) {
+    testing::run_until_done(m_loop, [this] { return run_steps(); });
+    for (const std::string& violation : m_checker.get_violations()) {
         expect(false, violation);
     }
-    return m_holds;
+    return m_is_successful;
 }
 
-asio::awaitable<void> platform_demo::play() {
+asio::awaitable<void> platform_demo::run_steps() {
     co_await start();
     co_await show_requests();
     co_await show_refused_key();
@@ -57,7 +57,7 @@
 }
 
 asio::awaitable<void> platform_demo::start() {
-    tell("A store, two engines and two instances of a service in two availability zones; three daemons");
+    print_step("A store, two engines and two instances of a service in two availability zones; three daemons");
     m_platform.start();
     add_server("llm", "z1", "prefill");
     add_server("llm", "z2", "decode");
@@ -73,7 +73,7 @@
                                         .store = m_platform.get_store_endpoint(),
                                         .reports = m_platform.get_reports_endpoint(),
                                         .usage_window = usage_window};
-        m_hosts.push_back(std::make_unique<soak::soak_host>(m_loop, m_seen, std::move(options)));
+        m_hosts.push_back(std::make_unique<soak::soak_host>(m_loop, m_checker, std::move(options)));
         m_hosts.back()->start();
     }
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
@@ -82,95 +82,97 @@
 }
 
 asio::awaitable<void> platform_demo::show_requests() {
-    tell("A read, an order that may run once at most, and a stream");
-    const question read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
-    const question order{.route = "once", .kind = request_kind::at_most_once, .key = "surveyors-key"};
-    const question stream{.route = "gen", .kind = request_kind::stream, .key = "rovers-key"};
-    for (const question& wanted : {read, order, stream}) {
-        const answer got = co_await ask(*m_hosts[m_number % m_hosts.size()], wanted);
-        *m_out << fmt::format("   {}: {} {}\n", wanted.route, got.status, get_first_line(got.body));
-        expect(got.status == status_ok, "the request is served");
+    print_step("A read, a request that may run at most once, and a stream");
+    const test_request read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
+    const test_request order{.route = "once", .kind = request_kind::at_most_once, .key = "surveyors-key"};
+    const test_request stream{.route = "gen", .kind = request_kind::stream, .key = "rovers-key"};
+    for (const test_request& wanted : {read, order, stream}) {
+        const test_response received = co_await send_request(*m_hosts[m_number % m_hosts.size()], wanted);
+        *m_out << fmt::format("   {}: {} {}\n", wanted.route, received.status, get_first_line(received.body));
+        expect(received.status == status_ok, "the request is served");
     }
 }
 
 asio::awaitable<void> platform_demo::show_refused_key() {
-    tell("A key that no configuration holds");
-    const question read{.route = "safe", .kind = request_kind::idempotent, .key = "wrong"};
-    const answer got = co_await ask(*m_hosts[0], read);
-    *m_out << fmt::format("   {} {}\n", got.status, got.body);
-    expect(got.status == status_unauthorized, "it is refused");
+    print_step("A key that is not in the configuration");
+    const test_request read{.route = "safe", .kind = request_kind::idempotent, .key = "wrong"};
+    const test_response received = co_await send_request(*m_hosts[0], read);
+    *m_out << fmt::format("   {} {}\n", received.status, received.body);
+    expect(received.status == status_unauthorized, "it is refused");
 }
 
 asio::awaitable<void> platform_demo::show_revoked_key() {
-    tell("A key is revoked: it stops working at every host within its bound");
+    print_step("A key is revoked: every host refuses it within the time limit");
     m_keys["surveyors"] = {"surveyors-second-key"};
     m_platform.publish(m_keys);
-    co_await servers::sleep_for(bound);
-    const question read{.route = "safe", .kind = request_kind::idempotent, .key = "surveyors-key"};
+    co_await servers::sleep_for(settle_time);
+    const test_request read{.route = "safe", .kind = request_kind::idempotent, .key = "surveyors-key"};
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
-        const answer got = co_await ask(*host, read);
-        *m_out << fmt::format("   {}: {}\n", host->get_name(), got.status);
-        expect(got.status == status_unauthorized, "it is refused");
+        const test_response received = co_await send_request(*host, read);
+        *m_out << fmt::format("   {}: {}\n", host->get_name(), received.status);
+        expect(received.status == status_unauthorized, "it is refused");
     }
 }
 
 asio::awaitable<void> platform_demo::show_drained_server() {
-    tell("A backend server says that it leaves: it gets no request after its bound, and none is lost");
+    print_step("A backend server drains: after the time limit it gets no request, and no request is lost");
     m_servers[first_instance]->drain();
-    co_await servers::sleep_for(bound);
-    const question read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
-    const int served = co_await ask_many(*m_hosts[0], read, many);
+    co_await servers::sleep_for(settle_time);
+    const test_request read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
+    const int served = co_await send_requests(*m_hosts[0], read, request_count);
     m_servers[first_instance]->leave();
     m_servers[first_instance]->crash();
-    *m_out << fmt::format("   {} of {} reads served by the other one\n", served, many);
-    expect(served == many, "all reads are served");
-    expect(m_seen.get_violations().empty(), "the leaving server got none");
+    *m_out << fmt::format("   {} of {} reads served by the other backend server\n", served, request_count);
+    expect(served == request_count, "all reads are served");
+    expect(m_checker.get_violations().empty(), "the draining backend server gets no request");
 }
 
 asio::awaitable<void> platform_demo::show_killed_host() {
-    tell("A host is killed and comes back");
-    m_seen.note_disturbance();
+    print_step("A host is killed and started again");
+    m_checker.record_unplanned_fault();
     m_hosts[0]->kill();
-    const question stream{.route = "resume", .kind = request_kind::resumable_stream, .key = "rovers-key"};
-    const int served = co_await ask_many(*m_hosts[1], stream, many);
-    *m_out << fmt::format("   meanwhile {} of {} streams served through {}\n", served, many, m_hosts[1]->get_name());
-    expect(served == many, "all streams are served");
+    const test_request stream{.route = "resume", .kind = request_kind::resumable_stream, .key = "rovers-key"};
+    const int served = co_await send_requests(*m_hosts[1], stream, request_count);
+    *m_out << fmt::format("   meanwhile {} of {} streams served through {}\n", served, request_count,
+                          m_hosts[1]->get_name());
+    expect(served == request_count, "all streams are served");
     m_hosts[0]->start();
     co_await wait_until_ready(*m_hosts[0]);
-    const question read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
-    const answer got = co_await ask(*m_hosts[0], read);
-    *m_out << fmt::format("   {} again: {}\n", m_hosts[0]->get_name(), got.status);
-    expect(got.status == status_ok, "it serves again");
+    const test_request read{.route = "safe", .kind = request_kind::idempotent, .key = "rovers-key"};
+    const test_response received = co_await send_request(*m_hosts[0], read);
+    *m_out << fmt::format("   {} again: {}\n", m_hosts[0]->get_name(), received.status);
+    expect(received.status == status_ok, "it serves again");
 }
 
 asio::awaitable<void> platform_demo::show_usage() {
-    tell("Usage is reported by one host at a time, each window once");
+    print_step("One host at a time reports usage, once per window");
     constexpr int windows = 3;
-    const std::size_t before = m_seen.get_reports();
-    const steady_time last = m_time.now() + start_patience;
-    while (m_seen.get_reports() < before + windows && m_time.now() < last) {
+    const std::size_t before = m_checker.get_reports();
+    const steady_time last = m_time.now() + start_timeout;
+    while (m_checker.get_reports() < before + windows && m_time.now() < last) {
         co_await servers::sleep_for(poll_interval);
     }
-    *m_out << fmt::format("   {} windows reported, {} requests served\n", m_seen.get_reports(), m_seen.get_served());
-    expect(m_seen.get_reports() >= before + windows, "windows are reported");
+    *m_out << fmt::format("   {} windows reported, {} requests served\n", m_checker.get_reports(),
+                          m_checker.get_served());
+    expect(m_checker.get_reports() >= before + windows, "windows are reported");
 }
 
 asio::awaitable<void> platform_demo::stop() {
-    tell("All daemons are asked to stop");
+    print_step("All daemons are stopped");
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
         host->terminate();
     }
-    const steady_time last = m_time.now() + start_patience;
+    const steady_time last = m_time.now() + start_timeout;
     for (const std::unique_ptr<soak::soak_host>& host : m_hosts) {
         while (host->is_running() && m_time.now() < last) {
             co_await servers::sleep_for(poll_interval);
         }
-        expect(!host->is_running(), host->get_name() + " ends by itself");
+        expect(!host->is_running(), host->get_name() + " ends without being killed");
     }
     *m_out << "   ended\n";
 }
 
-asio::awaitable<platform_demo::answer> platform_demo::ask(soak::soak_host& host, question wanted) {
+asio::awaitable<platform_demo::test_response> platform_demo::send_request(soak::soak_host& host, test_request wanted) {
     const bool is_read = wanted.kind == request_kind::idempotent;
     const std::string id = fmt::format("demo-{}", ++m_number);
     servers::http_request request(is_read ? verb::get : verb::post, fmt::format("/{}/{}", wanted.route, id), 11);
@@ -184,9 +186,9 @@
         request.set("Dragonflywell-Prompt-Prefix", "a1:60,b2:40");
     }
     request.prepare_payload();
-    m_seen.add_request(id, wanted.kind, wanted.key.substr(0, wanted.key.find('-')), false);
+    m_checker.add_request(id, wanted.kind, wanted.key.substr(0, wanted.key.find('-')), false);
     servers::beast::tcp_stream stream(m_loop);
-    stream.expires_after(answer_patience);
+    stream.expires_after(response_timeout);
     const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), host.get_callers().port);
     servers::error_code fault;
     servers::http::response<servers::http::string_body> response;
@@ -199,34 +201,34 @@
         co_await servers::http::async_read(stream, buffer, response, store_error(fault));
     }
     if (fault) {
-        co_return answer{};
+        co_return test_response{};
     }
     const bool is_own = response.body() == soak::make_expected_body(wanted.kind, id);
     if (response.result() == servers::http::status::ok) {
-        m_seen.add_served(id);
-        expect(is_own, "the answer is the request's own and whole");
+        m_checker.add_served(id);
+        expect(is_own, "the response is complete and belongs to the request");
     }
-    co_return answer{.status = response.result_int(), .body = response.body()};
+    co_return test_response{.status = response.result_int(), .body = response.body()};
 }
 
-asio::awaitable<int> platform_demo::ask_many(soak::soak_host& host, question wanted, int count) {
+asio::awaitable<int> platform_demo::send_requests(soak::soak_host& host, test_request wanted, int count) {
     int served = 0;
     for (int number = 0; number < count; ++number) {
-        const answer got = co_await ask(host, wanted);
-        served += got.status == status_ok ? 1 : 0;
+        const test_response received = co_await send_request(host, wanted);
+        served += received.status == status_ok ? 1 : 0;
     }
     co_return served;
 }
 
 asio::awaitable<bool> platform_demo::is_ready(soak::soak_host& host) {
     servers::beast::tcp_stream stream(m_loop);
-    stream.expires_after(answer_patience);
+    stream.expires_after(response_timeout);
     const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), host.get_ready().port);
     servers::error_code fault;
     co_await stream.async_connect(address, store_error(fault));
-    const servers::http_request question(verb::get, "/-/ready", 11);
+    const servers::http_request test_request(verb::get, "/-/ready", 11);
     if (!fault) {
-        co_await servers::http::async_write(stream, question, store_error(fault));
+        co_await servers::http::async_write(stream, test_request, store_error(fault));
     }
     servers::beast::flat_buffer buffer;
     servers::http::response<servers::http::string_body> response;
@@ -237,7 +239,7 @@
 }
 
 asio::awaitable<void> platform_demo::wait_until_ready(soak::soak_host& host) {
-    const steady_time last = m_time.now() + start_patience;
+    const steady_time last = m_time.now() + start_timeout;
     bool ready = co_await is_ready(host);
     while (!ready && m_time.now() < last) {
         co_await servers::sleep_for(poll_interval);
@@ -253,18 +255,18 @@
                                       .stage = stage,
                                       .usage_window = usage_window};
     m_servers.push_back(
-        std::make_unique<soak::soak_server>(m_loop, m_platform, m_seen, m_prompts, m_random, std::move(options)));
+        std::make_unique<soak::soak_server>(m_loop, m_platform, m_checker, m_prompts, m_random, std::move(options)));
     m_servers.back()->start();
 }
 
-void platform_demo::tell(const std::string& line) {
+void platform_demo::print_step(const std::string& line) {
     *m_out << "== " << line << std::endl;
 }
 
 void platform_demo::expect(bool holds, const std::string& what) {
     if (!holds) {
-        m_holds = false;
-        *m_out << "   NOT SO: " << what << std::endl;
+        m_is_successful = false;
+        *m_out << "   FAILED: " << what << std::endl;
     }
 }
 
--- a/tests/fuzz/fuzz_manifest.cpp
+++ b/tests/fuzz/fuzz_manifest.cpp
@@ -6,7 +6,8 @@
 
 using namespace dragonflywell;
 
-/// Any bytes are either refused with a list of problems or a manifest that parses again to the same.
+/// Any input is either rejected with a list of problems or is a manifest that is equal after formatting and parsing
+/// again.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     try {
         const fleet::manifest_entries entries =
--- a/tests/fuzz/fuzz_messages.cpp
+++ b/tests/fuzz/fuzz_messages.cpp
@@ -47,7 +47,7 @@
     static_cast<void>(coordination::decode_report_state(text));
 }
 
-/// A stream is cut into the same whole events wherever its pieces end.
+/// A stream is split into the same events regardless of how its bytes are chunked.
 void check_events(std::string_view stream) {
     servers::event_splitter whole;
     whole.add_bytes(stream);
@@ -68,8 +68,8 @@
 
 } // namespace
 
-/// The first byte chooses what the others are taken for: a record of the store, a datagram of another host, or a stream
-/// of events. They are refused as malformed or hold what the check says.
+/// The first byte of the input selects the check, and the other bytes are its input: a record of the store, a datagram
+/// of another host, or a stream of events. The input is either rejected as malformed or satisfies the check.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     if (size == 0) {
         return 0;
--- a/tests/fuzz/fuzz_record.cpp
+++ b/tests/fuzz/fuzz_record.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-/// Any bytes are either refused as malformed or a record that survives encoding and that every fold takes.
+/// Any input line is either rejected as malformed or is a record that is equal after encoding and decoding and that the
+/// fold accepts. The state of the fold is equal after it is saved and restored.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-    // Each line is one record, so that folds see several.
+    // Each line is one record, so that one input can apply several records to the fold.
     std::string_view rest(reinterpret_cast<const char*>(data), size);
     record_fold fold;
     log_offset offset = 0;
--- a/tests/platform/test_blocking_http_client.cpp
+++ b/tests/platform/test_blocking_http_client.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-/// A server that answers one request for each connection and then closes it without saying so beforehand.
+/// A server that responds to one request per connection and then closes the connection without announcing it in a
+/// `Connection: close` header.
 class closing_server {
 public:
     explicit closing_server(int connections)
@@ -34,7 +35,7 @@
     closing_server(closing_server&&) = delete;
     closing_server& operator=(closing_server&&) = delete;
     ~closing_server() {
-        // A connection of its own ends a wait for one that never came, so that a failure cannot hang.
+        // This connection unblocks a pending accept, so that the destructor does not hang after a failed check.
         boost::system::error_code ignored;
         tcp::socket last(m_context);
         last.connect(m_acceptor.local_endpoint(), ignored);
@@ -42,7 +43,7 @@
         m_thread.join();
     }
 
-    /// Returns once the client's end of a connection knows that it is closed.
+    /// Blocks until the client's kernel has received the close of a connection.
     void wait_for_close() { m_closed.acquire(); }
 
     [[nodiscard]] endpoint get_endpoint() const {
@@ -58,14 +59,14 @@
         if (fault) {
             return;
         }
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-        boost::asio::write(socket, boost::asio::buffer(answer));
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        boost::asio::write(socket, boost::asio::buffer(response));
         socket.shutdown(tcp::socket::shutdown_send);
         wait_until_close_has_arrived(socket);
         m_closed.release();
     }
 
-    /// The state changes when the client's kernel has acknowledged the close, hence knows of it.
+    /// The TCP state leaves FIN_WAIT1 when the client's kernel has acknowledged the FIN.
     static void wait_until_close_has_arrived(tcp::socket& socket) {
         tcp_info info{};
         do {
@@ -81,13 +82,13 @@
     std::thread m_thread;
 };
 
-platform::http_answer get(platform::blocking_http_client& client) {
+platform::http_client_response get(platform::blocking_http_client& client) {
     return client.exchange(boost::beast::http::verb::get, "/");
 }
 
 } // namespace
 
-TEST_CASE("a connection that the other end closed while idle is replaced before the next request") {
+TEST_CASE("a connection that the server closed while it was idle is replaced before the next request") {
     closing_server server(2);
     platform::blocking_http_client client({.server = server.get_endpoint()});
     CHECK(get(client).body == "ok");
@@ -95,11 +96,11 @@
     CHECK(get(client).body == "ok");
 }
 
-TEST_CASE("a refused connection is told apart from a lost answer") {
+TEST_CASE("a refused connection is reported as not sent, and a missing response as sent") {
     boost::asio::io_context context;
     tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
     const endpoint address{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
-    SUBCASE("nobody listens") {
+    SUBCASE("the server does not listen") {
         acceptor.close();
         platform::blocking_http_client client({.server = address});
         try {
@@ -109,7 +110,7 @@
             CHECK_FALSE(fault.is_sent());
         }
     }
-    SUBCASE("the other end is silent") {
+    SUBCASE("the server does not respond") {
         platform::blocking_http_client client({.server = address, .deadline = std::chrono::milliseconds(50)});
         try {
             static_cast<void>(get(client));
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-TEST_CASE("a configuration is decoded into what it means") {
+TEST_CASE("all fields of a configuration are decoded") {
     const fleet::serving_configuration decoded = decode_configuration(configuration_text);
     CHECK(decoded.version == 7);
     REQUIRE(decoded.routes.size() == 3);
@@ -57,13 +57,13 @@
     CHECK_FALSE(decoded.organisations[1].priority);
 }
 
-TEST_CASE("a kind of route that is not known counts as one that must not be repeated") {
+TEST_CASE("a route of an unknown kind is treated as one that must not be retried") {
     const fleet::serving_configuration decoded =
         decode_configuration(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
     CHECK(decoded.routes[0].retry == fleet::retry_policy::at_most_once);
 }
 
-TEST_CASE("what is no configuration is rejected with the field that is wrong") {
+TEST_CASE("a malformed configuration is rejected") {
     for (const char* text : {"", "[]", "{}", R"({"version":"7"})", R"({"version":1,"routes":[{}]})",
                              R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"safe","split":[]}]})",
                              R"({"version":1,"routes":3})", R"({"version":1,"tenants":[{"name":"t"}]})"}) {
@@ -72,7 +72,7 @@
     }
 }
 
-TEST_CASE("an entry of a server is decoded into what it means") {
+TEST_CASE("all fields of a server entry are decoded") {
     const fleet::server_record record = decode_server_record(
         "i-1", R"({"service":"llm","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,"state":"draining",
                    "coldRemainingMs":250,"stage":"prefill","models":[],"seq":4,"born":1774100506431,"spot":true,
@@ -87,7 +87,7 @@
     CHECK(record.started_at_ms == 1774100506431);
 }
 
-TEST_CASE("an entry of another writer names no server to use") {
+TEST_CASE("a malformed server entry is rejected") {
     const std::string good = R"("service":"s","addr":"10.0.0.9:8080","zone":"z","slots":4)";
     CHECK_FALSE(decode_server_record("i", "{" + good + R"(,"state":"ready"})").is_draining);
     for (const std::string& text :
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -31,7 +31,8 @@
     return events;
 }
 
-/// Sends the events of a span and then resets the connection, in the middle of the next event if asked to.
+/// Sends the events 1 to `last` and then closes the connection, in the middle of the next event if `within_event` is
+/// set.
 raw_server::behaviour break_after(int last, bool within_event = false) {
     return [last, within_event](const servers::http_request& request,
                                 raw_connection& connection) -> asio::awaitable<void> {
@@ -53,24 +54,25 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(serving_fixture, "one engine reads the prompt and another generates, event by event") {
+TEST_CASE_FIXTURE(serving_fixture, "one engine runs the prefill and another the decode, and events arrive in order") {
     configure();
-    const raw_server& reader = add_server("p", prefill, read_prompts("h7"));
-    const raw_server& generator = add_server("d", decode, stream_events(1, 3));
+    const raw_server& prefill_engine = add_server("p", prefill, read_prompts("h7"));
+    const raw_server& decode_engine = add_server("d", decode, stream_events(1, 3));
     const answer got = generate("/gen/x");
     CHECK(got.status == 200);
     CHECK_FALSE(got.is_cut);
     CHECK(got.body == make_events(1, 3));
     CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
-    CHECK(get(reader.get_requests().at(0), "Dragonflywell-Stage") == "prefill");
-    CHECK(get(reader.get_requests().at(0), "Dragonflywell-Prompt-Prefix") == "a1:60,b2:40");
-    const servers::http_request& run = generator.get_requests().at(0);
-    CHECK(get(run, "Dragonflywell-Kv-Source") == format_endpoint(reader.get_endpoint()) + "/h7");
+    CHECK(get(prefill_engine.get_requests().at(0), "Dragonflywell-Stage") == "prefill");
+    CHECK(get(prefill_engine.get_requests().at(0), "Dragonflywell-Prompt-Prefix") == "a1:60,b2:40");
+    const servers::http_request& run = decode_engine.get_requests().at(0);
+    CHECK(get(run, "Dragonflywell-Kv-Source") == format_endpoint(prefill_engine.get_endpoint()) + "/h7");
     CHECK(run.find("Dragonflywell-Stage") == run.end());
     CHECK(run.body() == "prompt");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "an engine is told where it can fetch what another one has read") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "an engine is told from which other engine it can fetch the cached prefix of the prompt") {
     configure();
     const raw_server& busy = add_server("p1", prefill, read_prompts());
     const raw_server& idle = add_server("p2", prefill, read_prompts());
@@ -89,35 +91,35 @@
     CHECK(get(idle.get_requests().at(0), "Kv-Fetch") == format_endpoint(busy.get_endpoint()));
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a caller cannot name the memory that its request goes on from") {
+TEST_CASE_FIXTURE(serving_fixture, "a caller cannot choose the KV cache from which its request is decoded") {
     configure();
     add_server("p", prefill, read_prompts("ours"));
-    const raw_server& generator = add_server("d", decode, stream_events(1, 1));
+    const raw_server& decode_engine = add_server("d", decode, stream_events(1, 1));
     auto headers = get_headers();
     headers.emplace_back("Dragonflywell-Kv-Source", "10.0.0.1:80/theirs");
     headers.emplace_back("Dragonflywell-Stage", "prefill");
     CHECK(generate("/gen/x", headers).status == 200);
-    CHECK(get(generator.get_requests().at(0), "Dragonflywell-Kv-Source").ends_with("/ours"));
-    CHECK(generator.get_requests().at(0).find("Dragonflywell-Stage") == generator.get_requests().at(0).end());
+    CHECK(get(decode_engine.get_requests().at(0), "Dragonflywell-Kv-Source").ends_with("/ours"));
+    CHECK(decode_engine.get_requests().at(0).find("Dragonflywell-Stage") == decode_engine.get_requests().at(0).end());
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a prompt is read elsewhere when an engine refuses it or breaks off") {
+TEST_CASE_FIXTURE(serving_fixture, "a prefill is repeated on another engine when the first one refuses it or fails") {
     configure();
     SUBCASE("refused") {
         add_server("p1", prefill, refuse());
     }
-    SUBCASE("broken off") {
+    SUBCASE("connection closed") {
         add_server("p1", prefill, reset());
     }
-    SUBCASE("not to be reached") {
+    SUBCASE("unreachable") {
         add_server("p1", prefill, reset()).stop_listening();
     }
-    SUBCASE("answered with nonsense") {
+    SUBCASE("malformed response") {
         add_server("p1", prefill, answer_with(200, "nonsense"));
     }
     const raw_server& second = add_server("p2", prefill, read_prompts());
-    const raw_server& generator = add_server("d", decode, stream_events(1, 2));
-    // The second engine looks busier, so that the first is asked first.
+    const raw_server& decode_engine = add_server("d", decode, stream_events(1, 2));
+    // A higher load is set for the second engine, so that the first one is chosen first.
     const std::vector<policy::prefill_job> prompts{
         {.number = 1, .sent_at = time.now(), .cost = std::chrono::seconds(9)}};
     state.find_engines(service_name("llm"))
@@ -126,12 +128,12 @@
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
     CHECK(second.get_requests().size() == 1);
-    CHECK(count_runs(generator) == 1);
+    CHECK(count_runs(decode_engine) == 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a generation that an engine refuses is begun anew on another, once") {
+TEST_CASE_FIXTURE(serving_fixture, "a decode that an engine refuses is retried once on another") {
     configure();
-    const raw_server& reader = add_server("p", prefill, read_prompts());
+    const raw_server& prefill_engine = add_server("p", prefill, read_prompts());
     add_server("d1", decode, refuse());
     const raw_server& second = add_server("d2", decode, stream_events(1, 2));
     state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("d2"), 5000, {});
@@ -139,14 +141,14 @@
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
     CHECK(count_runs(second) == 1);
-    // The memory that was not taken is given back.
+    // The KV cache that the refusing engine did not fetch is released.
     run_until(loop, [&] {
-        return std::any_of(reader.get_requests().begin(), reader.get_requests().end(),
+        return std::any_of(prefill_engine.get_requests().begin(), prefill_engine.get_requests().end(),
                            [](const auto& request) { return request.method() == http::verb::delete_; });
     });
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a stream that may not be repeated ends where it broke, and runs once") {
+TEST_CASE_FIXTURE(serving_fixture, "a stream that must not be retried is cut where it broke, and runs once") {
     configure();
     add_server("p", prefill, read_prompts());
     const raw_server& first = add_server("d1", decode, break_after(2));
@@ -159,13 +161,13 @@
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
-                  "a stream that may be resumed goes on at another engine, without a gap or a repetition") {
+                  "a resumable stream continues on another engine without a missing or repeated event") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("broken after an event") {
+    SUBCASE("cut after an event") {
         add_server("d1", decode, break_after(2));
     }
-    SUBCASE("broken within an event") {
+    SUBCASE("cut within an event") {
         add_server("d1", decode, break_after(2, true));
     }
     const raw_server& second = add_server("d2", decode, stream_events(3, 5));
@@ -178,17 +180,18 @@
     CHECK(get(second.get_requests().at(0), "Last-Event-Id") == "2");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a caller's own place in a stream is passed on") {
+TEST_CASE_FIXTURE(serving_fixture, "the Last-Event-Id of a caller is forwarded") {
     configure();
     add_server("p", prefill, read_prompts());
-    const raw_server& generator = add_server("d", decode, stream_events(4, 5));
+    const raw_server& decode_engine = add_server("d", decode, stream_events(4, 5));
     auto headers = get_headers();
     headers.emplace_back("Last-Event-Id", "3");
     CHECK(generate("/resume/x", headers).body == make_events(4, 5));
-    CHECK(get(generator.get_requests().at(0), "Last-Event-Id") == "3");
+    CHECK(get(decode_engine.get_requests().at(0), "Last-Event-Id") == "3");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a stream that breaks on every engine is cut after its attempts") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a stream that breaks on every engine is cut after the configured number of attempts") {
     configure();
     add_server("p", prefill, read_prompts());
     for (const char* name : {"d1", "d2", "d3"}) {
@@ -203,10 +206,10 @@
     CHECK(runs == 2);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a refusal says that nothing ran only when that is so") {
+TEST_CASE_FIXTURE(serving_fixture, "a refusal reports that a request has not run only when that is certain") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("no engine generates") {
+    SUBCASE("there is no engine for the decode") {
         CHECK(generate("/gen/x").status == 503);
     }
     SUBCASE("all engines refuse") {
@@ -219,7 +222,7 @@
     }
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "an engine's own failure is passed on as it is") {
+TEST_CASE_FIXTURE(serving_fixture, "an error response of an engine is forwarded unchanged") {
     configure();
     add_server("p", prefill, read_prompts());
     add_server("d", decode, answer_with(500, "out of memory"));
@@ -229,14 +232,15 @@
     CHECK(got.headers.at("Dragonflywell-Server-Seal") == "seal");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "without an engine for prompts the one that generates gets the whole request") {
+TEST_CASE_FIXTURE(serving_fixture, "without a prefill engine the decode engine gets the whole request") {
     configure();
-    const raw_server& generator = add_server("d", decode, stream_events(1, 2));
+    const raw_server& decode_engine = add_server("d", decode, stream_events(1, 2));
     CHECK(generate("/gen/x").body == make_events(1, 2));
-    CHECK(generator.get_requests().at(0).find("Dragonflywell-Kv-Source") == generator.get_requests().at(0).end());
+    CHECK(decode_engine.get_requests().at(0).find("Dragonflywell-Kv-Source") ==
+          decode_engine.get_requests().at(0).end());
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a caller that leaves ends the work on its stream") {
+TEST_CASE_FIXTURE(serving_fixture, "when the caller disconnects, its stream is cancelled on the engine") {
     configure();
     add_server("p", prefill, read_prompts());
     bool has_ended = false;
@@ -262,13 +266,13 @@
     CHECK(state.find_engines(service_name("llm"))->board.get_running(backend_server_name("d")) <= 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "work on engines is off the board when it is over, however it ends") {
+TEST_CASE_FIXTURE(serving_fixture, "the load of an engine returns to zero when its requests end, however they end") {
     configure();
     add_server("p", prefill, read_prompts());
-    SUBCASE("well") {
+    SUBCASE("completed") {
         add_server("d", decode, stream_events(1, 2));
     }
-    SUBCASE("broken") {
+    SUBCASE("cut") {
         add_server("d", decode, break_after(1));
     }
     SUBCASE("refused") {
@@ -281,7 +285,7 @@
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
-                  "an order of a stage that is over is not told, though another host changes the engine") {
+                  "an expired stage change of this host is not announced while another host changes the same engine") {
     configure();
     const backend_server_name engine("d");
     add_server("d", decode, stream_events(1, 1));
@@ -296,7 +300,8 @@
     CHECK(state.get_own_transitions().empty());
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "an engine that other hosts leave alone is used only where no other is left") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "an engine that several other hosts avoid is used only when no other engine is left") {
     configure();
     add_server("p", prefill, read_prompts());
     const raw_server& bad = add_server("bad", decode, refuse());
@@ -306,7 +311,7 @@
         digest.ejections = {{backend_server_name("bad"), std::chrono::minutes(1)}};
         state.peers.merge_group_digest(digest);
     };
-    SUBCASE("two hosts have seen it fail") {
+    SUBCASE("two hosts report it as failing") {
         add_server("good", decode, stream_events(1, 2));
         tell("h1");
         tell("h2");
@@ -327,21 +332,21 @@
     }
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "an engine that leaves a request without any answer is given no further ones") {
+TEST_CASE_FIXTURE(serving_fixture, "an engine that does not respond to a request gets no further requests") {
     configure();
     add_server("p", prefill, read_prompts());
-    const raw_server& dark = add_server("dark", decode, refuse());
+    const raw_server& unresponsive = add_server("dark", decode, refuse());
     add_server("good", decode, stream_events(1, 2));
-    // The others' engine is the fuller one, so that requests would go to the dark one.
+    // A higher load is set for the responsive engine, so that requests would go to the unresponsive one.
     state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("good"), 5000, {});
     const policy::stall_detector::pending_request waiting =
         state.silence.track(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
     CHECK(state.get_ejected().contains(backend_server_name("dark")));
     CHECK(generate("/gen/x").status == 200);
-    CHECK(count_runs(dark) == 0);
+    CHECK(count_runs(unresponsive) == 0);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a stream whose event does not end is given up") {
+TEST_CASE_FIXTURE(serving_fixture, "a stream with an event that exceeds the size limit is aborted") {
     configure();
     add_server("p", prefill, read_prompts());
     add_server("d", decode,
--- a/tests/platform/test_http_server_provisioner.cpp
+++ b/tests/platform/test_http_server_provisioner.cpp
@@ -10,7 +10,7 @@
 using namespace dragonflywell::platform;
 using dragonflywell::testing::running_standin;
 
-TEST_CASE("an order whose answer was lost is found under its key, and a repetition changes nothing") {
+TEST_CASE("a request whose response was lost is found under its key, and a repetition changes nothing") {
     running_standin<standin::platform_standin> platform;
     http_server_provisioner ordering({.server = platform.get_endpoint()});
     const provisioning_request wanted{
@@ -29,7 +29,7 @@
     CHECK_FALSE(ordering.find("k1").has_value());
 }
 
-TEST_CASE("an engine that checks the fencing number refuses an old one, the other kind does not") {
+TEST_CASE("an engine that checks fencing numbers refuses a stale one, and an engine that does not check accepts it") {
     for (const bool checks : {true, false}) {
         CAPTURE(checks);
         running_standin<standin::engine_standin> engine(
@@ -48,14 +48,14 @@
     }
 }
 
-TEST_CASE("a lost answer of an engine is unknown, and an engine that is not there was not sent anything") {
+TEST_CASE("an order whose response was lost is reported as sent, because it may have taken effect") {
     running_standin<standin::engine_standin> engine(standin::engine_standin_options{.model = "m"});
     http_engine_control control({});
     engine.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
     const role_change_order order{.role = fleet::engine_role::decode, .fencing_number = 1, .idempotency_key = "k"};
     try {
         control.send(engine.get_endpoint(), order, std::chrono::seconds(2));
-        FAIL("the answer must be missed");
+        FAIL("an error was expected");
     } catch (const engine_unreachable_error& fault) {
         CHECK(fault.is_sent());
     }
--- a/tests/platform/test_http_usage_reporting.cpp
+++ b/tests/platform/test_http_usage_reporting.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-TEST_CASE("a report whose answer was lost is found by a query, and other figures under its key are not taken for it") {
+TEST_CASE(
+    "a report whose response was lost is found by a query, and a report with other figures under its key is not") {
     testing::running_standin<standin::platform_standin> platform;
     platform::http_usage_reporting reporting({.server = platform.get_endpoint()});
     CHECK(reporting.query(make_report(3)) == order_query_result::not_seen);
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -25,13 +25,13 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(serving_fixture, "before a configuration is known a request is refused as not run") {
+TEST_CASE_FIXTURE(serving_fixture, "a request that arrives before the first configuration is refused as not run") {
     const answer got = ask(http::verb::get, "/safe/x");
     CHECK(got.status == 503);
     CHECK(got.headers.contains("Retry-After"));
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "route and key decide whether a request is forwarded") {
+TEST_CASE_FIXTURE(serving_fixture, "a request without a known route or a valid key is not forwarded") {
     configure();
     const raw_server& server = add_server("s1", {}, answer_with(200, "hello"));
     CHECK(ask(http::verb::get, "/unknown/x").status == 404);
@@ -49,8 +49,9 @@
     CHECK(server.get_requests().back().target() == "/safe/x?q=1");
 }
 
-TEST_CASE_FIXTURE(serving_fixture,
-                  "a server gets what the caller sent, but for key, connection and what is ours to set") {
+TEST_CASE_FIXTURE(
+    serving_fixture,
+    "a request is forwarded without the API key, hop-by-hop headers and headers that only the system sets") {
     configure();
     const raw_server& server = add_server("s1", {}, answer_with(200, ""));
     auto headers = get_headers();
@@ -78,7 +79,7 @@
     CHECK(left <= 60000);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a body in chunks arrives whole") {
+TEST_CASE_FIXTURE(serving_fixture, "a chunked request body is forwarded whole") {
     configure();
     const raw_server& server = add_server("s1", {}, answer_with(200, "ok"));
     answer got;
@@ -95,7 +96,9 @@
     CHECK(get(server.get_requests().at(0), "Content-Length") == "7");
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a request with two lengths is refused and nothing of it is forwarded") {
+TEST_CASE_FIXTURE(
+    serving_fixture,
+    "a request with both Content-Length and Transfer-Encoding is refused, so that no request can be smuggled") {
     configure();
     const raw_server& server = add_server("s1", {}, answer_with(200, "ok"));
     answer got;
@@ -111,7 +114,7 @@
     CHECK(server.get_requests().empty());
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a request that must not be repeated runs once when its answer is lost") {
+TEST_CASE_FIXTURE(serving_fixture, "a request that must not be retried runs once when its response is lost") {
     configure();
     const raw_server& first = add_server("s1", {}, reset());
     const raw_server& second = add_server("s2", {}, reset());
@@ -121,12 +124,12 @@
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
-                  "a request that must not be repeated goes on to another server if the first ran nothing") {
+                  "a request that must not be retried is sent to another server if the first one did not run it") {
     configure();
-    SUBCASE("it refused") {
+    SUBCASE("the first server refuses it") {
         add_server("s1", {}, refuse());
     }
-    SUBCASE("it is another server") {
+    SUBCASE("another server runs at the address") {
         add_server("s1", {},
                    [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
                        std::string bytes = "HTTP/1.1 421 X\r\nDragonflywell-Attempt-Id: " + get_id(request) +
@@ -134,10 +137,10 @@
                        co_await connection.write(std::move(bytes));
                    });
     }
-    SUBCASE("it takes no connection") {
+    SUBCASE("the first server accepts no connection") {
         add_server("s1", {}, reset()).stop_listening();
     }
-    // The second server looks fuller, so that the first is tried first.
+    // A higher load is set for the second server, so that the first one is chosen first.
     const raw_server& second = add_server("s2", {}, answer_with(200, "done"));
     set_other_in_flight("s2", 3);
     const answer got = ask(http::verb::post, "/unsafe/x", "{}");
@@ -146,7 +149,7 @@
     CHECK(second.get_requests().size() == 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "an idempotent request is tried on another server, within its attempts") {
+TEST_CASE_FIXTURE(serving_fixture, "a failed idempotent request is retried on another server") {
     configure();
     add_server("s1", {}, answer_with(500, "bad"));
     const raw_server& second = add_server("s2", {}, answer_with(200, "good"));
@@ -155,7 +158,7 @@
     CHECK(second.get_requests().size() == 1);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "when all attempts fail the caller gets a server's own answer, as it was") {
+TEST_CASE_FIXTURE(serving_fixture, "when all attempts fail the caller gets the unchanged response of a server") {
     configure();
     add_server("s1", {}, answer_with(500, "bad"));
     add_server("s2", {}, answer_with(500, "bad"));
@@ -171,9 +174,10 @@
     CHECK(runs == 2);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "no answer of a server reaches a caller that did not ask for it") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a response that is malformed or belongs to another request does not reach the caller") {
     configure();
-    SUBCASE("it is cut short") {
+    SUBCASE("it is truncated") {
         add_server("s1", {},
                    [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
                        std::string bytes = make_answer(request, 200, "whole body");
@@ -182,7 +186,7 @@
                        connection.close();
                    });
     }
-    SUBCASE("it is no HTTP") {
+    SUBCASE("it is not HTTP") {
         add_server("s1", {},
                    [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
                        co_await connection.write("garbage garbage\r\n\r\n");
@@ -197,7 +201,7 @@
                        co_await connection.write(std::move(bytes));
                    });
     }
-    SUBCASE("it answers another request and ends") {
+    SUBCASE("it belongs to another request, and the connection is closed") {
         add_server("s1", {},
                    [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
                        servers::http_request other;
@@ -211,14 +215,15 @@
     CHECK_FALSE(got.headers.contains("Dragonflywell-Server-Seal"));
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "without a server that may be used a request is refused at once") {
+TEST_CASE_FIXTURE(serving_fixture, "a request is refused immediately when no server is usable") {
     configure();
     const answer got = ask(http::verb::get, "/safe/x");
     CHECK(got.status == 503);
     CHECK(std::stod(got.headers.at("Retry-After")) > 0);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a request whose time runs out is answered, and the server's connection closed") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a request that exceeds its deadline gets a response, and the connection to the server is closed") {
     configure();
     bool has_ended = false;
     add_server("s1", {},
@@ -234,7 +239,7 @@
     CHECK(has_ended);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "when the caller leaves the server's connection is closed") {
+TEST_CASE_FIXTURE(serving_fixture, "when the caller disconnects, the connection to the server is closed") {
     configure();
     bool has_begun = false;
     bool has_ended = false;
@@ -258,7 +263,7 @@
     CHECK(has_ended);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "the answer to HEAD has a length and no body, and its connection goes on") {
+TEST_CASE_FIXTURE(serving_fixture, "the response to HEAD has a length and no body, and the connection stays usable") {
     configure();
     add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
@@ -272,7 +277,8 @@
     CHECK(ask(http::verb::head, "/safe/x").status == 200);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "what began to run is counted once for its organisation, what was refused is not") {
+TEST_CASE_FIXTURE(serving_fixture,
+                  "a request that ran is counted once for its organisation, and a refused one is not counted") {
     configure();
     add_server("s1", {}, answer_with(200, "ok"));
     ask(http::verb::get, "/safe/x");
@@ -289,29 +295,29 @@
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
-                  "a request that has crashed three servers is refused as not run, others are served") {
+                  "a request that has crashed three servers is refused as not run, and other requests are served") {
     configure();
     for (const std::string name : {"s1", "s2", "s3"}) {
         add_server(name, {}, reset());
         CHECK(ask(http::verb::post, "/unsafe/x", "poison").status == 502);
-        // The server is found dead only afterwards.
+        // The failure of the server is detected only after the response.
         state.record_server_down(backend_server_name(name));
         state.directory.remove(backend_server_name(name), time.now());
         state.refresh_servers();
     }
-    const raw_server& sound = add_server("s4", {}, answer_with(200, "ok"));
+    const raw_server& healthy = add_server("s4", {}, answer_with(200, "ok"));
     const answer refused = ask(http::verb::post, "/unsafe/x", "poison");
     CHECK(refused.status == 503);
     CHECK(refused.headers.contains("Retry-After"));
-    CHECK(sound.get_requests().empty());
+    CHECK(healthy.get_requests().empty());
     CHECK(ask(http::verb::post, "/unsafe/x", "other").status == 200);
     CHECK(ask(http::verb::post, "/unsafe/y", "poison").status == 200);
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a request that was answered is no suspect any more") {
+TEST_CASE_FIXTURE(serving_fixture, "a request that was suspected of crashing servers is cleared once it succeeds") {
     configure();
     raw_server& server = add_server("s1", {}, reset());
-    for (int death = 0; death < 2; ++death) {
+    for (int crash = 0; crash < 2; ++crash) {
         CHECK(ask(http::verb::post, "/unsafe/x", "innocent").status == 502);
         state.record_server_down(backend_server_name("s1"));
         state.health.forget(backend_server_name("s1"));
@@ -322,7 +328,7 @@
     CHECK(state.suspects.is_empty());
 }
 
-TEST_CASE_FIXTURE(serving_fixture, "a server that begins to leave while it is connected to gets nothing") {
+TEST_CASE_FIXTURE(serving_fixture, "a server that begins to drain while a connection to it is opened gets no request") {
     configure();
     const raw_server& leaving = add_server("s1", {}, answer_with(200, "late"));
     answer got;
@@ -354,7 +360,7 @@
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
-                  "a plain request that is answered in the next window is counted in the one it began in") {
+                  "a plain request that ends in the next usage window is counted in the window in which it began") {
     configure();
     std::int64_t began_in = 0;
     add_server("s1", {},
--- a/tests/platform/test_store_circuit_breaker.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -12,7 +12,8 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-TEST_CASE("all that wait for the store go on when a call of another is answered, whatever their turn") {
+TEST_CASE(
+    "all users that wait for the store may call as soon as it responds to one, whatever their place in the queue") {
     virtual_clock clock;
     asio::io_context loop(1);
     metrics_registry metrics;
@@ -36,7 +37,7 @@
     CHECK(ready == 3);
 }
 
-TEST_CASE_FIXTURE(testing::store_fixture, "a read that waits for news is given up when another call goes unanswered") {
+TEST_CASE_FIXTURE(testing::store_fixture, "a long poll is cancelled when another call gets no response") {
     standin::raw_server silent(
         loop, [](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
             co_await connection.wait_for_end();
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-TEST_CASE_FIXTURE(store_fixture, "records come back as they were written, and a dropped key without a value") {
+TEST_CASE_FIXTURE(store_fixture, "records are read as they were written, and a removed key is read without a value") {
     store_client client = make_client();
     const std::string binary("\0\xff value", 8);
     run_until_done(loop, [&]() -> asio::awaitable<void> {
@@ -32,7 +32,7 @@
     });
 }
 
-TEST_CASE_FIXTURE(store_fixture, "the newest record of each key is listed over several pages") {
+TEST_CASE_FIXTURE(store_fixture, "a listing of several pages returns the newest record of each key") {
     for (int key = 0; key < 8; ++key) {
         store.put("keyed.t", std::to_string(key), "old");
         store.put("keyed.t", std::to_string(key), "new" + std::to_string(key));
@@ -46,7 +46,7 @@
     });
 }
 
-TEST_CASE_FIXTURE(store_fixture, "an append under a condition tells apart success and conflict") {
+TEST_CASE_FIXTURE(store_fixture, "a conditional append reports a conflict when the topic ends at another offset") {
     store_client client = make_client();
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         const append_result won = co_await client.append("keyed.t", "k", "1", 0);
@@ -58,7 +58,7 @@
     CHECK(store.get("keyed.t", "k") == "1");
 }
 
-TEST_CASE_FIXTURE(store_fixture, "a read of records that are not kept any more says so") {
+TEST_CASE_FIXTURE(store_fixture, "a read of dropped records fails with the oldest kept offset") {
     store.put("keyed.t", "k", "1");
     store.drop_history("keyed.t");
     store_client client = make_client();
@@ -73,7 +73,8 @@
     CHECK(is_dropped);
 }
 
-TEST_CASE_FIXTURE(store_fixture, "a call without a usable answer fails, and says whether the store did nothing") {
+TEST_CASE_FIXTURE(store_fixture,
+                  "a call without a usable response fails and reports whether it certainly had no effect") {
     std::string answer;
     standin::raw_server broken(
         loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
@@ -84,7 +85,7 @@
             }
         });
     const auto append = [&]() {
-        // A client leaves a store alone that failed lately; each call here is its first.
+        // A client opens its circuit breaker after a failure, so that each call needs a new client.
         store_client client = make_client(broken.get_endpoint());
         std::optional<bool> is_refused;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
@@ -110,21 +111,22 @@
     CHECK(append() == true);
 }
 
-TEST_CASE("an answer that ends within a record is no page") {
+TEST_CASE("a response that ends within a record is rejected") {
     const std::string head = std::string(7, '\0') + '\2' + std::string(8, '\0');
     const std::string record = encode_keyed_record("k", "v");
-    CHECK(decode_read_answer(head + record, 0).records.size() == 1);
-    CHECK_THROWS_AS(static_cast<void>(decode_read_answer(head + record.substr(0, 5), 0)), malformed_message_error);
-    CHECK_THROWS_AS(static_cast<void>(decode_read_answer("short", 0)), malformed_message_error);
-    // A record of another writer without a key is passed over, and counted.
+    CHECK(decode_read_response(head + record, 0).records.size() == 1);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_response(head + record.substr(0, 5), 0)), malformed_message_error);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_response("short", 0)), malformed_message_error);
+    // A record without a key is skipped, but it counts for the offsets.
     const std::string keyless("\0\0\0\1\0", 5);
-    const store_page page = decode_read_answer(head + keyless + record, 4);
+    const store_page page = decode_read_response(head + keyless + record, 4);
     REQUIRE(page.records.size() == 1);
     CHECK(page.records[0].offset == 5);
     CHECK(page.next_offset == 6);
 }
 
-TEST_CASE("a store that fails is not called again by others for a while, and is once it answers") {
+TEST_CASE("after a failure the store is not called until the backoff has elapsed, and all calls go through once it "
+          "responds") {
     virtual_clock time;
     asio::io_context loop(1);
     servers::backend_connection_pool pool(time, {});
--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// What a started program finds as its files.
+/// File actions that redirect the standard output and error of a new process to a file.
 class spawn_files {
 public:
     explicit spawn_files(const std::string& output_path) {
--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -6,23 +6,23 @@
 
 namespace dragonflywell::soak {
 
-/// A program that the soak has started, and that it alone signals and ends. Not thread safe.
+/// A child process of the soak test. Signals are sent to this process only. Not thread safe.
 class child_process {
 public:
-    /// Starts the program with its standard output and error appended to a file. Throws `std::system_error`.
+    /// Starts the program and appends its standard output and error to a file. Throws `std::system_error`.
     child_process(const std::vector<std::string>& command, const std::string& output_path);
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
     child_process(child_process&&) = delete;
     child_process& operator=(child_process&&) = delete;
-    /// Kills the program if it still runs.
+    /// Kills the process if it is still running.
     ~child_process();
 
-    /// Sends a signal if the program still runs.
+    /// Sends a signal if the process is still running.
     void send(int signal);
-    /// Returns whether the program still runs; takes its exit status when it has ended.
+    /// Returns whether the process is still running. Reaps it and stores its exit status once it has ended.
     [[nodiscard]] bool is_running();
-    /// Returns how the program ended, as `waitpid` tells it. Precondition: it does not run any more.
+    /// Returns the exit status in the format of `waitpid`. Precondition: the process has ended.
     [[nodiscard]] int get_status() const noexcept { return m_status; }
 
 private:
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-constexpr duration late_by = std::chrono::milliseconds(120);
-/// How often a held piece looks whether the link is well again.
-constexpr duration look_interval = std::chrono::milliseconds(20);
+constexpr duration link_delay = std::chrono::milliseconds(120);
+/// Interval at which held data checks whether the link has recovered.
+constexpr duration poll_interval = std::chrono::milliseconds(20);
 constexpr std::size_t piece_bytes = 16UL * 1024;
 
 void reset(tcp::socket& socket) {
@@ -27,8 +27,8 @@
     socket.close(ignored);
 }
 
-bool holds_back(link_state state, bool is_answer) {
-    return state == link_state::silent || (state == link_state::one_way && is_answer);
+bool holds_back(link_state state, bool is_response) {
+    return state == link_state::unresponsive || (state == link_state::one_way && is_response);
 }
 
 } // namespace
@@ -50,17 +50,17 @@
 void fault_proxy::reset_connections() {
     for (const std::weak_ptr<link>& item : m_state->links) {
         if (const std::shared_ptr<link> both = item.lock()) {
-            reset(both->near);
-            reset(both->far);
+            reset(both->caller_socket);
+            reset(both->server_socket);
         }
     }
     m_state->links.clear();
 }
 
-void fault_proxy::forget_connections() {
+void fault_proxy::blackhole_connections() {
     for (const std::weak_ptr<link>& item : m_state->links) {
         if (const std::shared_ptr<link> both = item.lock()) {
-            both->is_forgotten = true;
+            both->is_blackholed = true;
         }
     }
 }
@@ -83,7 +83,7 @@
 
 asio::awaitable<void> fault_proxy::connect(tcp::socket caller, std::shared_ptr<shared_state> state) {
     while (holds_back(state->link, false)) {
-        co_await servers::sleep_for(look_interval);
+        co_await servers::sleep_for(poll_interval);
     }
     tcp::socket server(caller.get_executor());
     error_code fault;
@@ -97,26 +97,26 @@
     const auto both = std::make_shared<link>(std::move(caller), std::move(server));
     std::erase_if(state->links, [](const std::weak_ptr<link>& item) { return item.expired(); });
     state->links.push_back(both);
-    asio::co_spawn(executor, pump(both, false, state), asio::detached);
-    asio::co_spawn(executor, pump(both, true, state), asio::detached);
+    asio::co_spawn(executor, forward(both, false, state), asio::detached);
+    asio::co_spawn(executor, forward(both, true, state), asio::detached);
 }
 
-asio::awaitable<void> fault_proxy::pump(std::shared_ptr<link> both, bool is_answer,
-                                        std::shared_ptr<shared_state> state) {
-    tcp::socket& from = is_answer ? both->far : both->near;
-    tcp::socket& to = is_answer ? both->near : both->far;
+asio::awaitable<void> fault_proxy::forward(std::shared_ptr<link> both, bool is_response,
+                                           std::shared_ptr<shared_state> state) {
+    tcp::socket& from = is_response ? both->server_socket : both->caller_socket;
+    tcp::socket& to = is_response ? both->caller_socket : both->server_socket;
     std::array<char, piece_bytes> piece{};
     error_code fault;
     while (!fault) {
         const std::size_t size = co_await from.async_read_some(asio::buffer(piece), store_error(fault));
-        while (both->is_forgotten || holds_back(state->link, is_answer)) {
-            co_await servers::sleep_for(look_interval);
+        while (both->is_blackholed || holds_back(state->link, is_response)) {
+            co_await servers::sleep_for(poll_interval);
             if (!from.is_open() || !to.is_open()) {
                 co_return;
             }
         }
         if (state->link == link_state::delays) {
-            co_await servers::sleep_for(late_by);
+            co_await servers::sleep_for(link_delay);
         }
         if (size > 0) {
             error_code write_fault;
@@ -124,7 +124,7 @@
             fault = fault ? fault : write_fault;
         }
     }
-    // An orderly end stays one, so that an answer that ends with its connection is not taken for a broken one.
+    // An orderly close is forwarded as such, so that a response that ends with its connection does not look truncated.
     if (fault == asio::error::eof) {
         error_code ignored;
         to.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -12,20 +12,21 @@
 
 namespace asio = boost::asio;
 
-/// What a link does with bytes.
+/// State of a network link.
 enum class link_state : std::uint8_t {
     passes,
-    /// Each piece arrives late.
+    /// All data is delayed.
     delays,
-    /// Nothing arrives; what was sent arrives when the link is well again.
-    silent,
-    /// Requests arrive, answers don't until the link is well again.
+    /// No data is delivered until the link recovers.
+    unresponsive,
+    /// Requests are delivered, but no responses until the link recovers.
     one_way,
     /// New connections are reset.
     resets,
 };
 
-/// A loopback proxy in front of one address, which can fail as a network does. Used on one event loop.
+/// A loopback proxy in front of one address that simulates network faults. Not thread safe: it is used on one event
+/// loop.
 class fault_proxy {
 public:
     fault_proxy(asio::io_context& loop, endpoint target);
@@ -36,21 +37,22 @@
     ~fault_proxy();
 
     [[nodiscard]] endpoint get_endpoint() const { return m_endpoint; }
-    /// Sends new connections to another address.
+    /// Forwards new connections to another address.
     void set_target(const endpoint& target) { m_state->target = target; }
     void set_state(link_state state) { m_state->link = state; }
     /// Resets all connections.
     void reset_connections();
-    /// Lets all open connections go silent for good, without a reset; new ones are well.
-    void forget_connections();
+    /// Drops the data of all open connections from now on without closing them, like a firewall that has lost its
+    /// state. New connections work.
+    void blackhole_connections();
 
 private:
     struct link {
         explicit link(asio::ip::tcp::socket caller, asio::ip::tcp::socket server)
-            : near(std::move(caller)), far(std::move(server)) {}
-        asio::ip::tcp::socket near;
-        asio::ip::tcp::socket far;
-        bool is_forgotten{false};
+            : caller_socket(std::move(caller)), server_socket(std::move(server)) {}
+        asio::ip::tcp::socket caller_socket;
+        asio::ip::tcp::socket server_socket;
+        bool is_blackholed{false};
     };
     struct shared_state {
         endpoint target;
@@ -61,7 +63,8 @@
     static asio::awaitable<void> accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor,
                                         std::shared_ptr<shared_state> state);
     static asio::awaitable<void> connect(asio::ip::tcp::socket caller, std::shared_ptr<shared_state> state);
-    static asio::awaitable<void> pump(std::shared_ptr<link> both, bool is_answer, std::shared_ptr<shared_state> state);
+    static asio::awaitable<void> forward(std::shared_ptr<link> both, bool is_response,
+                                         std::shared_ptr<shared_state> state);
 
     std::shared_ptr<asio::ip::tcp::acceptor> m_acceptor;
     std::shared_ptr<shared_state> m_state;
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-/// Part by which a report may miss the truth, as the platform's pages bound it.
+/// Relative error that the platform's interface permits for a report.
 constexpr double usage_tolerance = 0.05;
-/// Requests at the edges of a window, which either side may see on the other side of it.
-constexpr double usage_slack = 2;
+/// Number of requests near the bounds of a window that the system and the backend servers may count in different
+/// windows.
+constexpr double usage_tolerance_requests = 2;
 
 } // namespace
 
@@ -32,37 +33,37 @@
 void invariant_checker::add_request(const std::string& id, request_kind kind, const std::string& organisation,
                                     bool is_owed) {
     m_requests[id] = {
-        .kind = kind, .organisation = organisation, .runs = 0, .is_promised_not_run = false, .is_owed = is_owed};
+        .kind = kind, .organisation = organisation, .runs = 0, .is_guaranteed_not_run = false, .is_owed = is_owed};
     m_owed += is_owed ? 1 : 0;
 }
 
 void invariant_checker::add_run(const std::string& id, const std::string& organisation, std::int64_t window) {
     const auto found = m_requests.find(id);
     if (found == m_requests.end()) {
-        add_violation(fmt::format("a server runs {}, which no caller has sent", id));
+        add_violation(fmt::format("a backend server runs {}, which no caller has sent", id));
         return;
     }
-    request_fate& fate = found->second;
-    ++fate.runs;
-    if (fate.organisation != organisation) {
-        add_violation(fmt::format("{} of {} runs for {}", id, fate.organisation, organisation));
+    request_state& state = found->second;
+    ++state.runs;
+    if (state.organisation != organisation) {
+        add_violation(fmt::format("{} of organisation {} runs on behalf of {}", id, state.organisation, organisation));
     }
-    if (fate.runs > 1 && !may_run_again(fate.kind)) {
-        add_violation(fmt::format("{} runs {} times", id, fate.runs));
+    if (state.runs > 1 && !may_run_again(state.kind)) {
+        add_violation(fmt::format("{} runs {} times", id, state.runs));
     }
-    if (fate.is_promised_not_run && !may_run_again(fate.kind)) {
-        add_violation(fmt::format("{} runs after its caller was told that it has not", id));
+    if (state.is_guaranteed_not_run && !may_run_again(state.kind)) {
+        add_violation(fmt::format("{} runs after its caller received a response that it has not run", id));
     }
-    if (fate.runs == 1) {
-        ++m_truth[window][organisation];
+    if (state.runs == 1) {
+        ++m_actual_counts[window][organisation];
     }
 }
 
-void invariant_checker::add_promise_not_run(const std::string& id) {
-    request_fate& fate = m_requests[id];
-    fate.is_promised_not_run = true;
-    if (fate.runs > 0 && !may_run_again(fate.kind)) {
-        add_violation(fmt::format("{} is said not to have run, but has", id));
+void invariant_checker::add_not_run_guarantee(const std::string& id) {
+    request_state& state = m_requests[id];
+    state.is_guaranteed_not_run = true;
+    if (state.runs > 0 && !may_run_again(state.kind)) {
+        add_violation(fmt::format("the caller of {} received a response that it has not run, but it has", id));
     }
 }
 
@@ -81,7 +82,7 @@
 void invariant_checker::add_fence(const std::string& subject, std::uint64_t fence, const std::string& holder) {
     const auto [found, is_new] = m_fences.emplace(std::pair(subject, fence), holder);
     if (!is_new && found->second != holder) {
-        add_violation(fmt::format("{} and {} both use fence {} for {}", found->second, holder, fence, subject));
+        add_violation(fmt::format("{} and {} both use fencing token {} for {}", found->second, holder, fence, subject));
     }
 }
 
@@ -94,7 +95,7 @@
 
 void invariant_checker::check_end() {
     if (m_reports.empty()) {
-        add_violation("no usage was reported");
+        add_violation("no usage report was accepted");
     }
 }
 
@@ -102,22 +103,22 @@
     for (std::int64_t window = first_window; window <= last_window; ++window) {
         const auto report = m_reports.find(window);
         if (report == m_reports.end()) {
-            add_violation(fmt::format("window {} of the calm end was not reported in time", window));
+            add_violation(fmt::format("window {} of the final fault-free period was not reported in time", window));
             continue;
         }
-        for (const auto& [organisation, truth] : m_truth[window]) {
-            const auto told = report->second.find(organisation);
-            const double figure = told == report->second.end() ? 0 : static_cast<double>(told->second);
-            const double tolerated = std::max(usage_slack, static_cast<double>(truth) * usage_tolerance);
-            if (std::abs(figure - static_cast<double>(truth)) > tolerated) {
-                add_violation(
-                    fmt::format("window {} reports {} for {}; the truth is {}", window, figure, organisation, truth));
+        for (const auto& [organisation, actual] : m_actual_counts[window]) {
+            const auto reported = report->second.find(organisation);
+            const double figure = reported == report->second.end() ? 0 : static_cast<double>(reported->second);
+            const double tolerance = std::max(usage_tolerance_requests, static_cast<double>(actual) * usage_tolerance);
+            if (std::abs(figure - static_cast<double>(actual)) > tolerance) {
+                add_violation(fmt::format("window {} reports {} requests for {}, but the backend servers ran {}",
+                                          window, figure, organisation, actual));
             }
         }
     }
 }
 
-double invariant_checker::take_served_share() {
+double invariant_checker::take_served_fraction() {
     const std::size_t owed = m_owed - m_marked_owed;
     const std::size_t served = m_owed_served - m_marked_served;
     m_marked_owed = m_owed;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,18 +33,19 @@
     auto add = description.add_options();
     add("seed", options::value<std::uint64_t>()->default_value(1), "first seed");
     add("seeds", options::value<std::uint64_t>()->default_value(1), "number of seeds, one run each");
-    add("seconds", options::value<unsigned>()->default_value(16), "how long faults come in each run");
-    add("hosts", options::value<std::size_t>()->default_value(4), "daemons");
-    add("engines", options::value<std::size_t>()->default_value(6), "engines");
-    add("callers", options::value<std::size_t>()->default_value(12), "callers");
-    add("daemon", options::value<std::string>()->required(), "program of the daemon");
+    add("seconds", options::value<unsigned>()->default_value(16), "duration of fault injection in each run");
+    add("hosts", options::value<std::size_t>()->default_value(4), "number of daemons");
+    add("engines", options::value<std::size_t>()->default_value(6), "number of engines");
+    add("callers", options::value<std::size_t>()->default_value(12), "number of callers");
+    add("daemon", options::value<std::string>()->required(), "path of the daemon program");
     add("folder", options::value<std::string>()->default_value("/tmp/dragonflywell-soak"),
-        "where settings and logs go");
+        "folder for settings and logs");
     add("help,h", "print this help and exit");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
     if (values.contains("help")) {
-        std::cout << description << "\nExit codes: 0 every promise was kept, 1 one was broken, 2 wrong usage.\n";
+        std::cout << description
+                  << "\nExit codes: 0 no violation was found, 1 at least one violation or an error, 2 wrong usage.\n";
         return exit_ok;
     }
     options::notify(values);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -16,13 +16,14 @@
 namespace {
 
 constexpr int deadline_ms = 3000;
-/// A caller leaves when nothing has come some time after its deadline.
-constexpr duration patience = std::chrono::milliseconds(deadline_ms + 1500);
-constexpr duration connect_patience = std::chrono::seconds(1);
-/// From the acceptance of a configuration to the last request that may still be handled by an older one.
+/// A caller closes its connection when a response is not complete this long after the request was sent.
+constexpr duration response_timeout = std::chrono::milliseconds(deadline_ms + 1500);
+constexpr duration connect_timeout = std::chrono::seconds(1);
+/// Longest time after the publication of a configuration during which requests may still be handled by the previous
+/// one.
 constexpr duration configuration_bound = std::chrono::seconds(2);
-/// Bounds hold where nothing unplanned has happened for this long.
-constexpr duration contact = std::chrono::seconds(3);
+/// Time limits are checked only when no unplanned fault has begun or ended for this long.
+constexpr duration settle_time = std::chrono::seconds(3);
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unauthorized = 401;
@@ -63,12 +64,12 @@
     return request;
 }
 
-/// Ends what the socket waits for when the time is up.
-void cancel_late(asio::steady_timer& timer, const std::shared_ptr<tcp::socket>& socket,
-                 const std::shared_ptr<bool>& is_late) {
-    timer.async_wait([socket, is_late](const error_code& fault) {
+/// Cancels the pending operations of the socket when the timer expires.
+void cancel_on_timeout(asio::steady_timer& timer, const std::shared_ptr<tcp::socket>& socket,
+                       const std::shared_ptr<bool>& is_expired) {
+    timer.async_wait([socket, is_expired](const error_code& fault) {
         if (!fault) {
-            *is_late = true;
+            *is_expired = true;
             error_code ignored;
             socket->cancel(ignored);
         }
@@ -79,22 +80,23 @@
 
 asio::awaitable<void> soak_caller::run() {
     constexpr double kinds = 4;
-    while (!m_world->is_over) {
-        const double spread = std::uniform_real_distribution<double>(0.2, 1.8)(*m_world->random);
-        co_await servers::sleep_for(std::chrono::duration_cast<duration>(m_options.pace * spread));
+    while (!m_context->is_over) {
+        const double spread = std::uniform_real_distribution<double>(0.2, 1.8)(*m_context->random);
+        co_await servers::sleep_for(std::chrono::duration_cast<duration>(m_options.request_interval * spread));
         if (!co_await connect()) {
             continue;
         }
-        const auto kind = static_cast<request_kind>(std::uniform_real_distribution<double>(0, kinds)(*m_world->random));
+        const auto kind =
+            static_cast<request_kind>(std::uniform_real_distribution<double>(0, kinds)(*m_context->random));
         const std::string id = fmt::format("{}-{}", m_options.name, ++m_number);
         const steady_time sent_at = std::chrono::steady_clock::now();
-        const bool is_owed = !m_world->revoked_at->contains(m_options.key);
-        m_world->seen->add_request(id, kind, m_options.organisation, is_owed);
-        const answer got = co_await ask(id, kind);
-        check(id, kind, got, sent_at);
-        // Some of the connections are kept until the process is gone, whatever it says.
-        constexpr int stubborn = 3;
-        const bool keeps = got.is_whole && (!got.closes || m_number % stubborn == 0);
+        const bool is_owed = !m_context->revoked_at->contains(m_options.key);
+        m_context->checker->add_request(id, kind, m_options.organisation, is_owed);
+        const response received = co_await send_request(id, kind);
+        check(id, kind, received, sent_at);
+        // Some connections are kept until the process has ended, even if the host announces that it closes them.
+        constexpr int kept_connection_interval = 3;
+        const bool keeps = received.is_whole && (!received.closes || m_number % kept_connection_interval == 0);
         if (!keeps) {
             m_socket.reset();
         }
@@ -103,7 +105,7 @@
 
 soak_host* soak_caller::choose_host() const {
     std::vector<soak_host*> ready;
-    for (const std::unique_ptr<soak_host>& host : *m_world->hosts) {
+    for (const std::unique_ptr<soak_host>& host : *m_context->hosts) {
         if (host->is_ready) {
             ready.push_back(host.get());
         }
@@ -111,21 +113,21 @@
     if (ready.empty()) {
         return nullptr;
     }
-    return ready[std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(*m_world->random)];
+    return ready[std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(*m_context->random)];
 }
 
 asio::awaitable<bool> soak_caller::connect() {
-    if (m_socket && m_host->get_life() == m_host_life) {
+    if (m_socket && m_host->get_start_count() == m_host_start_count) {
         co_return true;
     }
     m_host = choose_host();
     if (m_host == nullptr) {
         co_return false;
     }
-    m_host_life = m_host->get_life();
+    m_host_start_count = m_host->get_start_count();
     m_socket = std::make_shared<tcp::socket>(co_await asio::this_coro::executor);
-    asio::steady_timer timer(m_socket->get_executor(), connect_patience);
-    cancel_late(timer, m_socket, std::make_shared<bool>());
+    asio::steady_timer timer(m_socket->get_executor(), connect_timeout);
+    cancel_on_timeout(timer, m_socket, std::make_shared<bool>());
     error_code fault;
     const endpoint& address = m_host->get_callers();
     const tcp::endpoint remote(asio::ip::make_address(address.address), address.port);
@@ -137,81 +139,85 @@
     co_return !fault;
 }
 
-asio::awaitable<soak_caller::answer> soak_caller::ask(const std::string& id, request_kind kind) {
-    answer got;
-    asio::steady_timer timer(m_socket->get_executor(), patience);
-    const auto is_late = std::make_shared<bool>(false);
-    cancel_late(timer, m_socket, is_late);
+asio::awaitable<soak_caller::response> soak_caller::send_request(const std::string& id, request_kind kind) {
+    response received;
+    asio::steady_timer timer(m_socket->get_executor(), response_timeout);
+    const auto is_expired = std::make_shared<bool>(false);
+    cancel_on_timeout(timer, m_socket, is_expired);
     const servers::http_request request = make_request(id, kind, m_options.key);
     error_code fault;
     co_await servers::http::async_write(*m_socket, request, store_error(fault));
-    got.is_connected = !fault;
+    received.is_connected = !fault;
     servers::beast::flat_buffer buffer;
     servers::http::response_parser<servers::http::string_body> parser;
     if (!fault) {
         co_await servers::http::async_read(*m_socket, buffer, parser, store_error(fault));
     }
     timer.cancel();
-    got.is_whole = !fault;
-    got.has_time_run_out = *is_late;
+    received.is_whole = !fault;
+    received.is_timed_out = *is_expired;
     if (parser.is_header_done()) {
-        got.status = parser.get().result_int();
-        got.seal = std::string(parser.get()["Dragonflywell-Server-Seal"]);
-        got.closes = !parser.keep_alive();
+        received.status = parser.get().result_int();
+        received.seal = std::string(parser.get()["Dragonflywell-Server-Seal"]);
+        received.closes = !parser.keep_alive();
     }
-    got.body = parser.get().body();
-    co_return got;
+    received.body = parser.get().body();
+    co_return received;
 }
 
-void soak_caller::check(const std::string& id, request_kind kind, const answer& got, steady_time sent_at) {
-    if (!got.is_whole) {
-        check_cut(id, got);
+void soak_caller::check(const std::string& id, request_kind kind, const response& received, steady_time sent_at) {
+    if (!received.is_whole) {
+        check_cut(id, received);
         return;
     }
-    switch (got.status) {
+    switch (received.status) {
     case status_ok:
-        check_success(id, kind, got, sent_at);
+        check_success(id, kind, received, sent_at);
         break;
     case status_too_many:
     case status_unavailable:
-        if (got.seal.empty()) {
-            m_world->seen->add_promise_not_run(id);
+        if (received.seal.empty()) {
+            m_context->checker->add_not_run_guarantee(id);
         }
         break;
     case status_unauthorized:
-        if (!m_world->revoked_at->contains(m_options.key)) {
-            m_world->seen->add_violation(fmt::format("{} is refused with 401, though its key is in force", id));
+        if (!m_context->revoked_at->contains(m_options.key)) {
+            m_context->checker->add_violation(fmt::format("{} is refused with 401, although its key is valid", id));
         }
         break;
     case status_not_found:
-        m_world->seen->add_violation(fmt::format("{} is refused with 404, though its route is there", id));
+        m_context->checker->add_violation(fmt::format("{} is refused with 404, although its route exists", id));
         break;
     default:
         break;
     }
 }
 
-void soak_caller::check_success(const std::string& id, request_kind kind, const answer& got, steady_time sent_at) {
-    m_world->seen->add_served(id);
-    if (got.seal != "seal-of-" + id || got.body != make_expected_body(kind, id)) {
-        m_world->seen->add_violation(fmt::format("{} gets an answer that is not its own or not whole: {} with {} bytes",
-                                                 id, got.seal, got.body.size()));
-    }
-    const auto revoked = m_world->revoked_at->find(m_options.key);
-    const bool must_be_refused = revoked != m_world->revoked_at->end() &&
-                                 sent_at > revoked->second + configuration_bound && m_world->seen->is_calm(contact);
+void soak_caller::check_success(const std::string& id, request_kind kind, const response& received,
+                                steady_time sent_at) {
+    m_context->checker->add_served(id);
+    if (received.seal != "seal-of-" + id || received.body != make_expected_body(kind, id)) {
+        m_context->checker->add_violation(
+            fmt::format("{} gets a response that is incomplete or belongs to another request: seal {}, {} bytes", id,
+                        received.seal, received.body.size()));
+    }
+    const auto revoked = m_context->revoked_at->find(m_options.key);
+    const bool must_be_refused = revoked != m_context->revoked_at->end() &&
+                                 sent_at > revoked->second + configuration_bound &&
+                                 m_context->checker->is_settled(settle_time);
     if (must_be_refused) {
-        m_world->seen->add_violation(fmt::format("{} is served under a key that was revoked", id));
+        m_context->checker->add_violation(fmt::format("{} is served with a revoked key", id));
     }
 }
 
-void soak_caller::check_cut(const std::string& id, const answer& got) {
-    // A kept connection may be closed just as the request is written; that is no request that was cut off.
-    if (!got.is_connected || got.status == 0) {
+void soak_caller::check_cut(const std::string& id, const response& received) {
+    // A host may close a persistent connection just as the request is written. Such a request was not cut off.
+    if (!received.is_connected || received.status == 0) {
         return;
     }
-    if (m_world->is_planned_only() && !got.has_time_run_out) {
-        m_world->seen->add_violation(fmt::format("{} is cut off by planned work at {}", id, m_host->get_name()));
+    if (m_context->is_planned_only() && !received.is_timed_out) {
+        m_context->checker->add_violation(
+            fmt::format("the response to {} is cut off by a planned operation at {}", id, m_host->get_name()));
     }
 }
 
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -12,14 +12,14 @@
 
 namespace dragonflywell::soak {
 
-/// What all callers go by.
+/// State that all callers share.
 struct soak_caller_context {
-    invariant_checker* seen{};
+    invariant_checker* checker{};
     std::mt19937_64* random{};
     std::vector<std::unique_ptr<soak_host>>* hosts{};
-    /// When a key was taken out of the configuration.
+    /// Times at which keys were removed from the configuration.
     std::map<std::string, steady_time>* revoked_at{};
-    /// Whether only planned work is under way; a request that is cut off then is a broken promise.
+    /// Returns whether only planned operations are in progress. A response that is cut off meanwhile is a violation.
     std::function<bool()> is_planned_only;
     bool is_over{false};
 };
@@ -28,26 +28,26 @@
     std::string name;
     std::string organisation;
     std::string key;
-    /// Time between two requests, on average.
-    duration pace{std::chrono::milliseconds(40)};
+    /// Average time between two requests.
+    duration request_interval{std::chrono::milliseconds(40)};
 };
 
-/// A caller that keeps its connection until the process at the other end is gone, and checks what it gets. Used on one
-/// event loop.
+/// A caller that sends requests over a persistent connection to one host and checks the responses. Not thread safe: it
+/// is used on one event loop.
 class soak_caller {
 public:
     soak_caller(soak_caller_context& world, soak_caller_options options)
-        : m_world(&world), m_options(std::move(options)) {}
+        : m_context(&world), m_options(std::move(options)) {}
 
-    /// Sends requests until the world is over.
+    /// Sends requests until the run is over.
     asio::awaitable<void> run();
 
 private:
-    /// What came back for one request.
-    struct answer {
+    /// Response to one request, as far as it was received.
+    struct response {
         bool is_connected{false};
         bool is_whole{false};
-        bool has_time_run_out{false};
+        bool is_timed_out{false};
         bool closes{false};
         unsigned status{0};
         std::string seal;
@@ -55,17 +55,17 @@
     };
 
     asio::awaitable<bool> connect();
-    asio::awaitable<answer> ask(const std::string& id, request_kind kind);
-    void check(const std::string& id, request_kind kind, const answer& got, steady_time sent_at);
-    void check_success(const std::string& id, request_kind kind, const answer& got, steady_time sent_at);
-    void check_cut(const std::string& id, const answer& got);
+    asio::awaitable<response> send_request(const std::string& id, request_kind kind);
+    void check(const std::string& id, request_kind kind, const response& received, steady_time sent_at);
+    void check_success(const std::string& id, request_kind kind, const response& received, steady_time sent_at);
+    void check_cut(const std::string& id, const response& received);
     [[nodiscard]] soak_host* choose_host() const;
 
-    soak_caller_context* m_world;
+    soak_caller_context* m_context;
     soak_caller_options m_options;
     std::shared_ptr<asio::ip::tcp::socket> m_socket;
     soak_host* m_host{nullptr};
-    int m_host_life{0};
+    int m_host_start_count{0};
     int m_number{0};
 };
 
--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-/// Ports below those that the system gives to outgoing connections: one of these, free now, might be taken by such a
-/// connection before the daemon listens on it, or while the daemon is down.
+/// Listening ports are below the ephemeral port range. An outgoing connection could otherwise take a free port before
+/// the daemon listens on it, or while the daemon is down.
 constexpr std::uint32_t first_port = 10000;
 constexpr std::uint32_t last_port = 32000;
-/// Several soaks may run at once; each begins at ports of its own.
+/// Each process begins its search at other ports, because several soak tests may run at the same time.
 constexpr std::uint32_t ports_per_process = 64;
 
-/// Returns an address on which nothing listens now, another one each time.
+/// Returns an address on which nothing listens at present. Each call returns another address.
 template <typename Protocol>
 endpoint find_free_address(asio::io_context& loop) {
     static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * ports_per_process;
@@ -37,8 +37,8 @@
 
 } // namespace
 
-soak_host::soak_host(asio::io_context& loop, invariant_checker& seen, soak_host_options options)
-    : store_link(loop, options.store), reports_link(loop, options.reports), m_seen(&seen),
+soak_host::soak_host(asio::io_context& loop, invariant_checker& checker, soak_host_options options)
+    : store_link(loop, options.store), reports_link(loop, options.reports), m_checker(&checker),
       m_options(std::move(options)), m_callers(find_free_address<asio::ip::tcp>(loop)),
       m_ready(find_free_address<asio::ip::tcp>(loop)), m_metrics(find_free_address<asio::ip::tcp>(loop)),
       m_hosts(find_free_address<asio::ip::udp>(loop)) {}
@@ -80,7 +80,7 @@
 [log]
 level = "{}"
 )",
-        m_options.name, m_options.zone, m_life == 0, format_endpoint(m_callers), format_endpoint(m_ready),
+        m_options.name, m_options.zone, m_start_count == 0, format_endpoint(m_callers), format_endpoint(m_ready),
         format_endpoint(m_metrics), format_endpoint(m_hosts), format_endpoint(store_link.get_endpoint()),
         format_endpoint(reports_link.get_endpoint()), window_seconds, 2 * window_seconds, level);
 }
@@ -93,7 +93,7 @@
     m_process = std::make_unique<child_process>(
         std::vector<std::string>{m_options.program, "--config", get_path("toml")}, get_path("log"));
     m_is_expected = true;
-    ++m_life;
+    ++m_start_count;
 }
 
 void soak_host::kill() {
@@ -107,11 +107,11 @@
     m_process->send(SIGTERM);
 }
 
-void soak_host::freeze() {
+void soak_host::suspend() {
     m_process->send(SIGSTOP);
 }
 
-void soak_host::thaw() {
+void soak_host::resume() {
     m_process->send(SIGCONT);
 }
 
@@ -123,8 +123,8 @@
 
 void soak_host::check_alive() {
     if (m_is_expected && !is_running()) {
-        m_seen->add_violation(
-            fmt::format("{} ended by itself with status {:#x}", m_options.name, m_process->get_status()));
+        m_checker->add_violation(
+            fmt::format("{} ended unexpectedly with wait status {:#x}", m_options.name, m_process->get_status()));
         start();
     }
 }
--- a/tests/soak/soak_host.hpp
+++ b/tests/soak/soak_host.hpp
@@ -13,50 +13,50 @@
 struct soak_host_options {
     std::string name;
     std::string zone;
-    /// The daemon's program.
+    /// Path of the daemon program.
     std::string program;
-    /// Where settings and logs go.
+    /// Folder for settings and logs.
     std::string folder;
     endpoint store;
     endpoint reports;
     duration usage_window{};
 };
 
-/// One real daemon, its settings, and its own links to the platform. Used on one event loop.
+/// One real daemon with its settings and its own links to the platform. Not thread safe: it is used on one event loop.
 class soak_host {
 public:
-    soak_host(asio::io_context& loop, invariant_checker& seen, soak_host_options options);
+    soak_host(asio::io_context& loop, invariant_checker& checker, soak_host_options options);
 
-    /// Starts the daemon, or starts it anew once it has ended.
+    /// Starts the daemon if it is not running.
     void start();
-    /// Ends it at once.
+    /// Kills the daemon with SIGKILL.
     void kill();
-    /// Asks it to end; it is expected to do so by itself.
+    /// Requests a graceful shutdown with SIGTERM.
     void terminate();
-    /// Stops all that it does until `thaw`.
-    void freeze();
-    void thaw();
-    /// Writes its settings anew with another log level and says so.
+    /// Suspends the daemon with SIGSTOP until `resume`.
+    void suspend();
+    void resume();
+    /// Writes settings with another log level and makes the daemon reload them with SIGHUP.
     void reload();
 
-    /// Looks whether it has ended without being told to.
+    /// Records a violation if the daemon has ended unexpectedly, and starts it again.
     void check_alive();
     [[nodiscard]] bool is_running() { return m_process && m_process->is_running(); }
     [[nodiscard]] const endpoint& get_callers() const noexcept { return m_callers; }
     [[nodiscard]] const endpoint& get_ready() const noexcept { return m_ready; }
     [[nodiscard]] const std::string& get_name() const noexcept { return m_options.name; }
-    [[nodiscard]] int get_life() const noexcept { return m_life; }
+    [[nodiscard]] int get_start_count() const noexcept { return m_start_count; }
 
     fault_proxy store_link;
     fault_proxy reports_link;
-    /// Whether it answered its last readiness check.
+    /// Whether the last readiness check succeeded.
     bool is_ready{false};
 
 private:
     void write_settings(const std::string& level) const;
     [[nodiscard]] std::string get_path(const std::string& what) const;
 
-    invariant_checker* m_seen;
+    invariant_checker* m_checker;
     soak_host_options m_options;
     endpoint m_callers;
     endpoint m_ready;
@@ -65,7 +65,7 @@
     std::unique_ptr<child_process> m_process;
     bool m_is_expected{false};
     bool m_is_reloaded{false};
-    int m_life{0};
+    int m_start_count{0};
 };
 
 } // namespace dragonflywell::soak
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-constexpr duration slow_by = std::chrono::milliseconds(300);
-constexpr duration silence = std::chrono::seconds(20);
-/// While answers are lost, each third write is done and not answered.
-constexpr std::uint64_t lost_writes = 3;
+constexpr duration response_delay = std::chrono::milliseconds(300);
+constexpr duration unresponsive_time = std::chrono::seconds(20);
+/// In the state `loses_responses`, a call whose number is a multiple of this and that is a write takes effect but gets
+/// no response.
+constexpr std::uint64_t lost_write_interval = 3;
 constexpr unsigned status_busy = 503;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_ok = 200;
@@ -48,15 +49,15 @@
         co_await caller.send(std::move(refusal));
         co_return;
     }
-    case store_state::silent:
-        co_await servers::sleep_for(silence);
-        throw servers::caller_disconnected_error("the store is silent");
+    case store_state::unresponsive:
+        co_await servers::sleep_for(unresponsive_time);
+        throw servers::caller_disconnected_error("the store does not respond");
     case store_state::slow:
-        co_await servers::sleep_for(slow_by);
+        co_await servers::sleep_for(response_delay);
         break;
-    case store_state::loses_answers:
-        if (is_write && m_calls % lost_writes == 0) {
-            class lost_channel final : public servers::caller_channel {
+    case store_state::loses_responses:
+        if (is_write && m_calls % lost_write_interval == 0) {
+            class discarding_channel final : public servers::caller_channel {
             public:
                 servers::asio::awaitable<void> send(servers::http_response /*response*/) override { co_return; }
                 servers::asio::awaitable<void> start_stream(servers::stream_head /*head*/) override { co_return; }
@@ -64,13 +65,13 @@
                 servers::asio::awaitable<void> finish_stream() override { co_return; }
                 void abort_stream() override {}
                 [[nodiscard]] bool is_started() const noexcept override { return false; }
-            } nobody;
-            co_await inner.handle(std::move(request), nobody);
-            co_await servers::sleep_for(silence);
-            throw servers::caller_disconnected_error("the answer was lost");
+            } discarded;
+            co_await inner.handle(std::move(request), discarded);
+            co_await servers::sleep_for(unresponsive_time);
+            throw servers::caller_disconnected_error("the response of the store was lost");
         }
         break;
-    case store_state::well:
+    case store_state::healthy:
         break;
     }
     co_await inner.handle(std::move(request), caller);
@@ -78,7 +79,7 @@
 
 servers::asio::awaitable<void> usage_report_receiver::handle(servers::http_request request,
                                                              servers::caller_channel& caller) {
-    if (is_away) {
+    if (is_unavailable) {
         servers::http_response refusal = standin::make_json_response(status_busy, "{}");
         co_await caller.send(std::move(refusal));
         co_return;
@@ -91,19 +92,19 @@
         co_return;
     }
     m_newest_fence = fence;
-    m_seen->add_fence("usage", fence, holder);
+    m_checker->add_fence("usage", fence, holder);
     const boost::json::value document = boost::json::parse(request.body());
     std::map<std::string, std::uint64_t> counts;
     for (const auto& count : document.at("counts").as_object()) {
         counts[std::string(count.key())] = count.value().to_number<std::uint64_t>();
     }
-    m_seen->add_report(document.at("windowSeq").to_number<std::int64_t>(), counts);
+    m_checker->add_report(document.at("windowSeq").to_number<std::int64_t>(), counts);
     servers::http_response taken = standin::make_json_response(status_ok, "{}");
     co_await caller.send(std::move(taken));
 }
 
-soak_platform::soak_platform(boost::asio::io_context& loop, invariant_checker& seen)
-    : reports(seen), m_store_server({&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}),
+soak_platform::soak_platform(boost::asio::io_context& loop, invariant_checker& checker)
+    : reports(checker), m_store_server({&loop}, store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}),
       m_reports_server({&loop}, reports, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}) {}
 
 void soak_platform::start() {
@@ -120,7 +121,7 @@
         }
         organisations.push_back(boost::json::object{{"name", organisation}, {"apiKeys", std::move(list)}});
     }
-    // Versions grow in uneven steps.
+    // Versions increase in uneven steps.
     m_version += 1 + m_version % 3;
     const boost::json::object engine{{"slots", 16},  {"kvCapacity", 100000}, {"kvTokenBytes", 100}, {"linkMbps", 1000},
                                      {"kvHoldS", 5}, {"switchS", 1},         {"stride", 1}};
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -11,57 +11,57 @@
 
 namespace dragonflywell::soak {
 
-/// How the store answers.
+/// Fault of the store.
 enum class store_state : std::uint8_t {
-    well,
-    /// Nothing is done, and it says so.
+    healthy,
+    /// Calls are refused with status 503 and have no effect.
     busy,
-    /// Nothing is done or answered.
-    silent,
+    /// Calls get no response and have no effect.
+    unresponsive,
     slow,
-    /// Some writes are done and not answered.
-    loses_answers,
+    /// Some writes take effect but get no response.
+    loses_responses,
 };
 
-/// Puts the store's troubles before the stand-in.
+/// Injects faults in front of the store stand-in.
 class faulty_store final : public servers::http_handler {
 public:
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
 
     standin::store_standin inner;
-    store_state state{store_state::well};
+    store_state state{store_state::healthy};
 
 private:
     std::uint64_t m_calls{0};
 };
 
-/// Takes usage reports, and checks who gives them.
+/// Receives usage reports and checks their fencing tokens.
 class usage_report_receiver final : public servers::http_handler {
 public:
-    explicit usage_report_receiver(invariant_checker& seen) : m_seen(&seen) {}
+    explicit usage_report_receiver(invariant_checker& checker) : m_checker(&checker) {}
 
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
 
-    bool is_away{false};
+    bool is_unavailable{false};
 
 private:
-    invariant_checker* m_seen;
+    invariant_checker* m_checker;
     std::uint64_t m_newest_fence{0};
 };
 
-/// The platform beside the backend servers: store, report interface, and the operator who writes configurations.
-/// Used on one event loop.
+/// The platform without the backend servers: the store, the interface for usage reports, and the operator who writes
+/// configurations. Not thread safe: it is used on one event loop.
 class soak_platform {
 public:
-    soak_platform(boost::asio::io_context& loop, invariant_checker& seen);
+    soak_platform(boost::asio::io_context& loop, invariant_checker& checker);
 
     void start();
 
-    /// Writes a new configuration: the same routes and organisations, and those keys in force.
+    /// Publishes a new configuration with the same routes and organisations and the given valid keys.
     void publish(const std::map<std::string, std::set<std::string>>& keys);
-    /// Writes the entry of a backend server; an empty one removes it.
+    /// Writes the entry of a backend server to the store. An empty entry removes the server.
     void put_server(const std::string& id, const std::string& entry);
 
     [[nodiscard]] endpoint get_store_endpoint() const;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -16,48 +16,49 @@
 using std::chrono::seconds;
 
 constexpr duration usage_window = seconds(2);
-/// After this without anything unplanned all bounds hold again.
-constexpr duration contact = seconds(3);
-/// How long a calm end lasts: until the system serves again, and some windows of usage are due.
-constexpr duration recovery = seconds(12);
-constexpr duration calm_end = seconds(10);
-constexpr duration start_patience = seconds(15);
-constexpr duration ready_interval = milliseconds(250);
-/// A server that leaves serves this long, and then some.
+/// All time limits apply again when no unplanned fault has begun or ended for this long.
+constexpr duration settle_time = seconds(3);
+/// Lengths of the two parts of the final fault-free period: the system recovers in the first, and the second contains
+/// several usage windows that are checked.
+constexpr duration recovery_time = seconds(12);
+constexpr duration checked_period = seconds(10);
+constexpr duration start_timeout = seconds(15);
+constexpr duration poll_interval = milliseconds(250);
+/// A draining server still serves requests for this long.
 constexpr duration drain_time = milliseconds(2600);
-/// Part of the requests of the calm end that have to be served.
-constexpr double least_served = 0.97;
-constexpr std::size_t most_organisations = 4;
+/// Fraction of the owed requests in the final fault-free period that must be served.
+constexpr double min_served_fraction = 0.97;
+constexpr std::size_t organisation_count = 4;
 
 } // namespace
 
-/// One kind of trouble.
+/// One kind of fault or planned operation.
 struct soak_run::fault {
     std::string name;
     bool is_planned{false};
-    std::function<asio::awaitable<void>()> play;
+    std::function<asio::awaitable<void>()> inject;
 };
 
 soak_run::soak_run(soak_options options)
-    : m_options(std::move(options)), m_random(m_options.seed), m_seen(m_time), m_platform(m_loop, m_seen) {
-    m_world = {.seen = &m_seen,
-               .random = &m_random,
-               .hosts = &m_hosts,
-               .revoked_at = &m_revoked_at,
-               .is_planned_only = [this] { return m_disturbances == 0 && m_seen.is_calm(contact); },
-               .is_over = false};
+    : m_options(std::move(options)), m_random(m_options.seed), m_checker(m_time), m_platform(m_loop, m_checker) {
+    m_context = {.checker = &m_checker,
+                 .random = &m_random,
+                 .hosts = &m_hosts,
+                 .revoked_at = &m_revoked_at,
+                 .is_planned_only = [this] { return m_unplanned_faults == 0 && m_checker.is_settled(settle_time); },
+                 .is_over = false};
 }
 
 soak_result soak_run::run() {
-    testing::run_until_done(m_loop, [this] { return play(); });
-    return {.violations = m_seen.get_violations(),
+    testing::run_until_done(m_loop, [this] { return run_phases(); });
+    return {.violations = m_checker.get_violations(),
             .faults = m_fault_counts,
-            .requests = m_seen.get_requests(),
-            .served = m_seen.get_served(),
-            .reports = m_seen.get_reports()};
+            .requests = m_checker.get_requests(),
+            .served = m_checker.get_served(),
+            .reports = m_checker.get_reports()};
 }
 
-asio::awaitable<void> soak_run::play() {
+asio::awaitable<void> soak_run::run_phases() {
     m_platform.start();
     for (std::size_t number = 0; number < m_options.engines + m_options.instances; ++number) {
         const bool is_engine = number < m_options.engines;
@@ -67,10 +68,10 @@
                                     .stage = is_engine ? (number % 2 == 0 ? "prefill" : "decode") : "",
                                     .usage_window = usage_window};
         m_servers.push_back(
-            std::make_unique<soak_server>(m_loop, m_platform, m_seen, m_prompts, m_random, std::move(options)));
+            std::make_unique<soak_server>(m_loop, m_platform, m_checker, m_prompts, m_random, std::move(options)));
         m_servers.back()->start();
     }
-    for (std::size_t number = 0; number < most_organisations; ++number) {
+    for (std::size_t number = 0; number < organisation_count; ++number) {
         m_keys[fmt::format("org{}", number)] = {fmt::format("key{}", number)};
     }
     publish();
@@ -82,50 +83,50 @@
                                   .store = m_platform.get_store_endpoint(),
                                   .reports = m_platform.get_reports_endpoint(),
                                   .usage_window = usage_window};
-        m_hosts.push_back(std::make_unique<soak_host>(m_loop, m_seen, std::move(options)));
+        m_hosts.push_back(std::make_unique<soak_host>(m_loop, m_checker, std::move(options)));
         m_hosts.back()->start();
     }
     asio::co_spawn(m_loop, watch_hosts(), asio::detached);
     co_await wait_until_ready();
     for (std::size_t number = 0; number < m_options.callers; ++number) {
-        const std::size_t organisation = number % most_organisations;
+        const std::size_t organisation = number % organisation_count;
         soak_caller_options options{.name = fmt::format("c{}", number),
                                     .organisation = fmt::format("org{}", organisation),
                                     .key = fmt::format("key{}", organisation)};
-        m_callers.push_back(std::make_unique<soak_caller>(m_world, std::move(options)));
+        m_callers.push_back(std::make_unique<soak_caller>(m_context, std::move(options)));
         asio::co_spawn(m_loop, m_callers.back()->run(), asio::detached);
     }
-    co_await play_faults();
+    co_await inject_faults();
     co_await check_recovery();
-    m_world.is_over = true;
-    m_seen.check_end();
+    m_context.is_over = true;
+    m_checker.check_end();
 }
 
 asio::awaitable<void> soak_run::wait_until_ready() {
-    const steady_time last = m_time.now() + start_patience;
+    const steady_time last = m_time.now() + start_timeout;
     const auto is_ready = [](const std::unique_ptr<soak_host>& host) { return host->is_ready; };
     while (!std::all_of(m_hosts.begin(), m_hosts.end(), is_ready)) {
         if (m_time.now() > last) {
-            m_seen.add_violation("not all hosts were ready after their start");
+            m_checker.add_violation("not all hosts became ready after their start");
             co_return;
         }
-        co_await servers::sleep_for(ready_interval);
+        co_await servers::sleep_for(poll_interval);
     }
 }
 
 asio::awaitable<void> soak_run::watch_hosts() {
-    while (!m_world.is_over) {
+    while (!m_context.is_over) {
         for (const std::unique_ptr<soak_host>& host : m_hosts) {
             host->check_alive();
             asio::co_spawn(m_loop, check_ready(*host), asio::detached);
         }
-        co_await servers::sleep_for(ready_interval);
+        co_await servers::sleep_for(poll_interval);
     }
 }
 
 asio::awaitable<void> soak_run::check_ready(soak_host& host) {
     const auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop);
-    asio::steady_timer timer(m_loop, ready_interval * 2);
+    asio::steady_timer timer(m_loop, poll_interval * 2);
     timer.async_wait([socket](const servers::error_code& late) {
         if (!late) {
             servers::error_code ignored;
@@ -137,9 +138,9 @@
     co_await socket->async_connect(address, servers::store_error(fault));
     servers::http::response<servers::http::string_body> response;
     if (!fault) {
-        servers::http_request question(servers::http::verb::get, "/-/ready", 11);
-        question.set("Host", "ready");
-        co_await servers::http::async_write(*socket, question, servers::store_error(fault));
+        servers::http_request probe(servers::http::verb::get, "/-/ready", 11);
+        probe.set("Host", "ready");
+        co_await servers::http::async_write(*socket, probe, servers::store_error(fault));
     }
     if (!fault) {
         servers::beast::flat_buffer buffer;
@@ -165,8 +166,8 @@
 }
 
 void soak_run::revoke_key() {
-    // One organisation loses its only key; the others go on.
-    const std::string organisation = fmt::format("org{}", most_organisations - 1);
+    // One organisation loses its only key; the other organisations keep theirs.
+    const std::string organisation = fmt::format("org{}", organisation_count - 1);
     for (const std::string& key : m_keys[organisation]) {
         m_revoked_at.emplace(key, m_time.now());
     }
@@ -187,7 +188,7 @@
     const auto store = [this, hold](store_state state) -> asio::awaitable<void> {
         m_platform.store.state = state;
         co_await hold(seconds(1), seconds(5));
-        m_platform.store.state = store_state::well;
+        m_platform.store.state = store_state::healthy;
     };
     const auto link = [hold](fault_proxy& proxy, link_state state) -> asio::awaitable<void> {
         proxy.set_state(state);
@@ -215,12 +216,12 @@
                  host->start();
              }
          }},
-        {"host frozen", false,
+        {"host suspended", false,
          [this, hold]() -> asio::awaitable<void> {
              soak_host& host = draw_host();
-             host.freeze();
+             host.suspend();
              co_await hold(milliseconds(500), seconds(5));
-             host.thaw();
+             host.resume();
          }},
         {"host stopped", true,
          [this]() -> asio::awaitable<void> {
@@ -229,13 +230,14 @@
              host.terminate();
              const steady_time last = m_time.now() + grace;
              while (host.is_running() && m_time.now() < last) {
-                 co_await servers::sleep_for(ready_interval);
+                 co_await servers::sleep_for(poll_interval);
              }
-             if (host.is_running() && m_seen.is_calm(grace)) {
-                 m_seen.add_violation(fmt::format("{} still runs at the end of its grace time", host.get_name()));
+             if (host.is_running() && m_checker.is_settled(grace)) {
+                 m_checker.add_violation(
+                     fmt::format("{} is still running at the end of its grace period", host.get_name()));
              }
              host.kill();
-             co_await servers::sleep_for(ready_interval);
+             co_await servers::sleep_for(poll_interval);
              host.start();
          }},
         {"settings reloaded", true,
@@ -243,7 +245,7 @@
              draw_host().reload();
              co_return;
          }},
-        {"configuration", true,
+        {"configurations published", true,
          [this, hold]() -> asio::awaitable<void> {
              for (int change = 0; change < 3; ++change) {
                  publish();
@@ -276,9 +278,9 @@
          [this, hold]() -> asio::awaitable<void> {
              constexpr double share = 0.4;
              soak_server& server = draw_server();
-             server.bad_share = share;
+             server.fault_fraction = share;
              co_await hold(seconds(2), seconds(5));
-             server.bad_share = 0;
+             server.fault_fraction = 0;
          }},
         {"server's link fails", false,
          [this, link, draw_link_state] { return link(draw_server().link, draw_link_state()); }},
@@ -287,25 +289,25 @@
              draw_server().link.reset_connections();
              co_return;
          }},
-        {"server's connections silent for good", false,
+        {"server's connections blackholed", false,
          [this]() -> asio::awaitable<void> {
-             draw_server().link.forget_connections();
+             draw_server().link.blackhole_connections();
              co_return;
          }},
         {"store's link fails", false,
          [this, link, draw_link_state] { return link(draw_host().store_link, draw_link_state()); }},
-        {"store's connections silent for good", false,
+        {"store's connections blackholed", false,
          [this]() -> asio::awaitable<void> {
-             draw_host().store_link.forget_connections();
+             draw_host().store_link.blackhole_connections();
              co_return;
          }},
         {"reports' link fails", false,
          [this, link, draw_link_state] { return link(draw_host().reports_link, draw_link_state()); }},
         {"store busy", false, [store] { return store(store_state::busy); }},
-        {"store silent", false, [store] { return store(store_state::silent); }},
+        {"store unresponsive", false, [store] { return store(store_state::unresponsive); }},
         {"store slow", false, [store] { return store(store_state::slow); }},
-        {"store loses answers", false, [store] { return store(store_state::loses_answers); }},
-        {"store forgets", false,
+        {"store loses responses", false, [store] { return store(store_state::loses_responses); }},
+        {"store drops history", false,
          [this]() -> asio::awaitable<void> {
              for (const char* topic : {"keyed.op", "keyed.servers", "keyed.dw-lease", "keyed.dw-hosts"}) {
                  m_platform.store.inner.drop_history(topic);
@@ -314,55 +316,56 @@
          }},
         {"reports refused", false,
          [this, hold]() -> asio::awaitable<void> {
-             m_platform.reports.is_away = true;
+             m_platform.reports.is_unavailable = true;
              co_await hold(seconds(1), seconds(4));
-             m_platform.reports.is_away = false;
+             m_platform.reports.is_unavailable = false;
          }},
     };
 }
 
-asio::awaitable<void> soak_run::play_one(const fault& chosen) {
-    // Owned here: the list that it was drawn from may be gone before it ends.
+asio::awaitable<void> soak_run::inject_fault(const fault& chosen) {
+    // The coroutine owns a copy, because the list from which the fault was chosen may be destroyed before it ends.
     const fault own = chosen;
     if (!own.is_planned) {
-        ++m_disturbances;
-        m_seen.note_disturbance();
+        ++m_unplanned_faults;
+        m_checker.record_unplanned_fault();
     }
-    co_await own.play();
+    co_await own.inject();
     if (!own.is_planned) {
-        --m_disturbances;
-        m_seen.note_disturbance();
+        --m_unplanned_faults;
+        m_checker.record_unplanned_fault();
     }
 }
 
-asio::awaitable<void> soak_run::play_faults() {
+asio::awaitable<void> soak_run::inject_faults() {
     co_await servers::sleep_for(seconds(2));
     const std::vector<fault> faults = make_faults();
     const steady_time last = m_time.now() + m_options.faults;
     while (m_time.now() < last) {
         const fault& chosen = faults[std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(m_random)];
         ++m_fault_counts[chosen.name];
-        asio::co_spawn(m_loop, play_one(chosen), asio::detached);
+        asio::co_spawn(m_loop, inject_fault(chosen), asio::detached);
         co_await servers::sleep_for(draw_length(milliseconds(200), seconds(3)));
     }
 }
 
 asio::awaitable<void> soak_run::check_recovery() {
-    while (m_disturbances > 0) {
-        m_seen.note_disturbance();
-        co_await servers::sleep_for(ready_interval);
+    while (m_unplanned_faults > 0) {
+        m_checker.record_unplanned_fault();
+        co_await servers::sleep_for(poll_interval);
     }
-    co_await servers::sleep_for(recovery);
-    static_cast<void>(m_seen.take_served_share());
+    co_await servers::sleep_for(recovery_time);
+    static_cast<void>(m_checker.take_served_fraction());
     const auto get_window = [] { return std::chrono::system_clock::now().time_since_epoch() / usage_window; };
     const std::int64_t first = get_window() + 1;
-    co_await servers::sleep_for(calm_end);
-    const double share = m_seen.take_served_share();
-    if (share < least_served) {
-        m_seen.add_violation(fmt::format("only {:.0f} in 100 requests owed in the calm end were served", share * 100));
+    co_await servers::sleep_for(checked_period);
+    const double share = m_checker.take_served_fraction();
+    if (share < min_served_fraction) {
+        m_checker.add_violation(
+            fmt::format("only {:.0f} % of the owed requests in the final fault-free period were served", share * 100));
     }
-    // Reports are due two windows after the end of theirs.
-    m_seen.check_usage(first, get_window() - 4);
+    // The report of a window is due two windows after its end. The last windows are therefore not checked.
+    m_checker.check_usage(first, get_window() - 4);
 }
 
 } // namespace dragonflywell::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -16,7 +16,7 @@
 
 struct soak_options {
     std::uint64_t seed{1};
-    /// How long faults come.
+    /// Length of the period in which faults are injected.
     duration faults{std::chrono::seconds(16)};
     std::size_t hosts{4};
     std::size_t engines{6};
@@ -26,7 +26,7 @@
     std::string folder;
 };
 
-/// What a run has shown.
+/// Result of a run.
 struct soak_result {
     std::vector<std::string> violations;
     std::map<std::string, int> faults;
@@ -35,24 +35,25 @@
     std::size_t reports{0};
 };
 
-/// One run of real daemons under faults that the seed decides. Everything but the daemons lives on one event loop.
+/// One run of real daemons with faults that are chosen by a seeded random generator. Everything except the daemons runs
+/// on one event loop.
 class soak_run {
 public:
     explicit soak_run(soak_options options);
 
-    /// Runs to the end. Throws `std::system_error` when a daemon cannot be started.
+    /// Runs the whole test. Throws `std::system_error` when a daemon cannot be started.
     [[nodiscard]] soak_result run();
 
 private:
     struct fault;
 
-    asio::awaitable<void> play();
+    asio::awaitable<void> run_phases();
     asio::awaitable<void> wait_until_ready();
-    asio::awaitable<void> play_faults();
+    asio::awaitable<void> inject_faults();
     asio::awaitable<void> check_recovery();
     asio::awaitable<void> watch_hosts();
     asio::awaitable<void> check_ready(soak_host& host);
-    asio::awaitable<void> play_one(const fault& chosen);
+    asio::awaitable<void> inject_fault(const fault& chosen);
     asio::awaitable<void> remove_server(soak_server& server, duration stays);
 
     [[nodiscard]] std::vector<fault> make_faults();
@@ -66,7 +67,7 @@
     host_clock m_time;
     asio::io_context m_loop{1};
     std::mt19937_64 m_random;
-    invariant_checker m_seen;
+    invariant_checker m_checker;
     soak_platform m_platform;
     prompt_handles m_prompts;
     std::vector<std::unique_ptr<soak_host>> m_hosts;
@@ -75,9 +76,9 @@
     std::map<std::string, std::set<std::string>> m_keys;
     std::map<std::string, steady_time> m_revoked_at;
     std::map<std::string, int> m_fault_counts;
-    soak_caller_context m_world;
-    /// Unplanned faults that are under way.
-    int m_disturbances{0};
+    soak_caller_context m_context;
+    /// Number of unplanned faults in progress.
+    int m_unplanned_faults{0};
 };
 
 } // namespace dragonflywell::soak
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -12,18 +12,18 @@
 
 namespace {
 
-/// Bound for a leaving server to get its last request, and what an unready machine may add to it.
+/// Time limit after which a draining server must get no request, and a tolerance for a slow test machine.
 constexpr duration drain_bound = std::chrono::seconds(2);
 constexpr duration drain_margin = std::chrono::milliseconds(500);
-/// The bound holds where nothing unplanned has happened for this long.
-constexpr duration contact = std::chrono::seconds(3);
+/// The limit is checked only when no unplanned fault has begun or ended for this long.
+constexpr duration settle_time = std::chrono::seconds(3);
 
 std::string get(const http_request& request, const std::string& name) {
     return std::string(request[name]);
 }
 
-std::string make_answer(const http_request& request, unsigned status, const std::string& headers,
-                        const std::string& body) {
+std::string make_response(const http_request& request, unsigned status, const std::string& headers,
+                          const std::string& body) {
     return fmt::format("HTTP/1.1 {} X\r\nDragonflywell-Attempt-Id: {}\r\n{}Content-Length: {}\r\n\r\n{}", status,
                        get(request, "Dragonflywell-Attempt-Id"), headers, body.size(), body);
 }
@@ -49,15 +49,15 @@
 
 } // namespace
 
-soak_server::soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& seen,
+soak_server::soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& checker,
                          prompt_handles& prompts, std::mt19937_64& random, soak_server_options options)
-    : link(loop, {}), m_loop(&loop), m_platform(&platform), m_seen(&seen), m_prompts(&prompts), m_random(&random),
+    : link(loop, {}), m_loop(&loop), m_platform(&platform), m_checker(&checker), m_prompts(&prompts), m_random(&random),
       m_options(std::move(options)) {}
 
 void soak_server::start() {
     m_server =
         std::make_unique<standin::raw_server>(*m_loop, [this](const http_request& request, raw_connection& connection) {
-            return answer(request, connection);
+            return respond(request, connection);
         });
     link.set_target(m_server->get_endpoint());
     m_started_at_ms =
@@ -98,7 +98,7 @@
     m_platform->put_server(m_options.id, boost::json::serialize(entry));
 }
 
-bool soak_server::draws(double share) {
+bool soak_server::draw_bool(double share) {
     return std::uniform_real_distribution<double>(0, 1)(*m_random) < share;
 }
 
@@ -107,32 +107,32 @@
 }
 
 void soak_server::check_drained() const {
-    if (!m_draining_since || !m_seen->is_calm(contact)) {
+    if (!m_draining_since || !m_checker->is_settled(settle_time)) {
         return;
     }
     const duration since = std::chrono::steady_clock::now() - *m_draining_since;
     if (since > drain_bound + drain_margin) {
-        m_seen->add_violation(fmt::format("{} gets a request {:.2f} s after it said that it leaves", m_options.id,
-                                          std::chrono::duration<double>(since).count()));
+        m_checker->add_violation(fmt::format("{} gets a request {:.2f} s after it began to drain", m_options.id,
+                                             std::chrono::duration<double>(since).count()));
     }
 }
 
-asio::awaitable<void> soak_server::answer(const http_request& request, raw_connection& connection) {
+asio::awaitable<void> soak_server::respond(const http_request& request, raw_connection& connection) {
     const std::string target(request.target());
     const std::string expected = get(request, "Dragonflywell-Expect-Instance");
     if (!expected.empty() && expected != m_options.id) {
-        std::string bytes = make_answer(request, 421, "Dragonflywell-Not-Executed: 1\r\n", "");
+        std::string bytes = make_response(request, 421, "Dragonflywell-Not-Executed: 1\r\n", "");
         co_await connection.write(std::move(bytes));
         co_return;
     }
     if (target == "/-/order") {
-        co_await take_order(request, connection);
+        co_await handle_order(request, connection);
         co_return;
     }
     if (request.method() == servers::http::verb::delete_ || target.starts_with("/-/") || target == "/health") {
         const std::string report =
             fmt::format(R"({{"stage":"{}","busy":false,"seq":{},"queued":0,"running":0}})", m_options.stage, m_orders);
-        std::string bytes = make_answer(request, 200, "", report);
+        std::string bytes = make_response(request, 200, "", report);
         co_await connection.write(std::move(bytes));
         co_return;
     }
@@ -143,10 +143,10 @@
 asio::awaitable<void> soak_server::run(const http_request& request, raw_connection& connection) {
     const std::string id = get(request, "Dragonflywell-Attempt-Id");
     if (!get(request, "Api-Key").empty()) {
-        m_seen->add_violation(fmt::format("{} sees the key of {}", m_options.id, id));
+        m_checker->add_violation(fmt::format("{} received the API key of {}", m_options.id, id));
     }
-    if (draws(bad_share / 2)) {
-        std::string bytes = make_answer(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
+    if (draw_bool(fault_fraction / 2)) {
+        std::string bytes = make_response(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
         co_await connection.write(std::move(bytes));
         co_return;
     }
@@ -154,7 +154,7 @@
         const std::string handle = fmt::format("{}-{}", m_options.id, ++m_handles);
         (*m_prompts)[handle] = id;
         const std::string body = fmt::format(R"({{"kvHandle":"{}","tokens":100,"version":1}})", handle);
-        std::string bytes = make_answer(request, 200, "", body);
+        std::string bytes = make_response(request, 200, "", body);
         co_await connection.write(std::move(bytes));
         co_return;
     }
@@ -162,17 +162,17 @@
     if (!source.empty()) {
         const auto prompt = m_prompts->find(source.substr(source.find('/') + 1));
         if (prompt == m_prompts->end()) {
-            std::string bytes = make_answer(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
+            std::string bytes = make_response(request, 503, "Dragonflywell-Not-Executed: 1\r\n", "");
             co_await connection.write(std::move(bytes));
             co_return;
         }
         if (prompt->second != id) {
-            m_seen->add_violation(fmt::format("{} goes on from the prompt of {}", id, prompt->second));
+            m_checker->add_violation(fmt::format("{} is decoded from the KV cache of {}", id, prompt->second));
         }
         m_prompts->erase(prompt);
     }
-    m_seen->add_run(id, get(request, "Dragonflywell-Tenant"), get_window());
-    if (draws(bad_share / 2)) {
+    m_checker->add_run(id, get(request, "Dragonflywell-Tenant"), get_window());
+    if (draw_bool(fault_fraction / 2)) {
         connection.reset();
         co_return;
     }
@@ -186,22 +186,22 @@
     constexpr int longest_ms = 40;
     const int length_ms = std::uniform_int_distribution<int>(shortest_ms, longest_ms)(*m_random);
     co_await servers::sleep_for(std::chrono::milliseconds(length_ms));
-    std::string bytes = make_answer(request, 200, make_seal(id), make_expected_body(kind, id));
-    if (draws(bad_share / 2)) {
-        // A further answer, which belongs to no request.
-        bytes += make_answer(request, 200, make_seal("nobody"), "nobody's");
+    std::string bytes = make_response(request, 200, make_seal(id), make_expected_body(kind, id));
+    if (draw_bool(fault_fraction / 2)) {
+        // An additional response that belongs to no request.
+        bytes += make_response(request, 200, make_seal("nobody"), "nobody's");
     }
     co_await connection.write(std::move(bytes));
 }
 
 asio::awaitable<void> soak_server::send_stream(const std::string& id, int first, raw_connection& connection) {
-    constexpr duration pace = std::chrono::milliseconds(25);
+    constexpr duration request_interval = std::chrono::milliseconds(25);
     std::string head = fmt::format("HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: {}\r\n{}"
                                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
                                    id, make_seal(id));
     co_await connection.write(std::move(head));
     for (int number = first; number <= events_per_stream; ++number) {
-        if (draws(bad_share / events_per_stream)) {
+        if (draw_bool(fault_fraction / events_per_stream)) {
             std::string part = make_chunk("id: 99\nda");
             co_await connection.write(std::move(part));
             connection.reset();
@@ -209,13 +209,13 @@
         }
         std::string event = make_chunk(make_expected_event(id, number));
         co_await connection.write(std::move(event));
-        co_await servers::sleep_for(pace);
+        co_await servers::sleep_for(request_interval);
     }
     std::string end = "0\r\n\r\n";
     co_await connection.write(std::move(end));
 }
 
-asio::awaitable<void> soak_server::take_order(const http_request& request, raw_connection& connection) {
+asio::awaitable<void> soak_server::handle_order(const http_request& request, raw_connection& connection) {
     const boost::json::value order = boost::json::parse(request.body());
     const auto fence = order.at("fence").to_number<std::uint64_t>();
     unsigned status = 202;
@@ -224,14 +224,14 @@
     } else if (order.at("precondition").to_number<std::uint64_t>() != m_orders) {
         status = 409;
     } else {
-        m_seen->add_fence(fmt::format("{} since {}", m_options.id, m_started_at_ms), fence,
-                          std::string(order.at("holder").as_string()));
+        m_checker->add_fence(fmt::format("{} since {}", m_options.id, m_started_at_ms), fence,
+                             std::string(order.at("holder").as_string()));
         m_newest_fence = fence;
         ++m_orders;
         m_options.stage = std::string(order.at("stage").as_string());
         write_entry();
     }
-    std::string bytes = make_answer(request, status, "", "{}");
+    std::string bytes = make_response(request, status, "", "{}");
     co_await connection.write(std::move(bytes));
 }
 
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -12,7 +12,8 @@
 
 namespace dragonflywell::soak {
 
-/// Prompts that engines have read, shared by all of them since one may fetch another's.
+/// Ids of the requests whose prompts engines have prefilled, by KV cache handle. All engines share them, because one
+/// engine may fetch the KV cache of another.
 using prompt_handles = std::map<std::string, std::string>;
 
 struct soak_server_options {
@@ -20,48 +21,49 @@
     /// "app" or "llm".
     std::string service;
     std::string zone;
-    /// Stage of an engine; empty for an instance.
+    /// Stage of an engine; empty for an instance of a plain service.
     std::string stage;
     /// Length of the billing windows.
     duration usage_window{};
 };
 
-/// A backend server behind a link that can fail, which notes what it runs. Used on one event loop.
+/// A backend server behind a faulty link that records the requests that it runs. Not thread safe: it is used on one
+/// event loop.
 class soak_server {
 public:
-    /// Preconditions: loop, platform, evidence and prompts outlive the server.
-    soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& seen, prompt_handles& prompts,
+    /// Precondition: all references outlive the server.
+    soak_server(asio::io_context& loop, soak_platform& platform, invariant_checker& checker, prompt_handles& prompts,
                 std::mt19937_64& random, soak_server_options options);
 
-    /// Starts the server, or starts it anew after a crash; it enters the list.
+    /// Starts the server, also after a crash, and adds it to the server list.
     void start();
-    /// Ends it at once, with all that runs; it stays in the list for a while.
+    /// Stops the server and aborts its requests. Its entry stays in the server list.
     void crash();
-    /// Says that it leaves. It goes on serving.
+    /// Announces in the server list that the server drains. It still serves requests.
     void drain();
-    /// Leaves the list.
+    /// Removes the server from the server list.
     void leave();
 
     [[nodiscard]] bool is_running() const noexcept { return m_server != nullptr; }
     [[nodiscard]] bool is_draining() const noexcept { return m_draining_since.has_value(); }
 
     fault_proxy link;
-    /// Share of the requests that it treats badly: refuses, breaks off, answers with another's id.
-    double bad_share{0};
+    /// Fraction of the requests that the server refuses, aborts, or follows with a response of another request.
+    double fault_fraction{0};
 
 private:
     void write_entry() const;
-    asio::awaitable<void> answer(const servers::http_request& request, standin::raw_connection& connection);
+    asio::awaitable<void> respond(const servers::http_request& request, standin::raw_connection& connection);
     asio::awaitable<void> run(const servers::http_request& request, standin::raw_connection& connection);
     asio::awaitable<void> send_stream(const std::string& id, int first, standin::raw_connection& connection);
-    asio::awaitable<void> take_order(const servers::http_request& request, standin::raw_connection& connection);
+    asio::awaitable<void> handle_order(const servers::http_request& request, standin::raw_connection& connection);
     void check_drained() const;
-    [[nodiscard]] bool draws(double share);
+    [[nodiscard]] bool draw_bool(double share);
     [[nodiscard]] std::int64_t get_window() const;
 
     asio::io_context* m_loop;
     soak_platform* m_platform;
-    invariant_checker* m_seen;
+    invariant_checker* m_checker;
     prompt_handles* m_prompts;
     std::mt19937_64* m_random;
     soak_server_options m_options;
--- a/tests/standin/engine_fault.hpp
+++ b/tests/standin/engine_fault.hpp
@@ -4,36 +4,36 @@
 
 namespace dragonflywell::standin {
 
-/// How an engine's answer goes wrong.
+/// Faults that an engine's response can have.
 enum class engine_fault_kind {
     none,
-    /// The connection ends and the stream is lost.
+    /// The engine closes the connection, and the stream cannot be resumed.
     disconnect,
-    /// The engine dies: the connection ends and no other one is taken.
+    /// The engine crashes: it closes the connection and its listener.
     crash,
-    /// The connection stays silent; the stream can be resumed over another.
+    /// The engine sends nothing more on the connection. The stream can be resumed over another connection.
     hang,
-    /// An event is no JSON.
+    /// An event is not valid JSON.
     malformed_event,
-    /// An event belongs to another stream.
+    /// An event has the id of another stream.
     wrong_stream,
-    /// A token comes twice.
+    /// A token is sent twice.
     duplicate_token,
     /// A token is left out.
     missing_token,
-    /// More tokens come than were asked for.
+    /// More tokens are sent than were requested.
     extra_tokens,
-    /// The request is answered with status 422.
+    /// The engine responds with status 422.
     reject,
-    /// The request is answered with status 503.
+    /// The engine responds with status 503.
     busy,
 };
 
 struct engine_fault {
     engine_fault_kind kind{engine_fault_kind::none};
-    /// Tokens that are generated before it shows.
+    /// Number of tokens that are generated before the fault occurs.
     std::uint64_t after_tokens{};
-    /// How many answers it concerns.
+    /// Number of responses that have the fault.
     std::uint64_t count{1};
 };
 
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -17,11 +17,11 @@
 
 namespace {
 
-constexpr std::uint64_t text_tags = 1000;
+constexpr std::uint64_t prompt_tag_count = 1000;
 constexpr std::size_t cached_prompt_limit = 64;
 constexpr std::string_view streams_path = "/v1/streams/";
 constexpr std::string_view resume_query = "?from=";
-constexpr std::chrono::hours silent_time{1};
+constexpr std::chrono::hours hang_time{1};
 constexpr std::string_view crash_marker = "crash-the-engine";
 
 class running_request {
@@ -73,7 +73,7 @@
 } // namespace
 
 std::string get_generated_text(const std::string& prompt, std::uint64_t position) {
-    return fmt::format("{}-{} ", get_stable_hash(prompt) % text_tags, position);
+    return fmt::format("{}-{} ", get_stable_hash(prompt) % prompt_tag_count, position);
 }
 
 engine_standin::engine_standin(engine_standin_options options)
@@ -87,7 +87,7 @@
     if (target == "/v1/chat/completions" || target == "/v1/completions") {
         co_await complete(request, caller);
     } else if (target == "/orders") {
-        co_await caller.send(take_order(request.body()));
+        co_await caller.send(handle_order(request.body()));
     } else if (target == "/load") {
         co_await caller.send(report_load());
     } else if (target.starts_with(streams_path) && request.method() == servers::http::verb::get) {
@@ -121,7 +121,7 @@
                               .max_tokens = json::get_unsigned_or(document, "max_tokens", 16)};
     asio::steady_timer timer(co_await asio::this_coro::executor);
     const std::uint64_t uncached_tokens = is_cached(prompt) ? 1 : count_prompt_tokens(prompt);
-    timer.expires_after(get_slowed(m_options.prompt_token_time * uncached_tokens));
+    timer.expires_after(scale_by_load(m_options.prompt_token_time * uncached_tokens));
     co_await timer.async_wait(asio::use_awaitable);
     {
         const std::scoped_lock lock(m_mutex);
@@ -161,20 +161,20 @@
         const bool is_faulty = position - first == fault.after_tokens;
         if (is_faulty && fault.kind == engine_fault_kind::disconnect) {
             cancel(id);
-            throw servers::caller_disconnected_error("engine breaks off as planned");
+            throw servers::caller_disconnected_error("the engine closes the connection, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::crash) {
             m_on_death();
-            throw servers::caller_disconnected_error("engine dies as planned");
+            throw servers::caller_disconnected_error("the engine crashes, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::hang) {
-            timer.expires_after(silent_time);
+            timer.expires_after(hang_time);
             co_await timer.async_wait(asio::use_awaitable);
         }
         if (is_faulty && fault.kind == engine_fault_kind::missing_token) {
             continue;
         }
-        timer.expires_after(get_slowed(m_options.generated_token_time));
+        timer.expires_after(scale_by_load(m_options.generated_token_time));
         co_await timer.async_wait(asio::use_awaitable);
         const std::string event_id = is_faulty && fault.kind == engine_fault_kind::wrong_stream ? "another" : id;
         std::string data = make_chunk(event_id, stream.is_chat, get_generated_text(stream.prompt, position),
@@ -217,7 +217,7 @@
     return m_cancelled.size();
 }
 
-servers::http_response engine_standin::take_order(const std::string& body) {
+servers::http_response engine_standin::handle_order(const std::string& body) {
     const boost::json::value root = json::parse(body);
     const boost::json::object& order = root.as_object();
     const std::uint64_t fence = json::get_unsigned(order, "fence");
@@ -249,7 +249,7 @@
     return !m_cached_prompts.insert(prompt).second;
 }
 
-std::chrono::microseconds engine_standin::get_slowed(std::chrono::microseconds time) const {
+std::chrono::microseconds engine_standin::scale_by_load(std::chrono::microseconds time) const {
     const std::uint64_t batches = (m_running + m_options.full_speed_requests - 1) / m_options.full_speed_requests;
     return time * std::max<std::uint64_t>(batches, 1);
 }
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -16,16 +16,18 @@
     std::string model;
     std::string role{"mixed"};
     bool checks_fencing{false};
-    /// Time that a prompt token and a generated token take while one request runs.
+    /// Processing time of a prompt token and of a generated token while one request runs.
     std::chrono::microseconds prompt_token_time{20};
     std::chrono::microseconds generated_token_time{2000};
-    /// Requests that run at full speed together; more share the engine's time.
+    /// Number of requests that run concurrently at full speed. With more requests all of them become slower.
     std::size_t full_speed_requests{16};
 };
 
-/// A model engine: batches continuously, caches prompts, streams, resumes, cancels and takes orders. Thread safe.
+/// A stand-in for a model engine with continuous batching, a prompt cache, streaming, resumption, cancellation and
+/// orders. Thread safe.
 ///
-/// The text of an answer is a function of prompt and position, so that a caller can check that it is whole and its own.
+/// The generated text is a function of the prompt and the position, so that a caller can check that a response is
+/// complete and belongs to its request.
 class engine_standin final : public servers::http_handler {
 public:
     explicit engine_standin(engine_standin_options options);
@@ -33,27 +35,27 @@
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
 
-    /// Returns how many requests carried an authorization header; the system must never send one.
+    /// Returns how many requests carried an Authorization header. The system must never send one to an engine.
     [[nodiscard]] std::uint64_t get_authorization_headers_seen() const noexcept { return m_keys_seen; }
-    /// Ends the next answer after this many tokens, as an engine that crashes does.
+    /// Closes the connection of the next response after this many tokens.
     void set_break_after(std::uint64_t tokens) {
         set_fault({.kind = engine_fault_kind::disconnect, .after_tokens = tokens});
     }
-    /// Has the next answers go wrong.
+    /// Sets the fault of the next responses.
     void set_fault(const engine_fault& fault);
-    /// Sets what closes the engine's listener when it is to die. To be called before it is used.
+    /// Sets the function that closes the engine's listener in a crash. It must be set before the engine is used.
     void set_on_crash(std::function<void()> on_death) { m_on_death = std::move(on_death); }
     /// Returns how many requests are running.
     [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
-    /// Returns how many requests were started, resumptions not counted.
+    /// Returns how many requests were started, without resumptions.
     [[nodiscard]] std::uint64_t get_starts() const noexcept { return m_starts; }
     /// Returns how many streams were resumed.
     [[nodiscard]] std::uint64_t get_resumptions() const noexcept { return m_resumptions; }
-    /// Returns how many streams were cancelled by request.
+    /// Returns how many streams were cancelled.
     [[nodiscard]] std::size_t get_cancelled();
 
 private:
-    /// What a stream goes on from when it is resumed.
+    /// Data from which a stream can be resumed.
     struct known_stream {
         std::string prompt;
         bool is_chat{};
@@ -66,10 +68,10 @@
                                             engine_fault fault, servers::caller_channel& caller);
     [[nodiscard]] engine_fault take_fault();
     void cancel(const std::string& id);
-    [[nodiscard]] servers::http_response take_order(const std::string& body);
+    [[nodiscard]] servers::http_response handle_order(const std::string& body);
     [[nodiscard]] servers::http_response report_load();
     [[nodiscard]] bool is_cached(const std::string& prompt);
-    [[nodiscard]] std::chrono::microseconds get_slowed(std::chrono::microseconds time) const;
+    [[nodiscard]] std::chrono::microseconds scale_by_load(std::chrono::microseconds time) const;
 
     engine_standin_options m_options;
     std::atomic<std::uint64_t> m_running{0};
@@ -87,7 +89,7 @@
     std::function<void()> m_on_death;
 };
 
-/// Returns the text that the engine generates at a position for a prompt.
+/// Returns the text that the engine generates for a prompt at a position.
 [[nodiscard]] std::string get_generated_text(const std::string& prompt, std::uint64_t position);
 
 } // namespace dragonflywell::standin
--- a/tests/standin/fault_plan.cpp
+++ b/tests/standin/fault_plan.cpp
@@ -11,9 +11,9 @@
 
 namespace asio = servers::asio;
 
-constexpr std::chrono::hours silent_time{1};
+constexpr std::chrono::hours hang_time{1};
 
-/// Takes an answer and shows it to nobody.
+/// Discards a response.
 class discarding_channel final : public servers::caller_channel {
 public:
     asio::awaitable<void> send(servers::http_response /*response*/) override { co_return; }
@@ -69,12 +69,12 @@
         co_await wait(std::chrono::milliseconds(fault.delay_milliseconds));
         break;
     case fault_kind::drop_answer: {
-        discarding_channel nobody;
-        co_await m_inner->handle(std::move(request), nobody);
-        throw servers::caller_disconnected_error("answer dropped as planned");
+        discarding_channel discarded;
+        co_await m_inner->handle(std::move(request), discarded);
+        throw servers::caller_disconnected_error("the response is dropped, as the fault plan requires");
     }
     case fault_kind::hang:
-        co_await wait(silent_time);
+        co_await wait(hang_time);
         break;
     case fault_kind::refuse:
         co_await caller.send(make_json_response(503, "{}"));
--- a/tests/standin/fault_plan.hpp
+++ b/tests/standin/fault_plan.hpp
@@ -9,21 +9,21 @@
 
 namespace dragonflywell::standin {
 
-/// How a stand-in fails for its next requests.
+/// Faults that a stand-in shows for its next requests.
 enum class fault_kind { none, slow, drop_answer, hang, refuse };
 
 struct fault_plan {
     fault_kind kind{fault_kind::none};
-    /// How many requests it concerns.
+    /// Number of requests that have the fault.
     std::uint64_t count{};
     std::uint64_t delay_milliseconds{};
 };
 
-/// Puts faults before another handler. `POST /fault {"kind", "count", "delay_milliseconds"}` sets the plan. Thread
-/// safe.
+/// Injects faults in front of another handler. `POST /fault {"kind", "count", "delay_milliseconds"}` sets the plan.
+/// Thread safe.
 class faulty_handler final : public servers::http_handler {
 public:
-    /// Precondition: `inner` outlives the handler.
+    /// Precondition: `inner` outlives this handler.
     explicit faulty_handler(servers::http_handler& inner) : m_inner(&inner) {}
 
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -38,10 +38,10 @@
     options::options_description description("dragonflywell-standin KIND --listen ADDRESS:PORT");
     auto add = description.add_options();
     add("kind", options::value<std::string>(), "platform, engine or service");
-    add("listen", options::value<std::string>()->required(), "IP number and port");
+    add("listen", options::value<std::string>()->required(), "IP address and port");
     add("model", options::value<std::string>()->default_value("model"), "model of an engine");
     add("role", options::value<std::string>()->default_value("mixed"), "role of an engine");
-    add("checks-fencing", "the engine refuses orders with an old fencing number");
+    add("checks-fencing", "the engine refuses orders with a stale fencing number");
     add("token-microseconds", options::value<unsigned>()->default_value(2000), "time per generated token");
     options::positional_options_description positional;
     positional.add("kind", 1);
@@ -50,7 +50,7 @@
     options::notify(values);
     const std::optional<endpoint> listen = parse_endpoint(values["listen"].as<std::string>());
     if (!listen) {
-        throw std::invalid_argument("listen must be an IP number and port");
+        throw std::invalid_argument("listen must be an IP address with a port");
     }
     set_log_options({.level = "warn"});
     boost::asio::io_context context(1);
--- a/tests/standin/platform_standin.cpp
+++ b/tests/standin/platform_standin.cpp
@@ -29,11 +29,11 @@
 
 servers::asio::awaitable<void> platform_standin::handle(servers::http_request request,
                                                         servers::caller_channel& caller) {
-    servers::http_response response = answer(request);
+    servers::http_response response = make_response(request);
     co_await caller.send(std::move(response));
 }
 
-servers::http_response platform_standin::answer(const servers::http_request& request) {
+servers::http_response platform_standin::make_response(const servers::http_request& request) {
     const std::string target(request.target());
     const std::size_t question = target.find('?');
     const std::string path = target.substr(0, question);
@@ -48,7 +48,7 @@
         return trim(path.substr(streams_prefix.size(), path.size() - streams_prefix.size() - trim_suffix.size()),
                     request.body());
     }
-    return answer_collection(request, path);
+    return make_collection_response(request, path);
 }
 
 servers::http_response platform_standin::append(const std::string& name, const std::string& body) {
@@ -85,8 +85,8 @@
     return make_json_response(200, "{}");
 }
 
-servers::http_response platform_standin::answer_collection(const servers::http_request& request,
-                                                           const std::string& path) {
+servers::http_response platform_standin::make_collection_response(const servers::http_request& request,
+                                                                  const std::string& path) {
     if (request.method() == servers::http::verb::put) {
         const auto [position, is_new] = m_documents.try_emplace(path, request.body());
         if (!is_new && position->second != request.body()) {
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -32,11 +32,11 @@
     m_socket.close(ignored);
 }
 
-raw_server::raw_server(asio::io_context& loop, behaviour answer)
+raw_server::raw_server(asio::io_context& loop, behaviour handler)
     : m_acceptor(std::make_shared<tcp::acceptor>(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))),
       m_state(std::make_shared<shared_state>()), m_endpoint{.address = "127.0.0.1",
                                                             .port = m_acceptor->local_endpoint().port()} {
-    m_state->answer = std::move(answer);
+    m_state->handler = std::move(handler);
     asio::co_spawn(loop, accept(m_acceptor, m_state), asio::detached);
 }
 
@@ -83,8 +83,8 @@
             co_return;
         }
         state->requests.push_back(request);
-        const behaviour answer = state->answer;
-        co_await answer(request, *connection);
+        const behaviour handler = state->handler;
+        co_await handler(request, *connection);
     }
 }
 
