--- a/tests/standin/raw_server.hpp
+++ b/tests/standin/raw_server.hpp
@@ -18,16 +18,16 @@
 namespace asio = boost::asio;
 namespace http = servers::http;
 
-/// One connection to a stand-in, on which a test writes what it likes, byte by byte.
+/// One connection to a test server, to which a test can write arbitrary bytes.
 class raw_connection {
 public:
     explicit raw_connection(asio::ip::tcp::socket socket) : m_socket(std::move(socket)) {}
 
-    /// Writes bytes as they are.
+    /// Writes the bytes unchanged.
     asio::awaitable<void> write(std::string bytes);
-    /// Waits until the other end has closed the connection.
+    /// Waits until the peer has closed the connection.
     asio::awaitable<void> wait_for_end();
-    /// Ends the connection with a reset instead of an ordinary close.
+    /// Closes the connection with a TCP reset.
     void reset();
     void close();
 
@@ -37,23 +37,23 @@
     asio::ip::tcp::socket m_socket;
 };
 
-/// A server of the test's own making: it reads whole requests, notes them, and lets a function answer them.
+/// A test server that reads whole requests, records them, and calls a function that responds to them.
 ///
-/// Lives on the event loop that runs it; not thread safe.
+/// Not thread safe: it is used on its event loop.
 class raw_server {
 public:
-    /// Answers one request. A connection that is still open afterwards takes another one.
+    /// Responds to one request. If the connection is still open afterwards, the server reads another request from it.
     using behaviour = std::function<asio::awaitable<void>(const servers::http_request&, raw_connection&)>;
 
-    raw_server(asio::io_context& loop, behaviour answer);
+    raw_server(asio::io_context& loop, behaviour handler);
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
     raw_server(raw_server&&) = delete;
     raw_server& operator=(raw_server&&) = delete;
     ~raw_server();
 
-    void set_behaviour(behaviour answer) { m_state->answer = std::move(answer); }
-    /// Takes no further connection and refuses new ones.
+    void set_behaviour(behaviour handler) { m_state->handler = std::move(handler); }
+    /// Closes the listener, so that new connections are refused.
     void stop_listening();
 
     [[nodiscard]] endpoint get_endpoint() const;
@@ -61,9 +61,9 @@
     [[nodiscard]] std::size_t get_connections() const { return m_state->connections; }
 
 private:
-    /// Outlives the server while a connection still uses it.
+    /// State that outlives the server while a connection still uses it.
     struct shared_state {
-        behaviour answer;
+        behaviour handler;
         std::vector<servers::http_request> requests;
         std::size_t connections{0};
         std::list<std::weak_ptr<raw_connection>> open;
--- a/tests/standin/service_standin.hpp
+++ b/tests/standin/service_standin.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::standin {
 
-/// A plain service that numbers the requests it runs and repeats their bodies. Thread safe.
+/// A stand-in for a plain service. Its responses contain the number of the request and the request body. Thread safe.
 class service_standin final : public servers::http_handler {
 public:
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t offset_bytes = 8;
 constexpr std::size_t page_keys = 3;
-constexpr duration look_interval = std::chrono::milliseconds(2);
+constexpr duration poll_interval = std::chrono::milliseconds(2);
 
 std::string get_parameter(const servers::http_request& request, std::string_view name) {
     std::string_view target(request.target().data(), request.target().size());
@@ -68,7 +68,7 @@
 } // namespace
 
 asio::awaitable<void> store_standin::handle(servers::http_request request, servers::caller_channel& caller) {
-    // A read that waits is answered as soon as there is a record.
+    // A long poll gets its response as soon as there is a record.
     const std::uint64_t wait_ms = is_call(request, "/-/log-read") ? get_number(request, "waitMs").value_or(0) : 0;
     const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
     const std::string name = get_parameter(request, "topic");
@@ -78,13 +78,13 @@
         return m_topics[name].records.size() > from;
     };
     while (wait_ms > 0 && !has_news() && std::chrono::steady_clock::now() < give_up_at && !caller.is_disconnected()) {
-        co_await servers::sleep_for(look_interval);
+        co_await servers::sleep_for(poll_interval);
     }
-    servers::http_response response = answer(request);
+    servers::http_response response = make_response(request);
     co_await caller.send(std::move(response));
 }
 
-servers::http_response store_standin::answer(const servers::http_request& request) {
+servers::http_response store_standin::make_response(const servers::http_request& request) {
     const std::scoped_lock lock(m_mutex);
     ++m_calls;
     if (m_is_refusing) {
--- a/tests/standin/store_standin.hpp
+++ b/tests/standin/store_standin.hpp
@@ -12,24 +12,24 @@
 
 namespace dragonflywell::standin {
 
-/// The platform's store as the system uses it: keyed topics with one partition each, in memory.
+/// A stand-in for the platform's store: keyed topics with one partition each, in memory.
 ///
-/// Thread safe, so that tests may write as the operator does while daemons run in other threads.
+/// Thread safe, so that a test can write like the operator while daemons run in other threads.
 class store_standin final : public servers::http_handler {
 public:
     servers::asio::awaitable<void> handle(servers::http_request request, servers::caller_channel& caller) override;
     void on_malformed(servers::http::status /*status*/) override {}
 
-    /// Appends a record as another writer does; an empty value drops the key.
+    /// Appends a record like another writer. An empty value removes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
-    /// Forgets all records but the newest of each key.
+    /// Drops all records except the newest of each key.
     void drop_history(const std::string& topic);
 
-    /// Lists a topic from now on as it is at this moment, whatever is written, as a copy that lags does.
+    /// Makes the listing of a topic return its present state from now on, like a replica that lags behind.
     void freeze_listing(const std::string& topic);
     void thaw_listing(const std::string& topic);
 
-    /// Refuses every call, or answers again.
+    /// Sets whether every call is refused with status 503.
     void set_refusing(bool is_refusing);
 
     /// Limits how many records a read returns.
@@ -37,7 +37,7 @@
 
     /// Returns the newest value of a key, or nothing.
     [[nodiscard]] std::optional<std::string> get(const std::string& topic, const std::string& key);
-    /// Returns all values that were ever written under the keys of a topic, in order.
+    /// Returns all values that were ever written to a topic, in order.
     [[nodiscard]] std::vector<std::string> get_history(const std::string& topic);
     [[nodiscard]] std::uint64_t get_calls() const noexcept;
 
@@ -48,18 +48,18 @@
     };
     struct topic {
         std::vector<record> records;
-        /// Records before this one are not kept, but for the newest of each key.
+        /// Offset of the oldest kept record. Of the records before it only the newest of each key is kept.
         std::uint64_t first{0};
     };
 
-    [[nodiscard]] servers::http_response answer(const servers::http_request& request);
+    [[nodiscard]] servers::http_response make_response(const servers::http_request& request);
     [[nodiscard]] servers::http_response append(topic& log, const std::string& body, std::optional<std::uint64_t> at);
     [[nodiscard]] servers::http_response read(const topic& log, std::uint64_t from) const;
     [[nodiscard]] static servers::http_response list(const topic& log, const std::string& after);
 
     mutable std::mutex m_mutex;
     std::map<std::string, topic> m_topics;
-    /// Topics as they were when their listing was frozen.
+    /// State of the topics at the time when their listing was frozen.
     std::map<std::string, topic> m_frozen;
     std::uint64_t m_calls{0};
     bool m_is_refusing{false};
