--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -28,14 +28,14 @@
             std::vector<log_line> more = parse_log(read_file(arguments[index]));
             std::move(more.begin(), more.end(), std::back_inserter(lines));
         }
-        const std::vector<request_trace> stories = find_request_traces(lines, arguments.front());
-        if (stories.empty()) {
+        const std::vector<request_trace> traces = find_request_traces(lines, arguments.front());
+        if (traces.empty()) {
             context.errors << "these logs do not contain the end of a request with the id " << arguments.front()
                            << "\n";
             return exit_failed;
         }
-        for (const request_trace& story : stories) {
-            context.out << format_request_trace(story);
+        for (const request_trace& trace : traces) {
+            context.out << format_request_trace(trace);
         }
         return exit_ok;
     }
--- a/ctl/manifest_commands.cpp
+++ b/ctl/manifest_commands.cpp
@@ -52,16 +52,16 @@
     int run(const command_context& context, const std::vector<std::string>& arguments) override {
         const fleet::manifest_entries wanted = fleet::get_manifest_entries(read_file(require_one(arguments, "file")));
         static_cast<void>(fleet::parse_manifest(wanted));
-        operator_streams reader(context);
-        reader.configuration_stream.poll();
-        const std::shared_ptr<const coordination::configuration> current = reader.configuration.get();
+        operator_streams streams(context);
+        streams.configuration_stream.poll();
+        const std::shared_ptr<const coordination::configuration> current = streams.configuration.get();
         const coordination::configuration_delta delta = coordination::get_difference(current->entries, wanted);
         if (delta.empty()) {
             print(context, current->version.value_or(0), delta);
             return exit_ok;
         }
         const coordination::log_offset published =
-            coordination::publish_configuration(reader.configuration_stream, delta, current->version);
+            coordination::publish_configuration(streams.configuration_stream, delta, current->version);
         print(context, published, delta);
         return exit_ok;
     }
@@ -86,9 +86,9 @@
     [[nodiscard]] std::string get_summary() const override { return "print the current manifest"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
-        operator_streams reader(context);
-        reader.configuration_stream.poll();
-        context.out << fleet::get_manifest_document(reader.configuration.get()->entries) << "\n";
+        operator_streams streams(context);
+        streams.configuration_stream.poll();
+        context.out << fleet::get_manifest_document(streams.configuration.get()->entries) << "\n";
         return exit_ok;
     }
 };
--- a/ctl/report_commands.cpp
+++ b/ctl/report_commands.cpp
@@ -23,9 +23,9 @@
     [[nodiscard]] std::string get_summary() const override { return "print the usage of each organisation per window"; }
 
     int run(const command_context& context, const std::vector<std::string>& /*arguments*/) override {
-        operator_streams reader(context);
-        reader.usage_stream.poll();
-        const coordination::usage_table totals = reader.usage.get_totals();
+        operator_streams streams(context);
+        streams.usage_stream.poll();
+        const coordination::usage_table totals = streams.usage.get_totals();
         if (context.is_json) {
             print_json(context, totals);
         } else {
@@ -37,12 +37,12 @@
 private:
     static void print_json(const command_context& context, const coordination::usage_table& totals) {
         boost::json::array rows;
-        for (const auto& [key, figures] : totals) {
+        for (const auto& [key, counts] : totals) {
             rows.push_back({{"organisation", key.organisation.value()},
                             {"window", key.window},
-                            {"requests", figures.requests},
-                            {"prompt_tokens", figures.prompt_tokens},
-                            {"completion_tokens", figures.completion_tokens}});
+                            {"requests", counts.requests},
+                            {"prompt_tokens", counts.prompt_tokens},
+                            {"completion_tokens", counts.completion_tokens}});
         }
         context.out << boost::json::serialize(boost::json::object{{"usage", std::move(rows)}}) << "\n";
     }
@@ -50,14 +50,14 @@
     static void print_table(const command_context& context, const coordination::usage_table& totals) {
         context.out << fmt::format("{:<24} {:>12} {:>10} {:>14} {:>18}\n", "ORGANISATION", "WINDOW", "REQUESTS",
                                    "PROMPT TOKENS", "COMPLETION TOKENS");
-        for (const auto& [key, figures] : totals) {
+        for (const auto& [key, counts] : totals) {
             context.out << fmt::format("{:<24} {:>12} {:>10} {:>14} {:>18}\n", key.organisation.value(), key.window,
-                                       figures.requests, figures.prompt_tokens, figures.completion_tokens);
+                                       counts.requests, counts.prompt_tokens, counts.completion_tokens);
         }
     }
 };
 
-/// Writes the service report from the figures that all hosts have written to the log.
+/// Writes the service report from the counts that all hosts have written to the log.
 class report_command final : public command {
 public:
     [[nodiscard]] std::string get_name() const override { return "report"; }
@@ -78,7 +78,7 @@
         const bool has_hours = history.get_hours().size() >= hourly_report_hours;
         const fleet::service_history::series& spans = has_hours ? history.get_hours() : history.get_fine();
         if (spans.empty()) {
-            context.errors << "the log does not contain service figures of any host yet\n";
+            context.errors << "the log does not contain service counts of any host yet\n";
             return exit_failed;
         }
         std::ofstream file(context.html_file);
@@ -96,10 +96,10 @@
     /// From this many recorded hours on, the report shows one point per hour instead of finer spans.
     static constexpr std::size_t hourly_report_hours = 48;
 
-    static int print_trends(const command_context& context, const std::vector<report_metric>& figures) {
-        for (const report_metric& figure : figures) {
-            context.out << fmt::format("{:<40} {:>8.2f}  {}\n", figure.title, figure.values.back(),
-                                       figure.is_decline ? "DECLINING" : "steady");
+    static int print_trends(const command_context& context, const std::vector<report_metric>& metrics) {
+        for (const report_metric& metric : metrics) {
+            context.out << fmt::format("{:<40} {:>8.2f}  {}\n", metric.title, metric.values.back(),
+                                       metric.is_decline ? "DECLINING" : "steady");
         }
         return exit_ok;
     }
--- a/ctl/report_page.cpp
+++ b/ctl/report_page.cpp
@@ -71,9 +71,9 @@
 /// constant series do not look like large changes.
 class line_plot {
 public:
-    line_plot(const report_metric& figure, std::uint64_t first, std::uint64_t last)
-        : m_figure(&figure), m_first(first), m_last(last) {
-        const auto [least, most] = std::minmax_element(figure.values.begin(), figure.values.end());
+    line_plot(const report_metric& metric, std::uint64_t first, std::uint64_t last)
+        : m_metric(&metric), m_first(first), m_last(last) {
+        const auto [least, most] = std::minmax_element(metric.values.begin(), metric.values.end());
         const double margin = std::max({(*most - *least) * 0.1, std::abs(*most) * 0.005, 0.01});
         m_low = std::max(0.0, *least - margin);
         m_high = *most + margin;
@@ -81,7 +81,7 @@
 
     [[nodiscard]] std::string draw() const {
         std::string text = fmt::format("<svg viewBox=\"0 0 {} {}\" role=\"img\" aria-label=\"{}\">", plot_width,
-                                       plot_height, escape(m_figure->title));
+                                       plot_height, escape(m_metric->title));
         for (int line = 0; line <= grid_lines; ++line) {
             const double value = m_low + (m_high - m_low) * line / grid_lines;
             text += fmt::format("<line x1=\"{0}\" y1=\"{2:.1f}\" x2=\"{1}\" y2=\"{2:.1f}\" stroke=\"#e3e8ee\"/>",
@@ -98,22 +98,22 @@
 
 private:
     [[nodiscard]] std::string draw_line() const {
-        const char* colour = m_figure->is_decline ? "#b3261e" : "#1f5fa8";
+        const char* colour = m_metric->is_decline ? "#b3261e" : "#1f5fa8";
         std::string points;
-        for (std::size_t index = 0; index < m_figure->values.size(); ++index) {
-            points += fmt::format("{:.1f},{:.1f} ", get_x(index), get_y(m_figure->values[index]));
+        for (std::size_t index = 0; index < m_metric->values.size(); ++index) {
+            points += fmt::format("{:.1f},{:.1f} ", get_x(index), get_y(m_metric->values[index]));
         }
         std::string text =
             fmt::format("<polyline points=\"{}\" fill=\"none\" stroke=\"{}\" stroke-width=\"1.8\"/>", points, colour);
-        if (m_figure->values.size() == 1) {
+        if (m_metric->values.size() == 1) {
             text += fmt::format("<circle cx=\"{:.1f}\" cy=\"{:.1f}\" r=\"3\" fill=\"{}\"/>", get_x(0),
-                                get_y(m_figure->values[0]), colour);
+                                get_y(m_metric->values[0]), colour);
         }
         return text;
     }
 
     [[nodiscard]] double get_x(std::size_t index) const {
-        const double steps = std::max<double>(1, static_cast<double>(m_figure->values.size()) - 1);
+        const double steps = std::max<double>(1, static_cast<double>(m_metric->values.size()) - 1);
         return plot_left + (plot_width - plot_left) * static_cast<double>(index) / steps;
     }
 
@@ -122,14 +122,14 @@
         return plot_top + height * (1 - (value - m_low) / (m_high - m_low));
     }
 
-    const report_metric* m_figure;
+    const report_metric* m_metric;
     std::uint64_t m_first;
     std::uint64_t m_last;
     double m_low{};
     double m_high{};
 };
 
-report_metric make_figure(std::string title, std::string unit, std::string meaning, std::vector<double> values,
+report_metric make_metric(std::string title, std::string unit, std::string meaning, std::vector<double> values,
                           const policy::trend_options& options) {
     const policy::trend found = policy::find_trend(values, options);
     return {.title = std::move(title),
@@ -140,18 +140,18 @@
             .change = found.change};
 }
 
-std::string make_summary(const std::vector<report_metric>& figures) {
+std::string make_summary(const std::vector<report_metric>& metrics) {
     std::string declines;
-    for (const report_metric& figure : figures) {
-        if (figure.is_decline) {
+    for (const report_metric& metric : metrics) {
+        if (metric.is_decline) {
             declines += fmt::format("<p><strong>{}</strong> has changed by {:+.1f}% over this period. {}</p>",
-                                    escape(figure.title), figure.change * percent, escape(figure.meaning));
+                                    escape(metric.title), metric.change * percent, escape(metric.meaning));
         }
     }
     if (!declines.empty()) {
         return "<div class=\"bad\"><p><strong>Slow decline found.</strong></p>" + declines + "</div>";
     }
-    if (figures.front().values.size() < 8) {
+    if (metrics.front().values.size() < 8) {
         return "<div class=\"good\"><p>Too short a time to detect a trend: at least eight spans are needed.</p></div>";
     }
     return "<div class=\"good\"><p>No slow decline found in any metric.</p></div>";
@@ -202,56 +202,56 @@
     std::vector<double> worst;
     std::vector<double> spend;
     std::vector<double> refusals;
-    for (const auto& [start, figures] : spans) {
-        goodput.push_back(fleet::get_goodput(figures) * percent);
-        worst.push_back(fleet::get_worst_goodput(figures, least_requests) * percent);
-        if (figures.delivered_tokens > 0) {
-            spend.push_back(static_cast<double>(figures.spend_milli) / milli_per_unit /
-                            (static_cast<double>(figures.delivered_tokens) / tokens_per_million));
+    for (const auto& [start, counts] : spans) {
+        goodput.push_back(fleet::get_goodput(counts) * percent);
+        worst.push_back(fleet::get_worst_goodput(counts, least_requests) * percent);
+        if (counts.delivered_tokens > 0) {
+            spend.push_back(static_cast<double>(counts.spend_milli) / milli_per_unit /
+                            (static_cast<double>(counts.delivered_tokens) / tokens_per_million));
         }
         std::uint64_t refused = 0;
-        for (const auto& [reason, count] : figures.refusals) {
+        for (const auto& [reason, count] : counts.refusals) {
             refused += count;
         }
         refusals.push_back(static_cast<double>(refused));
     }
     constexpr policy::trend_options falls{.bad = policy::bad_direction::down, .least_change = 0.005};
     constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .least_change = 0.05};
-    std::vector<report_metric> figures;
-    figures.push_back(make_figure("Goodput", "% of requests completed",
+    std::vector<report_metric> metrics;
+    metrics.push_back(make_metric("Goodput", "% of requests completed",
                                   "Fewer requests are completed; compare the refusals by reason below.",
                                   std::move(goodput), falls));
-    figures.push_back(make_figure("Worst-served organisation", "% of its requests completed",
+    metrics.push_back(make_metric("Worst-served organisation", "% of its requests completed",
                                   "One organisation is served worse than the others; check its weight and limits.",
                                   std::move(worst), falls));
     if (!spend.empty()) {
-        figures.push_back(make_figure("Spending per million delivered tokens", "in the manifest's currency",
+        metrics.push_back(make_metric("Spending per million delivered tokens", "in the manifest's currency",
                                       "The fleet costs more for the same number of tokens; check the spending plan.",
                                       std::move(spend), rises));
     }
-    figures.push_back(make_figure("Refused requests", "in each span",
+    metrics.push_back(make_metric("Refused requests", "in each span",
                                   "More requests are refused; see the reasons below.", std::move(refusals), rises));
-    return figures;
+    return metrics;
 }
 
 std::string make_report_page(const fleet::service_history::series& spans, std::uint64_t span_seconds) {
     const std::uint64_t first = spans.begin()->first;
     const std::uint64_t last = spans.rbegin()->first + span_seconds;
     fleet::service_counts total;
-    for (const auto& [start, figures] : spans) {
-        fleet::add_counts(total, figures);
+    for (const auto& [start, counts] : spans) {
+        fleet::add_counts(total, counts);
     }
-    const std::vector<report_metric> figures = get_report_metrics(spans);
+    const std::vector<report_metric> metrics = get_report_metrics(spans);
     std::string page = fmt::format("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">"
                                    "<title>Service report</title><style>{}</style></head><body>",
                                    page_style);
     page += fmt::format("<h1>Service report</h1><p class=\"note\">{} to {} UTC, {} spans of {} minutes</p>",
                         format_moment(first), format_moment(last), spans.size(), span_seconds / 60);
-    page += make_summary(figures);
-    for (const report_metric& figure : figures) {
-        page += fmt::format("<h2>{}{}</h2><p class=\"note\">{}</p>", escape(figure.title),
-                            figure.is_decline ? " — declining" : "", escape(figure.unit));
-        page += line_plot(figure, first, last).draw();
+    page += make_summary(metrics);
+    for (const report_metric& metric : metrics) {
+        page += fmt::format("<h2>{}{}</h2><p class=\"note\">{}</p>", escape(metric.title),
+                            metric.is_decline ? " — declining" : "", escape(metric.unit));
+        page += line_plot(metric, first, last).draw();
     }
     page += "<h2>Refusals by reason</h2>" + make_refusal_table(total);
     page += "<h2>Organisations, worst served first</h2>" + make_organisation_table(total);
--- a/ctl/request_trace.cpp
+++ b/ctl/request_trace.cpp
@@ -59,21 +59,21 @@
 
 contacted_server collect_server_events(std::span<const log_line> lines, const log_line& end,
                                        const server_exchange& exchange) {
-    contacted_server server{.name = exchange.server, .result = exchange.result, .changes = {}};
+    contacted_server server{.name = exchange.server, .result = exchange.result, .events = {}};
     for (const log_line& line : lines) {
         if (!is_within_window(line, end)) {
             continue;
         }
         if (line.host == end.host && is_about_server(line, server.name)) {
-            server.changes.push_back(line);
+            server.events.push_back(line);
         }
         if (!is_request_end(line) || line.get_text("id") == end.get_text("id")) {
             continue;
         }
         for (const server_exchange& other : parse_exchanges(line)) {
             if (other.server == server.name) {
-                ++server.others;
-                server.others_failed += is_failure(other.result) ? 1 : 0;
+                ++server.other_requests;
+                server.other_failures += is_failure(other.result) ? 1 : 0;
             }
         }
     }
@@ -81,34 +81,37 @@
 }
 
 std::vector<log_line> find_lost_dependencies(std::span<const log_line> lines, const log_line& end) {
-    std::map<std::string, log_line> lost;
+    std::map<std::string, log_line> lost_dependencies;
     for (const log_line& line : lines) {
         if (line.host != end.host || line.moment > end.moment) {
             continue;
         }
         if (line.event == "dependency_lost") {
-            lost[line.get_text("what")] = line;
+            lost_dependencies[line.get_text("what")] = line;
         }
         if (line.event == "dependency_regained") {
-            lost.erase(line.get_text("what"));
+            lost_dependencies.erase(line.get_text("what"));
         }
         if (line.event == "start") {
-            lost.clear();
+            lost_dependencies.clear();
         }
     }
     std::vector<log_line> still_lost;
-    still_lost.reserve(lost.size());
-    for (auto& [what, line] : lost) {
+    still_lost.reserve(lost_dependencies.size());
+    for (auto& [what, line] : lost_dependencies) {
         still_lost.push_back(std::move(line));
     }
     return still_lost;
 }
 
 request_trace make_trace(std::span<const log_line> lines, const log_line& end) {
-    request_trace story{
-        .end = end, .servers = {}, .configuration = {}, .lost = find_lost_dependencies(lines, end), .host_events = {}};
+    request_trace trace{.end = end,
+                        .servers = {},
+                        .configuration = {},
+                        .lost_dependencies = find_lost_dependencies(lines, end),
+                        .host_events = {}};
     for (const server_exchange& exchange : parse_exchanges(end)) {
-        story.servers.push_back(collect_server_events(lines, end, exchange));
+        trace.servers.push_back(collect_server_events(lines, end, exchange));
     }
     for (const log_line& line : lines) {
         if (line.host != end.host) {
@@ -116,15 +119,15 @@
         }
         const bool is_same_version = line.get_text("version") == end.get_text("configuration");
         if (line.event == "configuration_in_force" && is_same_version && line.moment <= end.moment) {
-            story.configuration = line;
+            trace.configuration = line;
         }
         const bool is_of_host =
             std::find(host_event_names.begin(), host_event_names.end(), line.event) != host_event_names.end();
         if (is_of_host && is_within_window(line, end)) {
-            story.host_events.push_back(line);
+            trace.host_events.push_back(line);
         }
     }
-    return story;
+    return trace;
 }
 
 std::string_view explain_outcome(std::string_view outcome) {
@@ -160,12 +163,12 @@
 
 std::string format_server(const contacted_server& server) {
     std::string text = fmt::format("  {}: {}", server.name, server.result);
-    if (server.others > 0) {
+    if (server.other_requests > 0) {
         text +=
-            fmt::format("; of {} other requests sent there within {} s, {} failed", server.others,
-                        std::chrono::duration_cast<std::chrono::seconds>(event_window).count(), server.others_failed);
+            fmt::format("; of {} other requests sent there within {} s, {} failed", server.other_requests,
+                        std::chrono::duration_cast<std::chrono::seconds>(event_window).count(), server.other_failures);
     }
-    return text + "\n" + format_events(server.changes, "    ");
+    return text + "\n" + format_events(server.events, "    ");
 }
 
 std::string format_end(const log_line& end) {
@@ -191,29 +194,29 @@
     std::vector<log_line> sorted(lines.begin(), lines.end());
     std::stable_sort(sorted.begin(), sorted.end(),
                      [](const log_line& left, const log_line& right) { return left.moment < right.moment; });
-    std::vector<request_trace> stories;
+    std::vector<request_trace> traces;
     for (const log_line& line : sorted) {
         if (is_request_end(line) && line.get_text("id") == id) {
-            stories.push_back(make_trace(sorted, line));
+            traces.push_back(make_trace(sorted, line));
         }
     }
-    return stories;
+    return traces;
 }
 
-std::string format_request_trace(const request_trace& story) {
-    std::string text = format_end(story.end);
-    text += fmt::format("configuration {}", story.end.get_text("configuration"));
-    text += story.configuration ? fmt::format(", in force on this host since {}\n", story.configuration->time)
+std::string format_request_trace(const request_trace& trace) {
+    std::string text = format_end(trace.end);
+    text += fmt::format("configuration {}", trace.end.get_text("configuration"));
+    text += trace.configuration ? fmt::format(", in force on this host since {}\n", trace.configuration->time)
                                 : ", in force since before the start of these logs\n";
-    text += story.servers.empty() ? "not sent to any backend server\n" : "sent to\n";
-    for (const contacted_server& server : story.servers) {
+    text += trace.servers.empty() ? "not sent to any backend server\n" : "sent to\n";
+    for (const contacted_server& server : trace.servers) {
         text += format_server(server);
     }
-    if (!story.lost.empty()) {
-        text += "the host had lost\n" + format_events(story.lost, "  ");
+    if (!trace.lost_dependencies.empty()) {
+        text += "the host had lost\n" + format_events(trace.lost_dependencies, "  ");
     }
-    if (!story.host_events.empty()) {
-        text += "events of the host\n" + format_events(story.host_events, "  ");
+    if (!trace.host_events.empty()) {
+        text += "events of the host\n" + format_events(trace.host_events, "  ");
     }
     return text;
 }
--- a/ctl/request_trace.hpp
+++ b/ctl/request_trace.hpp
@@ -16,10 +16,10 @@
     /// Result of the exchange, as the host logged it.
     std::string result;
     /// Events about the server that the request's host logged around that time, in order of time.
-    std::vector<log_line> changes;
+    std::vector<log_line> events;
     /// Number of other requests that all hosts sent to the server around that time, and how many of them failed there.
-    std::size_t others{0};
-    std::size_t others_failed{0};
+    std::size_t other_requests{0};
+    std::size_t other_failures{0};
 };
 
 /// Everything that the logs contain about one attempt of a request.
@@ -30,7 +30,7 @@
     /// The event by which the request's configuration took effect on its host; empty when it precedes the logs.
     std::optional<log_line> configuration;
     /// Dependencies that were unreachable from the host when the request ended.
-    std::vector<log_line> lost;
+    std::vector<log_line> lost_dependencies;
     /// Starts, stops, reloads and similar events of the host around that time.
     std::vector<log_line> host_events;
 };
@@ -40,6 +40,6 @@
 [[nodiscard]] std::vector<request_trace> find_request_traces(std::span<const log_line> lines, std::string_view id);
 
 /// Formats a trace as human-readable text. Thread safe.
-[[nodiscard]] std::string format_request_trace(const request_trace& story);
+[[nodiscard]] std::string format_request_trace(const request_trace& trace);
 
 } // namespace dragonflywell::ctl
--- a/tests/ctl/test_report_page.cpp
+++ b/tests/ctl/test_report_page.cpp
@@ -10,13 +10,13 @@
 fleet::service_history::series make_series(std::uint64_t lost_more_each_hour) {
     fleet::service_history::series spans;
     for (std::uint64_t hour = 0; hour < 60; ++hour) {
-        fleet::service_counts& figures = spans[hour * 3600];
+        fleet::service_counts& counts = spans[hour * 3600];
         const std::uint64_t lost = hour * lost_more_each_hour;
-        figures.organisations[organisation_name("rovers & <co>")] = {.requested = 5000, .completed = 5000 - lost};
-        figures.organisations[organisation_name("yard")] = {.requested = 5000, .completed = 4990};
-        figures.refusals["queue_full"] = lost;
-        figures.delivered_tokens = 1000000;
-        figures.spend_milli = 2000;
+        counts.organisations[organisation_name("rovers & <co>")] = {.requested = 5000, .completed = 5000 - lost};
+        counts.organisations[organisation_name("yard")] = {.requested = 5000, .completed = 4990};
+        counts.refusals["queue_full"] = lost;
+        counts.delivered_tokens = 1000000;
+        counts.spend_milli = 2000;
     }
     return spans;
 }
--- a/tests/ctl/test_request_trace.cpp
+++ b/tests/ctl/test_request_trace.cpp
@@ -23,11 +23,11 @@
 {"time":"soon","host":"h1","event":"start"}
 )";
 
-request_trace get_story(const std::string& id) {
+request_trace get_trace(const std::string& id) {
     const std::vector<log_line> lines = parse_log(logs);
-    const std::vector<request_trace> stories = find_request_traces(lines, id);
-    REQUIRE(stories.size() == 1);
-    return stories.front();
+    const std::vector<request_trace> traces = find_request_traces(lines, id);
+    REQUIRE(traces.size() == 1);
+    return traces.front();
 }
 
 } // namespace
@@ -47,29 +47,29 @@
 }
 
 TEST_CASE("a trace lists the servers of a request and how many other requests failed there") {
-    const request_trace story = get_story("c1-7");
-    REQUIRE(story.servers.size() == 1);
-    const contacted_server& server = story.servers.front();
+    const request_trace trace = get_trace("c1-7");
+    REQUIRE(trace.servers.size() == 1);
+    const contacted_server& server = trace.servers.front();
     CHECK(server.name == "s7");
     CHECK(server.result == "failed");
-    CHECK(server.others == 2);
-    CHECK(server.others_failed == 1);
+    CHECK(server.other_requests == 2);
+    CHECK(server.other_failures == 1);
     // The removal of the server more than a minute later is outside of the time window.
-    REQUIRE(server.changes.size() == 1);
-    CHECK(server.changes.front().get_text("change") == "added");
+    REQUIRE(server.events.size() == 1);
+    CHECK(server.events.front().get_text("change") == "added");
 }
 
 TEST_CASE("a trace lists the configuration of the host and its lost dependencies") {
-    const request_trace story = get_story("c1-7");
-    REQUIRE(story.configuration.has_value());
-    CHECK(story.configuration->time == "2026-12-04T11:03:30.000Z");
-    REQUIRE(story.lost.size() == 1);
-    CHECK(story.lost.front().get_text("what") == "configuration");
-    CHECK(get_story("c2-1").lost.empty());
+    const request_trace trace = get_trace("c1-7");
+    REQUIRE(trace.configuration.has_value());
+    CHECK(trace.configuration->time == "2026-12-04T11:03:30.000Z");
+    REQUIRE(trace.lost_dependencies.size() == 1);
+    CHECK(trace.lost_dependencies.front().get_text("what") == "configuration");
+    CHECK(get_trace("c2-1").lost_dependencies.empty());
 }
 
 TEST_CASE("the text of a trace begins with the end of the request and then lists the causes") {
-    const std::string text = format_request_trace(get_story("c1-7"));
+    const std::string text = format_request_trace(get_trace("c1-7"));
     CHECK(text.starts_with("c1-7 failed on host h1 at 2026-12-04T11:03:45.573Z, after 3004.1 ms, status 504\n"));
     CHECK(text.find("reason deadline_exceeded: the time ran out; whether it ran is not known\n") != std::string::npos);
     CHECK(text.find("configuration 4, in force on this host since 2026-12-04T11:03:30.000Z\n") != std::string::npos);
--- a/tests/platform/test_store_circuit_breaker.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -17,21 +17,21 @@
     virtual_clock clock;
     asio::io_context loop(1);
     metrics_registry metrics;
-    platform::store_circuit_breaker gate(clock, metrics, {});
-    gate.on_failure("call", clock.now(), "a test");
+    platform::store_circuit_breaker breaker(clock, metrics, {});
+    breaker.on_failure("call", clock.now(), "a test");
     int ready = 0;
     for (int user = 0; user < 3; ++user) {
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                co_await gate.wait_until_call_allowed();
+                co_await breaker.wait_until_call_allowed();
                 ++ready;
             },
             asio::detached);
     }
     loop.poll();
     CHECK(ready == 0);
-    gate.on_success("call");
+    breaker.on_success("call");
     loop.restart();
     loop.poll();
     CHECK(ready == 3);
