--- a/servers/backend_choice.cpp
+++ b/servers/backend_choice.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Load that an engine in a role for other work is taken to have besides its own, in tokens.
-constexpr std::uint64_t wrong_role_tokens = 1000;
+/// Load added to an engine whose role does not suit the work, in tokens.
+constexpr std::uint64_t unsuited_role_penalty_tokens = 1000;
 
 /// Returns the load that placement compares, or nothing when the engine takes no new work.
 std::optional<std::uint64_t> get_compared_load(const entry_context& context, const engine_states& states,
@@ -25,12 +25,12 @@
         return std::nullopt;
     }
     const bool is_suited = !work.demand || policy::is_preferred_role(state->second.role, *work.demand);
-    return is_suited ? load : load + wrong_role_tokens;
+    return is_suited ? load : load + unsuited_role_penalty_tokens;
 }
 
-/// Leaves cheap servers out unless they may get the work or nothing else is left.
-void apply_cheap_rule(const entry_context& context, std::vector<policy::placement_candidate>& candidates,
-                      const work_requirements& work) {
+/// Removes cheap servers from the candidates unless they may get the work or no other candidate exists.
+void remove_unusable_cheap_servers(const entry_context& context, std::vector<policy::placement_candidate>& candidates,
+                                   const work_requirements& work) {
     policy::cheap_share share{.most = work.max_cheap_share};
     for (const policy::placement_candidate& candidate : candidates) {
         const std::uint64_t load = context.loads.get(candidate.server->name);
@@ -68,11 +68,11 @@
         }
     }
     std::vector<policy::placement_candidate>& candidates = untried.empty() ? all : untried;
-    apply_cheap_rule(context, candidates, work);
+    remove_unusable_cheap_servers(context, candidates, work);
     const std::optional<std::size_t> chosen = context.placement.choose(candidates, get_thread_random());
     if (!chosen) {
         throw request_refused(policy::refusal_reason::no_backend_server, policy::request_outcome::not_run,
-                              "no backend server offers this now");
+                              "no backend server is available for this service or model");
     }
     return *candidates[*chosen].server;
 }
--- a/servers/backend_choice.hpp
+++ b/servers/backend_choice.hpp
@@ -11,27 +11,28 @@
 
 namespace dragonflywell::servers {
 
-/// What placement has to know of a request.
+/// Properties of a request that placement needs.
 struct work_requirements {
-    /// Prefill and decode work, where it is known.
+    /// Prefill and decode demand, where it is known.
     std::optional<policy::role_demand> demand;
     policy::work_class interruptibility{policy::work_class::guaranteed};
     std::uint64_t tokens{};
-    /// Greatest share of this daemon's work in progress that may be on cheap servers, 0 to 1.
+    /// Maximum share of the in-flight work of this daemon on cheap servers, 0 to 1.
     double max_cheap_share{0};
 };
 
-/// Returns where a request goes: among the servers given, not among `tried` while others are left.
+/// Chooses one of the given servers. A server in `tried` is chosen only when no other is left.
 ///
-/// Engines with an announced role change get nothing new, and those in a role for such work are preferred. Cheap
-/// servers get only work that may be run again, up to its share; other work goes to them only when no regular server
-/// offers it. Throws `request_refused` when there is none. Thread safe.
+/// An engine with an announced role change gets no new work, and an engine whose role suits the work is preferred. A
+/// cheap server, which may be withdrawn at any time, gets only work that may be run again, up to its share. Other work
+/// goes to a cheap server only when no regular server offers the service. Throws `request_refused` when there is no
+/// server. Thread safe.
 [[nodiscard]] const fleet::backend_server& choose_backend_server(const entry_context& context,
                                                                  std::span<const fleet::backend_server* const> servers,
                                                                  const std::set<backend_server_name>& tried,
                                                                  const work_requirements& work);
 
-/// Returns the billing window of a moment. Thread safe.
+/// Returns the billing window that contains the given time. Thread safe.
 [[nodiscard]] coordination::window_number get_window(wall_time moment, const fleet::manifest& manifest);
 
 } // namespace dragonflywell::servers
--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -12,50 +12,50 @@
 
 namespace dragonflywell::servers {
 
-/// Where an engine finds the memory of a prompt that another one has read.
+/// Where an engine can fetch the KV cache of a prompt that another engine has prefilled.
 struct kv_cache_source {
     endpoint engine;
     std::string handle;
 };
 
-/// One sending of a call to a backend server.
+/// One attempt to send a request to a backend server.
 struct dispatch {
     backend_server_name server;
     endpoint address;
-    /// What is left of the caller's time.
+    /// Time left until the deadline of the request.
     duration time_left{};
     /// Empty for a public route.
     organisation_name organisation;
-    /// The prompt is only read, for another engine to generate from.
+    /// The engine only prefills the prompt; another engine generates from its KV cache.
     bool is_prefill_only{false};
     std::optional<kv_cache_source> kv_cache;
-    /// An engine from whose cache the beginning of the prompt is fetched before it is read.
+    /// An engine from whose prefix cache the beginning of the prompt is fetched before the prefill.
     std::optional<endpoint> fetch_from;
-    /// 0 is first, 9 last. Nothing leaves it to the server.
+    /// Scheduling priority at the server, 0 (first) to 9 (last); without a value the server decides.
     std::optional<std::uint32_t> urgency;
-    /// The last event that the caller has; empty where it has none.
+    /// Id of the last event that the caller has received; empty when it has none.
     std::string last_event_id;
 };
 
-/// What the head of an answer says.
+/// Meaning of the header of a response.
 enum class response_kind : std::uint8_t {
-    /// The server ran the request, to a good end or not; its answer is for the caller.
+    /// The server ran the request, with or without success; the response goes to the caller.
     answered,
-    /// The server ran nothing and never will: it is full, or the time was up.
+    /// The server has not run the request and will not: it is full, or the deadline has passed.
     not_run,
-    /// The server that answers is not the one that was meant. Nothing was run.
+    /// Another server than the intended one responded, and the request was not run.
     wrong_server,
-    /// Says nothing of whether the request ran, and is not an answer for the caller.
+    /// The response does not show whether the request ran, and must not go to the caller.
     invalid,
 };
 
-/// The memory of a prompt, as the engine that read it announces it.
+/// The KV cache of a prompt as announced by the engine that prefilled it.
 struct kv_cache_info {
     std::string handle;
     std::uint64_t tokens{};
 };
 
-/// How calls are written to backend servers, and how their answers are read. Thread safe.
+/// Encodes requests to backend servers and decodes their responses. Thread safe.
 class backend_codec {
 public:
     backend_codec() = default;
@@ -65,21 +65,21 @@
     backend_codec& operator=(backend_codec&&) = delete;
     virtual ~backend_codec() = default;
 
-    /// Returns the request as it goes to the server.
-    [[nodiscard]] virtual http_request make_request(const caller_request& request, const dispatch& sending) const = 0;
+    /// Returns the HTTP request that is sent to the server.
+    [[nodiscard]] virtual http_request make_request(const caller_request& request, const dispatch& attempt) const = 0;
 
-    /// Returns whether an answer belongs to this request rather than to an earlier one of the same connection.
+    /// Returns whether a response belongs to this request and not to an earlier one on the same connection.
     [[nodiscard]] virtual bool is_response_to(const caller_request& request,
                                               const http::response_header<>& head) const = 0;
 
-    /// Classifies an answer. Precondition: `is_response_to`.
+    /// Classifies a response. Precondition: `is_response_to` holds.
     [[nodiscard]] virtual response_kind classify(const http::response_header<>& head) const = 0;
 
-    /// Reads the answer to a dispatch that only reads the prompt. Throws `malformed_message_error`.
+    /// Decodes the response to a prefill-only dispatch. Throws `malformed_message_error`.
     [[nodiscard]] virtual kv_cache_info decode_prefill_response(std::string_view body) const = 0;
 
-    /// Returns the request that frees the memory of a prompt.
-    [[nodiscard]] virtual http_request make_release_request(const kv_cache_source& memory) const = 0;
+    /// Returns the request that releases the KV cache of a prompt.
+    [[nodiscard]] virtual http_request make_release_request(const kv_cache_source& kv_cache) const = 0;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -12,11 +12,12 @@
 
 namespace {
 
-/// How much sooner than announced a connection counts as closed by the other end: both clocks start at other moments.
-constexpr duration keep_open_margin = std::chrono::milliseconds(500);
+/// Safety margin before the announced keep-alive timeout, because client and server start their timers at different
+/// moments.
+constexpr duration keep_alive_margin = std::chrono::milliseconds(500);
 
-/// Returns whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
-bool is_quiet(backend_connection& connection) {
+/// Returns whether an idle connection has received nothing: neither a close nor unexpected bytes.
+bool has_no_input(backend_connection& connection) {
     std::array<char, 1> byte{};
     error_code fault;
     asio::ip::tcp::socket& socket = connection.stream.socket();
@@ -44,7 +45,7 @@
     while (!idle.empty()) {
         idle_connection newest = std::move(idle.back());
         idle.pop_back();
-        if (m_time->now() < newest.usable_until && is_quiet(*newest.connection)) {
+        if (m_time->now() < newest.usable_until && has_no_input(*newest.connection)) {
             return std::move(newest.connection);
         }
     }
@@ -75,7 +76,7 @@
     std::vector<idle_connection>& idle = m_idle[{.context = context, .server = server}];
     duration usable_for = m_options.max_idle_time;
     if (connection->keep_alive_timeout) {
-        usable_for = std::min(usable_for, *connection->keep_alive_timeout - keep_open_margin);
+        usable_for = std::min(usable_for, *connection->keep_alive_timeout - keep_alive_margin);
     }
     if (idle.size() < m_options.max_idle_per_server && usable_for > duration::zero()) {
         idle.push_back({.connection = std::move(connection), .usable_until = m_time->now() + usable_for});
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -11,12 +11,12 @@
 
 constexpr std::size_t piece_bytes = 16 * 1024;
 constexpr std::uint32_t header_limit_bytes = 64 * 1024;
-/// Interim answers and answers to other requests that are read over before the own one.
-constexpr std::size_t most_unused_bytes = 4UL * 1024 * 1024;
-constexpr duration settle_deadline = std::chrono::milliseconds(20);
+/// Limit on the bytes of interim responses and of responses to other requests that are skipped.
+constexpr std::size_t max_skipped_bytes = 4UL * 1024 * 1024;
+constexpr duration drain_timeout = std::chrono::milliseconds(20);
 
-/// Returns the request's bytes, with the length of its body.
-std::string to_wire(const http_request& request) {
+/// Encodes the request, with the Content-Length of its body.
+std::string encode_request(const http_request& request) {
     std::string text;
     text.reserve(request.body().size() + 1024);
     text.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
@@ -33,7 +33,7 @@
     return text.append("\r\n").append(request.body());
 }
 
-/// Returns how long the server says it keeps the connection open without a request.
+/// Returns the time that the server announces to keep the connection open between requests.
 std::optional<duration> get_keep_alive_time(const http::response_header<>& head) {
     constexpr std::string_view name = "timeout=";
     const auto field = head.find(http::field::keep_alive);
@@ -63,19 +63,19 @@
 asio::awaitable<void> backend_exchange::start(const http_request& request) {
     co_await connect();
     if (m_options.may_send && !m_options.may_send()) {
-        throw exchange_failed_error("the server left meanwhile", exchange_phase::before_send,
-                                    policy::retry_reason::server_left);
+        throw exchange_failed_error("backend server left the server list before the request was sent",
+                                    exchange_phase::before_send, policy::retry_reason::server_left);
     }
     send(request);
     const bool is_head_request = request.method() == http::verb::head;
     std::size_t head_bytes = co_await read_head(is_head_request);
     while (m_options.is_matching_response && !m_options.is_matching_response(m_parser->get())) {
-        add_unused_bytes(head_bytes);
-        co_await skip_foreign_answer();
+        count_skipped_bytes(head_bytes);
+        co_await skip_foreign_response();
         head_bytes = co_await read_head(is_head_request);
     }
     if (!m_options.accepts_unframed_response && !m_parser->is_done() && m_parser->need_eof()) {
-        throw exchange_failed_error("answer does not say how long it is", exchange_phase::after_send,
+        throw exchange_failed_error("response has neither a length nor chunked encoding", exchange_phase::after_send,
                                     policy::retry_reason::malformed_answer);
     }
 }
@@ -89,18 +89,19 @@
         m_connection = co_await m_pool->connect(m_server, get_time_left(), fault);
     }
     if (fault) {
-        fail(fault, exchange_phase::before_send, "no connection");
+        fail(fault, exchange_phase::before_send, "connecting to the backend server failed");
     }
     if (m_is_cancelled) {
-        fail(asio::error::operation_aborted, exchange_phase::before_send, "given up");
+        fail(asio::error::operation_aborted, exchange_phase::before_send, "exchange was cancelled while connecting");
     }
 }
 
 void backend_exchange::send(const http_request& request) {
-    m_connection->outgoing = to_wire(request);
+    m_connection->outgoing = encode_request(request);
     m_connection->is_sending = true;
     m_is_sent = true;
-    // Not waited for: the answer may come before the server has read a long body. A failure shows when reading.
+    // The write is not awaited, because the response may arrive before the server has read a long body. A failed write
+    // shows as a failed read.
     asio::async_write(m_connection->stream.socket(), asio::buffer(m_connection->outgoing),
                       [connection = m_connection](const error_code& fault, std::size_t /*sent*/) {
                           connection->is_sending = fault.failed();
@@ -116,40 +117,40 @@
     std::size_t head_bytes = 0;
     do {
         if (m_parser->is_header_done()) {
-            // An interim answer such as 100 says nothing yet.
+            // An interim response such as 100 is followed by the final one.
             m_parser.emplace();
             m_parser->body_limit(boost::none);
             m_parser->header_limit(header_limit_bytes);
             m_parser->skip(is_head_request);
         }
-        limit_silence();
+        set_progress_timeout();
         head_bytes =
             co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
         if (fault) {
-            fail(fault, exchange_phase::after_send, "no answer");
+            fail(fault, exchange_phase::after_send, "reading the response header failed");
         }
         if (is_interim(m_parser->get())) {
-            add_unused_bytes(head_bytes);
+            count_skipped_bytes(head_bytes);
         }
     } while (is_interim(m_parser->get()));
     co_return head_bytes;
 }
 
-asio::awaitable<void> backend_exchange::skip_foreign_answer() {
+asio::awaitable<void> backend_exchange::skip_foreign_response() {
     if (m_parser->need_eof() && !m_parser->is_done()) {
-        throw exchange_failed_error("answer to another request without length", exchange_phase::after_send,
-                                    policy::retry_reason::crossed_answer);
+        throw exchange_failed_error("response to another request has no length, so it cannot be skipped",
+                                    exchange_phase::after_send, policy::retry_reason::crossed_answer);
     }
     while (!m_parser->is_done()) {
-        add_unused_bytes(co_await read_piece());
+        count_skipped_bytes(co_await read_piece());
     }
 }
 
-void backend_exchange::add_unused_bytes(std::size_t count) {
-    m_unused_bytes += count;
-    if (m_unused_bytes > most_unused_bytes) {
-        throw exchange_failed_error("too much came before the answer", exchange_phase::after_send,
-                                    policy::retry_reason::malformed_answer);
+void backend_exchange::count_skipped_bytes(std::size_t count) {
+    m_skipped_bytes += count;
+    if (m_skipped_bytes > max_skipped_bytes) {
+        throw exchange_failed_error("too many bytes arrived before the response to this request",
+                                    exchange_phase::after_send, policy::retry_reason::malformed_answer);
     }
 }
 
@@ -157,11 +158,11 @@
     auto& body = m_parser->get().body();
     body.data = m_piece.data();
     body.size = m_piece.size();
-    limit_silence();
+    set_progress_timeout();
     error_code fault;
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
     if (fault && fault != http::error::need_buffer) {
-        fail(fault, exchange_phase::after_send, "answer broke off");
+        fail(fault, exchange_phase::after_send, "reading the response body failed");
     }
     co_return m_piece.size() - body.size;
 }
@@ -173,11 +174,11 @@
             co_return std::string_view(m_piece.data(), received);
         }
     }
-    give_back();
+    return_connection();
     co_return std::string_view();
 }
 
-void backend_exchange::give_back() {
+void backend_exchange::return_connection() {
     const bool is_clean = m_connection != nullptr && m_parser->get().keep_alive() && !m_connection->is_sending &&
                           m_connection->buffer.size() == 0;
     if (is_clean) {
@@ -189,11 +190,11 @@
 
 asio::awaitable<std::string> backend_exchange::read_rest(std::size_t limit_bytes) {
     std::string rest;
-    byte_budget::share held(m_pool->get_buffer_budget());
+    byte_budget::share buffered(m_pool->get_buffer_budget());
     std::string_view piece = co_await read_some();
     while (!piece.empty()) {
-        if (rest.size() + piece.size() > limit_bytes || !held.take(piece.size())) {
-            throw exchange_failed_error("answer is too large", exchange_phase::after_send,
+        if (rest.size() + piece.size() > limit_bytes || !buffered.take(piece.size())) {
+            throw exchange_failed_error("response is too large", exchange_phase::after_send,
                                         policy::retry_reason::malformed_answer);
         }
         rest += piece;
@@ -203,11 +204,11 @@
 }
 
 asio::awaitable<void> backend_exchange::drain() {
-    m_options.progress_timeout = std::min(m_options.progress_timeout, settle_deadline);
+    m_options.progress_timeout = std::min(m_options.progress_timeout, drain_timeout);
     try {
         co_await read_some();
     } catch (const exchange_failed_error&) {
-        // The answer is whole, and its connection is not used again.
+        // The response is complete; only its connection is not reused.
     }
 }
 
@@ -220,7 +221,7 @@
     }
 }
 
-void backend_exchange::limit_silence() {
+void backend_exchange::set_progress_timeout() {
     m_connection->stream.expires_after(std::clamp(get_time_left(), duration::zero(), m_options.progress_timeout));
 }
 
@@ -228,7 +229,7 @@
     return m_options.deadline - m_pool->get_time().now();
 }
 
-void backend_exchange::fail(const error_code& fault, exchange_phase phase, const char* what) const {
+void backend_exchange::fail(const error_code& fault, exchange_phase phase, const char* operation) const {
     const bool was_reused = m_connection != nullptr && m_connection->is_reused;
     policy::retry_reason reason =
         was_reused ? policy::retry_reason::stale_connection : policy::retry_reason::broken_answer;
@@ -237,7 +238,7 @@
     } else if (fault == beast::error::timeout) {
         reason = policy::retry_reason::silent_backend_server;
     }
-    throw exchange_failed_error(std::string(what) + ": " + fault.message(), phase, reason);
+    throw exchange_failed_error(std::string(operation) + ": " + fault.message(), phase, reason);
 }
 
 } // namespace dragonflywell::servers
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -11,22 +11,22 @@
 
 namespace dragonflywell::servers {
 
-/// How far an exchange with a backend server came before it failed.
+/// How far an exchange with a backend server got before it failed.
 enum class exchange_phase {
     /// No byte of the request was written.
     before_send,
-    /// Some of the request may have been received.
+    /// The server may have received part of the request.
     after_send,
 };
 
-/// An exchange that did not yield a whole answer.
+/// Thrown when an exchange ends without a complete response.
 class exchange_failed_error : public error {
 public:
     exchange_failed_error(const std::string& message, exchange_phase phase, policy::retry_reason reason)
         : error(message), m_phase(phase), m_reason(reason) {}
 
     [[nodiscard]] exchange_phase get_phase() const noexcept { return m_phase; }
-    /// Returns under which reason a retry after this failure is counted.
+    /// Returns the reason under which a retry after this failure is counted.
     [[nodiscard]] policy::retry_reason get_reason() const noexcept { return m_reason; }
 
 private:
@@ -35,64 +35,67 @@
 };
 
 struct exchange_options {
-    /// Whether a pooled connection may carry it. A request that must run at most once takes a new one, because a
-    /// pooled connection may be closed by the other end just as the request is written.
+    /// Whether a pooled connection may be used. A request that must run at most once uses a new connection, because the
+    /// server may close a pooled one while the request is being written.
     bool may_reuse_connection{true};
-    /// Longest silence before the exchange is given up.
+    /// Maximum time without progress before the exchange fails.
     duration progress_timeout{};
-    /// When the exchange is given up even though it makes progress.
+    /// Time at which the exchange fails even if it makes progress.
     steady_time deadline{steady_time::max()};
-    /// Whether an answer that ends with its connection, rather than at a length, is taken as whole.
+    /// Whether a response without a length, which ends when the connection closes, is accepted as complete.
     bool accepts_unframed_response{false};
-    /// Tells whether an answer belongs to this request. One that doesn't is read over; an empty function takes any.
+    /// Returns whether a response belongs to this request. Other responses are skipped; an empty function accepts any
+    /// response.
     std::function<bool(const http::response_header<>&)> is_matching_response{};
-    /// Tells whether the request may still be sent, asked when the connection is there; an empty function permits it.
+    /// Returns whether the request may still be sent; called once the connection is established. An empty function
+    /// permits it.
     std::function<bool()> may_send{};
 };
 
-/// One request to one backend server, and its answer piece by piece. Used by one coroutine; not thread safe.
+/// One request to one backend server, and its response in pieces. Used by one coroutine; not thread safe.
 class backend_exchange {
 public:
     /// Precondition: `pool` outlives the exchange.
     backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options);
 
-    /// Sends the request and reads the head of the answer, which may come before all of the request is sent.
-    /// Throws `exchange_failed_error`.
+    /// Sends the request and reads the response header, which may arrive before the whole request is sent. Throws
+    /// `exchange_failed_error`, also for a response without a length unless the options accept it.
     asio::awaitable<void> start(const http_request& request);
 
-    /// Returns whether a byte of the request may have reached the server.
+    /// Returns whether any byte of the request may have reached the server.
     [[nodiscard]] bool is_sent() const noexcept { return m_is_sent; }
 
-    /// Returns the head of the answer. Precondition: `start` returned.
+    /// Returns the response header. Precondition: `start` has returned.
     [[nodiscard]] const http::response_header<>& get_head() const { return m_parser->get().base(); }
 
-    /// Returns the next bytes of the body; empty when the whole answer was read. Throws `exchange_failed_error`; also
-    /// for an answer that says nowhere how long it is, unless the options accept that.
+    /// Returns the next bytes of the body; empty when the response is complete. Throws `exchange_failed_error`.
     asio::awaitable<std::string_view> read_some();
 
-    /// Returns the rest of the body. Throws `exchange_failed_error`, also when it is longer than `limit_bytes`.
+    /// Returns the rest of the body. Throws `exchange_failed_error`, also when the rest is longer than `limit_bytes` or
+    /// exceeds the shared buffer budget.
     asio::awaitable<std::string> read_rest(std::size_t limit_bytes);
 
-    /// Takes the end of an answer that is known to be whole, so that its connection can carry another exchange. Closes
-    /// the connection when more than that end comes, or nothing soon. Does not throw.
+    /// Reads the end of a response whose content is complete, so that its connection can be reused. Closes the
+    /// connection when further data or nothing arrives within a short time. Does not throw.
     asio::awaitable<void> drain();
 
-    /// Closes the connection, so that an operation under way fails and the backend server sees that nobody reads on.
+    /// Closes the connection, so that a pending operation fails and the backend server notices the disconnect.
     void cancel();
 
 private:
     asio::awaitable<void> connect();
     void send(const http_request& request);
-    /// Returns the size of the head that counts.
+    /// Reads the final response header, skipping interim ones. Returns its size.
     asio::awaitable<std::size_t> read_head(bool is_head_request);
-    asio::awaitable<void> skip_foreign_answer();
+    asio::awaitable<void> skip_foreign_response();
     asio::awaitable<std::size_t> read_piece();
-    /// Counts bytes that are no part of this request's answer. Throws `exchange_failed_error` when they are too many.
-    void add_unused_bytes(std::size_t count);
-    void give_back();
-    void limit_silence();
+    /// Counts bytes that do not belong to the response to this request. Throws `exchange_failed_error` when there are
+    /// too many.
+    void count_skipped_bytes(std::size_t count);
+    void return_connection();
+    void set_progress_timeout();
     [[nodiscard]] duration get_time_left() const;
-    [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* what) const;
+    [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* operation) const;
 
     backend_connection_pool* m_pool;
     endpoint m_server;
@@ -100,7 +103,7 @@
     std::shared_ptr<backend_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_piece;
-    std::size_t m_unused_bytes{0};
+    std::size_t m_skipped_bytes{0};
     bool m_is_sent{false};
     bool m_is_cancelled{false};
 };
--- a/servers/backend_index.hpp
+++ b/servers/backend_index.hpp
@@ -8,16 +8,16 @@
 
 namespace dragonflywell::servers {
 
-/// The backend servers of one manifest by what they offer, so that a request does not look through the whole fleet.
-/// Immutable after construction, hence safe to share between threads.
+/// Index of the backend servers of one manifest by the model or service that they offer, so that a request does not
+/// scan the whole fleet. Immutable after construction and therefore thread safe.
 class backend_index {
 public:
     backend_index() = default;
 
-    /// Precondition: `manifest` stays where it is and unchanged for as long as the index is used.
+    /// Precondition: `manifest` is neither moved nor changed while the index is in use.
     explicit backend_index(const fleet::manifest& manifest);
 
-    /// Returns the servers in order of name; empty when nothing offers it.
+    /// Returns the servers in the order of their names; empty when no server offers it.
     [[nodiscard]] std::span<const fleet::backend_server* const> get_engines(const model_name& model) const;
     [[nodiscard]] std::span<const fleet::backend_server* const> get_instances(const service_name& service) const;
 
--- a/servers/backend_load_table.hpp
+++ b/servers/backend_load_table.hpp
@@ -8,12 +8,12 @@
 
 namespace dragonflywell::servers {
 
-/// Tokens that this daemon has in work on each backend server. Thread safe.
+/// In-flight tokens of this daemon on each backend server. Thread safe.
 class backend_load_table {
 public:
     [[nodiscard]] std::uint64_t get(const backend_server_name& server) const;
 
-    /// Counts work for as long as it lives.
+    /// Counts work on a server during its lifetime.
     class reservation {
     public:
         reservation(backend_load_table& table, backend_server_name server, std::uint64_t tokens);
--- a/servers/byte_budget.hpp
+++ b/servers/byte_budget.hpp
@@ -6,13 +6,13 @@
 
 namespace dragonflywell::servers {
 
-/// Bytes that may be held at a time by all that share the budget. Thread safe.
+/// Limit on the bytes that all users of the budget hold at a time. Thread safe.
 class byte_budget {
 public:
     explicit byte_budget(std::size_t most) : m_left(std::make_shared<std::atomic<std::size_t>>(most)) {}
 
-    /// What one holder has of the budget; given back when it ends, even if the budget is gone by then. Used by one
-    /// holder.
+    /// The bytes that one user holds. They return to the budget on destruction, even if the budget object no longer
+    /// exists. Used by one user; not thread safe.
     class share {
     public:
         explicit share(const byte_budget& budget) : m_left(budget.m_left) {}
@@ -22,7 +22,7 @@
         share& operator=(share&&) = delete;
         ~share() { *m_left += m_held; }
 
-        /// Takes some more. Returns whether there was enough left; if not, nothing is taken.
+        /// Takes further bytes from the budget. Returns false and takes nothing when too few are left.
         [[nodiscard]] bool take(std::size_t bytes) {
             std::size_t left = m_left->load();
             do {
--- a/servers/caller_codec.hpp
+++ b/servers/caller_codec.hpp
@@ -6,7 +6,7 @@
 
 namespace dragonflywell::servers {
 
-/// How callers write their requests, and how they are refused. Thread safe.
+/// Decodes the requests of callers and encodes refusals. Thread safe.
 class caller_codec {
 public:
     caller_codec() = default;
@@ -16,10 +16,10 @@
     caller_codec& operator=(caller_codec&&) = delete;
     virtual ~caller_codec() = default;
 
-    /// Decodes a request. Throws `request_refused` for one that isn't proper.
+    /// Decodes a request. Throws `request_refused` for a malformed one.
     [[nodiscard]] virtual caller_request decode(http_request request) const = 0;
 
-    /// Returns the answer that tells of a refusal or a failure.
+    /// Returns the response for a refusal or a failure.
     [[nodiscard]] virtual http_response make_refusal(const request_refused& refusal) const = 0;
 };
 
--- a/servers/caller_disconnect_monitor.cpp
+++ b/servers/caller_disconnect_monitor.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Returns whether a readable socket is at its end, rather than holding the caller's next request.
+/// Returns whether a readable socket is at the end of its stream and does not hold the next request of the caller.
 bool is_at_end(tcp::socket& socket) {
     std::array<char, 1> byte{};
     error_code fault;
@@ -28,7 +28,7 @@
             return;
         }
         if (is_at_end(*socket)) {
-            tell(*state);
+            notify_disconnect(*state);
         }
     });
 }
@@ -48,7 +48,7 @@
     m_state->notify = std::move(notify);
 }
 
-void caller_disconnect_monitor::tell(watch_state& state) {
+void caller_disconnect_monitor::notify_disconnect(watch_state& state) {
     state.is_disconnected = true;
     if (const std::function<void()> notify = std::exchange(state.notify, {})) {
         notify();
--- a/servers/caller_disconnect_monitor.hpp
+++ b/servers/caller_disconnect_monitor.hpp
@@ -6,10 +6,11 @@
 
 namespace dragonflywell::servers {
 
-/// Notices that a caller closes its connection while its request is being worked on. Used on the connection's context.
+/// Detects that a caller closes its connection while its request is in progress. Used on the event loop of the
+/// connection.
 class caller_disconnect_monitor {
 public:
-    /// Precondition: `socket` outlives the watch, and nothing reads from it meanwhile.
+    /// Precondition: `socket` outlives this object, and nothing else reads from it during that time.
     explicit caller_disconnect_monitor(boost::asio::ip::tcp::socket& socket);
     caller_disconnect_monitor(const caller_disconnect_monitor&) = delete;
     caller_disconnect_monitor& operator=(const caller_disconnect_monitor&) = delete;
@@ -18,9 +19,9 @@
     ~caller_disconnect_monitor();
 
     [[nodiscard]] bool is_disconnected() const noexcept { return m_state->is_disconnected; }
-    /// Notes that a write to the caller failed.
+    /// Marks the caller as disconnected after a failed write.
     void set_disconnected();
-    /// Has `notify` called once when the caller leaves; an empty function ends that.
+    /// Sets a function that is called once when the caller disconnects; an empty function removes it.
     void set_on_disconnect(std::function<void()> notify);
 
 private:
@@ -30,7 +31,7 @@
         std::function<void()> notify;
     };
 
-    static void tell(watch_state& state);
+    static void notify_disconnect(watch_state& state);
 
     boost::asio::ip::tcp::socket* m_socket;
     std::shared_ptr<watch_state> m_state;
--- a/servers/caller_request.hpp
+++ b/servers/caller_request.hpp
@@ -12,7 +12,8 @@
 
 namespace dragonflywell::servers {
 
-/// One part of a prompt. Requests share parts; an engine that holds a part and all before it need not read it again.
+/// One part of a prompt. Requests may share parts; an engine that has a part and all parts before it in its cache does
+/// not prefill them again.
 struct prompt_part {
     std::uint64_t id{};
     std::uint32_t tokens{};
@@ -20,35 +21,35 @@
     friend bool operator==(const prompt_part&, const prompt_part&) = default;
 };
 
-/// What a request asks a model for.
+/// Parameters of a generation.
 struct generation_parameters {
     model_name model;
     std::uint32_t prompt_tokens{};
-    /// Most tokens of the answer.
+    /// Maximum number of tokens in the response.
     std::uint32_t max_output_tokens{};
-    /// The caller's estimate of the answer's tokens; nothing where it gives none.
+    /// Estimate by the caller of the number of tokens in the response, if it gives one.
     std::optional<std::uint32_t> expected_output_tokens;
-    /// In order of the prompt.
+    /// In the order of the prompt.
     std::vector<prompt_part> parts;
 };
 
-/// A caller's request, decoded from the dialect that the caller speaks.
+/// A caller's request, decoded from the protocol of the caller.
 struct caller_request {
-    /// Names the request in logs and at the backend server.
+    /// Identifies the request in logs and at the backend server.
     std::string id;
     http::verb method{http::verb::get};
-    /// Path and query, as the caller sent them.
+    /// Path and query as sent by the caller.
     std::string target;
     /// Lower case, without port.
     std::string host;
-    /// Empty where the request carries none.
+    /// API key; empty when the request has none.
     std::string key;
-    /// How long the caller waits, where it says so.
+    /// How long the caller is willing to wait, if the request says so.
     std::optional<duration> caller_timeout;
     std::optional<generation_parameters> generation;
-    /// The last event of a broken stream that the caller has; empty where it asks for a whole one.
+    /// Id of the last event that the caller received from an interrupted stream; empty for a new stream.
     std::string last_event_id;
-    /// Headers that go on to a backend server, in order.
+    /// Headers to forward to the backend server, in order.
     std::vector<std::pair<std::string, std::string>> forwarded_headers;
     std::string body;
 
--- a/servers/demand_meter.cpp
+++ b/servers/demand_meter.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double answer_weight = 0.05;
+constexpr double output_average_weight = 0.05;
 
 } // namespace
 
@@ -16,28 +16,28 @@
     entry& target = m_entries[key];
     target.row.key = key;
     ++target.row.arrivals;
-    ++m_service[key.organisation].asked;
+    ++m_organisations[key.organisation].asked;
     target.row.prompt_tokens += prompt_tokens;
     target.row.output_tokens +=
-        static_cast<std::uint64_t>(std::lround(target.output_part * static_cast<double>(max_tokens)));
+        static_cast<std::uint64_t>(std::lround(target.output_share * static_cast<double>(max_tokens)));
 }
 
 void demand_meter::add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens) {
     const std::scoped_lock lock(m_mutex);
-    organisation_counts& service = m_service[key.organisation];
-    ++service.completed;
-    service.delivered_tokens += tokens;
+    organisation_counts& counts = m_organisations[key.organisation];
+    ++counts.completed;
+    counts.delivered_tokens += tokens;
     if (max_tokens == 0) {
         return;
     }
     entry& target = m_entries[key];
-    const double part = static_cast<double>(tokens) / static_cast<double>(max_tokens);
-    target.output_part += answer_weight * (part - target.output_part);
+    const double share = static_cast<double>(tokens) / static_cast<double>(max_tokens);
+    target.output_share += output_average_weight * (share - target.output_share);
 }
 
 std::map<organisation_name, demand_meter::organisation_counts> demand_meter::take_organisation_counts() {
     const std::scoped_lock lock(m_mutex);
-    return std::exchange(m_service, {});
+    return std::exchange(m_organisations, {});
 }
 
 std::vector<policy::demand_row> demand_meter::take() {
--- a/servers/demand_meter.hpp
+++ b/servers/demand_meter.hpp
@@ -8,16 +8,17 @@
 
 namespace dragonflywell::servers {
 
-/// Counts what callers of this daemon ask for, refused requests included. Thread safe.
+/// Counts the demand of the callers of this daemon, including refused requests. Thread safe.
 class demand_meter {
 public:
-    /// Counts one arrival that permits up to `max_tokens` of output. The output is estimated from earlier answers.
+    /// Counts the arrival of a request that permits up to `max_tokens` output tokens. The actual output is estimated
+    /// from earlier responses.
     void add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t max_tokens);
 
-    /// Notes how much of the permitted output a whole answer had.
+    /// Records how many of the permitted tokens a complete response used.
     void add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens);
 
-    /// Requests asked for and completed, and tokens delivered, by organisation, since the last call.
+    /// Requests received and completed, and tokens delivered, for one organisation since the last call.
     struct organisation_counts {
         std::uint64_t asked{};
         std::uint64_t completed{};
@@ -25,19 +26,19 @@
     };
     [[nodiscard]] std::map<organisation_name, organisation_counts> take_organisation_counts();
 
-    /// Returns what came in since the last call, and starts anew.
+    /// Returns the demand since the last call and resets the counts.
     [[nodiscard]] std::vector<policy::demand_row> take();
 
 private:
     struct entry {
         policy::demand_row row;
-        /// Mean part of the permitted output that answers had.
-        double output_part{0.5};
+        /// Moving average of the share of the permitted output that responses use.
+        double output_share{0.5};
     };
 
     std::mutex m_mutex;
     std::map<policy::demand_key, entry> m_entries;
-    std::map<organisation_name, organisation_counts> m_service;
+    std::map<organisation_name, organisation_counts> m_organisations;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/disconnect_subscription.hpp
+++ b/servers/disconnect_subscription.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::servers {
 
-/// Has a function called when the caller leaves, for as long as it lives. Not thread safe.
+/// Calls a function when the caller disconnects, during the lifetime of the subscription. Not thread safe.
 class disconnect_subscription {
 public:
     disconnect_subscription(caller_channel& caller, std::function<void()> notify) : m_caller(&caller) {
--- a/servers/engine_load_guards.hpp
+++ b/servers/engine_load_guards.hpp
@@ -8,7 +8,7 @@
 
 namespace dragonflywell::servers {
 
-/// Keeps a prompt on the board while an engine reads it.
+/// Counts a prefill in the load of an engine during its lifetime.
 class prefill_guard {
 public:
     prefill_guard(serving_state& state, service_name service, backend_server_name engine, std::uint64_t number)
@@ -31,7 +31,7 @@
     std::uint64_t m_number;
 };
 
-/// Keeps a running generation on the board.
+/// Counts a running generation in the load of an engine during its lifetime.
 class generation_guard {
 public:
     generation_guard(serving_state& state, service_name service, backend_server_name engine, std::uint64_t tokens)
--- a/servers/engine_state_table.hpp
+++ b/servers/engine_state_table.hpp
@@ -8,11 +8,11 @@
 
 namespace dragonflywell::servers {
 
-/// What placement has to know of an engine beyond the manifest.
+/// State of an engine that placement needs besides the manifest.
 struct engine_state {
-    /// As the engine itself reported.
+    /// The role that the engine reported.
     fleet::engine_role role{fleet::engine_role::mixed};
-    /// False from the announcement of a role change until its end.
+    /// False from the announcement of a role change until the change ends.
     bool takes_new_work{true};
 
     friend bool operator==(const engine_state&, const engine_state&) = default;
@@ -20,7 +20,7 @@
 
 using engine_states = std::map<backend_server_name, engine_state>;
 
-/// Current roles and drains of all engines, replaced as a whole by the control thread. Thread safe.
+/// Current roles and drain states of all engines, replaced as a whole by the control thread. Thread safe.
 class engine_state_table {
 public:
     void set(engine_states states) { m_states.set(std::make_shared<const engine_states>(std::move(states))); }
--- a/servers/entry_context.hpp
+++ b/servers/entry_context.hpp
@@ -23,7 +23,7 @@
 
 namespace dragonflywell::servers {
 
-/// The manifest in force together with its version, as the request path sees it.
+/// The active manifest and its version, as used by requests.
 struct active_manifest {
     active_manifest(std::uint64_t offset, fleet::manifest manifest)
         : version(offset), content(std::move(manifest)), servers(content) {}
@@ -40,17 +40,17 @@
 };
 
 struct request_limits {
-    /// Time from the arrival of a request to the end of its answer.
+    /// Maximum time from the arrival of a request to the end of its response.
     duration request_timeout{std::chrono::seconds(300)};
-    /// Longest silence of a backend server within one answer.
+    /// Maximum time without progress of a backend server within one response.
     duration progress_timeout{std::chrono::seconds(5)};
-    /// How many backend servers are tried for one request that may be repeated.
+    /// How many backend servers are tried for a request that may be retried.
     unsigned max_attempts{3};
-    /// Entry hosts that share the organisations' cost limits.
+    /// Number of entry hosts that share the cost limits of organisations.
     std::uint64_t entry_hosts{1};
 };
 
-/// What the handlers of one daemon share. All members are thread safe.
+/// State that the handlers of one daemon share. All members are thread safe.
 struct entry_context {
     const clock_source& time;
     zone_name own_zone;
--- a/servers/entry_handler.cpp
+++ b/servers/entry_handler.cpp
@@ -34,9 +34,10 @@
         m_context->counters.count_caller_disconnect();
         throw;
     } catch (const std::exception& fault) {
-        // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
-        m_log->error("A request failed: {}", fault.what());
-        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal fault");
+        // The caller gets a response even after an internal error. Whether the request ran is not known here, so the
+        // outcome is unknown.
+        m_log->error("request failed with an internal error; the caller gets a refusal: {}", fault.what());
+        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal error");
     }
     if (refusal) {
         co_await send_refusal(*refusal, caller);
@@ -60,12 +61,12 @@
 asio::awaitable<void> entry_handler::dispatch(const http_request& request, caller_channel& caller) {
     if (m_is_stopping) {
         throw request_refused(policy::refusal_reason::stopping, policy::request_outcome::not_run,
-                              "this host is being stopped");
+                              "this host is shutting down");
     }
     const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
     if (manifest == nullptr) {
         throw request_refused(policy::refusal_reason::not_ready, policy::request_outcome::not_run,
-                              "no configuration has been read yet");
+                              "this host has not loaded a configuration yet");
     }
     const std::string_view path = get_path(request);
     if (is_model_path(path)) {
--- a/servers/entry_handler.hpp
+++ b/servers/entry_handler.hpp
@@ -9,7 +9,8 @@
 
 namespace dragonflywell::servers {
 
-/// Answers callers: finds the route, checks the key and hands the request to the call of its kind. Thread safe.
+/// Handles requests of callers: finds the route, checks the key and runs the request as a model call or a service call.
+/// Thread safe.
 class entry_handler final : public http_handler {
 public:
     /// Precondition: `context` outlives the handler.
@@ -18,7 +19,7 @@
     asio::awaitable<void> handle(http_request request, caller_channel& caller) override;
     void on_malformed(http::status status) override;
 
-    /// Refuses new requests from now on; those that run go on.
+    /// Refuses new requests from now on; running requests continue.
     void set_stopping() noexcept { m_is_stopping = true; }
 
 private:
--- a/servers/event_splitter.cpp
+++ b/servers/event_splitter.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::string_view id_name = "id:";
 
-/// Returns where the last whole event ends, or nothing (npos) when none is whole. Lines may end with CR LF.
+/// Returns the end position of the last complete event, or npos when there is none. Lines may end with CR LF.
 std::size_t find_last_end(std::string_view text) {
     const std::size_t plain = text.rfind("\n\n");
     const std::size_t with_returns = text.rfind("\r\n\r\n");
@@ -26,7 +26,7 @@
 } // namespace
 
 std::string event_splitter::take_events() {
-    // Further empty lines after an event, or before the first one, are part of no event; they are passed on at once.
+    // Extra empty lines before or after an event belong to no event and are passed on at once.
     const std::size_t whole = find_last_end(m_pending);
     const std::size_t next = m_pending.find_first_not_of("\r\n", whole == std::string::npos ? 0 : whole);
     const std::size_t end = std::min(next, m_pending.size());
@@ -35,13 +35,13 @@
     }
     std::string events = m_pending.substr(0, end);
     m_pending.erase(0, end);
-    note_ids(events);
+    record_last_id(events);
     return events;
 }
 
-void event_splitter::note_ids(std::string_view events) {
+void event_splitter::record_last_id(std::string_view events) {
     while (!events.empty()) {
-        // A line ends with LF, CR LF or CR; the empty line between CR and LF says nothing.
+        // A line ends with LF, CR LF or CR. The empty line between CR and LF is ignored.
         const std::size_t line_end = events.find_first_of("\r\n");
         std::string_view line = events.substr(0, line_end);
         events.remove_prefix(line_end == std::string_view::npos ? events.size() : line_end + 1);
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -5,30 +5,30 @@
 
 namespace dragonflywell::servers {
 
-/// Cuts a stream of server-sent events after whole events, without changing a byte. Not thread safe.
+/// Splits a stream of server-sent events at the ends of events without changing a byte. Not thread safe.
 class event_splitter {
 public:
     void add_bytes(std::string_view bytes) { m_pending += bytes; }
 
-    /// Takes all whole events that are there, as they came; empty when there is none.
+    /// Removes and returns all complete events, unchanged; empty when there is none.
     [[nodiscard]] std::string take_events();
 
-    /// Returns the id of the last event taken that had one; empty when none had.
+    /// Returns the id of the last returned event that had one; empty when none had one.
     [[nodiscard]] const std::string& get_last_id() const noexcept { return m_last_id; }
 
-    /// Drops the part of an event that is left over when a stream broke.
+    /// Discards an incomplete event after a stream was interrupted.
     void drop_partial_event() { m_pending.clear(); }
 
-    /// Returns whether the part that is left over is longer than any event.
-    [[nodiscard]] bool is_event_too_long() const noexcept { return m_pending.size() > most_event_bytes; }
+    /// Returns whether the incomplete event exceeds the size limit of an event.
+    [[nodiscard]] bool is_event_too_long() const noexcept { return m_pending.size() > max_event_bytes; }
 
-    /// Returns whether part of an event is left over.
+    /// Returns whether there is an incomplete event.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_pending.empty(); }
 
 private:
-    static constexpr std::size_t most_event_bytes = 1024UL * 1024;
+    static constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
-    void note_ids(std::string_view events);
+    void record_last_id(std::string_view events);
 
     std::string m_pending;
     std::string m_last_id;
--- a/servers/event_stream_parser.hpp
+++ b/servers/event_stream_parser.hpp
@@ -13,12 +13,12 @@
     std::string data;
 };
 
-/// Splits a byte stream into server-sent events. Not thread safe.
+/// Parses a byte stream into server-sent events. Not thread safe.
 class event_stream_parser {
 public:
     void add_bytes(std::string_view bytes);
 
-    /// Returns the next whole event, or nothing until more bytes were added.
+    /// Returns the next complete event, or nothing when more bytes are needed.
     [[nodiscard]] std::optional<server_sent_event> take_event();
 
 private:
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -15,8 +15,8 @@
 
 constexpr double thousandths = 1000;
 
-/// Spans of a digest are ages, costs and what is left of something; one that is over is zero. A digest with a negative
-/// number would be rejected whole.
+/// Durations in a digest are ages, costs and remaining times, and a negative one is sent as zero. A receiver would
+/// reject the whole digest because of a negative number.
 std::int64_t to_microseconds(duration span) {
     return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(span).count());
 }
@@ -27,26 +27,26 @@
 
 std::uint64_t get_number(const array& list, std::size_t index) {
     if (index >= list.size() || !list[index].is_number()) {
-        throw malformed_message_error("a number of the digest is missing");
+        throw malformed_message_error("host digest lacks a number where one is expected");
     }
     boost::json::error_code fault;
     const auto number = list[index].to_number<std::uint64_t>(fault);
     if (fault) {
-        throw malformed_message_error("a number of the digest is out of range");
+        throw malformed_message_error("number in host digest is not an unsigned 64-bit integer");
     }
     return number;
 }
 
 const array& get_list(const array& list, std::size_t index) {
     if (index >= list.size() || !list[index].is_array()) {
-        throw malformed_message_error("a list of the digest is missing");
+        throw malformed_message_error("host digest lacks a list where one is expected");
     }
     return list[index].get_array();
 }
 
-const array& to_list(const value& item) {
+const array& require_list(const value& item) {
     if (!item.is_array()) {
-        throw malformed_message_error("a list of the digest is no list");
+        throw malformed_message_error("host digest has another value where a list is expected");
     }
     return item.get_array();
 }
@@ -64,7 +64,7 @@
                          .running_tokens = get_number(list, 1),
                          .prompts = {}};
     for (const value& item : get_list(list, 2)) {
-        const array& prompt = to_list(item);
+        const array& prompt = require_list(item);
         engine.prompts.push_back({.number = get_number(prompt, 0),
                                   .age = std::chrono::microseconds(get_number(prompt, 1)),
                                   .cost = std::chrono::microseconds(get_number(prompt, 2)),
@@ -73,13 +73,13 @@
     return engine;
 }
 
-array encode_touch(const digest_prefix_access& touch) {
+array encode_prefix_access(const digest_prefix_access& access) {
     array parts;
-    for (const policy::prefix_block& part : touch.parts) {
+    for (const policy::prefix_block& part : access.parts) {
         parts.push_back(part.id);
         parts.push_back(part.tokens);
     }
-    return {touch.engine.value(), std::move(parts)};
+    return {access.engine.value(), std::move(parts)};
 }
 
 array encode_usage(const std::map<std::int64_t, policy::window_counts>& usage) {
@@ -97,12 +97,12 @@
 std::map<std::int64_t, policy::window_counts> decode_usage(const array& windows) {
     std::map<std::int64_t, policy::window_counts> usage;
     for (const value& item : windows) {
-        const array& window = to_list(item);
+        const array& window = require_list(item);
         policy::window_counts& counts = usage[static_cast<std::int64_t>(get_number(window, 0))];
         if (window.size() < 2) {
-            throw malformed_message_error("a window of the digest has no counts");
+            throw malformed_message_error("usage window in host digest has no counts");
         }
-        const object& encoded = json::as_object(window[1], "counts of a window");
+        const object& encoded = json::as_object(window[1], "counts of a usage window in host digest");
         for (const auto& count : encoded) {
             counts[organisation_name(std::string_view(count.key()))] = json::get_unsigned(encoded, count.key());
         }
@@ -111,41 +111,41 @@
 }
 
 array encode_recorded_usage(const digest_recorded_usage& recorded) {
-    array lives;
-    for (const host_incarnation& life : recorded.incarnations) {
-        lives.push_back(array{life.host, life.incarnation});
+    array incarnations;
+    for (const host_incarnation& entry : recorded.incarnations) {
+        incarnations.push_back(array{entry.host, entry.incarnation});
     }
-    return {recorded.window, std::move(lives)};
+    return {recorded.window, std::move(incarnations)};
 }
 
 digest_recorded_usage decode_recorded_usage(const array& encoded) {
     digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)), .incarnations = {}};
     for (const value& item : get_list(encoded, 1)) {
-        const array& life = to_list(item);
-        if (life.empty() || !life[0].is_string()) {
-            throw malformed_message_error("a recorded life of the digest names no host");
+        const array& entry = require_list(item);
+        if (entry.empty() || !entry[0].is_string()) {
+            throw malformed_message_error("recorded usage in host digest has an entry without host name");
         }
         recorded.incarnations.push_back(
-            {.host = std::string(life[0].get_string()), .incarnation = get_number(life, 1)});
+            {.host = std::string(entry[0].get_string()), .incarnation = get_number(entry, 1)});
     }
     return recorded;
 }
 
-array encode_deaths(const std::vector<policy::engine_crash>& deaths) {
+array encode_crashes(const std::vector<policy::engine_crash>& deaths) {
     array encoded;
-    for (const policy::engine_crash& death : deaths) {
-        encoded.push_back(array{death.fingerprint, death.crash_id, to_microseconds(death.moment.time_since_epoch())});
+    for (const policy::engine_crash& crash : deaths) {
+        encoded.push_back(array{crash.fingerprint, crash.crash_id, to_microseconds(crash.moment.time_since_epoch())});
     }
     return encoded;
 }
 
-std::vector<policy::engine_crash> decode_deaths(const array& encoded) {
+std::vector<policy::engine_crash> decode_crashes(const array& encoded) {
     std::vector<policy::engine_crash> deaths;
     for (const value& item : encoded) {
-        const array& death = to_list(item);
-        deaths.push_back({.fingerprint = get_number(death, 0),
-                          .crash_id = get_number(death, 1),
-                          .moment = wall_time(std::chrono::microseconds(get_number(death, 2)))});
+        const array& crash = require_list(item);
+        deaths.push_back({.fingerprint = get_number(crash, 0),
+                          .crash_id = get_number(crash, 1),
+                          .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
     }
     return deaths;
 }
@@ -162,7 +162,7 @@
 std::map<service_name, group_summary> decode_summaries(const object& encoded) {
     std::map<service_name, group_summary> summaries;
     for (const auto& item : encoded) {
-        const array& fields = to_list(item.value());
+        const array& fields = require_list(item.value());
         summaries.emplace(service_name(std::string_view(item.key())),
                           group_summary{.backlog = std::chrono::microseconds(get_number(fields, 0)),
                                         .utilisation = static_cast<double>(get_number(fields, 1)) / thousandths,
@@ -171,15 +171,15 @@
     return summaries;
 }
 
-/// An empty list stands for a host that does not read for others.
-array encode_reading(const std::optional<digest_read_position>& reading) {
-    if (!reading || !reading->end) {
+/// An empty list means that the host does not read the store for its group.
+array encode_read_position(const std::optional<digest_read_position>& position) {
+    if (!position || !position->end) {
         return {};
     }
-    return {*reading->end, to_microseconds(reading->age)};
+    return {*position->end, to_microseconds(position->age)};
 }
 
-std::optional<digest_read_position> decode_reading(const array& encoded) {
+std::optional<digest_read_position> decode_read_position(const array& encoded) {
     if (encoded.empty()) {
         return std::nullopt;
     }
@@ -187,17 +187,17 @@
                                 .age = std::chrono::microseconds(get_number(encoded, 1))};
 }
 
-digest_prefix_access decode_touch(const array& list) {
+digest_prefix_access decode_prefix_access(const array& list) {
     if (list.empty() || !list[0].is_string()) {
-        throw malformed_message_error("a touch of the digest names no engine");
+        throw malformed_message_error("cached prompt in host digest has no engine name");
     }
-    digest_prefix_access touch{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
+    digest_prefix_access access{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
     const array& parts = get_list(list, 1);
     for (std::size_t index = 0; index + 1 < parts.size(); index += 2) {
-        touch.parts.push_back(
+        access.parts.push_back(
             {.id = get_number(parts, index), .tokens = static_cast<std::uint32_t>(get_number(parts, index + 1))});
     }
-    return touch;
+    return access;
 }
 
 } // namespace
@@ -212,17 +212,17 @@
         instances[name.value()] = count;
     }
     array prefix_accesses;
-    for (const digest_prefix_access& touch : digest.prefix_accesses) {
-        prefix_accesses.push_back(encode_touch(touch));
+    for (const digest_prefix_access& access : digest.prefix_accesses) {
+        prefix_accesses.push_back(encode_prefix_access(access));
     }
     object transitions;
     for (const auto& [name, transition] : digest.transitions) {
         transitions[name.value()] =
             array{transition.stage == fleet::engine_stage::prefill ? 1 : 0, to_microseconds(transition.remaining)};
     }
-    object paused;
-    for (const auto& [name, left] : digest.ejections) {
-        paused[name.value()] = to_microseconds(left);
+    object ejections;
+    for (const auto& [name, remaining] : digest.ejections) {
+        ejections[name.value()] = to_microseconds(remaining);
     }
     object prefill_demand;
     for (const auto& [service, cost] : digest.prefill_demand) {
@@ -239,14 +239,14 @@
                    {"p", std::move(instances)},
                    {"t", std::move(prefix_accesses)},
                    {"c", std::move(transitions)},
-                   {"x", std::move(paused)},
+                   {"x", std::move(ejections)},
                    {"r", std::move(prefill_demand)},
                    {"u", encode_usage(digest.usage)},
                    {"m", encode_summaries(digest.summaries)},
-                   {"d", encode_deaths(digest.deaths)},
+                   {"d", encode_crashes(digest.deaths)},
                    {"l", digest.holds_lease},
-                   {"rc", encode_reading(digest.configuration)},
-                   {"rs", encode_reading(digest.servers)}};
+                   {"rc", encode_read_position(digest.configuration)},
+                   {"rs", encode_read_position(digest.servers)}};
     if (digest.recorded_usage) {
         encoded["ur"] = encode_recorded_usage(*digest.recorded_usage);
     }
@@ -255,7 +255,7 @@
 
 host_digest decode_host_digest(std::string_view text) {
     const value document = json::parse(text);
-    return decode_host_digest(json::as_object(document, "digest of a host"));
+    return decode_host_digest(json::as_object(document, "host digest"));
 }
 
 host_digest decode_host_digest(const object& source) {
@@ -275,12 +275,13 @@
                        .usage = decode_usage(json::get_array(source, "u")),
                        .recorded_usage = {},
                        .summaries = decode_summaries(json::get_object(source, "m")),
-                       .deaths = decode_deaths(json::get_array(source, "d")),
+                       .deaths = decode_crashes(json::get_array(source, "d")),
                        .holds_lease = json::get_bool_or(source, "l", false),
-                       .configuration = decode_reading(json::get_array(source, "rc")),
-                       .servers = decode_reading(json::get_array(source, "rs"))};
+                       .configuration = decode_read_position(json::get_array(source, "rc")),
+                       .servers = decode_read_position(json::get_array(source, "rs"))};
     for (const auto& item : json::get_object(source, "e")) {
-        digest.engines.emplace(backend_server_name(std::string_view(item.key())), decode_engine(to_list(item.value())));
+        digest.engines.emplace(backend_server_name(std::string_view(item.key())),
+                               decode_engine(require_list(item.value())));
     }
     const object& instances = json::get_object(source, "p");
     for (const auto& item : instances) {
@@ -288,10 +289,10 @@
                                  static_cast<std::uint32_t>(json::get_unsigned(instances, item.key())));
     }
     for (const value& item : json::get_array(source, "t")) {
-        digest.prefix_accesses.push_back(decode_touch(to_list(item)));
+        digest.prefix_accesses.push_back(decode_prefix_access(require_list(item)));
     }
     for (const auto& item : json::get_object(source, "c")) {
-        const array& transition = to_list(item.value());
+        const array& transition = require_list(item.value());
         digest.transitions.emplace(
             backend_server_name(std::string_view(item.key())),
             digest_transition{.stage = get_number(transition, 0) == 1 ? fleet::engine_stage::prefill
@@ -301,12 +302,12 @@
     if (source.contains("ur")) {
         digest.recorded_usage = decode_recorded_usage(json::get_array(source, "ur"));
     }
-    // Hosts of an earlier version, with which this one may run for the time of an update, do not tell it.
+    // Hosts of an earlier version, which may run at the same time during an update, do not send this field.
     if (source.contains("x")) {
-        const object& paused = json::get_object(source, "x");
-        for (const auto& item : paused) {
+        const object& ejections = json::get_object(source, "x");
+        for (const auto& item : ejections) {
             digest.ejections.emplace(backend_server_name(std::string_view(item.key())),
-                                     std::chrono::microseconds(json::get_unsigned(paused, item.key())));
+                                     std::chrono::microseconds(json::get_unsigned(ejections, item.key())));
         }
     }
     const object& prefill_demand = json::get_object(source, "r");
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -17,10 +17,10 @@
 
 namespace dragonflywell::servers {
 
-/// A prompt that an engine reads for the sender.
+/// A prefill that the sender has in flight on an engine.
 struct digest_prompt {
     std::uint64_t number{};
-    /// How long ago it was sent.
+    /// Time since the prompt was sent.
     duration age{};
     duration cost{};
     std::uint32_t urgency{};
@@ -28,7 +28,7 @@
     friend bool operator==(const digest_prompt&, const digest_prompt&) = default;
 };
 
-/// What the sender has on one engine.
+/// In-flight load of the sender on one engine.
 struct digest_engine {
     std::uint32_t running{0};
     std::uint64_t running_tokens{0};
@@ -37,7 +37,8 @@
     friend bool operator==(const digest_engine&, const digest_engine&) = default;
 };
 
-/// A prompt that was sent to an engine since the last digest: what it will have in its cache.
+/// A prompt that was sent to an engine since the last digest, and which the engine will therefore have in its prefix
+/// cache.
 struct digest_prefix_access {
     backend_server_name engine;
     std::vector<policy::prefix_block> parts;
@@ -45,38 +46,38 @@
     friend bool operator==(const digest_prefix_access&, const digest_prefix_access&) = default;
 };
 
-/// An engine that the sender has ordered to another stage.
+/// An engine that the sender has ordered to change its stage.
 struct digest_transition {
     fleet::engine_stage stage{fleet::engine_stage::decode};
-    /// How much longer the engine is left alone unless the list says that it has changed.
+    /// Remaining time during which the engine gets no work unless the list shows the new stage.
     duration remaining{};
 
     friend bool operator==(const digest_transition&, const digest_transition&) = default;
 };
 
-/// What the speaker of a group of hosts tells the other groups of its engines, for one service.
+/// Summary of the engines of a group for one service, sent by the group leader to other groups.
 struct group_summary {
-    /// How long a prompt waits at an engine that reads prompts, on average.
+    /// Average time that a prompt waits at a prefill engine.
     duration backlog{};
-    /// Part of their room that engines which generate have in use, 0 to 1 and above.
+    /// Share of the slots of the decode engines in use, 0 to 1 and above.
     double utilisation{0};
-    /// Requests that generate.
+    /// Number of requests that are generating.
     std::uint32_t running{0};
 
     friend bool operator==(const group_summary&, const group_summary&) = default;
 };
 
-/// How far the sender has read what the store lists, so that others need not read it themselves.
+/// How far the sender has read the store, so that the hosts of its group need not read the store themselves.
 struct digest_read_position {
-    /// Offset behind the last record taken; nothing before the first listing.
+    /// Offset after the last record that was applied; nothing before the first listing.
     std::optional<std::uint64_t> end;
-    /// How long ago the store was read.
+    /// Time since the store was read.
     duration age{};
 
     friend bool operator==(const digest_read_position&, const digest_read_position&) = default;
 };
 
-/// A life of a host's process.
+/// One incarnation of the process of a host.
 struct host_incarnation {
     std::string host;
     std::uint64_t incarnation{};
@@ -84,7 +85,7 @@
     friend auto operator<=>(const host_incarnation&, const host_incarnation&) = default;
 };
 
-/// What the sender has recorded for others of its group, so that they need not do it themselves.
+/// Usage that the sender has recorded for other hosts of its group, so that they need not record it themselves.
 struct digest_recorded_usage {
     std::int64_t window{};
     std::vector<host_incarnation> incarnations;
@@ -92,39 +93,40 @@
     friend bool operator==(const digest_recorded_usage&, const digest_recorded_usage&) = default;
 };
 
-/// What one host tells the others of itself. A newer digest replaces the older one, but for the touches, which are
-/// news.
+/// State that a host sends to the others. A newer digest replaces the older one, except for `touches`, which are sent
+/// only once.
 struct host_digest {
     std::string host;
     zone_name zone;
-    /// Names the sender's group of hosts.
+    /// Name of the group that the sender is in.
     std::string group;
     std::uint64_t incarnation{};
-    /// Grows with each digest of an incarnation; a datagram may overtake another.
+    /// Increases with each digest of an incarnation, because datagrams may arrive out of order.
     std::uint64_t sequence{};
-    /// The time of day as the sender believes it to be.
+    /// Time of day as the sender has corrected it.
     wall_time corrected_time;
     bool is_stopping{false};
     std::map<backend_server_name, digest_engine> engines;
-    /// Requests on instances of plain services.
+    /// In-flight requests on instances of plain services.
     std::map<backend_server_name, std::uint32_t> instances;
     std::vector<digest_prefix_access> prefix_accesses;
     std::map<backend_server_name, digest_transition> transitions;
-    /// Servers that the sender leaves alone since they failed or refused, each with the time that is left.
+    /// Servers that the sender has ejected after failures or refusals, each with the remaining time.
     std::map<backend_server_name, duration> ejections;
-    /// What reading the prompts of all requests since the sender's start costs engines, by service.
+    /// Total prefill time of the prompts of all requests since the start of the sender, by service.
     std::map<service_name, duration> prefill_demand;
-    /// What the sender has counted in its newest windows; empty in most digests, which come too often to carry it.
+    /// Usage counts of the sender in its newest windows; empty in most digests, because digests are too frequent to
+    /// carry it each time.
     std::map<std::int64_t, policy::window_counts> usage;
-    /// Where the sender speaks for its group: whose counts of the newest window that is over it has recorded.
+    /// Set by a group leader: the incarnations whose usage it has recorded for the newest completed window.
     std::optional<digest_recorded_usage> recorded_usage;
-    /// Where the sender speaks for its group: what other groups should know of it.
+    /// Set by a group leader: summaries of its group for other groups.
     std::map<service_name, group_summary> summaries;
-    /// Deaths of servers that the sender knows of and holds against requests; empty in most digests, too.
+    /// Server crashes that the sender knows and attributes to requests; empty in most digests, too.
     std::vector<policy::engine_crash> deaths;
-    /// The sender holds the lease under which duties are done.
+    /// Whether the sender holds the lease for the fleet-wide duties.
     bool holds_lease{false};
-    /// Where the sender reads for its group.
+    /// Set by a host that reads the store for its group: read positions of the configuration and of the server list.
     std::optional<digest_read_position> configuration;
     std::optional<digest_read_position> servers;
 
--- a/servers/http_handler.hpp
+++ b/servers/http_handler.hpp
@@ -4,7 +4,7 @@
 
 namespace dragonflywell::servers {
 
-/// Answers the requests of one listener. Thread safe: connections call it from several threads at once.
+/// Handles the requests of one listener. Thread safe: connections call it from several threads at once.
 class http_handler {
 public:
     http_handler() = default;
@@ -14,10 +14,10 @@
     http_handler& operator=(http_handler&&) = delete;
     virtual ~http_handler() = default;
 
-    /// Answers one request through the channel.
+    /// Handles one request and sends the response through the channel.
     virtual asio::awaitable<void> handle(http_request request, caller_channel& caller) = 0;
 
-    /// Tells that something was received that is not a request; `status` is what the caller is answered.
+    /// Called when a malformed request was received. `status` is the status of the response to the caller.
     virtual void on_malformed(http::status status) = 0;
 };
 
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -17,23 +17,23 @@
 
 namespace {
 
-constexpr duration accept_pause = std::chrono::milliseconds(50);
+constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 
-/// Counts one thing for as long as it lives.
-class counted {
+/// Counts one item during its lifetime.
+class scoped_count {
 public:
-    explicit counted(std::atomic<std::int64_t>& count) : m_count(&count) { ++*m_count; }
-    counted(const counted&) = delete;
-    counted& operator=(const counted&) = delete;
-    counted(counted&&) = delete;
-    counted& operator=(counted&&) = delete;
-    ~counted() { --*m_count; }
+    explicit scoped_count(std::atomic<std::int64_t>& count) : m_count(&count) { ++*m_count; }
+    scoped_count(const scoped_count&) = delete;
+    scoped_count& operator=(const scoped_count&) = delete;
+    scoped_count(scoped_count&&) = delete;
+    scoped_count& operator=(scoped_count&&) = delete;
+    ~scoped_count() { --*m_count; }
 
 private:
     std::atomic<std::int64_t>* m_count;
 };
 
-/// What belongs to one context, and is touched by its thread only.
+/// State of one context, used only by its thread.
 struct worker_state {
     asio::io_context* context{};
     /// Connections that wait for their next request.
@@ -71,8 +71,8 @@
             worker_state& worker = m_workers[m_next_worker++ % m_workers.size()];
             tcp::socket socket = co_await m_acceptor.async_accept(*worker.context, store_error(fault));
             if (fault) {
-                // Out of descriptors, most often: some time must pass before it is worth trying again.
-                co_await pause(accept_pause);
+                // The usual cause is that the process is out of file descriptors, so the next attempt waits.
+                co_await sleep_for(accept_retry_delay);
                 continue;
             }
             socket.set_option(tcp::no_delay(true), fault);
@@ -80,7 +80,7 @@
         }
     }
 
-    static asio::awaitable<void> pause(duration length) {
+    static asio::awaitable<void> sleep_for(duration length) {
         asio::steady_timer timer(co_await asio::this_coro::executor, length);
         error_code ignored;
         co_await timer.async_wait(store_error(ignored));
@@ -88,12 +88,12 @@
 
     /// Serves one connection until either side closes it.
     asio::awaitable<void> serve(std::shared_ptr<shared_state> /*self*/, worker_state& worker, tcp::socket socket) {
-        const counted open_connection(m_open_connections);
+        const scoped_count open_connection(m_open_connections);
         beast::tcp_stream stream(std::move(socket));
         beast::flat_buffer buffer;
         while (co_await wait_for_request(worker, stream, buffer)) {
-            // A request counts as running from its first byte, so that a graceful stop waits for the rest of it.
-            const counted active_request(m_active_requests);
+            // A request is active from its first byte on, so that a graceful stop waits for the rest of it.
+            const scoped_count active_request(m_active_requests);
             if (!co_await serve_one(stream, buffer)) {
                 break;
             }
@@ -102,7 +102,7 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    /// Waits for the first byte of a request; returns whether there is one.
+    /// Waits for the first byte of a request. Returns whether it arrived.
     asio::awaitable<bool> wait_for_request(worker_state& worker, beast::tcp_stream& stream,
                                            beast::flat_buffer& buffer) {
         if (buffer.size() > 0) {
@@ -112,7 +112,7 @@
         if (m_is_stopping && stream.socket().available(unavailable) == 0) {
             co_return false;
         }
-        // An idle connection holds a small buffer only.
+        // An idle connection keeps only a small buffer.
         constexpr std::size_t first_piece_bytes = 512;
         buffer.shrink_to_fit();
         stream.expires_after(m_options.limits.idle_timeout);
@@ -122,12 +122,12 @@
             co_await stream.async_read_some(buffer.prepare(first_piece_bytes), store_error(fault));
         worker.idle.erase(&stream);
         buffer.commit(received);
-        // A request that arrived just as the idle connections were given up is still answered.
+        // A request that arrives just when idle connections are cancelled is still handled.
         error_code ignored;
         co_return received > 0 || (fault == asio::error::operation_aborted && stream.socket().available(ignored) > 0);
     }
 
-    /// Reads and answers one request; returns whether the connection can take another.
+    /// Reads and handles one request. Returns whether the connection can be reused.
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
         http::request_parser<http::string_body> parser;
         parser.header_limit(m_options.limits.header_limit_bytes);
@@ -140,8 +140,8 @@
             co_return false;
         }
         http_request request = parser.release();
-        caller_disconnect_monitor watch(stream.socket());
-        tcp_caller_channel channel(stream, watch, m_options.limits.io_timeout, request.keep_alive(), m_is_closing,
+        caller_disconnect_monitor monitor(stream.socket());
+        tcp_caller_channel channel(stream, monitor, m_options.limits.io_timeout, request.keep_alive(), m_is_closing,
                                    request.method() == http::verb::head);
         try {
             co_await m_handler->handle(std::move(request), channel);
@@ -149,7 +149,7 @@
             m_log->debug("{}", gone.what());
             co_return false;
         } catch (const std::exception& unexpected) {
-            m_log->error("request failed: {}", unexpected.what());
+            m_log->error("request handler failed; the connection is closed: {}", unexpected.what());
             co_return false;
         }
         co_return channel.is_reusable();
@@ -183,7 +183,8 @@
         co_await drain_input(stream);
     }
 
-    /// Reads what the caller still sends: closing with unread input would reset the connection and lose the answer.
+    /// Reads and discards what the caller still sends. Closing with unread input would reset the connection and lose
+    /// the response.
     asio::awaitable<void> drain_input(beast::tcp_stream& stream) {
         constexpr std::size_t drain_limit_bytes = 1024 * 1024;
         constexpr std::size_t drain_piece_bytes = 16 * 1024;
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -11,11 +11,11 @@
 
 namespace dragonflywell::servers {
 
-/// What a caller may send, and how long it may take.
+/// Limits on the size of requests and on the time that callers take.
 struct caller_limits {
     std::uint32_t header_limit_bytes{16 * 1024};
     std::uint64_t body_limit_bytes{8ULL * 1024 * 1024};
-    /// How long a caller may take to send a request or to take a piece of the answer.
+    /// How long a caller may take to send a request or to read a piece of the response.
     duration io_timeout{std::chrono::seconds(60)};
     /// How long a connection may wait for its next request.
     duration idle_timeout{std::chrono::seconds(60)};
@@ -26,11 +26,10 @@
     caller_limits limits;
 };
 
-/// Listens for HTTP/1.1 with keep-alive and hands each request to a handler.
+/// Listens for HTTP/1.1 connections with keep-alive and passes each request to a handler.
 ///
-/// Connections are dealt out to the contexts in turn. Each context is run by one thread, so that a connection and all
-/// that is done for it need no lock.
-/// Thread safety: `start` and `stop` from one thread.
+/// Connections are assigned to the contexts in round-robin order. Each context is run by one thread, so that a
+/// connection and its requests need no lock. Thread safety: `start` and `stop` are called from one thread.
 class http_server {
 public:
     /// Preconditions: `contexts` is not empty; contexts and handler outlive the server and its connections.
@@ -44,17 +43,16 @@
     /// Binds and starts to accept. Throws `boost::system::system_error` when the address cannot be bound.
     void start();
 
-    /// Puts other limits in force, for what is read from now on. Called on the event loop of the only context, or
-    /// before `start`.
+    /// Sets new limits for all further reads. Must be called on the event loop of the only context, or before `start`.
     void set_limits(const caller_limits& limits);
 
-    /// Tells callers from now on with each answer that their connection takes no further request. Still accepts.
+    /// Adds "Connection: close" to all further responses. Still accepts connections.
     void disable_keep_alive();
 
-    /// Accepts no further connection, closes idle ones and each other one after the answer that is under way.
+    /// Stops accepting, closes idle connections, and closes each other connection after its current response.
     void stop();
 
-    /// Returns the bound port; of use when the settings asked for port 0.
+    /// Returns the bound port, which differs from the settings when they have port 0.
     [[nodiscard]] std::uint16_t get_port() const;
     /// Returns how many requests are being received or answered.
     [[nodiscard]] std::int64_t get_active_requests() const noexcept;
--- a/servers/idempotency_claim.cpp
+++ b/servers/idempotency_claim.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr const char* key_header = "idempotency-key";
-constexpr std::size_t longest_key = 255;
+constexpr std::size_t max_key_length = 255;
 constexpr std::size_t recorded_body_limit_bytes = 512;
 
 std::string_view get_key(const http_request& request) {
@@ -27,27 +27,28 @@
                                                        request.body())};
 }
 
-request_refused make_refusal(coordination::claim_status verdict) {
+request_refused make_refusal(coordination::claim_status status) {
     using policy::refusal_reason;
     using policy::request_outcome;
-    switch (verdict) {
+    switch (status) {
     case coordination::claim_status::running:
-        return {refusal_reason::duplicate_running, request_outcome::unknown, "the request with this key is running"};
+        return {refusal_reason::duplicate_running, request_outcome::unknown,
+                "another request with this idempotency key is still running"};
     case coordination::claim_status::different_request:
         return {refusal_reason::idempotency_key_reused, request_outcome::not_run,
-                "this key was used for another request"};
+                "this idempotency key was used for a different request"};
     case coordination::claim_status::full:
-        return {refusal_reason::queue_full, request_outcome::not_run, "too many idempotency keys are remembered"};
+        return {refusal_reason::queue_full, request_outcome::not_run, "the table of idempotency keys is full"};
     case coordination::claim_status::log_unavailable:
         return {refusal_reason::log_unavailable, request_outcome::not_run,
-                "the log cannot confirm that the request has not run before"};
+                "the log is unavailable, so it cannot be confirmed that the request has not run before"};
     case coordination::claim_status::acquired:
     case coordination::claim_status::done:
     case coordination::claim_status::unknown:
         break;
     }
     return {refusal_reason::duplicate_unknown, request_outcome::unknown,
-            "the request with this key was started and its end is not known"};
+            "a request with this idempotency key was started and its outcome is unknown"};
 }
 
 } // namespace
@@ -58,10 +59,12 @@
 
 idempotency_claim::idempotency_claim(entry_context& context, const http_request& request,
                                      const organisation_name& organisation)
-    : m_context(&context), m_is_open_route(organisation.empty()), m_claim(make_claim(request, organisation)) {
-    if (request.count(key_header) != 1 || get_key(request).empty() || get_key(request).size() > longest_key) {
-        throw request_refused(policy::refusal_reason::malformed_request, policy::request_outcome::not_run,
-                              fmt::format("send one Idempotency-Key of 1 to {} characters", longest_key));
+    : m_context(&context), m_is_public_route(organisation.empty()), m_claim(make_claim(request, organisation)) {
+    if (request.count(key_header) != 1 || get_key(request).empty() || get_key(request).size() > max_key_length) {
+        throw request_refused(
+            policy::refusal_reason::malformed_request, policy::request_outcome::not_run,
+            fmt::format("the request must have exactly one Idempotency-Key header of 1 to {} characters",
+                        max_key_length));
     }
 }
 
@@ -72,30 +75,31 @@
 }
 
 asio::awaitable<std::optional<http_response>> idempotency_claim::acquire() {
-    const coordination::claim_result answer = co_await wait_for_answer();
-    if (answer.status == coordination::claim_status::acquired) {
+    const coordination::claim_result result = co_await wait_for_result();
+    if (result.status == coordination::claim_status::acquired) {
         m_is_unsettled = true;
-        m_start_before = answer.start_deadline;
+        m_start_before = result.start_deadline;
         co_return std::nullopt;
     }
-    if (answer.status == coordination::claim_status::done) {
-        co_return replay(answer.response);
+    if (result.status == coordination::claim_status::done) {
+        co_return replay(result.response);
     }
-    throw make_refusal(answer.status);
+    throw make_refusal(result.status);
 }
 
 void idempotency_claim::check_start() const {
     if (m_context->time.now() >= m_start_before) {
         throw request_refused(policy::refusal_reason::deadline_not_feasible, policy::request_outcome::not_run,
-                              "the request waited too long after its key was claimed");
+                              "the request waited too long after its idempotency key was claimed");
     }
 }
 
 void idempotency_claim::record_response(const http_response& response) {
     const auto type = response.find(http::field::content_type);
     const std::string content_type = type == response.end() ? "" : std::string(type->value());
-    // Callers of an open route share their keys, so one must not read the answer of another.
-    const std::size_t limit_bytes = m_is_open_route ? 0 : recorded_body_limit_bytes;
+    // Callers of a public route share one key space, so the body is not recorded there: a caller must not receive the
+    // response to another one.
+    const std::size_t limit_bytes = m_is_public_route ? 0 : recorded_body_limit_bytes;
     m_is_unsettled = false;
     m_context->claims.settle({.id = m_claim.id,
                               .outcome = coordination::claim_outcome::done,
@@ -108,15 +112,15 @@
     m_context->claims.settle({.id = m_claim.id, .outcome = coordination::claim_outcome::released});
 }
 
-asio::awaitable<coordination::claim_result> idempotency_claim::wait_for_answer() {
+asio::awaitable<coordination::claim_result> idempotency_claim::wait_for_result() {
     const auto start = [this](auto handler) {
         const auto executor = asio::get_associated_executor(handler);
         const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        // The claim thread only posts: the coroutine goes on in the thread of its connection.
+        // The claim thread only posts the result; the coroutine resumes on the thread of its connection.
         m_context->claims.claim(
-            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_result answer) mutable {
-                asio::post(work.get_executor(), [shared = std::move(shared), answer = std::move(answer)]() mutable {
-                    std::move (*shared)(std::move(answer));
+            m_claim, [shared, work = asio::make_work_guard(executor)](coordination::claim_result result) mutable {
+                asio::post(work.get_executor(), [shared = std::move(shared), result = std::move(result)]() mutable {
+                    std::move (*shared)(std::move(result));
                 });
             });
     };
@@ -124,17 +128,20 @@
         start, asio::use_awaitable);
 }
 
-http_response idempotency_claim::replay(const coordination::recorded_response& answer) const {
-    if (!answer.body || m_is_open_route) {
-        throw request_refused(policy::refusal_reason::duplicate_done, policy::request_outcome::completed,
-                              fmt::format("the request with this key ran and was answered {}", answer.status));
+http_response idempotency_claim::replay(const coordination::recorded_response& recorded) const {
+    if (!recorded.body || m_is_public_route) {
+        throw request_refused(
+            policy::refusal_reason::duplicate_done, policy::request_outcome::completed,
+            fmt::format(
+                "the request with this idempotency key has completed with status {}; its response is not replayed",
+                recorded.status));
     }
-    http_response response(http::status(answer.status), 11);
-    if (!answer.content_type.empty()) {
-        response.set(http::field::content_type, answer.content_type);
+    http_response response(http::status(recorded.status), 11);
+    if (!recorded.content_type.empty()) {
+        response.set(http::field::content_type, recorded.content_type);
     }
     response.set("x-dragonflywell-replayed", "true");
-    response.body() = *answer.body;
+    response.body() = *recorded.body;
     return response;
 }
 
--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -7,7 +7,8 @@
 
 namespace dragonflywell::servers {
 
-/// A request to an instance of a plain service; its answer is passed on whole. Used by one coroutine.
+/// A request to an instance of a plain service. The response is buffered and sent to the caller as a whole. Used by one
+/// coroutine.
 class instance_request final : public serving_request {
 public:
     instance_request(serving_state& state, accepted_request request, request_record& record)
@@ -17,18 +18,18 @@
 
 private:
     [[nodiscard]] backend_server_name choose() const;
-    /// Sends the request to one instance; returns the answer for the caller, or nothing when another instance may be
-    /// tried. Throws `request_refused` when none may.
-    asio::awaitable<std::optional<http_response>> try_on(const backend_server_name& server, caller_channel& caller);
-    std::optional<http_response> on_failure(const backend_server_name& server, const exchange_failed_error& failure,
-                                            bool was_sent);
+    /// Sends the request to one instance. Returns the response for the caller, or nothing when another instance may be
+    /// tried. Throws `request_refused` when none may be tried.
+    asio::awaitable<std::optional<http_response>> send_to(const backend_server_name& server, caller_channel& caller);
+    std::optional<http_response> handle_failure(const backend_server_name& server, const exchange_failed_error& failure,
+                                                bool was_sent);
     [[nodiscard]] bool may_try_again() const;
 
     std::set<backend_server_name> m_tried;
-    /// Instances on which the request may have run.
-    std::uint32_t m_runs{0};
-    /// An answer that tells of a failure, for the caller if no better one comes.
-    std::optional<http_response> m_failed_answer;
+    /// Number of instances on which the request may have run.
+    std::uint32_t m_run_count{0};
+    /// An error response of an instance. It goes to the caller if no other instance gives a better one.
+    std::optional<http_response> m_error_response;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/kv_cache_release.hpp
+++ b/servers/kv_cache_release.hpp
@@ -4,9 +4,9 @@
 
 namespace dragonflywell::servers {
 
-/// Frees the memory of a prompt that nobody will generate from, without waiting for the answer. An engine that is not
-/// reached frees it by itself after a while. Precondition: the state outlives the call, which goes on in its event
-/// loop.
-void release_kv_cache(serving_state& state, const kv_cache_source& memory);
+/// Asks an engine to release the KV cache of a prompt that will not be used, without waiting for the response. An
+/// unreachable engine releases it after a timeout of its own. Precondition: the state outlives the operation, which
+/// continues on its event loop.
+void release_kv_cache(serving_state& state, const kv_cache_source& kv_cache);
 
 } // namespace dragonflywell::servers
--- a/servers/log_writer.cpp
+++ b/servers/log_writer.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// Lines of this span are written together, since each write costs a system call.
+/// Lines of one interval are written together, because each write costs a system call.
 constexpr duration write_interval = std::chrono::milliseconds(500);
 constexpr std::size_t batch_bytes = 32 * 1024;
 
-/// Makes writes to a pipe return at once when it is full. A file takes them anyway.
-void stop_blocking(int descriptor) {
+/// Makes writes to a pipe non-blocking. Writes to a regular file are left as they are.
+void set_nonblocking(int descriptor) {
     struct stat status {};
     if (fstat(descriptor, &status) != 0 || S_ISREG(status.st_mode)) {
         return;
@@ -28,7 +28,7 @@
 
 log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring)
     : m_timer(executor), m_ring(std::move(ring)) {
-    stop_blocking(STDOUT_FILENO);
+    set_nonblocking(STDOUT_FILENO);
 }
 
 log_writer::~log_writer() {
@@ -37,10 +37,10 @@
 
 void log_writer::start() {
     write_pending();
-    wait();
+    schedule_write();
 }
 
-void log_writer::wait() {
+void log_writer::schedule_write() {
     m_timer.expires_after(write_interval);
     m_timer.async_wait([this](const error_code& fault) {
         if (!fault) {
@@ -56,7 +56,7 @@
         }
         const ssize_t written = ::write(STDOUT_FILENO, m_unwritten.data(), m_unwritten.size());
         if (written <= 0) {
-            // Nobody reads for now; the ring goes on filling and drops what matters least.
+            // The reader is not reading; the ring keeps filling and drops the least important lines.
             return;
         }
         m_unwritten.erase(0, static_cast<std::size_t>(written));
--- a/servers/log_writer.hpp
+++ b/servers/log_writer.hpp
@@ -10,8 +10,8 @@
 
 namespace dragonflywell::servers {
 
-/// Writes the lines of a ring to standard output, a batch at a time, whenever that takes bytes without blocking.
-/// Not thread safe: lives on one event loop.
+/// Writes the lines of a log ring to standard output in batches, as far as that does not block. Not thread safe; used
+/// on one event loop.
 class log_writer {
 public:
     log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring);
@@ -19,14 +19,14 @@
     log_writer& operator=(const log_writer&) = delete;
     log_writer(log_writer&&) = delete;
     log_writer& operator=(log_writer&&) = delete;
-    /// Writes what standard output still takes.
+    /// Writes the remaining lines as far as standard output accepts them without blocking.
     ~log_writer();
 
-    /// Starts to write from time to time.
+    /// Starts to write periodically.
     void start();
 
 private:
-    void wait();
+    void schedule_write();
     void write_pending();
 
     asio::steady_timer m_timer;
--- a/servers/model_request.cpp
+++ b/servers/model_request.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::uint64_t default_most_tokens = 256;
-constexpr std::uint64_t permitted_most_tokens = 1000000;
+constexpr std::uint64_t default_max_tokens = 256;
+constexpr std::uint64_t max_permitted_tokens = 1000000;
 constexpr std::uint64_t bytes_per_prompt_token = 4;
 
 void require_prompt(const boost::json::object& document, completion_shape shape) {
@@ -31,8 +31,8 @@
     result.model = model_name(json::get_string(result.document, "model"));
     require_prompt(result.document, result.shape);
     result.is_streaming = json::get_bool_or(result.document, "stream", false);
-    result.max_tokens = json::get_unsigned_or(result.document, "max_tokens", default_most_tokens);
-    if (result.max_tokens == 0 || result.max_tokens > permitted_most_tokens) {
+    result.max_tokens = json::get_unsigned_or(result.document, "max_tokens", default_max_tokens);
+    if (result.max_tokens == 0 || result.max_tokens > max_permitted_tokens) {
         throw malformed_message_error("key \"max_tokens\" must be from 1 to 1000000");
     }
     result.estimated_prompt_tokens = request.body().size() / bytes_per_prompt_token + 1;
--- a/servers/model_request.hpp
+++ b/servers/model_request.hpp
@@ -10,23 +10,23 @@
 
 namespace dragonflywell::servers {
 
-/// Which of the two shapes that model callers use a request has.
+/// Which of the two completion APIs a request uses.
 enum class completion_shape { chat, text };
 
-/// A caller's request to a model, checked.
+/// A caller's validated request to a model.
 struct model_request {
     completion_shape shape{};
     model_name model;
     bool is_streaming{false};
     std::uint64_t max_tokens{};
     std::uint64_t estimated_prompt_tokens{};
-    /// The same for each sending of the same body.
+    /// Hash of the body, the same each time that the body is sent.
     policy::request_fingerprint fingerprint{};
-    /// The caller's document as it goes to an engine, always asking for a stream.
+    /// The document that is sent to an engine; it always requests a stream.
     boost::json::object document;
 };
 
-/// Throws `request_refused` that names the missing or wrong field. Thread safe.
+/// Parses a request. Throws `request_refused` with the missing or invalid field. Thread safe.
 [[nodiscard]] model_request parse_model_request(const http_request& request);
 
 } // namespace dragonflywell::servers
--- a/servers/peer_state.cpp
+++ b/servers/peer_state.cpp
@@ -6,41 +6,41 @@
 
 namespace {
 
-/// How long what a speaker has told of its group counts.
-constexpr duration far_memory = std::chrono::milliseconds(2500);
+/// How long the summary of another group stays valid.
+constexpr duration remote_summary_lifetime = std::chrono::milliseconds(2500);
 
 } // namespace
 
 void peer_state::merge_group_digest(const host_digest& digest) {
     m_in_flight[digest.host] = digest.instances;
-    std::map<backend_server_name, steady_time>& pauses = m_pauses[digest.host];
-    pauses.clear();
+    std::map<backend_server_name, steady_time>& ejections = m_ejections[digest.host];
+    ejections.clear();
     for (const auto& [server, left] : digest.ejections) {
-        pauses.emplace(server, m_time->now() + left);
+        ejections.emplace(server, m_time->now() + left);
     }
-    take_transitions(digest);
-    add_demand(digest, m_near_demand);
+    merge_transitions(digest);
+    add_demand(digest, m_group_demand);
     for (const auto& [window, counts] : digest.usage) {
         m_usage[{digest.host, digest.incarnation}][window] = counts;
     }
 }
 
 void peer_state::merge_intergroup_digest(const host_digest& digest) {
-    take_transitions(digest);
+    merge_transitions(digest);
     if (digest.summaries.empty()) {
         return;
     }
-    add_demand(digest, m_far_demand);
+    add_demand(digest, m_remote_demand);
     const steady_time now = m_time->now();
     for (const auto& [service, summary] : digest.summaries) {
-        // One speaker a group: its zone and number name the group, whoever speaks for it.
-        m_far_groups[service][digest.group] = {.zone = digest.zone, .summary = summary, .received_at = now};
+        // Each group has one leader at a time. The name of the group is the key, whichever host leads it.
+        m_remote_groups[service][digest.group] = {.zone = digest.zone, .summary = summary, .received_at = now};
     }
 }
 
 void peer_state::remove_host(const std::string& host) {
     m_in_flight.erase(host);
-    m_pauses.erase(host);
+    m_ejections.erase(host);
 }
 
 std::uint32_t peer_state::get_in_flight(const backend_server_name& server) const {
@@ -55,9 +55,9 @@
 
 std::optional<fleet::engine_stage> peer_state::get_transition(const backend_server_name& engine) const {
     const steady_time now = m_time->now();
-    for (const auto& [host, told] : m_transitions) {
-        const auto found = told.engines.find(engine);
-        if (found != told.engines.end() && now < found->second.until) {
+    for (const auto& [host, reported] : m_transitions) {
+        const auto found = reported.engines.find(engine);
+        if (found != reported.engines.end() && now < found->second.until) {
             return found->second.stage;
         }
     }
@@ -66,20 +66,20 @@
 
 std::uint32_t peer_state::count_ejecting_hosts(const backend_server_name& server) const {
     const steady_time now = m_time->now();
-    return static_cast<std::uint32_t>(std::count_if(m_pauses.begin(), m_pauses.end(), [&](const auto& item) {
-        const auto pause = item.second.find(server);
-        return pause != item.second.end() && now < pause->second;
+    return static_cast<std::uint32_t>(std::count_if(m_ejections.begin(), m_ejections.end(), [&](const auto& item) {
+        const auto ejection = item.second.find(server);
+        return ejection != item.second.end() && now < ejection->second;
     }));
 }
 
 duration peer_state::get_group_prefill_demand(const service_name& service) const {
-    const auto found = m_near_demand.find(service);
-    return found == m_near_demand.end() ? duration::zero() : found->second;
+    const auto found = m_group_demand.find(service);
+    return found == m_group_demand.end() ? duration::zero() : found->second;
 }
 
 duration peer_state::get_remote_prefill_demand(const service_name& service) const {
-    const auto found = m_far_demand.find(service);
-    return found == m_far_demand.end() ? duration::zero() : found->second;
+    const auto found = m_remote_demand.find(service);
+    return found == m_remote_demand.end() ? duration::zero() : found->second;
 }
 
 double peer_state::get_remote_running(const service_name& service) const {
@@ -91,18 +91,18 @@
 }
 
 std::map<std::string, peer_state::remote_group> peer_state::get_remote_groups(const service_name& service) const {
-    std::map<std::string, remote_group> groups_heard;
-    const auto found = m_far_groups.find(service);
-    if (found == m_far_groups.end()) {
-        return groups_heard;
+    std::map<std::string, remote_group> recent_groups;
+    const auto found = m_remote_groups.find(service);
+    if (found == m_remote_groups.end()) {
+        return recent_groups;
     }
     const steady_time now = m_time->now();
     for (const auto& [name, group] : found->second) {
-        if (now - group.received_at < far_memory) {
-            groups_heard.emplace(name, group);
+        if (now - group.received_at < remote_summary_lifetime) {
+            recent_groups.emplace(name, group);
         }
     }
-    return groups_heard;
+    return recent_groups;
 }
 
 void peer_state::discard_usage_before(std::int64_t window) {
@@ -112,29 +112,29 @@
     std::erase_if(m_usage, [](const auto& item) { return item.second.empty(); });
 }
 
-void peer_state::take_transitions(const host_digest& digest) {
+void peer_state::merge_transitions(const host_digest& digest) {
     const steady_time now = m_time->now();
-    told_transitions& told = m_transitions[digest.host];
-    if (told.incarnation == digest.incarnation) {
-        told.engines.clear();
+    reported_transitions& reported = m_transitions[digest.host];
+    if (reported.incarnation == digest.incarnation) {
+        reported.engines.clear();
     }
-    // A host that has started anew knows nothing of the orders of its earlier life; they are carried out all the same.
-    std::erase_if(told.engines, [now](const auto& item) { return now >= item.second.until; });
-    told.incarnation = digest.incarnation;
+    // A restarted host does not know the orders of its earlier incarnation, but engines still carry them out.
+    std::erase_if(reported.engines, [now](const auto& item) { return now >= item.second.until; });
+    reported.incarnation = digest.incarnation;
     for (const auto& [engine, transition] : digest.transitions) {
-        told.engines.insert_or_assign(engine,
-                                      stage_transition{.stage = transition.stage, .until = now + transition.remaining});
+        reported.engines.insert_or_assign(
+            engine, stage_transition{.stage = transition.stage, .until = now + transition.remaining});
     }
 }
 
 void peer_state::add_demand(const host_digest& digest, service_costs& total) {
-    told_demand& told = m_told_demand[digest.host];
-    if (told.incarnation == digest.incarnation) {
+    reported_demand& reported = m_reported_demand[digest.host];
+    if (reported.incarnation == digest.incarnation) {
         for (const auto& [service, sum] : digest.prefill_demand) {
-            total[service] += std::max(duration::zero(), sum - told.sums[service]);
+            total[service] += std::max(duration::zero(), sum - reported.sums[service]);
         }
     }
-    told = {.incarnation = digest.incarnation, .sums = digest.prefill_demand};
+    reported = {.incarnation = digest.incarnation, .sums = digest.prefill_demand};
 }
 
 } // namespace dragonflywell::servers
--- a/servers/ready_handler.hpp
+++ b/servers/ready_handler.hpp
@@ -6,7 +6,7 @@
 
 namespace dragonflywell::servers {
 
-/// Tells a balancer whether this host takes new connections. Used on one event loop.
+/// Readiness probe for a load balancer: reports whether this host accepts new connections. Used on one event loop.
 class ready_handler final : public http_handler {
 public:
     explicit ready_handler(std::function<bool()> is_ready) : m_is_ready(std::move(is_ready)) {}
--- a/servers/request_checks.cpp
+++ b/servers/request_checks.cpp
@@ -15,7 +15,7 @@
     return {text.data(), text.size()};
 }
 
-bool is_covered(std::string_view path, const fleet::service_route& route) {
+bool matches_prefix(std::string_view path, const fleet::service_route& route) {
     if (!path.starts_with(route.path_prefix)) {
         return false;
     }
@@ -24,7 +24,7 @@
     return ends_at_segment;
 }
 
-bool takes_method(const fleet::service_route& route, std::string_view method) {
+bool permits_method(const fleet::service_route& route, std::string_view method) {
     return std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
 }
 
@@ -34,7 +34,7 @@
     const auto header = request.find(http::field::authorization);
     if (header == request.end()) {
         throw request_refused(policy::refusal_reason::missing_key, policy::request_outcome::not_run,
-                              "send the key as \"Authorization: Bearer KEY\"");
+                              "the request needs a header \"Authorization: Bearer KEY\"");
     }
     const std::optional<std::string_view> key = policy::get_bearer_key(to_view(header->value()));
     std::optional<organisation_name> owner;
@@ -43,7 +43,7 @@
     }
     if (!owner) {
         throw request_refused(policy::refusal_reason::unknown_key, policy::request_outcome::not_run,
-                              "the key is not known or was revoked");
+                              "the API key is unknown or revoked");
     }
     return *owner;
 }
@@ -53,7 +53,7 @@
     const std::optional<duration> cut_off_for = context.cut_off.get_cut_off_duration(context.time.now());
     if (!policy::may_serve_cut_off(manifest.organisations.at(organisation), cut_off_for)) {
         throw request_refused(policy::refusal_reason::zone_cut_off, policy::request_outcome::not_run,
-                              "this availability zone is cut off, so that a revoked key could not be noticed");
+                              "this availability zone is cut off, so a revoked key might go unnoticed");
     }
 }
 
@@ -68,7 +68,7 @@
     }
     const duration into_window = now.time_since_epoch() % manifest.window_length;
     throw request_refused(policy::refusal_reason::over_cost_limit, policy::request_outcome::not_run,
-                          "the organisation has used its tokens of this billing window",
+                          "the organisation has used up its tokens of this billing window",
                           std::chrono::ceil<std::chrono::seconds>(manifest.window_length - into_window));
 }
 
@@ -77,11 +77,11 @@
     const fleet::service_route* best = nullptr;
     bool has_path = false;
     for (const fleet::service_route& route : manifest.routes) {
-        if (!is_covered(path, route)) {
+        if (!matches_prefix(path, route)) {
             continue;
         }
         has_path = true;
-        if (takes_method(route, method) && (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
+        if (permits_method(route, method) && (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
             best = &route;
         }
     }
@@ -90,10 +90,10 @@
     }
     if (has_path) {
         throw request_refused(policy::refusal_reason::method_not_allowed, policy::request_outcome::not_run,
-                              "the route does not take this method");
+                              "the route does not permit this method");
     }
     throw request_refused(policy::refusal_reason::no_such_route, policy::request_outcome::not_run,
-                          "no route has this path");
+                          "no route matches the path of the request");
 }
 
 http_request make_backend_request(const http_request& request) {
--- a/servers/request_counters.hpp
+++ b/servers/request_counters.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::servers {
 
-/// Counters and latencies of the request path, looked up once. Thread safe.
+/// Counters and latencies of requests, looked up once in the registry. Thread safe.
 class request_counters {
 public:
     /// Precondition: `registry` outlives the counters.
@@ -16,12 +16,12 @@
     void count_refusal(policy::refusal_reason reason) noexcept;
     void count_retry(policy::retry_reason reason) noexcept;
     void count_outcome(policy::request_outcome outcome) noexcept;
-    /// Counts an answer that went on over a new connection to the same engine.
+    /// Counts a stream that was resumed over a new connection to the same engine.
     void count_resumed_stream() noexcept { m_resumed_streams->add(); }
-    /// Counts a request that ran on an engine when it died.
+    /// Counts a request that ran on an engine when the engine crashed.
     void count_suspect() noexcept { m_suspects->add(); }
     void count_caller_disconnect() noexcept { m_callers_gone->add(); }
-    /// Counts an engine's work that was given up because its caller left.
+    /// Counts a stream that was cancelled because its caller disconnected.
     void count_cancelled_stream() noexcept { m_cancelled_streams->add(); }
 
     [[nodiscard]] latency_histogram& get_first_token_latency() noexcept { return *m_first_token; }
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -10,26 +10,26 @@
 
 namespace dragonflywell::servers {
 
-/// What is told of a request when it ends: what decided it, and what became of it.
+/// Data of a request for the log line at its end: its inputs, the servers it was sent to and the result.
 struct request_record {
     std::string id;
     std::string route;
     std::string organisation;
     std::uint64_t configuration_version{};
-    /// How old the knowledge of the configuration was when the request was accepted.
+    /// Age of the configuration when the request was accepted.
     duration configuration_age{};
-    /// How old the list of backend servers was when one of them was last chosen.
+    /// Age of the list of backend servers when a server was last chosen.
     std::optional<duration> servers_age;
     steady_time arrived_at{};
-    /// Backend servers that were sent something, in order, with what came of it.
+    /// Backend servers that the request was sent to, in order, each with the result.
     std::string servers;
     std::uint32_t sends{0};
-    /// Expected time to the first part of the answer, where it was worked out.
+    /// Expected time from arrival to the first event of the response, if it was estimated.
     std::optional<duration> expected_time_to_first_event;
     std::optional<duration> time_to_first_event;
     unsigned status{0};
 
-    /// Notes a server that was sent something.
+    /// Records a server that the request was sent to.
     void add_server(const backend_server_name& server, std::string_view what) {
         servers += servers.empty() ? "" : " ";
         servers += server.value();
@@ -39,7 +39,8 @@
     }
 };
 
-/// Returns the line that tells how a request ended. `name` begins with "request_", so that the line is kept longest.
+/// Returns the log event for the end of a request. `name` begins with "request_", because the log ring drops such lines
+/// last.
 [[nodiscard]] inline log_event make_request_event(std::string_view name, const request_record& record,
                                                   steady_time now) {
     log_event event(name);
--- a/servers/request_refused.hpp
+++ b/servers/request_refused.hpp
@@ -9,10 +9,10 @@
 
 namespace dragonflywell::servers {
 
-/// Ends a request with a typed refusal. Thrown before any byte of the answer was sent.
+/// Ends a request with a typed refusal. It is normally thrown before any byte of the response is sent.
 class request_refused : public error {
 public:
-    /// `retry_after`: when the caller may try again, where the status is one that says so.
+    /// `retry_after` is the value of Retry-After, for statuses that carry it.
     request_refused(policy::refusal_reason reason, policy::request_outcome outcome, const std::string& message,
                     duration retry_after = std::chrono::seconds(1))
         : error(message), m_reason(reason), m_outcome(outcome), m_retry_after(retry_after) {}
--- a/servers/response_assembler.cpp
+++ b/servers/response_assembler.cpp
@@ -30,7 +30,7 @@
     return reason != nullptr && reason->is_string() ? std::string(reason->get_string()) : "";
 }
 
-/// Returns the position that the event's id names, or nothing when it has no id.
+/// Returns the token position in the id of the event, or nothing when the event has no id.
 std::optional<std::uint64_t> get_position(const std::string& id) {
     if (id.empty()) {
         return std::nullopt;
@@ -39,7 +39,7 @@
     const char* end = id.data() + id.size();
     const auto [parsed, fault] = std::from_chars(id.data(), end, position);
     if (fault != std::errc{} || parsed != end) {
-        throw malformed_message_error(fmt::format("event id \"{}\" is no position", id));
+        throw malformed_message_error(fmt::format("event id \"{}\" is not a token position", id));
     }
     return position;
 }
@@ -55,7 +55,7 @@
     }
     const boost::json::value document = json::parse(event.data);
     const boost::json::object& chunk = json::as_object(document, "engine event");
-    check_stream(chunk);
+    check_stream_id(chunk);
     return add_chunk(event, chunk);
 }
 
@@ -75,11 +75,12 @@
     const std::optional<std::uint64_t> position = get_position(event.id);
     const bool is_token = position.has_value() || !added.empty();
     if (position.value_or(m_tokens) > m_tokens) {
-        throw malformed_message_error(fmt::format("position {} came before {}", *position, m_tokens));
+        throw malformed_message_error(
+            fmt::format("event for position {} arrived, but the next expected position is {}", *position, m_tokens));
     }
-    const bool is_known = position.value_or(m_tokens) < m_tokens;
-    const bool is_beyond = is_token && m_tokens >= m_most_tokens;
-    if (is_known || is_beyond) {
+    const bool is_duplicate = position.value_or(m_tokens) < m_tokens;
+    const bool is_excess = is_token && m_tokens >= m_most_tokens;
+    if (is_duplicate || is_excess) {
         return event_action::drop;
     }
     m_prompt_tokens = prompt_tokens;
@@ -93,7 +94,8 @@
 
 event_action response_assembler::end() {
     if (m_finish_reason.empty() && m_tokens < m_most_tokens) {
-        throw malformed_message_error("the stream ended without a finish reason");
+        throw malformed_message_error(
+            "engine ended the stream without a finish reason before the requested number of tokens");
     }
     if (m_finish_reason.empty()) {
         m_finish_reason = "length";
@@ -102,11 +104,12 @@
     return event_action::end;
 }
 
-void response_assembler::check_stream(const boost::json::object& chunk) const {
+void response_assembler::check_stream_id(const boost::json::object& chunk) const {
     const std::string id = json::get_string_or(chunk, "id", m_stream_id);
-    // Engines put a prefix of their own, such as "cmpl-", before the id that they were given.
+    // Engines add a prefix such as "cmpl-" to the id that they receive.
     if (!id.ends_with(m_stream_id)) {
-        throw mismatched_response_error(fmt::format("event of stream \"{}\" came on \"{}\"", id, m_stream_id));
+        throw mismatched_response_error(
+            fmt::format("event of stream \"{}\" arrived on stream \"{}\"", id, m_stream_id));
     }
 }
 
--- a/servers/response_assembler.hpp
+++ b/servers/response_assembler.hpp
@@ -9,34 +9,35 @@
 
 namespace dragonflywell::servers {
 
-/// An event that carries the stream id of another request.
+/// Thrown for an event that carries the stream id of another request.
 class mismatched_response_error : public error {
 public:
     using error::error;
 };
 
-/// What is to be done with an event of an engine.
+/// What to do with an event of an engine.
 enum class event_action {
-    /// It goes to the caller.
+    /// Forward it to the caller.
     forward,
-    /// The caller has it already, or it lies beyond what was asked for.
+    /// Drop it: the caller already has it, or it exceeds the requested number of tokens.
     drop,
-    /// It ends the answer, which is whole.
+    /// It ends the response, which is complete.
     end,
 };
 
-/// Puts the answer to one request together from the events of one or several attempts, by position. Not thread safe.
+/// Assembles the response to one request from the events of one or several attempts, by token position. Not thread
+/// safe.
 class response_assembler {
 public:
     response_assembler(completion_shape shape, std::uint64_t max_tokens) noexcept
         : m_shape(shape), m_most_tokens(max_tokens) {}
 
-    /// Starts an attempt; events that carry a stream id must carry this one.
+    /// Starts an attempt. Events that carry a stream id must carry this one.
     void start_attempt(std::string stream_id) { m_stream_id = std::move(stream_id); }
 
-    /// Checks an event and takes up what it adds.
-    /// Throws `malformed_message_error` for what is no event or leaves a position out, `mismatched_response_error` for
-    /// an event of another request; the answer so far stays as it was.
+    /// Checks an event and adds its content to the response. Throws `malformed_message_error` for an event that is
+    /// malformed or skips a position, and `mismatched_response_error` for an event of another request; the response so
+    /// far is unchanged then.
     [[nodiscard]] event_action add(const server_sent_event& event);
 
     [[nodiscard]] const std::string& get_text() const noexcept { return m_text; }
@@ -44,13 +45,13 @@
     [[nodiscard]] std::uint64_t get_prompt_tokens() const noexcept { return m_prompt_tokens; }
     [[nodiscard]] bool is_complete() const noexcept { return m_is_complete; }
 
-    /// Returns the answer as one document. Precondition: `is_complete()`.
+    /// Returns the response as one JSON document. Precondition: `is_complete()`.
     [[nodiscard]] std::string make_document(const model_name& model) const;
 
 private:
     [[nodiscard]] event_action add_chunk(const server_sent_event& event, const boost::json::object& chunk);
     [[nodiscard]] event_action end();
-    void check_stream(const boost::json::object& chunk) const;
+    void check_stream_id(const boost::json::object& chunk) const;
 
     completion_shape m_shape;
     std::uint64_t m_most_tokens;
--- a/servers/response_headers.hpp
+++ b/servers/response_headers.hpp
@@ -4,8 +4,8 @@
 
 namespace dragonflywell::servers {
 
-/// Copies the headers of a backend server's answer that concern the caller; those of one connection stay behind.
-/// Thread safe.
+/// Copies the end-to-end headers of a backend server's response to the caller's response; hop-by-hop headers are
+/// dropped. Thread safe.
 template <typename Body>
 void copy_response_headers(const http::response_header<>& from, http::response<Body>& to) {
     for (const auto& field : from) {
--- a/servers/service_call.cpp
+++ b/servers/service_call.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr double percent = 100;
-constexpr std::size_t answer_limit_bytes = 64ULL * 1024 * 1024;
+constexpr std::size_t response_limit_bytes = 64ULL * 1024 * 1024;
 
-/// Copies what the service said, without the headers that concern one connection only.
+/// Copies the response header of the service without the hop-by-hop headers.
 http_response get_caller_response(const http::response_header<>& head) {
     http_response response(http::status(head.result_int()), 11);
     for (const auto& header : head) {
@@ -27,14 +27,14 @@
 } // namespace
 
 service_call::service_call(entry_context& context, const http_request& request, const fleet::service_route& route)
-    : m_context(&context), m_request(&request), m_route(&route), m_arrived(context.time.now()),
+    : m_context(&context), m_request(&request), m_route(&route), m_arrived_at(context.time.now()),
       m_history(route.is_idempotent) {}
 
 asio::awaitable<void> service_call::run(caller_channel& caller) {
     m_context->retries.add_request(m_context->time.now());
-    const bool is_claimed = !m_route->is_idempotent && has_idempotency_key(*m_request);
+    const bool has_claim = !m_route->is_idempotent && has_idempotency_key(*m_request);
     http_response response;
-    if (is_claimed) {
+    if (has_claim) {
         response = co_await run_claimed();
     } else {
         response = co_await exchange_with_retries();
@@ -69,7 +69,8 @@
 
 asio::awaitable<http_response> service_call::exchange_with_retries() {
     while (true) {
-        // The manifest is read anew for each attempt, so that a key revoked in between stops the next one.
+        // Each attempt reads the current manifest, so that a key that was revoked in the meantime stops the next
+        // attempt.
         const std::shared_ptr<const active_manifest> manifest = m_context->manifest.get();
         const fleet::backend_server& server = prepare_attempt(*manifest);
         std::optional<exchange_failed_error> failure;
@@ -95,20 +96,20 @@
     backend_exchange exchange(m_context->connections, server.address,
                               {.may_reuse_connection = m_route->is_idempotent,
                                .progress_timeout = m_context->limits.progress_timeout,
-                               .deadline = m_arrived + m_context->limits.request_timeout});
+                               .deadline = m_arrived_at + m_context->limits.request_timeout});
     http_request request = make_backend_request(*m_request);
     request.set(http::field::host, format_endpoint(server.address));
     co_await exchange.start(request);
     http_response response = get_caller_response(exchange.get_head());
-    response.body() = co_await exchange.read_rest(answer_limit_bytes);
+    response.body() = co_await exchange.read_rest(response_limit_bytes);
     m_has_run = true;
     co_return response;
 }
 
 const fleet::backend_server& service_call::prepare_attempt(const active_manifest& manifest) {
-    if (m_context->time.now() - m_arrived >= m_context->limits.request_timeout) {
+    if (m_context->time.now() - m_arrived_at >= m_context->limits.request_timeout) {
         throw request_refused(policy::refusal_reason::deadline_exceeded, m_history.get_outcome(),
-                              "the time for this request ran out");
+                              "the deadline of this request has passed");
     }
     try {
         check_key(manifest.content);
@@ -118,7 +119,7 @@
         return choose_backend_server(*m_context, manifest.servers.get_instances(m_route->service),
                                      m_history.get_failed_servers(), get_work_requirements(manifest.content));
     } catch (const request_refused& refused) {
-        // An earlier attempt may have run, whatever stops this one.
+        // An earlier attempt may have run, so the outcome comes from the attempt history.
         throw request_refused(refused.get_reason(), m_history.get_outcome(), refused.what());
     }
 }
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -10,7 +10,7 @@
 
 namespace dragonflywell::servers {
 
-/// The engines of one service as requests see them: what they do, and how long it takes them. Not thread safe.
+/// The engines of one service: their load and the estimates of their processing times. Not thread safe.
 class service_engines {
 public:
     policy::engine_load_tracker board;
@@ -19,15 +19,15 @@
     void set_description(const fleet::engine_description& description) { m_description = description; }
     [[nodiscard]] const fleet::engine_description& get_description() const noexcept { return m_description; }
 
-    /// Takes how long the first event took after its prompt's memory was handed over.
+    /// Records the time from handing over the KV cache of a prompt to the first event.
     void record_first_event(duration taken) {
         constexpr std::int64_t weight = 16;
         m_first_event += (taken - m_first_event) / weight;
     }
 
-    /// Notes what reading the prompt of a request that arrived will cost, whether it is served or not.
+    /// Adds the prefill time of the prompt of a new request to the demand, whether the request is served or not.
     void add_prefill_demand(duration cost) noexcept { m_read_demand += cost; }
-    /// Returns the sum of these costs since the process started.
+    /// Returns the total prefill time of all prompts since the start of the process.
     [[nodiscard]] duration get_prefill_demand() const noexcept { return m_read_demand; }
 
     [[nodiscard]] policy::engine_costs get_costs() const {
@@ -49,7 +49,7 @@
 
     fleet::engine_description m_description;
     duration m_read_demand{};
-    /// Before anything was observed: a few steps of an engine.
+    /// The initial value, before any observation, is a few decode steps of an engine.
     duration m_first_event{std::chrono::milliseconds(50)};
 };
 
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -9,9 +9,9 @@
     record.arrived_at = m_state->time.now();
     std::optional<request_refused> refusal;
     try {
-        const caller_request wanted = m_dialect->decode(std::move(request));
-        record.id = wanted.id;
-        co_await serve(wanted, record, caller);
+        const caller_request incoming = m_dialect->decode(std::move(request));
+        record.id = incoming.id;
+        co_await serve(incoming, record, caller);
     } catch (const request_refused& refused) {
         refusal = refused;
     } catch (const caller_disconnected_error&) {
@@ -19,12 +19,13 @@
         make_request_event("request_abandoned", record, m_state->time.now()).write(*m_state->log, spdlog::level::info);
         throw;
     } catch (const std::exception& fault) {
-        // The caller is owed an answer also for a fault of ours; how far its request came is not known here.
+        // The caller gets a response even after an internal error. Whether the request ran is not known here, so the
+        // outcome is unknown.
         log_event("internal_fault")
             .add("id", record.id)
             .add("what", fault.what())
             .write(*m_state->log, spdlog::level::err);
-        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal fault");
+        refusal.emplace(policy::refusal_reason::internal_fault, policy::request_outcome::unknown, "internal error");
     }
     if (refusal) {
         co_await refuse(*refusal, record, caller);
@@ -46,12 +47,12 @@
         .write(*m_state->log, spdlog::level::warn);
 }
 
-asio::awaitable<void> serving_handler::serve(const caller_request& wanted, request_record& record,
+asio::awaitable<void> serving_handler::serve(const caller_request& incoming, request_record& record,
                                              caller_channel& caller) {
-    const std::unique_ptr<serving_request> request = make_serving_request(*m_state, wanted, record);
+    const std::unique_ptr<serving_request> request = make_serving_request(*m_state, incoming, record);
     co_await request->run(caller);
     if (!m_state->suspects.is_empty()) {
-        m_state->suspects.record_completion(get_fingerprint(wanted, organisation_name(record.organisation)));
+        m_state->suspects.record_completion(get_fingerprint(incoming, organisation_name(record.organisation)));
     }
     const steady_time now = m_state->time.now();
     m_state->counters.count_outcome(policy::request_outcome::completed);
--- a/servers/serving_handler.hpp
+++ b/servers/serving_handler.hpp
@@ -8,7 +8,7 @@
 
 namespace dragonflywell::servers {
 
-/// Answers callers: decodes each request, has it run, and tells how it ended. Used on one event loop.
+/// Handles requests of callers: decodes each request, runs it and logs the result. Used on one event loop.
 class serving_handler final : public http_handler {
 public:
     /// Preconditions: state and dialect outlive the handler.
@@ -18,7 +18,7 @@
     void on_malformed(http::status status) override;
 
 private:
-    asio::awaitable<void> serve(const caller_request& wanted, request_record& record, caller_channel& caller);
+    asio::awaitable<void> serve(const caller_request& incoming, request_record& record, caller_channel& caller);
     asio::awaitable<void> refuse(const request_refused& refusal, request_record& record, caller_channel& caller);
 
     serving_state* m_state;
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -13,52 +13,52 @@
 
 namespace {
 
-/// When a caller may come again that found this host without a configuration.
-constexpr duration not_ready_retry = std::chrono::milliseconds(500);
-/// When the caller of a request that crashes servers may come again: it will hardly fare better soon.
-constexpr duration quarantine_retry = std::chrono::minutes(1);
+/// Retry-After when this host has no configuration yet.
+constexpr duration not_ready_retry_after = std::chrono::milliseconds(500);
+/// Retry-After for a request that has crashed servers. It is long because the request is unlikely to succeed soon.
+constexpr duration quarantine_retry_after = std::chrono::minutes(1);
 
-const fleet::route& require_route(const fleet::serving_view& view, const caller_request& wanted) {
-    const fleet::route* route = view.find_route(wanted.host, wanted.get_path());
+const fleet::route& require_route(const fleet::serving_view& view, const caller_request& incoming) {
+    const fleet::route* route = view.find_route(incoming.host, incoming.get_path());
     if (route == nullptr) {
         throw request_refused(policy::refusal_reason::no_such_route, policy::request_outcome::not_run,
-                              "no route leads there");
+                              "no route matches the host and path of the request");
     }
     return *route;
 }
 
-/// Returns the organisation that the request runs for, or null on a public route.
+/// Returns the organisation that the request belongs to, or null on a public route.
 const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route,
-                                                       const caller_request& wanted) {
+                                                       const caller_request& incoming) {
     if (route.is_public || !view.has_organisations()) {
         return nullptr;
     }
-    if (wanted.key.empty()) {
+    if (incoming.key.empty()) {
         throw request_refused(policy::refusal_reason::missing_key, policy::request_outcome::not_run,
-                              "the request has no key");
+                              "the request carries no API key");
     }
-    const fleet::served_organisation* organisation = view.find_organisation(wanted.key);
+    const fleet::served_organisation* organisation = view.find_organisation(incoming.key);
     if (organisation == nullptr) {
         throw request_refused(policy::refusal_reason::unknown_key, policy::request_outcome::not_run,
-                              "the key is not known");
+                              "the API key is unknown");
     }
     return organisation;
 }
 
-/// Throws `request_refused` where the request has crashed several servers. It has not run this time, so that the
-/// refusal can say so, and its caller may try again when the deaths are forgotten.
-void require_not_quarantined(const serving_state& state, const caller_request& wanted,
+/// Throws `request_refused` when the request has crashed several servers. The outcome is `not_run`, since this attempt
+/// has not been sent, and the caller may try again once the crashes have expired from the quarantine.
+void require_not_quarantined(const serving_state& state, const caller_request& incoming,
                              const organisation_name& organisation) {
     if (state.suspects.is_empty()) {
         return;
     }
-    if (state.suspects.is_refused(get_fingerprint(wanted, organisation), state.get_corrected_time())) {
+    if (state.suspects.is_refused(get_fingerprint(incoming, organisation), state.get_corrected_time())) {
         throw request_refused(policy::refusal_reason::quarantined_request, policy::request_outcome::not_run,
-                              "servers died while they ran this request", quarantine_retry);
+                              "backend servers crashed while they ran this request", quarantine_retry_after);
     }
 }
 
-/// Returns one of the route's services, each with its share of the requests.
+/// Returns a random service of the route, weighted by share.
 const service_name& choose_service(const fleet::route& route) {
     const std::uint64_t total =
         std::accumulate(route.shares.begin(), route.shares.end(), std::uint64_t{0},
@@ -78,42 +78,42 @@
 
 } // namespace
 
-policy::request_fingerprint get_fingerprint(const caller_request& wanted, const organisation_name& organisation) {
-    const std::string_view body = wanted.body;
-    const std::string head = fmt::format("{} {} {} {} ", static_cast<unsigned>(wanted.method), wanted.host,
-                                         wanted.target, organisation.value());
+policy::request_fingerprint get_fingerprint(const caller_request& incoming, const organisation_name& organisation) {
+    const std::string_view body = incoming.body;
+    const std::string head = fmt::format("{} {} {} {} ", static_cast<unsigned>(incoming.method), incoming.host,
+                                         incoming.target, organisation.value());
     return get_stable_hash(head + std::to_string(get_stable_hash(body)));
 }
 
-std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& wanted,
+std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& incoming,
                                                       request_record& record) {
     const std::shared_ptr<const fleet::serving_view>& view = state.get_view();
     if (view == nullptr) {
         throw request_refused(policy::refusal_reason::not_ready, policy::request_outcome::not_run,
-                              "no configuration has been read yet", not_ready_retry);
+                              "this host has not loaded a configuration yet", not_ready_retry_after);
     }
     record.configuration_version = view->get_version();
     record.configuration_age = state.get_configuration_age();
-    const fleet::route& route = require_route(*view, wanted);
+    const fleet::route& route = require_route(*view, incoming);
     record.route = route.name;
-    const fleet::served_organisation* organisation = require_organisation(*view, route, wanted);
+    const fleet::served_organisation* organisation = require_organisation(*view, route, incoming);
     const organisation_name name = organisation == nullptr ? organisation_name() : organisation->name;
     record.organisation = name.value();
-    require_not_quarantined(state, wanted, name);
-    duration patience = route.timeout;
-    if (wanted.caller_timeout) {
-        patience = std::min(patience, *wanted.caller_timeout);
+    require_not_quarantined(state, incoming, name);
+    duration time_limit = route.timeout;
+    if (incoming.caller_timeout) {
+        time_limit = std::min(time_limit, *incoming.caller_timeout);
     }
     serving_request::accepted_request request{
-        .request = &wanted,
+        .request = &incoming,
         .view = view,
         .route = &route,
         .service = choose_service(route),
         .organisation = name,
         .priority = organisation == nullptr ? route.priority : organisation->priority.value_or(route.priority),
-        .deadline = record.arrived_at + patience};
+        .deadline = record.arrived_at + time_limit};
     state.get_retry_budget(request.service).add_request(state.time.now());
-    const bool is_generation = wanted.generation && state.find_engines(request.service) != nullptr;
+    const bool is_generation = incoming.generation && state.find_engines(request.service) != nullptr;
     if (is_generation) {
         return std::make_unique<generation_request>(state, std::move(request), record);
     }
@@ -123,14 +123,14 @@
 void serving_request::require_time_left() const {
     if (get_time_left() <= duration::zero()) {
         throw request_refused(policy::refusal_reason::deadline_exceeded, get_outcome(),
-                              "the time for this request ran out");
+                              "the deadline of this request has passed");
     }
 }
 
 void serving_request::require_retry_budget(policy::retry_reason reason) {
     if (!m_state->get_retry_budget(m_request.service).try_acquire_retry(m_state->time.now())) {
         throw request_refused(policy::refusal_reason::retry_budget_spent, get_outcome(),
-                              "no further repeat may be sent now");
+                              "the retry budget of the service is exhausted");
     }
     m_state->counters.count_retry(reason);
 }
@@ -139,7 +139,7 @@
     const fleet::listed_server* listed = m_state->directory.find(server);
     if (listed == nullptr) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
-                              "the backend server left the list");
+                              "the backend server is no longer listed");
     }
     m_record->servers_age = m_state->get_servers_age();
     return {.server = server,
@@ -150,21 +150,22 @@
             .kv_cache = {},
             .fetch_from = {},
             .urgency = {},
-            .last_event_id = get_call().last_event_id};
+            .last_event_id = get_caller_request().last_event_id};
 }
 
 exchange_options serving_request::make_exchange_options(const backend_server_name& server) const {
-    const caller_request* wanted = m_request.request;
+    const caller_request* incoming = m_request.request;
     const serving_state* state = m_state;
     const backend_codec* dialect = &m_state->codec;
-    return {
-        .may_reuse_connection = true,
-        .progress_timeout = std::max(duration::zero(), get_time_left()),
-        .deadline = m_request.deadline,
-        .accepts_unframed_response = true,
-        .is_matching_response =
-            [wanted, dialect](const http::response_header<>& head) { return dialect->is_response_to(*wanted, head); },
-        .may_send = [state, server] { return state->is_listed(server); }};
+    return {.may_reuse_connection = true,
+            .progress_timeout = std::max(duration::zero(), get_time_left()),
+            .deadline = m_request.deadline,
+            .accepts_unframed_response = true,
+            .is_matching_response =
+                [incoming, dialect](const http::response_header<>& head) {
+                    return dialect->is_response_to(*incoming, head);
+                },
+            .may_send = [state, server] { return state->is_listed(server); }};
 }
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
@@ -178,7 +179,7 @@
     if (is_unreachable) {
         m_state->record_server_down(server);
     } else {
-        const policy::request_fingerprint fingerprint = get_fingerprint(get_call(), m_request.organisation);
+        const policy::request_fingerprint fingerprint = get_fingerprint(get_caller_request(), m_request.organisation);
         m_state->crashes.record_broken_exchange(fingerprint, server, m_state->time.now());
     }
 }
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -12,7 +12,7 @@
 
 namespace dragonflywell::servers {
 
-/// What every kind of request has in common on its way to a backend server. Used by one coroutine.
+/// Base of all kinds of requests that are sent to a backend server. Used by one coroutine.
 class serving_request {
 public:
     serving_request(const serving_request&) = delete;
@@ -21,18 +21,18 @@
     serving_request& operator=(serving_request&&) = delete;
     virtual ~serving_request() = default;
 
-    /// Answers the caller. Throws `request_refused`, `caller_disconnected_error`.
+    /// Runs the request and sends the response to the caller. Throws `request_refused`, `caller_gone_error`.
     virtual asio::awaitable<void> run(caller_channel& caller) = 0;
 
 protected:
-    /// The request as it was accepted; the configuration stays that of its arrival.
+    /// The accepted request. It keeps the configuration that was active when it arrived.
     struct accepted_request {
         const caller_request* request{};
         std::shared_ptr<const fleet::serving_view> view;
         const fleet::route* route{};
         service_name service;
         organisation_name organisation;
-        /// That of the organisation, or else of the route; 0 is the most urgent.
+        /// Priority of the organisation, or of the route where the organisation has none; 0 is the most urgent.
         std::uint32_t priority{0};
         steady_time deadline{};
     };
@@ -43,28 +43,29 @@
 
     [[nodiscard]] serving_state& get_state() const noexcept { return *m_state; }
     [[nodiscard]] const accepted_request& get_request() const noexcept { return m_request; }
-    [[nodiscard]] const caller_request& get_call() const noexcept { return *m_request.request; }
+    [[nodiscard]] const caller_request& get_caller_request() const noexcept { return *m_request.request; }
     [[nodiscard]] request_record& get_record() const noexcept { return *m_record; }
     [[nodiscard]] duration get_time_left() const { return m_request.deadline - m_state->time.now(); }
 
-    /// Throws `request_refused` when the time is up.
+    /// Throws `request_refused` when the deadline has passed.
     void require_time_left() const;
-    /// Throws `request_refused` when no further repeat may be sent now.
+    /// Takes one retry from the retry budget of the service. Throws `request_refused` when the budget is exhausted.
     void require_retry_budget(policy::retry_reason reason);
 
-    /// Returns the dispatch to a server of the list. Throws `request_refused` when it is not listed any more.
+    /// Returns the dispatch to a listed server. Throws `request_refused` when the server is no longer listed.
     [[nodiscard]] dispatch make_dispatch(const backend_server_name& server) const;
-    /// Returns the options of an exchange with that server, to which nothing is sent once it leaves.
+    /// Returns the options of an exchange with a server. The exchange sends nothing if the server is no longer listed
+    /// by then.
     [[nodiscard]] exchange_options make_exchange_options(const backend_server_name& server) const;
 
-    /// Notes what a failed exchange says about its server.
+    /// Records a failed exchange in the health state of its server.
     void record_failure(const backend_server_name& server, const exchange_failed_error& failure) const;
-    /// Notes that a server would not run anything.
+    /// Records that a server refused to run the request.
     void record_refusal(const backend_server_name& server) const;
-    /// Notes that a server began to run the request, at that time of day.
+    /// Records that a server started to run the request at the given time of day, and counts the usage once.
     void record_execution(wall_time began_at);
 
-    /// Returns how far the request came, for a refusal.
+    /// Returns the outcome to report in a refusal.
     [[nodiscard]] policy::request_outcome get_outcome() const noexcept {
         return m_may_have_run ? policy::request_outcome::unknown : policy::request_outcome::not_run;
     }
@@ -82,13 +83,13 @@
                                                                  request_record&);
 };
 
-/// Returns the digest by which a request is known when its caller sends it again. Thread safe.
-[[nodiscard]] policy::request_fingerprint get_fingerprint(const caller_request& wanted,
+/// Returns a hash that is the same each time the caller sends the same request. Thread safe.
+[[nodiscard]] policy::request_fingerprint get_fingerprint(const caller_request& incoming,
                                                           const organisation_name& organisation);
 
-/// Checks route and key of a call and returns the request that answers it. Throws `request_refused`.
-/// Preconditions: state, call and record outlive the request.
-[[nodiscard]] std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& wanted,
-                                                                    request_record& record);
+/// Checks the route and the key of a request and returns the object that runs it. Throws `request_refused`.
+/// Preconditions: state, call and record outlive the returned request.
+[[nodiscard]] std::unique_ptr<serving_request>
+make_serving_request(serving_state& state, const caller_request& incoming, request_record& record);
 
 } // namespace dragonflywell::servers
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -10,16 +10,16 @@
 
 namespace {
 
-/// Parts of the fleet's budget for repeats that are spent: of what requests pay for, and of what is permitted besides.
-/// A host that starts anew knows nothing of what it spent before; with all hosts started anew within a window, the
-/// requests of half a window more and twice what is besides still lie within the whole.
-constexpr double paid_share = 0.7;
-constexpr double besides_share = 0.4;
-/// Hosts that must have seen a server fail before all of their group leave it alone; a single failure of the own host
-/// counts as much as another host's pause.
-constexpr std::uint32_t witnesses_needed = 2;
-/// How long other hosts count a server as left alone that is silent here: until a digest or two later.
-constexpr duration told_silence = std::chrono::seconds(1);
+/// Shares of the retry budget of the fleet that are used: of the part that requests add, and of the base part. The rest
+/// is a reserve, because a restarted host does not know what it spent before. If all hosts restart within one window,
+/// the retries for the requests of half a window more and twice the base still stay within the whole budget.
+constexpr double per_request_share = 0.7;
+constexpr double base_share = 0.4;
+/// Number of hosts of the group that must have seen a server fail before the server counts as degraded. A failure on
+/// this host counts as much as an ejection on another host.
+constexpr std::uint32_t min_failure_witnesses = 2;
+/// Ejection time that this host reports for a stalled server. It covers the time until one or two digests later.
+constexpr duration stalled_ejection_time = std::chrono::seconds(1);
 
 } // namespace
 
@@ -28,10 +28,10 @@
     : executor(std::move(loop)), time(clock), connections(pool), codec(wire), options(std::move(chosen)),
       peers(clock, policy::host_groups(options.own_host, options.own_zone, {})), usage(options.usage_window),
       counters(metrics), log(get_logger("request")),
-      m_true_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
+      m_corrected_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
 wall_time serving_state::get_corrected_time() const {
-    return wall_time(time.now_with_suspension().time_since_epoch() + m_true_offset);
+    return wall_time(time.now_with_suspension().time_since_epoch() + m_corrected_offset);
 }
 
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
@@ -85,27 +85,27 @@
     if (silence.is_stalled(server, time.now())) {
         return true;
     }
-    return peers.count_ejecting_hosts(server) + (health.has_failed_last(server) ? 1 : 0) >= witnesses_needed;
+    return peers.count_ejecting_hosts(server) + (health.has_failed_last(server) ? 1 : 0) >= min_failure_witnesses;
 }
 
 std::map<backend_server_name, duration> serving_state::get_ejected() const {
     std::map<backend_server_name, duration> paused = health.get_ejected(time.now());
     for (const backend_server_name& server : silence.get_stalled(time.now())) {
         duration& left = paused[server];
-        left = std::max(left, told_silence);
+        left = std::max(left, stalled_ejection_time);
     }
     return paused;
 }
 
 void serving_state::begin_stage_change(const backend_server_name& engine, fleet::engine_stage stage,
                                        steady_time until) {
-    m_changing[engine] = {.stage = stage, .until = until};
+    m_stage_changes[engine] = {.stage = stage, .until = until};
     notify_load_change();
 }
 
 bool serving_state::is_changing_stage(const backend_server_name& engine) const {
     std::optional<fleet::engine_stage> stage = peers.get_transition(engine);
-    if (const auto own = m_changing.find(engine); own != m_changing.end() && time.now() < own->second.until) {
+    if (const auto own = m_stage_changes.find(engine); own != m_stage_changes.end() && time.now() < own->second.until) {
         stage = own->second.stage;
     }
     const fleet::listed_server* listed = directory.find(engine);
@@ -115,8 +115,9 @@
 std::map<backend_server_name, digest_transition> serving_state::get_own_transitions() const {
     const steady_time now = time.now();
     std::map<backend_server_name, digest_transition> transitions;
-    for (const auto& [engine, transition] : m_changing) {
-        // Another host may have ordered the same engine anew, so that it is changing though this order is over.
+    for (const auto& [engine, transition] : m_stage_changes) {
+        // Another host may have ordered a change of the same engine since, so that the engine is still changing
+        // although this order has expired.
         if (now < transition.until && is_changing_stage(engine)) {
             transitions.emplace(engine,
                                 digest_transition{.stage = transition.stage, .remaining = transition.until - now});
@@ -131,7 +132,7 @@
 }
 
 policy::retry_budget& serving_state::get_retry_budget(const service_name& service) {
-    std::unique_ptr<policy::retry_budget>& budget = m_budgets[service];
+    std::unique_ptr<policy::retry_budget>& budget = m_retry_budgets[service];
     if (budget == nullptr) {
         budget = std::make_unique<policy::retry_budget>(get_budget_options(), options.started_at);
     }
@@ -139,20 +140,21 @@
 }
 
 void serving_state::set_host_count(std::size_t hosts) {
-    if (hosts == m_hosts || hosts == 0) {
+    if (hosts == m_host_count || hosts == 0) {
         return;
     }
-    m_hosts = hosts;
-    for (auto& [service, budget] : m_budgets) {
+    m_host_count = hosts;
+    for (auto& [service, budget] : m_retry_budgets) {
         budget->set_options(get_budget_options());
     }
 }
 
 policy::retry_budget_options serving_state::get_budget_options() const {
-    // What is permitted besides is divided among all hosts; until they are known nobody takes a part.
-    const double besides = m_hosts == 0 ? 0 : besides_share * options.base_retries / static_cast<double>(m_hosts);
-    return {.retries_per_request = paid_share * options.retries_per_request,
-            .base_retries = besides,
+    // The base budget is divided among all hosts. Until their number is known, no host uses any of it.
+    const double base_retries =
+        m_host_count == 0 ? 0 : base_share * options.base_retries / static_cast<double>(m_host_count);
+    return {.retries_per_request = per_request_share * options.retries_per_request,
+            .base_retries = base_retries,
             .window = options.retry_window};
 }
 
@@ -181,7 +183,7 @@
     }
     const policy::engine_load_tracker& board = found->second.board;
     duration backlog{};
-    std::int64_t readers = 0;
+    std::int64_t prefill_engines = 0;
     double slots = 0;
     for (const auto& [name, engine] : board.get_engines()) {
         if (!is_own_group_server(name) || !is_usable(name)) {
@@ -189,14 +191,14 @@
         }
         if (engine.facts.stage == fleet::engine_stage::prefill) {
             backlog += board.get_backlog(name, time.now());
-            ++readers;
+            ++prefill_engines;
         } else {
             slots += engine.facts.slots;
             summary.running += board.get_running(name);
         }
     }
-    // A group without engines is one that nobody should turn to.
-    summary.backlog = readers > 0 ? backlog / readers : std::chrono::hours(1);
+    // A group without engines reports an hour of backlog and full slots, so that no other group sends requests to it.
+    summary.backlog = prefill_engines > 0 ? backlog / prefill_engines : std::chrono::hours(1);
     summary.utilisation = slots > 0 ? summary.running / slots : 1;
     return summary;
 }
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -30,96 +30,103 @@
     std::string own_host;
     zone_name own_zone;
     duration usage_window{std::chrono::seconds(5)};
-    /// How long after a window's end this host waits until it records its usage itself where another may do it.
+    /// How long after the end of a window this host waits before it records its own usage, where another host may
+    /// record it for the group.
     duration fallback_record_delay{};
-    /// Repeats that the whole system may make for each request to a service, and besides, in one window.
+    /// Retry budget of a service for all hosts together: retries per request, and a base number of retries in each
+    /// window that does not depend on requests.
     double retries_per_request{0.2};
     double base_retries{0};
     duration retry_window{std::chrono::seconds(10)};
-    /// How long entries of the list of backend servers may be missing after an outage.
+    /// How long servers may be missing from the list after an outage before they are dropped.
     fleet::list_reachability_options list_reachability{};
-    /// When the process started. What it may repeat besides grows over the first window, since what the process before
-    /// it has spent is not known; with an early moment all of it is there at once.
+    /// When the process started. The base part of the retry budget grows from zero over the first window, because what
+    /// the previous process spent is not known. With an early time the whole base is available at once.
     steady_time started_at{};
 };
 
-/// What the requests of one event loop share. Not thread safe.
+/// State that the requests of one event loop share. Not thread safe.
 class serving_state {
 public:
     /// Preconditions: clock, pool, dialect and registry outlive the state.
     serving_state(asio::any_io_executor executor, const clock_source& time, backend_connection_pool& connections,
                   const backend_codec& dialect, metrics_registry& metrics, serving_options options);
 
-    /// Puts a configuration in force. Precondition: it is newer than the one before.
+    /// Activates a configuration. Precondition: it is newer than the active one.
     void set_view(std::shared_ptr<const fleet::serving_view> view);
-    /// Returns the configuration in force, or null.
+    /// Returns the active configuration, or null.
     [[nodiscard]] const std::shared_ptr<const fleet::serving_view>& get_view() const noexcept { return m_view; }
 
-    /// Takes over changes of the directory. Called after each of them.
+    /// Applies changes of the directory to the engine load trackers. Called after each change.
     void refresh_servers();
 
     /// Returns the engines of a service, or null when it has none.
     [[nodiscard]] service_engines* find_engines(const service_name& service);
     [[nodiscard]] std::map<service_name, service_engines>& get_engines() noexcept { return m_engines; }
 
-    /// Returns whether a server belongs to the group of hosts that this one is in.
+    /// Returns whether a server is assigned to the group of this host.
     [[nodiscard]] bool is_own_group_server(const backend_server_name& server) const;
-    /// Returns whether the list permits that work is sent to a server.
+    /// Returns whether the list of backend servers permits requests to a server.
     [[nodiscard]] bool is_listed(const backend_server_name& server) const;
-    /// Returns whether work may be sent to a server now: it is listed and has not failed lately.
+    /// Returns whether requests may be sent to a server now: it is listed and not ejected after a failure.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
-    /// Returns whether a server is used only where no other is left: a request waits there without an answer for too
-    /// long, or enough hosts of the group have seen it fail or refuse lately. One host alone may be the one whose own
-    /// link is at fault.
+    /// Returns whether a server is used only where no healthy one is left: a request there is stalled, or enough hosts
+    /// of the group have recently seen it fail or refuse. The failure of one host alone is not enough, because the
+    /// network link of that host may be the cause.
     [[nodiscard]] bool is_degraded(const backend_server_name& server) const;
 
-    /// Returns the servers that this host leaves alone, each with the time that is left, for other hosts.
+    /// Returns the servers that this host has ejected or that are stalled, each with the remaining time, for the digest
+    /// to other hosts.
     [[nodiscard]] std::map<backend_server_name, duration> get_ejected() const;
 
-    /// Notes that an engine is changing to a stage; it is not used until the list says that it has, or until then.
+    /// Records that an engine is changing to a stage. The engine is not used until the list shows the new stage, or
+    /// until the given time.
     void begin_stage_change(const backend_server_name& engine, fleet::engine_stage stage, steady_time until);
-    void end_stage_change(const backend_server_name& engine) { m_changing.erase(engine); }
+    void end_stage_change(const backend_server_name& engine) { m_stage_changes.erase(engine); }
     [[nodiscard]] bool is_changing_stage(const backend_server_name& engine) const;
 
-    /// Returns the changes that this host has ordered and that are still under way, for other hosts.
+    /// Returns the stage changes that this host has ordered and that are still under way, for the digest to other
+    /// hosts.
     [[nodiscard]] std::map<backend_server_name, digest_transition> get_own_transitions() const;
 
-    /// Returns the budget for repeats of a service.
+    /// Returns the retry budget of a service.
     [[nodiscard]] policy::retry_budget& get_retry_budget(const service_name& service);
-    /// Sets how many hosts share the budgets.
+    /// Sets how many hosts share the retry budgets.
     void set_host_count(std::size_t hosts);
 
-    /// Returns the cost of all prompts that this host and the others have got since this host watches them.
+    /// Returns the total prefill time of the prompts that all known hosts have received since this process started or
+    /// first got their digests.
     [[nodiscard]] duration get_prefill_demand(const service_name& service) const;
 
-    /// Returns the same for the hosts of this host's group only.
+    /// Returns the same total for the hosts of the own group only.
     [[nodiscard]] duration get_group_prefill_demand(const service_name& service) const;
-    /// Returns what other groups should know of the engines of this one.
+    /// Returns the summary of the engines of the own group, for other groups.
     [[nodiscard]] group_summary get_group_summary(const service_name& service) const;
 
-    /// Returns how many requests generate on a service's engines, for all hosts, as far as known.
+    /// Returns how many requests are generating on the engines of a service, over all known hosts.
     [[nodiscard]] double get_running(const service_name& service) const;
 
-    /// Notes up to which moment the configuration, or the list of backend servers, is known to be complete here.
+    /// Sets the time up to which the configuration, or the list of backend servers, is known to be current on this
+    /// host.
     void set_configuration_current_at(steady_time at) noexcept { m_configuration_known_at = at; }
     void set_servers_current_at(steady_time at) noexcept { m_servers_known_at = at; }
-    /// Returns how old what this host knows of them is.
+    /// Returns the time since the configuration, or the list of backend servers, was known to be current.
     [[nodiscard]] duration get_configuration_age() const { return time.now() - m_configuration_known_at; }
     [[nodiscard]] duration get_servers_age() const { return time.now() - m_servers_known_at; }
 
-    /// Returns the time of day as this host believes it to be, whatever its wall clock was set to meanwhile.
+    /// Returns the time of day as corrected by other hosts. It does not follow later changes of the wall clock.
     [[nodiscard]] wall_time get_corrected_time() const;
-    /// Corrects that time by what other hosts say.
-    void adjust_corrected_time(duration by) noexcept { m_true_offset += by; }
+    /// Adds an offset that was derived from the clocks of other hosts.
+    void adjust_corrected_time(duration by) noexcept { m_corrected_offset += by; }
 
-    /// Returns how many requests of all hosts are on an instance, as far as known.
+    /// Returns how many requests of all known hosts are in flight on an instance.
     [[nodiscard]] std::uint32_t get_in_flight(const backend_server_name& server) const;
     [[nodiscard]] const instance_counts& get_own_in_flight() const noexcept { return m_own_in_flight; }
-    /// Forgets a host that fell silent.
+    /// Removes the state of an unresponsive host.
     void remove_host(const std::string& host);
 
-    /// Counts one request on a server for as long as it lives.
+    /// Counts one in-flight request on a server for the lifetime of the token.
     class in_flight_guard {
     public:
         in_flight_guard(serving_state& state, backend_server_name server);
@@ -134,7 +141,7 @@
         backend_server_name m_server;
     };
 
-    /// The event loop that all of this belongs to.
+    /// The event loop on which the whole state is used.
     const asio::any_io_executor executor;
     const clock_source& time;
     backend_connection_pool& connections;
@@ -151,15 +158,16 @@
     request_counters counters;
     std::shared_ptr<spdlog::logger> log;
     bool is_stopping{false};
-    /// Called when this host's work on backend servers has changed; may be empty.
+    /// Called when the load that this host puts on backend servers has changed; may be empty.
     std::function<void()> on_load_change;
-    /// Prompts sent to engines that other hosts have not been told of yet.
+    /// Prompts sent to engines since the last digest to other hosts.
     std::vector<digest_prefix_access> prefix_accesses;
 
-    /// Notes that a server is gone, cannot be reached or has started anew, and holds it against what ran there.
+    /// Records that a server has left, is unreachable or has restarted, and adds a crash to the quarantine for each
+    /// request that ran there.
     void record_server_down(const backend_server_name& server);
 
-    /// Notes a change of this host's work on backend servers.
+    /// Notifies `on_load_change` that the load on backend servers has changed.
     void notify_load_change() const {
         if (on_load_change) {
             on_load_change();
@@ -169,16 +177,17 @@
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
 
-    /// What the time of day is ahead of the clock that counts suspension. Taken once: a wall clock may be set later.
-    duration m_true_offset{};
+    /// Offset of the corrected time of day from the clock that counts suspension. It is taken once, because the wall
+    /// clock may be set later.
+    duration m_corrected_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
     steady_time m_configuration_known_at{};
     steady_time m_servers_known_at{};
     std::map<service_name, service_engines> m_engines;
-    stage_transitions m_changing;
-    std::map<service_name, std::unique_ptr<policy::retry_budget>> m_budgets;
-    /// Hosts that share the budgets; zero until they are known.
-    std::size_t m_hosts{0};
+    stage_transitions m_stage_changes;
+    std::map<service_name, std::unique_ptr<policy::retry_budget>> m_retry_budgets;
+    /// Number of hosts that share the retry budgets; zero until it is known.
+    std::size_t m_host_count{0};
     instance_counts m_own_in_flight;
 };
 
--- a/servers/shared_prefixes.hpp
+++ b/servers/shared_prefixes.hpp
@@ -11,32 +11,34 @@
 namespace dragonflywell::servers {
 
 struct shared_prefixes_options {
-    /// Parts shorter than this are read again sooner than they are fetched.
+    /// Shorter prefixes are not announced, because an engine prefills them faster than it fetches them.
     std::uint32_t min_tokens{1024};
-    /// A part that is used on and on is told again after this, so that others know that it is still kept.
+    /// A prefix that stays in use is announced again after this interval, so that other groups know that it is still
+    /// cached.
     duration repeat_interval{std::chrono::seconds(4)};
-    /// Touches told at once at most, so that they fit into a datagram; the newest ones count.
+    /// Maximum number of prefixes in one announcement, so that they fit into a datagram; the newest ones are kept.
     std::size_t max_prefix_accesses{150};
 };
 
-/// Gathers what a group of hosts lets its engines read, for other groups, which can fetch it instead of having it read
-/// again. Of a prompt only what other requests may share is told: all parts but the last. Not thread safe.
+/// Collects the prompt prefixes that the engines of a group have cached, to announce them to other groups. Engines of
+/// other groups can then fetch a prefix instead of prefilling it. Only the part of a prompt that other requests may
+/// share is announced: all parts but the last. Not thread safe.
 class shared_prefixes {
 public:
     explicit shared_prefixes(shared_prefixes_options options = {}) noexcept : m_options(options) {}
 
-    /// Notes a prompt that was sent to an engine of the group.
-    void add(const digest_prefix_access& touch, steady_time now);
+    /// Records a prompt that was sent to an engine of the group.
+    void add(const digest_prefix_access& access, steady_time now);
 
-    /// Returns what is to be told now, and forgets it.
+    /// Returns the prefixes to announce now and clears them.
     [[nodiscard]] std::vector<digest_prefix_access> take(steady_time now);
 
 private:
-    using told_part = std::pair<backend_server_name, std::uint64_t>;
+    using announced_prefix = std::pair<backend_server_name, std::uint64_t>;
 
     shared_prefixes_options m_options;
-    std::vector<digest_prefix_access> m_news;
-    std::map<told_part, steady_time> m_told_at;
+    std::vector<digest_prefix_access> m_pending;
+    std::map<announced_prefix, steady_time> m_announced_at;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/sleep.hpp
+++ b/servers/sleep.hpp
@@ -8,7 +8,7 @@
 
 namespace dragonflywell::servers {
 
-/// Suspends the calling coroutine.
+/// Suspends the calling coroutine for the given time.
 inline asio::awaitable<void> sleep_for(duration length) {
     asio::steady_timer timer(co_await asio::this_coro::executor, length);
     error_code ignored;
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -4,25 +4,26 @@
 
 namespace dragonflywell::servers {
 
-tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_disconnect_monitor& watch, duration io_timeout,
-                                       bool keep_alive, const std::atomic<bool>& is_closing, bool is_head_request)
-    : m_stream(&stream), m_watch(&watch), m_is_closing(&is_closing), m_io_timeout(io_timeout), m_keep_alive(keep_alive),
-      m_is_head_request(is_head_request) {}
+tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_disconnect_monitor& monitor,
+                                       duration io_timeout, bool keep_alive, const std::atomic<bool>& is_closing,
+                                       bool is_head_request)
+    : m_stream(&stream), m_monitor(&monitor), m_is_closing(&is_closing), m_io_timeout(io_timeout),
+      m_keep_alive(keep_alive), m_is_head_request(is_head_request) {}
 
-void tcp_caller_channel::start_answer() {
+void tcp_caller_channel::begin_response() {
     m_is_started = true;
     m_keep_alive = m_keep_alive && !*m_is_closing;
 }
 
 void tcp_caller_channel::throw_if_gone(const error_code& fault) {
     if (fault) {
-        m_watch->set_disconnected();
-        throw caller_disconnected_error("caller does not take its answer: " + fault.message());
+        m_monitor->set_disconnected();
+        throw caller_disconnected_error("writing the response to the caller failed: " + fault.message());
     }
 }
 
 asio::awaitable<void> tcp_caller_channel::send(http_response response) {
-    start_answer();
+    begin_response();
     response.keep_alive(m_keep_alive);
     if (!m_is_head_request) {
         response.prepare_payload();
@@ -31,11 +32,11 @@
     error_code fault;
     co_await http::async_write(*m_stream, response, store_error(fault));
     throw_if_gone(fault);
-    m_is_whole = true;
+    m_is_complete = true;
 }
 
 asio::awaitable<void> tcp_caller_channel::start_stream(stream_head head) {
-    start_answer();
+    begin_response();
     head.keep_alive(m_keep_alive);
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
@@ -57,7 +58,7 @@
     error_code fault;
     co_await asio::async_write(*m_stream, http::make_chunk_last(), store_error(fault));
     throw_if_gone(fault);
-    m_is_whole = true;
+    m_is_complete = true;
 }
 
 void tcp_caller_channel::abort_stream() {
--- a/servers/thread_random.hpp
+++ b/servers/thread_random.hpp
@@ -4,7 +4,7 @@
 
 namespace dragonflywell::servers {
 
-/// Returns the calling thread's own random numbers, seeded differently in each thread and process.
+/// Returns the random number generator of the calling thread, seeded differently in each thread and process.
 [[nodiscard]] std::mt19937_64& get_thread_random();
 
 } // namespace dragonflywell::servers
--- a/tests/servers/test_admission_controller.cpp
+++ b/tests/servers/test_admission_controller.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// A caller that gets no answer and may leave.
-class silent_caller final : public caller_channel {
+/// A caller that discards all responses and may disconnect.
+class discarding_caller final : public caller_channel {
 public:
     asio::awaitable<void> send(http_response /*response*/) override { co_return; }
     asio::awaitable<void> start_stream(stream_head /*head*/) override { co_return; }
@@ -25,7 +25,7 @@
     [[nodiscard]] bool is_disconnected() const noexcept override { return m_is_gone; }
     void set_on_disconnect(std::function<void()> notify) override { m_notify = std::move(notify); }
 
-    void leave() {
+    void disconnect() {
         m_is_gone = true;
         m_notify();
     }
@@ -35,12 +35,12 @@
     std::function<void()> m_notify;
 };
 
-/// Several requests at one gate, all on one thread.
-class gate_trial {
+/// Several requests to one admission controller, all on one thread.
+class admission_harness {
 public:
-    explicit gate_trial(const admission_options& options) : m_gate(m_clock, options) {}
+    explicit admission_harness(const admission_options& options) : m_controller(m_clock, options) {}
 
-    /// Has a request of 100 tokens ask for admission.
+    /// Starts a request of 100 tokens that asks for admission.
     void ask(const std::string& organisation) {
         asio::co_spawn(m_context, run(organisation, m_callers.emplace_back()), asio::detached);
         poll();
@@ -55,16 +55,16 @@
     }
 
     std::string log;
-    std::list<silent_caller> m_callers;
+    std::list<discarding_caller> m_callers;
 
 private:
-    asio::awaitable<void> run(std::string organisation, silent_caller& caller) {
+    asio::awaitable<void> run(std::string organisation, discarding_caller& caller) {
         const admission_request request{.model = model_name("m"),
                                         .organisation = organisation_name(organisation),
                                         .cost = {.prefill_tokens = 0, .decode_tokens = 100},
                                         .capacity_tokens = 200};
         try {
-            m_permits.push_back(co_await m_gate.admit(request, caller));
+            m_permits.push_back(co_await m_controller.admit(request, caller));
             log += organisation + " ";
         } catch (const request_refused& refused) {
             log += std::string(policy::get_refusal_response(refused.get_reason()).code) + " ";
@@ -74,39 +74,40 @@
     }
 
     virtual_clock m_clock;
-    admission_controller m_gate;
+    admission_controller m_controller;
     asio::io_context m_context;
     std::vector<std::unique_ptr<admission_controller::permit>> m_permits;
 };
 
 } // namespace
 
-TEST_CASE("requests beyond the capacity wait, organisations take turns and callers that leave are passed over") {
-    gate_trial trial({.max_wait = std::chrono::hours(1)});
+TEST_CASE(
+    "requests beyond the capacity are queued, organisations are served in turn and disconnected callers are skipped") {
+    admission_harness harness({.max_wait = std::chrono::hours(1)});
     for (int request = 0; request < 5; ++request) {
-        trial.ask("a");
+        harness.ask("a");
     }
-    trial.ask("b");
-    CHECK(trial.log == "a a ");
-    trial.release_oldest();
-    trial.release_oldest();
-    CHECK(trial.log == "a a a b ");
-    std::next(trial.m_callers.begin(), 3)->leave();
-    trial.poll();
-    trial.release_oldest();
-    CHECK(trial.log == "a a a b gone a ");
+    harness.ask("b");
+    CHECK(harness.log == "a a ");
+    harness.release_oldest();
+    harness.release_oldest();
+    CHECK(harness.log == "a a a b ");
+    std::next(harness.m_callers.begin(), 3)->disconnect();
+    harness.poll();
+    harness.release_oldest();
+    CHECK(harness.log == "a a a b gone a ");
 }
 
-TEST_CASE("a full queue and a wait that is too long are refused") {
-    gate_trial trial({.max_wait = std::chrono::hours(1), .max_waiting = 1});
+TEST_CASE("a request is refused when the queue is full or the expected wait is too long") {
+    admission_harness harness({.max_wait = std::chrono::hours(1), .max_waiting = 1});
     for (int request = 0; request < 4; ++request) {
-        trial.ask("a");
+        harness.ask("a");
     }
-    CHECK(trial.log == "a a queue_full ");
-    gate_trial hasty({.max_wait = duration::zero()});
+    CHECK(harness.log == "a a queue_full ");
+    admission_harness zero_wait({.max_wait = duration::zero()});
     for (int request = 0; request < 3; ++request) {
-        hasty.ask("a");
+        zero_wait.ask("a");
     }
-    hasty.poll();
-    CHECK(hasty.log == "a a deadline_not_feasible ");
+    zero_wait.poll();
+    CHECK(zero_wait.log == "a a deadline_not_feasible ");
 }
--- a/tests/servers/test_backend_choice.cpp
+++ b/tests/servers/test_backend_choice.cpp
@@ -19,9 +19,9 @@
             .offer = fleet::engine{.model = model_name("m")}};
 }
 
-/// A daemon's placement with two engines, one of them cheap.
-struct placement_case : testing::entry_parts {
-    /// Returns how often each was chosen in a hundred requests.
+/// Placement of a daemon with two engines, one of them cheap.
+struct placement_fixture : testing::entry_parts {
+    /// Returns how often each engine was chosen for a hundred requests.
     std::map<std::string, int> choose(const work_requirements& work) {
         std::map<std::string, int> counts;
         for (int request = 0; request < 100; ++request) {
@@ -42,16 +42,16 @@
 
 } // namespace
 
-TEST_CASE("an engine with an announced role change gets nothing new") {
-    placement_case fleet;
+TEST_CASE("an engine with an announced role change gets no new requests") {
+    placement_fixture fleet;
     fleet.engines.set({{fleet.regular.name, {.role = fleet::engine_role::mixed, .takes_new_work = false}}});
     CHECK(fleet.choose(repeatable)["regular"] == 0);
     fleet.engines.set({{fleet.regular.name, {.takes_new_work = false}}, {fleet.cheap.name, {.takes_new_work = false}}});
     CHECK_THROWS_AS(static_cast<void>(fleet.choose(repeatable)), request_refused);
 }
 
-TEST_CASE("work that may not run again stays off cheap servers while a regular one is there") {
-    placement_case fleet;
+TEST_CASE("work that may not run again is not placed on a cheap server while a regular one is available") {
+    placement_fixture fleet;
     CHECK(fleet.choose(guaranteed)["cheap"] == 0);
     CHECK(fleet.choose(repeatable)["cheap"] > 0);
     const backend_load_table::reservation on_regular(fleet.loads, fleet.regular.name, 1000);
@@ -61,8 +61,8 @@
     CHECK(fleet.choose(guaranteed)["cheap"] == 100);
 }
 
-TEST_CASE("an engine in a role for such work is preferred until it has much more to do") {
-    placement_case fleet;
+TEST_CASE("an engine whose role suits the work is preferred until its load is much higher") {
+    placement_fixture fleet;
     fleet.cheap.is_cheap = false;
     fleet.engines.set({{fleet.regular.name, {.role = fleet::engine_role::prefill}},
                        {fleet.cheap.name, {.role = fleet::engine_role::decode}}});
--- a/tests/servers/test_backend_exchange.cpp
+++ b/tests/servers/test_backend_exchange.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Answers one connection with given bytes and closes it.
+/// Sends given bytes on one connection and closes it.
 class scripted_server {
 public:
     explicit scripted_server(std::string bytes)
@@ -40,11 +40,11 @@
     std::thread m_thread;
 };
 
-/// Returns the body of a server's answer, or the reason for which it is not taken.
+/// Returns the body of the response of a server, or the reason why it is rejected.
 std::string ask(const std::string& bytes) {
     const scripted_server server(bytes);
     const host_clock clock;
-    // The pool goes first at the end: its connections must not outlive their context.
+    // The pool is destroyed before the context, because its connections must not outlive the context.
     asio::io_context context;
     backend_connection_pool pool(clock, {});
     std::string result;
@@ -68,7 +68,7 @@
 
 } // namespace
 
-TEST_CASE("an answer counts as whole only when it is as long as it says") {
+TEST_CASE("a response that is truncated, has no length or is too long is not accepted as complete") {
     CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour") == "four");
     CHECK(ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n") == "four");
     CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfo") == "broken_answer");
--- a/tests/servers/test_event_stream_parser.cpp
+++ b/tests/servers/test_event_stream_parser.cpp
@@ -4,7 +4,7 @@
 
 using namespace dragonflywell::servers;
 
-TEST_CASE("events are found wherever the stream is cut") {
+TEST_CASE("events are parsed wherever the stream is split into pieces") {
     const std::string text = "id: 1\ndata: a\n\n: comment\n\ndata: b\ndata: c\n\n";
     for (std::size_t cut = 0; cut <= text.size(); ++cut) {
         event_stream_parser parser;
--- a/tests/servers/test_exchange_faults.cpp
+++ b/tests/servers/test_exchange_faults.cpp
@@ -13,14 +13,14 @@
 
 namespace {
 
-/// A client's side of exchanges whose answers carry the id of their request.
+/// Client side of exchanges whose responses carry the id of their request.
 struct fixture {
     asio::io_context loop{1};
     host_clock time;
     backend_connection_pool pool{time, {}};
     ~fixture() { pool.clear(); }
 
-    /// Returns the answer's body, or the reason for which there is none.
+    /// Returns the body of the response, or the reason why there is none.
     std::string ask(const raw_server& server, const std::string& id, std::string body = "") {
         std::string result;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
@@ -53,7 +53,7 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "a late answer to an earlier request is read over") {
+TEST_CASE_FIXTURE(fixture, "a late response to an earlier request is skipped and not returned for this one") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = make_answer("other", "not yours") + make_answer(get_id(request), "yours");
         co_await connection.write(std::move(bytes));
@@ -61,7 +61,7 @@
     CHECK(ask(server, "a") == "yours");
 }
 
-TEST_CASE_FIXTURE(fixture, "a connection that brought more than its answer carries no other request") {
+TEST_CASE_FIXTURE(fixture, "a connection that received bytes after its response is not reused") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = make_answer(get_id(request), "yours") + make_answer(get_id(request), "again");
         co_await connection.write(std::move(bytes));
@@ -71,7 +71,7 @@
     CHECK(server.get_connections() == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "bytes that come while a connection is idle keep it from being used again") {
+TEST_CASE_FIXTURE(fixture, "a connection that received bytes while idle is not reused") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         co_await connection.write(make_answer(get_id(request), "yours"));
         if (get_id(request) == "a") {
@@ -85,7 +85,8 @@
     CHECK(server.get_connections() == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "a connection is used again after a whole answer, unless the server will close it") {
+TEST_CASE_FIXTURE(fixture,
+                  "a connection is reused after a complete response, unless the server has announced to close it") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = make_answer(get_id(request), "yours");
         if (get_id(request) == "b") {
@@ -100,7 +101,8 @@
     CHECK(server.get_connections() == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "an answer without length ends with its connection, but not with a reset") {
+TEST_CASE_FIXTURE(fixture,
+                  "a response without a length is complete when the connection closes, but not when it is reset") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = "HTTP/1.1 200 OK\r\nId: " + get_id(request) + "\r\n\r\nall of it";
         co_await connection.write(std::move(bytes));
@@ -115,7 +117,7 @@
     CHECK(ask(server, "a") == "broken_answer");
 }
 
-TEST_CASE_FIXTURE(fixture, "an interim answer says nothing yet") {
+TEST_CASE_FIXTURE(fixture, "an interim response is not taken for the final one") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = "HTTP/1.1 100 Continue\r\n\r\n" + make_answer(get_id(request), "yours");
         co_await connection.write(std::move(bytes));
@@ -123,8 +125,10 @@
     CHECK(ask(server, "a") == "yours");
 }
 
-TEST_CASE_FIXTURE(fixture, "an answer that comes before the request was read is taken, and its connection given up") {
-    // The stand-in answers a large request when it has seen its head only.
+TEST_CASE_FIXTURE(
+    fixture,
+    "a response that arrives before the request was fully sent is accepted, and its connection is not reused") {
+    // The server responds to a large request after it has read only the beginning.
     asio::ip::tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
     std::vector<std::unique_ptr<raw_connection>> connections;
     std::string result;
@@ -135,7 +139,7 @@
                 asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
                 std::string piece(100, '\0');
                 co_await socket.async_read_some(asio::buffer(piece), asio::use_awaitable);
-                // The rest of the request is never read, so that the client's write does not end.
+                // The rest of the request is never read, so that the write of the client does not complete.
                 connections.push_back(std::make_unique<raw_connection>(std::move(socket)));
                 co_await connections.back()->write(make_answer("a", "early"));
             }
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -8,7 +8,7 @@
 using namespace dragonflywell::servers;
 using namespace std::chrono_literals;
 
-TEST_CASE("a digest survives its way through a datagram") {
+TEST_CASE("a digest is unchanged after encoding and decoding") {
     const host_digest digest{
         .host = "h",
         .zone = zone_name("z"),
@@ -36,18 +36,18 @@
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
-TEST_CASE("a span that is over already is told as zero, and does not spoil the digest") {
+TEST_CASE("a negative duration is sent as zero and does not make the digest invalid") {
     host_digest digest;
     digest.host = "h";
     digest.corrected_time = wall_time(9s);
     digest.transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .remaining = -7s}}};
     digest.servers = digest_read_position{.end = 4, .age = -20ms};
-    const host_digest told = decode_host_digest(encode_host_digest(digest));
-    CHECK(told.transitions.at(backend_server_name("e")).remaining == 0s);
-    CHECK(told.servers->age == 0s);
+    const host_digest decoded = decode_host_digest(encode_host_digest(digest));
+    CHECK(decoded.transitions.at(backend_server_name("e")).remaining == 0s);
+    CHECK(decoded.servers->age == 0s);
 }
 
-TEST_CASE("an empty digest is one; what is none is rejected") {
+TEST_CASE("an empty digest is accepted, and malformed text is rejected") {
     const char* empty =
         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})";
     CHECK(decode_host_digest(empty).host == "h");
@@ -62,7 +62,7 @@
     }
 }
 
-TEST_CASE("a stream is cut after whole events, byte for byte, wherever its pieces end") {
+TEST_CASE("a stream is split at the ends of events without a changed byte, wherever its pieces end") {
     const std::string stream = "id: 1\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
     for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
         CAPTURE(piece);
@@ -82,7 +82,7 @@
     }
 }
 
-TEST_CASE("empty lines beyond the end of an event are passed on and leave nothing over") {
+TEST_CASE("extra empty lines after an event are passed on and do not count as an incomplete event") {
     event_splitter splitter;
     std::string passed;
     const std::string stream = "\r\nid: 1\ndata: a\n\n\n\r\nid: 2\ndata: b\n\n\n";
@@ -95,7 +95,7 @@
     CHECK(splitter.get_last_id() == "2");
 }
 
-TEST_CASE("a line that ends with a carriage return alone is a line of its own") {
+TEST_CASE("a line that ends with a lone carriage return is a separate line, so that its id is found") {
     event_splitter splitter;
     splitter.add_bytes("\rid: 7\rdata: a\n\n");
     CHECK(splitter.take_events() == "\rid: 7\rdata: a\n\n");
--- a/tests/servers/test_peer_state.cpp
+++ b/tests/servers/test_peer_state.cpp
@@ -20,21 +20,23 @@
     return digest;
 }
 
-struct knowledge_fixture {
+struct peer_state_fixture {
     virtual_clock time;
     servers::peer_state peers{time, policy::host_groups("h0", zone_name("a"), {})};
 };
 
 } // namespace
 
-TEST_CASE_FIXTURE(knowledge_fixture, "an engine that a host has ordered is changing until that host says otherwise") {
+TEST_CASE_FIXTURE(peer_state_fixture,
+                  "an engine counts as changing its stage until the host that ordered the change withdraws it") {
     peers.merge_intergroup_digest(make_digest(1, true));
     CHECK(peers.get_transition(engine) == engine_stage::prefill);
     peers.merge_intergroup_digest(make_digest(1, false));
     CHECK_FALSE(peers.get_transition(engine).has_value());
 }
 
-TEST_CASE_FIXTURE(knowledge_fixture, "an engine goes on changing when the host that ordered it falls silent") {
+TEST_CASE_FIXTURE(peer_state_fixture,
+                  "an engine still counts as changing its stage when the host that ordered it becomes unresponsive") {
     peers.merge_group_digest(make_digest(1, true));
     peers.remove_host("h1");
     CHECK(peers.get_transition(engine) == engine_stage::prefill);
@@ -42,7 +44,8 @@
     CHECK_FALSE(peers.get_transition(engine).has_value());
 }
 
-TEST_CASE_FIXTURE(knowledge_fixture, "an engine goes on changing when the host that ordered it starts anew") {
+TEST_CASE_FIXTURE(peer_state_fixture,
+                  "an engine still counts as changing its stage when the host that ordered it restarts") {
     peers.merge_intergroup_digest(make_digest(1, true));
     peers.merge_intergroup_digest(make_digest(2, false));
     CHECK(peers.get_transition(engine) == engine_stage::prefill);
@@ -50,7 +53,8 @@
     CHECK_FALSE(peers.get_transition(engine).has_value());
 }
 
-TEST_CASE_FIXTURE(knowledge_fixture, "hosts of the group that leave a server alone are counted while they do") {
+TEST_CASE_FIXTURE(peer_state_fixture,
+                  "hosts of the group that have ejected a server are counted until their ejections end") {
     for (const char* host : {"h1", "h2"}) {
         servers::host_digest digest = make_digest(1, false);
         digest.host = host;
--- a/tests/servers/test_request_checks.cpp
+++ b/tests/servers/test_request_checks.cpp
@@ -7,19 +7,20 @@
 using namespace dragonflywell;
 using namespace dragonflywell::servers;
 
-TEST_CASE("a cut zone refuses as not run those organisations that asked for it, and serves the others") {
+TEST_CASE("a cut-off availability zone refuses the organisations that asked for it with outcome not_run, and serves "
+          "the others") {
     testing::entry_parts parts;
     fleet::manifest manifest;
-    const organisation_name careful("accounts-desk");
-    const organisation_name usual("rovers");
-    manifest.organisations[careful] = {.name = careful, .when_cut_off = fleet::cut_off_behaviour::refuse};
-    manifest.organisations[usual] = {.name = usual};
-    check_cut_off(parts.context, manifest, careful);
+    const organisation_name refusing("accounts-desk");
+    const organisation_name served("rovers");
+    manifest.organisations[refusing] = {.name = refusing, .when_cut_off = fleet::cut_off_behaviour::refuse};
+    manifest.organisations[served] = {.name = served};
+    check_cut_off(parts.context, manifest, refusing);
     parts.cut_off.set_cut_off(true, parts.time.now());
     parts.time.advance(std::chrono::seconds(1));
-    check_cut_off(parts.context, manifest, usual);
+    check_cut_off(parts.context, manifest, served);
     try {
-        check_cut_off(parts.context, manifest, careful);
+        check_cut_off(parts.context, manifest, refusing);
         FAIL("a refusal was expected");
     } catch (const request_refused& refused) {
         CHECK(refused.get_reason() == policy::refusal_reason::zone_cut_off);
@@ -27,7 +28,8 @@
     }
 }
 
-TEST_CASE("an organisation that has used its part of a window is refused as not run until the next window") {
+TEST_CASE("an organisation that has used up its share of a billing window is refused with outcome not_run until the "
+          "next window") {
     testing::entry_parts parts;
     parts.context.limits.entry_hosts = 2;
     fleet::manifest manifest;
--- a/tests/servers/test_response_assembler.cpp
+++ b/tests/servers/test_response_assembler.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-TEST_CASE("tokens are taken once, in order, and no more than asked for") {
+TEST_CASE("a repeated token or one beyond the requested number does not reach the caller") {
     response_assembler answer = make_started(2);
     CHECK(answer.add(make_token(0)) == event_action::forward);
     CHECK(answer.add(make_token(0)) == event_action::drop);
@@ -35,7 +35,7 @@
     CHECK(answer.get_tokens() == 2);
 }
 
-TEST_CASE("an event that cannot be right leaves the answer as it was") {
+TEST_CASE("a malformed or foreign event is rejected and leaves the response unchanged") {
     response_assembler answer = make_started(4);
     CHECK(answer.add(make_token(0)) == event_action::forward);
     CHECK_THROWS_AS(static_cast<void>(answer.add(make_token(2))), malformed_message_error);
