--- a/servers/admission_controller.hpp
+++ b/servers/admission_controller.hpp
@@ -37,7 +37,7 @@
 /// request waits.
 class admission_controller {
 public:
-    /// Precondition: `time` outlives the gate.
+    /// Precondition: `time` outlives the controller.
     admission_controller(const clock_source& time, admission_options options) noexcept
         : m_time(&time), m_options(options) {}
 
@@ -60,7 +60,8 @@
     };
 
     /// Waits until the request is admitted. Throws `request_refused` with outcome `not_run` when it cannot be admitted
-    /// in time, and `caller_gone_error` when the caller disconnects meanwhile. The gate must outlive the permit.
+    /// in time, and `caller_disconnected_error` when the caller disconnects meanwhile. The controller must outlive the
+    /// permit.
     asio::awaitable<std::unique_ptr<permit>> admit(admission_request request, caller_channel& caller);
 
     /// Returns the number of queued requests.
--- a/servers/byte_budget.hpp
+++ b/servers/byte_budget.hpp
@@ -9,7 +9,8 @@
 /// Limit on the bytes that all users of the budget hold at a time. Thread safe.
 class byte_budget {
 public:
-    explicit byte_budget(std::size_t most) : m_left(std::make_shared<std::atomic<std::size_t>>(most)) {}
+    explicit byte_budget(std::size_t capacity_bytes)
+        : m_left(std::make_shared<std::atomic<std::size_t>>(capacity_bytes)) {}
 
     /// The bytes that one user holds. They return to the budget on destruction, even if the budget object no longer
     /// exists. Used by one user; not thread safe.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -349,16 +349,16 @@
 }
 
 asio::awaitable<void> generation_request::relay_buffered(backend_exchange& exchange, caller_channel& caller) {
-    http_response answer(exchange.get_head().result(), 11);
-    copy_response_headers(exchange.get_head(), answer);
-    answer.body() = co_await exchange.read_rest(buffered_response_limit_bytes);
+    http_response response(exchange.get_head().result(), 11);
+    copy_response_headers(exchange.get_head(), response);
+    response.body() = co_await exchange.read_rest(buffered_response_limit_bytes);
     record_execution(get_state().get_corrected_time());
     if (caller.is_started()) {
         throw request_refused(policy::refusal_reason::backend_server_failed, get_outcome(),
                               "the engine could not resume the stream");
     }
-    get_record().status = answer.result_int();
-    co_await caller.send(std::move(answer));
+    get_record().status = response.result_int();
+    co_await caller.send(std::move(response));
 }
 
 asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, caller_channel& caller,
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -28,8 +28,8 @@
     [[nodiscard]] policy::engine_status get_engine_status(const backend_server_name& engine) const;
     [[nodiscard]] const group_summary& get_remote_summary(const backend_server_name& engine) const;
     [[nodiscard]] policy::generation_requirements get_requirements() const;
-    /// Returns the expected time from sending the generation to its first event. `is_read` says whether the prompt is
-    /// already prefilled.
+    /// Returns the expected time from sending the generation to its first event. `is_prefilled` says whether the prompt
+    /// is already prefilled.
     [[nodiscard]] duration get_first_event_time(bool is_prefilled) const;
 
     /// Runs the prefill on the chosen engine. Returns nothing when another engine is to be tried.
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -93,8 +93,8 @@
     friend bool operator==(const digest_recorded_usage&, const digest_recorded_usage&) = default;
 };
 
-/// State that a host sends to the others. A newer digest replaces the older one, except for `touches`, which are sent
-/// only once.
+/// State that a host sends to the others. A newer digest replaces the older one, except for `prefix_accesses`, which
+/// are sent only once.
 struct host_digest {
     std::string host;
     zone_name zone;
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -145,8 +145,8 @@
                                    request.method() == http::verb::head);
         try {
             co_await m_handler->handle(std::move(request), channel);
-        } catch (const caller_disconnected_error& gone) {
-            m_log->debug("{}", gone.what());
+        } catch (const caller_disconnected_error& disconnect) {
+            m_log->debug("{}", disconnect.what());
             co_return false;
         } catch (const std::exception& unexpected) {
             m_log->error("request handler failed; the connection is closed: {}", unexpected.what());
--- a/servers/log_writer.cpp
+++ b/servers/log_writer.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring)
-    : m_timer(executor), m_ring(std::move(ring)) {
+log_writer::log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> buffer)
+    : m_timer(executor), m_buffer(std::move(buffer)) {
     set_nonblocking(STDOUT_FILENO);
 }
 
@@ -50,13 +50,13 @@
 }
 
 void log_writer::write_pending() {
-    while (!m_unwritten.empty() || !m_ring->is_empty()) {
+    while (!m_unwritten.empty() || !m_buffer->is_empty()) {
         if (m_unwritten.empty()) {
-            m_unwritten = m_ring->take(batch_bytes);
+            m_unwritten = m_buffer->take(batch_bytes);
         }
         const ssize_t written = ::write(STDOUT_FILENO, m_unwritten.data(), m_unwritten.size());
         if (written <= 0) {
-            // The reader is not reading; the ring keeps filling and drops the least important lines.
+            // The reader of the pipe is not reading; the buffer keeps filling and drops the least important lines.
             return;
         }
         m_unwritten.erase(0, static_cast<std::size_t>(written));
--- a/servers/log_writer.hpp
+++ b/servers/log_writer.hpp
@@ -10,11 +10,11 @@
 
 namespace dragonflywell::servers {
 
-/// Writes the lines of a log ring to standard output in batches, as far as that does not block. Not thread safe; used
+/// Writes the lines of a log buffer to standard output in batches, as far as that does not block. Not thread safe; used
 /// on one event loop.
 class log_writer {
 public:
-    log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> ring);
+    log_writer(const asio::any_io_executor& executor, std::shared_ptr<log_buffer> buffer);
     log_writer(const log_writer&) = delete;
     log_writer& operator=(const log_writer&) = delete;
     log_writer(log_writer&&) = delete;
@@ -30,7 +30,7 @@
     void write_pending();
 
     asio::steady_timer m_timer;
-    std::shared_ptr<log_buffer> m_ring;
+    std::shared_ptr<log_buffer> m_buffer;
     std::string m_unwritten;
 };
 
--- a/servers/metrics_handler.cpp
+++ b/servers/metrics_handler.cpp
@@ -7,10 +7,10 @@
         co_await caller.send(http_response(http::status::not_found, 11));
         co_return;
     }
-    http_response answer(http::status::ok, 11);
-    answer.set(http::field::content_type, "text/plain; version=0.0.4");
-    answer.body() = m_registry->get_text();
-    co_await caller.send(std::move(answer));
+    http_response response(http::status::ok, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = m_registry->get_text();
+    co_await caller.send(std::move(response));
 }
 
 } // namespace dragonflywell::servers
--- a/servers/model_call.hpp
+++ b/servers/model_call.hpp
@@ -18,7 +18,7 @@
     model_call(entry_context& context, const http_request& request, organisation_name organisation);
 
     /// Delivers the whole response. When the caller disconnects, the stream on the engine is cancelled and the
-    /// delivered tokens are billed. Throws `request_refused`, `caller_gone_error`.
+    /// delivered tokens are billed. Throws `request_refused`, `caller_disconnected_error`.
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -39,8 +39,8 @@
     }
 };
 
-/// Returns the log event for the end of a request. `name` begins with "request_", because the log ring drops such lines
-/// last.
+/// Returns the log event for the end of a request. `name` begins with "request_", because the log buffer drops such
+/// lines last.
 [[nodiscard]] inline log_event make_request_event(std::string_view name, const request_record& record,
                                                   steady_time now) {
     log_event event(name);
--- a/servers/service_call.hpp
+++ b/servers/service_call.hpp
@@ -17,7 +17,7 @@
     service_call(entry_context& context, const http_request& request, const fleet::service_route& route);
 
     /// Sends the request to an instance of the service and sends the whole response to the caller. Throws
-    /// `request_refused`, `caller_gone_error`.
+    /// `request_refused`, `caller_disconnected_error`.
     asio::awaitable<void> run(caller_channel& caller);
 
 private:
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -26,17 +26,18 @@
     }
 
     /// Adds the prefill time of the prompt of a new request to the demand, whether the request is served or not.
-    void add_prefill_demand(duration cost) noexcept { m_read_demand += cost; }
+    void add_prefill_demand(duration cost) noexcept { m_prefill_demand += cost; }
     /// Returns the total prefill time of all prompts since the start of the process.
-    [[nodiscard]] duration get_prefill_demand() const noexcept { return m_read_demand; }
+    [[nodiscard]] duration get_prefill_demand() const noexcept { return m_prefill_demand; }
 
     [[nodiscard]] policy::engine_costs get_costs() const {
-        return {
-            .prefill_model = &prefill_model, .first_event = m_first_event, .transfer_per_token = get_move_per_token()};
+        return {.prefill_model = &prefill_model,
+                .first_event = m_first_event,
+                .transfer_per_token = get_transfer_per_token()};
     }
 
 private:
-    [[nodiscard]] duration get_move_per_token() const {
+    [[nodiscard]] duration get_transfer_per_token() const {
         constexpr double bits_per_byte = 8;
         constexpr double bits_per_megabit = 1e6;
         if (m_description.link_megabits_per_second <= 0) {
@@ -48,7 +49,7 @@
     }
 
     fleet::engine_description m_description;
-    duration m_read_demand{};
+    duration m_prefill_demand{};
     /// The initial value, before any observation, is a few decode steps of an engine.
     duration m_first_event{std::chrono::milliseconds(50)};
 };
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -9,7 +9,7 @@
     record.arrived_at = m_state->time.now();
     std::optional<request_refused> refusal;
     try {
-        const caller_request incoming = m_dialect->decode(std::move(request));
+        const caller_request incoming = m_codec->decode(std::move(request));
         record.id = incoming.id;
         co_await serve(incoming, record, caller);
     } catch (const request_refused& refused) {
@@ -68,9 +68,9 @@
                                               caller_channel& caller) {
     m_state->counters.count_refusal(refusal.get_reason());
     m_state->counters.count_outcome(refusal.get_outcome());
-    http_response answer = m_dialect->make_refusal(refusal);
+    http_response response = m_codec->make_refusal(refusal);
     if (!caller.is_started()) {
-        record.status = answer.result_int();
+        record.status = response.result_int();
     }
     make_request_event("request_failed", record, m_state->time.now())
         .add("reason", policy::get_refusal_response(refusal.get_reason()).code)
@@ -81,7 +81,7 @@
         caller.abort_stream();
         co_return;
     }
-    co_await caller.send(std::move(answer));
+    co_await caller.send(std::move(response));
 }
 
 } // namespace dragonflywell::servers
--- a/servers/serving_handler.hpp
+++ b/servers/serving_handler.hpp
@@ -11,8 +11,8 @@
 /// Handles requests of callers: decodes each request, runs it and logs the result. Used on one event loop.
 class serving_handler final : public http_handler {
 public:
-    /// Preconditions: state and dialect outlive the handler.
-    serving_handler(serving_state& state, const caller_codec& dialect) : m_state(&state), m_dialect(&dialect) {}
+    /// Preconditions: state and codec outlive the handler.
+    serving_handler(serving_state& state, const caller_codec& codec) : m_state(&state), m_codec(&codec) {}
 
     asio::awaitable<void> handle(http_request request, caller_channel& caller) override;
     void on_malformed(http::status status) override;
@@ -22,7 +22,7 @@
     asio::awaitable<void> refuse(const request_refused& refusal, request_record& record, caller_channel& caller);
 
     serving_state* m_state;
-    const caller_codec* m_dialect;
+    const caller_codec* m_codec;
 };
 
 } // namespace dragonflywell::servers
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -156,16 +156,15 @@
 exchange_options serving_request::make_exchange_options(const backend_server_name& server) const {
     const caller_request* incoming = m_request.request;
     const serving_state* state = m_state;
-    const backend_codec* dialect = &m_state->codec;
-    return {.may_reuse_connection = true,
-            .progress_timeout = std::max(duration::zero(), get_time_left()),
-            .deadline = m_request.deadline,
-            .accepts_unframed_response = true,
-            .is_matching_response =
-                [incoming, dialect](const http::response_header<>& head) {
-                    return dialect->is_response_to(*incoming, head);
-                },
-            .may_send = [state, server] { return state->is_listed(server); }};
+    const backend_codec* codec = &m_state->codec;
+    return {
+        .may_reuse_connection = true,
+        .progress_timeout = std::max(duration::zero(), get_time_left()),
+        .deadline = m_request.deadline,
+        .accepts_unframed_response = true,
+        .is_matching_response =
+            [incoming, codec](const http::response_header<>& head) { return codec->is_response_to(*incoming, head); },
+        .may_send = [state, server] { return state->is_listed(server); }};
 }
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure) const {
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -21,7 +21,7 @@
     serving_request& operator=(serving_request&&) = delete;
     virtual ~serving_request() = default;
 
-    /// Runs the request and sends the response to the caller. Throws `request_refused`, `caller_gone_error`.
+    /// Runs the request and sends the response to the caller. Throws `request_refused`, `caller_disconnected_error`.
     virtual asio::awaitable<void> run(caller_channel& caller) = 0;
 
 protected:
@@ -37,7 +37,7 @@
         steady_time deadline{};
     };
 
-    /// Preconditions: state, record and the call outlive the request.
+    /// Preconditions: state, record and the caller request outlive this object.
     serving_request(serving_state& state, accepted_request request, request_record& record)
         : m_state(&state), m_request(std::move(request)), m_record(&record) {}
 
@@ -88,7 +88,7 @@
                                                           const organisation_name& organisation);
 
 /// Checks the route and the key of a request and returns the object that runs it. Throws `request_refused`.
-/// Preconditions: state, call and record outlive the returned request.
+/// Preconditions: state, request and record outlive the returned object.
 [[nodiscard]] std::unique_ptr<serving_request>
 make_serving_request(serving_state& state, const caller_request& incoming, request_record& record);
 
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -24,10 +24,11 @@
 } // namespace
 
 serving_state::serving_state(asio::any_io_executor loop, const clock_source& clock, backend_connection_pool& pool,
-                             const backend_codec& wire, metrics_registry& metrics, serving_options chosen)
-    : executor(std::move(loop)), time(clock), connections(pool), codec(wire), options(std::move(chosen)),
-      peers(clock, policy::host_groups(options.own_host, options.own_zone, {})), usage(options.usage_window),
-      counters(metrics), log(get_logger("request")),
+                             const backend_codec& backend_protocol, metrics_registry& metrics,
+                             serving_options initial_options)
+    : executor(std::move(loop)), time(clock), connections(pool), codec(backend_protocol),
+      options(std::move(initial_options)), peers(clock, policy::host_groups(options.own_host, options.own_zone, {})),
+      usage(options.usage_window), counters(metrics), log(get_logger("request")),
       m_corrected_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
 wall_time serving_state::get_corrected_time() const {
@@ -89,12 +90,12 @@
 }
 
 std::map<backend_server_name, duration> serving_state::get_ejected() const {
-    std::map<backend_server_name, duration> paused = health.get_ejected(time.now());
+    std::map<backend_server_name, duration> ejected = health.get_ejected(time.now());
     for (const backend_server_name& server : silence.get_stalled(time.now())) {
-        duration& left = paused[server];
+        duration& left = ejected[server];
         left = std::max(left, stalled_ejection_time);
     }
-    return paused;
+    return ejected;
 }
 
 void serving_state::begin_stage_change(const backend_server_name& engine, fleet::engine_stage stage,
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -48,9 +48,9 @@
 /// State that the requests of one event loop share. Not thread safe.
 class serving_state {
 public:
-    /// Preconditions: clock, pool, dialect and registry outlive the state.
+    /// Preconditions: clock, pool, codec and registry outlive the state.
     serving_state(asio::any_io_executor executor, const clock_source& time, backend_connection_pool& connections,
-                  const backend_codec& dialect, metrics_registry& metrics, serving_options options);
+                  const backend_codec& codec, metrics_registry& metrics, serving_options options);
 
     /// Activates a configuration. Precondition: it is newer than the active one.
     void set_view(std::shared_ptr<const fleet::serving_view> view);
@@ -109,11 +109,11 @@
 
     /// Sets the time up to which the configuration, or the list of backend servers, is known to be current on this
     /// host.
-    void set_configuration_current_at(steady_time at) noexcept { m_configuration_known_at = at; }
-    void set_servers_current_at(steady_time at) noexcept { m_servers_known_at = at; }
+    void set_configuration_current_at(steady_time at) noexcept { m_configuration_current_at = at; }
+    void set_servers_current_at(steady_time at) noexcept { m_servers_current_at = at; }
     /// Returns the time since the configuration, or the list of backend servers, was known to be current.
-    [[nodiscard]] duration get_configuration_age() const { return time.now() - m_configuration_known_at; }
-    [[nodiscard]] duration get_servers_age() const { return time.now() - m_servers_known_at; }
+    [[nodiscard]] duration get_configuration_age() const { return time.now() - m_configuration_current_at; }
+    [[nodiscard]] duration get_servers_age() const { return time.now() - m_servers_current_at; }
 
     /// Returns the time of day as corrected by other hosts. It does not follow later changes of the wall clock.
     [[nodiscard]] wall_time get_corrected_time() const;
@@ -126,7 +126,7 @@
     /// Removes the state of an unresponsive host.
     void remove_host(const std::string& host);
 
-    /// Counts one in-flight request on a server for the lifetime of the token.
+    /// Counts one in-flight request on a server during its lifetime.
     class in_flight_guard {
     public:
         in_flight_guard(serving_state& state, backend_server_name server);
@@ -177,12 +177,12 @@
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
 
-    /// Offset of the corrected time of day from the clock that counts suspension. It is taken once, because the wall
-    /// clock may be set later.
+    /// Offset of the corrected time of day from the clock that counts suspension. Its initial value is taken once,
+    /// because the wall clock may be set later.
     duration m_corrected_offset{};
     std::shared_ptr<const fleet::serving_view> m_view;
-    steady_time m_configuration_known_at{};
-    steady_time m_servers_known_at{};
+    steady_time m_configuration_current_at{};
+    steady_time m_servers_current_at{};
     std::map<service_name, service_engines> m_engines;
     stage_transitions m_stage_changes;
     std::map<service_name, std::unique_ptr<policy::retry_budget>> m_retry_budgets;
--- a/tests/support/fake_log.hpp
+++ b/tests/support/fake_log.hpp
@@ -33,7 +33,8 @@
         return first;
     }
 
-    coordination::log_batch read(std::string_view stream, coordination::log_offset from, std::size_t most) override {
+    coordination::log_batch read(std::string_view stream, coordination::log_offset from,
+                                 std::size_t max_records) override {
         if (is_down) {
             throw coordination::log_unavailable_error("log is down");
         }
@@ -41,7 +42,7 @@
         const coordination::log_offset oldest = oldest_kept[std::string(stream)];
         coordination::log_batch batch{.entries = {}, .oldest = oldest, .end = source.size()};
         for (coordination::log_offset offset = std::max(from, oldest);
-             offset < source.size() && batch.entries.size() < most; ++offset) {
+             offset < source.size() && batch.entries.size() < max_records; ++offset) {
             batch.entries.push_back({.offset = offset, .data = source[offset]});
         }
         return batch;
