--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -13,7 +13,7 @@
 /// A point on the wall clock, in UTC. Comparable between hosts up to their drift.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;
 
-/// Source of time. Tests replace it by a virtual clock.
+/// Source of time. Tests replace it with a virtual clock.
 ///
 /// Thread safety: implementations may be called from any thread.
 class clock_source {
@@ -27,11 +27,12 @@
 
     [[nodiscard]] virtual steady_time now() const = 0;
     [[nodiscard]] virtual wall_time wall_now() const = 0;
-    /// Returns a clock that also counts the time for which the host was suspended. Not comparable with `now()`.
+    /// Returns the time on a monotonic clock that keeps running while the host is suspended. Not comparable with
+    /// `now()`.
     [[nodiscard]] virtual steady_time now_with_suspension() const = 0;
 };
 
-/// The clocks of the host the process runs on.
+/// The clocks of the host on which the process runs.
 class host_clock final : public clock_source {
 public:
     [[nodiscard]] steady_time now() const override { return std::chrono::steady_clock::now(); }
@@ -43,7 +44,7 @@
     }
 };
 
-/// A clock that moves only when it is told to. Not thread safe.
+/// A clock that advances only on request, for tests. Not thread safe.
 class virtual_clock final : public clock_source {
 public:
     [[nodiscard]] steady_time now() const override { return m_now; }
@@ -52,12 +53,13 @@
 
     /// Precondition: `step` is not negative.
     void advance(duration step) { m_now += step; }
-    /// Lets the host sleep: the monotonic clock stands still, the others go on. Precondition: not negative.
+    /// Simulates that the host is suspended: the monotonic clock stands still, and the others advance. Precondition:
+    /// `step` is not negative.
     void suspend(duration step) {
         m_suspended += step;
         m_wall_step += step;
     }
-    /// Sets the wall clock forward or back.
+    /// Steps the wall clock forward, or backward with a negative `step`.
     void step_wall(duration step) { m_wall_step += step; }
 
 private:
--- a/core/error.hpp
+++ b/core/error.hpp
@@ -13,16 +13,16 @@
     using std::runtime_error::runtime_error;
 };
 
-/// One fault in a file that a person or a build pipeline wrote.
+/// One problem in a file that a person or a build pipeline has written.
 struct input_problem {
-    /// File and line, or the path of the entry inside the document.
+    /// File and line, or the path of the entry within the document.
     std::string location;
     std::string message;
 
     friend bool operator==(const input_problem&, const input_problem&) = default;
 };
 
-/// A settings file or manifest that cannot be used. Carries every problem found, not only the first.
+/// A settings file or manifest that is invalid. Contains every problem found, not only the first.
 class invalid_input_error : public error {
 public:
     /// Precondition: `problems` is not empty.
@@ -43,7 +43,7 @@
     std::vector<input_problem> m_problems;
 };
 
-/// A log record or message whose bytes do not have the expected form.
+/// A log record or message that does not have the expected format.
 class malformed_message_error : public error {
 public:
     using error::error;
--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -28,12 +28,12 @@
 }
 
 double hash_to_unit_interval(std::string_view name, std::uint64_t seed) noexcept {
-    /// An odd number with bits all over, so that seeds which follow each other are spread.
-    constexpr std::uint64_t spreading_factor = 0x9E3779B97F4A7C15;
+    /// An odd number with well-mixed bits, so that consecutive seeds give well-distributed results.
+    constexpr std::uint64_t mixing_factor = 0x9E3779B97F4A7C15;
     constexpr unsigned shift = 52;
     constexpr double steps = 4096;
-    const std::uint64_t drawn = (get_stable_hash(name) ^ (seed * spreading_factor)) * spreading_factor;
-    return static_cast<double>(drawn >> shift) / steps;
+    const std::uint64_t hash = (get_stable_hash(name) ^ (seed * mixing_factor)) * mixing_factor;
+    return static_cast<double>(hash >> shift) / steps;
 }
 
 bool is_equal_in_constant_time(std::string_view left, std::string_view right) noexcept {
--- a/core/identifiers.hpp
+++ b/core/identifiers.hpp
@@ -9,9 +9,9 @@
 
 namespace dragonflywell {
 
-/// A name that cannot be confused with a name of another kind.
+/// A strongly typed name, which cannot be used in place of a name of another kind.
 ///
-/// Immutable after construction, hence safe to share between threads.
+/// Immutable after construction, and therefore safe to share between threads.
 template <typename Tag>
 class identifier {
 public:
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -27,7 +27,7 @@
     if (value.is_int64() && value.get_int64() >= 0) {
         return static_cast<std::uint64_t>(value.get_int64());
     }
-    throw_wrong_type(key, "a whole number, not negative");
+    throw_wrong_type(key, "a non-negative integer");
 }
 
 std::string to_string(const boost::json::value& value, std::string_view key) {
@@ -66,7 +66,7 @@
 const boost::json::array& get_array(const boost::json::object& object, std::string_view key) {
     const boost::json::value& value = find(object, key);
     if (!value.is_array()) {
-        throw_wrong_type(key, "a list");
+        throw_wrong_type(key, "an array");
     }
     return value.get_array();
 }
@@ -102,14 +102,14 @@
 }
 
 duration get_duration_or(const boost::json::object& object, std::string_view key, duration unit, duration fallback) {
-    constexpr double most_units = 1e12;
+    constexpr double max_units = 1e12;
     const boost::json::value* value = object.if_contains(key);
     if (value == nullptr || value->is_null()) {
         return fallback;
     }
     const double units = to_number(*value, key);
-    if (!(units >= 0 && units <= most_units)) {
-        throw_wrong_type(key, "a time that is not negative");
+    if (!(units >= 0 && units <= max_units)) {
+        throw_wrong_type(key, "a non-negative duration");
     }
     return std::chrono::duration_cast<duration>(
         std::chrono::duration<double, std::nano>(units * static_cast<double>(unit.count())));
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -12,16 +12,16 @@
 
 namespace {
 
-/// Start of the text that `log_event` writes.
-constexpr std::string_view event_start = "{\"event\":";
+/// Prefix of the text that `log_event` writes.
+constexpr std::string_view event_prefix = "{\"event\":";
 
-/// Writes the message as a JSON field, so that a quote in it cannot break the line; a `log_event` is written as its own
-/// fields.
+/// Writes the message as an escaped JSON string field, so that quotes in it cannot break the line. The fields of a
+/// `log_event` are written as they are.
 class json_payload_flag final : public spdlog::custom_flag_formatter {
 public:
     void format(const spdlog::details::log_msg& message, const std::tm& /*time*/, spdlog::memory_buf_t& out) override {
         const std::string_view payload(message.payload.data(), message.payload.size());
-        if (payload.starts_with(event_start)) {
+        if (payload.starts_with(event_prefix)) {
             out.append(payload.data() + 1, payload.data() + payload.size() - 1);
             return;
         }
@@ -35,7 +35,7 @@
     }
 };
 
-/// Puts formatted lines into a ring.
+/// Appends formatted lines to a log buffer.
 class log_buffer_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
     explicit log_buffer_sink(std::shared_ptr<log_buffer> ring) : m_ring(std::move(ring)) {}
@@ -45,14 +45,14 @@
         spdlog::memory_buf_t line;
         formatter_->format(message, line);
         const std::string_view payload(message.payload.data(), message.payload.size());
-        const bool is_high_priority = message.level >= spdlog::level::warn || payload.starts_with(request_end_start);
+        const bool is_high_priority = message.level >= spdlog::level::warn || payload.starts_with(request_end_prefix);
         m_ring->push(std::string(line.data(), line.size()), is_high_priority);
     }
     void flush_() override {}
 
 private:
-    /// Start of the text of an event that ends a request.
-    static constexpr std::string_view request_end_start = "{\"event\":\"request_";
+    /// Prefix of the text of events that end a request.
+    static constexpr std::string_view request_end_prefix = "{\"event\":\"request_";
 
     std::shared_ptr<log_buffer> m_ring;
 };
@@ -79,7 +79,7 @@
     }
     sink->set_formatter(std::move(formatter));
     auto logger = std::make_shared<spdlog::logger>("main", std::move(sink));
-    // The sink, which all loggers share, decides on levels, so that they can be changed later.
+    // All loggers share the sink, and the sink filters by level, so that the level can be changed later.
     logger->set_level(spdlog::level::trace);
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
--- a/core/log_buffer.cpp
+++ b/core/log_buffer.cpp
@@ -12,10 +12,10 @@
     }
 }
 
-std::string log_buffer::take(std::size_t most_bytes) {
+std::string log_buffer::take(std::size_t max_bytes) {
     const std::scoped_lock lock(m_mutex);
     std::string text;
-    while (!(m_high_priority.empty() && m_low_priority.empty()) && (text.empty() || text.size() < most_bytes)) {
+    while (!(m_high_priority.empty() && m_low_priority.empty()) && (text.empty() || text.size() < max_bytes)) {
         text += take_one();
     }
     return text;
--- a/core/log_buffer.hpp
+++ b/core/log_buffer.hpp
@@ -9,18 +9,18 @@
 
 namespace dragonflywell {
 
-/// Log lines that wait to be written, bounded in bytes. When it is full the oldest line of the least weight goes first,
-/// and the loss is counted. Thread safe; never blocks on output.
+/// Buffer of log lines that wait to be written, bounded in bytes. When it is full, it drops and counts the oldest
+/// lines, those of low priority before those of high priority. Thread safe; never blocks on output.
 class log_buffer {
 public:
     /// Precondition: `limit_bytes` is positive.
     explicit log_buffer(std::size_t limit_bytes) : m_limit_bytes(limit_bytes) {}
 
-    /// `is_high_priority`: warnings, errors and decisions that end a request, which are kept longest.
+    /// `is_high_priority`: for warnings, errors and events that end a request, which are dropped last.
     void push(std::string line, bool is_high_priority);
 
-    /// Takes lines up to about `most_bytes`, at least one when there is one.
-    [[nodiscard]] std::string take(std::size_t most_bytes);
+    /// Removes and returns the oldest lines until their size reaches `max_bytes`; at least one line unless it is empty.
+    [[nodiscard]] std::string take(std::size_t max_bytes);
 
     [[nodiscard]] bool is_empty() const;
     /// Returns how many lines were dropped since the process started.
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -10,7 +10,7 @@
 
 namespace dragonflywell {
 
-/// One structured log line: a name, and fields in the order in which they were added. Not thread safe.
+/// One structured log line: an event name, and fields in the order in which they were added. Not thread safe.
 class log_event {
 public:
     /// `name`: what happened, such as "request_refused".
@@ -23,10 +23,10 @@
     log_event& add(std::string_view field, std::integral auto value) {
         return add_number(field, std::to_string(value));
     }
-    /// Writes a duration in milliseconds; the name of the field should end with `_ms`.
+    /// Adds a duration in milliseconds; the name of the field should end with `_ms`.
     log_event& add(std::string_view field, duration value);
 
-    /// Writes the line if the logger takes that level.
+    /// Writes the line if the logger is enabled for the level.
     void write(spdlog::logger& log, spdlog::level::level_enum level) const;
 
     /// Returns the line as a JSON object.
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -45,7 +45,7 @@
     return *slot;
 }
 
-/// Writes the type line once per metric name; the maps are sorted by name.
+/// Appends the type line once per metric name; the maps are sorted by name.
 void append_type(std::string& text, std::string& last_name, const std::string& name, std::string_view type) {
     if (name == last_name) {
         return;
@@ -57,17 +57,17 @@
 void append_latency(std::string& text, const std::string& name, const std::string& labels,
                     const latency_histogram& latency) {
     const std::string separator = labels.empty() ? "" : ",";
-    std::uint64_t cumulated = 0;
+    std::uint64_t cumulative = 0;
     const std::vector<latency_histogram::bucket> buckets = latency.get_buckets();
     for (std::size_t index = 0; index + 1 < buckets.size(); ++index) {
-        cumulated += buckets[index].count;
+        cumulative += buckets[index].count;
         text += fmt::format("{}_bucket{{{}{}le=\"{:.6g}\"}} {}\n", name, labels, separator,
-                            buckets[index].upper_seconds, cumulated);
+                            buckets[index].upper_seconds, cumulative);
     }
-    cumulated += buckets.back().count;
-    text += fmt::format("{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, separator, cumulated);
+    cumulative += buckets.back().count;
+    text += fmt::format("{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, separator, cumulative);
     text += fmt::format("{}_sum{} {}\n", name, with_braces(labels), latency.get_sum_seconds());
-    text += fmt::format("{}_count{} {}\n", name, with_braces(labels), cumulated);
+    text += fmt::format("{}_count{} {}\n", name, with_braces(labels), cumulative);
 }
 
 } // namespace
--- a/core/metrics.hpp
+++ b/core/metrics.hpp
@@ -13,7 +13,7 @@
 
 namespace dragonflywell {
 
-/// A number that only grows. Thread safe.
+/// A number that only increases. Thread safe.
 class counter {
 public:
     void add(std::uint64_t amount = 1) noexcept { m_value.fetch_add(amount, std::memory_order_relaxed); }
@@ -23,7 +23,7 @@
     std::atomic<std::uint64_t> m_value{0};
 };
 
-/// A number that moves both ways. Thread safe.
+/// A number that may increase and decrease. Thread safe.
 class gauge {
 public:
     void set(std::int64_t value) noexcept { m_value.store(value, std::memory_order_relaxed); }
@@ -34,7 +34,7 @@
     std::atomic<std::int64_t> m_value{0};
 };
 
-/// Distribution of a duration in seconds, 0.1 ms to 1000 s. Thread safe.
+/// Distribution of durations in seconds, with logarithmic buckets from 0.1 ms to 1000 s. Thread safe.
 class latency_histogram {
 public:
     latency_histogram();
@@ -45,7 +45,7 @@
         double upper_seconds{};
         std::uint64_t count{};
     };
-    /// Returns the counts by bucket, not cumulated; the last bucket has no upper bound.
+    /// Returns the count of each bucket, not cumulative; the last bucket has no upper bound.
     [[nodiscard]] std::vector<bucket> get_buckets() const;
     [[nodiscard]] double get_sum_seconds() const;
 
@@ -62,9 +62,10 @@
     std::string value;
 };
 
-/// All metrics of one process, written in the Prometheus text format.
+/// All metrics of one process, for export in the Prometheus text format.
 ///
-/// Thread safe. References stay valid for as long as the registry lives, so look a metric up once and keep it.
+/// Thread safe. Returned references are valid for the lifetime of the registry, so look up a metric once and keep the
+/// reference.
 class metrics_registry {
 public:
     counter& get_counter(std::string_view name, const std::vector<metric_label>& labels = {});
--- a/core/rcu_cell.hpp
+++ b/core/rcu_cell.hpp
@@ -8,16 +8,16 @@
 
 namespace dragonflywell {
 
-/// Read-copy-update holder of one immutable value.
+/// Read-copy-update container for one immutable value.
 ///
-/// A writer replaces the value as a whole; a reader keeps the version that it has seen alive for as long as it needs.
+/// A writer replaces the whole value; a reader keeps the version that it holds valid for as long as it needs it.
 /// Thread safety: `set` and `get` may be called from any thread.
 template <typename T>
 class rcu_cell {
 public:
     explicit rcu_cell(std::shared_ptr<const T> value) : m_value(std::move(value)) {}
 
-    /// Replaces the value. Readers see it on their next refresh.
+    /// Replaces the value. Readers see it on their next call of `get`.
     void set(std::shared_ptr<const T> value) {
         const std::scoped_lock lock(m_mutex);
         m_value = std::move(value);
@@ -29,7 +29,7 @@
         return m_value;
     }
 
-    /// A cached view for one connection. An unchanged value costs one atomic load and no shared write.
+    /// A cached view for one connection. Reading an unchanged value costs one atomic load and no shared write.
     ///
     /// Thread safety: one thread at a time. The cell must outlive its readers.
     class reader {
--- a/core/settings_reader.hpp
+++ b/core/settings_reader.hpp
@@ -25,19 +25,20 @@
     double max{};
 };
 
-/// Reads a TOML file and checks every key: wrong type, out of range, missing and unknown keys.
+/// Reads a TOML file and reports values of the wrong type or out of range, missing keys and unknown keys.
 ///
-/// Problems are collected, so that one run names them all. Not thread safe.
+/// Problems are collected, so that one run reports all of them. Not thread safe.
 class settings_reader {
 public:
-    /// Throws `invalid_input_error` when the text is not TOML. `file` is used in messages only.
+    /// Throws `invalid_input_error` when the text is not valid TOML. `file` is used in messages only.
     settings_reader(std::string_view text, std::string file);
 
-    /// Each getter returns the value, or the fallback when the key is absent. A key without fallback is required.
+    /// Each getter returns the value, or the fallback when the key is missing. A key without a fallback is required.
+    /// After a problem the returned value must not be used.
     [[nodiscard]] std::string get_string(const std::string& key, std::optional<std::string> fallback = std::nullopt);
     [[nodiscard]] std::int64_t get_integer(const std::string& key, integer_range range,
                                            std::optional<std::int64_t> fallback = std::nullopt);
-    /// A whole number is taken too.
+    /// Accepts integers, too.
     [[nodiscard]] double get_number(const std::string& key, number_range range,
                                     std::optional<double> fallback = std::nullopt);
     [[nodiscard]] bool get_boolean(const std::string& key, std::optional<bool> fallback = std::nullopt);
@@ -45,10 +46,11 @@
                                          std::optional<std::string> fallback = std::nullopt);
     [[nodiscard]] std::vector<std::string> get_strings(const std::string& key);
 
-    /// Records a problem that the caller found in the value of `key`.
+    /// Records a problem that the calling code found in the value of `key`.
     void add_problem(const std::string& key, std::string message);
 
-    /// Call last. Throws `invalid_input_error` when a problem was found or a key was never asked for.
+    /// Throws `invalid_input_error` when there are problems, or keys that no getter has read. Call it after all
+    /// getters.
     void finish();
 
 private:
--- a/daemon/claim_task.cpp
+++ b/daemon/claim_task.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// How long a round waits for work. Bounds the time that a graceful stop takes.
+/// How long a round waits for work. A graceful stop waits up to this long for the round to end.
 constexpr std::chrono::milliseconds idle_wait{100};
 constexpr std::chrono::seconds idle_poll_interval{1};
 
--- a/daemon/claim_task.hpp
+++ b/daemon/claim_task.hpp
@@ -8,7 +8,7 @@
 
 namespace dragonflywell::daemon {
 
-/// Writes the claims of all requests that wait in one append, and answers them.
+/// Writes the idempotency claims of all waiting requests with one append to the log, and answers them.
 class claim_task final : public control_task {
 public:
     explicit claim_task(const control_task_context& parts);
@@ -26,7 +26,7 @@
     coordination::folded_stream m_stream;
     coordination::claim_registry m_book;
     steady_time m_polled_at{};
-    /// Time until the next round: nothing after an idle one, so that a lone claim is written at once.
+    /// Time until the next round: zero after an idle round, so that a single claim is written at once.
     duration m_pause{};
     counter* m_batches;
     gauge* m_remembered;
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -9,30 +9,31 @@
 
 namespace {
 
-/// How long a store is left alone that answered with an old state.
-constexpr duration stuck_pause = std::chrono::milliseconds(400);
+/// Pause before the next read of a store that answered with stale state.
+constexpr duration stale_pause = std::chrono::milliseconds(400);
 
-/// Parts of the bound for which a read waits at the store, and after which a host that hears nothing reads by itself:
-/// a wait and two digests later, so that a lost digest does not make each host read.
-constexpr double wait_share = 0.4;
-constexpr double longest_age_share = 0.7;
+/// Fractions of the bound: the length of a long poll, and the age of the configuration at which a host that is not the
+/// group leader reads the store itself. A long poll and two digests fit into that age, so that a lost digest does not
+/// make every host read.
+constexpr double long_poll_fraction = 0.4;
+constexpr double max_age_fraction = 0.7;
 
-duration get_part(duration whole, double share) {
-    return std::chrono::duration_cast<duration>(whole * share);
+duration get_fraction(duration whole, double fraction) {
+    return std::chrono::duration_cast<duration>(whole * fraction);
 }
 
 } // namespace
 
 configuration_follower::configuration_follower(platform::store_client& store, servers::serving_state& state,
                                                duration bound, std::function<void()> on_change)
-    : m_store(&store), m_state(&state), m_read_wait(get_part(bound, wait_share)),
-      m_longest_age(get_part(bound, longest_age_share)), m_on_change(std::move(on_change)),
-      m_log(get_logger("configuration")), m_dependency(*m_log, "configuration"), m_hint_timer(state.executor) {}
+    : m_store(&store), m_state(&state), m_long_poll_time(get_fraction(bound, long_poll_fraction)),
+      m_max_age(get_fraction(bound, max_age_fraction)), m_on_change(std::move(on_change)),
+      m_log(get_logger("configuration")), m_dependency(*m_log, "configuration"), m_read_timer(state.executor) {}
 
 servers::asio::awaitable<void> configuration_follower::run() {
     for (;;) {
-        if (!m_is_reader && !m_topic.is_read_due(m_longest_age, m_state->time.now())) {
-            co_await wait_for_hint();
+        if (!m_is_reader && !m_topic.is_read_due(m_max_age, m_state->time.now())) {
+            co_await wait_for_leader();
             continue;
         }
         bool has_failed = false;
@@ -46,32 +47,32 @@
             m_dependency.record_failure(m_state->time.now(), fault.what());
             has_failed = true;
         }
-        // A store that answers with an old state brings nothing on, however often it is asked.
-        const bool is_stuck = m_topic.is_lagging() && m_topic.get_next_offset() == before;
+        // While the store answers with stale state, reading it again at once returns nothing new.
+        const bool is_stale = m_topic.is_lagging() && m_topic.get_next_offset() == before;
         if (has_failed) {
             co_await m_store->wait_until_call_allowed();
-        } else if (is_stuck) {
-            co_await servers::sleep_for(stuck_pause);
+        } else if (is_stale) {
+            co_await servers::sleep_for(stale_pause);
         }
     }
 }
 
-servers::asio::awaitable<void> configuration_follower::wait_for_hint() {
-    m_hint_timer.expires_after(m_longest_age - m_topic.get_staleness(m_state->time.now()));
+servers::asio::awaitable<void> configuration_follower::wait_for_leader() {
+    m_read_timer.expires_after(m_max_age - m_topic.get_staleness(m_state->time.now()));
     servers::error_code ignored;
-    co_await m_hint_timer.async_wait(servers::store_error(ignored));
+    co_await m_read_timer.async_wait(servers::store_error(ignored));
 }
 
 void configuration_follower::set_reader(bool is_reader) {
     if (m_is_reader != is_reader) {
         m_is_reader = is_reader;
-        m_hint_timer.cancel();
+        m_read_timer.cancel();
     }
 }
 
 void configuration_follower::update_leader_position(const servers::digest_read_position& reading) {
     if (m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now())) {
-        m_hint_timer.cancel();
+        m_read_timer.cancel();
     }
     m_state->set_configuration_current_at(m_topic.get_caught_up_at());
 }
@@ -83,40 +84,41 @@
 servers::asio::awaitable<void> configuration_follower::follow_once() {
     const std::optional<std::uint64_t> next = m_topic.get_next_offset();
     const steady_time sent_at = m_state->time.now();
-    // Configurations may be large: those that were replaced meanwhile need not be fetched.
+    // Configurations may be large, so versions that are already replaced are not fetched.
     if (!next || m_topic.get_lag() > 1) {
         const platform::store_page listing = co_await m_store->read_newest(platform::wire::operator_topic);
         if (m_topic.is_stale_listing(listing.next_offset)) {
-            throw platform::store_unavailable_error("the listing is older than what was read", false);
+            throw platform::store_unavailable_error("the listing of the store is older than what was read before",
+                                                    false);
         }
-        take(listing, sent_at);
+        apply(listing, sent_at);
         co_return;
     }
-    // Only the host that reads for others waits at the store, and only while the store is known to answer at once.
+    // Only the group leader uses long polls, and only while the store is available and this host is up to date.
     const bool may_wait = m_is_reader && !m_topic.is_lagging() && !m_dependency.is_unavailable();
-    const duration wait = may_wait ? m_read_wait : duration::zero();
+    const duration wait = may_wait ? m_long_poll_time : duration::zero();
     const platform::store_page page = co_await m_store->read(platform::wire::operator_topic, *next, wait);
-    // An empty answer was made when the wait was over.
-    take(page, page.records.empty() ? m_state->time.now() : sent_at);
+    // The store sends an empty answer when the long poll ends.
+    apply(page, page.records.empty() ? m_state->time.now() : sent_at);
 }
 
-void configuration_follower::take(const platform::store_page& page, steady_time at) {
+void configuration_follower::apply(const platform::store_page& page, steady_time at) {
     for (auto record = page.records.rbegin(); record != page.records.rend(); ++record) {
-        // Earlier ones only matter where the newest cannot be used.
+        // Earlier configurations matter only when the newest one is invalid.
         const bool is_configuration = record->key == platform::wire::configuration_key && record->value;
-        if (is_configuration && put_in_force(*record)) {
+        if (is_configuration && apply_configuration(*record)) {
             break;
         }
     }
-    const bool has_news = !page.records.empty();
+    const bool has_records = !page.records.empty();
     m_topic.record_read(page.next_offset, page.topic_end_offset, at);
     m_state->set_configuration_current_at(m_topic.get_caught_up_at());
-    if (has_news && m_is_reader) {
+    if (has_records && m_is_reader) {
         m_state->notify_load_change();
     }
 }
 
-bool configuration_follower::put_in_force(const platform::keyed_record& record) {
+bool configuration_follower::apply_configuration(const platform::keyed_record& record) {
     try {
         fleet::serving_configuration configuration = platform::decode_configuration(*record.value);
         const std::shared_ptr<const fleet::serving_view>& current = m_state->get_view();
--- a/daemon/configuration_task.cpp
+++ b/daemon/configuration_task.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// How old the newest reading of the log may be before the log counts as out of reach.
-constexpr std::chrono::seconds log_reach_bound{15};
+/// How long after the last successful read the log counts as unreachable.
+constexpr std::chrono::seconds log_contact_timeout{15};
 
 } // namespace
 
@@ -29,10 +29,10 @@
     try {
         follow();
         m_followed_at = m_parts.time.now();
-        judge_cut_off();
-        keep_snapshots();
+        update_cut_off();
+        write_snapshots();
     } catch (const coordination::log_unavailable_error&) {
-        judge_cut_off();
+        update_cut_off();
         throw;
     }
 }
@@ -43,7 +43,7 @@
     const std::shared_ptr<const coordination::configuration> current = m_fold.get();
     if (current->version != m_tried) {
         m_tried = current->version;
-        put_in_force(current);
+        apply_configuration(current);
     }
 }
 
@@ -51,21 +51,21 @@
     m_snapshots.release();
 }
 
-void configuration_task::keep_snapshots() {
+void configuration_task::write_snapshots() {
     if (m_snapshots.tick()) {
         m_written->add();
-        m_log->info("Snapshot up to {} is written.", m_stream.get_next_offset());
+        m_log->info("Wrote a configuration snapshot up to offset {}.", m_stream.get_next_offset());
     }
 }
 
-void configuration_task::judge_cut_off() {
+void configuration_task::update_cut_off() {
     const steady_time now = m_parts.time.now();
-    // A daemon cannot tell an outage for all from a cut of its own, so it assumes the cut.
-    const bool is_fresh = m_followed_at && now - *m_followed_at <= log_reach_bound;
+    // A daemon cannot distinguish an outage of the log from a network partition of its zone, so it assumes the latter.
+    const bool is_fresh = m_followed_at && now - *m_followed_at <= log_contact_timeout;
     m_parts.cut_off.set_cut_off(!is_fresh, now);
 }
 
-void configuration_task::put_in_force(const std::shared_ptr<const coordination::configuration>& current) {
+void configuration_task::apply_configuration(const std::shared_ptr<const coordination::configuration>& current) {
     if (m_in_force && *current->version <= *m_in_force) {
         return;
     }
@@ -78,7 +78,7 @@
         m_log->info("Configuration {} is in force.", *current->version);
     } catch (const invalid_input_error& fault) {
         m_rejected->add();
-        m_log->error("Configuration {} is not valid and is not used: {}", *current->version, fault.what());
+        m_log->error("Configuration {} is invalid and is not put in force: {}", *current->version, fault.what());
         return;
     }
 }
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -12,9 +12,9 @@
 
 namespace dragonflywell::daemon {
 
-/// Follows the configuration stream and puts each valid version in force. Versions only grow.
+/// Follows the configuration stream and puts each valid version in force. Versions only increase.
 ///
-/// One of the daemons writes the stream's snapshots, so that a host that starts after the log has forgotten the oldest
+/// One of the daemons writes the stream's snapshots, so that a host that starts after the log has dropped its oldest
 /// records still finds the configuration.
 class configuration_task final : public control_task {
 public:
@@ -27,9 +27,9 @@
 
 private:
     void follow();
-    void keep_snapshots();
-    void judge_cut_off();
-    void put_in_force(const std::shared_ptr<const coordination::configuration>& current);
+    void write_snapshots();
+    void update_cut_off();
+    void apply_configuration(const std::shared_ptr<const coordination::configuration>& current);
 
     control_task_context m_parts;
     platform::http_log m_platform_log;
@@ -40,10 +40,10 @@
     counter* m_written;
     gauge* m_version;
     counter* m_direct_reads;
-    /// Newest version of the own fold that was tried, and the version in force.
+    /// The newest version that was tried, and the version in force.
     std::optional<coordination::log_offset> m_tried;
     std::optional<coordination::log_offset> m_in_force;
-    /// When this daemon itself followed the stream last.
+    /// When this daemon last read the stream successfully.
     std::optional<steady_time> m_followed_at;
     std::shared_ptr<spdlog::logger> m_log;
 };
--- a/daemon/control_task.hpp
+++ b/daemon/control_task.hpp
@@ -4,10 +4,10 @@
 
 namespace dragonflywell::daemon {
 
-/// One duty of a daemon beside the requests, such as following the configuration.
+/// One background task of a daemon beside serving requests, such as following the configuration.
 ///
-/// Each task is run by a thread of its own, so that a slow answer to one does not delay another. A task that writes to
-/// the platform owns its connections.
+/// Each task runs on its own thread, so that a slow reply to one does not delay another. A task that writes to the
+/// platform owns its connections.
 class control_task {
 public:
     control_task() = default;
@@ -17,16 +17,17 @@
     control_task& operator=(control_task&&) = delete;
     virtual ~control_task() = default;
 
-    /// Does one round. What it throws is logged and counted, and the next round comes all the same.
+    /// Runs one round. Exceptions are logged and counted, and the next round runs after the usual interval.
     virtual void run_round() = 0;
 
-    /// Hands over on a graceful stop, after the last request has ended. Called by the task's thread.
+    /// Writes what is left and releases leases on a graceful stop, after the last request has ended. Called on the
+    /// task's thread.
     virtual void finish() {}
 
-    /// Returns a short name for logs and counters.
+    /// Returns a short name for logs and metrics.
     [[nodiscard]] virtual const char* get_name() const noexcept = 0;
 
-    /// Returns the time between two rounds.
+    /// Returns the time from the end of one round to the start of the next.
     [[nodiscard]] virtual duration get_interval() const noexcept = 0;
 };
 
--- a/daemon/control_task_context.hpp
+++ b/daemon/control_task_context.hpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::daemon {
 
-/// What the control tasks of one daemon share. All members are thread safe and outlive the tasks.
+/// References that the control tasks of one daemon share. All members are thread safe and outlive the tasks.
 struct control_task_context {
     const daemon_settings& settings;
     const clock_source& time;
--- a/daemon/control_tasks.hpp
+++ b/daemon/control_tasks.hpp
@@ -8,7 +8,7 @@
 
 namespace dragonflywell::daemon {
 
-/// Makes the control tasks of a daemon: the one place where they are registered.
+/// Creates all control tasks of a daemon. This is the only place where they are registered.
 [[nodiscard]] std::vector<std::unique_ptr<control_task>> make_control_tasks(const control_task_context& parts);
 
 } // namespace dragonflywell::daemon
--- a/daemon/control_thread.cpp
+++ b/daemon/control_thread.cpp
@@ -39,7 +39,7 @@
         action();
     } catch (const std::exception& fault) {
         m_failures->add();
-        m_log->warn("Round failed: {}.", fault.what());
+        m_log->warn("Control task round failed: {}.", fault.what());
     }
 }
 
--- a/daemon/control_thread.hpp
+++ b/daemon/control_thread.hpp
@@ -24,7 +24,7 @@
 
     void start();
 
-    /// Lets the task hand over and ends the thread. Idempotent.
+    /// Waits for the current round, calls `finish` of the task and joins the thread. Idempotent.
     void stop();
 
 private:
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// How long connections without a request may take to close at the end.
+/// How long idle connections may take to close at the end of a stop.
 constexpr std::chrono::seconds connection_close_time{2};
 
 std::vector<std::unique_ptr<boost::asio::io_context>> make_workers(unsigned count) {
@@ -17,7 +17,8 @@
     return workers;
 }
 
-/// The budget for retries is this host's alone, so that all of it is there from the start.
+/// Returns a start time one window ago, so that the full retry budget, which is local to this host, is available at
+/// once.
 steady_time get_budget_start(const clock_source& time) {
     return time.now() - policy::retry_budget_options{}.window;
 }
@@ -82,7 +83,7 @@
     }
     for (boost::asio::io_context* context : get_worker_contexts()) {
         m_threads.emplace_back([context] {
-            // A worker without connections must not end: the first one may come at any time.
+            // The work guard keeps a worker without connections running.
             const auto work = boost::asio::make_work_guard(*context);
             context->run();
         });
@@ -96,14 +97,14 @@
     if (m_is_stopping.exchange(true)) {
         return;
     }
-    m_log->info("Stopping: the readiness check fails and callers are told to use other connections.");
+    m_log->info("Stopping: readiness checks fail from now on, and callers are asked to close their connections.");
     m_entry_server.disable_keep_alive();
     wait_while([this] { return !m_is_notice_over; }, m_settings.stop_notice);
     m_log->info("Stopping: new requests are refused.");
     m_entry_handler.set_stopping();
     wait_while([this] { return m_entry_server.get_active_requests() > 0; }, m_settings.stop_grace);
     if (const std::int64_t left = m_entry_server.get_active_requests(); left > 0) {
-        m_log->error("{} requests still run at the end of the grace time and are cut off.", left);
+        m_log->error("{} requests are still running at the end of the grace period and are cut off.", left);
     }
     m_entry_server.stop();
     wait_while([this] { return m_entry_server.get_open_connections() > 0; }, connection_close_time);
@@ -118,7 +119,7 @@
     for (std::thread& thread : m_threads) {
         thread.join();
     }
-    // A connection must not outlive the context that it was made on.
+    // A connection must not outlive the I/O context on which it was created.
     m_connections.clear();
     m_log->info("Stopped.");
 }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -29,13 +29,15 @@
     daemon& operator=(daemon&&) = delete;
     ~daemon();
 
-    /// Listens and starts all threads. Throws `boost::system::system_error` when an address cannot be bound.
+    /// Binds the listening sockets and starts all threads. Throws `boost::system::system_error` when an address cannot
+    /// be bound.
     void start();
 
-    /// Stops gracefully: fails the readiness check, goes on serving for the time of notice, then refuses what is new,
-    /// finishes what runs, and writes the usage.
+    /// Stops gracefully: fails the readiness check, continues to serve during the notice period, then refuses new
+    /// requests, waits for running ones up to the grace period, and writes the usage. Blocks until all threads have
+    /// ended. Idempotent.
     void stop();
-    /// Cuts the time of notice of a stop short. Thread safe.
+    /// Ends the notice period of a stop early. Thread safe.
     void end_notice() noexcept { m_is_notice_over = true; }
 
     [[nodiscard]] std::uint16_t get_caller_port() const { return m_entry_server.get_port(); }
--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -15,7 +15,7 @@
     const std::string text = reader.get_string(key, std::move(fallback));
     std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed && !text.empty()) {
-        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+        reader.add_problem(key, "must be an IP address and port such as 127.0.0.1:8080");
     }
     return parsed;
 }
--- a/daemon/daemon_settings.hpp
+++ b/daemon/daemon_settings.hpp
@@ -21,14 +21,14 @@
     endpoint callers;
     endpoint operators;
     endpoint platform_log;
-    /// The platform's usage reporting; a host without it does not stand for the lease over reporting.
+    /// Address of the platform's usage reporting; a host without it does not compete for the reporting lease.
     std::optional<endpoint> platform_usage;
     duration log_deadline{};
     /// How long the platform's log keeps a record.
     duration log_retention{};
     duration configuration_poll{};
     duration usage_flush{};
-    /// Least time between two appends of claims.
+    /// Shortest time between two appends of claims.
     duration claim_interval{};
     coordination::claim_options claims;
     duration control_interval{};
@@ -38,12 +38,12 @@
     std::uint64_t body_limit_bytes{};
     servers::request_limits limits;
     servers::admission_options admission;
-    /// How long a graceful stop still takes new requests after the readiness check fails, for balancers to notice.
+    /// How long a graceful stop still accepts new requests after the readiness check fails, so that load balancers
+    /// notice.
     duration stop_notice{};
     /// How long a graceful stop waits for running requests.
     duration stop_grace{};
     log_options log;
-    /// Absent when the daemon keeps to itself.
 };
 
 /// Parses and checks a settings file. `file` is used in messages only.
--- a/daemon/demand_exchange.cpp
+++ b/daemon/demand_exchange.cpp
@@ -68,7 +68,7 @@
         try {
             reports.push_back(decode_report(entry.data));
         } catch (const malformed_message_error&) { // NOLINT(bugprone-empty-catch)
-            // The estimator bridges the gap.
+            // A malformed report is skipped; the estimator fills the gap.
         }
     }
     return reports;
--- a/daemon/demand_report_queue.hpp
+++ b/daemon/demand_report_queue.hpp
@@ -9,27 +9,27 @@
 
 namespace dragonflywell::daemon {
 
-/// Where demand reports of all entry hosts wait for the zone's control: the own ones and those that the log brings.
+/// Queue of demand reports for the zone control task: those of this host and those of other entry hosts from the log.
 ///
-/// Thread safe. Bounded: when the control thread does not fetch them, the oldest reports are dropped.
+/// Thread safe. Bounded: when the control thread falls behind, the oldest reports are dropped.
 class demand_report_queue {
 public:
     void add(policy::demand_report report) {
         const std::scoped_lock lock(m_mutex);
-        if (m_reports.size() >= most_reports) {
+        if (m_reports.size() >= max_reports) {
             m_reports.erase(m_reports.begin());
         }
         m_reports.push_back(std::move(report));
     }
 
-    /// Returns the reports that came in since the last call.
+    /// Removes and returns all queued reports, oldest first.
     [[nodiscard]] std::vector<policy::demand_report> take() {
         const std::scoped_lock lock(m_mutex);
         return std::exchange(m_reports, {});
     }
 
 private:
-    static constexpr std::size_t most_reports = 4096;
+    static constexpr std::size_t max_reports = 4096;
 
     std::mutex m_mutex;
     std::vector<policy::demand_report> m_reports;
--- a/daemon/digest_builder.cpp
+++ b/daemon/digest_builder.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-/// Windows whose counts are told: the current one, and those that may not be reported yet.
-constexpr std::int64_t told_windows = 3;
-/// A death is told a few times, so that a lost datagram does not matter, and so many at once that they fit.
-constexpr duration told_death_age = std::chrono::seconds(3);
-constexpr std::size_t most_told_deaths = 64;
+/// Number of usage windows whose counts are sent: the current one and those that may not be reported yet.
+constexpr std::int64_t sent_windows = 3;
+/// Age up to which an engine crash is sent: several heartbeats, so that a lost datagram does no harm.
+constexpr duration max_crash_age = std::chrono::seconds(3);
+/// Largest number of crashes in a digest, so that it fits into one datagram.
+constexpr std::size_t max_crashes = 64;
 
 } // namespace
 
@@ -20,7 +21,7 @@
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease), m_group_usage(&usage),
       m_own(std::move(own)), m_zone(std::move(zone)) {}
 
-servers::host_digest digest_builder::make_head(const digest_scope& occasion) {
+servers::host_digest digest_builder::make_header(const digest_scope& occasion) {
     servers::host_digest digest;
     digest.host = m_own.host;
     digest.zone = m_zone;
@@ -31,14 +32,14 @@
     digest.is_stopping = m_state->is_stopping;
     digest.holds_lease = m_lease->is_held();
     if (occasion.is_heartbeat) {
-        digest.deaths = m_state->suspects.get_newest_crashes(digest.corrected_time, told_death_age, most_told_deaths);
+        digest.deaths = m_state->suspects.get_newest_crashes(digest.corrected_time, max_crash_age, max_crashes);
     }
     digest.transitions = m_state->get_own_transitions();
     return digest;
 }
 
 servers::host_digest digest_builder::make_group_digest(const digest_scope& occasion) {
-    servers::host_digest digest = make_head(occasion);
+    servers::host_digest digest = make_header(occasion);
     digest.instances = m_state->get_own_in_flight();
     digest.ejections = m_state->get_ejected();
     digest.prefix_accesses = std::exchange(m_state->prefix_accesses, {});
@@ -55,7 +56,7 @@
 }
 
 servers::host_digest digest_builder::make_intergroup_digest(const digest_scope& occasion) {
-    servers::host_digest digest = make_head(occasion);
+    servers::host_digest digest = make_header(occasion);
     if (occasion.is_group_leader) {
         add_summaries(digest);
         digest.prefix_accesses = m_shared_prompts.take(m_state->time.now());
@@ -66,7 +67,7 @@
 void digest_builder::add_usage(servers::host_digest& digest) const {
     const std::int64_t current = m_state->usage.get_window(m_state->get_corrected_time());
     const auto& windows = m_state->usage.get_windows();
-    digest.usage = {windows.lower_bound(current - told_windows + 1), windows.end()};
+    digest.usage = {windows.lower_bound(current - sent_windows + 1), windows.end()};
 }
 
 void digest_builder::add_engines(servers::host_digest& digest) const {
@@ -77,11 +78,11 @@
             if (engine.own.running == 0 && engine.own.prompts.empty()) {
                 continue;
             }
-            servers::digest_engine& told = digest.engines[name];
-            told.running = engine.own.running;
-            told.running_tokens = engine.own.running_tokens;
+            servers::digest_engine& entry = digest.engines[name];
+            entry.running = engine.own.running;
+            entry.running_tokens = engine.own.running_tokens;
             for (const policy::prefill_job& job : engine.own.prompts) {
-                told.prompts.push_back(
+                entry.prompts.push_back(
                     {.number = job.number, .age = now - job.sent_at, .cost = job.cost, .urgency = job.urgency});
             }
         }
@@ -106,9 +107,9 @@
     for (const auto& [engine, transition] : m_state->get_own_transitions()) {
         transitions.emplace(engine, transition.stage);
     }
-    const bool is_news = transitions != m_told_transitions;
-    m_told_transitions = std::move(transitions);
-    return is_news;
+    const bool has_changed = transitions != m_last_transitions;
+    m_last_transitions = std::move(transitions);
+    return has_changed;
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/digest_builder.hpp
+++ b/daemon/digest_builder.hpp
@@ -13,15 +13,15 @@
 
 namespace dragonflywell::daemon {
 
-/// What decides how much a digest tells.
+/// Determines which parts a digest contains.
 struct digest_scope {
-    /// The sender is the first host of its group: it reads and speaks for it.
+    /// The sender leads its group: it reads the store for it and reports on it to remote groups.
     bool is_group_leader{false};
-    /// It is the turn of what is told less often.
+    /// The digest is a heartbeat, which also carries the parts that are sent less often.
     bool is_heartbeat{false};
 };
 
-/// Puts together what a host tells the others of itself. Not thread safe.
+/// Builds the digests that a host sends to the others. Not thread safe.
 class digest_builder {
 public:
     /// Preconditions: all references outlive the writer.
@@ -29,18 +29,19 @@
                    const server_list_follower& servers, const lease_keeper& lease, const group_usage_recorder& usage,
                    servers::host_incarnation own, zone_name zone);
 
-    /// Returns the digest for the hosts of the group. Takes the news of prompts that have gathered.
+    /// Returns the digest for the hosts of the group. Clears the prefix accesses that have accumulated.
     [[nodiscard]] servers::host_digest make_group_digest(const digest_scope& occasion);
-    /// Returns the digest for the hosts of other groups.
+    /// Returns the digest for the hosts of remote groups. That of a group leader clears the shared prefixes that are
+    /// due.
     [[nodiscard]] servers::host_digest make_intergroup_digest(const digest_scope& occasion);
 
-    /// Gathers for other groups what the engines of this one are given.
+    /// Accumulates, for remote groups, the prefix accesses of this group's engines.
     void share_prompts(const std::vector<servers::digest_prefix_access>& prefix_accesses);
-    /// Returns whether engines that this host is changing are others than at the last question.
+    /// Returns whether the stage transitions that this host has ordered have changed since the last call.
     [[nodiscard]] bool has_new_transitions();
 
 private:
-    [[nodiscard]] servers::host_digest make_head(const digest_scope& occasion);
+    [[nodiscard]] servers::host_digest make_header(const digest_scope& occasion);
     void add_usage(servers::host_digest& digest) const;
     void add_engines(servers::host_digest& digest) const;
     void add_summaries(servers::host_digest& digest) const;
@@ -53,8 +54,8 @@
     servers::host_incarnation m_own;
     zone_name m_zone;
     std::uint64_t m_sequence{0};
-    std::map<backend_server_name, fleet::engine_stage> m_told_transitions;
-    /// What other groups are to be told of the prompts that this one's engines have.
+    std::map<backend_server_name, fleet::engine_stage> m_last_transitions;
+    /// Prefixes in the caches of this group's engines that are to be announced to remote groups.
     servers::shared_prefixes m_shared_prompts;
 };
 
--- a/daemon/engine_observer.hpp
+++ b/daemon/engine_observer.hpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::daemon {
 
-/// What is known of one engine.
+/// The last known state of one engine.
 struct observed_engine {
     /// As last reported; absent until the first report.
     std::optional<platform::engine_load> load;
@@ -18,7 +18,7 @@
 };
 
 struct engine_observer_options {
-    /// How long an engine that did not answer is left alone, so that one hanging engine does not slow the round.
+    /// How long an unreachable engine is not asked again, so that a hanging engine does not slow down each round.
     duration retry_unreachable{std::chrono::seconds(5)};
 };
 
@@ -28,7 +28,8 @@
     /// Precondition: the references outlive the observer.
     engine_observer(platform::engine_control& engines, const clock_source& time, engine_observer_options options);
 
-    /// Asks each engine once; forgets those that the manifest has no more.
+    /// Asks each engine once, except those that were unreachable shortly before. Removes those that are no longer in
+    /// the manifest.
     void refresh(const fleet::manifest& manifest);
 
     [[nodiscard]] const std::map<backend_server_name, observed_engine>& get_all() const noexcept { return m_engines; }
--- a/daemon/engine_order_receiver.hpp
+++ b/daemon/engine_order_receiver.hpp
@@ -11,13 +11,13 @@
 
 inline constexpr std::string_view role_order_kind = "role";
 
-/// Returns the subject that orders to an engine compete for.
+/// Returns the subject under which the order ledger serializes the orders to an engine.
 [[nodiscard]] std::string get_engine_subject(const backend_server_name& engine);
 
-/// Gives role orders to engines. Not thread safe.
+/// Sends role orders to engines. Not thread safe.
 class engine_order_receiver final : public coordination::order_receiver {
 public:
-    /// Returns the address of an engine, or nothing when the manifest has it no more.
+    /// Returns the address of an engine, or nothing when it is no longer in the manifest.
     using address_lookup = std::function<std::optional<endpoint>(const backend_server_name&)>;
 
     /// Precondition: `engines` outlives the receiver.
@@ -26,8 +26,8 @@
     coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
                                    duration deadline) override;
 
-    /// Engines do not tell what they hold under a key; an engine in the ordered role, which it was not in when the
-    /// order was made, has taken it.
+    /// Returns whether the engine has the ordered role. Engines cannot be queried by idempotency key; but an engine did
+    /// not have the ordered role when the order was created, so it has applied the order when it has the role now.
     coordination::order_query_result query(const coordination::order& value) override;
 
 private:
--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -10,14 +10,14 @@
 namespace {
 
 constexpr duration tick = std::chrono::milliseconds(500);
-/// What is left of the height of the running requests after a tick: half of it after some 20 seconds.
-constexpr double height_memory = 0.98;
-/// How long servers that are not needed any more are kept: a swing of the load mostly comes back sooner, and a server
-/// that is ordered anew has nothing in its memory.
+/// Factor by which the peak of the running requests decays in each tick, so that it halves in about 20 seconds.
+constexpr double peak_decay = 0.98;
+/// How long servers that are no longer needed are kept. The load usually rises again sooner, and a newly ordered server
+/// starts with an empty cache.
 constexpr duration hold_time = std::chrono::seconds(30);
-/// How long an order that was not accepted rests before it is sent again.
-constexpr duration repeat_after = std::chrono::seconds(3);
-/// How long servers that were ordered may take until the list shows them: to start, and to write their entry.
+/// How long to wait before an order that was not accepted is sent again.
+constexpr duration retry_delay = std::chrono::seconds(3);
+/// How long ordered servers may take to start and to register in the server list.
 constexpr duration arrival_time = std::chrono::seconds(7);
 
 std::string_view get_answer_name(platform::duty_call_result answer) {
@@ -60,26 +60,26 @@
 void fleet_controller::observe_demand() {
     const steady_time now = m_state->time.now();
     for (const auto& [service, engines] : m_state->get_engines()) {
-        const auto height = m_reading.try_emplace(service, policy::decaying_peak_rate::options{}).first;
-        height->second.observe(std::chrono::duration<double>(m_state->get_prefill_demand(service)).count(), now);
+        const auto peak = m_prefill_demand.try_emplace(service, policy::decaying_peak_rate::options{}).first;
+        peak->second.observe(std::chrono::duration<double>(m_state->get_prefill_demand(service)).count(), now);
         const double running = m_state->get_running(service);
-        double& running_height = m_running[service];
-        running_height = std::max(running, running_height * height_memory);
+        double& running_peak = m_running[service];
+        running_peak = std::max(running, running_peak * peak_decay);
     }
 }
 
 policy::fleet_demand fleet_controller::get_demand(const service_name& service) const {
     policy::fleet_demand demand;
-    if (const auto reading = m_reading.find(service); reading != m_reading.end()) {
-        const std::optional<double> height = reading->second.get();
-        // Nothing was asked for yet: what will be is not known.
-        demand.prefill_engines = height && *height > 0 ? height : std::nullopt;
+    if (const auto prefill = m_prefill_demand.find(service); prefill != m_prefill_demand.end()) {
+        const std::optional<double> peak = prefill->second.get();
+        // There were no requests yet, so the demand is unknown.
+        demand.prefill_engines = peak && *peak > 0 ? peak : std::nullopt;
     }
     const fleet::service_description* description = m_state->get_view()->find_service(service);
     const double slots = description->engine ? description->engine->slots : 1;
     const auto running = m_running.find(service);
-    const double height = running == m_running.end() ? 0 : running->second;
-    demand.decode_engines = policy::count_decode_engines(slots, {.running = height}, {});
+    const double peak = running == m_running.end() ? 0 : running->second;
+    demand.decode_engines = policy::count_decode_engines(slots, {.running = peak}, {});
     return demand;
 }
 
@@ -90,20 +90,20 @@
             continue;
         }
         const std::map<zone_name, policy::zone_server_counts> present = get_present(service.name);
-        const std::map<zone_name, policy::zone_server_counts> wishes =
+        const std::map<zone_name, policy::zone_server_counts> targets =
             policy::plan_servers(*service.scaling, present, get_demand(service.name), {});
-        for (const auto& [zone, wish] : wishes) {
-            const subject regular{.service = service.name, .zone = zone, .is_cheap = false};
-            const subject cheap{.service = service.name, .zone = zone, .is_cheap = true};
+        for (const auto& [zone, target] : targets) {
+            const server_pool regular{.service = service.name, .zone = zone, .is_cheap = false};
+            const server_pool cheap{.service = service.name, .zone = zone, .is_cheap = true};
             const steady_time now = m_state->time.now();
             const std::uint32_t wanted_regular =
-                m_wishes.try_emplace(regular, hold_time).first->second.observe(wish.regular, now);
+                m_targets.try_emplace(regular, hold_time).first->second.observe(target.regular, now);
             const std::uint32_t wanted_cheap =
-                m_wishes.try_emplace(cheap, hold_time).first->second.observe(wish.cheap, now);
+                m_targets.try_emplace(cheap, hold_time).first->second.observe(target.cheap, now);
             const std::uint32_t cheap_limit = service.scaling->max_servers - wanted_regular;
-            const policy::zone_server_counts& there = present.at(zone);
-            co_await order(fence, regular, wanted_regular, there.regular);
-            co_await order(fence, cheap, std::min(wanted_cheap, cheap_limit), there.cheap);
+            const policy::zone_server_counts& current = present.at(zone);
+            co_await order(fence, regular, wanted_regular, current.regular);
+            co_await order(fence, cheap, std::min(wanted_cheap, cheap_limit), current.cheap);
         }
     }
 }
@@ -122,16 +122,16 @@
     return present;
 }
 
-servers::asio::awaitable<void> fleet_controller::order(std::uint64_t fence, subject what, std::uint32_t wanted,
+servers::asio::awaitable<void> fleet_controller::order(std::uint64_t fence, server_pool pool, std::uint32_t wanted,
                                                        std::uint32_t present) {
     const steady_time now = m_state->time.now();
-    const auto before = m_orders.find(what);
+    const auto before = m_orders.find(pool);
     if (before != m_orders.end()) {
         const bool is_same = before->second.wanted == wanted;
         const duration age = now - before->second.sent_at;
-        // Servers that were reclaimed or crashed do not come back by themselves.
+        // Servers that were reclaimed or that crashed do not return without a new order.
         const bool is_carried_out = before->second.is_accepted && (present >= wanted || age < arrival_time);
-        if (is_same && (is_carried_out || age < repeat_after)) {
+        if (is_same && (is_carried_out || age < retry_delay)) {
             co_return;
         }
     }
@@ -140,13 +140,13 @@
     }
     const platform::duty_credentials authority{.holder = m_host, .fence = fence};
     const platform::scaling_request message{
-        .service = what.service, .zone = what.zone, .desired_count = wanted, .is_cheap = what.is_cheap};
+        .service = pool.service, .zone = pool.zone, .desired_count = wanted, .is_cheap = pool.is_cheap};
     const platform::duty_call_result answer = co_await m_cloud->request_scaling(authority, message);
-    m_orders[what] = {.wanted = wanted, .is_accepted = answer == platform::duty_call_result::accepted, .sent_at = now};
+    m_orders[pool] = {.wanted = wanted, .is_accepted = answer == platform::duty_call_result::accepted, .sent_at = now};
     log_event("servers_ordered")
-        .add("service", what.service.value())
-        .add("zone", what.zone.value())
-        .add("cheap", what.is_cheap)
+        .add("service", pool.service.value())
+        .add("zone", pool.zone.value())
+        .add("cheap", pool.is_cheap)
         .add("wanted", wanted)
         .add("fence", fence)
         .add("answer", get_answer_name(answer))
--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -15,26 +15,27 @@
 
 namespace dragonflywell::daemon {
 
-/// Orders backend servers while this host holds the lease. Used on one event loop.
+/// Scales the backend servers of each service through the platform's cloud interface while this host holds the lease.
+/// Used on one event loop.
 class fleet_controller {
 public:
     /// Preconditions: all references outlive the controller.
     fleet_controller(platform::cloud_client& cloud, lease_keeper& lease, servers::serving_state& state,
                      std::string host);
 
-    /// Controls for as long as the event loop runs.
+    /// Runs for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
 private:
-    /// What can be ordered by itself.
-    struct subject {
+    /// A pool of backend servers whose size is ordered separately.
+    struct server_pool {
         service_name service;
         zone_name zone;
         bool is_cheap{false};
 
-        friend auto operator<=>(const subject&, const subject&) = default;
+        friend auto operator<=>(const server_pool&, const server_pool&) = default;
     };
-    /// The newest order for a subject under the present fence.
+    /// The newest order for a pool under the current fencing number.
     struct placed_order {
         std::uint32_t wanted{};
         bool is_accepted{false};
@@ -44,10 +45,10 @@
     void observe_demand();
     [[nodiscard]] policy::fleet_demand get_demand(const service_name& service) const;
     servers::asio::awaitable<void> control(std::uint64_t fence);
-    /// Orders, unless the newest order says the same and has been, or may still be, carried out.
-    servers::asio::awaitable<void> order(std::uint64_t fence, subject what, std::uint32_t wanted,
+    /// Orders a pool size, unless the newest order wants the same size and was, or may still be, carried out.
+    servers::asio::awaitable<void> order(std::uint64_t fence, server_pool pool, std::uint32_t wanted,
                                          std::uint32_t present);
-    /// Returns the servers that each zone of a service has.
+    /// Returns the number of servers that each zone of a service has, without those that drain.
     [[nodiscard]] std::map<zone_name, policy::zone_server_counts> get_present(const service_name& service) const;
 
     platform::cloud_client* m_cloud;
@@ -55,11 +56,11 @@
     servers::serving_state* m_state;
     std::string m_host;
     std::shared_ptr<spdlog::logger> m_log;
-    std::map<subject, placed_order> m_orders;
-    std::map<service_name, policy::decaying_peak_rate> m_reading;
+    std::map<server_pool, placed_order> m_orders;
+    std::map<service_name, policy::decaying_peak_rate> m_prefill_demand;
     std::map<service_name, double> m_running;
-    /// The greatest wishes of late: servers are given back only after they were not needed for a while.
-    std::map<subject, policy::recent_maximum> m_wishes;
+    /// Recent maximum of each pool's target size: servers are released only after they were not needed for a while.
+    std::map<server_pool, policy::recent_maximum> m_targets;
     std::optional<std::uint64_t> m_fence;
 };
 
--- a/daemon/fleet_status.hpp
+++ b/daemon/fleet_status.hpp
@@ -12,7 +12,7 @@
 
 namespace dragonflywell::daemon {
 
-/// The last decision for one model and what it was based on.
+/// The last role and spending decision for one model, and the inputs to it.
 struct model_fleet_status {
     std::vector<policy::planned_engine> engines;
     policy::role_demand current;
@@ -20,15 +20,15 @@
     double relative_error{};
     policy::demand_freshness freshness{policy::demand_freshness::stale};
     policy::role_plan roles;
-    /// The newest decision that led to orders, and when it was made.
+    /// The orders of the newest decision that had any, and when it was made.
     std::vector<policy::role_order> last_orders;
     std::optional<wall_time> last_ordered_at;
-    /// Work of each organisation, in units per second.
+    /// Demand of each organisation, in work units per second.
     std::map<organisation_name, policy::role_demand> organisations;
     policy::spend_plan spending;
 };
 
-/// What a daemon knows of the fleet and decides about its zone. Immutable once published.
+/// The fleet as a daemon sees it, and its decisions for its zone. Immutable once published.
 struct fleet_status {
     bool has_authority{false};
     bool is_log_reachable{false};
@@ -38,7 +38,7 @@
     std::map<model_name, model_fleet_status> models;
 };
 
-/// Returns the status as /status shows it. Thread safe.
+/// Returns the status as the /status endpoint shows it. Thread safe.
 [[nodiscard]] boost::json::object encode_fleet_status(const fleet_status& status);
 
 } // namespace dragonflywell::daemon
--- a/daemon/group_usage_recorder.cpp
+++ b/daemon/group_usage_recorder.cpp
@@ -12,60 +12,61 @@
 
 group_usage_recorder::group_usage_recorder(platform::store_client& store, servers::serving_state& state,
                                            duration gather)
-    : m_store(&store), m_state(&state), m_gather(gather), m_log(get_logger("usage")) {}
+    : m_store(&store), m_state(&state), m_record_delay(gather), m_log(get_logger("usage")) {}
 
 void group_usage_recorder::update(const servers::host_digest& digest) {
     if (digest.usage.empty()) {
         return;
     }
-    received_usage& told = m_told[digest.host];
-    if (told.incarnation != digest.incarnation) {
-        told = {.incarnation = digest.incarnation, .sent_at = {}, .windows = {}};
+    received_usage& received = m_received[digest.host];
+    if (received.incarnation != digest.incarnation) {
+        received = {.incarnation = digest.incarnation, .sent_at = {}, .windows = {}};
     }
-    told.sent_at = digest.corrected_time;
+    received.sent_at = digest.corrected_time;
     for (const auto& [window, counts] : digest.usage) {
-        told.windows[window] = counts;
+        received.windows[window] = counts;
     }
-    // A later copy replaces the earlier one, and a window may be reported late, when its figures are still needed.
-    const std::int64_t oldest = told.windows.rbegin()->first - retained_usage_windows + 1;
-    told.windows.erase(told.windows.begin(), told.windows.lower_bound(oldest));
+    // A stored copy replaces the earlier one as a whole, and a window may be reported late, so that older windows are
+    // still needed in it.
+    const std::int64_t oldest = received.windows.rbegin()->first - retained_usage_windows + 1;
+    received.windows.erase(received.windows.begin(), received.windows.lower_bound(oldest));
 }
 
 std::optional<group_usage_recorder::received_usage> group_usage_recorder::remove_host(const std::string& host) {
-    const auto found = m_told.find(host);
-    if (found == m_told.end()) {
+    const auto found = m_received.find(host);
+    if (found == m_received.end()) {
         return std::nullopt;
     }
-    received_usage told = std::move(found->second);
-    m_told.erase(found);
-    return told;
+    received_usage received = std::move(found->second);
+    m_received.erase(found);
+    return received;
 }
 
 void group_usage_recorder::record_if_due() {
-    const std::int64_t window = m_state->usage.get_window(m_state->get_corrected_time() - m_gather) - 1;
-    if (window <= m_tried || m_told.empty()) {
+    const std::int64_t window = m_state->usage.get_window(m_state->get_corrected_time() - m_record_delay) - 1;
+    if (window <= m_last_tried || m_received.empty()) {
         return;
     }
-    m_tried = window;
+    m_last_tried = window;
     boost::asio::co_spawn(m_state->executor, record(window), boost::asio::detached);
 }
 
 servers::asio::awaitable<void> group_usage_recorder::record(std::int64_t window) {
-    const wall_time counted_at = m_state->usage.get_end(window) + usage_settle_time;
+    const wall_time fully_counted_at = m_state->usage.get_end(window) + usage_settle_time;
     servers::digest_recorded_usage recorded{.window = window, .incarnations = {}};
     std::vector<platform::keyed_value> records;
-    for (const auto& [host, told] : m_told) {
-        // Counts that were told before the window was counted to its end may still grow.
-        if (told.sent_at < counted_at) {
+    for (const auto& [host, received] : m_received) {
+        // Counts that were sent before the window was fully counted may still grow.
+        if (received.sent_at < fully_counted_at) {
             continue;
         }
         coordination::usage_record record{.windows = {}, .closed = window};
-        for (const auto& [number, counts] : told.windows) {
+        for (const auto& [number, counts] : received.windows) {
             record.windows.emplace(number, counts);
         }
-        records.push_back({.key = coordination::make_usage_copy_key(host, told.incarnation),
+        records.push_back({.key = coordination::make_usage_copy_key(host, received.incarnation),
                            .value = coordination::encode_usage_record(record)});
-        recorded.incarnations.push_back({.host = host, .incarnation = told.incarnation});
+        recorded.incarnations.push_back({.host = host, .incarnation = received.incarnation});
     }
     if (records.empty()) {
         co_return;
@@ -74,7 +75,7 @@
         co_await m_store->append_all(topics::usage, records);
         m_recorded = std::move(recorded);
     } catch (const platform::store_unavailable_error& fault) {
-        // Each of the hosts records for itself then.
+        // Each of the hosts then records its own usage.
         log_event("group_usage_failed")
             .add("window", window)
             .add("hosts", records.size())
--- a/daemon/group_usage_recorder.hpp
+++ b/daemon/group_usage_recorder.hpp
@@ -12,32 +12,33 @@
 
 namespace dragonflywell::daemon {
 
-/// Records the usage of the other hosts of a group in one call, where this host speaks for it, and tells which are
-/// recorded. A host that is not told records for itself, so that nothing here has to succeed. Used on one event loop.
+/// On a group leader, records the usage of the other hosts of the group with one store call, and provides for the next
+/// digests whose usage is recorded. A host that receives no such confirmation records its own usage, so a failure here
+/// loses nothing. Used on one event loop.
 class group_usage_recorder {
 public:
-    /// What a life of a host has told.
+    /// Usage counts that one incarnation of a host has sent in its digests.
     struct received_usage {
         std::uint64_t incarnation{};
-        /// By its own time of day.
+        /// When the newest digest was sent, by the sender's wall clock.
         wall_time sent_at;
         std::map<std::int64_t, policy::window_counts> windows;
     };
 
-    /// `gather`: how long after its end a window is recorded; the hosts have told of it since.
+    /// `gather`: delay from the end of a window until it is recorded, in which the hosts send their counts.
     /// Preconditions: store and state outlive it.
     group_usage_recorder(platform::store_client& store, servers::serving_state& state, duration gather);
 
-    /// Takes what a host of the group has told of its counts.
+    /// Updates the counts of a host of the group from its digest.
     void update(const servers::host_digest& digest);
-    /// Forgets a host that fell silent; returns what it had told.
+    /// Removes a host that timed out. Returns the counts that it had sent.
     [[nodiscard]] std::optional<received_usage> remove_host(const std::string& host);
 
-    /// Records the newest window that is over, if it is time and not done yet. Called several times a second by the
-    /// host that speaks for the group.
+    /// Records the newest window that is over, if that is due and was not tried yet. Called several times a second on
+    /// the group leader.
     void record_if_due();
 
-    /// Returns what is recorded, for the next digests.
+    /// Returns whose usage of which window is recorded, for the next digests.
     [[nodiscard]] std::optional<servers::digest_recorded_usage> get_recorded() const { return m_recorded; }
 
 private:
@@ -45,12 +46,12 @@
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
-    duration m_gather;
+    duration m_record_delay;
     std::shared_ptr<spdlog::logger> m_log;
     /// By host.
-    std::map<std::string, received_usage> m_told;
-    /// The newest window that it was tried to record.
-    std::int64_t m_tried{0};
+    std::map<std::string, received_usage> m_received;
+    /// The newest window for which recording was tried.
+    std::int64_t m_last_tried{0};
     std::optional<servers::digest_recorded_usage> m_recorded;
 };
 
--- a/daemon/history_task.cpp
+++ b/daemon/history_task.cpp
@@ -11,7 +11,7 @@
 
 constexpr double seconds_per_hour = 3600;
 
-/// Returns the price of the engines of a zone for one hour, in thousandths.
+/// Returns the price of the engines of a zone for one hour, in thousandths of the currency unit.
 std::uint64_t get_zone_price(const fleet::manifest& manifest, const zone_name& zone) {
     std::uint64_t price = 0;
     for (const auto& [name, server] : manifest.backend_servers) {
@@ -79,10 +79,10 @@
     }
     const auto price = static_cast<double>(get_zone_price(manifest->content, m_parts.settings.zone));
     const double hours = std::chrono::duration<double>(elapsed).count() / seconds_per_hour;
-    m_unstated_spend += price * hours;
-    const double whole = std::floor(m_unstated_spend);
+    m_spend_remainder += price * hours;
+    const double whole = std::floor(m_spend_remainder);
     m_pending.spend_milli += static_cast<std::uint64_t>(whole);
-    m_unstated_spend -= whole;
+    m_spend_remainder -= whole;
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/history_task.hpp
+++ b/daemon/history_task.hpp
@@ -8,10 +8,10 @@
 
 namespace dragonflywell::daemon {
 
-/// States what this host's callers asked for and got, for the operators' reports.
+/// Records the requests, refusals and delivered tokens of this host's callers in the log, for the operators' reports.
 ///
-/// The figures are for trends only and never for bills: when the log fails between an append and its read-back, a span
-/// may count twice.
+/// The figures serve trends only and never billing: when the log fails between an append and its read-back, an interval
+/// may be counted twice.
 class history_task final : public control_task {
 public:
     explicit history_task(const control_task_context& parts);
@@ -31,10 +31,10 @@
     coordination::folded_stream m_stream;
     fleet::service_history m_history;
     coordination::snapshot_writer m_snapshots;
-    /// What has not been stated yet.
+    /// Figures that are not yet recorded in the log.
     fleet::service_counts m_pending;
-    /// Part of a thousandth that is carried over, so that short rounds do not round it away.
-    double m_unstated_spend{0};
+    /// Fraction of a thousandth that is carried over, so that rounding in short rounds does not lose it.
+    double m_spend_remainder{0};
     std::map<std::string, std::uint64_t> m_refusals_before;
     std::optional<steady_time> m_collected_at;
 };
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -19,30 +19,30 @@
 using boost::asio::co_spawn;
 using boost::asio::detached;
 
-constexpr duration house_interval = std::chrono::seconds(1);
-/// Hosts wait up to this before they claim a free lease; the one that takes it is heard by the others within half of
-/// it.
-constexpr duration claim_spread = std::chrono::seconds(1);
-/// How often the settings file is looked at without a signal.
-constexpr duration settings_interval = std::chrono::seconds(5);
-/// How long a host that stops still takes requests: two readiness checks a second apart, and some margin.
+constexpr duration maintenance_interval = std::chrono::seconds(1);
+/// Largest delay before a host acquires a free lease; it differs between hosts. A new holder's digest reaches the
+/// others within half of it.
+constexpr duration max_acquisition_jitter = std::chrono::seconds(1);
+/// Interval between two checks whether the settings file has changed.
+constexpr duration settings_check_interval = std::chrono::seconds(5);
+/// How long a stopping host still accepts requests: two readiness checks that are one second apart, and a margin.
 constexpr duration stop_notice = std::chrono::milliseconds(3500);
-/// How long before the end of the grace time the process ends by itself.
+/// How long before the end of the stop bound the process stops waiting for requests and ends.
 constexpr duration stop_margin = std::chrono::milliseconds(600);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 
-/// Live servers may need this long to enter themselves again, counted from the return of the store.
-constexpr duration longest_return_of_entries = std::chrono::milliseconds(2000);
-/// Heartbeats that an entry misses at least before it lapses, one being under way when the store goes.
-constexpr int fewest_missed_heartbeats = 2;
-/// What learning of a server that left may take of the time after which all bounds hold again.
-constexpr duration contact_margin = std::chrono::milliseconds(500);
+/// Time that live servers may need to register again, counted from the recovery of the store.
+constexpr duration max_reregistration_time = std::chrono::milliseconds(2000);
+/// Smallest number of missed heartbeats before an entry expires; one may be in flight when the store fails.
+constexpr int min_missed_heartbeats = 2;
+/// Part of the recovery bound that is left for learning that a server has left.
+constexpr duration recovery_margin = std::chrono::milliseconds(500);
 
 fleet::list_reachability_options get_contact_options(const host_bounds& bounds) {
-    // The store may have come back as late as one call after the earliest moment.
-    const duration wanted = longest_return_of_entries + policy::circuit_breaker_options{}.max_backoff;
-    return {.recovery_grace = std::min(wanted, bounds.recovery - contact_margin),
-            .min_outage = bounds.server_heartbeat * fewest_missed_heartbeats};
+    // The store may have recovered up to one circuit breaker pause after the earliest possible time.
+    const duration wanted = max_reregistration_time + policy::circuit_breaker_options{}.max_backoff;
+    return {.recovery_grace = std::min(wanted, bounds.recovery - recovery_margin),
+            .min_outage = bounds.server_heartbeat * min_missed_heartbeats};
 }
 
 servers::serving_options get_serving_options(const host_settings& settings, steady_time now) {
@@ -63,12 +63,12 @@
 }
 
 coordination::store_lease_options get_lease_options(const host_settings& settings, std::uint64_t incarnation) {
-    const double drawn = hash_to_unit_interval(settings.name.value(), incarnation);
+    const double jitter_fraction = hash_to_unit_interval(settings.name.value(), incarnation);
     return {.holder = settings.name.value(),
             .incarnation = incarnation,
             .length = settings.bounds.lease,
             .takeover_delay = settings.bounds.lease,
-            .acquisition_delay = std::chrono::duration_cast<duration>(claim_spread * drawn)};
+            .acquisition_delay = std::chrono::duration_cast<duration>(max_acquisition_jitter * jitter_fraction)};
 }
 
 } // namespace
@@ -101,7 +101,7 @@
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP) {}
 
 host_daemon::~host_daemon() {
-    // A connection must not outlive the event loop that it was made on.
+    // A connection must not outlive the event loop on which it was created.
     m_connections.clear();
 }
 
@@ -119,7 +119,7 @@
     listen_to_signals();
     co_spawn(m_loop, m_configuration.run(), detached);
     co_spawn(m_loop, m_servers.run(), detached);
-    co_spawn(m_loop, keep_house(), detached);
+    co_spawn(m_loop, run_maintenance(), detached);
     co_spawn(m_loop, m_usage_recorder.run(), detached);
     m_hosts.start();
     if (m_settings.orders.port != 0) {
@@ -175,23 +175,23 @@
     m_loop.stop();
 }
 
-servers::asio::awaitable<void> host_daemon::keep_house() {
-    steady_time next_look = m_clock.now() + settings_interval;
+servers::asio::awaitable<void> host_daemon::run_maintenance() {
+    steady_time next_check = m_clock.now() + settings_check_interval;
     for (;;) {
-        co_await servers::sleep_for(house_interval);
+        co_await servers::sleep_for(maintenance_interval);
         m_connections.close_expired();
-        report_ages();
-        if (m_clock.now() < next_look) {
+        update_age_metrics();
+        if (m_clock.now() < next_check) {
             continue;
         }
-        next_look = m_clock.now() + settings_interval;
+        next_check = m_clock.now() + settings_check_interval;
         if (m_file.has_changed()) {
             reload();
         }
     }
 }
 
-void host_daemon::report_ages() {
+void host_daemon::update_age_metrics() {
     const auto get_milliseconds = [](duration age) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     };
@@ -203,15 +203,15 @@
 void host_daemon::reload() {
     try {
         host_settings next = m_file.read();
-        std::string later;
+        std::string restart_sections;
         for (const std::string& section : list_sections_for_restart(m_settings, next)) {
-            later += later.empty() ? section : " " + section;
+            restart_sections += restart_sections.empty() ? section : " " + section;
         }
         m_settings.log.level = next.log.level;
         set_log_level(next.log.level);
         log_event("reload")
             .add("log_level", next.log.level)
-            .add("after_restart", later)
+            .add("after_restart", restart_sections)
             .write(*m_log, spdlog::level::info);
     } catch (const invalid_input_error& fault) {
         log_event("settings_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -28,10 +28,10 @@
 
 namespace dragonflywell::daemon {
 
-/// One host of the platform: everything that it runs, on one event loop.
+/// All parts of the daemon on one host of the platform. They run on one event loop.
 class host_daemon {
 public:
-    /// `file` is looked at again when a signal says so, and now and then.
+    /// `file` is read again on SIGHUP, and when a periodic check finds that it has changed.
     host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_buffer> ring);
     host_daemon(const host_daemon&) = delete;
     host_daemon& operator=(const host_daemon&) = delete;
@@ -39,8 +39,8 @@
     host_daemon& operator=(host_daemon&&) = delete;
     ~host_daemon();
 
-    /// Serves until the process is told to stop and what runs has ended.
-    /// Throws `boost::system::system_error` when an address cannot be listened on.
+    /// Serves until a graceful stop is complete.
+    /// Throws `boost::system::system_error` when an address cannot be bound.
     void run();
 
     /// Begins a graceful stop. Called on the event loop.
@@ -52,17 +52,17 @@
 private:
     void listen_to_signals();
     servers::asio::awaitable<void> stop_gracefully();
-    servers::asio::awaitable<void> keep_house();
-    /// Reads the settings file again and puts in force what can be without a restart.
+    servers::asio::awaitable<void> run_maintenance();
+    /// Reads the settings file again and applies the settings that need no restart.
     void reload();
     void apply_limits();
-    /// Sets the metrics that tell how old what this host has read from the store is.
-    void report_ages();
+    /// Sets the metrics for the age of the configuration and of the server list.
+    void update_age_metrics();
 
     host_settings m_settings;
     settings_file m_file;
     host_clock m_clock;
-    /// Differs for each life of the process on this host.
+    /// Differs for each run of the process on this host.
     std::uint64_t m_incarnation;
     std::shared_ptr<spdlog::logger> m_log;
     metrics_registry m_metrics;
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -20,17 +20,19 @@
 
 namespace {
 
-/// Changes of this span are told together; a prompt is read in some ten times as long.
+/// Interval over which changes are batched into one digest. A prefill takes about ten times as long.
 constexpr duration send_interval = std::chrono::milliseconds(25);
-/// The same in a group of this many hosts or more, each of which has to take what all others send.
+/// Longer interval for a large fleet, where each host has to process the digests of all others.
 constexpr duration large_group_send_interval = std::chrono::milliseconds(50);
-constexpr std::size_t many_hosts = 10;
-constexpr duration keep_alive_interval = std::chrono::milliseconds(500);
-/// A host that was not heard for this long counts as gone: its work is not known any more.
-constexpr duration silence = std::chrono::milliseconds(2500);
-/// How long a host of the group is silent until its entry is dropped; a host that comes back announces itself.
-constexpr duration gone_after = std::chrono::seconds(60);
-constexpr std::size_t most_datagram_bytes = 60'000;
+/// Number of other hosts above which the longer interval is used.
+constexpr std::size_t large_group_hosts = 10;
+constexpr duration heartbeat_interval = std::chrono::milliseconds(500);
+/// A host that sends no digest for this long counts as unreachable, and its last known load is discarded.
+constexpr duration host_timeout = std::chrono::milliseconds(2500);
+/// How long a host of the group stays unreachable before its entry in the store is removed. A host that restarts
+/// registers itself again.
+constexpr duration removal_delay = std::chrono::seconds(60);
+constexpr std::size_t max_datagram_bytes = 60'000;
 
 } // namespace
 
@@ -57,9 +59,9 @@
                    .on_removed = [this](const std::string& host) { m_others.erase(host); },
                    .on_page = [this] { update_groups(); }});
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
-    boost::asio::co_spawn(m_state->executor, keep_alive(), boost::asio::detached);
+    boost::asio::co_spawn(m_state->executor, run_heartbeat(), boost::asio::detached);
     m_state->on_load_change = [this] { schedule(); };
-    m_servers->set_relay([this](std::uint64_t from, const platform::store_page& page) { pass_news_on(from, page); });
+    m_servers->set_relay([this](std::uint64_t from, const platform::store_page& page) { relay_records(from, page); });
 }
 
 void host_gossip::schedule() {
@@ -67,7 +69,7 @@
         return;
     }
     m_is_scheduled = true;
-    const bool is_large_group = m_others.size() > many_hosts;
+    const bool is_large_group = m_others.size() > large_group_hosts;
     m_send_timer.expires_after(is_large_group ? large_group_send_interval : send_interval);
     m_send_timer.async_wait([this](const error_code& fault) {
         m_is_scheduled = false;
@@ -90,8 +92,8 @@
     }
     m_state->peers.groups.set_hosts(zones);
     for (auto& [name, other] : m_others) {
-        other.is_near = m_state->peers.groups.is_own_group_host(name, other.zone);
-        if (!other.is_near) {
+        other.is_own_group = m_state->peers.groups.is_own_group_host(name, other.zone);
+        if (!other.is_own_group) {
             m_state->remove_host(name);
         }
     }
@@ -99,7 +101,7 @@
 }
 
 servers::asio::awaitable<void> host_gossip::receive() {
-    std::string buffer(most_datagram_bytes, '\0');
+    std::string buffer(max_datagram_bytes, '\0');
     for (;;) {
         udp::endpoint sender;
         error_code fault;
@@ -109,45 +111,45 @@
             co_await servers::sleep_for(send_interval);
             continue;
         }
-        take_datagram(std::string_view(buffer).substr(0, received));
+        handle_datagram(std::string_view(buffer).substr(0, received));
     }
 }
 
-void host_gossip::take_datagram(std::string_view text) {
+void host_gossip::handle_datagram(std::string_view text) {
     try {
         const boost::json::value document = json::parse(text);
         const boost::json::object& message = json::as_object(document, "datagram");
         if (is_relayed_records(message)) {
-            const relayed_records news = decode_relayed_records(message);
-            m_servers->apply_relayed(news.from, news.page);
+            const relayed_records relayed = decode_relayed_records(message);
+            m_servers->apply_relayed(relayed.from, relayed.page);
         } else {
-            take(servers::decode_host_digest(message));
+            apply_digest(servers::decode_host_digest(message));
         }
     } catch (const malformed_message_error& broken) {
         log_event("datagram_rejected").add("reason", broken.what()).write(*m_log, spdlog::level::warn);
     }
 }
 
-void host_gossip::take(const servers::host_digest& digest) {
+void host_gossip::apply_digest(const servers::host_digest& digest) {
     const auto found = m_others.find(digest.host);
     if (found == m_others.end()) {
-        // A host that isn't listed here yet will be; what it says can wait until then.
+        // Digests of a host are ignored until this host has read its entry in the store.
         return;
     }
     other_host& other = found->second;
-    const bool is_older_life = digest.incarnation < other.incarnation;
+    const bool is_older_incarnation = digest.incarnation < other.incarnation;
     const bool is_older = digest.incarnation == other.incarnation && digest.sequence <= other.sequence;
-    if (is_older_life || is_older) {
+    if (is_older_incarnation || is_older) {
         return;
     }
     other.incarnation = digest.incarnation;
     other.sequence = digest.sequence;
-    if (!other.heard_at) {
+    if (!other.last_received_at) {
         log_event("host_heard").add("host", digest.host).write(*m_log, spdlog::level::info);
     }
-    other.heard_at = m_state->time.now();
-    other.silent_since.reset();
-    other.ahead = digest.corrected_time - m_state->get_corrected_time();
+    other.last_received_at = m_state->time.now();
+    other.timed_out_at.reset();
+    other.clock_offset = digest.corrected_time - m_state->get_corrected_time();
     other.is_stopping = digest.is_stopping;
     if (digest.holds_lease) {
         m_lease->record_holder_heartbeat();
@@ -155,28 +157,28 @@
     for (const policy::engine_crash& death : digest.deaths) {
         m_state->suspects.record_crash(death);
     }
-    if (!other.is_near) {
+    if (!other.is_own_group) {
         m_state->peers.merge_intergroup_digest(digest);
-        take_touches(digest);
+        apply_prefix_accesses(digest);
         return;
     }
     m_group_usage.update(digest);
     if (digest.recorded_usage) {
-        take_recorded(*digest.recorded_usage);
+        apply_recorded_usage(*digest.recorded_usage);
     }
     m_state->peers.merge_group_digest(digest);
     apply_load(digest);
-    take_readings(digest);
+    apply_read_positions(digest);
 }
 
-void host_gossip::take_recorded(const servers::digest_recorded_usage& recorded) {
+void host_gossip::apply_recorded_usage(const servers::digest_recorded_usage& recorded) {
     const servers::host_incarnation own{.host = m_options.host, .incarnation = m_options.incarnation};
     if (std::find(recorded.incarnations.begin(), recorded.incarnations.end(), own) != recorded.incarnations.end()) {
         m_state->delegation.note_recorded(recorded.window);
     }
 }
 
-void host_gossip::take_readings(const servers::host_digest& digest) {
+void host_gossip::apply_read_positions(const servers::host_digest& digest) {
     if (digest.configuration) {
         m_configuration->update_leader_position(*digest.configuration);
     }
@@ -200,13 +202,13 @@
     for (auto& [service, engines] : m_state->get_engines()) {
         engines.board.set_host_load(digest.host, shares, now);
     }
-    take_touches(digest);
-    if (has_far_hosts() && is_first_alive()) {
+    apply_prefix_accesses(digest);
+    if (has_remote_groups() && is_group_leader()) {
         m_writer.share_prompts(digest.prefix_accesses);
     }
 }
 
-void host_gossip::take_touches(const servers::host_digest& digest) {
+void host_gossip::apply_prefix_accesses(const servers::host_digest& digest) {
     for (auto& [service, engines] : m_state->get_engines()) {
         for (const servers::digest_prefix_access& touch : digest.prefix_accesses) {
             engines.board.record_prefix_access(touch.engine, touch.parts);
@@ -214,124 +216,125 @@
     }
 }
 
-bool host_gossip::has_far_hosts() const {
-    return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_near; });
+bool host_gossip::has_remote_groups() const {
+    return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_own_group; });
 }
 
-servers::asio::awaitable<void> host_gossip::keep_alive() {
+servers::asio::awaitable<void> host_gossip::run_heartbeat() {
     for (;;) {
-        co_await servers::sleep_for(keep_alive_interval);
-        drop_silent();
-        drop_entries_of_gone();
-        correct_time();
-        const bool is_first = is_first_alive();
-        m_configuration->set_reader(is_first);
-        m_servers->set_reader(is_first);
-        m_state->delegation.set_delegated(!is_first);
-        if (is_first) {
+        co_await servers::sleep_for(heartbeat_interval);
+        drop_unresponsive();
+        remove_dead_entries();
+        correct_clock();
+        const bool is_leader = is_group_leader();
+        m_configuration->set_reader(is_leader);
+        m_servers->set_reader(is_leader);
+        m_state->delegation.set_delegated(!is_leader);
+        if (is_leader) {
             m_group_usage.record_if_due();
         }
         m_state->peers.discard_usage_before(m_state->usage.get_window(m_state->get_corrected_time()) -
                                             retained_usage_windows);
-        m_is_keep_alive_due = true;
+        m_is_heartbeat_due = true;
         schedule();
     }
 }
 
-void host_gossip::drop_silent() {
+void host_gossip::drop_unresponsive() {
     const steady_time now = m_state->time.now();
     for (auto& [name, other] : m_others) {
-        if (!other.heard_at || now - *other.heard_at <= silence) {
+        if (!other.last_received_at || now - *other.last_received_at <= host_timeout) {
             continue;
         }
-        other.heard_at.reset();
-        other.silent_since = now;
+        other.last_received_at.reset();
+        other.timed_out_at = now;
         m_state->remove_host(name);
-        if (!other.is_near) {
+        if (!other.is_own_group) {
             continue;
         }
         log_event("host_silent").add("host", name).write(*m_log, spdlog::level::info);
-        std::optional<group_usage_recorder::received_usage> told = m_group_usage.remove_host(name);
-        if (is_first_alive() && told) {
+        std::optional<group_usage_recorder::received_usage> received = m_group_usage.remove_host(name);
+        if (is_group_leader() && received) {
             boost::asio::co_spawn(m_state->executor,
-                                  m_usage_copier.record(name, told->incarnation, std::move(told->windows)),
+                                  m_usage_copier.record(name, received->incarnation, std::move(received->windows)),
                                   boost::asio::detached);
         }
     }
 }
 
-void host_gossip::drop_entries_of_gone() {
+void host_gossip::remove_dead_entries() {
     const steady_time now = m_state->time.now();
-    if (!is_first_alive()) {
+    if (!is_group_leader()) {
         return;
     }
     for (auto& [name, other] : m_others) {
-        if (other.is_near && other.silent_since && now - *other.silent_since > gone_after) {
-            other.silent_since.reset();
+        if (other.is_own_group && other.timed_out_at && now - *other.timed_out_at > removal_delay) {
+            other.timed_out_at.reset();
             m_hosts.remove(name);
         }
     }
 }
 
-bool host_gossip::is_first_alive() const {
+bool host_gossip::is_group_leader() const {
     return !m_state->is_stopping && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
         const other_host& other = item.second;
-        return other.is_near && other.heard_at && !other.is_stopping && item.first < m_options.host;
+        return other.is_own_group && other.last_received_at && !other.is_stopping && item.first < m_options.host;
     });
 }
 
-void host_gossip::correct_time() {
-    std::vector<duration> differences;
+void host_gossip::correct_clock() {
+    std::vector<duration> clock_offsets;
     for (const auto& [name, other] : m_others) {
-        if (other.heard_at) {
-            differences.push_back(other.ahead);
+        if (other.last_received_at) {
+            clock_offsets.push_back(other.clock_offset);
         }
     }
-    const std::optional<duration> correction = policy::get_time_correction(std::move(differences));
+    const std::optional<duration> correction = policy::get_time_correction(std::move(clock_offsets));
     if (!correction) {
         return;
     }
     log_event("time_corrected").add("by_ms", *correction).write(*m_log, spdlog::level::warn);
     m_state->adjust_corrected_time(*correction);
     for (auto& [name, other] : m_others) {
-        other.ahead -= *correction;
+        other.clock_offset -= *correction;
     }
 }
 
 void host_gossip::send() {
-    const digest_scope occasion{.is_group_leader = is_first_alive(), .is_heartbeat = m_is_keep_alive_due};
-    const servers::host_digest near = m_writer.make_group_digest(occasion);
-    if (occasion.is_group_leader && has_far_hosts()) {
-        m_writer.share_prompts(near.prefix_accesses);
+    const digest_scope occasion{.is_group_leader = is_group_leader(), .is_heartbeat = m_is_heartbeat_due};
+    const servers::host_digest digest = m_writer.make_group_digest(occasion);
+    if (occasion.is_group_leader && has_remote_groups()) {
+        m_writer.share_prompts(digest.prefix_accesses);
     }
-    send_to(servers::encode_host_digest(near), true);
-    // An engine refuses requests as soon as it changes its stage, so that this news does not wait for its turn.
-    const bool has_news = m_writer.has_new_transitions();
-    const bool is_turn = occasion.is_heartbeat && (occasion.is_group_leader || m_lease->is_held());
-    if (has_far_hosts() && (has_news || is_turn)) {
+    send_to(servers::encode_host_digest(digest), true);
+    // An engine refuses requests as soon as it starts to change its stage, so a new transition is sent to remote groups
+    // without waiting for the next heartbeat.
+    const bool has_new_transitions = m_writer.has_new_transitions();
+    const bool is_heartbeat_sender = occasion.is_heartbeat && (occasion.is_group_leader || m_lease->is_held());
+    if (has_remote_groups() && (has_new_transitions || is_heartbeat_sender)) {
         send_to(servers::encode_host_digest(m_writer.make_intergroup_digest(occasion)), false);
     }
-    m_is_keep_alive_due = false;
+    m_is_heartbeat_due = false;
 }
 
-void host_gossip::send_to(const std::string& text, bool is_near) {
-    if (text.size() > most_datagram_bytes) {
+void host_gossip::send_to(const std::string& text, bool is_own_group) {
+    if (text.size() > max_datagram_bytes) {
         log_event("datagram_too_large").add("bytes", text.size()).write(*m_log, spdlog::level::warn);
         return;
     }
     for (const auto& [name, other] : m_others) {
-        if (other.is_near != is_near) {
+        if (other.is_own_group != is_own_group) {
             continue;
         }
         error_code ignored;
-        // A datagram that is lost is replaced by the next one.
+        // The next datagram replaces a lost one.
         m_socket.send_to(boost::asio::buffer(text), other.address, 0, ignored);
     }
 }
 
-void host_gossip::pass_news_on(std::uint64_t from, const platform::store_page& page) {
+void host_gossip::relay_records(std::uint64_t from, const platform::store_page& page) {
     const std::string text = encode_relayed_records({.from = from, .page = page});
-    if (text.size() <= most_datagram_bytes) {
+    if (text.size() <= max_datagram_bytes) {
         send_to(text, true);
     }
 }
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -25,15 +25,17 @@
     std::string host;
     zone_name zone;
     std::uint64_t incarnation{};
-    /// Where this host takes the datagrams of others.
+    /// Address on which this host receives the datagrams of others.
     endpoint listen;
-    /// How long after a window's end its usage is recorded for the group.
+    /// Delay from the end of a window until the group leader records the group's usage of it.
     duration group_record_delay{};
 };
 
-/// Tells the other hosts of the group what this one has sent to backend servers, and takes what they tell; the first
-/// host of a group reads the store for it and speaks for it to other groups. Hosts find each other in the store;
-/// nothing here has to arrive. Used on one event loop.
+/// Gossips with the other hosts: sends digests of this host's state and applies the digests that it receives.
+///
+/// The leader of a group is its first reachable host by name. It reads the store for the group, relays what it has
+/// read, and sends summaries to remote groups. Hosts discover each other through the store. Any datagram may be lost.
+/// Used on one event loop.
 class host_gossip {
 public:
     /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the exchange.
@@ -41,49 +43,49 @@
                 configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
                 host_gossip_options options);
 
-    /// Starts to send, to receive and to look for other hosts.
+    /// Starts sending, receiving and discovering other hosts.
     void start();
 
-    /// Sends what has changed soon, together with what changes until then.
+    /// Schedules a digest after a short interval, which also covers the changes until then.
     void schedule();
 
 private:
-    /// Another host, as listed and as heard of.
+    /// Another host, as listed in the store and as known from its digests.
     struct other_host {
         boost::asio::ip::udp::endpoint address;
         zone_name zone;
-        bool is_near{true};
+        bool is_own_group{true};
         bool is_stopping{false};
         std::uint64_t incarnation{0};
         std::uint64_t sequence{0};
-        std::optional<steady_time> heard_at;
-        /// Since when a host of the group is silent.
-        std::optional<steady_time> silent_since;
-        /// What its time of day is ahead of ours.
-        duration ahead{};
+        std::optional<steady_time> last_received_at;
+        /// When a host of the group timed out; absent while it is reachable.
+        std::optional<steady_time> timed_out_at;
+        /// How far its corrected time of day is ahead of this host's.
+        duration clock_offset{};
     };
 
     servers::asio::awaitable<void> receive();
-    servers::asio::awaitable<void> keep_alive();
+    servers::asio::awaitable<void> run_heartbeat();
     void add_host(const listed_host& host);
     void update_groups();
-    void take_datagram(std::string_view text);
-    void take(const servers::host_digest& digest);
+    void handle_datagram(std::string_view text);
+    void apply_digest(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
-    void take_touches(const servers::host_digest& digest);
-    /// Notes where the speaker of the group has recorded this host's usage.
-    void take_recorded(const servers::digest_recorded_usage& recorded);
-    void take_readings(const servers::host_digest& digest);
-    [[nodiscard]] bool has_far_hosts() const;
+    void apply_prefix_accesses(const servers::host_digest& digest);
+    /// Notes that the group leader has recorded this host's usage, if it has.
+    void apply_recorded_usage(const servers::digest_recorded_usage& recorded);
+    void apply_read_positions(const servers::host_digest& digest);
+    [[nodiscard]] bool has_remote_groups() const;
     void send();
-    /// Sends to the hosts of the group, or to all others.
-    void send_to(const std::string& text, bool is_near);
-    void pass_news_on(std::uint64_t from, const platform::store_page& page);
-    void drop_silent();
-    void drop_entries_of_gone();
-    /// Returns whether this host is the first of its group: it reads and speaks for it.
-    [[nodiscard]] bool is_first_alive() const;
-    void correct_time();
+    /// Sends a datagram to all other hosts of this group, or to all hosts of remote groups.
+    void send_to(const std::string& text, bool is_own_group);
+    void relay_records(std::uint64_t from, const platform::store_page& page);
+    void drop_unresponsive();
+    void remove_dead_entries();
+    /// Returns whether this host leads its group: it is the first by name of those that are reachable and not stopping.
+    [[nodiscard]] bool is_group_leader() const;
+    void correct_clock();
 
     servers::serving_state* m_state;
     configuration_follower* m_configuration;
@@ -98,8 +100,9 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
-    /// The next digests carry what is told less often, and go to other groups, too.
-    bool m_is_keep_alive_due{false};
+    /// The next digests are heartbeats: they also carry the parts that are sent less often, and go to remote groups,
+    /// too.
+    bool m_is_heartbeat_due{false};
     std::map<std::string, other_host> m_others;
 };
 
--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -14,8 +14,10 @@
 
 namespace {
 
-constexpr duration list_wait = std::chrono::seconds(20);
-/// How long news of hosts gather before they are read: when a fleet starts, each host would read once for each other.
+/// Length of a long poll of the list.
+constexpr duration list_poll_time = std::chrono::seconds(20);
+/// Pause between two reads, which batches changes. Without it, each host would read once for every other host that
+/// registers when a fleet starts.
 constexpr duration list_pause = std::chrono::seconds(1);
 
 } // namespace
@@ -27,10 +29,10 @@
 
 listed_host decode_host_entry(const std::string& name, std::string_view text) {
     const boost::json::value document = json::parse(text);
-    const boost::json::object& entry = json::as_object(document, "entry of a host");
+    const boost::json::object& entry = json::as_object(document, "host entry");
     const std::optional<endpoint> address = parse_endpoint(json::get_string(entry, "address"));
     if (!address) {
-        throw malformed_message_error("address is no IP number and port");
+        throw malformed_message_error("key \"address\" must be an IP address and port");
     }
     return {.name = name,
             .zone = zone_name(json::get_string(entry, "zone")),
@@ -48,19 +50,19 @@
 }
 
 servers::asio::awaitable<void> host_list::follow() {
-    bool is_entered = false;
+    bool is_registered = false;
     for (;;) {
         bool has_failed = false;
         try {
-            if (!is_entered) {
+            if (!is_registered) {
                 const std::string entry = encode_host_entry(m_own);
                 co_await m_store->append(topics::hosts, m_own.name, entry);
-                is_entered = true;
+                is_registered = true;
             }
             if (m_next) {
-                take(co_await m_store->read(topics::hosts, *m_next, list_wait));
+                apply(co_await m_store->read(topics::hosts, *m_next, list_poll_time));
             } else {
-                take(co_await m_store->read_newest(topics::hosts));
+                apply(co_await m_store->read_newest(topics::hosts));
             }
             m_dependency.record_success(m_state->time.now());
         } catch (const platform::store_history_dropped_error&) {
@@ -77,7 +79,7 @@
     }
 }
 
-void host_list::take(const platform::store_page& page) {
+void host_list::apply(const platform::store_page& page) {
     for (const platform::keyed_record& record : page.records) {
         if (record.key == m_own.name) {
             continue;
--- a/daemon/host_list.hpp
+++ b/daemon/host_list.hpp
@@ -14,11 +14,11 @@
 
 namespace dragonflywell::daemon {
 
-/// A host as its entry in the store tells.
+/// A host as described by its entry in the store.
 struct listed_host {
     std::string name;
     zone_name zone;
-    /// Where it takes the datagrams of others.
+    /// Address on which it receives the datagrams of other hosts.
     endpoint address;
     std::uint64_t incarnation{};
 
@@ -29,10 +29,10 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] listed_host decode_host_entry(const std::string& name, std::string_view text);
 
-/// The list of hosts in the store: enters this one and follows the others. Used on one event loop.
+/// The list of hosts in the store: registers this host and follows the others. Used on one event loop.
 class host_list {
 public:
-    /// What is done with changes of the list.
+    /// Callbacks for changes of the list.
     struct listeners {
         std::function<void(const listed_host&)> on_listed;
         std::function<void(const std::string&)> on_removed;
@@ -43,16 +43,17 @@
     /// Preconditions: store and state outlive the list.
     host_list(platform::store_client& store, servers::serving_state& state, listed_host own);
 
-    /// Starts to follow the list, for as long as the event loop runs.
+    /// Registers this host and follows the list for as long as the event loop runs.
     void start(listeners listeners);
 
-    /// Removes the entry of a host that is gone; failing that, it only costs some datagrams to nobody.
+    /// Removes the entry of a host that is gone. A failure is not retried: it only means that datagrams are sent in
+    /// vain.
     void remove(const std::string& host);
 
 private:
     servers::asio::awaitable<void> follow();
     servers::asio::awaitable<void> send_removal(std::string host);
-    void take(const platform::store_page& page);
+    void apply(const platform::store_page& page);
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
--- a/daemon/host_settings.cpp
+++ b/daemon/host_settings.cpp
@@ -15,7 +15,7 @@
 endpoint get_endpoint(settings_reader& reader, const std::string& key) {
     const std::optional<endpoint> parsed = parse_endpoint(reader.get_string(key));
     if (!parsed) {
-        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+        reader.add_problem(key, "must be an IP address and port such as 127.0.0.1:8080");
     }
     return parsed.value_or(endpoint{});
 }
@@ -24,7 +24,7 @@
     const std::string text = reader.get_string(key, "");
     const std::optional<endpoint> parsed = parse_endpoint(text);
     if (!parsed && !text.empty()) {
-        reader.add_problem(key, "must be an IP number and port such as 127.0.0.1:8080");
+        reader.add_problem(key, "must be an IP address and port such as 127.0.0.1:8080");
     }
     return parsed.value_or(endpoint{});
 }
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -11,31 +11,32 @@
 
 namespace dragonflywell::daemon {
 
-/// Bounds that the platform sets for the system.
+/// Time bounds and retry limits that the platform requires of the system.
 struct host_bounds {
-    /// How often a backend server renews its entry in the list.
+    /// Interval at which a backend server renews its entry in the list.
     duration server_heartbeat{};
-    /// After disturbances of this host end, how long until all bounds hold again.
+    /// Longest time from the end of a disturbance of this host until all bounds hold again.
     duration recovery{};
-    /// From a backend server's notice that it leaves to the last request sent there.
+    /// Longest time from a backend server's notice that it drains to the last request sent to it.
     duration drain{};
-    /// From the signal to stop to the end of the process.
+    /// Longest time from the stop signal to the end of the process.
     duration stop{};
-    /// From the acceptance of a configuration to its being in force.
+    /// Longest time from the acceptance of a configuration by the store until it is in force.
     duration configuration{};
-    /// Within which holders of a duty must not take turns.
+    /// Shortest time between actions of two different lease holders.
     duration lease{};
+    /// Retry budget: retries per request, plus a constant number of retries in each window.
     double retries_per_request{};
     double base_retries{};
     duration retry_window{};
     duration usage_window{};
-    /// From the end of a window to its report.
+    /// Longest time from the end of a window to its report.
     duration usage_report{};
 
     friend bool operator==(const host_bounds&, const host_bounds&) = default;
 };
 
-/// Everything that a host of the platform reads from its settings file.
+/// All settings of a host of the platform.
 struct host_settings {
     host_name name;
     zone_name zone;
@@ -46,7 +47,7 @@
     endpoint metrics;
     endpoint hosts;
     endpoint store;
-    /// Where reports and orders for backend servers go; port 0 where there is none.
+    /// Address for usage reports and orders of backend servers; port 0 when there is none.
     endpoint orders;
     double order_calls_per_second{};
     std::set<std::string> duties;
@@ -54,11 +55,11 @@
     log_options log;
 };
 
-/// Parses and checks a settings file. `file` is used in messages only. Throws `invalid_input_error` that lists every
+/// Parses and validates a settings file. `file` is used in messages only. Throws `invalid_input_error` that lists every
 /// problem with its line.
 [[nodiscard]] host_settings parse_host_settings(std::string_view text, const std::string& file);
 
-/// Returns whether a settings file is one for a host of the platform. Thread safe.
+/// Returns whether the text is the settings file of a `host_daemon`. Thread safe.
 [[nodiscard]] bool is_host_settings(std::string_view text);
 
 } // namespace dragonflywell::daemon
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// How often the lease is looked after; a small part of its length.
+/// Interval between two checks of the lease; a small fraction of its length.
 constexpr duration tick = std::chrono::milliseconds(250);
 
 std::vector<coordination::lease_topic_entry> decode(const platform::store_page& page) {
@@ -22,7 +22,7 @@
             records.push_back(
                 {.offset = record.offset, .record = coordination::decode_store_lease_record(*record.value)});
         } catch (const malformed_message_error&) {
-            // What nobody can read names no holder; it still moves the end of the topic.
+            // A malformed record names no holder, but still moves the end of the topic.
             records.push_back(
                 {.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fencing_number = {}}});
         }
--- a/daemon/lease_keeper.hpp
+++ b/daemon/lease_keeper.hpp
@@ -10,28 +10,28 @@
 
 namespace dragonflywell::daemon {
 
-/// Stands for the lease under which duties are done, and keeps it. Used on one event loop.
+/// Acquires and renews the lease whose holder controls the fleet and reports usage. Used on one event loop.
 class lease_keeper {
 public:
     /// Preconditions: store and clock outlive the keeper.
     lease_keeper(platform::store_client& store, const clock_source& time, coordination::store_lease_options options);
 
-    /// Keeps the lease for as long as the event loop runs.
+    /// Acquires and renews the lease for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
-    /// Gives the lease up, so that another host need not wait for it to lapse.
+    /// Releases the lease, so that another host need not wait until it expires.
     servers::asio::awaitable<void> resign();
 
-    /// Returns the fence under which this host may act now, or nothing.
+    /// Returns the fencing number under which this host may act now, or nothing.
     [[nodiscard]] std::optional<std::uint64_t> get_fence() const { return m_lease.get_fencing_number(); }
 
-    /// Returns whether this host holds the lease, also while it may not act yet.
+    /// Returns whether this host holds the lease, even while it may not act yet.
     [[nodiscard]] bool is_held() const { return m_lease.is_held(); }
 
-    /// Notes that another host says that it holds the lease.
+    /// Records that another host has announced that it holds the lease.
     void record_holder_heartbeat() { m_lease.record_holder_heartbeat(); }
 
-    /// Notes that a receiver has seen a newer holder.
+    /// Records that the receiver of an order has seen a newer fencing number.
     void on_superseded();
 
 private:
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -31,7 +31,7 @@
     daemon.stop();
 }
 
-/// Lines that wait to be written at most, in bytes; some seconds of a host under ten times its usual load.
+/// Capacity for log lines that wait to be written: some seconds of a host at ten times its usual load.
 constexpr std::size_t log_ring_bytes = 512 * 1024;
 
 void run_host(daemon::settings_file file) {
@@ -43,7 +43,7 @@
     host.run();
 }
 
-/// Returns the path of the settings file. Throws `options::error` when none is named.
+/// Returns the path of the settings file. Throws `options::error` when the options contain none.
 std::string get_settings_path(const options::variables_map& values) {
     if (values.contains("config")) {
         return values["config"].as<std::string>();
--- a/daemon/operator_handler.hpp
+++ b/daemon/operator_handler.hpp
@@ -10,7 +10,7 @@
 
 namespace dragonflywell::daemon {
 
-/// What a daemon tells its operators: /healthz, /readyz, /metrics and /status. Thread safe.
+/// HTTP endpoints for operators: /healthz, /readyz, /metrics and /status. Thread safe.
 class operator_handler final : public servers::http_handler {
 public:
     /// Preconditions: the references outlive the handler; `is_ready` may be called from any thread.
--- a/daemon/relayed_records.cpp
+++ b/daemon/relayed_records.cpp
@@ -15,12 +15,12 @@
     constexpr std::size_t fields = 3;
     const boost::json::array* record = item.if_array();
     if (record == nullptr || record->size() != fields || !(*record)[0].is_number() || !(*record)[1].is_string()) {
-        throw malformed_message_error("a record of the news has another form");
+        throw malformed_message_error("a relayed record must be an array of offset, key and value");
     }
     boost::json::error_code fault;
     const auto offset = (*record)[0].to_number<std::uint64_t>(fault);
     if (fault) {
-        throw malformed_message_error("an offset of the news is out of range");
+        throw malformed_message_error("the offset of a relayed record is out of range");
     }
     platform::keyed_record decoded{.offset = offset, .key = std::string((*record)[1].get_string()), .value = {}};
     if ((*record)[2].is_string()) {
@@ -31,14 +31,14 @@
 
 } // namespace
 
-std::string encode_relayed_records(const relayed_records& news) {
+std::string encode_relayed_records(const relayed_records& relayed) {
     boost::json::array records;
-    for (const platform::keyed_record& record : news.page.records) {
+    for (const platform::keyed_record& record : relayed.page.records) {
         const boost::json::value value = record.value ? boost::json::value(*record.value) : boost::json::value();
         records.push_back(boost::json::array{record.offset, record.key, value});
     }
     return boost::json::serialize(
-        boost::json::object{{"from", news.from}, {"end", news.page.next_offset}, {records_field, records}});
+        boost::json::object{{"from", relayed.from}, {"end", relayed.page.next_offset}, {records_field, records}});
 }
 
 bool is_relayed_records(const boost::json::object& message) {
@@ -46,13 +46,13 @@
 }
 
 relayed_records decode_relayed_records(const boost::json::object& message) {
-    relayed_records news{.from = json::get_unsigned(message, "from"), .page = {}};
-    news.page.next_offset = json::get_unsigned(message, "end");
-    news.page.topic_end_offset = news.page.next_offset;
+    relayed_records relayed{.from = json::get_unsigned(message, "from"), .page = {}};
+    relayed.page.next_offset = json::get_unsigned(message, "end");
+    relayed.page.topic_end_offset = relayed.page.next_offset;
     for (const boost::json::value& item : json::get_array(message, records_field)) {
-        news.page.records.push_back(decode_record(item));
+        relayed.page.records.push_back(decode_record(item));
     }
-    return news;
+    return relayed;
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/report_task.cpp
+++ b/daemon/report_task.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// Returns a writer of its own, since the usage task writes to the same stream with other sequence numbers.
+/// Returns a separate writer, since the usage task writes to the same stream with its own sequence numbers.
 coordination::writer_id make_reporter_id(const coordination::writer_id& self) {
     return {.host = self.host + "/reporting", .incarnation = self.incarnation};
 }
--- a/daemon/report_task.hpp
+++ b/daemon/report_task.hpp
@@ -11,7 +11,7 @@
 
 namespace dragonflywell::daemon {
 
-/// Stands for the lease over reporting, and reports the windows while this host holds it.
+/// Competes for the reporting lease, and reports usage windows to the platform while this host holds it.
 class report_task final : public control_task {
 public:
     /// Precondition: the settings name the platform's usage reporting.
@@ -28,7 +28,7 @@
     platform::http_usage_reporting m_reporting;
     coordination::folded_stream m_stream;
     coordination::incarnation_tracker m_hosts;
-    /// Made when the first configuration tells the length of a window.
+    /// Created when the first configuration is known, which sets the length of a window.
     std::unique_ptr<coordination::usage_reporter> m_reporter;
     gauge* m_kept_counters;
     gauge* m_unreported_window;
--- a/daemon/role_change_driver.cpp
+++ b/daemon/role_change_driver.cpp
@@ -38,7 +38,7 @@
                                  const fleet::manifest& manifest) {
     forget_ended(m_first_seen);
     forget_ended(m_confirmed_at);
-    // A copy, since each step may change the fold.
+    // A copy, since each step may modify the fold.
     const std::map<backend_server_name, role_change> changes = m_changes->get_all();
     for (const auto& [name, change] : changes) {
         const auto server = manifest.backend_servers.find(name);
@@ -50,7 +50,7 @@
         }
         const auto engine = engines.find(name);
         if (engine != engines.end() && engine->second.is_reachable) {
-            advance_one(change, engine->second, server->second.get_engine()->checks_fencing);
+            advance_change(change, engine->second, server->second.get_engine()->checks_fencing);
         }
     }
 }
@@ -62,9 +62,9 @@
     });
 }
 
-void role_change_driver::advance_one(const role_change& change, const observed_engine& engine, bool checks_fencing) {
-    // A send of a lost holder may be left over; it says the same, and the ledger holds the subject until it is
-    // resolved.
+void role_change_driver::advance_change(const role_change& change, const observed_engine& engine, bool checks_fencing) {
+    // An order of a failed lease holder may still be unresolved. It asks for the same role, and the ledger blocks other
+    // orders to the engine until it is resolved.
     if (engine.load->role == change.to) {
         ++m_completed;
         end(change, "completed");
@@ -87,7 +87,7 @@
     }
     const steady_time since = m_confirmed_at.try_emplace(change.announced, m_time->now()).first->second;
     if (m_time->now() - since >= m_options.change_timeout) {
-        // The engine has confirmed and not changed: it was lost in between and came back in its old role.
+        // The engine confirmed the order and did not change: it restarted in between, in its old role.
         ++m_given_up;
         end(change, "not_taken");
     }
@@ -112,7 +112,7 @@
     if (!token) {
         return;
     }
-    const std::optional<coordination::unresolved_order> open = find_unresolved(change);
+    const std::optional<coordination::unresolved_order> unresolved = find_unresolved(change);
     coordination::order order{.subject = get_engine_subject(change.engine),
                               .kind = std::string(role_order_kind),
                               .body = {{"role", fleet::get_role_name(change.to)}},
@@ -120,8 +120,8 @@
                               .receiver = checks_fencing ? coordination::receiver_kind::checks_fencing
                                                          : coordination::receiver_kind::ignores_fencing,
                               .duplicates = coordination::duplicate_handling::idempotent};
-    if (open && open->value.idempotency_key.starts_with(get_key_prefix(change))) {
-        order = open->value;
+    if (unresolved && unresolved->value.idempotency_key.starts_with(get_key_prefix(change))) {
+        order = unresolved->value;
     }
     const coordination::order_result result = m_ledger->submit(order);
     switch (result.status) {
@@ -131,7 +131,7 @@
         break;
     case coordination::order_status::rejected:
     case coordination::order_status::blocked:
-        // An older send may still reach the engine, or it does not take this order: it keeps its role.
+        // The engine rejects this order, or an earlier one may still reach it. The change is abandoned.
         ++m_given_up;
         end(change, result.status == coordination::order_status::rejected ? "rejected" : "blocked");
         break;
@@ -144,9 +144,9 @@
 }
 
 std::optional<coordination::unresolved_order> role_change_driver::find_unresolved(const role_change& change) const {
-    for (coordination::unresolved_order& open : m_ledger->get_unresolved()) {
-        if (open.value.subject == get_engine_subject(change.engine)) {
-            return std::move(open);
+    for (coordination::unresolved_order& unresolved : m_ledger->get_unresolved()) {
+        if (unresolved.value.subject == get_engine_subject(change.engine)) {
+            return std::move(unresolved);
         }
     }
     return std::nullopt;
--- a/daemon/role_change_driver.hpp
+++ b/daemon/role_change_driver.hpp
@@ -14,18 +14,20 @@
 namespace dragonflywell::daemon {
 
 struct role_change_driver_options {
-    /// From the announcement until every daemon has read it and gives the engine nothing new.
+    /// Time from the announcement until every daemon has read it and sends the engine no new requests.
     duration announcement_delay{std::chrono::seconds(4)};
-    /// How long requests may go on before the change is given up.
+    /// How long running requests may take to end before the change is abandoned.
     duration drain_timeout{std::chrono::minutes(5)};
-    /// How long an engine may take from its confirmation until it reports the new role.
+    /// How long an engine may take from confirming the order until it reports the new role.
     duration change_timeout{std::chrono::minutes(1)};
 };
 
-/// Carries role changes of one zone through: announce, drain, order, wait for the engine, end.
+/// Executes the role changes of one zone. The steps of a change are: announce it, drain the engine, order the new role,
+/// wait until the engine reports it, and end the change.
 ///
-/// Each step is in the log before the next begins, so a new lease holder goes on where the old one stopped. No request
-/// is cut off: an engine gets its order only after it has reported that nothing runs. Not thread safe.
+/// Each step is written to the log before the next one begins, so a new lease holder continues where the previous one
+/// stopped. No request is cut off: an engine gets its order only after it has reported that no request is running.
+/// Not thread safe.
 class role_change_driver {
 public:
     /// Preconditions: the references outlive the driver; `changes` observes `stream`.
@@ -33,18 +35,18 @@
                        coordination::order_dispatcher& ledger, const role_change_fold& changes,
                        const clock_source& time, role_change_driver_options options);
 
-    /// Announces changes; those of engines that are in a change already are dropped.
-    /// Throws `log_unavailable_error`. Returns how many were announced.
+    /// Announces changes, and ignores those of engines whose role is already being changed.
+    /// Returns how many were announced. Throws `log_unavailable_error`.
     std::size_t announce(std::span<const policy::role_order> orders);
 
-    /// Takes each change as far as it can go now. Throws `log_unavailable_error`.
+    /// Executes the steps of each change that are possible now. Throws `log_unavailable_error`.
     void advance(const std::map<backend_server_name, observed_engine>& engines, const fleet::manifest& manifest);
 
     [[nodiscard]] std::uint64_t get_completed() const noexcept { return m_completed; }
     [[nodiscard]] std::uint64_t get_given_up() const noexcept { return m_given_up; }
 
 private:
-    void advance_one(const role_change& change, const observed_engine& engine, bool checks_fencing);
+    void advance_change(const role_change& change, const observed_engine& engine, bool checks_fencing);
     [[nodiscard]] bool is_drained(const role_change& change, const observed_engine& engine);
     void wait_for_role(const role_change& change);
     void send_order(const role_change& change, bool checks_fencing);
@@ -59,9 +61,9 @@
     const role_change_fold* m_changes;
     const clock_source* m_time;
     role_change_driver_options m_options;
-    /// When this process first saw a change, by its announcement.
+    /// When this process first saw a change, by the offset of its announcement.
     std::map<coordination::log_offset, steady_time> m_first_seen;
-    /// When this process first knew that an engine has confirmed, by the announcement of the change.
+    /// When this process learned that an engine had confirmed the order, by the offset of the change's announcement.
     std::map<coordination::log_offset, steady_time> m_confirmed_at;
     std::uint64_t m_completed{0};
     std::uint64_t m_given_up{0};
--- a/daemon/role_change_fold.hpp
+++ b/daemon/role_change_fold.hpp
@@ -9,7 +9,7 @@
 
 namespace dragonflywell::daemon {
 
-/// A role change that the holder of a zone's lease has announced and not finished yet.
+/// A role change that the holder of a zone's lease has announced and not yet ended.
 struct role_change {
     backend_server_name engine;
     fleet::engine_role from{fleet::engine_role::mixed};
@@ -26,7 +26,7 @@
 inline constexpr std::string_view role_change_confirmed_type = "role.confirmed";
 inline constexpr std::string_view role_change_ended_type = "role.ended";
 
-/// Drafts of the three records of a role change. Thread safe.
+/// Return drafts of the three records of a role change. Thread safe.
 [[nodiscard]] coordination::record_draft make_announcement(const role_change& change,
                                                            const coordination::fencing_token& token);
 [[nodiscard]] coordination::record_draft make_confirmation(const role_change& change,
@@ -37,7 +37,7 @@
 /// Parses the name of a role. Throws `malformed_message_error`. Thread safe.
 [[nodiscard]] fleet::engine_role parse_engine_role(std::string_view name);
 
-/// Folds a zone's control stream into the role changes that are under way. Not thread safe.
+/// Folds a zone's control stream into the role changes in progress, by engine. Not thread safe.
 class role_change_fold final : public coordination::snapshot_observer {
 public:
     void on_record(coordination::log_offset offset, const coordination::record& value) override;
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -11,17 +11,16 @@
 
 namespace {
 
-/// How long a store is left alone that answered with an old state.
-constexpr duration stuck_pause = std::chrono::milliseconds(400);
+/// Pause before the next read of a store that answered with stale state.
+constexpr duration stale_pause = std::chrono::milliseconds(400);
 
-/// Parts of the bound for draining servers: between two reads of the host that reads for its group, and after which
-/// another one that was told nothing reads by itself. Between the two lie two digests, so that a lost one costs no
-/// read.
-constexpr double interval_share = 0.28;
-constexpr double longest_age_share = 0.6;
+/// Fractions of the drain bound: the interval between two reads of the group leader, and the age of the list at which
+/// another host reads the store itself. Two digests of the leader fit in between, so that a lost digest causes no read.
+constexpr double interval_fraction = 0.28;
+constexpr double max_age_fraction = 0.6;
 
-duration get_part(duration whole, double share) {
-    return std::chrono::duration_cast<duration>(whole * share);
+duration get_fraction(duration whole, double fraction) {
+    return std::chrono::duration_cast<duration>(whole * fraction);
 }
 
 std::string_view get_change_name(fleet::directory_change change) {
@@ -48,14 +47,14 @@
 
 server_list_follower::server_list_follower(platform::store_client& store, servers::serving_state& state,
                                            duration drain_bound)
-    : m_store(&store), m_state(&state), m_interval(get_part(drain_bound, interval_share)),
-      m_longest_age(get_part(drain_bound, longest_age_share)), m_log(get_logger("servers")),
-      m_dependency(*m_log, "server_list"), m_hint_timer(state.executor) {}
+    : m_store(&store), m_state(&state), m_interval(get_fraction(drain_bound, interval_fraction)),
+      m_max_age(get_fraction(drain_bound, max_age_fraction)), m_log(get_logger("servers")),
+      m_dependency(*m_log, "server_list"), m_read_timer(state.executor) {}
 
 servers::asio::awaitable<void> server_list_follower::run() {
     for (;;) {
-        if (!m_is_reader && !m_topic.is_read_due(m_longest_age, m_state->time.now())) {
-            co_await wait_for_hint();
+        if (!m_is_reader && !m_topic.is_read_due(m_max_age, m_state->time.now())) {
+            co_await wait_for_leader();
             continue;
         }
         duration next_after = m_interval;
@@ -64,8 +63,8 @@
         try {
             co_await follow_once();
             if (m_topic.is_lagging()) {
-                // A store that answers with an old state brings nothing on, however often it is asked.
-                next_after = m_topic.get_next_offset() == before ? stuck_pause : duration::zero();
+                // While the store answers with stale state, reading it again at once returns nothing new.
+                next_after = m_topic.get_next_offset() == before ? stale_pause : duration::zero();
             }
         } catch (const platform::store_history_dropped_error&) {
             m_topic.record_truncation();
@@ -80,17 +79,17 @@
             continue;
         }
         if (next_after > duration::zero()) {
-            m_hint_timer.expires_after(next_after);
+            m_read_timer.expires_after(next_after);
             servers::error_code ignored;
-            co_await m_hint_timer.async_wait(servers::store_error(ignored));
+            co_await m_read_timer.async_wait(servers::store_error(ignored));
         }
     }
 }
 
-servers::asio::awaitable<void> server_list_follower::wait_for_hint() {
-    m_hint_timer.expires_after(m_longest_age - m_topic.get_staleness(m_state->time.now()));
+servers::asio::awaitable<void> server_list_follower::wait_for_leader() {
+    m_read_timer.expires_after(m_max_age - m_topic.get_staleness(m_state->time.now()));
     servers::error_code ignored;
-    co_await m_hint_timer.async_wait(servers::store_error(ignored));
+    co_await m_read_timer.async_wait(servers::store_error(ignored));
 }
 
 void server_list_follower::set_reader(bool is_reader) {
@@ -98,14 +97,14 @@
 }
 
 void server_list_follower::update_leader_position(const servers::digest_read_position& reading) {
-    // News come in a datagram of their own, which a hint may overtake. Should it be lost, this host reads by itself
-    // when it has not been up to date for too long.
+    // Records are relayed in datagrams of their own, which a read position may overtake. If such a datagram is lost,
+    // this host reads the store itself once its list has not been current for too long.
     const bool is_ahead = reading.end.value_or(0) > m_topic.get_next_offset().value_or(0);
     if (!is_ahead) {
         m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now());
         m_state->set_servers_current_at(m_topic.get_caught_up_at());
     }
-    // The host that reads for this one reached the store at that moment, so that the list is back here, too.
+    // The group leader reached the store at that time, so the list counts as available on this host, too.
     record_success(m_state->time.now() - reading.age);
     drop_expired();
 }
@@ -113,16 +112,16 @@
 void server_list_follower::apply_relayed(std::uint64_t from, const platform::store_page& page) {
     if (!m_topic.is_next(from)) {
         if (page.next_offset > m_topic.get_next_offset().value_or(0)) {
-            // Something is missing in between.
+            // Records before this page are missing.
             m_topic.update_leader_position(page.next_offset, duration::zero(), m_state->time.now());
-            m_hint_timer.cancel();
+            m_read_timer.cancel();
         }
         return;
     }
-    // Who passes news on has just reached the store.
+    // The sender of a relayed page has just reached the store.
     record_success(m_state->time.now());
     const std::uint64_t generation = m_state->directory.get_generation();
-    take_records(page);
+    apply_records(page);
     finish(generation, page.next_offset, page.topic_end_offset);
 }
 
@@ -139,16 +138,17 @@
     } else {
         page = co_await m_store->read_newest(platform::wire::servers_topic);
         if (m_topic.is_stale_listing(page.next_offset)) {
-            throw platform::store_unavailable_error("the listing is older than what was read", false);
+            throw platform::store_unavailable_error("the listing of the store is older than what was read before",
+                                                    false);
         }
     }
     m_dependency.record_success(m_state->time.now());
     record_success(sent_at);
     const std::uint64_t generation = m_state->directory.get_generation();
     if (next && m_topic.is_next(*next)) {
-        take_records(page);
+        apply_records(page);
     } else if (!next) {
-        take_all(page);
+        apply_listing(page);
     }
     finish(generation, page.next_offset, page.topic_end_offset);
     if (m_is_reader && next && m_on_news && !page.records.empty()) {
@@ -163,14 +163,14 @@
 }
 
 void server_list_follower::record_success(steady_time at) {
-    // Calls of other users of the store have failed as well, perhaps later than those for the list.
+    // Store calls for other topics may have failed as well, possibly later than those for the list.
     record_failure();
     m_state->directory.get_contact().record_success(at);
 }
 
-void server_list_follower::take_records(const platform::store_page& page) {
+void server_list_follower::apply_records(const platform::store_page& page) {
     for (const platform::keyed_record& record : page.records) {
-        take(record);
+        apply(record);
     }
 }
 
@@ -194,10 +194,10 @@
     }
 }
 
-void server_list_follower::take_all(const platform::store_page& page) {
+void server_list_follower::apply_listing(const platform::store_page& page) {
     std::set<backend_server_name> listed;
     for (const platform::keyed_record& record : page.records) {
-        take(record);
+        apply(record);
         if (record.value) {
             listed.insert(backend_server_name(record.key));
         }
@@ -207,7 +207,7 @@
     }
 }
 
-void server_list_follower::take(const platform::keyed_record& record) {
+void server_list_follower::apply(const platform::keyed_record& record) {
     const backend_server_name server(record.key);
     const steady_time now = m_state->time.now();
     if (!record.value) {
--- a/daemon/settings_file.cpp
+++ b/daemon/settings_file.cpp
@@ -32,7 +32,7 @@
     try {
         return read_file(m_path) != m_text;
     } catch (const invalid_input_error&) {
-        // The platform is replacing the file just now.
+        // The platform may be replacing the file at this time.
         return false;
     }
 }
--- a/daemon/shared_fleet_state.hpp
+++ b/daemon/shared_fleet_state.hpp
@@ -8,13 +8,14 @@
 
 namespace dragonflywell::daemon {
 
-/// What the request path, the peers and the zone's control share about the fleet. All members are thread safe.
+/// State of the fleet that the request path, the zone control task and the operators' status share. All members are
+/// thread safe.
 struct shared_fleet_state {
     servers::demand_meter demand;
     servers::engine_state_table engines;
-    /// Reports of all entry hosts; the peers add those of others.
+    /// Demand reports of all entry hosts.
     demand_report_queue reports;
-    /// The newest reports of this host, for the peers to pass on.
+    /// The newest demand report of this host.
     rcu_cell<policy::demand_report> own_report{nullptr};
     rcu_cell<fleet_status> status{nullptr};
 };
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -10,15 +10,17 @@
 namespace {
 
 constexpr duration tick = std::chrono::milliseconds(250);
-/// What is left of the height of the load after a tick: half of it after some 20 seconds.
-constexpr double height_memory = 0.99;
-/// How long a host that has started into a running system watches the load before it plans by it.
+/// Factor by which the peak of the load decays in each tick, so that it halves in about 20 seconds.
+constexpr double peak_decay = 0.99;
+/// How long a host that starts while the system is running observes the load before it plans with it.
 constexpr duration observation_time = std::chrono::seconds(6);
-/// How long an engine is left alone after an order to it did not succeed.
-constexpr duration rest_after_failure = std::chrono::seconds(4);
-/// Time for the other hosts to hear of an order before the engine gets it: two spans in which news gather, and the way.
+/// How long an engine gets no order after one to it failed.
+constexpr duration failure_cooldown = std::chrono::seconds(4);
+/// Time for the other hosts to learn of an order before the engine gets it: two gossip send intervals and the network
+/// delay.
 constexpr duration notice_time = std::chrono::milliseconds(120);
-/// Time for what runs on an engine to end, and for the list to tell, beyond the change itself.
+/// Time beyond the stage change itself for the requests on the engine to end and for the server list to show the new
+/// stage.
 constexpr duration settle_time = std::chrono::seconds(5);
 
 std::string_view get_answer_name(platform::engine_order_result answer) {
@@ -66,8 +68,8 @@
 void stage_controller::observe_demand() {
     for (const auto& [service, engines] : m_state->get_engines()) {
         const double running = m_state->get_running(service);
-        double& height = m_running[service];
-        height = std::max(running, height * height_memory);
+        double& peak = m_running[service];
+        peak = std::max(running, peak * peak_decay);
         m_is_before_first_request = m_is_before_first_request && running == 0;
     }
 }
@@ -83,14 +85,14 @@
         if (record.service != service || !record.stage || !m_state->directory.is_usable(server, m_state->time.now())) {
             continue;
         }
-        const auto rest = m_resting.find(id);
-        const bool is_resting = rest != m_resting.end() && m_state->time.now() < rest->second;
+        const auto cooldown = m_cooldowns.find(id);
+        const bool is_cooling_down = cooldown != m_cooldowns.end() && m_state->time.now() < cooldown->second;
         engines.push_back({.name = id,
                            .zone = record.zone,
                            .stage = *record.stage,
                            .is_cheap = record.is_cheap,
                            .slots = record.slots,
-                           .is_changing = is_resting || m_state->is_changing_stage(id)});
+                           .is_changing = is_cooling_down || m_state->is_changing_stage(id)});
     }
     return engines;
 }
@@ -123,7 +125,7 @@
     platform::engine_order_result answer = platform::engine_order_result::busy;
     if (report && !report->is_busy && m_lease->get_fence() == fence) {
         const platform::duty_credentials authority{.holder = m_host, .fence = fence};
-        // Other hosts learn of it before the engine begins to refuse requests.
+        // Other hosts learn of the change before the engine starts to refuse requests.
         m_state->begin_stage_change(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
         if (!m_is_before_first_request) {
             co_await servers::sleep_for(notice_time);
@@ -150,7 +152,7 @@
     case platform::engine_order_result::busy:
     case platform::engine_order_result::rejected:
         m_state->end_stage_change(change.engine);
-        m_resting[change.engine] = m_state->time.now() + rest_after_failure;
+        m_cooldowns[change.engine] = m_state->time.now() + failure_cooldown;
         break;
     }
 }
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -12,22 +12,23 @@
 
 namespace dragonflywell::daemon {
 
-/// Orders engines to the stages that the load asks for while this host holds the lease. Used on one event loop.
+/// Moves engines between the prefill and decode stages as the load requires while this host holds the lease. Used on
+/// one event loop.
 class stage_controller {
 public:
     /// Preconditions: all references outlive the controller.
-    /// `is_first_start`: the whole system starts for the first time, so that there was no request before.
+    /// `is_first_start`: the whole system starts for the first time, so there were no requests before.
     stage_controller(platform::engine_order_client& orders, lease_keeper& lease, servers::serving_state& state,
                      std::string host, bool is_first_start);
 
-    /// Controls for as long as the event loop runs.
+    /// Runs for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
 private:
     void observe_demand();
     servers::asio::awaitable<void> control(std::uint64_t fence, service_name service);
     servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time);
-    /// Returns whether the load is known well enough to plan by it.
+    /// Returns whether the load was observed for long enough to plan with it.
     [[nodiscard]] bool is_load_known() const;
     [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
 
@@ -38,10 +39,10 @@
     bool m_is_before_first_request;
     steady_time m_started_at;
     std::shared_ptr<spdlog::logger> m_log;
-    /// Height of the running requests of each service, which sinks slowly.
+    /// Peak of the running requests of each service, which decays exponentially.
     std::map<service_name, double> m_running;
-    /// Engines that are left alone until then, because an order to them failed.
-    std::map<backend_server_name, steady_time> m_resting;
+    /// End of the cooldown of each engine to which an order failed.
+    std::map<backend_server_name, steady_time> m_cooldowns;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/store_dependency.hpp
+++ b/daemon/store_dependency.hpp
@@ -9,13 +9,14 @@
 
 namespace dragonflywell::daemon {
 
-/// Tells once when something that this host depends on is lost, and once when it is regained. Not thread safe.
+/// Logs once when a dependency of this host becomes unavailable, and once when it becomes available again.
+/// Not thread safe.
 class store_dependency {
 public:
-    /// Precondition: `log` outlives it.
+    /// `what`: name of the dependency in the log. Precondition: `log` outlives the object.
     store_dependency(spdlog::logger& log, std::string what) : m_log(&log), m_what(std::move(what)) {}
 
-    /// Notes a success. Returns whether it was lost before.
+    /// Records a successful call. Returns whether the dependency was unavailable before.
     bool record_success(steady_time now) {
         if (!m_lost_at) {
             return false;
@@ -28,7 +29,7 @@
         return true;
     }
 
-    /// Notes a failure. Returns whether it was reached before.
+    /// Records a failed call. Returns whether the dependency was available before.
     bool record_failure(steady_time now, std::string_view reason) {
         if (m_lost_at) {
             return false;
--- a/daemon/store_topics.hpp
+++ b/daemon/store_topics.hpp
@@ -2,19 +2,19 @@
 
 #include <string_view>
 
-/// Topics of this project in the platform's store. All are keyed and have one partition.
+/// Topics that the daemons own in the platform's store. All are keyed and have one partition.
 namespace dragonflywell::daemon::topics {
 
-/// Claims and renewals of the lease under which duties are done.
+/// Acquisitions and renewals of the lease whose holder controls the fleet and reports usage.
 inline constexpr std::string_view lease = "keyed.dw-lease";
-/// What each life of a host's process has counted, under host and incarnation.
+/// Usage counts of each host process, keyed by host and incarnation.
 inline constexpr std::string_view usage = "keyed.dw-usage";
-/// Figures that are fixed for reports.
+/// Final usage figures and the reports that are still to be sent.
 inline constexpr std::string_view reports = "keyed.dw-reports";
-/// Addresses of the hosts, under their name.
+/// Addresses of the hosts, keyed by name.
 inline constexpr std::string_view hosts = "keyed.dw-hosts";
 
-/// The only key of a topic that holds one thing.
+/// The only key of a topic that holds a single value.
 inline constexpr std::string_view singleton_key = "newest";
 
 } // namespace dragonflywell::daemon::topics
--- a/daemon/usage_copier.cpp
+++ b/daemon/usage_copier.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int most_record_attempts = 10;
+constexpr int max_record_attempts = 10;
 
 } // namespace
 
@@ -21,7 +21,7 @@
     }
     const std::string text = coordination::encode_usage_record(record);
     bool is_recorded = false;
-    for (int attempt = 0; attempt < most_record_attempts && !is_recorded; ++attempt) {
+    for (int attempt = 0; attempt < max_record_attempts && !is_recorded; ++attempt) {
         try {
             co_await m_store->append(topics::usage, key, text);
             is_recorded = true;
--- a/daemon/usage_copier.hpp
+++ b/daemon/usage_copier.hpp
@@ -11,14 +11,14 @@
 
 namespace dragonflywell::daemon {
 
-/// Records what a host had counted that fell silent: it may have been killed before it could do so itself.
+/// Records the usage counts of a host that timed out, since it may have been killed before it could record them itself.
 /// Used on one event loop.
 class usage_copier {
 public:
     /// Precondition: the store outlives the copier.
     explicit usage_copier(platform::store_client& store) : m_store(&store), m_log(get_logger("usage")) {}
 
-    /// Writes a copy of a host's counts, by window; tries several times while the store fails.
+    /// Writes a copy of a host's counts by window to the store. Retries several times when the store fails.
     servers::asio::awaitable<void> record(std::string host, std::uint64_t incarnation,
                                           std::map<std::int64_t, policy::window_counts> usage);
 
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// How often it is looked whether the speaker of the group has recorded a window.
-constexpr duration speaker_check_interval = std::chrono::milliseconds(400);
-/// A jump of the wall clock must not make the wait for a window's end a long one.
+/// Interval between two checks whether the group leader has recorded a window.
+constexpr duration leader_check_interval = std::chrono::milliseconds(400);
+/// Longest wait before the wall clock is read again, so that a clock step does not prolong the wait for a window's end.
 constexpr duration max_wait = std::chrono::seconds(1);
 
 } // namespace
@@ -31,11 +31,11 @@
             continue;
         }
         const std::int64_t closed = get_current_window() - 1;
-        const duration over_for = m_state->get_corrected_time() - m_state->usage.get_end(closed);
+        const duration time_since_end = m_state->get_corrected_time() - m_state->usage.get_end(closed);
         using choice = policy::usage_delegation::choice;
-        const choice chosen = m_state->delegation.choose(closed, recorded, over_for);
+        const choice chosen = m_state->delegation.choose(closed, recorded, time_since_end);
         if (chosen == choice::wait) {
-            co_await servers::sleep_for(speaker_check_interval);
+            co_await servers::sleep_for(leader_check_interval);
             continue;
         }
         bool is_recorded = chosen == choice::is_recorded;
--- a/daemon/usage_recorder.hpp
+++ b/daemon/usage_recorder.hpp
@@ -10,17 +10,18 @@
 
 namespace dragonflywell::daemon {
 
-/// Writes what this host has counted to the store, once for each window that ends. Used on one event loop.
+/// Writes the usage counts of this host to the store after the end of each window, unless the group leader has done so.
+/// Used on one event loop.
 class usage_recorder {
 public:
-    /// Preconditions: store and state outlive the recorder. `incarnation` differs for each life of the process.
+    /// Preconditions: store and state outlive the recorder. `incarnation` differs for each run of the process.
     usage_recorder(platform::store_client& store, servers::serving_state& state, const std::string& host,
                    std::uint64_t incarnation);
 
     /// Records for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
-    /// Records what was counted until now, before the process ends.
+    /// Records the counts up to now, before the process ends. Logs a failure and does not throw.
     servers::asio::awaitable<void> record_last();
 
 private:
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -13,17 +13,17 @@
 namespace {
 
 constexpr duration tick = std::chrono::milliseconds(250);
-/// A window this old can't be reported in time any more, and hosts have forgotten it.
-constexpr coordination::usage_window_number most_late_windows = 4;
-/// Reports that did not arrive are kept for this many windows.
-constexpr std::size_t most_pending = 8;
+/// Windows older than this many can no longer be reported in time, and hosts no longer keep their counts.
+constexpr coordination::usage_window_number max_late_windows = 4;
+/// Largest number of windows whose reports are kept for a retry.
+constexpr std::size_t max_pending_windows = 8;
 
 } // namespace
 
 usage_reporter::usage_reporter(platform::store_client& store, platform::cloud_client& cloud, lease_keeper& lease,
                                servers::serving_state& state, std::string host, duration due)
     : m_store(&store), m_cloud(&cloud), m_lease(&lease), m_state(&state), m_host(std::move(host)),
-      m_fix_after(make_usage_timing(due).finalize_delay), m_log(get_logger("usage")) {}
+      m_finalize_delay(make_usage_timing(due).finalize_delay), m_log(get_logger("usage")) {}
 
 servers::asio::awaitable<void> usage_reporter::run() {
     for (;;) {
@@ -39,7 +39,7 @@
         try {
             co_await report_due();
         } catch (const platform::store_unavailable_error& fault) {
-            // Whether the book was written is not known: it is read again.
+            // It is unknown whether the report state was written, so it is read again.
             m_book.reset();
             log_event("report_delayed").add("reason", fault.what()).write(*m_log, spdlog::level::warn);
         }
@@ -51,8 +51,8 @@
         co_await read_book();
     }
     if (has_due()) {
-        const bool is_fixed = co_await fix_due();
-        if (!is_fixed) {
+        const bool is_finalized = co_await finalize_due();
+        if (!is_finalized) {
             m_book.reset();
             co_return;
         }
@@ -82,7 +82,7 @@
 }
 
 coordination::usage_window_number usage_reporter::get_newest_due() const {
-    return m_state->usage.get_window(m_state->get_corrected_time() - m_fix_after) - 1;
+    return m_state->usage.get_window(m_state->get_corrected_time() - m_finalize_delay) - 1;
 }
 
 std::vector<coordination::usage_record> usage_reporter::gather_records(const platform::store_page& page) const {
@@ -107,7 +107,7 @@
                 .write(*m_log, spdlog::level::err);
         }
     }
-    // Hosts that were killed, or do not reach the store, have told the others.
+    // Digests contain the counts of hosts that were killed or cannot reach the store.
     for (const auto& [owner, windows] : m_state->peers.get_usage()) {
         add(coordination::make_usage_key(owner.first, owner.second), {.windows = windows, .closed = 0});
     }
@@ -119,18 +119,18 @@
     return records;
 }
 
-servers::asio::awaitable<bool> usage_reporter::fix_due() {
+servers::asio::awaitable<bool> usage_reporter::finalize_due() {
     const coordination::usage_window_number newest = get_newest_due();
     const platform::store_page page = co_await m_store->read_newest(topics::usage);
     const std::vector<coordination::usage_record> records = gather_records(page);
     coordination::report_state next = *m_book;
-    const auto first = std::max(next.last ? *next.last + 1 : newest, newest - most_late_windows);
+    const auto first = std::max(next.last ? *next.last + 1 : newest, newest - max_late_windows);
     for (coordination::usage_window_number window = first; window <= newest; ++window) {
         next.pending.push_back(coordination::sum_window(records, window));
     }
     next.last = newest;
-    if (next.pending.size() > most_pending) {
-        next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(most_pending));
+    if (next.pending.size() > max_pending_windows) {
+        next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(max_pending_windows));
     }
     const platform::append_result answer = co_await m_store->append(
         topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_book_end);
@@ -164,7 +164,8 @@
         if (answer != platform::duty_call_result::accepted) {
             co_return;
         }
-        // The store learns of it with the next window; until then a later holder repeats the same figures.
+        // The removal is stored with the next window; until then a later lease holder may report the same figures
+        // again.
         m_book->pending.erase(m_book->pending.begin());
     }
 }
--- a/daemon/usage_reporter.hpp
+++ b/daemon/usage_reporter.hpp
@@ -15,8 +15,8 @@
 
 /// Reports the usage of each window to the platform while this host holds the lease. Used on one event loop.
 ///
-/// Figures are fixed in the store before they are reported, so that each window is reported with one set of figures
-/// whoever reports it and however often.
+/// The figures of a window are written to the store as final before they are reported. Each window is therefore
+/// reported with the same figures, whichever host reports it and however often.
 class usage_reporter {
 public:
     /// Preconditions: all references outlive the reporter.
@@ -29,10 +29,11 @@
 private:
     servers::asio::awaitable<void> report_due();
     servers::asio::awaitable<void> read_book();
-    /// Fixes the figures of windows that are due. Returns whether the book in the store is the one known here.
-    servers::asio::awaitable<bool> fix_due();
+    /// Finalizes the figures of windows that are due. Returns false when another host has changed the report state in
+    /// the store.
+    servers::asio::awaitable<bool> finalize_due();
     servers::asio::awaitable<void> send_pending();
-    /// Returns what each life of a host has counted, its own record, copies and what it told put together.
+    /// Returns one record for each host incarnation, merged from its own record, copies by other hosts and its digests.
     [[nodiscard]] std::vector<coordination::usage_record> gather_records(const platform::store_page& page) const;
     [[nodiscard]] bool has_due() const;
     [[nodiscard]] coordination::usage_window_number get_newest_due() const;
@@ -42,10 +43,11 @@
     lease_keeper* m_lease;
     servers::serving_state* m_state;
     std::string m_host;
-    /// How long after the end of a window its figures are fixed.
-    duration m_fix_after;
+    /// Delay from the end of a window until its figures are finalized.
+    duration m_finalize_delay;
     std::shared_ptr<spdlog::logger> m_log;
-    /// The book as the store holds it; nothing until it was read under the present fence.
+    /// The report state as stored, without reports that were sent since; absent until it is read under the current
+    /// fencing number.
     std::optional<coordination::report_state> m_book;
     std::uint64_t m_book_end{0};
     std::optional<std::uint64_t> m_fence;
--- a/daemon/usage_task.hpp
+++ b/daemon/usage_task.hpp
@@ -7,7 +7,7 @@
 
 namespace dragonflywell::daemon {
 
-/// Writes this incarnation's usage counters to the log and closes its windows.
+/// Writes the usage counters of this incarnation of the host to the log and closes its windows.
 class usage_task final : public control_task {
 public:
     explicit usage_task(const control_task_context& parts);
--- a/daemon/usage_timing.hpp
+++ b/daemon/usage_timing.hpp
@@ -6,30 +6,32 @@
 
 namespace dragonflywell::daemon {
 
-/// How long after its end a window is counted to its end: what began before it has been counted by then.
+/// Time after the end of a window until all of its requests are counted.
 inline constexpr duration usage_settle_time = std::chrono::milliseconds(200);
-/// Windows whose counts are kept, of this host and of others; older ones are reported, or too late to be.
+/// Number of windows whose counts are retained, of this host and of others. Older windows are either reported or too
+/// late to be reported.
 inline constexpr std::int64_t retained_usage_windows = 6;
 
-/// When what happens to a window's usage, counted from its end. Everything is a part of the time after which a report
-/// is due, so that a shorter one keeps the order.
+/// Schedule for the usage of a window, counted from its end. Each step is a fixed fraction of the time until the report
+/// is due, so that the steps keep their order however short that time is.
 struct usage_timing {
-    /// The host that speaks for a group records what the others have told.
+    /// The group leader records the counts that the other hosts have sent.
     duration group_record_delay{};
-    /// A host that was not told that its counts are recorded records them itself.
+    /// A host without a confirmation that its counts are recorded records them itself.
     duration fallback_record_delay{};
-    /// The figures are fixed, and reported; what is left is for a store or an interface that is away.
+    /// The figures are finalized and reported. The remaining time allows for an outage of the store or of the reporting
+    /// interface.
     duration finalize_delay{};
 };
 
 [[nodiscard]] inline usage_timing make_usage_timing(duration due) {
-    constexpr int gather_parts = 9;
-    constexpr int patience_parts = 20;
-    constexpr int fix_parts = 30;
-    constexpr int all_parts = 100;
-    return {.group_record_delay = due * gather_parts / all_parts,
-            .fallback_record_delay = due * patience_parts / all_parts,
-            .finalize_delay = due * fix_parts / all_parts};
+    constexpr int group_record_percent = 9;
+    constexpr int fallback_record_percent = 20;
+    constexpr int finalize_percent = 30;
+    constexpr int whole_percent = 100;
+    return {.group_record_delay = due * group_record_percent / whole_percent,
+            .fallback_record_delay = due * fallback_record_percent / whole_percent,
+            .finalize_delay = due * finalize_percent / whole_percent};
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/zone_control_task.cpp
+++ b/daemon/zone_control_task.cpp
@@ -8,6 +8,7 @@
 
 constexpr double milliunits_per_unit = 1000;
 constexpr double percent = 100;
+/// How far ahead the demand forecast for role planning looks.
 constexpr duration role_horizon = std::chrono::seconds(45);
 
 policy::role_demand get_units(const policy::demand_rate& rate, const fleet::model& model) {
@@ -29,7 +30,7 @@
             .max_price_per_hour = static_cast<double>(prices.max_price_per_hour_milli) / milliunits_per_unit};
 }
 
-/// Returns the part of the work that comes from organisations that refuse cheap servers.
+/// Returns the fraction of the demand that comes from organisations that do not accept cheap servers.
 double get_guaranteed_share(const fleet::manifest& manifest,
                             const std::map<organisation_name, policy::role_demand>& organisations) {
     double all = 0;
@@ -113,8 +114,10 @@
         try {
             foreign->stream.poll();
         } catch (const error& fault) {
-            // The drains of that zone stay as last known.
-            m_log->debug("Control stream of {} was not read: {}.", name.value(), fault.what());
+            // The role changes of that zone keep their last known state.
+            m_log->debug(
+                "Reading the control stream of availability zone {} failed; its last known role changes are kept: {}.",
+                name.value(), fault.what());
             return;
         }
     }
@@ -129,7 +132,8 @@
     }
     std::optional<policy::demand_report> own;
     if (bucket > *m_reported_bucket) {
-        // After a pause the whole catch falls into the newest bucket; the estimator holds it back as an outlier.
+        // After this process was paused, all demand since the last report falls into the newest bucket. The estimator
+        // holds such a value back as an outlier.
         m_reported_bucket = bucket;
         policy::demand_report report{.host = m_parts.settings.host,
                                      .incarnation = m_parts.self.incarnation,
@@ -158,8 +162,8 @@
             }
         }
     } catch (const coordination::log_unavailable_error& fault) {
-        // Without the log nothing is ordered either; the estimate goes stale.
-        m_log->debug("Demand was not shared: {}.", fault.what());
+        // Without the log no orders are sent either, so a stale estimate does no harm.
+        m_log->debug("Exchanging demand reports failed; only those at hand are used: {}.", fault.what());
     }
 }
 
@@ -174,7 +178,7 @@
         }
     } catch (const coordination::log_unavailable_error& fault) {
         if (m_was_log_reachable) {
-            m_log->warn("No orders, since the log can't be reached: {}.", fault.what());
+            m_log->warn("The log is unreachable; no orders are sent until it answers: {}.", fault.what());
         }
         is_log_reachable = false;
     }
@@ -221,7 +225,7 @@
     try {
         m_announced->add(m_driver.announce(own));
     } catch (const coordination::log_unavailable_error& fault) {
-        m_log->warn("A role change was not announced: {}.", fault.what());
+        m_log->warn("Announcing role changes in the log failed; the next round plans anew: {}.", fault.what());
     }
 }
 
@@ -285,7 +289,7 @@
         if (is_known) {
             engine.role = observed->second.load->role;
         }
-        // The driver carries on with each change by itself, so the time in a state is left at zero.
+        // The role change driver enforces the timeouts of each change, so the time in a state is left at zero here.
         if (const auto change = changes.find(name); change != changes.end()) {
             engine.target = change->second.to;
             engine.state =
--- a/daemon/zone_control_task.hpp
+++ b/daemon/zone_control_task.hpp
@@ -20,31 +20,33 @@
 
 namespace dragonflywell::daemon {
 
-/// Returns the stream that holds the lease, the orders and the role changes of an availability zone.
+/// Returns the name of the log stream that holds the lease, the orders and the role changes of an availability zone.
 [[nodiscard]] std::string get_control_stream(const zone_name& zone);
 
-/// Declares no process gone for good. A send without a known outcome then holds its engine until the effect is seen.
+/// Never reports a process as permanently gone, so that an order with an unknown outcome blocks its engine until the
+/// effect of the order is observed.
 class cautious_liveness final : public coordination::host_liveness {
 public:
     [[nodiscard]] bool has_terminated(const coordination::writer_id& /*sender*/) const override { return false; }
 };
 
-/// Controls the engines of this daemon's availability zone while it holds the zone's lease, and tells the request path
-/// of every daemon which engines take new work.
+/// Orders role changes of the engines in this daemon's availability zone while the daemon holds the zone's lease. With
+/// or without the lease, it publishes to the daemon's request path which engines accept new work.
 ///
-/// Without authority or with the log down nothing is ordered; roles and drains stay as last known, and routing goes on.
+/// No orders are sent without the lease or while the log is unavailable. Roles and drains then keep their last known
+/// state, and routing continues.
 class zone_control_task final : public control_task {
 public:
     explicit zone_control_task(const control_task_context& parts);
 
     void run_round() override;
-    /// Gives the lease up.
+    /// Releases the lease. Throws `log_unavailable_error`.
     void finish() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "zone_control"; }
     [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.control_interval; }
 
 private:
-    /// Role changes of another availability zone, as its holder announces them.
+    /// Role changes of another availability zone, as the holder of that zone's lease announces them.
     struct foreign_zone {
         foreign_zone(coordination::append_log& log, const zone_name& zone, const coordination::writer_id& self);
 
@@ -55,7 +57,8 @@
     void follow_foreign_zones(const fleet::manifest& manifest);
     void collect_demand();
     void exchange_demand(const policy::demand_report* own);
-    /// Does what the lease permits and plans for each model; returns whether the log could be reached.
+    /// Acquires or renews the lease, advances role changes while the lease is held, and plans for each model. Returns
+    /// whether the log was reachable.
     bool control(const fleet::manifest& manifest);
     void plan(const fleet::manifest& manifest, const model_name& model, model_fleet_status& status, bool has_authority);
     void plan_spending(const fleet::manifest& manifest, const model_name& model, model_fleet_status& status,
--- a/tests/core/test_hash.cpp
+++ b/tests/core/test_hash.cpp
@@ -6,19 +6,19 @@
 
 using namespace dragonflywell;
 
-TEST_CASE("shares that are drawn are the same each time, and spread over names and seeds") {
+TEST_CASE("hashing a name and a seed is deterministic and spreads evenly over the unit interval") {
     CHECK(hash_to_unit_interval("engine", 7) == hash_to_unit_interval("engine", 7));
-    constexpr int draws = 1000;
+    constexpr int seeds = 1000;
     double sum = 0;
     std::set<double> values;
-    for (int seed = 0; seed < draws; ++seed) {
+    for (int seed = 0; seed < seeds; ++seed) {
         const double share = hash_to_unit_interval("engine", static_cast<std::uint64_t>(seed));
         CHECK(share >= 0);
         CHECK(share < 1);
         sum += share;
         values.insert(share);
     }
-    CHECK(sum / draws > 0.4);
-    CHECK(sum / draws < 0.6);
-    CHECK(values.size() > draws / 2);
+    CHECK(sum / seeds > 0.4);
+    CHECK(sum / seeds < 0.6);
+    CHECK(values.size() > seeds / 2);
 }
--- a/tests/core/test_log_buffer.cpp
+++ b/tests/core/test_log_buffer.cpp
@@ -5,7 +5,7 @@
 
 using namespace dragonflywell;
 
-TEST_CASE("lines come out in the order in which they went in") {
+TEST_CASE("lines of different priority are taken in the order in which they were added") {
     log_buffer ring(1000);
     ring.push("a\n", false);
     ring.push("b\n", true);
@@ -14,7 +14,7 @@
     CHECK(ring.is_empty());
 }
 
-TEST_CASE("a full ring drops the oldest light lines first and counts what it drops") {
+TEST_CASE("a full buffer drops the oldest lines of low priority first and counts the dropped lines") {
     log_buffer ring(6);
     ring.push("l1", false);
     ring.push("w1", true);
@@ -27,7 +27,7 @@
     CHECK(ring.take(100) == "w2w3w4");
 }
 
-TEST_CASE("a ring that nobody reads stays within its bound") {
+TEST_CASE("a buffer that is never read does not grow beyond its limit") {
     log_buffer ring(1024);
     for (int line = 0; line < 10'000; ++line) {
         ring.push(std::string(100, 'x'), line % 2 == 0);
@@ -35,7 +35,7 @@
     CHECK(ring.take(100'000).size() <= 1024);
 }
 
-TEST_CASE("an event is one JSON object whose text cannot break the line") {
+TEST_CASE("a log event is one JSON object whose field values are escaped") {
     log_event event("request_failed");
     event.add("id", "a\"b\n").add("status", 503).add("ready", true).add("took_ms", std::chrono::microseconds(1500));
     CHECK(event.get_text() == R"({"event":"request_failed","id":"a\"b\n","status":503,"ready":true,"took_ms":1.5})");
--- a/tests/daemon/test_billing.cpp
+++ b/tests/daemon/test_billing.cpp
@@ -7,7 +7,7 @@
 using dragonflywell::testing::small_deployment;
 namespace http = boost::beast::http;
 
-TEST_CASE("the use of two hosts reaches the platform once, through lost answers") {
+TEST_CASE("the usage of two hosts is reported to the platform exactly once when a response is lost") {
     small_deployment deployment(std::size_t{0});
     deployment.change("settings/billing", R"({"window_seconds":1})");
     deployment.add_host();
--- a/tests/daemon/test_claims.cpp
+++ b/tests/daemon/test_claims.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-TEST_CASE("a subscription sent to two hosts at once runs once") {
+TEST_CASE("a subscription that is sent to two hosts concurrently runs once") {
     small_deployment deployment(std::size_t{2});
     auto first = std::async(std::launch::async, [&] { return subscribe(deployment, "s-1", 0); });
     const auto second = subscribe(deployment, "s-1", 1);
@@ -38,7 +38,7 @@
     }
 }
 
-TEST_CASE("a later arrival at another host gets the recorded answer and is not billed again") {
+TEST_CASE("a later duplicate at another host gets the recorded response and does not run again") {
     small_deployment deployment(std::size_t{2});
     const auto first = subscribe(deployment, "s-1", 0);
     CHECK(first.result_int() == 200);
@@ -53,7 +53,7 @@
     CHECK(deployment.service.handler.get_runs() == 1);
 }
 
-TEST_CASE("a subscription whose answer was lost is unknown at every host and does not run again") {
+TEST_CASE("a subscription whose response was lost has an unknown outcome at every host and does not run again") {
     small_deployment deployment(std::size_t{2});
     deployment.service.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
     CHECK(subscribe(deployment, "s-1", 0)["x-dragonflywell-outcome"] == "unknown");
@@ -66,7 +66,7 @@
     CHECK(deployment.service.handler.get_runs() == 1);
 }
 
-TEST_CASE("a refusal before anything was sent frees the key for another host") {
+TEST_CASE("a request that is refused before it was sent releases its idempotency key for another host") {
     small_deployment deployment(std::size_t{2});
     deployment.change("backend_servers/s1", "");
     while (deployment.call(http::verb::get, "/maps/52N", "", good_key).result_int() == 200) {
@@ -99,7 +99,7 @@
     CHECK(deployment.service.handler.get_runs() == 2);
 }
 
-TEST_CASE("appends whose answers are lost neither lose nor repeat a keyed call") {
+TEST_CASE("appends to the log whose responses are lost neither lose nor repeat a request with an idempotency key") {
     small_deployment deployment(std::size_t{2});
     deployment.platform.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 6});
     while (subscribe(deployment, "s-1", 0).result_int() != 200) {
--- a/tests/daemon/test_configuration_follower.cpp
+++ b/tests/daemon/test_configuration_follower.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// A host's state beside the store.
+/// The state of one host, and a store.
 struct fixture : testing::store_fixture {
     platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {}};
@@ -31,7 +31,7 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "a host that is many configurations behind fetches the newest one only") {
+TEST_CASE_FIXTURE(fixture, "a host that is many configurations behind fetches only the newest one") {
     constexpr int versions = 60;
     constexpr std::size_t page_records = 3;
     store.set_page_records(page_records);
@@ -47,12 +47,12 @@
         publish(version);
     }
     run_until(loop, [&] { return has_version(versions); });
-    // The waiting read that brings the first ones, and the listing.
+    // One call is the long poll that returns the first new versions, another one is the listing.
     CHECK(store.get_calls() - calls <= 3);
     CHECK(put_in_force <= 4);
 }
 
-TEST_CASE_FIXTURE(fixture, "a configuration that cannot be used leaves the one before it in force") {
+TEST_CASE_FIXTURE(fixture, "an invalid configuration leaves the previous one in force") {
     daemon::configuration_follower follower(client, state, std::chrono::seconds(2), [] {});
     publish(1);
     asio::co_spawn(loop, follower.run(), asio::detached);
@@ -60,7 +60,8 @@
     publish(2);
     store.put("keyed.op", "config", "no configuration");
     follower.update_leader_position({.end = 3, .age = duration::zero()});
-    // More than one is missing, so that the listing is read, which has the broken one only; then the next one counts.
+    // More than one record is missing, so the follower reads the listing, which contains only the invalid
+    // configuration. The next valid one must then be put in force.
     publish(4);
     follower.update_leader_position({.end = 4, .age = duration::zero()});
     run_until(loop, [&] { return has_version(4); });
--- a/tests/daemon/test_configuration_restart.cpp
+++ b/tests/daemon/test_configuration_restart.cpp
@@ -12,7 +12,7 @@
 
 using namespace dragonflywell;
 
-TEST_CASE("a daemon that starts after the log has forgotten the configuration takes it from the snapshot") {
+TEST_CASE("a daemon that starts after the log has dropped the configuration records restores it from the snapshot") {
     testing::running_standin<standin::platform_standin> platform;
     platform::http_log log({.server = platform.get_endpoint()});
     coordination::folded_stream stream(log, std::string(coordination::configuration_stream),
--- a/tests/daemon/test_daemon.cpp
+++ b/tests/daemon/test_daemon.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-TEST_CASE("a model request is answered whole and its key reaches no engine") {
+TEST_CASE("a model request gets a complete response, and its API key is not forwarded to the engine") {
     small_deployment deployment;
     const auto response = deployment.call(http::verb::post, "/v1/completions",
                                           R"({"model":"m","prompt":"storm","max_tokens":5})", good_key);
@@ -27,7 +27,7 @@
     CHECK(deployment.engine.handler.get_authorization_headers_seen() == 0);
 }
 
-TEST_CASE("an answer that breaks off is completed without a gap or a repetition") {
+TEST_CASE("a response that is interrupted is resumed without missing or repeated tokens") {
     small_deployment deployment;
     deployment.engine.handler.set_break_after(2);
     const auto response = deployment.call(http::verb::post, "/v1/completions",
@@ -39,7 +39,7 @@
     CHECK(response.body().find("\"text\":\"" + expected + "\"") != std::string::npos);
 }
 
-TEST_CASE("a request that must not be repeated runs once when its answer is lost") {
+TEST_CASE("a request that must not be retried runs once when its response is lost") {
     small_deployment deployment;
     deployment.service.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
     const auto response = deployment.call(http::verb::post, "/subscriptions", "{}", good_key);
@@ -48,7 +48,7 @@
     CHECK(deployment.service.handler.get_runs() == 1);
 }
 
-TEST_CASE("an idempotent request whose answer is lost is sent again") {
+TEST_CASE("an idempotent request whose response is lost is retried") {
     small_deployment deployment;
     deployment.service.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 1});
     const auto response = deployment.call(http::verb::get, "/maps/52N", "", good_key);
@@ -57,7 +57,7 @@
     CHECK(deployment.service.handler.get_authorization_headers_seen() == 0);
 }
 
-TEST_CASE("bad input is refused with a typed error and runs nowhere") {
+TEST_CASE("an invalid request is refused with a specific error code and is not sent to a backend server") {
     struct refused_case {
         http::verb method;
         std::string target;
@@ -87,7 +87,7 @@
     CHECK(deployment.service.handler.get_runs() == 0);
 }
 
-TEST_CASE("an open route needs no key") {
+TEST_CASE("a public route needs no API key") {
     small_deployment deployment;
     CHECK(deployment.call(http::verb::get, "/public/status", "", "").result_int() == 200);
 }
--- a/tests/daemon/test_demand_exchange.cpp
+++ b/tests/daemon/test_demand_exchange.cpp
@@ -8,7 +8,7 @@
 using namespace dragonflywell;
 using namespace dragonflywell::daemon;
 
-TEST_CASE("hosts see each other's reports from their own start on, and pass over what is malformed") {
+TEST_CASE("a host receives the reports of others from its own start on, and skips malformed records") {
     testing::fake_log log;
     demand_exchange writer(log);
     demand_exchange reader(log);
@@ -23,8 +23,8 @@
                   .output_tokens = 3}}};
     writer.publish(report);
     CHECK(reader.fetch().empty());
-    const std::array<std::string, 1> garbage{"{"};
-    log.append(demand_stream, garbage);
+    const std::array<std::string, 1> malformed{"{"};
+    log.append(demand_stream, malformed);
     writer.publish(report);
     CHECK(reader.fetch() == std::vector<policy::demand_report>{report});
     CHECK(reader.fetch().empty());
--- a/tests/daemon/test_group_usage_recorder.cpp
+++ b/tests/daemon/test_group_usage_recorder.cpp
@@ -17,7 +17,7 @@
 constexpr duration window_length = 5s;
 const organisation_name rovers("rovers");
 
-/// A host that speaks for its group, at a moment shortly after a window's end.
+/// The leader of a group of hosts, at a time shortly after the end of a window.
 struct fixture : testing::store_fixture {
     platform::engine_codec dialect;
     servers::serving_state state{loop.get_executor(), time, pool, dialect, metrics, {.usage_window = window_length}};
@@ -32,8 +32,8 @@
 
     [[nodiscard]] std::int64_t get_closed() const { return state.usage.get_window(state.get_corrected_time()) - 1; }
 
-    /// Lets a host tell its counts, so long after the end of the closed window.
-    void tell(const std::string& host, std::uint64_t count, duration after_end) {
+    /// Delivers a digest with a host's count for the closed window, sent at the given time after the window's end.
+    void deliver_digest(const std::string& host, std::uint64_t count, duration after_end) {
         servers::host_digest digest;
         digest.host = host;
         digest.incarnation = 7;
@@ -52,9 +52,10 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "the usage of a group is recorded in one call, and the hosts are told") {
-    tell("h1", 3, 300ms);
-    tell("h2", 4, 500ms);
+TEST_CASE_FIXTURE(
+    fixture, "the usage of a group is recorded with one store call and then listed as recorded for the next digests") {
+    deliver_digest("h1", 3, 300ms);
+    deliver_digest("h2", 4, 500ms);
     group.record_if_due();
     group.record_if_due();
     run_until(loop, [&] { return group.get_recorded().has_value(); });
@@ -66,25 +67,26 @@
           std::vector<servers::host_incarnation>{{.host = "h1", .incarnation = 7}, {.host = "h2", .incarnation = 7}});
 }
 
-TEST_CASE_FIXTURE(fixture, "counts that were told before the window was over are left to their host") {
-    tell("h1", 3, 100ms);
-    tell("h2", 4, 500ms);
+TEST_CASE_FIXTURE(fixture,
+                  "counts that were sent before the window was fully counted are not recorded for their host") {
+    deliver_digest("h1", 3, 100ms);
+    deliver_digest("h2", 4, 500ms);
     group.record_if_due();
     run_until(loop, [&] { return group.get_recorded().has_value(); });
     CHECK(group.get_recorded()->incarnations ==
           std::vector<servers::host_incarnation>{{.host = "h2", .incarnation = 7}});
 }
 
-TEST_CASE_FIXTURE(fixture, "nothing is told to be recorded where the store took nothing") {
+TEST_CASE_FIXTURE(fixture, "nothing is listed as recorded when the store call fails") {
     server.stop();
-    tell("h1", 3, 300ms);
+    deliver_digest("h1", 3, 300ms);
     group.record_if_due();
-    // The loop ends when the call has failed.
+    // The event loop runs out of work once the call has failed.
     loop.run();
     CHECK_FALSE(group.get_recorded().has_value());
 }
 
-TEST_CASE_FIXTURE(fixture, "a copy holds windows that a host does not tell of any more") {
+TEST_CASE_FIXTURE(fixture, "windows that a host no longer sends are kept for its stored copy") {
     for (std::int64_t window = get_closed() - 6; window <= get_closed(); ++window) {
         servers::host_digest digest;
         digest.host = "h1";
@@ -93,17 +95,17 @@
         digest.usage = {{window, {{rovers, 1}}}};
         group.update(digest);
     }
-    const auto told = group.remove_host("h1");
-    REQUIRE(told.has_value());
-    CHECK(told->windows.size() == 6);
-    CHECK(told->windows.contains(get_closed() - 5));
+    const auto received = group.remove_host("h1");
+    REQUIRE(received.has_value());
+    CHECK(received->windows.size() == 6);
+    CHECK(received->windows.contains(get_closed() - 5));
 }
 
-TEST_CASE_FIXTURE(fixture, "what a silent host told last is handed back once") {
-    tell("h1", 3, 300ms);
-    const auto told = group.remove_host("h1");
-    REQUIRE(told.has_value());
-    CHECK(told->incarnation == 7);
-    CHECK(told->windows.at(get_closed()).at(rovers) == 3);
+TEST_CASE_FIXTURE(fixture, "the last counts of a host that timed out are returned once") {
+    deliver_digest("h1", 3, 300ms);
+    const auto received = group.remove_host("h1");
+    REQUIRE(received.has_value());
+    CHECK(received->incarnation == 7);
+    CHECK(received->windows.at(get_closed()).at(rovers) == 3);
     CHECK_FALSE(group.remove_host("h1").has_value());
 }
--- a/tests/daemon/test_host_list.cpp
+++ b/tests/daemon/test_host_list.cpp
@@ -9,7 +9,7 @@
 using namespace dragonflywell;
 using daemon::listed_host;
 
-TEST_CASE("the entry of a host survives encoding, and what is none is rejected") {
+TEST_CASE("the entry of a host survives encoding and decoding, and malformed entries are rejected") {
     const listed_host host{
         .name = "h1", .zone = zone_name("z1"), .address = {.address = "10.0.0.1", .port = 7000}, .incarnation = 12};
     CHECK(daemon::decode_host_entry("h1", daemon::encode_host_entry(host)) == host);
@@ -19,26 +19,26 @@
     }
 }
 
-TEST_CASE("records that are passed on survive encoding, and what is none is rejected") {
+TEST_CASE("relayed records survive encoding and decoding, and malformed ones are rejected") {
     platform::store_page page;
     page.next_offset = 9;
     page.topic_end_offset = 9;
     page.records = {{.offset = 7, .key = "a", .value = "1"}, {.offset = 8, .key = "b", .value = {}}};
     const boost::json::value document = json::parse(daemon::encode_relayed_records({.from = 7, .page = page}));
     REQUIRE(daemon::is_relayed_records(document.get_object()));
-    const daemon::relayed_records news = daemon::decode_relayed_records(document.get_object());
-    CHECK(news.from == 7);
-    CHECK(news.page.next_offset == 9);
-    REQUIRE(news.page.records.size() == 2);
-    CHECK(news.page.records[0].value == "1");
-    CHECK(news.page.records[1].offset == 8);
-    CHECK_FALSE(news.page.records[1].value);
+    const daemon::relayed_records relayed = daemon::decode_relayed_records(document.get_object());
+    CHECK(relayed.from == 7);
+    CHECK(relayed.page.next_offset == 9);
+    REQUIRE(relayed.page.records.size() == 2);
+    CHECK(relayed.page.records[0].value == "1");
+    CHECK(relayed.page.records[1].offset == 8);
+    CHECK_FALSE(relayed.page.records[1].value);
     for (const char* text :
          {R"({"from":1,"end":2})", R"({"from":1,"end":2,"news":[1]})", R"({"from":1,"end":2,"news":[["x","k","v"]]})",
           R"({"from":1,"end":2,"news":[[-1,"k","v"]]})"}) {
         CAPTURE(text);
-        const boost::json::value broken = json::parse(text);
-        CHECK_THROWS_AS(static_cast<void>(daemon::decode_relayed_records(broken.get_object())),
+        const boost::json::value malformed = json::parse(text);
+        CHECK_THROWS_AS(static_cast<void>(daemon::decode_relayed_records(malformed.get_object())),
                         malformed_message_error);
     }
 }
--- a/tests/daemon/test_keys.cpp
+++ b/tests/daemon/test_keys.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-TEST_CASE("a revoked key stops working for a caller that stays connected, and stays revoked") {
+TEST_CASE("a revoked key is refused on open and on new connections") {
     small_deployment deployment;
     boost::asio::io_context context;
     boost::beast::tcp_stream caller = deployment.connect(context);
@@ -31,7 +31,7 @@
     CHECK(deployment.service.handler.get_runs() == runs);
 }
 
-TEST_CASE("a key that is handed to another organisation bills that one from then on") {
+TEST_CASE("requests with a key that was reassigned are billed to its new organisation") {
     small_deployment deployment;
     boost::asio::io_context context;
     boost::beast::tcp_stream caller = deployment.connect(context);
--- a/tests/daemon/test_malformed_input.cpp
+++ b/tests/daemon/test_malformed_input.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Sends the bytes and returns all that comes back until the daemon closes.
+/// Sends the bytes and returns everything that is received until the daemon closes the connection.
 std::string send_raw(const small_deployment& deployment, const std::string& bytes) {
     boost::asio::io_context context;
     boost::beast::tcp_stream stream = deployment.connect(context);
@@ -31,7 +31,7 @@
 
 } // namespace
 
-TEST_CASE("what is not a request, or too large, is refused as not run, counted, and does no harm to others") {
+TEST_CASE("malformed and oversized requests are refused as not run and counted, and later requests still succeed") {
     small_deployment deployment;
     const std::vector<malformed_case> cases{
         {.name = "broken HTTP",
--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr const char* key = "k1.secret";
-constexpr const char* short_silence = "[stop]\nnotice_ms = 0\n[request]\nprogress_deadline_ms = 100\n";
+constexpr const char* short_progress_timeout = "[stop]\nnotice_ms = 0\n[request]\nprogress_deadline_ms = 100\n";
 
 std::string get_expected_text(std::uint64_t tokens) {
     std::string text;
@@ -32,7 +32,8 @@
            response.body().find("\"text\":\"" + get_expected_text(5) + "\"") != std::string::npos;
 }
 
-/// Waits until the metrics show a line; it is counted just after the last byte of an answer was written.
+/// Waits until the metrics contain the text, since requests are counted just after the last byte of a response is
+/// written.
 void wait_for_metric(small_deployment& deployment, const std::string& line) {
     while (deployment.get_metrics().find(line) == std::string::npos) {
         std::this_thread::yield();
@@ -41,7 +42,7 @@
 
 } // namespace
 
-TEST_CASE("whatever an engine's events get wrong, the caller gets the whole answer to its own request") {
+TEST_CASE("the caller gets the complete response to its own request despite faulty event streams of the engine") {
     struct faulty_case {
         engine_fault_kind kind;
         std::string counted;
@@ -63,15 +64,15 @@
     }
 }
 
-TEST_CASE("a stream whose connection goes silent is resumed where it stood over a new connection") {
-    small_deployment deployment(short_silence);
+TEST_CASE("a stream whose connection hangs is resumed at the same position over a new connection") {
+    small_deployment deployment(short_progress_timeout);
     deployment.engine.handler.set_fault({.kind = engine_fault_kind::hang, .after_tokens = 2});
     CHECK(has_whole_answer(ask(deployment)));
     CHECK(deployment.engine.handler.get_starts() == 1);
     CHECK(deployment.engine.handler.get_resumptions() == 1);
 }
 
-TEST_CASE("an engine that finds the request wrong is heard once and its answer goes to the caller") {
+TEST_CASE("a request that an engine rejects as invalid is not retried, and the engine's response goes to the caller") {
     small_deployment deployment;
     deployment.engine.handler.set_fault({.kind = engine_fault_kind::reject, .count = 1});
     const auto response = ask(deployment);
@@ -81,20 +82,20 @@
     CHECK(deployment.get_metrics().find("retries_total{reason=\"broken_answer\"} 0") != std::string::npos);
 }
 
-TEST_CASE("a busy engine is a retry with a reason of its own") {
+TEST_CASE("a retry after a busy engine is counted under its own reason") {
     small_deployment deployment;
     deployment.engine.handler.set_fault({.kind = engine_fault_kind::busy, .count = 1});
     CHECK(has_whole_answer(ask(deployment)));
     wait_for_metric(deployment, "retries_total{reason=\"backend_server_busy\"} 1");
 }
 
-TEST_CASE("only what a caller received is billed") {
+TEST_CASE("only responses that the caller received are billed") {
     small_deployment deployment;
     deployment.engine.handler.set_fault({.kind = engine_fault_kind::malformed_event, .after_tokens = 1, .count = 3});
     CHECK(ask(deployment).result_int() == 502);
     CHECK(deployment.get_usage().empty());
     CHECK(has_whole_answer(ask(deployment)));
-    // The use is counted just after the last byte was written.
+    // The usage is counted just after the last byte is written.
     while (deployment.get_usage().empty()) {
         std::this_thread::yield();
     }
@@ -104,7 +105,7 @@
     CHECK(usage.begin()->second.completion_tokens == 5);
 }
 
-TEST_CASE("the time for a whole request is kept although the engine makes progress") {
+TEST_CASE("the deadline of a request applies even while the engine makes progress") {
     small_deployment deployment("[stop]\nnotice_ms = 0\n[request]\ndeadline_ms = 100\n");
     const auto response = deployment.call(http::verb::post, "/v1/completions",
                                           R"({"model":"m","prompt":"storm","max_tokens":1000000})", key);
@@ -112,7 +113,7 @@
     CHECK(response["x-dragonflywell-outcome"] == "failed_after_start");
 }
 
-TEST_CASE("the engine's work is cancelled when the caller leaves") {
+TEST_CASE("the request is cancelled on the engine when the caller disconnects") {
     small_deployment deployment;
     deployment.call_and_leave("/v1/completions", R"({"model":"m","prompt":"storm","max_tokens":1000000})", key,
                               [&] { return deployment.engine.handler.get_running() == 1; });
@@ -122,7 +123,7 @@
     CHECK(deployment.get_usage().empty());
 }
 
-TEST_CASE("a refusal says not run only when no byte was written") {
+TEST_CASE("a refused request is reported as not run only if no byte was sent to a backend server") {
     small_deployment deployment;
     deployment.service.faults.set_plan({.kind = standin::fault_kind::drop_answer, .count = 3});
     const auto written = deployment.call(http::verb::get, "/maps/1", "", key);
@@ -132,7 +133,7 @@
     CHECK(unwritten["x-dragonflywell-outcome"] == "not_run");
 }
 
-TEST_CASE("a caller on a kept connection is answered during a stop and told to use another") {
+TEST_CASE("during a graceful stop, a keep-alive connection is still served and is then closed") {
     small_deployment deployment("[stop]\nnotice_ms = 600000\n");
     boost::asio::io_context context;
     boost::beast::tcp_stream stream = deployment.connect(context);
@@ -148,7 +149,7 @@
     stopping.join();
 }
 
-TEST_CASE("a request on an engine that dies becomes a suspect; one on a connection that breaks does not") {
+TEST_CASE("a request becomes a crash suspect when its engine crashes, but not when only its connection breaks") {
     small_deployment deployment;
     deployment.engine.handler.set_fault({.kind = engine_fault_kind::disconnect, .after_tokens = 2});
     CHECK(has_whole_answer(ask(deployment)));
