--- a/tests/daemon/test_role_change_driver.cpp
+++ b/tests/daemon/test_role_change_driver.cpp
@@ -27,7 +27,7 @@
     return manifest;
 }
 
-/// One candidate for the control of a zone, with all that it needs for role changes.
+/// One candidate for the lease of a zone, with everything that it needs for role changes.
 struct control_host {
     control_host(testing::fake_log& log, const virtual_clock& time, testing::fake_engines& engines,
                  const coordination::host_liveness& hosts, const fleet::manifest& content, const char* name)
@@ -42,7 +42,7 @@
         stream.add_observer(changes);
     }
 
-    /// One round as the control task does it.
+    /// Runs one round as the zone control task does.
     void run_round() {
         observer.refresh(*manifest);
         try {
@@ -52,7 +52,7 @@
                 driver.advance(observer.get_all(), *manifest);
             }
         } catch (const coordination::log_unavailable_error&) { // NOLINT(bugprone-empty-catch)
-            // The next round comes all the same.
+            // The next round tries again.
         }
     }
 
@@ -86,7 +86,7 @@
         }
     }
 
-    /// The first host stops for good without a word, and the second takes over.
+    /// The first host fails without releasing the lease, and the second one acquires it.
     void hand_over() {
         run(second, 15);
         REQUIRE(second.lease.get_authority().has_value());
@@ -107,7 +107,7 @@
 
 } // namespace
 
-TEST_CASE("an engine is ordered only after every daemon knows and its last request has ended") {
+TEST_CASE("an engine gets its order only after every daemon knows of the change and its last request has ended") {
     for (const bool checks : both_kinds) {
         CAPTURE(checks);
         zone_case zone(checks);
@@ -125,7 +125,7 @@
     }
 }
 
-TEST_CASE("a drain that does not end is given up and the engine keeps its role") {
+TEST_CASE("a drain that does not end is abandoned and the engine keeps its role") {
     zone_case zone(true);
     zone.get_engine().running = 1;
     zone.announce(engine_role::decode);
@@ -135,7 +135,7 @@
     CHECK(zone.get_engine().applied.empty());
 }
 
-TEST_CASE("the next holder goes on with a change whatever step the last one was lost at") {
+TEST_CASE("the next lease holder completes a change whichever step the previous one failed at") {
     enum class step { announced, draining, order_lost, answer_lost, confirmed };
     for (const bool checks : both_kinds) {
         for (const step at : {step::announced, step::draining, step::order_lost, step::answer_lost, step::confirmed}) {
@@ -158,7 +158,7 @@
             }
             CHECK(zone.second.changes.get_all().empty());
             CHECK(zone.second.driver.get_given_up() == 0);
-            // The lost send itself cannot be resolved before its sender is known to be gone.
+            // The lost order itself cannot be resolved before its sender is known to have terminated.
             zone.hosts.gone.insert("host-1");
             zone.run(zone.second, 1);
             CHECK(zone.second.ledger.get_unresolved().empty());
@@ -166,7 +166,7 @@
     }
 }
 
-TEST_CASE("while an order of a lost holder may still arrive, an engine gets no other one") {
+TEST_CASE("while an order of a failed lease holder may still arrive, the engine gets no different order") {
     zone_case zone(false);
     zone.announce(engine_role::decode);
     zone.engines.loses_next_order = true;
@@ -187,7 +187,7 @@
     }
 }
 
-TEST_CASE("no order is sent while the log is down, and the change goes on afterwards") {
+TEST_CASE("no order is sent while the log is down, and the change continues afterwards") {
     for (const bool checks : both_kinds) {
         zone_case zone(checks);
         zone.announce(engine_role::decode);
@@ -201,7 +201,7 @@
     }
 }
 
-TEST_CASE("an engine that crashes after its order and returns in its old role ends the change") {
+TEST_CASE("a change is abandoned when the engine crashes after its order and restarts in its old role") {
     zone_case zone(true);
     zone.announce(engine_role::decode);
     zone.run(zone.first, 5);
@@ -216,7 +216,7 @@
     CHECK(zone.get_engine().applied.size() == 1);
 }
 
-TEST_CASE("an engine that rejects the order keeps its role") {
+TEST_CASE("a change is ended when the engine rejects the order") {
     zone_case zone(true);
     zone.engines.rejects_orders = true;
     zone.announce(engine_role::decode);
@@ -225,7 +225,7 @@
     CHECK(zone.first.ledger.get_unresolved().empty());
 }
 
-TEST_CASE("an old holder that wakes up announces and orders nothing") {
+TEST_CASE("a previous lease holder that resumes announces and orders nothing") {
     for (const bool checks : both_kinds) {
         zone_case zone(checks);
         zone.announce(engine_role::decode);
@@ -239,7 +239,7 @@
     }
 }
 
-TEST_CASE("the changes under way survive as a snapshot") {
+TEST_CASE("the changes in progress survive saving and restoring a snapshot") {
     zone_case zone(true);
     zone.announce(engine_role::decode);
     daemon::role_change_fold copy;
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -21,7 +21,7 @@
                        state, sequence);
 }
 
-/// A host that another one reads for, with one server in the list.
+/// A host that is not the group leader, with one server in the list.
 struct fixture : testing::store_fixture {
     virtual_clock clock;
     platform::engine_codec dialect;
@@ -37,14 +37,16 @@
 
     [[nodiscard]] bool is_listed() const { return state.directory.find(server_id) != nullptr; }
 
-    /// Lets a call of this host to the store fail.
+    /// Simulates a failed store call of this host.
     void fail() { state.directory.get_contact().record_failure(clock.now()); }
 
-    /// Lets the host that reads say how far it is, and how long ago it read.
-    void hint(duration age) { follower.update_leader_position({.end = follower.get_read_position().end, .age = age}); }
+    /// Delivers a read position of the group leader that equals this host's, with the age of the leader's last read.
+    void send_leader_position(duration age) {
+        follower.update_leader_position({.end = follower.get_read_position().end, .age = age});
+    }
 
-    /// Lets the host that reads pass on that the server's entry was removed.
-    void pass_removal_on() {
+    /// Relays a record of the group leader that removes the server's entry.
+    void relay_removal() {
         const std::uint64_t end = *follower.get_read_position().end;
         follower.apply_relayed(end, {.records = {{.offset = end, .key = server_id.value(), .value = {}}},
                                      .next_offset = end + 1,
@@ -54,55 +56,56 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "the store is back for a host when the one that reads for it says so") {
+TEST_CASE_FIXTURE(fixture, "the store counts as recovered on a host when the group leader has reached it") {
     fail();
     clock.advance(5s);
-    hint(100ms);
+    send_leader_position(100ms);
     clock.advance(3s);
-    // It was removed long after the store's return, so that it left.
-    pass_removal_on();
+    // The entry is removed long after the recovery of the store, so the server has left.
+    relay_removal();
     CHECK_FALSE(is_listed());
 }
 
-TEST_CASE_FIXTURE(fixture, "an entry that lapsed while the store was away is dropped in time without further news") {
+TEST_CASE_FIXTURE(
+    fixture, "an entry that expired during a store outage is dropped after the grace period without further records") {
     clock.advance(5s);
     fail();
     clock.advance(200ms);
-    hint(100ms);
+    send_leader_position(100ms);
     clock.advance(1s);
-    pass_removal_on();
+    relay_removal();
     CHECK(is_listed());
     clock.advance(1299ms);
-    hint(100ms);
+    send_leader_position(100ms);
     CHECK(is_listed());
     CHECK(state.is_usable(server_id));
     clock.advance(1ms);
     CHECK_FALSE(state.is_usable(server_id));
-    hint(100ms);
+    send_leader_position(100ms);
     CHECK_FALSE(is_listed());
 }
 
-TEST_CASE_FIXTURE(fixture, "a host whose reader has not reached the store lately waits for its return") {
+TEST_CASE_FIXTURE(fixture, "a host keeps an expired entry while its group leader has not reached the store recently") {
     clock.advance(5s);
-    hint(4s);
+    send_leader_position(4s);
     clock.advance(3s);
     fail();
     clock.advance(100ms);
-    pass_removal_on();
+    relay_removal();
     CHECK(is_listed());
 }
 
-TEST_CASE_FIXTURE(fixture, "a server that left is dropped at once by a host that alone does not reach the store") {
+TEST_CASE_FIXTURE(fixture, "a host that alone cannot reach the store drops a server that left at once") {
     for (int second = 0; second < 5; ++second) {
         fail();
         clock.advance(1s);
-        hint(100ms);
+        send_leader_position(100ms);
     }
-    pass_removal_on();
+    relay_removal();
     CHECK_FALSE(is_listed());
 }
 
-TEST_CASE_FIXTURE(fixture, "a listing older than what was read brings no leaving server back") {
+TEST_CASE_FIXTURE(fixture, "a stale listing does not make a draining server usable again") {
     const std::string topic = "keyed.servers";
     store.freeze_listing(topic);
     store.put(topic, server_id.value(), make_entry("draining", 2));
@@ -112,10 +115,11 @@
     REQUIRE_FALSE(state.is_usable(server_id));
     store.put(topic, server_id.value(), make_entry("draining", 3));
     store.drop_history(topic);
-    // News that this host has missed make it read; its place is gone, and the listing is from before the notice.
+    // A relayed page with a gap before it makes this host read the store. The store has dropped the records after its
+    // read position, and the listing is older than the notice of the drain.
     const std::uint64_t calls = store.get_calls();
     follower.apply_relayed(3, {.records = {}, .next_offset = 3, .topic_end_offset = 3});
-    // The call after the listing shows that it was taken, or passed over.
+    // The call after the listing shows that the listing was processed.
     run_until(loop, [&] { return store.get_calls() >= calls + 3; });
     CHECK_FALSE(state.is_usable(server_id));
     store.thaw_listing(topic);
--- a/tests/daemon/test_settings_file.cpp
+++ b/tests/daemon/test_settings_file.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const std::string sound = R"([host]
+const std::string valid_settings = R"([host]
 name = "h1"
 zone = "z1"
 address = "10.0.0.1"
@@ -42,7 +42,7 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
-/// A file that is there for as long as the test runs.
+/// A temporary file that is removed at the end of the test.
 class written_file {
 public:
     explicit written_file(const std::string& text) : m_path(std::tmpnam(nullptr)) { write(text); }
@@ -62,17 +62,17 @@
 
 } // namespace
 
-TEST_CASE("settings of a host are read; every problem is named with its line") {
-    const daemon::host_settings settings = daemon::parse_host_settings(sound, "f");
+TEST_CASE("the settings of a host are parsed, and every problem is listed with its line") {
+    const daemon::host_settings settings = daemon::parse_host_settings(valid_settings, "f");
     CHECK(settings.name == host_name("h1"));
     CHECK(settings.bounds.drain == std::chrono::seconds(2));
     CHECK(settings.orders.port == 0);
-    std::string broken = replace(sound, "10.0.0.1:81", "nowhere");
-    broken = replace(broken, "drain_ms = 2000", "drain_ms = -1");
-    broken += "surplus = 1\n";
+    std::string invalid = replace(valid_settings, "10.0.0.1:81", "nowhere");
+    invalid = replace(invalid, "drain_ms = 2000", "drain_ms = -1");
+    invalid += "surplus = 1\n";
     try {
-        static_cast<void>(daemon::parse_host_settings(broken, "f"));
-        FAIL("broken settings were taken");
+        static_cast<void>(daemon::parse_host_settings(invalid, "f"));
+        FAIL("invalid settings were accepted");
     } catch (const invalid_input_error& fault) {
         const std::string what = fault.what();
         CAPTURE(what);
@@ -82,12 +82,12 @@
     }
 }
 
-TEST_CASE("a settings file that was replaced is noticed without a signal, one that is away is not a change") {
-    const written_file written(sound);
+TEST_CASE("a replaced settings file is detected without a signal, and a missing file does not count as changed") {
+    const written_file written(valid_settings);
     daemon::settings_file file(written.get_path());
     static_cast<void>(file.read());
     CHECK_FALSE(file.has_changed());
-    written.write(sound + "[log]\nlevel = \"warn\"\n");
+    written.write(valid_settings + "[log]\nlevel = \"warn\"\n");
     CHECK(file.has_changed());
     CHECK(file.read().log.level == "warn");
     CHECK_FALSE(file.has_changed());
@@ -96,9 +96,10 @@
     CHECK_THROWS_AS(static_cast<void>(file.read()), invalid_input_error);
 }
 
-TEST_CASE("sections that need a restart are named") {
-    const daemon::host_settings before = daemon::parse_host_settings(sound, "f");
-    const std::string changed = replace(replace(sound, "drain_ms = 2000", "drain_ms = 2500"), "10.0.0.9", "10.0.0.8");
+TEST_CASE("changed sections that need a restart are listed") {
+    const daemon::host_settings before = daemon::parse_host_settings(valid_settings, "f");
+    const std::string changed =
+        replace(replace(valid_settings, "drain_ms = 2000", "drain_ms = 2500"), "10.0.0.9", "10.0.0.8");
     const daemon::host_settings after = daemon::parse_host_settings(changed, "f");
     CHECK(daemon::list_sections_for_restart(before, before).empty());
     CHECK(daemon::list_sections_for_restart(before, after) == std::vector<std::string>{"store", "bounds"});
--- a/tests/daemon/test_store_dependency.cpp
+++ b/tests/daemon/test_store_dependency.cpp
@@ -7,7 +7,7 @@
 using namespace dragonflywell;
 using namespace std::chrono_literals;
 
-TEST_CASE("a loss and a return are each told once") {
+TEST_CASE("an outage and a recovery are each reported once") {
     const std::shared_ptr<spdlog::logger> log = get_logger("test");
     daemon::store_dependency dependency(*log, "topic");
     const steady_time now{};
--- a/tests/daemon/test_store_return.cpp
+++ b/tests/daemon/test_store_return.cpp
@@ -16,11 +16,11 @@
 
 namespace {
 
-/// Short ones, since the timers behind them run in real time.
+/// Short durations, since the timers that use them run in real time.
 constexpr duration bound = 20ms;
 constexpr policy::circuit_breaker_options breaker{.initial_backoff = 2ms, .max_backoff = 10ms};
 
-/// One host that follows configuration and servers by itself, with all its clocks in the test's hand.
+/// One host that reads the configuration and the server list itself, on a virtual clock.
 struct fixture {
     asio::io_context loop{1};
     virtual_clock clock;
@@ -78,7 +78,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(fixture,
-                  "a host that was cut off for twelve seconds uses all that changed once one call is answered") {
+                  "after a store outage of twelve seconds, one successful call lets a host apply all changes") {
     store.set_refusing(true);
     clock.advance(bound);
     for (int second = 0; second < 12; ++second) {
@@ -91,14 +91,15 @@
     store.put("keyed.servers", "i-1", "");
     list_server("i-2", 82);
     store.set_refusing(false);
-    // No more time passes than until the next call; what waits behind it goes on when that is answered.
+    // The clock advances only to the next call. The callers that wait behind it continue when it succeeds.
     clock.advance(1s);
     const std::uint64_t calls = store.get_calls();
     run_until(loop, [&] { return has_version(3) && is_listed("i-2"); });
     CHECK(has_version(3));
     CHECK(is_listed("i-2"));
     CHECK(store.get_calls() - calls <= 4);
-    // The entry may have lapsed; its server has until 2.5 s after the last call that failed.
+    // The entry may have expired during the outage; its server may register again until 2.5 s after the last failed
+    // call.
     CHECK(state.is_usable(backend_server_name("i-1")));
     clock.advance(1500ms);
     CHECK_FALSE(state.is_usable(backend_server_name("i-1")));
--- a/tests/daemon/test_zone_control_task.cpp
+++ b/tests/daemon/test_zone_control_task.cpp
@@ -18,7 +18,7 @@
 
 const model_name model("m");
 
-/// A zone with four engines and one candidate for its control; time moves only when a round is run.
+/// A zone with four engines and one candidate for its lease. Time advances only when a round runs.
 class controlled_zone {
 public:
     explicit controlled_zone(bool checks_fencing)
@@ -39,7 +39,7 @@
         m_manifest.set(std::make_shared<servers::active_manifest>(1, fleet::parse_manifest(entries)));
     }
 
-    /// Runs rounds of one second each, in which callers ask for this much.
+    /// Runs rounds of one second each, with one arrival of the given size per round.
     void run(int rounds, std::uint64_t prompt_tokens, std::uint64_t output_tokens) {
         for (int round = 0; round < rounds; ++round) {
             m_time.advance(std::chrono::seconds(1));
@@ -82,23 +82,23 @@
                             .fleet = fleet}};
 };
 
-constexpr std::uint64_t much_prompt = 14000;
-constexpr std::uint64_t little_prompt = 2000;
-constexpr std::uint64_t much_output = 5500;
-constexpr std::uint64_t little_output = 3000;
+constexpr std::uint64_t heavy_prefill_tokens = 14000;
+constexpr std::uint64_t light_prefill_tokens = 2000;
+constexpr std::uint64_t heavy_output_tokens = 5500;
+constexpr std::uint64_t light_output_tokens = 3000;
 
 } // namespace
 
-TEST_CASE("a shift of the demand moves an engine of either kind, and placement learns of the drain first") {
+TEST_CASE("a demand shift changes the role of an engine with or without fencing, after the engine was drained") {
     for (const bool checks : {true, false}) {
         CAPTURE(checks);
         controlled_zone zone(checks);
-        zone.run(30, much_prompt, little_output);
+        zone.run(30, heavy_prefill_tokens, light_output_tokens);
         CHECK(zone.get_status()->has_authority);
         CHECK(zone.count(fleet::engine_role::prefill) == 2);
         bool was_drained = false;
         for (int round = 0; round < 60; ++round) {
-            zone.run(1, little_prompt, much_output);
+            zone.run(1, light_prefill_tokens, heavy_output_tokens);
             for (const auto& [name, state] : *zone.fleet.engines.get()) {
                 was_drained = was_drained || (!state.takes_new_work && state.role == fleet::engine_role::prefill);
             }
@@ -112,11 +112,11 @@
     }
 }
 
-TEST_CASE("with the log down nothing is ordered, and roles stay known") {
+TEST_CASE("while the log is down, no role change is ordered and the last known roles stay in use") {
     controlled_zone zone(true);
-    zone.run(30, much_prompt, little_output);
+    zone.run(30, heavy_prefill_tokens, light_output_tokens);
     zone.platform.faults.set_plan({.kind = standin::fault_kind::refuse, .count = 1000000});
-    zone.run(60, little_prompt, much_output);
+    zone.run(60, light_prefill_tokens, heavy_output_tokens);
     CHECK_FALSE(zone.get_status()->has_authority);
     CHECK_FALSE(zone.get_status()->is_log_reachable);
     CHECK(zone.get_status()->models.at(model).roles.reason == policy::role_reason::no_authority);
@@ -125,6 +125,6 @@
         CHECK(state.takes_new_work);
     }
     zone.platform.faults.set_plan({});
-    zone.run(60, little_prompt, much_output);
+    zone.run(60, light_prefill_tokens, heavy_output_tokens);
     CHECK(zone.count(fleet::engine_role::decode) == 3);
 }
