--- a/daemon/claim_task.cpp
+++ b/daemon/claim_task.cpp
@@ -10,30 +10,31 @@
 
 } // namespace
 
-claim_task::claim_task(const control_task_context& parts)
-    : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
-      m_stream(m_platform_log, std::string(coordination::claim_stream), parts.self),
-      m_book(m_stream, parts.time, parts.settings.claims),
-      m_batches(&parts.metrics.get_counter("dragonflywell_claim_batches_total")),
-      m_remembered(&parts.metrics.get_gauge("dragonflywell_claims_remembered")) {}
+claim_task::claim_task(const control_task_context& context)
+    : m_context(context),
+      m_platform_log({.server = context.settings.platform_log, .deadline = context.settings.log_deadline}),
+      m_stream(m_platform_log, std::string(coordination::claim_stream), context.self),
+      m_book(m_stream, context.time, context.settings.claims),
+      m_batches(&context.metrics.get_counter("dragonflywell_claim_batches_total")),
+      m_remembered(&context.metrics.get_gauge("dragonflywell_claims_remembered")) {}
 
 void claim_task::run_round() {
-    const coordination::pending_claim_work round = m_parts.claims.take_all(idle_wait);
+    const coordination::pending_claim_work round = m_context.claims.take_all(idle_wait);
     if (!round.claims.empty() || !round.settlements.empty() || m_book.has_unwritten_settlements()) {
         process(round);
-        m_pause = m_parts.settings.claim_interval;
+        m_pause = m_context.settings.claim_interval;
         return;
     }
     m_pause = {};
-    if (m_parts.time.now() - m_polled_at >= idle_poll_interval) {
-        m_polled_at = m_parts.time.now();
+    if (m_context.time.now() - m_polled_at >= idle_poll_interval) {
+        m_polled_at = m_context.time.now();
         m_book.poll();
     }
 }
 
 void claim_task::finish() {
-    m_parts.claims.close();
-    process(m_parts.claims.take_all({}));
+    m_context.claims.close();
+    process(m_context.claims.take_all({}));
 }
 
 void claim_task::process(const coordination::pending_claim_work& round) {
@@ -42,7 +43,7 @@
         requests.push_back(claim.request);
     }
     m_batches->add();
-    m_polled_at = m_parts.time.now();
+    m_polled_at = m_context.time.now();
     const std::vector<coordination::claim_result> answers = m_book.process(requests, round.settlements);
     for (std::size_t index = 0; index < answers.size(); ++index) {
         round.claims[index].on_answer(answers[index]);
--- a/daemon/claim_task.hpp
+++ b/daemon/claim_task.hpp
@@ -11,7 +11,7 @@
 /// Writes the idempotency claims of all waiting requests with one append to the log, and answers them.
 class claim_task final : public control_task {
 public:
-    explicit claim_task(const control_task_context& parts);
+    explicit claim_task(const control_task_context& context);
 
     void run_round() override;
     void finish() override;
@@ -21,7 +21,7 @@
 private:
     void process(const coordination::pending_claim_work& round);
 
-    control_task_context m_parts;
+    control_task_context m_context;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     coordination::claim_registry m_book;
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -70,8 +70,8 @@
     }
 }
 
-void configuration_follower::update_leader_position(const servers::digest_read_position& reading) {
-    if (m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now())) {
+void configuration_follower::update_leader_position(const servers::digest_read_position& position) {
+    if (m_topic.update_leader_position(position.end.value_or(0), position.age, m_state->time.now())) {
         m_read_timer.cancel();
     }
     m_state->set_configuration_current_at(m_topic.get_caught_up_at());
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -30,7 +30,7 @@
     /// Sets whether this host reads the configuration for its group.
     void set_reader(bool is_reader);
     /// Applies the read position that the group leader reports.
-    void update_leader_position(const servers::digest_read_position& reading);
+    void update_leader_position(const servers::digest_read_position& position);
     /// Returns the read position of this host, which its digests report to others.
     [[nodiscard]] servers::digest_read_position get_read_position() const;
 
--- a/daemon/configuration_task.hpp
+++ b/daemon/configuration_task.hpp
@@ -18,12 +18,12 @@
 /// records still finds the configuration.
 class configuration_task final : public control_task {
 public:
-    explicit configuration_task(const control_task_context& parts);
+    explicit configuration_task(const control_task_context& context);
 
     void run_round() override;
     void finish() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "configuration"; }
-    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.configuration_poll; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_context.settings.configuration_poll; }
 
 private:
     void follow();
@@ -31,7 +31,7 @@
     void update_cut_off();
     void apply_configuration(const std::shared_ptr<const coordination::configuration>& current);
 
-    control_task_context m_parts;
+    control_task_context m_context;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     coordination::configuration_fold m_fold;
--- a/daemon/control_tasks.cpp
+++ b/daemon/control_tasks.cpp
@@ -9,16 +9,16 @@
 
 namespace dragonflywell::daemon {
 
-std::vector<std::unique_ptr<control_task>> make_control_tasks(const control_task_context& parts) {
+std::vector<std::unique_ptr<control_task>> make_control_tasks(const control_task_context& context) {
     std::vector<std::unique_ptr<control_task>> tasks;
-    tasks.push_back(std::make_unique<configuration_task>(parts));
-    tasks.push_back(std::make_unique<claim_task>(parts));
-    tasks.push_back(std::make_unique<usage_task>(parts));
-    if (parts.settings.platform_usage) {
-        tasks.push_back(std::make_unique<report_task>(parts));
+    tasks.push_back(std::make_unique<configuration_task>(context));
+    tasks.push_back(std::make_unique<claim_task>(context));
+    tasks.push_back(std::make_unique<usage_task>(context));
+    if (context.settings.platform_usage) {
+        tasks.push_back(std::make_unique<report_task>(context));
     }
-    tasks.push_back(std::make_unique<zone_control_task>(parts));
-    tasks.push_back(std::make_unique<history_task>(parts));
+    tasks.push_back(std::make_unique<zone_control_task>(context));
+    tasks.push_back(std::make_unique<history_task>(context));
     return tasks;
 }
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -57,16 +57,16 @@
                       .limits = {.header_limit_bytes = m_settings.header_limit_bytes,
                                  .body_limit_bytes = m_settings.body_limit_bytes}}),
       m_operator_server({&m_operator_context}, m_operator_handler, {.listen = m_settings.operators, .limits = {}}),
-      m_parts{.settings = m_settings,
-              .time = m_clock,
-              .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)},
-              .metrics = m_metrics,
-              .manifest = m_manifest,
-              .usage = m_usage,
-              .claims = m_claims,
-              .cut_off = m_cut_off,
-              .fleet = m_fleet} {
-    for (std::unique_ptr<control_task>& task : make_control_tasks(m_parts)) {
+      m_task_context{.settings = m_settings,
+                     .time = m_clock,
+                     .self = {.host = m_settings.host.value(), .incarnation = make_incarnation(m_clock)},
+                     .metrics = m_metrics,
+                     .manifest = m_manifest,
+                     .usage = m_usage,
+                     .claims = m_claims,
+                     .cut_off = m_cut_off,
+                     .fleet = m_fleet} {
+    for (std::unique_ptr<control_task>& task : make_control_tasks(m_task_context)) {
         m_control_threads.push_back(std::make_unique<control_thread>(std::move(task), m_metrics));
     }
 }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -73,7 +73,7 @@
     boost::asio::io_context m_operator_context;
     servers::http_server m_entry_server;
     servers::http_server m_operator_server;
-    control_task_context m_parts;
+    control_task_context m_task_context;
     std::vector<std::unique_ptr<control_thread>> m_control_threads;
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_is_stopping{false};
--- a/daemon/digest_builder.cpp
+++ b/daemon/digest_builder.cpp
@@ -21,7 +21,7 @@
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease), m_group_usage(&usage),
       m_own(std::move(own)), m_zone(std::move(zone)) {}
 
-servers::host_digest digest_builder::make_header(const digest_scope& occasion) {
+servers::host_digest digest_builder::make_header(const digest_scope& scope) {
     servers::host_digest digest;
     digest.host = m_own.host;
     digest.zone = m_zone;
@@ -31,35 +31,35 @@
     digest.corrected_time = m_state->get_corrected_time();
     digest.is_stopping = m_state->is_stopping;
     digest.holds_lease = m_lease->is_held();
-    if (occasion.is_heartbeat) {
+    if (scope.is_heartbeat) {
         digest.deaths = m_state->suspects.get_newest_crashes(digest.corrected_time, max_crash_age, max_crashes);
     }
     digest.transitions = m_state->get_own_transitions();
     return digest;
 }
 
-servers::host_digest digest_builder::make_group_digest(const digest_scope& occasion) {
-    servers::host_digest digest = make_header(occasion);
+servers::host_digest digest_builder::make_group_digest(const digest_scope& scope) {
+    servers::host_digest digest = make_header(scope);
     digest.instances = m_state->get_own_in_flight();
     digest.ejections = m_state->get_ejected();
     digest.prefix_accesses = std::exchange(m_state->prefix_accesses, {});
     add_engines(digest);
-    if (occasion.is_heartbeat) {
+    if (scope.is_heartbeat) {
         add_usage(digest);
         digest.recorded_usage = m_group_usage->get_recorded();
     }
-    if (occasion.is_group_leader) {
+    if (scope.is_group_leader) {
         digest.configuration = m_configuration->get_read_position();
         digest.servers = m_servers->get_read_position();
     }
     return digest;
 }
 
-servers::host_digest digest_builder::make_intergroup_digest(const digest_scope& occasion) {
-    servers::host_digest digest = make_header(occasion);
-    if (occasion.is_group_leader) {
+servers::host_digest digest_builder::make_intergroup_digest(const digest_scope& scope) {
+    servers::host_digest digest = make_header(scope);
+    if (scope.is_group_leader) {
         add_summaries(digest);
-        digest.prefix_accesses = m_shared_prompts.take(m_state->time.now());
+        digest.prefix_accesses = m_shared_prefixes.take(m_state->time.now());
     }
     return digest;
 }
@@ -98,7 +98,7 @@
 
 void digest_builder::share_prompts(const std::vector<servers::digest_prefix_access>& prefix_accesses) {
     for (const servers::digest_prefix_access& touch : prefix_accesses) {
-        m_shared_prompts.add(touch, m_state->time.now());
+        m_shared_prefixes.add(touch, m_state->time.now());
     }
 }
 
--- a/daemon/digest_builder.hpp
+++ b/daemon/digest_builder.hpp
@@ -24,16 +24,16 @@
 /// Builds the digests that a host sends to the others. Not thread safe.
 class digest_builder {
 public:
-    /// Preconditions: all references outlive the writer.
+    /// Preconditions: all references outlive the builder.
     digest_builder(servers::serving_state& state, const configuration_follower& configuration,
                    const server_list_follower& servers, const lease_keeper& lease, const group_usage_recorder& usage,
                    servers::host_incarnation own, zone_name zone);
 
     /// Returns the digest for the hosts of the group. Clears the prefix accesses that have accumulated.
-    [[nodiscard]] servers::host_digest make_group_digest(const digest_scope& occasion);
+    [[nodiscard]] servers::host_digest make_group_digest(const digest_scope& scope);
     /// Returns the digest for the hosts of remote groups. That of a group leader clears the shared prefixes that are
     /// due.
-    [[nodiscard]] servers::host_digest make_intergroup_digest(const digest_scope& occasion);
+    [[nodiscard]] servers::host_digest make_intergroup_digest(const digest_scope& scope);
 
     /// Accumulates, for remote groups, the prefix accesses of this group's engines.
     void share_prompts(const std::vector<servers::digest_prefix_access>& prefix_accesses);
@@ -41,7 +41,7 @@
     [[nodiscard]] bool has_new_transitions();
 
 private:
-    [[nodiscard]] servers::host_digest make_header(const digest_scope& occasion);
+    [[nodiscard]] servers::host_digest make_header(const digest_scope& scope);
     void add_usage(servers::host_digest& digest) const;
     void add_engines(servers::host_digest& digest) const;
     void add_summaries(servers::host_digest& digest) const;
@@ -56,7 +56,7 @@
     std::uint64_t m_sequence{0};
     std::map<backend_server_name, fleet::engine_stage> m_last_transitions;
     /// Prefixes in the caches of this group's engines that are to be announced to remote groups.
-    servers::shared_prefixes m_shared_prompts;
+    servers::shared_prefixes m_shared_prefixes;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/group_usage_recorder.cpp
+++ b/daemon/group_usage_recorder.cpp
@@ -11,8 +11,8 @@
 namespace dragonflywell::daemon {
 
 group_usage_recorder::group_usage_recorder(platform::store_client& store, servers::serving_state& state,
-                                           duration gather)
-    : m_store(&store), m_state(&state), m_record_delay(gather), m_log(get_logger("usage")) {}
+                                           duration record_delay)
+    : m_store(&store), m_state(&state), m_record_delay(record_delay), m_log(get_logger("usage")) {}
 
 void group_usage_recorder::update(const servers::host_digest& digest) {
     if (digest.usage.empty()) {
--- a/daemon/group_usage_recorder.hpp
+++ b/daemon/group_usage_recorder.hpp
@@ -25,9 +25,9 @@
         std::map<std::int64_t, policy::window_counts> windows;
     };
 
-    /// `gather`: delay from the end of a window until it is recorded, in which the hosts send their counts.
+    /// `record_delay`: delay from the end of a window until it is recorded, in which the hosts send their counts.
     /// Preconditions: store and state outlive it.
-    group_usage_recorder(platform::store_client& store, servers::serving_state& state, duration gather);
+    group_usage_recorder(platform::store_client& store, servers::serving_state& state, duration record_delay);
 
     /// Updates the counts of a host of the group from its digest.
     void update(const servers::host_digest& digest);
--- a/daemon/history_task.hpp
+++ b/daemon/history_task.hpp
@@ -14,19 +14,19 @@
 /// may be counted twice.
 class history_task final : public control_task {
 public:
-    explicit history_task(const control_task_context& parts);
+    explicit history_task(const control_task_context& context);
 
     void run_round() override;
     void finish() override { run_round(); }
     [[nodiscard]] const char* get_name() const noexcept override { return "history"; }
-    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.history_interval; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_context.settings.history_interval; }
 
 private:
     void collect();
     void add_refusals();
     void add_spending(duration elapsed);
 
-    control_task_context m_parts;
+    control_task_context m_context;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
     fleet::service_history m_history;
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -42,8 +42,8 @@
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
       m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
       m_group_usage(store, state, m_options.group_record_delay),
-      m_writer(state, configuration, servers, lease, m_group_usage,
-               {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
+      m_digest_builder(state, configuration, servers, lease, m_group_usage,
+                       {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
       m_hosts(store, state,
               {.name = m_options.host,
                .zone = m_options.zone,
@@ -204,7 +204,7 @@
     }
     apply_prefix_accesses(digest);
     if (has_remote_groups() && is_group_leader()) {
-        m_writer.share_prompts(digest.prefix_accesses);
+        m_digest_builder.share_prompts(digest.prefix_accesses);
     }
 }
 
@@ -301,18 +301,18 @@
 }
 
 void host_gossip::send() {
-    const digest_scope occasion{.is_group_leader = is_group_leader(), .is_heartbeat = m_is_heartbeat_due};
-    const servers::host_digest digest = m_writer.make_group_digest(occasion);
-    if (occasion.is_group_leader && has_remote_groups()) {
-        m_writer.share_prompts(digest.prefix_accesses);
+    const digest_scope scope{.is_group_leader = is_group_leader(), .is_heartbeat = m_is_heartbeat_due};
+    const servers::host_digest digest = m_digest_builder.make_group_digest(scope);
+    if (scope.is_group_leader && has_remote_groups()) {
+        m_digest_builder.share_prompts(digest.prefix_accesses);
     }
     send_to(servers::encode_host_digest(digest), true);
     // An engine refuses requests as soon as it starts to change its stage, so a new transition is sent to remote groups
     // without waiting for the next heartbeat.
-    const bool has_new_transitions = m_writer.has_new_transitions();
-    const bool is_heartbeat_sender = occasion.is_heartbeat && (occasion.is_group_leader || m_lease->is_held());
+    const bool has_new_transitions = m_digest_builder.has_new_transitions();
+    const bool is_heartbeat_sender = scope.is_heartbeat && (scope.is_group_leader || m_lease->is_held());
     if (has_remote_groups() && (has_new_transitions || is_heartbeat_sender)) {
-        send_to(servers::encode_host_digest(m_writer.make_intergroup_digest(occasion)), false);
+        send_to(servers::encode_host_digest(m_digest_builder.make_intergroup_digest(scope)), false);
     }
     m_is_heartbeat_due = false;
 }
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -38,7 +38,7 @@
 /// Used on one event loop.
 class host_gossip {
 public:
-    /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the exchange.
+    /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the object.
     host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
                 configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
                 host_gossip_options options);
@@ -95,7 +95,7 @@
     std::shared_ptr<spdlog::logger> m_log;
     usage_copier m_usage_copier;
     group_usage_recorder m_group_usage;
-    digest_builder m_writer;
+    digest_builder m_digest_builder;
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_send_timer;
--- a/daemon/relayed_records.hpp
+++ b/daemon/relayed_records.hpp
@@ -16,7 +16,7 @@
 };
 
 /// Encodes relayed records for one datagram. Thread safe.
-[[nodiscard]] std::string encode_relayed_records(const relayed_records& news);
+[[nodiscard]] std::string encode_relayed_records(const relayed_records& relayed);
 /// Returns whether a datagram contains relayed records. Thread safe.
 [[nodiscard]] bool is_relayed_records(const boost::json::object& message);
 /// Decodes a datagram of relayed records. Throws `malformed_message_error`. Thread safe.
--- a/daemon/report_task.cpp
+++ b/daemon/report_task.cpp
@@ -11,23 +11,24 @@
 
 } // namespace
 
-report_task::report_task(const control_task_context& parts)
-    : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
-      m_reporting({.server = *parts.settings.platform_usage, .deadline = parts.settings.log_deadline}),
-      m_stream(m_platform_log, std::string(coordination::usage_stream), make_reporter_id(parts.self)),
-      m_kept_counters(&parts.metrics.get_gauge("dragonflywell_usage_counters_kept")),
-      m_unreported_window(&parts.metrics.get_gauge("dragonflywell_unreported_window")) {
+report_task::report_task(const control_task_context& context)
+    : m_context(context),
+      m_platform_log({.server = context.settings.platform_log, .deadline = context.settings.log_deadline}),
+      m_reporting({.server = *context.settings.platform_usage, .deadline = context.settings.log_deadline}),
+      m_stream(m_platform_log, std::string(coordination::usage_stream), make_reporter_id(context.self)),
+      m_kept_counters(&context.metrics.get_gauge("dragonflywell_usage_counters_kept")),
+      m_unreported_window(&context.metrics.get_gauge("dragonflywell_unreported_window")) {
     m_stream.add_observer(m_hosts);
 }
 
 void report_task::run_round() {
-    const std::shared_ptr<const servers::active_manifest> manifest = m_parts.manifest.get();
+    const std::shared_ptr<const servers::active_manifest> manifest = m_context.manifest.get();
     if (manifest == nullptr) {
         return;
     }
     if (m_reporter == nullptr) {
         m_reporter = std::make_unique<coordination::usage_reporter>(
-            m_stream, m_parts.time, m_reporting, m_hosts,
+            m_stream, m_context.time, m_reporting, m_hosts,
             coordination::usage_reporter_options{.window_length = manifest->content.window_length});
     }
     m_reporter->tick();
--- a/daemon/report_task.hpp
+++ b/daemon/report_task.hpp
@@ -15,15 +15,15 @@
 class report_task final : public control_task {
 public:
     /// Precondition: the settings name the platform's usage reporting.
-    explicit report_task(const control_task_context& parts);
+    explicit report_task(const control_task_context& context);
 
     void run_round() override;
     void finish() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "reporting"; }
-    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.usage_flush; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_context.settings.usage_flush; }
 
 private:
-    control_task_context m_parts;
+    control_task_context m_context;
     platform::http_log m_platform_log;
     platform::http_usage_reporting m_reporting;
     coordination::folded_stream m_stream;
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -96,16 +96,16 @@
     m_is_reader = is_reader;
 }
 
-void server_list_follower::update_leader_position(const servers::digest_read_position& reading) {
+void server_list_follower::update_leader_position(const servers::digest_read_position& position) {
     // Records are relayed in datagrams of their own, which a read position may overtake. If such a datagram is lost,
     // this host reads the store itself once its list has not been current for too long.
-    const bool is_ahead = reading.end.value_or(0) > m_topic.get_next_offset().value_or(0);
+    const bool is_ahead = position.end.value_or(0) > m_topic.get_next_offset().value_or(0);
     if (!is_ahead) {
-        m_topic.update_leader_position(reading.end.value_or(0), reading.age, m_state->time.now());
+        m_topic.update_leader_position(position.end.value_or(0), position.age, m_state->time.now());
         m_state->set_servers_current_at(m_topic.get_caught_up_at());
     }
     // The group leader reached the store at that time, so the list counts as available on this host, too.
-    record_success(m_state->time.now() - reading.age);
+    record_success(m_state->time.now() - position.age);
     drop_expired();
 }
 
@@ -151,8 +151,8 @@
         apply_listing(page);
     }
     finish(generation, page.next_offset, page.topic_end_offset);
-    if (m_is_reader && next && m_on_news && !page.records.empty()) {
-        m_on_news(*next, page);
+    if (m_is_reader && next && m_relay && !page.records.empty()) {
+        m_relay(*next, page);
     }
 }
 
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -32,12 +32,12 @@
     /// Sets the callback that relays each page that this host reads for its group. `from` is the offset of the page's
     /// start.
     void set_relay(std::function<void(std::uint64_t from, const platform::store_page& page)> relay) {
-        m_on_news = std::move(relay);
+        m_relay = std::move(relay);
     }
     /// Sets whether this host reads the list for its group.
     void set_reader(bool is_reader);
     /// Applies the read position that the group leader reports.
-    void update_leader_position(const servers::digest_read_position& reading);
+    void update_leader_position(const servers::digest_read_position& position);
     /// Applies a page that the group leader has read and relayed.
     void apply_relayed(std::uint64_t from, const platform::store_page& page);
     /// Returns the read position of this host, which its digests report to others.
@@ -69,7 +69,7 @@
     store_dependency m_dependency;
     policy::topic_progress m_topic;
     boost::asio::steady_timer m_read_timer;
-    std::function<void(std::uint64_t, const platform::store_page&)> m_on_news;
+    std::function<void(std::uint64_t, const platform::store_page&)> m_relay;
     bool m_is_reader{false};
     bool m_is_loaded{false};
 };
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -31,7 +31,7 @@
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (fence != m_fence) {
             m_fence = fence;
-            m_book.reset();
+            m_report_state.reset();
         }
         if (!fence) {
             continue;
@@ -40,45 +40,45 @@
             co_await report_due();
         } catch (const platform::store_unavailable_error& fault) {
             // It is unknown whether the report state was written, so it is read again.
-            m_book.reset();
+            m_report_state.reset();
             log_event("report_delayed").add("reason", fault.what()).write(*m_log, spdlog::level::warn);
         }
     }
 }
 
 servers::asio::awaitable<void> usage_reporter::report_due() {
-    if (!m_book) {
-        co_await read_book();
+    if (!m_report_state) {
+        co_await read_report_state();
     }
     if (has_due()) {
         const bool is_finalized = co_await finalize_due();
         if (!is_finalized) {
-            m_book.reset();
+            m_report_state.reset();
             co_return;
         }
     }
     co_await send_pending();
 }
 
-servers::asio::awaitable<void> usage_reporter::read_book() {
+servers::asio::awaitable<void> usage_reporter::read_report_state() {
     const platform::store_page page = co_await m_store->read_newest(topics::reports);
-    coordination::report_state book;
+    coordination::report_state state;
     for (const platform::keyed_record& record : page.records) {
         if (record.key != topics::singleton_key || !record.value) {
             continue;
         }
         try {
-            book = coordination::decode_report_state(*record.value);
+            state = coordination::decode_report_state(*record.value);
         } catch (const malformed_message_error& fault) {
             log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
         }
     }
-    m_book = std::move(book);
-    m_book_end = page.next_offset;
+    m_report_state = std::move(state);
+    m_report_state_end = page.next_offset;
 }
 
 bool usage_reporter::has_due() const {
-    return !m_book->last || *m_book->last < get_newest_due();
+    return !m_report_state->last || *m_report_state->last < get_newest_due();
 }
 
 coordination::usage_window_number usage_reporter::get_newest_due() const {
@@ -123,7 +123,7 @@
     const coordination::usage_window_number newest = get_newest_due();
     const platform::store_page page = co_await m_store->read_newest(topics::usage);
     const std::vector<coordination::usage_record> records = gather_records(page);
-    coordination::report_state next = *m_book;
+    coordination::report_state next = *m_report_state;
     const auto first = std::max(next.last ? *next.last + 1 : newest, newest - max_late_windows);
     for (coordination::usage_window_number window = first; window <= newest; ++window) {
         next.pending.push_back(coordination::sum_window(records, window));
@@ -133,22 +133,22 @@
         next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(max_pending_windows));
     }
     const platform::append_result answer = co_await m_store->append(
-        topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_book_end);
+        topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_report_state_end);
     if (!answer.offset) {
         co_return false;
     }
-    m_book = std::move(next);
-    m_book_end = answer.end_offset;
+    m_report_state = std::move(next);
+    m_report_state_end = answer.end_offset;
     co_return true;
 }
 
 servers::asio::awaitable<void> usage_reporter::send_pending() {
-    while (!m_book->pending.empty()) {
+    while (!m_report_state->pending.empty()) {
         const std::optional<std::uint64_t> fence = m_lease->get_fence();
         if (!fence || fence != m_fence) {
             co_return;
         }
-        const coordination::window_usage figures = m_book->pending.front();
+        const coordination::window_usage figures = m_report_state->pending.front();
         const platform::duty_credentials authority{.holder = m_host, .fence = *fence};
         const platform::duty_call_result answer = co_await m_cloud->report_usage(authority, figures);
         log_event("usage_reported")
@@ -166,7 +166,7 @@
         }
         // The removal is stored with the next window; until then a later lease holder may report the same figures
         // again.
-        m_book->pending.erase(m_book->pending.begin());
+        m_report_state->pending.erase(m_report_state->pending.begin());
     }
 }
 
--- a/daemon/usage_reporter.hpp
+++ b/daemon/usage_reporter.hpp
@@ -28,7 +28,7 @@
 
 private:
     servers::asio::awaitable<void> report_due();
-    servers::asio::awaitable<void> read_book();
+    servers::asio::awaitable<void> read_report_state();
     /// Finalizes the figures of windows that are due. Returns false when another host has changed the report state in
     /// the store.
     servers::asio::awaitable<bool> finalize_due();
@@ -48,8 +48,8 @@
     std::shared_ptr<spdlog::logger> m_log;
     /// The report state as stored, without reports that were sent since; absent until it is read under the current
     /// fencing number.
-    std::optional<coordination::report_state> m_book;
-    std::uint64_t m_book_end{0};
+    std::optional<coordination::report_state> m_report_state;
+    std::uint64_t m_report_state_end{0};
     std::optional<std::uint64_t> m_fence;
 };
 
--- a/daemon/zone_control_task.cpp
+++ b/daemon/zone_control_task.cpp
@@ -56,30 +56,31 @@
     stream.add_observer(changes);
 }
 
-zone_control_task::zone_control_task(const control_task_context& parts)
-    : m_parts(parts), m_platform_log({.server = parts.settings.platform_log, .deadline = parts.settings.log_deadline}),
+zone_control_task::zone_control_task(const control_task_context& context)
+    : m_context(context),
+      m_platform_log({.server = context.settings.platform_log, .deadline = context.settings.log_deadline}),
       m_exchange(m_platform_log), m_engines({}),
-      m_stream(m_platform_log, get_control_stream(parts.settings.zone), parts.self),
-      m_lease(m_stream, parts.time, {.scope = "control/" + parts.settings.zone.value()}),
+      m_stream(m_platform_log, get_control_stream(context.settings.zone), context.self),
+      m_lease(m_stream, context.time, {.scope = "control/" + context.settings.zone.value()}),
       m_receiver(m_engines,
                  [this](const backend_server_name& name) -> std::optional<endpoint> {
-                     const std::shared_ptr<const servers::active_manifest> manifest = m_parts.manifest.get();
+                     const std::shared_ptr<const servers::active_manifest> manifest = m_context.manifest.get();
                      const auto found = manifest->content.backend_servers.find(name);
                      return found == manifest->content.backend_servers.end() ? std::nullopt
                                                                              : std::optional(found->second.address);
                  }),
-      m_ledger(m_stream, m_lease, m_receiver, m_liveness), m_observer(m_engines, parts.time, {}),
-      m_driver(m_stream, m_lease, m_ledger, m_changes, parts.time, {}), m_estimator(m_demand_options),
-      m_role_planner({}), m_authority(&parts.metrics.get_gauge("dragonflywell_zone_authority")),
-      m_announced(&parts.metrics.get_counter("dragonflywell_role_changes_announced_total")),
+      m_ledger(m_stream, m_lease, m_receiver, m_liveness), m_observer(m_engines, context.time, {}),
+      m_driver(m_stream, m_lease, m_ledger, m_changes, context.time, {}), m_estimator(m_demand_options),
+      m_role_planner({}), m_authority(&context.metrics.get_gauge("dragonflywell_zone_authority")),
+      m_announced(&context.metrics.get_counter("dragonflywell_role_changes_announced_total")),
       m_log(get_logger("zone_control")) {
     m_stream.add_observer(m_changes);
-    m_snapshots = std::make_unique<coordination::snapshot_writer>(m_platform_log, m_stream, parts.time,
+    m_snapshots = std::make_unique<coordination::snapshot_writer>(m_platform_log, m_stream, context.time,
                                                                   coordination::snapshot_writer_options{});
 }
 
 void zone_control_task::run_round() {
-    const std::shared_ptr<const servers::active_manifest> manifest = m_parts.manifest.get();
+    const std::shared_ptr<const servers::active_manifest> manifest = m_context.manifest.get();
     if (manifest == nullptr) {
         return;
     }
@@ -95,7 +96,7 @@
     status->models = m_last;
     m_authority->set(status->has_authority ? 1 : 0);
     publish_engine_states();
-    m_parts.fleet.status.set(std::move(status));
+    m_context.fleet.status.set(std::move(status));
 }
 
 void zone_control_task::finish() {
@@ -104,12 +105,12 @@
 
 void zone_control_task::follow_foreign_zones(const fleet::manifest& manifest) {
     for (const auto& [name, zone] : manifest.zones) {
-        if (name == m_parts.settings.zone) {
+        if (name == m_context.settings.zone) {
             continue;
         }
         std::unique_ptr<foreign_zone>& foreign = m_foreign[name];
         if (foreign == nullptr) {
-            foreign = std::make_unique<foreign_zone>(m_platform_log, name, m_parts.self);
+            foreign = std::make_unique<foreign_zone>(m_platform_log, name, m_context.self);
         }
         try {
             foreign->stream.poll();
@@ -124,28 +125,28 @@
 }
 
 void zone_control_task::collect_demand() {
-    const wall_time now = m_parts.time.wall_now();
+    const wall_time now = m_context.time.wall_now();
     const std::int64_t bucket = now.time_since_epoch() / m_demand_options.bucket;
     if (!m_reported_bucket) {
         m_reported_bucket = bucket;
-        static_cast<void>(m_parts.fleet.demand.take());
+        static_cast<void>(m_context.fleet.demand.take());
     }
     std::optional<policy::demand_report> own;
     if (bucket > *m_reported_bucket) {
         // After this process was paused, all demand since the last report falls into the newest bucket. The estimator
         // holds such a value back as an outlier.
         m_reported_bucket = bucket;
-        policy::demand_report report{.host = m_parts.settings.host,
-                                     .incarnation = m_parts.self.incarnation,
+        policy::demand_report report{.host = m_context.settings.host,
+                                     .incarnation = m_context.self.incarnation,
                                      .start = wall_time(m_demand_options.bucket * (bucket - 1)),
                                      .length = m_demand_options.bucket,
-                                     .rows = m_parts.fleet.demand.take()};
-        m_parts.fleet.own_report.set(std::make_shared<const policy::demand_report>(report));
-        m_parts.fleet.reports.add(report);
+                                     .rows = m_context.fleet.demand.take()};
+        m_context.fleet.own_report.set(std::make_shared<const policy::demand_report>(report));
+        m_context.fleet.reports.add(report);
         own = std::move(report);
     }
     exchange_demand(own ? &*own : nullptr);
-    for (const policy::demand_report& report : m_parts.fleet.reports.take()) {
+    for (const policy::demand_report& report : m_context.fleet.reports.take()) {
         m_estimator.add(report, now);
     }
     m_estimator.advance(now);
@@ -157,8 +158,8 @@
             m_exchange.publish(*own);
         }
         for (policy::demand_report& report : m_exchange.fetch()) {
-            if (report.host != m_parts.settings.host) {
-                m_parts.fleet.reports.add(std::move(report));
+            if (report.host != m_context.settings.host) {
+                m_context.fleet.reports.add(std::move(report));
             }
         }
     } catch (const coordination::log_unavailable_error& fault) {
@@ -205,7 +206,7 @@
     for (const auto& [name, rate] : m_estimator.get_by_organisation(model)) {
         status.organisations[name] = get_units(rate, described);
     }
-    status.roles = m_role_planner.plan({.now = m_parts.time.wall_now(),
+    status.roles = m_role_planner.plan({.now = m_context.time.wall_now(),
                                         .engines = status.engines,
                                         .current = status.current,
                                         .expected = status.expected,
@@ -218,10 +219,10 @@
         return;
     }
     status.last_orders = status.roles.orders;
-    status.last_ordered_at = m_parts.time.wall_now();
+    status.last_ordered_at = m_context.time.wall_now();
     std::vector<policy::role_order> own;
     std::copy_if(status.roles.orders.begin(), status.roles.orders.end(), std::back_inserter(own),
-                 [this](const policy::role_order& order) { return order.zone == m_parts.settings.zone; });
+                 [this](const policy::role_order& order) { return order.zone == m_context.settings.zone; });
     try {
         m_announced->add(m_driver.announce(own));
     } catch (const coordination::log_unavailable_error& fault) {
@@ -250,7 +251,7 @@
     }
     const policy::demand_forecast ahead = m_estimator.forecast(model, manifest.prices.lead_time);
     const policy::spend_planner planner(make_spend_options(manifest, units));
-    status.spending = planner.plan({.now = m_parts.time.wall_now(),
+    status.spending = planner.plan({.now = m_context.time.wall_now(),
                                     .servers = servers,
                                     .markets = markets,
                                     .current_units = get_sum(status.current),
@@ -314,7 +315,7 @@
     for (const auto& [name, change] : changes) {
         states.try_emplace(name, servers::engine_state{.role = change.from, .takes_new_work = false});
     }
-    m_parts.fleet.engines.set(std::move(states));
+    m_context.fleet.engines.set(std::move(states));
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/zone_control_task.hpp
+++ b/daemon/zone_control_task.hpp
@@ -37,13 +37,13 @@
 /// state, and routing continues.
 class zone_control_task final : public control_task {
 public:
-    explicit zone_control_task(const control_task_context& parts);
+    explicit zone_control_task(const control_task_context& context);
 
     void run_round() override;
     /// Releases the lease. Throws `log_unavailable_error`.
     void finish() override;
     [[nodiscard]] const char* get_name() const noexcept override { return "zone_control"; }
-    [[nodiscard]] duration get_interval() const noexcept override { return m_parts.settings.control_interval; }
+    [[nodiscard]] duration get_interval() const noexcept override { return m_context.settings.control_interval; }
 
 private:
     /// Role changes of another availability zone, as the holder of that zone's lease announces them.
@@ -68,7 +68,7 @@
                                                                   const model_name& model) const;
     void publish_engine_states();
 
-    control_task_context m_parts;
+    control_task_context m_context;
     platform::http_log m_platform_log;
     demand_exchange m_exchange;
     platform::http_engine_control m_engines;
