--- a/bench/bench_fleet_roles.cpp
+++ b/bench/bench_fleet_roles.cpp
@@ -20,8 +20,8 @@
 using namespace dragonflywell::fleet_model;
 
 constexpr std::uint64_t default_seeds = 20;
-constexpr double least_goodput_ratio = 0.95;
-constexpr double most_change_ratio = 2.0;
+constexpr double min_goodput_ratio = 0.95;
+constexpr double max_change_ratio = 2.0;
 
 double get_quantile(std::vector<double> values, double part) {
     std::sort(values.begin(), values.end());
@@ -46,7 +46,7 @@
     std::string verdict;
     if (name == "horizon") {
         const bool is_met =
-            ratio >= least_goodput_ratio && get_quantile(figures.changes, 0.5) <= most_change_ratio * oracle_changes;
+            ratio >= min_goodput_ratio && get_quantile(figures.changes, 0.5) <= max_change_ratio * oracle_changes;
         verdict = is_met ? "met" : "SHORT";
     }
     fmt::print(
--- a/bench/bench_fleet_spend.cpp
+++ b/bench/bench_fleet_spend.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::uint64_t default_seeds = 20;
 constexpr std::uint32_t trace_seconds = 4 * 3600;
-constexpr double most_spend_ratio = 1.10;
+constexpr double max_spend_ratio = 1.10;
 
 struct row {
     std::vector<spend_result> results;
@@ -38,7 +38,7 @@
         figures.get(&spend_result::spend_per_million_units) / oracle.get(&spend_result::spend_per_million_units);
     const char* verdict = "";
     if (name == "planner") {
-        verdict = ratio <= most_spend_ratio ? "met" : "SHORT";
+        verdict = ratio <= max_spend_ratio ? "met" : "SHORT";
     }
     fmt::print("  {:<8} service {:.4f}  guaranteed {:.4f}  spend per million units {:.4f} [{:.4f} {:.4f}]  of oracle "
                "{:.3f}  cheap share {:.3f}  interrupted {:.5f} {}\n",
--- a/bench/bench_request_policy.cpp
+++ b/bench/bench_request_policy.cpp
@@ -32,7 +32,7 @@
 constexpr int seeds = 15;
 
 enum class queueing { first_come, fair };
-enum class placing { round_robin, least_reported, two_choices };
+enum class placing { round_robin, min_reported, two_choices };
 
 struct trial_options {
     queueing queue{};
@@ -318,7 +318,7 @@
 int main() {
     for (const double lag : {0.0, 2.0, 5.0}) {
         print_row("first come, round robin", {queueing::first_come, placing::round_robin, lag});
-        print_row("first come, least reported", {queueing::first_come, placing::least_reported, lag});
+        print_row("first come, least reported", {queueing::first_come, placing::min_reported, lag});
         print_row("first come, two choices", {queueing::first_come, placing::two_choices, lag});
         print_row("fair, round robin", {queueing::fair, placing::round_robin, lag});
         print_row("fair, two choices", {queueing::fair, placing::two_choices, lag});
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr unsigned latency_buckets = 42;
-constexpr double shortest_latency_seconds = 1e-4;
-constexpr double longest_latency_seconds = 1e3;
+constexpr double min_latency_seconds = 1e-4;
+constexpr double max_latency_seconds = 1e3;
 constexpr double microseconds_per_second = 1e6;
 
 std::string escape(std::string_view value) {
@@ -74,8 +74,7 @@
 
 latency_histogram::latency_histogram()
     : m_histogram(boost::histogram::make_histogram_with(
-          boost::histogram::dense_storage<count>(),
-          axis(latency_buckets, shortest_latency_seconds, longest_latency_seconds))) {}
+          boost::histogram::dense_storage<count>(), axis(latency_buckets, min_latency_seconds, max_latency_seconds))) {}
 
 void latency_histogram::record(double seconds) {
     m_histogram(seconds);
@@ -92,7 +91,7 @@
             {.upper_seconds = only_axis.bin(index).upper(), .count = m_histogram.at(index).value() + underflow});
         underflow = 0;
     }
-    buckets.push_back({.upper_seconds = longest_latency_seconds, .count = m_histogram.at(only_axis.size()).value()});
+    buckets.push_back({.upper_seconds = max_latency_seconds, .count = m_histogram.at(only_axis.size()).value()});
     return buckets;
 }
 
--- a/ctl/report_page.cpp
+++ b/ctl/report_page.cpp
@@ -15,7 +15,7 @@
 constexpr double tokens_per_million = 1e6;
 constexpr double milli_per_unit = 1000;
 /// An organisation with fewer requests in a span is ignored, because its goodput would be too noisy.
-constexpr std::uint64_t least_requests = 20;
+constexpr std::uint64_t min_requests = 20;
 
 constexpr double plot_width = 860;
 constexpr double plot_height = 180;
@@ -204,7 +204,7 @@
     std::vector<double> refusals;
     for (const auto& [start, counts] : spans) {
         goodput.push_back(fleet::get_goodput(counts) * percent);
-        worst.push_back(fleet::get_worst_goodput(counts, least_requests) * percent);
+        worst.push_back(fleet::get_worst_goodput(counts, min_requests) * percent);
         if (counts.delivered_tokens > 0) {
             spend.push_back(static_cast<double>(counts.spend_milli) / milli_per_unit /
                             (static_cast<double>(counts.delivered_tokens) / tokens_per_million));
@@ -215,8 +215,8 @@
         }
         refusals.push_back(static_cast<double>(refused));
     }
-    constexpr policy::trend_options falls{.bad = policy::bad_direction::down, .least_change = 0.005};
-    constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .least_change = 0.05};
+    constexpr policy::trend_options falls{.bad = policy::bad_direction::down, .min_change = 0.005};
+    constexpr policy::trend_options rises{.bad = policy::bad_direction::up, .min_change = 0.05};
     std::vector<report_metric> metrics;
     metrics.push_back(make_metric("Goodput", "% of requests completed",
                                   "Fewer requests are completed; compare the refusals by reason below.",
--- a/daemon/digest_builder.cpp
+++ b/daemon/digest_builder.cpp
@@ -32,7 +32,7 @@
     digest.is_stopping = m_state->is_stopping;
     digest.holds_lease = m_lease->is_held();
     if (scope.is_heartbeat) {
-        digest.deaths = m_state->suspects.get_newest_crashes(digest.corrected_time, max_crash_age, max_crashes);
+        digest.crashes = m_state->suspects.get_newest_crashes(digest.corrected_time, max_crash_age, max_crashes);
     }
     digest.transitions = m_state->get_own_transitions();
     return digest;
@@ -74,7 +74,7 @@
     const steady_time now = m_state->time.now();
     for (const auto& [service, engines] : m_state->get_engines()) {
         digest.prefill_demand.emplace(service, engines.get_prefill_demand());
-        for (const auto& [name, engine] : engines.board.get_engines()) {
+        for (const auto& [name, engine] : engines.load_tracker.get_engines()) {
             if (engine.own.running == 0 && engine.own.prompts.empty()) {
                 continue;
             }
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -154,8 +154,8 @@
     if (digest.holds_lease) {
         m_lease->record_holder_heartbeat();
     }
-    for (const policy::engine_crash& death : digest.deaths) {
-        m_state->suspects.record_crash(death);
+    for (const policy::engine_crash& crash : digest.crashes) {
+        m_state->suspects.record_crash(crash);
     }
     if (!other.is_own_group) {
         m_state->peers.merge_intergroup_digest(digest);
@@ -200,7 +200,7 @@
         shares.emplace(name, std::move(share));
     }
     for (auto& [service, engines] : m_state->get_engines()) {
-        engines.board.set_host_load(digest.host, shares, now);
+        engines.load_tracker.set_host_load(digest.host, shares, now);
     }
     apply_prefix_accesses(digest);
     if (has_remote_groups() && is_group_leader()) {
@@ -211,7 +211,7 @@
 void host_gossip::apply_prefix_accesses(const servers::host_digest& digest) {
     for (auto& [service, engines] : m_state->get_engines()) {
         for (const servers::digest_prefix_access& touch : digest.prefix_accesses) {
-            engines.board.record_prefix_access(touch.engine, touch.parts);
+            engines.load_tracker.record_prefix_access(touch.engine, touch.parts);
         }
     }
 }
--- a/daemon/zone_control_task.cpp
+++ b/daemon/zone_control_task.cpp
@@ -246,8 +246,7 @@
     }
     std::vector<policy::zone_market> markets;
     for (const auto& [name, zone] : manifest.zones) {
-        markets.push_back(
-            {.zone = name, .most_servers = zone.max_servers, .has_cheap_servers = zone.has_cheap_servers});
+        markets.push_back({.zone = name, .max_servers = zone.max_servers, .has_cheap_servers = zone.has_cheap_servers});
     }
     const policy::demand_forecast ahead = m_estimator.forecast(model, manifest.prices.lead_time);
     const policy::spend_planner planner(make_spend_options(manifest, units));
--- a/policy/engine_load_tracker.cpp
+++ b/policy/engine_load_tracker.cpp
@@ -37,13 +37,14 @@
 
 void engine_load_tracker::set_engines(const std::map<backend_server_name, engine_attributes>& engines) {
     std::erase_if(m_engines, [&](const auto& item) { return !engines.contains(item.first); });
-    for (const auto& [name, facts] : engines) {
+    for (const auto& [name, attributes] : engines) {
         engine_entry& engine = m_engines[name];
-        if (engine.facts.started_at_ms != facts.started_at_ms) {
+        if (engine.attributes.started_at_ms != attributes.started_at_ms) {
             engine.cache.clear();
         }
-        engine.facts = facts;
-        engine.cache.set_capacity(static_cast<std::uint64_t>(cache_share * static_cast<double>(facts.memory_tokens)));
+        engine.attributes = attributes;
+        engine.cache.set_capacity(
+            static_cast<std::uint64_t>(cache_share * static_cast<double>(attributes.memory_tokens)));
     }
 }
 
--- a/policy/engine_load_tracker.hpp
+++ b/policy/engine_load_tracker.hpp
@@ -57,7 +57,7 @@
 public:
     /// Attributes, load and estimated cache of one engine.
     struct engine_entry {
-        engine_attributes facts;
+        engine_attributes attributes;
         host_engine_load own;
         /// Load by the name of the other host.
         std::map<std::string, host_engine_load> other_hosts;
--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -58,7 +58,7 @@
         if (tokens < min_fetch_tokens || get_status(name).usability != engine_usability::healthy) {
             continue;
         }
-        const zone_name& zone = engine.facts.zone;
+        const zone_name& zone = engine.attributes.zone;
         const auto same_zone = std::find_if(prefixes.begin(), prefixes.end(),
                                             [&zone](const cached_prefix& item) { return item.zone == zone; });
         const cached_prefix prefix{.engine = name, .zone = zone, .tokens = tokens};
@@ -96,7 +96,7 @@
         }
         const prefill_work work = get_prefill_work(request.prompt_tokens, prefix.tokens);
         const duration fetch =
-            fetch_overhead + get_transfer_time(costs, prefix.tokens - own, prefix.zone == engine.facts.zone);
+            fetch_overhead + get_transfer_time(costs, prefix.tokens - own, prefix.zone == engine.attributes.zone);
         const duration total = costs.prefill_model->predict(work) + fetch;
         if (total < best.expected) {
             best = {.engine = name, .prefix_source = prefix.engine, .work = work, .expected = total};
@@ -113,7 +113,7 @@
     std::optional<prefill_plan> best;
     duration best_score{};
     for (const auto& [name, engine] : tracker.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::prefill) {
+        if (engine.attributes.stage != fleet::engine_stage::prefill) {
             continue;
         }
         const engine_status status = get_status(name);
@@ -145,13 +145,14 @@
 }
 
 double get_utilisation(const engine_load_tracker& tracker, const backend_server_name& name,
-                       const engine_attributes& facts, std::uint64_t needed_tokens) {
-    const double slots = static_cast<double>(tracker.get_running(name) + 1) / std::max<std::uint32_t>(1, facts.slots);
-    if (facts.memory_tokens == 0) {
+                       const engine_attributes& attributes, std::uint64_t needed_tokens) {
+    const double slots =
+        static_cast<double>(tracker.get_running(name) + 1) / std::max<std::uint32_t>(1, attributes.slots);
+    if (attributes.memory_tokens == 0) {
         return slots;
     }
     const double memory = static_cast<double>(tracker.get_running_tokens(name) + needed_tokens) /
-                          static_cast<double>(facts.memory_tokens);
+                          static_cast<double>(attributes.memory_tokens);
     return std::max(slots, memory);
 }
 
@@ -167,7 +168,7 @@
     std::optional<backend_server_name> best;
     double best_score = std::numeric_limits<double>::max();
     for (const auto& [name, engine] : tracker.get_engines()) {
-        if (engine.facts.stage != fleet::engine_stage::decode) {
+        if (engine.attributes.stage != fleet::engine_stage::decode) {
             continue;
         }
         const engine_status status = get_status(name);
@@ -176,9 +177,9 @@
         }
         double score = status.unobserved_utilisation +
                        equal_utilisation_margin * hash_to_unit_interval(name.value(), request.seed) +
-                       get_utilisation(tracker, name, engine.facts, request.prompt_tokens + request.output_tokens);
-        score -= engine.facts.zone == source_zone ? same_zone_advantage : 0;
-        score += engine.facts.is_cheap ? cheap_engine_penalty : 0;
+                       get_utilisation(tracker, name, engine.attributes, request.prompt_tokens + request.output_tokens);
+        score -= engine.attributes.zone == source_zone ? same_zone_advantage : 0;
+        score += engine.attributes.is_cheap ? cheap_engine_penalty : 0;
         if (score < best_score) {
             best_score = score;
             best = name;
@@ -215,7 +216,7 @@
                                                 steady_time now) {
     const std::optional<prefill_plan> prefill =
         choose_prefill_engine(tracker, costs, request, urgency, get_status, now);
-    const zone_name source_zone = prefill ? tracker.find(prefill->engine)->facts.zone : own_zone;
+    const zone_name source_zone = prefill ? tracker.find(prefill->engine)->attributes.zone : own_zone;
     const std::optional<backend_server_name> decode_engine =
         choose_decode_engine(tracker, request, source_zone, get_status);
     if (!decode_engine) {
@@ -230,7 +231,8 @@
         choice.time_to_first_event = choice.prefill_duration + costs.first_event;
         return choice;
     }
-    const duration transfer = get_transfer_time(costs, request.prompt_tokens, decode_state.facts.zone == source_zone);
+    const duration transfer =
+        get_transfer_time(costs, request.prompt_tokens, decode_state.attributes.zone == source_zone);
     choice.prefill_engine = prefill->engine;
     choice.prefix_source = prefill->prefix_source;
     choice.prefill = prefill->work;
--- a/policy/spend_planner.cpp
+++ b/policy/spend_planner.cpp
@@ -98,7 +98,7 @@
         }
         const zone_market* best = nullptr;
         for (const zone_market& market : m_inputs->markets) {
-            if (!is_open(market, kind) || m_zone_total[market.zone] >= market.most_servers) {
+            if (!is_open(market, kind) || m_zone_total[market.zone] >= market.max_servers) {
                 continue;
             }
             if (best == nullptr || m_zone_count[{market.zone, kind}] < m_zone_count[{best->zone, kind}]) {
@@ -238,8 +238,8 @@
     wanted_servers wanted;
     wanted.is_market_closed = cheap_zones < inputs.markets.size();
     if (cheap_zones > 0) {
-        const auto most_cheap = static_cast<std::uint32_t>(std::floor(m_options.max_cheap_share * all));
-        wanted.cheap = std::min(most_cheap, all - std::min(all, guaranteed));
+        const auto max_cheap = static_cast<std::uint32_t>(std::floor(m_options.max_cheap_share * all));
+        wanted.cheap = std::min(max_cheap, all - std::min(all, guaranteed));
     }
     wanted.regular = all - wanted.cheap;
     add_reclaim_cover(wanted, units, cheap_zones);
@@ -269,7 +269,7 @@
 void spend_planner::apply_limits(wanted_servers& wanted, const spend_inputs& inputs) const {
     std::uint32_t most = 0;
     for (const zone_market& market : inputs.markets) {
-        most += market.most_servers;
+        most += market.max_servers;
     }
     const auto is_over = [&] {
         const bool is_over_price = m_options.max_price_per_hour > 0 && get_price(wanted) > m_options.max_price_per_hour;
--- a/policy/spend_planner.hpp
+++ b/policy/spend_planner.hpp
@@ -39,7 +39,7 @@
 /// Limits of the manifest for one availability zone.
 struct zone_market {
     zone_name zone;
-    std::uint32_t most_servers{};
+    std::uint32_t max_servers{};
     bool has_cheap_servers{true};
 };
 
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -81,7 +81,7 @@
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
     const double share = demand.is_before_first_request ? 1.0 : options.max_changing_share;
-    const auto most_changing =
+    const auto max_changing =
         std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(engines.size())));
     for (std::size_t index = 0; index < ranked.size(); ++index) {
         const staged_engine& engine = *ranked[index];
@@ -89,7 +89,7 @@
         if (engine.stage == wanted || engine.is_changing) {
             continue;
         }
-        if (changing + changes.size() >= most_changing) {
+        if (changing + changes.size() >= max_changing) {
             break;
         }
         changes.push_back({.engine = engine.name, .stage = wanted});
--- a/policy/topic_progress.hpp
+++ b/policy/topic_progress.hpp
@@ -53,9 +53,9 @@
     [[nodiscard]] bool is_next(std::uint64_t from) const noexcept { return m_next_offset && *m_next_offset == from; }
 
     /// Returns whether the store must be read: records are missing, or the last confirmation that this host is up to
-    /// date is `longest_age` old.
-    [[nodiscard]] bool is_read_due(duration longest_age, steady_time now) const {
-        return is_lagging() || now - m_caught_up_at >= longest_age;
+    /// date is `max_age` old.
+    [[nodiscard]] bool is_read_due(duration max_age, steady_time now) const {
+        return is_lagging() || now - m_caught_up_at >= max_age;
     }
 
     /// Returns whether records are known to be missing, or the topic must be listed.
--- a/policy/trend.cpp
+++ b/policy/trend.cpp
@@ -40,8 +40,7 @@
     result.change = result.slope * (count - 1) / std::max(std::abs(median), min_median);
     result.score = order / std::sqrt(variance);
     const double bad_sign = options.bad == bad_direction::down ? -1 : 1;
-    result.is_decline =
-        bad_sign * result.change >= options.least_change && bad_sign * result.score >= options.least_score;
+    result.is_decline = bad_sign * result.change >= options.min_change && bad_sign * result.score >= options.min_score;
     return result;
 }
 
--- a/policy/trend.hpp
+++ b/policy/trend.hpp
@@ -10,9 +10,9 @@
 struct trend_options {
     bad_direction bad{bad_direction::down};
     /// Minimum change over the whole series to report, as a share of its median.
-    double least_change{0.01};
+    double min_change{0.01};
     /// Minimum score of the Mann-Kendall test to report, in standard deviations.
-    double least_score{2.6};
+    double min_score{2.6};
 };
 
 /// Long-term trend of a series.
--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -30,7 +30,7 @@
     bool is_prefill_only{false};
     std::optional<kv_cache_source> kv_cache;
     /// An engine from whose prefix cache the beginning of the prompt is fetched before the prefill.
-    std::optional<endpoint> fetch_from;
+    std::optional<endpoint> prefix_source;
     /// Scheduling priority at the server, 0 (first) to 9 (last); without a value the server decides.
     std::optional<std::uint32_t> urgency;
     /// Id of the last event that the caller has received; empty when it has none.
--- a/servers/engine_load_guards.hpp
+++ b/servers/engine_load_guards.hpp
@@ -19,7 +19,7 @@
     prefill_guard& operator=(prefill_guard&&) = delete;
     ~prefill_guard() {
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
-            engines->board.end_prefill(m_engine, m_number, m_state->time.now());
+            engines->load_tracker.end_prefill(m_engine, m_number, m_state->time.now());
         }
         m_state->notify_load_change();
     }
@@ -42,7 +42,7 @@
     generation_guard& operator=(generation_guard&&) = delete;
     ~generation_guard() {
         if (service_engines* engines = m_state->find_engines(m_service); engines != nullptr) {
-            engines->board.end_decode(m_engine, m_tokens);
+            engines->load_tracker.end_decode(m_engine, m_tokens);
         }
         m_state->notify_load_change();
     }
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -123,8 +123,8 @@
 policy::engine_choice generation_request::choose_engines() {
     service_engines& engines = *get_state().find_engines(get_request().service);
     const std::optional<policy::engine_choice> choice =
-        policy::choose_engines(engines.board, engines.get_costs(), get_requirements(), get_state().options.own_zone,
-                               make_status_lookup(), get_state().time.now());
+        policy::choose_engines(engines.load_tracker, engines.get_costs(), get_requirements(),
+                               get_state().options.own_zone, make_status_lookup(), get_state().time.now());
     if (!choice) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
                               "no engine is available for the prompt", no_engine_retry_after);
@@ -142,11 +142,11 @@
     }
     // The load has changed during the prefill, so the engine is chosen again.
     const service_engines& engines = *get_state().find_engines(get_request().service);
-    const policy::engine_load_tracker::engine_entry* prefill_engine = engines.board.find(*choice.prefill_engine);
+    const policy::engine_load_tracker::engine_entry* prefill_engine = engines.load_tracker.find(*choice.prefill_engine);
     const zone_name preferred_zone =
-        prefill_engine != nullptr ? prefill_engine->facts.zone : get_state().options.own_zone;
+        prefill_engine != nullptr ? prefill_engine->attributes.zone : get_state().options.own_zone;
     const std::optional<backend_server_name> engine =
-        policy::choose_decode_engine(engines.board, get_requirements(), preferred_zone, make_status_lookup());
+        policy::choose_decode_engine(engines.load_tracker, get_requirements(), preferred_zone, make_status_lookup());
     if (!engine) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
                               "no engine is available to generate the response", no_engine_retry_after);
@@ -168,12 +168,12 @@
     attempt.urgency = choice.urgency;
     if (choice.prefix_source) {
         const fleet::listed_server* source = get_state().directory.find(*choice.prefix_source);
-        attempt.fetch_from = source != nullptr ? std::optional(source->record.address) : std::nullopt;
+        attempt.prefix_source = source != nullptr ? std::optional(source->record.address) : std::nullopt;
     }
-    const duration backlog = engines.board.get_backlog(engine, sent_at);
+    const duration backlog = engines.load_tracker.get_backlog(engine, sent_at);
     const policy::prefill_job job{
         .number = m_request_number, .sent_at = sent_at, .cost = choice.prefill_duration, .urgency = choice.urgency};
-    engines.board.start_prefill(engine, job, m_parts);
+    engines.load_tracker.start_prefill(engine, job, m_parts);
     get_state().prefix_accesses.push_back({.engine = engine, .parts = m_parts});
     get_state().notify_load_change();
     const prefill_guard load_guard(get_state(), get_request().service, engine, m_request_number);
@@ -183,7 +183,7 @@
                  (backlog + choice.prefill_duration) * prefill_timeout_factor + prefill_timeout_margin);
     backend_exchange exchange(get_state().connections, attempt.address, options);
     const policy::stall_detector::pending_request pending =
-        get_state().silence.track(engine, sent_at, backlog + choice.prefill_duration);
+        get_state().stalls.track(engine, sent_at, backlog + choice.prefill_duration);
     std::optional<exchange_failed_error> failure;
     std::optional<kv_cache_source> kv_cache;
     std::string_view what = "read";
@@ -260,7 +260,7 @@
         }
     }
     service_engines& engines = *get_state().find_engines(get_request().service);
-    engines.board.start_decode(engine, m_needed_tokens, m_parts);
+    engines.load_tracker.start_decode(engine, m_needed_tokens, m_parts);
     get_state().notify_load_change();
     const generation_guard load_guard(get_state(), get_request().service, engine, m_needed_tokens);
     backend_exchange exchange(get_state().connections, attempt.address, make_exchange_options(engine));
@@ -269,7 +269,7 @@
     bool has_head = false;
     m_generation_sent_at = get_state().time.now();
     policy::stall_detector::pending_request pending =
-        get_state().silence.track(engine, m_generation_sent_at, get_first_event_time(kv_cache.has_value()));
+        get_state().stalls.track(engine, m_generation_sent_at, get_first_event_time(kv_cache.has_value()));
     try {
         const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
         const http_request message = get_state().codec.make_request(get_caller_request(), attempt);
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -131,23 +131,23 @@
     return recorded;
 }
 
-array encode_crashes(const std::vector<policy::engine_crash>& deaths) {
+array encode_crashes(const std::vector<policy::engine_crash>& crashes) {
     array encoded;
-    for (const policy::engine_crash& crash : deaths) {
+    for (const policy::engine_crash& crash : crashes) {
         encoded.push_back(array{crash.fingerprint, crash.crash_id, to_microseconds(crash.moment.time_since_epoch())});
     }
     return encoded;
 }
 
 std::vector<policy::engine_crash> decode_crashes(const array& encoded) {
-    std::vector<policy::engine_crash> deaths;
+    std::vector<policy::engine_crash> crashes;
     for (const value& item : encoded) {
         const array& crash = require_list(item);
-        deaths.push_back({.fingerprint = get_number(crash, 0),
-                          .crash_id = get_number(crash, 1),
-                          .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
+        crashes.push_back({.fingerprint = get_number(crash, 0),
+                           .crash_id = get_number(crash, 1),
+                           .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
     }
-    return deaths;
+    return crashes;
 }
 
 object encode_summaries(const std::map<service_name, group_summary>& summaries) {
@@ -243,7 +243,7 @@
                    {"r", std::move(prefill_demand)},
                    {"u", encode_usage(digest.usage)},
                    {"m", encode_summaries(digest.summaries)},
-                   {"d", encode_crashes(digest.deaths)},
+                   {"d", encode_crashes(digest.crashes)},
                    {"l", digest.holds_lease},
                    {"rc", encode_read_position(digest.configuration)},
                    {"rs", encode_read_position(digest.servers)}};
@@ -275,7 +275,7 @@
                        .usage = decode_usage(json::get_array(source, "u")),
                        .recorded_usage = {},
                        .summaries = decode_summaries(json::get_object(source, "m")),
-                       .deaths = decode_crashes(json::get_array(source, "d")),
+                       .crashes = decode_crashes(json::get_array(source, "d")),
                        .holds_lease = json::get_bool_or(source, "l", false),
                        .configuration = decode_read_position(json::get_array(source, "rc")),
                        .servers = decode_read_position(json::get_array(source, "rs"))};
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -123,7 +123,7 @@
     /// Set by a group leader: summaries of its group for other groups.
     std::map<service_name, group_summary> summaries;
     /// Server crashes that the sender knows and attributes to requests; empty in most digests, too.
-    std::vector<policy::engine_crash> deaths;
+    std::vector<policy::engine_crash> crashes;
     /// Whether the sender holds the lease for the fleet-wide duties.
     bool holds_lease{false};
     /// Set by a host that reads the store for its group: read positions of the configuration and of the server list.
--- a/servers/response_assembler.cpp
+++ b/servers/response_assembler.cpp
@@ -79,7 +79,7 @@
             fmt::format("event for position {} arrived, but the next expected position is {}", *position, m_tokens));
     }
     const bool is_duplicate = position.value_or(m_tokens) < m_tokens;
-    const bool is_excess = is_token && m_tokens >= m_most_tokens;
+    const bool is_excess = is_token && m_tokens >= m_max_tokens;
     if (is_duplicate || is_excess) {
         return event_action::drop;
     }
@@ -93,7 +93,7 @@
 }
 
 event_action response_assembler::end() {
-    if (m_finish_reason.empty() && m_tokens < m_most_tokens) {
+    if (m_finish_reason.empty() && m_tokens < m_max_tokens) {
         throw malformed_message_error(
             "engine ended the stream without a finish reason before the requested number of tokens");
     }
--- a/servers/response_assembler.hpp
+++ b/servers/response_assembler.hpp
@@ -30,7 +30,7 @@
 class response_assembler {
 public:
     response_assembler(completion_shape shape, std::uint64_t max_tokens) noexcept
-        : m_shape(shape), m_most_tokens(max_tokens) {}
+        : m_shape(shape), m_max_tokens(max_tokens) {}
 
     /// Starts an attempt. Events that carry a stream id must carry this one.
     void start_attempt(std::string stream_id) { m_stream_id = std::move(stream_id); }
@@ -54,7 +54,7 @@
     void check_stream_id(const boost::json::object& chunk) const;
 
     completion_shape m_shape;
-    std::uint64_t m_most_tokens;
+    std::uint64_t m_max_tokens;
     std::string m_stream_id;
     std::string m_text;
     std::uint64_t m_tokens{0};
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -13,7 +13,7 @@
 /// The engines of one service: their load and the estimates of their processing times. Not thread safe.
 class service_engines {
 public:
-    policy::engine_load_tracker board;
+    policy::engine_load_tracker load_tracker;
     policy::prefill_time_model prefill_model;
 
     void set_description(const fleet::engine_description& description) { m_description = description; }
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -148,7 +148,7 @@
             .organisation = m_request.organisation,
             .is_prefill_only = false,
             .kv_cache = {},
-            .fetch_from = {},
+            .prefix_source = {},
             .urgency = {},
             .last_event_id = get_caller_request().last_event_id};
 }
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -44,26 +44,26 @@
     if (m_view == nullptr) {
         return;
     }
-    std::map<service_name, std::map<backend_server_name, policy::engine_attributes>> facts;
+    std::map<service_name, std::map<backend_server_name, policy::engine_attributes>> attributes;
     for (const auto& [id, server] : directory.get_servers()) {
         const fleet::server_record& record = server.record;
         const fleet::service_description* service = m_view->find_service(record.service);
         if (service == nullptr || !service->engine || !record.stage || !directory.is_usable(server, time.now())) {
             continue;
         }
-        facts[record.service].emplace(id,
-                                      policy::engine_attributes{.zone = record.zone,
-                                                                .stage = *record.stage,
-                                                                .slots = record.slots,
-                                                                .memory_tokens = service->engine->kv_capacity_tokens,
-                                                                .is_cheap = record.is_cheap,
-                                                                .started_at_ms = record.started_at_ms});
+        attributes[record.service].emplace(
+            id, policy::engine_attributes{.zone = record.zone,
+                                          .stage = *record.stage,
+                                          .slots = record.slots,
+                                          .memory_tokens = service->engine->kv_capacity_tokens,
+                                          .is_cheap = record.is_cheap,
+                                          .started_at_ms = record.started_at_ms});
     }
     for (const fleet::service_description& service : m_view->get_configuration().services) {
         if (service.engine) {
             service_engines& engines = m_engines[service.name];
             engines.set_description(*service.engine);
-            engines.board.set_engines(facts[service.name]);
+            engines.load_tracker.set_engines(attributes[service.name]);
         }
     }
 }
@@ -83,7 +83,7 @@
 }
 
 bool serving_state::is_degraded(const backend_server_name& server) const {
-    if (silence.is_stalled(server, time.now())) {
+    if (stalls.is_stalled(server, time.now())) {
         return true;
     }
     return peers.count_ejecting_hosts(server) + (health.has_failed_last(server) ? 1 : 0) >= min_failure_witnesses;
@@ -91,7 +91,7 @@
 
 std::map<backend_server_name, duration> serving_state::get_ejected() const {
     std::map<backend_server_name, duration> ejected = health.get_ejected(time.now());
-    for (const backend_server_name& server : silence.get_stalled(time.now())) {
+    for (const backend_server_name& server : stalls.get_stalled(time.now())) {
         duration& left = ejected[server];
         left = std::max(left, stalled_ejection_time);
     }
@@ -182,20 +182,20 @@
     if (found == m_engines.end()) {
         return summary;
     }
-    const policy::engine_load_tracker& board = found->second.board;
+    const policy::engine_load_tracker& load_tracker = found->second.load_tracker;
     duration backlog{};
     std::int64_t prefill_engines = 0;
     double slots = 0;
-    for (const auto& [name, engine] : board.get_engines()) {
+    for (const auto& [name, engine] : load_tracker.get_engines()) {
         if (!is_own_group_server(name) || !is_usable(name)) {
             continue;
         }
-        if (engine.facts.stage == fleet::engine_stage::prefill) {
-            backlog += board.get_backlog(name, time.now());
+        if (engine.attributes.stage == fleet::engine_stage::prefill) {
+            backlog += load_tracker.get_backlog(name, time.now());
             ++prefill_engines;
         } else {
-            slots += engine.facts.slots;
-            summary.running += board.get_running(name);
+            slots += engine.attributes.slots;
+            summary.running += load_tracker.get_running(name);
         }
     }
     // A group without engines reports an hour of backlog and full slots, so that no other group sends requests to it.
@@ -207,8 +207,8 @@
 double serving_state::get_running(const service_name& service) const {
     double running = peers.get_remote_running(service);
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
-        for (const auto& [name, engine] : own->second.board.get_engines()) {
-            running += own->second.board.get_running(name);
+        for (const auto& [name, engine] : own->second.load_tracker.get_engines()) {
+            running += own->second.load_tracker.get_running(name);
         }
     }
     return running;
@@ -217,7 +217,7 @@
 void serving_state::remove_host(const std::string& host) {
     peers.remove_host(host);
     for (auto& [service, engines] : m_engines) {
-        engines.board.remove_host(host);
+        engines.load_tracker.remove_host(host);
     }
 }
 
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -152,7 +152,7 @@
     policy::server_health health;
     policy::usage_counter usage;
     policy::usage_delegation delegation{options.fallback_record_delay};
-    policy::stall_detector silence;
+    policy::stall_detector stalls;
     policy::crash_attribution crashes;
     policy::quarantine suspects{{.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)}};
     request_counters counters;
--- a/tests/fleet_model/spend_run.cpp
+++ b/tests/fleet_model/spend_run.cpp
@@ -219,7 +219,7 @@
     policy::spend_planner_state state;
     std::vector<policy::zone_market> markets;
     for (std::uint32_t zone = 0; zone < fleet.zones; ++zone) {
-        markets.push_back({.zone = zone_name(fmt::format("z{}", zone)), .most_servers = max_servers_per_zone});
+        markets.push_back({.zone = zone_name(fmt::format("z{}", zone)), .max_servers = max_servers_per_zone});
     }
     for (std::uint32_t second = 0; second + spend_step_seconds <= trace.demand.size(); second += spend_step_seconds) {
         if (is_reclaim(trace, second)) {
@@ -277,8 +277,8 @@
         const std::uint32_t guaranteed = count_servers(asked * fleet.guaranteed_share, fleet.units_per_engine);
         const auto cap = static_cast<std::uint32_t>(std::floor(options.max_cheap_share * all));
         // An unavailable market delivers no new servers, but those that run already are kept.
-        const std::uint32_t most_cheap = is_market_gone(trace, second) ? held_cheap : all;
-        const std::uint32_t cheap = std::min({cap, all - guaranteed, most_cheap});
+        const std::uint32_t max_cheap = is_market_gone(trace, second) ? held_cheap : all;
+        const std::uint32_t cheap = std::min({cap, all - guaranteed, max_cheap});
         held_cheap = cheap;
         figures.step(asked, all - cheap, cheap, all - cheap, cheap);
     }
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -77,10 +77,11 @@
     const raw_server& busy = add_server("p1", prefill, read_prompts());
     const raw_server& idle = add_server("p2", prefill, read_prompts());
     add_server("d", decode, stream_events(1, 1));
-    policy::engine_load_tracker& board = state.find_engines(service_name("llm"))->board;
-    board.record_prefix_access(backend_server_name("p1"), std::array{policy::prefix_block{.id = 0xa1, .tokens = 6000}});
-    board.start_prefill(backend_server_name("p1"),
-                        {.number = 999, .sent_at = time.now(), .cost = std::chrono::seconds(9)}, {});
+    policy::engine_load_tracker& load_tracker = state.find_engines(service_name("llm"))->load_tracker;
+    load_tracker.record_prefix_access(backend_server_name("p1"),
+                                      std::array{policy::prefix_block{.id = 0xa1, .tokens = 6000}});
+    load_tracker.start_prefill(backend_server_name("p1"),
+                               {.number = 999, .sent_at = time.now(), .cost = std::chrono::seconds(9)}, {});
     auto headers = get_headers();
     headers.emplace_back("Dragonflywell-Model", "m");
     headers.emplace_back("Dragonflywell-Token-Count", "7000,10");
@@ -123,7 +124,7 @@
     const std::vector<policy::prefill_job> prompts{
         {.number = 1, .sent_at = time.now(), .cost = std::chrono::seconds(9)}};
     state.find_engines(service_name("llm"))
-        ->board.set_host_load("other", {{backend_server_name("p2"), {.prompts = prompts}}}, time.now());
+        ->load_tracker.set_host_load("other", {{backend_server_name("p2"), {.prompts = prompts}}}, time.now());
     const answer got = generate("/gen/x");
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
@@ -136,7 +137,7 @@
     const raw_server& prefill_engine = add_server("p", prefill, read_prompts());
     add_server("d1", decode, refuse());
     const raw_server& second = add_server("d2", decode, stream_events(1, 2));
-    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("d2"), 5000, {});
+    state.find_engines(service_name("llm"))->load_tracker.start_decode(backend_server_name("d2"), 5000, {});
     const answer got = generate("/gen/x");
     CHECK(got.status == 200);
     CHECK(got.body == make_events(1, 2));
@@ -171,7 +172,7 @@
         add_server("d1", decode, break_after(2, true));
     }
     const raw_server& second = add_server("d2", decode, stream_events(3, 5));
-    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("d2"), 5000, {});
+    state.find_engines(service_name("llm"))->load_tracker.start_decode(backend_server_name("d2"), 5000, {});
     const answer got = generate("/resume/x");
     CHECK(got.status == 200);
     CHECK_FALSE(got.is_cut);
@@ -263,7 +264,7 @@
     });
     run_until(loop, [&] { return has_ended; });
     CHECK(has_ended);
-    CHECK(state.find_engines(service_name("llm"))->board.get_running(backend_server_name("d")) <= 1);
+    CHECK(state.find_engines(service_name("llm"))->load_tracker.get_running(backend_server_name("d")) <= 1);
 }
 
 TEST_CASE_FIXTURE(serving_fixture, "the load of an engine returns to zero when its requests end, however they end") {
@@ -279,9 +280,9 @@
         add_server("d", decode, refuse());
     }
     generate("/gen/x");
-    const policy::engine_load_tracker& board = state.find_engines(service_name("llm"))->board;
-    CHECK(board.get_running(backend_server_name("d")) == 0);
-    CHECK(board.get_backlog(backend_server_name("p"), time.now()) == duration::zero());
+    const policy::engine_load_tracker& load_tracker = state.find_engines(service_name("llm"))->load_tracker;
+    CHECK(load_tracker.get_running(backend_server_name("d")) == 0);
+    CHECK(load_tracker.get_backlog(backend_server_name("p"), time.now()) == duration::zero());
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
@@ -338,9 +339,9 @@
     const raw_server& unresponsive = add_server("dark", decode, refuse());
     add_server("good", decode, stream_events(1, 2));
     // A higher load is set for the responsive engine, so that requests would go to the unresponsive one.
-    state.find_engines(service_name("llm"))->board.start_decode(backend_server_name("good"), 5000, {});
+    state.find_engines(service_name("llm"))->load_tracker.start_decode(backend_server_name("good"), 5000, {});
     const policy::stall_detector::pending_request waiting =
-        state.silence.track(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
+        state.stalls.track(backend_server_name("dark"), time.now() - std::chrono::seconds(5), duration::zero());
     CHECK(state.get_ejected().contains(backend_server_name("dark")));
     CHECK(generate("/gen/x").status == 200);
     CHECK(count_runs(unresponsive) == 0);
--- a/tests/policy/test_engine_placement.cpp
+++ b/tests/policy/test_engine_placement.cpp
@@ -178,15 +178,15 @@
     tracker.set_engines({{backend_server_name("far"), make_facts(prefill, "b")},
                          {backend_server_name("near"), make_facts(prefill, "a")},
                          {backend_server_name("d"), make_facts(decode, "a")}});
-    const engine_status_lookup judge = [](const backend_server_name& engine) {
+    const engine_status_lookup get_status = [](const backend_server_name& engine) {
         return engine_status{.unobserved_backlog = engine.value() == "far" ? 100ms : 0ms};
     };
-    CHECK(choose(judge)->prefill_engine->value() == "near");
+    CHECK(choose(get_status)->prefill_engine->value() == "near");
     tracker.start_prefill(backend_server_name("near"), {.number = 1, .sent_at = time.now(), .cost = 50ms}, {});
-    CHECK(choose(judge)->prefill_engine->value() == "near");
+    CHECK(choose(get_status)->prefill_engine->value() == "near");
     tracker.start_prefill(backend_server_name("near"),
                           {.number = 2, .sent_at = time.now(), .cost = 150ms, .urgency = 1}, {});
-    CHECK(choose(judge)->prefill_engine->value() == "far");
+    CHECK(choose(get_status)->prefill_engine->value() == "far");
 }
 
 TEST_CASE_FIXTURE(fixture, "unusable engines are never chosen") {
@@ -199,11 +199,11 @@
     // A burst on many hosts: each host has one request and does not know of the others' requests yet.
     constexpr std::size_t engines = 10;
     constexpr std::uint64_t hosts = 30;
-    std::map<backend_server_name, engine_attributes> facts{{backend_server_name("d"), make_facts(decode, "a")}};
+    std::map<backend_server_name, engine_attributes> attributes{{backend_server_name("d"), make_facts(decode, "a")}};
     for (std::size_t number = 0; number < engines; ++number) {
-        facts.emplace(backend_server_name("p" + std::to_string(number)), make_facts(prefill, "a"));
+        attributes.emplace(backend_server_name("p" + std::to_string(number)), make_facts(prefill, "a"));
     }
-    tracker.set_engines(facts);
+    tracker.set_engines(attributes);
     const engine_costs costs{.prefill_model = &prefill_model, .first_event = 20ms, .transfer_per_token = 1us};
     std::map<backend_server_name, int> chosen;
     for (std::uint64_t host = 1; host <= hosts; ++host) {
--- a/tests/policy/test_horizon_role_planner.cpp
+++ b/tests/policy/test_horizon_role_planner.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr double least_goodput_ratio = 0.95;
-constexpr std::uint32_t most_change_ratio = 2;
+constexpr double min_goodput_ratio = 0.95;
+constexpr std::uint32_t max_change_ratio = 2;
 
 std::vector<planned_engine> make_engines(int prefill, int decode) {
     std::vector<planned_engine> engines;
@@ -131,8 +131,8 @@
             const role_split start = find_best_split(fleet, trace, {.from = 0, .to = 60});
             const role_result result = run_roles(fleet, trace, planner, start, 1);
             const role_result oracle = run_oracle(fleet, trace);
-            CHECK(result.goodput >= least_goodput_ratio * oracle.goodput);
-            CHECK(result.changes <= most_change_ratio * oracle.changes);
+            CHECK(result.goodput >= min_goodput_ratio * oracle.goodput);
+            CHECK(result.changes <= max_change_ratio * oracle.changes);
         }
     }
 }
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -17,8 +17,8 @@
     suspects.record_completion(2);
     CHECK_FALSE(suspects.is_suspect(2, now));
     quarantine other_host({});
-    for (const policy::engine_crash& death : suspects.get_crashes(now)) {
-        other_host.record_crash(death);
+    for (const policy::engine_crash& crash : suspects.get_crashes(now)) {
+        other_host.record_crash(crash);
     }
     other_host.record_crash({.fingerprint = 1, .crash_id = 20, .moment = now});
     CHECK(other_host.is_refused(1, now));
@@ -55,9 +55,9 @@
                                .crash_id = number,
                                .moment = now - std::chrono::seconds(static_cast<int>(number))});
     }
-    const std::vector<policy::engine_crash> told = suspects.get_newest_crashes(now, std::chrono::seconds(3), 2);
-    REQUIRE(told.size() == 2);
-    CHECK(told[0].fingerprint == 1);
-    CHECK(told[1].fingerprint == 2);
+    const std::vector<policy::engine_crash> crashes = suspects.get_newest_crashes(now, std::chrono::seconds(3), 2);
+    REQUIRE(crashes.size() == 2);
+    CHECK(crashes[0].fingerprint == 1);
+    CHECK(crashes[1].fingerprint == 2);
     CHECK_FALSE(suspects.is_empty());
 }
--- a/tests/policy/test_retry_budget.cpp
+++ b/tests/policy/test_retry_budget.cpp
@@ -75,8 +75,8 @@
         std::deque<steady_time> retries;
         for (int step = 0; step < 5000; ++step) {
             // Alternates between bursts and idle phases.
-            const int most_ms = step / 500 % 2 == 0 ? 10 : 400;
-            clock.advance(milliseconds(std::uniform_int_distribution<int>(0, most_ms)(random)));
+            const int max_ms = step / 500 % 2 == 0 ? 10 : 400;
+            clock.advance(milliseconds(std::uniform_int_distribution<int>(0, max_ms)(random)));
             if (std::bernoulli_distribution(0.6)(random)) {
                 budget.add_request(clock.now());
                 requests.push_back(clock.now());
--- a/tests/policy/test_spend_planner.cpp
+++ b/tests/policy/test_spend_planner.cpp
@@ -15,7 +15,7 @@
 public:
     spend_case() {
         for (const char* zone : {"a", "b", "c", "d"}) {
-            markets.push_back({.zone = zone_name(zone), .most_servers = 8});
+            markets.push_back({.zone = zone_name(zone), .max_servers = 8});
         }
     }
 
@@ -111,7 +111,7 @@
 TEST_CASE("the limits of the manifest are never exceeded") {
     spend_case fleet;
     for (zone_market& market : fleet.markets) {
-        market.most_servers = 1;
+        market.max_servers = 1;
     }
     const spend_plan plan = fleet.plan(units);
     CHECK(plan.orders.size() == 4);
--- a/tests/servers/test_unbounded_responses.cpp
+++ b/tests/servers/test_unbounded_responses.cpp
@@ -19,7 +19,7 @@
 /// Number of bytes at which the server stops if the caller does not close; far more than a caller may read.
 constexpr std::size_t endless_bytes = 64UL * 1024 * 1024;
 /// Limit on the bytes that the server can send: what the caller may read and what the socket buffers hold.
-constexpr std::size_t most_taken_bytes = 16UL * 1024 * 1024;
+constexpr std::size_t max_accepted_bytes = 16UL * 1024 * 1024;
 
 /// A client and a server that starts a response with given bytes and then repeats others without end.
 struct fixture {
@@ -78,42 +78,42 @@
 
 TEST_CASE_FIXTURE(fixture, "an unbounded sequence of bytes that is no HTTP response is not read to the end") {
     CHECK(ask("", "no answer ") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "an unbounded response header is not read to the end") {
     CHECK(ask(own_head, "X-More: and more\r\n") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "an unbounded response body is not read to the end") {
     CHECK(ask(own_head + "\r\n", "more") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "an unbounded chunk size line is not read to the end") {
     CHECK(ask(own_head + "Transfer-Encoding: chunked\r\n\r\n1;", "extension") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "unbounded trailers are not read to the end") {
     CHECK(ask(own_head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-More: and more\r\n") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "an unbounded sequence of interim responses is not read to the end") {
     CHECK(ask("", "HTTP/1.1 100 Continue\r\n\r\n") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "an unbounded sequence of responses to other requests is not read to the end") {
     CHECK(ask("", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nabc") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "a very long response to another request is not read to the end") {
     CHECK(ask("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 999999999\r\n\r\n", "abc") != "answered");
-    CHECK(sent < most_taken_bytes);
+    CHECK(sent < max_accepted_bytes);
 }
 
 TEST_CASE_FIXTURE(fixture, "concurrent long responses together do not buffer more bytes than the shared budget") {
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -182,9 +182,9 @@
         co_await send_stream(id, last.empty() ? 1 : std::stoi(last) + 1, connection);
         co_return;
     }
-    constexpr int shortest_ms = 2;
-    constexpr int longest_ms = 40;
-    const int length_ms = std::uniform_int_distribution<int>(shortest_ms, longest_ms)(*m_random);
+    constexpr int min_length_ms = 2;
+    constexpr int max_length_ms = 40;
+    const int length_ms = std::uniform_int_distribution<int>(min_length_ms, max_length_ms)(*m_random);
     co_await servers::sleep_for(std::chrono::milliseconds(length_ms));
     std::string bytes = make_response(request, 200, make_seal(id), make_expected_body(kind, id));
     if (draw_bool(fault_fraction / 2)) {
--- a/tests/support/store_users_model.hpp
+++ b/tests/support/store_users_model.hpp
@@ -28,7 +28,7 @@
 };
 
 struct store_users_options {
-    network_fault trouble{network_fault::silent};
+    network_fault fault{network_fault::silent};
     duration call_limit{std::chrono::milliseconds(700)};
     policy::circuit_breaker_options breaker{};
     /// Whether each user needs a second call, such as a listing, before it can use what it reads.
@@ -40,7 +40,7 @@
     duration recovery_time{};
     /// Number of calls during the fault, and the length of the fault.
     std::uint64_t calls_during_fault{};
-    duration trouble{};
+    duration fault{};
 };
 
 /// Simulates, in virtual time, the users of one store that share its circuit breaker and wait queue. The path fails
@@ -65,7 +65,7 @@
         }
         return {.recovery_time = m_clock.now() - m_recovered_at,
                 .calls_during_fault = m_calls_during_fault,
-                .trouble = m_recovered_at - m_failed_at};
+                .fault = m_recovered_at - m_failed_at};
     }
 
 private:
@@ -84,8 +84,8 @@
         int responses_since_recovery{0};
     };
 
-    [[nodiscard]] duration draw(int least_ms, int most_ms) {
-        return std::chrono::milliseconds(std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
+    [[nodiscard]] duration draw(int min_ms, int max_ms) {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(min_ms, max_ms)(m_random));
     }
 
     [[nodiscard]] bool has_recovered() const {
@@ -127,10 +127,10 @@
         one.sent_at = now;
         one.will_be_answered = !is_lost;
         one.ends_at = now + (is_lost ? get_failure_time() : answer_time);
-        if (!is_lost && now >= m_recovered_at && m_options.trouble == network_fault::slow) {
+        if (!is_lost && now >= m_recovered_at && m_options.fault == network_fault::slow) {
             one.ends_at = now + slow_answer_time;
         }
-        const bool may_be_lost = now >= m_recovered_at && m_options.trouble == network_fault::lossy;
+        const bool may_be_lost = now >= m_recovered_at && m_options.fault == network_fault::lossy;
         if (may_be_lost && std::bernoulli_distribution(lossy_share)(m_random)) {
             one.will_be_answered = false;
             one.ends_at = now + m_options.call_limit;
@@ -138,9 +138,8 @@
     }
 
     [[nodiscard]] duration get_failure_time() {
-        const bool is_refused =
-            m_options.trouble == network_fault::refused ||
-            (m_options.trouble == network_fault::mixed && std::bernoulli_distribution(0.5)(m_random));
+        const bool is_refused = m_options.fault == network_fault::refused ||
+                                (m_options.fault == network_fault::mixed && std::bernoulli_distribution(0.5)(m_random));
         return is_refused ? answer_time : m_options.call_limit;
     }
 
