Rename the last private names and restore a heading of the report page

Cause: lease_keeper::get_fence stood beside store_lease::get_fencing_number, tests/coordination called its simulations worlds, and the table of organisations on the report page had lost headings that the project keeps letter for letter. Change: get_fencing_number, lease_simulation and matrix_simulation throughout, registry, add_response, throw_if_disconnected; the headings Asked, Completed and Part stand as before.

--- a/ctl/report_page.cpp
+++ b/ctl/report_page.cpp
@@ -177,8 +177,7 @@
 }
 
 std::string make_organisation_table(const fleet::service_counts& total) {
-    std::string text =
-        "<table><tr><th>Organisation</th><th>Requests</th><th>Completed</th><th>Share completed</th></tr>";
+    std::string text = "<table><tr><th>Organisation</th><th>Asked</th><th>Completed</th><th>Part</th></tr>";
     std::vector<std::pair<std::string, fleet::request_counts>> rows;
     for (const auto& [name, service] : total.organisations) {
         rows.emplace_back(name.empty() ? "all other organisations" : name.value(), service);
--- a/daemon/claim_task.hpp
+++ b/daemon/claim_task.hpp
@@ -24,7 +24,7 @@
     control_task_context m_context;
     platform::http_log m_platform_log;
     coordination::folded_stream m_stream;
-    coordination::claim_registry m_book;
+    coordination::claim_registry m_registry;
     steady_time m_polled_at{};
     /// Time until the next round: zero after an idle round, so that a single claim is written at once.
     duration m_pause{};
--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -46,7 +46,7 @@
     for (;;) {
         co_await servers::sleep_for(tick);
         observe_demand();
-        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        const std::optional<std::uint64_t> fence = m_lease->get_fencing_number();
         if (fence != m_fence) {
             m_fence = fence;
             m_orders.clear();
@@ -135,7 +135,7 @@
             co_return;
         }
     }
-    if (m_lease->get_fence() != fence) {
+    if (m_lease->get_fencing_number() != fence) {
         co_return;
     }
     const platform::duty_credentials authority{.holder = m_host, .fence = fence};
--- a/daemon/lease_keeper.hpp
+++ b/daemon/lease_keeper.hpp
@@ -23,7 +23,7 @@
     servers::asio::awaitable<void> resign();
 
     /// Returns the fencing number under which this host may act now, or nothing.
-    [[nodiscard]] std::optional<std::uint64_t> get_fence() const { return m_lease.get_fencing_number(); }
+    [[nodiscard]] std::optional<std::uint64_t> get_fencing_number() const { return m_lease.get_fencing_number(); }
 
     /// Returns whether this host holds the lease, even while it may not act yet.
     [[nodiscard]] bool is_held() const { return m_lease.is_held(); }
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -52,7 +52,7 @@
     for (;;) {
         co_await servers::sleep_for(tick);
         observe_demand();
-        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        const std::optional<std::uint64_t> fence = m_lease->get_fencing_number();
         if (!fence || m_state->get_view() == nullptr || !is_load_known()) {
             continue;
         }
@@ -106,7 +106,7 @@
         engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(service);
-        if (state == nullptr || m_lease->get_fence() != fence) {
+        if (state == nullptr || m_lease->get_fencing_number() != fence) {
             co_return;
         }
         const duration change_time = state->get_description().stage_change_time;
@@ -123,14 +123,14 @@
     const platform::engine_address engine{.name = change.engine, .address = listed->record.address};
     const std::optional<platform::engine_report> report = co_await m_orders->request_report(engine);
     platform::engine_order_result answer = platform::engine_order_result::busy;
-    if (report && !report->is_busy && m_lease->get_fence() == fence) {
+    if (report && !report->is_busy && m_lease->get_fencing_number() == fence) {
         const platform::duty_credentials authority{.holder = m_host, .fence = fence};
         // Other hosts learn of the change before the engine starts to refuse requests.
         m_state->begin_stage_change(change.engine, change.stage, m_state->time.now() + change_time + settle_time);
         if (!m_is_before_first_request) {
             co_await servers::sleep_for(notice_time);
         }
-        if (m_lease->get_fence() == fence) {
+        if (m_lease->get_fencing_number() == fence) {
             answer = co_await m_orders->order_stage_change(authority, engine, change.stage, report->accepted_orders);
         }
     }
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -28,7 +28,7 @@
 servers::asio::awaitable<void> usage_reporter::run() {
     for (;;) {
         co_await servers::sleep_for(tick);
-        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        const std::optional<std::uint64_t> fence = m_lease->get_fencing_number();
         if (fence != m_fence) {
             m_fence = fence;
             m_report_state.reset();
@@ -144,7 +144,7 @@
 
 servers::asio::awaitable<void> usage_reporter::send_pending() {
     while (!m_report_state->pending.empty()) {
-        const std::optional<std::uint64_t> fence = m_lease->get_fence();
+        const std::optional<std::uint64_t> fence = m_lease->get_fencing_number();
         if (!fence || fence != m_fence) {
             co_return;
         }
--- a/policy/horizon_role_planner.cpp
+++ b/policy/horizon_role_planner.cpp
@@ -187,7 +187,7 @@
                                    .gain_units = rate * (horizon - downtime),
                                    .loss_units = (current - get_served_units(remaining, inputs.current)) * downtime};
             const double net = candidate.gain_units - candidate.loss_units;
-            if (net > get_least_gain(inputs, state, get_direction(from, to)) &&
+            if (net > get_min_gain(inputs, state, get_direction(from, to)) &&
                 (!best || net > best->gain_units - best->loss_units)) {
                 best = candidate;
             }
@@ -196,8 +196,8 @@
     return best;
 }
 
-double horizon_role_planner::get_least_gain(const role_inputs& inputs, const role_planner_state& state,
-                                            int direction) const {
+double horizon_role_planner::get_min_gain(const role_inputs& inputs, const role_planner_state& state,
+                                          int direction) const {
     const double requested = (inputs.current.prefill + inputs.current.decode) * get_seconds(m_options.horizon);
     const bool is_reversal = is_change_recent(inputs, state) && state.last_direction == -direction;
     const double factor = is_reversal ? std::ldexp(m_options.reversal_factor, state.reversals) : 1.0;
--- a/policy/horizon_role_planner.hpp
+++ b/policy/horizon_role_planner.hpp
@@ -50,8 +50,7 @@
     [[nodiscard]] std::optional<change> find_best_change(const role_inputs& inputs, const role_planner_state& state,
                                                          const role_capacity& after, const role_capacity& now,
                                                          double units) const;
-    [[nodiscard]] double get_least_gain(const role_inputs& inputs, const role_planner_state& state,
-                                        int direction) const;
+    [[nodiscard]] double get_min_gain(const role_inputs& inputs, const role_planner_state& state, int direction) const;
     [[nodiscard]] bool is_change_recent(const role_inputs& inputs, const role_planner_state& state) const;
     void record_order(const role_inputs& inputs, int direction, role_planner_state& state) const;
     [[nodiscard]] bool is_confirmed(const role_inputs& inputs, const change& best, role_planner_state& state) const;
--- a/servers/demand_meter.cpp
+++ b/servers/demand_meter.cpp
@@ -22,7 +22,7 @@
         static_cast<std::uint64_t>(std::lround(target.output_share * static_cast<double>(max_tokens)));
 }
 
-void demand_meter::add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens) {
+void demand_meter::add_response(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens) {
     const std::scoped_lock lock(m_mutex);
     organisation_counts& counts = m_organisations[key.organisation];
     ++counts.completed;
--- a/servers/demand_meter.hpp
+++ b/servers/demand_meter.hpp
@@ -16,7 +16,7 @@
     void add_arrival(const policy::demand_key& key, std::uint64_t prompt_tokens, std::uint64_t max_tokens);
 
     /// Records how many of the permitted tokens a complete response used.
-    void add_answer(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens);
+    void add_response(const policy::demand_key& key, std::uint64_t tokens, std::uint64_t max_tokens);
 
     /// Requests received and completed, and tokens delivered, for one organisation since the last call.
     struct organisation_counts {
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -67,7 +67,7 @@
         std::rethrow_exception(failure);
     }
     m_context->counters.count_outcome(policy::request_outcome::completed);
-    m_context->demand.add_answer(get_demand_key(), m_delivered_tokens, m_model_request.max_tokens);
+    m_context->demand.add_response(get_demand_key(), m_delivered_tokens, m_model_request.max_tokens);
 }
 
 policy::demand_key model_call::get_demand_key() const {
--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -15,7 +15,7 @@
     m_keep_alive = m_keep_alive && !*m_is_closing;
 }
 
-void tcp_caller_channel::throw_if_gone(const error_code& fault) {
+void tcp_caller_channel::throw_if_disconnected(const error_code& fault) {
     if (fault) {
         m_monitor->set_disconnected();
         throw caller_disconnected_error("writing the response to the caller failed: " + fault.message());
@@ -31,7 +31,7 @@
     m_stream->expires_after(m_io_timeout);
     error_code fault;
     co_await http::async_write(*m_stream, response, store_error(fault));
-    throw_if_gone(fault);
+    throw_if_disconnected(fault);
     m_is_complete = true;
 }
 
@@ -43,21 +43,21 @@
     m_stream->expires_after(m_io_timeout);
     error_code fault;
     co_await http::async_write_header(*m_stream, serializer, store_error(fault));
-    throw_if_gone(fault);
+    throw_if_disconnected(fault);
 }
 
 asio::awaitable<void> tcp_caller_channel::send_chunk(std::string_view data) {
     m_stream->expires_after(m_io_timeout);
     error_code fault;
     co_await asio::async_write(*m_stream, http::make_chunk(asio::buffer(data)), store_error(fault));
-    throw_if_gone(fault);
+    throw_if_disconnected(fault);
 }
 
 asio::awaitable<void> tcp_caller_channel::finish_stream() {
     m_stream->expires_after(m_io_timeout);
     error_code fault;
     co_await asio::async_write(*m_stream, http::make_chunk_last(), store_error(fault));
-    throw_if_gone(fault);
+    throw_if_disconnected(fault);
     m_is_complete = true;
 }
 
--- a/servers/tcp_caller_channel.hpp
+++ b/servers/tcp_caller_channel.hpp
@@ -30,7 +30,7 @@
 
 private:
     void begin_response();
-    void throw_if_gone(const error_code& fault);
+    void throw_if_disconnected(const error_code& fault);
 
     beast::tcp_stream* m_stream;
     caller_disconnect_monitor* m_monitor;
--- a/tests/coordination/lease_world.cpp
+++ b/tests/coordination/lease_simulation.cpp
@@ -1,4 +1,4 @@
-#include "coordination/lease_world.hpp"
+#include "coordination/lease_simulation.hpp"
 
 #include <fmt/format.h>
 
@@ -8,35 +8,35 @@
 using coordination::store_lease_record;
 using namespace std::chrono_literals;
 
-const duration lease_world::length = 3s;
-const duration lease_world::takeover_delay = 3s;
+const duration lease_simulation::length = 3s;
+const duration lease_simulation::takeover_delay = 3s;
 
 namespace {
 
 constexpr steady_time beginning{std::chrono::hours(1)};
 
 /// One clock for each candidate. All copies of the simulation share the clocks, so they are set before each use.
-std::array<settable_clock, lease_world::candidates>& get_clocks() {
-    static std::array<settable_clock, lease_world::candidates> clocks;
+std::array<settable_clock, lease_simulation::candidates>& get_clocks() {
+    static std::array<settable_clock, lease_simulation::candidates> clocks;
     return clocks;
 }
 
 } // namespace
 
-lease_world::lease_world(lease_mutation mutation) : m_mutation(mutation) {
+lease_simulation::lease_simulation(lease_mutation mutation) : m_mutation(mutation) {
     for (std::size_t candidate = 0; candidate < candidates; ++candidate) {
         start(candidate);
     }
 }
 
-void lease_world::load_clock(std::size_t candidate) const {
+void lease_simulation::load_clock(std::size_t candidate) const {
     const member& self = m_members[candidate];
     const steady_time now = beginning + m_elapsed - self.suspended_for;
     const bool sees_suspension = m_mutation != lease_mutation::clock_without_suspension;
     get_clocks()[candidate].set(now, sees_suspension ? beginning + m_elapsed : now);
 }
 
-void lease_world::start(std::size_t candidate) {
+void lease_simulation::start(std::size_t candidate) {
     load_clock(candidate);
     coordination::store_lease_options options{.holder = std::to_string(candidate),
                                               .incarnation = m_members[candidate].incarnation,
@@ -51,7 +51,7 @@
     m_members[candidate].lease.emplace(get_clocks()[candidate], options);
 }
 
-bool lease_world::append(std::uint64_t at, const store_lease_record& record) {
+bool lease_simulation::append(std::uint64_t at, const store_lease_record& record) {
     if (at != m_topic.size() && m_mutation != lease_mutation::unconditional_append) {
         return false;
     }
@@ -59,7 +59,7 @@
     return true;
 }
 
-void lease_world::step(std::size_t candidate, call_outcome outcome) {
+void lease_simulation::step(std::size_t candidate, call_outcome outcome) {
     load_clock(candidate);
     store_lease& lease = *m_members[candidate].lease;
     const store_lease::action action = lease.get_next_action();
@@ -101,7 +101,7 @@
     }
 }
 
-void lease_world::deliver_late() {
+void lease_simulation::deliver_late() {
     if (m_late_appends.empty()) {
         return;
     }
@@ -110,30 +110,30 @@
     append(appended.at, appended.record);
 }
 
-void lease_world::advance(duration span) {
+void lease_simulation::advance(duration span) {
     m_elapsed += span;
 }
 
-void lease_world::advance_while_suspended(duration span, std::size_t suspended) {
+void lease_simulation::advance_while_suspended(duration span, std::size_t suspended) {
     m_elapsed += span;
     m_members[suspended].suspended_for += span;
 }
 
-void lease_world::restart(std::size_t candidate) {
+void lease_simulation::restart(std::size_t candidate) {
     ++m_members[candidate].incarnation;
     start(candidate);
 }
 
-void lease_world::resign(std::size_t candidate) {
+void lease_simulation::resign(std::size_t candidate) {
     m_members[candidate].lease->resign();
 }
 
-bool lease_world::has_authority(std::size_t candidate) const {
+bool lease_simulation::has_authority(std::size_t candidate) const {
     load_clock(candidate);
     return m_members[candidate].lease->get_fencing_number().has_value();
 }
 
-std::optional<std::string> lease_world::find_violation() {
+std::optional<std::string> lease_simulation::find_violation() {
     std::size_t holders = 0;
     for (std::size_t candidate = 0; candidate < candidates; ++candidate) {
         load_clock(candidate);
--- a/tests/coordination/lease_world.hpp
+++ b/tests/coordination/lease_simulation.hpp
@@ -42,14 +42,14 @@
 
 /// Simulates the candidates for one lease, the topic that they append to, and the appends in flight. It is copied to
 /// explore several continuations of one state.
-class lease_world {
+class lease_simulation {
 public:
     static constexpr std::size_t candidates = 3;
 
     /// The outcome of one call to the store.
     enum class call_outcome : std::uint8_t { answered, lost, applied_without_response, applied_later };
 
-    explicit lease_world(lease_mutation mutation);
+    explicit lease_simulation(lease_mutation mutation);
 
     /// Runs the next action of a candidate; the call that it makes has the given outcome.
     void step(std::size_t candidate, call_outcome outcome);
--- a/tests/coordination/matrix_process.cpp
+++ b/tests/coordination/matrix_process.cpp
@@ -21,18 +21,18 @@
 }
 
 /// Injects the faults that happen before a call takes effect.
-void inject_before_call(matrix_world& world, const std::string& host, std::optional<matrix_fault> fault) {
+void inject_before_call(matrix_simulation& simulation, const std::string& host, std::optional<matrix_fault> fault) {
     if (fault == matrix_fault::crash_before || fault == matrix_fault::host_replaced) {
         throw process_crashed{.is_replaced = fault == matrix_fault::host_replaced};
     }
     if (fault == matrix_fault::pause) {
-        world.pause();
+        simulation.pause();
     }
     if (fault == matrix_fault::log_down) {
-        world.take_log_down();
+        simulation.take_log_down();
     }
     if (fault == matrix_fault::zone_cut) {
-        world.cut_off(host);
+        simulation.cut_off(host);
     }
 }
 
@@ -43,25 +43,25 @@
 } // namespace
 
 void matrix_log::check_log_reachable() const {
-    if (!m_world->is_log_reachable(m_host)) {
+    if (!m_simulation->is_log_reachable(m_host)) {
         fail("log cannot be reached");
     }
 }
 
 log_offset matrix_log::append(std::string_view stream, std::span<const std::string> records) {
     m_appended = get_type(records.front());
-    const std::optional<matrix_fault> fault = m_world->get_fault("append " + m_appended);
+    const std::optional<matrix_fault> fault = m_simulation->get_fault("append " + m_appended);
     const std::string name(stream);
-    inject_before_call(*m_world, m_host, fault);
+    inject_before_call(*m_simulation, m_host, fault);
     check_log_reachable();
     if (fault == matrix_fault::answer_late) {
         const std::vector<std::string> copies(records.begin(), records.end());
-        m_world->run_later([world = m_world, name, copies] { world->append(name, copies); });
+        m_simulation->run_later([simulation = m_simulation, name, copies] { simulation->append(name, copies); });
         fail("append is in flight");
     }
-    const log_offset first = m_world->append(name, records);
+    const log_offset first = m_simulation->append(name, records);
     if (fault == matrix_fault::duplicate) {
-        m_world->append(name, records);
+        m_simulation->append(name, records);
     }
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
@@ -79,10 +79,10 @@
         step = "read back " + m_appended;
     }
     m_appended.clear();
-    const std::optional<matrix_fault> fault = m_world->get_fault(step);
-    inject_before_call(*m_world, m_host, fault);
+    const std::optional<matrix_fault> fault = m_simulation->get_fault(step);
+    inject_before_call(*m_simulation, m_host, fault);
     check_log_reachable();
-    log_batch batch = m_world->get_log().read(stream, from, max_records);
+    log_batch batch = m_simulation->get_log().read(stream, from, max_records);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
@@ -90,7 +90,7 @@
         fail("answer lost");
     }
     if (fault == matrix_fault::answer_late) {
-        m_world->pause();
+        m_simulation->pause();
     }
     for (log_entry& entry : batch.entries) {
         entry.data = mutate(std::string(stream), entry.data);
@@ -99,7 +99,7 @@
 }
 
 std::string matrix_log::mutate(const std::string& stream, const std::string& data) {
-    const matrix_mutation mutation = m_world->get_mutation();
+    const matrix_mutation mutation = m_simulation->get_mutation();
     if (mutation == matrix_mutation::none) {
         return data;
     }
@@ -131,17 +131,18 @@
 
 order_reply matrix_channel::send(const order& value, const fencing_token& token, duration) {
     const std::string receiver = value.subject;
-    const std::optional<matrix_fault> fault = m_world->get_fault("send to " + receiver);
-    inject_before_call(*m_world, m_host, fault);
-    if (m_world->is_cut_off(m_host)) {
+    const std::optional<matrix_fault> fault = m_simulation->get_fault("send to " + receiver);
+    inject_before_call(*m_simulation, m_host, fault);
+    if (m_simulation->is_cut_off(m_host)) {
         return order_reply::unknown;
     }
     if (fault == matrix_fault::answer_late) {
-        m_world->run_later(
-            [world = m_world, receiver, value, token] { world->receive_order(receiver, value, token.number); });
+        m_simulation->run_later([simulation = m_simulation, receiver, value, token] {
+            simulation->receive_order(receiver, value, token.number);
+        });
         return order_reply::unknown;
     }
-    const order_reply reply = m_world->receive_order(receiver, value, token.number);
+    const order_reply reply = m_simulation->receive_order(receiver, value, token.number);
     if (fault == matrix_fault::crash_after) {
         throw process_crashed{};
     }
@@ -149,11 +150,11 @@
 }
 
 order_query_result matrix_channel::query(const order& value) {
-    if (m_world->is_cut_off(m_host)) {
+    if (m_simulation->is_cut_off(m_host)) {
         return order_query_result::unknown;
     }
-    return m_world->has_applied(value.subject, value.idempotency_key) ? order_query_result::applied
-                                                                      : order_query_result::not_seen;
+    return m_simulation->has_applied(value.subject, value.idempotency_key) ? order_query_result::applied
+                                                                           : order_query_result::not_seen;
 }
 
 bool matrix_dispatcher::may_send(const order& value, const unresolved_order* existing,
@@ -175,11 +176,11 @@
            order_dispatcher::is_resolved_by_query(existing);
 }
 
-matrix_process::matrix_process(matrix_world& world, writer_id self, double clock_rate)
-    : m_world(&world), m_self(std::move(self)), m_time(world.get_true_time(), clock_rate), m_log(world, m_self.host),
-      m_channel(world, m_self.host), m_control(m_log, "control/a", m_self),
+matrix_process::matrix_process(matrix_simulation& simulation, writer_id self, double clock_rate)
+    : m_simulation(&simulation), m_self(std::move(self)), m_time(simulation.get_true_time(), clock_rate),
+      m_log(simulation, m_self.host), m_channel(simulation, m_self.host), m_control(m_log, "control/a", m_self),
       m_configuration_stream(m_log, std::string(configuration_stream), m_self),
-      m_lease(m_control, m_time, {.scope = "control/a"}), m_dispatcher(world, m_control, m_lease, m_channel),
+      m_lease(m_control, m_time, {.scope = "control/a"}), m_dispatcher(simulation, m_control, m_lease, m_channel),
       m_control_snapshots(m_log, m_control, m_time, snapshot_options),
       m_configuration_snapshots(m_log, m_configuration_stream, m_time, snapshot_options) {
     m_configuration_stream.add_observer(m_configuration);
@@ -194,7 +195,7 @@
 }
 
 std::int64_t matrix_process::get_second() const {
-    return std::chrono::duration_cast<std::chrono::seconds>(m_world->get_true_time().now().time_since_epoch() - 1h)
+    return std::chrono::duration_cast<std::chrono::seconds>(m_simulation->get_true_time().now().time_since_epoch() - 1h)
         .count();
 }
 
@@ -243,7 +244,7 @@
                  .idempotency_key = name + "/" + std::to_string(bucket),
                  .receiver = receiver == "checking" ? receiver_kind::checks_fencing : receiver_kind::ignores_fencing,
                  .duplicates = is_platform ? duplicate_handling::deduplicated : duplicate_handling::idempotent};
-    if (m_world->has_applied(receiver, wanted.idempotency_key)) {
+    if (m_simulation->has_applied(receiver, wanted.idempotency_key)) {
         return;
     }
     for (const unresolved_order& unresolved : m_dispatcher.get_unresolved()) {
@@ -262,7 +263,7 @@
         return;
     }
     m_applied_version = current->version;
-    m_world->get_evidence().applied.push_back(
+    m_simulation->get_evidence().applied.push_back(
         {.process = get_name(), .version = *current->version, .entries = current->entries});
 }
 
@@ -280,7 +281,7 @@
     } catch (const configuration_conflict_error&) { // NOLINT(bugprone-empty-catch)
         // The result has no version, which reports the conflict.
     }
-    m_world->get_evidence().publications.push_back(publication);
+    m_simulation->get_evidence().publications.push_back(publication);
 }
 
 void matrix_process::write_snapshots() {
--- a/tests/coordination/matrix_process.hpp
+++ b/tests/coordination/matrix_process.hpp
@@ -3,7 +3,7 @@
 #include "coordination/configuration.hpp"
 #include "coordination/order_dispatcher.hpp"
 #include "coordination/snapshot_writer.hpp"
-#include "matrix_world.hpp"
+#include "matrix_simulation.hpp"
 #include "support/drifting_clock.hpp"
 
 namespace dragonflywell::testing {
@@ -11,7 +11,7 @@
 /// The connection of one process to the log, at which the scheduled faults are injected.
 class matrix_log final : public coordination::append_log {
 public:
-    matrix_log(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
+    matrix_log(matrix_simulation& simulation, std::string host) : m_simulation(&simulation), m_host(std::move(host)) {}
 
     coordination::log_offset append(std::string_view stream, std::span<const std::string> records) override;
     coordination::log_batch read(std::string_view stream, coordination::log_offset from,
@@ -21,7 +21,7 @@
     void check_log_reachable() const;
     [[nodiscard]] std::string mutate(const std::string& stream, const std::string& data);
 
-    matrix_world* m_world;
+    matrix_simulation* m_simulation;
     std::string m_host;
     /// Type of the last appended record until it is read back.
     std::string m_appended;
@@ -32,23 +32,24 @@
 /// The connection of one process to the receivers of orders.
 class matrix_channel final : public coordination::order_receiver {
 public:
-    matrix_channel(matrix_world& world, std::string host) : m_world(&world), m_host(std::move(host)) {}
+    matrix_channel(matrix_simulation& simulation, std::string host)
+        : m_simulation(&simulation), m_host(std::move(host)) {}
 
     coordination::order_reply send(const coordination::order& value, const coordination::fencing_token& token,
                                    duration deadline) override;
     coordination::order_query_result query(const coordination::order& value) override;
 
 private:
-    matrix_world* m_world;
+    matrix_simulation* m_simulation;
     std::string m_host;
 };
 
 /// An order dispatcher in which one safeguard is disabled, according to the mutation of the simulation.
 class matrix_dispatcher final : public coordination::order_dispatcher {
 public:
-    matrix_dispatcher(matrix_world& world, coordination::folded_stream& stream, coordination::lease_candidate& lease,
-                      coordination::order_receiver& receiver)
-        : order_dispatcher(stream, lease, receiver, world), m_mutation(world.get_mutation()) {}
+    matrix_dispatcher(matrix_simulation& simulation, coordination::folded_stream& stream,
+                      coordination::lease_candidate& lease, coordination::order_receiver& receiver)
+        : order_dispatcher(stream, lease, receiver, simulation), m_mutation(simulation.get_mutation()) {}
 
 protected:
     [[nodiscard]] bool may_send(const coordination::order& value, const coordination::unresolved_order* existing,
@@ -66,7 +67,7 @@
 /// writes snapshots.
 class matrix_process {
 public:
-    matrix_process(matrix_world& world, coordination::writer_id self, double clock_rate);
+    matrix_process(matrix_simulation& simulation, coordination::writer_id self, double clock_rate);
 
     /// Runs the tasks of one second. Throws `process_crashed` if the schedule says so.
     void run_round();
@@ -86,7 +87,7 @@
     void write_snapshots();
     [[nodiscard]] std::int64_t get_second() const;
 
-    matrix_world* m_world;
+    matrix_simulation* m_simulation;
     coordination::writer_id m_self;
     drifting_clock m_time;
     matrix_log m_log;
--- a/tests/coordination/matrix_world.cpp
+++ b/tests/coordination/matrix_simulation.cpp
@@ -1,4 +1,4 @@
-#include "matrix_world.hpp"
+#include "matrix_simulation.hpp"
 
 #include <algorithm>
 
@@ -28,7 +28,7 @@
 
 } // namespace
 
-matrix_world::matrix_world(std::optional<fault_schedule> schedule, matrix_mutation mutation)
+matrix_simulation::matrix_simulation(std::optional<fault_schedule> schedule, matrix_mutation mutation)
     : m_injector(std::move(schedule)), m_mutation(mutation) {
     m_start = m_true_time.now();
     m_log_available_from = m_start;
@@ -38,9 +38,9 @@
     }
 }
 
-matrix_world::~matrix_world() = default;
+matrix_simulation::~matrix_simulation() = default;
 
-matrix_evidence matrix_world::run() {
+matrix_evidence matrix_simulation::run() {
     run_until(m_true_time.now() + run_length);
     for (const host& one : m_hosts) {
         if (one.process) {
@@ -51,13 +51,13 @@
     return std::move(m_evidence);
 }
 
-void matrix_world::run_until(steady_time end) {
+void matrix_simulation::run_until(steady_time end) {
     while (m_true_time.now() < end) {
         run_second();
     }
 }
 
-void matrix_world::run_second() {
+void matrix_simulation::run_second() {
     m_true_time.advance(1s);
     forget_old_records();
     std::vector<std::function<void()>> due;
@@ -78,7 +78,7 @@
     }
 }
 
-void matrix_world::run_host(host& one) {
+void matrix_simulation::run_host(host& one) {
     if (!one.process) {
         if (m_true_time.now() < one.starts_at) {
             return;
@@ -99,37 +99,37 @@
     one.is_busy = false;
 }
 
-void matrix_world::start(host& one) {
+void matrix_simulation::start(host& one) {
     ++one.incarnation;
     one.process = std::make_unique<matrix_process>(
         *this, coordination::writer_id{.host = one.name, .incarnation = one.incarnation}, one.clock_rate);
 }
 
-void matrix_world::handle_crash(host& one, const process_crashed& crash) {
+void matrix_simulation::handle_crash(host& one, const process_crashed& crash) {
     m_terminated_at[one.process->get_writer()] = m_true_time.now() + termination_delay;
     one.process.reset();
     one.starts_at = m_true_time.now() + (crash.is_replaced ? 0s : restart_delay);
 }
 
-void matrix_world::pause() {
+void matrix_simulation::pause() {
     // The caller is marked as busy, so `run_until` does not run it.
     run_until(m_true_time.now() + pause_length);
 }
 
-std::optional<matrix_fault> matrix_world::get_fault(const std::string& step) {
+std::optional<matrix_fault> matrix_simulation::get_fault(const std::string& step) {
     return m_true_time.now() < m_start + fault_phase_length ? m_injector.get_fault(step) : std::nullopt;
 }
 
-bool matrix_world::is_log_reachable(const std::string& host) const {
+bool matrix_simulation::is_log_reachable(const std::string& host) const {
     return m_true_time.now() >= m_log_available_from && !is_cut_off(host);
 }
 
-bool matrix_world::is_cut_off(const std::string& host) const {
+bool matrix_simulation::is_cut_off(const std::string& host) const {
     const auto found = m_cut_off_until.find(host);
     return found != m_cut_off_until.end() && m_true_time.now() < found->second;
 }
 
-bool matrix_world::has_terminated(const coordination::writer_id& sender) const {
+bool matrix_simulation::has_terminated(const coordination::writer_id& sender) const {
     if (m_mutation == matrix_mutation::unresponsive_host_counts_as_terminated) {
         return true;
     }
@@ -137,7 +137,7 @@
     return found != m_terminated_at.end() && m_true_time.now() >= found->second;
 }
 
-void matrix_world::take_log_down() {
+void matrix_simulation::take_log_down() {
     if (m_outages == max_outages) {
         return;
     }
@@ -145,22 +145,22 @@
     m_log_available_from = m_true_time.now() + outage_length;
 }
 
-void matrix_world::cut_off(const std::string& host) {
+void matrix_simulation::cut_off(const std::string& host) {
     m_cut_off_until[host] = m_true_time.now() + outage_length;
 }
 
-void matrix_world::run_later(std::function<void()> action) {
+void matrix_simulation::run_later(std::function<void()> action) {
     m_scheduled_actions.emplace_back(m_true_time.now() + late_delivery_delay, std::move(action));
 }
 
-coordination::log_offset matrix_world::append(const std::string& stream, std::span<const std::string> records) {
+coordination::log_offset matrix_simulation::append(const std::string& stream, std::span<const std::string> records) {
     for (const std::string& data : records) {
         m_evidence.streams[stream].push_back({.when = m_true_time.now(), .data = data});
     }
     return m_log.append(stream, records);
 }
 
-void matrix_world::forget_old_records() {
+void matrix_simulation::forget_old_records() {
     for (const auto& [stream, records] : m_evidence.streams) {
         const auto kept = std::ranges::find_if(
             records, [&](const logged_record& record) { return record.when + retention >= m_true_time.now(); });
@@ -168,8 +168,8 @@
     }
 }
 
-coordination::order_reply matrix_world::receive_order(const std::string& receiver, const coordination::order& value,
-                                                      std::uint64_t number) {
+coordination::order_reply matrix_simulation::receive_order(const std::string& receiver,
+                                                           const coordination::order& value, std::uint64_t number) {
     using coordination::order_reply;
     std::uint64_t& newest = m_newest_numbers[receiver];
     const bool checks = receiver == "checking" && m_mutation != matrix_mutation::engine_accepts_stale_number;
@@ -187,7 +187,7 @@
     return order_reply::applied;
 }
 
-bool matrix_world::has_applied(const std::string& receiver, const std::string& key) const {
+bool matrix_simulation::has_applied(const std::string& receiver, const std::string& key) const {
     const auto found = m_applied_keys.find(receiver);
     return found != m_applied_keys.end() && found->second.contains(key);
 }
--- a/tests/coordination/matrix_world.hpp
+++ b/tests/coordination/matrix_simulation.hpp
@@ -31,10 +31,10 @@
 
 /// Simulates three hosts of one availability zone, their log, three receivers and true time. One thread drives
 /// everything: while one process is paused inside a call, the others continue.
-class matrix_world final : public coordination::host_liveness {
+class matrix_simulation final : public coordination::host_liveness {
 public:
-    matrix_world(std::optional<fault_schedule> schedule, matrix_mutation mutation);
-    ~matrix_world() override;
+    matrix_simulation(std::optional<fault_schedule> schedule, matrix_mutation mutation);
+    ~matrix_simulation() override;
 
     /// Runs the whole scenario and returns the evidence.
     matrix_evidence run();
--- a/tests/coordination/test_fault_matrix.cpp
+++ b/tests/coordination/test_fault_matrix.cpp
@@ -7,7 +7,7 @@
 #include <sstream>
 
 #include "matrix_checker.hpp"
-#include "matrix_world.hpp"
+#include "matrix_simulation.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::testing;
@@ -63,10 +63,10 @@
     std::set<std::string> broken;
 
     void add(const fault_schedule& schedule, matrix_mutation mutation) {
-        matrix_world world(schedule, mutation);
-        const check_result result = check_evidence(world.run());
+        matrix_simulation simulation(schedule, mutation);
+        const check_result result = check_evidence(simulation.run());
         ++runs;
-        reached += world.get_injector().get_occurrences() >= 2 ? 1 : 0;
+        reached += simulation.get_injector().get_occurrences() >= 2 ? 1 : 0;
         blocked += result.blocked.empty() ? 0 : 1;
         broken.insert(result.broken.begin(), result.broken.end());
     }
@@ -150,7 +150,7 @@
 };
 
 mutation_result run_mutation(matrix_mutation mutation) {
-    matrix_world undisturbed(std::nullopt, mutation);
+    matrix_simulation undisturbed(std::nullopt, mutation);
     mutation_result result{.broken_already = check_evidence(undisturbed.run()).broken, .red = {}};
     if (!result.broken_already.empty()) {
         return result;
@@ -263,9 +263,9 @@
 TEST_CASE("fault matrix: every invariant holds under six faults at random steps") {
     constexpr std::uint64_t seeds = 200;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        matrix_world world(fault_schedule{.step = "", .first = {}, .again = {}, .next = {}, .seed = seed},
-                           matrix_mutation::none);
-        const check_result result = check_evidence(world.run());
+        matrix_simulation simulation(fault_schedule{.step = "", .first = {}, .again = {}, .next = {}, .seed = seed},
+                                     matrix_mutation::none);
+        const check_result result = check_evidence(simulation.run());
         INFO("seed ", seed);
         for (const std::string& invariant : result.broken) {
             FAIL_CHECK(invariant);
--- a/tests/coordination/test_store_lease.cpp
+++ b/tests/coordination/test_store_lease.cpp
@@ -3,14 +3,14 @@
 #include <array>
 #include <random>
 
-#include "coordination/lease_world.hpp"
+#include "coordination/lease_simulation.hpp"
 #include "core/error.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::testing;
 using coordination::store_lease;
 using coordination::store_lease_record;
-using call_outcome = lease_world::call_outcome;
+using call_outcome = lease_simulation::call_outcome;
 using namespace std::chrono_literals;
 
 namespace {
@@ -19,53 +19,54 @@
                               call_outcome::applied_later};
 
 /// Returns a simulation in which candidate 0 holds the lease and all others have read that.
-lease_world make_held_world(lease_mutation mutation) {
-    lease_world world(mutation);
-    world.step(0, call_outcome::answered);
-    world.step(0, call_outcome::answered);
-    for (std::size_t candidate = 1; candidate < lease_world::candidates; ++candidate) {
-        world.step(candidate, call_outcome::answered);
+lease_simulation make_held_simulation(lease_mutation mutation) {
+    lease_simulation simulation(mutation);
+    simulation.step(0, call_outcome::answered);
+    simulation.step(0, call_outcome::answered);
+    for (std::size_t candidate = 1; candidate < lease_simulation::candidates; ++candidate) {
+        simulation.step(candidate, call_outcome::answered);
     }
-    return world;
+    return simulation;
 }
 
 /// Tries every sequence of events up to a depth, for two candidates; returns the first violation.
-std::optional<std::string> explore(lease_world& world, int depth) {
-    if (std::optional<std::string> violation = world.find_violation()) {
+std::optional<std::string> explore(lease_simulation& simulation, int depth) {
+    if (std::optional<std::string> violation = simulation.find_violation()) {
         return violation;
     }
     if (depth == 0) {
         return std::nullopt;
     }
     const auto try_event = [&](const auto& event) {
-        lease_world next = world;
+        lease_simulation next = simulation;
         event(next);
         return explore(next, depth - 1);
     };
     for (std::size_t candidate = 0; candidate < 2; ++candidate) {
         for (const call_outcome outcome : outcomes) {
-            if (auto violation = try_event([&](lease_world& next) { next.step(candidate, outcome); })) {
+            if (auto violation = try_event([&](lease_simulation& next) { next.step(candidate, outcome); })) {
                 return violation;
             }
         }
-        if (auto violation = try_event(
-                [&](lease_world& next) { next.advance_while_suspended(lease_world::length * 5 / 4, candidate); })) {
+        if (auto violation = try_event([&](lease_simulation& next) {
+                next.advance_while_suspended(lease_simulation::length * 5 / 4, candidate);
+            })) {
             return violation;
         }
     }
-    if (auto violation = try_event([](lease_world& next) { next.advance(lease_world::length * 5 / 4); })) {
+    if (auto violation = try_event([](lease_simulation& next) { next.advance(lease_simulation::length * 5 / 4); })) {
         return violation;
     }
-    return try_event([](lease_world& next) { next.deliver_late(); });
+    return try_event([](lease_simulation& next) { next.deliver_late(); });
 }
 
 /// Suspends the host of one candidate while the others continue.
-void suspend(lease_world& world, std::size_t suspended, duration span) {
+void suspend(lease_simulation& simulation, std::size_t suspended, duration span) {
     for (duration elapsed{}; elapsed < span; elapsed += 250ms) {
-        world.advance_while_suspended(250ms, suspended);
-        for (std::size_t candidate = 0; candidate < lease_world::candidates; ++candidate) {
+        simulation.advance_while_suspended(250ms, suspended);
+        for (std::size_t candidate = 0; candidate < lease_simulation::candidates; ++candidate) {
             if (candidate != suspended) {
-                world.step(candidate, call_outcome::answered);
+                simulation.step(candidate, call_outcome::answered);
             }
         }
     }
@@ -77,38 +78,38 @@
     const auto draw = [&](std::size_t count) {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
     };
-    lease_world world(mutation);
+    lease_simulation simulation(mutation);
     for (int event = 0; event < events; ++event) {
-        const std::size_t candidate = draw(lease_world::candidates);
+        const std::size_t candidate = draw(lease_simulation::candidates);
         switch (draw(20)) {
         case 0:
-            world.restart(candidate);
+            simulation.restart(candidate);
             break;
         case 1:
-            world.deliver_late();
+            simulation.deliver_late();
             break;
         case 2:
-            suspend(world, candidate, 100ms * static_cast<int>(draw(100)));
+            suspend(simulation, candidate, 100ms * static_cast<int>(draw(100)));
             break;
         case 3:
-            world.resign(candidate);
-            world.step(candidate, outcomes.at(draw(outcomes.size())));
-            world.restart(candidate);
+            simulation.resign(candidate);
+            simulation.step(candidate, outcomes.at(draw(outcomes.size())));
+            simulation.restart(candidate);
             break;
         case 4:
         case 5:
-            world.advance(duration(draw(static_cast<std::size_t>((2s / 1ns)))));
+            simulation.advance(duration(draw(static_cast<std::size_t>((2s / 1ns)))));
             break;
         case 6:
         case 7:
-            world.step(candidate, outcomes.at(draw(outcomes.size())));
+            simulation.step(candidate, outcomes.at(draw(outcomes.size())));
             break;
         default:
-            world.advance(200ms);
-            world.step(candidate, call_outcome::answered);
+            simulation.advance(200ms);
+            simulation.step(candidate, call_outcome::answered);
             break;
         }
-        if (std::optional<std::string> violation = world.find_violation()) {
+        if (std::optional<std::string> violation = simulation.find_violation()) {
             return violation;
         }
     }
@@ -127,53 +128,53 @@
 } // namespace
 
 TEST_CASE("one candidate acquires a free lease and keeps it, and another acquires it once it has expired") {
-    lease_world world = make_held_world(lease_mutation::none);
-    CHECK(world.has_authority(0));
-    CHECK_FALSE(world.has_authority(1));
+    lease_simulation simulation = make_held_simulation(lease_mutation::none);
+    CHECK(simulation.has_authority(0));
+    CHECK_FALSE(simulation.has_authority(1));
     for (int round = 0; round < 20; ++round) {
-        world.advance(500ms);
-        world.step(0, call_outcome::answered);
-        world.step(1, call_outcome::answered);
-        CHECK(world.has_authority(0));
-        CHECK_FALSE(world.has_authority(1));
+        simulation.advance(500ms);
+        simulation.step(0, call_outcome::answered);
+        simulation.step(1, call_outcome::answered);
+        CHECK(simulation.has_authority(0));
+        CHECK_FALSE(simulation.has_authority(1));
     }
     // Candidate 0 stops. Another one acts within two lease lengths and the takeover delay.
     for (int round = 0; round < 20; ++round) {
-        world.advance(500ms);
-        world.step(1, call_outcome::answered);
-        CHECK_FALSE(world.find_violation());
+        simulation.advance(500ms);
+        simulation.step(1, call_outcome::answered);
+        CHECK_FALSE(simulation.find_violation());
     }
-    CHECK_FALSE(world.has_authority(0));
-    CHECK(world.has_authority(1));
+    CHECK_FALSE(simulation.has_authority(0));
+    CHECK(simulation.has_authority(1));
 }
 
 TEST_CASE("a released lease is acquired without waiting for it to expire") {
-    lease_world world = make_held_world(lease_mutation::none);
-    world.resign(0);
-    CHECK_FALSE(world.has_authority(0));
-    world.step(0, call_outcome::answered);
+    lease_simulation simulation = make_held_simulation(lease_mutation::none);
+    simulation.resign(0);
+    CHECK_FALSE(simulation.has_authority(0));
+    simulation.step(0, call_outcome::answered);
     duration waited{};
-    while (!world.has_authority(1) && waited < 10s) {
-        world.advance(250ms);
+    while (!simulation.has_authority(1) && waited < 10s) {
+        simulation.advance(250ms);
         waited += 250ms;
-        world.step(1, call_outcome::answered);
+        simulation.step(1, call_outcome::answered);
     }
     // The challenger reads within half a lease length and then waits for the takeover delay only.
-    CHECK(waited <= lease_world::length / 2 + lease_world::takeover_delay + 500ms);
+    CHECK(waited <= lease_simulation::length / 2 + lease_simulation::takeover_delay + 500ms);
 }
 
 TEST_CASE("an acquisition whose response was lost is found when the topic is read") {
-    lease_world world(lease_mutation::none);
-    world.step(0, call_outcome::answered);
-    world.step(0, call_outcome::applied_without_response);
-    CHECK_FALSE(world.has_authority(0));
-    world.step(0, call_outcome::answered);
-    CHECK(world.has_authority(0));
+    lease_simulation simulation(lease_mutation::none);
+    simulation.step(0, call_outcome::answered);
+    simulation.step(0, call_outcome::applied_without_response);
+    CHECK_FALSE(simulation.has_authority(0));
+    simulation.step(0, call_outcome::answered);
+    CHECK(simulation.has_authority(0));
 }
 
 TEST_CASE("no sequence of calls, lost and late responses and suspension gives two candidates authority at once") {
-    lease_world world = make_held_world(lease_mutation::none);
-    const std::optional<std::string> violation = explore(world, 6);
+    lease_simulation simulation = make_held_simulation(lease_mutation::none);
+    const std::optional<std::string> violation = explore(simulation, 6);
     CHECK_MESSAGE(!violation, violation.value_or(""));
 }
 
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -164,7 +164,7 @@
             throw servers::caller_disconnected_error("the engine closes the connection, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::crash) {
-            m_on_death();
+            m_on_crash();
             throw servers::caller_disconnected_error("the engine crashes, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::hang) {
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -44,7 +44,7 @@
     /// Sets the fault of the next responses.
     void set_fault(const engine_fault& fault);
     /// Sets the function that closes the engine's listener in a crash. It must be set before the engine is used.
-    void set_on_crash(std::function<void()> on_death) { m_on_death = std::move(on_death); }
+    void set_on_crash(std::function<void()> on_death) { m_on_crash = std::move(on_death); }
     /// Returns how many requests are running.
     [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
     /// Returns how many requests were started, without resumptions.
@@ -86,7 +86,7 @@
     std::set<std::string> m_cancelled;
     std::map<std::string, known_stream> m_streams;
     engine_fault m_fault{.count = 0};
-    std::function<void()> m_on_death;
+    std::function<void()> m_on_crash;
 };
 
 /// Returns the text that the engine generates for a prompt at a position.
