Log when a stopping host has released its lease, has stopped listening and has ended

Nothing said how long the release of the lease took before the host went on, when it stopped to accept, or how long the whole stop took.

Change: lines lease_released and listening_ended, and after_ms in stopped, each counted from the signal. No decision changes.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -161,15 +161,23 @@
 }
 
 servers::asio::awaitable<void> host_daemon::stop_gracefully() {
-    const steady_time last_moment = m_clock.now() + m_settings.bounds.stop - stop_margin;
+    const steady_time began_at = m_clock.now();
+    const steady_time last_moment = began_at + m_settings.bounds.stop - stop_margin;
     co_await m_lease.resign();
+    log_event("lease_released").add("after_ms", m_clock.now() - began_at).write(*m_log, spdlog::level::info);
     co_await servers::sleep_for(std::min(stop_notice, m_settings.bounds.stop / 2));
     m_entry_server.stop();
+    log_event("listening_ended")
+        .add("after_ms", m_clock.now() - began_at)
+        .add("requests", m_entry_server.get_active_requests())
+        .add("connections", m_entry_server.get_open_connections())
+        .write(*m_log, spdlog::level::info);
     while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
         co_await servers::sleep_for(stop_check_interval);
     }
     co_await m_usage_recorder.record_last();
     log_event("stopped")
+        .add("after_ms", m_clock.now() - began_at)
         .add("requests_cut_off", m_entry_server.get_active_requests())
         .write(*m_log, spdlog::level::info);
     m_loop.stop();
