A response without a length that is cancelled here is not taken for complete

What callers would see: a success with a short body, framed as whole, or a stream that ends as if it were complete. Only a caller's disconnect has cancelled exchanges so far, and then nobody reads the response; the end of a stop is about to cancel them too.

Cause: cancel() closes the connection here. If no read is pending at that moment, the next one sees the end of the stream, which completes a response that has neither a length nor chunks.

Change: a cancelled exchange fails unless its response was complete by its own framing. This works wherever the cancel falls, since both the pending and the next read end there.

--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -172,6 +172,10 @@
     if (fault && fault != http::error::need_buffer) {
         fail(fault, exchange_phase::after_send, "reading the response body failed");
     }
+    // The end of a connection that was closed here does not complete a response.
+    if (m_is_cancelled && (m_parser->need_eof() || !m_parser->is_done())) {
+        fail(asio::error::operation_aborted, exchange_phase::after_send, "exchange was cancelled");
+    }
     co_return m_piece.size() - body.size;
 }
 
--- a/tests/servers/test_backend_exchange.cpp
+++ b/tests/servers/test_backend_exchange.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 
 #include "servers/backend_exchange.hpp"
+#include "standin/raw_server.hpp"
+#include "support/event_loop.hpp"
 
 using namespace dragonflywell;
 using namespace dragonflywell::servers;
@@ -77,3 +79,30 @@
     CHECK(ask("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x')) == "malformed_answer");
     CHECK(ask("not HTTP\r\n\r\n") == "broken_answer");
 }
+
+TEST_CASE("a response without a length that is cancelled between two reads is not taken for complete") {
+    asio::io_context loop{1};
+    const host_clock clock;
+    backend_connection_pool pool(clock, {});
+    const standin::raw_server server(
+        loop, [](const http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
+            co_await connection.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+            co_await connection.wait_for_end();
+        });
+    bool is_complete = false;
+    testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const exchange_options options{.progress_timeout = std::chrono::seconds(60), .accepts_unframed_response = true};
+        backend_exchange exchange(pool, server.get_endpoint(), options);
+        const http_request request(http::verb::get, "/", 11);
+        co_await exchange.start(request);
+        exchange.cancel();
+        try {
+            co_await exchange.read_rest(100);
+            is_complete = true;
+        } catch (const exchange_failed_error&) {
+            is_complete = false;
+        }
+    });
+    CHECK_FALSE(is_complete);
+    pool.clear();
+}
