Destroy requests that never ended before the state that they use

What callers saw: nothing of it; the platform saw processes that did not end.

Cause: the event loop is declared first, since all other members need it, and so is destroyed last. The frames of requests that still wait are destroyed with it, and the guards in them use the state, which is gone by then.

Change: event_loop::destroy_pending destroys all suspended coroutines at the beginning of the host's destructor, while all members exist.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -101,6 +101,8 @@
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP) {}
 
 host_daemon::~host_daemon() {
+    // Requests that never ended use the other members.
+    m_loop.destroy_pending();
     // A connection must not outlive the event loop on which it was created.
     m_connections.clear();
 }
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
 
@@ -20,6 +19,7 @@
 #include "platform/ingress_codec.hpp"
 #include "platform/store_client.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/event_loop.hpp"
 #include "servers/http_server.hpp"
 #include "servers/log_writer.hpp"
 #include "servers/metrics_handler.hpp"
@@ -66,7 +66,7 @@
     std::uint64_t m_incarnation;
     std::shared_ptr<spdlog::logger> m_log;
     metrics_registry m_metrics;
-    boost::asio::io_context m_loop{1};
+    servers::event_loop m_loop;
     servers::log_writer m_log_writer;
     platform::engine_codec m_engine_dialect;
     platform::ingress_codec m_ingress_dialect;
