Plan a graceful stop from one bound, and end each request in it with an answer

What callers saw: a request that came more than 3 s after SIGTERM was accepted, passed on and cut without an answer at the end of the grace period, among them streams that may not be resumed and requests that must not be repeated. What had not been sent to any server was cut as well.

Cause: three constants side by side. Requests were accepted for 3.5 s whatever they may take, the process ended 7.4 s after the signal, and nothing related the two. The release of the lease and the record of usage were awaited within these times, so that the holder of the lease listened longer while the store was slow, up to 4.2 s. At the end the event loop stopped, whatever was running.

Change: policy/stop_schedule gives each step its part of the one bound. Once the notice is over (2.7 s of 8), a request is accepted only if its own time limit passes before the work ends; the limit of an earlier one is cut to that moment, for retries and for what servers are told. At that moment the remaining exchanges are ended here and refused, as not run only where that is true; servers get no blame. The lease is released and usage recorded beside these steps, and the process ends in time even if the store does not answer. Connections in the kernel's backlog are taken before the listener closes, and the process waits for them.

Why it works: nothing is accepted any more that can outlast the stop and is not excused by having come with the notice, and whoever remains gets a response while 0.6 s are left.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -25,11 +25,9 @@
 constexpr duration max_acquisition_jitter = std::chrono::seconds(1);
 /// Interval between two checks whether the settings file has changed.
 constexpr duration settings_check_interval = std::chrono::seconds(5);
-/// How long a stopping host still accepts requests: two readiness checks that are one second apart, and a margin.
-constexpr duration stop_notice = std::chrono::milliseconds(3500);
-/// How long before the end of the stop bound the process stops waiting for requests and ends.
-constexpr duration stop_margin = std::chrono::milliseconds(600);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+/// Longest sleep during a stop, because a timer does not count the time for which the host is suspended.
+constexpr duration max_stop_sleep = std::chrono::milliseconds(500);
 
 /// Time that live servers may need to register again, counted from the recovery of the store.
 constexpr duration max_reregistration_time = std::chrono::milliseconds(2000);
@@ -135,7 +133,7 @@
 }
 
 bool host_daemon::is_ready() const {
-    return !m_state.is_stopping && m_state.get_view() != nullptr && m_servers.is_loaded();
+    return !m_state.is_stopping() && m_state.get_view() != nullptr && m_servers.is_loaded();
 }
 
 void host_daemon::listen_to_signals() {
@@ -153,38 +151,73 @@
 }
 
 void host_daemon::stop() {
-    if (m_state.is_stopping) {
+    if (m_state.is_stopping()) {
         return;
     }
-    m_state.is_stopping = true;
+    const policy::stop_schedule schedule(m_clock.now_with_suspension(), m_settings.bounds.stop);
+    m_state.begin_stop(schedule);
     log_event("stopping").add("requests", m_entry_server.get_active_requests()).write(*m_log, spdlog::level::info);
     m_entry_server.disable_keep_alive();
-    co_spawn(m_loop, stop_gracefully(), detached);
+    // The store may be slow or away, so nothing waits for the release of the lease.
+    co_spawn(m_loop, release_lease(schedule.get_began_at()), detached);
+    co_spawn(m_loop, stop_gracefully(schedule), detached);
 }
 
-servers::asio::awaitable<void> host_daemon::stop_gracefully() {
-    const steady_time began_at = m_clock.now();
-    const steady_time last_moment = began_at + m_settings.bounds.stop - stop_margin;
-    co_await m_lease.resign();
-    log_event("lease_released").add("after_ms", m_clock.now() - began_at).write(*m_log, spdlog::level::info);
-    co_await servers::sleep_for(std::min(stop_notice, m_settings.bounds.stop / 2));
+servers::asio::awaitable<void> host_daemon::stop_gracefully(policy::stop_schedule schedule) {
+    co_await sleep_until(schedule.get_listen_end());
     m_entry_server.stop();
     log_event("listening_ended")
-        .add("after_ms", m_clock.now() - began_at)
+        .add("after_ms", m_clock.now_with_suspension() - schedule.get_began_at())
         .add("requests", m_entry_server.get_active_requests())
         .add("connections", m_entry_server.get_open_connections())
         .write(*m_log, spdlog::level::info);
-    while (m_entry_server.get_active_requests() > 0 && m_clock.now() < last_moment) {
+    co_await wait_for_connections(schedule.get_work_end());
+    log_event("work_ended")
+        .add("after_ms", m_clock.now_with_suspension() - schedule.get_began_at())
+        .add("requests", m_entry_server.get_active_requests())
+        .write(*m_log, spdlog::level::info);
+    m_state.end_work();
+    // No request begins to run from now on, so the counts are final.
+    co_spawn(m_loop, record_last_usage(), detached);
+    co_await wait_for_connections(schedule.get_response_end());
+    const auto is_store_done = [this] { return m_is_last_usage_recorded && m_is_lease_released; };
+    while (!is_store_done() && m_clock.now_with_suspension() < schedule.get_exit()) {
         co_await servers::sleep_for(stop_check_interval);
     }
-    co_await m_usage_recorder.record_last();
     log_event("stopped")
-        .add("after_ms", m_clock.now() - began_at)
+        .add("after_ms", m_clock.now_with_suspension() - schedule.get_began_at())
         .add("requests_cut_off", m_entry_server.get_active_requests())
+        .add("usage_recorded", m_is_last_usage_recorded)
         .write(*m_log, spdlog::level::info);
     m_loop.stop();
 }
 
+servers::asio::awaitable<void> host_daemon::wait_for_connections(steady_time until) {
+    // The server closes idle connections and takes those of its backlog only when this coroutine is suspended.
+    do {
+        co_await servers::sleep_for(stop_check_interval);
+    } while (m_entry_server.get_open_connections() > 0 && m_clock.now_with_suspension() < until);
+}
+
+servers::asio::awaitable<void> host_daemon::sleep_until(steady_time until) {
+    while (m_clock.now_with_suspension() < until) {
+        co_await servers::sleep_for(std::min(until - m_clock.now_with_suspension(), max_stop_sleep));
+    }
+}
+
+servers::asio::awaitable<void> host_daemon::release_lease(steady_time stop_began_at) {
+    co_await m_lease.resign();
+    m_is_lease_released = true;
+    log_event("lease_released")
+        .add("after_ms", m_clock.now_with_suspension() - stop_began_at)
+        .write(*m_log, spdlog::level::info);
+}
+
+servers::asio::awaitable<void> host_daemon::record_last_usage() {
+    co_await m_usage_recorder.record_last();
+    m_is_last_usage_recorded = true;
+}
+
 servers::asio::awaitable<void> host_daemon::run_maintenance() {
     steady_time next_check = m_clock.now() + settings_check_interval;
     for (;;) {
--- a/daemon/host_daemon.hpp
+++ b/daemon/host_daemon.hpp
@@ -51,7 +51,12 @@
 
 private:
     void listen_to_signals();
-    servers::asio::awaitable<void> stop_gracefully();
+    servers::asio::awaitable<void> stop_gracefully(policy::stop_schedule schedule);
+    /// Waits until no connection of a caller is left, or until `until` on the clock that includes suspension.
+    servers::asio::awaitable<void> wait_for_connections(steady_time until);
+    servers::asio::awaitable<void> sleep_until(steady_time until);
+    servers::asio::awaitable<void> release_lease(steady_time stop_began_at);
+    servers::asio::awaitable<void> record_last_usage();
     servers::asio::awaitable<void> run_maintenance();
     /// Reads the settings file again and applies the settings that need no restart.
     void reload();
@@ -90,6 +95,8 @@
     servers::http_server m_ready_server;
     servers::http_server m_metrics_server;
     boost::asio::signal_set m_signals;
+    bool m_is_lease_released{false};
+    bool m_is_last_usage_recorded{false};
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -286,7 +286,7 @@
 }
 
 bool host_gossip::is_group_leader() const {
-    return !m_state->is_stopping && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
+    return !m_state->is_stopping() && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
         const other_host& other = item.second;
         return other.is_own_group && other.last_received_at && !other.is_stopping && item.first < m_options.host;
     });
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -152,6 +152,7 @@
         std::min(options.progress_timeout,
                  (backlog + choice.prefill_duration) * prefill_timeout_factor + prefill_timeout_margin);
     backend_exchange exchange(get_state().connections, attempt.address, options);
+    const serving_state::running_exchange registration(get_state(), exchange);
     const policy::stall_detector::pending_request pending =
         get_state().stalls.track(engine, sent_at, backlog + choice.prefill_duration);
     std::optional<exchange_failed_error> failure;
@@ -220,6 +221,7 @@
         attempt.last_event_id = m_events.get_last_id();
     }
     try {
+        require_time_left();
         // Other requests may have shown during the prefill that a part crashes engines.
         require_no_blamed_part(get_state(), get_caller_request(), get_outcome());
         if (m_was_generation_sent) {
@@ -237,6 +239,7 @@
     get_state().notify_load_change();
     const generation_guard load_guard(get_state(), get_request().service, engine, m_needed_tokens);
     backend_exchange exchange(get_state().connections, attempt.address, make_exchange_options(engine));
+    const serving_state::running_exchange registration(get_state(), exchange);
     std::optional<exchange_failed_error> failure;
     response_kind kind = response_kind::invalid;
     bool has_head = false;
--- a/servers/http_server.cpp
+++ b/servers/http_server.cpp
@@ -65,7 +65,7 @@
         m_port = m_acceptor.local_endpoint().port();
     }
 
-    asio::awaitable<void> accept(std::shared_ptr<shared_state> self) {
+    asio::awaitable<void> accept(std::shared_ptr<shared_state> /*self*/) {
         while (!m_is_stopping) {
             error_code fault;
             worker_state& worker = m_workers[m_next_worker++ % m_workers.size()];
@@ -75,8 +75,27 @@
                 co_await sleep_for(accept_retry_delay);
                 continue;
             }
-            socket.set_option(tcp::no_delay(true), fault);
-            asio::co_spawn(*worker.context, serve(self, worker, std::move(socket)), asio::detached);
+            start_serving(worker, std::move(socket));
+        }
+    }
+
+    void start_serving(worker_state& worker, tcp::socket socket) {
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(*worker.context, serve(shared_from_this(), worker, std::move(socket)), asio::detached);
+    }
+
+    /// Accepts the connections that the kernel has already established, because closing the listener resets them.
+    void accept_backlog() {
+        error_code fault;
+        m_acceptor.non_blocking(true, fault);
+        while (!fault) {
+            worker_state& worker = m_workers[m_next_worker++ % m_workers.size()];
+            tcp::socket socket(*worker.context);
+            m_acceptor.accept(socket, fault);
+            if (!fault) {
+                start_serving(worker, std::move(socket));
+            }
         }
     }
 
@@ -245,6 +264,7 @@
         });
     }
     asio::post(m_state->m_acceptor.get_executor(), [state = m_state] {
+        state->accept_backlog();
         error_code ignored;
         state->m_acceptor.close(ignored);
     });
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -69,6 +69,7 @@
     const serving_state::in_flight_guard in_flight(get_state(), server);
     const dispatch attempt = make_dispatch(server);
     backend_exchange exchange(get_state().connections, attempt.address, make_exchange_options(server));
+    const serving_state::running_exchange registration(get_state(), exchange);
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> response;
     response_kind kind = response_kind::invalid;
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -17,6 +17,8 @@
 
 /// Retry-After when this host has no configuration yet.
 constexpr duration not_ready_retry_after = std::chrono::milliseconds(500);
+/// Retry-After while this host stops. It is short because other hosts serve the request.
+constexpr duration stopping_retry_after = std::chrono::milliseconds(100);
 /// Retry-After for a request that has crashed servers. It is long because the request is unlikely to succeed soon.
 constexpr duration quarantine_retry_after = std::chrono::minutes(1);
 
@@ -60,6 +62,14 @@
     }
 }
 
+/// Throws `request_refused` when this process stops and the request might still run at the end of its work.
+void require_end_before_stop(const serving_state& state, duration time_limit) {
+    if (!state.may_accept(time_limit)) {
+        throw request_refused(policy::refusal_reason::stopping, policy::request_outcome::not_run,
+                              "this host is shutting down", stopping_retry_after);
+    }
+}
+
 /// Returns a random service of the route, weighted by share.
 const service_name& choose_service(const fleet::route& route) {
     const std::uint64_t total =
@@ -130,6 +140,7 @@
     if (incoming.caller_timeout) {
         time_limit = std::min(time_limit, *incoming.caller_timeout);
     }
+    require_end_before_stop(state, time_limit);
     serving_request::accepted_request request{
         .request = &incoming,
         .view = view,
@@ -146,11 +157,19 @@
     return std::make_unique<instance_request>(state, std::move(request), record);
 }
 
+duration serving_request::get_time_left() const {
+    return std::min(m_request.deadline - m_state->time.now(), m_state->get_work_time_left());
+}
+
 void serving_request::require_time_left() const {
-    if (get_time_left() <= duration::zero()) {
+    if (m_request.deadline <= m_state->time.now()) {
         throw request_refused(policy::refusal_reason::deadline_exceeded, get_outcome(),
                               "the deadline of this request has passed");
     }
+    if (m_state->get_work_time_left() <= duration::zero()) {
+        throw request_refused(policy::refusal_reason::stopping, get_outcome(), "this host is shutting down",
+                              stopping_retry_after);
+    }
 }
 
 void serving_request::require_retry_budget(policy::retry_reason reason) {
@@ -185,10 +204,11 @@
     const backend_codec* codec = &m_state->codec;
     const fleet::listed_server* listed = m_state->directory.find(server);
     const auto incarnation = static_cast<std::uint64_t>(listed == nullptr ? 0 : listed->record.started_at_ms);
+    const duration time_left = get_time_left();
     return {
         .may_reuse_connection = m_contacted.insert(server).second,
-        .progress_timeout = std::max(duration::zero(), get_time_left()),
-        .deadline = m_request.deadline,
+        .progress_timeout = std::max(duration::zero(), time_left),
+        .deadline = m_state->time.now() + time_left,
         .accepts_unframed_response = true,
         .is_matching_response =
             [incoming, codec](const http::response_header<>& head) { return codec->is_response_to(*incoming, head); },
@@ -205,7 +225,9 @@
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure,
                                      std::vector<policy::prompt_part_id> waiting_parts) const {
-    if (failure.get_reason() == policy::retry_reason::server_left) {
+    // An exchange that this process ended because it stops says nothing of the server.
+    const bool was_ended_here = m_state->get_work_time_left() <= duration::zero();
+    if (failure.get_reason() == policy::retry_reason::server_left || was_ended_here) {
         return;
     }
     const bool is_unreachable = failure.get_phase() == exchange_phase::before_send;
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -47,9 +47,10 @@
     [[nodiscard]] const accepted_request& get_request() const noexcept { return m_request; }
     [[nodiscard]] const caller_request& get_caller_request() const noexcept { return *m_request.request; }
     [[nodiscard]] request_record& get_record() const noexcept { return *m_record; }
-    [[nodiscard]] duration get_time_left() const { return m_request.deadline - m_state->time.now(); }
+    /// Returns how long the request may still run: until its deadline, or until this process ends its work.
+    [[nodiscard]] duration get_time_left() const;
 
-    /// Throws `request_refused` when the deadline has passed.
+    /// Throws `request_refused` when no time is left.
     void require_time_left() const;
     /// Takes one retry from the retry budget of the service. Throws `request_refused` when the budget is exhausted.
     void require_retry_budget(policy::retry_reason reason);
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -7,6 +7,7 @@
 #include "core/hash.hpp"
 #include "core/log.hpp"
 #include "core/log_event.hpp"
+#include "servers/backend_exchange.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -43,6 +44,29 @@
     return wall_time(time.now_with_suspension().time_since_epoch() + m_corrected_offset);
 }
 
+bool serving_state::may_accept(duration time_left) const {
+    return !m_stop || m_stop->may_accept(time.now_with_suspension(), time_left);
+}
+
+duration serving_state::get_work_time_left() const {
+    return m_stop ? m_stop->get_work_end() - time.now_with_suspension() : duration::max();
+}
+
+void serving_state::end_work() {
+    for (backend_exchange* exchange : m_running_exchanges) {
+        exchange->cancel();
+    }
+}
+
+serving_state::running_exchange::running_exchange(serving_state& state, backend_exchange& exchange)
+    : m_state(&state), m_exchange(&exchange) {
+    m_state->m_running_exchanges.insert(m_exchange);
+}
+
+serving_state::running_exchange::~running_exchange() {
+    m_state->m_running_exchanges.erase(m_exchange);
+}
+
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
     m_view = std::move(view);
     refresh_servers();
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -18,6 +18,7 @@
 #include "policy/server_announcements.hpp"
 #include "policy/server_health.hpp"
 #include "policy/stall_detector.hpp"
+#include "policy/stop_schedule.hpp"
 #include "policy/usage_counter.hpp"
 #include "policy/usage_delegation.hpp"
 #include "servers/backend_codec.hpp"
@@ -28,6 +29,8 @@
 
 namespace dragonflywell::servers {
 
+class backend_exchange;
+
 struct serving_options {
     std::string own_host;
     zone_name own_zone;
@@ -127,6 +130,33 @@
     [[nodiscard]] duration get_configuration_age() const { return time.now() - m_configuration_current_at; }
     [[nodiscard]] duration get_servers_age() const { return time.now() - m_servers_current_at; }
 
+    /// Begins a graceful stop: requests are accepted and ended as the schedule says.
+    void begin_stop(const policy::stop_schedule& schedule) noexcept { m_stop = schedule; }
+    [[nodiscard]] bool is_stopping() const noexcept { return m_stop.has_value(); }
+    /// Returns whether a request that arrives now and takes at most `time_left` may be accepted.
+    [[nodiscard]] bool may_accept(duration time_left) const;
+    /// Returns how long requests may still run until they are ended because the process stops; the largest duration
+    /// while it does not stop.
+    [[nodiscard]] duration get_work_time_left() const;
+    /// Ends the exchanges of all requests, so that each request is refused at once. Called at the end of the work of
+    /// the schedule.
+    void end_work();
+
+    /// Registers the exchange of a request during its lifetime, so that `end_work` can end it.
+    class running_exchange {
+    public:
+        running_exchange(serving_state& state, backend_exchange& exchange);
+        running_exchange(const running_exchange&) = delete;
+        running_exchange& operator=(const running_exchange&) = delete;
+        running_exchange(running_exchange&&) = delete;
+        running_exchange& operator=(running_exchange&&) = delete;
+        ~running_exchange();
+
+    private:
+        serving_state* m_state;
+        backend_exchange* m_exchange;
+    };
+
     /// Returns the time of day as corrected by other hosts. It does not follow later changes of the wall clock.
     [[nodiscard]] wall_time get_corrected_time() const;
     /// Adds an offset that was derived from the clocks of other hosts.
@@ -173,7 +203,6 @@
     std::set<backend_server_name> probed_servers;
     request_counters counters;
     std::shared_ptr<spdlog::logger> log;
-    bool is_stopping{false};
     /// Called when the load that this host puts on backend servers has changed; may be empty.
     std::function<void()> on_load_change;
     /// Prompts sent to engines since the last digest to other hosts.
@@ -209,6 +238,8 @@
     /// Number of hosts that share the retry budgets; zero until it is known.
     std::size_t m_host_count{0};
     instance_counts m_own_in_flight;
+    std::optional<policy::stop_schedule> m_stop;
+    std::set<backend_exchange*> m_running_exchanges;
     /// Groups of prompt parts whose blame was logged.
     std::set<std::set<policy::prompt_part_id>> m_logged_blamed_parts;
 };
