--- a/tests/platform/test_blocking_http_client.cpp
+++ b/tests/platform/test_blocking_http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -19,15 +20,18 @@
 
 namespace {
 
-/// A server that responds to one request per connection and then closes the connection without announcing it in a
-/// `Connection: close` header.
+/// A server that responds to one request per connection, with a body that is the number of the connection, and then
+/// closes the connection without announcing it in a `Connection: close` header. After extra bytes it keeps the
+/// connection open until the client closes it.
 class closing_server {
 public:
-    explicit closing_server(int connections)
-        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+    /// `extra`: bytes that are sent after each response.
+    explicit closing_server(int connections, std::string extra = "")
+        : m_extra(std::move(extra)),
+          m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
           m_thread([this, connections] {
               for (int count = 0; count < connections; ++count) {
-                  serve_one();
+                  serve_one(count);
               }
           }) {}
     closing_server(const closing_server&) = delete;
@@ -51,7 +55,7 @@
     }
 
 private:
-    void serve_one() {
+    void serve_one(int number) {
         tcp::socket socket = m_acceptor.accept();
         std::string request;
         boost::system::error_code fault;
@@ -59,8 +63,13 @@
         if (fault) {
             return;
         }
-        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number) + m_extra;
         boost::asio::write(socket, boost::asio::buffer(response));
+        if (!m_extra.empty()) {
+            std::string ignored;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(ignored), fault);
+            return;
+        }
         socket.shutdown(tcp::socket::shutdown_send);
         wait_until_close_has_arrived(socket);
         m_closed.release();
@@ -76,6 +85,7 @@
         } while (info.tcpi_state == TCP_FIN_WAIT1);
     }
 
+    std::string m_extra;
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
     std::counting_semaphore<> m_closed{0};
@@ -91,9 +101,16 @@
 TEST_CASE("a connection that the server closed while it was idle is replaced before the next request") {
     closing_server server(2);
     platform::blocking_http_client client({.server = server.get_endpoint()});
-    CHECK(get(client).body == "ok");
+    CHECK(get(client).body == "0");
     server.wait_for_close();
-    CHECK(get(client).body == "ok");
+    CHECK(get(client).body == "1");
+}
+
+TEST_CASE("bytes that follow a response are not taken for the response to the next request") {
+    closing_server server(2, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    platform::blocking_http_client client({.server = server.get_endpoint()});
+    CHECK(get(client).body == "0");
+    CHECK(get(client).body == "1");
 }
 
 TEST_CASE("a refused connection is reported as not sent, and a missing response as sent") {
