The soak's servers count a stream for billing when they make its first event

Cause: the check compares the reports with what the stand-in servers counted, and these counted each request on arrival. The protocol says that a window holds the requests that began to run in it, with their first token, and that a request starts to run with its first token. For a stream that is its first event, which may fall into the next window; the hosts count there. The check was wrong in this place.

Change: the checker records taking a request and its start apart. A request is still recorded as taken on arrival, before any fault is drawn, with the same checks (sent twice, run for another organisation, run after a promise that it was not). Its start is counted once: for plain requests on arrival, as before, for streams when the first event is made, before it is written. The bound (2 requests or 5 in 100) is unchanged and every started request is compared, so the check is as strict; a stream that is reset before its first event began in no window and is no longer counted in one.

--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -32,12 +32,16 @@
 
 void invariant_checker::add_request(const std::string& id, request_kind kind, const std::string& organisation,
                                     bool is_owed) {
-    m_requests[id] = {
-        .kind = kind, .organisation = organisation, .runs = 0, .is_guaranteed_not_run = false, .is_owed = is_owed};
+    m_requests[id] = {.kind = kind,
+                      .organisation = organisation,
+                      .runs = 0,
+                      .has_started = false,
+                      .is_guaranteed_not_run = false,
+                      .is_owed = is_owed};
     m_owed += is_owed ? 1 : 0;
 }
 
-void invariant_checker::add_run(const std::string& id, const std::string& organisation, std::int64_t window) {
+void invariant_checker::add_run(const std::string& id, const std::string& organisation) {
     const auto found = m_requests.find(id);
     if (found == m_requests.end()) {
         add_violation(fmt::format("a backend server runs {}, which no caller has sent", id));
@@ -54,9 +58,15 @@
     if (state.is_guaranteed_not_run && !may_run_again(state.kind)) {
         add_violation(fmt::format("{} runs after its caller received a response that it has not run", id));
     }
-    if (state.runs == 1) {
-        ++m_actual_counts[window][organisation];
+}
+
+void invariant_checker::add_start(const std::string& id, const std::string& organisation, std::int64_t window) {
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second.has_started) {
+        return;
     }
+    found->second.has_started = true;
+    ++m_actual_counts[window][organisation];
 }
 
 void invariant_checker::add_not_run_guarantee(const std::string& id) {
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -33,8 +33,11 @@
 
     /// Records a request that a caller sends. `is_owed`: the request must be served, because its key is valid.
     void add_request(const std::string& id, request_kind kind, const std::string& organisation, bool is_owed);
-    /// Records that a backend server begins to run a request of that organisation in that usage window.
-    void add_run(const std::string& id, const std::string& organisation, std::int64_t window);
+    /// Records that a backend server has taken a request of that organisation and will run it.
+    void add_run(const std::string& id, const std::string& organisation);
+    /// Records that a request of that organisation begins to run, for a stream with its first event, in that usage
+    /// window. Only the first call for a request counts.
+    void add_start(const std::string& id, const std::string& organisation, std::int64_t window);
     /// Records that a caller received a response that guarantees that its request has not run and never will.
     void add_not_run_guarantee(const std::string& id);
     void add_served(const std::string& id);
@@ -72,6 +75,7 @@
         request_kind kind{};
         std::string organisation;
         int runs{0};
+        bool has_started{false};
         bool is_guaranteed_not_run{false};
         bool is_owed{true};
     };
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -175,15 +175,19 @@
         }
         m_prompts->erase(prompt);
     }
-    m_checker->add_run(id, get(request, "Dragonflywell-Tenant"), get_window());
+    const std::string organisation = get(request, "Dragonflywell-Tenant");
+    m_checker->add_run(id, organisation);
+    const request_kind kind = get_kind(request);
+    const bool is_stream = kind == request_kind::stream || kind == request_kind::resumable_stream;
+    if (!is_stream) {
+        m_checker->add_start(id, organisation, get_window());
+    }
     if (draw_bool(fault_fraction / 2)) {
         connection.reset();
         co_return;
     }
-    const request_kind kind = get_kind(request);
-    if (kind == request_kind::stream || kind == request_kind::resumable_stream) {
-        const std::string last = get(request, "Last-Event-Id");
-        co_await send_stream(id, last.empty() ? 1 : std::stoi(last) + 1, connection);
+    if (is_stream) {
+        co_await send_stream(request, connection);
         co_return;
     }
     constexpr int min_length_ms = 2;
@@ -198,8 +202,11 @@
     co_await connection.write(std::move(bytes));
 }
 
-asio::awaitable<void> soak_server::send_stream(const std::string& id, int first, raw_connection& connection) {
+asio::awaitable<void> soak_server::send_stream(const http_request& request, raw_connection& connection) {
     constexpr duration request_interval = std::chrono::milliseconds(25);
+    const std::string id = get(request, "Dragonflywell-Attempt-Id");
+    const std::string last = get(request, "Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
     std::string head = fmt::format("HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: {}\r\n{}"
                                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
                                    id, get_notice() + make_seal(id));
@@ -211,6 +218,7 @@
             connection.reset();
             co_return;
         }
+        m_checker->add_start(id, get(request, "Dragonflywell-Tenant"), get_window());
         std::string event = make_chunk(make_expected_event(id, number));
         co_await connection.write(std::move(event));
         co_await servers::sleep_for(request_interval);
