The store stand-in names its era in every response and can return from an older copy

The stand-in only grew, so no test could meet a store that loses acknowledged records. It now sends Store-Era with every response (a test can set it, replace it by other text or leave it out), keeps a copy of its topics and returns to it with a higher era.

--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -73,9 +73,10 @@
     const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
     const std::string name = get_parameter(request, "topic");
     const std::uint64_t from = get_number(request, "from").value_or(0);
+    const std::uint64_t era = get_era();
     const auto has_news = [&] {
         const std::scoped_lock lock(m_mutex);
-        return m_topics[name].records.size() > from;
+        return m_topics[name].records.size() != from || m_era != era;
     };
     while (wait_ms > 0 && !has_news() && std::chrono::steady_clock::now() < give_up_at && !caller.is_disconnected()) {
         co_await servers::sleep_for(poll_interval);
@@ -87,6 +88,12 @@
 servers::http_response store_standin::make_response(const servers::http_request& request) {
     const std::scoped_lock lock(m_mutex);
     ++m_calls;
+    servers::http_response response = make_call_response(request);
+    set_era_header(response);
+    return response;
+}
+
+servers::http_response store_standin::make_call_response(const servers::http_request& request) {
     if (m_is_refusing) {
         return make_json_response(503, "{}");
     }
@@ -126,7 +133,7 @@
 }
 
 servers::http_response store_standin::read(const topic& log, std::uint64_t from) const {
-    if (from < log.first) {
+    if (from < log.first || from > log.records.size()) {
         return make_json_response(410, boost::json::serialize(boost::json::object{{"firstOffset", log.first}}));
     }
     std::string body = encode_big_endian(log.records.size(), offset_bytes) + encode_big_endian(log.first, offset_bytes);
@@ -172,6 +179,54 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+void store_standin::take_copy() {
+    const std::scoped_lock lock(m_mutex);
+    m_copy = m_topics;
+}
+
+void store_standin::restore(std::uint64_t eras) {
+    const std::scoped_lock lock(m_mutex);
+    m_topics = m_copy;
+    m_era += eras;
+}
+
+void store_standin::restore_to(const std::map<std::string, std::size_t>& kept_records, std::uint64_t eras) {
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& [name, kept] : kept_records) {
+        topic& log = m_topics[name];
+        log.records.resize(std::min(log.records.size(), kept));
+        log.first = std::min<std::uint64_t>(log.first, kept);
+    }
+    m_era += eras;
+}
+
+void store_standin::set_era(std::uint64_t era) {
+    const std::scoped_lock lock(m_mutex);
+    m_era = era;
+}
+
+void store_standin::set_era_text(std::string text) {
+    const std::scoped_lock lock(m_mutex);
+    m_era_text = std::move(text);
+}
+
+std::uint64_t store_standin::get_era() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_era;
+}
+
+void store_standin::add_era(servers::http_response& response) const {
+    const std::scoped_lock lock(m_mutex);
+    set_era_header(response);
+}
+
+void store_standin::set_era_header(servers::http_response& response) const {
+    const std::string text = m_era_text.value_or(std::to_string(m_era));
+    if (!text.empty()) {
+        response.set("Store-Era", text);
+    }
+}
+
 void store_standin::set_refusing(bool is_refusing) {
     const std::scoped_lock lock(m_mutex);
     m_is_refusing = is_refusing;
--- a/tests/standin/store_standin.hpp
+++ b/tests/standin/store_standin.hpp
@@ -25,6 +25,22 @@
     /// Drops all records except the newest of each key.
     void drop_history(const std::string& topic);
 
+    /// Keeps a copy of all topics as they are, in place of the previous copy.
+    void take_copy();
+    /// Sets all topics back to the copy and raises the era. Without a copy, all topics are empty afterwards.
+    void restore(std::uint64_t eras = 1);
+    /// Drops the records of the named topics beyond the given numbers of records, and raises the era. Other topics keep
+    /// all their records.
+    void restore_to(const std::map<std::string, std::size_t>& kept_records, std::uint64_t eras = 1);
+
+    /// Sets the era that every response names in the header `Store-Era`.
+    void set_era(std::uint64_t era);
+    /// Makes every response carry this text in place of the era. An empty text leaves the header out.
+    void set_era_text(std::string text);
+    [[nodiscard]] std::uint64_t get_era() const;
+    /// Adds the header with the era to a response that is made in front of this stand-in.
+    void add_era(servers::http_response& response) const;
+
     /// Makes the listing of a topic return its present state from now on, like a replica that lags behind.
     void freeze_listing(const std::string& topic);
     void thaw_listing(const std::string& topic);
@@ -53,6 +69,9 @@
     };
 
     [[nodiscard]] servers::http_response make_response(const servers::http_request& request);
+    [[nodiscard]] servers::http_response make_call_response(const servers::http_request& request);
+    /// Precondition: the caller holds the mutex.
+    void set_era_header(servers::http_response& response) const;
     [[nodiscard]] servers::http_response append(topic& log, const std::string& body, std::optional<std::uint64_t> at);
     [[nodiscard]] servers::http_response read(const topic& log, std::uint64_t from) const;
     [[nodiscard]] static servers::http_response list(const topic& log, const std::string& after);
@@ -61,6 +80,10 @@
     std::map<std::string, topic> m_topics;
     /// State of the topics at the time when their listing was frozen.
     std::map<std::string, topic> m_frozen;
+    std::map<std::string, topic> m_copy;
+    std::uint64_t m_era{1};
+    /// Replaces the number of the era in responses.
+    std::optional<std::string> m_era_text;
     std::uint64_t m_calls{0};
     bool m_is_refusing{false};
     std::size_t m_page_records{1000};
