The soak's store can return from an older copy; hosts' versions of the configuration are checked

The soak's store only grew, so the soak could not meet a store that loses what it has acknowledged.

A new check reads each host's metrics: a process must not go back to an older version, and a version that the store acknowledged more than 2 s ago must be in use, unless an unplanned fault is in progress or ended less than 3 s ago. That a window is not reported twice with different figures was checked before; usage is compared only in windows that begin after the recovery from a restore.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -37,6 +37,8 @@
     add("hosts", options::value<std::size_t>()->default_value(4), "number of daemons");
     add("engines", options::value<std::size_t>()->default_value(6), "number of engines");
     add("callers", options::value<std::size_t>()->default_value(12), "number of callers");
+    add("restores", options::value<std::size_t>()->default_value(0),
+        "number of returns of the store from an older copy");
     add("daemon", options::value<std::string>()->required(), "path of the daemon program");
     add("folder", options::value<std::string>()->default_value("/tmp/dragonflywell-soak"),
         "folder for settings and logs");
@@ -61,6 +63,7 @@
                             .hosts = values["hosts"].as<std::size_t>(),
                             .engines = values["engines"].as<std::size_t>(),
                             .callers = values["callers"].as<std::size_t>(),
+                            .restores = values["restores"].as<std::size_t>(),
                             .program = values["daemon"].as<std::string>(),
                             .folder = folder});
         const soak::soak_result result = one.run();
--- a/tests/soak/soak_host.hpp
+++ b/tests/soak/soak_host.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] bool is_running() { return m_process && m_process->is_running(); }
     [[nodiscard]] const endpoint& get_callers() const noexcept { return m_callers; }
     [[nodiscard]] const endpoint& get_ready() const noexcept { return m_ready; }
+    [[nodiscard]] const endpoint& get_metrics() const noexcept { return m_metrics; }
     [[nodiscard]] const std::string& get_name() const noexcept { return m_options.name; }
     [[nodiscard]] int get_start_count() const noexcept { return m_start_count; }
 
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -11,10 +11,13 @@
 namespace {
 
 constexpr duration response_delay = std::chrono::milliseconds(300);
+constexpr duration away_poll_interval = std::chrono::milliseconds(10);
 constexpr duration unresponsive_time = std::chrono::seconds(20);
 /// In the state `loses_responses`, a call whose number is a multiple of this and that is a write takes effect but gets
 /// no response.
 constexpr std::uint64_t lost_write_interval = 3;
+constexpr const char* operator_topic = "keyed.op";
+constexpr const char* servers_topic = "keyed.servers";
 constexpr unsigned status_busy = 503;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_ok = 200;
@@ -42,10 +45,17 @@
 
 servers::asio::awaitable<void> faulty_store::handle(servers::http_request request, servers::caller_channel& caller) {
     ++m_calls;
+    if (is_away) {
+        while (is_away) {
+            co_await servers::sleep_for(away_poll_interval);
+        }
+        throw servers::caller_disconnected_error("the store is away");
+    }
     const bool is_write = request.method() == servers::http::verb::post;
     switch (state) {
     case store_state::busy: {
         servers::http_response refusal = standin::make_json_response(status_busy, "{}");
+        inner.add_era(refusal);
         co_await caller.send(std::move(refusal));
         co_return;
     }
@@ -140,11 +150,52 @@
                                        {"maxBodyBytes", 1048576},
                                        {"headerTimeoutMs", 5000},
                                        {"idleTimeoutMs", 20000}}}};
-    store.inner.put("keyed.op", "config", boost::json::serialize(document));
+    m_configurations.push_back(boost::json::serialize(document));
+    if (!m_is_restoring) {
+        write_configuration(m_configurations.back());
+    }
+}
+
+void soak_platform::write_configuration(const std::string& document) {
+    store.inner.put(operator_topic, "config", document);
+    m_on_published(boost::json::parse(document).at("version").to_number<std::uint64_t>());
+}
+
+void soak_platform::begin_restore() {
+    store.is_away = true;
+    m_is_restoring = true;
+}
+
+void soak_platform::finish_restore() {
+    store.inner.restore();
+    store.is_away = false;
+}
+
+void soak_platform::rewrite_configurations(bool is_newest_only) {
+    const std::size_t kept = store.inner.get_history(operator_topic).size();
+    std::vector<std::string> lost(m_configurations.begin() + static_cast<std::ptrdiff_t>(kept), m_configurations.end());
+    if (is_newest_only && !lost.empty()) {
+        lost.erase(lost.begin(), lost.end() - 1);
+    }
+    m_configurations.resize(kept);
+    for (const std::string& document : lost) {
+        m_configurations.push_back(document);
+        write_configuration(document);
+    }
+    m_is_restoring = false;
+}
+
+void soak_platform::rewrite_servers() {
+    for (const auto& [id, entry] : m_entries) {
+        if (store.inner.get(servers_topic, id).value_or("") != entry) {
+            store.inner.put(servers_topic, id, entry);
+        }
+    }
 }
 
 void soak_platform::put_server(const std::string& id, const std::string& entry) {
-    store.inner.put("keyed.servers", id, entry);
+    m_entries[id] = entry;
+    store.inner.put(servers_topic, id, entry);
 }
 
 endpoint soak_platform::get_store_endpoint() const {
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "servers/http_server.hpp"
 #include "soak/invariant_checker.hpp"
@@ -31,6 +33,8 @@
 
     standin::store_standin inner;
     store_state state{store_state::healthy};
+    /// Whether no call has an effect or gets a response.
+    bool is_away{false};
 
 private:
     std::uint64_t m_calls{0};
@@ -61,6 +65,15 @@
 
     /// Publishes a new configuration with the same routes and organisations and the given valid keys.
     void publish(const std::map<std::string, std::set<std::string>>& keys);
+    /// Calls `notify` with each version that the store has acknowledged.
+    void set_on_published(std::function<void(std::uint64_t)> notify) { m_on_published = std::move(notify); }
+    /// Makes the store unavailable until `finish_restore` lets it return from its copy.
+    void begin_restore();
+    void finish_restore();
+    /// Writes the configurations again that the restore has lost: all, or only the newest one.
+    void rewrite_configurations(bool is_newest_only);
+    /// Writes the newest entries of the backend servers again, as far as the restore has lost them.
+    void rewrite_servers();
     /// Writes the entry of a backend server to the store. An empty entry removes the server.
     void put_server(const std::string& id, const std::string& entry);
 
@@ -73,7 +86,15 @@
 private:
     servers::http_server m_store_server;
     servers::http_server m_reports_server;
+    void write_configuration(const std::string& document);
+
     std::uint64_t m_version{0};
+    std::function<void(std::uint64_t)> m_on_published{[](std::uint64_t) {}};
+    /// All configurations that the operator's topic contains once what was lost is written again.
+    std::vector<std::string> m_configurations;
+    std::map<std::string, std::string> m_entries;
+    /// Whether the operator writes nothing new, because the store is away or lacks older versions.
+    bool m_is_restoring{false};
 };
 
 } // namespace dragonflywell::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,6 +6,7 @@
 
 #include "core/log.hpp"
 #include "servers/sleep.hpp"
+#include "soak/http_probe.hpp"
 #include "support/event_loop.hpp"
 
 namespace dragonflywell::soak {
@@ -24,31 +25,29 @@
 constexpr duration checked_period = seconds(10);
 constexpr duration start_timeout = seconds(15);
 constexpr duration poll_interval = milliseconds(250);
-/// A draining server still serves requests for this long.
-constexpr duration drain_time = milliseconds(2600);
 /// Fraction of the owed requests in the final fault-free period that must be served.
 constexpr double min_served_fraction = 0.97;
 constexpr std::size_t organisation_count = 4;
 
 } // namespace
 
-/// One kind of fault or planned operation.
-struct soak_run::fault {
-    std::string name;
-    bool is_planned{false};
-    std::function<asio::awaitable<void>()> inject;
-};
-
 soak_run::soak_run(soak_options options)
-    : m_options(std::move(options)), m_random(m_options.seed), m_checker(m_time), m_platform(m_loop, m_checker) {
+    : m_options(std::move(options)), m_random(m_options.seed), m_checker(m_time), m_platform(m_loop, m_checker),
+      m_configurations(m_time, m_checker, [this] { return is_planned_only(); }),
+      m_restorer(m_platform, m_options.seed, [this] { publish(); }), m_restores_left(m_options.restores) {
+    m_platform.set_on_published([this](std::uint64_t version) { m_configurations.add_publication(version); });
     m_context = {.checker = &m_checker,
                  .random = &m_random,
                  .hosts = &m_hosts,
                  .revoked_at = &m_revoked_at,
-                 .is_planned_only = [this] { return m_unplanned_faults == 0 && m_checker.is_settled(settle_time); },
+                 .is_planned_only = [this] { return is_planned_only(); },
                  .is_over = false};
 }
 
+bool soak_run::is_planned_only() const {
+    return m_unplanned_faults == 0 && m_checker.is_settled(settle_time);
+}
+
 soak_result soak_run::run() {
     testing::run_until_done(m_loop, [this] { return run_phases(); });
     return {.violations = m_checker.get_violations(),
@@ -119,34 +118,24 @@
         for (const std::unique_ptr<soak_host>& host : m_hosts) {
             host->check_alive();
             asio::co_spawn(m_loop, check_ready(*host), asio::detached);
+            asio::co_spawn(m_loop, check_configuration(*host), asio::detached);
         }
         co_await servers::sleep_for(poll_interval);
     }
 }
 
 asio::awaitable<void> soak_run::check_ready(soak_host& host) {
-    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop);
-    asio::steady_timer timer(m_loop, poll_interval * 2);
-    timer.async_wait([socket](const servers::error_code& late) {
-        if (!late) {
-            servers::error_code ignored;
-            socket->close(ignored);
-        }
-    });
-    servers::error_code fault;
-    const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), host.get_ready().port);
-    co_await socket->async_connect(address, servers::store_error(fault));
-    servers::http::response<servers::http::string_body> response;
-    if (!fault) {
-        servers::http_request probe(servers::http::verb::get, "/-/ready", 11);
-        probe.set("Host", "ready");
-        co_await servers::http::async_write(*socket, probe, servers::store_error(fault));
-    }
-    if (!fault) {
-        servers::beast::flat_buffer buffer;
-        co_await servers::http::async_read(*socket, buffer, response, servers::store_error(fault));
+    const std::optional<std::string> page = co_await get_page(host.get_ready(), "/-/ready", poll_interval * 2);
+    host.is_ready = page.has_value();
+}
+
+asio::awaitable<void> soak_run::check_configuration(soak_host& host) {
+    const steady_time asked_at = m_time.now();
+    const int start_count = host.get_start_count();
+    const std::optional<std::string> page = co_await get_page(host.get_metrics(), "/metrics", poll_interval * 2);
+    if (page && host.get_start_count() == start_count) {
+        m_configurations.check(host.get_name(), start_count, *page, asked_at);
     }
-    host.is_ready = !fault && response.result() == servers::http::status::ok;
 }
 
 duration soak_run::draw_length(duration least, duration most) {
@@ -175,154 +164,6 @@
     publish();
 }
 
-asio::awaitable<void> soak_run::remove_server(soak_server& server, duration stays) {
-    co_await servers::sleep_for(stays);
-    server.leave();
-    server.crash();
-    co_await servers::sleep_for(seconds(1));
-    server.start();
-}
-
-std::vector<soak_run::fault> soak_run::make_faults() {
-    const auto hold = [this](duration least, duration most) { return servers::sleep_for(draw_length(least, most)); };
-    const auto store = [this, hold](store_state state) -> asio::awaitable<void> {
-        m_platform.store.state = state;
-        co_await hold(seconds(1), seconds(5));
-        m_platform.store.state = store_state::healthy;
-    };
-    const auto link = [hold](fault_proxy& proxy, link_state state) -> asio::awaitable<void> {
-        proxy.set_state(state);
-        co_await hold(seconds(1), seconds(4));
-        proxy.set_state(link_state::passes);
-    };
-    const auto draw_link_state = [this] {
-        return static_cast<link_state>(std::uniform_int_distribution<int>(1, 4)(m_random));
-    };
-    return {
-        {"host killed", false,
-         [this, hold]() -> asio::awaitable<void> {
-             soak_host& host = draw_host();
-             host.kill();
-             co_await hold(milliseconds(300), seconds(3));
-             host.start();
-         }},
-        {"all hosts killed", false,
-         [this, hold]() -> asio::awaitable<void> {
-             for (const auto& host : m_hosts) {
-                 host->kill();
-             }
-             co_await hold(milliseconds(300), seconds(1));
-             for (const auto& host : m_hosts) {
-                 host->start();
-             }
-         }},
-        {"host suspended", false,
-         [this, hold]() -> asio::awaitable<void> {
-             soak_host& host = draw_host();
-             host.suspend();
-             co_await hold(milliseconds(500), seconds(5));
-             host.resume();
-         }},
-        {"host stopped", true,
-         [this]() -> asio::awaitable<void> {
-             constexpr duration grace = seconds(8);
-             soak_host& host = draw_host();
-             host.terminate();
-             const steady_time last = m_time.now() + grace;
-             while (host.is_running() && m_time.now() < last) {
-                 co_await servers::sleep_for(poll_interval);
-             }
-             if (host.is_running() && m_checker.is_settled(grace)) {
-                 m_checker.add_violation(
-                     fmt::format("{} is still running at the end of its grace period", host.get_name()));
-             }
-             host.kill();
-             co_await servers::sleep_for(poll_interval);
-             host.start();
-         }},
-        {"settings reloaded", true,
-         [this]() -> asio::awaitable<void> {
-             draw_host().reload();
-             co_return;
-         }},
-        {"configurations published", true,
-         [this, hold]() -> asio::awaitable<void> {
-             for (int change = 0; change < 3; ++change) {
-                 publish();
-                 co_await hold(milliseconds(50), milliseconds(600));
-             }
-         }},
-        {"key revoked", true,
-         [this]() -> asio::awaitable<void> {
-             revoke_key();
-             co_return;
-         }},
-        {"server drained", true,
-         [this]() -> asio::awaitable<void> {
-             soak_server& server = draw_server();
-             if (server.is_running() && !server.is_draining()) {
-                 server.drain();
-                 co_await remove_server(server, drain_time + seconds(1));
-             }
-         }},
-        {"server crashed", false,
-         [this, hold]() -> asio::awaitable<void> {
-             soak_server& server = draw_server();
-             server.crash();
-             co_await hold(milliseconds(300), seconds(4));
-             if (!server.is_running()) {
-                 server.start();
-             }
-         }},
-        {"server misbehaves", false,
-         [this, hold]() -> asio::awaitable<void> {
-             constexpr double share = 0.4;
-             soak_server& server = draw_server();
-             server.fault_fraction = share;
-             co_await hold(seconds(2), seconds(5));
-             server.fault_fraction = 0;
-         }},
-        {"server's link fails", false,
-         [this, link, draw_link_state] { return link(draw_server().link, draw_link_state()); }},
-        {"server's connections reset", false,
-         [this]() -> asio::awaitable<void> {
-             draw_server().link.reset_connections();
-             co_return;
-         }},
-        {"server's connections blackholed", false,
-         [this]() -> asio::awaitable<void> {
-             draw_server().link.blackhole_connections();
-             co_return;
-         }},
-        {"store's link fails", false,
-         [this, link, draw_link_state] { return link(draw_host().store_link, draw_link_state()); }},
-        {"store's connections blackholed", false,
-         [this]() -> asio::awaitable<void> {
-             draw_host().store_link.blackhole_connections();
-             co_return;
-         }},
-        {"reports' link fails", false,
-         [this, link, draw_link_state] { return link(draw_host().reports_link, draw_link_state()); }},
-        {"store busy", false, [store] { return store(store_state::busy); }},
-        {"store unresponsive", false, [store] { return store(store_state::unresponsive); }},
-        {"store slow", false, [store] { return store(store_state::slow); }},
-        {"store loses responses", false, [store] { return store(store_state::loses_responses); }},
-        {"store drops history", false,
-         [this]() -> asio::awaitable<void> {
-             for (const char* topic : {"keyed.op", "keyed.servers", "keyed.dw-lease", "keyed.dw-hosts"}) {
-                 m_platform.store.inner.drop_history(topic);
-             }
-             co_return;
-         }},
-        {"reports refused", false,
-         [this, hold]() -> asio::awaitable<void> {
-             m_platform.reports.is_unavailable = true;
-             co_await hold(seconds(1), seconds(4));
-             m_platform.reports.is_unavailable = false;
-         }},
-    };
-}
-
 asio::awaitable<void> soak_run::inject_fault(const fault& chosen) {
     // The coroutine owns a copy, because the list from which the fault was chosen may be destroyed before it ends.
     const fault own = chosen;
@@ -337,8 +178,20 @@
     }
 }
 
+asio::awaitable<void> soak_run::restore_store() {
+    for (; m_restores_left > 0; --m_restores_left) {
+        co_await m_restorer.prepare();
+        // An unplanned fault: usage is judged only in windows that begin after the recovery from it.
+        const fault restore{
+            .name = "store restored", .is_planned = false, .inject = [this] { return m_restorer.restore(); }};
+        ++m_fault_counts[restore.name];
+        co_await inject_fault(restore);
+    }
+}
+
 asio::awaitable<void> soak_run::inject_faults() {
     co_await servers::sleep_for(seconds(2));
+    asio::co_spawn(m_loop, restore_store(), asio::detached);
     const std::vector<fault> faults = make_faults();
     const steady_time last = m_time.now() + m_options.faults;
     while (m_time.now() < last) {
@@ -350,7 +203,7 @@
 }
 
 asio::awaitable<void> soak_run::check_recovery() {
-    while (m_unplanned_faults > 0) {
+    while (m_unplanned_faults > 0 || m_restores_left > 0) {
         m_checker.record_unplanned_fault();
         co_await servers::sleep_for(poll_interval);
     }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -6,11 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "soak/configuration_checker.hpp"
 #include "soak/invariant_checker.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_host.hpp"
 #include "soak/soak_platform.hpp"
 #include "soak/soak_server.hpp"
+#include "soak/store_restorer.hpp"
 
 namespace dragonflywell::soak {
 
@@ -22,6 +24,8 @@
     std::size_t engines{6};
     std::size_t instances{3};
     std::size_t callers{12};
+    /// Number of times that the store returns from an older copy.
+    std::size_t restores{0};
     std::string program;
     std::string folder;
 };
@@ -45,18 +49,26 @@
     [[nodiscard]] soak_result run();
 
 private:
-    struct fault;
+    /// One kind of fault or planned operation.
+    struct fault {
+        std::string name;
+        bool is_planned{false};
+        std::function<asio::awaitable<void>()> inject;
+    };
 
     asio::awaitable<void> run_phases();
     asio::awaitable<void> wait_until_ready();
     asio::awaitable<void> inject_faults();
+    asio::awaitable<void> restore_store();
     asio::awaitable<void> check_recovery();
     asio::awaitable<void> watch_hosts();
     asio::awaitable<void> check_ready(soak_host& host);
+    asio::awaitable<void> check_configuration(soak_host& host);
     asio::awaitable<void> inject_fault(const fault& chosen);
     asio::awaitable<void> remove_server(soak_server& server, duration stays);
 
     [[nodiscard]] std::vector<fault> make_faults();
+    [[nodiscard]] bool is_planned_only() const;
     void publish();
     void revoke_key();
     [[nodiscard]] duration draw_length(duration least, duration most);
@@ -79,6 +91,9 @@
     soak_caller_context m_context;
     /// Number of unplanned faults in progress.
     int m_unplanned_faults{0};
+    configuration_checker m_configurations;
+    store_restorer m_restorer;
+    std::size_t m_restores_left;
 };
 
 } // namespace dragonflywell::soak
