The soak sends long requests late into a stop of a host and checks that none ends without an answer

The soak's requests ended within 3 s, so that none could outlast the grace period of a host, and a connection that closed before the head of a response was never a violation. In each run one host is stopped when no unplanned fault is left, since stops among other faults are rarely judged. A request that a backend server has run and that gets no answer at all is a violation under the same condition as a response that is cut off: only planned operations are in progress.

--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+bool invariant_checker::has_run(const std::string& id) const {
+    const auto found = m_requests.find(id);
+    return found != m_requests.end() && found->second.runs > 0;
+}
+
 void invariant_checker::add_served(const std::string& id) {
     ++m_served;
     m_owed_served += m_requests[id].is_owed ? 1 : 0;
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -12,7 +12,7 @@
 namespace dragonflywell::soak {
 
 /// Kind of a request, which decides whether it may be retried.
-enum class request_kind : std::uint8_t { idempotent, at_most_once, stream, resumable_stream };
+enum class request_kind : std::uint8_t { idempotent, at_most_once, stream, resumable_stream, long_stream };
 
 [[nodiscard]] inline bool may_run_again(request_kind kind) {
     return kind == request_kind::idempotent || kind == request_kind::resumable_stream;
@@ -38,6 +38,8 @@
     /// Records that a caller received a response that guarantees that its request has not run and never will.
     void add_not_run_guarantee(const std::string& id);
     void add_served(const std::string& id);
+    /// Returns whether a backend server has begun to run the request.
+    [[nodiscard]] bool has_run(const std::string& id) const;
     /// Records a usage report that the platform accepted.
     void add_report(std::int64_t window, const std::map<std::string, std::uint64_t>& counts);
     /// Records which host used a fencing token for a subject.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -16,8 +16,10 @@
 namespace {
 
 constexpr int deadline_ms = 3000;
-/// A caller closes its connection when a response is not complete this long after the request was sent.
-constexpr duration response_timeout = std::chrono::milliseconds(deadline_ms + 1500);
+/// Longer than a stop of a host.
+constexpr int long_deadline_ms = 15000;
+/// A caller closes its connection when a response is not complete this long after the deadline of its request.
+constexpr duration response_margin = std::chrono::milliseconds(1500);
 constexpr duration connect_timeout = std::chrono::seconds(1);
 /// Longest time after the publication of a configuration during which requests may still be handled by the previous
 /// one.
@@ -29,6 +31,10 @@
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
+int get_deadline_ms(request_kind kind) {
+    return kind == request_kind::long_stream ? long_deadline_ms : deadline_ms;
+}
+
 std::string_view get_route(request_kind kind) {
     switch (kind) {
     case request_kind::idempotent:
@@ -37,6 +43,8 @@
         return "once";
     case request_kind::stream:
         return "gen";
+    case request_kind::long_stream:
+        return "long";
     case request_kind::resumable_stream:
         break;
     }
@@ -48,9 +56,9 @@
     servers::http_request request(is_read ? verb::get : verb::post, fmt::format("/{}/{}", get_route(kind), id), 11);
     request.set("Host", "soak.example");
     request.set("Dragonflywell-Attempt-Id", id);
-    request.set("Dragonflywell-Deadline-Ms", std::to_string(deadline_ms));
+    request.set("Dragonflywell-Deadline-Ms", std::to_string(get_deadline_ms(kind)));
     request.set("Api-Key", key);
-    if (kind == request_kind::stream || kind == request_kind::resumable_stream) {
+    if (kind != request_kind::idempotent && kind != request_kind::at_most_once) {
         request.set("Dragonflywell-Model", "m");
         request.set("Dragonflywell-Token-Count", "100,6");
         request.set("Dragonflywell-Prompt-Prefix", "a1:60,b2:40");
@@ -86,12 +94,8 @@
         }
         const auto kind =
             static_cast<request_kind>(std::uniform_real_distribution<double>(0, kinds)(*m_context->random));
-        const std::string id = fmt::format("{}-{}", m_options.name, ++m_number);
-        const steady_time sent_at = std::chrono::steady_clock::now();
         const bool is_owed = !m_context->revoked_at->contains(m_options.key);
-        m_context->checker->add_request(id, kind, m_options.organisation, is_owed);
-        const response received = co_await send_request(id, kind);
-        check(id, kind, received, sent_at);
+        const response received = co_await send_checked(kind, is_owed);
         // Some connections are kept until the process has ended, even if the host announces that it closes them.
         constexpr int kept_connection_interval = 3;
         const bool keeps = received.is_whole && (!received.closes || m_number % kept_connection_interval == 0);
@@ -101,6 +105,27 @@
     }
 }
 
+asio::awaitable<void> soak_caller::run_late(soak_host& host, duration delay, bool is_new_connection) {
+    const steady_time begin_at = std::chrono::steady_clock::now() + delay;
+    if (!is_new_connection && co_await connect_to(host)) {
+        static_cast<void>(co_await send_checked(request_kind::idempotent, false));
+    }
+    co_await servers::sleep_for(begin_at - std::chrono::steady_clock::now());
+    if (is_new_connection && !co_await connect_to(host)) {
+        co_return;
+    }
+    static_cast<void>(co_await send_checked(request_kind::long_stream, false));
+}
+
+asio::awaitable<soak_caller::response> soak_caller::send_checked(request_kind kind, bool is_owed) {
+    const std::string id = fmt::format("{}-{}", m_options.name, ++m_number);
+    const steady_time sent_at = std::chrono::steady_clock::now();
+    m_context->checker->add_request(id, kind, m_options.organisation, is_owed);
+    response received = co_await send_request(id, kind);
+    check(id, kind, received, sent_at);
+    co_return received;
+}
+
 soak_host* soak_caller::choose_host() const {
     std::vector<soak_host*> ready;
     for (const std::unique_ptr<soak_host>& host : *m_context->hosts) {
@@ -118,10 +143,12 @@
     if (m_socket && m_host->get_start_count() == m_host_start_count) {
         co_return true;
     }
-    m_host = choose_host();
-    if (m_host == nullptr) {
-        co_return false;
-    }
+    soak_host* host = choose_host();
+    co_return host != nullptr&& co_await connect_to(*host);
+}
+
+asio::awaitable<bool> soak_caller::connect_to(soak_host& host) {
+    m_host = &host;
     m_host_start_count = m_host->get_start_count();
     m_socket = std::make_shared<tcp::socket>(co_await asio::this_coro::executor);
     asio::steady_timer timer(m_socket->get_executor(), connect_timeout);
@@ -139,7 +166,8 @@
 
 asio::awaitable<soak_caller::response> soak_caller::send_request(const std::string& id, request_kind kind) {
     response received;
-    asio::steady_timer timer(m_socket->get_executor(), response_timeout);
+    asio::steady_timer timer(m_socket->get_executor(),
+                             std::chrono::milliseconds(get_deadline_ms(kind)) + response_margin);
     const auto is_expired = std::make_shared<bool>(false);
     cancel_on_timeout(timer, m_socket, is_expired);
     const servers::http_request request = make_request(id, kind, m_options.key);
@@ -209,7 +237,7 @@
 
 void soak_caller::check_cut(const std::string& id, const response& received) {
     // A host may close a persistent connection just as the request is written. Such a request was not cut off.
-    if (!received.is_connected || received.status == 0) {
+    if (!received.is_connected || (received.status == 0 && !m_context->checker->has_run(id))) {
         return;
     }
     if (m_context->is_planned_only() && !received.is_timed_out) {
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -41,6 +41,9 @@
 
     /// Sends requests until the run is over.
     asio::awaitable<void> run();
+    /// Sends a short request to the host, and after the delay a stream that is longer than the rest of the host's grace
+    /// period, on the same connection or on a new one.
+    asio::awaitable<void> run_late(soak_host& host, duration delay, bool is_new_connection);
 
 private:
     /// Response to one request, as far as it was received.
@@ -55,6 +58,8 @@
     };
 
     asio::awaitable<bool> connect();
+    asio::awaitable<bool> connect_to(soak_host& host);
+    asio::awaitable<response> send_checked(request_kind kind, bool is_owed);
     asio::awaitable<response> send_request(const std::string& id, request_kind kind);
     void check(const std::string& id, request_kind kind, const response& received, steady_time sent_at);
     void check_success(const std::string& id, request_kind kind, const response& received, steady_time sent_at);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,3 +1,5 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include "servers/sleep.hpp"
@@ -11,6 +13,11 @@
 using std::chrono::seconds;
 
 constexpr duration poll_interval = milliseconds(250);
+/// Callers that send long requests late in a stop, from `late_begin` after the signal on.
+constexpr int late_callers_per_stop = 8;
+constexpr duration late_begin = milliseconds(3050);
+constexpr duration late_interval = milliseconds(100);
+constexpr int late_steps = 9;
 /// A draining server still serves requests for this long.
 constexpr duration drain_time = milliseconds(2600);
 
@@ -24,6 +31,32 @@
     server.start();
 }
 
+asio::awaitable<void> soak_run::call_late(soak_host& host) {
+    // Nothing is drawn here, so that the faults of a seed stay as they are.
+    const int number = m_late_callers++;
+    const duration delay = late_begin + number % late_steps * late_interval;
+    soak_caller caller(m_context, {.name = fmt::format("late{}", number), .organisation = "org0", .key = "key0"});
+    co_await caller.run_late(host, delay, number % 2 == 0);
+}
+
+asio::awaitable<void> soak_run::stop_host(soak_host& host) {
+    constexpr duration grace = seconds(8);
+    for (int number = 0; number < late_callers_per_stop; ++number) {
+        asio::co_spawn(m_loop, call_late(host), asio::detached);
+    }
+    host.terminate();
+    const steady_time last = m_time.now() + grace;
+    while (host.is_running() && m_time.now() < last) {
+        co_await servers::sleep_for(poll_interval);
+    }
+    if (host.is_running() && m_checker.is_settled(grace)) {
+        m_checker.add_violation(fmt::format("{} is still running at the end of its grace period", host.get_name()));
+    }
+    host.kill();
+    co_await servers::sleep_for(poll_interval);
+    host.start();
+}
+
 std::vector<soak_run::fault> soak_run::make_faults() {
     const auto hold = [this](duration least, duration most) { return servers::sleep_for(draw_length(least, most)); };
     const auto store = [this, hold](store_state state) -> asio::awaitable<void> {
@@ -64,23 +97,7 @@
              co_await hold(milliseconds(500), seconds(5));
              host.resume();
          }},
-        {"host stopped", true,
-         [this]() -> asio::awaitable<void> {
-             constexpr duration grace = seconds(8);
-             soak_host& host = draw_host();
-             host.terminate();
-             const steady_time last = m_time.now() + grace;
-             while (host.is_running() && m_time.now() < last) {
-                 co_await servers::sleep_for(poll_interval);
-             }
-             if (host.is_running() && m_checker.is_settled(grace)) {
-                 m_checker.add_violation(
-                     fmt::format("{} is still running at the end of its grace period", host.get_name()));
-             }
-             host.kill();
-             co_await servers::sleep_for(poll_interval);
-             host.start();
-         }},
+        {"host stopped", true, [this] { return stop_host(draw_host()); }},
         {"settings reloaded", true,
          [this]() -> asio::awaitable<void> {
              draw_host().reload();
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -18,12 +18,13 @@
 constexpr std::uint64_t lost_write_interval = 3;
 constexpr const char* operator_topic = "keyed.op";
 constexpr const char* servers_topic = "keyed.servers";
+constexpr int long_timeout_ms = 20000;
 constexpr unsigned status_busy = 503;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_ok = 200;
 
 boost::json::object make_route(const std::string& prefix, const std::string& service, const std::string& kind,
-                               bool is_resumable, int attempts) {
+                               bool is_resumable, int attempts, int timeout_ms = 4000) {
     return {{"name", prefix},
             {"host", "soak.example"},
             {"pathPrefix", "/" + prefix + "/"},
@@ -31,7 +32,7 @@
             {"kind", kind},
             {"resumable", is_resumable},
             {"attempts", attempts},
-            {"timeoutMs", 4000},
+            {"timeoutMs", timeout_ms},
             {"targetLatencyMs", 500},
             {"targetGapMs", 300},
             {"sticky", kind == "stream"}};
@@ -140,6 +141,7 @@
         {"routes",
          boost::json::array{make_route("safe", "app", "safe", false, 2), make_route("once", "app", "unsafe", false, 1),
                             make_route("gen", "llm", "stream", false, 1),
+                            make_route("long", "llm", "stream", false, 1, long_timeout_ms),
                             make_route("resume", "llm", "stream", true, 2)}},
         {"services",
          boost::json::array{
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -207,6 +207,8 @@
         m_checker.record_unplanned_fault();
         co_await servers::sleep_for(poll_interval);
     }
+    // A stop without other faults: all guarantees of a planned operation hold for its whole length.
+    asio::co_spawn(m_loop, stop_host(*m_hosts[m_options.seed % m_hosts.size()]), asio::detached);
     co_await servers::sleep_for(recovery_time);
     static_cast<void>(m_checker.take_served_fraction());
     const auto get_window = [] { return std::chrono::system_clock::now().time_since_epoch() / usage_window; };
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -59,6 +59,8 @@
     asio::awaitable<void> run_phases();
     asio::awaitable<void> wait_until_ready();
     asio::awaitable<void> inject_faults();
+    asio::awaitable<void> stop_host(soak_host& host);
+    asio::awaitable<void> call_late(soak_host& host);
     asio::awaitable<void> restore_store();
     asio::awaitable<void> check_recovery();
     asio::awaitable<void> watch_hosts();
@@ -94,6 +96,8 @@
     configuration_checker m_configurations;
     store_restorer m_restorer;
     std::size_t m_restores_left;
+    /// Number of callers that were started for stops, which names them.
+    int m_late_callers{0};
 };
 
 } // namespace dragonflywell::soak
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr duration event_interval = std::chrono::milliseconds(25);
+constexpr duration long_event_interval = std::chrono::seconds(1);
 /// Time limit after which a draining server must get no request, and a tolerance for a slow test machine.
 constexpr duration drain_bound = std::chrono::seconds(2);
 constexpr duration drain_margin = std::chrono::milliseconds(500);
@@ -40,6 +42,9 @@
     if (target.starts_with("/once/")) {
         return request_kind::at_most_once;
     }
+    if (target.starts_with("/long/")) {
+        return request_kind::long_stream;
+    }
     return target.starts_with("/gen/") ? request_kind::stream : request_kind::resumable_stream;
 }
 
@@ -181,9 +186,10 @@
         co_return;
     }
     const request_kind kind = get_kind(request);
-    if (kind == request_kind::stream || kind == request_kind::resumable_stream) {
+    if (kind != request_kind::idempotent && kind != request_kind::at_most_once) {
         const std::string last = get(request, "Last-Event-Id");
-        co_await send_stream(id, last.empty() ? 1 : std::stoi(last) + 1, connection);
+        const duration interval = kind == request_kind::long_stream ? long_event_interval : event_interval;
+        co_await send_stream(id, last.empty() ? 1 : std::stoi(last) + 1, interval, connection);
         co_return;
     }
     constexpr int min_length_ms = 2;
@@ -198,8 +204,8 @@
     co_await connection.write(std::move(bytes));
 }
 
-asio::awaitable<void> soak_server::send_stream(const std::string& id, int first, raw_connection& connection) {
-    constexpr duration request_interval = std::chrono::milliseconds(25);
+asio::awaitable<void> soak_server::send_stream(const std::string& id, int first, duration interval,
+                                               raw_connection& connection) {
     std::string head = fmt::format("HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: {}\r\n{}"
                                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
                                    id, get_notice() + make_seal(id));
@@ -213,7 +219,7 @@
         }
         std::string event = make_chunk(make_expected_event(id, number));
         co_await connection.write(std::move(event));
-        co_await servers::sleep_for(request_interval);
+        co_await servers::sleep_for(interval);
     }
     std::string end = "0\r\n\r\n";
     co_await connection.write(std::move(end));
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -57,7 +57,8 @@
     void write_entry() const;
     asio::awaitable<void> respond(const servers::http_request& request, standin::raw_connection& connection);
     asio::awaitable<void> run(const servers::http_request& request, standin::raw_connection& connection);
-    asio::awaitable<void> send_stream(const std::string& id, int first, standin::raw_connection& connection);
+    asio::awaitable<void> send_stream(const std::string& id, int first, duration interval,
+                                      standin::raw_connection& connection);
     asio::awaitable<void> handle_order(const servers::http_request& request, standin::raw_connection& connection);
     void check_drained() const;
     [[nodiscard]] bool draw_bool(double share);
