--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr duration event_interval = std::chrono::milliseconds(25);
+constexpr duration long_event_interval = std::chrono::seconds(1);
 /// Time limit after which a draining server must get no request, and a tolerance for a slow test machine.
 constexpr duration drain_bound = std::chrono::seconds(2);
 constexpr duration drain_margin = std::chrono::milliseconds(500);
@@ -40,6 +42,9 @@
     if (target.starts_with("/once/")) {
         return request_kind::at_most_once;
     }
+    if (target.starts_with("/long/")) {
+        return request_kind::long_stream;
+    }
     return target.starts_with("/gen/") ? request_kind::stream : request_kind::resumable_stream;
 }
 
@@ -178,7 +183,7 @@
     const std::string organisation = get(request, "Dragonflywell-Tenant");
     m_checker->add_run(id, organisation);
     const request_kind kind = get_kind(request);
-    const bool is_stream = kind == request_kind::stream || kind == request_kind::resumable_stream;
+    const bool is_stream = kind != request_kind::idempotent && kind != request_kind::at_most_once;
     if (!is_stream) {
         m_checker->add_start(id, organisation, get_window());
     }
@@ -187,7 +192,8 @@
         co_return;
     }
     if (is_stream) {
-        co_await send_stream(request, connection);
+        co_await send_stream(request, kind == request_kind::long_stream ? long_event_interval : event_interval,
+                             connection);
         co_return;
     }
     constexpr int min_length_ms = 2;
@@ -202,8 +208,8 @@
     co_await connection.write(std::move(bytes));
 }
 
-asio::awaitable<void> soak_server::send_stream(const http_request& request, raw_connection& connection) {
-    constexpr duration request_interval = std::chrono::milliseconds(25);
+asio::awaitable<void> soak_server::send_stream(const http_request& request, duration interval,
+                                               raw_connection& connection) {
     const std::string id = get(request, "Dragonflywell-Attempt-Id");
     const std::string last = get(request, "Last-Event-Id");
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
@@ -221,7 +227,7 @@
         m_checker->add_start(id, get(request, "Dragonflywell-Tenant"), get_window());
         std::string event = make_chunk(make_expected_event(id, number));
         co_await connection.write(std::move(event));
-        co_await servers::sleep_for(request_interval);
+        co_await servers::sleep_for(interval);
     }
     std::string end = "0\r\n\r\n";
     co_await connection.write(std::move(end));
