--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -12,10 +12,19 @@
 constexpr int renewals_per_length = 3;
 constexpr int reads_per_length = 2;
 
+/// Era of a store that has never returned from an older copy. Only then does an empty topic show that nobody has held
+/// the lease.
+constexpr std::uint64_t first_era = 0;
+
+/// Bits of a fencing number that hold the offset. Era and offset together stay below 2^53.
+constexpr unsigned offset_bits = 32;
+constexpr std::uint64_t max_offset = (std::uint64_t{1} << offset_bits) - 2;
+constexpr std::uint64_t max_era = (std::uint64_t{1} << (53 - offset_bits)) - 1;
+
 } // namespace
 
 std::string encode_store_lease_record(const store_lease_record& record) {
-    boost::json::object object{{"holder", record.holder}, {"incarnation", record.incarnation}};
+    boost::json::object object{{"holder", record.holder}, {"incarnation", record.incarnation}, {"era", record.era}};
     if (record.renewed_fencing_number) {
         object["fence"] = *record.renewed_fencing_number;
     }
@@ -31,24 +40,32 @@
     store_lease_record record{.holder = json::get_string(object, "holder"),
                               .incarnation = json::get_unsigned(object, "incarnation"),
                               .renewed_fencing_number = {},
-                              .is_release = json::get_bool_or(object, "release", false)};
+                              .is_release = json::get_bool_or(object, "release", false),
+                              .era = json::get_unsigned_or(object, "era", first_era)};
     if (object.contains("fence")) {
         record.renewed_fencing_number = json::get_unsigned(object, "fence");
     }
     return record;
 }
 
+std::optional<std::uint64_t> make_fencing_number(const log_position& acquired_at) {
+    if (acquired_at.era > max_era || acquired_at.offset > max_offset) {
+        return std::nullopt;
+    }
+    return (acquired_at.era << offset_bits) + acquired_at.offset + 1;
+}
+
 store_lease::store_lease(const clock_source& time, store_lease_options options)
     : m_time(&time), m_options(std::move(options)) {}
 
 store_lease::action store_lease::get_next_action() const {
-    if (m_needs_read || !m_has_read) {
+    if (m_needs_read) {
         return action::read;
     }
     if (is_held()) {
         const steady_time renewed_at = m_held->expires_at - m_options.length;
         const bool is_due = m_time->now_with_suspension() - renewed_at >= m_options.length / renewals_per_length;
-        return is_due || m_is_resigning ? action::append : action::nothing;
+        return is_due || m_is_resigning || is_held_from_earlier_era() ? action::append : action::nothing;
     }
     const bool has_recent_heartbeat = m_heartbeat_at && m_time->now() - *m_heartbeat_at < m_options.holder_timeout;
     if (m_is_resigning || has_recent_heartbeat) {
@@ -65,15 +82,25 @@
     return is_fresh ? action::nothing : action::read;
 }
 
-void store_lease::on_read(std::span<const lease_topic_entry> records, std::uint64_t end) {
-    for (const lease_topic_entry& placed : records) {
-        apply_record(placed);
+void store_lease::on_read(std::span<const lease_topic_entry> records, const log_position& end) {
+    if (end.era < m_end.era) {
+        return;
     }
-    m_end = end;
-    m_has_read = true;
+    on_era_changed(end.era);
     if (!m_first_read_at) {
         m_first_read_at = m_time->now();
+        m_latest_at = std::max(m_latest_at, *m_first_read_at);
+    }
+    for (const lease_topic_entry& placed : records) {
+        apply_record(placed);
+    }
+    const bool has_gap = !records.empty() && records.front().offset > m_end.offset;
+    if (has_gap && records.back().record.era != end.era) {
+        // A late record of an earlier era hides which records of this era precede it.
+        m_latest.reset();
+        m_latest_at = m_time->now();
     }
+    m_end = end;
     m_needs_read = false;
     m_last_read_at = m_time->now();
     // An append with an unknown result that is not in the topic yet may still arrive. It is then treated like a record
@@ -81,16 +108,35 @@
     m_pending.reset();
 }
 
+void store_lease::on_era_changed(std::uint64_t era) {
+    if (era <= m_end.era) {
+        return;
+    }
+    m_end = {.era = era, .offset = 0};
+    m_latest.reset();
+    m_first_read_at.reset();
+    m_last_read_at.reset();
+    // Whether it was appended does not matter any more: a record of an earlier era grants nothing.
+    m_pending.reset();
+    // Other candidates need not read while heartbeats of the holder arrive.
+    m_needs_read = is_held();
+}
+
 store_lease_record store_lease::start_append() {
-    store_lease_record record{
-        .holder = m_options.holder, .incarnation = m_options.incarnation, .renewed_fencing_number = {}};
-    if (is_held()) {
+    store_lease_record record{.holder = m_options.holder,
+                              .incarnation = m_options.incarnation,
+                              .renewed_fencing_number = {},
+                              .era = m_end.era};
+    std::optional<steady_time> may_act_from;
+    if (!is_held()) {
+        m_held.reset();
+    } else if (is_held_from_earlier_era() && !m_is_resigning) {
+        may_act_from = m_held->may_act_from;
+    } else {
         record.renewed_fencing_number = m_held->fencing_number;
         record.is_release = m_is_resigning;
-    } else {
-        m_held.reset();
     }
-    m_pending = {.record = record, .sent_at = m_time->now_with_suspension()};
+    m_pending = {.record = record, .sent_at = m_time->now_with_suspension(), .may_act_from = may_act_from};
     m_last_sent_at = m_time->now();
     if (record.is_release) {
         // No call may be made under the lease from now on, even if the release record is lost.
@@ -100,11 +146,13 @@
 }
 
 void store_lease::on_appended() {
-    if (m_pending) {
-        apply_record({.offset = m_end, .record = m_pending->record});
+    if (!m_pending) {
+        m_needs_read = true;
+        return;
     }
+    apply_record({.offset = m_end.offset, .record = m_pending->record});
     m_pending.reset();
-    ++m_end;
+    ++m_end.offset;
     m_last_read_at = m_time->now();
 }
 
@@ -150,11 +198,19 @@
     return m_latest && is_own(m_latest->record);
 }
 
+bool store_lease::is_holder_unknown() const {
+    return !m_latest && m_end.era != first_era;
+}
+
+bool store_lease::is_held_from_earlier_era() const {
+    return m_held && m_held->era != m_end.era;
+}
+
 std::optional<steady_time> store_lease::get_vacant_since() const {
-    if (!m_latest) {
+    if (!m_latest && !is_holder_unknown()) {
         return m_first_read_at;
     }
-    if (m_latest->record.is_release) {
+    if (m_latest && m_latest->record.is_release) {
         return m_latest_at;
     }
     // This uses the clock without suspension: the holder may have renewed the lease while this host was suspended.
@@ -163,6 +219,9 @@
 }
 
 void store_lease::apply_record(const lease_topic_entry& placed) {
+    if (placed.record.era != m_end.era) {
+        return;
+    }
     const bool is_pending = m_pending && m_pending->record == placed.record;
     const bool is_late_renewal = m_held && is_own(placed.record) &&
                                  placed.record.renewed_fencing_number == m_held->fencing_number &&
@@ -178,11 +237,12 @@
 }
 
 duration store_lease::get_takeover_delay_left() const {
-    if (!m_latest || is_latest_own()) {
+    if (is_latest_own() || (!m_latest && !is_holder_unknown())) {
         // There is no previous holder to keep a distance from.
         return duration::zero();
     }
-    const duration lease_left = m_latest->record.is_release ? duration::zero() : m_options.length;
+    const bool is_released = m_latest && m_latest->record.is_release;
+    const duration lease_left = is_released ? duration::zero() : m_options.length;
     const steady_time last_act_of_previous = m_latest_at + lease_left;
     return std::max(duration::zero(), last_act_of_previous + m_options.takeover_delay - m_time->now());
 }
@@ -199,9 +259,16 @@
         }
         return;
     }
-    m_held = {.fencing_number = offset + 1,
+    const std::optional<std::uint64_t> fencing_number = make_fencing_number({.era = record.era, .offset = offset});
+    if (!fencing_number) {
+        m_held.reset();
+        return;
+    }
+    const steady_time may_act_from = m_time->now_with_suspension() + get_takeover_delay_left();
+    m_held = {.fencing_number = *fencing_number,
+              .era = record.era,
               .expires_at = expires_at,
-              .may_act_from = m_time->now_with_suspension() + get_takeover_delay_left()};
+              .may_act_from = m_pending->may_act_from.value_or(may_act_from)};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/clock.hpp"
+#include "core/log_position.hpp"
 
 namespace dragonflywell::coordination {
 
@@ -18,6 +19,9 @@
     /// Fencing number of the acquisition that this record renews or releases; absent in an acquisition.
     std::optional<std::uint64_t> renewed_fencing_number;
     bool is_release{false};
+    /// Era of the store that its writer knew. In the log of a later era the record grants nothing: either it was copied
+    /// from the earlier era, or it arrived late and was appended because the offsets happened to agree.
+    std::uint64_t era{};
 
     friend bool operator==(const store_lease_record&, const store_lease_record&) = default;
 };
@@ -26,6 +30,11 @@
 /// Throws `malformed_message_error`.
 [[nodiscard]] store_lease_record decode_store_lease_record(std::string_view text);
 
+/// Returns the fencing number of the acquisition at a position of the lease topic. It grows with era and offset, so
+/// that no acquisition gets the number of another one, even where a later era assigns the offset again. Returns nothing
+/// for a position whose number would not survive as a JSON number; no lease can be held there.
+[[nodiscard]] std::optional<std::uint64_t> make_fencing_number(const log_position& acquired_at);
+
 /// A record together with its offset in the topic.
 struct lease_topic_entry {
     std::uint64_t offset{};
@@ -57,8 +66,13 @@
 ///
 /// The order of records in the topic decides who holds the lease: a record is appended only if the topic still ends
 /// where the candidate last read it. Clocks only decide when a candidate tries to acquire the lease and when a holder
-/// stops using it early. The fencing number of an acquisition is its offset plus one; it fences off all earlier ones.
-/// Pure state without I/O; not thread safe.
+/// stops using it early. The fencing number of an acquisition follows from its position in the topic; it fences off all
+/// earlier ones.
+///
+/// When the store returns from an older copy, the newest records of the topic are gone, and nobody can read who held
+/// the lease. Only the holder whose lease has not expired knows that nobody else did, and acquires it anew at once. All
+/// other candidates wait as if an unknown holder had renewed the lease just before they first read the topic in the new
+/// era. Pure state without I/O; not thread safe.
 class store_lease {
 public:
     /// Precondition: `time` outlives the lease.
@@ -72,11 +86,17 @@
     /// `on_conflict` and `on_result_unknown`.
     [[nodiscard]] action get_next_action() const;
 
-    /// Returns the offset from which to read.
-    [[nodiscard]] std::uint64_t get_end() const noexcept { return m_end; }
+    /// Returns the position from which to read. While its offset is zero, or when the store no longer keeps the records
+    /// from there on, the newest record of the topic is enough.
+    [[nodiscard]] const log_position& get_end() const noexcept { return m_end; }
+
+    /// Applies the records that were read from `get_end()` on, or the newest record; `end` is the end of the topic at
+    /// that time. A result of an earlier era is ignored, one of a later era begins that era.
+    void on_read(std::span<const lease_topic_entry> records, const log_position& end);
 
-    /// Applies the records that were read from `get_end()` on; `end` is the end of the topic at that time.
-    void on_read(std::span<const lease_topic_entry> records, std::uint64_t end);
+    /// The store has begun a new era. The lease remains held until it expires, but only a new acquisition extends it.
+    /// Does nothing if the era is known.
+    void on_era_changed(std::uint64_t era);
 
     /// Returns the record to append at `get_end()` and remembers that it is about to be sent.
     [[nodiscard]] store_lease_record start_append();
@@ -103,9 +123,13 @@
 
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
-    /// Returns whether the newest known record was written by this incarnation, so that nobody else has held the lease
-    /// since.
+    /// Returns whether the newest known record of this era was written by this incarnation, so that nobody else has
+    /// held the lease since.
     [[nodiscard]] bool is_latest_own() const;
+    /// Returns whether a holder of which no record is left may still hold the lease.
+    [[nodiscard]] bool is_holder_unknown() const;
+    /// Returns whether the lease is held by an acquisition of an earlier era.
+    [[nodiscard]] bool is_held_from_earlier_era() const;
     /// Returns since when the lease is free as far as this candidate knows; nothing while it is held.
     [[nodiscard]] std::optional<steady_time> get_vacant_since() const;
     /// Returns how long a new holder still has to wait before it acts, counted from the last moment at which the
@@ -116,14 +140,16 @@
 
     const clock_source* m_time;
     store_lease_options m_options;
-    std::uint64_t m_end{0};
-    bool m_has_read{false};
+    log_position m_end;
     bool m_needs_read{true};
+    /// When the topic was first read in the current era.
     std::optional<steady_time> m_first_read_at;
     std::optional<steady_time> m_last_read_at;
     std::optional<steady_time> m_heartbeat_at;
+    /// The newest record of the current era.
     std::optional<lease_topic_entry> m_latest;
-    /// When the newest record was first read here, or sent from here.
+    /// When the newest record, or a heartbeat of the holder, was first received here, or when it was sent from here.
+    /// For an unknown holder, when the topic was first read in the current era.
     steady_time m_latest_at{};
     /// When this candidate sent its newest record.
     std::optional<steady_time> m_last_sent_at;
@@ -132,11 +158,14 @@
         store_lease_record record;
         /// Measured by the clock that includes suspension, like all times of a lease that this candidate holds.
         steady_time sent_at{};
+        /// For an acquisition that continues a lease of an earlier era: the moment from which that lease may be used.
+        std::optional<steady_time> may_act_from;
     };
     std::optional<pending_append> m_pending;
 
     struct held_lease {
         std::uint64_t fencing_number{};
+        std::uint64_t era{};
         steady_time expires_at{};
         steady_time may_act_from{};
     };
--- /dev/null
+++ b/core/log_position.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace dragonflywell {
+
+/// A position in a log whose store may return from an older copy. Each return begins a new era, in which offsets are
+/// assigned again, so that offsets of different eras cannot be compared. A later era is always the later position.
+struct log_position {
+    std::uint64_t era{};
+    std::uint64_t offset{};
+
+    friend auto operator<=>(const log_position&, const log_position&) = default;
+};
+
+} // namespace dragonflywell
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -81,18 +81,18 @@
     bool is_dropped = false;
     platform::store_page page;
     try {
-        page = co_await m_store->read(topics::lease, m_lease.get_end(), duration::zero());
+        page = co_await m_store->read(topics::lease, m_lease.get_end().offset, duration::zero());
     } catch (const platform::store_history_dropped_error&) {
         is_dropped = true;
     }
     if (is_dropped) {
         page = co_await m_store->read_newest(topics::lease);
     }
-    m_lease.on_read(decode(page), page.next_offset);
+    m_lease.on_read(decode(page), {.era = 0, .offset = page.next_offset});
 }
 
 servers::asio::awaitable<void> lease_keeper::append() {
-    const std::uint64_t end = m_lease.get_end();
+    const std::uint64_t end = m_lease.get_end().offset;
     const std::string text = coordination::encode_store_lease_record(m_lease.start_append());
     try {
         const platform::append_result answer =
@@ -114,7 +114,9 @@
         return;
     }
     m_was_held = is_held;
-    log_event(is_held ? "lease_taken" : "lease_lost").add("end", m_lease.get_end()).write(*m_log, spdlog::level::info);
+    log_event(is_held ? "lease_taken" : "lease_lost")
+        .add("end", m_lease.get_end().offset)
+        .write(*m_log, spdlog::level::info);
 }
 
 } // namespace dragonflywell::daemon
--- a/tests/coordination/lease_simulation.cpp
+++ b/tests/coordination/lease_simulation.cpp
@@ -1,5 +1,6 @@
 #include "coordination/lease_simulation.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace dragonflywell::testing {
@@ -51,6 +52,10 @@
     m_members[candidate].lease.emplace(get_clocks()[candidate], options);
 }
 
+std::uint64_t lease_simulation::get_visible_era() const {
+    return m_mutation == lease_mutation::era_unknown ? 0 : m_era;
+}
+
 bool lease_simulation::append(std::uint64_t at, const store_lease_record& record) {
     if (at != m_topic.size() && m_mutation != lease_mutation::unconditional_append) {
         return false;
@@ -59,29 +64,56 @@
     return true;
 }
 
+coordination::lease_topic_entry lease_simulation::get_entry(std::uint64_t offset) const {
+    coordination::lease_topic_entry entry{.offset = offset, .record = m_topic[offset]};
+    if (m_mutation == lease_mutation::earlier_records_valid) {
+        entry.record.era = m_era;
+    }
+    return entry;
+}
+
+void lease_simulation::read(store_lease& lease) const {
+    const std::uint64_t era = get_visible_era();
+    const bool is_other_era = lease.get_end().era != era;
+    if (!is_other_era && lease.get_end().offset > m_topic.size()) {
+        // Without its era, the copy looks like a replica that lags behind.
+        return;
+    }
+    std::vector<coordination::lease_topic_entry> records;
+    if (is_other_era || lease.get_end().offset == 0) {
+        if (!m_topic.empty()) {
+            records.push_back(get_entry(m_topic.size() - 1));
+        }
+    } else {
+        for (std::uint64_t offset = lease.get_end().offset; offset < m_topic.size(); ++offset) {
+            records.push_back(get_entry(offset));
+        }
+    }
+    lease.on_read(records, {.era = era, .offset = m_topic.size()});
+}
+
 void lease_simulation::step(std::size_t candidate, call_outcome outcome) {
     load_clock(candidate);
     store_lease& lease = *m_members[candidate].lease;
     const store_lease::action action = lease.get_next_action();
     if (action == store_lease::action::read) {
-        if (outcome != call_outcome::answered) {
-            return;
+        if (outcome == call_outcome::answered) {
+            read(lease);
         }
-        std::vector<coordination::lease_topic_entry> records;
-        for (std::uint64_t offset = lease.get_end(); offset < m_topic.size(); ++offset) {
-            records.push_back({.offset = offset, .record = m_topic[offset]});
-        }
-        lease.on_read(records, m_topic.size());
         return;
     }
     if (action == store_lease::action::nothing) {
         return;
     }
-    const std::uint64_t at = lease.get_end();
+    const std::uint64_t at = lease.get_end().offset;
     const store_lease_record record = lease.start_append();
     switch (outcome) {
     case call_outcome::answered:
-        if (append(at, record)) {
+        if (lease.get_end().era != get_visible_era()) {
+            append(at, record);
+            lease.on_era_changed(get_visible_era());
+            lease.on_result_unknown();
+        } else if (append(at, record)) {
             lease.on_appended();
         } else {
             lease.on_conflict();
@@ -110,6 +142,16 @@
     append(appended.at, appended.record);
 }
 
+void lease_simulation::restore_older_copy(std::size_t lost_records) {
+    m_topic.resize(m_topic.size() - std::min(lost_records, m_topic.size()));
+    ++m_era;
+}
+
+void lease_simulation::learn_era(std::size_t candidate) {
+    load_clock(candidate);
+    m_members[candidate].lease->on_era_changed(get_visible_era());
+}
+
 void lease_simulation::advance(duration span) {
     m_elapsed += span;
 }
@@ -157,15 +199,13 @@
     if (holders > 1) {
         return "two candidates have authority at once";
     }
-    // Two holders must not alternate within the takeover delay.
-    for (std::size_t first = 0; first < m_actions.size(); ++first) {
-        bool has_other_acted = false;
-        for (std::size_t later = first + 1; later < m_actions.size(); ++later) {
-            has_other_acted = has_other_acted || m_actions[later].candidate != m_actions[first].candidate;
-            const bool has_alternated = has_other_acted && m_actions[later].candidate == m_actions[first].candidate;
-            if (has_alternated && m_actions[later].moment - m_actions[first].moment < takeover_delay) {
-                return "two candidates alternated within the takeover delay";
-            }
+    // A holder acts only after a distance to every earlier one, so that two never alternate within the delay.
+    for (std::size_t later = 1; later < m_actions.size(); ++later) {
+        const authorised_action& before = m_actions[later - 1];
+        const authorised_action& after = m_actions[later];
+        if (before.candidate != after.candidate && after.moment - before.moment < takeover_delay) {
+            return fmt::format("candidate {} acts within the takeover delay after candidate {}", after.candidate,
+                               before.candidate);
         }
     }
     constexpr std::size_t max_actions = 24;
--- a/tests/coordination/lease_simulation.hpp
+++ b/tests/coordination/lease_simulation.hpp
@@ -22,6 +22,10 @@
     clock_without_suspension,
     /// A new holder acts without the takeover delay.
     no_takeover_delay,
+    /// Candidates do not learn that the store has returned from an older copy.
+    era_unknown,
+    /// Candidates treat records of an earlier era like those of the current one.
+    earlier_records_valid,
 };
 
 /// A clock whose time is set from outside.
@@ -55,6 +59,10 @@
     void step(std::size_t candidate, call_outcome outcome);
     /// Delivers the oldest append in flight to the store.
     void deliver_late();
+    /// Replaces the topic by an older copy, which lacks its newest records, and begins a new era.
+    void restore_older_copy(std::size_t lost_records);
+    /// Lets a candidate learn the current era from a call that another part of its host makes.
+    void learn_era(std::size_t candidate);
     /// Advances the time of all candidates.
     void advance(duration span);
     /// Advances time while the host of one candidate is suspended.
@@ -73,9 +81,6 @@
     static const duration takeover_delay;
 
 private:
-    struct topic_record {
-        coordination::store_lease_record record;
-    };
     struct late_append {
         std::uint64_t at{};
         coordination::store_lease_record record;
@@ -92,10 +97,14 @@
 
     void load_clock(std::size_t candidate) const;
     void start(std::size_t candidate);
+    [[nodiscard]] std::uint64_t get_visible_era() const;
+    void read(coordination::store_lease& lease) const;
+    [[nodiscard]] coordination::lease_topic_entry get_entry(std::uint64_t offset) const;
     bool append(std::uint64_t at, const coordination::store_lease_record& record);
 
     lease_mutation m_mutation;
     duration m_elapsed{};
+    std::uint64_t m_era{0};
     std::vector<coordination::store_lease_record> m_topic;
     std::vector<late_append> m_late_appends;
     std::array<member, candidates> m_members;
