--- a/core/log_position.hpp
+++ b/core/log_position.hpp
@@ -5,6 +5,9 @@
 
 namespace dragonflywell {
 
+/// Largest era that is accepted from outside, so that a damaged number does not hide all later eras.
+inline constexpr std::uint64_t max_log_era = 1'000'000;
+
 /// A position in a log whose store may return from an older copy. Each return begins a new era, in which offsets are
 /// assigned again, so that offsets of different eras cannot be compared. A later era is always the later position.
 struct log_position {
--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -33,7 +33,13 @@
     : m_store(&store), m_state(&state), m_change_timeout(get_fraction(bound, change_timeout_fraction)),
       m_long_poll_time(get_fraction(bound, long_poll_fraction)), m_max_age(get_max_age(bound)),
       m_on_change(std::move(on_change)), m_log(get_logger("configuration")), m_dependency(*m_log, "configuration"),
-      m_read_timer(state.executor) {}
+      m_read_timer(state.executor) {
+    store.add_era_listener(*this);
+}
+
+configuration_follower::~configuration_follower() {
+    m_store->remove_era_listener(*this);
+}
 
 duration configuration_follower::get_max_age(duration bound) {
     return get_fraction(bound, max_age_fraction);
@@ -46,7 +52,7 @@
             continue;
         }
         bool has_failed = false;
-        const std::optional<std::uint64_t> before = m_topic.get_next_offset();
+        const std::optional<log_position> before = m_topic.get_next_position();
         try {
             co_await follow_once();
             m_dependency.record_success(m_state->time.now());
@@ -57,7 +63,7 @@
             has_failed = true;
         }
         // While the store answers with stale state, reading it again at once returns nothing new.
-        const bool is_stale = m_topic.is_lagging() && m_topic.get_next_offset() == before;
+        const bool is_stale = m_topic.is_lagging() && m_topic.get_next_position() == before;
         if (has_failed) {
             co_await m_store->wait_until_call_allowed();
         } else if (is_stale) {
@@ -80,23 +86,29 @@
 }
 
 void configuration_follower::update_leader_position(const servers::digest_read_position& position) {
-    if (m_topic.update_leader_position(position.end.value_or(0), position.age, m_state->time.now())) {
+    if (m_topic.update_leader_position(position.end.value_or(log_position()), position.age, m_state->time.now())) {
         m_read_timer.cancel();
     }
     m_state->set_configuration_current_at(m_topic.get_caught_up_at());
 }
 
+void configuration_follower::on_era_changed(std::uint64_t era) {
+    if (m_topic.note_era(era)) {
+        m_read_timer.cancel();
+    }
+}
+
 servers::digest_read_position configuration_follower::get_read_position() const {
-    return {.end = m_topic.get_next_offset(), .age = m_topic.get_staleness(m_state->time.now())};
+    return {.end = m_topic.get_next_position(), .age = m_topic.get_staleness(m_state->time.now())};
 }
 
 servers::asio::awaitable<void> configuration_follower::follow_once() {
-    const std::optional<std::uint64_t> next = m_topic.get_next_offset();
+    const std::optional<log_position> next = m_topic.get_next_position();
     const steady_time sent_at = m_state->time.now();
     // Configurations may be large, so versions that are already replaced are not fetched.
     if (!next || m_topic.get_lag() > 1) {
         const platform::store_page listing = co_await m_store->read_newest(platform::wire::operator_topic);
-        if (m_topic.is_stale_listing(listing.next_offset)) {
+        if (m_topic.is_stale_listing(listing.next)) {
             throw platform::store_unavailable_error("the listing of the store is older than what was read before",
                                                     false);
         }
@@ -118,12 +130,12 @@
     for (auto record = page.records.rbegin(); record != page.records.rend(); ++record) {
         // Earlier configurations matter only when the newest one is invalid.
         const bool is_configuration = record->key == platform::wire::configuration_key && record->value;
-        if (is_configuration && apply_configuration(*record, page.next_offset, sent_at)) {
+        if (is_configuration && apply_configuration(*record, page.next, sent_at)) {
             break;
         }
     }
     const bool has_records = !page.records.empty();
-    m_topic.record_read(page.next_offset, page.topic_end_offset, at);
+    m_topic.record_read(page.next, page.end, at);
     apply_pending_changes();
     m_state->set_configuration_current_at(m_topic.get_caught_up_at());
     if (has_records && m_is_reader) {
@@ -131,7 +143,7 @@
     }
 }
 
-bool configuration_follower::apply_configuration(const platform::keyed_record& record, std::uint64_t next_offset,
+bool configuration_follower::apply_configuration(const platform::keyed_record& record, const log_position& next,
                                                  steady_time sent_at) {
     const steady_time received_at = m_state->time.now();
     try {
@@ -151,7 +163,7 @@
             .add("decode_ms", m_state->time.now() - received_at)
             .write(*m_log, spdlog::level::info);
         if (m_is_reader && m_relay && previous != nullptr) {
-            relay_change(previous->get_configuration(), next_offset);
+            relay_change(previous->get_configuration(), next);
         }
         return true;
     } catch (const malformed_message_error& fault) {
@@ -168,14 +180,15 @@
     m_on_change();
 }
 
-void configuration_follower::relay_change(const fleet::serving_configuration& previous, std::uint64_t next_offset) {
+void configuration_follower::relay_change(const fleet::serving_configuration& previous, const log_position& next) {
     std::optional<fleet::configuration_delta> delta =
         fleet::make_delta(previous, m_state->get_view()->get_configuration());
     if (!delta) {
         m_relayed_changes.clear();
         return;
     }
-    m_relayed_changes.push_back({.delta = std::move(*delta), .next_offset = next_offset});
+    std::erase_if(m_relayed_changes, [&](const relayed_change& change) { return change.next.era != next.era; });
+    m_relayed_changes.push_back({.delta = std::move(*delta), .next = next});
     if (m_relayed_changes.size() > max_relayed_changes) {
         m_relayed_changes.erase(m_relayed_changes.begin());
     }
@@ -183,6 +196,9 @@
 }
 
 void configuration_follower::apply_relayed(relayed_configuration changes) {
+    for (const relayed_change& change : changes) {
+        on_era_changed(change.next.era);
+    }
     m_pending_changes = std::move(changes);
     apply_pending_changes();
 }
@@ -190,7 +206,10 @@
 void configuration_follower::apply_pending_changes() {
     for (const relayed_change& change : m_pending_changes) {
         const std::shared_ptr<const fleet::serving_view> current = m_state->get_view();
-        const bool continues = current != nullptr && current->get_version() == change.delta.base_version &&
+        const std::optional<log_position> next = m_topic.get_next_position();
+        const bool is_same_era = next && next->era == change.next.era;
+        const bool continues = is_same_era && current != nullptr &&
+                               current->get_version() == change.delta.base_version &&
                                change.delta.version > change.delta.base_version;
         if (!continues) {
             continue;
@@ -198,11 +217,11 @@
         const steady_time received_at = m_state->time.now();
         put_in_force(fleet::apply_delta(current->get_configuration(), change.delta));
         // The leader's next digest states when the topic ended there.
-        m_topic.record_read(change.next_offset, change.next_offset, m_topic.get_caught_up_at());
+        m_topic.record_read(change.next, change.next, m_topic.get_caught_up_at());
         log_event("configuration_in_force")
             .add("version", change.delta.version)
             .add("source", "relay")
-            .add("offset", change.next_offset)
+            .add("offset", change.next.offset)
             .add("routes", m_state->get_view()->get_configuration().routes.size())
             .add("decode_ms", m_state->time.now() - received_at)
             .write(*m_log, spdlog::level::info);
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -18,12 +18,17 @@
 /// The leader of a group of hosts waits for changes with long polls of the store and relays each one to its group as
 /// the difference to the configuration before it. The other hosts read the store when such a change is missing or too
 /// large to relay, or when their configuration was not confirmed as current for too long. Used on one event loop.
-class configuration_follower {
+class configuration_follower final : public platform::store_era_listener {
 public:
     /// Preconditions: store and state outlive the follower. `on_change` is called after each new
     /// configuration was applied.
     configuration_follower(platform::store_client& store, servers::serving_state& state, duration bound,
                            std::function<void()> on_change);
+    configuration_follower(const configuration_follower&) = delete;
+    configuration_follower& operator=(const configuration_follower&) = delete;
+    configuration_follower(configuration_follower&&) = delete;
+    configuration_follower& operator=(configuration_follower&&) = delete;
+    ~configuration_follower() override;
 
     /// Returns the age of the configuration at which a host that is not the group leader reads the store itself.
     [[nodiscard]] static duration get_max_age(duration bound);
@@ -40,23 +45,25 @@
     void set_reader(bool is_reader);
     /// Applies the read position that the group leader reports.
     void update_leader_position(const servers::digest_read_position& position);
+    /// Lists the configuration at once, because records that this host has read may be gone.
+    void on_era_changed(std::uint64_t era) override;
     /// Returns the read position of this host, which its digests report to others.
     [[nodiscard]] servers::digest_read_position get_read_position() const;
 
 private:
     servers::asio::awaitable<void> follow_once();
     servers::asio::awaitable<void> wait_for_leader();
-    /// Applies a page that was read. `at`: time at which the topic ended at the offset that the page states.
+    /// Applies a page that was read. `at`: time at which the topic ended where the page states.
     /// `sent_at`: when the read was sent.
     void apply(const platform::store_page& page, steady_time at, steady_time sent_at);
-    /// Applies a configuration record if it is newer. `next_offset`: offset at which the page with the record ends.
+    /// Applies a configuration record if it is newer. `next`: position at which the page with the record ends.
     /// Returns whether the record is valid.
-    bool apply_configuration(const platform::keyed_record& record, std::uint64_t next_offset, steady_time sent_at);
+    bool apply_configuration(const platform::keyed_record& record, const log_position& next, steady_time sent_at);
     /// Applies the relayed changes that continue the configuration in force.
     void apply_pending_changes();
     void put_in_force(fleet::serving_configuration configuration);
     /// Relays the difference between the previous configuration and the one in force.
-    void relay_change(const fleet::serving_configuration& previous, std::uint64_t next_offset);
+    void relay_change(const fleet::serving_configuration& previous, const log_position& next);
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -62,7 +62,8 @@
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
     boost::asio::co_spawn(m_state->executor, run_heartbeat(), boost::asio::detached);
     m_state->on_load_change = [this] { schedule(); };
-    m_servers->set_relay([this](std::uint64_t from, const platform::store_page& page) { relay_records(from, page); });
+    m_servers->set_relay(
+        [this](const log_position& from, const platform::store_page& page) { relay_records(from, page); });
     m_configuration->set_relay([this](const relayed_configuration& changes) { relay_configuration(changes); });
 }
 
@@ -342,7 +343,7 @@
     }
 }
 
-void host_gossip::relay_records(std::uint64_t from, const platform::store_page& page) {
+void host_gossip::relay_records(const log_position& from, const platform::store_page& page) {
     const std::string text = encode_relayed_records({.from = from, .page = page});
     if (text.size() <= max_datagram_bytes) {
         send_to(text, true);
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -80,7 +80,7 @@
     void send();
     /// Sends a datagram to all other hosts of this group, or to all hosts of remote groups.
     void send_to(const std::string& text, bool is_own_group);
-    void relay_records(std::uint64_t from, const platform::store_page& page);
+    void relay_records(const log_position& from, const platform::store_page& page);
     /// Relays changes of the configuration to the group. Changes that exceed a datagram are left out, so that the other
     /// hosts read the store.
     void relay_configuration(const relayed_configuration& changes);
--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -97,7 +97,7 @@
                 .write(*m_log, spdlog::level::warn);
         }
     }
-    m_next = page.next_offset;
+    m_next = page.next;
     m_listeners.on_page();
 }
 
--- a/daemon/host_list.hpp
+++ b/daemon/host_list.hpp
@@ -61,7 +61,7 @@
     listeners m_listeners;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    std::optional<std::uint64_t> m_next;
+    std::optional<log_position> m_next;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -81,23 +81,23 @@
     bool is_dropped = false;
     platform::store_page page;
     try {
-        page = co_await m_store->read(topics::lease, m_lease.get_end().offset, duration::zero());
+        page = co_await m_store->read(topics::lease, m_lease.get_end(), duration::zero());
     } catch (const platform::store_history_dropped_error&) {
         is_dropped = true;
     }
     if (is_dropped) {
         page = co_await m_store->read_newest(topics::lease);
     }
-    m_lease.on_read(decode(page), {.era = 0, .offset = page.next_offset});
+    m_lease.on_read(decode(page), page.next);
 }
 
 servers::asio::awaitable<void> lease_keeper::append() {
-    const std::uint64_t end = m_lease.get_end().offset;
+    const log_position end = m_lease.get_end();
     const std::string text = coordination::encode_store_lease_record(m_lease.start_append());
     try {
         const platform::append_result answer =
             co_await m_store->append(topics::lease, topics::singleton_key, text, end);
-        if (answer.offset) {
+        if (answer.position) {
             m_lease.on_appended();
         } else {
             m_lease.on_conflict();
--- a/daemon/relayed_configuration.cpp
+++ b/daemon/relayed_configuration.cpp
@@ -162,7 +162,8 @@
     const auto encode_name = [](const organisation_name& name) { return object{{"name", name.value()}}; };
     object encoded{{"base_version", delta.base_version},
                    {"version", delta.version},
-                   {"next_offset", change.next_offset},
+                   {"era", change.next.era},
+                   {"next_offset", change.next.offset},
                    {"removed_routes", encode_list(delta.removed_routes, encode_key)},
                    {"changed_routes", encode_list(delta.changed_routes, encode_route)},
                    {"removed_organisations", encode_list(delta.removed_organisations, encode_name)},
@@ -192,7 +193,12 @@
 relayed_change decode_change(const object& source) {
     relayed_change change;
     change.delta = decode_delta(source);
-    change.next_offset = json::get_unsigned(source, "next_offset");
+    // Hosts of an earlier version, which may run at the same time during an update, do not send the era.
+    change.next.era = json::get_unsigned_or(source, "era", 0);
+    if (change.next.era > max_log_era) {
+        throw malformed_message_error("the era of a relayed configuration is out of range");
+    }
+    change.next.offset = json::get_unsigned(source, "next_offset");
     return change;
 }
 
--- a/daemon/relayed_configuration.hpp
+++ b/daemon/relayed_configuration.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/log_position.hpp"
 #include "fleet/configuration_delta.hpp"
 
 namespace dragonflywell::daemon {
@@ -12,8 +13,8 @@
 /// A change of the configuration that a group leader has read from the store.
 struct relayed_change {
     fleet::configuration_delta delta;
-    /// Offset in the store after the record of the configuration that results.
-    std::uint64_t next_offset{0};
+    /// Position in the store after the record of the configuration that results.
+    log_position next{};
 
     friend bool operator==(const relayed_change&, const relayed_change&) = default;
 };
--- a/daemon/relayed_records.cpp
+++ b/daemon/relayed_records.cpp
@@ -37,8 +37,10 @@
         const boost::json::value value = record.value ? boost::json::value(*record.value) : boost::json::value();
         records.push_back(boost::json::array{record.offset, record.key, value});
     }
-    return boost::json::serialize(
-        boost::json::object{{"from", relayed.from}, {"end", relayed.page.next_offset}, {records_field, records}});
+    return boost::json::serialize(boost::json::object{{"era", relayed.from.era},
+                                                      {"from", relayed.from.offset},
+                                                      {"end", relayed.page.next.offset},
+                                                      {records_field, records}});
 }
 
 bool is_relayed_records(const boost::json::object& message) {
@@ -46,9 +48,15 @@
 }
 
 relayed_records decode_relayed_records(const boost::json::object& message) {
-    relayed_records relayed{.from = json::get_unsigned(message, "from"), .page = {}};
-    relayed.page.next_offset = json::get_unsigned(message, "end");
-    relayed.page.topic_end_offset = relayed.page.next_offset;
+    // Hosts of an earlier version, which may run at the same time during an update, do not send the era.
+    const std::uint64_t era = json::get_unsigned_or(message, "era", 0);
+    if (era > max_log_era) {
+        throw malformed_message_error("the era of relayed records is out of range");
+    }
+    relayed_records relayed;
+    relayed.from = {.era = era, .offset = json::get_unsigned(message, "from")};
+    relayed.page.next = {.era = era, .offset = json::get_unsigned(message, "end")};
+    relayed.page.end = relayed.page.next;
     for (const boost::json::value& item : json::get_array(message, records_field)) {
         relayed.page.records.push_back(decode_record(item));
     }
--- a/daemon/relayed_records.hpp
+++ b/daemon/relayed_records.hpp
@@ -10,8 +10,8 @@
 
 /// Records that a group leader has read from the store and relays to the other hosts of its group.
 struct relayed_records {
-    /// Offset at which the read began. A host whose read position is before it has missed records.
-    std::uint64_t from{};
+    /// Position at which the read began. A host whose read position is before it has missed records.
+    log_position from{};
     platform::store_page page;
 };
 
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -49,7 +49,13 @@
                                            duration drain_bound)
     : m_store(&store), m_state(&state), m_interval(get_fraction(drain_bound, interval_fraction)),
       m_max_age(get_fraction(drain_bound, max_age_fraction)), m_log(get_logger("servers")),
-      m_dependency(*m_log, "server_list"), m_read_timer(state.executor) {}
+      m_dependency(*m_log, "server_list"), m_read_timer(state.executor) {
+    store.add_era_listener(*this);
+}
+
+server_list_follower::~server_list_follower() {
+    m_store->remove_era_listener(*this);
+}
 
 servers::asio::awaitable<void> server_list_follower::run() {
     for (;;) {
@@ -59,12 +65,12 @@
         }
         duration next_after = m_interval;
         bool has_failed = false;
-        const std::optional<std::uint64_t> before = m_topic.get_next_offset();
+        const std::optional<log_position> before = m_topic.get_next_position();
         try {
             co_await follow_once();
             if (m_topic.is_lagging()) {
                 // While the store answers with stale state, reading it again at once returns nothing new.
-                next_after = m_topic.get_next_offset() == before ? stale_pause : duration::zero();
+                next_after = m_topic.get_next_position() == before ? stale_pause : duration::zero();
             }
         } catch (const platform::store_history_dropped_error&) {
             m_topic.record_truncation();
@@ -97,11 +103,13 @@
 }
 
 void server_list_follower::update_leader_position(const servers::digest_read_position& position) {
+    const log_position end = position.end.value_or(log_position());
+    on_era_changed(end.era);
     // Records are relayed in datagrams of their own, which a read position may overtake. If such a datagram is lost,
     // this host reads the store itself once its list has not been current for too long.
-    const bool is_ahead = position.end.value_or(0) > m_topic.get_next_offset().value_or(0);
+    const bool is_ahead = end > m_topic.get_next_position().value_or(log_position());
     if (!is_ahead) {
-        m_topic.update_leader_position(position.end.value_or(0), position.age, m_state->time.now());
+        m_topic.update_leader_position(end, position.age, m_state->time.now());
         m_state->set_servers_current_at(m_topic.get_caught_up_at());
     }
     // The group leader reached the store at that time, so the list counts as available on this host, too.
@@ -109,11 +117,11 @@
     drop_expired();
 }
 
-void server_list_follower::apply_relayed(std::uint64_t from, const platform::store_page& page) {
+void server_list_follower::apply_relayed(const log_position& from, const platform::store_page& page) {
     if (!m_topic.is_next(from)) {
-        if (page.next_offset > m_topic.get_next_offset().value_or(0)) {
+        if (page.next > m_topic.get_next_position().value_or(log_position{.era = m_topic.get_era(), .offset = 0})) {
             // Records before this page are missing.
-            m_topic.update_leader_position(page.next_offset, duration::zero(), m_state->time.now());
+            m_topic.update_leader_position(page.next, duration::zero(), m_state->time.now());
             m_read_timer.cancel();
         }
         return;
@@ -122,22 +130,28 @@
     record_success(m_state->time.now());
     const std::uint64_t generation = m_state->directory.get_generation();
     apply_records(page);
-    finish(generation, page.next_offset, page.topic_end_offset);
+    finish(generation, page);
+}
+
+void server_list_follower::on_era_changed(std::uint64_t era) {
+    if (m_topic.note_era(era)) {
+        m_read_timer.cancel();
+    }
 }
 
 servers::digest_read_position server_list_follower::get_read_position() const {
-    return {.end = m_topic.get_next_offset(), .age = m_topic.get_staleness(m_state->time.now())};
+    return {.end = m_topic.get_next_position(), .age = m_topic.get_staleness(m_state->time.now())};
 }
 
 servers::asio::awaitable<void> server_list_follower::follow_once() {
-    const std::optional<std::uint64_t> next = m_topic.get_next_offset();
+    const std::optional<log_position> next = m_topic.get_next_position();
     const steady_time sent_at = m_state->time.now();
     platform::store_page page;
     if (next) {
         page = co_await m_store->read(platform::wire::servers_topic, *next, duration::zero());
     } else {
         page = co_await m_store->read_newest(platform::wire::servers_topic);
-        if (m_topic.is_stale_listing(page.next_offset)) {
+        if (m_topic.is_stale_listing(page.next)) {
             throw platform::store_unavailable_error("the listing of the store is older than what was read before",
                                                     false);
         }
@@ -150,7 +164,7 @@
     } else if (!next) {
         apply_listing(page);
     }
-    finish(generation, page.next_offset, page.topic_end_offset);
+    finish(generation, page);
     if (m_is_reader && next && m_relay && !page.records.empty()) {
         m_relay(*next, page);
     }
@@ -174,8 +188,8 @@
     }
 }
 
-void server_list_follower::finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end_offset) {
-    m_topic.record_read(end, topic_end_offset, m_state->time.now());
+void server_list_follower::finish(std::uint64_t generation_before, const platform::store_page& page) {
+    m_topic.record_read(page.next, page.end, m_state->time.now());
     m_state->set_servers_current_at(m_topic.get_caught_up_at());
     m_is_loaded = true;
     if (m_state->directory.get_generation() != generation_before) {
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -17,11 +17,16 @@
 /// The leader of a group of hosts reads the list and relays new records to the group. The other hosts read the store
 /// themselves when a relayed page is missing, or when their list was not confirmed as current for too long. Used on one
 /// event loop.
-class server_list_follower {
+class server_list_follower final : public platform::store_era_listener {
 public:
     /// `drain_bound`: longest time from a server's notice that it drains to the last request sent to it.
     /// Preconditions: store and state outlive the follower.
     server_list_follower(platform::store_client& store, servers::serving_state& state, duration drain_bound);
+    server_list_follower(const server_list_follower&) = delete;
+    server_list_follower& operator=(const server_list_follower&) = delete;
+    server_list_follower(server_list_follower&&) = delete;
+    server_list_follower& operator=(server_list_follower&&) = delete;
+    ~server_list_follower() override;
 
     /// Follows the list for as long as the event loop runs.
     servers::asio::awaitable<void> run();
@@ -29,9 +34,9 @@
     /// Returns whether the list was read at least once.
     [[nodiscard]] bool is_loaded() const noexcept { return m_is_loaded; }
 
-    /// Sets the callback that relays each page that this host reads for its group. `from` is the offset of the page's
+    /// Sets the callback that relays each page that this host reads for its group. `from` is the position of the page's
     /// start.
-    void set_relay(std::function<void(std::uint64_t from, const platform::store_page& page)> relay) {
+    void set_relay(std::function<void(const log_position& from, const platform::store_page& page)> relay) {
         m_relay = std::move(relay);
     }
     /// Sets whether this host reads the list for its group.
@@ -39,7 +44,9 @@
     /// Applies the read position that the group leader reports.
     void update_leader_position(const servers::digest_read_position& position);
     /// Applies a page that the group leader has read and relayed.
-    void apply_relayed(std::uint64_t from, const platform::store_page& page);
+    void apply_relayed(const log_position& from, const platform::store_page& page);
+    /// Lists the servers at once, because records that this host has read may be gone.
+    void on_era_changed(std::uint64_t era) override;
     /// Returns the read position of this host, which its digests report to others.
     [[nodiscard]] servers::digest_read_position get_read_position() const;
 
@@ -54,7 +61,7 @@
     void apply_records(const platform::store_page& page);
     /// Drops servers whose entries expired during a store outage and that have since had time to register again.
     void drop_expired();
-    void finish(std::uint64_t generation_before, std::uint64_t end, std::uint64_t topic_end_offset);
+    void finish(std::uint64_t generation_before, const platform::store_page& page);
     void apply_listing(const platform::store_page& page);
     void apply(const platform::keyed_record& record);
     void report(const backend_server_name& server, fleet::directory_change change) const;
@@ -69,7 +76,7 @@
     store_dependency m_dependency;
     policy::topic_progress m_topic;
     boost::asio::steady_timer m_read_timer;
-    std::function<void(std::uint64_t, const platform::store_page&)> m_relay;
+    std::function<void(const log_position&, const platform::store_page&)> m_relay;
     bool m_is_reader{false};
     bool m_is_loaded{false};
 };
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -74,7 +74,7 @@
         }
     }
     m_report_state = std::move(state);
-    m_report_state_end = page.next_offset;
+    m_report_state_end = page.next;
 }
 
 bool usage_reporter::has_due() const {
@@ -134,11 +134,11 @@
     }
     const platform::append_result answer = co_await m_store->append(
         topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_report_state_end);
-    if (!answer.offset) {
+    if (!answer.position) {
         co_return false;
     }
     m_report_state = std::move(next);
-    m_report_state_end = answer.end_offset;
+    m_report_state_end = answer.end;
     co_return true;
 }
 
--- a/daemon/usage_reporter.hpp
+++ b/daemon/usage_reporter.hpp
@@ -49,7 +49,7 @@
     /// The report state as stored, without reports that were sent since; absent until it is read under the current
     /// fencing number.
     std::optional<coordination::report_state> m_report_state;
-    std::uint64_t m_report_state_end{0};
+    log_position m_report_state_end;
     std::optional<std::uint64_t> m_fence;
 };
 
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -219,14 +219,20 @@
     if (!position || !position->end) {
         return {};
     }
-    return {*position->end, to_microseconds(position->age)};
+    return {position->end->offset, to_microseconds(position->age), position->end->era};
 }
 
 std::optional<digest_read_position> decode_read_position(const array& encoded) {
     if (encoded.empty()) {
         return std::nullopt;
     }
-    return digest_read_position{.end = get_number(encoded, 0),
+    constexpr std::size_t era_index = 2;
+    // Hosts of an earlier version, which may run at the same time during an update, do not send the era.
+    const std::uint64_t era = encoded.size() > era_index ? get_number(encoded, era_index) : 0;
+    if (era > max_log_era) {
+        throw malformed_message_error("the era in a host digest is out of range");
+    }
+    return digest_read_position{.end = log_position{.era = era, .offset = get_number(encoded, 0)},
                                 .age = std::chrono::microseconds(get_number(encoded, 1))};
 }
 
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -10,6 +10,7 @@
 
 #include "core/clock.hpp"
 #include "core/identifiers.hpp"
+#include "core/log_position.hpp"
 #include "fleet/server_record.hpp"
 #include "policy/part_quarantine.hpp"
 #include "policy/prefix_cache.hpp"
@@ -70,8 +71,8 @@
 
 /// How far the sender has read the store, so that the hosts of its group need not read the store themselves.
 struct digest_read_position {
-    /// Offset after the last record that was applied; nothing before the first listing.
-    std::optional<std::uint64_t> end;
+    /// Position after the last record that was applied; nothing before the first listing of the store's present era.
+    std::optional<log_position> end;
     /// Time since the store was read.
     duration age{};
 
--- a/tests/daemon/test_relayed_configuration.cpp
+++ b/tests/daemon/test_relayed_configuration.cpp
@@ -41,16 +41,17 @@
 
 TEST_CASE("relayed changes of the configuration are decoded as they were encoded") {
     const daemon::relayed_configuration decoded = decode(daemon::encode_relayed_configuration(
-        {{.delta = {.base_version = 1, .version = 3}, .next_offset = 8}, {.delta = delta, .next_offset = 9}}));
+        {{.delta = {.base_version = 1, .version = 3}, .next = {.era = 2, .offset = 8}},
+         {.delta = delta, .next = {.era = 2, .offset = 9}}}));
     REQUIRE(decoded.size() == 2);
     CHECK(decoded[0].delta.version == 3);
-    CHECK(decoded[0].next_offset == 8);
+    CHECK(decoded[0].next == log_position{.era = 2, .offset = 8});
     CHECK(decoded[1].delta == delta);
-    CHECK(decoded[1].next_offset == 9);
+    CHECK(decoded[1].next == log_position{.era = 2, .offset = 9});
 }
 
 TEST_CASE("a relayed change that is cut short, or has a number out of range, is rejected") {
-    const std::string text = daemon::encode_relayed_configuration({{.delta = delta, .next_offset = 9}});
+    const std::string text = daemon::encode_relayed_configuration({{.delta = delta, .next = {.era = 2, .offset = 9}}});
     for (const std::string field :
          {"base_version", "version", "next_offset", "changed_routes", "shares", "retry", "keys"}) {
         CAPTURE(field);
@@ -63,5 +64,8 @@
         std::string damaged = text;
         damaged.replace(damaged.find("\"weight\":90"), 11, "\"weight\":" + number);
         CHECK_THROWS_AS(static_cast<void>(decode(damaged)), malformed_message_error);
+        damaged = text;
+        damaged.replace(damaged.find("\"era\":2"), 7, "\"era\":" + number);
+        CHECK_THROWS_AS(static_cast<void>(decode(damaged)), malformed_message_error);
     }
 }
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -47,10 +47,11 @@
 
     /// Relays a record of the group leader that removes the server's entry.
     void relay_removal() {
-        const std::uint64_t end = *follower.get_read_position().end;
-        follower.apply_relayed(end, {.records = {{.offset = end, .key = server_id.value(), .value = {}}},
-                                     .next_offset = end + 1,
-                                     .topic_end_offset = end + 1});
+        const log_position end = follower.get_read_position().end.value();
+        const log_position next{.era = end.era, .offset = end.offset + 1};
+        follower.apply_relayed(
+            end,
+            {.records = {{.offset = end.offset, .key = server_id.value(), .value = {}}}, .next = next, .end = next});
     }
 };
 
@@ -109,20 +110,40 @@
     const std::string topic = "keyed.servers";
     store.freeze_listing(topic);
     store.put(topic, server_id.value(), make_entry("draining", 2));
-    follower.apply_relayed(1, {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
-                               .next_offset = 2,
-                               .topic_end_offset = 2});
+    const auto at = [](std::uint64_t offset) { return log_position{.era = 1, .offset = offset}; };
+    follower.apply_relayed(at(1),
+                           {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
+                            .next = at(2),
+                            .end = at(2)});
     REQUIRE_FALSE(state.is_usable(server_id));
     store.put(topic, server_id.value(), make_entry("draining", 3));
     store.drop_history(topic);
     // A relayed page with a gap before it makes this host read the store. The store has dropped the records after its
     // read position, and the listing is older than the notice of the drain.
     const std::uint64_t calls = store.get_calls();
-    follower.apply_relayed(3, {.records = {}, .next_offset = 3, .topic_end_offset = 3});
+    follower.apply_relayed(at(3), {.records = {}, .next = at(3), .end = at(3)});
     // The call after the listing shows that the listing was processed.
     run_until(loop, [&] { return store.get_calls() >= calls + 3; });
     CHECK_FALSE(state.is_usable(server_id));
     store.thaw_listing(topic);
-    run_until(loop, [&] { return follower.get_read_position().end == 3; });
+    run_until(loop, [&] { return follower.get_read_position().end == at(3); });
     CHECK_FALSE(state.is_usable(server_id));
 }
+
+TEST_CASE_FIXTURE(fixture, "records that are relayed in another era of the store are not applied") {
+    const std::vector<platform::keyed_record> removal{{.offset = 1, .key = server_id.value(), .value = {}}};
+    SUBCASE("of an older one") {
+        store.set_era(2);
+        follower.update_leader_position({.end = log_position{.era = 2, .offset = 1}, .age = 0ms});
+        run_until(loop, [&] { return follower.get_read_position().end == log_position{.era = 2, .offset = 1}; });
+        const log_position next{.era = 1, .offset = 2};
+        follower.apply_relayed({.era = 1, .offset = 1}, {.records = removal, .next = next, .end = next});
+        CHECK(follower.get_read_position().end == log_position{.era = 2, .offset = 1});
+    }
+    SUBCASE("of a newer one, so that the host lists") {
+        const log_position next{.era = 2, .offset = 2};
+        follower.apply_relayed({.era = 2, .offset = 1}, {.records = removal, .next = next, .end = next});
+        CHECK_FALSE(follower.get_read_position().end);
+    }
+    CHECK(is_listed());
+}
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -20,6 +20,11 @@
 
 namespace {
 
+/// A position in the first era of the stand-in.
+log_position at(std::uint64_t offset) {
+    return {.era = 1, .offset = offset};
+}
+
 /// A client's parts on a virtual clock.
 struct virtual_time {
     virtual_clock time;
@@ -37,17 +42,17 @@
     const std::string binary("\0\xff value", 8);
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         const append_result first = co_await client.append("keyed.t", "a", binary);
-        CHECK(first.offset == 0);
-        CHECK(first.end_offset == 1);
+        CHECK(first.position == at(0));
+        CHECK(first.end.offset == 1);
         co_await client.append("keyed.t", "b", "2");
         store.put("keyed.t", "a", "");
-        const store_page page = co_await client.read("keyed.t", 1, duration::zero());
+        const store_page page = co_await client.read("keyed.t", at(1), duration::zero());
         REQUIRE(page.records.size() == 2);
         CHECK(page.records[0].key == "b");
         CHECK(page.records[0].value == "2");
         CHECK(page.records[1].offset == 2);
         CHECK_FALSE(page.records[1].value);
-        CHECK(page.next_offset == 3);
+        CHECK(page.next.offset == 3);
     });
 }
 
@@ -61,18 +66,18 @@
         const store_page page = co_await client.read_newest("keyed.t");
         REQUIRE(page.records.size() == 8);
         CHECK(page.records[7].value == "new7");
-        CHECK(page.next_offset == 16);
+        CHECK(page.next.offset == 16);
     });
 }
 
 TEST_CASE_FIXTURE(store_fixture, "a conditional append reports a conflict when the topic ends at another offset") {
     store_client client = make_client();
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const append_result won = co_await client.append("keyed.t", "k", "1", 0);
-        CHECK(won.offset == 0);
-        const append_result lost = co_await client.append("keyed.t", "k", "2", 0);
-        CHECK_FALSE(lost.offset);
-        CHECK(lost.end_offset == 1);
+        const append_result won = co_await client.append("keyed.t", "k", "1", at(0));
+        CHECK(won.position == at(0));
+        const append_result lost = co_await client.append("keyed.t", "k", "2", at(0));
+        CHECK_FALSE(lost.position);
+        CHECK(lost.end.offset == 1);
     });
     CHECK(store.get("keyed.t", "k") == "1");
 }
@@ -84,7 +89,7 @@
     bool is_dropped = false;
     run_until_done(loop, [&]() -> asio::awaitable<void> {
         try {
-            co_await client.read("keyed.t", 0, duration::zero());
+            co_await client.read("keyed.t", at(0), duration::zero());
         } catch (const store_history_dropped_error& dropped) {
             is_dropped = dropped.get_first_offset() == 1;
         }
@@ -133,15 +138,15 @@
 TEST_CASE("a response that ends within a record is rejected") {
     const std::string head = std::string(7, '\0') + '\2' + std::string(8, '\0');
     const std::string record = encode_keyed_record("k", "v");
-    CHECK(decode_read_response(head + record, 0).records.size() == 1);
-    CHECK_THROWS_AS(static_cast<void>(decode_read_response(head + record.substr(0, 5), 0)), malformed_message_error);
-    CHECK_THROWS_AS(static_cast<void>(decode_read_response("short", 0)), malformed_message_error);
+    CHECK(decode_read_response(head + record, {}).records.size() == 1);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_response(head + record.substr(0, 5), {})), malformed_message_error);
+    CHECK_THROWS_AS(static_cast<void>(decode_read_response("short", {})), malformed_message_error);
     // A record without a key is skipped, but it counts for the offsets.
     const std::string keyless("\0\0\0\1\0", 5);
-    const store_page page = decode_read_response(head + keyless + record, 4);
+    const store_page page = decode_read_response(head + keyless + record, {.era = 0, .offset = 4});
     REQUIRE(page.records.size() == 1);
     CHECK(page.records[0].offset == 5);
-    CHECK(page.next_offset == 6);
+    CHECK(page.next.offset == 6);
 }
 
 TEST_CASE_FIXTURE(virtual_time,
@@ -173,7 +178,7 @@
         loop,
         [&]() -> asio::awaitable<void> {
             try {
-                co_await client.read("keyed.hosts", 0, 24h);
+                co_await client.read("keyed.hosts", {}, 24h);
             } catch (const store_unavailable_error&) {
             }
             is_poll_over = true;
@@ -181,7 +186,7 @@
         asio::detached);
     testing::run_until(loop, [&] { return server.get_requests().size() == 1; });
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const store_page page = co_await client.read("keyed.op", 0, duration::zero());
+        const store_page page = co_await client.read("keyed.op", {}, duration::zero());
         REQUIRE(page.records.size() == 1);
         CHECK(page.records[0].value->size() == pieces * piece.size());
     });
@@ -203,9 +208,9 @@
         });
     store_client client(pool, metrics, {.address = server.get_endpoint()});
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const store_page page = co_await client.read("keyed.op", 0, duration::zero(), 1500ms);
+        const store_page page = co_await client.read("keyed.op", {}, duration::zero(), 1500ms);
         CHECK(page.records.empty());
-        CHECK_THROWS_AS(co_await client.read("keyed.op", 0, duration::zero()), store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.op", {}, duration::zero()), store_unavailable_error);
     });
     CHECK(server.get_requests().size() == 2);
 }
@@ -224,7 +229,7 @@
         });
     store_client client(pool, metrics, {.address = server.get_endpoint()});
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        CHECK_THROWS_AS(co_await client.read("keyed.op", 0, duration::zero()), store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.op", {}, duration::zero()), store_unavailable_error);
     });
 }
 
@@ -246,7 +251,7 @@
     const auto read = [&]() -> asio::awaitable<bool> {
         bool is_read = true;
         try {
-            co_await client.read("keyed.t", 0, duration::zero());
+            co_await client.read("keyed.t", {}, duration::zero());
         } catch (const store_unavailable_error& fault) {
             CHECK(fault.is_refused());
             is_read = false;
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -31,7 +31,7 @@
         .summaries = {{service_name("llm"), {.backlog = 40ms, .utilisation = 0.25, .running = 9}}},
         .crashes = {{.fingerprint = 7, .crash_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
-        .configuration = digest_read_position{.end = 4, .age = 20ms},
+        .configuration = digest_read_position{.end = log_position{.era = 2, .offset = 4}, .age = 20ms},
         .servers = {}};
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
@@ -41,7 +41,7 @@
     digest.host = "h";
     digest.corrected_time = wall_time(9s);
     digest.transitions = {{backend_server_name("e"), {.stage = fleet::engine_stage::prefill, .remaining = -7s}}};
-    digest.servers = digest_read_position{.end = 4, .age = -20ms};
+    digest.servers = digest_read_position{.end = log_position{.era = 2, .offset = 4}, .age = -20ms};
     const host_digest decoded = decode_host_digest(encode_host_digest(digest));
     CHECK(decoded.transitions.at(backend_server_name("e")).remaining == 0s);
     CHECK(decoded.servers->age == 0s);
@@ -56,6 +56,8 @@
         {"", "{}", "[]",
          R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{"x":[1]},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})",
          R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{"s":-1},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[1,2,-1],"rs":[]})",
+         R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[1,2,99999999999]})",
          R"({"h":"h","z":"z","g":"g","i":1,"n":1,"w":1,"e":{},"p":{},"t":[[1,[]]],"c":{},"r":{},"u":[],"d":[],"m":{},"rc":[],"rs":[]})"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_host_digest(text)), malformed_message_error);
