--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -134,9 +134,13 @@
 }
 
 void server_list_follower::on_era_changed(std::uint64_t era) {
-    if (m_topic.note_era(era)) {
-        m_read_timer.cancel();
+    if (!m_topic.note_era(era)) {
+        return;
+    }
+    if (m_is_loaded) {
+        m_state->directory.get_contact().record_restored(m_state->time.now());
     }
+    m_read_timer.cancel();
 }
 
 servers::digest_read_position server_list_follower::get_read_position() const {
@@ -184,7 +188,7 @@
 
 void server_list_follower::apply_records(const platform::store_page& page) {
     for (const platform::keyed_record& record : page.records) {
-        apply(record);
+        apply(record, page.next.era);
     }
 }
 
@@ -209,9 +213,12 @@
 }
 
 void server_list_follower::apply_listing(const platform::store_page& page) {
+    if (page.next.era > m_copied_until.era) {
+        m_copied_until = page.next;
+    }
     std::set<backend_server_name> listed;
     for (const platform::keyed_record& record : page.records) {
-        apply(record);
+        apply(record, page.next.era);
         if (record.value) {
             listed.insert(backend_server_name(record.key));
         }
@@ -221,7 +228,7 @@
     }
 }
 
-void server_list_follower::apply(const platform::keyed_record& record) {
+void server_list_follower::apply(const platform::keyed_record& record, std::uint64_t era) {
     const backend_server_name server(record.key);
     const steady_time now = m_state->time.now();
     if (!record.value) {
@@ -231,7 +238,9 @@
     }
     try {
         const fleet::server_record decoded = platform::decode_server_record(record.key, *record.value);
-        const fleet::directory_change change = m_state->directory.apply(decoded, now);
+        const bool may_be_copied = log_position{.era = era, .offset = record.offset} < m_copied_until;
+        const fleet::directory_change change =
+            may_be_copied ? m_state->directory.apply_copied(decoded, now) : m_state->directory.apply(decoded, now);
         if (change == fleet::directory_change::restarted) {
             m_state->health.forget(server);
             m_state->record_server_down(server);
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -63,7 +63,8 @@
     void drop_expired();
     void finish(std::uint64_t generation_before, const platform::store_page& page);
     void apply_listing(const platform::store_page& page);
-    void apply(const platform::keyed_record& record);
+    /// Applies a record of the topic in this era of the store.
+    void apply(const platform::keyed_record& record, std::uint64_t era);
     void report(const backend_server_name& server, fleet::directory_change change) const;
 
     platform::store_client* m_store;
@@ -77,6 +78,8 @@
     policy::topic_progress m_topic;
     boost::asio::steady_timer m_read_timer;
     std::function<void(const log_position&, const platform::store_page&)> m_relay;
+    /// End of the first listing of the newest listed era. Records before it may be those of an older copy.
+    log_position m_copied_until;
     bool m_is_reader{false};
     bool m_is_loaded{false};
 };
--- a/fleet/list_reachability.hpp
+++ b/fleet/list_reachability.hpp
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Records that the list is known, since this time, to have returned from an older copy. Entries of running servers
+    /// may be missing in it, however short the outage was.
+    void record_restored(steady_time at) {
+        const std::optional<steady_time> last_call_at = std::max(m_reached_at, m_failed_at);
+        m_returned_at = std::min(last_call_at.value_or(at), at);
+    }
+
     /// Records a failed call that was sent at this time.
     void record_failure(steady_time sent_at) {
         m_failed_at = std::max(sent_at, m_failed_at.value_or(sent_at));
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// How long it is remembered which servers were removed: longer than the age of a copy from which the store returns.
+constexpr duration removed_memory = std::chrono::minutes(10);
+/// Limit on the removed servers that are remembered.
+constexpr std::size_t max_removed = 4096;
+
 /// Compares the fields that affect requests. A remaining time that has merely decreased is no change.
 bool is_same_server(const server_record& left, const server_record& right) {
     return left.service == right.service && left.address == right.address && left.zone == right.zone &&
@@ -25,14 +30,17 @@
     const server_record before = server.record;
     const bool was_missing = server.is_missing;
     server.record = record;
+    const bool is_same_run = !is_new && !is_restart(before, record) && record.started_at_ms != 0;
+    server.record.is_draining = record.is_draining || (is_same_run && before.is_draining);
     server.is_missing = false;
-    if (!is_new && !was_missing && is_same_server(before, record)) {
+    if (!is_new && !was_missing && is_same_server(before, server.record)) {
         return directory_change::none;
     }
     server.changed_at = now;
     ++m_generation;
     if (is_new || is_restart(before, record)) {
         server.is_address_taken = false;
+        m_removed.erase(record.id);
         mark_previous_at_address(record);
         return is_new ? directory_change::added : directory_change::restarted;
     }
@@ -40,6 +48,31 @@
     return starts_draining ? directory_change::draining : directory_change::changed;
 }
 
+directory_change server_directory::apply_copied(const server_record& record, steady_time now) {
+    return is_outdated(record) ? directory_change::none : apply(record, now);
+}
+
+bool server_directory::is_outdated(const server_record& record) const {
+    if (const listed_server* known = find(record.id); known != nullptr) {
+        return record.started_at_ms < known->record.started_at_ms;
+    }
+    const auto removed = m_removed.find(record.id);
+    return removed != m_removed.end() && record.started_at_ms <= removed->second.started_at_ms;
+}
+
+void server_directory::erase(std::map<backend_server_name, listed_server>::iterator position, steady_time now) {
+    std::erase_if(m_removed, [&](const auto& item) { return now - item.second.removed_at > removed_memory; });
+    if (m_removed.size() >= max_removed) {
+        m_removed.erase(std::min_element(m_removed.begin(), m_removed.end(), [](const auto& left, const auto& right) {
+            return left.second.removed_at < right.second.removed_at;
+        }));
+    }
+    m_removed.insert_or_assign(
+        position->first, removed_server{.started_at_ms = position->second.record.started_at_ms, .removed_at = now});
+    m_servers.erase(position);
+    ++m_generation;
+}
+
 directory_change server_directory::remove(const backend_server_name& id, steady_time now) {
     const auto found = m_servers.find(id);
     if (found == m_servers.end()) {
@@ -49,8 +82,7 @@
         found->second.is_missing = true;
         return directory_change::missing;
     }
-    m_servers.erase(found);
-    ++m_generation;
+    erase(found, now);
     return directory_change::removed;
 }
 
@@ -76,8 +108,7 @@
         }
     }
     for (const backend_server_name& id : expired) {
-        m_servers.erase(id);
-        ++m_generation;
+        erase(m_servers.find(id), now);
     }
     return expired;
 }
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -34,9 +34,14 @@
 public:
     explicit server_directory(list_reachability_options options = {}) : m_reachability(options) {}
 
-    /// Applies a server's newest entry. Returns how it changed.
+    /// Applies a server's newest entry. A run of a server that has announced its shutdown stays draining. Returns how
+    /// it changed.
     directory_change apply(const server_record& record, steady_time now);
 
+    /// Applies an entry that may come from an older copy of the list. It does not undo what is known of the server: an
+    /// entry of an earlier run, or of a run that was removed, is ignored. Returns how it changed.
+    directory_change apply_copied(const server_record& record, steady_time now);
+
     /// Applies the removal of a server's entry. Returns how it changed.
     directory_change remove(const backend_server_name& id, steady_time now);
 
@@ -70,10 +75,21 @@
     [[nodiscard]] std::uint64_t get_generation() const noexcept { return m_generation; }
 
 private:
+    /// A run of a server whose entry was removed.
+    struct removed_server {
+        std::int64_t started_at_ms{};
+        steady_time removed_at{};
+    };
+
     void mark_previous_at_address(const server_record& record);
+    /// Removes a server, and remembers for some time which run of it was removed.
+    void erase(std::map<backend_server_name, listed_server>::iterator position, steady_time now);
+    /// Returns whether more is known of the server than the entry of an older copy states.
+    [[nodiscard]] bool is_outdated(const server_record& record) const;
 
     list_reachability m_reachability;
     std::map<backend_server_name, listed_server> m_servers;
+    std::map<backend_server_name, removed_server> m_removed;
     std::uint64_t m_generation{0};
 };
 
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -130,6 +130,52 @@
     CHECK_FALSE(state.is_usable(server_id));
 }
 
+TEST_CASE_FIXTURE(fixture, "servers that are missing in the first listing after the store's return are not gone") {
+    const backend_server_name late_id("i-2");
+    const log_position end{.era = 1, .offset = 2};
+    follower.apply_relayed(
+        {.era = 1, .offset = 1},
+        {.records = {{.offset = 1, .key = late_id.value(), .value = make_entry("ready", 1)}}, .next = end, .end = end});
+    REQUIRE(state.is_usable(late_id));
+    store.set_era(2);
+    follower.update_leader_position({.end = log_position{.era = 2, .offset = 1}, .age = 0ms});
+    const auto is_listed_again = [&] {
+        return follower.get_read_position().end == log_position{.era = 2, .offset = 1};
+    };
+    run_until(loop, is_listed_again);
+    CHECK(state.is_usable(late_id));
+    clock.advance(2400ms);
+    CHECK(state.is_usable(late_id));
+    clock.advance(100ms);
+    CHECK_FALSE(state.is_usable(late_id));
+    // It registers late.
+    const log_position next{.era = 2, .offset = 2};
+    follower.apply_relayed({.era = 2, .offset = 1},
+                           {.records = {{.offset = 1, .key = late_id.value(), .value = make_entry("ready", 5)}},
+                            .next = next,
+                            .end = next});
+    CHECK(state.is_usable(late_id));
+}
+
+TEST_CASE_FIXTURE(fixture, "an older copy of the list does not bring back a server that drains or was removed") {
+    const log_position next{.era = 1, .offset = 2};
+    SUBCASE("it drains") {
+        follower.apply_relayed(
+            {.era = 1, .offset = 1},
+            {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)}},
+             .next = next,
+             .end = next});
+    }
+    SUBCASE("it was removed") {
+        relay_removal();
+    }
+    REQUIRE_FALSE(state.is_usable(server_id));
+    store.set_era(2);
+    follower.update_leader_position({.end = log_position{.era = 2, .offset = 1}, .age = 0ms});
+    run_until(loop, [&] { return follower.get_read_position().end == log_position{.era = 2, .offset = 1}; });
+    CHECK_FALSE(state.is_usable(server_id));
+}
+
 TEST_CASE_FIXTURE(fixture, "records that are relayed in another era of the store are not applied") {
     const std::vector<platform::keyed_record> removal{{.offset = 1, .key = server_id.value(), .value = {}}};
     SUBCASE("of an older one") {
--- a/tests/fleet/test_server_directory.cpp
+++ b/tests/fleet/test_server_directory.cpp
@@ -177,3 +177,56 @@
     REQUIRE(removed.size() == 1);
     CHECK(removed.front().value() == "a");
 }
+
+TEST_CASE("a server that is missing in a restored list may register again, however short the outage was") {
+    virtual_clock time;
+    server_directory directory = make_directory(time.now());
+    time.advance(300ms);
+    directory.get_contact().record_restored(time.now());
+    CHECK(directory.retain({backend_server_name("b")}, time.now()).empty());
+    CHECK(is_usable(directory, "a", time.now()));
+    time.advance(2200ms);
+    CHECK_FALSE(is_usable(directory, "a", time.now()));
+    CHECK(directory.expire(time.now()) == std::vector{backend_server_name("a")});
+    // Its entry is back: it was only late.
+    CHECK(directory.apply(make_record("a"), time.now()) == directory_change::added);
+    CHECK(is_usable(directory, "a", time.now()));
+}
+
+TEST_CASE("a run of a server that has announced its shutdown does not take it back") {
+    virtual_clock time;
+    server_directory directory = make_directory(time.now());
+    server_record leaving = make_record("a");
+    leaving.is_draining = true;
+    directory.apply(leaving, time.now());
+    CHECK(directory.apply_copied(make_record("a"), time.now()) == directory_change::none);
+    CHECK_FALSE(is_usable(directory, "a"));
+    CHECK(directory.apply(make_record("a"), time.now()) == directory_change::none);
+    CHECK_FALSE(is_usable(directory, "a"));
+    CHECK(directory.apply(make_record("a", 80, 2), time.now()) == directory_change::restarted);
+    CHECK(is_usable(directory, "a"));
+}
+
+TEST_CASE("an older copy of the list brings back neither a removed run of a server nor an earlier one") {
+    virtual_clock time;
+    server_directory directory = make_directory(time.now());
+    directory.apply(make_record("b", 82, 5), time.now());
+    directory.remove(backend_server_name("a"), time.now());
+    CHECK(directory.apply_copied(make_record("a"), time.now()) == directory_change::none);
+    CHECK(directory.find(backend_server_name("a")) == nullptr);
+    CHECK(directory.apply_copied(make_record("b", 81, 1), time.now()) == directory_change::none);
+    CHECK(directory.find(backend_server_name("b"))->record.address.port == 82);
+    CHECK(directory.apply_copied(make_record("a", 80, 2), time.now()) == directory_change::added);
+}
+
+TEST_CASE("the memory of removed servers is bounded") {
+    virtual_clock time;
+    server_directory directory;
+    for (int server = 0; server < 5000; ++server) {
+        time.advance(1ms);
+        directory.apply(make_record("s" + std::to_string(server)), time.now());
+        directory.remove(backend_server_name("s" + std::to_string(server)), time.now());
+    }
+    CHECK(directory.apply_copied(make_record("s4999"), time.now()) == directory_change::none);
+    CHECK(directory.apply_copied(make_record("s0"), time.now()) == directory_change::added);
+}
