--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -1,5 +1,6 @@
 #include "daemon/host_list.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
@@ -50,23 +51,26 @@
 }
 
 servers::asio::awaitable<void> host_list::follow() {
-    bool is_registered = false;
     for (;;) {
         bool has_failed = false;
+        duration pause = list_pause;
         try {
-            if (!is_registered) {
+            if (!m_is_registered) {
                 const std::string entry = encode_host_entry(m_own);
                 co_await m_store->append(topics::hosts, m_own.name, entry);
-                is_registered = true;
+                m_is_registered = true;
             }
             if (m_next) {
                 apply(co_await m_store->read(topics::hosts, *m_next, list_poll_time));
             } else {
-                apply(co_await m_store->read_newest(topics::hosts));
+                const platform::store_page listing = co_await m_store->read_newest(topics::hosts);
+                m_is_registered = is_listed_in(listing);
+                apply(listing);
             }
             m_dependency.record_success(m_state->time.now());
         } catch (const platform::store_history_dropped_error&) {
             m_next.reset();
+            pause = duration::zero();
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.record_failure(m_state->time.now(), fault.what());
             has_failed = true;
@@ -74,11 +78,18 @@
         if (has_failed) {
             co_await m_store->wait_until_call_allowed();
         } else {
-            co_await servers::sleep_for(list_pause);
+            co_await servers::sleep_for(pause);
         }
     }
 }
 
+bool host_list::is_listed_in(const platform::store_page& listing) const {
+    const std::string entry = encode_host_entry(m_own);
+    return std::any_of(listing.records.begin(), listing.records.end(), [&](const platform::keyed_record& record) {
+        return record.key == m_own.name && record.value == entry;
+    });
+}
+
 void host_list::apply(const platform::store_page& page) {
     for (const platform::keyed_record& record : page.records) {
         if (record.key == m_own.name) {
--- a/daemon/host_list.hpp
+++ b/daemon/host_list.hpp
@@ -52,6 +52,9 @@
 
 private:
     servers::asio::awaitable<void> follow();
+    /// Returns whether a listing contains the entry of this host. It may lack it after the store has returned from an
+    /// older copy; a host that is missing in a listing is not gone.
+    [[nodiscard]] bool is_listed_in(const platform::store_page& listing) const;
     servers::asio::awaitable<void> send_removal(std::string host);
     void apply(const platform::store_page& page);
 
@@ -62,6 +65,7 @@
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
     std::optional<log_position> m_next;
+    bool m_is_registered{false};
 };
 
 } // namespace dragonflywell::daemon
