--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -118,6 +118,7 @@
 }
 
 void server_list_follower::apply_relayed(const log_position& from, const platform::store_page& page) {
+    on_era_changed(from.era);
     if (!m_topic.is_next(from)) {
         if (page.next > m_topic.get_next_position().value_or(log_position{.era = m_topic.get_era(), .offset = 0})) {
             // Records before this page are missing.
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -190,6 +190,7 @@
         const log_position next{.era = 2, .offset = 2};
         follower.apply_relayed({.era = 2, .offset = 1}, {.records = removal, .next = next, .end = next});
         CHECK_FALSE(follower.get_read_position().end);
+        CHECK(state.directory.get_contact().may_have_expired(clock.now()));
     }
     CHECK(is_listed());
 }
