--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -88,16 +88,16 @@
     if (is_dropped) {
         page = co_await m_store->read_newest(topics::lease);
     }
-    m_lease.on_read(decode(page), page.next_offset);
+    m_lease.on_read(decode(page), page.next);
 }
 
 servers::asio::awaitable<void> lease_keeper::append() {
-    const std::uint64_t end = m_lease.get_end();
+    const log_position end = m_lease.get_end();
     const std::string text = coordination::encode_store_lease_record(m_lease.start_append());
     try {
         const platform::append_result answer =
             co_await m_store->append(topics::lease, topics::singleton_key, text, end);
-        if (answer.offset) {
+        if (answer.position) {
             m_lease.on_appended();
         } else {
             m_lease.on_conflict();
@@ -114,7 +114,9 @@
         return;
     }
     m_was_held = is_held;
-    log_event(is_held ? "lease_taken" : "lease_lost").add("end", m_lease.get_end()).write(*m_log, spdlog::level::info);
+    log_event(is_held ? "lease_taken" : "lease_lost")
+        .add("end", m_lease.get_end().offset)
+        .write(*m_log, spdlog::level::info);
 }
 
 } // namespace dragonflywell::daemon
