--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -12,9 +12,9 @@
 constexpr int renewals_per_length = 3;
 constexpr int reads_per_length = 2;
 
-/// Era of a store that has never returned from an older copy. Only then does an empty topic show that nobody has held
-/// the lease.
-constexpr std::uint64_t first_era = 0;
+/// Newest era that a store can have which has never returned from an older copy. Only then does an empty topic show
+/// that nobody has held the lease.
+constexpr std::uint64_t max_first_era = 1;
 
 /// Bits of a fencing number that hold the offset. Era and offset together stay below 2^53.
 constexpr unsigned offset_bits = 32;
@@ -41,7 +41,7 @@
                               .incarnation = json::get_unsigned(object, "incarnation"),
                               .renewed_fencing_number = {},
                               .is_release = json::get_bool_or(object, "release", false),
-                              .era = json::get_unsigned_or(object, "era", first_era)};
+                              .era = json::get_unsigned_or(object, "era", 0)};
     if (object.contains("fence")) {
         record.renewed_fencing_number = json::get_unsigned(object, "fence");
     }
@@ -113,6 +113,7 @@
         return;
     }
     m_end = {.era = era, .offset = 0};
+    m_has_read_earlier_era = m_has_read_earlier_era || m_first_read_at.has_value();
     m_latest.reset();
     m_first_read_at.reset();
     m_last_read_at.reset();
@@ -127,16 +128,16 @@
                               .incarnation = m_options.incarnation,
                               .renewed_fencing_number = {},
                               .era = m_end.era};
-    std::optional<steady_time> may_act_from;
+    std::optional<held_lease> continued;
     if (!is_held()) {
         m_held.reset();
     } else if (is_held_from_earlier_era() && !m_is_resigning) {
-        may_act_from = m_held->may_act_from;
+        continued = m_held;
     } else {
         record.renewed_fencing_number = m_held->fencing_number;
         record.is_release = m_is_resigning;
     }
-    m_pending = {.record = record, .sent_at = m_time->now_with_suspension(), .may_act_from = may_act_from};
+    m_pending = {.record = record, .sent_at = m_time->now_with_suspension(), .continued = continued};
     m_last_sent_at = m_time->now();
     if (record.is_release) {
         // No call may be made under the lease from now on, even if the release record is lost.
@@ -190,6 +191,10 @@
     return m_held && m_time->now_with_suspension() < m_held->expires_at;
 }
 
+std::optional<std::uint64_t> store_lease::get_term() const {
+    return is_held() ? std::optional(m_held->term) : std::nullopt;
+}
+
 bool store_lease::is_own(const store_lease_record& record) const {
     return record.holder == m_options.holder && record.incarnation == m_options.incarnation;
 }
@@ -199,7 +204,7 @@
 }
 
 bool store_lease::is_holder_unknown() const {
-    return !m_latest && m_end.era != first_era;
+    return !m_latest && (m_has_read_earlier_era || m_end.era > max_first_era);
 }
 
 bool store_lease::is_held_from_earlier_era() const {
@@ -264,11 +269,13 @@
         m_held.reset();
         return;
     }
+    const std::optional<held_lease>& continued = m_pending->continued;
     const steady_time may_act_from = m_time->now_with_suspension() + get_takeover_delay_left();
     m_held = {.fencing_number = *fencing_number,
+              .term = continued ? continued->term : *fencing_number,
               .era = record.era,
               .expires_at = expires_at,
-              .may_act_from = m_pending->may_act_from.value_or(may_act_from)};
+              .may_act_from = continued ? continued->may_act_from : may_act_from};
 }
 
 } // namespace dragonflywell::coordination
--- a/coordination/store_lease.hpp
+++ b/coordination/store_lease.hpp
@@ -120,6 +120,10 @@
     [[nodiscard]] std::optional<std::uint64_t> get_fencing_number() const;
     /// Returns whether this candidate holds the lease, even if it may not act yet.
     [[nodiscard]] bool is_held() const;
+    /// Returns the fencing number with which the uninterrupted holding of the lease began, or nothing if the lease is
+    /// not held. It stays the same when the holder acquires the lease anew in a new era, since no other candidate has
+    /// held it in between.
+    [[nodiscard]] std::optional<std::uint64_t> get_term() const;
 
 private:
     [[nodiscard]] bool is_own(const store_lease_record& record) const;
@@ -146,6 +150,7 @@
     std::optional<steady_time> m_first_read_at;
     std::optional<steady_time> m_last_read_at;
     std::optional<steady_time> m_heartbeat_at;
+    bool m_has_read_earlier_era{false};
     /// The newest record of the current era.
     std::optional<lease_topic_entry> m_latest;
     /// When the newest record, or a heartbeat of the holder, was first received here, or when it was sent from here.
@@ -154,21 +159,23 @@
     /// When this candidate sent its newest record.
     std::optional<steady_time> m_last_sent_at;
 
+    struct held_lease {
+        std::uint64_t fencing_number{};
+        /// Fencing number with which the uninterrupted holding began.
+        std::uint64_t term{};
+        std::uint64_t era{};
+        steady_time expires_at{};
+        steady_time may_act_from{};
+    };
     struct pending_append {
         store_lease_record record;
         /// Measured by the clock that includes suspension, like all times of a lease that this candidate holds.
         steady_time sent_at{};
-        /// For an acquisition that continues a lease of an earlier era: the moment from which that lease may be used.
-        std::optional<steady_time> may_act_from;
+        /// The lease of an earlier era that this acquisition continues.
+        std::optional<held_lease> continued;
     };
     std::optional<pending_append> m_pending;
 
-    struct held_lease {
-        std::uint64_t fencing_number{};
-        std::uint64_t era{};
-        steady_time expires_at{};
-        steady_time may_act_from{};
-    };
     std::optional<held_lease> m_held;
     bool m_is_resigning{false};
 };
--- a/tests/coordination/lease_simulation.cpp
+++ b/tests/coordination/lease_simulation.cpp
@@ -53,7 +53,7 @@
 }
 
 std::uint64_t lease_simulation::get_visible_era() const {
-    return m_mutation == lease_mutation::era_unknown ? 0 : m_era;
+    return m_mutation == lease_mutation::era_unknown ? 1 : m_era;
 }
 
 bool lease_simulation::append(std::uint64_t at, const store_lease_record& record) {
--- a/tests/coordination/lease_simulation.hpp
+++ b/tests/coordination/lease_simulation.hpp
@@ -104,7 +104,7 @@
 
     lease_mutation m_mutation;
     duration m_elapsed{};
-    std::uint64_t m_era{0};
+    std::uint64_t m_era{1};
     std::vector<coordination::store_lease_record> m_topic;
     std::vector<late_append> m_late_appends;
     std::array<member, candidates> m_members;
