--- a/coordination/usage_state.cpp
+++ b/coordination/usage_state.cpp
@@ -64,10 +64,13 @@
     for (const window_usage& usage : state.pending) {
         pending.push_back(boost::json::object{{"window", usage.window}, {"counts", encode_counts(usage.counts)}});
     }
-    boost::json::object object{{"pending", pending}};
+    boost::json::object object{{"pending", pending}, {"era", state.era}};
     if (state.last) {
         object["last"] = *state.last;
     }
+    if (state.settled) {
+        object["settled"] = *state.settled;
+    }
     return boost::json::serialize(object);
 }
 
@@ -78,6 +81,10 @@
     if (object.contains("last")) {
         state.last = static_cast<usage_window_number>(json::get_unsigned(object, "last"));
     }
+    if (object.contains("settled")) {
+        state.settled = static_cast<usage_window_number>(json::get_unsigned(object, "settled"));
+    }
+    state.era = json::get_unsigned_or(object, "era", 0);
     for (const boost::json::value& item : json::get_array(object, "pending")) {
         const boost::json::object& usage = json::as_object(item, "pending usage report");
         state.pending.push_back({.window = static_cast<usage_window_number>(json::get_unsigned(usage, "window")),
--- a/coordination/usage_state.hpp
+++ b/coordination/usage_state.hpp
@@ -43,6 +43,10 @@
     std::optional<usage_window_number> last;
     /// Usage of windows whose report is not confirmed yet, oldest first.
     std::vector<window_usage> pending;
+    /// Era of the store in which the state was written. In a later era, newer states may be lost.
+    std::uint64_t era{};
+    /// The newest window whose usage was already in the state that this one replaces.
+    std::optional<usage_window_number> settled;
 
     friend bool operator==(const report_state&, const report_state&) = default;
 };
--- a/tests/coordination/test_usage_state.cpp
+++ b/tests/coordination/test_usage_state.cpp
@@ -34,7 +34,8 @@
 TEST_CASE("usage records and report states are unchanged after encoding and decoding") {
     const usage_record record{.windows = {{7, {{organisation_name("a"), 2}}}, {8, {}}}, .closed = 7};
     CHECK(decode_usage_record(encode_usage_record(record)) == record);
-    const report_state state{.last = 8, .pending = {{.window = 7, .counts = {{organisation_name("a"), 2}}}}};
+    const report_state state{
+        .last = 8, .pending = {{.window = 7, .counts = {{organisation_name("a"), 2}}}}, .era = 3, .settled = 7};
     CHECK(decode_report_state(encode_report_state(state)) == state);
     CHECK(decode_report_state(encode_report_state({})) == report_state{});
 }
