--- a/coordination/store_lease.cpp
+++ b/coordination/store_lease.cpp
@@ -12,10 +12,6 @@
 constexpr int renewals_per_length = 3;
 constexpr int reads_per_length = 2;
 
-/// Newest era that a store can have which has never returned from an older copy. Only then does an empty topic show
-/// that nobody has held the lease.
-constexpr std::uint64_t max_first_era = 1;
-
 /// Bits of a fencing number that hold the offset. Era and offset together stay below 2^53.
 constexpr unsigned offset_bits = 32;
 constexpr std::uint64_t max_offset = (std::uint64_t{1} << offset_bits) - 2;
@@ -204,7 +200,8 @@
 }
 
 bool store_lease::is_holder_unknown() const {
-    return !m_latest && (m_has_read_earlier_era || m_end.era > max_first_era);
+    // Only before the first return does an empty topic show that nobody has held the lease.
+    return !m_latest && (m_has_read_earlier_era || m_end.era > max_first_log_era);
 }
 
 bool store_lease::is_held_from_earlier_era() const {
--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -24,7 +24,8 @@
         } catch (const malformed_message_error&) {
             // A malformed record names no holder, but still moves the end of the topic.
             records.push_back(
-                {.offset = record.offset, .record = {.holder = "?", .incarnation = 0, .renewed_fencing_number = {}}});
+                {.offset = record.offset,
+                 .record = {.holder = "?", .incarnation = 0, .renewed_fencing_number = {}, .era = page.next.era}});
         }
     }
     return records;
@@ -35,7 +36,9 @@
 lease_keeper::lease_keeper(platform::store_client& store, const clock_source& time,
                            coordination::store_lease_options options)
     : m_store(&store), m_time(&time), m_lease(time, std::move(options)), m_log(get_logger("lease")),
-      m_dependency(*m_log, "lease_topic") {}
+      m_dependency(*m_log, "lease_topic"), m_subscription(store, *this) {
+    m_lease.on_era_changed(m_store->get_era());
+}
 
 servers::asio::awaitable<void> lease_keeper::run() {
     for (;;) {
@@ -49,7 +52,7 @@
 
 servers::asio::awaitable<void> lease_keeper::resign() {
     m_lease.resign();
-    if (m_was_held && !m_is_busy) {
+    if (m_reported_term && !m_is_busy) {
         co_await step(m_lease.get_next_action());
     }
     report_change();
@@ -78,14 +81,17 @@
 }
 
 servers::asio::awaitable<void> lease_keeper::read() {
-    bool is_dropped = false;
+    // The topic grows with each renewal, so a first read asks for the newest record only.
+    bool needs_listing = m_lease.get_end().offset == 0;
     platform::store_page page;
-    try {
-        page = co_await m_store->read(topics::lease, m_lease.get_end(), duration::zero());
-    } catch (const platform::store_history_dropped_error&) {
-        is_dropped = true;
+    if (!needs_listing) {
+        try {
+            page = co_await m_store->read(topics::lease, m_lease.get_end(), duration::zero());
+        } catch (const platform::store_history_dropped_error&) {
+            needs_listing = true;
+        }
     }
-    if (is_dropped) {
+    if (needs_listing) {
         page = co_await m_store->read_newest(topics::lease);
     }
     m_lease.on_read(decode(page), page.next);
@@ -109,13 +115,20 @@
 }
 
 void lease_keeper::report_change() {
-    const bool is_held = m_lease.is_held();
-    if (is_held == m_was_held) {
+    const std::optional<std::uint64_t> term = m_lease.get_term();
+    const log_position& end = m_lease.get_end();
+    if (term == m_reported_term && (!term || end.era == m_reported_era)) {
         return;
     }
-    m_was_held = is_held;
-    log_event(is_held ? "lease_taken" : "lease_lost")
-        .add("end", m_lease.get_end().offset)
+    const std::string_view event =
+        !term ? "lease_lost" : (term == m_reported_term ? "lease_in_new_era" : "lease_taken");
+    m_reported_term = term;
+    m_reported_era = end.era;
+    log_event(event)
+        .add("term", term.value_or(0))
+        .add("fence", m_lease.get_fencing_number().value_or(0))
+        .add("era", end.era)
+        .add("end", end.offset)
         .write(*m_log, spdlog::level::info);
 }
 
--- a/daemon/lease_keeper.hpp
+++ b/daemon/lease_keeper.hpp
@@ -6,16 +6,16 @@
 #include "coordination/store_lease.hpp"
 #include "core/log.hpp"
 #include "daemon/store_dependency.hpp"
+#include "daemon/store_era_subscription.hpp"
 #include "platform/store_client.hpp"
 
 namespace dragonflywell::daemon {
 
 /// Acquires and renews the lease whose holder controls the fleet and reports usage. Used on one event loop.
-class lease_keeper {
+class lease_keeper final : public platform::store_era_listener {
 public:
     /// Preconditions: store and clock outlive the keeper.
     lease_keeper(platform::store_client& store, const clock_source& time, coordination::store_lease_options options);
-
     /// Acquires and renews the lease for as long as the event loop runs.
     servers::asio::awaitable<void> run();
 
@@ -28,6 +28,12 @@
     /// Returns whether this host holds the lease, even while it may not act yet.
     [[nodiscard]] bool is_held() const { return m_lease.is_held(); }
 
+    /// Returns the number of this host's uninterrupted holding of the lease, or nothing; see `store_lease::get_term`.
+    [[nodiscard]] std::optional<std::uint64_t> get_term() const { return m_lease.get_term(); }
+
+    /// The lease is acquired anew in the new era.
+    void on_era_changed(std::uint64_t era) override { m_lease.on_era_changed(era); }
+
     /// Records that another host has announced that it holds the lease.
     void record_holder_heartbeat() { m_lease.record_holder_heartbeat(); }
 
@@ -45,7 +51,10 @@
     coordination::store_lease m_lease;
     std::shared_ptr<spdlog::logger> m_log;
     store_dependency m_dependency;
-    bool m_was_held{false};
+    /// The holding of the lease that was last reported in the log.
+    std::optional<std::uint64_t> m_reported_term;
+    std::uint64_t m_reported_era{0};
+    store_era_subscription m_subscription;
     bool m_is_busy{false};
 };
 
