--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -17,13 +17,16 @@
 constexpr coordination::usage_window_number max_late_windows = 4;
 /// Largest number of windows whose reports are kept for a retry.
 constexpr std::size_t max_pending_windows = 8;
+/// Clocks of hosts differ by less than this, so another host may have made a window final that much earlier.
+constexpr duration max_clock_difference = std::chrono::milliseconds(300);
 
 } // namespace
 
 usage_reporter::usage_reporter(platform::store_client& store, platform::cloud_client& cloud, lease_keeper& lease,
-                               servers::serving_state& state, std::string host, duration due)
+                               servers::serving_state& state, metrics_registry& metrics, std::string host, duration due)
     : m_store(&store), m_cloud(&cloud), m_lease(&lease), m_state(&state), m_host(std::move(host)),
-      m_finalize_delay(make_usage_timing(due).finalize_delay), m_log(get_logger("usage")) {}
+      m_finalize_delay(make_usage_timing(due).finalize_delay), m_log(get_logger("usage")),
+      m_skipped_windows(&metrics.get_counter("dragonflywell_usage_windows_skipped_total")) {}
 
 servers::asio::awaitable<void> usage_reporter::run() {
     for (;;) {
@@ -48,7 +51,10 @@
 
 servers::asio::awaitable<void> usage_reporter::report_due() {
     if (!m_report_state) {
-        co_await read_report_state();
+        const bool is_read = co_await read_report_state();
+        if (!is_read) {
+            co_return;
+        }
     }
     if (has_due()) {
         const bool is_finalized = co_await finalize_due();
@@ -60,8 +66,13 @@
     co_await send_pending();
 }
 
-servers::asio::awaitable<void> usage_reporter::read_report_state() {
+servers::asio::awaitable<bool> usage_reporter::read_report_state() {
+    const std::optional<std::uint64_t> term = m_lease->get_term();
     const platform::store_page page = co_await m_store->read_newest(topics::reports);
+    if (!term || m_lease->get_term() != term) {
+        co_return false;
+    }
+    const bool is_first = page.records.empty() && page.next.era <= max_first_log_era;
     coordination::report_state state;
     for (const platform::keyed_record& record : page.records) {
         if (record.key != topics::singleton_key || !record.value) {
@@ -73,16 +84,54 @@
             log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
         }
     }
-    m_report_state = std::move(state);
+    if (m_report_state_end.era != 0 && m_report_state_end.era != page.next.era) {
+        m_era_known_since = m_state->time.now();
+    }
     m_report_state_end = page.next;
+    if (state.era != page.next.era && !is_first) {
+        co_return co_await recover_report_state(state);
+    }
+    m_history.record(state, *term);
+    m_report_state = std::move(state);
+    co_return true;
+}
+
+servers::asio::awaitable<bool> usage_reporter::recover_report_state(const coordination::report_state& stored) {
+    const std::optional<std::uint64_t> term = m_lease->get_term();
+    if (!term) {
+        co_return false;
+    }
+    const std::uint64_t era = m_report_state_end.era;
+    const wall_time latest_clock = m_state->get_corrected_time() + max_clock_difference;
+    coordination::recovered_report_state recovered =
+        m_history.recover(stored, {.term = *term, .era = era, .newest_due = get_newest_due(latest_clock)});
+    const bool is_stored = co_await store_report_state(std::move(recovered.state));
+    log_event("report_state_recovered")
+        .add("era", era)
+        .add("stored_era", stored.era)
+        .add("stored_last", stored.last.value_or(0))
+        .add("last", is_stored ? m_report_state->last.value_or(0) : 0)
+        .add("pending", is_stored ? m_report_state->pending.size() : 0)
+        .add("skipped_from", recovered.skipped.empty() ? 0 : recovered.skipped.front())
+        .add("skipped", recovered.skipped.size())
+        .add("reason", recovered.skipped.empty() ? "known" : "may have been reported in an earlier era")
+        .add("stored", is_stored)
+        .write(*m_log, spdlog::level::warn);
+    if (is_stored) {
+        m_skipped_windows->add(recovered.skipped.size());
+    }
+    co_return is_stored;
 }
 
 bool usage_reporter::has_due() const {
-    return !m_report_state->last || *m_report_state->last < get_newest_due();
+    if (m_era_known_since && m_state->time.now() - *m_era_known_since < usage_rewrite_time) {
+        return false;
+    }
+    return !m_report_state->last || *m_report_state->last < get_newest_due(m_state->get_corrected_time());
 }
 
-coordination::usage_window_number usage_reporter::get_newest_due() const {
-    return m_state->usage.get_window(m_state->get_corrected_time() - m_finalize_delay) - 1;
+coordination::usage_window_number usage_reporter::get_newest_due(wall_time now) const {
+    return m_state->usage.get_window(now - m_finalize_delay) - 1;
 }
 
 std::vector<coordination::usage_record> usage_reporter::gather_records(const platform::store_page& page) const {
@@ -120,7 +169,7 @@
 }
 
 servers::asio::awaitable<bool> usage_reporter::finalize_due() {
-    const coordination::usage_window_number newest = get_newest_due();
+    const coordination::usage_window_number newest = get_newest_due(m_state->get_corrected_time());
     const platform::store_page page = co_await m_store->read_newest(topics::usage);
     const std::vector<coordination::usage_record> records = gather_records(page);
     coordination::report_state next = *m_report_state;
@@ -128,15 +177,24 @@
     for (coordination::usage_window_number window = first; window <= newest; ++window) {
         next.pending.push_back(coordination::sum_window(records, window));
     }
+    next.era = m_report_state_end.era;
+    next.settled = next.last;
     next.last = newest;
     if (next.pending.size() > max_pending_windows) {
         next.pending.erase(next.pending.begin(), next.pending.end() - static_cast<std::ptrdiff_t>(max_pending_windows));
     }
+    co_return co_await store_report_state(std::move(next));
+}
+
+servers::asio::awaitable<bool> usage_reporter::store_report_state(coordination::report_state next) {
+    const std::optional<std::uint64_t> term = m_lease->get_term();
     const platform::append_result answer = co_await m_store->append(
         topics::reports, topics::singleton_key, coordination::encode_report_state(next), m_report_state_end);
-    if (!answer.position) {
+    // Without the lease, or in another term, another host may be the one to go on.
+    if (!answer.position || !term || m_lease->get_term() != term) {
         co_return false;
     }
+    m_history.record(next, *term);
     m_report_state = std::move(next);
     m_report_state_end = answer.end;
     co_return true;
--- a/daemon/usage_timing.hpp
+++ b/daemon/usage_timing.hpp
@@ -8,6 +8,8 @@
 
 /// Time after the end of a window until all of its requests are counted.
 inline constexpr duration usage_settle_time = std::chrono::milliseconds(200);
+/// Time after the begin of a new era of the store until the hosts have written again what the store lost.
+inline constexpr duration usage_rewrite_time = std::chrono::milliseconds(2000);
 /// Number of windows whose counts are retained, of this host and of others. Older windows are either reported or too
 /// late to be reported.
 inline constexpr std::int64_t retained_usage_windows = 6;
