--- a/daemon/group_usage_recorder.cpp
+++ b/daemon/group_usage_recorder.cpp
@@ -12,7 +12,8 @@
 
 group_usage_recorder::group_usage_recorder(platform::store_client& store, servers::serving_state& state,
                                            duration record_delay)
-    : m_store(&store), m_state(&state), m_record_delay(record_delay), m_log(get_logger("usage")) {}
+    : m_store(&store), m_state(&state), m_record_delay(record_delay), m_log(get_logger("usage")),
+      m_era(store.get_era()), m_subscription(store, *this) {}
 
 void group_usage_recorder::update(const servers::host_digest& digest) {
     if (digest.usage.empty()) {
@@ -51,9 +52,15 @@
     boost::asio::co_spawn(m_state->executor, record(window), boost::asio::detached);
 }
 
+void group_usage_recorder::on_era_changed(std::uint64_t era) {
+    m_era = era;
+    m_recorded.reset();
+    m_last_tried = 0;
+}
+
 servers::asio::awaitable<void> group_usage_recorder::record(std::int64_t window) {
     const wall_time fully_counted_at = m_state->usage.get_end(window) + usage_settle_time;
-    servers::digest_recorded_usage recorded{.window = window, .incarnations = {}};
+    servers::digest_recorded_usage recorded{.window = window, .incarnations = {}, .era = m_era};
     std::vector<platform::keyed_value> records;
     for (const auto& [host, received] : m_received) {
         // Counts that were sent before the window was fully counted may still grow.
@@ -72,8 +79,11 @@
         co_return;
     }
     try {
-        co_await m_store->append_all(topics::usage, records);
-        m_recorded = std::move(recorded);
+        const platform::append_result answer = co_await m_store->append_all(topics::usage, records);
+        recorded.era = answer.end.era;
+        if (is_current(recorded)) {
+            m_recorded = std::move(recorded);
+        }
     } catch (const platform::store_unavailable_error& fault) {
         // Each of the hosts then records its own usage.
         log_event("group_usage_failed")
--- a/daemon/group_usage_recorder.hpp
+++ b/daemon/group_usage_recorder.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/log.hpp"
+#include "daemon/store_era_subscription.hpp"
 #include "platform/store_client.hpp"
 #include "policy/usage_counter.hpp"
 #include "servers/host_digest.hpp"
@@ -15,7 +16,7 @@
 /// On a group leader, records the usage of the other hosts of the group with one store call, and provides for the next
 /// digests whose usage is recorded. A host that receives no such confirmation records its own usage, so a failure here
 /// loses nothing. Used on one event loop.
-class group_usage_recorder {
+class group_usage_recorder final : public platform::store_era_listener {
 public:
     /// Usage counts that one incarnation of a host has sent in its digests.
     struct received_usage {
@@ -38,6 +39,13 @@
     /// the group leader.
     void record_if_due();
 
+    /// Lets the newest window be recorded again, with all retained ones, since the store may have lost them.
+    void on_era_changed(std::uint64_t era) override;
+    /// Returns whether a group leader's statement that usage is recorded holds in the present era of the store.
+    [[nodiscard]] bool is_current(const servers::digest_recorded_usage& recorded) const {
+        return recorded.era >= m_era;
+    }
+
     /// Returns whose usage of which window is recorded, for the next digests.
     [[nodiscard]] std::optional<servers::digest_recorded_usage> get_recorded() const { return m_recorded; }
 
@@ -53,6 +61,8 @@
     /// The newest window for which recording was tried.
     std::int64_t m_last_tried{0};
     std::optional<servers::digest_recorded_usage> m_recorded;
+    std::uint64_t m_era;
+    store_era_subscription m_subscription;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -41,7 +41,7 @@
                          configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
                          host_gossip_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
-      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store),
+      m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store, loop.get_executor()),
       m_group_usage(store, state, m_options.group_record_delay),
       m_digest_builder(state, configuration, servers, lease, m_group_usage,
                        {.host = m_options.host, .incarnation = m_options.incarnation}, m_options.zone),
@@ -183,6 +183,9 @@
 }
 
 void host_gossip::apply_recorded_usage(const servers::digest_recorded_usage& recorded) {
+    if (!m_group_usage.is_current(recorded)) {
+        return;
+    }
     const servers::host_incarnation own{.host = m_options.host, .incarnation = m_options.incarnation};
     if (std::find(recorded.incarnations.begin(), recorded.incarnations.end(), own) != recorded.incarnations.end()) {
         m_state->delegation.note_recorded(recorded.window);
--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -1,6 +1,9 @@
 #include "daemon/usage_recorder.hpp"
 
+#include <algorithm>
+
 #include "coordination/usage_state.hpp"
+#include "core/log_event.hpp"
 #include "daemon/store_topics.hpp"
 #include "daemon/usage_timing.hpp"
 #include "servers/sleep.hpp"
@@ -19,25 +22,26 @@
 usage_recorder::usage_recorder(platform::store_client& store, servers::serving_state& state, const std::string& host,
                                std::uint64_t incarnation)
     : m_store(&store), m_state(&state), m_key(coordination::make_usage_key(host, incarnation)),
-      m_log(get_logger("usage")), m_dependency(*m_log, "usage_topic") {}
+      m_recorded(get_current_window() - 1), m_era(store.get_era()), m_era_known_since(state.time.now()),
+      m_log(get_logger("usage")), m_dependency(*m_log, "usage_topic"), m_subscription(store, *this) {}
 
 servers::asio::awaitable<void> usage_recorder::run() {
-    std::int64_t recorded = get_current_window() - 1;
+    m_recorded = get_current_window() - 1;
     for (;;) {
-        const wall_time due = m_state->usage.get_end(recorded + 1) + usage_settle_time;
+        const wall_time due = m_state->usage.get_end(m_recorded + 1) + usage_settle_time;
         const duration wait = due - m_state->get_corrected_time();
         if (wait > duration::zero()) {
             co_await servers::sleep_for(std::min(wait, max_wait));
             continue;
         }
         const std::int64_t closed = get_current_window() - 1;
-        const duration time_since_end = m_state->get_corrected_time() - m_state->usage.get_end(closed);
         using choice = policy::usage_delegation::choice;
-        const choice chosen = m_state->delegation.choose(closed, recorded, time_since_end);
+        const choice chosen = m_state->delegation.choose(closed, m_recorded, get_time_to_record(closed));
         if (chosen == choice::wait) {
             co_await servers::sleep_for(leader_check_interval);
             continue;
         }
+        const std::uint64_t era = m_era;
         bool is_recorded = chosen == choice::is_recorded;
         try {
             if (!is_recorded) {
@@ -48,8 +52,12 @@
         } catch (const platform::store_unavailable_error& fault) {
             m_dependency.record_failure(m_state->time.now(), fault.what());
         }
+        if (is_recorded && era != m_era) {
+            // It may have been written before the store returned from an older copy.
+            continue;
+        }
         if (is_recorded) {
-            recorded = closed;
+            m_recorded = closed;
             m_state->usage.forget_before(closed - retained_usage_windows);
         } else {
             co_await m_store->wait_until_call_allowed();
@@ -73,6 +81,23 @@
     co_await m_store->append(topics::usage, m_key, coordination::encode_usage_record(record));
 }
 
+void usage_recorder::on_era_changed(std::uint64_t era) {
+    const bool is_first = m_era == 0;
+    m_era = era;
+    if (is_first) {
+        return;
+    }
+    m_era_known_since = m_state->time.now();
+    m_state->delegation.forget_recorded();
+    m_recorded = std::min(m_recorded, get_current_window() - 2);
+    log_event("usage_recorded_again").add("era", era).write(*m_log, spdlog::level::info);
+}
+
+duration usage_recorder::get_time_to_record(std::int64_t closed) const {
+    const duration since_end = m_state->get_corrected_time() - m_state->usage.get_end(closed);
+    return std::min(since_end, m_state->time.now() - m_era_known_since);
+}
+
 std::int64_t usage_recorder::get_current_window() const {
     return m_state->usage.get_window(m_state->get_corrected_time());
 }
--- a/policy/usage_delegation.hpp
+++ b/policy/usage_delegation.hpp
@@ -22,6 +22,9 @@
     /// Records that the group leader has recorded this host's counts up to and including a window that has ended.
     void note_recorded(std::int64_t window) { m_recorded = std::max(m_recorded.value_or(window), window); }
 
+    /// What the group leader has recorded is lost.
+    void forget_recorded() noexcept { m_recorded.reset(); }
+
     enum class choice : std::uint8_t { record, wait, is_recorded };
 
     /// Returns what to do for `window`, the newest window that has ended. `recorded`: the newest window that is known
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -115,11 +115,13 @@
     for (const host_incarnation& entry : recorded.incarnations) {
         incarnations.push_back(array{entry.host, entry.incarnation});
     }
-    return {recorded.window, std::move(incarnations)};
+    return {recorded.window, std::move(incarnations), recorded.era};
 }
 
 digest_recorded_usage decode_recorded_usage(const array& encoded) {
-    digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)), .incarnations = {}};
+    digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)),
+                                   .incarnations = {},
+                                   .era = encoded.size() > 2 ? get_number(encoded, 2) : 0};
     for (const value& item : get_list(encoded, 1)) {
         const array& entry = require_list(item);
         if (entry.empty() || !entry[0].is_string()) {
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -91,6 +91,8 @@
 struct digest_recorded_usage {
     std::int64_t window{};
     std::vector<host_incarnation> incarnations;
+    /// Era of the store in which it is recorded.
+    std::uint64_t era{};
 
     friend bool operator==(const digest_recorded_usage&, const digest_recorded_usage&) = default;
 };
--- a/tests/daemon/test_usage_after_restore.cpp
+++ b/tests/daemon/test_usage_after_restore.cpp
@@ -5,6 +5,7 @@
 
 #include "coordination/usage_state.hpp"
 #include "daemon/store_topics.hpp"
+#include "daemon/usage_recorder.hpp"
 #include "daemon/usage_reporter.hpp"
 #include "platform/engine_codec.hpp"
 #include "servers/http_server.hpp"
@@ -155,3 +156,21 @@
     CHECK_FALSE(receiver.reported.contains(window));
     CHECK(receiver.reported.at(next) == R"({"rovers":4})");
 }
+
+TEST_CASE_FIXTURE(fixture, "a host records its usage again after the store returns from an older copy") {
+    daemon::usage_recorder recorder(*client, state, "h1", 1);
+    state.usage.add(rovers, state.usage.get_end(window) + 1ms);
+    asio::co_spawn(loop, recorder.run(), asio::detached);
+    const auto is_recorded = [&] {
+        return store.get(std::string(daemon::topics::usage), coordination::make_usage_key("h1", 1)).has_value();
+    };
+    loop.poll();
+    clock.advance(window_length);
+    run_until(loop, is_recorded);
+    store.restore_to({{std::string(daemon::topics::usage), 0}});
+    REQUIRE_FALSE(is_recorded());
+    testing::run_until_done(loop,
+                            [&]() -> asio::awaitable<void> { co_await client->read_newest(daemon::topics::reports); });
+    run_until(loop, is_recorded);
+    CHECK(is_recorded());
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -26,8 +26,9 @@
         .ejections = {{backend_server_name("f"), 300ms}},
         .prefill_demand = {{service_name("llm"), 3s}},
         .usage = {{357732848, {{organisation_name("o"), 12}}}},
-        .recorded_usage =
-            servers::digest_recorded_usage{.window = 357732847, .incarnations = {{.host = "h2", .incarnation = 5}}},
+        .recorded_usage = servers::digest_recorded_usage{.window = 357732847,
+                                                         .incarnations = {{.host = "h2", .incarnation = 5}},
+                                                         .era = 3},
         .summaries = {{service_name("llm"), {.backlog = 40ms, .utilisation = 0.25, .running = 9}}},
         .crashes = {{.fingerprint = 7, .crash_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
