--- a/tests/daemon/test_group_usage_recorder.cpp
+++ b/tests/daemon/test_group_usage_recorder.cpp
@@ -77,6 +77,22 @@
           std::vector<servers::host_incarnation>{{.host = "h2", .incarnation = 7}});
 }
 
+TEST_CASE_FIXTURE(fixture, "the usage of a group is recorded again after the store returns from an older copy") {
+    deliver_digest("h1", 3, 300ms);
+    group.record_if_due();
+    run_until(loop, [&] { return group.get_recorded().has_value(); });
+    const servers::digest_recorded_usage before = *group.get_recorded();
+    store.restore_to({{std::string(daemon::topics::usage), 0}});
+    testing::run_until_done(
+        loop, [&]() -> boost::asio::awaitable<void> { co_await client.read_newest(daemon::topics::reports); });
+    CHECK_FALSE(group.get_recorded().has_value());
+    CHECK_FALSE(group.is_current(before));
+    group.record_if_due();
+    run_until(loop, [&] { return group.get_recorded().has_value(); });
+    CHECK(get_recorded_count("h1") == 3);
+    CHECK(group.is_current(*group.get_recorded()));
+}
+
 TEST_CASE_FIXTURE(fixture, "nothing is listed as recorded when the store call fails") {
     server.stop();
     deliver_digest("h1", 3, 300ms);
