--- a/tests/platform/test_store_circuit_breaker.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -48,7 +48,7 @@
         loop,
         [&]() -> asio::awaitable<void> {
             try {
-                co_await client.read("keyed.t", 0, 24h);
+                co_await client.read("keyed.t", {}, 24h);
             } catch (const platform::store_unavailable_error&) {
                 is_given_up = true;
             }
@@ -56,7 +56,7 @@
         asio::detached);
     testing::run_until(loop, [&] { return silent.get_requests().size() == 1; });
     testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
-        CHECK_THROWS_AS(co_await client.read("keyed.t", 0, duration::zero()), platform::store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.t", {}, duration::zero()), platform::store_unavailable_error);
     });
     testing::run_until(loop, [&] { return is_given_up; });
     CHECK(is_given_up);
