Name the positions that tests pass within co_await

Cause: GCC 12 mishandles a braced temporary inside a co_await expression (CONTRIBUTING.md).

Change: the tests name the position first. What they check is unchanged.

--- a/tests/platform/test_store_circuit_breaker.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -43,12 +43,13 @@
             co_await connection.wait_for_end();
         });
     platform::store_client client(pool, metrics, {.address = silent.get_endpoint(), .timeout = 20ms});
+    const log_position begin;
     bool is_given_up = false;
     asio::co_spawn(
         loop,
         [&]() -> asio::awaitable<void> {
             try {
-                co_await client.read("keyed.t", {}, 24h);
+                co_await client.read("keyed.t", begin, 24h);
             } catch (const platform::store_unavailable_error&) {
                 is_given_up = true;
             }
@@ -56,7 +57,7 @@
         asio::detached);
     testing::run_until(loop, [&] { return silent.get_requests().size() == 1; });
     testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
-        CHECK_THROWS_AS(co_await client.read("keyed.t", {}, duration::zero()), platform::store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.t", begin, duration::zero()), platform::store_unavailable_error);
     });
     testing::run_until(loop, [&] { return is_given_up; });
     CHECK(is_given_up);
--- a/tests/platform/test_store_client.cpp
+++ b/tests/platform/test_store_client.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr log_position begin{};
+
 /// A position in the first era of the stand-in.
 log_position at(std::uint64_t offset) {
     return {.era = 1, .offset = offset};
@@ -178,7 +180,7 @@
         loop,
         [&]() -> asio::awaitable<void> {
             try {
-                co_await client.read("keyed.hosts", {}, 24h);
+                co_await client.read("keyed.hosts", begin, 24h);
             } catch (const store_unavailable_error&) {
             }
             is_poll_over = true;
@@ -186,7 +188,7 @@
         asio::detached);
     testing::run_until(loop, [&] { return server.get_requests().size() == 1; });
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const store_page page = co_await client.read("keyed.op", {}, duration::zero());
+        const store_page page = co_await client.read("keyed.op", begin, duration::zero());
         REQUIRE(page.records.size() == 1);
         CHECK(page.records[0].value->size() == pieces * piece.size());
     });
@@ -208,9 +210,9 @@
         });
     store_client client(pool, metrics, {.address = server.get_endpoint()});
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        const store_page page = co_await client.read("keyed.op", {}, duration::zero(), 1500ms);
+        const store_page page = co_await client.read("keyed.op", begin, duration::zero(), 1500ms);
         CHECK(page.records.empty());
-        CHECK_THROWS_AS(co_await client.read("keyed.op", {}, duration::zero()), store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.op", begin, duration::zero()), store_unavailable_error);
     });
     CHECK(server.get_requests().size() == 2);
 }
@@ -229,7 +231,7 @@
         });
     store_client client(pool, metrics, {.address = server.get_endpoint()});
     run_until_done(loop, [&]() -> asio::awaitable<void> {
-        CHECK_THROWS_AS(co_await client.read("keyed.op", {}, duration::zero()), store_unavailable_error);
+        CHECK_THROWS_AS(co_await client.read("keyed.op", begin, duration::zero()), store_unavailable_error);
     });
 }
 
@@ -251,7 +253,7 @@
     const auto read = [&]() -> asio::awaitable<bool> {
         bool is_read = true;
         try {
-            co_await client.read("keyed.t", {}, duration::zero());
+            co_await client.read("keyed.t", begin, duration::zero());
         } catch (const store_unavailable_error& fault) {
             CHECK(fault.is_refused());
             is_read = false;
--- a/tests/platform/test_truncated_store_responses.cpp
+++ b/tests/platform/test_truncated_store_responses.cpp
@@ -84,7 +84,8 @@
 
 TEST_CASE("a page of records that is cut at any byte is not taken for a shorter one") {
     check_never_complete(ok_head, page, [](store_client& store) -> asio::awaitable<void> {
-        co_await store.read("keyed.t", 1, duration::zero());
+        const log_position from{.era = 0, .offset = 1};
+        co_await store.read("keyed.t", from, duration::zero());
     });
 }
 
