--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -128,10 +128,9 @@
 
 void configuration_follower::apply(const platform::store_page& page, steady_time at, steady_time sent_at) {
     for (auto record = page.records.rbegin(); record != page.records.rend(); ++record) {
-        // Earlier configurations matter only when the newest one is invalid.
-        const bool is_configuration = record->key == platform::wire::configuration_key && record->value;
-        if (is_configuration && apply_configuration(*record, page.next, sent_at)) {
-            break;
+        // Earlier records matter when the newest one is invalid or, after a return of the store, an earlier version.
+        if (record->key == platform::wire::configuration_key && record->value) {
+            apply_configuration(*record, page.next, sent_at);
         }
     }
     const bool has_records = !page.records.empty();
@@ -143,14 +142,14 @@
     }
 }
 
-bool configuration_follower::apply_configuration(const platform::keyed_record& record, const log_position& next,
+void configuration_follower::apply_configuration(const platform::keyed_record& record, const log_position& next,
                                                  steady_time sent_at) {
     const steady_time received_at = m_state->time.now();
     try {
         fleet::serving_configuration configuration = platform::decode_configuration(*record.value);
         const std::shared_ptr<const fleet::serving_view> previous = m_state->get_view();
         if (previous != nullptr && configuration.version <= previous->get_version()) {
-            return true;
+            return;
         }
         put_in_force(std::move(configuration));
         log_event("configuration_in_force")
@@ -165,13 +164,11 @@
         if (m_is_reader && m_relay && previous != nullptr) {
             relay_change(previous->get_configuration(), next);
         }
-        return true;
     } catch (const malformed_message_error& fault) {
         log_event("configuration_rejected")
             .add("offset", record.offset)
             .add("reason", fault.what())
             .write(*m_log, spdlog::level::err);
-        return false;
     }
 }
 
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -57,8 +57,7 @@
     /// `sent_at`: when the read was sent.
     void apply(const platform::store_page& page, steady_time at, steady_time sent_at);
     /// Applies a configuration record if it is newer. `next`: position at which the page with the record ends.
-    /// Returns whether the record is valid.
-    bool apply_configuration(const platform::keyed_record& record, const log_position& next, steady_time sent_at);
+    void apply_configuration(const platform::keyed_record& record, const log_position& next, steady_time sent_at);
     /// Applies the relayed changes that continue the configuration in force.
     void apply_pending_changes();
     void put_in_force(fleet::serving_configuration configuration);
--- a/tests/daemon/test_configuration_follower.cpp
+++ b/tests/daemon/test_configuration_follower.cpp
@@ -245,6 +245,18 @@
     }
 }
 
+TEST_CASE_FIXTURE(fixture, "a newer version is not missed when an earlier one is written again behind it") {
+    daemon::configuration_follower follower(client, state, std::chrono::seconds(2), [] {});
+    publish(1);
+    asio::co_spawn(loop, follower.run(), asio::detached);
+    run_until(loop, [&] { return has_version(1); });
+    publish(3);
+    publish(2);
+    follower.set_reader(true);
+    run_until(loop, [&] { return follower.get_read_position().end == at(3); });
+    CHECK(has_version(3));
+}
+
 TEST_CASE("a large change on a host that has just lost its leader is in force within the bound") {
     constexpr duration bound = std::chrono::seconds(3);
     constexpr duration call = std::chrono::milliseconds(50);
