--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -122,6 +122,9 @@
     digest_recorded_usage recorded{.window = static_cast<std::int64_t>(get_number(encoded, 0)),
                                    .incarnations = {},
                                    .era = encoded.size() > 2 ? get_number(encoded, 2) : 0};
+    if (recorded.era > max_log_era) {
+        throw malformed_message_error("the era of recorded usage in a host digest is out of range");
+    }
     for (const value& item : get_list(encoded, 1)) {
         const array& entry = require_list(item);
         if (entry.empty() || !entry[0].is_string()) {
