--- a/daemon/usage_recorder.cpp
+++ b/daemon/usage_recorder.cpp
@@ -82,7 +82,7 @@
 }
 
 void usage_recorder::on_era_changed(std::uint64_t era) {
-    const bool is_first = m_era == 0;
+    const bool is_first = era == m_store->get_first_era();
     m_era = era;
     if (is_first) {
         return;
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -72,7 +72,8 @@
     if (!term || m_lease->get_term() != term) {
         co_return false;
     }
-    const bool is_first = page.records.empty() && page.next.era <= max_first_log_era;
+    const bool is_first_era = page.next.era == m_store->get_first_era();
+    const bool is_first = page.records.empty() && is_first_era && page.next.era <= max_first_log_era;
     coordination::report_state state;
     for (const platform::keyed_record& record : page.records) {
         if (record.key != topics::singleton_key || !record.value) {
@@ -84,7 +85,7 @@
             log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
         }
     }
-    if (m_report_state_end.era != 0 && m_report_state_end.era != page.next.era) {
+    if (!is_first_era && m_report_state_end.era != page.next.era) {
         m_era_known_since = m_state->time.now();
     }
     m_report_state_end = page.next;
--- a/tests/platform/test_store_era.cpp
+++ b/tests/platform/test_store_era.cpp
@@ -157,6 +157,27 @@
     }
 }
 
+TEST_CASE("a single response with a damaged era does not make all later ones look old") {
+    metrics_registry metrics;
+    store_era_tracker eras(metrics);
+    CHECK(eras.record("1") == 1);
+    CHECK_THROWS_AS(eras.record("900000"), malformed_message_error);
+    CHECK(eras.record("1") == 1);
+    CHECK_THROWS_AS(eras.record("900000"), malformed_message_error);
+    CHECK(eras.record("900000") == 900'000);
+    CHECK(eras.get() == 900'000);
+}
+
+TEST_CASE_FIXTURE(fixture, "a store that counts its eras from 0 is known to have returned when it is in era 1") {
+    store.set_era(0);
+    CHECK(append() == outcome::done);
+    CHECK(listener.get_eras().empty());
+    store.set_era(1);
+    CHECK(append() == outcome::done);
+    CHECK(client.get_first_era() == 0);
+    CHECK(listener.get_eras() == std::vector<std::uint64_t>{1});
+}
+
 TEST_CASE_FIXTURE(fixture, "a store that has no eras works") {
     store.set_era_text("");
     CHECK(append(at(0, 0)) == outcome::done);
