The soak's callers do not connect when no host is ready

Change: the conditions are statements of their own. A late caller without a connection sends nothing, where it would have used a null socket.

--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -107,11 +107,17 @@
 
 asio::awaitable<void> soak_caller::run_late(soak_host& host, duration delay, bool is_new_connection) {
     const steady_time begin_at = std::chrono::steady_clock::now() + delay;
-    if (!is_new_connection && co_await connect_to(host)) {
-        static_cast<void>(co_await send_checked(request_kind::idempotent, false));
+    if (!is_new_connection) {
+        const bool is_connected = co_await connect_to(host);
+        if (is_connected) {
+            static_cast<void>(co_await send_checked(request_kind::idempotent, false));
+        }
     }
     co_await servers::sleep_for(begin_at - std::chrono::steady_clock::now());
-    if (is_new_connection && !co_await connect_to(host)) {
+    if (is_new_connection) {
+        co_await connect_to(host);
+    }
+    if (!m_socket) {
         co_return;
     }
     static_cast<void>(co_await send_checked(request_kind::long_stream, false));
@@ -144,7 +150,10 @@
         co_return true;
     }
     soak_host* host = choose_host();
-    co_return host != nullptr&& co_await connect_to(*host);
+    if (host == nullptr) {
+        co_return false;
+    }
+    co_return co_await connect_to(*host);
 }
 
 asio::awaitable<bool> soak_caller::connect_to(soak_host& host) {
