--- a/fleet/configuration_delta.cpp
+++ b/fleet/configuration_delta.cpp
@@ -108,8 +108,8 @@
 } // namespace
 
 std::optional<configuration_delta> make_delta(const serving_configuration& base, const serving_configuration& next) {
-    if (base.services != next.services || has_shared_api_keys(base.organisations) ||
-        has_shared_api_keys(next.organisations)) {
+    if (base.services != next.services || base.requires_keys != next.requires_keys ||
+        has_shared_api_keys(base.organisations) || has_shared_api_keys(next.organisations)) {
         return std::nullopt;
     }
     const auto base_routes = make_index<route_index>(base.routes);
@@ -162,6 +162,7 @@
     return {.version = delta.version,
             .routes = merge(base.routes, removed_routes, changed_routes, delta.changed_routes),
             .services = base.services,
+            .requires_keys = base.requires_keys,
             .organisations =
                 merge(base.organisations, removed_organisations, changed_organisations, delta.changed_organisations),
             .limits = delta.limits.value_or(base.limits)};
--- a/fleet/configuration_delta.hpp
+++ b/fleet/configuration_delta.hpp
@@ -37,8 +37,8 @@
 };
 
 /// Returns the difference from `base` to `next`. Returns nothing if a delta cannot express it: when the services
-/// differ, or when two routes, organisations or keys of a configuration are equal, so that their order matters. Thread
-/// safe.
+/// or the need for keys differ, or when two routes, organisations or keys of a configuration are equal, so that their
+/// order matters. Thread safe.
 [[nodiscard]] std::optional<configuration_delta> make_delta(const serving_configuration& base,
                                                             const serving_configuration& next);
 
--- a/fleet/serving_view.hpp
+++ b/fleet/serving_view.hpp
@@ -40,6 +40,9 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::vector<service_description> services;
+    /// Whether requests need a key if their route is not public. Independent of the organisations, because one without
+    /// any of them still may need keys: then no key is valid.
+    bool requires_keys{true};
     std::vector<served_organisation> organisations;
     caller_limits limits;
 
@@ -65,7 +68,7 @@
     /// Returns the service, or null.
     [[nodiscard]] const service_description* find_service(const service_name& name) const;
     /// Returns whether requests need a key if their route is not public.
-    [[nodiscard]] bool has_organisations() const noexcept { return !m_configuration.organisations.empty(); }
+    [[nodiscard]] bool requires_keys() const noexcept { return m_configuration.requires_keys; }
 
     [[nodiscard]] std::uint64_t get_version() const noexcept { return m_configuration.version; }
     [[nodiscard]] const serving_configuration& get_configuration() const noexcept { return m_configuration; }
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -34,7 +34,7 @@
 /// Returns the organisation that the request belongs to, or null on a public route.
 const fleet::served_organisation* require_organisation(const fleet::serving_view& view, const fleet::route& route,
                                                        const caller_request& incoming) {
-    if (route.is_public || !view.has_organisations()) {
+    if (route.is_public || !view.requires_keys()) {
         return nullptr;
     }
     if (incoming.key.empty()) {
--- a/tests/fleet/test_configuration_delta.cpp
+++ b/tests/fleet/test_configuration_delta.cpp
@@ -94,6 +94,27 @@
     CHECK_FALSE(delta->limits);
 }
 
+TEST_CASE("a delta that removes the last organisation leaves the need for keys") {
+    const serving_configuration base = configuration_generator(1).make(1);
+    REQUIRE_FALSE(base.organisations.empty());
+    serving_configuration next = base;
+    next.version = 2;
+    next.organisations.clear();
+    const std::optional<configuration_delta> delta = make_delta(base, next);
+    REQUIRE(delta);
+    const serving_configuration applied = apply_delta(base, *delta);
+    CHECK(applied.organisations.empty());
+    CHECK(applied.requires_keys);
+}
+
+TEST_CASE("configurations of which only one needs keys have no delta") {
+    const serving_configuration base = configuration_generator(1).make(1);
+    serving_configuration next = base;
+    next.requires_keys = false;
+    CHECK_FALSE(make_delta(base, next));
+    CHECK_FALSE(make_delta(next, base));
+}
+
 TEST_CASE("configurations whose order matters, or whose services differ, have no delta") {
     const serving_configuration base = configuration_generator(1).make(1);
     serving_configuration next = base;
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -60,6 +60,16 @@
     CHECK_FALSE(decoded.organisations[1].priority);
 }
 
+// Guards against review case 2: an empty list of tenants opened the deployment to any key, or none.
+TEST_CASE("a configuration needs keys if it has the list of tenants, also an empty one") {
+    const auto needs_keys = [](const char* text) { return decode_configuration(text).requires_keys; };
+    CHECK(needs_keys(R"({"version":1,"tenants":[{"name":"t1","apiKeys":["k1"]}]})"));
+    CHECK(needs_keys(R"({"version":1,"tenants":[{"name":"t1","apiKeys":[]}]})"));
+    CHECK(needs_keys(R"({"version":1,"tenants":[]})"));
+    CHECK(needs_keys(R"({"version":1,"tenants":null})"));
+    CHECK_FALSE(needs_keys(R"({"version":1})"));
+}
+
 TEST_CASE("a route of an unknown kind is treated as one that must not be retried") {
     const fleet::serving_configuration decoded =
         decode_configuration(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"keyed","service":"s"}]})");
