--- a/tests/platform/test_store_circuit_breaker.cpp
+++ b/tests/platform/test_store_circuit_breaker.cpp
@@ -62,3 +62,35 @@
     testing::run_until(loop, [&] { return is_given_up; });
     CHECK(is_given_up);
 }
+
+// Guards against DRAIN: a long poll as the trial call kept a host from its list of servers after the store was back.
+TEST_CASE_FIXTURE(testing::store_fixture, "the trial call after failures does not ask the store to wait for records") {
+    bool is_reachable = false;
+    standin::raw_server server(
+        loop, [&](const servers::http_request&, standin::raw_connection& connection) -> asio::awaitable<void> {
+            if (!is_reachable) {
+                connection.reset();
+                co_return;
+            }
+            constexpr std::size_t empty_page_bytes = 16;
+            std::string page = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + std::string(empty_page_bytes, '\0');
+            co_await connection.write(std::move(page));
+        });
+    platform::store_client client(pool, metrics, {.address = server.get_endpoint()});
+    const log_position begin;
+    testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+        CHECK_THROWS_AS(co_await client.read("keyed.t", begin, 20s), platform::store_unavailable_error);
+    });
+    is_reachable = true;
+    for (int call = 0; call < 2; ++call) {
+        testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+            co_await client.wait_until_call_allowed();
+            co_await client.read("keyed.t", begin, 20s);
+        });
+    }
+    const std::vector<servers::http_request>& requests = server.get_requests();
+    REQUIRE(requests.size() == 3);
+    CHECK(std::string(requests[0].target()).find("waitMs=20000") != std::string::npos);
+    CHECK(std::string(requests[1].target()).find("waitMs") == std::string::npos);
+    CHECK(std::string(requests[2].target()).find("waitMs=20000") != std::string::npos);
+}
