Count the datagrams to other hosts by kind, and those that are not sent

Cause: a page of server records or a change of the configuration that exceeds a datagram was left out without a log line or a counter, and so was a datagram that the socket did not take. How many bytes a group leader sends, and of what kind, could not be told from metrics.

Nothing else changes.

--- /dev/null
+++ b/daemon/datagram_sender.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "core/log.hpp"
+#include "core/metrics.hpp"
+
+namespace dragonflywell::daemon {
+
+/// What a datagram to other hosts contains.
+enum class datagram_kind : std::uint8_t { group_digest, intergroup_digest, records, configuration };
+
+/// Largest datagram that is sent.
+constexpr std::size_t max_datagram_bytes = 60'000;
+
+/// Sends datagrams to other hosts and counts what it sends and what it cannot send, by kind. Used on one event loop.
+class datagram_sender {
+public:
+    /// Precondition: socket and metrics outlive the sender. The socket is non-blocking.
+    datagram_sender(boost::asio::ip::udp::socket& socket, metrics_registry& metrics);
+
+    /// Sends the text to each receiver. A text that exceeds `max_datagram_bytes` is not sent, which is logged and
+    /// counted. A datagram that the socket does not take is counted; the next one replaces it, or its receiver reads
+    /// the store. Does not throw.
+    void send(datagram_kind kind, std::string_view text, std::span<const boost::asio::ip::udp::endpoint> receivers);
+
+private:
+    struct kind_counters {
+        counter* datagrams{};
+        counter* bytes{};
+        counter* dropped_by_size{};
+        counter* dropped_by_socket{};
+    };
+    static constexpr std::size_t kind_count = 4;
+
+    boost::asio::ip::udp::socket* m_socket;
+    std::shared_ptr<spdlog::logger> m_log;
+    std::array<kind_counters, kind_count> m_counters;
+};
+
+} // namespace dragonflywell::daemon
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -86,7 +86,7 @@
                        m_settings.bounds.usage_report),
       m_fleet(m_cloud, m_lease, m_state, m_settings.name.value()), m_engine_orders(m_connections, m_metrics, {}),
       m_stages(m_engine_orders, m_lease, m_state, m_settings.name.value(), m_settings.is_first_start),
-      m_hosts(m_loop, m_store, m_state, m_configuration, m_servers, m_lease,
+      m_hosts(m_loop, m_store, m_state, m_configuration, m_servers, m_lease, m_metrics,
               {.host = m_settings.name.value(),
                .zone = m_settings.zone,
                .incarnation = m_incarnation,
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -33,13 +33,12 @@
 /// How long a host of the group stays unreachable before its entry in the store is removed. A host that restarts
 /// registers itself again.
 constexpr duration removal_delay = std::chrono::seconds(60);
-constexpr std::size_t max_datagram_bytes = 60'000;
 
 } // namespace
 
 host_gossip::host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
                          configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
-                         host_gossip_options options)
+                         metrics_registry& metrics, host_gossip_options options)
     : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
       m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store, loop.get_executor()),
       m_group_usage(store, state, m_options.group_record_delay),
@@ -51,7 +50,7 @@
                .address = m_options.listen,
                .incarnation = m_options.incarnation}),
       m_socket(loop, udp::endpoint(boost::asio::ip::make_address(m_options.listen.address), m_options.listen.port)),
-      m_send_timer(loop) {
+      m_sender(m_socket, metrics), m_send_timer(loop) {
     m_socket.non_blocking(true);
 }
 
@@ -321,37 +320,30 @@
     if (scope.is_group_leader && has_remote_groups()) {
         m_digest_builder.share_prompts(digest.prefix_accesses);
     }
-    send_to(servers::encode_host_digest(digest), true);
+    send_to(datagram_kind::group_digest, servers::encode_host_digest(digest));
     // An engine refuses requests as soon as it starts to change its stage, so a new transition is sent to remote groups
     // without waiting for the next heartbeat.
     const bool has_new_transitions = m_digest_builder.has_new_transitions();
     const bool is_heartbeat_sender = scope.is_heartbeat && (scope.is_group_leader || m_lease->is_held());
     if (has_remote_groups() && (has_new_transitions || is_heartbeat_sender)) {
-        send_to(servers::encode_host_digest(m_digest_builder.make_intergroup_digest(scope)), false);
+        send_to(datagram_kind::intergroup_digest,
+                servers::encode_host_digest(m_digest_builder.make_intergroup_digest(scope)));
     }
     m_is_heartbeat_due = false;
 }
 
-void host_gossip::send_to(const std::string& text, bool is_own_group) {
-    if (text.size() > max_datagram_bytes) {
-        log_event("datagram_too_large").add("bytes", text.size()).write(*m_log, spdlog::level::warn);
-        return;
-    }
+void host_gossip::send_to(datagram_kind kind, std::string_view text) {
+    std::vector<udp::endpoint> receivers;
     for (const auto& [name, other] : m_others) {
-        if (other.is_own_group != is_own_group) {
-            continue;
+        if (other.is_own_group != (kind == datagram_kind::intergroup_digest)) {
+            receivers.push_back(other.address);
         }
-        error_code ignored;
-        // The next datagram replaces a lost one.
-        m_socket.send_to(boost::asio::buffer(text), other.address, 0, ignored);
     }
+    m_sender.send(kind, text, receivers);
 }
 
 void host_gossip::relay_records(const log_position& from, const platform::store_page& page) {
-    const std::string text = encode_relayed_records({.from = from, .page = page});
-    if (text.size() <= max_datagram_bytes) {
-        send_to(text, true);
-    }
+    send_to(datagram_kind::records, encode_relayed_records({.from = from, .page = page}));
 }
 
 void host_gossip::relay_configuration(const relayed_configuration& changes) {
@@ -359,9 +351,7 @@
     if (text.size() > max_datagram_bytes) {
         text = encode_relayed_configuration({changes.back()});
     }
-    if (text.size() <= max_datagram_bytes) {
-        send_to(text, true);
-    }
+    send_to(datagram_kind::configuration, text);
 }
 
 } // namespace dragonflywell::daemon
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -9,6 +9,7 @@
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
+#include "daemon/datagram_sender.hpp"
 #include "daemon/digest_builder.hpp"
 #include "daemon/group_usage_recorder.hpp"
 #include "daemon/host_list.hpp"
@@ -38,10 +39,10 @@
 /// Used on one event loop.
 class host_gossip {
 public:
-    /// Binds the socket. Throws `boost::system::system_error`. Preconditions: store and state outlive the object.
+    /// Binds the socket. Throws `boost::system::system_error`. Preconditions: all references outlive the object.
     host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
                 configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
-                host_gossip_options options);
+                metrics_registry& metrics, host_gossip_options options);
 
     /// Starts sending, receiving and discovering other hosts.
     void start();
@@ -78,8 +79,8 @@
     void apply_read_positions(const servers::host_digest& digest);
     [[nodiscard]] bool has_remote_groups() const;
     void send();
-    /// Sends a datagram to all other hosts of this group, or to all hosts of remote groups.
-    void send_to(const std::string& text, bool is_own_group);
+    /// Sends a datagram to all other hosts of this group, or to all hosts of remote groups if it is for them.
+    void send_to(datagram_kind kind, std::string_view text);
     void relay_records(const log_position& from, const platform::store_page& page);
     /// Relays changes of the configuration to the group. Changes that exceed a datagram are left out, so that the other
     /// hosts read the store.
@@ -101,6 +102,7 @@
     digest_builder m_digest_builder;
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
+    datagram_sender m_sender;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
     /// The next digests are heartbeats: they also carry the parts that are sent less often, and go to remote groups,
