Let a host that the store answers lead the group, so that hosts that are cut off from it still get the news

What callers saw: hosts that are cut off from the store (and others for up to seconds after their path is back) send requests to servers that leave (DRAIN), and answer by an old configuration.

Cause: the leader of a group was its first host by name, also while the store did not answer it. Only the leader relays records, and only its read position counts. In the reported case the first host and another one are cut off: the four others read the store themselves and tell nobody, and the two learn nothing although they hear hosts that know.

Change: each digest says whether the store has not answered its sender for a second although calls failed; the leader is the first by name of the hosts that the store answers, or of all if it answers none (policy/group_leadership). A host that becomes the reader reads at once. Changes of the leader are logged (group_leader_changed). Hosts of an earlier version take the first by name, as before.

--- a/daemon/digest_builder.cpp
+++ b/daemon/digest_builder.cpp
@@ -30,6 +30,7 @@
     digest.sequence = ++m_sequence;
     digest.corrected_time = m_state->get_corrected_time();
     digest.is_stopping = m_state->is_stopping();
+    digest.is_cut_off = scope.is_cut_off;
     digest.holds_lease = m_lease->is_held();
     if (scope.is_heartbeat) {
         const wall_time now = digest.corrected_time;
--- a/daemon/digest_builder.hpp
+++ b/daemon/digest_builder.hpp
@@ -17,6 +17,8 @@
 struct digest_scope {
     /// The sender leads its group: it reads the store for it and reports on it to remote groups.
     bool is_group_leader{false};
+    /// The store does not answer the sender.
+    bool is_cut_off{false};
     /// The digest is a heartbeat, which also carries the parts that are sent less often.
     bool is_heartbeat{false};
 };
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -11,6 +11,7 @@
 #include "daemon/relayed_configuration.hpp"
 #include "daemon/relayed_records.hpp"
 #include "daemon/usage_timing.hpp"
+#include "policy/group_leadership.hpp"
 #include "policy/time_correction.hpp"
 #include "servers/sleep.hpp"
 
@@ -30,6 +31,8 @@
 constexpr duration heartbeat_interval = std::chrono::milliseconds(500);
 /// A host that sends no digest for this long counts as unreachable, and its last known load is discarded.
 constexpr duration host_timeout = std::chrono::milliseconds(2500);
+/// How long the store answers no call of a host until another host leads the group in its place.
+constexpr duration cut_off_delay = std::chrono::seconds(1);
 /// How long a host of the group stays unreachable before its entry in the store is removed. A host that restarts
 /// registers itself again.
 constexpr duration removal_delay = std::chrono::seconds(60);
@@ -39,7 +42,7 @@
 host_gossip::host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
                          configuration_follower& configuration, server_list_follower& servers, lease_keeper& lease,
                          metrics_registry& metrics, host_gossip_options options)
-    : m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
+    : m_store(&store), m_state(&state), m_configuration(&configuration), m_servers(&servers), m_lease(&lease),
       m_options(std::move(options)), m_log(get_logger("hosts")), m_usage_copier(store, loop.get_executor()),
       m_group_usage(store, state, m_options.group_record_delay),
       m_digest_builder(state, configuration, servers, lease, m_group_usage,
@@ -155,6 +158,7 @@
     other.timed_out_at.reset();
     other.clock_offset = digest.corrected_time - m_state->get_corrected_time();
     other.is_stopping = digest.is_stopping;
+    other.is_cut_off = digest.is_cut_off;
     if (digest.holds_lease) {
         m_lease->record_holder_heartbeat();
     }
@@ -216,7 +220,7 @@
         engines.load_tracker.set_host_load(digest.host, shares, now);
     }
     apply_prefix_accesses(digest);
-    if (has_remote_groups() && is_group_leader()) {
+    if (m_leads_group && has_remote_groups()) {
         m_digest_builder.share_prompts(digest.prefix_accesses);
     }
 }
@@ -229,6 +233,11 @@
     }
 }
 
+std::size_t host_gossip::count_reachable_hosts() const {
+    return static_cast<std::size_t>(std::count_if(
+        m_others.begin(), m_others.end(), [](const auto& item) { return item.second.last_received_at.has_value(); }));
+}
+
 bool host_gossip::has_remote_groups() const {
     return std::any_of(m_others.begin(), m_others.end(), [](const auto& item) { return !item.second.is_own_group; });
 }
@@ -239,12 +248,8 @@
         drop_unresponsive();
         remove_dead_entries();
         correct_clock();
-        const bool is_leader = is_group_leader();
-        m_configuration->set_reader(is_leader);
-        m_servers->set_reader(is_leader);
-        m_state->delegation.set_delegated(!is_leader);
-        m_lease->set_reserve(!is_leader);
-        if (is_leader) {
+        update_leadership();
+        if (m_leads_group) {
             m_group_usage.record_if_due();
         }
         m_state->peers.discard_usage_before(m_state->usage.get_window(m_state->get_corrected_time()) -
@@ -289,11 +294,36 @@
     }
 }
 
+void host_gossip::update_leadership() {
+    const bool is_leader = is_group_leader();
+    m_configuration->set_reader(is_leader);
+    m_servers->set_reader(is_leader);
+    m_state->delegation.set_delegated(!is_leader);
+    m_lease->set_reserve(!is_leader);
+    if (is_leader == m_leads_group) {
+        return;
+    }
+    m_leads_group = is_leader;
+    log_event("group_leader_changed")
+        .add("group", m_state->peers.groups.get_name())
+        .add("is_leader", is_leader)
+        .add("is_cut_off", is_cut_off())
+        .write(*m_log, spdlog::level::info);
+}
+
 bool host_gossip::is_group_leader() const {
-    return !m_state->is_stopping() && std::none_of(m_others.begin(), m_others.end(), [&](const auto& item) {
-        const other_host& other = item.second;
-        return other.is_own_group && other.last_received_at && !other.is_stopping && item.first < m_options.host;
-    });
+    std::vector<policy::leader_candidate> others;
+    for (const auto& [name, other] : m_others) {
+        if (other.is_own_group && other.last_received_at) {
+            others.push_back({.host = name, .is_stopping = other.is_stopping, .is_cut_off = other.is_cut_off});
+        }
+    }
+    return policy::leads_group(
+        {.host = m_options.host, .is_stopping = m_state->is_stopping(), .is_cut_off = is_cut_off()}, others);
+}
+
+bool host_gossip::is_cut_off() const {
+    return m_store->get_time_without_answer() >= cut_off_delay;
 }
 
 void host_gossip::correct_clock() {
@@ -315,7 +345,8 @@
 }
 
 void host_gossip::send() {
-    const digest_scope scope{.is_group_leader = is_group_leader(), .is_heartbeat = m_is_heartbeat_due};
+    const digest_scope scope{
+        .is_group_leader = is_group_leader(), .is_cut_off = is_cut_off(), .is_heartbeat = m_is_heartbeat_due};
     const servers::host_digest digest = m_digest_builder.make_group_digest(scope);
     if (scope.is_group_leader && has_remote_groups()) {
         m_digest_builder.share_prompts(digest.prefix_accesses);
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -34,8 +34,8 @@
 
 /// Gossips with the other hosts: sends digests of this host's state and applies the digests that it receives.
 ///
-/// The leader of a group is its first reachable host by name. It reads the store for the group, relays what it has
-/// read, and sends summaries to remote groups. Hosts discover each other through the store. Any datagram may be lost.
+/// The leader of a group (`policy::leads_group`) reads the store for the group, relays what it has read, and sends
+/// summaries to remote groups. Hosts discover each other through the store. Any datagram may be lost.
 /// Used on one event loop.
 class host_gossip {
 public:
@@ -47,6 +47,9 @@
     /// Starts sending, receiving and discovering other hosts.
     void start();
 
+    /// Returns the number of other hosts whose digests arrive.
+    [[nodiscard]] std::size_t count_reachable_hosts() const;
+
     /// Schedules a digest after a short interval, which also covers the changes until then.
     void schedule();
 
@@ -57,6 +60,7 @@
         zone_name zone;
         bool is_own_group{true};
         bool is_stopping{false};
+        bool is_cut_off{false};
         std::uint64_t incarnation{0};
         std::uint64_t sequence{0};
         std::optional<steady_time> last_received_at;
@@ -87,10 +91,15 @@
     void relay_configuration(const relayed_configuration& changes);
     void drop_unresponsive();
     void remove_dead_entries();
-    /// Returns whether this host leads its group: it is the first by name of those that are reachable and not stopping.
+    /// Returns whether this host leads its group.
     [[nodiscard]] bool is_group_leader() const;
+    /// Returns whether the store does not answer this host.
+    [[nodiscard]] bool is_cut_off() const;
+    /// Starts or ends the duties of the group leader, and logs the change.
+    void update_leadership();
     void correct_clock();
 
+    platform::store_client* m_store;
     servers::serving_state* m_state;
     configuration_follower* m_configuration;
     server_list_follower* m_servers;
@@ -105,6 +114,7 @@
     datagram_sender m_sender;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
+    bool m_leads_group{false};
     /// The next digests are heartbeats: they also carry the parts that are sent less often, and go to remote groups,
     /// too.
     bool m_is_heartbeat_due{false};
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -99,7 +99,10 @@
 }
 
 void server_list_follower::set_reader(bool is_reader) {
-    m_is_reader = is_reader;
+    if (m_is_reader != is_reader) {
+        m_is_reader = is_reader;
+        m_read_timer.cancel();
+    }
 }
 
 void server_list_follower::update_leader_position(const servers::digest_read_position& position) {
--- /dev/null
+++ b/policy/group_leadership.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace dragonflywell::policy {
+
+/// A host of a group as a candidate for its leadership.
+struct leader_candidate {
+    std::string_view host;
+    bool is_stopping{false};
+    /// Whether the store does not answer the host. What a leader reads there, its group learns from it alone.
+    bool is_cut_off{false};
+};
+
+/// Returns whether `own` leads its group. `others` are the reachable other hosts of the group. The leader is the first
+/// by name of the hosts that the store answers, or of all hosts if it answers none of them. A host that stops does not
+/// lead. Hosts that know the same of each other agree on the leader. Thread safe.
+[[nodiscard]] bool leads_group(const leader_candidate& own, std::span<const leader_candidate> others);
+
+} // namespace dragonflywell::policy
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -307,6 +307,9 @@
     if (!digest.part_clearances.empty()) {
         encoded["dc"] = encode_part_clearances(digest.part_clearances);
     }
+    if (digest.is_cut_off) {
+        encoded["o"] = true;
+    }
     if (digest.recorded_usage) {
         encoded["ur"] = encode_recorded_usage(*digest.recorded_usage);
     }
@@ -326,6 +329,7 @@
                        .sequence = json::get_unsigned(source, "n"),
                        .corrected_time = wall_time(std::chrono::microseconds(json::get_unsigned(source, "w"))),
                        .is_stopping = json::get_bool_or(source, "s", false),
+                       .is_cut_off = json::get_bool_or(source, "o", false),
                        .engines = {},
                        .instances = {},
                        .prefix_accesses = {},
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -110,6 +110,8 @@
     /// Time of day as the sender has corrected it.
     wall_time corrected_time;
     bool is_stopping{false};
+    /// Whether the store does not answer the sender.
+    bool is_cut_off{false};
     std::map<backend_server_name, digest_engine> engines;
     /// In-flight requests on instances of plain services.
     std::map<backend_server_name, std::uint32_t> instances;
--- /dev/null
+++ b/tests/daemon/test_host_gossip.cpp
@@ -0,0 +1,121 @@
+#include "daemon/host_gossip.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "platform/engine_codec.hpp"
+#include "support/event_loop.hpp"
+#include "support/store_fixture.hpp"
+
+using namespace dragonflywell;
+using dragonflywell::testing::run_until;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+const backend_server_name server_id("i-1");
+
+std::string make_entry(const std::string& state) {
+    return fmt::format(R"({{"service":"app","addr":"10.0.0.1:80","zone":"z","version":"1","slots":4,"state":"{}",)"
+                       R"("coldRemainingMs":0,"seq":1,"born":1}})",
+                       state);
+}
+
+/// Returns an address of this machine on which no other program receives datagrams.
+endpoint find_datagram_address(asio::io_context& loop) {
+    const asio::ip::udp::socket socket(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    return {.address = "127.0.0.1", .port = socket.local_endpoint().port()};
+}
+
+/// One host that reaches the store through a server of its own, so that its path can be cut.
+class host {
+public:
+    host(testing::store_fixture& fixture, const clock_source& clock, const std::string& name)
+        : m_entry({&fixture.loop}, fixture.store, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}),
+          m_pool(clock, {}), state(fixture.loop.get_executor(), clock, m_pool, m_dialect, metrics,
+                                   {.own_host = name, .own_zone = zone_name("z")}),
+          m_store(m_pool, metrics, {.address = start(m_entry)}), m_configuration(m_store, state, 2s, [] {}),
+          m_servers(m_store, state, 2s), m_lease(m_store, clock, {.holder = name}),
+          m_gossip(
+              fixture.loop, m_store, state, m_configuration, m_servers, m_lease, metrics,
+              {.host = name, .zone = zone_name("z"), .incarnation = 1, .listen = find_datagram_address(fixture.loop)}) {
+        asio::co_spawn(fixture.loop, m_servers.run(), asio::detached);
+        m_gossip.start();
+    }
+    host(const host&) = delete;
+    host& operator=(const host&) = delete;
+    host(host&&) = delete;
+    host& operator=(host&&) = delete;
+    ~host() {
+        m_entry.stop();
+        m_pool.clear();
+    }
+
+    void cut_off() { m_entry.stop(); }
+
+    [[nodiscard]] bool uses_server() const { return state.is_usable(server_id); }
+    [[nodiscard]] bool hears_other() const { return m_gossip.count_reachable_hosts() > 0; }
+    [[nodiscard]] std::uint64_t get_failures() {
+        return metrics.get_counter("dragonflywell_store_failures_total").get();
+    }
+
+private:
+    static endpoint start(servers::http_server& entry) {
+        entry.start();
+        return {.address = "127.0.0.1", .port = entry.get_port()};
+    }
+
+    servers::http_server m_entry;
+    servers::backend_connection_pool m_pool;
+    platform::engine_codec m_dialect;
+
+public:
+    metrics_registry metrics;
+    servers::serving_state state;
+
+private:
+    platform::store_client m_store;
+    daemon::configuration_follower m_configuration;
+    daemon::server_list_follower m_servers;
+    daemon::lease_keeper m_lease;
+    daemon::host_gossip m_gossip;
+};
+
+struct fixture : testing::store_fixture {
+    virtual_clock clock;
+    /// Ends a wait for something that does not happen.
+    asio::steady_timer limit{loop};
+
+    /// Runs the loop until the condition holds. Returns whether it does, after a time that is far longer than needed.
+    template <typename Condition>
+    bool wait_for(Condition condition) {
+        constexpr duration max_time = 20s;
+        bool is_over = false;
+        limit.expires_after(max_time);
+        limit.async_wait([&](const servers::error_code& fault) { is_over = !fault; });
+        run_until(loop, [&] { return is_over || condition(); });
+        limit.cancel();
+        loop.poll();
+        return condition();
+    }
+};
+
+} // namespace
+
+// Guards against DRAIN: hosts that were cut off from the store learned from nobody that a server leaves.
+TEST_CASE_FIXTURE(fixture,
+                  "a group leader that the store does not answer learns from another host that a server drains") {
+    store.put("keyed.servers", server_id.value(), make_entry("ready"));
+    host leader(*this, clock, "a");
+    host other(*this, clock, "b");
+    REQUIRE(wait_for([&] { return leader.uses_server() && other.uses_server(); }));
+    REQUIRE(wait_for([&] { return leader.hears_other() && other.hears_other(); }));
+    leader.cut_off();
+    REQUIRE(wait_for([&] { return leader.get_failures() > 0; }));
+    clock.advance(1100ms);
+    store.put("keyed.servers", server_id.value(), make_entry("draining"));
+    CHECK(wait_for([&] { return !leader.uses_server(); }));
+    CHECK_FALSE(other.uses_server());
+}
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -17,6 +17,7 @@
         .sequence = 9,
         .corrected_time = wall_time(1774100506431ms),
         .is_stopping = true,
+        .is_cut_off = true,
         .engines =
             {{backend_server_name("e"),
               {.running = 2, .running_tokens = 30, .prompts = {{.number = 4, .age = 5ms, .cost = 6ms, .urgency = 3}}}}},
