Bound incomplete events of all streams together, and search each byte of them once

What callers would see: a server that sends an event without end on many streams at once makes the host that reads them run out of memory, up to 1 MiB for each stream, and keeps its event loop busy; the requests of all others on that host end with it.

Cause: incomplete events were limited for each stream only, and not counted in the budget of the host; each piece searched the whole event again for its end.

Change: byte_budget::share can be resized, and a stream holds as many bytes of the budget as its incomplete event has. The search begins three bytes before the new ones.

--- a/servers/byte_budget.hpp
+++ b/servers/byte_budget.hpp
@@ -35,6 +35,17 @@
             return true;
         }
 
+        /// Takes or returns bytes, so that this user holds that many. Returns false and changes nothing when too few
+        /// are left.
+        [[nodiscard]] bool resize(std::size_t bytes) {
+            if (bytes > m_held) {
+                return take(bytes - m_held);
+            }
+            *m_left += m_held - bytes;
+            m_held = bytes;
+            return true;
+        }
+
     private:
         std::shared_ptr<std::atomic<std::size_t>> m_left;
         std::size_t m_held{0};
--- a/servers/event_splitter.cpp
+++ b/servers/event_splitter.cpp
@@ -7,9 +7,14 @@
 namespace {
 
 constexpr std::string_view id_name = "id:";
+/// Bytes of an event's end that may be there before its last one arrives.
+constexpr std::size_t max_partial_end_bytes = std::string_view("\r\n\r").size();
 
-/// Returns the end position of the last complete event, or npos when there is none. Lines may end with CR LF.
-std::size_t find_last_end(std::string_view text) {
+/// Returns the end position of the last complete event that ends after the position `searched`, or npos when there is
+/// none. Lines may end with CR LF.
+std::size_t find_last_end(std::string_view whole, std::size_t searched) {
+    const std::size_t begin = searched > max_partial_end_bytes ? searched - max_partial_end_bytes : 0;
+    const std::string_view text = whole.substr(begin);
     const std::size_t plain = text.rfind("\n\n");
     const std::size_t with_returns = text.rfind("\r\n\r\n");
     std::size_t end = std::string_view::npos;
@@ -20,16 +25,17 @@
         const std::size_t candidate = with_returns + std::string_view("\r\n\r\n").size();
         end = end == std::string_view::npos ? candidate : std::max(end, candidate);
     }
-    return end;
+    return end == std::string_view::npos ? end : begin + end;
 }
 
 } // namespace
 
 std::string event_splitter::take_events() {
     // Extra empty lines before or after an event belong to no event and are passed on at once.
-    const std::size_t whole = find_last_end(m_pending);
+    const std::size_t whole = find_last_end(m_pending, m_searched);
     const std::size_t next = m_pending.find_first_not_of("\r\n", whole == std::string::npos ? 0 : whole);
     const std::size_t end = std::min(next, m_pending.size());
+    m_searched = m_pending.size() - end;
     if (end == 0) {
         return {};
     }
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -17,11 +17,17 @@
     [[nodiscard]] const std::string& get_last_id() const noexcept { return m_last_id; }
 
     /// Discards an incomplete event after a stream was interrupted.
-    void drop_partial_event() { m_pending.clear(); }
+    void drop_partial_event() {
+        m_pending.clear();
+        m_searched = 0;
+    }
 
     /// Returns whether the incomplete event exceeds the size limit of an event.
     [[nodiscard]] bool is_event_too_long() const noexcept { return m_pending.size() > max_event_bytes; }
 
+    /// Returns the size of the incomplete event.
+    [[nodiscard]] std::size_t get_partial_bytes() const noexcept { return m_pending.size(); }
+
     /// Returns whether there is an incomplete event.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_pending.empty(); }
 
@@ -31,6 +37,9 @@
     void record_last_id(std::string_view events);
 
     std::string m_pending;
+    /// Number of bytes at the beginning in which no event ends, so that a long event is not searched again with each
+    /// piece.
+    std::size_t m_searched{0};
     std::string m_last_id;
 };
 
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -385,11 +385,12 @@
     if (caller.is_started()) {
         require_same_content_type(exchange);
     }
+    byte_budget::share buffered(get_state().connections.get_buffer_budget());
     for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
         const std::string events = m_events.take_events();
-        if (m_events.is_event_too_long()) {
+        if (m_events.is_event_too_long() || !buffered.resize(m_events.get_partial_bytes())) {
             throw exchange_failed_error("event in the stream exceeds the size limit", exchange_phase::after_send,
                                         policy::retry_reason::malformed_answer);
         }
--- a/tests/servers/test_unbounded_responses.cpp
+++ b/tests/servers/test_unbounded_responses.cpp
@@ -158,3 +158,17 @@
     splitter.add_bytes("a");
     CHECK(splitter.is_event_too_long());
 }
+
+TEST_CASE("a user of a byte budget returns what it no longer holds") {
+    const byte_budget budget(100);
+    byte_budget::share first(budget);
+    byte_budget::share second(budget);
+    CHECK(first.resize(80));
+    CHECK_FALSE(second.resize(30));
+    CHECK(first.resize(60));
+    CHECK(second.resize(30));
+    CHECK_FALSE(first.resize(71));
+    CHECK(first.resize(70));
+    CHECK(second.resize(0));
+    CHECK(first.resize(100));
+}
