Require keys after a delta that adds organisations, whatever the configuration before

What callers would see: after an update in which hosts of both versions run, a deployment that gets its first organisations stays open on hosts that learn of it from a host of the earlier version.

Hosts of this version send no delta between the two kinds, but those of the earlier one do.

Change: a result with organisations needs keys.

Measured: the new test, "a delta that adds organisations to a configuration without keys makes keys necessary", fails without it.

--- a/fleet/configuration_delta.cpp
+++ b/fleet/configuration_delta.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 namespace dragonflywell::fleet {
 
@@ -159,12 +160,15 @@
     for (const served_organisation& item : delta.changed_organisations) {
         changed_organisations.emplace(get_key(item), &item);
     }
+    std::vector<served_organisation> organisations =
+        merge(base.organisations, removed_organisations, changed_organisations, delta.changed_organisations);
+    // A host of an earlier version also sends a delta when organisations are added to a configuration without any.
+    const bool requires_keys = base.requires_keys || !organisations.empty();
     return {.version = delta.version,
             .routes = merge(base.routes, removed_routes, changed_routes, delta.changed_routes),
             .services = base.services,
-            .requires_keys = base.requires_keys,
-            .organisations =
-                merge(base.organisations, removed_organisations, changed_organisations, delta.changed_organisations),
+            .requires_keys = requires_keys,
+            .organisations = std::move(organisations),
             .limits = delta.limits.value_or(base.limits)};
 }
 
--- a/fleet/serving_view.hpp
+++ b/fleet/serving_view.hpp
@@ -40,8 +40,8 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::vector<service_description> services;
-    /// Whether requests need a key if their route is not public. Independent of the organisations, because one without
-    /// any of them still may need keys: then no key is valid.
+    /// Whether requests need a key if their route is not public. If they do and there is no organisation, no key is
+    /// valid.
     bool requires_keys{true};
     std::vector<served_organisation> organisations;
     caller_limits limits;
--- a/tests/fleet/test_configuration_delta.cpp
+++ b/tests/fleet/test_configuration_delta.cpp
@@ -107,6 +107,22 @@
     CHECK(applied.requires_keys);
 }
 
+// Guards against ROUTE: a host of an earlier version relays such a change, and its receiver must not stay open.
+TEST_CASE("a delta that adds organisations to a configuration without keys makes keys necessary") {
+    serving_configuration base = configuration_generator(1).make(1);
+    base.organisations.clear();
+    base.requires_keys = false;
+    const configuration_delta delta{
+        .base_version = 1,
+        .version = 2,
+        .removed_routes = {},
+        .changed_routes = {},
+        .removed_organisations = {},
+        .changed_organisations = {{.name = organisation_name("o"), .priority = {}, .keys = {"k"}}},
+        .limits = {}};
+    CHECK(apply_delta(base, delta).requires_keys);
+}
+
 TEST_CASE("configurations of which only one needs keys have no delta") {
     const serving_configuration base = configuration_generator(1).make(1);
     serving_configuration next = base;
