Ask for room in the budget before events are taken, and leave ordinary responses out of it

What callers would see since, once one faulty server has filled the budget of a host: a resumable stream goes on behind an event that was never delivered (ORDER); sound streams with an event in two pieces and sound plain responses end with 502.

Cause: events that are taken count as delivered, and the room was asked for after that. Each byte counted, also those of the shortest response. An event that was being written to a slow caller counted nowhere.

Change: room is asked for before events are taken, and held until the caller has them.

--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -114,6 +114,7 @@
     datagram_sender m_sender;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
+    /// Whether this host led its group at the last heartbeat.
     bool m_leads_group{false};
     /// The next digests are heartbeats: they also carry the parts that are sent less often, and go to remote groups,
     /// too.
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -25,8 +25,8 @@
     /// Returns whether the incomplete event exceeds the size limit of an event.
     [[nodiscard]] bool is_event_too_long() const noexcept { return m_pending.size() > max_event_bytes; }
 
-    /// Returns the size of the incomplete event.
-    [[nodiscard]] std::size_t get_partial_bytes() const noexcept { return m_pending.size(); }
+    /// Returns the number of bytes that have not been taken yet.
+    [[nodiscard]] std::size_t get_pending_bytes() const noexcept { return m_pending.size(); }
 
     /// Returns whether there is an incomplete event.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_pending.empty(); }
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -21,6 +21,11 @@
 constexpr int prefill_timeout_factor = 3;
 constexpr duration prefill_timeout_margin = std::chrono::milliseconds(700);
 
+[[noreturn]] void reject_long_event() {
+    throw exchange_failed_error("event in the stream exceeds the size limit", exchange_phase::after_send,
+                                policy::retry_reason::malformed_answer);
+}
+
 std::uint64_t get_next_number() {
     static std::uint64_t number = 0;
     return ++number;
@@ -385,14 +390,17 @@
     if (caller.is_started()) {
         require_same_content_type(exchange);
     }
-    byte_budget::share buffered(get_state().connections.get_buffer_budget());
+    byte_budget::share buffered(get_state().connections.get_buffer_budget(), unbudgeted_response_bytes);
     for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
+        // Checked before events are taken, because a resumed stream continues after the last one that was taken.
+        if (!buffered.resize(m_events.get_pending_bytes())) {
+            reject_long_event();
+        }
         const std::string events = m_events.take_events();
-        if (m_events.is_event_too_long() || !buffered.resize(m_events.get_partial_bytes())) {
-            throw exchange_failed_error("event in the stream exceeds the size limit", exchange_phase::after_send,
-                                        policy::retry_reason::malformed_answer);
+        if (m_events.is_event_too_long()) {
+            reject_long_event();
         }
         if (events.empty()) {
             continue;
@@ -406,6 +414,8 @@
             co_await start_stream(exchange, caller);
         }
         co_await caller.send_chunk(events);
+        // Never fails, since it holds no more than before.
+        static_cast<void>(buffered.resize(m_events.get_pending_bytes()));
     }
     if (m_events.has_partial_event()) {
         throw exchange_failed_error("stream ended in the middle of an event", exchange_phase::after_send,
--- a/tests/servers/test_unbounded_responses.cpp
+++ b/tests/servers/test_unbounded_responses.cpp
@@ -171,4 +171,9 @@
     CHECK(first.resize(70));
     CHECK(second.resize(0));
     CHECK(first.resize(100));
+    byte_budget::share with_free_bytes(budget, 10);
+    CHECK(with_free_bytes.resize(10));
+    CHECK_FALSE(with_free_bytes.resize(11));
+    CHECK(first.resize(99));
+    CHECK(with_free_bytes.resize(11));
 }
