Log late heartbeats, why others do not lead, and the most bytes that a host sends in a second

Cause: with the logs before, a full link of a leader and a busy event loop looked alike, and a change of leader did not say whether the host before was silent, stopping or cut off from the store. Change: heartbeat_late and its gauge; group_leader_changed names the state of each host before this one by name; datagram_peak and its gauge.

--- a/daemon/datagram_sender.cpp
+++ b/daemon/datagram_sender.cpp
@@ -12,10 +12,16 @@
 
 constexpr std::array<std::string_view, 4> kind_names{"group_digest", "intergroup_digest", "records", "configuration"};
 
+/// A peak is logged when it exceeds the last logged one by this factor, so that a host logs few of them.
+constexpr std::size_t peak_factor = 2;
+constexpr duration peak_interval = std::chrono::seconds(1);
+
 } // namespace
 
-datagram_sender::datagram_sender(boost::asio::ip::udp::socket& socket, metrics_registry& metrics)
-    : m_socket(&socket), m_log(get_logger("hosts")), m_counters() {
+datagram_sender::datagram_sender(boost::asio::ip::udp::socket& socket, const clock_source& time,
+                                 metrics_registry& metrics)
+    : m_socket(&socket), m_time(&time), m_log(get_logger("hosts")), m_counters(),
+      m_peak(&metrics.get_gauge("dragonflywell_datagram_peak_bytes_per_second")) {
     for (std::size_t index = 0; index < kind_count; ++index) {
         const metric_label kind{.name = "kind", .value = std::string(kind_names.at(index))};
         m_counters.at(index) = {.datagrams = &metrics.get_counter("dragonflywell_datagrams_sent_total", {kind}),
@@ -48,6 +54,23 @@
         }
         counters.datagrams->add();
         counters.bytes->add(text.size());
+        count_bytes(text.size());
+    }
+}
+
+void datagram_sender::count_bytes(std::size_t bytes) {
+    const steady_time now = m_time->now();
+    if (now - m_second_began_at >= peak_interval) {
+        m_second_began_at = now;
+        m_second_bytes = 0;
+    }
+    m_second_bytes += bytes;
+    if (static_cast<std::int64_t>(m_second_bytes) > m_peak->get()) {
+        m_peak->set(static_cast<std::int64_t>(m_second_bytes));
+    }
+    if (m_second_bytes >= peak_factor * m_logged_peak_bytes) {
+        m_logged_peak_bytes = m_second_bytes;
+        log_event("datagram_peak").add("bytes_in_second", m_second_bytes).write(*m_log, spdlog::level::info);
     }
 }
 
--- a/daemon/datagram_sender.hpp
+++ b/daemon/datagram_sender.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <string_view>
 
+#include "core/clock.hpp"
 #include "core/log.hpp"
 #include "core/metrics.hpp"
 
@@ -20,8 +21,8 @@
 /// Sends datagrams to other hosts and counts what it sends and what it cannot send, by kind. Used on one event loop.
 class datagram_sender {
 public:
-    /// Precondition: socket and metrics outlive the sender. The socket is non-blocking.
-    datagram_sender(boost::asio::ip::udp::socket& socket, metrics_registry& metrics);
+    /// Precondition: socket, clock and metrics outlive the sender. The socket is non-blocking.
+    datagram_sender(boost::asio::ip::udp::socket& socket, const clock_source& time, metrics_registry& metrics);
 
     /// Sends the text to each receiver. A text that exceeds `max_datagram_bytes` is not sent, which is logged and
     /// counted. A datagram that the socket does not take is counted; the next one replaces it, or its receiver reads
@@ -37,9 +38,18 @@
     };
     static constexpr std::size_t kind_count = 4;
 
+    /// Adds to the bytes of the present second. Logs and exports the highest total of a second.
+    void count_bytes(std::size_t bytes);
+
     boost::asio::ip::udp::socket* m_socket;
+    const clock_source* m_time;
     std::shared_ptr<spdlog::logger> m_log;
     std::array<kind_counters, kind_count> m_counters;
+    gauge* m_peak;
+    steady_time m_second_began_at{};
+    std::size_t m_second_bytes{0};
+    /// The highest total of a second that was logged.
+    std::size_t m_logged_peak_bytes{8192};
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -29,6 +29,8 @@
 /// Number of other hosts above which the longer interval is used.
 constexpr std::size_t large_group_hosts = 10;
 constexpr duration heartbeat_interval = std::chrono::milliseconds(500);
+/// Delay of a heartbeat from which it is logged: the event loop was busy or the host was suspended.
+constexpr duration late_heartbeat = std::chrono::milliseconds(250);
 /// A host that sends no digest for this long counts as unreachable, and its last known load is discarded.
 constexpr duration host_timeout = std::chrono::milliseconds(2500);
 /// How long the store answers no call of a host until another host leads the group in its place.
@@ -53,7 +55,8 @@
                .address = m_options.listen,
                .incarnation = m_options.incarnation}),
       m_socket(loop, udp::endpoint(boost::asio::ip::make_address(m_options.listen.address), m_options.listen.port)),
-      m_sender(m_socket, metrics), m_send_timer(loop) {
+      m_sender(m_socket, state.time, metrics),
+      m_heartbeat_delay(&metrics.get_gauge("dragonflywell_heartbeat_delay_milliseconds")), m_send_timer(loop) {
     m_socket.non_blocking(true);
 }
 
@@ -244,7 +247,9 @@
 
 servers::asio::awaitable<void> host_gossip::run_heartbeat() {
     for (;;) {
+        const steady_time due_at = m_state->time.now() + heartbeat_interval;
         co_await servers::sleep_for(heartbeat_interval);
+        report_delay(m_state->time.now() - due_at);
         drop_unresponsive();
         remove_dead_entries();
         correct_clock();
@@ -259,6 +264,13 @@
     }
 }
 
+void host_gossip::report_delay(duration delay) {
+    m_heartbeat_delay->set(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count());
+    if (delay >= late_heartbeat) {
+        log_event("heartbeat_late").add("delay_ms", delay).write(*m_log, spdlog::level::warn);
+    }
+}
+
 void host_gossip::drop_unresponsive() {
     const steady_time now = m_state->time.now();
     for (auto& [name, other] : m_others) {
@@ -304,11 +316,24 @@
         return;
     }
     m_leads_group = is_leader;
-    log_event("group_leader_changed")
-        .add("group", m_state->peers.groups.get_name())
-        .add("is_leader", is_leader)
-        .add("is_cut_off", is_cut_off())
-        .write(*m_log, spdlog::level::info);
+    log_event change("group_leader_changed");
+    change.add("group", m_state->peers.groups.get_name()).add("is_leader", is_leader).add("is_cut_off", is_cut_off());
+    for (const auto& [name, other] : m_others) {
+        if (other.is_own_group && name < m_options.host) {
+            change.add(name, get_absence(other));
+        }
+    }
+    change.write(*m_log, spdlog::level::info);
+}
+
+std::string_view host_gossip::get_absence(const other_host& other) {
+    if (!other.last_received_at) {
+        return "silent";
+    }
+    if (other.is_stopping) {
+        return "stopping";
+    }
+    return other.is_cut_off ? "cut_off" : "present";
 }
 
 bool host_gossip::is_group_leader() const {
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -89,13 +89,18 @@
     /// Relays changes of the configuration to the group. Changes that exceed a datagram are left out, so that the other
     /// hosts read the store.
     void relay_configuration(const relayed_configuration& changes);
+    /// Reports by how much a heartbeat was late: high if the event loop was busy.
+    void report_delay(duration delay);
     void drop_unresponsive();
     void remove_dead_entries();
     /// Returns whether this host leads its group.
     [[nodiscard]] bool is_group_leader() const;
     /// Returns whether the store does not answer this host.
     [[nodiscard]] bool is_cut_off() const;
-    /// Starts or ends the duties of the group leader, and logs the change.
+    /// Returns why a host does not lead the group, or "present" if it might.
+    [[nodiscard]] static std::string_view get_absence(const other_host& other);
+    /// Starts or ends the duties of the group leader, and logs the change with the state of the hosts before it by
+    /// name.
     void update_leadership();
     void correct_clock();
 
@@ -112,6 +117,7 @@
     host_list m_hosts;
     boost::asio::ip::udp::socket m_socket;
     datagram_sender m_sender;
+    gauge* m_heartbeat_delay;
     boost::asio::steady_timer m_send_timer;
     bool m_is_scheduled{false};
     /// Whether this host led its group at the last heartbeat.
