--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -60,7 +60,7 @@
     std::map<service_name, policy::decaying_peak_rate> m_prefill_demand;
     std::map<service_name, double> m_running;
     /// Recent maximum of each pool's target size: servers are released only after they were not needed for a while.
-    std::map<server_pool, policy::recent_maximum> m_targets;
+    std::map<server_pool, policy::recent_maximum<std::uint32_t>> m_targets;
     std::optional<std::uint64_t> m_fence;
 };
 
--- a/policy/recent_maximum.hpp
+++ b/policy/recent_maximum.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <deque>
 
 #include "core/clock.hpp"
@@ -8,12 +7,13 @@
 namespace dragonflywell::policy {
 
 /// Maximum over a sliding time window. Not thread safe.
+template <typename Value>
 class recent_maximum {
 public:
     explicit recent_maximum(duration span) noexcept : m_span(span) {}
 
     /// Adds a value and returns the maximum of the window that ends now.
-    std::uint32_t observe(std::uint32_t value, steady_time now) {
+    Value observe(Value value, steady_time now) {
         while (!m_values.empty() && m_values.back().value <= value) {
             m_values.pop_back();
         }
@@ -26,7 +26,7 @@
 
 private:
     struct entry {
-        std::uint32_t value{};
+        Value value{};
         steady_time moment{};
     };
 
--- a/tests/policy/test_stage_plan.cpp
+++ b/tests/policy/test_stage_plan.cpp
@@ -157,7 +157,7 @@
 
 TEST_CASE("the maximum of a window is kept until it leaves the window") {
     virtual_clock time;
-    recent_maximum maximum(std::chrono::seconds(10));
+    recent_maximum<std::uint32_t> maximum(std::chrono::seconds(10));
     CHECK(maximum.observe(5, time.now()) == 5);
     time.advance(std::chrono::seconds(6));
     CHECK(maximum.observe(3, time.now()) == 5);
