--- a/daemon/configuration_follower.cpp
+++ b/daemon/configuration_follower.cpp
@@ -184,7 +184,7 @@
         m_relayed_changes.clear();
         return;
     }
-    std::erase_if(m_relayed_changes, [&](const relayed_change& change) { return change.next.era != next.era; });
+    std::erase_if(m_relayed_changes, [&](const gossip::relayed_change& change) { return change.next.era != next.era; });
     m_relayed_changes.push_back({.delta = std::move(*delta), .next = next});
     if (m_relayed_changes.size() > max_relayed_changes) {
         m_relayed_changes.erase(m_relayed_changes.begin());
@@ -192,8 +192,8 @@
     m_relay(m_relayed_changes);
 }
 
-void configuration_follower::apply_relayed(relayed_configuration changes) {
-    for (const relayed_change& change : changes) {
+void configuration_follower::apply_relayed(gossip::relayed_configuration changes) {
+    for (const gossip::relayed_change& change : changes) {
         on_era_changed(change.next.era);
     }
     m_pending_changes = std::move(changes);
@@ -201,7 +201,7 @@
 }
 
 void configuration_follower::apply_pending_changes() {
-    for (const relayed_change& change : m_pending_changes) {
+    for (const gossip::relayed_change& change : m_pending_changes) {
         const std::shared_ptr<const fleet::serving_view> current = m_state->get_view();
         const std::optional<log_position> next = m_topic.get_next_position();
         const bool is_same_era = next && next->era == change.next.era;
--- a/daemon/configuration_follower.hpp
+++ b/daemon/configuration_follower.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 
 #include "core/log.hpp"
-#include "daemon/relayed_configuration.hpp"
 #include "daemon/store_dependency.hpp"
+#include "gossip/relayed_configuration.hpp"
 #include "platform/store_client.hpp"
 #include "policy/topic_progress.hpp"
 #include "servers/serving_state.hpp"
@@ -37,9 +37,9 @@
     servers::asio::awaitable<void> run();
 
     /// Sets the callback that relays the newest changes that this host has read for its group, oldest first.
-    void set_relay(std::function<void(const relayed_configuration&)> relay) { m_relay = std::move(relay); }
+    void set_relay(std::function<void(const gossip::relayed_configuration&)> relay) { m_relay = std::move(relay); }
     /// Applies those changes that the group leader relays and that continue the configuration in force.
-    void apply_relayed(relayed_configuration changes);
+    void apply_relayed(gossip::relayed_configuration changes);
 
     /// Sets whether this host reads the configuration for its group.
     void set_reader(bool is_reader);
@@ -77,12 +77,12 @@
     store_dependency m_dependency;
     policy::topic_progress m_topic;
     boost::asio::steady_timer m_read_timer;
-    std::function<void(const relayed_configuration&)> m_relay;
+    std::function<void(const gossip::relayed_configuration&)> m_relay;
     /// The newest changes that this host has relayed.
-    relayed_configuration m_relayed_changes;
+    gossip::relayed_configuration m_relayed_changes;
     /// The newest changes that the group leader has relayed. They may continue a configuration that is still being
     /// read.
-    relayed_configuration m_pending_changes;
+    gossip::relayed_configuration m_pending_changes;
     bool m_is_reader{false};
 };
 
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -91,6 +91,7 @@
                .zone = m_settings.zone,
                .incarnation = m_incarnation,
                .listen = m_settings.hosts,
+               .capacity = m_settings.capacity,
                .group_record_delay = make_usage_timing(m_settings.bounds.usage_report).group_record_delay}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
       m_metrics_handler(m_metrics),
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -1,21 +1,24 @@
 #pragma once
 
-#include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
 #include <memory>
 #include <string>
 
 #include "core/log.hpp"
 #include "daemon/configuration_follower.hpp"
-#include "daemon/datagram_sender.hpp"
-#include "daemon/digest_builder.hpp"
 #include "daemon/group_usage_recorder.hpp"
 #include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
 #include "daemon/usage_copier.hpp"
+#include "gossip/datagram_queue.hpp"
+#include "gossip/digest_builder.hpp"
+#include "gossip/digest_sender.hpp"
+#include "gossip/digest_source.hpp"
+#include "gossip/membership.hpp"
+#include "gossip/relayed_records.hpp"
+#include "gossip/udp_transport.hpp"
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
 #include "servers/serving_state.hpp"
@@ -28,6 +31,8 @@
     std::uint64_t incarnation{};
     /// Address on which this host receives the datagrams of others.
     endpoint listen;
+    /// What this host can bear: the larger, the sooner it leads its group. Precondition: the link is positive.
+    policy::host_capacity capacity;
     /// Delay from the end of a window until the group leader records the group's usage of it.
     duration group_record_delay{};
 };
@@ -37,7 +42,7 @@
 /// The leader of a group (`policy::leads_group`) reads the store for the group, relays what it has read, and sends
 /// summaries to remote groups. Hosts discover each other through the store. Any datagram may be lost.
 /// Used on one event loop.
-class host_gossip {
+class host_gossip final : public gossip::digest_source {
 public:
     /// Binds the socket. Throws `boost::system::system_error`. Preconditions: all references outlive the object.
     host_gossip(boost::asio::io_context& loop, platform::store_client& store, servers::serving_state& state,
@@ -48,57 +53,42 @@
     void start();
 
     /// Returns the number of other hosts whose digests arrive.
-    [[nodiscard]] std::size_t count_reachable_hosts() const;
+    [[nodiscard]] std::size_t count_reachable_hosts() const { return m_members.count_reachable(); }
 
     /// Schedules a digest after a short interval, which also covers the changes until then.
     void schedule();
 
-private:
-    /// Another host, as listed in the store and as known from its digests.
-    struct other_host {
-        boost::asio::ip::udp::endpoint address;
-        zone_name zone;
-        bool is_own_group{true};
-        bool is_stopping{false};
-        bool is_cut_off{false};
-        std::uint64_t incarnation{0};
-        std::uint64_t sequence{0};
-        std::optional<steady_time> last_received_at;
-        /// When a host of the group timed out; absent while it is reachable.
-        std::optional<steady_time> timed_out_at;
-        /// How far its corrected time of day is ahead of this host's.
-        duration clock_offset{};
-    };
+    [[nodiscard]] gossip::digest_facts get_digest_facts() const override;
 
+private:
     servers::asio::awaitable<void> receive();
     servers::asio::awaitable<void> run_heartbeat();
     void add_host(const listed_host& host);
     void update_groups();
     void handle_datagram(std::string_view text);
+    void apply_records(const gossip::relayed_records& relayed);
     void apply_digest(const servers::host_digest& digest);
     void apply_load(const servers::host_digest& digest);
     void apply_prefix_accesses(const servers::host_digest& digest);
     /// Notes that the group leader has recorded this host's usage, if it has.
     void apply_recorded_usage(const servers::digest_recorded_usage& recorded);
-    void apply_read_positions(const servers::host_digest& digest);
-    [[nodiscard]] bool has_remote_groups() const;
+    /// Applies the read positions of the group leader. `delay`: how long the digest was on the way.
+    void apply_read_positions(const servers::host_digest& digest, duration delay);
+    /// Sends what is due and waits until more is.
     void send();
-    /// Sends a datagram to all other hosts of this group, or to all hosts of remote groups if it is for them.
-    void send_to(datagram_kind kind, std::string_view text);
-    void relay_records(const log_position& from, const platform::store_page& page);
-    /// Relays changes of the configuration to the group. Changes that exceed a datagram are left out, so that the other
-    /// hosts read the store.
-    void relay_configuration(const relayed_configuration& changes);
+    void relay_records(const log_position& from, const platform::store_page& page, duration age);
+    /// Relays changes of the configuration to the group: the newest one, and those before it as far as they fit.
+    void relay_configuration(gossip::relayed_configuration changes);
+    /// Sends a datagram to the other hosts of the group.
+    void relay(gossip::datagram_kind kind, std::string text);
     /// Reports by how much a heartbeat was late: high if the event loop was busy.
     void report_delay(duration delay);
     void drop_unresponsive();
     void remove_dead_entries();
-    /// Returns whether this host leads its group.
-    [[nodiscard]] bool is_group_leader() const;
+    /// Returns whether this host leads its group, or would lead it without another host.
+    [[nodiscard]] bool is_group_leader(std::string_view without = {}) const;
     /// Returns whether the store does not answer this host.
     [[nodiscard]] bool is_cut_off() const;
-    /// Returns why a host does not lead the group, or "present" if it might.
-    [[nodiscard]] static std::string_view get_absence(const other_host& other);
     /// Starts or ends the duties of the group leader, and logs the change with the state of the hosts before it by
     /// name.
     void update_leadership();
@@ -113,19 +103,17 @@
     std::shared_ptr<spdlog::logger> m_log;
     usage_copier m_usage_copier;
     group_usage_recorder m_group_usage;
-    digest_builder m_digest_builder;
     host_list m_hosts;
+    gossip::membership m_members;
     boost::asio::ip::udp::socket m_socket;
-    datagram_sender m_sender;
+    gossip::udp_transport m_transport;
+    gossip::datagram_queue m_queue;
+    gossip::digest_builder m_builder;
+    gossip::digest_sender m_digests;
     gauge* m_heartbeat_delay;
     boost::asio::steady_timer m_send_timer;
-    bool m_is_scheduled{false};
     /// Whether this host led its group at the last heartbeat.
     bool m_leads_group{false};
-    /// The next digests are heartbeats: they also carry the parts that are sent less often, and go to remote groups,
-    /// too.
-    bool m_is_heartbeat_due{false};
-    std::map<std::string, other_host> m_others;
 };
 
 } // namespace dragonflywell::daemon
--- a/daemon/host_settings.cpp
+++ b/daemon/host_settings.cpp
@@ -11,6 +11,12 @@
 constexpr number_range seconds_range{.min = 0.001, .max = 86'400};
 constexpr number_range share_range{.min = 0, .max = 100};
 constexpr number_range count_range{.min = 0, .max = 1e9};
+constexpr number_range link_range{.min = 0.1, .max = 1e6};
+constexpr number_range core_range{.min = 0.001, .max = 1024};
+/// Link of a host whose settings do not state it.
+constexpr double default_link_megabits = 100;
+constexpr double bytes_per_megabit = 125'000;
+constexpr double thousandths = 1000;
 
 endpoint get_endpoint(settings_reader& reader, const std::string& key) {
     const std::optional<endpoint> parsed = parse_endpoint(reader.get_string(key));
@@ -37,6 +43,13 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.get_number(key, seconds_range)));
 }
 
+policy::host_capacity get_capacity(settings_reader& reader) {
+    const double megabits = reader.get_number("host.link_mbps", link_range, default_link_megabits);
+    const double cores = reader.get_number("host.cpu_share", core_range, 1.0);
+    return {.link_bytes_per_second = static_cast<std::uint64_t>(megabits * bytes_per_megabit),
+            .core_thousandths = static_cast<std::uint32_t>(cores * thousandths)};
+}
+
 host_bounds get_bounds(settings_reader& reader) {
     return {.server_heartbeat = get_milliseconds(reader, "bounds.server_heartbeat_ms"),
             .recovery = get_milliseconds(reader, "bounds.contact_ms"),
@@ -60,6 +73,7 @@
     settings.zone = zone_name(reader.get_string("host.zone"));
     settings.address = reader.get_string("host.address");
     settings.is_first_start = reader.get_boolean("host.is_first_start", false);
+    settings.capacity = get_capacity(reader);
     settings.callers = get_endpoint(reader, "listen.callers");
     settings.ready = get_endpoint(reader, "listen.ready");
     settings.metrics = get_endpoint(reader, "listen.metrics");
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -8,6 +8,7 @@
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
 #include "core/log.hpp"
+#include "policy/group_leadership.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -42,6 +43,8 @@
     zone_name zone;
     std::string address;
     bool is_first_start{false};
+    /// What the network link and the processor of the host carry.
+    policy::host_capacity capacity;
     endpoint callers;
     endpoint ready;
     endpoint metrics;
--- a/daemon/relayed_configuration.cpp
+++ b/gossip/relayed_configuration.cpp
@@ -1,4 +1,4 @@
-#include "daemon/relayed_configuration.hpp"
+#include "gossip/relayed_configuration.hpp"
 
 #include <array>
 #include <boost/json.hpp>
@@ -8,7 +8,7 @@
 #include "core/error.hpp"
 #include "core/json.hpp"
 
-namespace dragonflywell::daemon {
+namespace dragonflywell::gossip {
 
 namespace {
 
@@ -218,4 +218,4 @@
     return decode_list(message, changes_field, decode_change);
 }
 
-} // namespace dragonflywell::daemon
+} // namespace dragonflywell::gossip
--- a/daemon/relayed_configuration.hpp
+++ b/gossip/relayed_configuration.hpp
@@ -8,7 +8,7 @@
 #include "core/log_position.hpp"
 #include "fleet/configuration_delta.hpp"
 
-namespace dragonflywell::daemon {
+namespace dragonflywell::gossip {
 
 /// A change of the configuration that a group leader has read from the store.
 struct relayed_change {
@@ -30,4 +30,4 @@
 /// Decodes a datagram of changes. Throws `malformed_message_error`. Thread safe.
 [[nodiscard]] relayed_configuration decode_relayed_configuration(const boost::json::object& message);
 
-} // namespace dragonflywell::daemon
+} // namespace dragonflywell::gossip
--- a/policy/group_leadership.hpp
+++ b/policy/group_leadership.hpp
@@ -1,13 +1,25 @@
 #pragma once
 
+#include <compare>
+#include <cstdint>
 #include <span>
 #include <string_view>
 
 namespace dragonflywell::policy {
 
+/// What a host can bear. A host of an earlier version does not state it and counts as the smallest.
+struct host_capacity {
+    std::uint64_t link_bytes_per_second{};
+    /// Share of a processor core, in thousandths.
+    std::uint32_t core_thousandths{};
+
+    friend auto operator<=>(const host_capacity&, const host_capacity&) = default;
+};
+
 /// A host of a group as a candidate for its leadership.
 struct leader_candidate {
     std::string_view host;
+    host_capacity capacity{};
     bool is_stopping{false};
     /// Whether the store does not answer the host. What a leader reads there, its group learns from it alone.
     bool is_cut_off{false};
--- a/policy/host_groups.cpp
+++ b/policy/host_groups.cpp
@@ -9,9 +9,23 @@
 void host_groups::set_hosts(const std::map<std::string, zone_name>& hosts) {
     const std::size_t all = hosts.size() + (hosts.contains(m_own_host) ? 0 : 1);
     m_is_whole_fleet = all <= m_options.max_group_hosts;
-    const auto in_zone = static_cast<std::uint32_t>(
-        std::count_if(hosts.begin(), hosts.end(), [&](const auto& item) { return item.second == m_own_zone; }));
-    m_groups = std::max<std::uint32_t>(1, (in_zone + m_options.max_group_hosts - 1) / m_options.max_group_hosts);
+    std::map<zone_name, std::size_t> zones{{m_own_zone, 0}};
+    for (const auto& [host, zone] : hosts) {
+        ++zones[zone];
+    }
+    m_groups = count_groups_of(zones[m_own_zone]);
+    m_all_groups = 0;
+    for (const auto& [zone, in_zone] : zones) {
+        m_all_groups += count_groups_of(in_zone);
+    }
+    if (m_is_whole_fleet) {
+        m_all_groups = 1;
+    }
+}
+
+std::uint32_t host_groups::count_groups_of(std::size_t hosts) const {
+    const std::size_t groups = (hosts + m_options.max_group_hosts - 1) / m_options.max_group_hosts;
+    return static_cast<std::uint32_t>(std::max<std::size_t>(1, groups));
 }
 
 std::string host_groups::get_name() const {
--- a/policy/host_groups.hpp
+++ b/policy/host_groups.hpp
@@ -29,6 +29,8 @@
 
     /// Returns whether the whole fleet is a single group.
     [[nodiscard]] bool is_whole_fleet() const noexcept { return m_is_whole_fleet; }
+    /// Returns the number of groups in the fleet.
+    [[nodiscard]] std::uint32_t count_groups() const noexcept { return m_all_groups; }
     /// Returns the name of this host's group.
     [[nodiscard]] std::string get_name() const;
     /// Returns whether a host belongs to this host's group.
@@ -38,6 +40,7 @@
 
 private:
     [[nodiscard]] std::uint32_t get_group(std::string_view name) const;
+    [[nodiscard]] std::uint32_t count_groups_of(std::size_t hosts) const;
 
     std::string m_own_host;
     zone_name m_own_zone;
@@ -45,6 +48,8 @@
     bool m_is_whole_fleet{true};
     /// Number of groups in this host's zone.
     std::uint32_t m_groups{1};
+    /// Number of groups in all zones.
+    std::uint32_t m_all_groups{1};
 };
 
 } // namespace dragonflywell::policy
--- a/policy/part_quarantine.cpp
+++ b/policy/part_quarantine.cpp
@@ -12,26 +12,16 @@
     return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
-/// Sorts records by time, newest first, and drops those beyond `most`.
-template <typename Record>
-void keep_newest(std::vector<Record>& records, std::size_t most) {
-    std::stable_sort(records.begin(), records.end(),
-                     [](const Record& left, const Record& right) { return left.moment > right.moment; });
-    if (records.size() > most) {
-        records.resize(most);
-    }
-}
-
 } // namespace
 
-void part_quarantine::record_crash(const part_crash& crash) {
+bool part_quarantine::record_crash(const part_crash& crash) {
     part_crash suspected = crash;
     std::erase_if(suspected.parts, [&](prompt_part_id part) { return is_cleared(part, crash.moment); });
     const bool is_known = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const part_crash& known) {
         return known.crash_id == suspected.crash_id && known.parts == suspected.parts;
     });
     if (suspected.parts.empty() || is_known) {
-        return;
+        return false;
     }
     const auto is_later = [](const part_crash& left, const part_crash& right) { return left.moment < right.moment; };
     m_crashes.insert(std::upper_bound(m_crashes.begin(), m_crashes.end(), suspected, is_later), suspected);
@@ -39,20 +29,26 @@
         m_crashes.erase(m_crashes.begin());
     }
     m_is_blamed_current = false;
+    return true;
 }
 
-void part_quarantine::record_answer(std::span<const prompt_part_id> parts, wall_time now) {
+std::vector<part_clearance> part_quarantine::record_answer(std::span<const prompt_part_id> parts, wall_time now) {
+    std::vector<part_clearance> cleared;
     for (const prompt_part_id part : parts) {
         if (is_suspected(part)) {
-            clear({.part = part, .moment = now});
+            cleared.push_back({.part = part, .moment = now});
+            clear(cleared.back());
         }
     }
+    return cleared;
 }
 
-void part_quarantine::record_clearance(const part_clearance& clearance) {
-    if (!is_cleared(clearance.part, clearance.moment)) {
-        clear(clearance);
+bool part_quarantine::record_clearance(const part_clearance& clearance) {
+    if (is_cleared(clearance.part, clearance.moment)) {
+        return false;
     }
+    clear(clearance);
+    return true;
 }
 
 bool part_quarantine::is_cleared(prompt_part_id part, wall_time moment) const {
@@ -67,6 +63,11 @@
 
 void part_quarantine::clear(const part_clearance& clearance) {
     m_cleared[clearance.part] = clearance.moment;
+    if (m_cleared.size() > m_options.max_cleared) {
+        m_cleared.erase(std::min_element(m_cleared.begin(), m_cleared.end(), [](const auto& left, const auto& right) {
+            return left.second < right.second;
+        }));
+    }
     for (part_crash& crash : m_crashes) {
         if (crash.moment <= clearance.moment) {
             std::erase(crash.parts, clearance.part);
@@ -158,30 +159,21 @@
     }
 }
 
-std::vector<part_crash> part_quarantine::get_crashes(wall_time now, duration age, std::size_t most) {
-    std::vector<prompt_part_id> blamed;
-    for (const std::set<prompt_part_id>& group : get_blamed(now)) {
-        blamed.insert(blamed.end(), group.begin(), group.end());
-    }
-    const auto has_blamed_part = [&](const part_crash& crash) {
-        return std::any_of(crash.parts.begin(), crash.parts.end(),
-                           [&](prompt_part_id part) { return contains(blamed, part); });
-    };
-    std::vector<part_crash> newest;
-    std::copy_if(m_crashes.begin(), m_crashes.end(), std::back_inserter(newest),
-                 [&](const part_crash& crash) { return now - crash.moment <= age || has_blamed_part(crash); });
-    keep_newest(newest, most);
-    return newest;
+bool part_quarantine::is_of_blamed_part(const part_crash& crash, wall_time now) {
+    const auto has_part = [&](prompt_part_id part) { return contains(crash.parts, part); };
+    const std::vector<std::set<prompt_part_id>>& blamed = get_blamed(now);
+    return std::any_of(blamed.begin(), blamed.end(), [&](const std::set<prompt_part_id>& group) {
+        return std::any_of(group.begin(), group.end(), has_part);
+    });
 }
 
-std::vector<part_clearance> part_quarantine::get_clearances(wall_time now, duration age, std::size_t most) const {
-    std::vector<part_clearance> newest;
-    for (const auto& [part, moment] : m_cleared) {
-        if (now - moment <= age) {
-            newest.push_back({.part = part, .moment = moment});
-        }
+std::vector<part_crash> part_quarantine::get_blamed_crashes(wall_time now, std::size_t most) {
+    std::vector<part_crash> newest;
+    std::copy_if(m_crashes.rbegin(), m_crashes.rend(), std::back_inserter(newest),
+                 [&](const part_crash& crash) { return is_of_blamed_part(crash, now); });
+    if (newest.size() > most) {
+        newest.resize(most);
     }
-    keep_newest(newest, most);
     return newest;
 }
 
--- a/policy/part_quarantine.hpp
+++ b/policy/part_quarantine.hpp
@@ -41,6 +41,8 @@
     duration retention{std::chrono::minutes(10)};
     /// Maximum number of records kept; the oldest are evicted first.
     std::size_t max_crashes{512};
+    /// Maximum number of parts of which it is remembered that they were cleared; the oldest are evicted first.
+    std::size_t max_cleared{4096};
 };
 
 /// Detects prompt parts that crash the engines which begin to answer a prompt with them.
@@ -53,13 +55,16 @@
 public:
     explicit part_quarantine(part_quarantine_options options = {}) noexcept : m_options(options) {}
 
-    /// Records a crash that this host observed or another host reported.
-    void record_crash(const part_crash& crash);
-    /// Records that a prompt with these parts got a complete answer.
-    void record_answer(std::span<const prompt_part_id> parts, wall_time now);
-    /// Records a clearance that another host reported.
-    void record_clearance(const part_clearance& clearance);
+    /// Records a crash that this host observed or another host reported. Returns whether it was not known.
+    bool record_crash(const part_crash& crash);
+    /// Records that a prompt with these parts got a complete answer. Returns the clearances of those that were
+    /// suspected.
+    std::vector<part_clearance> record_answer(std::span<const prompt_part_id> parts, wall_time now);
+    /// Records a clearance that another host reported. Returns whether it was not known.
+    bool record_clearance(const part_clearance& clearance);
 
+    /// Returns the number of records of crashes.
+    [[nodiscard]] std::size_t get_record_count() const noexcept { return m_crashes.size(); }
     /// Returns whether no part is suspected.
     [[nodiscard]] bool is_empty() const noexcept { return m_crashes.empty(); }
     /// Returns whether a prompt with these parts must not be sent to an engine.
@@ -68,11 +73,10 @@
     /// Returns the groups of parts that are blamed. The parts of a group only occurred together.
     [[nodiscard]] const std::vector<std::set<prompt_part_id>>& get_blamed(wall_time now);
 
-    /// Returns the records for other hosts, newest first, at most `most`: those of blamed parts, so that a restarted
-    /// host learns them, and those that are not older than `age`.
-    [[nodiscard]] std::vector<part_crash> get_crashes(wall_time now, duration age, std::size_t most);
-    /// Returns the clearances that are not older than `age`, at most `most`, newest first.
-    [[nodiscard]] std::vector<part_clearance> get_clearances(wall_time now, duration age, std::size_t most) const;
+    /// Returns whether a record belongs to a part that is blamed.
+    [[nodiscard]] bool is_of_blamed_part(const part_crash& crash, wall_time now);
+    /// Returns the records of blamed parts, which a restarted host has to learn, newest first, at most `most`.
+    [[nodiscard]] std::vector<part_crash> get_blamed_crashes(wall_time now, std::size_t most);
 
 private:
     /// What the records say of one part.
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -5,12 +5,13 @@
 
 namespace dragonflywell::policy {
 
-void quarantine::record_crash(const engine_crash& crash) {
+bool quarantine::record_crash(const engine_crash& crash) {
     const std::scoped_lock lock(m_mutex);
-    m_crashes[crash.fingerprint].try_emplace(crash.crash_id, crash.moment);
+    const bool is_new = m_crashes[crash.fingerprint].try_emplace(crash.crash_id, crash.moment).second;
     if (m_crashes.size() > m_options.max_requests) {
         evict_oldest();
     }
+    return is_new;
 }
 
 void quarantine::record_completion(request_fingerprint fingerprint) {
@@ -27,6 +28,10 @@
     return count_crashes(fingerprint, now) > 0;
 }
 
+bool quarantine::is_repeated(request_fingerprint fingerprint, wall_time now) const {
+    return count_crashes(fingerprint, now) > 1;
+}
+
 bool quarantine::is_refused(request_fingerprint fingerprint, wall_time now) const {
     return count_crashes(fingerprint, now) >= m_options.crashes_to_refuse;
 }
@@ -44,9 +49,9 @@
     return crashes;
 }
 
-std::vector<engine_crash> quarantine::get_newest_crashes(wall_time now, duration age, std::size_t most) const {
+std::vector<engine_crash> quarantine::get_refused_crashes(wall_time now, std::size_t most) const {
     std::vector<engine_crash> crashes = get_crashes(now);
-    std::erase_if(crashes, [&](const engine_crash& crash) { return now - crash.moment > age; });
+    std::erase_if(crashes, [&](const engine_crash& crash) { return !is_refused(crash.fingerprint, now); });
     std::sort(crashes.begin(), crashes.end(),
               [](const engine_crash& left, const engine_crash& right) { return left.moment > right.moment; });
     if (crashes.size() > most) {
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -42,8 +42,8 @@
 public:
     explicit quarantine(quarantine_options options) noexcept : m_options(options) {}
 
-    /// Records a crash that this host observed or another host reported.
-    void record_crash(const engine_crash& crash);
+    /// Records a crash that this host observed or another host reported. Returns whether it was not known.
+    bool record_crash(const engine_crash& crash);
     /// Clears a request that has completed.
     void record_completion(request_fingerprint fingerprint);
 
@@ -52,10 +52,14 @@
     [[nodiscard]] bool is_suspect(request_fingerprint fingerprint, wall_time now) const;
     [[nodiscard]] bool is_refused(request_fingerprint fingerprint, wall_time now) const;
 
+    /// Returns whether several crashes of a request are known, so that the next one may be the last before it is
+    /// refused.
+    [[nodiscard]] bool is_repeated(request_fingerprint fingerprint, wall_time now) const;
+
     /// Returns all crashes that still count at `now`.
     [[nodiscard]] std::vector<engine_crash> get_crashes(wall_time now) const;
-    /// Returns the newest crashes that are not older than `age`, at most `most` of them, newest first.
-    [[nodiscard]] std::vector<engine_crash> get_newest_crashes(wall_time now, duration age, std::size_t most) const;
+    /// Returns the crashes of the requests that are refused, at most `most` of them, newest first.
+    [[nodiscard]] std::vector<engine_crash> get_refused_crashes(wall_time now, std::size_t most) const;
 
     /// Returns the engines that are reserved for suspects.
     [[nodiscard]] std::set<backend_server_name> get_reserved() const;
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -73,7 +73,7 @@
     return engine;
 }
 
-array encode_prefix_access(const digest_prefix_access& access) {
+array encode_item(const digest_prefix_access& access) {
     array parts;
     for (const policy::prefix_block& part : access.parts) {
         parts.push_back(part.id);
@@ -136,12 +136,8 @@
     return recorded;
 }
 
-array encode_crashes(const std::vector<policy::engine_crash>& crashes) {
-    array encoded;
-    for (const policy::engine_crash& crash : crashes) {
-        encoded.push_back(array{crash.fingerprint, crash.crash_id, to_microseconds(crash.moment.time_since_epoch())});
-    }
-    return encoded;
+array encode_item(const policy::engine_crash& crash) {
+    return {crash.fingerprint, crash.crash_id, to_microseconds(crash.moment.time_since_epoch())};
 }
 
 std::vector<policy::engine_crash> decode_crashes(const array& encoded) {
@@ -155,13 +151,9 @@
     return crashes;
 }
 
-array encode_part_crashes(const std::vector<policy::part_crash>& crashes) {
-    array encoded;
-    for (const policy::part_crash& crash : crashes) {
-        encoded.push_back(array{crash.crash_id, array(crash.parts.begin(), crash.parts.end()),
-                                to_microseconds(crash.moment.time_since_epoch())});
-    }
-    return encoded;
+array encode_item(const policy::part_crash& crash) {
+    return {crash.crash_id, array(crash.parts.begin(), crash.parts.end()),
+            to_microseconds(crash.moment.time_since_epoch())};
 }
 
 std::vector<policy::part_crash> decode_part_crashes(const array& encoded) {
@@ -180,12 +172,8 @@
     return crashes;
 }
 
-array encode_part_clearances(const std::vector<policy::part_clearance>& clearances) {
-    array encoded;
-    for (const policy::part_clearance& clearance : clearances) {
-        encoded.push_back(array{clearance.part, to_microseconds(clearance.moment.time_since_epoch())});
-    }
-    return encoded;
+array encode_item(const policy::part_clearance& clearance) {
+    return {clearance.part, to_microseconds(clearance.moment.time_since_epoch())};
 }
 
 std::vector<policy::part_clearance> decode_part_clearances(const array& encoded) {
@@ -198,6 +186,26 @@
     return clearances;
 }
 
+template <typename Item>
+array encode_items(const std::vector<Item>& items) {
+    array encoded;
+    for (const Item& item : items) {
+        encoded.push_back(encode_item(item));
+    }
+    return encoded;
+}
+
+template <typename Item>
+std::size_t measure_item(const Item& item) {
+    constexpr std::size_t separator = 1;
+    return boost::json::serialize(encode_item(item)).size() + separator;
+}
+
+policy::host_capacity decode_capacity(const array& encoded) {
+    return {.link_bytes_per_second = get_number(encoded, 0),
+            .core_thousandths = static_cast<std::uint32_t>(get_number(encoded, 1))};
+}
+
 object encode_summaries(const std::map<service_name, group_summary>& summaries) {
     object encoded;
     for (const auto& [service, summary] : summaries) {
@@ -256,6 +264,22 @@
 
 } // namespace
 
+std::size_t get_encoded_size(const digest_prefix_access& access) {
+    return measure_item(access);
+}
+
+std::size_t get_encoded_size(const policy::engine_crash& crash) {
+    return measure_item(crash);
+}
+
+std::size_t get_encoded_size(const policy::part_crash& crash) {
+    return measure_item(crash);
+}
+
+std::size_t get_encoded_size(const policy::part_clearance& clearance) {
+    return measure_item(clearance);
+}
+
 std::string encode_host_digest(const host_digest& digest) {
     object engines;
     for (const auto& [name, engine] : digest.engines) {
@@ -265,10 +289,6 @@
     for (const auto& [name, count] : digest.instances) {
         instances[name.value()] = count;
     }
-    array prefix_accesses;
-    for (const digest_prefix_access& access : digest.prefix_accesses) {
-        prefix_accesses.push_back(encode_prefix_access(access));
-    }
     object transitions;
     for (const auto& [name, transition] : digest.transitions) {
         transitions[name.value()] =
@@ -291,21 +311,24 @@
                    {"s", digest.is_stopping},
                    {"e", std::move(engines)},
                    {"p", std::move(instances)},
-                   {"t", std::move(prefix_accesses)},
+                   {"t", encode_items(digest.prefix_accesses)},
                    {"c", std::move(transitions)},
                    {"x", std::move(ejections)},
                    {"r", std::move(prefill_demand)},
                    {"u", encode_usage(digest.usage)},
                    {"m", encode_summaries(digest.summaries)},
-                   {"d", encode_crashes(digest.crashes)},
+                   {"d", encode_items(digest.crashes)},
                    {"l", digest.holds_lease},
                    {"rc", encode_read_position(digest.configuration)},
                    {"rs", encode_read_position(digest.servers)}};
     if (!digest.part_crashes.empty()) {
-        encoded["dp"] = encode_part_crashes(digest.part_crashes);
+        encoded["dp"] = encode_items(digest.part_crashes);
     }
     if (!digest.part_clearances.empty()) {
-        encoded["dc"] = encode_part_clearances(digest.part_clearances);
+        encoded["dc"] = encode_items(digest.part_clearances);
+    }
+    if (digest.capacity != policy::host_capacity{}) {
+        encoded["b"] = array{digest.capacity.link_bytes_per_second, digest.capacity.core_thousandths};
     }
     if (digest.is_cut_off) {
         encoded["o"] = true;
@@ -371,6 +394,9 @@
                                                                       : fleet::engine_stage::decode,
                               .remaining = std::chrono::microseconds(get_number(transition, 1))});
     }
+    if (source.contains("b")) {
+        digest.capacity = decode_capacity(json::get_array(source, "b"));
+    }
     if (source.contains("ur")) {
         digest.recorded_usage = decode_recorded_usage(json::get_array(source, "ur"));
     }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -12,6 +12,7 @@
 #include "core/identifiers.hpp"
 #include "core/log_position.hpp"
 #include "fleet/server_record.hpp"
+#include "policy/group_leadership.hpp"
 #include "policy/part_quarantine.hpp"
 #include "policy/prefix_cache.hpp"
 #include "policy/quarantine.hpp"
@@ -109,6 +110,8 @@
     std::uint64_t sequence{};
     /// Time of day as the sender has corrected it.
     wall_time corrected_time;
+    /// What the sender can bear, if it states it.
+    policy::host_capacity capacity;
     bool is_stopping{false};
     /// Whether the store does not answer the sender.
     bool is_cut_off{false};
@@ -142,6 +145,12 @@
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
 
+/// Returns by how many bytes an item makes the encoded digest longer, at most. Thread safe.
+[[nodiscard]] std::size_t get_encoded_size(const digest_prefix_access& access);
+[[nodiscard]] std::size_t get_encoded_size(const policy::engine_crash& crash);
+[[nodiscard]] std::size_t get_encoded_size(const policy::part_crash& crash);
+[[nodiscard]] std::size_t get_encoded_size(const policy::part_clearance& clearance);
+
 /// Encodes a digest for one datagram. Thread safe.
 [[nodiscard]] std::string encode_host_digest(const host_digest& digest);
 /// Throws `malformed_message_error`. Thread safe.
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -55,7 +55,7 @@
         m_state->suspects.record_completion(get_fingerprint(incoming, organisation_name(record.organisation)));
     }
     if (!m_state->part_suspects.is_empty() && record.status == static_cast<unsigned>(http::status::ok)) {
-        m_state->part_suspects.record_answer(get_shared_parts(incoming), m_state->get_corrected_time());
+        m_state->record_prompt_answer(get_shared_parts(incoming));
     }
     const steady_time now = m_state->time.now();
     m_state->counters.count_outcome(policy::request_outcome::completed);
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -337,22 +337,66 @@
     const steady_time now = time.now();
     for (const policy::crash_suspect& suspect : crashes.take_crash_suspects(server, now)) {
         const wall_time moment = get_corrected_time() - (now - suspect.broken_at);
-        suspects.record_crash({.fingerprint = suspect.request, .crash_id = get_thread_random()(), .moment = moment});
+        const policy::engine_crash crash{
+            .fingerprint = suspect.request, .crash_id = get_thread_random()(), .moment = moment};
+        suspects.record_crash(crash);
+        group_announcements.crashes.add(crash, now);
+        intergroup_announcements.crashes.add(crash, now);
         counters.count_suspect();
         log_event("request_suspected")
             .add("fingerprint", suspect.request)
             .add("server", server.value())
             .add("waiting_parts", format_parts(suspect.waiting_parts))
             .write(*log, spdlog::level::warn);
-        if (!suspect.waiting_parts.empty()) {
-            record_part_crash(
-                {.crash_id = suspect.server_incarnation, .parts = suspect.waiting_parts, .moment = moment});
+        const policy::part_crash part_crash{
+            .crash_id = suspect.server_incarnation, .parts = suspect.waiting_parts, .moment = moment};
+        if (!part_crash.parts.empty() && record_part_crash(part_crash)) {
+            group_announcements.part_crashes.add(part_crash, now);
+            intergroup_announcements.part_crashes.add(part_crash, now);
         }
     }
 }
 
-void serving_state::record_part_crash(const policy::part_crash& crash) {
-    part_suspects.record_crash(crash);
+void serving_state::record_prompt_answer(std::span<const policy::prompt_part_id> parts) {
+    const steady_time now = time.now();
+    for (const policy::part_clearance& clearance : part_suspects.record_answer(parts, get_corrected_time())) {
+        group_announcements.part_clearances.add(clearance, now);
+        intergroup_announcements.part_clearances.add(clearance, now);
+    }
+}
+
+void serving_state::apply_crashes(const host_digest& digest, bool is_own_group) {
+    const steady_time now = time.now();
+    for (const policy::engine_crash& crash : digest.crashes) {
+        if (suspects.record_crash(crash) && is_own_group) {
+            intergroup_announcements.crashes.add(crash, now);
+        }
+    }
+    for (const policy::part_clearance& clearance : digest.part_clearances) {
+        if (part_suspects.record_clearance(clearance) && is_own_group) {
+            intergroup_announcements.part_clearances.add(clearance, now);
+        }
+    }
+    for (const policy::part_crash& crash : digest.part_crashes) {
+        if (record_part_crash(crash) && is_own_group) {
+            intergroup_announcements.part_crashes.add(crash, now);
+        }
+    }
+}
+
+void serving_state::announce_refused_to_group() {
+    constexpr std::size_t max_records = 64;
+    const wall_time wall_now = get_corrected_time();
+    for (const policy::engine_crash& crash : suspects.get_refused_crashes(wall_now, max_records)) {
+        group_announcements.crashes.add(crash, time.now());
+    }
+    for (const policy::part_crash& crash : part_suspects.get_blamed_crashes(wall_now, max_records)) {
+        group_announcements.part_crashes.add(crash, time.now());
+    }
+}
+
+bool serving_state::record_part_crash(const policy::part_crash& crash) {
+    const bool is_new = part_suspects.record_crash(crash);
     std::set<std::set<policy::prompt_part_id>> blamed;
     for (const std::set<policy::prompt_part_id>& group : part_suspects.get_blamed(get_corrected_time())) {
         if (!m_logged_blamed_parts.contains(group)) {
@@ -361,6 +405,7 @@
         blamed.insert(group);
     }
     m_logged_blamed_parts = std::move(blamed);
+    return is_new;
 }
 
 } // namespace dragonflywell::servers
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <spdlog/logger.h>
 #include <string>
 
@@ -23,6 +24,7 @@
 #include "policy/usage_delegation.hpp"
 #include "servers/backend_codec.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/crash_announcements.hpp"
 #include "servers/peer_state.hpp"
 #include "servers/request_counters.hpp"
 #include "servers/service_engines.hpp"
@@ -212,9 +214,20 @@
     /// request that ran there.
     void record_server_down(const backend_server_name& server);
 
-    /// Records a crash with suspected prompt parts that this host observed or another host reported. Logs each group of
-    /// parts when it is blamed.
-    void record_part_crash(const policy::part_crash& crash);
+    /// Records that a prompt with these parts got a complete answer, which clears the parts of suspicion.
+    void record_prompt_answer(std::span<const policy::prompt_part_id> parts);
+
+    /// Applies the crashes and clearances in the digest of another host. What is new from a host of the own group is
+    /// announced to other groups.
+    void apply_crashes(const host_digest& digest, bool is_own_group);
+
+    /// Announces the crashes of refused requests and blamed parts to the group again, for a host that has restarted.
+    void announce_refused_to_group();
+
+    /// Crashes that the hosts of the own group, or those of other groups, are still to be told of. Each is announced by
+    /// the host that observed it, and to other groups by the group of that host.
+    crash_announcements group_announcements;
+    crash_announcements intergroup_announcements;
 
     /// Notifies `on_load_change` that the load on backend servers has changed.
     void notify_load_change() const {
@@ -225,6 +238,9 @@
 
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
+    /// Records a crash with suspected prompt parts and logs each group of parts when it is blamed. Returns whether it
+    /// was not known.
+    bool record_part_crash(const policy::part_crash& crash);
 
     /// Offset of the corrected time of day from the clock that counts suspension. Its initial value is taken once,
     /// because the wall clock may be set later.
--- a/servers/shared_prefixes.cpp
+++ b/servers/shared_prefixes.cpp
@@ -22,17 +22,24 @@
         return;
     }
     announced->second = now;
+    if (m_pending.size() >= m_options.max_prefix_accesses) {
+        m_pending.erase(m_pending.begin());
+    }
     m_pending.push_back({.engine = access.engine, .parts = {shared.begin(), shared.end()}});
 }
 
-std::vector<digest_prefix_access> shared_prefixes::take(steady_time now) {
+std::vector<digest_prefix_access> shared_prefixes::take(steady_time now, std::size_t max_bytes) {
     std::erase_if(m_announced_at,
                   [&](const auto& announced) { return now - announced.second >= m_options.repeat_interval; });
-    std::vector<digest_prefix_access> pending = std::exchange(m_pending, {});
-    if (pending.size() > m_options.max_prefix_accesses) {
-        pending.erase(pending.begin(), pending.end() - static_cast<std::ptrdiff_t>(m_options.max_prefix_accesses));
+    std::vector<digest_prefix_access> taken;
+    std::size_t room = max_bytes;
+    while (!m_pending.empty() && get_encoded_size(m_pending.back()) <= room) {
+        room -= get_encoded_size(m_pending.back());
+        taken.push_back(std::move(m_pending.back()));
+        m_pending.pop_back();
     }
-    return pending;
+    std::reverse(taken.begin(), taken.end());
+    return taken;
 }
 
 } // namespace dragonflywell::servers
--- a/servers/shared_prefixes.hpp
+++ b/servers/shared_prefixes.hpp
@@ -16,7 +16,7 @@
     /// A prefix that stays in use is announced again after this interval, so that other groups know that it is still
     /// cached.
     duration repeat_interval{std::chrono::seconds(4)};
-    /// Maximum number of prefixes in one announcement, so that they fit into a datagram; the newest ones are kept.
+    /// Maximum number of prefixes that wait to be announced; the newest ones are kept.
     std::size_t max_prefix_accesses{150};
 };
 
@@ -30,8 +30,9 @@
     /// Records a prompt that was sent to an engine of the group.
     void add(const digest_prefix_access& access, steady_time now);
 
-    /// Returns the prefixes to announce now and clears them.
-    [[nodiscard]] std::vector<digest_prefix_access> take(steady_time now);
+    /// Returns the prefixes to announce now: the newest ones, as many as fit into `max_bytes` of a digest. The others
+    /// keep waiting.
+    [[nodiscard]] std::vector<digest_prefix_access> take(steady_time now, std::size_t max_bytes);
 
 private:
     using announced_prefix = std::pair<backend_server_name, std::uint64_t>;
--- a/tests/daemon/test_configuration_follower.cpp
+++ b/tests/daemon/test_configuration_follower.cpp
@@ -83,7 +83,7 @@
     publish(3);
     publish(4);
     const auto make_change = [](std::uint64_t base, std::uint64_t next) {
-        return daemon::relayed_change{.delta = {.base_version = base, .version = next}, .next = at(next)};
+        return gossip::relayed_change{.delta = {.base_version = base, .version = next}, .next = at(next)};
     };
     SUBCASE("each change arrives") {
         follower.apply_relayed({make_change(1, 2)});
@@ -120,9 +120,9 @@
 }
 
 TEST_CASE_FIXTURE(fixture, "the leader relays each change as a difference to the configuration before it") {
-    std::vector<daemon::relayed_configuration> relayed;
+    std::vector<gossip::relayed_configuration> relayed;
     daemon::configuration_follower follower(client, state, std::chrono::seconds(2), [] {});
-    follower.set_relay([&](const daemon::relayed_configuration& changes) { relayed.push_back(changes); });
+    follower.set_relay([&](const gossip::relayed_configuration& changes) { relayed.push_back(changes); });
     publish(1);
     asio::co_spawn(loop, follower.run(), asio::detached);
     run_until(loop, [&] { return has_version(1); });
@@ -219,7 +219,7 @@
     asio::co_spawn(loop, follower.run(), asio::detached);
     run_until(loop, [&] { return has_version(1); });
     const auto make_change = [](const log_position& next) {
-        return daemon::relayed_change{.delta = {.base_version = 1, .version = 2}, .next = next};
+        return gossip::relayed_change{.delta = {.base_version = 1, .version = 2}, .next = next};
     };
     SUBCASE("the sender is in a newer era: this host lists") {
         store.restore_to({{"keyed.op", 1}});
--- a/tests/daemon/test_host_gossip.cpp
+++ b/tests/daemon/test_host_gossip.cpp
@@ -38,9 +38,12 @@
                                    {.own_host = name, .own_zone = zone_name("z")}),
           m_store(m_pool, metrics, {.address = start(m_entry)}), m_configuration(m_store, state, 2s, [] {}),
           m_servers(m_store, state, 2s), m_lease(m_store, clock, {.holder = name}),
-          m_gossip(
-              fixture.loop, m_store, state, m_configuration, m_servers, m_lease, metrics,
-              {.host = name, .zone = zone_name("z"), .incarnation = 1, .listen = find_datagram_address(fixture.loop)}) {
+          m_gossip(fixture.loop, m_store, state, m_configuration, m_servers, m_lease, metrics,
+                   {.host = name,
+                    .zone = zone_name("z"),
+                    .incarnation = 1,
+                    .listen = find_datagram_address(fixture.loop),
+                    .capacity = {.link_bytes_per_second = 1'000'000}}) {
         asio::co_spawn(fixture.loop, m_servers.run(), asio::detached);
         m_gossip.start();
     }
@@ -83,8 +86,22 @@
     daemon::host_gossip m_gossip;
 };
 
+/// The clock of this machine, which a test can also advance, since the timers of the event loop follow this machine.
+class advanced_clock final : public clock_source {
+public:
+    [[nodiscard]] steady_time now() const override { return m_clock.now() + m_ahead; }
+    [[nodiscard]] wall_time wall_now() const override { return m_clock.wall_now() + m_ahead; }
+    [[nodiscard]] steady_time now_with_suspension() const override { return m_clock.now_with_suspension() + m_ahead; }
+
+    void advance(duration step) { m_ahead += step; }
+
+private:
+    host_clock m_clock;
+    duration m_ahead{};
+};
+
 struct fixture : testing::store_fixture {
-    virtual_clock clock;
+    advanced_clock clock;
     /// Ends a wait for something that does not happen.
     asio::steady_timer limit{loop};
 
--- a/tests/daemon/test_host_list.cpp
+++ b/tests/daemon/test_host_list.cpp
@@ -4,7 +4,6 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
-#include "daemon/relayed_records.hpp"
 #include "daemon/store_topics.hpp"
 #include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
@@ -25,32 +24,6 @@
     }
 }
 
-TEST_CASE("relayed records survive encoding and decoding, and malformed ones are rejected") {
-    platform::store_page page;
-    page.next = {.era = 3, .offset = 9};
-    page.end = page.next;
-    page.records = {{.offset = 7, .key = "a", .value = "1"}, {.offset = 8, .key = "b", .value = {}}};
-    const boost::json::value document =
-        json::parse(daemon::encode_relayed_records({.from = {.era = 3, .offset = 7}, .page = page}));
-    REQUIRE(daemon::is_relayed_records(document.get_object()));
-    const daemon::relayed_records relayed = daemon::decode_relayed_records(document.get_object());
-    CHECK(relayed.from == log_position{.era = 3, .offset = 7});
-    CHECK(relayed.page.next == page.next);
-    REQUIRE(relayed.page.records.size() == 2);
-    CHECK(relayed.page.records[0].value == "1");
-    CHECK(relayed.page.records[1].offset == 8);
-    CHECK_FALSE(relayed.page.records[1].value);
-    for (const char* text :
-         {R"({"from":1,"end":2})", R"({"from":1,"end":2,"news":[1]})", R"({"from":1,"end":2,"news":[["x","k","v"]]})",
-          R"({"from":1,"end":2,"news":[[-1,"k","v"]]})", R"({"era":-1,"from":1,"end":2,"news":[]})",
-          R"({"era":"2","from":1,"end":2,"news":[]})", R"({"era":99999999999,"from":1,"end":2,"news":[]})"}) {
-        CAPTURE(text);
-        const boost::json::value malformed = json::parse(text);
-        CHECK_THROWS_AS(static_cast<void>(daemon::decode_relayed_records(malformed.get_object())),
-                        malformed_message_error);
-    }
-}
-
 TEST_CASE_FIXTURE(store_fixture, "a host whose entry the store has lost registers again, and drops no other host") {
     const std::string topic(daemon::topics::hosts);
     const listed_host own{
--- a/tests/fuzz/fuzz_messages.cpp
+++ b/tests/fuzz/fuzz_messages.cpp
@@ -6,7 +6,7 @@
 #include "coordination/usage_state.hpp"
 #include "core/error.hpp"
 #include "core/json.hpp"
-#include "daemon/relayed_configuration.hpp"
+#include "gossip/relayed_configuration.hpp"
 #include "platform/configuration_decoder.hpp"
 #include "platform/server_record_decoder.hpp"
 #include "servers/event_splitter.hpp"
@@ -39,10 +39,10 @@
 void check_relayed_configuration(std::string_view text) {
     const auto decode = [](std::string_view bytes) {
         const boost::json::value document = json::parse(bytes);
-        return daemon::decode_relayed_configuration(json::as_object(document, "datagram"));
+        return gossip::decode_relayed_configuration(json::as_object(document, "datagram"));
     };
-    const daemon::relayed_configuration changes = decode(text);
-    require(decode(daemon::encode_relayed_configuration(changes)) == changes);
+    const gossip::relayed_configuration changes = decode(text);
+    require(decode(gossip::encode_relayed_configuration(changes)) == changes);
 }
 
 void check_lease_record(std::string_view text) {
--- a/tests/daemon/test_relayed_configuration.cpp
+++ b/tests/gossip/test_relayed_configuration.cpp
@@ -1,4 +1,4 @@
-#include "daemon/relayed_configuration.hpp"
+#include "gossip/relayed_configuration.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,9 +10,9 @@
 
 namespace {
 
-daemon::relayed_configuration decode(const std::string& text) {
+gossip::relayed_configuration decode(const std::string& text) {
     const boost::json::value document = json::parse(text);
-    return daemon::decode_relayed_configuration(json::as_object(document, "datagram"));
+    return gossip::decode_relayed_configuration(json::as_object(document, "datagram"));
 }
 
 const fleet::configuration_delta delta{
@@ -40,7 +40,7 @@
 } // namespace
 
 TEST_CASE("relayed changes of the configuration are decoded as they were encoded") {
-    const daemon::relayed_configuration decoded = decode(daemon::encode_relayed_configuration(
+    const gossip::relayed_configuration decoded = decode(gossip::encode_relayed_configuration(
         {{.delta = {.base_version = 1, .version = 3}, .next = {.era = 2, .offset = 8}},
          {.delta = delta, .next = {.era = 2, .offset = 9}}}));
     REQUIRE(decoded.size() == 2);
@@ -51,7 +51,7 @@
 }
 
 TEST_CASE("a relayed change that is cut short, or has a number out of range, is rejected") {
-    const std::string text = daemon::encode_relayed_configuration({{.delta = delta, .next = {.era = 2, .offset = 9}}});
+    const std::string text = gossip::encode_relayed_configuration({{.delta = delta, .next = {.era = 2, .offset = 9}}});
     for (const std::string field :
          {"base_version", "version", "next_offset", "changed_routes", "shares", "retry", "keys"}) {
         CAPTURE(field);
--- a/tests/policy/test_part_quarantine.cpp
+++ b/tests/policy/test_part_quarantine.cpp
@@ -102,12 +102,33 @@
     answer({3});
     clock.advance(1min);
     part_quarantine restarted;
-    for (const policy::part_crash& known : quarantine.get_crashes(clock.wall_now(), 3s, 64)) {
-        restarted.record_crash(known);
+    for (const policy::part_crash& known : quarantine.get_blamed_crashes(clock.wall_now(), 64)) {
+        CHECK(restarted.record_crash(known));
+        CHECK_FALSE(restarted.record_crash(known));
     }
     CHECK(restarted.is_refused(parts{100}, clock.wall_now()));
-    CHECK(quarantine.get_clearances(clock.wall_now(), 3s, 64).empty());
-    CHECK(quarantine.get_crashes(clock.wall_now(), 3s, 4).size() == 4);
+    CHECK(quarantine.get_blamed_crashes(clock.wall_now(), 4).size() == 4);
+}
+
+TEST_CASE_FIXTURE(fixture, "a clearance is returned for other hosts once, and only for a part that was suspected") {
+    crash({{1, 2}});
+    const std::vector<policy::part_clearance> cleared = quarantine.record_answer(parts{2, 3}, clock.wall_now());
+    REQUIRE(cleared.size() == 1);
+    CHECK(cleared[0].part == 2);
+    CHECK(quarantine.record_answer(parts{2, 3}, clock.wall_now()).empty());
+    CHECK_FALSE(quarantine.record_clearance(cleared[0]));
+    part_quarantine other;
+    CHECK(other.record_clearance(cleared[0]));
+}
+
+TEST_CASE("the number of remembered clearances is bounded, and the oldest is forgotten") {
+    const virtual_clock clock;
+    part_quarantine quarantine({.max_cleared = 2});
+    for (prompt_part_id part = 1; part <= 3; ++part) {
+        quarantine.record_clearance({.part = part, .moment = clock.wall_now() + std::chrono::seconds(part)});
+    }
+    CHECK(quarantine.record_crash({.crash_id = 1, .parts = {1}, .moment = clock.wall_now()}));
+    CHECK_FALSE(quarantine.record_crash({.crash_id = 1, .parts = {3}, .moment = clock.wall_now()}));
 }
 
 TEST_CASE("two parts that crash engines are blamed and sound parts are not, over random loads") {
@@ -172,5 +193,5 @@
         quarantine.record_crash({.crash_id = part, .parts = {part}, .moment = clock.wall_now()});
         clock.advance(1ms);
     }
-    CHECK(quarantine.get_crashes(clock.wall_now(), 1min, 1000).size() == 8);
+    CHECK(quarantine.get_record_count() == 8);
 }
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -46,18 +46,22 @@
     CHECK(suspects.get_reserved().empty());
 }
 
-TEST_CASE("only the newest crashes are exchanged between hosts") {
+TEST_CASE("the crashes of refused requests are returned for a restarted host, newest first") {
     policy::quarantine suspects({.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)});
     const wall_time now = wall_time(std::chrono::hours(1));
     CHECK(suspects.is_empty());
     for (std::uint64_t number = 1; number <= 4; ++number) {
-        suspects.record_crash({.fingerprint = number,
-                               .crash_id = number,
-                               .moment = now - std::chrono::seconds(static_cast<int>(number))});
+        const policy::engine_crash crash{.fingerprint = number == 4 ? 2U : 1U,
+                                         .crash_id = number,
+                                         .moment = now - std::chrono::seconds(static_cast<int>(number))};
+        CHECK(suspects.record_crash(crash));
+        CHECK_FALSE(suspects.record_crash(crash));
+        CHECK(suspects.is_repeated(1, now) == (number >= 2));
     }
-    const std::vector<policy::engine_crash> crashes = suspects.get_newest_crashes(now, std::chrono::seconds(3), 2);
+    CHECK_FALSE(suspects.is_repeated(2, now));
+    const std::vector<policy::engine_crash> crashes = suspects.get_refused_crashes(now, 2);
     REQUIRE(crashes.size() == 2);
-    CHECK(crashes[0].fingerprint == 1);
-    CHECK(crashes[1].fingerprint == 2);
+    CHECK(crashes[0].crash_id == 1);
+    CHECK(crashes[1].crash_id == 2);
     CHECK_FALSE(suspects.is_empty());
 }
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -16,6 +16,7 @@
         .incarnation = 1774100506431000,
         .sequence = 9,
         .corrected_time = wall_time(1774100506431ms),
+        .capacity = {.link_bytes_per_second = 2'500'000, .core_thousandths = 120},
         .is_stopping = true,
         .is_cut_off = true,
         .engines =
@@ -38,6 +39,30 @@
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
+TEST_CASE("the sizes of the items of a digest add up to what they make it longer") {
+    const digest_prefix_access access{.engine = backend_server_name("e"),
+                                      .parts = {{.id = 0xffffffffffffffff, .tokens = 8}, {.id = 1, .tokens = 9}}};
+    const policy::engine_crash crash{.fingerprint = 7, .crash_id = 0xffffffffffffffff, .moment = wall_time(9s)};
+    const policy::part_crash part_crash{.crash_id = 8, .parts = {1, 2, 3}, .moment = wall_time(9s)};
+    const policy::part_clearance clearance{.part = 8, .moment = wall_time(9s)};
+    host_digest digest;
+    digest.part_crashes = {part_crash};
+    digest.part_clearances = {clearance};
+    const std::size_t before = encode_host_digest(digest).size();
+    for (int item = 0; item < 3; ++item) {
+        digest.prefix_accesses.push_back(access);
+        digest.crashes.push_back(crash);
+        digest.part_crashes.push_back(part_crash);
+        digest.part_clearances.push_back(clearance);
+    }
+    const std::size_t sizes =
+        get_encoded_size(access) + get_encoded_size(crash) + get_encoded_size(part_crash) + get_encoded_size(clearance);
+    const std::size_t added = encode_host_digest(digest).size() - before;
+    CHECK(added <= 3 * sizes);
+    // The first item of a list has no separator before it.
+    CHECK(added + 2 >= 3 * sizes);
+}
+
 TEST_CASE("a negative duration is sent as zero and does not make the digest invalid") {
     host_digest digest;
     digest.host = "h";
