Let the host with the largest link lead its group

Of 16 groups of the large fleet, 18 hosts have ten times the link of the others, yet the first host by name led, mostly a small one. Cause: leadership knew only names. Hosts of an earlier version state nothing and come last. Measured: tests/gossip/test_large_fleet.cpp, 300 hosts with three large ones a zone: each group that has one is led by it. The new test of group_leadership fails with the comparison before.

--- a/policy/group_leadership.cpp
+++ b/policy/group_leadership.cpp
@@ -9,10 +9,12 @@
     if (own.is_stopping) {
         return false;
     }
-    const auto get_rank = [](const leader_candidate& host) { return std::tuple(host.is_cut_off, host.host); };
-    return std::none_of(others.begin(), others.end(), [&](const leader_candidate& other) {
-        return !other.is_stopping && get_rank(other) < get_rank(own);
-    });
+    const auto is_before = [](const leader_candidate& left, const leader_candidate& right) {
+        return std::tuple(left.is_cut_off, right.capacity, left.host) <
+               std::tuple(right.is_cut_off, left.capacity, right.host);
+    };
+    return std::none_of(others.begin(), others.end(),
+                        [&](const leader_candidate& other) { return !other.is_stopping && is_before(other, own); });
 }
 
 } // namespace dragonflywell::policy
--- a/policy/group_leadership.hpp
+++ b/policy/group_leadership.hpp
@@ -25,9 +25,10 @@
     bool is_cut_off{false};
 };
 
-/// Returns whether `own` leads its group. `others` are the reachable other hosts of the group. The leader is the first
-/// by name of the hosts that the store answers, or of all hosts if it answers none of them. A host that stops does not
-/// lead. Hosts that know the same of each other agree on the leader. Thread safe.
+/// Returns whether `own` leads its group. `others` are the reachable other hosts of the group. The leader is the host
+/// with the largest link, the largest share of a core among these, and the first by name among these, of the hosts that
+/// the store answers, or of all hosts if it answers none of them. A host that stops does not lead. Hosts that know the
+/// same of each other agree on the leader. Thread safe.
 [[nodiscard]] bool leads_group(const leader_candidate& own, std::span<const leader_candidate> others);
 
 } // namespace dragonflywell::policy
--- a/tests/gossip/test_large_fleet.cpp
+++ b/tests/gossip/test_large_fleet.cpp
@@ -98,3 +98,21 @@
     }
     check_bytes(fleet);
 }
+
+// Guards against the leadership of hosts with small links.
+TEST_CASE("in a large fleet, a group that has a host with a large link is led by it") {
+    simulated_fleet fleet({.large_hosts_in_zone = 3});
+    fleet.run_for(2s);
+    std::map<std::string, std::uint64_t> largest;
+    for (const auto& host : fleet.get_hosts()) {
+        largest[host->get_group()] = std::max(largest[host->get_group()], host->get_link());
+    }
+    std::size_t leaders = 0;
+    for (const auto& host : fleet.get_hosts()) {
+        if (host->is_leader()) {
+            CHECK(host->get_link() == largest[host->get_group()]);
+            ++leaders;
+        }
+    }
+    CHECK(leaders == largest.size());
+}
--- a/tests/policy/test_group_leadership.cpp
+++ b/tests/policy/test_group_leadership.cpp
@@ -23,3 +23,21 @@
     CHECK(leads_group(cut_off, std::array{leader_candidate{.host = "b", .is_cut_off = true}}));
     CHECK(leads_group(cut_off, std::array{leader_candidate{.host = "b", .is_stopping = true}}));
 }
+
+// Guards against DRAIN and GONE: hosts with small links led their groups although larger ones were there.
+TEST_CASE(
+    "the host with the largest link leads, then the one with the largest share of a core, then the first by name") {
+    const leader_candidate small{.host = "a",
+                                 .capacity = {.link_bytes_per_second = 2'500'000, .core_thousandths = 500}};
+    const leader_candidate large{.host = "b", .capacity = {.link_bytes_per_second = 25'000'000}};
+    const leader_candidate busy{.host = "a", .capacity = {.link_bytes_per_second = 2'500'000, .core_thousandths = 120}};
+    CHECK_FALSE(leads_group(small, std::array{large}));
+    CHECK(leads_group(large, std::array{small}));
+    CHECK_FALSE(leads_group(busy, std::array{leader_candidate{.host = "c", .capacity = small.capacity}}));
+    CHECK(leads_group(small, std::array{leader_candidate{.host = "c", .capacity = small.capacity}}));
+    const leader_candidate cut_off{.host = "b", .capacity = large.capacity, .is_cut_off = true};
+    CHECK(leads_group(small, std::array{cut_off}));
+    const leader_candidate unstated{.host = "a"};
+    CHECK(leads_group(busy, std::array{unstated}));
+    CHECK_FALSE(leads_group(unstated, std::array{busy}));
+}
