Count relayed records and read positions with the time that they were on the way, and relay only changes

Callers saw: requests sent to a server more than 4 s after it had said that it leaves (DRAIN), from hosts of a group whose leader was slow to send. Cause: a relayed page, and a read position in a digest, confirmed the list as current at their arrival. One that had waited for two seconds in a link made an old list look new and put off the host's own read by that time: 2 s and 2.4 s are more than the bound. A host's own read counted from its end, not from its beginning. Change: relayed records state the host, the time of sending and the age of the read; the receiver adds the delay that transit_estimator finds. Own reads count from their beginning. A page carries only records that change the list, and its end. Why it works: the age of a list is then never less than the time since the store was read. The new test of late pages does not compile before, since a page had no age; with the age ignored it fails.

--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -63,8 +63,8 @@
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
     boost::asio::co_spawn(m_state->executor, run_heartbeat(), boost::asio::detached);
     m_state->on_load_change = [this] { schedule(); };
-    m_servers->set_relay([this](const log_position& from, const platform::store_page& page) {
-        relay_records(from, page, duration::zero());
+    m_servers->set_relay([this](const log_position& from, const platform::store_page& page, duration age) {
+        relay_records(from, page, age);
     });
     m_configuration->set_relay([this](const gossip::relayed_configuration& changes) { relay_configuration(changes); });
 }
@@ -133,7 +133,9 @@
 }
 
 void host_gossip::apply_records(const gossip::relayed_records& relayed) {
-    m_servers->apply_relayed(relayed.from, relayed.page);
+    const duration delay =
+        m_members.measure_delay(relayed.sender, relayed.sent_at, m_state->get_corrected_time(), m_state->time.now());
+    m_servers->apply_relayed(relayed.from, relayed.page, relayed.age + delay);
 }
 
 void host_gossip::apply_digest(const servers::host_digest& digest) {
@@ -176,12 +178,13 @@
     }
 }
 
-void host_gossip::apply_read_positions(const servers::host_digest& digest, duration /*delay*/) {
+void host_gossip::apply_read_positions(const servers::host_digest& digest, duration delay) {
     if (digest.configuration) {
-        m_configuration->update_leader_position(*digest.configuration);
+        m_configuration->update_leader_position(
+            {.end = digest.configuration->end, .age = digest.configuration->age + delay});
     }
     if (digest.servers) {
-        m_servers->update_leader_position(*digest.servers);
+        m_servers->update_leader_position({.end = digest.servers->end, .age = digest.servers->age + delay});
     }
 }
 
--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -23,6 +23,10 @@
     return std::chrono::duration_cast<duration>(whole * fraction);
 }
 
+bool is_warming_up(const fleet::listed_server* server) {
+    return server != nullptr && server->record.warmup_left > duration::zero();
+}
+
 std::string_view get_change_name(fleet::directory_change change) {
     switch (change) {
     case fleet::directory_change::added:
@@ -120,18 +124,19 @@
     drop_expired();
 }
 
-void server_list_follower::apply_relayed(const log_position& from, const platform::store_page& page) {
+void server_list_follower::apply_relayed(const log_position& from, const platform::store_page& page, duration age) {
     on_era_changed(from.era);
+    const steady_time read_at = m_state->time.now() - age;
     if (!m_topic.is_connected(from)) {
         if (page.next > m_topic.get_next_position().value_or(log_position{.era = m_topic.get_era(), .offset = 0})) {
             // Records before this page are missing.
-            m_topic.update_leader_position(page.next, duration::zero(), m_state->time.now());
+            m_topic.update_leader_position(page.next, age, m_state->time.now());
             m_read_timer.cancel();
         }
         return;
     }
-    // The sender of a relayed page has just reached the store.
-    record_success(m_state->time.now());
+    // The sender of a relayed page reached the store at that time.
+    record_success(read_at);
     const std::uint64_t generation = m_state->directory.get_generation();
     // A host that has read the store itself since is ahead of the beginning of the page.
     const std::uint64_t first_new = m_topic.get_next_position()->offset;
@@ -140,7 +145,7 @@
             apply(record, page.next.era);
         }
     }
-    finish(generation, page);
+    finish(generation, page, read_at);
 }
 
 void server_list_follower::on_era_changed(std::uint64_t era) {
@@ -173,14 +178,17 @@
     m_dependency.record_success(m_state->time.now());
     record_success(sent_at);
     const std::uint64_t generation = m_state->directory.get_generation();
+    std::vector<platform::keyed_record> changes = page.records;
     if (next && m_topic.is_next(*next)) {
-        apply_records(page);
+        changes = apply_records(page);
     } else if (!next) {
         apply_listing(page);
     }
-    finish(generation, page);
+    finish(generation, page, sent_at);
     if (m_is_reader && next && m_relay && !page.records.empty()) {
-        m_relay(*next, page);
+        // The group needs the page also without changes, since its end shows how far the list is current.
+        m_relay(*next, {.records = std::move(changes), .next = page.next, .end = page.end},
+                m_state->time.now() - sent_at);
     }
 }
 
@@ -196,14 +204,18 @@
     m_state->directory.get_contact().record_success(at);
 }
 
-void server_list_follower::apply_records(const platform::store_page& page) {
+std::vector<platform::keyed_record> server_list_follower::apply_records(const platform::store_page& page) {
+    std::vector<platform::keyed_record> changes;
     for (const platform::keyed_record& record : page.records) {
-        apply(record, page.next.era);
+        if (apply(record, page.next.era)) {
+            changes.push_back(record);
+        }
     }
+    return changes;
 }
 
-void server_list_follower::finish(std::uint64_t generation_before, const platform::store_page& page) {
-    m_topic.record_read(page.next, page.end, m_state->time.now());
+void server_list_follower::finish(std::uint64_t generation_before, const platform::store_page& page, steady_time at) {
+    m_topic.record_read(page.next, page.end, at);
     m_state->set_servers_current_at(m_topic.get_caught_up_at());
     m_is_loaded = true;
     if (m_state->directory.get_generation() != generation_before) {
@@ -238,17 +250,23 @@
     }
 }
 
-void server_list_follower::apply(const platform::keyed_record& record, std::uint64_t era) {
+bool server_list_follower::apply_removal(const backend_server_name& server) {
+    const fleet::directory_change change = m_state->directory.remove(server, m_state->time.now());
+    report(server, change);
+    m_state->record_server_down(server);
+    return change != fleet::directory_change::none;
+}
+
+bool server_list_follower::apply(const platform::keyed_record& record, std::uint64_t era) {
     const backend_server_name server(record.key);
-    const steady_time now = m_state->time.now();
     if (!record.value) {
-        report(server, m_state->directory.remove(server, now));
-        m_state->record_server_down(server);
-        return;
+        return apply_removal(server);
     }
     try {
+        const steady_time now = m_state->time.now();
         const fleet::server_record decoded = platform::decode_server_record(record.key, *record.value);
         const bool may_be_copied = log_position{.era = era, .offset = record.offset} < m_copied_until;
+        const bool was_warming_up = is_warming_up(m_state->directory.find(server));
         const fleet::directory_change change =
             may_be_copied ? m_state->directory.apply_copied(decoded, now) : m_state->directory.apply(decoded, now);
         if (change == fleet::directory_change::restarted) {
@@ -256,12 +274,15 @@
             m_state->record_server_down(server);
         }
         report(server, change);
+        return change != fleet::directory_change::none ||
+               was_warming_up != is_warming_up(m_state->directory.find(server));
     } catch (const malformed_message_error& fault) {
         log_event("server_entry_rejected")
             .add("server", record.key)
             .add("offset", record.offset)
             .add("reason", fault.what())
             .write(*m_log, spdlog::level::warn);
+        return false;
     }
 }
 
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -34,17 +34,18 @@
     /// Returns whether the list was read at least once.
     [[nodiscard]] bool is_loaded() const noexcept { return m_is_loaded; }
 
-    /// Sets the callback that relays each page that this host reads for its group. `from` is the position of the page's
-    /// start.
-    void set_relay(std::function<void(const log_position& from, const platform::store_page& page)> relay) {
-        m_relay = std::move(relay);
-    }
+    /// Relays a page that this host has read for its group, without the records that change nothing. `from` is the
+    /// position of the page's start, `age` the time since the read began.
+    using relay_callback =
+        std::function<void(const log_position& from, const platform::store_page& page, duration age)>;
+    void set_relay(relay_callback relay) { m_relay = std::move(relay); }
     /// Sets whether this host reads the list for its group.
     void set_reader(bool is_reader);
     /// Applies the read position that the group leader reports.
     void update_leader_position(const servers::digest_read_position& position);
-    /// Applies a page that the group leader has read and relayed.
-    void apply_relayed(const log_position& from, const platform::store_page& page);
+    /// Applies a page that the group leader has read and relayed. `age`: time since the leader began to read it. What
+    /// was on the way for long does not show that the list is current.
+    void apply_relayed(const log_position& from, const platform::store_page& page, duration age = duration::zero());
     /// Lists the servers at once, because records that this host has read may be gone.
     void on_era_changed(std::uint64_t era) override;
     /// Returns the read position of this host, which its digests report to others.
@@ -57,14 +58,16 @@
     void record_failure();
     /// Records in the directory that a read of the list, by this host or by the group leader, succeeded at that time.
     void record_success(steady_time at);
-    /// Applies records that follow the last applied one.
-    void apply_records(const platform::store_page& page);
+    /// Applies records that follow the last applied one. Returns those that changed the list.
+    std::vector<platform::keyed_record> apply_records(const platform::store_page& page);
     /// Drops servers whose entries expired during a store outage and that have since had time to register again.
     void drop_expired();
-    void finish(std::uint64_t generation_before, const platform::store_page& page);
+    /// Ends the application of a page. `at`: time at which the topic ended where the page states.
+    void finish(std::uint64_t generation_before, const platform::store_page& page, steady_time at);
     void apply_listing(const platform::store_page& page);
-    /// Applies a record of the topic in this era of the store.
-    void apply(const platform::keyed_record& record, std::uint64_t era);
+    /// Applies a record of the topic in this era of the store. Returns whether it changed the list.
+    bool apply(const platform::keyed_record& record, std::uint64_t era);
+    bool apply_removal(const backend_server_name& server);
     void report(const backend_server_name& server, fleet::directory_change change) const;
 
     platform::store_client* m_store;
@@ -77,7 +80,7 @@
     store_dependency m_dependency;
     policy::topic_progress m_topic;
     boost::asio::steady_timer m_read_timer;
-    std::function<void(const log_position&, const platform::store_page&)> m_relay;
+    relay_callback m_relay;
     /// End of the first listing of the newest listed era. Records before it may be those of an older copy.
     log_position m_copied_until;
     bool m_is_reader{false};
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -195,6 +195,33 @@
     CHECK(is_listed());
 }
 
+// Guards against DRAIN: a page that had waited for seconds in the link of the group leader confirmed an old list.
+TEST_CASE_FIXTURE(fixture,
+                  "a relayed page or read position that arrives late shows only how current the list was then") {
+    const log_position end = follower.get_read_position().end.value();
+    clock.advance(5s);
+    const log_position next{.era = end.era, .offset = end.offset + 1};
+    follower.apply_relayed(end, {.records = {}, .next = next, .end = next}, 2s);
+    CHECK(follower.get_read_position().age == 2s);
+    follower.update_leader_position({.end = next, .age = 1s});
+    CHECK(follower.get_read_position().age == 1s);
+}
+
+TEST_CASE_FIXTURE(fixture, "a group leader relays only records that change the list, and the end of each page") {
+    std::vector<platform::store_page> pages;
+    follower.set_relay([&](const log_position& /*from*/, const platform::store_page& page, duration /*age*/) {
+        pages.push_back(page);
+    });
+    store.put("keyed.servers", server_id.value(), make_entry("ready", 2));
+    store.put("keyed.servers", server_id.value(), make_entry("draining", 3));
+    store.put("keyed.servers", server_id.value(), make_entry("draining", 4));
+    follower.set_reader(true);
+    run_until(loop, [&] { return !pages.empty(); });
+    REQUIRE(pages[0].records.size() == 1);
+    CHECK(pages[0].records[0].offset == 2);
+    CHECK(pages[0].next.offset == 4);
+}
+
 TEST_CASE_FIXTURE(fixture, "a relayed page that begins before what this host has read itself causes no further read") {
     const auto at = [](std::uint64_t offset) { return log_position{.era = 1, .offset = offset}; };
     const backend_server_name other_id("i-2");
