Announce crashes for longer than a host may be silent unnoticed, and count a list as current only with the last part of a page

And a host that had received the first part of a page counted its list as current up to the read of the whole page. Change: six announcements, which take longer than the 2.5 s after which a host counts as silent; the leader announces refused requests and blamed parts again when a host starts, restarts or was silent. A part states the end of its page.

--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -144,7 +144,7 @@
     if (!sender) {
         return;
     }
-    if (sender->is_new_incarnation) {
+    if (sender->is_newcomer) {
         log_event("host_heard").add("host", digest.host).write(*m_log, spdlog::level::info);
         if (sender->is_own_group && is_group_leader(digest.host)) {
             m_state->announce_refused_to_group();
--- a/gossip/membership.cpp
+++ b/gossip/membership.cpp
@@ -48,7 +48,7 @@
     if (is_older_incarnation || is_older) {
         return std::nullopt;
     }
-    const bool is_new_incarnation = digest.incarnation > other.incarnation;
+    const bool is_newcomer = digest.incarnation > other.incarnation || !other.last_received_at;
     other.incarnation = digest.incarnation;
     other.sequence = digest.sequence;
     other.last_received_at = now;
@@ -58,7 +58,7 @@
     other.is_cut_off = digest.is_cut_off;
     other.capacity = digest.capacity;
     return sender{.is_own_group = other.is_own_group,
-                  .is_new_incarnation = is_new_incarnation,
+                  .is_newcomer = is_newcomer,
                   .delay = other.transit.observe(other.clock_offset, now)};
 }
 
--- a/gossip/membership.hpp
+++ b/gossip/membership.hpp
@@ -30,8 +30,9 @@
     /// What is known of the sender of an accepted digest.
     struct sender {
         bool is_own_group{true};
-        /// Whether this is the first digest of this incarnation.
-        bool is_new_incarnation{false};
+        /// Whether the host has started, restarted or been unreachable before this digest. It may have missed what
+        /// others announced.
+        bool is_newcomer{false};
         /// How much longer than usual the digest was on the way.
         duration delay{};
     };
--- a/gossip/relayed_records.cpp
+++ b/gossip/relayed_records.cpp
@@ -73,6 +73,9 @@
         return {relayed};
     }
     parts.back().page.next = relayed.page.next;
+    for (relayed_records& part : parts) {
+        part.page.end = relayed.page.next;
+    }
     return parts;
 }
 
@@ -85,6 +88,9 @@
                                 {"from", relayed.from.offset},
                                 {"end", relayed.page.next.offset},
                                 {records_field, std::move(records)}};
+    if (relayed.page.end > relayed.page.next) {
+        encoded["page_end"] = relayed.page.end.offset;
+    }
     if (!relayed.sender.empty()) {
         encoded["host"] = relayed.sender;
         encoded["sent_us"] = to_microseconds(relayed.sent_at.time_since_epoch());
@@ -106,7 +112,7 @@
     relayed_records relayed;
     relayed.from = {.era = era, .offset = json::get_unsigned(message, "from")};
     relayed.page.next = {.era = era, .offset = json::get_unsigned(message, "end")};
-    relayed.page.end = relayed.page.next;
+    relayed.page.end = {.era = era, .offset = json::get_unsigned_or(message, "page_end", relayed.page.next.offset)};
     for (const boost::json::value& item : json::get_array(message, records_field)) {
         relayed.page.records.push_back(decode_record(item));
     }
--- a/gossip/relayed_records.hpp
+++ b/gossip/relayed_records.hpp
@@ -14,6 +14,8 @@
 struct relayed_records {
     /// Position at which the read began. A host whose read position is before it has missed records.
     log_position from{};
+    /// The records, and the position after them. `page.end` is the end of the whole page if this is a part of it, so
+    /// that a host counts as up to date only with the last part.
     platform::store_page page;
     /// The host that has read the records, the time of sending by its corrected clock, and the time since the read
     /// began. Hosts of an earlier version, which may run at the same time during an update, do not send them.
--- a/policy/announcement_queue.hpp
+++ b/policy/announcement_queue.hpp
@@ -11,8 +11,9 @@
 namespace dragonflywell::policy {
 
 struct announcement_queue_options {
-    /// How often a record is sent, so that a lost datagram does no harm.
-    std::uint32_t repeats{3};
+    /// How often a record is sent. With one at each heartbeat this takes longer than a host may be silent unnoticed, so
+    /// that a host misses all of them only if it is known to have been away.
+    std::uint32_t repeats{6};
     /// Maximum number of records that wait. Beyond it, the one that was sent most often, and of these the oldest, is
     /// dropped.
     std::size_t max_records{512};
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -4,6 +4,7 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
+#include "servers/digest_items.hpp"
 
 namespace dragonflywell::servers {
 
@@ -15,42 +16,10 @@
 
 constexpr double thousandths = 1000;
 
-/// Durations in a digest are ages, costs and remaining times, and a negative one is sent as zero. A receiver would
-/// reject the whole digest because of a negative number.
-std::int64_t to_microseconds(duration span) {
-    return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
-
 std::uint64_t to_thousandths(double share) {
     return static_cast<std::uint64_t>(std::max(0.0, share) * thousandths);
 }
 
-std::uint64_t get_number(const array& list, std::size_t index) {
-    if (index >= list.size() || !list[index].is_number()) {
-        throw malformed_message_error("host digest lacks a number where one is expected");
-    }
-    boost::json::error_code fault;
-    const auto number = list[index].to_number<std::uint64_t>(fault);
-    if (fault) {
-        throw malformed_message_error("number in host digest is not an unsigned 64-bit integer");
-    }
-    return number;
-}
-
-const array& get_list(const array& list, std::size_t index) {
-    if (index >= list.size() || !list[index].is_array()) {
-        throw malformed_message_error("host digest lacks a list where one is expected");
-    }
-    return list[index].get_array();
-}
-
-const array& require_list(const value& item) {
-    if (!item.is_array()) {
-        throw malformed_message_error("host digest has another value where a list is expected");
-    }
-    return item.get_array();
-}
-
 array encode_prompts(const std::vector<digest_prompt>& prompts) {
     array list;
     for (const digest_prompt& prompt : prompts) {
@@ -73,15 +42,6 @@
     return engine;
 }
 
-array encode_item(const digest_prefix_access& access) {
-    array parts;
-    for (const policy::prefix_block& part : access.parts) {
-        parts.push_back(part.id);
-        parts.push_back(part.tokens);
-    }
-    return {access.engine.value(), std::move(parts)};
-}
-
 array encode_usage(const std::map<std::int64_t, policy::window_counts>& usage) {
     array windows;
     for (const auto& [window, counts] : usage) {
@@ -136,71 +96,6 @@
     return recorded;
 }
 
-array encode_item(const policy::engine_crash& crash) {
-    return {crash.fingerprint, crash.crash_id, to_microseconds(crash.moment.time_since_epoch())};
-}
-
-std::vector<policy::engine_crash> decode_crashes(const array& encoded) {
-    std::vector<policy::engine_crash> crashes;
-    for (const value& item : encoded) {
-        const array& crash = require_list(item);
-        crashes.push_back({.fingerprint = get_number(crash, 0),
-                           .crash_id = get_number(crash, 1),
-                           .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
-    }
-    return crashes;
-}
-
-array encode_item(const policy::part_crash& crash) {
-    return {crash.crash_id, array(crash.parts.begin(), crash.parts.end()),
-            to_microseconds(crash.moment.time_since_epoch())};
-}
-
-std::vector<policy::part_crash> decode_part_crashes(const array& encoded) {
-    std::vector<policy::part_crash> crashes;
-    for (const value& item : encoded) {
-        const array& crash = require_list(item);
-        const array& parts = get_list(crash, 1);
-        std::vector<policy::prompt_part_id> ids;
-        for (std::size_t index = 0; index < parts.size(); ++index) {
-            ids.push_back(get_number(parts, index));
-        }
-        crashes.push_back({.crash_id = get_number(crash, 0),
-                           .parts = std::move(ids),
-                           .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
-    }
-    return crashes;
-}
-
-array encode_item(const policy::part_clearance& clearance) {
-    return {clearance.part, to_microseconds(clearance.moment.time_since_epoch())};
-}
-
-std::vector<policy::part_clearance> decode_part_clearances(const array& encoded) {
-    std::vector<policy::part_clearance> clearances;
-    for (const value& item : encoded) {
-        const array& clearance = require_list(item);
-        clearances.push_back({.part = get_number(clearance, 0),
-                              .moment = wall_time(std::chrono::microseconds(get_number(clearance, 1)))});
-    }
-    return clearances;
-}
-
-template <typename Item>
-array encode_items(const std::vector<Item>& items) {
-    array encoded;
-    for (const Item& item : items) {
-        encoded.push_back(encode_item(item));
-    }
-    return encoded;
-}
-
-template <typename Item>
-std::size_t measure_item(const Item& item) {
-    constexpr std::size_t separator = 1;
-    return boost::json::serialize(encode_item(item)).size() + separator;
-}
-
 policy::host_capacity decode_capacity(const array& encoded) {
     return {.link_bytes_per_second = get_number(encoded, 0),
             .core_thousandths = static_cast<std::uint32_t>(get_number(encoded, 1))};
@@ -249,37 +144,8 @@
                                 .age = std::chrono::microseconds(get_number(encoded, 1))};
 }
 
-digest_prefix_access decode_prefix_access(const array& list) {
-    if (list.empty() || !list[0].is_string()) {
-        throw malformed_message_error("cached prompt in host digest has no engine name");
-    }
-    digest_prefix_access access{.engine = backend_server_name(std::string_view(list[0].get_string())), .parts = {}};
-    const array& parts = get_list(list, 1);
-    for (std::size_t index = 0; index + 1 < parts.size(); index += 2) {
-        access.parts.push_back(
-            {.id = get_number(parts, index), .tokens = static_cast<std::uint32_t>(get_number(parts, index + 1))});
-    }
-    return access;
-}
-
 } // namespace
 
-std::size_t get_encoded_size(const digest_prefix_access& access) {
-    return measure_item(access);
-}
-
-std::size_t get_encoded_size(const policy::engine_crash& crash) {
-    return measure_item(crash);
-}
-
-std::size_t get_encoded_size(const policy::part_crash& crash) {
-    return measure_item(crash);
-}
-
-std::size_t get_encoded_size(const policy::part_clearance& clearance) {
-    return measure_item(clearance);
-}
-
 std::string encode_host_digest(const host_digest& digest) {
     object engines;
     for (const auto& [name, engine] : digest.engines) {
@@ -384,7 +250,7 @@
                                  static_cast<std::uint32_t>(json::get_unsigned(instances, item.key())));
     }
     for (const value& item : json::get_array(source, "t")) {
-        digest.prefix_accesses.push_back(decode_prefix_access(require_list(item)));
+        digest.prefix_accesses.push_back(decode_prefix_access(item));
     }
     for (const auto& item : json::get_object(source, "c")) {
         const array& transition = require_list(item.value());
--- a/tests/gossip/test_relayed_records.cpp
+++ b/tests/gossip/test_relayed_records.cpp
@@ -56,6 +56,7 @@
     CHECK(parts.size() > 5);
     std::vector<std::uint64_t> offsets;
     log_position expected = relayed.from;
+    CHECK(decode(gossip::encode_relayed_records(parts.front())).page.end == relayed.page.next);
     for (const gossip::relayed_records& part : parts) {
         CHECK(part.from == expected);
         expected = part.page.next;
