--- a/daemon/host_settings.cpp
+++ b/daemon/host_settings.cpp
@@ -1,5 +1,12 @@
 #include "daemon/host_settings.hpp"
 
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+
+#include "core/error.hpp"
 #include "core/settings_reader.hpp"
 
 namespace dragonflywell::daemon {
@@ -13,8 +20,6 @@
 constexpr number_range count_range{.min = 0, .max = 1e9};
 constexpr number_range link_range{.min = 0.1, .max = 1e6};
 constexpr number_range core_range{.min = 0.001, .max = 1024};
-/// Link of a host whose settings do not state it.
-constexpr double default_link_megabits = 100;
 constexpr double bytes_per_megabit = 125'000;
 constexpr double thousandths = 1000;
 
@@ -43,11 +48,30 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.get_number(key, seconds_range)));
 }
 
-policy::host_capacity get_capacity(settings_reader& reader) {
-    const double megabits = reader.get_number("host.link_mbps", link_range, default_link_megabits);
-    const double cores = reader.get_number("host.cpu_share", core_range, 1.0);
-    return {.link_bytes_per_second = static_cast<std::uint64_t>(megabits * bytes_per_megabit),
-            .core_thousandths = static_cast<std::uint32_t>(cores * thousandths)};
+policy::host_capacity get_capacity(settings_reader& reader, const policy::host_capacity& fallback) {
+    const double megabits = reader.get_number("host.link_mbps", link_range,
+                                              static_cast<double>(fallback.link_bytes_per_second) / bytes_per_megabit);
+    const double cores =
+        reader.get_number("host.cpu_share", core_range, static_cast<double>(fallback.core_thousandths) / thousandths);
+    return {.link_bytes_per_second = static_cast<std::uint64_t>(std::llround(megabits * bytes_per_megabit)),
+            .core_thousandths = static_cast<std::uint32_t>(std::llround(cores * thousandths))};
+}
+
+/// Returns the number in an environment variable, or nothing if it is missing or empty.
+std::optional<double> read_number_from_environment(const char* name, number_range range) {
+    const char* text = std::getenv(name);
+    if (text == nullptr || *text == '\0') {
+        return std::nullopt;
+    }
+    const std::string_view digits(text);
+    double number = 0;
+    const auto [end, fault] = std::from_chars(digits.begin(), digits.end(), number);
+    if (fault != std::errc() || end != digits.end() || !(number >= range.min && number <= range.max)) {
+        throw invalid_input_error(
+            {{.location = fmt::format("environment variable {}", name),
+              .message = fmt::format("must be a number from {} to {}, not \"{}\"", range.min, range.max, digits)}});
+    }
+    return number;
 }
 
 host_bounds get_bounds(settings_reader& reader) {
@@ -66,14 +90,26 @@
 
 } // namespace
 
-host_settings parse_host_settings(std::string_view text, const std::string& file) {
+policy::host_capacity read_capacity_from_environment() {
+    policy::host_capacity capacity = default_capacity;
+    if (const std::optional<double> megabits = read_number_from_environment("HOST_LINK_MBPS", link_range)) {
+        capacity.link_bytes_per_second = static_cast<std::uint64_t>(std::llround(*megabits * bytes_per_megabit));
+    }
+    if (const std::optional<double> cores = read_number_from_environment("HOST_CPU_SHARE", core_range)) {
+        capacity.core_thousandths = static_cast<std::uint32_t>(std::llround(*cores * thousandths));
+    }
+    return capacity;
+}
+
+host_settings parse_host_settings(std::string_view text, const std::string& file,
+                                  const policy::host_capacity& fallback) {
     settings_reader reader(text, file);
     host_settings settings;
     settings.name = host_name(reader.get_string("host.name"));
     settings.zone = zone_name(reader.get_string("host.zone"));
     settings.address = reader.get_string("host.address");
     settings.is_first_start = reader.get_boolean("host.is_first_start", false);
-    settings.capacity = get_capacity(reader);
+    settings.capacity = get_capacity(reader, fallback);
     settings.callers = get_endpoint(reader, "listen.callers");
     settings.ready = get_endpoint(reader, "listen.ready");
     settings.metrics = get_endpoint(reader, "listen.metrics");
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -37,6 +37,9 @@
     friend bool operator==(const host_bounds&, const host_bounds&) = default;
 };
 
+/// Link and processor of a host whose settings do not state them.
+constexpr policy::host_capacity default_capacity{.link_bytes_per_second = 12'500'000, .core_thousandths = 1000};
+
 /// All settings of a host of the platform.
 struct host_settings {
     host_name name;
@@ -44,7 +47,7 @@
     std::string address;
     bool is_first_start{false};
     /// What the network link and the processor of the host carry.
-    policy::host_capacity capacity;
+    policy::host_capacity capacity{default_capacity};
     endpoint callers;
     endpoint ready;
     endpoint metrics;
@@ -58,9 +61,14 @@
     log_options log;
 };
 
-/// Parses and validates a settings file. `file` is used in messages only. Throws `invalid_input_error` that lists every
-/// problem with its line.
-[[nodiscard]] host_settings parse_host_settings(std::string_view text, const std::string& file);
+/// Parses and validates a settings file. `file` is used in messages only. `fallback` is the capacity that counts if the
+/// file states none. Throws `invalid_input_error` that lists every problem with its line.
+[[nodiscard]] host_settings parse_host_settings(std::string_view text, const std::string& file,
+                                                const policy::host_capacity& fallback = default_capacity);
+
+/// Returns the capacity in the environment variables `HOST_LINK_MBPS` and `HOST_CPU_SHARE`, and the default for those
+/// that are missing or empty. Throws `invalid_input_error` for other values than numbers in their range.
+[[nodiscard]] policy::host_capacity read_capacity_from_environment();
 
 /// Returns whether the text is the settings file of a `host_daemon`. Thread safe.
 [[nodiscard]] bool is_host_settings(std::string_view text);
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -81,7 +81,7 @@
     const std::string text = read_file(path);
     const bool is_check_only = values.contains("check");
     if (daemon::is_host_settings(text)) {
-        daemon::settings_file file(path);
+        daemon::settings_file file(path, daemon::read_capacity_from_environment());
         if (!is_check_only) {
             run_host(std::move(file));
             return exit_ok;
--- a/daemon/settings_file.cpp
+++ b/daemon/settings_file.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 auto get_host_section(const host_settings& settings) {
-    return std::tie(settings.name, settings.zone, settings.address);
+    return std::tie(settings.name, settings.zone, settings.address, settings.capacity);
 }
 
 auto get_listen_section(const host_settings& settings) {
@@ -25,7 +25,7 @@
 
 host_settings settings_file::read() {
     m_text = read_file(m_path);
-    return parse_host_settings(m_text, m_path);
+    return parse_host_settings(m_text, m_path, m_fallback);
 }
 
 bool settings_file::has_changed() const {
--- a/daemon/settings_file.hpp
+++ b/daemon/settings_file.hpp
@@ -11,7 +11,9 @@
 /// Not thread safe.
 class settings_file {
 public:
-    explicit settings_file(std::string path) : m_path(std::move(path)) {}
+    /// `fallback` is the capacity of the host if the file states none.
+    explicit settings_file(std::string path, const policy::host_capacity& fallback = default_capacity)
+        : m_path(std::move(path)), m_fallback(fallback) {}
 
     /// Reads and validates the file. Throws `invalid_input_error` that lists every problem.
     [[nodiscard]] host_settings read();
@@ -24,6 +26,7 @@
 
 private:
     std::string m_path;
+    policy::host_capacity m_fallback;
     std::string m_text;
 };
 
--- a/tests/daemon/test_settings_file.cpp
+++ b/tests/daemon/test_settings_file.cpp
@@ -67,6 +67,7 @@
     CHECK(settings.name == host_name("h1"));
     CHECK(settings.bounds.drain == std::chrono::seconds(2));
     CHECK(settings.orders.port == 0);
+    CHECK(settings.capacity == daemon::default_capacity);
     std::string invalid = replace(valid_settings, "10.0.0.1:81", "nowhere");
     invalid = replace(invalid, "drain_ms = 2000", "drain_ms = -1");
     invalid += "surplus = 1\n";
@@ -82,6 +83,25 @@
     }
 }
 
+TEST_CASE("what a host can bear comes from its settings, or else from the environment") {
+    const std::string stated =
+        replace(valid_settings, "address = \"10.0.0.1\"", "address = \"10.0.0.1\"\nlink_mbps = 20.0\ncpu_share = 0.12");
+    CHECK(daemon::parse_host_settings(stated, "f").capacity ==
+          policy::host_capacity{.link_bytes_per_second = 2'500'000, .core_thousandths = 120});
+    ::setenv("HOST_LINK_MBPS", "200.0", 1);
+    ::setenv("HOST_CPU_SHARE", "", 1);
+    const policy::host_capacity capacity = daemon::read_capacity_from_environment();
+    CHECK(capacity == policy::host_capacity{.link_bytes_per_second = 25'000'000, .core_thousandths = 1000});
+    CHECK(daemon::parse_host_settings(valid_settings, "f", capacity).capacity == capacity);
+    for (const char* text : {"0", "-1", "much", "20x", "nan", "1e99"}) {
+        CAPTURE(text);
+        ::setenv("HOST_LINK_MBPS", text, 1);
+        CHECK_THROWS_AS(static_cast<void>(daemon::read_capacity_from_environment()), invalid_input_error);
+    }
+    ::unsetenv("HOST_LINK_MBPS");
+    ::unsetenv("HOST_CPU_SHARE");
+}
+
 TEST_CASE("a replaced settings file is detected without a signal, and a missing file does not count as changed") {
     const written_file written(valid_settings);
     daemon::settings_file file(written.get_path());
