Log each page of the server list: its source, its range, and whether it was applied

What could not be told apart: whether a host that sends to a server that leaves has read the store itself, which pages it got from the leader of its group, and that a page was not applied.

--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -127,6 +127,7 @@
 void server_list_follower::apply_relayed(const log_position& from, const platform::store_page& page, duration age) {
     on_era_changed(from.era);
     const steady_time read_at = m_state->time.now() - age;
+    report_page("relay", m_topic.is_connected(from) ? "applied" : "gap", from, page, age);
     if (!m_topic.is_connected(from)) {
         if (page.next > m_topic.get_next_position().value_or(log_position{.era = m_topic.get_era(), .offset = 0})) {
             // Records before this page are missing.
@@ -179,6 +180,11 @@
     record_success(sent_at);
     const std::uint64_t generation = m_state->directory.get_generation();
     std::vector<platform::keyed_record> changes = page.records;
+    if (!page.records.empty()) {
+        const bool is_applied = !next || m_topic.is_next(*next);
+        report_page(next ? "store" : "listing", is_applied ? "applied" : "skipped", next.value_or(log_position()), page,
+                    m_state->time.now() - sent_at);
+    }
     if (next && m_topic.is_next(*next)) {
         changes = apply_records(page);
     } else if (!next) {
@@ -286,6 +292,20 @@
     }
 }
 
+void server_list_follower::report_page(std::string_view source, std::string_view result, const log_position& from,
+                                       const platform::store_page& page, duration age) const {
+    log_event("server_list_page")
+        .add("source", source)
+        .add("result", result)
+        .add("from", from.offset)
+        .add("next", page.next.offset)
+        .add("end", page.end.offset)
+        .add("read_position", m_topic.get_next_position().value_or(log_position()).offset)
+        .add("records", page.records.size())
+        .add("age_ms", age)
+        .write(*m_log, spdlog::level::info);
+}
+
 void server_list_follower::report(const backend_server_name& server, fleet::directory_change change) const {
     if (change == fleet::directory_change::none) {
         return;
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -69,6 +69,9 @@
     bool apply(const platform::keyed_record& record, std::uint64_t era);
     bool apply_removal(const backend_server_name& server);
     void report(const backend_server_name& server, fleet::directory_change change) const;
+    /// Logs where a page of records came from, and whether it was applied. `age`: time since its read began.
+    void report_page(std::string_view source, std::string_view result, const log_position& from,
+                     const platform::store_page& page, duration age) const;
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
