Tests that fail: a record of the server list is skipped, and an entry of another writer ends a drain

The first one: a read of the store is under way when a relayed page arrives; the read's page is not applied, but its end counts as read. Both leave a server that drains usable on a host whose list counts as current.

--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -242,3 +242,35 @@
     loop.poll();
     CHECK(store.get_calls() == calls);
 }
+
+// Guards against DRAIN: the notice of a server was skipped, and the list counted as current.
+TEST_CASE_FIXTURE(fixture, "a record is applied that a read of the store returns after a relayed page has arrived" *
+                               doctest::should_fail()) {
+    const auto at = [](std::uint64_t offset) { return log_position{.era = 1, .offset = offset}; };
+    store.put("keyed.servers", server_id.value(), make_entry("ready", 2));
+    store.put("keyed.servers", server_id.value(), make_entry("draining", 3));
+    const std::uint64_t calls = store.get_calls();
+    follower.set_reader(true);
+    // The store has answered, but the answer has not arrived.
+    run_until(loop, [&] { return store.get_calls() > calls; });
+    REQUIRE(follower.get_read_position().end == at(1));
+    follower.apply_relayed(at(1),
+                           {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("ready", 2)}},
+                            .next = at(2),
+                            .end = at(2)});
+    run_until(loop, [&] { return follower.get_read_position().end == at(3); });
+    CHECK_FALSE(state.is_usable(server_id));
+}
+
+// Guards against DRAIN: the entry of another writer counted as a restart of the server.
+TEST_CASE_FIXTURE(fixture, "an entry of another writer does not make a draining server usable again" *
+                               doctest::should_fail()) {
+    const auto at = [](std::uint64_t offset) { return log_position{.era = 1, .offset = offset}; };
+    const std::string foreign = R"({"service":"app","addr":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"})";
+    follower.apply_relayed(at(1),
+                           {.records = {{.offset = 1, .key = server_id.value(), .value = make_entry("draining", 2)},
+                                        {.offset = 2, .key = server_id.value(), .value = foreign}},
+                            .next = at(3),
+                            .end = at(3)});
+    CHECK_FALSE(state.is_usable(server_id));
+}
