--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -101,14 +101,15 @@
 }
 
 TEST_CASE("a malformed server entry is rejected") {
-    const std::string good = R"("service":"s","addr":"10.0.0.9:8080","zone":"z","slots":4)";
+    const std::string others = R"("version":"v1","coldRemainingMs":0,"seq":1,"born":1)";
+    const std::string good = R"("service":"s","addr":"10.0.0.9:8080","zone":"z","slots":4,)" + others;
     CHECK_FALSE(decode_server_record("i", "{" + good + R"(,"state":"ready"})").is_draining);
     for (const std::string& text :
          {std::string(), std::string("\xff\xfe"), std::string("[1]"), "{" + good + "}",
           "{" + good + R"(,"state":"resting"})", "{" + good + R"(,"state":3})",
           "{" + good + R"(,"state":"ready","spot":"yes"})", "{" + good + R"(,"state":"ready","leaves_ms":-1})",
-          std::string(R"({"service":"s","addr":"nowhere","zone":"z","slots":4,"state":"ready"})"),
-          std::string(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":"4","state":"ready"})")}) {
+          R"({"service":"s","addr":"nowhere","zone":"z","slots":4,"state":"ready",)" + others + "}",
+          R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":"4","state":"ready",)" + others + "}"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_server_record("i", text)), malformed_message_error);
     }
@@ -116,13 +117,37 @@
                     malformed_message_error);
 }
 
+// Guards against DRAIN: an entry of another writer, without its start, counted as a restart of the server.
+TEST_CASE("a server entry is rejected if any field is missing that every server states") {
+    const std::map<std::string, std::string> all{
+        {"service", R"("s")"},    {"addr", R"("10.0.0.9:8080")"}, {"zone", R"("z")"},       {"version", R"("v1")"},
+        {"slots", "4"},           {"state", R"("ready")"},        {"coldRemainingMs", "0"}, {"seq", "3"},
+        {"born", "1774100506431"}};
+    const auto make_entry = [&](const std::string& without) {
+        std::string text = "{";
+        for (const auto& [name, value] : all) {
+            if (name != without) {
+                text += (text.size() > 1 ? "," : "") + ("\"" + name + "\":" + value);
+            }
+        }
+        return text + "}";
+    };
+    CHECK(decode_server_record("i", make_entry("")).started_at_ms == 1774100506431);
+    for (const auto& [name, value] : all) {
+        CAPTURE(name);
+        CHECK_THROWS_AS(static_cast<void>(decode_server_record("i", make_entry(name))), malformed_message_error);
+    }
+}
+
 TEST_CASE("an odd server entry is rejected without harm, whichever of its fields is wrong") {
     const std::map<std::string, std::string> good{{"service", R"("s")"},
                                                   {"addr", R"("10.0.0.9:8080")"},
                                                   {"zone", R"("z")"},
+                                                  {"version", R"("v1")"},
                                                   {"slots", "4"},
                                                   {"state", R"("ready")"},
                                                   {"coldRemainingMs", "0"},
+                                                  {"seq", "1"},
                                                   {"stage", R"("decode")"},
                                                   {"spot", "false"},
                                                   {"born", "1"},
@@ -160,7 +185,7 @@
                 CHECK(record.address.port != 0);
                 CHECK(record.slots > 0);
                 CHECK(record.warmup_left >= duration::zero());
-                CHECK(record.started_at_ms >= 0);
+                CHECK(record.started_at_ms > 0);
             } catch (const malformed_message_error&) {
             }
         }
