Move the load of a group, and what is assumed of engines of other groups, to one place in policy

No behaviour changes: the load that a leader tells to other groups, and the status that a host assumes of their engines, were built in two classes of servers/.

--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -41,7 +41,7 @@
 /// Gossips with the other hosts: sends digests of this host's state and applies the digests that it receives.
 ///
 /// The leader of a group (`policy::leads_group`) reads the store for the group, relays what it has read, and sends
-/// summaries to remote groups. Hosts discover each other through the store. Any datagram may be lost.
+/// loads to remote groups. Hosts discover each other through the store. Any datagram may be lost.
 /// Used on one event loop.
 class host_gossip final : public gossip::digest_source {
 public:
--- a/gossip/digest_builder.cpp
+++ b/gossip/digest_builder.cpp
@@ -94,7 +94,7 @@
     const digest_facts facts = m_source->get_digest_facts();
     set_header(digest, facts);
     if (facts.is_group_leader) {
-        add_summaries(digest);
+        add_loads(digest);
     }
 }
 
@@ -145,10 +145,10 @@
     }
 }
 
-void digest_builder::add_summaries(servers::host_digest& digest) const {
+void digest_builder::add_loads(servers::host_digest& digest) const {
     for (const auto& [service, engines] : m_state->get_engines()) {
         digest.prefill_demand.insert_or_assign(service, m_state->get_group_prefill_demand(service));
-        digest.summaries.insert_or_assign(service, m_state->get_group_summary(service));
+        digest.loads.insert_or_assign(service, m_state->get_group_load(service));
     }
 }
 
--- a/gossip/digest_builder.hpp
+++ b/gossip/digest_builder.hpp
@@ -29,7 +29,7 @@
     /// Returns the digest for the hosts of other groups. What does not fit into `max_bytes`, or into `min_digest_bytes`
     /// if that is more, waits for the next one: first prefixes, then crashes.
     [[nodiscard]] servers::host_digest make_intergroup_digest(std::size_t max_bytes);
-    /// Brings the header and the summaries of a digest to other groups up to date, before it is sent to more hosts.
+    /// Brings the header and the loads of a digest to other groups up to date, before it is sent to more hosts.
     void refresh(servers::host_digest& digest);
 
     /// Accumulates, for other groups, the prefix accesses of this group's engines.
@@ -44,7 +44,7 @@
     void set_header(servers::host_digest& digest, const digest_facts& facts);
     void add_usage(servers::host_digest& digest) const;
     void add_engines(servers::host_digest& digest) const;
-    void add_summaries(servers::host_digest& digest) const;
+    void add_loads(servers::host_digest& digest) const;
     /// Adds the prefix accesses since the last digest; the newest ones if they are too many.
     void add_prefix_accesses(servers::host_digest& digest);
     /// Adds announcements of crashes for which there is room. Returns the room that is left, in bytes.
--- a/servers/engine_status_view.cpp
+++ b/servers/engine_status_view.cpp
@@ -1,23 +1,13 @@
 #include "servers/engine_status_view.hpp"
 
-#include "core/hash.hpp"
-
 namespace dragonflywell::servers {
 
 namespace {
 
-/// Penalties on the backlog and the utilisation of an engine of another group of hosts, because this host has little
-/// information about it. The spread is the largest extra penalty, which depends on the engine and the prompt, so that
-/// different prompts go to different engines.
-constexpr duration remote_backlog_penalty = std::chrono::milliseconds(60);
-constexpr duration max_remote_spread = std::chrono::milliseconds(40);
-constexpr double remote_utilisation_penalty = 0.3;
 /// Penalties on an engine of which it was not confirmed lately that it takes new work: one that was confirmed goes
 /// before it unless that one is busy.
 constexpr duration uncertain_backlog_penalty = std::chrono::milliseconds(100);
 constexpr double uncertain_utilisation_penalty = 0.3;
-/// Assumed backlog of an engine whose group has sent no recent summary.
-constexpr duration unknown_group_backlog = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -43,26 +33,18 @@
     if (m_state->is_own_group_server(engine)) {
         return status;
     }
-    // A hash of the engine and the prompt's key spreads different prompts over all engines and keeps equal prompts on
-    // the same engines, whose prefix cache then holds them.
-    const std::chrono::duration<double> spread =
-        max_remote_spread * hash_to_unit_interval(engine.value(), m_prompt_key);
-    const group_summary& summary = get_remote_summary(engine);
-    status.unobserved_backlog +=
-        summary.backlog + remote_backlog_penalty + std::chrono::duration_cast<duration>(spread);
-    status.unobserved_utilisation += summary.utilisation + remote_utilisation_penalty;
+    policy::add_remote_load(status, get_remote_load(engine), engine, m_prompt_key);
     return status;
 }
 
-const group_summary& engine_status_view::get_remote_summary(const backend_server_name& engine) const {
-    static const group_summary unknown{.backlog = unknown_group_backlog, .utilisation = 1, .running = 0};
+policy::group_load engine_status_view::get_remote_load(const backend_server_name& engine) const {
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(engine);
     for (const auto& [name, group] : m_remote_groups) {
         if (listed != nullptr && group.zone == listed->record.zone) {
-            return group.summary;
+            return group.load;
         }
     }
-    return unknown;
+    return policy::get_unknown_group_load();
 }
 
 } // namespace dragonflywell::servers
--- a/servers/engine_status_view.hpp
+++ b/servers/engine_status_view.hpp
@@ -27,7 +27,7 @@
     [[nodiscard]] policy::engine_status_lookup make_lookup() const;
 
 private:
-    [[nodiscard]] const group_summary& get_remote_summary(const backend_server_name& engine) const;
+    [[nodiscard]] policy::group_load get_remote_load(const backend_server_name& engine) const;
 
     const serving_state* m_state;
     std::uint64_t m_prompt_key;
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -101,25 +101,25 @@
             .core_thousandths = static_cast<std::uint32_t>(get_number(encoded, 1))};
 }
 
-object encode_summaries(const std::map<service_name, group_summary>& summaries) {
+object encode_loads(const std::map<service_name, policy::group_load>& loads) {
     object encoded;
-    for (const auto& [service, summary] : summaries) {
+    for (const auto& [service, load] : loads) {
         encoded[service.value()] =
-            array{to_microseconds(summary.backlog), to_thousandths(summary.utilisation), summary.running};
+            array{to_microseconds(load.backlog), to_thousandths(load.utilisation), load.running};
     }
     return encoded;
 }
 
-std::map<service_name, group_summary> decode_summaries(const object& encoded) {
-    std::map<service_name, group_summary> summaries;
+std::map<service_name, policy::group_load> decode_loads(const object& encoded) {
+    std::map<service_name, policy::group_load> loads;
     for (const auto& item : encoded) {
         const array& fields = require_list(item.value());
-        summaries.emplace(service_name(std::string_view(item.key())),
-                          group_summary{.backlog = std::chrono::microseconds(get_number(fields, 0)),
+        loads.emplace(service_name(std::string_view(item.key())),
+                          policy::group_load{.backlog = std::chrono::microseconds(get_number(fields, 0)),
                                         .utilisation = static_cast<double>(get_number(fields, 1)) / thousandths,
                                         .running = static_cast<std::uint32_t>(get_number(fields, 2))});
     }
-    return summaries;
+    return loads;
 }
 
 log_position decode_position(const array& encoded) {
@@ -192,7 +192,7 @@
                    {"x", std::move(ejections)},
                    {"r", std::move(prefill_demand)},
                    {"u", encode_usage(digest.usage)},
-                   {"m", encode_summaries(digest.summaries)},
+                   {"m", encode_loads(digest.loads)},
                    {"d", encode_items(digest.crashes)},
                    {"l", digest.holds_lease},
                    {"rc", encode_read_position(digest.configuration)},
@@ -240,7 +240,7 @@
                        .prefill_demand = {},
                        .usage = decode_usage(json::get_array(source, "u")),
                        .recorded_usage = {},
-                       .summaries = decode_summaries(json::get_object(source, "m")),
+                       .loads = decode_loads(json::get_object(source, "m")),
                        .crashes = decode_crashes(json::get_array(source, "d")),
                        .part_crashes = {},
                        .part_clearances = {},
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -13,6 +13,7 @@
 #include "core/log_position.hpp"
 #include "fleet/server_record.hpp"
 #include "policy/group_leadership.hpp"
+#include "policy/group_load.hpp"
 #include "policy/part_quarantine.hpp"
 #include "policy/prefix_cache.hpp"
 #include "policy/quarantine.hpp"
@@ -58,18 +59,6 @@
     friend bool operator==(const digest_transition&, const digest_transition&) = default;
 };
 
-/// Summary of the engines of a group for one service, sent by the group leader to other groups.
-struct group_summary {
-    /// Average time that a prompt waits at a prefill engine.
-    duration backlog{};
-    /// Share of the slots of the decode engines in use, 0 to 1 and above.
-    double utilisation{0};
-    /// Number of requests that are generating.
-    std::uint32_t running{0};
-
-    friend bool operator==(const group_summary&, const group_summary&) = default;
-};
-
 /// How far the sender has read the store, so that the hosts of its group need not read the store themselves.
 struct digest_read_position {
     /// Position after the last record that was applied; nothing before the first listing of the store's present era.
@@ -131,8 +120,8 @@
     std::map<std::int64_t, policy::window_counts> usage;
     /// Set by a group leader: the incarnations whose usage it has recorded for the newest completed window.
     std::optional<digest_recorded_usage> recorded_usage;
-    /// Set by a group leader: summaries of its group for other groups.
-    std::map<service_name, group_summary> summaries;
+    /// Set by a group leader: the loads of its group, for other groups.
+    std::map<service_name, policy::group_load> loads;
     /// Server crashes that the sender knows and attributes to requests; empty in most digests, too.
     std::vector<policy::engine_crash> crashes;
     /// Crashes with suspected prompt parts that the sender knows, and parts that were cleared; empty in most digests.
--- a/servers/peer_state.cpp
+++ b/servers/peer_state.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// How long the summary of another group stays valid.
-constexpr duration remote_summary_lifetime = std::chrono::milliseconds(2500);
+/// How long the load of another group stays valid.
+constexpr duration remote_load_lifetime = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -27,14 +27,14 @@
 
 void peer_state::merge_intergroup_digest(const host_digest& digest) {
     merge_transitions(digest);
-    if (digest.summaries.empty()) {
+    if (digest.loads.empty()) {
         return;
     }
     add_demand(digest, m_remote_demand);
     const steady_time now = m_time->now();
-    for (const auto& [service, summary] : digest.summaries) {
+    for (const auto& [service, load] : digest.loads) {
         // Each group has one leader at a time. The name of the group is the key, whichever host leads it.
-        m_remote_groups[service][digest.group] = {.zone = digest.zone, .summary = summary, .received_at = now};
+        m_remote_groups[service][digest.group] = {.zone = digest.zone, .load = load, .received_at = now};
     }
 }
 
@@ -85,7 +85,7 @@
 double peer_state::get_remote_running(const service_name& service) const {
     double running = 0;
     for (const auto& [name, group] : get_remote_groups(service)) {
-        running += group.summary.running;
+        running += group.load.running;
     }
     return running;
 }
@@ -98,7 +98,7 @@
     }
     const steady_time now = m_time->now();
     for (const auto& [name, group] : found->second) {
-        if (now - group.received_at < remote_summary_lifetime) {
+        if (now - group.received_at < remote_load_lifetime) {
             recent_groups.emplace(name, group);
         }
     }
--- a/servers/peer_state.hpp
+++ b/servers/peer_state.hpp
@@ -27,7 +27,7 @@
 using stage_transitions = std::map<backend_server_name, stage_transition>;
 
 /// State of the other hosts, merged from their digests: their load, the usage they have counted, the stage changes they
-/// have ordered, and summaries of the groups that this host is not in. Their load on engines is kept by the engine load
+/// have ordered, and loads of the groups that this host is not in. Their load on engines is kept by the engine load
 /// trackers. Not thread safe.
 class peer_state {
 public:
@@ -58,7 +58,7 @@
     /// State of the engines of another group for one service.
     struct remote_group {
         zone_name zone;
-        group_summary summary;
+        policy::group_load load;
         steady_time received_at{};
     };
     /// Returns the groups whose leaders have recently sent a digest, by the name of the group.
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -25,15 +25,6 @@
 /// Ejection time that this host reports for a stalled server. It covers the time until one or two digests later.
 constexpr duration stalled_ejection_time = std::chrono::seconds(1);
 
-/// Returns how many requests generate on an engine. A prompt that a decode engine still has to read is counted as
-/// running on it, because it will take a slot, but it does not generate yet.
-std::uint32_t count_generating(const policy::engine_load_tracker& tracker, const backend_server_name& engine,
-                               fleet::engine_stage stage) {
-    const std::uint32_t running = tracker.get_running(engine);
-    const std::uint32_t prompts = stage == fleet::engine_stage::decode ? tracker.get_prompts(engine) : 0;
-    return running - std::min(running, prompts);
-}
-
 template <typename Parts>
 std::string format_parts(const Parts& parts) {
     return fmt::format("{:x}", fmt::join(parts, ","));
@@ -261,41 +252,22 @@
     return demand + peers.get_group_prefill_demand(service);
 }
 
-group_summary serving_state::get_group_summary(const service_name& service) const {
-    group_summary summary;
+policy::group_load serving_state::get_group_load(const service_name& service) const {
     const auto found = m_engines.find(service);
     if (found == m_engines.end()) {
-        return summary;
-    }
-    const policy::engine_load_tracker& load_tracker = found->second.load_tracker;
-    duration backlog{};
-    std::int64_t prefill_engines = 0;
-    double slots = 0;
-    double running = 0;
-    for (const auto& [name, engine] : load_tracker.get_engines()) {
-        if (!is_own_group_server(name) || !is_usable(name)) {
-            continue;
-        }
-        if (engine.attributes.stage == fleet::engine_stage::prefill) {
-            backlog += load_tracker.get_backlog(name, time.now());
-            ++prefill_engines;
-        } else {
-            slots += engine.attributes.slots;
-            running += load_tracker.get_running(name);
-            summary.running += count_generating(load_tracker, name, engine.attributes.stage);
-        }
+        return {};
     }
-    // A group without engines reports an hour of backlog and full slots, so that no other group sends requests to it.
-    summary.backlog = prefill_engines > 0 ? backlog / prefill_engines : std::chrono::hours(1);
-    summary.utilisation = slots > 0 ? running / slots : 1;
-    return summary;
+    const auto is_counted = [this](const backend_server_name& name) {
+        return is_own_group_server(name) && is_usable(name);
+    };
+    return policy::get_group_load(found->second.load_tracker, is_counted, time.now());
 }
 
 double serving_state::get_running(const service_name& service) const {
     double running = peers.get_remote_running(service);
     if (const auto own = m_engines.find(service); own != m_engines.end()) {
         for (const auto& [name, engine] : own->second.load_tracker.get_engines()) {
-            running += count_generating(own->second.load_tracker, name, engine.attributes.stage);
+            running += policy::count_generating(own->second.load_tracker, name, engine.attributes.stage);
         }
     }
     return running;
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -12,6 +12,7 @@
 #include "core/metrics.hpp"
 #include "fleet/serving_view.hpp"
 #include "policy/crash_attribution.hpp"
+#include "policy/group_load.hpp"
 #include "policy/part_quarantine.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
@@ -113,8 +114,8 @@
 
     /// Returns the same total for the hosts of the own group only.
     [[nodiscard]] duration get_group_prefill_demand(const service_name& service) const;
-    /// Returns the summary of the engines of the own group, for other groups.
-    [[nodiscard]] group_summary get_group_summary(const service_name& service) const;
+    /// Returns the load of the engines of the own group, for other groups.
+    [[nodiscard]] policy::group_load get_group_load(const service_name& service) const;
 
     /// Returns how many requests are generating on the engines of a service, over all known hosts.
     [[nodiscard]] double get_running(const service_name& service) const;
--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -31,7 +31,7 @@
         .recorded_usage = servers::digest_recorded_usage{.window = 357732847,
                                                          .incarnations = {{.host = "h2", .incarnation = 5}},
                                                          .era = 3},
-        .summaries = {{service_name("llm"), {.backlog = 40ms, .utilisation = 0.25, .running = 9}}},
+        .loads = {{service_name("llm"), {.backlog = 40ms, .utilisation = 0.25, .running = 9}}},
         .crashes = {{.fingerprint = 7, .crash_id = 8, .moment = wall_time(9s)}},
         .holds_lease = true,
         .configuration = digest_read_position{.end = log_position{.era = 2, .offset = 4}, .age = 20ms},
