Give a read of the server list at least as long for its answer as other calls of the store have

A store that answers slowly would otherwise fail each read at the smallest bound. The repeated read, not the time limit, is what keeps the bound; tests/daemon/test_server_list_bound.cpp holds with the longer limit.

--- a/policy/read_schedule.hpp
+++ b/policy/read_schedule.hpp
@@ -36,7 +36,7 @@
                 .hedge_delay = bound / 10,
                 .retry_pause = bound / 10,
                 .answer_time = bound / 10,
-                .call_limit = bound * 3 / 10,
+                .call_limit = bound * 35 / 100,
                 .gap_patience = bound * 15 / 100,
                 .margin = bound / 5};
     }
