--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -104,8 +104,7 @@
 object encode_loads(const std::map<service_name, policy::group_load>& loads) {
     object encoded;
     for (const auto& [service, load] : loads) {
-        encoded[service.value()] =
-            array{to_microseconds(load.backlog), to_thousandths(load.utilisation), load.running};
+        encoded[service.value()] = array{to_microseconds(load.backlog), to_thousandths(load.utilisation), load.running};
     }
     return encoded;
 }
@@ -115,9 +114,9 @@
     for (const auto& item : encoded) {
         const array& fields = require_list(item.value());
         loads.emplace(service_name(std::string_view(item.key())),
-                          policy::group_load{.backlog = std::chrono::microseconds(get_number(fields, 0)),
-                                        .utilisation = static_cast<double>(get_number(fields, 1)) / thousandths,
-                                        .running = static_cast<std::uint32_t>(get_number(fields, 2))});
+                      policy::group_load{.backlog = std::chrono::microseconds(get_number(fields, 0)),
+                                         .utilisation = static_cast<double>(get_number(fields, 1)) / thousandths,
+                                         .running = static_cast<std::uint32_t>(get_number(fields, 2))});
     }
     return loads;
 }
