Send a prompt that has been read before all that an engine still has to read (SHORT)

Callers saw: after a burst the fleet stayed overloaded at a load that it had served before; a fifth of the requests failed. Cause: prompts that prefill engines had read waited at the generating engine behind prompts that it had to read itself. The way over prefill engines looked slow, so that more prompts took the direct way, which filled the engines that generate: a metastable state (docs/incidents/2026-12-06-short-overloaded-engines.md). Change: a generation whose prompt has been read is sent with urgency 0.

--- a/policy/engine_placement.hpp
+++ b/policy/engine_placement.hpp
@@ -69,6 +69,14 @@
     std::uint32_t urgency{lowest_urgency};
 };
 
+/// Urgency with which a generation is sent to the engine that generates, 0 (first) to 9 (last). A prompt that has been
+/// read goes before all that the engine still has to read itself: it needs a single step to its first event, and holds
+/// memory until then. Without that the slow way of a prompt would make the fast one look slow, too, and draw all
+/// prompts.
+[[nodiscard]] constexpr std::uint32_t get_generation_urgency(const engine_choice& choice, bool is_prefilled) {
+    return is_prefilled ? 0 : choice.urgency;
+}
+
 /// Whether an engine may be given work.
 enum class engine_usability : std::uint8_t {
     /// It must not be given any work.
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -242,7 +242,7 @@
                              std::optional<kv_cache_source> kv_cache, caller_channel& caller) {
     dispatch attempt = make_dispatch(engine);
     attempt.kv_cache = kv_cache;
-    attempt.urgency = choice.urgency;
+    attempt.urgency = policy::get_generation_urgency(choice, kv_cache.has_value());
     if (!choice.prefill_engine) {
         attempt.prefix_source = get_prefix_source(choice);
     }
--- a/tests/platform/test_generations.cpp
+++ b/tests/platform/test_generations.cpp
@@ -70,6 +70,9 @@
     CHECK(get(run, "Dragonflywell-Kv-Source") == format_endpoint(prefill_engine.get_endpoint()) + "/h7");
     CHECK(run.find("Dragonflywell-Stage") == run.end());
     CHECK(run.body() == "prompt");
+    // What has been read goes before what the engine still has to read.
+    CHECK(get(run, "Dragonflywell-Request-Urgency") == "0");
+    CHECK(get(prefill_engine.get_requests().at(0), "Dragonflywell-Request-Urgency") != "0");
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
--- a/tests/servers/modelled_fleet.cpp
+++ b/tests/servers/modelled_fleet.cpp
@@ -339,7 +339,7 @@
 }
 
 void modelled_fleet::host::send(const request_ptr& sent, const backend_server_name& to) {
-    sent->urgency = sent->choice.urgency;
+    sent->urgency = policy::get_generation_urgency(sent->choice, sent->is_prefilled);
     engine& receiver = m_fleet->find_engine(to);
     m_fleet->post(network_time + reception, [this, sent, &receiver] {
         if (sent->has_ended) {
--- a/tests/servers/test_overloaded_engines.cpp
+++ b/tests/servers/test_overloaded_engines.cpp
@@ -63,7 +63,7 @@
 } // namespace
 
 // Guards against SHORT: after a burst the fleet stayed overloaded, since what was read waited behind what was not.
-TEST_CASE("three seconds after a burst callers are served in time again" * doctest::should_fail()) {
+TEST_CASE("three seconds after a burst callers are served in time again") {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         CAPTURE(seed);
         const std::vector<modelled_second> seconds = modelled_fleet(make_load(seed)).run();
