--- a/servers/tcp_caller_channel.cpp
+++ b/servers/tcp_caller_channel.cpp
@@ -4,6 +4,18 @@
 
 namespace dragonflywell::servers {
 
+namespace {
+
+/// Leaves of the response to a HEAD request the header only. That of a backend server has no body and keeps its length.
+void remove_body(http_response& response) {
+    if (!response.body().empty()) {
+        response.content_length(response.body().size());
+        response.body().clear();
+    }
+}
+
+} // namespace
+
 tcp_caller_channel::tcp_caller_channel(beast::tcp_stream& stream, caller_disconnect_monitor& monitor,
                                        duration io_timeout, bool keep_alive, const std::atomic<bool>& is_closing,
                                        bool is_head_request)
@@ -25,7 +37,9 @@
 asio::awaitable<void> tcp_caller_channel::send(http_response response) {
     begin_response();
     response.keep_alive(m_keep_alive);
-    if (!m_is_head_request) {
+    if (m_is_head_request) {
+        remove_body(response);
+    } else {
         response.prepare_payload();
     }
     m_stream->expires_after(m_io_timeout);
