Plan how many engines generate by the time between events that routes ask for

Callers saw: streams late by their pauses, or cut off at the deadline. Cause: engines that generate were planned half full whatever their steps take. Change: generation_pace learns the time between events by the number of running requests; stage and fleet controller plan the share of slots with which it is a quarter of the shortest target_gap, between 1/8 and 1/2, and 1/4 until it is known. Services whose routes state no target_gap are planned as before.

--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log_event.hpp"
+#include "daemon/generation_plan.hpp"
 #include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
@@ -79,7 +80,8 @@
     const double slots = description->engine ? description->engine->slots : 1;
     const auto running = m_running.find(service);
     const double peak = running == m_running.end() ? 0 : running->second;
-    demand.decode_engines = policy::count_decode_engines(slots, {.running = peak}, {});
+    demand.decode_engines =
+        policy::count_decode_engines(slots, {.running = peak}, make_stage_plan_options(*m_state, service));
     return demand;
 }
 
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log_event.hpp"
+#include "daemon/generation_plan.hpp"
 #include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
@@ -100,11 +101,12 @@
 
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
+    const policy::stage_plan_options options = make_stage_plan_options(*m_state, service);
     if (m_is_before_first_request && !engines.empty()) {
-        m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), {});
+        m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), options);
     }
     const std::vector<policy::stage_change> changes = policy::plan_stages(
-        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
+        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, options);
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(service);
         if (state == nullptr || m_lease->get_fencing_number() != fence) {
--- a/servers/event_splitter.cpp
+++ b/servers/event_splitter.cpp
@@ -59,6 +59,7 @@
             line.remove_prefix(1);
         }
         m_last_id = line;
+        ++m_ids;
     }
 }
 
--- a/servers/event_splitter.hpp
+++ b/servers/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,9 @@
     /// Returns the id of the last returned event that had one; empty when none had one.
     [[nodiscard]] const std::string& get_last_id() const noexcept { return m_last_id; }
 
+    /// Returns how many events with an id were returned.
+    [[nodiscard]] std::uint64_t count_ids() const noexcept { return m_ids; }
+
     /// Discards an incomplete event after a stream was interrupted.
     void drop_partial_event() {
         m_pending.clear();
@@ -41,6 +45,7 @@
     /// piece.
     std::size_t m_searched{0};
     std::string m_last_id;
+    std::uint64_t m_ids{0};
 };
 
 } // namespace dragonflywell::servers
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -8,6 +8,7 @@
 #include "servers/disconnect_subscription.hpp"
 #include "servers/kv_cache_release.hpp"
 #include "servers/response_headers.hpp"
+#include "servers/stream_pace_recorder.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -284,7 +285,7 @@
         has_head = true;
         if (kind == response_kind::answered) {
             set_may_have_run();
-            co_await relay(exchange, choice, caller, pending);
+            co_await relay(exchange, engine, choice, caller, pending);
         } else {
             co_await exchange.read_rest(short_response_limit_bytes);
         }
@@ -362,13 +363,13 @@
     return source != nullptr ? std::optional(source->record.address) : std::nullopt;
 }
 
-asio::awaitable<void> generation_request::relay(backend_exchange& exchange, const policy::engine_choice& choice,
-                                                caller_channel& caller,
+asio::awaitable<void> generation_request::relay(backend_exchange& exchange, const backend_server_name& engine,
+                                                const policy::engine_choice& choice, caller_channel& caller,
                                                 policy::stall_detector::pending_request& pending) {
     if (exchange.get_head().result() != http::status::ok) {
         co_await relay_buffered(exchange, caller);
     } else {
-        co_await relay_stream(exchange, choice, caller, pending);
+        co_await relay_stream(exchange, engine, choice, caller, pending);
     }
 }
 
@@ -384,13 +385,14 @@
     co_await caller.send(std::move(response));
 }
 
-asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, const policy::engine_choice& choice,
-                                                       caller_channel& caller,
+asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, const backend_server_name& engine,
+                                                       const policy::engine_choice& choice, caller_channel& caller,
                                                        policy::stall_detector::pending_request& pending) {
     if (caller.is_started()) {
         require_same_content_type(exchange);
     }
     byte_budget::share buffered(get_state().connections.get_buffer_budget(), unbudgeted_response_bytes);
+    std::optional<stream_pace_recorder> pace;
     for (std::string_view piece = co_await exchange.read_some(); !piece.empty();
          piece = co_await exchange.read_some()) {
         m_events.add_bytes(piece);
@@ -407,6 +409,9 @@
         }
         pending.end();
         m_has_answer_begun = true;
+        if (!pace) {
+            pace.emplace(get_state(), get_request().service, engine, m_events);
+        }
         if (!caller.is_started()) {
             record_execution(get_state().get_corrected_time());
             record_first_event(choice);
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -45,11 +45,13 @@
     /// Returns the address of the engine from which the prefix is fetched, or nothing.
     [[nodiscard]] std::optional<endpoint> get_prefix_source(const policy::engine_choice& choice) const;
     /// Ends `pending` at the first event.
-    asio::awaitable<void> relay(backend_exchange& exchange, const policy::engine_choice& choice, caller_channel& caller,
+    asio::awaitable<void> relay(backend_exchange& exchange, const backend_server_name& engine,
+                                const policy::engine_choice& choice, caller_channel& caller,
                                 policy::stall_detector::pending_request& pending);
     asio::awaitable<void> relay_buffered(backend_exchange& exchange, caller_channel& caller);
-    asio::awaitable<void> relay_stream(backend_exchange& exchange, const policy::engine_choice& choice,
-                                       caller_channel& caller, policy::stall_detector::pending_request& pending);
+    asio::awaitable<void> relay_stream(backend_exchange& exchange, const backend_server_name& engine,
+                                       const policy::engine_choice& choice, caller_channel& caller,
+                                       policy::stall_detector::pending_request& pending);
     /// Throws `exchange_failed_error` when a response that should continue the stream of the caller is of another type.
     void require_same_content_type(const backend_exchange& exchange) const;
     asio::awaitable<void> start_stream(const backend_exchange& exchange, caller_channel& caller);
--- a/servers/service_engines.hpp
+++ b/servers/service_engines.hpp
@@ -6,6 +6,7 @@
 #include "fleet/service_description.hpp"
 #include "policy/engine_load_tracker.hpp"
 #include "policy/engine_placement.hpp"
+#include "policy/generation_pace.hpp"
 #include "policy/prefill_time_model.hpp"
 #include "policy/wait_calibration.hpp"
 
@@ -19,6 +20,8 @@
     /// Time from sending a prompt to a decode engine, which runs the prefill itself, to the first event. Before any
     /// observation it is assumed to be a multiple of the time of a prefill engine.
     policy::prefill_time_model decode_engine_model{initial_decode_engine_factor, initial_first_event};
+    /// Time between the events of streams.
+    policy::generation_pace pace;
 
     /// Records how long a prompt waited at the engines of a choice. `taken`: time from sending it until its prefill
     /// ended, or until its caller left.
