Leave a smaller reserve for pauses, and log the planned share of slots

Cause: the learned time between events is a mean that contains slow engines and moments, so that a reserve of 4 counted them twice. Change: 3.5, from the ratio of the slowest engine in a moment of contention to that mean (3.1). stage_ordered logs planned_fill.

--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -113,12 +113,12 @@
             co_return;
         }
         const duration change_time = state->get_description().stage_change_time;
-        co_await order(fence, change, change_time);
+        co_await order(fence, change, change_time, options.decode_fill);
     }
 }
 
 servers::asio::awaitable<void> stage_controller::order(std::uint64_t fence, policy::stage_change change,
-                                                       duration change_time) {
+                                                       duration change_time, double planned_fill) {
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(change.engine);
     if (listed == nullptr || m_state->eligibility.get_pause_end(change.engine, m_state->time.now())) {
         co_return;
@@ -140,6 +140,7 @@
     log_event("stage_ordered")
         .add("engine", change.engine.value())
         .add("stage", fleet::get_stage_name(change.stage))
+        .add("planned_fill", planned_fill)
         .add("fence", fence)
         .add("reported", report.has_value())
         .add("answer", get_answer_name(answer))
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -27,7 +27,9 @@
 private:
     void observe_demand();
     servers::asio::awaitable<void> control(std::uint64_t fence, service_name service);
-    servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time);
+    /// `planned_fill`: share of the slots of generating engines with which the change was planned, for the log.
+    servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time,
+                                         double planned_fill);
     /// Returns whether the load was observed for long enough to plan with it.
     [[nodiscard]] bool is_load_known() const;
     [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
--- a/policy/generation_pace.hpp
+++ b/policy/generation_pace.hpp
@@ -37,8 +37,8 @@
     double max_fill{0.5};
     double min_fill{0.125};
     /// Ratio of the longest allowed time between two events to the expected one. A stream is late if one of its events
-    /// is: the slowest engines need nearly twice the mean time, and moments of contention more than twice that.
-    double pace_reserve{4};
+    /// is: in a moment of contention a slow engine takes about three times the mean of all engines.
+    double pace_reserve{3.5};
 };
 
 /// Returns the share of the slots of an engine that generates that may be planned with, so that events follow each
