--- /dev/null
+++ b/policy/quota_account.cpp
@@ -0,0 +1,442 @@
+#include "policy/quota_account.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// Interval of requests without need. A pledge outlasts one lost request.
+constexpr duration refresh_interval = std::chrono::milliseconds(400);
+/// Shortest interval of requests while requests of callers wait, for each host of the fleet, and its bounds.
+constexpr duration wait_interval_per_host = std::chrono::microseconds(100);
+constexpr duration min_wait_interval = std::chrono::milliseconds(10);
+constexpr duration max_wait_interval = std::chrono::milliseconds(40);
+/// Shortest interval of requests for expected needs.
+constexpr duration ahead_interval = std::chrono::milliseconds(200);
+/// What a host holds for expected needs, as a time of its demand, and the level at which it asks for more. The first
+/// covers the interval of requests.
+constexpr double ahead_seconds = 0.5;
+constexpr double low_seconds = 0.15;
+/// Time over which demand is averaged.
+constexpr double demand_seconds = 0.7;
+/// An owner has failed after this many unanswered requests in this time. At 5 % loss in each direction this happens by
+/// chance to one request in 10,000.
+constexpr std::uint32_t max_unanswered = 4;
+constexpr duration max_silence = std::chrono::milliseconds(300);
+/// Bounds of the time after which a request counts as unanswered. Hosts of a region answer within 50 ms.
+constexpr duration min_timeout = std::chrono::milliseconds(30);
+constexpr duration max_timeout = std::chrono::milliseconds(100);
+constexpr duration first_round_trip = std::chrono::milliseconds(20);
+/// Least Retry-After when no owner has booked a time.
+constexpr duration default_retry_after = std::chrono::milliseconds(200);
+
+double to_seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+bool quota_account::balance::take(double wanted, steady_time now) {
+    if (now >= until || amount < wanted) {
+        return false;
+    }
+    amount -= wanted;
+    return true;
+}
+
+quota_account::quota_account(quota_account_options options, std::set<std::string>& unresponsive)
+    : m_options(std::move(options)), m_unresponsive(&unresponsive), m_round_trip(first_round_trip),
+      m_free_at(m_options.started_at), m_own_filled_at(m_options.started_at), m_last_ticket(m_options.part) {}
+
+void quota_account::set_limits(const quota_limits& limits, steady_time now) {
+    fill_own_shares(now);
+    for (auto item = m_organisations.begin(); item != m_organisations.end();) {
+        if (limits.contains(item->first)) {
+            ++item;
+            continue;
+        }
+        for (const waiting_request& request : item->second.waiting) {
+            m_decisions.push_back({.answer = quota_answer::admitted, .ticket = request.ticket});
+        }
+        item = m_organisations.erase(item);
+    }
+    for (const auto& [organisation, limit] : limits) {
+        organisation_state& own = m_organisations[organisation];
+        if (own.limit != limit) {
+            own.blocked_until = {};
+            own.next_booked = {};
+        }
+        own.limit = limit;
+        own.own_level = std::min(own.own_level, limit.capacity / static_cast<double>(m_hosts));
+    }
+}
+
+void quota_account::set_order(std::vector<std::string> order, std::size_t hosts, steady_time now) {
+    fill_own_shares(now);
+    m_hosts = hosts;
+    const bool is_first = m_order.empty();
+    m_order = std::move(order);
+    if (is_first && m_options.start == quota_start::restart && !m_order.empty()) {
+        // The process before this one may have pledged its shares, most likely to the first host of the order.
+        m_holder = m_order.front();
+        m_free_at = m_options.started_at + pledge_time + grant_time;
+        m_own_filled_at = m_free_at;
+    }
+}
+
+void quota_account::fill_own_shares(steady_time now) {
+    if (now <= m_own_filled_at) {
+        return;
+    }
+    const double seconds = to_seconds(now - m_own_filled_at);
+    m_own_filled_at = now;
+    const double share = 1 / static_cast<double>(m_hosts);
+    for (auto& [organisation, own] : m_organisations) {
+        own.own_level = std::min(own.limit.capacity * share,
+                                 own.own_level + own.limit.rate_per_second * share * seconds);
+    }
+}
+
+bool quota_account::try_spend(organisation_state& own, double amount, steady_time now) {
+    if (own.earlier.take(amount, now)) {
+        return true;
+    }
+    if (own.granted.take(amount, now)) {
+        own.used_total += amount;
+        own.has_changed = true;
+        return true;
+    }
+    if (uses_own_shares(now)) {
+        fill_own_shares(now);
+        if (own.own_level >= amount) {
+            own.own_level -= amount;
+            return true;
+        }
+    }
+    return false;
+}
+
+void quota_account::add_demand(organisation_state& own, double amount, steady_time now) {
+    const double passed = to_seconds(now - own.demand_at);
+    own.demand = own.demand * std::exp(-passed / demand_seconds) + amount / demand_seconds;
+    own.demand_at = now;
+}
+
+quota_decision quota_account::refuse(organisation_state& own, double amount, steady_time now) {
+    // A caller that comes back before the end of the block would be refused without having been asked for.
+    const steady_time earliest = std::max(own.blocked_until, now + default_retry_after);
+    const steady_time at = std::max(own.next_booked, earliest);
+    const double pace = std::max(own.limit.rate_per_second / 2, 1e-6);
+    const double seconds = std::min(amount / pace, 3600.0);
+    own.next_booked = at + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return {.answer = quota_answer::refused, .ticket = 0, .retry_after = own.next_booked - now};
+}
+
+quota_decision quota_account::check(const organisation_name& organisation, double amount, steady_time wait_until,
+                                    steady_time now) {
+    const auto found = m_organisations.find(organisation);
+    if (found == m_organisations.end()) {
+        return {};
+    }
+    organisation_state& own = found->second;
+    add_demand(own, amount, now);
+    if (own.waiting.empty() && try_spend(own, amount, now)) {
+        return {.answer = quota_answer::admitted, .session = m_session};
+    }
+    if (now < own.blocked_until || wait_until <= now || amount > own.limit.capacity) {
+        own.refused += amount;
+        return refuse(own, amount, now);
+    }
+    m_last_ticket += quota_parts;
+    own.waiting.push_back({.ticket = m_last_ticket, .amount = amount, .until = wait_until});
+    return {.answer = quota_answer::waiting, .ticket = m_last_ticket};
+}
+
+std::vector<quota_decision> quota_account::take_decisions() {
+    return std::exchange(m_decisions, {});
+}
+
+void quota_account::cancel(std::uint64_t ticket) {
+    for (auto& [organisation, own] : m_organisations) {
+        std::erase_if(own.waiting, [&](const waiting_request& request) { return request.ticket == ticket; });
+    }
+}
+
+void quota_account::give_back(const organisation_name& organisation, double amount, std::uint64_t session) {
+    const auto found = m_organisations.find(organisation);
+    // It goes back to the owner, not to the balance: the owner counts it as used and has filled up what it permits.
+    if (session == m_session && found != m_organisations.end()) {
+        found->second.used_total -= amount;
+        found->second.has_changed = true;
+    }
+}
+
+void quota_account::settle_waiting(organisation_state& own, bool is_answered, steady_time now) {
+    for (auto request = own.waiting.begin(); request != own.waiting.end();) {
+        if (try_spend(own, request->amount, now)) {
+            m_decisions.push_back(
+                {.answer = quota_answer::admitted, .ticket = request->ticket, .session = m_session});
+        } else if (now >= request->until || (is_answered && request->asked_in != 0)) {
+            if (!is_answered) {
+                own.refused += request->amount;
+            }
+            quota_decision refused = refuse(own, request->amount, now);
+            refused.ticket = request->ticket;
+            m_decisions.push_back(refused);
+        } else {
+            ++request;
+            continue;
+        }
+        request = own.waiting.erase(request);
+    }
+}
+
+void quota_account::check_answer(steady_time now) {
+    if (!m_sent) {
+        return;
+    }
+    const duration timeout = std::clamp(m_round_trip * 2, min_timeout, max_timeout);
+    if (now < m_sent->at + timeout) {
+        return;
+    }
+    if (m_unanswered == 0) {
+        m_unanswered_since = m_sent->at;
+    }
+    ++m_unanswered;
+    // The timeout may have been too short for the way to the owner.
+    m_round_trip = std::min(m_round_trip * 2, max_timeout);
+    m_sent.reset();
+    m_is_urgent = true;
+    for (auto& [organisation, own] : m_organisations) {
+        for (waiting_request& request : own.waiting) {
+            request.asked_in = 0;
+        }
+    }
+    if (m_unanswered >= max_unanswered && now - m_unanswered_since >= max_silence) {
+        m_unresponsive->insert(m_owner);
+    }
+}
+
+void quota_account::begin_with(const std::string& owner) {
+    m_owner = owner;
+    m_next_owner.clear();
+    m_sent.reset();
+    m_owner_incarnation = 0;
+    m_unanswered = 0;
+    m_round_trip = first_round_trip;
+    m_is_urgent = true;
+    ++m_session;
+    for (auto& [organisation, own] : m_organisations) {
+        // The owner before this one still counts them.
+        own.earlier = own.granted;
+        own.granted = {};
+        for (waiting_request& request : own.waiting) {
+            request.asked_in = 0;
+        }
+    }
+}
+
+void quota_account::choose_owner(steady_time now) {
+    const auto first = std::find_if(m_order.begin(), m_order.end(),
+                                    [this](const std::string& host) { return !m_unresponsive->contains(host); });
+    const std::string& best = first == m_order.end() ? m_options.host : *first;
+    if (best == m_owner) {
+        m_next_owner.clear();
+        return;
+    }
+    const bool has_shares = m_holder == m_owner && now < m_free_at;
+    const bool is_listed = std::find(m_order.begin(), m_order.end(), m_owner) != m_order.end();
+    if (has_shares && is_listed && m_owner_incarnation != 0 && !m_unresponsive->contains(m_owner) &&
+        m_unanswered == 0) {
+        m_next_owner = best;
+    } else {
+        begin_with(best);
+    }
+}
+
+quota_pledge quota_account::choose_pledge(steady_time now) const {
+    if (!m_next_owner.empty()) {
+        return quota_pledge::released;
+    }
+    // A request that is not answered must not prolong the time for which the shares are bound.
+    const bool is_free = m_holder.empty() || m_holder == m_owner || now >= m_free_at;
+    return m_owner_incarnation != 0 && m_unanswered == 0 && is_free ? quota_pledge::pledged : quota_pledge::none;
+}
+
+bool quota_account::is_due(steady_time now) const {
+    if (m_is_urgent || !m_next_owner.empty() || now >= m_sent_at + refresh_interval) {
+        return true;
+    }
+    const duration interval = std::clamp(std::chrono::duration_cast<duration>(wait_interval_per_host * m_hosts),
+                                         min_wait_interval, max_wait_interval);
+    if (now < m_sent_at + interval) {
+        return false;
+    }
+    const bool may_ask_ahead = now >= m_sent_at + ahead_interval;
+    return std::any_of(m_organisations.begin(), m_organisations.end(), [&](const auto& item) {
+        const organisation_state& own = item.second;
+        const bool is_low = may_ask_ahead && now >= own.blocked_until &&
+                            own.granted.get(now) <
+                                own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * low_seconds;
+        return !own.waiting.empty() || is_low;
+    });
+}
+
+quota_need quota_account::make_need(organisation_state& own, std::uint64_t sequence, steady_time now) const {
+    quota_need need;
+    need.used_total = own.used_total;
+    need.refused = own.refused;
+    own.refused_sent = own.refused;
+    own.has_changed = false;
+    if (!m_next_owner.empty()) {
+        // Gives everything back.
+        own.granted = {};
+        return need;
+    }
+    need.held = own.granted.get(now);
+    double wanted = 0;
+    for (waiting_request& request : own.waiting) {
+        request.asked_in = sequence;
+        wanted += request.amount;
+    }
+    const double expected =
+        own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * ahead_seconds;
+    if (wanted == 0 && need.held > 2 * expected) {
+        own.granted.amount = expected;
+        need.held = expected;
+    }
+    need.waiting = std::max(0.0, wanted - need.held);
+    need.expected = std::max(0.0, expected - std::max(0.0, need.held - wanted));
+    // Less than a thousandth of a unit is left over from demand that has ended.
+    constexpr double negligible = 0.001;
+    if (need.expected < negligible) {
+        need.expected = 0;
+    }
+    return need;
+}
+
+quota_request quota_account::make_request(steady_time now) {
+    quota_request request;
+    request.host = m_options.host;
+    request.incarnation = m_options.incarnation;
+    request.part = m_options.part;
+    request.sequence = ++m_sequence;
+    request.owner_incarnation = m_owner_incarnation;
+    request.owner_time = m_owner_time;
+    request.held_for = m_owner_incarnation == 0 ? duration::zero() : now - m_answered_at;
+    request.pledge = choose_pledge(now);
+    if (request.pledge == quota_pledge::pledged) {
+        m_holder = m_owner;
+        m_free_at = now + pledge_time + grant_time;
+        m_own_filled_at = m_free_at;
+        if (!m_is_started && (m_start_owner.empty() || m_start_owner == m_owner)) {
+            m_start_owner = m_owner;
+            request.start = m_options.start;
+        }
+    }
+    for (auto& [organisation, own] : m_organisations) {
+        if (request.pledge == quota_pledge::pledged) {
+            own.own_level = 0;
+        }
+        const bool has_changed = own.has_changed || own.refused > 0;
+        const bool has_held = own.granted.get(now) > 0;
+        quota_need need = make_need(own, request.sequence, now);
+        if (has_changed || has_held || need.waiting > 0 || need.expected > 0 || !own.waiting.empty()) {
+            need.organisation = organisation;
+            request.needs.push_back(std::move(need));
+        }
+    }
+    return request;
+}
+
+std::optional<outgoing_quota_request> quota_account::poll(steady_time now) {
+    if (m_order.empty()) {
+        return std::nullopt;
+    }
+    check_answer(now);
+    for (auto& [organisation, own] : m_organisations) {
+        if (!own.waiting.empty()) {
+            settle_waiting(own, false, now);
+        }
+    }
+    if (!m_sent) {
+        choose_owner(now);
+    }
+    if (m_sent || m_organisations.empty() || !is_due(now)) {
+        return std::nullopt;
+    }
+    outgoing_quota_request outgoing{.owner = m_owner, .request = make_request(now)};
+    m_sent = {.sequence = outgoing.request.sequence, .at = now, .pledge = outgoing.request.pledge};
+    m_sent_at = now;
+    m_is_urgent = false;
+    return outgoing;
+}
+
+void quota_account::apply(const quota_grant& grant, steady_time now) {
+    if (!m_sent || grant.owner != m_owner || grant.sequence != m_sent->sequence) {
+        return;
+    }
+    const sent_request sent = *m_sent;
+    m_sent.reset();
+    m_unanswered = 0;
+    m_round_trip = std::max(duration(1), (m_round_trip * 3 + (now - sent.at)) / 4);
+    if (grant.incarnation != m_owner_incarnation) {
+        // The shares are pledged only with the next request, since only it shows the owner how old it is.
+        m_is_urgent = true;
+        ++m_session;
+        for (auto& [organisation, own] : m_organisations) {
+            own.granted = {};
+        }
+    } else if (sent.pledge == quota_pledge::pledged) {
+        m_is_started = m_is_started || m_start_owner == m_owner;
+    }
+    m_owner_incarnation = grant.incarnation;
+    m_owner_time = grant.time;
+    m_answered_at = now;
+    for (const quota_allowance& allowance : grant.allowances) {
+        const auto found = m_organisations.find(allowance.organisation);
+        if (found == m_organisations.end()) {
+            continue;
+        }
+        organisation_state& own = found->second;
+        own.granted.amount = own.granted.get(now) + allowance.granted;
+        own.granted.until = sent.at + grant_time;
+        own.refused = std::max(0.0, own.refused - own.refused_sent);
+        own.refused_sent = 0;
+        if (allowance.booked_until > duration::zero()) {
+            own.next_booked = std::max(own.next_booked, now + allowance.booked_from);
+        }
+        // The owner has too little while the shares are on their way to it.
+        const bool has_pledged = sent.pledge == quota_pledge::pledged && !m_is_urgent;
+        if (has_pledged && allowance.blocked_for > duration::zero()) {
+            own.blocked_until = now + allowance.blocked_for;
+        }
+        settle_waiting(own, has_pledged, now);
+    }
+    if (sent.pledge == quota_pledge::released) {
+        if (grant.is_released) {
+            m_free_at = now;
+            m_own_filled_at = now;
+            m_holder.clear();
+        }
+        const std::string next = std::exchange(m_next_owner, {});
+        if (!next.empty()) {
+            begin_with(next);
+        }
+    }
+}
+
+bool quota_account::is_blocked(const organisation_name& organisation, steady_time now) const {
+    const auto found = m_organisations.find(organisation);
+    return found != m_organisations.end() && now < found->second.blocked_until;
+}
+
+std::size_t quota_account::count_blocked(steady_time now) const {
+    return static_cast<std::size_t>(std::count_if(m_organisations.begin(), m_organisations.end(),
+                                                  [&](const auto& item) { return now < item.second.blocked_until; }));
+}
+
+} // namespace dragonflywell::policy
--- /dev/null
+++ b/policy/quota_limit.cpp
@@ -0,0 +1,38 @@
+#include "policy/quota_limit.hpp"
+
+#include <algorithm>
+
+namespace dragonflywell::policy {
+
+namespace {
+
+/// Part of the quota that the bucket needs as tolerance. Without any, a host could not hold what it has not used yet.
+constexpr double min_tolerance_share = 0.05;
+/// Part of the tolerance that hosts get when all of them have restarted.
+constexpr double restart_share = 0.125;
+/// Number of restarts of all hosts within one window for which the tolerance suffices.
+constexpr double restarts_in_window = 2;
+
+} // namespace
+
+quota_limit make_quota_limit(const fleet::quota& quota, const quota_tolerance& tolerance) {
+    const double seconds = std::chrono::duration<double>(tolerance.window).count();
+    const double permitted = quota.rate_per_second * seconds + quota.burst;
+    const double slack = quota.unit == fleet::quota_unit::tokens ? tolerance.slack : 0;
+    const double stated = permitted * tolerance.overage + slack;
+    const double room = std::max(stated, permitted * min_tolerance_share);
+    const double lacking = room - stated;
+    const double from_burst = std::min(quota.burst, lacking);
+    return {.rate_per_second = quota.rate_per_second - (lacking - from_burst) / seconds,
+            .capacity = quota.burst - from_burst + room * (1 - restarts_in_window * restart_share),
+            .restart_level = room * restart_share};
+}
+
+double get_quota_amount(const fleet::quota& quota, std::optional<std::uint64_t> tokens) {
+    if (quota.unit == fleet::quota_unit::requests) {
+        return 1;
+    }
+    return tokens ? static_cast<double>(*tokens) : quota.plain_tokens;
+}
+
+} // namespace dragonflywell::policy
