--- a/policy/quota_account.cpp
+++ b/policy/quota_account.cpp
@@ -95,8 +95,8 @@
     m_own_filled_at = now;
     const double share = 1 / static_cast<double>(m_hosts);
     for (auto& [organisation, own] : m_organisations) {
-        own.own_level = std::min(own.limit.capacity * share,
-                                 own.own_level + own.limit.rate_per_second * share * seconds);
+        own.own_level =
+            std::min(own.limit.capacity * share, own.own_level + own.limit.rate_per_second * share * seconds);
     }
 }
 
@@ -129,8 +129,10 @@
     // A caller that comes back before the end of the block would be refused without having been asked for.
     const steady_time earliest = std::max(own.blocked_until, now + default_retry_after);
     const steady_time at = std::max(own.next_booked, earliest);
-    const double pace = std::max(own.limit.rate_per_second / 2, 1e-6);
-    const double seconds = std::min(amount / pace, 3600.0);
+    constexpr double max_seconds = 3600;
+    const double share = own.limit.rate_per_second / static_cast<double>(m_hosts);
+    const double pace = own.booked_rate > 0 ? own.booked_rate : share;
+    const double seconds = std::min(amount / pace, max_seconds);
     own.next_booked = at + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
     return {.answer = quota_answer::refused, .ticket = 0, .retry_after = own.next_booked - now};
 }
@@ -177,8 +179,7 @@
 void quota_account::settle_waiting(organisation_state& own, bool is_answered, steady_time now) {
     for (auto request = own.waiting.begin(); request != own.waiting.end();) {
         if (try_spend(own, request->amount, now)) {
-            m_decisions.push_back(
-                {.answer = quota_answer::admitted, .ticket = request->ticket, .session = m_session});
+            m_decisions.push_back({.answer = quota_answer::admitted, .ticket = request->ticket, .session = m_session});
         } else if (now >= request->until || (is_answered && request->asked_in != 0)) {
             if (!is_answered) {
                 own.refused += request->amount;
@@ -302,8 +303,7 @@
         request.asked_in = sequence;
         wanted += request.amount;
     }
-    const double expected =
-        own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * ahead_seconds;
+    const double expected = own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * ahead_seconds;
     if (wanted == 0 && need.held > 2 * expected) {
         own.granted.amount = expected;
         need.held = expected;
@@ -353,7 +353,7 @@
 }
 
 std::optional<outgoing_quota_request> quota_account::poll(steady_time now) {
-    if (m_order.empty()) {
+    if (m_order.empty() || m_organisations.empty()) {
         return std::nullopt;
     }
     check_answer(now);
@@ -365,7 +365,7 @@
     if (!m_sent) {
         choose_owner(now);
     }
-    if (m_sent || m_organisations.empty() || !is_due(now)) {
+    if (m_sent || !is_due(now)) {
         return std::nullopt;
     }
     outgoing_quota_request outgoing{.owner = m_owner, .request = make_request(now)};
@@ -406,7 +406,8 @@
         own.granted.until = sent.at + grant_time;
         own.refused = std::max(0.0, own.refused - own.refused_sent);
         own.refused_sent = 0;
-        if (allowance.booked_until > duration::zero()) {
+        if (allowance.booked_rate > 0) {
+            own.booked_rate = allowance.booked_rate;
             own.next_booked = std::max(own.next_booked, now + allowance.booked_from);
         }
         // The owner has too little while the shares are on their way to it.
--- a/policy/quota_account.hpp
+++ b/policy/quota_account.hpp
@@ -110,6 +110,7 @@
         steady_time blocked_until{};
         /// Next moment that is booked for a refused request.
         steady_time next_booked{};
+        double booked_rate{};
         /// What requests ask for per second.
         double demand{};
         steady_time demand_at{};
--- a/policy/quota_exchange_types.hpp
+++ b/policy/quota_exchange_types.hpp
@@ -71,9 +71,10 @@
 struct quota_allowance {
     organisation_name organisation;
     double granted{};
-    /// The time that is booked for what the host asked for and did not get.
+    /// If the host did not get what it asked for, or has refused requests: when the time begins that is booked for it,
+    /// and what the host may book per second for requests that it refuses without asking.
     duration booked_from{};
-    duration booked_until{};
+    double booked_rate{};
     /// How long the host should refuse requests without asking.
     duration blocked_for{};
 
--- a/policy/quota_pool.cpp
+++ b/policy/quota_pool.cpp
@@ -1,6 +1,7 @@
 #include "policy/quota_pool.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflywell::policy {
 
@@ -12,7 +13,10 @@
 constexpr double max_outstanding_share = 0.5;
 /// Part of the rate for which refused requests are booked. Callers that come for the first time need the rest; an
 /// organisation uses about half of its quota when it does not exceed it.
-constexpr double booked_rate_share = 0.5;
+constexpr double booked_rate_share = 0.4;
+/// How long a surge lasts at most in the stated load, and for how long nothing is refused between two of them.
+constexpr std::chrono::duration<double> max_surge{11.0};
+constexpr duration surge_pause = std::chrono::seconds(2);
 /// For how long hosts that found nothing ask no more, for each such host, and the bounds of it. The bucket keeps what
 /// comes in meanwhile: its capacity is more than half a second of the rate with the tolerance of the platform.
 constexpr duration block_per_host = std::chrono::milliseconds(1);
@@ -133,8 +137,7 @@
     }
     sender.has_started = true;
     for (auto& [organisation, own] : m_buckets) {
-        const double whole =
-            request.start == quota_start::first_start ? own.limit.capacity : own.limit.restart_level;
+        const double whole = request.start == quota_start::first_start ? own.limit.capacity : own.limit.restart_level;
         own.level += whole / static_cast<double>(m_hosts);
     }
 }
@@ -158,8 +161,8 @@
     allowance.organisation = need.organisation;
     const double waiting = std::min(need.waiting, own.level);
     const double room = own.limit.capacity * get_pledged_share() * max_outstanding_share - own.outstanding - waiting;
-    const double ahead = std::clamp(need.expected, 0.0,
-                                    std::max(0.0, std::min((own.level - waiting) * max_ahead_share, room)));
+    const double ahead =
+        std::clamp(need.expected, 0.0, std::max(0.0, std::min((own.level - waiting) * max_ahead_share, room)));
     allowance.granted = waiting + ahead;
     holding& known = own.holdings.at(request.host);
     known.granted = allowance.granted;
@@ -168,21 +171,34 @@
 
     const double missing = std::max(0.0, need.waiting - waiting);
     if (missing + need.refused > 0) {
-        const double share = std::max(get_pledged_share(), 1.0 / static_cast<double>(m_hosts));
-        const double pace = own.limit.rate_per_second * share * booked_rate_share;
-        const steady_time from = std::max(now, own.booked_until);
-        own.booked_until = from + to_duration((missing + need.refused) / pace);
-        allowance.booked_from = from + to_duration(need.refused / pace) - now;
-        allowance.booked_until = own.booked_until - now;
+        book(own, need.refused, missing, allowance, now);
     }
+    return allowance;
+}
+
+void quota_pool::book(bucket& own, double refused, double missing, quota_allowance& allowance, steady_time now) const {
+    const double hosts = static_cast<double>(m_hosts);
+    const double rate = own.limit.rate_per_second * std::max(get_pledged_share(), 1 / hosts);
+    if (now >= own.refused_at + surge_pause) {
+        own.refused_since = now;
+    }
+    const double passed = to_seconds(now - own.refused_at);
+    own.refused_rate = own.refused_rate * std::exp(-passed) + missing + refused;
+    own.refused_at = now;
+    // Callers that come back during a surge would find no more room than others.
+    const duration surge_left =
+        std::chrono::duration_cast<duration>(std::min(1.0, own.refused_rate / rate) * max_surge);
+    const steady_time from = std::max({now, own.booked_until, own.refused_since + surge_left});
+    const double pace = rate * booked_rate_share;
+    own.booked_until = from + to_duration((missing + refused) / pace);
+    allowance.booked_from = from + to_duration(refused / pace) - now;
+    // All hosts that have asked lately may refuse at the same time.
+    const auto asking = static_cast<double>(std::max<std::size_t>(1, own.holdings.size()));
+    allowance.booked_rate = pace / asking;
     if (missing > 0) {
-        const double kept = std::max(0.0, 1 - to_seconds(now - own.short_at));
-        own.short_hosts = own.short_hosts * kept + 1;
-        own.short_at = now;
-        allowance.blocked_for = std::clamp(
-            std::chrono::duration_cast<duration>(block_per_host * own.short_hosts), min_block, max_block);
+        allowance.blocked_for =
+            std::clamp(std::chrono::duration_cast<duration>(block_per_host * asking), min_block, max_block);
     }
-    return allowance;
 }
 
 bool quota_pool::has_excess() const {
--- a/policy/quota_pool.hpp
+++ b/policy/quota_pool.hpp
@@ -59,9 +59,10 @@
         steady_time next_expiry{steady_time::max()};
         /// End of the time that is booked for refused requests.
         steady_time booked_until{};
-        /// Hosts that did not get what they needed, as an average over about a second.
-        double short_hosts{};
-        steady_time short_at{};
+        /// Refused per second, as an average over about a second, and since when requests have been refused.
+        double refused_rate{};
+        steady_time refused_at{};
+        steady_time refused_since{};
     };
 
     struct member {
@@ -86,6 +87,8 @@
     static void settle(bucket& own, const quota_request& request, const quota_need& need, steady_time now);
     [[nodiscard]] quota_allowance grant(bucket& own, const quota_request& request, const quota_need& need,
                                         steady_time now);
+    /// Books time for what the host refused, and for what it asked for and did not get.
+    void book(bucket& own, double refused, double missing, quota_allowance& allowance, steady_time now) const;
     [[nodiscard]] bool has_excess() const;
 
     std::string m_owner;
--- a/tests/policy/quota_simulation.cpp
+++ b/tests/policy/quota_simulation.cpp
@@ -85,8 +85,8 @@
 }
 
 std::size_t quota_simulation::get_owner(const std::string& organisation) const {
-    return get_index(policy::get_owner_order(m_list, policy::quota_node::find_part(organisation_name(organisation)))
-                         .front());
+    return get_index(
+        policy::get_owner_order(m_list, policy::quota_node::find_part(organisation_name(organisation))).front());
 }
 
 void quota_simulation::send(std::size_t sender, std::size_t receiver, message content) {
--- a/tests/policy/test_quota_fleet.cpp
+++ b/tests/policy/test_quota_fleet.cpp
@@ -100,16 +100,14 @@
     fleet.take_counts("a");
     fleet.run_for(120s);
     const quota_simulation::counts after = fleet.take_counts("a");
-    MESSAGE("surge: ", surge.refused, " refused, ", surge.repeated, " repeats, ", surge.admitted_repeats, " admitted");
-    MESSAGE("after: ", after.refused, " refused, ", after.repeated, " repeats, ", after.admitted_repeats, " admitted");
-    CHECK(after.repeated > 0);
+    CHECK(after.repeated > surge.refused / 2);
     CHECK(static_cast<double>(after.admitted_repeats) >= 0.95 * static_cast<double>(after.repeated));
     CHECK(fleet.take_peak("a") <= get_bound(rate, platform_tolerance));
 }
 
 TEST_CASE("quota: no span of the window exceeds the bound while hosts fail") {
     // Load: six times the quota on 20 hosts, with one failure in each run.
-    const auto run = [](const char* failure, std::size_t hosts, const policy::quota_tolerance& tolerance,
+    const auto run = [](const std::string& failure, std::size_t hosts, const policy::quota_tolerance& tolerance,
                         const std::function<void(quota_simulation&, std::size_t)>& fail,
                         const std::function<void(quota_simulation&, std::size_t)>& repair) {
         CAPTURE(failure);
@@ -127,7 +125,6 @@
         repair(fleet, hosts);
         fleet.run_for(9s);
         const double peak = fleet.take_peak("a");
-        MESSAGE(failure, ", ", hosts, " hosts: ", peak, " of ", get_bound(rate, tolerance));
         CHECK(peak <= get_bound(rate, tolerance));
         fleet.take_counts("a");
         fleet.run_for(4s);
@@ -156,8 +153,8 @@
                 "owner killed", hosts, tolerance, [](auto& fleet, auto) { fleet.kill(fleet.get_owner("a")); },
                 [](auto& fleet, auto) { fleet.restart(fleet.get_owner("a")); });
             run(
-                "owner frozen", hosts, tolerance,
-                [](auto& fleet, auto) { fleet.freeze(fleet.get_owner("a"), 5s); }, nothing);
+                "owner frozen", hosts, tolerance, [](auto& fleet, auto) { fleet.freeze(fleet.get_owner("a"), 5s); },
+                nothing);
             run(
                 "callers frozen", hosts, tolerance,
                 [](auto& fleet, auto) {
@@ -187,7 +184,7 @@
             fleet.take_counts("a");
             fleet.run_for(10s);
             const quota_simulation::counts counts = fleet.take_counts("a");
-            MESSAGE(hosts, " hosts: ", counts.refused, " of ", counts.admitted + counts.refused, " refused");
+            CHECK(counts.admitted > 0);
             CHECK(fleet.take_peak("a") <= get_bound(rate, tolerance));
         }
     }
@@ -209,7 +206,9 @@
 
 TEST_CASE("quota: the datagrams of 300 hosts and 190 organisations are bounded") {
     // Load: 190 organisations at half of their quota on all hosts, three of them at six times.
-    constexpr std::size_t max_sent_by_caller_and_owner = 4000;
+    // An owner of one part gets at most a request every 400 ms from each host, or every 200 ms from those with demand,
+    // and answers each. A host may own several parts.
+    constexpr std::size_t max_datagrams = 4000;
     quota_simulation fleet({.hosts = 300, .zones = 6, .tolerance = platform_tolerance});
     policy::fleet_quotas quotas;
     for (std::size_t index = 0; index < 190; ++index) {
@@ -222,7 +221,6 @@
     }
     fleet.run_for(4s);
     const quota_simulation::traffic traffic = fleet.get_peak_traffic();
-    MESSAGE("sent ", traffic.sent, ", received ", traffic.received);
-    CHECK(traffic.sent <= max_sent_by_caller_and_owner);
-    CHECK(traffic.received <= max_sent_by_caller_and_owner);
+    CHECK(traffic.sent <= max_datagrams);
+    CHECK(traffic.received <= max_datagrams);
 }
