--- a/fleet/serving_view.hpp
+++ b/fleet/serving_view.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "fleet/quota.hpp"
 #include "fleet/route.hpp"
 #include "fleet/service_description.hpp"
 
@@ -21,6 +22,8 @@
     /// Takes precedence over the priority of a route; 0 is the most urgent. Absent if the organisation has none.
     std::optional<std::uint32_t> priority;
     std::vector<std::string> keys;
+    /// Absent if the organisation has none.
+    std::optional<fleet::quota> quota{};
 
     friend bool operator==(const served_organisation&, const served_organisation&) = default;
 };
--- a/gossip/relayed_configuration.cpp
+++ b/gossip/relayed_configuration.cpp
@@ -121,12 +121,38 @@
     return route;
 }
 
+constexpr std::string_view quota_field = "quota";
+
+value encode_quota(const fleet::quota& quota) {
+    return object{{"rate_per_second", quota.rate_per_second},
+                  {"burst", quota.burst},
+                  {"counts_tokens", quota.unit == fleet::quota_unit::tokens},
+                  {"plain_tokens", quota.plain_tokens}};
+}
+
+fleet::quota decode_quota(const object& source) {
+    fleet::quota quota;
+    quota.rate_per_second = json::get_number_or(source, "rate_per_second", 0);
+    quota.burst = json::get_number_or(source, "burst", 0);
+    quota.plain_tokens = json::get_number_or(source, "plain_tokens", 0);
+    if (json::get_bool_or(source, "counts_tokens", false)) {
+        quota.unit = fleet::quota_unit::tokens;
+    }
+    if (!(quota.rate_per_second > 0) || !(quota.burst >= 0) || !(quota.plain_tokens >= 0)) {
+        throw malformed_message_error("a quota in a relayed configuration is out of range");
+    }
+    return quota;
+}
+
 value encode_organisation(const fleet::served_organisation& organisation) {
     object encoded{{"name", organisation.name.value()},
                    {"keys", array(organisation.keys.begin(), organisation.keys.end())}};
     if (organisation.priority) {
         encoded["priority"] = *organisation.priority;
     }
+    if (organisation.quota) {
+        encoded[quota_field] = encode_quota(*organisation.quota);
+    }
     return encoded;
 }
 
@@ -142,6 +168,9 @@
         }
         organisation.keys.emplace_back(key.get_string());
     }
+    if (source.contains(quota_field)) {
+        organisation.quota = decode_quota(json::get_object(source, quota_field));
+    }
     return organisation;
 }
 
--- a/tests/fleet/test_configuration_delta.cpp
+++ b/tests/fleet/test_configuration_delta.cpp
@@ -146,3 +146,17 @@
         {.name = organisation_name("other"), .priority = {}, .keys = next.organisations.front().keys});
     CHECK_FALSE(make_delta(base, next));
 }
+
+TEST_CASE("a delta carries a changed quota") {
+    // Guards against hosts that keep a higher quota after a lower one was published.
+    const serving_configuration base = configuration_generator(1).make(1);
+    REQUIRE_FALSE(base.organisations.empty());
+    serving_configuration next = base;
+    next.version = base.version + 1;
+    next.organisations.front().quota =
+        quota{.rate_per_second = 5, .burst = 1, .unit = quota_unit::tokens, .plain_tokens = 2};
+    const auto delta = make_delta(base, next);
+    REQUIRE(delta);
+    CHECK(delta->changed_organisations.size() == 1);
+    CHECK(sort(apply_delta(base, *delta)) == sort(next));
+}
--- a/tests/gossip/test_relayed_configuration.cpp
+++ b/tests/gossip/test_relayed_configuration.cpp
@@ -33,8 +33,13 @@
                         .is_public = true,
                         .has_prompt_parts = true}},
     .removed_organisations = {organisation_name("gone")},
-    .changed_organisations = {{.name = organisation_name("o"), .priority = 1, .keys = {"k1", "k2"}},
-                              {.name = organisation_name("p"), .priority = {}, .keys = {}}},
+    .changed_organisations =
+        {{.name = organisation_name("o"),
+          .priority = 1,
+          .keys = {"k1", "k2"},
+          .quota =
+              fleet::quota{.rate_per_second = 0.5, .burst = 3, .unit = fleet::quota_unit::tokens, .plain_tokens = 70}},
+         {.name = organisation_name("p"), .priority = {}, .keys = {}}},
     .limits = fleet::caller_limits{.header_bytes = 1, .body_bytes = 2, .header_timeout = 3ms, .idle_timeout = 4ms}};
 
 } // namespace
@@ -69,3 +74,10 @@
         CHECK_THROWS_AS(static_cast<void>(decode(damaged)), malformed_message_error);
     }
 }
+
+TEST_CASE("a relayed quota without a rate is rejected") {
+    // Guards against an organisation that loses its quota, or is refused for ever, by a damaged datagram.
+    std::string text = gossip::encode_relayed_configuration({{.delta = delta, .next = {.era = 2, .offset = 9}}});
+    text.replace(text.find("\"rate_per_second\""), 17, "\"other\"");
+    CHECK_THROWS_AS(static_cast<void>(decode(text)), malformed_message_error);
+}
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -191,3 +191,24 @@
         }
     }
 }
+
+// Guards against an organisation whose quota is left out, or read in the wrong unit.
+TEST_CASE("the quota of an organisation is decoded") {
+    const auto decode_quota = [](const std::string& fields) {
+        return platform::decode_configuration(R"({"version":1,"tenants":[{"name":"t","apiKeys":[])" + fields + "}]}")
+            .organisations.front()
+            .quota;
+    };
+    CHECK_FALSE(decode_quota(""));
+    CHECK_FALSE(decode_quota(R"(,"ratePerS":0,"burst":5)"));
+    CHECK(decode_quota(R"(,"ratePerS":2.5,"burst":5)") ==
+          fleet::quota{.rate_per_second = 2.5, .burst = 5, .unit = fleet::quota_unit::requests, .plain_tokens = 1});
+    CHECK(decode_quota(R"(,"ratePerS":100,"unit":"requests")")->unit == fleet::quota_unit::requests);
+    CHECK(decode_quota(R"(,"ratePerS":100,"burst":10,"unit":"tokens","plainTokens":70)") ==
+          fleet::quota{.rate_per_second = 100, .burst = 10, .unit = fleet::quota_unit::tokens, .plain_tokens = 70});
+    for (const char* broken : {R"(,"ratePerS":-1)", R"(,"ratePerS":"x")", R"(,"ratePerS":1,"burst":-2)",
+                               R"(,"ratePerS":1,"unit":"bytes")", R"(,"ratePerS":1e16)"}) {
+        CAPTURE(broken);
+        CHECK_THROWS_AS(static_cast<void>(decode_quota(broken)), malformed_message_error);
+    }
+}
