Hold the balance of one organisation in a class of its own

Change: policy/quota_balance has grants, own share, demand and waiting requests; policy/quota_account has the owner.

--- a/policy/quota_account.cpp
+++ b/policy/quota_account.cpp
@@ -1,7 +1,6 @@
 #include "policy/quota_account.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace dragonflywell::policy {
@@ -16,12 +15,6 @@
 constexpr duration max_wait_interval = std::chrono::milliseconds(40);
 /// Shortest interval of requests for expected needs.
 constexpr duration ahead_interval = std::chrono::milliseconds(200);
-/// What a host holds for expected needs, as a time of its demand, and the level at which it asks for more. The first
-/// covers the interval of requests.
-constexpr double ahead_seconds = 0.5;
-constexpr double low_seconds = 0.15;
-/// Time over which demand is averaged.
-constexpr double demand_seconds = 0.7;
 /// An owner has failed after this many unanswered requests in this time. At 5 % loss in each direction this happens by
 /// chance to one request in 10,000.
 constexpr std::uint32_t max_unanswered = 4;
@@ -32,8 +25,6 @@
 constexpr duration first_round_trip = std::chrono::milliseconds(20);
 /// Shortest time between two looks at the timers, so that those of several parts come together.
 constexpr duration min_poll_pause = std::chrono::milliseconds(5);
-/// Least Retry-After when no owner has booked a time.
-constexpr duration default_retry_after = std::chrono::milliseconds(200);
 
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
@@ -41,14 +32,6 @@
 
 } // namespace
 
-bool quota_account::balance::take(double wanted, steady_time now) {
-    if (now >= until || amount < wanted) {
-        return false;
-    }
-    amount -= wanted;
-    return true;
-}
-
 quota_account::quota_account(quota_account_options options, std::set<std::string>& unresponsive)
     : m_options(std::move(options)), m_unresponsive(&unresponsive), m_round_trip(first_round_trip),
       m_free_at(m_options.started_at), m_own_filled_at(m_options.started_at), m_last_ticket(m_options.part) {}
@@ -60,19 +43,16 @@
             ++item;
             continue;
         }
-        for (const waiting_request& request : item->second.waiting) {
-            m_decisions.push_back({.answer = quota_answer::admitted, .ticket = request.ticket});
+        for (const std::uint64_t ticket : item->second.get_tickets()) {
+            m_decisions.push_back({.answer = quota_answer::admitted,
+                                   .ticket = ticket,
+                                   .retry_after = duration::zero(),
+                                   .session = m_session});
         }
         item = m_organisations.erase(item);
     }
     for (const auto& [organisation, limit] : limits) {
-        organisation_state& own = m_organisations[organisation];
-        if (own.limit != limit) {
-            own.blocked_until = {};
-            own.next_booked = {};
-        }
-        own.limit = limit;
-        own.own_level = std::min(own.own_level, limit.capacity / static_cast<double>(m_hosts));
+        m_organisations[organisation].set_limit(limit, m_hosts);
     }
 }
 
@@ -95,68 +75,32 @@
     }
     const double seconds = to_seconds(now - m_own_filled_at);
     m_own_filled_at = now;
-    const double share = 1 / static_cast<double>(m_hosts);
     for (auto& [organisation, own] : m_organisations) {
-        own.own_level =
-            std::min(own.limit.capacity * share, own.own_level + own.limit.rate_per_second * share * seconds);
+        own.fill_own_share(seconds, m_hosts);
     }
 }
 
-bool quota_account::try_spend(organisation_state& own, double amount, steady_time now) {
-    if (own.earlier.take(amount, now)) {
-        return true;
-    }
-    if (own.granted.take(amount, now)) {
-        own.used_total += amount;
-        own.has_changed = true;
-        return true;
-    }
-    if (uses_own_shares(now)) {
-        fill_own_shares(now);
-        if (own.own_level >= amount) {
-            own.own_level -= amount;
-            return true;
-        }
-    }
-    return false;
-}
-
-void quota_account::add_demand(organisation_state& own, double amount, steady_time now) {
-    const double passed = to_seconds(now - own.demand_at);
-    own.demand = own.demand * std::exp(-passed / demand_seconds) + amount / demand_seconds;
-    own.demand_at = now;
-}
-
-quota_decision quota_account::refuse(organisation_state& own, double amount, steady_time now) {
-    // A caller that comes back before the end of the block would be refused without having been asked for.
-    const steady_time earliest = std::max(own.blocked_until, now + default_retry_after);
-    const steady_time at = std::max(own.next_booked, earliest);
-    constexpr double max_seconds = 3600;
-    const double share = own.limit.rate_per_second / static_cast<double>(m_hosts);
-    const double pace = own.booked_rate > 0 ? own.booked_rate : share;
-    const double seconds = std::min(amount / pace, max_seconds);
-    own.next_booked = at + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-    return {.answer = quota_answer::refused, .ticket = 0, .retry_after = own.next_booked - now};
-}
-
 quota_decision quota_account::check(const organisation_name& organisation, double amount, steady_time wait_until,
                                     steady_time now) {
     const auto found = m_organisations.find(organisation);
     if (found == m_organisations.end()) {
         return {};
     }
-    organisation_state& own = found->second;
-    add_demand(own, amount, now);
-    if (own.waiting.empty() && try_spend(own, amount, now)) {
-        return {.answer = quota_answer::admitted, .session = m_session};
+    quota_balance& own = found->second;
+    own.add_demand(amount, now);
+    if (uses_own_shares(now)) {
+        fill_own_shares(now);
+    }
+    if (!own.has_waiting() && own.try_take(amount, uses_own_shares(now), now)) {
+        return {.answer = quota_answer::admitted, .ticket = 0, .retry_after = duration::zero(), .session = m_session};
     }
-    if (now < own.blocked_until || wait_until <= now || amount > own.limit.capacity) {
-        own.refused += amount;
-        return refuse(own, amount, now);
+    if (own.is_blocked(now) || wait_until <= now || amount > own.get_limit().capacity) {
+        own.count_refused(amount);
+        return own.refuse(amount, m_hosts, now);
     }
     m_last_ticket += quota_parts;
-    own.waiting.push_back({.ticket = m_last_ticket, .amount = amount, .until = wait_until});
-    return {.answer = quota_answer::waiting, .ticket = m_last_ticket};
+    own.add_waiting(m_last_ticket, amount, wait_until);
+    return {.answer = quota_answer::waiting, .ticket = m_last_ticket, .retry_after = duration::zero(), .session = 0};
 }
 
 std::vector<quota_decision> quota_account::take_decisions() {
@@ -165,36 +109,22 @@
 
 void quota_account::cancel(std::uint64_t ticket) {
     for (auto& [organisation, own] : m_organisations) {
-        std::erase_if(own.waiting, [&](const waiting_request& request) { return request.ticket == ticket; });
+        own.cancel(ticket);
     }
 }
 
 void quota_account::give_back(const organisation_name& organisation, double amount, std::uint64_t session) {
     const auto found = m_organisations.find(organisation);
-    // It goes back to the owner, not to the balance: the owner counts it as used and has filled up what it permits.
     if (session == m_session && found != m_organisations.end()) {
-        found->second.used_total -= amount;
-        found->second.has_changed = true;
+        found->second.give_back(amount);
     }
 }
 
-void quota_account::settle_waiting(organisation_state& own, bool is_answered, steady_time now) {
-    for (auto request = own.waiting.begin(); request != own.waiting.end();) {
-        if (try_spend(own, request->amount, now)) {
-            m_decisions.push_back({.answer = quota_answer::admitted, .ticket = request->ticket, .session = m_session});
-        } else if (now >= request->until || (is_answered && request->asked_in != 0)) {
-            if (!is_answered) {
-                own.refused += request->amount;
-            }
-            quota_decision refused = refuse(own, request->amount, now);
-            refused.ticket = request->ticket;
-            m_decisions.push_back(refused);
-        } else {
-            ++request;
-            continue;
-        }
-        request = own.waiting.erase(request);
+void quota_account::settle_waiting(quota_balance& own, bool is_answered, steady_time now) {
+    if (uses_own_shares(now)) {
+        fill_own_shares(now);
     }
+    own.settle_waiting(is_answered, uses_own_shares(now), m_hosts, m_session, now, m_decisions);
 }
 
 void quota_account::check_answer(steady_time now) {
@@ -214,9 +144,7 @@
     m_sent.reset();
     m_is_urgent = true;
     for (auto& [organisation, own] : m_organisations) {
-        for (waiting_request& request : own.waiting) {
-            request.asked_in = 0;
-        }
+        own.forget_asked();
     }
     if (m_unanswered >= max_unanswered && now - m_unanswered_since >= max_silence) {
         m_unresponsive->insert(m_owner);
@@ -233,12 +161,7 @@
     m_is_urgent = true;
     ++m_session;
     for (auto& [organisation, own] : m_organisations) {
-        // The owner before this one still counts them.
-        own.earlier = own.granted;
-        own.granted = {};
-        for (waiting_request& request : own.waiting) {
-            request.asked_in = 0;
-        }
+        own.change_owner();
     }
 }
 
@@ -280,46 +203,10 @@
     }
     const bool may_ask_ahead = now >= m_sent_at + ahead_interval;
     return std::any_of(m_organisations.begin(), m_organisations.end(), [&](const auto& item) {
-        const organisation_state& own = item.second;
-        const bool is_low = may_ask_ahead && now >= own.blocked_until &&
-                            own.granted.get(now) <
-                                own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * low_seconds;
-        return !own.waiting.empty() || is_low;
+        return item.second.has_waiting() || (may_ask_ahead && item.second.is_low(now));
     });
 }
 
-quota_need quota_account::make_need(organisation_state& own, std::uint64_t sequence, steady_time now) const {
-    quota_need need;
-    need.used_total = own.used_total;
-    need.refused = own.refused;
-    own.refused_sent = own.refused;
-    own.has_changed = false;
-    if (!m_next_owner.empty()) {
-        // Gives everything back.
-        own.granted = {};
-        return need;
-    }
-    need.held = own.granted.get(now);
-    double wanted = 0;
-    for (waiting_request& request : own.waiting) {
-        request.asked_in = sequence;
-        wanted += request.amount;
-    }
-    const double expected = own.demand * std::exp(-to_seconds(now - own.demand_at) / demand_seconds) * ahead_seconds;
-    if (wanted == 0 && need.held > 2 * expected) {
-        own.granted.amount = expected;
-        need.held = expected;
-    }
-    need.waiting = std::max(0.0, wanted - need.held);
-    need.expected = std::max(0.0, expected - std::max(0.0, need.held - wanted));
-    // Less than a thousandth of a unit is left over from demand that has ended.
-    constexpr double negligible = 0.001;
-    if (need.expected < negligible) {
-        need.expected = 0;
-    }
-    return need;
-}
-
 quota_request quota_account::make_request(steady_time now) {
     quota_request request;
     request.host = m_options.host;
@@ -341,15 +228,15 @@
     }
     for (auto& [organisation, own] : m_organisations) {
         if (request.pledge == quota_pledge::pledged) {
-            own.own_level = 0;
+            own.drop_own_share();
         }
-        const bool has_changed = own.has_changed || own.refused > 0;
-        const bool has_held = own.granted.get(now) > 0;
-        quota_need need = make_need(own, request.sequence, now);
-        if (has_changed || has_held || need.waiting > 0 || need.expected > 0 || !own.waiting.empty()) {
-            need.organisation = organisation;
-            request.needs.push_back(std::move(need));
+        if (!own.has_news(now)) {
+            continue;
         }
+        quota_need need =
+            request.pledge == quota_pledge::released ? own.make_return() : own.make_need(request.sequence, now);
+        need.organisation = organisation;
+        request.needs.push_back(std::move(need));
     }
     return request;
 }
@@ -360,7 +247,7 @@
     }
     check_answer(now);
     for (auto& [organisation, own] : m_organisations) {
-        if (!own.waiting.empty()) {
+        if (own.has_waiting()) {
             settle_waiting(own, false, now);
         }
     }
@@ -390,7 +277,7 @@
         m_is_urgent = true;
         ++m_session;
         for (auto& [organisation, own] : m_organisations) {
-            own.granted = {};
+            own.drop_grants();
         }
     } else if (sent.pledge == quota_pledge::pledged) {
         m_is_started = m_is_started || m_start_owner == m_owner;
@@ -403,21 +290,10 @@
         if (found == m_organisations.end()) {
             continue;
         }
-        organisation_state& own = found->second;
-        own.granted.amount = own.granted.get(now) + allowance.granted;
-        own.granted.until = sent.at + grant_time;
-        own.refused = std::max(0.0, own.refused - own.refused_sent);
-        own.refused_sent = 0;
-        if (allowance.booked_rate > 0) {
-            own.booked_rate = allowance.booked_rate;
-            own.next_booked = std::max(own.next_booked, now + allowance.booked_from);
-        }
         // The owner has too little while the shares are on their way to it.
         const bool has_pledged = sent.pledge == quota_pledge::pledged && !m_is_urgent;
-        if (has_pledged && allowance.blocked_for > duration::zero()) {
-            own.blocked_until = now + allowance.blocked_for;
-        }
-        settle_waiting(own, has_pledged, now);
+        found->second.apply(allowance, sent.at, has_pledged, now);
+        settle_waiting(found->second, has_pledged, now);
     }
     if (sent.pledge == quota_pledge::released) {
         if (grant.is_released) {
@@ -436,12 +312,9 @@
     if (m_order.empty() || m_organisations.empty()) {
         return steady_time::max();
     }
-    // Without demand, only the pledge is to be renewed. What is left of demand that ended long ago is too little to
-    // ask.
-    constexpr double negligible = 1e-3;
-    const bool has_demand = std::any_of(m_organisations.begin(), m_organisations.end(), [&](const auto& item) {
-        return item.second.demand * std::exp(-to_seconds(now - item.second.demand_at) / demand_seconds) > negligible;
-    });
+    // Without demand, only the pledge is to be renewed.
+    const bool has_demand = std::any_of(m_organisations.begin(), m_organisations.end(),
+                                        [&](const auto& item) { return item.second.get_demand(now) > 0; });
     steady_time next = m_sent_at + (has_demand ? ahead_interval : refresh_interval);
     if (m_sent) {
         next = m_sent->at + std::clamp(m_round_trip * 2, min_timeout, max_timeout);
@@ -449,10 +322,10 @@
         return now;
     }
     for (const auto& [organisation, own] : m_organisations) {
-        if (own.waiting.empty()) {
+        if (!own.has_waiting()) {
             continue;
         }
-        next = std::min(next, own.waiting.front().until);
+        next = std::min(next, own.get_first_end());
         if (!m_sent) {
             next = std::min(next, m_sent_at + min_wait_interval);
         }
@@ -460,14 +333,9 @@
     return std::max(next, now + min_poll_pause);
 }
 
-bool quota_account::is_blocked(const organisation_name& organisation, steady_time now) const {
-    const auto found = m_organisations.find(organisation);
-    return found != m_organisations.end() && now < found->second.blocked_until;
-}
-
 std::size_t quota_account::count_blocked(steady_time now) const {
     return static_cast<std::size_t>(std::count_if(m_organisations.begin(), m_organisations.end(),
-                                                  [&](const auto& item) { return now < item.second.blocked_until; }));
+                                                  [&](const auto& item) { return item.second.is_blocked(now); }));
 }
 
 } // namespace dragonflywell::policy
--- a/policy/quota_account.hpp
+++ b/policy/quota_account.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -9,25 +8,12 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "policy/quota_balance.hpp"
 #include "policy/quota_exchange_types.hpp"
-#include "policy/quota_limit.hpp"
 #include "policy/quota_pool.hpp"
 
 namespace dragonflywell::policy {
 
-enum class quota_answer : std::uint8_t { admitted, refused, waiting };
-
-/// What a host does with a request of an organisation with a quota.
-struct quota_decision {
-    quota_answer answer{quota_answer::admitted};
-    /// Identifies a waiting request; zero for another one.
-    std::uint64_t ticket{};
-    /// Of a refused request.
-    duration retry_after{};
-    /// Identifies the grants from which the request was admitted; needed to give them back.
-    std::uint64_t session{};
-};
-
 struct quota_account_options {
     std::string host;
     std::uint64_t incarnation{};
@@ -75,50 +61,10 @@
     /// Applies the answer of an owner.
     void apply(const quota_grant& grant, steady_time now);
 
-    /// Returns whether an organisation is at its quota.
-    [[nodiscard]] bool is_blocked(const organisation_name& organisation, steady_time now) const;
     /// Returns how many organisations are at their quota.
     [[nodiscard]] std::size_t count_blocked(steady_time now) const;
 
 private:
-    struct waiting_request {
-        std::uint64_t ticket{};
-        double amount{};
-        steady_time until{};
-        /// Sequence of the first request to the owner that states it; zero if none has.
-        std::uint64_t asked_in{};
-    };
-
-    /// An amount that may be used until a time.
-    struct balance {
-        double amount{};
-        steady_time until{};
-
-        [[nodiscard]] bool take(double wanted, steady_time now);
-        [[nodiscard]] double get(steady_time now) const { return now < until ? amount : 0; }
-    };
-
-    struct organisation_state {
-        quota_limit limit;
-        /// Grants of the owner, and those of the owner before it.
-        balance granted;
-        balance earlier;
-        /// This host's share, while no owner has it.
-        double own_level{};
-        double used_total{};
-        double refused{};
-        double refused_sent{};
-        std::deque<waiting_request> waiting;
-        steady_time blocked_until{};
-        /// Next moment that is booked for a refused request.
-        steady_time next_booked{};
-        double booked_rate{};
-        /// What requests ask for per second.
-        double demand{};
-        steady_time demand_at{};
-        bool has_changed{false};
-    };
-
     struct sent_request {
         std::uint64_t sequence{};
         steady_time at{};
@@ -127,21 +73,17 @@
 
     [[nodiscard]] bool uses_own_shares(steady_time now) const { return now >= m_free_at; }
     void fill_own_shares(steady_time now);
-    [[nodiscard]] bool try_spend(organisation_state& own, double amount, steady_time now);
-    [[nodiscard]] quota_decision refuse(organisation_state& own, double amount, steady_time now);
-    static void add_demand(organisation_state& own, double amount, steady_time now);
-    void settle_waiting(organisation_state& own, bool is_answered, steady_time now);
+    void settle_waiting(quota_balance& own, bool is_answered, steady_time now);
     void check_answer(steady_time now);
     void choose_owner(steady_time now);
     void begin_with(const std::string& owner);
     [[nodiscard]] bool is_due(steady_time now) const;
     [[nodiscard]] quota_pledge choose_pledge(steady_time now) const;
     [[nodiscard]] quota_request make_request(steady_time now);
-    [[nodiscard]] quota_need make_need(organisation_state& own, std::uint64_t sequence, steady_time now) const;
 
     quota_account_options m_options;
     std::set<std::string>* m_unresponsive;
-    std::map<organisation_name, organisation_state> m_organisations;
+    std::map<organisation_name, quota_balance> m_organisations;
     std::vector<std::string> m_order;
     std::size_t m_hosts{1};
     std::string m_owner;
--- a/policy/quota_node.cpp
+++ b/policy/quota_node.cpp
@@ -161,10 +161,6 @@
     }
 }
 
-bool quota_node::is_blocked(const organisation_name& organisation, steady_time now) const {
-    return m_parts[find_part(organisation)].account.is_blocked(organisation, now);
-}
-
 std::size_t quota_node::count_blocked(steady_time now) const {
     std::size_t blocked = 0;
     for (const part& own : m_parts) {
--- a/policy/quota_node.hpp
+++ b/policy/quota_node.hpp
@@ -61,7 +61,7 @@
     [[nodiscard]] std::optional<quota_grant> apply(const quota_request& request, steady_time now);
     void apply(const quota_grant& grant, steady_time now);
 
-    [[nodiscard]] bool is_blocked(const organisation_name& organisation, steady_time now) const;
+    /// Returns how many organisations are at their quota.
     [[nodiscard]] std::size_t count_blocked(steady_time now) const;
 
 private:
