--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -195,6 +195,7 @@
             kv_cache = {.engine = attempt.address, .handle = get_state().codec.decode_prefill_response(body).handle};
             m_was_prefill_sent = true;
             observation.finish();
+            set_quota_used();
         } else if (kind == response_kind::wrong_server) {
             what = "other_server";
             observation.discard();
