--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -22,6 +22,7 @@
     void send(int signal);
     /// Returns whether the process is still running. Reaps it and stores its exit status once it has ended.
     [[nodiscard]] bool is_running();
+    [[nodiscard]] pid_t get_id() const noexcept { return m_process; }
     /// Returns the exit status in the format of `waitpid`. Precondition: the process has ended.
     [[nodiscard]] int get_status() const noexcept { return m_status; }
 
--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -4,44 +4,17 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <fstream>
-#include <unistd.h>
 
-namespace dragonflywell::soak {
-
-namespace {
+#include "support/free_address.hpp"
 
-/// Listening ports are below the ephemeral port range. An outgoing connection could otherwise take a free port before
-/// the daemon listens on it, or while the daemon is down.
-constexpr std::uint32_t first_port = 10000;
-constexpr std::uint32_t last_port = 32000;
-/// Each process begins its search at other ports, because several soak tests may run at the same time.
-constexpr std::uint32_t ports_per_process = 64;
-
-/// Returns an address on which nothing listens at present. Each call returns another address.
-template <typename Protocol>
-endpoint find_free_address(asio::io_context& loop) {
-    static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * ports_per_process;
-    for (;;) {
-        const std::uint32_t port = first_port + next++ % (last_port - first_port);
-        typename Protocol::socket socket(loop);
-        const typename Protocol::endpoint address(asio::ip::make_address("127.0.0.1"),
-                                                  static_cast<std::uint16_t>(port));
-        socket.open(address.protocol());
-        boost::system::error_code taken;
-        socket.bind(address, taken);
-        if (!taken) {
-            return {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(port)};
-        }
-    }
-}
-
-} // namespace
+namespace dragonflywell::soak {
 
 soak_host::soak_host(asio::io_context& loop, invariant_checker& checker, soak_host_options options)
     : store_link(loop, options.store), reports_link(loop, options.reports), m_checker(&checker),
-      m_options(std::move(options)), m_callers(find_free_address<asio::ip::tcp>(loop)),
-      m_ready(find_free_address<asio::ip::tcp>(loop)), m_metrics(find_free_address<asio::ip::tcp>(loop)),
-      m_hosts(find_free_address<asio::ip::udp>(loop)) {}
+      m_options(std::move(options)), m_callers(testing::find_free_address<asio::ip::tcp>(loop)),
+      m_ready(testing::find_free_address<asio::ip::tcp>(loop)),
+      m_metrics(testing::find_free_address<asio::ip::tcp>(loop)),
+      m_hosts(testing::find_free_address<asio::ip::udp>(loop)) {}
 
 std::string soak_host::get_path(const std::string& what) const {
     return fmt::format("{}/{}.{}", m_options.folder, m_options.name, what);
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -76,12 +76,15 @@
                                         std::shared_ptr<shared_state> state) {
     servers::beast::flat_buffer buffer;
     while (connection->get_socket().is_open()) {
-        servers::http_request request;
+        // A backend server takes any body that a host has accepted.
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
         error_code fault;
-        co_await http::async_read(connection->get_socket(), buffer, request, store_error(fault));
+        co_await http::async_read(connection->get_socket(), buffer, parser, store_error(fault));
         if (fault) {
             co_return;
         }
+        const servers::http_request request = parser.release();
         state->requests.push_back(request);
         const behaviour handler = state->handler;
         co_await handler(request, *connection);
