Refuse requests by their heads, and bound what all callers make a host hold

Cause: the whole body was collected before key, route and stated length were checked, and there was no bound over all connections; connections were taken up to the last descriptor of the process. Change: servers/http_server is split: caller_connection reads and answers one connection, caller_table asks policy/caller_limiter and closes connections. The head is read first; http_handler::check_head refuses an unknown route or key before a byte of the body is read, with Connection: close, and a refused request frees its head before the response is sent. The body grows with what has arrived. Each piece of a complete response has the time limit anew. The limits of a host come from HOST_MEMORY_MB and HOST_MAX_DESCRIPTORS (daemon/caller_limit_settings). The readiness and metrics addresses take no body, heads of 4 KiB and 32 connections. Malformed requests are logged at most once a second, with their number. The program by itself has no budget, as before.

--- /dev/null
+++ b/daemon/caller_limit_settings.cpp
@@ -0,0 +1,88 @@
+#include "daemon/caller_limit_settings.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <optional>
+#include <string_view>
+#include <sys/resource.h>
+
+#include "core/error.hpp"
+
+namespace dragonflywell::daemon {
+
+namespace {
+
+constexpr std::size_t bytes_per_megabyte = 1024UL * 1024;
+/// A host with 120 MB gets 24 MB for callers and 20 MB for responses; the process without load holds 11 MB, and the
+/// rest is for the state of a large fleet.
+constexpr std::size_t caller_part = 5;
+constexpr std::size_t response_part = 6;
+/// Room for a request with a body of 4 MiB that runs, besides others.
+constexpr std::size_t min_caller_bytes = 24UL * bytes_per_megabyte;
+constexpr std::size_t min_response_bytes = 16UL * bytes_per_megabyte;
+constexpr std::size_t max_response_bytes = 32UL * bytes_per_megabyte;
+/// Part of the descriptors that is kept for backend servers, the store, readiness and metrics.
+constexpr std::uint64_t reserved_descriptor_part = 3;
+/// Descriptors that the process itself has: listeners, event loop, standard streams, and the two probe addresses.
+constexpr std::uint64_t own_descriptors = 24;
+constexpr std::size_t max_probe_connections = 32;
+
+/// Returns the number in an environment variable without its fraction, or nothing if it is missing or empty.
+std::optional<std::uint64_t> read_number(const char* name, std::uint64_t min, std::uint64_t max) {
+    const char* text = std::getenv(name);
+    if (text == nullptr || *text == '\0') {
+        return std::nullopt;
+    }
+    const std::string_view digits(text);
+    double number = 0;
+    const auto [end, fault] = std::from_chars(digits.begin(), digits.end(), number);
+    const bool is_in_range = number >= static_cast<double>(min) && number <= static_cast<double>(max);
+    if (fault != std::errc() || end != digits.end() || !is_in_range) {
+        throw invalid_input_error(
+            {{.location = fmt::format("environment variable {}", name),
+              .message = fmt::format("must be a number from {} to {}, not \"{}\"", min, max, digits)}});
+    }
+    return static_cast<std::uint64_t>(number);
+}
+
+std::uint64_t get_process_descriptors() {
+    rlimit limit{};
+    constexpr std::uint64_t fallback = 1024;
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : fallback;
+}
+
+} // namespace
+
+policy::caller_limiter_options caller_limit_settings::get_caller_limits() const {
+    const std::uint64_t descriptors =
+        max_descriptors == 0 ? get_process_descriptors() : std::min(max_descriptors, get_process_descriptors());
+    const std::uint64_t probes = 2 * max_probe_connections;
+    const std::uint64_t kept = std::max(descriptors / reserved_descriptor_part, own_descriptors + probes);
+    return {.budget_bytes = std::max(memory_mb * bytes_per_megabyte / caller_part, min_caller_bytes),
+            .max_connections = descriptors - std::min(kept, descriptors - 1)};
+}
+
+std::size_t caller_limit_settings::get_response_bytes() const {
+    return std::clamp(memory_mb * bytes_per_megabyte / response_part, min_response_bytes, max_response_bytes);
+}
+
+policy::caller_limiter_options get_probe_limits() {
+    constexpr std::size_t probe_bytes = 1024UL * 1024;
+    return {.budget_bytes = probe_bytes, .max_connections = max_probe_connections};
+}
+
+caller_limit_settings read_caller_limits_from_environment() {
+    constexpr std::uint64_t min_memory_mb = 32;
+    constexpr std::uint64_t max_memory_mb = 1'048'576;
+    constexpr std::uint64_t min_descriptors = 128;
+    constexpr std::uint64_t max_descriptors = 1'048'576;
+    caller_limit_settings settings;
+    settings.memory_mb =
+        read_number("HOST_MEMORY_MB", min_memory_mb, max_memory_mb).value_or(caller_limit_settings::default_memory_mb);
+    settings.max_descriptors = read_number("HOST_MAX_DESCRIPTORS", min_descriptors, max_descriptors).value_or(0);
+    return settings;
+}
+
+} // namespace dragonflywell::daemon
--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -56,6 +56,17 @@
             .started_at = now};
 }
 
+/// Options of an address for probes: small heads, no body, few connections.
+servers::http_server_options make_probe_options(const endpoint& listen) {
+    constexpr std::uint32_t header_bytes = 4096;
+    return {.listen = listen,
+            .limits = {.header_limit_bytes = header_bytes,
+                       .body_limit_bytes = 0,
+                       .io_timeout = std::chrono::seconds(3),
+                       .idle_timeout = std::chrono::seconds(60)},
+            .limiter = get_probe_limits()};
+}
+
 std::uint64_t get_incarnation(const clock_source& time) {
     const auto since_epoch = time.wall_now().time_since_epoch();
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
@@ -74,7 +85,8 @@
 
 host_daemon::host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_buffer> ring)
     : m_settings(std::move(settings)), m_file(std::move(file)), m_incarnation(get_incarnation(m_clock)),
-      m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
+      m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)),
+      m_connections(m_clock, {.max_buffered_bytes = m_settings.caller_limits.get_response_bytes()}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
               get_serving_options(m_settings, m_clock.now())),
@@ -95,10 +107,13 @@
                .capacity = m_settings.capacity,
                .group_record_delay = make_usage_timing(m_settings.bounds.usage_report).group_record_delay}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
-      m_metrics_handler(m_metrics),
-      m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
-      m_ready_server({&m_loop}, m_ready_handler, {.listen = m_settings.ready, .limits = {}}),
-      m_metrics_server({&m_loop}, m_metrics_handler, {.listen = m_settings.metrics, .limits = {}}),
+      m_metrics_handler(m_metrics), m_entry_server({&m_loop}, m_entry_handler,
+                                                   {.listen = m_settings.callers,
+                                                    .limits = {},
+                                                    .limiter = m_settings.caller_limits.get_caller_limits(),
+                                                    .metrics = &m_metrics}),
+      m_ready_server({&m_loop}, m_ready_handler, make_probe_options(m_settings.ready)),
+      m_metrics_server({&m_loop}, m_metrics_handler, make_probe_options(m_settings.metrics)),
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP) {}
 
 host_daemon::~host_daemon() {
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -8,6 +8,7 @@
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
 #include "core/log.hpp"
+#include "daemon/caller_limit_settings.hpp"
 #include "policy/group_leadership.hpp"
 
 namespace dragonflywell::daemon {
@@ -48,6 +49,8 @@
     bool is_first_start{false};
     /// What the network link and the processor of the host carry.
     policy::host_capacity capacity{default_capacity};
+    /// Not from the file: memory and descriptors of the host, from the environment.
+    caller_limit_settings caller_limits;
     endpoint callers;
     endpoint ready;
     endpoint metrics;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -36,6 +36,7 @@
 
 void run_host(daemon::settings_file file) {
     daemon::host_settings settings = file.read();
+    settings.caller_limits = daemon::read_caller_limits_from_environment();
     const auto ring = std::make_shared<log_buffer>(log_ring_bytes);
     settings.log.buffer = ring;
     set_log_options(settings.log);
@@ -87,6 +88,7 @@
             return exit_ok;
         }
         static_cast<void>(file.read());
+        static_cast<void>(daemon::read_caller_limits_from_environment());
     } else {
         daemon::daemon_settings settings = daemon::parse_daemon_settings(text, path);
         if (!is_check_only) {
--- a/servers/caller_channel.hpp
+++ b/servers/caller_channel.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
+#include "core/clock.hpp"
 #include "core/error.hpp"
 #include "servers/http_types.hpp"
 
@@ -50,6 +52,9 @@
     /// Returns whether any byte of the response may have reached the caller.
     [[nodiscard]] virtual bool is_started() const noexcept = 0;
 
+    /// Returns when the head of the request arrived, if that is known.
+    [[nodiscard]] virtual std::optional<steady_time> get_head_time() const noexcept { return std::nullopt; }
+
     /// Returns whether the caller is known to have disconnected. A caller that closes its sending side counts as
     /// disconnected.
     [[nodiscard]] virtual bool is_disconnected() const noexcept { return false; }
--- a/servers/caller_codec.hpp
+++ b/servers/caller_codec.hpp
@@ -16,6 +16,10 @@
     caller_codec& operator=(caller_codec&&) = delete;
     virtual ~caller_codec() = default;
 
+    /// Decodes what decides on a request before its body is read: id, method, target, host, key and time limit. The
+    /// other members stay empty. Throws `request_refused` for a malformed one.
+    [[nodiscard]] virtual caller_request decode_head(const http::request_header<>& head) const = 0;
+
     /// Decodes a request. Throws `request_refused` for a malformed one.
     [[nodiscard]] virtual caller_request decode(http_request request) const = 0;
 
--- a/servers/http_server.hpp
+++ b/servers/http_server.hpp
@@ -7,6 +7,8 @@
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
+#include "core/metrics.hpp"
+#include "policy/caller_limiter.hpp"
 #include "servers/http_handler.hpp"
 
 namespace dragonflywell::servers {
@@ -15,7 +17,7 @@
 struct caller_limits {
     std::uint32_t header_limit_bytes{16 * 1024};
     std::uint64_t body_limit_bytes{8ULL * 1024 * 1024};
-    /// How long a caller may take to send a request or to read a piece of the response.
+    /// How long a caller may take to send a header, and to read a piece of the response. A body has at least this time.
     duration io_timeout{std::chrono::seconds(60)};
     /// How long a connection may wait for its next request.
     duration idle_timeout{std::chrono::seconds(60)};
@@ -24,6 +26,10 @@
 struct http_server_options {
     endpoint listen;
     caller_limits limits;
+    /// What all callers of one context may hold together.
+    policy::caller_limiter_options limiter{};
+    /// Receives the counters of the limits; null for none. Outlives the server.
+    metrics_registry* metrics{nullptr};
 };
 
 /// Listens for HTTP/1.1 connections with keep-alive and passes each request to a handler.
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -21,6 +21,8 @@
     /// Age of the list of backend servers when a server was last chosen.
     std::optional<duration> servers_age;
     steady_time arrived_at{};
+    /// When the head of the request arrived; earlier than `arrived_at` by the time that its body took.
+    std::optional<steady_time> head_arrived_at;
     /// Backend servers that the request was sent to, in order, each with the result.
     std::string servers;
     std::uint32_t sends{0};
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -4,9 +4,16 @@
 
 namespace dragonflywell::servers {
 
+namespace {
+
+constexpr duration malformed_log_interval = std::chrono::seconds(1);
+
+} // namespace
+
 asio::awaitable<void> serving_handler::handle(http_request request, caller_channel& caller) {
     request_record record;
     record.arrived_at = m_state->time.now();
+    record.head_arrived_at = caller.get_head_time();
     std::optional<request_refused> refusal;
     try {
         const caller_request incoming = m_codec->decode(std::move(request));
@@ -32,6 +39,18 @@
     }
 }
 
+head_check serving_handler::check_head(const http::request_header<>& head) {
+    request_record record;
+    record.arrived_at = m_state->time.now();
+    try {
+        const caller_request incoming = m_codec->decode_head(head);
+        record.id = incoming.id;
+        return {.refusal = {}, .time_limit = check_request_head(*m_state, incoming, record).time_limit};
+    } catch (const request_refused& refused) {
+        return {.refusal = record_refusal(refused, record, false), .time_limit = {}};
+    }
+}
+
 void serving_handler::on_malformed(http::status status) {
     policy::refusal_reason reason = policy::refusal_reason::malformed_request;
     if (status == http::status::request_header_fields_too_large) {
@@ -40,11 +59,22 @@
     if (status == http::status::payload_too_large) {
         reason = policy::refusal_reason::body_too_large;
     }
+    if (status == http::status::service_unavailable) {
+        reason = policy::refusal_reason::queue_full;
+    }
     m_state->counters.count_refusal(reason);
     m_state->counters.count_outcome(policy::request_outcome::not_run);
+    ++m_unlogged_malformed;
+    const steady_time now = m_state->time.now();
+    if (now < m_next_malformed_line_at) {
+        return;
+    }
     log_event("request_malformed")
         .add("status", static_cast<unsigned>(status))
+        .add("count", m_unlogged_malformed)
         .write(*m_state->log, spdlog::level::warn);
+    m_unlogged_malformed = 0;
+    m_next_malformed_line_at = now + malformed_log_interval;
 }
 
 asio::awaitable<void> serving_handler::serve(const caller_request& incoming, request_record& record,
@@ -67,12 +97,11 @@
     make_request_event("request_answered", record, now).write(*m_state->log, spdlog::level::info);
 }
 
-asio::awaitable<void> serving_handler::refuse(const request_refused& refusal, request_record& record,
-                                              caller_channel& caller) {
+http_response serving_handler::record_refusal(const request_refused& refusal, request_record& record, bool is_started) {
     m_state->counters.count_refusal(refusal.get_reason());
     m_state->counters.count_outcome(refusal.get_outcome());
     http_response response = m_codec->make_refusal(refusal);
-    if (!caller.is_started()) {
+    if (!is_started) {
         record.status = response.result_int();
     }
     make_request_event("request_failed", record, m_state->time.now())
@@ -80,6 +109,12 @@
         .add("outcome", policy::get_outcome_name(refusal.get_outcome()))
         .add("what", refusal.what())
         .write(*m_state->log, spdlog::level::info);
+    return response;
+}
+
+asio::awaitable<void> serving_handler::refuse(const request_refused& refusal, request_record& record,
+                                              caller_channel& caller) {
+    http_response response = record_refusal(refusal, record, caller.is_started());
     if (caller.is_started()) {
         caller.abort_stream();
         co_return;
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -120,8 +120,7 @@
     return get_stable_hash(head + std::to_string(get_stable_hash(body)));
 }
 
-std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& incoming,
-                                                      request_record& record) {
+checked_head check_request_head(const serving_state& state, const caller_request& incoming, request_record& record) {
     const std::shared_ptr<const fleet::serving_view>& view = state.get_view();
     if (view == nullptr) {
         throw request_refused(policy::refusal_reason::not_ready, policy::request_outcome::not_run,
@@ -132,23 +131,31 @@
     const fleet::route& route = require_route(*view, incoming);
     record.route = route.name;
     const fleet::served_organisation* organisation = require_organisation(*view, route, incoming);
-    const organisation_name name = organisation == nullptr ? organisation_name() : organisation->name;
-    record.organisation = name.value();
-    require_not_quarantined(state, incoming, name);
-    require_no_blamed_part(state, incoming, policy::request_outcome::not_run);
+    record.organisation = organisation == nullptr ? std::string() : organisation->name.value();
     duration time_limit = route.timeout;
     if (incoming.caller_timeout) {
         time_limit = std::min(time_limit, *incoming.caller_timeout);
     }
     require_end_before_stop(state, time_limit);
+    return {.view = view, .route = &route, .organisation = organisation, .time_limit = time_limit};
+}
+
+std::unique_ptr<serving_request> make_serving_request(serving_state& state, const caller_request& incoming,
+                                                      request_record& record) {
+    const checked_head head = check_request_head(state, incoming, record);
+    const fleet::route& route = *head.route;
+    const fleet::served_organisation* organisation = head.organisation;
+    const organisation_name name = organisation == nullptr ? organisation_name() : organisation->name;
+    require_not_quarantined(state, incoming, name);
+    require_no_blamed_part(state, incoming, policy::request_outcome::not_run);
     serving_request::accepted_request request{
         .request = &incoming,
-        .view = view,
+        .view = head.view,
         .route = &route,
         .service = choose_service(route),
         .organisation = name,
         .priority = organisation == nullptr ? route.priority : organisation->priority.value_or(route.priority),
-        .deadline = record.arrived_at + time_limit};
+        .deadline = record.head_arrived_at.value_or(record.arrived_at) + head.time_limit};
     state.get_retry_budget(request.service).add_request(state.time.now());
     const bool is_generation = incoming.generation && state.find_engines(request.service) != nullptr;
     if (is_generation) {
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -102,6 +102,21 @@
 [[nodiscard]] policy::request_fingerprint get_fingerprint(const caller_request& incoming,
                                                           const organisation_name& organisation);
 
+/// A request whose head has been checked.
+struct checked_head {
+    /// Keeps route and organisation alive.
+    std::shared_ptr<const fleet::serving_view> view;
+    const fleet::route* route{};
+    /// Null on a public route.
+    const fleet::served_organisation* organisation{};
+    duration time_limit{};
+};
+
+/// Checks what is known of a request before its body is read: the configuration, the route, the key, and that this
+/// process can still run it. Records them. Throws `request_refused`.
+[[nodiscard]] checked_head check_request_head(const serving_state& state, const caller_request& incoming,
+                                              request_record& record);
+
 /// Checks the route and the key of a request and returns the object that runs it. Throws `request_refused`.
 /// Preconditions: state, request and record outlive the returned object.
 [[nodiscard]] std::unique_ptr<serving_request>
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -76,9 +76,11 @@
                                         std::shared_ptr<shared_state> state) {
     servers::beast::flat_buffer buffer;
     while (connection->get_socket().is_open()) {
-        // A backend server takes any body that a host has accepted.
+        // A backend server takes whatever a host has accepted.
+        constexpr std::uint32_t header_limit_bytes = 64U * 1024;
         http::request_parser<http::string_body> parser;
         parser.body_limit(boost::none);
+        parser.header_limit(header_limit_bytes);
         error_code fault;
         co_await http::async_read(connection->get_socket(), buffer, parser, store_error(fault));
         if (fault) {
