Share the learned speeds of servers in the group, with a setting, gauges and log lines

Cause: a host sees few requests of each server, and one that starts knows nothing.

Change: each heartbeat digest names up to 32 servers in turn with five sums of the sender's own observations. A receiver ages them and adds them to its own. HOST_LEARN_SERVER_SPEEDS turns the estimates off. A host that was frozen for two seconds forgets what it had learned. Gauges, a counter, and at most two log lines for each heartbeat.

--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -53,7 +53,8 @@
             .retry_window = settings.bounds.retry_window,
             .eligibility = {.list_reachability = get_contact_options(settings.bounds),
                             .drain_bound = settings.bounds.drain},
-            .started_at = now};
+            .started_at = now,
+            .learns_server_speeds = settings.learns_server_speeds};
 }
 
 std::uint64_t get_incarnation(const clock_source& time) {
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -51,7 +51,7 @@
                 {.own = {.host = m_options.host, .incarnation = m_options.incarnation},
                  .zone = m_options.zone,
                  .capacity = m_options.capacity}),
-      m_digests(state, *this, m_builder, m_queue, metrics),
+      m_digests(state, *this, m_builder, m_queue, metrics), m_speed_report(state, metrics),
       m_heartbeat_delay(&metrics.get_gauge("dragonflywell_heartbeat_delay_milliseconds")), m_send_timer(loop) {
     m_socket.non_blocking(true);
 }
@@ -167,6 +167,7 @@
     }
     m_state->peers.merge_group_digest(digest);
     apply_load(digest);
+    servers::merge_speeds(*m_state, digest.host, digest.speeds, sender->delay);
     apply_read_positions(digest, sender->delay);
     if (digest.missing_servers_from && is_group_leader()) {
         resend_records(digest.host, *digest.missing_servers_from);
@@ -229,6 +230,7 @@
         report_delay(m_state->time.now() - due_at);
         drop_unresponsive();
         remove_dead_entries();
+        m_speed_report.run();
         correct_clock();
         update_leadership();
         if (m_leads_group) {
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -22,6 +22,7 @@
 #include "gossip/udp_transport.hpp"
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
+#include "servers/server_speed_report.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
@@ -116,6 +117,7 @@
     gossip::datagram_queue m_queue;
     gossip::digest_builder m_builder;
     gossip::digest_sender m_digests;
+    servers::server_speed_report m_speed_report;
     gauge* m_heartbeat_delay;
     boost::asio::steady_timer m_send_timer;
     /// The read position up to which all records have been sent to the group, and when it was that.
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -59,6 +59,8 @@
     std::set<std::string> duties;
     host_bounds bounds;
     log_options log;
+    /// Whether requests are placed by the learned speeds of servers. From the environment, not from the file.
+    bool learns_server_speeds{true};
 };
 
 /// Parses and validates a settings file. `file` is used in messages only. `fallback` is the capacity that counts if the
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -10,6 +10,7 @@
 #include "core/version.hpp"
 #include "daemon/daemon.hpp"
 #include "daemon/host_daemon.hpp"
+#include "daemon/server_speed_settings.hpp"
 
 namespace {
 
@@ -34,11 +35,12 @@
 /// Capacity for log lines that wait to be written: some seconds of a host at ten times its usual load.
 constexpr std::size_t log_ring_bytes = 512 * 1024;
 
-void run_host(daemon::settings_file file) {
+void run_host(daemon::settings_file file, bool learns_server_speeds) {
     daemon::host_settings settings = file.read();
     const auto ring = std::make_shared<log_buffer>(log_ring_bytes);
     settings.log.buffer = ring;
     set_log_options(settings.log);
+    settings.learns_server_speeds = learns_server_speeds;
     daemon::host_daemon host(std::move(settings), std::move(file), ring);
     host.run();
 }
@@ -82,8 +84,9 @@
     const bool is_check_only = values.contains("check");
     if (daemon::is_host_settings(text)) {
         daemon::settings_file file(path, daemon::read_capacity_from_environment());
+        const bool learns_server_speeds = daemon::read_speed_learning_from_environment();
         if (!is_check_only) {
-            run_host(std::move(file));
+            run_host(std::move(file), learns_server_speeds);
             return exit_ok;
         }
         static_cast<void>(file.read());
--- a/gossip/digest_builder.cpp
+++ b/gossip/digest_builder.cpp
@@ -66,6 +66,7 @@
     if (is_heartbeat) {
         add_usage(digest);
         add_crashes(digest, m_state->group_announcements, max_group_crash_bytes);
+        digest.speeds = m_speeds.take(*m_state);
         digest.recorded_usage = facts.recorded_usage;
     }
     digest.missing_servers_from = facts.missing_servers_from;
--- a/gossip/digest_builder.hpp
+++ b/gossip/digest_builder.hpp
@@ -57,6 +57,7 @@
     std::map<backend_server_name, fleet::engine_stage> m_last_transitions;
     /// Prefixes in the caches of this group's engines that are to be announced to other groups.
     servers::shared_prefixes m_shared_prefixes;
+    servers::speed_announcer m_speeds;
 };
 
 } // namespace dragonflywell::gossip
--- a/policy/server_speed_estimator.cpp
+++ b/policy/server_speed_estimator.cpp
@@ -31,6 +31,8 @@
 constexpr double min_noise = 0.01;
 /// Weight below which sums are forgotten.
 constexpr double min_weight = 0.02;
+/// A load beyond this counts as this much: the server is overloaded.
+constexpr double max_load = 2;
 const double limit_slowness = std::log(1.5);
 const double max_speed_ratio = std::log(4.0);
 
@@ -82,8 +84,10 @@
 
 std::uint64_t server_speed_estimator::start(const backend_server_name& server, duration expected, double load,
                                             steady_time now) {
-    m_running.emplace(++m_last_number,
-                      running_request{.server = server, .expected = expected, .load = load, .sent_at = now});
+    m_running.emplace(++m_last_number, running_request{.server = server,
+                                                       .expected = expected,
+                                                       .load = std::clamp(load, 0.0, max_load),
+                                                       .sent_at = now});
     return m_last_number;
 }
 
@@ -176,7 +180,8 @@
     const double offset_prior = m_noise / (offset_deviation * offset_deviation);
     const double slope_prior = m_noise / (slope_deviation * slope_deviation);
     const double first = sums.weight + offset_prior;
-    const double second = sums.squared_load + slope_prior;
+    // Rounding, on the way from another host, must not make the variance of the load negative.
+    const double second = std::max(sums.squared_load, sums.load * sums.load / first) + slope_prior;
     const double determinant = first * second - sums.load * sums.load;
     const double slope = (first * sums.slowness_by_load - sums.load * sums.slowness) / determinant;
     if (slope <= 0) {
@@ -190,6 +195,14 @@
             .slope_variance = m_noise * first / determinant};
 }
 
+void server_speed_estimator::clear() {
+    m_own.clear();
+    m_other_hosts.clear();
+    m_running.clear();
+    m_lines.clear();
+    m_common = {};
+}
+
 void server_speed_estimator::refresh(steady_time now) {
     if (now - m_refreshed_at < refresh_interval) {
         return;
--- a/policy/server_speed_estimator.hpp
+++ b/policy/server_speed_estimator.hpp
@@ -59,6 +59,8 @@
     /// Replaces the sums that another host has observed, as of `now`. Sums of servers that are not named stay.
     void merge(const std::string& host, const std::map<backend_server_name, speed_sums>& sums, steady_time now);
     void remove_host(const std::string& host) { m_other_hosts.erase(host); }
+    /// Forgets all observations, those of running requests included.
+    void clear();
 
     /// Updates the estimates, at most once in a short interval.
     void refresh(steady_time now);
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -214,6 +214,9 @@
     if (digest.recorded_usage) {
         encoded["ur"] = encode_recorded_usage(*digest.recorded_usage);
     }
+    if (!digest.speeds.empty()) {
+        encoded["sp"] = encode_speeds(digest.speeds);
+    }
     return boost::json::serialize(encoded);
 }
 
@@ -246,10 +249,14 @@
                        .holds_lease = json::get_bool_or(source, "l", false),
                        .configuration = decode_read_position(json::get_array(source, "rc")),
                        .servers = decode_read_position(json::get_array(source, "rs")),
-                       .missing_servers_from = {}};
+                       .missing_servers_from = {},
+                       .speeds = {}};
     if (source.contains("dp")) {
         digest.part_crashes = decode_part_crashes(json::get_array(source, "dp"));
     }
+    if (source.contains("sp")) {
+        digest.speeds = decode_speeds(json::get_object(source, "sp"));
+    }
     if (source.contains("dc")) {
         digest.part_clearances = decode_part_clearances(json::get_array(source, "dc"));
     }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -18,6 +18,7 @@
 #include "policy/prefix_cache.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/usage_counter.hpp"
+#include "servers/server_speed_digest.hpp"
 
 namespace dragonflywell::servers {
 
@@ -135,6 +136,8 @@
     /// Set by a host that misses records of the server list: where they begin. The leader of its group sends them
     /// again.
     std::optional<log_position> missing_servers_from;
+    /// What the sender has observed of the speeds of servers; empty in most digests.
+    digest_speeds speeds;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -8,6 +8,7 @@
 #include "core/log.hpp"
 #include "core/log_event.hpp"
 #include "servers/backend_exchange.hpp"
+#include "servers/server_speed_digest.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -276,6 +277,7 @@
 
 void serving_state::remove_host(const std::string& host) {
     peers.remove_host(host);
+    for_each_speed_estimator(*this, [&host](policy::server_speed_estimator& speeds) { speeds.remove_host(host); });
     for (auto& [service, engines] : m_engines) {
         engines.load_tracker.remove_host(host);
     }
