--- a/servers/server_speed_report.cpp
+++ b/servers/server_speed_report.cpp
@@ -18,6 +18,8 @@
 constexpr double slower_speed = 0.9;
 constexpr double faster_speed = 1.1;
 constexpr double percent = 100;
+/// Load at which a server is reported that this host has not observed itself.
+constexpr double assumed_load = 0.5;
 /// Log lines of one run.
 constexpr std::size_t max_lines = 2;
 /// Time between two runs, by the clock that counts suspension, from which on this host counts as frozen.
@@ -38,8 +40,16 @@
         return;
     }
     forget_after_freeze();
-    for_each_speed_estimator(
-        *m_state, [this](policy::server_speed_estimator& estimator) { estimator.refresh(m_state->time.now()); });
+    m_usual_loads.clear();
+    for_each_speed_estimator(*m_state, [this](policy::server_speed_estimator& estimator) {
+        const steady_time now = m_state->time.now();
+        estimator.refresh(now);
+        for (const auto& [server, sums] : estimator.get_own_sums(now)) {
+            if (sums.weight > 0) {
+                m_usual_loads.insert_or_assign(server, sums.load / sums.weight);
+            }
+        }
+    });
     std::int64_t slower = 0;
     std::int64_t faster = 0;
     std::int64_t limited = 0;
@@ -84,17 +94,15 @@
         return std::nullopt;
     }
     current_estimate estimate;
-    double load = 0;
     if (const service_engines* engines = m_state->find_engines(record.service); engines != nullptr) {
         const bool is_prefill = record.stage == fleet::engine_stage::prefill;
         estimate.in_flight =
             is_prefill ? engines->load_tracker.get_prompts(server) : engines->load_tracker.get_running(server);
-        load = get_engine_use(engines->load_tracker, server).load;
     } else {
         estimate.in_flight = m_state->get_in_flight(server);
-        load = static_cast<double>(estimate.in_flight) / std::max<std::uint32_t>(1, record.slots);
     }
-    estimate.speed = estimator->get_speed(server, load);
+    const auto usual = m_usual_loads.find(server);
+    estimate.speed = estimator->get_speed(server, usual == m_usual_loads.end() ? assumed_load : usual->second);
     estimate.limit = estimator->get_limit(server);
     return estimate;
 }
--- a/servers/server_speed_report.hpp
+++ b/servers/server_speed_report.hpp
@@ -50,6 +50,9 @@
     counter* m_changes;
     std::optional<steady_time> m_last_run_at;
     std::map<backend_server_name, logged_estimate> m_logged;
+    /// Mean load at which this host has observed a server. At other loads, such as none at this moment, the estimate
+    /// has less support.
+    std::map<backend_server_name, double> m_usual_loads;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/platform/test_server_speeds.cpp
+++ b/tests/platform/test_server_speeds.cpp
@@ -34,22 +34,27 @@
         }
     }
 
-    /// Observes requests to each server; those to the first one take longer by the factor.
-    void observe(int count, int factor) {
+    /// Observes batches of four requests to each server; those to the first one take longer by the factor.
+    void observe(int batches, int factor) {
+        constexpr std::size_t batch_size = 4;
         policy::server_speed_estimator& estimator = state.speeds[app].estimator;
-        for (int request = 0; request < count; ++request) {
+        for (int batch = 0; batch < batches; ++batch) {
             std::vector<std::uint64_t> numbers;
-            const auto& servers = state.eligibility.get_list().get_servers();
-            for (const auto& [server, listed] : servers) {
-                numbers.push_back(estimator.start(server, work, 0.5, time.now()));
+            for (const auto& [server, listed] : state.eligibility.get_list().get_servers()) {
+                for (std::size_t request = 0; request < batch_size; ++request) {
+                    numbers.push_back(estimator.start(server, work, 0.5, time.now()));
+                }
             }
             time.advance(work);
-            std::for_each(numbers.begin() + 1, numbers.end(),
-                          [&](std::uint64_t number) { estimator.finish(number, time.now()); });
+            for (std::size_t index = batch_size; index < numbers.size(); ++index) {
+                estimator.finish(numbers[index], time.now());
+            }
             time.advance(work * (factor - 1));
-            estimator.finish(numbers.front(), time.now());
+            for (std::size_t index = 0; index < batch_size; ++index) {
+                estimator.finish(numbers[index], time.now());
+            }
+            estimator.refresh(time.now());
         }
-        estimator.refresh(time.now());
     }
 
     [[nodiscard]] double get_speed(const std::string& server) {
@@ -129,10 +134,9 @@
 // Guards against a log that fills while many servers change.
 TEST_CASE("a change of speeds is counted and logged a few lines at a time") {
     speed_fixture fixture(true, 20);
-    server_speed_report report(fixture.state, fixture.metrics);
-    report.run();
-    CHECK(fixture.metrics.get_gauge("dragonflywell_slower_servers").get() == 0);
     fixture.observe(20, 4);
+    CHECK(fixture.metrics.get_gauge("dragonflywell_slower_servers").get() == 0);
+    server_speed_report report(fixture.state, fixture.metrics);
     report.run();
     CHECK(fixture.metrics.get_gauge("dragonflywell_slower_servers").get() == 1);
     CHECK(fixture.metrics.get_gauge("dragonflywell_lowest_server_speed_percent").get() < 70);
@@ -143,8 +147,9 @@
 TEST_CASE("a host that was frozen forgets what it had learned") {
     speed_fixture fixture;
     server_speed_report report(fixture.state, fixture.metrics);
+    fixture.observe(30, 3);
     report.run();
-    fixture.observe(8, 3);
+    CHECK(fixture.get_speed("s0") < 0.8);
     fixture.time.suspend(5s);
     report.run();
     fixture.time.advance(100ms);
