--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -57,7 +57,8 @@
             .retry_window = settings.bounds.retry_window,
             .eligibility = {.list_reachability = get_contact_options(settings.bounds),
                             .drain_bound = settings.bounds.drain},
-            .started_at = now};
+            .started_at = now,
+            .learns_server_speeds = settings.learns_server_speeds};
 }
 
 /// Options of an address for probes: small heads, no body, few connections.
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -65,6 +65,8 @@
     /// By how much the usage of an organisation may exceed its quota; from the environment.
     policy::quota_tolerance quota_tolerance;
     log_options log;
+    /// Whether requests are placed by the learned speeds of servers. From the environment, not from the file.
+    bool learns_server_speeds{true};
 };
 
 /// Parses and validates a settings file. `file` is used in messages only. `fallback` is the capacity that counts if the
