End the waiting of requests also when the last quota is removed

Cause: the exchange did not look at waiting requests without quotas, so that they were refused after 200 ms.

Change: it polls before it stops.

--- a/daemon/quota_exchange.cpp
+++ b/daemon/quota_exchange.cpp
@@ -59,11 +59,13 @@
 }
 
 void quota_exchange::poll() {
+    constexpr duration max_pause = std::chrono::seconds(1);
+    // Also without quotas, since requests may still wait when the last one is removed.
+    const std::vector<policy::outgoing_quota_request> requests = m_quotas->poll();
     if (!m_quotas->has_quotas()) {
         m_timer.cancel();
         return;
     }
-    const std::vector<policy::outgoing_quota_request> requests = m_quotas->poll();
     for (const policy::outgoing_quota_request& outgoing : requests) {
         put(datagram_kind::quota_request, gossip::encode_quota_request(outgoing.request), outgoing.owner);
     }
@@ -71,8 +73,7 @@
         m_send();
     }
     const steady_time now = m_time->now_with_suspension();
-    m_timer.expires_after(
-        std::clamp(m_quotas->get_next_poll() - now, duration::zero(), duration(std::chrono::seconds(1))));
+    m_timer.expires_after(std::clamp(m_quotas->get_next_poll() - now, duration::zero(), max_pause));
     m_timer.async_wait([this](const servers::error_code& fault) {
         if (!fault) {
             poll();
