Test quotas in the path of a request with a timer, as the daemon has one

Cause: a request that waits for its owner is polled again after at least 10 ms, and the fixture had no timer.

--- a/tests/platform/test_quotas.cpp
+++ b/tests/platform/test_quotas.cpp
@@ -18,11 +18,23 @@
         view.organisations.front().quota =
             fleet::quota{.rate_per_second = per_second, .burst = 0, .unit = unit, .plain_tokens = 7};
         configure();
-        state.quotas.on_change = [this] { static_cast<void>(state.quotas.poll()); };
+        state.quotas.on_change = [this] { poll(); };
+    }
+    /// Does what the exchange of the daemon does for a host without others.
+    void poll() {
+        static_cast<void>(state.quotas.poll());
+        timer.expires_after(std::chrono::milliseconds(10));
+        timer.async_wait([this](const servers::error_code& fault) {
+            if (!fault) {
+                poll();
+            }
+        });
     }
     /// The list of hosts holds this one only, which owns all quotas.
     void list_hosts() { state.quotas.set_hosts({{.host = "", .core_thousandths = 0}}); }
 
+    boost::asio::steady_timer timer{loop};
+
     std::uint64_t count(const char* result) {
         return metrics.get_counter("dragonflywell_quota_requests_total", {{"result", result}}).get();
     }
--- a/tests/policy/test_quota_limit.cpp
+++ b/tests/policy/test_quota_limit.cpp
@@ -45,6 +45,7 @@
 TEST_CASE("owner order: a host that is gone moves only its own keys, and large hosts own more") {
     // Guards against owners that all change when one host joins or leaves.
     std::vector<policy::owner_candidate> hosts;
+    hosts.reserve(20);
     for (int index = 0; index < 20; ++index) {
         hosts.push_back({.host = "host" + std::to_string(index), .core_thousandths = index < 10 ? 100U : 900U});
     }
