--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -217,10 +217,10 @@
 
 asio::awaitable<std::string> backend_exchange::read_rest(std::size_t limit_bytes) {
     std::string rest;
-    byte_budget::share buffered(m_pool->get_buffer_budget(), unbudgeted_response_bytes);
+    m_buffered = std::make_unique<byte_budget::share>(m_pool->get_buffer_budget(), unbudgeted_response_bytes);
     std::string_view piece = co_await read_some();
     while (!piece.empty()) {
-        if (rest.size() + piece.size() > limit_bytes || !buffered.resize(rest.size() + piece.size())) {
+        if (rest.size() + piece.size() > limit_bytes || !m_buffered->resize(rest.size() + piece.size())) {
             throw exchange_failed_error("response is too large", exchange_phase::after_send,
                                         policy::retry_reason::malformed_answer);
         }
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -91,6 +91,10 @@
     /// exceeds the shared buffer budget.
     asio::awaitable<std::string> read_rest(std::size_t limit_bytes);
 
+    /// Returns the share of the buffer budget that the body of `read_rest` holds. Whoever keeps the body for longer
+    /// than the exchange lives keeps the share with it; null when `read_rest` has not been called.
+    [[nodiscard]] std::unique_ptr<byte_budget::share> release_buffered_share() { return std::move(m_buffered); }
+
     /// Reads the end of a response whose content is complete, so that its connection can be reused. Closes the
     /// connection when further data or nothing arrives within a short time. Does not throw.
     asio::awaitable<void> drain();
@@ -119,6 +123,8 @@
     std::shared_ptr<backend_connection> m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_piece;
+    /// What the body of `read_rest` holds, also while it is sent to the caller.
+    std::unique_ptr<byte_budget::share> m_buffered;
     std::size_t m_skipped_bytes{0};
     std::size_t m_received_bytes{0};
     std::optional<steady_time> m_progressed_at;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -88,6 +88,7 @@
             response->set(http::field::content_length, length->value());
         }
         response->body() = co_await exchange.read_rest(response_limit_bytes);
+        m_response_share = exchange.release_buffered_share();
     } catch (const exchange_failed_error& fault) {
         failure = fault;
     }
--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -26,6 +26,8 @@
     [[nodiscard]] bool may_try_again() const;
 
     std::set<backend_server_name> m_tried;
+    /// What the response holds of the buffer budget until the caller has read it.
+    std::unique_ptr<byte_budget::share> m_response_share;
     /// Number of instances on which the request may have run.
     std::uint32_t m_run_count{0};
     /// An error response of an instance. It goes to the caller if no other instance gives a better one.
