--- a/daemon/caller_limit_settings.cpp
+++ b/daemon/caller_limit_settings.cpp
@@ -20,8 +20,9 @@
 constexpr std::size_t caller_part = 5;
 constexpr std::size_t response_part = 6;
 /// Room for a request with a body of 4 MiB that runs, besides others.
-constexpr std::size_t min_caller_bytes = 24UL * bytes_per_megabyte;
-constexpr std::size_t min_response_bytes = 16UL * bytes_per_megabyte;
+constexpr std::size_t min_caller_bytes = 20UL * bytes_per_megabyte;
+/// Room for the longest response that is passed on.
+constexpr std::size_t min_response_bytes = 17UL * bytes_per_megabyte;
 constexpr std::size_t max_response_bytes = 32UL * bytes_per_megabyte;
 /// Part of the descriptors that is kept for backend servers, the store, readiness and metrics.
 constexpr std::uint64_t reserved_descriptor_part = 3;
@@ -70,7 +71,7 @@
 
 policy::caller_limiter_options get_probe_limits() {
     constexpr std::size_t probe_bytes = 1024UL * 1024;
-    return {.budget_bytes = probe_bytes, .max_connections = max_probe_connections};
+    return {.budget_bytes = probe_bytes, .max_connections = max_probe_connections, .may_close_running = true};
 }
 
 caller_limit_settings read_caller_limits_from_environment() {
--- a/policy/caller_limiter.cpp
+++ b/policy/caller_limiter.cpp
@@ -31,7 +31,7 @@
         auto chosen = m_connections.end();
         for (auto each = m_connections.begin(); each != m_connections.end(); ++each) {
             const auto get_order = [](const connection& other) { return std::tuple(other.state, other.grew_at); };
-            if (each->second.state != phase::running &&
+            if ((each->second.state != phase::running || m_options.may_close_running) &&
                 (chosen == m_connections.end() || get_order(each->second) < get_order(chosen->second))) {
                 chosen = each;
             }
--- a/policy/caller_limiter.hpp
+++ b/policy/caller_limiter.hpp
@@ -15,6 +15,8 @@
     /// What the requests of all callers may make the process hold. The default is no limit.
     std::size_t budget_bytes{std::numeric_limits<std::size_t>::max()};
     std::size_t max_connections{std::numeric_limits<std::size_t>::max()};
+    /// Whether a running request may make way for a new connection. Only where its run has no effect.
+    bool may_close_running{false};
 };
 
 /// Time until which a body must have arrived. A caller may be slow for as long as its request has, and at least for the
@@ -29,8 +31,8 @@
 /// Knows what each connection of a caller makes the process hold and decides which connections are closed when memory
 /// or descriptors run short. Used on one event loop.
 ///
-/// Complete requests are never closed. Of the others, those that hold much come before small ones, those that have
-/// stopped growing before others, then the slowest, then the oldest.
+/// Complete requests are never closed, unless the options say so. Of the others, those that hold much come before small
+/// ones, those that have stopped growing before others, then the slowest, then the oldest.
 class caller_limiter {
 public:
     using connection_id = std::uint64_t;
--- a/servers/caller_connection.hpp
+++ b/servers/caller_connection.hpp
@@ -37,7 +37,7 @@
 
     /// Ends the wait for the next request.
     void cancel_if_idle();
-    /// Closes the connection because of the limits on callers. Its request has not been passed to the handler.
+    /// Closes the connection because of the limits on callers.
     void close_for_limit();
 
     void set_id(policy::caller_limiter::connection_id id) noexcept { m_id = id; }
--- a/tests/policy/test_caller_limiter.cpp
+++ b/tests/policy/test_caller_limiter.cpp
@@ -141,6 +141,20 @@
     CHECK(limiter.get_connections() == 3);
 }
 
+// Load: callers of the readiness address that do not read the responses.
+TEST_CASE("where a run has no effect, the oldest running request makes way for a new connection") {
+    virtual_clock clock;
+    caller_limiter limiter({.max_connections = 2, .may_close_running = true});
+    for (const caller_limiter::connection_id id : {1, 2}) {
+        CHECK(limiter.add(id, clock.now()).is_admitted);
+        CHECK(limiter.begin_run(id, 0, clock.now()).is_admitted);
+        clock.advance(1ms);
+    }
+    const caller_limiter::decision decision = limiter.add(3, clock.now());
+    CHECK(decision.is_admitted);
+    CHECK(decision.to_close == ids{1});
+}
+
 // Load: random requests of all sizes that come, grow, run and go.
 TEST_CASE("what is held stays within the budget but for one request, and is counted exactly") {
     constexpr std::size_t budget = 8 * megabyte;
