Let grants of quotas live for 0.5 s instead of 0.8 s

Cause: after an owner has failed, its hosts may pledge their shares to the next one only when its grants have ended.

Change: grants live for 0.5 s, which still outlasts the interval of requests (0.4 s).

The 17 cases about quotas pass.

--- a/policy/quota_exchange_types.hpp
+++ b/policy/quota_exchange_types.hpp
@@ -15,8 +15,9 @@
 
 /// How long an owner counts the share of a host, by the time at which the host sent its request.
 constexpr duration pledge_time = std::chrono::seconds(1);
-/// How long a host may use a grant, by the time at which it sent the request.
-constexpr duration grant_time = std::chrono::milliseconds(800);
+/// How long a host may use a grant, by the time at which it sent the request. It outlasts the interval of requests, and
+/// is short, since shares change their owner only after it.
+constexpr duration grant_time = std::chrono::milliseconds(500);
 
 /// What a request does with the share of its host.
 enum class quota_pledge : std::uint8_t {
