--- a/policy/caller_limiter.cpp
+++ b/policy/caller_limiter.cpp
@@ -137,7 +137,9 @@
         const double pace =
             is_stalled ? 0.0
                        : static_cast<double>(candidate.received_bytes) / std::chrono::duration<double>(age).count();
-        return std::tuple(candidate.is_small(), !is_stalled, candidate.state, pace, candidate.began_at);
+        // An idle connection holds little, and the first bytes of its request may wait to be read.
+        const bool is_idle = candidate.state == phase::idle;
+        return std::tuple(candidate.is_small(), is_idle, !is_stalled, pace, candidate.began_at);
     };
     const auto self = m_connections.find(own);
     const auto own_rank = get_rank(self->second);
--- a/policy/caller_limiter.hpp
+++ b/policy/caller_limiter.hpp
@@ -32,7 +32,7 @@
 /// or descriptors run short. Used on one event loop.
 ///
 /// Complete requests are never closed, unless the options say so. Of the others, those that hold much come before small
-/// ones, those that have stopped growing before others, then the slowest, then the oldest.
+/// ones, those that have stopped growing before others, then of the large ones the slowest, then the oldest.
 class caller_limiter {
 public:
     using connection_id = std::uint64_t;
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -220,10 +220,18 @@
     m_buffered = std::make_unique<byte_budget::share>(m_pool->get_buffer_budget(), unbudgeted_response_bytes);
     std::string_view piece = co_await read_some();
     while (!piece.empty()) {
-        if (rest.size() + piece.size() > limit_bytes || !m_buffered->resize(rest.size() + piece.size())) {
+        const std::size_t needed = rest.size() + piece.size();
+        std::size_t capacity = rest.capacity();
+        if (needed > capacity) {
+            // What the text holds is counted, not its length.
+            const std::size_t most = needed <= unbudgeted_response_bytes ? unbudgeted_response_bytes : limit_bytes;
+            capacity = std::max(needed, std::min(2 * capacity, most));
+        }
+        if (needed > limit_bytes || !m_buffered->resize(capacity)) {
             throw exchange_failed_error("response is too large", exchange_phase::after_send,
                                         policy::retry_reason::malformed_answer);
         }
+        rest.reserve(capacity);
         rest += piece;
         piece = co_await read_some();
     }
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
+#include <boost/asio/post.hpp>
 
 #include "servers/caller_disconnect_monitor.hpp"
+#include "servers/scoped_count.hpp"
 #include "servers/tcp_caller_channel.hpp"
 
 namespace dragonflywell::servers {
@@ -23,20 +24,6 @@
 /// latter again where the same request is sent to a second server.
 constexpr std::size_t copies_of_running_body = 4;
 
-/// Counts one item during its lifetime.
-class scoped_count {
-public:
-    explicit scoped_count(std::atomic<std::int64_t>& count) : m_count(&count) { ++*m_count; }
-    scoped_count(const scoped_count&) = delete;
-    scoped_count& operator=(const scoped_count&) = delete;
-    scoped_count(scoped_count&&) = delete;
-    scoped_count& operator=(scoped_count&&) = delete;
-    ~scoped_count() { --*m_count; }
-
-private:
-    std::atomic<std::int64_t>* m_count;
-};
-
 /// The entry of a connection in the table during its lifetime.
 class table_entry {
 public:
@@ -60,14 +47,16 @@
     bool m_is_added;
 };
 
+std::string_view get_text(const beast::flat_buffer& buffer) {
+    const auto data = buffer.data();
+    return {static_cast<const char*>(data.data()), data.size()};
+}
+
 /// Returns what a parsed head holds, with the copies of its fields for a backend server.
-std::size_t get_held_bytes(const http::request_header<>& head) {
+std::size_t get_held_bytes(std::string_view head) {
     constexpr std::size_t copies = 2;
-    std::size_t held = head.target().size();
-    for (const auto& field : head) {
-        held += field_bytes + copies * (field.name_string().size() + field.value().size());
-    }
-    return held;
+    const auto fields = static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n'));
+    return fields * field_bytes + copies * head.size();
 }
 
 } // namespace
@@ -185,35 +174,65 @@
     co_return channel.is_reusable();
 }
 
-asio::awaitable<caller_connection::read_result> caller_connection::read_head(head_parser& parser) {
+asio::awaitable<bool> caller_connection::hold(std::size_t received, std::size_t held) {
+    const std::uint64_t closed_before = m_table->get_closed();
+    const bool has_room = m_table->resize(*this, received, held);
+    if (m_table->get_closed() != closed_before) {
+        const asio::any_io_executor executor = m_stream.get_executor();
+        co_await asio::post(executor, asio::use_awaitable);
+    }
+    co_return has_room && !m_is_closed;
+}
+
+asio::awaitable<caller_connection::read_result> caller_connection::receive_head() {
     const caller_limits& limits = *m_context->limits;
-    parser.header_limit(limits.header_limit_bytes);
-    parser.body_limit(limits.body_limit_bytes);
     m_buffer.max_size(std::max<std::size_t>(limits.header_limit_bytes + first_piece_bytes, m_buffer.size()));
     m_stream.expires_at(m_head_began_at + limits.io_timeout);
-    while (!parser.is_header_done()) {
+    while (get_text(m_buffer).find("\r\n\r\n") == std::string_view::npos) {
+        if (m_buffer.size() >= limits.header_limit_bytes) {
+            co_return refuse_fault(http::error::header_limit, caller_limit_reason::slow_header);
+        }
+        const std::size_t wanted = std::min(std::max(first_piece_bytes, m_buffer.capacity() - m_buffer.size()),
+                                            m_buffer.max_size() - m_buffer.size());
         error_code fault;
-        co_await http::async_read_some(m_stream, m_buffer, parser, store_error(fault));
+        const std::size_t received = co_await m_stream.async_read_some(m_buffer.prepare(wanted), store_error(fault));
+        m_buffer.commit(received);
         if (m_is_closed) {
             co_return read_result::closed;
         }
-        if (fault == http::error::buffer_overflow) {
-            // The buffer has no more room than a header may need.
-            fault = http::error::header_limit;
-        }
         if (fault) {
             co_return refuse_fault(fault, caller_limit_reason::slow_header);
         }
-        const bool has_room = m_table->resize(*this, m_buffer.size(), m_buffer.capacity());
+        const bool has_room = co_await hold(m_buffer.size(), m_buffer.capacity());
         if (!has_room) {
             co_return refuse_for_room();
         }
     }
-    m_head_bytes = get_held_bytes(parser.get().base());
-    const bool has_room = m_table->resize(*this, m_buffer.size(), m_buffer.capacity() + m_head_bytes);
+    co_return read_result::complete;
+}
+
+asio::awaitable<caller_connection::read_result> caller_connection::read_head(head_parser& parser) {
+    const read_result received = co_await receive_head();
+    if (received != read_result::complete) {
+        co_return received;
+    }
+    // A parsed head holds much more than its bytes, so it is counted before it is parsed.
+    const std::string_view text = get_text(m_buffer);
+    const std::string_view head = text.substr(0, text.find("\r\n\r\n"));
+    m_head_bytes = get_held_bytes(head);
+    const bool has_room = co_await hold(m_buffer.size(), m_buffer.capacity() + m_head_bytes);
     if (!has_room) {
         co_return refuse_for_room();
     }
+    parser.header_limit(m_context->limits->header_limit_bytes);
+    parser.body_limit(m_context->limits->body_limit_bytes);
+    error_code fault;
+    while (!parser.is_header_done() && !fault) {
+        m_buffer.consume(parser.put(m_buffer.data(), fault));
+    }
+    if (fault) {
+        co_return refuse_fault(fault, caller_limit_reason::slow_header);
+    }
     co_return read_result::complete;
 }
 
@@ -232,13 +251,13 @@
     co_return co_await read_chunked_body(parser, body);
 }
 
-bool caller_connection::grow(std::string& body, std::size_t received, std::size_t max_bytes) {
+asio::awaitable<bool> caller_connection::grow(std::string& body, std::size_t received, std::size_t max_bytes) {
     const std::size_t wanted = std::min(std::max(first_body_bytes, 2 * received), max_bytes);
-    if (!m_table->resize(*this, received, m_buffer.capacity() + m_head_bytes + wanted)) {
-        return false;
+    const bool has_room = co_await hold(received, m_buffer.capacity() + m_head_bytes + wanted);
+    if (has_room) {
+        body.resize(wanted);
     }
-    body.resize(wanted);
-    return true;
+    co_return has_room;
 }
 
 asio::awaitable<caller_connection::read_result> caller_connection::read_sized_body(std::uint64_t length,
@@ -246,7 +265,7 @@
     std::size_t received = 0;
     while (received < length) {
         if (received == body.size()) {
-            const bool has_room = grow(body, received, length);
+            const bool has_room = co_await grow(body, received, length);
             if (!has_room) {
                 co_return refuse_for_room();
             }
@@ -281,7 +300,7 @@
     m_buffer.reserve(std::min(m_buffer.max_size(), chunk_buffer_bytes));
     while (!parser.is_done()) {
         if (received == body.size()) {
-            const bool has_room = grow(body, received, max_bytes);
+            const bool has_room = co_await grow(body, received, max_bytes);
             if (!has_room) {
                 co_return refuse_for_room();
             }
@@ -325,6 +344,9 @@
 }
 
 caller_connection::read_result caller_connection::refuse_for_room() {
+    if (m_is_closed) {
+        return read_result::closed;
+    }
     return refuse(http::status::service_unavailable, "queue_full", "this host has no room for the request");
 }
 
--- a/servers/caller_connection.hpp
+++ b/servers/caller_connection.hpp
@@ -60,14 +60,18 @@
     /// Reads and handles one request. Returns whether the connection can be reused.
     asio::awaitable<bool> serve_one();
     asio::awaitable<read_result> read_request(http_request& request);
+    /// Reads until the buffer has a whole head, or as much as is permitted.
+    asio::awaitable<read_result> receive_head();
     asio::awaitable<read_result> read_head(head_parser& parser);
     asio::awaitable<read_result> read_body(head_parser& parser, std::string& body);
     asio::awaitable<read_result> read_sized_body(std::uint64_t length, std::string& body);
     asio::awaitable<read_result> read_chunked_body(head_parser& parser, std::string& body);
     asio::awaitable<bool> handle(http_request request);
+    /// Counts what the request holds. Returns whether the budget permits it, once what was closed for it is freed.
+    asio::awaitable<bool> hold(std::size_t received, std::size_t held);
     /// Enlarges the body so that it has room for another byte, at most to `max_bytes`. Returns whether the budget
     /// permits it.
-    [[nodiscard]] bool grow(std::string& body, std::size_t received, std::size_t max_bytes);
+    asio::awaitable<bool> grow(std::string& body, std::size_t received, std::size_t max_bytes);
 
     /// Prepare the refusal that is sent once what the request held is freed.
     read_result refuse_fault(error_code read_fault, caller_limit_reason if_slow);
--- a/servers/caller_table.cpp
+++ b/servers/caller_table.cpp
@@ -83,6 +83,7 @@
             m_connections.erase(found);
         }
     }
+    m_closed += decision.to_close.size();
     if (!decision.to_close.empty()) {
         record(closed, decision.to_close.size());
     }
--- a/servers/caller_table.hpp
+++ b/servers/caller_table.hpp
@@ -47,6 +47,10 @@
     [[nodiscard]] bool begin_run(const caller_connection& connection, std::size_t held_bytes);
     void begin_idle(const caller_connection& connection);
 
+    /// Returns how many connections have been closed by the limits. What a closed connection held is freed when its
+    /// coroutine ends, so that a request for which others were closed continues after them.
+    [[nodiscard]] std::uint64_t get_closed() const noexcept { return m_closed; }
+
     /// Cancels the wait of all idle connections for their next request.
     void cancel_idle();
 
@@ -69,6 +73,7 @@
     std::map<policy::caller_limiter::connection_id, caller_connection*> m_connections;
     std::array<reason_record, reason_count> m_reasons{};
     gauge* m_held{};
+    std::uint64_t m_closed{0};
     std::shared_ptr<spdlog::logger> m_log;
     policy::caller_limiter::connection_id m_next_id{1};
 };
