--- a/policy/caller_limiter.cpp
+++ b/policy/caller_limiter.cpp
@@ -27,10 +27,14 @@
 caller_limiter::decision caller_limiter::add(connection_id id, steady_time now) {
     decision decided;
     if (m_connections.size() >= m_options.max_connections) {
-        // Idle connections are closed first; then unfinished requests, the longest without a byte first.
+        // Idle connections are closed first; then unfinished requests, the longest without a byte first. A connection
+        // that has just become idle comes after them, since the first bytes of its request may wait to be read.
         auto chosen = m_connections.end();
         for (auto each = m_connections.begin(); each != m_connections.end(); ++each) {
-            const auto get_order = [](const connection& other) { return std::tuple(other.state, other.grew_at); };
+            const auto get_order = [now](const connection& other) {
+                const bool is_fresh = other.state == phase::idle && now - other.grew_at < stall_time;
+                return std::tuple(other.state == phase::running, is_fresh, other.state, other.grew_at);
+            };
             if ((each->second.state != phase::running || m_options.may_close_running) &&
                 (chosen == m_connections.end() || get_order(each->second) < get_order(chosen->second))) {
                 chosen = each;
--- a/tests/policy/test_caller_limiter.cpp
+++ b/tests/policy/test_caller_limiter.cpp
@@ -137,6 +137,7 @@
     }
     CHECK(limiter.begin_run(1, 0, clock.now()).is_admitted);
     limiter.begin_request(2, clock.now());
+    clock.advance(1s);
     CHECK(limiter.add(4, clock.now()).to_close == ids{3});
     CHECK(limiter.begin_run(4, 0, clock.now()).is_admitted);
     CHECK(limiter.add(5, clock.now()).to_close == ids{2});
