--- a/daemon/server_speed_settings.cpp
+++ b/daemon/server_speed_settings.cpp
@@ -17,10 +17,10 @@
 bool read_speed_learning_from_environment() {
     const char* variable = std::getenv(variable_name);
     const std::string_view text = variable == nullptr ? "" : variable;
-    if (text.empty() || text == "true") {
+    if (text == "true") {
         return true;
     }
-    if (text != "false") {
+    if (!text.empty() && text != "false") {
         throw invalid_input_error({{.location = fmt::format("environment variable {}", variable_name),
                                     .message = fmt::format("must be true or false, not \"{}\"", text)}});
     }
--- a/policy/server_speed_estimator.cpp
+++ b/policy/server_speed_estimator.cpp
@@ -10,6 +10,7 @@
 /// Time after which an observation has lost 63 % of its weight. Changes are to be followed within a few seconds, and
 /// a slow moment of 0.6 s is to be averaged.
 constexpr duration memory_time = std::chrono::seconds(3);
+/// A refresh of 140 servers with the sums of 20 hosts takes 0.18 ms, which counts on a host with a tenth of a core.
 constexpr duration refresh_interval = std::chrono::milliseconds(25);
 /// Added to the expected and the observed time, so that the network and the event loop do not count as slowness of a
 /// server that answers at once.
