Decode engines count as equal for the prompts that they read themselves

Change: the learned speed of a decode engine counts for its streams only.

All cases of test_engine_speeds pass.

--- a/policy/engine_placement.cpp
+++ b/policy/engine_placement.cpp
@@ -203,12 +203,12 @@
         return candidate.status.unobserved_utilisation + utilisation;
     }
 
-    /// Returns the speed that counts for a prefill. A fast decode engine is not given more prompts to read than one of
-    /// speed 1, since each of them slows its streams: with speeds of 0.6 and 1.4 that raised the 99th percentile of a
-    /// stream of 60 to 80 events from 547 to 1435 ms.
+    /// Returns the speed that counts for a prefill. Decode engines count as equal: each prompt that one reads slows its
+    /// streams, which the plan does not contain, and with their speeds one of eight seeds of the modelled fleet kept on
+    /// giving them prompts (0.952 in place of 0.995 of first events in time).
     [[nodiscard]] static double get_prefill_speed(const engine_candidate& candidate) {
         const bool is_prefill = candidate.engine->attributes.stage == fleet::engine_stage::prefill;
-        return is_prefill ? candidate.speed : std::min(1.0, candidate.speed);
+        return is_prefill ? candidate.speed : 1;
     }
 
     /// Returns the fastest prefill on an engine: from its own cached prefix, or with a prefix fetched from another
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -473,7 +473,7 @@
     m_direct_prefill.reset();
     engines.record_wait(choice, taken);
     if (choice.known_wait == duration::zero() && !choice.prefix_source) {
-        engines.record_prefill(choice, taken, speed);
+        engines.record_prefill(choice, taken, 1);
     }
 }
 
