--- a/daemon/host_daemon.cpp
+++ b/daemon/host_daemon.cpp
@@ -43,9 +43,13 @@
             .min_outage = bounds.server_heartbeat * min_missed_heartbeats};
 }
 
-servers::serving_options get_serving_options(const host_settings& settings, steady_time now) {
+servers::serving_options get_serving_options(const host_settings& settings, std::uint64_t incarnation,
+                                             steady_time now) {
     return {.own_host = settings.name.value(),
             .own_zone = settings.zone,
+            .incarnation = incarnation,
+            .quota_tolerance = settings.quota_tolerance,
+            .is_first_start = settings.is_first_start,
             .usage_window = settings.bounds.usage_window,
             .fallback_record_delay = make_usage_timing(settings.bounds.usage_report).fallback_record_delay,
             .retries_per_request = settings.bounds.retries_per_request,
@@ -53,7 +57,19 @@
             .retry_window = settings.bounds.retry_window,
             .eligibility = {.list_reachability = get_contact_options(settings.bounds),
                             .drain_bound = settings.bounds.drain},
-            .started_at = now};
+            .started_at = now,
+            .learns_server_speeds = settings.learns_server_speeds};
+}
+
+/// Options of an address for probes: small heads, no body, few connections.
+servers::http_server_options make_probe_options(const endpoint& listen) {
+    constexpr std::uint32_t header_bytes = 4096;
+    return {.listen = listen,
+            .limits = {.header_limit_bytes = header_bytes,
+                       .body_limit_bytes = 0,
+                       .io_timeout = std::chrono::seconds(3),
+                       .idle_timeout = std::chrono::seconds(60)},
+            .limiter = get_probe_limits()};
 }
 
 std::uint64_t get_incarnation(const clock_source& time) {
@@ -74,10 +90,11 @@
 
 host_daemon::host_daemon(host_settings settings, settings_file file, std::shared_ptr<log_buffer> ring)
     : m_settings(std::move(settings)), m_file(std::move(file)), m_incarnation(get_incarnation(m_clock)),
-      m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)), m_connections(m_clock, {}),
+      m_log(get_logger("host")), m_log_writer(m_loop.get_executor(), std::move(ring)),
+      m_connections(m_clock, {.max_buffered_bytes = m_settings.caller_limits.get_response_bytes()}),
       m_store(m_connections, m_metrics, {.address = m_settings.store}),
       m_state(m_loop.get_executor(), m_clock, m_connections, m_engine_dialect, m_metrics,
-              get_serving_options(m_settings, m_clock.now())),
+              get_serving_options(m_settings, m_incarnation, m_clock.now())),
       m_configuration(m_store, m_state, m_settings.bounds.configuration, [this] { apply_limits(); }),
       m_servers(m_store, m_state, m_settings.bounds.drain),
       m_cloud(m_connections, m_metrics, {.address = m_settings.orders}),
@@ -95,10 +112,13 @@
                .capacity = m_settings.capacity,
                .group_record_delay = make_usage_timing(m_settings.bounds.usage_report).group_record_delay}),
       m_entry_handler(m_state, m_ingress_dialect), m_ready_handler([this] { return is_ready(); }),
-      m_metrics_handler(m_metrics),
-      m_entry_server({&m_loop}, m_entry_handler, {.listen = m_settings.callers, .limits = {}}),
-      m_ready_server({&m_loop}, m_ready_handler, {.listen = m_settings.ready, .limits = {}}),
-      m_metrics_server({&m_loop}, m_metrics_handler, {.listen = m_settings.metrics, .limits = {}}),
+      m_metrics_handler(m_metrics), m_entry_server({&m_loop}, m_entry_handler,
+                                                   {.listen = m_settings.callers,
+                                                    .limits = {},
+                                                    .limiter = m_settings.caller_limits.get_caller_limits(),
+                                                    .metrics = &m_metrics}),
+      m_ready_server({&m_loop}, m_ready_handler, make_probe_options(m_settings.ready)),
+      m_metrics_server({&m_loop}, m_metrics_handler, make_probe_options(m_settings.metrics)),
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP) {}
 
 host_daemon::~host_daemon() {
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -10,6 +10,7 @@
 #include "daemon/group_usage_recorder.hpp"
 #include "daemon/host_list.hpp"
 #include "daemon/lease_keeper.hpp"
+#include "daemon/quota_exchange.hpp"
 #include "daemon/server_list_follower.hpp"
 #include "daemon/usage_copier.hpp"
 #include "gossip/datagram_queue.hpp"
@@ -22,6 +23,7 @@
 #include "gossip/udp_transport.hpp"
 #include "platform/store_client.hpp"
 #include "servers/host_digest.hpp"
+#include "servers/server_speed_report.hpp"
 #include "servers/serving_state.hpp"
 
 namespace dragonflywell::daemon {
@@ -116,12 +118,14 @@
     gossip::datagram_queue m_queue;
     gossip::digest_builder m_builder;
     gossip::digest_sender m_digests;
+    servers::server_speed_report m_speed_report;
     gauge* m_heartbeat_delay;
     boost::asio::steady_timer m_send_timer;
     /// The read position up to which all records have been sent to the group, and when it was that.
     servers::digest_read_position m_relayed_position;
     steady_time m_relayed_position_at{};
     gossip::resend_limiter m_resends;
+    quota_exchange m_quotas;
     /// Whether this host led its group at the last heartbeat.
     bool m_leads_group{false};
 };
--- a/daemon/host_settings.hpp
+++ b/daemon/host_settings.hpp
@@ -8,7 +8,9 @@
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
 #include "core/log.hpp"
+#include "daemon/caller_limit_settings.hpp"
 #include "policy/group_leadership.hpp"
+#include "policy/quota_limit.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -48,6 +50,8 @@
     bool is_first_start{false};
     /// What the network link and the processor of the host carry.
     policy::host_capacity capacity{default_capacity};
+    /// Not from the file: memory and descriptors of the host, from the environment.
+    caller_limit_settings caller_limits;
     endpoint callers;
     endpoint ready;
     endpoint metrics;
@@ -58,7 +62,11 @@
     double order_calls_per_second{};
     std::set<std::string> duties;
     host_bounds bounds;
+    /// By how much the usage of an organisation may exceed its quota; from the environment.
+    policy::quota_tolerance quota_tolerance;
     log_options log;
+    /// Whether requests are placed by the learned speeds of servers. From the environment, not from the file.
+    bool learns_server_speeds{true};
 };
 
 /// Parses and validates a settings file. `file` is used in messages only. `fallback` is the capacity that counts if the
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/log_event.hpp"
+#include "daemon/generation_plan.hpp"
 #include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
@@ -100,23 +101,24 @@
 
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
+    const policy::stage_plan_options options = make_stage_plan_options(*m_state, service);
     if (m_is_before_first_request && !engines.empty()) {
-        m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), {});
+        m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), options);
     }
     const std::vector<policy::stage_change> changes = policy::plan_stages(
-        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, {});
+        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, options);
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(service);
         if (state == nullptr || m_lease->get_fencing_number() != fence) {
             co_return;
         }
         const duration change_time = state->get_description().stage_change_time;
-        co_await order(fence, change, change_time);
+        co_await order(fence, change, change_time, options.decode_fill);
     }
 }
 
 servers::asio::awaitable<void> stage_controller::order(std::uint64_t fence, policy::stage_change change,
-                                                       duration change_time) {
+                                                       duration change_time, double planned_fill) {
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(change.engine);
     if (listed == nullptr || m_state->eligibility.get_pause_end(change.engine, m_state->time.now())) {
         co_return;
@@ -138,6 +140,7 @@
     log_event("stage_ordered")
         .add("engine", change.engine.value())
         .add("stage", fleet::get_stage_name(change.stage))
+        .add("planned_fill", planned_fill)
         .add("fence", fence)
         .add("reported", report.has_value())
         .add("answer", get_answer_name(answer))
--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -18,6 +18,8 @@
 
 private:
     [[nodiscard]] backend_server_name choose() const;
+    /// Identifies requests that usually take equally long: those of a route with the same method.
+    [[nodiscard]] std::uint64_t get_kind() const;
     /// Sends the request to one instance. Returns the response for the caller, or nothing when another instance may be
     /// tried. Throws `request_refused` when none may be tried.
     asio::awaitable<std::optional<http_response>> send_to(const backend_server_name& server, caller_channel& caller);
@@ -26,6 +28,8 @@
     [[nodiscard]] bool may_try_again() const;
 
     std::set<backend_server_name> m_tried;
+    /// What the response holds of the buffer budget until the caller has read it.
+    std::unique_ptr<byte_budget::share> m_response_share;
     /// Number of instances on which the request may have run.
     std::uint32_t m_run_count{0};
     /// An error response of an instance. It goes to the caller if no other instance gives a better one.
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -8,6 +8,7 @@
 #include "core/log.hpp"
 #include "core/log_event.hpp"
 #include "servers/backend_exchange.hpp"
+#include "servers/server_speed_digest.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -37,7 +38,13 @@
                              serving_options initial_options)
     : executor(std::move(loop)), time(clock), connections(pool), codec(backend_protocol),
       options(std::move(initial_options)), peers(clock, policy::host_groups(options.own_host, options.own_zone, {})),
-      usage(options.usage_window), counters(metrics), log(get_logger("request")),
+      usage(options.usage_window), quotas(executor, clock, metrics,
+                                          {.host = options.own_host,
+                                           .incarnation = options.incarnation,
+                                           .tolerance = options.quota_tolerance,
+                                           .is_first_start = options.is_first_start,
+                                           .started_at = clock.now_with_suspension()}),
+      counters(metrics), log(get_logger("request")),
       m_corrected_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
 
 wall_time serving_state::get_corrected_time() const {
@@ -69,6 +76,7 @@
 
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
     m_view = std::move(view);
+    quotas.set_configuration(m_view->get_configuration());
     refresh_servers();
 }
 
@@ -96,6 +104,7 @@
         if (service.engine) {
             service_engines& engines = m_engines[service.name];
             engines.set_description(*service.engine);
+            engines.speeds.set_enabled(options.learns_server_speeds);
             engines.load_tracker.set_engines(attributes[service.name]);
         }
     }
@@ -275,6 +284,7 @@
 
 void serving_state::remove_host(const std::string& host) {
     peers.remove_host(host);
+    for_each_speed_estimator(*this, [&host](policy::server_speed_estimator& speeds) { speeds.remove_host(host); });
     for (auto& [service, engines] : m_engines) {
         engines.load_tracker.remove_host(host);
     }
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -25,6 +25,8 @@
 #include "servers/backend_codec.hpp"
 #include "servers/backend_connection_pool.hpp"
 #include "servers/crash_announcements.hpp"
+#include "servers/instance_speeds.hpp"
+#include "servers/organisation_quotas.hpp"
 #include "servers/peer_state.hpp"
 #include "servers/request_counters.hpp"
 #include "servers/service_engines.hpp"
@@ -36,6 +38,12 @@
 struct serving_options {
     std::string own_host;
     zone_name own_zone;
+    /// Identifies the run of the process among those of this host.
+    std::uint64_t incarnation{1};
+    /// By how much the usage of an organisation may exceed its quota.
+    policy::quota_tolerance quota_tolerance{};
+    /// Whether the whole system starts for the first time.
+    bool is_first_start{false};
     duration usage_window{std::chrono::seconds(5)};
     /// How long after the end of a window this host waits before it records its own usage, where another host may
     /// record it for the group.
@@ -49,6 +57,8 @@
     /// When the process started. The base part of the retry budget grows from zero over the first window, because what
     /// the previous process spent is not known. With an early time the whole base is available at once.
     steady_time started_at{};
+    /// Whether requests are placed by the speeds that this host has learned of backend servers.
+    bool learns_server_speeds{true};
 };
 
 /// State that the requests of one event loop share. Not thread safe.
@@ -188,8 +198,11 @@
     peer_state peers;
     policy::server_health health;
     policy::usage_counter usage;
+    organisation_quotas quotas;
     policy::usage_delegation delegation{options.fallback_record_delay};
     policy::stall_detector stalls;
+    /// Speeds of the instances of plain services. Entries are not removed, since running requests refer to them.
+    std::map<service_name, instance_speeds> speeds;
     policy::crash_attribution crashes;
     policy::quarantine suspects{{.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)}};
     policy::part_quarantine part_suspects;
