Take engines for a lower fill only where prefills leave them, and separate the encoding of speeds from their exchange

Cause: the planned fill took engines for generating whatever prefills needed, both in the stages and in the servers ordered.

--- a/daemon/fleet_controller.cpp
+++ b/daemon/fleet_controller.cpp
@@ -69,7 +69,7 @@
     }
 }
 
-policy::fleet_demand fleet_controller::get_demand(const service_name& service) const {
+policy::fleet_demand fleet_controller::get_demand(const service_name& service, std::size_t max_servers) const {
     policy::fleet_demand demand;
     if (const auto prefill = m_prefill_demand.find(service); prefill != m_prefill_demand.end()) {
         const std::optional<double> peak = prefill->second.get();
@@ -80,8 +80,10 @@
     const double slots = description->engine ? description->engine->slots : 1;
     const auto running = m_running.find(service);
     const double peak = running == m_running.end() ? 0 : running->second;
-    demand.decode_engines =
-        policy::count_decode_engines(slots, {.running = peak}, make_stage_plan_options(*m_state, service));
+    const std::size_t decode_engines =
+        policy::split_engines(max_servers, slots, {.running = peak, .prefill_engines = demand.prefill_engines},
+                              make_stage_plan_options(*m_state, service));
+    demand.decode_engines = static_cast<std::uint32_t>(decode_engines);
     return demand;
 }
 
@@ -92,8 +94,9 @@
             continue;
         }
         const std::map<zone_name, policy::zone_server_counts> present = get_present(service.name);
+        const std::size_t max_servers = present.size() * service.scaling->max_servers;
         const std::map<zone_name, policy::zone_server_counts> targets =
-            policy::plan_servers(*service.scaling, present, get_demand(service.name), {});
+            policy::plan_servers(*service.scaling, present, get_demand(service.name, max_servers), {});
         for (const auto& [zone, target] : targets) {
             const server_pool regular{.service = service.name, .zone = zone, .is_cheap = false};
             const server_pool cheap{.service = service.name, .zone = zone, .is_cheap = true};
--- a/daemon/fleet_controller.hpp
+++ b/daemon/fleet_controller.hpp
@@ -43,7 +43,8 @@
     };
 
     void observe_demand();
-    [[nodiscard]] policy::fleet_demand get_demand(const service_name& service) const;
+    /// `max_servers`: how many servers of the service all zones together may have.
+    [[nodiscard]] policy::fleet_demand get_demand(const service_name& service, std::size_t max_servers) const;
     servers::asio::awaitable<void> control(std::uint64_t fence);
     /// Orders a pool size, unless the newest order wants the same size and was, or may still be, carried out.
     servers::asio::awaitable<void> order(std::uint64_t fence, server_pool pool, std::uint32_t wanted,
--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -11,6 +11,7 @@
 #include "daemon/usage_timing.hpp"
 #include "gossip/quota_messages.hpp"
 #include "policy/time_correction.hpp"
+#include "servers/server_speed_sharing.hpp"
 #include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -72,6 +72,9 @@
         double& peak = m_running[service];
         peak = std::max(running, peak * peak_decay);
         m_is_before_first_request = m_is_before_first_request && running == 0;
+        const double prefill_seconds = std::chrono::duration<double>(m_state->get_prefill_demand(service)).count();
+        m_prefill_demand.try_emplace(service, policy::decaying_peak_rate::options{})
+            .first->second.observe(prefill_seconds, m_state->time.now());
     }
 }
 
@@ -99,14 +102,23 @@
     return engines;
 }
 
+std::optional<double> stage_controller::get_prefill_demand(const service_name& service) const {
+    const auto demand = m_prefill_demand.find(service);
+    return demand == m_prefill_demand.end() ? std::nullopt : demand->second.get();
+}
+
 servers::asio::awaitable<void> stage_controller::control(std::uint64_t fence, service_name service) {
     const std::vector<policy::staged_engine> engines = get_engines(service);
     const policy::stage_plan_options options = make_stage_plan_options(*m_state, service);
     if (m_is_before_first_request && !engines.empty()) {
         m_running[service] = policy::assume_initial_running(engines.size(), policy::get_mean_slots(engines), options);
     }
-    const std::vector<policy::stage_change> changes = policy::plan_stages(
-        engines, {.running = m_running[service], .is_before_first_request = m_is_before_first_request}, options);
+    const std::vector<policy::stage_change> changes =
+        policy::plan_stages(engines,
+                            {.running = m_running[service],
+                             .prefill_engines = get_prefill_demand(service),
+                             .is_before_first_request = m_is_before_first_request},
+                            options);
     for (const policy::stage_change& change : changes) {
         const servers::service_engines* state = m_state->find_engines(service);
         if (state == nullptr || m_lease->get_fencing_number() != fence) {
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -2,11 +2,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/log.hpp"
 #include "daemon/lease_keeper.hpp"
 #include "platform/engine_order_client.hpp"
+#include "policy/decaying_peak_rate.hpp"
 #include "policy/stage_plan.hpp"
 #include "servers/serving_state.hpp"
 
@@ -30,6 +32,7 @@
     /// `planned_fill`: share of the slots of generating engines with which the change was planned, for the log.
     servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time,
                                          double planned_fill);
+    [[nodiscard]] std::optional<double> get_prefill_demand(const service_name& service) const;
     /// Returns whether the load was observed for long enough to plan with it.
     [[nodiscard]] bool is_load_known() const;
     [[nodiscard]] std::vector<policy::staged_engine> get_engines(const service_name& service) const;
@@ -43,6 +46,8 @@
     std::shared_ptr<spdlog::logger> m_log;
     /// Peak of the running requests of each service, which decays exponentially.
     std::map<service_name, double> m_running;
+    /// Peak of the prefill work of all hosts, as the number of engines that it keeps busy.
+    std::map<service_name, policy::decaying_peak_rate> m_prefill_demand;
     /// End of the cooldown of each engine to which an order failed.
     std::map<backend_server_name, steady_time> m_cooldowns;
 };
--- a/gossip/digest_builder.hpp
+++ b/gossip/digest_builder.hpp
@@ -5,6 +5,7 @@
 
 #include "gossip/digest_source.hpp"
 #include "servers/host_digest.hpp"
+#include "servers/server_speed_sharing.hpp"
 #include "servers/serving_state.hpp"
 #include "servers/shared_prefixes.hpp"
 
--- a/policy/stage_plan.cpp
+++ b/policy/stage_plan.cpp
@@ -68,6 +68,17 @@
     return std::max(static_cast<std::uint32_t>(with_spare) + options.spare_decode_engines, options.min_decode_engines);
 }
 
+std::size_t split_engines(std::size_t engines, double slots_per_engine, const stage_demand& demand,
+                          const stage_plan_options& options) {
+    const std::size_t wanted = count_decode_engines(slots_per_engine, demand, options);
+    stage_plan_options full = options;
+    full.decode_fill = std::max(options.decode_fill, options.max_decode_fill);
+    const std::size_t fewest = count_decode_engines(slots_per_engine, demand, full);
+    const double prefill_engines = demand.prefill_engines.value_or(0) / options.prefill_utilisation;
+    const double left = std::max(0.0, static_cast<double>(engines) - std::ceil(prefill_engines));
+    return std::clamp(static_cast<std::size_t>(left), fewest, wanted);
+}
+
 std::vector<stage_change> plan_stages(std::span<const staged_engine> engines, const stage_demand& demand,
                                       const stage_plan_options& options) {
     std::vector<stage_change> changes;
@@ -77,7 +88,7 @@
     const std::vector<const staged_engine*> ranked = rank_decode_engines(engines);
     // At least half of the engines are left for prefills.
     const std::size_t decode_engines =
-        std::min<std::size_t>(count_decode_engines(get_mean_slots(engines), demand, options), engines.size() / 2);
+        std::min(split_engines(engines.size(), get_mean_slots(engines), demand, options), engines.size() / 2);
     const auto changing = static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(), [](const staged_engine& engine) { return engine.is_changing; }));
     const double share = demand.is_before_first_request ? 1.0 : options.max_changing_share;
--- a/policy/stage_plan.hpp
+++ b/policy/stage_plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -25,6 +26,8 @@
 struct stage_demand {
     /// Recent peak of the number of concurrently decoding requests.
     double running{0};
+    /// Number of engines that the prefill work at its recent peak would keep fully busy; empty while it is unknown.
+    std::optional<double> prefill_engines;
     /// Whether the service has not had a request yet, so that a change interrupts none.
     bool is_before_first_request{false};
 };
@@ -32,6 +35,11 @@
 struct stage_plan_options {
     /// Share of the slots of a decode engine that is planned to be used, so that the time between tokens stays short.
     double decode_fill{0.5};
+    /// Share of the slots up to which decode engines are used if prefills need the other engines.
+    double max_decode_fill{0.5};
+    /// Utilisation of prefill engines up to which they leave engines for a lower fill of decode engines. A prompt that
+    /// waits for its prefill delays the whole response, a fuller decode engine only lengthens its pauses.
+    double prefill_utilisation{0.3};
     /// Spare decode engines as a share of those that the demand needs, so that the loss of one zone out of four causes
     /// no refusals.
     double spare_share{0.34};
@@ -57,6 +65,11 @@
 [[nodiscard]] std::uint32_t count_decode_engines(double slots_per_engine, const stage_demand& demand,
                                                  const stage_plan_options& options);
 
+/// Returns how many of a number of engines are to decode: as many as the planned fill asks for, but beyond the largest
+/// fill only as far as prefills leave engines. Thread safe.
+[[nodiscard]] std::size_t split_engines(std::size_t engines, double slots_per_engine, const stage_demand& demand,
+                                        const stage_plan_options& options);
+
 /// Returns the number of decoding requests to plan for before the first request arrives. Thread safe.
 [[nodiscard]] double assume_initial_running(std::size_t engines, double slots_per_engine,
                                             const stage_plan_options& options);
--- a/servers/server_speed_digest.hpp
+++ b/servers/server_speed_digest.hpp
@@ -1,19 +1,13 @@
 #pragma once
 
 #include <boost/json/object.hpp>
-#include <cstddef>
-#include <functional>
 #include <map>
-#include <string>
 
-#include "core/clock.hpp"
 #include "core/identifiers.hpp"
 #include "policy/server_speed_estimator.hpp"
 
 namespace dragonflywell::servers {
 
-class serving_state;
-
 /// What a host has observed of the speeds of servers, as digests carry it: sums as of the moment of sending.
 using digest_speeds = std::map<backend_server_name, policy::speed_sums>;
 
@@ -22,26 +16,4 @@
 /// Throws `malformed_message_error`, also for sums that no observations could have. Thread safe.
 [[nodiscard]] digest_speeds decode_speeds(const boost::json::object& encoded);
 
-/// Chooses the sums for the next digest: a bounded number of servers, in turn. Not thread safe.
-class speed_announcer {
-public:
-    /// Largest number of servers in a digest. An entry has about 45 bytes, so that a digest twice a second to 20 hosts
-    /// takes 60 kB a second of the 250 that a link of 10 Mbit/s leaves for all datagrams.
-    static constexpr std::size_t max_servers = 32;
-
-    [[nodiscard]] digest_speeds take(serving_state& state);
-
-private:
-    backend_server_name m_last;
-};
-
-/// Calls `use` with each estimator of the state.
-void for_each_speed_estimator(serving_state& state, const std::function<void(policy::server_speed_estimator&)>& use);
-/// Returns the estimator for a listed server, or null.
-[[nodiscard]] policy::server_speed_estimator* find_speed_estimator(serving_state& state,
-                                                                   const backend_server_name& server);
-
-/// Merges the sums of another host of the group. `delay`: how long the digest was on the way.
-void merge_speeds(serving_state& state, const std::string& host, const digest_speeds& speeds, duration delay);
-
 } // namespace dragonflywell::servers
--- a/servers/server_speed_report.cpp
+++ b/servers/server_speed_report.cpp
@@ -5,7 +5,7 @@
 
 #include "core/log.hpp"
 #include "core/log_event.hpp"
-#include "servers/server_speed_digest.hpp"
+#include "servers/server_speed_sharing.hpp"
 
 namespace dragonflywell::servers {
 
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -8,7 +8,7 @@
 #include "core/log.hpp"
 #include "core/log_event.hpp"
 #include "servers/backend_exchange.hpp"
-#include "servers/server_speed_digest.hpp"
+#include "servers/server_speed_sharing.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
--- a/tests/platform/test_server_speeds.cpp
+++ b/tests/platform/test_server_speeds.cpp
@@ -4,8 +4,8 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
-#include "servers/server_speed_digest.hpp"
 #include "servers/server_speed_report.hpp"
+#include "servers/server_speed_sharing.hpp"
 #include "support/serving_fixture.hpp"
 
 using namespace dragonflywell;
--- a/tests/policy/test_generation_pace.cpp
+++ b/tests/policy/test_generation_pace.cpp
@@ -139,3 +139,16 @@
     CHECK(half_full == 12);
     CHECK(quarter_full == 23);
 }
+
+// The load: a small fleet whose prefills keep half of the engines that it may have busy.
+TEST_CASE("engines that prefills need are not taken for a lower fill of decode engines") {
+    const stage_plan_options options{.decode_fill = 0.25};
+    const stage_demand busy{.running = 96, .prefill_engines = 4};
+    const stage_demand calm{.running = 96, .prefill_engines = 1};
+    const std::size_t half_full = count_decode_engines(slots, busy, {.decode_fill = 0.5});
+    const std::size_t quarter_full = count_decode_engines(slots, busy, options);
+    REQUIRE(half_full < quarter_full);
+    CHECK(split_engines(16, slots, busy, options) == half_full);
+    CHECK(split_engines(16, slots, calm, options) == quarter_full);
+    CHECK(split_engines(60, slots, busy, options) == quarter_full);
+}
