Log which connection a request used at each server, and count skipped responses

Change: the field "connections" of a request's line has opened, reused or none for each server, and dragonflywell_foreign_responses_total counts responses to other requests that were skipped.

--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -65,6 +65,18 @@
 
 } // namespace
 
+std::string_view get_name(connection_use use) noexcept {
+    switch (use) {
+    case connection_use::opened:
+        return "opened";
+    case connection_use::reused:
+        return "reused";
+    case connection_use::none:
+        break;
+    }
+    return "none";
+}
+
 backend_exchange::backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options)
     : m_pool(&pool), m_server(std::move(server)), m_options(std::move(options)), m_piece(piece_bytes, '\0') {}
 
@@ -80,6 +92,7 @@
     std::size_t head_bytes = co_await read_head(is_head_request);
     while (m_options.is_matching_response && !m_options.is_matching_response(m_parser->get())) {
         count_skipped_bytes(head_bytes);
+        ++m_skipped_responses;
         co_await skip_foreign_response();
         head_bytes = co_await read_head(is_head_request);
     }
@@ -113,6 +126,7 @@
 }
 
 void backend_exchange::send(const http_request& request) {
+    m_connection_use = m_connection->is_reused ? connection_use::reused : connection_use::opened;
     m_connection->outgoing = encode_request(request);
     m_connection->is_sending = true;
     m_is_sent = true;
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -19,6 +19,16 @@
     after_send,
 };
 
+/// Which connection an exchange uses.
+enum class connection_use : std::uint8_t {
+    none,
+    opened,
+    /// One that carried another exchange before.
+    reused,
+};
+
+[[nodiscard]] std::string_view get_name(connection_use use) noexcept;
+
 /// Thrown when an exchange ends without a complete response.
 class exchange_failed_error : public error {
 public:
@@ -81,6 +91,11 @@
     /// Returns whether any byte of the request may have reached the server.
     [[nodiscard]] bool is_sent() const noexcept { return m_is_sent; }
 
+    [[nodiscard]] connection_use get_connection_use() const noexcept { return m_connection_use; }
+
+    /// Returns how many responses to other requests were skipped so far.
+    [[nodiscard]] std::size_t get_skipped_responses() const noexcept { return m_skipped_responses; }
+
     /// Returns the response header. Precondition: `start` has returned.
     [[nodiscard]] const http::response_header<>& get_head() const { return m_parser->get().base(); }
 
@@ -128,6 +143,8 @@
     std::size_t m_skipped_bytes{0};
     std::size_t m_received_bytes{0};
     std::optional<steady_time> m_progressed_at;
+    connection_use m_connection_use{connection_use::none};
+    std::size_t m_skipped_responses{0};
     bool m_is_sent{false};
     bool m_is_cancelled{false};
 };
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -214,7 +214,7 @@
         failure.emplace(fault.what(), exchange_phase::after_send, policy::retry_reason::malformed_answer);
         what = "read_invalid";
     }
-    get_record().add_server(engine, what);
+    get_record().add_server(engine, what, exchange.get_connection_use());
     if (kv_cache || caller.is_disconnected()) {
         engines.record_wait(choice, get_state().time.now() - sent_at);
     }
@@ -317,27 +317,27 @@
         if (is_waiting_for_prefill) {
             engines.record_wait(choice, get_state().time.now() - m_generation_sent_at);
         }
-        get_record().add_server(engine, "caller_gone");
+        get_record().add_server(engine, "caller_gone", exchange.get_connection_use());
         if (kv_cache && !exchange.is_sent()) {
             release_kv_cache(get_state(), *kv_cache);
         }
         throw caller_disconnected_error("caller disconnected before its response was complete");
     }
     if (!failure && kind == response_kind::answered) {
-        get_record().add_server(engine, "answered");
+        get_record().add_server(engine, "answered", exchange.get_connection_use());
         get_state().health.add_success(engine);
         co_return generate_result::done;
     }
     if (has_head && kind == response_kind::wrong_server) {
-        get_record().add_server(engine, "other_server");
+        get_record().add_server(engine, "other_server", exchange.get_connection_use());
         get_state().eligibility.get_list().mark_address_taken(engine);
         get_state().refresh_servers();
     } else if (has_head && kind == response_kind::not_run) {
-        get_record().add_server(engine, "refused");
+        get_record().add_server(engine, "refused", exchange.get_connection_use());
         m_engine_status.exclude(engine);
         record_refusal(engine);
     } else {
-        get_record().add_server(engine, "failed");
+        get_record().add_server(engine, "failed", exchange.get_connection_use());
         if (!failure) {
             failure.emplace("backend server returned an invalid response", exchange_phase::after_send,
                             policy::retry_reason::malformed_answer);
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -108,7 +108,7 @@
         throw caller_disconnected_error("caller disconnected before its response arrived");
     }
     if (failure) {
-        get_record().add_server(server, "failed");
+        get_record().add_server(server, "failed", exchange.get_connection_use());
         if (!exchange.is_sent()) {
             observation.discard();
         }
@@ -119,19 +119,19 @@
         break;
     case response_kind::wrong_server:
         observation.discard();
-        get_record().add_server(server, "other_server");
+        get_record().add_server(server, "other_server", exchange.get_connection_use());
         get_state().eligibility.get_list().mark_address_taken(server);
         get_state().refresh_servers();
         require_retry_budget(policy::retry_reason::connect_failed);
         co_return std::nullopt;
     case response_kind::not_run:
         observation.discard();
-        get_record().add_server(server, "refused");
+        get_record().add_server(server, "refused", exchange.get_connection_use());
         record_refusal(server);
         require_retry_budget(policy::retry_reason::backend_server_busy);
         co_return std::nullopt;
     case response_kind::invalid:
-        get_record().add_server(server, "invalid");
+        get_record().add_server(server, "invalid", exchange.get_connection_use());
         co_return handle_failure(server,
                                  exchange_failed_error("backend server returned an invalid response",
                                                        exchange_phase::after_send,
@@ -144,7 +144,7 @@
     }
     record_execution(sent_at);
     ++m_run_count;
-    get_record().add_server(server, std::to_string(response->result_int()));
+    get_record().add_server(server, std::to_string(response->result_int()), exchange.get_connection_use());
     const bool is_failure = response->result_int() >= first_error_status;
     if (!is_failure) {
         get_state().health.add_success(server);
--- a/servers/request_counters.cpp
+++ b/servers/request_counters.cpp
@@ -9,6 +9,7 @@
       m_suspects(&registry.get_counter("dragonflywell_suspect_requests_total")),
       m_leaving_servers(&registry.get_counter("dragonflywell_leaving_servers_total")),
       m_server_pauses(&registry.get_counter("dragonflywell_server_pauses_total")),
+      m_foreign_responses(&registry.get_counter("dragonflywell_foreign_responses_total")),
       m_first_token(&registry.get_histogram("dragonflywell_first_token_seconds")),
       m_request(&registry.get_histogram("dragonflywell_request_seconds")) {
     for (std::size_t index = 0; index < m_refusals.size(); ++index) {
--- a/servers/request_counters.hpp
+++ b/servers/request_counters.hpp
@@ -24,6 +24,8 @@
     void count_leaving_server() noexcept { m_leaving_servers->add(); }
     /// Counts a refusal with which a server asked for a pause.
     void count_server_pause() noexcept { m_server_pauses->add(); }
+    /// Counts responses to other requests that servers sent where a response was due.
+    void count_foreign_responses(std::uint64_t count) noexcept { m_foreign_responses->add(count); }
     void count_caller_disconnect() noexcept { m_callers_gone->add(); }
     /// Counts a stream that was cancelled because its caller disconnected.
     void count_cancelled_stream() noexcept { m_cancelled_streams->add(); }
@@ -43,6 +45,7 @@
     counter* m_suspects;
     counter* m_leaving_servers;
     counter* m_server_pauses;
+    counter* m_foreign_responses;
     latency_histogram* m_first_token;
     latency_histogram* m_request;
 };
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -7,6 +7,7 @@
 #include "core/identifiers.hpp"
 #include "core/log_event.hpp"
 #include "policy/outcome.hpp"
+#include "servers/backend_exchange.hpp"
 
 namespace dragonflywell::servers {
 
@@ -25,6 +26,8 @@
     std::optional<steady_time> head_arrived_at;
     /// Backend servers that the request was sent to, in order, each with the result.
     std::string servers;
+    /// The kinds of the connections that were used for them, in the same order.
+    std::string connections;
     std::uint32_t sends{0};
     /// Expected time from arrival to the first event of the response, if it was estimated.
     std::optional<duration> expected_time_to_first_event;
@@ -34,11 +37,13 @@
     unsigned status{0};
 
     /// Records a server that the request was sent to.
-    void add_server(const backend_server_name& server, std::string_view what) {
+    void add_server(const backend_server_name& server, std::string_view what, connection_use connection) {
         servers += servers.empty() ? "" : " ";
         servers += server.value();
         servers += ":";
         servers += what;
+        connections += connections.empty() ? "" : " ";
+        connections += get_name(connection);
         ++sends;
     }
 };
@@ -51,7 +56,8 @@
     event.add("id", record.id).add("route", record.route).add("organisation", record.organisation);
     event.add("configuration", record.configuration_version).add("status", record.status);
     event.add("configuration_age_ms", record.configuration_age);
-    event.add("servers", record.servers).add("took_ms", now - record.arrived_at);
+    event.add("servers", record.servers).add("connections", record.connections);
+    event.add("took_ms", now - record.arrived_at);
     if (record.servers_age) {
         event.add("servers_age_ms", *record.servers_age);
     }
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -72,6 +72,7 @@
 
 serving_state::running_exchange::~running_exchange() {
     m_state->m_running_exchanges.erase(m_exchange);
+    m_state->counters.count_foreign_responses(m_exchange->get_skipped_responses());
 }
 
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
