--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -70,13 +70,25 @@
         return *(added[name] = std::move(server));
     }
 
-    /// Simulates a digest of another host with requests on an instance.
-    void set_other_in_flight(const std::string& server, std::uint32_t count) {
+    /// Adds a further name of a listed server to the list, as after a start of a new process at its address.
+    void add_name(const std::string& name, const std::string& listed) {
+        fleet::server_record record = state.eligibility.get_list().find(backend_server_name(listed))->record;
+        record.id = backend_server_name(name);
+        ++record.started_at_ms;
+        state.eligibility.get_list().apply(record, time.now());
+        state.refresh_servers();
+    }
+
+    /// Simulates a digest of another host with requests on instances.
+    void set_other_in_flight(const std::map<std::string, std::uint32_t>& counts) {
         servers::host_digest digest;
         digest.host = "other";
-        digest.instances = {{backend_server_name(server), count}};
+        for (const auto& [server, count] : counts) {
+            digest.instances.emplace(backend_server_name(server), count);
+        }
         state.peers.merge_group_digest(digest);
     }
+    void set_other_in_flight(const std::string& server, std::uint32_t count) { set_other_in_flight({{server, count}}); }
 
     /// The response that a caller received.
     struct answer {
