--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -8,6 +8,7 @@
 #include "core/endpoint.hpp"
 #include "core/identifiers.hpp"
 #include "servers/caller_request.hpp"
+#include "servers/exchange_history.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
@@ -78,14 +79,10 @@
     /// Returns the HTTP request that is sent to the server.
     [[nodiscard]] virtual http_request make_request(const caller_request& request, const dispatch& attempt) const = 0;
 
-    /// Returns whether a response belongs to this request and not to an earlier one on the same connection.
-    [[nodiscard]] virtual bool is_response_to(const caller_request& request,
-                                              const http::response_header<>& head) const = 0;
+    /// Returns to which request a response belongs. The result refers to the header.
+    [[nodiscard]] virtual response_owner find_owner(const http::response_header<>& head) const = 0;
 
-    /// Returns whether a response names the request to which it belongs.
-    [[nodiscard]] virtual bool names_request(const http::response_header<>& head) const = 0;
-
-    /// Classifies a response. Precondition: `is_response_to` holds.
+    /// Classifies a response. Precondition: it belongs to the request.
     [[nodiscard]] virtual response_kind classify(const http::response_header<>& head) const = 0;
 
     /// Decodes what the server says of itself.
--- a/servers/backend_connection_pool.cpp
+++ b/servers/backend_connection_pool.cpp
@@ -39,14 +39,19 @@
     : m_time(&time), m_options(options) {}
 
 std::shared_ptr<backend_connection> backend_connection_pool::take_idle(const endpoint& server,
-                                                                       const asio::any_io_executor& executor) {
+                                                                       const asio::any_io_executor& executor,
+                                                                       std::optional<std::string_view> request_id) {
     const std::scoped_lock lock(m_mutex);
     std::vector<idle_connection>& idle = m_idle[{.context = &executor.context(), .server = server}];
-    while (!idle.empty()) {
-        idle_connection newest = std::move(idle.back());
-        idle.pop_back();
+    // The newest one first: the server is least likely to have closed it.
+    for (std::size_t index = idle.size(); index-- > 0;) {
+        if (request_id && !idle[index].connection->history.may_carry(*request_id)) {
+            continue;
+        }
+        const idle_connection newest = std::move(idle[index]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
         if (m_time->now() < newest.usable_until && has_no_input(*newest.connection)) {
-            return std::move(newest.connection);
+            return newest.connection;
         }
     }
     return nullptr;
@@ -78,7 +83,8 @@
     if (connection->keep_alive_timeout) {
         usable_for = std::min(usable_for, *connection->keep_alive_timeout - keep_alive_margin);
     }
-    if (idle.size() < m_options.max_idle_per_server && usable_for > duration::zero()) {
+    if (idle.size() < m_options.max_idle_per_server && usable_for > duration::zero() &&
+        !connection->history.is_full()) {
         idle.push_back({.connection = std::move(connection), .usable_until = m_time->now() + usable_for});
     }
 }
--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -9,11 +9,13 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "servers/byte_budget.hpp"
+#include "servers/exchange_history.hpp"
 #include "servers/http_types.hpp"
 
 namespace dragonflywell::servers {
@@ -33,6 +35,7 @@
     bool is_sending{false};
     /// Whether it has carried an exchange before; the server may have closed it since then.
     bool is_reused{false};
+    exchange_history history;
     /// How long the server keeps it open while idle, if the server announced that.
     std::optional<duration> keep_alive_timeout;
 };
@@ -56,9 +59,11 @@
 public:
     backend_connection_pool(const clock_source& time, backend_connection_pool_options options);
 
-    /// Returns an idle connection of the context of the executor, or null.
+    /// Returns an idle connection of the context of the executor, or null. `request_id`: of the request that it is to
+    /// carry, if its response is matched by id; empty if the request has none.
     [[nodiscard]] std::shared_ptr<backend_connection> take_idle(const endpoint& server,
-                                                                const asio::any_io_executor& executor);
+                                                                const asio::any_io_executor& executor,
+                                                                std::optional<std::string_view> request_id = {});
 
     /// Opens a new connection, within `limit` and the connect timeout of the options. On failure, returns null and sets
     /// `fault`.
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -88,18 +88,7 @@
             exchange_phase::before_send, policy::retry_reason::server_left);
     }
     send(request);
-    const bool is_head_request = request.method() == http::verb::head;
-    std::size_t head_bytes = co_await read_head(is_head_request);
-    while (m_options.is_matching_response && !m_options.is_matching_response(m_parser->get())) {
-        count_skipped_bytes(head_bytes);
-        ++m_skipped_responses;
-        co_await skip_foreign_response();
-        head_bytes = co_await read_head(is_head_request);
-    }
-    if (m_options.names_request && m_connection->is_reused && !m_options.names_request(m_parser->get())) {
-        throw exchange_failed_error("response on a reused connection does not name its request",
-                                    exchange_phase::after_send, policy::retry_reason::crossed_answer);
-    }
+    co_await read_own_head(request.method() == http::verb::head);
     if (m_options.on_response_head) {
         m_options.on_response_head(m_parser->get());
     }
@@ -112,7 +101,7 @@
 asio::awaitable<void> backend_exchange::connect() {
     error_code fault;
     if (m_options.may_reuse_connection) {
-        m_connection = m_pool->take_idle(m_server, co_await asio::this_coro::executor);
+        m_connection = m_pool->take_idle(m_server, co_await asio::this_coro::executor, get_request_id_to_match());
     }
     if (m_connection == nullptr) {
         m_connection = co_await m_pool->connect(m_server, get_time_left(), fault);
@@ -125,8 +114,36 @@
     }
 }
 
+asio::awaitable<void> backend_exchange::read_own_head(bool is_head_request) {
+    std::size_t head_bytes = co_await read_head(is_head_request);
+    while (m_options.matching) {
+        const response_owner owner = m_options.matching->find_owner(m_parser->get());
+        const response_match match = m_connection->history.match(m_options.matching->request_id, owner);
+        if (match == response_match::own ||
+            (match == response_match::ambiguous && m_options.matching->accepts_copies)) {
+            co_return;
+        }
+        if (match == response_match::ambiguous) {
+            throw exchange_failed_error("response on a reused connection does not name its request",
+                                        exchange_phase::after_send, policy::retry_reason::crossed_answer);
+        }
+        count_skipped_bytes(head_bytes);
+        ++m_skipped_responses;
+        co_await skip_foreign_response();
+        head_bytes = co_await read_head(is_head_request);
+    }
+}
+
+std::optional<std::string_view> backend_exchange::get_request_id_to_match() const {
+    if (!m_options.matching || m_options.matching->accepts_copies) {
+        return std::nullopt;
+    }
+    return m_options.matching->request_id;
+}
+
 void backend_exchange::send(const http_request& request) {
-    m_connection_use = m_connection->is_reused ? connection_use::reused : connection_use::opened;
+    m_connection_use = m_connection->history.is_empty() ? connection_use::opened : connection_use::reused;
+    m_connection->history.record(m_options.matching ? m_options.matching->request_id : std::string());
     m_connection->outgoing = encode_request(request);
     m_connection->is_sending = true;
     m_is_sent = true;
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -44,6 +44,15 @@
     policy::retry_reason m_reason;
 };
 
+/// How the response to a request is recognised at a server that may send a response more than once.
+struct response_matching {
+    /// The id that the response repeats; empty for a request without one, such as a call about a KV cache.
+    std::string request_id;
+    std::function<response_owner(const http::response_header<>&)> find_owner;
+    /// Whether nothing is concluded from the response, so that it may as well be a copy of an earlier one.
+    bool accepts_copies{false};
+};
+
 struct exchange_options {
     /// Whether a pooled connection may be used. A request that must run at most once uses a new connection, because the
     /// server may close a pooled one while the request is being written.
@@ -54,13 +63,10 @@
     steady_time deadline{steady_time::max()};
     /// Whether a response without a length, which ends when the connection closes, is accepted as complete.
     bool accepts_unframed_response{false};
-    /// Returns whether a response belongs to this request. Other responses are skipped; an empty function accepts any
-    /// response.
-    std::function<bool(const http::response_header<>&)> is_matching_response{};
-    /// Returns whether a response names the request to which it belongs. On a connection that carried another exchange
-    /// before, one that does not may be a late copy of an earlier response, so that the exchange fails. An empty
-    /// function accepts any response.
-    std::function<bool(const http::response_header<>&)> names_request{};
+    /// Without it, the next response on the connection is taken for the one to this request. With it, responses to
+    /// other requests are skipped, one of which this cannot be told fails the exchange, and only a connection on which
+    /// the response can be told from copies of earlier ones is reused.
+    std::optional<response_matching> matching{};
     /// Called with the header of the response to this request. May be empty.
     std::function<void(const http::response_header<>&)> on_response_head{};
     /// Returns whether the request may still be sent; called once the connection is established. An empty function
@@ -119,6 +125,10 @@
 
 private:
     asio::awaitable<void> connect();
+    /// Returns the id that a reused connection must not have carried; nothing if any connection serves.
+    [[nodiscard]] std::optional<std::string_view> get_request_id_to_match() const;
+    /// Reads response headers until one belongs to this request.
+    asio::awaitable<void> read_own_head(bool is_head_request);
     void send(const http_request& request);
     /// Reads the final response header, skipping interim ones. Returns its size.
     asio::awaitable<std::size_t> read_head(bool is_head_request);
--- a/servers/kv_cache_release.cpp
+++ b/servers/kv_cache_release.cpp
@@ -26,7 +26,11 @@
     if (is_paused(state, kv_cache.engine)) {
         co_return;
     }
-    const exchange_options options{.progress_timeout = release_timeout, .deadline = state.time.now() + release_timeout};
+    const auto find_owner = [&state](const http::response_header<>& head) { return state.codec.find_owner(head); };
+    const exchange_options options{
+        .progress_timeout = release_timeout,
+        .deadline = state.time.now() + release_timeout,
+        .matching = response_matching{.request_id = {}, .find_owner = find_owner, .accepts_copies = true}};
     backend_exchange exchange(state.connections, kv_cache.engine, options);
     try {
         const http_request message = state.codec.make_release_request(kv_cache);
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -192,7 +192,7 @@
 }
 
 void serving_request::give_back_unsent_quota() {
-    if (m_contacted.empty()) {
+    if (!m_was_exchange_begun) {
         give_back_quota();
     }
 }
@@ -240,30 +240,29 @@
 
 exchange_options serving_request::make_exchange_options(const backend_server_name& server,
                                                         const caller_channel& caller) {
-    const caller_request* incoming = m_request.request;
+    m_was_exchange_begun = true;
     serving_state* state = m_state;
     const backend_codec* codec = &m_state->codec;
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(server);
     const auto incarnation = static_cast<std::uint64_t>(listed == nullptr ? 0 : listed->record.started_at_ms);
     const duration time_left = get_time_left();
     const steady_time sent_at = m_state->time.now();
-    return {
-        .may_reuse_connection = m_contacted.insert(server).second,
-        .progress_timeout = std::max(duration::zero(), time_left),
-        .deadline = sent_at + time_left,
-        .accepts_unframed_response = true,
-        .is_matching_response =
-            [incoming, codec](const http::response_header<>& head) { return codec->is_response_to(*incoming, head); },
-        .names_request = [codec](const http::response_header<>& head) { return codec->names_request(head); },
-        .on_response_head =
-            [state, codec, server, incarnation, sent_at](const http::response_header<>& head) {
-                // A response of another server says nothing of this one.
-                if (codec->classify(head) != response_kind::wrong_server) {
-                    state->apply_notice(server, incarnation, codec->decode_notice(head), sent_at);
-                }
-            },
-        .may_send = [state, server,
-                     channel = &caller] { return !channel->is_disconnected() && state->may_get_work(server); }};
+    return {.progress_timeout = std::max(duration::zero(), time_left),
+            .deadline = sent_at + time_left,
+            .accepts_unframed_response = true,
+            .matching =
+                response_matching{
+                    .request_id = get_caller_request().id,
+                    .find_owner = [codec](const http::response_header<>& head) { return codec->find_owner(head); }},
+            .on_response_head =
+                [state, codec, server, incarnation, sent_at](const http::response_header<>& head) {
+                    // A response of another server says nothing of this one.
+                    if (codec->classify(head) != response_kind::wrong_server) {
+                        state->apply_notice(server, incarnation, codec->decode_notice(head), sent_at);
+                    }
+                },
+            .may_send = [state, server,
+                         channel = &caller] { return !channel->is_disconnected() && state->may_get_work(server); }};
 }
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure,
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -2,7 +2,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "fleet/serving_view.hpp"
@@ -69,8 +68,7 @@
     /// Returns the dispatch to a listed server. Throws `request_refused` when the server is no longer listed.
     [[nodiscard]] dispatch make_dispatch(const backend_server_name& server) const;
     /// Returns the options of the next exchange with a server. The exchange sends nothing if the server is no longer
-    /// listed, or the caller has disconnected, by then. A further exchange with the same server uses a new connection,
-    /// since its earlier response, which has the same id, may arrive again on a kept one.
+    /// listed, or the caller has disconnected, by then.
     [[nodiscard]] exchange_options make_exchange_options(const backend_server_name& server,
                                                          const caller_channel& caller);
 
@@ -100,8 +98,7 @@
     bool m_is_counted{false};
     /// What may still be given back.
     std::optional<quota_use> m_quota_use;
-    /// Servers to which an exchange was begun.
-    std::set<backend_server_name> m_contacted;
+    bool m_was_exchange_begun{false};
 
     friend std::unique_ptr<serving_request> make_serving_request(serving_state&, const caller_request&,
                                                                  request_record&);
--- a/tests/platform/test_crashing_engines.cpp
+++ b/tests/platform/test_crashing_engines.cpp
@@ -63,7 +63,7 @@
     /// Sends a request whose prompt has the given shared parts, and lets probes of broken connections end.
     unsigned send(const std::string& shared_parts) {
         ++requests;
-        auto headers = get_headers();
+        auto headers = get_headers(make_id());
         headers.emplace_back("Dragonflywell-Model", "m");
         headers.emplace_back("Dragonflywell-Token-Count", "100,10");
         headers.emplace_back("Dragonflywell-Prompt-Prefix", fmt::format("{},{:x}:40", shared_parts, 0x1000 + requests));
--- a/tests/platform/test_plain_requests.cpp
+++ b/tests/platform/test_plain_requests.cpp
@@ -268,16 +268,19 @@
 
 TEST_CASE_FIXTURE(serving_fixture, "the response to HEAD has a length and no body, and the connection stays usable") {
     configure();
-    add_server("s1", {}, [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+    const auto answer_head = [](const servers::http_request& request,
+                                raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = "HTTP/1.1 200 OK\r\nDragonflywell-Attempt-Id: " + get_id(request) +
                             "\r\nDragonflywell-Server-Seal: seal\r\nContent-Length: 17\r\n\r\n";
         co_await connection.write(std::move(bytes));
-    });
+    };
+    const raw_server& server = add_server("s1", {}, answer_head);
     const answer got = ask(http::verb::head, "/safe/x");
     CHECK(got.status == 200);
     CHECK(got.headers.at("Content-Length") == "17");
     CHECK_FALSE(got.is_cut);
     CHECK(ask(http::verb::head, "/safe/x").status == 200);
+    CHECK(server.get_connections() == 1);
 }
 
 TEST_CASE_FIXTURE(serving_fixture,
--- a/tests/platform/test_repeated_refusals.cpp
+++ b/tests/platform/test_repeated_refusals.cpp
@@ -84,6 +84,7 @@
         set_other_in_flight({{"new", 1}, {"third", 3}});
         got = ask(http::verb::post, "/unsafe/x", "{}");
         CHECK(got.body == "ran");
+        CHECK(added.at("third")->get_requests().empty());
     }
     SUBCASE("a stream that may not be resumed") {
         run = stream_events(1, 2);
@@ -112,10 +113,10 @@
                        co_await connection.write(make_answer(request, 200, "ran"));
                    }
                });
-    CHECK(ask(http::verb::post, "/unsafe/x", "{}").status == 503);
+    CHECK(ask(http::verb::post, "/unsafe/x", "{}", get_headers()).status == 503);
     state.health.forget(backend_server_name("s1"));
     is_full = false;
-    CHECK(ask(http::verb::post, "/unsafe/x", "{}").status == 200);
+    CHECK(ask(http::verb::post, "/unsafe/x", "{}", get_headers()).status == 200);
     CHECK(runs == 1);
 }
 
@@ -124,13 +125,17 @@
     configure();
     std::map<const raw_connection*, std::string> refusals;
     bool is_busy = true;
+    bool has_ids = true;
     const raw_server& server =
         add_server("s1", fleet::engine_stage::decode,
                    [&](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
                        std::string& refusal = refusals[&connection];
                        if (is_busy) {
-                           refusal = get_id(request).empty() ? "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n"
-                                                             : make_not_run(request);
+                           const std::string unnamed =
+                               "HTTP/1.1 503 X\r\nDragonflywell-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                           const bool is_order = get_id(request).empty();
+                           const std::string of_request = has_ids ? make_not_run(request) : unnamed;
+                           refusal = is_order ? "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n" : of_request;
                            co_await connection.write(refusal);
                            co_return;
                        }
@@ -150,6 +155,10 @@
     SUBCASE("the refusal of a request") {
         CHECK(generate("/gen/x").status == 503);
     }
+    SUBCASE("the refusal of a request that it does not name") {
+        has_ids = false;
+        CHECK(generate("/gen/x").status == 503);
+    }
     SUBCASE("the refusal of an earlier order") {
         CHECK(order() == platform::engine_order_result::busy);
     }
--- a/tests/platform/test_truncated_responses.cpp
+++ b/tests/platform/test_truncated_responses.cpp
@@ -144,7 +144,8 @@
         for_each_cut(response, frame, [&](serving_fixture& serving, std::size_t sent) {
             raw_server& server =
                 serving.add_server("a", std::nullopt, serving_fixture::answer_with(200, "of the first"));
-            CHECK(serving.ask(http::verb::post, "/unsafe/x", "in").body == "of the first");
+            const auto first_headers = serving_fixture::get_headers("a0");
+            CHECK(serving.ask(http::verb::post, "/unsafe/x", "in", first_headers).body == "of the first");
             const raw_server::behaviour cut = cut_response(response, sent);
             std::size_t connections = 0;
             server.set_behaviour(
@@ -166,7 +167,7 @@
         serving.add_server("a", std::nullopt, cut_response(response, sent));
         serving.add_server("d", decode, cut_response(response, sent));
         CHECK(serving.ask(http::verb::post, "/unsafe/x", "in").status == bad_gateway);
-        CHECK(serving.generate("/gen/x").status == bad_gateway);
+        CHECK(serving.generate("/gen/x", serving_fixture::get_headers()).status == bad_gateway);
     });
 }
 
--- a/tests/servers/test_exchange_faults.cpp
+++ b/tests/servers/test_exchange_faults.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+response_owner find_owner(const http::response_header<>& head) {
+    return {.request_id = head["Id"], .may_omit_id = false};
+}
+
 /// Client side of exchanges whose responses carry the id of their request.
 struct fixture {
     asio::io_context loop{1};
@@ -24,10 +28,9 @@
     std::string ask(const raw_server& server, const std::string& id, std::string body = "") {
         std::string result;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
-            const exchange_options options{
-                .progress_timeout = 60s,
-                .accepts_unframed_response = true,
-                .is_matching_response = [&id](const http::response_header<>& head) { return head["Id"] == id; }};
+            const exchange_options options{.progress_timeout = 60s,
+                                           .accepts_unframed_response = true,
+                                           .matching = response_matching{.request_id = id, .find_owner = find_owner}};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             http_request request(http::verb::post, "/", 11);
             request.set("Id", id);
@@ -61,6 +64,33 @@
     CHECK(ask(server, "a") == "yours");
 }
 
+TEST_CASE_FIXTURE(fixture, "a request is not sent again on a connection that has carried its id") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        co_await connection.write(make_answer(get_id(request), "yours"));
+    });
+    CHECK(ask(server, "a") == "yours");
+    CHECK(ask(server, "b") == "yours");
+    CHECK(server.get_connections() == 1);
+    CHECK(ask(server, "a") == "yours");
+    CHECK(server.get_connections() == 2);
+    // The newest connection has carried only "a".
+    CHECK(ask(server, "b") == "yours");
+    CHECK(ask(server, "c") == "yours");
+    CHECK(server.get_connections() == 2);
+}
+
+TEST_CASE_FIXTURE(fixture, "a connection is closed before the history of its requests grows without end") {
+    raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+        co_await connection.write(make_answer(get_id(request), "yours"));
+    });
+    for (std::size_t number = 0; number < exchange_history::max_requests; ++number) {
+        CHECK(ask(server, std::to_string(number)) == "yours");
+    }
+    CHECK(server.get_connections() == 1);
+    CHECK(ask(server, "next") == "yours");
+    CHECK(server.get_connections() == 2);
+}
+
 TEST_CASE_FIXTURE(fixture, "a connection that received bytes after its response is not reused") {
     raw_server server(loop, [](const http_request& request, raw_connection& connection) -> asio::awaitable<void> {
         std::string bytes = make_answer(get_id(request), "yours") + make_answer(get_id(request), "again");
--- a/tests/servers/test_unbounded_responses.cpp
+++ b/tests/servers/test_unbounded_responses.cpp
@@ -56,7 +56,10 @@
             const exchange_options options{
                 .progress_timeout = 60s,
                 .accepts_unframed_response = true,
-                .is_matching_response = [](const http::response_header<>& head) { return head["Id"] == "own"; }};
+                .matching =
+                    response_matching{.request_id = "own", .find_owner = [](const http::response_header<>& head) {
+                                          return response_owner{.request_id = head["Id"], .may_omit_id = false};
+                                      }}};
             backend_exchange exchange(pool, server.get_endpoint(), options);
             const http_request request(http::verb::get, "/", 11);
             try {
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -101,16 +101,20 @@
     };
 
     /// Headers of an ordinary request.
-    static std::vector<std::pair<std::string, std::string>> get_headers() {
+    static std::vector<std::pair<std::string, std::string>> get_headers(const std::string& id = "a1") {
         return {{"Host", "host.example"},
-                {"Dragonflywell-Attempt-Id", "a1"},
+                {"Dragonflywell-Attempt-Id", id},
                 {"Dragonflywell-Deadline-Ms", "60000"},
                 {"Api-Key", "secret"}};
     }
 
-    /// Sends a request on a new connection and returns the response.
-    answer ask(http::verb method, const std::string& target, const std::string& body = "",
-               const std::vector<std::pair<std::string, std::string>>& headers = get_headers()) {
+    /// Sends a request on a new connection and returns the response. Without headers, each request has an id of its
+    /// own, the first one "a1".
+    answer ask(http::verb method, const std::string& target, const std::string& body = "") {
+        return ask(method, target, body, get_headers(make_id()));
+    }
+    answer ask(http::verb method, const std::string& target, const std::string& body,
+               const std::vector<std::pair<std::string, std::string>>& headers) {
         answer got;
         run_until_done(loop, [&]() -> asio::awaitable<void> {
             asio::ip::tcp::socket socket = co_await connect();
@@ -127,9 +131,9 @@
         return got;
     }
 
-    /// Sends a generation request with a prompt of 100 tokens.
-    answer generate(const std::string& target,
-                    std::vector<std::pair<std::string, std::string>> headers = get_headers()) {
+    /// Sends a generation request with a prompt of 100 tokens. Without headers, it has an id of its own.
+    answer generate(const std::string& target) { return generate(target, get_headers(make_id())); }
+    answer generate(const std::string& target, std::vector<std::pair<std::string, std::string>> headers) {
         headers.emplace_back("Dragonflywell-Model", "m");
         headers.emplace_back("Dragonflywell-Token-Count", "100,10");
         headers.emplace_back("Dragonflywell-Prompt-Prefix", "a1:60,b2:40");
@@ -162,6 +166,8 @@
         co_return got;
     }
 
+    [[nodiscard]] std::string make_id() { return "a" + std::to_string(++m_ids); }
+
     host_clock time;
     asio::io_context loop{1};
     servers::backend_connection_pool pool{time, {}};
@@ -266,6 +272,8 @@
     }
 
 private:
+    std::uint64_t m_ids{0};
+
     static fleet::route make_route(const std::string& prefix, const std::string& service, fleet::retry_policy repeats,
                                    std::uint32_t attempts) {
         return {.name = prefix,
