--- a/tests/servers/modelled_fleet.hpp
+++ b/tests/servers/modelled_fleet.hpp
@@ -91,6 +91,8 @@
     class fleet_clock;
     using request_ptr = std::shared_ptr<request>;
 
+    static constexpr duration network_time{std::chrono::microseconds(1500)};
+
     struct event {
         steady_time at;
         std::uint64_t number{};
