Let the engine stand-in answer nothing after its crash

Cause: the crash of the stand-in ended the connection of the request first and closed the listener afterwards, with the graceful stop of http_server, which serves what the kernel has accepted. A host that connected in between got its stream resumed by the engine that had crashed, rightly completed the request and suspected nothing. The test reported "completed" and then waited for a suspect forever. The program is not at fault.

Change: from its crash on the stand-in answers no request, and it closes its listener before the connection. The check is unchanged; its engine now always refuses the next connection. A new test covers the other order, in which the engine still accepts a connection and answers nothing.

--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -159,3 +159,12 @@
     CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
     wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
 }
+
+// Guards against a crash that is not noticed because the probe reaches a listener that is about to close.
+TEST_CASE("a request becomes a crash suspect also when its engine still accepts a connection after the crash") {
+    small_deployment deployment;
+    deployment.engine.handler.set_on_crash([] {});
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::crash, .after_tokens = 2});
+    CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
+    wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
+}
--- a/tests/standin/engine_standin.cpp
+++ b/tests/standin/engine_standin.cpp
@@ -1,6 +1,7 @@
 #include "standin/engine_standin.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <cstdlib>
@@ -80,6 +81,9 @@
     : m_options(std::move(options)), m_role(m_options.role) {}
 
 asio::awaitable<void> engine_standin::handle(servers::http_request request, servers::caller_channel& caller) {
+    if (m_has_crashed) {
+        throw servers::caller_disconnected_error("the engine has crashed");
+    }
     if (request.count(servers::http::field::authorization) != 0) {
         ++m_keys_seen;
     }
@@ -164,7 +168,7 @@
             throw servers::caller_disconnected_error("the engine closes the connection, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::crash) {
-            m_on_crash();
+            co_await crash();
             throw servers::caller_disconnected_error("the engine crashes, as the fault plan requires");
         }
         if (is_faulty && fault.kind == engine_fault_kind::hang) {
@@ -193,6 +197,15 @@
     co_await caller.finish_stream();
 }
 
+asio::awaitable<void> engine_standin::crash() {
+    m_has_crashed = true;
+    m_on_crash();
+    // The listener closes on the event loop. It closes before the connection ends, so that the next connection is
+    // refused.
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    co_await asio::post(executor, asio::use_awaitable);
+}
+
 void engine_standin::set_fault(const engine_fault& fault) {
     const std::scoped_lock lock(m_mutex);
     m_fault = fault;
--- a/tests/standin/engine_standin.hpp
+++ b/tests/standin/engine_standin.hpp
@@ -43,7 +43,9 @@
     }
     /// Sets the fault of the next responses.
     void set_fault(const engine_fault& fault);
-    /// Sets the function that closes the engine's listener in a crash. It must be set before the engine is used.
+    /// Sets the function that closes the engine's listener in a crash. It must be set before the engine is used. From
+    /// the crash on the engine answers no request, not even one on a connection that was accepted before the listener
+    /// closed.
     void set_on_crash(std::function<void()> on_death) { m_on_crash = std::move(on_death); }
     /// Returns how many requests are running.
     [[nodiscard]] std::uint64_t get_running() const noexcept { return m_running; }
@@ -66,6 +68,7 @@
     servers::asio::awaitable<void> resume(const std::string& target, servers::caller_channel& caller);
     servers::asio::awaitable<void> generate(const std::string& id, known_stream stream, std::uint64_t first,
                                             engine_fault fault, servers::caller_channel& caller);
+    [[nodiscard]] servers::asio::awaitable<void> crash();
     [[nodiscard]] engine_fault take_fault();
     void cancel(const std::string& id);
     [[nodiscard]] servers::http_response handle_order(const std::string& body);
@@ -74,6 +77,7 @@
     [[nodiscard]] std::chrono::microseconds scale_by_load(std::chrono::microseconds time) const;
 
     engine_standin_options m_options;
+    std::atomic<bool> m_has_crashed{false};
     std::atomic<std::uint64_t> m_running{0};
     std::atomic<std::uint64_t> m_keys_seen{0};
     std::atomic<std::uint64_t> m_starts{0};
