Ask for metrics over one connection while a test waits for them

Cause: tests that wait for a metric opened a connection for each look, without a pause. A test that did not end left 14,080 connections in TIME_WAIT within 12 s, which is every second ephemeral port, and three of them 42,300. Change: small_deployment waits over one connection. The condition is unchanged.

--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -32,12 +32,9 @@
            response.body().find("\"text\":\"" + get_expected_text(5) + "\"") != std::string::npos;
 }
 
-/// Waits until the metrics contain the text, since requests are counted just after the last byte of a response is
-/// written.
-void wait_for_metric(small_deployment& deployment, const std::string& line) {
-    while (deployment.get_metrics().find(line) == std::string::npos) {
-        std::this_thread::yield();
-    }
+/// Waits for a metric, since requests are counted just after the last byte of a response is written.
+void wait_for_metric(const small_deployment& deployment, const std::string& line) {
+    deployment.wait_for_metric(line);
 }
 
 } // namespace
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -92,11 +92,20 @@
     /// Returns the metrics text of the listener for operators.
     [[nodiscard]] std::string get_metrics() const {
         boost::asio::io_context context;
-        boost::beast::tcp_stream stream(context);
-        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemons.front()->get_operator_port()});
+        boost::beast::tcp_stream stream = connect_to_operators(context);
         return exchange(stream, http::verb::get, "/metrics", "", "").body();
     }
 
+    /// Waits until the metrics contain the text. It asks over one connection: a connection for each look would leave
+    /// thousands a second in TIME_WAIT, and they would take the ephemeral ports of all tests of the machine.
+    void wait_for_metric(const std::string& text) const {
+        boost::asio::io_context context;
+        boost::beast::tcp_stream stream = connect_to_operators(context);
+        while (exchange(stream, http::verb::get, "/metrics", "", "").body().find(text) == std::string::npos) {
+            std::this_thread::yield();
+        }
+    }
+
     [[nodiscard]] coordination::usage_table get_usage() const { return m_daemons.front()->get_usage(); }
     [[nodiscard]] bool is_ready() const { return m_daemons.front()->is_ready(); }
     void stop() { m_daemons.front()->stop(); }
@@ -110,6 +119,12 @@
     running_standin<standin::platform_standin> reporting;
 
 private:
+    [[nodiscard]] boost::beast::tcp_stream connect_to_operators(boost::asio::io_context& context) const {
+        boost::beast::tcp_stream stream(context);
+        stream.connect({boost::asio::ip::make_address("127.0.0.1"), m_daemons.front()->get_operator_port()});
+        return stream;
+    }
+
     static http::request<http::string_body> make_request(http::verb method, const std::string& target,
                                                          const std::string& body, const std::string& key,
                                                          const std::string& idempotency_key = "") {
