--- a/tests/daemon/test_request_faults.cpp
+++ b/tests/daemon/test_request_faults.cpp
@@ -32,12 +32,9 @@
            response.body().find("\"text\":\"" + get_expected_text(5) + "\"") != std::string::npos;
 }
 
-/// Waits until the metrics contain the text, since requests are counted just after the last byte of a response is
-/// written.
-void wait_for_metric(small_deployment& deployment, const std::string& line) {
-    while (deployment.get_metrics().find(line) == std::string::npos) {
-        std::this_thread::yield();
-    }
+/// Waits for a metric, since requests are counted just after the last byte of a response is written.
+void wait_for_metric(const small_deployment& deployment, const std::string& line) {
+    deployment.wait_for_metric(line);
 }
 
 } // namespace
@@ -159,3 +156,12 @@
     CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
     wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
 }
+
+// Guards against a crash that is not noticed because the probe reaches a listener that is about to close.
+TEST_CASE("a request becomes a crash suspect also when its engine still accepts a connection after the crash") {
+    small_deployment deployment;
+    deployment.engine.handler.set_on_crash([] {});
+    deployment.engine.handler.set_fault({.kind = engine_fault_kind::crash, .after_tokens = 2});
+    CHECK(ask(deployment)["x-dragonflywell-outcome"] == "failed_after_start");
+    wait_for_metric(deployment, "dragonflywell_suspect_requests_total 1");
+}
