Let the quota core bound any subject, and set its limits directly

The sum over all hosts that quotas hold is also what limits of backend servers need. The core of quotas took names of organisations only.

The owner and the grants do not use the new fields yet.

Names on the wire are the same.

--- a/core/identifiers.hpp
+++ b/core/identifiers.hpp
@@ -36,6 +36,8 @@
 using backend_server_name = identifier<struct backend_server_tag>;
 using model_name = identifier<struct model_tag>;
 using service_name = identifier<struct service_tag>;
+/// What a quota or a limit applies to: the name of an organisation or of a backend server.
+using quota_subject = identifier<struct quota_subject_tag>;
 
 } // namespace dragonflywell
 
--- a/gossip/quota_messages.cpp
+++ b/gossip/quota_messages.cpp
@@ -57,7 +57,7 @@
 }
 
 value encode_need(const policy::quota_need& need) {
-    object encoded{{"organisation", need.organisation.value()}};
+    object encoded{{"organisation", need.subject.value()}};
     add_amount(encoded, "used_total", need.used_total);
     add_amount(encoded, "held", need.held);
     add_amount(encoded, "waiting", need.waiting);
@@ -68,7 +68,7 @@
 
 policy::quota_need decode_need(const object& source) {
     policy::quota_need need;
-    need.organisation = organisation_name(json::get_string(source, "organisation"));
+    need.subject = quota_subject(json::get_string(source, "organisation"));
     // What no server ran may exceed what was used since the host began to count.
     need.used_total = json::get_number_or(source, "used_total", 0);
     need.held = get_amount(source, "held");
@@ -79,7 +79,7 @@
 }
 
 value encode_allowance(const policy::quota_allowance& allowance) {
-    object encoded{{"organisation", allowance.organisation.value()}};
+    object encoded{{"organisation", allowance.subject.value()}};
     add_amount(encoded, "granted", allowance.granted);
     add_time(encoded, "booked_from_ns", allowance.booked_from);
     add_amount(encoded, "booked_rate", allowance.booked_rate);
@@ -89,7 +89,7 @@
 
 policy::quota_allowance decode_allowance(const object& source) {
     policy::quota_allowance allowance;
-    allowance.organisation = organisation_name(json::get_string(source, "organisation"));
+    allowance.subject = quota_subject(json::get_string(source, "organisation"));
     allowance.granted = get_amount(source, "granted");
     allowance.booked_from = get_time(source, "booked_from_ns");
     allowance.booked_rate = get_amount(source, "booked_rate");
--- a/policy/quota_account.cpp
+++ b/policy/quota_account.cpp
@@ -38,7 +38,7 @@
 
 void quota_account::set_limits(const quota_limits& limits, steady_time now) {
     fill_own_shares(now);
-    for (auto item = m_organisations.begin(); item != m_organisations.end();) {
+    for (auto item = m_subjects.begin(); item != m_subjects.end();) {
         if (limits.contains(item->first)) {
             ++item;
             continue;
@@ -49,10 +49,10 @@
                                    .retry_after = duration::zero(),
                                    .session = m_session});
         }
-        item = m_organisations.erase(item);
+        item = m_subjects.erase(item);
     }
-    for (const auto& [organisation, limit] : limits) {
-        m_organisations[organisation].set_limit(limit, m_hosts);
+    for (const auto& [subject, limit] : limits) {
+        m_subjects[subject].set_limit(limit, m_hosts);
     }
 }
 
@@ -75,15 +75,15 @@
     }
     const double seconds = to_seconds(now - m_own_filled_at);
     m_own_filled_at = now;
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         own.fill_own_share(seconds, m_hosts);
     }
 }
 
-quota_decision quota_account::check(const organisation_name& organisation, double amount, steady_time wait_until,
+quota_decision quota_account::check(const quota_subject& subject, double amount, steady_time wait_until,
                                     steady_time now) {
-    const auto found = m_organisations.find(organisation);
-    if (found == m_organisations.end()) {
+    const auto found = m_subjects.find(subject);
+    if (found == m_subjects.end()) {
         return {};
     }
     quota_balance& own = found->second;
@@ -103,19 +103,60 @@
     return {.answer = quota_answer::waiting, .ticket = m_last_ticket, .retry_after = duration::zero(), .session = 0};
 }
 
+quota_decision quota_account::try_take(const quota_subject& subject, double amount, steady_time now) {
+    const auto found = m_subjects.find(subject);
+    if (found == m_subjects.end()) {
+        return {};
+    }
+    quota_balance& own = found->second;
+    if (uses_own_shares(now)) {
+        fill_own_shares(now);
+    }
+    if (own.has_waiting() || !own.try_take(amount, uses_own_shares(now), now)) {
+        return {.answer = quota_answer::refused,
+                .ticket = 0,
+                .retry_after = own.get_retry_after(amount, m_hosts, now),
+                .session = 0};
+    }
+    return {.answer = quota_answer::admitted, .ticket = 0, .retry_after = duration::zero(), .session = m_session};
+}
+
+bool quota_account::has_no_room(const quota_subject& subject, double amount, steady_time now) const {
+    const auto found = m_subjects.find(subject);
+    if (found == m_subjects.end()) {
+        return false;
+    }
+    const quota_balance& own = found->second;
+    return own.was_refused(now) && !own.can_take(amount, uses_own_shares(now), now);
+}
+
+duration quota_account::get_retry_after(const quota_subject& subject, double amount, steady_time now) const {
+    const auto found = m_subjects.find(subject);
+    return found == m_subjects.end() ? duration::zero() : found->second.get_retry_after(amount, m_hosts, now);
+}
+
+quota_decision quota_account::refuse(const quota_subject& subject, double amount, steady_time now) {
+    const auto found = m_subjects.find(subject);
+    if (found == m_subjects.end()) {
+        return {};
+    }
+    found->second.count_refused(amount);
+    return found->second.refuse(amount, m_hosts, now);
+}
+
 std::vector<quota_decision> quota_account::take_decisions() {
     return std::exchange(m_decisions, {});
 }
 
 void quota_account::cancel(std::uint64_t ticket) {
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         own.cancel(ticket);
     }
 }
 
-void quota_account::give_back(const organisation_name& organisation, double amount, std::uint64_t session) {
-    const auto found = m_organisations.find(organisation);
-    if (session == m_session && found != m_organisations.end()) {
+void quota_account::give_back(const quota_subject& subject, double amount, std::uint64_t session) {
+    const auto found = m_subjects.find(subject);
+    if (session == m_session && found != m_subjects.end()) {
         found->second.give_back(amount);
     }
 }
@@ -143,7 +184,7 @@
     m_round_trip = std::min(m_round_trip * 2, max_timeout);
     m_sent.reset();
     m_is_urgent = true;
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         own.forget_asked();
     }
     if (m_unanswered >= max_unanswered && now - m_unanswered_since >= max_silence) {
@@ -160,7 +201,7 @@
     m_round_trip = first_round_trip;
     m_is_urgent = true;
     ++m_session;
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         own.change_owner();
     }
 }
@@ -202,7 +243,7 @@
         return false;
     }
     const bool may_ask_ahead = now >= m_sent_at + ahead_interval;
-    return std::any_of(m_organisations.begin(), m_organisations.end(), [&](const auto& item) {
+    return std::any_of(m_subjects.begin(), m_subjects.end(), [&](const auto& item) {
         return item.second.has_waiting() || (may_ask_ahead && item.second.is_low(now));
     });
 }
@@ -226,7 +267,7 @@
             request.start = m_options.start;
         }
     }
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         if (request.pledge == quota_pledge::pledged) {
             own.drop_own_share();
         }
@@ -235,18 +276,18 @@
         }
         quota_need need =
             request.pledge == quota_pledge::released ? own.make_return() : own.make_need(request.sequence, now);
-        need.organisation = organisation;
+        need.subject = subject;
         request.needs.push_back(std::move(need));
     }
     return request;
 }
 
 std::optional<outgoing_quota_request> quota_account::poll(steady_time now) {
-    if (m_order.empty() || m_organisations.empty()) {
+    if (m_order.empty() || m_subjects.empty()) {
         return std::nullopt;
     }
     check_answer(now);
-    for (auto& [organisation, own] : m_organisations) {
+    for (auto& [subject, own] : m_subjects) {
         if (own.has_waiting()) {
             settle_waiting(own, false, now);
         }
@@ -276,7 +317,7 @@
         // The shares are pledged only with the next request, since only it shows the owner how old it is.
         m_is_urgent = true;
         ++m_session;
-        for (auto& [organisation, own] : m_organisations) {
+        for (auto& [subject, own] : m_subjects) {
             own.drop_grants();
         }
     } else if (sent.pledge == quota_pledge::pledged) {
@@ -286,8 +327,8 @@
     m_owner_time = grant.time;
     m_answered_at = now;
     for (const quota_allowance& allowance : grant.allowances) {
-        const auto found = m_organisations.find(allowance.organisation);
-        if (found == m_organisations.end()) {
+        const auto found = m_subjects.find(allowance.subject);
+        if (found == m_subjects.end()) {
             continue;
         }
         // The owner has too little while the shares are on their way to it.
@@ -309,11 +350,11 @@
 }
 
 steady_time quota_account::get_next_poll(steady_time now) const {
-    if (m_order.empty() || m_organisations.empty()) {
+    if (m_order.empty() || m_subjects.empty()) {
         return steady_time::max();
     }
     // Without demand, only the pledge is to be renewed.
-    const bool has_demand = std::any_of(m_organisations.begin(), m_organisations.end(),
+    const bool has_demand = std::any_of(m_subjects.begin(), m_subjects.end(),
                                         [&](const auto& item) { return item.second.get_demand(now) > 0; });
     steady_time next = m_sent_at + (has_demand ? ahead_interval : refresh_interval);
     if (m_sent) {
@@ -321,7 +362,7 @@
     } else if (m_is_urgent || !m_next_owner.empty()) {
         return now;
     }
-    for (const auto& [organisation, own] : m_organisations) {
+    for (const auto& [subject, own] : m_subjects) {
         if (!own.has_waiting()) {
             continue;
         }
@@ -334,7 +375,7 @@
 }
 
 std::size_t quota_account::count_blocked(steady_time now) const {
-    return static_cast<std::size_t>(std::count_if(m_organisations.begin(), m_organisations.end(),
+    return static_cast<std::size_t>(std::count_if(m_subjects.begin(), m_subjects.end(),
                                                   [&](const auto& item) { return item.second.is_blocked(now); }));
 }
 
--- a/policy/quota_account.hpp
+++ b/policy/quota_account.hpp
@@ -28,7 +28,7 @@
     quota_request request;
 };
 
-/// The host's side of the quotas of one part of the organisations: pledges the host's shares to an owner, asks it for
+/// The host's side of the quotas of one part of the subjects: pledges the host's shares to an owner, asks it for
 /// grants, and admits requests from them. While no owner has its shares, the host uses them itself.
 ///
 /// Times are of a clock that counts suspension. Not thread safe.
@@ -41,18 +41,25 @@
     /// Sets the listed hosts, this one included, in the order in which they are to own the part, and among how many
     /// hosts quotas are divided.
     void set_order(std::vector<std::string> order, std::size_t hosts, steady_time now);
+    /// Returns whether there is any limit; nothing is sent without one.
+    [[nodiscard]] bool has_limits() const noexcept { return !m_subjects.empty(); }
     [[nodiscard]] const std::vector<std::string>& get_order() const noexcept { return m_order; }
     [[nodiscard]] const std::string& get_owner() const noexcept { return m_owner; }
 
     /// Decides on a request, which may wait until the given time.
-    [[nodiscard]] quota_decision check(const organisation_name& organisation, double amount, steady_time wait_until,
+    [[nodiscard]] quota_decision check(const quota_subject& subject, double amount, steady_time wait_until,
                                        steady_time now);
+    /// Decides on a request that cannot wait. See `quota_node`.
+    [[nodiscard]] quota_decision try_take(const quota_subject& subject, double amount, steady_time now);
+    [[nodiscard]] bool has_no_room(const quota_subject& subject, double amount, steady_time now) const;
+    [[nodiscard]] duration get_retry_after(const quota_subject& subject, double amount, steady_time now) const;
+    [[nodiscard]] quota_decision refuse(const quota_subject& subject, double amount, steady_time now);
     /// Returns the decisions on waiting requests since the last call.
     [[nodiscard]] std::vector<quota_decision> take_decisions();
     /// Removes a waiting request.
     void cancel(std::uint64_t ticket);
     /// Gives back what an admitted request did not use, since no server ran it.
-    void give_back(const organisation_name& organisation, double amount, std::uint64_t session);
+    void give_back(const quota_subject& subject, double amount, std::uint64_t session);
 
     /// Returns the request that is to be sent now, if any, and refuses requests that have waited for too long.
     [[nodiscard]] std::optional<outgoing_quota_request> poll(steady_time now);
@@ -61,7 +68,7 @@
     /// Applies the answer of an owner.
     void apply(const quota_grant& grant, steady_time now);
 
-    /// Returns how many organisations are at their quota.
+    /// Returns how many subjects are at their quota.
     [[nodiscard]] std::size_t count_blocked(steady_time now) const;
 
 private:
@@ -83,7 +90,7 @@
 
     quota_account_options m_options;
     std::set<std::string>* m_unresponsive;
-    std::map<organisation_name, quota_balance> m_organisations;
+    std::map<quota_subject, quota_balance> m_subjects;
     std::vector<std::string> m_order;
     std::size_t m_hosts{1};
     std::string m_owner;
--- a/policy/quota_balance.cpp
+++ b/policy/quota_balance.cpp
@@ -17,6 +17,8 @@
 constexpr double negligible = 0.001;
 /// Least Retry-After when no owner has booked a time.
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
+/// For how long a host expects no room after a request has waited in vain for the owner.
+constexpr duration unserved_time = std::chrono::milliseconds(200);
 
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
@@ -35,6 +37,7 @@
 void quota_balance::set_limit(const quota_limit& limit, std::size_t hosts) {
     if (m_limit != limit) {
         m_blocked_until = {};
+        m_unserved_until = {};
         m_next_booked = {};
     }
     m_limit = limit;
@@ -46,6 +49,10 @@
     m_own_level = std::min(m_limit.capacity * share, m_own_level + m_limit.rate_per_second * share * seconds);
 }
 
+bool quota_balance::can_take(double amount, bool uses_own_share, steady_time now) const {
+    return m_earlier.get(now) >= amount || m_granted.get(now) >= amount || (uses_own_share && m_own_level >= amount);
+}
+
 bool quota_balance::try_take(double amount, bool uses_own_share, steady_time now) {
     if (m_earlier.take(amount, now)) {
         return true;
@@ -68,15 +75,20 @@
     m_has_changed = true;
 }
 
-quota_decision quota_balance::refuse(double amount, std::size_t hosts, steady_time now) {
+duration quota_balance::get_retry_after(double amount, std::size_t hosts, steady_time now) const {
     constexpr double max_seconds = 3600;
     // A caller that comes back before the end of the block would be refused without having been asked for.
     const steady_time earliest = std::max(m_blocked_until, now + default_retry_after);
     const double share = m_limit.rate_per_second / static_cast<double>(hosts);
     const double pace = m_booked_rate > 0 ? m_booked_rate : share;
     const std::chrono::duration<double> needed(std::min(amount / pace, max_seconds));
-    m_next_booked = std::max(m_next_booked, earliest) + std::chrono::duration_cast<duration>(needed);
-    return {.answer = quota_answer::refused, .ticket = 0, .retry_after = m_next_booked - now, .session = 0};
+    return std::max(m_next_booked, earliest) + std::chrono::duration_cast<duration>(needed) - now;
+}
+
+quota_decision quota_balance::refuse(double amount, std::size_t hosts, steady_time now) {
+    const duration retry_after = get_retry_after(amount, hosts, now);
+    m_next_booked = now + retry_after;
+    return {.answer = quota_answer::refused, .ticket = 0, .retry_after = retry_after, .session = 0};
 }
 
 void quota_balance::add_demand(double amount, steady_time now) {
@@ -116,6 +128,7 @@
         } else if (now >= request->until || (is_answered && request->asked_in != 0)) {
             if (!is_answered) {
                 m_refused += request->amount;
+                m_unserved_until = now + unserved_time;
             }
             decisions.push_back(refuse(request->amount, hosts, now));
             decisions.back().ticket = request->ticket;
--- a/policy/quota_balance.hpp
+++ b/policy/quota_balance.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <vector>
@@ -12,7 +13,7 @@
 
 enum class quota_answer : std::uint8_t { admitted, refused, waiting };
 
-/// What a host does with a request of an organisation with a quota.
+/// What a host does with a request of a subject with a quota.
 struct quota_decision {
     quota_answer answer{quota_answer::admitted};
     /// Identifies a waiting request; zero for another one.
@@ -23,7 +24,7 @@
     std::uint64_t session{};
 };
 
-/// What a host has of the quota of one organisation: grants of the owner, its own share while no owner has it, and the
+/// What a host has of the quota of one subject: grants of the owner, its own share while no owner has it, and the
 /// requests that wait for either. Times are of a clock that counts suspension. Not thread safe.
 class quota_balance {
 public:
@@ -37,10 +38,14 @@
 
     /// Takes an amount if there is enough. The own share counts if `uses_own_share`.
     [[nodiscard]] bool try_take(double amount, bool uses_own_share, steady_time now);
+    /// Returns whether `try_take` would succeed.
+    [[nodiscard]] bool can_take(double amount, bool uses_own_share, steady_time now) const;
     /// Returns to the owner what was taken and not used.
     void give_back(double amount);
     /// Returns the decision on a request that is refused.
     [[nodiscard]] quota_decision refuse(double amount, std::size_t hosts, steady_time now);
+    /// Returns the Retry-After of a request that would be refused now.
+    [[nodiscard]] duration get_retry_after(double amount, std::size_t hosts, steady_time now) const;
     void count_refused(double amount) { m_refused += amount; }
 
     /// What requests ask for per second, as an average.
@@ -76,6 +81,10 @@
     /// Returns whether the host holds so little that it should ask for more.
     [[nodiscard]] bool is_low(steady_time now) const;
     [[nodiscard]] bool is_blocked(steady_time now) const noexcept { return now < m_blocked_until; }
+    /// Returns whether the owner, or the time that requests may wait, has lately refused a request.
+    [[nodiscard]] bool was_refused(steady_time now) const noexcept {
+        return now < std::max(m_blocked_until, m_unserved_until);
+    }
 
 private:
     struct waiting_request {
@@ -105,6 +114,8 @@
     double m_refused_sent{};
     std::deque<waiting_request> m_waiting;
     steady_time m_blocked_until{};
+    /// A waiting request got no answer in time; until then another would most likely not get one either.
+    steady_time m_unserved_until{};
     /// Next moment that is booked for a refused request.
     steady_time m_next_booked{};
     double m_booked_rate{};
--- a/policy/quota_exchange_types.hpp
+++ b/policy/quota_exchange_types.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,7 +10,7 @@
 
 namespace dragonflywell::policy {
 
-/// Number of parts into which the organisations are divided. All organisations of a part have the same owner. More
+/// Number of parts into which the subjects are divided. All subjects of a part have the same owner. More
 /// parts mean more datagrams of each host, fewer mean more work of each owner.
 constexpr std::uint32_t quota_parts = 16;
 
@@ -31,9 +32,9 @@
 /// What the shares of a host hold before it has ever used them.
 enum class quota_start : std::uint8_t { none, restart, first_start };
 
-/// What a host needs of the quota of an organisation, and what it has of it.
+/// What a host needs of the quota of a subject, and what it has of it.
 struct quota_need {
-    organisation_name organisation;
+    quota_subject subject;
     /// What the host has used of the grants of this owner, less what was not run.
     double used_total{};
     /// What it has of them and keeps.
@@ -44,11 +45,14 @@
     double expected{};
     /// What it refused since the last answered request, without having asked.
     double refused{};
+    /// The limit that the subject names, if it does and as the host knows it (`make_server_limit`). An owner that knows
+    /// none, or a larger one, applies it until a second after the last host has stated it.
+    std::optional<double> named_limit{std::nullopt};
 
     friend bool operator==(const quota_need&, const quota_need&) = default;
 };
 
-/// What a host sends to the owner of a part of the organisations. A host has one such request in flight to an owner;
+/// What a host sends to the owner of a part of the subjects. A host has one such request in flight to an owner;
 /// it ignores a grant for an earlier one.
 struct quota_request {
     std::string host;
@@ -68,9 +72,9 @@
     friend bool operator==(const quota_request&, const quota_request&) = default;
 };
 
-/// What an owner grants of the quota of an organisation.
+/// What an owner grants of the quota of a subject.
 struct quota_allowance {
-    organisation_name organisation;
+    quota_subject subject;
     double granted{};
     /// If the host did not get what it asked for, or has refused requests: when the time begins that is booked for it,
     /// and what the host may book per second for requests that it refuses without asking.
--- a/policy/quota_limit.cpp
+++ b/policy/quota_limit.cpp
@@ -12,6 +12,10 @@
 constexpr double restart_share = 0.125;
 /// Number of restarts of all hosts within one window for which the tolerance suffices.
 constexpr double restarts_in_window = 2;
+/// Least rate at which a server with a limit gets requests. A server may name zero.
+constexpr double min_server_rate = 0.25;
+/// What the bucket of a server holds beside the requests of one second.
+constexpr double server_burst = 2.5;
 
 } // namespace
 
@@ -28,6 +32,15 @@
             .restart_level = room * restart_share};
 }
 
+quota_limit make_server_limit(double requests_per_second) {
+    return {.rate_per_second = std::max(requests_per_second, min_server_rate),
+            .capacity = requests_per_second + server_burst,
+            .restart_level = 0,
+            .unit = 1,
+            .starts_empty = true,
+            .named = requests_per_second};
+}
+
 double get_quota_amount(const fleet::quota& quota, std::optional<std::uint64_t> tokens) {
     if (quota.unit == fleet::quota_unit::requests) {
         return 1;
--- a/policy/quota_limit.hpp
+++ b/policy/quota_limit.hpp
@@ -26,6 +26,12 @@
     double capacity{};
     /// What the bucket holds after a restart of all hosts.
     double restart_level{};
+    /// Grants are whole multiples of it; any amount if it is zero.
+    double unit{};
+    /// Whether the bucket is empty on the first start of the system. It holds its capacity otherwise.
+    bool starts_empty{false};
+    /// The requests per second that a server names. Hosts state it to the owner, which may not have heard of it.
+    std::optional<double> named{std::nullopt};
 
     friend bool operator==(const quota_limit&, const quota_limit&) = default;
 };
@@ -34,6 +40,11 @@
 /// window. A tolerance below a twentieth of the quota is made up for by a smaller burst and rate. Thread safe.
 [[nodiscard]] quota_limit make_quota_limit(const fleet::quota& quota, const quota_tolerance& tolerance);
 
+/// Returns the bucket of a server that takes this many requests per second from all hosts together. Any 4 s hold 1.25
+/// times of that and 2.5 requests. Even at zero a request may be sent every 4 s, since only a response ends the limit.
+/// Precondition: finite and not negative. Thread safe.
+[[nodiscard]] quota_limit make_server_limit(double requests_per_second);
+
 /// Returns what a request uses of a quota. `tokens`: its prompt and maximum output tokens, if it states them. Thread
 /// safe.
 [[nodiscard]] double get_quota_amount(const fleet::quota& quota, std::optional<std::uint64_t> tokens);
--- a/policy/quota_node.cpp
+++ b/policy/quota_node.cpp
@@ -30,20 +30,28 @@
     }
 }
 
-std::uint32_t quota_node::find_part(const organisation_name& organisation) {
-    return static_cast<std::uint32_t>(get_stable_hash(organisation.value()) % quota_parts);
+std::uint32_t quota_node::find_part(const quota_subject& subject) {
+    return static_cast<std::uint32_t>(get_stable_hash(subject.value()) % quota_parts);
 }
 
 void quota_node::set_quotas(const fleet_quotas& quotas, steady_time now) {
-    std::vector<quota_limits> limits(quota_parts);
+    quota_limits limits;
     for (const auto& [organisation, quota] : quotas) {
-        limits[find_part(organisation)].emplace(organisation, make_quota_limit(quota, m_options.tolerance));
+        limits.emplace(quota_subject(organisation.value()), make_quota_limit(quota, m_options.tolerance));
+    }
+    set_limits(limits, now);
+}
+
+void quota_node::set_limits(const quota_limits& limits, steady_time now) {
+    std::vector<quota_limits> of_parts(quota_parts);
+    for (const auto& [subject, limit] : limits) {
+        of_parts[find_part(subject)].emplace(subject, limit);
     }
     for (std::size_t index = 0; index < m_parts.size(); ++index) {
-        m_parts[index].account.set_limits(limits[index], now);
-        m_parts[index].pool.set_limits(limits[index], now);
+        m_parts[index].account.set_limits(of_parts[index], now);
+        m_parts[index].pool.set_limits(of_parts[index], now);
     }
-    m_has_quotas = !quotas.empty();
+    m_has_limits = !limits.empty();
 }
 
 void quota_node::set_hosts(const std::vector<owner_candidate>& hosts, steady_time now) {
@@ -62,9 +70,24 @@
     });
 }
 
-quota_decision quota_node::check(const organisation_name& organisation, double amount, steady_time wait_until,
-                                 steady_time now) {
-    return m_parts[find_part(organisation)].account.check(organisation, amount, wait_until, now);
+quota_decision quota_node::check(const quota_subject& subject, double amount, steady_time wait_until, steady_time now) {
+    return m_parts[find_part(subject)].account.check(subject, amount, wait_until, now);
+}
+
+quota_decision quota_node::try_take(const quota_subject& subject, double amount, steady_time now) {
+    return m_parts[find_part(subject)].account.try_take(subject, amount, now);
+}
+
+bool quota_node::has_no_room(const quota_subject& subject, double amount, steady_time now) const {
+    return m_parts[find_part(subject)].account.has_no_room(subject, amount, now);
+}
+
+duration quota_node::get_retry_after(const quota_subject& subject, double amount, steady_time now) const {
+    return m_parts[find_part(subject)].account.get_retry_after(subject, amount, now);
+}
+
+quota_decision quota_node::refuse(const quota_subject& subject, double amount, steady_time now) {
+    return m_parts[find_part(subject)].account.refuse(subject, amount, now);
 }
 
 std::vector<quota_decision> quota_node::take_decisions() {
@@ -77,17 +100,17 @@
     return decisions;
 }
 
-void quota_node::cancel(const organisation_name& organisation, std::uint64_t ticket) {
-    m_parts[find_part(organisation)].account.cancel(ticket);
+void quota_node::cancel(const quota_subject& subject, std::uint64_t ticket) {
+    m_parts[find_part(subject)].account.cancel(ticket);
 }
 
-void quota_node::give_back(const organisation_name& organisation, double amount, std::uint64_t session) {
-    m_parts[find_part(organisation)].account.give_back(organisation, amount, session);
+void quota_node::give_back(const quota_subject& subject, double amount, std::uint64_t session) {
+    m_parts[find_part(subject)].account.give_back(subject, amount, session);
 }
 
 std::vector<outgoing_quota_request> quota_node::poll(steady_time now) {
     std::vector<outgoing_quota_request> requests;
-    if (!m_is_ready || !m_has_quotas) {
+    if (!m_is_ready || !m_has_limits) {
         return requests;
     }
     if (now >= m_counted_at + count_interval) {
@@ -118,7 +141,7 @@
 }
 
 steady_time quota_node::get_next_poll(steady_time now) const {
-    if (!m_is_ready || !m_has_quotas) {
+    if (!m_is_ready || !m_has_limits) {
         return steady_time::max();
     }
     steady_time next = now + count_interval;
--- a/policy/quota_pool.cpp
+++ b/policy/quota_pool.cpp
@@ -37,8 +37,8 @@
 void quota_pool::set_limits(const quota_limits& limits, steady_time now) {
     advance(now);
     std::erase_if(m_buckets, [&](const auto& item) { return !limits.contains(item.first); });
-    for (const auto& [organisation, limit] : limits) {
-        bucket& own = m_buckets[organisation];
+    for (const auto& [subject, limit] : limits) {
+        bucket& own = m_buckets[subject];
         own.limit = limit;
         clamp(own);
     }
@@ -60,7 +60,7 @@
 
 void quota_pool::fill(double seconds) {
     const double share = get_pledged_share();
-    for (auto& [organisation, own] : m_buckets) {
+    for (auto& [subject, own] : m_buckets) {
         own.level += own.limit.rate_per_second * share * seconds;
         clamp(own);
     }
@@ -78,7 +78,7 @@
         fill(to_seconds(now - m_filled_at));
         m_filled_at = now;
     }
-    for (auto& [organisation, own] : m_buckets) {
+    for (auto& [subject, own] : m_buckets) {
         if (own.next_expiry <= now) {
             drop_expired_holdings(own, now);
         }
@@ -124,7 +124,7 @@
     } else if (request.pledge == quota_pledge::released && sender.is_pledged) {
         sender.is_pledged = false;
         --m_pledges;
-        for (auto& [organisation, own] : m_buckets) {
+        for (auto& [subject, own] : m_buckets) {
             clamp(own);
         }
     }
@@ -136,7 +136,7 @@
         return;
     }
     sender.has_started = true;
-    for (auto& [organisation, own] : m_buckets) {
+    for (auto& [subject, own] : m_buckets) {
         const double whole = request.start == quota_start::first_start ? own.limit.capacity : own.limit.restart_level;
         own.level += whole / static_cast<double>(m_hosts);
     }
@@ -158,7 +158,7 @@
 quota_allowance quota_pool::grant(bucket& own, const quota_request& request, const quota_need& need, steady_time now) {
     clamp(own);
     quota_allowance allowance;
-    allowance.organisation = need.organisation;
+    allowance.subject = need.subject;
     const double waiting = std::min(need.waiting, own.level);
     const double room = own.limit.capacity * get_pledged_share() * max_outstanding_share - own.outstanding - waiting;
     const double ahead =
@@ -228,7 +228,7 @@
         sender.incarnation = request.incarnation;
         sender.has_started = false;
         // What the process before it held is lost, but may have been used until it ended.
-        for (auto& [organisation, own] : m_buckets) {
+        for (auto& [subject, own] : m_buckets) {
             if (const auto found = own.holdings.find(request.host); found != own.holdings.end()) {
                 own.outstanding -= found->second.get_total();
                 own.holdings.erase(found);
@@ -240,7 +240,7 @@
     apply_start(sender, request);
     answer.is_released = request.pledge == quota_pledge::released && !has_excess();
     for (const quota_need& need : request.needs) {
-        const auto found = m_buckets.find(need.organisation);
+        const auto found = m_buckets.find(need.subject);
         if (found == m_buckets.end()) {
             continue;
         }
--- a/policy/quota_pool.hpp
+++ b/policy/quota_pool.hpp
@@ -10,12 +10,12 @@
 
 namespace dragonflywell::policy {
 
-using quota_limits = std::map<organisation_name, quota_limit>;
+using quota_limits = std::map<quota_subject, quota_limit>;
 
-/// The owner's side of the quotas of one part of the organisations: pools the shares that hosts pledge and grants them
+/// The owner's side of the quotas of one part of the subjects: pools the shares that hosts pledge and grants them
 /// to the hosts that need them.
 ///
-/// Each organisation has a token bucket. It fills with the pledged share of the rate, and its level and all that was
+/// Each subject has a token bucket. It fills with the pledged share of the rate, and its level and all that was
 /// granted and may still be used are together at most the pledged share of the capacity. Of what all owners and hosts
 /// use in a window, this leaves at most rate times window, and the capacity.
 /// Times are of a clock that counts suspension. Not thread safe.
@@ -25,7 +25,7 @@
     quota_pool(std::string owner, std::uint64_t incarnation, std::uint32_t part)
         : m_owner(std::move(owner)), m_incarnation(incarnation), m_part(part) {}
 
-    /// Sets the quotas of the part. What an organisation has left is kept, as far as the new quota permits it.
+    /// Sets the quotas of the part. What a subject has left is kept, as far as the new quota permits it.
     void set_limits(const quota_limits& limits, steady_time now);
     /// Sets among how many hosts quotas are divided. Precondition: positive.
     void set_host_count(std::size_t hosts, steady_time now);
@@ -38,7 +38,7 @@
     [[nodiscard]] double get_pledged_share() const noexcept;
 
 private:
-    /// What a host has of the quota of an organisation, as far as the owner knows.
+    /// What a host has of the quota of a subject, as far as the owner knows.
     struct holding {
         double held{};
         /// What the answer to the last request granted.
@@ -95,7 +95,7 @@
     std::uint64_t m_incarnation;
     std::uint32_t m_part;
     std::size_t m_hosts{1};
-    std::map<organisation_name, bucket> m_buckets;
+    std::map<quota_subject, bucket> m_buckets;
     std::map<std::string, member> m_members;
     std::size_t m_pledges{0};
     /// No pledge ends before.
--- a/servers/organisation_quotas.cpp
+++ b/servers/organisation_quotas.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+quota_subject get_subject(const organisation_name& organisation) {
+    return quota_subject(organisation.value());
+}
+
 /// Longest wait of a request for other hosts.
 constexpr duration max_quota_wait = std::chrono::milliseconds(100);
 /// After the longest wait a decision is due at the next poll.
@@ -67,7 +71,7 @@
     }
     const steady_time now = m_time->now_with_suspension();
     const steady_time wait_until = now + std::clamp(time_left, duration::zero(), max_quota_wait);
-    policy::quota_decision decision = m_node.check(organisation, amount, wait_until, now);
+    policy::quota_decision decision = m_node.check(get_subject(organisation), amount, wait_until, now);
     const bool has_waited = decision.answer == policy::quota_answer::waiting;
     if (has_waited) {
         m_waited->add();
@@ -83,7 +87,7 @@
         if (waiting->decision) {
             decision = *waiting->decision;
         } else {
-            m_node.cancel(organisation, decision.ticket);
+            m_node.cancel(get_subject(organisation), decision.ticket);
             decision.retry_after = default_retry_after;
         }
     }
@@ -117,7 +121,7 @@
 
 void organisation_quotas::give_back(const quota_use& use) {
     m_given_back->add();
-    m_node.give_back(use.organisation, use.amount, use.session);
+    m_node.give_back(get_subject(use.organisation), use.amount, use.session);
 }
 
 std::vector<policy::outgoing_quota_request> organisation_quotas::poll() {
--- a/servers/organisation_quotas.hpp
+++ b/servers/organisation_quotas.hpp
@@ -36,7 +36,7 @@
     void set_configuration(const fleet::serving_configuration& configuration);
     /// Sets the hosts in the store's list, this one included.
     void set_hosts(const std::vector<policy::owner_candidate>& hosts);
-    [[nodiscard]] bool has_quotas() const noexcept { return m_node.has_quotas(); }
+    [[nodiscard]] bool has_quotas() const noexcept { return m_node.has_limits(); }
 
     /// Takes what a request counts from the quota of its organisation; waits for other hosts if this one has too
     /// little. Throws `request_refused`.
--- a/tests/gossip/test_quota_messages.cpp
+++ b/tests/gossip/test_quota_messages.cpp
@@ -21,13 +21,13 @@
     request.held_for = 7us;
     request.pledge = policy::quota_pledge::released;
     request.start = policy::quota_start::restart;
-    request.needs = {{.organisation = organisation_name("a"),
+    request.needs = {{.subject = quota_subject("a"),
                       .used_total = -3.25,
                       .held = 0.1,
                       .waiting = 800,
                       .expected = 4000.5,
                       .refused = 1e9},
-                     {.organisation = organisation_name("b")}};
+                     {.subject = quota_subject("b")}};
     return request;
 }
 
@@ -39,12 +39,12 @@
     grant.sequence = 12;
     grant.time = 123456789012345ns;
     grant.is_released = true;
-    grant.allowances = {{.organisation = organisation_name("a"),
+    grant.allowances = {{.subject = quota_subject("a"),
                          .granted = 1.0 / 3,
                          .booked_from = 11s,
                          .booked_rate = 100,
                          .blocked_for = 50ms},
-                        {.organisation = organisation_name("b")}};
+                        {.subject = quota_subject("b")}};
     return grant;
 }
 
--- a/tests/policy/quota_simulation.cpp
+++ b/tests/policy/quota_simulation.cpp
@@ -86,7 +86,7 @@
 
 std::size_t quota_simulation::get_owner(const std::string& organisation) const {
     return get_index(
-        policy::get_owner_order(m_list, policy::quota_node::find_part(organisation_name(organisation))).front());
+        policy::get_owner_order(m_list, policy::quota_node::find_part(quota_subject(organisation))).front());
 }
 
 void quota_simulation::send(std::size_t sender, std::size_t receiver, message content) {
@@ -145,7 +145,7 @@
     }
     from.sent_at = m_tick;
     const policy::quota_decision decision =
-        own.node->check(from.organisation, from.amount, now(own) + max_request_wait, now(own));
+        own.node->check(quota_subject(from.organisation.value()), from.amount, now(own) + max_request_wait, now(own));
     if (decision.answer == policy::quota_answer::waiting) {
         m_waiting.emplace(std::pair(host, decision.ticket), from);
         own.is_due = true;
--- a/tests/policy/test_quota_pool.cpp
+++ b/tests/policy/test_quota_pool.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr steady_time start = steady_time(1h);
-const organisation_name organisation("a");
+const quota_subject subject("a");
 /// 100 per second, and 50 at once.
 const policy::quota_limit limit{.rate_per_second = 100, .capacity = 50, .restart_level = 0};
 
@@ -29,7 +29,7 @@
         request.owner_time = owner_time;
         request.held_for = sent_at.time_since_epoch() - owner_time;
         request.pledge = owner_incarnation == 0 ? policy::quota_pledge::none : policy::quota_pledge::pledged;
-        request.needs.push_back({.organisation = organisation, .used_total = used, .waiting = waiting});
+        request.needs.push_back({.subject = subject, .used_total = used, .waiting = waiting});
         return request;
     }
 
@@ -47,7 +47,7 @@
 policy::quota_pool make_pool(std::size_t hosts) {
     policy::quota_pool pool("owner", 7, 0);
     pool.set_host_count(hosts, start);
-    pool.set_limits({{organisation, limit}}, start);
+    pool.set_limits({{subject, limit}}, start);
     return pool;
 }
 
@@ -133,6 +133,6 @@
     asking_host one{.name = "one"};
     one.ask(pool, 0, start);
     one.ask(pool, 0, start);
-    pool.set_limits({{organisation, {.rate_per_second = 1, .capacity = 5, .restart_level = 0}}}, start + 500ms);
+    pool.set_limits({{subject, {.rate_per_second = 1, .capacity = 5, .restart_level = 0}}}, start + 500ms);
     CHECK(one.ask(pool, 100, start + 500ms) == doctest::Approx(5));
 }
