Grant limits of servers in whole requests, also where the owner has not heard of them

A fraction of a request that a host holds serves nobody, and the owner of a server may hear of its limit later than the hosts that use it.

Change: the owner grants whole multiples of quota_limit::unit, for waiting requests and for expected needs, and blocks hosts until the next unit is due (at most 1 s). Hosts state the named limit with their needs; the owner applies the smallest of its own and of those stated within the last second, and keeps the bucket of a limit that has ended for so long, with what hosts hold. A subject that is removed and added again goes on with its used total, since the owner would take a smaller one for what was given back. Parts without a limit send nothing, also no probes of hosts that did not answer, and the count of hosts includes a list that was replaced while there was no limit.

Quotas of organisations have neither unit nor named limit and behave as before.

--- a/policy/quota_account.cpp
+++ b/policy/quota_account.cpp
@@ -49,10 +49,18 @@
                                    .retry_after = duration::zero(),
                                    .session = m_session});
         }
+        m_first_used_total = std::max(m_first_used_total, item->second.get_used_total());
         item = m_subjects.erase(item);
     }
     for (const auto& [subject, limit] : limits) {
-        m_subjects[subject].set_limit(limit, m_hosts);
+        const auto [found, is_new] = m_subjects.try_emplace(subject, m_first_used_total);
+        found->second.set_limit(limit, m_hosts);
+    }
+    if (m_subjects.empty()) {
+        // Nothing is sent until there is a limit again, and the time until then does not show that an owner fails.
+        m_sent.reset();
+        m_unanswered = 0;
+        m_is_urgent = true;
     }
 }
 
@@ -277,6 +285,7 @@
         quota_need need =
             request.pledge == quota_pledge::released ? own.make_return() : own.make_need(request.sequence, now);
         need.subject = subject;
+        need.named_limit = own.get_limit().named;
         request.needs.push_back(std::move(need));
     }
     return request;
--- a/policy/quota_account.hpp
+++ b/policy/quota_account.hpp
@@ -91,6 +91,9 @@
     quota_account_options m_options;
     std::set<std::string>* m_unresponsive;
     std::map<quota_subject, quota_balance> m_subjects;
+    /// Where the used total of a new subject begins. Not below that of a removed one, which may be the same subject and
+    /// of which the owner still knows the total.
+    double m_first_used_total{0};
     std::vector<std::string> m_order;
     std::size_t m_hosts{1};
     std::string m_owner;
--- a/policy/quota_balance.cpp
+++ b/policy/quota_balance.cpp
@@ -42,6 +42,10 @@
     }
     m_limit = limit;
     m_own_level = std::min(m_own_level, limit.capacity / static_cast<double>(hosts));
+    if (limit.unit > 0) {
+        m_granted.amount = std::min(m_granted.amount, get_whole_units(limit.capacity, limit.unit));
+        m_earlier.amount = std::min(m_earlier.amount, get_whole_units(limit.capacity, limit.unit));
+    }
 }
 
 void quota_balance::fill_own_share(double seconds, std::size_t hosts) {
@@ -164,7 +168,7 @@
     }
     const double expected = get_demand(now) * ahead_seconds;
     if (wanted == 0 && m_granted.get(now) > 2 * expected) {
-        m_granted.amount = expected;
+        m_granted.amount = get_whole_units(expected, m_limit.unit);
     }
     quota_need need;
     need.used_total = m_used_total;
@@ -202,7 +206,9 @@
 }
 
 bool quota_balance::is_low(steady_time now) const {
-    return !is_blocked(now) && m_granted.get(now) < get_demand(now) * low_seconds;
+    const double demand = get_demand(now);
+    // Less than a unit is not granted ahead.
+    return !is_blocked(now) && demand * ahead_seconds >= m_limit.unit && m_granted.get(now) < demand * low_seconds;
 }
 
 } // namespace dragonflywell::policy
--- a/policy/quota_balance.hpp
+++ b/policy/quota_balance.hpp
@@ -28,6 +28,8 @@
 /// requests that wait for either. Times are of a clock that counts suspension. Not thread safe.
 class quota_balance {
 public:
+    explicit quota_balance(double used_total) noexcept : m_used_total(used_total) {}
+
     /// `hosts`: among how many hosts the quota is divided.
     void set_limit(const quota_limit& limit, std::size_t hosts);
     [[nodiscard]] const quota_limit& get_limit() const noexcept { return m_limit; }
@@ -40,6 +42,7 @@
     [[nodiscard]] bool try_take(double amount, bool uses_own_share, steady_time now);
     /// Returns whether `try_take` would succeed.
     [[nodiscard]] bool can_take(double amount, bool uses_own_share, steady_time now) const;
+    [[nodiscard]] double get_used_total() const noexcept { return m_used_total; }
     /// Returns to the owner what was taken and not used.
     void give_back(double amount);
     /// Returns the decision on a request that is refused.
--- a/policy/quota_limit.cpp
+++ b/policy/quota_limit.cpp
@@ -1,6 +1,7 @@
 #include "policy/quota_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflywell::policy {
 
@@ -32,6 +33,10 @@
             .restart_level = room * restart_share};
 }
 
+bool is_valid_server_limit(double requests_per_second) {
+    return requests_per_second >= 0 && requests_per_second <= max_server_limit;
+}
+
 quota_limit make_server_limit(double requests_per_second) {
     return {.rate_per_second = std::max(requests_per_second, min_server_rate),
             .capacity = requests_per_second + server_burst,
@@ -41,6 +46,12 @@
             .named = requests_per_second};
 }
 
+double get_whole_units(double amount, double unit) {
+    // Sums of fractions may be a little below the whole number that they stand for.
+    constexpr double rounding_error = 1e-9;
+    return unit > 0 ? std::floor(amount / unit + rounding_error) * unit : amount;
+}
+
 double get_quota_amount(const fleet::quota& quota, std::optional<std::uint64_t> tokens) {
     if (quota.unit == fleet::quota_unit::requests) {
         return 1;
--- a/policy/quota_limit.hpp
+++ b/policy/quota_limit.hpp
@@ -40,11 +40,21 @@
 /// window. A tolerance below a twentieth of the quota is made up for by a smaller burst and rate. Thread safe.
 [[nodiscard]] quota_limit make_quota_limit(const fleet::quota& quota, const quota_tolerance& tolerance);
 
+/// Largest limit that a server may name; a larger one cannot be meant.
+constexpr double max_server_limit = 1e6;
+
+/// Returns whether a server may name this limit. Thread safe.
+[[nodiscard]] bool is_valid_server_limit(double requests_per_second);
+
 /// Returns the bucket of a server that takes this many requests per second from all hosts together. Any 4 s hold 1.25
 /// times of that and 2.5 requests. Even at zero a request may be sent every 4 s, since only a response ends the limit.
-/// Precondition: finite and not negative. Thread safe.
+/// Precondition: valid. Thread safe.
 [[nodiscard]] quota_limit make_server_limit(double requests_per_second);
 
+/// Returns the largest multiple of the unit that is not above the amount; the amount itself without a unit. Thread
+/// safe.
+[[nodiscard]] double get_whole_units(double amount, double unit);
+
 /// Returns what a request uses of a quota. `tokens`: its prompt and maximum output tokens, if it states them. Thread
 /// safe.
 [[nodiscard]] double get_quota_amount(const fleet::quota& quota, std::optional<std::uint64_t> tokens);
--- a/policy/quota_node.cpp
+++ b/policy/quota_node.cpp
@@ -56,6 +56,8 @@
 
 void quota_node::set_hosts(const std::vector<owner_candidate>& hosts, steady_time now) {
     m_is_ready = true;
+    // The hosts of the list before counted until now, also if there was nothing to poll for.
+    m_host_count.observe(m_hosts.size(), now);
     m_hosts = hosts;
     m_counted_at = now;
     const std::size_t shares = std::max<std::size_t>(1, m_host_count.observe(hosts.size(), now));
@@ -155,6 +157,9 @@
     std::set<std::string> probed;
     for (std::uint32_t index = 0; index < quota_parts; ++index) {
         const quota_account& account = m_parts[index].account;
+        if (!account.has_limits()) {
+            continue;
+        }
         for (const std::string& host : account.get_order()) {
             if (host == account.get_owner()) {
                 break;
--- a/policy/quota_pool.cpp
+++ b/policy/quota_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace dragonflywell::policy {
 
@@ -22,6 +23,10 @@
 constexpr duration block_per_host = std::chrono::milliseconds(1);
 constexpr duration min_block = std::chrono::milliseconds(50);
 constexpr duration max_block = std::chrono::milliseconds(400);
+/// The same if only whole units are granted, of which a small limit has one in several seconds.
+constexpr duration max_unit_block = std::chrono::seconds(1);
+/// How long a limit that hosts state, or that has ended here, counts. It outlasts the grants of it.
+constexpr duration stated_time = std::chrono::seconds(1);
 
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
@@ -36,11 +41,38 @@
 
 void quota_pool::set_limits(const quota_limits& limits, steady_time now) {
     advance(now);
-    std::erase_if(m_buckets, [&](const auto& item) { return !limits.contains(item.first); });
+    for (auto& [subject, own] : m_buckets) {
+        if (own.known && own.known->named && !limits.contains(subject)) {
+            // Hosts that have not heard of its end still use what they were granted.
+            own.stated[*own.known->named] = now + stated_time;
+        }
+        own.known.reset();
+    }
     for (const auto& [subject, limit] : limits) {
-        bucket& own = m_buckets[subject];
-        own.limit = limit;
-        clamp(own);
+        m_buckets[subject].known = limit;
+    }
+    std::erase_if(m_buckets, [](const auto& item) { return !item.second.known && item.second.stated.empty(); });
+    for (auto& [subject, own] : m_buckets) {
+        choose_limit(own);
+    }
+}
+
+void quota_pool::choose_limit(bucket& own) const {
+    own.limit = own.known.value_or(own.limit);
+    if (!own.stated.empty()) {
+        const quota_limit smallest = make_server_limit(own.stated.begin()->first);
+        own.limit = own.known && own.known->capacity <= smallest.capacity ? *own.known : smallest;
+    }
+    clamp(own);
+}
+
+void quota_pool::drop_expired_limits(steady_time now) {
+    for (auto item = m_buckets.begin(); item != m_buckets.end();) {
+        bucket& own = item->second;
+        if (std::erase_if(own.stated, [&](const auto& stated) { return stated.second <= now; }) > 0) {
+            choose_limit(own);
+        }
+        item = own.known || !own.stated.empty() ? std::next(item) : m_buckets.erase(item);
     }
 }
 
@@ -78,6 +110,7 @@
         fill(to_seconds(now - m_filled_at));
         m_filled_at = now;
     }
+    drop_expired_limits(now);
     for (auto& [subject, own] : m_buckets) {
         if (own.next_expiry <= now) {
             drop_expired_holdings(own, now);
@@ -137,7 +170,8 @@
     }
     sender.has_started = true;
     for (auto& [subject, own] : m_buckets) {
-        const double whole = request.start == quota_start::first_start ? own.limit.capacity : own.limit.restart_level;
+        const double first = own.limit.starts_empty ? 0 : own.limit.capacity;
+        const double whole = request.start == quota_start::first_start ? first : own.limit.restart_level;
         own.level += whole / static_cast<double>(m_hosts);
     }
 }
@@ -159,11 +193,11 @@
     clamp(own);
     quota_allowance allowance;
     allowance.subject = need.subject;
-    const double waiting = std::min(need.waiting, own.level);
+    const double waiting = get_whole_units(std::min(need.waiting, own.level), own.limit.unit);
     const double room = own.limit.capacity * get_pledged_share() * max_outstanding_share - own.outstanding - waiting;
     const double ahead =
         std::clamp(need.expected, 0.0, std::max(0.0, std::min((own.level - waiting) * max_ahead_share, room)));
-    allowance.granted = waiting + ahead;
+    allowance.granted = waiting + get_whole_units(ahead, own.limit.unit);
     holding& known = own.holdings.at(request.host);
     known.granted = allowance.granted;
     own.level -= allowance.granted;
@@ -196,11 +230,20 @@
     const auto asking = static_cast<double>(std::max<std::size_t>(1, own.holdings.size()));
     allowance.booked_rate = pace / asking;
     if (missing > 0) {
-        allowance.blocked_for =
-            std::clamp(std::chrono::duration_cast<duration>(block_per_host * asking), min_block, max_block);
+        allowance.blocked_for = get_block(own, rate);
     }
 }
 
+duration quota_pool::get_block(const bucket& own, double rate) const {
+    const auto asking = static_cast<double>(std::max<std::size_t>(1, own.holdings.size()));
+    const auto shared = std::chrono::duration_cast<duration>(block_per_host * asking);
+    if (own.limit.unit <= 0) {
+        return std::clamp(shared, min_block, max_block);
+    }
+    const duration next_unit = to_duration((own.limit.unit - own.level) / rate);
+    return std::clamp(std::max(shared, next_unit), min_block, max_unit_block);
+}
+
 bool quota_pool::has_excess() const {
     return std::any_of(m_buckets.begin(), m_buckets.end(), [this](const auto& item) {
         return item.second.outstanding > item.second.limit.capacity * get_pledged_share();
@@ -240,6 +283,11 @@
     apply_start(sender, request);
     answer.is_released = request.pledge == quota_pledge::released && !has_excess();
     for (const quota_need& need : request.needs) {
+        if (need.named_limit && is_valid_server_limit(*need.named_limit)) {
+            bucket& named = m_buckets[need.subject];
+            named.stated[*need.named_limit] = now + stated_time;
+            choose_limit(named);
+        }
         const auto found = m_buckets.find(need.subject);
         if (found == m_buckets.end()) {
             continue;
--- a/policy/quota_pool.hpp
+++ b/policy/quota_pool.hpp
@@ -25,7 +25,8 @@
     quota_pool(std::string owner, std::uint64_t incarnation, std::uint32_t part)
         : m_owner(std::move(owner)), m_incarnation(incarnation), m_part(part) {}
 
-    /// Sets the quotas of the part. What a subject has left is kept, as far as the new quota permits it.
+    /// Sets the quotas of the part. What a subject has left is kept, as far as the new quota permits it. A named limit
+    /// that is left out stays in force for a second, and longer while hosts state it.
     void set_limits(const quota_limits& limits, steady_time now);
     /// Sets among how many hosts quotas are divided. Precondition: positive.
     void set_host_count(std::size_t hosts, steady_time now);
@@ -51,6 +52,10 @@
 
     struct bucket {
         quota_limit limit;
+        /// What this host knows, and the named limits that hosts have stated lately, each with the time until which it
+        /// counts. The smallest is in force.
+        std::optional<quota_limit> known;
+        std::map<double, steady_time> stated;
         double level{};
         std::map<std::string, holding> holdings;
         /// Sum of the holdings.
@@ -79,6 +84,8 @@
     void fill(double seconds);
     void drop_expired_pledges(steady_time now);
     static void drop_expired_holdings(bucket& own, steady_time now);
+    void choose_limit(bucket& own) const;
+    void drop_expired_limits(steady_time now);
     /// Bounds the level by what the capacity leaves.
     void clamp(bucket& own) const;
     void apply_pledge(member& sender, const quota_request& request, steady_time now);
@@ -87,6 +94,8 @@
     static void settle(bucket& own, const quota_request& request, const quota_need& need, steady_time now);
     [[nodiscard]] quota_allowance grant(bucket& own, const quota_request& request, const quota_need& need,
                                         steady_time now);
+    /// Returns for how long hosts that found nothing should ask no more.
+    [[nodiscard]] duration get_block(const bucket& own, double rate) const;
     /// Books time for what the host refused, and for what it asked for and did not get.
     void book(bucket& own, double refused, double missing, quota_allowance& allowance, steady_time now) const;
     [[nodiscard]] bool has_excess() const;
