Keep what is believed of the limits that servers name

Each naming has a number: without it, reports that are late made an old naming newer at each host that passed it on.

--- a/policy/server_limit_report.hpp
+++ b/policy/server_limit_report.hpp
@@ -15,10 +15,13 @@
     std::uint64_t incarnation{};
     /// Requests per second of all hosts together that the server named last.
     double limit{};
-    /// Time since a response last named it.
+    /// Identifies the response that named it, so that a host does not take a report that it has passed on itself for a
+    /// newer one.
+    std::uint64_t naming{};
+    /// Time since that response.
     duration named_age{};
-    /// Time since the newest request was sent whose response named no limit, if that was after the limit was named.
-    std::optional<duration> ended_age;
+    /// If the limit has ended: time since the newest request was sent whose response named none.
+    std::optional<duration> ended_age{std::nullopt};
 
     friend bool operator==(const server_limit_report&, const server_limit_report&) = default;
 };
