Decode the limit that a server names in its responses

Change: the header becomes a typed notice that tells an absent value, a number (zero is one) and a value that is no number apart. Nothing uses it yet.

--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -57,6 +57,10 @@
     bool asks_for_pause{false};
     /// That time; nothing if it is no number of seconds.
     std::optional<duration> pause;
+    /// The server names how many requests a second it takes from all hosts together.
+    bool names_limit{false};
+    /// That number; nothing if it is no number. It may be out of range.
+    std::optional<double> limit;
 };
 
 /// The KV cache of a prompt as announced by the engine that prefilled it.
