Hold the limits that servers name, and permits to send them requests

Change: server_limits joins the table of limits with a second quota_node; a response of a server is recorded with the time at which its request was sent.

--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -44,8 +44,16 @@
                                            .tolerance = options.quota_tolerance,
                                            .is_first_start = options.is_first_start,
                                            .started_at = clock.now_with_suspension()}),
+      limits(executor, clock, metrics,
+             {.host = options.own_host,
+              .incarnation = options.incarnation,
+              .tolerance = {},
+              .is_first_start = false,
+              .started_at = clock.now_with_suspension()}),
       counters(metrics), log(get_logger("request")),
-      m_corrected_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {}
+      m_corrected_offset(clock.wall_now().time_since_epoch() - clock.now_with_suspension().time_since_epoch()) {
+    limits.on_limit_change = [this] { notify_load_change(); };
+}
 
 wall_time serving_state::get_corrected_time() const {
     return wall_time(time.now_with_suspension().time_since_epoch() + m_corrected_offset);
@@ -81,6 +89,11 @@
 }
 
 void serving_state::refresh_servers() {
+    std::map<backend_server_name, std::uint64_t> incarnations;
+    for (const auto& [id, server] : eligibility.get_list().get_servers()) {
+        incarnations.emplace(id, static_cast<std::uint64_t>(server.record.started_at_ms));
+    }
+    limits.retain(std::move(incarnations));
     if (m_view == nullptr) {
         return;
     }
@@ -132,6 +145,7 @@
             .write(*log, spdlog::level::info);
         notify_load_change();
     }
+    limits.apply_notice(server, incarnation, notice, sent_at);
     if (!notice.asks_for_pause) {
         return;
     }
@@ -146,7 +160,8 @@
         .write(*log, is_valid ? spdlog::level::info : spdlog::level::err);
 }
 
-duration serving_state::get_retry_after(const service_name& service, duration fallback) const {
+duration serving_state::get_retry_after(const service_name& service, duration fallback,
+                                        std::optional<duration> limited) const {
     constexpr double spread_fraction = 0.5;
     std::optional<steady_time> first_end;
     for (const auto& [id, server] : eligibility.get_list().get_servers()) {
@@ -156,11 +171,12 @@
         }
     }
     if (!first_end) {
-        return fallback;
+        return limited.value_or(fallback);
     }
     const duration remaining = std::max(*first_end - time.now(), fallback);
     const double spread = std::uniform_real_distribution<double>(0, spread_fraction)(get_thread_random());
-    return remaining + std::chrono::duration_cast<duration>(remaining * spread);
+    const duration after_pause = remaining + std::chrono::duration_cast<duration>(remaining * spread);
+    return std::min(limited.value_or(after_pause), after_pause);
 }
 
 bool serving_state::is_usable(const backend_server_name& server) const {
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -29,6 +29,7 @@
 #include "servers/organisation_quotas.hpp"
 #include "servers/peer_state.hpp"
 #include "servers/request_counters.hpp"
+#include "servers/server_limits.hpp"
 #include "servers/service_engines.hpp"
 
 namespace dragonflywell::servers {
@@ -89,8 +90,10 @@
     void apply_notice(const backend_server_name& server, std::uint64_t incarnation, const server_notice& notice,
                       steady_time sent_at);
     /// Returns how long a caller should wait when no server of the service is available: until the first pause that a
-    /// server asked for ends, spread so that the callers do not return at once, or `fallback`.
-    [[nodiscard]] duration get_retry_after(const service_name& service, duration fallback) const;
+    /// server asked for ends, spread so that the callers do not return at once, or `limited`, the time after which the
+    /// limit of a server has room, or `fallback`.
+    [[nodiscard]] duration get_retry_after(const service_name& service, duration fallback,
+                                           std::optional<duration> limited = {}) const;
     /// Returns whether requests should be sent to a server now: it may get work and is not ejected after a failure.
     [[nodiscard]] bool is_usable(const backend_server_name& server) const;
 
@@ -199,6 +202,7 @@
     policy::server_health health;
     policy::usage_counter usage;
     organisation_quotas quotas;
+    server_limits limits;
     policy::usage_delegation delegation{options.fallback_record_delay};
     policy::stall_detector stalls;
     /// Speeds of the instances of plain services. Entries are not removed, since running requests refer to them.
