Tell other hosts of the limits of servers, and exchange permits with them

Change: a digest carries reports of the table: to the group at once when something changed and in heartbeats, to other groups in rounds within half of the room, at most 64 servers. The receiver adds how long the digest was on the way. quota_exchange serves quotas and limits with one class and two instances, with datagram kinds of their own; nothing is sent while no limit is in force.

The clock of test_host_gossip moves to tests/support unchanged.

--- a/daemon/host_gossip.cpp
+++ b/daemon/host_gossip.cpp
@@ -9,7 +9,6 @@
 #include "core/json.hpp"
 #include "core/log_event.hpp"
 #include "daemon/usage_timing.hpp"
-#include "gossip/quota_messages.hpp"
 #include "policy/time_correction.hpp"
 #include "servers/server_speed_sharing.hpp"
 #include "servers/sleep.hpp"
@@ -57,8 +56,10 @@
                  .capacity = m_options.capacity}),
       m_digests(state, *this, m_builder, m_queue, metrics), m_speed_report(state, metrics),
       m_heartbeat_delay(&metrics.get_gauge("dragonflywell_heartbeat_delay_milliseconds")), m_send_timer(loop),
-      m_quotas(loop, state.quotas, state.time, m_queue,
-               {.host = m_options.host, .core_thousandths = m_options.capacity.core_thousandths}, [this] { send(); }) {
+      m_quotas(loop, state.quotas, gossip::quota_subjects::organisations, state.time, m_queue, get_candidate(),
+               [this] { send(); }),
+      m_limits(loop, state.limits, gossip::quota_subjects::servers, state.time, m_queue, get_candidate(),
+               [this] { send(); }) {
     m_socket.non_blocking(true);
 }
 
@@ -68,11 +69,13 @@
                        [this](const std::string& host) {
                            m_members.remove(host);
                            m_quotas.remove_host(host);
+                           m_limits.remove_host(host);
                        },
                    .on_page = [this] { update_groups(); }});
     boost::asio::co_spawn(m_state->executor, receive(), boost::asio::detached);
     boost::asio::co_spawn(m_state->executor, run_heartbeat(), boost::asio::detached);
     m_quotas.start();
+    m_limits.start();
     m_state->on_load_change = [this] { schedule(); };
     m_servers->set_relay([this](const log_position& from, const platform::store_page& page, duration age) {
         relay_records(from, page, age);
@@ -103,6 +106,7 @@
 
 void host_gossip::add_host(const listed_host& host) {
     m_quotas.add_host(host);
+    m_limits.add_host(host);
     m_members.add(host.name, host.zone,
                   udp::endpoint(boost::asio::ip::make_address(host.address.address), host.address.port));
 }
@@ -114,6 +118,7 @@
     m_digests.set_receivers(m_members.get_receivers(true), m_members.get_receivers(false));
     m_state->set_host_count(m_members.count_listed() + 1);
     m_quotas.update_hosts();
+    m_limits.update_hosts();
 }
 
 servers::asio::awaitable<void> host_gossip::receive() {
@@ -139,11 +144,7 @@
             apply_records(gossip::decode_relayed_records(message));
         } else if (gossip::is_relayed_configuration(message)) {
             m_configuration->apply_relayed(gossip::decode_relayed_configuration(message));
-        } else if (gossip::is_quota_request(message)) {
-            m_quotas.apply(gossip::decode_quota_request(message));
-        } else if (gossip::is_quota_grant(message)) {
-            m_quotas.apply(gossip::decode_quota_grant(message));
-        } else {
+        } else if (!m_quotas.apply(message) && !m_limits.apply(message)) {
             apply_digest(servers::decode_host_digest(message));
         }
     } catch (const malformed_message_error& broken) {
@@ -173,6 +174,7 @@
         m_lease->record_holder_heartbeat();
     }
     m_state->apply_crashes(digest, sender->is_own_group);
+    m_state->limits.merge(digest.limits, sender->delay);
     if (!sender->is_own_group) {
         m_state->peers.merge_intergroup_digest(digest);
         apply_prefix_accesses(digest);
@@ -248,6 +250,7 @@
         drop_unresponsive();
         remove_dead_entries();
         m_speed_report.run();
+        m_state->limits.discard_unconfirmed();
         correct_clock();
         update_leadership();
         if (m_leads_group) {
--- a/daemon/host_gossip.hpp
+++ b/daemon/host_gossip.hpp
@@ -101,6 +101,10 @@
     /// name.
     void update_leadership();
     void correct_clock();
+    /// Returns this host as an owner of quotas.
+    [[nodiscard]] policy::owner_candidate get_candidate() const {
+        return {.host = m_options.host, .core_thousandths = m_options.capacity.core_thousandths};
+    }
 
     platform::store_client* m_store;
     servers::serving_state* m_state;
@@ -126,6 +130,7 @@
     steady_time m_relayed_position_at{};
     gossip::resend_limiter m_resends;
     quota_exchange m_quotas;
+    quota_exchange m_limits;
     /// Whether this host led its group at the last heartbeat.
     bool m_leads_group{false};
 };
--- a/daemon/quota_exchange.cpp
+++ b/daemon/quota_exchange.cpp
@@ -4,19 +4,27 @@
 #include <utility>
 #include <vector>
 
-#include "gossip/quota_messages.hpp"
-
 namespace dragonflywell::daemon {
 
 using boost::asio::ip::udp;
 using gossip::datagram_kind;
 
-quota_exchange::quota_exchange(boost::asio::io_context& loop, servers::organisation_quotas& quotas,
-                               const clock_source& time, gossip::datagram_queue& queue, policy::owner_candidate own,
-                               std::function<void()> send)
-    : m_quotas(&quotas), m_time(&time), m_queue(&queue), m_own(std::move(own)), m_send(std::move(send)), m_timer(loop) {
+namespace {
+
+bool is_of_servers(gossip::quota_subjects subjects) {
+    return subjects == gossip::quota_subjects::servers;
 }
 
+} // namespace
+
+quota_exchange::quota_exchange(boost::asio::io_context& loop, servers::shared_quotas& quotas,
+                               gossip::quota_subjects subjects, const clock_source& time, gossip::datagram_queue& queue,
+                               policy::owner_candidate own, std::function<void()> send)
+    : m_quotas(&quotas), m_subjects(subjects),
+      m_request_kind(is_of_servers(subjects) ? datagram_kind::limit_request : datagram_kind::quota_request),
+      m_grant_kind(is_of_servers(subjects) ? datagram_kind::limit_grant : datagram_kind::quota_grant), m_time(&time),
+      m_queue(&queue), m_own(std::move(own)), m_send(std::move(send)), m_timer(loop) {}
+
 void quota_exchange::start() {
     m_quotas->on_change = [this] { poll(); };
     poll();
@@ -36,22 +44,31 @@
     m_quotas->set_hosts(listed);
 }
 
-void quota_exchange::apply(const policy::quota_request& request) {
+bool quota_exchange::apply(const boost::json::object& message) {
+    if (gossip::is_quota_request(message, m_subjects)) {
+        apply_request(gossip::decode_quota_request(message, m_subjects));
+        return true;
+    }
+    if (!gossip::is_quota_grant(message, m_subjects)) {
+        return false;
+    }
+    const policy::quota_grant grant = gossip::decode_quota_grant(message, m_subjects);
+    if (m_hosts.contains(grant.owner)) {
+        m_quotas->apply(grant);
+    }
+    return true;
+}
+
+void quota_exchange::apply_request(const policy::quota_request& request) {
     if (!m_hosts.contains(request.host)) {
         return;
     }
     if (const std::optional<policy::quota_grant> answer = m_quotas->apply(request)) {
-        put(datagram_kind::quota_grant, gossip::encode_quota_grant(*answer), request.host);
+        put(m_grant_kind, gossip::encode_quota_grant(*answer, m_subjects), request.host);
         m_send();
     }
 }
 
-void quota_exchange::apply(const policy::quota_grant& grant) {
-    if (m_hosts.contains(grant.owner)) {
-        m_quotas->apply(grant);
-    }
-}
-
 void quota_exchange::put(datagram_kind kind, std::string text, const std::string& host) {
     if (const auto found = m_hosts.find(host); found != m_hosts.end()) {
         m_queue->put(kind, std::move(text), {found->second.address});
@@ -67,7 +84,7 @@
         return;
     }
     for (const policy::outgoing_quota_request& outgoing : requests) {
-        put(datagram_kind::quota_request, gossip::encode_quota_request(outgoing.request), outgoing.owner);
+        put(m_request_kind, gossip::encode_quota_request(outgoing.request, m_subjects), outgoing.owner);
     }
     if (!requests.empty()) {
         m_send();
--- a/gossip/datagram.hpp
+++ b/gossip/datagram.hpp
@@ -14,12 +14,15 @@
     records,
     configuration,
     quota_request,
-    quota_grant
+    quota_grant,
+    limit_request,
+    limit_grant
 };
 
-constexpr std::size_t datagram_kinds = 6;
+constexpr std::size_t datagram_kinds = 8;
 constexpr std::array<std::string_view, datagram_kinds> datagram_kind_names{
-    "group_digest", "intergroup_digest", "records", "configuration", "quota_request", "quota_grant"};
+    "group_digest",  "intergroup_digest", "records",       "configuration",
+    "quota_request", "quota_grant",       "limit_request", "limit_grant"};
 
 /// Largest datagram that is sent.
 constexpr std::size_t max_datagram_bytes = 60'000;
--- a/gossip/datagram_queue.cpp
+++ b/gossip/datagram_queue.cpp
@@ -14,10 +14,10 @@
 constexpr double burst_seconds = 0.02;
 /// Longest time for which records and changes may wait to be sent. Beyond it the receivers read the store sooner.
 constexpr double max_wait_seconds = 1;
-/// The same for requests and grants of quotas. Requests of callers wait for them, and they are sent again.
+/// The same for requests and grants of quotas and limits. Requests of callers wait for them, and they are sent again.
 constexpr double max_quota_wait_seconds = 0.1;
 /// Shares of the kinds while all of them wait.
-constexpr std::array<double, datagram_kinds> weights{2, 1, 4, 4, 4, 4};
+constexpr std::array<double, datagram_kinds> weights{2, 1, 4, 4, 4, 4, 4, 4};
 /// A peak is logged when it exceeds the last logged one by this factor, so that a host logs few of them.
 constexpr std::size_t peak_factor = 2;
 constexpr duration peak_interval = std::chrono::seconds(1);
@@ -52,7 +52,8 @@
     }
     const std::size_t bytes = text.size() * receivers.size();
     const bool is_digest = kind == datagram_kind::group_digest || kind == datagram_kind::intergroup_digest;
-    const bool is_quota = kind == datagram_kind::quota_request || kind == datagram_kind::quota_grant;
+    const bool is_quota = kind == datagram_kind::quota_request || kind == datagram_kind::quota_grant ||
+                          kind == datagram_kind::limit_request || kind == datagram_kind::limit_grant;
     const double max_waiting = get_bytes_per_second() * (is_quota ? max_quota_wait_seconds : max_wait_seconds);
     if (!is_digest && static_cast<double>(own.waiting_bytes + bytes) > max_waiting) {
         drop(kind, bytes, "datagram_over_budget", *own.dropped_by_budget);
--- a/gossip/digest_builder.cpp
+++ b/gossip/digest_builder.cpp
@@ -63,6 +63,11 @@
     digest.ejections = m_state->get_ejected();
     add_prefix_accesses(digest);
     add_engines(digest);
+    // A change is told at once, since all hosts together are to be below a limit half a second after it was named.
+    if (is_heartbeat || m_state->limits.count_changes() != m_sent_limit_changes) {
+        m_sent_limit_changes = m_state->limits.count_changes();
+        digest.limits = m_state->limits.take_reports(servers::limit_announcer::max_servers);
+    }
     if (is_heartbeat) {
         add_usage(digest);
         add_crashes(digest, m_state->group_announcements, max_group_crash_bytes);
@@ -86,6 +91,7 @@
     const std::size_t limit = std::clamp(max_bytes, min_digest_bytes, max_intergroup_bytes);
     const std::size_t used = servers::encode_host_digest(digest).size() + list_overhead;
     std::size_t room = limit > used ? limit - used : 0;
+    room = add_limits(digest, room);
     room = add_crashes(digest, m_state->intergroup_announcements, room);
     digest.prefix_accesses = m_shared_prefixes.take(m_state->time.now(), room);
     return digest;
@@ -94,11 +100,35 @@
 void digest_builder::refresh(servers::host_digest& digest) {
     const digest_facts facts = m_source->get_digest_facts();
     set_header(digest, facts);
+    age_limits(digest);
     if (facts.is_group_leader) {
         add_loads(digest);
     }
 }
 
+std::size_t digest_builder::add_limits(servers::host_digest& digest, std::size_t room) {
+    // Crashes always have some room.
+    const std::size_t part = room / 2;
+    m_limits_at = m_state->time.now();
+    digest.limits = m_limits.take(m_state->limits.get_all_reports(), part);
+    for (const policy::server_limit_report& report : digest.limits) {
+        room -= std::min(room, servers::get_encoded_size(report));
+    }
+    return room;
+}
+
+void digest_builder::age_limits(servers::host_digest& digest) {
+    const steady_time now = m_state->time.now();
+    const duration passed = now - m_limits_at;
+    m_limits_at = now;
+    for (policy::server_limit_report& report : digest.limits) {
+        report.named_age += passed;
+        if (report.ended_age) {
+            *report.ended_age += passed;
+        }
+    }
+}
+
 std::size_t digest_builder::add_crashes(servers::host_digest& digest, servers::crash_announcements& from,
                                         std::size_t room) {
     const wall_time now = m_state->get_corrected_time();
--- a/gossip/digest_builder.hpp
+++ b/gossip/digest_builder.hpp
@@ -5,6 +5,7 @@
 
 #include "gossip/digest_source.hpp"
 #include "servers/host_digest.hpp"
+#include "servers/limit_announcer.hpp"
 #include "servers/server_speed_sharing.hpp"
 #include "servers/serving_state.hpp"
 #include "servers/shared_prefixes.hpp"
@@ -51,6 +52,11 @@
     /// Adds announcements of crashes for which there is room. Returns the room that is left, in bytes.
     std::size_t add_crashes(servers::host_digest& digest, servers::crash_announcements& from, std::size_t room);
 
+    /// Adds what is known of the limits of servers to a digest to other groups. Returns the room that is left.
+    std::size_t add_limits(servers::host_digest& digest, std::size_t room);
+    /// Adds to the ages of limits the time since the digest was built.
+    void age_limits(servers::host_digest& digest);
+
     servers::serving_state* m_state;
     const digest_source* m_source;
     digest_builder_options m_options;
@@ -59,6 +65,11 @@
     /// Prefixes in the caches of this group's engines that are to be announced to other groups.
     servers::shared_prefixes m_shared_prefixes;
     servers::speed_announcer m_speeds;
+    servers::limit_announcer m_limits;
+    /// Number of changes of limits that the last digest to the group contained.
+    std::uint64_t m_sent_limit_changes{0};
+    /// Moment of the ages of limits in the digest to other groups.
+    steady_time m_limits_at{};
 };
 
 } // namespace dragonflywell::gossip
--- a/gossip/quota_messages.cpp
+++ b/gossip/quota_messages.cpp
@@ -7,6 +7,7 @@
 
 #include "core/error.hpp"
 #include "core/json.hpp"
+#include "policy/quota_limit.hpp"
 
 namespace dragonflywell::gossip {
 
@@ -16,8 +17,19 @@
 using boost::json::object;
 using boost::json::value;
 
-constexpr std::string_view needs_field = "quota_needs";
-constexpr std::string_view allowances_field = "quota_allowances";
+/// Names of the fields that differ between messages about organisations and about servers.
+struct field_names {
+    std::string_view needs;
+    std::string_view allowances;
+    std::string_view subject;
+};
+
+const field_names& get_names(quota_subjects subjects) {
+    static constexpr field_names organisations{
+        .needs = "quota_needs", .allowances = "quota_allowances", .subject = "organisation"};
+    static constexpr field_names servers{.needs = "limit_needs", .allowances = "limit_allowances", .subject = "server"};
+    return subjects == quota_subjects::organisations ? organisations : servers;
+}
 
 duration get_time(const object& source, std::string_view key) {
     const std::uint64_t count = json::get_unsigned_or(source, key, 0);
@@ -56,30 +68,40 @@
     }
 }
 
-value encode_need(const policy::quota_need& need) {
-    object encoded{{"organisation", need.subject.value()}};
+value encode_need(const policy::quota_need& need, std::string_view subject) {
+    object encoded{{subject, need.subject.value()}};
     add_amount(encoded, "used_total", need.used_total);
     add_amount(encoded, "held", need.held);
     add_amount(encoded, "waiting", need.waiting);
     add_amount(encoded, "expected", need.expected);
     add_amount(encoded, "refused", need.refused);
+    // Zero is a value.
+    if (need.named_limit) {
+        encoded["named_limit"] = *need.named_limit;
+    }
     return encoded;
 }
 
-policy::quota_need decode_need(const object& source) {
+policy::quota_need decode_need(const object& source, std::string_view subject) {
     policy::quota_need need;
-    need.subject = quota_subject(json::get_string(source, "organisation"));
+    need.subject = quota_subject(json::get_string(source, subject));
     // What no server ran may exceed what was used since the host began to count.
     need.used_total = json::get_number_or(source, "used_total", 0);
     need.held = get_amount(source, "held");
     need.waiting = get_amount(source, "waiting");
     need.expected = get_amount(source, "expected");
     need.refused = get_amount(source, "refused");
+    if (source.contains("named_limit")) {
+        need.named_limit = json::get_number_or(source, "named_limit", 0);
+        if (!policy::is_valid_server_limit(*need.named_limit)) {
+            throw malformed_message_error("a message about limits names one that is out of range");
+        }
+    }
     return need;
 }
 
-value encode_allowance(const policy::quota_allowance& allowance) {
-    object encoded{{"organisation", allowance.subject.value()}};
+value encode_allowance(const policy::quota_allowance& allowance, std::string_view subject) {
+    object encoded{{subject, allowance.subject.value()}};
     add_amount(encoded, "granted", allowance.granted);
     add_time(encoded, "booked_from_ns", allowance.booked_from);
     add_amount(encoded, "booked_rate", allowance.booked_rate);
@@ -87,9 +109,9 @@
     return encoded;
 }
 
-policy::quota_allowance decode_allowance(const object& source) {
+policy::quota_allowance decode_allowance(const object& source, std::string_view subject) {
     policy::quota_allowance allowance;
-    allowance.subject = quota_subject(json::get_string(source, "organisation"));
+    allowance.subject = quota_subject(json::get_string(source, subject));
     allowance.granted = get_amount(source, "granted");
     allowance.booked_from = get_time(source, "booked_from_ns");
     allowance.booked_rate = get_amount(source, "booked_rate");
@@ -108,18 +130,19 @@
 
 } // namespace
 
-std::string encode_quota_request(const policy::quota_request& request) {
+std::string encode_quota_request(const policy::quota_request& request, quota_subjects subjects) {
+    const field_names& names = get_names(subjects);
     array needs;
     needs.reserve(request.needs.size());
     for (const policy::quota_need& need : request.needs) {
-        needs.push_back(encode_need(need));
+        needs.push_back(encode_need(need, names.subject));
     }
     object encoded{{"host", request.host},
                    {"incarnation", request.incarnation},
                    {"part", request.part},
                    {"sequence", request.sequence},
                    {"pledge", static_cast<unsigned>(request.pledge)},
-                   {needs_field, std::move(needs)}};
+                   {names.needs, std::move(needs)}};
     if (request.owner_incarnation != 0) {
         encoded["owner_incarnation"] = request.owner_incarnation;
         encoded["owner_time_ns"] = request.owner_time.count();
@@ -131,30 +154,32 @@
     return boost::json::serialize(encoded);
 }
 
-std::string encode_quota_grant(const policy::quota_grant& grant) {
+std::string encode_quota_grant(const policy::quota_grant& grant, quota_subjects subjects) {
+    const field_names& names = get_names(subjects);
     array allowances;
     allowances.reserve(grant.allowances.size());
     for (const policy::quota_allowance& allowance : grant.allowances) {
-        allowances.push_back(encode_allowance(allowance));
+        allowances.push_back(encode_allowance(allowance, names.subject));
     }
     object encoded{
         {"host", grant.owner},        {"incarnation", grant.incarnation},    {"part", grant.part},
-        {"sequence", grant.sequence}, {"owner_time_ns", grant.time.count()}, {allowances_field, std::move(allowances)}};
+        {"sequence", grant.sequence}, {"owner_time_ns", grant.time.count()}, {names.allowances, std::move(allowances)}};
     if (grant.is_released) {
         encoded["is_released"] = true;
     }
     return boost::json::serialize(encoded);
 }
 
-bool is_quota_request(const boost::json::object& message) {
-    return message.contains(needs_field);
+bool is_quota_request(const boost::json::object& message, quota_subjects subjects) {
+    return message.contains(get_names(subjects).needs);
 }
 
-bool is_quota_grant(const boost::json::object& message) {
-    return message.contains(allowances_field);
+bool is_quota_grant(const boost::json::object& message, quota_subjects subjects) {
+    return message.contains(get_names(subjects).allowances);
 }
 
-policy::quota_request decode_quota_request(const boost::json::object& message) {
+policy::quota_request decode_quota_request(const boost::json::object& message, quota_subjects subjects) {
+    const field_names& names = get_names(subjects);
     policy::quota_request request;
     request.host = json::get_string(message, "host");
     request.incarnation = json::get_unsigned(message, "incarnation");
@@ -165,13 +190,14 @@
     request.held_for = get_time(message, "held_for_ns");
     request.pledge = get_choice(message, "pledge", policy::quota_pledge::released);
     request.start = get_choice(message, "start", policy::quota_start::first_start);
-    for (const value& need : json::get_array(message, needs_field)) {
-        request.needs.push_back(decode_need(json::as_object(need, needs_field)));
+    for (const value& need : json::get_array(message, names.needs)) {
+        request.needs.push_back(decode_need(json::as_object(need, names.needs), names.subject));
     }
     return request;
 }
 
-policy::quota_grant decode_quota_grant(const boost::json::object& message) {
+policy::quota_grant decode_quota_grant(const boost::json::object& message, quota_subjects subjects) {
+    const field_names& names = get_names(subjects);
     policy::quota_grant grant;
     grant.owner = json::get_string(message, "host");
     grant.incarnation = json::get_unsigned(message, "incarnation");
@@ -179,8 +205,8 @@
     grant.sequence = json::get_unsigned(message, "sequence");
     grant.time = get_time(message, "owner_time_ns");
     grant.is_released = json::get_bool_or(message, "is_released", false);
-    for (const value& allowance : json::get_array(message, allowances_field)) {
-        grant.allowances.push_back(decode_allowance(json::as_object(allowance, allowances_field)));
+    for (const value& allowance : json::get_array(message, names.allowances)) {
+        grant.allowances.push_back(decode_allowance(json::as_object(allowance, names.allowances), names.subject));
     }
     return grant;
 }
--- a/servers/digest_items.cpp
+++ b/servers/digest_items.cpp
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 
 #include "core/error.hpp"
+#include "core/json.hpp"
+#include "policy/quota_limit.hpp"
 
 namespace dragonflywell::servers {
 
@@ -18,6 +20,17 @@
     return boost::json::serialize(encode_item(item)).size() + separator;
 }
 
+/// Longest age of a report that another host may state.
+constexpr std::chrono::microseconds max_report_age = std::chrono::hours(24);
+
+duration get_age(const array& list, std::size_t index) {
+    const std::uint64_t age = get_number(list, index);
+    if (age > static_cast<std::uint64_t>(max_report_age.count())) {
+        throw malformed_message_error("age in host digest is out of range");
+    }
+    return std::chrono::microseconds(age);
+}
+
 } // namespace
 
 std::int64_t to_microseconds(duration span) {
@@ -72,6 +85,15 @@
     return {clearance.part, to_microseconds(clearance.moment.time_since_epoch())};
 }
 
+array encode_item(const policy::server_limit_report& report) {
+    array encoded{report.server.value(), report.incarnation, report.limit, report.naming,
+                  to_microseconds(report.named_age)};
+    if (report.ended_age) {
+        encoded.push_back(to_microseconds(*report.ended_age));
+    }
+    return encoded;
+}
+
 digest_prefix_access decode_prefix_access(const value& item) {
     const array& list = require_list(item);
     if (list.empty() || !list[0].is_string()) {
@@ -123,6 +145,32 @@
     return clearances;
 }
 
+std::vector<policy::server_limit_report> decode_limit_reports(const array& encoded) {
+    constexpr std::size_t limit_index = 2;
+    constexpr std::size_t ended_index = 5;
+    std::vector<policy::server_limit_report> reports;
+    for (const value& item : encoded) {
+        const array& fields = require_list(item);
+        if (fields.size() < ended_index || !fields[0].is_string()) {
+            throw malformed_message_error("limit of a server in host digest is incomplete");
+        }
+        policy::server_limit_report report;
+        report.server = backend_server_name(std::string_view(fields[0].get_string()));
+        report.incarnation = get_number(fields, 1);
+        report.limit = json::to_number(fields[limit_index], "limit of a server in host digest");
+        if (!policy::is_valid_server_limit(report.limit)) {
+            throw malformed_message_error("limit of a server in host digest is out of range");
+        }
+        report.naming = get_number(fields, limit_index + 1);
+        report.named_age = get_age(fields, ended_index - 1);
+        if (fields.size() > ended_index) {
+            report.ended_age = get_age(fields, ended_index);
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
 std::size_t get_encoded_size(const digest_prefix_access& access) {
     return measure_item(access);
 }
@@ -139,4 +187,8 @@
     return measure_item(clearance);
 }
 
+std::size_t get_encoded_size(const policy::server_limit_report& report) {
+    return measure_item(report);
+}
+
 } // namespace dragonflywell::servers
--- a/servers/digest_items.hpp
+++ b/servers/digest_items.hpp
@@ -24,6 +24,7 @@
 [[nodiscard]] boost::json::array encode_item(const policy::engine_crash& crash);
 [[nodiscard]] boost::json::array encode_item(const policy::part_crash& crash);
 [[nodiscard]] boost::json::array encode_item(const policy::part_clearance& clearance);
+[[nodiscard]] boost::json::array encode_item(const policy::server_limit_report& report);
 
 template <typename Item>
 [[nodiscard]] boost::json::array encode_items(const std::vector<Item>& items) {
@@ -38,5 +39,6 @@
 [[nodiscard]] std::vector<policy::engine_crash> decode_crashes(const boost::json::array& encoded);
 [[nodiscard]] std::vector<policy::part_crash> decode_part_crashes(const boost::json::array& encoded);
 [[nodiscard]] std::vector<policy::part_clearance> decode_part_clearances(const boost::json::array& encoded);
+[[nodiscard]] std::vector<policy::server_limit_report> decode_limit_reports(const boost::json::array& encoded);
 
 } // namespace dragonflywell::servers
--- a/servers/host_digest.cpp
+++ b/servers/host_digest.cpp
@@ -217,6 +217,9 @@
     if (!digest.speeds.empty()) {
         encoded["sp"] = encode_speeds(digest.speeds);
     }
+    if (!digest.limits.empty()) {
+        encoded["sl"] = encode_items(digest.limits);
+    }
     return boost::json::serialize(encoded);
 }
 
@@ -250,13 +253,17 @@
                        .configuration = decode_read_position(json::get_array(source, "rc")),
                        .servers = decode_read_position(json::get_array(source, "rs")),
                        .missing_servers_from = {},
-                       .speeds = {}};
+                       .speeds = {},
+                       .limits = {}};
     if (source.contains("dp")) {
         digest.part_crashes = decode_part_crashes(json::get_array(source, "dp"));
     }
     if (source.contains("sp")) {
         digest.speeds = decode_speeds(json::get_object(source, "sp"));
     }
+    if (source.contains("sl")) {
+        digest.limits = decode_limit_reports(json::get_array(source, "sl"));
+    }
     if (source.contains("dc")) {
         digest.part_clearances = decode_part_clearances(json::get_array(source, "dc"));
     }
--- a/servers/host_digest.hpp
+++ b/servers/host_digest.hpp
@@ -17,6 +17,7 @@
 #include "policy/part_quarantine.hpp"
 #include "policy/prefix_cache.hpp"
 #include "policy/quarantine.hpp"
+#include "policy/server_limit_report.hpp"
 #include "policy/usage_counter.hpp"
 #include "servers/server_speed_digest.hpp"
 
@@ -138,6 +139,8 @@
     std::optional<log_position> missing_servers_from;
     /// What the sender has observed of the speeds of servers; empty in most digests.
     digest_speeds speeds;
+    /// What the sender knows of the limits that servers have named; empty in most digests.
+    std::vector<policy::server_limit_report> limits;
 
     friend bool operator==(const host_digest&, const host_digest&) = default;
 };
@@ -147,6 +150,7 @@
 [[nodiscard]] std::size_t get_encoded_size(const policy::engine_crash& crash);
 [[nodiscard]] std::size_t get_encoded_size(const policy::part_crash& crash);
 [[nodiscard]] std::size_t get_encoded_size(const policy::part_clearance& clearance);
+[[nodiscard]] std::size_t get_encoded_size(const policy::server_limit_report& report);
 
 /// Encodes a digest for one datagram. Thread safe.
 [[nodiscard]] std::string encode_host_digest(const host_digest& digest);
--- a/tests/daemon/test_host_gossip.cpp
+++ b/tests/daemon/test_host_gossip.cpp
@@ -7,6 +7,7 @@
 #include "servers/request_refused.hpp"
 
 #include "platform/engine_codec.hpp"
+#include "support/advanced_clock.hpp"
 #include "support/event_loop.hpp"
 #include "support/store_fixture.hpp"
 
@@ -88,22 +89,8 @@
     daemon::host_gossip m_gossip;
 };
 
-/// The clock of this machine, which a test can also advance, since the timers of the event loop follow this machine.
-class advanced_clock final : public clock_source {
-public:
-    [[nodiscard]] steady_time now() const override { return m_clock.now() + m_ahead; }
-    [[nodiscard]] wall_time wall_now() const override { return m_clock.wall_now() + m_ahead; }
-    [[nodiscard]] steady_time now_with_suspension() const override { return m_clock.now_with_suspension() + m_ahead; }
-
-    void advance(duration step) { m_ahead += step; }
-
-private:
-    host_clock m_clock;
-    duration m_ahead{};
-};
-
 struct fixture : testing::store_fixture {
-    advanced_clock clock;
+    testing::advanced_clock clock;
     /// Ends a wait for something that does not happen.
     asio::steady_timer limit{loop};
 
@@ -183,3 +170,40 @@
     }
     CHECK(count_requests(one) + count_requests(two) > 0);
 }
+
+// Guards against LIMIT: each host kept to a limit that only it knew of, as if it were alone.
+TEST_CASE_FIXTURE(fixture,
+                  "hosts tell each other of the limit of a server, and send nothing about limits without one") {
+    store.put("keyed.servers", server_id.value(), make_entry("ready"));
+    host one(*this, clock, "a");
+    host two(*this, clock, "b");
+    REQUIRE(wait_for([&] { return one.uses_server() && two.uses_server(); }));
+    REQUIRE(wait_for([&] { return one.hears_other() && two.hears_other(); }));
+    const auto count_requests = [](host& sender) {
+        return sender.metrics.get_counter("dragonflywell_datagrams_sent_total", {{"kind", "limit_request"}}).get();
+    };
+    CHECK(count_requests(one) + count_requests(two) == 0);
+    one.state.apply_notice(server_id, 1, {.names_limit = true, .limit = 2}, clock.now());
+    CHECK(wait_for([&] { return two.state.limits.find_limit(server_id).has_value(); }));
+    CHECK(wait_for([&] { return count_requests(one) + count_requests(two) > 0; }));
+    // The shares of both are with one owner, so that each host gets whole requests.
+    for (host* each : {&one, &two}) {
+        bool is_admitted = false;
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                while (!is_admitted) {
+                    const servers::permit_result taken = co_await each->state.limits.acquire(server_id, 1s);
+                    is_admitted = taken.permit.has_value();
+                    asio::steady_timer pause(loop, 20ms);
+                    co_await pause.async_wait(asio::use_awaitable);
+                }
+            },
+            asio::detached);
+        CHECK(wait_for([&] { return is_admitted; }));
+    }
+    // Others believe the end of a limit only if it was seen two seconds after the limit was named.
+    clock.advance(3s);
+    two.state.apply_notice(server_id, 1, {}, clock.now());
+    CHECK(wait_for([&] { return !one.state.limits.find_limit(server_id).has_value(); }));
+}
--- a/tests/gossip/test_quota_messages.cpp
+++ b/tests/gossip/test_quota_messages.cpp
@@ -87,3 +87,31 @@
     request.needs.assign(60, request.needs.front());
     CHECK(gossip::encode_quota_request(request).size() < 8000);
 }
+
+TEST_CASE("a message about limits of servers is not taken for one about quotas of organisations") {
+    constexpr auto servers = gossip::quota_subjects::servers;
+    policy::quota_request sent = make_request();
+    sent.needs.front().named_limit = 3.7;
+    sent.needs.back().named_limit = 0;
+    const boost::json::value request = json::parse(gossip::encode_quota_request(sent, servers));
+    CHECK(gossip::is_quota_request(request.as_object(), servers));
+    CHECK_FALSE(gossip::is_quota_request(request.as_object()));
+    CHECK_FALSE(gossip::is_quota_grant(request.as_object(), servers));
+    CHECK(gossip::decode_quota_request(request.as_object(), servers) == sent);
+
+    const boost::json::value grant = json::parse(gossip::encode_quota_grant(make_grant(), servers));
+    CHECK(gossip::is_quota_grant(grant.as_object(), servers));
+    CHECK_FALSE(gossip::is_quota_grant(grant.as_object()));
+    CHECK(gossip::decode_quota_grant(grant.as_object(), servers) == make_grant());
+}
+
+TEST_CASE("a limit that cannot be is not taken from the message of another host") {
+    constexpr auto servers = gossip::quota_subjects::servers;
+    policy::quota_request request = make_request();
+    for (const double limit : {-1.0, 1e7}) {
+        request.needs.front().named_limit = limit;
+        const boost::json::value message = json::parse(gossip::encode_quota_request(request, servers));
+        CHECK_THROWS_AS(static_cast<void>(gossip::decode_quota_request(message.as_object(), servers)),
+                        malformed_message_error);
+    }
+}
