Ask for a permit before each request to a backend server

Cause: nothing bounded what hosts send together to a server that names a limit.

Change: make_exchange_options takes a permit, so that no exchange of a request with a server is begun without one. Without room a request leaves the server out and chooses again; each server is asked at most once, and no retry budget is spent since nothing was sent. Placement leaves out servers known to have no room. If only limits are in the way, the request is refused at once as not run, with the shortest Retry-After. Releases of KV caches, reports and orders take a permit only if the host holds one and are left out otherwise; for an order that is as if the engine were busy. Their responses are read for notices, too. A KV cache that no engine with room can generate from is released at once.

Looked for other senders (`git grep backend_exchange`): cloud_client and store_client call no backend server, model_call, service_call and http_engine_control serve the mode without the platform, whose servers name no limits, and crash_probe opens a connection without a request.

The clock of serving_fixture can now be advanced by a test; it is the clock of the machine otherwise.

--- a/daemon/stage_controller.cpp
+++ b/daemon/stage_controller.cpp
@@ -1,9 +1,11 @@
 #include "daemon/stage_controller.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/log_event.hpp"
 #include "daemon/generation_plan.hpp"
+#include "servers/server_call.hpp"
 #include "servers/sleep.hpp"
 
 namespace dragonflywell::daemon {
@@ -129,6 +131,15 @@
     }
 }
 
+servers::asio::awaitable<std::optional<platform::engine_report>>
+stage_controller::request_report(platform::engine_address engine) {
+    std::optional<servers::server_call> call = servers::try_begin_call(*m_state, engine.name);
+    if (!call) {
+        co_return std::nullopt;
+    }
+    co_return co_await m_orders->request_report(engine, std::move(*call));
+}
+
 servers::asio::awaitable<void> stage_controller::order(std::uint64_t fence, policy::stage_change change,
                                                        duration change_time, double planned_fill) {
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(change.engine);
@@ -136,7 +147,8 @@
         co_return;
     }
     const platform::engine_address engine{.name = change.engine, .address = listed->record.address};
-    const std::optional<platform::engine_report> report = co_await m_orders->request_report(engine);
+    // An engine whose limit leaves no room for the report or the order counts as busy.
+    const std::optional<platform::engine_report> report = co_await request_report(engine);
     platform::engine_order_result answer = platform::engine_order_result::busy;
     if (report && !report->is_busy && m_lease->get_fencing_number() == fence) {
         const platform::duty_credentials authority = m_lease->make_credentials(m_host, fence);
@@ -145,8 +157,10 @@
         if (!m_is_before_first_request) {
             co_await servers::sleep_for(notice_time);
         }
-        if (m_lease->get_fencing_number() == fence) {
-            answer = co_await m_orders->order_stage_change(authority, engine, change.stage, report->accepted_orders);
+        std::optional<servers::server_call> call = servers::try_begin_call(*m_state, change.engine);
+        if (call && m_lease->get_fencing_number() == fence) {
+            answer = co_await m_orders->order_stage_change(authority, engine, change.stage, report->accepted_orders,
+                                                           std::move(*call));
         }
     }
     log_event("stage_ordered")
--- a/daemon/stage_controller.hpp
+++ b/daemon/stage_controller.hpp
@@ -29,6 +29,8 @@
 private:
     void observe_demand();
     servers::asio::awaitable<void> control(std::uint64_t fence, service_name service);
+    /// Returns nothing also if the limit of the engine leaves no room for the call.
+    servers::asio::awaitable<std::optional<platform::engine_report>> request_report(platform::engine_address engine);
     /// `planned_fill`: share of the slots of generating engines with which the change was planned, for the log.
     servers::asio::awaitable<void> order(std::uint64_t fence, policy::stage_change change, duration change_time,
                                          double planned_fill);
--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -14,6 +14,7 @@
 
 /// Where an engine can fetch the KV cache of a prompt that another engine has prefilled.
 struct kv_cache_source {
+    backend_server_name server;
     endpoint engine;
     std::string handle;
 };
--- a/servers/engine_status_view.cpp
+++ b/servers/engine_status_view.cpp
@@ -20,7 +20,7 @@
 }
 
 policy::engine_status engine_status_view::get_status(const backend_server_name& engine) const {
-    if (m_excluded.contains(engine) || !m_state->may_get_work(engine)) {
+    if (m_excluded.contains(engine) || !m_state->may_get_work(engine) || !m_state->limits.has_room(engine)) {
         return {.usability = policy::engine_usability::unusable};
     }
     const bool is_healthy = m_state->health.is_usable(engine, m_state->time.now()) && !m_state->is_degraded(engine);
--- a/servers/engine_status_view.hpp
+++ b/servers/engine_status_view.hpp
@@ -18,7 +18,7 @@
     /// Precondition: the state outlives the view.
     engine_status_view(const serving_state& state, const service_name& service, std::uint64_t prompt_key);
 
-    /// Excludes an engine that has refused or failed the request.
+    /// Excludes an engine that has refused or failed the request, or whose limit left no room for it.
     void exclude(const backend_server_name& engine) { m_excluded.insert(engine); }
 
     [[nodiscard]] policy::engine_status get_status(const backend_server_name& engine) const;
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -61,13 +61,51 @@
         const policy::engine_choice choice = choose_engines();
         std::optional<kv_cache_source> kv_cache;
         if (choice.prefill_engine) {
-            kv_cache = co_await run_prefill(choice, caller);
+            std::optional<send_permit> permit = co_await acquire_engine(*choice.prefill_engine);
+            if (!permit) {
+                continue;
+            }
+            kv_cache = co_await run_prefill(choice, std::move(*permit), caller);
             if (!kv_cache) {
                 continue;
             }
         }
-        const backend_server_name engine = choose_decode_engine(choice);
-        result = co_await generate(engine, choice, std::move(kv_cache), caller);
+        std::optional<permitted_engine> target = co_await take_decode_engine(choice, kv_cache);
+        if (!target) {
+            continue;
+        }
+        result = co_await generate(target->engine, choice, std::move(kv_cache), std::move(target->permit), caller);
+    }
+}
+
+asio::awaitable<std::optional<send_permit>> generation_request::acquire_engine(backend_server_name engine) {
+    std::optional<send_permit> permit = co_await acquire_permit(engine);
+    if (!permit) {
+        m_engine_status.exclude(engine);
+    }
+    co_return permit;
+}
+
+asio::awaitable<std::optional<generation_request::permitted_engine>>
+generation_request::take_decode_engine(const policy::engine_choice& choice, std::optional<kv_cache_source> kv_cache) {
+    try {
+        for (;;) {
+            const backend_server_name engine = choose_decode_engine(choice);
+            std::optional<send_permit> permit = co_await acquire_engine(engine);
+            if (permit) {
+                co_return permitted_engine{.engine = engine, .permit = std::move(*permit)};
+            }
+            if (!kv_cache) {
+                // The engine was chosen for the prompt as well, so that both are chosen again.
+                co_return std::nullopt;
+            }
+            require_time_left();
+        }
+    } catch (const request_refused&) {
+        if (kv_cache) {
+            release_kv_cache(get_state(), *kv_cache);
+        }
+        throw;
     }
 }
 
@@ -102,8 +140,7 @@
                                m_engine_status.make_lookup(), get_state().time.now());
     if (!choice) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
-                              "no engine is available for the prompt",
-                              get_state().get_retry_after(get_request().service, no_engine_retry_after));
+                              "no engine is available for the prompt", get_retry_after(no_engine_retry_after));
     }
     reject_if_hopeless(*choice);
     if (!get_record().expected_time_to_first_event) {
@@ -147,13 +184,13 @@
     if (!engine) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
                               "no engine is available to generate the response",
-                              get_state().get_retry_after(get_request().service, no_engine_retry_after));
+                              get_retry_after(no_engine_retry_after));
     }
     return *engine;
 }
 
-asio::awaitable<std::optional<kv_cache_source>> generation_request::run_prefill(const policy::engine_choice& choice,
-                                                                                caller_channel& caller) {
+asio::awaitable<std::optional<kv_cache_source>>
+generation_request::run_prefill(const policy::engine_choice& choice, send_permit permit, caller_channel& caller) {
     const backend_server_name& engine = *choice.prefill_engine;
     dispatch attempt = make_dispatch(engine);
     attempt.is_prefill_only = true;
@@ -174,7 +211,7 @@
     const prefill_guard load_guard(get_state(), get_request().service, engine, m_request_number);
     engine_observation observation(engines.speeds, get_state().time, get_engine_use(engines.load_tracker, engine),
                                    get_base_prefill_time(choice));
-    exchange_options options = make_exchange_options(engine, caller);
+    exchange_options options = make_exchange_options(engine, caller, std::move(permit));
     options.progress_timeout =
         std::min(options.progress_timeout,
                  (backlog + choice.prefill_duration) * prefill_timeout_factor + prefill_timeout_margin);
@@ -192,7 +229,9 @@
         const response_kind kind = get_state().codec.classify(exchange.get_head());
         const std::string body = co_await exchange.read_rest(short_response_limit_bytes);
         if (exchange.get_head().result() == http::status::ok) {
-            kv_cache = {.engine = attempt.address, .handle = get_state().codec.decode_prefill_response(body).handle};
+            kv_cache = {.server = engine,
+                        .engine = attempt.address,
+                        .handle = get_state().codec.decode_prefill_response(body).handle};
             m_was_prefill_sent = true;
             observation.finish();
             set_quota_used();
@@ -250,7 +289,7 @@
 
 asio::awaitable<generation_request::generate_result>
 generation_request::generate(const backend_server_name& engine, const policy::engine_choice& choice,
-                             std::optional<kv_cache_source> kv_cache, caller_channel& caller) {
+                             std::optional<kv_cache_source> kv_cache, send_permit permit, caller_channel& caller) {
     dispatch attempt = make_dispatch(engine);
     attempt.kv_cache = kv_cache;
     attempt.urgency = policy::get_generation_urgency(choice, kv_cache.has_value());
@@ -282,7 +321,8 @@
     const duration expected = kv_cache ? engines.get_costs().first_event : get_base_prefill_time(choice);
     engine_observation observation(engines.speeds, get_state().time, get_engine_use(engines.load_tracker, engine),
                                    expected);
-    backend_exchange exchange(get_state().connections, attempt.address, make_exchange_options(engine, caller));
+    backend_exchange exchange(get_state().connections, attempt.address,
+                              make_exchange_options(engine, caller, std::move(permit)));
     const serving_state::running_exchange registration(get_state(), exchange);
     std::optional<exchange_failed_error> failure;
     response_kind kind = response_kind::invalid;
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -31,12 +31,25 @@
     /// is already prefilled.
     [[nodiscard]] duration get_first_event_time(bool is_prefilled) const;
 
+    /// An engine, and the permit to send it one request.
+    struct permitted_engine {
+        backend_server_name engine;
+        send_permit permit;
+    };
+
+    /// Takes a permit for an engine. Excludes the engine if its limit leaves no room.
+    asio::awaitable<std::optional<send_permit>> acquire_engine(backend_server_name engine);
+    /// Returns the engine that generates. Returns nothing when engines are to be chosen again. Throws
+    /// `request_refused`, and releases the KV cache before.
+    asio::awaitable<std::optional<permitted_engine>> take_decode_engine(const policy::engine_choice& choice,
+                                                                        std::optional<kv_cache_source> kv_cache);
     /// Runs the prefill on the chosen engine. Returns nothing when another engine is to be tried.
-    asio::awaitable<std::optional<kv_cache_source>> run_prefill(const policy::engine_choice& choice,
+    asio::awaitable<std::optional<kv_cache_source>> run_prefill(const policy::engine_choice& choice, send_permit permit,
                                                                 caller_channel& caller);
     /// Without `kv_cache`, the engine runs the prefill itself.
     asio::awaitable<generate_result> generate(const backend_server_name& engine, const policy::engine_choice& choice,
-                                              std::optional<kv_cache_source> kv_cache, caller_channel& caller);
+                                              std::optional<kv_cache_source> kv_cache, send_permit permit,
+                                              caller_channel& caller);
     /// Counts the prefill in the load of the decode engine if no prefill engine was chosen.
     void begin_direct_prefill(const backend_server_name& engine, const policy::engine_choice& choice);
     /// Records how long the engine, of the given speed, took to the first event, and ends the prefill that it ran
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -25,7 +25,12 @@
         while (!response) {
             require_time_left();
             const backend_server_name server = choose();
-            response = co_await send_to(server, caller);
+            std::optional<send_permit> permit = co_await acquire_permit(server);
+            if (!permit) {
+                m_without_room.insert(server);
+                continue;
+            }
+            response = co_await send_to(server, std::move(*permit), caller);
             m_tried.insert(server);
         }
     } catch (const request_refused&) {
@@ -40,7 +45,7 @@
     co_await caller.send(std::move(*response));
 }
 
-backend_server_name instance_request::choose() const {
+backend_server_name instance_request::choose() {
     std::vector<policy::service_candidate> candidates;
     std::vector<policy::service_candidate> tried;
     const steady_time now = get_state().time.now();
@@ -50,6 +55,9 @@
         if (listed.record.service != get_request().service || !get_state().is_usable(id)) {
             continue;
         }
+        if (m_without_room.contains(id) || !get_state().limits.has_room(id)) {
+            continue;
+        }
         const std::uint32_t in_flight = get_state().get_in_flight(id);
         const double load = static_cast<double>(in_flight + 1) / std::max<std::uint32_t>(1, listed.record.slots);
         const policy::service_candidate candidate{.server = id,
@@ -67,8 +75,7 @@
     const std::optional<std::size_t> chosen = policy::choose_instance(offered);
     if (!chosen) {
         throw request_refused(policy::refusal_reason::no_backend_server, get_outcome(),
-                              "no instance of the service is available",
-                              get_state().get_retry_after(get_request().service, no_instance_retry_after));
+                              "no instance of the service is available", get_retry_after(no_instance_retry_after));
     }
     return offered[*chosen].server;
 }
@@ -78,11 +85,12 @@
 }
 
 asio::awaitable<std::optional<http_response>> instance_request::send_to(const backend_server_name& server,
-                                                                        caller_channel& caller) {
+                                                                        send_permit permit, caller_channel& caller) {
     const serving_state::in_flight_guard in_flight(get_state(), server);
     const dispatch attempt = make_dispatch(server);
     instance_observation observation(get_state(), get_request().service, server, get_kind());
-    backend_exchange exchange(get_state().connections, attempt.address, make_exchange_options(server, caller));
+    backend_exchange exchange(get_state().connections, attempt.address,
+                              make_exchange_options(server, caller, std::move(permit)));
     const serving_state::running_exchange registration(get_state(), exchange);
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> response;
--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -17,17 +17,20 @@
     asio::awaitable<void> run(caller_channel& caller) override;
 
 private:
-    [[nodiscard]] backend_server_name choose() const;
+    [[nodiscard]] backend_server_name choose();
     /// Identifies requests that usually take equally long: those of a route with the same method.
     [[nodiscard]] std::uint64_t get_kind() const;
     /// Sends the request to one instance. Returns the response for the caller, or nothing when another instance may be
     /// tried. Throws `request_refused` when none may be tried.
-    asio::awaitable<std::optional<http_response>> send_to(const backend_server_name& server, caller_channel& caller);
+    asio::awaitable<std::optional<http_response>> send_to(const backend_server_name& server, send_permit permit,
+                                                          caller_channel& caller);
     std::optional<http_response> handle_failure(const backend_server_name& server, const exchange_failed_error& failure,
                                                 bool was_sent);
     [[nodiscard]] bool may_try_again() const;
 
     std::set<backend_server_name> m_tried;
+    /// Servers whose limit left no room when a permit was asked for.
+    std::set<backend_server_name> m_without_room;
     /// What the response holds of the buffer budget until the caller has read it.
     std::unique_ptr<byte_budget::share> m_response_share;
     /// Number of instances on which the request may have run.
--- a/servers/kv_cache_release.cpp
+++ b/servers/kv_cache_release.cpp
@@ -1,10 +1,10 @@
 #include "servers/kv_cache_release.hpp"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "servers/backend_exchange.hpp"
+#include "servers/server_call.hpp"
 
 namespace dragonflywell::servers {
 
@@ -14,19 +14,19 @@
 /// A longer response is treated as a failure.
 constexpr std::size_t response_limit_bytes = 64UL * 1024;
 
-bool is_paused(const serving_state& state, const endpoint& address) {
-    const auto& listed = state.eligibility.get_list().get_servers();
-    return std::any_of(listed.begin(), listed.end(), [&](const auto& item) {
-        return item.second.record.address == address && state.eligibility.get_pause_end(item.first, state.time.now());
-    });
-}
-
 asio::awaitable<void> send_release(serving_state& state, kv_cache_source kv_cache) {
-    // The engine releases the KV cache after a timeout of its own.
-    if (is_paused(state, kv_cache.engine)) {
+    // Without a release, the engine releases the KV cache after a timeout of its own.
+    if (state.eligibility.get_pause_end(kv_cache.server, state.time.now())) {
+        co_return;
+    }
+    const std::optional<server_call> call = try_begin_call(state, kv_cache.server);
+    if (!call) {
         co_return;
     }
-    const exchange_options options{.progress_timeout = release_timeout, .deadline = state.time.now() + release_timeout};
+    const exchange_options options{.progress_timeout = release_timeout,
+                                   .deadline = state.time.now() + release_timeout,
+                                   .on_response_head = call->on_response_head,
+                                   .may_send = call->may_send};
     backend_exchange exchange(state.connections, kv_cache.engine, options);
     try {
         const http_request message = state.codec.make_release_request(kv_cache);
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -100,6 +100,27 @@
     return policy::get_quota_amount(*organisation->quota, tokens);
 }
 
+/// Books room for a refused request at the server of the service, of those without room, that has some again first.
+/// Returns after which time, or nothing without such a server.
+std::optional<duration> book_retry_after(serving_state& state, const service_name& service) {
+    const backend_server_name* soonest = nullptr;
+    duration shortest = duration::max();
+    for (const auto& [id, server] : state.eligibility.get_list().get_servers()) {
+        if (server.record.service != service || !state.may_get_work(id) || state.limits.has_room(id)) {
+            continue;
+        }
+        const duration retry_after = state.limits.get_retry_after(id);
+        if (soonest == nullptr || retry_after < shortest) {
+            soonest = &id;
+            shortest = retry_after;
+        }
+    }
+    if (soonest == nullptr) {
+        return std::nullopt;
+    }
+    return state.limits.book_refused(*soonest);
+}
+
 } // namespace
 
 std::vector<policy::prompt_part_id> get_shared_parts(const caller_request& incoming) {
@@ -238,8 +259,23 @@
             .last_event_id = get_caller_request().last_event_id};
 }
 
-exchange_options serving_request::make_exchange_options(const backend_server_name& server,
-                                                        const caller_channel& caller) {
+asio::awaitable<std::optional<send_permit>> serving_request::acquire_permit(backend_server_name server) {
+    permit_result taken = co_await m_state->limits.acquire(std::move(server), get_time_left());
+    if (!taken.permit) {
+        m_limit_retry_after = std::min(m_limit_retry_after.value_or(taken.retry_after), taken.retry_after);
+    }
+    co_return std::move(taken.permit);
+}
+
+duration serving_request::get_retry_after(duration fallback) {
+    if (!m_limit_retry_after) {
+        m_limit_retry_after = book_retry_after(*m_state, m_request.service);
+    }
+    return m_state->get_retry_after(m_request.service, fallback, m_limit_retry_after);
+}
+
+exchange_options serving_request::make_exchange_options(const backend_server_name& server, const caller_channel& caller,
+                                                        send_permit permit) {
     const caller_request* incoming = m_request.request;
     serving_state* state = m_state;
     const backend_codec* codec = &m_state->codec;
@@ -262,8 +298,10 @@
                     state->apply_notice(server, incarnation, codec->decode_notice(head), sent_at);
                 }
             },
-        .may_send = [state, server,
-                     channel = &caller] { return !channel->is_disconnected() && state->may_get_work(server); }};
+        .may_send =
+            [state, server, channel = &caller, own = std::make_shared<send_permit>(std::move(permit))] {
+                return !channel->is_disconnected() && state->may_get_work(server) && own->try_use();
+            }};
 }
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure,
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -71,8 +71,16 @@
     /// Returns the options of the next exchange with a server. The exchange sends nothing if the server is no longer
     /// listed, or the caller has disconnected, by then. A further exchange with the same server uses a new connection,
     /// since its earlier response, which has the same id, may arrive again on a kept one.
+    /// The permit counts as used when the request is sent.
     [[nodiscard]] exchange_options make_exchange_options(const backend_server_name& server,
-                                                         const caller_channel& caller);
+                                                         const caller_channel& caller, send_permit permit);
+
+    /// Takes a permit to send one request to a server; waits for other hosts if this one has none. Returns nothing if
+    /// the limit of the server leaves no room, so that another server is to be chosen.
+    asio::awaitable<std::optional<send_permit>> acquire_permit(backend_server_name server);
+    /// Returns the Retry-After of a request for which no server of its service is available: from the limits of the
+    /// servers or the pauses that they asked for, or else `fallback`.
+    [[nodiscard]] duration get_retry_after(duration fallback);
 
     /// Records a failed exchange in the health state of its server. `waiting_parts`: the shared parts of the prompt, if
     /// the server was to begin an answer to it and had not.
@@ -100,6 +108,8 @@
     bool m_is_counted{false};
     /// What may still be given back.
     std::optional<quota_use> m_quota_use;
+    /// The shortest Retry-After of the servers whose limit left no room.
+    std::optional<duration> m_limit_retry_after;
     /// Servers to which an exchange was begun.
     std::set<backend_server_name> m_contacted;
 
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -15,6 +15,7 @@
 #include "servers/http_server.hpp"
 #include "servers/serving_handler.hpp"
 #include "standin/raw_server.hpp"
+#include "support/advanced_clock.hpp"
 #include "support/event_loop.hpp"
 
 namespace dragonflywell::testing {
@@ -150,7 +151,8 @@
         co_return got;
     }
 
-    host_clock time;
+    /// A test advances it; timers of the event loop follow this machine.
+    advanced_clock time;
     asio::io_context loop{1};
     servers::backend_connection_pool pool{time, {}};
     platform::engine_codec engine_codec;
