--- a/tests/policy/test_quota_node.cpp
+++ b/tests/policy/test_quota_node.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace dragonflywell;
@@ -97,3 +98,25 @@
     CHECK(decisions.front().ticket == waiting.ticket);
     CHECK(decisions.front().answer == policy::quota_answer::admitted);
 }
+
+TEST_CASE("quota node: a limit that ends and begins again does not give back what was used of it") {
+    // Guards against a count of use that begins anew, which the owner takes for requests that were not sent.
+    policy::quota_node node = make_node();
+    node.set_hosts({{.host = "one"}}, start);
+    const auto take = [&](int count, steady_time now) {
+        for (int request = 0; request < count; ++request) {
+            static_cast<void>(node.check(server, 1, now + 100ms, now));
+        }
+        poll_for(node, now, 150ms);
+        const std::vector<policy::quota_decision> decisions = node.take_decisions();
+        return std::count_if(decisions.begin(), decisions.end(), [](const policy::quota_decision& decision) {
+            return decision.answer == policy::quota_answer::admitted;
+        });
+    };
+    node.set_limits({{server, limit}}, start);
+    poll_for(node, start, 5s);
+    CHECK(take(4, start + 5s) == 4);
+    node.set_limits({}, start + 5200ms);
+    node.set_limits({{server, limit}}, start + 5250ms);
+    CHECK(take(4, start + 5300ms) <= 1);
+}
