--- a/tests/policy/quota_simulation.cpp
+++ b/tests/policy/quota_simulation.cpp
@@ -70,6 +70,7 @@
     kill(host);
     ++m_hosts[host].incarnation;
     start(host, false);
+    begin_process(host);
 }
 
 void quota_simulation::freeze(std::size_t host, duration length) {
@@ -84,17 +85,16 @@
     }
 }
 
-std::size_t quota_simulation::get_owner(const std::string& organisation) const {
-    return get_index(
-        policy::get_owner_order(m_list, policy::quota_node::find_part(quota_subject(organisation))).front());
+std::size_t quota_simulation::get_owner(const std::string& subject) const {
+    return get_index(policy::get_owner_order(m_list, policy::quota_node::find_part(quota_subject(subject))).front());
 }
 
 void quota_simulation::send(std::size_t sender, std::size_t receiver, message content) {
-    ++m_hosts[sender].second.sent;
-    const std::size_t from = get_zone(sender);
-    const std::size_t to = get_zone(receiver);
-    const bool is_cut = from != to && (m_cut_zones.contains(from) || m_cut_zones.contains(to));
-    if (is_cut || draw_unit() < m_options.loss) {
+    if (!std::holds_alternative<limit_reports>(content)) {
+        ++m_hosts[sender].second.sent;
+        ++m_total_sent;
+    }
+    if (are_cut(get_zone(sender), get_zone(receiver)) || draw_unit() < m_options.loss) {
         return;
     }
     const auto shared = std::make_shared<const message>(std::move(content));
@@ -106,19 +106,22 @@
     }
 }
 
-void quota_simulation::deliver(std::size_t receiver, const message& content) {
+void quota_simulation::deliver(std::size_t receiver, const held_message& arrived) {
+    const message& content = *arrived.content;
     simulated_host& own = m_hosts[receiver];
     if (!own.node) {
         return;
     }
-    ++own.second.received;
+    own.second.received += std::holds_alternative<limit_reports>(content) ? 0 : 1;
     if (const auto* request = std::get_if<policy::quota_request>(&content)) {
         if (const std::optional<policy::quota_grant> answer = own.node->apply(*request, now(own))) {
             send(receiver, get_index(request->host), *answer);
         }
-    } else {
-        own.node->apply(std::get<policy::quota_grant>(content), now(own));
+    } else if (const auto* grant = std::get_if<policy::quota_grant>(&content)) {
+        own.node->apply(*grant, now(own));
         own.is_due = true;
+    } else {
+        apply_reports(receiver, std::get<limit_reports>(content), (m_tick - arrived.tick) * tick_length);
     }
 }
 
@@ -131,6 +134,7 @@
     for (const policy::quota_decision& decision : own.node->take_decisions()) {
         const auto found = m_waiting.find({host, decision.ticket});
         if (found == m_waiting.end()) {
+            settle(host, decision);
             continue;
         }
         finish(found->second, decision);
@@ -188,9 +192,9 @@
         m_datagrams.pop();
         simulated_host& receiver = m_hosts[next.receiver];
         if (receiver.frozen_until > m_tick) {
-            receiver.held.push_back(next.content);
+            receiver.held.push_back({.tick = m_tick, .content = next.content});
         } else {
-            deliver(next.receiver, *next.content);
+            deliver(next.receiver, {.tick = m_tick, .content = next.content});
         }
     }
     while (!m_repeats.empty() && m_repeats.top().tick <= m_tick) {
@@ -210,15 +214,16 @@
             arrive(demand.hosts[draw(demand.hosts.size())], {.organisation = organisation, .amount = demand.amount});
         }
     }
+    act();
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         simulated_host& own = m_hosts[host];
         if (!own.node || own.frozen_until > m_tick) {
             continue;
         }
         while (!own.held.empty()) {
-            const std::shared_ptr<const message> content = own.held.front();
+            const held_message arrived = own.held.front();
             own.held.pop_front();
-            deliver(host, *content);
+            deliver(host, arrived);
         }
         if (own.is_due || (m_tick + static_cast<std::int64_t>(host)) % poll_ticks == 0) {
             pump(host);
--- a/tests/policy/quota_simulation.hpp
+++ b/tests/policy/quota_simulation.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "policy/quota_node.hpp"
+#include "policy/server_limit_report.hpp"
 
 namespace dragonflywell::testing {
 
@@ -42,6 +43,11 @@
 class quota_simulation {
 public:
     explicit quota_simulation(quota_simulation_options options);
+    quota_simulation(const quota_simulation&) = delete;
+    quota_simulation& operator=(const quota_simulation&) = delete;
+    quota_simulation(quota_simulation&&) = delete;
+    quota_simulation& operator=(quota_simulation&&) = delete;
+    virtual ~quota_simulation() = default;
 
     void set_quotas(const policy::fleet_quotas& quotas);
     void set_demand(const std::string& organisation, quota_demand demand) {
@@ -56,7 +62,7 @@
     void freeze(std::size_t host, duration length);
     /// Separates a zone from the others, or connects it again.
     void set_cut(std::size_t zone, bool is_cut);
-    [[nodiscard]] std::size_t get_owner(const std::string& organisation) const;
+    [[nodiscard]] std::size_t get_owner(const std::string& subject) const;
 
     struct counts {
         double used{};
@@ -76,11 +82,45 @@
         std::size_t sent{};
         std::size_t received{};
     };
-    /// Returns the most datagrams that a host sent and received in a second since the start.
+    /// Returns the most requests and grants that a host sent and received in a second since the start.
     [[nodiscard]] traffic get_peak_traffic() const noexcept { return m_peak_traffic; }
+    /// Returns how many requests and grants all hosts have sent since the start.
+    [[nodiscard]] std::size_t get_total_sent() const noexcept { return m_total_sent; }
+
+protected:
+    using limit_reports = std::vector<policy::server_limit_report>;
+    using message = std::variant<policy::quota_request, policy::quota_grant, limit_reports>;
+
+    /// Called each millisecond before hosts send.
+    virtual void act() {}
+    /// Called when a host has restarted.
+    virtual void begin_process(std::size_t /*host*/) {}
+    virtual void apply_reports(std::size_t /*host*/, const limit_reports& /*reports*/, duration /*held_for*/) {}
+    virtual void settle(std::size_t /*host*/, const policy::quota_decision& /*decision*/) {}
+
+    void send(std::size_t sender, std::size_t receiver, message content);
+    [[nodiscard]] const quota_simulation_options& get_options() const noexcept { return m_options; }
+    [[nodiscard]] std::int64_t get_tick() const noexcept { return m_tick; }
+    [[nodiscard]] steady_time now(std::size_t host) const { return now(m_hosts[host]); }
+    [[nodiscard]] policy::quota_node& get_node(std::size_t host) { return *m_hosts[host].node; }
+    [[nodiscard]] bool is_running(std::size_t host) const { return m_hosts[host].node != nullptr; }
+    [[nodiscard]] std::int64_t get_frozen_until(std::size_t host) const { return m_hosts[host].frozen_until; }
+    [[nodiscard]] std::uint64_t get_incarnation(std::size_t host) const { return m_hosts[host].incarnation; }
+    void set_due(std::size_t host) { m_hosts[host].is_due = true; }
+    [[nodiscard]] std::size_t get_zone(std::size_t host) const { return host % m_options.zones; }
+    [[nodiscard]] bool are_cut(std::size_t from_zone, std::size_t to_zone) const {
+        return from_zone != to_zone && (m_cut_zones.contains(from_zone) || m_cut_zones.contains(to_zone));
+    }
+    [[nodiscard]] std::size_t draw(std::size_t count) { return m_random() % count; }
+    [[nodiscard]] std::size_t draw_arrivals(double expected) {
+        return std::poisson_distribution<std::size_t>(expected)(m_random);
+    }
 
 private:
-    using message = std::variant<policy::quota_request, policy::quota_grant>;
+    struct held_message {
+        std::int64_t tick{};
+        std::shared_ptr<const message> content;
+    };
 
     struct datagram {
         std::int64_t tick{};
@@ -100,7 +140,7 @@
         std::int64_t frozen_until{0};
         bool is_due{false};
         traffic second;
-        std::deque<std::shared_ptr<const message>> held;
+        std::deque<held_message> held;
     };
 
     struct caller {
@@ -128,14 +168,11 @@
     [[nodiscard]] steady_time now(const simulated_host& host) const;
     void start(std::size_t host, bool is_first);
     void tick();
-    void send(std::size_t sender, std::size_t receiver, message content);
-    void deliver(std::size_t receiver, const message& content);
+    void deliver(std::size_t receiver, const held_message& arrived);
     void pump(std::size_t host);
     void arrive(std::size_t host, caller from);
     void finish(const caller& from, const policy::quota_decision& decision);
     void record(organisation_state& state) const;
-    [[nodiscard]] std::size_t get_zone(std::size_t host) const { return host % m_options.zones; }
-    [[nodiscard]] std::size_t draw(std::size_t count) { return m_random() % count; }
     [[nodiscard]] double draw_unit() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
     quota_simulation_options m_options;
@@ -152,6 +189,7 @@
     std::priority_queue<repeat, std::vector<repeat>, std::greater<>> m_repeats;
     std::map<std::pair<std::size_t, std::uint64_t>, caller> m_waiting;
     traffic m_peak_traffic;
+    std::size_t m_total_sent{0};
 };
 
 } // namespace dragonflywell::testing
