Merge the limits that servers name

Conflicts: make_exchange_options and the calls to engines take both the permit and the matching of responses by the history of their connection.

--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -15,6 +15,7 @@
 
 /// Where an engine can fetch the KV cache of a prompt that another engine has prefilled.
 struct kv_cache_source {
+    backend_server_name server;
     endpoint engine;
     std::string handle;
 };
@@ -58,6 +59,10 @@
     bool asks_for_pause{false};
     /// That time; nothing if it is no number of seconds.
     std::optional<duration> pause;
+    /// The server names how many requests a second it takes from all hosts together.
+    bool names_limit{false};
+    /// That number; nothing if it is no number. It may be out of range.
+    std::optional<double> limit;
 };
 
 /// The KV cache of a prompt as announced by the engine that prefilled it.
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -68,9 +68,16 @@
     /// Returns the dispatch to a listed server. Throws `request_refused` when the server is no longer listed.
     [[nodiscard]] dispatch make_dispatch(const backend_server_name& server) const;
     /// Returns the options of the next exchange with a server. The exchange sends nothing if the server is no longer
-    /// listed, or the caller has disconnected, by then.
+    /// listed, or the caller has disconnected, by then. The permit counts as used when the request is sent.
     [[nodiscard]] exchange_options make_exchange_options(const backend_server_name& server,
-                                                         const caller_channel& caller);
+                                                         const caller_channel& caller, send_permit permit);
+
+    /// Takes a permit to send one request to a server; waits for other hosts if this one has none. Returns nothing if
+    /// the limit of the server leaves no room, so that another server is to be chosen.
+    asio::awaitable<std::optional<send_permit>> acquire_permit(backend_server_name server);
+    /// Returns the Retry-After of a request for which no server of its service is available: from the limits of the
+    /// servers or the pauses that they asked for, or else `fallback`.
+    [[nodiscard]] duration get_retry_after(duration fallback);
 
     /// Records a failed exchange in the health state of its server. `waiting_parts`: the shared parts of the prompt, if
     /// the server was to begin an answer to it and had not.
@@ -99,6 +106,8 @@
     /// What may still be given back.
     std::optional<quota_use> m_quota_use;
     bool m_was_exchange_begun{false};
+    /// The shortest Retry-After of the servers whose limit left no room.
+    std::optional<duration> m_limit_retry_after;
 
     friend std::unique_ptr<serving_request> make_serving_request(serving_state&, const caller_request&,
                                                                  request_record&);
