Let only responses to requests end the limit of a server

Callers saw: nothing; found in review. Then the report of the planner would lift a limit that is in force, on all hosts. Change: a response that names no limit counts only if it bears what responses to requests bear (the id of the request, the seal, or the mark of a refusal). One that names a limit always counts.

--- a/servers/backend_codec.hpp
+++ b/servers/backend_codec.hpp
@@ -62,6 +62,9 @@
     bool names_limit{false};
     /// That number; nothing if it is no number. It may be out of range.
     std::optional<double> limit;
+    /// The response belongs to a request, whether the server ran it or not. Only then, the server would have named a
+    /// limit if it had one.
+    bool is_of_request{false};
 };
 
 /// The KV cache of a prompt as announced by the engine that prefilled it.
--- a/servers/server_limits.cpp
+++ b/servers/server_limits.cpp
@@ -55,6 +55,9 @@
 
 void server_limits::apply_notice(const backend_server_name& server, std::uint64_t incarnation,
                                  const server_notice& notice, steady_time sent_at) {
+    if (!notice.names_limit && !notice.is_of_request) {
+        return;
+    }
     policy::limit_change change = policy::limit_change::invalid;
     if (notice.limit || !notice.names_limit) {
         change = m_table.record_response(server, incarnation, notice.limit, convert(sent_at), get_time());
--- a/tests/platform/test_server_limits.cpp
+++ b/tests/platform/test_server_limits.cpp
@@ -295,6 +295,32 @@
     CHECK_FALSE(servers::try_begin_call(state, engine.name));
 }
 
+TEST_CASE_FIXTURE(fixture, "a limit does not end with the response to a report, which may never name one") {
+    const raw_server& server =
+        add_server("d1", decode,
+                   [](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                       co_await connection.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\":1}");
+                   });
+    platform::engine_order_client orders(pool, metrics, {});
+    const platform::engine_address engine{.name = backend_server_name("d1"), .address = server.get_endpoint()};
+    state.apply_notice(engine.name, 1, {.names_limit = true, .limit = 100}, time.now());
+    std::optional<servers::server_call> call;
+    // A report is sent only if the host holds a permit, which it has asked for because of requests.
+    for (int attempt = 0; attempt < 200 && !call; ++attempt) {
+        advance(100ms);
+        testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+            static_cast<void>(co_await state.limits.acquire(engine.name, 1s));
+        });
+        call = servers::try_begin_call(state, engine.name);
+    }
+    REQUIRE(call);
+    testing::run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const std::optional<platform::engine_report> report = co_await orders.request_report(engine, std::move(*call));
+        CHECK(report);
+    });
+    CHECK(has_limit("d1"));
+}
+
 TEST_CASE_FIXTURE(fixture, "a permit of which nothing was sent is not lost") {
     add_server("s1", {}, answer_with(200, "ok"));
     const backend_server_name server("s1");
