Let raw test servers listen on ports below the ephemeral range

Cause: for a listener without a port of its own the kernel takes no ephemeral port to which a connection is in TIME_WAIT, whoever has it. tests/platform/test_truncated_responses.cpp starts raw servers for each cut, of which each closes a connection first, and leaves 28,582 of the 31,311 connections in TIME_WAIT that a run of test_platform leaves. They took 7,542 of the 14,116 odd ports, from which the kernel serves listeners first, and 12,292 of the even ones. Runs beside each other took all, and every test of the machine that bound a port then failed for up to a minute.

Change: raw servers bind a port of 20000 to 31999. A port is claimed by binding it and may have connections in TIME_WAIT. No test is changed.

--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include "support/free_address.hpp"
+
 namespace dragonflywell::standin {
 
 using asio::ip::tcp;
@@ -33,7 +35,7 @@
 }
 
 raw_server::raw_server(asio::io_context& loop, behaviour handler)
-    : m_acceptor(std::make_shared<tcp::acceptor>(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))),
+    : m_acceptor(std::make_shared<tcp::acceptor>(testing::listen_on_free_port(loop))),
       m_state(std::make_shared<shared_state>()), m_endpoint{.address = "127.0.0.1",
                                                             .port = m_acceptor->local_endpoint().port()} {
     m_state->handler = std::move(handler);
