Take the address of the host in test_host_stop from free_address.hpp

Cause: the test had a search of its own, which released an ephemeral port before the daemon listened on it, so that an outgoing connection of any test could take it. Change: it uses the common one, below the ephemeral range. Measured: test_daemon, 96 cases, all pass. The failure itself was not seen.

--- a/tests/daemon/test_host_stop.cpp
+++ b/tests/daemon/test_host_stop.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/host_daemon.hpp"
 #include "standin/raw_server.hpp"
+#include "support/free_address.hpp"
 #include "support/serving_fixture.hpp"
 #include "support/store_fixture.hpp"
 
@@ -27,12 +28,6 @@
 "services":[{"name":"app","healthPath":"/health","maxConns":200}],"tenants":[],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":5000,"idleTimeoutMs":20000}})";
 
-endpoint find_free_address() {
-    asio::io_context loop;
-    const asio::ip::tcp::acceptor listener(loop, {asio::ip::make_address("127.0.0.1"), 0});
-    return {.address = "127.0.0.1", .port = listener.local_endpoint().port()};
-}
-
 daemon::host_settings make_settings(const endpoint& callers, std::uint16_t store_port, duration stop_bound) {
     const endpoint any{.address = "127.0.0.1", .port = 0};
     return {.name = host_name("h1"),
@@ -116,7 +111,7 @@
 private:
     static constexpr std::size_t log_bytes = 64UL * 1024;
 
-    endpoint m_callers = find_free_address();
+    endpoint m_callers = testing::find_free_address<asio::ip::tcp>(loop);
     std::thread m_thread;
 };
 
