--- a/tests/platform/test_buffer_budget.cpp
+++ b/tests/platform/test_buffer_budget.cpp
@@ -2,11 +2,13 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include "support/serving_fixture.hpp"
+#include "support/generation_parts.hpp"
 
 using namespace dragonflywell;
 using dragonflywell::standin::raw_connection;
 using dragonflywell::standin::raw_server;
+using dragonflywell::testing::decode;
+using dragonflywell::testing::prefill;
 using dragonflywell::testing::run_until;
 using dragonflywell::testing::serving_fixture;
 namespace http = servers::http;
@@ -14,9 +16,6 @@
 
 namespace {
 
-constexpr auto prefill = fleet::engine_stage::prefill;
-constexpr auto decode = fleet::engine_stage::decode;
-
 /// Takes everything that a budget has left, in pieces, so that other users find no room in it.
 class byte_budget_holder {
 public:
--- a/tests/platform/test_crashing_engines.cpp
+++ b/tests/platform/test_crashing_engines.cpp
@@ -4,11 +4,15 @@
 #include <set>
 #include <string>
 
+#include "support/generation_parts.hpp"
 #include "support/let_others_run.hpp"
-#include "support/serving_fixture.hpp"
+#include "support/request_headers.hpp"
 
 using namespace dragonflywell;
 using dragonflywell::standin::raw_connection;
+using dragonflywell::testing::decode;
+using dragonflywell::testing::get;
+using dragonflywell::testing::prefill;
 using dragonflywell::testing::run_until_done;
 using dragonflywell::testing::serving_fixture;
 namespace asio = boost::asio;
@@ -16,13 +20,6 @@
 
 namespace {
 
-constexpr auto prefill = fleet::engine_stage::prefill;
-constexpr auto decode = fleet::engine_stage::decode;
-
-std::string get(const servers::http_request& request, const std::string& name) {
-    return std::string(request[name]);
-}
-
 /// Engines of which each crashes when it begins to answer a prompt with a given part: it closes the connection and
 /// accepts no other one. Each request has parts of its own beside the shared ones.
 struct crashing_engines : serving_fixture {
--- a/tests/platform/test_truncated_responses.cpp
+++ b/tests/platform/test_truncated_responses.cpp
@@ -3,24 +3,25 @@
 #include <fmt/format.h>
 
 #include "support/cut_response.hpp"
-#include "support/serving_fixture.hpp"
+#include "support/generation_parts.hpp"
 
 using namespace dragonflywell;
 using dragonflywell::standin::raw_connection;
 using dragonflywell::standin::raw_server;
 using dragonflywell::testing::connection_ending;
 using dragonflywell::testing::cut_response;
+using dragonflywell::testing::decode;
 using dragonflywell::testing::encode_response;
 using dragonflywell::testing::encoded_response;
 using dragonflywell::testing::framing;
+using dragonflywell::testing::make_events;
+using dragonflywell::testing::prefill;
 using dragonflywell::testing::serving_fixture;
 namespace http = servers::http;
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr auto prefill = fleet::engine_stage::prefill;
-constexpr auto decode = fleet::engine_stage::decode;
 constexpr std::array framings{framing::by_length, framing::by_chunks, framing::by_chunks_and_trailer,
                               framing::by_connection_end};
 constexpr unsigned bad_gateway = 502;
@@ -30,14 +31,6 @@
 const std::string answer_head = "HTTP/1.1 200 OK\r\n" + own_headers;
 const std::string stream_head = answer_head + "Content-Type: text/event-stream\r\n";
 
-std::string make_events(int first, int last) {
-    std::string events;
-    for (int number = first; number <= last; ++number) {
-        events += serving_fixture::make_event(number);
-    }
-    return events;
-}
-
 /// Calls the check with every beginning that is not the whole response, each with a fresh fixture.
 template <typename Check>
 void for_each_cut(const encoded_response& response, framing frame, Check check) {
