--- a/daemon/caller_limit_settings.cpp
+++ b/daemon/caller_limit_settings.cpp
@@ -1,14 +1,9 @@
 #include "daemon/caller_limit_settings.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cstdlib>
-#include <fmt/format.h>
-#include <optional>
-#include <string_view>
 #include <sys/resource.h>
 
-#include "core/error.hpp"
+#include "daemon/environment_number.hpp"
 
 namespace dragonflywell::daemon {
 
@@ -30,24 +25,6 @@
 constexpr std::uint64_t own_descriptors = 24;
 constexpr std::size_t max_probe_connections = 32;
 
-/// Returns the number in an environment variable without its fraction, or nothing if it is missing or empty.
-std::optional<std::uint64_t> read_number(const char* name, std::uint64_t min, std::uint64_t max) {
-    const char* text = std::getenv(name);
-    if (text == nullptr || *text == '\0') {
-        return std::nullopt;
-    }
-    const std::string_view digits(text);
-    double number = 0;
-    const auto [end, fault] = std::from_chars(digits.begin(), digits.end(), number);
-    const bool is_in_range = number >= static_cast<double>(min) && number <= static_cast<double>(max);
-    if (fault != std::errc() || end != digits.end() || !is_in_range) {
-        throw invalid_input_error(
-            {{.location = fmt::format("environment variable {}", name),
-              .message = fmt::format("must be a number from {} to {}, not \"{}\"", min, max, digits)}});
-    }
-    return static_cast<std::uint64_t>(number);
-}
-
 std::uint64_t get_process_descriptors() {
     rlimit limit{};
     constexpr std::uint64_t fallback = 1024;
@@ -75,14 +52,16 @@
 }
 
 caller_limit_settings read_caller_limits_from_environment() {
-    constexpr std::uint64_t min_memory_mb = 32;
-    constexpr std::uint64_t max_memory_mb = 1'048'576;
-    constexpr std::uint64_t min_descriptors = 128;
-    constexpr std::uint64_t max_descriptors = 1'048'576;
+    constexpr number_range memory_range{.min = 32, .max = 1'048'576};
+    constexpr number_range descriptor_range{.min = 128, .max = 1'048'576};
     caller_limit_settings settings;
-    settings.memory_mb =
-        read_number("HOST_MEMORY_MB", min_memory_mb, max_memory_mb).value_or(caller_limit_settings::default_memory_mb);
-    settings.max_descriptors = read_number("HOST_MAX_DESCRIPTORS", min_descriptors, max_descriptors).value_or(0);
+    // Fractions are cut off.
+    if (const auto memory = read_number_from_environment("HOST_MEMORY_MB", memory_range)) {
+        settings.memory_mb = static_cast<std::uint64_t>(*memory);
+    }
+    if (const auto descriptors = read_number_from_environment("HOST_MAX_DESCRIPTORS", descriptor_range)) {
+        settings.max_descriptors = static_cast<std::uint64_t>(*descriptors);
+    }
     return settings;
 }
 
