--- a/tests/standin/store_standin.cpp
+++ b/tests/standin/store_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <openssl/evp.h>
 
 #include "platform/store_client.hpp"
@@ -16,11 +17,28 @@
 
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t offset_bytes = 8;
-constexpr std::size_t page_keys = 3;
 constexpr duration poll_interval = std::chrono::milliseconds(2);
 
+/// Decodes a name or a value of a query as forms encode them: a plus sign is a blank. A percent sign without two
+/// hexadecimal digits stands for itself.
+std::string decode_form_text(std::string_view text) {
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t digits = 2;
+    std::string decoded;
+    while (!text.empty()) {
+        unsigned byte = 0;
+        const char* begin = text.data() + 1;
+        const bool is_escape = text.front() == '%' && text.size() > digits &&
+                               std::from_chars(begin, begin + digits, byte, hexadecimal).ptr == begin + digits;
+        decoded += is_escape ? static_cast<char>(byte) : (text.front() == '+' ? ' ' : text.front());
+        text.remove_prefix(is_escape ? 1 + digits : 1);
+    }
+    return decoded;
+}
+
 std::string get_parameter(const servers::http_request& request, std::string_view name) {
     std::string_view target(request.target().data(), request.target().size());
+    target = target.substr(0, target.find('#'));
     const std::size_t query = target.find('?');
     if (query == std::string_view::npos) {
         return {};
@@ -31,8 +49,8 @@
         const std::string_view pair = target.substr(0, end);
         target.remove_prefix(end == std::string_view::npos ? target.size() : end + 1);
         const std::size_t equals = pair.find('=');
-        if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
-            return std::string(pair.substr(equals + 1));
+        if (decode_form_text(pair.substr(0, equals)) == name && equals != std::string_view::npos) {
+            return decode_form_text(pair.substr(equals + 1));
         }
     }
     return {};
@@ -146,7 +164,7 @@
     return response;
 }
 
-servers::http_response store_standin::list(const topic& log, const std::string& after) {
+servers::http_response store_standin::list(const topic& log, const std::string& after) const {
     std::map<std::string, std::uint64_t> newest;
     for (std::uint64_t offset = 0; offset < log.records.size(); ++offset) {
         newest[log.records[offset].key] = offset;
@@ -158,7 +176,7 @@
         if (found.value.empty()) {
             continue;
         }
-        if (items.size() == page_keys) {
+        if (items.size() == m_listing_page_keys) {
             has_more = true;
             break;
         }
--- a/tests/standin/store_standin.hpp
+++ b/tests/standin/store_standin.hpp
@@ -51,6 +51,9 @@
     /// Limits how many records a read returns.
     void set_page_records(std::size_t most) { m_page_records = most; }
 
+    /// Limits how many keys a page of a listing has.
+    void set_listing_page_keys(std::size_t most) { m_listing_page_keys = most; }
+
     /// Returns the newest value of a key, or nothing.
     [[nodiscard]] std::optional<std::string> get(const std::string& topic, const std::string& key);
     /// Returns all values that were ever written to a topic, in order.
@@ -74,7 +77,7 @@
     void set_era_header(servers::http_response& response) const;
     [[nodiscard]] servers::http_response append(topic& log, const std::string& body, std::optional<std::uint64_t> at);
     [[nodiscard]] servers::http_response read(const topic& log, std::uint64_t from) const;
-    [[nodiscard]] static servers::http_response list(const topic& log, const std::string& after);
+    [[nodiscard]] servers::http_response list(const topic& log, const std::string& after) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, topic> m_topics;
@@ -87,6 +90,7 @@
     std::uint64_t m_calls{0};
     bool m_is_refusing{false};
     std::size_t m_page_records{1000};
+    std::size_t m_listing_page_keys{3};
 };
 
 } // namespace dragonflywell::standin
