Leave out an item of a listing that cannot be read

One item that is no object, has no key, or whose value is not base64 made the whole listing fail, and one key with bytes that are no UTF-8 made the whole document fail, so that a host which had just started knew no server.

Cause: `read_newest` decoded all items in one block that gave up at the first fault, and the JSON reader checks the UTF-8 of every string.

The next page begins after the last key that could be read, also if its value could not. Values are decoded strictly: OpenSSL accepts blanks around the text and padding within it.

--- a/core/json.cpp
+++ b/core/json.cpp
@@ -37,17 +37,27 @@
     return std::string(value.get_string());
 }
 
-} // namespace
-
-boost::json::value parse(std::string_view text) {
+boost::json::value parse(std::string_view text, const boost::json::parse_options& options) {
     boost::json::error_code fault;
-    boost::json::value value = boost::json::parse(text, fault);
+    boost::json::value value = boost::json::parse(text, fault, boost::json::storage_ptr(), options);
     if (fault) {
         throw malformed_message_error("not JSON: " + fault.message());
     }
     return value;
 }
 
+} // namespace
+
+boost::json::value parse(std::string_view text) {
+    return parse(text, boost::json::parse_options());
+}
+
+boost::json::value parse_any_bytes(std::string_view text) {
+    boost::json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    return parse(text, options);
+}
+
 const boost::json::object& as_object(const boost::json::value& value, std::string_view what) {
     if (!value.is_object()) {
         throw malformed_message_error(fmt::format("{} must be an object", what));
--- a/core/json.hpp
+++ b/core/json.hpp
@@ -12,6 +12,8 @@
 /// Typed access to JSON from untrusted sources.
 /// Each function throws `malformed_message_error` that names the key when the value is missing or has another type.
 [[nodiscard]] boost::json::value parse(std::string_view text);
+/// As `parse`, but strings may have bytes that are no UTF-8, so that one of them does not make the document unreadable.
+[[nodiscard]] boost::json::value parse_any_bytes(std::string_view text);
 [[nodiscard]] const boost::json::object& as_object(const boost::json::value& value, std::string_view what);
 [[nodiscard]] std::string get_string(const boost::json::object& object, std::string_view key);
 [[nodiscard]] std::uint64_t get_unsigned(const boost::json::object& object, std::string_view key);
--- a/tests/platform/test_store_listing.cpp
+++ b/tests/platform/test_store_listing.cpp
@@ -119,6 +119,48 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(scripted_store, "an item of a listing that cannot be read spoils no other") {
+    for (const std::string odd :
+         {R"(null)", R"(1)", R"("i-9")", R"([])", R"({})", R"({"value":"MQ==","offset":1})",
+          R"({"key":7,"value":"MQ==","offset":1})", R"({"key":null,"value":"MQ=="})",
+          R"({"key":"","value":"MQ==","offset":1})", R"({"key":"a","value":"!","offset":1})",
+          R"({"key":"a","value":"MQ=","offset":1})", R"({"key":"a","value":"M=Q=","offset":1})",
+          R"({"key":"a","value":"====","offset":1})", R"({"key":"a","value":" MQ==","offset":1})",
+          R"({"key":"a","value":7,"offset":1})", R"({"key":"a","value":{},"offset":1})",
+          R"({"key":"a","value":"MQ==","offset":-1})", R"({"key":"a","value":"MQ==","offset":"1"})"}) {
+        CAPTURE(odd);
+        for (const std::string& items : {odd + "," + make_item("i-1") + "," + make_item("i-2"),
+                                         make_item("i-1") + "," + odd + "," + make_item("i-2"),
+                                         make_item("i-1") + "," + make_item("i-2") + "," + odd}) {
+            pages = {make_page(items, true), make_page(odd + "," + make_item("i-3"))};
+            calls = 0;
+            const auto listed = list(client);
+            REQUIRE(listed);
+            CHECK(*listed == std::map<std::string, std::string>{{"i-1", "1"}, {"i-2", "1"}, {"i-3", "1"}});
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(scripted_store, "a listing goes on after an item whose value cannot be read") {
+    pages = {make_page(make_item("i-1") + R"(,{"key":"a b","value":"!"})", true), make_page(make_item("i-2"))};
+    const auto listed = list(client);
+    REQUIRE(listed);
+    CHECK(listed->size() == 2);
+    CHECK(server.get_requests().back().target().ends_with("after=a%20b"));
+}
+
+TEST_CASE_FIXTURE(scripted_store, "a key with bytes that are no text spoils no other item") {
+    for (const std::string key : {"\xff", "\xc3", "\xed\xa0\x80", "\xf5\x80\x80\x80"}) {
+        pages = {make_page(make_item("i-1") + "," + make_item(key), true), make_page(make_item("i-2"))};
+        calls = 0;
+        const auto listed = list(client);
+        REQUIRE(listed);
+        CHECK(listed->contains("i-1"));
+        CHECK(listed->contains("i-2"));
+        CHECK(server.get_requests().back().target().find("&after=%") != std::string_view::npos);
+    }
+}
+
 TEST_CASE_FIXTURE(scripted_store, "a listing whose pages repeat is told at once") {
     for (const std::string& repeated : {make_page(make_item("i-1") + "," + make_item("i-2"), true),
                                         make_page(make_item(""), true), make_page("", true), make_page("null", true)}) {
