Send no name of an entry that ends a line of a header

With the address of a true server in it, another writer could put whole requests in front of callers' ones.

Cause: the key of an entry was taken for the id of a server as it was, and `encode_request` wrote targets, field names and values without a check. The same held for other texts of other programs: an IPv6 zone id in an entry's address (also what follows a null character), the handle of a KV cache, the last id of a stream's events, names in the configuration.

Addresses have the characters of an IP address only.

--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -6,6 +6,12 @@
 
 namespace dragonflywell {
 
+namespace {
+
+constexpr std::string_view address_characters = "0123456789abcdefABCDEF:.";
+
+} // namespace
+
 std::optional<endpoint> parse_endpoint(std::string_view text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos) {
@@ -21,6 +27,10 @@
     if (fault != std::errc() || end != digits.data() + digits.size()) {
         return std::nullopt;
     }
+    // The library also accepts a zone id with any text, and ignores what follows a null character.
+    if (address.find_first_not_of(address_characters) != std::string_view::npos) {
+        return std::nullopt;
+    }
     boost::system::error_code invalid;
     boost::asio::ip::make_address(std::string(address), invalid);
     if (invalid) {
--- a/daemon/host_list.cpp
+++ b/daemon/host_list.cpp
@@ -9,6 +9,7 @@
 #include "core/error.hpp"
 #include "core/json.hpp"
 #include "core/log_event.hpp"
+#include "core/text.hpp"
 #include "daemon/store_topics.hpp"
 #include "servers/sleep.hpp"
 
@@ -34,6 +35,9 @@
 }
 
 listed_host decode_host_entry(const std::string& name, std::string_view text) {
+    if (!is_entry_name(name)) {
+        throw malformed_message_error("the name of the host entry is no name");
+    }
     const boost::json::value document = json::parse(text);
     const boost::json::object& entry = json::as_object(document, "host entry");
     const std::optional<endpoint> address = parse_endpoint(json::get_string(entry, "address"));
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "servers/request_encoding.hpp"
+
 namespace dragonflywell::servers {
 
 namespace {
@@ -17,24 +19,6 @@
 constexpr std::size_t max_skipped_bytes = 4UL * 1024 * 1024;
 constexpr duration drain_timeout = std::chrono::milliseconds(20);
 
-/// Encodes the request, with the Content-Length of its body.
-std::string encode_request(const http_request& request) {
-    std::string text;
-    text.reserve(request.body().size() + 1024);
-    text.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
-    for (const auto& field : request) {
-        if (field.name() != http::field::content_length) {
-            text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
-        }
-    }
-    const bool has_body = !request.body().empty() || request.method() == http::verb::post ||
-                          request.method() == http::verb::put || request.method() == http::verb::patch;
-    if (has_body) {
-        text.append("Content-Length: ").append(std::to_string(request.body().size())).append("\r\n");
-    }
-    return text.append("\r\n").append(request.body());
-}
-
 /// Returns the time that the server announces to keep the connection open between requests.
 std::optional<duration> get_keep_alive_time(const http::response_header<>& head) {
     constexpr std::string_view name = "timeout=";
@@ -81,6 +65,10 @@
     : m_pool(&pool), m_server(std::move(server)), m_options(std::move(options)), m_piece(piece_bytes, '\0') {}
 
 asio::awaitable<void> backend_exchange::start(const http_request& request) {
+    if (!is_sendable(request)) {
+        throw exchange_failed_error("the request contains what cannot stand in its header", exchange_phase::before_send,
+                                    policy::retry_reason::connect_failed);
+    }
     co_await connect();
     if (m_options.may_send && !m_options.may_send()) {
         throw exchange_failed_error(
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -81,7 +81,8 @@
     backend_exchange(backend_connection_pool& pool, endpoint server, exchange_options options);
 
     /// Sends the request and reads the response header, which may arrive before the whole request is sent. Throws
-    /// `exchange_failed_error`, also for a response without a length unless the options accept it.
+    /// `exchange_failed_error`, also for a request that is not sendable, and for a response without a length unless the
+    /// options accept it.
     asio::awaitable<void> start(const http_request& request);
 
     /// Changes the time limits of the operations that follow. A caller that learns how large a response is uses it to
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -202,6 +202,7 @@
     const steady_time sent_at = get_state().time.now();
     attempt.urgency = choice.urgency;
     attempt.prefix_source = get_prefix_source(choice);
+    const http_request message = make_message(attempt);
     const duration backlog = engines.load_tracker.get_backlog(engine, sent_at);
     const policy::prefill_job job{
         .number = m_request_number, .sent_at = sent_at, .cost = choice.prefill_occupancy, .urgency = choice.urgency};
@@ -224,7 +225,6 @@
     std::string_view what = "read";
     try {
         const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
-        const http_request message = get_state().codec.make_request(get_caller_request(), attempt);
         co_await exchange.start(message);
         const response_kind kind = get_state().codec.classify(exchange.get_head());
         const std::string body = co_await exchange.read_rest(short_response_limit_bytes);
@@ -299,7 +299,9 @@
     if (!m_events.get_last_id().empty()) {
         attempt.last_event_id = m_events.get_last_id();
     }
+    http_request message;
     try {
+        message = make_message(attempt);
         require_time_left();
         // Other requests may have shown during the prefill that a part crashes engines.
         require_no_blamed_part(get_state(), get_caller_request(), get_outcome());
@@ -332,7 +334,6 @@
         get_state().stalls.track(engine, m_generation_sent_at, get_first_event_time(kv_cache.has_value()));
     try {
         const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
-        const http_request message = get_state().codec.make_request(get_caller_request(), attempt);
         co_await exchange.start(message);
         kind = get_state().codec.classify(exchange.get_head());
         has_head = true;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -88,6 +88,7 @@
                                                                         send_permit permit, caller_channel& caller) {
     const serving_state::in_flight_guard in_flight(get_state(), server);
     const dispatch attempt = make_dispatch(server);
+    const http_request message = make_message(attempt);
     instance_observation observation(get_state(), get_request().service, server, get_kind());
     backend_exchange exchange(get_state().connections, attempt.address,
                               make_exchange_options(server, caller, std::move(permit)));
@@ -99,7 +100,6 @@
     const wall_time sent_at = get_state().get_corrected_time();
     try {
         const disconnect_subscription subscription(caller, [&exchange] { exchange.cancel(); });
-        const http_request message = get_state().codec.make_request(get_caller_request(), attempt);
         co_await exchange.start(message);
         kind = get_state().codec.classify(exchange.get_head());
         response = make_caller_response<http::string_body>(exchange.get_head());
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -9,6 +9,7 @@
 #include "servers/crash_probe.hpp"
 #include "servers/generation_request.hpp"
 #include "servers/instance_request.hpp"
+#include "servers/request_encoding.hpp"
 #include "servers/thread_random.hpp"
 
 namespace dragonflywell::servers {
@@ -259,6 +260,15 @@
             .last_event_id = get_caller_request().last_event_id};
 }
 
+http_request serving_request::make_message(const dispatch& attempt) const {
+    http_request message = m_state->codec.make_request(get_caller_request(), attempt);
+    if (!is_sendable(message)) {
+        throw request_refused(policy::refusal_reason::internal_fault, get_outcome(),
+                              "a name or an id in the request cannot stand in its header");
+    }
+    return message;
+}
+
 asio::awaitable<std::optional<send_permit>> serving_request::acquire_permit(backend_server_name server) {
     permit_result taken = co_await m_state->limits.acquire(std::move(server), get_time_left());
     if (!taken.permit) {
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -66,6 +66,9 @@
     void require_retry_budget(policy::retry_reason reason);
 
     /// Returns the dispatch to a listed server. Throws `request_refused` when the server is no longer listed.
+    /// Returns the message of an attempt. Throws `request_refused` if it cannot be sent to any server, since a name or
+    /// an id in it cannot stand in a header.
+    [[nodiscard]] http_request make_message(const dispatch& attempt) const;
     [[nodiscard]] dispatch make_dispatch(const backend_server_name& server) const;
     /// Returns the options of the next exchange with a server. The exchange sends nothing if the server is no longer
     /// listed, or the caller has disconnected, by then. The permit counts as used when the request is sent.
--- a/tests/fuzz/fuzz_messages.cpp
+++ b/tests/fuzz/fuzz_messages.cpp
@@ -9,6 +9,7 @@
 #include "gossip/relayed_configuration.hpp"
 #include "platform/configuration_decoder.hpp"
 #include "platform/server_record_decoder.hpp"
+#include "platform/store_listing.hpp"
 #include "servers/event_splitter.hpp"
 #include "servers/host_digest.hpp"
 
@@ -73,10 +74,20 @@
     require(pieces.get_last_id() == whole.get_last_id());
 }
 
+/// A page of a listing either names the key after which the next one begins, or is the last one.
+void check_listing(std::string_view text) {
+    platform::store_listing listing;
+    listing.add_page(text, 1);
+    require(listing.is_complete() || !listing.get_last_key().empty());
+    for (const platform::keyed_record& record : listing.take_page().records) {
+        require(!record.key.empty() && record.value.has_value());
+    }
+}
+
 using check = void (*)(std::string_view);
-constexpr std::array<check, 8> checks{check_configuration, check_server_record,        check_digest,
-                                      check_lease_record,  check_usage_record,         check_report_book,
-                                      check_events,        check_relayed_configuration};
+constexpr std::array<check, 9> checks{check_configuration, check_server_record,         check_digest,
+                                      check_lease_record,  check_usage_record,          check_report_book,
+                                      check_events,        check_relayed_configuration, check_listing};
 
 } // namespace
 
@@ -87,8 +98,10 @@
         return 0;
     }
     const std::string_view text(reinterpret_cast<const char*>(data) + 1, size - 1);
+    // The digits "0" to "8" select the checks in their order.
+    constexpr unsigned selectors = 16;
     try {
-        checks.at(data[0] % checks.size())(text);
+        checks.at(data[0] % selectors % checks.size())(text);
     } catch (const malformed_message_error&) {
         return 0;
     }
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -1,5 +1,6 @@
 #include "standin/raw_server.hpp"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "support/free_address.hpp"
@@ -15,6 +16,12 @@
     co_await asio::async_write(m_socket, asio::buffer(bytes), store_error(ignored));
 }
 
+asio::awaitable<void> raw_connection::read(std::size_t count) {
+    std::string bytes(count, '\0');
+    error_code ignored;
+    co_await asio::async_read(m_socket, asio::buffer(bytes), store_error(ignored));
+}
+
 asio::awaitable<void> raw_connection::wait_for_end() {
     std::string piece(1024, '\0');
     error_code fault;
@@ -23,6 +30,11 @@
     }
 }
 
+void raw_connection::end_sending() {
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void raw_connection::reset() {
     error_code ignored;
     m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -34,11 +46,17 @@
     m_socket.close(ignored);
 }
 
-raw_server::raw_server(asio::io_context& loop, behaviour handler)
+raw_server::raw_server(asio::io_context& loop, behaviour handler, request_part read_before_response)
     : m_acceptor(std::make_shared<tcp::acceptor>(testing::listen_on_free_port(loop))),
       m_state(std::make_shared<shared_state>()), m_endpoint{.address = "127.0.0.1",
                                                             .port = m_acceptor->local_endpoint().port()} {
     m_state->handler = std::move(handler);
+    m_state->read_before_response = read_before_response;
+    if (read_before_response == request_part::head) {
+        // A longer body then waits at the peer until the test reads it.
+        constexpr int receive_buffer_bytes = 16 * 1024;
+        m_acceptor->set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    }
     asio::co_spawn(loop, accept(m_acceptor, m_state), asio::detached);
 }
 
@@ -84,7 +102,11 @@
         parser.body_limit(boost::none);
         parser.header_limit(header_limit_bytes);
         error_code fault;
-        co_await http::async_read(connection->get_socket(), buffer, parser, store_error(fault));
+        if (state->read_before_response == request_part::head) {
+            co_await http::async_read_header(connection->get_socket(), buffer, parser, store_error(fault));
+        } else {
+            co_await http::async_read(connection->get_socket(), buffer, parser, store_error(fault));
+        }
         if (fault) {
             co_return;
         }
@@ -92,6 +114,10 @@
         state->requests.push_back(request);
         const behaviour handler = state->handler;
         co_await handler(request, *connection);
+        if (state->read_before_response == request_part::head) {
+            // What follows is the rest of the body.
+            co_return;
+        }
     }
 }
 
--- a/tests/standin/raw_server.hpp
+++ b/tests/standin/raw_server.hpp
@@ -25,8 +25,12 @@
 
     /// Writes the bytes unchanged.
     asio::awaitable<void> write(std::string bytes);
+    /// Reads and drops this number of bytes, or fewer if the connection ends.
+    asio::awaitable<void> read(std::size_t count);
     /// Waits until the peer has closed the connection.
     asio::awaitable<void> wait_for_end();
+    /// Ends the sending direction, so that the peer sees the end of the data but may still send.
+    void end_sending();
     /// Closes the connection with a TCP reset.
     void reset();
     void close();
@@ -37,15 +41,19 @@
     asio::ip::tcp::socket m_socket;
 };
 
+/// How much of a request a test server reads before it responds.
+enum class request_part { whole, head };
+
 /// A test server that reads whole requests, records them, and calls a function that responds to them.
 ///
 /// Not thread safe: it is used on its event loop.
 class raw_server {
 public:
-    /// Responds to one request. If the connection is still open afterwards, the server reads another request from it.
+    /// Responds to one request. If the connection is still open afterwards, the server reads another request from it,
+    /// unless it reads only the heads of requests.
     using behaviour = std::function<asio::awaitable<void>(const servers::http_request&, raw_connection&)>;
 
-    raw_server(asio::io_context& loop, behaviour handler);
+    raw_server(asio::io_context& loop, behaviour handler, request_part read_before_response = request_part::whole);
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
     raw_server(raw_server&&) = delete;
@@ -64,6 +72,7 @@
     /// State that outlives the server while a connection still uses it.
     struct shared_state {
         behaviour handler;
+        request_part read_before_response{request_part::whole};
         std::vector<servers::http_request> requests;
         std::size_t connections{0};
         std::list<std::weak_ptr<raw_connection>> open;
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -57,8 +57,9 @@
 
     /// Adds a backend server to the server list. `stage` is empty for an instance of the plain service.
     standin::raw_server& add_server(const std::string& name, std::optional<fleet::engine_stage> stage,
-                                    standin::raw_server::behaviour answer) {
-        auto server = std::make_unique<standin::raw_server>(loop, std::move(answer));
+                                    standin::raw_server::behaviour answer,
+                                    standin::request_part read_before_response = standin::request_part::whole) {
+        auto server = std::make_unique<standin::raw_server>(loop, std::move(answer), read_before_response);
         state.eligibility.get_list().apply({.id = backend_server_name(name),
                                             .service = service_name(stage ? "llm" : "app"),
                                             .address = server->get_endpoint(),
