Relay entries that cannot be read without their bytes

An entry with bytes that are no UTF-8 arrived at the leader of a group, which relayed it as it was. The datagram is JSON, so that no host of the group could read it: all true entries on the same page were lost with it, and each host had to read the store itself. A long entry filled a datagram of its own, which is dropped from 60,000 bytes on.

Change: `server_list` relays a rejected entry with an empty value, which the others reject as well, so that the checksums of lists still agree. An entry under a key that is no name is logged and changes nothing.

--- a/daemon/server_list.cpp
+++ b/daemon/server_list.cpp
@@ -5,6 +5,7 @@
 
 #include "core/error.hpp"
 #include "core/hash.hpp"
+#include "core/text.hpp"
 #include "platform/server_record_decoder.hpp"
 
 namespace dragonflywell::daemon {
@@ -141,9 +142,12 @@
     std::vector<platform::keyed_record> changes;
     const std::uint64_t first_new = m_topic.get_next_position()->offset;
     for (const platform::keyed_record& record : page.records) {
-        if (record.offset >= first_new && apply(record, page.next.era, now)) {
-            changes.push_back(record);
-            keep_change(record);
+        if (record.offset < first_new) {
+            continue;
+        }
+        if (std::optional<platform::keyed_record> change = apply(record, page.next.era, now)) {
+            keep_change(*change);
+            changes.push_back(std::move(*change));
         }
     }
     return changes;
@@ -195,17 +199,27 @@
     return changes;
 }
 
-bool server_list::apply(const platform::keyed_record& record, std::uint64_t era, steady_time now) {
+std::optional<platform::keyed_record> server_list::apply(const platform::keyed_record& record, std::uint64_t era,
+                                                         steady_time now) {
+    // No server has such a name, and digests and relayed records could not hold it.
+    if (!is_entry_name(record.key)) {
+        m_listener->on_entry_rejected(record, "the key is no name");
+        return std::nullopt;
+    }
     if (!record.value) {
         const backend_server_name server(record.key);
         m_listener->on_entry_removed(server, m_eligibility->get_list().remove(server, now));
-        return m_checksum.erase(record.key);
+        return m_checksum.erase(record.key) ? std::optional(record) : std::nullopt;
     }
     try {
-        return apply_entry(record, era, now);
+        return apply_entry(record, era, now) ? std::optional(record) : std::nullopt;
     } catch (const malformed_message_error& fault) {
         m_listener->on_entry_rejected(record, fault.what());
-        return m_checksum.set(record.key, rejected_state);
+        if (!m_checksum.set(record.key, rejected_state)) {
+            return std::nullopt;
+        }
+        // Others reject an empty entry as well, while its value may be long, or bytes that a datagram cannot hold.
+        return platform::keyed_record{.offset = record.offset, .key = record.key, .value = ""};
     }
 }
 
--- a/daemon/server_list.hpp
+++ b/daemon/server_list.hpp
@@ -121,8 +121,10 @@
     /// Applies those records of a page that this host does not know. Returns those that have changed the list.
     std::vector<platform::keyed_record> apply_new_records(const platform::store_page& page, steady_time now);
     void apply_listing(const platform::store_page& page, steady_time now);
-    /// Applies a record of the topic. Returns whether the state of its entry has changed.
-    bool apply(const platform::keyed_record& record, std::uint64_t era, steady_time now);
+    /// Applies a record of the topic. Returns what other hosts need of it; nothing if it has changed no entry.
+    std::optional<platform::keyed_record> apply(const platform::keyed_record& record, std::uint64_t era,
+                                                steady_time now);
+    /// Returns whether the state of the entry has changed. Throws `malformed_message_error`.
     bool apply_entry(const platform::keyed_record& record, std::uint64_t era, steady_time now);
     void keep_change(const platform::keyed_record& record);
     /// Ends the application of a page that ends at `next`.
