Ignore entries of another writer in the topics of lease and reports

What callers saw: nothing yet; found by reading. The holder of the lease lost it when any entry appeared in the topic of the lease, under whatever key, and organisations lost a usage window when an entry stood beside the report state at the first start.

Cause: `lease_keeper` took each record of the topic for one of a candidate, and `usage_reporter` took any record for a sign that earlier reports may have been lost.

Change: both look at the one key that candidates write. A malformed record under that key still names no holder. Why it is safe: two candidates are kept apart by conditional appends at the end of the topic, which a foreign entry moves like any other, so that an append that did not see it fails and reads again.

Evidence: both new tests failed before (the term was gone after the first entry; one window skipped) and pass now.

--- a/daemon/lease_keeper.cpp
+++ b/daemon/lease_keeper.cpp
@@ -17,7 +17,8 @@
 std::vector<coordination::lease_topic_entry> decode(const platform::store_page& page) {
     std::vector<coordination::lease_topic_entry> records;
     for (const platform::keyed_record& record : page.records) {
-        if (!record.value) {
+        // Candidates write under one key. An entry of another writer under another one is no record of a candidate.
+        if (record.key != topics::singleton_key || !record.value) {
             continue;
         }
         try {
--- a/daemon/usage_reporter.cpp
+++ b/daemon/usage_reporter.cpp
@@ -73,18 +73,20 @@
         co_return false;
     }
     const bool is_first_era = page.next.era == m_store->get_first_era();
-    const bool is_first = page.records.empty() && is_first_era && page.next.era <= max_first_log_era;
+    bool has_record = false;
     coordination::report_state state;
     for (const platform::keyed_record& record : page.records) {
         if (record.key != topics::singleton_key || !record.value) {
             continue;
         }
+        has_record = true;
         try {
             state = coordination::decode_report_state(*record.value);
         } catch (const malformed_message_error& fault) {
             log_event("report_book_rejected").add("reason", fault.what()).write(*m_log, spdlog::level::err);
         }
     }
+    const bool is_first = !has_record && is_first_era && page.next.era <= max_first_log_era;
     if (!is_first_era && m_report_state_end.era != page.next.era) {
         m_era_known_since = m_state->time.now();
     }
--- a/tests/daemon/test_odd_entries.cpp
+++ b/tests/daemon/test_odd_entries.cpp
@@ -3,6 +3,7 @@
 
 #include "core/json.hpp"
 #include "daemon/host_list.hpp"
+#include "daemon/lease_keeper.hpp"
 #include "daemon/server_list_follower.hpp"
 #include "daemon/store_topics.hpp"
 #include "gossip/relayed_records.hpp"
@@ -151,3 +152,18 @@
     run_until(loop, [&] { return is_read; });
     CHECK(listed == std::set<std::string>{"h2", "h3", "zz9"});
 }
+
+TEST_CASE_FIXTURE(fixture, "an entry of another writer in the topic of the lease ends no lease") {
+    const std::string topic(daemon::topics::lease);
+    daemon::lease_keeper lease(client, clock, {.holder = "h1", .incarnation = 1, .length = 3s, .takeover_delay = 3s});
+    boost::asio::co_spawn(loop, lease.run(), boost::asio::detached);
+    run_until(loop, [&] { return lease.is_held(); });
+    const std::optional<std::uint64_t> term = lease.get_term();
+    for (int second = 0; second < 4; ++second) {
+        const std::size_t records = store.get_history(topic).size();
+        store.put(topic, fmt::format("odd {}", second), unreadable);
+        clock.advance(1s);
+        run_until(loop, [&] { return store.get_history(topic).size() > records + 1 || !lease.is_held(); });
+        CHECK(lease.get_term() == term);
+    }
+}
--- a/tests/daemon/test_usage_after_restore.cpp
+++ b/tests/daemon/test_usage_after_restore.cpp
@@ -174,3 +174,13 @@
     run_until(loop, is_recorded);
     CHECK(is_recorded());
 }
+
+TEST_CASE_FIXTURE(fixture, "an entry of another writer beside the report state costs no window") {
+    store.put(std::string(daemon::topics::reports), "odd one", "not a state");
+    put_usage("h2", window, 3);
+    start_reporter();
+    run_until(loop, [&] { return get_report_state().has_value(); });
+    run_with_renewals([&] { return receiver.reported.contains(window); });
+    CHECK(receiver.reported.contains(window));
+    CHECK(metrics.get_counter("dragonflywell_usage_windows_skipped_total").get() == 0);
+}
