Complete no response without a length whose request failed to be sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: Linux reports the error of a broken connection once. Asio completes a write before a read, so that the write under way took the error and the read after it saw an ordinary end of the connection, where Beast completes a body without a length. The result of the write was kept only as a flag against reuse; nothing that read a body asked for it.

Change: a connection keeps why its last write failed. Where the end of the connection completes a response, `backend_exchange` waits until the request is sent, within its time limits, and fails if that failed. It is the one place through which plain responses, streams, prefills and calls read.

Why it works: the end of a connection is the end of a response only if it is no error, and an error that the read does not see was seen by the write. A response with a length or in chunks has an end of its own and is not affected. A whole response and its end may still come before the upload was read: the server then reads on and the write succeeds. A server that ends its response and never reads on is given up at the request's time limit.

`blocking_http_client` held already, since it reads only after the whole request was sent; its test stays.

--- a/servers/backend_connection_pool.hpp
+++ b/servers/backend_connection_pool.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/execution_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <compare>
 #include <map>
 #include <memory>
@@ -26,13 +27,18 @@
 
 /// A connection to one backend server, with the bytes that were read ahead of the parser.
 struct backend_connection {
-    explicit backend_connection(const asio::any_io_executor& executor) : stream(executor) {}
+    explicit backend_connection(const asio::any_io_executor& executor) : stream(executor), send_end(executor) {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_read_ahead_bytes};
     /// The bytes being sent. They stay until the write is complete, even if the exchange ends earlier.
     std::string outgoing;
     bool is_sending{false};
+    /// Why the last write failed. The error of a broken connection is reported once, so that a read that follows the
+    /// write sees an ordinary end of the connection instead.
+    error_code send_fault;
+    /// Is cancelled when a write ends.
+    asio::steady_timer send_end;
     /// Whether it has carried an exchange before; the server may have closed it since then.
     bool is_reused{false};
     exchange_history history;
--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -134,12 +134,14 @@
     m_connection->history.record(m_options.matching ? m_options.matching->request_id : std::string());
     m_connection->outgoing = encode_request(request);
     m_connection->is_sending = true;
+    m_connection->send_fault = {};
     m_is_sent = true;
-    // The write is not awaited, because the response may arrive before the server has read a long body. A failed write
-    // shows as a failed read.
+    // The write is not awaited, because the response may arrive before the server has read a long body.
     asio::async_write(m_connection->stream.socket(), asio::buffer(m_connection->outgoing),
                       [connection = m_connection](const error_code& fault, std::size_t /*sent*/) {
-                          connection->is_sending = fault.failed();
+                          connection->is_sending = false;
+                          connection->send_fault = fault;
+                          connection->send_end.cancel();
                       });
 }
 
@@ -208,9 +210,31 @@
     if (m_is_cancelled && (m_parser->need_eof() || !m_parser->is_done())) {
         fail(asio::error::operation_aborted, exchange_phase::after_send, "exchange was cancelled");
     }
+    const bool is_ended_by_connection = m_parser->is_done() && m_parser->need_eof();
+    if (is_ended_by_connection) {
+        co_await require_request_sent();
+    }
     co_return m_piece.size() - body.size;
 }
 
+asio::awaitable<void> backend_exchange::require_request_sent() {
+    if (m_connection->is_sending) {
+        m_connection->send_end.expires_after(get_time_limit());
+        error_code ignored;
+        co_await m_connection->send_end.async_wait(store_error(ignored));
+    }
+    if (m_is_cancelled) {
+        fail(asio::error::operation_aborted, exchange_phase::after_send, "exchange was cancelled");
+    }
+    if (m_connection->is_sending) {
+        m_connection->stream.close();
+        fail(beast::error::timeout, exchange_phase::after_send, "the server did not read the request");
+    }
+    if (m_connection->send_fault) {
+        fail(m_connection->send_fault, exchange_phase::after_send, "the connection broke before the request was sent");
+    }
+}
+
 asio::awaitable<std::string_view> backend_exchange::read_some() {
     while (!m_parser->is_done()) {
         const std::size_t received = co_await read_piece();
@@ -226,7 +250,7 @@
 
 void backend_exchange::return_connection() {
     const bool is_clean = m_connection != nullptr && m_parser->get().keep_alive() && !m_connection->is_sending &&
-                          m_connection->buffer.size() == 0;
+                          !m_connection->send_fault && m_connection->buffer.size() == 0;
     if (is_clean) {
         m_connection->keep_alive_timeout = get_keep_alive_time(m_parser->get());
         m_pool->put_idle(m_server, std::move(m_connection));
@@ -281,7 +305,11 @@
 }
 
 void backend_exchange::set_progress_timeout() {
-    m_connection->stream.expires_after(std::clamp(get_time_left(), duration::zero(), m_options.progress_timeout));
+    m_connection->stream.expires_after(get_time_limit());
+}
+
+duration backend_exchange::get_time_limit() const {
+    return std::clamp(get_time_left(), duration::zero(), m_options.progress_timeout);
 }
 
 duration backend_exchange::get_time_left() const {
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -134,12 +134,18 @@
     /// Reads the final response header, skipping interim ones. Returns its size.
     asio::awaitable<std::size_t> read_head(bool is_head_request);
     asio::awaitable<void> skip_foreign_response();
+    /// Reads the next bytes of the body. Returns their number.
     asio::awaitable<std::size_t> read_piece();
+    /// Waits until the request is sent. Throws `exchange_failed_error` if that fails: the end of the connection then
+    /// does not show that a response without a length is complete.
+    asio::awaitable<void> require_request_sent();
     /// Counts bytes that do not belong to the response to this request. Throws `exchange_failed_error` when there are
     /// too many.
     void count_skipped_bytes(std::size_t count);
     void return_connection();
     void set_progress_timeout();
+    /// Returns the time limit of one operation.
+    [[nodiscard]] duration get_time_limit() const;
     [[nodiscard]] duration get_time_left() const;
     [[noreturn]] void fail(const error_code& fault, exchange_phase phase, const char* operation) const;
 
--- a/tests/platform/test_blocking_http_client.cpp
+++ b/tests/platform/test_blocking_http_client.cpp
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "platform/blocking_http_client.hpp"
+#include "standin/raw_server.hpp"
 
 using namespace dragonflywell;
 using boost::asio::ip::tcp;
@@ -137,3 +138,24 @@
         }
     }
 }
+
+TEST_CASE("a part of a response that is cut while the request is being written is not a response") {
+    boost::asio::io_context loop(1);
+    standin::raw_server server(
+        loop,
+        [](const servers::http_request& /*request*/,
+           standin::raw_connection& connection) -> boost::asio::awaitable<void> {
+            co_await connection.write("HTTP/1.1 200 OK\r\n\r\n{\"a\":");
+            connection.reset();
+        },
+        standin::request_part::head);
+    std::thread runner([&] { loop.run(); });
+    platform::blocking_http_client client({.server = server.get_endpoint()});
+    constexpr std::size_t body_bytes = 4UL * 1024 * 1024;
+    for (int round = 0; round < 5; ++round) {
+        CHECK_THROWS_AS(client.exchange(boost::beast::http::verb::post, "/", std::string(body_bytes, 'x')),
+                        platform::http_exchange_error);
+    }
+    loop.stop();
+    runner.join();
+}
--- a/tests/servers/test_exchange_faults.cpp
+++ b/tests/servers/test_exchange_faults.cpp
@@ -1,3 +1,5 @@
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include "servers/backend_exchange.hpp"
@@ -189,3 +191,57 @@
     }
     CHECK(connections.size() == 2);
 }
+
+namespace {
+
+/// Responds before the body of the request is read, ends the sending direction, and never reads on.
+asio::awaitable<void> answer_and_stop_reading(const http_request& request, raw_connection& connection) {
+    const std::string bytes = "HTTP/1.1 200 OK\r\nId: " + get_id(request) + "\r\n\r\nall of it";
+    co_await connection.write(bytes);
+    connection.end_sending();
+    asio::steady_timer never(connection.get_socket().get_executor(), asio::steady_timer::time_point::max());
+    co_await never.async_wait(asio::use_awaitable);
+}
+
+constexpr std::size_t long_body_bytes = 32UL * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture,
+                  "a server that ends its response and never reads the request holds no caller for longer than "
+                  "the time limit") {
+    raw_server server(loop, answer_and_stop_reading, standin::request_part::head);
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        const exchange_options options{.progress_timeout = 100ms, .accepts_unframed_response = true};
+        backend_exchange exchange(pool, server.get_endpoint(), options);
+        http_request request(http::verb::post, "/", 11);
+        request.body() = std::string(long_body_bytes, 'x');
+        std::optional<policy::retry_reason> reason;
+        try {
+            co_await exchange.start(request);
+            co_await exchange.read_rest(1000);
+        } catch (const exchange_failed_error& failure) {
+            reason = failure.get_reason();
+        }
+        CHECK(reason == policy::retry_reason::silent_backend_server);
+    });
+}
+
+TEST_CASE_FIXTURE(fixture, "a caller that leaves while the request is still being sent ends the exchange") {
+    raw_server server(loop, answer_and_stop_reading, standin::request_part::head);
+    const exchange_options options{.progress_timeout = 60s, .accepts_unframed_response = true};
+    backend_exchange exchange(pool, server.get_endpoint(), options);
+    bool has_failed = false;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        http_request request(http::verb::post, "/", 11);
+        request.body() = std::string(long_body_bytes, 'x');
+        try {
+            co_await exchange.start(request);
+            asio::post(loop, [&] { exchange.cancel(); });
+            co_await exchange.read_rest(1000);
+        } catch (const exchange_failed_error&) {
+            has_failed = true;
+        }
+    });
+    CHECK(has_failed);
+}
