Reject a response header with a folded line

What callers saw, in a test: a line that begins with a blank behind the seal of a response (" X: 1") became a part of the seal, so that the caller got a 200 whose seal was not the server's, and a stream or a refusal in the same way.

Cause: obsolete HTTP continues a field on a line that begins with a blank, and Beast joins such lines before anything here sees them.

Change: `read_response_head` reads the header with Beast's parser and looks at the bytes that it takes. A folded line fails the exchange like any malformed header. HTTP permits this for a gateway (RFC 9112, 5.2: discard the message and respond with 502). Why it works: the parser takes a field only when it has seen the first byte of the next line, so that a folded line always stands within the bytes that it takes at once; a test divides the header at each byte.

--- a/servers/backend_exchange.cpp
+++ b/servers/backend_exchange.cpp
@@ -161,8 +161,7 @@
             m_parser->skip(is_head_request);
         }
         set_progress_timeout();
-        head_bytes =
-            co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, store_error(fault));
+        head_bytes = co_await read_response_head(*m_connection, *m_parser, fault);
         if (fault) {
             fail(fault, exchange_phase::after_send, "reading the response header failed");
         }
--- a/servers/backend_exchange.hpp
+++ b/servers/backend_exchange.hpp
@@ -8,6 +8,7 @@
 #include "core/error.hpp"
 #include "policy/outcome.hpp"
 #include "servers/backend_connection_pool.hpp"
+#include "servers/response_head.hpp"
 
 namespace dragonflywell::servers {
 
@@ -153,7 +154,7 @@
     endpoint m_server;
     exchange_options m_options;
     std::shared_ptr<backend_connection> m_connection;
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::optional<response_parser> m_parser;
     std::string m_piece;
     /// What the body of `read_rest` holds, also while it is sent to the caller.
     std::unique_ptr<byte_budget::share> m_buffered;
--- a/tests/platform/test_malformed_heads.cpp
+++ b/tests/platform/test_malformed_heads.cpp
@@ -4,6 +4,7 @@
 #include "platform/engine_order_client.hpp"
 #include "platform/store_client.hpp"
 #include "support/generation_parts.hpp"
+#include "support/let_others_run.hpp"
 #include "support/malformed_heads.hpp"
 
 using namespace dragonflywell;
@@ -12,6 +13,7 @@
 using dragonflywell::standin::raw_server;
 using dragonflywell::testing::decode;
 using dragonflywell::testing::make_events;
+using dragonflywell::testing::make_odd_fields;
 using dragonflywell::testing::make_odd_statuses;
 using dragonflywell::testing::malformed_head;
 using dragonflywell::testing::prefill;
@@ -224,3 +226,38 @@
     check_engine_calls(make_odd_statuses());
     check_duty_calls(make_odd_statuses());
 }
+
+TEST_CASE("a response with a field that has no proper name is never taken for a response to a plain request") {
+    check_plain_requests(make_odd_fields());
+}
+
+TEST_CASE("a response with a field that has no proper name is never taken for a stream or a prefill") {
+    check_streams(make_odd_fields());
+    check_resumed_streams(make_odd_fields());
+    check_prefills(make_odd_fields());
+}
+
+TEST_CASE("a response with a field that has no proper name is never a result of the store, an engine or a duty") {
+    check_store_calls(make_odd_fields());
+    check_engine_calls(make_odd_fields());
+    check_duty_calls(make_odd_fields());
+}
+
+TEST_CASE("a folded line is rejected wherever the bytes of the header are divided") {
+    const std::string fields = sealed + " X: 1\r\n";
+    const std::string whole = malformed_head().encode(status_ok, "Dragonflywell-Attempt-Id: a1\r\n" + fields, "body");
+    for (std::size_t first = 1; first < whole.size(); ++first) {
+        CAPTURE(first);
+        serving_fixture serving;
+        serving.configure();
+        serving.add_server(
+            "a", std::nullopt,
+            [&](const servers::http_request& /*request*/, raw_connection& connection) -> asio::awaitable<void> {
+                co_await connection.write(whole.substr(0, first));
+                co_await testing::let_others_run();
+                co_await connection.write(whole.substr(first));
+                connection.close();
+            });
+        CHECK(serving.ask(http::verb::post, "/unsafe/x", "in").status == bad_gateway);
+    }
+}
--- a/tests/support/malformed_heads.hpp
+++ b/tests/support/malformed_heads.hpp
@@ -36,4 +36,35 @@
     return heads;
 }
 
+/// Returns headers with a field that has no proper name, or whose length is told in two ways.
+inline std::vector<malformed_head> make_odd_fields() {
+    std::vector<malformed_head> heads;
+    using namespace std::string_literals;
+    for (const std::string& field : {"X Y: 1"s,
+                                     "X\tY: 1"s,
+                                     "X\x01Y: 1"s,
+                                     "X\0Y: 1"s,
+                                     "X\x7fY: 1"s,
+                                     "X\xc3\xa9: 1"s,
+                                     "X\rY: 1"s,
+                                     ": 1"s,
+                                     " X: 1"s,
+                                     "\tX: 1"s,
+                                     "X : 1"s,
+                                     "X\t: 1"s,
+                                     "X"s,
+                                     "X(Y): 1"s,
+                                     "X: \x01"s,
+                                     "X: a\0b"s,
+                                     "Content-Length : 1"s,
+                                     "Transfer-Encoding : chunked"s,
+                                     "Content-Length: 1"s,
+                                     "Content-Length: +1"s,
+                                     "Transfer-Encoding: chunked"s,
+                                     "Dragonflywell Server-Seal: seal"s}) {
+        heads.push_back({.fields = field + "\r\n"});
+    }
+    return heads;
+}
+
 } // namespace dragonflywell::testing
