--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -3,8 +3,10 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "daemon/store_topics.hpp"
 #include "servers/sleep.hpp"
 #include "standin/fault_plan.hpp"
+#include "support/odd_keys.hpp"
 
 namespace dragonflywell::soak {
 
@@ -119,10 +121,18 @@
       m_reports_server({&loop}, reports, {.listen = {.address = "127.0.0.1", .port = 0}, .limits = {}}) {}
 
 void soak_platform::start() {
+    put_odd_entries();
     m_store_server.start();
     m_reports_server.start();
 }
 
+void soak_platform::put_odd_entries() {
+    for (const std::string& key : testing::make_odd_keys()) {
+        store.inner.put(servers_topic, key, "not an entry");
+        store.inner.put(std::string(daemon::topics::hosts), key, "not an entry");
+    }
+}
+
 void soak_platform::publish(const std::map<std::string, std::set<std::string>>& keys) {
     boost::json::array organisations;
     for (const auto& [organisation, in_force] : keys) {
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -84,6 +84,8 @@
     usage_report_receiver reports;
 
 private:
+    /// Puts entries of another writer into the lists, where they stand during the whole run.
+    void put_odd_entries();
     servers::http_server m_store_server;
     servers::http_server m_reports_server;
     void write_configuration(const std::string& document);
