--- a/tests/daemon/test_odd_entries.cpp
+++ b/tests/daemon/test_odd_entries.cpp
@@ -10,6 +10,7 @@
 #include "platform/engine_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/odd_keys.hpp"
+#include "support/run_in_time.hpp"
 #include "support/store_fixture.hpp"
 
 using namespace dragonflywell;
@@ -53,14 +54,9 @@
         run_until(loop, [this] { return follower->is_loaded(); });
     }
 
-    /// Runs the loop until the condition holds, while the virtual time passes.
     template <typename Condition>
     void run_in_time_until(Condition condition) {
-        loop.restart();
-        while (!condition()) {
-            clock.advance(1ms);
-            loop.run_one_for(1ms);
-        }
+        testing::run_in_time_until(loop, clock, condition);
     }
 
     [[nodiscard]] int count_true_servers() const {
