Quarantine of prompt parts costs no more than the parts' number

Cause: the quarantine kept, for each part of each record, the set of all parts beside it, and searched all records for each part of each answer, clearance and check, on the event loop. Records of long prompts were not announced to other hosts at all.

Long records are announced shortened and again when a part is blamed. crash_attribution bounds the parts over all servers; list entries of a head count against the memory for callers; log lines name 16 parts.

--- a/policy/crash_attribution.hpp
+++ b/policy/crash_attribution.hpp
@@ -16,6 +16,8 @@
     duration retention{std::chrono::seconds(10)};
     /// Maximum number of broken exchanges kept for one server. More of them do not help to identify the cause.
     std::size_t max_per_server{64};
+    /// Maximum number of prompt parts kept for all servers. Beyond it, the oldest exchanges lose theirs.
+    std::size_t max_parts{65'536};
 };
 
 /// A request whose connection broke after it was sent.
@@ -44,8 +46,16 @@
     /// them, so that each is returned once.
     [[nodiscard]] std::vector<crash_suspect> take_crash_suspects(const backend_server_name& server, steady_time now);
 
+    /// Returns how many prompt parts are kept.
+    [[nodiscard]] std::size_t count_parts() const noexcept { return m_part_count; }
+
 private:
+    /// Removes exchanges, and counts their parts as gone.
+    void remove_old(std::vector<crash_suspect>& broken, steady_time now);
+    void drop_oldest_parts();
+
     crash_attribution_options m_options;
+    std::size_t m_part_count{0};
     std::map<backend_server_name, std::vector<crash_suspect>> m_broken;
 };
 
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t first_body_bytes = 16UL * 1024;
 /// Bytes of a parsed field besides its text: its node, the allocator's overhead, and its copy for the backend server.
 constexpr std::size_t field_bytes = 192;
+/// Bytes of an entry of a list in a field, such as a prompt part, once it is decoded, with its copies while the request
+/// runs.
+constexpr std::size_t list_entry_bytes = 40;
 /// A body that runs is held as the request, as the message to a backend server, and as the bytes being sent; the
 /// latter again where the same request is sent to a second server.
 constexpr std::size_t copies_of_running_body = 4;
@@ -56,7 +59,8 @@
 std::size_t get_held_bytes(std::string_view head) {
     constexpr std::size_t copies = 2;
     const auto fields = static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n'));
-    return fields * field_bytes + copies * head.size();
+    const auto entries = static_cast<std::size_t>(std::count(head.begin(), head.end(), ','));
+    return fields * field_bytes + entries * list_entry_bytes + copies * head.size();
 }
 
 } // namespace
--- a/servers/digest_items.cpp
+++ b/servers/digest_items.cpp
@@ -78,7 +78,7 @@
 
 array encode_item(const policy::part_crash& crash) {
     return {crash.crash_id, array(crash.parts.begin(), crash.parts.end()),
-            to_microseconds(crash.moment.time_since_epoch())};
+            to_microseconds(crash.moment.time_since_epoch()), crash.requests};
 }
 
 array encode_item(const policy::part_clearance& clearance) {
@@ -130,7 +130,8 @@
         }
         crashes.push_back({.crash_id = get_number(crash, 0),
                            .parts = std::move(ids),
-                           .moment = wall_time(std::chrono::microseconds(get_number(crash, 2)))});
+                           .moment = wall_time(std::chrono::microseconds(get_number(crash, 2))),
+                           .requests = get_number(crash, 3)});
     }
     return crashes;
 }
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -45,6 +45,7 @@
     : serving_request(state, std::move(request), record), m_request_number(get_next_number()),
       m_engine_status(state, get_request().service, get_prompt_key(get_caller_request(), m_request_number)) {
     const generation_parameters& parameters = *get_caller_request().generation;
+    m_parts.reserve(parameters.parts.size());
     for (const prompt_part& part : parameters.parts) {
         m_parts.push_back({.id = part.id, .tokens = part.tokens});
     }
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -130,6 +130,7 @@
         return parts;
     }
     const std::span<const prompt_part> all = incoming.generation->parts;
+    parts.reserve(all.size() - 1);
     for (const prompt_part& part : all.first(all.size() - 1)) {
         parts.push_back(part.id);
     }
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -25,10 +25,18 @@
 constexpr std::uint32_t min_failure_witnesses = 2;
 /// Ejection time that this host reports for a stalled server. It covers the time until one or two digests later.
 constexpr duration stalled_ejection_time = std::chrono::seconds(1);
-
-template <typename Parts>
-std::string format_parts(const Parts& parts) {
-    return fmt::format("{:x}", fmt::join(parts, ","));
+/// Number of records of crashes that are announced again for hosts that may not know them.
+constexpr std::size_t max_reannounced_crashes = 64;
+
+/// Returns parts for a log line: the first ones, and how many more there are.
+std::string format_parts(std::span<const policy::prompt_part_id> parts) {
+    constexpr std::size_t max_logged_parts = 16;
+    const std::span<const policy::prompt_part_id> logged = parts.first(std::min(parts.size(), max_logged_parts));
+    std::string text = fmt::format("{:x}", fmt::join(logged, ","));
+    if (logged.size() < parts.size()) {
+        text += fmt::format(",+{}", parts.size() - logged.size());
+    }
+    return text;
 }
 
 } // namespace
@@ -338,13 +346,23 @@
             .write(*log, spdlog::level::warn);
         const policy::part_crash part_crash{
             .crash_id = suspect.server_incarnation, .parts = suspect.waiting_parts, .moment = moment};
-        if (!part_crash.parts.empty() && record_part_crash(part_crash)) {
-            group_announcements.part_crashes.add(part_crash, now);
-            intergroup_announcements.part_crashes.add(part_crash, now);
+        if (part_suspects.record_crash(part_crash)) {
+            announce_part_crash(part_suspects.shorten(part_crash));
+        }
+    }
+    if (log_blamed_parts()) {
+        // The records of long prompts were announced without most of their parts.
+        for (const policy::part_crash& crash : get_blamed_crashes()) {
+            announce_part_crash(crash);
         }
     }
 }
 
+void serving_state::announce_part_crash(const policy::part_crash& crash) {
+    group_announcements.part_crashes.add(crash, time.now());
+    intergroup_announcements.part_crashes.add(crash, time.now());
+}
+
 void serving_state::record_prompt_answer(std::span<const policy::prompt_part_id> parts) {
     const steady_time now = time.now();
     for (const policy::part_clearance& clearance : part_suspects.record_answer(parts, get_corrected_time())) {
@@ -366,28 +384,33 @@
         }
     }
     for (const policy::part_crash& crash : digest.part_crashes) {
-        if (record_part_crash(crash) && is_own_group) {
+        if (part_suspects.record_crash(crash) && is_own_group) {
             intergroup_announcements.part_crashes.add(crash, now);
         }
     }
+    log_blamed_parts();
 }
 
 void serving_state::announce_refused_to_group() {
-    constexpr std::size_t max_records = 64;
-    const wall_time wall_now = get_corrected_time();
-    for (const policy::engine_crash& crash : suspects.get_refused_crashes(wall_now, max_records)) {
+    for (const policy::engine_crash& crash :
+         suspects.get_refused_crashes(get_corrected_time(), max_reannounced_crashes)) {
         group_announcements.crashes.add(crash, time.now());
     }
-    for (const policy::part_crash& crash : part_suspects.get_blamed_crashes(wall_now, max_records)) {
+    for (const policy::part_crash& crash : get_blamed_crashes()) {
         group_announcements.part_crashes.add(crash, time.now());
     }
 }
 
-bool serving_state::record_part_crash(const policy::part_crash& crash) {
-    const bool is_new = part_suspects.record_crash(crash);
-    std::set<std::set<policy::prompt_part_id>> blamed;
-    for (const std::set<policy::prompt_part_id>& group : part_suspects.get_blamed(get_corrected_time())) {
+std::vector<policy::part_crash> serving_state::get_blamed_crashes() {
+    return part_suspects.get_blamed_crashes(get_corrected_time(), max_reannounced_crashes);
+}
+
+bool serving_state::log_blamed_parts() {
+    bool is_new = false;
+    std::set<policy::part_quarantine::part_group> blamed;
+    for (const policy::part_quarantine::part_group& group : part_suspects.get_blamed(get_corrected_time())) {
         if (!m_logged_blamed_parts.contains(group)) {
+            is_new = true;
             log_event("prompt_parts_blamed").add("parts", format_parts(group)).write(*log, spdlog::level::err);
         }
         blamed.insert(group);
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -247,9 +247,12 @@
 
 private:
     [[nodiscard]] policy::retry_budget_options get_budget_options() const;
-    /// Records a crash with suspected prompt parts and logs each group of parts when it is blamed. Returns whether it
-    /// was not known.
-    bool record_part_crash(const policy::part_crash& crash);
+    /// Announces a crash with suspected prompt parts to all hosts.
+    void announce_part_crash(const policy::part_crash& crash);
+    /// Returns the records of blamed parts that other hosts are told again.
+    [[nodiscard]] std::vector<policy::part_crash> get_blamed_crashes();
+    /// Logs each group of parts that is blamed and was not before. Returns whether there is one.
+    bool log_blamed_parts();
 
     /// Offset of the corrected time of day from the clock that counts suspension. Its initial value is taken once,
     /// because the wall clock may be set later.
@@ -265,7 +268,7 @@
     std::optional<policy::stop_schedule> m_stop;
     std::set<backend_exchange*> m_running_exchanges;
     /// Groups of prompt parts whose blame was logged.
-    std::set<std::set<policy::prompt_part_id>> m_logged_blamed_parts;
+    std::set<policy::part_quarantine::part_group> m_logged_blamed_parts;
 };
 
 } // namespace dragonflywell::servers
--- a/tests/policy/test_crash_attribution.cpp
+++ b/tests/policy/test_crash_attribution.cpp
@@ -48,3 +48,18 @@
     }
     CHECK(watch.take_crash_suspects(first, now).size() == 2);
 }
+
+TEST_CASE("the prompt parts kept of broken exchanges are bounded over all servers, and the oldest are dropped") {
+    crash_attribution watch({.max_parts = 4});
+    const steady_time now{};
+    watch.record_broken_exchange(make_suspect(1, now), first);
+    watch.record_broken_exchange(make_suspect(2, now + std::chrono::seconds(1)), second);
+    watch.record_broken_exchange(make_suspect(3, now + std::chrono::seconds(2)), second);
+    CHECK(watch.count_parts() == 4);
+    const std::vector<crash_suspect> oldest = watch.take_crash_suspects(first, now);
+    REQUIRE(oldest.size() == 1);
+    CHECK(oldest[0].request == 1);
+    CHECK(oldest[0].waiting_parts.empty());
+    CHECK(watch.take_crash_suspects(second, now + std::chrono::seconds(2)).size() == 2);
+    CHECK(watch.count_parts() == 0);
+}
