Tests of shares end their coroutines before what these refer to

Cause: two tests of host gossip start a coroutine that sets a variable of the loop body and, after a pause, reads it once more when the body has ended.

Change: the coroutines return at the admission. The checks are the same.

--- a/tests/daemon/test_host_gossip.cpp
+++ b/tests/daemon/test_host_gossip.cpp
@@ -153,11 +153,12 @@
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                while (!is_admitted) {
+                for (;;) {
                     constexpr double more_than_own_share = 30;
                     try {
                         co_await each->state.quotas.acquire(organisation_name("org"), more_than_own_share, 1s);
                         is_admitted = true;
+                        co_return;
                     } catch (const servers::request_refused& refused) {
                         CHECK(refused.get_outcome() == policy::request_outcome::not_run);
                     }
@@ -192,9 +193,12 @@
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                while (!is_admitted) {
+                for (;;) {
                     const servers::permit_result taken = co_await each->state.limits.acquire(server_id, 1s);
-                    is_admitted = taken.permit.has_value();
+                    if (taken.permit) {
+                        is_admitted = true;
+                        co_return;
+                    }
                     asio::steady_timer pause(loop, 20ms);
                     co_await pause.async_wait(asio::use_awaitable);
                 }
