An entry of a service that is not named takes no server's address

Cause: the list of servers kept "address taken" as a flag that any later entry set on the others there and that only their own restart cleared; the configuration was not asked. Under a server's own name such an entry, born later or draining, made its true entries count as old ones.

Change: whether an address is taken is derived: the entry of a named service that started last has it. serving_state tells the list the services of each configuration. What an entry of an unnamed service says binds no other entry. A 421 is a belief of one run that ends after three seconds or with a change of the entry; the engine stays in the load tracker meanwhile, as in a pause.

--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -1,6 +1,7 @@
 #include "fleet/server_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflywell::fleet {
 
@@ -33,18 +34,24 @@
     listed_server& server = position->second;
     const server_record before = server.record;
     const bool was_missing = server.is_missing;
+    if (!is_new) {
+        remove_claim(server);
+    }
     server.record = record;
     server.record.is_draining = is_draining;
     server.is_missing = false;
+    const bool is_new_run = is_new || is_restart(before, record);
+    if (is_new_run) {
+        server.run = ++m_last_run;
+        m_removed.erase(record.id);
+    }
+    add_claim(server);
     if (!is_new && !was_missing && is_same_server(before, server.record)) {
         return directory_change::none;
     }
     server.changed_at = now;
     ++m_generation;
-    if (is_new || is_restart(before, record)) {
-        server.is_address_taken = false;
-        m_removed.erase(record.id);
-        mark_previous_at_address(record);
+    if (is_new_run) {
         return is_new ? directory_change::added : directory_change::restarted;
     }
     const bool starts_draining = is_draining && !before.is_draining;
@@ -53,24 +60,27 @@
 
 directory_change server_directory::apply_copied(const server_record& record, steady_time now) {
     const auto removed = m_removed.find(record.id);
-    const bool was_removed = removed != m_removed.end() && record.started_at_ms <= removed->second.started_at_ms;
+    const bool was_removed = removed != m_removed.end() && holds_for(removed->second.service, record) &&
+                             record.started_at_ms <= removed->second.started_at_ms;
     return was_removed ? directory_change::none : apply(record, now);
 }
 
 bool server_directory::is_of_earlier_run(const server_record& record) const {
     if (const listed_server* known = find(record.id); known != nullptr) {
-        return record.started_at_ms < known->record.started_at_ms;
+        return holds_for(known->record.service, record) && record.started_at_ms < known->record.started_at_ms;
     }
     const auto removed = m_removed.find(record.id);
-    return removed != m_removed.end() && record.started_at_ms < removed->second.started_at_ms;
+    return removed != m_removed.end() && holds_for(removed->second.service, record) &&
+           record.started_at_ms < removed->second.started_at_ms;
 }
 
 bool server_directory::has_announced_shutdown(const server_record& record) const {
     if (const listed_server* known = find(record.id); known != nullptr) {
-        return known->record.is_draining && known->record.started_at_ms == record.started_at_ms;
+        return holds_for(known->record.service, record) && known->record.is_draining &&
+               known->record.started_at_ms == record.started_at_ms;
     }
     const auto removed = m_removed.find(record.id);
-    return removed != m_removed.end() && removed->second.is_draining &&
+    return removed != m_removed.end() && holds_for(removed->second.service, record) && removed->second.is_draining &&
            removed->second.started_at_ms == record.started_at_ms;
 }
 
@@ -82,9 +92,11 @@
         }));
     }
     const server_record& record = position->second.record;
-    m_removed.insert_or_assign(
-        position->first,
-        removed_server{.started_at_ms = record.started_at_ms, .is_draining = record.is_draining, .removed_at = now});
+    remove_claim(position->second);
+    m_removed.insert_or_assign(position->first, removed_server{.service = record.service,
+                                                               .started_at_ms = record.started_at_ms,
+                                                               .is_draining = record.is_draining,
+                                                               .removed_at = now});
     m_servers.erase(position);
     ++m_generation;
 }
@@ -129,26 +141,53 @@
     return expired;
 }
 
-void server_directory::mark_address_taken(const backend_server_name& id) {
-    const auto found = m_servers.find(id);
-    if (found != m_servers.end() && !found->second.is_address_taken) {
-        found->second.is_address_taken = true;
-        ++m_generation;
+void server_directory::set_named_services(std::set<service_name> services) {
+    if (m_named_services == services) {
+        return;
+    }
+    m_named_services = std::move(services);
+    m_claims.clear();
+    m_claim_count = 0;
+    for (const auto& [id, server] : m_servers) {
+        add_claim(server);
     }
+    ++m_generation;
 }
 
-const listed_server* server_directory::find(const backend_server_name& id) const {
-    const auto found = m_servers.find(id);
-    return found == m_servers.end() ? nullptr : &found->second;
+bool server_directory::is_named(const service_name& service) const {
+    return !m_named_services || m_named_services->contains(service);
 }
 
-void server_directory::mark_previous_at_address(const server_record& record) {
-    for (auto& [id, server] : m_servers) {
-        const bool is_older = server.record.started_at_ms <= record.started_at_ms;
-        if (id != record.id && server.record.address == record.address && is_older) {
-            server.is_address_taken = true;
-        }
+bool server_directory::is_address_taken(const listed_server& server) const {
+    const bool is_alone_at_each_address = m_claim_count == m_claims.size();
+    if (is_alone_at_each_address) {
+        return false;
     }
+    const auto claims = m_claims.find(server.record.address);
+    return claims != m_claims.end() && *claims->second.rbegin() > get_claim(server);
+}
+
+void server_directory::add_claim(const listed_server& server) {
+    if (is_named(server.record.service)) {
+        m_claims[server.record.address].insert(get_claim(server));
+        ++m_claim_count;
+    }
+}
+
+void server_directory::remove_claim(const listed_server& server) {
+    const auto claims = m_claims.find(server.record.address);
+    if (claims == m_claims.end() || claims->second.erase(get_claim(server)) == 0) {
+        return;
+    }
+    --m_claim_count;
+    if (claims->second.empty()) {
+        m_claims.erase(claims);
+    }
+}
+
+const listed_server* server_directory::find(const backend_server_name& id) const {
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
 }
 
 } // namespace dragonflywell::fleet
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -20,8 +21,8 @@
     /// Whether the entry is missing but may have expired only because the list was unreachable, so that the server may
     /// still run.
     bool is_missing{false};
-    /// Whether another server answered at its address. Nothing may then be sent there for this entry.
-    bool is_address_taken{false};
+    /// Number of the change with which this run became known. A later run has a higher one.
+    std::uint64_t run{0};
 };
 
 /// The kind of change of an entry.
@@ -31,7 +32,8 @@
 ///
 /// While the list is unreachable, the last known state applies: a server that was draining or removed stays so. Nothing
 /// undoes what a run of a server has announced: neither an entry of an earlier run, nor one without its start, nor the
-/// removal of its entry.
+/// removal of its entry. An entry of a service that the configuration does not name changes nothing for the others, in
+/// whichever order the two arrive.
 class server_directory {
 public:
     explicit server_directory(list_reachability_options options = {}) : m_reachability(options) {}
@@ -59,8 +61,12 @@
     /// called. Returns the dropped servers.
     std::vector<backend_server_name> expire(steady_time now);
 
-    /// Records that another server answered at the address of this one. The entry is not used until it changes.
-    void mark_address_taken(const backend_server_name& id);
+    /// Sets the services of the configuration. Until it is called, every service counts as named.
+    void set_named_services(std::set<service_name> services);
+
+    /// Returns whether the entry of a named service that started later stands at the address of this one, which must be
+    /// listed. Nothing may then be sent there for this entry.
+    [[nodiscard]] bool is_address_taken(const listed_server& server) const;
 
     /// Returns whether the entry of a server is missing and not expected back.
     [[nodiscard]] bool has_expired(const listed_server& server, steady_time now) const {
@@ -78,12 +84,24 @@
 private:
     /// A run of a server whose entry was removed.
     struct removed_server {
+        service_name service;
         std::int64_t started_at_ms{};
         bool is_draining{false};
         steady_time removed_at{};
     };
+    /// The start and the number of a run at an address: the highest one has the address.
+    using address_claim = std::pair<std::int64_t, std::uint64_t>;
 
-    void mark_previous_at_address(const server_record& record);
+    [[nodiscard]] static address_claim get_claim(const listed_server& server) {
+        return {server.record.started_at_ms, server.run};
+    }
+    [[nodiscard]] bool is_named(const service_name& service) const;
+    /// Returns whether what is known of a run of `known` service holds for a newer entry of the same server.
+    [[nodiscard]] bool holds_for(const service_name& known, const server_record& record) const {
+        return known == record.service || is_named(known);
+    }
+    void add_claim(const listed_server& server);
+    void remove_claim(const listed_server& server);
     /// Removes a server, and remembers for some time which run of it was removed.
     void erase(std::map<backend_server_name, listed_server>::iterator position, steady_time now);
     /// Returns whether an entry is of an earlier run of the server than a known one.
@@ -94,6 +112,11 @@
     list_reachability m_reachability;
     std::map<backend_server_name, listed_server> m_servers;
     std::map<backend_server_name, removed_server> m_removed;
+    std::optional<std::set<service_name>> m_named_services;
+    /// The claims of entries of named services on each address, and how many there are.
+    std::map<endpoint, std::set<address_claim>> m_claims;
+    std::size_t m_claim_count{0};
+    std::uint64_t m_last_run{0};
     std::uint64_t m_generation{0};
 };
 
--- a/fleet/serving_view.cpp
+++ b/fleet/serving_view.cpp
@@ -43,6 +43,19 @@
     return found == m_organisations_by_key.end() ? nullptr : &m_configuration.organisations[found->second];
 }
 
+std::set<service_name> serving_view::get_named_services() const {
+    std::set<service_name> services;
+    for (const service_description& service : m_configuration.services) {
+        services.insert(service.name);
+    }
+    for (const route& route : m_configuration.routes) {
+        for (const route_share& share : route.shares) {
+            services.insert(share.service);
+        }
+    }
+    return services;
+}
+
 const service_description* serving_view::find_service(const service_name& name) const {
     const auto found = m_services.find(name);
     return found == m_services.end() ? nullptr : &m_configuration.services[found->second];
--- a/fleet/serving_view.hpp
+++ b/fleet/serving_view.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -70,6 +71,8 @@
     [[nodiscard]] const served_organisation* find_organisation(std::string_view key) const;
     /// Returns the service, or null.
     [[nodiscard]] const service_description* find_service(const service_name& name) const;
+    /// Returns the services that it describes or to which it routes.
+    [[nodiscard]] std::set<service_name> get_named_services() const;
     /// Returns whether requests need a key if their route is not public.
     [[nodiscard]] bool requires_keys() const noexcept { return m_configuration.requires_keys; }
 
--- a/policy/server_announcements.cpp
+++ b/policy/server_announcements.cpp
@@ -35,6 +35,21 @@
     return granted;
 }
 
+void server_announcements::record_mismatch(const backend_server_name& server, std::uint64_t incarnation,
+                                           steady_time now) {
+    std::erase_if(m_mismatched, [&](const auto& item) { return item.second.at + m_options.mismatch_time <= now; });
+    if (m_mismatched.size() < m_options.max_servers) {
+        m_mismatched[server] = {.incarnation = incarnation, .at = now};
+    }
+}
+
+bool server_announcements::is_mismatched(const backend_server_name& server, std::uint64_t incarnation,
+                                         steady_time changed_at, steady_time now) const {
+    const auto known = m_mismatched.find(server);
+    return known != m_mismatched.end() && known->second.incarnation == incarnation && changed_at <= known->second.at &&
+           now < known->second.at + m_options.mismatch_time;
+}
+
 bool server_announcements::is_leaving(const backend_server_name& server, std::uint64_t incarnation) const {
     const auto known = m_leaving.find(server);
     return known != m_leaving.end() && known->second == incarnation;
--- a/policy/server_eligibility.cpp
+++ b/policy/server_eligibility.cpp
@@ -25,8 +25,10 @@
         belief.refusal = ineligibility::draining;
     } else if (has_announced_leaving(*listed)) {
         belief.refusal = ineligibility::leaving;
-    } else if (listed->is_address_taken) {
+    } else if (m_list.is_address_taken(*listed)) {
         belief.refusal = ineligibility::address_taken;
+    } else if (m_announcements.is_mismatched(server, get_incarnation(*listed), listed->changed_at, now)) {
+        belief.refusal = ineligibility::mismatched;
     } else if (get_pause_end(server, now)) {
         belief.refusal = ineligibility::paused;
     }
@@ -35,7 +37,7 @@
 
 bool server_eligibility::is_staying(const backend_server_name& server, steady_time now) const {
     const std::optional<ineligibility> refusal = get_belief(server, now).refusal;
-    return !refusal || *refusal == ineligibility::paused;
+    return !refusal || *refusal == ineligibility::paused || *refusal == ineligibility::mismatched;
 }
 
 bool server_eligibility::is_leaving(const backend_server_name& server) const {
@@ -67,6 +69,12 @@
     }
 }
 
+void server_eligibility::record_mismatch(const backend_server_name& server, steady_time now) {
+    if (const fleet::listed_server* listed = m_list.find(server); listed != nullptr) {
+        m_announcements.record_mismatch(server, get_incarnation(*listed), now);
+    }
+}
+
 void server_eligibility::forget_unlisted() {
     std::erase_if(m_confirmations, [&](const auto& item) { return m_list.find(item.first) == nullptr; });
 }
--- a/policy/server_eligibility.hpp
+++ b/policy/server_eligibility.hpp
@@ -26,8 +26,10 @@
     leaving,
     /// It asked this host for a pause.
     paused,
-    /// Another server answered at its address.
+    /// The entry of a server that started later stands at its address.
     address_taken,
+    /// Whoever answered at its address lately is another server, or the same one in another stage.
+    mismatched,
 };
 
 /// What this host believes of a server.
@@ -88,6 +90,11 @@
                           steady_time now) {
         return m_announcements.record_pause(server, pause, spread, now);
     }
+
+    /// Records that whoever answered at the address of a server is not what its entry says. The belief lasts for some
+    /// heartbeats, or until the entry changes.
+    void record_mismatch(const backend_server_name& server, steady_time now);
+
     [[nodiscard]] bool is_valid_pause(std::optional<duration> pause) const noexcept {
         return m_announcements.is_valid_pause(pause);
     }
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -239,8 +239,7 @@
         } else if (kind == response_kind::wrong_server) {
             what = "other_server";
             observation.discard();
-            get_state().eligibility.get_list().mark_address_taken(engine);
-            get_state().refresh_servers();
+            get_state().eligibility.record_mismatch(engine, get_state().time.now());
         } else {
             what = "read_refused";
             observation.discard();
@@ -372,8 +371,7 @@
     }
     if (has_head && kind == response_kind::wrong_server) {
         get_record().add_server(engine, "other_server", exchange.get_connection_use());
-        get_state().eligibility.get_list().mark_address_taken(engine);
-        get_state().refresh_servers();
+        get_state().eligibility.record_mismatch(engine, get_state().time.now());
     } else if (has_head && kind == response_kind::not_run) {
         get_record().add_server(engine, "refused", exchange.get_connection_use());
         m_engine_status.exclude(engine);
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -128,8 +128,7 @@
     case response_kind::wrong_server:
         observation.discard();
         get_record().add_server(server, "other_server", exchange.get_connection_use());
-        get_state().eligibility.get_list().mark_address_taken(server);
-        get_state().refresh_servers();
+        get_state().eligibility.record_mismatch(server, get_state().time.now());
         require_retry_budget(policy::retry_reason::connect_failed);
         co_return std::nullopt;
     case response_kind::not_run:
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -94,6 +94,7 @@
 void serving_state::set_view(std::shared_ptr<const fleet::serving_view> view) {
     m_view = std::move(view);
     quotas.set_configuration(m_view->get_configuration());
+    eligibility.get_list().set_named_services(m_view->get_named_services());
     refresh_servers();
 }
 
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -109,6 +109,8 @@
           "{" + good + R"(,"state":"resting"})", "{" + good + R"(,"state":3})",
           "{" + good + R"(,"state":"ready","spot":"yes"})", "{" + good + R"(,"state":"ready","leaves_ms":-1})",
           R"({"service":"s","addr":"nowhere","zone":"z","slots":4,"state":"ready",)" + others + "}",
+          R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":0,"state":"ready",)" + others + "}",
+          R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":4294967296,"state":"ready",)" + others + "}",
           R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":"4","state":"ready",)" + others + "}"}) {
         CAPTURE(text);
         CHECK_THROWS_AS(static_cast<void>(decode_server_record("i", text)), malformed_message_error);
--- a/tests/platform/test_plain_retries.cpp
+++ b/tests/platform/test_plain_retries.cpp
@@ -45,6 +45,28 @@
     CHECK(second.get_requests().size() == 1);
 }
 
+// Guards against one 421 of each server that took the whole service away until the servers restarted.
+TEST_CASE_FIXTURE(serving_fixture,
+                  "servers at whose addresses others answered get requests again some heartbeats later") {
+    configure();
+    for (const std::string name : {"s1", "s2"}) {
+        add_server(name, {},
+                   [](const servers::http_request& request, raw_connection& connection) -> asio::awaitable<void> {
+                       std::string bytes = "HTTP/1.1 421 X\r\nDragonflywell-Attempt-Id: " + get_id(request) +
+                                           "\r\nContent-Length: 0\r\n\r\n";
+                       co_await connection.write(std::move(bytes));
+                   });
+    }
+    CHECK(ask(http::verb::get, "/safe/x").status == 503);
+    for (auto& [name, server] : added) {
+        CHECK(server->get_requests().size() == 1);
+        server->set_behaviour(answer_with(200, "here"));
+    }
+    CHECK(ask(http::verb::get, "/safe/x").status == 503);
+    time.advance(std::chrono::seconds(3));
+    CHECK(ask(http::verb::get, "/safe/x").status == 200);
+}
+
 TEST_CASE_FIXTURE(serving_fixture, "a failed idempotent request is retried on another server") {
     configure();
     add_server("s1", {}, answer_with(500, "bad"));
