What a request may have done to a server is recorded however it ends

Cause: that a request was at a server was recorded only with its failure. The deadline, a caller who has left and a host that stops end a request before that, and an exchange that ended after its server's entry had gone found no server. So nobody was suspected. Further on that path: the first 64 exchanges were kept and later ones dropped, equal requests beside one crash counted as several, and requests beside a crash evicted one with two.

Change: tracked_exchange follows a request from sending to the whole answer and leaves a suspect in crash_attribution however it ends; what runs when the server is found to be down is suspected, too. Only failures count in the health of a server. down_proof says what the end of a server shows: out of reach, or left as planned, only exchanges that it broke count. Kept are the likeliest suspects; an answer to a later request, or from another server, clears. A crash has the id of the server's run. Removals that a listing shows count as others do.

--- a/daemon/server_list_follower.cpp
+++ b/daemon/server_list_follower.cpp
@@ -172,14 +172,22 @@
 void server_list_follower::on_entry(const backend_server_name& server, fleet::directory_change change) {
     if (change == fleet::directory_change::restarted) {
         m_state->health.forget(server);
-        m_state->record_server_down(server);
+    }
+    if (change == fleet::directory_change::restarted || change == fleet::directory_change::removed) {
+        m_state->record_server_down(server, get_down_proof(server));
     }
     report(server, change);
 }
 
 void server_list_follower::on_entry_removed(const backend_server_name& server, fleet::directory_change change) {
     report(server, change);
-    m_state->record_server_down(server);
+    const bool may_run = change == fleet::directory_change::missing;
+    m_state->record_server_down(server, may_run ? policy::down_proof::unreachable : get_down_proof(server));
+}
+
+policy::down_proof server_list_follower::get_down_proof(const backend_server_name& server) const {
+    return m_state->eligibility.has_left_as_planned(server) ? policy::down_proof::left_as_planned
+                                                            : policy::down_proof::ended;
 }
 
 void server_list_follower::on_entry_rejected(const platform::keyed_record& record, std::string_view reason) {
--- a/daemon/server_list_follower.hpp
+++ b/daemon/server_list_follower.hpp
@@ -77,6 +77,8 @@
     void wake();
     /// Records when the last store call failed, whichever topic it was for.
     void record_store_failure();
+    /// Returns what the end of a run shows of a server.
+    [[nodiscard]] policy::down_proof get_down_proof(const backend_server_name& server) const;
     void report(const backend_server_name& server, fleet::directory_change change) const;
     /// Logs where a page of records came from, and what became of it. `age`: time since its read began.
     void report_page(std::string_view source, server_list::page_result result, const log_position& from,
--- a/fleet/server_directory.cpp
+++ b/fleet/server_directory.cpp
@@ -42,6 +42,9 @@
     server.is_missing = false;
     const bool is_new_run = is_new || is_restart(before, record);
     if (is_new_run) {
+        if (!is_new) {
+            server.previous_run = ended_run{.started_at_ms = before.started_at_ms, .is_draining = before.is_draining};
+        }
         server.run = ++m_last_run;
         m_removed.erase(record.id);
     }
@@ -61,7 +64,7 @@
 directory_change server_directory::apply_copied(const server_record& record, steady_time now) {
     const auto removed = m_removed.find(record.id);
     const bool was_removed = removed != m_removed.end() && holds_for(removed->second.service, record) &&
-                             record.started_at_ms <= removed->second.started_at_ms;
+                             record.started_at_ms <= removed->second.run.started_at_ms;
     return was_removed ? directory_change::none : apply(record, now);
 }
 
@@ -71,7 +74,7 @@
     }
     const auto removed = m_removed.find(record.id);
     return removed != m_removed.end() && holds_for(removed->second.service, record) &&
-           record.started_at_ms < removed->second.started_at_ms;
+           record.started_at_ms < removed->second.run.started_at_ms;
 }
 
 bool server_directory::has_announced_shutdown(const server_record& record) const {
@@ -80,8 +83,8 @@
                known->record.started_at_ms == record.started_at_ms;
     }
     const auto removed = m_removed.find(record.id);
-    return removed != m_removed.end() && holds_for(removed->second.service, record) && removed->second.is_draining &&
-           removed->second.started_at_ms == record.started_at_ms;
+    return removed != m_removed.end() && holds_for(removed->second.service, record) &&
+           removed->second.run.is_draining && removed->second.run.started_at_ms == record.started_at_ms;
 }
 
 void server_directory::erase(std::map<backend_server_name, listed_server>::iterator position, steady_time now) {
@@ -94,8 +97,8 @@
     const server_record& record = position->second.record;
     remove_claim(position->second);
     m_removed.insert_or_assign(position->first, removed_server{.service = record.service,
-                                                               .started_at_ms = record.started_at_ms,
-                                                               .is_draining = record.is_draining,
+                                                               .run = {.started_at_ms = record.started_at_ms,
+                                                                       .is_draining = record.is_draining},
                                                                .removed_at = now});
     m_servers.erase(position);
     ++m_generation;
@@ -158,6 +161,14 @@
     return !m_named_services || m_named_services->contains(service);
 }
 
+std::optional<ended_run> server_directory::find_ended_run(const backend_server_name& id) const {
+    if (const listed_server* listed = find(id); listed != nullptr) {
+        return listed->previous_run;
+    }
+    const auto removed = m_removed.find(id);
+    return removed == m_removed.end() ? std::nullopt : std::optional(removed->second.run);
+}
+
 bool server_directory::is_address_taken(const listed_server& server) const {
     const bool is_alone_at_each_address = m_claim_count == m_claims.size();
     if (is_alone_at_each_address) {
--- a/fleet/server_directory.hpp
+++ b/fleet/server_directory.hpp
@@ -13,6 +13,13 @@
 
 namespace dragonflywell::fleet {
 
+/// A run of a server that is over.
+struct ended_run {
+    std::int64_t started_at_ms{};
+    /// Whether it had announced its shutdown.
+    bool is_draining{false};
+};
+
 /// A backend server of the list, as this host knows it.
 struct listed_server {
     server_record record;
@@ -21,6 +28,8 @@
     /// Whether the entry is missing but may have expired only because the list was unreachable, so that the server may
     /// still run.
     bool is_missing{false};
+    /// The run before this one under the same id, while the entry was listed.
+    std::optional<ended_run> previous_run;
     /// Number of the change with which this run became known. A later run has a higher one.
     std::uint64_t run{0};
 };
@@ -75,6 +84,8 @@
 
     /// Returns the server, or null.
     [[nodiscard]] const listed_server* find(const backend_server_name& id) const;
+    /// Returns the run of a server that ended last: the one before the listed one, or the one whose entry was removed.
+    [[nodiscard]] std::optional<ended_run> find_ended_run(const backend_server_name& id) const;
     /// Returns all servers, in order of their id.
     [[nodiscard]] const std::map<backend_server_name, listed_server>& get_servers() const noexcept { return m_servers; }
 
@@ -85,8 +96,7 @@
     /// A run of a server whose entry was removed.
     struct removed_server {
         service_name service;
-        std::int64_t started_at_ms{};
-        bool is_draining{false};
+        ended_run run;
         steady_time removed_at{};
     };
     /// The start and the number of a run at an address: the highest one has the address.
--- a/policy/crash_attribution.hpp
+++ b/policy/crash_attribution.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -11,16 +12,29 @@
 namespace dragonflywell::policy {
 
 struct crash_attribution_options {
-    /// How long after a broken exchange a crash of the server still counts as its cause. This is longer than the server
-    /// list takes to show that a server is gone.
+    /// How long after an exchange without an answer a crash of the server still counts as its cause. This is longer
+    /// than the server list takes to show that a server is gone.
     duration retention{std::chrono::seconds(10)};
-    /// Maximum number of broken exchanges kept for one server. More of them do not help to identify the cause.
-    std::size_t max_per_server{64};
+    /// How long a server may still begin a request after its exchange ended: it counts as harmless if the server
+    /// answers one that was sent later than that.
+    duration late_start{std::chrono::seconds(1)};
+    /// Maximum number of unanswered exchanges kept for one server. Beyond it, the least likely causes are dropped.
+    std::size_t max_per_server{256};
     /// Maximum number of prompt parts kept for all servers. Beyond it, the oldest exchanges lose theirs.
     std::size_t max_parts{65'536};
 };
 
-/// A request whose connection broke after it was sent.
+/// How a server was found to be down.
+enum class down_proof : std::uint8_t {
+    /// It accepts no connection from here, or its entry may only have expired; so it may be running.
+    unreachable,
+    /// It is gone or has restarted, as it had said before.
+    left_as_planned,
+    /// It refuses connections, its entry was removed, or it has restarted.
+    ended,
+};
+
+/// A request that was sent to a server and got no whole answer.
 struct crash_suspect {
     request_fingerprint request{};
     /// The shared parts of its prompt, if the request was waiting for its answer to begin; empty otherwise, since a
@@ -28,35 +42,59 @@
     std::vector<prompt_part_id> waiting_parts;
     /// Identifies the incarnation of the server, equally on all hosts.
     std::uint64_t server_incarnation{};
-    steady_time broken_at{};
+    steady_time sent_at{};
+    steady_time ended_at{};
+    /// Whether the server ended the exchange. If not, its deadline, its caller or this host did, or it is running,
+    /// which says only that the request was there.
+    bool is_broken{false};
 
     friend bool operator==(const crash_suspect&, const crash_suspect&) = default;
 };
 
-/// Determines which requests were running on a server when it crashed. A broken connection alone does not prove a
-/// crash; the later state of the server does. Not thread safe.
+/// Determines which requests may have crashed a server: those that it left without a whole answer, however their
+/// exchanges ended. That is evidence only if the server then proves to be down. Not thread safe.
 class crash_attribution {
 public:
     explicit crash_attribution(crash_attribution_options options = {}) noexcept : m_options(options) {}
 
-    /// Records that the connection of a request broke after the request was sent.
-    void record_broken_exchange(crash_suspect suspect, const backend_server_name& server);
+    /// Records that an exchange ended without a whole answer after the request was sent.
+    void record_unanswered(crash_suspect suspect, const backend_server_name& server);
+
+    /// Records that a server gave a whole answer to a request sent at that time. What it ran long before is harmless.
+    void record_answer(const backend_server_name& server, steady_time sent_at, steady_time now);
 
-    /// Call when a server is gone, unreachable or restarted. Returns the requests that were running on it and removes
-    /// them, so that each is returned once.
-    [[nodiscard]] std::vector<crash_suspect> take_crash_suspects(const backend_server_name& server, steady_time now);
+    /// Records that a request got a whole answer after all, which shows that it crashes no server.
+    void forget(request_fingerprint request);
+
+    /// Call when a server is down. Returns the requests that it left without an answer, the likeliest cause first, and
+    /// removes them, so that each is returned once. `running`: the requests whose exchanges have not ended. Of a server
+    /// that has not surely ended unplanned, those count whose exchanges it broke.
+    [[nodiscard]] std::vector<crash_suspect> take_crash_suspects(const backend_server_name& server, down_proof proof,
+                                                                 std::vector<crash_suspect> running, steady_time now);
 
     /// Returns how many prompt parts are kept.
     [[nodiscard]] std::size_t count_parts() const noexcept { return m_part_count; }
 
 private:
-    /// Removes exchanges, and counts their parts as gone.
-    void remove_old(std::vector<crash_suspect>& broken, steady_time now);
+    struct server_history {
+        std::vector<crash_suspect> unanswered;
+        steady_time answered_at{steady_time::min()};
+    };
+
+    /// Returns whether a request is a likelier cause of a crash than another one: a server that answers after an
+    /// exchange was running at its end, and of several requests the first one stops it.
+    [[nodiscard]] static bool is_likelier(const crash_suspect& left, const crash_suspect& right,
+                                          steady_time answered_at) noexcept;
+    /// Removes exchanges for which `is_removed` returns true, and counts their parts as gone.
+    template <typename IsRemoved>
+    void remove(std::vector<crash_suspect>& unanswered, IsRemoved is_removed);
+    void remove_old(std::vector<crash_suspect>& unanswered, steady_time now);
+    void drop_least_likely(server_history& history);
     void drop_oldest_parts();
 
     crash_attribution_options m_options;
     std::size_t m_part_count{0};
-    std::map<backend_server_name, std::vector<crash_suspect>> m_broken;
+    std::map<backend_server_name, server_history> m_servers;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -7,21 +7,54 @@
 
 bool quarantine::record_crash(const engine_crash& crash) {
     const std::scoped_lock lock(m_mutex);
-    const bool is_new = m_crashes[crash.fingerprint].try_emplace(crash.crash_id, crash.moment).second;
-    if (m_crashes.size() > m_options.max_requests) {
-        evict_oldest();
+    const auto cleared = m_cleared.find(crash.fingerprint);
+    if (cleared != m_cleared.end() && crash.moment <= cleared->second) {
+        return false;
+    }
+    const auto [position, is_new_suspect] = m_suspects.try_emplace(crash.fingerprint);
+    suspect& item = position->second;
+    if (!is_new_suspect) {
+        m_eviction_order.erase(get_eviction_key(crash.fingerprint, item));
+    }
+    const bool is_new = item.crashes.try_emplace(crash.crash_id, crash.moment).second;
+    item.newest = std::max(item.newest, crash.moment);
+    m_eviction_order.insert(get_eviction_key(crash.fingerprint, item));
+    if (m_suspects.size() > m_options.max_requests) {
+        erase(m_suspects.find(std::get<request_fingerprint>(*m_eviction_order.begin())));
     }
     return is_new;
 }
 
-void quarantine::record_completion(request_fingerprint fingerprint) {
+void quarantine::record_completion(request_fingerprint fingerprint, wall_time now) {
     const std::scoped_lock lock(m_mutex);
-    m_crashes.erase(fingerprint);
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end()) {
+        erase(found);
+        remember_clearance(fingerprint, now);
+    }
+}
+
+void quarantine::remember_clearance(request_fingerprint fingerprint, wall_time now) {
+    const auto [position, is_new] = m_cleared.try_emplace(fingerprint, now);
+    if (!is_new) {
+        m_cleared_by_time.erase({position->second, fingerprint});
+        position->second = now;
+    }
+    m_cleared_by_time.emplace(now, fingerprint);
+    if (m_cleared.size() > m_options.max_requests) {
+        m_cleared.erase(m_cleared_by_time.begin()->second);
+        m_cleared_by_time.erase(m_cleared_by_time.begin());
+    }
+}
+
+void quarantine::erase(std::map<request_fingerprint, suspect>::iterator position) {
+    m_eviction_order.erase(get_eviction_key(position->first, position->second));
+    m_suspects.erase(position);
 }
 
 bool quarantine::is_empty() const {
     const std::scoped_lock lock(m_mutex);
-    return m_crashes.empty();
+    return m_suspects.empty();
 }
 
 bool quarantine::is_suspect(request_fingerprint fingerprint, wall_time now) const {
@@ -39,8 +72,8 @@
 std::vector<engine_crash> quarantine::get_crashes(wall_time now) const {
     const std::scoped_lock lock(m_mutex);
     std::vector<engine_crash> crashes;
-    for (const auto& [fingerprint, moments] : m_crashes) {
-        for (const auto& [crash_id, moment] : moments) {
+    for (const auto& [fingerprint, item] : m_suspects) {
+        for (const auto& [crash_id, moment] : item.crashes) {
             if (now - moment < m_options.retention) {
                 crashes.push_back({.fingerprint = fingerprint, .crash_id = crash_id, .moment = moment});
             }
@@ -67,26 +100,12 @@
 
 std::size_t quarantine::count_crashes(request_fingerprint fingerprint, wall_time now) const {
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_crashes.find(fingerprint);
-    if (found == m_crashes.end()) {
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end()) {
         return 0;
     }
     const auto is_held = [&](const auto& crash) { return now - crash.second < m_options.retention; };
-    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), is_held));
-}
-
-void quarantine::evict_oldest() {
-    const auto get_newest = [](const crash_map& crashes) {
-        wall_time newest = wall_time::min();
-        for (const auto& [crash_id, moment] : crashes) {
-            newest = std::max(newest, moment);
-        }
-        return newest;
-    };
-    const auto is_older = [&](const auto& left, const auto& right) {
-        return get_newest(left.second) < get_newest(right.second);
-    };
-    m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), is_older));
+    return static_cast<std::size_t>(std::count_if(found->second.crashes.begin(), found->second.crashes.end(), is_held));
 }
 
 quarantine::reservation::reservation(quarantine& owner, backend_server_name server)
--- a/policy/server_eligibility.cpp
+++ b/policy/server_eligibility.cpp
@@ -45,6 +45,12 @@
     return listed != nullptr && (listed->record.is_draining || has_announced_leaving(*listed));
 }
 
+bool server_eligibility::has_left_as_planned(const backend_server_name& server) const {
+    const std::optional<fleet::ended_run> ended = m_list.find_ended_run(server);
+    return ended &&
+           (ended->is_draining || m_announcements.is_leaving(server, static_cast<std::uint64_t>(ended->started_at_ms)));
+}
+
 bool server_eligibility::has_announced_leaving(const fleet::listed_server& listed) const {
     return m_announcements.is_leaving(listed.record.id, get_incarnation(listed));
 }
--- a/policy/server_eligibility.hpp
+++ b/policy/server_eligibility.hpp
@@ -62,6 +62,9 @@
     /// Returns whether a server said that it leaves, in its entry or in a response.
     [[nodiscard]] bool is_leaving(const backend_server_name& server) const;
 
+    /// Returns whether the run of a server that ended last had said that it would leave.
+    [[nodiscard]] bool has_left_as_planned(const backend_server_name& server) const;
+
     /// Returns whether the belief in a server is so old that one which was confirmed lately goes before it.
     [[nodiscard]] bool is_uncertain(const backend_server_name& server, steady_time now) const {
         return get_list_age(now) > get_max_certain_age() && get_age(server, now) > get_max_certain_age();
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -219,6 +219,7 @@
                  (backlog + choice.prefill_duration) * prefill_timeout_factor + prefill_timeout_margin);
     backend_exchange exchange(get_state().connections, attempt.address, options);
     const serving_state::running_exchange registration(get_state(), exchange);
+    tracked_exchange tracked = track(engine, exchange);
     const policy::stall_detector::pending_request pending =
         get_state().stalls.track(engine, sent_at, backlog + choice.prefill_duration);
     std::optional<exchange_failed_error> failure;
@@ -234,14 +235,17 @@
                         .engine = attempt.address,
                         .handle = get_state().codec.decode_prefill_response(body).handle};
             m_was_prefill_sent = true;
+            tracked.set_answered();
             observation.finish();
             set_quota_used();
         } else if (kind == response_kind::wrong_server) {
             what = "other_server";
+            tracked.set_not_run();
             observation.discard();
             get_state().eligibility.record_mismatch(engine, get_state().time.now());
         } else {
             what = "read_refused";
+            tracked.set_not_run();
             observation.discard();
             m_engine_status.exclude(engine);
             record_refusal(engine);
@@ -272,7 +276,7 @@
         co_return kv_cache;
     }
     if (failure) {
-        record_failure(engine, *failure);
+        record_failure(engine, *failure, tracked);
         m_engine_status.exclude(engine);
     }
     if (exchange.is_sent()) {
@@ -314,7 +318,6 @@
         }
         throw;
     }
-    m_has_answer_begun = false;
     service_engines& engines = *get_state().find_engines(get_request().service);
     engines.load_tracker.start_decode(engine, m_needed_tokens, m_parts);
     get_state().notify_load_change();
@@ -326,6 +329,7 @@
     backend_exchange exchange(get_state().connections, attempt.address,
                               make_exchange_options(engine, caller, std::move(permit)));
     const serving_state::running_exchange registration(get_state(), exchange);
+    tracked_exchange tracked = track(engine, exchange, true);
     std::optional<exchange_failed_error> failure;
     response_kind kind = response_kind::invalid;
     bool has_head = false;
@@ -339,7 +343,8 @@
         has_head = true;
         if (kind == response_kind::answered) {
             set_may_have_run();
-            co_await relay(exchange, choice, caller, pending, observation);
+            co_await relay(exchange, choice, caller,
+                           {.pending = pending, .observation = observation, .tracked = tracked});
         } else {
             co_await exchange.read_rest(short_response_limit_bytes);
         }
@@ -365,14 +370,17 @@
         throw caller_disconnected_error("caller disconnected before its response was complete");
     }
     if (!failure && kind == response_kind::answered) {
+        tracked.set_answered();
         get_record().add_server(engine, "answered", exchange.get_connection_use());
         get_state().health.add_success(engine);
         co_return generate_result::done;
     }
     if (has_head && kind == response_kind::wrong_server) {
+        tracked.set_not_run();
         get_record().add_server(engine, "other_server", exchange.get_connection_use());
         get_state().eligibility.record_mismatch(engine, get_state().time.now());
     } else if (has_head && kind == response_kind::not_run) {
+        tracked.set_not_run();
         get_record().add_server(engine, "refused", exchange.get_connection_use());
         m_engine_status.exclude(engine);
         record_refusal(engine);
@@ -382,7 +390,7 @@
             failure.emplace("backend server returned an invalid response", exchange_phase::after_send,
                             policy::retry_reason::malformed_answer);
         }
-        handle_failure(engine, *failure, exchange.is_sent());
+        handle_failure(engine, *failure, tracked, exchange.is_sent());
     }
     if (kv_cache) {
         release_kv_cache(get_state(), *kv_cache);
@@ -391,18 +399,14 @@
 }
 
 void generation_request::handle_failure(const backend_server_name& engine, const exchange_failed_error& failure,
-                                        bool was_sent) {
+                                        tracked_exchange& tracked, bool was_sent) {
     if (was_sent) {
         set_may_have_run();
         ++m_run_count;
     }
     m_events.drop_partial_event();
     require_time_left();
-    std::vector<policy::prompt_part_id> waiting_parts;
-    if (!m_has_answer_begun) {
-        waiting_parts = get_shared_parts(get_caller_request());
-    }
-    record_failure(engine, failure, std::move(waiting_parts));
+    record_failure(engine, failure, tracked);
     m_engine_status.exclude(engine);
     const fleet::route& route = *get_request().route;
     if (was_sent && (!fleet::may_run_again(route.retry) || m_run_count >= route.max_attempts)) {
@@ -420,14 +424,12 @@
 }
 
 asio::awaitable<void> generation_request::relay(backend_exchange& exchange, const policy::engine_choice& choice,
-                                                caller_channel& caller,
-                                                policy::stall_detector::pending_request& pending,
-                                                engine_observation& observation) {
+                                                caller_channel& caller, stream_observers observers) {
     if (exchange.get_head().result() != http::status::ok) {
-        observation.discard();
+        observers.observation.discard();
         co_await relay_buffered(exchange, caller);
     } else {
-        co_await relay_stream(exchange, choice, caller, pending, observation);
+        co_await relay_stream(exchange, choice, caller, observers);
     }
 }
 
@@ -444,9 +446,8 @@
 }
 
 asio::awaitable<void> generation_request::relay_stream(backend_exchange& exchange, const policy::engine_choice& choice,
-                                                       caller_channel& caller,
-                                                       policy::stall_detector::pending_request& pending,
-                                                       engine_observation& observation) {
+                                                       caller_channel& caller, stream_observers observers) {
+    engine_observation& observation = observers.observation;
     if (caller.is_started()) {
         require_same_content_type(exchange);
     }
@@ -466,9 +467,9 @@
         if (events.empty()) {
             continue;
         }
-        pending.end();
+        observers.pending.end();
         observation.record_events(events);
-        m_has_answer_begun = true;
+        observers.tracked.set_answer_begun();
         if (!pace) {
             pace.emplace(get_state(), get_request().service, observation.get_engine(), m_events);
         }
--- a/servers/generation_request.hpp
+++ b/servers/generation_request.hpp
@@ -59,17 +59,24 @@
     void reject_if_hopeless(const policy::engine_choice& choice) const;
     /// Returns the address of the engine from which the prefix is fetched, or nothing.
     [[nodiscard]] std::optional<endpoint> get_prefix_source(const policy::engine_choice& choice) const;
-    /// Ends `pending` at the first event.
+    /// What follows a generation while its stream is relayed.
+    struct stream_observers {
+        /// Ends at the first event.
+        policy::stall_detector::pending_request& pending;
+        engine_observation& observation;
+        tracked_exchange& tracked;
+    };
+
     asio::awaitable<void> relay(backend_exchange& exchange, const policy::engine_choice& choice, caller_channel& caller,
-                                policy::stall_detector::pending_request& pending, engine_observation& observation);
+                                stream_observers observers);
     asio::awaitable<void> relay_buffered(backend_exchange& exchange, caller_channel& caller);
     asio::awaitable<void> relay_stream(backend_exchange& exchange, const policy::engine_choice& choice,
-                                       caller_channel& caller, policy::stall_detector::pending_request& pending,
-                                       engine_observation& observation);
+                                       caller_channel& caller, stream_observers observers);
     /// Throws `exchange_failed_error` when a response that should continue the stream of the caller is of another type.
     void require_same_content_type(const backend_exchange& exchange) const;
     asio::awaitable<void> start_stream(const backend_exchange& exchange, caller_channel& caller);
-    void handle_failure(const backend_server_name& engine, const exchange_failed_error& failure, bool was_sent);
+    void handle_failure(const backend_server_name& engine, const exchange_failed_error& failure,
+                        tracked_exchange& tracked, bool was_sent);
     void require_prefill_retry_budget();
 
     std::uint64_t m_request_number;
@@ -85,8 +92,6 @@
     std::uint32_t m_run_count{0};
     bool m_was_prefill_sent{false};
     bool m_was_generation_sent{false};
-    /// Whether the engine that generates has sent an event.
-    bool m_has_answer_begun{false};
     steady_time m_generation_sent_at{};
     /// The prefill that the decode engine runs itself, until the first event.
     std::optional<prefill_guard> m_direct_prefill;
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -93,6 +93,7 @@
     backend_exchange exchange(get_state().connections, attempt.address,
                               make_exchange_options(server, caller, std::move(permit)));
     const serving_state::running_exchange registration(get_state(), exchange);
+    tracked_exchange tracked = track(server, exchange);
     std::optional<exchange_failed_error> failure;
     std::optional<http_response> response;
     response_kind kind = response_kind::invalid;
@@ -120,18 +121,21 @@
         if (!exchange.is_sent()) {
             observation.discard();
         }
-        co_return handle_failure(server, *failure, exchange.is_sent());
+        co_return handle_failure(server, *failure, tracked, exchange.is_sent());
     }
     switch (kind) {
     case response_kind::answered:
+        tracked.set_answered();
         break;
     case response_kind::wrong_server:
+        tracked.set_not_run();
         observation.discard();
         get_record().add_server(server, "other_server", exchange.get_connection_use());
         get_state().eligibility.record_mismatch(server, get_state().time.now());
         require_retry_budget(policy::retry_reason::connect_failed);
         co_return std::nullopt;
     case response_kind::not_run:
+        tracked.set_not_run();
         observation.discard();
         get_record().add_server(server, "refused", exchange.get_connection_use());
         record_refusal(server);
@@ -143,7 +147,7 @@
                                  exchange_failed_error("backend server returned an invalid response",
                                                        exchange_phase::after_send,
                                                        policy::retry_reason::malformed_answer),
-                                 true);
+                                 tracked, true);
     }
     // An error response says little of how long the work takes.
     if (response->result_int() < first_refused_status) {
@@ -167,14 +171,15 @@
 }
 
 std::optional<http_response> instance_request::handle_failure(const backend_server_name& server,
-                                                              const exchange_failed_error& failure, bool was_sent) {
+                                                              const exchange_failed_error& failure,
+                                                              tracked_exchange& tracked, bool was_sent) {
     if (get_time_left() <= duration::zero()) {
         if (was_sent) {
             set_may_have_run();
         }
         require_time_left();
     }
-    record_failure(server, failure);
+    record_failure(server, failure, tracked);
     if (!was_sent) {
         // The instance has received nothing, so that trying another one does not count as a retry.
         get_state().counters.count_retry(failure.get_reason());
--- a/servers/instance_request.hpp
+++ b/servers/instance_request.hpp
@@ -25,7 +25,7 @@
     asio::awaitable<std::optional<http_response>> send_to(const backend_server_name& server, send_permit permit,
                                                           caller_channel& caller);
     std::optional<http_response> handle_failure(const backend_server_name& server, const exchange_failed_error& failure,
-                                                bool was_sent);
+                                                tracked_exchange& tracked, bool was_sent);
     [[nodiscard]] bool may_try_again() const;
 
     std::set<backend_server_name> m_tried;
--- a/servers/model_call.cpp
+++ b/servers/model_call.cpp
@@ -134,7 +134,7 @@
         }
         m_context->counters.count_retry(failure->get_reason());
     }
-    m_context->suspects.record_completion(m_model_request.fingerprint);
+    m_context->suspects.record_completion(m_model_request.fingerprint, m_context->time.wall_now());
 }
 
 asio::awaitable<std::optional<exchange_failed_error>> model_call::run_on(const fleet::backend_server& server,
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -314,8 +314,19 @@
                 }};
 }
 
+tracked_exchange serving_request::track(const backend_server_name& server, const backend_exchange& exchange,
+                                        bool is_generation) const {
+    return {*m_state,
+            server,
+            exchange,
+            {.request = m_request.request,
+             .organisation = m_request.organisation,
+             .record = m_record,
+             .is_generation = is_generation}};
+}
+
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure,
-                                     std::vector<policy::prompt_part_id> waiting_parts) const {
+                                     tracked_exchange& tracked) const {
     // An exchange that this process ended because it stops says nothing of the server.
     const bool was_ended_here = m_state->get_work_time_left() <= duration::zero();
     if (failure.get_reason() == policy::retry_reason::server_left || was_ended_here) {
@@ -326,25 +337,12 @@
                                 is_unreachable ? policy::server_failure::unreachable : policy::server_failure::broken,
                                 m_state->time.now());
     if (is_unreachable) {
-        m_state->record_server_down(server);
+        m_state->record_server_down(server, policy::down_proof::unreachable);
         return;
     }
+    tracked.set_broken();
     const fleet::listed_server* listed = m_state->eligibility.get_list().find(server);
-    if (listed == nullptr) {
-        return;
-    }
-    // The end of a server that leaves as planned says nothing of its requests.
-    if (m_state->eligibility.is_leaving(server)) {
-        waiting_parts.clear();
-    }
-    const auto incarnation = static_cast<std::uint64_t>(listed->record.started_at_ms);
-    m_state->crashes.record_broken_exchange(
-        {.request = get_fingerprint(get_caller_request(), m_request.organisation),
-         .waiting_parts = std::move(waiting_parts),
-         .server_incarnation = get_stable_hash(server.value()) ^ get_stable_hash(std::to_string(incarnation)),
-         .broken_at = m_state->time.now()},
-        server);
-    if (failure.get_reason() != policy::retry_reason::silent_backend_server) {
+    if (listed != nullptr && failure.get_reason() != policy::retry_reason::silent_backend_server) {
         probe_for_crash(*m_state, server, listed->record.address);
     }
 }
--- a/servers/serving_request.hpp
+++ b/servers/serving_request.hpp
@@ -11,6 +11,7 @@
 #include "servers/request_record.hpp"
 #include "servers/request_refused.hpp"
 #include "servers/serving_state.hpp"
+#include "servers/tracked_exchange.hpp"
 
 namespace dragonflywell::servers {
 
@@ -82,10 +83,13 @@
     /// servers or the pauses that they asked for, or else `fallback`.
     [[nodiscard]] duration get_retry_after(duration fallback);
 
-    /// Records a failed exchange in the health state of its server. `waiting_parts`: the shared parts of the prompt, if
-    /// the server was to begin an answer to it and had not.
+    /// Tracks an exchange of this request. `is_generation`: whether the server is to begin an answer to its prompt.
+    [[nodiscard]] tracked_exchange track(const backend_server_name& server, const backend_exchange& exchange,
+                                         bool is_generation = false) const;
+    /// Records that a server failed an exchange in its health state. An exchange that ended at the deadline, or because
+    /// its caller left, is no failure of the server.
     void record_failure(const backend_server_name& server, const exchange_failed_error& failure,
-                        std::vector<policy::prompt_part_id> waiting_parts = {}) const;
+                        tracked_exchange& tracked) const;
     /// Records that a server refused to run the request.
     void record_refusal(const backend_server_name& server) const;
     /// Records that a server started to run the request at the given time of day, and counts the usage once.
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -10,6 +10,7 @@
 #include "servers/backend_exchange.hpp"
 #include "servers/server_speed_sharing.hpp"
 #include "servers/thread_random.hpp"
+#include "servers/tracked_exchange.hpp"
 
 namespace dragonflywell::servers {
 
@@ -27,6 +28,8 @@
 constexpr duration stalled_ejection_time = std::chrono::seconds(1);
 /// Number of records of crashes that are announced again for hosts that may not know them.
 constexpr std::size_t max_reannounced_crashes = 64;
+/// Number of requests that one crash makes suspects.
+constexpr std::size_t max_suspects_per_crash = 64;
 
 /// Returns parts for a log line: the first ones, and how many more there are.
 std::string format_parts(std::span<const policy::prompt_part_id> parts) {
@@ -330,12 +333,33 @@
     m_state->notify_load_change();
 }
 
-void serving_state::record_server_down(const backend_server_name& server) {
+std::vector<policy::crash_suspect> serving_state::take_crash_suspects(const backend_server_name& server,
+                                                                      policy::down_proof proof) {
+    std::vector<policy::crash_suspect> running;
+    if (const auto found = tracked_exchanges.find(server); found != tracked_exchanges.end()) {
+        for (tracked_exchange* exchange : found->second) {
+            const bool counts = proof == policy::down_proof::ended || exchange->is_broken();
+            if (std::optional<policy::crash_suspect> suspect = counts ? exchange->take_suspect() : std::nullopt) {
+                running.push_back(std::move(*suspect));
+            }
+        }
+    }
+    std::vector<policy::crash_suspect> taken =
+        crashes.take_crash_suspects(server, proof, std::move(running), time.now());
+    const wall_time wall_now = get_corrected_time();
+    std::stable_partition(taken.begin(), taken.end(), [&](const policy::crash_suspect& suspect) {
+        return suspects.is_suspect(suspect.request, wall_now);
+    });
+    taken.resize(std::min(taken.size(), max_suspects_per_crash));
+    return taken;
+}
+
+void serving_state::record_server_down(const backend_server_name& server, policy::down_proof proof) {
     const steady_time now = time.now();
-    for (const policy::crash_suspect& suspect : crashes.take_crash_suspects(server, now)) {
-        const wall_time moment = get_corrected_time() - (now - suspect.broken_at);
+    for (const policy::crash_suspect& suspect : take_crash_suspects(server, proof)) {
+        const wall_time moment = get_corrected_time() - (now - suspect.ended_at);
         const policy::engine_crash crash{
-            .fingerprint = suspect.request, .crash_id = get_thread_random()(), .moment = moment};
+            .fingerprint = suspect.request, .crash_id = suspect.server_incarnation, .moment = moment};
         suspects.record_crash(crash);
         group_announcements.crashes.add(crash, now);
         intergroup_announcements.crashes.add(crash, now);
--- a/servers/serving_state.hpp
+++ b/servers/serving_state.hpp
@@ -35,6 +35,7 @@
 namespace dragonflywell::servers {
 
 class backend_exchange;
+class tracked_exchange;
 
 struct serving_options {
     std::string own_host;
@@ -208,6 +209,8 @@
     /// Speeds of the instances of plain services. Entries are not removed, since running requests refer to them.
     std::map<service_name, instance_speeds> speeds;
     policy::crash_attribution crashes;
+    /// The exchanges that run, by server.
+    std::map<backend_server_name, std::set<tracked_exchange*>> tracked_exchanges;
     policy::quarantine suspects{{.crashes_to_refuse = 3, .retention = std::chrono::minutes(10)}};
     policy::part_quarantine part_suspects;
     /// Servers to which a probe for a crash is in progress.
@@ -219,9 +222,9 @@
     /// Prompts sent to engines since the last digest to other hosts.
     std::vector<digest_prefix_access> prefix_accesses;
 
-    /// Records that a server has left, is unreachable or has restarted, and adds a crash to the quarantine for each
-    /// request that ran there.
-    void record_server_down(const backend_server_name& server);
+    /// Records that a server is down, and adds a crash to the quarantine for each request that it left without a whole
+    /// answer, as far as the proof goes.
+    void record_server_down(const backend_server_name& server, policy::down_proof proof = policy::down_proof::ended);
 
     /// Records that a prompt with these parts got a complete answer, which clears the parts of suspicion.
     void record_prompt_answer(std::span<const policy::prompt_part_id> parts);
@@ -251,6 +254,9 @@
     void announce_part_crash(const policy::part_crash& crash);
     /// Returns the records of blamed parts that other hosts are told again.
     [[nodiscard]] std::vector<policy::part_crash> get_blamed_crashes();
+    /// Returns the requests that a server which is down may have crashed of, the likeliest ones first.
+    [[nodiscard]] std::vector<policy::crash_suspect> take_crash_suspects(const backend_server_name& server,
+                                                                         policy::down_proof proof);
     /// Logs each group of parts that is blamed and was not before. Returns whether there is one.
     bool log_blamed_parts();
 
--- a/tests/daemon/test_server_list_follower.cpp
+++ b/tests/daemon/test_server_list_follower.cpp
@@ -112,6 +112,56 @@
     CHECK_FALSE(is_listed());
 }
 
+TEST_CASE_FIXTURE(fixture, "what a server left unanswered is suspected when the list shows that it ended unplanned") {
+    // Returns whether the request is suspected after the server's entry became that value.
+    const auto relay = [&](const std::optional<std::string>& value) {
+        const log_position end = follower.get_read_position().end.value();
+        const log_position next{.era = end.era, .offset = end.offset + 1};
+        const std::vector<platform::keyed_record> records{
+            {.offset = end.offset, .key = server_id.value(), .value = value}};
+        follower.apply_relayed(end, {.records = records, .next = next, .end = next}, 0ms);
+        return !state.suspects.is_empty();
+    };
+    const std::string restarted = fmt::format(R"({{"service":"app","addr":"10.0.0.1:80","zone":"z","version":"1",)"
+                                              R"("slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"born":2}})");
+    clock.advance(5s);
+    state.crashes.record_unanswered(
+        {.request = 7, .waiting_parts = {}, .server_incarnation = 1, .sent_at = clock.now(), .ended_at = clock.now()},
+        server_id);
+    CHECK_FALSE(relay(make_entry("ready", 2)));
+    SUBCASE("its entry is removed") {
+        CHECK(relay(std::nullopt));
+    }
+    SUBCASE("it has restarted") {
+        CHECK(relay(restarted));
+    }
+    SUBCASE("its entry is removed after it has announced its shutdown") {
+        CHECK_FALSE(relay(make_entry("draining", 3)));
+        CHECK_FALSE(relay(std::nullopt));
+    }
+    SUBCASE("it has restarted after it has announced its shutdown") {
+        CHECK_FALSE(relay(make_entry("draining", 3)));
+        CHECK_FALSE(relay(restarted));
+    }
+    SUBCASE("its entry is removed after it has said in a response that it leaves") {
+        state.eligibility.record_leaving(server_id, 1);
+        CHECK_FALSE(relay(std::nullopt));
+    }
+    SUBCASE("its entry may have expired in an outage of the store, and is dropped later") {
+        clock.advance(5s);
+        fail();
+        clock.advance(200ms);
+        send_leader_position(100ms);
+        clock.advance(1s);
+        CHECK_FALSE(relay(std::nullopt));
+        CHECK(is_listed());
+        clock.advance(1300ms);
+        send_leader_position(100ms);
+        CHECK_FALSE(is_listed());
+        CHECK_FALSE(state.suspects.is_empty());
+    }
+}
+
 TEST_CASE_FIXTURE(fixture, "a stale listing does not make a draining server usable again") {
     const std::string topic = "keyed.servers";
     store.freeze_listing(topic);
--- a/tests/gossip/simulated_fleet.cpp
+++ b/tests/gossip/simulated_fleet.cpp
@@ -214,11 +214,13 @@
                                          const std::vector<policy::request_fingerprint>& requests) {
     const backend_server_name name(server);
     for (const policy::request_fingerprint request : requests) {
-        state.crashes.record_broken_exchange({.request = request,
-                                              .waiting_parts = {request + 1, request + 2},
-                                              .server_incarnation = std::hash<std::string>()(server),
-                                              .broken_at = m_fleet->m_clock.now()},
-                                             name);
+        state.crashes.record_unanswered({.request = request,
+                                         .waiting_parts = {request + 1, request + 2},
+                                         .server_incarnation = std::hash<std::string>()(server),
+                                         .sent_at = m_fleet->m_clock.now(),
+                                         .ended_at = m_fleet->m_clock.now(),
+                                         .is_broken = true},
+                                        name);
     }
     state.record_server_down(name);
 }
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -14,7 +14,7 @@
     suspects.record_crash({.fingerprint = 1, .crash_id = 10, .moment = now});
     CHECK(suspects.is_suspect(1, now));
     CHECK_FALSE(suspects.is_refused(1, now));
-    suspects.record_completion(2);
+    suspects.record_completion(2, now);
     CHECK_FALSE(suspects.is_suspect(2, now));
     quarantine other_host({});
     for (const policy::engine_crash& crash : suspects.get_crashes(now)) {
@@ -36,6 +36,31 @@
     CHECK(suspects.is_suspect(2, clock.wall_now()));
 }
 
+TEST_CASE("a request with several crashes stays known, however many others stood beside a crash since") {
+    const virtual_clock clock;
+    const wall_time now = clock.wall_now();
+    quarantine suspects({.crashes_to_refuse = 3, .max_requests = 100});
+    suspects.record_crash({.fingerprint = 1, .crash_id = 1, .moment = now});
+    suspects.record_crash({.fingerprint = 1, .crash_id = 2, .moment = now});
+    for (policy::request_fingerprint other = 10; other < 1000; ++other) {
+        suspects.record_crash({.fingerprint = other, .crash_id = 3, .moment = now + std::chrono::seconds(1)});
+    }
+    suspects.record_crash({.fingerprint = 1, .crash_id = 4, .moment = now + std::chrono::seconds(2)});
+    CHECK(suspects.is_refused(1, now + std::chrono::seconds(2)));
+}
+
+TEST_CASE("a request that completed is not suspected again by a late report of a crash before") {
+    const virtual_clock clock;
+    const wall_time now = clock.wall_now();
+    quarantine suspects({});
+    const policy::engine_crash crash{.fingerprint = 1, .crash_id = 1, .moment = now};
+    suspects.record_crash(crash);
+    suspects.record_completion(1, now + std::chrono::seconds(1));
+    CHECK_FALSE(suspects.record_crash(crash));
+    CHECK(suspects.is_empty());
+    CHECK(suspects.record_crash({.fingerprint = 1, .crash_id = 2, .moment = now + std::chrono::seconds(2)}));
+}
+
 TEST_CASE("an engine is reserved for as long as a suspect runs on it") {
     quarantine suspects({});
     const backend_server_name server("e1");
