Suspects are kept of listed servers only, and looked up by server

Cause: what an exchange left behind after its server's entry had gone stayed for good, one entry for each server that had ever been; a request that got its answer elsewhere searched the exchanges of all servers.

Change: nothing is recorded of a server that is not listed, and a run that is over as planned takes its exchanges with it. A request remembers which servers left it unanswered, and only these are searched.

--- a/policy/crash_attribution.cpp
+++ b/policy/crash_attribution.cpp
@@ -43,11 +43,15 @@
     }
 }
 
-void crash_attribution::forget(request_fingerprint request) {
-    for (auto& [server, history] : m_servers) {
-        remove(history.unanswered, [&](const crash_suspect& item) { return item.request == request; });
+void crash_attribution::forget(request_fingerprint request, const backend_server_name& server) {
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end()) {
+        return;
+    }
+    remove(found->second.unanswered, [&](const crash_suspect& item) { return item.request == request; });
+    if (found->second.unanswered.empty()) {
+        m_servers.erase(found);
     }
-    std::erase_if(m_servers, [](const auto& item) { return item.second.unanswered.empty(); });
 }
 
 std::vector<crash_suspect> crash_attribution::take_crash_suspects(const backend_server_name& server, down_proof proof,
@@ -62,7 +66,8 @@
             return proof != down_proof::ended && !item.is_broken;
         });
         suspects.insert(suspects.end(), taken, unanswered.end());
-        remove(unanswered, [&](const crash_suspect& item) { return proof == down_proof::ended || item.is_broken; });
+        remove(unanswered,
+               [&](const crash_suspect& item) { return proof != down_proof::unreachable || item.is_broken; });
         if (unanswered.empty()) {
             m_servers.erase(found);
         }
--- a/policy/crash_attribution.hpp
+++ b/policy/crash_attribution.hpp
@@ -63,12 +63,13 @@
     /// Records that a server gave a whole answer to a request sent at that time. What it ran long before is harmless.
     void record_answer(const backend_server_name& server, steady_time sent_at, steady_time now);
 
-    /// Records that a request got a whole answer after all, which shows that it crashes no server.
-    void forget(request_fingerprint request);
+    /// Records that a request that a server left unanswered got its whole answer after all, which shows that it crashes
+    /// no server.
+    void forget(request_fingerprint request, const backend_server_name& server);
 
     /// Call when a server is down. Returns the requests that it left without an answer, the likeliest cause first, and
     /// removes them, so that each is returned once. `running`: the requests whose exchanges have not ended. Of a server
-    /// that has not surely ended unplanned, those count whose exchanges it broke.
+    /// that has not surely ended unplanned, those count whose exchanges it broke; the others are kept while it may run.
     [[nodiscard]] std::vector<crash_suspect> take_crash_suspects(const backend_server_name& server, down_proof proof,
                                                                  std::vector<crash_suspect> running, steady_time now);
 
--- a/servers/tracked_exchange.cpp
+++ b/servers/tracked_exchange.cpp
@@ -26,7 +26,9 @@
     if (found->second.empty()) {
         m_state->tracked_exchanges.erase(found);
     }
-    if (std::optional<policy::crash_suspect> suspect = take_suspect()) {
+    // Nothing tells of the end of a server that is not listed any more.
+    const bool is_listed = m_state->eligibility.get_list().find(m_server) != nullptr;
+    if (std::optional<policy::crash_suspect> suspect = take_suspect(); suspect && is_listed) {
         m_state->crashes.record_unanswered(std::move(*suspect), m_server);
     }
 }
@@ -41,7 +43,7 @@
         return std::nullopt;
     }
     m_is_settled = true;
-    ++m_subject.record->unanswered;
+    m_subject.record->unanswered.push_back(m_server);
     policy::crash_suspect suspect{.request = get_fingerprint(*m_subject.request, m_subject.organisation),
                                   .waiting_parts = {},
                                   .server_incarnation = m_incarnation,
--- a/tests/policy/test_crash_attribution.cpp
+++ b/tests/policy/test_crash_attribution.cpp
@@ -141,7 +141,8 @@
     watch.record_unanswered(make_suspect(7, now), first);
     watch.record_unanswered(make_suspect(7, now), second);
     watch.record_unanswered(make_suspect(8, now), second);
-    watch.forget(7);
+    watch.forget(7, first);
+    watch.forget(7, second);
     CHECK(watch.count_parts() == 2);
     CHECK(take(watch, down_proof::ended, now).empty());
     CHECK(watch.take_crash_suspects(second, down_proof::ended, {}, now).size() == 1);
