--- a/tests/platform/test_blocking_http_client.cpp
+++ b/tests/platform/test_blocking_http_client.cpp
@@ -15,6 +15,7 @@
 
 #include "platform/blocking_http_client.hpp"
 #include "standin/raw_server.hpp"
+#include "support/malformed_heads.hpp"
 
 using namespace dragonflywell;
 using boost::asio::ip::tcp;
@@ -159,3 +160,21 @@
     loop.stop();
     runner.join();
 }
+
+TEST_CASE("a response whose status is none is not a response") {
+    for (const testing::malformed_head& head : testing::make_odd_statuses()) {
+        CAPTURE(head.version + head.status);
+        boost::asio::io_context loop(1);
+        standin::raw_server server(loop,
+                                   [head](const servers::http_request& /*request*/,
+                                          standin::raw_connection& connection) -> boost::asio::awaitable<void> {
+                                       co_await connection.write(head.encode(200, "", "{}"));
+                                       connection.close();
+                                   });
+        std::thread runner([&] { loop.run(); });
+        platform::blocking_http_client client({.server = server.get_endpoint()});
+        CHECK_THROWS_AS(get(client), platform::http_exchange_error);
+        loop.stop();
+        runner.join();
+    }
+}
