--- a/tests/servers/test_host_digest.cpp
+++ b/tests/servers/test_host_digest.cpp
@@ -39,11 +39,21 @@
     CHECK(decode_host_digest(encode_host_digest(digest)) == digest);
 }
 
+TEST_CASE("a shortened record of a crash keeps which requests of the crash it is of") {
+    host_digest digest;
+    digest.host = "h";
+    digest.corrected_time = wall_time(9s);
+    digest.part_crashes = {{.crash_id = 8, .parts = {1, 2}, .moment = wall_time(9s), .requests = 0x8000000000000001},
+                           {.crash_id = 9, .parts = {3}, .moment = wall_time(9s)}};
+    CHECK(decode_host_digest(encode_host_digest(digest)).part_crashes == digest.part_crashes);
+}
+
 TEST_CASE("the sizes of the items of a digest add up to what they make it longer") {
     const digest_prefix_access access{.engine = backend_server_name("e"),
                                       .parts = {{.id = 0xffffffffffffffff, .tokens = 8}, {.id = 1, .tokens = 9}}};
     const policy::engine_crash crash{.fingerprint = 7, .crash_id = 0xffffffffffffffff, .moment = wall_time(9s)};
-    const policy::part_crash part_crash{.crash_id = 8, .parts = {1, 2, 3}, .moment = wall_time(9s)};
+    const policy::part_crash part_crash{
+        .crash_id = 8, .parts = {1, 2, 3}, .moment = wall_time(9s), .requests = 0xffffffffffffffff};
     const policy::part_clearance clearance{.part = 8, .moment = wall_time(9s)};
     host_digest digest;
     digest.part_crashes = {part_crash};
