An answer clears an equal request of crashes before it, reported or not

What callers would have seen: three servers end at once while a page is asked for again and again. It was in flight at each of them, so that it was refused when their entries went, some seconds later, although it had been answered elsewhere meanwhile.

Cause: an answer cleared a request only if it was suspected by then, or had itself been left unanswered by a server before.

Change: while anything is unanswered or suspected, a host remembers which requests were answered when (8,192). That drops equal unanswered ones, found by an index, and crashes before, also those that other hosts report. A crash counts from the time at which the request was sent. A 421 counts from when its request was sent, so that one on its way speaks of no changed entry.

The new case of test_crash_suspects.cpp was not run on the code before.

--- a/policy/crash_attribution.cpp
+++ b/policy/crash_attribution.cpp
@@ -1,27 +1,32 @@
 #include "policy/crash_attribution.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
 namespace dragonflywell::policy {
 
 template <typename IsRemoved>
-void crash_attribution::remove(std::vector<crash_suspect>& unanswered, IsRemoved is_removed) {
-    std::erase_if(unanswered, [&](const crash_suspect& item) {
+void crash_attribution::remove(server_map::iterator server, IsRemoved is_removed) {
+    std::erase_if(server->second.unanswered, [&](const crash_suspect& item) {
         const bool is_gone = is_removed(item);
-        m_part_count -= is_gone ? item.waiting_parts.size() : 0;
+        if (is_gone) {
+            forget_details(item, server->first);
+        }
         return is_gone;
     });
 }
 
 void crash_attribution::record_unanswered(crash_suspect suspect, const backend_server_name& server) {
-    server_history& history = m_servers[server];
-    remove_old(history.unanswered, suspect.ended_at);
+    const auto position = m_servers.try_emplace(server).first;
+    server_history& history = position->second;
+    remove_old(position, suspect.ended_at);
     m_part_count += suspect.waiting_parts.size();
+    ++m_servers_by_request[suspect.request][server];
     history.unanswered.push_back(std::move(suspect));
     if (history.unanswered.size() > m_options.max_per_server) {
-        drop_least_likely(history);
+        drop_least_likely(position);
     }
     while (m_part_count > m_options.max_parts) {
         drop_oldest_parts();
@@ -33,24 +38,18 @@
     if (found == m_servers.end()) {
         return;
     }
-    server_history& history = found->second;
-    history.answered_at = std::max(history.answered_at, now);
-    remove(history.unanswered,
-           [&](const crash_suspect& item) { return item.ended_at + m_options.late_start < sent_at; });
-    remove_old(history.unanswered, now);
-    if (history.unanswered.empty()) {
-        m_servers.erase(found);
-    }
+    found->second.answered_at = std::max(found->second.answered_at, now);
+    remove(found, [&](const crash_suspect& item) { return item.ended_at + m_options.late_start < sent_at; });
+    remove_old(found, now);
+    erase_if_empty(found);
 }
 
-void crash_attribution::forget(request_fingerprint request, const backend_server_name& server) {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end()) {
-        return;
-    }
-    remove(found->second.unanswered, [&](const crash_suspect& item) { return item.request == request; });
-    if (found->second.unanswered.empty()) {
-        m_servers.erase(found);
+void crash_attribution::forget(request_fingerprint request) {
+    for (auto known = m_servers_by_request.find(request); known != m_servers_by_request.end();
+         known = m_servers_by_request.find(request)) {
+        const auto server = m_servers.find(known->second.begin()->first);
+        remove(server, [&](const crash_suspect& item) { return item.request == request; });
+        erase_if_empty(server);
     }
 }
 
@@ -59,18 +58,13 @@
     std::vector<crash_suspect> suspects = std::move(running);
     steady_time answered_at = steady_time::min();
     if (const auto found = m_servers.find(server); found != m_servers.end()) {
-        std::vector<crash_suspect>& unanswered = found->second.unanswered;
-        remove_old(unanswered, now);
+        remove_old(found, now);
         answered_at = found->second.answered_at;
-        const auto taken = std::stable_partition(unanswered.begin(), unanswered.end(), [&](const crash_suspect& item) {
-            return proof != down_proof::ended && !item.is_broken;
-        });
-        suspects.insert(suspects.end(), taken, unanswered.end());
-        remove(unanswered,
-               [&](const crash_suspect& item) { return proof != down_proof::unreachable || item.is_broken; });
-        if (unanswered.empty()) {
-            m_servers.erase(found);
-        }
+        const auto counts = [&](const crash_suspect& item) { return proof == down_proof::ended || item.is_broken; };
+        std::copy_if(found->second.unanswered.begin(), found->second.unanswered.end(), std::back_inserter(suspects),
+                     counts);
+        remove(found, [&](const crash_suspect& item) { return proof != down_proof::unreachable || counts(item); });
+        erase_if_empty(found);
     }
     std::stable_sort(suspects.begin(), suspects.end(), [&](const crash_suspect& left, const crash_suspect& right) {
         return is_likelier(left, right, answered_at);
@@ -86,20 +80,38 @@
     return get_rank(left) < get_rank(right);
 }
 
-void crash_attribution::remove_old(std::vector<crash_suspect>& unanswered, steady_time now) {
-    remove(unanswered, [&](const crash_suspect& item) { return now - item.ended_at > m_options.retention; });
+void crash_attribution::remove_old(server_map::iterator server, steady_time now) {
+    remove(server, [&](const crash_suspect& item) { return now - item.ended_at > m_options.retention; });
 }
 
-void crash_attribution::drop_least_likely(server_history& history) {
-    std::vector<crash_suspect>& unanswered = history.unanswered;
+void crash_attribution::forget_details(const crash_suspect& suspect, const backend_server_name& server) {
+    m_part_count -= suspect.waiting_parts.size();
+    const auto servers = m_servers_by_request.find(suspect.request);
+    const auto count = servers->second.find(server);
+    if (--count->second == 0) {
+        servers->second.erase(count);
+    }
+    if (servers->second.empty()) {
+        m_servers_by_request.erase(servers);
+    }
+}
+
+void crash_attribution::drop_least_likely(server_map::iterator server) {
+    std::vector<crash_suspect>& unanswered = server->second.unanswered;
     const auto least = std::max_element(unanswered.begin(), unanswered.end(),
                                         [&](const crash_suspect& left, const crash_suspect& right) {
-                                            return is_likelier(left, right, history.answered_at);
+                                            return is_likelier(left, right, server->second.answered_at);
                                         });
-    m_part_count -= least->waiting_parts.size();
+    forget_details(*least, server->first);
     unanswered.erase(least);
 }
 
+void crash_attribution::erase_if_empty(server_map::iterator server) {
+    if (server->second.unanswered.empty()) {
+        m_servers.erase(server);
+    }
+}
+
 void crash_attribution::drop_oldest_parts() {
     crash_suspect* oldest = nullptr;
     for (auto& [server, history] : m_servers) {
--- a/policy/crash_attribution.hpp
+++ b/policy/crash_attribution.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -63,9 +64,9 @@
     /// Records that a server gave a whole answer to a request sent at that time. What it ran long before is harmless.
     void record_answer(const backend_server_name& server, steady_time sent_at, steady_time now);
 
-    /// Records that a request that a server left unanswered got its whole answer after all, which shows that it crashes
-    /// no server.
-    void forget(request_fingerprint request, const backend_server_name& server);
+    /// Records that a request got its whole answer, which shows that it crashes no server. Costs steps for the servers
+    /// that left an equal one unanswered.
+    void forget(request_fingerprint request);
 
     /// Call when a server is down. Returns the requests that it left without an answer, the likeliest cause first, and
     /// removes them, so that each is returned once. `running`: the requests whose exchanges have not ended. Of a server
@@ -73,6 +74,8 @@
     [[nodiscard]] std::vector<crash_suspect> take_crash_suspects(const backend_server_name& server, down_proof proof,
                                                                  std::vector<crash_suspect> running, steady_time now);
 
+    /// Returns whether no unanswered exchange is kept.
+    [[nodiscard]] bool is_empty() const noexcept { return m_servers.empty(); }
     /// Returns how many prompt parts are kept.
     [[nodiscard]] std::size_t count_parts() const noexcept { return m_part_count; }
 
@@ -86,16 +89,23 @@
     /// exchange was running at its end, and of several requests the first one stops it.
     [[nodiscard]] static bool is_likelier(const crash_suspect& left, const crash_suspect& right,
                                           steady_time answered_at) noexcept;
-    /// Removes exchanges for which `is_removed` returns true, and counts their parts as gone.
+    using server_map = std::map<backend_server_name, server_history>;
+
+    /// Removes the exchanges of a server for which `is_removed` returns true.
     template <typename IsRemoved>
-    void remove(std::vector<crash_suspect>& unanswered, IsRemoved is_removed);
-    void remove_old(std::vector<crash_suspect>& unanswered, steady_time now);
-    void drop_least_likely(server_history& history);
+    void remove(server_map::iterator server, IsRemoved is_removed);
+    void remove_old(server_map::iterator server, steady_time now);
+    /// Removes what is kept of an exchange beside its place.
+    void forget_details(const crash_suspect& suspect, const backend_server_name& server);
+    void drop_least_likely(server_map::iterator server);
+    void erase_if_empty(server_map::iterator server);
     void drop_oldest_parts();
 
     crash_attribution_options m_options;
     std::size_t m_part_count{0};
-    std::map<backend_server_name, server_history> m_servers;
+    server_map m_servers;
+    /// How many exchanges with a request each server left unanswered.
+    std::unordered_map<request_fingerprint, std::map<backend_server_name, std::size_t>> m_servers_by_request;
 };
 
 } // namespace dragonflywell::policy
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -30,8 +30,8 @@
     const auto found = m_suspects.find(fingerprint);
     if (found != m_suspects.end()) {
         erase(found);
-        remember_clearance(fingerprint, now);
     }
+    remember_clearance(fingerprint, now);
 }
 
 void quarantine::remember_clearance(request_fingerprint fingerprint, wall_time now) {
@@ -41,7 +41,7 @@
         position->second = now;
     }
     m_cleared_by_time.emplace(now, fingerprint);
-    if (m_cleared.size() > m_options.max_requests) {
+    if (m_cleared.size() > m_options.max_cleared) {
         m_cleared.erase(m_cleared_by_time.begin()->second);
         m_cleared_by_time.erase(m_cleared_by_time.begin());
     }
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -34,6 +34,8 @@
     duration retention{std::chrono::hours(1)};
     /// Maximum number of requests kept. Those with one crash are evicted first, and of these the oldest.
     std::size_t max_requests{4096};
+    /// Maximum number of requests of which it is remembered that they completed; the oldest are evicted first.
+    std::size_t max_cleared{8192};
 };
 
 /// Detects requests that crash the engines that run them.
@@ -47,7 +49,7 @@
 
     /// Records a crash that this host observed or another host reported. Returns whether it was not known and counts.
     bool record_crash(const engine_crash& crash);
-    /// Clears a request that has completed.
+    /// Clears a request that has completed, also of crashes before that are reported later.
     void record_completion(request_fingerprint fingerprint, wall_time now);
 
     /// Returns whether no crashes are recorded.
@@ -102,7 +104,7 @@
     mutable std::mutex m_mutex;
     std::map<request_fingerprint, suspect> m_suspects;
     std::set<eviction_key> m_eviction_order;
-    /// When each request that had been suspected completed last, and the same in the order of time.
+    /// When requests completed last, and the same in the order of time.
     std::map<request_fingerprint, wall_time> m_cleared;
     std::set<std::pair<wall_time, request_fingerprint>> m_cleared_by_time;
     std::multiset<backend_server_name> m_reserved;
--- a/policy/server_announcements.cpp
+++ b/policy/server_announcements.cpp
@@ -36,10 +36,10 @@
 }
 
 void server_announcements::record_mismatch(const backend_server_name& server, std::uint64_t incarnation,
-                                           steady_time now) {
-    std::erase_if(m_mismatched, [&](const auto& item) { return item.second.at + m_options.mismatch_time <= now; });
+                                           steady_time sent_at) {
+    std::erase_if(m_mismatched, [&](const auto& item) { return item.second.at + m_options.mismatch_time <= sent_at; });
     if (m_mismatched.size() < m_options.max_servers) {
-        m_mismatched[server] = {.incarnation = incarnation, .at = now};
+        m_mismatched[server] = {.incarnation = incarnation, .at = sent_at};
     }
 }
 
--- a/policy/server_announcements.hpp
+++ b/policy/server_announcements.hpp
@@ -40,8 +40,9 @@
     duration record_pause(const backend_server_name& server, std::optional<duration> pause, double spread,
                           steady_time now);
 
-    /// Records that whoever answered at the address of an incarnation of a server is not what its entry says.
-    void record_mismatch(const backend_server_name& server, std::uint64_t incarnation, steady_time now);
+    /// Records that whoever answered a request of that time at the address of an incarnation of a server is not what
+    /// its entry says.
+    void record_mismatch(const backend_server_name& server, std::uint64_t incarnation, steady_time sent_at);
 
     /// Returns whether a pause can be granted as it was asked for.
     [[nodiscard]] bool is_valid_pause(std::optional<duration> pause) const noexcept;
--- a/policy/server_eligibility.cpp
+++ b/policy/server_eligibility.cpp
@@ -75,9 +75,9 @@
     }
 }
 
-void server_eligibility::record_mismatch(const backend_server_name& server, steady_time now) {
+void server_eligibility::record_mismatch(const backend_server_name& server, steady_time sent_at) {
     if (const fleet::listed_server* listed = m_list.find(server); listed != nullptr) {
-        m_announcements.record_mismatch(server, get_incarnation(*listed), now);
+        m_announcements.record_mismatch(server, get_incarnation(*listed), sent_at);
     }
 }
 
--- a/policy/server_eligibility.hpp
+++ b/policy/server_eligibility.hpp
@@ -94,9 +94,9 @@
         return m_announcements.record_pause(server, pause, spread, now);
     }
 
-    /// Records that whoever answered at the address of a server is not what its entry says. The belief lasts for some
-    /// heartbeats, or until the entry changes.
-    void record_mismatch(const backend_server_name& server, steady_time now);
+    /// Records that whoever answered a request of that time at the address of a server is not what its entry says. The
+    /// belief lasts for some heartbeats, or until the entry changes.
+    void record_mismatch(const backend_server_name& server, steady_time sent_at);
 
     [[nodiscard]] bool is_valid_pause(std::optional<duration> pause) const noexcept {
         return m_announcements.is_valid_pause(pause);
--- a/servers/generation_request.cpp
+++ b/servers/generation_request.cpp
@@ -242,7 +242,7 @@
             what = "other_server";
             tracked.set_not_run();
             observation.discard();
-            get_state().eligibility.record_mismatch(engine, get_state().time.now());
+            get_state().eligibility.record_mismatch(engine, tracked.get_sent_at());
         } else {
             what = "read_refused";
             tracked.set_not_run();
@@ -378,7 +378,7 @@
     if (has_head && kind == response_kind::wrong_server) {
         tracked.set_not_run();
         get_record().add_server(engine, "other_server", exchange.get_connection_use());
-        get_state().eligibility.record_mismatch(engine, get_state().time.now());
+        get_state().eligibility.record_mismatch(engine, tracked.get_sent_at());
     } else if (has_head && kind == response_kind::not_run) {
         tracked.set_not_run();
         get_record().add_server(engine, "refused", exchange.get_connection_use());
--- a/servers/instance_request.cpp
+++ b/servers/instance_request.cpp
@@ -131,7 +131,7 @@
         tracked.set_not_run();
         observation.discard();
         get_record().add_server(server, "other_server", exchange.get_connection_use());
-        get_state().eligibility.record_mismatch(server, get_state().time.now());
+        get_state().eligibility.record_mismatch(server, tracked.get_sent_at());
         require_retry_budget(policy::retry_reason::connect_failed);
         co_return std::nullopt;
     case response_kind::not_run:
--- a/servers/request_record.hpp
+++ b/servers/request_record.hpp
@@ -2,7 +2,6 @@
 
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "core/clock.hpp"
 #include "core/identifiers.hpp"
@@ -30,8 +29,6 @@
     /// The kinds of the connections that were used for them, in the same order.
     std::string connections;
     std::uint32_t sends{0};
-    /// Servers that it was sent to and that gave no whole answer.
-    std::vector<backend_server_name> unanswered;
     /// Expected time from arrival to the first event of the response, if it was estimated.
     std::optional<duration> expected_time_to_first_event;
     /// Time that a prefill engine took, if one was used: from sending the prompt to its response.
--- a/servers/serving_handler.cpp
+++ b/servers/serving_handler.cpp
@@ -92,13 +92,11 @@
         request->give_back_unsent_quota();
         throw;
     }
-    if (!m_state->suspects.is_empty() || !record.unanswered.empty()) {
+    if (!m_state->suspects.is_empty() || !m_state->crashes.is_empty()) {
         const policy::request_fingerprint fingerprint =
             get_fingerprint(incoming, organisation_name(record.organisation));
         m_state->suspects.record_completion(fingerprint, m_state->get_corrected_time());
-        for (const backend_server_name& server : record.unanswered) {
-            m_state->crashes.forget(fingerprint, server);
-        }
+        m_state->crashes.forget(fingerprint);
     }
     if (!m_state->part_suspects.is_empty() && record.status == static_cast<unsigned>(http::status::ok)) {
         m_state->record_prompt_answer(get_shared_parts(incoming));
--- a/servers/serving_request.cpp
+++ b/servers/serving_request.cpp
@@ -319,10 +319,7 @@
     return {*m_state,
             server,
             exchange,
-            {.request = m_request.request,
-             .organisation = m_request.organisation,
-             .record = m_record,
-             .is_generation = is_generation}};
+            {.request = m_request.request, .organisation = m_request.organisation, .is_generation = is_generation}};
 }
 
 void serving_request::record_failure(const backend_server_name& server, const exchange_failed_error& failure,
--- a/servers/serving_state.cpp
+++ b/servers/serving_state.cpp
@@ -357,7 +357,8 @@
 void serving_state::record_server_down(const backend_server_name& server, policy::down_proof proof) {
     const steady_time now = time.now();
     for (const policy::crash_suspect& suspect : take_crash_suspects(server, proof)) {
-        const wall_time moment = get_corrected_time() - (now - suspect.ended_at);
+        // Whatever was answered since then was harmless.
+        const wall_time moment = get_corrected_time() - (now - suspect.sent_at);
         const policy::engine_crash crash{
             .fingerprint = suspect.request, .crash_id = suspect.server_incarnation, .moment = moment};
         suspects.record_crash(crash);
--- a/servers/tracked_exchange.cpp
+++ b/servers/tracked_exchange.cpp
@@ -43,7 +43,6 @@
         return std::nullopt;
     }
     m_is_settled = true;
-    m_subject.record->unanswered.push_back(m_server);
     policy::crash_suspect suspect{.request = get_fingerprint(*m_subject.request, m_subject.organisation),
                                   .waiting_parts = {},
                                   .server_incarnation = m_incarnation,
--- a/servers/tracked_exchange.hpp
+++ b/servers/tracked_exchange.hpp
@@ -6,7 +6,6 @@
 #include "policy/crash_attribution.hpp"
 #include "servers/backend_exchange.hpp"
 #include "servers/caller_request.hpp"
-#include "servers/request_record.hpp"
 
 namespace dragonflywell::servers {
 
@@ -21,12 +20,11 @@
     struct subject {
         const caller_request* request{};
         organisation_name organisation;
-        request_record* record{};
         /// Whether the server begins to answer the prompt of the request.
         bool is_generation{false};
     };
 
-    /// Preconditions: the server is listed; state, exchange, request and record outlive the object.
+    /// Preconditions: the server is listed; state, exchange and request outlive the object.
     tracked_exchange(serving_state& state, backend_server_name server, const backend_exchange& exchange,
                      subject content);
     tracked_exchange(const tracked_exchange&) = delete;
@@ -45,6 +43,7 @@
     void set_broken() noexcept { m_is_broken = true; }
 
     [[nodiscard]] bool is_broken() const noexcept { return m_is_broken; }
+    [[nodiscard]] steady_time get_sent_at() const noexcept { return m_sent_at; }
     /// Returns the request if the server may have crashed of it, or nothing. Afterwards the end of the exchange records
     /// nothing.
     [[nodiscard]] std::optional<policy::crash_suspect> take_suspect();
--- a/tests/platform/test_crash_suspects.cpp
+++ b/tests/platform/test_crash_suspects.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "servers/serving_request.hpp"
 #include "support/generation_parts.hpp"
 
 using namespace dragonflywell;
@@ -204,3 +205,34 @@
     add_server("s4", {}, answer_with(200, "ok"));
     CHECK(ask(http::verb::post, "/unsafe/x", "sound").status == 200);
 }
+
+// Guards against RECOVER: servers of one zone that end at once, and a page that is asked for again and again.
+TEST_CASE_FIXTURE(dark_servers,
+                  "a request that was at three servers when they went dark and is answered elsewhere is not refused") {
+    for (const std::string name : {"s1", "s2", "s3"}) {
+        const raw_server& server = add_server(name, {}, go_dark());
+        ask_and_leave(server, "/safe/x", "");
+        state.eligibility.record_pause(backend_server_name(name), std::chrono::seconds(60), 0, time.now());
+    }
+    add_server("s4", {}, answer_with(200, "ok"));
+    CHECK(ask(http::verb::post, "/safe/x", "").status == 200);
+    for (const std::string name : {"s1", "s2", "s3"}) {
+        remove(name);
+    }
+    CHECK(ask(http::verb::post, "/safe/x", "").status == 200);
+    // What another host reports of the same crashes.
+    servers::host_digest digest;
+    digest.host = "other";
+    servers::caller_request popular;
+    popular.method = http::verb::post;
+    popular.host = "host.example";
+    popular.target = "/safe/x";
+    const policy::request_fingerprint fingerprint = servers::get_fingerprint(popular, organisation_name("org"));
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        digest.crashes.push_back({.fingerprint = fingerprint,
+                                  .crash_id = crash,
+                                  .moment = state.get_corrected_time() - std::chrono::seconds(3)});
+    }
+    state.apply_crashes(digest, true);
+    CHECK(ask(http::verb::post, "/safe/x", "").status == 200);
+}
--- a/tests/policy/test_crash_attribution.cpp
+++ b/tests/policy/test_crash_attribution.cpp
@@ -135,14 +135,37 @@
     CHECK(found - suspects.begin() < 16);
 }
 
+TEST_CASE("what is kept of unanswered exchanges is gone when they are, however they go") {
+    crash_attribution watch({.max_per_server = 3});
+    const steady_time now{};
+    for (request_fingerprint request = 1; request <= 8; ++request) {
+        watch.record_unanswered(make_suspect(request % 2, now), request % 3 == 0 ? first : second);
+    }
+    CHECK_FALSE(watch.is_empty());
+    SUBCASE("answers") {
+        watch.forget(0);
+        watch.forget(1);
+    }
+    SUBCASE("time") {
+        watch.record_answer(first, now, now + 11s);
+        watch.record_answer(second, now, now + 11s);
+    }
+    SUBCASE("ends of the servers") {
+        CHECK(watch.take_crash_suspects(first, down_proof::left_as_planned, {}, now).size() == 2);
+        CHECK(watch.take_crash_suspects(second, down_proof::ended, {}, now).size() == 3);
+    }
+    CHECK(watch.is_empty());
+    CHECK(watch.count_parts() == 0);
+    watch.forget(1);
+}
+
 TEST_CASE("a request that got its answer from another server is no suspect any more") {
     crash_attribution watch;
     const steady_time now{};
     watch.record_unanswered(make_suspect(7, now), first);
     watch.record_unanswered(make_suspect(7, now), second);
     watch.record_unanswered(make_suspect(8, now), second);
-    watch.forget(7, first);
-    watch.forget(7, second);
+    watch.forget(7);
     CHECK(watch.count_parts() == 2);
     CHECK(take(watch, down_proof::ended, now).empty());
     CHECK(watch.take_crash_suspects(second, down_proof::ended, {}, now).size() == 1);
--- a/tests/policy/test_quarantine.cpp
+++ b/tests/policy/test_quarantine.cpp
@@ -59,6 +59,9 @@
     CHECK_FALSE(suspects.record_crash(crash));
     CHECK(suspects.is_empty());
     CHECK(suspects.record_crash({.fingerprint = 1, .crash_id = 2, .moment = now + std::chrono::seconds(2)}));
+    // The same if it was not suspected yet when it completed.
+    suspects.record_completion(2, now + std::chrono::seconds(1));
+    CHECK_FALSE(suspects.record_crash({.fingerprint = 2, .crash_id = 1, .moment = now}));
 }
 
 TEST_CASE("an engine is reserved for as long as a suspect runs on it") {
