--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,5 +9,5 @@
     1[1-9]) ;;
     *) continue ;;
     esac
-    g++ -std=c++20 -O1 -Wall -Wextra -I review/kit-3 "$source" -o "target/review-3/case-$name" -lboost_json -lpthread
+    g++ -std=c++20 -O1 -Wall -Wextra "$source" -o "target/review-3/case-$name" -pthread
 done
--- a/review/kit-3/world.hh
+++ b/review/kit-3/world.hh
@@ -4,7 +4,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
-#include <boost/json.hpp>
+#include <boost/json/src.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <cstdarg>
