--- a/review/kit-3/world.hh
+++ b/review/kit-3/world.hh
@@ -27,6 +27,7 @@
 #include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -586,6 +587,8 @@
         const std::string own_program = program != nullptr ? program : "target/bin/dragonflywelld";
         m_pid = ::fork();
         if (m_pid == 0) {
+            // The daemon ends with the program, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, 1);
             ::dup2(output, 2);
